--- /dev/null
+++ b/mulleinhitch/wirehost.py
@@ -0,0 +1,77 @@
+"""The adapter: hosts many balancer instances on the bench's wire, standard input to standard output."""
+
+from __future__ import annotations
+
+import gc
+import sys
+import traceback
+from typing import BinaryIO
+
+from mulleinhitch.interface import SettingsError
+from mulleinhitch.policy import Balancer
+from mulleinhitch.wire import (
+    HEADER,
+    Decoder,
+    Destroy,
+    Hello,
+    WireError,
+    decode_settings,
+    encode_action,
+    encode_crash,
+)
+from mulleinhitch.wire import encode_reply as frame_reply
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    """Answer batches until the input ends; a batch is decoded whole before anything is written."""
+    decoder = Decoder()
+    copies: dict[int, Balancer] = {}
+    while True:
+        header = source.read(HEADER.size)
+        if not header:
+            return
+        if len(header) < HEADER.size:
+            raise WireError("input ends inside a batch header")
+        clock, length, count = HEADER.unpack(header)
+        if length < HEADER.size:
+            raise WireError(f"a batch of {length} bytes is shorter than its header")
+        body = source.read(length - HEADER.size)
+        if len(body) < length - HEADER.size:
+            raise WireError("input ends inside a batch")
+        replies: list[bytes] = []
+        for inst, event in decoder.batch(body, count):
+            try:
+                if isinstance(event, Hello):
+                    copies[inst] = Balancer(decode_settings(event.facts), event.seed)
+                elif isinstance(event, Destroy):
+                    copies.pop(inst, None)
+                elif inst in copies:
+                    replies.extend(
+                        encode_action(inst, action) for action in copies[inst].handle(clock, event)
+                    )
+                else:
+                    raise WireError(f"event for instance {inst}, which has not started")
+            except WireError:
+                raise
+            except SettingsError as problem:
+                replies.append(encode_crash(inst, f"settings refused: {problem}"))
+            except Exception as problem:
+                traceback.print_exc(file=sys.stderr)
+                replies.append(encode_crash(inst, f"{type(problem).__name__}: {problem}"))
+        sink.write(frame_reply(replies))
+        sink.flush()
+
+
+def main() -> int:
+    """Run until the end of input; a malformed frame ends with a plain message and status 1."""
+    gc.disable()  # copies live long and hold few cycles; collection pauses would be booked as decision cost
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as problem:
+        print(f"wirehost: {problem}", file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,711 @@
+"""Behaviour of the decision module, one test a behaviour, without the bench."""
+
+from __future__ import annotations
+
+from collections import Counter
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from mulleinhitch.interface import (
+    AnswerStarted,
+    AttemptEnded,
+    CloseIdle,
+    ContractError,
+    Effect,
+    Fail,
+    Group,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    Refuse,
+    ReportMode,
+    RequestArrived,
+    RequestClass,
+    Send,
+    ServerEntry,
+    ServerState,
+    Settings,
+    Tenant,
+    WatchList,
+)
+from mulleinhitch.policy import Attempt, Balancer, Legality, Request, Server, Usual
+from tests.driver import Driver
+
+SAFE = RequestClass(100.0, 400.0, Effect.SAFE)
+UNSAFE = RequestClass(100.0, 400.0, Effect.UNSAFE)
+PLAIN = Settings(classes=(SAFE, UNSAFE), max_attempts=4)
+PROBING = replace(
+    PLAIN,
+    may_probe=True,
+    report_mode=ReportMode.ON_PROBE,
+    report_fields=("cpu_share", "running_and_waiting"),
+    price_probe=0.002,
+)
+
+
+def driver(settings: Settings = PLAIN, servers: int = 10, seed: int = 1, **entry: float) -> Driver:
+    made = Driver(settings, seed)
+    made.list(ListKind.CACHED, tuple(ServerEntry(n, **entry) for n in range(servers)))  # type: ignore[arg-type]
+    return made
+
+
+def sends(actions: list[object]) -> list[int]:
+    return [a.server for a in actions if isinstance(a, Send)]
+
+
+def chi_square(counts: list[int]) -> float:
+    mean = sum(counts) / len(counts)
+    return sum((c - mean) ** 2 / mean for c in counts)
+
+
+# the ordinary path
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_the_draw_is_uniform_among_token_holders(seed: int) -> None:
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=10, seed=seed)
+    for _ in range(4):
+        bench.request()  # four tokens are spent and stay so
+    busy = {t.server for o in bench.owed.values() for t in o.tries}
+    counts: Counter[int] = Counter()
+    for _ in range(6000):
+        (server,) = sends(bench.request())
+        counts[server] += 1
+        bench.end(bench.next_id, 0, Outcome.OK)
+    assert len(busy) == 4
+    assert not busy & counts.keys()
+    assert chi_square([counts[n] for n in range(10) if n not in busy]) < 20.5  # 5 degrees, odds 0.001
+
+
+def test_without_any_token_the_draw_is_over_the_ready_servers() -> None:
+    counts: Counter[int] = Counter()
+    for seed in range(3000):
+        bench = driver(replace(PLAIN, tier=1, tiers=2), servers=3, seed=seed)
+        for _ in range(3):
+            bench.request()
+        (server,) = sends(bench.request())
+        counts[server] += 1
+    assert chi_square([counts[n] for n in range(3)]) < 13.9  # 2 degrees, odds 0.001
+
+
+def test_a_token_returns_only_when_no_call_is_outstanding() -> None:
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=2)
+    bench.request()
+    bench.request()  # one call at each server
+    (third,) = sends(bench.request())  # no token: a second call somewhere
+    first = next(r for r, o in bench.owed.items() if o.tries[0].server == third)
+    bench.end(first, 0, Outcome.OK)  # that server still has the third call
+    other = next(r for r, o in bench.owed.items() if o.tries[0].server != third)
+    bench.end(other, 0, Outcome.OK)
+    (fourth,) = sends(bench.request())
+    assert fourth != third
+
+
+def test_unvisited_servers_are_visited_by_a_copy_whose_calls_run_one_at_a_time() -> None:
+    # Guards against the lone sticky token: a copy of low rate returned to the first server it had met.
+    bench = driver(servers=10)
+    seen = set()
+    for _ in range(100):
+        (server,) = sends(bench.request())
+        seen.add(server)
+        bench.end(bench.next_id, 0, Outcome.OK)
+    assert len(seen) == 10
+
+
+def test_when_no_token_is_held_the_level_is_raised() -> None:
+    # Guards against piling a third call onto a server while another has one.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=5)
+    for _ in range(10):
+        bench.request()
+    load = Counter(t.server for o in bench.owed.values() for t in o.tries)
+    assert set(load.values()) == {2}
+
+
+def test_same_seed_same_actions() -> None:
+    runs = []
+    for _ in range(2):
+        bench = driver(PROBING, seed=9)
+        for n in range(50):
+            bench.request(n % 2)
+            if bench.probes:
+                bench.echo((0.1, float(n % 3)))
+            bench.advance(7.0)
+        runs.append(bench.actions)
+    assert runs[0] == runs[1]
+
+
+# probing
+
+
+def test_an_idle_report_confirms_the_token_and_a_busy_one_draws_another() -> None:
+    bench = driver(PROBING)
+    bench.request()
+    first = bench.probes[0]
+    assert sends(bench.echo((0.9, 2.0))) == []
+    assert bench.probes[0] != first
+    second = bench.probes[0]
+    assert sends(bench.echo((0.0, 0.0))) == [second]
+
+
+def test_silence_counts_as_busy() -> None:
+    bench = driver(PROBING)
+    bench.request()
+    first = bench.probes[0]
+    bench.advance(30.0)
+    assert bench.probes[1] != first
+
+
+def test_a_call_with_little_time_left_is_not_lost_while_a_report_is_awaited() -> None:
+    bench = driver(replace(PROBING, tick_ms=5.0))
+    bench.request(left=12.0)
+    bench.advance(40.0)
+    assert bench.owed[1].answers == 1
+
+
+def test_two_requests_never_settle_on_one_report() -> None:
+    bench = driver(PROBING, servers=2)
+    bench.request()
+    bench.request()
+    assert bench.probes[0] != bench.probes[1]
+
+
+def test_calls_are_held_while_all_drawn_are_busy_and_refused_before_the_aim() -> None:
+    bench = driver(PROBING, servers=4)
+    bench.request()
+    for _ in range(400):
+        bench.advance(1.0)
+        while bench.probes:
+            bench.echo((1.0, 1.0))
+    assert bench.owed[1].answers == 1
+    assert not bench.owed[1].tries
+    assert any(isinstance(a, Refuse) for a in bench.actions)
+
+
+def test_polls_thin_out_while_next_to_nothing_is_idle() -> None:
+    # Guards against a herd on the one server that falls idle, seen by many copies at once.
+    bench = driver(replace(PROBING, classes=(RequestClass(2000.0, 4000.0, Effect.SAFE),)), servers=200)
+    bench.request()
+    counts = []
+    for _ in range(4):
+        bench.actions.clear()
+        for _ in range(300):
+            bench.advance(1.0)
+            while bench.probes:
+                bench.echo((0.0, 1.0))
+        counts.append(sum(isinstance(a, Probe) for a in bench.actions))
+    assert 0 < counts[-1] < counts[0] / 2
+
+
+@pytest.mark.parametrize("fields", [(), ("waiting",), ("svc_ms", "served_ps"), ("cpu_share",)])
+def test_reports_that_do_not_tell_idleness_are_not_paid_for(fields: tuple[str, ...]) -> None:
+    bench = driver(replace(PROBING, report_fields=fields))
+    assert len(sends(bench.request())) == 1
+    assert not bench.probes
+
+
+def test_a_dear_probe_that_can_save_little_is_not_sent() -> None:
+    bench = driver(replace(PROBING, price_probe=0.5))
+    for _ in range(200):
+        bench.request()
+        if bench.open_tries():
+            bench.end(*bench.open_tries()[0], Outcome.OK)
+    assert sum(isinstance(a, Probe) for a in bench.actions) < 20
+
+
+# legality
+
+
+def test_an_unsafe_call_is_repeated_only_after_proof_that_nothing_ran() -> None:
+    bench = driver(servers=5)
+    bench.request(1)
+    assert len(sends(bench.end(1, 0, Outcome.CONNECT_FAILED))) == 1
+    actions = bench.end(1, 1, Outcome.RESET)
+    assert actions == [Fail(1)]
+
+
+def test_a_keyed_call_stays_in_the_zone_of_its_first_server() -> None:
+    keyed = RequestClass(200.0, 400.0, Effect.KEYED, group=Group.ZONE, memory_ms=300.0)
+    for seed in range(30):
+        bench = Driver(replace(PLAIN, classes=(keyed,), zones=3), seed)
+        bench.list(ListKind.FULL, tuple(ServerEntry(n, zone=n % 3) for n in range(9)))
+        bench.request()
+        bench.end(1, 0, Outcome.RESET)
+        zones = {t.zone for t in bench.owed[1].tries}
+        assert len(zones) == 1
+        assert len(bench.owed[1].tries) == 2
+
+
+def test_nothing_goes_to_a_draining_or_delisted_server() -> None:
+    bench = driver(servers=3)
+    bench.list(ListKind.DELTA, (ServerEntry(0, ServerState.DRAINING), ServerEntry(1, ServerState.GONE)))
+    for _ in range(20):
+        assert set(sends(bench.request())) <= {2}
+
+
+def test_a_server_that_drains_while_its_report_is_awaited_gets_nothing() -> None:
+    bench = driver(PROBING, servers=1)
+    bench.request()
+    bench.feed(ListUpdate(ListKind.DELTA, 2, (ServerEntry(0, ServerState.DRAINING),)))
+    assert sends(bench.echo((0.0, 0.0))) == []
+
+
+def test_a_full_list_drops_what_it_lacks() -> None:
+    bench = driver(servers=3)
+    bench.list(ListKind.FULL, (ServerEntry(2),))
+    assert sends(bench.request()) == [2]
+
+
+def test_a_call_waits_for_a_server_and_is_answered_when_none_comes() -> None:
+    bench = driver(servers=0)
+    bench.request()
+    assert not bench.owed[1].over
+    bench.list(ListKind.DELTA, (ServerEntry(4),))
+    bench.advance(20.0)
+    assert [t.server for t in bench.owed[1].tries] == [4]
+    empty = driver(servers=0)
+    empty.request(1)
+    empty.advance(500.0)
+    assert empty.owed[1].answers == 1
+
+
+def test_a_streamed_answer_belongs_to_the_client() -> None:
+    bench = driver(replace(PLAIN, classes=(replace(SAFE, streaming=True),)))
+    bench.request()
+    bench.feed(AnswerStarted(1, 0, bench.owed[1].tries[0].server))
+    bench.owed[1].over = True
+    bench.owed[1].tries[0].outcome = Outcome.RESET
+    assert bench.feed(AttemptEnded(1, 0, bench.owed[1].tries[0].server, Outcome.RESET, True)) == []
+
+
+# slow start
+
+
+@pytest.mark.parametrize("copies", [1, 40])
+def test_cold_servers_together_stay_within_their_budget(copies: int) -> None:
+    settings = replace(
+        PLAIN, tier=1, tiers=2, copies=copies, cold_share=0.1, cold_ms=20_000.0, fall_multiple=3.0
+    )
+    fleet = [driver(settings, servers=8, seed=n, started_ms=999.0) for n in range(copies)]
+    hits: Counter[int] = Counter()
+    rng = Random(5)
+    for _ in range(400):  # two seconds at 200 calls a second, all servers just started
+        bench = fleet[rng.randrange(copies)]
+        for server in sends(bench.request()):
+            hits[server] += 1
+            bench.end(*bench.open_tries()[-1], Outcome.OK)
+    # Warm servers would get 50 each; a tenth of that is what these can do, and three times it topples them.
+    assert max(hits.values()) < 3 * 0.1 * 50 + 2
+
+
+def test_a_restarted_server_is_cold_again_and_a_warm_one_is_not() -> None:
+    bench = driver(replace(PLAIN, tier=1, tiers=2, cold_share=0.05, cold_ms=50_000.0), servers=2)
+    bench.list(ListKind.DELTA, (ServerEntry(0, started_ms=bench.now),))
+    got: Counter[int] = Counter()
+    for _ in range(200):
+        for server in sends(bench.request()):
+            got[server] += 1
+            bench.end(bench.next_id, 0, Outcome.OK)
+    assert 0 < got[0] < 20 < got[1]
+
+
+# health
+
+
+def test_a_server_that_errs_at_once_does_not_attract_calls() -> None:
+    # Guards against the fast failure that regains its token first.
+    bench = driver(servers=10)
+    got: Counter[int] = Counter()
+    for _ in range(400):
+        bench.request(1)
+        bench.advance(5.0)
+        for request, attempt in bench.open_tries():
+            server = bench.owed[request].tries[attempt].server
+            got[server] += 1
+            bench.end(request, attempt, Outcome.ERROR if server == 0 else Outcome.OK)
+    assert got[0] < 15
+
+
+def test_a_full_server_does_not_regain_its_token_at_once() -> None:
+    bench = driver(servers=2)
+    bench.request(1)
+    full = bench.owed[1].tries[0].server
+    bench.end(1, 0, Outcome.FULL)
+    assert [t.server for t in bench.owed[1].tries] == [full, 1 - full]
+    bench.end(1, 1, Outcome.OK)
+    assert set(sends(bench.request(1)) + sends(bench.request(1))) == {1 - full}
+
+
+def test_when_everything_fails_nothing_is_ejected() -> None:
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=6)
+    for _ in range(300):
+        bench.request(1)
+        bench.end(*bench.open_tries()[-1], Outcome.ERROR)
+        bench.advance(1.0)
+    bench.advance(60.0)  # past the short pause after each failure
+    got = set()
+    for _ in range(6):
+        got |= set(sends(bench.request(1)))
+    assert len(got) >= 4
+
+
+def test_retries_stop_when_their_budget_is_spent() -> None:
+    bench = driver(servers=20)
+    for _ in range(200):
+        bench.request()
+        while bench.open_tries():
+            bench.end(*bench.open_tries()[0], Outcome.RESET)
+    attempts = sum(len(o.tries) for o in bench.owed.values())
+    assert attempts < 200 * 1.3 + 10
+
+
+# the aim and shedding
+
+
+def test_calls_are_cut_just_before_the_aim_where_late_answers_are_worthless() -> None:
+    bench = driver()
+    (send,) = [a for a in bench.request() if isinstance(a, Send)]
+    assert 90.0 < send.timeout_ms < 100.0
+    late = driver(replace(PLAIN, classes=(replace(SAFE, late_worth=0.5),)))
+    (send,) = [a for a in late.request() if isinstance(a, Send)]
+    assert send.timeout_ms == 400.0
+
+
+def test_a_last_retry_that_carries_the_rest_of_the_deadline_does_not_make_fresh_calls_late() -> None:
+    # Guards against cutting fresh calls after milliseconds: the longest time left is not the usual one.
+    bench = driver(servers=40)
+    for _ in range(20):
+        bench.request(left=250.0)
+        bench.end(bench.next_id, 0, Outcome.OK)
+    bench.request(left=390.0)
+    bench.end(bench.next_id, 0, Outcome.OK)
+    (send,) = [a for a in bench.request(left=250.0) if isinstance(a, Send)]
+    assert send.timeout_ms > 90.0
+    late = bench.request(left=210.0)  # 190 ms of the deadline are gone already, and the aim with them
+    assert [type(a) for a in late] == [Refuse]
+
+
+def test_usual_needs_a_clear_majority() -> None:
+    usual = Usual()
+    rng = Random(3)
+    assert all(usual.vote(rng.uniform(0.0, 1000.0), 1.0) for _ in range(500))
+    for _ in range(50):
+        usual.vote(700.0, 1.0)
+    assert usual.vote(701.0, 1.0)
+    assert not usual.vote(300.0, 1.0)
+
+
+def overload(settings: Settings) -> Counter[tuple[int, bool]]:
+    bench = driver(settings, servers=10)
+    served: Counter[tuple[int, bool]] = Counter()
+    for n in range(2000):
+        tenant = 0 if n % 4 else 1
+        served[tenant, bool(sends(bench.request(1, tenant=tenant)))] += 1
+        bench.advance(1.0)
+        tries = bench.open_tries()
+        for request, attempt in tries:
+            if bench.now - bench.owed[request].tries[attempt].sent > 10.0 + 2.0 * len(tries):
+                bench.end(request, attempt, Outcome.OK)
+    return served
+
+
+def test_under_overload_traffic_over_its_share_is_refused_first() -> None:
+    served = overload(replace(PLAIN, tenants=(Tenant(100.0), Tenant(300.0))))
+    kept = served[1, True] / (served[1, True] + served[1, False])
+    over = served[0, True] / (served[0, True] + served[0, False])
+    assert kept > 0.9
+    assert over < 0.6
+
+
+def test_inner_tiers_do_not_shed() -> None:
+    served = overload(replace(PLAIN, tenants=(Tenant(100.0), Tenant(300.0)), tier=1, tiers=2))
+    assert served[0, False] == served[1, False] == 0
+
+
+# discovery on request
+
+
+def test_a_copy_subscribes_within_its_duty_and_backs_off_after_failures() -> None:
+    settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0)
+    bench = driver(settings)
+    bench.advance(2000.0)
+    assert [a for a in bench.actions if isinstance(a, WatchList)] == [WatchList(True)]
+    gaps = []
+    for _ in range(4):
+        start = bench.now
+        bench.feed(ListUpdate(ListKind.FAILED))
+        before = sum(isinstance(a, WatchList) for a in bench.actions)
+        while sum(isinstance(a, WatchList) for a in bench.actions) == before:
+            bench.advance(100.0)
+        gaps.append(bench.now - start)
+    assert max(gaps) <= 1.5 * 8000.0
+    assert gaps[-1] > 3000.0
+
+
+def test_fresh_copies_do_not_all_ask_discovery_at_once() -> None:
+    settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0)
+    asked = []
+    for seed in range(40):
+        bench = driver(settings, seed=seed)
+        asked.append(bench.timers[0][0] - bench.now)
+    assert max(asked) <= 2000.0
+    assert max(asked) - min(asked) > 1000.0
+
+
+# contract
+
+
+def test_broken_contracts_are_told() -> None:
+    balancer = Balancer(PLAIN, 1)
+    balancer.handle(5.0, RequestArrived(1, 0, 100.0))
+    with pytest.raises(ContractError, match="twice"):
+        balancer.handle(5.0, RequestArrived(1, 0, 100.0))
+    with pytest.raises(ContractError, match="time went back"):
+        balancer.handle(4.0, ProbeEnded(1, Outcome.OK))
+    with pytest.raises(ContractError, match="class 9"):
+        balancer.handle(6.0, RequestArrived(2, 9, 100.0))
+    with pytest.raises(ContractError, match="unknown event"):
+        balancer.handle(6.0, "hello")  # type: ignore[arg-type]
+
+
+def test_late_and_odd_events_are_ignored() -> None:
+    bench = driver()
+    assert bench.feed(AttemptEnded(99, 0, 0, Outcome.OK, True)) == []
+    assert bench.feed(ProbeEnded(77, Outcome.OK, 1.0, ())) == []
+
+
+# legality by itself: what no path of today would try must be forbidden all the same
+
+
+def judged(
+    settings: Settings, cls: RequestClass, outcomes: list[Outcome | None]
+) -> tuple[Legality, Request, Server]:
+    legality = Legality(settings)
+    request = Request(RequestArrived(1, 0, 5000.0), cls, 0.0)
+    server = Server(ServerEntry(1))
+    for outcome in outcomes:
+        attempt = Attempt(server, 100.0)
+        attempt.outcome = outcome
+        request.attempts.append(attempt)
+        request.out += outcome is None
+    return legality, request, server
+
+
+def test_a_keyed_call_is_not_repeated_after_the_memory_of_its_first_send() -> None:
+    keyed = RequestClass(200.0, 5000.0, Effect.KEYED, group=Group.ALL, memory_ms=300.0)
+    legality, request, server = judged(PLAIN, keyed, [Outcome.RESET])
+    assert legality.may_send(request, server, 390.0)
+    assert not legality.may_send(request, server, 400.0)
+    unrun = judged(PLAIN, keyed, [Outcome.FULL])
+    assert unrun[0].may_send(unrun[1], unrun[2], 4000.0)
+
+
+def test_no_second_copy_where_none_is_allowed() -> None:
+    legality, request, server = judged(PLAIN, SAFE, [None])
+    assert not legality.may_send(request, server, 110.0)
+    legality, request, server = judged(replace(PLAIN, second_copies=True), SAFE, [None])
+    assert legality.may_send(request, server, 110.0)
+
+
+def test_outstanding_and_cancelled_attempts_count_as_may_have_run() -> None:
+    for outcome in (None, Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET):
+        legality, request, server = judged(replace(PLAIN, second_copies=True), UNSAFE, [outcome])
+        assert not legality.may_send(request, server, 110.0)
+        assert not legality.may_refuse(request)
+    for outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
+        legality, request, server = judged(PLAIN, UNSAFE, [outcome])
+        assert legality.may_send(request, server, 110.0)
+        assert legality.may_refuse(request)
+
+
+def test_no_more_attempts_than_allowed() -> None:
+    legality, request, server = judged(PLAIN, SAFE, [Outcome.RESET] * 4)
+    assert not legality.may_send(request, server, 110.0)
+
+
+def zones_drawn(price: float, home: Outcome) -> Counter[int]:
+    bench = Driver(replace(PLAIN, zones=2, my_zone=1, price_cross_zone=price, tier=1, tiers=2), 4)
+    bench.list(ListKind.FULL, tuple(ServerEntry(n, zone=n % 2) for n in range(20)))
+    drawn: Counter[int] = Counter()
+    for n in range(300):
+        (server,) = sends(bench.request(class_index=1))
+        drawn[server % 2] += n >= 200
+        bench.end(bench.next_id, 0, home if server % 2 else Outcome.OK)
+        bench.advance(10.0)
+    return drawn
+
+
+def test_where_crossings_cost_home_servers_are_drawn_while_they_keep_up() -> None:
+    assert zones_drawn(0.02, Outcome.OK)[1] > 90
+    assert 30 < zones_drawn(0.0, Outcome.OK)[1] < 70
+
+
+def test_calls_spill_to_other_zones_while_home_does_worse() -> None:
+    # Guards against a zone with more traffic than its own servers carry; copies of low rate never run out of
+    # tokens at home.
+    assert zones_drawn(0.02, Outcome.ERROR)[0] > 30
+
+
+def visits(slow_ms: float) -> Counter[int]:
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=10)
+    seen: Counter[int] = Counter()
+    for _ in range(1500):
+        (server,) = sends(bench.request(class_index=1))
+        seen[server] += 1
+        bench.advance(slow_ms if server == 0 else 10.0)
+        bench.end(bench.next_id, 0, Outcome.OK)
+    return seen
+
+
+def test_a_slower_server_is_visited_less_by_a_copy_whose_calls_run_one_at_a_time() -> None:
+    # Guards against slow kinds and servers that stay slow once crowded: even draws would fill them.
+    assert visits(40.0)[0] < 75
+    assert visits(10.0)[0] > 120
+
+
+def test_an_ejection_outlasts_the_time_between_two_visits() -> None:
+    # Guards against ejections that are over before a copy of low rate would have come by again.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=10)
+    for _ in range(30):
+        bench.request(class_index=1)
+        bench.end(bench.next_id, 0, Outcome.OK)
+        bench.advance(300.0)
+    (bad,) = sends(bench.request(class_index=1))
+    bench.end(bench.next_id, 0, Outcome.ERROR)
+    seen = set()
+    for _ in range(8):
+        bench.advance(300.0)
+        seen |= set(sends(bench.request(class_index=1)))
+        bench.end(bench.next_id, 0, Outcome.OK)
+    assert bad not in seen
+
+
+def test_a_window_below_one_call_lets_a_part_of_the_calls_through() -> None:
+    # Guards against hundreds of copies that each may always have some calls out.
+    bench = driver(replace(PLAIN, copies=100), servers=10)
+    served = []
+    for _ in range(120):
+        served.append(bool(sends(bench.request(1))))
+        bench.advance(40.0)  # every attempt runs into its aim, some 100 ms after its send
+    assert 0 < sum(served[60:]) < 45
+
+
+def test_repeats_of_a_tenant_that_mostly_repeats_are_refused_first() -> None:
+    # Guards against clients that repeat at once, whatever they are told.
+    bench = driver(replace(PLAIN, tenants=(Tenant(100.0), Tenant(100.0)), marks_retry=True))
+    verdicts = {}
+    for n in range(200):
+        for tenant in (0, 1):
+            event = RequestArrived(n, 0, 400.0, tenant, client_retry=tenant == 0 and n % 8 != 0)
+            verdicts[tenant, event.client_retry] = bench.balancer._over_share(event)
+    assert verdicts == {(0, False): False, (0, True): True, (1, False): False}
+
+
+def test_a_call_that_looks_again_asks_two_servers_not_eight() -> None:
+    # Guards against a herd: in a jam the polls of all copies met at each server that fell idle.
+    bench = driver(replace(PROBING, classes=(RequestClass(2000.0, 4000.0, Effect.SAFE),)), servers=100)
+    rounds = []
+    bench.request()
+    for _ in range(3):
+        asked = 0
+        while bench.probes:
+            asked += 1
+            bench.echo((0.0, 1.0))
+        rounds.append(asked)
+        while not bench.probes:
+            bench.advance(1.0)
+    assert rounds == [8, 2, 2]
+
+
+def test_calls_that_no_server_looked_at_are_retried_more_freely() -> None:
+    def attempts(outcome: Outcome) -> int:
+        bench = driver(servers=40)
+        for _ in range(100):
+            bench.request()
+            while bench.open_tries():
+                bench.end(*bench.open_tries()[0], outcome)
+        return sum(len(o.tries) for o in bench.owed.values())
+
+    assert attempts(Outcome.CONNECT_FAILED) > 1.4 * attempts(Outcome.RESET)
+
+
+# connections
+
+
+def test_a_loss_on_an_idle_connection_shortens_the_time_such_ones_are_trusted() -> None:
+    # Guards against connections dropped unseen while idle: each is lost once, then closed before it is used.
+    bench = driver(servers=1)
+    bench.request()
+    bench.end(bench.next_id, 0, Outcome.OK)
+    bench.advance(3000.0)
+    assert not any(isinstance(a, CloseIdle) for a in bench.request(class_index=1))
+    bench.end(bench.next_id, 0, Outcome.RESET)
+    bench.advance(100.0)
+    bench.request()
+    bench.end(bench.next_id, 0, Outcome.OK)
+    bench.advance(3000.0)
+    actions = bench.request(class_index=1)
+    kinds = [type(a) for a in actions]
+    assert kinds.index(CloseIdle) < kinds.index(Send)
+
+
+def test_connections_unused_are_closed_where_many_servers_refuse_new_ones() -> None:
+    # Guards against hundreds of copies filling the servers' connection tables with idle connections.
+    bench = driver(servers=50)
+    for _ in range(6):
+        bench.request()
+        bench.end(bench.next_id, 0, Outcome.OK)
+    for _ in range(2):
+        actions = bench.request()
+        while sends(actions):
+            actions = bench.end(
+                bench.next_id, len(bench.owed[bench.next_id].tries) - 1, Outcome.CONNECT_FAILED
+            )
+    bench.advance(200.0)
+    closed = {a.server for _ in range(8) for a in bench.request() if isinstance(a, CloseIdle)}
+    assert len(closed) >= 2
+
+
+def test_a_restarted_server_with_an_open_connection_is_followed() -> None:
+    # Guards against the connection of a process that is gone being taken for its successor's.
+    bench = driver(servers=3)
+    for _ in range(9):
+        bench.request()
+        bench.end(bench.next_id, 0, Outcome.OK)
+    bench.list(ListKind.DELTA, tuple(ServerEntry(n, started_ms=bench.now - 1e6) for n in (0, 1)))
+    for outcome in [Outcome.OK, Outcome.RESET, Outcome.RESET] * 6:
+        bench.request(class_index=1)
+        bench.end(bench.next_id, 0, outcome)
+    assert len(bench.balancer.links.items) <= 3
+
+
+def test_a_server_that_fails_one_class_is_kept_for_the_others() -> None:
+    # Guards against a server whose successes in other classes clear it: it would go on failing this one.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=5)
+    drawn: Counter[tuple[int, int]] = Counter()
+    for n in range(2000):
+        at = n % 2
+        (server,) = sends(bench.request(class_index=at, left=400.0))
+        drawn[at, server] += 1
+        bench.advance(5.0)
+        bench.end(bench.next_id, 0, Outcome.ERROR if (at, server) == (1, 0) else Outcome.OK)
+        while tries := bench.open_tries():
+            bench.end(*tries[0], Outcome.OK)
+    assert drawn[1, 0] < 60
+    assert drawn[0, 0] > 60
+
+
+def test_own_counts_choose_only_while_own_calls_outnumber_the_servers() -> None:
+    # Guards the design's fallback: with no token held, any ready server may be drawn, a withheld one too.
+    counts: Counter[bool] = Counter()
+    for seed in range(600):
+        bench = driver(replace(PLAIN, tier=1, tiers=2), servers=3, seed=seed)
+        for _ in range(3):
+            bench.request(class_index=1)
+        withheld = bench.owed[1].tries[0].server
+        bench.end(1, 0, Outcome.ERROR)
+        counts[sends(bench.request()) == [withheld]] += 1
+    assert 150 < counts[True] < 250
