--- /dev/null
+++ b/larkweir/http1.py
@@ -0,0 +1,233 @@
+"""HTTP/1.1 framing for both sides: bytes to messages by httptools, messages to bytes. It decides nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import httptools
+
+MAX_HEAD = 32 * 1024
+MAX_BODY = 64 * 1024
+
+Headers = list[tuple[bytes, bytes]]
+
+# Headers that speak of one connection, never passed on; framing is written anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"content-length",
+        b"expect",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    )
+)
+
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
+
+class FramingError(Exception):
+    """What came is no message that may be taken; `status` is what a caller is told."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class Message:
+    """One whole request or answer. Header names are kept as they came; look-ups go by lower case."""
+
+    __slots__ = ("body", "headers", "keep_alive", "method", "status", "target")
+
+    def __init__(self) -> None:
+        self.method = b""
+        self.target = b""
+        self.status = 0
+        self.headers: Headers = []
+        self.body = b""
+        self.keep_alive = True
+
+    def values(self, name: bytes) -> list[bytes]:
+        return [value for key, value in self.headers if key.lower() == name]
+
+    def value(self, name: bytes) -> bytes | None:
+        """The only value of a header; none if it is absent, FramingError if it comes twice."""
+        found = self.values(name)
+        if len(found) > 1:
+            raise FramingError(400, f"header {name.decode('latin-1')} comes more than once")
+        return found[0] if found else None
+
+    def passed_on(self) -> Headers:
+        """The headers that go on to the other side."""
+        named = {
+            item.strip().lower() for value in self.values(b"connection") for item in value.split(b",")
+        } | HOP_BY_HOP
+        return [(key, value) for key, value in self.headers if key.lower() not in named]
+
+
+class _Reader:
+    """Feeds one connection's bytes to httptools and bounds what a message may hold."""
+
+    def __init__(self, max_body: int) -> None:
+        self._parser = self._make_parser()
+        self._max_body = max_body
+        self._done: list[Message] = []
+        self._message = Message()
+        self._parts: list[bytes] = []
+        self._size = 0  # of the body
+        self._raw = 0  # bytes fed since the last whole message
+        self._in_head = True
+        self.fault: FramingError | None = None
+
+    def _make_parser(self) -> httptools.HttpRequestParser | httptools.HttpResponseParser:
+        raise NotImplementedError
+
+    @property
+    def begun(self) -> bool:
+        """Whether bytes of an unfinished message have come."""
+        return self._raw > 0
+
+    def feed(self, data: bytes) -> list[Message]:
+        """The messages that these bytes complete; a fault after them is left in `fault`, for good."""
+        if self.fault is not None:
+            return []
+        self._done = []
+        self._raw += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as problem:
+            cause = problem.__context__
+            known = cause if isinstance(cause, FramingError) else None
+            self.fault = known or FramingError(400, f"malformed HTTP: {problem}")
+        # Guards against a head, or chunk extensions and trailers, that never end.
+        if self.fault is None and self._in_head and self._raw > MAX_HEAD:
+            self.fault = FramingError(431, "the head is too long")
+        elif self.fault is None and self._raw > MAX_HEAD + 16 * self._max_body:
+            self.fault = FramingError(413, "the message is too long")
+        return self._done
+
+    # Called by httptools.
+
+    def on_message_begin(self) -> None:
+        self._message = Message()
+        self._parts = []
+        self._size = 0
+        self._in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._in_head:
+            return  # a trailer: nothing here uses one
+        self._message.headers.append((name, value))
+        if name.lower() == b"content-length":
+            size = int(value) if len(value) < 20 and value.isdigit() else 0  # else the parser objects
+            if size > self._max_body:  # refused before the body comes
+                raise FramingError(413, "the body is too long")
+
+    def on_headers_complete(self) -> None:
+        self._in_head = False
+        self._message.keep_alive = self._parser.should_keep_alive()
+
+    def on_body(self, data: bytes) -> None:
+        self._size += len(data)
+        if self._size > self._max_body:
+            raise FramingError(413, "the body is too long")
+        self._parts.append(data)
+
+    def on_message_complete(self) -> None:
+        self._message.body = b"".join(self._parts)
+        self._raw = 0
+        self._in_head = True
+        self._done.append(self._message)
+
+
+class RequestReader(_Reader):
+    """Reads requests; `expects_continue` says that the caller waits for leave to send its body."""
+
+    _parser: httptools.HttpRequestParser
+
+    def __init__(self, max_body: int = MAX_BODY) -> None:
+        super().__init__(max_body)
+        self.expects_continue = False
+
+    def _make_parser(self) -> httptools.HttpRequestParser:
+        return httptools.HttpRequestParser(self)
+
+    def on_url(self, url: bytes) -> None:
+        self._message.target += url
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self._message.method = self._parser.get_method()
+        if self._parser.should_upgrade():
+            raise FramingError(400, "no upgrade is offered")
+        self.expects_continue = any(v.lower() == b"100-continue" for v in self._message.values(b"expect"))
+
+    def on_message_complete(self) -> None:
+        self.expects_continue = False
+        super().on_message_complete()
+
+
+class ResponseReader(_Reader):
+    """Reads answers. One whose end only the closed connection would show never completes: it can't be told
+    from one that was cut off.
+    """
+
+    _parser: httptools.HttpResponseParser
+
+    def __init__(self, max_body: int = MAX_BODY) -> None:
+        super().__init__(max_body)
+
+    def _make_parser(self) -> httptools.HttpResponseParser:
+        return httptools.HttpResponseParser(self)
+
+    def on_headers_complete(self) -> None:
+        super().on_headers_complete()
+        self._message.status = self._parser.get_status_code()
+
+    def on_message_complete(self) -> None:
+        if self._message.status >= 200:  # an interim answer announces the real one
+            super().on_message_complete()
+
+
+def encode_request(
+    method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes
+) -> bytes:
+    """A request in one piece. A body, or a method that usually has one, states its length."""
+    parts = [method, b" ", target, b" HTTP/1.1\r\n"]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    if body or method != b"GET":
+        parts.append(b"Content-Length: %d\r\n" % len(body))
+    parts += (b"\r\n", body)
+    return b"".join(parts)
+
+
+def encode_response(
+    status: int, headers: Iterable[tuple[bytes, bytes]], body: bytes, close: bool = False
+) -> bytes:
+    """An answer in one piece."""
+    parts = [b"HTTP/1.1 %d %s\r\n" % (status, REASONS.get(status, b"Status"))]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    parts.append(b"Content-Length: %d\r\n" % len(body))
+    if close:
+        parts.append(b"Connection: close\r\n")
+    parts += (b"\r\n", body)
+    return b"".join(parts)
