Test the real balancer over loopback: outcomes, drains, bad input, discovery, signals, descriptors

No behaviour changes but one seam: the engine takes its decisions as a parameter, so that a test sees every event.

--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -138,6 +138,12 @@
             print(f"larkweir {self._name}: {text[:2000]}", file=sys.stderr, flush=True)
 
 
+class Decisions(Protocol):
+    """What decides: `mulleinhitch.Balancer`."""
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]: ...
+
+
 class Caller(Protocol):
     """Where an answer goes."""
 
@@ -164,7 +170,9 @@
 class Engine:
     PROBE_TIMEOUT_MS = 50.0
 
-    def __init__(self, config: Config, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
+    ) -> None:
         settings = config.settings
         self.config = config
         self.clock = Clock(loop)
@@ -181,7 +189,7 @@
             config.drain_grace_ms,
         )
         self.discovery = Discovery(config, self.on_listing, self.journal.line)
-        self._balancer = Balancer(settings, config.seed)
+        self._balancer: Decisions = decisions or Balancer(settings, config.seed)
         self._exchanges: dict[int, Exchange] = {}
         self._next = 1
         self._events: deque[Event] = deque()
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,675 @@
+"""Attempts over loopback: each row of the outcome table, and what must never be written."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+import pytest
+import uvloop
+
+from larkweir.upstreams import parse_report
+from mulleinhitch.interface import (
+    Action,
+    AttemptEnded,
+    Cancel,
+    ClientGone,
+    Event,
+    Fail,
+    ListUpdate,
+    Outcome,
+    Probe,
+    ProbeEnded,
+    RequestArrived,
+    Send,
+)
+from tests.fakes import (
+    PATIENCE_S,
+    SETTINGS,
+    Caller,
+    FakeUpstream,
+    Incoming,
+    Script,
+    Talk,
+    entry,
+    ok,
+    running,
+    status,
+)
+
+
+def run(work: Coroutine[Any, Any, None]) -> None:
+    """On the loop that the program runs on."""
+    uvloop.run(asyncio.wait_for(work, 60))
+
+
+async def answers(data: bytes, talk: Talk) -> None:
+    await talk.send(data)
+
+
+async def reset(request: Incoming, talk: Talk) -> None:
+    talk.reset()
+
+
+async def end(request: Incoming, talk: Talk) -> None:
+    talk.writer.close()
+
+
+async def cut(request: Incoming, talk: Talk) -> None:
+    await talk.send(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf")
+    talk.reset()
+
+
+async def until_close(request: Incoming, talk: Talk) -> None:
+    await talk.send(b"HTTP/1.1 200 OK\r\n\r\nhow long is it")
+    talk.writer.close()
+
+
+def sends(data: bytes) -> Callable[[Incoming, Talk], Awaitable[None]]:
+    return lambda request, talk: answers(data, talk)
+
+
+TABLE = [
+    ("a 200 and a body", sends(ok()), Outcome.OK),
+    (
+        "a 200 in chunks",
+        sends(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nserved\r\n0\r\n\r\n"),
+        Outcome.OK,
+    ),
+    ("an interim answer first", sends(b"HTTP/1.1 103 Early Hints\r\n\r\n" + ok()), Outcome.OK),
+    ("500", sends(status(500)), Outcome.ERROR),
+    ("503 that proves it never ran", sends(status(503, "X-Never-Ran: 1\r\n")), Outcome.FULL),
+    ("504 that proves it never ran", sends(status(504, "X-Never-Ran: 1\r\n")), Outcome.FULL),
+    ("503 that proves nothing", sends(status(503)), Outcome.ERROR),
+    ("500 can't prove that it never ran", sends(status(500, "X-Never-Ran: 1\r\n")), Outcome.ERROR),
+    ("204", sends(b"HTTP/1.1 204 No Content\r\n\r\n"), Outcome.ERROR),
+    ("reset", reset, Outcome.RESET),
+    ("end without an answer", end, Outcome.RESET),
+    ("end inside the answer", cut, Outcome.RESET),
+    ("an answer whose end only the close shows", until_close, Outcome.RESET),
+    ("no HTTP", sends(b"\x00\x01nonsense\r\n\r\n"), Outcome.RESET),
+    (
+        "two lengths",
+        sends(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab"),
+        Outcome.RESET,
+    ),
+    ("a body over the limit", sends(ok(b"x" * 70_000)), Outcome.RESET),
+    (
+        "a switch of protocols",
+        sends(b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n"),
+        Outcome.RESET,
+    ),
+]
+
+
+@pytest.mark.parametrize(("behave", "outcome"), [row[1:] for row in TABLE], ids=[row[0] for row in TABLE])
+def test_what_comes_back_is_told_as_the_protocol_says(behave: Any, outcome: Outcome) -> None:
+    """Guards the outcome table: a wrong row lets an unsafe request run twice."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(behave).start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x")
+            answer = await caller.answer()
+            event = await script.ended()
+        upstream.close()
+        assert event.outcome is outcome
+        assert event.final is (outcome is Outcome.OK)
+        assert (answer.status, answer.body) == ((200, b"served") if outcome is Outcome.OK else (502, b""))
+        assert len(upstream.seen) == 1 and len(script.ends()) == 1
+
+    run(work())
+
+
+def test_refused_connection_proves_it_never_ran() -> None:
+    """Guards the row 'could not connect': nothing listens at the address."""
+
+    async def work() -> None:
+        with socket.socket() as unused:
+            unused.bind(("127.0.0.1", 0))  # bound, never listening
+            script = Script([1])
+            async with (
+                running(entry("a", unused.getsockname()[1]), script=script) as balancer,
+                Caller(balancer.port) as caller,
+            ):
+                caller.ask("move", b"x")
+                assert (await caller.answer()).status == 502
+                assert (await script.ended()).outcome is Outcome.CONNECT_FAILED
+
+    run(work())
+
+
+def full_backlog() -> tuple[socket.socket, list[socket.socket]]:
+    """A listener that accepts nothing more: connections to it never come up."""
+    listener = socket.socket()
+    listener.bind(("127.0.0.1", 0))
+    listener.listen(0)
+    fillers = []
+    for _ in range(8):
+        filler = socket.socket()
+        filler.setblocking(False)
+        filler.connect_ex(listener.getsockname())
+        fillers.append(filler)
+    return listener, fillers
+
+
+def test_a_connection_that_never_comes_up_proves_it_never_ran() -> None:
+    """Guards the row 'could not connect' against a machine that says nothing."""
+
+    async def work() -> None:
+        listener, fillers = full_backlog()
+        script = Script([1])
+        async with (
+            running(
+                entry("a", listener.getsockname()[1]), script=script, limits={"ConnectTimeoutMs": 100}
+            ) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 502
+            assert (await script.ended()).outcome is Outcome.CONNECT_FAILED
+        for item in (listener, *fillers):
+            item.close()
+
+    run(work())
+
+
+async def silence(request: Incoming, talk: Talk) -> None:
+    await talk.ended()
+
+
+def test_no_answer_times_out_and_its_connection_is_closed() -> None:
+    """Guards the row 'timed out': the attempt is given up by closing, and the request may have run."""
+
+    async def work() -> None:
+        closed = asyncio.Event()
+
+        async def wait(request: Incoming, talk: Talk) -> None:
+            await talk.ended()
+            closed.set()
+
+        upstream = await FakeUpstream(wait).start()
+        script = Script([1], timeout_ms=100)
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 502
+            event = await script.ended()
+            assert event.outcome is Outcome.TIMEOUT and event.spent_ms >= 100
+            async with asyncio.timeout(PATIENCE_S):
+                await closed.wait()
+        upstream.close()
+
+    run(work())
+
+
+def test_a_break_before_the_last_byte_is_written_proves_it_never_ran() -> None:
+    """Guards the dividing line: an upstream that resets with part of the request unread and unwritten."""
+
+    async def work() -> None:
+        # Small buffers keep the last byte with the balancer: the body is larger than what the system takes.
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(1)
+        listener.setblocking(False)
+        script = Script([1])
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            loop = asyncio.get_running_loop()
+            first = asyncio.ensure_future(loop.sock_accept(listener))
+            original = balancer.engine.upstreams._connect
+
+            # The system's own send buffer is cut as well, before anything is written.
+            async def small(call: Any) -> None:
+                write = call.write
+
+                def cut(connection: Any) -> bool:
+                    fd = connection._transport.get_extra_info("socket").fileno()
+                    with socket.socket(fileno=socket.dup(fd)) as raw:
+                        raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
+                    return bool(write(connection))
+
+                wrapped = _Wrapped(call, cut)
+                await original(wrapped)  # type: ignore[arg-type]
+
+            balancer.engine.upstreams._connect = small  # type: ignore[method-assign]
+            caller.ask("move", b"x" * 60_000)
+            connection, _ = await first
+            head = await loop.sock_recv(connection, 100)
+            assert head.startswith(b"POST")
+            connection.close()  # with bytes unread: a reset
+            assert (await script.ended()).outcome is Outcome.CONNECT_FAILED
+            assert (await caller.answer()).status == 502
+        listener.close()
+
+    run(work())
+
+
+class _Wrapped:
+    """A call whose `write` is another."""
+
+    def __init__(self, call: Any, write: Any) -> None:
+        self._call, self.write = call, write
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._call, name)
+
+
+def test_an_unsafe_request_on_a_reused_connection_that_breaks_is_sent_once() -> None:
+    """Guards against silent re-sends: the kept connection breaks once the request is on it."""
+
+    async def work() -> None:
+        ups = [await FakeUpstream().start() for _ in range(2)]
+        # With the module's own decisions: it must not try the other upstream either.
+        entries = [u.entry(f"u{n}") for n, u in enumerate(ups)]
+        async with running(*entries) as balancer, Caller(balancer.port) as caller:
+            while not all(u.seen for u in ups):  # both have a kept connection
+                caller.ask()
+                assert (await caller.answer()).status == 200
+            warm = sum(len(u.seen) for u in ups)
+            for item in ups:
+                item.behave = reset
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 502
+        assert sum(len(u.seen) for u in ups) == warm + 1
+        assert [u.connections for u in ups] == [1, 1]
+        for item in ups:
+            item.close()
+
+    run(work())
+
+
+def test_a_connection_with_unread_bytes_or_an_end_is_not_reused() -> None:
+    """Guards against writing a request to a connection whose other side has spoken or closed."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            pool = balancer.engine.upstreams
+            for n, spoil in enumerate((b"HTTP/1.1 408 Request Timeout\r\n\r\n", b"")):
+                caller.ask("move", b"x")
+                assert (await caller.answer()).status == 200
+                (kept,) = pool._idle[1]
+                raw = upstream.talks[-1].writer.get_extra_info("socket").fileno()
+                with socket.socket(fileno=socket.dup(raw)) as side:
+                    side.send(spoil) if spoil else side.shutdown(socket.SHUT_WR)
+                # Asked in the same turn of the loop, before it can have read what came.
+                assert not kept.usable()
+                caller.ask("move", b"y")
+                assert (await caller.answer()).status == 200
+                assert upstream.connections == n + 2
+        upstream.close()
+
+    run(work())
+
+
+def test_a_connection_near_the_idle_limit_is_not_reused() -> None:
+    """Guards against the upstream closing a connection in the moment a request is written to it."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with (
+            running(upstream.entry("a"), script=Script([1])) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask()
+            await caller.answer()
+            (kept,) = balancer.engine.upstreams._idle[1]
+            kept.idle_since_ms -= 58_000
+            caller.ask()
+            await caller.answer()
+            assert upstream.connections == 2
+        upstream.close()
+
+    run(work())
+
+
+def test_idle_connections_are_closed_before_the_limit() -> None:
+    """Guards the same without a request: the sweep closes them by itself."""
+
+    async def work() -> None:
+        ended = asyncio.Event()
+
+        async def once(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok())
+            await talk.ended()
+            ended.set()
+
+        upstream = await FakeUpstream(once).start()
+        script = Script([1])
+        async with (
+            running(upstream.entry("a"), script=script, limits={"ConnIdleMs": 1500}) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask()
+            await caller.answer()
+            async with asyncio.timeout(PATIENCE_S):
+                await ended.wait()  # closed by the balancer: nothing else ends it
+        upstream.close()
+
+    run(work())
+
+
+def test_what_is_passed_on_and_what_is_not() -> None:
+    """Guards method, target, body and ids, which go on unchanged, and the time left, which does not grow."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with (
+            running(upstream.entry("a"), script=Script([1])) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            body = bytes(range(256)) * 8
+            caller.ask("post", body, "/api?obj=%2f&x=1", X_Expires_In_Ms="700", Connection="X-Hop", X_Hop="1")
+            assert (await caller.answer()).body == b"served"
+        upstream.close()
+        (seen,) = upstream.seen
+        assert (seen.method, seen.target, seen.body) == ("POST", "/api?obj=%2f&x=1", body)
+        assert seen.headers["x-trace-id"] == "9b1f03aa5c7e2d41"
+        assert seen.headers["idempotency-key"] == "5c0f6e1a2b3d4c59"
+        assert 0 < int(seen.headers["x-expires-in-ms"]) <= 700
+        assert "x-hop" not in seen.headers and "connection" not in seen.headers
+
+    run(work())
+
+
+def test_two_copies_one_answer() -> None:
+    """Guards 'exactly one answer': both copies are served, the first goes out, the second is told."""
+
+    async def work() -> None:
+        go = [asyncio.Event(), asyncio.Event()]
+
+        def held(n: int) -> Any:
+            async def behave(request: Incoming, talk: Talk) -> None:
+                await go[n].wait()
+                await talk.send(ok(b"copy %d" % n))
+
+            return behave
+
+        ups = [await FakeUpstream(held(n)).start() for n in range(2)]
+        script = Script([1, 2])
+
+        def both(event: Event) -> list[Action] | None:
+            if isinstance(event, RequestArrived):
+                return [Send(event.request, 1, 0.0), Send(event.request, 2, 0.0)]
+            return [] if isinstance(event, AttemptEnded) else None
+
+        script.more = both
+        async with (
+            running(ups[0].entry("a"), ups[1].entry("b"), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask()
+            for item in ups:
+                await item.arrived.get()
+            go[1].set()
+            assert (await caller.answer()).body == b"copy 1"
+            go[0].set()
+            ends = [await script.ended(), await script.ended()]
+            assert [(e.attempt, e.outcome, e.final) for e in ends] == [
+                (1, Outcome.OK, True),
+                (0, Outcome.OK, True),
+            ]
+            caller.ask(target="/ready")
+            assert (await caller.answer()).status == 200  # and nothing of the second copy before it
+            assert not balancer.engine._exchanges
+        for item in ups:
+            item.close()
+
+    run(work())
+
+
+def test_cancel_closes_the_connection_and_is_told_once() -> None:
+    """Guards Cancel: one outcome, and the upstream sees the end."""
+
+    async def work() -> None:
+        ended = asyncio.Event()
+
+        async def wait(request: Incoming, talk: Talk) -> None:
+            await talk.ended()
+            ended.set()
+
+        upstream = await FakeUpstream(wait).start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask()
+            await upstream.arrived.get()
+            balancer.engine._act(Cancel(1, 0))
+            assert (await script.ended()).outcome is Outcome.CANCELLED
+            async with asyncio.timeout(PATIENCE_S):
+                await ended.wait()
+            assert (await caller.answer()).status == 502
+            assert len(script.ends()) == 1
+        upstream.close()
+
+    run(work())
+
+
+def test_client_gone_is_told_and_its_attempt_still_ends() -> None:
+    """Guards ClientGone: the request is over, and its attempt out still gets its one end, marked final."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def wait(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok())
+
+        upstream = await FakeUpstream(wait).start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer:
+            async with Caller(balancer.port) as caller:
+                caller.ask("move", b"x")
+                await upstream.arrived.get()
+            async with asyncio.timeout(PATIENCE_S):
+                while not isinstance(await script.told.get(), ClientGone):
+                    pass
+            go.set()
+            event = await script.ended()
+            assert (event.outcome, event.final) == (Outcome.OK, True)
+            assert not balancer.engine._exchanges
+        upstream.close()
+
+    run(work())
+
+
+def test_the_deadline_is_answered_by_the_engine_once() -> None:
+    """Guards against decisions that never answer: the attempt out ends, then one answer goes."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(silence).start()
+        script = Script([1])
+        script.more = lambda event: [] if isinstance(event, AttemptEnded) else None
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x", X_Expires_In_Ms="150")
+            assert (await caller.answer()).status == 504
+            event = await script.ended()
+            assert (event.outcome, event.final) == (Outcome.TIMEOUT, False)
+            caller.ask(target="/ready")
+            assert (await caller.answer()).status == 200
+            assert not balancer.engine._exchanges
+        upstream.close()
+
+    run(work())
+
+
+def test_sends_past_the_cap_or_for_a_request_that_is_over_are_moot() -> None:
+    """Guards the attempt cap and late sends: told as moot, and nothing is written."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(reset).start()
+        script = Script([1] * 6)
+
+        def more(event: Event) -> list[Action] | None:
+            if isinstance(event, AttemptEnded) and event.outcome is Outcome.MOOT and not event.final:
+                return [Fail(event.request), Send(event.request, 1, 0.0)]
+            return None
+
+        script.more = more
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask()
+            assert (await caller.answer()).status == 502
+        upstream.close()
+        ends = [(e.attempt, e.outcome) for e in script.ends()]
+        assert ends[:5] == [(n, Outcome.RESET) for n in range(4)] + [(4, Outcome.MOOT)]
+        assert len(upstream.seen) == 4
+
+    run(work())
+
+
+@pytest.mark.parametrize("change", ["leaving", "left"])
+def test_a_drain_past_its_grace_stops_a_send_that_is_still_connecting(change: str) -> None:
+    """Guards the drain: told while the connection is on its way up, so that not a byte may be written."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            pool = balancer.engine.upstreams
+            pool._grace_ms = 0.0  # so that no test waits for it
+            connect, told = pool._connect, asyncio.Event()
+
+            async def late(call: Any) -> None:
+                await told.wait()
+                await connect(call)
+
+            pool._connect = late  # type: ignore[method-assign]
+            caller.ask("move", b"x")
+            while not any(isinstance(e, RequestArrived) for e in script.events):
+                await script.told.get()
+            balancer.discovery.change(upstream.entry("a", lifecycle=change))
+            async with asyncio.timeout(PATIENCE_S):
+                while not isinstance(await script.told.get(), ListUpdate):
+                    pass
+            told.set()
+            assert (await script.ended()).outcome is Outcome.MOOT
+            assert (await caller.answer()).status == 502
+        upstream.close()
+        assert upstream.seen == []
+
+    run(work())
+
+
+def test_nothing_new_goes_to_a_drained_upstream() -> None:
+    """Guards the drain with the module's own decisions: the next requests all go to the other one."""
+
+    async def work() -> None:
+        draining, other = await FakeUpstream().start(), await FakeUpstream().start()
+        async with (
+            running(draining.entry("a"), other.entry("b")) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            balancer.discovery.change(draining.entry("a", lifecycle="leaving"))
+            async with asyncio.timeout(PATIENCE_S):
+                while not balancer.engine.upstreams.table[1].told_ms:
+                    await asyncio.sleep(0.01)
+            for _ in range(20):
+                caller.ask()
+                assert (await caller.answer()).status == 200
+        draining.close()
+        other.close()
+        assert draining.seen == [] and len(other.seen) == 20
+
+    run(work())
+
+
+def test_a_keyed_request_that_may_have_run_stays_in_its_zone_and_its_memory() -> None:
+    """Guards keyed repeats with the module's own decisions: never to another zone once it may have run."""
+
+    async def work() -> None:
+        async def fail(request: Incoming, talk: Talk) -> None:
+            await talk.send(status(500))
+
+        north = [await FakeUpstream(fail).start() for _ in range(2)]
+        south = await FakeUpstream().start()
+        entries = [u.entry(f"n{n}") for n, u in enumerate(north)] + [south.entry("s", zone="south")]
+        async with running(*entries) as balancer:
+            for _ in range(12):
+                before = [len(u.seen) for u in north]
+                served_before = len(south.seen)
+                async with Caller(balancer.port) as caller:
+                    caller.ask("post", b"x")
+                    answer = await caller.answer()
+                tried_north = sum(len(u.seen) for u in north) - sum(before)
+                if tried_north:  # it may have run there: not refused, not sent south
+                    assert answer.status == 502 and len(south.seen) == served_before
+                else:
+                    assert answer.status == 200 and len(south.seen) == served_before + 1
+        assert sum(len(u.seen) for u in north) > 0
+        for item in (*north, south):
+            item.close()
+
+    run(work())
+
+
+def test_a_keyed_request_past_its_memory_is_not_repeated() -> None:
+    """Guards the memory's end: the upstreams have forgotten the key by the time the first attempt fails."""
+
+    async def work() -> None:
+        classes = [dict(item) for item in SETTINGS["Categories"]]
+        classes[1]["MemorySpanMs"] = 50
+        late = asyncio.Event()
+
+        async def fail(request: Incoming, talk: Talk) -> None:
+            await late.wait()
+            await talk.send(status(500))
+
+        ups = [await FakeUpstream(fail).start() for _ in range(3)]
+        entries = [u.entry(f"n{n}") for n, u in enumerate(ups)]
+        async with running(*entries, categories=classes) as balancer, Caller(balancer.port) as caller:
+            caller.ask("post", b"x")
+            await asyncio.wait(
+                [asyncio.ensure_future(u.arrived.get()) for u in ups], return_when=asyncio.FIRST_COMPLETED
+            )
+            balancer.engine.clock.after(60.0, late.set)
+            assert (await caller.answer()).status == 502
+            assert sum(len(u.seen) for u in ups) == 1
+        for item in ups:
+            item.close()
+
+    run(work())
+
+
+def test_probes_read_the_load_report() -> None:
+    """Guards probes: the report's values come in the settings' order, and a late one is no report."""
+
+    async def work() -> None:
+        async def load(request: Incoming, talk: Talk) -> None:
+            assert request.target == "/status/load"
+            await talk.send(ok(b"TEXT inflight=7, queue=2, util=0.61"))
+
+        upstream, silent = await FakeUpstream(load).start(), await FakeUpstream(silence).start()
+        script = Script([1])
+        stats = {"How": "on_probe", "Fields": ["queue", "inflight"]}
+        async with running(upstream.entry("a"), silent.entry("b"), script=script, stats=stats) as balancer:
+            for server in (1, 2, 77):
+                balancer.engine._act(Probe(server))
+            ends = {}
+            async with asyncio.timeout(PATIENCE_S):
+                while len(ends) < 3:
+                    event = await script.told.get()
+                    if isinstance(event, ProbeEnded):
+                        ends[event.server] = (event.outcome, tuple(event.report))
+        upstream.close()
+        silent.close()
+        assert ends == {
+            1: (Outcome.OK, (2.0, 7.0)),
+            2: (Outcome.TIMEOUT, ()),
+            77: (Outcome.CONNECT_FAILED, ()),
+        }
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    "text", [b"", b"7,2", b"TEXT inflight=7", b"TEXT inflight=x, queue=1", b"TEXT inflight=nan, queue=1"]
+)
+def test_a_broken_report_is_none(text: bytes) -> None:
+    """Guards decisions against half a report: values in the wrong place would call a busy server idle."""
+    assert parse_report(text, ("inflight", "queue")) == ()
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,249 @@
+"""Discovery over loopback: the list, the watch, broken answers, and down and back."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+import pytest
+
+from larkweir.discovery import DiscoveryError, Names, parse_listing
+from mulleinhitch.interface import ListKind, ListUpdate, WatchList
+from tests.fakes import PATIENCE_S, SETTINGS, Caller, FakeUpstream, Script, entry, ok, running
+from tests.test_attempts import run
+
+
+async def updates(script: Script, kind: ListKind) -> ListUpdate:
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            event = await script.told.get()
+            if isinstance(event, ListUpdate) and event.kind is kind:
+                return event
+
+
+async def called(running_: Any, part: str) -> str:
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            call: str = await running_.discovery.calls.get()
+            if part in call:
+                return call
+
+
+def test_known_counts_first_and_changes_follow() -> None:
+    """Guards the start: a request is served from `known`, and the watch goes on from its generation."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer:
+            first = await updates(script, ListKind.CACHED)
+            assert [item.server for item in first.entries] == [1]
+            assert "after=1&" in await called(balancer, "after=")
+            balancer.discovery.change(entry("b", 9, zone="south", startedAtMs=123))
+            change = await updates(script, ListKind.DELTA)
+            assert [(e.server, e.zone, e.started_ms) for e in change.entries] == [(2, 1, 123.0)]
+            assert "after=2&" in await called(balancer, "after=")
+        upstream.close()
+
+    run(work())
+
+
+def test_one_id_keeps_its_number_when_its_address_changes() -> None:
+    """Guards an upstream that moves: the same number, and requests go to the new address only."""
+
+    async def work() -> None:
+        old, new = await FakeUpstream().start(), await FakeUpstream().start()
+        script = Script([1])
+        async with running(old.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            balancer.discovery.change(new.entry("a"))
+            await updates(script, ListKind.DELTA)
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            assert len(old.seen) == len(new.seen) == 1
+        old.close()
+        new.close()
+
+    run(work())
+
+
+def test_a_restarted_upstream_gets_new_connections() -> None:
+    """Guards against connections that lead to a process that has died."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask()
+            await caller.answer()
+            balancer.discovery.change(upstream.entry("a", startedAtMs=5000))
+            await updates(script, ListKind.DELTA)
+            caller.ask()
+            await caller.answer()
+            assert upstream.connections == 2
+        upstream.close()
+
+    run(work())
+
+
+def test_no_list_no_ready() -> None:
+    """Guards /ready: 503 without a list, 200 once discovery has given one."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(script=script, known={}) as balancer, Caller(balancer.port) as caller:
+            await updates(script, ListKind.FULL)
+            caller.ask(target="/ready")
+            assert (await caller.answer()).status == 503
+            balancer.discovery.change(upstream.entry("a"))
+            await updates(script, ListKind.DELTA)
+            caller.ask(target="/ready")
+            assert (await caller.answer()).status == 200
+        upstream.close()
+
+    run(work())
+
+
+def test_absent_from_a_whole_list_is_gone() -> None:
+    """Guards the drain of an upstream that a whole list no longer names."""
+
+    async def work() -> None:
+        a, b = await FakeUpstream().start(), await FakeUpstream().start()
+        script = Script([1])
+        async with running(a.entry("a"), b.entry("b"), script=script) as balancer:
+            await called(balancer, "after=")
+            only_b = {"generation": 9, "reset": True, "instances": [b.entry("b")]}
+            balancer.discovery.garbage.append(ok(json.dumps(only_b).encode()))
+            balancer.discovery.generation = 9
+            balancer.discovery._changed.set()
+            # The watch that was out answers with changes (none); the next one with the whole list.
+            full = await updates(script, ListKind.FULL)
+            assert [item.server for item in full.entries] == [2]
+            assert set(balancer.engine.upstreams.table) == {2}
+        a.close()
+        b.close()
+
+    run(work())
+
+
+def test_a_generation_that_goes_back_fetches_the_whole_list() -> None:
+    """Guards against applying changes to another list than the one they belong to."""
+
+    async def work() -> None:
+        a = await FakeUpstream().start()
+        script = Script([1])
+        async with running(a.entry("a"), script=script, generation=40) as balancer:
+            await called(balancer, "after=40")
+            balancer.discovery.generation = 3
+            balancer.discovery._changed.set()
+            full = await updates(script, ListKind.FULL)
+            assert full.version == 3
+            assert not any(isinstance(e, ListUpdate) and e.kind is ListKind.DELTA for e in script.events)
+        a.close()
+
+    run(work())
+
+
+def test_broken_answers_are_failed_calls_and_the_list_holds() -> None:
+    """Guards against half-understood lists: nothing of a broken answer counts, and the watch goes on."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            await called(balancer, "after=")
+            bad_entry = {"generation": 2, "reset": True, "instances": [entry("b", 1), {"instanceId": "c"}]}
+            balancer.discovery.garbage += [
+                b"\x00nonsense\r\n\r\n",
+                ok(b"not json"),
+                ok(b"[" * 50_000),
+                ok(b"[]"),
+                ok(json.dumps(bad_entry).encode()),
+                b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+            ]
+            balancer.discovery.stop()
+            await balancer.discovery.start()
+            async with asyncio.timeout(PATIENCE_S):
+                while balancer.discovery.garbage:
+                    await asyncio.sleep(0.01)
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            balancer.discovery.change(entry("b", 9))
+            change = await updates(script, ListKind.DELTA)
+            assert [item.server for item in change.entries] == [2]  # no number was spent on broken answers
+        upstream.close()
+
+    run(work())
+
+
+def test_discovery_down_and_back() -> None:
+    """Guards service while discovery is down, and the watch's return with what changed meanwhile."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            await called(balancer, "after=")
+            balancer.discovery.stop()
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            balancer.discovery.change(entry("b", 9))
+            await balancer.discovery.start()
+            change = await updates(script, ListKind.DELTA)
+            assert [item.server for item in change.entries] == [2]
+        assert not any(isinstance(e, ListUpdate) and e.kind is ListKind.FAILED for e in script.events)
+        upstream.close()
+
+    run(work())
+
+
+def test_where_discovery_is_asked_a_failure_is_told_and_the_decisions_ask_again() -> None:
+    """Guards on-request discovery: no call before it is asked for, FAILED when it breaks."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        settings = SETTINGS | {"Discovery": "on_request"}
+        async with running(upstream.entry("a"), script=script, base=settings) as balancer:
+            await updates(script, ListKind.CACHED)
+            assert balancer.discovery.calls.empty()
+            balancer.engine._act(WatchList(True))
+            await called(balancer, "after=1")
+            balancer.discovery.stop()
+            await updates(script, ListKind.FAILED)
+            await balancer.discovery.start()
+            balancer.engine._act(WatchList(True))
+            await called(balancer, "after=1")
+        upstream.close()
+
+    run(work())
+
+
+def test_numbers_are_kept_for_good() -> None:
+    """Guards the decisions' memory of an upstream: gone and back, it is the same one."""
+    names = Names(("north",), ("box",))
+    assert [names.server(name) for name in ("a", "b", "a", "c", "b")] == [1, 2, 1, 3, 2]
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"hostPort": "nowhere"},
+        {"hostPort": "127.0.0.1:99999"},
+        {"lifecycle": "resting"},
+        {"startedAtMs": "soon"},
+        {"startedAtMs": -1},
+        {"startedAtMs": True},
+        {"weight": None},
+        {"instanceId": 5},
+        {"zone": 3},
+    ],
+)
+def test_an_entry_that_makes_no_sense_fails_the_whole_answer(change: dict[str, Any]) -> None:
+    """Guards the list against entries that are only half right."""
+    data = {"generation": 1, "reset": True, "instances": [entry("a", 80), entry("b", 81) | change]}
+    with pytest.raises(DiscoveryError):
+        parse_listing(data, Names(("north",), ("box",)))
--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,310 @@
+"""The callers' side over loopback: every kind of bad input, slow and impatient callers, the socket budget."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from typing import Any
+
+import pytest
+
+from mulleinhitch.interface import Action, ClientGone, Event, Refuse, RequestArrived
+from tests.fakes import (
+    PATIENCE_S,
+    Caller,
+    FakeUpstream,
+    Incoming,
+    Script,
+    Talk,
+    ok,
+    request_bytes,
+    running,
+)
+from tests.test_attempts import run, silence
+
+HEAD = b"POST /api HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\n"
+
+BAD = [
+    ("no HTTP", b"\x16\x03\x01\x02\x00\x01\x00\r\n\r\n", 400),
+    ("unknown method", b"BREW /api HTTP/1.1\r\n\r\n", 400),
+    ("bad header", b"GET /api HTTP/1.1\r\nno colon here\r\n\r\n", 400),
+    ("bad length", HEAD + b"Content-Length: ten\r\n\r\n", 400),
+    ("negative length", HEAD + b"Content-Length: -1\r\n\r\n", 400),
+    ("length too large to count", HEAD + b"Content-Length: 99999999999999999999999\r\n\r\n", 400),
+    ("repeated length", HEAD + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\na", 400),
+    (
+        "length and chunks",
+        HEAD + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n",
+        400,
+    ),
+    ("bad chunk", HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400),
+    ("upgrade", b"GET /api HTTP/1.1\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n", 400),
+    ("unknown class", request_bytes("nosuch"), 400),
+    ("no class", b"GET /api HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+    ("class twice", request_bytes(x_qos="look"), 400),
+    ("deadline in words", request_bytes(X_Expires_In_Ms="soon"), 400),
+    ("negative deadline", request_bytes(X_Expires_In_Ms="-5"), 400),
+    ("empty deadline", request_bytes(X_Expires_In_Ms=""), 400),
+    ("keyed without a key", request_bytes("post", b"x", Idempotency_Key=""), 400),
+    ("body over the limit", request_bytes("move", b"x" * (64 * 1024 + 1)), 413),
+    ("stated body over the limit", HEAD + b"Content-Length: 65537\r\n\r\n", 413),
+    (
+        "chunks over the limit",
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + (b"8000\r\n" + b"x" * 0x8000 + b"\r\n") * 3,
+        413,
+    ),
+    ("unknown path", request_bytes(target="/nope"), 404),
+    ("near path", request_bytes(target="/apis"), 404),
+    ("method that no class has", request_bytes().replace(b"GET", b"OPTIONS", 1), 405),
+    ("endless head", b"GET /api HTTP/1.1\r\n" + b"X-A: " + b"a" * 40_000, 431),
+]
+
+
+@pytest.mark.parametrize(("data", "code"), [row[1:] for row in BAD], ids=[row[0] for row in BAD])
+def test_bad_input_is_answered_and_harms_no_other(data: bytes, code: int) -> None:
+    """Guards the process and the other requests against each kind of bad input."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok())
+
+        upstream = await FakeUpstream(held).start()
+        async with (
+            running(upstream.entry("a")) as balancer,
+            Caller(balancer.port) as good,
+            Caller(balancer.port) as bad,
+        ):
+            good.ask()
+            await upstream.arrived.get()
+            bad.send(data)
+            assert (await bad.answer()).status == code
+            go.set()
+            assert (await good.answer()).status == 200
+        upstream.close()
+        assert len(upstream.seen) == 1
+
+    run(work())
+
+
+def test_a_missing_deadline_is_the_class_s() -> None:
+    """Guards callers that state none."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.send(b"GET /api HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\nX-Trace-Id: 1\r\n\r\n")
+            assert (await caller.answer()).status == 200
+            caller.ask(X_Expires_In_Ms="999999999")
+            assert (await caller.answer()).status == 200
+        upstream.close()
+        lefts = [e.time_left_ms for e in script.events if isinstance(e, RequestArrived)]
+        assert lefts == [8000.0, 8000.0]
+
+    run(work())
+
+
+def test_requests_sent_ahead_are_answered_in_order_one_at_a_time() -> None:
+    """Guards order and 'exactly one answer' where a caller does not wait."""
+
+    async def work() -> None:
+        async def echo(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok(request.target.encode()))
+
+        upstream = await FakeUpstream(echo).start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            caller.send(b"".join(request_bytes(target=f"/api?n={n}") for n in range(40)) + b"garbage\r\n\r\n")
+            for n in range(40):
+                assert (await caller.answer()).body == b"/api?n=%d" % n
+            assert (await caller.answer()).status == 400
+            assert await caller.ended() == b""
+        upstream.close()
+
+    run(work())
+
+
+def test_a_body_is_asked_for_where_the_caller_waits_for_leave() -> None:
+    """Guards callers that send `Expect: 100-continue`, which would else wait for nothing."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            head, _, _ = request_bytes("move", b"body", Expect="100-continue").partition(b"\r\n\r\n")
+            caller.send(head + b"\r\n\r\n")
+            assert (await caller.reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            caller.send(b"body")
+            assert (await caller.answer()).status == 200
+        upstream.close()
+        assert upstream.seen[0].body == b"body"
+
+    run(work())
+
+
+def test_connection_close_is_honoured() -> None:
+    """Guards callers that say the connection ends with this answer."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            caller.ask(Connection="close")
+            answer = await caller.answer()
+            assert (answer.status, answer.headers["connection"]) == (200, "close")
+            assert await caller.ended() == b""
+        upstream.close()
+
+    run(work())
+
+
+def test_refusals_carry_the_advice_in_decimal_seconds() -> None:
+    """Guards Refuse: 503 at once, with Retry-After where the decisions advise it, and without where not."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        waits = [1250.0, 0.0]
+
+        def refuse(event: Event) -> list[Action] | None:
+            return [Refuse(event.request, waits.pop(0))] if isinstance(event, RequestArrived) else None
+
+        script.more = refuse
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask()
+            first = await caller.answer()
+            caller.ask()
+            second = await caller.answer()
+        upstream.close()
+        assert (first.status, first.headers.get("retry-after")) == (503, "1.250")
+        assert (second.status, second.headers.get("retry-after")) == (503, None)
+
+    run(work())
+
+
+def test_an_error_in_one_request_is_answered_500_with_its_id_in_the_log(capfd: Any) -> None:
+    """Guards the process against a fault in the decisions: that request alone ends, and the log names it."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+
+        def fault(event: Event) -> list[Action] | None:
+            if isinstance(event, RequestArrived) and event.class_index == 2:
+                raise RuntimeError("a fault")
+            return None
+
+        script.more = fault
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 500
+            caller.ask()
+            assert (await caller.answer()).status == 200
+        upstream.close()
+
+    run(work())
+    assert "9b1f03aa5c7e2d41" in capfd.readouterr().err
+
+
+def test_half_a_request_that_ends_is_no_request() -> None:
+    """Guards against passing on what did not come whole."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer:
+            async with Caller(balancer.port) as caller:
+                caller.send(request_bytes("move", b"whole")[:-1])
+                await caller.writer.drain()
+                caller.writer.write_eof()
+                assert await caller.ended() == b""
+            async with Caller(balancer.port) as caller:
+                caller.ask(target="/ready")
+                assert (await caller.answer()).status == 200
+        upstream.close()
+        assert upstream.seen == []
+        assert not any(isinstance(e, RequestArrived | ClientGone) for e in script.events)
+
+    run(work())
+
+
+def test_a_caller_that_does_not_read_holds_bounded_memory() -> None:
+    """Guards against slow readers: no further request is taken from one until its answers are read."""
+
+    async def work() -> None:
+        async def large(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok(b"x" * 64_000))
+
+        upstream = await FakeUpstream(large).start()
+        async with running(upstream.entry("a")) as balancer:
+            side = socket.socket()
+            side.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            side.connect(("127.0.0.1", balancer.port))
+            reader, writer = await asyncio.open_connection(sock=side, limit=1024)
+            writer.transport.pause_reading()  # type: ignore[attr-defined]
+            asked = 400
+            writer.write(request_bytes() * asked)
+            async with asyncio.timeout(PATIENCE_S):
+                while not any(c._blocked for c in balancer.listener._connections):
+                    await asyncio.sleep(0.01)
+            (connection,) = balancer.listener._connections
+            assert connection._transport is not None
+            assert connection._transport.get_write_buffer_size() < 512 * 1024
+            assert len(upstream.seen) < asked
+            async with Caller(balancer.port) as other:
+                other.ask()
+                assert (await other.answer()).status == 200
+            writer.close()
+        upstream.close()
+
+    run(work())
+
+
+def test_idle_callers_give_way_when_the_budget_is_spent() -> None:
+    """Guards the descriptors: past the callers' budget the connection idle for longest is closed, and a new
+    caller is served.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
+        async with running(upstream.entry("a"), machine=limits) as balancer:
+            budget = balancer.engine.caller_budget
+            callers = []
+            for _ in range(budget + 10):
+                caller = await Caller(balancer.port).__aenter__()
+                callers.append(caller)
+                caller.ask()
+                assert (await caller.answer()).status == 200
+            assert len(balancer.listener._connections) <= budget + 1
+            for caller in callers:
+                caller.writer.close()
+        upstream.close()
+
+    run(work())
+
+
+def test_sockets_to_upstreams_keep_to_their_budget() -> None:
+    """Guards the descriptors on the other side: past the budget an attempt ends as never sent, at once."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(silence).start()
+        limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
+        async with running(upstream.entry("a"), script=Script([1]), machine=limits) as balancer:
+            pool = balancer.engine.upstreams
+            pool._budget = 3
+            callers = []
+            for _ in range(3):
+                caller = await Caller(balancer.port).__aenter__()
+                callers.append(caller)
+                caller.ask("move", b"x")
+                await upstream.arrived.get()
+            async with Caller(balancer.port) as last:
+                last.ask("move", b"x")
+                assert (await last.answer()).status == 502
+            assert pool.sockets == 3 and upstream.connections == 3
+            for caller in callers:
+                caller.writer.close()
+        upstream.close()
+
+    run(work())
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,214 @@
+"""The real program as a process: bad configuration, signals under traffic, the descriptor limit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.fakes import (
+    PATIENCE_S,
+    SETTINGS,
+    Caller,
+    FakeDiscovery,
+    FakeUpstream,
+    Incoming,
+    Talk,
+    config_data,
+    ok,
+)
+from tests.test_attempts import run
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+async def spawn(path: Path, descriptors: int | None = None) -> asyncio.subprocess.Process:
+    def limit() -> None:
+        assert descriptors is not None
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
+    env = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "larkweir",
+        cwd=ROOT,
+        env=env,
+        stderr=asyncio.subprocess.PIPE,
+        preexec_fn=limit if descriptors else None,
+    )
+
+
+async def ready(port: int) -> None:
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            try:
+                async with Caller(port) as caller:
+                    caller.ask(target="/ready")
+                    if (await caller.answer()).status == 200:
+                        return
+            except (ConnectionError, AssertionError):
+                pass
+            await asyncio.sleep(0.02)
+
+
+@asynccontextmanager
+async def program(
+    tmp: Path, upstream: FakeUpstream, descriptors: int | None = None, sockets: int = 256
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
+    discovery = await FakeDiscovery([upstream.entry("a")]).start()
+    port = free_port()
+    data = config_data([upstream.entry("a")], discovery.port, listen=f"127.0.0.1:{port}")
+    data["limits"]["sockets"] = sockets
+    path = tmp / "config.json"
+    path.write_text(json.dumps(data))
+    process = await spawn(path, descriptors)
+    try:
+        await ready(port)
+        yield process, port
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        discovery.stop()
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_under_traffic_loses_nothing(tmp_path: Path, number: signal.Signals) -> None:
+    """Guards the planned restart: what is out, what comes on kept and on new connections is all served, each
+    with `Connection: close`, and then the exit code is 0.
+    """
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            if request.target == "/api?held":
+                await go.wait()
+            await talk.send(ok())
+
+        upstream = await FakeUpstream(held).start()
+        async with (
+            program(tmp_path, upstream) as (process, port),
+            Caller(port) as out,
+            Caller(port) as kept,
+            Caller(port) as idle,
+        ):
+            kept.ask()
+            assert (await kept.answer()).headers.get("connection") != "close"
+            idle.ask(target="/ready")
+            assert (await idle.answer()).status == 200
+            out.ask("move", b"x", "/api?held")
+            while (await upstream.arrived.get()).target != "/api?held":
+                pass
+            process.send_signal(number)
+            async with asyncio.timeout(PATIENCE_S):  # until it has noticed
+                while True:
+                    async with Caller(port) as fresh:
+                        fresh.ask(target="/ready")
+                        if (await fresh.answer()).status == 503:
+                            break
+            kept.ask()
+            answer = await kept.answer()
+            assert (answer.status, answer.headers.get("connection")) == (200, "close")
+            async with Caller(port) as fresh:
+                fresh.ask()
+                answer = await fresh.answer()
+                assert (answer.status, answer.headers.get("connection")) == (200, "close")
+            assert await idle.ended() == b""
+            assert process.returncode is None  # it still owes an answer
+            go.set()
+            assert (await out.answer()).status == 200
+            async with asyncio.timeout(PATIENCE_S):
+                assert await process.wait() == 0
+        upstream.close()
+
+    run(work())
+
+
+def test_the_descriptor_limit_holds_under_many_callers(tmp_path: Path) -> None:
+    """Guards against EMFILE: with far more callers than descriptors it goes on serving, and new ones too."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with program(tmp_path, upstream, descriptors=64, sockets=1024) as (process, port):
+            callers = [await Caller(port).__aenter__() for _ in range(120)]
+            for caller in callers:
+                caller.writer.close()
+            for _ in range(30):
+                async with Caller(port) as caller:
+                    caller.ask()
+                    assert (await caller.answer()).status == 200
+            assert len(os.listdir(f"/proc/{process.pid}/fd")) <= 64
+            process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(PATIENCE_S):
+                assert await process.wait() == 0
+        upstream.close()
+
+    run(work())
+
+
+BAD = [
+    ({"listen": "localhost"}, ["listen", "localhost"]),
+    ({"listen": "127.0.0.1:99999"}, ["listen", "127.0.0.1:99999"]),
+    ({"discovery": 7}, ["discovery", "7"]),
+    ({"seed": "xyz"}, ["seed", "xyz"]),
+    ({"limits": {"sockets": "many"}}, ["limits.sockets", "many"]),
+    ({"known": [1]}, ["known", "[1]"]),
+    ({"settings": SETTINGS | {"Categories": []}}, ["settings", "classes"]),
+    ({"settings": SETTINGS | {"MyZone": 9}}, ["settings", "my_zone", "9"]),
+    ({"settings": SETTINGS | {"Guarantees": {"DrainGraceMs": "x"}}}, ["DrainGraceMs", "'x'"]),
+    ({"settings": None}, ["settings", "None"]),
+]
+
+
+@pytest.mark.parametrize(("change", "words"), BAD, ids=[row[1][0] + "-" + row[1][1] for row in BAD])
+def test_bad_configuration_is_one_line_and_exit_2(
+    tmp_path: Path, change: dict[str, Any], words: list[str]
+) -> None:
+    """Guards operators: a start that can't work says which key and value, and ends."""
+
+    async def work() -> None:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config_data([], 9, **change)))
+        process = await spawn(path)
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        (line,) = errors.decode().splitlines()
+        for word in words:
+            assert word in line
+
+    run(work())
+
+
+@pytest.mark.parametrize("text", [None, "{", "[]"])
+def test_a_file_that_is_missing_or_no_object_is_named(tmp_path: Path, text: str | None) -> None:
+    """Guards the same for the file itself."""
+
+    async def work() -> None:
+        path = tmp_path / "config.json"
+        if text is not None:
+            path.write_text(text)
+        process = await spawn(path)
+        _, errors = await process.communicate()
+        assert process.returncode == 2
+        (line,) = errors.decode().splitlines()
+        assert "GW_CONFIG" in line
+
+    run(work())
