Never close a caller's connection that holds an unread request; pace the watch; test a failed accept

Cause: the test of a failed accept showed a connection being closed as idle before its transport was up, and one whose request lay unread in the system passing for idle (CallerConnection.idle looked at parsed requests only). Checked: with busy callers sending before the next one connects, accepting pauses and all are answered; the loop's own server was ruled out from the start, since accepting is done by hand. Now closable() asks the system as well. A discovery agent that answers a watch at once, without end, would have spun the core: 25 ms from call to call.

--- a/larkweir/discovery.py
+++ b/larkweir/discovery.py
@@ -165,6 +165,7 @@
     PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
     GRACE_S = 1.5  # past the wait, for the answer to come
     CALL_S = 2.0  # for a call that need not wait
+    PACE_S = 0.025  # at least from call to call; well under what ends a watch
     FIRST_PAUSE_S = 0.05
     LONGEST_PAUSE_S = 1.0
 
@@ -224,6 +225,8 @@
             try:
                 await self._round()
                 pause = self.FIRST_PAUSE_S
+                # Guards the core against answers that come at once, again and again.
+                await asyncio.sleep(self.PACE_S)
             except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
                 self._drop()
                 self._log(f"discovery: {problem or type(problem).__name__}")
--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import select
 import socket
 import zlib
 from collections import deque
@@ -67,6 +68,7 @@
         self._engine = listener.engine
         self._transport: asyncio.Transport | None = None
         self._reader = RequestReader()
+        self._poll = select.poll()
         self._waiting: deque[Message] = deque()
         self._current: Message | None = None
         self._number: int | None = None  # the engine's, of the current request
@@ -81,6 +83,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclass of it.
         self._transport = cast(asyncio.Transport, transport)
+        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
 
     def data_received(self, data: bytes) -> None:
         self.since_ms = self._engine.clock.now_ms()
@@ -119,6 +122,10 @@
     def idle(self) -> bool:
         return self._current is None and not self._waiting and not self._blocked
 
+    def closable(self) -> bool:
+        """Whether it lies between requests, with none begun and none waiting unread in the system."""
+        return self.idle and not self._reader.begun and self._transport is not None and not self._poll.poll(0)
+
     @property
     def begun(self) -> bool:
         """Whether a request has come in part."""
@@ -309,11 +316,11 @@
         self._connections.pop(connection, None)
 
     def _close_longest_idle(self) -> bool:
-        idle = [c for c in self._connections if c.idle and not c.begun]
-        if not idle:
-            return False
-        min(idle, key=lambda c: c.since_ms).abort()
-        return True
+        for connection in sorted(self._connections, key=lambda c: c.since_ms):
+            if connection.closable():
+                connection.abort()
+                return True
+        return False
 
     def _sweep(self) -> None:
         """Close connections on which nothing happens: a request in part, an answer unread, or long idle."""
@@ -337,5 +344,5 @@
 
     def end_idle(self) -> None:
         for connection in list(self._connections):
-            if connection.idle and not connection.begun:
+            if connection.closable():
                 connection.end()
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -215,6 +215,10 @@
         for item in entries:
             self.entries[item["instanceId"]] = item
             self.changes.append((self.generation, item))
+        self.wake()
+
+    def wake(self) -> None:
+        """Let the watches that are out look again."""
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -309,6 +309,27 @@
     run(work())
 
 
+def test_small_writes_go_out_at_once() -> None:
+    """Guards latency: TCP_NODELAY is on, on both sides."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with (
+            running(upstream.entry("a"), script=Script([1])) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            for connection in (*balancer.engine.upstreams._open, *balancer.listener._connections):
+                assert connection._transport is not None
+                fd = connection._transport.get_extra_info("socket").fileno()
+                with socket.socket(fileno=socket.dup(fd)) as raw:
+                    assert raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        upstream.close()
+
+    run(work())
+
+
 def test_a_connection_near_the_idle_limit_is_not_reused() -> None:
     """Guards against the upstream closing a connection in the moment a request is written to it."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -118,7 +118,7 @@
             only_b = {"generation": 9, "reset": True, "instances": [b.entry("b")]}
             balancer.discovery.garbage.append(ok(json.dumps(only_b).encode()))
             balancer.discovery.generation = 9
-            balancer.discovery._changed.set()
+            balancer.discovery.wake()
             # The watch that was out answers with changes (none); the next one with the whole list.
             full = await updates(script, ListKind.FULL)
             assert [item.server for item in full.entries] == [2]
@@ -138,7 +138,7 @@
         async with running(a.entry("a"), script=script, generation=40) as balancer:
             await called(balancer, "after=40")
             balancer.discovery.generation = 3
-            balancer.discovery._changed.set()
+            balancer.discovery.wake()
             full = await updates(script, ListKind.FULL)
             assert full.version == 3
             assert not any(isinstance(e, ListUpdate) and e.kind is ListKind.DELTA for e in script.events)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -26,6 +26,7 @@
     Talk,
     config_data,
     ok,
+    request_bytes,
 )
 from tests.test_attempts import run
 
@@ -164,6 +165,51 @@
     run(work())
 
 
+def test_a_failed_accept_is_survived(tmp_path: Path) -> None:
+    """Guards the listener against EMFILE itself, where the system gives fewer descriptors than were stated:
+    idle callers give way, and with all of them busy accepting pauses until one is done.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with program(tmp_path, upstream) as (process, port):
+            async with Caller(port) as caller:
+                caller.ask()
+                assert (await caller.answer()).status == 200
+            # Descriptors below the highest in use stay usable; new ones fail from here on.
+            used = len(os.listdir(f"/proc/{process.pid}/fd"))
+            resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (used + 8, used + 8))
+            idle = [await Caller(port).__aenter__() for _ in range(30)]
+            async with Caller(port) as caller:
+                caller.ask()
+                assert (await caller.answer()).status == 200
+            for item in idle:
+                item.writer.close()
+            busy = []
+            for _ in range(12):  # each sends before the next one comes, so that none passes for idle
+                item = await Caller(port).__aenter__()
+                busy.append(item)
+                item.send(request_bytes()[:-2])
+                await item.writer.drain()
+            assert process.stderr is not None
+            async with asyncio.timeout(PATIENCE_S):
+                while b"paused" not in (line := await process.stderr.readline()):
+                    assert line, "the program has ended"
+            for item in busy:
+                item.send(b"\r\n")
+            for item in busy:
+                # One that found no descriptor for an upstream has failed, and is answered all the same.
+                assert (await item.answer()).status in (200, 502, 503)
+                item.writer.close()
+            async with Caller(port) as caller:
+                caller.ask()
+                assert (await caller.answer()).status == 200
+            assert process.returncode is None
+        upstream.close()
+
+    run(work())
+
+
 BAD = [
     ({"listen": "localhost"}, ["listen", "localhost"]),
     ({"listen": "127.0.0.1:99999"}, ["listen", "127.0.0.1:99999"]),
