--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -131,6 +131,12 @@
         """Whether a request has come in part."""
         return self.idle and self._reader.begun
 
+    @property
+    def busy(self) -> bool:
+        """Whether it holds a request, whole or in part, or bytes of an answer that the system has not taken."""
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return not self.idle or self.begun or unsent
+
     @property
     def waits_for_engine(self) -> bool:
         return self._current is not None
@@ -254,7 +260,7 @@
     @property
     def taking(self) -> int:
         """Connections that hold a request, whole or in part, or an answer not yet read."""
-        return len(self._arriving) + sum(not c.idle or c.begun for c in self._connections)
+        return len(self._arriving) + sum(c.busy for c in self._connections)
 
     def start(self) -> None:
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
