--- a/larkweir/listener.py
+++ b/larkweir/listener.py
@@ -133,7 +133,7 @@
 
     @property
     def busy(self) -> bool:
-        """Whether it holds a request, whole or in part, or bytes of an answer that the system has not taken."""
+        """Whether it holds a request, whole or in part, or bytes of an answer not yet sent."""
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         return not self.idle or self.begun or unsent
 
