--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from mulleinhitch.interface import Action, ClientGone, Event, Refuse, RequestArrived
+from mulleinhitch.interface import Action, ClientGone, Event, Fail, Refuse, RequestArrived, Send
 from tests.fakes import (
     PATIENCE_S,
     Caller,
@@ -206,6 +206,39 @@
     assert "9b1f03aa5c7e2d41" in capfd.readouterr().err
 
 
+def test_a_second_final_answer_is_dropped() -> None:
+    """Guards 'exactly one answer': decisions that answer twice while an attempt is out must not answer the
+    caller's next request in place of an upstream.
+    """
+
+    async def work() -> None:
+        upstream = await FakeUpstream(silence).start()
+        script = Script([1])
+
+        def twice(event: Event) -> list[Action] | None:
+            if isinstance(event, RequestArrived) and event.class_index == 2:
+                return [Send(event.request, 1, 300.0), Fail(event.request), Refuse(event.request)]
+            return None
+
+        script.more = twice
+        other = await FakeUpstream().start()
+        script.servers = [2]
+        async with (
+            running(upstream.entry("a"), other.entry("b"), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.send(request_bytes("move", b"x") + request_bytes())
+            assert [(await caller.answer()).status for _ in range(2)] == [502, 200]
+            first = next(e for e in script.events if isinstance(e, RequestArrived))
+            while (event := await script.ended()).request != first.request:
+                pass
+            assert event.final  # the end of the attempt is told all the same
+        upstream.close()
+        other.close()
+
+    run(work())
+
+
 def test_half_a_request_that_ends_is_no_request() -> None:
     """Guards against passing on what did not come whole."""
 
