SIGHUP reads the file again and follows discovery to the address in it

At fault: larkweir/__main__.py serve() (handlers for SIGTERM and SIGINT only), config.decode() (environment before file, which on a reload would have kept the old address), discovery.Discovery (an address for good).

--- a/larkweir/__main__.py
+++ b/larkweir/__main__.py
@@ -18,12 +18,41 @@
 STEP_S = 0.01
 
 
+class Reload:
+    """SIGHUP: the file is read again, and discovery is followed to the address that it names. The other keys
+    count from the next start. One read at a time; of signals in a row, what the last one finds counts.
+    """
+
+    def __init__(self, engine: Engine) -> None:
+        self._engine = engine
+        self._asked = False
+        self._task: asyncio.Task[None] | None = None
+
+    def ask(self) -> None:
+        self._asked = True
+        if self._task is None or self._task.done():
+            self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        while self._asked:
+            self._asked = False
+            try:
+                # On a thread: requests don't wait for a disk or for a long file to be checked.
+                config = await asyncio.to_thread(load, again=True)
+            except ConfigError as problem:
+                self._engine.journal.line(f"reload: {problem}; what was read before stays")
+                continue
+            self._engine.journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
+            self._engine.discovery.move(config.discovery)
+
+
 async def serve(config: Config) -> int:
     loop = asyncio.get_running_loop()
     stopping = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     engine = Engine(config, loop)
+    loop.add_signal_handler(signal.SIGHUP, Reload(engine).ask)
     listener = Listener(config, engine)
     try:
         listener.start()
@@ -58,6 +87,8 @@
 
 
 def main() -> int:
+    # Until there is something to tell of a new configuration: the default would end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
         config = load()
     except ConfigError as problem:
--- a/larkweir/config.py
+++ b/larkweir/config.py
@@ -79,8 +79,10 @@
     return int(stated if soft == resource.RLIM_INFINITY else min(stated, soft))
 
 
-def decode(text: str, env: Mapping[str, str]) -> Config:
-    """The file's text and the environment, which goes first where both tell the same."""
+def decode(text: str, env: Mapping[str, str], again: bool = False) -> Config:
+    """The file's text and the environment, which goes first where both tell the same. When the file is read
+    `again`, its discovery goes first: the environment still tells the address from the start.
+    """
     try:
         data = json.loads(text)
     except (ValueError, RecursionError) as problem:
@@ -95,10 +97,13 @@
     grace = rules.get("DrainGraceMs", 0.0)
     if isinstance(grace, bool) or not isinstance(grace, int | float) or not 0 <= grace < 1e9:
         raise ConfigError(f"settings.Guarantees.DrainGraceMs: {grace!r} is not a time in milliseconds")
+    discovery = (data.get("discovery"), env.get("GW_DISCOVERY"))
     return Config(
         name=str(env.get("GW_NAME") or data.get("name", "")),
         listen=parse_address(env.get("GW_LISTEN") or data.get("listen"), "listen"),
-        discovery=parse_address(env.get("GW_DISCOVERY") or data.get("discovery"), "discovery"),
+        discovery=parse_address(
+            discovery[0] or discovery[1] if again else discovery[1] or discovery[0], "discovery"
+        ),
         seed=_seed(data.get("seed", "0")),
         sockets=_sockets(data),
         settings=settings,
@@ -110,7 +115,7 @@
     )
 
 
-def load(env: Mapping[str, str] = os.environ) -> Config:
+def load(env: Mapping[str, str] = os.environ, again: bool = False) -> Config:
     path = env.get("GW_CONFIG")
     if not path:
         raise ConfigError(f"GW_CONFIG: {path!r} names no file")
@@ -119,4 +124,4 @@
             text = file.read()
     except (OSError, UnicodeDecodeError) as problem:
         raise ConfigError(f"GW_CONFIG: {path!r} can't be read: {problem}") from None
-    return decode(text, env)
+    return decode(text, env, again)
--- a/larkweir/discovery.py
+++ b/larkweir/discovery.py
@@ -119,11 +119,14 @@
         self._transport: asyncio.Transport | None = None
         self._answer: asyncio.Future[Message] | None = None
         self.open = False
+        self._closed = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclass of it.
         self._transport = cast(asyncio.Transport, transport)
-        self.open = True
+        self.open = not self._closed
+        if self._closed:  # given up while it was coming up
+            self._transport.abort()
 
     def data_received(self, data: bytes) -> None:
         answers = self._reader.feed(data)
@@ -144,6 +147,7 @@
 
     def close(self) -> None:
         self.open = False
+        self._closed = True
         if self._transport is not None and not self._transport.is_closing():
             self._transport.abort()
         if self._answer is not None and not self._answer.done():
@@ -182,6 +186,7 @@
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
+        self._stopped = False
 
     def start(self) -> None:
         """Tell what is known from before, and begin to watch."""
@@ -212,7 +217,28 @@
         if self._fetch is None or self._fetch.done():
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
+    def move(self, address: Address) -> None:
+        """Go on at another address, with its whole list first. What is held serves until that has come; the
+        calls out to the old address end here, so that no late answer of it can count.
+        """
+        if self._stopped or address == self._address:
+            return
+        self._address = address
+        self._host = f"{address[0]}:{address[1]}".encode()
+        self._version = None  # the old agent's; what the new one calls newer is not measured against it
+        watching = self._watch is not None and not self._watch.done()
+        for task in (self._watch, self._fetch):
+            if task is not None:
+                task.cancel()
+        self._watch = self._fetch = None
+        self._drop()
+        if watching or not self._asked:
+            self._watch = asyncio.get_running_loop().create_task(self._follow())
+        else:
+            self.fetch()
+
     def stop(self) -> None:
+        self._stopped = True
         for task in (self._watch, self._fetch):
             if task is not None:
                 task.cancel()
@@ -272,9 +298,8 @@
     async def _call(self, target: bytes, timeout_s: float) -> Listing:
         async with asyncio.timeout(timeout_s):
             if self._connection is None or not self._connection.open:
-                connection = _Connection()
+                connection = self._connection = _Connection()
                 await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
-                self._connection = connection
             return self._read(await self._connection.get(target, self._host))
 
     def _read(self, answer: Message) -> Listing:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -10,7 +10,7 @@
 
 from larkweir.discovery import DiscoveryError, Names, parse_listing
 from mulleinhitch.interface import ListKind, ListUpdate, WatchList
-from tests.fakes import PATIENCE_S, SETTINGS, Caller, FakeUpstream, Script, entry, ok, running
+from tests.fakes import PATIENCE_S, SETTINGS, Caller, FakeDiscovery, FakeUpstream, Script, entry, ok, running
 from tests.test_attempts import run
 
 
@@ -222,6 +222,42 @@
     run(work())
 
 
+def test_no_late_answer_of_an_agent_that_was_left_counts() -> None:
+    """Guards the move to another agent: the held list serves until the new one has told its own, the old
+    connection ends, and what the old agent writes in that moment is dropped.
+    """
+
+    async def work() -> None:
+        a, b = await FakeUpstream().start(), await FakeUpstream().start()
+        new = await FakeDiscovery([b.entry("b")]).start()
+        script = Script([1])
+        async with running(a.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            await called(balancer, "after=1")
+            balancer.discovery.change(entry("late", 9))  # on its way when the move is made
+            balancer.engine.discovery.move(("127.0.0.1", new.port))
+            caller.ask()
+            assert (await caller.answer()).status == 200
+            full = await updates(script, ListKind.FULL)
+            assert set(balancer.engine.upstreams.table) == {item.server for item in full.entries} == {2}
+            async with asyncio.timeout(PATIENCE_S):
+                while balancer.discovery._writers:  # the old connection is closed
+                    await asyncio.sleep(0.01)
+            new.change(b.entry("b", lifecycle="leaving"))
+            change = await updates(script, ListKind.DELTA)
+            assert [item.server for item in change.entries] == [2]
+            deltas = [e for e in script.events if isinstance(e, ListUpdate) and e.kind is ListKind.DELTA]
+            assert deltas == [change]
+            balancer.engine.discovery.stop()
+            balancer.engine.discovery.move(("127.0.0.1", balancer.discovery.port))  # too late: no call
+        while not balancer.discovery.calls.empty():
+            assert "after=" in balancer.discovery.calls.get_nowait()
+        new.stop()
+        a.close()
+        b.close()
+
+    run(work())
+
+
 def test_numbers_are_kept_for_good() -> None:
     """Guards the decisions' memory of an upstream: gone and back, it is the same one."""
     names = Names(("north",), ("box",))
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -39,12 +39,13 @@
         return int(probe.getsockname()[1])
 
 
-async def spawn(path: Path, descriptors: int | None = None) -> asyncio.subprocess.Process:
+async def spawn(path: Path, descriptors: int | None = None, **more: str) -> asyncio.subprocess.Process:
     def limit() -> None:
         assert descriptors is not None
         resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
 
     env = {k: v for k, v in os.environ.items() if not k.startswith("GW_")} | {"GW_CONFIG": str(path)}
+    env |= more
     return await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -202,6 +203,69 @@
     run(work())
 
 
+def test_sighup_follows_discovery_to_the_address_in_the_file(tmp_path: Path) -> None:
+    """Guards new configurations in service: the process lives, the file's discovery goes before the
+    environment's, the new list counts, a bad file is one line and changes nothing, signals in a row and one
+    in the drain do no harm, and what is out meanwhile is answered.
+    """
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok(b"held"))
+
+        async def second(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok(b"second"))
+
+        one, two = await FakeUpstream(held).start(), await FakeUpstream(second).start()
+        old = await FakeDiscovery([one.entry("a")]).start()
+        new = await FakeDiscovery([two.entry("b")]).start()
+        port = free_port()
+        path = tmp_path / "config.json"
+        data = config_data([one.entry("a")], old.port, listen=f"127.0.0.1:{port}")
+        path.write_text(json.dumps(data))
+        process = await spawn(path, GW_LISTEN=f"127.0.0.1:{port}", GW_DISCOVERY=f"127.0.0.1:{old.port}")
+        try:
+            await ready(port)
+            async with Caller(port) as out, Caller(port) as caller:
+                out.ask("move", b"x")
+                await one.arrived.get()
+                path.write_text("{")
+                process.send_signal(signal.SIGHUP)
+                assert process.stderr is not None
+                async with asyncio.timeout(PATIENCE_S):
+                    line = await process.stderr.readline()
+                assert b"reload" in line and b"GW_CONFIG" in line
+                path.write_text(json.dumps(data | {"discovery": f"127.0.0.1:{new.port}"}))
+                for _ in range(5):
+                    process.send_signal(signal.SIGHUP)
+                async with asyncio.timeout(PATIENCE_S):
+                    assert await new.calls.get() == "/v1/endpoints"  # the whole list first
+                    assert "after=" in await new.calls.get()
+                caller.ask()
+                assert (await caller.answer()).body == b"second"
+                go.set()
+                assert (await out.answer()).body == b"held"
+                process.send_signal(signal.SIGTERM)
+                process.send_signal(signal.SIGHUP)
+                caller.ask()
+                assert (await caller.answer()).status == 200
+                async with asyncio.timeout(PATIENCE_S):
+                    assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+        old.stop()
+        new.stop()
+        one.close()
+        two.close()
+
+    run(work())
+
+
 BAD = [
     ({"listen": "localhost"}, ["listen", "localhost"]),
     ({"listen": "127.0.0.1:99999"}, ["listen", "127.0.0.1:99999"]),
