--- a/larkweir/config.py
+++ b/larkweir/config.py
@@ -15,6 +15,8 @@
 
 Address = tuple[str, int]
 
+MEMORY_MB = 64.0  # taken where no limit is stated
+
 
 class ConfigError(ValueError):
     """A value is missing or makes no sense; the message is one line that names key and value."""
@@ -27,6 +29,7 @@
     discovery: Address
     seed: int
     sockets: int
+    memory_mb: float
     settings: Settings
     zones: tuple[str, ...]
     kinds: tuple[str, ...]
@@ -79,6 +82,13 @@
     return int(stated if soft == resource.RLIM_INFINITY else min(stated, soft))
 
 
+def _memory(data: dict[str, Any]) -> float:
+    stated = _object(data.get("limits", {}), "limits").get("memory_mb", MEMORY_MB)
+    if isinstance(stated, bool) or not isinstance(stated, int | float) or not 16 <= stated < 1e9:
+        raise ConfigError(f"limits.memory_mb: {stated!r} is not a number of at least 16")
+    return float(stated)
+
+
 def decode(text: str, env: Mapping[str, str], again: bool = False) -> Config:
     """The file's text and the environment, which goes first where both tell the same. When the file is read
     `again`, its discovery goes first: the environment still tells the address from the start.
@@ -106,6 +116,7 @@
         ),
         seed=_seed(data.get("seed", "0")),
         sockets=_sockets(data),
+        memory_mb=_memory(data),
         settings=settings,
         zones=_names(facts, "Zones"),
         kinds=_names(facts, "MachineTypes"),
--- a/larkweir/engine.py
+++ b/larkweir/engine.py
@@ -18,6 +18,7 @@
 from larkweir.config import Config
 from larkweir.discovery import Discovery, Listing
 from larkweir.http1 import Headers, Message, encode_request
+from larkweir.room import Room
 from larkweir.upstreams import LOAD_HEADER, Call, Upstreams, report_of
 from mulleinhitch import Balancer
 from mulleinhitch.interface import (
@@ -155,7 +156,9 @@
 
     __slots__ = ("attempts", "caller", "deadline_ms", "message", "number", "out", "over", "timer", "trace")
 
-    def __init__(self, number: int, caller: Caller, message: Message, deadline_ms: float, trace: str) -> None:
+    def __init__(
+        self, number: int, caller: Caller, message: Message, deadline_ms: float, trace: bytes
+    ) -> None:
         self.number = number
         self.caller = caller
         self.message = message
@@ -169,6 +172,7 @@
 
 class Engine:
     PROBE_TIMEOUT_MS = 50.0
+    MOST_PAST = 4096  # ids remembered
 
     def __init__(
         self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
@@ -181,8 +185,10 @@
         # Of the descriptors, what the process itself needs goes first; callers and upstreams share the rest.
         spare = max(8, config.sockets - 24)
         self.caller_budget = spare * 9 // 20
+        self.room = Room(config.memory_mb)
         self.upstreams = Upstreams(
             self.clock,
+            self.room,
             spare // 2,
             settings.conn_idle_ms,
             settings.connect_timeout_ms,
@@ -191,6 +197,11 @@
         self.discovery = Discovery(config, self.on_listing, self.journal.line)
         self._balancer: Decisions = decisions or Balancer(settings, config.seed)
         self._exchanges: dict[int, Exchange] = {}
+        self._traces: set[bytes] = set()  # ids of the same
+        self._past: dict[
+            bytes, float
+        ] = {}  # ids of requests that are over, and when they ended; oldest first
+        self._past_ms = 2.0 * max(item.deadline_ms for item in settings.classes)
         self._next = 1
         self._events: deque[Event] = deque()
         self._busy = False
@@ -217,15 +228,31 @@
 
     # ------------------------------------------------ events in
 
+    def is_known(self, trace: bytes) -> bool:
+        """Whether a request with this id is open here, or was until lately: an id is new with every request,
+        so a copy that comes a moment after the answer must not run either.
+        """
+        return trace in self._traces or trace in self._past
+
+    def _remember(self, trace: bytes) -> None:
+        now = self.clock.now_ms()
+        self._past[trace] = now
+        while self._past:
+            oldest = next(iter(self._past))
+            if len(self._past) <= self.MOST_PAST and self._past[oldest] > now - self._past_ms:
+                break
+            del self._past[oldest]
+
     def arrive(
-        self, caller: Caller, message: Message, time_left_ms: float, trace: str, event: RequestArrived
+        self, caller: Caller, message: Message, time_left_ms: float, trace: bytes, event: RequestArrived
     ) -> int:
-        """A request has come whole; returns its number."""
+        """A request has come whole, under an id that is not open; returns its number."""
         number = self._next
         self._next += 1
         event.request = number
         exchange = Exchange(number, caller, message, self.clock.now_ms() + time_left_ms, trace)
         self._exchanges[number] = exchange
+        self._traces.add(trace)
         exchange.timer = self.clock.after(time_left_ms, lambda: self._overdue(exchange))
         self._deliver(event)
         return number
@@ -270,7 +297,7 @@
             # Guards the other requests: whatever went wrong with this one, it alone is answered 500.
             number = getattr(event, "request", event.cookie if isinstance(event, TimerFired) else 0)
             exchange = self._exchanges.get(number)
-            trace = exchange.trace if exchange is not None else "-"
+            trace = exchange.trace.decode("latin-1") if exchange is not None else "-"
             frames = traceback.format_exc(limit=-3).strip().replace("\n", " | ")
             self.journal.line(f"request {trace}: {type(event).__name__}: {problem!r}: {frames}")
             if exchange is not None:
@@ -331,8 +358,9 @@
             exchange.timer.cancel()
 
     def _forget(self, exchange: Exchange) -> None:
-        if exchange.over and not exchange.out:
-            self._exchanges.pop(exchange.number, None)
+        if exchange.over and not exchange.out and self._exchanges.pop(exchange.number, None) is not None:
+            self._traces.discard(exchange.trace)
+            self._remember(exchange.trace)
 
     def _overdue(self, exchange: Exchange) -> None:
         """The deadline: attempts out end first, then the engine answers what the balancer still owes."""
@@ -421,5 +449,6 @@
             lambda: Outcome.MOOT if self.upstreams.past_grace(upstream) else None,
             finish,
             now,
+            probe=True,
         )
         self.upstreams.start(call, self.PROBE_TIMEOUT_MS)
--- a/larkweir/http1.py
+++ b/larkweir/http1.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 import httptools
 
 MAX_HEAD = 32 * 1024
+# Guards against heads of thousands of short fields, which cost far more than their bytes.
+MAX_FIELDS = 100
 MAX_BODY = 64 * 1024
 
 Headers = list[tuple[bytes, bytes]]
@@ -34,7 +37,9 @@
     404: b"Not Found",
     405: b"Method Not Allowed",
     408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     500: b"Internal Server Error",
     502: b"Bad Gateway",
@@ -51,6 +56,13 @@
         self.status = status
 
 
+class Fault(NamedTuple):
+    """Why no further message is read. Not the exception itself, whose traceback would hold the reader."""
+
+    status: int
+    text: str
+
+
 class Message:
     """One whole request or answer. Header names are kept as they came; look-ups go by lower case."""
 
@@ -67,6 +79,11 @@
     def values(self, name: bytes) -> list[bytes]:
         return [value for key, value in self.headers if key.lower() == name]
 
+    @property
+    def size(self) -> int:
+        """About what it holds in memory."""
+        return len(self.body) + len(self.target) + sum(len(k) + len(v) + 128 for k, v in self.headers)
+
     def value(self, name: bytes) -> bytes | None:
         """The only value of a header; none if it is absent, FramingError if it comes twice."""
         found = self.values(name)
@@ -83,18 +100,23 @@
 
 
 class _Reader:
-    """Feeds one connection's bytes to httptools and bounds what a message may hold."""
+    """Feeds one connection's bytes to httptools and bounds what a message may hold.
 
-    def __init__(self, max_body: int) -> None:
-        self._parser = self._make_parser()
+    The parser holds the reader's methods, and so the reader itself: `close` ends that cycle, which would else
+    wait for the collector with all that the connection held.
+    """
+
+    def __init__(self, max_body: int, most: int) -> None:
+        self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser | None = self._make_parser()
         self._max_body = max_body
+        self._most = most  # messages that one read may bring
         self._done: list[Message] = []
         self._message = Message()
         self._parts: list[bytes] = []
         self._size = 0  # of the body
         self._raw = 0  # bytes fed since the last whole message
         self._in_head = True
-        self.fault: FramingError | None = None
+        self.fault: Fault | None = None
 
     def _make_parser(self) -> httptools.HttpRequestParser | httptools.HttpResponseParser:
         raise NotImplementedError
@@ -104,28 +126,61 @@
         """Whether bytes of an unfinished message have come."""
         return self._raw > 0
 
+    @property
+    def held(self) -> int:
+        """About what the unfinished message holds in memory."""
+        return min(self._raw, MAX_HEAD) + self._size if self._raw else 0
+
+    def close(self) -> None:
+        """Nothing more is read, and what is held of an unfinished message is let go."""
+        self._parser = None
+        self._message = Message()
+        self._parts = []
+        self._done = []
+        self._size = self._raw = 0
+
     def feed(self, data: bytes) -> list[Message]:
         """The messages that these bytes complete; a fault after them is left in `fault`, for good."""
-        if self.fault is not None:
+        if self.fault is not None or self._parser is None:
             return []
-        self._done = []
+        done: list[Message] = []
+        self._done = done
         self._raw += len(data)
         try:
             self._parser.feed_data(data)
-        except httptools.HttpParserError as problem:
-            cause = problem.__context__
-            known = cause if isinstance(cause, FramingError) else None
-            self.fault = known or FramingError(400, f"malformed HTTP: {problem}")
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as problem:
+            self.fault = self._fault_of(problem)
         # Guards against a head, or chunk extensions and trailers, that never end.
         if self.fault is None and self._in_head and self._raw > MAX_HEAD:
-            self.fault = FramingError(431, "the head is too long")
+            self.fault = Fault(431, "the head is too long")
         elif self.fault is None and self._raw > MAX_HEAD + 16 * self._max_body:
-            self.fault = FramingError(413, "the message is too long")
-        return self._done
+            self.fault = Fault(413, "the message is too long")
+        self._done = []
+        if self.fault is not None:
+            self.fail(self.fault)
+            if self.fault.status == 429:
+                return []  # nothing of such a read is taken
+        return done
+
+    def fail(self, fault: Fault) -> None:
+        """Read no further: what follows is never parsed, and what came in part is of no use."""
+        begun = self.begun
+        self.fault = fault
+        self.close()
+        self._raw = int(begun)
+
+    @staticmethod
+    def _fault_of(problem: Exception) -> Fault:
+        cause = problem.__context__
+        if isinstance(cause, FramingError):
+            return Fault(cause.status, str(cause))
+        return Fault(400, f"malformed HTTP: {problem}")
 
     # Called by httptools.
 
     def on_message_begin(self) -> None:
+        if len(self._done) >= self._most:
+            raise FramingError(429, "too many requests sent ahead")
         self._message = Message()
         self._parts = []
         self._size = 0
@@ -134,14 +189,25 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._in_head:
             return  # a trailer: nothing here uses one
-        self._message.headers.append((name, value))
-        if name.lower() == b"content-length":
+        headers = self._message.headers
+        if len(headers) >= MAX_FIELDS:
+            raise FramingError(431, "the head has too many fields")
+        headers.append((name, value))
+        lower = name.lower()
+        if lower == b"content-length":
             size = int(value) if len(value) < 20 and value.isdigit() else 0  # else the parser objects
             if size > self._max_body:  # refused before the body comes
                 raise FramingError(413, "the body is too long")
+        elif lower == b"transfer-encoding" and value.strip().lower() != b"chunked":
+            # Guards against two readers that find different ends: the parser takes lists ending in `chunked`.
+            raise FramingError(400, "Transfer-Encoding is not one `chunked`")
 
     def on_headers_complete(self) -> None:
+        assert self._parser is not None
         self._in_head = False
+        version = self._parser.get_http_version()
+        if version != "1.1" and (version != "1.0" or self._message.values(b"transfer-encoding")):
+            raise FramingError(400, f"HTTP/{version} is not spoken here")
         self._message.keep_alive = self._parser.should_keep_alive()
 
     def on_body(self, data: bytes) -> None:
@@ -152,7 +218,8 @@
 
     def on_message_complete(self) -> None:
         self._message.body = b"".join(self._parts)
-        self._raw = 0
+        self._parts = []
+        self._raw = self._size = 0
         self._in_head = True
         self._done.append(self._message)
 
@@ -160,10 +227,10 @@
 class RequestReader(_Reader):
     """Reads requests; `expects_continue` says that the caller waits for leave to send its body."""
 
-    _parser: httptools.HttpRequestParser
+    _parser: httptools.HttpRequestParser | None
 
-    def __init__(self, max_body: int = MAX_BODY) -> None:
-        super().__init__(max_body)
+    def __init__(self, max_body: int = MAX_BODY, most: int = 4) -> None:
+        super().__init__(max_body, most)
         self.expects_continue = False
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -174,6 +241,7 @@
 
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
+        assert self._parser is not None
         self._message.method = self._parser.get_method()
         if self._parser.should_upgrade():
             raise FramingError(400, "no upgrade is offered")
@@ -189,16 +257,18 @@
     from one that was cut off.
     """
 
-    _parser: httptools.HttpResponseParser
+    _parser: httptools.HttpResponseParser | None
+    MOST = 64  # answers in one read, interim ones not counted: the first is used, and one more is a fault
 
     def __init__(self, max_body: int = MAX_BODY) -> None:
-        super().__init__(max_body)
+        super().__init__(max_body, self.MOST)
 
     def _make_parser(self) -> httptools.HttpResponseParser:
         return httptools.HttpResponseParser(self)
 
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
+        assert self._parser is not None
         self._message.status = self._parser.get_status_code()
 
     def on_message_complete(self) -> None:
--- a/larkweir/upstreams.py
+++ b/larkweir/upstreams.py
@@ -14,6 +14,7 @@
 
 from larkweir.config import Address
 from larkweir.http1 import FramingError, Message, ResponseReader
+from larkweir.room import Room
 from mulleinhitch.interface import Outcome, ServerState
 
 if TYPE_CHECKING:
@@ -44,6 +45,18 @@
         return same
 
 
+def _no_payload() -> bytes:
+    raise AssertionError("a call that is over is not written")
+
+
+def _is_over() -> Outcome | None:
+    return Outcome.MOOT
+
+
+def _no_finish(outcome: Outcome, answer: Message | None) -> None:
+    raise AssertionError("a call ends once")
+
+
 class Call:
     """An attempt or a probe. `finish` is called once, with the outcome and the answer that it came with."""
 
@@ -53,8 +66,10 @@
         "_payload",
         "connection",
         "ended",
+        "probe",
         "started_ms",
         "timer",
+        "touched",
         "upstream",
         "written",
     )
@@ -66,8 +81,10 @@
         blocked: Callable[[], Outcome | None],
         finish: Callable[[Outcome, Message | None], None],
         started_ms: float,
+        probe: bool = False,
     ) -> None:
         self.upstream = upstream
+        self.probe = probe
         self._payload = payload  # made when it is written, since it tells the time that is left then
         self._blocked = blocked  # why it may no longer be written, if so
         self._finish = finish
@@ -75,6 +92,7 @@
         self.connection: UpstreamConnection | None = None
         self.timer: Timer | None = None
         self.written = False  # the system has taken the last byte
+        self.touched = False  # something has come back for it
         self.ended = False
 
     def write(self, connection: UpstreamConnection) -> bool:
@@ -91,10 +109,13 @@
 
     def time_out(self) -> None:
         """No answer in time; if it has not been written whole, it never will be."""
-        self.end(Outcome.TIMEOUT if self.written else Outcome.CONNECT_FAILED)
+        self.end(Outcome.TIMEOUT if self.written or self.touched else Outcome.CONNECT_FAILED)
 
     def broken(self) -> None:
-        self.end(Outcome.RESET if self.written else Outcome.CONNECT_FAILED)
+        """It can't be answered any more. An upstream that has sent a byte back may have run it, whatever was
+        written by then.
+        """
+        self.end(Outcome.RESET if self.written or self.touched else Outcome.CONNECT_FAILED)
 
     def end(self, outcome: Outcome, answer: Message | None = None) -> None:
         if self.ended:
@@ -105,7 +126,10 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.release(self)
-        self._finish(outcome, answer)
+        finish = self._finish
+        # They hold the request, and the request holds its calls: guards against cycles left to the collector.
+        self._payload, self._blocked, self._finish = _no_payload, _is_over, _no_finish
+        finish(outcome, answer)
 
 
 def outcome_of(answer: Message) -> Outcome:
@@ -114,7 +138,7 @@
         return Outcome.OK
     if answer.status in (503, 504) and answer.values(NEVER_RAN_HEADER) == [b"1"]:
         return Outcome.FULL
-    return Outcome.ERROR
+    return Outcome.REJECTED if 400 <= answer.status < 500 else Outcome.ERROR
 
 
 def parse_report(text: bytes, names: Sequence[str]) -> tuple[float, ...]:
@@ -143,6 +167,9 @@
         self._transport: asyncio.Transport | None = None
         self._reader = ResponseReader()
         self._call: Call | None = None
+        self._held = 0  # booked of the room that all connections share
+        self._report: bytes | None = None  # the body of the answer before, if that was a probe's
+        self.resting = False  # the answer before was an attempt's: see REST_MS
         self.idle_since_ms = 0.0
         self._poll = select.poll()
 
@@ -160,24 +187,45 @@
             self._call.written = True
 
     def data_received(self, data: bytes) -> None:
-        answers = self._reader.feed(data)
         call = self._call
         if call is None:  # nothing was asked
             self.abort()
-        elif answers:
-            written = call.written
-            clean = written and len(answers) == 1 and self._reader.fault is None and not self._reader.begun
-            self._call = None
-            if clean and answers[0].keep_alive:
-                call.connection = None
-                self._pool.put(self)
-            else:
-                self.abort()
-            call.end(outcome_of(answers[0]), answers[0])
-        elif self._reader.fault is not None:
+            return
+        call.touched = True
+        answers = self._reader.feed(data)
+        fits = self._book(self._reader.held)
+        if answers:
+            self._take(call, answers)
+        elif self._reader.fault is not None or not fits:
             self.abort()
             call.broken()
 
+    def _take(self, call: Call, answers: list[Message]) -> None:
+        answer = answers[0]
+        reader = self._reader
+        # A whole answer counts, whatever comes behind it; the connection is of no further use then.
+        clean = call.written and len(answers) == 1 and reader.fault is None and not reader.begun
+        self._call = None
+        report, self._report = self._report, answer.body if call.probe else None
+        if not call.probe and report is not None and answer.body == report and report.strip():
+            # The probe's answer once more, which came after this call was written: its own is still to come.
+            self.abort()
+            call.connection = None
+            call.broken()
+            return
+        if clean and answer.keep_alive:
+            call.connection = None
+            self.resting = not call.probe
+            self._pool.put(self)
+        else:
+            self.abort()
+        call.end(outcome_of(answer), answer)
+
+    def _book(self, held: int) -> bool:
+        fits = self._pool.room.book(self._held, held)
+        self._held = held
+        return fits
+
     def eof_received(self) -> None:
         self.abort()  # half-closed: no further answer comes, and nothing may be written to it
         if self._call is not None:
@@ -186,6 +234,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self._pool.closed(self)
         self._transport = None
+        self._reader.close()
+        self._book(0)
         if self._call is not None:
             self._call.broken()
 
@@ -218,12 +268,24 @@
     """The table of upstreams, the idle connections, and the budget of sockets."""
 
     SWEEP_MS = 1_000.0
+    # After an attempt's answer a connection takes no new call for so long, and what comes in that time closes
+    # it: guards against a second copy of the answer, or noise, that comes one read later and would be taken
+    # for the answer to the next call. A probe is the first half of a send, so its connection does not rest:
+    # there an answer that repeats the probe's is told by its body.
+    REST_MS = 25.0
     CONNECT_MARGIN_MS = 100.0  # of the drain's grace, for lists that are read late
 
     def __init__(
-        self, clock: Clock, budget: int, idle_ms: float, connect_timeout_ms: float, grace_ms: float
+        self,
+        clock: Clock,
+        room: Room,
+        budget: int,
+        idle_ms: float,
+        connect_timeout_ms: float,
+        grace_ms: float,
     ) -> None:
         self._clock = clock
+        self.room = room
         self._budget = budget
         # Guards against writing to a connection in the moment the upstream closes it for having stood idle.
         self._keep_ms = idle_ms - min(5_000.0, 0.2 * idle_ms)
@@ -289,11 +351,15 @@
             self.put(connection)
 
     def _take(self, upstream: Upstream) -> UpstreamConnection | None:
-        idle = self._idle.get(upstream.number)
-        oldest = self._clock.now_ms() - self._keep_ms
-        while idle:
-            connection = idle.pop()
-            if connection.idle_since_ms > oldest and connection.usable():
+        idle = self._idle.get(upstream.number, [])
+        now = self._clock.now_ms()
+        for at in range(len(idle) - 1, -1, -1):
+            connection = idle[at]
+            unused = now - connection.idle_since_ms
+            if connection.resting and unused < self.REST_MS:
+                continue
+            del idle[at]
+            if unused < self._keep_ms and connection.usable():
                 return connection
             connection.abort()
         return None
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -56,6 +56,7 @@
     RESET = 5  # connection lost; may have run
     CANCELLED = 6  # called off by us; may have run
     MOOT = 7  # never sent: proves that it never ran
+    REJECTED = 8  # the server says that the request itself is no good; tells nothing of the server's state
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT))
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -779,13 +779,17 @@
             self._pace(server, event.spent_ms / (usual * max(0.25, request.size)))
             at = request.class_index
             self._latency[at] += self.MEMORY * (event.spent_ms - self._latency[at])
-        elif event.outcome is not Outcome.CANCELLED and event.outcome is not Outcome.MOOT:
+        elif event.outcome not in UNTELLING:
             self._judge(server, request, event.outcome, True)
         self.fleet.earn_token(server, self.now)
         if event.final or event.outcome is Outcome.OK:
             request.started = True
         if request.started:
             self._forget(request)
+        elif event.outcome is Outcome.REJECTED:
+            # Guards the servers against a caller's bad requests, which each of them would turn away in turn.
+            self.out.append(Fail(request.id))
+            self._forget(request)
         elif not request.out:
             self._again(request, event.outcome)
 
@@ -931,7 +935,7 @@
 
     def _steer(self, event: AttemptEnded, request: Request) -> None:
         """Move the window by how far a latency lies from its target; a failure counts as a whole aim."""
-        if request.started or event.outcome in (Outcome.CANCELLED, Outcome.MOOT, Outcome.CONNECT_FAILED):
+        if request.started or event.outcome in UNTELLING or event.outcome is Outcome.CONNECT_FAILED:
             return
         at, aim = request.class_index, request.cls.aim_ms
         if event.outcome is Outcome.FULL:
@@ -959,7 +963,7 @@
         """
         if self.settings.price_cross_zone <= 0.0 or request.started:
             return
-        if event.outcome is Outcome.CANCELLED or event.outcome is Outcome.MOOT:
+        if event.outcome in UNTELLING:
             return
         if event.outcome is Outcome.OK:
             cost = min(1.0, event.spent_ms / request.cls.aim_ms)
@@ -1125,6 +1129,7 @@
         pass
 
 
+UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 IDLE_FIELD = (
     "running_and_waiting"  # the one report value that tells an idle server; others say nothing of that
 )
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -329,6 +329,19 @@
     assert got[0] < 15
 
 
+def test_a_request_that_a_server_rejects_fails_at_once_and_is_not_held_against_it() -> None:
+    # Guards the servers against callers whose requests no server will take.
+    bench = driver(servers=2)
+    for _ in range(50):
+        bench.request(0)
+        number = bench.next_id
+        server = bench.balancer.fleet.servers[bench.owed[number].tries[0].server]
+        bench.end(number, 0, Outcome.REJECTED)
+        assert bench.owed[number].over and len(bench.owed[number].tries) == 1
+        assert (server.strikes, server.outstanding, server.level) == (0, 0, 0)
+    assert bench.balancer._fail_share <= 0.1 and not bench.balancer.requests
+
+
 def test_a_full_server_does_not_regain_its_token_at_once() -> None:
     bench = driver(servers=2)
     bench.request(1)
