--- a/larkweir/discovery.py
+++ b/larkweir/discovery.py
@@ -255,7 +255,7 @@
                 await asyncio.sleep(self.PACE_S)
             except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
                 self._drop()
-                self._log(f"discovery: {problem or type(problem).__name__}")
+                self._log(f"discovery: {str(problem) or type(problem).__name__}")
                 if self._asked:  # when to ask again is theirs to decide
                     self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
                     return
@@ -290,7 +290,7 @@
             self._version = listing.version
             self._tell(listing)
         except (DiscoveryError, OSError) as problem:
-            self._log(f"discovery: {problem or type(problem).__name__}")
+            self._log(f"discovery: {str(problem) or type(problem).__name__}")
             self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
         finally:
             connection.close()
