--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -552,6 +552,9 @@
     SLOW = (
         4.0  # times the usual latency of its class and size, from which an answer counts against its server
     )
+    # Of the usual latency, that must be left for a call to be tried. Guards against work that nobody can use,
+    # and against time-outs held against servers that were given no time.
+    HOPE = 0.25
     WORSE = 1.5  # times the cost elsewhere, from which home does worse
     ROAM = 0.02  # of calls that draw over all zones although home does well, to learn of the others
     SPILL = 0.1  # step of the part that does so while home does worse than crossing costs
@@ -659,7 +662,8 @@
         self._retries = min(self.RETRY_CAP, self._retries + self.RETRY_RATIO)
         self._set_aim(request, event)
         over_share = self._over_share(event)
-        if request.aim_ms <= self.now or self._shed(over_share):
+        hopeless = request.aim_ms - self.now <= self.HOPE * self._latency[event.class_index]
+        if hopeless or self._shed(over_share):
             self._answer(request)
         else:
             self._place(request)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -355,6 +355,16 @@
     assert refused and all(action.wait_ms == 2000.0 for action in refused)
 
 
+def test_a_call_without_time_for_an_answer_is_refused_at_once() -> None:
+    # Guards servers against work nobody can use, and against time-outs that come of having had no time.
+    bench = driver(replace(PLAIN, tier=1, tiers=2), servers=2)
+    usual = bench.balancer._latency[0]
+    bench.request(0, left=0.2 * usual)
+    assert bench.owed[1].over and not bench.owed[1].tries
+    bench.request(0, left=0.5 * usual)
+    assert len(bench.owed[2].tries) == 1
+
+
 def test_a_full_server_does_not_regain_its_token_at_once() -> None:
     bench = driver(servers=2)
     bench.request(1)
