--- /dev/null
+++ b/larkweir/config/__init__.py
@@ -0,0 +1,1 @@
+"""What the program is told: the platform's file and environment, and the operator file."""
--- a/larkweir/config.py
+++ b/larkweir/config/platform.py
@@ -1,4 +1,4 @@
-"""What the platform tells the balancer: GW_CONFIG and the environment, into one typed object."""
+"""Hands: what the platform tells the balancer: GW_CONFIG and the environment, into one typed object."""
 
 from __future__ import annotations
 
--- a/larkweir/engine.py
+++ b/larkweir/core/engine.py
@@ -1,26 +1,20 @@
-"""The engine: owns the balancer, the clock, the timers and the request table. Events go in, actions come out,
-and nothing is decided here: whom to send to, when again, refuse or fail is all the balancer's.
+"""Hands: the engine, which owns the balancer and the request table. Events go in, actions come out. Nothing
+is decided here: whom to send to, when again, refuse or fail is all the balancer's.
 """
 
 from __future__ import annotations
 
-import asyncio
-import sys
-import time
 import traceback
 from collections import deque
-from collections.abc import Callable
-from contextlib import suppress
-from heapq import heapify, heappop, heappush
-from math import ceil
-from typing import Any, Protocol
-
-from larkweir.config import Config
-from larkweir.discovery import Discovery, Listing
-from larkweir.http1 import Headers, Message, encode_request
-from larkweir.room import Room
-from larkweir.upstreams import LOAD_HEADER, Call, Upstreams, report_of
-from mulleinhitch import Balancer
+
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.exchange import Caller, Exchange
+from larkweir.core.journal import Journal
+from larkweir.core.message import Headers, Message
+from larkweir.core.ports import Decisions, Listing, Membership, Pool
+from larkweir.core.reports import LOAD_HEADER, report_of
+from larkweir.core.room import Room
 from mulleinhitch.interface import (
     Action,
     AttemptEnded,
@@ -36,6 +30,7 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Reconfigured,
     Refuse,
     ReportMode,
     RequestArrived,
@@ -47,127 +42,40 @@
 )
 
 
-class Timer:
-    __slots__ = ("call", "due_ms")
-
-    def __init__(self, due_ms: float, call: Callable[[], None]) -> None:
-        self.due_ms = due_ms
-        self.call: Callable[[], None] | None = call
-
-    def cancel(self) -> None:
-        self.call = None
-
-
-class Clock:
-    """Unix milliseconds, taken once and carried on by the monotonic clock: a step of the system's time can't
-    turn it back. Its timers fire at their time or after, never before, in the order of their times.
-    """
-
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
-        self._loop = loop
-        self._offset_ms = time.time() * 1000.0 - time.monotonic() * 1000.0
-        self._heap: list[tuple[float, int, Timer]] = []
-        self._serial = 0
-        self._armed: asyncio.TimerHandle | None = None
-        self._armed_ms = 0.0
-        self._compact_at = 1024
-
-    def now_ms(self) -> float:
-        return self._offset_ms + time.monotonic() * 1000.0
-
-    def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
-        timer = Timer(self.now_ms() + delay_ms, call)
-        self._serial += 1
-        heappush(self._heap, (timer.due_ms, self._serial, timer))
-        if len(self._heap) > self._compact_at:  # guards against a heap of cancelled timers
-            self._heap = [item for item in self._heap if item[2].call is not None]
-            heapify(self._heap)
-            self._compact_at = max(1024, 2 * len(self._heap))
-        self._arm()
-        return timer
-
-    def _arm(self) -> None:
-        if not self._heap:
-            return
-        due = self._heap[0][0]
-        if self._armed is not None:
-            if self._armed_ms <= due:
-                return
-            self._armed.cancel()
-        self._armed_ms = due
-        # The loop counts whole milliseconds.
-        self._armed = self._loop.call_later(max(0, ceil(due - self.now_ms())) / 1000.0, self._fire)
-
-    def _fire(self) -> None:
-        self._armed = None
-        try:
-            while self._heap and self._heap[0][0] <= self.now_ms():
-                timer = heappop(self._heap)[2]
-                call, timer.call = timer.call, None
-                if call is not None:
-                    call()
-        finally:
-            self._arm()
-
-
-class Journal:
-    """Lines on standard error, few enough that a fault that repeats can't drown the log or the process."""
+class _Sent:
+    """An attempt's owner: its request and its number there."""
 
-    PER_SECOND = 10
+    __slots__ = ("_engine", "_exchange", "_number", "_sent_ms", "_server")
 
-    def __init__(self, name: str) -> None:
-        self._name = name
-        self._second = 0
-        self._lines = 0
-        self._dropped = 0
-
-    def line(self, text: str) -> None:
-        second = int(time.monotonic())
-        if second != self._second:
-            dropped, self._dropped = self._dropped, 0
-            self._second, self._lines = second, 0
-            if dropped:
-                self._write(f"{dropped} lines dropped")
-        if self._lines >= self.PER_SECOND:
-            self._dropped += 1
-            return
-        self._lines += 1
-        self._write(text)
-
-    def _write(self, text: str) -> None:
-        with suppress(OSError):  # a log that can't be written must not end the balancer
-            print(f"larkweir {self._name}: {text[:2000]}", file=sys.stderr, flush=True)
+    def __init__(self, engine: Engine, exchange: Exchange, number: int, server: int, sent_ms: float) -> None:
+        self._engine = engine
+        self._exchange = exchange
+        self._number = number
+        self._server = server
+        self._sent_ms = sent_ms
 
+    def moot(self) -> bool:
+        return self._exchange.over
 
-class Decisions(Protocol):
-    """What decides: `mulleinhitch.Balancer`."""
+    def ended(self, outcome: Outcome, answer: Message | None) -> None:
+        self._engine.attempt_ended(self._exchange, self._number, self._server, outcome, self._sent_ms, answer)
 
-    def handle(self, now_ms: float, event: Event) -> list[Action]: ...
 
+class _Probed:
+    """A probe's owner."""
 
-class Caller(Protocol):
-    """Where an answer goes."""
+    __slots__ = ("_engine", "_sent_ms", "_server")
 
-    def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
+    def __init__(self, engine: Engine, server: int, sent_ms: float) -> None:
+        self._engine = engine
+        self._server = server
+        self._sent_ms = sent_ms
 
+    def moot(self) -> bool:
+        return False
 
-class Exchange:
-    """One request, from its arrival until it is answered and its last attempt has ended."""
-
-    __slots__ = ("attempts", "caller", "deadline_ms", "message", "number", "out", "over", "timer", "trace")
-
-    def __init__(
-        self, number: int, caller: Caller, message: Message, deadline_ms: float, trace: bytes
-    ) -> None:
-        self.number = number
-        self.caller = caller
-        self.message = message
-        self.deadline_ms = deadline_ms
-        self.trace = trace
-        self.attempts: list[Call | None] = []  # by their numbers; none for one that was never sent
-        self.out = 0  # attempts whose end is still owed to the balancer
-        self.over = False  # answered, or the client is gone
-        self.timer: Timer | None = None
+    def ended(self, outcome: Outcome, answer: Message | None) -> None:
+        self._engine.probe_ended(self._server, outcome, self._sent_ms, answer)
 
 
 class Engine:
@@ -175,57 +83,60 @@
     MOST_PAST = 4096  # ids remembered
 
     def __init__(
-        self, config: Config, loop: asyncio.AbstractEventLoop, decisions: Decisions | None = None
+        self,
+        config: Config,
+        clock: Clock,
+        journal: Journal,
+        upstreams: Pool,
+        room: Room,
+        decisions: Decisions,
     ) -> None:
-        settings = config.settings
         self.config = config
-        self.clock = Clock(loop)
-        self.journal = Journal(config.name)
-        loop.set_exception_handler(self._on_loop_error)
-        # Of the descriptors, what the process itself needs goes first; callers and upstreams share the rest.
-        spare = max(8, config.sockets - 24)
-        self.caller_budget = spare * 9 // 20
-        self.room = Room(config.memory_mb)
-        self.upstreams = Upstreams(
-            self.clock,
-            self.room,
-            spare // 2,
-            settings.conn_idle_ms,
-            settings.connect_timeout_ms,
-            config.drain_grace_ms,
-        )
-        self.discovery = Discovery(config, self.on_listing, self.journal.line)
-        self._balancer: Decisions = decisions or Balancer(settings, config.seed)
+        self.clock = clock
+        self.journal = journal
+        self.upstreams = upstreams
+        self.room = room
+        self.discovery: Membership | None = None  # set before the first event
+        self._balancer = decisions
         self._exchanges: dict[int, Exchange] = {}
         self._traces: set[bytes] = set()  # ids of the same
-        self._past: dict[
-            bytes, float
-        ] = {}  # ids of requests that are over, and when they ended; oldest first
-        self._past_ms = 2.0 * max(item.deadline_ms for item in settings.classes)
+        # Ids of requests that are over, and when they ended; oldest first.
+        self._past: dict[bytes, float] = {}
+        self._past_ms = 0.0
         self._next = 1
         self._events: deque[Event] = deque()
         self._busy = False
+        settings = config.settings
         reports = settings.report_mode is not ReportMode.OFF
         self._report_names = config.report_names if reports else ()
         self._inline = reports and settings.report_mode is ReportMode.INLINE
         self._probe_target = b"/status/load" if reports else b"/health"
+        self._take_figures(config)
+
+    def _take_figures(self, config: Config) -> None:
+        self.config = config
+        self._max_attempts = config.settings.max_attempts
+        longest = max(item.deadline_ms for item in config.settings.classes)
+        # One already taken may have come with a longer deadline than is given now.
+        self._past_ms = max(self._past_ms, 2.0 * longest)
+
+    def reconfigure(self, config: Config) -> None:
+        """A new generation, from here on in the order of events. Requests that are open keep theirs: their
+        class, deadline and most attempts are their own.
+        """
+        self._take_figures(config)
+        self._deliver(Reconfigured(config.settings))
 
     @property
     def ready(self) -> bool:
         """Whether there is a list that requests can be served from."""
-        return any(item.state is ServerState.READY for item in self.upstreams.table.values())
+        return any(item.state is ServerState.READY for item in self.upstreams.targets.values())
 
     @property
     def owed(self) -> int:
         """Requests that still wait for their answer."""
         return sum(not exchange.over for exchange in self._exchanges.values())
 
-    def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
-        """What no handler caught: one bounded line, and the process goes on."""
-        problem = context.get("exception")
-        frames = "".join(traceback.format_exception(problem, limit=-3)) if problem is not None else ""
-        self.journal.line(f"{context.get('message')} {frames.strip()}".replace("\n", " | "))
-
     # ------------------------------------------------ events in
 
     def is_known(self, trace: bytes) -> bool:
@@ -250,10 +161,11 @@
         number = self._next
         self._next += 1
         event.request = number
-        exchange = Exchange(number, caller, message, self.clock.now_ms() + time_left_ms, trace)
+        due = self.clock.now_ms() + time_left_ms
+        exchange = Exchange(number, caller, message, due, trace, self._max_attempts)
         self._exchanges[number] = exchange
         self._traces.add(trace)
-        exchange.timer = self.clock.after(time_left_ms, lambda: self._overdue(exchange))
+        exchange.timer = self.clock.at(due, lambda: self._overdue(exchange))
         self._deliver(event)
         return number
 
@@ -268,7 +180,7 @@
         whole = listing.kind in (ListKind.FULL, ListKind.CACHED)
         named = {entry.server for entry in listing.entries}
         if whole:
-            for upstream in list(self.upstreams.table.values()):
+            for upstream in list(self.upstreams.targets.values()):
                 if upstream.number not in named:  # absent from a whole list: gone
                     self.upstreams.update(
                         upstream.number, upstream.address, ServerState.GONE, upstream.started_ms
@@ -328,9 +240,9 @@
                     call.end(Outcome.CANCELLED)
         elif isinstance(action, CloseIdle):
             self.upstreams.close_idle(action.server)
-        elif isinstance(action, FetchList):
+        elif isinstance(action, FetchList) and self.discovery is not None:
             self.discovery.fetch()
-        elif isinstance(action, WatchList):
+        elif isinstance(action, WatchList) and self.discovery is not None:
             self.discovery.watch(action.active)
         elif isinstance(action, Log):
             self.journal.line(action.text)
@@ -378,32 +290,22 @@
             return
         now = self.clock.now_ms()
         number = len(exchange.attempts)
-        left = exchange.deadline_ms - now
-        timeout = min(left, action.timeout_ms) if action.timeout_ms else left
-        upstream = self.upstreams.table.get(action.server)
+        until = exchange.deadline_ms
+        if action.timeout_ms:
+            until = min(until, now + action.timeout_ms)
         exchange.attempts.append(None)
         exchange.out += 1
-        moot = exchange.over or timeout <= 0.0 or number >= self.config.settings.max_attempts
-        if moot or upstream is None:
-            self._attempt_ended(exchange, number, action.server, Outcome.MOOT, now, None)
-            return
-
-        def payload() -> bytes:
-            return self._request_bytes(exchange.message, now + timeout - self.clock.now_ms())
-
-        def blocked() -> Outcome | None:
-            if exchange.over or self.upstreams.past_grace(upstream):
-                return Outcome.MOOT
-            return None
-
-        def finish(outcome: Outcome, answer: Message | None) -> None:
-            self._attempt_ended(exchange, number, action.server, outcome, now, answer)
-
-        call = Call(upstream, payload, blocked, finish, now)
-        exchange.attempts[number] = call
-        self.upstreams.start(call, timeout)
+        if exchange.over or until <= now or number >= exchange.max_attempts:
+            call = None
+        else:
+            owner = _Sent(self, exchange, number, action.server, now)
+            call = self.upstreams.call(action.server, exchange.message, until, owner)
+        if call is None:
+            self.attempt_ended(exchange, number, action.server, Outcome.MOOT, now, None)
+        else:
+            exchange.attempts[number] = call
 
-    def _attempt_ended(
+    def attempt_ended(
         self,
         exchange: Exchange,
         number: int,
@@ -422,33 +324,21 @@
         self._deliver(AttemptEnded(exchange.number, number, server, outcome, exchange.over, spent, report))
         self._forget(exchange)
 
-    @staticmethod
-    def _request_bytes(message: Message, left_ms: float) -> bytes:
-        headers = [(k, v) for k, v in message.passed_on() if k.lower() != b"x-expires-in-ms"]
-        headers.append((b"X-Expires-In-Ms", b"%d" % max(1, int(left_ms))))
-        return encode_request(message.method, message.target, headers, message.body)
-
     # ------------------------------------------------ probes
 
     def _probe(self, server: int) -> None:
         now = self.clock.now_ms()
-        upstream = self.upstreams.table.get(server)
+        upstream = self.upstreams.targets.get(server)
         if upstream is None:
             self._deliver(ProbeEnded(server, Outcome.CONNECT_FAILED))
             return
-        host = f"{upstream.address[0]}:{upstream.address[1]}".encode()
-        payload = encode_request(b"GET", self._probe_target, ((b"Host", host),), b"")
-
-        def finish(outcome: Outcome, answer: Message | None) -> None:
-            report = report_of(answer, self._report_names, True)
-            self._deliver(ProbeEnded(server, outcome, self.clock.now_ms() - now, report))
-
-        call = Call(
-            upstream,
-            lambda: payload,
-            lambda: Outcome.MOOT if self.upstreams.past_grace(upstream) else None,
-            finish,
-            now,
-            probe=True,
+        message = Message()
+        message.method, message.target = b"GET", self._probe_target
+        message.headers = [(b"Host", b"%s:%d" % (upstream.address[0].encode(), upstream.address[1]))]
+        self.upstreams.call(
+            server, message, now + self.PROBE_TIMEOUT_MS, _Probed(self, server, now), probe=True
         )
-        self.upstreams.start(call, self.PROBE_TIMEOUT_MS)
+
+    def probe_ended(self, server: int, outcome: Outcome, sent_ms: float, answer: Message | None) -> None:
+        report = report_of(answer, self._report_names, True)
+        self._deliver(ProbeEnded(server, outcome, self.clock.now_ms() - sent_ms, report))
--- /dev/null
+++ b/larkweir/core/ports.py
@@ -0,0 +1,84 @@
+"""Rules: what the core asks of the parts above it. They are handed in; the core imports none of them."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+from larkweir.config.platform import Address as Address
+from larkweir.core.message import Message
+from mulleinhitch.interface import Action, Event, ListKind, Outcome, ServerEntry, ServerState
+
+
+@dataclass(slots=True, frozen=True)
+class Listing:
+    """What discovery told at once: the entries and where they listen, place for place."""
+
+    kind: ListKind
+    version: int
+    entries: tuple[ServerEntry, ...]
+    addresses: tuple[Address, ...]
+
+
+class Decisions(Protocol):
+    """What decides: `mulleinhitch.Balancer`."""
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]: ...
+
+
+class Attempt(Protocol):
+    """An attempt or probe that is out."""
+
+    def time_out(self) -> None: ...
+
+    def end(self, outcome: Outcome, answer: Message | None = None) -> None: ...
+
+
+class Owner(Protocol):
+    """Who is told of a call's end, once."""
+
+    def moot(self) -> bool:
+        """Whether it need not be written any more."""
+
+    def ended(self, outcome: Outcome, answer: Message | None) -> None: ...
+
+
+class Target(Protocol):
+    """One upstream as discovery last told of it."""
+
+    @property
+    def number(self) -> int: ...
+
+    @property
+    def address(self) -> Address: ...
+
+    @property
+    def state(self) -> ServerState: ...
+
+    @property
+    def started_ms(self) -> float: ...
+
+
+class Pool(Protocol):
+    """The upstreams and the calls on them. Times are the clock's milliseconds."""
+
+    @property
+    def targets(self) -> Mapping[int, Target]: ...
+
+    def update(self, number: int, address: Address, state: ServerState, started_ms: float) -> None: ...
+
+    def call(
+        self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
+    ) -> Attempt | None:
+        """Begin a call, which ends at `until_ms` at the latest. None if there is no such target."""
+
+    def close_idle(self, number: int) -> None: ...
+
+
+class Membership(Protocol):
+    """Where the list comes from, as the decisions ask for it."""
+
+    def fetch(self) -> None: ...
+
+    def watch(self, active: bool) -> None: ...
--- /dev/null
+++ b/larkweir/core/requests.py
@@ -0,0 +1,54 @@
+"""Rules: a caller's message to the request that the decisions are told of, by the settings' names."""
+
+from __future__ import annotations
+
+import zlib
+
+from larkweir.core.message import FramingError, Message
+from mulleinhitch.interface import Effect, RequestArrived, Settings
+
+MAX_TRACE = 128  # bytes of a request's id
+METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
+
+
+class Requests:
+    """Reads a request's headers, by the settings' names."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._classes = {item.name.encode(): n for n, item in enumerate(settings.classes)}
+        self._tenants = {item.name.encode(): n for n, item in enumerate(settings.tenants)}
+
+    def read(self, message: Message) -> tuple[RequestArrived, float, bytes]:
+        """The event, the time that is left and the id; FramingError says why it can't be one."""
+        trace = message.value(b"x-trace-id")
+        if not trace or len(trace) > MAX_TRACE:
+            # Upstreams tell requests apart by it, and so does whoever looks for one in the logs.
+            raise FramingError(400, "a request without its id")
+        name = message.value(b"x-qos")
+        index = self._classes.get(name or b"")
+        if index is None:
+            raise FramingError(400, f"unknown class {name!r:.60}")
+        cls = self._settings.classes[index]
+        left = cls.deadline_ms
+        text = message.value(b"x-expires-in-ms")
+        if text is not None:
+            if not text.isdigit() or len(text) > 15:
+                raise FramingError(400, f"unreadable deadline {text!r:.60}")
+            left = min(left, float(text))  # no client waits longer than its class's deadline
+        if cls.effect is Effect.KEYED and not message.value(b"idempotency-key"):
+            # Guards against repeats that the upstreams have no key to drop by.
+            raise FramingError(400, "a keyed request without its key")
+        hint = message.value(b"x-size-hint")
+        key = message.value(b"x-object")
+        event = RequestArrived(
+            request=0,
+            class_index=index,
+            time_left_ms=left,
+            # One that the settings don't name has no share to be over.
+            tenant=self._tenants.get(message.value(b"x-customer") or b"", len(self._tenants)),
+            key=zlib.crc32(key) + 1 if key else 0,
+            expected_ms=int(hint) / 1000.0 if hint and hint.isdigit() and len(hint) < 12 else None,
+            client_retry=message.value(b"x-second-try") == b"1",
+        )
+        return event, left, trace
--- a/larkweir/room.py
+++ b/larkweir/core/room.py
@@ -1,4 +1,4 @@
-"""The memory that all connections share: bodies, heads and answers are booked here while they are held."""
+"""Rules: the memory that all connections share: bodies, heads, answers are booked while they are held."""
 
 from __future__ import annotations
 
@@ -11,10 +11,14 @@
     SHARE = 0.25  # of the memory limit; the rest is the program, its tables, and what the system keeps aside
 
     def __init__(self, memory_mb: float) -> None:
-        self.most = int(memory_mb * 1024 * 1024 * self.SHARE)
+        self.resize(memory_mb)
         self.used = 0
 
     def book(self, before: int, now: int) -> bool:
         """One holder's change, booked in any case; whether it may hold that much more."""
         self.used += now - before
         return now <= before or self.used <= self.most
+
+    def resize(self, memory_mb: float) -> None:
+        """Take another limit; what is held already stays."""
+        self.most = int(memory_mb * 1024 * 1024 * self.SHARE)
--- /dev/null
+++ b/larkweir/lifecycle/__init__.py
@@ -0,0 +1,1 @@
+"""Start, readiness, reload, handover, drain, stop."""
--- /dev/null
+++ b/larkweir/lifecycle/node.py
@@ -0,0 +1,74 @@
+"""Hands: one balancer put together from its parts, and the figures that a generation changes in place."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+from typing import Any
+
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.journal import Journal
+from larkweir.core.ports import Decisions
+from larkweir.core.requests import Requests
+from larkweir.core.room import Room
+from larkweir.membership.discovery import Discovery
+from larkweir.protocols.http1.callers import CallerConnection
+from larkweir.protocols.http1.upstreams import UpstreamConnection
+from larkweir.protocols.listener import Listener
+from larkweir.upstreams.pool import Upstreams
+from mulleinhitch import Balancer
+
+
+class Node:
+    """The parts of one balancer. Nothing runs until the listener and discovery are started."""
+
+    SPARE = 24  # descriptors for the process itself
+
+    def __init__(
+        self,
+        config: Config,
+        loop: asyncio.AbstractEventLoop,
+        decisions: Decisions | None = None,
+        offset_ms: float | None = None,
+    ) -> None:
+        self.config = config
+        self.clock = Clock(loop, offset_ms)
+        self.journal = Journal(config.name)
+        loop.set_exception_handler(self._on_loop_error)
+        self.room = Room(config.memory_mb)
+        callers, upstreams = self._budgets(config)
+        self.upstreams = Upstreams(
+            self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
+        )
+        self.decisions = decisions or Balancer(config.settings, config.seed)
+        self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, self.decisions)
+        self.discovery = Discovery(config, self.engine.on_listing, self.journal.line)
+        self.engine.discovery = self.discovery
+        self.listener = Listener(self.engine, Requests(config.settings), CallerConnection, callers)
+
+    @classmethod
+    def _budgets(cls, config: Config) -> tuple[int, int]:
+        """Callers' and upstreams' sockets: of the descriptors, what the process itself needs goes first."""
+        spare = max(8, config.sockets - cls.SPARE)
+        return spare * 9 // 20, spare // 2
+
+    def reconfigure(self, config: Config) -> None:
+        """A new generation takes over, whole, between two events. `config` has been checked and differs from
+        the present one only in what may change live.
+        """
+        self.config = config
+        self.room.resize(config.memory_mb)
+        callers, upstreams = self._budgets(config)
+        self.listener.budget = callers
+        self.listener.requests = Requests(config.settings)
+        self.upstreams.configure(config.settings, upstreams, config.drain_grace_ms)
+        self.engine.reconfigure(config)
+        self.discovery.move(config.discovery)
+
+    def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        """What no handler caught: one bounded line, and the process goes on."""
+        problem = context.get("exception")
+        frames = "".join(traceback.format_exception(problem, limit=-3)) if problem is not None else ""
+        self.journal.line(f"{context.get('message')} {frames.strip()}".replace("\n", " | "))
--- /dev/null
+++ b/larkweir/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Who the upstreams are."""
--- a/larkweir/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -1,16 +1,17 @@
-"""Discovery: the whole list and the watch, into what the balancer is told of its upstreams."""
+"""Hands: discovery: the whole list and the watch, into what the balancer is told of its upstreams."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 from collections.abc import Callable
-from dataclasses import dataclass
 from random import Random
 from typing import Any, cast
 
-from larkweir.config import Address, Config, ConfigError, parse_address
-from larkweir.http1 import Message, ResponseReader, encode_request
+from larkweir.config.platform import Config, ConfigError, parse_address
+from larkweir.core.message import Message
+from larkweir.core.ports import Address, Listing
+from larkweir.protocols.http1.codec import ResponseReader, encode_request
 from mulleinhitch.interface import ListKind, ServerEntry, ServerState
 
 MAX_LIST = 4 * 1024 * 1024
@@ -21,16 +22,6 @@
     """A call to discovery failed, or its answer is none."""
 
 
-@dataclass(slots=True, frozen=True)
-class Listing:
-    """One answer: the entries and where they listen, place for place."""
-
-    kind: ListKind
-    version: int
-    entries: tuple[ServerEntry, ...]
-    addresses: tuple[Address, ...]
-
-
 class Names:
     """Numbers for the ids and words that discovery uses. An id keeps its number for good."""
 
--- a/larkweir/http1.py
+++ b/larkweir/protocols/http1/codec.py
@@ -1,12 +1,13 @@
-"""HTTP/1.1 framing for both sides: bytes to messages by httptools, messages to bytes. It decides nothing."""
+"""Rules: HTTP/1.1 framing for both sides: bytes to messages by httptools, messages to bytes."""
 
 from __future__ import annotations
 
 from collections.abc import Iterable
-from typing import NamedTuple
 
 import httptools
 
+from larkweir.core.message import Fault, FramingError, Message
+
 MAX_HEAD = 32 * 1024
 # Guards against heads of thousands of short fields, which cost far more than their bytes.
 MAX_FIELDS = 100
@@ -16,25 +17,6 @@
 MAX_ANSWER = 1024 * 1024
 MAX_FRAMING = 1024 * 1024  # guards against chunks, trailers or interim answers without end
 
-Headers = list[tuple[bytes, bytes]]
-
-# Headers that speak of one connection, never passed on; framing is written anew.
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"content-length",
-        b"expect",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 REASONS = {
     200: b"OK",
     400: b"Bad Request",
@@ -52,57 +34,6 @@
 }
 
 
-class FramingError(Exception):
-    """What came is no message that may be taken; `status` is what a caller is told."""
-
-    def __init__(self, status: int, text: str) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-class Fault(NamedTuple):
-    """Why no further message is read. Not the exception itself, whose traceback would hold the reader."""
-
-    status: int
-    text: str
-
-
-class Message:
-    """One whole request or answer. Header names are kept as they came; look-ups go by lower case."""
-
-    __slots__ = ("body", "headers", "keep_alive", "method", "status", "target")
-
-    def __init__(self) -> None:
-        self.method = b""
-        self.target = b""
-        self.status = 0
-        self.headers: Headers = []
-        self.body = b""
-        self.keep_alive = True
-
-    def values(self, name: bytes) -> list[bytes]:
-        return [value for key, value in self.headers if key.lower() == name]
-
-    @property
-    def size(self) -> int:
-        """About what it holds in memory."""
-        return len(self.body) + len(self.target) + sum(len(k) + len(v) + 128 for k, v in self.headers)
-
-    def value(self, name: bytes) -> bytes | None:
-        """The only value of a header; none if it is absent, FramingError if it comes twice."""
-        found = self.values(name)
-        if len(found) > 1:
-            raise FramingError(400, f"header {name.decode('latin-1')} comes more than once")
-        return found[0] if found else None
-
-    def passed_on(self) -> Headers:
-        """The headers that go on to the other side."""
-        named = {
-            item.strip().lower() for value in self.values(b"connection") for item in value.split(b",")
-        } | HOP_BY_HOP
-        return [(key, value) for key, value in self.headers if key.lower() not in named]
-
-
 class _Reader:
     """Feeds one connection's bytes to httptools and bounds what a message may hold.
 
--- /dev/null
+++ b/larkweir/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""The pool of upstreams and the life of a call, whatever the protocol."""
--- /dev/null
+++ b/larkweir/upstreams/call.py
@@ -0,0 +1,149 @@
+"""Rules: one upstream, and a call to it: an attempt or a probe, ending in exactly one outcome.
+
+The dividing line of an attempt is its last byte: until the system has taken that, the upstream can't have
+begun the request; from then on it may have. Nothing is ever sent again from here.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from larkweir.core.clock import Timer
+from larkweir.core.message import Message
+from larkweir.core.ports import Address, Owner
+from mulleinhitch.interface import Outcome, ServerState
+
+NEVER_RAN_HEADER = b"x-never-ran"
+
+
+@dataclass(slots=True)
+class Upstream:
+    """One upstream as discovery last told of it. Times are the clock's milliseconds."""
+
+    number: int
+    address: Address
+    state: ServerState
+    started_ms: float
+    told_ms: float = 0.0  # when it was told to drain or to be gone; 0 while it is ready
+    closes_ms: float = 0.0  # past which nothing new may go there, the same
+
+    def move(
+        self, address: Address, state: ServerState, started_ms: float, now_ms: float, grace_ms: float
+    ) -> bool:
+        """Take over what discovery tells; whether connections from before lead to the same process."""
+        same = self.address == address and (self.started_ms == started_ms or state is not ServerState.READY)
+        if state is ServerState.READY:
+            self.told_ms = self.closes_ms = 0.0
+        elif self.state is ServerState.READY or not self.told_ms:
+            self.told_ms = now_ms  # the grace runs from the first word of it
+            self.closes_ms = now_ms + grace_ms
+        self.address, self.state, self.started_ms = address, state, started_ms
+        return same
+
+    def shorten(self, grace_ms: float) -> None:
+        """A new grace can only bring a drain that was told under another to its end sooner."""
+        if self.told_ms:
+            self.closes_ms = min(self.closes_ms, self.told_ms + grace_ms)
+
+    def past_grace(self, now_ms: float) -> bool:
+        """Whether nothing new may go there any more."""
+        return bool(self.told_ms) and now_ms >= self.closes_ms
+
+
+class _Over:
+    """The owner of a call that has ended."""
+
+    def moot(self) -> bool:
+        return True
+
+    def ended(self, outcome: Outcome, answer: Message | None) -> None:
+        raise AssertionError("a call ends once")
+
+
+_OVER = _Over()
+_NOTHING = Message()
+
+
+class Link(Protocol):
+    """A connection, of any protocol, as a call on it sees it."""
+
+    def send(self, call: Call) -> None: ...
+
+    def release(self, call: Call) -> None:
+        """The call has ended without an answer, and is to be given up."""
+
+
+class Call:
+    """An attempt or a probe. Its owner is told once, with the outcome and the answer that it came with."""
+
+    __slots__ = (
+        "connection",
+        "ended",
+        "message",
+        "owner",
+        "probe",
+        "timer",
+        "touched",
+        "until_ms",
+        "upstream",
+        "written",
+    )
+
+    def __init__(
+        self, upstream: Upstream, message: Message, until_ms: float, owner: Owner, probe: bool = False
+    ) -> None:
+        self.upstream = upstream
+        self.message = message
+        self.until_ms = until_ms  # nobody waits for it any longer than that
+        self.owner = owner
+        self.probe = probe
+        self.connection: Link | None = None
+        self.timer: Timer | None = None
+        self.written = False  # the system has taken the last byte
+        self.touched = False  # something has come back for it
+        self.ended = False
+
+    def write(self, connection: Link, now_ms: float) -> bool:
+        """Send it on a connection that is up, unless it is over; whether a byte was written."""
+        if self.ended:
+            return False
+        if self.upstream.past_grace(now_ms) or self.owner.moot():
+            self.end(Outcome.MOOT)
+            return False
+        self.connection = connection
+        connection.send(self)
+        return True
+
+    def time_out(self) -> None:
+        """No answer in time; if it has not been written whole, it never will be."""
+        self.end(Outcome.TIMEOUT if self.written or self.touched else Outcome.CONNECT_FAILED)
+
+    def broken(self) -> None:
+        """It can't be answered any more. An upstream that has sent a byte back may have run it, whatever was
+        written by then.
+        """
+        self.end(Outcome.RESET if self.written or self.touched else Outcome.CONNECT_FAILED)
+
+    def end(self, outcome: Outcome, answer: Message | None = None) -> None:
+        if self.ended:
+            return
+        self.ended = True
+        if self.timer is not None:
+            self.timer.cancel()
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.release(self)
+        owner = self.owner
+        # They hold the request, and the request holds its calls: guards against cycles left to the collector.
+        self.owner, self.message = _OVER, _NOTHING
+        owner.ended(outcome, answer)
+
+
+def outcome_of(answer: Message) -> Outcome:
+    """The protocol's table, for answers that came whole."""
+    if answer.status == 200:
+        return Outcome.OK
+    if answer.status in (503, 504) and answer.values(NEVER_RAN_HEADER) == [b"1"]:
+        return Outcome.FULL
+    return Outcome.REJECTED if 400 <= answer.status < 500 else Outcome.ERROR
--- /dev/null
+++ b/larkweir/upstreams/pool.py
@@ -0,0 +1,218 @@
+"""Hands: the table of upstreams, the connections to them, idle or out, and the budget of sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import Protocol, cast
+
+from larkweir.core.clock import Clock
+from larkweir.core.message import Message
+from larkweir.core.ports import Address, Owner
+from larkweir.core.room import Room
+from larkweir.upstreams.call import Call, Link, Upstream
+from mulleinhitch.interface import Outcome, ServerState, Settings
+
+
+class Connection(Link, Protocol):
+    """A connection as the pool sees it, whatever it speaks."""
+
+    upstream: Upstream
+    address: Address
+    idle_since_ms: float
+    resting: bool  # the answer before was an attempt's: see REST_MS
+
+    def usable(self) -> bool:
+        """Whether it is up, with neither an end nor unread bytes waiting in the system."""
+
+    def abort(self) -> None: ...
+
+
+class Upstreams:
+    """The table of upstreams, the idle connections, and the budget of sockets."""
+
+    SWEEP_MS = 1_000.0
+    # After an attempt's answer a connection takes no new call for so long, and what comes in that time closes
+    # it: guards against a second copy of the answer, or noise, that comes one read later and would be taken
+    # for the answer to the next call. A probe is the first half of a send, so its connection does not rest:
+    # there an answer that repeats the probe's is told by its body.
+    REST_MS = 25.0
+    CONNECT_MARGIN_MS = 100.0  # of the drain's grace, for lists that are read late
+
+    def __init__(
+        self,
+        clock: Clock,
+        room: Room,
+        make: Callable[[Upstreams, Upstream], Connection],
+        settings: Settings,
+        budget: int,
+        grace_ms: float,
+    ) -> None:
+        """`make` makes a connection that is not up yet; it must be an `asyncio.Protocol`. `budget` bounds the
+        sockets. `grace_ms` is how long after the word of a drain something new may still go there.
+        """
+        self.clock = clock
+        self.room = room
+        self._make = make
+        self.table: dict[int, Upstream] = {}
+        self._idle: dict[int, list[Connection]] = {}  # by upstream, the one used last at the end
+        self._open: set[Connection] = set()
+        self._connecting: set[asyncio.Task[None]] = set()
+        self._sweeping = False
+        self.configure(settings, budget, grace_ms)
+
+    def configure(self, settings: Settings, budget: int, grace_ms: float) -> None:
+        """Take new figures. What is out stays out; drains told before keep their grace or a shorter one."""
+        self._budget = budget
+        idle_ms = settings.conn_idle_ms
+        # Guards against writing to a connection in the moment the upstream closes it for having stood idle.
+        self._keep_ms = idle_ms - min(5_000.0, 0.2 * idle_ms)
+        self._connect_timeout_ms = settings.connect_timeout_ms
+        self._grace_ms = max(0.0, grace_ms - self.CONNECT_MARGIN_MS)
+        for upstream in self.table.values():
+            upstream.shorten(self._grace_ms)
+
+    @property
+    def targets(self) -> Mapping[int, Upstream]:
+        return self.table
+
+    @property
+    def sockets(self) -> int:
+        return len(self._open) + len(self._connecting)
+
+    def update(
+        self,
+        number: int,
+        address: Address,
+        state: ServerState,
+        started_ms: float,
+        told_ms: float | None = None,
+    ) -> None:
+        """Take over what discovery tells of one; `told_ms` where a drain was told before, to another life."""
+        now = self.clock.now_ms()
+        told = now if told_ms is None else min(now, told_ms)
+        upstream = self.table.get(number)
+        if upstream is None:
+            if state is not ServerState.GONE:
+                upstream = Upstream(number, address, state, started_ms)
+                if state is not ServerState.READY:
+                    upstream.told_ms, upstream.closes_ms = told, told + self._grace_ms
+                self.table[number] = upstream
+            return
+        same = upstream.move(address, state, started_ms, told, self._grace_ms)
+        if not same or state is ServerState.GONE:
+            self.close_idle(number)
+        if state is ServerState.GONE:
+            del self.table[number]  # calls on their way to it hold it, and see its state
+
+    def call(
+        self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
+    ) -> Call | None:
+        """Begin a call, on an idle connection or a new one; it ends at `until_ms` at the latest."""
+        upstream = self.table.get(target)
+        if upstream is None:
+            return None
+        call = Call(upstream, message, until_ms, owner, probe)
+        now = self.clock.now_ms()
+        call.timer = self.clock.at(until_ms, call.time_out)
+        idle = self._take(upstream, now)
+        if idle is not None:
+            if not call.write(idle, now):
+                self.put(idle)
+        elif self.sockets >= self._budget and not self._close_oldest():
+            call.end(Outcome.CONNECT_FAILED)
+        else:
+            task = asyncio.get_running_loop().create_task(self._connect(call))
+            self._connecting.add(task)
+            task.add_done_callback(self._connecting.discard)
+        return call
+
+    async def _connect(self, call: Call) -> None:
+        connection = self._make(self, call.upstream)
+        protocol = cast(asyncio.Protocol, connection)
+        try:
+            async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
+                await asyncio.get_running_loop().create_connection(lambda: protocol, *connection.address)
+        except OSError:  # refused, unreachable, out of descriptors, or not up in time
+            call.end(Outcome.CONNECT_FAILED)
+            return
+        self._open.add(connection)
+        if not connection.usable():
+            self.closed(connection)
+            connection.abort()
+            call.end(Outcome.CONNECT_FAILED)
+        elif not call.write(connection, self.clock.now_ms()):
+            self.put(connection)
+
+    def _take(self, upstream: Upstream, now: float) -> Connection | None:
+        idle = self._idle.get(upstream.number)
+        if not idle:
+            return None
+        for at in range(len(idle) - 1, -1, -1):
+            connection = idle[at]
+            unused = now - connection.idle_since_ms
+            if connection.resting and unused < self.REST_MS:
+                continue
+            del idle[at]
+            if unused < self._keep_ms and connection.usable():
+                return connection
+            connection.abort()
+        return None
+
+    def put(self, connection: Connection) -> None:
+        """Keep a connection for the next call, if it still leads to an upstream that takes new ones."""
+        upstream = connection.upstream
+        stays = self.table.get(upstream.number) is upstream and upstream.address == connection.address
+        if not stays or connection not in self._open or upstream.state is not ServerState.READY:
+            connection.abort()
+            return
+        connection.idle_since_ms = self.clock.now_ms()
+        self._idle.setdefault(upstream.number, []).append(connection)
+        if not self._sweeping:
+            self._sweeping = True
+            self.clock.after(self.SWEEP_MS, self._sweep)
+
+    def _sweep(self) -> None:
+        """Close what has stood idle for nearly as long as the upstream lets it."""
+        oldest = self.clock.now_ms() - self._keep_ms + self.SWEEP_MS
+        for number in list(self._idle):
+            kept = []
+            for connection in self._idle[number]:
+                if connection.idle_since_ms > oldest:
+                    kept.append(connection)
+                else:
+                    connection.abort()
+            if kept:
+                self._idle[number] = kept
+            else:
+                del self._idle[number]
+        self._sweeping = bool(self._idle)
+        if self._sweeping:
+            self.clock.after(self.SWEEP_MS, self._sweep)
+
+    def _close_oldest(self) -> bool:
+        idle = [connection for group in self._idle.values() for connection in group]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda connection: connection.idle_since_ms)
+        self._idle[oldest.upstream.number].remove(oldest)
+        self._open.discard(oldest)
+        oldest.abort()
+        return True
+
+    def close_idle(self, number: int) -> None:
+        for connection in self._idle.pop(number, []):
+            connection.abort()
+
+    def closed(self, connection: Connection) -> None:
+        self._open.discard(connection)
+        idle = self._idle.get(connection.upstream.number)
+        if idle and connection in idle:
+            idle.remove(connection)
+
+    def close(self) -> None:
+        """At the end of the process."""
+        for task in list(self._connecting):
+            task.cancel()
+        for connection in list(self._open):
+            connection.abort()
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -269,6 +269,13 @@
     payload: bytes = b""
 
 
+@dataclass(slots=True)
+class Reconfigured:
+    """New figures from here on. Requests that are known keep the class that they came with."""
+
+    settings: Settings
+
+
 Event = (
     ListUpdate
     | RequestArrived
@@ -278,6 +285,7 @@
     | TimerFired
     | ProbeEnded
     | PeerMessage
+    | Reconfigured
 )
 
 
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -32,6 +32,7 @@
     PeerMessage,
     Probe,
     ProbeEnded,
+    Reconfigured,
     Refuse,
     ReportMode,
     RequestArrived,
@@ -266,6 +267,7 @@
         "cls",
         "deadline_ms",
         "id",
+        "legality",
         "out",
         "polled",
         "polling",
@@ -276,9 +278,10 @@
         "wake_ms",
     )
 
-    def __init__(self, event: RequestArrived, cls: RequestClass, now_ms: float) -> None:
+    def __init__(self, event: RequestArrived, cls: RequestClass, legality: Legality, now_ms: float) -> None:
         self.id = event.request
-        self.cls = cls
+        self.cls = cls  # as the settings had it when the request came, like what is legal
+        self.legality = legality
         self.deadline_ms = now_ms + event.time_left_ms
         self.aim_ms = self.deadline_ms  # after this an answer is worth nothing; set by the balancer
         self.attempts: list[Attempt] = []
@@ -365,8 +368,6 @@
     CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
 
     def __init__(self, settings: Settings, rng: Random) -> None:
-        self._share, self._ms = settings.cold_share, settings.cold_ms
-        self._pace = min(1.0, settings.fall_multiple * self.PACE)
         self._rng = rng
         self._cold: list[Server] = []
         self._credit = (
@@ -374,6 +375,12 @@
         )  # random: low-rate copies must not all start with a free send, nor all without
         self._sum = 0.0
         self._sum_until = 0.0
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """Take the figures; the credit is carried on."""
+        self._share, self._ms = settings.cold_share, settings.cold_ms
+        self._pace = min(1.0, settings.fall_multiple * self.PACE)
 
     def watch(self, servers: list[Server], now_ms: float) -> None:
         cold = [s for s in servers if self.is_cold(s, now_ms)]
@@ -381,6 +388,12 @@
             self._cold.extend(cold)
             self._sum_until = now_ms
 
+    def rewatch(self, servers: list[Server], now_ms: float) -> None:
+        """All servers afresh, after a change of how long they are cold."""
+        self._cold = []
+        self._sum = self._sum_until = 0.0
+        self.watch(servers, now_ms)
+
     def is_cold(self, server: Server, now_ms: float) -> bool:
         return server.started_ms > 0.0 and now_ms - server.started_ms < self._ms
 
@@ -429,10 +442,8 @@
     DEAR = 0.15  # of the aim, by which calls on new connections take longer
 
     def __init__(self, settings: Settings) -> None:
-        self._most_ms = settings.conn_idle_ms
-        self._connect_ms = settings.connect_timeout_ms
-        self._least_ms = settings.tick_ms
-        self.keep_ms = self._most_ms
+        self.keep_ms = math.inf
+        self.configure(settings)
         self._fresh_loss = 0.0  # of calls on new connections, lost: what has nothing to do with lying idle
         self._kept_loss = 0.0  # the same of calls on connections that had lain idle
         self._turned_away = 0.0  # of new connections, refused at once
@@ -441,6 +452,12 @@
         self._order: dict[int, Server] = {}  # with a connection, the longest unused first
         self.items = DrawList()
 
+    def configure(self, settings: Settings) -> None:
+        self._most_ms = settings.conn_idle_ms
+        self._connect_ms = settings.connect_timeout_ms
+        self._least_ms = settings.tick_ms
+        self.keep_ms = min(self.keep_ms, self._most_ms)
+
     @property
     def dear(self) -> bool:
         return self._fresh_extra - self._kept_extra > self.DEAR
@@ -607,8 +624,7 @@
         ]  # of a call at home and elsewhere, in parts of the aim; a failure is a whole one
         self._out = 0
         self._out_mean = 0.0  # as arrivals find it
-        total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
-        self._fair = [tenant.quota_per_s / total for tenant in settings.tenants]
+        self._fair = self._shares(settings)
         self._part = list(self._fair)  # of the requests that come here
         self._repeats = [0.0] * len(self._part)  # of a tenant's requests, those marked as repeats
         self._idle_share = 0.5  # of the reports, those that say idle
@@ -623,8 +639,14 @@
             ClientGone: self._on_client_gone,
             AnswerStarted: self._on_answer_started,
             PeerMessage: self._on_peer,
+            Reconfigured: self._on_reconfigured,
         }
 
+    @staticmethod
+    def _shares(settings: Settings) -> list[float]:
+        total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
+        return [tenant.quota_per_s / total for tenant in settings.tenants]
+
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Take one event; returns the actions to carry out, in order, at the same time."""
         if not now_ms >= self.now:
@@ -648,7 +670,7 @@
             raise ContractError(f"request id {event.request} used twice")
         if not 0 <= event.class_index < len(self.settings.classes):
             raise ContractError(f"request {event.request}: class {event.class_index} is not in the settings")
-        request = Request(event, self.settings.classes[event.class_index], self.now)
+        request = Request(event, self.settings.classes[event.class_index], self.legality, self.now)
         self.requests[request.id] = request
         self.slow_start.earn(self.fleet.ready_count, self.now)
         if self._last_ms >= 0.0:
@@ -698,7 +720,7 @@
                     break
                 if (
                     kept.level == 0
-                    and self.legality.may_send(request, kept, self.now)
+                    and request.legality.may_send(request, kept, self.now)
                     and self.slow_start.admits(kept, self.now)
                 ):
                     return kept
@@ -725,7 +747,9 @@
             server = draw(lists, self.rng)
             if server is None:
                 break
-            if self.legality.may_send(request, server, self.now) and self.slow_start.admits(server, self.now):
+            if request.legality.may_send(request, server, self.now) and self.slow_start.admits(
+                server, self.now
+            ):
                 bad = server.shunned.get(request.class_index)
                 if bad is None or bad[1] <= self.now:
                     return server
@@ -733,7 +757,7 @@
         return shunned
 
     def _send(self, request: Request, server: Server) -> None:
-        if not self.legality.may_send(request, server, self.now):
+        if not request.legality.may_send(request, server, self.now):
             raise AssertionError("a send that legality forbids")
         self.held.pop(request.id, None)
         request.wake_ms = -1.0
@@ -810,7 +834,7 @@
         A refusal tells when to come again: what could not be placed now finds the same servers busy a moment
         later, and a repeat at once would take a place from a request that can still be in time.
         """
-        if self.legality.may_refuse(request):
+        if request.legality.may_refuse(request):
             self.out.append(Refuse(request.id, self.settings.max_retry_after_ms))
         else:
             self.out.append(Fail(request.id))
@@ -841,7 +865,7 @@
         """Nothing is out any more and nothing was served: another attempt, or the final answer."""
         useful = request.aim_ms - self.now > 0.75 * self._latency[request.class_index]
         price = self.UNSEEN_PRICE if outcome in NEVER_RAN else 1.0
-        if useful and self._retries >= price and self.legality.may_send_somewhere(request, self.now):
+        if useful and self._retries >= price and request.legality.may_send_somewhere(request, self.now):
             self._retries -= price
             self._place(request)
         else:
@@ -1039,7 +1063,7 @@
         if request is None or request.started or request.asked is not server or server is None:
             return
         request.asked = None
-        if level is not None and level < 0.5 and self.legality.may_send(request, server, self.now):
+        if level is not None and level < 0.5 and request.legality.may_send(request, server, self.now):
             self._send(request, server)
         else:
             self._next(request)
@@ -1059,7 +1083,7 @@
     def _hold(self, request: Request) -> None:
         """Nothing ready, legal and believed idle now: look again shortly, while an answer can still count."""
         last = request.aim_ms - 0.75 * self._latency[request.class_index]
-        if self.now >= last or not self.legality.may_send_somewhere(request, self.now):
+        if self.now >= last or not request.legality.may_send_somewhere(request, self.now):
             self._answer(request)
             return
         self.held[request.id] = request
@@ -1136,6 +1160,42 @@
     def _on_peer(self, event: PeerMessage) -> None:
         pass
 
+    def _on_reconfigured(self, event: Reconfigured) -> None:
+        """Figures that change in service. What is known of servers and calls is kept: counts, the cold
+        servers' credit, drains. Requests that are here already end under the rules that they came with.
+        """
+        old, new = self.settings, event.settings
+        problem = fixed_difference(old, new)
+        if problem:
+            raise ContractError(f"{problem} can't change in service")
+        self.settings = new
+        self.legality = Legality(new)
+        self.links.configure(new)
+        self.slow_start.configure(new)
+        self.slow_start.rewatch(list(self.fleet.servers.values()), self.now)
+        known = {tenant.name: n for n, tenant in enumerate(old.tenants)}
+        places = [known.get(tenant.name) for tenant in new.tenants]
+        self._fair = self._shares(new)
+        part, repeats = self._part, self._repeats
+        self._part = [self._fair[n] if at is None else part[at] for n, at in enumerate(places)]
+        self._repeats = [0.0 if at is None else repeats[at] for at in places]
+
+
+def fixed_difference(old: Settings, new: Settings) -> str:
+    """What two settings differ in that no balancer can change while it runs; empty if nothing."""
+    for name in FIXED:
+        if getattr(old, name) != getattr(new, name):
+            return name
+    shapes = [
+        [(cls.name, cls.effect, cls.group, cls.streaming) for cls in settings.classes]
+        for settings in (old, new)
+    ]
+    return "" if shapes[0] == shapes[1] else "classes"
+
+
+# Numbers of zones, classes and report values are places in these; the rest says who this copy is.
+FIXED = "zones my_zone me tier tiers tick_ms on_request_discovery may_probe report_mode report_fields".split()
+
 
 UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 IDLE_FIELD = (
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -13,9 +13,11 @@
 from itertools import count
 from typing import Any
 
-from larkweir.config import decode
-from larkweir.engine import Decisions, Engine
-from larkweir.listener import Listener
+from larkweir.config.platform import decode
+from larkweir.core.engine import Engine
+from larkweir.core.ports import Decisions
+from larkweir.lifecycle.node import Node
+from larkweir.protocols.listener import Listener
 from mulleinhitch.interface import Action, AttemptEnded, Event, Fail, RequestArrived, Send
 
 TRACES = count(1)  # an id is new with every request
@@ -391,17 +393,17 @@
     }
     data = config_data(list(entries), discovery.port, settings=settings, **more)
     config = decode(json.dumps(data), {})
-    engine = Engine(config, asyncio.get_running_loop(), script)
-    engine.upstreams.REST_MS = rest_ms
-    listener = Listener(config, engine)
-    listener.start()
-    engine.discovery.start()
+    node = Node(config, asyncio.get_running_loop(), script)
+    engine, listener = node.engine, node.listener
+    node.upstreams.REST_MS = rest_ms
+    listener.start(listener.bind(config.listen))
+    node.discovery.start()
     try:
         yield Running(engine, listener, discovery, listener.port)
     finally:
-        engine.discovery.stop()
+        node.discovery.stop()
         listener.stop_accepting()
         listener.end_idle()
-        engine.upstreams.close()
+        node.upstreams.close()
         discovery.stop()
         await asyncio.sleep(0)
--- a/tests/test_process.py
+++ b/tests/lifecycle/test_process.py
@@ -28,9 +28,9 @@
     ok,
     request_bytes,
 )
-from tests.test_attempts import run
+from tests.upstreams.test_attempts import run
 
-ROOT = Path(__file__).parent.parent
+ROOT = Path(__file__).parents[2]
 
 
 def free_port() -> int:
--- a/tests/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -8,10 +8,10 @@
 
 import pytest
 
-from larkweir.discovery import DiscoveryError, Names, parse_listing
+from larkweir.membership.discovery import DiscoveryError, Names, parse_listing
 from mulleinhitch.interface import ListKind, ListUpdate, WatchList
 from tests.fakes import PATIENCE_S, SETTINGS, Caller, FakeDiscovery, FakeUpstream, Script, entry, ok, running
-from tests.test_attempts import run
+from tests.upstreams.test_attempts import run
 
 
 async def updates(script: Script, kind: ListKind) -> ListUpdate:
--- a/tests/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -33,7 +33,7 @@
     WatchList,
 )
 from mulleinhitch.policy import Attempt, Balancer, Legality, Request, Server, Usual
-from tests.driver import Driver
+from tests.mulleinhitch.driver import Driver
 
 SAFE = RequestClass(100.0, 400.0, Effect.SAFE)
 UNSAFE = RequestClass(100.0, 400.0, Effect.UNSAFE)
@@ -520,7 +520,7 @@
     settings: Settings, cls: RequestClass, outcomes: list[Outcome | None]
 ) -> tuple[Legality, Request, Server]:
     legality = Legality(settings)
-    request = Request(RequestArrived(1, 0, 5000.0), cls, 0.0)
+    request = Request(RequestArrived(1, 0, 5000.0), cls, legality, 0.0)
     server = Server(ServerEntry(1))
     for outcome in outcomes:
         attempt = Attempt(server, 100.0)
--- a/tests/test_rules.py
+++ b/tests/mulleinhitch/test_rules.py
@@ -23,7 +23,7 @@
     Tenant,
     TimerFired,
 )
-from tests.driver import Driver
+from tests.mulleinhitch.driver import Driver
 
 CLASSES = (
     RequestClass(100.0, 400.0, Effect.SAFE),
--- a/tests/test_listener.py
+++ b/tests/protocols/http1/test_callers.py
@@ -9,10 +9,12 @@
 
 import pytest
 
-from larkweir.engine import Exchange
-from larkweir.http1 import RequestReader, ResponseReader
-from larkweir.listener import CallerConnection, Listener
-from larkweir.upstreams import Call, UpstreamConnection
+from larkweir.core.exchange import Exchange
+from larkweir.protocols.http1.callers import CallerConnection
+from larkweir.protocols.http1.codec import RequestReader, ResponseReader
+from larkweir.protocols.http1.upstreams import UpstreamConnection
+from larkweir.protocols.listener import Listener
+from larkweir.upstreams.call import Call
 from mulleinhitch.interface import Action, ClientGone, Event, Fail, Outcome, Refuse, RequestArrived, Send
 from tests.fakes import (
     PATIENCE_S,
@@ -25,7 +27,7 @@
     request_bytes,
     running,
 )
-from tests.test_attempts import run, silence
+from tests.upstreams.test_attempts import run, silence
 
 HEAD = b"POST /api HTTP/1.1\r\nHost: x\r\nX-Qos: look\r\n"
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
@@ -333,7 +335,7 @@
         upstream = await FakeUpstream().start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits) as balancer:
-            budget = balancer.engine.caller_budget
+            budget = balancer.listener.budget
             callers = []
             for _ in range(budget + 10):
                 caller = await Caller(balancer.port).__aenter__()
@@ -356,7 +358,7 @@
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits) as balancer:
             halves = []
-            for _ in range(balancer.engine.caller_budget):
+            for _ in range(balancer.listener.budget):
                 caller = await Caller(balancer.port).__aenter__()
                 halves.append(caller)
                 caller.send(request_bytes()[:-2])
@@ -522,7 +524,7 @@
         upstream = await FakeUpstream(held).start()
         limits = {"cores": 1.0, "memory_mb": 192, "sockets": 64}
         async with running(upstream.entry("a"), machine=limits, script=Script([1])) as balancer:
-            listener, budget = balancer.listener, balancer.engine.caller_budget
+            listener, budget = balancer.listener, balancer.listener.budget
             balancer.engine.upstreams._budget = 200
             kept = await Caller(balancer.port).__aenter__()
             kept.ask()
--- a/tests/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -10,7 +10,7 @@
 import pytest
 import uvloop
 
-from larkweir.upstreams import parse_report
+from larkweir.core.reports import parse_report
 from mulleinhitch.interface import (
     Action,
     AttemptEnded,
@@ -245,11 +245,11 @@
             async def small(call: Any) -> None:
                 write = call.write
 
-                def cut(connection: Any) -> bool:
+                def cut(connection: Any, now_ms: float) -> bool:
                     fd = connection._transport.get_extra_info("socket").fileno()
                     with socket.socket(fileno=socket.dup(fd)) as raw:
                         raw.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2048)
-                    return bool(write(connection))
+                    return bool(write(connection, now_ms))
 
                 wrapped = _Wrapped(call, cut)
                 await original(wrapped)  # type: ignore[arg-type]
