Lifecycle as a state machine, operator file, check, demo, and handover to a successor

Need: a fleet of two hundred needs readiness told outwards, reload of more than one address, and new code or configuration without a stop; service managers could not tell ready from draining.

Everything new is off without an operator file.

--- a/larkweir/__init__.py
+++ b/larkweir/__init__.py
@@ -1,1 +1,3 @@
-"""larkweir: the real balancer, one program on real sockets round the decisions of `mulleinhitch`."""
+"""larkweir: a load balancer on real sockets, round the decisions of mulleinhitch."""
+
+VERSION = "0.2.0"
--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -1,100 +1,86 @@
-"""Start, signals and exit code of one real balancer."""
+"""Hands: `python -m larkweir`: which command is meant, and the exit code."""
 
 from __future__ import annotations
 
-import asyncio
-import gc
-import signal
 import sys
+from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
-import uvloop
+if TYPE_CHECKING:
+    import argparse
 
-from larkweir.config.platform import Config, ConfigError, load
-from larkweir.lifecycle.node import Node
+USAGE = 2  # exit code: what was typed or configured can't be used
 
-ACCEPT_MS = 550.0  # new connections go on coming for up to 400 ms after SIGTERM
-LAST_MS = 100.0  # past the longest deadline, for the last answers to be read
-STEP_S = 0.01
 
-
-class Reload:
-    """SIGHUP: the file is read again, and discovery is followed to the address that it names. The other keys
-    count from the next start. One read at a time; of signals in a row, what the last one finds counts.
+def main(arguments: Sequence[str]) -> int:
+    """Carry out a command; returns the exit code: 0 is well, 1 a difference or failure, 2 bad use or
+    configuration.
     """
-
-    def __init__(self, node: Node) -> None:
-        self._node = node
-        self._asked = False
-        self._task: asyncio.Task[None] | None = None
-
-    def ask(self) -> None:
-        self._asked = True
-        if self._task is None or self._task.done():
-            self._task = asyncio.get_running_loop().create_task(self._run())
-
-    async def _run(self) -> None:
-        while self._asked:
-            self._asked = False
-            try:
-                # On a thread: requests don't wait for a disk or for a long file to be checked.
-                config = await asyncio.to_thread(load, again=True)
-            except ConfigError as problem:
-                self._node.journal.line(f"reload: {problem}; what was read before stays")
-                continue
-            self._node.journal.line(f"reload: discovery is {config.discovery[0]}:{config.discovery[1]}")
-            self._node.discovery.move(config.discovery)
-
-
-async def serve(config: Config) -> int:
-    loop = asyncio.get_running_loop()
-    stopping = asyncio.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    node = Node(config, loop)
-    listener = node.listener
-    loop.add_signal_handler(signal.SIGHUP, Reload(node).ask)
-    try:
-        listener.start(listener.bind(config.listen))
-    except OSError as problem:
-        print(f"larkweir: listen: {config.listen[0]}:{config.listen[1]}: {problem}", file=sys.stderr)
-        return 2
-    node.discovery.start()
-    # Guards against collection pauses: what lives from here on is short-lived and holds few cycles.
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 100)
-    await stopping.wait()
-    await drain(config, node)
-    return 0
-
-
-async def drain(config: Config, node: Node) -> None:
-    """Accept while connections still come, serve what was taken, and end as soon as nothing is owed."""
-    clock, engine, listener = node.clock, node.engine, node.listener
-    begun = clock.now_ms()
-    listener.closing = True
-    await asyncio.sleep(ACCEPT_MS / 1000.0)
-    listener.stop_accepting()
-    last = begun + ACCEPT_MS + LAST_MS + max(item.deadline_ms for item in config.settings.classes)
-    while clock.now_ms() < last:
-        listener.end_idle()
-        if not engine.owed and not listener.taking:
-            break
-        await asyncio.sleep(STEP_S)
-    node.discovery.stop()
-    node.upstreams.close()
-
-
-def main() -> int:
-    # Until there is something to tell of a new configuration: the default would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    try:
-        config = load()
-    except ConfigError as problem:
-        print(f"larkweir: {problem}", file=sys.stderr)
-        return 2
-    return uvloop.run(serve(config))
+    if not arguments or list(arguments) == ["run"]:
+        from larkweir.cli.run import run
+
+        return run(None, arguments)  # as the platform starts it: nothing else is imported
+    options = _parser().parse_args(list(arguments))
+    if options.command == "check":
+        from larkweir.cli.check import check, diff
+
+        return diff(*options.diff) if options.diff else check(options.files)
+    if options.command == "demo":
+        from larkweir.cli.demo import demo
+
+        return demo(options.port, options.upstreams)
+    from larkweir.cli.run import run
+
+    return run(getattr(options, "operator", None), arguments)
+
+
+def _parser() -> argparse.ArgumentParser:
+    import argparse
+
+    from larkweir import VERSION
+
+    parser = argparse.ArgumentParser(
+        prog="python -m larkweir",
+        description="A load balancer in front of one tier of services. Without a command it runs, as the file "
+        "that GW_CONFIG names tells it. To see it at work, try: python -m larkweir demo",
+        epilog="Signals: SIGTERM and SIGINT drain and end, a second one hastens that; SIGHUP reads the files "
+        "again; SIGUSR2 hands over to a successor, where the operator file allows it.",
+    )
+    parser.add_argument("--version", action="version", version=f"larkweir {VERSION}")
+    commands = parser.add_subparsers(dest="command", metavar="COMMAND")
+    run = commands.add_parser(
+        "run",
+        help="run one balancer (the default)",
+        description="Run one balancer in the foreground. GW_CONFIG names the platform's file; GW_NAME, "
+        "GW_LISTEN and GW_DISCOVERY go before it.",
+    )
+    run.add_argument(
+        "--operator", metavar="FILE", help="an operator file (TOML); without it all parts are off"
+    )
+    check = commands.add_parser(
+        "check",
+        help="check configuration files, or compare two",
+        description="Print every fault of platform files (JSON) and operator files (TOML) as `file: key: what is "
+        "wrong and what would do`. Exit code 0 if there is none, else 2.",
+    )
+    check.add_argument("files", nargs="*", metavar="FILE", help="a file ending in .toml is an operator file")
+    check.add_argument(
+        "--diff",
+        nargs=2,
+        metavar=("OLD", "NEW"),
+        help="print what differs, and whether a reload, a handover or a restart makes it count; exit code 0 if "
+        "nothing differs, 1 if something does, 2 if a file is at fault",
+    )
+    demo = commands.add_parser(
+        "demo",
+        help="a balancer with a few upstreams on this machine, to try",
+        description="Start a few small upstreams, a discovery and one balancer on 127.0.0.1, print a request to "
+        "try, and run until Ctrl-C.",
+    )
+    demo.add_argument("--port", type=int, default=8080, help="the balancer's (default 8080; 0: any free one)")
+    demo.add_argument("--upstreams", type=int, default=3, help="how many (default 3)")
+    return parser
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/larkweir/cli/run.py
@@ -0,0 +1,35 @@
+"""Hands: `run`: from the files to a daemon, or to one line on standard error and exit code 2."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+
+import uvloop
+
+from larkweir.config.platform import ConfigError
+from larkweir.lifecycle.daemon import Daemon
+from larkweir.lifecycle.handover import inherited
+from larkweir.lifecycle.inherit import checked, from_manager
+from larkweir.lifecycle.reading import first
+
+
+def run(operator: str | None, arguments: Sequence[str]) -> int:
+    """Run until told to stop; the exit code."""
+    try:
+        return uvloop.run(_run(operator, arguments))
+    except ConfigError as problem:
+        print(f"larkweir: {problem}", file=sys.stderr)
+        return 2
+
+
+async def _run(operator: str | None, arguments: Sequence[str]) -> int:
+    before = inherited(os.environ)
+    generation = first(os.environ, operator)
+    if before is not None:
+        channel, descriptors = before
+        sockets = [checked(descriptor, "handover") for descriptor in descriptors]
+        return await Daemon(generation, operator, arguments, sockets, channel).run()
+    sockets = from_manager(os.environ) if generation.options.lifecycle.inherit else []
+    return await Daemon(generation, operator, arguments, sockets).run()
--- /dev/null
+++ b/larkweir/config/options.py
@@ -0,0 +1,78 @@
+"""Rules: what an operator file may say, one class for each table. All defaults are off, and cost nothing."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from enum import Enum
+from typing import Any, Literal
+
+
+class Change(Enum):
+    """How a key that was changed comes to count."""
+
+    LIVE = "live"  # with the next reload
+    HANDOVER = "handover"  # in a successor that takes the sockets over; else at the next start
+    START = "start"  # at the next start only
+
+
+def option(
+    default: Any, change: Change = Change.LIVE, low: float | None = None, high: float | None = None
+) -> Any:
+    """A key with its default, how a change of it counts, and its bounds, both of which are allowed."""
+    return field(default=default, metadata={"change": change, "low": low, "high": high})
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Lifecycle:
+    """The table `[lifecycle]`. Times are milliseconds."""
+
+    # Tell a service manager by NOTIFY_SOCKET, and feed its watchdog by WATCHDOG_USEC.
+    notify: bool = option(False, Change.START)
+    # Take listening sockets from a service manager by LISTEN_FDS, in place of the platform file's address.
+    inherit: bool = option(False, Change.START)
+    # What SIGHUP reads again: the discovery address alone, or all that can change in service.
+    reload: Literal["discovery", "whole"] = option("discovery")
+    # Whether a successor may be started: never, on SIGUSR2, or also where a reload finds a key that needs one.
+    handover: Literal["off", "signal", "reload"] = option("off")
+    # A successor that has not come up by then is given up.
+    handover_ready_ms: float = option(10_000.0, low=100.0, high=600_000.0)
+    # New connections are taken for so long after SIGTERM, since a front goes on sending for a while.
+    accept_ms: float = option(550.0, low=0.0, high=60_000.0)
+    # A stop of the whole process for longer than this (SIGSTOP, a frozen machine) is taken off the time of
+    # the requests that are read right after it. 0: not looked for.
+    stall_ms: float = option(0.0, Change.START, low=0.0, high=60_000.0)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Operator:
+    """The whole operator file."""
+
+    lifecycle: Lifecycle = field(default_factory=Lifecycle)
+
+
+TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle}
+
+
+def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
+    """The keys that differ, as `table.key`, with both values and how each comes to count."""
+    found: dict[str, tuple[Any, Any, Change]] = {}
+    for table, kind in TABLES.items():
+        before, after = getattr(old, table), getattr(new, table)
+        for item in fields(kind):
+            one, other = getattr(before, item.name), getattr(after, item.name)
+            if one != other:
+                found[f"{table}.{item.name}"] = (one, other, item.metadata["change"])
+    return found
+
+
+def keep_fixed(old: Operator, new: Operator) -> Operator:
+    """The new file as far as it can change live; the rest stays as it was."""
+    tables = {}
+    for table, kind in TABLES.items():
+        before, after = getattr(old, table), getattr(new, table)
+        values = {
+            item.name: getattr(after if item.metadata["change"] is Change.LIVE else before, item.name)
+            for item in fields(kind)
+        }
+        tables[table] = kind(**values)
+    return Operator(**tables)
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -106,6 +106,8 @@
         self._next = 1
         self._events: deque[Event] = deque()
         self._busy = False
+        # What the process stood still for, just now: requests read meanwhile have waited for about so long.
+        self.lost_ms = 0.0
         settings = config.settings
         reports = settings.report_mode is not ReportMode.OFF
         self._report_names = config.report_names if reports else ()
@@ -154,6 +156,21 @@
                 break
             del self._past[oldest]
 
+    def ids(self) -> list[tuple[str, float]]:
+        """The ids that are open or were lately, each with the time it ended, newest last."""
+        now = self.clock.now_ms()
+        found = [*self._past.items(), *((trace, now) for trace in self._traces)]
+        return [(trace.decode("latin-1"), ended) for trace, ended in found[-self.MOST_PAST :]]
+
+    def take_ids(self, ids: list[tuple[str, float]]) -> None:
+        """Ids that another life of this balancer has seen: a copy of such a request must not run here."""
+        known = dict(self._past)
+        for text, ended in ids:
+            trace = text.encode("latin-1", "replace")
+            known[trace] = max(ended, known.get(trace, 0.0))
+        newest = sorted(known.items(), key=lambda item: item[1])[-self.MOST_PAST :]
+        self._past = dict(newest)
+
     def arrive(
         self, caller: Caller, message: Message, time_left_ms: float, trace: bytes, event: RequestArrived
     ) -> int:
@@ -161,6 +178,8 @@
         number = self._next
         self._next += 1
         event.request = number
+        if self.lost_ms:
+            time_left_ms = event.time_left_ms = max(0.0, time_left_ms - self.lost_ms)
         due = self.clock.now_ms() + time_left_ms
         exchange = Exchange(number, caller, message, due, trace, self._max_attempts)
         self._exchanges[number] = exchange
--- /dev/null
+++ b/larkweir/lifecycle/channel.py
@@ -0,0 +1,93 @@
+"""Rules: what two lives of one balancer say to each other over a handover's channel, one JSON object a line.
+
+predecessor                         successor
+state {...}             ->          starts from it, follows discovery, accepts nothing
+                        <-          ready
+go {...newest state}    ->          takes it over and accepts
+                        <-          took
+reload                  ->          reads its files again
+give_up                 ->          ends, or, once it may have accepted, stops as after SIGTERM
+                        <-          bye: it was told to stop
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+MOST = 16 * 1024 * 1024  # bytes of a line: a whole list, and the ids seen lately
+WORDS = frozenset(("state", "ready", "go", "took", "reload", "give_up", "bye"))
+
+
+class ChannelError(Exception):
+    """The other life said what makes no sense."""
+
+
+class Knowledge(NamedTuple):
+    """What the successor needs to keep the rules from its first request on. Times are the shared clock's."""
+
+    offset_ms: float  # of that clock, against the system's monotonic one
+    discovery: str  # which discovery the list is from
+    held: dict[str, Any]  # the list, in discovery's form
+    drains: dict[str, float]  # when each was told, by instance id
+    ids: list[tuple[str, float]]
+    learned: dict[str, Any]  # the decisions' own
+
+
+def _number(value: Any, key: str) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not -1e15 < value < 1e15:
+        raise ChannelError(f"{key}: {value!r:.100} is not a time")
+    return float(value)
+
+
+def encode(word: str, known: Knowledge | None = None) -> bytes:
+    """One line."""
+    data: dict[str, Any] = {"word": word}
+    if known is not None:
+        data |= known._asdict()
+    return json.dumps(data, separators=(",", ":")).encode() + b"\n"
+
+
+def decode(line: bytes) -> tuple[str, Knowledge | None]:
+    """The word, and what comes with it; ChannelError if it is none."""
+    try:
+        data = json.loads(line)
+    except (ValueError, RecursionError) as problem:
+        raise ChannelError(f"not JSON: {problem}") from None
+    if not isinstance(data, dict) or data.get("word") not in WORDS:
+        raise ChannelError(f"{line[:100]!r} is no word of it")
+    if data["word"] not in ("state", "go"):
+        return data["word"], None
+    for key, kind in (("held", dict), ("drains", dict), ("ids", list), ("learned", dict), ("discovery", str)):
+        if not isinstance(data.get(key), kind):
+            raise ChannelError(f"{key}: missing, or no {kind.__name__}")
+    ids = []
+    for item in data["ids"]:
+        if not isinstance(item, list) or len(item) != 2 or not isinstance(item[0], str):
+            raise ChannelError(f"ids: {item!r:.100} is no id and time")
+        ids.append((item[0], _number(item[1], "ids")))
+    return data["word"], Knowledge(
+        offset_ms=_number(data.get("offset_ms"), "offset_ms"),
+        discovery=data["discovery"],
+        held=data["held"],
+        drains={str(name): _number(told, "drains") for name, told in data["drains"].items()},
+        ids=ids,
+        learned=data["learned"],
+    )
+
+
+class Lines:
+    """Puts a stream of bytes together into lines, bounded."""
+
+    def __init__(self) -> None:
+        self._part = bytearray()
+
+    def feed(self, data: bytes) -> list[bytes]:
+        self._part += data
+        if b"\n" not in data:
+            if len(self._part) > MOST:
+                raise ChannelError(f"a line of over {MOST} bytes")
+            return []
+        *whole, rest = bytes(self._part).split(b"\n")
+        self._part = bytearray(rest)
+        return whole
--- /dev/null
+++ b/larkweir/lifecycle/daemon.py
@@ -0,0 +1,349 @@
+"""Hands: one life of the daemon: signals, timers and children to events, commands of the rules carried out."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+import socket
+from collections import deque
+from collections.abc import Callable, Sequence
+from dataclasses import replace
+
+from larkweir.config.platform import ConfigError
+from larkweir.lifecycle import rules
+from larkweir.lifecycle.channel import Knowledge
+from larkweir.lifecycle.handover import Channel, Successor
+from larkweir.lifecycle.node import Node
+from larkweir.lifecycle.notify import Notifier, filled, watchdog_ms
+from larkweir.lifecycle.reading import Generation, Reading, again
+
+STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
+
+
+class Daemon:
+    """Runs a node until it is told to stop and owes nothing any more."""
+
+    STEP_MS = 10.0  # from look to look whether a list has come, or nothing is owed
+    STATE_S = 5.0  # for a predecessor to say what it knows
+
+    def __init__(
+        self,
+        generation: Generation,
+        operator: str | None = None,
+        arguments: Sequence[str] = (),
+        sockets: Sequence[socket.socket] = (),
+        channel: socket.socket | None = None,
+    ) -> None:
+        """`operator` is the operator file's path; `arguments` start a successor like this life; `sockets`
+        listen already; `channel` leads to a predecessor.
+        """
+        self._generation = generation
+        self._operator = operator
+        self._arguments = arguments
+        self._sockets = list(sockets)
+        self._predecessor_socket = channel
+        self._predecessor: Channel | None = None
+        self._loop = asyncio.get_running_loop()
+        self._done = asyncio.Event()
+        self._events: deque[rules.Event] = deque()
+        self._busy = False
+        self._life: rules.Life | None = None  # none while a predecessor still serves
+        self._early: list[rules.Event] = []  # asked for in that time
+        self._reading: Reading | None = None
+        self._successor: tuple[int, Successor] | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ending = False
+        self._beat_ms = 0.0
+
+    async def run(self) -> int:
+        """The exit code."""
+        for number in STOPS:
+            self._loop.add_signal_handler(number, self._tell, rules.Stop())
+        self._loop.add_signal_handler(signal.SIGHUP, self._tell, rules.ReloadAsked())
+        self._loop.add_signal_handler(signal.SIGUSR2, self._tell, rules.HandoverAsked())
+        config = self._generation.config
+        if self._predecessor_socket is None:
+            self._build(None)
+            if not self._sockets:
+                try:
+                    self._sockets = [self.node.listener.bind(config.listen)]
+                except OSError as problem:
+                    raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {problem}") from None
+            self.node.listener.start(*self._sockets)
+            self.node.discovery.start()
+        elif not await self._take_over(self._predecessor_socket):
+            return 0
+        self._freeze()
+        options = self._generation.options.lifecycle
+        self._life = rules.Life(options, self._longest_ms())
+        self._notifier = Notifier(os.environ if options.notify else {}, self.node.clock, self._say)
+        if options.notify:
+            self._notifier.watch(watchdog_ms(os.environ, os.getpid()))
+        if options.stall_ms:
+            self._beat_ms = self.node.clock.now_ms()
+            self._beat(options.stall_ms)
+        self._look()
+        for event in self._early:
+            self._tell(event)
+        await self._done.wait()
+        self._close()
+        return 0
+
+    @property
+    def listening(self) -> bool:
+        """Whether it accepts, and has a list to serve from."""
+        return self._life is not None and self.node.listener.ready
+
+    def _build(self, known: Knowledge | None) -> None:
+        config = self._generation.config
+        if known is None:
+            self.node = Node(config, self._loop)
+            return
+        address = f"{config.discovery[0]}:{config.discovery[1]}"
+        if known.held and known.discovery == address:
+            config = replace(config, known=known.held)
+        self.node = Node(config, self._loop, offset_ms=known.offset_ms)
+        self.node.discovery.start()
+        self.node.adopt(known)
+
+    @staticmethod
+    def _freeze() -> None:
+        # Guards against collection pauses: what lives from here on is short-lived and holds few cycles.
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(20_000, 20, 100)
+
+    def _longest_ms(self) -> float:
+        return max(item.deadline_ms for item in self._generation.config.settings.classes)
+
+    def _say(self, line: str) -> None:
+        self.node.journal.line(line)
+
+    # ------------------------------------------------ a predecessor
+
+    async def _take_over(self, sock: socket.socket) -> bool:
+        """Start from what a predecessor knows, and accept once it says so; whether this life is to run."""
+        words: asyncio.Queue[tuple[str, Knowledge | None]] = asyncio.Queue()
+        lost = "lost"
+        self._predecessor = await Channel.on(
+            sock,
+            lambda word, known: words.put_nowait((word, known)),
+            lambda why: words.put_nowait((lost, None)),
+        )
+        try:
+            async with asyncio.timeout(self.STATE_S):
+                word, known = await words.get()
+        except TimeoutError:
+            word, known = lost, None
+        if word == "give_up" or any(isinstance(event, rules.Stop) for event in self._early):
+            return False
+        self._build(known)
+        if known is None:  # nobody is left to say what it knew: as at any start
+            self.node.discovery.start()
+        told_ready = False
+        waiting = asyncio.ensure_future(words.get())
+        while True:
+            if not told_ready and self.node.engine.ready:
+                told_ready = True
+                self._predecessor.say("ready")
+            await asyncio.wait((waiting,), timeout=self.STEP_MS / 1000.0)
+            if any(isinstance(event, rules.Stop) for event in self._early):
+                waiting.cancel()
+                self._abandon()
+                return False  # it has accepted nothing
+            if not waiting.done():
+                continue
+            word, known = waiting.result()
+            if word == "give_up":
+                self._abandon()
+                return False
+            if word in ("go", lost):
+                break
+            waiting = asyncio.ensure_future(words.get())
+        if known is not None:
+            self.node.adopt(known)
+        self.node.listener.start(*self._sockets)
+        if word == lost:
+            self._say("handover: the predecessor is gone; this life takes over")
+        self._predecessor.say("took")
+        self._keep(self._loop.create_task(self._hear(words)))
+        return True
+
+    async def _hear(self, words: asyncio.Queue[tuple[str, Knowledge | None]]) -> None:
+        """What the predecessor says once this life accepts."""
+        while True:
+            word, _ = await words.get()
+            if word == "reload":
+                self._tell(rules.ReloadAsked())
+            elif word == "give_up":
+                self._tell(rules.Stop())
+
+    def _abandon(self) -> None:
+        self.node.discovery.stop()
+        self.node.upstreams.close()
+        for sock in self._sockets:
+            sock.close()
+        if self._predecessor is not None:
+            self._predecessor.close()
+
+    # ------------------------------------------------ events in, commands out
+
+    def _tell(self, event: rules.Event) -> None:
+        """Hand over an event; one that comes while another is handled waits for its turn."""
+        if self._life is None:
+            if len(self._early) < 16:
+                self._early.append(event)
+            return
+        self._events.append(event)
+        if self._busy:
+            return
+        self._busy = True
+        try:
+            while self._events:
+                for command in self._life.handle(self.node.clock.now_ms(), self._events.popleft()):
+                    self._do(command)
+        finally:
+            self._busy = False
+
+    def _do(self, command: rules.Command) -> None:
+        assert self._life is not None
+        if isinstance(command, rules.Tell):
+            self._notifier.tell(*filled(command.lines, self._successor[1].pid if self._successor else 0))
+        elif isinstance(command, rules.Say):
+            self._say(command.line)
+        elif isinstance(command, rules.Arm):
+            due = rules.Due(command.name, command.serial)
+            self.node.clock.after(command.delay_ms, lambda: self._tell(due))
+        elif isinstance(command, rules.Read):
+            self._keep(self._loop.create_task(self._read(command.serial)))
+        elif isinstance(command, rules.Apply):
+            self._apply()
+        elif isinstance(command, rules.Spawn):
+            self._keep(self._loop.create_task(self._spawn(command.serial)))
+        elif isinstance(command, rules.Go):
+            self._to_successor(command.serial, lambda child: child.channel.say("go", self.node.knowledge()))
+        elif isinstance(command, rules.ForwardReload):
+            self._to_successor(command.serial, lambda child: child.channel.say("reload"))
+        elif isinstance(command, rules.GiveUp):
+            self._to_successor(command.serial, lambda child: child.give_up(command.gently))
+            self._successor = None
+        elif isinstance(command, rules.Accept):
+            self.node.listener.hold(not command.here)
+        elif isinstance(command, rules.Close):
+            self.node.listener.closing = command.closing
+        elif isinstance(command, rules.StopAccepting):
+            self.node.listener.stop_accepting()
+            if self._predecessor is not None:
+                self._predecessor.say("bye")
+        elif isinstance(command, rules.EndIdle):
+            self._ending = command.ending
+            if command.ending:
+                self._settle()
+        else:
+            self._done.set()
+
+    def _keep(self, task: asyncio.Task[None]) -> None:
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _to_successor(self, serial: int, act: Callable[[Successor], None]) -> None:
+        if self._successor is not None and self._successor[0] == serial:
+            act(self._successor[1])
+
+    def _look(self) -> None:
+        """Look for the first list."""
+        if self.node.engine.ready:
+            self._tell(rules.ListReady())
+        else:
+            self.node.clock.after(self.STEP_MS, self._look)
+
+    def _settle(self) -> None:
+        """Look for the end of what is owed."""
+        if not self._ending:
+            return
+        listener = self.node.listener
+        listener.end_idle()
+        if not self.node.engine.owed and not listener.taking:
+            self._tell(rules.Settled())
+        else:
+            self.node.clock.after(self.STEP_MS, self._settle)
+
+    def _beat(self, stall_ms: float) -> None:
+        """Notice that the whole process stood still: what is read right after had waited for so long."""
+        now = self.node.clock.now_ms()
+        lost = now - self._beat_ms
+        self._beat_ms = now + stall_ms / 2.0
+        if lost > stall_ms:
+            self._say(f"this process stood still for {lost:.0f} ms; requests read now have waited meanwhile")
+            self.node.engine.lost_ms = lost
+            self.node.clock.after(2.0 * self.STEP_MS, self._forget_stall)
+        self.node.clock.after(stall_ms / 2.0, lambda: self._beat(stall_ms))
+
+    def _forget_stall(self) -> None:
+        self.node.engine.lost_ms = 0.0
+
+    # ------------------------------------------------ reload
+
+    async def _read(self, serial: int) -> None:
+        try:
+            # On a thread: requests don't wait for a disk or for a long file to be checked.
+            self._reading = await asyncio.to_thread(again, self._generation, os.environ, self._operator)
+        except ConfigError as problem:
+            self._tell(rules.ReadDone(serial, str(problem)))
+        except Exception as problem:  # a file, however odd, must not end the reload for good
+            self._tell(rules.ReadDone(serial, f"{type(problem).__name__}: {problem}"))
+        else:
+            self._tell(rules.ReadDone(serial, "", self._reading.fixed, self._reading.later))
+
+    def _apply(self) -> None:
+        assert self._reading is not None and self._life is not None
+        self._generation, self._reading = self._reading.generation, None
+        self.node.reconfigure(self._generation.config)
+        self._life.options = self._generation.options.lifecycle
+        # A request that came before may have a longer deadline than any class has now.
+        self._life.longest_ms = max(self._life.longest_ms, self._longest_ms())
+        self._say(f"reload: discovery is {self.node.discovery.address}")
+
+    # ------------------------------------------------ handover
+
+    async def _spawn(self, serial: int) -> None:
+        def heard(word: str, known: Knowledge | None) -> None:
+            events: dict[str, rules.Event] = {
+                "ready": rules.SuccessorReady(serial),
+                "took": rules.SuccessorTook(serial),
+                "bye": rules.SuccessorStops(serial),
+            }
+            event = events.get(word)
+            if event is not None:
+                self._tell(event)
+
+        def ended(why: str) -> None:
+            self._tell(rules.SuccessorLost(serial, why))
+
+        try:
+            child = await Successor.start(
+                self._arguments, self.node.listener.sockets, self.node.clock, heard, ended
+            )
+        except OSError as problem:
+            self._tell(rules.SuccessorLost(serial, f"it could not be started: {problem}"))
+            return
+        if self._life is None or not self._life.waits_for(serial):
+            child.give_up(gently=False)  # given up while it was being started
+            return
+        self._successor = (serial, child)
+        child.channel.say("state", self.node.knowledge(share=False))
+
+    # ------------------------------------------------ the end
+
+    def _close(self) -> None:
+        for task in list(self._tasks):
+            task.cancel()
+        self.node.discovery.stop()
+        self.node.upstreams.close()
+        self.node.listener.stop_accepting()
+        self._notifier.close()
+        if self._predecessor is not None:
+            self._predecessor.close()
+        self.node.journal.close()
--- /dev/null
+++ b/larkweir/lifecycle/inherit.py
@@ -0,0 +1,45 @@
+"""Hands: listening sockets that another process has opened (sd_listen_fds(3)), checked before they are used."""
+
+from __future__ import annotations
+
+import os
+import socket
+from collections.abc import MutableMapping
+
+from larkweir.config.platform import ConfigError
+
+FIRST = 3  # descriptors 0 to 2 are the standard ones
+
+
+def checked(descriptor: int, key: str) -> socket.socket:
+    """The listening TCP socket behind a descriptor; ConfigError says what it is instead."""
+    try:
+        sock = socket.socket(fileno=descriptor)
+    except OSError as problem:
+        raise ConfigError(f"{key}: descriptor {descriptor} is no socket: {problem}") from None
+    if sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM:
+        kind = f"{sock.family.name} {sock.type.name}"
+        sock.detach()
+        raise ConfigError(f"{key}: descriptor {descriptor} is {kind}; pass a listening TCP socket")
+    if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+        sock.detach()
+        raise ConfigError(f"{key}: descriptor {descriptor} does not listen; pass a listening TCP socket")
+    sock.set_inheritable(False)
+    return sock
+
+
+def from_manager(env: MutableMapping[str, str]) -> list[socket.socket]:
+    """The sockets that a service manager passes, none if it passes none. The variables are taken out of the
+    environment, so that no child takes them for its own.
+    """
+    count, pid = env.pop("LISTEN_FDS", ""), env.pop("LISTEN_PID", "")
+    names = env.pop("LISTEN_FDNAMES", "")
+    if not count or pid != str(os.getpid()):
+        return []
+    if not count.isdigit() or len(count) > 4 or int(count) < 1:
+        raise ConfigError(f"LISTEN_FDS: {count!r:.60} is not a number of descriptors")
+    labels = names.split(":") if names else []
+    if labels and len(labels) != int(count):
+        raise ConfigError(f"LISTEN_FDNAMES: {len(labels)} names for {count} descriptors")
+    keys = [f"LISTEN_FDS ({label})" for label in labels] or ["LISTEN_FDS"] * int(count)
+    return [checked(FIRST + n, key) for n, key in enumerate(keys)]
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -13,7 +13,8 @@
 from larkweir.core.ports import Decisions
 from larkweir.core.requests import Requests
 from larkweir.core.room import Room
-from larkweir.membership.discovery import Discovery
+from larkweir.lifecycle.channel import Knowledge
+from larkweir.membership.discovery import Discovery, DiscoveryError
 from larkweir.protocols.http1.callers import CallerConnection
 from larkweir.protocols.http1.upstreams import UpstreamConnection
 from larkweir.protocols.listener import Listener
@@ -67,6 +68,43 @@
         self.engine.reconfigure(config)
         self.discovery.move(config.discovery)
 
+    # ------------------------------------------------ from life to life
+
+    def knowledge(self, share: bool = True) -> Knowledge:
+        """What a successor needs. With `share` it gets this life's credit with cold upstreams, which is then
+        spent here: both together keep to one.
+        """
+        numbers = {number: target.told_ms for number, target in self.upstreams.table.items()}
+        drains: dict[str, float] = {}
+        held = self.discovery.held()
+        for row in held["instances"]:
+            told = numbers.get(self.discovery.number(row["instanceId"]) or 0, 0.0)
+            if told:
+                drains[row["instanceId"]] = told
+        learned = self.decisions.learned() if share and isinstance(self.decisions, Balancer) else {}
+        return Knowledge(
+            offset_ms=self.clock.offset_ms,
+            discovery=self.discovery.address,
+            held=held,
+            drains=drains,
+            ids=self.engine.ids(),
+            learned=learned,
+        )
+
+    def adopt(self, known: Knowledge) -> None:
+        """Go on from another life's knowledge, as far as it is newer than this one's."""
+        try:
+            if known.held:
+                self.discovery.catch_up(known.discovery, known.held)
+        except DiscoveryError as problem:
+            self.journal.line(f"handover: the list: {problem}")
+        if known.discovery == self.discovery.address:
+            for name, told in known.drains.items():
+                self.upstreams.told(self.discovery.number(name) or 0, told)
+        self.engine.take_ids(known.ids)
+        if known.learned and isinstance(self.decisions, Balancer):
+            self.decisions.adopt(known.learned)
+
     def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no handler caught: one bounded line, and the process goes on."""
         problem = context.get("exception")
--- /dev/null
+++ b/larkweir/lifecycle/reading.py
@@ -0,0 +1,94 @@
+"""Hands: the files of a generation, read whole and checked whole, on a thread."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Mapping
+from dataclasses import replace
+from typing import Any, NamedTuple
+
+from larkweir.config.options import Change, Operator, changed
+from larkweir.config.options import keep_fixed as keep_fixed_options
+from larkweir.config.platform import Config, ConfigError, decode_object, read_file, read_object
+from mulleinhitch.policy import fixed_difference
+
+
+class Generation(NamedTuple):
+    """What the program is told, as far as it counts now, and the platform file's object that it is from."""
+
+    config: Config
+    options: Operator
+    raw: dict[str, Any]
+
+
+class Reading(NamedTuple):
+    """A generation that may take over, and the keys that can't count yet."""
+
+    generation: Generation
+    fixed: tuple[str, ...]  # need a successor
+    later: tuple[str, ...]  # count from the next start
+
+
+# New with each writing of the file, or of use at a start only: nobody waits for them to count.
+QUIET = frozenset(("seed", "known"))
+
+
+def load_options(path: str | None) -> Operator:
+    if path is None:
+        return Operator()
+    from larkweir.config.operator import load  # not imported where there is no operator file
+
+    return load(path)
+
+
+def first(env: Mapping[str, str], operator: str | None) -> Generation:
+    """At the start; ConfigError if anything is wrong."""
+    raw = read_object(read_file(env))
+    return Generation(decode_object(raw, env), load_options(operator), raw)
+
+
+TRIES = 5
+PAUSE_S = 0.05
+
+
+def settled_text(env: Mapping[str, str]) -> str:
+    """The file's text once two readings a moment apart agree: guards against one that is being written. A
+    writer that renames a whole file into place is never waited for longer than that.
+    """
+    text = read_file(env)
+    for _ in range(TRIES):
+        time.sleep(PAUSE_S)
+        again = read_file(env)
+        if again == text:
+            break
+        text = again
+    return text
+
+
+def again(now: Generation, env: Mapping[str, str], operator: str | None) -> Reading:
+    """The files once more; ConfigError if anything in them is wrong, also in what can't count yet."""
+    if now.options.lifecycle.reload == "discovery" and operator is None:
+        config = decode_object(read_object(read_file(env)), env, again=True)
+        return Reading(now._replace(config=replace(now.config, discovery=config.discovery)), (), ())
+    from larkweir.config.changes import differences, keep_fixed  # of no use before the first reload
+
+    raw = read_object(settled_text(env))
+    config = decode_object(raw, env, again=True)
+    told = load_options(operator)
+    options = keep_fixed_options(now.options, told)
+    changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
+    if told.lifecycle.reload == "discovery":
+        generation = Generation(replace(now.config, discovery=config.discovery), options, now.raw)
+    else:
+        changes += [(item.key, item.change) for item in differences(now.raw, raw)]
+        raw = keep_fixed(now.raw, raw)
+        config = decode_object(raw, env, again=True)
+        problem = fixed_difference(now.config.settings, config.settings)
+        if problem:
+            raise ConfigError(f"settings: {problem} can't change in service; it counts from the next start")
+        generation = Generation(config, options, raw)
+    return Reading(
+        generation,
+        tuple(key for key, change in changes if change is Change.HANDOVER),
+        tuple(key for key, change in changes if change is Change.START and key not in QUIET),
+    )
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -174,6 +174,7 @@
         self._log = log
         self._rng = Random(config.seed)
         self._version: int | None = None
+        self._rows: dict[str, dict[str, Any]] = {}  # what is held, in discovery's form
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
@@ -187,6 +188,7 @@
                 known = parse_listing(self._known, self._names)
                 listing = Listing(ListKind.CACHED, known.version, known.entries, known.addresses)
                 self._version = known.version
+                self._hold(self._known, whole=True)
             except DiscoveryError as problem:
                 self._log(f"known: {problem}")
         self._tell(listing)
@@ -300,7 +302,43 @@
             data = json.loads(answer.body)
         except (ValueError, RecursionError) as problem:
             raise DiscoveryError(f"not JSON: {problem}") from None
-        return parse_listing(data, self._names)
+        listing = parse_listing(data, self._names)
+        if listing.kind is ListKind.FULL or self._version is None or listing.version >= self._version:
+            self._hold(data, listing.kind is ListKind.FULL)
+        return listing
+
+    def _hold(self, data: dict[str, Any], whole: bool) -> None:
+        """Keep a checked answer's rows; `_names` bounds neither: gone ones are dropped here."""
+        if whole:
+            self._rows = {}
+        for row in data["instances"]:
+            if row["lifecycle"] == "left":
+                self._rows.pop(row["instanceId"], None)
+            else:
+                self._rows[row["instanceId"]] = row
+
+    def held(self) -> dict[str, Any]:
+        """What is held, as a whole list in discovery's form."""
+        return {"generation": self._version or 0, "reset": True, "instances": list(self._rows.values())}
+
+    def number(self, instance_id: str) -> int | None:
+        """The number of an upstream that is held."""
+        return self._names.server(instance_id) if instance_id in self._rows else None
+
+    def catch_up(self, address: str, held: dict[str, Any]) -> None:
+        """Take over what another life of this balancer holds, if it is newer: it may have been told of a
+        drain that has not been heard of here.
+        """
+        if address != self.address or held["generation"] <= (self._version or 0):
+            return
+        listing = parse_listing(held, self._names)
+        self._version = listing.version
+        self._hold(held, whole=True)
+        self._tell(Listing(ListKind.CACHED, listing.version, listing.entries, listing.addresses))
+
+    @property
+    def address(self) -> str:
+        return f"{self._address[0]}:{self._address[1]}"
 
     def _drop(self) -> None:
         if self._connection is not None:
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -86,25 +86,30 @@
         address: Address,
         state: ServerState,
         started_ms: float,
-        told_ms: float | None = None,
     ) -> None:
-        """Take over what discovery tells of one; `told_ms` where a drain was told before, to another life."""
+        """Take over what discovery tells of one."""
         now = self.clock.now_ms()
-        told = now if told_ms is None else min(now, told_ms)
         upstream = self.table.get(number)
         if upstream is None:
             if state is not ServerState.GONE:
                 upstream = Upstream(number, address, state, started_ms)
                 if state is not ServerState.READY:
-                    upstream.told_ms, upstream.closes_ms = told, told + self._grace_ms
+                    upstream.told_ms, upstream.closes_ms = now, now + self._grace_ms
                 self.table[number] = upstream
             return
-        same = upstream.move(address, state, started_ms, told, self._grace_ms)
+        same = upstream.move(address, state, started_ms, now, self._grace_ms)
         if not same or state is ServerState.GONE:
             self.close_idle(number)
         if state is ServerState.GONE:
             del self.table[number]  # calls on their way to it hold it, and see its state
 
+    def told(self, number: int, told_ms: float) -> None:
+        """Another life of this balancer was told of a drain before: the grace runs from then."""
+        upstream = self.table.get(number)
+        if upstream is not None and upstream.told_ms:
+            upstream.told_ms = min(upstream.told_ms, told_ms)
+            upstream.shorten(self._grace_ms)
+
     def call(
         self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
     ) -> Call | None:
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -13,6 +13,7 @@
 import math
 from heapq import heappop, heappush
 from random import Random
+from typing import Any
 
 from mulleinhitch.interface import (
     NEVER_RAN,
@@ -370,7 +371,7 @@
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._rng = rng
         self._cold: list[Server] = []
-        self._credit = (
+        self.credit = (
             rng.random()
         )  # random: low-rate copies must not all start with a free send, nor all without
         self._sum = 0.0
@@ -409,17 +410,17 @@
             self._cold = [s for s in self._cold if s.state is ServerState.READY and self.is_cold(s, now_ms)]
             self._sum = sum(self.share(s, now_ms) for s in self._cold)
             self._sum_until = now_ms + self._ms / 100.0
-        self._credit = min(self.CREDIT_CAP, self._credit + self._pace * self._sum / ready)
+        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / ready)
 
     def admits(self, server: Server, now_ms: float) -> bool:
         """Whether a drawn server may be sent to; the colder of two cold ones is let through less often."""
         if not self.is_cold(server, now_ms):
             return True
-        return self._credit >= 1.0 and self._rng.random() < self.share(server, now_ms)
+        return self.credit >= 1.0 and self._rng.random() < self.share(server, now_ms)
 
     def spend(self, server: Server, now_ms: float) -> None:
         if self.is_cold(server, now_ms):
-            self._credit -= 1.0
+            self.credit -= 1.0
 
 
 # ---------------------------------------------------------------- connections
@@ -1160,6 +1161,40 @@
     def _on_peer(self, event: PeerMessage) -> None:
         pass
 
+    def learned(self) -> dict[str, Any]:
+        """What another life of this copy may go on from, as plain values: the means by class name, and the
+        cold servers' credit, which is given away, so that both lives together spend it once.
+        """
+        names = [cls.name for cls in self.settings.classes]
+        credit, self.slow_start.credit = self.slow_start.credit, min(0.0, self.slow_start.credit)
+        return {
+            "credit": credit,
+            "window": self._window,
+            "idle_share": self._idle_share,
+            "most_running": self._most_running,
+            "latency": dict(zip(names, self._latency, strict=True)),
+            "base": dict(zip(names, self._base, strict=True)),
+            "work": dict(zip(names, self._work, strict=True)),
+        }
+
+    def adopt(self, learned: dict[str, Any]) -> None:
+        """Go on from what another life has learned; values that are none are passed over."""
+
+        def number(value: Any, old: float, high: float = math.inf) -> float:
+            good = isinstance(value, int | float) and not isinstance(value, bool) and 0.0 <= value < math.inf
+            return min(float(value), high) if good else old
+
+        self.slow_start.credit = number(learned.get("credit"), 0.0, SlowStart.CREDIT_CAP)
+        self._window = max(self.LEAST_WINDOW, number(learned.get("window"), self._window))
+        self._opened = self._opened or "window" in learned
+        self._idle_share = number(learned.get("idle_share"), self._idle_share, 1.0)
+        self._most_running = number(learned.get("most_running"), self._most_running)
+        for key, values in (("latency", self._latency), ("base", self._base), ("work", self._work)):
+            told = learned.get(key)
+            if isinstance(told, dict):
+                for at, cls in enumerate(self.settings.classes):
+                    values[at] = number(told.get(cls.name), values[at])
+
     def _on_reconfigured(self, event: Reconfigured) -> None:
         """Figures that change in service. What is known of servers and calls is kept: counts, the cold
         servers' credit, drains. Requests that are here already end under the rules that they came with.
