--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -7,8 +7,10 @@
 import os
 import signal
 import socket
+import threading
 from collections import deque
 from collections.abc import Callable, Sequence
+from contextlib import suppress
 from dataclasses import replace
 
 from larkweir.config.platform import ConfigError
@@ -51,7 +53,8 @@
         self._busy = False
         self._life: rules.Life | None = None  # none while a predecessor still serves
         self._early: list[rules.Event] = []  # asked for in that time
-        self._reading: Reading | None = None
+        self._reading: tuple[int, Reading] | None = None
+        self._reader: threading.Thread | None = None
         self._successor: tuple[int, Successor] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
@@ -217,9 +220,9 @@
             due = rules.Due(command.name, command.serial)
             self.node.clock.after(command.delay_ms, lambda: self._tell(due))
         elif isinstance(command, rules.Read):
-            self._keep(self._loop.create_task(self._read(command.serial)))
+            self._read(command.serial)
         elif isinstance(command, rules.Apply):
-            self._apply()
+            self._apply(command.serial)
         elif isinstance(command, rules.Spawn):
             self._keep(self._loop.create_task(self._spawn(command.serial)))
         elif isinstance(command, rules.Go):
@@ -286,20 +289,39 @@
 
     # ------------------------------------------------ reload
 
-    async def _read(self, serial: int) -> None:
-        try:
-            # On a thread: requests don't wait for a disk or for a long file to be checked.
-            self._reading = await asyncio.to_thread(again, self._generation, os.environ, self._operator)
-        except ConfigError as problem:
-            self._tell(rules.ReadDone(serial, str(problem)))
-        except Exception as problem:  # a file, however odd, must not end the reload for good
-            self._tell(rules.ReadDone(serial, f"{type(problem).__name__}: {problem}"))
-        else:
-            self._tell(rules.ReadDone(serial, "", self._reading.fixed, self._reading.later))
-
-    def _apply(self) -> None:
-        assert self._reading is not None and self._life is not None
-        self._generation, self._reading = self._reading.generation, None
+    def _read(self, serial: int) -> None:
+        """On a thread: requests don't wait for a disk or for a long file to be checked. A daemon's, since the
+        end of the process must not wait for it either.
+        """
+        if self._reader is not None and self._reader.is_alive():
+            self._tell(rules.ReadDone(serial, "the last reading of the files still hangs"))
+            return
+        generation = self._generation
+
+        def done(reading: Reading | str) -> None:
+            if isinstance(reading, str):
+                self._tell(rules.ReadDone(serial, reading))
+            else:
+                self._reading = (serial, reading)
+                self._tell(rules.ReadDone(serial, "", reading.fixed, reading.later))
+
+        def work() -> None:
+            result: Reading | str
+            try:
+                result = again(generation, os.environ, self._operator)
+            except ConfigError as problem:
+                result = str(problem)
+            except Exception as problem:  # a file, however odd, must not end the reload for good
+                result = f"{type(problem).__name__}: {problem}"
+            with suppress(RuntimeError):  # the loop has ended meanwhile
+                self._loop.call_soon_threadsafe(done, result)
+
+        self._reader = threading.Thread(target=work, name="reload", daemon=True)
+        self._reader.start()
+
+    def _apply(self, serial: int) -> None:
+        assert self._reading is not None and self._reading[0] == serial and self._life is not None
+        self._generation, self._reading = self._reading[1].generation, None
         self.node.reconfigure(self._generation.config)
         self._life.options = self._generation.options.lifecycle
         # A request that came before may have a longer deadline than any class has now.
--- a/larkweir/lifecycle/rules.py
+++ b/larkweir/lifecycle/rules.py
@@ -216,6 +216,7 @@
 class Life:
     """The state machine of one life."""
 
+    READ_MS = 10_000.0  # for the files to be read: a disk may hang
     LAST_MS = 100.0  # past the longest deadline, for the last answers to be read
     TAKE_MS = 2_000.0  # for a successor to accept, before this life takes new connections beside it
     EXTEND_MS = 1_000.0  # between two words to the service manager that a drain still goes on
@@ -311,7 +312,12 @@
     def _reload(self) -> list[Command]:
         self._again = False
         self.state = State.RELOADING
-        return [Tell((*RELOADING, "STATUS=reloading")), Read(self._next())]
+        serial = self._next()
+        return [
+            Tell((*RELOADING, "STATUS=reloading")),
+            Read(serial),
+            Arm("read", serial, self.READ_MS),
+        ]
 
     def _read_done(self, event: ReadDone) -> list[Command]:
         if self.state is not State.RELOADING or event.serial != self._serial:
@@ -452,6 +458,8 @@
     # ------------------------------------------------ timers
 
     def _due(self, now_ms: float, event: Due) -> list[Command]:
+        if event.name == "read":
+            return self._read_done(ReadDone(event.serial, "the files could not be read in time"))
         if event.name in ("ready", "take", "took"):
             if self.state is not State.HANDING_OVER or event.serial != self._successor:
                 return []
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -1208,6 +1208,10 @@
         self.links.configure(new)
         self.slow_start.configure(new)
         self.slow_start.rewatch(list(self.fleet.servers.values()), self.now)
+        for at, (before, after) in enumerate(zip(old.classes, new.classes, strict=True)):
+            if before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
+                self._latency[at] = min(self._latency[at], after.aim_ms / 3.0)
+                self._base[at] = min(self._base[at], after.aim_ms / 3.0)
         known = {tenant.name: n for n, tenant in enumerate(old.tenants)}
         places = [known.get(tenant.name) for tenant in new.tenants]
         self._fair = self._shares(new)
