--- a/larkweir/lifecycle/channel.py
+++ b/larkweir/lifecycle/channel.py
@@ -54,7 +54,8 @@
         data = json.loads(line)
     except (ValueError, RecursionError) as problem:
         raise ChannelError(f"not JSON: {problem}") from None
-    if not isinstance(data, dict) or data.get("word") not in WORDS:
+    word = data.get("word") if isinstance(data, dict) else None
+    if not isinstance(word, str) or word not in WORDS:
         raise ChannelError(f"{line[:100]!r} is no word of it")
     if data["word"] not in ("state", "go"):
         return data["word"], None
--- a/tests/mulleinhitch/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from dataclasses import replace
 from random import Random
@@ -21,6 +22,7 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Reconfigured,
     Refuse,
     ReportMode,
     RequestArrived,
@@ -745,3 +747,62 @@
         bench.end(1, 0, Outcome.ERROR)
         counts[sends(bench.request()) == [withheld]] += 1
     assert 150 < counts[True] < 250
+
+
+# ---------------------------------------------------------------- a new generation, and another life
+
+
+def test_new_figures_leave_open_requests_their_rules_and_counts() -> None:
+    """Guards rule 2 over a reload: a request that came when two attempts were allowed keeps them, one that
+    comes later has the new number, and what is out stays counted.
+    """
+    old = replace(PLAIN, max_attempts=3, classes=(RequestClass(1000.0, 4000.0, Effect.SAFE),))
+    balancer = Balancer(old, 1)
+    balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(1, 5)]))
+    (first,) = [a for a in balancer.handle(1.0, RequestArrived(1, 0, 4000.0)) if isinstance(a, Send)]
+    new = replace(old, max_attempts=1, classes=(RequestClass(500.0, 2000.0, Effect.SAFE),))
+    balancer.handle(2.0, Reconfigured(new))
+    assert balancer.fleet.servers[first.server].outstanding == 1
+    (second,) = [a for a in balancer.handle(3.0, RequestArrived(2, 0, 2000.0)) if isinstance(a, Send)]
+    assert second.timeout_ms <= 500.0 < first.timeout_ms
+    again = balancer.handle(4.0, AttemptEnded(1, 0, first.server, Outcome.ERROR, False, 3.0))
+    assert any(isinstance(a, Send) and a.request == 1 for a in again)
+    again = balancer.handle(5.0, AttemptEnded(2, 0, second.server, Outcome.ERROR, False, 2.0))
+    assert not any(isinstance(a, Send) for a in again)
+    assert sum(server.outstanding for server in balancer.fleet.servers.values()) == 1
+
+
+def test_shapes_that_requests_are_held_by_can_t_change() -> None:
+    balancer = Balancer(PLAIN, 1)
+    other = replace(PLAIN, classes=(RequestClass(100.0, 400.0, Effect.UNSAFE, name="x"),))
+    for settings in (other, replace(PLAIN, zones=3), replace(PLAIN, tier=2, tiers=3)):
+        with pytest.raises(ContractError):
+            balancer.handle(1.0, Reconfigured(settings))
+        assert balancer.settings is PLAIN
+
+
+def test_a_longer_cold_time_makes_a_server_cold_that_was_warm() -> None:
+    settings = replace(PLAIN, cold_ms=100.0, cold_share=0.1)
+    balancer = Balancer(settings, 1)
+    balancer.handle(1000.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(1, started_ms=500.0), ServerEntry(2)]))
+    assert not balancer.slow_start._cold
+    balancer.handle(1001.0, Reconfigured(replace(settings, cold_ms=10_000.0)))
+    assert [server.id for server in balancer.slow_start._cold] == [1]
+
+
+def test_the_cold_credit_is_one_for_both_lives() -> None:
+    """Guards rule 4 over a handover: what the successor gets, the predecessor has no more."""
+    one, other = Balancer(PLAIN, 1), Balancer(PLAIN, 2)
+    one.slow_start.credit = 1.75
+    other.adopt(one.learned())
+    assert (one.slow_start.credit, other.slow_start.credit) == (0.0, 1.75)
+
+
+@pytest.mark.parametrize("value", [None, -1.0, math.inf, math.nan, "x", True, [], {"none": 1}])
+def test_what_makes_no_sense_is_not_adopted(value: object) -> None:
+    balancer = Balancer(PLAIN, 1)
+    before = list(balancer._latency)
+    balancer.adopt(dict.fromkeys(("credit", "window", "idle_share", "most_running"), value))
+    balancer.adopt({"latency": value, "base": {PLAIN.classes[0].name: "x"}, "work": value})
+    assert balancer._latency == before and 0.0 <= balancer.slow_start.credit <= 2.0
+    assert math.isfinite(balancer._window) and 0.0 <= balancer._idle_share <= 1.0
