--- a/standins/peers.py
+++ b/standins/peers.py
@@ -84,8 +84,10 @@
 
 
 class FakeUpstream:
-    def __init__(self, behave: Behaviour = serve_ok) -> None:
+    def __init__(self, behave: Behaviour = serve_ok, keep: bool = True) -> None:
+        """`keep` holds on to every request; a rig that runs for long does without."""
         self.behave = behave
+        self.keep = keep
         self.seen: list[Incoming] = []
         self.arrived: asyncio.Queue[Incoming] = asyncio.Queue()
         self.connections = 0
@@ -109,8 +111,9 @@
                 body = await reader.readexactly(int(head[1].get("content-length", "0")))
                 method, target, _ = head[0].split()
                 request = Incoming(method, target, head[1], body)
-                self.seen.append(request)
-                self.arrived.put_nowait(request)
+                if self.keep:
+                    self.seen.append(request)
+                    self.arrived.put_nowait(request)
                 await self.behave(request, talk)
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
@@ -148,6 +151,7 @@
         self.entries = {item["instanceId"]: item for item in entries}
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.calls: asyncio.Queue[str] = asyncio.Queue()
+        self.told: Callable[[list[dict[str, Any]]], None] = lambda rows: None  # what was just written
         self.garbage: list[bytes] = []  # answers given in place of true ones
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
@@ -204,6 +208,7 @@
                     data: dict[str, Any] = {"generation": self.generation, "reset": False, "instances": rows}
                 else:
                     data = self.whole()
+                self.told(data["instances"])
                 writer.write(ok(json.dumps(data).encode()))
         except (ConnectionError, asyncio.CancelledError):
             pass
