--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -28,6 +28,9 @@
         self._report: bytes | None = None  # the body of the answer before, if that was a probe's
         self.resting = False  # the answer before was an attempt's: see REST_MS
         self.idle_since_ms = 0.0
+        self.listed = False
+        self._gone = False
+        self.retired = False
         self._poll = select.poll()
 
     # Called by the event loop.
@@ -89,6 +92,7 @@
             self._call.broken()
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self._gone = True
         self._pool.closed(self)
         self._transport = None
         self._reader.close()
@@ -112,6 +116,17 @@
         if self._transport.get_write_buffer_size() == 0:
             call.written = True
 
+    @property
+    def calls(self) -> int:
+        return int(self._call is not None)
+
+    @property
+    def room(self) -> int:
+        return int(self._call is None and not self._gone)
+
+    def look(self, call: Call) -> None:
+        """Its line is its last byte, and `resume_writing` marks that."""
+
     def release(self, call: Call) -> None:
         """The call has ended without an answer: closing the connection is what gives it up."""
         if self._call is call:
--- a/larkweir/upstreams/call.py
+++ b/larkweir/upstreams/call.py
@@ -1,7 +1,7 @@
 """Rules: one upstream, and a call to it: an attempt or a probe, ending in exactly one outcome.
 
-The dividing line of an attempt is its last byte: until the system has taken that, the upstream can't have
-begun the request; from then on it may have. Nothing is ever sent again from here.
+Each protocol has a dividing line: until the system has taken a byte from it on, the upstream can't have begun the
+request; from then on it may have. In HTTP/1.1 it is the last byte. Nothing is ever sent again from here.
 """
 
 from __future__ import annotations
@@ -70,6 +70,9 @@
 
     def send(self, call: Call) -> None: ...
 
+    def look(self, call: Call) -> None:
+        """Bring up to date whether the call's dividing line may have been crossed (`written`)."""
+
     def release(self, call: Call) -> None:
         """The call has ended without an answer, and is to be given up."""
 
@@ -100,7 +103,7 @@
         self.probe = probe
         self.connection: Link | None = None
         self.timer: Timer | None = None
-        self.written = False  # the system has taken the last byte
+        self.written = False  # it may have been begun: its dividing line may have been crossed
         self.touched = False  # something has come back for it
         self.ended = False
 
@@ -116,7 +119,9 @@
         return True
 
     def time_out(self) -> None:
-        """No answer in time; if it has not been written whole, it never will be."""
+        """No answer in time; if its line has not been crossed, it never will be."""
+        if self.connection is not None:
+            self.connection.look(self)
         self.end(Outcome.TIMEOUT if self.written or self.touched else Outcome.CONNECT_FAILED)
 
     def broken(self) -> None:
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -21,6 +21,16 @@
     address: Address
     idle_since_ms: float
     resting: bool  # the answer before was an attempt's: see REST_MS
+    listed: bool  # the pool holds it for further calls
+    retired: bool  # it leads to a process that is no more, or is not to be trusted: no further call
+
+    @property
+    def calls(self) -> int:
+        """How many it carries."""
+
+    @property
+    def room(self) -> int:
+        """How many more it could carry now."""
 
     def usable(self) -> bool:
         """Whether it is up, with neither an end nor unread bytes waiting in the system."""
@@ -55,7 +65,11 @@
         self.room = room
         self._make = make
         self.table: dict[int, Upstream] = {}
-        self._idle: dict[int, list[Connection]] = {}  # by upstream, the one used last at the end
+        # Where an upstream says how much it takes: whether that is out already.
+        self.full: Callable[[Upstream], bool] | None = None
+        self._idle: dict[int, list[Connection]] = {}  # with room, by upstream, the one used last at the end
+        # Coming up, by upstream: one that has room for more calls than wait for it.
+        self._coming: dict[int, tuple[Connection, list[Call]]] = {}
         self._open: set[Connection] = set()
         self._connecting: set[asyncio.Task[None]] = set()
         self._sweeping = False
@@ -99,7 +113,7 @@
             return
         same = upstream.move(address, state, started_ms, now, self._grace_ms)
         if not same or state is ServerState.GONE:
-            self.close_idle(number)
+            self.retire(number)
         if state is ServerState.GONE:
             del self.table[number]  # calls on their way to it hold it, and see its state
 
@@ -122,8 +136,12 @@
         call.timer = self.clock.at(until_ms, call.time_out)
         idle = self._take(upstream, now)
         if idle is not None:
-            if not call.write(idle, now):
+            if not call.write(idle, now) or idle.room:
                 self.put(idle)
+        elif self.full is not None and self.full(upstream):
+            call.end(Outcome.FULL)
+        elif self._join(call):
+            pass
         elif self.sockets >= self._budget and not self._close_oldest():
             call.end(Outcome.CONNECT_FAILED)
         else:
@@ -133,22 +151,50 @@
         return call
 
     async def _connect(self, call: Call) -> None:
-        connection = self._make(self, call.upstream)
+        upstream = call.upstream
+        connection = self._make(self, upstream)
         protocol = cast(asyncio.Protocol, connection)
+        calls = [call]
+        if connection.room > 1 and upstream.number not in self._coming:
+            self._coming[upstream.number] = (connection, calls)
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
                 await asyncio.get_running_loop().create_connection(lambda: protocol, *connection.address)
         except OSError:  # refused, unreachable, out of descriptors, or not up in time
-            call.end(Outcome.CONNECT_FAILED)
+            self._came(connection)
+            for item in calls:
+                item.end(Outcome.CONNECT_FAILED)
             return
+        self._came(connection)
         self._open.add(connection)
         if not connection.usable():
             self.closed(connection)
             connection.abort()
-            call.end(Outcome.CONNECT_FAILED)
-        elif not call.write(connection, self.clock.now_ms()):
+            for item in calls:
+                item.end(Outcome.CONNECT_FAILED)
+            return
+        now = self.clock.now_ms()
+        for item in calls:
+            if connection.room:
+                item.write(connection, now)
+            else:  # it has broken under the first of them
+                item.end(Outcome.CONNECT_FAILED)
+        if connection.room:
             self.put(connection)
 
+    def _join(self, call: Call) -> bool:
+        """Let it wait for a connection that is coming up and has room for it."""
+        coming = self._coming.get(call.upstream.number)
+        if coming is None or len(coming[1]) >= coming[0].room or coming[0].address != call.upstream.address:
+            return False
+        coming[1].append(call)
+        return True
+
+    def _came(self, connection: Connection) -> None:
+        coming = self._coming.get(connection.upstream.number)
+        if coming is not None and coming[0] is connection:
+            del self._coming[connection.upstream.number]
+
     def _take(self, upstream: Upstream, now: float) -> Connection | None:
         idle = self._idle.get(upstream.number)
         if not idle:
@@ -159,7 +205,8 @@
             if connection.resting and unused < self.REST_MS:
                 continue
             del idle[at]
-            if unused < self._keep_ms and connection.usable():
+            connection.listed = False
+            if (unused < self._keep_ms or connection.calls) and connection.usable():
                 return connection
             connection.abort()
         return None
@@ -168,10 +215,20 @@
         """Keep a connection for the next call, if it still leads to an upstream that takes new ones."""
         upstream = connection.upstream
         stays = self.table.get(upstream.number) is upstream and upstream.address == connection.address
-        if not stays or connection not in self._open or upstream.state is not ServerState.READY:
-            connection.abort()
+        if connection.listed:
+            connection.idle_since_ms = self.clock.now_ms()
+            return
+        if (
+            not stays
+            or connection not in self._open
+            or upstream.state is not ServerState.READY
+            or connection.retired
+        ):
+            if not connection.calls:
+                connection.abort()
             return
         connection.idle_since_ms = self.clock.now_ms()
+        connection.listed = True
         self._idle.setdefault(upstream.number, []).append(connection)
         if not self._sweeping:
             self._sweeping = True
@@ -183,7 +240,7 @@
         for number in list(self._idle):
             kept = []
             for connection in self._idle[number]:
-                if connection.idle_since_ms > oldest:
+                if connection.idle_since_ms > oldest or connection.calls:
                     kept.append(connection)
                 else:
                     connection.abort()
@@ -196,7 +253,7 @@
             self.clock.after(self.SWEEP_MS, self._sweep)
 
     def _close_oldest(self) -> bool:
-        idle = [connection for group in self._idle.values() for connection in group]
+        idle = [item for group in self._idle.values() for item in group if not item.calls]
         if not idle:
             return False
         oldest = min(idle, key=lambda connection: connection.idle_since_ms)
@@ -206,8 +263,25 @@
         return True
 
     def close_idle(self, number: int) -> None:
-        for connection in self._idle.pop(number, []):
-            connection.abort()
+        """Close an upstream's connections that carry no call."""
+        kept = []
+        for connection in self._idle.pop(number, ()):
+            if connection.calls:
+                kept.append(connection)
+            else:
+                connection.abort()
+        if kept:
+            self._idle[number] = kept
+
+    def retire(self, number: int) -> None:
+        """The process behind an upstream's connections is no more: they take no further call."""
+        for connection in self._open:
+            if connection.upstream.number == number:
+                connection.retired = True
+        for connection in self._idle.pop(number, ()):
+            connection.listed = False
+            if not connection.calls:
+                connection.abort()
 
     def closed(self, connection: Connection) -> None:
         self._open.discard(connection)
