FastCGI switched on by the operator file: callers' connections, Unix sockets, dialects of upstreams

Need: FastCGI must run on the same core and be handed over, drained and stopped like HTTP/1.1.

Change: core/intake takes a whole message whatever brought it; the listener accepts on sockets of several protocols, Unix ones among them, and removes their files; [fastcgi] says where callers may speak it and which upstreams do; the handover passes each socket with its protocol and opens what the new files name.

--- a/larkweir/cli/run.py
+++ b/larkweir/cli/run.py
@@ -29,7 +29,7 @@
     generation = first(os.environ, operator)
     if before is not None:
         channel, descriptors = before
-        sockets = [checked(descriptor, "handover") for descriptor in descriptors]
+        sockets = [(protocol, checked(number, "handover")) for protocol, number in descriptors]
         return await Daemon(generation, operator, arguments, sockets, channel).run()
     sockets = from_manager(os.environ) if generation.options.lifecycle.inherit else []
     return await Daemon(generation, operator, arguments, sockets).run()
--- a/larkweir/config/operator.py
+++ b/larkweir/config/operator.py
@@ -12,7 +12,13 @@
 from larkweir.config.options import TABLES, Operator
 from larkweir.config.platform import ConfigError
 
-WORDS = {bool: "true or false", float: "a number", int: "a whole number", str: 'a text, "..."'}
+WORDS = {
+    bool: "true or false",
+    float: "a number",
+    int: "a whole number",
+    str: 'a text, "..."',
+    tuple[str, ...]: 'a list of texts, ["...", ...]',
+}
 
 
 def _value_fault(kind: Any, value: Any, low: float | None, high: float | None) -> str:
@@ -64,6 +70,8 @@
             else:
                 good[key] = msgspec.convert(value, hints[key])
         tables[table] = kind(**good)
+        if hasattr(kind, "faults"):
+            faults += [f"{table}.{key}: {fault}" for key, fault in tables[table].faults().items()]
     return Operator(**tables), faults
 
 
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -43,14 +43,59 @@
     stall_ms: float = option(0.0, Change.START, low=0.0, high=60_000.0)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Fastcgi:
+    """The table `[fastcgi]`."""
+
+    # Where callers may speak FastCGI: "address:port" and "unix:/path".
+    listen: tuple[str, ...] = option((), Change.HANDOVER)
+    # Which upstreams speak it: none, the whole tier, or those of `kinds`.
+    upstreams: Literal["off", "tier", "kind"] = option("off", Change.HANDOVER)
+    # Names of discovery's `machineType`.
+    kinds: tuple[str, ...] = option((), Change.HANDOVER)
+    # Whether a connection to an upstream carries many requests: as it says of itself, always, or never.
+    multiplex: Literal["learn", "on", "off"] = option("learn", Change.HANDOVER)
+    # So many at a time on one connection, where it does.
+    requests: int = option(64, Change.HANDOVER, low=1, high=10_000)
+    # Ask upstreams to keep connections open. Without, each request has one of its own.
+    keep: bool = option(True, Change.HANDOVER)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        for item in self.listen:
+            if not listen_address(item):
+                found["listen"] = (
+                    f"{item!r:.100} is no place to listen; write 127.0.0.1:9000 or unix:/run/x.sock"
+                )
+        if self.upstreams == "kind" and not self.kinds:
+            found["kinds"] = 'is empty, and upstreams = "kind"; write the machineTypes that speak FastCGI'
+        return found
+
+
+def listen_address(text: str) -> str | tuple[str, int] | None:
+    """A Unix socket's path, or an address and port; None if it is neither."""
+    if text.startswith("unix:"):
+        path = text[5:]
+        return path if path.startswith("/") and len(path.encode()) < 108 and "\0" not in path else None
+    host, _, port = text.rpartition(":")
+    parts = host.split(".")
+    if len(parts) != 4 or not all(part.isdecimal() and part.isascii() and int(part) < 256 for part in parts):
+        return None
+    if not port.isascii() or not port.isdecimal() or int(port) > 65535:
+        return None
+    return host, int(port)
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Operator:
     """The whole operator file."""
 
     lifecycle: Lifecycle = field(default_factory=Lifecycle)
+    fastcgi: Fastcgi = field(default_factory=Fastcgi)
 
 
-TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle}
+TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi}
 
 
 def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -205,7 +205,7 @@
                         upstream.number, upstream.address, ServerState.GONE, upstream.started_ms
                     )
         for entry, address in zip(listing.entries, listing.addresses, strict=True):
-            self.upstreams.update(entry.server, address, entry.state, entry.started_ms)
+            self.upstreams.update(entry.server, address, entry.state, entry.started_ms, entry.kind)
         self._deliver(ListUpdate(listing.kind, listing.version, listing.entries))
 
     def _deliver(self, event: Event) -> None:
--- /dev/null
+++ b/larkweir/core/intake.py
@@ -0,0 +1,43 @@
+"""Rules: what becomes of a caller's whole message, whatever protocol brought it: an answer at once, or a request."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from larkweir.core.engine import Engine
+from larkweir.core.exchange import Caller
+from larkweir.core.message import FramingError, Message
+from larkweir.core.requests import METHODS, Requests
+
+Check = Callable[[Message], None]
+
+
+class Intake:
+    """Answers `/ready`, refuses what is no request, and hands the rest to the engine."""
+
+    def __init__(self, engine: Engine, requests: Requests, ready: Callable[[], bool]) -> None:
+        self.engine = engine
+        self.requests = requests
+        self._ready = ready
+        self.checks: list[Check] = []  # raise FramingError for what the tier's protocol could not carry
+
+    def take(self, caller: Caller, message: Message) -> int | None:
+        """Answer it through `caller`, or return the engine's number for it, whose answer is still to come or has
+        just been given. FramingError says why it can't be taken at all.
+        """
+        path = message.target.partition(b"?")[0]
+        if path == b"/ready":
+            caller.answer(200 if self._ready() else 503, [], b"")
+        elif path != b"/api":
+            caller.answer(404, [], b"")
+        elif message.method not in METHODS:
+            caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
+        else:
+            for check in self.checks:
+                check(message)
+            event, left, trace = self.requests.read(message)
+            if self.engine.is_known(trace):
+                # Guards the open request: a second under its id could not be told from a copy of it.
+                raise FramingError(409, "a request with this id is open, or was until lately")
+            return self.engine.arrive(caller, message, left, trace, event)
+        return None
--- a/larkweir/core/message.py
+++ b/larkweir/core/message.py
@@ -23,6 +23,22 @@
     )
 )
 
+REASONS = {
+    200: b"OK",
+    400: b"Bad Request",
+    404: b"Not Found",
+    405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    500: b"Internal Server Error",
+    502: b"Bad Gateway",
+    503: b"Service Unavailable",
+    504: b"Gateway Timeout",
+}
+
 
 class FramingError(Exception):
     """What came is no message that may be taken; `status` is what a caller is told."""
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -66,7 +66,9 @@
     @property
     def targets(self) -> Mapping[int, Target]: ...
 
-    def update(self, number: int, address: Address, state: ServerState, started_ms: float) -> None: ...
+    def update(
+        self, number: int, address: Address, state: ServerState, started_ms: float, kind: int = 0
+    ) -> None: ...
 
     def call(
         self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -13,6 +13,7 @@
 from contextlib import suppress
 from dataclasses import replace
 
+from larkweir.config.options import listen_address
 from larkweir.config.platform import ConfigError
 from larkweir.lifecycle import rules
 from larkweir.lifecycle.channel import Knowledge
@@ -24,6 +25,14 @@
 STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 
 
+def fits(sock: socket.socket, address: str | tuple[str, int]) -> bool:
+    """Whether a socket listens at an address; port 0 is any."""
+    at = sock.getsockname()
+    if isinstance(address, str) or sock.family != socket.AF_INET:
+        return bool(at == address)
+    return bool(at[0] == address[0] and address[1] in (0, at[1]))
+
+
 class Daemon:
     """Runs a node until it is told to stop and owes nothing any more."""
 
@@ -35,16 +44,17 @@
         generation: Generation,
         operator: str | None = None,
         arguments: Sequence[str] = (),
-        sockets: Sequence[socket.socket] = (),
+        sockets: Sequence[tuple[str, socket.socket]] = (),
         channel: socket.socket | None = None,
     ) -> None:
         """`operator` is the operator file's path; `arguments` start a successor like this life; `sockets`
-        listen already; `channel` leads to a predecessor.
+        listen already, each with the protocol that it speaks; `channel` leads to a predecessor.
         """
         self._generation = generation
         self._operator = operator
         self._arguments = arguments
-        self._sockets = list(sockets)
+        self._inherited = list(sockets)
+        self._sockets: list[tuple[str, socket.socket]] = []
         self._predecessor_socket = channel
         self._predecessor: Channel | None = None
         self._loop = asyncio.get_running_loop()
@@ -66,15 +76,10 @@
             self._loop.add_signal_handler(number, self._tell, rules.Stop())
         self._loop.add_signal_handler(signal.SIGHUP, self._tell, rules.ReloadAsked())
         self._loop.add_signal_handler(signal.SIGUSR2, self._tell, rules.HandoverAsked())
-        config = self._generation.config
         if self._predecessor_socket is None:
             self._build(None)
-            if not self._sockets:
-                try:
-                    self._sockets = [self.node.listener.bind(config.listen)]
-                except OSError as problem:
-                    raise ConfigError(f"listen: {config.listen[0]}:{config.listen[1]}: {problem}") from None
-            self.node.listener.start(*self._sockets)
+            self._open_sockets()
+            self._accept()
             self.node.discovery.start()
         elif not await self._take_over(self._predecessor_socket):
             return 0
@@ -94,6 +99,43 @@
         self._close()
         return 0
 
+    def _open_sockets(self) -> None:
+        """The sockets that the files name: inherited ones where they fit, else new ones. Where a service manager
+        passes them, its word goes before the files'. ConfigError where one can't be had.
+        """
+        options, config = self._generation.options, self._generation.config
+        if options.lifecycle.inherit and self._inherited:
+            self._sockets = self._inherited
+            return
+        wanted: list[tuple[str, str | tuple[str, int], str]] = [("http1", config.listen, "listen")]
+        for text in options.fastcgi.listen:
+            address = listen_address(text)
+            if address is not None:
+                wanted.append(("fastcgi", address, "fastcgi.listen"))
+        left = list(self._inherited)
+        for protocol, address, key in wanted:
+            found = next((item for item in left if item[0] == protocol and fits(item[1], address)), None)
+            if found is not None:
+                left.remove(found)
+                self._sockets.append(found)
+                continue
+            try:
+                if isinstance(address, str):
+                    sock = self.node.listener.bind_unix(address)
+                else:
+                    sock = self.node.listener.bind(address)
+            except OSError as problem:
+                text = address if isinstance(address, str) else f"{address[0]}:{address[1]}"
+                raise ConfigError(f"{key}: {text}: {problem}") from None
+            self._sockets.append((protocol, sock))
+        for _, sock in left:  # the predecessor still has them while it drains
+            sock.close()
+
+    def _accept(self) -> None:
+        for protocol, sock in self._sockets:
+            self.node.listener.owns(sock)
+            self.node.listener.start(sock, make=self.node.makes[protocol])
+
     @property
     def listening(self) -> bool:
         """Whether it accepts, and has a list to serve from."""
@@ -102,12 +144,12 @@
     def _build(self, known: Knowledge | None) -> None:
         config = self._generation.config
         if known is None:
-            self.node = Node(config, self._loop)
+            self.node = Node(config, self._loop, options=self._generation.options)
             return
         address = f"{config.discovery[0]}:{config.discovery[1]}"
         if known.held and known.discovery == address:
             config = replace(config, known=known.held)
-        self.node = Node(config, self._loop, offset_ms=known.offset_ms)
+        self.node = Node(config, self._loop, offset_ms=known.offset_ms, options=self._generation.options)
         self.node.discovery.start()
         self.node.adopt(known)
 
@@ -143,6 +185,7 @@
         if word == "give_up" or any(isinstance(event, rules.Stop) for event in self._early):
             return False
         self._build(known)
+        self._open_sockets()
         if known is None:  # nobody is left to say what it knew: as at any start
             self.node.discovery.start()
         told_ready = False
@@ -167,7 +210,7 @@
             waiting = asyncio.ensure_future(words.get())
         if known is not None:
             self.node.adopt(known)
-        self.node.listener.start(*self._sockets)
+        self._accept()
         if word == lost:
             self._say("handover: the predecessor is gone; this life takes over")
         self._predecessor.say("took")
@@ -184,9 +227,8 @@
                 self._tell(rules.Stop())
 
     def _abandon(self) -> None:
-        self.node.discovery.stop()
-        self.node.upstreams.close()
-        for sock in self._sockets:
+        self.node.close()
+        for _, sock in self._sockets:
             sock.close()
         if self._predecessor is not None:
             self._predecessor.close()
@@ -345,9 +387,7 @@
             self._tell(rules.SuccessorLost(serial, why))
 
         try:
-            child = await Successor.start(
-                self._arguments, self.node.listener.sockets, self.node.clock, heard, ended
-            )
+            child = await Successor.start(self._arguments, self._sockets, self.node.clock, heard, ended)
         except OSError as problem:
             self._tell(rules.SuccessorLost(serial, f"it could not be started: {problem}"))
             return
@@ -362,8 +402,7 @@
     def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
-        self.node.discovery.stop()
-        self.node.upstreams.close()
+        self.node.close()
         self.node.listener.stop_accepting()
         self._notifier.close()
         if self._predecessor is not None:
--- a/larkweir/lifecycle/handover.py
+++ b/larkweir/lifecycle/handover.py
@@ -13,7 +13,7 @@
 from larkweir.core.clock import Clock
 from larkweir.lifecycle.channel import ChannelError, Knowledge, Lines, decode, encode
 
-VARIABLE = "LARKWEIR_HANDOVER"  # the channel's descriptor, a colon, and the listening sockets' with commas
+VARIABLE = "LARKWEIR_HANDOVER"  # the channel's descriptor, a colon, the listening ones as `number=protocol`
 
 
 class Channel(asyncio.Protocol):
@@ -94,7 +94,7 @@
     async def start(
         cls,
         arguments: Sequence[str],
-        sockets: Sequence[socket.socket],
+        sockets: Sequence[tuple[str, socket.socket]],
         clock: Clock,
         heard: Callable[[str, Knowledge | None], None],
         ended: Callable[[str], None],
@@ -102,10 +102,11 @@
         """Start it; OSError where the system can't."""
         ours, theirs = socket.socketpair()
         with theirs:
-            passed = [sock.fileno() for sock in sockets]
+            passed = [sock.fileno() for _, sock in sockets]
+            named = [f"{sock.fileno()}={protocol}" for protocol, sock in sockets]
             left_out = ("LISTEN_FDS", "LISTEN_PID", "LISTEN_FDNAMES", "WATCHDOG_PID")
             env = {name: value for name, value in os.environ.items() if name not in left_out}
-            env[VARIABLE] = f"{theirs.fileno()}:{','.join(map(str, passed))}"
+            env[VARIABLE] = f"{theirs.fileno()}:{','.join(named)}"
 
             def spawn() -> subprocess.Popen[bytes]:
                 return subprocess.Popen(
@@ -134,12 +135,13 @@
                 self._process.kill()
 
 
-def inherited(env: MutableMapping[str, str]) -> tuple[socket.socket, list[int]] | None:
-    """The channel and the listening descriptors, if a predecessor has started this life."""
+def inherited(env: MutableMapping[str, str]) -> tuple[socket.socket, list[tuple[str, int]]] | None:
+    """The channel, and the listening descriptors with what each speaks, if a predecessor has started this life."""
     text = env.pop(VARIABLE, "")
     if not text:
         return None
     channel, _, passed = text.partition(":")
     sock = socket.socket(fileno=int(channel))
     sock.set_inheritable(False)
-    return sock, [int(item) for item in passed.split(",") if item]
+    pairs = [item.partition("=") for item in passed.split(",") if item]
+    return sock, [(protocol, int(number)) for number, _, protocol in pairs]
--- a/larkweir/lifecycle/inherit.py
+++ b/larkweir/lifecycle/inherit.py
@@ -12,24 +12,26 @@
 
 
 def checked(descriptor: int, key: str) -> socket.socket:
-    """The listening TCP socket behind a descriptor; ConfigError says what it is instead."""
+    """The listening socket behind a descriptor; ConfigError says what it is instead."""
     try:
         sock = socket.socket(fileno=descriptor)
     except OSError as problem:
         raise ConfigError(f"{key}: descriptor {descriptor} is no socket: {problem}") from None
-    if sock.family not in (socket.AF_INET, socket.AF_INET6) or sock.type != socket.SOCK_STREAM:
+    families = (socket.AF_INET, socket.AF_INET6, socket.AF_UNIX)
+    if sock.family not in families or sock.type != socket.SOCK_STREAM:
         kind = f"{sock.family.name} {sock.type.name}"
         sock.detach()
-        raise ConfigError(f"{key}: descriptor {descriptor} is {kind}; pass a listening TCP socket")
+        raise ConfigError(f"{key}: descriptor {descriptor} is {kind}; pass a listening stream socket")
     if not sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
         sock.detach()
-        raise ConfigError(f"{key}: descriptor {descriptor} does not listen; pass a listening TCP socket")
+        raise ConfigError(f"{key}: descriptor {descriptor} does not listen; pass a listening stream socket")
     sock.set_inheritable(False)
     return sock
 
 
-def from_manager(env: MutableMapping[str, str]) -> list[socket.socket]:
-    """The sockets that a service manager passes, none if it passes none. The variables are taken out of the
+def from_manager(env: MutableMapping[str, str]) -> list[tuple[str, socket.socket]]:
+    """The sockets that a service manager passes, none if it passes none, each with what it speaks: one named
+    `fastcgi`, or beginning so, FastCGI, any other HTTP/1.1. The variables are taken out of the
     environment, so that no child takes them for its own.
     """
     count, pid = env.pop("LISTEN_FDS", ""), env.pop("LISTEN_PID", "")
@@ -42,4 +44,7 @@
     if labels and len(labels) != int(count):
         raise ConfigError(f"LISTEN_FDNAMES: {len(labels)} names for {count} descriptors")
     keys = [f"LISTEN_FDS ({label})" for label in labels] or ["LISTEN_FDS"] * int(count)
-    return [checked(FIRST + n, key) for n, key in enumerate(keys)]
+    speaks = ["fastcgi" if label.startswith("fastcgi") else "http1" for label in labels] or ["http1"] * len(
+        keys
+    )
+    return [(speaks[n], checked(FIRST + n, key)) for n, key in enumerate(keys)]
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -4,11 +4,14 @@
 
 import asyncio
 import traceback
+from collections.abc import Callable
 from typing import Any
 
+from larkweir.config.options import Fastcgi, Operator
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
 from larkweir.core.engine import Engine
+from larkweir.core.intake import Intake
 from larkweir.core.journal import Journal
 from larkweir.core.ports import Decisions
 from larkweir.core.requests import Requests
@@ -17,7 +20,9 @@
 from larkweir.membership.discovery import Discovery, DiscoveryError
 from larkweir.protocols.http1.callers import CallerConnection
 from larkweir.protocols.http1.upstreams import UpstreamConnection
-from larkweir.protocols.listener import Listener
+from larkweir.protocols.listener import Connection, Listener
+from larkweir.upstreams.call import Upstream
+from larkweir.upstreams.pool import Connection as Link
 from larkweir.upstreams.pool import Upstreams
 from mulleinhitch import Balancer
 
@@ -33,6 +38,7 @@
         loop: asyncio.AbstractEventLoop,
         decisions: Decisions | None = None,
         offset_ms: float | None = None,
+        options: Operator | None = None,
     ) -> None:
         self.config = config
         self.clock = Clock(loop, offset_ms)
@@ -47,7 +53,43 @@
         self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, self.decisions)
         self.discovery = Discovery(config, self.engine.on_listing, self.journal.line)
         self.engine.discovery = self.discovery
-        self.listener = Listener(self.engine, Requests(config.settings), CallerConnection, callers)
+        self.intake = Intake(self.engine, Requests(config.settings), lambda: self.listener.ready)
+        self.listener = Listener(self.engine, self.intake, CallerConnection, callers)
+        self._closers: list[Callable[[], None]] = []
+        # How a caller's connection is made, by the protocol that its socket speaks.
+        self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
+        if options is not None and (options.fastcgi.listen or options.fastcgi.upstreams != "off"):
+            self._add_fastcgi(options.fastcgi)
+
+    def _add_fastcgi(self, options: Fastcgi) -> None:
+        # Not imported where it is off.
+        from larkweir.protocols.fastcgi.callers import FastcgiCaller
+        from larkweir.protocols.fastcgi.cgi import refuse_collapsing
+        from larkweir.protocols.fastcgi.upstreams import Dialect
+
+        self.makes["fastcgi"] = FastcgiCaller
+        if options.upstreams == "off":
+            return
+        dialect = Dialect(options.multiplex, options.requests, options.keep, self.journal.line)
+        whole = options.upstreams == "tier"
+        kinds = frozenset(n for n, name in enumerate(self.config.kinds) if name in options.kinds)
+
+        def make(pool: Upstreams, upstream: Upstream) -> Link:
+            if whole or upstream.kind in kinds:
+                return dialect.connection(pool, upstream)
+            return UpstreamConnection(pool, upstream)
+
+        self.upstreams.make = make
+        self.upstreams.full = lambda upstream: (whole or upstream.kind in kinds) and dialect.full(upstream)
+        self.intake.checks.append(refuse_collapsing)
+        self._closers.append(dialect.close)
+
+    def close(self) -> None:
+        """Nothing runs any more, but the listener."""
+        self.discovery.stop()
+        self.upstreams.close()
+        for close in self._closers:
+            close()
 
     @classmethod
     def _budgets(cls, config: Config) -> tuple[int, int]:
@@ -63,7 +105,7 @@
         self.room.resize(config.memory_mb)
         callers, upstreams = self._budgets(config)
         self.listener.budget = callers
-        self.listener.requests = Requests(config.settings)
+        self.intake.requests = Requests(config.settings)
         self.upstreams.configure(config.settings, upstreams, config.drain_grace_ms)
         self.engine.reconfigure(config)
         self.discovery.move(config.discovery)
--- /dev/null
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -0,0 +1,257 @@
+"""Hands: a caller's FastCGI connection: many requests at a time, exactly one answer to each."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import cast
+
+from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
+from larkweir.protocols.fastcgi.serving import Bad, Serving, Whole
+from larkweir.protocols.listener import Listener, waits
+
+
+class _Stream:
+    """One request on a connection, as the engine answers it."""
+
+    __slots__ = ("connection", "id", "number", "size")
+
+    def __init__(self, connection: FastcgiCaller, request_id: int, size: int) -> None:
+        self.connection = connection
+        self.id = request_id
+        self.number: int | None = None  # the engine's
+        self.size = size
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        self.connection.answered(self, status, headers, body)
+
+
+class FastcgiCaller(asyncio.Protocol):
+    """One caller's connection."""
+
+    MOST = 64  # requests open at a time
+    FIRST_MS = 2_000.0  # from the accept, for the first request to come whole
+    PART_MS = 2_000.0  # for one that has begun to come whole, and for answers to be read
+    IDLE_MS = 60_000.0
+    LINGER_MS = 1_000.0  # for the caller to read its last answers
+    LINGER_BYTES = 256 * 1024  # read and dropped meanwhile; past that reading stops
+
+    def __init__(self, listener: Listener) -> None:
+        self._listener = listener
+        self._engine = listener.engine
+        self._transport: asyncio.Transport | None = None
+        self._serving = Serving(self.MOST)
+        self._streams: dict[int, _Stream] = {}
+        self._parts: dict[int, float] = {}  # when each unfinished request was first seen
+        self._size = 0  # of requests that wait for their answer
+        self._held = 0  # booked of the room that all connections share
+        self._blocked = False  # the caller does not read its answers
+        self._reading = False  # in the middle of what one read brought
+        self._dropped = 0
+        self.ending = False  # nothing more is taken
+        self.fresh = True  # no request has come whole
+        self.since_ms = listener.engine.clock.now_ms()
+
+    # Called by the event loop.
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        # uvloop's transports are no subclass of it.
+        self._transport = cast(asyncio.Transport, transport)
+        if self.ending:  # made room for others while it was coming up
+            self._transport.abort()
+
+    def data_received(self, data: bytes) -> None:
+        if self.ending:
+            self._dropped += len(data)
+            if self._dropped > self.LINGER_BYTES and self._transport is not None:
+                self._transport.pause_reading()
+            return
+        serving = self._serving
+        self._reading = True
+        for event in serving.feed(data):
+            if isinstance(event, Whole):
+                self._begin(event.id, event.message)
+            elif isinstance(event, Bad):
+                stream = _Stream(self, event.id, 0)
+                self._streams[event.id] = stream
+                self._refuse(stream, event.fault)
+            else:
+                stream = self._streams.pop(event.id)
+                self._leave(stream)
+                serving.out += serving.ended(event.id)
+        if not self._book():
+            self._refuse_partial(Fault(503, "out of memory for requests"))
+            self._book()
+        self._reading = False
+        now = self._engine.clock.now_ms()
+        partial = serving.partial()
+        self._parts = {number: self._parts.get(number, now) for number in partial}
+        self._flush()
+        if serving.fault is not None:
+            # No record can be trusted any more: nobody could say which request an answer would be for.
+            self.abort()
+            return
+        self._after()
+
+    def eof_received(self) -> None:
+        self._gone()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self.ending = True
+        self._gone()
+        self._engine.room.book(self._held, 0)
+        self._held = 0
+        self._listener.left(self)
+
+    def pause_writing(self) -> None:
+        self._blocked = True
+        self.since_ms = self._engine.clock.now_ms()
+        if self._transport is not None and not self.ending:
+            self._transport.pause_reading()  # guards against a caller that sends and never reads
+
+    def resume_writing(self) -> None:
+        self._blocked = False
+        if self._transport is not None and not self.ending:
+            self._transport.resume_reading()
+        self._book()
+        self._after()
+
+    # ------------------------------------------------ requests
+
+    def _begin(self, request_id: int, message: Message) -> None:
+        self.fresh = False
+        stream = _Stream(self, request_id, message.size)
+        self._streams[request_id] = stream
+        self._size += stream.size
+        if not self._book():
+            self._refuse(stream, Fault(503, "out of memory for requests"))
+            return
+        try:
+            stream.number = -1
+            number = self._listener.intake.take(stream, message)
+            if stream.number is not None:  # not answered yet
+                stream.number = number
+        except FramingError as problem:
+            self._refuse(stream, Fault(problem.status, str(problem)))
+
+    def _refuse(self, stream: _Stream, fault: Fault) -> None:
+        headers: Headers = [(b"Retry-After", b"1")] if fault.status in (429, 503) else []
+        stream.answer(fault.status, headers, fault.text.encode("ascii", "replace") + b"\n")
+
+    def _refuse_partial(self, fault: Fault) -> None:
+        for number in self._serving.partial():
+            stream = self._streams[number] = _Stream(self, number, 0)
+            self._refuse(stream, fault)
+
+    def answered(self, stream: _Stream, status: int, headers: Headers, body: bytes) -> None:
+        """The one answer to a request."""
+        if self._streams.pop(stream.id, None) is not stream:
+            raise AssertionError("an answer to no request")
+        stream.number = None
+        self._size -= stream.size
+        self.since_ms = self._engine.clock.now_ms()
+        reason = REASONS.get(status, b"Status")
+        self._serving.out += self._serving.answer(stream.id, status, reason, headers, body)
+        if not self._reading:
+            self._flush()
+            self._book()
+            self._after()
+
+    def _leave(self, stream: _Stream) -> None:
+        """The caller has aborted it, or is gone."""
+        self._size -= stream.size
+        if stream.number is not None:
+            number, stream.number = stream.number, None
+            self._engine.client_gone(number)
+
+    def _gone(self) -> None:
+        streams, self._streams = self._streams, {}
+        for stream in streams.values():
+            self._leave(stream)
+
+    def _flush(self) -> None:
+        out, self._serving.out = self._serving.out, []
+        if out and self._transport is not None and not self._transport.is_closing():
+            self._transport.write(b"".join(out))
+
+    def _after(self) -> None:
+        """End it if its last answer is given; and tell the listener what it is now."""
+        if self.ending:
+            return
+        last = self._serving.last or self._listener.closing
+        if last and not self._streams and not self._serving.begun and not self.fresh:
+            self.end()
+        else:
+            self._listener.place(self)
+
+    def _book(self) -> bool:
+        """Bring up to date what it holds of the shared room; whether that may be so much."""
+        held = self._serving.held + self._size
+        if self._transport is not None:
+            held += self._transport.get_write_buffer_size()
+        before, self._held = self._held, held
+        return self._engine.room.book(before, held)
+
+    # ------------------------------------------------ as the listener sees it
+
+    @property
+    def idle(self) -> bool:
+        return not self._streams and not self._blocked
+
+    def quiet(self) -> bool:
+        """Whether it holds no whole request, and nothing waits unread in the system."""
+        transport = self._transport
+        return self.idle and transport is not None and not waits(transport.get_extra_info("socket").fileno())
+
+    @property
+    def begun(self) -> bool:
+        """Whether a request has come in part."""
+        return self.idle and self._serving.begun
+
+    @property
+    def busy(self) -> bool:
+        """Whether it holds a request, whole or in part, or bytes of an answer not yet sent."""
+        unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
+        return bool(self._streams) or self._serving.begun or self._blocked or unsent
+
+    def check(self, now_ms: float) -> None:
+        """End what has taken too long: parts of requests, answers unread, an idle stay."""
+        spent = now_ms - self.since_ms
+        if self.ending:
+            if spent > self.LINGER_MS:
+                self.abort()
+            return
+        if self._blocked:
+            if spent > self.PART_MS:
+                self.abort()
+            return
+        late = [number for number, seen in self._parts.items() if now_ms - seen > self.PART_MS]
+        still = set(self._serving.partial())
+        for number in late:
+            del self._parts[number]
+            if number in still:
+                stream = self._streams[number] = _Stream(self, number, 0)
+                self._refuse(stream, Fault(408, "the request did not come whole in time"))
+        if self.ending or self._streams or self._serving.partial():
+            return
+        if spent > (self.FIRST_MS if self.fresh or self._serving.begun else self.IDLE_MS):
+            self.abort()
+
+    def wind_down(self) -> None:
+        """Begin no further request: what comes is turned away unseen, and may be asked elsewhere."""
+        self._serving.closing = True
+
+    def end(self) -> None:
+        """Take nothing more; what is written is still read by the caller."""
+        self.ending = True
+        self._serving.closing = True
+        self.since_ms = self._engine.clock.now_ms()
+        self._listener.place(self)
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write_eof()
+            self._transport.resume_reading()
+
+    def abort(self) -> None:
+        self.ending = True
+        if self._transport is not None:
+            self._transport.abort()
--- a/larkweir/protocols/fastcgi/cgi.py
+++ b/larkweir/protocols/fastcgi/cgi.py
@@ -225,3 +225,10 @@
             body = body[: self.stated]
         message.body = body
         return message
+
+
+def refuse_collapsing(message: Message) -> None:
+    """FramingError if two different fields of a request would become one variable."""
+    name = collapse(message.headers)
+    if name is not None:
+        raise FramingError(400, f"field {name!r:.60} and another would be one CGI variable")
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -7,7 +7,6 @@
 from typing import cast
 
 from larkweir.core.message import Fault, FramingError, Headers, Message
-from larkweir.core.requests import METHODS
 from larkweir.protocols.http1.codec import RequestReader, encode_response
 from larkweir.protocols.listener import Listener, waits
 
@@ -178,22 +177,10 @@
         self._current = message
         self._continued = False
         try:
-            path = message.target.partition(b"?")[0]
-            if path == b"/ready":
-                self.answer(200 if self._listener.ready else 503, [], b"")
-            elif path != b"/api":
-                self.answer(404, [], b"")
-            elif message.method not in METHODS:
-                self.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
-            else:
-                event, left, trace = self._listener.requests.read(message)
-                if self._engine.is_known(trace):
-                    # Guards the open request: a second under its id could not be told from a copy of it.
-                    raise FramingError(409, "a request with this id is open, or was until lately")
-                self._number = -1
-                number = self._engine.arrive(self, message, left, trace, event)
-                if self._number is not None:  # not answered yet
-                    self._number = number
+            self._number = -1
+            number = self._listener.intake.take(self, message)
+            if self._number is not None:  # not answered yet
+                self._number = number
         except FramingError as problem:
             message.keep_alive = False  # whoever sends such a request is not asked for more of them
             self.answer(problem.status, [], str(problem).encode("ascii", "replace") + b"\n")
@@ -226,6 +213,9 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
+    def wind_down(self) -> None:
+        """Every answer is the last of its connection then."""
+
     def end(self) -> None:
         """Take nothing more. The sending side is closed first, and what still comes is read and dropped:
         closing with bytes unread would reset the connection, and the answer on its way with it.
--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -6,7 +6,7 @@
 
 import httptools
 
-from larkweir.core.message import Fault, FramingError, Message
+from larkweir.core.message import REASONS, Fault, FramingError, Message
 
 MAX_HEAD = 32 * 1024
 # Guards against heads of thousands of short fields, which cost far more than their bytes.
@@ -17,22 +17,6 @@
 MAX_ANSWER = 1024 * 1024
 MAX_FRAMING = 1024 * 1024  # guards against chunks, trailers or interim answers without end
 
-REASONS = {
-    200: b"OK",
-    400: b"Bad Request",
-    404: b"Not Found",
-    405: b"Method Not Allowed",
-    408: b"Request Timeout",
-    409: b"Conflict",
-    413: b"Content Too Large",
-    429: b"Too Many Requests",
-    431: b"Request Header Fields Too Large",
-    500: b"Internal Server Error",
-    502: b"Bad Gateway",
-    503: b"Service Unavailable",
-    504: b"Gateway Timeout",
-}
-
 
 class _Reader:
     """Feeds one connection's bytes to httptools and bounds what a message may hold.
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -4,15 +4,18 @@
 
 import asyncio
 import errno
+import os
 import select
 import socket
+import stat
 from collections.abc import Callable
+from contextlib import suppress
 from itertools import islice
 from typing import Protocol, cast
 
 from larkweir.core.engine import Engine
+from larkweir.core.intake import Intake
 from larkweir.core.ports import Address
-from larkweir.core.requests import Requests
 
 
 def waits(descriptor: int) -> bool:
@@ -41,6 +44,9 @@
 
     def check(self, now_ms: float) -> None: ...
 
+    def wind_down(self) -> None:
+        """Begin no further request on it, where the protocol can say so."""
+
     def end(self) -> None: ...
 
     def abort(self) -> None: ...
@@ -56,20 +62,23 @@
     BACKLOG = 1024
 
     def __init__(
-        self, engine: Engine, requests: Requests, make: Callable[[Listener], Connection], budget: int
+        self, engine: Engine, intake: Intake, make: Callable[[Listener], Connection], budget: int
     ) -> None:
         """`make` makes a connection that has just been accepted; `budget` bounds them."""
         self.engine = engine
-        self.requests = requests
+        self.intake = intake
         self.budget = budget
         self.closing = False  # every answer is the last of its connection
-        self._make = make
+        self._make = make  # where a socket has none of its own
+        self._makes: dict[socket.socket, Callable[[Listener], Connection]] = {}
+        self._paths: dict[socket.socket, tuple[str, int]] = {}  # files of Unix sockets, with their inodes
         self._loop = asyncio.get_running_loop()
         self._sockets: list[socket.socket] = []
         self._connections: dict[Connection, None] = {}  # by their accept
         self._fresh: dict[Connection, None] = {}  # of these, without a whole request so far
         self._idle: dict[Connection, None] = {}  # between requests, the one idle for longest first
         self._leaving: dict[Connection, None] = {}  # their last answer is given
+        self._sweeping = False
         self._paused = False
         self._holding = False  # another life accepts
         self._arriving: set[asyncio.Task[None]] = set()
@@ -96,13 +105,38 @@
             raise
         return sock
 
-    def start(self, *sockets: socket.socket) -> None:
+    def bind_unix(self, path: str) -> socket.socket:
+        """A new listening Unix socket. What another process left there is replaced, if nobody listens on it;
+        OSError where somebody does, or where something else is there.
+        """
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        try:
+            with suppress(FileNotFoundError):
+                if not stat.S_ISSOCK(os.lstat(path).st_mode):
+                    raise FileExistsError(errno.EEXIST, "is there, and is no socket")
+                with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as probe:
+                    if probe.connect_ex(path) == 0:
+                        raise OSError(errno.EADDRINUSE, "somebody listens there")
+                os.unlink(path)
+            sock.bind(path)
+            self._paths[sock] = (path, os.lstat(path).st_ino)
+            sock.listen(self.BACKLOG)
+        except OSError:
+            sock.close()
+            raise
+        return sock
+
+    def start(self, *sockets: socket.socket, make: Callable[[Listener], Connection] | None = None) -> None:
         """Accept on sockets that listen already."""
         for sock in sockets:
             sock.setblocking(False)
+            if make is not None:
+                self._makes[sock] = make
             self._sockets.append(sock)
             self._loop.add_reader(sock, self._accept, sock)
-        self.engine.clock.after(self.SWEEP_MS, self._sweep)
+        if not self._sweeping:
+            self._sweeping = True
+            self.engine.clock.after(self.SWEEP_MS, self._sweep)
 
     @property
     def sockets(self) -> tuple[socket.socket, ...]:
@@ -136,8 +170,9 @@
                     return False
                 continue  # the caller has left again
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            connection = self._make(self)
+            if sock.family != socket.AF_UNIX:
+                sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = self._makes.get(listening, self._make)(self)
             self._connections[connection] = None
             self._fresh[connection] = None
             task = self._loop.create_task(self._take(sock, connection))
@@ -229,10 +264,27 @@
                 while self._accept(sock):
                     pass
             self._loop.remove_reader(sock)
+            if not self._holding:
+                self._unlink(sock)
             sock.close()
         self._sockets.clear()
 
+    def _unlink(self, sock: socket.socket) -> None:
+        """Remove the file of a Unix socket that was made here, unless another has taken its place."""
+        path, inode = self._paths.pop(sock, ("", 0))
+        with suppress(OSError):
+            if path and os.lstat(path).st_ino == inode:
+                os.unlink(path)
+
     def end_idle(self) -> None:
         for connection in list(self._connections):
+            connection.wind_down()
             if connection.quiet() and not connection.begun:
                 connection.end()
+
+    def owns(self, sock: socket.socket) -> None:
+        """The file of a Unix socket that was inherited is this life's to remove."""
+        path = sock.getsockname() if sock.family == socket.AF_UNIX else ""
+        if isinstance(path, str) and path:
+            with suppress(OSError):
+                self._paths[sock] = (path, os.lstat(path).st_ino)
--- a/larkweir/upstreams/call.py
+++ b/larkweir/upstreams/call.py
@@ -25,6 +25,7 @@
     address: Address
     state: ServerState
     started_ms: float
+    kind: int = 0
     told_ms: float = 0.0  # when it was told to drain or to be gone; 0 while it is ready
     closes_ms: float = 0.0  # past which nothing new may go there, the same
 
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -63,7 +63,7 @@
         """
         self.clock = clock
         self.room = room
-        self._make = make
+        self.make = make
         self.table: dict[int, Upstream] = {}
         # Where an upstream says how much it takes: whether that is out already.
         self.full: Callable[[Upstream], bool] | None = None
@@ -100,17 +100,19 @@
         address: Address,
         state: ServerState,
         started_ms: float,
+        kind: int = 0,
     ) -> None:
-        """Take over what discovery tells of one."""
+        """Take over what discovery tells of one; `kind` is the machine's, as the settings number it."""
         now = self.clock.now_ms()
         upstream = self.table.get(number)
         if upstream is None:
             if state is not ServerState.GONE:
-                upstream = Upstream(number, address, state, started_ms)
+                upstream = Upstream(number, address, state, started_ms, kind)
                 if state is not ServerState.READY:
                     upstream.told_ms, upstream.closes_ms = now, now + self._grace_ms
                 self.table[number] = upstream
             return
+        upstream.kind = kind
         same = upstream.move(address, state, started_ms, now, self._grace_ms)
         if not same or state is ServerState.GONE:
             self.retire(number)
@@ -152,7 +154,7 @@
 
     async def _connect(self, call: Call) -> None:
         upstream = call.upstream
-        connection = self._make(self, upstream)
+        connection = self.make(self, upstream)
         protocol = cast(asyncio.Protocol, connection)
         calls = [call]
         if connection.room > 1 and upstream.number not in self._coming:
