--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -80,7 +80,9 @@
             return UpstreamConnection(pool, upstream)
 
         self.upstreams.make = make
-        self.upstreams.full = lambda upstream: (whole or upstream.kind in kinds) and dialect.full(upstream)
+        self.upstreams.full = lambda upstream, waiting: (
+            (whole or upstream.kind in kinds) and dialect.full(upstream, waiting)
+        )
         self.intake.checks.append(refuse_collapsing)
         self._closers.append(dialect.close)
 
--- a/larkweir/protocols/fastcgi/asking.py
+++ b/larkweir/protocols/fastcgi/asking.py
@@ -159,7 +159,8 @@
         if item is None:
             self.strays += 1
             return
-        item.touched = True
+        if content:  # an empty one says that nothing comes, which proves no work
+            item.touched = True
         if item.dead:
             return
         if item.closed:
--- a/larkweir/protocols/fastcgi/upstreams.py
+++ b/larkweir/protocols/fastcgi/upstreams.py
@@ -25,6 +25,7 @@
 from mulleinhitch.interface import Outcome
 
 EXPIRES = b"x-expires-in-ms"
+ALL = UNKNOWN._replace(multiplexes=True)
 _REFUSED = Message()
 _REFUSED.status = 400
 
@@ -57,11 +58,11 @@
 
     def ability(self, upstream: Upstream) -> Ability:
         """What is known of it by now; until it has answered, that it does not multiplex."""
-        if self.multiplex == "on":
-            return UNKNOWN._replace(multiplexes=True)
         if self.multiplex == "off" or not self.keep:
             return UNKNOWN
         key = (upstream.address, upstream.started_ms)
+        if self.multiplex == "on":  # unless it has refused since
+            return self._known.get(key, ALL)
         found = self._known.get(key)
         if found is None:
             if len(self._known) >= self.MOST_KNOWN:
@@ -95,15 +96,18 @@
     def refuses_to_multiplex(self, upstream: Upstream) -> None:
         """It has said so to a request, whatever it had said before."""
         key = (upstream.address, upstream.started_ms)
-        if self._known.get(key, UNKNOWN).multiplexes:
+        before = self._known.get(key, ALL)
+        if before.multiplexes:
             self.log(f"fastcgi: {upstream.address[0]}:{upstream.address[1]} multiplexes no more")
-        self._known[key] = self._known.get(key, UNKNOWN)._replace(multiplexes=False)
+        if len(self._known) >= self.MOST_KNOWN:
+            del self._known[next(iter(self._known))]
+        self._known[key] = before._replace(multiplexes=False)
 
-    def full(self, upstream: Upstream) -> bool:
-        """Whether as much is out at it as it says that it takes."""
+    def full(self, upstream: Upstream, waiting: int) -> bool:
+        """Whether as much is out at it, or waits for a connection, as it says that it takes."""
         found = self.ability(upstream)
         return (
-            self._out.get(upstream.number, 0) >= found.requests
+            self._out.get(upstream.number, 0) + waiting >= found.requests
             or self._links.get(upstream.number, 0) >= found.connections
         )
 
@@ -277,7 +281,7 @@
 
     @property
     def room(self) -> int:
-        if self._gone or self._blocked:
+        if self._gone or self._blocked or self.retired:
             return 0
         if not self._dialect.keep:
             return int(self._sent == 0)
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Protocol, cast
 
@@ -66,10 +67,12 @@
         self.make = make
         self.table: dict[int, Upstream] = {}
         # Where an upstream says how much it takes: whether that is out already.
-        self.full: Callable[[Upstream], bool] | None = None
+        self.full: Callable[[Upstream, int], bool] | None = None
+        self._pending: Counter[int] = Counter()  # calls that wait for a connection, where `full` is asked
         self._idle: dict[int, list[Connection]] = {}  # with room, by upstream, the one used last at the end
         # Coming up, by upstream: one that has room for more calls than wait for it.
         self._coming: dict[int, tuple[Connection, list[Call]]] = {}
+        self._made: dict[Call, Connection] = {}  # for a call whose connection is about to come up
         self._open: set[Connection] = set()
         self._connecting: set[asyncio.Task[None]] = set()
         self._sweeping = False
@@ -140,13 +143,18 @@
         if idle is not None:
             if not call.write(idle, now) or idle.room:
                 self.put(idle)
-        elif self.full is not None and self.full(upstream):
+        elif self.full is not None and self.full(upstream, self._pending[target]):
             call.end(Outcome.FULL)
         elif self._join(call):
             pass
         elif self.sockets >= self._budget and not self._close_oldest():
             call.end(Outcome.CONNECT_FAILED)
         else:
+            self._pending[target] += 1
+            if self.full is not None:  # others that come meanwhile may wait for the same connection
+                self._made[call] = connection = self.make(self, upstream)
+                if connection.room > 1:
+                    self._coming[target] = (connection, [call])
             task = asyncio.get_running_loop().create_task(self._connect(call))
             self._connecting.add(task)
             task.add_done_callback(self._connecting.discard)
@@ -154,20 +162,19 @@
 
     async def _connect(self, call: Call) -> None:
         upstream = call.upstream
-        connection = self.make(self, upstream)
+        connection = self._made.pop(call, None) or self.make(self, upstream)
         protocol = cast(asyncio.Protocol, connection)
-        calls = [call]
-        if connection.room > 1 and upstream.number not in self._coming:
-            self._coming[upstream.number] = (connection, calls)
+        coming = self._coming.get(upstream.number)
+        calls = coming[1] if coming is not None and coming[0] is connection else [call]
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
                 await asyncio.get_running_loop().create_connection(lambda: protocol, *connection.address)
         except OSError:  # refused, unreachable, out of descriptors, or not up in time
-            self._came(connection)
+            self._came(connection, len(calls))
             for item in calls:
                 item.end(Outcome.CONNECT_FAILED)
             return
-        self._came(connection)
+        self._came(connection, len(calls))
         self._open.add(connection)
         if not connection.usable():
             self.closed(connection)
@@ -190,9 +197,14 @@
         if coming is None or len(coming[1]) >= coming[0].room or coming[0].address != call.upstream.address:
             return False
         coming[1].append(call)
+        self._pending[call.upstream.number] += 1
         return True
 
-    def _came(self, connection: Connection) -> None:
+    def _came(self, connection: Connection, calls: int) -> None:
+        number = connection.upstream.number
+        self._pending[number] -= calls
+        if self._pending[number] <= 0:
+            del self._pending[number]
         coming = self._coming.get(connection.upstream.number)
         if coming is not None and coming[0] is connection:
             del self._coming[connection.upstream.number]
@@ -208,6 +220,8 @@
                 continue
             del idle[at]
             connection.listed = False
+            if connection.room <= 0:  # it takes fewer than when it was listed
+                continue
             if (unused < self._keep_ms or connection.calls) and connection.usable():
                 return connection
             connection.abort()
