--- a/benchmarks/hot_path.py
+++ b/benchmarks/hot_path.py
@@ -68,11 +68,11 @@
 class Rig:
     """The upstreams, and whichever program stands before them."""
 
-    def __init__(self, upstreams: int) -> None:
+    def __init__(self, upstreams: int, kind: str = "http1") -> None:
         cores = sorted(os.sched_getaffinity(0))
         self.core, self.others = {cores[0]}, set(cores[1:]) or {cores[0]}
         self.upstreams = subprocess.Popen(
-            [sys.executable, "-m", "standins.load", "upstreams", str(upstreams)],
+            [sys.executable, "-m", "standins.load", "upstreams", str(upstreams), kind],
             cwd=ROOT,
             stdout=subprocess.PIPE,
             text=True,
--- a/larkweir/protocols/fastcgi/cgi.py
+++ b/larkweir/protocols/fastcgi/cgi.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import re
+from functools import lru_cache
+
 from larkweir.core.message import FramingError, Headers, Message
 
 MAX_HEAD = 32 * 1024
@@ -13,9 +16,30 @@
 METHODS = frozenset((b"GET", b"HEAD", b"POST", b"PUT", b"PATCH", b"DELETE", b"OPTIONS"))
 
 
-def variable(name: bytes) -> bytes:
-    """The variable that a header field becomes (section 4.1.18)."""
-    return b"HTTP_" + name.upper().replace(b"-", b"_")
+CONTROL = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # none may stand in a field's value
+NOT_A_TARGET = re.compile(rb"[^\x21-\x7e]")
+FIELD_NAME = re.compile(rb"[\x21-\x39\x3b-\x7e]+")  # visible, without a colon
+VARIABLE_NAME = re.compile(rb"HTTP_[0-9A-Za-z_]*[0-9A-Za-z][0-9A-Za-z_]*")
+
+
+@lru_cache(maxsize=1024)  # the same few names come with every request; a flood of others only costs their own
+def variable(name: bytes) -> tuple[bytes, bytes, bool]:
+    """The variable that a header field becomes (section 4.1.18), its name in lower case, and whether it may be
+    passed on.
+    """
+    lower = name.lower()
+    return b"HTTP_" + name.upper().replace(b"-", b"_"), lower, lower not in FORGEABLE
+
+
+@lru_cache(maxsize=1024)
+def field(name: bytes) -> bytes:
+    """The field that a variable `HTTP_...` stands for; empty if it may not be passed on. FramingError if it is
+    none.
+    """
+    if not VARIABLE_NAME.fullmatch(name):
+        raise FramingError(400, f"{name!r:.60} is no field")
+    found = name[5:].replace(b"_", b"-").title()
+    return b"" if found.lower() in FORGEABLE else found
 
 
 def collapse(headers: Headers) -> bytes | None:
@@ -24,8 +48,8 @@
     """
     seen: dict[bytes, bytes] = {}
     for name, _ in headers:
-        lower = name.lower()
-        if seen.setdefault(lower.replace(b"-", b"_"), lower) != lower:
+        key, lower, _ = variable(name)
+        if seen.setdefault(key, lower) != lower:
             return name
     return None
 
@@ -53,12 +77,11 @@
         found.append((b"CONTENT_LENGTH", b"%d" % len(message.body)))
     fields: dict[bytes, tuple[bytes, bytes]] = {}  # by variable: the name it came under, and its value
     for name, value in (*headers, *extra):
-        lower = name.lower()
-        if lower == b"content-type":
-            found.append((b"CONTENT_TYPE", value))
-        if lower in FORGEABLE:
+        key, lower, passes = variable(name)
+        if not passes:
+            if lower == b"content-type":
+                found.append((b"CONTENT_TYPE", value))
             continue
-        key = variable(name)
         before = fields.get(key)
         if before is None:
             fields[key] = (lower, value)
@@ -88,23 +111,20 @@
         query = values.get(b"QUERY_STRING", b"")
         if query:
             target += b"?" + query
-    if not target.startswith(b"/") or any(byte <= 0x20 or byte >= 0x7F for byte in target):
+    if not target.startswith(b"/") or NOT_A_TARGET.search(target):
         raise FramingError(400, "REQUEST_URI or SCRIPT_NAME is missing or no path")
     message.target = target
     for name, value in found:
-        if not name.startswith(b"HTTP_"):
-            continue
-        if any((byte < 0x20 and byte != 0x09) or byte == 0x7F for byte in value):
-            raise FramingError(400, f"{name!r:.60} holds control bytes")
-        field = name[5:].replace(b"_", b"-")
-        if not field or not field.replace(b"-", b"").isalnum():
-            raise FramingError(400, f"{name!r:.60} is no field")
-        if field.lower() not in FORGEABLE:
-            message.headers.append((field.title(), value))
+        if name.startswith(b"HTTP_"):
+            if CONTROL.search(value):
+                raise FramingError(400, f"{name!r:.60} holds control bytes")
+            known = field(name)
+            if known:
+                message.headers.append((known, value))
     if len(message.headers) > MAX_FIELDS:
         raise FramingError(431, "the head has too many fields")
     kind = values.get(b"CONTENT_TYPE", b"")
-    if kind and not any(byte < 0x20 or byte == 0x7F for byte in kind):
+    if kind and not CONTROL.search(kind):
         message.headers.append((b"Content-Type", kind))
     text = values.get(b"CONTENT_LENGTH", b"")
     if not text:
@@ -175,13 +195,15 @@
         self._head = b""
         message = Message()
         message.status = 200
-        for line in text[:at].split(b"\n"):
-            name, colon, value = line.strip(b"\r").partition(b":")
-            value = value.strip(b" \t")
-            if not colon or not name or any(byte <= 0x20 or byte >= 0x7F for byte in name):
+        stated = False
+        head = text[:at].replace(b"\r\n", b"\n")
+        for line in head.split(b"\n"):
+            name, colon, value = line.partition(b":")
+            if not colon or not FIELD_NAME.fullmatch(name):
                 self.fault = f"{line!r:.60} is no field"
                 return b""
-            if any((byte < 0x20 and byte != 0x09) or byte == 0x7F for byte in value):
+            value = value.strip(b" \t")
+            if CONTROL.search(value):
                 self.fault = f"{name!r:.60} holds control bytes"
                 return b""
             lower = name.lower()
@@ -196,7 +218,9 @@
                     self.fault = f"Status {value!r:.60} is none"
                     return b""
                 message.status = int(code)
-            elif lower == b"content-length":
+                stated = True
+                continue
+            if lower == b"content-length":
                 if not value.isdigit() or len(value) > 15:
                     self.fault = f"Content-Length {value!r:.60} is no length"
                     return b""
@@ -205,9 +229,8 @@
         if len(message.headers) > MAX_FIELDS:
             self.fault = "the head has too many fields"
             return b""
-        if not any(name.lower() == b"status" for name, _ in message.headers) and message.values(b"location"):
+        if not stated and message.values(b"location"):
             message.status = 302  # section 6.2.3
-        message.headers = [item for item in message.headers if item[0].lower() != b"status"]
         self.message = message
         return text[at + size :]
 
--- a/larkweir/protocols/fastcgi/codec.py
+++ b/larkweir/protocols/fastcgi/codec.py
@@ -130,24 +130,29 @@
     found: list[tuple[bytes, bytes]] = []
     at, size = 0, len(data)
     while at < size:
-        lengths = []
-        for _ in range(2):
-            if at >= size:
-                raise FramingError(400, "a name-value pair is cut short")
-            length = data[at]
-            if length < 128:
-                at += 1
-            else:
-                if at + 4 > size:
-                    raise FramingError(400, "a name-value pair is cut short")
-                length = int.from_bytes(data[at : at + 4], "big") & 0x7FFF_FFFF
-                at += 4
-            lengths.append(length)
-        name, value = lengths
-        if at + name + value > size:
+        name = data[at]
+        at += 1
+        if name > 127:
+            name, at = _long(data, at)
+        if at >= size:
+            raise FramingError(400, "a name-value pair is cut short")
+        value = data[at]
+        at += 1
+        if value > 127:
+            value, at = _long(data, at)
+        middle = at + name
+        after = middle + value
+        if after > size:
             raise FramingError(400, "a name-value pair is cut short")
         if len(found) >= most:
             raise FramingError(431, "too many name-value pairs")
-        found.append((data[at : at + name], data[at + name : at + name + value]))
-        at += name + value
+        found.append((data[at:middle], data[middle:after]))
+        at = after
     return found
+
+
+def _long(data: bytes, at: int) -> tuple[int, int]:
+    """A length in four bytes, the first of which was just read, and where it ends."""
+    if at + 3 > len(data):
+        raise FramingError(400, "a name-value pair is cut short")
+    return int.from_bytes(data[at - 1 : at + 3], "big") & 0x7FFF_FFFF, at + 3
--- a/standins/load.py
+++ b/standins/load.py
@@ -8,8 +8,10 @@
 
 import asyncio
 import os
+import struct
 import sys
 import time
+from collections.abc import Callable
 from typing import Any
 
 import uvloop
@@ -59,6 +61,118 @@
         self._load.lost += 1
 
 
+def record(kind: int, number: int, content: bytes = b"") -> bytes:
+    return struct.pack(">BBHHBB", 1, kind, number, len(content), 0, 0) + content
+
+
+def records(data: bytes) -> tuple[list[tuple[int, int, bytes]], bytes]:
+    """Whole records, and the part behind them."""
+    found, at = [], 0
+    while len(data) - at >= 8:
+        kind, number, length, padding = struct.unpack_from(">xBHHB", data, at)
+        if len(data) < at + 8 + length + padding:
+            break
+        found.append((kind, number, data[at + 8 : at + 8 + length]))
+        at += 8 + length + padding
+    return found, data[at:]
+
+
+class FastcgiUpstream(Upstream):
+    """Answers once the stdin has ended; a request to `/api?stall` never."""
+
+    TEXT = b"Status: 200 OK\r\nContent-Length: %d\r\n\r\n" % len(BODY) + BODY
+
+    def connection_made(self, transport: Any) -> None:
+        super().connection_made(transport)
+        self._part = b""
+        self._stalled: set[int] = set()
+
+    def data_received(self, data: bytes) -> None:
+        found, self._part = records(self._part + data)
+        out = []
+        for kind, number, content in found:
+            if kind == 4 and b"/api?stall" in content:
+                self._stalled.add(number)
+            elif kind == 2:
+                self._stalled.discard(number)
+                out.append(record(3, number, bytes(8)))
+            elif kind == 5 and not content and number not in self._stalled:
+                out += (record(6, number, self.TEXT), record(6, number), record(3, number, bytes(8)))
+            elif kind == 9:
+                out.append(record(10, 0, b"\x0f\x01FCGI_MPXS_CONNS1"))
+        if out:
+            self.transport.write(b"".join(out))
+
+
+def ask(head: dict[bytes, bytes], number: int) -> bytes:
+    pairs = b"".join(bytes((len(k), len(v))) + k + v for k, v in head.items())
+    begin = record(1, number, b"\0\1\1" + bytes(5))
+    return begin + record(4, number, pairs) + record(4, number) + record(5, number)
+
+
+def variables(trace: bytes, target: bytes = b"/api") -> dict[bytes, bytes]:
+    return {
+        b"REQUEST_METHOD": b"GET",
+        b"REQUEST_URI": target,
+        b"HTTP_HOST": b"api.internal",
+        b"HTTP_X_QOS": b"look",
+        b"HTTP_X_CUSTOMER": b"acme",
+        b"HTTP_X_EXPIRES_IN_MS": b"8000",
+        b"HTTP_X_TRACE_ID": trace,
+    }
+
+
+class FastcgiCaller(Caller):
+    def connection_made(self, transport: Any) -> None:
+        self._part = b""
+        self._prefix = b"%d-%d-" % (os.getpid(), id(self))
+        super().connection_made(transport)
+
+    def _ask(self) -> None:
+        self._count += 1
+        self._begun = time.perf_counter()
+        self.transport.write(ask(variables(self._prefix + b"%d" % self._count), 1 + self._count % 60_000))
+
+    def data_received(self, data: bytes) -> None:
+        found, self._part = records(self._part + data)
+        if found and found[-1][0] == 3 and not self._load.ending:
+            self._load.spent.append(time.perf_counter() - self._begun)
+            if not any(content.endswith(BODY) for _, _, content in found):
+                self._load.not_served += 1
+            self._ask()
+
+
+class Many(asyncio.Protocol):
+    """Many requests at a time on one connection; the first `stalled` of them are never answered."""
+
+    def __init__(self, load: Load, count: int, stalled: int) -> None:
+        self._load = load
+        self._count = count
+        self._stalled = stalled
+        self._serial = 0
+        self._part = b""
+        self._begun: dict[int, float] = {}
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        for number in range(1, self._count + 1):
+            self._ask(number)
+
+    def _ask(self, number: int) -> None:
+        self._serial += 1
+        self._begun[number] = time.perf_counter()
+        target = b"/api?stall" if number <= self._stalled else b"/api"
+        self.transport.write(ask(variables(b"m%d-%d" % (os.getpid(), self._serial), target), number))
+
+    def data_received(self, data: bytes) -> None:
+        found, self._part = records(self._part + data)
+        for kind, number, _ in found:
+            if kind == 3 and not self._load.ending:
+                if number > self._stalled:
+                    self._load.spent.append(time.perf_counter() - self._begun[number])
+                self._ask(number)
+
+
 class Load:
     def __init__(self) -> None:
         self.spent: list[float] = []
@@ -67,18 +181,20 @@
         self.ending = False
 
 
-async def upstreams(count: int) -> None:
+async def upstreams(count: int, kind: type[Upstream]) -> None:
     loop = asyncio.get_running_loop()
-    servers = [await loop.create_server(Upstream, "127.0.0.1", 0) for _ in range(count)]
+    servers = [await loop.create_server(kind, "127.0.0.1", 0) for _ in range(count)]
     print(*(server.sockets[0].getsockname()[1] for server in servers), flush=True)
     await asyncio.Event().wait()
 
 
-async def callers(port: int, count: int, seconds: float) -> None:
+async def callers(
+    port: int, count: int, seconds: float, make: Callable[[Load, int], asyncio.Protocol]
+) -> None:
     load = Load()
     loop = asyncio.get_running_loop()
     for n in range(count):
-        await loop.create_connection(lambda n=n: Caller(load, n), "127.0.0.1", port)  # type: ignore[misc]
+        await loop.create_connection(lambda n=n: make(load, n), "127.0.0.1", port)  # type: ignore[misc]
     await asyncio.sleep(seconds * 0.25)  # until connections are up and tables filled
     load.spent.clear()
     load.not_served = 0
@@ -94,7 +210,12 @@
 
 
 if __name__ == "__main__":
-    if sys.argv[1] == "upstreams":
-        uvloop.run(upstreams(int(sys.argv[2])))
+    what, *rest = sys.argv[1:]
+    fastcgi = rest[-1] == "fastcgi"
+    if what == "upstreams":
+        uvloop.run(upstreams(int(rest[0]), FastcgiUpstream if fastcgi else Upstream))
+    elif what == "many":
+        at_once, stalled = int(rest[1]), int(rest[3])
+        uvloop.run(callers(int(rest[0]), 1, float(rest[2]), lambda load, n: Many(load, at_once, stalled)))
     else:
-        uvloop.run(callers(int(sys.argv[2]), int(sys.argv[3]), float(sys.argv[4])))
+        uvloop.run(callers(int(rest[0]), int(rest[1]), float(rest[2]), FastcgiCaller if fastcgi else Caller))
