--- a/larkweir/core/requests.py
+++ b/larkweir/core/requests.py
@@ -11,6 +11,20 @@
 METHODS = frozenset((b"GET", b"POST", b"PUT", b"PATCH", b"DELETE"))
 
 
+WANTED = frozenset(
+    (
+        b"x-trace-id",
+        b"x-qos",
+        b"x-expires-in-ms",
+        b"idempotency-key",
+        b"x-size-hint",
+        b"x-object",
+        b"x-customer",
+        b"x-second-try",
+    )
+)
+
+
 class Requests:
     """Reads a request's headers, by the settings' names."""
 
@@ -21,34 +35,42 @@
 
     def read(self, message: Message) -> tuple[RequestArrived, float, bytes]:
         """The event, the time that is left and the id; FramingError says why it can't be one."""
-        trace = message.value(b"x-trace-id")
+        found: dict[bytes, bytes] = {}
+        for name, value in message.headers:
+            lower = name.lower()
+            if lower in WANTED:
+                if lower in found:
+                    raise FramingError(400, f"header {lower.decode('latin-1')} comes more than once")
+                found[lower] = value
+        get = found.get
+        trace = get(b"x-trace-id")
         if not trace or len(trace) > MAX_TRACE:
             # Upstreams tell requests apart by it, and so does whoever looks for one in the logs.
             raise FramingError(400, "a request without its id")
-        name = message.value(b"x-qos")
-        index = self._classes.get(name or b"")
+        named = get(b"x-qos", b"")
+        index = self._classes.get(named)
         if index is None:
-            raise FramingError(400, f"unknown class {name!r:.60}")
+            raise FramingError(400, f"unknown class {named!r:.60}")
         cls = self._settings.classes[index]
         left = cls.deadline_ms
-        text = message.value(b"x-expires-in-ms")
+        text = get(b"x-expires-in-ms")
         if text is not None:
             if not text.isdigit() or len(text) > 15:
                 raise FramingError(400, f"unreadable deadline {text!r:.60}")
             left = min(left, float(text))  # no client waits longer than its class's deadline
-        if cls.effect is Effect.KEYED and not message.value(b"idempotency-key"):
+        if cls.effect is Effect.KEYED and not get(b"idempotency-key"):
             # Guards against repeats that the upstreams have no key to drop by.
             raise FramingError(400, "a keyed request without its key")
-        hint = message.value(b"x-size-hint")
-        key = message.value(b"x-object")
+        hint = get(b"x-size-hint")
+        key = get(b"x-object")
         event = RequestArrived(
             request=0,
             class_index=index,
             time_left_ms=left,
             # One that the settings don't name has no share to be over.
-            tenant=self._tenants.get(message.value(b"x-customer") or b"", len(self._tenants)),
+            tenant=self._tenants.get(get(b"x-customer") or b"", len(self._tenants)),
             key=zlib.crc32(key) + 1 if key else 0,
             expected_ms=int(hint) / 1000.0 if hint and hint.isdigit() and len(hint) < 12 else None,
-            client_retry=message.value(b"x-second-try") == b"1",
+            client_retry=get(b"x-second-try") == b"1",
         )
         return event, left, trace
--- a/larkweir/protocols/fastcgi/asking.py
+++ b/larkweir/protocols/fastcgi/asking.py
@@ -15,7 +15,7 @@
 
 from larkweir.core.message import Fault, FramingError, Headers, Message
 from larkweir.protocols.fastcgi import codec
-from larkweir.protocols.fastcgi.cgi import Answer, variables
+from larkweir.protocols.fastcgi.cgi import Answer, fixed, variables
 
 MAX_ANSWER = 1024 * 1024
 MAX_VALUES = 64
@@ -65,7 +65,7 @@
 
     def __init__(self, port: int, keep: bool = True) -> None:
         self._records = codec.Records()
-        self._port = port
+        self._fixed = codec.pairs(fixed(port))
         self._keep = keep
         self._out: dict[int, _Out] = {}
         self._last = 0  # the id given last
@@ -103,7 +103,7 @@
 
         FramingError if it can't be put in variables.
         """
-        params = codec.pairs(variables(message, headers, extra, self._port))
+        params = self._fixed + codec.pairs(variables(message, headers, extra))
         number = self._last
         for _ in range(MOST_IDS):
             number = number % MOST_IDS + 1
--- a/larkweir/protocols/fastcgi/cgi.py
+++ b/larkweir/protocols/fastcgi/cgi.py
@@ -54,19 +54,25 @@
     return None
 
 
-def variables(message: Message, headers: Headers, extra: Headers, port: int) -> list[tuple[bytes, bytes]]:
-    """The variables of a request (section 4.1), `headers` and `extra` among them. `port` is the upstream's.
-
-    FramingError if two fields would become one variable.
-    """
-    path, _, query = message.target.partition(b"?")
-    found = [
+def fixed(port: int) -> list[tuple[bytes, bytes]]:
+    """The variables that every request to an upstream has (section 4.1); `port` is its own."""
+    return [
         (b"GATEWAY_INTERFACE", b"CGI/1.1"),
         (b"SERVER_PROTOCOL", b"HTTP/1.1"),
         (b"SERVER_SOFTWARE", b"larkweir"),
         (b"SERVER_NAME", b"localhost"),
         (b"SERVER_PORT", b"%d" % port),
         (b"REMOTE_ADDR", b"127.0.0.1"),
+    ]
+
+
+def variables(message: Message, headers: Headers, extra: Headers) -> list[tuple[bytes, bytes]]:
+    """The variables of one request (section 4.1), `headers` and `extra` among them.
+
+    FramingError if two fields would become one variable.
+    """
+    path, _, query = message.target.partition(b"?")
+    found = [
         (b"REQUEST_METHOD", message.method),
         (b"REQUEST_URI", message.target),
         (b"SCRIPT_NAME", path),
--- a/larkweir/protocols/fastcgi/codec.py
+++ b/larkweir/protocols/fastcgi/codec.py
@@ -122,7 +122,14 @@
 
 
 def pairs(items: Iterable[tuple[bytes, bytes]]) -> bytes:
-    return b"".join([pair(name, value) for name, value in items])
+    parts: list[bytes] = []
+    for name, value in items:
+        n, v = len(name), len(value)
+        if n < 128 and v < 128:
+            parts += (bytes((n, v)), name, value)
+        else:
+            parts.append(pair(name, value))
+    return b"".join(parts)
 
 
 def read_pairs(data: bytes, most: int) -> list[tuple[bytes, bytes]]:
--- a/tests/protocols/fastcgi/test_machines.py
+++ b/tests/protocols/fastcgi/test_machines.py
@@ -111,7 +111,7 @@
     message = Message()
     message.method, message.target, message.body = b"POST", b"/api?a=b", b"abc"
     message.headers = [(b"X-Trace-Id", b"1"), (b"Accept", b"a"), (b"accept", b"b"), (b"Proxy", b"evil")]
-    found = variables(message, message.headers, [(b"X-Expires-In-Ms", b"7")], 80)
+    found = variables(message, message.headers, [(b"X-Expires-In-Ms", b"7")])
     again, length = request(found)
     assert (again.method, again.target, length) == (b"POST", b"/api?a=b", 3)
     assert {k.lower(): v for k, v in again.headers} == {
@@ -122,7 +122,7 @@
     assert collapse([(b"X-A", b""), (b"x-a", b"")]) is None
     assert collapse([(b"X-A", b""), (b"X_a", b"")]) == b"X_a"
     with pytest.raises(FramingError):
-        variables(message, [(b"X-A", b"1"), (b"X_A", b"2")], [], 80)
+        variables(message, [(b"X-A", b"1"), (b"X_A", b"2")], [])
 
 
 # ---------------------------------------------------------------- what an application says of itself
