Budgets across tiers: attempts divided and given back, worth, time and path; loops refused

Need: each tier retries on its own, so four attempts a tier become sixteen for one client attempt, and two tiers that forward to each other never end.

--- /dev/null
+++ b/larkweir/budget/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets across tiers: time, attempts and worth for the whole chain, loops refused. Imported where it is on."""
--- /dev/null
+++ b/larkweir/budget/chain.py
@@ -0,0 +1,222 @@
+"""Rules: a request's budget, worth, time and path at one tier, as they come with it, go down and come back.
+
+Values and headers in, values and headers out; the engine's hands write them. What travels:
+
+    down    X-Budget           attempts at the last tier that this request may cost
+            X-Budget-Worth     what it is worth
+            X-Budget-Path      the tiers that it has passed, first to last
+    back    X-Budget-Spent     what it has cost
+            X-Budget-Loop      a tier below has refused a loop: trying again would only meet it again
+            X-Never-Ran        nothing of it has run
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import lru_cache
+from ipaddress import ip_address, ip_network
+
+from larkweir.budget.rules import (
+    MOST_BUDGET,
+    MOST_WORTH,
+    SHARES,
+    Account,
+    RetryRatio,
+    Useful,
+    WorthGate,
+    number,
+    path_of,
+    worth_of,
+)
+from larkweir.config.options import Budget
+from larkweir.core.message import FramingError, Headers, Message
+from mulleinhitch.interface import NEVER_RAN, Outcome, RequestArrived, Settings
+
+BUDGET = b"x-budget"
+WORTH = b"x-budget-worth"
+PATH = b"x-budget-path"
+SPENT = b"x-budget-spent"
+LOOP = b"x-budget-loop"
+OURS = frozenset((BUDGET, WORTH, PATH, SPENT, LOOP))
+
+
+class Ticket:
+    """One request's part."""
+
+    __slots__ = ("_chain", "_key", "_path", "_ran", "_times", "_trusted", "account", "cls", "out", "worth")
+
+    def __init__(
+        self, chain: Chain, account: Account, path: bytes, worth: float, trusted: bool, cls: int, key: bytes
+    ) -> None:
+        self._chain = chain
+        self._path = path
+        self._trusted = trusted
+        self._key = key
+        self._ran = False  # an attempt may have run
+        self._times: dict[int, float] = {}
+        self.account = account
+        self.worth = worth
+        self.cls = cls
+        self.out = 0
+
+    @property
+    def left(self) -> int:
+        return 0 if self.account.looped else self.account.left
+
+    def grant(self, attempt: int, tries: int, now_ms: float) -> Headers | None:
+        """The headers that an attempt takes down; none if it may not be begun."""
+        chain = self._chain
+        if self.account.left < 1 or (attempt and not chain.ratio.again(now_ms)):
+            return None
+        part = self.account.grant(attempt, tries)
+        if not part:
+            return None
+        self.out += 1
+        self._times[attempt] = now_ms
+        return [
+            (b"X-Budget", b"%d" % part),
+            (b"X-Budget-Worth", b"%.6g" % self.worth),
+            (b"X-Budget-Path", self._path),
+        ]
+
+    def settle(self, attempt: int, outcome: Outcome, answer: Message | None, now_ms: float) -> None:
+        """An attempt that was granted has ended."""
+        begun = self._times.pop(attempt, None)
+        if begun is None:
+            return
+        self.out -= 1
+        never = outcome in NEVER_RAN
+        self._ran = self._ran or not never
+        told = None
+        if answer is not None:
+            try:
+                told = number(answer.value(SPENT), 0, MOST_BUDGET)
+                self.account.looped = self.account.looped or answer.value(LOOP) == b"1"
+            except FramingError:
+                self._chain.unreadable += 1
+        if outcome is Outcome.OK:
+            self._chain.useful.served(self.cls, now_ms - begun)
+        # Never written whole, it reached nobody. Turned away unseen, it reached an upstream: at the last tier that is
+        # an attempt; further up nothing went on from there, unless a balancer below says otherwise.
+        reached = outcome is Outcome.FULL and self._chain.last
+        self.account.settle(attempt, told, never and not told and not reached)
+
+    def closing(self, status: int) -> Headers:
+        """What goes back with the one final answer."""
+        chain = self._chain
+        chain.gate.ended(status != 200)
+        if self._key:
+            chain.open_keys.pop(self._key, None)
+        if not self._trusted:
+            return []
+        found = [(b"X-Budget-Spent", b"%d" % self.account.reported)]
+        if self.account.looped:
+            found.append((b"X-Budget-Loop", b"1"))
+        if status in (503, 504) and not self._ran and not self.out:
+            found.append((b"X-Never-Ran", b"1"))
+        return found
+
+
+class Chain:
+    """What one tier keeps of all its requests: a bounded few numbers, whatever the tenants."""
+
+    MOST_KEYS = 4096
+
+    def __init__(self, options: Budget, settings: Settings, log: Callable[[str], None]) -> None:
+        self.options = options
+        self._log = log
+        self.ratio = RetryRatio(options.retry_ratio, options.retry_floor_per_s)
+        self.gate = WorthGate()
+        self.useful = Useful(len(settings.classes))
+        self.unreadable = 0  # values that made no sense, so far
+        self.loops = 0  # requests refused for one
+        self.open_keys: dict[bytes, Account] = {}  # of keyed requests that are open
+        self._hop = (options.hop or f"tier-{settings.tier}").encode()
+        self._networks = [ip_network(item, strict=False) for item in options.trust if item != "unix"]
+        self._unix = "unix" in options.trust
+        self.trusts = lru_cache(maxsize=1024)(self._trusts)
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """A new generation's figures; the classes are the same."""
+        self._settings = settings
+        self.last = settings.tier >= settings.tiers - 1
+
+    def _trusts(self, peer: str) -> bool:
+        if not peer:
+            return False
+        if peer == "unix":
+            return self._unix
+        try:
+            address = ip_address(peer)
+        except ValueError:
+            return False
+        return any(address in network for network in self._networks)
+
+    @property
+    def way_back_ms(self) -> float:
+        """Taken off the time that goes down: what an answer needs on its way through this tier."""
+        return self.options.way_back_ms
+
+    def arrive(self, peer: str, message: Message, event: RequestArrived, now_ms: float) -> Ticket | Headers:
+        """Take what came with a request, and take it off: nothing of it goes on unread. A ticket; or the headers
+        of a refusal, at once and with nothing sent.
+        """
+        trusted = self.trusts(peer)
+        came: dict[bytes, bytes] = {}
+        kept: Headers = []
+        for name, value in message.headers:
+            lower = name.lower()
+            if lower not in OURS:
+                kept.append((name, value))
+            elif trusted:
+                if lower in came:
+                    self.unreadable += 1  # twice: the first counts
+                came.setdefault(lower, value)
+        if len(kept) != len(message.headers):
+            message.headers = kept
+        cls = self._settings.classes[event.class_index]
+        budget = number(came.get(BUDGET), 1, MOST_BUDGET)
+        worth = worth_of(came.get(WORTH), min(MOST_WORTH, cls.worth * self.options.worth_most))
+        path = path_of(came.get(PATH))
+        read = ((BUDGET, budget is None), (WORTH, worth is None), (PATH, path is None))
+        self.unreadable += sum(bad and key in came for key, bad in read)
+        # A path that can't be read may hide a loop; what it hides is bounded by the budget all the same.
+        hops = path or ()
+        if self._hop in hops or len(hops) >= self.options.hops:
+            self.loops += 1
+            if (
+                self.loops & (self.loops - 1) == 0
+            ):  # the first, second, fourth, ...: a loop may come with each request
+                self._log(
+                    f"budget: loop number {self.loops} refused: {b' -> '.join((*hops, self._hop))!r:.300}"
+                )
+            return self._refusal(trusted, loop=True)
+        self.ratio.first(now_ms)
+        least = self.useful.least_ms(event.class_index)
+        if event.time_left_ms < least + self.way_back_ms:
+            return self._refusal(trusted)
+        if worth is None:
+            worth = cls.worth
+        if not self.gate.admits(worth):
+            return self._refusal(trusted)
+        budget = self.options.attempts if budget is None else budget
+        key = message.value(b"idempotency-key") or b""
+        account = Account(budget, self.last, SHARES[self.options.divide])
+        if key and event.client_retry and key in self.open_keys:
+            # The client has given its first try up: what that has left is this one's, and no more.
+            first = self.open_keys[key]
+            account.budget = account.left = min(budget, first.left)
+            first.left = 0
+        if key and len(self.open_keys) < self.MOST_KEYS:
+            self.open_keys[key] = account
+        event.attempts = account.left
+        return Ticket(self, account, b", ".join((*hops, self._hop)), worth, trusted, event.class_index, key)
+
+    def _refusal(self, trusted: bool, loop: bool = False) -> Headers:
+        found: Headers = []
+        if trusted:
+            found = [(b"X-Budget-Spent", b"0"), (b"X-Never-Ran", b"1")]
+            if loop:
+                found.append((b"X-Budget-Loop", b"1"))
+        return found
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field, fields
 from enum import Enum
+from ipaddress import ip_network
 from typing import Any, Literal
 
 
@@ -87,15 +88,56 @@
     return host, int(port)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Budget:
+    """The table `[budget]`."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # Whose headers are believed: networks such as "10.0.0.0/8", and "unix" for callers on Unix sockets.
+    trust: tuple[str, ...] = option((), Change.HANDOVER)
+    # At the last tier, for a request that comes without a budget that is believed.
+    attempts: int = option(4, Change.HANDOVER, low=1, high=1000)
+    # How an attempt's part is taken of what is left.
+    divide: Literal["half", "even", "front"] = option("half", Change.HANDOVER)
+    # This tier's name in the path, the same at all its balancers; "" is `tier-N`.
+    hop: str = option("", Change.HANDOVER)
+    # Tiers that a request may have passed; more is a loop.
+    hops: int = option(8, Change.HANDOVER, low=1, high=32)
+    # Taken off the time that goes down with an attempt.
+    way_back_ms: float = option(2.0, Change.HANDOVER, low=0.0, high=10_000.0)
+    # Further attempts that each request earns this tier, and each second at the least.
+    retry_ratio: float = option(0.2, Change.HANDOVER, low=0.0, high=10.0)
+    retry_floor_per_s: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
+    # A caller that is trusted may state up to so many times the class's worth.
+    worth_most: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        for item in self.trust:
+            try:
+                if item != "unix":
+                    ip_network(item, strict=False)
+            except ValueError:
+                found["trust"] = f'{item!r:.60} is no network; write "10.0.0.0/8" or "unix"'
+        plain = self.hop
+        for mark in "-_./":
+            plain = plain.replace(mark, "")
+        if self.hop and (not plain.isascii() or not plain.isalnum() or len(self.hop) > 64):
+            found["hop"] = f"{self.hop!r:.80} is no name; write up to 64 letters, digits, and - _ . /"
+        return found
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Operator:
     """The whole operator file."""
 
     lifecycle: Lifecycle = field(default_factory=Lifecycle)
     fastcgi: Fastcgi = field(default_factory=Fastcgi)
+    budget: Budget = field(default_factory=Budget)
 
 
-TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi}
+TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi, "budget": Budget}
 
 
 def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -12,7 +12,7 @@
 from larkweir.core.exchange import Caller, Exchange
 from larkweir.core.journal import Journal
 from larkweir.core.message import Headers, Message
-from larkweir.core.ports import Decisions, Listing, Membership, Pool
+from larkweir.core.ports import Attempt, Budgets, Decisions, Listing, Membership, Pool
 from larkweir.core.reports import LOAD_HEADER, report_of
 from larkweir.core.room import Room
 from mulleinhitch.interface import (
@@ -97,6 +97,7 @@
         self.upstreams = upstreams
         self.room = room
         self.discovery: Membership | None = None  # set before the first event
+        self.budgets: Budgets | None = None
         self._balancer = decisions
         self._exchanges: dict[int, Exchange] = {}
         self._traces: set[bytes] = set()  # ids of the same
@@ -180,8 +181,15 @@
         event.request = number
         if self.lost_ms:
             time_left_ms = event.time_left_ms = max(0.0, time_left_ms - self.lost_ms)
-        due = self.clock.now_ms() + time_left_ms
+        now = self.clock.now_ms()
+        due = now + time_left_ms
         exchange = Exchange(number, caller, message, due, trace, self._max_attempts)
+        if self.budgets is not None:
+            ticket = self.budgets.arrive(caller.peer, message, event, now)
+            if isinstance(ticket, list):  # refused, with nothing sent
+                caller.answer(503, [*ticket, (b"Retry-After", b"1")], b"")
+                return number
+            exchange.ticket = ticket
         self._exchanges[number] = exchange
         self._traces.add(trace)
         exchange.timer = self.clock.at(due, lambda: self._overdue(exchange))
@@ -192,6 +200,8 @@
         exchange = self._exchanges.get(number)
         if exchange is not None and not exchange.over:
             self._close(exchange)
+            if exchange.ticket is not None:
+                exchange.ticket.closing(499)  # to nobody
             self._deliver(ClientGone(number))
             self._forget(exchange)
 
@@ -280,7 +290,10 @@
         if exchange.over:
             return
         self._close(exchange)
-        exchange.caller.answer(status, headers or [], body)
+        headers = headers or []
+        if exchange.ticket is not None:
+            headers = headers + exchange.ticket.closing(status)
+        exchange.caller.answer(status, headers, body)
         self._forget(exchange)
 
     def _close(self, exchange: Exchange) -> None:
@@ -317,13 +330,26 @@
         if exchange.over or until <= now or number >= exchange.max_attempts:
             call = None
         else:
-            owner = _Sent(self, exchange, number, action.server, now)
-            call = self.upstreams.call(action.server, exchange.message, until, owner)
+            call = self._begin_call(exchange, number, action.server, until, now)
         if call is None:
             self.attempt_ended(exchange, number, action.server, Outcome.MOOT, now, None)
         else:
             exchange.attempts[number] = call
 
+    def _begin_call(
+        self, exchange: Exchange, number: int, server: int, until: float, now: float
+    ) -> Attempt | None:
+        owner = _Sent(self, exchange, number, server, now)
+        if exchange.ticket is None or self.budgets is None:
+            return self.upstreams.call(server, exchange.message, until, owner)
+        margin = self.budgets.way_back_ms
+        if until - now <= margin:
+            return None  # nothing useful can come back in time
+        extra = exchange.ticket.grant(number, exchange.max_attempts - number, now)
+        if extra is None:
+            return None
+        return self.upstreams.call(server, exchange.message, until, owner, extra=extra, margin_ms=margin)
+
     def attempt_ended(
         self,
         exchange: Exchange,
@@ -333,14 +359,23 @@
         sent_ms: float,
         answer: Message | None,
     ) -> None:
+        ticket = exchange.ticket
+        if ticket is not None:
+            ticket.settle(number, outcome, answer, self.clock.now_ms())
         if outcome is Outcome.OK and answer is not None and not exchange.over:
             self._close(exchange)
             headers = [(k, v) for k, v in answer.passed_on() if k.lower() != LOAD_HEADER]
+            if ticket is not None:
+                headers = [item for item in headers if not item[0].lower().startswith(b"x-budget")]
+                headers += ticket.closing(200)
             exchange.caller.answer(200, headers, answer.body)
         exchange.out -= 1
         report = report_of(answer, self._report_names, False) if self._inline else ()
         spent = self.clock.now_ms() - sent_ms
-        self._deliver(AttemptEnded(exchange.number, number, server, outcome, exchange.over, spent, report))
+        left = None if ticket is None else ticket.left
+        self._deliver(
+            AttemptEnded(exchange.number, number, server, outcome, exchange.over, spent, report, left)
+        )
         self._forget(exchange)
 
     # ------------------------------------------------ probes
--- a/larkweir/core/exchange.py
+++ b/larkweir/core/exchange.py
@@ -6,7 +6,7 @@
 
 from larkweir.core.clock import Timer
 from larkweir.core.message import Headers, Message
-from larkweir.core.ports import Attempt
+from larkweir.core.ports import Attempt, Ticket
 
 
 class Caller(Protocol):
@@ -14,6 +14,10 @@
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
 
+    @property
+    def peer(self) -> str:
+        """The address it asks from, `unix` on a Unix socket, or empty if that is not known."""
+
 
 class Exchange:
     """One request, from its arrival until it is answered and its last attempt has ended."""
@@ -27,6 +31,7 @@
         "number",
         "out",
         "over",
+        "ticket",
         "timer",
         "trace",
     )
@@ -50,3 +55,4 @@
         self.out = 0  # attempts whose end is still owed to the balancer
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
+        self.ticket: Ticket | None = None  # its budget, where there are any
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -7,8 +7,8 @@
 from typing import Protocol
 
 from larkweir.config.platform import Address as Address
-from larkweir.core.message import Message
-from mulleinhitch.interface import Action, Event, ListKind, Outcome, ServerEntry, ServerState
+from larkweir.core.message import Headers, Message
+from mulleinhitch.interface import Action, Event, ListKind, Outcome, RequestArrived, ServerEntry, ServerState
 
 
 @dataclass(slots=True, frozen=True)
@@ -44,6 +44,31 @@
     def ended(self, outcome: Outcome, answer: Message | None) -> None: ...
 
 
+class Ticket(Protocol):
+    """One request's budget, where there are any."""
+
+    @property
+    def left(self) -> int: ...
+
+    def grant(self, attempt: int, tries: int, now_ms: float) -> Headers | None:
+        """The headers that an attempt takes down; none if it may not be begun."""
+
+    def settle(self, attempt: int, outcome: Outcome, answer: Message | None, now_ms: float) -> None: ...
+
+    def closing(self, status: int) -> Headers:
+        """What goes back with the final answer."""
+
+
+class Budgets(Protocol):
+    """The budgets of all requests. What travels is read and written here alone."""
+
+    @property
+    def way_back_ms(self) -> float: ...
+
+    def arrive(self, peer: str, message: Message, event: RequestArrived, now_ms: float) -> Ticket | Headers:
+        """A ticket, or the headers of a refusal."""
+
+
 class Target(Protocol):
     """One upstream as discovery last told of it."""
 
@@ -71,7 +96,14 @@
     ) -> None: ...
 
     def call(
-        self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
+        self,
+        target: int,
+        message: Message,
+        until_ms: float,
+        owner: Owner,
+        probe: bool = False,
+        extra: Headers | None = None,
+        margin_ms: float = 0.0,
     ) -> Attempt | None:
         """Begin a call, which ends at `until_ms` at the latest. None if there is no such target."""
 
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -5,7 +5,7 @@
 import asyncio
 import traceback
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from larkweir.config.options import Fastcgi, Operator
 from larkweir.config.platform import Config
@@ -26,6 +26,9 @@
 from larkweir.upstreams.pool import Upstreams
 from mulleinhitch import Balancer
 
+if TYPE_CHECKING:
+    from larkweir.budget.chain import Chain
+
 
 class Node:
     """The parts of one balancer. Nothing runs until the listener and discovery are started."""
@@ -60,6 +63,11 @@
         self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
         if options is not None and (options.fastcgi.listen or options.fastcgi.upstreams != "off"):
             self._add_fastcgi(options.fastcgi)
+        self.chain: Chain | None = None
+        if options is not None and options.budget.on:
+            from larkweir.budget.chain import Chain  # not imported where it is off
+
+            self.chain = self.engine.budgets = Chain(options.budget, config.settings, self.journal.line)
 
     def _add_fastcgi(self, options: Fastcgi) -> None:
         # Not imported where it is off.
@@ -110,6 +118,8 @@
         self.intake.requests = Requests(config.settings)
         self.upstreams.configure(config.settings, upstreams, config.drain_grace_ms)
         self.engine.reconfigure(config)
+        if self.chain is not None:
+            self.chain.configure(config.settings)
         self.discovery.move(config.discovery)
 
     # ------------------------------------------------ from life to life
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -7,7 +7,7 @@
 
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
 from larkweir.protocols.fastcgi.serving import Bad, Serving, Whole
-from larkweir.protocols.listener import Listener, waits
+from larkweir.protocols.listener import Listener, peer_of, waits
 
 
 class _Stream:
@@ -21,6 +21,10 @@
         self.number: int | None = None  # the engine's
         self.size = size
 
+    @property
+    def peer(self) -> str:
+        return peer_of(self.connection._transport)
+
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         self.connection.answered(self, status, headers, body)
 
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -8,7 +8,7 @@
 
 from larkweir.core.message import Fault, FramingError, Headers, Message
 from larkweir.protocols.http1.codec import RequestReader, encode_response
-from larkweir.protocols.listener import Listener, waits
+from larkweir.protocols.listener import Listener, peer_of, waits
 
 
 class CallerConnection(asyncio.Protocol):
@@ -209,6 +209,10 @@
         else:
             self._step()
 
+    @property
+    def peer(self) -> str:
+        return peer_of(self._transport)
+
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -110,8 +110,10 @@
             head = message.headers
         else:
             head = message.passed_on(EXPIRES)
-            left = call.until_ms - self._pool.clock.now_ms()
+            left = call.until_ms - call.margin_ms - self._pool.clock.now_ms()
             head.append((b"X-Expires-In-Ms", b"%d" % max(1, int(left))))
+            if call.extra:
+                head += call.extra
         self._transport.write(encode_request(message.method, message.target, head, message.body))
         if self._transport.get_write_buffer_size() == 0:
             call.written = True
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -25,6 +25,14 @@
     return bool(poll.poll(0))
 
 
+def peer_of(transport: asyncio.Transport | None) -> str:
+    """The address at the other end, `unix` for a Unix socket, empty if there is none any more."""
+    if transport is None:
+        return ""
+    name = transport.get_extra_info("peername")
+    return str(name[0]) if isinstance(name, tuple) else "unix"
+
+
 class Connection(Protocol):
     """A caller's connection as the listener sees it, whatever it speaks. Must be an `asyncio.Protocol`."""
 
--- a/larkweir/upstreams/call.py
+++ b/larkweir/upstreams/call.py
@@ -10,7 +10,7 @@
 from typing import Protocol
 
 from larkweir.core.clock import Timer
-from larkweir.core.message import Message
+from larkweir.core.message import Headers, Message
 from larkweir.core.ports import Address, Owner
 from mulleinhitch.interface import Outcome, ServerState
 
@@ -84,6 +84,8 @@
     __slots__ = (
         "connection",
         "ended",
+        "extra",
+        "margin_ms",
         "message",
         "owner",
         "probe",
@@ -95,13 +97,22 @@
     )
 
     def __init__(
-        self, upstream: Upstream, message: Message, until_ms: float, owner: Owner, probe: bool = False
+        self,
+        upstream: Upstream,
+        message: Message,
+        until_ms: float,
+        owner: Owner,
+        probe: bool = False,
+        extra: Headers | None = None,
+        margin_ms: float = 0.0,
     ) -> None:
         self.upstream = upstream
         self.message = message
         self.until_ms = until_ms  # nobody waits for it any longer than that
         self.owner = owner
         self.probe = probe
+        self.extra = extra  # fields that go with this attempt alone
+        self.margin_ms = margin_ms  # of the time until then, what the way back takes
         self.connection: Link | None = None
         self.timer: Timer | None = None
         self.written = False  # it may have been begun: its dividing line may have been crossed
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -8,7 +8,7 @@
 from typing import Protocol, cast
 
 from larkweir.core.clock import Clock
-from larkweir.core.message import Message
+from larkweir.core.message import Headers, Message
 from larkweir.core.ports import Address, Owner
 from larkweir.core.room import Room
 from larkweir.upstreams.call import Call, Link, Upstream
@@ -130,13 +130,20 @@
             upstream.shorten(self._grace_ms)
 
     def call(
-        self, target: int, message: Message, until_ms: float, owner: Owner, probe: bool = False
+        self,
+        target: int,
+        message: Message,
+        until_ms: float,
+        owner: Owner,
+        probe: bool = False,
+        extra: Headers | None = None,
+        margin_ms: float = 0.0,
     ) -> Call | None:
         """Begin a call, on an idle connection or a new one; it ends at `until_ms` at the latest."""
         upstream = self.table.get(target)
         if upstream is None:
             return None
-        call = Call(upstream, message, until_ms, owner, probe)
+        call = Call(upstream, message, until_ms, owner, probe, extra, margin_ms)
         now = self.clock.now_ms()
         call.timer = self.clock.at(until_ms, call.time_out)
         idle = self._take(upstream, now)
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -220,6 +220,7 @@
     expected_ms: float | None = None
     client_retry: bool = False
     write: bool = False
+    attempts: int | None = None  # that it may still cost, where the tier above says so
 
 
 @dataclass(slots=True)
@@ -243,6 +244,7 @@
     final: bool
     spent_ms: float = 0.0
     report: Sequence[float] = ()
+    left: int | None = None  # attempts that the request may still cost, where it has a budget
 
 
 @dataclass(slots=True)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -269,6 +269,7 @@
         "deadline_ms",
         "id",
         "legality",
+        "most",
         "out",
         "polled",
         "polling",
@@ -283,6 +284,7 @@
         self.id = event.request
         self.cls = cls  # as the settings had it when the request came, like what is legal
         self.legality = legality
+        self.most = MANY if event.attempts is None else event.attempts  # attempts, by its own budget
         self.deadline_ms = now_ms + event.time_left_ms
         self.aim_ms = self.deadline_ms  # after this an answer is worth nothing; set by the balancer
         self.attempts: list[Attempt] = []
@@ -320,6 +322,8 @@
         """Whether any further attempt is open at all, to a server still to be chosen."""
         if request.started or now_ms >= request.deadline_ms or len(request.attempts) >= self._max_attempts:
             return False
+        if len(request.attempts) >= request.most:
+            return False
         if request.out and not self._second_copies:
             return False
         if not request.attempts or request.cls.effect is Effect.SAFE:
@@ -788,6 +792,8 @@
             return
         attempt.outcome = event.outcome
         request.out -= 1
+        if event.left is not None:  # what was given back counts again, what is out elsewhere does not
+            request.most = len(request.attempts) + event.left
         self._out -= 1
         self._steer(event, request)
         server = attempt.server
@@ -1240,4 +1246,5 @@
 IDLE_FIELD = (
     "running_and_waiting"  # the one report value that tells an idle server; others say nothing of that
 )
+MANY = 1 << 30  # attempts: no bound
 LIST_COOKIE = 1 << 40  # above every request id
--- /dev/null
+++ b/tests/budget/test_rules.py
@@ -0,0 +1,215 @@
+"""Budgets as rules: the law under loss, delay and duplication, and the limits beside it."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from larkweir.budget.rules import (
+    SHARES,
+    Account,
+    RetryRatio,
+    Useful,
+    WorthGate,
+    number,
+    path_of,
+    worth_of,
+)
+
+
+class Law(RuleBasedStateMachine):
+    """A tree of tiers: any tier may begin attempts, answers come in any order, are lost, or are told twice. Last-tier
+    attempts are counted where they happen, and never exceed what the client came with.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.budget = 0
+        self.nodes: list[
+            tuple[Account, int, tuple[int, int] | None]
+        ] = []  # account, depth, parent and its attempt
+        self.attempts: dict[tuple[int, int], int] = {}  # granted, of what is out: node and attempt
+        self.reached = 0
+        self.next = 0
+
+    @precondition(lambda self: not self.nodes)
+    @rule(budget=st.integers(1, 12), tiers=st.integers(1, 4), share=st.sampled_from(sorted(SHARES)))
+    def client(self, budget: int, tiers: int, share: str) -> None:
+        self.budget, self.tiers, self.share = budget, tiers, SHARES[share]
+        self.nodes.append((Account(budget, tiers == 1, self.share), 0, None))
+
+    @precondition(lambda self: self.nodes)
+    @rule(data=st.data(), tries=st.integers(1, 4))
+    def attempt(self, data: st.DataObject, tries: int) -> None:
+        at = data.draw(st.integers(0, len(self.nodes) - 1))
+        account, depth, _ = self.nodes[at]
+        self.next += 1
+        part = account.grant(self.next, tries)
+        if not part:
+            assert account.left < 1
+            return
+        self.attempts[at, self.next] = part
+        if depth == self.tiers - 1:
+            assert part == 1
+            self.reached += 1
+        else:
+            child = Account(part, depth + 1 == self.tiers - 1, self.share)
+            self.nodes.append((child, depth + 1, (at, self.next)))
+
+    @precondition(lambda self: self.attempts)
+    @rule(data=st.data(), how=st.sampled_from(["told", "lost", "twice", "forged", "more"]))
+    def settle(self, data: st.DataObject, how: str) -> None:
+        at, attempt = data.draw(st.sampled_from(sorted(self.attempts)))
+        account, depth, _ = self.nodes[at]
+        told = None
+        if depth < self.tiers - 1:
+            child = next(node for node, _, parent in self.nodes if parent == (at, attempt))
+            told = child.reported
+            child.left = 0  # it has answered: nothing more is begun there
+        if how in ("told", "twice"):
+            account.settle(attempt, told, never=False)
+        elif how == "more":
+            account.settle(attempt, (told or 0) + 5, never=False)
+        elif how == "forged":
+            account.settle(attempt, None if told is None else max(told, 10**9), never=False)
+        else:
+            account.settle(attempt, None, never=False)
+        if how == "twice":
+            account.settle(attempt, 0, never=False)
+            account.settle(attempt, 0, never=True)
+        del self.attempts[at, attempt]
+
+    @invariant()
+    def holds(self) -> None:
+        assert self.reached <= self.budget
+        for account, _, _ in self.nodes:
+            assert account.left >= 0 and account.spent >= 0
+            assert account.spent <= account.budget
+            assert account.reported <= account.budget
+
+
+Law.TestCase.settings = settings(max_examples=300, stateful_step_count=40, deadline=None, derandomize=True)
+TestLaw = Law.TestCase
+
+
+def test_an_answer_lost_after_the_lower_tier_spent_everything_counts_as_spent() -> None:
+    account = Account(3, last=False, share=SHARES["half"])
+    assert account.grant(0, 4) == 2
+    account.settle(0, None, never=False)
+    assert (account.left, account.reported) == (1, 2)
+    assert account.grant(1, 3) == 1
+    account.settle(1, 1, never=False)
+    assert account.grant(2, 2) == 0
+
+
+def test_a_hop_that_copies_the_budget_does_bounded_damage() -> None:
+    """A foreign balancer below spends ten on a grant of two, and says so: no more than the grant is lost here, and
+    nothing that it says gives anything back.
+    """
+    account = Account(4, last=False, share=SHARES["half"])
+    assert account.grant(0, 4) == 2
+    account.settle(0, 10, never=False)
+    assert (account.left, account.overspent) == (2, 8)
+
+
+def test_second_copies_are_paid_from_the_same_budget() -> None:
+    account = Account(2, last=True, share=SHARES["even"])
+    assert [account.grant(n, 4) for n in range(3)] == [1, 1, 0]
+    account.settle(1, None, never=True)  # cancelled before it was written
+    assert account.grant(3, 2) == 1
+
+
+def test_a_budget_of_one_goes_through_three_tiers() -> None:
+    for share in SHARES.values():
+        top = Account(1, False, share)
+        assert top.grant(0, 4) == 1
+        middle = Account(1, False, share)
+        assert middle.grant(0, 4) == 1
+        last = Account(1, True, share)
+        assert (last.grant(0, 4), last.grant(1, 3)) == (1, 0)
+        last.settle(0, None, never=False)
+        middle.settle(0, last.reported, never=False)
+        top.settle(0, middle.reported, never=False)
+        assert top.grant(1, 3) == 0
+
+
+def test_retries_are_a_share_of_the_traffic_with_a_floor() -> None:
+    ratio = RetryRatio(0.1, floor_per_s=1.0, cap=20.0)
+    now, retried = 0.0, 0
+    for _ in range(10_000):  # a thousand a second, all of them failing
+        now += 1.0
+        ratio.first(now)
+        retried += ratio.again(now)
+    assert 1_000 <= retried <= 1_000 + 10 + 21
+    quiet = RetryRatio(0.1, floor_per_s=1.0)
+    assert [quiet.again(n * 1000.0) for n in range(10)] == [True] * 10
+    assert not quiet.again(9000.0)
+    assert quiet.again(8000.0) is False  # a time that goes back earns nothing
+
+
+def test_what_a_useful_attempt_takes_is_learned_robustly() -> None:
+    useful = Useful(2)
+    rng = Random(1)
+    for _ in range(Useful.ENOUGH - 1):
+        useful.served(0, 100.0)
+    assert useful.least_ms(0) == 0.0  # too few to say
+    for _ in range(2_000):
+        useful.served(0, rng.uniform(80.0, 200.0))
+    assert 75.0 <= useful.least_ms(0) <= 100.0
+    before = useful.least_ms(0)
+    useful.served(0, 0.001)
+    useful.served(0, 1e6)
+    assert abs(useful.least_ms(0) - before) < 0.06 * before
+    assert useful.least_ms(1) == 0.0
+
+
+def test_the_least_worth_is_given_up_first_and_nothing_is_starved() -> None:
+    gate = WorthGate()
+    for _ in range(300):
+        assert gate.admits(1.0) and gate.admits(8.0)
+    for _ in range(200):
+        gate.ended(given_up=True)
+    gate.pressure = 0.45
+    passed = {1.0: 0, 8.0: 0}
+    for _ in range(400):
+        for worth in passed:
+            passed[worth] += gate.admits(worth)
+    assert passed[8.0] == 400
+    assert 100 <= passed[1.0] <= 140  # seven in ten given up: what was given up of all lately, from the least
+    gate.pressure = 1.0
+    kept = sum(gate.admits(1.0) + 0 * gate.admits(8.0) for _ in range(400))
+    assert 30 <= kept <= 60  # one in ten is spared, whatever the pressure
+    for _ in range(400):
+        gate.ended(given_up=False)
+    assert gate.admits(1.0)
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (b"3", 3),
+        (b"0", 1),
+        (b"99999999", 1000),
+        (b"-1", None),
+        (b"x", None),
+        (b"", None),
+        (b"9" * 30, None),
+        (None, None),
+    ],
+)
+def test_budgets_that_travel_are_bounded(text: bytes | None, expected: int | None) -> None:
+    assert number(text, 1, 1000) == expected
+
+
+def test_worths_and_paths_that_travel_are_bounded() -> None:
+    assert worth_of(b"8.5", 100.0) == 8.5 and worth_of(b"1000000000", 8.0) == 8.0
+    assert [worth_of(text, 8.0) for text in (None, b"", b"-1", b"nan", b"1e9", b"1.2.3", b"9" * 40)] == [
+        None
+    ] * 7
+    assert path_of(None) == () and path_of(b"a/b, c-d") == (b"a/b", b"c-d")
+    for text in (b",", b"a,,b", b"a b", b"x" * 65, b",".join([b"a"] * 33), b"\xff"):
+        assert path_of(text) is None
