--- /dev/null
+++ b/tests/budget/test_tickets.py
@@ -0,0 +1,155 @@
+"""What travels, at one tier, without sockets: who is believed, what is taken off, what goes down and back."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from larkweir.budget.chain import Chain, Ticket
+from larkweir.config.options import Budget
+from larkweir.core.message import Message
+from mulleinhitch.interface import Effect, Outcome, RequestArrived, RequestClass, Settings
+
+CLASSES = (
+    RequestClass(400.0, 1000.0, Effect.SAFE, worth=1.0),
+    RequestClass(400.0, 1000.0, Effect.KEYED, worth=8.0, memory_ms=4000.0),
+)
+
+
+def chain(tier: int = 0, tiers: int = 2, **options: Any) -> Chain:
+    given = {"on": True, "trust": ("10.0.0.0/8", "unix"), "retry_ratio": 5.0} | options
+    return Chain(Budget(**given), Settings(CLASSES, tier=tier, tiers=tiers), lambda line: None)
+
+
+def arrive(
+    it: Chain,
+    peer: str = "10.1.2.3",
+    cls: int = 0,
+    left: float = 1000.0,
+    retry: bool = False,
+    **headers: bytes,
+) -> tuple[Ticket | list[tuple[bytes, bytes]], Message, RequestArrived]:
+    message = Message()
+    message.headers = [(name.replace("_", "-").encode(), value) for name, value in headers.items()]
+    event = RequestArrived(1, cls, left, client_retry=retry)
+    return it.arrive(peer, message, event, 0.0), message, event
+
+
+def test_headers_are_taken_off_and_believed_from_the_trusted_edge_only() -> None:
+    it = chain()
+    for peer, attempts in (("10.1.2.3", 2), ("unix", 2), ("192.0.2.1", 4), ("", 4), ("nonsense", 4)):
+        ticket, message, event = arrive(it, peer, X_Budget=b"2", x_budget_path=b"a", X_Other=b"kept")
+        assert isinstance(ticket, Ticket)
+        assert message.headers == [(b"X-Other", b"kept")] and event.attempts == attempts
+        grant = ticket.grant(0, 4, 0.0)
+        assert grant is not None
+        assert dict(grant)[b"X-Budget-Path"] == (b"a, tier-0" if attempts == 2 else b"tier-0")
+
+
+def test_a_forged_worth_is_bounded_by_what_the_caller_is_entitled_to() -> None:
+    for most, worth in ((1.0, 1.0), (3.0, 3.0)):
+        ticket, _, _ = arrive(chain(worth_most=most), X_Budget_Worth=b"999999")
+        assert isinstance(ticket, Ticket) and ticket.worth == worth
+    ticket, _, _ = arrive(chain(), X_Budget_Worth=b"0.5")
+    assert isinstance(ticket, Ticket) and ticket.worth == 0.5
+    ticket, _, _ = arrive(chain(), "192.0.2.1", X_Budget_Worth=b"0.5")
+    assert isinstance(ticket, Ticket) and ticket.worth == 1.0
+
+
+def test_unreadable_values_are_counted_and_the_operator_s_count() -> None:
+    it = chain()
+    ticket, _, event = arrive(it, X_Budget=b"many", X_Budget_Worth=b"-", X_Budget_Path=b",,")
+    assert isinstance(ticket, Ticket) and (event.attempts, it.unreadable) == (4, 3)
+
+
+def test_a_client_s_own_retry_shares_what_its_first_try_has_left() -> None:
+    """The first still has an attempt out: both together cost no more than one budget."""
+    it = chain(tier=1)
+    first, _, _ = arrive(it, cls=1, X_Budget=b"3", Idempotency_Key=b"k")
+    assert isinstance(first, Ticket) and first.grant(0, 4, 0.0)
+    second, _, event = arrive(it, cls=1, retry=True, X_Budget=b"3", Idempotency_Key=b"k")
+    assert isinstance(second, Ticket) and event.attempts == 2
+    assert first.grant(1, 3, 0.0) is None
+    assert [bool(second.grant(n, 4, 0.0)) for n in range(3)] == [True, True, False]
+    first.settle(0, Outcome.OK, Message(), 5.0)
+    first.closing(200)
+    second.closing(502)
+    assert not it.open_keys
+
+
+def test_what_an_attempt_cost_by_how_it_ended() -> None:
+    """At the last tier, and further up with and without a word from below."""
+
+    def left(tier: int, outcome: Outcome, told: bytes | None = None) -> int:
+        ticket, _, _ = arrive(chain(tier=tier), X_Budget=b"4")
+        assert isinstance(ticket, Ticket) and ticket.grant(0, 4, 0.0)
+        answer = None
+        if told is not None:
+            answer = Message()
+            answer.headers = [(b"X-Budget-Spent", told)]
+        ticket.settle(0, outcome, answer, 5.0)
+        ticket.settle(0, outcome, answer, 6.0)  # told twice
+        return ticket.left
+
+    last = {Outcome.OK: 3, Outcome.ERROR: 3, Outcome.TIMEOUT: 3, Outcome.FULL: 3}
+    last |= {Outcome.CONNECT_FAILED: 4, Outcome.MOOT: 4}
+    for outcome, expected in last.items():
+        assert left(1, outcome) == expected
+    assert left(0, Outcome.RESET) == 2  # half of four went down, and was not heard of
+    assert left(0, Outcome.ERROR, b"1") == 3
+    assert left(0, Outcome.ERROR, b"77") == 2
+    assert left(0, Outcome.ERROR, b"x") == 2
+    assert left(0, Outcome.FULL) == 4 and left(0, Outcome.FULL, b"1") == 3
+
+
+def test_a_loop_told_from_below_ends_the_request_here() -> None:
+    ticket, _, _ = arrive(chain(), X_Budget=b"8")
+    assert isinstance(ticket, Ticket) and ticket.grant(0, 4, 0.0)
+    answer = Message()
+    answer.headers = [(b"X-Budget-Loop", b"1"), (b"X-Budget-Spent", b"0")]
+    ticket.settle(0, Outcome.FULL, answer, 1.0)
+    assert ticket.left == 0 and ticket.grant(1, 3, 0.0) is None
+    assert dict(ticket.closing(503)) == {
+        b"X-Budget-Spent": b"0",
+        b"X-Budget-Loop": b"1",
+        b"X-Never-Ran": b"1",
+    }
+
+
+def test_a_refusal_says_never_ran_only_if_nothing_may_have() -> None:
+    for outcome, marked in ((Outcome.FULL, True), (Outcome.RESET, False), (None, False)):
+        ticket, _, _ = arrive(chain(tier=1), X_Budget=b"4")
+        assert isinstance(ticket, Ticket) and ticket.grant(0, 4, 0.0)
+        if outcome is not None:
+            ticket.settle(0, outcome, None, 1.0)
+        assert ((b"X-Never-Ran", b"1") in ticket.closing(503)) is marked
+
+
+def test_the_path_is_bounded() -> None:
+    it = chain(hops=3)
+    assert isinstance(arrive(it, X_Budget_Path=b"a, b")[0], Ticket)
+    refused = arrive(it, X_Budget_Path=b"a, b, c")[0]
+    assert isinstance(refused, list) and (b"X-Budget-Loop", b"1") in refused and it.loops == 1
+    assert isinstance(arrive(it, X_Budget_Path=b"tier-0")[0], list)
+
+
+def test_ten_thousand_tenants_cost_no_memory() -> None:
+    it = chain()
+    for n in range(10_000):
+        ticket, _, _ = arrive(
+            it, f"10.{n // 250}.{n % 250}.1", cls=1, X_Customer=b"t%d" % n, Idempotency_Key=b"%d" % n
+        )
+        assert isinstance(ticket, Ticket)
+    assert len(it.open_keys) == Chain.MOST_KEYS
+    assert it.trusts.cache_info().currsize <= 1024
+
+
+def test_no_attempt_that_can_t_be_useful_is_begun() -> None:
+    it = chain(way_back_ms=5.0)
+    for _ in range(50):
+        ticket, _, _ = arrive(it)
+        assert isinstance(ticket, Ticket) and ticket.grant(0, 4, 0.0)
+        ticket.settle(0, Outcome.OK, Message(), 100.0)
+        ticket.closing(200)
+    assert isinstance(arrive(it, left=120.0)[0], Ticket)
+    assert isinstance(arrive(it, left=90.0)[0], list)
+    assert isinstance(arrive(it, cls=1, left=90.0)[0], Ticket)  # nothing is known of that class
