--- a/benchmarks/chain_budget.py
+++ b/benchmarks/chain_budget.py
@@ -55,14 +55,20 @@
 
 
 async def day(
-    budget: bool, rate: float, errors: float, work_s: float, seconds: float, seed: int
+    budget: bool, rate: float, errors: float, work_s: float, seconds: float, seed: int, table: str
 ) -> tuple[float, float]:
     """Amplification and the part of the worth served within the aim, at so many requests a second."""
     rng = Random(seed)
     names, weights = zip(*CLASSES, strict=True)
     asked = served = 0.0
     async with Chain(
-        budget=budget, errors=errors, work_s=work_s, seed=seed, aim_ms=410.0, deadline_ms=1000.0
+        budget=budget,
+        errors=errors,
+        work_s=work_s,
+        seed=seed,
+        aim_ms=410.0,
+        deadline_ms=1000.0,
+        options=table,
     ) as rig:
         tasks: set[asyncio.Task[None]] = set()
         count = 0
@@ -108,6 +114,7 @@
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=6.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--table", default="", help="further keys of [budget], such as 'retry_ratio = 0.2'")
     options = parser.parse_args()
     # Three nodos of 10 ms each carry 300 requests a second.
     days = {
@@ -120,7 +127,11 @@
         rows: dict[bool, list[tuple[float, float]]] = {False: [], True: []}
         for n in range(options.rounds):
             for budget, found in rows.items():
-                found.append(uvloop.run(day(budget, rate, errors, work_s, options.seconds, options.seed + n)))
+                found.append(
+                    uvloop.run(
+                        day(budget, rate, errors, work_s, options.seconds, options.seed + n, options.table)
+                    )
+                )
         for budget, found in rows.items():
             print(
                 f"{name}, budgets {'on ' if budget else 'off'}: {median(a for a, _ in found):.2f} attempts at the last "
--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -104,7 +104,8 @@
     def closing(self, status: int) -> Headers:
         """What goes back with the one final answer."""
         chain = self._chain
-        chain.gate.ended(status != 200)
+        if status == 200 or (status in (503, 504) and not self.account.looped):
+            chain.gate.ended(status != 200)  # errors and loops are no want of time or room
         if self._key:
             chain.open_keys.pop(self._key, None)
         if not self._trusted:
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -98,7 +98,7 @@
     # At the last tier, for a request that comes without a budget that is believed.
     attempts: int = option(4, Change.HANDOVER, low=1, high=1000)
     # How an attempt's part is taken of what is left.
-    divide: Literal["half", "even", "front"] = option("half", Change.HANDOVER)
+    divide: Literal["even", "half", "front"] = option("even", Change.HANDOVER)
     # This tier's name in the path, the same at all its balancers; "" is `tier-N`.
     hop: str = option("", Change.HANDOVER)
     # Tiers that a request may have passed; more is a loop.
@@ -106,7 +106,7 @@
     # Taken off the time that goes down with an attempt.
     way_back_ms: float = option(2.0, Change.HANDOVER, low=0.0, high=10_000.0)
     # Further attempts that each request earns this tier, and each second at the least.
-    retry_ratio: float = option(0.2, Change.HANDOVER, low=0.0, high=10.0)
+    retry_ratio: float = option(0.5, Change.HANDOVER, low=0.0, high=10.0)
     retry_floor_per_s: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
     # A caller that is trusted may state up to so many times the class's worth.
     worth_most: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
--- a/tests/budget/test_tickets.py
+++ b/tests/budget/test_tickets.py
@@ -124,6 +124,23 @@
         assert ((b"X-Never-Ran", b"1") in ticket.closing(503)) is marked
 
 
+def test_errors_and_loops_are_no_pressure() -> None:
+    """Guards the worth gate: only what is given up for want of time or room may cost others their place."""
+    it = chain()
+    for status, pressed in ((502, False), (500, False), (499, False), (503, True), (504, True)):
+        before = it.gate.pressure
+        ticket, _, _ = arrive(it, X_Budget=b"4")
+        assert isinstance(ticket, Ticket)
+        ticket.closing(status)
+        assert (it.gate.pressure > before) is pressed
+    before = it.gate.pressure
+    ticket, _, _ = arrive(it, X_Budget=b"4")
+    assert isinstance(ticket, Ticket)
+    ticket.account.looped = True
+    ticket.closing(503)
+    assert it.gate.pressure == before
+
+
 def test_the_path_is_bounded() -> None:
     it = chain(hops=3)
     assert isinstance(arrive(it, X_Budget_Path=b"a, b")[0], Ticket)
