Tests of tickets name the way to divide that they count by

Need: the default changed from half to even, and one test counted by the old one.

Change: the test says divide = half.

Result: the budget tests pass.

--- a/tests/budget/test_tickets.py
+++ b/tests/budget/test_tickets.py
@@ -80,7 +80,7 @@
     """At the last tier, and further up with and without a word from below."""
 
     def left(tier: int, outcome: Outcome, told: bytes | None = None) -> int:
-        ticket, _, _ = arrive(chain(tier=tier), X_Budget=b"4")
+        ticket, _, _ = arrive(chain(tier=tier, divide="half"), X_Budget=b"4")
         assert isinstance(ticket, Ticket) and ticket.grant(0, 4, 0.0)
         answer = None
         if told is not None:
