Chain: a hop that copies, an answer that comes too late, a tier that is down

Need: three hard cases of budgets had rules for them but no sockets.

Change: the chain's nodos can copy their budget over several calls and keep answers back; a test for each case.

--- a/standins/chain.py
+++ b/standins/chain.py
@@ -144,7 +144,13 @@
         headers["x-expires-in-ms"] = request.headers["x-expires-in-ms"]
         target = (self._tier + 1) % rig.tiers
         try:
-            answer = await rig.ask(target, request.method, headers, request.body)
+            for n in range(rig.copies):
+                headers["x-trace-id"] = f"{request.headers['x-trace-id']}.{self.name}-{self._calls}-{n}"
+                answer = await rig.ask(target, request.method, headers, request.body)
+                if answer.status != 200:
+                    break
+            if self._tier == 0:
+                await asyncio.sleep(rig.late_s)
         except (OSError, AssertionError, TimeoutError, asyncio.IncompleteReadError):
             await talk.send(status(500))
             return
@@ -171,6 +177,8 @@
         work_s: float = 0.0,
         ring: bool = False,
         strips: bool = False,
+        copies: int = 1,
+        late_s: float = 0.0,
         trust: Sequence[str] = ("127.0.0.0/8",),
         aim_ms: float = 3000.0,
         deadline_ms: float = 4000.0,
@@ -179,6 +187,8 @@
         self.tiers, self.seed, self.budget = tiers, seed, budget
         self.errors, self.stall_s, self.work_s = errors, stall_s, work_s
         self.ring, self.strips = ring, strips
+        self.copies = copies  # calls that a nodo makes for a request, each with the whole of what came
+        self.late_s = late_s  # for which the first tier's nodos keep an answer back
         self._trust, self._options = trust, options
         self._aim_ms, self._deadline_ms = aim_ms, deadline_ms
         self.ledger = Ledger()
--- a/tests/budget/test_chain.py
+++ b/tests/budget/test_chain.py
@@ -214,3 +214,48 @@
             assert answer.status == 200 and len(seen) == 3
 
     run(work())
+
+
+def test_a_hop_that_copies_the_budget_costs_what_it_copies_and_no_more() -> None:
+    """Its two calls each spend a whole grant: the last tier sees twice the budget, the tiers above are told of no more
+    than they granted, and nothing grows from there.
+    """
+
+    async def work() -> None:
+        async with Chain(tiers=2, copies=2) as rig:
+            for n in range(6):
+                answer = await rig.client(n, budget=1)
+                assert answer.status == 200 and answer.headers["x-budget-spent"] == "1"
+                assert rig.ledger.attempts[f"c{n}"] == 2
+                assert rig.ledger.passes[f"c{n}", 0] == 1
+
+    run(work())
+
+
+def test_a_traspaso_whose_time_ends_with_the_answer_on_its_way_fails_and_ran_once() -> None:
+    """The last tier has served it; the first tier's nodo brings the answer too late: no refusal, no second run."""
+
+    async def work() -> None:
+        async with Chain(late_s=2.5) as rig:
+            answer = await rig.client(1, "traspaso", 8, x_expires_in_ms="1800")
+            assert answer.status in (502, 504) and "x-never-ran" not in answer.headers
+            assert int(answer.headers["x-budget-spent"]) >= 1
+            assert rig.ledger.effects["c1"] == 1 == rig.ledger.attempts["c1"]
+
+    run(work())
+
+
+def test_with_the_last_tier_down_every_request_has_its_answer_and_costs_nothing_there() -> None:
+    """Connections are refused: nothing ran, which goes up as that, and an unsafe request is not failed for it."""
+
+    async def work() -> None:
+        async with Chain() as rig:
+            for nodo in rig.nodos[2]:
+                nodo.server.close()
+            for n, cls in enumerate(("consulta", "publicar", "traspaso") * 3):
+                answer = await rig.client(n, cls, 4)
+                assert answer.status == 503 and answer.headers["x-never-ran"] == "1"
+                assert answer.headers["x-budget-spent"] == "0"
+            assert not rig.ledger.attempts
+
+    run(work())
