--- a/larkweir/budget/rules.py
+++ b/larkweir/budget/rules.py
@@ -28,7 +28,19 @@
     return max(1, left - max(0, tries - 1))
 
 
-SHARES: dict[str, Share] = {"even": even, "half": half, "front": front}
+def most(left: int, tries: int) -> int:
+    """All but one, which is kept for a try here: who is nearest to a fault tries again, and a lost answer does not
+    cost all.
+    """
+    return max(1, left - 1) if tries > 1 else left
+
+
+def everything(left: int, tries: int) -> int:
+    """All of it: who is nearest to a fault tries again, and gives back what is not needed. A lost answer costs all."""
+    return left
+
+
+SHARES: dict[str, Share] = {"even": even, "half": half, "front": front, "most": most, "all": everything}
 
 
 class Account:
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -98,7 +98,7 @@
     # At the last tier, for a request that comes without a budget that is believed.
     attempts: int = option(4, Change.HANDOVER, low=1, high=1000)
     # How an attempt's part is taken of what is left.
-    divide: Literal["even", "half", "front"] = option("even", Change.HANDOVER)
+    divide: Literal["even", "half", "front", "most", "all"] = option("most", Change.HANDOVER)
     # This tier's name in the path, the same at all its balancers; "" is `tier-N`.
     hop: str = option("", Change.HANDOVER)
     # Tiers that a request may have passed; more is a loop.
