A successor whose predecessor died before a word takes over; lazy imports when off

Need: run beside other tests, the case of a predecessor killed in the middle failed once: killed before it had said what it knew, its end was taken for that word, and the successor then waited for ever. Parts of the handover and of the notify protocol were also imported where they are off.

Change: the end of the channel counts whenever it comes; a hung predecessor's later words still count. Handover, channel, notify and inherited sockets are imported where they are switched on, and the pool counts waiting calls only where a dialect asks.

--- a/larkweir/cli/run.py
+++ b/larkweir/cli/run.py
@@ -10,8 +10,6 @@
 
 from larkweir.config.platform import ConfigError
 from larkweir.lifecycle.daemon import Daemon
-from larkweir.lifecycle.handover import inherited
-from larkweir.lifecycle.inherit import checked, from_manager
 from larkweir.lifecycle.reading import first
 
 
@@ -25,11 +23,18 @@
 
 
 async def _run(operator: str | None, arguments: Sequence[str]) -> int:
-    before = inherited(os.environ)
+    handed = "LARKWEIR_HANDOVER" in os.environ
     generation = first(os.environ, operator)
+    if not handed and not generation.options.lifecycle.inherit:
+        return await Daemon(generation, operator, arguments).run()
+    # Imported where they are switched on.
+    from larkweir.lifecycle.handover import inherited
+    from larkweir.lifecycle.inherit import checked, from_manager
+
+    before = inherited(os.environ)
     if before is not None:
         channel, descriptors = before
         sockets = [(protocol, checked(number, "handover")) for protocol, number in descriptors]
         return await Daemon(generation, operator, arguments, sockets, channel).run()
-    sockets = from_manager(os.environ) if generation.options.lifecycle.inherit else []
+    sockets = from_manager(os.environ)
     return await Daemon(generation, operator, arguments, sockets).run()
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -12,16 +12,19 @@
 from collections.abc import Callable, Sequence
 from contextlib import suppress
 from dataclasses import replace
+from typing import TYPE_CHECKING
 
 from larkweir.config.options import listen_address
 from larkweir.config.platform import ConfigError
 from larkweir.lifecycle import rules
-from larkweir.lifecycle.channel import Knowledge
-from larkweir.lifecycle.handover import Channel, Successor
 from larkweir.lifecycle.node import Node
-from larkweir.lifecycle.notify import Notifier, filled, watchdog_ms
 from larkweir.lifecycle.reading import Generation, Reading, again
 
+if TYPE_CHECKING:  # imported where they are switched on
+    from larkweir.lifecycle.channel import Knowledge
+    from larkweir.lifecycle.handover import Channel, Successor
+    from larkweir.lifecycle.notify import Notifier
+
 STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 
 
@@ -68,6 +71,7 @@
         self._successor: tuple[int, Successor] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
+        self._notifier: Notifier | None = None
         self._beat_ms = 0.0
 
     async def run(self) -> int:
@@ -86,8 +90,10 @@
         self._freeze()
         options = self._generation.options.lifecycle
         self._life = rules.Life(options, self._longest_ms())
-        self._notifier = Notifier(os.environ if options.notify else {}, self.node.clock, self._say)
         if options.notify:
+            from larkweir.lifecycle.notify import Notifier, watchdog_ms
+
+            self._notifier = Notifier(os.environ, self.node.clock, self._say)
             self._notifier.watch(watchdog_ms(os.environ, os.getpid()))
         if options.stall_ms:
             self._beat_ms = self.node.clock.now_ms()
@@ -170,6 +176,8 @@
 
     async def _take_over(self, sock: socket.socket) -> bool:
         """Start from what a predecessor knows, and accept once it says so; whether this life is to run."""
+        from larkweir.lifecycle.handover import Channel
+
         words: asyncio.Queue[tuple[str, Knowledge | None]] = asyncio.Queue()
         lost = "lost"
         self._predecessor = await Channel.on(
@@ -181,7 +189,7 @@
             async with asyncio.timeout(self.STATE_S):
                 word, known = await words.get()
         except TimeoutError:
-            word, known = lost, None
+            word, known = "", None  # it may hang: what it says later counts
         if word == "give_up" or any(isinstance(event, rules.Stop) for event in self._early):
             return False
         self._build(known)
@@ -190,7 +198,7 @@
             self.node.discovery.start()
         told_ready = False
         waiting = asyncio.ensure_future(words.get())
-        while True:
+        while word not in ("go", lost):  # lost already: it was killed before it could say a word
             if not told_ready and self.node.engine.ready:
                 told_ready = True
                 self._predecessor.say("ready")
@@ -205,9 +213,8 @@
             if word == "give_up":
                 self._abandon()
                 return False
-            if word in ("go", lost):
-                break
             waiting = asyncio.ensure_future(words.get())
+        waiting.cancel()
         if known is not None:
             self.node.adopt(known)
         self._accept()
@@ -255,7 +262,8 @@
     def _do(self, command: rules.Command) -> None:
         assert self._life is not None
         if isinstance(command, rules.Tell):
-            self._notifier.tell(*filled(command.lines, self._successor[1].pid if self._successor else 0))
+            if self._notifier is not None:
+                self._notifier.tell_state(command.lines, self._successor[1].pid if self._successor else 0)
         elif isinstance(command, rules.Say):
             self._say(command.line)
         elif isinstance(command, rules.Arm):
@@ -373,6 +381,8 @@
     # ------------------------------------------------ handover
 
     async def _spawn(self, serial: int) -> None:
+        from larkweir.lifecycle.handover import Successor
+
         def heard(word: str, known: Knowledge | None) -> None:
             events: dict[str, rules.Event] = {
                 "ready": rules.SuccessorReady(serial),
@@ -404,7 +414,8 @@
             task.cancel()
         self.node.close()
         self.node.listener.stop_accepting()
-        self._notifier.close()
+        if self._notifier is not None:
+            self._notifier.close()
         if self._predecessor is not None:
             self._predecessor.close()
         self.node.journal.close()
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -16,7 +16,6 @@
 from larkweir.core.ports import Decisions
 from larkweir.core.requests import Requests
 from larkweir.core.room import Room
-from larkweir.lifecycle.channel import Knowledge
 from larkweir.membership.discovery import Discovery, DiscoveryError
 from larkweir.protocols.http1.callers import CallerConnection
 from larkweir.protocols.http1.upstreams import UpstreamConnection
@@ -28,6 +27,7 @@
 
 if TYPE_CHECKING:
     from larkweir.budget.chain import Chain
+    from larkweir.lifecycle.channel import Knowledge
 
 
 class Node:
@@ -128,6 +128,8 @@
         """What a successor needs. With `share` it gets this life's credit with cold upstreams, which is then
         spent here: both together keep to one.
         """
+        from larkweir.lifecycle.channel import Knowledge  # not imported before the first handover
+
         numbers = {number: target.told_ms for number, target in self.upstreams.table.items()}
         drains: dict[str, float] = {}
         held = self.discovery.held()
--- a/larkweir/lifecycle/notify.py
+++ b/larkweir/lifecycle/notify.py
@@ -58,6 +58,10 @@
         self._waiting.append("\n".join(lines).encode())
         self._flush()
 
+    def tell_state(self, lines: tuple[str, ...], successor: int = 0) -> None:
+        """Words of the rules, with what only the process knows filled in."""
+        self.tell(*filled(lines, successor))
+
     def _flush(self) -> None:
         while self._waiting and self._socket is not None and self._address is not None:
             try:
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -157,8 +157,9 @@
         elif self.sockets >= self._budget and not self._close_oldest():
             call.end(Outcome.CONNECT_FAILED)
         else:
-            self._pending[target] += 1
-            if self.full is not None:  # others that come meanwhile may wait for the same connection
+            if self.full is not None:
+                self._pending[target] += 1
+                # Others that come meanwhile may wait for the same connection.
                 self._made[call] = connection = self.make(self, upstream)
                 if connection.room > 1:
                     self._coming[target] = (connection, [call])
@@ -208,6 +209,8 @@
         return True
 
     def _came(self, connection: Connection, calls: int) -> None:
+        if self.full is None:
+            return
         number = connection.upstream.number
         self._pending[number] -= calls
         if self._pending[number] <= 0:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -99,7 +99,8 @@
     """Guards start-up: without an operator file none of its parts may be loaded."""
     code = "import sys, larkweir.cli.run; print([m for m in sys.modules if m.split('.')[0] in "
     code += "('msgspec', 'tomllib', 'argparse') or m.startswith(('larkweir.cli.demo', 'larkweir.config.operator', "
-    code += "'larkweir.config.changes', 'standins'))])"
+    code += "'larkweir.config.changes', 'larkweir.lifecycle.handover', 'larkweir.lifecycle.channel', "
+    code += "'larkweir.lifecycle.notify', 'larkweir.protocols.fastcgi', 'larkweir.budget', 'standins'))])"
     command = [sys.executable, "-c", code]
     done = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
     assert done.stdout.strip() == "[]"
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -5,11 +5,15 @@
 import asyncio
 import os
 import signal
+import socket
+import subprocess
+import sys
 from pathlib import Path
 from typing import Any
 
 import pytest
 
+from standins.manager import ROOT
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, Incoming, Talk, ok
 from tests.lifecycle.service import Service, alive, service, until
 from tests.upstreams.test_attempts import run
@@ -348,3 +352,36 @@
         upstream.close()
 
     run(work())
+
+
+def test_a_predecessor_killed_before_it_says_a_word_leaves_a_successor_that_serves(tmp_path: Path) -> None:
+    """The channel is at its end when the successor starts: nobody will ever tell it to go."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with service(tmp_path, upstream) as it:
+            listening = socket.create_server(("127.0.0.1", it.port))
+            ours, theirs = socket.socketpair()
+            ours.close()
+            for item in (listening, theirs):
+                item.set_inheritable(True)
+            env = {k: v for k, v in os.environ.items() if not k.startswith(("GW_", "LARKWEIR_"))}
+            env["GW_CONFIG"] = str(it.config_path)
+            env["LARKWEIR_HANDOVER"] = f"{theirs.fileno()}:{listening.fileno()}=http1"
+            child = subprocess.Popen(
+                [sys.executable, "-m", "larkweir"],
+                env=env,
+                cwd=ROOT,
+                pass_fds=(theirs.fileno(), listening.fileno()),
+            )
+            listening.close()
+            theirs.close()
+            try:
+                assert (await it.ask())[0] == 200
+                child.terminate()
+                assert await asyncio.to_thread(child.wait, PATIENCE_S) == 0
+            finally:
+                child.kill()
+        upstream.close()
+
+    run(work())
