--- a/larkweir/core/clock.py
+++ b/larkweir/core/clock.py
@@ -6,7 +6,9 @@
 import time
 from collections.abc import Callable
 from heapq import heapify, heappop, heappush
-from math import ceil
+from math import ceil, inf
+
+from larkweir.core.turns import Turns
 
 
 class Timer:
@@ -34,10 +36,25 @@
         self._armed: asyncio.TimerHandle | None = None
         self._armed_ms = 0.0
         self._compact_at = 1024
+        self.turns = Turns(self.now_ms())
+        self._in_turn = False
 
     def now_ms(self) -> float:
         return self.offset_ms + time.monotonic() * 1000.0
 
+    def turn(self) -> Turns:
+        """What is known of this turn of the loop. To be asked first by whatever handles news from a socket."""
+        if not self._in_turn:
+            self._in_turn = True
+            self.turns.told(self.now_ms(), self._armed_ms if self._armed is not None else inf)
+            self._loop.call_soon(self._turn_over)
+        return self.turns
+
+    def _turn_over(self) -> None:
+        # Called by the loop behind everything that this turn's poll has brought, just before it polls again.
+        self._in_turn = False
+        self.turns.ask(self.now_ms())
+
     def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
         return self.at(self.now_ms() + delay_ms, call)
 
@@ -65,6 +82,7 @@
         self._armed = self._loop.call_later(max(0, ceil(due - self.now_ms())) / 1000.0, self._fire)
 
     def _fire(self) -> None:
+        self.turn()  # while it is known when this was due
         self._armed = None
         try:
             while self._heap and self._heap[0][0] <= self.now_ms():
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -371,10 +371,29 @@
             exchange.caller.answer(200, headers, answer.body)
         exchange.out -= 1
         report = report_of(answer, self._report_names, False) if self._inline else ()
-        spent = self.clock.now_ms() - sent_ms
+        now = self.clock.now_ms()
         left = None if ticket is None else ticket.left
+        # Whose time it was: what this process added, to reading the answer or to a connection's coming up, is no sign
+        # of the upstream's state.
+        turns = self.clock.turn()
+        call = exchange.attempts[number]
+        if call is not None and call.written_ms:
+            upstream = call.connect_ms + turns.spent_ms(call.written_ms)
+        else:
+            upstream = turns.spent_ms(sent_ms)
+        spent = now - sent_ms
         self._deliver(
-            AttemptEnded(exchange.number, number, server, outcome, exchange.over, spent, report, left)
+            AttemptEnded(
+                exchange.number,
+                number,
+                server,
+                outcome,
+                exchange.over,
+                spent,
+                report,
+                left,
+                min(spent, upstream),
+            )
         )
         self._forget(exchange)
 
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -30,6 +30,14 @@
 class Attempt(Protocol):
     """An attempt or probe that is out."""
 
+    @property
+    def written_ms(self) -> float:
+        """When it was written to a connection; 0 if it was not."""
+
+    @property
+    def connect_ms(self) -> float:
+        """How long its own connection took to come up, as far as that was surely not this process's doing."""
+
     def time_out(self) -> None: ...
 
     def end(self, outcome: Outcome, answer: Message | None = None) -> None: ...
--- a/larkweir/upstreams/call.py
+++ b/larkweir/upstreams/call.py
@@ -82,6 +82,7 @@
     """An attempt or a probe. Its owner is told once, with the outcome and the answer that it came with."""
 
     __slots__ = (
+        "connect_ms",
         "connection",
         "ended",
         "extra",
@@ -94,6 +95,7 @@
         "until_ms",
         "upstream",
         "written",
+        "written_ms",
     )
 
     def __init__(
@@ -116,6 +118,8 @@
         self.connection: Link | None = None
         self.timer: Timer | None = None
         self.written = False  # it may have been begun: its dividing line may have been crossed
+        self.written_ms = 0.0  # when it was handed to a connection; 0: not yet
+        self.connect_ms = 0.0  # how long that took to come up, less what was this process's own time
         self.touched = False  # something has come back for it
         self.ended = False
 
@@ -127,6 +131,7 @@
             self.end(Outcome.MOOT)
             return False
         self.connection = connection
+        self.written_ms = now_ms
         connection.send(self)
         return True
 
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -174,6 +174,7 @@
         protocol = cast(asyncio.Protocol, connection)
         coming = self._coming.get(upstream.number)
         calls = coming[1] if coming is not None and coming[0] is connection else [call]
+        begun = self.clock.now_ms()
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
                 await asyncio.get_running_loop().create_connection(lambda: protocol, *connection.address)
@@ -190,8 +191,10 @@
             for item in calls:
                 item.end(Outcome.CONNECT_FAILED)
             return
+        took = self.clock.turn().spent_ms(begun)
         now = self.clock.now_ms()
         for item in calls:
+            item.connect_ms = took
             if connection.room:
                 item.write(connection, now)
             else:  # it has broken under the first of them
--- /dev/null
+++ b/mulleinhitch/admission.py
@@ -0,0 +1,531 @@
+"""Rules: how many calls this copy may have out at once, and which requests wait for a place.
+
+`Limiter` holds the window. It is steered by the time that calls spend at the upstreams, never by what this process
+adds, and knows two ranges. Below `SMALL` calls a copy sees too little to keep count by: a request is let through or
+refused by chance, on the mean of what is out. From there on the window is a hard bound, opens as fast as answers
+prove it, and who finds it full waits a while in the `WaitingRoom`.
+
+Nothing here does input or output or reads a clock. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import OrderedDict
+from collections.abc import Sequence
+from enum import Enum
+from random import Random
+
+from mulleinhitch.interface import Outcome, RequestClass, Settings
+
+UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the servers' state
+
+
+class Verdict(Enum):
+    """What is to become of a request that has come."""
+
+    GO = "go"
+    WAIT = "wait"
+    REFUSE = "refuse"
+
+
+class Sums:
+    """Of some calls that have ended: how many, what their times would be at low load, and what queues added."""
+
+    __slots__ = ("_added", "_calls", "added", "base", "calls", "turned_away")
+
+    def __init__(self, classes: int) -> None:
+        self._calls = [0] * classes
+        self._added = [0.0] * classes
+        self.clear()
+
+    def clear(self) -> None:
+        self.calls = 0
+        self.turned_away = 0
+        self.base = 0.0
+        self.added = 0.0
+        for at in range(len(self._calls)):
+            self._calls[at] = 0
+            self._added[at] = 0.0
+
+    def add(self, at: int, base: float, added: float) -> None:
+        self.calls += 1
+        self.base += base
+        self.added += added
+        self._calls[at] += 1
+        self._added[at] += added
+
+    def beyond(self) -> list[float]:
+        """By class: the mean of what queues seem to have added to it, beyond what they did to all. Weighted by their
+        calls these add up to nothing: they tell of the classes' work alone.
+        """
+        mean = self.added / self.calls if self.calls else 0.0
+        return [
+            added / calls - mean if calls else 0.0
+            for calls, added in zip(self._calls, self._added, strict=True)
+        ]
+
+
+class Limiter:
+    """The window of calls out, and the latency at low load that it is steered by.
+
+    The window is steered for a target: the latency at low load and a tolerance. The tolerance is a multiple of that
+    latency, but at least a part of the aim, since queues of a few milliseconds harm nobody who waits for 400, and at
+    most a larger part of it. The tightest tolerance of the classes in use binds all: they share the upstreams' queues.
+
+    A window that counts is steered in rounds: of the calls that were begun since it was last changed and that filled
+    it, the mean time tells by what factor it is too small or too large, and so nothing is corrected twice. Until
+    queues are seen it grows with every answer instead, which doubles it each round trip. A window below `SMALL`
+    takes a small step with every answer; several seconds may lie between two of them.
+    """
+
+    MEMORY = 1.0 / 16.0  # weight of a new sample in the running means
+    # What queues may add to the latency at low load: a multiple of it, but at least and at most such parts of the way
+    # from it to the aim. A small window has no other place for its queue than the servers; one that counts has.
+    LEAST, TOLERANCE, TARGET = 0.15, 2.0, 0.5
+    COUNTED_TOLERANCE, COUNTED_TARGET = 0.5, 0.3
+    BASE_RISE = 0.1  # of a small window: the latency at low load is followed down at once and up slowly
+    GAIN = 0.2  # of a small window, an answer, for a latency off by the whole target
+    FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
+    FIRST_WINDOW = 0.5  # at the least, until there is evidence
+    LEAST_WINDOW = (
+        0.1  # a part of a call is admitted by chance: copies of low rate must be able to shed as well
+    )
+    MOST_WINDOW = 100_000.0  # no evidence is good for more
+    OUT_MEMORY = 1.0 / 8.0
+    HEADROOM = 0.9  # of the window, at most open to traffic over its tenant's share
+    CLOSE = 0.05  # by which that part closes with each refusal of a call within its share
+    SPARE = 0.02  # the share of such refusals at which it stands still
+    # Calls: a smaller window is kept by chance, a larger one by count. One of many copies sees in its answers what the
+    # others do as well, and goes by small steps for longer.
+    SMALL, SMALL_OF_MANY = 2.0, 8.0
+    FEW = 2  # copies that are not many
+    USED = 0.6  # of the window out: what a call finds that tells whether the window is too large
+    DOUBLING = 0.25  # of the tolerance: while queues add less than that, the window doubles each round trip
+    LEAP = 4.0  # tolerances that such a doubling may add to the latency at low load, if it was one too many
+    HEED = 1.0 / 8.0  # weight of a new sample in that
+    FAIR = 0.5  # calls a round that a window gains whatever its size: lets small ones catch up with large
+    LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
+    GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
+    HASTEN, FASTEST = 1.5, 4.0  # by which each further round that sees no queue hastens that, and at most
+    LIFT = 1.03  # of the ceiling, with every round that finds nothing there
+    STEEPEST = 0.5  # of the window, that one round takes back
+    CROWDED = (
+        0.1  # of a round's calls turned away, from which the window is too large whatever the others' time
+    )
+    LIGHT = 0.5  # of the window: a call with no more than that beside it tells the latency at low load
+    BASE_GAIN = 0.25  # of what such a round says that it has changed
+    PROOF_MS, PROOF_ROUNDS = 10_000.0, 50.0  # so old it is looked at anew, where calls queue
+    FRUITLESS = 0.85  # of the latency that is left with half the window open: then there was no queue
+    RELATION = 0.1  # of what queues seem to add to a class beyond what they add to all: put down to its work
+    ACTIVE = 64.0  # requests: a class that was not among the last so many binds nobody
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        self._rng = rng
+        self._classes: Sequence[RequestClass] = settings.classes
+        self.small = self.SMALL if settings.copies <= self.FEW else self.SMALL_OF_MANY
+        self.window = self.FIRST_WINDOW  # calls that may be out at once; opened by the first list
+        self.opened = False
+        count = len(settings.classes)
+        # Of the upstreams' time alone, by class: the running mean, and what it is at low load.
+        self.mean = [cls.aim_ms / 3.0 for cls in settings.classes]
+        self.base = list(self.mean)
+        self._seen = [0] * count  # answers, while they are few
+        self.over_part = self.HEADROOM
+        self._out_mean = 0.0  # as arrivals find it
+        self.doubling = True
+        self._queued = 0.0  # running mean of what queues add, in tolerances
+        self._added = 0.0  # the same in milliseconds
+        self._last = [-math.inf] * count  # the arrival that each class had last
+        self._arrivals = 0.0
+        self._round = 1
+        self._began_ms = -1.0
+        self._full, self._light = Sums(count), Sums(count)
+        self._ceiling = math.inf  # the window that would have been right when queues were last met
+        self._clear = 0  # rounds in a row that saw no queue to speak of
+        self._part = 1.0  # of the window that is open
+        self._before = 0.0  # the mean time of the round before, while a part is
+        self._proved_ms = -1.0  # when the latency at low load was last seen
+
+    def configure(self, settings: Settings) -> None:
+        """Take new figures; what was learned is carried on."""
+        for at, (before, after) in enumerate(zip(self._classes, settings.classes, strict=True)):
+            if before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
+                self.mean[at] = min(self.mean[at], after.aim_ms / 3.0)
+                self.base[at] = min(self.base[at], after.aim_ms / 3.0)
+        self._classes = settings.classes
+        self.small = self.SMALL if settings.copies <= self.FEW else self.SMALL_OF_MANY
+
+    def open(self, ready: int, copies: int) -> None:
+        """The first list: as many calls as its servers are taken to bear from each copy, but of a copy that is nearly
+        alone no more than one each: it will see at once how many more.
+        """
+        if not self.opened and ready:
+            self.opened = True
+            share = self.FIRST_LEVEL * ready / copies
+            self.window = max(self.FIRST_WINDOW, min(share, max(self.small, ready)))
+
+    # ------------------------------------------------ letting in
+
+    @property
+    def counts(self) -> bool:
+        """Whether the window is a hard bound, that can be waited for."""
+        return self.window >= self.small
+
+    @property
+    def open_window(self) -> float:
+        """What of the window is open now."""
+        return self.window if self._part == 1.0 else max(self.small, self._part * self.window)
+
+    def arrive(self, class_index: int, out: int, waiting: int, over_share: bool) -> Verdict:
+        """A request has come while `out` calls are out and `waiting` requests wait for a place.
+
+        Traffic over its tenant's share may fill a part of the window only, and that part closes while requests within
+        their share find it full: guards against a tenant's burst crowding the others out.
+        """
+        self._arrivals += 1.0
+        self._last[class_index] = self._arrivals
+        self._out_mean += self.OUT_MEMORY * (out - self._out_mean)
+        if self.counts:
+            if over_share:
+                full = waiting > 0 or out >= self.open_window * self.over_part
+            else:
+                full = waiting > 0 or out + 1.0 > self.open_window
+                self._steer_over_part(waiting > self.window)
+            return Verdict.WAIT if full else Verdict.GO
+        # The mean, and a refusal by chance, not a hard limit: a copy of low rate has none or a few calls out by chance
+        # alone, and its window may be below one.
+        limit = self.window * (0.8 + 0.6 * self._rng.random())
+        if over_share:
+            return Verdict.REFUSE if self._out_mean >= limit * self.over_part else Verdict.GO
+        full = self._out_mean >= limit
+        self._steer_over_part(full)
+        return Verdict.REFUSE if full else Verdict.GO
+
+    def _steer_over_part(self, full: bool) -> None:
+        step = -self.CLOSE if full else self.CLOSE * self.SPARE
+        self.over_part = min(self.HEADROOM, max(0.0, self.over_part + step))
+
+    def places(self, out: int) -> int:
+        """How many that wait may go now."""
+        return max(0, int(self.open_window - out)) if self.counts else max(0, 1 - out)
+
+    def pace_ms(self, class_index: int) -> float:
+        """The mean time from place to place; 0 while that can't be told, as the window opens with every answer."""
+        return 0.0 if self.doubling else self.mean[class_index] / self.window
+
+    def mark(self, out: int) -> int:
+        """What a call is to bear that begins while `out` others are out, and to be handed back with its end: the round
+        that it counts in, if it fills the window; its negative, if it is one of few; 0 for one between.
+        """
+        calls = out + 1.0
+        if calls >= self.USED * self.open_window:
+            return self._round
+        return -self._round if calls <= self.LIGHT * self.window else 0
+
+    # ------------------------------------------------ steering
+
+    def tolerance_ms(self) -> float:
+        """What queues may add to the latency at low load: the least over the classes in use."""
+        least = math.inf
+        times, most = self.TOLERANCE, self.TARGET
+        if self.counts:
+            times, most = self.COUNTED_TOLERANCE, self.COUNTED_TARGET
+        horizon = self._arrivals - self.ACTIVE * len(self._classes)
+        for at, cls in enumerate(self._classes):
+            if self._last[at] >= horizon:
+                room = max(0.0, cls.aim_ms - self.base[at])
+                own = min(max(times * self.base[at], self.LEAST * room), most * room)
+                least = min(least, own)
+        return 1.0 if least == math.inf else max(least, 0.001)
+
+    def ended(
+        self,
+        now_ms: float,
+        class_index: int,
+        outcome: Outcome,
+        spent_ms: float,
+        out: int,
+        mark: int = 0,
+        tries: int = 1,
+    ) -> None:
+        """An attempt has ended after `spent_ms` at the upstream; `out` are still out, and `tries` of its request were
+        begun by now. `mark` is what it was given when it was sent.
+        """
+        if outcome in UNTELLING or outcome is Outcome.CONNECT_FAILED:
+            return
+        if outcome is Outcome.OK:
+            self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
+        if self.counts:
+            self._count(now_ms, class_index, outcome, spent_ms, mark, tries)
+        else:
+            self._step(class_index, outcome, spent_ms, out, tries)
+
+    def _step(self, at: int, outcome: Outcome, spent_ms: float, out: int, tries: int) -> None:
+        """Steer a small window. A failure counts as a whole aim."""
+        aim = self._classes[at].aim_ms
+        if outcome is Outcome.FULL:
+            if tries < 2:
+                return  # one full server is nothing that another attempt would not mend
+            # One call too many is out; refusals come fast, so they must weigh more than slow answers.
+            step = -min(1.0, 0.25 * self.window)
+        elif outcome is Outcome.OK:
+            # The mean, not single answers: those differ by their work, which says nothing of the load.
+            beyond = self.mean[at] - self.base[at]
+            self.base[at] += self.MEMORY * beyond * (1.0 if beyond < 0.0 else self.BASE_RISE)
+            target = min(self.base[at], aim) + self.tolerance_ms()
+            step = self.GAIN * max(-min(1.0, self.window), 1.0 - spent_ms / target)
+        else:
+            step = -self.GAIN * min(1.0, self.window, spent_ms / aim)
+        if step < 0.0 or out + 1.0 >= self.USED * self.window:  # an unused window says nothing
+            self.window = max(self.LEAST_WINDOW, self.window + step)
+        self.doubling = False
+
+    def _count(
+        self, now_ms: float, at: int, outcome: Outcome, spent_ms: float, mark: int, tries: int
+    ) -> None:
+        """Steer a window that counts."""
+        tolerance = self.tolerance_ms()
+        base = self.base[at]
+        if outcome is Outcome.FULL:
+            self._full.turned_away += (
+                tries > 1
+            )  # one full server is nothing that another attempt would not mend
+            self.doubling = self.doubling and tries < 2
+        elif outcome is Outcome.OK:
+            if self._seen[at] < self.LEAST_ROUND:
+                # Before it is known, what queues add is taken off by what they add to the other classes.
+                self._seen[at] += 1
+                own = max(0.01, spent_ms - max(0.0, self._added))
+                base = self.base[at] = base + (own - base) / self._seen[at]
+            added = spent_ms - base
+            self._added += self.HEED * (added - self._added)
+            self._heed(added / tolerance)
+            if mark == self._round:
+                self._full.add(at, base, added)
+                if self.doubling:
+                    # Less where the aim leaves little room: one doubling too many would put every call past it.
+                    step = min(1.0, self.LEAP * tolerance / base)
+                    self.window = min(self.MOST_WINDOW, self.window + step)
+            elif mark < 0:
+                self._light.add(at, base, added)
+        elif spent_ms > base + tolerance:
+            # It has taken too long, and nobody knows how long it would have been.
+            self._heed(4.0)
+            if mark == self._round:
+                self._full.add(at, base, max(spent_ms, 2.0 * (base + tolerance)) - base)
+        if self._full.calls + self._full.turned_away >= self._enough():
+            self._end_round(now_ms, tolerance)
+        if self._light.calls >= self._enough():
+            # A round of few: it tells the latency at low load.
+            self._rescale(self._light, self.BASE_GAIN)
+            self._proved_ms = now_ms
+            self._light.clear()
+
+    def _heed(self, queued: float) -> None:
+        """The doubling ends with the first queue that is worth the name."""
+        self._queued += self.HEED * (min(queued, 4.0) - self._queued)
+        if self._queued > self.DOUBLING:
+            self.doubling = False
+
+    def _enough(self) -> float:
+        """Calls to a round. One that goes badly is over sooner."""
+        sums = self._full
+        if sums.calls >= self.LEAST_ROUND and sums.added > sums.base + 2.0 * sums.calls * self.tolerance_ms():
+            return self.LEAST_ROUND
+        return min(max(self.LEAST_ROUND, self.open_window), self.MOST_ROUND)
+
+    def _rescale(self, sums: Sums, gain: float) -> None:
+        """Move the latency at low load, of all classes alike, to what some calls say."""
+        factor = 1.0 + gain * (max(0.25, (sums.base + sums.added) / sums.base) - 1.0)
+        self.base = [
+            max(0.01, min(base * factor, cls.aim_ms))
+            for base, cls in zip(self.base, self._classes, strict=True)
+        ]
+
+    def _end_round(self, now_ms: float, tolerance: float) -> None:
+        sums = self._full
+        calls = max(1, sums.calls)
+        base, added = sums.base / calls, sums.added / calls
+        latency = base + added
+        length = now_ms - self._began_ms
+        if not sums.calls:
+            factor = 1.0
+        elif self._part < 1.0:
+            factor = 1.0
+            self._go_on_looking(now_ms, latency, sums)
+        else:
+            factor = (base + tolerance) / max(latency, 0.001)
+            if factor > 1.0:
+                self._clear = self._clear + 1 if added < self.DOUBLING * tolerance else 0
+                hasten = min(self.HASTEN**self._clear, self.FASTEST)
+                factor = 1.0 if self.doubling else 1.0 + self.GROWTH * (min(factor, 3.0) - 1.0) * hasten
+                factor = min(factor, 2.0)
+                if self.window * factor > self._ceiling:
+                    # Where queues were met before it goes on by small steps: there is least to win and most to lose.
+                    factor = max(1.0, self._ceiling / self.window)
+                    self._ceiling *= self.LIFT
+            else:
+                self._clear = 0
+                self._ceiling = max(self.small, self.window * factor)
+            if added < 0.0:
+                self._rescale(sums, self.BASE_GAIN)
+            if added < 0.25 * tolerance and added < 0.25 * base:
+                self._proved_ms = now_ms
+            elif (
+                now_ms - self._proved_ms > max(self.PROOF_MS, self.PROOF_ROUNDS * length)
+                and not self.doubling
+            ):
+                self._part, self._before = self.LIGHT, latency
+        beyond = sums.beyond()
+        self.base = [
+            max(0.01, base + self.RELATION * more) for base, more in zip(self.base, beyond, strict=True)
+        ]
+        if sums.turned_away > self.CROWDED * (sums.calls + sums.turned_away):
+            factor = min(factor, 0.7)
+        fair = 0.0 if self.doubling else self.FAIR
+        self.window = min(
+            self.MOST_WINDOW, max(self.small - 0.5, self.window * max(self.STEEPEST, factor) + fair)
+        )
+        sums.clear()
+        self._round += 1
+        self._began_ms = now_ms
+
+    def _go_on_looking(self, now_ms: float, latency: float, sums: Sums) -> None:
+        """A round with a part of the window open has ended. While the latency falls with it there was a queue; once it
+        does not, there is none left, and this is the latency at low load. Guards against taking our own standing queue
+        for it, and against closing the window for ever on a tier that has become slower for each call.
+        """
+        smallest = self.open_window <= self.small
+        if latency < self.FRUITLESS * self._before and not smallest:
+            self._before = latency
+            self._part *= self.LIGHT
+            return
+        self._rescale(sums, 1.0)
+        self._part = 1.0
+        self._proved_ms = now_ms
+
+
+class WaitingRoom:
+    """Requests that found the window full: first in, first out within a class and kind of traffic.
+
+    Traffic within its tenant's share goes before traffic over it, and the classes of either take turns by their
+    worth, so that none starves: a class of eight times the worth gets eight turns for one. How long one may wait is a
+    stated part of its aim; while the room has not been empty for a while, a smaller one (the rule of CoDel: a burst
+    may wait, a standing queue may not).
+    """
+
+    PATIENCE = 0.25  # of the aim: how long a burst may wait
+    STANDING = 0.1  # of the aim: how long, where the room has not been empty
+    INTERVAL = 0.5  # of the aim, for so long
+    MOST = 4096  # that wait at once
+    OVER_TURN = 16  # every so many turns, one over its share goes first: guards against starving it for good
+
+    def __init__(self, settings: Settings) -> None:
+        self._queues: list[OrderedDict[int, None]] = []
+        self._turns: list[float] = []
+        self._weights: list[float] = []
+        self._count = 0
+        self._over = 0  # of them, over their share
+        self._taken = 0
+        self._pass = 0.0
+        # Since when some have waited without a break, within their share and over it; below 0: none does.
+        self._occupied_ms = [-1.0, -1.0]
+        self._at: dict[int, int] = {}  # which queue a request waits in
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """The weights are the classes' worth; who waits already stays."""
+        self._weights = [max(cls.worth, 0.001) for cls in settings.classes]
+        self._classes = len(self._weights)
+        if not self._queues:  # within their share, then over it
+            self._queues = [OrderedDict() for _ in range(2 * self._classes)]
+            self._turns = [0.0] * len(self._queues)
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __bool__(self) -> bool:
+        return self._count > 0
+
+    def patience_ms(
+        self, now_ms: float, aim_ms: float, aim_left_ms: float, pace_ms: float, over_share: bool
+    ) -> float:
+        """How long a request may wait; `pace_ms` is the mean time from place to place."""
+        part = self.PATIENCE
+        since = self._occupied_ms[over_share]
+        if since >= 0.0 and now_ms - since > self.INTERVAL * aim_ms:
+            # Where places come seldom, one or two of them: else no one would be there to take the next.
+            part = min(part, max(self.STANDING, 2.0 * pace_ms / aim_ms))
+        return part * aim_left_ms
+
+    def enter(
+        self,
+        now_ms: float,
+        request: int,
+        class_index: int,
+        over_share: bool,
+        patience_ms: float,
+        pace_ms: float,
+    ) -> bool:
+        """Let it wait, if its turn can come while it does; False: it is to be answered at once."""
+        if self._count >= self.MOST or patience_ms <= 0.0:
+            return False
+        at = class_index + self._classes * over_share
+        if self._ahead(at) * pace_ms > patience_ms:
+            return False
+        queue = self._queues[at]
+        if not queue:  # one that comes anew has saved up no turns
+            self._turns[at] = max(self._turns[at], self._pass)
+        queue[request] = None
+        self._at[request] = at
+        if self._occupied_ms[over_share] < 0.0:
+            self._occupied_ms[over_share] = now_ms
+        self._count += 1
+        self._over += over_share
+        return True
+
+    def _ahead(self, at: int) -> float:
+        """How many go before one that joins this queue now, about."""
+        own = len(self._queues[at]) + 1
+        if at >= self._classes:
+            return self._count + 1.0
+        weight = self._weights[at]
+        ahead = float(own)
+        for other in range(self._classes):
+            if other != at and self._queues[other]:
+                ahead += min(len(self._queues[other]), own * self._weights[other] / weight)
+        return ahead
+
+    def take(self) -> int | None:
+        """Whose turn it is; it waits no more."""
+        if not self._count:
+            return None
+        within = self._count - self._over
+        self._taken += 1
+        over = not within or (self._over > 0 and self._taken % self.OVER_TURN == 0)
+        low, high = (self._classes, 2 * self._classes) if over else (0, self._classes)
+        at = min((n for n in range(low, high) if self._queues[n]), key=self._turns.__getitem__)
+        self._pass = self._turns[at]
+        self._turns[at] += 1.0 / self._weights[at % self._classes]
+        request, _ = self._queues[at].popitem(last=False)
+        del self._at[request]
+        self._leave(at)
+        return request
+
+    def drop(self, request: int) -> bool:
+        """It waits no more, whatever its turn; whether it did."""
+        at = self._at.pop(request, None)
+        if at is None:
+            return False
+        del self._queues[at][request]
+        self._leave(at)
+        return True
+
+    def _leave(self, at: int) -> None:
+        self._count -= 1
+        self._over -= at >= self._classes
+        if not self._over:
+            self._occupied_ms[True] = -1.0
+        if self._count == self._over:
+            self._occupied_ms[False] = -1.0
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -245,6 +245,9 @@
     spent_ms: float = 0.0
     report: Sequence[float] = ()
     left: int | None = None  # attempts that the request may still cost, where it has a budget
+    # Of `spent_ms`, what was surely spent at the upstream and on the way; None: it can't be told apart from what
+    # this process added.
+    upstream_ms: float | None = None
 
 
 @dataclass(slots=True)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -15,6 +15,7 @@
 from random import Random
 from typing import Any
 
+from mulleinhitch.admission import UNTELLING, Limiter, Verdict, WaitingRoom
 from mulleinhitch.interface import (
     NEVER_RAN,
     Action,
@@ -87,6 +88,7 @@
     """What this copy knows of one server."""
 
     __slots__ = (
+        "answered_ms",
         "cell",
         "ejected",
         "ejections",
@@ -112,6 +114,7 @@
         self.state = entry.state
         self.started_ms = entry.started_ms
         self.outstanding = 0  # own calls only
+        self.answered_ms = -1.0  # when it last served one
         self.level = -1  # the list it is drawn from; -1: none, its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
         self.strikes = 0  # failed attempts in a row
@@ -248,13 +251,15 @@
 
 
 class Attempt:
-    __slots__ = ("cell", "idle_ms", "outcome", "sent_ms", "server", "zone")
+    __slots__ = ("ahead", "cell", "idle_ms", "mark", "outcome", "sent_ms", "server", "zone")
 
     def __init__(self, server: Server, now_ms: float, idle_ms: float | None = None) -> None:
         self.server = server
         self.zone = server.zone
         self.cell = server.cell
         self.sent_ms = now_ms
+        self.ahead = server.outstanding  # own calls that were out there already
+        self.mark = 0  # the limiter's
         self.idle_ms = idle_ms  # how long its connection had lain unused; None: it opens a new one
         self.outcome: Outcome | None = None  # None: outstanding
 
@@ -560,23 +565,13 @@
     RETRY_CAP = 8.0
     UNSEEN_PRICE = 0.25  # a call that a server never looked at cost no work
     OUTLIER = 0.05  # the odds under which a run of failures is put down to the server
-    TARGET = 0.5  # of the way from the latency at low load to the aim: what admission steers the latency for
-    TOLERANCE = 3.0  # of the latency at low load: what admission lets queues and crowding add
-    BASE_RISE = 0.1  # the latency at low load is followed down at once and up slowly
-    GAIN = 0.2  # of the window, a round trip, for a latency off by the whole target
-    FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
-    FIRST_WINDOW = 0.5  # at the least, until there is evidence
-    LEAST_WINDOW = (
-        0.1  # a part of a call is admitted by chance: copies of low rate must be able to shed as well
-    )
-    OUT_MEMORY = 1.0 / 8.0
-    HEADROOM = 0.9  # of the window, at most open to traffic over its tenant's share
     SLOW = (
         4.0  # times the usual latency of its class and size, from which an answer counts against its server
     )
     # Of the usual latency, that must be left for a call to be tried. Guards against work that nobody can use,
     # and against time-outs held against servers that were given no time.
     HOPE = 0.25
+    UNSEEN_COST = 0.5  # of the aim: what a call that never ran has cost
     WORSE = 1.5  # times the cost elsewhere, from which home does worse
     ROAM = 0.02  # of calls that draw over all zones although home does well, to learn of the others
     SPILL = 0.1  # step of the part that does so while home does worse than crossing costs
@@ -587,8 +582,6 @@
     TENANT_MEMORY = 1.0 / 32.0
     OVER = 1.5  # times its part, from which a tenant is over its share
     REPEATS = 0.5  # of a tenant's requests
-    CLOSE = 0.05  # by which that part closes with each refusal of a call within its share
-    SPARE = 0.02  # the share of such refusals at which it stands still
 
     def __init__(self, settings: Settings, seed: int) -> None:
         self.settings = settings
@@ -605,8 +598,9 @@
         self._list_backoff_ms = 0.0
         self._retries = self.RETRY_CAP / 2.0
         self._usual = [Usual() for _ in settings.classes]
-        self._latency = [cls.aim_ms / 3.0 for cls in settings.classes]
-        self._base = [cls.aim_ms / 3.0 for cls in settings.classes]
+        self.limiter = Limiter(settings, self.rng)
+        self.waiting = WaitingRoom(settings)
+        self._latency = self.limiter.mean  # of the upstreams' time alone
         # Probing
         self._level_at = self._queue_at = -1
         self._most_running = 0.0  # calls that any server was seen to run at once
@@ -615,12 +609,10 @@
             self._level_at = fields.index(IDLE_FIELD) if IDLE_FIELD in fields else -1
             self._queue_at = fields.index("waiting") if "waiting" in fields else -1
         self._fail_share = 0.1
-        self._window = self.FIRST_WINDOW  # calls that may be out at once; opened by the first list
-        self._opened = False
-        self._over_part = self.HEADROOM
         self._spill = 0.0
         self._kinds: dict[int, float] = {}  # how much slower than the usual a kind of server answers
         self._last_ms = -1.0
+        self._served_ms = -1.0  # when the call was sent that is the newest of those served
         self._pause_ms = 0.0  # between two requests that come to this copy
         self._work = [0.0 for _ in settings.classes]  # mean cost hint
         self._cost = [
@@ -628,7 +620,6 @@
             0.0,
         ]  # of a call at home and elsewhere, in parts of the aim; a failure is a whole one
         self._out = 0
-        self._out_mean = 0.0  # as arrivals find it
         self._fair = self._shares(settings)
         self._part = list(self._fair)  # of the requests that come here
         self._repeats = [0.0] * len(self._part)  # of a tenant's requests, those marked as repeats
@@ -666,6 +657,8 @@
         if stale is not None:
             self._close(stale)
         handler(event)  # type: ignore[operator]
+        if self.waiting:
+            self._let_in()
         return self.out
 
     # ------------------------------------------------ the ordinary path
@@ -689,11 +682,18 @@
         self._retries = min(self.RETRY_CAP, self._retries + self.RETRY_RATIO)
         self._set_aim(request, event)
         over_share = self._over_share(event)
-        hopeless = request.aim_ms - self.now <= self.HOPE * self._latency[event.class_index]
-        if hopeless or self._shed(over_share):
+        left = request.aim_ms - self.now
+        if left <= self.HOPE * self._latency[event.class_index]:
             self._answer(request)
-        else:
+            return
+        # Inner tiers do not shed: who has been let in above is served.
+        verdict = Verdict.GO
+        if not self.settings.tier:
+            verdict = self.limiter.arrive(request.class_index, self._out, len(self.waiting), over_share)
+        if verdict is Verdict.GO:
             self._place(request)
+        elif verdict is Verdict.REFUSE or not self._wait(request, left, over_share):
+            self._answer(request)
 
     def _place(self, request: Request) -> None:
         """Begin a round of draws."""
@@ -771,10 +771,12 @@
         if idle is not None and idle > self.links.keep_ms:
             self._close(server)
             idle = None
+        attempt = Attempt(server, self.now, idle)
+        attempt.mark = self.limiter.mark(self._out)
+        request.attempts.append(attempt)
         server.outstanding += 1
         self.fleet.earn_token(server, self.now)
         self.links.use(server, self.now)
-        request.attempts.append(Attempt(server, self.now, idle))
         request.out += 1
         self._out += 1
         self.out.append(Send(request.id, server.id, request.aim_ms - self.now))
@@ -795,12 +797,22 @@
         if event.left is not None:  # what was given back counts again, what is out elsewhere does not
             request.most = len(request.attempts) + event.left
         self._out -= 1
-        self._steer(event, request)
+        spent = event.spent_ms if event.upstream_ms is None else event.upstream_ms
         server = attempt.server
         server.outstanding -= 1
         usual = self._latency[request.class_index]
-        self._compare_zones(event, request, attempt)
-        self.links.learn(attempt, event.outcome, event.spent_ms, usual, request.cls.aim_ms)
+        if not request.started:
+            self.limiter.ended(
+                self.now,
+                request.class_index,
+                event.outcome,
+                spent,
+                self._out,
+                attempt.mark,
+                len(request.attempts),
+            )
+        self._compare_zones(event.outcome, spent, request, attempt)
+        self.links.learn(attempt, event.outcome, spent, usual, request.cls.aim_ms)
         if event.outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
             if not server.outstanding and server.linked:
                 self.links.drop(server)
@@ -809,12 +821,12 @@
         elif server.linked:
             self.links.use(server, self.now)
         if event.outcome is Outcome.OK:
-            slow = event.spent_ms > self.SLOW * usual * max(1.0, request.size)
+            server.answered_ms = self.now
+            self._served_ms = max(self._served_ms, attempt.sent_ms)
+            slow = spent > self.SLOW * usual * max(1.0, request.size)
             self._judge(server, request, event.outcome, slow)
-            self._pace(server, event.spent_ms / (usual * max(0.25, request.size)))
-            at = request.class_index
-            self._latency[at] += self.MEMORY * (event.spent_ms - self._latency[at])
-        elif event.outcome not in UNTELLING:
+            self._pace(server, spent / (usual * max(0.25, request.size)))
+        elif event.outcome not in UNTELLING and not self._own_queue(event.outcome, attempt):
             self._judge(server, request, event.outcome, True)
         self.fleet.earn_token(server, self.now)
         if event.final or event.outcome is Outcome.OK:
@@ -832,6 +844,8 @@
         """The request is over; its attempts still out keep it known until their ends have come."""
         request.started = True
         self.held.pop(request.id, None)
+        if self.waiting:
+            self.waiting.drop(request.id)
         if not request.out:
             self.requests.pop(request.id, None)
 
@@ -878,6 +892,15 @@
         else:
             self._answer(request)
 
+    def _own_queue(self, outcome: Outcome, attempt: Attempt) -> bool:
+        """Whether a call that came to nothing in time did so behind our own calls: its server has served others since,
+        or no server any call that was sent later. Guards against ejecting a tier that we have overfilled, server by
+        server, which would fill the rest the more.
+        """
+        if outcome is not Outcome.TIMEOUT or not attempt.ahead:
+            return False
+        return attempt.server.answered_ms >= attempt.sent_ms or attempt.sent_ms >= self._served_ms
+
     def _judge(self, server: Server, request: Request, outcome: Outcome, failed: bool) -> None:
         """Outlier ejection: a run of failures withholds the token for a growing, bounded, jittered time.
 
@@ -927,6 +950,10 @@
         server.slowness = known + self.SLOWNESS_MEMORY * (ratio - known)
         if self._level_at >= 0 and self._most_running < 1.5:
             return
+        if self._out >= self.fleet.ready_count:
+            # Own counts tell which server is free. Guards against leaving one empty, for the time that its answer
+            # took behind our own calls, while the others get twice as many.
+            return
         beyond = server.slowness - self.ORDINARY
         if beyond > 0.0:
             visit = self._pause_ms * self.fleet.ready_count
@@ -953,48 +980,33 @@
         noise = math.sqrt(fair * self.TENANT_MEMORY / 2.0)  # of the running mean
         return self._part[at] > self.OVER * fair + 2.0 * noise
 
-    def _shed(self, over_share: bool) -> bool:
-        """Refuse before work is spent, where the calls already out fill the window.
+    def _wait(self, request: Request, left_ms: float, over_share: bool) -> bool:
+        """Let it wait for a place in the window; False where its turn would not come in time.
 
-        Traffic over its share may fill a part of the window only, and that part closes while calls within
-        their share are refused: guards against a tenant's burst crowding the others out.
+        Who has waited in vain is answered at once; nothing is held back until its deadline.
         """
-        if self.settings.tier:
+        usual = self._latency[request.class_index]
+        pace = self.limiter.pace_ms(request.class_index)
+        most = min(
+            self.waiting.patience_ms(self.now, request.cls.aim_ms, left_ms, pace, over_share),
+            left_ms - usual - self.settings.tick_ms,
+        )
+        if not self.waiting.enter(self.now, request.id, request.class_index, over_share, most, pace):
             return False
-        # The mean, and a refusal by chance, not a hard limit: a copy of low rate has none or a few calls out
-        # by chance alone, and its window may be below one.
-        self._out_mean += self.OUT_MEMORY * (self._out - self._out_mean)
-        limit = self._window * (0.8 + 0.6 * self.rng.random())
-        if over_share:
-            return self._out_mean >= limit * self._over_part
-        full = self._out_mean >= limit
-        step = -self.CLOSE if full else self.CLOSE * self.SPARE
-        self._over_part = min(self.HEADROOM, max(0.0, self._over_part + step))
-        return full
-
-    def _steer(self, event: AttemptEnded, request: Request) -> None:
-        """Move the window by how far a latency lies from its target; a failure counts as a whole aim."""
-        if request.started or event.outcome in UNTELLING or event.outcome is Outcome.CONNECT_FAILED:
-            return
-        at, aim = request.class_index, request.cls.aim_ms
-        if event.outcome is Outcome.FULL:
-            if len(request.attempts) < 2:
-                return  # one full server is nothing that another attempt would not mend
-            # One call too many is out; refusals come fast, so they must weigh more than slow answers.
-            step = -min(1.0, 0.25 * self._window)
-        elif event.outcome is Outcome.OK:
-            # The mean, not single answers: those differ by their work, which says nothing of the load.
-            beyond = self._latency[at] - self._base[at]
-            self._base[at] += self.MEMORY * beyond * (1.0 if beyond < 0.0 else self.BASE_RISE)
-            base = min(self._base[at], aim)
-            target = min(base + self.TARGET * (aim - base), self.TOLERANCE * base)
-            step = self.GAIN * max(-min(1.0, self._window), 1.0 - event.spent_ms / target)
-        else:
-            step = -self.GAIN * min(1.0, self._window, event.spent_ms / aim)
-        if step < 0.0 or self._out + 1.0 >= 0.6 * self._window:  # an unused window says nothing
-            self._window = max(self.LEAST_WINDOW, self._window + step)
+        self._wake(request, most)
+        return True
 
-    def _compare_zones(self, event: AttemptEnded, request: Request, attempt: Attempt) -> None:
+    def _let_in(self) -> None:
+        """Those whose turn has come, as far as there are places."""
+        for _ in range(self.limiter.places(self._out)):
+            turn = self.waiting.take()
+            if turn is None:
+                return
+            request = self.requests[turn]
+            request.wake_ms = -1.0
+            self._place(request)
+
+    def _compare_zones(self, outcome: Outcome, spent_ms: float, request: Request, attempt: Attempt) -> None:
         """Draw over all zones as far as home does worse than crossing costs.
 
         Guards against a zone with more traffic than its own servers carry: a copy of low rate always finds a
@@ -1002,12 +1014,12 @@
         """
         if self.settings.price_cross_zone <= 0.0 or request.started:
             return
-        if event.outcome in UNTELLING:
+        if outcome in UNTELLING:
             return
-        if event.outcome is Outcome.OK:
-            cost = min(1.0, event.spent_ms / request.cls.aim_ms)
+        if outcome is Outcome.OK:
+            cost = min(1.0, spent_ms / request.cls.aim_ms)
         else:
-            cost = self.TARGET if event.outcome in NEVER_RAN else 1.0
+            cost = self.UNSEEN_COST if outcome in NEVER_RAN else 1.0
         away = attempt.zone != self.settings.my_zone
         self._cost[away] += self.MEMORY * (cost - self._cost[away])
         # Few calls tell of either: home must do clearly worse, else chance alone would make half cross.
@@ -1110,7 +1122,9 @@
             return
         if self.now + self.settings.tick_ms / 2.0 < request.wake_ms:
             return  # an older timer; half a tick, since a caller's clock may round below what was asked for
-        if request.asked is not None:  # no report in time: the silence counts as busy
+        if self.waiting and self.waiting.drop(request.id):  # it has waited in vain
+            self._answer(request)
+        elif request.asked is not None:  # no report in time: the silence counts as busy
             request.asked = None
             self._next(request)
         elif request.id in self.held:
@@ -1126,10 +1140,7 @@
             for server in gone:  # its connections died with it
                 self.links.drop(server)
             self.slow_start.watch(fresh, self.now)
-            if not self._opened and self.fleet.ready_count:
-                self._opened = True
-                first = self.FIRST_LEVEL * self.fleet.ready_count / self.settings.copies
-                self._window = max(self.FIRST_WINDOW, first)
+            self.limiter.open(self.fleet.ready_count, self.settings.copies)
             for server in fresh:
                 self.fleet.earn_token(server, self.now)
         if self.settings.on_request_discovery:
@@ -1175,11 +1186,11 @@
         credit, self.slow_start.credit = self.slow_start.credit, min(0.0, self.slow_start.credit)
         return {
             "credit": credit,
-            "window": self._window,
+            "window": self.limiter.window,
             "idle_share": self._idle_share,
             "most_running": self._most_running,
             "latency": dict(zip(names, self._latency, strict=True)),
-            "base": dict(zip(names, self._base, strict=True)),
+            "base": dict(zip(names, self.limiter.base, strict=True)),
             "work": dict(zip(names, self._work, strict=True)),
         }
 
@@ -1191,11 +1202,13 @@
             return min(float(value), high) if good else old
 
         self.slow_start.credit = number(learned.get("credit"), 0.0, SlowStart.CREDIT_CAP)
-        self._window = max(self.LEAST_WINDOW, number(learned.get("window"), self._window))
-        self._opened = self._opened or "window" in learned
+        limiter = self.limiter
+        most = limiter.MOST_WINDOW
+        limiter.window = max(limiter.LEAST_WINDOW, number(learned.get("window"), limiter.window, most))
+        limiter.opened = limiter.opened or "window" in learned
         self._idle_share = number(learned.get("idle_share"), self._idle_share, 1.0)
         self._most_running = number(learned.get("most_running"), self._most_running)
-        for key, values in (("latency", self._latency), ("base", self._base), ("work", self._work)):
+        for key, values in (("latency", self._latency), ("base", limiter.base), ("work", self._work)):
             told = learned.get(key)
             if isinstance(told, dict):
                 for at, cls in enumerate(self.settings.classes):
@@ -1214,10 +1227,8 @@
         self.links.configure(new)
         self.slow_start.configure(new)
         self.slow_start.rewatch(list(self.fleet.servers.values()), self.now)
-        for at, (before, after) in enumerate(zip(old.classes, new.classes, strict=True)):
-            if before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
-                self._latency[at] = min(self._latency[at], after.aim_ms / 3.0)
-                self._base[at] = min(self._base[at], after.aim_ms / 3.0)
+        self.limiter.configure(new)
+        self.waiting.configure(new)
         known = {tenant.name: n for n, tenant in enumerate(old.tenants)}
         places = [known.get(tenant.name) for tenant in new.tenants]
         self._fair = self._shares(new)
@@ -1242,7 +1253,6 @@
 FIXED = "zones my_zone me tier tiers tick_ms on_request_discovery may_probe report_mode report_fields".split()
 
 
-UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the server's state
 IDLE_FIELD = (
     "running_and_waiting"  # the one report value that tells an idle server; others say nothing of that
 )
