--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -104,7 +104,7 @@
     DOUBLING = 0.25  # of the tolerance: while queues add less than that, the window doubles each round trip
     LEAP = 4.0  # tolerances that such a doubling may add to the latency at low load, if it was one too many
     HEED = 1.0 / 8.0  # weight of a new sample in that
-    FAIR = 0.5  # calls a round that a window gains whatever its size: lets small ones catch up with large
+    FAIR = 0.25  # of the tolerance, at most, that a round's gain of the root of the window may add to the latency
     LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
     GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
     HASTEN, FASTEST = 1.5, 4.0  # by which each further round that sees no queue hastens that, and at most
@@ -257,7 +257,7 @@
         if outcome is Outcome.OK:
             self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
         if self.counts:
-            self._count(now_ms, class_index, outcome, spent_ms, mark, tries)
+            self._count(now_ms, class_index, outcome, spent_ms, out, mark, tries)
         else:
             self._step(class_index, outcome, spent_ms, out, tries)
 
@@ -282,7 +282,7 @@
         self.doubling = False
 
     def _count(
-        self, now_ms: float, at: int, outcome: Outcome, spent_ms: float, mark: int, tries: int
+        self, now_ms: float, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int
     ) -> None:
         """Steer a window that counts."""
         tolerance = self.tolerance_ms()
@@ -307,6 +307,9 @@
                     # Less where the aim leaves little room: one doubling too many would put every call past it.
                     step = min(1.0, self.LEAP * tolerance / base)
                     self.window = min(self.MOST_WINDOW, self.window + step)
+            elif added > tolerance and out + 1.0 < self.USED * self.window:
+                # A window far wider than what is out stands open for a burst that the queues could not bear.
+                self.window -= self.GAIN
             elif mark < 0:
                 self._light.add(at, base, added)
         elif spent_ms > base + tolerance:
@@ -383,7 +386,10 @@
         ]
         if sums.turned_away > self.CROWDED * (sums.calls + sums.turned_away):
             factor = min(factor, 0.7)
-        fair = 0.0 if self.doubling else self.FAIR
+        # The root, for a gain that is more of a small window than of a large one: lets late copies catch up.
+        fair = 0.0
+        if not self.doubling and factor > self.STEEPEST:
+            fair = min(math.sqrt(self.window), self.FAIR * self.window * tolerance / max(base, 0.01))
         self.window = min(
             self.MOST_WINDOW, max(self.small - 0.5, self.window * max(self.STEEPEST, factor) + fair)
         )
--- /dev/null
+++ b/tests/core/test_turns.py
@@ -0,0 +1,57 @@
+"""Whose time it was, told from the turns of the loop."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from math import inf
+
+from larkweir.core.clock import Clock
+from larkweir.core.turns import Turns
+
+
+def test_where_the_poll_waited_the_news_came_as_it_ended() -> None:
+    turns = Turns(0.0)
+    turns.ask(10.0)
+    turns.told(60.0, inf)
+    assert turns.spent_ms(8.0) == 52.0 and turns.stood_ms == 0.0
+
+
+def test_where_it_did_not_wait_the_turn_before_is_our_own_time() -> None:
+    turns = Turns(0.0)
+    turns.ask(1.0)
+    turns.told(50.0, inf)  # a turn that takes 80 ms
+    turns.ask(130.0)
+    turns.told(130.1, inf)
+    assert turns.busy_ms == 80.0
+    assert turns.spent_ms(60.0) == 0.0  # written within it: nothing is sure
+    assert turns.spent_ms(20.0) == 30.0  # written before: up to its beginning it is
+
+
+def test_a_process_that_was_stopped_counts_what_it_missed_as_its_own() -> None:
+    turns = Turns(0.0)
+    turns.ask(10.0)
+    turns.told(2_010.0, 30.0)  # a timer was due after 20 ms of 2 s
+    assert turns.since_ms == 30.0 and turns.stood_ms == 1_980.0
+
+
+def test_a_turn_ends_before_the_loop_polls_again() -> None:
+    async def turns() -> tuple[float, float]:
+        loop = asyncio.get_running_loop()
+        clock = Clock(loop)
+        begun = clock.now_ms()
+        first: asyncio.Future[float] = loop.create_future()
+        second: asyncio.Future[float] = loop.create_future()
+
+        def busy() -> None:
+            clock.turn()
+            time.sleep(0.05)
+            first.set_result(clock.turn().spent_ms(begun))
+            loop.call_later(0.0, lambda: second.set_result(clock.turn().spent_ms(begun)))
+
+        loop.call_later(0.02, busy)
+        return await first, await second
+
+    before, after = asyncio.run(turns())
+    assert 15.0 < before < 50.0  # the turn's own 50 ms are not in it
+    assert after < 50.0  # nor in the next one's, which did not have to wait
--- /dev/null
+++ b/tests/mulleinhitch/test_admission.py
@@ -0,0 +1,288 @@
+"""The window and the waiting room, by scripts in simulated time, each hard case by its name."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from mulleinhitch.admission import Limiter, WaitingRoom
+from mulleinhitch.interface import Effect, Outcome, RequestClass, Settings
+from standins.tier import AIM_MS, DEADLINE_MS, World, jain, quantile
+
+FREE = 100_000  # slots: upstreams that are never full
+
+
+def window(world: World) -> float:
+    return float(world.copies[0].balancer.limiter.window)
+
+
+def test_a_step_to_30_100_300_callers_and_back_is_refused_nothing() -> None:
+    world = World(1, 3, FREE, 3.0)
+    ends = [world.closed(30)]
+    for until, more in ((300.0, 70), (600.0, 200)):
+        world.run(until)
+        ends.append(world.closed(more))
+    world.run(900.0)
+    for end in ends[1:]:
+        end()
+    world.run(1200.0)
+    whole = world.total(0.0, 1200.0)
+    assert whole.served > 20_000 and not whole.refused and not whole.failed
+    assert quantile(whole.spent, 0.99) < 0.1 * AIM_MS
+
+
+def test_a_burst_after_a_quiet_hour_is_refused_nothing() -> None:
+    world = World(2, 3, FREE, 20.0)
+    world.closed(2)()
+    end = world.closed(2, think_ms=50.0)
+    world.run(1_000.0)
+    end()
+    world.run(3_600_000.0)
+    before = window(world)
+    assert before < 10.0  # it has not grown without evidence
+    world.closed(100)
+    world.run(3_602_000.0)
+    whole = world.total(0.0, 3_602_000.0)
+    assert whole.served > 8_000 and not whole.refused
+
+
+def test_a_deploy_that_halves_the_servers_in_a_burst_leaves_the_rest_at_their_capacity() -> None:
+    world = World(3, 4, 8, 20.0)
+    world.closed(200)
+    world.run(2_000.0)
+    for up in world.upstreams[:2]:
+        up.refusing = True
+    world.run(6_000.0)
+    whole = world.total(3_000.0, 6_000.0)
+    assert whole.in_aim > 0.9 * world.capacity_per_s * 3.0
+
+
+def test_one_upstream_of_ten_that_turns_slow_does_not_close_the_window_for_the_nine() -> None:
+    world = World(4, 10, FREE, 5.0)
+    world.closed(60, think_ms=5.0)
+    world.run(500.0)
+    world.upstreams[0].slower = 100.0
+    world.run(2_500.0)
+    whole = world.total(1_000.0, 2_500.0)
+    assert whole.refused <= 0.001 * whole.served
+    assert quantile(whole.spent, 0.5) < 10.0
+
+
+def test_all_slow_by_ten_for_a_second_and_then_well() -> None:
+    world = World(5, 3, 4, 20.0)
+    world.closed(24, think_ms=20.0)
+    world.run(2_000.0)
+    for up in world.upstreams:
+        up.slower = 10.0
+    world.run(3_000.0)
+    for up in world.upstreams:
+        up.slower = 1.0
+    world.run(6_000.0)
+    after = world.total(3_000.0 + 2.0 * AIM_MS, 6_000.0)
+    assert after.refused <= 0.01 * after.served
+    assert quantile(after.spent, 0.9) < 0.25 * AIM_MS
+
+
+def test_upstreams_of_half_a_millisecond_and_of_300_in_one_pool() -> None:
+    world = World(6, 10, FREE, 0.5)
+    for n in range(5):
+        world.service_ms[n] = 300.0
+    world.closed(30, think_ms=10.0)
+    world.run(2_000.0)
+    whole = world.total(500.0, 2_000.0)
+    assert not whole.refused and whole.in_aim == whole.served
+
+
+def test_classes_with_aims_a_hundred_times_apart_share_queues_that_the_tighter_one_bears() -> None:
+    classes = (
+        RequestClass(100.0, 300.0, Effect.SAFE, name="tight"),
+        RequestClass(10_000.0, 20_000.0, Effect.SAFE, name="loose"),
+    )
+    world = World(7, 3, 4, 10.0, classes=classes)
+    world.poisson(100.0, 6_000.0, cls=0)
+    world.poisson(3_000.0, 6_000.0, cls=1)  # two and a half times what the tier can do
+    world.run(6_000.0)
+    copy = world.copies[0]
+    assert copy.balancer.limiter.tolerance_ms() < 30.0  # not a part of ten seconds
+    assert max(len(up.waiting) for up in world.upstreams) < 30
+
+
+def test_upstreams_that_refuse_at_once_do_not_look_healthy() -> None:
+    world = World(8, 3, 4, 20.0)
+    world.closed(100)
+    world.run(1_000.0)
+    for up in world.upstreams:
+        up.refusing = True
+    before = window(world)
+    world.run(3_000.0)
+    assert window(world) <= before
+    for up in world.upstreams:
+        up.refusing = False
+    world.run(8_000.0)
+    assert world.total(6_000.0, 8_000.0).in_aim > 0.8 * world.capacity_per_s * 2.0
+
+
+def test_a_step_down_of_capacity_by_half_is_followed_within_a_few_aims() -> None:
+    world = World(9, 3, 32, 50.0)
+    world.poisson(2_500.0, 8_000.0)  # 1.3 times the capacity
+    world.run(3_000.0)
+    for up in world.upstreams:
+        up.slots = 16
+    world.run(3_000.0 + 4.0 * AIM_MS)
+    world.run(8_000.0)
+    late = world.total(3_000.0 + 4.0 * AIM_MS, 8_000.0)
+    assert late.in_aim > 0.9 * world.capacity_per_s * (8.0 - 3.0 - 4.0 * AIM_MS / 1000.0)
+
+
+def test_264_copies_of_low_rate_before_one_shared_tier_build_no_standing_queue() -> None:
+    world = World(10, 20, 1, 100.0, copies=264, queue=200)
+    world.poisson(0.35 * 264, 30_000.0)
+    queues = []
+    for at in range(20):
+        world.run(10_000.0 + at * 1_000.0)
+        queues.append(sum(len(up.waiting) for up in world.upstreams))
+    whole = world.total(10_000.0, 29_000.0)
+    assert quantile(queues, 0.5) < 20  # less than one a server
+    assert whole.in_aim > 0.8 * whole.asked
+
+
+def test_early_and_late_copies_come_to_equal_parts() -> None:
+    world = World(11, 4, 16, 20.0, copies=2)
+    for n, copy in enumerate(world.copies):
+        copy.balancer.limiter.window = (100.0, 4.0)[n]
+    world.closed(400)
+    world.run(5_000.0)
+    for copy in world.copies:
+        copy.served = 0
+    world.run(8_000.0)
+    assert jain([float(copy.served) for copy in world.copies]) > 0.9
+
+
+@pytest.mark.parametrize("slots", [1, 4, 32])
+@pytest.mark.parametrize("times", [1.2, 4.0])
+def test_an_overloaded_tier_works_at_its_capacity(slots: int, times: float) -> None:
+    world = World(12, 3, slots, 50.0)
+    world.poisson(world.capacity_per_s * times, 6_000.0)
+    world.run(6_000.0)
+    whole = world.total(2_000.0, 6_000.0)
+    assert whole.in_aim >= 0.95 * world.capacity_per_s * 4.0
+    # Who is given up is answered: at once where nothing can come of it, else after its stated wait.
+    assert quantile(whole.waits, 0.99) <= WaitingRoom.PATIENCE * AIM_MS + 1.0
+
+
+def test_time_of_this_process_does_not_close_the_window() -> None:
+    closed, open_ = World(13, 3, FREE, 1.0), World(13, 3, FREE, 1.0)
+    for world, lag in ((closed, 0.0), (open_, 200.0)):
+        world.service_ms = [201.0] * 3  # of which 200 are our own
+        world.lag_ms = lag
+        world.closed(300)
+        world.run(3_000.0)
+    assert window(open_) > 250.0
+    assert not open_.total(0.0, 3_000.0).failed
+
+
+def test_a_full_server_or_two_is_no_crowd_but_a_tenth_of_a_round_is() -> None:
+    def limiter() -> Limiter:
+        made = World(1, 3).copies[0].balancer.limiter
+        made.window = 20.0
+        return made
+
+    few, many = limiter(), limiter()
+    for made, every in ((few, 20), (many, 4)):
+        for n in range(40):
+            outcome = Outcome.FULL if n % every == 0 else Outcome.OK
+            made.arrive(0, 19, 0, False)
+            made.ended(float(n), 0, outcome, 5.0, 19, made.mark(19), 2)
+    assert many.window < 20.0 <= few.window
+
+
+LOOK = RequestClass(AIM_MS, DEADLINE_MS, Effect.SAFE, worth=1.0)
+CLASSES = (LOOK, replace(LOOK, worth=8.0))
+
+
+class Room(RuleBasedStateMachine):
+    """Whatever the order: who waits is known, nobody waits twice or goes twice, and a class is first in, first out."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.room = WaitingRoom(Settings(classes=CLASSES))
+        self.inside: list[tuple[int, int, bool]] = []
+        self.next = 0
+        self.now = 0.0
+
+    @rule(
+        cls=st.integers(0, 1), over=st.booleans(), patience=st.floats(0.0, 500.0), pace=st.floats(0.0, 50.0)
+    )
+    def enter(self, cls: int, over: bool, patience: float, pace: float) -> None:
+        self.now += 1.0
+        self.next += 1
+        if self.room.enter(self.now, self.next, cls, over, patience, pace):
+            assert patience > 0.0
+            self.inside.append((self.next, cls, over))
+
+    @precondition(lambda self: self.inside)
+    @rule()
+    def take(self) -> None:
+        turn = self.room.take()
+        found = next(item for item in self.inside if item[0] == turn)
+        same = [item for item in self.inside if item[1:] == found[1:]]
+        assert same[0] == found
+        self.inside.remove(found)
+
+    @precondition(lambda self: self.inside)
+    @rule(data=st.data())
+    def drop(self, data: st.DataObject) -> None:
+        gone = data.draw(st.sampled_from(self.inside))
+        assert self.room.drop(gone[0]) and not self.room.drop(gone[0])
+        self.inside.remove(gone)
+
+    @invariant()
+    def counted(self) -> None:
+        assert len(self.room) == len(self.inside)
+        assert bool(self.room) == bool(self.inside)
+        if not self.inside:
+            assert self.room.take() is None
+
+
+TestRoom = Room.TestCase
+TestRoom.settings = hypothesis_settings(
+    max_examples=60, stateful_step_count=40, deadline=None, derandomize=True
+)
+
+
+def test_classes_take_turns_by_their_worth_and_none_starves() -> None:
+    room = WaitingRoom(Settings(classes=CLASSES))
+    for n in range(200):
+        assert room.enter(0.0, n, n % 2, False, 1_000.0, 0.0)
+    turns = [room.take() for _ in range(90)]
+    assert sum(turn is not None and turn % 2 == 1 for turn in turns) == 80  # eight of nine
+
+
+def test_traffic_over_its_share_goes_last_but_goes() -> None:
+    room = WaitingRoom(Settings(classes=CLASSES))
+    for n in range(100):
+        assert room.enter(0.0, n, 0, n < 50, 1_000.0, 0.0)
+    turns = [room.take() for _ in range(48)]
+    over = sum(turn is not None and turn < 50 for turn in turns)
+    assert over == 3
+
+
+def test_a_burst_may_wait_and_a_standing_queue_may_not() -> None:
+    room = WaitingRoom(Settings(classes=CLASSES))
+    room.enter(0.0, 1, 0, False, 1_000.0, 0.0)
+    assert room.patience_ms(1.0, AIM_MS, AIM_MS, 1.0, False) == pytest.approx(0.25 * AIM_MS)
+    assert room.patience_ms(AIM_MS, AIM_MS, AIM_MS, 1.0, False) == pytest.approx(0.1 * AIM_MS)
+    room.take()
+    assert room.patience_ms(AIM_MS, AIM_MS, AIM_MS, 1.0, False) == pytest.approx(0.25 * AIM_MS)
+
+
+def test_who_cannot_have_a_turn_in_time_is_told_at_once() -> None:
+    room = WaitingRoom(Settings(classes=CLASSES))
+    for n in range(10):
+        room.enter(0.0, n, 0, False, 100.0, 9.5)
+    assert not room.enter(0.0, 99, 0, False, 100.0, 9.5)
+    assert room.enter(0.0, 99, 1, False, 100.0, 9.5)  # of more worth: few of the others go before it
