Budgets: a loop is looked for before an open id is refused

Need: two balancers that list each other, with no service between, hand a request back under its own id; it was answered 409 as a copy, so that the first told neither the loop nor that nothing ran.

Change: where the id is open and the peer is trusted, the path is looked at first; a loop is 503 with X-Budget-Loop and X-Never-Ran, and what is no loop stays 409.

Measured: the ring of two on sockets tells the loop at its first return (tests/budget/test_ring.py); it was 502 without a word.

--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -184,14 +184,7 @@
         self.unreadable += sum(bad and key in came for key, bad in read)
         # A path that can't be read may hide a loop; what it hides is bounded by the budget all the same.
         hops = path or ()
-        if self._hop in hops or len(hops) >= self.options.hops:
-            self.loops += 1
-            if (
-                self.loops & (self.loops - 1) == 0
-            ):  # the first, second, fourth, ...: a loop may come with each request
-                self._log(
-                    f"budget: loop number {self.loops} refused: {b' -> '.join((*hops, self._hop))!r:.300}"
-                )
+        if self._loops(hops):
             return self._refusal(trusted, loop=True)
         self.ratio.first(now_ms)
         least = self.useful.least_ms(event.class_index)
@@ -214,6 +207,23 @@
         event.attempts = account.left
         return Ticket(self, account, b", ".join((*hops, self._hop)), worth, trusted, event.class_index, key)
 
+    def _loops(self, hops: tuple[bytes, ...]) -> bool:
+        """Whether a request that has passed these tiers is in a loop, which is counted and told."""
+        if self._hop not in hops and len(hops) < self.options.hops:
+            return False
+        self.loops += 1
+        # The first, second, fourth, ...: a loop may come with each request.
+        if self.loops & (self.loops - 1) == 0:
+            self._log(f"budget: loop number {self.loops} refused: {b' -> '.join((*hops, self._hop))!r:.300}")
+        return True
+
+    def looped(self, peer: str, message: Message) -> Headers | None:
+        """The headers of a refusal, where a request under an id that is open here is one that has come back."""
+        if not self.trusts(peer):
+            return None
+        found = message.values(PATH)
+        return self._refusal(True, loop=True) if found and self._loops(path_of(found[0]) or ()) else None
+
     def _refusal(self, trusted: bool, loop: bool = False) -> Headers:
         found: Headers = []
         if trusted:
--- a/larkweir/core/intake.py
+++ b/larkweir/core/intake.py
@@ -37,6 +37,12 @@
                 check(message)
             event, left, trace = self.requests.read(message)
             if self.engine.is_known(trace):
+                # One that comes back through the tiers has its own id: the loop is looked for first, since the tier
+                # below may try again after a refusal, and not after a bad request.
+                refused = self.engine.budgets and self.engine.budgets.looped(caller.peer, message)
+                if refused:
+                    caller.answer(503, [*refused, (b"Retry-After", b"1")], b"")
+                    return None
                 # Guards the open request: a second under its id could not be told from a copy of it.
                 raise FramingError(409, "a request with this id is open, or was until lately")
             return self.engine.arrive(caller, message, left, trace, event)
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -76,6 +76,9 @@
     def arrive(self, peer: str, message: Message, event: RequestArrived, now_ms: float) -> Ticket | Headers:
         """A ticket, or the headers of a refusal."""
 
+    def looped(self, peer: str, message: Message) -> Headers | None:
+        """The headers of a refusal, where a request under an id that is open here is one that has come back."""
+
 
 class Target(Protocol):
     """One upstream as discovery last told of it."""
--- /dev/null
+++ b/tests/budget/test_ring.py
@@ -0,0 +1,49 @@
+"""Two balancers that list each other, with no service between them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from larkweir.budget.chain import Chain
+from larkweir.config.options import Budget
+from tests.fakes import PATIENCE_S, Caller, Running, entry, running
+
+
+def switch_on(node: Running, hop: str, log: list[str]) -> None:
+    options = Budget(on=True, trust=("127.0.0.0/8",), hop=hop)
+    node.engine.budgets = Chain(options, node.engine.config.settings, log.append)
+
+
+async def ring(**headers: str) -> tuple[int, dict[str, str], list[str]]:
+    log: list[str] = []
+    async with running() as first, running(entry("first", first.port)) as second:
+        switch_on(first, "one", log)
+        switch_on(second, "two", log)
+        first.discovery.change(entry("second", second.port))
+        async with asyncio.timeout(PATIENCE_S):
+            while not (first.engine.ready and second.engine.ready):
+                await asyncio.sleep(0.005)
+        async with Caller(first.port) as caller:
+            caller.ask(**headers)
+            answer = await caller.answer()
+    return answer.status, answer.headers, log
+
+
+def test_a_request_that_comes_back_under_its_own_id_is_told_as_a_loop() -> None:
+    status, headers, log = asyncio.run(ring())
+    assert status == 502 or status == 503
+    assert headers["x-budget-loop"] == "1"
+    assert any("one -> two -> one" in line for line in log)
+
+
+def test_a_copy_of_an_open_request_is_still_no_request() -> None:
+    async def run() -> int:
+        log: list[str] = []
+        async with running(entry("nobody", 1)) as node:
+            switch_on(node, "one", log)
+            node.engine._traces.add(b"again")
+            async with Caller(node.port) as caller:
+                caller.ask(X_Trace_Id="again")
+                return (await caller.answer()).status
+
+    assert asyncio.run(run()) == 409
