Admission: a wide-open window closes on what is out; parts that gained nothing are gone

Need: 170 callers before a tier that had shrunk, behind a window of 500 from better times, were all late for ever: what was out never filled the window, so no round told.

Change: queues and late calls narrow such a window by a sixteenth of what is too much. Looking for the base, the relation of classes and the hastened growth are removed, some 90 lines.

--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -32,11 +32,9 @@
 class Sums:
     """Of some calls that have ended: how many, what their times would be at low load, and what queues added."""
 
-    __slots__ = ("_added", "_calls", "added", "base", "calls", "late", "turned_away")
+    __slots__ = ("added", "base", "calls", "late", "turned_away")
 
-    def __init__(self, classes: int) -> None:
-        self._calls = [0] * classes
-        self._added = [0.0] * classes
+    def __init__(self) -> None:
         self.clear()
 
     def clear(self) -> None:
@@ -45,26 +43,11 @@
         self.late = 0  # of the calls, those that were given up: what they would have taken is a guess
         self.base = 0.0
         self.added = 0.0
-        for at in range(len(self._calls)):
-            self._calls[at] = 0
-            self._added[at] = 0.0
 
-    def add(self, at: int, base: float, added: float) -> None:
+    def add(self, base: float, added: float) -> None:
         self.calls += 1
         self.base += base
         self.added += added
-        self._calls[at] += 1
-        self._added[at] += added
-
-    def beyond(self) -> list[float]:
-        """By class: the mean of what queues seem to have added to it, beyond what they did to all. Weighted by their
-        calls these add up to nothing: they tell of the classes' work alone.
-        """
-        mean = self.added / self.calls if self.calls else 0.0
-        return [
-            added / calls - mean if calls else 0.0
-            for calls, added in zip(self._calls, self._added, strict=True)
-        ]
 
 
 class Limiter:
@@ -108,7 +91,6 @@
     FAIR = 0.25  # of the tolerance, at most, that a round's gain of the root of the window may add to the latency
     LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
     GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
-    HASTEN, FASTEST = 1.5, 4.0  # by which each further round that sees no queue hastens that, and at most
     LIFT = 1.03  # of the ceiling, with every round that finds nothing there
     STEEPEST = 0.5  # of the window, that one round takes back
     CROWDED = (
@@ -116,9 +98,10 @@
     )
     LIGHT = 0.5  # of the window: a call with no more than that beside it tells the latency at low load
     BASE_GAIN = 0.25  # of what such a round says that it has changed
-    PROOF_MS, PROOF_ROUNDS = 10_000.0, 50.0  # so old it is looked at anew, where calls queue
-    FRUITLESS = 0.85  # of the latency that is left with half the window open: then there was no queue
-    RELATION = 0.1  # of what queues seem to add to a class beyond what they add to all: put down to its work
+    HALF, FRUITLESS = (
+        0.5,
+        0.85,
+    )  # of the window, with which more than that of the latency is left: no queue was ours
     KEEP = 8  # answers that the tolerance is kept for; it changes with rounds
     ACTIVE = 64.0  # requests: a class that was not among the last so many binds nobody
 
@@ -142,17 +125,12 @@
         self._last = [-math.inf] * count  # the arrival that each class had last
         self._arrivals = 0.0
         self._round = 1
-        self._began_ms = -1.0
-        self._full, self._light = Sums(count), Sums(count)
+        self._full, self._light = Sums(), Sums()
         self._ceiling = math.inf  # the window that would have been right when queues were last met
-        self._clear = 0  # rounds in a row that saw no queue to speak of
-        self._part = 1.0  # of the window that is open
         self._closing: tuple[float, float] | None = (
             None  # window and mean time when it began to close, or halved
         )
-        self._before = 0.0  # the mean time of the round before, while a part is
         self._tolerance, self._keep = 1.0, 0  # the tolerance, kept for so many more answers
-        self._proved_ms = -1.0  # when the latency at low load was last seen
 
     def configure(self, settings: Settings) -> None:
         """Take new figures; what was learned is carried on."""
@@ -179,11 +157,6 @@
         """Whether the window is a hard bound, that can be waited for."""
         return self.window >= self.small
 
-    @property
-    def open_window(self) -> float:
-        """What of the window is open now."""
-        return self.window if self._part == 1.0 else max(self.small, self._part * self.window)
-
     def arrive(self, class_index: int, out: int, waiting: int, over_share: bool) -> Verdict:
         """A request has come while `out` calls are out and `waiting` requests wait for a place.
 
@@ -195,9 +168,9 @@
         self._out_mean += self.OUT_MEMORY * (out - self._out_mean)
         if self.counts:
             if over_share:
-                full = waiting > 0 or out >= self.open_window * self.over_part
+                full = waiting > 0 or out >= self.window * self.over_part
             else:
-                full = waiting > 0 or out + 1.0 > self.open_window
+                full = waiting > 0 or out + 1.0 > self.window
                 self._steer_over_part(waiting > self.window)
             return Verdict.WAIT if full else Verdict.GO
         # The mean, and a refusal by chance, not a hard limit: a copy of low rate has none or a few calls out by chance
@@ -215,7 +188,7 @@
 
     def places(self, out: int) -> int:
         """How many that wait may go now."""
-        return max(0, int(self.open_window - out)) if self.counts else max(0, 1 - out)
+        return max(0, int(self.window - out)) if self.counts else max(0, 1 - out)
 
     def pace_ms(self, class_index: int) -> float:
         """The mean time from place to place; 0 while that can't be told, as the window opens with every answer."""
@@ -226,7 +199,7 @@
         that it counts in, if it fills the window; its negative, if it is one of few; 0 for one between.
         """
         calls = out + 1.0
-        if calls >= self.USED * self.open_window:
+        if calls >= self.USED * self.window:
             return self._round
         return -self._round if calls <= self.LIGHT * self.window else 0
 
@@ -248,7 +221,6 @@
 
     def ended(
         self,
-        now_ms: float,
         class_index: int,
         outcome: Outcome,
         spent_ms: float,
@@ -264,7 +236,7 @@
         if outcome is Outcome.OK:
             self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
         if self.counts:
-            self._count(now_ms, class_index, outcome, spent_ms, out, mark, tries)
+            self._count(class_index, outcome, spent_ms, out, mark, tries)
         else:
             self._step(class_index, outcome, spent_ms, out, tries)
 
@@ -288,9 +260,7 @@
             self.window = max(self.LEAST_WINDOW, self.window + step)
         self.doubling = False
 
-    def _count(
-        self, now_ms: float, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int
-    ) -> None:
+    def _count(self, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int) -> None:
         """Steer a window that counts."""
         self._keep -= 1
         if self._keep <= 0:
@@ -313,34 +283,42 @@
             self._added += self.HEED * (added - self._added)
             self._heed(added / tolerance)
             if mark == self._round:
-                self._full.add(at, base, added)
+                self._full.add(base, added)
                 if self.doubling:
                     # Less where the aim leaves little room: one doubling too many would put every call past it.
                     step = min(1.0, self.LEAP * tolerance / base)
                     self.window = min(self.MOST_WINDOW, self.window + step)
-            elif added > tolerance and out + 1.0 < self.USED * self.window:
-                # A window far wider than what is out stands open for a burst that the queues could not bear.
-                self.window = max(min(self.window, self._first), self.window - self.GAIN)
+            elif added > tolerance:
+                self._narrow(out)
             if mark < 0:
-                self._light.add(at, base, added)
+                self._light.add(base, added)
         elif spent_ms > base + tolerance:
             # It has taken too long, and nobody knows how long it would have been.
             self._heed(4.0)
             if mark == self._round:
-                self._full.add(at, base, max(spent_ms, 2.0 * (base + tolerance)) - base)
+                self._full.add(base, max(spent_ms, 2.0 * (base + tolerance)) - base)
                 self._full.late += 1
+            else:
+                self._narrow(out)
         ended = self._full.calls + self._full.turned_away
         if ended >= self.LEAST_ROUND and ended >= self._enough(tolerance):
-            self._end_round(now_ms, tolerance)
+            self._end_round(tolerance)
         if self._light.calls >= self.LEAST_ROUND and self._light.calls >= self._enough(tolerance):
             # A round of few: it tells the latency at low load. Where that is what it was, the next burst may open the
             # window as the first one did, whatever was met before.
             if self._light.added < self.DOUBLING * tolerance * self._light.calls:
                 self.doubling, self._queued, self._ceiling = True, 0.0, math.inf
             self._rescale(self._light, self.BASE_GAIN)
-            self._proved_ms = now_ms
             self._light.clear()
 
+    def _narrow(self, out: int) -> None:
+        """There are queues, and what is out does not fill the window: it is far too wide, and no round will ever tell.
+        Guards against one that stands open from better times, and lets everything wait at the servers until it is late.
+        """
+        used = max(self._first, (out + 1.0) / self.USED)
+        if used < self.window:
+            self.window += self.MEMORY * (used - self.window)
+
     def _heed(self, queued: float) -> None:
         """The doubling ends with the first queue that is worth the name."""
         self._queued += self.HEED * (min(queued, 4.0) - self._queued)
@@ -352,7 +330,7 @@
         sums = self._full
         if sums.calls >= self.LEAST_ROUND and sums.added > sums.base + 2.0 * sums.calls * tolerance:
             return self.LEAST_ROUND
-        return min(max(self.LEAST_ROUND, self.open_window), self.MOST_ROUND)
+        return min(max(self.LEAST_ROUND, self.window), self.MOST_ROUND)
 
     def _rescale(self, sums: Sums, gain: float) -> None:
         """Move the latency at low load, of all classes alike, to what some calls say."""
@@ -362,48 +340,29 @@
             for base, cls in zip(self.base, self._classes, strict=True)
         ]
 
-    def _end_round(self, now_ms: float, tolerance: float) -> None:
+    def _end_round(self, tolerance: float) -> None:
         sums = self._full
         calls = max(1, sums.calls)
         base, added = sums.base / calls, sums.added / calls
         latency = base + added
-        length = now_ms - self._began_ms
         if not sums.calls:
             factor = 1.0
-        elif self._part < 1.0:
-            factor = 1.0
-            self._go_on_looking(now_ms, latency, sums)
         else:
             factor = (base + tolerance) / max(latency, 0.001)
             if factor > 1.0:
                 self._closing = None
-                self._clear = self._clear + 1 if added < self.DOUBLING * tolerance else 0
-                hasten = min(self.HASTEN**self._clear, self.FASTEST)
-                factor = 1.0 if self.doubling else 1.0 + self.GROWTH * (min(factor, 3.0) - 1.0) * hasten
-                factor = min(factor, 2.0)
+                factor = 1.0 if self.doubling else 1.0 + self.GROWTH * (min(factor, 3.0) - 1.0)
                 if self.window * factor > self._ceiling:
                     # Where queues were met before it goes on by small steps: there is least to win and most to lose.
                     factor = max(1.0, self._ceiling / self.window)
                     self._ceiling *= self.LIFT
             else:
-                self._clear = 0
                 self._ceiling = max(self.small, self.window * factor)
                 if self._closing_in_vain(latency, sums):
                     self._rescale(sums, 1.0)
-                    self._proved_ms, self._ceiling, factor = now_ms, math.inf, 1.0
+                    self._ceiling, factor = math.inf, 1.0
             if added < 0.0:
                 self._rescale(sums, self.BASE_GAIN)
-            if added < 0.25 * tolerance and added < 0.25 * base:
-                self._proved_ms = now_ms
-            elif (
-                now_ms - self._proved_ms > max(self.PROOF_MS, self.PROOF_ROUNDS * length)
-                and not self.doubling
-            ):
-                self._part, self._before = self.LIGHT, latency
-        beyond = sums.beyond()
-        self.base = [
-            max(0.01, base + self.RELATION * more) for base, more in zip(self.base, beyond, strict=True)
-        ]
         if sums.turned_away > self.CROWDED * (sums.calls + sums.turned_away):
             factor = min(factor, 0.7)
         # The root, for a gain that is more of a small window than of a large one: lets late copies catch up.
@@ -415,7 +374,6 @@
         )
         sums.clear()
         self._round += 1
-        self._began_ms = now_ms
 
     def _closing_in_vain(self, latency: float, sums: Sums) -> bool:
         """While the window closes: whether the latency is the same with half of it. Guards against closing it for ever
@@ -425,25 +383,11 @@
             self._closing = (self.window, latency)
             return False
         window, before = self._closing
-        if self.window > max(self.LIGHT * window, self.small + 1.0):
+        if self.window > max(self.HALF * window, self.small + 1.0):
             return False
         self._closing = (self.window, latency)
         return latency > self.FRUITLESS * before
 
-    def _go_on_looking(self, now_ms: float, latency: float, sums: Sums) -> None:
-        """A round with a part of the window open has ended. While the latency falls with it there was a queue; once it
-        does not, there is none left, and this is the latency at low load. Guards against taking our own standing queue
-        for it.
-        """
-        smallest = self.open_window <= self.small
-        if latency < self.FRUITLESS * self._before and not smallest:
-            self._before = latency
-            self._part *= self.LIGHT
-            return
-        self._rescale(sums, 1.0)
-        self._part = 1.0
-        self._proved_ms = now_ms
-
 
 class WaitingRoom:
     """Requests that found the window full: first in, first out within a class and kind of traffic.
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -803,7 +803,6 @@
         usual = self._latency[request.class_index]
         if not request.started:
             self.limiter.ended(
-                self.now,
                 request.class_index,
                 event.outcome,
                 spent,
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -68,7 +68,9 @@
             attempt = self.waiting.popleft()
             if not attempt.over:
                 self.busy += 1
-                work = self.world.draw_work(self.number) * self.slower
+                work = (
+                    self.world.draw_work(self.number) * self.slower * self.world.heavier.get(attempt.cls, 1.0)
+                )
                 pause = max(0.0, self.paused_until - self.world.now)
                 self.work_ms += work
                 self.world.after(pause + work, lambda attempt=attempt: self._done(attempt))  # type: ignore[misc]
@@ -85,6 +87,7 @@
         self.request = action.request
         self.server = action.server
         self.number = number
+        self.cls = copy.asked[action.request].cls
         self.sent = copy.world.now
         self.over = False
         world = copy.world
@@ -227,6 +230,7 @@
         self.spread = spread
         self.service_ms = [service_ms] * upstreams
         self.span_ms = span_ms
+        self.heavier: dict[int, float] = {}  # by class: how much more work its requests are than drawn
         self.lag_ms = 0.0  # of `spent`, what the copy's own process added and can tell
         self._heap: list[tuple[float, int, Callable[[], None]]] = []
         self._serial = count()
@@ -239,6 +243,7 @@
             copy = Copy(self, n, own, seed * 1000 + n)
             if limiter is not None:
                 copy.balancer.limiter = limiter(own, Random(seed * 1000 + n))
+                copy.balancer.limiter.now_ms = lambda: self.now
                 copy.balancer._latency = copy.balancer.limiter.mean
                 copy.balancer.limiter.open(upstreams, copies)
             self.copies.append(copy)
