--- a/larkweir/core/turns.py
+++ b/larkweir/core/turns.py
@@ -6,7 +6,7 @@
 
 - where this turn's poll had to wait, the news came as it ended: `since_ms` is the beginning of this turn;
 - where it did not, the news came while the turn before was busy, nobody knows when: `since_ms` is the beginning of that
-  one. What is not told apart is at most one turn, and counts as this process's own;
+  one. What is not told apart is at most one turn and a half, and counts as this process's own;
 - where the poll ended later than a timer should have ended it, the process itself stood still (stopped, starved of its
   core, paged out): `since_ms` is when that timer was due. Again it is the least that is sure.
 
@@ -21,7 +21,9 @@
 
     __slots__ = ("_asked_ms", "_told_ms", "since_ms")
 
-    WAITED_MS = 0.5  # a poll that took longer has waited
+    # A poll has waited that took longer than this, and than half of the turn before: a busy machine may take the core
+    # away for a while in a poll that had its news at once.
+    WAITED_MS, WAITED_PART = 0.5, 0.5
     LATE_MS = 5.0  # a timer that is later than this was not late by the system's rounding
 
     def __init__(self, now_ms: float) -> None:
@@ -36,7 +38,8 @@
     def told(self, now_ms: float, due_ms: float) -> None:
         """The first of what a poll brought is handled. The next timer was due at `due_ms`; infinity: none was."""
         before, self._told_ms = self._told_ms, now_ms
-        if now_ms - self._asked_ms <= self.WAITED_MS:
+        busy = self._asked_ms - before
+        if now_ms - self._asked_ms <= max(self.WAITED_MS, self.WAITED_PART * busy):
             self.since_ms = before
         elif now_ms > due_ms + self.LATE_MS:
             self.since_ms = max(self._asked_ms, due_ms)
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -174,6 +174,7 @@
         protocol = cast(asyncio.Protocol, connection)
         coming = self._coming.get(upstream.number)
         calls = coming[1] if coming is not None and coming[0] is connection else [call]
+        self.clock.turn()  # tasks run behind the end of the turn that made them
         begun = self.clock.now_ms()
         try:
             async with asyncio.timeout(self._connect_timeout_ms / 1000.0):
