--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -66,8 +66,8 @@
     MEMORY = 1.0 / 16.0  # weight of a new sample in the running means
     # What queues may add to the latency at low load: a multiple of it, but at least and at most such parts of the way
     # from it to the aim. A small window has no other place for its queue than the servers; one that counts has.
-    LEAST, TOLERANCE, TARGET = 0.15, 2.0, 0.5
-    COUNTED_TOLERANCE, COUNTED_TARGET = 0.5, 0.3
+    LEAST, TOLERANCE, TARGET = 0.1, 2.0, 0.5
+    COUNTED_TOLERANCE, COUNTED_TARGET = 0.25, 0.3
     BASE_RISE = 0.1  # of a small window: the latency at low load is followed down at once and up slowly
     GAIN = 0.2  # of a small window, an answer, for a latency off by the whole target
     FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
@@ -227,16 +227,17 @@
         out: int,
         mark: int = 0,
         tries: int = 1,
+        size: float = 1.0,
     ) -> None:
         """An attempt has ended after `spent_ms` at the upstream; `out` are still out, and `tries` of its request were
-        begun by now. `mark` is what it was given when it was sent.
+        begun by now. `mark` is what it was given when it was sent, and `size` its work, by the mean of its class.
         """
         if outcome in UNTELLING or outcome is Outcome.CONNECT_FAILED:
             return
         if outcome is Outcome.OK:
             self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
         if self.counts:
-            self._count(class_index, outcome, spent_ms, out, mark, tries)
+            self._count(class_index, outcome, spent_ms, out, mark, tries, size)
         else:
             self._step(class_index, outcome, spent_ms, out, tries)
 
@@ -260,14 +261,15 @@
             self.window = max(self.LEAST_WINDOW, self.window + step)
         self.doubling = False
 
-    def _count(self, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int) -> None:
+    def _count(self, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int, size: float) -> None:
         """Steer a window that counts."""
         self._keep -= 1
         if self._keep <= 0:
             self._tolerance = self.tolerance_ms()
             self._keep = self.KEEP if self._seen[at] >= self.LEAST_ROUND else 1
         tolerance = self._tolerance
-        base = self.base[at]
+        # Guards against taking a spell of heavy requests for queues: their time at low load is by their size.
+        base = self.base[at] * size
         if outcome is Outcome.FULL:
             self._full.turned_away += (
                 tries > 1
@@ -277,8 +279,9 @@
             if self._seen[at] < self.LEAST_ROUND:
                 # Before it is known, what queues add is taken off by what they add to the other classes.
                 self._seen[at] += 1
-                own = max(0.01, spent_ms - max(0.0, self._added))
-                base = self.base[at] = base + (own - base) / self._seen[at]
+                own = max(0.01, spent_ms - max(0.0, self._added)) / max(0.25, size)
+                self.base[at] += (own - self.base[at]) / self._seen[at]
+                base = self.base[at] * size
             added = spent_ms - base
             self._added += self.HEED * (added - self._added)
             self._heed(added / tolerance)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -272,6 +272,7 @@
         "class_index",
         "cls",
         "deadline_ms",
+        "hinted",
         "id",
         "legality",
         "most",
@@ -302,6 +303,7 @@
         self.polling = False  # is sent only to a server that says it is idle
         self.probes = 0  # in this round of draws
         self.size = 1.0  # its cost hint, by the mean of its class
+        self.hinted = 0.0  # the same; 0 where it came without one
         self.roams = False  # draws over all zones, although crossing costs
 
 
@@ -571,6 +573,9 @@
     # Of the usual latency, that must be left for a call to be tried. Guards against work that nobody can use,
     # and against time-outs held against servers that were given no time.
     HOPE = 0.25
+    # Of the time at low load of a request so heavy, by its hint. Guards against work of many times the usual, which
+    # is never done in time and keeps others from it.
+    TOO_HEAVY = 0.75
     UNSEEN_COST = 0.5  # of the aim: what a call that never ran has cost
     WORSE = 1.5  # times the cost elsewhere, from which home does worse
     ROAM = 0.02  # of calls that draw over all zones although home does well, to learn of the others
@@ -678,12 +683,13 @@
             at = event.class_index
             usual = self._work[at] or event.expected_ms
             self._work[at] = usual + self.MEMORY * (event.expected_ms - usual)
-            request.size = event.expected_ms / usual
+            request.size = request.hinted = event.expected_ms / usual
         self._retries = min(self.RETRY_CAP, self._retries + self.RETRY_RATIO)
         self._set_aim(request, event)
         over_share = self._over_share(event)
         left = request.aim_ms - self.now
-        if left <= self.HOPE * self._latency[event.class_index]:
+        at = event.class_index
+        if left <= max(self.HOPE * self._latency[at], self.TOO_HEAVY * self.limiter.base[at] * request.hinted):
             self._answer(request)
             return
         # Inner tiers do not shed: who has been let in above is served.
@@ -809,6 +815,7 @@
                 self._out,
                 attempt.mark,
                 len(request.attempts),
+                request.size,
             )
         self._compare_zones(event.outcome, spent, request, attempt)
         self.links.learn(attempt, event.outcome, spent, usual, request.cls.aim_ms)
@@ -824,7 +831,8 @@
             self._served_ms = max(self._served_ms, attempt.sent_ms)
             slow = spent > self.SLOW * usual * max(1.0, request.size)
             self._judge(server, request, event.outcome, slow)
-            self._pace(server, spent / (usual * max(0.25, request.size)))
+            ratio = spent / (usual * max(0.25, request.size))
+            self._pace(server, ratio)
         elif event.outcome not in UNTELLING and not self._own_queue(event.outcome, attempt):
             self._judge(server, request, event.outcome, True)
         self.fleet.earn_token(server, self.now)
