--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -269,6 +269,7 @@
         "aim_ms",
         "asked",
         "attempts",
+        "came_ms",
         "class_index",
         "cls",
         "deadline_ms",
@@ -291,6 +292,7 @@
         self.cls = cls  # as the settings had it when the request came, like what is legal
         self.legality = legality
         self.most = MANY if event.attempts is None else event.attempts  # attempts, by its own budget
+        self.came_ms = now_ms
         self.deadline_ms = now_ms + event.time_left_ms
         self.aim_ms = self.deadline_ms  # after this an answer is worth nothing; set by the balancer
         self.attempts: list[Attempt] = []
@@ -565,6 +567,7 @@
     EXPLORE = 0.03  # of calls that probe although it seems not to pay, so that a change is noticed
     RETRY_RATIO = 0.25  # further attempts earned by each request
     RETRY_CAP = 8.0
+    MOST_IN_VAIN = 64.0
     UNSEEN_PRICE = 0.25  # a call that a server never looked at cost no work
     OUTLIER = 0.05  # the odds under which a run of failures is put down to the server
     SLOW = (
@@ -602,6 +605,7 @@
         self._booted = False
         self._list_backoff_ms = 0.0
         self._retries = self.RETRY_CAP / 2.0
+        self._in_vain = 0.0  # requests that ended unserved after long, and may come again with what time is left
         self._usual = [Usual() for _ in settings.classes]
         self.limiter = Limiter(settings, self.rng)
         self.waiting = WaitingRoom(settings)
@@ -620,6 +624,8 @@
         self._served_ms = -1.0  # when the call was sent that is the newest of those served
         self._pause_ms = 0.0  # between two requests that come to this copy
         self._work = [0.0 for _ in settings.classes]  # mean cost hint
+        # Times of the usual that calls take: with no own call at the server before them, and with one or more.
+        self._behind = [1.0, 2.0]
         self._cost = [
             0.0,
             0.0,
@@ -739,19 +745,32 @@
         # those with the fewest.
         crowded = self._out > self.fleet.ready_count
         for lists in self.fleet.levels if crowded else self.fleet.levels[:1]:
-            server = self._draw_near(lists, request)
+            server = self._draw_near(lists, request, crowded)
             if server is not None:
                 return server
-        return self._draw_near(self.fleet.ready, request)
+        return self._draw_near(self.fleet.ready, request, True)
 
-    def _draw_near(self, lists: list[DrawList], request: Request) -> Server | None:
+    def _draw_near(self, lists: list[DrawList], request: Request, crowded: bool) -> Server | None:
         home = self.settings.my_zone
         if self.settings.price_cross_zone > 0.0 and request.probes < 2 and not request.roams:
             server = self._draw_from([lists[home]], request)
+            if server is None and not crowded and len(self.fleet.levels) > 1 and self._stays(request):
+                server = self._draw_from([self.fleet.levels[1][home]], request)
             if server is not None:
                 return server
         return self._draw_from(lists, request)
 
+    def _stays(self, request: Request) -> bool:
+        """Whether to queue behind one own call at home rather than cross: home does no worse than elsewhere, and the time
+        that an own call there adds loses less of the aim than crossing costs.
+        """
+        price = self.settings.price_cross_zone
+        if self._cost[0] > self._cost[1] + price:
+            return False
+        adds = max(0.0, self._behind[1] - self._behind[0]) * self._latency[request.class_index]
+        part = min(1.0, adds / max(1.0, request.aim_ms - self.now))
+        return part * min(1.0, 2.0 * part) <= price  # the odds that it misses the aim, as in `_probe_pays`
+
     def _draw_from(self, lists: list[DrawList], request: Request) -> Server | None:
         shunned = None
         for _ in range(self.DRAWS):
@@ -831,8 +850,11 @@
             self._served_ms = max(self._served_ms, attempt.sent_ms)
             slow = spent > self.SLOW * usual * max(1.0, request.size)
             self._judge(server, request, event.outcome, slow)
-            ratio = spent / (usual * max(0.25, request.size))
+            ratio = min(self.SLOWEST, spent / (usual * max(0.25, request.size)))
+            self._behind[attempt.ahead > 0] += self.MEMORY * (ratio - self._behind[attempt.ahead > 0])
             self._pace(server, ratio)
+        elif event.outcome is Outcome.TIMEOUT and spent < usual:
+            pass  # it was given less than the usual time
         elif event.outcome not in UNTELLING and not self._own_queue(event.outcome, attempt):
             self._judge(server, request, event.outcome, True)
         self.fleet.earn_token(server, self.now)
@@ -849,6 +871,8 @@
 
     def _forget(self, request: Request) -> None:
         """The request is over; its attempts still out keep it known until their ends have come."""
+        if not request.started and self.now - request.came_ms > 0.5 * request.cls.aim_ms:
+            self._in_vain = min(self.MOST_IN_VAIN, self._in_vain + 1.0)
         request.started = True
         self.held.pop(request.id, None)
         if self.waiting:
@@ -883,12 +907,23 @@
             return
         spent = 0.0
         usual = self.settings.tier or self._usual[event.class_index].vote(left, 2.0 * self.settings.tick_ms)
-        if not usual and (event.client_retry or not self.settings.marks_retry):
+        if not usual and self._comes_again(event):
             # A first try that comes with little time is that of a client in haste, not of a late one.
             spent = max(0.0, cls.deadline_ms - left)
         aim = self.now + cls.aim_ms - spent - 2.0 * self.settings.tick_ms
         request.aim_ms = min(request.deadline_ms, aim)
 
+    def _comes_again(self, event: RequestArrived) -> bool:
+        """Whether this is the last try of a client that has waited long for others in vain. Where repeats are not marked,
+        there can be no more of those than requests that ended so here, or were about to: copies share their clients.
+        """
+        if self.settings.marks_retry:
+            return event.client_retry
+        if self._in_vain < 1.0:
+            return False
+        self._in_vain -= 1.0
+        return True
+
     def _again(self, request: Request, outcome: Outcome) -> None:
         """Nothing is out any more and nothing was served: another attempt, or the final answer."""
         useful = request.aim_ms - self.now > 0.75 * self._latency[request.class_index]
@@ -949,7 +984,6 @@
         finds its own calls there ended, so that even draws fill the slow ones. Only where no report tells
         which server is idle. A tier that is slow as a whole is its own usual, so nothing is withheld then.
         """
-        ratio = min(ratio, self.SLOWEST)
         kind = self._kinds.get(server.kind, 1.0)
         self._kinds[server.kind] = kind + self.MEMORY / 2.0 * (ratio - kind)
         # Its kind speaks for a server that this copy has hardly met.
