--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -32,7 +32,7 @@
 class Sums:
     """Of some calls that have ended: how many, what their times would be at low load, and what queues added."""
 
-    __slots__ = ("added", "base", "calls", "late", "turned_away")
+    __slots__ = ("added", "base", "calls", "late", "squares", "turned_away")
 
     def __init__(self) -> None:
         self.clear()
@@ -43,11 +43,20 @@
         self.late = 0  # of the calls, those that were given up: what they would have taken is a guess
         self.base = 0.0
         self.added = 0.0
+        self.squares = 0.0  # of what queues added
 
     def add(self, base: float, added: float) -> None:
         self.calls += 1
         self.base += base
         self.added += added
+        self.squares += added * added
+
+    def error(self) -> float:
+        """The standard error of the mean of what queues added."""
+        if self.calls < 2:
+            return 0.0
+        mean = self.added / self.calls
+        return math.sqrt(max(0.0, self.squares / self.calls - mean * mean) / (self.calls - 1))
 
 
 class Limiter:
@@ -92,6 +101,7 @@
     LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
     GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
     LIFT = 1.03  # of the ceiling, with every round that finds nothing there
+    MOST_DOUBT = 1.0  # tolerances, that are put down to chance
     STEEPEST = 0.5  # of the window, that one round takes back
     CROWDED = (
         0.1  # of a round's calls turned away, from which the window is too large whatever the others' time
@@ -291,7 +301,7 @@
                     # Less where the aim leaves little room: one doubling too many would put every call past it.
                     step = min(1.0, self.LEAP * tolerance / base)
                     self.window = min(self.MOST_WINDOW, self.window + step)
-            elif added > tolerance:
+            elif self._added > tolerance:
                 self._narrow(out)
             if mark < 0:
                 self._light.add(base, added)
@@ -351,8 +361,12 @@
         if not sums.calls:
             factor = 1.0
         else:
+            # Guards against closing for chance: the times of a few calls differ by their work, without any queue.
+            doubt = min(sums.error(), self.MOST_DOUBT * tolerance)
             factor = (base + tolerance) / max(latency, 0.001)
-            if factor > 1.0:
+            if 1.0 >= factor > (base + tolerance) / (base + tolerance + doubt):
+                factor = 1.0
+            elif factor > 1.0:
                 self._closing = None
                 factor = 1.0 if self.doubling else 1.0 + self.GROWTH * (min(factor, 3.0) - 1.0)
                 if self.window * factor > self._ceiling:
@@ -360,6 +374,7 @@
                     factor = max(1.0, self._ceiling / self.window)
                     self._ceiling *= self.LIFT
             else:
+                factor = (base + tolerance + doubt) / latency
                 self._ceiling = max(self.small, self.window * factor)
                 if self._closing_in_vain(latency, sums):
                     self._rescale(sums, 1.0)
