--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -582,6 +582,7 @@
     UNSEEN_COST = 0.5  # of the aim: what a call that never ran has cost
     WORSE = 1.5  # times the cost elsewhere, from which home does worse
     ROAM = 0.02  # of calls that draw over all zones although home does well, to learn of the others
+    STAY = 4  # own calls at a home server, behind fewer of which another may queue rather than cross
     SPILL = 0.1  # step of the part that does so while home does worse than crossing costs
     SLOWNESS_MEMORY = 0.25
     SLOWEST = 8.0  # times the usual, as far as a single answer counts
@@ -754,20 +755,21 @@
         home = self.settings.my_zone
         if self.settings.price_cross_zone > 0.0 and request.probes < 2 and not request.roams:
             server = self._draw_from([lists[home]], request)
-            if server is None and not crowded and len(self.fleet.levels) > 1 and self._stays(request):
-                server = self._draw_from([self.fleet.levels[1][home]], request)
+            for ahead in range(1, 1 if crowded or server else min(self.STAY, len(self.fleet.levels))):
+                if server is None and self._stays(request, ahead):
+                    server = self._draw_from([self.fleet.levels[ahead][home]], request)
             if server is not None:
                 return server
         return self._draw_from(lists, request)
 
-    def _stays(self, request: Request) -> bool:
-        """Whether to queue behind one own call at home rather than cross: home does no worse than elsewhere, and the time
-        that an own call there adds loses less of the aim than crossing costs.
+    def _stays(self, request: Request, ahead: int) -> bool:
+        """Whether to queue behind own calls at home rather than cross: home does no worse than elsewhere, and the time that
+        those calls add loses less of the aim than crossing costs.
         """
         price = self.settings.price_cross_zone
         if self._cost[0] > self._cost[1] + price:
             return False
-        adds = max(0.0, self._behind[1] - self._behind[0]) * self._latency[request.class_index]
+        adds = ahead * max(0.0, self._behind[1] - self._behind[0]) * self._latency[request.class_index]
         part = min(1.0, adds / max(1.0, request.aim_ms - self.now))
         return part * min(1.0, 2.0 * part) <= price  # the odds that it misses the aim, as in `_probe_pays`
 
