--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -97,6 +97,7 @@
         "level",
         "linked",
         "outstanding",
+        "queue",
         "shunned",
         "slowness",
         "started_ms",
@@ -114,6 +115,7 @@
         self.state = entry.state
         self.started_ms = entry.started_ms
         self.outstanding = 0  # own calls only
+        self.queue = 0.0  # requests that waited there, as it last told with an answer
         self.answered_ms = -1.0  # when it last served one
         self.level = -1  # the list it is drawn from; -1: none, its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
@@ -612,7 +614,9 @@
         self.waiting = WaitingRoom(settings)
         self._latency = self.limiter.mean  # of the upstreams' time alone
         # Probing
-        self._level_at = self._queue_at = -1
+        self._level_at = self._queue_at = self._waiting_at = -1
+        if settings.report_mode is ReportMode.INLINE and "waiting" in settings.report_fields:
+            self._waiting_at = list(settings.report_fields).index("waiting")
         self._most_running = 0.0  # calls that any server was seen to run at once
         if settings.may_probe and settings.report_mode is not ReportMode.OFF:
             fields = list(settings.report_fields)
@@ -758,6 +762,7 @@
             for ahead in range(1, 1 if crowded or server else min(self.STAY, len(self.fleet.levels))):
                 if server is None and self._stays(request, ahead):
                     server = self._draw_from([self.fleet.levels[ahead][home]], request)
+                    server = None if server is not None and server.queue >= 1.0 else server
             if server is not None:
                 return server
         return self._draw_from(lists, request)
@@ -847,6 +852,8 @@
                     self.out.append(CloseIdle(server.id))
         elif server.linked:
             self.links.use(server, self.now)
+        if 0 <= self._waiting_at < len(event.report):
+            server.queue = event.report[self._waiting_at]
         if event.outcome is Outcome.OK:
             server.answered_ms = self.now
             self._served_ms = max(self._served_ms, attempt.sent_ms)
