--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -97,8 +97,8 @@
         "level",
         "linked",
         "outstanding",
-        "queue",
         "shunned",
+        "silent",
         "slowness",
         "started_ms",
         "state",
@@ -115,11 +115,11 @@
         self.state = entry.state
         self.started_ms = entry.started_ms
         self.outstanding = 0  # own calls only
-        self.queue = 0.0  # requests that waited there, as it last told with an answer
         self.answered_ms = -1.0  # when it last served one
         self.level = -1  # the list it is drawn from; -1: none, its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
         self.strikes = 0  # failed attempts in a row
+        self.silent = False  # the last that it was sent has no answer, in time or at all
         self.ejections = 0  # since its last success
         self.ejected = False
         self.kind = entry.kind
@@ -614,9 +614,7 @@
         self.waiting = WaitingRoom(settings)
         self._latency = self.limiter.mean  # of the upstreams' time alone
         # Probing
-        self._level_at = self._queue_at = self._waiting_at = -1
-        if settings.report_mode is ReportMode.INLINE and "waiting" in settings.report_fields:
-            self._waiting_at = list(settings.report_fields).index("waiting")
+        self._level_at = self._queue_at = -1
         self._most_running = 0.0  # calls that any server was seen to run at once
         if settings.may_probe and settings.report_mode is not ReportMode.OFF:
             fields = list(settings.report_fields)
@@ -762,7 +760,6 @@
             for ahead in range(1, 1 if crowded or server else min(self.STAY, len(self.fleet.levels))):
                 if server is None and self._stays(request, ahead):
                     server = self._draw_from([self.fleet.levels[ahead][home]], request)
-                    server = None if server is not None and server.queue >= 1.0 else server
             if server is not None:
                 return server
         return self._draw_from(lists, request)
@@ -779,7 +776,7 @@
         return part * min(1.0, 2.0 * part) <= price  # the odds that it misses the aim, as in `_probe_pays`
 
     def _draw_from(self, lists: list[DrawList], request: Request) -> Server | None:
-        shunned = None
+        shunned = doubtful = None
         for _ in range(self.DRAWS):
             server = draw(lists, self.rng)
             if server is None:
@@ -788,10 +785,15 @@
                 server, self.now
             ):
                 bad = server.shunned.get(request.class_index)
-                if bad is None or bad[1] <= self.now:
+                if bad is not None and bad[1] > self.now:
+                    shunned = server
+                elif server.ejected or (server.silent and request.cls.effect is not Effect.SAFE):
+                    # Guards against drawing, where nobody holds a token, what was ejected; and against trying with
+                    # a request that can't be repeated whether a server has found its voice again.
+                    doubtful = server
+                else:
                     return server
-                shunned = server
-        return shunned
+        return shunned or doubtful
 
     def _send(self, request: Request, server: Server) -> None:
         if not request.legality.may_send(request, server, self.now):
@@ -846,15 +848,15 @@
         self._compare_zones(event.outcome, spent, request, attempt)
         self.links.learn(attempt, event.outcome, spent, usual, request.cls.aim_ms)
         if event.outcome in (Outcome.RESET, Outcome.TIMEOUT, Outcome.CONNECT_FAILED):
+            server.silent = True
             if not server.outstanding and server.linked:
                 self.links.drop(server)
                 if event.outcome is Outcome.TIMEOUT:  # the connection may be dead without a word
                     self.out.append(CloseIdle(server.id))
         elif server.linked:
             self.links.use(server, self.now)
-        if 0 <= self._waiting_at < len(event.report):
-            server.queue = event.report[self._waiting_at]
         if event.outcome is Outcome.OK:
+            server.silent = False
             server.answered_ms = self.now
             self._served_ms = max(self._served_ms, attempt.sent_ms)
             slow = spent > self.SLOW * usual * max(1.0, request.size)
