--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -101,7 +101,7 @@
     LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
     GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
     LIFT = 1.03  # of the ceiling, with every round that finds nothing there
-    MOST_DOUBT = 1.0  # tolerances, that are put down to chance
+    MOST_DOUBT = 0.5  # tolerances, that are put down to chance
     STEEPEST = 0.5  # of the window, that one round takes back
     CROWDED = (
         0.1  # of a round's calls turned away, from which the window is too large whatever the others' time
@@ -301,7 +301,7 @@
                     # Less where the aim leaves little room: one doubling too many would put every call past it.
                     step = min(1.0, self.LEAP * tolerance / base)
                     self.window = min(self.MOST_WINDOW, self.window + step)
-            elif self._added > tolerance:
+            elif added > tolerance:
                 self._narrow(out)
             if mark < 0:
                 self._light.add(base, added)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -584,7 +584,7 @@
     UNSEEN_COST = 0.5  # of the aim: what a call that never ran has cost
     WORSE = 1.5  # times the cost elsewhere, from which home does worse
     ROAM = 0.02  # of calls that draw over all zones although home does well, to learn of the others
-    STAY = 4  # own calls at a home server, behind fewer of which another may queue rather than cross
+    STAY = 2  # own calls at a home server, behind fewer of which another may queue rather than cross
     SPILL = 0.1  # step of the part that does so while home does worse than crossing costs
     SLOWNESS_MEMORY = 0.25
     SLOWEST = 8.0  # times the usual, as far as a single answer counts
