--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -112,6 +112,7 @@
         0.5,
         0.85,
     )  # of the window, with which more than that of the latency is left: no queue was ours
+    SURE = 16  # answers, from which the latency at low load is more than a guess
     KEEP = 8  # answers that the tolerance is kept for; it changes with rounds
     ACTIVE = 64.0  # requests: a class that was not among the last so many binds nobody
 
@@ -127,6 +128,7 @@
         self.mean = [cls.aim_ms / 3.0 for cls in settings.classes]
         self.base = list(self.mean)
         self._seen = [0] * count  # answers, while they are few
+        self._known = [0] * count  # the same, in a window of any size
         self.over_part = self.HEADROOM
         self._out_mean = 0.0  # as arrivals find it
         self.doubling = True
@@ -204,6 +206,11 @@
         """The mean time from place to place; 0 while that can't be told, as the window opens with every answer."""
         return 0.0 if self.doubling else self.mean[class_index] / self.window
 
+    def least_ms(self, class_index: int) -> float:
+        """What a request of the usual size takes at the least; 0 while nothing is known of it but a guess."""
+        known = self._known[class_index] >= self.SURE
+        return min(self.base[class_index], self.mean[class_index]) if known else 0.0
+
     def mark(self, out: int) -> int:
         """What a call is to bear that begins while `out` others are out, and to be handed back with its end: the round
         that it counts in, if it fills the window; its negative, if it is one of few; 0 for one between.
@@ -246,6 +253,7 @@
             return
         if outcome is Outcome.OK:
             self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
+            self._known[class_index] += self._known[class_index] < self.SURE
         if self.counts:
             self._count(class_index, outcome, spent_ms, out, mark, tries, size)
         else:
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -698,7 +698,7 @@
         over_share = self._over_share(event)
         left = request.aim_ms - self.now
         at = event.class_index
-        if left <= max(self.HOPE * self._latency[at], self.TOO_HEAVY * self.limiter.base[at] * request.hinted):
+        if left <= max(self.HOPE * self._latency[at], self.TOO_HEAVY * self.limiter.least_ms(at) * request.hinted):
             self._answer(request)
             return
         # Inner tiers do not shed: who has been let in above is served.
