--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -39,6 +39,12 @@
     handover_ready_ms: float = option(10_000.0, low=100.0, high=600_000.0)
     # New connections are taken for so long after SIGTERM, since a front goes on sending for a while.
     accept_ms: float = option(550.0, low=0.0, high=60_000.0)
+    # The supervisor's promise: SIGKILL comes no sooner after SIGTERM than the longest deadline, counted as
+    # `stop_deadline_ms` where it is longer, and `stop_grace_ms` more. Connections that are open are served on for as
+    # much of that as leaves time for the last answers. 0: not known, and each answer after SIGTERM is the last of its
+    # connection.
+    stop_grace_ms: float = option(0.0, low=0.0, high=600_000.0)
+    stop_deadline_ms: float = option(3_000.0, low=0.0, high=600_000.0)
     # A stop of the whole process for longer than this (SIGSTOP, a frozen machine) is taken off the time of
     # the requests that are read right after it. 0: not looked for.
     stall_ms: float = option(0.0, Change.START, low=0.0, high=60_000.0)
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -89,7 +89,7 @@
             return 0
         self._freeze()
         options = self._generation.options.lifecycle
-        self._life = rules.Life(options, self._longest_ms())
+        self._life = rules.Life(options, self._longest_ms(), self._aim_ms())
         if options.notify:
             from larkweir.lifecycle.notify import Notifier, watchdog_ms
 
@@ -169,6 +169,11 @@
     def _longest_ms(self) -> float:
         return max(item.deadline_ms for item in self._generation.config.settings.classes)
 
+    def _aim_ms(self) -> float:
+        """The longest time from which an answer is worth nothing, so that the decisions wait for none."""
+        classes = self._generation.config.settings.classes
+        return max(item.deadline_ms if item.late_worth else item.aim_ms for item in classes)
+
     def _say(self, line: str) -> None:
         self.node.journal.line(line)
 
@@ -376,6 +381,7 @@
         self._life.options = self._generation.options.lifecycle
         # A request that came before may have a longer deadline than any class has now.
         self._life.longest_ms = max(self._life.longest_ms, self._longest_ms())
+        self._life.aim_ms = max(self._life.aim_ms, self._aim_ms())
         self._say(f"reload: discovery is {self.node.discovery.address}")
 
     # ------------------------------------------------ handover
--- a/larkweir/lifecycle/rules.py
+++ b/larkweir/lifecycle/rules.py
@@ -222,8 +222,11 @@
     EXTEND_MS = 1_000.0  # between two words to the service manager that a drain still goes on
     MARGIN_MS = 2_000.0  # that these ask for beyond what is expected
 
-    def __init__(self, options: Options, longest_ms: float) -> None:
-        """`longest_ms` is the longest deadline of any class, for which a drain may have to wait."""
+    def __init__(self, options: Options, longest_ms: float, aim_ms: float = 0.0) -> None:
+        """`longest_ms` is the longest deadline of any class, for which a drain may have to wait; `aim_ms` the longest
+        time after which an answer is worth nothing, so that none is waited for.
+        """
+        self.aim_ms = aim_ms or longest_ms
         self.state = State.STARTING
         self.options = options
         self.longest_ms = longest_ms
@@ -234,6 +237,7 @@
         self._gone = False  # the successor may accept
         self._successor = 0  # the serial of the one that is alive, 0 if there is none
         self._handed = False  # this life drains because a successor has taken over
+        self._serving_on = False  # drains, and connections are not ended yet
         self._stops = 0  # how often it was told to stop
         self._ending = False  # idle connections are ended, and the end is looked for
         self._ends_ms = 0.0  # of the drain, at the latest
@@ -432,15 +436,30 @@
             self._successor = 0
         return [*out, *self._drain(now_ms, self.options.accept_ms)]
 
+    @property
+    def serve_on_ms(self) -> float:
+        """How long connections that are open are served on after SIGTERM; 0: each answer is the last of its own.
+
+        Guards clients whose other balancers are not there at the moment: a rolling restart may take the last but one
+        down before the first is back.
+        """
+        if not self.options.stop_grace_ms:
+            return 0.0
+        killed_ms = min(self.longest_ms, self.options.stop_deadline_ms) + self.options.stop_grace_ms
+        return max(0.0, killed_ms - self.aim_ms - 2.0 * self.LAST_MS)
+
     def _drain(self, now_ms: float, accept_ms: float) -> list[Command]:
         self.state = State.DRAINING
+        serve_on_ms = 0.0 if self._handed else self.serve_on_ms  # a successor takes them, where there is one
+        accept_ms = max(accept_ms, serve_on_ms)
+        self._serving_on = serve_on_ms > 0.0
         self._again = self._then_handover = False
         serial = self._next()
         most = accept_ms + self.longest_ms + self.LAST_MS
         self._ends_ms = now_ms + most
         lines = ("STATUS=draining", self._extend(now_ms))
         return [
-            Close(True),
+            Close(not serve_on_ms),
             Tell(lines if self._handed else ("STOPPING=1", *lines)),
             Arm("accept", serial, accept_ms),
             Arm("last", serial, most),
@@ -479,7 +498,9 @@
 
     def _end(self) -> list[Command]:
         self._ending = True
+        out: list[Command] = [Close(True)] if self._serving_on else []
+        self._serving_on = False
         # After a handover the sockets stay open, unread, while this life lasts: should the successor die, it
         # takes them up again.
         keep = self._handed and self._successor
-        return [EndIdle(True)] if keep else [StopAccepting(), EndIdle(True)]
+        return [*out, EndIdle(True)] if keep else [*out, StopAccepting(), EndIdle(True)]
--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -81,6 +81,7 @@
     GAIN = 0.2  # of a small window, an answer, for a latency off by the whole target
     FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
     FIRST_WINDOW = 0.5  # at the least, until there is evidence
+    FIRST_CALLS = 8.0  # of a copy that is nearly alone, at the most, or one for each server
     LEAST_WINDOW = (
         0.1  # a part of a call is admitted by chance: copies of low rate must be able to shed as well
     )
@@ -155,12 +156,12 @@
 
     def open(self, ready: int, copies: int) -> None:
         """The first list: as many calls as its servers are taken to bear from each copy, but of a copy that is nearly
-        alone no more than one each: it will see at once how many more.
+        alone a few, or one for each server: it will see at once how many more.
         """
         if not self.opened and ready:
             self.opened = True
             share = self.FIRST_LEVEL * ready / copies
-            self.window = self._first = max(self.FIRST_WINDOW, min(share, max(self.small, ready)))
+            self.window = self._first = max(self.FIRST_WINDOW, min(share, max(self.FIRST_CALLS, ready)))
 
     # ------------------------------------------------ letting in
 
@@ -279,7 +280,9 @@
             self.window = max(self.LEAST_WINDOW, self.window + step)
         self.doubling = False
 
-    def _count(self, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int, size: float) -> None:
+    def _count(
+        self, at: int, outcome: Outcome, spent_ms: float, out: int, mark: int, tries: int, size: float
+    ) -> None:
         """Steer a window that counts."""
         self._keep -= 1
         if self._keep <= 0:
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -608,7 +608,9 @@
         self._booted = False
         self._list_backoff_ms = 0.0
         self._retries = self.RETRY_CAP / 2.0
-        self._in_vain = 0.0  # requests that ended unserved after long, and may come again with what time is left
+        self._in_vain = (
+            0.0  # requests that ended unserved after long, and may come again with what time is left
+        )
         self._usual = [Usual() for _ in settings.classes]
         self.limiter = Limiter(settings, self.rng)
         self.waiting = WaitingRoom(settings)
@@ -698,7 +700,9 @@
         over_share = self._over_share(event)
         left = request.aim_ms - self.now
         at = event.class_index
-        if left <= max(self.HOPE * self._latency[at], self.TOO_HEAVY * self.limiter.least_ms(at) * request.hinted):
+        if left <= max(
+            self.HOPE * self._latency[at], self.TOO_HEAVY * self.limiter.least_ms(at) * request.hinted
+        ):
             self._answer(request)
             return
         # Inner tiers do not shed: who has been let in above is served.
@@ -765,8 +769,8 @@
         return self._draw_from(lists, request)
 
     def _stays(self, request: Request, ahead: int) -> bool:
-        """Whether to queue behind own calls at home rather than cross: home does no worse than elsewhere, and the time that
-        those calls add loses less of the aim than crossing costs.
+        """Whether to queue behind own calls at home rather than cross: home does no worse than elsewhere, and the time
+        that those calls add loses less of the aim than crossing costs.
         """
         price = self.settings.price_cross_zone
         if self._cost[0] > self._cost[1] + price:
@@ -925,8 +929,8 @@
         request.aim_ms = min(request.deadline_ms, aim)
 
     def _comes_again(self, event: RequestArrived) -> bool:
-        """Whether this is the last try of a client that has waited long for others in vain. Where repeats are not marked,
-        there can be no more of those than requests that ended so here, or were about to: copies share their clients.
+        """Whether this is the last try of a client that has waited long for others in vain. Where repeats are not
+        marked, there can be no more of those than requests that ended so here.
         """
         if self.settings.marks_retry:
             return event.client_retry
--- a/tests/lifecycle/test_rules.py
+++ b/tests/lifecycle/test_rules.py
@@ -43,6 +43,36 @@
     assert it.state is State.STOPPING
 
 
+def test_connections_are_served_on_as_long_as_the_kill_leaves_time_for_the_last_answers() -> None:
+    # A rolling restart may take the last but one down before the first is back: clients keep what they have.
+    promised = replace(ON, stop_grace_ms=700.0, stop_deadline_ms=3000.0)
+    for longest, aim, serves in ((1000.0, 410.0, 1090.0), (5000.0, 2000.0, 1500.0)):
+        it = Life(promised, longest, aim)
+        it.handle(0.0, r.ListReady())
+        out = it.handle(1.0, r.Stop())
+        assert out[0] == r.Close(False)
+        (accept,) = [c for c in out if isinstance(c, r.Arm) and c.name == "accept"]
+        assert accept.delay_ms == serves
+        assert serves + aim < min(longest, 3000.0) + 700.0
+        ends = it.handle(1.0 + serves, r.Due("accept", accept.serial))
+        assert ends == [r.Close(True), r.StopAccepting(), r.EndIdle(True)]
+
+
+def test_told_to_stop_again_ends_the_serving_on() -> None:
+    it = Life(replace(ON, stop_grace_ms=700.0), 1000.0, 410.0)
+    it.handle(0.0, r.ListReady())
+    it.handle(1.0, r.Stop())
+    assert r.Close(True) in it.handle(2.0, r.Stop())
+
+
+def test_a_life_whose_successor_serves_ends_its_connections_at_once() -> None:
+    it = Life(replace(ON, stop_grace_ms=700.0), 1000.0, 410.0)
+    it.handle(0.0, r.ListReady())
+    serial = serial_of(it.handle(1.0, r.HandoverAsked()), r.Spawn)
+    it.handle(2.0, r.SuccessorReady(serial))
+    assert r.Close(True) in it.handle(3.0, r.SuccessorTook(serial))
+
+
 def test_a_drain_ends_at_the_longest_deadline_whatever_is_left() -> None:
     it = life()
     last = [c for c in it.handle(1.0, r.Stop()) if isinstance(c, r.Arm) and c.name == "last"]
--- a/tests/mulleinhitch/test_admission.py
+++ b/tests/mulleinhitch/test_admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 from hypothesis import settings as hypothesis_settings
@@ -352,3 +353,31 @@
         room.enter(0.0, n, 0, False, 100.0, 9.5)
     assert not room.enter(0.0, 99, 0, False, 100.0, 9.5)
     assert room.enter(0.0, 99, 1, False, 100.0, 9.5)  # of more worth: few of the others go before it
+
+
+def test_a_few_calls_of_unlike_work_are_no_queue() -> None:
+    # Guards a copy of low rate: the mean of eight calls of exponential work is off by a third, without any queue.
+    world = World(11, 4, 8, 100.0, "exponential", copies=2)
+    world.poisson(40.0, 30_000.0)
+    world.run(30_000.0)
+    found = world.total(0.0, 30_000.0)
+    assert found.asked > 1_000
+    # At once: one whose work alone takes the aim is given up as well, but then it has been tried.
+    assert sum(wait < 0.5 * AIM_MS for wait in found.waits) == 0
+
+
+@pytest.mark.parametrize(("size", "closes"), [(4.0, False), (1.0, True)])
+def test_heavy_requests_are_not_taken_for_queues(size: float, closes: bool) -> None:
+    # A spell of work of four times the usual does not close the window where the sizes are told.
+    limiter = Limiter(Settings(classes=(RequestClass(410.0, 1000.0, Effect.SAFE),)), Random(1))
+    limiter.open(8, 1)
+    for _ in range(200):
+        limiter.arrive(0, 7, 0, False)
+        limiter.ended(0, Outcome.OK, 50.0, 7, limiter.mark(7))
+    before = least = limiter.window
+    for _ in range(64):
+        out = int(limiter.window) - 1
+        limiter.arrive(0, out, 0, False)
+        limiter.ended(0, Outcome.OK, 200.0, out, limiter.mark(out), size=size)
+        least = min(least, limiter.window)
+    assert (least < before) is closes
