Least tolerance 0.15 of the room again, and a doubt of a whole tolerance

Change: the two figures; a round of few calls closes later, a burst before a healthy tier has the room it had.

--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -75,7 +75,7 @@
     MEMORY = 1.0 / 16.0  # weight of a new sample in the running means
     # What queues may add to the latency at low load: a multiple of it, but at least and at most such parts of the way
     # from it to the aim. A small window has no other place for its queue than the servers; one that counts has.
-    LEAST, TOLERANCE, TARGET = 0.1, 2.0, 0.5
+    LEAST, TOLERANCE, TARGET = 0.15, 2.0, 0.5
     COUNTED_TOLERANCE, COUNTED_TARGET = 0.25, 0.3
     BASE_RISE = 0.1  # of a small window: the latency at low load is followed down at once and up slowly
     GAIN = 0.2  # of a small window, an answer, for a latency off by the whole target
@@ -102,7 +102,7 @@
     LEAST_ROUND, MOST_ROUND = 8, 64  # calls: a round is as many as the window, within these bounds
     GROWTH = 0.5  # of what the mean time says that the window is too small: taken back is all of it
     LIFT = 1.03  # of the ceiling, with every round that finds nothing there
-    MOST_DOUBT = 0.5  # tolerances, that are put down to chance
+    MOST_DOUBT = 1.0  # tolerances, that are put down to chance
     STEEPEST = 0.5  # of the window, that one round takes back
     CROWDED = (
         0.1  # of a round's calls turned away, from which the window is too large whatever the others' time
