The door: where this process is the limit, a part is turned away before it is read

Need: admission issue, the process as the bottleneck: each turn of the loop is longer than the one before, requests are late before they are read, and the window does not see it.

--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -94,6 +94,23 @@
     return host, int(port)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Door:
+    """The table `[door]`."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # Of the tightest aim: the mean turn of the event loop from which requests are turned away before they are read.
+    high: float = option(0.25, Change.HANDOVER, low=0.01, high=1.0)
+    # The same, at which that ends; between the two it steers.
+    low: float = option(0.15, Change.HANDOVER, low=0.01, high=1.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        if self.low >= self.high:
+            return {"low": f"{self.low:g} is not below high, {self.high:g}"}
+        return {}
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Budget:
     """The table `[budget]`."""
@@ -141,9 +158,10 @@
     lifecycle: Lifecycle = field(default_factory=Lifecycle)
     fastcgi: Fastcgi = field(default_factory=Fastcgi)
     budget: Budget = field(default_factory=Budget)
+    door: Door = field(default_factory=Door)
 
 
-TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi, "budget": Budget}
+TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi, "budget": Budget, "door": Door}
 
 
 def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
--- a/larkweir/core/clock.py
+++ b/larkweir/core/clock.py
@@ -38,6 +38,8 @@
         self._compact_at = 1024
         self.turns = Turns(self.now_ms())
         self._in_turn = False
+        # Told of each turn how long this process was busy, and how long it was with the wait before.
+        self.on_turn: Callable[[float, float], None] | None = None
 
     def now_ms(self) -> float:
         return self.offset_ms + time.monotonic() * 1000.0
@@ -53,7 +55,11 @@
     def _turn_over(self) -> None:
         # Called by the loop behind everything that this turn's poll has brought, just before it polls again.
         self._in_turn = False
-        self.turns.ask(self.now_ms())
+        now = self.now_ms()
+        before = self.turns.asked_ms
+        self.turns.ask(now)
+        if self.on_turn is not None:
+            self.on_turn(now - self.turns.told_ms, now - before)
 
     def after(self, delay_ms: float, call: Callable[[], None]) -> Timer:
         return self.at(self.now_ms() + delay_ms, call)
--- a/larkweir/core/intake.py
+++ b/larkweir/core/intake.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from typing import Protocol
 
 from larkweir.core.engine import Engine
 from larkweir.core.exchange import Caller
-from larkweir.core.message import FramingError, Message
+from larkweir.core.message import FramingError, Headers, Message
 from larkweir.core.requests import METHODS, Requests
 
 Check = Callable[[Message], None]
 
 
+class Guard(Protocol):
+    def refuses(self, message: Message) -> Headers | None:
+        """The headers of a refusal, or None where the message is to be read on."""
+
+
 class Intake:
     """Answers `/ready`, refuses what is no request, and hands the rest to the engine."""
 
@@ -19,6 +25,7 @@
         self.engine = engine
         self.requests = requests
         self._ready = ready
+        self.guard: Guard | None = None  # turns away what this process has no time for
         self.checks: list[Check] = []  # raise FramingError for what the tier's protocol could not carry
 
     def take(self, caller: Caller, message: Message) -> int | None:
@@ -32,6 +39,8 @@
             caller.answer(404, [], b"")
         elif message.method not in METHODS:
             caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
+        elif self.guard is not None and (refusal := self.guard.refuses(message)) is not None:
+            caller.answer(503, refusal, b"")
         else:
             for check in self.checks:
                 check(message)
--- a/larkweir/core/turns.py
+++ b/larkweir/core/turns.py
@@ -19,7 +19,7 @@
 class Turns:
     """Fed with the two ends of every poll that was seen to bring something."""
 
-    __slots__ = ("_asked_ms", "_told_ms", "since_ms")
+    __slots__ = ("asked_ms", "since_ms", "told_ms")
 
     # A poll has waited that took longer than this, and than half of the turn before: a busy machine may take the core
     # away for a while in a poll that had its news at once.
@@ -27,22 +27,22 @@
     LATE_MS = 5.0  # a timer that is later than this was not late by the system's rounding
 
     def __init__(self, now_ms: float) -> None:
-        self._asked_ms = now_ms  # when the poll began that this turn's news came from
-        self._told_ms = now_ms  # when it ended
+        self.asked_ms = now_ms  # when the poll began that this turn's news came from
+        self.told_ms = now_ms  # when it ended
         self.since_ms = now_ms
 
     def ask(self, now_ms: float) -> None:
         """A turn is over, and the loop polls."""
-        self._asked_ms = now_ms
+        self.asked_ms = now_ms
 
     def told(self, now_ms: float, due_ms: float) -> None:
         """The first of what a poll brought is handled. The next timer was due at `due_ms`; infinity: none was."""
-        before, self._told_ms = self._told_ms, now_ms
-        busy = self._asked_ms - before
-        if now_ms - self._asked_ms <= max(self.WAITED_MS, self.WAITED_PART * busy):
+        before, self.told_ms = self.told_ms, now_ms
+        busy = self.asked_ms - before
+        if now_ms - self.asked_ms <= max(self.WAITED_MS, self.WAITED_PART * busy):
             self.since_ms = before
         elif now_ms > due_ms + self.LATE_MS:
-            self.since_ms = max(self._asked_ms, due_ms)
+            self.since_ms = max(self.asked_ms, due_ms)
         else:
             self.since_ms = now_ms
 
--- /dev/null
+++ b/larkweir/door/guard.py
@@ -0,0 +1,86 @@
+"""Hands: the door before the intake: which messages it looks at, and what a refusal says.
+
+While nothing is to be shed it costs one comparison a request. While it sheds, three fields of the head are looked up
+and a refusal is written: nothing else of the request is read, and the decisions never hear of it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from larkweir.config.options import Door as Options
+from larkweir.core.clock import Clock
+from larkweir.core.message import Headers, Message
+from larkweir.core.requests import MAX_TRACE
+from mulleinhitch.door import Door
+from mulleinhitch.interface import Settings
+
+
+class Guard:
+    """Fed by the clock with the length of every turn."""
+
+    SAY_MS = 10_000.0  # between two lines of the log
+
+    def __init__(
+        self,
+        options: Options,
+        settings: Settings,
+        clock: Clock,
+        seed: int,
+        known: Callable[[bytes], bool],
+        log: Callable[[str], None],
+    ) -> None:
+        """`known` tells an id that is open here or was until lately."""
+        self.door = Door(settings.classes, Random(seed), options.high, options.low)
+        self._clock = clock
+        self._known = known
+        self._log = log
+        self._said_ms = -self.SAY_MS
+        self._said = 0
+        clock.on_turn = self._turn
+        self.configure(settings)
+
+    def configure(self, settings: Settings) -> None:
+        """A new generation's figures; the classes are the same."""
+        self.door.configure(settings.classes)
+        self._classes = {item.name.encode(): n for n, item in enumerate(settings.classes)}
+        wait_ms = settings.max_retry_after_ms
+        self._refusal: Headers = [(b"Retry-After", b"%.3f" % (wait_ms / 1000.0))] if wait_ms > 0.0 else []
+        self._refusal.append((b"X-Never-Ran", b"1"))  # a tier above may send it elsewhere
+
+    def _turn(self, busy_ms: float, whole_ms: float) -> None:
+        door = self.door
+        door.turn(busy_ms, whole_ms)
+        if door.shed > self._said and self._clock.now_ms() - self._said_ms > self.SAY_MS:
+            self._said_ms = self._clock.now_ms()
+            self._log(
+                f"door: turns of {door.turn_ms:.0f} ms, {door.part:.0%} turned away, {door.shed - self._said} since"
+            )
+            self._said = door.shed
+
+    def refuses(self, message: Message) -> Headers | None:
+        """The headers of a refusal, or None where the message is to be read on."""
+        if not self.door.shedding:
+            return None
+        self._clock.turn()  # a turn that only sheds is one too
+        named = trace = b""
+        again = False
+        for name, value in message.headers:
+            if len(name) in FIELDS:
+                lower = name.lower()
+                if lower == b"x-qos":
+                    named = value
+                elif lower == b"x-trace-id":
+                    trace = value
+                elif lower == b"x-second-try":
+                    again = value == b"1"
+        at = self._classes.get(named)
+        # What is no request gets its own answer. So does an id that is open: a refusal would call harmless what may be
+        # running under that id.
+        if at is None or not trace or len(trace) > MAX_TRACE or self._known(trace):
+            return None
+        return None if self.door.admits(at, again) else self._refusal
+
+
+FIELDS = frozenset(map(len, (b"x-qos", b"x-trace-id", b"x-second-try")))
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from larkweir.budget.chain import Chain
+    from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
 
 
@@ -63,6 +64,18 @@
         self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
         if options is not None and (options.fastcgi.listen or options.fastcgi.upstreams != "off"):
             self._add_fastcgi(options.fastcgi)
+        self.guard: Guard | None = None
+        if options is not None and options.door.on:
+            from larkweir.door.guard import Guard  # not imported where it is off
+
+            self.guard = self.intake.guard = Guard(
+                options.door,
+                config.settings,
+                self.clock,
+                config.seed,
+                self.engine.is_known,
+                self.journal.line,
+            )
         self.chain: Chain | None = None
         if options is not None and options.budget.on:
             from larkweir.budget.chain import Chain  # not imported where it is off
@@ -118,6 +131,8 @@
         self.intake.requests = Requests(config.settings)
         self.upstreams.configure(config.settings, upstreams, config.drain_grace_ms)
         self.engine.reconfigure(config)
+        if self.guard is not None:
+            self.guard.configure(config.settings)
         if self.chain is not None:
             self.chain.configure(config.settings)
         self.discovery.move(config.discovery)
--- /dev/null
+++ b/mulleinhitch/door.py
@@ -0,0 +1,130 @@
+"""Rules: what is turned away at the door, when this process itself is what requests wait for.
+
+The window of `admission` limits what the upstreams are given. It can't help where the core that this process runs on is
+the limit: then every request waits here, whoever is asked, and one that is refused after it has been read, weighed and
+queued has cost nearly as much as one that is served. The sign is the length of a turn of the event loop, which handles
+all that has come since the last one: below the limit turns are as long as the work that is there, and above it each is
+longer than the one before, until requests are late before they are read.
+
+Nothing here does input or output or reads a clock. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from random import Random
+
+from mulleinhitch.interface import RequestClass
+
+
+class Door:
+    """Sheds a part of what comes, least worth first, while turns are too long.
+
+    A request passes through three turns at least: one that reads it, one that reads the upstream's answer, and what is
+    written goes out at its end. So a turn may last a quarter of the tightest aim. With hysteresis: shedding begins
+    where the mean turn is longer than `high`, and ends where nothing has been shed for `REST` aims.
+    """
+
+    MEMORY = 0.25  # weight of a new turn in the means
+    GAIN = 0.3  # of the part that is shed, for a turn twice as long as the target
+    REFUSAL = 0.25  # what a request turned away costs, by one that is let in
+    MOST = 0.95  # of any class and kind: nobody is shut out for good
+    REST = 0.5  # aims without anything to be shed, after which the door stands open
+    SHARE_MEMORY = 1.0 / 64.0  # weight of a request in what the classes bring
+    LONGEST = 4.0  # times `high`: a turn longer than that tells no more (a process that stood still)
+
+    def __init__(
+        self, classes: Sequence[RequestClass], rng: Random, high: float = 0.25, low: float = 0.15
+    ) -> None:
+        """`high` and `low`: of the tightest aim, the mean turn from which shedding begins, and to which it steers."""
+        self._rng = rng
+        self._high, self._low = high, low
+        self.part = 0.0  # of what comes, that is to be shed
+        self.shedding = False
+        self.shed = 0  # so far
+        self.turn_ms = 0.0  # the mean
+        self._quiet_ms = 0.0  # since something was last to be shed
+        self._busy_before_ms = 0.0  # of the turn before
+        self._came = self._let_in = 0  # since the last turn ended
+        # Of some turns while it sheds: requests, what they cost in units of one let in, and times.
+        self._requests = self._units = self._busy_ms = self._whole_ms = self._before_ms = 0.0
+        # By class, repeats before first tries: what part of all that comes it brings, and the odds that one is shed.
+        self._brings = [0.5 / len(classes)] * (2 * len(classes))
+        self._odds = [0.0] * (2 * len(classes))
+        self.configure(classes)
+
+    def configure(self, classes: Sequence[RequestClass]) -> None:
+        """New figures of the same classes."""
+        self._aim_ms = min(cls.aim_ms for cls in classes)
+        # Of equal worth, repeats go first: they have been refused before, and come from who does not wait.
+        self._order = sorted(range(2 * len(classes)), key=lambda at: (classes[at // 2].worth, at % 2))
+
+    def turn(self, busy_ms: float, whole_ms: float) -> None:
+        """A turn of the loop has ended, in which this process was busy for so long; `whole_ms` with the wait before."""
+        high, low = self._high * self._aim_ms, self._low * self._aim_ms
+        busy_ms = min(busy_ms, self.LONGEST * high)
+        whole_ms = max(busy_ms, min(whole_ms, self.LONGEST * high))
+        self.turn_ms += self.MEMORY * (busy_ms - self.turn_ms)
+        before, self._busy_before_ms = self._busy_before_ms, busy_ms
+        if not self.shedding:
+            # Turns that grow from one to the next tell the load at once. One that is long after a short one does not:
+            # the process may have stood still.
+            growing = busy_ms > high and before > 0.5 * low
+            if not growing and self.turn_ms <= high:
+                return
+            self.shedding, self._quiet_ms = True, 0.0
+            self._came = self._let_in = 0
+            self._requests = self._units = self._busy_ms = self._whole_ms = 0.0
+            self._before_ms = whole_ms
+            if growing and busy_ms > before:
+                self.part = self._beyond(min(busy_ms / before, 1.0 / (1.0 - self.MOST)))
+                self._divide()
+            return
+        self._count(busy_ms, whole_ms)
+        # What has come, at what it costs, is so many times what this core can do; all that is beyond is shed. That
+        # alone would leave turns as long as they are: the rest steers them between the two bounds.
+        load = (
+            self._requests / self._whole_ms * self._busy_ms / self._units
+            if self._units and self._whole_ms
+            else 1.0
+        )
+        target = 0.5 * (high + low)
+        self.part = min(self.MOST, max(0.0, self._beyond(load) + self.GAIN * (busy_ms - target) / target))
+        self._quiet_ms = 0.0 if self.part > 0.0 or self.turn_ms > low else self._quiet_ms + max(whole_ms, 1.0)
+        if self._quiet_ms > self.REST * self._aim_ms:
+            self.shedding = False
+        self._divide()
+
+    def _beyond(self, load: float) -> float:
+        """The part that must be shed of so many times what this core can do; below 0 where it could do more."""
+        return (load - 1.0) / (max(load, 0.1) * (1.0 - self.REFUSAL))
+
+    def _count(self, busy_ms: float, whole_ms: float) -> None:
+        keep = 1.0 - self.MEMORY
+        self._requests = keep * self._requests + self._came
+        self._units = keep * self._units + self._let_in + self.REFUSAL * (self._came - self._let_in)
+        self._busy_ms = keep * self._busy_ms + busy_ms
+        # What is read in a turn has come while the one before went on.
+        self._whole_ms = keep * self._whole_ms + (self._before_ms or whole_ms)
+        self._before_ms = whole_ms
+        self._came = self._let_in = 0
+
+    def _divide(self) -> None:
+        """Least worth first: each class's odds, so that all together make up the part."""
+        left = self.part * sum(self._brings)
+        for at in self._order:
+            brings = self._brings[at]
+            self._odds[at] = min(self.MOST, left / brings) if brings > 0.0 else 0.0
+            left = max(0.0, left - brings * self._odds[at])
+
+    def admits(self, class_index: int, again: bool) -> bool:
+        """Whether a request that has come while the door sheds is let in; `again`: it is marked as a repeat."""
+        at = 2 * class_index + (not again)
+        self._brings = [item - self.SHARE_MEMORY * item for item in self._brings]
+        self._brings[at] += self.SHARE_MEMORY
+        self._came += 1
+        if self._rng.random() >= self._odds[at]:
+            self._let_in += 1
+            return True
+        self.shed += 1
+        return False
--- a/standins/load.py
+++ b/standins/load.py
@@ -5,6 +5,8 @@
 python -m standins.load callers PORT COUNT SECONDS       prints `answers seconds p50_ms p99_ms not_served`
 python -m standins.load step PORT COUNT SECONDS [PAUSE]  the same from the first request on, told by what came, as JSON;
                                                          after a refusal a caller pauses for PAUSE seconds
+python -m standins.load open PORT COUNT SECONDS RATE     RATE requests a second over COUNT connections, whatever
+                                                         comes back; waiting for a free one counts; as JSON
 """
 
 from __future__ import annotations
@@ -240,6 +242,7 @@
         self.spent: list[float] = []
         self.refused: list[float] = []
         self.failed: list[float] = []
+        self.by_class: tuple[list[float], list[float]] = ([], [])
         self.not_served = 0
         self.lost = 0
         self.ending = False
@@ -273,6 +276,76 @@
     )
 
 
+class Steady(Caller):
+    """One connection of an open load: asks when it is given something to ask."""
+
+    classes = (b"look", b"buy")
+
+    def __init__(self, load: Load, number: int, free: deque[Steady]) -> None:
+        super().__init__(load, number)
+        self._free = free
+        self.cls = 0
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self._free.append(self)
+
+    def give(self, due: float, cls: int) -> None:
+        self._count += 1
+        self._begun, self.cls = due, cls
+        self.transport.write(
+            b"GET /api HTTP/1.1\r\nHost: api.internal\r\nX-Qos: %s\r\nX-Customer: acme\r\nX-Expires-In-Ms: 1000\r\n"
+            b"X-Trace-Id: %d-%d-%d\r\n\r\n" % (self.classes[cls], os.getpid(), id(self), self._count)
+        )
+
+    def data_received(self, data: bytes) -> None:
+        spent = time.perf_counter() - self._begun
+        if data.endswith(BODY):
+            self._load.by_class[self.cls].append(spent)
+        else:
+            (self._load.refused if b" 503 " in data[:16] else self._load.failed).append(spent)
+        self._free.append(self)
+
+
+async def open_load(port: int, count: int, seconds: float, rate: float, aim_s: float) -> None:
+    """Requests at a steady rate, one of four of the second class; the first quarter of the time does not count."""
+    load = Load()
+    free: deque[Steady] = deque()
+    waiting: deque[tuple[float, int]] = deque()
+    loop = asyncio.get_running_loop()
+    for n in range(count):
+        await loop.create_connection(lambda n=n: Steady(load, n, free), "127.0.0.1", port)  # type: ignore[misc]
+    begun = time.perf_counter()
+    sent, asked, cleared = 0, 0, False
+    while (now := time.perf_counter()) < begun + seconds:
+        if not cleared and now > begun + 0.25 * seconds:
+            cleared, asked = True, 0
+            load.by_class, load.refused, load.failed = ([], []), [], []
+        while sent < (now - begun) * rate:
+            waiting.append((begun + sent / rate, int(sent % 4 == 0)))
+            sent += 1
+            asked += 1
+        while waiting and now - waiting[0][0] > 1.0:  # nobody waits for longer
+            waiting.popleft()
+            load.failed.append(1.0)
+        while waiting and free:
+            free.popleft().give(*waiting.popleft())
+        await asyncio.sleep(0.002)
+    lasted = 0.75 * seconds
+    found = {
+        "seconds": lasted,
+        "asked": asked,
+        "in_aim": sum(spent <= aim_s for spent in load.by_class[0]),
+        "in_aim_dear": sum(spent <= aim_s for spent in load.by_class[1]),
+        "refused": len(load.refused),
+        "failed": len(load.failed),
+        "p50_ms": quantile_ms(load.by_class[0] + load.by_class[1], 0.5),
+        "p99_ms": quantile_ms(load.by_class[0] + load.by_class[1], 0.99),
+        "wait_p50_ms": quantile_ms(load.refused, 0.5),
+    }
+    print(json.dumps(found), flush=True)
+
+
 def quantile_ms(values: list[float], part: float) -> float:
     ordered = sorted(values) or [0.0]
     return ordered[int(part * (len(ordered) - 1))] * 1000.0
@@ -319,6 +392,8 @@
     elif what == "step":
         Step.pause_s = float(rest[3]) if len(rest) > 3 else 0.0
         uvloop.run(step(int(rest[0]), int(rest[1]), float(rest[2]), 0.41))
+    elif what == "open":
+        uvloop.run(open_load(int(rest[0]), int(rest[1]), float(rest[2]), float(rest[3]), 0.41))
     elif what == "many":
         at_once, stalled = int(rest[1]), int(rest[3])
         uvloop.run(callers(int(rest[0]), 1, float(rest[2]), lambda load, n: Many(load, at_once, stalled)))
--- /dev/null
+++ b/tests/door/test_guard.py
@@ -0,0 +1,120 @@
+"""The door on sockets: what it looks at, what it says, and what it leaves to others."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from functools import wraps
+from typing import Any
+
+import pytest
+
+from larkweir.config.operator import decode as decode_operator
+from larkweir.config.options import Door as Options
+from mulleinhitch.interface import Action, Event, RequestArrived
+from tests.fakes import Caller, FakeUpstream, Incoming, Script, Talk, ok, running
+
+ON = Options(on=True)
+
+
+def on_loop(test: Callable[..., Coroutine[Any, Any, None]]) -> Callable[..., None]:
+    @wraps(test)
+    def run(*args: Any, **kwargs: Any) -> None:
+        asyncio.run(test(*args, **kwargs))
+
+    return run
+
+
+def shut(node: object) -> None:
+    """As after a long overload: all of what may be shed is."""
+    guard = node.engine.clock.on_turn.__self__  # type: ignore[attr-defined]
+    guard.door.shedding = True
+    guard.door.part = guard.door.MOST
+    guard.door.turn = lambda busy, whole: None
+    guard.door.admits = lambda at, again: False
+
+
+@pytest.mark.parametrize("speaks", ["http1", "fastcgi"])
+@on_loop
+async def test_who_is_turned_away_is_told_at_once_and_the_decisions_never_hear_of_it(speaks: str) -> None:
+    Caller.speaks = speaks  # reset after each test
+    upstream = await FakeUpstream().start()
+    script = Script([1])
+    async with running(upstream.entry("u"), script=script, door=ON) as node:
+        shut(node)
+        async with Caller(node.port) as caller:
+            caller.ask()
+            answer = await caller.answer()
+    upstream.close()
+    assert answer.status == 503
+    assert answer.headers["retry-after"] == "2.000"
+    assert answer.headers["x-never-ran"] == "1"
+    assert not [event for event in script.events if isinstance(event, RequestArrived)]
+    assert not upstream.seen
+
+
+@on_loop
+async def test_an_open_id_is_never_called_harmless() -> None:
+    # A refusal says that trying again does no harm; under this id something may be running.
+    release = asyncio.Event()
+
+    async def slow(request: Incoming, talk: Talk) -> None:
+        await release.wait()
+        await talk.send(ok())
+
+    upstream = await FakeUpstream(slow).start()
+    async with running(upstream.entry("u"), script=Script([1]), door=ON) as node:
+        async with Caller(node.port) as first, Caller(node.port) as second:
+            first.ask("move", **{"X-Trace-Id": "one"})
+            while not upstream.seen:
+                await asyncio.sleep(0.005)
+            shut(node)
+            second.ask("move", **{"X-Trace-Id": "one"})
+            assert (await second.answer()).status == 409
+            release.set()
+            assert (await first.answer()).status == 200  # what was let in is served
+    upstream.close()
+
+
+@on_loop
+async def test_what_is_no_request_gets_its_own_answer_and_ready_is_answered() -> None:
+    async with running(script=Script([1]), door=ON) as node:
+        shut(node)
+        for ask, expected in (
+            ({"cls": "none-such"}, 400),
+            ({"target": "/else"}, 404),
+            ({"target": "/ready"}, 503),  # no list yet; not the door
+        ):
+            async with Caller(node.port) as caller:
+                caller.ask(**ask)
+                answer = await caller.answer()
+                assert answer.status == expected
+                assert "x-never-ran" not in answer.headers
+
+
+@on_loop
+async def test_turns_that_take_long_are_told_to_the_door() -> None:
+    upstream = await FakeUpstream().start()
+    script = Script([1])
+
+    def busy(event: Event) -> list[Action] | None:
+        if isinstance(event, RequestArrived):
+            time.sleep(0.05)
+        return None
+
+    script.more = busy
+    async with running(upstream.entry("u"), script=script, door=ON) as node:
+        script.servers = list(node.engine.upstreams.targets)
+        door = node.engine.clock.on_turn.__self__.door  # type: ignore[union-attr]
+        for _ in range(3):
+            async with Caller(node.port) as caller:
+                caller.ask()
+                assert (await caller.answer()).status == 200
+        assert door.turn_ms > 5.0
+    upstream.close()
+
+
+def test_bounds_that_cross_are_a_fault() -> None:
+    _, faults = decode_operator("[door]\nhigh = 0.1\nlow = 0.2\n")
+    assert faults == ["door.low: 0.2 is not below high, 0.1"]
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from larkweir.config.options import Fastcgi, Operator
+from larkweir.config.options import Door, Fastcgi, Operator
 from larkweir.config.platform import decode
 from larkweir.core.engine import Engine
 from larkweir.core.ports import Decisions
@@ -156,6 +156,7 @@
     generation: int = 1,
     rest_ms: float = 0.0,
     fastcgi: Fastcgi | None = None,
+    door: Door | None = None,
     **more: Any,
 ) -> AsyncIterator[Running]:
     """The balancer's real parts, with a fake discovery that knows the entries. Connections to upstreams don't
@@ -174,7 +175,7 @@
     }
     data = config_data(list(entries), discovery.port, settings=settings, **more)
     config = decode(json.dumps(data), {})
-    options = Operator(fastcgi=fastcgi or speaking())
+    options = Operator(fastcgi=fastcgi or speaking(), door=door or Door())
     node = Node(config, asyncio.get_running_loop(), script, options=options)
     engine, listener = node.engine, node.listener
     node.upstreams.REST_MS = rest_ms
