--- a/standins/load.py
+++ b/standins/load.py
@@ -329,7 +329,9 @@
             waiting.popleft()
             load.failed.append(1.0)
         while waiting and free:
-            free.popleft().give(*waiting.popleft())
+            connection = free.popleft()
+            if not connection.transport.is_closing():
+                connection.give(*waiting.popleft())
         await asyncio.sleep(0.002)
     lasted = 0.75 * seconds
     found = {
