--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -139,7 +139,8 @@
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
-        """A new generation's figures; the classes are the same."""
+        """A new generation's figures; classes keep their places, and there may be more."""
+        self.useful.grow(len(settings.classes))
         self._settings = settings
         self.last = settings.tier >= settings.tiers - 1
 
--- a/larkweir/budget/rules.py
+++ b/larkweir/budget/rules.py
@@ -140,6 +140,11 @@
         self._value = [0.0] * classes
         self._count = [0] * classes
 
+    def grow(self, classes: int) -> None:
+        """There are so many classes now; those known keep their places."""
+        self._value += [0.0] * (classes - len(self._value))
+        self._count += [0] * (classes - len(self._count))
+
     def served(self, cls: int, spent_ms: float) -> None:
         count = self._count[cls] = min(self.ENOUGH, self._count[cls] + 1)
         value = self._value[cls]
--- a/larkweir/config/changes.py
+++ b/larkweir/config/changes.py
@@ -26,6 +26,7 @@
     "listen": (Change.HANDOVER, "the sockets are opened at a start"),
     "discovery": (Change.LIVE, "followed at once; what is held serves until the new list has come"),
     "seed": (Change.START, "new with each start"),
+    "control": (Change.START, "the address is opened at a start"),
     "limits.cores": (Change.START, "the platform holds it"),
     "limits.memory_mb": (Change.LIVE, "the room for bytes is resized; what is held stays"),
     "limits.sockets": (Change.LIVE, "the budgets of callers and upstreams are resized; open ones stay"),
@@ -33,7 +34,7 @@
     "peers": (Change.START, "not used"),
     "known": (Change.START, "counts until discovery has answered"),
     "settings": (Change.HANDOVER, "the decisions are built on it"),
-    "settings.Categories": (Change.LIVE, "requests that are here keep the class that they came with"),
+    "settings.Categories": (Change.LIVE, "classes come and go; requests that are here keep theirs as it was"),
     "settings.Tenants": (Change.LIVE, "what was learned of a tenant stays with its name"),
     "settings.Guarantees": (Change.LIVE, "drains told before keep their grace or a shorter one"),
     "settings.PolicyLimits": (Change.LIVE, "requests that are here keep their most attempts"),
@@ -45,15 +46,39 @@
     "settings.Goal": (Change.LIVE, "not used"),
     "settings.FamilyInfo": (Change.LIVE, "counts from the next request"),
 }
-# Of a class, what can't change under a number that requests are held by.
-SHAPE = ("Name", "Effect", "Group", "Streaming")
+# What a file may do without, though an earlier one had it: keys that the wire page calls optional, or that count only
+# beside others. Every other key of the settings stays, and so do these at the top.
+OPTIONAL = frozenset(("AimStretch", "PassesDeadline", "WarmKeys", "Fleet", "Group", "MemorySpanMs"))
+NEEDED = ("name", "listen", "discovery", "settings")
 
 
-def _shape(facts: Any) -> Any:
-    classes = facts.get("Categories") if isinstance(facts, dict) else None
-    if not isinstance(classes, list):
-        return classes
-    return [[item.get(key) for key in SHAPE] if isinstance(item, dict) else item for item in classes]
+def short_of(old: dict[str, Any], new: dict[str, Any]) -> str:
+    """The first key that a new platform file lacks, and that the old one shows to be wanted; empty if none. Of things
+    that come in lists (classes, tenants), a key is wanted that all of the old ones have.
+    """
+    for key in NEEDED:
+        if key in old and key not in new:
+            return key
+    return _short("settings", old.get("settings"), new.get("settings"))
+
+
+def _short(key: str, old: Any, new: Any) -> str:
+    if isinstance(old, dict) and isinstance(new, dict):
+        for name, value in old.items():
+            if name in OPTIONAL:
+                continue
+            if name not in new:
+                return f"{key}.{name}"
+            found = _short(f"{key}.{name}", value, new[name])
+            if found:
+                return found
+    elif isinstance(old, list) and isinstance(new, list) and old and all(isinstance(i, dict) for i in old):
+        wanted = {name: None for name in old[0] if all(name in item for item in old)}
+        for n, item in enumerate(new):
+            found = _short(f"{key}[{n}]", wanted, item)
+            if found:
+                return found
+    return ""
 
 
 def rule_of(key: str) -> tuple[Change, str]:
@@ -77,11 +102,8 @@
 def differences(old: dict[str, Any], new: dict[str, Any]) -> list[Difference]:
     """Every key that differs between two platform files, in the old one's order."""
     found = []
-    reshaped = _shape(old.get("settings")) != _shape(new.get("settings"))
     for key, before, after in _walk(old, new, ""):
         change, why = rule_of(key)
-        if key == "settings.Categories" and reshaped:
-            change, why = Change.HANDOVER, "classes come, go or change their effect"
         found.append(Difference(key, before, after, change, why))
     return found
 
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -35,6 +35,9 @@
     reload: Literal["discovery", "whole"] = option("discovery")
     # Whether a successor may be started: never, on SIGUSR2, or also where a reload finds a key that needs one.
     handover: Literal["off", "signal", "reload"] = option("off")
+    # Whether `run` may be started once more beside this life, under the same address, and takes over: never, or with
+    # the listening socket shared by SO_REUSEPORT or fetched over a Unix socket in $TMPDIR.
+    upgrade: Literal["off", "beside"] = option("off", Change.START)
     # A successor that has not come up by then is given up.
     handover_ready_ms: float = option(10_000.0, low=100.0, high=600_000.0)
     # New connections are taken for so long after SIGTERM, since a front goes on sending for a while.
--- a/larkweir/config/platform.py
+++ b/larkweir/config/platform.py
@@ -37,6 +37,7 @@
     report_names: tuple[str, ...]  # of a load report's values, in the settings' order
     drain_grace_ms: float
     known: dict[str, Any] = field(default_factory=dict)
+    control: Address | None = None  # where operators call; none: nowhere
 
 
 def parse_address(text: object, key: str) -> Address:
@@ -104,9 +105,16 @@
 def _settings(data: dict[str, Any]) -> Settings:
     facts = _object(data.get("settings"), "settings")
     try:
-        return decode_settings(json.dumps(facts).encode())
+        settings = decode_settings(json.dumps(facts).encode())
     except SettingsError as problem:
         raise ConfigError(f"settings.{problem}") from None
+    for key, items in (("Categories", settings.classes), ("Tenants", settings.tenants)):
+        names = [item.name for item in items]
+        twice = next((name for name in names if names.count(name) > 1), None)
+        if twice is not None:
+            # Guards against a request that is one of two classes, of which nobody knows which.
+            raise ConfigError(f"settings.{key}: {twice!r:.100} comes twice; give each a name of its own")
+    return settings
 
 
 def _grace(data: dict[str, Any]) -> float:
@@ -131,6 +139,10 @@
         told, start = data.get("discovery"), env.get("GW_DISCOVERY")
         return parse_address(told or start if again else start or told, "discovery")
 
+    def control(data: dict[str, Any]) -> Address | None:
+        told = env.get("GW_CONTROL") or data.get("control")
+        return parse_address(told, "control") if told else None
+
     return {
         "settings": _settings,
         "drain_grace_ms": _grace,
@@ -144,6 +156,7 @@
         "kinds": lambda data: _names(_object(data.get("settings"), "settings"), "MachineTypes"),
         "report_names": _report_names,
         "known": lambda data: _object(data.get("known") or {}, "known"),
+        "control": control,
     }
 
 
--- /dev/null
+++ b/larkweir/control/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' calls: status, pause, resume, one line to a connection."""
--- a/larkweir/core/requests.py
+++ b/larkweir/core/requests.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import zlib
+from collections.abc import Collection
 
 from larkweir.core.message import FramingError, Message
 from mulleinhitch.interface import Effect, RequestArrived, Settings
@@ -28,9 +29,14 @@
 class Requests:
     """Reads a request's headers, by the settings' names."""
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Settings, taken: Collection[str] | None = None) -> None:
+        """`taken` names the classes that may be asked for, where some of the settings' are no more."""
         self._settings = settings
-        self._classes = {item.name.encode(): n for n, item in enumerate(settings.classes)}
+        self._classes = {
+            item.name.encode(): n
+            for n, item in enumerate(settings.classes)
+            if taken is None or item.name in taken
+        }
         self._tenants = {item.name.encode(): n for n, item in enumerate(settings.tenants)}
 
     def read(self, message: Message) -> tuple[RequestArrived, float, bytes]:
--- a/larkweir/door/guard.py
+++ b/larkweir/door/guard.py
@@ -42,7 +42,7 @@
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
-        """A new generation's figures; the classes are the same."""
+        """A new generation's figures; classes keep their places, and there may be more."""
         self.door.configure(settings.classes)
         self._classes = {item.name.encode(): n for n, item in enumerate(settings.classes)}
         wait_ms = settings.max_retry_after_ms
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -19,8 +19,11 @@
 from larkweir.lifecycle import rules
 from larkweir.lifecycle.node import Node
 from larkweir.lifecycle.reading import Generation, Reading, again
+from mulleinhitch.interface import ServerState
 
 if TYPE_CHECKING:  # imported where they are switched on
+    from larkweir.control.rules import Order
+    from larkweir.control.server import ControlServer
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.lifecycle.handover import Channel, Successor
     from larkweir.lifecycle.notify import Notifier
@@ -72,6 +75,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
         self._notifier: Notifier | None = None
+        self._control: ControlServer | None = None
         self._beat_ms = 0.0
 
     async def run(self) -> int:
@@ -87,6 +91,7 @@
             self.node.discovery.start()
         elif not await self._take_over(self._predecessor_socket):
             return 0
+        self._open_control()
         self._freeze()
         options = self._generation.options.lifecycle
         self._life = rules.Life(options, self._longest_ms(), self._aim_ms())
@@ -129,7 +134,8 @@
                 if isinstance(address, str):
                     sock = self.node.listener.bind_unix(address)
                 else:
-                    sock = self.node.listener.bind(address)
+                    shared = options.lifecycle.upgrade != "off"
+                    sock = self.node.listener.bind(address, shared)
             except OSError as problem:
                 text = address if isinstance(address, str) else f"{address[0]}:{address[1]}"
                 raise ConfigError(f"{key}: {text}: {problem}") from None
@@ -137,6 +143,48 @@
         for _, sock in left:  # the predecessor still has them while it drains
             sock.close()
 
+    def _open_control(self) -> None:
+        """ConfigError where the address that operators are to call is not to be had."""
+        address = self._generation.config.control
+        if address is None:
+            return
+        from larkweir.control.server import ControlServer  # not imported where no address is named
+
+        try:
+            sock = ControlServer.bind(address)
+        except OSError as problem:
+            raise ConfigError(f"control: {address[0]}:{address[1]}: {problem}") from None
+        self._control = ControlServer(self.node.clock, self._order, self._say)
+        self._control.start(sock)
+
+    def _order(self, order: Order) -> tuple[bool, str]:
+        """An operator's order: accepted or not, and what there is to say."""
+        life = self._life
+        if life is None:
+            return False, "this life is starting"
+        if order.value == "STATUS":
+            return self._status(life)
+        why = life.may_pause()
+        if why:
+            return False, why
+        self._tell(rules.PauseAsked() if order.value == "PAUSE" else rules.ResumeAsked())
+        return True, "paused" if life.paused else "serving"
+
+    def _status(self, life: rules.Life) -> tuple[bool, str]:
+        node = self.node
+        serves = bool(node.listener.sockets) and node.engine.ready and not life.may_pause()
+        targets = node.upstreams.targets.values()
+        state = "paused" if life.paused else life.state.value
+        facts = {
+            "state": state.replace(" ", "-"),
+            "upstreams": f"{sum(t.state is ServerState.READY for t in targets)}/{len(targets)}",
+            "callers": node.listener.count,
+            "requests": node.engine.owed,
+            "discovery": node.discovery.address,
+            "list": node.discovery.held()["generation"],
+        }
+        return serves, " ".join(f"{key}={value}" for key, value in facts.items())
+
     def _accept(self) -> None:
         for protocol, sock in self._sockets:
             self.node.listener.owns(sock)
@@ -296,8 +344,8 @@
             if self._predecessor is not None:
                 self._predecessor.say("bye")
         elif isinstance(command, rules.EndIdle):
-            self._ending = command.ending
-            if command.ending:
+            begun, self._ending = self._ending, command.ending
+            if command.ending and not begun:
                 self._settle()
         else:
             self._done.set()
@@ -325,7 +373,7 @@
         listener.end_idle()
         if not self.node.engine.owed and not listener.taking:
             self._tell(rules.Settled())
-        else:
+        if self._ending and not self._done.is_set():  # a pause goes on for those that come all the same
             self.node.clock.after(self.STEP_MS, self._settle)
 
     def _beat(self, stall_ms: float) -> None:
@@ -418,6 +466,8 @@
     def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
+        if self._control is not None:
+            self._control.close()
         self.node.close()
         self.node.listener.stop_accepting()
         if self._notifier is not None:
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -5,8 +5,10 @@
 import asyncio
 import traceback
 from collections.abc import Callable
+from dataclasses import replace
 from typing import TYPE_CHECKING, Any
 
+from larkweir.config.classes import in_place
 from larkweir.config.options import Fastcgi, Operator
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
@@ -45,6 +47,7 @@
         options: Operator | None = None,
     ) -> None:
         self.config = config
+        self.settings = config.settings  # as the parts hold them: classes that are gone keep their places
         self.clock = Clock(loop, offset_ms)
         self.journal = Journal(config.name)
         loop.set_exception_handler(self._on_loop_error)
@@ -125,16 +128,18 @@
         the present one only in what may change live.
         """
         self.config = config
+        # Requests are held by their class's place: it stays.
+        self.settings = settings = in_place(self.settings.classes, config.settings)
         self.room.resize(config.memory_mb)
         callers, upstreams = self._budgets(config)
         self.listener.budget = callers
-        self.intake.requests = Requests(config.settings)
-        self.upstreams.configure(config.settings, upstreams, config.drain_grace_ms)
-        self.engine.reconfigure(config)
+        self.intake.requests = Requests(settings, {item.name for item in config.settings.classes})
+        self.upstreams.configure(settings, upstreams, config.drain_grace_ms)
+        self.engine.reconfigure(replace(config, settings=settings))
         if self.guard is not None:
-            self.guard.configure(config.settings)
+            self.guard.configure(settings)
         if self.chain is not None:
-            self.chain.configure(config.settings)
+            self.chain.configure(settings)
         self.discovery.move(config.discovery)
 
     # ------------------------------------------------ from life to life
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 from typing import Any, NamedTuple
 
+from larkweir.config.classes import in_place
 from larkweir.config.options import Change, Operator, changed
 from larkweir.config.options import keep_fixed as keep_fixed_options
 from larkweir.config.platform import Config, ConfigError, decode_object, read_file, read_object
@@ -70,10 +71,13 @@
     if now.options.lifecycle.reload == "discovery" and operator is None:
         config = decode_object(read_object(read_file(env)), env, again=True)
         return Reading(now._replace(config=replace(now.config, discovery=config.discovery)), (), ())
-    from larkweir.config.changes import differences, keep_fixed  # of no use before the first reload
+    from larkweir.config.changes import differences, keep_fixed, short_of  # of no use before the first reload
 
     raw = read_object(settled_text(env))
     config = decode_object(raw, env, again=True)
+    lacks = short_of(now.raw, raw)
+    if lacks:
+        raise ConfigError(f"{lacks}: missing")
     told = load_options(operator)
     options = keep_fixed_options(now.options, told)
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
@@ -83,7 +87,8 @@
         changes += [(item.key, item.change) for item in differences(now.raw, raw)]
         raw = keep_fixed(now.raw, raw)
         config = decode_object(raw, env, again=True)
-        problem = fixed_difference(now.config.settings, config.settings)
+        settings = in_place(now.config.settings.classes, config.settings)
+        problem = fixed_difference(now.config.settings, settings)
         if problem:
             raise ConfigError(f"settings: {problem} can't change in service; it counts from the next start")
         generation = Generation(config, options, raw)
--- a/larkweir/lifecycle/rules.py
+++ b/larkweir/lifecycle/rules.py
@@ -7,6 +7,10 @@
                           handing over -> ready        it has not
     any but stopping   -> draining -> stopping         told to stop
     draining (handed over) -> ready                    the successor died before this life had ended
+
+A pause goes beside these: it empties the life of its callers and keeps everything else, until it is resumed, told to
+stop, or handed over. An upgrade is a handover to a process that somebody else has started: it takes what comes, and
+this life serves its open connections until it is told to stop.
 """
 
 from __future__ import annotations
@@ -45,6 +49,14 @@
     """SIGUSR2."""
 
 
+class PauseAsked(NamedTuple):
+    """An operator's PAUSE: empty this life."""
+
+
+class ResumeAsked(NamedTuple):
+    """An operator's RESUME: back to work."""
+
+
 class ReadDone(NamedTuple):
     """The files were read and checked: `fault` says why they can't be used; `fixed` names the keys that need
     a successor, `later` those that count from the next start.
@@ -97,6 +109,8 @@
     | Stop
     | ReloadAsked
     | HandoverAsked
+    | PauseAsked
+    | ResumeAsked
     | ReadDone
     | SuccessorReady
     | SuccessorTook
@@ -241,6 +255,8 @@
         self._stops = 0  # how often it was told to stop
         self._ending = False  # idle connections are ended, and the end is looked for
         self._ends_ms = 0.0  # of the drain, at the latest
+        self.paused = False
+        self._pauses = 0  # tells a pause's timer from an older one's
 
     def waits_for(self, serial: int) -> bool:
         """Whether this successor has not been given up."""
@@ -259,6 +275,10 @@
             return self._reload_asked()
         if isinstance(event, HandoverAsked):
             return self._handover_asked()
+        if isinstance(event, PauseAsked):
+            return self._pause()
+        if isinstance(event, ResumeAsked):
+            return self._resume()
         if isinstance(event, ReadDone):
             return self._read_done(event)
         if isinstance(event, Due):
@@ -303,6 +323,33 @@
             return [Tell(("READY=1", "STATUS=ready"))]
         return [Tell(("STATUS=waiting for a list of upstreams",))]
 
+    # ------------------------------------------------ pause
+
+    def may_pause(self) -> str:
+        """Why a pause or its end can't be asked for now; empty if it can."""
+        return "this life is draining" if self.state in (State.DRAINING, State.STOPPING) else ""
+
+    def _pause(self) -> list[Command]:
+        """Not ready from now on. The front still sends what it has not yet been told not to; then idle connections
+        are ended, and every other with its next answer.
+        """
+        if self.paused or self.may_pause():
+            return []
+        self.paused = True
+        self._pauses += 1
+        return [
+            Close(True),
+            Say("pause: emptying"),
+            Tell(("STATUS=paused",)),
+            Arm("empty", self._pauses, self.options.accept_ms),
+        ]
+
+    def _resume(self) -> list[Command]:
+        if not self.paused or self.may_pause():
+            return []
+        self.paused = False
+        return [EndIdle(False), Close(False), Say("pause: over"), Tell(("STATUS=ready",))]
+
     # ------------------------------------------------ reload
 
     def _reload_asked(self) -> list[Command]:
@@ -404,8 +451,8 @@
             # Nobody accepts on the sockets, which are still open here.
             self._handed = self._ending = False
             return [
-                EndIdle(False),
-                Close(False),
+                EndIdle(self.paused),
+                Close(self.paused),
                 Accept(True),
                 Say(f"handover: the successor is lost, {why}; this life takes over again"),
                 Tell((MAIN_PID,)),
@@ -450,7 +497,8 @@
 
     def _drain(self, now_ms: float, accept_ms: float) -> list[Command]:
         self.state = State.DRAINING
-        serve_on_ms = 0.0 if self._handed else self.serve_on_ms  # a successor takes them, where there is one
+        # A successor takes them, where there is one; a paused life serves nobody on.
+        serve_on_ms = 0.0 if self._handed or self.paused else self.serve_on_ms
         accept_ms = max(accept_ms, serve_on_ms)
         self._serving_on = serve_on_ms > 0.0
         self._again = self._then_handover = False
@@ -477,6 +525,8 @@
     # ------------------------------------------------ timers
 
     def _due(self, now_ms: float, event: Due) -> list[Command]:
+        if event.name == "empty":
+            return [EndIdle(True)] if self.paused and event.serial == self._pauses else []
         if event.name == "read":
             return self._read_done(ReadDone(event.serial, "the files could not be read in time"))
         if event.name in ("ready", "take", "took"):
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -95,17 +95,26 @@
     def ready(self) -> bool:
         return bool(self._sockets) and not self.closing and self.engine.ready
 
+    @property
+    def count(self) -> int:
+        """Connections that are open."""
+        return len(self._connections)
+
     @property
     def taking(self) -> int:
         """Connections that hold a request, whole or in part, or an answer not yet read."""
         return len(self._arriving) + sum(c.busy for c in self._connections)
 
     @staticmethod
-    def bind(address: Address) -> socket.socket:
-        """A new listening socket; OSError where the system gives none."""
+    def bind(address: Address, shared: bool = False) -> socket.socket:
+        """A new listening socket; OSError where the system gives none. `shared`: other lives of this balancer may
+        listen at the address beside it (SO_REUSEPORT, socket(7)).
+        """
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            if shared:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
             sock.bind(address)
             sock.listen(Listener.BACKLOG)
         except OSError:
--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -146,9 +146,21 @@
         self._tolerance, self._keep = 1.0, 0  # the tolerance, kept for so many more answers
 
     def configure(self, settings: Settings) -> None:
-        """Take new figures; what was learned is carried on."""
-        for at, (before, after) in enumerate(zip(self._classes, settings.classes, strict=True)):
-            if before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
+        """Take new figures; what was learned is carried on. Classes keep their places; there may be more, and another
+        class may have taken the place of one that is no more.
+        """
+        more = len(settings.classes) - len(self._classes)
+        for values, first in ((self.mean, 0.0), (self.base, 0.0), (self._last, -math.inf)):
+            values.extend([first] * more)
+        self._seen.extend([0] * more)
+        self._known.extend([0] * more)
+        for at, after in enumerate(settings.classes):
+            before = self._classes[at] if at < len(self._classes) else None
+            if before is None or before.name != after.name:
+                self.mean[at] = self.base[at] = after.aim_ms / 3.0
+                self._seen[at] = self._known[at] = 0
+                self._last[at] = -math.inf
+            elif before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
                 self.mean[at] = min(self.mean[at], after.aim_ms / 3.0)
                 self.base[at] = min(self.base[at], after.aim_ms / 3.0)
         self._classes = settings.classes
@@ -447,12 +459,16 @@
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
-        """The weights are the classes' worth; who waits already stays."""
+        """The weights are the classes' worth; who waits already stays. Classes keep their places; there may be more."""
+        had = len(self._weights)
         self._weights = [max(cls.worth, 0.001) for cls in settings.classes]
-        self._classes = len(self._weights)
-        if not self._queues:  # within their share, then over it
-            self._queues = [OrderedDict() for _ in range(2 * self._classes)]
-            self._turns = [0.0] * len(self._queues)
+        self._classes = count = len(self._weights)
+        if had < count:  # within their share, then over it
+            fresh: list[OrderedDict[int, None]] = [OrderedDict() for _ in range(2 * (count - had))]
+            self._queues = [*self._queues[:had], *fresh[::2], *self._queues[had:], *fresh[1::2]]
+            none = [0.0] * (count - had)
+            self._turns = [*self._turns[:had], *none, *self._turns[had:], *none]
+            self._at = {request: at if at < had else at + count - had for request, at in self._at.items()}
 
     def __len__(self) -> int:
         return self._count
--- a/mulleinhitch/door.py
+++ b/mulleinhitch/door.py
@@ -54,7 +54,10 @@
         self.configure(classes)
 
     def configure(self, classes: Sequence[RequestClass]) -> None:
-        """New figures of the same classes."""
+        """New figures; classes keep their places, and there may be more."""
+        more = 2 * len(classes) - len(self._brings)
+        self._brings += [0.5 / len(classes)] * more
+        self._odds += [0.0] * more
         self._aim_ms = min(cls.aim_ms for cls in classes)
         # Of equal worth, repeats go first: they have been refused before, and come from who does not wait.
         self._order = sorted(range(2 * len(classes)), key=lambda at: (classes[at // 2].worth, at % 2))
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -276,7 +276,11 @@
 
 @dataclass(slots=True)
 class Reconfigured:
-    """New figures from here on. Requests that are known keep the class that they came with."""
+    """New figures from here on. Requests that are known keep the class that they came with.
+
+    A class keeps its place in the settings as long as it is there. A new one is added at the end, or takes the place
+    of one that has long been gone.
+    """
 
     settings: Settings
 
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -1282,6 +1282,14 @@
         self.slow_start.rewatch(list(self.fleet.servers.values()), self.now)
         self.limiter.configure(new)
         self.waiting.configure(new)
+        for at, cls in enumerate(new.classes):
+            if at >= len(old.classes):
+                self._usual.append(Usual())
+                self._work.append(0.0)
+            elif cls.name != old.classes[at].name:  # another has taken the place of one that is no more
+                self._usual[at], self._work[at] = Usual(), 0.0
+                for server in self.fleet.servers.values():
+                    server.shunned.pop(at, None)
         known = {tenant.name: n for n, tenant in enumerate(old.tenants)}
         places = [known.get(tenant.name) for tenant in new.tenants]
         self._fair = self._shares(new)
@@ -1295,14 +1303,11 @@
     for name in FIXED:
         if getattr(old, name) != getattr(new, name):
             return name
-    shapes = [
-        [(cls.name, cls.effect, cls.group, cls.streaming) for cls in settings.classes]
-        for settings in (old, new)
-    ]
-    return "" if shapes[0] == shapes[1] else "classes"
+    return "" if len(new.classes) >= len(old.classes) else "fewer classes"
 
 
-# Numbers of zones, classes and report values are places in these; the rest says who this copy is.
+# Numbers of zones and report values are places in these; the rest says who this copy is. Classes keep their places, to
+# which more may be added.
 FIXED = "zones my_zone me tier tiers tick_ms on_request_discovery may_probe report_mode report_fields".split()
 
 
