Long bodies are passed on while they come, both ways; time limits go by progress

Ruled out: the module (its refusals fell with the repeats), memory (16 of 80 MB).

Design: a body is a `Stream` (core/stream.py, rules): fed by the connection that reads, taken by the one that writes, with holds passed back; nothing is kept once it is taken. Answers past 64 KiB, or of no stated length after 500 ms, are `AnswerStarted`: no deadline runs, the server's token is back.

Two faults of the first tries, found by lines for each body: a length with white space behind it counted as 0 (now stripped, RFC 9110 5.5), and answers still ended at 1 MiB.

Ways not taken: bodies in files in $TMPDIR (count as memory here); holding to a stated size in memory and then refusing (32 MB many at a time do not fit 80 MB); a stream object per attempt that can be replayed (keeps what it has sent). FastCGI still holds bodies whole: its records share a connection.

--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -4,6 +4,7 @@
 
 from __future__ import annotations
 
+import math
 import traceback
 from collections import deque
 
@@ -17,7 +18,9 @@
 from larkweir.core.room import Room
 from mulleinhitch.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
+    BodyCame,
     Cancel,
     ClientGone,
     CloseIdle,
@@ -47,6 +50,13 @@
 
     __slots__ = ("_engine", "_exchange", "_number", "_sent_ms", "_server")
 
+    @property
+    def streams(self) -> bool:
+        return self._exchange.caller.streams
+
+    def started(self, answer: Message) -> bool:
+        return self._engine.answer_started(self._exchange, self._number, self._server, self._sent_ms, answer)
+
     def __init__(self, engine: Engine, exchange: Exchange, number: int, server: int, sent_ms: float) -> None:
         self._engine = engine
         self._exchange = exchange
@@ -65,6 +75,10 @@
     """A probe's owner."""
 
     __slots__ = ("_engine", "_sent_ms", "_server")
+    streams = False
+
+    def started(self, answer: Message) -> bool:
+        return False
 
     def __init__(self, engine: Engine, server: int, sent_ms: float) -> None:
         self._engine = engine
@@ -184,6 +198,10 @@
             time_left_ms = event.time_left_ms = max(0.0, time_left_ms - self.lost_ms)
         now = self.clock.now_ms()
         due = now + time_left_ms
+        coming = message.stream is not None and not message.stream.over
+        if coming:
+            event.coming = True
+            due = math.inf  # its time counts from its last byte
         exchange = Exchange(number, caller, message, due, trace, self._max_attempts)
         if self.budgets is not None:
             ticket = self.budgets.arrive(caller.peer, message, event, now)
@@ -193,18 +211,55 @@
             exchange.ticket = ticket
         self._exchanges[number] = exchange
         self._traces.add(trace)
-        exchange.timer = self.clock.at(due, lambda: self._overdue(exchange))
+        exchange.left_ms = time_left_ms
+        if coming and message.stream is not None:
+            message.stream.on_end = lambda whole: self._body_ended(exchange, whole)
+        else:
+            exchange.timer = self.clock.at(due, lambda: self._overdue(exchange))
         self._deliver(event)
         return number
 
+    def _body_ended(self, exchange: Exchange, whole: bool) -> None:
+        """The last byte of a body that was handed on before has come; where it never will, whoever reads it says
+        why.
+        """
+        if exchange.over or not whole:
+            return
+        exchange.deadline_ms = self.clock.now_ms() + exchange.left_ms
+        exchange.timer = self.clock.at(exchange.deadline_ms, lambda: self._overdue(exchange))
+        for call in exchange.attempts:
+            if call is not None:
+                call.body_came(exchange.deadline_ms)
+        self._deliver(BodyCame(exchange.number))
+
     def client_gone(self, number: int) -> None:
         exchange = self._exchanges.get(number)
-        if exchange is not None and not exchange.over:
+        if exchange is None:
+            return
+        if not exchange.over:
             self._close(exchange)
             if exchange.ticket is not None:
                 exchange.ticket.closing(499)  # to nobody
             self._deliver(ClientGone(number))
+            if exchange.coming or exchange.spent:
+                self._call_off(exchange)  # the rest of its body will never come
             self._forget(exchange)
+        elif exchange.first_ms is not None:
+            self._call_off(exchange)  # nobody takes the rest of the answer
+
+    def give_up(self, number: int, status: int, text: bytes) -> None:
+        """Whoever reads its body can't go on: it is answered so, and has not run, since its last byte never came."""
+        exchange = self._exchanges.get(number)
+        if exchange is not None and not exchange.over:
+            self._deliver(ClientGone(number))
+            self._answer(exchange, status, None, text)
+            self._call_off(exchange)
+
+    @staticmethod
+    def _call_off(exchange: Exchange) -> None:
+        for call in exchange.attempts:
+            if call is not None:
+                call.end(Outcome.CANCELLED)
 
     def on_listing(self, listing: Listing) -> None:
         whole = listing.kind in (ListKind.FULL, ListKind.CACHED)
@@ -328,7 +383,7 @@
             until = min(until, now + action.timeout_ms)
         exchange.attempts.append(None)
         exchange.out += 1
-        if exchange.over or until <= now or number >= exchange.max_attempts:
+        if exchange.over or until <= now or exchange.spent or number >= exchange.max_attempts:
             call = None
         else:
             call = self._begin_call(exchange, number, action.server, until, now)
@@ -341,15 +396,59 @@
         self, exchange: Exchange, number: int, server: int, until: float, now: float
     ) -> Attempt | None:
         owner = _Sent(self, exchange, number, server, now)
+        patience = 0.0
+        if exchange.coming:
+            patience, until = until - now, math.inf
         if exchange.ticket is None or self.budgets is None:
-            return self.upstreams.call(server, exchange.message, until, owner)
+            return self.upstreams.call(server, exchange.message, until, owner, patience_ms=patience)
         margin = self.budgets.way_back_ms
         if until - now <= margin:
             return None  # nothing useful can come back in time
         extra = exchange.ticket.grant(number, exchange.max_attempts - number, now)
         if extra is None:
             return None
-        return self.upstreams.call(server, exchange.message, until, owner, extra=extra, margin_ms=margin)
+        return self.upstreams.call(
+            server, exchange.message, until, owner, extra=extra, margin_ms=margin, patience_ms=patience
+        )
+
+    def _answer_headers(self, exchange: Exchange, answer: Message) -> Headers:
+        """What goes back beside an upstream's 200."""
+        headers = [(k, v) for k, v in answer.passed_on() if k.lower() != LOAD_HEADER]
+        if exchange.ticket is not None:
+            headers = [item for item in headers if not item[0].lower().startswith(b"x-budget")]
+            headers += exchange.ticket.closing(200)
+        return headers
+
+    def answer_started(
+        self, exchange: Exchange, number: int, server: int, sent_ms: float, answer: Message
+    ) -> bool:
+        """A long answer has begun, and is the one answer from here on: there is no further attempt, whatever becomes
+        of it. Whether anybody takes it.
+        """
+        if exchange.over or answer.stream is None:
+            return False
+        self._close(exchange)
+        exchange.first_ms = self._times(exchange, number, sent_ms)
+        self._deliver(AnswerStarted(exchange.number, number, server, exchange.first_ms[0]))
+        exchange.caller.begin(200, self._answer_headers(exchange, answer), answer.stream)
+        return True
+
+    def _times(self, exchange: Exchange, number: int, sent_ms: float) -> tuple[float, float]:
+        """How long an attempt has taken, and how much of that was surely the upstream's: what this process added, to
+        reading the answer or to a connection's coming up, is no sign of the upstream's state. Of a body that came in
+        pieces, from its last byte on.
+        """
+        turns = self.clock.turn()
+        call = exchange.attempts[number]
+        stream = exchange.message.stream
+        if stream is not None and call is not None and call.written_ms:
+            sent_ms = max(sent_ms, call.written_ms)
+        spent = self.clock.now_ms() - sent_ms
+        if call is not None and call.written_ms:
+            upstream = call.connect_ms + turns.spent_ms(call.written_ms)
+        else:
+            upstream = turns.spent_ms(sent_ms)
+        return spent, min(spent, upstream)
 
     def attempt_ended(
         self,
@@ -365,24 +464,13 @@
             ticket.settle(number, outcome, answer, self.clock.now_ms())
         if outcome is Outcome.OK and answer is not None and not exchange.over:
             self._close(exchange)
-            headers = [(k, v) for k, v in answer.passed_on() if k.lower() != LOAD_HEADER]
-            if ticket is not None:
-                headers = [item for item in headers if not item[0].lower().startswith(b"x-budget")]
-                headers += ticket.closing(200)
-            exchange.caller.answer(200, headers, answer.body)
+            exchange.caller.answer(200, self._answer_headers(exchange, answer), answer.body)
         exchange.out -= 1
         report = report_of(answer, self._report_names, False) if self._inline else ()
-        now = self.clock.now_ms()
         left = None if ticket is None else ticket.left
-        # Whose time it was: what this process added, to reading the answer or to a connection's coming up, is no sign
-        # of the upstream's state.
-        turns = self.clock.turn()
-        call = exchange.attempts[number]
-        if call is not None and call.written_ms:
-            upstream = call.connect_ms + turns.spent_ms(call.written_ms)
-        else:
-            upstream = turns.spent_ms(sent_ms)
-        spent = now - sent_ms
+        if exchange.spent:
+            left = 0  # what the attempt has had of the body is not kept
+        spent, upstream = exchange.first_ms or self._times(exchange, number, sent_ms)
         self._deliver(
             AttemptEnded(
                 exchange.number,
@@ -393,7 +481,7 @@
                 spent,
                 report,
                 left,
-                min(spent, upstream),
+                upstream,
             )
         )
         self._forget(exchange)
--- a/larkweir/core/exchange.py
+++ b/larkweir/core/exchange.py
@@ -7,6 +7,7 @@
 from larkweir.core.clock import Timer
 from larkweir.core.message import Headers, Message
 from larkweir.core.ports import Attempt, Ticket
+from larkweir.core.stream import Stream
 
 
 class Caller(Protocol):
@@ -14,6 +15,13 @@
 
     def answer(self, status: int, headers: Headers, body: bytes) -> None: ...
 
+    @property
+    def streams(self) -> bool:
+        """Whether it takes an answer while it comes."""
+
+    def begin(self, status: int, headers: Headers, stream: Stream) -> None:
+        """The one answer, whose body comes by `stream`; that it can't be finished is told to the caller there."""
+
     @property
     def peer(self) -> str:
         """The address it asks from, `unix` on a Unix socket, or empty if that is not known."""
@@ -26,6 +34,8 @@
         "attempts",
         "caller",
         "deadline_ms",
+        "first_ms",
+        "left_ms",
         "max_attempts",
         "message",
         "number",
@@ -56,3 +66,18 @@
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
         self.ticket: Ticket | None = None  # its budget, where there are any
+        self.left_ms = 0.0  # that it has from its last byte on
+        # Of an answer that is passed on while it comes: how long its first bytes took, in all and of the upstream's.
+        self.first_ms: tuple[float, float] | None = None
+
+    @property
+    def coming(self) -> bool:
+        """Whether its last byte is still to come."""
+        stream = self.message.stream
+        return stream is not None and not stream.over
+
+    @property
+    def spent(self) -> bool:
+        """Whether a part of its body is gone, so that no further attempt could have it whole."""
+        stream = self.message.stream
+        return stream is not None and (stream.taken or stream.failed)
--- a/larkweir/core/intake.py
+++ b/larkweir/core/intake.py
@@ -26,6 +26,7 @@
         self.requests = requests
         self._ready = ready
         self.guard: Guard | None = None  # turns away what this process has no time for
+        self.streams = True  # long bodies are passed on while they come
         self.checks: list[Check] = []  # raise FramingError for what the tier's protocol could not carry
 
     def take(self, caller: Caller, message: Message) -> int | None:
--- a/larkweir/core/message.py
+++ b/larkweir/core/message.py
@@ -4,6 +4,8 @@
 
 from typing import NamedTuple
 
+from larkweir.core.stream import Stream
+
 Headers = list[tuple[bytes, bytes]]
 
 # Headers that speak of one connection, never passed on; framing is written anew.
@@ -56,9 +58,11 @@
 
 
 class Message:
-    """One whole request or answer. Header names are kept as they came; look-ups go by lower case."""
+    """One request or answer, whole but for a body that is still coming (`stream`). Header names are kept as they came;
+    look-ups go by lower case.
+    """
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "status", "target")
+    __slots__ = ("body", "headers", "keep_alive", "method", "minor", "status", "stream", "target")
 
     def __init__(self) -> None:
         self.method = b""
@@ -66,7 +70,9 @@
         self.status = 0
         self.headers: Headers = []
         self.body = b""
+        self.stream: Stream | None = None  # the body, where it is passed on while it comes
         self.keep_alive = True
+        self.minor = 1  # of HTTP/1.x
 
     def values(self, name: bytes) -> list[bytes]:
         return [value for key, value in self.headers if key.lower() == name]
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -40,15 +40,25 @@
 
     def time_out(self) -> None: ...
 
+    def body_came(self, until_ms: float) -> None:
+        """The request's last byte has come: its time runs from now on, and ends at `until_ms` at the latest."""
+
     def end(self, outcome: Outcome, answer: Message | None = None) -> None: ...
 
 
 class Owner(Protocol):
     """Who is told of a call's end, once."""
 
+    @property
+    def streams(self) -> bool:
+        """Whether an answer may be passed on while it comes."""
+
     def moot(self) -> bool:
         """Whether it need not be written any more."""
 
+    def started(self, answer: Message) -> bool:
+        """A long answer has begun, and its body comes by `answer.stream`; whether anybody takes it."""
+
     def ended(self, outcome: Outcome, answer: Message | None) -> None: ...
 
 
@@ -115,8 +125,11 @@
         probe: bool = False,
         extra: Headers | None = None,
         margin_ms: float = 0.0,
+        patience_ms: float = 0.0,
     ) -> Attempt | None:
-        """Begin a call, which ends at `until_ms` at the latest. None if there is no such target."""
+        """Begin a call, which ends at `until_ms` at the latest. None if there is no such target. While the request's
+        body is still coming, `until_ms` is infinite, and `patience_ms` is how long it is waited for from then on.
+        """
 
     def close_idle(self, number: int) -> None: ...
 
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -108,6 +108,7 @@
             (whole or upstream.kind in kinds) and dialect.full(upstream, waiting)
         )
         self.intake.checks.append(refuse_collapsing)
+        self.intake.streams = False  # the records of a request are made of its whole body
         self._closers.append(dialect.close)
 
     def close(self) -> None:
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -6,6 +6,7 @@
 from typing import cast
 
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
+from larkweir.core.stream import Stream
 from larkweir.protocols.fastcgi.serving import Bad, Serving, Whole
 from larkweir.protocols.listener import Listener, peer_of, waits
 
@@ -14,6 +15,7 @@
     """One request on a connection, as the engine answers it."""
 
     __slots__ = ("connection", "id", "number", "size")
+    streams = False  # an answer shares the connection with others: it goes out once it is whole
 
     def __init__(self, connection: FastcgiCaller, request_id: int, size: int) -> None:
         self.connection = connection
@@ -28,6 +30,9 @@
     def answer(self, status: int, headers: Headers, body: bytes) -> None:
         self.connection.answered(self, status, headers, body)
 
+    def begin(self, status: int, headers: Headers, stream: Stream) -> None:
+        raise AssertionError("answers go out whole here")
+
 
 class FastcgiCaller(asyncio.Protocol):
     """One caller's connection."""
--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -7,15 +7,21 @@
 import httptools
 
 from larkweir.core.message import REASONS, Fault, FramingError, Message
+from larkweir.core.stream import Stream
 
 MAX_HEAD = 32 * 1024
 # Guards against heads of thousands of short fields, which cost far more than their bytes.
 MAX_FIELDS = 100
-MAX_BODY = 64 * 1024  # of a request
-# Of an answer. The protocol says 64 KiB, but upstreams were seen to give good ones of 200 to 380 KiB; what
-# all connections hold together is bounded by their room.
+MAX_BODY = 48 * 1024 * 1024  # of a request or answer that is passed on while it comes
+# Of an answer that is not: one that is no 200, or that goes to a side that takes it whole.
 MAX_ANSWER = 1024 * 1024
-MAX_FRAMING = 1024 * 1024  # guards against chunks, trailers or interim answers without end
+MAX_WHOLE = 64 * 1024  # of a request, where it has to be held whole
+KEPT_BODY = 512 * 1024  # of a request: up to that it is kept whole for another attempt
+KEPT_ANSWER = (
+    64 * 1024
+)  # up to that an answer is held until it is whole, so that a spoilt one may be tried again
+# Guards against chunks, trailers or interim answers without end: so many bytes, and so many times the body's.
+MAX_FRAMING, FRAMING = 1024 * 1024, 16
 
 
 class _Reader:
@@ -25,7 +31,11 @@
     wait for the collector with all that the connection held.
     """
 
-    def __init__(self, max_body: int, most: int) -> None:
+    def __init__(self, max_body: int, most: int, keep: int | None = None) -> None:
+        """`keep`: a longer body is passed on while it comes; none: every body is held whole."""
+        self.keep = keep
+        self._stream: Stream | None = None  # of the unfinished message
+        self._length: int | None = None  # its announced one
         self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser | None = self._make_parser()
         self._max_body = max_body
         self._most = most  # messages that one read may bring
@@ -48,7 +58,9 @@
     @property
     def held(self) -> int:
         """About what the unfinished message holds in memory."""
-        return min(self._raw, MAX_HEAD) + self._size if self._raw else 0
+        if not self._raw:
+            return 0
+        return min(self._raw, MAX_HEAD) + (self._size if self._stream is None else self._stream.held)
 
     def close(self) -> None:
         """Nothing more is read, and what is held of an unfinished message is let go."""
@@ -56,6 +68,9 @@
         self._message = Message()
         self._parts = []
         self._done = []
+        stream, self._stream = self._stream, None
+        if stream is not None:
+            stream.fail()
         self._size = self._raw = 0
 
     def feed(self, data: bytes) -> list[Message]:
@@ -72,7 +87,7 @@
         # Guards against a head, or chunk extensions and trailers, that never end.
         if self.fault is None and self._in_head and self._raw > MAX_HEAD:
             self.fault = Fault(431, "the head is too long")
-        elif self.fault is None and self._raw > MAX_HEAD + self._max_body + MAX_FRAMING:
+        elif self.fault is None and self._raw > MAX_HEAD + MAX_FRAMING + FRAMING * self._size:
             self.fault = Fault(413, "the message is too long")
         self._done = []
         if self.fault is not None:
@@ -104,6 +119,7 @@
         self._parts = []
         self._size = 0
         self._in_head = True
+        self._length = None
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self._in_head:
@@ -111,13 +127,14 @@
         headers = self._message.headers
         if len(headers) >= MAX_FIELDS:
             raise FramingError(431, "the head has too many fields")
+        value = value.strip(b" \t")  # white space round a value is no part of it (RFC 9110 section 5.5)
         headers.append((name, value))
         lower = name.lower()
         if lower == b"content-length":
-            size = int(value) if len(value) < 20 and value.isdigit() else 0  # else the parser objects
+            self._length = size = int(value) if len(value) < 20 and value.isdigit() else 0  # else it objects
             if size > self._max_body:  # refused before the body comes
                 raise FramingError(413, "the body is too long")
-        elif lower == b"transfer-encoding" and value.strip().lower() != b"chunked":
+        elif lower == b"transfer-encoding" and value.lower() != b"chunked":
             # Guards against two readers that find different ends: the parser takes lists ending in `chunked`.
             raise FramingError(400, "Transfer-Encoding is not one `chunked`")
 
@@ -128,14 +145,59 @@
         if version != "1.1" and (version != "1.0" or self._message.values(b"transfer-encoding")):
             raise FramingError(400, f"HTTP/{version} is not spoken here")
         self._message.keep_alive = self._parser.should_keep_alive()
+        self._message.minor = int(version == "1.1")
+
+    @property
+    def in_body(self) -> bool:
+        """Whether the head of an unfinished message has come whole."""
+        return self._raw > 0 and not self._in_head
+
+    @property
+    def size(self) -> int:
+        """Bytes of the unfinished message's body that have come."""
+        return self._size
+
+    @property
+    def open_ended(self) -> bool:
+        """Whether nothing says how long the unfinished message's body is."""
+        return self._length is None
+
+    def passes_on(self) -> bool:
+        """Whether this message's body may be passed on while it comes."""
+        return self.keep is not None
+
+    def spill(self) -> list[Message]:
+        """Hand the unfinished message on as it is, and its body while it comes; none if there is nothing to hand on."""
+        if not self.in_body or self._stream is not None or self.fault is not None or not self.passes_on():
+            return []
+        return [self._start()]
+
+    def _start(self) -> Message:
+        message = self._message
+        message.stream = self._stream = Stream(self._length, self.keep or 0)
+        for data in self._parts:
+            self._stream.feed(data)
+        self._parts = []
+        return message
 
     def on_body(self, data: bytes) -> None:
         self._size += len(data)
         if self._size > self._max_body:
             raise FramingError(413, "the body is too long")
+        if self._stream is not None:
+            self._stream.feed(data)
+            return
         self._parts.append(data)
+        if self.keep is not None and self._size > self.keep and self.passes_on():
+            self._done.append(self._start())
 
     def on_message_complete(self) -> None:
+        stream, self._stream = self._stream, None
+        if stream is not None:  # it was handed on before
+            self._raw = self._size = 0
+            self._in_head = True
+            stream.end()
+            return
         self._message.body = b"".join(self._parts)
         self._parts = []
         self._raw = self._size = 0
@@ -148,8 +210,9 @@
 
     _parser: httptools.HttpRequestParser | None
 
-    def __init__(self, max_body: int = MAX_BODY, most: int = 4) -> None:
-        super().__init__(max_body, most)
+    def __init__(self, streams: bool = True, most: int = 4) -> None:
+        """`streams`: long bodies are passed on while they come."""
+        super().__init__(MAX_BODY if streams else MAX_WHOLE, most, KEPT_BODY if streams else None)
         self.expects_continue = False
 
     def _make_parser(self) -> httptools.HttpRequestParser:
@@ -165,6 +228,8 @@
         if self._parser.should_upgrade():
             raise FramingError(400, "no upgrade is offered")
         self.expects_continue = any(v.lower() == b"100-continue" for v in self._message.values(b"expect"))
+        if self.keep is not None and (self._length or 0) > self.keep:
+            self._done.append(self._start())
 
     def on_message_complete(self) -> None:
         self.expects_continue = False
@@ -179,8 +244,8 @@
     _parser: httptools.HttpResponseParser | None
     MOST = 64  # answers in one read, interim ones not counted: the first is used, and one more is a fault
 
-    def __init__(self, max_body: int = MAX_ANSWER) -> None:
-        super().__init__(max_body, self.MOST)
+    def __init__(self, max_body: int = MAX_ANSWER, keep: int | None = None) -> None:
+        super().__init__(max_body if keep is None else MAX_BODY, self.MOST, keep)
 
     def _make_parser(self) -> httptools.HttpResponseParser:
         return httptools.HttpResponseParser(self)
@@ -189,12 +254,40 @@
         super().on_headers_complete()
         assert self._parser is not None
         self._message.status = self._parser.get_status_code()
+        if self.keep is not None and (self._length or 0) > self.keep and self.passes_on():
+            self._done.append(self._start())
+
+    def passes_on(self) -> bool:
+        return super().passes_on() and self._message.status == 200
+
+    def on_body(self, data: bytes) -> None:
+        super().on_body(data)
+        if self._stream is None and self._size > MAX_ANSWER:
+            raise FramingError(413, "the body is too long")
 
     def on_message_complete(self) -> None:
         if self._message.status >= 200:  # an interim answer announces the real one
             super().on_message_complete()
 
 
+def encode_head(first: bytes, headers: Iterable[tuple[bytes, bytes]], length: int | None) -> bytes:
+    """The head of a message whose body follows: of that length, or chunked where none is known."""
+    parts = [first, b"\r\n"]
+    for name, value in headers:
+        parts += (name, b": ", value, b"\r\n")
+    parts.append(b"Transfer-Encoding: chunked\r\n" if length is None else b"Content-Length: %d\r\n" % length)
+    parts.append(b"\r\n")
+    return b"".join(parts)
+
+
+def chunk(data: bytes) -> bytes:
+    """RFC 9112 section 7.1; of no bytes none, since that would end the body."""
+    return b"%x\r\n%b\r\n" % (len(data), data) if data else b""
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
 def encode_request(
     method: bytes, target: bytes, headers: Iterable[tuple[bytes, bytes]], body: bytes
 ) -> bytes:
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -3,26 +3,39 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import select
 from typing import cast
 
 from larkweir.core.message import Message
-from larkweir.protocols.http1.codec import ResponseReader, encode_request
+from larkweir.core.stream import Stream
+from larkweir.protocols.http1.codec import (
+    KEPT_ANSWER,
+    LAST_CHUNK,
+    ResponseReader,
+    chunk,
+    encode_head,
+    encode_request,
+)
 from larkweir.upstreams.call import Call, Upstream, outcome_of
 from larkweir.upstreams.pool import Upstreams
+from mulleinhitch.interface import Outcome
 
 EXPIRES = b"x-expires-in-ms"
 
 
 class UpstreamConnection(asyncio.Protocol):
-    """One connection; carries one call at a time."""
+    """One connection; carries one call at a time. Takes the call's body where that comes in pieces (a `Sink`)."""
+
+    SPILL_MS = 500.0  # an answer whose length nobody has said, and that has begun, is passed on as it is after so long
+    STALL_MS = 15_000.0  # without a byte of an answer that is passed on: it is given up
 
     def __init__(self, pool: Upstreams, upstream: Upstream) -> None:
         self._pool = pool
         self.upstream = upstream
         self.address = upstream.address
         self._transport: asyncio.Transport | None = None
-        self._reader = ResponseReader()
+        self._reader = ResponseReader(keep=KEPT_ANSWER)
         self._call: Call | None = None
         self._held = 0  # booked of the room that all connections share
         self._report: bytes | None = None  # the body of the answer before, if that was a probe's
@@ -32,6 +45,11 @@
         self._gone = False
         self.retired = False
         self._poll = select.poll()
+        self._body: Stream | None = None  # of the call, that is still being written
+        self._answer: Message | None = None  # that is being passed on
+        self._spilling: Call | None = None  # whose answer is looked at in a while
+        self._fed_ms = 0.0
+        self._holding = False  # whoever takes the answer can't take more for now
 
     # Called by the event loop.
 
@@ -42,8 +60,14 @@
         self._transport.set_write_buffer_limits(high=0)
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
+    def pause_writing(self) -> None:
+        if self._body is not None:
+            self._body.sink_holds(True)
+
     def resume_writing(self) -> None:
-        if self._call is not None:
+        if self._body is not None:
+            self._body.sink_holds(False)
+        elif self._call is not None:
             self._call.written = True
 
     def data_received(self, data: bytes) -> None:
@@ -52,18 +76,93 @@
             self.abort()
             return
         call.touched = True
-        answers = self._reader.feed(data)
-        fits = self._book(self._reader.held)
-        if answers:
+        reader = self._reader
+        answers = reader.feed(data)
+        fits = self._book(reader.held)
+        if self._answer is not None:
+            self._fed_ms = self._pool.clock.now_ms()
+            self._go_on(call, bool(answers))
+        elif answers and answers[0].stream is not None:
+            self._pass_on(call, answers)
+        elif answers:
             self._take(call, answers)
-        elif self._reader.fault is not None or not fits:
+        elif reader.fault is not None or not fits:
+            self.abort()
+            call.broken()
+        elif reader.in_body and reader.open_ended and self._spilling is not call:
+            self._spilling = call
+            self._pool.clock.after(self.SPILL_MS, lambda: self._spill(call))
+
+    def _spill(self, call: Call) -> None:
+        """Guards against holding back what is there of an answer that comes slowly."""
+        if self._call is call and self._answer is None:
+            answers = self._reader.spill()
+            if answers:
+                self._pass_on(call, answers)
+
+    def _pass_on(self, call: Call, answers: list[Message]) -> None:
+        """A long answer has begun: its bytes go on as they come."""
+        self._answer = answers[0]
+        stream = self._answer.stream
+        assert stream is not None
+        stream.hold = self._hold
+        self._fed_ms = self._pool.clock.now_ms()
+        if call.probe or not call.begin(self._answer):
+            self._answer = self._call = None
+            self.abort()
+            call.connection = None
+            # Served, and nobody wants it any more; a probe is never answered so.
+            call.end(Outcome.ERROR if call.probe else Outcome.OK, None if call.probe else answers[0])
+            return
+        if not stream.over:
+            self._pool.clock.after(self.STALL_MS, lambda: self._look_for_stall(call))
+        if self._call is call:
+            self._go_on(call, len(answers) > 1)
+
+    def _go_on(self, call: Call, more: bool) -> None:
+        """See whether the answer has come whole; `more`: something came behind it."""
+        answer, reader = self._answer, self._reader
+        if answer is None or answer.stream is None:
+            return
+        if answer.stream.whole:
+            self._answer = self._call = self._report = None
+            if call.written and not more and reader.fault is None and not reader.begun and answer.keep_alive:
+                call.connection = None
+                self.resting = True
+                self._pool.put(self)
+            else:
+                self.abort()
+            call.end(Outcome.OK, answer)
+        elif answer.stream.failed or reader.fault is not None:
             self.abort()
             call.broken()
 
+    def _hold(self, holding: bool) -> None:
+        self._holding = holding
+        self._fed_ms = self._pool.clock.now_ms()
+        if self._transport is not None and not self._transport.is_closing():
+            if holding:
+                self._transport.pause_reading()
+            else:
+                self._transport.resume_reading()
+
+    def _look_for_stall(self, call: Call) -> None:
+        if self._call is not call or self._answer is None:
+            return
+        left = self._fed_ms + self.STALL_MS - self._pool.clock.now_ms()
+        if self._holding:  # whoever takes it is timed there
+            left = self.STALL_MS
+        if left <= 0.0:
+            self.abort()
+            call.broken()
+        else:
+            self._pool.clock.after(left, lambda: self._look_for_stall(call))
+
     def _take(self, call: Call, answers: list[Message]) -> None:
         answer = answers[0]
         reader = self._reader
         # A whole answer counts, whatever comes behind it; the connection is of no further use then.
+        self._leave_body()
         clean = call.written and len(answers) == 1 and reader.fault is None and not reader.begun
         self._call = None
         report, self._report = self._report, answer.body if call.probe else None
@@ -95,6 +194,7 @@
         self._gone = True
         self._pool.closed(self)
         self._transport = None
+        self._leave_body()
         self._reader.close()
         self._book(0)
         if self._call is not None:
@@ -110,14 +210,47 @@
             head = message.headers
         else:
             head = message.passed_on(EXPIRES)
-            left = call.until_ms - call.margin_ms - self._pool.clock.now_ms()
+            until = call.until_ms - self._pool.clock.now_ms()
+            left = (until if until < math.inf else call.patience_ms) - call.margin_ms
             head.append((b"X-Expires-In-Ms", b"%d" % max(1, int(left))))
             if call.extra:
                 head += call.extra
+        self._reader.keep = KEPT_ANSWER if call.owner.streams else None
+        if message.stream is not None:
+            first = b"%b %b HTTP/1.1" % (message.method, message.target)
+            self._transport.write(encode_head(first, head, message.stream.length))
+            self._body = message.stream
+            message.stream.attach(self)
+            return
         self._transport.write(encode_request(message.method, message.target, head, message.body))
         if self._transport.get_write_buffer_size() == 0:
             call.written = True
 
+    # Called by the body of a call, as it comes.
+
+    def piece(self, data: bytes) -> None:
+        if self._transport is not None and self._body is not None and not self._transport.is_closing():
+            self._transport.write(data if self._body.length is not None else chunk(data))
+
+    def finished(self) -> None:
+        body, self._body = self._body, None
+        call = self._call
+        if body is None or call is None or self._transport is None or self._transport.is_closing():
+            return
+        if body.length is None:
+            self._transport.write(LAST_CHUNK)
+        call.written_ms = self._pool.clock.now_ms()
+        if self._transport.get_write_buffer_size() == 0:
+            call.written = True
+
+    def broken(self) -> None:
+        """The rest will never come: whoever reads it calls this off."""
+
+    def _leave_body(self) -> None:
+        body, self._body = self._body, None
+        if body is not None:
+            body.detach(self)
+
     @property
     def calls(self) -> int:
         return int(self._call is not None)
@@ -131,8 +264,12 @@
 
     def release(self, call: Call) -> None:
         """The call has ended without an answer: closing the connection is what gives it up."""
+        self._leave_body()
         if self._call is call:
             self._call = None
+            answer, self._answer = self._answer, None
+            if answer is not None and answer.stream is not None:
+                answer.stream.fail()
             self.abort()
 
     def usable(self) -> bool:
--- a/larkweir/upstreams/call.py
+++ b/larkweir/upstreams/call.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from larkweir.core.clock import Timer
+from larkweir.core.clock import Clock, Timer
 from larkweir.core.message import Headers, Message
 from larkweir.core.ports import Address, Owner
 from mulleinhitch.interface import Outcome, ServerState
@@ -55,9 +55,14 @@
 class _Over:
     """The owner of a call that has ended."""
 
+    streams = False
+
     def moot(self) -> bool:
         return True
 
+    def started(self, answer: Message) -> bool:
+        return False
+
     def ended(self, outcome: Outcome, answer: Message | None) -> None:
         raise AssertionError("a call ends once")
 
@@ -82,6 +87,7 @@
     """An attempt or a probe. Its owner is told once, with the outcome and the answer that it came with."""
 
     __slots__ = (
+        "clock",
         "connect_ms",
         "connection",
         "ended",
@@ -89,6 +95,7 @@
         "margin_ms",
         "message",
         "owner",
+        "patience_ms",
         "probe",
         "timer",
         "touched",
@@ -100,6 +107,7 @@
 
     def __init__(
         self,
+        clock: Clock,
         upstream: Upstream,
         message: Message,
         until_ms: float,
@@ -107,7 +115,12 @@
         probe: bool = False,
         extra: Headers | None = None,
         margin_ms: float = 0.0,
+        patience_ms: float = 0.0,
     ) -> None:
+        self.patience_ms = (
+            patience_ms  # how long it is waited for from its last byte on, while that is to come
+        )
+        self.clock = clock
         self.upstream = upstream
         self.message = message
         self.until_ms = until_ms  # nobody waits for it any longer than that
@@ -135,6 +148,21 @@
         connection.send(self)
         return True
 
+    def body_came(self, until_ms: float) -> None:
+        """Its last byte has come: it is waited for until then, or for as long as it was given."""
+        if not self.ended and self.timer is None:
+            clock = self.clock
+            self.until_ms = min(until_ms, clock.now_ms() + self.patience_ms)
+            self.timer = clock.at(self.until_ms, self.time_out)
+
+    def begin(self, answer: Message) -> bool:
+        """A long answer has begun: no deadline runs any more; whether anybody takes it."""
+        if self.ended or not self.owner.started(answer):
+            return False
+        if self.timer is not None:
+            self.timer.cancel()
+        return True
+
     def time_out(self) -> None:
         """No answer in time; if its line has not been crossed, it never will be."""
         if self.connection is not None:
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter
 from collections.abc import Callable, Mapping
 from typing import Protocol, cast
@@ -138,14 +139,16 @@
         probe: bool = False,
         extra: Headers | None = None,
         margin_ms: float = 0.0,
+        patience_ms: float = 0.0,
     ) -> Call | None:
         """Begin a call, on an idle connection or a new one; it ends at `until_ms` at the latest."""
         upstream = self.table.get(target)
         if upstream is None:
             return None
-        call = Call(upstream, message, until_ms, owner, probe, extra, margin_ms)
+        call = Call(self.clock, upstream, message, until_ms, owner, probe, extra, margin_ms, patience_ms)
         now = self.clock.now_ms()
-        call.timer = self.clock.at(until_ms, call.time_out)
+        if until_ms < math.inf:
+            call.timer = self.clock.at(until_ms, call.time_out)
         idle = self._take(upstream, now)
         if idle is not None:
             if not call.write(idle, now) or idle.room:
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -221,6 +221,16 @@
     client_retry: bool = False
     write: bool = False
     attempts: int | None = None  # that it may still cost, where the tier above says so
+    # Its last byte is still to come, and no server can begin it before: `BodyCame` tells of that. `time_left_ms` counts
+    # from then on.
+    coming: bool = False
+
+
+@dataclass(slots=True)
+class BodyCame:
+    """The last byte of a request that was told of while it came."""
+
+    request: int
 
 
 @dataclass(slots=True)
@@ -288,6 +298,7 @@
 Event = (
     ListUpdate
     | RequestArrived
+    | BodyCame
     | AnswerStarted
     | AttemptEnded
     | ClientGone
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -21,6 +21,7 @@
     Action,
     AnswerStarted,
     AttemptEnded,
+    BodyCame,
     ClientGone,
     CloseIdle,
     ContractError,
@@ -253,7 +254,7 @@
 
 
 class Attempt:
-    __slots__ = ("ahead", "cell", "idle_ms", "mark", "outcome", "sent_ms", "server", "zone")
+    __slots__ = ("ahead", "cell", "counts", "idle_ms", "mark", "outcome", "sent_ms", "server", "zone")
 
     def __init__(self, server: Server, now_ms: float, idle_ms: float | None = None) -> None:
         self.server = server
@@ -264,6 +265,7 @@
         self.mark = 0  # the limiter's
         self.idle_ms = idle_ms  # how long its connection had lain unused; None: it opens a new one
         self.outcome: Outcome | None = None  # None: outstanding
+        self.counts = False  # among the calls out: it may be at work, or wait, at its server
 
 
 class Request:
@@ -274,6 +276,7 @@
         "came_ms",
         "class_index",
         "cls",
+        "coming",
         "deadline_ms",
         "id",
         "legality",
@@ -306,6 +309,7 @@
         self.polling = False  # is sent only to a server that says it is idle
         self.probes = 0  # in this round of draws
         self.size = 1.0  # its cost hint, by the mean of its class
+        self.coming = event.coming  # its last byte is still to come
         self.roams = False  # draws over all zones, although crossing costs
 
 
@@ -643,6 +647,7 @@
         self._handlers = {
             RequestArrived: self._on_request,
             AttemptEnded: self._on_attempt_end,
+            BodyCame: self._on_body_came,
             TimerFired: self._on_timer,
             ProbeEnded: self._on_probe,
             ListUpdate: self._on_list,
@@ -809,13 +814,40 @@
         attempt = Attempt(server, self.now, idle)
         attempt.mark = self.limiter.mark(self._out)
         request.attempts.append(attempt)
-        server.outstanding += 1
-        self.fleet.earn_token(server, self.now)
+        if not request.coming:
+            self._count(attempt)
         self.links.use(server, self.now)
         request.out += 1
-        self._out += 1
         self.out.append(Send(request.id, server.id, request.aim_ms - self.now))
 
+    def _count(self, attempt: Attempt) -> None:
+        """It is among the calls out from here on."""
+        attempt.counts = True
+        attempt.server.outstanding += 1
+        self._out += 1
+        self.fleet.earn_token(attempt.server, self.now)
+
+    def _uncount(self, attempt: Attempt) -> None:
+        if attempt.counts:
+            attempt.counts = False
+            attempt.server.outstanding -= 1
+            self._out -= 1
+
+    def _on_body_came(self, event: BodyCame) -> None:
+        """Guards against calls whose body comes slowly: no server works on them, so they fill no window until now."""
+        request = self.requests.get(event.request)
+        if request is None or not request.coming:
+            return
+        request.coming = False
+        late = self.now - request.came_ms  # its time runs from here on
+        request.came_ms += late
+        request.aim_ms += late
+        request.deadline_ms += late
+        for attempt in request.attempts:
+            if attempt.outcome is None:
+                attempt.sent_ms = self.now
+                self._count(attempt)
+
     def _close(self, server: Server) -> None:
         self.links.drop(server)
         self.out.append(CloseIdle(server.id))
@@ -831,10 +863,9 @@
         request.out -= 1
         if event.left is not None:  # what was given back counts again, what is out elsewhere does not
             request.most = len(request.attempts) + event.left
-        self._out -= 1
+        self._uncount(attempt)
         spent = event.spent_ms if event.upstream_ms is None else event.upstream_ms
         server = attempt.server
-        server.outstanding -= 1
         usual = self._latency[request.class_index]
         if not request.started:
             self.limiter.ended(
@@ -1227,6 +1258,10 @@
         request = self.requests.get(event.request)
         if request is not None:
             request.started = True
+            if not request.cls.streaming and 0 <= event.attempt < len(request.attempts):
+                # A long answer: the work is done, and how long its bytes take is the client's pace.
+                self._uncount(request.attempts[event.attempt])
+                self.fleet.earn_token(request.attempts[event.attempt].server, self.now)
 
     def _on_peer(self, event: PeerMessage) -> None:
         pass
