Answers that announce their end by the close of the connection are whole at that end

Ruled out: connections closed as idle, writes that crossed a close (none was reset before its first byte).

RFC 9112 section 6.3, rule 8. Such an answer counts where its head announces the end (or is HTTP/1.0) and the connection ends by FIN; a reset, or an end that nobody announced, stays a break: that is what a spoilt answer looks like, and a table's row holds it. Way not taken: every end by FIN counts; an unannounced one can't be told from one cut off.

httptools has no call for the end of its input, so the reader completes the message itself (`ResponseReader.finish`).

--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -237,8 +237,8 @@
 
 
 class ResponseReader(_Reader):
-    """Reads answers. One whose end only the closed connection would show never completes: it can't be told
-    from one that was cut off.
+    """Reads answers. One whose end only the end of the connection shows (RFC 9112 section 6.3, rule 8) completes by
+    `finish`, where its head announces that end; else it can't be told from one that was cut off.
     """
 
     _parser: httptools.HttpResponseParser | None
@@ -246,6 +246,16 @@
 
     def __init__(self, max_body: int = MAX_ANSWER, keep: int | None = None) -> None:
         super().__init__(max_body if keep is None else MAX_BODY, self.MOST, keep)
+        self._until_close = False
+
+    def finish(self) -> list[Message]:
+        """The other side has ended the connection in good order: the answer that this completes, if it does."""
+        done: list[Message] = []
+        if self.in_body and self._until_close and self.fault is None:
+            self._done = done
+            self.on_message_complete()
+            self._done = []
+        return done
 
     def _make_parser(self) -> httptools.HttpResponseParser:
         return httptools.HttpResponseParser(self)
@@ -253,7 +263,13 @@
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         assert self._parser is not None
-        self._message.status = self._parser.get_status_code()
+        message = self._message
+        message.status = self._parser.get_status_code()
+        self._until_close = (
+            self._length is None
+            and not message.values(b"transfer-encoding")
+            and (message.minor == 0 or says_close(message))
+        )
         if self.keep is not None and (self._length or 0) > self.keep and self.passes_on():
             self._done.append(self._start())
 
@@ -270,6 +286,12 @@
             super().on_message_complete()
 
 
+def says_close(message: Message) -> bool:
+    """Whether it announces the end of its connection."""
+    words = b",".join(message.values(b"connection")).lower().split(b",")
+    return b"close" in [word.strip() for word in words]
+
+
 def encode_head(first: bytes, headers: Iterable[tuple[bytes, bytes]], length: int | None) -> bytes:
     """The head of a message whose body follows: of that length, or chunked where none is known."""
     parts = [first, b"\r\n"]
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -186,6 +186,13 @@
         return fits
 
     def eof_received(self) -> None:
+        call = self._call
+        if call is not None and call.written:
+            answers = self._reader.finish()
+            if self._answer is not None:
+                self._go_on(call, False)
+            elif answers:
+                self._take(call, answers)
         self.abort()  # half-closed: no further answer comes, and nothing may be written to it
         if self._call is not None:
             self._call.broken()
--- a/tests/protocols/http1/test_bodies.py
+++ b/tests/protocols/http1/test_bodies.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import hashlib
+import socket
+import struct
 from typing import Any
 
 import pytest
@@ -285,3 +287,34 @@
             assert len(upstream.seen[0].body) == 24 * MEGA
 
     run(work())
+
+
+@pytest.mark.parametrize("size", [0, 100, 3 * MEGA])
+@pytest.mark.parametrize("how", ["end", "reset"])
+def test_an_answer_that_ends_with_its_connection_is_whole_where_it_says_so(size: int, how: str) -> None:
+    """RFC 9112 section 6.3, rule 8; a reset is no such end."""
+
+    async def work() -> None:
+        async def answer(request: Incoming, talk: Talk) -> None:
+            await talk.send(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + LONG[:size])
+            if how == "end":
+                talk.writer.close()
+            else:
+                await asyncio.sleep(0.05)
+                sock = talk.writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+                talk.reset()
+
+        upstream = await FakeUpstream(answer).start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x")
+            if how == "end":
+                code, _, body = await read_long(caller)
+                assert code == 200 and body == LONG[:size]
+            elif size <= 100:
+                assert (await caller.answer()).status == 502
+            else:
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+                    await read_long(caller)
+
+    run(work())
