A new process beside the old one fetches its sockets and knowledge; pauses hold through it

Before this both listened by SO_REUSEPORT and the new one knew neither ids, drains, list nor the cold credit of the old.

Design: the old one listens on a Unix socket in $TMPDIR (lifecycle/upgrade.py); the new one says hello and gets the listening sockets by SCM_RIGHTS, then the handover's channel (state, ready, go, took). In lifecycle/rules.py a process that somebody else has started is a successor that is never killed: once it accepts, this life serves what it has until SIGTERM, then ends each connection with its next answer. Both keep to half of memory and descriptors. Whatever fails on the way (no path, too long, a stale socket, half a file, another user's or another program's process, no answer in 1 s) leaves the new one with sockets of its own (SO_REUSEPORT).

--- a/larkweir/lifecycle/channel.py
+++ b/larkweir/lifecycle/channel.py
@@ -32,6 +32,7 @@
     drains: dict[str, float]  # when each was told, by instance id
     ids: list[tuple[str, float]]
     learned: dict[str, Any]  # the decisions' own
+    paused: bool = False  # an operator's PAUSE, that the successor keeps
 
 
 def _number(value: Any, key: str) -> float:
@@ -74,6 +75,7 @@
         drains={str(name): _number(told, "drains") for name, told in data["drains"].items()},
         ids=ids,
         learned=data["learned"],
+        paused=data.get("paused") is True,
     )
 
 
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import socket
+import sys
 import threading
 from collections import deque
 from collections.abc import Callable, Sequence
@@ -27,6 +28,7 @@
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.lifecycle.handover import Channel, Successor
     from larkweir.lifecycle.notify import Notifier
+    from larkweir.lifecycle.upgrade import Berth, Visitor
 
 STOPS = (signal.SIGTERM, signal.SIGINT, signal.SIGQUIT)
 
@@ -44,6 +46,7 @@
 
     STEP_MS = 10.0  # from look to look whether a list has come, or nothing is owed
     STATE_S = 5.0  # for a predecessor to say what it knows
+    UPGRADE_MS = 3_000.0  # for one that somebody else has started to hand over; the new process is due in 6 s
 
     def __init__(
         self,
@@ -71,7 +74,11 @@
         self._early: list[rules.Event] = []  # asked for in that time
         self._reading: tuple[int, Reading] | None = None
         self._reader: threading.Thread | None = None
-        self._successor: tuple[int, Successor] | None = None
+        self._successor: tuple[int, Successor | Visitor] | None = None
+        self._visitor: Visitor | None = None
+        self._berth: Berth | None = None
+        self._upgrade = False  # the predecessor is a process that somebody else has started
+        self._pause = False  # it was paused
         self._tasks: set[asyncio.Task[None]] = set()
         self._ending = False
         self._notifier: Notifier | None = None
@@ -84,6 +91,7 @@
             self._loop.add_signal_handler(number, self._tell, rules.Stop())
         self._loop.add_signal_handler(signal.SIGHUP, self._tell, rules.ReloadAsked())
         self._loop.add_signal_handler(signal.SIGUSR2, self._tell, rules.HandoverAsked())
+        self._find_predecessor()
         if self._predecessor_socket is None:
             self._build(None)
             self._open_sockets()
@@ -103,7 +111,10 @@
         if options.stall_ms:
             self._beat_ms = self.node.clock.now_ms()
             self._beat(options.stall_ms)
+        self._open_berth()
         self._look()
+        if self._pause:
+            self._tell(rules.PauseAsked())
         for event in self._early:
             self._tell(event)
         await self._done.wait()
@@ -143,6 +154,64 @@
         for _, sock in left:  # the predecessor still has them while it drains
             sock.close()
 
+    def _find_predecessor(self) -> None:
+        """Whether a process of this balancer serves already: then its sockets are this life's, and a channel to it."""
+        options, config = self._generation.options.lifecycle, self._generation.config
+        if options.upgrade == "off" or self._predecessor_socket is not None:
+            return
+        from larkweir.lifecycle.upgrade import call, path_of  # not imported where it is off
+
+        path = path_of(os.environ, config.name, config.listen)
+        if path is None or not os.path.exists(path):
+            return
+        found = call(path, config.listen)
+        if isinstance(found, str):
+            if found:
+                print(
+                    f"larkweir {config.name}: upgrade: {path}: {found}; sockets of its own", file=sys.stderr
+                )
+            return
+        self._predecessor_socket, self._inherited = found
+        self._upgrade = True
+
+    def _open_berth(self) -> None:
+        options, config = self._generation.options.lifecycle, self._generation.config
+        if options.upgrade == "off":
+            return
+        from larkweir.lifecycle.upgrade import Berth, path_of
+
+        path = path_of(os.environ, config.name, config.listen)
+        if path is None:
+            return
+        try:
+            self._berth = Berth(path, self._came)
+        except OSError as problem:  # a new process opens sockets of its own then
+            self._say(f"upgrade: {path}: {problem}; a new process will know nothing of this one")
+
+    def _came(self, visitor: Visitor) -> None:
+        if self._visitor is not None:
+            visitor.turn_away()
+            return
+        self._visitor = visitor
+        self._tell(rules.UpgradeAsked())
+
+    async def _welcome(self, serial: int) -> None:
+        visitor, self._visitor = self._visitor, None
+        assert visitor is not None
+        heard, ended = self._successor_words(serial)
+        try:
+            await visitor.welcome(self._sockets, heard, ended)
+        except OSError as problem:
+            visitor.turn_away()
+            self._tell(rules.SuccessorLost(serial, f"it could not be welcomed: {problem}"))
+            return
+        if self._life is None or not self._life.waits_for(serial):
+            visitor.give_up(gently=False)
+            return
+        self._successor = (serial, visitor)
+        self.node.share(2)  # the limits hold for both together
+        visitor.channel.say("state", self.node.knowledge(share=False))
+
     def _open_control(self) -> None:
         """ConfigError where the address that operators are to call is not to be had."""
         address = self._generation.config.control
@@ -249,7 +318,10 @@
         self._open_sockets()
         if known is None:  # nobody is left to say what it knew: as at any start
             self.node.discovery.start()
+        if self._upgrade:
+            self.node.share(2)
         told_ready = False
+        patience_ms = self.node.clock.now_ms() + self.UPGRADE_MS
         waiting = asyncio.ensure_future(words.get())
         while word not in ("go", lost):  # lost already: it was killed before it could say a word
             if not told_ready and self.node.engine.ready:
@@ -261,6 +333,8 @@
                 self._abandon()
                 return False  # it has accepted nothing
             if not waiting.done():
+                if self._upgrade and self.node.clock.now_ms() > patience_ms:
+                    break  # it hangs: both may take what comes
                 continue
             word, known = waiting.result()
             if word == "give_up":
@@ -270,8 +344,10 @@
         waiting.cancel()
         if known is not None:
             self.node.adopt(known)
+            self._pause = known.paused and self._upgrade
         self._accept()
         if word == lost:
+            self._shared_no_more()
             self._say("handover: the predecessor is gone; this life takes over")
         self._predecessor.say("took")
         self._keep(self._loop.create_task(self._hear(words)))
@@ -285,6 +361,14 @@
                 self._tell(rules.ReloadAsked())
             elif word == "give_up":
                 self._tell(rules.Stop())
+            elif word == "lost":
+                self._shared_no_more()
+                return
+
+    def _shared_no_more(self) -> None:
+        """The other life is gone: the limits are this one's alone."""
+        if self._successor is None:
+            self.node.share(1)
 
     def _abandon(self) -> None:
         self.node.close()
@@ -328,8 +412,18 @@
             self._apply(command.serial)
         elif isinstance(command, rules.Spawn):
             self._keep(self._loop.create_task(self._spawn(command.serial)))
+        elif isinstance(command, rules.Welcome):
+            self._keep(self._loop.create_task(self._welcome(command.serial)))
+        elif isinstance(command, rules.TurnAway):
+            if self._visitor is not None:
+                self._visitor.turn_away()
+                self._visitor = None
         elif isinstance(command, rules.Go):
-            self._to_successor(command.serial, lambda child: child.channel.say("go", self.node.knowledge()))
+            paused = self._life.paused
+            self._to_successor(
+                command.serial,
+                lambda child: child.channel.say("go", self.node.knowledge()._replace(paused=paused)),
+            )
         elif isinstance(command, rules.ForwardReload):
             self._to_successor(command.serial, lambda child: child.channel.say("reload"))
         elif isinstance(command, rules.GiveUp):
@@ -354,7 +448,7 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _to_successor(self, serial: int, act: Callable[[Successor], None]) -> None:
+    def _to_successor(self, serial: int, act: Callable[[Successor | Visitor], None]) -> None:
         if self._successor is not None and self._successor[0] == serial:
             act(self._successor[1])
 
@@ -434,8 +528,10 @@
 
     # ------------------------------------------------ handover
 
-    async def _spawn(self, serial: int) -> None:
-        from larkweir.lifecycle.handover import Successor
+    def _successor_words(
+        self, serial: int
+    ) -> tuple[Callable[[str, Knowledge | None], None], Callable[[str], None]]:
+        """What is done with each word of a successor, and with its end."""
 
         def heard(word: str, known: Knowledge | None) -> None:
             events: dict[str, rules.Event] = {
@@ -448,8 +544,17 @@
                 self._tell(event)
 
         def ended(why: str) -> None:
+            if self._successor is not None and self._successor[0] == serial:
+                self._successor = None
+                self.node.share(1)
             self._tell(rules.SuccessorLost(serial, why))
 
+        return heard, ended
+
+    async def _spawn(self, serial: int) -> None:
+        from larkweir.lifecycle.handover import Successor
+
+        heard, ended = self._successor_words(serial)
         try:
             child = await Successor.start(self._arguments, self._sockets, self.node.clock, heard, ended)
         except OSError as problem:
@@ -466,6 +571,8 @@
     def _close(self) -> None:
         for task in list(self._tasks):
             task.cancel()
+        if self._berth is not None:
+            self._berth.close()
         if self._control is not None:
             self._control.close()
         self.node.close()
--- a/larkweir/lifecycle/handover.py
+++ b/larkweir/lifecycle/handover.py
@@ -52,6 +52,11 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode(word, known))
 
+    def write(self, data: bytes) -> None:
+        """Bytes that go before any word."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
     def close(self) -> None:
         """Nothing more is heard; what was said still goes out."""
         self._ended = None
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -52,6 +52,7 @@
         self.journal = Journal(config.name)
         loop.set_exception_handler(self._on_loop_error)
         self.room = Room(config.memory_mb)
+        self._lives = 1  # that share the limits
         callers, upstreams = self._budgets(config)
         self.upstreams = Upstreams(
             self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
@@ -118,12 +119,19 @@
         for close in self._closers:
             close()
 
-    @classmethod
-    def _budgets(cls, config: Config) -> tuple[int, int]:
+    def _budgets(self, config: Config) -> tuple[int, int]:
         """Callers' and upstreams' sockets: of the descriptors, what the process itself needs goes first."""
-        spare = max(8, config.sockets - cls.SPARE)
+        spare = max(8, config.sockets // self._lives - self.SPARE)
         return spare * 9 // 20, spare // 2
 
+    def share(self, lives: int) -> None:
+        """So many lives of this balancer share the limits from now on. What is open or held stays."""
+        self._lives = lives
+        self.room.resize(self.config.memory_mb / lives)
+        callers, upstreams = self._budgets(self.config)
+        self.listener.budget = callers
+        self.upstreams.configure(self.settings, upstreams, self.config.drain_grace_ms)
+
     def reconfigure(self, config: Config) -> None:
         """A new generation takes over, whole, between two events. `config` has been checked and differs from
         the present one only in what may change live.
@@ -131,7 +139,7 @@
         self.config = config
         # Requests are held by their class's place: it stays.
         self.settings = settings = in_place(self.settings.classes, config.settings)
-        self.room.resize(config.memory_mb)
+        self.room.resize(config.memory_mb / self._lives)
         callers, upstreams = self._budgets(config)
         self.listener.budget = callers
         self.intake.requests = Requests(settings, {item.name for item in config.settings.classes})
--- a/larkweir/lifecycle/rules.py
+++ b/larkweir/lifecycle/rules.py
@@ -49,6 +49,10 @@
     """SIGUSR2."""
 
 
+class UpgradeAsked(NamedTuple):
+    """A process that somebody else has started beside this life asks to take over."""
+
+
 class PauseAsked(NamedTuple):
     """An operator's PAUSE: empty this life."""
 
@@ -109,6 +113,7 @@
     | Stop
     | ReloadAsked
     | HandoverAsked
+    | UpgradeAsked
     | PauseAsked
     | ResumeAsked
     | ReadDone
@@ -142,6 +147,16 @@
     serial: int
 
 
+class Welcome(NamedTuple):
+    """Pass the process that asked the sockets and the state; ends in SuccessorLost at some time."""
+
+    serial: int
+
+
+class TurnAway(NamedTuple):
+    """The process that asked is not listened to: it starts without what this life knows."""
+
+
 class Go(NamedTuple):
     """Tell the successor the newest state, and that it may accept."""
 
@@ -209,6 +224,8 @@
     Read
     | Apply
     | Spawn
+    | Welcome
+    | TurnAway
     | Go
     | GiveUp
     | ForwardReload
@@ -248,6 +265,9 @@
         self._serial = 0  # of the last read, successor or drain
         self._again = False  # a reload was asked for meanwhile
         self._then_handover = False
+        self._then_upgrade = False
+        self._upgrading = False  # the successor is a process that somebody else has started
+        self._beside = False  # it accepts, and this life serves its connections until it is told to stop
         self._gone = False  # the successor may accept
         self._successor = 0  # the serial of the one that is alive, 0 if there is none
         self._handed = False  # this life drains because a successor has taken over
@@ -275,6 +295,8 @@
             return self._reload_asked()
         if isinstance(event, HandoverAsked):
             return self._handover_asked()
+        if isinstance(event, UpgradeAsked):
+            return self._upgrade_asked()
         if isinstance(event, PauseAsked):
             return self._pause()
         if isinstance(event, ResumeAsked):
@@ -314,9 +336,12 @@
         """Back to where nothing goes on, or on to what was asked for meanwhile."""
         if self._again:
             return self._reload()
+        if self._then_upgrade:
+            self._then_upgrade = False
+            return self._upgrade()
         if self._then_handover:
             self._then_handover = False
-            if self._listed:
+            if self._listed and not self._successor:
                 return self._hand_over()
         self.state = State.READY if self._listed else State.STARTING
         if self._listed:
@@ -390,6 +415,8 @@
     def _handover_asked(self) -> list[Command]:
         if self.options.handover == "off":
             return [Say("handover: not switched on; lifecycle.handover in the operator file does that")]
+        if self._beside:
+            return [Say("handover: not begun, a new process serves beside this life")]
         if self.state is State.READY:
             return self._hand_over()
         if self.state is State.RELOADING and self._listed:
@@ -413,6 +440,25 @@
             Arm("ready", serial, self.options.handover_ready_ms),
         ]
 
+    def _upgrade_asked(self) -> list[Command]:
+        if self._successor or self._then_upgrade or self.state is State.DRAINING:
+            return [TurnAway()]
+        if self.state is State.RELOADING:
+            self._then_upgrade = True  # a moment later
+            return []
+        return self._upgrade()
+
+    def _upgrade(self) -> list[Command]:
+        self.state = State.HANDING_OVER
+        self._gone = False
+        self._upgrading = True
+        serial = self._successor = self._next()
+        return [
+            Say("upgrade: a new process has come"),
+            Welcome(serial),
+            Arm("ready", serial, self.options.handover_ready_ms),
+        ]
+
     def _successor_ready(self) -> list[Command]:
         if self.state is not State.HANDING_OVER or self._gone:
             return []
@@ -427,6 +473,13 @@
     def _successor_took(self, now_ms: float) -> list[Command]:
         if self.state is not State.HANDING_OVER or not self._gone:
             return []  # draining already: then both drain, each what it has taken
+        if self._upgrading:
+            self._upgrading, self._beside = False, True
+            return [
+                Say("upgrade: the new process accepts; this life serves what it has"),
+                Accept(False),
+                *self._rest(),
+            ]
         self._handed = True
         out: list[Command] = [Say("handover: the successor has taken over"), Accept(False)]
         if self._again:
@@ -436,6 +489,8 @@
 
     def _successor_stops(self) -> list[Command]:
         """It was told to stop: nobody is to listen on the sockets for longer than it does."""
+        if self._beside and self.state is not State.DRAINING:
+            return self._alone("it was told to stop")
         self._successor = 0
         if self.state is State.DRAINING and self._handed:
             return [StopAccepting()]
@@ -443,8 +498,17 @@
             return [Accept(True), Say("handover: the successor was told to stop"), *self._rest()]
         return []
 
+    def _alone(self, why: str) -> list[Command]:
+        """The new process beside this life is no more: what comes is this life's again."""
+        self._successor = 0
+        self._beside = False
+        return [Accept(True), Say(f"upgrade: the new process is lost, {why}; this life goes on")]
+
     def _successor_lost(self, why: str) -> list[Command]:
+        if self._beside and self.state is not State.DRAINING:
+            return self._alone(why)
         self._successor = 0
+        self._upgrading = False
         if self.state is State.HANDING_OVER:
             return [Accept(True), Say(f"handover: failed, {why}; this life goes on"), *self._rest()]
         if self.state is State.DRAINING and self._handed and not self._stops:
@@ -462,6 +526,7 @@
 
     def _given_up(self, why: str) -> list[Command]:
         serial, self._successor = self._successor, 0
+        self._upgrading = False
         return [
             GiveUp(serial, gently=self._gone),
             Accept(True),
@@ -477,10 +542,11 @@
             if self._ending or self._stops < 2:
                 return []
             return [Say("stop: told again, nothing more is taken"), *self._end()]
-        out: list[Command] = []
+        out: list[Command] = [TurnAway()] if self._then_upgrade else []
         if self.state is State.HANDING_OVER and self._successor:
             out += [GiveUp(self._successor, gently=self._gone), Accept(True)]
             self._successor = 0
+        self._handed = self._handed or self._beside
         return [*out, *self._drain(now_ms, self.options.accept_ms)]
 
     @property
@@ -497,17 +563,18 @@
 
     def _drain(self, now_ms: float, accept_ms: float) -> list[Command]:
         self.state = State.DRAINING
-        # A successor takes them, where there is one; a paused life serves nobody on.
-        serve_on_ms = 0.0 if self._handed or self.paused else self.serve_on_ms
+        serve_on_ms = 0.0 if self.paused else self.serve_on_ms  # a paused life serves nobody on
         accept_ms = max(accept_ms, serve_on_ms)
-        self._serving_on = serve_on_ms > 0.0
-        self._again = self._then_handover = False
+        # Where a successor takes them, each is ended with its next answer, which costs nobody a request; those that are
+        # idle for long are ended as late as they may be.
+        self._serving_on = serve_on_ms > 0.0 and not self._handed
+        self._again = self._then_handover = self._then_upgrade = self._upgrading = False
         serial = self._next()
         most = accept_ms + self.longest_ms + self.LAST_MS
         self._ends_ms = now_ms + most
         lines = ("STATUS=draining", self._extend(now_ms))
         return [
-            Close(not serve_on_ms),
+            Close(not self._serving_on),
             Tell(lines if self._handed else ("STOPPING=1", *lines)),
             Arm("accept", serial, accept_ms),
             Arm("last", serial, most),
--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -214,6 +214,7 @@
         """`streams`: long bodies are passed on while they come."""
         super().__init__(MAX_BODY if streams else MAX_WHOLE, most, KEPT_BODY if streams else None)
         self.expects_continue = False
+        self._hosts = 0  # Host fields of the unfinished head
 
     def _make_parser(self) -> httptools.HttpRequestParser:
         return httptools.HttpRequestParser(self)
@@ -221,10 +222,40 @@
     def on_url(self, url: bytes) -> None:
         self._message.target += url
 
+    def on_message_begin(self) -> None:
+        super().on_message_begin()
+        self._hosts = 0
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        super().on_header(name, value)
+        if len(name) == 4 and self._in_head and name.lower() == b"host":
+            self._hosts += 1
+
+    def _place_target(self) -> None:
+        """Absolute form becomes the origin form (RFC 9112 section 3.2.2), and its authority goes before the Host field.
+        One Host is wanted (section 3.2), but of those who ask whether this process is ready: nothing is routed for
+        them, and a supervisor's probe may have none.
+        """
+        message = self._message
+        if not message.target.startswith(b"/"):
+            scheme, mark, rest = message.target.partition(b"://")
+            if mark and scheme.lower() in (b"http", b"https"):
+                authority, slash, path = rest.partition(b"/")
+                authority, query, words = authority.partition(b"?")
+                if not authority or b"@" in authority:
+                    raise FramingError(400, "the target names no host")
+                message.target = b"/" + (path if slash else query + words)
+                message.headers = [
+                    (name, authority if name.lower() == b"host" else value) for name, value in message.headers
+                ]
+        if self._hosts != 1 and (message.minor or self._hosts) and message.target != b"/ready":
+            raise FramingError(400, "one Host field is wanted")
+
     def on_headers_complete(self) -> None:
         super().on_headers_complete()
         assert self._parser is not None
         self._message.method = self._parser.get_method()
+        self._place_target()
         if self._parser.should_upgrade():
             raise FramingError(400, "no upgrade is offered")
         self.expects_continue = any(v.lower() == b"100-continue" for v in self._message.values(b"expect"))
--- a/standins/fuzz.py
+++ b/standins/fuzz.py
@@ -34,7 +34,7 @@
     """
     rng = Random(seed)
     asked = f.ask(
-        b"POST /api HTTP/1.1\r\nX-Trace-Id: 1\r\nX-Qos: look\r\nContent-Length: 3\r\n\r\nabc", 1
+        b"POST /api HTTP/1.1\r\nHost: x\r\nX-Trace-Id: 1\r\nX-Qos: look\r\nContent-Length: 3\r\n\r\nabc", 1
     ) + f.record(f.GET_VALUES, 0, f.pairs({"FCGI_MAX_REQS": ""}))
     text = b"Status: 200 OK\r\nContent-Length: 6\r\n\r\nserved"
     answer = f.record(f.STDOUT, 1, text, 3) + f.record(f.STDOUT, 1) + f.record(f.END, 1, bytes(8))
--- a/tests/lifecycle/test_rules.py
+++ b/tests/lifecycle/test_rules.py
@@ -58,6 +58,65 @@
         assert ends == [r.Close(True), r.StopAccepting(), r.EndIdle(True)]
 
 
+def test_a_pause_says_no_at_once_and_ends_idle_connections_once_the_front_has_heard() -> None:
+    it = life()
+    out = it.handle(1.0, r.PauseAsked())
+    (empty,) = [c for c in out if isinstance(c, r.Arm)]
+    assert out[0] == r.Close(True) and empty.delay_ms == 550.0
+    assert it.handle(2.0, r.PauseAsked()) == []  # asked again: nothing new
+    assert it.handle(551.0, r.Due("empty", empty.serial)) == [r.EndIdle(True)]
+    assert it.handle(600.0, r.Settled()) == []  # the process stays
+    out = it.handle(700.0, r.ResumeAsked())
+    assert out[:2] == [r.EndIdle(False), r.Close(False)]
+    assert it.handle(701.0, r.ResumeAsked()) == []
+
+
+def test_a_resume_in_the_middle_of_emptying_holds() -> None:
+    it = life()
+    out = it.handle(1.0, r.PauseAsked())
+    (empty,) = [c for c in out if isinstance(c, r.Arm)]
+    it.handle(2.0, r.ResumeAsked())
+    assert it.handle(551.0, r.Due("empty", empty.serial)) == []
+    it.handle(560.0, r.PauseAsked())
+    assert it.handle(561.0, r.Due("empty", empty.serial)) == []  # the first pause's timer is not the second's
+
+
+def test_a_paused_life_that_is_told_to_stop_serves_nobody_on() -> None:
+    it = Life(replace(ON, stop_grace_ms=700.0), 1000.0, 410.0)
+    it.handle(0.0, r.ListReady())
+    it.handle(1.0, r.PauseAsked())
+    assert r.Close(True) in it.handle(2.0, r.Stop())
+    assert it.may_pause()
+
+
+def test_a_life_beside_a_new_process_ends_connections_with_their_next_answer() -> None:
+    """An upgrade: what is idle is ended as late as the kill leaves time for, since a close may cross a request."""
+    it = Life(replace(ON, stop_grace_ms=700.0), 1000.0, 410.0)
+    it.handle(0.0, r.ListReady())
+    serial = serial_of(it.handle(1.0, r.UpgradeAsked()), r.Welcome)
+    assert r.Accept(False) in it.handle(2.0, r.SuccessorReady(serial))
+    it.handle(3.0, r.SuccessorTook(serial))
+    assert it.state is State.READY
+    assert it.handle(4.0, r.UpgradeAsked()) == [r.TurnAway()]
+    out = it.handle(5.0, r.Stop())
+    assert r.Close(True) in out
+    (accept,) = [c for c in out if isinstance(c, r.Arm) and c.name == "accept"]
+    assert accept.delay_ms == 1090.0
+    assert it.handle(1095.0, r.Due("accept", accept.serial)) == [r.EndIdle(True)]
+
+
+def test_a_life_whose_new_process_dies_takes_over_again() -> None:
+    for beside in (False, True):
+        it = life()
+        serial = serial_of(it.handle(1.0, r.UpgradeAsked()), r.Welcome)
+        it.handle(2.0, r.SuccessorReady(serial))
+        if beside:
+            it.handle(3.0, r.SuccessorTook(serial))
+        assert r.Accept(True) in it.handle(4.0, r.SuccessorLost(serial, "it is gone"))
+        assert it.state is State.READY
+        serial_of(it.handle(5.0, r.UpgradeAsked()), r.Welcome)  # another may come
+
+
 def test_told_to_stop_again_ends_the_serving_on() -> None:
     it = Life(replace(ON, stop_grace_ms=700.0), 1000.0, 410.0)
     it.handle(0.0, r.ListReady())
@@ -143,6 +202,9 @@
         self.bye = False  # the successor that has taken over was told to stop, and so was the service
         self.finished = 0
         self.closing = False
+        self.emptying = False
+        self.visitors: set[int] = set()  # of these, processes that somebody else has started
+        self.calling = False  # one has asked, and is neither welcomed nor turned away
 
     def feed(self, event: r.Event) -> None:
         self.now += 1.0
@@ -163,6 +225,17 @@
             assert not self.stops and command.serial not in self.children
             assert not any(state in ("started", "ready", "go") for state in self.children.values())
             self.children[command.serial] = "started"
+        elif isinstance(command, r.Welcome):
+            assert self.calling and not self.stops
+            assert not any(state in ("started", "ready", "go", "took") for state in self.children.values())
+            self.calling = False
+            self.children[command.serial] = "started"
+            self.visitors.add(command.serial)
+        elif isinstance(command, r.TurnAway):
+            assert self.calling
+            self.calling = False
+        elif isinstance(command, r.EndIdle):
+            self.emptying = command.ending
         elif isinstance(command, r.Go):
             assert self.children[command.serial] == "ready"
             self.children[command.serial] = "go"
@@ -227,7 +300,7 @@
             del self.children[serial]
             self.feed(r.SuccessorLost(serial, "it is gone"))
         elif kind == "bye" and state in ("go", "took"):
-            self.bye = self.bye or state == "took"
+            self.bye = self.bye or (state == "took" and serial not in self.visitors)
             self.children[serial] = "leaving"
             self.feed(r.SuccessorStops(serial))
 
@@ -238,6 +311,18 @@
         self.armed.remove(event)
         self.feed(event)
 
+    @precondition(lambda self: not self.calling)
+    @rule()
+    def upgrade(self) -> None:
+        """A process that somebody else has started asks to take over, in whatever state this life is."""
+        if self.life.state is not State.STOPPING:
+            self.calling = True
+            self.feed(r.UpgradeAsked())
+
+    @rule(pause=st.booleans())
+    def operator(self, pause: bool) -> None:
+        self.feed(r.PauseAsked() if pause else r.ResumeAsked())
+
     @rule()
     def settled(self) -> None:
         self.feed(r.Settled())
@@ -254,6 +339,19 @@
         other = any(state in ("go", "took") for state in self.children.values())
         assert (self.sockets and not self.holds) or other
 
+    @invariant()
+    def a_pause_empties_and_its_end_does_not(self) -> None:
+        """What an operator asked for holds through reloads, handovers and upgrades, and until a stop."""
+        if self.life.state in (State.DRAINING, State.STOPPING):
+            return
+        assert self.closing is self.life.paused
+        assert self.life.paused or not self.emptying
+
+    @invariant()
+    def whoever_calls_is_heard(self) -> None:
+        """A new process is kept waiting while the files are read, and else neither welcomed nor left standing."""
+        assert not self.calling or self.life.state in (State.RELOADING, State.STOPPING)
+
     @invariant()
     def one_end(self) -> None:
         assert self.finished <= 1
--- a/tests/protocols/http1/test_bodies.py
+++ b/tests/protocols/http1/test_bodies.py
@@ -318,3 +318,28 @@
                     await read_long(caller)
 
     run(work())
+
+
+@pytest.mark.parametrize(
+    ("target", "path"),
+    [
+        ("http://other:80/api", "/api"),
+        ("HTTP://other/api?a=b/c", "/api?a=b/c"),
+        ("/api?u=http://x/", "/api?u=http://x/"),
+    ],
+)
+def test_absolute_form_is_served_as_its_path(target: str, path: str) -> None:
+    """RFC 9112 section 3.2.2: the authority of the target goes before the Host field."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            caller.ask(target=target)
+            assert (await caller.answer()).status == 200
+            seen = upstream.seen[0]
+            assert seen.target == path
+            assert seen.headers["host"] == (
+                "api.internal" if target.startswith("/") else target.split("/")[2]
+            )
+
+    run(work())
