--- a/larkweir/core/stream.py
+++ b/larkweir/core/stream.py
@@ -96,7 +96,12 @@
 
     def _ended(self) -> None:
         told, self.on_end = self.on_end, None
-        self.hold = None
+        hold, self.hold = self.hold, None
+        if hold is not None and self._holding:
+            hold(
+                False
+            )  # guards against a producer that was told to hold with the last piece, and would never go on
+        self._holding = False
         if told is not None:
             told(self.whole)
 
--- a/tests/core/test_stream.py
+++ b/tests/core/test_stream.py
@@ -105,7 +105,9 @@
     @invariant()
     def the_producer_is_held_where_nobody_takes_more(self) -> None:
         stream = self.stream
-        if not stream.over:
+        if stream.over:
+            assert not self.held  # what comes behind it is read
+        else:
             full = self.sink_holds if self.sink is not None else stream.held >= MOST
             assert self.held is full
 
