--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -2,8 +2,8 @@
 
 Callers ask without a pause while `run` is started once more beside the process that serves; the old one gets SIGTERM at
 the new one's yes. Way (a): each listens for itself, by SO_REUSEPORT (no $TMPDIR to meet in). Way (b): the new one
-fetches the old one's sockets. Counted: connections refused, reset or closed on a request. Last come those of way (b) for
-each upgrade.
+fetches the old one's sockets. Counted: connections refused, reset or closed on a request. Last come those of way (b),
+for each upgrade.
 """
 
 from __future__ import annotations
