--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -74,10 +74,10 @@
     from larkweir.config.changes import differences, keep_fixed, short_of  # of no use before the first reload
 
     raw = read_object(settled_text(env))
-    config = decode_object(raw, env, again=True)
     lacks = short_of(now.raw, raw)
     if lacks:
         raise ConfigError(f"{lacks}: missing")
+    config = decode_object(raw, env, again=True)
     told = load_options(operator)
     options = keep_fixed_options(now.options, told)
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
--- a/tests/mulleinhitch/driver.py
+++ b/tests/mulleinhitch/driver.py
@@ -5,11 +5,14 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from mulleinhitch.interface import (
     Action,
+    AnswerStarted,
     AttemptEnded,
+    BodyCame,
     Cancel,
     Effect,
     Event,
@@ -20,8 +23,10 @@
     Outcome,
     Probe,
     ProbeEnded,
+    Reconfigured,
     Refuse,
     RequestArrived,
+    RequestClass,
     Send,
     ServerEntry,
     ServerState,
@@ -41,13 +46,18 @@
     cell: int
     sent: float
     expires: float
+    timeout: float = 0.0
     outcome: Outcome | None = None
 
 
 @dataclass
 class Owed:
-    class_index: int
+    cls: RequestClass  # as the settings had it when the request came, like the number of attempts
+    most: int
     deadline: float
+    left: float = 0.0
+    coming: bool = False  # its last byte is still to come
+    started: bool = False  # a long answer has begun
     tries: list[Try] = field(default_factory=list)
     answers: int = 0
     over: bool = False
@@ -84,19 +94,44 @@
             self.told[entry.server] = entry
         return self.feed(ListUpdate(kind, 1, entries))
 
-    def request(self, class_index: int = 0, left: float | None = None, tenant: int = 0) -> list[Action]:
+    def request(
+        self, class_index: int = 0, left: float | None = None, tenant: int = 0, coming: bool = False
+    ) -> list[Action]:
         cls = self.settings.classes[class_index]
         left = cls.deadline_ms if left is None else left
         self.next_id += 1
         self.alive.append(self.next_id)
-        self.owed[self.next_id] = Owed(class_index, self.now + left)
+        deadline = math.inf if coming else self.now + left
+        self.owed[self.next_id] = Owed(cls, self.settings.max_attempts, deadline, left, coming)
         ready = [e for e in self.told.values() if e.state is ServerState.READY]
         cold = [e for e in ready if self.is_cold(e)]
         if cold:
             share = self.settings.cold_share
             grown = sum(share + (1 - share) * (self.now - e.started_ms) / self.settings.cold_ms for e in cold)
             self.cold_allowance += grown / len(ready)
-        return self.feed(RequestArrived(self.next_id, class_index, left, tenant))
+        return self.feed(RequestArrived(self.next_id, class_index, left, tenant, coming=coming))
+
+    def body_came(self, request: int) -> list[Action]:
+        """The last byte: the request's time runs from here, and so does that of the attempt that carries it."""
+        owed = self.owed[request]
+        owed.coming = False
+        owed.deadline = self.now + owed.left
+        for one in owed.tries:
+            if one.outcome is None:
+                one.expires = min(owed.deadline, self.now + one.timeout)
+        return self.feed(BodyCame(request))
+
+    def start_answer(self, request: int, attempt: int) -> list[Action]:
+        """A long answer begins: it is the answer, and has no deadline."""
+        owed = self.owed[request]
+        owed.answers += 1
+        owed.over = owed.started = True
+        owed.tries[attempt].expires = math.inf
+        return self.feed(AnswerStarted(request, attempt, owed.tries[attempt].server))
+
+    def retune(self, settings: Settings) -> list[Action]:
+        self.settings = settings
+        return self.feed(Reconfigured(settings))
 
     def is_cold(self, entry: ServerEntry) -> bool:
         return entry.started_ms > 0 and self.now - entry.started_ms < self.settings.cold_ms
@@ -112,7 +147,9 @@
         if outcome is Outcome.OK and not owed.over:
             owed.answers += 1
             owed.over = True
-        return self.feed(AttemptEnded(request, attempt, one.server, outcome, owed.over, self.now - one.sent))
+        left = 0 if owed.coming else None  # a part of its body is gone
+        spent = self.now - one.sent
+        return self.feed(AttemptEnded(request, attempt, one.server, outcome, owed.over, spent, left=left))
 
     def echo(self, report: tuple[float, ...], outcome: Outcome = Outcome.OK) -> list[Action]:
         return self.feed(ProbeEnded(self.probes.pop(0), outcome, 1.0, report))
@@ -153,7 +190,7 @@
         elif isinstance(action, Refuse):
             owed = self.owed[action.request]
             self._answer(owed, action.request)
-            cls = self.settings.classes[owed.class_index]
+            cls = owed.cls
             ran = [t for t in owed.tries if t.outcome not in UNRUN]
             harmless = cls.effect is Effect.SAFE or (cls.effect is Effect.KEYED and cls.group is Group.ALL)
             assert harmless or not ran, "refused though it may have run"
@@ -177,13 +214,13 @@
 
     def _take_send(self, action: Send) -> None:
         owed = self.owed[action.request]
-        cls = self.settings.classes[owed.class_index]
+        cls = owed.cls
         entry = self.told.get(action.server)
         assert not owed.over, "sent for a request that is over"
         assert (
             entry is not None and entry.state is ServerState.READY
         ), "sent to a server that drains or is gone"
-        assert len(owed.tries) < self.settings.max_attempts, "more attempts than allowed"
+        assert len(owed.tries) < owed.most, "more attempts than allowed"
         if not self.settings.second_copies:
             assert all(t.outcome is not None for t in owed.tries), "two attempts at once"
         ran = [t for t in owed.tries if t.outcome not in UNRUN]
@@ -205,4 +242,15 @@
         expires = (
             owed.deadline if action.timeout_ms <= 0 else min(owed.deadline, self.now + action.timeout_ms)
         )
-        owed.tries.append(Try(entry.server, entry.zone, entry.cell, self.now, expires))
+        if owed.coming:
+            assert not owed.tries or all(t.outcome in UNRUN for t in owed.tries)
+            expires = math.inf
+        owed.tries.append(Try(entry.server, entry.zone, entry.cell, self.now, expires, action.timeout_ms))
+
+    def check_counts(self) -> None:
+        """What the module counts as out is what may be at work at a server."""
+        out = sum(not (self.owed[r].coming or self.owed[r].started) for r, _ in self.open_tries())
+        others = sum(
+            self.owed[r].started and self.owed[r].tries[n].expires < math.inf for r, n in self.open_tries()
+        )
+        assert self.balancer._out == out + others
--- a/tests/mulleinhitch/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -448,7 +448,7 @@
     def ask(expected: float) -> list[object]:
         bench.next_id += 1
         number = bench.next_id
-        bench.owed[number] = Owed(0, bench.now + 400.0)
+        bench.owed[number] = Owed(bench.settings.classes[0], bench.settings.max_attempts, bench.now + 400.0)
         bench.alive.append(number)
         return list(bench.feed(RequestArrived(number, 0, 400.0, expected_ms=expected)))
 
--- a/tests/mulleinhitch/test_rules.py
+++ b/tests/mulleinhitch/test_rules.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from dataclasses import replace
 
 from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
@@ -81,7 +82,41 @@
         tenant=st.integers(0, 5),
     )
     def request(self, klass: int, left: float, tenant: int) -> None:
-        self.driver.request(klass, min(left, CLASSES[klass].deadline_ms), tenant)
+        self.driver.request(klass, min(left, self.driver.settings.classes[klass].deadline_ms), tenant)
+
+    @rule(klass=st.integers(0, 7))
+    def long_request(self, klass: int) -> None:
+        """One that is told of before its last byte has come."""
+        classes = self.driver.settings.classes
+        self.driver.request(klass % len(classes), coming=True)
+
+    @rule(pick=st.integers(0, 10**6))
+    def body_comes(self, pick: int) -> None:
+        coming = [r for r, o in self.driver.owed.items() if o.coming and not o.over]
+        if coming:
+            self.driver.body_came(coming[pick % len(coming)])
+
+    @rule(pick=st.integers(0, 10**6))
+    def long_answer_starts(self, pick: int) -> None:
+        owed = self.driver.owed
+        tries = [(r, n) for r, n in self.driver.open_tries() if not owed[r].over and not owed[r].coming]
+        if tries:
+            self.driver.start_answer(*tries[pick % len(tries)])
+
+    @rule(
+        effects=st.lists(st.sampled_from(list(Effect)), min_size=5, max_size=8),
+        aim=st.sampled_from([100.0, 250.0]),
+        most=st.integers(1, 4),
+    )
+    def retune(self, effects: list[Effect], aim: float, most: int) -> None:
+        """Classes come, change their effect, aim and deadline; fewer attempts are allowed, or more again."""
+        count = max(len(effects), len(self.driver.settings.classes))
+        effects = [*effects, *(Effect.SAFE for _ in range(count))][:count]
+        classes = tuple(
+            RequestClass(aim, 4.0 * aim - 100.0 * (n % 2), effect, group=Group.ZONE, memory_ms=200.0)
+            for n, effect in enumerate(effects)
+        )
+        self.driver.retune(replace(self.driver.settings, classes=classes, max_attempts=most))
 
     @rule(count=st.integers(5, 10), klass=st.integers(0, 4))
     def burst(self, count: int, klass: int) -> None:
@@ -162,10 +197,16 @@
     def answers_are_owed_once(self) -> None:
         if hasattr(self, "driver"):
             self.driver.check_answers()
+            self.driver.check_counts()
 
     def teardown(self) -> None:
         if hasattr(self, "driver"):
+            for request, owed in list(self.driver.owed.items()):
+                if owed.coming and not owed.over:
+                    self.driver.body_came(request)
             self.driver.advance(950.0)
+            for request, attempt in self.driver.open_tries():
+                self.driver.end(request, attempt, Outcome.OK)
             assert all(o.over for o in self.driver.owed.values())
             assert not self.driver.balancer.requests, "finished requests are kept"
 
