Runs of failures are judged by how many calls are out; slow failures withhold no token

Ruled out: connections dead unseen, our CPU, the window, the middle tier's own time (no call timed out there). At fault, policy.py `_judge`: any failure withheld the token, whatever time it had taken, and a run had under 5% odds whatever the number of runs looked at.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -126,9 +126,8 @@
         self.kind = entry.kind
         # By class: its failures in a row, and until when its token does not count for that class.
         self.shunned: dict[int, tuple[int, float]] = {}
-        self.slowness: float | None = (
-            None  # running mean of its answers' times, by the usual of their class and size
-        )
+        # Running mean of its answers' times, by the usual of their class and size.
+        self.slowness: float | None = None
         self.linked = False  # this copy holds a connection to it, as far as it knows
         self.used_ms = 0.0  # when that connection last carried anything
 
@@ -388,9 +387,8 @@
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._rng = rng
         self._cold: list[Server] = []
-        self.credit = (
-            rng.random()
-        )  # random: low-rate copies must not all start with a free send, nor all without
+        # Random: low-rate copies must not all start with a free send, nor all without.
+        self.credit = rng.random()
         self._sum = 0.0
         self._sum_until = 0.0
         self.configure(settings)
@@ -574,9 +572,8 @@
     MOST_IN_VAIN = 64.0  # requests that ended unserved, as far as they are remembered
     UNSEEN_PRICE = 0.25  # a call that a server never looked at cost no work
     OUTLIER = 0.05  # the odds under which a run of failures is put down to the server
-    SLOW = (
-        4.0  # times the usual latency of its class and size, from which an answer counts against its server
-    )
+    # Times the usual latency of its class and size, from which an answer counts against its server.
+    SLOW = 4.0
     # Of the usual latency, that must be left for a call to be tried. Guards against work that nobody can use,
     # and against time-outs held against servers that were given no time.
     HOPE = 0.25
@@ -610,9 +607,8 @@
         self._booted = False
         self._list_backoff_ms = 0.0
         self._retries = self.RETRY_CAP / 2.0
-        self._in_vain = (
-            0.0  # requests that ended unserved after long, and may come again with what time is left
-        )
+        # Requests that ended unserved after long, and may come again with what time is left.
+        self._in_vain = 0.0
         self._usual = [Usual() for _ in settings.classes]
         self.limiter = Limiter(settings, self.rng)
         self.waiting = WaitingRoom(settings)
@@ -633,10 +629,8 @@
         self._work = [0.0 for _ in settings.classes]  # mean cost hint
         # Times of the usual that calls take: with no own call at the server before them, and with one or more.
         self._behind = [1.0, 2.0]
-        self._cost = [
-            0.0,
-            0.0,
-        ]  # of a call at home and elsewhere, in parts of the aim; a failure is a whole one
+        # Of a call at home and elsewhere, in parts of the aim; a failure is a whole one.
+        self._cost = [0.0, 0.0]
         self._out = 0
         self._fair = self._shares(settings)
         self._part = list(self._fair)  # of the requests that come here
@@ -892,14 +886,14 @@
             server.answered_ms = self.now
             self._served_ms = max(self._served_ms, attempt.sent_ms)
             slow = spent > self.SLOW * usual * max(1.0, request.size)
-            self._judge(server, request, event.outcome, slow)
+            self._judge(server, request, event.outcome, slow, spent)
             ratio = min(self.SLOWEST, spent / (usual * max(0.25, request.size)))
             self._behind[attempt.ahead > 0] += self.MEMORY * (ratio - self._behind[attempt.ahead > 0])
             self._pace(server, ratio)
         elif event.outcome is Outcome.TIMEOUT and spent < usual:
             pass  # it was given less than the usual time
         elif event.outcome not in UNTELLING and not self._own_queue(event.outcome, attempt):
-            self._judge(server, request, event.outcome, True)
+            self._judge(server, request, event.outcome, True, spent)
         self.fleet.earn_token(server, self.now)
         if event.final or event.outcome is Outcome.OK:
             request.started = True
@@ -986,7 +980,9 @@
             return False
         return attempt.server.answered_ms >= attempt.sent_ms or attempt.sent_ms >= self._served_ms
 
-    def _judge(self, server: Server, request: Request, outcome: Outcome, failed: bool) -> None:
+    def _judge(
+        self, server: Server, request: Request, outcome: Outcome, failed: bool, spent_ms: float = 0.0
+    ) -> None:
         """Outlier ejection: a run of failures withholds the token for a growing, bounded, jittered time.
 
         One bad server is told from a bad tier by chance: the run must be one that the failure rate of all
@@ -1007,11 +1003,15 @@
             span = min(self.settings.cold_ms, span) * (0.5 + self.rng.random())
             server.shunned[at] = (times + 1, self.now + span)
         server.strikes += 1
-        # Guards against the fast failure, which would regain its token first and attract the next call.
-        pause = self._latency[request.class_index] * (0.25 + 0.5 * self.rng.random())
+        # Guards against the fast failure, whose token would be back first; one that took its time attracts nobody.
+        pause = self._latency[request.class_index] * (0.25 + 0.5 * self.rng.random()) - spent_ms
         self.fleet.withhold(server, self.now + pause)
         ready = self.fleet.ready_count
-        if self._fail_share**server.strikes < self.OUTLIER and 2 * self.fleet.ejected < ready:
+        # Of so many calls out, as many runs are looked at, and one is odd by chance: guards against ejecting servers
+        # that are well, in turn, which crowds the rest. One that gives no sign of life is not waited for so long.
+        runs = self._out if outcome is Outcome.ERROR or outcome is Outcome.RESET else 1
+        odds = self._fail_share**server.strikes * max(1, runs)
+        if odds < self.OUTLIER and 2 * self.fleet.ejected < ready:
             # Doubles with each ejection, not with each failure, which a bad tier gives to all.
             server.ejections += 1
             # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
--- a/tests/mulleinhitch/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -390,6 +390,44 @@
     assert len(got) >= 4
 
 
+def two_failures_of_one(bench: Driver, others: int, outcome: Outcome, after_ms: float = 0.0) -> int:
+    """Two calls in a row of one server fail, while so many calls are out beside them; that server."""
+    bench.balancer._fail_share = 0.1
+    for _ in range(others + 2):
+        bench.request(class_index=1)
+    bench.now += after_ms
+    by = Counter(bench.owed[request].tries[0].server for request, _ in bench.open_tries())
+    server = next(number for number, count in by.items() if count >= 2)
+    mine = [(r, n) for r, n in bench.open_tries() if bench.owed[r].tries[0].server == server]
+    for item in mine[:2]:
+        bench.end(*item, outcome)
+    return server
+
+
+def test_runs_of_failures_eject_nobody_while_as_many_are_odd_by_chance() -> None:
+    """Seen as four servers of which two were ejected in turn, for failures behind them, and the rest choked."""
+    for others, outcome, ejected in (
+        (1, Outcome.ERROR, True),
+        (22, Outcome.ERROR, False),
+        (22, Outcome.RESET, False),
+    ):
+        bench = driver(replace(PLAIN, tier=1, tiers=2), servers=2 if others == 1 else 4)
+        server = two_failures_of_one(bench, others, outcome)
+        assert bench.balancer.fleet.servers[server].ejected is ejected
+
+
+def test_a_failure_that_took_its_time_withholds_no_token() -> None:
+    """A fast failure would attract the next call; a slow one does not, and withholding crowds the others."""
+    for after, withheld in ((0.0, True), (350.0, False)):
+        bench = driver(replace(PLAIN, tier=1, tiers=2), servers=4)
+        bench.request(class_index=1)
+        server = bench.owed[1].tries[0].server
+        bench.now += after
+        bench.balancer._fail_share = 1.0  # nothing is ejected
+        bench.end(1, 0, Outcome.ERROR)
+        assert (bench.balancer.fleet.servers[server].until_ms > bench.now) is withheld
+
+
 def test_retries_stop_when_their_budget_is_spent() -> None:
     bench = driver(servers=20)
     for _ in range(200):
