A FastCGI connection that outlives a pause takes requests again; reading is resumed only if paused

Cause, by reading the pause's commands: EndIdle(True) winds every connection down, and a FastCGI one turns away what comes from then on; EndIdle(False) (RESUME, or a successor that died) wound nothing up, so a connection kept open by a request in between refused for good. At fault: daemon.py, EndIdle; Connection.wind_down had no way back. Now Listener.go_on. HTTP/1.1 was not concerned: there every answer asks whether it is the last.

Also, on the hot path: a caller's connection called resume_reading after each answer, paused or not; it keeps a flag now. Way not taken: closing such connections at RESUME, which costs the request on them.

--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -441,6 +441,8 @@
             begun, self._ending = self._ending, command.ending
             if command.ending and not begun:
                 self._settle()
+            elif begun and not command.ending:
+                self.node.listener.go_on()
         else:
             self._done.set()
 
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -246,9 +246,10 @@
         if spent > (self.FIRST_MS if self.fresh or self._serving.begun else self.IDLE_MS):
             self.abort()
 
-    def wind_down(self) -> None:
+    def wind_down(self, winding: bool = True) -> None:
         """Begin no further request: what comes is turned away unseen, and may be asked elsewhere."""
-        self._serving.closing = True
+        if not self.ending:
+            self._serving.closing = winding
 
     def end(self) -> None:
         """Take nothing more; what is written is still read by the caller."""
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -61,6 +61,7 @@
         self._in_body = False  # of an unfinished request
         self._fed_ms = 0.0  # when a byte of that body came last
         self._read_held = False  # nobody can take more of it for now
+        self._unread = False  # reading is paused
         self._out: Stream | None = None  # the body of the answer that goes out in pieces
         self._chunked = False  # so it is framed
         self._last = False  # it is the last of its connection
@@ -84,7 +85,7 @@
             return
         reader = self._reader
         begun = reader.begun
-        if reader.keep is not None:
+        if begun and reader.keep is not None:  # a body may be coming
             reader.keep = MAX_WHOLE if self._engine.room.scarce else KEPT_BODY
         came = reader.feed(data)
         if came:
@@ -147,11 +148,15 @@
             self._resume_reading()
 
     def _pause_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing():
+        if not self._unread and self._transport is not None and not self._transport.is_closing():
+            self._unread = True
             self._transport.pause_reading()
 
     def _resume_reading(self) -> None:
-        if self._transport is not None and not self._transport.is_closing() and not self._read_held:
+        if not self._unread or self._read_held:
+            return
+        if self._transport is not None and not self._transport.is_closing():
+            self._unread = False
             self._transport.resume_reading()
 
     def _stop_coming(self, fault: Fault) -> None:
@@ -388,7 +393,7 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(data)
 
-    def wind_down(self) -> None:
+    def wind_down(self, winding: bool = True) -> None:
         """Every answer is the last of its connection then."""
 
     def end(self) -> None:
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -52,8 +52,8 @@
 
     def check(self, now_ms: float) -> None: ...
 
-    def wind_down(self) -> None:
-        """Begin no further request on it, where the protocol can say so."""
+    def wind_down(self, winding: bool = True) -> None:
+        """Begin no further request on it, where the protocol can say so; or again, if not `winding`."""
 
     def end(self) -> None: ...
 
@@ -299,6 +299,11 @@
             if connection.quiet() and not connection.begun:
                 connection.end()
 
+    def go_on(self) -> None:
+        """The end of connections was called off: those that are left take requests again."""
+        for connection in list(self._connections):
+            connection.wind_down(False)
+
     def owns(self, sock: socket.socket) -> None:
         """The file of a Unix socket that was inherited is this life's to remove."""
         path = sock.getsockname() if sock.family == socket.AF_UNIX else ""
--- a/tests/protocols/fastcgi/test_hard_cases.py
+++ b/tests/protocols/fastcgi/test_hard_cases.py
@@ -539,6 +539,33 @@
     run(work())
 
 
+def test_a_connection_that_outlives_a_pause_takes_requests_again() -> None:
+    """It was wound down while a request was out on it; the pause ended before it was closed."""
+
+    async def work() -> None:
+        go = asyncio.Event()
+
+        async def held(request: Incoming, talk: Talk) -> None:
+            await go.wait()
+            await talk.send(ok())
+
+        async with upstream_and(held, SHARED, Script([1])) as (upstream, balancer):
+            async with Many(balancer.port) as caller:
+                caller.ask(1)
+                await until(lambda: len(upstream.seen) == 1)
+                balancer.listener.end_idle()
+                caller.ask(2)
+                assert (await caller.answer())[1] == 2  # turned away unseen
+                balancer.listener.go_on()
+                caller.ask(3)
+                await until(lambda: len(upstream.seen) == 2)
+                go.set()
+                answers = [await caller.answer() for _ in range(2)]
+                assert {answer.status for _, _, answer in answers} == {200}
+
+    run(work())
+
+
 def test_an_open_id_that_is_begun_again_ends_the_connection() -> None:
     """Nobody could tell whose the records are: what was out is called off, and no answer goes to the wrong one."""
 
