--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -139,18 +139,23 @@
     run(work())
 
 
+def begun(pid: str) -> bool:
+    """Whether a child runs the program, and not its parent's between fork and exec."""
+    try:
+        return b"LARKWEIR_HANDOVER=" in Path(f"/proc/{pid}/environ").read_bytes()
+    except OSError:
+        return False
+
+
 async def child_of(pid: int) -> int:
-    """The id of a process's only child."""
-    path = Path(f"/proc/{pid}/task/{pid}/children")
+    """The id of a process's only child, once it runs: one that is stopped before that holds up whoever forked it."""
     async with asyncio.timeout(PATIENCE_S):
-        while not (
-            found := " ".join(
-                item.read_text() for item in Path(f"/proc/{pid}/task").glob("*/children")
-            ).split()
-        ):
+        while True:
+            texts = [item.read_text() for item in Path(f"/proc/{pid}/task").glob("*/children")]
+            found = " ".join(texts).split()
+            if found and begun(found[0]):
+                return int(found[0])
             await asyncio.sleep(0.002)
-    assert path.exists()
-    return int(found[0])
 
 
 def test_a_successor_that_hangs_before_it_is_ready_is_given_up(tmp_path: Path) -> None:
