--- a/tests/lifecycle/test_rules.py
+++ b/tests/lifecycle/test_rules.py
@@ -71,6 +71,13 @@
     assert it.handle(701.0, r.ResumeAsked()) == []
 
 
+def test_a_pause_before_the_first_list_holds_when_the_list_has_come() -> None:
+    it = life(listed=False)
+    assert r.Close(True) in it.handle(1.0, r.PauseAsked())
+    assert r.Close(False) not in it.handle(2.0, r.ListReady())
+    assert it.paused and it.state is State.READY
+
+
 def test_a_resume_in_the_middle_of_emptying_holds() -> None:
     it = life()
     out = it.handle(1.0, r.PauseAsked())
