Chunked request bodies hold their caller back; a stream tells its present state

Cause: codec._start feeds the kept parts into a new Stream, whose _steer sets _holding, before callers.data_received sets hold, which was told of changes only. Change: Stream.steer replaces the attribute and tells the present state at once; attach takes whether its sink holds, since the head may have filled its buffer before there was a body (upstreams.send, callers.begin). Not taken: a callback handed into the codec, which the next codec would forget.

--- a/larkweir/core/stream.py
+++ b/larkweir/core/stream.py
@@ -27,13 +27,13 @@
     """Exactly one of `whole` and `failed` becomes true, once, and stays."""
 
     __slots__ = (
+        "_hold",
         "_holding",
         "_pieces",
         "_sink",
         "_sink_holds",
         "failed",
         "held",
-        "hold",
         "length",
         "most",
         "on_end",
@@ -51,8 +51,7 @@
         self.taken = False  # the sink has had some of it
         self.whole = False
         self.failed = False
-        # What the producer gave: called with True to stop reading, with False to go on. Only on changes.
-        self.hold: Callable[[bool], None] | None = None
+        self._hold: Callable[[bool], None] | None = None  # what the producer gave by `steer`
         self.on_end: Callable[[bool], None] | None = None  # told once whether it came whole
         self._pieces: list[bytes] = []
         self._sink: Sink | None = None
@@ -65,6 +64,15 @@
 
     # ------------------------------------------------ the producer's side
 
+    def steer(self, hold: Callable[[bool], None]) -> None:
+        """Whom to tell: True to stop reading, False to go on. Told of the present state at once where that is to stop,
+        since what was fed before may have filled it already, and of changes from then on.
+        """
+        if not self.over:
+            self._hold = hold
+            if self._holding:
+                hold(True)
+
     def feed(self, data: bytes) -> None:
         if self.over:
             return
@@ -96,20 +104,23 @@
 
     def _ended(self) -> None:
         told, self.on_end = self.on_end, None
-        hold, self.hold = self.hold, None
+        hold, self._hold = self._hold, None
         if hold is not None and self._holding:
             hold(
                 False
-            )  # guards against a producer that was told to hold with the last piece, and would never go on
+            )  # guards against a producer that was told to hold with the last piece, and then never goes on
         self._holding = False
         if told is not None:
             told(self.whole)
 
     # ------------------------------------------------ the sink's side
 
-    def attach(self, sink: Sink) -> None:
-        """Hand over what waits, and from now on whatever comes."""
+    def attach(self, sink: Sink, holds: bool) -> None:
+        """Hand over what waits, and from now on whatever comes. `holds`: the sink can't take more for now, and was told
+        so before there was a stream to tell.
+        """
         self._sink = sink
+        self._sink_holds = holds
         pieces = self._pieces
         self._drop()
         for data in pieces:
@@ -143,5 +154,5 @@
         full = self._sink_holds if self._sink is not None else self.held >= self.most
         if full is not self._holding:
             self._holding = full
-            if self.hold is not None:
-                self.hold(full)
+            if self._hold is not None:
+                self._hold(full)
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -94,7 +94,7 @@
                 self._waiting.append(message)
                 self._size += message.size
                 if message.stream is not None:
-                    message.stream.hold = self._hold_reading
+                    message.stream.steer(self._hold_reading)
         if reader.begun:
             self._time_part(came, begun)
         else:
@@ -365,7 +365,7 @@
         else:
             self._write(encode_head(first, headers, 0).replace(b"Content-Length: 0\r\n", b""))
         self._out = stream
-        stream.attach(self)
+        stream.attach(self, self._blocked)
 
     # Called by the body of an answer, as it comes.
 
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -46,6 +46,7 @@
         self.retired = False
         self._poll = select.poll()
         self._body: Stream | None = None  # of the call, that is still being written
+        self._blocked = False  # the system does not take all that is written
         self._answer: Message | None = None  # that is being passed on
         self._spilling: Call | None = None  # whose answer is looked at in a while
         self._fed_ms = 0.0
@@ -61,10 +62,12 @@
         self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
 
     def pause_writing(self) -> None:
+        self._blocked = True
         if self._body is not None:
             self._body.sink_holds(True)
 
     def resume_writing(self) -> None:
+        self._blocked = False
         if self._body is not None:
             self._body.sink_holds(False)
         elif self._call is not None:
@@ -105,7 +108,7 @@
         self._answer = answers[0]
         stream = self._answer.stream
         assert stream is not None
-        stream.hold = self._hold
+        stream.steer(self._hold)
         self._fed_ms = self._pool.clock.now_ms()
         if call.probe or not call.begin(self._answer):
             self._answer = self._call = None
@@ -227,7 +230,7 @@
             first = b"%b %b HTTP/1.1" % (message.method, message.target)
             self._transport.write(encode_head(first, head, message.stream.length))
             self._body = message.stream
-            message.stream.attach(self)
+            message.stream.attach(self, self._blocked)
             return
         self._transport.write(encode_request(message.method, message.target, head, message.body))
         if self._transport.get_write_buffer_size() == 0:
--- a/tests/core/test_stream.py
+++ b/tests/core/test_stream.py
@@ -11,14 +11,40 @@
 MOST = 10
 
 
+BUFFER = 6  # what a taker's own buffer takes before it says so
+
+
 class Taker:
+    """A connection that writes: its buffer fills with what it is given, and empties as its peer reads."""
+
     def __init__(self) -> None:
         self.got = b""
         self.ends: list[str] = []
+        self.unsent = 0
+        self.most = 0
+        self.stream: Stream | None = None  # once it has been told of it
+
+    @property
+    def holds(self) -> bool:
+        return self.unsent > BUFFER
+
+    def write(self, count: int) -> None:
+        held = self.holds
+        self.unsent += count
+        self.most = max(self.most, self.unsent)
+        if self.holds is not held and self.stream is not None:
+            self.stream.sink_holds(True)
+
+    def read_by_peer(self, count: int) -> None:
+        held = self.holds
+        self.unsent = max(0, self.unsent - count)
+        if self.holds is not held and self.stream is not None:
+            self.stream.sink_holds(False)
 
     def piece(self, data: bytes) -> None:
         assert not self.ends
         self.got += data
+        self.write(len(data))
 
     def finished(self) -> None:
         self.ends.append("whole")
@@ -28,25 +54,37 @@
 
 
 class Bodies(RuleBasedStateMachine):
+    """The producer obeys, from the moment on that it can be told: it may come to steer at any time, early or late."""
+
+    PIECE = 8
+
     def __init__(self) -> None:
         super().__init__()
         self.stream = Stream(None, MOST)
+        self.steers = False
         self.held = False
         self.told: list[bool] = []
-        self.stream.hold = self.hold
         self.stream.on_end = self.told.append
         self.fed = b""
+        self.unsteered = 0  # bytes that came before the producer could be told
         self.sink: Taker | None = None
-        self.sink_holds = False
         self.gone = False  # a sink that had a part has left
 
     def hold(self, holding: bool) -> None:
         assert holding is not self.held  # told of changes only
         self.held = holding
 
-    @precondition(lambda self: not self.stream.over)
-    @rule(data=st.binary(min_size=1, max_size=8))
+    @precondition(lambda self: not self.steers)
+    @rule()
+    def steer(self) -> None:
+        self.steers = True
+        self.stream.steer(self.hold)
+
+    @precondition(lambda self: not self.stream.over and not self.held)
+    @rule(data=st.binary(min_size=1, max_size=PIECE))
     def feed(self, data: bytes) -> None:
+        if not self.steers:
+            self.unsteered += len(data)
         self.stream.feed(data)
         self.fed += data
 
@@ -59,17 +97,19 @@
             self.stream.fail()
 
     @precondition(lambda self: self.sink is None and not self.gone)
-    @rule()
-    def attach(self) -> None:
+    @rule(written=st.integers(0, 2 * BUFFER))
+    def attach(self, written: int) -> None:
+        """The head goes out first, and may fill its buffer before there is a body to tell."""
         self.sink = Taker()
-        self.sink_holds = False
-        self.stream.attach(self.sink)
+        self.sink.write(written)
+        self.sink.stream = self.stream
+        self.stream.attach(self.sink, self.sink.holds)
 
     @precondition(lambda self: self.sink is not None)
-    @rule(holding=st.booleans())
-    def hold_back(self, holding: bool) -> None:
-        self.sink_holds = holding
-        self.stream.sink_holds(holding)
+    @rule(count=st.integers(1, 2 * BUFFER))
+    def peer_reads(self, count: int) -> None:
+        assert self.sink is not None
+        self.sink.read_by_peer(count)
 
     @precondition(lambda self: self.sink is not None)
     @rule()
@@ -77,6 +117,7 @@
         assert self.sink is not None
         self.gone = bool(self.sink.got)
         self.stream.detach(self.sink)
+        self.sink.stream = None
         self.sink = None
 
     @rule()
@@ -102,15 +143,43 @@
             assert stream.held == len(self.fed)
             assert not stream.taken
 
+    @invariant()
+    def held_bytes_are_bounded(self) -> None:
+        """What waits in the stream and, of it, in its sink's buffer, beside what came before anyone could be told."""
+        assert self.stream.held < MOST + self.PIECE + self.unsteered
+        if self.sink is not None:
+            assert self.sink.most <= max(2 * BUFFER, MOST) + self.PIECE + self.unsteered + BUFFER
+
     @invariant()
     def the_producer_is_held_where_nobody_takes_more(self) -> None:
         stream = self.stream
         if stream.over:
             assert not self.held  # what comes behind it is read
-        else:
-            full = self.sink_holds if self.sink is not None else stream.held >= MOST
+        elif self.steers:
+            full = self.sink.holds if self.sink is not None else stream.held >= MOST
             assert self.held is full
 
 
+def test_a_producer_that_steers_late_is_told_that_the_stream_is_full() -> None:
+    stream = Stream(None, MOST)
+    stream.feed(bytes(MOST))
+    told: list[bool] = []
+    stream.steer(told.append)
+    assert told == [True]
+    stream.attach(Taker(), holds=False)
+    assert told == [True, False]
+
+
+def test_a_sink_that_holds_before_it_is_attached_holds_the_producer() -> None:
+    stream = Stream(None, MOST)
+    told: list[bool] = []
+    stream.steer(told.append)
+    stream.attach(Taker(), holds=True)
+    stream.feed(b"x")
+    assert told == [True]
+    stream.sink_holds(False)
+    assert told == [True, False]
+
+
 TestBodies = Bodies.TestCase
 TestBodies.settings = settings(max_examples=200, stateful_step_count=30, deadline=None)
--- a/tests/protocols/http1/test_bodies.py
+++ b/tests/protocols/http1/test_bodies.py
@@ -265,7 +265,8 @@
     run(work())
 
 
-def test_memory_is_bounded_where_the_upstream_takes_nothing() -> None:
+@pytest.mark.parametrize("framing", ["length", "chunks"])
+def test_memory_is_bounded_where_the_upstream_takes_nothing(framing: str) -> None:
     async def work() -> None:
         go = asyncio.Event()
 
@@ -277,12 +278,14 @@
         upstream = await Deaf().start()
         async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
             raw = request_bytes("move", b"x" * (24 * MEGA))
-            caller.send(raw)
+            caller.send(raw if framing == "length" else as_chunked(raw))
             sent = -1
             while sent != (sent := caller.writer.transport.get_write_buffer_size()):
                 await asyncio.sleep(0.3)
             assert sent > 4 * MEGA  # the caller is held back
             assert balancer.engine.room.used < 4 * MEGA
+            links = balancer.engine.upstreams._open
+            assert [link._transport.get_write_buffer_size() < 2 * MEGA for link in links] == [True]
             go.set()
             assert (await caller.answer()).status == 200
             assert len(upstream.seen[0].body) == 24 * MEGA
