The first cold servers that are back of many are not given the whole traffic's part

Cause: SlowStart.earn divides a cold server's share by the servers that are ready now. Where one of five is, its fair part is taken to be the whole traffic, and with what comes again it gets 5 times what it can do. Ruled out: the window (it was below 2), probes (none), the list's times (right). Not taken: a bound by the clock (sends a second): the module is told no server's speed.

--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -373,15 +373,16 @@
     """A cold server's budget, kept by one copy alone.
 
     Each placement of this copy earns credit for the cold servers: their present capacity share, from the
-    settings' even growth, over the number of ready servers, which is their fair part of this copy's traffic
-    cut to what they can do. A send to a cold server spends a whole credit. All copies together then send a
-    cold server at most `pace` times the load of a warm one, scaled by its capacity, whatever the number of
-    copies or of cold servers.
+    settings' even growth, over the number of servers that share this copy's traffic when all are there, which
+    is their fair part of it cut to what they can do. Guards the first that are back of many, for whom all call.
+    A send to a cold server spends a whole credit. All copies together then send a cold server at most `pace`
+    times the load of a warm one, scaled by its capacity, whatever the number of copies or of cold servers.
     """
 
     # Of the multiple that topples a server, what is planned for; the rest is left to chance, heavy requests,
     # retries and copies with another view.
     PACE = 0.25
+    FORGET = 0.999  # of the most servers that were ready: a fleet that was made smaller for good
     CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
 
     def __init__(self, settings: Settings, rng: Random) -> None:
@@ -389,8 +390,8 @@
         self._cold: list[Server] = []
         # Random: low-rate copies must not all start with a free send, nor all without.
         self.credit = rng.random()
-        self._sum = 0.0
-        self._sum_until = 0.0
+        self._sum = self._sum_until = 0.0
+        self.most_ready = 0.0  # servers at a time, of late
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
@@ -425,7 +426,8 @@
             self._cold = [s for s in self._cold if s.state is ServerState.READY and self.is_cold(s, now_ms)]
             self._sum = sum(self.share(s, now_ms) for s in self._cold)
             self._sum_until = now_ms + self._ms / 100.0
-        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / ready)
+            self.most_ready *= self.FORGET
+        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / max(ready, self.most_ready))
 
     def admits(self, server: Server, now_ms: float) -> bool:
         """Whether a drawn server may be sent to; the colder of two cold ones is let through less often."""
@@ -647,7 +649,7 @@
             ListUpdate: self._on_list,
             ClientGone: self._on_client_gone,
             AnswerStarted: self._on_answer_started,
-            PeerMessage: self._on_peer,
+            PeerMessage: lambda event: None,
             Reconfigured: self._on_reconfigured,
         }
 
@@ -1225,6 +1227,7 @@
                 self.links.drop(server)
             self.slow_start.watch(fresh, self.now)
             self.limiter.open(self.fleet.ready_count, self.settings.copies)
+            self.slow_start.most_ready = max(self.slow_start.most_ready, self.fleet.ready_count)
             for server in fresh:
                 self.fleet.earn_token(server, self.now)
         if self.settings.on_request_discovery:
@@ -1263,9 +1266,6 @@
                 self._uncount(request.attempts[event.attempt])
                 self.fleet.earn_token(request.attempts[event.attempt].server, self.now)
 
-    def _on_peer(self, event: PeerMessage) -> None:
-        pass
-
     def learned(self) -> dict[str, Any]:
         """What another life of this copy may go on from, as plain values: the means by class name, and the
         cold servers' credit, which is given away, so that both lives together spend it once.
