A quarter fewer servers than of late is a deploy: cold ones then keep their whole part

Cause: a deploy keeps up to a fifth of the servers away, and the share of its cold successors was divided by the most that were ready. Change: by three quarters of those, so that only more than a usual deploy counts. Not taken: forgetting faster, which one at a time over 10 s would outlast.

--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -12,7 +12,7 @@
 
 import math
 from collections import OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from random import Random
 
@@ -29,6 +29,10 @@
     REFUSE = "refuse"
 
 
+# Of a request that has come: its class, what the limiter says, and how many wait; what is to become of it instead.
+Arbiter = Callable[[int, Verdict, int], Verdict]
+
+
 class Sums:
     """Of some calls that have ended: how many, what their times would be at low load, and what queues added."""
 
@@ -119,6 +123,7 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._rng = rng
+        self.arbiter: Arbiter | None = None  # chooses whom to let in, of as many as the window lets in
         self._classes: Sequence[RequestClass] = settings.classes
         self.small = self.SMALL if settings.copies <= self.FEW else self.SMALL_OF_MANY
         self.window = self.FIRST_WINDOW  # calls that may be out at once; opened by the first list
@@ -183,6 +188,11 @@
         return self.window >= self.small
 
     def arrive(self, class_index: int, out: int, waiting: int, over_share: bool) -> Verdict:
+        """What is to become of a request, as `_verdict` says unless there is an arbiter."""
+        verdict = self._verdict(class_index, out, waiting, over_share)
+        return verdict if self.arbiter is None else self.arbiter(class_index, verdict, waiting)
+
+    def _verdict(self, class_index: int, out: int, waiting: int, over_share: bool) -> Verdict:
         """A request has come while `out` calls are out and `waiting` requests wait for a place.
 
         Traffic over its tenant's share may fill a part of the window only, and that part closes while requests within
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -382,7 +382,7 @@
     # Of the multiple that topples a server, what is planned for; the rest is left to chance, heavy requests,
     # retries and copies with another view.
     PACE = 0.25
-    FORGET = 0.999  # of the most servers that were ready: a fleet that was made smaller for good
+    WHOLE, FORGET = 0.75, 0.999  # of the most ready of late: all are there (a deploy moves as many); still known
     CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
 
     def __init__(self, settings: Settings, rng: Random) -> None:
@@ -427,7 +427,8 @@
             self._sum = sum(self.share(s, now_ms) for s in self._cold)
             self._sum_until = now_ms + self._ms / 100.0
             self.most_ready *= self.FORGET
-        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / max(ready, self.most_ready))
+        whole = max(ready, self.WHOLE * self.most_ready)
+        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / whole)
 
     def admits(self, server: Server, now_ms: float) -> bool:
         """Whether a drawn server may be sent to; the colder of two cold ones is let through less often."""
