--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -154,6 +154,22 @@
         return found
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Storms:
+    """The table `[storms]`."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # New connections to one warm upstream, a second, while there is no calm or it is cold, then by its share; 0: no
+    # bound.
+    connects_per_s: float = option(20.0, Change.HANDOVER, low=0.0, high=100_000.0)
+    # Clients, and what they ask, that are remembered as told when to come back.
+    clients: int = option(4096, Change.HANDOVER, low=64, high=1_000_000)
+    # Retry-After in whole seconds (RFC 9110 section 10.2.3), for tools that read nothing else; else with decimals.
+    whole_seconds: bool = option(False, Change.HANDOVER)
+    # RateLimit and RateLimit-Policy beside it (draft-ietf-httpapi-ratelimit-headers).
+    fields: bool = option(False, Change.HANDOVER)
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Operator:
     """The whole operator file."""
@@ -162,9 +178,16 @@
     fastcgi: Fastcgi = field(default_factory=Fastcgi)
     budget: Budget = field(default_factory=Budget)
     door: Door = field(default_factory=Door)
+    storms: Storms = field(default_factory=Storms)
 
 
-TABLES: dict[str, type[Any]] = {"lifecycle": Lifecycle, "fastcgi": Fastcgi, "budget": Budget, "door": Door}
+TABLES: dict[str, type[Any]] = {
+    "lifecycle": Lifecycle,
+    "fastcgi": Fastcgi,
+    "budget": Budget,
+    "door": Door,
+    "storms": Storms,
+}
 
 
 def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -7,6 +7,7 @@
 import math
 import traceback
 from collections import deque
+from collections.abc import Callable
 
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
@@ -92,6 +93,11 @@
         self._engine.probe_ended(self._server, outcome, self._sent_ms, answer)
 
 
+def word(wait_ms: float) -> Headers:
+    """The platform's protocol: seconds, whole or decimal."""
+    return [(b"Retry-After", b"%.3f" % (wait_ms / 1000.0))]
+
+
 class Engine:
     PROBE_TIMEOUT_MS = 50.0
     MOST_PAST = 4096  # ids remembered
@@ -112,6 +118,8 @@
         self.room = room
         self.discovery: Membership | None = None  # set before the first event
         self.budgets: Budgets | None = None
+        # What goes with a refusal that is to say when to come back, in so many milliseconds.
+        self.word: Callable[[float], Headers] = word
         self._balancer = decisions
         self._exchanges: dict[int, Exchange] = {}
         self._traces: set[bytes] = set()  # ids of the same
@@ -154,6 +162,10 @@
         """Requests that still wait for their answer."""
         return sum(not exchange.over for exchange in self._exchanges.values())
 
+    def exchange_of(self, number: int) -> Exchange | None:
+        """A request that is open, or has attempts out."""
+        return self._exchanges.get(number)
+
     # ------------------------------------------------ events in
 
     def is_known(self, trace: bytes) -> bool:
@@ -311,9 +323,7 @@
         elif isinstance(action, Probe):
             self._probe(action.server)
         elif isinstance(action, Refuse):
-            headers: Headers = []
-            if action.wait_ms > 0.0:
-                headers.append((b"Retry-After", b"%.3f" % (action.wait_ms / 1000.0)))
+            headers = self.word(action.wait_ms) if action.wait_ms > 0.0 else []
             self._answer_number(action.request, 503, headers)
         elif isinstance(action, Fail):
             self._answer_number(action.request, 502)
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -31,6 +31,7 @@
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
+    from larkweir.storms.gate import Gate
 
 
 class Node:
@@ -58,7 +59,14 @@
             self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
         )
         self.decisions = decisions or Balancer(config.settings, config.seed)
-        self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, self.decisions)
+        self.storms: Gate | None = None
+        watched = self.decisions
+        if options is not None and options.storms.on and isinstance(watched, Balancer):
+            from larkweir.storms.gate import Gate  # not imported where it is off
+
+            self.storms = Gate(options.storms, config, watched, self.journal.line)
+            watched = self.storms.watch
+        self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, watched)
         self.discovery = Discovery(config, self.engine.on_listing, self.journal.line)
         self.engine.discovery = self.discovery
         self.intake = Intake(self.engine, Requests(config.settings), lambda: self.listener.ready)
@@ -68,6 +76,8 @@
         self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
         if options is not None and (options.fastcgi.listen or options.fastcgi.upstreams != "off"):
             self._add_fastcgi(options.fastcgi)
+        if self.storms is not None:
+            self.storms.attach(self.engine, self.upstreams, self.listener)
         self.guard: Guard | None = None
         if options is not None and options.door.on:
             from larkweir.door.guard import Guard  # not imported where it is off
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -64,6 +64,7 @@
     """The listening sockets and the connections that came by them."""
 
     ACCEPT_PAUSE_S = 0.05
+    PACE_PAUSE_S = 0.005
     BATCH = 16  # accepts in a row: guards those just accepted, whose requests are to be read, against a flood
     LOOK = 32  # connections looked at to make room for one
     SWEEP_MS = 250.0
@@ -87,6 +88,7 @@
         self._idle: dict[Connection, None] = {}  # between requests, the one idle for longest first
         self._leaving: dict[Connection, None] = {}  # their last answer is given
         self._sweeping = False
+        self.pace: Callable[[], bool] | None = None  # whether another connection may be accepted now
         self._paused = False
         self._holding = False  # another life accepts
         self._arriving: set[asyncio.Task[None]] = set()
@@ -176,6 +178,9 @@
                 if not self._make_room():
                     self._pause()
                     return False
+            if self.pace is not None and not self.pace():
+                self._pause(self.PACE_PAUSE_S)
+                return False
             try:
                 sock, _ = listening.accept()
             except (BlockingIOError, InterruptedError):
@@ -197,14 +202,14 @@
             task.add_done_callback(self._arriving.discard)
         return True
 
-    def _pause(self) -> None:
+    def _pause(self, pause_s: float = ACCEPT_PAUSE_S) -> None:
         """Every place is in use by a request: newcomers wait in the system until one is left. Guards the
         upstreams' part of the descriptors, and against spinning on a failing accept.
         """
         if not self._paused:
             self._paused = True
             self._watch(False)
-            self._loop.call_later(self.ACCEPT_PAUSE_S, self._resume)
+            self._loop.call_later(pause_s, self._resume)
 
     def _resume(self) -> None:
         if self._paused:
--- /dev/null
+++ b/larkweir/storms/gate.py
@@ -0,0 +1,120 @@
+"""Hands: the storm's place in a balancer: whose request it is, what a refusal says, how connections are paced."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from math import ceil
+
+from larkweir.config.options import Storms as Options
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.message import Headers
+from larkweir.protocols.listener import Listener
+from larkweir.storms.pace import Accepting, Opening
+from larkweir.storms.signs import State
+from larkweir.storms.storm import Storm
+from larkweir.storms.watch import Watch
+from larkweir.upstreams.pool import Upstreams
+from mulleinhitch import Balancer
+
+# What tells a client and its request from others, beside its address: the same when it asks again.
+NAMED = frozenset((b"x-customer", b"x-qos", b"x-object", b"idempotency-key"))
+
+
+class Gate:
+    """Made with the decisions, and attached once the parts stand."""
+
+    TICK_MS = 250.0  # a storm passes also where nothing comes
+
+    def __init__(
+        self, options: Options, config: Config, decisions: Balancer, log: Callable[[str], None]
+    ) -> None:
+        self._options = options
+        self.storm = Storm(config.settings, config.seed, say=log, sets=max(16, options.clients // 4))
+        self.watch = Watch(decisions, self.storm, self._client_of)
+        self._balancer = decisions
+        self._engine: Engine | None = None
+        self._clock: Clock | None = None
+        self._opening = Opening(options.connects_per_s, self._share)
+        self._accepting = Accepting(min(cls.aim_ms for cls in config.settings.classes), Listener.BACKLOG)
+
+    def attach(self, engine: Engine, upstreams: Upstreams, listener: Listener) -> None:
+        self._engine = engine
+        self._clock = engine.clock
+        engine.word = self.word
+        if self._options.connects_per_s > 0.0:
+            upstreams.pace = self
+        listener.pace = self._accept
+        self._tick()
+
+    def _tick(self) -> None:
+        assert self._clock is not None
+        self.watch.tick(self._clock.now_ms())
+        self._clock.after(self.TICK_MS, self._tick)
+
+    # ------------------------------------------------ clients
+
+    def _client_of(self, number: int) -> int:
+        """The fingerprint of who asks for what. The address is the connection's, which nobody can forge."""
+        assert self._engine is not None
+        exchange = self._engine.exchange_of(number)
+        if exchange is None:
+            return 0
+        message = exchange.message
+        parts = [exchange.caller.peer.encode(), message.method, message.target]
+        parts += sorted(
+            lower + b":" + value for name, value in message.headers if (lower := name.lower()) in NAMED
+        )
+        return self.storm.advice.fingerprint(*parts)
+
+    def word(self, wait_ms: float) -> Headers:
+        """When to come back (RFC 9110 section 10.2.3), rounded up: who is told 1 s must not come at 0.6."""
+        seconds = wait_ms / 1000.0
+        text = b"%d" % ceil(seconds) if self._options.whole_seconds else b"%.3f" % seconds
+        headers = [(b"Retry-After", text)]
+        if self._options.fields:
+            # Structured fields of draft-ietf-httpapi-ratelimit-headers: nothing remains, until the word is over.
+            headers.append(
+                (b"RateLimit-Policy", b'"storm";q=1;w=%d' % ceil(self.storm.advice.most_ms / 1000.0))
+            )
+            headers.append((b"RateLimit", b'"storm";r=0;t=%d' % ceil(seconds)))
+        return headers
+
+    # ------------------------------------------------ connections
+
+    def _accept(self) -> bool:
+        assert self._clock is not None
+        now = self._clock.now_ms()
+        if self.storm.signs.flooded and not self._accepting.may(now):
+            return False
+        self.storm.connected(now)
+        return True
+
+    def _share(self, upstream: int, now_ms: float) -> float:
+        server = self._balancer.fleet.servers.get(upstream)
+        return 1.0 if server is None else self._balancer.slow_start.share(server, now_ms)
+
+    def may(self, upstream: int, now_ms: float) -> bool:
+        """Whether a new connection to an upstream may be opened now. In calm, to a warm one, always."""
+        if self.storm.state is State.CALM and self._share(upstream, now_ms) >= 1.0:
+            return True
+        return self._opening.may(upstream, now_ms)
+
+    def wait_ms(self, upstream: int, now_ms: float) -> float:
+        return self._opening.wait_ms(upstream, now_ms)
+
+    # ------------------------------------------------ what is shown
+
+    def facts(self) -> dict[str, object]:
+        """For operators."""
+        counts = self.storm.counts()
+        return {
+            "storm": counts.state.value,
+            "sent_per_s": f"{counts.sent_per_s:.1f}",
+            "turned_away": counts.turned_away,
+            "let_in": counts.let_in,
+            "storms": counts.storms,
+            "ignoring": counts.ignoring,
+            "kept_word": counts.kept_word,
+        }
--- /dev/null
+++ b/larkweir/storms/signs.py
@@ -0,0 +1,231 @@
+"""Rules: the signs of a storm, from what one balancer sees, and the state that they come to.
+
+A storm is more than a tier that is down, and more than many requests: callers come back, at once and together, to a
+tier that can't yet give what they ask. So two kinds of sign have to meet. *Trouble*: of the calls that ended lately,
+far more than usual came to nothing in time. *Stirring*: many tenants at once send far more than they usually do, or
+send what failed again; or the tier is weak, its servers gone, cold, or just back. Either alone is a fault, a release
+or a busy morning, and nothing is shed for it.
+
+Every sign is a share or a rate against its own slow mean, with allowance for how few calls a copy sees: two hundred
+copies may have three requests a second each. Times are milliseconds, handed in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+from enum import Enum
+
+from mulleinhitch.interface import RequestClass
+
+
+class State(Enum):
+    CALM = "calm"
+    BUILDING = "building"  # signs of one kind: advice is spread and connections are paced, nothing is shed
+    STORM = "storm"  # both kinds: the tier is given what it has proved that it can do
+    RECOVERING = "recovering"  # calls go well again, and more is still asked for than is let in
+
+
+class Decayed:
+    """A sum whose parts fade with time: over its span it stands for about the last `span_ms`."""
+
+    __slots__ = ("_at_ms", "_sum", "span_ms")
+
+    def __init__(self, span_ms: float) -> None:
+        self.span_ms = span_ms
+        self._sum = 0.0
+        self._at_ms = -math.inf
+
+    def add(self, now_ms: float, amount: float = 1.0) -> None:
+        self._sum = self.at(now_ms) + amount
+        self._at_ms = now_ms
+
+    def at(self, now_ms: float) -> float:
+        if self._sum == 0.0 or now_ms <= self._at_ms:
+            return self._sum
+        return self._sum * math.exp((self._at_ms - now_ms) / self.span_ms)
+
+    def per_s(self, now_ms: float) -> float:
+        return self.at(now_ms) * 1000.0 / self.span_ms
+
+
+class Rate:
+    """Something that happens, lately and usually, a second."""
+
+    __slots__ = ("_begun_ms", "lately", "usual")
+
+    def __init__(self, short_ms: float, long_ms: float) -> None:
+        self.lately = Decayed(short_ms)
+        self.usual = Decayed(long_ms)
+        self._begun_ms = math.inf
+
+    def add(self, now_ms: float) -> None:
+        self._begun_ms = min(self._begun_ms, now_ms)
+        self.lately.add(now_ms)
+        self.usual.add(now_ms)
+
+    def usual_per_s(self, now_ms: float) -> float:
+        """Of a mean that is young, what it comes to over the time that it knows."""
+        known = 1.0 - math.exp(min(0.0, self._begun_ms - now_ms) / self.usual.span_ms)
+        return self.usual.per_s(now_ms) / known if known > 0.0 else 0.0
+
+    def risen(self, now_ms: float, times: float, least: float) -> bool:
+        """Whether there are so many times the usual, and `least` more than chance makes of it."""
+        short_s = self.lately.span_ms / 1000.0
+        usual = self.usual_per_s(now_ms) * short_s
+        # A decayed sum of a Poisson stream has half of its mean as its variance.
+        return self.lately.at(now_ms) > times * usual + least + 2.0 * math.sqrt(0.5 * usual)
+
+
+class Share:
+    """The part of some events that are of one kind, lately and usually."""
+
+    __slots__ = ("_all", "_hits", "usual")
+
+    def __init__(self, short_ms: float) -> None:
+        self._all, self._hits = Decayed(short_ms), Decayed(short_ms)
+        self.usual = 0.0
+
+    def add(self, now_ms: float, hit: bool) -> None:
+        self._all.add(now_ms)
+        self._hits.add(now_ms, float(hit))
+
+    def count(self, now_ms: float) -> float:
+        return self._all.at(now_ms)
+
+    def part(self, now_ms: float) -> float:
+        count = self._all.at(now_ms)
+        return self._hits.at(now_ms) / count if count > 0.0 else 0.0
+
+    def surely(self, now_ms: float) -> float:
+        """What the part is at the least, but for chance; 0 of next to nothing."""
+        count, part = self._all.at(now_ms), self.part(now_ms)
+        if count < Signs.FEW:
+            return 0.0
+        return part - math.sqrt(part * (1.0 - part) / count)
+
+    def settle(self, weight: float, now_ms: float) -> None:
+        """Let the usual part follow what there is lately."""
+        if self.count(now_ms) >= Signs.FEW:
+            self.usual += weight * (self.part(now_ms) - self.usual)
+
+
+class Signs:
+    """Fed with what happens; asked once a tick what it comes to."""
+
+    FEW = 4.0  # calls, under which nothing is told of them
+    SHORT, LONG_MS = 2.5, 60_000.0  # the short span in aims; the usual
+    LEAST_MS, MOST_MS = 500.0, 5_000.0  # of the short span
+    TROUBLE, EASE = 0.25, 0.1  # of the calls came to nothing in time: enters, leaves
+    BEYOND = 1.5  # times the usual part besides
+    SURGE = 1.5  # times the usual rate of a tenant
+    LEAST_RISE = 3.0  # requests, in the short span, that no rise is told under
+    AGAIN = 0.2  # of a tenant's requests come again, more than usually
+    BROAD = 1.0 / 3.0  # of the usual traffic is of tenants that stir: one loud tenant is no storm
+    WEAK = 0.1  # of the ready servers are cold or just back
+    LOST = 0.5  # of the servers that were ready before
+    FLOOD, LEAST_FLOOD = 4.0, 30.0  # times the usual rate of new connections, and so many more
+
+    def __init__(self, classes: Sequence[RequestClass], tenants: int) -> None:
+        aim = min(cls.aim_ms for cls in classes)
+        short = self.short_ms = max(self.LEAST_MS, min(self.MOST_MS, self.SHORT * aim))
+        self._rates = [Rate(short, self.LONG_MS) for _ in range(tenants + 1)]  # the last: who has no share
+        self._again = [Share(short) for _ in range(tenants + 1)]
+        self.calls = Share(short)  # those that came to nothing in time
+        self.connections = Rate(short, self.LONG_MS)
+        self.good = Rate(short, self.LONG_MS)
+        self.ready = 0
+        self.cold = 0
+        self._most_ready = 0.0
+        self.troubled = self.stirring = self.weak = self.flooded = False
+
+    def _place(self, tenant: int) -> int:
+        return tenant if 0 <= tenant < len(self._rates) - 1 else -1
+
+    def arrived(self, now_ms: float, tenant: int, again: bool) -> None:
+        at = self._place(tenant)
+        self._rates[at].add(now_ms)
+        self._again[at].add(now_ms, again)
+
+    def call_ended(self, now_ms: float, good: bool) -> None:
+        self.calls.add(now_ms, not good)
+        if good:
+            self.good.add(now_ms)
+
+    def listed(self, ready: int, cold: int) -> None:
+        """What discovery tells: servers that take requests, and those of them that have started lately."""
+        self.ready, self.cold = ready, cold
+        self._most_ready = max(self._most_ready, float(ready))
+
+    def arrivals_per_s(self, now_ms: float) -> float:
+        return sum(rate.lately.per_s(now_ms) for rate in self._rates)
+
+    def look(self, now_ms: float, since_ms: float, settled: bool) -> None:
+        """Weigh the signs, `since_ms` after the last look. Usual parts follow only while all is settled."""
+        weight = 1.0 - math.exp(-since_ms / self.LONG_MS)
+        part = self.calls.part(now_ms)
+        surely = self.calls.surely(now_ms)
+        usual = self.calls.usual
+        if self.troubled:
+            self.troubled = part > max(self.EASE, self.BEYOND * usual)
+        else:
+            self.troubled = surely > max(self.TROUBLE, self.BEYOND * usual + self.EASE)
+        if self.ready == 0 and self._most_ready > 0.0:
+            self.troubled = True  # there are no calls that could tell
+        whole = stirs = 0.0
+        for rate, again in zip(self._rates, self._again, strict=True):
+            usually = rate.usual_per_s(now_ms)
+            whole += usually
+            comes_again = again.surely(now_ms) > again.usual + self.AGAIN
+            if comes_again or rate.risen(now_ms, self.SURGE, self.LEAST_RISE):
+                stirs += usually
+        self.stirring = whole > 0.0 and stirs >= self.BROAD * whole
+        lost = self.ready < self.LOST * self._most_ready
+        self.weak = lost or self.cold > self.WEAK * self.ready
+        self.flooded = self.connections.risen(now_ms, self.FLOOD, self.LEAST_FLOOD)
+        if settled:
+            self.calls.settle(weight, now_ms)
+            for again in self._again:
+                again.settle(weight, now_ms)
+        # A fleet that was made smaller for good is no loss for ever.
+        self._most_ready += weight * min(0.0, self.ready - self._most_ready)
+
+
+class Course:
+    """From signs to states, with hysteresis: a state is left later than it was entered."""
+
+    DWELL = 1.0  # short spans, that a sign must be gone for
+    QUIET = 2.0  # short spans without anything shed, that end a recovery
+
+    def __init__(self) -> None:
+        self.state = State.CALM
+        self.since_ms = 0.0
+        self._gone_ms = 0.0  # for how long the signs that hold the state have been gone
+
+    def step(self, now_ms: float, since_ms: float, signs: Signs, shedding: bool) -> bool:
+        """Move on, `since_ms` after the last step; `shedding`: something was turned away since. Whether it moved."""
+        both = signs.troubled and (signs.stirring or signs.weak)
+        some = signs.troubled or signs.flooded or (signs.stirring and signs.weak)
+        before = self.state
+        if both and before is not State.STORM:
+            self._move(State.STORM, now_ms)
+        elif before is State.CALM:
+            if some:
+                self._move(State.BUILDING, now_ms)
+        elif before is State.BUILDING:
+            if self._gone(not some, since_ms) > self.DWELL * signs.short_ms:
+                self._move(State.CALM, now_ms)
+        elif before is State.STORM:
+            if self._gone(not signs.troubled, since_ms) > self.DWELL * signs.short_ms:
+                self._move(State.RECOVERING, now_ms)
+        # Traffic that has grown for good stirs for a while yet: what ends a recovery is that all of it is let in.
+        elif self._gone(not signs.troubled and not shedding, since_ms) > self.QUIET * signs.short_ms:
+            self._move(State.CALM, now_ms)
+        return self.state is not before
+
+    def _gone(self, gone: bool, since_ms: float) -> float:
+        self._gone_ms = self._gone_ms + since_ms if gone else 0.0
+        return self._gone_ms
+
+    def _move(self, state: State, now_ms: float) -> None:
+        self.state, self.since_ms, self._gone_ms = state, now_ms, 0.0
--- /dev/null
+++ b/larkweir/storms/storm.py
@@ -0,0 +1,247 @@
+"""Rules: the storm as one: signs, state, bound, shares and advice, fed with events and asked for decisions.
+
+Who holds it calls `arrive` for each request that could be taken and then `weigh` with what the decisions say of it,
+`sent` when it is first sent on, `call_ended` for each attempt, `advised` for each refusal, `listed` for each list and
+`connected` for each caller's connection. All of them move time on; `tick` does so where nothing happens. In calm a
+request costs a handful of additions, and `weigh` says what the decisions say.
+
+Nothing here does input or output or reads a clock. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+from typing import NamedTuple, Protocol
+
+from larkweir.storms.advice import Advice
+from larkweir.storms.barter import Barter, Opening
+from larkweir.storms.shares import Kind, Shares
+from larkweir.storms.signs import Course, Decayed, Signs, State
+from mulleinhitch.interface import Outcome, Settings
+
+UNTELLING = frozenset((Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED))  # of the tier's state
+
+
+class Window(Protocol):
+    """The decisions' window of calls out."""
+
+    window: float
+
+
+class Counts(NamedTuple):
+    """What an operator is shown."""
+
+    state: State
+    sent_per_s: float
+    turned_away: int  # who would have been let in, for others
+    let_in: int  # who would have been turned away, in their place
+    storms: int
+    ignoring: int  # requests that came sooner than told
+    kept_word: int  # that came as told
+
+
+class Storm:
+    TICK = 0.5  # of the tightest aim, from tick to tick
+    LEAST_TICK_MS, MOST_TICK_MS = 50.0, 500.0
+
+    def __init__(
+        self,
+        settings: Settings,
+        seed: int,
+        say: Callable[[str], None] = lambda line: None,
+        sets: int = 1024,
+    ) -> None:
+        """`sets` bounds the memory of clients, four to each."""
+        rng = Random(seed)
+        self._window: Window | None = None
+        self._say = say
+        self._rng = rng
+        self.course = Course()
+        self._take(settings)
+        self.advice = Advice(
+            settings.max_retry_after_ms if settings.retry_advice or settings.max_retry_after_ms else 0.0,
+            self._aim_ms,
+            rng.randbytes(16),
+            sets,
+        )
+        self.signs = Signs(settings.classes, len(settings.tenants))
+        self.barter = Barter()
+        self._opening = Opening()
+        self.shares = Shares([cls.worth for cls in settings.classes], self._parts(settings), rng)
+        self._ticked_ms = -math.inf
+        self._short = False  # something was turned away since the last tick
+        self._sent = Decayed(max(self._aim_ms, 250.0))
+        self._unasked = Decayed(self.signs.short_ms)  # of those let in, who were not told to come now
+        self._out_sum = self._out_count = 0  # calls out, as calls found it, since the last tick
+        self._kind, self._steps = Kind.FIRST, 0  # of the request that has come last
+        self.turned = self.storms = self.ignoring = self.kept_word = 0
+
+    def watch(self, window: Window) -> None:
+        """The decisions' window, set anew for servers that come back. None in a tier that turns nobody away."""
+        self._window = window
+
+    def _take(self, settings: Settings) -> None:
+        self.settings = settings
+        self._aim_ms = min(cls.aim_ms for cls in settings.classes)
+        self._tick_ms = max(self.LEAST_TICK_MS, min(self.MOST_TICK_MS, self.TICK * self._aim_ms))
+
+    @staticmethod
+    def _parts(settings: Settings) -> list[float]:
+        total = sum(tenant.quota_per_s for tenant in settings.tenants)
+        if total <= 0.0:
+            return [1.0 / max(1, len(settings.tenants)) for _ in settings.tenants]
+        return [tenant.quota_per_s / total for tenant in settings.tenants]
+
+    def configure(self, settings: Settings) -> None:
+        """New figures in service. Where tenants or classes have changed, counts begin anew; a storm goes on."""
+        old = self.settings
+        self._take(settings)
+        self.advice.configure(settings.max_retry_after_ms, self._aim_ms)
+        same = [t.name for t in old.tenants] == [t.name for t in settings.tenants]
+        if not same or self._aim_ms != min(cls.aim_ms for cls in old.classes):
+            ready, cold = self.signs.ready, self.signs.cold
+            self.signs = Signs(settings.classes, len(settings.tenants))
+            self.signs.listed(ready, cold)
+        self.shares.configure([cls.worth for cls in settings.classes], self._parts(settings))
+
+    # ------------------------------------------------ what happens
+
+    def listed(self, now_ms: float, ready: int, cold: int, share: float) -> None:
+        """A list: servers that take requests, those that have started lately, and what part of their full capacity
+        all the ready ones have together by now.
+        """
+        before = self.signs.ready
+        self.signs.listed(ready, cold)
+        if ready > before and self._window is not None and self.course.state is not State.CALM:
+            self._window.window = self._opening.back(self._window.window, before, ready)
+        self.tick(now_ms)
+
+    def connected(self, now_ms: float) -> None:
+        self.signs.connections.add(now_ms)
+        self.tick(now_ms)
+
+    def call_ended(self, now_ms: float, outcome: Outcome, spent_ms: float, cls: int) -> None:
+        if outcome in UNTELLING:
+            return
+        good = outcome is Outcome.OK and spent_ms <= self.settings.classes[cls].aim_ms
+        self.signs.call_ended(now_ms, good)
+        self.tick(now_ms)
+
+    def sent(self, now_ms: float, out: int) -> None:
+        """A request goes to a server for the first time; so many calls are out with it."""
+        self._sent.add(now_ms)
+        self._out_sum += out
+        self._out_count += 1
+
+    def tick(self, now_ms: float) -> None:
+        """Look at the signs, if it is time."""
+        since = now_ms - self._ticked_ms
+        if since < self._tick_ms:
+            return
+        first = self._ticked_ms == -math.inf
+        self._ticked_ms = now_ms
+        if first:
+            return
+        since = min(since, self.signs.LONG_MS)
+        state = self.course.state
+        self.signs.look(now_ms, since, state is State.CALM)
+        out = self._out_sum / self._out_count if self._out_count else 0.0
+        self._out_sum = self._out_count = 0
+        if state is not State.CALM:
+            self.shares.tick(self._sent.per_s(now_ms), since / 1000.0)
+        elif self._window is not None:
+            self._opening.good(since, out, self.signs.ready)
+        short, self._short = self._short, False
+        if self.course.step(now_ms, since, self.signs, short):
+            self._moved(now_ms, state)
+
+    def _moved(self, now_ms: float, before: State) -> None:
+        state = self.course.state
+        if before is State.CALM:
+            self.shares.begin()
+            self.barter.begin()
+        if state is State.STORM:
+            self.storms += 1
+        signs = self.signs
+        words = [name for name in ("troubled", "stirring", "weak", "flooded") if getattr(signs, name)]
+        self._say(
+            f"storm: {before.value} -> {state.value}: {' '.join(words) or 'no sign'}; calls in vain"
+            f" {signs.calls.part(now_ms):.0%} (usually {signs.calls.usual:.0%}),"
+            f" {signs.arrivals_per_s(now_ms):.1f}/s come, {self._sent.per_s(now_ms):.1f}/s are sent on,"
+            f" upstreams {signs.ready - signs.cold}+{signs.cold} cold"
+        )
+
+    # ------------------------------------------------ what is decided
+
+    @property
+    def state(self) -> State:
+        return self.course.state
+
+    @property
+    def weighs(self) -> bool:
+        """Whether `weigh` may differ from the decisions."""
+        return self.course.state in (State.STORM, State.RECOVERING)
+
+    def arrive(self, now_ms: float, tenant: int, again: bool, client: int) -> None:
+        """A request has come. `client` is 0 where its fingerprint was not taken (`wants_clients`)."""
+        self._kind, self._steps = Kind.AGAIN if again else Kind.FIRST, 0
+        known = self.advice.comes(now_ms, client) if client else None
+        if known is not None:
+            self._kind, self._steps = known
+            if self._kind is Kind.IGNORING:
+                self.ignoring += 1
+            else:
+                self.kept_word += 1
+        self.signs.arrived(now_ms, tenant, again or known is not None)
+        self.tick(now_ms)
+
+    def weigh(self, now_ms: float, cls: int, tenant: int, let_in: bool, lends: bool = True) -> bool:
+        """Whether the request that has come last is let in, where the decisions say `let_in`. Without `lends`:
+        whether it
+        is one that should be, if not all can.
+        """
+        self._short = self._short or not let_in
+        if self.course.state is State.CALM:
+            return let_in
+        wanted = self.shares.wants(cls, self._kind, tenant)
+        if not self.weighs:
+            return let_in
+        if not lends:
+            return wanted
+        verdict = self.barter.weigh(let_in, wanted, self._sent.per_s(now_ms))
+        self.turned += let_in and not verdict
+        if verdict and self._kind is not Kind.PROMISED:
+            self._unasked.add(now_ms)
+        return verdict
+
+    def advised(self, now_ms: float, client: int, steps: int | None = None) -> float:
+        """The word for one that is refused here or by the decisions; 0: none."""
+        if not client or not self.advice.most_ms:
+            return self.advice.most_ms
+        if steps is None:
+            known = self.advice.comes(now_ms, client)
+            steps = known[1] if known is not None else 0
+        unasked = self._unasked.per_s(now_ms)
+        bound = math.inf if self.course.state is State.CALM else self._sent.per_s(now_ms)
+        return self.advice.wait_ms(now_ms, client, steps, bound, unasked)
+
+    def served(self, now_ms: float, client: int) -> None:
+        if client:
+            self.advice.memory.forget(now_ms, client)
+
+    def wants_clients(self, now_ms: float) -> bool:
+        """Whether a fingerprint is worth its price now: somebody was told to come back."""
+        return now_ms < self.advice.memory.last_ms or self.course.state is not State.CALM
+
+    def counts(self) -> Counts:
+        return Counts(
+            self.state,
+            self._sent.per_s(self._ticked_ms) if self._ticked_ms > -math.inf else 0.0,
+            self.turned,
+            self.barter.lent,
+            self.storms,
+            self.ignoring,
+            self.kept_word,
+        )
--- /dev/null
+++ b/larkweir/storms/watch.py
@@ -0,0 +1,154 @@
+"""Rules: the decisions with the storm before them: every event goes through here, and every action comes back.
+
+It stands where the decisions stand, hears what they hear, and changes three things alone: whom they let in, of as many
+as they let in; the word that goes with a refusal; and how far their window opens for servers that are back. Nothing
+here does input or output or reads a clock. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from larkweir.storms.storm import Storm
+from mulleinhitch import Balancer
+from mulleinhitch.admission import Verdict
+from mulleinhitch.interface import (
+    Action,
+    AttemptEnded,
+    ClientGone,
+    Event,
+    Fail,
+    ListUpdate,
+    Outcome,
+    Reconfigured,
+    Refuse,
+    RequestArrived,
+    Send,
+    ServerState,
+)
+
+
+class _Open:
+    """A request whose end, or an attempt of it, is still to come."""
+
+    __slots__ = ("client", "cls", "out", "over", "sends")
+
+    def __init__(self, client: int, cls: int) -> None:
+        self.client = client
+        self.cls = cls
+        self.out = 0
+        self.sends = 0
+        self.over = False
+
+
+class Watch:
+    """Decisions with an eye on storms."""
+
+    COLD_MS = 250.0  # from look to look at how warm the cold servers are
+
+    def __init__(self, balancer: Balancer, storm: Storm, client_of: Callable[[int], int]) -> None:
+        """`client_of` takes the fingerprint of a request that is open; 0 where it has none. It is asked only where
+        somebody was told to come back, and for those who are refused.
+        """
+        self._client_of = client_of
+        self.balancer = balancer
+        self.storm = storm
+        self._open: dict[int, _Open] = {}
+        self._out = 0
+        self._look_ms = 0.0
+        self._now = 0.0
+        self._tenant = 0
+        if not balancer.settings.tier:  # inner tiers turn nobody away: who was let in above is served
+            storm.watch(balancer.limiter)
+            balancer.limiter.arbiter = self._arbiter
+
+    def _arbiter(self, cls: int, verdict: Verdict, waiting: int) -> Verdict:
+        storm = self.storm
+        if verdict is Verdict.WAIT:
+            # The waiting room has its own order by worth; while it is crowded it is left to those who are wanted.
+            room = waiting < self.balancer.limiter.window
+            wanted = storm.weigh(self._now, cls, self._tenant, True, lends=False)
+            return Verdict.WAIT if room or wanted else Verdict.REFUSE
+        let_in = storm.weigh(self._now, cls, self._tenant, verdict is Verdict.GO)
+        return Verdict.GO if let_in else Verdict.REFUSE
+
+    def handle(self, now_ms: float, event: Event) -> list[Action]:
+        """Take one event; returns the actions to carry out, in order, at the same time."""
+        self._now = now_ms
+        storm = self.storm
+        if isinstance(event, RequestArrived):
+            self._tenant = event.tenant
+            client = self._client_of(event.request) if storm.wants_clients(now_ms) else 0
+            storm.arrive(now_ms, event.tenant, event.client_retry, client)
+            self._open[event.request] = _Open(client, event.class_index)
+        elif isinstance(event, AttemptEnded):
+            self._ended(now_ms, event)
+        elif isinstance(event, ClientGone):
+            self._close(event.request)
+        elif isinstance(event, Reconfigured):
+            storm.configure(event.settings)
+        actions = self.balancer.handle(now_ms, event)
+        for action in actions:
+            if isinstance(action, Send):
+                item = self._open.get(action.request)
+                if item is not None:
+                    item.out += 1
+                    item.sends += 1
+                    self._out += 1
+                    if item.sends == 1:
+                        storm.sent(now_ms, self._out)
+            elif isinstance(action, Refuse):
+                item = self._open.get(action.request)
+                if action.wait_ms > 0.0 and item is not None:
+                    client = item.client or self._client_of(action.request)
+                    action.wait_ms = storm.advised(now_ms, client)
+                self._close(action.request)
+            elif isinstance(action, Fail):
+                self._close(action.request)
+        if isinstance(event, ListUpdate) or (storm.signs.cold and now_ms >= self._look_ms):
+            self._look(now_ms)
+        return actions
+
+    def _ended(self, now_ms: float, event: AttemptEnded) -> None:
+        item = self._open.get(event.request)
+        if item is None:
+            return
+        item.out -= 1
+        self._out -= 1
+        spent = event.spent_ms if event.upstream_ms is None else event.upstream_ms
+        self.storm.call_ended(now_ms, event.outcome, spent, item.cls)
+        if event.outcome is Outcome.OK:
+            self.storm.served(now_ms, item.client)
+        if event.final or event.outcome is Outcome.OK or item.over:
+            self._close(event.request)
+
+    def _close(self, request: int) -> None:
+        """The request is over; its attempts still out keep it known."""
+        item = self._open.get(request)
+        if item is not None:
+            item.over = True
+            if not item.out:
+                del self._open[request]
+
+    def _look(self, now_ms: float) -> None:
+        """Count the servers that take requests, and how warm they are."""
+        self._look_ms = now_ms + self.COLD_MS
+        slow = self.balancer.slow_start
+        ready = cold = 0
+        share = 0.0
+        for server in self.balancer.fleet.servers.values():
+            if server.state is ServerState.READY:
+                ready += 1
+                if slow.is_cold(server, now_ms):
+                    cold += 1
+                    share += slow.share(server, now_ms)
+                else:
+                    share += 1.0
+        self.storm.listed(now_ms, ready, cold, share / ready if ready else 1.0)
+
+    def tick(self, now_ms: float) -> None:
+        """Where nothing happens, a storm still passes."""
+        self._now = now_ms
+        if self.storm.signs.cold and now_ms >= self._look_ms:
+            self._look(now_ms)
+        self.storm.tick(now_ms)
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import math
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Mapping
 from typing import Protocol, cast
 
@@ -40,6 +40,16 @@
     def abort(self) -> None: ...
 
 
+class Pace(Protocol):
+    """How fast connections to an upstream are opened."""
+
+    def may(self, upstream: int, now_ms: float) -> bool:
+        """Whether another may be opened now; if so it counts."""
+
+    def wait_ms(self, upstream: int, now_ms: float) -> float:
+        """About how long until then."""
+
+
 class Upstreams:
     """The table of upstreams, the idle connections, and the budget of sockets."""
 
@@ -49,6 +59,7 @@
     # for the answer to the next call. A probe is the first half of a send, so its connection does not rest:
     # there an answer that repeats the probe's is told by its body.
     REST_MS = 25.0
+    LOOK_MS = (2.0, 20.0)  # from look to look, for calls that wait because connections are paced
     CONNECT_MARGIN_MS = 100.0  # of the drain's grace, for lists that are read late
 
     def __init__(
@@ -77,6 +88,8 @@
         self._open: set[Connection] = set()
         self._connecting: set[asyncio.Task[None]] = set()
         self._sweeping = False
+        self.pace: Pace | None = None
+        self._waiting: dict[int, deque[Call]] = {}  # for a connection that may not be opened yet, by upstream
         self.configure(settings, budget, grace_ms)
 
     def configure(self, settings: Settings, budget: int, grace_ms: float) -> None:
@@ -159,18 +172,58 @@
             pass
         elif self.sockets >= self._budget and not self._close_oldest():
             call.end(Outcome.CONNECT_FAILED)
+        elif self.pace is not None and not self.pace.may(target, now):
+            queue = self._waiting.setdefault(target, deque())
+            queue.append(call)
+            if len(queue) == 1:
+                self._look_later(upstream, now)
         else:
-            if self.full is not None:
-                self._pending[target] += 1
-                # Others that come meanwhile may wait for the same connection.
-                self._made[call] = connection = self.make(self, upstream)
-                if connection.room > 1:
-                    self._coming[target] = (connection, [call])
-            task = asyncio.get_running_loop().create_task(self._connect(call))
-            self._connecting.add(task)
-            task.add_done_callback(self._connecting.discard)
+            self._open_for(call)
         return call
 
+    def _open_for(self, call: Call) -> None:
+        """A new connection, for this call first."""
+        upstream = call.upstream
+        if self.full is not None:
+            self._pending[upstream.number] += 1
+            # Others that come meanwhile may wait for the same connection.
+            self._made[call] = connection = self.make(self, upstream)
+            if connection.room > 1:
+                self._coming[upstream.number] = (connection, [call])
+        task = asyncio.get_running_loop().create_task(self._connect(call))
+        self._connecting.add(task)
+        task.add_done_callback(self._connecting.discard)
+
+    def _look_later(self, upstream: Upstream, now: float) -> None:
+        assert self.pace is not None
+        wait = max(self.LOOK_MS[0], min(self.pace.wait_ms(upstream.number, now), self.LOOK_MS[1]))
+        self.clock.after(wait, lambda: self._serve_waiting(upstream))
+
+    def _serve_waiting(self, upstream: Upstream) -> None:
+        """Calls that wait because connections are paced: one that has come free goes before a new one. Whose time is
+        over has ended by itself, as never sent.
+        """
+        queue = self._waiting.get(upstream.number)
+        now = self.clock.now_ms()
+        while queue:
+            call = queue[0]
+            if not call.ended and call.upstream is upstream:
+                idle = self._take(upstream, now)
+                if idle is not None:
+                    if not call.write(idle, now) or idle.room:
+                        self.put(idle)
+                elif self.pace is not None and not self.pace.may(upstream.number, now):
+                    self._look_later(upstream, now)
+                    return
+                elif self.sockets >= self._budget and not self._close_oldest():
+                    call.end(Outcome.CONNECT_FAILED)
+                else:
+                    self._open_for(call)
+            elif not call.ended:
+                call.end(Outcome.CONNECT_FAILED)  # its upstream is another by now
+            queue.popleft()
+        self._waiting.pop(upstream.number, None)
+
     async def _connect(self, call: Call) -> None:
         upstream = call.upstream
         connection = self._made.pop(call, None) or self.make(self, upstream)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -382,7 +382,10 @@
     # Of the multiple that topples a server, what is planned for; the rest is left to chance, heavy requests,
     # retries and copies with another view.
     PACE = 0.25
-    WHOLE, FORGET = 0.75, 0.999  # of the most ready of late: all are there (a deploy moves as many); still known
+    WHOLE, FORGET = (
+        0.75,
+        0.999,
+    )  # of the most ready of late: all are there (a deploy moves as many); still known
     CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
 
     def __init__(self, settings: Settings, rng: Random) -> None:
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -122,13 +122,16 @@
         self.world = world
         self.number = number
         self.settings = settings
-        self.balancer = Balancer(settings, seed)
+        self.balancer = self._decisions(settings, seed)
         self.asked: dict[int, Asked] = {}
         self._ids = count(1)
         self.served = 0
         entries = [ServerEntry(up.number) for up in world.upstreams]
         self.handle(ListUpdate(ListKind.FULL, 1, entries))
 
+    def _decisions(self, settings: Settings, seed: int) -> Any:
+        return Balancer(settings, seed)
+
     def handle(self, event: Event) -> None:
         for action in self.balancer.handle(self.world.now, event):
             self._act(action)
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from larkweir.config.options import Door, Fastcgi, Operator
+from larkweir.config.options import Door, Fastcgi, Operator, Storms
 from larkweir.config.platform import decode
 from larkweir.core.engine import Engine
 from larkweir.core.ports import Decisions
@@ -118,6 +118,7 @@
     discovery: FakeDiscovery
     port: int
     errors: list[str] = field(default_factory=list)
+    node: Node | None = None
 
 
 def config_data(entries: list[dict[str, Any]], discovery_port: int, **more: Any) -> dict[str, Any]:
@@ -157,6 +158,7 @@
     rest_ms: float = 0.0,
     fastcgi: Fastcgi | None = None,
     door: Door | None = None,
+    storms: Storms | None = None,
     **more: Any,
 ) -> AsyncIterator[Running]:
     """The balancer's real parts, with a fake discovery that knows the entries. Connections to upstreams don't
@@ -175,14 +177,14 @@
     }
     data = config_data(list(entries), discovery.port, settings=settings, **more)
     config = decode(json.dumps(data), {})
-    options = Operator(fastcgi=fastcgi or speaking(), door=door or Door())
+    options = Operator(fastcgi=fastcgi or speaking(), door=door or Door(), storms=storms or Storms())
     node = Node(config, asyncio.get_running_loop(), script, options=options)
     engine, listener = node.engine, node.listener
     node.upstreams.REST_MS = rest_ms
     listener.start(listener.bind(config.listen), make=node.makes[Caller.speaks])
     node.discovery.start()
     try:
-        yield Running(engine, listener, discovery, listener.port)
+        yield Running(engine, listener, discovery, listener.port, node=node)
     finally:
         node.discovery.stop()
         listener.stop_accepting()
--- /dev/null
+++ b/tests/storms/test_pace.py
@@ -0,0 +1,129 @@
+"""Connections: paced by rules, and on sockets: reuse before new ones, each call still ends once."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larkweir.storms.pace import Accepting, Bucket, Opening
+from mulleinhitch.interface import Outcome
+from tests.fakes import Caller, FakeUpstream, Incoming, Script, Talk, ok, running
+from tests.upstreams.test_attempts import run
+
+
+@given(st.lists(st.floats(0.0, 500.0), max_size=200), st.floats(1.0, 200.0))
+def test_a_bucket_never_gives_more_than_its_rate_and_what_it_holds(steps: list[float], per_s: float) -> None:
+    bucket = Bucket(0.0, 5.0)
+    now, taken = 0.0, 0
+    for step in steps:
+        now += step
+        taken += bucket.take(now, per_s)
+        assert taken <= 5.0 + per_s * now / 1000.0 + 1e-6
+
+
+def test_a_cold_upstream_is_opened_to_by_its_share() -> None:
+    opening = Opening(40.0, lambda upstream, now: 0.25 if upstream == 1 else 1.0)
+    counts = {1: 0, 2: 0}
+    for now in range(0, 10_000, 5):
+        for upstream in counts:
+            counts[upstream] += opening.may(upstream, float(now))
+    assert 95 <= counts[1] <= 125  # 10 a second, and what the bucket held
+    assert 395 <= counts[2] <= 425
+
+
+def test_the_buckets_do_not_grow_with_the_servers_that_were_ever_seen() -> None:
+    opening = Opening(10.0, lambda upstream, now: 1.0)
+    for upstream in range(20_000):
+        opening.may(upstream, float(upstream))
+    assert len(opening._buckets) <= Opening.MOST
+
+
+@pytest.mark.parametrize("aim_ms", [50.0, 410.0, 5000.0])
+def test_a_flood_that_fills_the_backlog_is_taken_well_within_the_aim(aim_ms: float) -> None:
+    accepting = Accepting(aim_ms, 1024)
+    now, taken = 0.0, 0
+    while taken < 1024:
+        while accepting.may(now):
+            taken += 1
+        now += 5.0  # the listener's pause
+    assert now <= 0.25 * aim_ms + 10.0, now
+
+
+class Shut:
+    """Lets so many connections be opened, and no more."""
+
+    def __init__(self, free: int) -> None:
+        self.free = free
+
+    def may(self, upstream: int, now_ms: float) -> bool:
+        if self.free <= 0:
+            return False
+        self.free -= 1
+        return True
+
+    def wait_ms(self, upstream: int, now_ms: float) -> float:
+        return 5.0
+
+
+def test_calls_wait_for_a_connection_that_comes_free_where_none_may_be_opened() -> None:
+    async def work() -> None:
+        async def answer(request: Incoming, talk: Talk) -> None:
+            await asyncio.sleep(0.02)
+            await talk.send(ok(b"x"))
+
+        upstream = await FakeUpstream(answer).start()
+        async with running(upstream.entry("a"), script=Script([1])) as balancer:
+            balancer.engine.upstreams.pace = Shut(2)
+            callers = [Caller(balancer.port) for _ in range(12)]
+            for caller in callers:
+                await caller.__aenter__()
+                caller.ask()
+            assert [(await caller.answer()).status for caller in callers] == [200] * 12
+            assert upstream.connections == 2
+            assert not balancer.engine.upstreams._waiting
+            for caller in callers:
+                await caller.__aexit__(None, None, None)
+
+    run(work())
+
+
+def test_a_call_whose_time_is_over_before_it_had_a_connection_has_never_run() -> None:
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1], timeout_ms=60.0)
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            balancer.engine.upstreams.pace = Shut(0)
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 502
+            assert (await script.ended()).outcome is Outcome.CONNECT_FAILED
+            balancer.engine.upstreams.pace = Shut(5)
+            caller.ask("move", b"x")
+            assert (await caller.answer()).status == 200
+            assert upstream.connections == 1 and len(upstream.seen) == 1
+            async with asyncio.timeout(20.0):
+                while balancer.engine.upstreams._waiting:
+                    await asyncio.sleep(0.01)
+
+    run(work())
+
+
+def test_a_call_that_waits_past_the_grace_of_its_upstreams_drain_is_never_sent() -> None:
+    async def work() -> None:
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            balancer.engine.upstreams.pace = Shut(0)
+            caller.ask("move", b"x")
+            balancer.discovery.change(upstream.entry("a") | {"lifecycle": "leaving"})
+            target = balancer.engine.upstreams.targets[1]
+            async with asyncio.timeout(20.0):
+                while not target.told_ms or not target.past_grace(balancer.engine.clock.now_ms()):
+                    await asyncio.sleep(0.01)
+            balancer.engine.upstreams.pace = Shut(5)
+            assert (await script.ended()).outcome is Outcome.MOOT
+            assert not upstream.seen
+
+    run(work())
--- /dev/null
+++ b/tests/storms/test_shares.py
@@ -0,0 +1,117 @@
+"""Who is let in: fairness by its definition, order by worth, and nobody never."""
+
+from __future__ import annotations
+
+from random import Random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from larkweir.storms.barter import Barter, Opening
+from larkweir.storms.shares import FACTOR, Kind, Shares, divide, fill
+
+AMOUNTS = st.floats(0.0, 1000.0)
+WANTS = st.lists(st.floats(0.0, 500.0), min_size=1, max_size=8)
+
+
+@given(amount=AMOUNTS, wants=WANTS, data=st.data())
+def test_fill_is_weighted_max_min(amount: float, wants: list[float], data: st.DataObject) -> None:
+    weights = data.draw(st.lists(st.floats(0.01, 1.0), min_size=len(wants), max_size=len(wants)))
+    given_ = fill(amount, wants, weights)
+    assert sum(given_) <= min(amount, sum(wants)) * (1 + 1e-9) + 1e-9
+    assert sum(given_) >= min(amount, sum(wants)) * (1 - 1e-6) - 1e-6  # nothing is left lying
+    levels = [got / weight for got, weight in zip(given_, weights, strict=True)]
+    for at, want in enumerate(wants):
+        assert 0.0 <= given_[at] <= want + 1e-6
+        if given_[at] < want - 1e-6:  # who lacks something has as much as anyone has, by weight
+            assert levels[at] >= max(levels) * (1 - 1e-6) - 1e-6
+
+
+@st.composite
+def demands(draw: st.DrawFn) -> tuple[float, list[list[float]], list[float], list[float]]:
+    rows, tenants = draw(st.integers(1, 6)), draw(st.integers(1, 5))
+    wants = [[draw(st.floats(0.0, 100.0)) for _ in range(tenants)] for _ in range(rows)]
+    values = [draw(st.floats(0.1, 10.0)) for _ in range(rows)]
+    parts = [draw(st.floats(0.01, 1.0)) for _ in range(tenants)]
+    whole = sum(parts)
+    return draw(st.floats(0.0, 500.0)), wants, values, [part / whole for part in parts]
+
+
+@given(demands())
+@settings(max_examples=300)
+def test_divide_gives_all_there_is_and_nobody_more_than_it_wants(
+    case: tuple[float, list[list[float]], list[float], list[float]],
+) -> None:
+    amount, wants, values, parts = case
+    given_ = divide(amount, wants, values, parts, 0.05)
+    total = sum(map(sum, wants))
+    assert sum(map(sum, given_)) <= min(amount, total) + 1e-6
+    assert sum(map(sum, given_)) >= min(amount, total) * (1 - 1e-6) - 1e-6
+    for row, got in zip(wants, given_, strict=True):
+        for want, item in zip(row, got, strict=True):
+            assert -1e-9 <= item <= want + 1e-6
+            if want > 1e-6 and amount > 1e-6:
+                assert item > 0.0  # nobody is shut out
+
+
+def test_the_worthier_go_first_and_the_others_are_not_starved() -> None:
+    parts = [0.5, 0.5]
+    wants = [[60.0, 60.0], [30.0, 30.0]]
+    look, publish = divide(80.0, wants, [1.0, 8.0], parts, 0.05)
+    assert sum(publish) > 59.0
+    assert 15.0 < sum(look) < 21.0
+
+
+def test_a_loud_tenant_of_much_worth_takes_no_part_of_anothers() -> None:
+    parts = [0.25] * 4
+    wants = [[0.0, 20.0, 20.0, 20.0], [500.0, 0.0, 0.0, 0.0]]
+    look, publish = divide(80.0, wants, [1.0, 8.0], parts, 0.05)
+    assert min(look[1:]) > 15.0  # near their own parts of what there is
+    assert publish[0] < 40.0
+
+
+def test_requests_are_wanted_evenly_by_their_odds() -> None:
+    rng = Random(3)
+    shares = Shares([1.0, 8.0], [0.6, 0.4], rng)
+    came = [0, 0]
+    wanted = [0, 0]
+    for tick in range(100):
+        for _ in range(60):
+            cls = int(rng.random() < 0.4)
+            wants = shares.wants(cls, Kind.FIRST, int(rng.random() < 0.4))
+            if tick >= 20:
+                came[cls] += 1
+                wanted[cls] += wants
+        shares.tick(150.0, 0.2)  # 300 come a second, half of them may be let in
+    assert wanted[1] > 0.95 * came[1]
+    assert 0.04 * came[0] < wanted[0] < 0.35 * came[0]
+    assert 0.42 < sum(wanted) / sum(came) < 0.55
+
+
+def test_who_came_as_told_goes_before_a_first_try_and_who_did_not_behind_a_repeat() -> None:
+    assert FACTOR[Kind.PROMISED] > FACTOR[Kind.FIRST] > FACTOR[Kind.AGAIN] > FACTOR[Kind.IGNORING]
+
+
+@given(st.lists(st.tuples(st.booleans(), st.booleans()), max_size=400), st.floats(0.0, 100.0))
+def test_barter_changes_who_and_not_how_many(steps: list[tuple[bool, bool]], sent_per_s: float) -> None:
+    barter = Barter()
+    most = max(1.0, Barter.CREDIT_S * sent_per_s) + 1.0
+    before = after = 0
+    for let_in, wanted in steps:
+        verdict = barter.weigh(let_in, wanted, sent_per_s)
+        before += let_in
+        after += verdict
+        assert verdict or not (let_in and wanted)  # who is wanted and let in always is
+        assert not verdict or let_in or wanted
+        assert 0 <= after - before <= most  # lent before it is paid back, never the other way
+
+
+def test_what_is_back_is_given_as_many_calls_as_were_out_in_good_times() -> None:
+    opening = Opening()
+    assert opening.back(3.0, 0, 4) == 3.0  # nothing is known
+    for _ in range(200):
+        opening.good(500.0, 6.0, 12)
+    assert abs(opening.back(500.0, 0, 12) - 12.0) < 0.2
+    assert abs(opening.back(0.1, 0, 3) - 3.0) < 0.1  # a quarter of them
+    assert abs(opening.back(0.1, 2, 40) - 12.0) < 0.2  # more than ever prove nothing more
+    assert opening.back(20.0, 2, 12) == 20.0  # it has been steered since the first came back
