In a storm cold servers earn their part of what usually comes; refusals end no recovery

On sockets four balancers went from recovering to calm within two seconds while half was refused: refusals after a wait were not seen. Change: while a storm lasts a request earns its usual part (Signs.usual_part); Watch tells of every refusal.

--- a/larkweir/storms/signs.py
+++ b/larkweir/storms/signs.py
@@ -160,6 +160,14 @@
     def arrivals_per_s(self, now_ms: float) -> float:
         return sum(rate.lately.per_s(now_ms) for rate in self._rates)
 
+    def usual_part(self, now_ms: float, beyond: float) -> float:
+        """Of the requests that come, the part that comes usually, `beyond` times it allowed; 1 where nothing is
+        known.
+        """
+        lately = self.arrivals_per_s(now_ms)
+        usual = beyond * sum(rate.usual_per_s(now_ms) for rate in self._rates)
+        return min(1.0, usual / lately) if usual > 0.0 and lately > 0.0 else 1.0
+
     def look(self, now_ms: float, since_ms: float, settled: bool) -> None:
         """Weigh the signs, `since_ms` after the last look. Usual parts follow only while all is settled."""
         weight = 1.0 - math.exp(-since_ms / self.LONG_MS)
--- a/larkweir/storms/storm.py
+++ b/larkweir/storms/storm.py
@@ -43,6 +43,7 @@
 
 
 class Storm:
+    BEYOND = 1.25  # times the usual, that a busy hour may bring
     TICK = 0.5  # of the tightest aim, from tick to tick
     LEAST_TICK_MS, MOST_TICK_MS = 50.0, 500.0
 
@@ -71,7 +72,9 @@
         self._opening = Opening()
         self.shares = Shares([cls.worth for cls in settings.classes], self._parts(settings), rng)
         self._ticked_ms = -math.inf
-        self._short = False  # something was turned away since the last tick
+        # Of what comes, that comes usually: cold servers are given their part of that, and not of every repeat.
+        self.usual_part = 1.0
+        self.short = False  # the decisions have turned something away since the last tick
         self._sent = Decayed(max(self._aim_ms, 250.0))
         self._unasked = Decayed(self.signs.short_ms)  # of those let in, who were not told to come now
         self._out_sum = self._out_count = 0  # calls out, as calls found it, since the last tick
@@ -147,13 +150,14 @@
         since = min(since, self.signs.LONG_MS)
         state = self.course.state
         self.signs.look(now_ms, since, state is State.CALM)
+        self.usual_part = 1.0 if state is State.CALM else self.signs.usual_part(now_ms, self.BEYOND)
         out = self._out_sum / self._out_count if self._out_count else 0.0
         self._out_sum = self._out_count = 0
         if state is not State.CALM:
             self.shares.tick(self._sent.per_s(now_ms), since / 1000.0)
         elif self._window is not None:
             self._opening.good(since, out, self.signs.ready)
-        short, self._short = self._short, False
+        short, self.short = self.short, False
         if self.course.step(now_ms, since, self.signs, short):
             self._moved(now_ms, state)
 
@@ -202,7 +206,6 @@
         whether it
         is one that should be, if not all can.
         """
-        self._short = self._short or not let_in
         if self.course.state is State.CALM:
             return let_in
         wanted = self.shares.wants(cls, self._kind, tenant)
--- a/larkweir/storms/watch.py
+++ b/larkweir/storms/watch.py
@@ -87,6 +87,7 @@
             self._close(event.request)
         elif isinstance(event, Reconfigured):
             storm.configure(event.settings)
+        self.balancer.slow_start.part = storm.usual_part
         actions = self.balancer.handle(now_ms, event)
         for action in actions:
             if isinstance(action, Send):
@@ -98,6 +99,7 @@
                     if item.sends == 1:
                         storm.sent(now_ms, self._out)
             elif isinstance(action, Refuse):
+                storm.short = True
                 item = self._open.get(action.request)
                 if action.wait_ms > 0.0 and item is not None:
                     client = item.client or self._client_of(action.request)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -89,25 +89,9 @@
     """What this copy knows of one server."""
 
     __slots__ = (
-        "answered_ms",
-        "cell",
-        "ejected",
-        "ejections",
-        "id",
-        "kind",
-        "level",
-        "linked",
-        "outstanding",
-        "shunned",
-        "silent",
-        "slowness",
-        "started_ms",
-        "state",
-        "strikes",
-        "until_ms",
-        "used_ms",
-        "zone",
-    )
+        "answered_ms cell ejected ejections id kind level linked outstanding shunned silent "
+        "slowness started_ms state strikes until_ms used_ms zone"
+    ).split()
 
     def __init__(self, entry: ServerEntry) -> None:
         self.id = entry.server
@@ -269,26 +253,9 @@
 
 class Request:
     __slots__ = (
-        "aim_ms",
-        "asked",
-        "attempts",
-        "came_ms",
-        "class_index",
-        "cls",
-        "coming",
-        "deadline_ms",
-        "id",
-        "legality",
-        "most",
-        "out",
-        "polled",
-        "polling",
-        "probes",
-        "roams",
-        "size",
-        "started",
-        "wake_ms",
-    )
+        "aim_ms asked attempts came_ms class_index cls coming deadline_ms id legality most out "
+        "polled polling probes roams size started wake_ms"
+    ).split()
 
     def __init__(self, event: RequestArrived, cls: RequestClass, legality: Legality, now_ms: float) -> None:
         self.id = event.request
@@ -395,6 +362,7 @@
         self.credit = rng.random()
         self._sum = self._sum_until = 0.0
         self.most_ready = 0.0  # servers at a time, of late
+        self.part = 1.0  # of a request, that earns: less where others know that far more come than usual
         self.configure(settings)
 
     def configure(self, settings: Settings) -> None:
@@ -431,7 +399,7 @@
             self._sum_until = now_ms + self._ms / 100.0
             self.most_ready *= self.FORGET
         whole = max(ready, self.WHOLE * self.most_ready)
-        self.credit = min(self.CREDIT_CAP, self.credit + self._pace * self._sum / whole)
+        self.credit = min(self.CREDIT_CAP, self.credit + self.part * self._pace * self._sum / whole)
 
     def admits(self, server: Server, now_ms: float) -> bool:
         """Whether a drawn server may be sent to; the colder of two cold ones is let through less often."""
--- /dev/null
+++ b/tests/storms/test_loopback.py
@@ -0,0 +1,72 @@
+"""The whole part on loopback sockets: a cold server that is back, before a thousand clients."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any
+
+from larkweir.config.options import Storms
+from standins.cold import ColdUpstream, Crowd
+from standins.returning import HABITS, TENANTS
+from tests.fakes import SETTINGS, running
+from tests.upstreams.test_attempts import run
+
+CATEGORIES: list[dict[str, Any]] = [
+    {"Name": "consulta", "Effect": "read_like", "AimMs": 410, "HardLimitMs": 1000},
+    {
+        "Name": "publicar",
+        "Effect": "idempotency_key",
+        "AimMs": 410,
+        "HardLimitMs": 1000,
+        "Group": "zone",
+        "MemorySpanMs": 4000,
+        "Worth": 8,
+    },
+    {"Name": "traspaso", "Effect": "non_idempotent", "AimMs": 410, "HardLimitMs": 1000, "Worth": 8},
+]
+BASE = SETTINGS | {
+    "Tenants": [
+        {"Name": f"t{n}", "QuotaPerS": 100 * part, "Fraction": part} for n, part in enumerate(TENANTS)
+    ]
+}
+
+
+def test_a_cold_server_survives_a_thousand_clients_that_come_back() -> None:
+    """Two of three go, come back cold, and are listed. None falls over, nothing unsafe runs twice, and every request
+    has one answer; publicar is served.
+    """
+
+    async def work() -> None:
+        upstreams = [ColdUpstream(f"u{n}", 10.0, cold_ms=3_000.0) for n in range(3)]
+        for upstream in upstreams:
+            await upstream.start()
+        async with running(
+            *(upstream.entry() for upstream in upstreams),
+            storms=Storms(on=True),
+            categories=CATEGORIES,
+            base=BASE,
+            machine={"cores": 1.0, "memory_mb": 192, "sockets": 2048},
+        ) as balancer:
+            crowd = Crowd([balancer.port], HABITS)
+
+            async def fail() -> None:
+                await asyncio.sleep(1.0)
+                for upstream in upstreams:
+                    upstream.stop()
+                balancer.discovery.change(*(upstream.entry("left") for upstream in upstreams))
+                await asyncio.sleep(1.0)
+                for upstream in upstreams:
+                    await upstream.start(cold=True)
+                balancer.discovery.change(*(upstream.entry() for upstream in upstreams))
+
+            await asyncio.gather(crowd.run(1000, 150.0, 5.0), fail())
+        assert [upstream.falls for upstream in upstreams] == [0, 0, 0]
+        total = crowd.total(lambda second, cls, habit: True)
+        assert total.asked >= 500 and total.answers + total.cut == total.tries
+        publish = crowd.total(lambda second, cls, habit: cls == 1 and second >= 2)
+        assert publish.in_aim > 0
+        for upstream in upstreams:
+            assert max(upstream.runs.values()) == 1  # an id runs once
+            upstream.stop()
+
+    run(work())
