--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -48,7 +48,7 @@
         "MachineTypes": ["box"],
         "Tiers": ["front"],
         "Me": me,
-        "Copies": copies,
+        "PeersTotal": copies,
         "Discovery": "pushed",
         "Clients": {"MarksRetry": True},
         "Guarantees": {
--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -22,9 +22,17 @@
         return run(None, arguments)  # as the platform starts it: nothing else is imported
     options = _parser().parse_args(list(arguments))
     if options.command == "check":
-        from larkweir.cli.check import check, diff
-
-        return diff(*options.diff) if options.diff else check(options.files)
+        return _check(options)
+    if options.command in ("format", "diff", "explain", "convert", "schema"):
+        from larkweir.cli import language  # not imported where no file of it is read
+
+        if options.command == "format":
+            return language.format_files(options.files, options.write)
+        if options.command == "diff":
+            return language.diff(options.old, options.new, options.platform, options.format)
+        if options.command == "explain":
+            return language.explain(options.what, options.file)
+        return language.convert(options.file) if options.command == "convert" else language.schema()
     if options.command == "demo":
         from larkweir.cli.demo import demo
 
@@ -34,6 +42,22 @@
     return run(getattr(options, "operator", None), arguments)
 
 
+def _check(options: argparse.Namespace) -> int:
+    """The files by their kinds: JSON of the platform, TOML, and the configuration language for all others."""
+    from larkweir.cli.check import check, diff
+
+    if options.diff:
+        return diff(*options.diff)
+    plain = [path for path in options.files if path.endswith((".json", ".toml"))]
+    others = [path for path in options.files if path not in plain]
+    worst = check(plain) if plain or not others else 0
+    if others:
+        from larkweir.cli import language
+
+        worst = max(worst, language.check(others, options.platform, options.format))
+    return worst
+
+
 def _parser() -> argparse.ArgumentParser:
     import argparse
 
@@ -55,15 +79,19 @@
         "GW_LISTEN and GW_DISCOVERY go before it.",
     )
     run.add_argument(
-        "--operator", metavar="FILE", help="an operator file (TOML); without it all parts are off"
+        "--operator",
+        metavar="FILE",
+        help="an operator file: the configuration language or TOML",
     )
     check = commands.add_parser(
         "check",
         help="check configuration files, or compare two",
-        description="Print every fault of platform files (JSON) and operator files (TOML) as `file: key: what is "
-        "wrong and what would do`. Exit code 0 if there is none, else 2.",
+        description="Print every fault of platform files (.json), operator files (.toml) and files of the "
+        "configuration language (all others, with what they include). Exit code 0 if there is none, 1 if there are "
+        "warnings alone, else 2.",
     )
-    check.add_argument("files", nargs="*", metavar="FILE", help="a file ending in .toml is an operator file")
+    check.add_argument("files", nargs="*", metavar="FILE", help="its ending says what it is")
+    _common(check)
     check.add_argument(
         "--diff",
         nargs=2,
@@ -71,6 +99,33 @@
         help="print what differs, and whether a reload, a handover or a restart makes it count; exit code 0 if "
         "nothing differs, 1 if something does, 2 if a file is at fault",
     )
+    layout = commands.add_parser(
+        "format",
+        help="lay files of the configuration language out",
+        description="Print what the one layout changes, or write it. Exit code 0 if nothing changes or it was written, "
+        "1 if something would, 2 if a file has faults.",
+    )
+    layout.add_argument("files", nargs="+", metavar="FILE")
+    layout.add_argument("--write", action="store_true", help="write the files instead")
+    behaviour = commands.add_parser(
+        "diff",
+        help="what changes in behaviour between two operator files",
+        description="Say in sentences what changes, and when it counts. Exit code 0 if nothing does, 1 if something "
+        "does, 2 at a fault.",
+    )
+    behaviour.add_argument("old", metavar="OLD")
+    behaviour.add_argument("new", metavar="NEW")
+    _common(behaviour)
+    explain = commands.add_parser(
+        "explain",
+        help="the effective value of a key, and the line that it comes from",
+        description="With a file: its values, or that of one key or table. Without: what a key may hold.",
+    )
+    explain.add_argument("what", metavar="KEY|FILE")
+    explain.add_argument("file", nargs="?", metavar="FILE")
+    convert = commands.add_parser("convert", help="print a TOML operator file in the configuration language")
+    convert.add_argument("file", metavar="FILE")
+    commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
         help="a balancer with a few upstreams on this machine, to try",
@@ -82,5 +137,12 @@
     return parser
 
 
+def _common(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument("--platform", metavar="JSON", help="check policies beside this platform file too")
+    parser.add_argument(
+        "--format", choices=("text", "json"), default="text", help="for people or for programs"
+    )
+
+
 if __name__ == "__main__":
     sys.exit(main(sys.argv[1:]))
--- a/larkweir/config/operator.py
+++ b/larkweir/config/operator.py
@@ -5,11 +5,12 @@
 import tomllib
 from dataclasses import fields
 from difflib import get_close_matches
+from types import NoneType
 from typing import Any, get_args, get_type_hints
 
 import msgspec
 
-from larkweir.config.options import TABLES, Operator
+from larkweir.config.options import NAMED, TABLES, Operator
 from larkweir.config.platform import ConfigError
 
 WORDS = {
@@ -50,31 +51,49 @@
     faults: list[str] = []
     tables: dict[str, Any] = {}
     for table, rows in data.items():
-        kind = TABLES.get(table)
-        if kind is None:
-            faults.append(_unknown(table, list(TABLES), "table"))
-            continue
-        if not isinstance(rows, dict):
+        if not isinstance(rows, dict) and (table in TABLES or table in NAMED):
             faults.append(f"{table}: {rows!r:.100} is no table; write [{table}] and its keys below")
-            continue
-        known = {item.name: item.metadata for item in fields(kind)}
-        hints = get_type_hints(kind)
-        good: dict[str, Any] = {}
-        for key, value in rows.items():
-            if key not in known:
-                faults.append(f"{table}.{_unknown(key, list(known), 'key')}")
-                continue
-            fault = _value_fault(hints[key], value, known[key]["low"], known[key]["high"])
-            if fault:
-                faults.append(f"{table}.{key}: {fault}")
-            else:
-                good[key] = msgspec.convert(value, hints[key])
-        tables[table] = kind(**good)
-        if hasattr(kind, "faults"):
-            faults += [f"{table}.{key}: {fault}" for key, fault in tables[table].faults().items()]
+        elif table in TABLES:
+            tables[table] = _row(table, TABLES[table], rows, faults)
+        elif table in NAMED:
+            kind, held = NAMED[table]
+            tables[held] = {}
+            for name, row in rows.items():
+                if isinstance(row, dict):
+                    tables[held][name] = _row(f"{table}.{name}", kind, row, faults)
+                else:
+                    faults.append(f"{table}.{name}: {row!r:.100} is no table; write [{table}.{name}]")
+        else:
+            faults.append(_unknown(table, [*TABLES, *NAMED], "table"))
     return Operator(**tables), faults
 
 
+def _row(table: str, kind: type[Any], rows: dict[str, Any], faults: list[str]) -> Any:
+    """One table's keys; what is wrong with any is added to the faults."""
+    known = {item.name: item.metadata for item in fields(kind)}
+    hints = get_type_hints(kind)
+    good: dict[str, Any] = {}
+    for key, value in rows.items():
+        if key not in known:
+            faults.append(f"{table}.{_unknown(key, list(known), 'key')}")
+            continue
+        fault = _value_fault(_said(hints[key]), value, known[key]["low"], known[key]["high"])
+        if fault:
+            faults.append(f"{table}.{key}: {fault}")
+        else:
+            good[key] = msgspec.convert(value, hints[key])
+    row = kind(**good)
+    if hasattr(kind, "faults"):
+        faults += [f"{table}.{key}: {fault}" for key, fault in row.faults().items()]
+    return row
+
+
+def _said(kind: Any) -> Any:
+    """The type of what is said, without the None that stands for nothing said."""
+    options = [item for item in get_args(kind) if item is not NoneType]
+    return options[0] if NoneType in get_args(kind) and len(options) == 1 else kind
+
+
 def load(path: str) -> Operator:
     """The options of a file; ConfigError, one line with the first fault, if it can't be used."""
     try:
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass, field, fields
 from enum import Enum
 from ipaddress import ip_network
@@ -16,11 +17,32 @@
     START = "start"  # at the next start only
 
 
+class Unit(Enum):
+    """What a number counts, where the configuration language writes it with a unit."""
+
+    NONE = ""
+    TIME = "ms"  # held as milliseconds
+    RATE = "per_s"  # held a second
+    PART = "part"  # from 0 to 1, or in percent
+    TIMES = "times"
+
+
 def option(
-    default: Any, change: Change = Change.LIVE, low: float | None = None, high: float | None = None
+    default: Any,
+    change: Change = Change.LIVE,
+    low: float | None = None,
+    high: float | None = None,
+    unit: Unit = Unit.NONE,
 ) -> Any:
-    """A key with its default, how a change of it counts, and its bounds, both of which are allowed."""
-    return field(default=default, metadata={"change": change, "low": low, "high": high})
+    """A key with its default, how a change of it counts, its bounds, both of which are allowed, and what it counts: a
+    time where its name ends in `_ms`, a rate where it ends in `_per_s`.
+    """
+    return field(default=default, metadata={"change": change, "low": low, "high": high, "unit": unit})
+
+
+def unit_of(name: str, unit: Unit) -> Unit:
+    """The unit that a key's name tells, or that it was given."""
+    return next((item for item in (Unit.TIME, Unit.RATE) if name.endswith(f"_{item.value}")), unit)
 
 
 @dataclass(frozen=True, eq=False, repr=False)
@@ -103,9 +125,9 @@
 
     on: bool = option(False, Change.HANDOVER)
     # Of the tightest aim: the mean turn of the event loop from which requests are turned away before they are read.
-    high: float = option(0.25, Change.HANDOVER, low=0.01, high=1.0)
+    high: float = option(0.25, Change.HANDOVER, low=0.01, high=1.0, unit=Unit.PART)
     # The same, at which that ends; between the two it steers.
-    low: float = option(0.15, Change.HANDOVER, low=0.01, high=1.0)
+    low: float = option(0.15, Change.HANDOVER, low=0.01, high=1.0, unit=Unit.PART)
 
     def faults(self) -> dict[str, str]:
         """What is wrong beyond types and bounds, by key."""
@@ -132,10 +154,10 @@
     # Taken off the time that goes down with an attempt.
     way_back_ms: float = option(2.0, Change.HANDOVER, low=0.0, high=10_000.0)
     # Further attempts that each request earns this tier, and each second at the least.
-    retry_ratio: float = option(0.5, Change.HANDOVER, low=0.0, high=10.0)
+    retry_ratio: float = option(0.5, Change.HANDOVER, low=0.0, high=10.0, unit=Unit.PART)
     retry_floor_per_s: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
     # A caller that is trusted may state up to so many times the class's worth.
-    worth_most: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0)
+    worth_most: float = option(1.0, Change.HANDOVER, low=0.0, high=1000.0, unit=Unit.TIMES)
 
     def faults(self) -> dict[str, str]:
         """What is wrong beyond types and bounds, by key."""
@@ -170,6 +192,97 @@
     fields: bool = option(False, Change.HANDOVER)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class ClassPolicy:
+    """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
+    not said stays as the platform's settings say.
+    """
+
+    # Attempts at the most.
+    attempts: int | None = option(None, low=1, high=100)
+    # What it is worth beside others, where not all can be served.
+    worth: float | None = option(None, low=0.001, high=1_000_000.0)
+    # When an answer is worth nothing any more, and when it is given up. Never later than the platform's.
+    aim_ms: float | None = option(None, low=1.0, high=3_600_000.0)
+    deadline_ms: float | None = option(None, low=1.0, high=3_600_000.0)
+    # Whether it may run again: never more freely than the platform says.
+    repeats: Literal["freely", "by_key", "never"] | None = option(None)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        if self.aim_ms and self.deadline_ms and self.aim_ms > self.deadline_ms:
+            return {"aim_ms": f"{self.aim_ms:g} ms is later than deadline, {self.deadline_ms:g} ms"}
+        return {}
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class TenantPolicy:
+    """The table `[tenant.NAME]`."""
+
+    # Of the whole, that counts as within its share.
+    share: float | None = option(None, low=0.0, high=1.0, unit=Unit.PART)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Retries:
+    """The table `[retries]`: further attempts, over all classes."""
+
+    # Further attempts that each request earns, and as many as may be saved up.
+    ratio: float = option(0.25, low=0.0, high=1.0, unit=Unit.PART)
+    burst: float = option(8.0, low=0.0, high=10_000.0)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Ejection:
+    """The table `[ejection]`: upstreams that are left out for a while."""
+
+    # The odds under which a run of failures is put down to the upstream.
+    odds: float = option(0.05, low=0.0, high=0.5, unit=Unit.PART)
+    # Of the ready ones, that may be left out at once; past that all are used (the panic threshold).
+    most: float = option(0.5, low=0.0, high=0.9, unit=Unit.PART)
+    # Times the usual time of its class, from which an answer counts against its upstream.
+    slow: float = option(4.0, low=1.5, high=1000.0, unit=Unit.TIMES)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Queue:
+    """The table `[queue]`: how long a request may wait for a place, as a part of its aim."""
+
+    patience: float = option(0.25, low=0.0, high=0.5, unit=Unit.PART)
+    # The same, while requests have been waiting without a break.
+    standing: float = option(0.1, low=0.0, high=0.5, unit=Unit.PART)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        if self.standing > self.patience:
+            return {"standing": f"{self.standing:g} is more than patience, {self.patience:g}"}
+        return {}
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Cold:
+    """The table `[cold]`: upstreams that have just started."""
+
+    # Of the work that would push one over, that all balancers together plan for.
+    pace: float = option(0.25, low=0.01, high=0.33, unit=Unit.PART)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Drain:
+    """The table `[drain]`."""
+
+    # Something new may go to an upstream for so long after the word of its drain. Never longer than the platform's.
+    grace_ms: float | None = option(None, low=0.0, high=600_000.0)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Advice:
+    """The table `[advice]`."""
+
+    # Who is refused is told to come back after so long at the most. Never later than the platform's.
+    most_ms: float | None = option(None, low=1.0, high=600_000.0)
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Operator:
     """The whole operator file."""
@@ -179,6 +292,24 @@
     budget: Budget = field(default_factory=Budget)
     door: Door = field(default_factory=Door)
     storms: Storms = field(default_factory=Storms)
+    retries: Retries = field(default_factory=Retries)
+    ejection: Ejection = field(default_factory=Ejection)
+    queue: Queue = field(default_factory=Queue)
+    cold: Cold = field(default_factory=Cold)
+    drain: Drain = field(default_factory=Drain)
+    advice: Advice = field(default_factory=Advice)
+    classes: dict[str, ClassPolicy] = field(default_factory=dict)  # by name, `*` for the others
+    tenants: dict[str, TenantPolicy] = field(default_factory=dict)  # by name
+    fingerprint: str = ""  # of all this, where it came from files of the configuration language
+
+    @property
+    def governs(self) -> bool:
+        """Whether it says anything of how requests are weighed, so that the platform's settings are not all."""
+        return bool(self.classes or self.tenants) or any(
+            getattr(getattr(self, table), item.name) != item.default
+            for table in POLICIES
+            for item in fields(TABLES[table])
+        )
 
 
 TABLES: dict[str, type[Any]] = {
@@ -187,23 +318,46 @@
     "budget": Budget,
     "door": Door,
     "storms": Storms,
+    "retries": Retries,
+    "ejection": Ejection,
+    "queue": Queue,
+    "cold": Cold,
+    "drain": Drain,
+    "advice": Advice,
+}
+POLICIES = ("retries", "ejection", "queue", "cold", "drain", "advice")  # stand over the platform's settings
+# Those of which there are several, each with a name of its own, and the field of `Operator` that holds them.
+NAMED: dict[str, tuple[type[Any], str]] = {
+    "class": (ClassPolicy, "classes"),
+    "tenant": (TenantPolicy, "tenants"),
 }
 
 
+def rows(options: Operator) -> Iterator[tuple[str, Any]]:
+    """Every table with its name, `class.publicar` where it has one of its own."""
+    for table in TABLES:
+        yield table, getattr(options, table)
+    for table, (_, held) in NAMED.items():
+        for name, row in getattr(options, held).items():
+            yield f"{table}.{name}", row
+
+
 def changed(old: Operator, new: Operator) -> dict[str, tuple[Any, Any, Change]]:
     """The keys that differ, as `table.key`, with both values and how each comes to count."""
     found: dict[str, tuple[Any, Any, Change]] = {}
-    for table, kind in TABLES.items():
-        before, after = getattr(old, table), getattr(new, table)
+    before, after = dict(rows(old)), dict(rows(new))
+    for table in [*before, *(table for table in after if table not in before)]:
+        kind = type(before.get(table) or after[table])
+        one, other = before.get(table) or kind(), after.get(table) or kind()
         for item in fields(kind):
-            one, other = getattr(before, item.name), getattr(after, item.name)
-            if one != other:
-                found[f"{table}.{item.name}"] = (one, other, item.metadata["change"])
+            left, right = getattr(one, item.name), getattr(other, item.name)
+            if left != right:
+                found[f"{table}.{item.name}"] = (left, right, item.metadata["change"])
     return found
 
 
 def keep_fixed(old: Operator, new: Operator) -> Operator:
-    """The new file as far as it can change live; the rest stays as it was."""
+    """The new file as far as it can change live; the rest stays as it was. All that is named can."""
     tables = {}
     for table, kind in TABLES.items():
         before, after = getattr(old, table), getattr(new, table)
@@ -212,4 +366,4 @@
             for item in fields(kind)
         }
         tables[table] = kind(**values)
-    return Operator(**tables)
+    return Operator(**tables, classes=new.classes, tenants=new.tenants)
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -252,6 +252,8 @@
             "discovery": node.discovery.address,
             "list": node.discovery.held()["generation"],
         }
+        if self._generation.fingerprint:
+            facts["config"] = self._generation.fingerprint
         if node.storms is not None:
             facts |= node.storms.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -15,11 +15,15 @@
 
 
 class Generation(NamedTuple):
-    """What the program is told, as far as it counts now, and the platform file's object that it is from."""
+    """What the program is told, as far as it counts now, and the platform file's object that it is from. In `config`
+    the
+    policies of the operator file are in force.
+    """
 
     config: Config
     options: Operator
     raw: dict[str, Any]
+    fingerprint: str = ""  # of what is in force, where a file of the configuration language says it
 
 
 class Reading(NamedTuple):
@@ -37,15 +41,33 @@
 def load_options(path: str | None) -> Operator:
     if path is None:
         return Operator()
-    from larkweir.config.operator import load  # not imported where there is no operator file
+    # Neither is imported where there is no operator file.
+    if path.endswith(".toml"):
+        from larkweir.config.operator import load
+
+        return load(path)
+    from larkweir.language.files import load as load_language
+
+    return load_language(path)
+
+
+def governed(config: Config, options: Operator) -> Config:
+    """The platform's file with staff's policies over it; ConfigError, one line, where they can't stand beside it."""
+    if not options.governs:
+        return config
+    from larkweir.config.policies import in_force, objections
 
-    return load(path)
+    for item in objections(config.settings, config.drain_grace_ms, options):
+        if item.grave:
+            raise ConfigError(f"operator file: {item.key}: {item.text}; {item.mend}")
+    return in_force(config, options)
 
 
 def first(env: Mapping[str, str], operator: str | None) -> Generation:
     """At the start; ConfigError if anything is wrong."""
     raw = read_object(read_file(env))
-    return Generation(decode_object(raw, env), load_options(operator), raw)
+    options = load_options(operator)
+    return Generation(governed(decode_object(raw, env), options), options, raw, options.fingerprint)
 
 
 TRIES = 5
@@ -80,18 +102,24 @@
     config = decode_object(raw, env, again=True)
     told = load_options(operator)
     options = keep_fixed_options(now.options, told)
+    governed(config, told)  # also in what can't count yet
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
     if told.lifecycle.reload == "discovery":
-        generation = Generation(replace(now.config, discovery=config.discovery), options, now.raw)
+        # Policies are the operator file's: they count although the platform file's settings do not.
+        base = now.config
+        if options.governs or now.options.governs:
+            base = governed(decode_object(now.raw, env, again=True), options)
+            base = replace(base, settings=in_place(now.config.settings.classes, base.settings))
+        generation = Generation(replace(base, discovery=config.discovery), options, now.raw, told.fingerprint)
     else:
         changes += [(item.key, item.change) for item in differences(now.raw, raw)]
         raw = keep_fixed(now.raw, raw)
-        config = decode_object(raw, env, again=True)
+        config = governed(decode_object(raw, env, again=True), options)
         settings = in_place(now.config.settings.classes, config.settings)
         problem = fixed_difference(now.config.settings, settings)
         if problem:
             raise ConfigError(f"settings: {problem} can't change in service; it counts from the next start")
-        generation = Generation(config, options, raw)
+        generation = Generation(config, options, raw, told.fingerprint)
     return Reading(
         generation,
         tuple(key for key, change in changes if change is Change.HANDOVER),
--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -449,8 +449,6 @@
     may wait, a standing queue may not).
     """
 
-    PATIENCE = 0.25  # of the aim: how long a burst may wait
-    STANDING = 0.1  # of the aim: how long, where the room has not been empty
     INTERVAL = 0.5  # of the aim, for so long
     MOST = 4096  # that wait at once
     OVER_TURN = 16  # every so many turns, one over its share goes first: guards against starving it for good
@@ -470,6 +468,8 @@
 
     def configure(self, settings: Settings) -> None:
         """The weights are the classes' worth; who waits already stays. Classes keep their places; there may be more."""
+        # Of the aim: how long a burst may wait, and how long where the room has not been empty.
+        self._patience, self._standing = settings.tuning.queue_patience, settings.tuning.queue_standing
         had = len(self._weights)
         self._weights = [max(cls.worth, 0.001) for cls in settings.classes]
         self._classes = count = len(self._weights)
@@ -490,11 +490,11 @@
         self, now_ms: float, aim_ms: float, aim_left_ms: float, pace_ms: float, over_share: bool
     ) -> float:
         """How long a request may wait; `pace_ms` is the mean time from place to place."""
-        part = self.PATIENCE
+        part = self._patience
         since = self._occupied_ms[over_share]
         if since >= 0.0 and now_ms - since > self.INTERVAL * aim_ms:
             # Where places come seldom, one or two of them: else no one would be there to take the next.
-            part = min(part, max(self.STANDING, 2.0 * pace_ms / aim_ms))
+            part = min(part, max(self._standing, 2.0 * pace_ms / aim_ms))
         return part * aim_left_ms
 
     def enter(
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -101,6 +101,7 @@
     streaming: bool = False
     aim_stretch: float = 0.0
     name: str = ""
+    attempts: int = 0  # at the most, where the class has a bound of its own; 0: as the settings say
 
     def __post_init__(self) -> None:
         _check("class.", "aim_ms", self.aim_ms, 0.001)
@@ -122,6 +123,23 @@
         _check("tenant.", "fraction", self.fraction, 0.0)
 
 
+@dataclass(slots=True, frozen=True)
+class Tuning:
+    """What staff may set of how the decisions weigh; the defaults are those that were measured."""
+
+    retry_ratio: float = 0.25  # further attempts earned by each request
+    retry_cap: float = 8.0  # as many as may be saved up
+    eject_odds: float = 0.05  # under which a run of failures is put down to the server
+    eject_most: float = 0.5  # of the ready servers, that may be ejected at once
+    # Times the usual latency of its class and size, from which an answer counts against its server.
+    slow: float = 4.0
+    queue_patience: float = 0.25  # of the aim, that a request may wait for a place
+    queue_standing: float = 0.1  # the same, where requests have been waiting without a break
+    # Of the multiple that topples a cold server, what is planned for; the rest is left to chance, heavy requests,
+    # retries and copies with another view.
+    cold_pace: float = 0.25
+
+
 @dataclass(slots=True, frozen=True)
 class Settings:
     """All that a copy is told at start. Every default is the cautious one."""
@@ -160,6 +178,7 @@
     price_probe: float = 0.0
     price_waste: float = 0.0
     price_late_fail: float = 0.0
+    tuning: Tuning = field(default_factory=Tuning)
 
     def __post_init__(self) -> None:
         if not self.classes:
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -261,7 +261,8 @@
         self.id = event.request
         self.cls = cls  # as the settings had it when the request came, like what is legal
         self.legality = legality
-        self.most = MANY if event.attempts is None else event.attempts  # attempts, by its own budget
+        # Attempts, by its own budget and its class's bound.
+        self.most = min(MANY if event.attempts is None else event.attempts, cls.attempts or MANY)
         self.came_ms = now_ms
         self.deadline_ms = now_ms + event.time_left_ms
         self.aim_ms = self.deadline_ms  # after this an answer is worth nothing; set by the balancer
@@ -346,9 +347,6 @@
     times the load of a warm one, scaled by its capacity, whatever the number of copies or of cold servers.
     """
 
-    # Of the multiple that topples a server, what is planned for; the rest is left to chance, heavy requests,
-    # retries and copies with another view.
-    PACE = 0.25
     WHOLE, FORGET = (
         0.75,
         0.999,
@@ -368,7 +366,7 @@
     def configure(self, settings: Settings) -> None:
         """Take the figures; the credit is carried on."""
         self._share, self._ms = settings.cold_share, settings.cold_ms
-        self._pace = min(1.0, settings.fall_multiple * self.PACE)
+        self._pace = min(1.0, settings.fall_multiple * settings.tuning.cold_pace)
 
     def watch(self, servers: list[Server], now_ms: float) -> None:
         cold = [s for s in servers if self.is_cold(s, now_ms)]
@@ -541,13 +539,8 @@
     MEMORY = 1.0 / 16.0  # weight of a new sample in the running means
     POLLS = 2  # draws of a call that looks again, which comes soon and often
     EXPLORE = 0.03  # of calls that probe although it seems not to pay, so that a change is noticed
-    RETRY_RATIO = 0.25  # further attempts earned by each request
-    RETRY_CAP = 8.0
     MOST_IN_VAIN = 64.0  # requests that ended unserved, as far as they are remembered
     UNSEEN_PRICE = 0.25  # a call that a server never looked at cost no work
-    OUTLIER = 0.05  # the odds under which a run of failures is put down to the server
-    # Times the usual latency of its class and size, from which an answer counts against its server.
-    SLOW = 4.0
     # Of the usual latency, that must be left for a call to be tried. Guards against work that nobody can use,
     # and against time-outs held against servers that were given no time.
     HOPE = 0.25
@@ -580,7 +573,7 @@
         self.out: list[Action] = []
         self._booted = False
         self._list_backoff_ms = 0.0
-        self._retries = self.RETRY_CAP / 2.0
+        self._retries = settings.tuning.retry_cap / 2.0
         # Requests that ended unserved after long, and may come again with what time is left.
         self._in_vain = 0.0
         self._usual = [Usual() for _ in settings.classes]
@@ -666,7 +659,8 @@
             usual = self._work[at] or event.expected_ms
             self._work[at] = usual + self.MEMORY * (event.expected_ms - usual)
             request.size = event.expected_ms / usual
-        self._retries = min(self.RETRY_CAP, self._retries + self.RETRY_RATIO)
+        tuning = self.settings.tuning
+        self._retries = min(tuning.retry_cap, self._retries + tuning.retry_ratio)
         self._set_aim(request, event)
         over_share = self._over_share(event)
         left = request.aim_ms - self.now
@@ -830,7 +824,7 @@
         attempt.outcome = event.outcome
         request.out -= 1
         if event.left is not None:  # what was given back counts again, what is out elsewhere does not
-            request.most = len(request.attempts) + event.left
+            request.most = min(len(request.attempts) + event.left, request.cls.attempts or MANY)
         self._uncount(attempt)
         spent = event.spent_ms if event.upstream_ms is None else event.upstream_ms
         server = attempt.server
@@ -859,7 +853,7 @@
             server.silent = False
             server.answered_ms = self.now
             self._served_ms = max(self._served_ms, attempt.sent_ms)
-            slow = spent > self.SLOW * usual * max(1.0, request.size)
+            slow = spent > self.settings.tuning.slow * usual * max(1.0, request.size)
             self._judge(server, request, event.outcome, slow, spent)
             ratio = min(self.SLOWEST, spent / (usual * max(0.25, request.size)))
             self._behind[attempt.ahead > 0] += self.MEMORY * (ratio - self._behind[attempt.ahead > 0])
@@ -960,7 +954,7 @@
         """Outlier ejection: a run of failures withholds the token for a growing, bounded, jittered time.
 
         One bad server is told from a bad tier by chance: the run must be one that the failure rate of all
-        servers together would give this one in fewer than `OUTLIER` of cases, and at most half of the ready
+        servers together would give this one in fewer than `eject_odds` of cases, and at most `eject_most` of the ready
         servers are ejected at once: guards against emptying a fleet that is slow as a whole.
         """
         self._fail_share += self.MEMORY / 2.0 * (failed - self._fail_share)
@@ -985,7 +979,8 @@
         # that are well, in turn, which crowds the rest. One that gives no sign of life is not waited for so long.
         runs = self._out if outcome is Outcome.ERROR or outcome is Outcome.RESET else 1
         odds = self._fail_share**server.strikes * max(1, runs)
-        if odds < self.OUTLIER and 2 * self.fleet.ejected < ready:
+        tuning = self.settings.tuning
+        if odds < tuning.eject_odds and self.fleet.ejected < tuning.eject_most * ready:
             # Doubles with each ejection, not with each failure, which a bad tier gives to all.
             server.ejections += 1
             # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -52,7 +52,8 @@
     for table, kind in TABLES.items():
         assert f"[{table}]" in text
         for item in fields(kind):
-            assert f"\n{item.name} = " in text
+            mark = "# " if item.default is None else ""  # nothing said can only be shown
+            assert f"\n{mark}{item.name} = " in text
 
 
 def test_changes_come_to_what_the_key_says() -> None:
@@ -73,3 +74,18 @@
     with pytest.raises(ConfigError) as caught:
         load(str(path))
     assert str(path) in str(caught.value) and "\n" not in str(caught.value)
+
+
+def test_named_tables_are_read_and_their_faults_told() -> None:
+    options, faults = decode(
+        '[class.publicar]\nattempts = 2\nrepeats = "never"\n[tenant."a b"]\nshare = 0.5\n'
+    )
+    assert not faults
+    assert options.classes["publicar"].attempts == 2 and options.classes["publicar"].worth is None
+    assert options.tenants["a b"].share == 0.5
+    _, faults = decode('class = 3\n[tenant]\na = 1\n[retries]\nratio = "x"\n')
+    assert [fault.split(":")[0] for fault in faults] == ["class", "tenant.a", "retries.ratio"]
+    assert decode("[class.a]\nattempts = 0\naim_ms = 10.0\ndeadline_ms = 5.0\n")[1] == [
+        "class.a.attempts: 0 is out of bounds; write a whole number from 1 to 100",
+        "class.a.aim_ms: 10 ms is later than deadline, 5 ms",
+    ]
--- a/tests/mulleinhitch/test_admission.py
+++ b/tests/mulleinhitch/test_admission.py
@@ -238,7 +238,7 @@
     whole = world.total(2_000.0, 6_000.0)
     assert whole.in_aim >= 0.95 * world.capacity_per_s * 4.0
     # Who is given up is answered: at once where nothing can come of it, else after its stated wait.
-    assert quantile(whole.waits, 0.99) <= WaitingRoom.PATIENCE * AIM_MS + 1.0
+    assert quantile(whole.waits, 0.99) <= 0.25 * AIM_MS + 1.0
 
 
 def test_time_of_this_process_does_not_close_the_window() -> None:
