--- /dev/null
+++ b/tests/mulleinhitch/test_second_deployment.py
@@ -0,0 +1,269 @@
+"""Hard cases of a deployment with no probes, late reports, cancels that stop nothing and a list that must be asked
+for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+import pytest
+
+from mulleinhitch import Balancer, Settings
+from mulleinhitch.interface import (
+    Action,
+    AttemptEnded,
+    ClientGone,
+    Effect,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Refuse,
+    ReportMode,
+    RequestArrived,
+    RequestClass,
+    Send,
+    ServerEntry,
+    SetTimer,
+    TimerFired,
+    WatchList,
+)
+from standins.tier import World
+from tests.fakes import Caller, FakeUpstream, Incoming, Talk, running
+from tests.upstreams.test_attempts import run
+
+CLASSES = (
+    RequestClass(1500.0, 4000.0, Effect.SAFE, worth=2.0, name="fetch"),
+    RequestClass(2000.0, 5000.0, Effect.UNSAFE, worth=6.0, name="submit"),
+)
+
+
+def figures(**more: Any) -> Settings:
+    return Settings(
+        classes=CLASSES,
+        copies=3,
+        max_attempts=3,
+        second_copies=True,
+        on_request_discovery=True,
+        report_mode=ReportMode.INLINE,
+        report_fields=("waiting",),
+        **more,
+    )
+
+
+def story(seed: int, report: Callable[[float, int], tuple[float, ...]]) -> list[Action]:
+    """Ten seconds of calls to six servers, of which one chokes from 3 to 7 s; what is reported is the caller's
+    choice.
+    """
+    rng = Random(seed)
+    balancer = Balancer(figures(), seed)
+    said: list[Action] = list(
+        balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(6)]))
+    )
+    due: list[tuple[float, int, AttemptEnded]] = []
+    serial = count()
+
+    def hear(actions: list[Action], now: float) -> None:
+        said.extend(actions)
+        for action in actions:
+            if isinstance(action, Send):
+                choked = action.server == 2 and 3_000.0 < now < 7_000.0
+                spent = min(action.timeout_ms, (2_500.0 if choked else 300.0) * (0.5 + rng.random()))
+                outcome = Outcome.TIMEOUT if spent >= action.timeout_ms else Outcome.OK
+                final = outcome is Outcome.OK
+                end = AttemptEnded(action.request, 0, action.server, outcome, final, spent)
+                heappush(due, (now + spent, next(serial), end))
+
+    now = 0.0
+    for number in range(1, 301):
+        now += 33.0
+        while due and due[0][0] <= now:
+            at, _, end = heappop(due)
+            end.report = report(at, end.server)
+            hear(balancer.handle(max(at, balancer.now), end), at)
+        hear(balancer.handle(max(now, balancer.now), RequestArrived(number, number % 4 == 0, 4000.0)), now)
+    return said
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_a_server_that_answers_well_and_reports_nothing_for_4_s(seed: int) -> None:
+    """What is reported of queues is never trusted beyond own counts and times: without it each decision is the same."""
+    told = story(seed, lambda now, server: (1.0,))
+    assert story(seed, lambda now, server: () if 2_000.0 < now < 6_000.0 else (1.0,)) == told
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_reports_4_s_late_during_a_choke(seed: int) -> None:
+    """They call the choked server idle while it is choked, and choked when it is well again."""
+    fresh = story(seed, lambda now, server: (40.0 if server == 2 and 3_000.0 < now < 7_000.0 else 0.0,))
+    late = story(seed, lambda now, server: (40.0 if server == 2 and 7_000.0 < now < 11_000.0 else 0.0,))
+    assert late == fresh
+
+
+def test_a_connection_that_dies_without_a_word_under_an_unsafe_request() -> None:
+    """Answered in time, never sent again, and called failed: it may have run."""
+
+    async def work() -> None:
+        async def silent(request: Incoming, talk: Talk) -> None:
+            await asyncio.sleep(60.0)
+
+        upstreams = [await FakeUpstream(silent).start() for _ in range(3)]
+        entries = [upstream.entry(f"u{n}") for n, upstream in enumerate(upstreams)]
+        async with running(*entries) as balancer, Caller(balancer.port) as caller:
+            begun = time.monotonic()
+            caller.ask("move", b"x", X_Expires_In_Ms="600")
+            answer = await caller.answer()
+            assert answer.status in (502, 504)
+            assert time.monotonic() - begun < 5.0  # in time; the machine may be slow
+            assert sum(len(upstream.seen) for upstream in upstreams) == 1
+
+    run(work())
+
+
+def test_all_servers_of_the_home_zone_lost_while_the_list_does_not_say_so() -> None:
+    """Calls move to the other zone although each crossing costs, and what can't be repeated does not run twice."""
+    settings = figures(zones=2, my_zone=0, price_cross_zone=0.04)
+    balancer = Balancer(settings, 3)
+    entries = [ServerEntry(n, zone=n // 4) for n in range(8)]
+    balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, entries))
+    now, away, tried = 0.0, [], 0
+    for number in range(1, 401):
+        now += 20.0
+        queue = list(balancer.handle(now, RequestArrived(number, number % 4 == 0, 4000.0)))
+        attempt = 0
+        while queue:
+            action = queue.pop(0)
+            if isinstance(action, Send):
+                lost = now > 2_000.0 and action.server < 4
+                if number > 300:
+                    tried += 1
+                    away.append(action.server >= 4)
+                outcome = Outcome.CONNECT_FAILED if lost else Outcome.OK
+                now += 1.0
+                end = AttemptEnded(
+                    action.request, attempt, action.server, outcome, not lost, 1.0 if lost else 300.0
+                )
+                attempt += 1
+                queue += balancer.handle(now, end)
+    assert sum(away) > 0.8 * tried
+
+
+@pytest.mark.parametrize("capacity", [3, 5])
+def test_a_list_service_that_queues_with_all_copies_starting_at_once(capacity: int) -> None:
+    """It does so many calls at a time, 0.4 s each; a call that waits for 2 s fails. Every copy has its list soon, and
+    the
+    calls that fail do not add up.
+    """
+    copies = 60
+    balancers = [Balancer(figures(me=n, ask_within_ms=10_000.0), n) for n in range(copies)]
+    heap: list[tuple[float, int, Callable[[], None]]] = []
+    serial = count()
+    now = 0.0
+    waiting: list[tuple[float, int]] = []
+    busy = failed = 0
+    has: dict[int, float] = {}
+
+    def after(delay: float, call: Callable[[], None]) -> None:
+        heappush(heap, (now + delay, next(serial), call))
+
+    def tell(n: int, event: Any) -> None:
+        for action in balancers[n].handle(now, event):
+            if isinstance(action, WatchList):
+                waiting.append((now, n))
+                after(2_000.0, lambda entry=waiting[-1]: overdue(entry))  # type: ignore[misc]
+                serve()
+            elif isinstance(action, SetTimer):
+                after(action.delay_ms, lambda cookie=action.cookie: tell(n, TimerFired(cookie)))  # type: ignore[misc]
+
+    def overdue(entry: tuple[float, int]) -> None:
+        nonlocal failed
+        if entry in waiting:
+            waiting.remove(entry)
+            failed += 1
+            tell(entry[1], ListUpdate(ListKind.FAILED))
+
+    def serve() -> None:
+        nonlocal busy
+        while waiting and busy < capacity:
+            _, n = waiting.pop(0)
+            busy += 1
+            after(400.0, lambda n=n: done(n))  # type: ignore[misc]
+
+    def done(n: int) -> None:
+        nonlocal busy
+        busy -= 1
+        has.setdefault(n, now)
+        tell(n, ListUpdate(ListKind.FULL, 1, [ServerEntry(0)]))
+        serve()
+
+    for n in range(copies):
+        tell(n, ListUpdate(ListKind.CACHED, 0, [ServerEntry(0)]))
+    while heap and heap[0][0] < 30_000.0:
+        now, _, call = heappop(heap)
+        call()
+    assert len(has) == copies and max(has.values()) < 15_000.0
+    assert failed < copies
+
+
+def test_a_hint_20_times_the_usual() -> None:
+    """Refused at once, with a word when to come back; the others are served as before."""
+    world = World(5, upstreams=4, slots=4, service_ms=100.0)
+    balancer = Balancer(figures(max_retry_after_ms=1000.0), 5)
+    balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(4)]))
+    now = 0.0
+    for number in range(1, 200):
+        now += 50.0
+        for action in balancer.handle(now, RequestArrived(number, 0, 4000.0, expected_ms=100.0)):
+            if isinstance(action, Send):
+                balancer.handle(
+                    now, AttemptEnded(number, 0, action.server, Outcome.OK, True, 100.0 + world.way_ms)
+                )
+    heavy = balancer.handle(now + 1.0, RequestArrived(1000, 0, 4000.0, expected_ms=2000.0))
+    assert [type(action) for action in heavy] == [Refuse] and heavy[0].wait_ms > 0.0  # type: ignore[union-attr]
+    usual = balancer.handle(now + 2.0, RequestArrived(1001, 0, 4000.0, expected_ms=100.0))
+    assert any(isinstance(action, Send) for action in usual)
+
+
+def test_a_client_whose_try_is_given_up_at_50_per_cent_of_the_deadline_and_comes_back_at_once() -> None:
+    """Its next try is a fresh one: it has its whole aim, and is sent; what was under way is not sent again."""
+    balancer = Balancer(figures(), 5)
+    balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(6)]))
+    now = 0.0
+    for number in range(1, 41):  # every client's usual try: half of the deadline
+        now += 200.0
+        (send,) = (a for a in balancer.handle(now, RequestArrived(number, 1, 2500.0)) if isinstance(a, Send))
+        balancer.handle(now + 100.0, AttemptEnded(number, 0, send.server, Outcome.OK, True, 100.0))
+    now += 200.0
+    first = balancer.handle(now, RequestArrived(900, 1, 2500.0))
+    assert any(isinstance(action, Send) for action in first)
+    now += 2500.0
+    gone = balancer.handle(now, ClientGone(900))
+    assert not any(isinstance(action, Send) for action in gone)
+    again = balancer.handle(now + 1.0, RequestArrived(901, 1, 2500.0))
+    (send,) = (action for action in again if isinstance(action, Send))
+    assert send.timeout_ms > 0.9 * CLASSES[1].aim_ms
+    # The old attempt ends late: nobody is answered by it, and nothing follows.
+    (old,) = (action for action in first if isinstance(action, Send))
+    end = AttemptEnded(900, 0, old.server, Outcome.TIMEOUT, True, 2500.0)
+    assert not any(isinstance(action, Send) for action in balancer.handle(now + 2.0, end))
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_copy_that_sees_one_request_a_second(seed: int) -> None:
+    """It refuses nothing of a healthy tier, and one dead server of five costs it no request that may go elsewhere."""
+    world = World(seed, upstreams=5, slots=2, service_ms=250.0, spread="lognormal", copies=3, classes=CLASSES)
+    world.poisson(3.0, 120_000.0)
+    world.run(125_000.0)
+    healthy = world.total(0.0, 125_000.0)
+    assert healthy.refused == 0 and healthy.in_aim > 0.98 * healthy.asked
+    world = World(seed, upstreams=5, slots=2, service_ms=250.0, spread="lognormal", copies=3, classes=CLASSES)
+    world.upstreams[0].refusing = True
+    world.poisson(3.0, 120_000.0)
+    world.run(125_000.0)
+    one_dead = world.total(0.0, 125_000.0)
+    assert one_dead.served > 0.97 * one_dead.asked
