--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -192,6 +192,27 @@
     fields: bool = option(False, Change.HANDOVER)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Store:
+    """The table `[store]`: state that survives a crash."""
+
+    on: bool = option(False, Change.START)
+    # A folder of this balancer's own, on a disk that outlives it.
+    path: str = option("", Change.START)
+    # Whether a request that may not run twice is kept before it is sent ("unsafe"), or soon after ("soon").
+    durable: Literal["unsafe", "soon"] = option("unsafe", Change.START)
+    # A drain or a changed list is kept within so many milliseconds, and the time of one flush.
+    every_ms: float = option(200.0, Change.START, low=10.0, high=60_000.0)
+    # A log of so many megabytes is replaced by a snapshot.
+    most_mb: float = option(4.0, Change.START, low=0.001, high=200.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        if self.on and not self.path.startswith("/"):
+            return {"path": f"{self.path!r:.100} is no folder; write a path from the root of the disk"}
+        return {}
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -292,6 +313,7 @@
     budget: Budget = field(default_factory=Budget)
     door: Door = field(default_factory=Door)
     storms: Storms = field(default_factory=Storms)
+    store: Store = field(default_factory=Store)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -318,6 +340,7 @@
     "budget": Budget,
     "door": Door,
     "storms": Storms,
+    "store": Store,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -14,7 +14,7 @@
 from larkweir.core.exchange import Caller, Exchange
 from larkweir.core.journal import Journal
 from larkweir.core.message import Headers, Message
-from larkweir.core.ports import Attempt, Budgets, Decisions, Listing, Membership, Pool
+from larkweir.core.ports import Attempt, Budgets, Decisions, Keeper, Listing, Membership, Pool
 from larkweir.core.reports import LOAD_HEADER, report_of
 from larkweir.core.room import Room
 from mulleinhitch.interface import (
@@ -25,6 +25,7 @@
     Cancel,
     ClientGone,
     CloseIdle,
+    Effect,
     Event,
     Fail,
     FetchList,
@@ -118,6 +119,7 @@
         self.room = room
         self.discovery: Membership | None = None  # set before the first event
         self.budgets: Budgets | None = None
+        self.keeper: Keeper | None = None
         # What goes with a refusal that is to say when to come back, in so many milliseconds.
         self.word: Callable[[float], Headers] = word
         self._balancer = decisions
@@ -223,6 +225,8 @@
             exchange.ticket = ticket
         self._exchanges[number] = exchange
         self._traces.add(trace)
+        if self.keeper is not None:
+            exchange.once = self.config.settings.classes[event.class_index].effect is not Effect.SAFE
         exchange.left_ms = time_left_ms
         if coming and message.stream is not None:
             message.stream.on_end = lambda whole: self._body_ended(exchange, whole)
@@ -370,6 +374,8 @@
     def _forget(self, exchange: Exchange) -> None:
         if exchange.over and not exchange.out and self._exchanges.pop(exchange.number, None) is not None:
             self._traces.discard(exchange.trace)
+            if exchange.once and self.keeper is not None and exchange.attempts:
+                self.keeper.ended(exchange.trace)
             self._remember(exchange.trace)
 
     def _overdue(self, exchange: Exchange) -> None:
@@ -393,12 +399,20 @@
             until = min(until, now + action.timeout_ms)
         exchange.attempts.append(None)
         exchange.out += 1
+        if exchange.once and number == 0 and self.keeper is not None:
+            self.keeper.began(exchange.trace, lambda: self._launch(exchange, number, action.server, until))
+        else:
+            self._launch(exchange, number, action.server, until)
+
+    def _launch(self, exchange: Exchange, number: int, server: int, until: float) -> None:
+        """The attempt goes out, if it still may."""
+        now = self.clock.now_ms()
         if exchange.over or until <= now or exchange.spent or number >= exchange.max_attempts:
             call = None
         else:
-            call = self._begin_call(exchange, number, action.server, until, now)
+            call = self._begin_call(exchange, number, server, until, now)
         if call is None:
-            self.attempt_ended(exchange, number, action.server, Outcome.MOOT, now, None)
+            self.attempt_ended(exchange, number, server, Outcome.MOOT, now, None)
         else:
             exchange.attempts[number] = call
 
--- a/larkweir/core/exchange.py
+++ b/larkweir/core/exchange.py
@@ -39,6 +39,7 @@
         "max_attempts",
         "message",
         "number",
+        "once",
         "out",
         "over",
         "ticket",
@@ -65,6 +66,7 @@
         self.out = 0  # attempts whose end is still owed to the balancer
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
+        self.once = False  # it may not run twice, and that is to be kept before it is sent
         self.ticket: Ticket | None = None  # its budget, where there are any
         self.left_ms = 0.0  # that it has from its last byte on
         # Of an answer that is passed on while it comes: how long its first bytes took, in all and of the upstream's.
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -134,6 +134,15 @@
     def close_idle(self, number: int) -> None: ...
 
 
+class Keeper(Protocol):
+    """What is to survive a crash, where anything is."""
+
+    def began(self, trace: bytes, then: Callable[[], None]) -> None:
+        """A request that may not run twice is about to be sent for the first time; `then`, once that is kept."""
+
+    def ended(self, trace: bytes) -> None: ...
+
+
 class Membership(Protocol):
     """Where the list comes from, as the decisions ask for it."""
 
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -97,6 +97,7 @@
             self._open_sockets()
             self._accept()
             self.node.discovery.start()
+            self.node.recall()
         elif not await self._take_over(self._predecessor_socket):
             return 0
         self._open_control()
@@ -254,6 +255,8 @@
         }
         if self._generation.fingerprint:
             facts["config"] = self._generation.fingerprint
+        if node.keeper is not None:
+            facts |= node.keeper.facts()
         if node.storms is not None:
             facts |= node.storms.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
@@ -279,6 +282,7 @@
         self.node = Node(config, self._loop, offset_ms=known.offset_ms, options=self._generation.options)
         self.node.discovery.start()
         self.node.adopt(known)
+        self.node.recall()
 
     @staticmethod
     def _freeze() -> None:
@@ -322,6 +326,7 @@
         self._open_sockets()
         if known is None:  # nobody is left to say what it knew: as at any start
             self.node.discovery.start()
+            self.node.recall()
         if self._upgrade:
             self.node.share(2)
         told_ready = False
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -31,6 +31,7 @@
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
+    from larkweir.store.keeper import Keeper
     from larkweir.storms.gate import Gate
 
 
@@ -78,6 +79,12 @@
             self._add_fastcgi(options.fastcgi)
         if self.storms is not None:
             self.storms.attach(self.engine, self.upstreams, self.listener)
+        self.keeper: Keeper | None = None
+        if options is not None and options.store.on:
+            from larkweir.store.keeper import Keeper  # not imported where it is off
+
+            self.keeper = self.engine.keeper = Keeper(options.store, config, self.clock, self.journal.line)
+            self._closers.append(self.keeper.close)
         self.guard: Guard | None = None
         if options is not None and options.door.on:
             from larkweir.door.guard import Guard  # not imported where it is off
@@ -169,23 +176,56 @@
         """
         from larkweir.lifecycle.channel import Knowledge  # not imported before the first handover
 
-        numbers = {number: target.told_ms for number, target in self.upstreams.table.items()}
-        drains: dict[str, float] = {}
         held = self.discovery.held()
-        for row in held["instances"]:
-            told = numbers.get(self.discovery.number(row["instanceId"]) or 0, 0.0)
-            if told:
-                drains[row["instanceId"]] = told
         learned = self.decisions.learned() if share and isinstance(self.decisions, Balancer) else {}
         return Knowledge(
             offset_ms=self.clock.offset_ms,
             discovery=self.discovery.address,
             held=held,
-            drains=drains,
+            drains=self.drains(),
             ids=self.engine.ids(),
             learned=learned,
         )
 
+    def recall(self) -> None:
+        """Go on from what the store has kept of an earlier life, before the first request."""
+        if self.keeper is None:
+            return
+        from larkweir.lifecycle.channel import Knowledge
+
+        told = self.keeper.open()
+        if told is not None:
+            self.adopt(
+                Knowledge(self.clock.offset_ms, told.source, told.held, told.drains, told.ids, told.learned)
+            )
+        self.keeper.attach(self)
+
+    # What is kept of this life (`larkweir.store.keeper.Sources`).
+
+    def held(self) -> dict[str, Any]:
+        return self.discovery.held()
+
+    def source(self) -> str:
+        return self.discovery.address
+
+    def drains(self) -> dict[str, float]:
+        numbers = {number: target.told_ms for number, target in self.upstreams.table.items()}
+        found: dict[str, float] = {}
+        for row in self.discovery.held()["instances"]:
+            told = numbers.get(self.discovery.number(row["instanceId"]) or 0, 0.0)
+            if told:
+                found[row["instanceId"]] = told
+        return found
+
+    def learned(self) -> dict[str, Any]:
+        """Without giving the credit away: this life goes on with it."""
+        if not isinstance(self.decisions, Balancer):
+            return {}
+        credit = self.decisions.slow_start.credit
+        found = self.decisions.learned()
+        self.decisions.slow_start.credit = credit
+        return found | {"credit": 0.0}
+
     def adopt(self, known: Knowledge) -> None:
         """Go on from another life's knowledge, as far as it is newer than this one's."""
         try:
--- /dev/null
+++ b/tests/store/test_beliefs.py
@@ -0,0 +1,95 @@
+"""What a life that comes back may believe, by age and kind."""
+
+from __future__ import annotations
+
+import pytest
+
+from larkweir.store.records import Kind, Record
+from larkweir.store.state import FRESH_MS, MOST_OPEN, State, beliefs
+
+NOW = 1_000_000.0
+SPAN = 2_000.0
+
+
+def state(*records: Record) -> State:
+    made = State()
+    for record in records:
+        made.apply(record)
+    return made
+
+
+def began(trace: str, ago: float, span: float = SPAN) -> Record:
+    return Record(Kind.BEGAN, [trace, NOW - ago, span])
+
+
+def ended(trace: str, ago: float) -> Record:
+    return Record(Kind.ENDED, [trace, NOW - ago])
+
+
+@pytest.mark.parametrize(
+    ("records", "known"),
+    [
+        ([began("a", 100.0)], True),  # open at the crash: it may be running
+        ([began("a", 60_000.0)], True),  # since long, and nobody knows how it ended
+        ([began("a", 100.0), ended("a", 50.0)], True),  # over, and a copy may still come
+        ([began("a", 60_000.0), ended("a", 50_000.0)], False),
+        ([began("a", 3_000.0), ended("a", 2_500.0)], False),
+        ([began("a", 3_000.0, 10_000.0), ended("a", 2_500.0)], True),  # its own span is longer
+    ],
+)
+def test_what_may_not_run_twice_is_remembered_for_as_long_as_it_matters(
+    records: list[Record], known: bool
+) -> None:
+    assert bool(beliefs(state(*records), NOW, SPAN).ids) is known
+
+
+def test_an_id_that_was_open_at_the_crash_is_counted_from_now_on() -> None:
+    ((trace, at),) = beliefs(state(began("a", 60_000.0)), NOW, SPAN).ids
+    assert (trace, at) == ("a", NOW)
+
+
+@pytest.mark.parametrize("back", [10_000.0, 86_400_000.0])
+def test_a_clock_that_has_gone_back_makes_all_that_forbids_new_and_all_that_helps_old(back: float) -> None:
+    told = state(
+        began("a", 1.0),
+        ended("a", 0.0),
+        Record(Kind.DRAIN, ["u1", NOW]),
+        Record(Kind.LEARNED, [NOW, {"window": 9.0}]),
+    )
+    found = beliefs(told, NOW - back, SPAN)
+    assert found.ids == [("a", NOW - back)] and found.drains == {"u1": NOW - back}
+    assert not found.learned and "gone back" in found.doubts[0]
+
+
+def test_a_clock_that_is_a_year_ahead_forgets_what_ended_and_not_what_was_open() -> None:
+    year = 365.0 * 86_400_000.0
+    told = state(began("a", 1.0), ended("a", 0.0), began("b", 1.0))
+    assert [trace for trace, _ in beliefs(told, NOW + year, SPAN).ids] == ["b"]
+
+
+@pytest.mark.parametrize(("age", "believed"), [(0.0, True), (FRESH_MS - 1.0, True), (FRESH_MS + 1.0, False)])
+def test_what_was_learned_counts_while_it_is_fresh_and_its_credit_never(age: float, believed: bool) -> None:
+    found = beliefs(state(Record(Kind.LEARNED, [NOW - age, {"window": 9.0, "credit": 2.0}])), NOW, SPAN)
+    assert found.learned == ({"window": 9.0, "credit": 0.0} if believed else {})
+
+
+def test_the_first_word_of_a_drain_counts_until_discovery_calls_the_upstream_back() -> None:
+    row = {"instanceId": "u1", "hostPort": "10.0.0.1:80", "lifecycle": "leaving"}
+    told = state(
+        Record(Kind.LISTED, row),
+        Record(Kind.DRAIN, ["u1", NOW - 100.0]),
+        Record(Kind.DRAIN, ["u1", NOW - 10.0]),
+    )
+    assert beliefs(told, NOW, SPAN).drains == {"u1": NOW - 100.0}
+    told.apply(Record(Kind.LISTED, row | {"lifecycle": "active"}))
+    assert beliefs(told, NOW, SPAN).drains == {}
+
+
+def test_tables_are_bounded_and_pruned() -> None:
+    made = State()
+    for n in range(MOST_OPEN + 100):
+        made.apply(began(f"t{n}", 10.0))
+    assert len(made.open) == MOST_OPEN and "t0" not in made.open
+    made.apply(Record(Kind.DRAIN, ["gone", NOW]))
+    made.prune(NOW + 10_000.0)
+    assert not made.open and not made.drains
