Background work by priority and budget; staff's look into a store; what is learned is exported

Lists and drains keep a timer of their own, since a promise in milliseconds hangs on them; compaction is the store's thread's. larkweir state show|verify|export|compact.

--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -33,6 +33,10 @@
         if options.command == "explain":
             return language.explain(options.what, options.file)
         return language.convert(options.file) if options.command == "convert" else language.schema()
+    if options.command == "state":
+        from larkweir.cli.state import state  # not imported where there is no store
+
+        return state(options.action, options.folder)
     if options.command == "demo":
         from larkweir.cli.demo import demo
 
@@ -125,6 +129,14 @@
     explain.add_argument("file", nargs="?", metavar="FILE")
     convert = commands.add_parser("convert", help="print a TOML operator file in the configuration language")
     convert.add_argument("file", metavar="FILE")
+    state = commands.add_parser(
+        "state",
+        help="what a store holds, whether it is whole, and a smaller one of it",
+        description="show: counts and ages; verify: every fault; export: what a returning life would believe, as JSON; "
+        "compact: a new generation, while no balancer has it. Exit code 1 where something is damaged.",
+    )
+    state.add_argument("action", choices=("show", "verify", "export", "compact"))
+    state.add_argument("folder", metavar="FOLDER")
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- /dev/null
+++ b/larkweir/cli/state.py
@@ -0,0 +1,92 @@
+"""Hands: `state`: what a store holds, whether it is whole, and how to make it small. Not while a balancer has it."""
+
+from __future__ import annotations
+
+import json
+import os
+import sys
+import time
+from typing import Any
+
+from larkweir.store.disk import Disk, Files
+from larkweir.store.records import StoreError, read_header
+from larkweir.store.recovery import Recovered, recover
+from larkweir.store.state import beliefs
+
+WELL, DAMAGED, BAD = 0, 1, 2
+
+
+def _read(folder: str) -> tuple[dict[str, bytes], bytes]:
+    """The store's files, without its lock: reading changes nothing. And the site of the newest that tells one."""
+    files = Files(folder)
+    found: dict[str, bytes] = {}
+    for name in files.names():
+        if name.endswith((".snap", ".log")):
+            found[name] = files.read(name)
+    site = b""
+    for name in sorted(
+        found, key=lambda item: int(item.split(".")[0]) if item.split(".")[0].isdigit() else -1
+    ):
+        try:
+            _, site, _ = read_header(found[name])
+        except StoreError:
+            continue
+    return found, site
+
+
+def _facts(found: dict[str, bytes], recovered: Recovered) -> dict[str, Any]:
+    state = recovered.state
+    return {
+        "files": {name: len(data) for name, data in sorted(found.items())},
+        "generation": recovered.generation,
+        "log records": recovered.records,
+        "listed": len(state.listed),
+        "drains": len(state.drains),
+        "open or late": len(state.open),
+        "learned s ago": round((time.time() * 1000.0 - state.learned_ms) / 1000.0)
+        if state.learned_ms
+        else None,
+        "discovery": state.source,
+        "faults": list(recovered.faults),
+    }
+
+
+def state(action: str, folder: str) -> int:
+    """Carry out one of show, verify, export, compact; 0 is well, 1 damaged, 2 where it can't be done."""
+    try:
+        if action == "compact":
+            return _compact(folder)
+        found, site = _read(folder)
+    except OSError as problem:
+        print(f"{folder}: {problem.strerror or problem}", file=sys.stderr)
+        return BAD
+    if not found:
+        print(f"{folder}: no store is here", file=sys.stderr)
+        return BAD
+    recovered = recover(found, site)
+    if action == "export":
+        told = beliefs(recovered.state, time.time() * 1000.0, 0.0)
+        print(json.dumps(told._asdict(), indent=2))
+    elif action == "show":
+        for key, value in _facts(found, recovered).items():
+            print(f"{key}: {json.dumps(value)}")
+    else:
+        for fault in recovered.faults:
+            print(f"{folder}: {fault}")
+    return DAMAGED if recovered.faults else WELL
+
+
+def _compact(folder: str) -> int:
+    """A new generation from what is there, with the lock."""
+    if not os.path.isdir(folder):
+        print(f"{folder}: no store is here", file=sys.stderr)
+        return BAD
+    _, site = _read(folder)
+    disk = Disk(Files(folder), site)
+    recovered = disk.open()
+    try:
+        recovered.state.prune(time.time() * 1000.0)
+        disk.begin(None, recovered.state)
+    finally:
+        disk.close()
+    return WELL
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -159,6 +159,11 @@
         """Whether there is a list that requests can be served from."""
         return any(item.state is ServerState.READY for item in self.upstreams.targets.values())
 
+    @property
+    def holds(self) -> bool:
+        """Whether there are requests, answered or not, that are not over."""
+        return bool(self._exchanges)
+
     @property
     def owed(self) -> int:
         """Requests that still wait for their answer."""
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -257,6 +257,8 @@
             facts["config"] = self._generation.fingerprint
         if node.keeper is not None:
             facts |= node.keeper.facts()
+        if node.runner is not None:
+            facts |= node.runner.facts()
         if node.storms is not None:
             facts |= node.storms.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -28,6 +28,7 @@
 from mulleinhitch import Balancer
 
 if TYPE_CHECKING:
+    from larkweir.background.runner import Runner
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
@@ -80,9 +81,16 @@
         if self.storms is not None:
             self.storms.attach(self.engine, self.upstreams, self.listener)
         self.keeper: Keeper | None = None
+        self.runner: Runner | None = None  # of work beside requests, where any part has some
         if options is not None and options.store.on:
+            from random import Random
+
+            from larkweir.background.runner import Runner  # not imported where nothing needs it
             from larkweir.store.keeper import Keeper  # not imported where it is off
 
+            self.runner = Runner(
+                self.clock, lambda: self.engine.holds, self.journal.line, Random(config.seed)
+            )
             self.keeper = self.engine.keeper = Keeper(options.store, config, self.clock, self.journal.line)
             self._closers.append(self.keeper.close)
         self.guard: Guard | None = None
@@ -189,7 +197,7 @@
 
     def recall(self) -> None:
         """Go on from what the store has kept of an earlier life, before the first request."""
-        if self.keeper is None:
+        if self.keeper is None or self.runner is None:
             return
         from larkweir.lifecycle.channel import Knowledge
 
@@ -198,7 +206,7 @@
             self.adopt(
                 Knowledge(self.clock.offset_ms, told.source, told.held, told.drains, told.ids, told.learned)
             )
-        self.keeper.attach(self)
+        self.keeper.attach(self, self.runner)
 
     # What is kept of this life (`larkweir.store.keeper.Sources`).
 
--- a/larkweir/store/keeper.py
+++ b/larkweir/store/keeper.py
@@ -17,6 +17,8 @@
 from hashlib import blake2b
 from typing import Any, Protocol
 
+from larkweir.background.rules import Outcome, Task
+from larkweir.background.runner import Runner
 from larkweir.config.options import Store as Options
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
@@ -76,7 +78,6 @@
         self._told: dict[str, dict[str, Any]] = {}
         self._drains: dict[str, float] = {}
         self._source: tuple[str, int] = ("", 0)
-        self._learned_ms = 0.0
         self._busy = False  # said that another process has it
         self._ended = False
         self.recovered = 0  # records of the log that were there
@@ -124,9 +125,14 @@
         with suppress(RuntimeError):  # the loop has ended
             self._loop.call_soon_threadsafe(call)
 
-    def attach(self, sources: Sources) -> None:
+    def attach(self, sources: Sources, runner: Runner) -> None:
+        """Lists and drains are looked at by a timer of their own: a promise hangs on that."""
         self._sources = sources
         self._look()
+        task = Task(
+            "store.learned", period_ms=self.LEARNED_MS, first_ms=self.LEARNED_MS, back_off_ms=self.LEARNED_MS
+        )
+        runner.add(task, self._export)
 
     # ------------------------------------------------ what is written
 
@@ -169,7 +175,6 @@
             self._say(f"store: {self._options.path}: free again; used from now on")
 
     def _changes(self, sources: Sources) -> list[Record]:
-        now = self._clock.now_ms()
         found: list[Record] = []
         held = sources.held()
         source = (sources.source(), int(held["generation"]))
@@ -186,11 +191,15 @@
             if self._drains.get(name) != told
         ]
         self._drains = drains
-        if now - self._learned_ms >= self.LEARNED_MS:
-            self._learned_ms = now
-            found.append(Record(Kind.LEARNED, [now, sources.learned()]))
         return found
 
+    def _export(self) -> Outcome:
+        """What the decisions have learned, as of now: it helps, and can wait."""
+        if self._writer is None or self._writer.broken or self._sources is None:
+            return Outcome.FAILED
+        self._writer.put(Record(Kind.LEARNED, [self._clock.now_ms(), self._sources.learned()]))
+        return Outcome.DONE
+
     # ------------------------------------------------ the end, and what is shown
 
     def close(self) -> None:
--- a/tests/store/test_service.py
+++ b/tests/store/test_service.py
@@ -5,10 +5,12 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import signal
 import subprocess
 import sys
+import time
 from collections import Counter
 from contextlib import suppress
 from pathlib import Path
@@ -18,6 +20,9 @@
 import pytest
 
 from larkweir.config.options import Operator, Store
+from larkweir.store.disk import Disk, Files
+from larkweir.store.records import Kind, Record
+from larkweir.store.state import State
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, Incoming, Talk, ok
 from tests.lifecycle.service import Service, service, until
 from tests.upstreams.test_attempts import run
@@ -210,3 +215,39 @@
         "path" in Store(on=True).faults() and not Store(on=True, path="/x").faults() and not Store().faults()
     )
     assert Operator().store.on is False
+
+
+def larkweir(*arguments: str) -> subprocess.CompletedProcess[str]:
+    return subprocess.run(
+        [sys.executable, "-m", "larkweir", *arguments], cwd=ROOT, capture_output=True, text=True, check=False
+    )
+
+
+def test_staff_can_look_at_a_store_and_make_it_small(tmp_path: Path) -> None:
+    folder = str(tmp_path / "store")
+    disk = Disk(Files(folder), b"sitesite")
+    disk.open()
+    disk.begin(None, State())
+    now = time.time() * 1000.0
+    row = {"instanceId": "u1", "hostPort": "10.0.0.1:80", "lifecycle": "leaving"}
+    records = [
+        Record(Kind.LISTED, row),
+        Record(Kind.DRAIN, ["u1", now]),
+        Record(Kind.BEGAN, ["t1", now, 60_000.0]),
+    ]
+    disk.append(records, True)
+    done = larkweir("state", "compact", folder)
+    assert done.returncode == 2 and "another process" in done.stderr
+    disk.close()
+    done = larkweir("state", "show", folder)
+    assert done.returncode == 0 and "listed: 1" in done.stdout and "open or late: 1" in done.stdout
+    told = json.loads(larkweir("state", "export", folder).stdout)
+    assert told["drains"] == {"u1": now} and told["ids"][0][0] == "t1"
+    assert larkweir("state", "compact", folder).returncode == 0
+    assert larkweir("state", "verify", folder).returncode == 0
+    assert json.loads(larkweir("state", "export", folder).stdout)["drains"] == {"u1": now}
+    (log,) = (tmp_path / "store").glob("2.log")
+    log.write_bytes(log.read_bytes() + b"torn")
+    done = larkweir("state", "verify", folder)
+    assert done.returncode == 1 and "4 bytes behind its last whole record" in done.stdout
+    assert larkweir("state", "show", str(tmp_path / "none")).returncode == 2
