A list that is only remembered: trust by age and evidence, proofs before effects

Need: a balancer that restarts while discovery is down took the list of its store whole, whatever its age.

mulleinhitch/proof.py says which class may go to a server that nobody vouches for; larkweir/membership/remembered has trust (survival under the churn seen), the order in which copies try, the book, and the hands. The store keeps what was proved and how, when discovery last spoke, what came and went, and the machine's own clock, so that a clock that was set is seen either way. Keyed requests are remembered as long as servers drop their repeats; attempts saved up are kept. The store looks only at lines that were touched; evidence and compaction are tasks of the scheduler.

Not taken: believing the list whole while it is young (an address may be another's), proofs inside the decisions (they would read headers).

--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -213,6 +213,26 @@
         return {}
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Remembered:
+    """The table `[remembered]`: how a list that is held over from before is used, until discovery speaks."""
+
+    # The header by which upstreams' answers say which instance they are: an item with parameters (RFC 9651), as
+    # "s-5be2a07c";zone="a";cell=3. "": they don't, and only safe requests go to upstreams that are only remembered.
+    identity: str = option("", Change.START)
+    # For so long upstreams that answer are used on, where discovery's first list lacks more than half of those.
+    panic_ms: float = option(30_000.0, Change.START, low=0.0, high=600_000.0)
+    # Whether the list that the platform's file gives (`known`) is held to the same rules; else it is believed.
+    known: bool = option(False, Change.START)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        plain = self.identity.replace("-", "").replace("_", "")
+        if self.identity and not (plain.isascii() and plain.isalnum() and len(self.identity) <= 100):
+            return {"identity": f"{self.identity!r:.100} is no name of a header"}
+        return {}
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -314,6 +334,7 @@
     door: Door = field(default_factory=Door)
     storms: Storms = field(default_factory=Storms)
     store: Store = field(default_factory=Store)
+    remembered: Remembered = field(default_factory=Remembered)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -341,6 +362,7 @@
     "door": Door,
     "storms": Storms,
     "store": Store,
+    "remembered": Remembered,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -14,7 +14,7 @@
 from larkweir.core.exchange import Caller, Exchange
 from larkweir.core.journal import Journal
 from larkweir.core.message import Headers, Message
-from larkweir.core.ports import Attempt, Budgets, Decisions, Keeper, Listing, Membership, Pool
+from larkweir.core.ports import Attempt, Budgets, Decisions, Keeper, Listing, Membership, Pool, Witness
 from larkweir.core.reports import LOAD_HEADER, report_of
 from larkweir.core.room import Room
 from mulleinhitch.interface import (
@@ -120,6 +120,7 @@
         self.discovery: Membership | None = None  # set before the first event
         self.budgets: Budgets | None = None
         self.keeper: Keeper | None = None
+        self.witness: Witness | None = None
         # What goes with a refusal that is to say when to come back, in so many milliseconds.
         self.word: Callable[[float], Headers] = word
         self._balancer = decisions
@@ -231,7 +232,8 @@
         self._exchanges[number] = exchange
         self._traces.add(trace)
         if self.keeper is not None:
-            exchange.once = self.config.settings.classes[event.class_index].effect is not Effect.SAFE
+            cls = self.config.settings.classes[event.class_index]
+            exchange.once, exchange.memory_ms = cls.effect is not Effect.SAFE, cls.memory_ms
         exchange.left_ms = time_left_ms
         if coming and message.stream is not None:
             message.stream.on_end = lambda whole: self._body_ended(exchange, whole)
@@ -405,7 +407,11 @@
         exchange.attempts.append(None)
         exchange.out += 1
         if exchange.once and number == 0 and self.keeper is not None:
-            self.keeper.began(exchange.trace, lambda: self._launch(exchange, number, action.server, until))
+            self.keeper.began(
+                exchange.trace,
+                lambda: self._launch(exchange, number, action.server, until),
+                exchange.memory_ms,
+            )
         else:
             self._launch(exchange, number, action.server, until)
 
@@ -456,6 +462,8 @@
         """
         if exchange.over or answer.stream is None:
             return False
+        if self.witness is not None and not self.witness.begun(server, answer):
+            return False
         self._close(exchange)
         exchange.first_ms = self._times(exchange, number, sent_ms)
         self._deliver(AnswerStarted(exchange.number, number, server, exchange.first_ms[0]))
@@ -488,6 +496,8 @@
         sent_ms: float,
         answer: Message | None,
     ) -> None:
+        if self.witness is not None and not self.witness.ended(server, outcome, answer):
+            outcome = Outcome.ERROR  # it has run, at the wrong place
         ticket = exchange.ticket
         if ticket is not None:
             ticket.settle(number, outcome, answer, self.clock.now_ms())
@@ -530,6 +540,10 @@
             server, message, now + self.PROBE_TIMEOUT_MS, _Probed(self, server, now), probe=True
         )
 
+    @property
+    def probe_target(self) -> bytes:
+        return self._probe_target
+
     def probe_ended(self, server: int, outcome: Outcome, sent_ms: float, answer: Message | None) -> None:
         report = report_of(answer, self._report_names, True)
         self._deliver(ProbeEnded(server, outcome, self.clock.now_ms() - sent_ms, report))
--- a/larkweir/core/exchange.py
+++ b/larkweir/core/exchange.py
@@ -37,6 +37,7 @@
         "first_ms",
         "left_ms",
         "max_attempts",
+        "memory_ms",
         "message",
         "number",
         "once",
@@ -67,6 +68,7 @@
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
         self.once = False  # it may not run twice, and that is to be kept before it is sent
+        self.memory_ms = 0.0  # for so long servers drop its repeats; set with `once`
         self.ticket: Ticket | None = None  # its budget, where there are any
         self.left_ms = 0.0  # that it has from its last byte on
         # Of an answer that is passed on while it comes: how long its first bytes took, in all and of the upstream's.
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -137,12 +137,24 @@
 class Keeper(Protocol):
     """What is to survive a crash, where anything is."""
 
-    def began(self, trace: bytes, then: Callable[[], None]) -> None:
-        """A request that may not run twice is about to be sent for the first time; `then`, once that is kept."""
+    def began(self, trace: bytes, then: Callable[[], None], memory_ms: float = 0.0) -> None:
+        """A request that may not run twice is about to be sent for the first time; `then`, once that is kept. A server
+        drops its repeats for `memory_ms`.
+        """
 
     def ended(self, trace: bytes) -> None: ...
 
 
+class Witness(Protocol):
+    """Who learns from answers whether an upstream that is only remembered is there, and is the one that is meant."""
+
+    def ended(self, server: int, outcome: Outcome, answer: Message | None, probe: bool = False) -> bool:
+        """An attempt has ended; whether its answer may count. A stranger's does not."""
+
+    def begun(self, server: int, answer: Message) -> bool:
+        """A long answer has begun; whether it may count."""
+
+
 class Membership(Protocol):
     """Where the list comes from, as the decisions ask for it."""
 
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -96,8 +96,7 @@
             self._build(None)
             self._open_sockets()
             self._accept()
-            self.node.discovery.start()
-            self.node.recall()
+            self.node.begin()
         elif not await self._take_over(self._predecessor_socket):
             return 0
         self._open_control()
@@ -257,6 +256,8 @@
             facts["config"] = self._generation.fingerprint
         if node.keeper is not None:
             facts |= node.keeper.facts()
+        if node.remembered is not None:
+            facts |= node.remembered.facts()
         if node.runner is not None:
             facts |= node.runner.facts()
         if node.storms is not None:
@@ -282,9 +283,7 @@
         if known.held and known.discovery == address:
             config = replace(config, known=known.held)
         self.node = Node(config, self._loop, offset_ms=known.offset_ms, options=self._generation.options)
-        self.node.discovery.start()
-        self.node.adopt(known)
-        self.node.recall()
+        self.node.begin(known)
 
     @staticmethod
     def _freeze() -> None:
@@ -327,8 +326,7 @@
         self._build(known)
         self._open_sockets()
         if known is None:  # nobody is left to say what it knew: as at any start
-            self.node.discovery.start()
-            self.node.recall()
+            self.node.begin()
         if self._upgrade:
             self.node.share(2)
         told_ready = False
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -32,6 +32,8 @@
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
+    from larkweir.membership.remembered.evidence import Row
+    from larkweir.membership.remembered.hands import Remembered
     from larkweir.store.keeper import Keeper
     from larkweir.storms.gate import Gate
 
@@ -82,17 +84,9 @@
             self.storms.attach(self.engine, self.upstreams, self.listener)
         self.keeper: Keeper | None = None
         self.runner: Runner | None = None  # of work beside requests, where any part has some
-        if options is not None and options.store.on:
-            from random import Random
-
-            from larkweir.background.runner import Runner  # not imported where nothing needs it
-            from larkweir.store.keeper import Keeper  # not imported where it is off
-
-            self.runner = Runner(
-                self.clock, lambda: self.engine.holds, self.journal.line, Random(config.seed)
-            )
-            self.keeper = self.engine.keeper = Keeper(options.store, config, self.clock, self.journal.line)
-            self._closers.append(self.keeper.close)
+        self.remembered: Remembered | None = None
+        if options is not None and (options.store.on or options.remembered.known):
+            self._add_memory(options)
         self.guard: Guard | None = None
         if options is not None and options.door.on:
             from larkweir.door.guard import Guard  # not imported where it is off
@@ -111,6 +105,35 @@
 
             self.chain = self.engine.budgets = Chain(options.budget, config.settings, self.journal.line)
 
+    def _add_memory(self, options: Operator) -> None:
+        # Not imported where they are off.
+        from random import Random
+
+        from larkweir.background.runner import Runner
+        from larkweir.membership.remembered.hands import Remembered
+
+        config, say = self.config, self.journal.line
+        self.runner = Runner(self.clock, lambda: self.engine.holds, say, Random(config.seed))
+        self.remembered = self.engine.witness = Remembered(
+            options.remembered,
+            config,
+            self.clock,
+            say,
+            self.discovery,
+            self.engine.on_listing,
+            self.upstreams,
+            self.engine.probe_target,
+        )
+        self.remembered.drained = self.upstreams.told
+        self._closers.append(self.remembered.close)
+        self.discovery.trust_known = not options.remembered.known
+        if options.store.on:
+            from larkweir.store.keeper import Keeper
+
+            self.discovery.touched = set()
+            self.keeper = self.engine.keeper = Keeper(options.store, config, self.clock, say)
+            self._closers.append(self.keeper.close)
+
     def _add_fastcgi(self, options: Fastcgi) -> None:
         # Not imported where it is off.
         from larkweir.protocols.fastcgi.callers import FastcgiCaller
@@ -195,30 +218,77 @@
             learned=learned,
         )
 
-    def recall(self) -> None:
-        """Go on from what the store has kept of an earlier life, before the first request."""
-        if self.keeper is None or self.runner is None:
+    def begin(self, known: Knowledge | None = None) -> None:
+        """Start discovery, before the first request, and go on from what is known: of another life that has handed it
+        over, of what the store has kept, or of the list that the configuration gives.
+        """
+        if self.remembered is None or self.runner is None:
+            self.discovery.start()
+            if known is not None:
+                self.adopt(known)
             return
         from larkweir.lifecycle.channel import Knowledge
-
-        told = self.keeper.open()
+        from larkweir.membership.remembered.evidence import Churn, Source
+        from larkweir.membership.remembered.hands import Recalled
+
+        told = self.keeper.open() if self.keeper is not None else None
+        recalled: Recalled | None = None
+        given = self.config.known
+        if known is None or not known.held:  # a list that was handed over is newer than either
+            if told is not None and told.held and told.source == self.discovery.address:
+                version = given.get("generation")
+                if not isinstance(version, int) or version < told.held["generation"]:
+                    recalled = Recalled(told.held, told.rows, told.churn, told.clock_doubt, told.drains)
+            if recalled is None and given and not self.discovery.trust_known:
+                recalled = Recalled(given, {}, Churn(), False, {}, Source.GIVEN)
+            self.discovery.trust_known = recalled is None
+        else:
+            self.discovery.trust_known = True
+        self.discovery.start()
+        if known is not None:
+            self.adopt(known)
+        if recalled is not None:
+            self.remembered.recall(recalled, self.runner)
         if told is not None:
-            self.adopt(
-                Knowledge(self.clock.offset_ms, told.source, told.held, told.drains, told.ids, told.learned)
-            )
-        self.keeper.attach(self, self.runner)
+            self.adopt(Knowledge(self.clock.offset_ms, told.source, {}, told.drains, told.ids, told.learned))
+        if self.keeper is not None:
+            self.keeper.attach(self, self.runner)
 
     # What is kept of this life (`larkweir.store.keeper.Sources`).
 
-    def held(self) -> dict[str, Any]:
-        return self.discovery.held()
+    def settled(self) -> bool:
+        return self.remembered is not None and self.remembered.settled
+
+    def touched(self) -> set[str]:
+        return self.discovery.touched if self.discovery.touched is not None else set()
+
+    def row(self, name: str) -> dict[str, Any] | None:
+        return self.discovery.row(name)
+
+    def generation(self) -> int:
+        return self.discovery.generation
+
+    def heard_ms(self) -> float:
+        return self.remembered.heard_ms if self.remembered is not None else 0.0
+
+    def evidence(self, most: int) -> dict[str, Row]:
+        return self.remembered.evidence(most) if self.remembered is not None else {}
 
     def source(self) -> str:
         return self.discovery.address
 
     def drains(self) -> dict[str, float]:
-        numbers = {number: target.told_ms for number, target in self.upstreams.table.items()}
         found: dict[str, float] = {}
+        if not self.upstreams.draining:
+            return found
+        reverse = self.discovery.names.reverse
+        if reverse is not None:
+            return {
+                reverse[number]: self.upstreams.table[number].told_ms
+                for number in self.upstreams.draining
+                if number in reverse
+            }
+        numbers = {number: self.upstreams.table[number].told_ms for number in self.upstreams.draining}
         for row in self.discovery.held()["instances"]:
             told = numbers.get(self.discovery.number(row["instanceId"]) or 0, 0.0)
             if told:
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -30,6 +30,7 @@
     def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
         self._ids: dict[str, int] = {}
         self._next = 1
+        self.reverse: dict[int, str] | None = None  # ids by number, where somebody asks for them
         self._zones = {name: n for n, name in enumerate(zones)}
         self._kinds = {name: n for n, name in enumerate(kinds)}
 
@@ -39,7 +40,11 @@
             number = self._next
             self._next += 1
             if len(self._ids) >= self.MOST:
-                del self._ids[next(iter(self._ids))]
+                oldest = self._ids.pop(next(iter(self._ids)))
+                if self.reverse is not None:
+                    self.reverse.pop(oldest, None)
+            if self.reverse is not None:
+                self.reverse[number] = instance_id
         self._ids[instance_id] = number  # at the end: heard of last
         return number
 
@@ -170,11 +175,15 @@
         self._names = Names(config.zones, config.kinds)
         self._asked = config.settings.on_request_discovery
         self._known = config.known
+        self.trust_known = True  # whether the configuration's list is believed as it stands
         self._tell = tell
         self._log = log
         self._rng = Random(config.seed)
         self._version: int | None = None
         self._rows: dict[str, dict[str, Any]] = {}  # what is held, in discovery's form
+        # Ids whose rows may have changed since somebody has looked, where anybody does.
+        self.touched: set[str] | None = None
+        self.on_heard: Callable[[], None] | None = None  # called at each good answer, before it is told
         self._connection: _Connection | None = None
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
@@ -183,7 +192,7 @@
     def start(self) -> None:
         """Tell what is known from before, and begin to watch."""
         listing = Listing(ListKind.CACHED, 0, (), ())
-        if self._known:
+        if self._known and self.trust_known:
             try:
                 known = parse_listing(self._known, self._names)
                 listing = Listing(ListKind.CACHED, known.version, known.entries, known.addresses)
@@ -303,12 +312,15 @@
         except (ValueError, RecursionError) as problem:
             raise DiscoveryError(f"not JSON: {problem}") from None
         listing = parse_listing(data, self._names)
+        if self.on_heard is not None:
+            self.on_heard()
         if listing.kind is ListKind.FULL or self._version is None or listing.version >= self._version:
             self._hold(data, listing.kind is ListKind.FULL)
         return listing
 
     def _hold(self, data: dict[str, Any], whole: bool) -> None:
         """Keep a checked answer's rows; `_names` bounds neither: gone ones are dropped here."""
+        before = self._rows
         if whole:
             self._rows = {}
         for row in data["instances"]:
@@ -316,11 +328,33 @@
                 self._rows.pop(row["instanceId"], None)
             else:
                 self._rows[row["instanceId"]] = row
+        if self.touched is not None:
+            rows = self._rows
+            if whole:
+                self.touched.update(name for name in before if name not in rows)
+                self.touched.update(name for name, row in rows.items() if before.get(name) != row)
+            else:
+                self.touched.update(row["instanceId"] for row in data["instances"])
 
     def held(self) -> dict[str, Any]:
         """What is held, as a whole list in discovery's form."""
         return {"generation": self._version or 0, "reset": True, "instances": list(self._rows.values())}
 
+    @property
+    def names(self) -> Names:
+        return self._names
+
+    @property
+    def generation(self) -> int:
+        return self._version or 0
+
+    def row(self, instance_id: str) -> dict[str, Any] | None:
+        return self._rows.get(instance_id)
+
+    def reroute(self, tell: Callable[[Listing], None]) -> None:
+        """Who is told from now on."""
+        self._tell = tell
+
     def number(self, instance_id: str) -> int | None:
         """The number of an upstream that is held."""
         return self._names.server(instance_id) if instance_id in self._rows else None
--- /dev/null
+++ b/larkweir/membership/remembered/plan.py
@@ -0,0 +1,39 @@
+"""Rules: in which order one balancer of a fleet tries upstreams that are only remembered, and how many at a time.
+
+All balancers that come back in an outage hold about the same list. Each begins at its own place in one common order,
+and goes on to the next as those before have answered or refused: so the first calls of the whole fleet fall on all
+upstreams alike, without a word between the balancers.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+FIRST = 3  # tried at once at the least: one that is gone must not keep everything waiting
+
+
+def common(names: Iterable[str]) -> list[str]:
+    """The one order: by a checksum, so that names that count up, or tell a zone, do not lie side by side."""
+    return sorted(names, key=lambda name: (blake2b(name.encode(), digest_size=8).digest(), name))
+
+
+def order(names: Iterable[str], me: int, copies: int) -> list[str]:
+    """The order of copy `me` of so many."""
+    found = common(names)
+    if not found:
+        return found
+    at = (me % max(1, copies)) * len(found) // max(1, copies)
+    return found[at:] + found[:at]
+
+
+def first(count: int, copies: int) -> int:
+    """How many a copy tries at once in the beginning: its even part, so that all together try all."""
+    return min(count, max(FIRST, -(-count // max(1, copies))))
+
+
+def opened(count: int, copies: int, proved: int, lost: int) -> int:
+    """How many of the order are in use: twice as many as have been proved, and one more for each that is lost, from the
+    first ones on. It doubles with each call's time while what is remembered is true, and is cautious where it is not.
+    """
+    return min(count, max(first(count, copies), 2 * proved) + lost)
--- a/larkweir/store/keeper.py
+++ b/larkweir/store/keeper.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from collections.abc import Callable
 from contextlib import suppress
 from hashlib import blake2b
@@ -22,6 +23,7 @@
 from larkweir.config.options import Store as Options
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
+from larkweir.membership.remembered.evidence import Churn, Row
 from larkweir.store.disk import Disk, Files
 from larkweir.store.records import Kind, Record
 from larkweir.store.state import Beliefs, beliefs
@@ -31,8 +33,23 @@
 class Sources(Protocol):
     """What is written is read from these."""
 
-    def held(self) -> dict[str, Any]:
-        """The list, whole, in discovery's form."""
+    def settled(self) -> bool:
+        """Whether discovery has spoken, so that its list is the one to keep."""
+
+    def touched(self) -> set[str]:
+        """Names of upstreams whose lines may have changed; those that were looked at are taken out of it."""
+
+    def row(self, name: str) -> dict[str, Any] | None:
+        """An upstream's line in discovery's form; none if it is not listed."""
+
+    def generation(self) -> int:
+        """Of the list."""
+
+    def heard_ms(self) -> float:
+        """When discovery last answered."""
+
+    def evidence(self, most: int) -> dict[str, Row]:
+        """Upstreams that have served since the last call, so many at the most."""
 
     def drains(self) -> dict[str, float]:
         """When each upstream that is told to drain was told."""
@@ -50,10 +67,22 @@
     return blake2b("\0".join(parts).encode(), digest_size=8).digest()
 
 
+def boot(now_ms: float) -> tuple[str, float]:
+    """The machine's start, and by how much the clock is ahead of the machine's own, which nobody sets."""
+    try:
+        with open("/proc/sys/kernel/random/boot_id", encoding="ascii") as file:
+            return file.read().strip()[:64], now_ms - time.clock_gettime(time.CLOCK_BOOTTIME) * 1000.0
+    except (OSError, ValueError, AttributeError):
+        return "", 0.0
+
+
 class Keeper:
     """Opened once at the start; whatever goes wrong is one line, and the balancer serves on without."""
 
     LEARNED_MS = 5_000.0
+    EVIDENCE_MS = 10_000.0
+    COMPACT_MS = 1_000.0
+    MOST_ROWS = 200  # lines written a look: more have a look of their own, so that the loop never stands still for them
     AGAIN_MS = 1_000.0  # from try to try, while another process has the store
     STOP_S = 1.0  # that the end of the process waits for what is still to be written
 
@@ -75,9 +104,12 @@
         self._span_ms = 2.0 * max(cls.deadline_ms for cls in config.settings.classes)
         self._writer: Writer | None = None
         self._sources: Sources | None = None
-        self._told: dict[str, dict[str, Any]] = {}
+        self._told: set[str] = set()  # names that are kept as listed
+        self._churn = Churn()
+        self._churn_ms = 0.0
         self._drains: dict[str, float] = {}
         self._source: tuple[str, int] = ("", 0)
+        self.boot = boot(clock.now_ms())
         self._busy = False  # said that another process has it
         self._ended = False
         self.recovered = 0  # records of the log that were there
@@ -100,7 +132,9 @@
         now = self._clock.now_ms()
         state = found.state
         state.prune(now)
-        told = beliefs(state, now, self._span_ms)
+        told = beliefs(state, now, self._span_ms, self.boot)
+        state.boot = self.boot  # of this life
+        state.clock_ms = now
         for doubt in told.doubts:
             self._say(f"store: {doubt}")
         self.recovered = found.records
@@ -116,7 +150,8 @@
             disk, state, self._later, self._say, self._clock.now_ms, int(self._options.most_mb * 1024 * 1024)
         )
         self._writer.start()
-        self._told = dict(state.listed)
+        self._told = set(state.listed)
+        self._churn = state.churn
         self._drains = dict(state.drains)
         self._source = (state.source, state.generation)
         return told
@@ -133,18 +168,33 @@
             "store.learned", period_ms=self.LEARNED_MS, first_ms=self.LEARNED_MS, back_off_ms=self.LEARNED_MS
         )
         runner.add(task, self._export)
+        runner.add(
+            Task(
+                "store.evidence",
+                priority=4,
+                period_ms=self.EVIDENCE_MS,
+                first_ms=self.EVIDENCE_MS,
+                calls_per_s=20.0,
+                back_off_ms=self.EVIDENCE_MS,
+            ),
+            self._evidence,
+        )
+        # It goes on while the process drains: a log that has grown is read at the next start.
+        runner.add(Task("store.compact", priority=6, period_ms=self.COMPACT_MS, at_drain=True), self._compact)
 
     # ------------------------------------------------ what is written
 
-    def began(self, trace: bytes, then: Callable[[], None]) -> None:
+    def began(self, trace: bytes, then: Callable[[], None], memory_ms: float = 0.0) -> None:
         """A request that may not run twice is about to be sent: `then` is called once that is kept, or at once where
-        nothing is promised any more.
+        nothing is promised any more. `memory_ms` is how long servers drop its repeats, where they do: past that a copy
+        would run again.
         """
         writer = self._writer
         if writer is None or writer.broken:
             then()
             return
-        record = Record(Kind.BEGAN, [trace.decode("latin-1"), self._clock.now_ms(), self._span_ms])
+        span = max(self._span_ms, memory_ms)
+        record = Record(Kind.BEGAN, [trace.decode("latin-1"), self._clock.now_ms(), span])
         if self._options.durable == "unsafe":
             writer.put(record, durable=True, done=lambda kept: then())
         else:
@@ -159,13 +209,15 @@
         """Write what has changed since the last look."""
         if self._ended:
             return
+        wait = self.AGAIN_MS if self._writer is None else self._options.every_ms
         if self._writer is None and self._busy:
             self._again()
         elif self._writer is not None and not self._writer.broken and self._sources is not None:
-            records = list(self._changes(self._sources))
+            records = self._changes(self._sources)
             if records:
                 self._writer.put(*records, durable=True)
-        wait = self.AGAIN_MS if self._writer is None else self._options.every_ms
+            if self._sources.settled() and self._sources.touched():
+                wait = 1.0
         self._clock.after(wait, self._look)
 
     def _again(self) -> None:
@@ -176,14 +228,27 @@
 
     def _changes(self, sources: Sources) -> list[Record]:
         found: list[Record] = []
-        held = sources.held()
-        source = (sources.source(), int(held["generation"]))
-        rows = {row["instanceId"]: row for row in held["instances"]}
-        if source != self._source or rows != self._told:
-            found += [Record(Kind.LISTED, row) for name, row in rows.items() if self._told.get(name) != row]
-            found += [Record(Kind.GONE, name) for name in self._told if name not in rows]
-            found.append(Record(Kind.SOURCE, list(source)))
-            self._told, self._source = rows, source
+        now = self._clock.now_ms()
+        if sources.settled():
+            touched = sources.touched()
+            source = (sources.source(), sources.generation())
+            count, gone = len(self._told), 0
+            for _ in range(min(len(touched), self.MOST_ROWS)):
+                name = touched.pop()
+                row = sources.row(name)
+                if row is not None:
+                    found.append(Record(Kind.LISTED, row))
+                    self._told.add(name)
+                elif name in self._told:
+                    found.append(Record(Kind.GONE, name))
+                    self._told.discard(name)
+                    gone += 1
+            # The generation counts once all of it is written: before that, what is kept is part of an older one.
+            if (found or source != self._source) and not touched:
+                self._lived(gone, count, now)
+                found.append(self._source_record(sources, source))
+            elif gone:
+                self._lived(gone, count, now)
         drains = sources.drains()
         found += [
             Record(Kind.DRAIN, [name, told])
@@ -193,6 +258,43 @@
         self._drains = drains
         return found
 
+    def _lived(self, gone: int, count: int, now_ms: float) -> None:
+        """So many upstreams of so many have gone since the last time."""
+        span = now_ms - self._churn_ms if self._churn_ms else 0.0
+        self._churn_ms = now_ms
+        self._churn = self._churn.after(gone, count, span)
+
+    def _source_record(self, sources: Sources, source: tuple[str, int]) -> Record:
+        self._source = source
+        return Record(Kind.SOURCE, [*source, sources.heard_ms(), *self._churn])
+
+    def _evidence(self) -> Outcome:
+        """What has served lately, and when discovery last spoke: what the next life's trust rests on."""
+        writer, sources = self._writer, self._sources
+        if writer is None or writer.broken or sources is None:
+            return Outcome.FAILED
+        rows = sources.evidence(self.MOST_ROWS)
+        records = [
+            Record(Kind.PROVED, [name, row.proved_ms, int(row.how)])
+            for name, row in rows.items()
+            if name in self._told
+        ]
+        if len(rows) == self.MOST_ROWS:
+            writer.put(*records)
+            return Outcome.MORE
+        if sources.settled() and not sources.touched():
+            self._lived(0, len(self._told), self._clock.now_ms())
+            records.append(self._source_record(sources, (sources.source(), sources.generation())))
+        writer.put(*records)
+        return Outcome.DONE
+
+    def _compact(self) -> Outcome:
+        if self._writer is None or self._writer.broken:
+            return Outcome.FAILED
+        if self._writer.grown:
+            self._writer.compact()
+        return Outcome.DONE
+
     def _export(self) -> Outcome:
         """What the decisions have learned, as of now: it helps, and can wait."""
         if self._writer is None or self._writer.broken or self._sources is None:
--- a/larkweir/store/records.py
+++ b/larkweir/store/records.py
@@ -36,8 +36,11 @@
     BEGAN = 4  # a request that may not run twice is about to be sent for the first time
     ENDED = 5  # its answer is known
     LEARNED = 6  # means and credit of the decisions
-    CLOCK = 7  # the time, so that a clock that jumps shows
-    SOURCE = 8  # the address of discovery, and the generation of its list
+    CLOCK = 7  # the time, and the same by a clock that nobody sets, so that one that jumps shows
+    SOURCE = (
+        8  # the address of discovery, the generation of its list, when it last spoke, and what came and went
+    )
+    PROVED = 9  # when an upstream last served, and how that is known
 
 
 class Record(NamedTuple):
--- a/larkweir/store/writer.py
+++ b/larkweir/store/writer.py
@@ -29,6 +29,8 @@
 class Writer:
     """Takes records on the event loop, and writes them on a thread. Never blocks its caller."""
 
+    MOST = 2  # times the length at which a new generation is asked for, from which it is not waited for
+
     def __init__(
         self,
         disk: Disk,
@@ -45,6 +47,7 @@
         self._say = say
         self._now_ms = now_ms
         self._compact_bytes = compact_bytes
+        self._wanted = False  # a new generation
         self._items: deque[_Item] = deque()
         self._count = 0
         self._wake = threading.Condition()
@@ -62,6 +65,17 @@
     def waiting(self) -> int:
         return self._count
 
+    @property
+    def grown(self) -> bool:
+        """Whether a new generation would be worth its work."""
+        return not self.broken and self._disk.log_bytes > self._compact_bytes
+
+    def compact(self) -> None:
+        """Have a new generation written, when what waits has been."""
+        with self._wake:
+            self._wanted = True
+            self._wake.notify()
+
     def put(
         self, *records: Record, durable: bool = False, done: Callable[[bool], None] | None = None
     ) -> None:
@@ -89,7 +103,7 @@
         try:
             while True:
                 with self._wake:
-                    while not self._items and not self._stopping:
+                    while not self._items and not self._stopping and not self._wanted:
                         self._wake.wait()
                     items, self._items = list(self._items), deque()
                     self._count = 0
@@ -98,6 +112,11 @@
                     self._write(items)
                 if stopping:
                     return
+                if (self._wanted and self.grown) or (
+                    not self.broken and self._disk.log_bytes > self.MOST * self._compact_bytes
+                ):
+                    self._compact()  # asked for, or nobody came to ask
+                self._wanted = False
         finally:
             self._disk.close()
 
@@ -118,8 +137,6 @@
         told = [item.done for item in items if item.done is not None]
         if told:
             self._later(lambda: _tell(told, kept))
-        if kept and self._disk.log_bytes > self._compact_bytes:
-            self._compact()
 
     def _compact(self) -> None:
         self._state.prune(self._now_ms())
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -78,6 +78,7 @@
         self.room = room
         self.make = make
         self.table: dict[int, Upstream] = {}
+        self.draining: set[int] = set()  # those told to drain
         # Where an upstream says how much it takes: whether that is out already.
         self.full: Callable[[Upstream, int], bool] | None = None
         self._pending: Counter[int] = Counter()  # calls that wait for a connection, where `full` is asked
@@ -127,12 +128,17 @@
                 upstream = Upstream(number, address, state, started_ms, kind)
                 if state is not ServerState.READY:
                     upstream.told_ms, upstream.closes_ms = now, now + self._grace_ms
+                    self.draining.add(number)
                 self.table[number] = upstream
             return
         upstream.kind = kind
         same = upstream.move(address, state, started_ms, now, self._grace_ms)
         if not same or state is ServerState.GONE:
             self.retire(number)
+        if upstream.told_ms and state is not ServerState.GONE:
+            self.draining.add(number)
+        else:
+            self.draining.discard(number)
         if state is ServerState.GONE:
             del self.table[number]  # calls on their way to it hold it, and see its state
 
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -11,6 +11,10 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field, fields
 from enum import Enum, IntEnum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from mulleinhitch.proof import Proof
 
 
 class SettingsError(ValueError):
@@ -68,6 +72,8 @@
     FULL = "full"  # the whole list: a server that it lacks is gone
     DELTA = "delta"  # changed entries only
     CACHED = "cached"  # the whole list as last held; may be old
+    # entries of servers that are only remembered, changed by what was seen of them; not discovery's word
+    PROOF = "proof"
     FAILED = "failed"  # a call to discovery failed or the subscription broke; no entries
 
 
@@ -218,6 +224,7 @@
     zone: int = 0
     cell: int = 0
     kind: int = 0
+    proof: Proof | None = None  # None: discovery vouches for it
 
 
 @dataclass(slots=True)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -48,6 +48,7 @@
     TimerFired,
     WatchList,
 )
+from mulleinhitch.proof import admits, hopeful
 
 # ---------------------------------------------------------------- token list
 
@@ -89,7 +90,7 @@
     """What this copy knows of one server."""
 
     __slots__ = (
-        "answered_ms cell ejected ejections id kind level linked outstanding shunned silent "
+        "answered_ms cell ejected ejections id kind level linked outstanding proof shunned silent "
         "slowness started_ms state strikes until_ms used_ms zone"
     ).split()
 
@@ -98,6 +99,7 @@
         self.zone = entry.zone
         self.cell = entry.cell
         self.state = entry.state
+        self.proof = entry.proof
         self.started_ms = entry.started_ms
         self.outstanding = 0  # own calls only
         self.answered_ms = -1.0  # when it last served one
@@ -126,7 +128,7 @@
         self.ready = [DrawList() for _ in range(settings.zones)]
         # By own calls outstanding; the first entry is the token list, the others serve the raised level.
         self.levels = [[DrawList() for _ in range(settings.zones)]]
-        self.ready_count = 0
+        self.ready_count = self.remembered = 0
         self.ejected = 0
         self._withheld: list[tuple[float, int, Server]] = []  # heap of tokens to give back
         self._serial = 0
@@ -156,6 +158,7 @@
                 self.servers[server.id] = server
                 fresh.append(server)
             server.state = entry.state
+            server.proof = entry.proof
             server.cell = entry.cell
             if entry.state is ServerState.READY:
                 self._zone(self.ready, server).add(server)
@@ -163,8 +166,15 @@
                 self._zone(self.ready, server).discard(server)
                 self.spend_token(server)
         self.ready_count = sum(map(len, self.ready))
+        if update.kind in (ListKind.CACHED, ListKind.PROOF) or self.remembered:
+            self.remembered = sum(server.proof is not None for server in self.servers.values())
         return fresh, gone
 
+    def hope(self, cls: RequestClass) -> bool:
+        """Whether there is a server that may take this class now or in a moment, where some are only remembered."""
+        found = (server for server in self.servers.values() if server.state is ServerState.READY)
+        return any(server.proof is None or hopeful(cls, server.proof) for server in found)
+
     def _remove(self, server: Server) -> None:
         server.state = ServerState.GONE
         self._readmit(server)
@@ -296,6 +306,8 @@
     def may_send(self, request: Request, server: Server, now_ms: float) -> bool:
         if server.state is not ServerState.READY:
             return False  # draining, gone or delisted: kept from the moment this copy is told
+        if server.proof is not None and not admits(request.cls, server.proof, server.outstanding):
+            return False
         return self.may_send_somewhere(request, now_ms) and self._in_group(request, server, now_ms)
 
     def may_send_somewhere(self, request: Request, now_ms: float) -> bool:
@@ -1155,7 +1167,8 @@
     def _hold(self, request: Request) -> None:
         """Nothing ready, legal and believed idle now: look again shortly, while an answer can still count."""
         last = request.aim_ms - 0.75 * self._latency[request.class_index]
-        if self.now >= last or not request.legality.may_send_somewhere(request, self.now):
+        vain = self.fleet.remembered and not self.fleet.hope(request.cls)
+        if vain or self.now >= last or not request.legality.may_send_somewhere(request, self.now):
             self._answer(request)
             return
         self.held[request.id] = request
@@ -1197,7 +1210,7 @@
             self.slow_start.most_ready = max(self.slow_start.most_ready, self.fleet.ready_count)
             for server in fresh:
                 self.fleet.earn_token(server, self.now)
-        if self.settings.on_request_discovery:
+        if self.settings.on_request_discovery and event.kind is not ListKind.PROOF:
             self._follow_list(event.kind)
 
     def _follow_list(self, kind: ListKind) -> None:
@@ -1242,6 +1255,7 @@
         return {
             "credit": credit,
             "window": self.limiter.window,
+            "retries": self._retries,
             "idle_share": self._idle_share,
             "most_running": self._most_running,
             "latency": dict(zip(names, self._latency, strict=True)),
@@ -1257,6 +1271,8 @@
             return min(float(value), high) if good else old
 
         self.slow_start.credit = number(learned.get("credit"), 0.0, SlowStart.CREDIT_CAP)
+        # Guards against a life that crashes again and again, each time with attempts to spare.
+        self._retries = number(learned.get("retries"), self._retries, self.settings.tuning.retry_cap / 2.0)
         limiter = self.limiter
         most = limiter.MOST_WINDOW
         limiter.window = max(limiter.LEAST_WINDOW, number(learned.get("window"), limiter.window, most))
--- /dev/null
+++ b/tests/membership/test_remembered_rules.py
@@ -0,0 +1,336 @@
+"""Trust, the order of trying, what an answer shows, and the book: rules alone."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from larkweir.membership.remembered.book import MUTE, PROBE_AGAIN_MS, Book, Place, own, still_drained
+from larkweir.membership.remembered.evidence import (
+    DAY_MS,
+    HOUR_MS,
+    NEVER_SEEN,
+    Churn,
+    How,
+    Row,
+    Source,
+    trust,
+)
+from larkweir.membership.remembered.plan import first, opened, order
+from larkweir.membership.remembered.shown import Shown, shown
+from mulleinhitch.interface import Outcome
+from mulleinhitch.proof import FLOOR, SEND_FIRST, Proof, Seen
+
+NOW = 1e12
+QUIET = Churn(0.0, 100.0 * DAY_MS)  # a hundred for a day, and none went
+BUSY = Churn(100.0, 100.0 * HOUR_MS)  # each lives for an hour
+
+
+def heard(ago: float, proved: float | None = None, how: How = How.ANSWERED) -> Row:
+    return Row(NOW - ago, 0.0 if proved is None else NOW - proved, how if proved is not None else How.LISTED)
+
+
+@pytest.mark.parametrize(
+    ("row", "churn", "source", "doubt", "least", "most"),
+    [
+        (heard(1e3, 1e3), QUIET, Source.KEPT, False, 0.94, 0.96),
+        (heard(1e3), QUIET, Source.KEPT, False, 0.69, 0.71),  # listed and never seen at work
+        (heard(1e3, DAY_MS, How.SHOWN), QUIET, Source.KEPT, False, 0.9, 1.0),
+        (heard(HOUR_MS, HOUR_MS), BUSY, Source.KEPT, False, 0.3, SEND_FIRST),  # one in e is still there
+        (heard(DAY_MS, DAY_MS), BUSY, Source.KEPT, False, 0.0, FLOOR),
+        (heard(DAY_MS, DAY_MS), NEVER_SEEN, Source.KEPT, False, 0.4, 0.5),
+        (heard(31 * DAY_MS, 31 * DAY_MS, How.SHOWN), QUIET, Source.KEPT, False, 0.0, 0.0),  # a month old
+        (heard(365 * DAY_MS, 365 * DAY_MS), QUIET, Source.KEPT, False, 0.0, 0.0),
+        (
+            heard(-DAY_MS, -DAY_MS),
+            QUIET,
+            Source.KEPT,
+            True,
+            0.4,
+            SEND_FIRST,
+        ),  # from the future: a probe first
+        (Row(), QUIET, Source.GIVEN, False, FLOOR, 0.7),
+        (Row(), QUIET, Source.KEPT, False, 0.0, 0.0),  # nobody has ever vouched for it
+    ],
+)
+def test_trust(row: Row, churn: Churn, source: Source, doubt: bool, least: float, most: float) -> None:
+    assert least <= trust(row, churn, source, doubt, NOW) <= most
+
+
+@given(st.floats(0, 40 * DAY_MS), st.floats(0, 40 * DAY_MS), st.floats(0, 1e3), st.floats(0, 1e12))
+def test_trust_never_rises_with_age_or_with_churn(
+    one: float, other: float, gone: float, exposure: float
+) -> None:
+    younger, older = sorted((one, other))
+    churn = Churn(gone, exposure)
+
+    def of(age: float, churn: Churn) -> float:
+        return trust(heard(age, age), churn, Source.KEPT, False, NOW)
+
+    assert of(older, churn) <= of(younger, churn) + 1e-9
+    assert of(older, Churn(gone + 1.0, exposure)) <= of(older, churn) + 1e-9
+    assert of(older, churn) <= trust(heard(older, older, How.SHOWN), churn, Source.KEPT, False, NOW) <= 1.0
+
+
+def test_churn_that_lies_far_back_fades() -> None:
+    churn = NEVER_SEEN
+    for _ in range(24):
+        churn = churn.after(10, 100, HOUR_MS)
+    stormy = churn.stays(HOUR_MS)
+    for _ in range(60):
+        churn = churn.after(0, 100, DAY_MS)
+    assert stormy < 0.92 < 0.99 < churn.stays(HOUR_MS)
+    assert churn.exposure_ms <= 700.0 * DAY_MS * 1.001
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "copies"), [(30, 30), (30, 200), (7, 30), (1, 5), (1000, 30), (100, 7)]
+)
+def test_the_first_of_all_copies_fall_on_all_upstreams_alike(upstreams: int, copies: int) -> None:
+    names = [f"s-{n:04x}" for n in range(upstreams)]
+    load: Counter[str] = Counter()
+    for me in range(copies):
+        mine = order(names, me, copies)
+        assert sorted(mine) == sorted(names)
+        load.update(mine[: first(upstreams, copies)])
+    mean = sum(load.values()) / upstreams
+    assert max(load.values()) <= max(2.0 * mean, 1.0) and set(load) == set(names)
+
+
+@given(st.integers(0, 60_000), st.integers(1, 300), st.integers(0, 60_000), st.integers(0, 60_000))
+def test_more_is_used_as_more_is_proved_or_lost_and_never_all_blindly(
+    count: int, copies: int, proved: int, lost: int
+) -> None:
+    found = opened(count, copies, proved, lost)
+    assert 0 <= found <= count
+    assert found <= opened(count, copies, proved + 1, lost) and found <= opened(
+        count, copies, proved, lost + 1
+    )
+    assert opened(count, copies, 0, 0) <= max(3, -(-count // copies))
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        (b'"s-1";zone="a";cell=3', Shown("s-1", "a", 3)),
+        (b"s-1", Shown("s-1")),
+        (b"s-1; zone=a; cell=0; more=1;flag", Shown("s-1", "a", 0)),
+        (b'"a \\" b"', Shown('a " b')),
+        (b's-1;zone="a";zone="b"', Shown("s-1", "b")),
+        (b"s-1;zone=3;cell=-1", Shown("s-1")),
+        (b's-1;cell="3"', Shown("s-1")),
+        (b'"s-1', None),
+        (b"", None),
+        (b"1", None),
+        (b"s 1", None),
+        (b"s-1;", None),
+        (b"s-1;Zone=a", None),
+        (b"x" * 600, None),
+        ("ü".encode(), None),
+    ],
+)
+def test_what_an_answer_shows(text: bytes, found: Shown | None) -> None:
+    assert shown(text) == found
+
+
+@given(st.binary(max_size=600))
+def test_no_bytes_break_the_reading_of_a_header(value: bytes) -> None:
+    found = shown(value)
+    assert found is None or (found.cell is None or found.cell >= 0)
+
+
+# ---------------------------------------------------------------- the book
+
+
+def book(
+    count: int = 10, *, probes: bool = True, shows: bool = True, ago: float = 1e3, **more: object
+) -> Book:
+    it = Book(me=0, copies=1, probes=probes, shows=shows, churn=QUIET)
+    for key, value in more.items():
+        setattr(it, key, value)
+    it.take({f"s{n}": (Place("a", n % 3), heard(ago, ago)) for n in range(count)}, NOW)
+    return it
+
+
+def test_an_empty_list_and_one_that_is_too_old_leave_nothing() -> None:
+    assert book(0).counts().listed == 0 and book(0).age(NOW) == (True, [])
+    assert book(10, ago=31 * DAY_MS).counts().listed == 0
+
+
+def test_a_stranger_at_the_address_is_not_used_and_its_answer_does_not_count() -> None:
+    it = book()
+    counts, changes = it.ended("s1", True, Outcome.OK, Shown("other", "a", 0), NOW + 1)
+    assert not counts and next((change.name, change.proof) for change in changes) == ("s1", None)
+    it.ended("s1", True, Outcome.OK, Shown("other"), NOW + 2)
+    for step in range(20):
+        it.age(NOW + step * 10_000.0)
+        assert "s1" not in it.due(NOW + step * 10_000.0, 100)
+
+
+def test_one_that_has_moved_is_where_it_says_it_is() -> None:
+    it = book()
+    _, changes = it.ended("s1", True, Outcome.OK, Shown("s1", "b", 7), NOW + 1)
+    change = next(change for change in changes if change.name == "s1")
+    assert change.place == Place("b", 7) and change.proof is not None and change.proof.placed
+
+
+def test_one_that_refuses_goes_and_comes_back_when_it_answers() -> None:
+    it = book()
+    assert "s1" in it.due(NOW, 100)
+    it.ended("s1", True, Outcome.CONNECT_FAILED, None, NOW)
+    _, changes = it.ended("s1", False, Outcome.CONNECT_FAILED, None, NOW)
+    assert any(change.name == "s1" and change.proof is None for change in changes)
+    assert "s1" in it.due(NOW + 2 * PROBE_AGAIN_MS, 100)
+    _, changes = it.ended("s1", True, Outcome.OK, Shown("s1", "a", 1), NOW + 600.0)
+    found = next(change.proof for change in changes if change.name == "s1")
+    assert found is not None and found.seen is Seen.PROBE and found.belongs
+
+
+def test_without_probes_what_was_refused_is_forgiven_slowly() -> None:
+    it = book(probes=False)
+    for _ in range(6):
+        it.ended("s1", False, Outcome.CONNECT_FAILED, None, NOW)
+    assert it.entries["s1"].lost
+    looks = 0
+    while it.entries["s1"].lost:
+        looks += 1
+        it.age(NOW + looks * 10_000.0)
+    assert 3 <= looks <= 20
+
+
+def test_one_that_answers_probes_and_fails_requests_keeps_few_calls() -> None:
+    it = book()
+    it.ended("s1", True, Outcome.OK, Shown("s1", "a", 1), NOW)
+    for _ in range(8):
+        _, changes = it.ended("s1", False, Outcome.ERROR, None, NOW)
+    assert it.entries["s1"].seen is Seen.PROBE and it.entries["s1"].lost
+
+
+def test_one_that_shows_nothing_is_not_asked_for_ever() -> None:
+    it = book(1)
+    asked, now = 0, NOW
+    for _ in range(100):
+        for name in it.due(now, 10):
+            asked += 1
+            it.ended(name, True, Outcome.OK, None, now)
+        now += 1_000.0
+    assert asked == MUTE
+    proof = it.entries["s0"].told
+    assert proof is not None and proof.seen is Seen.PROBE and not proof.belongs and not proof.pending
+
+
+def test_own_address_and_drains_that_an_older_list_would_undo() -> None:
+    assert own([("a", ("10.0.0.1", 80)), ("b", ("10.0.0.2", 80))], ("10.0.0.2", 80)) == {"b"}
+    words = {"a": "leaving", "b": "leaving", "c": "active"}
+    listed = {"a": "active", "b": "leaving", "c": "active"}
+    assert still_drained(words, listed, 6, 7) == {"a"}
+    assert still_drained(words, listed, 7, 7) == set()
+
+
+@pytest.mark.parametrize(
+    ("listed", "left", "kept"),
+    [(0, 0, 10), (4, 0, 6), (5, 0, 0), (10, 0, 0), (0, 10, 0), (2, 3, 0), (1, 3, 6)],
+)
+def test_a_first_list_that_lacks_more_than_half_of_those_that_answer_is_not_believed(
+    listed: int, left: int, kept: int
+) -> None:
+    it = book(20)
+    names = sorted(name for name in it.entries)[:10]
+    for name in names:
+        it.ended(name, False, Outcome.OK, Shown(name, "a", 0), NOW)
+    assert len(it.missed(set(names[:listed]), set(names[listed : listed + left]))) == kept
+
+
+class Books(RuleBasedStateMachine):
+    """Whatever ends where and when: the law of the book."""
+
+    @initialize(count=st.integers(0, 40), probes=st.booleans(), shows=st.booleans(), copies=st.integers(1, 5))
+    def begin(self, count: int, probes: bool, shows: bool, copies: int) -> None:
+        self.it = Book(me=copies - 1, copies=copies, probes=probes, shows=shows, churn=QUIET)
+        self.now = NOW
+        self.told: dict[str, Proof] = {}
+        self.strangers: set[str] = set()
+        rows = {f"s{n}": (Place("a", 0), heard(n * 3e6, n * 3e6)) for n in range(count)}
+        self.take(self.it.take(rows, self.now))
+
+    def take(self, changes: list[object]) -> None:
+        for change in changes:
+            if change.proof is None:  # type: ignore[attr-defined]
+                self.told.pop(change.name, None)  # type: ignore[attr-defined]
+            else:
+                self.told[change.name] = change.proof  # type: ignore[attr-defined]
+
+    @rule(
+        at=st.integers(0, 39),
+        outcome=st.sampled_from(Outcome),
+        probe=st.booleans(),
+        word=st.sampled_from("-sx"),
+    )
+    def end(self, at: int, outcome: Outcome, probe: bool, word: str) -> None:
+        name = f"s{at}"
+        told = {"-": None, "s": Shown(name, "a", 0), "x": Shown("else")}[word]
+        counts, changes = self.it.ended(name, probe, outcome, told, self.now)
+        self.take(changes)
+        stranger = outcome is Outcome.OK and word == "x" and name in self.it.entries
+        assert counts is not stranger
+        if stranger:
+            self.strangers.add(name)
+
+    @rule(span=st.floats(0.0, 20_000.0))
+    def wait(self, span: float) -> None:
+        self.now += span
+        self.take(self.it.age(self.now)[1])
+
+    @rule(most=st.integers(1, 5))
+    def probe(self, most: int) -> None:
+        for name in self.it.due(self.now, most):
+            assert self.it.probes and name not in self.strangers and self.it.entries[name].open
+
+    @invariant()
+    def what_is_told_is_what_is_so(self) -> None:
+        if not hasattr(self, "it"):
+            return
+        assert not self.strangers & set(self.told)
+        for name, entry in self.it.entries.items():
+            assert (name in self.told) == (entry.open and not entry.lost), name
+            if name in self.told:
+                proof = self.told[name]
+                assert abs(proof.trust - entry.trust) < 0.021
+                assert proof[1:4] == (entry.seen, entry.belongs, entry.placed)
+                assert not proof.belongs or self.it.shows
+        counts = self.it.counts()
+        assert counts.open <= counts.listed and counts.proved + counts.lost <= counts.open
+
+
+Books.TestCase.settings = settings(max_examples=60, stateful_step_count=40, deadline=None, derandomize=True)
+TestBooks = Books.TestCase
+
+
+def test_a_fleet_that_comes_back_together_spreads_its_first_calls() -> None:
+    """Thirty copies, no word between them, 40% of what they remember gone: calls on each until it is proved."""
+    rng = Random(3)
+    names = [f"s{n}" for n in range(60)]
+    alive = set(rng.sample(names, 36))
+    calls: Counter[str] = Counter()
+    for me in range(30):
+        it = Book(me=me, copies=30, probes=False, shows=False, churn=QUIET)
+        used = {
+            change.name: change.proof
+            for change in it.take({name: (Place("a", 0), heard(1e3, 1e3)) for name in names}, NOW)
+        }
+        for _ in range(400):
+            open_now = [name for name, proof in used.items() if proof is not None]
+            if not open_now:
+                break
+            name = rng.choice(open_now)
+            if it.entries[name].seen is Seen.NOTHING:
+                calls[name] += 1
+            outcome = Outcome.OK if name in alive else Outcome.CONNECT_FAILED
+            used |= {change.name: change.proof for change in it.ended(name, False, outcome, None, NOW)[1]}
+        assert {name for name, proof in used.items() if proof is not None} == alive
+    assert max(calls[name] for name in alive) <= 2.0 * sum(calls[name] for name in alive) / len(alive)
