--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -37,6 +37,10 @@
         from larkweir.cli.state import state  # not imported where there is no store
 
         return state(options.action, options.folder)
+    if options.command == "members":
+        from larkweir.cli.members import members
+
+        return members(options.folder, options.verify)
     if options.command == "demo":
         from larkweir.cli.demo import demo
 
@@ -137,6 +141,14 @@
     )
     state.add_argument("action", choices=("show", "verify", "export", "compact"))
     state.add_argument("folder", metavar="FOLDER")
+    members = commands.add_parser(
+        "members",
+        help="the list that a balancer would start from while discovery is down, with ages and trust",
+        description="Print each upstream of a store's list: when discovery last vouched for it, when and how it was "
+        "last proved, and what would be sent there. With --verify: only faults. Exit code 2 on a bad one.",
+    )
+    members.add_argument("--verify", action="store_true")
+    members.add_argument("folder", metavar="FOLDER", help="of the store")
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- a/larkweir/cli/state.py
+++ b/larkweir/cli/state.py
@@ -16,7 +16,7 @@
 WELL, DAMAGED, BAD = 0, 1, 2
 
 
-def _read(folder: str) -> tuple[dict[str, bytes], bytes]:
+def read_store(folder: str) -> tuple[dict[str, bytes], bytes]:
     """The store's files, without its lock: reading changes nothing. And the site of the newest that tells one."""
     files = Files(folder)
     found: dict[str, bytes] = {}
@@ -56,7 +56,7 @@
     try:
         if action == "compact":
             return _compact(folder)
-        found, site = _read(folder)
+        found, site = read_store(folder)
     except OSError as problem:
         print(f"{folder}: {problem.strerror or problem}", file=sys.stderr)
         return BAD
@@ -81,7 +81,7 @@
     if not os.path.isdir(folder):
         print(f"{folder}: no store is here", file=sys.stderr)
         return BAD
-    _, site = _read(folder)
+    _, site = read_store(folder)
     disk = Disk(Files(folder), site)
     recovered = disk.open()
     try:
--- a/larkweir/membership/remembered/book.py
+++ b/larkweir/membership/remembered/book.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from math import inf
@@ -44,7 +44,6 @@
     seen: Seen = Seen.NOTHING
     belongs: bool = False
     placed: bool = False
-    open: bool = False  # in use
     stranger: bool = False  # at its address is another
     probing: bool = False  # a probe is out
     failed: int = 0  # probes in a row
@@ -75,6 +74,7 @@
     open: int
     proved: int
     lost: int
+    distrusted: int  # of those whose turn has come, that were not used
 
 
 @dataclass(slots=True)
@@ -88,8 +88,10 @@
     churn: Churn = NEVER_SEEN
     source: Source = Source.KEPT
     doubt: bool = False  # of the clock
-    entries: dict[str, Entry] = field(default_factory=dict)
+    entries: dict[str, Entry] = field(default_factory=dict)  # those in use, or that were
+    _rows: Mapping[str, tuple[Place, Row]] = field(default_factory=dict)  # of the whole list
     _order: list[str] = field(default_factory=list)
+    _distrusted: int = 0  # of those whose turn has come
     _next: int = 0  # in the order
     _due: list[tuple[float, str]] = field(default_factory=list)  # probes, a heap
     _proved: set[str] = field(default_factory=set)  # of those in use
@@ -101,29 +103,30 @@
 
     def take(self, rows: Mapping[str, tuple[Place, Row]], now_ms: float) -> list[Change]:
         """The list as remembered; what is used of it from the first moment on."""
-        for name, (place, row) in rows.items():
-            entry = Entry(name, place, row)
-            entry.base = self._base(entry, now_ms)
-            if entry.base >= FLOOR:
-                self.entries[name] = entry
-        self._order = order(self.entries, self.me, self.copies)
+        self._rows = rows
+        self._order = order(rows, self.me, self.copies)
         return self._go_on(now_ms)
 
     def _go_on(self, now_ms: float) -> list[Change]:
         """Bring the next ones into use, as far as those before them have come to something."""
         found = []
-        most = opened(len(self._order), self.copies, len(self._proved), len(self._lost))
-        while self._open < most and self._next < len(self._order):
-            entry = self.entries[self._order[self._next]]
+        while self._next < len(self._order) and self._open < opened(
+            len(self._order), len(self._proved), len(self._lost)
+        ):
+            name = self._order[self._next]
             self._next += 1
-            self._open += 1
-            entry.open = True
+            place, row = self._rows[name]
+            entry = Entry(name, place, row)
             entry.base = self._base(entry, now_ms)
+            if entry.base < FLOOR:
+                self._distrusted += 1
+                continue
+            self.entries[name] = entry
+            self._open += 1
             if self._wants_probe(entry):
                 self._ask(entry, now_ms)
             self._sort(entry)
-            if not entry.lost:
-                found.append(self._tell(entry))
+            found.append(self._tell(entry))
         return found
 
     def _wants_probe(self, entry: Entry) -> bool:
@@ -151,8 +154,6 @@
 
     def _changed(self, entry: Entry) -> list[Change]:
         """Tell of it where that matters: a trust that has moved a little does not."""
-        if not entry.open:
-            return []
         self._sort(entry)
         before = entry.told
         change = self._tell(entry)
@@ -239,8 +240,8 @@
         found = []
         names = self._order[self._aged : min(self._next, self._aged + most)]
         for name in names:
-            entry = self.entries[name]
-            if entry.seen is not Seen.ANSWER and not entry.stranger:
+            entry = self.entries.get(name)
+            if entry is not None and entry.seen is not Seen.ANSWER and not entry.stranger:
                 entry.shake = min(1.0, HEAL * entry.shake)
                 entry.base = self._base(entry, now_ms)
                 if self._wants_probe(entry) and not entry.probing:
@@ -260,7 +261,7 @@
         )
 
     def counts(self) -> Counts:
-        return Counts(len(self.entries), self._open, len(self._proved), len(self._lost))
+        return Counts(len(self._order), self._open, len(self._proved), len(self._lost), self._distrusted)
 
     # ------------------------------------------------ discovery speaks again
 
@@ -278,11 +279,6 @@
         return lacks
 
 
-def own(rows: Iterable[tuple[str, tuple[str, int]]], listen: tuple[str, int]) -> set[str]:
-    """Lines of a list that name the balancer's own address: what goes there would come back."""
-    return {name for name, address in rows if address == listen}
-
-
 def still_drained(
     lifecycles: Mapping[str, str], listed: Mapping[str, str], generation: int, remembered: int
 ) -> set[str]:
--- a/larkweir/membership/remembered/hands.py
+++ b/larkweir/membership/remembered/hands.py
@@ -20,7 +20,7 @@
 from larkweir.core.message import Message
 from larkweir.core.ports import Listing, Pool
 from larkweir.membership.discovery import Discovery, DiscoveryError, parse_listing
-from larkweir.membership.remembered.book import LOOK_MS, Book, Change, Place, own, still_drained
+from larkweir.membership.remembered.book import LOOK_MS, Book, Change, Place, still_drained
 from larkweir.membership.remembered.evidence import Churn, How, Row, Source
 from larkweir.membership.remembered.shown import Shown, shown
 from mulleinhitch.interface import ListKind, Outcome, ServerEntry, ServerState
@@ -89,15 +89,16 @@
         self._header = options.identity.lower().encode()
         self._timer: Timer | None = None
         self._ended = False
-        self._entries: dict[str, tuple[ServerEntry, tuple[str, int]]] = {}  # of the remembered list
-        self._words: dict[str, str] = {}  # their lifecycles
+        self._lines: dict[str, dict[str, Any]] = {}  # of the remembered list, by name, in discovery's form
+        self._entries: dict[str, tuple[ServerEntry, tuple[str, int]]] = {}  # of those in use
+        self._words: dict[str, str] = {}  # of those that are not active
         self._generation = 0  # of the remembered list
         self._drains: dict[str, float] = {}  # as remembered
         self.drained: Callable[[int, float], None] = (
             lambda number, told_ms: None
         )  # told of a drain's first word
         self._kept: dict[str, Change] = {}  # that discovery's first list lacks, although they answer
-        self._kept_until = self._drained_until = 0.0
+        self._drained_until = 0.0
         self.book: Book | None = None
         self.heard_ms = 0.0  # when discovery last answered
         self.proved: dict[int, tuple[float, How]] = {}  # by number, since somebody has looked
@@ -119,32 +120,37 @@
         """Serve from a list of before, as far as it is trusted; nothing where discovery has been faster."""
         if self.heard_ms or not recalled.held.get("instances"):
             return
-        try:
-            listing = parse_listing(recalled.held, self._discovery.names)
-        except DiscoveryError as problem:
-            self._say(f"remembered: {problem}")
-            return
         settings = self._config.settings
-        names = [row["instanceId"] for row in recalled.held["instances"]]
-        places = [Place(row.get("zone", ""), int(row.get("cell", 0))) for row in recalled.held["instances"]]
-        addresses = dict(zip(names, listing.addresses, strict=True))
-        ours = own(addresses.items(), self._config.listen)
         book = Book(settings.me, settings.copies, settings.may_probe, bool(self._header))
         book.churn, book.source, book.doubt = recalled.churn, recalled.source, recalled.doubt
         rows: dict[str, tuple[Place, Row]] = {}
-        for name, entry, place in zip(names, listing.entries, places, strict=True):
-            self._words[name] = "leaving" if entry.state is ServerState.DRAINING else "active"
-            if entry.state is ServerState.READY and name not in ours:
-                self._entries[name] = (entry, addresses[name])
-                rows[name] = (place, recalled.rows.get(name, Row()))
-        self._generation = listing.version
+        ours = 0
+        listen = f"{self._config.listen[0]}:{self._config.listen[1]}"
+        for line in recalled.held["instances"]:
+            name = line.get("instanceId") if isinstance(line, dict) else None
+            if not isinstance(name, str):
+                continue
+            word = str(line.get("lifecycle"))
+            if word == "leaving":
+                self._words[name] = word
+            elif line.get("hostPort") == listen:
+                ours += 1  # what went there would come back
+            elif word == "active":
+                self._lines[name] = line
+                rows[name] = (
+                    Place(line.get("zone", ""), line.get("cell", 0)),
+                    recalled.rows.get(name, Row()),
+                )
+        generation = recalled.held.get("generation")
+        self._generation = generation if isinstance(generation, int) else 0
         self._drains = recalled.drains
         self.book = book
         changes = book.take(rows, self._clock.now_ms())
         counts = book.counts()
         self._say(
-            f"remembered: {len(rows)} upstreams, {counts.listed} of them trusted, {counts.open} in use at first"
-            + (f"; {len(ours)} at this balancer's own address" if ours else "")
+            f"remembered: {len(rows)} upstreams, {counts.open} in use at first"
+            + (f", {counts.distrusted} not trusted" if counts.distrusted else "")
+            + (f"; {ours} at this balancer's own address" if ours else "")
         )
         self._pass_on(changes, ListKind.CACHED)
         if runner is not None:
@@ -154,7 +160,7 @@
     def _pass_on(self, changes: list[Change], kind: ListKind = ListKind.PROOF) -> None:
         entries, addresses = [], []
         for change in changes:
-            known = self._entries.get(change.name)
+            known = self._known(change.name)
             if known is None:
                 continue
             entry, address = known
@@ -163,6 +169,21 @@
         if entries:
             self._tell(Listing(kind, self._generation, tuple(entries), tuple(addresses)))
 
+    def _known(self, name: str) -> tuple[ServerEntry, tuple[str, int]] | None:
+        """A line of the list, checked when it is first asked for: nothing is checked that is never used."""
+        found = self._entries.get(name)
+        if found is None and name in self._lines:
+            try:
+                listing = parse_listing(
+                    {"generation": 0, "reset": True, "instances": [self._lines[name]]}, self._discovery.names
+                )
+            except DiscoveryError as problem:
+                self._say(f"remembered: {name:.100}: {problem}")
+                del self._lines[name]
+                return None
+            found = self._entries[name] = (listing.entries[0], listing.addresses[0])
+        return found
+
     def _entry(self, entry: ServerEntry, change: Change) -> ServerEntry:
         return ServerEntry(
             entry.server,
@@ -191,14 +212,17 @@
             return
         now = self._clock.now_ms()
         for name in self.book.due(now, self.PROBES):
-            number, host = self._entries[name][0].server, self._entries[name][1]
+            known = self._known(name)
+            if known is None:
+                self._pass_on(self.book.ended(name, True, Outcome.CONNECT_FAILED, None, now)[1])
+                continue
+            (entry, host), number = known, known[0].server
             message = Message()
             message.method, message.target = b"GET", self._target
             message.headers = [(b"Host", b"%s:%d" % (host[0].encode(), host[1]))]
             owner = _Probe(self, number)
             if number not in self._pool.targets:  # lost meanwhile: it is told of again before it is asked
-                entry, address = self._entries[name]
-                self._pool.update(number, address, ServerState.READY, entry.started_ms, entry.kind)
+                self._pool.update(number, host, ServerState.READY, entry.started_ms, entry.kind)
             if self._pool.call(number, message, now + self.PROBE_MS, owner, probe=True) is None:
                 owner.ended(Outcome.CONNECT_FAILED, None)
         if self.book is not None and self.book.next_ms() < inf:
@@ -278,20 +302,19 @@
         }
         counts = book.counts()
         self.book = None
-        self._words = {name: word for name, word in self._words.items() if word == "leaving"}
         self._say(
             f"remembered: discovery lists {sum(word == 'active' for word in words.values())}; of the remembered "
             f"{counts.proved} had answered, {counts.lost} had not"
         )
         if self._kept:
-            self._kept_until = now + self._options.panic_ms
             self._say(
                 f"remembered: {len(self._kept)} upstreams that answer are not in its list, more than half of those: "
                 f"used on for {self._options.panic_ms / 1000.0:.0f} s"
             )
-            self._clock.at(self._kept_until, self._settle)
+            self._clock.at(now + self._options.panic_ms, self._settle)
         else:
             self._entries = {}
+        self._lines = {}
         if self._words:
             self._drained_until = now + self.DRAINED_MS
 
--- a/larkweir/membership/remembered/plan.py
+++ b/larkweir/membership/remembered/plan.py
@@ -10,7 +10,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-FIRST = 3  # tried at once at the least: one that is gone must not keep everything waiting
+# Tried at once: a few that are gone must not keep everything waiting, and more are used with the first answers.
+FIRST = 8
 
 
 def common(names: Iterable[str]) -> list[str]:
@@ -27,13 +28,8 @@
     return found[at:] + found[:at]
 
 
-def first(count: int, copies: int) -> int:
-    """How many a copy tries at once in the beginning: its even part, so that all together try all."""
-    return min(count, max(FIRST, -(-count // max(1, copies))))
-
-
-def opened(count: int, copies: int, proved: int, lost: int) -> int:
+def opened(count: int, proved: int, lost: int) -> int:
     """How many of the order are in use: twice as many as have been proved, and one more for each that is lost, from the
     first ones on. It doubles with each call's time while what is remembered is true, and is cautious where it is not.
     """
-    return min(count, max(first(count, copies), 2 * proved) + lost)
+    return min(count, max(FIRST, 2 * proved) + lost)
--- a/larkweir/store/keeper.py
+++ b/larkweir/store/keeper.py
@@ -138,14 +138,6 @@
         for doubt in told.doubts:
             self._say(f"store: {doubt}")
         self.recovered = found.records
-        try:
-            disk.begin(None, state)
-        except OSError as problem:
-            self._say(
-                f"store: {self._options.path}: {problem.strerror or problem}; nothing is kept by this life"
-            )
-            disk.close()
-            return told
         self._writer = Writer(
             disk, state, self._later, self._say, self._clock.now_ms, int(self._options.most_mb * 1024 * 1024)
         )
--- a/larkweir/store/records.py
+++ b/larkweir/store/records.py
@@ -52,6 +52,7 @@
     """A file that can't be used, and why."""
 
 
+_KINDS = {int(kind): kind for kind in Kind}
 _encode = msgspec.msgpack.encode
 _decode = msgspec.msgpack.decode
 
@@ -108,5 +109,6 @@
             return
         serial += 1
         at = end
-        if kind in Kind._value2member_map_:
-            yield at, Record(Kind(kind), said)
+        known = _KINDS.get(kind)
+        if known is not None:
+            yield at, Record(known, said)
--- a/larkweir/store/recovery.py
+++ b/larkweir/store/recovery.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import gc
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 
@@ -63,6 +64,17 @@
 
 
 def recover(files: Mapping[str, bytes], site: bytes) -> Recovered:
+    """As `_recover`, without a look for cycles after each few hundred objects: none of these is garbage."""
+    collects = gc.isenabled()
+    gc.disable()
+    try:
+        return _recover(files, site)
+    finally:
+        if collects:
+            gc.enable()
+
+
+def _recover(files: Mapping[str, bytes], site: bytes) -> Recovered:
     """From all files of a store, by name: `G.snap` and `G.log` for each generation G.
 
     Where the newest snapshot is damaged, the one before it and both logs make the same state: a snapshot holds no more
--- a/larkweir/store/state.py
+++ b/larkweir/store/state.py
@@ -28,6 +28,9 @@
     ended_ms: float  # 0: not known
 
 
+_HOWS = {int(how): how for how in How}
+
+
 def _number(value: Any) -> bool:
     return isinstance(value, int | float) and not isinstance(value, bool) and 0.0 <= value < 1e18
 
@@ -71,6 +74,15 @@
             if body.get("lifecycle") == "active":
                 self.drains.pop(body["instanceId"], None)  # discovery has called it back
             return True
+        if kind is Kind.PROVED:
+            if not isinstance(body, list) or len(body) != 3 or not (_text(body[0]) and _number(body[1])):
+                return False
+            how = _HOWS.get(body[2]) if type(body[2]) is int else None
+            if how is None:
+                return False
+            if body[0] in self.listed:  # of none that is not listed: the table is as bounded as the list
+                self.proved[body[0]] = (float(body[1]), how)
+            return self._clock(body[1])
         if kind is Kind.GONE:
             if not _text(body):
                 return False
@@ -113,12 +125,6 @@
         if len(body) < 2 or not _text(body[0]) or not all(_number(item) for item in body[1:]):
             return False
         self._clock(body[1])
-        if kind is Kind.PROVED:
-            if len(body) != 3 or body[2] not in How.__members__.values():
-                return False
-            if body[0] in self.listed:  # of none that is not listed: the table is as bounded as the list
-                self.proved[body[0]] = (float(body[1]), How(int(body[2])))
-            return True
         if kind is Kind.DRAIN:
             known = self.drains.get(body[0])
             self.drains[body[0]] = body[1] if known is None else min(known, body[1])  # the first word counts
--- a/larkweir/store/writer.py
+++ b/larkweir/store/writer.py
@@ -101,6 +101,8 @@
 
     def _run(self) -> None:
         try:
+            # A generation of this life's own first, here: a long list must not keep the first request waiting.
+            self._begin()
             while True:
                 with self._wake:
                     while not self._items and not self._stopping and not self._wanted:
@@ -140,11 +142,15 @@
 
     def _compact(self) -> None:
         self._state.prune(self._now_ms())
+        self.compactions += self._begin()
+
+    def _begin(self) -> bool:
         try:
             self._disk.begin(None, self._state)
-            self.compactions += 1
         except OSError as problem:
             self._break(problem)
+            return False
+        return True
 
     def _break(self, problem: OSError) -> None:
         """Nothing is written from here on, and that is said once."""
--- a/tests/store/test_beliefs.py
+++ b/tests/store/test_beliefs.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from larkweir.membership.remembered.evidence import How
 from larkweir.store.records import Kind, Record
 from larkweir.store.state import FRESH_MS, MOST_OPEN, State, beliefs
 
@@ -93,3 +94,74 @@
     made.apply(Record(Kind.DRAIN, ["gone", NOW]))
     made.prune(NOW + 10_000.0)
     assert not made.open and not made.drains
+
+
+BOOT = ("the-machine", NOW - 50_000.0)
+
+
+def lived(wall: float, *records: Record) -> State:
+    """A life on the same machine, by a clock that stood so far from the present one."""
+    return state(Record(Kind.CLOCK, [NOW - 9_000.0 + wall, BOOT[0], NOW - 9_000.0 - BOOT[1]]), *records)
+
+
+@pytest.mark.parametrize(
+    "wall", [86_400_000.0, -365 * 86_400_000.0 + 1e12, 0.0], ids=["back", "a year", "none"]
+)
+def test_a_clock_that_was_set_is_seen_by_the_machines_own(wall: float) -> None:
+    """Set either way, and the machine has not started anew: all ages are known."""
+    at = NOW - 9_000.0 + wall
+    row = {"instanceId": "u0", "lifecycle": "active"}
+    it = lived(
+        wall,
+        Record(Kind.LISTED, row),
+        Record(Kind.SOURCE, ["d", 3, at, 0.0, 0.0]),
+        Record(Kind.PROVED, ["u0", at - 1_000.0, int(How.ANSWERED)]),
+        Record(Kind.BEGAN, ["late", at, SPAN]),
+        Record(Kind.ENDED, ["late", at]),
+        Record(Kind.BEGAN, ["fresh", at, 20_000.0]),
+        Record(Kind.ENDED, ["fresh", at]),
+    )
+    told = beliefs(it, NOW, SPAN, BOOT)
+    assert not told.clock_doubt
+    assert told.rows["u0"] == pytest.approx((NOW - 9_000.0, NOW - 10_000.0, How.ANSWERED))
+    assert [trace for trace, _ in told.ids] == ["fresh"]
+    assert bool(told.doubts) is (wall != 0.0)
+
+
+def test_after_a_new_start_of_the_machine_a_clock_that_went_back_is_a_doubt() -> None:
+    it = lived(86_400_000.0)
+    assert beliefs(it, NOW, SPAN, ("another start", 0.0)).clock_doubt
+    assert not beliefs(lived(0.0), NOW, SPAN, ("another start", 0.0)).clock_doubt
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        Record(Kind.PROVED, ["u0", 1.0, 9]),
+        Record(Kind.PROVED, ["u0", 1.0, True]),
+        Record(Kind.PROVED, ["u0", 1.0]),
+        Record(Kind.PROVED, ["u0", -1.0, 1]),
+        Record(Kind.SOURCE, ["d", 1, 2]),
+        Record(Kind.SOURCE, ["d", 1, 2.0, "3", 4.0]),
+        Record(Kind.CLOCK, [1.0, "", 1.0]),
+        Record(Kind.CLOCK, [1.0, "m", "x"]),
+        Record(Kind.CLOCK, []),
+    ],
+)
+def test_what_does_not_fit_changes_nothing(record: Record) -> None:
+    it = state(Record(Kind.LISTED, {"instanceId": "u0"}), record)
+    assert it.passed_over == 1 and not it.proved and not it.source and not it.boot[0] and not it.heard_ms
+
+
+def test_what_is_proved_is_of_the_list_alone_and_goes_with_it() -> None:
+    proved = Record(Kind.PROVED, ["u0", 5.0, int(How.PROBED)])
+    it = state(proved)
+    assert not it.proved and not it.passed_over
+    it = state(Record(Kind.LISTED, {"instanceId": "u0"}), proved)
+    assert it.proved == {"u0": (5.0, How.PROBED)}
+    again = State()
+    for record in it.records():
+        again.apply(record)
+    assert again == it
+    it.apply(Record(Kind.GONE, "u0"))
+    assert not it.proved
--- /dev/null
+++ b/tests/store/test_keeper.py
@@ -0,0 +1,237 @@
+"""The keeper beside a loop: nothing waits for the disk, a long list is written in parts, and nothing is written that
+discovery has not said.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import threading
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from larkweir.background.runner import Runner
+from larkweir.config.options import Store
+from larkweir.config.platform import decode
+from larkweir.core.clock import Clock
+from larkweir.membership.remembered.evidence import How, Row
+from larkweir.store.disk import Files
+from larkweir.store.keeper import Keeper, site_of
+from larkweir.store.recovery import recover
+from larkweir.store.state import State
+from standins.peers import PATIENCE_S, entry
+from tests.fakes import config_data
+from tests.lifecycle.service import until
+from tests.upstreams.test_attempts import run
+
+CONFIG = decode(json.dumps(config_data([], 1)), {})
+
+
+class Gated(Files):
+    """A disk whose flushes come back when it is let."""
+
+    def __init__(self, folder: str) -> None:
+        super().__init__(folder)
+        self.gate = threading.Event()
+        self.gate.set()
+
+    def flush(self, number: int) -> None:
+        self.gate.wait(30.0)
+        super().flush(number)
+
+
+class Told:
+    """Stands for the node."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, dict[str, Any]] = {}
+        self.names: set[str] = set()
+        self.spoke = False
+        self.proofs: dict[str, Row] = {}
+
+    def settled(self) -> bool:
+        return self.spoke
+
+    def touched(self) -> set[str]:
+        return self.names
+
+    def row(self, name: str) -> dict[str, Any] | None:
+        return self.rows.get(name)
+
+    def generation(self) -> int:
+        return 3
+
+    def heard_ms(self) -> float:
+        return 5.0 if self.spoke else 0.0
+
+    def evidence(self, most: int) -> dict[str, Row]:
+        taken = dict(list(self.proofs.items())[:most])
+        for name in taken:
+            del self.proofs[name]
+        return taken
+
+    def drains(self) -> dict[str, float]:
+        return {}
+
+    def learned(self) -> dict[str, Any]:
+        return {}
+
+    def source(self) -> str:
+        return "d:1"
+
+    def tell(self, rows: dict[str, dict[str, Any]]) -> None:
+        self.names |= set(rows) | set(self.rows)
+        self.rows, self.spoke = rows, True
+
+
+def kept(folder: Path) -> State:
+    files = Files(str(folder))
+    found = {name: files.read(name) for name in files.names() if name != "lock"}
+    return recover(found, site_of(CONFIG)).state
+
+
+class Kept:
+    def __init__(self, folder: Path, **options: Any) -> None:
+        loop = asyncio.get_running_loop()
+        clock = Clock(loop)
+        self.said: list[str] = []
+        self.files = Gated(str(folder))
+        self.keeper = Keeper(
+            Store(on=True, path=str(folder), every_ms=10.0, **options),
+            CONFIG,
+            clock,
+            self.said.append,
+            self.files,
+        )
+        self.keeper.EVIDENCE_MS = 20.0
+        self.keeper.COMPACT_MS = 20.0
+        self.told = Told()
+        self.runner = Runner(clock, lambda: False, self.said.append, Random(1))
+        self.beliefs = self.keeper.open()
+
+    def attach(self) -> None:
+        self.keeper.attach(self.told, self.runner)
+
+
+def many(count: int) -> dict[str, dict[str, Any]]:
+    return {f"s{n}": entry(f"s{n}", 1 + n % 60_000) for n in range(count)}
+
+
+def test_a_long_list_is_written_in_parts_and_counts_when_all_of_it_is(tmp_path: Path) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path)
+        it.told.tell(many(5_000))
+        it.attach()
+        seen: list[int] = []
+
+        def look() -> bool:
+            state = kept(tmp_path)
+            seen.append(len(state.listed))
+            assert state.generation == (3 if len(state.listed) == 5_000 else 0) or len(state.listed) == 5_000
+            return state.generation == 3
+
+        await until(look, "the whole list")
+        assert seen[0] < 5_000 and seen[-1] == 5_000
+        it.told.tell({name: row for name, row in it.told.rows.items() if name != "s7"})
+        await until(lambda: len(kept(tmp_path).listed) == 4_999, "one that went")
+        await until(lambda: kept(tmp_path).churn.gone > 0.9, "that it went")
+        it.keeper.close()
+
+    run(work())
+
+
+def test_nothing_is_written_of_a_list_before_discovery_speaks(tmp_path: Path) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path)
+        it.told.tell(many(3))
+        it.attach()
+        await until(lambda: kept(tmp_path).generation == 3, "the list")
+        it.keeper.close()
+        it = Kept(tmp_path)
+        assert it.beliefs is not None and len(it.beliefs.held["instances"]) == 3
+        it.told.names = {"s0", "s1", "s2"}  # nothing is held yet
+        it.attach()
+        await asyncio.sleep(0.1)
+        it.keeper.close()
+        assert len(kept(tmp_path).listed) == 3
+
+    run(work())
+
+
+def test_a_disk_that_is_slow_holds_nothing_up_and_what_was_meant_is_written_in_the_end(
+    tmp_path: Path,
+) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path)
+        it.attach()
+        it.files.gate.clear()
+        it.told.tell(many(500))
+        order: list[str] = []
+        it.keeper.began(b"held", lambda: order.append("sent"))
+        for _ in range(20):  # the loop goes round meanwhile
+            await asyncio.sleep(0.01)
+            order.append("turn")
+        assert "sent" not in order  # what is promised before the send is waited for, and that alone
+        it.files.gate.set()
+        await until(lambda: order[-1] == "sent" or "sent" in order, "the send")
+        await until(lambda: len(kept(tmp_path).listed) == 500, "the list")
+        assert "held" in kept(tmp_path).open
+        it.keeper.close()
+
+    run(work())
+
+
+def test_evidence_is_kept_of_those_that_are_listed(tmp_path: Path) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path)
+        it.told.tell(many(700))
+        it.attach()
+        await until(lambda: kept(tmp_path).generation == 3, "the list")
+        it.told.proofs = {f"s{n}": Row(0.0, 9.0 + n, How.ANSWERED) for n in range(900)}
+        await until(lambda: len(kept(tmp_path).proved) == 700, "what was proved")
+        assert kept(tmp_path).proved["s3"] == (12.0, How.ANSWERED)
+        assert kept(tmp_path).heard_ms == 5.0
+        it.keeper.close()
+
+    run(work())
+
+
+@pytest.mark.parametrize("asked", [True, False])
+def test_a_log_that_has_grown_is_replaced_when_the_scheduler_comes_to_it_or_at_twice_its_length(
+    tmp_path: Path, asked: bool
+) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path, most_mb=0.002)
+        it.attach()
+        if not asked:
+            it.runner.cancel("store.compact")
+        writer = it.keeper._writer
+        assert writer is not None
+        async with asyncio.timeout(PATIENCE_S):
+            count = 0
+            while not writer.compactions:
+                count += 1
+                it.keeper.began(f"t{count}".encode(), lambda: None)
+                await asyncio.sleep(0.002)
+        assert len(kept(tmp_path).open) >= count - 5
+        it.keeper.close()
+
+    run(work())
+
+
+def test_a_keyed_request_is_remembered_as_long_as_its_servers_drop_repeats(tmp_path: Path) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path)
+        it.attach()
+        done: list[int] = []
+        it.keeper.began(b"keyed", lambda: done.append(1), memory_ms=90_000.0)
+        it.keeper.began(b"unsafe", lambda: done.append(2))
+        await until(lambda: len(done) == 2, "both kept")
+        found = kept(tmp_path).open
+        assert found["keyed"].span_ms == 90_000.0 and found["unsafe"].span_ms == 16_000.0
+        it.keeper.close()
+
+    run(work())
