--- a/benchmarks/background.py
+++ b/benchmarks/background.py
@@ -40,7 +40,8 @@
         while time.monotonic() < until:
             pass
         spent[0] += STEP_S
-        Path(os.environ["BURNT"]).write_text(str(spent[0] / (time.monotonic() - spent[1])))
+        if spent[0] % 0.02 < STEP_S:  # seldom: a write may wait for the disk
+            Path(os.environ["BURNT"]).write_text(str(spent[0] / (time.monotonic() - spent[1])))
         return Outcome.MORE
 
     def begun(node: Node, known: Knowledge | None = None) -> None:
--- a/tests/membership/test_outage.py
+++ b/tests/membership/test_outage.py
@@ -44,8 +44,10 @@
     extra = f'Instance: "{name}";zone="{zone}";cell=0\r\n' if says else ""
 
     async def behave(request: Incoming, talk: Talk) -> None:
-        code = probes if request.target in ("/health", "/status/load") else requests
-        await talk.send(ok(name.encode(), extra) if code == 200 else status(code, extra))
+        probed = request.target in ("/health", "/status/load")
+        code = probes if probed else requests
+        # Another body for a probe: an answer that repeats the probe's is taken for that.
+        await talk.send(ok(b"" if probed else name.encode(), extra) if code == 200 else status(code, extra))
 
     return behave
 
@@ -138,7 +140,7 @@
             _, before = await load(out.it, 200, 1, "a")
             await out.crash()
             _, after = await load(out.it, 200, 1, "b")
-            assert after >= 0.95 * before and before > 180
+            assert after >= 0.95 * before and before > 190
 
     run(work())
 
@@ -448,3 +450,22 @@
             path.unlink()
     found = members("--verify", str(tmp_path))
     assert found.returncode == 2 and found.stderr and "Traceback" not in found.stderr
+
+
+def test_the_configurations_own_list_is_held_to_the_same_rules_where_that_is_said(tmp_path: Path) -> None:
+    async def work() -> None:
+        up = await upstreams(member("u0"), member("other"))
+        async with service(tmp_path, *up) as it, asyncio.timeout(3 * PATIENCE_S):
+            it.operator_path.write_text(
+                '[lifecycle]\nnotify = true\n[remembered]\nidentity = "Instance"\nknown = true\n'
+            )
+            it.write(settings=settings_with_probes())
+            it.discovery.stop()
+            await it.start()
+            await it.said("at the address of u1 is other")
+            assert [await status_of(it, f"a{n}", "move") for n in range(6)] == [200] * 6
+            assert not any(request.target == "/api" for request in up[1].seen)
+        for upstream in up:
+            upstream.close()
+
+    run(work())
--- a/tests/store/test_crashes.py
+++ b/tests/store/test_crashes.py
@@ -199,3 +199,44 @@
     for record in state.records():
         again.apply(record)
     assert (again.open, again.drains, again.listed) == (state.open, state.drains, state.listed)
+
+
+def listing() -> State:
+    state = State()
+    for record in (
+        Record(Kind.CLOCK, [5e12, "a-machine", 1e9]),
+        *(Record(Kind.LISTED, {"instanceId": f"u{n}", "hostPort": f"10.0.0.{n}:80"}) for n in range(3)),
+        Record(Kind.SOURCE, ["10.0.0.9:1", 7, 5e12, 1.0, 9e9]),
+        Record(Kind.PROVED, ["u1", 5e12, 3]),
+        Record(Kind.DRAIN, ["u2", 5e12]),
+    ):
+        state.apply(record)
+    return state
+
+
+def test_a_list_cut_at_any_byte_or_with_any_bit_flipped_names_nobody_that_was_not_written() -> None:
+    whole = listing()
+    snap = b"".join(snapshot(whole, SITE, 1))
+    later = [
+        Record(Kind.GONE, "u0"),
+        Record(Kind.PROVED, ["u2", 6e12, 2]),
+        Record(Kind.SOURCE, ["10.0.0.9:1", 8]),
+    ]
+    log = header(SITE, 1) + b"".join(frame(n, record) for n, record in enumerate(later))
+    harmed = [(snap[:at], log) for at in range(len(snap))] + [(snap, log[:at]) for at in range(len(log))]
+    for at in range(8 * len(snap)):
+        data = bytearray(snap)
+        data[at // 8] ^= 1 << at % 8
+        harmed.append((bytes(data), log))
+    for at in range(8 * len(log)):
+        data = bytearray(log)
+        data[at // 8] ^= 1 << at % 8
+        harmed.append((snap, bytes(data)))
+    full = 0
+    for one, other in harmed:
+        found = recover({"1.snap": one, "1.log": other}, SITE)
+        assert all(whole.listed.get(name) == row for name, row in found.state.listed.items())
+        assert found.state.proved.items() <= {"u1": (5e12, 3), "u2": (6e12, 2)}.items()
+        assert found.state.generation in (0, 7, 8)
+        full += bool(found.state.listed)
+    assert full > len(other) * 8  # what harms the log leaves the snapshot
--- a/tests/store/test_keeper.py
+++ b/tests/store/test_keeper.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import json
+import shutil
 import threading
 from pathlib import Path
 from random import Random
@@ -235,3 +236,23 @@
         it.keeper.close()
 
     run(work())
+
+
+def test_a_folder_that_goes_while_it_is_used_is_said_once_and_done_without(tmp_path: Path) -> None:
+    async def work() -> None:
+        it = Kept(tmp_path / "store", most_mb=0.002)
+        it.attach()
+        await asyncio.sleep(0.05)
+        shutil.rmtree(tmp_path / "store")
+        done: list[int] = []
+        async with asyncio.timeout(PATIENCE_S):
+            while not any("nothing is kept" in line for line in it.said):
+                it.keeper.began(f"t{len(done)}".encode(), lambda: done.append(1))
+                await asyncio.sleep(0.002)
+        count = len(done)
+        it.keeper.began(b"after", lambda: done.append(1))
+        assert len(done) == count + 1  # sent at once: nothing is promised any more
+        assert sum("nothing is kept" in line for line in it.said) == 1
+        it.keeper.close()
+
+    run(work())
