--- a/larkweir/config/operator.py
+++ b/larkweir/config/operator.py
@@ -65,7 +65,14 @@
                     faults.append(f"{table}.{name}: {row!r:.100} is no table; write [{table}.{name}]")
         else:
             faults.append(_unknown(table, [*TABLES, *NAMED], "table"))
-    return Operator(**tables), faults
+    options = Operator(**tables)
+    if (options.routes or options.pools) and not faults:
+        from larkweir.config.routing import routing_objections  # not imported where there is no route
+
+        faults += [
+            f"{item.key}: {item.text}; {item.mend}" for item in routing_objections(options) if item.grave
+        ]
+    return options, faults
 
 
 def _row(table: str, kind: type[Any], rows: dict[str, Any], faults: list[str]) -> Any:
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -264,6 +264,69 @@
     share: float | None = option(None, low=0.0, high=1.0, unit=Unit.PART)
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Pool:
+    """The table `[pool.NAME]`: upstreams with decisions of their own. What is not said is as `parent` says, or as for
+    all. `default` is the pool of all that discovery lists, and need not be written.
+    """
+
+    # A pool whose keys count where this one says nothing.
+    parent: str = option("")
+    # Of discovery's list: those in these zones, of these machine types, in these cells. Empty: any.
+    zones: tuple[str, ...] | None = option(None)
+    kinds: tuple[str, ...] | None = option(None)
+    cells: tuple[str, ...] | None = option(None)
+    # In place of discovery's list: "10.0.0.1:8080", each with a zone behind it where it is not the first one's.
+    fixed: tuple[str, ...] | None = option(None)
+    # Zones that get nothing new, as if each of their upstreams drained.
+    evacuated: tuple[str, ...] | None = option(None)
+    # Upstreams that this balancer connects to, of all in the pool; 0: all.
+    subset: int | None = option(None, low=0, high=100_000)
+    # What upstreams speak.
+    protocol: Literal["http1", "fastcgi"] | None = option(None)
+    # As in [class.*], [retries], [queue] and [cold].
+    attempts: int | None = option(None, low=1, high=100)
+    ratio: float | None = option(None, low=0.0, high=1.0, unit=Unit.PART)
+    saved: float | None = option(None, low=0.0, high=1_000.0, unit=Unit.TIMES)
+    pace: float | None = option(None, low=0.01, high=0.33, unit=Unit.PART)
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Route:
+    """The table `[route.NAME]`: requests that belong to a pool. Which one wins does not go by their order in the
+    file."""
+
+    # Where they go.
+    pool: str = option("default")
+    # What they are: a host ("registry.example" or "*.example"); a path ("/a/{b}", or "/a/*" with all below it);
+    # methods; headers ("Name" or "Name: value"); classes; tenants. Empty: any.
+    host: str = option("")
+    path: str = option("")
+    methods: tuple[str, ...] = option(())
+    headers: tuple[str, ...] = option(())
+    classes: tuple[str, ...] = option(())
+    tenants: tuple[str, ...] = option(())
+    # Other pools with their part of the requests, "canary 5%"; the rest goes to `pool`.
+    split: tuple[str, ...] = option(())
+    # By what a request keeps to its part: "tenant", "object", "request" or "header NAME".
+    sticky: str = option("tenant")
+    # The parts grow for so long, from when the file counts.
+    ramp_ms: float = option(0.0, low=0.0, high=2_592_000_000.0)
+    # How often a part that does no worse than `pool` may be ended by mistake; 0: none is ever ended.
+    alarm: float = option(0.01, low=0.0, high=0.5, unit=Unit.PART)
+    # Pools that get, in turn, what was refused before and never ran.
+    fallback: tuple[str, ...] = option(())
+    # A pool that gets copies of safe requests, and the part of them that it gets. Nobody waits for their answers.
+    mirror: str = option("")
+    mirror_part: float = option(1.0, low=0.0, high=1.0, unit=Unit.PART)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        from larkweir.config.routing import route_faults  # not imported where there is no route
+
+        return route_faults(self)
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Retries:
     """The table `[retries]`: further attempts, over all classes."""
@@ -343,6 +406,8 @@
     advice: Advice = field(default_factory=Advice)
     classes: dict[str, ClassPolicy] = field(default_factory=dict)  # by name, `*` for the others
     tenants: dict[str, TenantPolicy] = field(default_factory=dict)  # by name
+    pools: dict[str, Pool] = field(default_factory=dict)  # by name
+    routes: dict[str, Route] = field(default_factory=dict)  # by name
     fingerprint: str = ""  # of all this, where it came from files of the configuration language
 
     @property
@@ -375,6 +440,8 @@
 NAMED: dict[str, tuple[type[Any], str]] = {
     "class": (ClassPolicy, "classes"),
     "tenant": (TenantPolicy, "tenants"),
+    "pool": (Pool, "pools"),
+    "route": (Route, "routes"),
 }
 
 
@@ -411,4 +478,4 @@
             for item in fields(kind)
         }
         tables[table] = kind(**values)
-    return Operator(**tables, classes=new.classes, tenants=new.tenants)
+    return Operator(**tables, **{held: getattr(new, held) for _, held in NAMED.values()})
--- a/larkweir/core/intake.py
+++ b/larkweir/core/intake.py
@@ -9,6 +9,7 @@
 from larkweir.core.exchange import Caller
 from larkweir.core.message import FramingError, Headers, Message
 from larkweir.core.requests import METHODS, Requests
+from mulleinhitch.interface import RequestArrived
 
 Check = Callable[[Message], None]
 
@@ -18,6 +19,18 @@
         """The headers of a refusal, or None where the message is to be read on."""
 
 
+class Router(Protocol):
+    """Which of several pools a request belongs to."""
+
+    def place(self, message: Message) -> tuple[int, Headers] | object:
+        """Whatever `choose` needs, or a status and headers where nothing takes the request. The message's target
+        becomes the one that it goes on under.
+        """
+
+    def choose(self, place: object, message: Message, event: RequestArrived, trace: bytes) -> bool:
+        """Put the choice into the event; False where none fits."""
+
+
 class Intake:
     """Answers `/ready`, refuses what is no request, and hands the rest to the engine."""
 
@@ -27,6 +40,7 @@
         self._ready = ready
         self.guard: Guard | None = None  # turns away what this process has no time for
         self.streams = True  # long bodies are passed on while they come
+        self.router: Router | None = None  # else `/api` is all there is
         self.checks: list[Check] = []  # raise FramingError for what the tier's protocol could not carry
 
     def take(self, caller: Caller, message: Message) -> int | None:
@@ -34,9 +48,12 @@
         just been given. FramingError says why it can't be taken at all.
         """
         path = message.target.partition(b"?")[0]
+        place: object = None
         if path == b"/ready":
             caller.answer(200 if self._ready() else 503, [], b"")
-        elif path != b"/api":
+        elif self.router is not None and isinstance(place := self.router.place(message), tuple):
+            caller.answer(place[0], place[1], b"")
+        elif self.router is None and path != b"/api":
             caller.answer(404, [], b"")
         elif message.method not in METHODS:
             caller.answer(405, [(b"Allow", b", ".join(sorted(METHODS)))], b"")
@@ -46,6 +63,9 @@
             for check in self.checks:
                 check(message)
             event, left, trace = self.requests.read(message)
+            if self.router is not None and not self.router.choose(place, message, event, trace):
+                caller.answer(404, [], b"")
+                return None
             if self.engine.is_known(trace):
                 # One that comes back through the tiers has its own id: the loop is looked for first, since the tier
                 # below may try again after a refusal, and not after a bad request.
--- a/larkweir/language/model.py
+++ b/larkweir/language/model.py
@@ -14,7 +14,8 @@
 
 from larkweir.config.options import NAMED, TABLES, Operator, Unit, rows, unit_of
 from larkweir.config.platform import Config
-from larkweir.config.policies import objections
+from larkweir.config.policies import Objection, objections
+from larkweir.config.routing import routing_objections
 from larkweir.language import amounts
 from larkweir.language.faults import Faults, Place
 from larkweir.language.resolve import Resolved, Said, Table, hint
@@ -228,8 +229,16 @@
 
 
 def beside(model: Model, config: Config, faults: Faults, root: str) -> None:
-    """What the policies may not say beside a platform file."""
-    for item in objections(config.settings, config.drain_grace_ms, model.options):
+    """What the policies, pools and routes may not say beside a platform file."""
+    found = list(objections(config.settings, config.drain_grace_ms, model.options))
+    if model.options.routes or model.options.pools:
+        known = set(routing_objections(model.options))  # told of already
+        found += [item for item in routing_objections(model.options, config) if item not in known]
+    _tell(found, model, faults, root)
+
+
+def _tell(found: Sequence[Objection], model: Model, faults: Faults, root: str) -> None:
+    for item in found:
         place, _ = model.origins.get(item.key, (None, ""))
         if place is None:  # a key that is at its default
             place, _ = model.origins.get(item.key.rpartition(".")[0], (Place(root), ""))
@@ -244,7 +253,9 @@
 
 
 def alone(model: Model, faults: Faults) -> None:
-    """What is legal and surely wrong, whatever the platform says."""
+    """What can't stand together, or is legal and surely wrong, whatever the platform says."""
+    if model.options.routes or model.options.pools:
+        _tell(list(routing_objections(model.options)), model, faults, "")
     storms, lifecycle = model.options.storms, model.options.lifecycle
     if not storms.on:
         _in_vain(model, faults, "storms", ("connects_per_s", "clients", "whole_seconds", "fields"))
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -262,6 +262,8 @@
             facts |= node.runner.facts()
         if node.storms is not None:
             facts |= node.storms.facts()
+        if node.routes is not None:
+            facts |= node.routes.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
 
     def _accept(self) -> None:
@@ -530,7 +532,7 @@
     def _apply(self, serial: int) -> None:
         assert self._reading is not None and self._reading[0] == serial and self._life is not None
         self._generation, self._reading = self._reading[1].generation, None
-        self.node.reconfigure(self._generation.config)
+        self.node.reconfigure(self._generation.config, self._generation.options)
         self._life.options = self._generation.options.lifecycle
         # A request that came before may have a longer deadline than any class has now.
         self._life.longest_ms = max(self._life.longest_ms, self._longest_ms())
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -34,6 +34,8 @@
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.membership.remembered.evidence import Row
     from larkweir.membership.remembered.hands import Remembered
+    from larkweir.routes.hands import Routes
+    from larkweir.routes.switch import Switch
     from larkweir.store.keeper import Keeper
     from larkweir.storms.gate import Gate
 
@@ -62,7 +64,14 @@
         self.upstreams = Upstreams(
             self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
         )
-        self.decisions = decisions or Balancer(config.settings, config.seed)
+        self.routes: Routes | None = None
+        if decisions is None and options is not None and (options.routes or options.pools):
+            from larkweir.routes.hands import Routes  # not imported where there are none
+
+            self.routes = Routes(options, config, self.clock, self.journal.line)
+        self.decisions = decisions or (
+            self.routes.switch if self.routes is not None else Balancer(config.settings, config.seed)
+        )
         self.storms: Gate | None = None
         watched = self.decisions
         if options is not None and options.storms.on and isinstance(watched, Balancer):
@@ -71,14 +80,24 @@
             self.storms = Gate(options.storms, config, watched, self.journal.line)
             watched = self.storms.watch
         self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, watched)
-        self.discovery = Discovery(config, self.engine.on_listing, self.journal.line)
+        tell = self.engine.on_listing
+        if self.routes is not None:
+            self.routes.engine = self.engine
+            self.routes.reroute(self.engine.on_listing)
+            tell = self.routes.on_listing
+        self.discovery = Discovery(config, tell, self.journal.line)
         self.engine.discovery = self.discovery
         self.intake = Intake(self.engine, Requests(config.settings), lambda: self.listener.ready)
+        self.intake.router = self.routes
         self.listener = Listener(self.engine, self.intake, CallerConnection, callers)
         self._closers: list[Callable[[], None]] = []
         # How a caller's connection is made, by the protocol that its socket speaks.
         self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
-        if options is not None and (options.fastcgi.listen or options.fastcgi.upstreams != "off"):
+        if options is not None and (
+            options.fastcgi.listen
+            or options.fastcgi.upstreams != "off"
+            or any(pool.protocol == "fastcgi" for pool in options.pools.values())
+        ):
             self._add_fastcgi(options.fastcgi)
         if self.storms is not None:
             self.storms.attach(self.engine, self.upstreams, self.listener)
@@ -105,6 +124,13 @@
 
             self.chain = self.engine.budgets = Chain(options.budget, config.settings, self.journal.line)
 
+    @property
+    def learner(self) -> Balancer | Switch | None:
+        """The decisions, where they can tell and be told what was learned."""
+        if self.routes is not None:
+            return self.routes.switch
+        return self.decisions if isinstance(self.decisions, Balancer) else None
+
     def _add_memory(self, options: Operator) -> None:
         # Not imported where they are off.
         from random import Random
@@ -120,7 +146,7 @@
             self.clock,
             say,
             self.discovery,
-            self.engine.on_listing,
+            self.engine.on_listing if self.routes is None else self.routes.on_listing,
             self.upstreams,
             self.engine.probe_target,
         )
@@ -141,21 +167,24 @@
         from larkweir.protocols.fastcgi.upstreams import Dialect
 
         self.makes["fastcgi"] = FastcgiCaller
-        if options.upstreams == "off":
+        routes = self.routes
+        if options.upstreams == "off" and routes is None:
             return
         dialect = Dialect(options.multiplex, options.requests, options.keep, self.journal.line)
         whole = options.upstreams == "tier"
         kinds = frozenset(n for n, name in enumerate(self.config.kinds) if name in options.kinds)
 
+        def speaks(upstream: Upstream) -> bool:
+            said = routes.speaks(upstream.number) if routes is not None else ""
+            return said == "fastcgi" if said else whole or upstream.kind in kinds
+
         def make(pool: Upstreams, upstream: Upstream) -> Link:
-            if whole or upstream.kind in kinds:
+            if speaks(upstream):
                 return dialect.connection(pool, upstream)
             return UpstreamConnection(pool, upstream)
 
         self.upstreams.make = make
-        self.upstreams.full = lambda upstream, waiting: (
-            (whole or upstream.kind in kinds) and dialect.full(upstream, waiting)
-        )
+        self.upstreams.full = lambda upstream, waiting: (speaks(upstream) and dialect.full(upstream, waiting))
         self.intake.checks.append(refuse_collapsing)
         self.intake.streams = False  # the records of a request are made of its whole body
         self._closers.append(dialect.close)
@@ -180,9 +209,9 @@
         self.listener.budget = callers
         self.upstreams.configure(self.settings, upstreams, self.config.drain_grace_ms)
 
-    def reconfigure(self, config: Config) -> None:
+    def reconfigure(self, config: Config, options: Operator | None = None) -> None:
         """A new generation takes over, whole, between two events. `config` has been checked and differs from
-        the present one only in what may change live.
+        the present one only in what may change live. `options`: the operator file that goes with it.
         """
         self.config = config
         # Requests are held by their class's place: it stays.
@@ -192,6 +221,8 @@
         self.listener.budget = callers
         self.intake.requests = Requests(settings, {item.name for item in config.settings.classes})
         self.upstreams.configure(settings, upstreams, config.drain_grace_ms)
+        if self.routes is not None and options is not None:
+            self.routes.reconfigure(options, replace(config, settings=settings))
         self.engine.reconfigure(replace(config, settings=settings))
         if self.guard is not None:
             self.guard.configure(settings)
@@ -208,7 +239,7 @@
         from larkweir.lifecycle.channel import Knowledge  # not imported before the first handover
 
         held = self.discovery.held()
-        learned = self.decisions.learned() if share and isinstance(self.decisions, Balancer) else {}
+        learned = self.learner.learned() if share and self.learner is not None else {}
         return Knowledge(
             offset_ms=self.clock.offset_ms,
             discovery=self.discovery.address,
@@ -297,12 +328,20 @@
 
     def learned(self) -> dict[str, Any]:
         """Without giving the credit away: this life goes on with it."""
-        if not isinstance(self.decisions, Balancer):
+        if self.learner is None:
             return {}
-        credit = self.decisions.slow_start.credit
-        found = self.decisions.learned()
-        self.decisions.slow_start.credit = credit
-        return found | {"credit": 0.0}
+        if self.routes is not None:
+            held = [pool.decisions.slow_start for pool in self.routes.switch.pools.values()]
+        else:
+            assert isinstance(self.decisions, Balancer)
+            held = [self.decisions.slow_start]
+        credits = [item.credit for item in held]
+        found = self.learner.learned()
+        for item, credit in zip(held, credits, strict=True):
+            item.credit = credit
+        for told in (found, *found.get("pools", {}).values()):
+            told["credit"] = 0.0
+        return found
 
     def adopt(self, known: Knowledge) -> None:
         """Go on from another life's knowledge, as far as it is newer than this one's."""
@@ -315,8 +354,8 @@
             for name, told in known.drains.items():
                 self.upstreams.told(self.discovery.number(name) or 0, told)
         self.engine.take_ids(known.ids)
-        if known.learned and isinstance(self.decisions, Balancer):
-            self.decisions.adopt(known.learned)
+        if known.learned and self.learner is not None:
+            self.learner.adopt(known.learned)
 
     def _on_loop_error(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no handler caught: one bounded line, and the process goes on."""
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -53,6 +53,10 @@
 
 def governed(config: Config, options: Operator) -> Config:
     """The platform's file with staff's policies over it; ConfigError, one line, where they can't stand beside it."""
+    if options.routes or options.pools:
+        from larkweir.config.routing import checked  # not imported where there is no route
+
+        checked(options, config)
     if not options.governs:
         return config
     from larkweir.config.policies import in_force, objections
@@ -104,6 +108,13 @@
     options = keep_fixed_options(now.options, told)
     governed(config, told)  # also in what can't count yet
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
+    if bool(now.options.routes or now.options.pools) != bool(told.routes or told.pools):
+        # One kind of decisions does not become the other while requests hang on it.
+        options = replace(options, routes=now.options.routes, pools=now.options.pools)
+        changes = [
+            (key, Change.HANDOVER if key.startswith(("route.", "pool.")) else change)
+            for key, change in changes
+        ]
     if told.lifecycle.reload == "discovery":
         # Policies are the operator file's: they count although the platform file's settings do not.
         base = now.config
--- /dev/null
+++ b/larkweir/routes/__init__.py
@@ -0,0 +1,1 @@
+"""Which pool of upstreams a request belongs to."""
--- /dev/null
+++ b/larkweir/routes/hands.py
@@ -0,0 +1,278 @@
+"""Hands: routes and pools in a balancer: what is taken, under which target it goes on, fixed lists, copies,
+generations."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from hashlib import blake2b
+
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.config.routing import DEFAULT, fixed_of
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.message import Headers, Message
+from larkweir.core.ports import Address, Listing
+from larkweir.core.requests import METHODS
+from larkweir.core.stream import Stream
+from larkweir.routes.paths import Target, host, normal
+from larkweir.routes.pools import Members, settings_of, whole
+from larkweir.routes.router import Choice, Router
+from larkweir.routes.switch import Coming, Pool, Switch
+from larkweir.routes.table import Facts
+from mulleinhitch import Balancer
+from mulleinhitch.interface import Effect, ListKind, RequestArrived, ServerEntry, ServerState, Settings
+
+
+class Place:
+    """Where a request asks for."""
+
+    __slots__ = ("host", "target")
+
+    def __init__(self, name: bytes, target: Target) -> None:
+        self.host, self.target = name, target
+
+
+class Copied:
+    """Takes the answer to a mirrored request, for nobody."""
+
+    streams = False
+    peer = ""
+
+    def __init__(self, ended: Callable[[], None]) -> None:
+        self._ended = ended
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        self._ended()
+
+    def begin(self, status: int, headers: Headers, body: Stream) -> None:
+        self._ended()
+
+
+class Routes:
+    """Between what a caller sends and the engine."""
+
+    MOST_COPIES = 32  # mirrored requests at a time; past that none are copied
+    FIRST_FIXED = 1 << 41  # numbers of upstreams in fixed lists: above all that discovery's get
+
+    def __init__(self, options: Operator, config: Config, clock: Clock, say: Callable[[str], None]) -> None:
+        self._clock = clock
+        self._say = say
+        self.config = config
+        self.engine: Engine | None = None  # set before the first request
+        self._copies = 0
+        self.mirrored = self.unmirrored = 0
+        self._fixed: dict[int, ServerEntry] = {}
+        self._addresses: dict[int, Address] = {}
+        self._numbers: dict[tuple[Address, str], int] = {}
+        self._version = 0  # of the list
+        self._tell: Callable[[Listing], None] = lambda listing: None
+        self._options = options
+        self._protocols: dict[str, str] = {}  # by pool
+        self.router = self._router(options, config, None)
+        pools, settings = self._pools(options, config, {})
+        self.switch = Switch(pools, DEFAULT)
+        self.switch.ended = self._ended
+        self._settings = settings
+
+    # ------------------------------------------------ generations
+
+    def _router(self, options: Operator, config: Config, before: Router | None) -> Router:
+        classes = {cls.name: n for n, cls in enumerate(config.settings.classes)}
+        tenants = {tenant.name: n for n, tenant in enumerate(config.settings.tenants)}
+        return Router(options.routes, classes, tenants, self._clock.now_ms(), before)
+
+    def _pools(
+        self, options: Operator, config: Config, held: dict[str, Pool]
+    ) -> tuple[dict[str, Pool], dict[str, Settings]]:
+        pools: dict[str, Pool] = {}
+        settings: dict[str, Settings] = {}
+        wanted = whole(options)
+        members: dict[str, Members] = {}
+        own: dict[str, frozenset[int]] = {}
+        used: dict[int, ServerEntry] = {}
+        for name, pool in wanted.items():
+            if pool.fixed:
+                own[name] = frozenset(self._number(line, config, used) for line in pool.fixed)
+        self._fixed = used
+        self._protocols = {name: pool.protocol for name, pool in wanted.items() if pool.protocol}
+        for name, pool in wanted.items():
+            settings[name] = settings_of(pool, config.settings, name == DEFAULT)
+            members[name] = Members(pool, config, used)
+            members[name].own = own.get(name)
+            if name in held:
+                pools[name] = held[name]
+                pools[name].filter = members[name]
+            else:
+                seed = config.seed ^ int.from_bytes(blake2b(name.encode(), digest_size=4).digest(), "big")
+                pools[name] = Pool(
+                    name,
+                    Balancer(settings[name], seed if name != DEFAULT else config.seed),
+                    members[name],
+                    seed,
+                )
+        return pools, settings
+
+    def _number(self, line: str, config: Config, used: dict[int, ServerEntry]) -> int:
+        """An upstream of a fixed list keeps its number as long as the process lives."""
+        address, zone = fixed_of(line)
+        number = self._numbers.setdefault((address, zone), self.FIRST_FIXED + len(self._numbers))
+        at = config.zones.index(zone) if zone in config.zones else 0
+        used[number] = ServerEntry(number, zone=at)
+        self._addresses[number] = address
+        return number
+
+    def reconfigure(self, options: Operator, config: Config) -> None:
+        """A generation that has been checked: it counts with the `Reconfigured` that follows."""
+        self.config = config
+        self.router = self._router(options, config, self.router)
+        held = dict(self.switch.pools)
+        fixed = dict(self._fixed)
+        pools, settings = self._pools(options, config, held)
+        left = [pool for name, pool in held.items() if name not in pools]
+        self.switch.coming = Coming(pools, settings, left)
+        self._options = options
+        entries = [entry for number, entry in self._fixed.items() if number not in fixed]
+        entries += [ServerEntry(number, ServerState.GONE) for number in fixed if number not in self._fixed]
+        if entries:
+            addresses = tuple(self._addresses[entry.server] for entry in entries)
+            self._tell(Listing(ListKind.PROOF, self._version, tuple(entries), addresses))
+
+    # ------------------------------------------------ the list
+
+    def reroute(self, tell: Callable[[Listing], None]) -> None:
+        self._tell = tell
+
+    def on_listing(self, listing: Listing) -> None:
+        """What discovery tells, with the fixed lists beside it, which are always whole."""
+        if self._fixed and listing.kind in (ListKind.FULL, ListKind.CACHED):
+            entries = (*listing.entries, *self._fixed.values())
+            addresses = (*listing.addresses, *(self._addresses[number] for number in self._fixed))
+            listing = Listing(listing.kind, listing.version, entries, addresses)
+        self._version = listing.version
+        self._tell(listing)
+
+    # ------------------------------------------------ a request
+
+    def place(self, message: Message) -> tuple[int, Headers] | Place:
+        """`larkweir.core.intake.Router`. FramingError 400 for a target or Host that has no one form."""
+        target = normal(message.target)
+        name = host(message.value(b"host") or b"")
+        refusal = refused(self.router.allowed(name, target), message.method)
+        if refusal is not None:
+            return refusal
+        message.target = target.path + target.query
+        return Place(name, target)
+
+    def choose(self, place: object, message: Message, event: RequestArrived, trace: bytes) -> bool:
+        """`larkweir.core.intake.Router`."""
+        assert isinstance(place, Place)
+        headers: dict[bytes, list[bytes]] = {}
+        if self.router.headers:
+            for key, value in message.headers:
+                lower = key.lower()
+                if lower in self.router.headers:
+                    headers.setdefault(lower, []).append(value)
+        facts = Facts(place.host, place.target, message.method, headers, event.class_index, event.tenant)
+        route = self.router.find(facts)
+        if route is None:
+            return False
+        cls = self.config.settings.classes[event.class_index]
+        safe = cls.effect is Effect.SAFE
+        key = self._key(route, message, event, trace)
+        choice = self.router.choose(route, key, trace, safe, self._clock.now_ms())
+        event.choice = choice
+        if choice.mirror:
+            self._copy(message, event, choice, trace)
+        return True
+
+    def _key(self, route: str, message: Message, event: RequestArrived, trace: bytes) -> bytes:
+        """What a request is sticky by; its own id where it has nothing of the kind."""
+        sticky = self._options.routes[route].sticky if route in self._options.routes else "request"
+        if sticky == "tenant":
+            return message.value(b"x-customer") or trace
+        if sticky == "object":
+            return message.value(b"x-object") or trace
+        if sticky == "request":
+            return trace
+        return message.value(self.router.sticky[route]) or trace
+
+    def _copy(self, message: Message, event: RequestArrived, choice: Choice, trace: bytes) -> None:
+        """A safe request once more, to another pool, for nobody: bounded, and with an id of its own."""
+        engine = self.engine
+        if (
+            engine is None
+            or message.stream is not None
+            or self._copies >= self.MOST_COPIES
+            or engine.room.scarce
+        ):
+            self.unmirrored += 1
+            return
+        own = b"mirror-" + blake2b(trace, digest_size=16).hexdigest().encode()
+        if engine.is_known(own):
+            self.unmirrored += 1
+            return
+        copy = Message()
+        copy.method, copy.target, copy.body = message.method, message.target, message.body
+        copy.headers = [
+            (key, own if key.lower() == b"x-trace-id" else value) for key, value in message.headers
+        ]
+        told = RequestArrived(
+            0, event.class_index, event.time_left_ms, event.tenant, event.key, event.expected_ms
+        )
+        told.choice = Choice("", (choice.mirror,))
+        self._copies += 1
+        self.mirrored += 1
+        left = event.time_left_ms
+        # In a turn of its own: the request itself goes first.
+        self._clock.after(0.0, lambda: self._send_copy(engine, copy, left, own, told))
+
+    def _send_copy(
+        self, engine: Engine, copy: Message, left: float, trace: bytes, told: RequestArrived
+    ) -> None:
+        def ended() -> None:
+            self._copies -= 1
+
+        engine.arrive(Copied(ended), copy, left, trace, told)
+
+    def _ended(self, choice: Choice, failed: bool, spent_ms: float) -> None:
+        if choice.trial is None:
+            return
+        main = (
+            self.router.routes[choice.route].pool if choice.route in self.router.routes else choice.pools[0]
+        )
+        line = choice.trial.note(choice.pools[0], main, failed, spent_ms, choice.cls)
+        if line:
+            self._say(line)
+
+    def speaks(self, number: int) -> str:
+        """What an upstream speaks, by the pools that have it; empty where none says."""
+        for pool in self.switch.has.get(number, ()):
+            if self._protocols.get(pool.name):
+                return self._protocols[pool.name]
+        return ""
+
+    def facts(self) -> dict[str, object]:
+        now = self._clock.now_ms()
+        found: dict[str, object] = {
+            "routes": len(self.router.routes),
+            "pools": ",".join(
+                f"{name}:{pool.decisions.fleet.ready_count}" for name, pool in self.switch.pools.items()
+            )[:300],
+            "pools_left": len(self.switch.left),
+        }
+        states = self.router.states(now)
+        if states:
+            found["parts"] = ";".join(f"{name}={text}" for name, text in states.items())[:300]
+        if self.mirrored or self.unmirrored:
+            found |= {"mirrored": self.mirrored, "unmirrored": self.unmirrored}
+        return found
+
+
+def refused(allowed: Collection[bytes] | None, method: bytes) -> tuple[int, Headers] | None:
+    """A status and headers for what no route takes; None where one may."""
+    if allowed is None:
+        return 404, []
+    if method not in METHODS or (allowed and method not in allowed):
+        return 405, [(b"Allow", b", ".join(sorted(allowed or METHODS)))]
+    return None
--- /dev/null
+++ b/larkweir/routes/pools.py
@@ -0,0 +1,90 @@
+"""Rules: what of the platform's settings and list is a pool's own."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import replace
+
+from larkweir.config.options import Operator, Pool
+from larkweir.config.platform import Config
+from larkweir.config.routing import DEFAULT, inherited, parts
+from larkweir.routes.subsets import ring
+from mulleinhitch.interface import ServerEntry, ServerState, Settings
+
+
+def named(options: Operator) -> list[str]:
+    """The pools that any route can send to, the default first: that one is always there, and asks for the list."""
+    found = [DEFAULT]
+    for route in options.routes.values():
+        for name in (route.pool, *parts(route), *route.fallback, *((route.mirror,) if route.mirror else ())):
+            if name not in found:
+                found.append(name)
+    return found
+
+
+def settings_of(pool: Pool, settings: Settings, main: bool) -> Settings:
+    """The platform's settings with what the pool says: never looser in what the four rules rest on."""
+    tuning = settings.tuning
+    if pool.ratio is not None:
+        tuning = replace(tuning, retry_ratio=pool.ratio)
+    if pool.saved is not None:
+        tuning = replace(tuning, retry_cap=pool.saved)
+    if pool.pace is not None:
+        tuning = replace(tuning, cold_pace=min(pool.pace, 1.0 / settings.fall_multiple))
+    attempts = settings.max_attempts if pool.attempts is None else min(settings.max_attempts, pool.attempts)
+    return replace(
+        settings,
+        tuning=tuning,
+        max_attempts=attempts,
+        # One pool asks for the list, and all are told.
+        on_request_discovery=settings.on_request_discovery and main,
+    )
+
+
+class Members:
+    """Which lines of the whole list are a pool's: by zone, machine type and cell, or by its own fixed list; of those,
+    the subset that this balancer connects to; those of an evacuated zone, as if they drained.
+    """
+
+    def __init__(self, pool: Pool, config: Config, fixed: Mapping[int, ServerEntry]) -> None:
+        """`fixed`: the upstreams of all fixed lists by number; `own` of them are this pool's."""
+        zones = {name: n for n, name in enumerate(config.zones)}
+        kinds = {name: n for n, name in enumerate(config.kinds)}
+        self._zones = frozenset(zones.get(name, -1) for name in pool.zones or ())
+        self._kinds = frozenset(kinds.get(name, -1) for name in pool.kinds or ())
+        self._cells = frozenset(int(item) for item in pool.cells or ())
+        self._evacuated = frozenset(zones.get(name, -1) for name in pool.evacuated or ())
+        self._subset = pool.subset or 0
+        self._me, self._copies = config.settings.me, config.settings.copies
+        self._fixed = fixed
+        self.own: frozenset[int] | None = None  # of the fixed ones; None: discovery's
+
+    def __call__(self, entries: Iterable[ServerEntry]) -> list[ServerEntry]:
+        if self.own is not None:
+            found = [entry for entry in entries if entry.server in self.own]
+        else:
+            found = [entry for entry in entries if entry.server not in self._fixed and self._fits(entry)]
+        if self._subset and self._subset < len(found):
+            by = {str(entry.server): entry for entry in found}
+            # Drained ones keep their places: their going moves no other before they are gone.
+            found = [by[name] for name in ring(list(by), self._me, self._copies, self._subset)]
+        if not self._evacuated:
+            return found
+        return [
+            replace(entry, state=ServerState.DRAINING)
+            if entry.zone in self._evacuated and entry.state is ServerState.READY
+            else entry
+            for entry in found
+        ]
+
+    def _fits(self, entry: ServerEntry) -> bool:
+        return (
+            (not self._zones or entry.zone in self._zones)
+            and (not self._kinds or entry.kind in self._kinds)
+            and (not self._cells or entry.cell in self._cells)
+        )
+
+
+def whole(options: Operator) -> dict[str, Pool]:
+    """All pools that are used, with what their parents say."""
+    return {name: inherited(name, options.pools) for name in named(options)}
--- /dev/null
+++ b/larkweir/routes/router.py
@@ -0,0 +1,178 @@
+"""Rules: from a request to the pools that it may go to: the route, its split, its trial. Reads no clock and sends
+nothing."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+
+from larkweir.config.options import Route
+from larkweir.config.routing import header_of, parts
+from larkweir.routes.paths import Target
+from larkweir.routes.split import Ramp, choose, score
+from larkweir.routes.table import Facts, Match, Table
+from larkweir.routes.trial import Trial
+
+
+@dataclass(slots=True)
+class Choice:
+    """Where one request goes."""
+
+    route: str
+    pools: tuple[str, ...]  # the first, and those that it falls back to in turn
+    canary: bool = False  # by a part that is on trial
+    trial: Trials | None = None
+    mirror: str = ""  # a pool that gets a copy
+    at: int = 0  # in `pools`
+    began_ms: float = 0.0
+    cls: int = 0
+
+
+@dataclass(slots=True)
+class Trials:
+    """One route's parts on trial, each beside the rest."""
+
+    route: str
+    alpha: float
+    by_pool: dict[str, Trial] = field(default_factory=dict)
+    ended: dict[str, str] = field(default_factory=dict)  # pools whose part is over, and why
+
+    def note(self, pool: str, main: str, failed: bool, spent_ms: float, cls: int) -> str:
+        """A request has had its answer from this pool's part; a line where a part ends with it."""
+        if pool == main:  # the control of all
+            for name, trial in self.by_pool.items():
+                if trial.ended(False, failed, spent_ms, cls):
+                    return self._end(name, trial)
+        elif pool in self.by_pool and self.by_pool[pool].ended(True, failed, spent_ms, cls):
+            return self._end(pool, self.by_pool[pool])
+        return ""
+
+    def _end(self, pool: str, trial: Trial) -> str:
+        self.ended[pool] = trial.verdict
+        del self.by_pool[pool]
+        return f"route {self.route}: {pool} gets nothing any more: {trial.verdict}"
+
+
+def match_of(route: Route, classes: Mapping[str, int], tenants: Mapping[str, int]) -> Match:
+    """Names to numbers; one that the settings don't have fits no request."""
+    path, prefix = route.path, False
+    if path.endswith("/*"):
+        path, prefix = path[:-1], True
+    headers = []
+    for item in route.headers:
+        name, value = header_of(item)
+        headers.append((name.encode(), None if value is None else value.encode("latin-1", "replace")))
+    return Match(
+        host=route.host.encode(),
+        path=path.encode(),
+        prefix=prefix,
+        methods=frozenset(item.encode() for item in route.methods),
+        headers=tuple(sorted(headers, key=lambda item: item[0])),
+        classes=frozenset(classes.get(name, -1) for name in route.classes),
+        tenants=frozenset(tenants.get(name, -1) for name in route.tenants),
+    )
+
+
+class Router:
+    """One generation of routes. Trials of a route whose parts are as they were go on from the generation before."""
+
+    def __init__(
+        self,
+        routes: Mapping[str, Route],
+        classes: Mapping[str, int],
+        tenants: Mapping[str, int],
+        now_ms: float,
+        before: Router | None = None,
+    ) -> None:
+        self.routes = dict(routes)
+        self.table = Table.of((name, match_of(route, classes, tenants)) for name, route in routes.items())
+        self._since: dict[str, float] = {}
+        self._trials: dict[str, Trials] = {}
+        self._parts = {name: parts(route) for name, route in routes.items()}
+        self._salt = {name: name.encode() for name in routes}
+        # Names of headers that any route asks for: others need not be looked at.
+        self.headers = frozenset(
+            header_of(item)[0].encode() for route in routes.values() for item in route.headers
+        )
+        self.sticky = {
+            name: route.sticky[7:].strip().lower().encode()
+            for name, route in routes.items()
+            if route.sticky.startswith("header ")
+        }
+        for name, route in routes.items():
+            if not route.split:
+                continue
+            old = before.routes.get(name) if before is not None else None
+            if before is not None and old is not None and _same_parts(old, route):
+                self._since[name] = before._since[name]
+                if name in before._trials:
+                    self._trials[name] = before._trials[name]
+                continue
+            self._since[name] = now_ms
+            if route.alarm > 0.0:
+                self._trials[name] = Trials(
+                    name,
+                    route.alarm,
+                    {pool: Trial(route.alarm) for pool, value in self._parts[name].items() if value > 0.0},
+                )
+
+    def find(self, facts: Facts) -> str | None:
+        return self.table.find(facts)
+
+    def allowed(self, host: bytes, target: Target) -> frozenset[bytes] | None:
+        """The methods that any route of this host and path takes; None where no route is there at all, empty where one
+        takes any.
+        """
+        found: set[bytes] = set()
+        there = False
+        for entry in self.table.candidates(host, target):
+            there = True
+            if not entry.match.methods:
+                return frozenset()
+            found |= entry.match.methods
+        return frozenset(found) if there else None
+
+    def weights(self, name: str, now_ms: float) -> dict[str, float]:
+        """The parts of a route's pools as they are now; they come to 1."""
+        route = self.routes[name]
+        trials = self._trials.get(name)
+        since = now_ms - self._since.get(name, now_ms)
+        found = {}
+        for pool, whole in self._parts[name].items():
+            ended = trials is not None and pool in trials.ended
+            found[pool] = 0.0 if ended else Ramp(whole, route.ramp_ms).at(since)
+        return {route.pool: max(0.0, 1.0 - sum(found.values()))} | found
+
+    def choose(self, name: str, key: bytes, trace: bytes, safe: bool, now_ms: float) -> Choice:
+        """Where a request of this route goes. `key` is what it is sticky by."""
+        route = self.routes[name]
+        pool, trials = route.pool, None
+        if route.split:
+            weights = self.weights(name, now_ms)
+            pool = choose(self._salt[name], key, weights) if max(weights.values()) > 0.0 else route.pool
+            trials = self._trials.get(name)
+        mirror = ""
+        if route.mirror and safe and score(b"mirror", trace, b"", 1.0) >= _mirror_bound(route.mirror_part):
+            mirror = route.mirror
+        later = tuple(item for item in route.fallback if item != pool)
+        return Choice(name, (pool, *later), pool != route.pool, trials, mirror)
+
+    def states(self, now_ms: float) -> dict[str, str]:
+        """By route with parts: how they stand, for staff."""
+        found = {}
+        for name in self._since:
+            parts_ = ",".join(f"{pool}:{value:.3f}" for pool, value in self.weights(name, now_ms).items())
+            found[name] = parts_
+        return found
+
+
+def _mirror_bound(part: float) -> float:
+    """The least score of a request that is mirrored: -1/log(u) is above it for a part of all u."""
+    from math import inf, log
+
+    return -1.0 if part >= 1.0 else inf if part <= 0.0 else -1.0 / log(1.0 - part)
+
+
+def _same_parts(one: Route, other: Route) -> bool:
+    keys: Sequence[str] = ("pool", "split", "sticky", "ramp_ms", "alarm")
+    return all(getattr(one, key) == getattr(other, key) for key in keys)
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -250,6 +250,7 @@
     # Its last byte is still to come, and no server can begin it before: `BodyCame` tells of that. `time_left_ms` counts
     # from then on.
     coming: bool = False
+    choice: object | None = None  # of whoever chose these decisions among several; never looked at here
 
 
 @dataclass(slots=True)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -90,7 +90,7 @@
     """What this copy knows of one server."""
 
     __slots__ = (
-        "answered_ms cell ejected ejections id kind level linked outstanding proof shunned silent "
+        "answered_ms cell ejected ejections id kind level linked others outstanding proof shunned silent "
         "slowness started_ms state strikes until_ms used_ms zone"
     ).split()
 
@@ -101,7 +101,7 @@
         self.state = entry.state
         self.proof = entry.proof
         self.started_ms = entry.started_ms
-        self.outstanding = 0  # own calls only
+        self.outstanding = self.others = 0  # own calls, with those of other decisions of this process
         self.answered_ms = -1.0  # when it last served one
         self.level = -1  # the list it is drawn from; -1: none, its token is spent or withheld
         self.until_ms = 0.0  # its token is withheld until then, on evidence of being busy or unwell
@@ -1246,6 +1246,21 @@
                 self._uncount(request.attempts[event.attempt])
                 self.fleet.earn_token(request.attempts[event.attempt].server, self.now)
 
+    def elsewhere(self, number: int, count: int, now_ms: float) -> None:
+        """So many calls of other decisions of this process are at a server: it is as little idle as with our own."""
+        server = self.fleet.servers.get(number)
+        if server is not None and server.others != count:
+            self.now = max(self.now, now_ms)
+            server.outstanding += count - server.others
+            server.others = count
+            self.fleet.earn_token(server, self.now)
+
+    def unlink(self, number: int) -> None:
+        """Other decisions of this process have closed the connections to a server that lay idle."""
+        server = self.fleet.servers.get(number)
+        if server is not None:
+            self.links.drop(server)
+
     def learned(self) -> dict[str, Any]:
         """What another life of this copy may go on from, as plain values: the means by class name, and the
         cold servers' credit, which is given away, so that both lives together spend it once.
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from larkweir.config.options import Door, Fastcgi, Operator, Storms
+from larkweir.config.options import Door, Fastcgi, Operator, Pool, Route, Storms
 from larkweir.config.platform import decode
 from larkweir.core.engine import Engine
 from larkweir.core.ports import Decisions
@@ -159,6 +159,8 @@
     fastcgi: Fastcgi | None = None,
     door: Door | None = None,
     storms: Storms | None = None,
+    routes: dict[str, Route] | None = None,
+    pools: dict[str, Pool] | None = None,
     **more: Any,
 ) -> AsyncIterator[Running]:
     """The balancer's real parts, with a fake discovery that knows the entries. Connections to upstreams don't
@@ -177,7 +179,13 @@
     }
     data = config_data(list(entries), discovery.port, settings=settings, **more)
     config = decode(json.dumps(data), {})
-    options = Operator(fastcgi=fastcgi or speaking(), door=door or Door(), storms=storms or Storms())
+    options = Operator(
+        fastcgi=fastcgi or speaking(),
+        door=door or Door(),
+        storms=storms or Storms(),
+        routes=routes or {},
+        pools=pools or {},
+    )
     node = Node(config, asyncio.get_running_loop(), script, options=options)
     engine, listener = node.engine, node.listener
     node.upstreams.REST_MS = rest_ms
--- /dev/null
+++ b/tests/routes/test_loopback.py
@@ -0,0 +1,395 @@
+"""Routes over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from dataclasses import replace
+from typing import Any
+
+import pytest
+
+from larkweir.config.options import Operator, Pool, Route
+from larkweir.config.platform import decode
+from mulleinhitch.interface import Outcome
+from standins.peers import PATIENCE_S, Caller, FakeUpstream, Incoming, Talk, ok, status
+from tests.fakes import Running, config_data, running
+from tests.lifecycle.service import until
+from tests.upstreams.test_attempts import run
+
+
+async def saying(name: str, code: int = 200) -> FakeUpstream:
+    async def behave(request: Incoming, talk: Talk) -> None:
+        await talk.send(ok(name.encode()) if code == 200 else status(code))
+
+    return await FakeUpstream(behave).start()
+
+
+async def ask(it: Running, target: str = "/api", cls: str = "look", **headers: str) -> tuple[int, bytes]:
+    async with asyncio.timeout(PATIENCE_S), Caller(it.port) as caller:
+        caller.ask(cls, b"", target, **headers)
+        answer = await caller.answer()
+        return answer.status, answer.body
+
+
+def close(*upstreams: FakeUpstream) -> None:
+    for upstream in upstreams:
+        upstream.close()
+
+
+def reload(it: Running, routes: dict[str, Route], pools: dict[str, Pool], **settings: Any) -> None:
+    assert it.node is not None
+    it.node.reconfigure(replace(it.node.config, **settings), Operator(routes=routes, pools=pools))
+
+
+SOUTH = Pool(zones=("south",))
+NORTH = Pool(zones=("north",))
+
+
+def test_each_route_goes_to_its_pool_and_what_no_route_takes_is_told(tmp_path: Any) -> None:
+    async def work() -> None:
+        north, south, fixed = await saying("north"), await saying("south"), await saying("fixed")
+        routes = {
+            "api": Route(path="/api", pool="n"),
+            "publish": Route(path="/publish/{name}", methods=("PUT", "POST"), pool="s"),
+            "host": Route(host="other.example", pool="f"),
+            "class": Route(path="/api", classes=("move",), pool="s"),
+        }
+        pools = {"n": NORTH, "s": SOUTH, "f": Pool(fixed=(f"127.0.0.1:{fixed.port}",))}
+        rows = [north.entry("u0"), south.entry("u1", zone="south")]
+        async with running(*rows, routes=routes, pools=pools) as it:
+            assert await ask(it) == (200, b"north")
+            assert await ask(it, "/api", "move") == (200, b"south")
+            assert await ask(it, "/publish/x", "move") == (200, b"south")
+            assert (await ask(it, "/publish/x"))[0] == 405
+            assert (await ask(it, "/publish/x/y"))[0] == 404
+            assert (await ask(it, "/publish/"))[0] == 404
+            assert await ask(it, "/whatever", Host="other.example") == (200, b"fixed")
+            assert await ask(it, "/%61pi/../api") == (200, b"north")
+            assert north.seen[-1].target == "/api"  # what was matched is what is sent
+            for bad in ("/api%2Fx", "/../api", "/a%252fpi", "/api\\x"):
+                assert (await ask(it, bad))[0] == 400
+            assert (await ask(it, "/none"))[0] == 404
+        close(north, south, fixed)
+
+    run(work())
+
+
+def test_a_method_that_no_route_of_the_path_takes_is_told_with_those_that_are() -> None:
+    async def work() -> None:
+        up = await saying("up")
+        routes = {"put": Route(path="/x", methods=("PUT",)), "get": Route(path="/x", methods=("GET",))}
+        async with running(up.entry("u0"), routes=routes) as it:
+            reader, writer = await asyncio.open_connection("127.0.0.1", it.port)
+            writer.write(b"DELETE /x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nX-Qos: look\r\n\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b" 405 " in head and b"Allow: GET, PUT" in head
+            writer.close()
+        up.close()
+
+    run(work())
+
+
+def test_a_header_that_comes_twice_fits_no_route() -> None:
+    async def work() -> None:
+        up, beta = await saying("up"), await saying("beta")
+        routes = {"all": Route(path="/api"), "beta": Route(path="/api", headers=("X-Beta: 1",), pool="b")}
+        pools = {"b": Pool(fixed=(f"127.0.0.1:{beta.port}",))}
+        async with running(up.entry("u0"), routes=routes, pools=pools) as it:
+            assert await ask(it, X_Beta="1") == (200, b"beta")
+            assert await ask(it, X_Beta="2") == (200, b"up")
+            reader, writer = await asyncio.open_connection("127.0.0.1", it.port)
+            writer.write(
+                b"POST /api HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t\r\nX-Qos: look\r\nX-Beta: 1\r\nX-Beta: 1\r\n"
+                b"Content-Length: 0\r\n\r\n"
+            )
+            assert b" 200 " in await reader.readuntil(b"\r\n\r\n")
+            assert await reader.readexactly(2) == b"up"
+            writer.close()
+        close(up, beta)
+
+    run(work())
+
+
+def test_a_reload_that_removes_the_pool_a_traspaso_is_in() -> None:
+    """It is answered from there, by the rules of its pool; nothing new goes there."""
+
+    async def work() -> None:
+        let = asyncio.Event()
+
+        async def slow(request: Incoming, talk: Talk) -> None:
+            await let.wait()
+            await talk.send(ok(b"old"))
+
+        old, new = await FakeUpstream(slow).start(), await saying("new")
+        pools = {"o": Pool(fixed=(f"127.0.0.1:{old.port}",)), "n": Pool(fixed=(f"127.0.0.1:{new.port}",))}
+        async with running(routes={"r": Route(path="/api", pool="o")}, pools=pools) as it:
+            first = asyncio.ensure_future(ask(it, cls="move"))
+            await old.arrived.get()
+            reload(it, {"r": Route(path="/api", pool="n")}, {"n": pools["n"]})
+            assert await ask(it, cls="move") == (200, b"new")
+            assert it.node is not None and it.node.routes is not None
+            assert [pool.name for pool in it.node.routes.switch.left] == ["o"]
+            let.set()
+            assert await first == (200, b"old")
+            await until(lambda: not it.node.routes.switch.left, "the pool is gone")  # type: ignore[union-attr]
+            assert len(old.seen) == 1
+        close(old, new)
+
+    run(work())
+
+
+def test_a_fallback_gets_what_never_ran_and_nothing_that_may_have() -> None:
+    async def work() -> None:
+        async def cut(request: Incoming, talk: Talk) -> None:
+            talk.writer.transport.abort()
+
+        broken, gone, spare = await FakeUpstream(cut).start(), await saying("gone"), await saying("spare")
+        gone.close()
+        pools = {
+            "gone": Pool(fixed=(f"127.0.0.1:{gone.port}",)),
+            "broken": Pool(fixed=(f"127.0.0.1:{broken.port}",)),
+            "spare": Pool(fixed=(f"127.0.0.1:{spare.port}",)),
+        }
+        routes = {
+            "a": Route(path="/gone", pool="gone", fallback=("spare",)),
+            "b": Route(path="/broken", pool="broken", fallback=("spare",)),
+        }
+        limits = {"SendCap": 4}
+        categories = [
+            {"Name": "move", "Effect": "non_idempotent", "AimMs": 400, "HardLimitMs": 800},
+            {"Name": "look", "Effect": "read_like", "AimMs": 400, "HardLimitMs": 800, "Group": "all"},
+        ]
+        async with running(routes=routes, pools=pools, limits=limits, categories=categories) as it:
+            assert await ask(it, "/gone", "move") == (200, b"spare")  # refused connections: it never ran
+            assert (await ask(it, "/broken", "move"))[0] == 502
+            assert not any(request.target == "/broken" for request in spare.seen)
+            found = [await ask(it, "/broken", "look") for _ in range(6)]
+            assert all(code in (200, 503) for code, _ in found)
+        close(broken, spare)
+
+    run(work())
+
+
+def test_a_pool_without_upstreams_at_the_start_refuses_and_serves_once_it_has_one() -> None:
+    async def work() -> None:
+        up, south = await saying("up"), await saying("south")
+        routes = {"api": Route(path="/api"), "s": Route(path="/s", pool="s")}
+        categories = [
+            {"Name": "look", "Effect": "read_like", "AimMs": 200, "HardLimitMs": 400, "Group": "all"}
+        ]
+        async with running(up.entry("u0"), routes=routes, pools={"s": SOUTH}, categories=categories) as it:
+            assert (await ask(it, "/s"))[0] == 503
+            assert (await ask(it))[0] == 200
+            it.discovery.change(south.entry("u1", zone="south"))
+            assert it.node is not None
+            await until(lambda: len(it.node.upstreams.table) == 2, "the list")  # type: ignore[union-attr]
+            assert await ask(it, "/s") == (200, b"south")
+        close(up, south)
+
+    run(work())
+
+
+def test_an_evacuated_zone_gets_nothing_new_and_repeats_of_what_it_may_have_run_go_nowhere_else() -> None:
+    async def work() -> None:
+        began = asyncio.Event()
+        let = asyncio.Event()
+
+        async def cut(request: Incoming, talk: Talk) -> None:
+            began.set()
+            await let.wait()
+            talk.writer.transport.abort()
+
+        north, south = await FakeUpstream(cut).start(), await saying("south")
+        rows = [north.entry("u0"), south.entry("u1", zone="south")]
+        route = {"api": Route(path="/api", pool="p"), "n": Route(path="/n", pool="n")}
+        pools = {"p": Pool(), "n": NORTH}
+        async with running(*rows, routes=route, pools=pools) as it:
+            keyed = asyncio.ensure_future(ask(it, "/n", "post", Idempotency_Key="k"))
+            await began.wait()
+            reload(it, route, {"p": Pool(evacuated=("north",)), "n": Pool(parent="p")})
+            found = [await ask(it) for _ in range(10)]
+            assert found == [(200, b"south")] * 10
+            let.set()  # its zone may have run it, and is evacuated
+            assert (await keyed)[0] in (502, 503, 504)
+            assert not any(request.headers["x-qos"] == "post" for request in south.seen)
+            reload(it, route, pools)
+            assert it.node is not None and it.node.routes is not None
+            ready = it.node.routes.switch.pools["p"].decisions.fleet.ready_count
+            assert ready == 2
+        close(north, south)
+
+    run(work())
+
+
+def test_two_pools_that_share_an_upstream_share_its_connections() -> None:
+    async def work() -> None:
+        up = await saying("up")
+        routes = {"a": Route(path="/a", pool="a"), "b": Route(path="/b", pool="b")}
+        async with running(up.entry("u0"), routes=routes, pools={"a": Pool(), "b": Pool()}) as it:
+            for n in range(10):
+                assert (await ask(it, "/ab"[0] + "ab"[n % 2]))[0] == 200
+            assert up.connections == 1
+        up.close()
+
+    run(work())
+
+
+def test_copies_go_to_the_mirror_for_safe_requests_alone_and_change_no_answer() -> None:
+    async def work() -> None:
+        async def never(request: Incoming, talk: Talk) -> None:
+            await asyncio.sleep(60.0)
+
+        up, mirror = await saying("up"), await FakeUpstream(never).start()
+        pools = {"m": Pool(fixed=(f"127.0.0.1:{mirror.port}",))}
+        routes = {"api": Route(path="/api", mirror="m")}
+        async with running(up.entry("u0"), routes=routes, pools=pools) as it:
+            assert await ask(it, cls="look", X_Trace_Id="one") == (200, b"up")
+            assert await ask(it, cls="move") == (200, b"up")
+            assert await ask(it, cls="post", Idempotency_Key="k") == (200, b"up")
+            seen = await asyncio.wait_for(mirror.arrived.get(), PATIENCE_S)
+            assert seen.headers["x-trace-id"] != "one" and seen.headers["x-qos"] == "look"
+            for _ in range(60):
+                assert await ask(it, cls="look") == (200, b"up")
+            assert it.node is not None and it.node.routes is not None
+            assert it.node.routes.mirrored <= it.node.routes.MOST_COPIES and it.node.routes.unmirrored > 20
+            assert 1 <= len(mirror.seen) <= it.node.routes.mirrored
+        close(up, mirror)
+
+    run(work())
+
+
+@pytest.mark.parametrize(("part", "canaries"), [("0%", 0), ("100%", 40)])
+def test_a_split_at_its_ends(part: str, canaries: int) -> None:
+    async def work() -> None:
+        up, canary = await saying("up"), await saying("canary")
+        pools = {"c": Pool(fixed=(f"127.0.0.1:{canary.port}",))}
+        routes = {"api": Route(path="/api", split=(f"c {part}",), sticky="request")}
+        async with running(up.entry("u0"), routes=routes, pools=pools) as it:
+            found = Counter([(await ask(it))[1] for _ in range(40)])
+            assert found[b"canary"] == canaries and sum(found.values()) == 40
+        close(up, canary)
+
+    run(work())
+
+
+def test_a_canary_that_fails_is_rolled_back_in_the_middle_of_its_ramp_and_told_once(
+    capfd: pytest.CaptureFixture[str],
+) -> None:
+    async def work() -> None:
+        up, bad = await saying("up"), await saying("bad", 500)
+        pools = {"c": Pool(fixed=(f"127.0.0.1:{bad.port}",), attempts=1)}
+        routes = {
+            "api": Route(path="/api", split=("c 60%",), sticky="request", ramp_ms=600_000.0, alarm=0.05)
+        }
+        async with running(up.entry("u0"), routes=routes, pools=pools) as it:
+            assert it.node is not None and it.node.routes is not None
+            router = it.node.routes.router
+            router._since["api"] -= 300_000.0  # half of the ramp is over
+            async with Caller(it.port) as caller:
+                for n in range(400):
+                    caller.ask("look", b"", X_Trace_Id=f"t{n}")
+                    await caller.answer()
+                    if router._trials["api"].ended:
+                        break
+            assert router._trials["api"].ended.keys() == {"c"} and n < 300
+            assert router.weights("api", it.node.clock.now_ms()) == {"default": 1.0, "c": 0.0}
+            assert [(await ask(it))[1] for _ in range(20)] == [b"up"] * 20
+            reload(it, routes, pools, drain_grace_ms=1.0)  # the same parts: what was ended stays so
+            assert (await ask(it))[1] == b"up" and it.node.routes.router._trials["api"].ended
+            reload(it, {"api": replace(routes["api"], split=("c 50%",))}, pools)
+            assert not it.node.routes.router._trials["api"].ended  # another split is another trial
+        close(up, bad)
+
+    run(work())
+    said = capfd.readouterr().err
+    assert said.count("route api: c gets nothing any more: it fails more") == 1
+
+
+def test_a_canary_with_one_upstream_that_dies_is_not_rolled_back() -> None:
+    """Its other upstream serves what the dead one can't: no request ends badly for it."""
+
+    async def work() -> None:
+        up, one, other = await saying("up"), await saying("c"), await saying("c")
+        pools = {"c": Pool(fixed=(f"127.0.0.1:{one.port}", f"127.0.0.1:{other.port}"))}
+        routes = {"api": Route(path="/api", split=("c 50%",), sticky="request", alarm=0.05)}
+        async with running(up.entry("u0"), routes=routes, pools=pools) as it:
+            assert it.node is not None and it.node.routes is not None
+            async with Caller(it.port) as caller:
+                for n in range(300):
+                    if n == 50:
+                        one.close()
+                        for talk in one.talks:
+                            talk.writer.transport.abort()
+                    caller.ask("look", b"", X_Trace_Id=f"t{n}")
+                    assert (await caller.answer()).status == 200
+            assert not it.node.routes.router._trials["api"].ended
+        close(up, other)
+
+    run(work())
+
+
+def test_nothing_of_it_is_there_without_routes() -> None:
+    import subprocess
+    import sys
+
+    code = (
+        "import sys; from larkweir.lifecycle import node, daemon, reading; from larkweir.config import options;"
+        "print([name for name in sys.modules if 'routes' in name or 'routing' in name])"
+    )
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "[]"
+
+
+def test_a_subset_connects_to_no_more_than_its_size() -> None:
+    async def work() -> None:
+        ups = [await saying(f"u{n}") for n in range(8)]
+        rows = [up.entry(f"u{n}") for n, up in enumerate(ups)]
+        routes = {"api": Route(path="/api", pool="p")}
+        async with running(*rows, routes=routes, pools={"p": Pool(subset=3)}) as it:
+            for _ in range(60):
+                assert (await ask(it))[0] == 200
+            assert sum(bool(up.seen) for up in ups) == 3
+        close(*ups)
+
+    run(work())
+
+
+def test_outcomes_of_the_platform_are_as_they_were() -> None:
+    """With one route over all, a pool decides as the decisions alone do: the same sends, event for event."""
+    from larkweir.routes.hands import Routes
+    from mulleinhitch import Balancer
+    from mulleinhitch.interface import AttemptEnded, ListKind, ListUpdate, RequestArrived, Send, ServerEntry
+
+    config = decode(json.dumps(config_data([], 1)), {})
+
+    class Still:
+        def now_ms(self) -> float:
+            return 0.0
+
+    options = Operator(routes={"all": Route()})
+    routed = Routes(options, config, Still(), print).switch  # type: ignore[arg-type]
+    alone = Balancer(config.settings, config.seed)
+    rows = [ServerEntry(n) for n in range(1, 9)]
+    now = 0.0
+    out: list[tuple[float, int, int, int]] = []
+    for it in (routed, alone):
+        it.handle(0.0, ListUpdate(ListKind.FULL, 1, rows))
+    sent: Counter[int] = Counter()
+    for number in range(1, 2_000):
+        now += 1.0
+        events: list[Any] = [
+            AttemptEnded(row[1], row[2], row[3], Outcome.OK if number % 7 else Outcome.FULL, False, 4.0)
+            for row in out
+            if row[0] <= now
+        ]
+        out = [row for row in out if row[0] > now]
+        events.append(RequestArrived(number, number % 3, 800.0))
+        for event in events:
+            one, other = routed.handle(now, event), alone.handle(now, event)
+            assert one == other
+            for action in one:
+                if isinstance(action, Send):
+                    out.append((now + 4.0, action.request, sent[action.request], action.server))
+                    sent[action.request] += 1
--- /dev/null
+++ b/tests/routes/test_subsets.py
@@ -0,0 +1,54 @@
+"""Subsets: even, small, and moved little by one change."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from larkweir.routes.subsets import WAYS, least, ring
+
+
+def load(names: list[str], copies: int, size: int, way: str) -> Counter[str]:
+    found: Counter[str] = Counter()
+    for me in range(copies):
+        mine = WAYS[way](names, me, copies, size)
+        assert len(mine) == len(set(mine)) == min(size, len(names))
+        found.update(mine)
+    return found
+
+
+@pytest.mark.parametrize(
+    ("upstreams", "copies", "size"), [(40, 20, 8), (200, 30, 20), (100, 200, 10), (7, 3, 10)]
+)
+def test_the_ring_loads_all_alike(upstreams: int, copies: int, size: int) -> None:
+    names = [f"s{n}" for n in range(upstreams)]
+    found = load(names, copies, size, "ring")
+    mean = sum(found.values()) / upstreams
+    assert max(found.values()) <= mean + 1.0 + 1e-9 and min(found[name] for name in names) >= int(mean) - 1
+
+
+@pytest.mark.parametrize("way", WAYS)
+def test_it_does_not_go_by_the_order_of_the_list(way: str) -> None:
+    names = [f"s{n}" for n in range(50)]
+    for me in range(5):
+        assert set(WAYS[way](names, me, 5, 10)) == set(WAYS[way](list(reversed(names)), me, 5, 10))
+
+
+def test_one_upstream_that_goes_moves_little() -> None:
+    """While half of the balancers restart nothing moves at all: places go by the settings, not by who is there."""
+    names = [f"s{n}" for n in range(200)]
+    moved = kept = 0
+    for me in range(30):
+        before, after = set(ring(names, me, 30, 20)), set(ring(names[1:], me, 30, 20))
+        moved += len(after - before)
+        kept += len(after & before)
+    assert moved / (moved + kept) < 0.05
+    restarted = [set(ring(names, me, 30, 20)) for me in range(15)]
+    assert restarted == [set(ring(names, me, 30, 20)) for me in range(15)]
+
+
+def test_all_are_somebodys_from_the_least_size_on() -> None:
+    for upstreams, copies in ((40, 20), (2000, 30), (2000, 2000)):
+        names = [f"s{n}" for n in range(upstreams)]
+        assert set(load(names, copies, least(upstreams, copies), "ring")) == set(names)
--- /dev/null
+++ b/tests/routes/test_trial.py
@@ -0,0 +1,77 @@
+"""A canary on trial: few false alarms however long it is watched, and a worse one is found."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from larkweir.routes.trial import Trial
+
+
+def watch(
+    seed: int,
+    count: int,
+    part: float,
+    main: float,
+    canary: float,
+    slower: float = 1.0,
+    outage: tuple[int, int] = (0, 0),
+    ramp: bool = False,
+) -> tuple[Trial, int]:
+    """A trial of so many requests; at which it ended, or `count`. `main` and `canary`: what fails."""
+    rng = Random(seed)
+    trial = Trial(0.05)
+    for at in range(count):
+        mine = part * (at / count if ramp else 1.0)
+        to = rng.random() < mine
+        rate = canary if to else main
+        if outage[0] <= at < outage[1]:
+            rate = 0.7  # of what lies behind both
+        spent = rng.lognormvariate(3.0, 0.5) * (slower if to else 1.0)
+        if trial.ended(to, rng.random() < rate, spent):
+            return trial, at
+    return trial, count
+
+
+@pytest.mark.parametrize("ramp", [False, True], ids=["steady", "ramp"])
+def test_one_that_is_no_worse_is_seldom_ended(ramp: bool) -> None:
+    """Watched at every request, through an outage behind both: at most alpha of them. `benchmarks.routes` plays 200."""
+    ended = sum(
+        watch(seed, 1_200, 0.2, 0.01, 0.01, outage=(500, 700), ramp=ramp)[1] < 1_200 for seed in range(60)
+    )
+    assert ended <= 0.05 * 60 + 2.0 * (60 * 0.05 * 0.95) ** 0.5
+
+
+def test_a_planted_error_of_5_percent_is_found_soon() -> None:
+    found = [watch(seed, 20_000, 0.05, 0.005, 0.055) for seed in range(20)]
+    assert all(at < 20_000 for _, at in found)
+    assert sorted(at for _, at in found)[10] < 5_000
+    assert (
+        sum("fails more" in trial.verdict for trial, _ in found) >= 18
+    )  # the others: the bet on time was first
+
+
+def test_one_that_takes_longer_is_found() -> None:
+    found = [watch(seed, 20_000, 0.1, 0.01, 0.01, slower=1.5) for seed in range(8)]
+    assert all("slow" in trial.verdict for trial, _ in found)
+
+
+def test_one_that_is_better_is_left_alone() -> None:
+    assert all(watch(seed, 5_000, 0.1, 0.05, 0.0, slower=0.5)[1] == 5_000 for seed in range(8))
+
+
+def test_its_end_is_told_once_and_says_how_many() -> None:
+    trial = Trial(0.05)
+    ends = []
+    rng = Random(1)
+    for _ in range(4_000):
+        to = rng.random() < 0.3
+        ends.append(trial.ended(to, to and rng.random() < 0.5, 10.0))
+    assert sum(ends) == 1 and "beside 0.0% of" in trial.verdict
+
+
+def test_a_canary_alone_or_a_control_alone_is_no_trial() -> None:
+    for to in (True, False):
+        trial = Trial(0.05)
+        assert not any(trial.ended(to, True, 10.0) for _ in range(2_000))
