--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -62,7 +62,12 @@
         return 2
     before, after = _read(old)[0], _read(new)[0]
     if old.endswith(".toml"):
-        found = changed(decode_operator(before)[0], decode_operator(after)[0])
+        first, second = decode_operator(before)[0], decode_operator(after)[0]
+        found = changed(first, second)
+        if first.routes or second.routes:
+            from larkweir.cli.routes import print_moved  # not imported where there is no route
+
+            print_moved(first, second)
         rows = [(key, one, other, change, "") for key, (one, other, change) in found.items()]
     else:
         rows = [
--- a/larkweir/cli/language.py
+++ b/larkweir/cli/language.py
@@ -132,6 +132,10 @@
     else:
         for item in found:
             print(f"{item.text}\n    {item.key}: {item.old} -> {item.new}; {WHEN[item.change]}")
+        if before.routes or after.routes:
+            from larkweir.cli.routes import print_moved  # not imported where there is no route
+
+            print_moved(before, after)
     return DIFFERS if found else WELL
 
 
--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -37,6 +37,10 @@
         from larkweir.cli.state import state  # not imported where there is no store
 
         return state(options.action, options.folder)
+    if options.command == "routes":
+        from larkweir.cli.routes import routes  # not imported where there are none
+
+        return routes(options.file, getattr(options, "try") or ())
     if options.command == "members":
         from larkweir.cli.members import members
 
@@ -149,6 +153,14 @@
     )
     members.add_argument("--verify", action="store_true")
     members.add_argument("folder", metavar="FOLDER", help="of the store")
+    routes = commands.add_parser(
+        "routes",
+        help="the routes of an operator file, and what becomes of a request",
+        description="Print the routes, or with --try which one a request has, why, and which pool: "
+        "--try 'POST /x host=a.example class=publicar tenant=acme x-beta=1'. Exit code 1 where one is refused.",
+    )
+    routes.add_argument("file", metavar="FILE")
+    routes.add_argument("--try", action="append", metavar="REQUEST")
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- a/larkweir/config/routing.py
+++ b/larkweir/config/routing.py
@@ -57,7 +57,7 @@
             f'{route.host!r:.100} is no host; write "registry.example" or "*.example", in lower case'
         )
     if route.path:
-        if not _PATH.fullmatch(route.path):
+        if not _PATH.fullmatch(route.path) or "/*/" in route.path:
             found["path"] = (
                 f'{route.path!r:.100} is no path; write "/a/b", "/a/{{name}}" or "/a/*" (all below it); a *'
                 " stands at the end alone"
--- /dev/null
+++ b/larkweir/routes/ask.py
@@ -0,0 +1,166 @@
+"""Rules: for staff: what becomes of a request under a file's routes, and which requests a change would send
+elsewhere."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple
+
+from larkweir.config.options import Operator, Route
+from larkweir.config.routing import DEFAULT, header_of, parts
+from larkweir.core.message import FramingError
+from larkweir.routes.paths import host, normal
+from larkweir.routes.router import Router
+from larkweir.routes.table import Facts
+
+
+class Asked(NamedTuple):
+    """A request, as staff write it: `POST /x host=a.example class=publicar tenant=acme x-beta=1`."""
+
+    method: str
+    target: str
+    host: str = ""
+    cls: str = ""
+    tenant: str = ""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    def __str__(self) -> str:
+        more = [f"host={self.host}"] if self.host else []
+        more += [f"class={self.cls}"] if self.cls else []
+        more += [f"tenant={self.tenant}"] if self.tenant else []
+        return " ".join(
+            [self.method, self.target, *more, *(f"{name}={value}" for name, value in self.headers)]
+        )
+
+
+def parse(text: str) -> Asked:
+    """ValueError says what is wrong."""
+    words = text.split()
+    if len(words) < 2 or not re.fullmatch(r"[A-Z]+", words[0]) or not words[1].startswith("/"):
+        raise ValueError(
+            "write a method and a path, and more as name=value: 'POST /x host=a.example class=publicar'"
+        )
+    said: dict[str, str] = {}
+    headers = []
+    for word in words[2:]:
+        name, equals, value = word.partition("=")
+        if not equals or not name:
+            raise ValueError(f"{word!r:.60} is no name=value")
+        if name.lower() in ("host", "class", "tenant"):
+            said[name.lower()] = value
+        else:
+            headers.append((name.lower(), value))
+    return Asked(
+        words[0],
+        words[1],
+        said.get("host", ""),
+        said.get("class", ""),
+        said.get("tenant", ""),
+        tuple(headers),
+    )
+
+
+class Answer(NamedTuple):
+    route: str  # empty: none
+    pools: dict[str, float]  # with their parts
+    fallback: tuple[str, ...]
+    passed: tuple[str, ...]  # routes before it that did not fit, and why
+    said: str  # why it is refused, where it is
+
+
+class Book:
+    """A file's routes, by the names that are in it: no platform file is wanted."""
+
+    def __init__(self, options: Operator) -> None:
+        self._classes = _numbers(name for route in options.routes.values() for name in route.classes)
+        self._tenants = _numbers(name for route in options.routes.values() for name in route.tenants)
+        self.router = Router(options.routes, self._classes, self._tenants, 0.0)
+
+    def ask(self, asked: Asked) -> Answer:
+        try:
+            target, name = normal(asked.target.encode()), host(asked.host.encode())
+        except FramingError as problem:
+            return Answer("", {}, (), (), f"{problem.status}: {problem}")
+        headers: dict[bytes, list[bytes]] = {}
+        for key, value in asked.headers:
+            headers.setdefault(key.encode(), []).append(value.encode())
+        facts = Facts(
+            name,
+            target,
+            asked.method.encode(),
+            headers,
+            self._classes.get(asked.cls, -2),
+            self._tenants.get(asked.tenant, -2),
+        )
+        route, passed = self.router.table.why(facts)
+        if route is None:
+            allowed = self.router.allowed(name, target)
+            said = "404: no route" if allowed is None else "404: no route whose conditions fit"
+            if allowed and asked.method.encode() not in allowed:
+                said = "405: " + ", ".join(sorted(item.decode() for item in allowed))
+            return Answer("", {}, (), tuple(passed), said)
+        own = self.router.routes[route]
+        whole = parts(own)
+        pools = {own.pool: max(0.0, 1.0 - sum(whole.values()))} | whole
+        return Answer(route, pools, own.fallback, tuple(passed), "")
+
+
+def _numbers(names: Iterator[str]) -> Mapping[str, int]:
+    return {name: n for n, name in enumerate(dict.fromkeys(names))}
+
+
+def samples(route: Route) -> Iterator[Asked]:
+    """Requests that a route is meant for, as far as one route tells: its path, one that lies below, each condition."""
+    path = re.sub(r"\{[^}]*\}", "some", route.path or "/")
+    paths = [path[:-2] or "/", path[:-1] + "some"] if path.endswith("/*") else [path]
+    name = route.host.replace("*", "some")
+    headers = tuple((key, value or "some") for key, value in map(header_of, route.headers))
+    for target in paths:
+        for method in route.methods or ("GET", "POST"):
+            for cls in route.classes or ("",):
+                for tenant in route.tenants or ("",):
+                    yield Asked(method, target, name, cls, tenant, headers)
+
+
+class Moved(NamedTuple):
+    asked: Asked
+    before: str
+    after: str
+
+
+def _where(answer: Answer) -> str:
+    if not answer.route:
+        return answer.said
+    found = " ".join(
+        pool if value >= 1.0 else f"{pool} {value:.3%}".replace(".000", "")
+        for pool, value in answer.pools.items()
+        if value > 0.0
+    )
+    return found + (f", then {', '.join(answer.fallback)}" if answer.fallback else "")
+
+
+def moved(old: Operator, new: Operator) -> list[Moved]:
+    """Requests that go elsewhere under the new file: of those that any route of either is meant for, and `/api`."""
+    if not old.routes and not new.routes:
+        return []
+    one = Book(old) if old.routes else None
+    other = Book(new) if new.routes else None
+    asked = dict.fromkeys(
+        [
+            Asked("GET", "/api"),
+            *(item for options in (old, new) for route in options.routes.values() for item in samples(route)),
+        ]
+    )
+    found = []
+    for item in asked:
+        before = _where(one.ask(item)) if one is not None else _alone(item)
+        after = _where(other.ask(item)) if other is not None else _alone(item)
+        if before != after:
+            found.append(Moved(item, before, after))
+    return found
+
+
+def _alone(asked: Asked) -> str:
+    """Without any route."""
+    return DEFAULT if asked.target.partition("?")[0] == "/api" else "404: no route"
--- a/larkweir/routes/switch.py
+++ b/larkweir/routes/switch.py
@@ -61,9 +61,7 @@
     draining: bool = False  # no route names it any more
     requests: int = 0
     told: dict[int, ServerEntry] = field(default_factory=dict)  # of the list, as its decisions have it
-
-    def handle(self, now_ms: float, event: Event) -> list[Action]:
-        return self.decisions.handle(now_ms, event)
+    counted: set[int] = field(default_factory=set)  # upstreams whose calls of other pools have changed
 
 
 class Held:
@@ -132,7 +130,7 @@
             pool = asked.popleft()
             if not asked:
                 del self._probes[event.server]
-            return self._out(pool, pool.handle(now_ms, event))
+            return self._out(pool, self._tell(pool, event))
         if isinstance(event, Reconfigured):
             coming, self.coming = self.coming, None
             return [] if coming is None else self._reconfigure(coming)
@@ -153,7 +151,7 @@
         reserved = self._reserved(choice)
         if reserved:
             event = replace(event, attempts=self._share(pool, held, reserved))
-        return self._out(pool, pool.handle(self.now, event), held)
+        return self._out(pool, self._tell(pool, event), held)
 
     def _reserved(self, choice: Choice) -> int:
         """Attempts that are kept for the pools still to come: one each, or there would be none left for them."""
@@ -191,7 +189,7 @@
             told = event if not held.first else replace(event, attempt=number)
             if event.left is not None and (reserved := self._reserved(held.choice)):
                 told = replace(told, left=max(0, event.left - reserved))
-            actions = self._out(pool, pool.handle(self.now, told), held)
+            actions = self._out(pool, self._tell(pool, told), held)
         else:
             actions = []
         self._settle(event.request, held)
@@ -209,7 +207,7 @@
         elif isinstance(event, BodyCame):
             held.arrived.coming = False
             held.due_ms = self.now + held.arrived.time_left_ms
-        actions = self._out(held.pool, held.pool.handle(self.now, told), held)
+        actions = self._out(held.pool, self._tell(held.pool, told), held)
         if isinstance(event, ClientGone):
             held.choice.route = ""  # how it would have ended nobody knows
         self._settle(event.request, held)
@@ -236,11 +234,11 @@
     def _timer(self, event: TimerFired) -> list[Action]:
         if event.cookie == LIST_COOKIE:
             pool = self.pools[self.main]
-            return self._out(pool, pool.handle(self.now, event))
+            return self._out(pool, self._tell(pool, event))
         held = self._requests.get(event.cookie)
         if held is None:
             return []
-        actions = self._out(held.pool, held.pool.handle(self.now, event), held)
+        actions = self._out(held.pool, self._tell(held.pool, event), held)
         self._settle(event.cookie, held)
         return actions
 
@@ -296,7 +294,7 @@
                 share = self._share(pool, held, self._reserved(choice))
                 if share:
                     again = replace(held.arrived, time_left_ms=left, attempts=share)
-                    return self._out(pool, pool.handle(self.now, again), held)
+                    return self._out(pool, self._tell(pool, again), held)
         return self._give_up(action, held)
 
     def _give_up(self, action: Refuse, held: Held) -> list[Action]:
@@ -309,7 +307,7 @@
     def _list(self, event: ListUpdate) -> list[Action]:
         if event.kind is ListKind.FAILED:
             pool = self.pools[self.main]
-            return self._out(pool, pool.handle(self.now, event))
+            return self._out(pool, self._tell(pool, event))
         whole = event.kind in (ListKind.FULL, ListKind.CACHED)
         if whole:
             self.entries = {}
@@ -344,11 +342,9 @@
         pool.told = mine
         if not entries and kind is ListKind.PROOF:
             return []
-        actions = pool.handle(self.now, ListUpdate(kind, self._version, entries))
-        for number in mine:
-            counts = self._out_at.get(number)
-            if counts:  # a new one, or one that is told of anew, has calls of others already
-                pool.decisions.elsewhere(number, sum(counts.values()) - counts.get(id(pool), 0), self.now)
+        actions = self._tell(pool, ListUpdate(kind, self._version, entries))
+        # A new one, or one that is told of anew, may have calls of others already.
+        pool.counted.update(number for number in mine if number in self._out_at)
         return self._out(pool, actions)
 
     def _count(self, server: int, pool: Pool, change: int) -> None:
@@ -361,12 +357,26 @@
             counts.pop(id(pool), None)
             if not counts:
                 del self._out_at[server]
-        having = self.has.get(server, ())
-        if len(having) > 1 or (having and having[0] is not pool):
-            whole = sum(counts.values())
-            for other in having:
-                if other is not pool:
-                    other.decisions.elsewhere(server, whole - counts.get(id(other), 0), self.now)
+        for other in self.has.get(server, ()):
+            if other is not pool:
+                other.counted.add(server)  # told when it next decides anything
+
+    def _tell(self, pool: Pool, event: Event) -> list[Action]:
+        """Hand an event to a pool's decisions, with what others have out at its upstreams."""
+        if pool.counted:
+            self._tell_counts(pool)
+        return pool.decisions.handle(self.now, event)
+
+    def _tell_counts(self, pool: Pool) -> None:
+        for number in pool.counted:
+            counts = self._out_at.get(number, {})
+            pool.decisions.elsewhere(number, sum(counts.values()) - counts.get(id(pool), 0), self.now)
+        pool.counted.clear()
+
+    def settle(self) -> None:
+        """Tell all pools what they would be told next: for whoever looks at them."""
+        for pool in (*self.pools.values(), *self.left):
+            self._tell_counts(pool)
 
     def _join(self, number: int, pool: Pool) -> None:
         having = self.has.setdefault(number, [])
@@ -401,7 +411,7 @@
         self.pools = pools
         for name, pool in pools.items():
             if pool.decisions.settings != settings[name]:
-                actions += self._out(pool, pool.handle(self.now, Reconfigured(settings[name])))
+                actions += self._out(pool, self._tell(pool, Reconfigured(settings[name])))
         if self.listed:
             for pool in pools.values():
                 actions += self._relist(pool, ListKind.PROOF)
--- a/tests/routes/test_switch.py
+++ b/tests/routes/test_switch.py
@@ -100,11 +100,13 @@
     for number, pool in ((1, "default"), (2, "blue"), (3, "default")):
         out = it.handle(1.0, RequestArrived(number, 0, 1_000.0, choice=Choice("r", (pool,))))
         assert [action.server for action in out if isinstance(action, Send)] == [3]
+    it.settle()
     for name in ("default", "blue"):
         assert it.pools[name].decisions.fleet.servers[3].outstanding == 3
         assert not len(it.pools[name].decisions.fleet.levels[0][0])  # no token: it is not idle for either
     for number in (1, 2, 3):
         it.handle(5.0, AttemptEnded(number, 0, 3, Outcome.OK, True, 4.0))
+    it.settle()
     assert all(it.pools[name].decisions.fleet.servers[3].outstanding == 0 for name in ("default", "blue"))
 
 
@@ -254,6 +256,7 @@
     def calls_are_counted_once_for_each_upstream(self) -> None:
         if not hasattr(self, "it"):
             return
+        self.it.settle()
         for pool in (*self.it.pools.values(), *self.it.left):
             servers = pool.decisions.fleet.servers
             assert set(servers) <= MEMBERS[pool.name]
