--- a/benchmarks/routes_rig.py
+++ b/benchmarks/routes_rig.py
@@ -49,7 +49,7 @@
         ],
         "Tenants": [{"Name": "acme", "QuotaPerS": 100_000, "Fraction": 1.0}],
         "Zones": list(ZONES),
-        "MyZone": ZONES[me % 3],
+        "MyZone": me % 3,
         "Me": me,
         "PeersTotal": copies,
         "MachineTypes": list(KINDS),
@@ -132,7 +132,8 @@
     rows = [up.entry(f"u{n}", zone=zone, machineType=kind) for n, (up, kind, zone) in enumerate(ups)]
     discovery = await FakeDiscovery(rows).start()
     folder = Path(tempfile.mkdtemp())
-    (folder / "op.toml").write_text("" if options.plain else OPERATOR)
+    text = OPERATOR.replace('"m2"]', '"m2"]\nspill = true') if options.spill else OPERATOR
+    (folder / "op.toml").write_text("" if options.plain else text)
     processes, loads, logs = [], [], []
     for me in range(options.balancers):
         port = free_port()
@@ -157,6 +158,9 @@
         )
         loads.append(Load(port, me, options.rate))
     await asyncio.sleep(3.0)
+    if any(process.returncode is not None for process in processes):
+        print(f"a balancer did not start: see the logs in {folder}", file=sys.stderr)
+        return 1
     tasks = [asyncio.ensure_future(load.caller(n, 4)) for load in loads for n in range(4)]
 
     def ended() -> int:
@@ -217,6 +221,7 @@
     parser.add_argument("--rate", type=float, default=40.0, help="requests a second to each")
     parser.add_argument("--seconds", type=float, default=20.0, help="that all is well for")
     parser.add_argument("--plain", action="store_true", help="without routes")
+    parser.add_argument("--spill", action="store_true", help="main pool leaves zones by what they can carry")
     return asyncio.run(play(parser.parse_args()))
 
 
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -282,6 +282,9 @@
     evacuated: tuple[str, ...] | None = option(None)
     # Upstreams that this balancer connects to, of all in the pool; 0: all.
     subset: int | None = option(None, low=0, high=100_000)
+    # Whether requests leave their zone by what it can carry, a little at a time, instead of as the platform's prices
+    # say.
+    spill: bool | None = option(None)
     # What upstreams speak.
     protocol: Literal["http1", "fastcgi"] | None = option(None)
     # As in [class.*], [retries], [queue] and [cold].
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Callable, Collection
 from hashlib import blake2b
+from random import Random
 
 from larkweir.config.options import Operator
 from larkweir.config.platform import Config
@@ -20,6 +21,7 @@
 from larkweir.routes.router import Choice, Router
 from larkweir.routes.switch import Coming, Pool, Switch
 from larkweir.routes.table import Facts
+from larkweir.routes.zones import Spill
 from mulleinhitch import Balancer
 from mulleinhitch.interface import Effect, ListKind, RequestArrived, ServerEntry, ServerState, Settings
 
@@ -53,6 +55,7 @@
     """Between what a caller sends and the engine."""
 
     MOST_COPIES = 32  # mirrored requests at a time; past that none are copied
+    LOOK_MS = 500.0  # from look to look at how full zones are: some times the longest aim there is
     FIRST_FIXED = 1 << 41  # numbers of upstreams in fixed lists: above all that discovery's get
 
     def __init__(self, options: Operator, config: Config, clock: Clock, say: Callable[[str], None]) -> None:
@@ -69,6 +72,11 @@
         self._tell: Callable[[Listing], None] = lambda listing: None
         self._options = options
         self._protocols: dict[str, str] = {}  # by pool
+        self._zoned: dict[str, dict[str, str]] = {}  # pools that spill: the names of their parts by zone
+        self._spills: dict[str, Spill] = {}
+        self._shares: dict[str, dict[str, float]] = {}  # of them, by zone
+        self._looks = False
+        self._rng = Random(config.seed)
         self.router = self._router(options, config, None)
         pools, settings = self._pools(options, config, {})
         self.switch = Switch(pools, DEFAULT)
@@ -87,7 +95,9 @@
     ) -> tuple[dict[str, Pool], dict[str, Settings]]:
         pools: dict[str, Pool] = {}
         settings: dict[str, Settings] = {}
-        wanted = whole(options)
+        wanted, self._zoned = whole(options, config.zones)
+        home = config.zones[config.settings.my_zone] if config.zones else ""
+        self._spills = {name: self._spills.get(name) or Spill(home) for name in self._zoned}
         members: dict[str, Members] = {}
         own: dict[str, frozenset[int]] = {}
         used: dict[int, ServerEntry] = {}
@@ -181,11 +191,49 @@
         safe = cls.effect is Effect.SAFE
         key = self._key(route, message, event, trace)
         choice = self.router.choose(route, key, trace, safe, self._clock.now_ms())
+        if self._zoned:
+            choice.pools = tuple(part for name in choice.pools for part in self._in_zones(name))
         event.choice = choice
         if choice.mirror:
             self._copy(message, event, choice, trace)
         return True
 
+    # ------------------------------------------------ zones
+
+    def _in_zones(self, name: str) -> list[str]:
+        """A pool's parts in the order in which a request may come to them: one drawn by its share, then those with
+        more."""
+        zoned = self._zoned.get(name)
+        if zoned is None:
+            return [name]
+        if not self._looks:
+            self._looks = True
+            self._look()
+        shares = self._shares.get(name, {})
+        order = sorted(zoned, key=lambda zone: -shares.get(zone, 0.0))
+        drawn = self._rng.random()
+        for zone in order:
+            drawn -= shares.get(zone, 0.0)
+            if drawn < 0.0:
+                order.remove(zone)
+                order.insert(0, zone)
+                break
+        return [zoned[zone] for zone in order]
+
+    def _look(self) -> None:
+        """How full each zone is, by each part's own window; again in a while, as long as any pool spills."""
+        if not self._zoned:
+            self._looks = False
+            return
+        for name, zoned in self._zoned.items():
+            carried, carries = {}, {}
+            for zone, part in zoned.items():
+                decisions = self.switch.pools[part].decisions
+                carried[zone] = decisions.limiter.load
+                carries[zone] = decisions.limiter.window if decisions.fleet.ready_count else 0.0
+            self._shares[name] = self._spills[name].look(carried, carries)
+        self._clock.after(self.LOOK_MS, self._look)
+
     def _key(self, route: str, message: Message, event: RequestArrived, trace: bytes) -> bytes:
         """What a request is sticky by; its own id where it has nothing of the kind."""
         sticky = self._options.routes[route].sticky if route in self._options.routes else "request"
@@ -220,7 +268,7 @@
         told = RequestArrived(
             0, event.class_index, event.time_left_ms, event.tenant, event.key, event.expected_ms
         )
-        told.choice = Choice("", (choice.mirror,))
+        told.choice = Choice("", tuple(self._in_zones(choice.mirror)))
         self._copies += 1
         self.mirrored += 1
         left = event.time_left_ms
@@ -241,7 +289,7 @@
         main = (
             self.router.routes[choice.route].pool if choice.route in self.router.routes else choice.pools[0]
         )
-        line = choice.trial.note(choice.pools[0], main, failed, spent_ms, choice.cls)
+        line = choice.trial.note(choice.part, main, failed, spent_ms, choice.cls)
         if line:
             self._say(line)
 
@@ -261,6 +309,11 @@
             )[:300],
             "pools_left": len(self.switch.left),
         }
+        if self._shares:
+            found["zones"] = ";".join(
+                f"{name}={','.join(f'{zone}:{part:.2f}' for zone, part in shares.items())}"
+                for name, shares in self._shares.items()
+            )[:300]
         states = self.router.states(now)
         if states:
             found["parts"] = ";".join(f"{name}={text}" for name, text in states.items())[:300]
--- a/larkweir/routes/pools.py
+++ b/larkweir/routes/pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 
 from larkweir.config.options import Operator, Pool
@@ -62,6 +62,8 @@
     def __call__(self, entries: Iterable[ServerEntry]) -> list[ServerEntry]:
         if self.own is not None:
             found = [entry for entry in entries if entry.server in self.own]
+            if self._zones:
+                found = [entry for entry in found if entry.zone in self._zones]
         else:
             found = [entry for entry in entries if entry.server not in self._fixed and self._fits(entry)]
         if self._subset and self._subset < len(found):
@@ -85,6 +87,20 @@
         )
 
 
-def whole(options: Operator) -> dict[str, Pool]:
-    """All pools that are used, with what their parents say."""
-    return {name: inherited(name, options.pools) for name in named(options)}
+def whole(options: Operator, zones: Sequence[str]) -> tuple[dict[str, Pool], dict[str, dict[str, str]]]:
+    """All pools that are used, with what their parents say; and of those that spill, the names of their parts by
+    zone. A part decides for its zone alone, so that a request is in one zone with all its attempts.
+    """
+    found: dict[str, Pool] = {}
+    parts_: dict[str, dict[str, str]] = {}
+    for name in named(options):
+        pool = inherited(name, options.pools)
+        if not pool.spill:
+            found[name] = pool
+            continue
+        if name == DEFAULT:  # it asks for the list
+            found[name] = pool
+        parts_[name] = {zone: f"{name}@{zone}" for zone in pool.zones or zones}
+        for zone, part in parts_[name].items():
+            found[part] = Pool(**(vars(pool) | {"zones": (zone,)}))
+    return found, parts_
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -26,6 +26,7 @@
     at: int = 0  # in `pools`
     began_ms: float = 0.0
     cls: int = 0
+    part: str = ""  # the pool of the route that it fell to, whichever zone's
 
 
 @dataclass(slots=True)
@@ -155,7 +156,7 @@
         if route.mirror and safe and score(b"mirror", trace, b"", 1.0) >= _mirror_bound(route.mirror_part):
             mirror = route.mirror
         later = tuple(item for item in route.fallback if item != pool)
-        return Choice(name, (pool, *later), pool != route.pool, trials, mirror)
+        return Choice(name, (pool, *later), pool != route.pool, trials, mirror, part=pool)
 
     def states(self, now_ms: float) -> dict[str, str]:
         """By route with parts: how they stand, for staff."""
--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -180,6 +180,11 @@
             share = self.FIRST_LEVEL * ready / copies
             self.window = self._first = max(self.FIRST_WINDOW, min(share, max(self.FIRST_CALLS, ready)))
 
+    @property
+    def load(self) -> float:
+        """Calls out, as arrivals of late have found them."""
+        return self._out_mean
+
     # ------------------------------------------------ letting in
 
     @property
--- /dev/null
+++ b/tests/routes/test_zones.py
@@ -0,0 +1,130 @@
+"""Spill between zones: it comes to rest, takes no more than is too much, and overloads nobody."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+import pytest
+
+from larkweir.config.options import Pool, Route
+from larkweir.routes.zones import FULL, Spill
+from standins.peers import FakeUpstream, Incoming, Talk, ok
+from tests.fakes import running
+from tests.lifecycle.service import until
+from tests.routes.test_loopback import ask, saying
+from tests.upstreams.test_attempts import run
+
+ZONES = ("a", "b", "c")
+
+
+def fleet(
+    demand: dict[str, float], capacity: dict[str, float], steps: int, copies: int = 30, seed: int = 1
+) -> list[dict[str, float]]:
+    """What each zone carries, by step, where every copy looks at what it sees a step late and with an error of 5%."""
+    rng = Random(seed)
+    spills = [Spill(ZONES[n % 3]) for n in range(copies)]
+    parts = [{zone: float(zone == spill.home) for zone in ZONES} for spill in spills]
+    carried = dict.fromkeys(ZONES, 0.0)
+    rows = []
+    for _ in range(steps):
+        now = dict.fromkeys(ZONES, 0.0)
+        for spill, part in zip(spills, parts, strict=True):
+            for zone, value in part.items():
+                now[zone] += value * demand[spill.home] * 3.0 / copies
+        rows.append(now)
+        for n, spill in enumerate(spills):
+            seen = {zone: value * (1.0 + rng.uniform(-0.05, 0.05)) for zone, value in carried.items()}
+            parts[n] = spill.look(seen, capacity)
+        carried = now
+    return rows
+
+
+EVEN = dict.fromkeys(ZONES, 100.0)
+
+
+def test_a_zone_that_is_too_full_gives_away_what_is_too_much_and_comes_to_rest() -> None:
+    rows = fleet({"a": 140.0, "b": 50.0, "c": 50.0}, EVEN, 200)
+    last = rows[100:]
+    assert all(60.0 <= row["a"] <= 100.0 for row in last)
+    assert max(row["a"] for row in last) - min(row["a"] for row in last) < 10.0  # it does not slosh
+    assert all(max(row["b"], row["c"]) <= 100.0 for row in rows)
+    assert rows[0]["a"] == pytest.approx(140.0)
+
+
+def test_while_home_has_room_nothing_leaves_it() -> None:
+    rows = fleet({"a": 70.0, "b": 20.0, "c": 60.0}, EVEN, 50)
+    assert all(row == pytest.approx({"a": 70.0, "b": 20.0, "c": 60.0}) for row in rows)
+
+
+def test_where_all_are_full_nobody_pushes_its_own_to_others() -> None:
+    rows = fleet({"a": 150.0, "b": 95.0, "c": 95.0}, EVEN, 100)
+    assert all(row["b"] <= 1.1 * 95.0 + 10.0 and row["c"] <= 1.1 * 95.0 + 10.0 for row in rows)
+
+
+def test_a_zone_that_is_lost_is_left_at_once_and_found_again_little_by_little() -> None:
+    spill = Spill("a")
+    load = {"a": 50.0, "b": 50.0, "c": 50.0}
+    assert spill.look(load, EVEN)["a"] == 1.0
+    gone = spill.look(load, EVEN | {"a": 0.0})
+    assert gone["a"] == 0.0 and gone["b"] + gone["c"] == pytest.approx(1.0)
+    back = [spill.look(load | {"a": 0.0}, EVEN)["a"] for _ in range(200)]
+    assert 0.0 < back[0] <= 0.06 and back == sorted(back) and back[-1] == 1.0
+
+
+def test_a_lost_zones_traffic_goes_by_the_room_that_others_have() -> None:
+    found = Spill("a").look({"a": 0.0, "b": 80.0, "c": 20.0}, EVEN | {"a": 0.0})
+    assert found["c"] / found["b"] == pytest.approx((100.0 * FULL - 20.0) / (100.0 * FULL - 80.0))
+
+
+def test_parts_are_parts_whatever_comes() -> None:
+    rng = Random(4)
+    spill = Spill("a")
+    for _ in range(2_000):
+        carried = {zone: rng.choice([0.0, rng.uniform(0, 300)]) for zone in ZONES}
+        carries = {zone: rng.choice([0.0, -1.0, rng.uniform(0, 200)]) for zone in ZONES}
+        found = spill.look(carried, carries)
+        assert all(-1e-9 <= value <= 1.0 + 1e-9 for value in found.values())
+        total = sum(found.values())
+        assert total == pytest.approx(1.0) or not any(value > 0.0 for value in carries.values())
+        assert all(found[zone] == 0.0 for zone in ZONES if carries[zone] <= 0.0)
+
+
+def test_a_pool_that_spills_stays_at_home_leaves_a_lost_zone_and_crosses_where_home_is_full() -> None:
+    async def work() -> None:
+        slots = asyncio.Semaphore(1)
+
+        async def narrow(request: Incoming, talk: Talk) -> None:
+            async with slots:
+                await asyncio.sleep(0.02)
+            await talk.send(ok(b"north"))
+
+        north, south = await FakeUpstream(narrow).start(), await saying("south")
+        rows = [north.entry("u0"), south.entry("u1", zone="south")]
+        categories = [
+            {"Name": "look", "Effect": "read_like", "AimMs": 150, "HardLimitMs": 300, "Group": "all"}
+        ]
+        routes = {"api": Route(path="/api", pool="p")}
+        async with running(*rows, routes=routes, pools={"p": Pool(spill=True)}, categories=categories) as it:
+            assert it.node is not None and it.node.routes is not None
+            hands = it.node.routes
+            hands.LOOK_MS = 20.0
+            assert [await ask(it) for _ in range(10)] == [(200, b"north")] * 10
+            over = False
+
+            async def caller() -> None:
+                while not over:
+                    await ask(it)
+
+            callers = [asyncio.ensure_future(caller()) for _ in range(24)]
+            await until(lambda: hands._shares["p"]["south"] > 0.1, "some of it crosses")
+            over = True
+            await asyncio.gather(*callers)
+            assert len(south.seen) > 0
+            it.discovery.change(rows[0] | {"lifecycle": "left"})
+            await until(lambda: hands._shares["p"]["north"] == 0.0, "the lost zone is left")
+            assert [await ask(it) for _ in range(10)] == [(200, b"south")] * 10
+        north.close()
+        south.close()
+
+    run(work())
