A standstill in the middle of a turn: what is read in it has waited; a lab of fleets begun

Seen: a process stopped by SIGSTOP just after a send read on in the same turn when it woke (told 10140.9, now 11995.7), before the timer that tells of a standstill, and served a request whose caller had long gone (200 instead of 503). Ruled out: a poll that ended late (late 0.0), a turn before it that was long. Now a request that is read in a turn as long as a standstill, or behind one, has waited for that long.

--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -37,6 +37,12 @@
         from larkweir.cli.state import state  # not imported where there is no store
 
         return state(options.action, options.folder)
+    if options.command == "lab":
+        from larkweir.cli import lab  # not imported where nothing is played
+
+        if options.action == "run":
+            return lab.run(options.file, options.store, options.processes, options.narrow)
+        return lab.report(options.store, options.html, options.csv, options.scenario, options.against)
     if options.command == "routes":
         from larkweir.cli.routes import routes  # not imported where there are none
 
@@ -161,6 +167,32 @@
     )
     routes.add_argument("file", metavar="FILE")
     routes.add_argument("--try", action="append", metavar="REQUEST")
+    lab = commands.add_parser(
+        "lab",
+        help="whole fleets in simulated time, with the real decisions and with peers' policies",
+        description="lab run FILE: play a scenario, and go on where an earlier run has stopped. lab report STORE: "
+        "what came of it, as text, a page or a table. Examples: lab run docs/lab/peers.toml --store peers.db; "
+        "lab report peers.db --html peers.html.",
+    )
+    actions = lab.add_subparsers(dest="action", metavar="ACTION", required=True)
+    play = actions.add_parser("run", help="play what is missing of a scenario")
+    play.add_argument("file", metavar="FILE")
+    play.add_argument("--store", default="lab.db", help="where results are kept (default lab.db)")
+    play.add_argument("--processes", type=int, default=0, help="at a time (default: one for each core)")
+    play.add_argument(
+        "--narrow",
+        type=float,
+        default=0.0,
+        help="stop a point early once half of its 95%% interval is so small",
+    )
+    shown = actions.add_parser("report", help="what came of it")
+    shown.add_argument("store", metavar="STORE")
+    shown.add_argument("--html", metavar="FILE")
+    shown.add_argument("--csv", metavar="FILE")
+    shown.add_argument("--scenario", default="", help="only this one")
+    shown.add_argument(
+        "--against", default="", help="the point that others are compared with, as 'policy random'"
+    )
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -134,6 +134,9 @@
         self._busy = False
         # What the process stood still for, just now: requests read meanwhile have waited for about so long.
         self.lost_ms = 0.0
+        self.stall_ms = (
+            math.inf
+        )  # a turn as late as that had a standstill before it, where anybody looks for one
         settings = config.settings
         reports = settings.report_mode is not ReportMode.OFF
         self._report_names = config.report_names if reports else ()
@@ -210,13 +213,19 @@
         self, caller: Caller, message: Message, time_left_ms: float, trace: bytes, event: RequestArrived
     ) -> int:
         """A request has come whole, under an id that is not open; returns its number."""
-        self.clock.turn()  # guards against taking a turn that brings requests alone for a time spent waiting
+        turns = (
+            self.clock.turn()
+        )  # guards against taking a turn that brings requests alone for a time spent waiting
         number = self._next
         self._next += 1
         event.request = number
-        if self.lost_ms:
-            time_left_ms = event.time_left_ms = max(0.0, time_left_ms - self.lost_ms)
         now = self.clock.now_ms()
+        # The system's news may be handled before the timer that tells of a standstill; and a process that is stopped
+        # in the middle of a turn reads on in it.
+        waited = max(turns.late_ms, now - turns.told_ms)
+        lost = max(self.lost_ms, waited) if waited > self.stall_ms else self.lost_ms
+        if lost:
+            time_left_ms = event.time_left_ms = max(0.0, time_left_ms - lost)
         due = now + time_left_ms
         coming = message.stream is not None and not message.stream.over
         if coming:
--- a/larkweir/core/turns.py
+++ b/larkweir/core/turns.py
@@ -19,7 +19,7 @@
 class Turns:
     """Fed with the two ends of every poll that was seen to bring something."""
 
-    __slots__ = ("asked_ms", "since_ms", "told_ms")
+    __slots__ = ("asked_ms", "late_ms", "since_ms", "told_ms")
 
     # A poll has waited that took longer than this, and than half of the turn before: a busy machine may take the core
     # away for a while in a poll that had its news at once.
@@ -30,6 +30,9 @@
         self.asked_ms = now_ms  # when the poll began that this turn's news came from
         self.told_ms = now_ms  # when it ended
         self.since_ms = now_ms
+        # For which what this turn brought may have waited unread: as long as the turn before was busy, or as this
+        # turn's poll ended behind a timer that should have ended it.
+        self.late_ms = 0.0
 
     def ask(self, now_ms: float) -> None:
         """A turn is over, and the loop polls."""
@@ -39,10 +42,13 @@
         """The first of what a poll brought is handled. The next timer was due at `due_ms`; infinity: none was."""
         before, self.told_ms = self.told_ms, now_ms
         busy = self.asked_ms - before
+        self.late_ms = 0.0
         if now_ms - self.asked_ms <= max(self.WAITED_MS, self.WAITED_PART * busy):
             self.since_ms = before
+            self.late_ms = busy
         elif now_ms > due_ms + self.LATE_MS:
             self.since_ms = max(self.asked_ms, due_ms)
+            self.late_ms = now_ms - self.since_ms
         else:
             self.since_ms = now_ms
 
--- /dev/null
+++ b/larkweir/lab/model.py
@@ -0,0 +1,546 @@
+"""Rules: a fleet in simulated time: balancers with the real decisions, or a peer's policy, before servers that are
+models.
+
+One seed makes one play: arrivals and service times are drawn from streams of their own, so that two policies under
+one seed meet the same ones. Times are milliseconds.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Callable
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from larkweir.lab.policies import POLICIES, Policy
+from larkweir.lab.scenario import Scenario, Service, service_of, time_ms
+from mulleinhitch import Balancer
+from mulleinhitch.interface import (
+    Action,
+    AttemptEnded,
+    Effect,
+    Event,
+    Fail,
+    ListKind,
+    ListUpdate,
+    Outcome,
+    Refuse,
+    RequestArrived,
+    RequestClass,
+    Send,
+    ServerEntry,
+    SetTimer,
+    Settings,
+    TimerFired,
+)
+
+BUCKET_MS = 250.0  # of the time line
+MOST_WAITING = 200_000  # calls in the whole world: past that it is unstable, and the play ends and says so
+LOST_MS = 50.0  # until a call to a crashed server is seen to be refused
+
+
+def mean_of(service: Service) -> float:
+    """Of a call at speed 1."""
+    if service.kind != "pareto":
+        return service.mean_ms
+    # Cut at `most` times the mean of the uncut one.
+    alpha, high = service.shape, service.most
+    low = (alpha - 1.0) / alpha
+    if alpha == 1.0:
+        return service.mean_ms
+    part = (low / high) ** alpha
+    cut = low**alpha / (1.0 - part) * alpha / (alpha - 1.0) * (low ** (1.0 - alpha) - high ** (1.0 - alpha))
+    return float(service.mean_ms * cut)
+
+
+def draw(service: Service, rng: Random) -> float:
+    if service.kind == "exponential":
+        return rng.expovariate(1.0 / service.mean_ms)
+    if service.kind == "deterministic":
+        return service.mean_ms
+    if service.kind == "lognormal":
+        sigma = service.shape
+        return rng.lognormvariate(math.log(service.mean_ms) - sigma * sigma / 2.0, sigma)
+    alpha, high = service.shape, service.most
+    low = (alpha - 1.0) / alpha
+    part = (low / high) ** alpha
+    return float(service.mean_ms * low / (1.0 - rng.random() * (1.0 - part)) ** (1.0 / alpha))
+
+
+class Call:
+    """One attempt."""
+
+    __slots__ = (
+        "balancer",
+        "before",
+        "done",
+        "left_ms",
+        "number",
+        "request",
+        "sent_ms",
+        "server",
+        "tag",
+        "token",
+    )
+
+    def __init__(self, balancer: Any, request: int, number: int, server: Server, now: float) -> None:
+        self.balancer, self.request, self.number = balancer, request, number
+        self.server, self.sent_ms = server, now
+        self.done = False
+        self.before = 0  # calls that it found at its server
+        self.left_ms = 0.0  # of work
+        self.tag = 0.0
+        self.token = 0
+
+
+class Server:
+    """In order with `slots` at once, or all at once with its speed shared."""
+
+    def __init__(
+        self, world: World, number: int, service: Service, slots: int, speed: float, queue: int, shared: bool
+    ) -> None:
+        self.world, self.number, self.service, self.slots = world, number, service, slots
+        self.speed, self.most, self.shared = speed, queue, shared
+        self.rng = Random(f"{world.seed} service {number}")
+        self.waiting: deque[Call] = deque()
+        self.running: list[Call] = []
+        self.slower = 1.0
+        self.dead = self.refusing = self.stalled = False
+        self.started_ms = -math.inf  # cold from then on
+        self.calls = 0
+        self.work_ms = 0.0
+        self._lately: dict[int, float] = {}  # mean time of late, by how many were there before
+        self._virtual = self._since = 0.0  # of sharing: work that each has had
+        self._token = 0
+
+    @property
+    def load(self) -> int:
+        return len(self.waiting) + len(self.running)
+
+    def latency(self) -> float:
+        """What a call that came now would take, by those that found as many here (as Prequal's servers tell)."""
+        here = self.load
+        if here in self._lately or not self._lately:
+            return self._lately.get(here, 0.0)
+        near = min(self._lately, key=lambda before: (abs(before - here), before))
+        return self._lately[near] * (here + 1) / (near + 1)
+
+    def _rate(self) -> float:
+        if self.stalled:
+            return 0.0
+        world = self.world
+        age = world.now - self.started_ms
+        share = 1.0
+        if age < world.cold_ms:
+            share = world.cold_share + (1.0 - world.cold_share) * age / world.cold_ms
+        return self.speed * share / self.slower
+
+    def take(self, call: Call) -> None:
+        if self.refusing or self.load >= self.most + self.slots:
+            self.world.answer(call, Outcome.FULL)
+            return
+        self.calls += 1
+        call.before = self.load
+        call.left_ms = draw(self.service, self.rng)
+        if self.shared:
+            self._share()
+            call.tag = self._virtual + call.left_ms
+            self.running.append(call)
+            self._next_shared()
+        elif len(self.running) < self.slots and not self.stalled:
+            self._run(call)
+        else:
+            self.waiting.append(call)
+
+    def _run(self, call: Call) -> None:
+        self.running.append(call)
+        spent = call.left_ms / max(self._rate(), 1e-9)
+        self.work_ms += spent
+        self.world.after(spent, lambda: self._finish(call))
+
+    def _finish(self, call: Call) -> None:
+        if call not in self.running:
+            return  # it crashed meanwhile
+        if self.stalled:  # it goes on when the stall is over
+            self.world.after(1.0, lambda: self._finish(call))
+            return
+        self.running.remove(call)
+        self._served(call)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        while self.waiting and len(self.running) < self.slots and not self.stalled:
+            call = self.waiting.popleft()
+            if not call.done:  # one that was given up costs nothing
+                self._run(call)
+        if not self.load:
+            self.world.idle(self)
+
+    def _served(self, call: Call) -> None:
+        spent = self.world.now - call.sent_ms
+        known = self._lately.get(call.before, spent)
+        self._lately[call.before] = known + 0.1 * (spent - known)
+        self.world.answer(call, Outcome.OK)
+
+    def _share(self) -> None:
+        """Bring the work that each has had up to now."""
+        if self.running:
+            self._virtual += (self.world.now - self._since) * self._rate() / len(self.running)
+            self.work_ms += self.world.now - self._since
+        self._since = self.world.now
+
+    def _next_shared(self) -> None:
+        self._token += 1
+        if not self.running:
+            return
+        token, first = self._token, min(self.running, key=lambda call: (call.tag, call.request))
+        rate = self._rate()
+        pause = max(0.0, first.tag - self._virtual) * len(self.running) / rate if rate else 1.0
+        self.world.after(pause, lambda: self._end_shared(token, first))
+
+    def _end_shared(self, token: int, call: Call) -> None:
+        if token != self._token:
+            return
+        self._share()
+        if call.tag <= self._virtual + 1e-6:
+            self.running.remove(call)
+            self._served(call)
+            if not self.running:
+                self.world.idle(self)
+        self._next_shared()
+
+    def crash(self) -> None:
+        self.dead = True
+        lost, self.running, self.waiting = [*self.running, *self.waiting], [], deque()
+        self._token += 1
+        for call in lost:
+            if not call.done:
+                self.world.answer(call, Outcome.RESET)
+
+    def restart(self) -> None:
+        self.dead = False
+        self.started_ms = self.world.now
+
+
+class Real:
+    """A balancer with the real decision module."""
+
+    def __init__(self, world: World, me: int) -> None:
+        self.world = world
+        scenario = world.scenario
+        cls = RequestClass(world.aim_ms, world.deadline_ms, Effect.SAFE, name="look")
+        settings = Settings(
+            (cls,),
+            me=me,
+            copies=scenario.balancers,
+            max_attempts=scenario.attempts,
+            cold_share=scenario.cold_share,
+            cold_ms=world.cold_ms if scenario.cold_share < 1.0 else 0.001,
+        )
+        self.decisions = Balancer(settings, world.seed * 100_003 + me)
+        self._sent: dict[int, int] = {}
+
+    def tell(self, event: Event) -> None:
+        for action in self.decisions.handle(self.world.now, event):
+            self._act(action)
+
+    def list(self, up: list[int]) -> None:
+        world = self.world
+        rows = [ServerEntry(n, started_ms=max(0.0, world.servers[n].started_ms)) for n in up]
+        self.tell(ListUpdate(ListKind.FULL, 1, rows))
+
+    def arrive(self, request: int) -> None:
+        self._sent[request] = 0
+        self.tell(RequestArrived(request, 0, self.world.deadline_ms))
+
+    def _act(self, action: Action) -> None:
+        world = self.world
+        if isinstance(action, Send):
+            number = self._sent[action.request]
+            self._sent[action.request] += 1
+            world.send(self, action.request, number, action.server, action.timeout_ms)
+        elif isinstance(action, SetTimer):
+            cookie = action.cookie
+            world.after(max(0.0, action.delay_ms), lambda: self.tell(TimerFired(cookie)))
+        elif isinstance(action, Refuse | Fail):
+            world.refused(action.request)
+
+    def ended(self, call: Call, outcome: Outcome) -> None:
+        final = outcome is Outcome.OK and self.world.served(call.request)
+        spent = self.world.now - call.sent_ms
+        self.tell(AttemptEnded(call.request, call.number, call.server.number, outcome, final, spent))
+
+    def idle(self, server: int) -> None:
+        pass
+
+
+class Peer:
+    """A balancer with a peer's policy, which tries again at once until its attempts or the aim are over."""
+
+    def __init__(self, world: World, me: int) -> None:
+        self.world = world
+        make = POLICIES[world.scenario.policy]
+        assert make is not None
+        self.policy: Policy = make(Random(f"{world.seed} policy {me}"), len(world.servers), world)
+        self.up: list[int] = []
+        self._sent: dict[int, int] = {}
+
+    def list(self, up: list[int]) -> None:
+        self.up = up
+
+    def arrive(self, request: int) -> None:
+        self._sent[request] = 0
+        self._try(request)
+
+    def _try(self, request: int) -> None:
+        world = self.world
+        left = world.due[request] - world.now
+        if not self.up or left <= 0.0 or self._sent[request] >= world.scenario.attempts:
+            del self._sent[request]
+            world.refused(request)
+            return
+        server = self.policy.choose(self.up, world.now)
+        number = self._sent[request]
+        self._sent[request] += 1
+        self.policy.sent(server, world.now)
+        world.send(self, request, number, server, left)
+
+    def ended(self, call: Call, outcome: Outcome) -> None:
+        world = self.world
+        self.policy.ended(call.server.number, world.now, outcome is Outcome.OK, world.now - call.sent_ms)
+        if outcome is Outcome.OK:
+            self._sent.pop(call.request, None)
+            world.served(call.request)
+        elif call.request in self._sent:
+            self._try(call.request)
+
+    def idle(self, server: int) -> None:
+        self.policy.idle(server)
+
+
+class World:
+    """One play."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario, self.seed = scenario, seed
+        self.now = 0.0
+        self.span_ms = time_ms(scenario.span, "span")
+        self.warm_ms = time_ms(scenario.warm, "warm")
+        self.aim_ms = time_ms(scenario.aim, "aim")
+        self.deadline_ms = time_ms(scenario.deadline, "deadline")
+        self.cold_ms, self.cold_share = time_ms(scenario.cold, "cold"), scenario.cold_share
+        self._way = time_ms(scenario.network, "network")
+        self._queue: list[tuple[float, int, Callable[[], None]]] = []
+        self._serial = count()
+        self.events = 0
+        self.servers: list[Server] = []
+        self.zones: list[str] = []
+        capacity = 0.0
+        for row in scenario.servers:
+            service = service_of(row.service, "service")
+            for _ in range(row.count):
+                self.servers.append(
+                    Server(
+                        self,
+                        len(self.servers),
+                        service,
+                        row.slots,
+                        row.speed,
+                        row.queue,
+                        row.discipline == "shared",
+                    )
+                )
+                self.zones.append(row.zone)
+                capacity += (1 if row.discipline == "shared" else row.slots) * row.speed / mean_of(service)
+        self._rate = scenario.load * capacity  # requests a millisecond
+        self._arrivals = Random(f"{seed} arrivals")
+        make = Real if scenario.policy == "larkweir" else Peer
+        self.balancers: list[Any] = [make(self, me) for me in range(scenario.balancers)]
+        self._token = 0  # JIQ: whom the next idle server tells
+        self._ears = Random(f"{seed} ears")
+        # Requests
+        self.due: dict[int, float] = {}
+        self._began: dict[int, float] = {}
+        self._next = 1
+        self.latency = HdrHistogram(1, 100_000_000, 3)  # microseconds
+        self.counts = dict.fromkeys(("asked", "served", "in_time", "refused", "attempts"), 0)
+        self.line: list[list[int]] = [
+            [0, 0, 0] for _ in range(math.ceil(self.span_ms / BUCKET_MS) + 1)
+        ]  # asked, in time, attempts
+        self.unstable = ""
+
+    # ------------------------------------------------ time
+
+    def after(self, pause: float, call: Callable[[], None]) -> None:
+        heappush(self._queue, (self.now + pause, next(self._serial), call))
+
+    def play(self) -> dict[str, Any]:
+        self._list()
+        for n, fault in enumerate(self.scenario.faults):
+            self._plan(n, fault)
+        if self._rate > 0.0:
+            self.after(self._arrivals.expovariate(self._rate), self._arrive)
+        until = self.span_ms + self.deadline_ms
+        while self._queue and self._queue[0][0] <= until and not self.unstable:
+            self.now, _, call = heappop(self._queue)
+            self.events += 1
+            call()
+            if len(self._queue) > MOST_WAITING:
+                self.unstable = f"over {MOST_WAITING:,} calls and timers wait at {self.now / 1000.0:.1f} s"
+        return self.result()
+
+    def _arrive(self) -> None:
+        if self.now >= self.span_ms:
+            return
+        self.after(self._arrivals.expovariate(self._rate), self._arrive)
+        request = self._next
+        self._next += 1
+        self._began[request] = self.now
+        self.due[request] = self.now + self.aim_ms
+        self._count("asked", request)
+        self.line[int(self.now / BUCKET_MS)][0] += 1
+        self.balancers[int(self._arrivals.random() * len(self.balancers))].arrive(request)
+
+    def _count(self, name: str, request: int) -> None:
+        if self._began[request] >= self.warm_ms:
+            self.counts[name] += 1
+
+    # ------------------------------------------------ calls
+
+    def send(self, balancer: Any, request: int, number: int, server: int, timeout_ms: float) -> None:
+        call = Call(balancer, request, number, self.servers[server], self.now)
+        if request in self._began:
+            self._count("attempts", request)
+            self.line[int(self._began[request] / BUCKET_MS)][2] += 1
+        if call.server.dead:
+            self.after(min(LOST_MS, 2.0 * self._way), lambda: self._end(call, Outcome.CONNECT_FAILED))
+            return
+        self.after(self._way, lambda: self._reach(call))
+        if timeout_ms > 0.0:
+            self.after(timeout_ms, lambda: self._end(call, Outcome.TIMEOUT))
+
+    def _reach(self, call: Call) -> None:
+        if call.server.dead:
+            self.answer(call, Outcome.CONNECT_FAILED)
+        elif not call.done:
+            call.server.take(call)
+
+    def answer(self, call: Call, outcome: Outcome) -> None:
+        self.after(self._way, lambda: self._end(call, outcome))
+
+    def _end(self, call: Call, outcome: Outcome) -> None:
+        if call.done:
+            return
+        call.done = True
+        call.balancer.ended(call, outcome)
+
+    def served(self, request: int) -> bool:
+        """It has its answer; whether it had none before."""
+        began = self._began.get(request)
+        if began is None:
+            return False
+        spent = self.now - began
+        self._count("served", request)
+        if spent <= self.aim_ms:
+            self._count("in_time", request)
+            self.line[int(began / BUCKET_MS)][1] += 1
+        if began >= self.warm_ms:
+            self.latency.record_value(max(1, round(spent * 1000.0)))
+        self._forget(request)
+        return True
+
+    def refused(self, request: int) -> None:
+        if request in self._began:
+            self._count("refused", request)
+            self._forget(request)
+
+    def _forget(self, request: int) -> None:
+        del self._began[request]
+        self.due.pop(request, None)
+
+    def idle(self, server: Server) -> None:
+        if not server.dead:
+            self.balancers[int(self._ears.random() * len(self.balancers))].idle(server.number)
+
+    # What policies may ask (`larkweir.lab.policies.View`).
+
+    def queue_of(self, server: int) -> int:
+        return self.servers[server].load
+
+    def latency_of(self, server: int) -> float:
+        return self.servers[server].latency()
+
+    def speed_of(self, server: int) -> float:
+        return self.servers[server].speed
+
+    # ------------------------------------------------ faults
+
+    def _list(self) -> None:
+        up = [server.number for server in self.servers if not server.dead]
+        for balancer in self.balancers:
+            balancer.list(up)
+
+    def _plan(self, n: int, fault: Any) -> None:
+        rng = Random(f"{self.seed} fault {n}")
+        if fault.zone:
+            struck = [
+                server for server, zone in zip(self.servers, self.zones, strict=True) if zone == fault.zone
+            ]
+        else:
+            struck = rng.sample(self.servers, max(1, round(fault.part * len(self.servers))))
+        at = time_ms(fault.at, "at")
+        self.after(at, lambda: self._strike(struck, fault, True))
+        if fault.until:
+            self.after(time_ms(fault.until, "until"), lambda: self._strike(struck, fault, False))
+
+    def _strike(self, struck: list[Server], fault: Any, on: bool) -> None:
+        for server in struck:
+            if fault.kind == "stall":
+                server.stalled = on
+                if not on:
+                    server._go_on()
+            elif fault.kind == "slow":
+                server.slower = fault.factor if on else 1.0
+            elif fault.kind == "refuse":
+                server.refusing = on
+            elif on:
+                server.crash()
+            else:
+                server.restart()
+        if fault.kind == "crash":
+            self.after(1_000.0, self._list)  # discovery hears of it a second later
+
+    # ------------------------------------------------ what came of it
+
+    def result(self) -> dict[str, Any]:
+        counted = self.counts["asked"]
+        latency = self.latency
+        some = latency.get_total_count() > 0
+        quantiles = {
+            f"p{name}": latency.get_value_at_percentile(value) / 1000.0 if some else None
+            for name, value in (("50", 50.0), ("90", 90.0), ("99", 99.0), ("999", 99.9))
+        }
+        busy = [server.work_ms / self.span_ms / server.slots for server in self.servers]
+        return {
+            "in_time": round(self.counts["in_time"] / counted, 6) if counted else None,
+            "served": round(self.counts["served"] / counted, 6) if counted else None,
+            "refused": round(self.counts["refused"] / counted, 6) if counted else None,
+            "attempts": round(self.counts["attempts"] / counted, 6) if counted else None,
+            "mean_ms": round(latency.get_mean_value() / 1000.0, 4) if some else None,
+            **quantiles,
+            "asked": counted,
+            "busiest": round(max(busy), 4),
+            "calls": [server.calls for server in self.servers],
+            "line": self.line,
+            "latency": latency.encode().decode(),
+            "unstable": self.unstable,
+        }
+
+
+def play(scenario: Scenario, seed: int) -> dict[str, Any]:
+    return World(scenario, seed).play()
--- /dev/null
+++ b/larkweir/lab/scenario.py
@@ -0,0 +1,210 @@
+"""Rules: an experiment as a file: what is played, and which of its keys are swept. TOML, typed, with units for time.
+
+Every fault names its key and what would do; nothing is played of a file with one.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import re
+import tomllib
+from collections.abc import Iterator
+from difflib import get_close_matches
+from itertools import product
+from math import prod
+from typing import Any, Literal, cast
+
+import msgspec
+
+MOST_CELLS = 10_000  # of a sweep: more is hours, and surely not meant
+UNITS = {"us": 0.001, "ms": 1.0, "s": 1_000.0, "min": 60_000.0, "h": 3_600_000.0}
+_TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)\s*(us|ms|s|min|h)")
+
+
+class ScenarioError(ValueError):
+    """A scenario that can't be played: the key, and why."""
+
+
+def time_ms(text: str, key: str) -> float:
+    match = _TIME.fullmatch(text.strip()) if isinstance(text, str) else None
+    if match is None:
+        raise ScenarioError(f"{key}: {text!r} is no time; write a number and a unit, as 10ms or 20s")
+    return float(match[1]) * UNITS[match[2]]
+
+
+Kind = Literal["exponential", "deterministic", "lognormal", "pareto"]
+
+
+class Service(msgspec.Struct, frozen=True):
+    """How long a call takes at a server of speed 1."""
+
+    kind: Kind
+    mean_ms: float
+    shape: float  # lognormal: sigma; pareto: alpha; else 0
+    most: float  # pareto: times the mean, at which it is cut
+
+
+def service_of(text: str, key: str) -> Service:
+    """`exponential 10ms`, `deterministic 10ms`, `lognormal 10ms 1.0`, `pareto 10ms 1.5 100`."""
+    words = text.split()
+    wants = {"exponential": 2, "deterministic": 2, "lognormal": 3, "pareto": 4}
+    if not words or wants.get(words[0]) != len(words):
+        raise ScenarioError(
+            f"{key}: {text!r:.80} does not do; write as 'exponential 10ms' or 'pareto 10ms 1.5 100'"
+        )
+    mean = time_ms(words[1], key)
+    try:
+        more = [float(word) for word in words[2:]]
+    except ValueError:
+        raise ScenarioError(
+            f"{key}: {text!r:.80} does not do; what comes behind the time are numbers"
+        ) from None
+    if mean <= 0.0 or any(value <= 0.0 for value in more):
+        raise ScenarioError(f"{key}: {text!r:.80} does not do; numbers above 0 are wanted")
+    if words[0] == "pareto" and (more[0] <= 1.0 or more[1] <= 1.0):
+        raise ScenarioError(f"{key}: {text!r:.80} does not do; a Pareto needs an alpha and a bound above 1")
+
+    kind = cast(Kind, words[0])
+    return Service(kind, mean, more[0] if more else 0.0, more[1] if len(more) > 1 else 0.0)
+
+
+class Servers(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[[servers]]`: so many alike."""
+
+    count: int
+    service: str = "exponential 10ms"
+    slots: int = 1
+    speed: float = 1.0
+    queue: int = 1_000_000  # calls that may wait; more are turned away
+    zone: str = "a"
+    discipline: Literal["fifo", "shared"] = "fifo"  # in order, or all at once with the speed shared
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[[faults]]`: what befalls a part of the servers, or a zone."""
+
+    at: str
+    kind: Literal["stall", "slow", "crash", "refuse"]
+    until: str = ""
+    part: float = 0.0
+    zone: str = ""
+    factor: float = 4.0  # of slow
+
+
+class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    name: str
+    servers: tuple[Servers, ...]
+    span: str = "20s"
+    warm: str = "4s"  # at the beginning, that is not counted
+    balancers: int = 10
+    load: float = 0.8  # of what the servers can do
+    policy: str = "larkweir"
+    seeds: int = 5
+    network: str = "0.5ms"  # one way
+    aim: str = "410ms"
+    deadline: str = "1s"
+    attempts: int = 4
+    cold: str = "9s"  # that a server that has come back takes to its full speed
+    cold_share: float = 1.0  # of its speed, that it begins with
+    faults: tuple[Fault, ...] = ()
+    sweep: dict[str, list[Any]] = {}
+
+
+def _unknown(data: dict[str, Any], kind: type[msgspec.Struct], where: str) -> None:
+    known = list(kind.__struct_fields__)
+    for key in data:
+        if key not in known:
+            near = get_close_matches(key, known, 1)
+            hint = f"did you mean {near[0]!r}?" if near else f"known here: {', '.join(known)}"
+            raise ScenarioError(f"{where}{key}: is no key; {hint}")
+
+
+def build(data: dict[str, Any]) -> Scenario:
+    """ScenarioError with the first fault."""
+    _unknown(data, Scenario, "")
+    for key, kind in (("servers", Servers), ("faults", Fault)):
+        for n, row in enumerate(data.get(key) or ()):
+            if isinstance(row, dict):
+                _unknown(row, kind, f"{key}[{n}].")
+    try:
+        made = msgspec.convert(data, Scenario)
+    except msgspec.ValidationError as problem:
+        raise ScenarioError(str(problem).replace(" - at `$.", " at ").rstrip("`")) from None
+    _check(made)
+    return made
+
+
+def _check(it: Scenario) -> None:
+    from larkweir.lab.policies import POLICIES
+
+    if not it.servers or sum(row.count for row in it.servers) < 1:
+        raise ScenarioError("servers: there are none; write [[servers]] with a count")
+    span, warm = time_ms(it.span, "span"), time_ms(it.warm, "warm")
+    if not 0.0 <= warm < span <= UNITS["h"]:
+        raise ScenarioError(f"span: {it.span} with {it.warm} of warm is no play of up to 1h")
+    for key in ("network", "aim", "deadline", "cold"):
+        time_ms(getattr(it, key), key)
+    for key, low, high in (
+        ("load", 0.0, 10.0),
+        ("balancers", 1, 5_000),
+        ("seeds", 1, 1_000),
+        ("attempts", 1, 100),
+    ):
+        if not low <= getattr(it, key) <= high:
+            raise ScenarioError(f"{key}: {getattr(it, key)!r} is out of bounds; {low:g} to {high:g}")
+    if not 0.0 < it.cold_share <= 1.0:
+        raise ScenarioError(f"cold_share: {it.cold_share!r} is out of bounds; above 0 to 1")
+    for n, row in enumerate(it.servers):
+        service_of(row.service, f"servers[{n}].service")
+        if row.count < 1 or row.count > 10_000 or row.slots < 1 or row.speed <= 0.0 or row.queue < 0:
+            raise ScenarioError(f"servers[{n}]: count, slots and speed are above 0")
+    zones = {row.zone for row in it.servers}
+    for n, fault in enumerate(it.faults):
+        time_ms(fault.at, f"faults[{n}].at")
+        if fault.until:
+            time_ms(fault.until, f"faults[{n}].until")
+        if bool(fault.zone) == bool(fault.part):
+            raise ScenarioError(f"faults[{n}]: say a part or a zone, and not both")
+        if fault.zone and fault.zone not in zones:
+            raise ScenarioError(f"faults[{n}].zone: no server is in {fault.zone!r}")
+        if not 0.0 <= fault.part <= 1.0 or fault.factor <= 0.0:
+            raise ScenarioError(f"faults[{n}]: a part is from 0 to 1, a factor above 0")
+    if it.policy not in POLICIES:
+        raise ScenarioError(f"policy: {it.policy!r} is none; there are {', '.join(POLICIES)}")
+
+
+def read(text: str) -> Scenario:
+    try:
+        data = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, RecursionError) as problem:
+        raise ScenarioError(f"TOML: {problem}") from None
+    made = build(data)
+    count = prod(len(values) for values in made.sweep.values()) * made.seeds
+    if count > MOST_CELLS:
+        raise ScenarioError(
+            f"sweep: {count:,} cells; {MOST_CELLS:,} at the most: sweep fewer values, or play fewer seeds"
+        )
+    for _ in variants(made):  # each is checked
+        pass
+    return made
+
+
+def variants(scenario: Scenario) -> Iterator[tuple[dict[str, Any], Scenario]]:
+    """Each point of the sweep: what was set, and the scenario with it."""
+    base = msgspec.to_builtins(scenario)
+    keys = list(scenario.sweep)
+    for key in keys:
+        if key not in base or key in ("sweep", "servers", "faults", "name", "seeds"):
+            raise ScenarioError(f"sweep.{key}: can't be swept")
+        if not scenario.sweep[key]:
+            raise ScenarioError(f"sweep.{key}: has no values")
+    for values in product(*(scenario.sweep[key] for key in keys)):
+        point = dict(zip(keys, values, strict=True))
+        yield point, build(base | point | {"sweep": {}})
+
+
+def fingerprint(scenario: Scenario) -> str:
+    """Of what is played, without how often."""
+    data = msgspec.to_builtins(scenario) | {"seeds": 0, "sweep": {}, "name": ""}
+    return hashlib.sha256(json.dumps(data, sort_keys=True).encode()).hexdigest()[:16]
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -110,6 +110,7 @@
             self._notifier.watch(watchdog_ms(os.environ, os.getpid()))
         if options.stall_ms:
             self._beat_ms = self.node.clock.now_ms()
+            self.node.engine.stall_ms = options.stall_ms
             self._beat(options.stall_ms)
         self._open_berth()
         self._look()
--- a/tests/core/test_turns.py
+++ b/tests/core/test_turns.py
@@ -52,3 +52,18 @@
 
     entered, spent = asyncio.run(run())
     assert 0.0 < spent <= entered
+
+
+def test_how_long_news_may_have_waited_unread() -> None:
+    """A process that is stopped in its poll, or in the middle of a turn, is told by neither the same way."""
+    turns = Turns(0.0)
+    turns.told(10.0, inf)
+    turns.ask(11.0)
+    turns.told(1_800.0, 100.0)  # the poll ended far behind a timer
+    assert turns.late_ms == 1_700.0
+    turns.ask(1_801.0)
+    turns.told(1_850.0, 1_900.0)  # it waited for news, and that came
+    assert turns.late_ms == 0.0
+    turns.ask(3_600.0)  # stopped in this turn, or busy for as long
+    turns.told(3_600.1, 1_900.0)
+    assert turns.late_ms == 1_750.0
--- a/tests/storms/test_hard_cases.py
+++ b/tests/storms/test_hard_cases.py
@@ -172,8 +172,8 @@
 
 def test_the_worthier_are_served_first_while_not_all_can_be() -> None:
     """Beside the same sala without the part: no fewer in all, but for a little, and more of those that matter."""
-    on = [play(sala(seed), 18_000.0) for seed in range(1, 3)]
-    off = [play(sala(seed, storms=False), 18_000.0) for seed in range(1, 3)]
+    on = [play(sala(seed), 18_000.0) for seed in range(1, 5)]
+    off = [play(sala(seed, storms=False), 18_000.0) for seed in range(1, 5)]
 
     def mean(worlds: list[Sala], *classes: int) -> float:
         return sum(served(world, BACK, 16_000, *classes) for world in worlds) / len(worlds)
