--- a/larkweir/lab/results.py
+++ b/larkweir/lab/results.py
@@ -77,9 +77,12 @@
         rows = self._base.execute(
             "select scenario, point, played, code, seed, result from cells order by scenario, point, code, seed"
         )
-        for name, point, played, by, seed, result in rows:
-            if (not scenario or name == scenario) and (not code or by == code):
-                yield Cell(name, json.loads(point), played, by, seed, json.loads(result))
+        try:
+            for name, point, played, by, seed, result in rows:
+                if (not scenario or name == scenario) and (not code or by == code):
+                    yield Cell(name, json.loads(point), played, by, seed, json.loads(result))
+        except (sqlite3.Error, ValueError) as problem:  # a page that is torn and still hangs together
+            raise StoreError(f"a result can't be read: {problem}") from None
 
     def close(self) -> None:
         self._base.close()
--- /dev/null
+++ b/tests/lab/test_lab.py
@@ -0,0 +1,339 @@
+"""The lab's model against closed forms, its files, its store, and that a run goes on where it was killed."""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from math import factorial
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import pytest
+
+from larkweir.lab.model import World, draw, mean_of, play
+from larkweir.lab.policies import POLICIES, Policy
+from larkweir.lab.report import page, summary, table
+from larkweir.lab.results import Cell, Results, StoreError
+from larkweir.lab.runner import code_version, run
+from larkweir.lab.scenario import ScenarioError, build, fingerprint, read, service_of, variants
+from larkweir.lab.stats import enough, interval, paired, t_quantile
+
+ROOT = Path(__file__).parents[2]
+LONG = {"aim": "1h", "deadline": "1h", "attempts": 1, "network": "0ms", "balancers": 1, "policy": "random"}
+
+
+def made(**more: Any) -> Any:
+    return build({"name": "t", "servers": [{"count": 1}], "span": "150s", "warm": "10s"} | more)
+
+
+def mean_wait(seeds: int = 3, **more: Any) -> float:
+    found = [play(made(**(LONG | more)), seed)["mean_ms"] for seed in range(1, seeds + 1)]
+    return sum(found) / len(found)
+
+
+def erlang_c(servers: int, load: float) -> float:
+    offered = servers * load
+    last = offered**servers / factorial(servers) / (1.0 - load)
+    return last / (sum(offered**k / factorial(k) for k in range(servers)) + last)
+
+
+@pytest.mark.parametrize(("servers", "load"), [(1, 0.5), (1, 0.8), (4, 0.8)])
+def test_mmn_against_erlang(servers: int, load: float) -> None:
+    wants = 10.0 + erlang_c(servers, load) * 10.0 / (servers * (1.0 - load))
+    assert mean_wait(load=load, servers=[{"count": 1, "slots": servers}]) == pytest.approx(wants, rel=0.12)
+
+
+@pytest.mark.parametrize(
+    ("service", "scv"),
+    [("deterministic 10ms", 0.0), ("lognormal 10ms 1.0", 1.718), ("exponential 10ms", 1.0)],
+)
+def test_mg1_against_pollaczek_and_khinchine(service: str, scv: float) -> None:
+    wants = 10.0 + 0.7 * (1.0 + scv) / 2.0 / 0.3 * 10.0
+    assert mean_wait(load=0.7, servers=[{"count": 1, "service": service}]) == pytest.approx(wants, rel=0.12)
+
+
+@pytest.mark.parametrize("service", ["exponential 10ms", "lognormal 10ms 1.0"])
+def test_a_shared_server_is_insensitive_to_the_distribution(service: str) -> None:
+    found = mean_wait(load=0.6, servers=[{"count": 1, "service": service, "discipline": "shared"}])
+    assert found == pytest.approx(10.0 / 0.4, rel=0.12)
+
+
+@pytest.mark.parametrize(
+    "text", ["exponential 10ms", "deterministic 10ms", "lognormal 10ms 0.8", "pareto 10ms 2.2 50"]
+)
+def test_service_times_have_the_mean_that_load_is_reckoned_by(text: str) -> None:
+    service, rng = service_of(text, "x"), Random(1)
+    found = sum(draw(service, rng) for _ in range(60_000)) / 60_000
+    assert found == pytest.approx(mean_of(service), rel=0.05)
+
+
+def test_pulls_waiting_vanishes_as_one_balancers_fleet_grows_in_unequal_pools_and_that_of_two_choices_does_not() -> (
+    None
+):
+    """The paper's claim, at one balancer, whose own calls are all there are."""
+
+    def waits(policy: str, count: int) -> float:
+        half = count // 2
+        rows = [{"count": half, "speed": 1.0}, {"count": half, "speed": 2.0}]
+        more = {"load": 0.7, "servers": rows, "span": "6s", "warm": "1s", "policy": policy}
+        result = play(made(**(LONG | more)), 1)
+        return float(result["mean_ms"]) - 10.0 * 2.0 / 3.0
+
+    assert waits("least_requests", 8) > 4.0 * max(0.05, waits("least_requests", 100) - 1.0)
+    assert waits("two_choices", 100) > 2.0
+
+
+@pytest.mark.parametrize("policy", POLICIES)
+def test_every_policy_plays_and_a_seed_makes_one_play(policy: str) -> None:
+    scenario = made(policy=policy, servers=[{"count": 6}], balancers=3, span="3s", warm="1s", load=0.6)
+    one, other = play(scenario, 3), play(scenario, 3)
+    assert one == other and one["in_time"] > 0.9
+    assert sum(row[0] for row in one["line"]) >= one["asked"] > 500
+
+
+def test_no_arrivals_and_more_than_can_be_served() -> None:
+    nothing = play(made(load=0.0, span="2s", warm="0s"), 1)
+    assert nothing["asked"] == 0 and nothing["in_time"] is None and nothing["p99"] is None
+    import larkweir.lab.model as model
+
+    most, model.MOST_WAITING = model.MOST_WAITING, 300
+    try:
+        over = play(made(**(LONG | {"load": 3.0, "span": "60s", "servers": [{"count": 4}]})), 1)
+    finally:
+        model.MOST_WAITING = most
+    assert "wait at" in over["unstable"]
+
+
+@pytest.mark.parametrize(
+    ("fault", "least", "most"),
+    [
+        ({"at": "2s", "until": "4s", "kind": "stall", "part": 0.5}, 0.5, 0.999),
+        ({"at": "2s", "until": "4s", "kind": "refuse", "part": 0.5}, 0.7, 1.0),
+        ({"at": "2s", "until": "4s", "kind": "crash", "zone": "b"}, 0.7, 0.9999),
+        ({"at": "2s", "until": "4s", "kind": "slow", "part": 0.5, "factor": 30.0}, 0.3, 0.99),
+    ],
+)
+def test_faults_are_felt_and_end(fault: dict[str, Any], least: float, most: float) -> None:
+    rows = [{"count": 4}, {"count": 4, "zone": "b"}]
+    scenario = made(servers=rows, balancers=2, span="8s", warm="1s", load=0.4, aim="100ms", faults=[fault])
+    result = play(scenario, 1)
+    assert least <= result["in_time"] <= most
+    late = result["line"][24:31]
+    assert sum(row[1] for row in late) / sum(row[0] for row in late) > 0.97
+
+
+def test_requests_are_never_lost_in_the_model() -> None:
+    """Each is served, refused or given up, whatever befalls its servers."""
+    faults = [
+        {"at": "1s", "until": "2s", "kind": "crash", "part": 0.4},
+        {"at": "2s", "kind": "stall", "part": 0.3},
+    ]
+    for policy in ("larkweir", "two_choices"):
+        scenario = made(
+            servers=[{"count": 6}], balancers=3, span="5s", warm="0s", policy=policy, faults=faults
+        )
+        world = World(scenario, 2)
+        result = world.play()
+        assert result["served"] + result["refused"] == pytest.approx(1.0, abs=1e-5)
+        assert not world._began
+
+
+# ---------------------------------------------------------------- files
+
+
+GOOD = 'name = "x"\nseeds = 2\nspan = "2s"\nwarm = "0.5s"\nbalancers = 2\n[[servers]]\ncount = 3\n'
+
+
+@pytest.mark.parametrize(
+    ("text", "says"),
+    [
+        ("name = ", "TOML"),
+        ('name = "x"\n', "servers"),
+        ('name = "x"\nservers = []\n', "servers: there are none"),
+        (GOOD.replace("seeds", "sedes"), "did you mean 'seeds'"),
+        (GOOD + "speeed = 2.0\n", "did you mean 'speed'"),
+        (GOOD.replace('"2s"', '"2"'), "span: '2' is no time"),
+        (GOOD.replace('"2s"', "2"), "span"),
+        (GOOD.replace('"2s"', '"2h"'), "up to 1h"),
+        (GOOD + 'service = "normal 10ms"\n', "servers[0].service"),
+        (GOOD + 'service = "pareto 10ms 0.9 10"\n', "alpha"),
+        (GOOD + 'service = "exponential 0ms"\n', "above 0"),
+        (GOOD + "slots = 0\n", "above 0"),
+        (GOOD + '[[faults]]\nat = "1s"\nkind = "stall"\n', "a part or a zone"),
+        (GOOD + '[[faults]]\nat = "1s"\nkind = "stall"\nzone = "q"\n', "no server is in 'q'"),
+        (GOOD + '[[faults]]\nat = "1s"\nkind = "melt"\npart = 0.1\n', "melt"),
+        ('policy = "best"\n' + GOOD, "policy: 'best' is none"),
+        ("load = 11.0\n" + GOOD, "load"),
+        (GOOD + "[sweep]\nspeed = [1]\n", "sweep.speed: can't be swept"),
+        (GOOD + "[sweep]\nload = []\n", "has no values"),
+        (GOOD + "[sweep]\nload = [0.5, 20.0]\n", "load: 20.0"),
+        (
+            GOOD.replace("seeds = 2", "seeds = 1000") + f"[sweep]\nbalancers = {list(range(1, 1001))}\n",
+            "1,000,000 cells",
+        ),
+    ],
+)
+def test_a_file_that_can_not_be_played_says_why(text: str, says: str) -> None:
+    with pytest.raises(ScenarioError) as caught:
+        read(text)
+    assert says in str(caught.value)
+
+
+def test_a_sweep_is_every_point_and_what_is_played_has_one_name() -> None:
+    scenario = read(GOOD + '[sweep]\nload = [0.5, 0.9]\npolicy = ["random", "jsq"]\n')
+    points = list(variants(scenario))
+    assert [point for point, _ in points] == [
+        {"load": load, "policy": policy} for load in (0.5, 0.9) for policy in ("random", "jsq")
+    ]
+    assert len({fingerprint(made_) for _, made_ in points}) == 4
+    alone = read('load = 0.9\npolicy = "jsq"\n' + GOOD.replace("seeds = 2", "seeds = 9"))
+    assert fingerprint(alone) == fingerprint(points[3][1])  # whichever file it stands in
+
+
+# ---------------------------------------------------------------- results
+
+
+def cells(path: Path) -> list[Cell]:
+    results = Results(str(path))
+    found = list(results.cells())
+    results.close()
+    return found
+
+
+def test_a_run_plays_what_is_missing_once_and_its_results_are_the_same_by_any_number_of_processes(
+    tmp_path: Path,
+) -> None:
+    scenario = read(GOOD + '[sweep]\npolicy = ["random", "larkweir"]\n')
+    for processes in (1, 3):
+        results = Results(str(tmp_path / f"{processes}.db"))
+        done = run(scenario, results, processes, print)
+        assert (done.played, done.known, done.failed) == (4, 0, 0)
+        assert run(scenario, results, processes, print)[:2] == (0, 4)
+        results.close()
+    one, other = cells(tmp_path / "1.db"), cells(tmp_path / "3.db")
+    assert one == other and table(one) == table(other)
+
+
+def test_a_run_that_is_killed_goes_on_where_it_stood(tmp_path: Path) -> None:
+    file, store = tmp_path / "s.toml", tmp_path / "s.db"
+    file.write_text(GOOD.replace("seeds = 2", "seeds = 12"))
+    command = [
+        sys.executable,
+        "-m",
+        "larkweir",
+        "lab",
+        "run",
+        str(file),
+        "--store",
+        str(store),
+        "--processes",
+        "2",
+    ]
+    process = subprocess.Popen(command, cwd=ROOT, stdout=subprocess.DEVNULL, start_new_session=True)
+    deadline = time.monotonic() + 60.0
+    while time.monotonic() < deadline:
+        if store.exists() and len(cells(store)) >= 3:
+            break
+        time.sleep(0.02)
+    os.killpg(process.pid, signal.SIGKILL)
+    process.wait()
+    there = len(cells(store))
+    again = subprocess.run(command, cwd=ROOT, capture_output=True, text=True, check=True)
+    assert f"{12 - there} played, {there} were there" in again.stdout
+    assert [cell.seed for cell in cells(store)] == list(range(1, 13))
+
+
+def test_two_runs_into_one_store_count_nothing_twice(tmp_path: Path) -> None:
+    scenario = read(GOOD)
+    one, other = Results(str(tmp_path / "s.db")), Results(str(tmp_path / "s.db"))
+    cell = Cell("x", {}, fingerprint(scenario), code_version(), 1, {"in_time": 1.0})
+    assert one.add(cell) and not other.add(cell)
+    assert len(list(other.cells())) == 1
+    one.close()
+    other.close()
+
+
+@pytest.mark.parametrize("at", range(0, 100, 7))
+def test_a_store_that_is_torn_is_told_or_read_whole(tmp_path: Path, at: int) -> None:
+    path = tmp_path / "s.db"
+    results = Results(str(path))
+    for seed in range(20):
+        results.add(Cell("x", {}, "p", "c", seed, {"in_time": 1.0, "line": [[1, 2, 3]] * 50}))
+    results.close()
+    data = path.read_bytes()
+    path.write_bytes(data[: len(data) * at // 100])
+    try:
+        found = cells(path)
+    except StoreError:
+        return
+    assert len(found) in (0, 20)
+
+
+def test_what_is_no_store_is_left_alone(tmp_path: Path) -> None:
+    path = tmp_path / "s.db"
+    path.write_text("something of somebody's")
+    with pytest.raises(StoreError):
+        Results(str(path))
+    assert path.read_text() == "something of somebody's"
+
+
+def test_a_policy_that_raises_spoils_its_own_cell(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    class Bad(Policy):
+        def choose(self, up: list[int], now: float) -> int:
+            raise RuntimeError("no idea")
+
+    monkeypatch.setitem(POLICIES, "jsq2", Bad)
+    said: list[str] = []
+    results = Results(str(tmp_path / "s.db"))
+    done = run(read(GOOD + '[sweep]\npolicy = ["jsq2", "random"]\n'), results, 1, said.append)
+    assert (done.played, done.failed) == (4, 2) and "RuntimeError: no idea" in said[0]
+    assert {cell.point["policy"] for cell in results.cells()} == {"random"}
+    results.close()
+
+
+# ---------------------------------------------------------------- figures and pages
+
+
+@pytest.mark.parametrize(
+    ("freedom", "wants"), [(1, 12.706), (2, 4.303), (3, 3.182), (4, 2.776), (9, 2.262), (30, 2.042)]
+)
+def test_students_t(freedom: int, wants: float) -> None:
+    assert t_quantile(freedom) == pytest.approx(wants, rel=0.02)
+
+
+def test_pairs_see_what_means_do_not() -> None:
+    one = {seed: 100.0 * seed for seed in range(10)}
+    other = {seed: value + 1.0 + 0.1 * (seed % 2) for seed, value in one.items()}
+    assert paired(one, other).tells
+    assert not interval([*one.values()]).tells or interval([*one.values()]).half > 100.0
+    assert not enough([1.0, 1.0], 0.1) and enough([1.0, 1.0, 1.01], 0.1)
+
+
+def test_a_report_has_its_pictures_in_it_and_says_what_differs(tmp_path: Path) -> None:
+    scenario = read(
+        GOOD.replace("seeds = 2", "seeds = 3").replace("count = 3", "count = 8")
+        + '[sweep]\npolicy = ["random", "jsq"]\n'
+    )
+    results = Results(str(tmp_path / "s.db"))
+    run(scenario, results, 2, print)
+    found = list(results.cells())
+    results.close()
+    text = page(found, "policy random", [(1000.0, "stall")])
+    assert text.count("data:image/png;base64,") == 3 and "http" not in text.replace("<!doctype", "")
+    assert 'class="better"' in text and "policy jsq" in text
+    assert len(table(found).splitlines()) == 7
+    assert json.loads(json.dumps(summary(found)))
+
+
+def test_the_serving_process_knows_nothing_of_it() -> None:
+    code = (
+        "import sys, larkweir.lifecycle.daemon;"
+        "print([n for n in sys.modules if 'lab' in n.split('.') or 'hdrh' in n])"
+    )
+    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    assert found.stdout.strip() == "[]"
