--- a/larkweir/lab/report.py
+++ b/larkweir/lab/report.py
@@ -77,7 +77,7 @@
 
     figure = Figure(figsize=(8, 4.5))
     axes = figure.subplots()
-    marks = [0.0, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995, 0.9999]
+    marks = [0.1, 0.5, 0.75, 0.9, 0.95, 0.99, 0.995, 0.999, 0.9995, 0.9999]
     for name, seeds in groups.items():
         whole = HdrHistogram(1, 100_000_000, 3)
         for cell in seeds.values():
