--- a/tests/language/test_properties.py
+++ b/tests/language/test_properties.py
@@ -5,9 +5,7 @@
 from __future__ import annotations
 
 import string
-import sys
 import tempfile
-from collections.abc import Callable
 from dataclasses import fields
 from pathlib import Path
 from typing import Any
@@ -26,6 +24,7 @@
 from larkweir.language.model import Key, Model, keys_of
 from larkweir.language.reading import read
 from mulleinhitch.interface import Effect, RequestClass, Settings, Tenant
+from tests.counting import calls_of
 
 SPACES = st.sampled_from([" ", "  ", "\n", "\t", "\n\n\n", " # why\n", "\r\n", "\n# a line\n\n"])
 NAMES = st.text(string.ascii_lowercase + "_", min_size=1, max_size=6).filter(
@@ -150,22 +149,6 @@
         parse(text, "f", faults)
 
 
-def calls_of(work: Callable[[], object]) -> int:
-    """How many calls, of Python's and of C's functions, it makes: the same on any machine."""
-    count = 0
-
-    def note(frame: object, event: str, argument: object) -> None:
-        nonlocal count
-        count += event in ("call", "c_call")
-
-    sys.setprofile(note)
-    try:
-        work()
-    finally:
-        sys.setprofile(None)
-    return count
-
-
 def test_work_grows_with_the_text_whatever_is_in_it() -> None:
     """The same kind of text, four times as long, must not take sixteen times the calls."""
     kinds = (
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from itertools import permutations
 from random import Random
 
@@ -13,6 +12,7 @@
 
 from larkweir.routes.paths import normal
 from larkweir.routes.table import Facts, Match, Table, rank, segments_of
+from tests.counting import calls_of
 
 
 def facts(
@@ -192,21 +192,6 @@
 # ---------------------------------------------------------------- ten thousand
 
 
-def calls_of(work: Callable[[], object]) -> int:
-    count = 0
-
-    def note(frame: object, event: str, argument: object) -> None:
-        nonlocal count
-        count += event in ("call", "c_call")
-
-    sys.setprofile(note)
-    try:
-        work()
-    finally:
-        sys.setprofile(None)
-    return count
-
-
 def test_ten_thousand_routes_cost_a_request_as_much_as_ten() -> None:
     def table(count: int) -> Table:
         rows = [(f"r{n}", Match(path=f"/s{n % 100}/t{n // 100}/{{id}}".encode())) for n in range(count // 2)]
