--- a/benchmarks/background.py
+++ b/benchmarks/background.py
@@ -18,8 +18,9 @@
 from pathlib import Path
 from statistics import quantiles
 
-from benchmarks.hot_path import ROOT, SETTINGS, free_port
+from benchmarks.hot_path import ROOT, SETTINGS
 from standins.peers import FakeUpstream
+from standins.ports import free_port
 
 STEP_S = 0.002
 MODES = ("none", "scheduler", "timer")
--- a/benchmarks/bulk.py
+++ b/benchmarks/bulk.py
@@ -21,7 +21,8 @@
 from statistics import median
 from typing import Any
 
-from benchmarks.hot_path import ROOT, SETTINGS, free_port
+from benchmarks.hot_path import ROOT, SETTINGS
+from standins.ports import free_port
 
 MEGA = 1_000_000
 LIMIT_MB = 80
--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -21,7 +21,7 @@
 from statistics import median
 from typing import Any
 
-from benchmarks.hot_path import ROOT, SETTINGS, free_port
+from benchmarks.hot_path import ROOT, SETTINGS
 from larkweir.background.runner import Runner
 from larkweir.config.options import Store
 from larkweir.config.platform import decode
@@ -32,6 +32,7 @@
 from larkweir.store.keeper import Keeper, site_of
 from larkweir.store.state import State
 from standins.peers import FakeUpstream, entry
+from standins.ports import free_port
 
 SIZES = (20, 2_000, 50_000)
 
--- a/benchmarks/door.py
+++ b/benchmarks/door.py
@@ -21,7 +21,8 @@
 from typing import Any
 
 from benchmarks import hot_path
-from benchmarks.hot_path import ROOT, Rig, free_port, wait_for
+from benchmarks.hot_path import ROOT, Rig, wait_for
+from standins.ports import free_port
 
 WORTH = (1.0, 8.0)
 SETTINGS: dict[str, Any] = hot_path.SETTINGS | {
--- a/benchmarks/fastcgi.py
+++ b/benchmarks/fastcgi.py
@@ -15,8 +15,9 @@
 from pathlib import Path
 from statistics import median
 
-from benchmarks.hot_path import ROOT, Figures, Rig, cpu_s, free_port, wait_for
+from benchmarks.hot_path import ROOT, Figures, Rig, cpu_s, wait_for
 from standins.fuzz import fuzz
+from standins.ports import free_port
 
 KINDS = ("http1", "fastcgi")
 COMBINATIONS = [(callers, upstreams, "off") for callers in KINDS for upstreams in KINDS]
--- a/benchmarks/routes_rig.py
+++ b/benchmarks/routes_rig.py
@@ -21,8 +21,9 @@
 from random import Random
 from typing import Any
 
-from benchmarks.hot_path import ROOT, free_port
+from benchmarks.hot_path import ROOT
 from standins.peers import FakeDiscovery, FakeUpstream, Incoming, Talk, ok, read_answer, status
+from standins.ports import free_port
 
 ZONES = ("a", "b", "c")
 KINDS = ("m1", "m2", "canary")
--- a/benchmarks/step.py
+++ b/benchmarks/step.py
@@ -24,7 +24,8 @@
 from typing import Any
 
 from benchmarks import hot_path
-from benchmarks.hot_path import ROOT, Rig, free_port, wait_for
+from benchmarks.hot_path import ROOT, Rig, wait_for
+from standins.ports import free_port
 
 SETTINGS: dict[str, Any] = hot_path.SETTINGS | {
     "Categories": [{"Name": "look", "Effect": "read_like", "AimMs": 410, "HardLimitMs": 1000}]
--- a/benchmarks/store.py
+++ b/benchmarks/store.py
@@ -21,12 +21,13 @@
 from pathlib import Path
 from statistics import median, quantiles
 
-from benchmarks.hot_path import ROOT, SETTINGS, free_port
+from benchmarks.hot_path import ROOT, SETTINGS
 from larkweir.store.disk import Disk, Files
 from larkweir.store.records import Kind, Record
 from larkweir.store.recovery import recover
 from larkweir.store.state import State
 from standins.peers import FakeUpstream
+from standins.ports import free_port
 
 SITE = b"benchmrk"
 
--- a/benchmarks/storm_sockets.py
+++ b/benchmarks/storm_sockets.py
@@ -18,9 +18,10 @@
 from pathlib import Path
 from typing import Any
 
-from benchmarks.hot_path import ROOT, free_port
+from benchmarks.hot_path import ROOT
 from standins.cold import ColdUpstream, Crowd, Seen
 from standins.peers import FakeDiscovery
+from standins.ports import free_port
 from standins.returning import CLASSES, COLD_MS, COLD_SHARE, FALL, FALL_MS, HABITS, TENANTS
 
 EFFECTS = ("read_like", "idempotency_key", "non_idempotent")
--- a/benchmarks/upgrade.py
+++ b/benchmarks/upgrade.py
@@ -19,7 +19,8 @@
 from pathlib import Path
 
 from benchmarks.bulk import Upstream
-from benchmarks.hot_path import ROOT, SETTINGS, free_port
+from benchmarks.hot_path import ROOT, SETTINGS
+from standins.ports import free_port
 
 HEAD = (
     b"GET /api?size=100 HTTP/1.1\r\nHost: x\r\nX-Trace-Id: up%012x\r\nX-Qos: look\r\nX-Customer: acme\r\n\r\n"
--- a/standins/cold.py
+++ b/standins/cold.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from standins.peers import entry, read_head
+from standins.ports import free_port
 from standins.returning import CLASSES, COLD_MS, COLD_SHARE, FALL, FALL_MS, MIX, TENANTS, Habit
 
 
@@ -45,8 +46,8 @@
 
     async def start(self, cold: bool = False) -> None:
         """At its own port again, if it has had one."""
+        self._port = self._port or free_port()
         self._server = await asyncio.start_server(self._talk, "127.0.0.1", self._port)
-        self._port = int(self._server.sockets[0].getsockname()[1])
         self._slot, self._waiting = asyncio.Lock(), 0
         self._got.clear()
         if cold:
--- a/standins/peers.py
+++ b/standins/peers.py
@@ -13,6 +13,8 @@
 from itertools import count
 from typing import Any
 
+from standins.ports import free_port
+
 TRACES = count(1)  # an id is new with every request
 PATIENCE_S = 20.0  # for what must come; a run that goes well never waits that long
 
@@ -174,8 +176,8 @@
         self.port = 0
 
     async def start(self) -> FakeDiscovery:
+        self.port = self.port or free_port()
         self._server = await asyncio.start_server(self._talk, "127.0.0.1", self.port)
-        self.port = int(self._server.sockets[0].getsockname()[1])
         return self
 
     def stop(self) -> None:
--- a/tests/lifecycle/test_fastcgi_service.py
+++ b/tests/lifecycle/test_fastcgi_service.py
@@ -13,8 +13,9 @@
 from larkweir.config.options import Fastcgi
 from standins import fastcgi as f
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, request_bytes
+from standins.ports import free_port
 from tests.fakes import running
-from tests.lifecycle.service import alive, free_port, service, until
+from tests.lifecycle.service import alive, service, until
 from tests.upstreams.test_attempts import run
 
 
--- a/tests/lifecycle/test_reload.py
+++ b/tests/lifecycle/test_reload.py
@@ -13,8 +13,9 @@
 
 from standins.manager import launch
 from standins.peers import PATIENCE_S, Caller, FakeDiscovery, FakeUpstream, Incoming, Talk, ok, request_bytes
+from standins.ports import free_port
 from tests.fakes import SETTINGS
-from tests.lifecycle.service import free_port, service, until
+from tests.lifecycle.service import service, until
 from tests.lifecycle.test_handover import Held
 from tests.upstreams.test_attempts import run
 
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -16,7 +16,8 @@
 from larkweir.lifecycle.upgrade import path_of
 from standins.manager import ROOT
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, serve_ok
-from tests.lifecycle.service import Service, free_port, service, until
+from standins.ports import free_port
+from tests.lifecycle.service import Service, service, until
 from tests.lifecycle.test_handover import Held
 from tests.upstreams.test_attempts import run
 
