Reading a store beside its balancer, called-off work not counted as due; one verdict a run

Cause, each seen as a failed test of a check: (1) Scheduler.waiting counted tasks that were called off until the next look (Hypothesis: add, step MORE, cancel; next_ms is inf while one 'waits'), and what was called off before its time stayed in the heap until then. (2) state show, members and the keeper's tests read names first and files after; the writer ends a generation in between and the read fails with 'No such file', or would mix two generations. (3) Some machines of Hypothesis drew new examples each run: the same code passed and failed.

Change: cancel takes a task out at once and rebuilds the heap when most of it is called off; store.disk.look reads until names stay the same, at most eight times; one Hypothesis profile for all tests, derandomized, without a database.

Not taken: the store's lock for readers (a reader would end a start).

--- a/larkweir/background/rules.py
+++ b/larkweir/background/rules.py
@@ -13,7 +13,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
 from itertools import count
 from math import inf
 from random import Random
@@ -67,6 +67,7 @@
     AGE_MS = 1_000.0  # of waiting, that are worth one priority
     STARVING_MS = 5_000.0  # of waiting, from which a task runs although requests wait
     MOST = 10_000  # tasks
+    LEFT = 64  # called off and not yet due, beside as many as there are tasks
 
     def __init__(self, now_ms: float, rng: Random) -> None:
         self._rng = rng
@@ -98,8 +99,16 @@
 
     def cancel(self, name: str) -> None:
         entry = self._entries.pop(name, None)
-        if entry is not None:
-            entry.gone = True
+        if entry is None:
+            return
+        entry.gone = True
+        if entry in self._ready:
+            self._ready.remove(entry)
+        elif (
+            len(self._later) > 2 * len(self._entries) + self.LEFT
+        ):  # guards against a heap of what was called off
+            self._later = [item for item in self._later if not item[2].gone]
+            heapify(self._later)
 
     def drain(self) -> list[str]:
         """The process drains: what is not for that is called off; their names."""
@@ -127,8 +136,6 @@
             if not entry.gone and entry.queued == due:
                 entry.queued = inf
                 self._ready.append(entry)
-        if any(entry.gone for entry in self._ready):
-            self._ready = [entry for entry in self._ready if not entry.gone]
 
     def _allowed(self, entry: _Entry, now_ms: float) -> bool:
         """Whether its own budget lets it run."""
--- a/larkweir/cli/state.py
+++ b/larkweir/cli/state.py
@@ -1,4 +1,4 @@
-"""Hands: `state`: what a store holds, whether it is whole, and how to make it small. Not while a balancer has it."""
+"""Hands: `state`: what a store holds, whether it is whole, and how to make it small (that only while it is free)."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import time
 from typing import Any
 
-from larkweir.store.disk import Disk, Files
+from larkweir.store.disk import Disk, Files, look
 from larkweir.store.records import StoreError, read_header
 from larkweir.store.recovery import Recovered, recover
 from larkweir.store.state import beliefs
@@ -18,11 +18,7 @@
 
 def read_store(folder: str) -> tuple[dict[str, bytes], bytes]:
     """The store's files, without its lock: reading changes nothing. And the site of the newest that tells one."""
-    files = Files(folder)
-    found: dict[str, bytes] = {}
-    for name in files.names():
-        if name.endswith((".snap", ".log")):
-            found[name] = files.read(name)
+    found = look(Files(folder))
     site = b""
     for name in sorted(
         found, key=lambda item: int(item.split(".")[0]) if item.split(".")[0].isdigit() else -1
--- a/larkweir/store/disk.py
+++ b/larkweir/store/disk.py
@@ -92,6 +92,24 @@
         os.unlink(os.path.join(self.folder, name))
 
 
+def look(files: Files, tries: int = 8) -> dict[str, bytes]:
+    """The store's files without its lock, as they stood at one time: a balancer that writes beside it may end a
+    generation between two reads, so it is looked again while names change. OSError where that goes on, or none can be
+    read.
+    """
+    for left in range(tries, 0, -1):
+        names = [name for name in files.names() if name.endswith((".snap", ".log"))]
+        try:
+            found = {name: files.read(name) for name in names}
+        except FileNotFoundError:
+            if left > 1:
+                continue
+            raise
+        if names == [name for name in files.names() if name.endswith((".snap", ".log"))]:
+            return found
+    raise OSError(errno.EBUSY, "it changes faster than it can be read")
+
+
 class Disk:
     """One store, open. Blocking: used on a thread of its own."""
 
--- a/tests/background/test_rules.py
+++ b/tests/background/test_rules.py
@@ -124,6 +124,18 @@
     assert scheduler.add(Task("t3"), 0.0)  # one of the same name takes its place
 
 
+def test_what_is_called_off_is_due_no_more_and_is_not_kept() -> None:
+    scheduler = made()
+    scheduler.add(Task("now"), 0.0)
+    assert scheduler.pick(0.0, False) is not None and scheduler.waiting == 1
+    scheduler.ran("now", 0.0, 0.0, Outcome.MORE)
+    scheduler.cancel("now")
+    assert scheduler.waiting == 0 and scheduler.next_ms(0.0) == inf
+    for n in range(1_000):
+        scheduler.add(Task(f"t{n % 3}", first_ms=60_000.0), 0.0)
+    assert len(scheduler._later) <= 2 * 3 + Scheduler.LEFT + 1
+
+
 @pytest.mark.parametrize("part", [0.0, 0.5])
 def test_instances_that_start_together_do_not_keep_step(part: float) -> None:
     due = set()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -5,10 +5,15 @@
 from collections.abc import Iterator
 
 import pytest
+from hypothesis import settings
 
 from standins.peers import Caller, FakeUpstream
 from tests import fakes
 
+# The same examples every time: a run's verdict is the code's.
+settings.register_profile("same", derandomize=True, deadline=None, database=None)
+settings.load_profile("same")
+
 PAIRS = ["http1-http1", "http1-fastcgi", "http1-shared", "fastcgi-http1", "fastcgi-fastcgi", "fastcgi-shared"]
 
 # Tests that speak of requests, attempts, drains and answers, not of the bytes of one protocol. On a shared connection
