The time at low load is a ratio of sums: small requests no longer double it

Two of three copies took 752 and 680 ms for the time at low load where calls took 340; the third, with 321, stayed at 20 calls, and 3 x 20 is what the tier bears.

Ruled out: queues of the tiers behind (calls out there fell from 56 to 11 while the first tier's rose); the reports (all 0, since slots are free); chance in eight answers (a fifth; this is a factor of two); the doubling as such (it ends at the first queue, which a base of twice the true time hides).

At fault, Limiter._count: each of the first eight times was divided by its request's size and the quotients averaged. Half of a call's time does not go with its size, so a request of 0.3 counts as one of 700 ms. Now both are summed.

Not taken: a regression with a fixed part (eight answers do not tell it); more answers (the window opens meanwhile).

--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -135,6 +135,7 @@
         self.base = list(self.mean)
         self._seen = [0] * count  # answers, while they are few
         self._known = [0] * count  # the same, in a window of any size
+        self._sizes = [0.0] * count  # the sum of the sizes of those answers
         self.over_part = self.HEADROOM
         self._out_mean = 0.0  # as arrivals find it
         self.doubling = True
@@ -159,11 +160,13 @@
             values.extend([first] * more)
         self._seen.extend([0] * more)
         self._known.extend([0] * more)
+        self._sizes.extend([0.0] * more)
         for at, after in enumerate(settings.classes):
             before = self._classes[at] if at < len(self._classes) else None
             if before is None or before.name != after.name:
                 self.mean[at] = self.base[at] = after.aim_ms / 3.0
                 self._seen[at] = self._known[at] = 0
+                self._sizes[at] = 0.0
                 self._last[at] = -math.inf
             elif before.aim_ms != after.aim_ms:  # guards against refusing all for a guess from the old aim
                 self.mean[at] = min(self.mean[at], after.aim_ms / 3.0)
@@ -327,8 +330,9 @@
             if self._seen[at] < self.LEAST_ROUND:
                 # Before it is known, what queues add is taken off by what they add to the other classes.
                 self._seen[at] += 1
-                own = max(0.01, spent_ms - max(0.0, self._added)) / max(0.25, size)
-                self.base[at] += (own - self.base[at]) / self._seen[at]
+                self._sizes[at] += size
+                own = max(0.01, spent_ms - max(0.0, self._added))
+                self.base[at] = max(0.01, self.base[at] + (own - self.base[at] * size) / self._sizes[at])
                 base = self.base[at] * size
             added = spent_ms - base
             self._added += self.HEED * (added - self._added)
--- a/tests/mulleinhitch/test_admission.py
+++ b/tests/mulleinhitch/test_admission.py
@@ -388,3 +388,18 @@
         limiter.ended(0, Outcome.OK, 200.0, out, limiter.mark(out), size=size)
         least = min(least, limiter.window)
     assert (least < before) is closes
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_the_time_at_low_load_is_not_raised_by_small_requests(seed: int) -> None:
+    """Half of a call's time has nothing to do with its size: the mean of times by size would be twice the true one."""
+    rng = Random(seed)
+    limiter = Limiter(Settings(classes=(RequestClass(1500.0, 4000.0, Effect.SAFE),)), Random(1))
+    limiter.open(10, 1)
+    sizes = [rng.expovariate(1.0) for _ in range(Limiter.LEAST_ROUND)]
+    for size in sizes:
+        limiter.arrive(0, 7, 0, False)
+        limiter.ended(0, Outcome.OK, 200.0 + 200.0 * size, 7, limiter.mark(7), size=size)
+    mean = sum(sizes) / len(sizes)
+    assert limiter.base[0] <= (200.0 + 200.0 * mean) / mean + 1.0
+    assert limiter.base[0] * mean >= 0.6 * (200.0 + 200.0 * mean)  # what queues seemed to add is taken off
