The log as lines of JSON with stable fields: a part of requests, and what befalls upstreams

Change: [log] format, requests, requests_per_s. larkweir/logs/watch.py stands where the decisions stand, as the storms' watch does: it hears every event and action and changes none, so that nothing on the hot path asks whether a log is on.

Not taken: python-json-logger over the standard library's logging (its locks and handlers wait for the reader); a hook in the engine's _answer (a test on each request where it is off). Left: upstreams left out under [route.*].

--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -176,6 +176,18 @@
         return found
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Log:
+    """The table `[log]`."""
+
+    # Lines of words, or of JSON with stable fields.
+    format: Literal["text", "json"] = option("text", Change.HANDOVER)
+    # Of the requests, drawn by their ids, that are told when they end. Only as JSON.
+    requests: float = option(0.0, Change.HANDOVER, low=0.0, high=1.0, unit=Unit.PART)
+    # So many of them a second at the most.
+    requests_per_s: float = option(100.0, Change.HANDOVER, low=1.0, high=10_000.0)
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class Storms:
     """The table `[storms]`."""
@@ -399,6 +411,7 @@
     budget: Budget = field(default_factory=Budget)
     door: Door = field(default_factory=Door)
     storms: Storms = field(default_factory=Storms)
+    log: Log = field(default_factory=Log)
     store: Store = field(default_factory=Store)
     remembered: Remembered = field(default_factory=Remembered)
     retries: Retries = field(default_factory=Retries)
@@ -429,6 +442,7 @@
     "budget": Budget,
     "door": Door,
     "storms": Storms,
+    "log": Log,
     "store": Store,
     "remembered": Remembered,
     "retries": Retries,
--- a/larkweir/core/journal.py
+++ b/larkweir/core/journal.py
@@ -36,6 +36,11 @@
             pass  # not to be opened anew, or closed: polled, or dropped
 
     def line(self, text: str) -> None:
+        if self._admit():
+            self._write(text, 1)
+
+    def _admit(self) -> bool:
+        """Whether one more line may be written now; what may not is counted, and told a second later."""
         second = int(time.monotonic())
         if second != self._second:
             self._second, self._lines = second, 0
@@ -44,16 +49,19 @@
                 self._write(f"{dropped} lines dropped", dropped)
         if self._lines >= self.PER_SECOND:
             self._dropped += 1
-            return
+            return False
         self._lines += 1
-        self._write(text, 1)
+        return True
 
     def _write(self, text: str, worth: int) -> None:
         line = f"larkweir {self._name}: {text}".replace("\n", " | ").encode("utf-8", "replace")
+        self._put(line[: self.MOST], worth)
+
+    def _put(self, line: bytes, worth: int) -> None:
         try:
             if not self._poll.poll(0):
                 raise BlockingIOError
-            os.write(self._descriptor, line[: self.MOST] + b"\n")
+            os.write(self._descriptor, line + b"\n")
         except (OSError, ValueError):  # a log that can't be written must not end the balancer
             self._dropped += worth
 
--- a/larkweir/language/behaviour.py
+++ b/larkweir/language/behaviour.py
@@ -81,6 +81,8 @@
     " drains told before keep their grace or a shorter one",
     "advice.most_ms": "who is refused is told to come back after {new} at the most, instead of {old}",
     "storms.on": "storms after an outage are told and damped: {new} instead of {old}",
+    "log.format": "the log is written as {new} instead of {old}",
+    "log.requests": "{new} of the requests are told in the log when they end, instead of {old}",
     "door.on": "requests are turned away at the door where this process is the limit: {new} instead of {old}",
     "budget.on": "attempts and time are budgeted across tiers: {new} instead of {old}",
     "lifecycle.reload": "a reload reads {new} again instead of {old}",
--- a/larkweir/language/model.py
+++ b/larkweir/language/model.py
@@ -259,6 +259,8 @@
     storms, lifecycle = model.options.storms, model.options.lifecycle
     if not storms.on:
         _in_vain(model, faults, "storms", ("connects_per_s", "clients", "whole_seconds", "fields"))
+    if model.options.log.format != "json":
+        _in_vain(model, faults, "log", ("requests", "requests_per_s"), 'format = "json"')
     if not model.options.door.on:
         _in_vain(model, faults, "door", ("high", "low"))
     if not model.options.budget.on:
@@ -275,10 +277,11 @@
         )
 
 
-def _in_vain(model: Model, faults: Faults, table: str, names: Sequence[str]) -> None:
+def _in_vain(model: Model, faults: Faults, table: str, names: Sequence[str], wants: str = "on = yes") -> None:
     for key in keys_of(TABLES[table]).values():
         found = model.origins.get(f"{table}.{key.name}")
         if found is not None and key.name in names:
-            text = f"{table}.{key.written} counts for nothing: {table} is not on"
-            faults.warn("LW707", found[0], text, "write on = yes")
+            why = "is not on" if wants == "on = yes" else f"has not {wants}"
+            text = f"{table}.{key.written} counts for nothing: {table} {why}"
+            faults.warn("LW707", found[0], text, f"write {wants}")
             return
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -32,6 +32,7 @@
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
+    from larkweir.logs.lines import JsonJournal
     from larkweir.membership.remembered.evidence import Row
     from larkweir.membership.remembered.hands import Remembered
     from larkweir.routes.hands import Routes
@@ -57,6 +58,11 @@
         self.settings = config.settings  # as the parts hold them: classes that are gone keep their places
         self.clock = Clock(loop, offset_ms)
         self.journal = Journal(config.name)
+        telling: JsonJournal | None = None
+        if options is not None and options.log.format == "json":
+            from larkweir.logs.lines import JsonJournal  # not imported where the log is of words
+
+            self.journal = telling = JsonJournal(config.name, options.log.requests_per_s)
         loop.set_exception_handler(self._on_loop_error)
         self.room = Room(config.memory_mb)
         self._lives = 1  # that share the limits
@@ -79,6 +85,8 @@
 
             self.storms = Gate(options.storms, config, watched, self.journal.line)
             watched = self.storms.watch
+        if telling is not None and options is not None:
+            watched = self._tell(watched, telling, options.log.requests)
         self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, watched)
         tell = self.engine.on_listing
         if self.routes is not None:
@@ -124,6 +132,20 @@
 
             self.chain = self.engine.budgets = Chain(options.budget, config.settings, self.journal.line)
 
+    def _tell(self, decisions: Decisions, journal: JsonJournal, part: float) -> Decisions:
+        """The decisions with what goes in and out of them told to the log."""
+        from larkweir.logs.watch import Watch  # not imported where the log is of words
+
+        def trace_of(number: int) -> bytes:
+            exchange = self.engine.exchange_of(number)
+            return exchange.trace if exchange is not None else b""
+
+        def address_of(number: int) -> str:
+            upstream = self.upstreams.table.get(number)
+            return f"{upstream.address[0]}:{upstream.address[1]}" if upstream is not None else "gone"
+
+        return Watch(decisions, self.settings, part, trace_of, address_of, journal.event)
+
     @property
     def learner(self) -> Balancer | Switch | None:
         """The decisions, where they can tell and be told what was learned."""
