Closing rounds heed chance again, and only silent servers take their part off the window

Change: the standard error is back in the closing factor; the part goes with a server that gives no sign of life; LEAST is 0.15 as before.

--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -79,9 +79,8 @@
     MEMORY = 1.0 / 16.0  # weight of a new sample in the running means
     # What queues may add to the latency at low load: a multiple of it, but at least and at most such parts of the way
     # from it to the aim. A small window has no other place for its queue than the servers; one that counts has.
-    TOLERANCE, TARGET = 2.0, 0.5
+    LEAST, TOLERANCE, TARGET = 0.15, 2.0, 0.5
     COUNTED_TOLERANCE, COUNTED_TARGET = 0.25, 0.3
-    LEAST_TIERS = 2  # among so many the largest part is shared for the least; among more where there are
     BASE_RISE = 0.1  # of a small window: the latency at low load is followed down at once and up slowly
     GAIN = 0.2  # of a small window, an answer, for a latency off by the whole target
     FIRST_LEVEL = 4.0  # calls a server is first taken to bear, from all copies together
@@ -127,8 +126,6 @@
 
     def __init__(self, settings: Settings, rng: Random) -> None:
         self._rng = rng
-        # The queue stands at one tier, and that one may fill alone what all together may add.
-        self._least = self.COUNTED_TARGET / max(self.LEAST_TIERS, settings.tiers)
         self.arbiter: Arbiter | None = None  # chooses whom to let in, of as many as the window lets in
         self._classes: Sequence[RequestClass] = settings.classes
         self.small = self.SMALL if settings.copies <= self.FEW else self.SMALL_OF_MANY
@@ -290,7 +287,7 @@
         for at, cls in enumerate(self._classes):
             if self._last[at] >= horizon:
                 room = max(0.0, cls.aim_ms - self.base[at])
-                own = min(max(times * self.base[at], self._least * room), most * room)
+                own = min(max(times * self.base[at], self.LEAST * room), most * room)
                 least = min(least, own)
         return 1.0 if least == math.inf else max(least, 0.001)
 
@@ -445,7 +442,7 @@
                     factor = max(1.0, self._ceiling / self.window)
                     self._ceiling *= self.LIFT
             else:
-                factor = (base + tolerance) / latency
+                factor = (base + tolerance + doubt) / latency
                 self._ceiling = max(self.small, self.window * factor)
                 if self._closing_in_vain(latency, sums):
                     self._rescale(sums, 1.0)
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -994,7 +994,7 @@
         tuning = self.settings.tuning
         if odds < tuning.eject_odds and self.fleet.ejected < tuning.eject_most * ready:
             # Doubles with each ejection, not with each failure, which a bad tier gives to all.
-            if not server.ejections:
+            if server.silent and not server.ejections:
                 self.limiter.lost_one(ready - self.fleet.ejected)
             server.ejections += 1
             # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
