--- a/larkweir/cli/demo.py
+++ b/larkweir/cli/demo.py
@@ -3,57 +3,18 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import sys
 import uuid
 from contextlib import suppress
-from typing import Any
 
 import uvloop
 
 from larkweir.config.options import Operator
 from larkweir.config.platform import ConfigError, decode_object
+from larkweir.lab.local import SETTINGS, answer, discovery, port_of, read_request
 from larkweir.lifecycle.daemon import Daemon
 from larkweir.lifecycle.reading import Generation
 
-SETTINGS: dict[str, Any] = {
-    "Categories": [
-        {"Name": "consulta", "Effect": "read_like", "AimMs": 410, "HardLimitMs": 1000, "Worth": 1},
-        {
-            "Name": "publicar",
-            "Effect": "idempotency_key",
-            "AimMs": 410,
-            "HardLimitMs": 1000,
-            "Worth": 8,
-            "Group": "zone",
-            "MemorySpanMs": 4000,
-        },
-        {"Name": "traspaso", "Effect": "non_idempotent", "AimMs": 410, "HardLimitMs": 1000, "Worth": 8},
-    ],
-    "Zones": ["here"],
-    "MachineTypes": ["demo"],
-    "Tiers": ["demo"],
-    "Discovery": "pushed",
-    "Guarantees": {"ColdShare": 0.32, "ColdMs": 1000, "DrainGraceMs": 500, "FallMultiple": 3, "FallMs": 1000},
-    "PolicyLimits": {"SendCap": 4, "MayCancel": True, "RetryAfter": True, "MaxRetryAfterMs": 2000},
-    "Stats": {"How": "off", "Fields": []},
-}
-
-
-async def _read(reader: asyncio.StreamReader) -> tuple[str, bytes] | None:
-    """The target and the body of the next request."""
-    try:
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
-        length = head.partition("content-length:")[2].partition("\r")[0].strip()
-        body = await reader.readexactly(int(length or "0"))
-    except (asyncio.IncompleteReadError, asyncio.LimitOverrunError, ConnectionError, ValueError):
-        return None
-    return head.split(" ", 2)[1], body
-
-
-def _answer(body: bytes) -> bytes:
-    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-
 
 class _Upstream:
     """Answers each request with its own name."""
@@ -63,33 +24,12 @@
 
     async def talk(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         with suppress(ConnectionError, asyncio.CancelledError):
-            while (request := await _read(reader)) is not None:
+            while (request := await read_request(reader)) is not None:
                 await asyncio.sleep(0.02)
-                writer.write(_answer(f"{self.name} served {len(request[1])} bytes\n".encode()))
+                writer.write(answer(f"{self.name} served {len(request[1])} bytes\n".encode()))
         writer.close()
 
 
-async def _discovery(entries: list[dict[str, Any]]) -> asyncio.Server:
-    """A list that never changes: a watch waits for as long as it may."""
-    listing = json.dumps({"generation": 1, "reset": True, "instances": entries}).encode()
-    nothing = json.dumps({"generation": 1, "reset": False, "instances": []}).encode()
-
-    async def talk(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        with suppress(ConnectionError, asyncio.CancelledError):
-            while (request := await _read(reader)) is not None:
-                wait = request[0].partition("wait_ms=")[2]
-                if wait:
-                    await asyncio.sleep(int(wait) / 1000.0)
-                writer.write(_answer(nothing if wait else listing))
-        writer.close()
-
-    return await asyncio.start_server(talk, "127.0.0.1", 0)
-
-
-def _port(server: asyncio.Server) -> int:
-    return int(server.sockets[0].getsockname()[1])
-
-
 async def _demo(port: int, upstreams: int) -> int:
     servers = [
         await asyncio.start_server(_Upstream(f"nodo-{n + 1}").talk, "127.0.0.1", 0) for n in range(upstreams)
@@ -97,18 +37,18 @@
     entries = [
         {
             "instanceId": f"nodo-{n + 1}",
-            "hostPort": f"127.0.0.1:{_port(server)}",
+            "hostPort": f"127.0.0.1:{port_of(server)}",
             "zone": "here",
             "machineType": "demo",
             "lifecycle": "active",
         }
         for n, server in enumerate(servers)
     ]
-    discovery = await _discovery(entries)
+    listed = await discovery(entries)
     raw = {
         "name": "demo",
         "listen": f"127.0.0.1:{port}",
-        "discovery": f"127.0.0.1:{_port(discovery)}",
+        "discovery": f"127.0.0.1:{port_of(listed)}",
         "seed": uuid.uuid4().hex[:8],
         "settings": SETTINGS,
     }
@@ -127,7 +67,7 @@
     try:
         return await running
     finally:
-        for server in (*servers, discovery):
+        for server in (*servers, listed):
             server.close()
 
 
--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -42,7 +42,16 @@
 
         if options.action == "run":
             return lab.run(options.file, options.store, options.processes, options.narrow)
+        if options.action == "replay":
+            return lab.replay(options.logs, options.out, options.part, options.slots)
         return lab.report(options.store, options.html, options.csv, options.scenario, options.against)
+    if options.command == "load":
+        from larkweir.cli import lab  # not imported where nothing is played
+
+        where = options.to or []
+        return lab.load(
+            options.file, options.store, where, options.protocol, options.cls, options.path, options.seeds
+        )
     if options.command == "routes":
         from larkweir.cli.routes import routes  # not imported where there are none
 
@@ -193,6 +202,35 @@
     shown.add_argument(
         "--against", default="", help="the point that others are compared with, as 'policy random'"
     )
+    again = actions.add_parser(
+        "replay",
+        help="a scenario of what balancers have logged",
+        description="Logs as JSON (docs/operators/logs.md), one of each balancer, to OUT.toml and OUT.arrivals: "
+        "arrivals as they came, servers with the times that calls took, faults where upstreams were left out.",
+    )
+    again.add_argument("logs", nargs="+", metavar="LOG")
+    again.add_argument("--out", default="replay", metavar="OUT", help="default replay")
+    again.add_argument(
+        "--part", type=float, default=1.0, help="of the requests, that were told ([log] requests)"
+    )
+    again.add_argument(
+        "--slots", type=int, default=8, help="calls that a server works on at a time (default 8)"
+    )
+    load = commands.add_parser(
+        "load",
+        help="a scenario's arrivals against running balancers, in real time",
+        description="An open loop: requests go out when the scenario says, whatever comes back, and times count from "
+        "then. Without --to the scenario's servers and balancers are started here for it. The result is kept "
+        "beside those of lab run. Examples: load docs/lab/loopback.toml --store loopback.db; "
+        "load s.toml --to 127.0.0.1:8080.",
+    )
+    load.add_argument("file", metavar="FILE")
+    load.add_argument("--store", default="lab.db", help="where results are kept (default lab.db)")
+    load.add_argument("--to", action="append", metavar="HOST:PORT", help="a balancer; may be given again")
+    load.add_argument("--protocol", choices=("http1", "fastcgi"), default="http1", help="that --to speaks")
+    load.add_argument("--class", dest="cls", default="consulta", help="of the requests (default consulta)")
+    load.add_argument("--path", default="/api", help="that is asked for (default /api)")
+    load.add_argument("--seeds", type=int, default=1, help="plays, one after another (default 1)")
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- a/larkweir/lab/model.py
+++ b/larkweir/lab/model.py
@@ -326,8 +326,12 @@
 class World:
     """One play."""
 
-    def __init__(self, scenario: Scenario, seed: int) -> None:
+    def __init__(
+        self, scenario: Scenario, seed: int, recorded: list[tuple[float, int]] | None = None
+    ) -> None:
+        """`recorded` are the arrivals, each with its balancer; else they are drawn."""
         self.scenario, self.seed = scenario, seed
+        self._recorded = iter(recorded) if recorded is not None else None
         self.now = 0.0
         self.span_ms = time_ms(scenario.span, "span")
         self.warm_ms = time_ms(scenario.warm, "warm")
@@ -382,7 +386,9 @@
         self._list()
         for n, fault in enumerate(self.scenario.faults):
             self._plan(n, fault)
-        if self._rate > 0.0:
+        if self._recorded is not None:
+            self._await()
+        elif self._rate > 0.0:
             self.after(self._arrivals.expovariate(self._rate), self._arrive)
         until = self.span_ms + self.deadline_ms
         while self._queue and self._queue[0][0] <= until and not self.unstable:
@@ -397,13 +403,27 @@
         if self.now >= self.span_ms:
             return
         self.after(self._arrivals.expovariate(self._rate), self._arrive)
+        self._ask(int(self._arrivals.random() * len(self.balancers)))
+
+    def _await(self) -> None:
+        """The next of the recorded arrivals."""
+        assert self._recorded is not None
+        found = next(self._recorded, None)
+        if found is not None and found[0] < self.span_ms:
+            self.after(max(0.0, found[0] - self.now), lambda: self._recall(found[1]))
+
+    def _recall(self, balancer: int) -> None:
+        self._ask(balancer % len(self.balancers))
+        self._await()
+
+    def _ask(self, balancer: int) -> None:
         request = self._next
         self._next += 1
         self._began[request] = self.now
         self.due[request] = self.now + self.aim_ms
         self._count("asked", request)
         self.line[int(self.now / BUCKET_MS)][0] += 1
-        self.balancers[int(self._arrivals.random() * len(self.balancers))].arrive(request)
+        self.balancers[balancer].arrive(request)
 
     def _count(self, name: str, request: int) -> None:
         if self._began[request] >= self.warm_ms:
@@ -486,7 +506,9 @@
 
     def _plan(self, n: int, fault: Any) -> None:
         rng = Random(f"{self.seed} fault {n}")
-        if fault.zone:
+        if fault.server >= 0:
+            struck = [self.servers[fault.server]]
+        elif fault.zone:
             struck = [
                 server for server, zone in zip(self.servers, self.zones, strict=True) if zone == fault.zone
             ]
@@ -541,5 +563,5 @@
         }
 
 
-def play(scenario: Scenario, seed: int) -> dict[str, Any]:
-    return World(scenario, seed).play()
+def play(scenario: Scenario, seed: int, recorded: list[tuple[float, int]] | None = None) -> dict[str, Any]:
+    return World(scenario, seed, recorded).play()
--- /dev/null
+++ b/larkweir/lab/replay.py
@@ -0,0 +1,184 @@
+"""Rules: logs of running balancers (`larkweir.logs`) to a scenario: the arrivals as they came, servers with the times
+that their calls took, and faults where upstreams were left out.
+
+What a log does not tell is said in the scenario's first lines: how many calls a server works on at a time, what clients
+did that were not drawn, and other balancers' traffic. Each log is one balancer's. Times are milliseconds from the first
+arrival of all logs on, by the wall clock of their lines.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from datetime import datetime
+from random import Random
+from typing import Any, NamedTuple
+
+MOST_ARRIVALS = 200_000
+FEW = 5  # calls, fewer of which tell nothing of a server's times
+KINDS = {
+    "connect_failed": "crash",
+    "timeout": "stall",
+}  # why it was left out, and what is played; else it refuses
+
+
+class ReplayError(ValueError):
+    """Logs that make no scenario; the message says why."""
+
+
+class Replayed(NamedTuple):
+    scenario: str  # TOML
+    arrivals: str  # a line each: milliseconds and the balancer's number
+    said: tuple[str, ...]  # what was left out, and why
+
+
+def _lines(text: Iterable[str]) -> tuple[list[dict[str, Any]], int]:
+    found, bad = [], 0
+    for line in text:
+        try:
+            item = json.loads(line)
+            if item["v"] != 1 or not isinstance(item["event"], str):
+                raise ValueError
+            item["wall_ms"] = datetime.fromisoformat(item["at"]).timestamp() * 1000.0
+        except (ValueError, KeyError, TypeError, RecursionError):
+            bad += bool(line.strip())
+            continue
+        found.append(item)
+    return found, bad
+
+
+def _fit(times: Sequence[float]) -> tuple[float, float]:
+    """Mean and sigma of the lognormal that has the same median and upper quartile: a few calls behind others do not
+    move it.
+    """
+    ordered = sorted(times)
+    median = max(0.01, ordered[len(ordered) // 2])
+    upper = max(median * 1.01, ordered[len(ordered) * 3 // 4])
+    sigma = min(2.0, math.log(upper / median) / 0.6745)
+    return median * math.exp(sigma * sigma / 2.0), sigma
+
+
+def replay(logs: Sequence[Iterable[str]], part: float, slots: int, name: str, seed: int = 1) -> Replayed:
+    """`part` of the requests were drawn for the logs; each that was stands for the others of its moment. ReplayError
+    where the logs tell of no request.
+    """
+    rng = Random(seed)
+    said: list[str] = []
+    arrivals: list[tuple[float, int]] = []
+    times: dict[str, list[float]] = {}
+    behind: dict[str, list[float]] = {}
+    out: list[tuple[float, float, str, str]] = []  # from, until, upstream, why
+    untold, last_ms = 0, 0.0
+    deadline, attempts = 0.0, 1
+    for number, text in enumerate(logs):
+        items, bad = _lines(text)
+        if bad:
+            said.append(f"log {number + 1}: {bad} lines are none of a log as JSON")
+        since: dict[str, tuple[float, str]] = {}
+        for item in items:
+            last_ms = max(last_ms, item["wall_ms"])
+            try:
+                if item["event"] == "request":
+                    came, left = item["wall_ms"] - float(item["took_ms"]), float(item["left_ms"])
+                    calls = [(str(row[0]), row[2], row[3], int(row[4])) for row in item["attempts"]]
+                    arrivals.append((came, number))
+                    untold += int(item.get("untold", 0))
+                    deadline = max(deadline, left)
+                    attempts = max(attempts, len(calls))
+                    for upstream, took, how, found in calls:
+                        if how == "ok":
+                            (behind if found else times).setdefault(upstream, []).append(float(took))
+                        else:
+                            times.setdefault(upstream, [])
+                elif item["event"] == "upstream":
+                    key = str(item["upstream"])
+                    if item["state"] == "left_out":
+                        since.setdefault(key, (item["wall_ms"], str(item.get("why", ""))))
+                    elif key in since:
+                        begun, why = since.pop(key)
+                        out.append((begun, item["wall_ms"], key, why))
+            except (KeyError, IndexError, TypeError, ValueError):
+                said.append(f"log {number + 1}: a line of {item['event']} lacks what it should have")
+        out += [(begun, math.inf, key, why) for key, (begun, why) in since.items()]
+    if not arrivals:
+        raise ReplayError('no request is told of; write [log] format = "json" and requests above 0')
+    if untold:
+        said.append(f"{untold} drawn requests were left out by the logs' bound; raise requests_per_s")
+    arrivals.sort()
+    first = arrivals[0][0]
+    span = max(last_ms, arrivals[-1][0]) - first + 1.0
+    played = _thicken([(at - first, number) for at, number in arrivals], part, span, rng)
+    if len(played) > MOST_ARRIVALS:
+        raise ReplayError(f"{len(played):,} arrivals; {MOST_ARRIVALS:,} at the most: replay a shorter piece")
+    names = sorted(times.keys() | behind.keys())
+    known = {key: times.get(key) or behind.get(key) or [] for key in names}
+    everything = [took for rows in known.values() for took in rows] or [10.0]
+    few = [key for key in names if len(known[key]) < FEW]
+    if few:
+        said.append(
+            f"{len(few)} of {len(names)} upstreams had fewer than {FEW} calls; they get the times of all"
+        )
+    rows = [
+        f"# Made of {len(logs)} logs: {len(arrivals)} requests that were told of, {len(played)} played.",
+        f"# Not in a log, and assumed: each server works on {slots} calls at a time.",
+        *(f"# {line}" for line in said),
+        f"name = {json.dumps(name)}",
+        f"recorded = {json.dumps(name + '.arrivals')}",
+        f'span = "{span:.1f}ms"',
+        'warm = "0ms"',
+        f"balancers = {len(logs)}",
+        f"attempts = {attempts}",
+        f'deadline = "{max(deadline, 1.0):g}ms"',
+        f'aim = "{max(deadline, 1.0):g}ms"',
+    ]
+    for key in names:
+        mean, sigma = _fit(everything if key in few else known[key])
+        service = f"lognormal {mean:.2f}ms {max(sigma, 0.01):.2f}"
+        rows += ["", f"[[servers]]  # {key}", "count = 1", f"slots = {slots}", f'service = "{service}"']
+    for begun, until, key, why in _joined(out):
+        at, end = max(0.0, begun - first), until - first
+        rows += [
+            "",
+            "[[faults]]",
+            f'kind = "{KINDS.get(why, "refuse")}"',
+            f"server = {names.index(key)}" if key in names else "server = 0",
+            f'at = "{at:.1f}ms"',
+        ]
+        if end < span:
+            rows.append(f'until = "{max(end, at + 1.0):.1f}ms"')
+    text_ = "\n".join(rows) + "\n"
+    return Replayed(text_, "".join(f"{at:.2f} {number}\n" for at, number in played), tuple(said))
+
+
+def _thicken(told: list[tuple[float, int]], part: float, span: float, rng: Random) -> list[tuple[float, int]]:
+    """Each that was drawn as often as it stands for others, spread over the gap to its balancer's next."""
+    if part >= 1.0:
+        return told
+    following: dict[int, float] = {}
+    played = []
+    for at, number in reversed(told):
+        gap = following.get(number, span) - at
+        following[number] = at
+        more = 1.0 / part - 1.0
+        count = int(more) + (rng.random() < more - int(more))
+        played += [(at, number), *((at + rng.random() * gap, number) for _ in range(count))]
+    return sorted(played)
+
+
+def _joined(out: list[tuple[float, float, str, str]]) -> list[tuple[float, float, str, str]]:
+    """Spells of one upstream that several balancers saw, as one where they overlap."""
+    found: list[tuple[float, float, str, str]] = []
+    by_name: dict[str, list[tuple[float, float, str, str]]] = {}
+    for spell in sorted(out):
+        rows = by_name.setdefault(spell[2], [])
+        if rows and spell[0] <= rows[-1][1]:
+            begun, until, key, _ = rows[-1]
+            why = Counter([rows[-1][3], spell[3]]).most_common(1)[0][0]
+            rows[-1] = (begun, max(until, spell[1]), key, why)
+        else:
+            rows.append(spell)
+    for rows in by_name.values():
+        found += rows
+    return sorted(found)
--- a/larkweir/lab/report.py
+++ b/larkweir/lab/report.py
@@ -129,7 +129,7 @@
         sums = [
             sum(column) for column in zip(*(cell.result["calls"] for cell in seeds.values()), strict=True)
         ]
-        usual = sum(sums) / len(sums)
+        usual = sum(sums) / len(sums) if sums else 0.0
         if usual:
             axes.plot([value / usual for value in sorted(sums)], label=name, linewidth=1.2)
     axes.set_xlabel("servers, by their calls")
--- a/larkweir/lab/runner.py
+++ b/larkweir/lab/runner.py
@@ -15,7 +15,7 @@
 import mulleinhitch
 from larkweir.lab.model import play
 from larkweir.lab.results import Cell, Results
-from larkweir.lab.scenario import Scenario, build, fingerprint, variants
+from larkweir.lab.scenario import Scenario, ScenarioError, arrivals_of, build, fingerprint, variants
 from larkweir.lab.stats import enough
 
 
@@ -38,7 +38,14 @@
 
 def _play(data: dict[str, Any], seed: int) -> dict[str, Any]:
     try:
-        return play(build(data), seed)
+        scenario = build(data)
+        recorded = None
+        if scenario.recorded:
+            text = Path(scenario.recorded).read_text(encoding="utf-8")
+            if hashlib.sha256(text.encode()).hexdigest()[:16] != scenario.digest:
+                raise ScenarioError("recorded: the file has changed since the run began")
+            recorded = arrivals_of(text)
+        return play(scenario, seed, recorded)
     except Exception as problem:  # a policy that raises spoils its own cell
         return {"error": f"{type(problem).__name__}: {problem}"}
 
--- a/larkweir/lab/scenario.py
+++ b/larkweir/lab/scenario.py
@@ -9,7 +9,7 @@
 import json
 import re
 import tomllib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from difflib import get_close_matches
 from itertools import product
 from math import prod
@@ -90,6 +90,7 @@
     part: float = 0.0
     zone: str = ""
     factor: float = 4.0  # of slow
+    server: int = -1  # one, by its place
 
 
 class Scenario(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -108,6 +109,10 @@
     cold: str = "9s"  # that a server that has come back takes to its full speed
     cold_share: float = 1.0  # of its speed, that it begins with
     faults: tuple[Fault, ...] = ()
+    recorded: str = (
+        ""  # a file of arrivals, beside the scenario's: a line each, milliseconds and the balancer
+    )
+    digest: str = ""  # of that file, as it was when the scenario was read
     sweep: dict[str, list[Any]] = {}
 
 
@@ -164,8 +169,10 @@
         time_ms(fault.at, f"faults[{n}].at")
         if fault.until:
             time_ms(fault.until, f"faults[{n}].until")
-        if bool(fault.zone) == bool(fault.part):
-            raise ScenarioError(f"faults[{n}]: say a part or a zone, and not both")
+        if [bool(fault.zone), bool(fault.part), fault.server >= 0].count(True) != 1:
+            raise ScenarioError(f"faults[{n}]: say a part, a zone or a server, and no two of them")
+        if fault.server >= sum(row.count for row in it.servers):
+            raise ScenarioError(f"faults[{n}].server: there is no server {fault.server}")
         if fault.zone and fault.zone not in zones:
             raise ScenarioError(f"faults[{n}].zone: no server is in {fault.zone!r}")
         if not 0.0 <= fault.part <= 1.0 or fault.factor <= 0.0:
@@ -174,11 +181,38 @@
         raise ScenarioError(f"policy: {it.policy!r} is none; there are {', '.join(POLICIES)}")
 
 
-def read(text: str) -> Scenario:
+def arrivals_of(text: str) -> list[tuple[float, int]]:
+    """A file of recorded arrivals, in their order. ScenarioError with the first line at fault."""
+    found = []
+    before = 0.0
+    for n, line in enumerate(text.splitlines(), 1):
+        words = line.split()
+        try:
+            at, balancer = float(words[0]), int(words[1])
+        except (ValueError, IndexError):
+            raise ScenarioError(f"recorded: line {n}: {line!r:.60} is no time and balancer") from None
+        if not before <= at <= UNITS["h"] or balancer < 0:
+            raise ScenarioError(f"recorded: line {n}: {line!r:.60} is before the last, or out of bounds")
+        before = at
+        found.append((at, balancer))
+    return found
+
+
+def read(text: str, fetch: Callable[[str], tuple[str, str]] | None = None) -> Scenario:
+    """`fetch` takes the name of a file beside the scenario's to its whole path and its text."""
     try:
         data = tomllib.loads(text)
     except (tomllib.TOMLDecodeError, RecursionError) as problem:
         raise ScenarioError(f"TOML: {problem}") from None
+    if isinstance(data.get("recorded"), str) and data["recorded"]:
+        if fetch is None:
+            raise ScenarioError("recorded: there is no file beside this one")
+        try:
+            data["recorded"], rows = fetch(data["recorded"])
+        except (OSError, UnicodeDecodeError) as problem:
+            raise ScenarioError(f"recorded: {problem}") from None
+        arrivals_of(rows)
+        data["digest"] = hashlib.sha256(rows.encode()).hexdigest()[:16]
     made = build(data)
     count = prod(len(values) for values in made.sweep.values()) * made.seeds
     if count > MOST_CELLS:
@@ -195,7 +229,7 @@
     base = msgspec.to_builtins(scenario)
     keys = list(scenario.sweep)
     for key in keys:
-        if key not in base or key in ("sweep", "servers", "faults", "name", "seeds"):
+        if key not in base or key in ("sweep", "recorded", "digest", "servers", "faults", "name", "seeds"):
             raise ScenarioError(f"sweep.{key}: can't be swept")
         if not scenario.sweep[key]:
             raise ScenarioError(f"sweep.{key}: has no values")
@@ -206,5 +240,5 @@
 
 def fingerprint(scenario: Scenario) -> str:
     """Of what is played, without how often."""
-    data = msgspec.to_builtins(scenario) | {"seeds": 0, "sweep": {}, "name": ""}
+    data = msgspec.to_builtins(scenario) | {"seeds": 0, "sweep": {}, "name": "", "recorded": ""}
     return hashlib.sha256(json.dumps(data, sort_keys=True).encode()).hexdigest()[:16]
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -164,7 +164,7 @@
         (GOOD + 'service = "pareto 10ms 0.9 10"\n', "alpha"),
         (GOOD + 'service = "exponential 0ms"\n', "above 0"),
         (GOOD + "slots = 0\n", "above 0"),
-        (GOOD + '[[faults]]\nat = "1s"\nkind = "stall"\n', "a part or a zone"),
+        (GOOD + '[[faults]]\nat = "1s"\nkind = "stall"\n', "a part, a zone or a server"),
         (GOOD + '[[faults]]\nat = "1s"\nkind = "stall"\nzone = "q"\n', "no server is in 'q'"),
         (GOOD + '[[faults]]\nat = "1s"\nkind = "melt"\npart = 0.1\n', "melt"),
         ('policy = "best"\n' + GOOD, "policy: 'best' is none"),
