--- a/larkweir/lab/load.py
+++ b/larkweir/lab/load.py
@@ -37,7 +37,9 @@
     capacity = 0.0
     for row in scenario.servers:
         slots = 1 if row.discipline == "shared" else row.slots
-        capacity += row.count * slots * row.speed / mean_of(service_of(row.service, "service"))
+        capacity += (
+            row.count * scenario.scale * slots * row.speed / mean_of(service_of(row.service, "service"))
+        )
     rate, span = scenario.load * capacity, time_ms(scenario.span, "span")
     rng, found = Random(f"{seed} arrivals"), []
     if rate <= 0.0:
