--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -1022,9 +1022,9 @@
         server.slowness = known + self.SLOWNESS_MEMORY * (ratio - known)
         if self._level_at >= 0 and self._most_running < 1.5:
             return
-        if self._out >= self.fleet.ready_count:
-            # Own counts tell which server is free. Guards against leaving one empty, for the time that its answer
-            # took behind our own calls, while the others get twice as many.
+        if self._out >= self.fleet.ready_count * (0.5 if self.settings.copies < 2 else 1.0):
+            # Own counts tell which server is free, a lone copy's sooner. Guards against leaving one empty, for the
+            # time that its answer took behind our own calls, while the others get twice as many.
             return
         beyond = server.slowness - self.ORDINARY
         if beyond > 0.0:
--- a/tests/mulleinhitch/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -936,3 +936,23 @@
     balancer.adopt({"latency": value, "base": {PLAIN.classes[0].name: "x"}, "work": value})
     assert balancer._latency == before and 0.0 <= balancer.slow_start.credit <= 2.0
     assert math.isfinite(balancer.limiter.window) and 0.0 <= balancer._idle_share <= 1.0
+
+
+@pytest.mark.parametrize(("copies", "kept"), [(1, False), (2, True)])
+def test_a_slow_server_keeps_its_token_where_own_calls_are_all_there_are(copies: int, kept: bool) -> None:
+    """A lone copy with five calls at eight servers sees which are free."""
+    cls = RequestClass(1000.0, 4000.0, Effect.SAFE)
+    balancer = Balancer(Settings((cls,), copies=copies), 1)
+    entries = [ServerEntry(n, kind=n // 4) for n in range(8)]
+    balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, entries))
+    now, held, out = 0.0, 0, []
+    for number in range(1, 401):
+        now += 50.0
+        sends = balancer.handle(now, RequestArrived(number, 0, 4000.0))
+        out += [(number, action.server) for action in sends if isinstance(action, Send)]
+        if len(out) > 5:
+            first, server = out.pop(0)
+            spent = 200.0 if server < 4 else 400.0
+            balancer.handle(now, AttemptEnded(first, 0, server, Outcome.OK, True, spent))
+        held += sum(server.until_ms > now for server in balancer.fleet.servers.values())
+    assert (held > 100) is kept and (held == 0) is not kept
