--- a/larkweir/lab/scenario.py
+++ b/larkweir/lab/scenario.py
@@ -17,6 +17,7 @@
 
 import msgspec
 
+FIXED = frozenset("sweep recorded digest servers faults classes tenants profile name seeds".split())  # never swept
 MOST_CELLS = 10_000  # of a sweep: more is hours, and surely not meant
 UNITS = {"us": 0.001, "ms": 1.0, "s": 1_000.0, "min": 60_000.0, "h": 3_600_000.0}
 _TIME = re.compile(r"([0-9]+(?:\.[0-9]+)?)\s*(us|ms|s|min|h)")
@@ -84,6 +85,28 @@
     discipline: Literal["fifo", "shared"] = "fifo"  # in order, or all at once with the speed shared
 
 
+class Class(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[[classes]]`: a part of the requests. What is not said is as for all."""
+
+    name: str
+    share: float = 1.0  # of all requests, beside the other classes' shares
+    aim: str = ""
+    deadline: str = ""
+    effect: Literal["safe", "unsafe"] = (
+        "safe"  # an unsafe one is tried again only where it has surely not run
+    )
+    worth: float = 1.0
+    work: float = 1.0  # times what the servers' rows say
+
+
+class Tenant(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """`[[tenants]]`: who asks."""
+
+    name: str
+    share: float  # that counts as its own, beside the others' shares
+    asks: float = 0.0  # of all requests, beside the others; 0: as its share
+
+
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """`[[faults]]`: what befalls a part of the servers, or a zone."""
 
@@ -113,6 +136,15 @@
     cold: str = "9s"  # that a server that has come back takes to its full speed
     cold_share: float = 1.0  # of its speed, that it begins with
     faults: tuple[Fault, ...] = ()
+    classes: tuple[Class, ...] = ()
+    tenants: tuple[Tenant, ...] = ()
+    profile: tuple[tuple[str, float], ...] = ()  # times of the load, from when on: straight lines between
+    crossing: str = (
+        "0ms"  # one way, between zones, beside the network's; balancers are spread over the zones in turn
+    )
+    crossing_price: float = (
+        0.0  # of a request, that a call to another zone costs (larkweir's settings know it)
+    )
     scale: int = 1  # so many times the servers that `servers` says
     budget: int = (
         0  # calls of the last tier that a request may cost (`larkweir.budget`); 0: each tier tries as it will
@@ -139,7 +171,7 @@
 def build(data: dict[str, Any]) -> Scenario:
     """ScenarioError with the first fault."""
     _unknown(data, Scenario, "")
-    for key, kind in (("servers", Servers), ("faults", Fault)):
+    for key, kind in (("servers", Servers), ("faults", Fault), ("classes", Class), ("tenants", Tenant)):
         for n, row in enumerate(data.get(key) or ()):
             if isinstance(row, dict):
                 _unknown(row, kind, f"{key}[{n}].")
@@ -159,7 +191,8 @@
     span, warm = time_ms(it.span, "span"), time_ms(it.warm, "warm")
     if not 0.0 <= warm < span <= UNITS["h"]:
         raise ScenarioError(f"span: {it.span} with {it.warm} of warm is no play of up to 1h")
-    for key in ("network", "aim", "deadline", "cold", "client_wait"):
+    _check_traffic(it)
+    for key in ("network", "aim", "deadline", "cold", "client_wait", "crossing"):
         time_ms(getattr(it, key), key)
     for key, low, high in (
         ("load", 0.0, 10.0),
@@ -219,6 +252,29 @@
     return found
 
 
+def _check_traffic(it: Scenario) -> None:
+    for key, rows in (("classes", it.classes), ("tenants", it.tenants)):
+        names = [row.name for row in rows]
+        if len(set(names)) < len(names) or len(names) > 64:
+            raise ScenarioError(f"{key}: up to 64, each with a name of its own")
+    for n, cls in enumerate(it.classes):
+        for key in ("aim", "deadline"):
+            if getattr(cls, key):
+                time_ms(getattr(cls, key), f"classes[{n}].{key}")
+        if min(cls.share, cls.worth, cls.work) <= 0.0:
+            raise ScenarioError(f"classes[{n}]: share, worth and work are above 0")
+    if any(row.share <= 0.0 or row.asks < 0.0 for row in it.tenants):
+        raise ScenarioError("tenants: shares are above 0, and what they ask is not below it")
+    before = -1.0
+    for n, (at, times) in enumerate(it.profile):
+        now = time_ms(at, f"profile[{n}]")
+        if now <= before or not 0.0 <= times <= 100.0:
+            raise ScenarioError(f"profile[{n}]: times go up, and the load is from 0 to 100 of it")
+        before = now
+    if it.crossing_price < 0.0:
+        raise ScenarioError("crossing_price: is not below 0")
+
+
 def read(text: str, fetch: Callable[[str], tuple[str, str]] | None = None) -> Scenario:
     """`fetch` takes the name of a file beside the scenario's to its whole path and its text."""
     try:
@@ -250,7 +306,7 @@
     base = msgspec.to_builtins(scenario)
     keys = list(scenario.sweep)
     for key in keys:
-        if key not in base or key in ("sweep", "recorded", "digest", "servers", "faults", "name", "seeds"):
+        if key not in base or key in FIXED:
             raise ScenarioError(f"sweep.{key}: can't be swept")
         if not scenario.sweep[key]:
             raise ScenarioError(f"sweep.{key}: has no values")
--- a/larkweir/logs/lines.py
+++ b/larkweir/logs/lines.py
@@ -1,4 +1,4 @@
-"""Hands: the log as lines of JSON, made by structlog and written as the journal writes: bounded, and never waited for."""
+"""Hands: the log as lines of JSON, made by structlog and written as the journal writes: bounded, never waited for."""
 
 from __future__ import annotations
 
@@ -25,8 +25,8 @@
 
 
 class JsonJournal(Journal):
-    """Each line an object: `at` (UTC), `mono_ms` (the clock that other times are of), `v`, `name`, `event`, and what the
-    event has. Lines of requests have a bound of their own, so that they crowd no other out.
+    """Each line an object: `at` (UTC), `mono_ms` (the clock that other times are of), `v`, `name`, `event`, and what
+    the event has. Lines of requests have a bound of their own, so that they crowd no other out.
     """
 
     LONGEST = 4_000  # bytes of a line: a pipe takes it in one piece (pipe(7), PIPE_BUF)
@@ -62,7 +62,9 @@
             return
         self._tokens -= 1.0
         if self._untold:
-            fields = fields | {"untold": self._untold}  # requests of the same draw, since the last that was told
+            fields = fields | {
+                "untold": self._untold
+            }  # requests of the same draw, since the last that was told
             self._untold = 0
         self._emit(event, fields)
 
--- a/larkweir/logs/watch.py
+++ b/larkweir/logs/watch.py
@@ -1,8 +1,8 @@
 """Rules: what a log tells of requests and upstreams, seen from where the decisions stand.
 
 Every event goes through here to the decisions and every action comes back, unchanged. A part of the requests is told
-when they end, drawn by their ids, so that all tiers and copies tell the same ones. Changes of upstreams are told always.
-Nothing here does input or output or reads a clock. Times are milliseconds.
+when they end, drawn by their ids, so that all tiers and copies tell the same ones. Changes of upstreams are told
+always. Nothing here does input or output or reads a clock. Times are milliseconds.
 
 The fields that lines have are a promise (`docs/operators/logs.md`): one may be added, none changes its meaning.
 """
@@ -45,7 +45,9 @@
         self.at_ms = at_ms
         self.due_ms = due_ms
         self.fields = fields
-        self.attempts: list[list[Any]] = []  # upstream, after so long, for so long, how it ended, own calls it found
+        self.attempts: list[
+            list[Any]
+        ] = []  # upstream, after so long, for so long, how it ended, own calls it found
         self.out = 0
 
 
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -213,7 +213,9 @@
     )
 
     async def work() -> int:
-        process = await asyncio.create_subprocess_exec(sys.executable, "-c", code, cwd=Path(__file__).parents[2])
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", code, cwd=Path(__file__).parents[2]
+        )
         return await process.wait()
 
     assert asyncio.run(work()) == 0
