--- a/larkweir/lab/report.py
+++ b/larkweir/lab/report.py
@@ -21,6 +21,8 @@
     "refused",
     "attempts",
     "last_calls",
+    "worth",
+    "crossed",
     "mean_ms",
     "p50",
     "p99",
@@ -28,6 +30,8 @@
     "busiest",
 )
 BETTER = {
+    "worth": 1,
+    "crossed": -1,
     "in_time": 1,
     "served": 1,
     "refused": -1,
