--- a/larkweir/lab/model.py
+++ b/larkweir/lab/model.py
@@ -136,6 +136,8 @@
         self.zone = 0
         self.tier = self.kind = 0  # its kind is the row that it is of, as discovery tells machine types
         self.below: Any = None  # its balancer before the next tier, if there is one
+        self.holds, self.calls_below = True, 1.0
+        self.away: list[Call] = []  # that wait for the next tier and hold no slot
         self.calls = 0
         self.work_ms = 0.0
         self._lately: dict[int, float] = {}  # mean time of late, by how many were there before
@@ -194,18 +196,34 @@
         if self.stalled:  # it goes on when the stall is over
             self.world.after(1.0, lambda: self._finish(call))
             return
-        if self.below is not None:
-            self.world.call_below(self, call, lambda good: self._returned(call, good))
-            return
-        self.running.remove(call)
-        self._served(call)
+        if self.below is None:
+            self.running.remove(call)
+            self._served(call)
+        else:
+            if not self.holds:
+                self.running.remove(call)
+                self.away.append(call)
+            more = int(self.calls_below) + (self.rng.random() < self.calls_below % 1.0)
+            self._ask_below(call, more)
         self._go_on()
 
+    def _ask_below(self, call: Call, more: int) -> None:
+        """So many calls of the next tier, one after another."""
+        if more:
+            self.world.call_below(
+                self,
+                call,
+                lambda good: self._ask_below(call, more - 1) if good else self._returned(call, False),
+            )
+        else:
+            self._returned(call, True)
+
     def _returned(self, call: Call, good: bool) -> None:
-        """The tier below has answered for a call that has kept its slot meanwhile."""
-        if call not in self.running:
+        """The tier below has answered for a call."""
+        place = self.running if self.holds else self.away
+        if call not in place:
             return  # it crashed meanwhile
-        self.running.remove(call)
+        place.remove(call)
         if good:
             self._served(call)
         else:
@@ -255,7 +273,8 @@
 
     def crash(self) -> None:
         self.dead = True
-        lost, self.running, self.waiting = [*self.running, *self.waiting], [], deque()
+        lost = [*self.running, *self.away, *self.waiting]
+        self.running, self.away, self.waiting = [], [], deque()
         self._token += 1
         for call in lost:
             if not call.done:
@@ -445,6 +464,7 @@
                     )
                 )
                 self.servers[-1].tier, self.servers[-1].kind = row.tier, kind
+                self.servers[-1].holds, self.servers[-1].calls_below = row.holds, row.calls
                 self.servers[-1].zone = self.zone_names.index(row.zone)
                 self.zones.append(row.zone)
                 slots = 1 if row.discipline == "shared" else row.slots
--- a/larkweir/lab/scenario.py
+++ b/larkweir/lab/scenario.py
@@ -84,6 +84,8 @@
     tier: int = (
         0  # 0 is what clients reach; each calls the next one when its own work is done, and keeps its slot
     )
+    holds: bool = True  # its slot, while it waits for the next tier
+    calls: float = 1.0  # of the next tier, one after another, in the mean
     discipline: Literal["fifo", "shared"] = "fifo"  # in order, or all at once with the speed shared
 
 
@@ -213,6 +215,8 @@
         service_of(row.service, f"servers[{n}].service")
         if row.count < 1 or row.count > 10_000 or row.slots < 1 or row.speed <= 0.0 or row.queue < 0:
             raise ScenarioError(f"servers[{n}]: count, slots and speed are above 0")
+    if any(not 0.0 <= row.calls <= 100.0 for row in it.servers):
+        raise ScenarioError("servers: calls of the next tier are from 0 to 100")
     tiers = {row.tier for row in it.servers}
     if tiers != set(range(len(tiers))):
         raise ScenarioError(f"servers: tiers {sorted(tiers)}; the first is 0, and none is left out")
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -516,3 +516,26 @@
 def test_traffic_that_can_not_be_is_told(more: dict[str, Any], says: str) -> None:
     with pytest.raises(ScenarioError, match=says):
         made(**more)
+
+
+def test_a_server_that_holds_no_slot_bears_more_and_may_call_more_than_once() -> None:
+    rows = [{"count": 2, "slots": 2, "service": "deterministic 10ms"}]
+    rows += [{"count": 4, "slots": 8, "tier": 1, "service": "deterministic 40ms"}]
+    base = {
+        "servers": rows,
+        "balancers": 2,
+        "span": "4s",
+        "warm": "1s",
+        "load": 0.5,
+        "policy": "jsq",
+        "aim": "200ms",
+    }
+    held = play(made(**base), 1)
+    rows[0] |= {"holds": False, "calls": 1.5}
+    free = play(made(**base), 1)
+    assert (
+        held["in_time"] < 0.5 < 0.95 < free["in_time"]
+    )  # 100 calls a second with slots held for 50 ms, 200 asked
+    assert free["last_calls"] == pytest.approx(1.5, abs=0.1)
+    crash = [{"kind": "crash", "server": 0, "at": "2s"}]
+    assert 0.3 < play(made(**base, faults=crash), 1)["in_time"] <= 1.0
