Storms in the lab's model, and completion for shells

Change: Real wraps the decisions in larkweir.storms.watch as the serving process does; advice and heeding clients; completion by shtab, in an extra of its own, imported where it is asked for.

Not taken: argcomplete (runs the program at each key press). Result: an outage of all servers with clients that try five times plays and recovers with storms on and off; scripts for bash and zsh name every command.

--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -45,6 +45,8 @@
         if options.action == "replay":
             return lab.replay(options.logs, options.out, options.part, options.slots)
         return lab.report(options.store, options.html, options.csv, options.scenario, options.against)
+    if options.command == "completion":
+        return _completion(options.shell)
     if options.command == "load":
         from larkweir.cli import lab  # not imported where nothing is played
 
@@ -69,6 +71,16 @@
     return run(getattr(options, "operator", None), arguments)
 
 
+def _completion(shell: str) -> int:
+    try:
+        import shtab
+    except ImportError:
+        print("completion: needs more than the balancer does; install larkweir[completion]", file=sys.stderr)
+        return USAGE
+    print(shtab.complete(_parser(), shell))
+    return 0
+
+
 def _check(options: argparse.Namespace) -> int:
     """The files by their kinds: JSON of the platform, TOML, and the configuration language for all others."""
     from larkweir.cli.check import check, diff
@@ -231,6 +243,12 @@
     load.add_argument("--class", dest="cls", default="consulta", help="of the requests (default consulta)")
     load.add_argument("--path", default="/api", help="that is asked for (default /api)")
     load.add_argument("--seeds", type=int, default=1, help="plays, one after another (default 1)")
+    completion = commands.add_parser(
+        "completion",
+        help="a script that completes commands in a shell",
+        description="Print it. For bash: source <(python -m larkweir completion bash). Needs the extra `completion`.",
+    )
+    completion.add_argument("shell", choices=("bash", "zsh", "tcsh"))
     commands.add_parser("schema", help="print a JSON schema of the operator file, for editors")
     demo = commands.add_parser(
         "demo",
--- a/larkweir/lab/emulate.py
+++ b/larkweir/lab/emulate.py
@@ -159,9 +159,14 @@
             )
         if it.classes or it.tenants or it.profile or time_ms(it.crossing, "crossing"):
             raise EmulationError("classes, tenants, profiles and crossings are played by the model alone")
-        if it.budget or it.client_tries > 1 or any(fault.kind in ("deploy", "fail") for fault in it.faults):
+        if (
+            it.storms
+            or it.budget
+            or it.client_tries > 1
+            or any(fault.kind in ("deploy", "fail") for fault in it.faults)
+        ):
             raise EmulationError(
-                "budgets, clients that try again, deploys and failing servers are for the model alone"
+                "storms, budgets, clients that try again, deploys and failing servers are for the model alone"
             )
         for server in self.servers:
             await server.start()
--- a/larkweir/lab/model.py
+++ b/larkweir/lab/model.py
@@ -18,8 +18,11 @@
 from hdrh.histogram import HdrHistogram
 
 from larkweir.budget.rules import SHARES, Account
+from larkweir.core.ports import Decisions
 from larkweir.lab.policies import POLICIES, Policy
 from larkweir.lab.scenario import Class, Scenario, Service, service_of, time_ms
+from larkweir.storms.storm import Storm
+from larkweir.storms.watch import Watch
 from mulleinhitch import Balancer
 from mulleinhitch.interface import (
     NEVER_RAN,
@@ -42,6 +45,7 @@
     TimerFired,
 )
 
+STORM_TICK_MS = 250.0  # a storm passes also where nothing comes
 BUCKET_MS = 250.0  # of the time line
 MOST_WAITING = 200_000  # calls in the whole world: past that it is unstable, and the play ends and says so
 DRAIN_MS, DOWN_MS = 1_000.0, 1_000.0  # of a deploy: a server takes nothing new, and is not there
@@ -311,14 +315,27 @@
             tier=tier,
             tiers=world.tiers,
             max_attempts=scenario.attempts,
+            retry_advice=world.advice_ms > 0.0,
+            max_retry_after_ms=world.advice_ms,
             cold_share=scenario.cold_share,
             cold_ms=world.cold_ms,
         )
         self.decisions = Balancer(settings, world.seed * 100_003 + me + tier * 50_021)
         self._sent: dict[int, int] = {}
+        self._ears: Decisions = self.decisions
+        if scenario.storms and not tier:
+            storm = Storm(settings, world.seed * 7_919 + me)
+            watch = Watch(self.decisions, storm, lambda request: world.clients.get(request, 0) + 1)
+            self._ears = watch
+
+            def tick() -> None:
+                watch.tick(world.now)
+                world.after(STORM_TICK_MS, tick)
+
+            world.after(STORM_TICK_MS, tick)
 
     def tell(self, event: Event) -> None:
-        for action in self.decisions.handle(self.world.now, event):
+        for action in self._ears.handle(self.world.now, event):
             self._act(action)
 
     def list(self, up: list[int]) -> None:
@@ -438,6 +455,8 @@
         self.by_class = {row.name: [0, 0] for row in self.classes}  # asked, in time
         self.by_tenant = {row.name: [0, 0] for row in scenario.tenants}
         self.zone_names = sorted({row.zone for row in scenario.servers})
+        self.advice_ms = time_ms(scenario.advice, "advice")
+        self.clients: dict[int, int] = {}  # by request that is open: the client's first try
         self._crossing = time_ms(scenario.crossing, "crossing")
         self._profile = [(time_ms(at, "profile"), times) for at, times in scenario.profile]
         self.cold_ms, self.cold_share = time_ms(scenario.cold, "cold"), scenario.cold_share
@@ -589,10 +608,11 @@
             self.accounts[request] = Account(budget, tier == self.tiers - 1, SHARES["most"])
         return request
 
-    def _ask_again(self, began: float, tries: int, kind: tuple[int, int]) -> None:
+    def _ask_again(self, began: float, tries: int, kind: tuple[int, int], client: int) -> None:
         """The client of a request that was not served tries once more, as a new one, at any balancer."""
         request = self._new(self.scenario.budget)
         self._began[request], self._tries[request], self.kinds[request] = began, tries, kind
+        self.clients[request] = client
         self.due[request] = self.now + self.aims[kind[0]]
         self.balancers[int(self._ears.random() * len(self.balancers))].arrive(
             request, self.deadlines[kind[0]]
@@ -695,8 +715,8 @@
             began, tries = self._began[request], self._tries.get(request, 0) + 1
             if tries < self.scenario.client_tries:
                 pause = max(self._client_wait, wait_ms if self.scenario.client_heeds else 0.0)
-                kind = self.kinds[request]
-                self.after(pause, lambda: self._ask_again(began, tries, kind))
+                kind, client = self.kinds[request], self.clients.get(request, request)
+                self.after(pause, lambda: self._ask_again(began, tries, kind, client))
             else:
                 self._count("refused", request)
             self._forget(request)
@@ -704,6 +724,7 @@
     def _forget(self, request: int) -> None:
         self._began.pop(request, None)
         self.kinds.pop(request, None)
+        self.clients.pop(request, None)
         self._ran.pop(request, None)
         self._tries.pop(request, None)
         self.due.pop(request, None)
--- a/larkweir/lab/scenario.py
+++ b/larkweir/lab/scenario.py
@@ -155,6 +155,10 @@
     )
     client_tries: int = 1  # by clients themselves, of a request that was not served
     client_wait: str = "0ms"  # between two of them
+    advice: str = (
+        "0ms"  # a refusal tells a client to come back after so long at the most; 0: it tells nothing
+    )
+    storms: bool = False  # whether larkweir's part for storms after an outage is on
     client_heeds: bool = False  # a client waits for as long as a refusal says
     recorded: str = (
         ""  # a file of arrivals, beside the scenario's: a line each, milliseconds and the balancer
@@ -196,7 +200,7 @@
     if not 0.0 <= warm < span <= UNITS["h"]:
         raise ScenarioError(f"span: {it.span} with {it.warm} of warm is no play of up to 1h")
     _check_traffic(it)
-    for key in ("network", "aim", "deadline", "cold", "client_wait", "crossing"):
+    for key in ("network", "aim", "deadline", "cold", "client_wait", "crossing", "advice"):
         time_ms(getattr(it, key), key)
     for key, low, high in (
         ("load", 0.0, 10.0),
--- a/tests/lab/test_lab.py
+++ b/tests/lab/test_lab.py
@@ -539,3 +539,17 @@
     assert free["last_calls"] == pytest.approx(1.5, abs=0.1)
     crash = [{"kind": "crash", "server": 0, "at": "2s"}]
     assert 0.3 < play(made(**base, faults=crash), 1)["in_time"] <= 1.0
+
+
+def test_the_part_for_storms_plays_and_its_word_brings_clients_back_later() -> None:
+    outage = [{"kind": "crash", "part": 1.0, "at": "1s", "until": "3s"}]
+    rows = [{"count": 4, "slots": 2, "service": "exponential 80ms"}]
+    base = {"servers": rows, "balancers": 3, "span": "12s", "warm": "0s", "load": 0.6}
+    base |= {"client_tries": 5, "client_wait": "20ms", "client_heeds": True, "advice": "2s", "faults": outage}
+    base |= {"aim": "1s", "deadline": "2s", "cold": "3s", "cold_share": 0.2}
+    on, off = play(made(**base, storms=True), 1), play(made(**base), 1)
+    assert on == play(made(**base, storms=True), 1) and on != off
+    for result in (on, off):
+        assert result["attempts"] < 2.0 and not result["unstable"]
+        late = result["line"][40:48]
+        assert sum(row[1] for row in late) / sum(row[0] for row in late) > 0.9
--- a/tests/lab/test_replay.py
+++ b/tests/lab/test_replay.py
@@ -150,3 +150,10 @@
     (tmp_path / "again.arrivals").write_text("spoilt\n")
     assert main(["lab", "run", target + ".toml", "--store", store]) == 2
     assert main(["lab", "replay", str(tmp_path / "none.log")]) == 2
+
+
+@pytest.mark.parametrize("shell", ["bash", "zsh"])
+def test_a_shell_is_told_the_commands(shell: str, capsys: Any) -> None:
+    assert main(["completion", shell]) == 0
+    said = capsys.readouterr().out
+    assert "replay" in said and "--protocol" in said and "fastcgi" in said
