--- a/larkweir/lab/model.py
+++ b/larkweir/lab/model.py
@@ -441,8 +441,6 @@
         self.now = 0.0
         self.span_ms = time_ms(scenario.span, "span")
         self.warm_ms = time_ms(scenario.warm, "warm")
-        self.aim_ms = time_ms(scenario.aim, "aim")
-        self.deadline_ms = time_ms(scenario.deadline, "deadline")
         self.classes = scenario.classes or (Class("look"),)
         self.aims = [time_ms(row.aim or scenario.aim, "aim") for row in self.classes]
         self.deadlines = [time_ms(row.deadline or scenario.deadline, "deadline") for row in self.classes]
