Read once more: what calling off, pauses and the slope cost is taken off the way of requests

Cause, by reading the whole difference: Scheduler.cancel looked through all due tasks, so that a drain of 10,000 took their square; the longest pause was worked out from all classes at each answer of a slow server; the slope of size was learned also where no hint comes.

--- a/larkweir/background/rules.py
+++ b/larkweir/background/rules.py
@@ -102,11 +102,8 @@
         if entry is None:
             return
         entry.gone = True
-        if entry in self._ready:
-            self._ready.remove(entry)
-        elif (
-            len(self._later) > 2 * len(self._entries) + self.LEFT
-        ):  # guards against a heap of what was called off
+        # Guards against a heap of what was called off.
+        if len(self._later) > 2 * len(self._entries) + self.LEFT:
             self._later = [item for item in self._later if not item[2].gone]
             heapify(self._later)
 
@@ -136,6 +133,8 @@
             if not entry.gone and entry.queued == due:
                 entry.queued = inf
                 self._ready.append(entry)
+        if any(entry.gone for entry in self._ready):
+            self._ready = [entry for entry in self._ready if not entry.gone]
 
     def _allowed(self, entry: _Entry, now_ms: float) -> bool:
         """Whether its own budget lets it run."""
@@ -226,4 +225,4 @@
     @property
     def waiting(self) -> int:
         """Tasks that are due."""
-        return len(self._ready)
+        return sum(not entry.gone for entry in self._ready)
--- a/mulleinhitch/admission.py
+++ b/mulleinhitch/admission.py
@@ -307,7 +307,8 @@
         if outcome in UNTELLING or outcome is Outcome.CONNECT_FAILED:
             return
         if outcome is Outcome.OK:
-            self._learn_slope(class_index, spent_ms, size)
+            if size != 1.0:  # without a hint there is nothing to learn of the slope
+                self._learn_slope(class_index, spent_ms, size)
             self.mean[class_index] += self.MEMORY * (spent_ms - self.mean[class_index])
             self._known[class_index] += self._known[class_index] < self.SURE
         if self.counts:
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -185,6 +185,8 @@
     price_waste: float = 0.0
     price_late_fail: float = 0.0
     tuning: Tuning = field(default_factory=Tuning)
+    # A server is kept from calls for so long at the most: as long as a start takes, or as a request may. Derived.
+    longest_ms: float = field(init=False, default=0.0)
 
     def __post_init__(self) -> None:
         if not self.classes:
@@ -208,6 +210,8 @@
         _check("", "cold_share", self.cold_share, 0.0, 1.0)
         if self.my_zone >= self.zones:
             raise SettingsError(f"my_zone: {self.my_zone!r} is not below the number of zones, {self.zones}")
+        longest = max(self.cold_ms, *(cls.deadline_ms for cls in self.classes))
+        object.__setattr__(self, "longest_ms", longest)
 
 
 # Events: what the caller tells the module.
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -630,11 +630,6 @@
             Reconfigured: self._on_reconfigured,
         }
 
-    @property
-    def _longest_ms(self) -> float:
-        """A server is kept from calls for as long as a start takes at the most, or as a request may."""
-        return max(self.settings.cold_ms, *(cls.deadline_ms for cls in self.settings.classes))
-
     @staticmethod
     def _shares(settings: Settings) -> list[float]:
         total = sum(tenant.quota_per_s for tenant in settings.tenants) or 1.0
@@ -985,7 +980,7 @@
             # it. One failure is enough: others are drawn meanwhile; if all of them fail it changes nothing.
             times = server.shunned.get(at, (0, 0.0))[0]
             span = self._pause_ms * self.fleet.ready_count * 2.0 ** min(times + 1, 16)
-            span = min(self._longest_ms, span) * (0.5 + self.rng.random())
+            span = min(self.settings.longest_ms, span) * (0.5 + self.rng.random())
             server.shunned[at] = (times + 1, self.now + span)
         server.strikes += 1
         # Guards against the fast failure, whose token would be back first; one that took its time attracts nobody.
@@ -1005,7 +1000,7 @@
             # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
             span = max(self._latency[request.class_index], self._pause_ms * ready)
             span *= 2.0 ** min(server.ejections, 16)
-            span = min(self._longest_ms, span) * (0.5 + self.rng.random())
+            span = min(self.settings.longest_ms, span) * (0.5 + self.rng.random())
             self.fleet.eject(server, self.now + span)
 
     def _pace(self, server: Server, ratio: float) -> None:
@@ -1029,7 +1024,7 @@
         beyond = server.slowness - self.ORDINARY
         if beyond > 0.0:
             visit = self._pause_ms * self.fleet.ready_count
-            self.fleet.withhold(server, self.now + min(self._longest_ms, self.PACE * beyond * visit))
+            self.fleet.withhold(server, self.now + min(self.settings.longest_ms, self.PACE * beyond * visit))
 
     # ------------------------------------------------ shedding: the first tier, over-share traffic first
 
