A begun answer is timed by what its caller's system acknowledges, up to its last byte

So the end of the answer was handed over, and callers._check_unread then timed the connection as one whose short answer is unread (UNREAD_MS where _out is None), by the length of this process's buffer, which the system moves once in 10 s or 20 s at 64 kB/s. _linger_over had the same witness and 1 s, FastCGI's check 2 s from a full buffer on, read or not. Ruled out by the same lines: the upstream's side, a drain, newcomers, memory.

Change: protocols/delivery.py tells what each caller's system has acknowledged (SIOCOUTQ) and says in the log why an answer is cut; core/taking.py holds the rule. A stop of this process counts for 0.5 s; an upstream whose bytes wait unread is not given up; connections with bytes in this process are not closed for newcomers.

--- a/larkweir/core/stream.py
+++ b/larkweir/core/stream.py
@@ -40,6 +40,7 @@
         "size",
         "taken",
         "whole",
+        "why",
     )
 
     def __init__(self, length: int | None, most: int) -> None:
@@ -51,6 +52,7 @@
         self.taken = False  # the sink has had some of it
         self.whole = False
         self.failed = False
+        self.why = ""  # it failed, in words for the log
         self._hold: Callable[[bool], None] | None = None  # what the producer gave by `steer`
         self.on_end: Callable[[bool], None] | None = None  # told once whether it came whole
         self._pieces: list[bytes] = []
@@ -93,10 +95,11 @@
             if self._sink is not None:
                 self._sink.finished()
 
-    def fail(self) -> None:
+    def fail(self, why: str = "") -> None:
         """The rest will never come."""
         if not self.over:
             self.failed = True
+            self.why = why
             self._drop()
             self._ended()
             if self._sink is not None:
--- /dev/null
+++ b/larkweir/core/taking.py
@@ -0,0 +1,47 @@
+"""Rules: whether a peer still takes what it is sent, by what its system has acknowledged."""
+
+from __future__ import annotations
+
+
+class Taking:
+    """How long a peer has taken nothing, as far as this process was there to see it.
+
+    What waits in this process's own buffer is a poor witness: the system wants a third of its buffer free before it
+    takes more, so a reader of 64 kB/s behind some megabytes moves it once in 10 s or 20 s. What the peer's system has
+    acknowledged (SIOCOUTQ, tcp(7)) moves as it reads.
+    """
+
+    MOST_STEP_MS = (
+        500.0  # counted between two looks: guards against taking a standstill of ours for the peer's
+    )
+
+    __slots__ = ("_looked_ms", "_taken", "long_to", "silent_ms", "written")
+
+    def __init__(self) -> None:
+        self.written = 0  # bytes, since the connection came up
+        self.long_to = 0  # of these, up to the end of the last long answer
+        self.silent_ms = 0.0
+        self._taken = 0
+        self._looked_ms: float | None = None
+
+    def look(self, left: int, now_ms: float) -> float:
+        """`left`: bytes written that the peer's system has not acknowledged. For how many milliseconds it has taken
+        nothing, though there was something to take.
+        """
+        taken = self.written - left
+        before, self._looked_ms = self._looked_ms, now_ms
+        if taken != self._taken or left <= 0 or before is None:
+            self._taken = taken
+            self.silent_ms = 0.0
+        else:
+            self.silent_ms += max(0.0, min(now_ms - before, self.MOST_STEP_MS))
+        return self.silent_ms
+
+    def rest(self) -> None:
+        """Nothing was looked at meanwhile: the next look begins anew."""
+        self._looked_ms = None
+
+    @property
+    def in_long(self) -> bool:
+        """Whether a part of a long answer was still to be taken at the last look."""
+        return self._taken < self.long_to
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -589,6 +589,7 @@
             self._berth.close()
         if self._control is not None:
             self._control.close()
+        self.node.listener.cut("this process ends")
         self.node.close()
         self.node.listener.stop_accepting()
         if self._notifier is not None:
--- /dev/null
+++ b/larkweir/protocols/delivery.py
@@ -0,0 +1,102 @@
+"""Hands: what is written to a caller: whether its system takes it, and a word in the log where an answer is cut."""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import sys
+import termios
+from collections.abc import Callable
+
+from larkweir.core.stream import Stream
+from larkweir.core.taking import Taking
+
+
+def unacknowledged(transport: asyncio.Transport) -> int:
+    """Bytes written that the peer's system has not acknowledged, those in this process's buffer with them; these alone
+    where the system does not tell the others (SIOCOUTQ, tcp(7)).
+    """
+    waiting = transport.get_write_buffer_size()
+    try:
+        raw = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError, AttributeError):
+        return waiting
+    return waiting + max(0, int.from_bytes(raw, sys.byteorder, signed=True))
+
+
+class Delivery:
+    """What one caller's connection has been given. A long answer is one that goes out in pieces, or is as long."""
+
+    UNREAD_MS = 2_000.0  # without a byte taken of what was written
+    STALL_MS = 15_000.0  # the same up to the end of a long answer
+
+    __slots__ = ("_piece_ms", "_say", "_stream", "_taking", "transport")
+
+    def __init__(self, say: Callable[[str], None]) -> None:
+        self.transport: asyncio.Transport | None = None
+        self._say = say
+        self._taking = Taking()
+        self._stream: Stream | None = (
+            None  # of the last long answer, until it is read whole or its end is told
+        )
+        self._piece_ms = 0.0
+
+    def write(self, data: bytes) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.write(data)
+            self._taking.written += len(data)
+
+    @property
+    def unsent(self) -> int:
+        """Bytes that are lost if the connection is closed now."""
+        return self.transport.get_write_buffer_size() if self.transport is not None else 0
+
+    def begin(self, stream: Stream) -> None:
+        """A long answer begins."""
+        self._stream = stream
+
+    def came(self, now_ms: float) -> None:
+        """A piece of it has come."""
+        self._piece_ms = now_ms
+
+    def long_over(self) -> None:
+        """What is written by now ends a long answer."""
+        self._taking.long_to = self._taking.written
+
+    def rest(self) -> None:
+        """Nobody has looked for a while, since nothing was waiting: what is waiting now is timed from here."""
+        self._taking.rest()
+
+    def owed(self, now_ms: float) -> bool:
+        """Whether the caller's system is still to take something. If it has taken nothing for too long, that is told,
+        and the connection is aborted.
+        """
+        transport = self.transport
+        left = unacknowledged(transport) if transport is not None else 0
+        silent = self._taking.look(left, now_ms)
+        coming = self._stream is not None and not self._stream.over
+        if transport is None or not left:
+            if not coming:
+                self._stream = None
+            return False
+        if silent > (self.STALL_MS if coming or self._taking.in_long else self.UNREAD_MS):
+            self.cut(f"its caller has read nothing for {silent:.0f} ms", now_ms)
+            transport.abort()
+        return True
+
+    def cut(self, why: str, now_ms: float) -> None:
+        """Tell, once, that a long answer that had begun ends early, and what was under way each way."""
+        stream, self._stream = self._stream, None
+        if self.transport is None or (stream is None and not self._taking.in_long):
+            return
+        left = unacknowledged(self.transport)
+        if not left and (stream is None or stream.whole):
+            return
+        came = ""
+        if stream is not None:
+            of = "" if stream.length is None else f" of {stream.length}"
+            came = f"{stream.size}{of} bytes have come, the last {now_ms - self._piece_ms:.0f} ms ago; "
+        silent = self._taking.silent_ms
+        self._say(
+            f"a begun answer ends early: {why}; {came}{left} are not acknowledged, none for {silent:.0f} ms"
+        )
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -7,6 +7,7 @@
 
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
 from larkweir.core.stream import Stream
+from larkweir.protocols.delivery import Delivery
 from larkweir.protocols.fastcgi.serving import Bad, Serving, Whole
 from larkweir.protocols.listener import Listener, peer_of, waits
 
@@ -39,7 +40,8 @@
 
     MOST = 64  # requests open at a time
     FIRST_MS = 2_000.0  # from the accept, for the first request to come whole
-    PART_MS = 2_000.0  # for one that has begun to come whole, and for answers to be read
+    PART_MS = 2_000.0  # for one that has begun to come whole
+    LONG = 64 * 1024  # an answer over that is timed as one that goes out in pieces
     IDLE_MS = 60_000.0
     LINGER_MS = 1_000.0  # for the caller to read its last answers
     LINGER_BYTES = 256 * 1024  # read and dropped meanwhile; past that reading stops
@@ -56,6 +58,7 @@
         self._blocked = False  # the caller does not read its answers
         self._reading = False  # in the middle of what one read brought
         self._dropped = 0
+        self._delivery = Delivery(listener.engine.journal.line)
         self.ending = False  # nothing more is taken
         self.fresh = True  # no request has come whole
         self.since_ms = listener.engine.clock.now_ms()
@@ -64,7 +67,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclass of it.
-        self._transport = cast(asyncio.Transport, transport)
+        self._transport = self._delivery.transport = cast(asyncio.Transport, transport)
         if self.ending:  # made room for others while it was coming up
             self._transport.abort()
 
@@ -105,7 +108,7 @@
         self._gone()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
+        self._transport = self._delivery.transport = None
         self.ending = True
         self._gone()
         self._engine.room.book(self._held, 0)
@@ -114,7 +117,7 @@
 
     def pause_writing(self) -> None:
         self._blocked = True
-        self.since_ms = self._engine.clock.now_ms()
+        self._delivery.rest()
         if self._transport is not None and not self.ending:
             self._transport.pause_reading()  # guards against a caller that sends and never reads
 
@@ -161,8 +164,11 @@
         self.since_ms = self._engine.clock.now_ms()
         reason = REASONS.get(status, b"Status")
         self._serving.out += self._serving.answer(stream.id, status, reason, headers, body)
-        if not self._reading:
+        if not self._reading or len(body) > self.LONG:
             self._flush()
+        if len(body) > self.LONG:
+            self._delivery.long_over()
+        if not self._reading:
             self._book()
             self._after()
 
@@ -180,8 +186,8 @@
 
     def _flush(self) -> None:
         out, self._serving.out = self._serving.out, []
-        if out and self._transport is not None and not self._transport.is_closing():
-            self._transport.write(b"".join(out))
+        if out:
+            self._delivery.write(b"".join(out))
 
     def _after(self) -> None:
         """End it if its last answer is given; and tell the listener what it is now."""
@@ -223,16 +229,21 @@
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         return bool(self._streams) or self._serving.begun or self._blocked or unsent
 
+    @property
+    def unsent(self) -> int:
+        return self._delivery.unsent
+
     def check(self, now_ms: float) -> None:
         """End what has taken too long: parts of requests, answers unread, an idle stay."""
         spent = now_ms - self.since_ms
         if self.ending:
-            if spent > self.LINGER_MS:
+            if self._delivery.owed(now_ms):
+                self.since_ms = now_ms
+            elif spent > self.LINGER_MS:
                 self.abort()
             return
         if self._blocked:
-            if spent > self.PART_MS:
-                self.abort()
+            self._delivery.owed(now_ms)
             return
         late = [number for number, seen in self._parts.items() if now_ms - seen > self.PART_MS]
         still = set(self._serving.partial())
@@ -243,7 +254,8 @@
                 self._refuse(stream, Fault(408, "the request did not come whole in time"))
         if self.ending or self._streams or self._serving.partial():
             return
-        if spent > (self.FIRST_MS if self.fresh or self._serving.begun else self.IDLE_MS):
+        stay = self.FIRST_MS if self.fresh or self._serving.begun else self.IDLE_MS
+        if spent > stay and not self._delivery.owed(now_ms):
             self.abort()
 
     def wind_down(self, winding: bool = True) -> None:
@@ -265,3 +277,6 @@
         self.ending = True
         if self._transport is not None:
             self._transport.abort()
+
+    def cut(self, why: str) -> None:
+        self._delivery.cut(why, self._engine.clock.now_ms())
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -8,6 +8,7 @@
 
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
 from larkweir.core.stream import Stream
+from larkweir.protocols.delivery import Delivery
 from larkweir.protocols.http1.codec import (
     KEPT_BODY,
     LAST_CHUNK,
@@ -33,9 +34,9 @@
     PART_MS = 2_500.0
     RATE = 16.0  # bytes a millisecond that a body comes at, beside that, at the least
     IDLE_MS = 60_000.0
-    UNREAD_MS = 2_000.0  # for an answer to be read
-    STALL_MS = 15_000.0  # without a byte read of an answer in pieces, or taken of a body
-    # For the caller to read an answer, before what it still sends would reset it: without a byte, and in all.
+    STALL_MS = 15_000.0  # without a byte taken of a body
+    # For the caller to read an answer, before what it still sends would reset it: without a byte, and in all. They run
+    # from the moment when its system has the whole of it.
     LINGER_MS, LINGER_MOST_MS = 1_000.0, 6_000.0
     LINGER_BYTES = 96 * 1024 * 1024  # read and dropped meanwhile; past that reading stops
 
@@ -65,14 +66,14 @@
         self._out: Stream | None = None  # the body of the answer that goes out in pieces
         self._chunked = False  # so it is framed
         self._last = False  # it is the last of its connection
-        self._unsent = 0  # of it in the buffer, when last looked at
+        self._delivery = Delivery(listener.engine.journal.line)
         self._ended_ms = 0.0
 
     # Called by the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         # uvloop's transports are no subclass of it.
-        self._transport = cast(asyncio.Transport, transport)
+        self._transport = self._delivery.transport = cast(asyncio.Transport, transport)
         if self.ending:  # made room for others while it was coming up
             self._transport.abort()
 
@@ -111,7 +112,7 @@
         self._step()
         if reader.expects_continue and not self._continued and self._wants_body():
             self._continued = True
-            self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            self._delivery.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def _time_part(self, came: list[Message], begun: bool) -> None:
         """An unfinished request: its head is timed from its first byte, which later ones don't renew; its body from
@@ -171,7 +172,9 @@
         self._gone()
 
     def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = None
+        if self._out is not None:
+            self.cut(f"its caller is gone ({exc or 'closed'})")
+        self._transport = self._delivery.transport = None
         self.ending = True
         self._out = None
         self._gone()
@@ -183,7 +186,7 @@
 
     def pause_writing(self) -> None:
         self._blocked = True
-        self.since_ms = self._engine.clock.now_ms()
+        self._delivery.rest()
         if self._out is not None:
             self._out.sink_holds(True)
 
@@ -234,14 +237,17 @@
         unsent = self._transport is not None and self._transport.get_write_buffer_size() > 0
         return not self.idle or self.begun or unsent
 
+    @property
+    def unsent(self) -> int:
+        return self._delivery.unsent
+
     def check(self, now_ms: float) -> None:
         """End what has taken too long: a first request, a part of one, an answer unread, an idle stay."""
         spent = now_ms - self.since_ms
         if self.ending:
-            if spent > self.LINGER_MS or now_ms - self._ended_ms > self.LINGER_MOST_MS:
-                self._linger_over()
+            self._check_ending(now_ms)
         elif self._blocked:
-            self._check_unread(now_ms)
+            self._delivery.owed(now_ms)
         elif self._coming:
             if self._read_held:
                 if now_ms - self._fed_ms > self.STALL_MS:
@@ -253,7 +259,14 @@
         elif self.begun:
             if self._late_body(now_ms) if self._in_body else spent > self.PART_MS:
                 self._finish_with(LATE)
-        elif spent > (self.PART_MS if self.fresh else self.IDLE_MS):
+        elif spent > (self.PART_MS if self.fresh else self.IDLE_MS) and not self._delivery.owed(now_ms):
+            self.abort()
+
+    def _check_ending(self, now_ms: float) -> None:
+        """The last answer is given: the connection ends once its caller has had its time to read it."""
+        if self._delivery.owed(now_ms):
+            self.since_ms = self._ended_ms = now_ms
+        elif now_ms - self.since_ms > self.LINGER_MS or now_ms - self._ended_ms > self.LINGER_MOST_MS:
             self.abort()
 
     def _late_body(self, now_ms: float) -> bool:
@@ -262,22 +275,6 @@
             return True
         return now_ms - self.since_ms > self.PART_MS + self._reader.size / self.RATE
 
-    def _check_unread(self, now_ms: float) -> None:
-        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
-        if unsent != self._unsent:
-            self._unsent, self.since_ms = unsent, now_ms
-        elif now_ms - self.since_ms > (self.UNREAD_MS if self._out is None else self.STALL_MS):
-            self.abort()
-
-    def _linger_over(self) -> None:
-        """The caller has had its time to read the last answer, unless bytes of it are still on their way."""
-        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
-        if unsent and unsent != self._unsent:
-            self._unsent = unsent
-            self.since_ms = self._ended_ms = self._engine.clock.now_ms()
-        else:
-            self.abort()
-
     def _gone(self) -> None:
         self._drop_waiting()
         if self._number is not None:
@@ -330,7 +327,7 @@
         close = not message.keep_alive or self._listener.closing
         if message.stream is not None and not message.stream.whole:
             close = True  # what is still to come of its body is dropped
-        self._write(encode_response(status, headers, body, close))
+        self._delivery.write(encode_response(status, headers, body, close))
         self._answered(message, close)
 
     def _answered(self, message: Message, close: bool) -> None:
@@ -361,38 +358,42 @@
             headers = [*headers, (b"Connection", b"close")]
         first = b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))
         if stream.length is not None or self._chunked:
-            self._write(encode_head(first, headers, stream.length))
+            self._delivery.write(encode_head(first, headers, stream.length))
         else:
-            self._write(encode_head(first, headers, 0).replace(b"Content-Length: 0\r\n", b""))
+            self._delivery.write(encode_head(first, headers, 0).replace(b"Content-Length: 0\r\n", b""))
         self._out = stream
+        self._delivery.begin(stream)
         stream.attach(self, self._blocked)
 
     # Called by the body of an answer, as it comes.
 
     def piece(self, data: bytes) -> None:
-        self._write(chunk(data) if self._chunked else data)
+        self._delivery.came(self._engine.clock.now_ms())
+        self._delivery.write(chunk(data) if self._chunked else data)
 
     def finished(self) -> None:
         message, self._out = self._current, None
         if message is None:
             return
         if self._chunked:
-            self._write(LAST_CHUNK)
+            self._delivery.write(LAST_CHUNK)
+        self._delivery.long_over()
         self._answered(message, self._last or self._listener.closing)
 
     def broken(self) -> None:
         """Cut, so that the caller can tell: no last chunk, short of its length, or reset."""
+        if self._out is not None:
+            self.cut(self._out.why)
         self._out = None
         self.abort()
 
+    def cut(self, why: str) -> None:
+        self._delivery.cut(why, self._engine.clock.now_ms())
+
     @property
     def peer(self) -> str:
         return peer_of(self._transport)
 
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
-
     def wind_down(self, winding: bool = True) -> None:
         """Every answer is the last of its connection then."""
 
--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -63,15 +63,15 @@
             return 0
         return min(self._raw, MAX_HEAD) + (self._size if self._stream is None else self._stream.held)
 
-    def close(self) -> None:
-        """Nothing more is read, and what is held of an unfinished message is let go."""
+    def close(self, why: str = "") -> None:
+        """Nothing more is read, and what is held of an unfinished message is let go. `why`, for whoever takes it."""
         self._parser = None
         self._message = Message()
         self._parts = []
         self._done = []
         stream, self._stream = self._stream, None
         if stream is not None:
-            stream.fail()
+            stream.fail(why)
         self._size = self._raw = 0
 
     def feed(self, data: bytes) -> list[Message]:
@@ -101,7 +101,7 @@
         """Read no further: what follows is never parsed, and what came in part is of no use."""
         begun = self.begun
         self.fault = fault
-        self.close()
+        self.close(fault.text)
         self._raw = int(begun)
 
     @staticmethod
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -29,6 +29,7 @@
 
     SPILL_MS = 500.0  # an answer whose length nobody has said, and that has begun, is passed on as it is after so long
     STALL_MS = 15_000.0  # without a byte of an answer that is passed on: it is given up
+    AGAIN_MS = 250.0  # until the next look, where bytes of it wait in the system and are only not read yet
 
     def __init__(self, pool: Upstreams, upstream: Upstream) -> None:
         self._pool = pool
@@ -155,7 +156,10 @@
         left = self._fed_ms + self.STALL_MS - self._pool.clock.now_ms()
         if self._holding:  # whoever takes it is timed there
             left = self.STALL_MS
+        elif left <= 0.0 and self._poll.poll(0):
+            left = self.AGAIN_MS  # guards against taking a standstill of this process for the upstream's
         if left <= 0.0:
+            self._reader.close(f"its upstream sent nothing for {self.STALL_MS - left:.0f} ms")
             self.abort()
             call.broken()
         else:
@@ -196,6 +200,7 @@
                 self._go_on(call, False)
             elif answers:
                 self._take(call, answers)
+        self._reader.close("its upstream ended the connection before it was whole")
         self.abort()  # half-closed: no further answer comes, and nothing may be written to it
         if self._call is not None:
             self._call.broken()
@@ -205,7 +210,7 @@
         self._pool.closed(self)
         self._transport = None
         self._leave_body()
-        self._reader.close()
+        self._reader.close(f"its upstream's connection is lost ({exc or 'closed here'})")
         self._book(0)
         if self._call is not None:
             self._call.broken()
@@ -279,7 +284,7 @@
             self._call = None
             answer, self._answer = self._answer, None
             if answer is not None and answer.stream is not None:
-                answer.stream.fail()
+                answer.stream.fail("it was called off")
             self.abort()
 
     def usable(self) -> bool:
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -48,6 +48,10 @@
     @property
     def busy(self) -> bool: ...
 
+    @property
+    def unsent(self) -> int:
+        """Bytes of answers that are lost if it is closed now."""
+
     def quiet(self) -> bool: ...
 
     def check(self, now_ms: float) -> None: ...
@@ -59,6 +63,9 @@
 
     def abort(self) -> None: ...
 
+    def cut(self, why: str) -> None:
+        """It is about to end for that reason: to be told where an answer is cut by it."""
+
 
 class Listener:
     """The listening sockets and the connections that came by them."""
@@ -261,11 +268,12 @@
     def _make_room(self) -> bool:
         """Close a connection that has never sent a whole request, the oldest first, else one that has had its
         last answer, else the one idle for longest. Guards good callers against those that connect and say
-        nothing. One with bytes unread is left alone: closing it would cut a request off.
+        nothing. One with bytes unread, or with an answer not yet handed to the system, is left alone: closing it
+        would cut a request or an answer off.
         """
         for table in (self._fresh, self._leaving, self._idle):
             for connection in list(islice(table, self.LOOK)):
-                if connection.ending or connection.quiet():
+                if (connection.ending or connection.quiet()) and not connection.unsent:
                     connection.abort()
                     self.left(connection)  # now, not when the loop tells: the place is taken at once
                     return True
@@ -304,6 +312,11 @@
             if connection.quiet() and not connection.begun:
                 connection.end()
 
+    def cut(self, why: str) -> None:
+        """Whatever is still open ends now: tell which answers are cut by it."""
+        for connection in self._connections:
+            connection.cut(why)
+
     def go_on(self) -> None:
         """The end of connections was called off: those that are left take requests again."""
         for connection in list(self._connections):
--- a/tests/protocols/fastcgi/test_hard_cases.py
+++ b/tests/protocols/fastcgi/test_hard_cases.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -11,7 +12,10 @@
 import pytest
 
 from larkweir.config.options import Fastcgi
+from larkweir.core.taking import Taking
+from larkweir.protocols.delivery import Delivery
 from larkweir.protocols.fastcgi.callers import FastcgiCaller
+from larkweir.protocols.listener import Listener
 from mulleinhitch.interface import AttemptEnded, Outcome, RequestArrived, Send
 from standins import fastcgi as f
 from standins.peers import PATIENCE_S, Answer, Caller, FakeUpstream, Incoming, Talk, ok, request_bytes
@@ -768,7 +772,7 @@
 
 
 def test_a_caller_that_reads_nothing_holds_bounded_memory(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(FastcgiCaller, "PART_MS", 300.0)
+    monkeypatch.setattr(Delivery, "STALL_MS", 300.0)
 
     async def work() -> None:
         async def large(request: Incoming, talk: Talk) -> None:
@@ -787,6 +791,35 @@
     run(work())
 
 
+def test_a_caller_that_reads_slowly_has_its_long_answers_whole(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The system takes the rest from this process in steps further apart than the limits; then the connection ends."""
+    monkeypatch.setattr(Listener, "SWEEP_MS", 20.0)
+    monkeypatch.setattr(Taking, "MOST_STEP_MS", 40.0)
+    monkeypatch.setattr(FastcgiCaller, "PART_MS", 100.0)
+    monkeypatch.setattr(FastcgiCaller, "LINGER_MS", 100.0)
+    monkeypatch.setattr(Delivery, "STALL_MS", 300.0)
+
+    async def work() -> None:
+        async def large(request: Incoming, talk: Talk) -> None:
+            await talk.send(ok(b"x" * 900_000))
+
+        async with upstream_and(large, SHARED, Script([1])) as (upstream, balancer):
+            async with Many(balancer.port) as caller:
+                sock = caller.writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 64 * 1024)
+                for n in range(1, 5):
+                    caller.ask(n)
+                await until(lambda: len(upstream.seen) == 4)
+                balancer.listener.closing = True
+                got = 0
+                while part := await caller.reader.read(64 * 1024):
+                    got += len(part)
+                    await asyncio.sleep(0.03)
+                assert got > 4 * 900_000
+
+    run(work())
+
+
 def test_a_drain_with_ten_requests_open_on_one_connection() -> None:
     """Each has its one answer, then the connection ends; what is begun after that is turned away unseen."""
 
