--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -11,7 +11,7 @@
 from larkweir.config.options import Change, Operator, changed
 from larkweir.config.options import keep_fixed as keep_fixed_options
 from larkweir.config.platform import Config, ConfigError, decode_object, read_file, read_object
-from mulleinhitch.policy import fixed_difference
+from mulleinhitch.interface import fixed_difference
 
 
 class Generation(NamedTuple):
--- a/larkweir/logs/watch.py
+++ b/larkweir/logs/watch.py
@@ -74,7 +74,7 @@
     ) -> None:
         """`part` of the requests is told of; `trace_of` a request's id, `address_of` where an upstream listens."""
         self.decisions = decisions
-        self._servers = decisions.fleet.servers if isinstance(decisions, Balancer) else None
+        self._fleet = decisions.fleet if isinstance(decisions, Balancer) else None
         self._part = part
         self._trace_of = trace_of
         self._address_of = address_of
@@ -173,8 +173,8 @@
     # ------------------------------------------------ upstreams
 
     def _look(self, event: AttemptEnded) -> None:
-        server = self._servers.get(event.server) if self._servers is not None else None
-        if server is not None and server.ejected and event.server not in self._ejected:
+        fleet = self._fleet
+        if fleet and fleet.servers.get(event.server) in fleet.ejected and event.server not in self._ejected:
             self._ejected.add(event.server)
             self._say(
                 "upstream",
@@ -186,10 +186,9 @@
             )
 
     def _back(self) -> None:
-        assert self._servers is not None
+        assert self._fleet is not None
         for number in sorted(self._ejected):
-            server = self._servers.get(number)
-            if server is None or not server.ejected:
+            if self._fleet.servers.get(number) not in self._fleet.ejected:
                 self._ejected.discard(number)
                 self._say("upstream", {"upstream": self._address_of(number), "state": "back"})
 
--- a/larkweir/storms/watch.py
+++ b/larkweir/storms/watch.py
@@ -24,7 +24,6 @@
     Refuse,
     RequestArrived,
     Send,
-    ServerState,
 )
 
 
@@ -139,7 +138,7 @@
         ready = cold = 0
         share = 0.0
         for server in self.balancer.fleet.servers.values():
-            if server.state is ServerState.READY:
+            if server.ready:
                 ready += 1
                 if slow.is_cold(server, now_ms):
                     cold += 1
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -214,6 +214,17 @@
         object.__setattr__(self, "longest_ms", longest)
 
 
+# Numbers of zones and report values are places in these; the rest says who this copy is. Classes keep their places, to
+# which more may be added.
+FIXED = "zones my_zone me tier tiers tick_ms on_request_discovery may_probe report_mode report_fields".split()
+
+
+def fixed_difference(old: Settings, new: Settings) -> str:
+    """What two settings differ in that no balancer can change while it runs; empty if nothing."""
+    fewer = "fewer classes" if len(new.classes) < len(old.classes) else ""
+    return next((name for name in FIXED if getattr(old, name) != getattr(new, name)), fewer)
+
+
 # Events: what the caller tells the module.
 
 
--- /dev/null
+++ b/mulleinhitch/judging.py
@@ -0,0 +1,125 @@
+"""Rules: what the ends of calls tell of a server: whether it is left out for a while, and how often it is visited."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from random import Random
+
+from mulleinhitch.admission import UNTELLING, Limiter
+from mulleinhitch.callers import Callers
+from mulleinhitch.interface import NEVER_RAN, Outcome, Settings
+from mulleinhitch.legality import Attempt, Request
+from mulleinhitch.probing import Probes
+from mulleinhitch.servers import Fleet, Server
+
+
+@dataclass(slots=True)
+class Judge:
+    """Outlier ejection, and the pace of visits to slow servers: both keep tokens back."""
+
+    MEMORY = 1.0 / 32.0  # weight of a new sample in the running means
+    SLOWNESS_MEMORY = 0.25
+    ORDINARY = 1.0  # times the usual, up to which a server is not slow
+    SLOWEST = 8.0  # times the usual, as far as a single answer counts
+    PACE = 2.0  # visits for which a server of twice the ordinary time keeps no token
+
+    settings: Settings
+    rng: Random
+    fleet: Fleet
+    limiter: Limiter
+    callers: Callers
+    probes: Probes
+    fail_share: float = 0.1
+    served_ms: float = -1.0  # when the call was sent that is the newest of those served
+    kinds: dict[int, float] = field(default_factory=dict)  # times the usual that a kind of server takes
+    # The same of calls with no own call at the server before them, and with one or more.
+    behind: list[float] = field(default_factory=lambda: [1.0, 2.0])
+
+    def ended(
+        self, request: Request, attempt: Attempt, spent_ms: float, usual_ms: float, now_ms: float
+    ) -> None:
+        """A call has ended; `usual_ms`: what those of its class have taken so far."""
+        server, at = attempt.server, request.class_index
+        if attempt.outcome is not Outcome.OK:  # what ended early may have been given less than the usual time
+            early = attempt.outcome is Outcome.TIMEOUT and (spent_ms < usual_ms or self._own_queue(attempt))
+            if not early and attempt.outcome not in UNTELLING:
+                self._failed(attempt, at, spent_ms, now_ms)
+            return
+        server.silent = False
+        server.answered_ms = now_ms
+        self.served_ms = max(self.served_ms, attempt.sent_ms)
+        if spent_ms > self.settings.tuning.slow * usual_ms * max(1.0, request.size):
+            self._failed(attempt, at, spent_ms, now_ms)
+        else:
+            self.fail_share -= self.MEMORY * self.fail_share
+            server.strikes = server.ejections = 0
+            server.shunned.pop(at, None)
+        ratio = min(self.SLOWEST, spent_ms / (usual_ms * max(0.25, request.size)))
+        self.behind[attempt.ahead > 0] += 2.0 * self.MEMORY * (ratio - self.behind[attempt.ahead > 0])
+        self._pace(server, ratio, now_ms)
+
+    def _own_queue(self, attempt: Attempt) -> bool:
+        """Whether a call that came to nothing in time did so behind our own calls: its server has served others since,
+        or no server any call that was sent later. Guards against ejecting a tier that we have overfilled, server by
+        server, which would fill the rest the more.
+        """
+        late = attempt.server.answered_ms >= attempt.sent_ms or attempt.sent_ms >= self.served_ms
+        return attempt.ahead > 0 and late
+
+    def _failed(self, attempt: Attempt, at: int, spent_ms: float, now_ms: float) -> None:
+        """Outlier ejection: a run of failures withholds the token for a growing, bounded, jittered time.
+
+        One bad server is told from a bad tier by chance: the run must be one that the failure rate of all
+        servers together would give this one in fewer than `eject_odds` of cases, and at most `eject_most` of the ready
+        servers are ejected at once: guards against emptying a fleet that is slow as a whole.
+        """
+        self.fail_share += self.MEMORY * (1.0 - self.fail_share)
+        server, outcome, fleet, tuning = attempt.server, attempt.outcome, self.fleet, self.settings.tuning
+        visit = self.callers.pause_ms * fleet.ready_count  # from one of this copy's visits there to the next
+        latency = self.limiter.mean[at]
+        if outcome not in NEVER_RAN and outcome is not Outcome.OK:
+            # Guards against a server that fails one class and serves the others, whose successes would clear
+            # it. One failure is enough: others are drawn meanwhile; if all of them fail it changes nothing.
+            times = server.shunned.get(at, (0, 0.0))[0] + 1
+            server.shunned[at] = (times, now_ms + self._span(visit, times))
+        server.strikes += 1
+        # Guards against the fast failure, whose token would be back first; one that took its time attracts nobody.
+        pause = latency * (0.25 + 0.5 * self.rng.random()) - spent_ms
+        fleet.withhold(server, now_ms + pause)
+        # Of so many calls out, as many runs are looked at, and one is odd by chance: guards against ejecting servers
+        # that are well, in turn, which crowds the rest. One that gives no sign of life is not waited for so long.
+        runs = fleet.out if outcome is Outcome.ERROR or outcome is Outcome.RESET else 1
+        odds = self.fail_share**server.strikes * max(1, runs)
+        if odds < tuning.eject_odds and len(fleet.ejected) < tuning.eject_most * fleet.ready_count:
+            # Doubles with each ejection, not with each failure, which a bad tier gives to all.
+            if server.silent and not server.ejections:
+                self.limiter.lost_one(fleet.ready_count - len(fleet.ejected))
+            server.ejections += 1
+            fleet.ejected.add(server)
+            # A copy of low rate comes by seldom: less than the time between two visits would be no ejection.
+            fleet.withhold(server, now_ms + self._span(max(latency, visit), server.ejections))
+
+    def _span(self, first_ms: float, times: int) -> float:
+        """Doubled each time, with jitter."""
+        span = first_ms * 2.0 ** min(times, 16)
+        return min(self.settings.longest_ms, span) * (0.5 + self.rng.random())
+
+    def _pace(self, server: Server, ratio: float, now_ms: float) -> None:
+        """Keep a slower server's token back after its call, by how much slower than the usual it is.
+
+        Guards against slow kinds and servers that stay slow once crowded: a copy that comes by seldom always
+        finds its own calls there ended, so that even draws fill the slow ones. Only where no report tells
+        which server is idle. A tier that is slow as a whole is its own usual, so nothing is withheld then.
+        """
+        kind = self.kinds.get(server.kind, 1.0)
+        self.kinds[server.kind] = kind + self.MEMORY * (ratio - kind)
+        # Its kind speaks for a server that this copy has hardly met.
+        known = kind if server.slowness is None else server.slowness
+        server.slowness = known + self.SLOWNESS_MEMORY * (ratio - known)
+        # Own counts tell which server is free, a lone copy's sooner. Guards against leaving one empty, for the
+        # time that its answer took behind our own calls, while the others get twice as many.
+        counts = self.fleet.out >= self.fleet.ready_count * (0.5 if self.settings.copies < 2 else 1.0)
+        beyond = server.slowness - self.ORDINARY
+        if beyond > 0.0 and not self.probes.tell and not counts:
+            visit = self.callers.pause_ms * self.fleet.ready_count
+            self.fleet.withhold(server, now_ms + min(self.settings.longest_ms, self.PACE * beyond * visit))
--- /dev/null
+++ b/mulleinhitch/slow_start.py
@@ -0,0 +1,74 @@
+"""Rules: what a server that has just started may be sent."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from random import Random
+
+from mulleinhitch.interface import Settings
+from mulleinhitch.servers import Server
+
+
+class SlowStart:
+    """A cold server's budget, kept by one copy alone.
+
+    Each placement of this copy earns credit for the cold servers: their present capacity share, from the
+    settings' even growth, over the number of servers that share this copy's traffic when all are there, which
+    is their fair part of it cut to what they can do. Guards the first that are back of many, for whom all call.
+    A send to a cold server spends a whole credit. All copies together then send a cold server at most `pace`
+    times the load of a warm one, scaled by its capacity, whatever the number of copies or of cold servers.
+    """
+
+    WHOLE = 0.75  # of the most ready of late: all are there (a deploy moves as many)
+    FORGET = 0.999  # of those: still known, a hundredth of a start later
+    CREDIT_CAP = 2.0  # no long saving up: a burst right after a start can spend a server's window
+
+    def __init__(self, settings: Settings, rng: Random) -> None:
+        self._rng = rng
+        # Random: low-rate copies must not all start with a free send, nor all without.
+        self.credit = rng.random()
+        self._sum = self._sum_until = 0.0
+        self.most_ready = 0.0  # servers at a time, of late
+        self.part = 1.0  # of a request, that earns: less where others know that far more come than usual
+        self.configure(settings, (), 0.0)
+
+    def configure(self, settings: Settings, servers: Iterable[Server], now_ms: float) -> None:
+        """Take the figures, and look at all servers by how long they are cold now; the credit is carried on."""
+        self._share, self._ms = settings.cold_share, settings.cold_ms
+        self._pace = min(1.0, settings.fall_multiple * settings.tuning.cold_pace)
+        self._cold: list[Server] = []
+        self.watch(servers, now_ms)
+
+    def watch(self, servers: Iterable[Server], now_ms: float) -> None:
+        cold = [s for s in servers if self.is_cold(s, now_ms)]
+        if cold:
+            self._cold += cold
+            self._sum_until = now_ms
+
+    def is_cold(self, server: Server, now_ms: float) -> bool:
+        return server.started_ms > 0.0 and now_ms - server.started_ms < self._ms
+
+    def share(self, server: Server, now_ms: float) -> float:
+        age = max(0.0, now_ms - server.started_ms)
+        return self._share + (1.0 - self._share) * min(1.0, age / self._ms) if self._ms else 1.0
+
+    def earn(self, ready: int, now_ms: float) -> None:
+        """Called once a request, before its placement."""
+        if not self._cold or not ready:
+            return
+        if now_ms >= self._sum_until:  # refreshed a hundred times in a start, never per request
+            self._cold = [s for s in self._cold if s.ready and self.is_cold(s, now_ms)]
+            self._sum = sum(self.share(s, now_ms) for s in self._cold)
+            self._sum_until = now_ms + self._ms / 100.0
+            self.most_ready *= self.FORGET
+        whole = max(ready, self.WHOLE * self.most_ready)
+        self.credit = min(self.CREDIT_CAP, self.credit + self.part * self._pace * self._sum / whole)
+
+    def admits(self, server: Server, now_ms: float) -> bool:
+        """Whether a drawn server may be sent to; the colder of two cold ones is let through less often."""
+        warm = not self.is_cold(server, now_ms)
+        return warm or (self.credit >= 1.0 and self._rng.random() < self.share(server, now_ms))
+
+    def spend(self, server: Server, now_ms: float) -> None:
+        if self.is_cold(server, now_ms):
+            self.credit -= 1.0
--- a/standins/returning.py
+++ b/standins/returning.py
@@ -17,6 +17,7 @@
 from larkweir.storms.storm import Storm
 from larkweir.storms.watch import Watch
 from mulleinhitch import Balancer, Settings
+from mulleinhitch.admission import Limiter
 from mulleinhitch.interface import (
     Effect,
     ListKind,
@@ -119,8 +120,8 @@
     storm: Storm | None = None
     sala: Sala
 
-    def _decisions(self, settings: Settings, seed: int) -> Any:
-        balancer = Balancer(settings, seed)
+    def _decisions(self, settings: Settings, seed: int, limiter: Limiter | None) -> Any:
+        balancer = Balancer(settings, seed, limiter)
         return balancer if self.storm is None else Watch(balancer, self.storm, self.fingerprints.__getitem__)
 
     def ask_as(
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -17,6 +17,7 @@
 from typing import Any
 
 from mulleinhitch import Balancer, Settings
+from mulleinhitch.admission import Limiter
 from mulleinhitch.interface import (
     Action,
     AttemptEnded,
@@ -118,19 +119,21 @@
 class Copy:
     """One balancer. It owes each request an answer by its deadline, as the engine does."""
 
-    def __init__(self, world: World, number: int, settings: Settings, seed: int) -> None:
+    def __init__(
+        self, world: World, number: int, settings: Settings, seed: int, limiter: Limiter | None = None
+    ) -> None:
         self.world = world
         self.number = number
         self.settings = settings
-        self.balancer = self._decisions(settings, seed)
+        self.balancer = self._decisions(settings, seed, limiter)
         self.asked: dict[int, Asked] = {}
         self._ids = count(1)
         self.served = 0
         entries = [ServerEntry(up.number) for up in world.upstreams]
         self.handle(ListUpdate(ListKind.FULL, 1, entries))
 
-    def _decisions(self, settings: Settings, seed: int) -> Any:
-        return Balancer(settings, seed)
+    def _decisions(self, settings: Settings, seed: int, limiter: Limiter | None) -> Any:
+        return Balancer(settings, seed, limiter)
 
     def handle(self, event: Event) -> None:
         for action in self.balancer.handle(self.world.now, event):
@@ -243,13 +246,10 @@
         self.copies = []
         for n in range(copies):
             own = Settings(classes=classes, me=n, copies=copies, max_attempts=4, **settings)
-            copy = Copy(self, n, own, seed * 1000 + n)
-            if limiter is not None:
-                copy.balancer.limiter = limiter(own, Random(seed * 1000 + n))
-                copy.balancer.limiter.now_ms = lambda: self.now
-                copy.balancer._latency = copy.balancer.limiter.mean
-                copy.balancer.limiter.open(upstreams, copies)
-            self.copies.append(copy)
+            other = limiter(own, Random(seed * 1000 + n)) if limiter is not None else None
+            if other is not None:
+                other.now_ms = lambda: self.now
+            self.copies.append(Copy(self, n, own, seed * 1000 + n, other))
 
     @property
     def capacity_per_s(self) -> float:
--- a/tests/config/test_changes.py
+++ b/tests/config/test_changes.py
@@ -12,7 +12,7 @@
 from larkweir.config.changes import differences, keep_fixed, rule_of
 from larkweir.config.options import Change
 from larkweir.config.platform import decode_object
-from mulleinhitch.policy import fixed_difference
+from mulleinhitch.interface import fixed_difference
 from tests.fakes import SETTINGS, config_data
 
 BASE = config_data([], 9)
--- a/tests/mulleinhitch/driver.py
+++ b/tests/mulleinhitch/driver.py
@@ -253,4 +253,4 @@
         others = sum(
             self.owed[r].started and self.owed[r].tries[n].expires < math.inf for r, n in self.open_tries()
         )
-        assert self.balancer._out == out + others
+        assert self.balancer.fleet.out == out + others
--- a/tests/mulleinhitch/test_policy.py
+++ b/tests/mulleinhitch/test_policy.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from mulleinhitch.callers import Usual
 from mulleinhitch.interface import (
     AnswerStarted,
     AttemptEnded,
@@ -34,7 +35,9 @@
     Tenant,
     WatchList,
 )
-from mulleinhitch.policy import Attempt, Balancer, Legality, Request, Server, Usual
+from mulleinhitch.legality import Attempt, Request
+from mulleinhitch.policy import Balancer
+from mulleinhitch.servers import Server
 from tests.mulleinhitch.driver import Driver, Owed
 
 SAFE = RequestClass(100.0, 400.0, Effect.SAFE)
@@ -341,7 +344,7 @@
         bench.end(number, 0, Outcome.REJECTED)
         assert bench.owed[number].over and len(bench.owed[number].tries) == 1
         assert (server.strikes, server.outstanding, server.level) == (0, 0, 0)
-    assert bench.balancer._fail_share <= 0.1 and not bench.balancer.requests
+    assert bench.balancer.judge.fail_share <= 0.1 and not bench.balancer.requests
 
 
 def test_every_refusal_tells_when_to_come_again() -> None:
@@ -392,7 +395,7 @@
 
 def two_failures_of_one(bench: Driver, others: int, outcome: Outcome, after_ms: float = 0.0) -> int:
     """Two calls in a row of one server fail, while so many calls are out beside them; that server."""
-    bench.balancer._fail_share = 0.1
+    bench.balancer.judge.fail_share = 0.1
     for _ in range(others + 2):
         bench.request(class_index=1)
     bench.now += after_ms
@@ -413,7 +416,7 @@
     ):
         bench = driver(replace(PLAIN, tier=1, tiers=2), servers=2 if others == 1 else 4)
         server = two_failures_of_one(bench, others, outcome)
-        assert bench.balancer.fleet.servers[server].ejected is ejected
+        assert (bench.balancer.fleet.servers[server] in bench.balancer.fleet.ejected) is ejected
 
 
 def test_a_failure_that_took_its_time_withholds_no_token() -> None:
@@ -423,7 +426,7 @@
         bench.request(class_index=1)
         server = bench.owed[1].tries[0].server
         bench.now += after
-        bench.balancer._fail_share = 1.0  # nothing is ejected
+        bench.balancer.judge.fail_share = 1.0  # nothing is ejected
         bench.end(1, 0, Outcome.ERROR)
         assert (bench.balancer.fleet.servers[server].until_ms > bench.now) is withheld
 
@@ -531,8 +534,9 @@
 def test_where_nobody_holds_a_token_an_ejected_server_is_drawn_last() -> None:
     for seed in range(30):  # by chance alone one of four would draw it
         bench = driver(servers=4, seed=seed)
-        bad = bench.balancer.fleet.servers[0]
-        bench.balancer.fleet.eject(bad, bench.now + 1_000.0)
+        fleet = bench.balancer.fleet
+        fleet.ejected.add(fleet.servers[0])
+        fleet.withhold(fleet.servers[0], bench.now + 1_000.0)
         bench.actions.clear()
         for _ in range(4):  # no more calls than servers: own counts do not choose yet
             bench.request()
@@ -545,9 +549,9 @@
     for worse in (False, True):
         bench = Driver(settings, 1)
         bench.list(ListKind.CACHED, tuple(ServerEntry(n, zone=n % 2) for n in range(6)))
-        bench.balancer._behind = [1.0, 1.1]
+        bench.balancer.judge.behind = [1.0, 1.1]
         if worse:
-            bench.balancer._cost = [0.9, 0.1]
+            bench.balancer.drawing.cost = [0.9, 0.1]
         for _ in range(6):
             bench.request()
         stays.append(sum(server % 2 == 0 for server in sends(bench.actions)))
@@ -648,50 +652,45 @@
 # legality by itself: what no path of today would try must be forbidden all the same
 
 
-def judged(
-    settings: Settings, cls: RequestClass, outcomes: list[Outcome | None]
-) -> tuple[Legality, Request, Server]:
-    legality = Legality(settings)
-    request = Request(RequestArrived(1, 0, 5000.0), cls, legality, 0.0)
-    server = Server(ServerEntry(1))
+def judged(settings: Settings, cls: RequestClass, outcomes: list[Outcome | None]) -> tuple[Request, Server]:
+    request = Request(RequestArrived(1, 0, 5000.0), replace(settings, classes=(cls,)), 0.0)
+    server = Server(1, 0, 0, 0.0, ready=True)
     for outcome in outcomes:
-        attempt = Attempt(server, 100.0)
-        attempt.outcome = outcome
-        request.attempts.append(attempt)
+        request.attempts.append(Attempt(server, 0, 100.0, outcome=outcome))
         request.out += outcome is None
-    return legality, request, server
+    return request, server
 
 
 def test_a_keyed_call_is_not_repeated_after_the_memory_of_its_first_send() -> None:
     keyed = RequestClass(200.0, 5000.0, Effect.KEYED, group=Group.ALL, memory_ms=300.0)
-    legality, request, server = judged(PLAIN, keyed, [Outcome.RESET])
-    assert legality.may_send(request, server, 390.0)
-    assert not legality.may_send(request, server, 400.0)
+    request, server = judged(PLAIN, keyed, [Outcome.RESET])
+    assert request.may_go_to(server, 390.0)
+    assert not request.may_go_to(server, 400.0)
     unrun = judged(PLAIN, keyed, [Outcome.FULL])
-    assert unrun[0].may_send(unrun[1], unrun[2], 4000.0)
+    assert unrun[0].may_go_to(unrun[1], 4000.0)
 
 
 def test_no_second_copy_where_none_is_allowed() -> None:
-    legality, request, server = judged(PLAIN, SAFE, [None])
-    assert not legality.may_send(request, server, 110.0)
-    legality, request, server = judged(replace(PLAIN, second_copies=True), SAFE, [None])
-    assert legality.may_send(request, server, 110.0)
+    request, server = judged(PLAIN, SAFE, [None])
+    assert not request.may_go_to(server, 110.0)
+    request, server = judged(replace(PLAIN, second_copies=True), SAFE, [None])
+    assert request.may_go_to(server, 110.0)
 
 
 def test_outstanding_and_cancelled_attempts_count_as_may_have_run() -> None:
     for outcome in (None, Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET):
-        legality, request, server = judged(replace(PLAIN, second_copies=True), UNSAFE, [outcome])
-        assert not legality.may_send(request, server, 110.0)
-        assert not legality.may_refuse(request)
+        request, server = judged(replace(PLAIN, second_copies=True), UNSAFE, [outcome])
+        assert not request.may_go_to(server, 110.0)
+        assert not request.may_be_refused()
     for outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
-        legality, request, server = judged(PLAIN, UNSAFE, [outcome])
-        assert legality.may_send(request, server, 110.0)
-        assert legality.may_refuse(request)
+        request, server = judged(PLAIN, UNSAFE, [outcome])
+        assert request.may_go_to(server, 110.0)
+        assert request.may_be_refused()
 
 
 def test_no_more_attempts_than_allowed() -> None:
-    legality, request, server = judged(PLAIN, SAFE, [Outcome.RESET] * 4)
-    assert not legality.may_send(request, server, 110.0)
+    request, server = judged(PLAIN, SAFE, [Outcome.RESET] * 4)
+    assert not request.may_go_to(server, 110.0)
 
 
 def zones_drawn(price: float, home: Outcome) -> Counter[int]:
@@ -768,7 +767,7 @@
     for n in range(200):
         for tenant in (0, 1):
             event = RequestArrived(n, 0, 400.0, tenant, client_retry=tenant == 0 and n % 8 != 0)
-            verdicts[tenant, event.client_retry] = bench.balancer._over_share(event)
+            verdicts[tenant, event.client_retry] = bench.balancer.callers.over_share(event)
     assert verdicts == {(0, False): False, (0, True): True, (1, False): False}
 
 
@@ -847,7 +846,7 @@
     for outcome in [Outcome.OK, Outcome.RESET, Outcome.RESET] * 6:
         bench.request(class_index=1)
         bench.end(bench.next_id, 0, outcome)
-    assert len(bench.balancer.links.items) <= 3
+    assert len(bench.balancer.links.items.items) <= 3
 
 
 def test_a_server_that_fails_one_class_is_kept_for_the_others() -> None:
@@ -935,7 +934,7 @@
     balancer.adopt(dict.fromkeys(("credit", "window", "idle_share", "most_running"), value))
     balancer.adopt({"latency": value, "base": {PLAIN.classes[0].name: "x"}, "work": value})
     assert balancer._latency == before and 0.0 <= balancer.slow_start.credit <= 2.0
-    assert math.isfinite(balancer.limiter.window) and 0.0 <= balancer._idle_share <= 1.0
+    assert math.isfinite(balancer.limiter.window) and 0.0 <= balancer.probes.idle_share <= 1.0
 
 
 @pytest.mark.parametrize(("copies", "kept"), [(1, False), (2, True)])
