Ask a silent or lost agent anew at once, and have its first list before the first request

Change: pushed watches wait 1 s and 0.5 s more; a start, and every failure, is followed by the whole list, asked each 0.5 s beside the calls that are out, the first answer counts; pauses end at 0.1 s; a life is ready once the agent has answered or failed, or after 0.25 s of silence. An asked watch that falls silent is opened again at once, one time, before the decisions hear of a failure. A failure that repeats is one line. What no upstream can have begun by its deadline is answered 503, not 504.

--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -18,6 +18,7 @@
 from larkweir.core.reports import LOAD_HEADER, report_of
 from larkweir.core.room import Room
 from mulleinhitch.interface import (
+    NEVER_RAN,
     Action,
     AnswerStarted,
     AttemptEnded,
@@ -160,7 +161,9 @@
 
     @property
     def ready(self) -> bool:
-        """Whether there is a list that requests can be served from."""
+        """Whether there is a list that requests can be served from, and no newer one that is due in a moment."""
+        if self.discovery is not None and not self.discovery.begun:
+            return False
         return any(item.state is ServerState.READY for item in self.upstreams.targets.values())
 
     @property
@@ -397,11 +400,13 @@
             self._remember(exchange.trace)
 
     def _overdue(self, exchange: Exchange) -> None:
-        """The deadline: attempts out end first, then the engine answers what the balancer still owes."""
+        """The deadline: attempts out end first, then the engine answers what the balancer still owes. What no upstream
+        can have begun is refused, since asking again is harmless.
+        """
         for call in exchange.attempts:
             if call is not None:
                 call.time_out()
-        self._answer(exchange, 504)
+        self._answer(exchange, 504 if exchange.begun else 503)
 
     # ------------------------------------------------ attempts
 
@@ -512,6 +517,8 @@
         ticket = exchange.ticket
         if ticket is not None:
             ticket.settle(number, outcome, answer, self.clock.now_ms())
+        if outcome not in NEVER_RAN:
+            exchange.begun = True
         if outcome is Outcome.OK and answer is not None and not exchange.over:
             self._close(exchange)
             exchange.caller.answer(200, self._answer_headers(exchange, answer), answer.body)
--- a/larkweir/core/exchange.py
+++ b/larkweir/core/exchange.py
@@ -32,6 +32,7 @@
 
     __slots__ = (
         "attempts",
+        "begun",
         "caller",
         "deadline_ms",
         "first_ms",
@@ -65,6 +66,7 @@
         self.max_attempts = max_attempts
         self.attempts: list[Attempt | None] = []  # by their numbers; none for one that was never sent
         self.out = 0  # attempts whose end is still owed to the balancer
+        self.begun = False  # an attempt that has ended may have run
         self.over = False  # answered, or the client is gone
         self.timer: Timer | None = None
         self.once = False  # it may not run twice, and that is to be kept before it is sent
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -158,6 +158,8 @@
 class Membership(Protocol):
     """Where the list comes from, as the decisions ask for it."""
 
+    begun: bool  # whether there is its first word, or none that is worth waiting for
+
     def fetch(self) -> None: ...
 
     def watch(self, active: bool) -> None: ...
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -162,12 +162,19 @@
     """
 
     WAIT_S = 20.0
-    PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
-    GRACE_S = 1.5  # past the wait, for the answer to come
+    PUSHED_WAIT_S = 1.0  # asking costs nothing there, and a watch that has fallen silent shows sooner
+    # Past the wait, for the answer to come. The news that a silent watch missed counts as told 2 s after the wait.
+    GRACE_S = 1.0
+    PUSHED_GRACE_S = 0.5
     CALL_S = 2.0  # for a call that need not wait
+    ASK_S = 0.5  # of a silent agent, until it is asked once more beside the calls that are out
     PACE_S = 0.025  # at least from call to call; well under what ends a watch
     FIRST_PAUSE_S = 0.05
-    LONGEST_PAUSE_S = 1.0
+    # The agent is on this machine: asking it costs nobody anything, and what it has after an outage counts at once.
+    LONGEST_PAUSE_S = 0.1
+    FIRST_LIST_S = (
+        0.25  # at a start, that the agent's first answer is waited for before requests are asked for
+    )
 
     def __init__(self, config: Config, tell: Callable[[Listing], None], log: Callable[[str], None]) -> None:
         self._address = config.discovery
@@ -188,9 +195,15 @@
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
         self._stopped = False
+        self.begun = self._asked  # whether requests may be asked for: see `start`
+        self._failures = 0  # calls in a row
+        self._said = ""  # of them
 
     def start(self) -> None:
-        """Tell what is known from before, and begin to watch."""
+        """Tell what is known from before, and begin to watch. Where lists are pushed, what the agent has counts from
+        this process's first moment: the life is not ready (`begun`) before the agent has answered or failed, or has
+        been silent for so long that what is known has to do.
+        """
         listing = Listing(ListKind.CACHED, 0, (), ())
         if self._known and self.trust_known:
             try:
@@ -202,7 +215,12 @@
                 self._log(f"known: {problem}")
         self._tell(listing)
         if not self._asked:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
+            loop = asyncio.get_running_loop()
+            self._watch = loop.create_task(self._follow())
+            loop.call_later(self.FIRST_LIST_S, self._begin)
+
+    def _begin(self) -> None:
+        self.begun = True
 
     def watch(self, active: bool) -> None:
         """The decisions subscribe, or give that up."""
@@ -249,53 +267,108 @@
 
     async def _follow(self) -> None:
         pause = self.FIRST_PAUSE_S
+        current = self._asked  # whether the watch may go on from what is held
         while True:
             try:
-                await self._round()
+                if current:
+                    await self._round()
+                else:
+                    await self._catch_up()
+                    current = True
+                self._answered()
                 pause = self.FIRST_PAUSE_S
                 # Guards the core against answers that come at once, again and again.
                 await asyncio.sleep(self.PACE_S)
             except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
                 self._drop()
-                self._log(f"discovery: {str(problem) or type(problem).__name__}")
-                if self._asked:  # when to ask again is theirs to decide
+                silent = isinstance(problem, TimeoutError)
+                self._failed("silent, asked anew" if silent else str(problem) or type(problem).__name__)
+                if self._asked:
+                    if silent and self._failures == 1:
+                        continue  # at once: what it missed counts as told in a moment
+                    # When to ask again is theirs to decide.
                     self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
                     return
+                current = False
+                self._begin()  # it has said that it has none for now, or that it is not there
                 await asyncio.sleep(pause * (0.5 + self._rng.random()))
                 pause = min(self.LONGEST_PAUSE_S, 2.0 * pause)
 
+    def _failed(self, text: str) -> None:
+        self._failures += 1
+        if text != self._said:  # one line, however often it is asked
+            self._said = text
+            self._log(f"discovery: {text}")
+
+    def _answered(self) -> None:
+        if self._said:
+            self._log(f"discovery: answers again, after {self._failures} calls in vain")
+        self._failures, self._said = 0, ""
+        self._begin()
+
+    async def _catch_up(self) -> None:
+        """The whole list, which the agent has at once. One that is silent is asked again and again on connections of
+        their own, a few at a time, and the first answer counts: it may come late, or to the newest call alone.
+        """
+        calls: set[asyncio.Task[tuple[_Connection, Message]]] = set()
+        try:
+            while True:
+                calls.add(asyncio.get_running_loop().create_task(self._ask()))
+                done, calls = await asyncio.wait(
+                    calls, timeout=self.ASK_S, return_when=asyncio.FIRST_COMPLETED
+                )
+                if done:
+                    # The first answer there is; else what one of them says of its failure.
+                    good = [task for task in done if task.exception() is None]
+                    self._connection, answer = (good or list(done))[0].result()
+                    self._take_whole(self._read(answer))
+                    return
+                self._failed("silent, asked anew")
+        finally:
+            for task in calls:
+                task.cancel()
+
+    async def _ask(self) -> tuple[_Connection, Message]:
+        connection = _Connection()
+        try:
+            async with asyncio.timeout(self.CALL_S):
+                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
+                return connection, await connection.get(b"/v1/endpoints", self._host)
+        except BaseException:
+            connection.close()
+            raise
+
+    def _take_whole(self, listing: Listing) -> None:
+        if listing.kind is not ListKind.FULL:
+            raise DiscoveryError("the whole list was asked for and changes came")
+        self._version = listing.version
+        self._tell(listing)
+
     async def _round(self) -> None:
         """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
         if self._version is None:
-            listing = await self._call(b"/v1/endpoints", self.CALL_S)
-            if listing.kind is not ListKind.FULL:
-                raise DiscoveryError("the whole list was asked for and changes came")
-        else:
-            after = self._version
-            wait = self.WAIT_S if self._asked else self.PUSHED_WAIT_S
-            target = b"/v1/endpoints?after=%d&wait_ms=%d" % (after, wait * 1000)
-            listing = await self._call(target, wait + self.GRACE_S)
-            if listing.kind is ListKind.DELTA and listing.version < after:
-                self._version = None  # these are changes to another list than the one held
-                return
+            self._take_whole(await self._call(b"/v1/endpoints", self.CALL_S))
+            return
+        after = self._version
+        wait, grace = (
+            (self.WAIT_S, self.GRACE_S) if self._asked else (self.PUSHED_WAIT_S, self.PUSHED_GRACE_S)
+        )
+        target = b"/v1/endpoints?after=%d&wait_ms=%d" % (after, wait * 1000)
+        listing = await self._call(target, wait + grace)
+        if listing.kind is ListKind.DELTA and listing.version < after:
+            self._version = None  # these are changes to another list than the one held
+            return
         self._version = listing.version
         self._tell(listing)
 
     async def _fetch_once(self) -> None:
-        connection = _Connection()
         try:
-            async with asyncio.timeout(self.CALL_S):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
-                listing = self._read(await connection.get(b"/v1/endpoints", self._host))
-            if listing.kind is not ListKind.FULL:
-                raise DiscoveryError("the whole list was asked for and changes came")
-            self._version = listing.version
-            self._tell(listing)
+            connection, answer = await self._ask()
+            connection.close()
+            self._take_whole(self._read(answer))
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
             self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
-        finally:
-            connection.close()
 
     async def _call(self, target: bytes, timeout_s: float) -> Listing:
         async with asyncio.timeout(timeout_s):
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -534,6 +534,10 @@
     run(work())
 
 
+async def refuses(request: Incoming, talk: Talk) -> None:
+    await talk.send(status(503, "X-Never-Ran: 1\r\n"))
+
+
 def test_the_deadline_is_answered_by_the_engine_once() -> None:
     """Guards against decisions that never answer: the attempt out ends, then one answer goes."""
 
@@ -554,6 +558,24 @@
     run(work())
 
 
+@pytest.mark.parametrize("sent", [False, True])
+def test_what_was_never_begun_by_its_deadline_is_refused(sent: bool) -> None:
+    """Guards callers of what may not run twice: 503 says that asking again is harmless, 504 does not."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(refuses).start()
+        script = Script([1])
+        script.more = lambda event: [] if isinstance(event, AttemptEnded) or not sent else None
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x", X_Expires_In_Ms="150")
+            assert (await caller.answer()).status == 503
+            assert len(upstream.seen) == sent
+            assert not balancer.engine._exchanges
+        upstream.close()
+
+    run(work())
+
+
 def test_sends_past_the_cap_or_for_a_request_that_is_over_are_moot() -> None:
     """Guards the attempt cap and late sends: told as moot, and nothing is written."""
 
