--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -18,7 +18,8 @@
 from larkweir.core.ports import Decisions
 from larkweir.core.requests import Requests
 from larkweir.core.room import Room
-from larkweir.membership.discovery import Discovery, DiscoveryError
+from larkweir.membership.discovery import Discovery
+from larkweir.membership.listing import DiscoveryError
 from larkweir.protocols.http1.callers import CallerConnection
 from larkweir.protocols.http1.upstreams import UpstreamConnection
 from larkweir.protocols.listener import Connection, Listener
--- a/larkweir/membership/remembered/hands.py
+++ b/larkweir/membership/remembered/hands.py
@@ -19,7 +19,8 @@
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.message import Message
 from larkweir.core.ports import Listing, Pool
-from larkweir.membership.discovery import Discovery, DiscoveryError, parse_listing
+from larkweir.membership.discovery import Discovery
+from larkweir.membership.listing import DiscoveryError, parse_listing
 from larkweir.membership.remembered.book import LOOK_MS, Book, Change, Place, still_drained
 from larkweir.membership.remembered.evidence import Churn, How, Row, Source
 from larkweir.membership.remembered.shown import Shown, shown
