--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -16,6 +16,7 @@
 from mulleinhitch.interface import ListKind
 
 MAX_LIST = 4 * 1024 * 1024
+SILENT = "silent, asked anew"
 
 
 class _Connection(asyncio.Protocol):
@@ -193,7 +194,7 @@
             except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
                 self._drop()
                 silent = isinstance(problem, TimeoutError)
-                self._failed("silent, asked anew" if silent else str(problem) or type(problem).__name__)
+                self._failed(SILENT if silent else str(problem) or type(problem).__name__)
                 if self._asked:
                     if silent and self._failures == 1:
                         continue  # at once: what it missed counts as told in a moment
@@ -221,23 +222,28 @@
         """The whole list, which the agent has at once. One that is silent is asked again and again on connections of
         their own, a few at a time, and the first answer counts: it may come late, or to the newest call alone.
         """
-        calls: set[asyncio.Task[tuple[_Connection, Message]]] = set()
+        calls: list[asyncio.Task[tuple[_Connection, Message]]] = []
         try:
             while True:
-                calls.add(asyncio.get_running_loop().create_task(self._ask()))
-                done, calls = await asyncio.wait(
-                    calls, timeout=self.ASK_S, return_when=asyncio.FIRST_COMPLETED
-                )
+                calls.append(asyncio.get_running_loop().create_task(self._ask()))
+                done, _ = await asyncio.wait(calls, timeout=self.ASK_S, return_when=asyncio.FIRST_COMPLETED)
                 if done:
                     # The first answer there is; else what one of them says of its failure.
-                    good = [task for task in done if task.exception() is None]
-                    self._connection, answer = (good or list(done))[0].result()
+                    first = min(done, key=lambda task: task.exception() is not None)
+                    self._connection, answer = first.result()
                     self._take_whole(self._read(answer))
                     return
-                self._failed("silent, asked anew")
+                self._failed(SILENT)
         finally:
             for task in calls:
-                task.cancel()
+                if not task.done():
+                    task.cancel()
+                elif (
+                    not task.cancelled()
+                    and task.exception() is None
+                    and task.result()[0] is not self._connection
+                ):
+                    task.result()[0].close()
 
     async def _ask(self) -> tuple[_Connection, Message]:
         connection = _Connection()
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -104,8 +104,10 @@
 
     @property
     def taking(self) -> int:
-        """Connections that hold a request, whole or in part, or an answer not yet read."""
-        return len(self._arriving) + sum(c.busy for c in self._connections)
+        """Connections that hold a request, whole or in part, or an answer not yet read; and those that still take one,
+        which may lie unread in the system.
+        """
+        return len(self._arriving) + sum(c.busy or not c.ending for c in self._connections)
 
     @staticmethod
     def bind(address: Address, shared: bool = False) -> socket.socket:
--- a/standins/peers.py
+++ b/standins/peers.py
@@ -169,6 +169,10 @@
         self.calls: asyncio.Queue[str] = asyncio.Queue()
         self.told: Callable[[list[dict[str, Any]]], None] = lambda rows: None  # what was just written
         self.garbage: list[bytes] = []  # answers given in place of true ones
+        self.indent: int | None = None  # of its lists
+        self.delay_s = 0.0  # before each answer
+        self.hushed = False  # calls that come now are never answered, not even later
+        self._era = 0
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._tasks: set[asyncio.Task[None]] = set()
@@ -188,6 +192,16 @@
         for task in list(self._tasks):
             task.cancel()
 
+    def hush(self, calls: bool = True) -> None:
+        """Never answer the calls that are out; nor those that come, until `speak`, where `calls` says so. Their
+        connections stay open.
+        """
+        self._era += 1
+        self.hushed = calls
+
+    def speak(self) -> None:
+        self.hushed = False
+
     def change(self, *entries: dict[str, Any]) -> None:
         self.generation += 1
         for item in entries:
@@ -216,16 +230,24 @@
                 if self.garbage:
                     writer.write(self.garbage.pop(0))
                     continue
+                era, hushed = self._era, self.hushed
                 if "after=" in target:
                     after = int(target.partition("after=")[2].partition("&")[0])
-                    while self.generation == after:
-                        await self._changed.wait()
+                    wait_ms = int(target.partition("wait_ms=")[2] or "60000")
+                    with suppress(TimeoutError):
+                        async with asyncio.timeout(wait_ms / 1000.0):
+                            while self.generation == after:
+                                await self._changed.wait()
                     rows = [item for at, item in self.changes if at > after]
                     data: dict[str, Any] = {"generation": self.generation, "reset": False, "instances": rows}
                 else:
                     data = self.whole()
+                await asyncio.sleep(self.delay_s)
+                if hushed or era != self._era:
+                    await reader.read()
+                    break
                 self.told(data["instances"])
-                writer.write(ok(json.dumps(data).encode()))
+                writer.write(ok(json.dumps(data, indent=self.indent).encode()))
         except (ConnectionError, asyncio.CancelledError):
             pass
         finally:
--- a/tests/membership/test_discovery.py
+++ b/tests/membership/test_discovery.py
@@ -253,6 +253,36 @@
     run(work())
 
 
+def test_an_asked_watch_that_falls_silent_is_opened_anew_once_before_it_counts_as_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the news that it missed, which counts as told 2 s after the wait: on another connection, at once, not when
+    the decisions' pause is over. One that is silent again is a failure, so that no service is asked without a pause.
+    """
+
+    async def work() -> None:
+        monkeypatch.setattr(Discovery, "WAIT_S", 0.3)
+        monkeypatch.setattr(Discovery, "GRACE_S", 0.2)
+        upstream = await FakeUpstream().start()
+        script = Script([1])
+        settings = SETTINGS | {"Discovery": "on_request"}
+        async with running(upstream.entry("a"), script=script, base=settings) as balancer:
+            balancer.engine._act(WatchList(True))
+            await called(balancer, "after=1")
+            balancer.discovery.hush(calls=False)
+            balancer.discovery.change(entry("b", 9))
+            assert [item.server for item in (await updates(script, ListKind.DELTA)).entries] == [2]
+            assert not any(isinstance(e, ListUpdate) and e.kind is ListKind.FAILED for e in script.events)
+            balancer.discovery.hush()
+            while not balancer.discovery.calls.empty():
+                balancer.discovery.calls.get_nowait()
+            await updates(script, ListKind.FAILED)
+            assert balancer.discovery.calls.qsize() <= 2
+        upstream.close()
+
+    run(work())
+
+
 def test_no_late_answer_of_an_agent_that_was_left_counts() -> None:
     """Guards the move to another agent: the held list serves until the new one has told its own, the old
     connection ends, and what the old agent writes in that moment is dropped.
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -39,6 +39,7 @@
     running,
     status,
 )
+from tests.lifecycle.service import until
 
 
 def run(work: Coroutine[Any, Any, None]) -> None:
@@ -203,6 +204,36 @@
     run(work())
 
 
+def test_a_connection_that_comes_up_late_carries_its_call_once() -> None:
+    """Guards against a second attempt beside a connection that is only late: it comes up when the system asks again, a
+    second after the first time.
+    """
+
+    async def work() -> None:
+        listener, fillers = full_backlog()
+        script = Script([1, 1])
+        upstream = FakeUpstream()
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            await until(lambda: balancer.engine.upstreams.sockets, "its connection is coming up")
+            for filler in fillers:
+                filler.close()
+            listener.setblocking(False)
+            server = await asyncio.start_server(upstream._talk, sock=listener)
+            assert (await caller.answer()).status == 200
+            assert (await script.ended()).outcome is Outcome.OK
+            assert len(upstream.seen) == 1
+        server.close()
+        upstream_tasks = list(upstream._tasks)
+        for task in upstream_tasks:
+            task.cancel()
+
+    run(work())
+
+
 async def silence(request: Incoming, talk: Talk) -> None:
     await talk.ended()
 
