--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -191,6 +191,9 @@
     node.upstreams.REST_MS = rest_ms
     listener.start(listener.bind(config.listen), make=node.makes[Caller.speaks])
     node.discovery.start()
+    async with asyncio.timeout(PATIENCE_S):
+        while not node.discovery.begun:
+            await asyncio.sleep(0.001)
     try:
         yield Running(engine, listener, discovery, listener.port, node=node)
     finally:
