--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -8,103 +8,15 @@
 from random import Random
 from typing import Any, cast
 
-from larkweir.config.platform import Config, ConfigError, parse_address
+from larkweir.config.platform import Config
 from larkweir.core.message import Message
 from larkweir.core.ports import Address, Listing
+from larkweir.membership.listing import DiscoveryError, Names, parse_listing
 from larkweir.protocols.http1.codec import ResponseReader, encode_request
-from mulleinhitch.interface import ListKind, ServerEntry, ServerState
+from mulleinhitch.interface import ListKind
 
 MAX_LIST = 4 * 1024 * 1024
-STATES = {"active": ServerState.READY, "leaving": ServerState.DRAINING, "left": ServerState.GONE}
-
-
-class DiscoveryError(Exception):
-    """A call to discovery failed, or its answer is none."""
-
-
-class Names:
-    """Numbers for the ids and words that discovery uses. An id keeps its number for good."""
-
-    MOST = 100_000  # ids; past that the oldest are forgotten, and their numbers never used again
-
-    def __init__(self, zones: tuple[str, ...], kinds: tuple[str, ...]) -> None:
-        self._ids: dict[str, int] = {}
-        self._next = 1
-        self.reverse: dict[int, str] | None = None  # ids by number, where somebody asks for them
-        self._zones = {name: n for n, name in enumerate(zones)}
-        self._kinds = {name: n for n, name in enumerate(kinds)}
-
-    def server(self, instance_id: str) -> int:
-        number = self._ids.pop(instance_id, None)
-        if number is None:
-            number = self._next
-            self._next += 1
-            if len(self._ids) >= self.MOST:
-                oldest = self._ids.pop(next(iter(self._ids)))
-                if self.reverse is not None:
-                    self.reverse.pop(oldest, None)
-            if self.reverse is not None:
-                self.reverse[number] = instance_id
-        self._ids[instance_id] = number  # at the end: heard of last
-        return number
-
-    def zone(self, name: str) -> int:
-        return self._zones.get(name, max(1, len(self._zones)))
-
-    def kind(self, name: str) -> int:
-        return self._kinds.get(name, len(self._kinds))
-
-
-def _field(item: dict[str, Any], key: str, types: type | tuple[type, ...], default: Any = None) -> Any:
-    value = item.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, types):
-        raise DiscoveryError(f"{key}: {value!r:.100} makes no sense")
-    return value
-
-
-def parse_listing(data: Any, names: Names) -> Listing:
-    """Check an answer as a whole before any of it counts."""
-    if not isinstance(data, dict):
-        raise DiscoveryError("the answer is not an object")
-    version = _field(data, "generation", int)
-    whole = data.get("reset")
-    if not isinstance(whole, bool):
-        raise DiscoveryError(f"reset: {whole!r:.100} is neither true nor false")
-    rows = _field(data, "instances", list)
-    checked: list[tuple[str, dict[str, Any], Address, ServerState]] = []
-    for row in rows:
-        if not isinstance(row, dict):
-            raise DiscoveryError(f"instances: {row!r:.100} is not an object")
-        state = STATES.get(_field(row, "lifecycle", str))
-        if state is None:
-            raise DiscoveryError(f"lifecycle: {row['lifecycle']!r:.100} is unknown")
-        try:
-            address = parse_address(row.get("hostPort"), "hostPort")
-        except ConfigError as problem:
-            if state is not ServerState.GONE:
-                raise DiscoveryError(str(problem)) from None
-            address = ("0.0.0.0", 0)
-        _field(row, "zone", str, "")
-        _field(row, "machineType", str, "")
-        for key, default in (("cell", 0), ("weight", 1.0), ("startedAtMs", 0)):
-            number = _field(row, key, (int, float), default)
-            if not 0 <= number < 1e15:
-                raise DiscoveryError(f"{key}: {number!r} makes no sense")
-        checked.append((_field(row, "instanceId", str), row, address, state))
-    entries = tuple(
-        ServerEntry(
-            server=names.server(instance_id),
-            state=state,
-            started_ms=float(row.get("startedAtMs", 0)),
-            weight=float(row.get("weight", 1.0)),
-            zone=names.zone(row.get("zone", "")),
-            cell=int(row.get("cell", 0)),
-            kind=names.kind(row.get("machineType", "")),
-        )
-        for instance_id, row, _, state in checked
-    )
-    kind = ListKind.FULL if whole else ListKind.DELTA
-    return Listing(kind, version, entries, tuple(address for _, _, address, _ in checked))
+SILENT = "silent, asked anew"
 
 
 class _Connection(asyncio.Protocol):
@@ -162,12 +74,19 @@
     """
 
     WAIT_S = 20.0
-    PUSHED_WAIT_S = 4.0  # asking costs nothing there, and a connection that has died shows sooner
-    GRACE_S = 1.5  # past the wait, for the answer to come
+    PUSHED_WAIT_S = 1.0  # asking costs nothing there, and a watch that has fallen silent shows sooner
+    # Past the wait, for the answer to come. The news that a silent watch missed counts as told 2 s after the wait.
+    GRACE_S = 1.0
+    PUSHED_GRACE_S = 0.5
     CALL_S = 2.0  # for a call that need not wait
+    ASK_S = 0.5  # of a silent agent, until it is asked once more beside the calls that are out
     PACE_S = 0.025  # at least from call to call; well under what ends a watch
     FIRST_PAUSE_S = 0.05
-    LONGEST_PAUSE_S = 1.0
+    # The agent is on this machine: asking it costs nobody anything, and what it has after an outage counts at once.
+    LONGEST_PAUSE_S = 0.1
+    FIRST_LIST_S = (
+        0.25  # at a start, that the agent's first answer is waited for before requests are asked for
+    )
 
     def __init__(self, config: Config, tell: Callable[[Listing], None], log: Callable[[str], None]) -> None:
         self._address = config.discovery
@@ -188,9 +107,15 @@
         self._watch: asyncio.Task[None] | None = None
         self._fetch: asyncio.Task[None] | None = None
         self._stopped = False
+        self.begun = self._asked  # whether requests may be asked for: see `start`
+        self._failures = 0  # calls in a row
+        self._said = ""  # of them
 
     def start(self) -> None:
-        """Tell what is known from before, and begin to watch."""
+        """Tell what is known from before, and begin to watch. Where lists are pushed, what the agent has counts from
+        this process's first moment: the life is not ready (`begun`) before the agent has answered or failed, or has
+        been silent for so long that what is known has to do.
+        """
         listing = Listing(ListKind.CACHED, 0, (), ())
         if self._known and self.trust_known:
             try:
@@ -202,7 +127,12 @@
                 self._log(f"known: {problem}")
         self._tell(listing)
         if not self._asked:
-            self._watch = asyncio.get_running_loop().create_task(self._follow())
+            loop = asyncio.get_running_loop()
+            self._watch = loop.create_task(self._follow())
+            loop.call_later(self.FIRST_LIST_S, self._begin)
+
+    def _begin(self) -> None:
+        self.begun = True
 
     def watch(self, active: bool) -> None:
         """The decisions subscribe, or give that up."""
@@ -249,53 +179,113 @@
 
     async def _follow(self) -> None:
         pause = self.FIRST_PAUSE_S
+        current = self._asked  # whether the watch may go on from what is held
         while True:
             try:
-                await self._round()
+                if current:
+                    await self._round()
+                else:
+                    await self._catch_up()
+                    current = True
+                self._answered()
                 pause = self.FIRST_PAUSE_S
                 # Guards the core against answers that come at once, again and again.
                 await asyncio.sleep(self.PACE_S)
             except (DiscoveryError, OSError) as problem:  # a time-out is an OSError
                 self._drop()
-                self._log(f"discovery: {str(problem) or type(problem).__name__}")
-                if self._asked:  # when to ask again is theirs to decide
+                silent = isinstance(problem, TimeoutError)
+                self._failed(SILENT if silent else str(problem) or type(problem).__name__)
+                if self._asked:
+                    if silent and self._failures == 1:
+                        continue  # at once: what it missed counts as told in a moment
+                    # When to ask again is theirs to decide.
                     self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
                     return
+                current = False
+                self._begin()  # it has said that it has none for now, or that it is not there
                 await asyncio.sleep(pause * (0.5 + self._rng.random()))
                 pause = min(self.LONGEST_PAUSE_S, 2.0 * pause)
 
+    def _failed(self, text: str) -> None:
+        self._failures += 1
+        if text != self._said:  # one line, however often it is asked
+            self._said = text
+            self._log(f"discovery: {text}")
+
+    def _answered(self) -> None:
+        if self._said:
+            self._log(f"discovery: answers again, after {self._failures} calls in vain")
+        self._failures, self._said = 0, ""
+        self._begin()
+
+    async def _catch_up(self) -> None:
+        """The whole list, which the agent has at once. One that is silent is asked again and again on connections of
+        their own, a few at a time, and the first answer counts: it may come late, or to the newest call alone.
+        """
+        calls: list[asyncio.Task[tuple[_Connection, Message]]] = []
+        try:
+            while True:
+                calls.append(asyncio.get_running_loop().create_task(self._ask()))
+                done, _ = await asyncio.wait(calls, timeout=self.ASK_S, return_when=asyncio.FIRST_COMPLETED)
+                if done:
+                    # The first answer there is; else what one of them says of its failure.
+                    first = min(done, key=lambda task: task.exception() is not None)
+                    self._connection, answer = first.result()
+                    self._take_whole(self._read(answer))
+                    return
+                self._failed(SILENT)
+        finally:
+            for task in calls:
+                if not task.done():
+                    task.cancel()
+                elif (
+                    not task.cancelled()
+                    and task.exception() is None
+                    and task.result()[0] is not self._connection
+                ):
+                    task.result()[0].close()
+
+    async def _ask(self) -> tuple[_Connection, Message]:
+        connection = _Connection()
+        try:
+            async with asyncio.timeout(self.CALL_S):
+                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
+                return connection, await connection.get(b"/v1/endpoints", self._host)
+        except BaseException:
+            connection.close()
+            raise
+
+    def _take_whole(self, listing: Listing) -> None:
+        if listing.kind is not ListKind.FULL:
+            raise DiscoveryError("the whole list was asked for and changes came")
+        self._version = listing.version
+        self._tell(listing)
+
     async def _round(self) -> None:
         """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
         if self._version is None:
-            listing = await self._call(b"/v1/endpoints", self.CALL_S)
-            if listing.kind is not ListKind.FULL:
-                raise DiscoveryError("the whole list was asked for and changes came")
-        else:
-            after = self._version
-            wait = self.WAIT_S if self._asked else self.PUSHED_WAIT_S
-            target = b"/v1/endpoints?after=%d&wait_ms=%d" % (after, wait * 1000)
-            listing = await self._call(target, wait + self.GRACE_S)
-            if listing.kind is ListKind.DELTA and listing.version < after:
-                self._version = None  # these are changes to another list than the one held
-                return
+            self._take_whole(await self._call(b"/v1/endpoints", self.CALL_S))
+            return
+        after = self._version
+        wait, grace = (
+            (self.WAIT_S, self.GRACE_S) if self._asked else (self.PUSHED_WAIT_S, self.PUSHED_GRACE_S)
+        )
+        target = b"/v1/endpoints?after=%d&wait_ms=%d" % (after, wait * 1000)
+        listing = await self._call(target, wait + grace)
+        if listing.kind is ListKind.DELTA and listing.version < after:
+            self._version = None  # these are changes to another list than the one held
+            return
         self._version = listing.version
         self._tell(listing)
 
     async def _fetch_once(self) -> None:
-        connection = _Connection()
         try:
-            async with asyncio.timeout(self.CALL_S):
-                await asyncio.get_running_loop().create_connection(lambda: connection, *self._address)
-                listing = self._read(await connection.get(b"/v1/endpoints", self._host))
-            if listing.kind is not ListKind.FULL:
-                raise DiscoveryError("the whole list was asked for and changes came")
-            self._version = listing.version
-            self._tell(listing)
+            connection, answer = await self._ask()
+            connection.close()
+            self._take_whole(self._read(answer))
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
             self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
-        finally:
-            connection.close()
 
     async def _call(self, target: bytes, timeout_s: float) -> Listing:
         async with asyncio.timeout(timeout_s):
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -39,6 +39,7 @@
     running,
     status,
 )
+from tests.lifecycle.service import until
 
 
 def run(work: Coroutine[Any, Any, None]) -> None:
@@ -203,6 +204,36 @@
     run(work())
 
 
+def test_a_connection_that_comes_up_late_carries_its_call_once() -> None:
+    """Guards against a second attempt beside a connection that is only late: it comes up when the system asks again, a
+    second after the first time.
+    """
+
+    async def work() -> None:
+        listener, fillers = full_backlog()
+        script = Script([1, 1])
+        upstream = FakeUpstream()
+        async with (
+            running(entry("a", listener.getsockname()[1]), script=script) as balancer,
+            Caller(balancer.port) as caller,
+        ):
+            caller.ask("move", b"x")
+            await until(lambda: balancer.engine.upstreams.sockets, "its connection is coming up")
+            for filler in fillers:
+                filler.close()
+            listener.setblocking(False)
+            server = await asyncio.start_server(upstream._talk, sock=listener)
+            assert (await caller.answer()).status == 200
+            assert (await script.ended()).outcome is Outcome.OK
+            assert len(upstream.seen) == 1
+        server.close()
+        upstream_tasks = list(upstream._tasks)
+        for task in upstream_tasks:
+            task.cancel()
+
+    run(work())
+
+
 async def silence(request: Incoming, talk: Talk) -> None:
     await talk.ended()
 
@@ -534,6 +565,10 @@
     run(work())
 
 
+async def refuses(request: Incoming, talk: Talk) -> None:
+    await talk.send(status(503, "X-Never-Ran: 1\r\n"))
+
+
 def test_the_deadline_is_answered_by_the_engine_once() -> None:
     """Guards against decisions that never answer: the attempt out ends, then one answer goes."""
 
@@ -554,6 +589,24 @@
     run(work())
 
 
+@pytest.mark.parametrize("sent", [False, True])
+def test_what_was_never_begun_by_its_deadline_is_refused(sent: bool) -> None:
+    """Guards callers of what may not run twice: 503 says that asking again is harmless, 504 does not."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(refuses).start()
+        script = Script([1])
+        script.more = lambda event: [] if isinstance(event, AttemptEnded) or not sent else None
+        async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x", X_Expires_In_Ms="150")
+            assert (await caller.answer()).status == 503
+            assert len(upstream.seen) == sent
+            assert not balancer.engine._exchanges
+        upstream.close()
+
+    run(work())
+
+
 def test_sends_past_the_cap_or_for_a_request_that_is_over_are_moot() -> None:
     """Guards the attempt cap and late sends: told as moot, and nothing is written."""
 
