Scenes: whole exchanges of scripted peers compared with texts that a person has read

Need: single assertions do not show what else a request caused. A scene plays real processes between scripted upstreams, discovery, callers and operators; its lines follow the script's own steps, never the clock, and what no step takes is listed.

--- /dev/null
+++ b/tests/scenes/stage.py
@@ -0,0 +1,148 @@
+"""The stage of a scene: real balancers between scripted peers; and the decorator that compares what passed with the
+text that was approved.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import re
+import shutil
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from syrupy.assertion import SnapshotAssertion
+
+from standins.ports import free_port
+from standins.actors import Client, Discovery, Process, Server, Stage
+from tests.fakes import SETTINGS, config_data
+
+
+class Balancer(Process):
+    """One balancer with its two files."""
+
+    def __init__(self, scene: Scene, name: str, files: str = "") -> None:
+        """`files`: the balancer whose files, and address, this one shares."""
+        super().__init__(scene.script, name, free_port())
+        self.port = 0  # where callers come
+        self._scene = scene
+        base = scene.folder / (files or name)
+        self.config_path, self.operator_path = base.with_suffix(".json"), base.with_suffix(".toml")
+
+    def write(self, **changes: Any) -> None:
+        """The platform's file anew, renamed into place."""
+        data = json.loads(self.config_path.read_text()) if self.config_path.exists() else {}
+        fresh = self.config_path.with_suffix(".new")
+        fresh.write_text(json.dumps(data | changes))
+        fresh.rename(self.config_path)
+
+    async def begin(self) -> Balancer:
+        env = {"GW_CONFIG": str(self.config_path), "TMPDIR": str(self._scene.folder)}
+        self._scene.processes.append(self)
+        await self.start("run", "--operator", str(self.operator_path), env=env)
+        await self.tells("READY")
+        return self
+
+
+class Scene(Stage):
+    discovery: Discovery
+
+    async def open(self) -> None:
+        self.discovery = Discovery(self.script, "discovery", self)
+        self.servers.append(await self.discovery.start())
+
+    async def upstream(self, name: str, fastcgi: bool = False) -> Server:
+        server = await Server(self.script, name, self, fastcgi).start()
+        self.servers.append(server)
+        return server
+
+    async def balancer(
+        self, *upstreams: Server, name: str = "lb", operator: str = "", watch: bool = True, **more: Any
+    ) -> Balancer:
+        """A balancer that knows these upstreams from its file (generation 1), ready, with its watch out."""
+        port = free_port()
+        self.script.name(f"127.0.0.1:{port}", f"<{name}>")
+        it = Balancer(self, name)
+        it.port = port
+        entries = [item.entry() for item in upstreams]
+        listen = {"name": name, "listen": f"127.0.0.1:{port}"}
+        it.write(**config_data(entries, self.discovery.peer.port, **listen | more))
+        it.operator_path.write_text(
+            '[lifecycle]\nnotify = true\nreload = "whole"\nhandover = "signal"\naccept_ms = 100.0\n'
+            + operator
+        )
+        await it.begin()
+        if watch:
+            await self.discovery.takes()
+        return it
+
+    def client(self, name: str, of: Balancer, fastcgi: int = 0) -> Client:
+        client = Client(self.script, name, fastcgi or of.port, of.name, bool(fastcgi))
+        self.clients.append(client)
+        return client
+
+
+def settings(**changes: Any) -> dict[str, Any]:
+    """The settings of the tests, with keys of its tables changed, `PolicyLimits__SendCap=2`."""
+    found = copy.deepcopy(SETTINGS)
+    for path, value in changes.items():
+        *tables, key = path.split("__")
+        at = found
+        for table in tables:
+            at = at[table]
+        at[key] = value
+    return found
+
+
+def scene(*bounds_ms: float) -> Callable[[Callable[[Scene], Awaitable[None]]], Callable[..., None]]:
+    """A test that plays the script and compares its transcript with the approved text."""
+
+    def of(script: Callable[[Scene], Awaitable[None]]) -> Callable[..., None]:
+        def played(approved: SnapshotAssertion) -> None:
+            if play(script, *bounds_ms) != approved:
+                # Whole and without colours: what pytest shows of a comparison is cut.
+                difference = "\n".join(approved.get_assert_diff())
+                pytest.fail(re.sub(r"\x1b\[[\d;]*m", "", difference), pytrace=False)
+
+        played.__name__, played.__qualname__ = script.__name__, script.__qualname__
+        played.__doc__, played.__module__ = script.__doc__, script.__module__
+        return played
+
+    return of
+
+
+def play(script: Callable[[Scene], Awaitable[None]], *bounds_ms: float) -> str:
+    # A short path: the names of Unix sockets are bounded.
+    folder = Path(tempfile.mkdtemp(prefix="scene-"))
+    it = Scene(folder, *bounds_ms)
+
+    async def work() -> None:
+        await it.open()
+        try:
+            async with asyncio.timeout(60.0):
+                await script(it)
+                await it.end()
+        except BaseException:
+            print(it.script.text())
+            raise
+        finally:
+            it.stop()
+
+    try:
+        asyncio.run(work())
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    doc = " ".join((script.__doc__ or "").split())
+    return f"{doc}\n\n{it.script.text()}"
+
+
+def write_beside(approved: Path, text: str) -> None:
+    """What was received, in a folder of its own; a person reads it and copies it."""
+    path = approved.parents[2] / "received" / approved.parent.name / approved.name
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(text)
+    pytest.fail(f"{path} is what was received; read it, and copy it to {approved} if it is right")
