--- a/standins/actors.py
+++ b/standins/actors.py
@@ -65,6 +65,7 @@
     def __init__(self, script: Transcript, name: str, stage: Stage, fastcgi: bool = False) -> None:
         super().__init__(script, name)
         self.stage = stage
+        self._owners: dict[asyncio.StreamWriter, int] = {}  # by connection, the process at its other end
         self.by_itself: bytes | None = None
         self.served = 0
         self.inbox: Inbox[Exchange] = Inbox(name)
@@ -88,8 +89,10 @@
             self.served += 1
             await talk.send(self.by_itself)
             return
-        pid = self.stage.owner_of(talk.writer.get_extra_info("peername")[1], self.peer.port)
-        exchange = Exchange(self, request, talk, pid)
+        if talk.writer not in self._owners:
+            port = talk.writer.get_extra_info("peername")[1]
+            self._owners[talk.writer] = self.stage.owner_of(port, self.peer.port)
+        exchange = Exchange(self, request, talk, self._owners[talk.writer])
         self.came(exchange)
         await exchange.over.wait()
 
@@ -136,6 +139,8 @@
         return f"{exchange.request.method} {exchange.request.target}"
 
     def came(self, exchange: Exchange) -> None:
+        if not exchange.pid:
+            return  # its process was gone before the call was read
         self._open[exchange.pid] = exchange
         if "wait_ms=" in exchange.request.target and not self.silent:
             wait_ms = float(exchange.request.target.rpartition("wait_ms=")[2])
--- a/tests/scenes/stage.py
+++ b/tests/scenes/stage.py
@@ -7,20 +7,19 @@
 import asyncio
 import copy
 import json
-import re
 import shutil
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
-import pytest
 from syrupy.assertion import SnapshotAssertion
 
 from standins.actors import Client, Discovery, Server
 from standins.ports import free_port
 from standins.scene import Process, Stage
 from tests.fakes import SETTINGS, config_data
+from tests.scenes.approval import compare
 
 LONG_MS = 60_000  # deadlines that no slow machine misses
 LIFECYCLE = """[lifecycle]
@@ -107,7 +106,7 @@
     """The settings of the tests, with keys of its tables changed, `PolicyLimits__SendCap=2`."""
     found = copy.deepcopy(SETTINGS)
     for category in found["Categories"]:
-        category["HardLimitMs"] = LONG_MS
+        category["AimMs"] = category["HardLimitMs"] = LONG_MS
     found["PolicyLimits"]["SecondCopies"] = False  # those go by the time that an answer takes
     for path, value in changes.items():
         *tables, key = path.split("__")
@@ -123,10 +122,7 @@
 
     def of(script: Callable[[Scene], Awaitable[None]]) -> Callable[..., None]:
         def played(approved: SnapshotAssertion) -> None:
-            if play(script, *bounds_ms) != approved:
-                # Whole and without colours: what pytest shows of a comparison is cut.
-                difference = "\n".join(approved.get_assert_diff())
-                pytest.fail(re.sub(r"\x1b\[[\d;]*m", "", difference), pytrace=False)
+            compare(play(script, *bounds_ms), approved)
 
         played.__name__, played.__qualname__ = script.__name__, script.__qualname__
         played.__doc__, played.__module__ = script.__doc__, script.__module__
@@ -158,11 +154,3 @@
         shutil.rmtree(folder, ignore_errors=True)
     doc = " ".join((script.__doc__ or "").split())
     return f"{doc}\n\n{it.script.text()}"
-
-
-def write_beside(approved: Path, text: str) -> None:
-    """What was received, in a folder of its own; a person reads it and copies it."""
-    path = approved.parents[2] / "received" / approved.parent.name / approved.name
-    path.parent.mkdir(parents=True, exist_ok=True)
-    path.write_text(text)
-    pytest.fail(f"{path} is what was received; read it, and copy it to {approved} if it is right")
--- a/tests/scenes/test_parts.py
+++ b/tests/scenes/test_parts.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from standins.peers import ok, status
-from tests.scenes.stage import Scene, scene
+from tests.scenes.stage import Scene, scene, settings
 
 BUDGET = """[budget]
 on = true
@@ -34,7 +34,10 @@
 async def test_storm_advice(s: Scene) -> None:
     """No upstream is left: whoever is refused is told when to come back, and is served when one is there again."""
     u0 = await s.upstream("u0")
-    lb = await s.balancer(u0, operator="[storms]\non = true\n")
+    soon = settings()
+    for category in soon["Categories"]:
+        category["AimMs"] = 1000  # nobody waits long for a place
+    lb = await s.balancer(u0, operator="[storms]\non = true\n", settings=soon)
     lb.by_the_clock = ("storm: ",)
     ann, bob = s.client("ann", lb), s.client("bob", lb)
     await ann.asks("look", "t1")
