--- a/standins/scene.py
+++ b/standins/scene.py
@@ -30,6 +30,7 @@
         self._log: Inbox[str] = Inbox(f"the log of {name}")
         self._seen: set[str] = set()
         self.ended = False
+        self._reading: asyncio.Task[None] | None = None  # of its log
         self.pids: dict[int, str] = {}
 
     async def start(self, *arguments: str, env: dict[str, str]) -> Process:
@@ -38,11 +39,15 @@
         if self._control:
             env["GW_CONTROL"] = f"127.0.0.1:{self._control}"
         self.process = await launch(*arguments, env=env)
-        self.pids = {self.process.pid: self.name}
-        self.script.name(self.process.pid, f"<{self.name}>")
+        self._name_pid(self.process.pid, self.name)
         self._reading = asyncio.ensure_future(self._read())
         return self
 
+    def _name_pid(self, pid: int, name: str) -> None:
+        self.pids[pid] = name
+        # Not the bare number, which may be a status or a port as well.
+        self.script.name(f"MAINPID={pid}", f"MAINPID=<{name}>")
+
     async def _read(self) -> None:
         """A line that comes again is told once: how often goes by the time that a scene takes."""
         assert self.process.stderr is not None
@@ -92,8 +97,7 @@
         """Until a successor is told of; it is called `name` from here on."""
         at = await self._find("MAINPID")
         pid = int(self._manager.words.all[at]["MAINPID"])
-        self.pids[pid] = name
-        self.script.name(pid, f"<{name}>")
+        self._name_pid(pid, name)
         self.script.line(self.name, "manager", self._words(at))
         return pid
 
@@ -115,6 +119,7 @@
 
     async def ends(self) -> None:
         """Until it has ended, and whoever else writes to its log."""
+        assert self._reading is not None
         async with asyncio.timeout(PATIENCE_S):
             await self._reading
         await self._words_to_the_last()
@@ -147,7 +152,8 @@
         for pid in self.pids:
             with suppress(ProcessLookupError):
                 os.kill(pid, signal.SIGKILL)
-        self._reading.cancel()
+        if self._reading is not None:
+            self._reading.cancel()
         self._manager.stop()
 
 
