--- /dev/null
+++ b/standins/actors.py
@@ -0,0 +1,265 @@
+"""Hands: the scripted peers of a scene: upstreams, discovery, callers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections import Counter
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
+
+from standins.peers import PATIENCE_S, Answer, Caller, FakeUpstream, Incoming, Talk, read_head, request_bytes
+from standins.ports import free_port
+from standins.transcript import Actor, Inbox, Transcript, message, shown
+
+if TYPE_CHECKING:
+    from standins.scene import Stage
+
+
+class Exchange:
+    """One request at a server, which the script answers."""
+
+    def __init__(self, server: Server, request: Incoming, talk: Talk, pid: int) -> None:
+        self.server, self.request, self.talk, self.pid = server, request, talk, pid
+        self.over = asyncio.Event()
+
+    @property
+    def source(self) -> str:
+        return self.server.stage.name_of(self.pid)
+
+    def _line(self, what: str) -> None:
+        self.server.script.line(self.server.name, self.source, what)
+
+    async def answers(self, code: int = 200, body: bytes = b"served", **headers: str) -> None:
+        fields = {name.replace("_", "-").lower(): value for name, value in headers.items()}
+        fields.setdefault("content-length", str(len(body)))
+        self._line(message(self.server.script, str(code), fields, body))
+        head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+        await self.talk.send(f"HTTP/1.1 {code} X\r\n{head}\r\n".encode() + body)
+        if int(fields["content-length"]) <= len(body):
+            self.over.set()
+
+    async def goes_on(self, body: bytes, last: bool = False) -> None:
+        """More of an answer whose length said that more would come."""
+        self._line(f"more, [{shown(body)}]")
+        await self.talk.send(body)
+        if last:
+            self.over.set()
+
+    def resets(self) -> None:
+        self._line("a reset")
+        self.talk.reset()
+        self.over.set()
+
+    async def sees_end(self) -> None:
+        """Until the balancer closes it."""
+        async with asyncio.timeout(PATIENCE_S):
+            await self.talk.ended()
+        self.server.script.line(self.source, self.server.name, "the connection's end")
+        self.over.set()
+
+
+class Server(Actor):
+    """An upstream, or discovery: whatever answers requests, each by a step of the script."""
+
+    def __init__(self, script: Transcript, name: str, stage: Stage, fastcgi: bool = False) -> None:
+        super().__init__(script, name)
+        self.stage = stage
+        self._owners: dict[asyncio.StreamWriter, int] = {}  # by connection, the process at its other end
+        self.by_itself: bytes | None = None
+        self.served = 0
+        self.inbox: Inbox[Exchange] = Inbox(name)
+        self.peer = FakeUpstream(self._behave)
+        self.peer.speaks = "fastcgi" if fastcgi else "http1"
+
+    async def start(self) -> Server:
+        await self.peer.start()
+        for text in (f"127.0.0.1:{self.peer.port}", f"('127.0.0.1', {self.peer.port})"):
+            self.script.name(text, f"<{self.name}>")
+        return self
+
+    def stop(self) -> None:
+        self.peer.close()
+
+    def entry(self, **more: Any) -> dict[str, Any]:
+        return self.peer.entry(self.name, **more)
+
+    async def _behave(self, request: Incoming, talk: Talk) -> None:
+        if self.by_itself is not None:
+            self.served += 1
+            await talk.send(self.by_itself)
+            return
+        if talk.writer not in self._owners:
+            port = talk.writer.get_extra_info("peername")[1]
+            self._owners[talk.writer] = self.stage.owner_of(port, self.peer.port)
+        exchange = Exchange(self, request, talk, self._owners[talk.writer])
+        self.came(exchange)
+        await exchange.over.wait()
+
+    def came(self, exchange: Exchange) -> None:
+        self.inbox.came(exchange)
+
+    def what(self, exchange: Exchange) -> str:
+        request = exchange.request
+        return message(self.script, f"{request.method} {request.target}", request.headers, request.body)
+
+    def serves(self, data: bytes) -> None:
+        """Answer all that comes with these bytes from now on, and count it."""
+        self.by_itself = data
+
+    def told(self, source: str = "lb") -> None:
+        """How many it has answered by itself since it was told so, or since the last time."""
+        self.script.line(source, self.name, f"{self.served} requests, all answered by itself")
+        self.served = 0
+
+    async def takes(self) -> Exchange:
+        exchange = await self.inbox.take()
+        self.script.line(exchange.source, self.name, self.what(exchange))
+        return exchange
+
+    def left(self) -> list[tuple[str, str, str]]:
+        return [(item.source, self.name, self.what(item)) for item in self.inbox.items]
+
+
+class Discovery(Server):
+    """Calls that the same balancer repeats are told once: how often a watch without news is opened again goes by the
+    time that a scene takes. `silent` leaves watches unanswered, else one without news is answered before it is given
+    up.
+    """
+
+    silent = False
+
+    def __init__(self, script: Transcript, name: str, stage: Stage) -> None:
+        super().__init__(script, name, stage)
+        self._last: dict[int, str] = {}
+        self._open: dict[int, Exchange] = {}  # the call that is out, by process
+        self.peer.port = free_port()  # where it comes back to
+
+    def what(self, exchange: Exchange) -> str:
+        return f"{exchange.request.method} {exchange.request.target}"
+
+    def came(self, exchange: Exchange) -> None:
+        if not exchange.pid:
+            return  # its process was gone before the call was read
+        self._open[exchange.pid] = exchange
+        if "wait_ms=" in exchange.request.target and not self.silent:
+            wait_ms = float(exchange.request.target.rpartition("wait_ms=")[2])
+            asyncio.get_running_loop().call_later(wait_ms / 2000.0, self._no_news, exchange)
+        if self.silent or self._last.get(exchange.pid) != exchange.request.target:
+            self._last[exchange.pid] = exchange.request.target
+            self.inbox.came(exchange)
+
+    def _no_news(self, exchange: Exchange) -> None:
+        after = int(exchange.request.target.partition("after=")[2].partition("&")[0])
+        if not exchange.over.is_set() and not self.silent:
+            exchange.talk.writer.write(listing(after, [], False))
+            exchange.over.set()
+
+    async def tells(
+        self, generation: int, *rows: dict[str, Any], whole: bool = False, to: str = "lb"
+    ) -> None:
+        """Answer the call that is out with changes, or with the whole list."""
+        words = [f"{row['instanceId']} {row['lifecycle']}" for row in rows]
+        kind = "the whole list" if whole else "changes"
+        self.script.line(self.name, to, f"generation {generation}, {kind}: {', '.join(words) or 'none'}")
+        call = next(call for call in self._open.values() if call.source == to)
+        await call.talk.send(listing(generation, list(rows), whole))
+        call.over.set()
+
+
+def listing(generation: int, rows: list[dict[str, Any]], whole: bool) -> bytes:
+    body = json.dumps({"generation": generation, "reset": whole, "instances": rows}).encode()
+    return f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body
+
+
+class Client(Actor):
+    """A caller with one connection, made with its first word."""
+
+    def __init__(self, script: Transcript, name: str, port: int, to: str, fastcgi: bool = False) -> None:
+        super().__init__(script, name)
+        self._to = to
+        self._caller = Caller(port)
+        self._caller.speaks = "fastcgi" if fastcgi else "http1"
+        self._connected = False
+
+    async def connects(self) -> Client:
+        if not self._connected:
+            await self._caller.__aenter__()
+            self._connected = True
+        return self
+
+    async def asks(
+        self, cls: str, trace: str, target: str = "/api", body: bytes = b"", **headers: str
+    ) -> None:
+        headers = {"X_Trace_Id": trace, "X_Expires_In_Ms": "60000"} | headers
+        body = body or (b"" if cls == "look" else b"x")
+        data = request_bytes(cls, body, target, **headers)
+        head, _, rest = data.decode("latin-1").partition("\r\n\r\n")
+        first, *lines = head.split("\r\n")
+        fields = {k.lower(): v.strip() for k, _, v in (line.partition(":") for line in lines)}
+        what = message(self.script, first.removesuffix(" HTTP/1.1"), fields, rest.encode("latin-1"))
+        self.script.line(self.name, self._to, what)
+        await self.connects()
+        self._caller.ask(cls, body, target, **headers)
+
+    async def asks_ready(self) -> None:
+        await self.sends(b"GET /ready HTTP/1.1\r\nHost: api.internal\r\n\r\n", "GET /ready")
+
+    async def sends(self, data: bytes, what: str) -> None:
+        """Bytes that are no whole request."""
+        await self.connects()
+        self.script.line(self.name, self._to, what)
+        self._caller.send(data)
+
+    async def gets(self) -> Answer:
+        answer = await self._caller.answer()
+        self._line(message(self.script, str(answer.status), answer.headers, answer.body))
+        return answer
+
+    async def asks_often(self, cls: str, prefix: str, count: int) -> None:
+        """One after the other, each with an id of its own; the answers by their statuses."""
+        found = Counter[int]()
+        await self.connects()
+        for n in range(count):
+            self._caller.ask(cls, X_Trace_Id=f"{prefix}{n}")
+            found[(await self._caller.answer()).status] += 1
+        self.script.line(
+            self.name, self._to, f"{count} of {cls}, {prefix}0 to {prefix}{count - 1}, one by one"
+        )
+        self._line(", ".join(f"{found[code]} times {code}" for code in sorted(found)))
+
+    async def gets_head(self) -> None:
+        """Of an answer that is still coming."""
+        async with asyncio.timeout(PATIENCE_S):
+            head = await read_head(self._caller.reader)
+        assert head is not None
+        self._length = int(head[1].get("content-length", "0"))
+        self._line(message(self.script, f"{head[0].split()[1]}, and a body begins", head[1], b""))
+
+    async def gets_body(self, expected: bytes) -> None:
+        async with asyncio.timeout(PATIENCE_S):
+            body = await self._caller.reader.readexactly(self._length)
+        self._line(f"its body, {shown(body)}{'' if body == expected else ', not as it was sent'}")
+
+    async def gets_part(self) -> None:
+        """A body that breaks off: how much of it had come goes by the sockets' moods."""
+        part = b""
+        with suppress(ConnectionError):
+            async with asyncio.timeout(PATIENCE_S):
+                while more := await self._caller.reader.read(65536):
+                    part += more
+        self._line(
+            f"{'not all' if len(part) < self._length else 'all'} of its body, and the connection's end"
+        )
+
+    async def sees_end(self) -> None:
+        with suppress(ConnectionError):
+            assert await self._caller.ended() == b""
+        self._line("the connection's end")
+
+    def _line(self, what: str) -> None:
+        self.script.line(self._to, self.name, what)
+
+    def stop(self) -> None:
+        if self._connected:
+            self._caller.writer.close()
