--- /dev/null
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -0,0 +1,256 @@
+"""Rules: what is believed of each listed peer, by what it says itself and by rumour, and which rumours are told on.
+
+SWIM (Das, Gupta, Motivala 2002) sections 4.1 and 4.2, with Lifeguard (Dadgar, Phillips, Currey 2017) sections IV-B and
+IV-C. All names are listed from the start, so nobody joins: who was never heard is taken to be there until shown
+otherwise.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass
+from heapq import nsmallest
+from math import inf
+from typing import NamedTuple
+
+from larkweir_peers.frames import LIFE_BITS, News, State
+from larkweir_peers.names import packed
+from larkweir_peers.pace import Health, Pace, Suspicion
+
+GONE = (State.DEAD, State.LEFT)
+
+
+class Event(NamedTuple):
+    """What is believed of a member from now on."""
+
+    name: str
+    state: State
+    incarnation: int
+    at_ms: float
+
+
+@dataclass(slots=True)
+class Member:
+    name: str
+    packed: bytes
+    state: State = State.UNHEARD
+    incarnation: int = 0
+    suspicion: Suspicion | None = None
+
+
+@dataclass(slots=True)
+class _Rumour:
+    news: News
+    serial: int
+    told: int = 0
+
+
+class Members:
+    EVENTS_MOST = 4_096
+    FILL = 3  # pieces of what is not well that go where there is room, in turn
+
+    def __init__(self, me: str, others: Sequence[str], life_ms: int, pace: Pace, health: Health) -> None:
+        """`life_ms`: when this life began, on a clock that does not go back from life to life; where it does all the
+        same, the others' word of the former life lifts this one above it.
+        """
+        self.me = packed(me)
+        self.incarnation = max(1, life_ms) << LIFE_BITS
+        self.leaving = False
+        self.events: deque[Event] = deque(maxlen=self.EVENTS_MOST)
+        self._pace = pace
+        self._health = health
+        self.table = {name: Member(name, packed(name)) for name in dict.fromkeys(others) if name != me}
+        self._by_bytes = {member.packed: member for member in self.table.values()}
+        self._suspects: dict[str, Member] = {}
+        self._off: dict[str, Member] = {}  # suspect or gone
+        self._off_at = 0
+        self._rumours: dict[bytes, _Rumour] = {}
+        self._serial = 0
+        self._due_ms = inf
+        self._alive: tuple[str, ...] | None = None
+        self.gone = 0
+        self._tell(News(self.me, State.ALIVE, self.incarnation))
+
+    # ------------------------------------------------ what is known
+
+    @property
+    def fleet(self) -> int:
+        """Processes that are not held to be lost, with this one."""
+        return len(self.table) - self.gone + 1
+
+    def alive(self) -> tuple[str, ...]:
+        """Whom to ask: all that are neither suspect nor gone, in the list's order."""
+        if self._alive is None:
+            self._alive = tuple(
+                name for name, item in self.table.items() if item.state in (State.UNHEARD, State.ALIVE)
+            )
+        return self._alive
+
+    def lost(self) -> list[str]:
+        return [name for name, item in self._off.items() if item.state in GONE]
+
+    def counts(self) -> dict[State, int]:
+        found = dict.fromkeys(State, 0)
+        for item in self.table.values():
+            found[item.state] += 1
+        return found
+
+    # ------------------------------------------------ what is heard
+
+    def heard(self, member: Member, incarnation: int, now_ms: float) -> None:
+        """It spoke itself. Only an incarnation of its own ends a suspicion."""
+        if incarnation > member.incarnation:
+            self._set(member, State.ALIVE, incarnation, now_ms)
+            self._tell(News(member.packed, State.ALIVE, incarnation))
+
+    def told(self, news: News, now_ms: float) -> bool:
+        """A rumour; False where it is of nobody that is listed."""
+        if news.who == self.me:
+            self._told_of_me(news)
+            return True
+        member = self._by_bytes.get(news.who)
+        if member is None:
+            return False
+        state = State(news.state)
+        if state is State.ALIVE:
+            self.heard(member, news.incarnation, now_ms)
+        elif state is State.SUSPECT:
+            self._suspected(member, news, now_ms)
+        elif news.incarnation >= member.incarnation and member.state not in GONE:
+            self._set(member, state, news.incarnation, now_ms)
+            self._tell(news)
+        elif news.incarnation > member.incarnation:
+            member.incarnation = news.incarnation
+        return True
+
+    def _told_of_me(self, news: News) -> None:
+        """Whatever is said of this life, or of one that seems later, is refuted by a higher incarnation."""
+        own = news.state == State.ALIVE and news.incarnation == self.incarnation
+        if self.leaving or own or news.incarnation < self.incarnation:
+            return
+        if news.state != State.ALIVE:
+            self._health.change(1)  # Lifeguard section IV-A: it was slow to answer
+        self.incarnation = news.incarnation + 1
+        self._tell(News(self.me, State.ALIVE, self.incarnation))
+
+    def failed(self, name: str, now_ms: float) -> None:
+        """A probe of this process came to nothing."""
+        member = self.table[name]
+        if member.state not in GONE:
+            news = News(member.packed, State.SUSPECT, member.incarnation, self.me)
+            self._suspected(member, news, now_ms)
+
+    def _suspected(self, member: Member, news: News, now_ms: float) -> None:
+        if news.incarnation < member.incarnation or member.state in GONE:
+            return
+        if news.by != self.me and news.by not in self._by_bytes:
+            return  # nobody's suspicion counts for nothing
+        suspicion = member.suspicion
+        if suspicion is None or news.incarnation > member.incarnation:
+            fleet = self.fleet
+            least, most = self._pace.suspicion_ms(fleet)
+            wanted = self._pace.confirmations if fleet - 2 >= self._pace.confirmations else 0
+            self._set(member, State.SUSPECT, news.incarnation, now_ms)
+            member.suspicion = Suspicion(now_ms, least, most, wanted, {news.by})
+        elif news.by not in suspicion.by and len(suspicion.by) <= suspicion.wanted:
+            suspicion.by.add(news.by)
+        else:
+            return
+        self._due_ms = min(self._due_ms, member.suspicion.due_ms) if member.suspicion else self._due_ms
+        self._tell(news)
+
+    def _set(self, member: Member, state: State, incarnation: int, now_ms: float) -> None:
+        before, member.state, member.incarnation, member.suspicion = member.state, state, incarnation, None
+        if state is before:
+            return
+        self.gone += (state in GONE) - (before in GONE)
+        self._alive = None
+        self._suspects.pop(member.name, None)
+        if state is State.SUSPECT:
+            self._suspects[member.name] = member
+        if state is State.ALIVE:
+            self._off.pop(member.name, None)
+        else:
+            self._off[member.name] = member
+        self.events.append(Event(member.name, state, incarnation, now_ms))
+
+    # ------------------------------------------------ time
+
+    @property
+    def due_ms(self) -> float:
+        """When the first suspicion may run out; not before, and infinite where there is none."""
+        return self._due_ms if self._suspects else inf
+
+    def expire(self, now_ms: float) -> None:
+        if now_ms < self.due_ms:
+            return
+        for member in list(self._suspects.values()):
+            if member.suspicion is not None and member.suspicion.due_ms <= now_ms:
+                self._set(member, State.DEAD, member.incarnation, now_ms)
+                self._tell(News(member.packed, State.DEAD, member.incarnation))
+        self._look()
+
+    def put_off(self, by_ms: float) -> None:
+        """This process stood still: nobody could clear himself to it meanwhile."""
+        for member in self._suspects.values():
+            if member.suspicion is not None:
+                member.suspicion.since_ms += by_ms
+        self._look()
+
+    def _look(self) -> None:
+        self._due_ms = min((m.suspicion.due_ms for m in self._suspects.values() if m.suspicion), default=inf)
+
+    # ------------------------------------------------ what is told on
+
+    def leave(self) -> None:
+        """This process goes for good: it says so, and refutes nothing any more."""
+        self.leaving = True
+        self._tell(News(self.me, State.LEFT, self.incarnation))
+
+    def _tell(self, news: News) -> None:
+        self._serial += 1
+        self._rumours[news.who] = _Rumour(news, self._serial)
+
+    def news_for(self, to: Member, room: int) -> list[News]:
+        """What goes with a datagram to a member: first what is believed of itself, if that is not well (Lifeguard
+        section IV-C), then what was told least, then in turn those that are not well.
+        """
+        out: dict[bytes, News] = {}
+        if room <= 0:
+            return []
+        if to.state > State.ALIVE:
+            by = next(iter(to.suspicion.by)) if to.suspicion is not None else b""
+            out[to.packed] = News(to.packed, to.state, to.incarnation, by)
+        most = self._pace.told(self.fleet)
+        chosen = nsmallest(
+            room - len(out), self._rumours.values(), key=lambda item: (item.told, -item.serial)
+        )
+        for rumour in chosen:
+            who = rumour.news.who
+            out.setdefault(who, rumour.news)
+            rumour.told += 1
+            if rumour.told >= most:
+                del self._rumours[who]
+        self._fill(out, min(room, len(out) + self.FILL))
+        return list(out.values())
+
+    def _fill(self, out: dict[bytes, News], most: int) -> None:
+        held = len(self._off)
+        if len(out) >= most or not held:
+            return
+        names = list(self._off.values()) if held <= 64 else self._window()
+        for _ in range(len(names)):
+            if len(out) >= most:
+                return
+            self._off_at += 1
+            member = names[self._off_at % len(names)]
+            by = next(iter(member.suspicion.by)) if member.suspicion is not None else b""
+            out.setdefault(member.packed, News(member.packed, member.state, member.incarnation, by))
+
+    def _window(self) -> list[Member]:
+        """Of many that are not well, the first few: each that was told goes to the end."""
+        names = [member for member, _ in zip(self._off.values(), range(self.FILL), strict=False)]
+        for member in names:
+            self._off[member.name] = self._off.pop(member.name)
+        return names
--- /dev/null
+++ b/packages/peers/src/larkweir_peers/names.py
@@ -0,0 +1,36 @@
+"""Rules: a peer's name, the text of its IPv4 address and port, and its six bytes in a datagram."""
+
+from __future__ import annotations
+
+SIZE = 6
+
+
+def packed(name: str) -> bytes:
+    """`10.3.0.1:7946` as six bytes, network order; ValueError where it is no such address with a port from 1."""
+    host, _, port = name.rpartition(":")
+    parts = host.split(".")
+    if (
+        len(parts) != 4
+        or not all(_number(part, 255) for part in parts)
+        or not _number(port, 65535)
+        or not int(port)
+    ):
+        raise ValueError(f"{name!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946")
+    return bytes(map(int, parts)) + int(port).to_bytes(2, "big")
+
+
+def named(raw: bytes) -> str:
+    """The name that six bytes stand for."""
+    return f"{raw[0]}.{raw[1]}.{raw[2]}.{raw[3]}:{raw[4] << 8 | raw[5]}"
+
+
+def loopback(name: str) -> bool:
+    """Whether it never leaves the machine (RFC 1122 section 3.2.1.3)."""
+    return name.startswith("127.")
+
+
+def _number(text: str, most: int) -> bool:
+    """One way to write each number: a name is compared as text."""
+    return (
+        text.isascii() and text.isdigit() and len(text) <= 5 and int(text) <= most and str(int(text)) == text
+    )
