--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -10,7 +10,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
-from heapq import nsmallest
+from heapq import heapify, heappop, heappush
 from math import inf
 from typing import NamedTuple
 
@@ -39,11 +39,9 @@
     suspicion: Suspicion | None = None
 
 
-@dataclass(slots=True)
-class _Rumour:
+class _Rumour(NamedTuple):
     news: News
     serial: int
-    told: int = 0
 
 
 class Members:
@@ -65,7 +63,8 @@
         self._suspects: dict[str, Member] = {}
         self._off: dict[str, Member] = {}  # suspect or gone
         self._off_at = 0
-        self._rumours: dict[bytes, _Rumour] = {}
+        self._rumours: dict[bytes, _Rumour] = {}  # the last of each member
+        self._queue: list[tuple[int, int, bytes]] = []  # a heap: how often told, how new, of whom
         self._serial = 0
         self._due_ms = inf
         self._alive: tuple[str, ...] | None = None
@@ -211,6 +210,11 @@
     def _tell(self, news: News) -> None:
         self._serial += 1
         self._rumours[news.who] = _Rumour(news, self._serial)
+        heappush(self._queue, (0, -self._serial, news.who))
+        if len(self._queue) > 2 * len(self._rumours) + 64:  # guards against a heap of what was overtaken
+            held = {(-rumour.serial, who) for who, rumour in self._rumours.items()}
+            self._queue = [item for item in self._queue if item[1:] in held]
+            heapify(self._queue)
 
     def news_for(self, to: Member, room: int) -> list[News]:
         """What goes with a datagram to a member: first what is believed of itself, if that is not well (Lifeguard
@@ -222,18 +226,25 @@
         if to.state > State.ALIVE:
             by = next(iter(to.suspicion.by)) if to.suspicion is not None else b""
             out[to.packed] = News(to.packed, to.state, to.incarnation, by)
+        self._rumoured(out, room)
+        self._fill(out, min(room, len(out) + self.FILL))
+        return list(out.values())
+
+    def _rumoured(self, out: dict[bytes, News], room: int) -> None:
         most = self._pace.told(self.fleet)
-        chosen = nsmallest(
-            room - len(out), self._rumours.values(), key=lambda item: (item.told, -item.serial)
-        )
-        for rumour in chosen:
-            who = rumour.news.who
+        queue, kept = self._queue, []
+        while queue and len(out) < room:
+            told, serial, who = heappop(queue)
+            rumour = self._rumours.get(who)
+            if rumour is None or rumour.serial != -serial:
+                continue  # a newer one has taken its place
             out.setdefault(who, rumour.news)
-            rumour.told += 1
-            if rumour.told >= most:
+            if told + 1 < most:
+                kept.append((told + 1, serial, who))
+            else:
                 del self._rumours[who]
-        self._fill(out, min(room, len(out) + self.FILL))
-        return list(out.values())
+        for item in kept:
+            heappush(queue, item)
 
     def _fill(self, out: dict[bytes, News], most: int) -> None:
         held = len(self._off)
