Peers plug into a balancer: table [peers], check, one function at the root, STATUS, handover

Off by default and not imported when off. The address goes to a successor by Accept, the word that the listener follows too, and comes back with it. The check names both files where the platform's settings forbid peers.

--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -10,8 +10,9 @@
 from larkweir.config import changes
 from larkweir.config.operator import decode as decode_operator
 from larkweir.config.options import Change, changed
+from larkweir.config.platform import ConfigError, read_object
+from larkweir.config.platform import decode as decode_platform
 from larkweir.config.platform import faults as platform_faults
-from larkweir.config.platform import read_object
 
 NOBODY: Mapping[str, str] = {}  # a file is checked by itself, whatever the environment tells
 
@@ -37,12 +38,30 @@
     return decode_operator(text)[1] if path.endswith(".toml") else platform_faults(text, NOBODY)
 
 
+def _beside(paths: Sequence[str]) -> list[str]:
+    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden."""
+    found = []
+    for path in (path for path in paths if path.endswith(".toml")):
+        options = decode_operator(_read(path)[0])[0].peers
+        if not options.on:
+            continue
+        from larkweir.config.peering import peering  # not imported where it is off
+
+        for other in (other for other in paths if not other.endswith(".toml")):
+            try:
+                peering(options, decode_platform(_read(other)[0], NOBODY))
+            except ConfigError as problem:
+                found.append(f"{path}: {problem} (beside {other})")
+    return found
+
+
 def check(paths: Sequence[str]) -> int:
     """Print every fault of the files; 0 if there is none, else 2."""
     if not paths:
         print("check: name a file, or use --diff OLD NEW", file=sys.stderr)
         return 2
     found = [f"{path}: {fault}" for path in paths for fault in _faults(path)]
+    found = found or _beside(paths)
     for line in found:
         print(line)
     return 2 if found else 0
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -245,6 +245,45 @@
         return {}
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Peers:
+    """The table `[peers]`: the other balancers of the fleet, and datagrams between them."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # Where this process listens, "10.3.0.1:7946". "": as the platform's file says (`peer_listen`).
+    listen: str = option("", Change.HANDOVER)
+    # The address by which the others list this process, where it is not the one it listens at.
+    name: str = option("", Change.HANDOVER)
+    # The whole fleet, each "address:port"; this process may be among them. Empty: as the platform's file says.
+    peers: tuple[str, ...] = option((), Change.HANDOVER)
+    # A file of one to four lines, each a key: the first signs, all are believed. "": loopback addresses alone.
+    key_file: str = option("", Change.HANDOVER)
+    # From probe to probe, and until others are asked about one that has not answered.
+    probe_ms: float = option(500.0, Change.HANDOVER, low=50.0, high=60_000.0)
+    ack_ms: float = option(200.0, Change.HANDOVER, low=10.0, high=30_000.0)
+    # Datagrams that this process sends, a second, and as many at once.
+    datagrams_per_s: float = option(64.0, Change.HANDOVER, low=10.0, high=100_000.0)
+    burst: float = option(128.0, Change.HANDOVER, low=64.0, high=100_000.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        said = [("listen", self.listen), ("name", self.name), *(("peers", item) for item in self.peers)]
+        for key, text in said:
+            address = listen_address(text) if text else None
+            if text and (address is None or isinstance(address, str) or not address[1]):
+                found[key] = f"{text!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946"
+            elif text and not self.key_file and not text.startswith("127."):
+                found[key] = f"{text} is beyond loopback: that takes a key_file"
+        if len(self.peers) > 4096:
+            found["peers"] = f"{len(self.peers)} addresses; 4096 at the most"
+        if self.key_file and not self.key_file.startswith("/"):
+            found["key_file"] = f"{self.key_file!r:.100} is no file; write a path from the root of the disk"
+        if self.ack_ms >= self.probe_ms:
+            found["ack_ms"] = f"{self.ack_ms:g} ms is no shorter than probe_ms, {self.probe_ms:g}"
+        return found
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -414,6 +453,7 @@
     log: Log = field(default_factory=Log)
     store: Store = field(default_factory=Store)
     remembered: Remembered = field(default_factory=Remembered)
+    peers: Peers = field(default_factory=Peers)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -445,6 +485,7 @@
     "log": Log,
     "store": Store,
     "remembered": Remembered,
+    "peers": Peers,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- /dev/null
+++ b/larkweir/config/peering.py
@@ -0,0 +1,42 @@
+"""Rules: who this process is among its peers, from both files. Not imported where `[peers]` is off."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+from larkweir.config.options import Peers, listen_address
+from larkweir.config.platform import Config, ConfigError
+
+
+class Peering(NamedTuple):
+    """Addresses as text."""
+
+    listen: str
+    name: str  # by which the others know it
+    others: tuple[str, ...]
+
+
+def peering(options: Peers, config: Config) -> Peering:
+    """ConfigError, one line, where it can't be switched on beside this platform file."""
+    if not config.may_peer:
+        raise ConfigError(
+            "peers.on: the platform's settings forbid that balancers speak to each other "
+            "(settings.PolicyLimits.Peers); write on = false"
+        )
+    listen = options.listen or config.peer_listen
+    if not listen:
+        raise ConfigError('peers.listen: neither file says where; write "10.3.0.1:7946"')
+    name = options.name or listen
+    listed = options.peers or config.peers
+    others = tuple(dict.fromkeys(item for item in listed if item != name))
+    if not others:
+        raise ConfigError("peers.peers: neither file lists another balancer")
+    for key, text in (("listen", listen), ("name", name), *(("peers", item) for item in others)):
+        address = listen_address(text)
+        if address is None or isinstance(address, str) or not address[1]:
+            raise ConfigError(
+                f"peers.{key}: {text!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946"
+            )
+        if not options.key_file and not text.startswith("127."):
+            raise ConfigError(f"peers.key_file: {text} is beyond loopback: that takes a key")
+    return Peering(listen, name, others)
--- a/larkweir/config/platform.py
+++ b/larkweir/config/platform.py
@@ -38,6 +38,9 @@
     drain_grace_ms: float
     known: dict[str, Any] = field(default_factory=dict)
     control: Address | None = None  # where operators call; none: nowhere
+    peer_listen: str = ""  # not checked before something uses them
+    peers: tuple[str, ...] = ()
+    may_peer: bool = True  # whether the settings let balancers speak to each other
 
 
 def parse_address(text: object, key: str) -> Address:
@@ -117,6 +120,19 @@
     return settings
 
 
+def _texts(value: object) -> tuple[str, ...]:
+    """A list's items as text; what is none is found out when it is used."""
+    items = value if isinstance(value, list) else [] if value is None else [value]
+    return tuple(item if isinstance(item, str) else repr(item) for item in items)
+
+
+def _may_peer(data: dict[str, Any]) -> bool:
+    limits = _object(
+        _object(data.get("settings"), "settings").get("PolicyLimits", {}), "settings.PolicyLimits"
+    )
+    return limits.get("Peers", True) is True
+
+
 def _grace(data: dict[str, Any]) -> float:
     rules = _object(_object(data.get("settings"), "settings").get("Guarantees", {}), "settings.Guarantees")
     grace = rules.get("DrainGraceMs", 0.0)
@@ -157,6 +173,9 @@
         "report_names": _report_names,
         "known": lambda data: _object(data.get("known") or {}, "known"),
         "control": control,
+        "peer_listen": lambda data: "".join(_texts(data.get("peer_listen"))[:1]),
+        "peers": lambda data: _texts(data.get("peers")),
+        "may_peer": _may_peer,
     }
 
 
--- /dev/null
+++ b/larkweir/fleet/part.py
@@ -0,0 +1,67 @@
+"""Hands: the peers' socket as a part of a balancer. Not imported where `[peers]` is off."""
+
+from __future__ import annotations
+
+import os
+from hashlib import blake2b
+from random import Random
+from stat import S_IROTH
+from typing import Protocol
+
+from larkweir_peers.hands import Socket
+from larkweir_peers.pace import Pace
+from larkweir_peers.peers import Peers, PeersError
+from larkweir_peers.seal import KEY_LEAST, KEY_MOST, KEYS_MOST
+
+from larkweir.config.options import Operator
+from larkweir.config.peering import peering
+from larkweir.config.platform import Config, ConfigError
+from larkweir.core.clock import Clock
+from larkweir.core.journal import Journal
+
+KEY_FILE_MOST = 4_096  # bytes
+
+
+class Host(Protocol):
+    """What a balancer gives to this part."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+
+
+def attach(host: Host, options: Operator) -> Socket:
+    """The socket, which opens in the loop's next turn. ConfigError where the files don't do.
+
+    A life's number is its start on the balancer's clock, which goes on over a handover: a successor's is higher. Where
+    the system's time has gone back between two lives, the others' word of the former one lifts the new one above it.
+    """
+    own, config, clock = options.peers, host.config, host.clock
+    named = peering(own, config)
+    keys = read_keys(own.key_file) if own.key_file else ()
+    pace = Pace(probe_ms=own.probe_ms, ack_ms=own.ack_ms, per_s=own.datagrams_per_s, burst=own.burst)
+    now = clock.now_ms()
+    try:
+        peers = Peers(named.name, named.others, Random(), now, int(now), keys, pace)
+    except PeersError as problem:
+        raise ConfigError(f"peers: {problem}") from None
+    sock = Socket(peers, named.listen, clock, host.journal.line)
+    clock.after(0.0, sock.start)
+    return sock
+
+
+def read_keys(path: str) -> tuple[bytes, ...]:
+    """The keys of a file, a line each; a long one by its hash. ConfigError, which tells nothing of what is in it."""
+    try:
+        with open(path, "rb") as file:
+            if os.fstat(file.fileno()).st_mode & S_IROTH:
+                raise ConfigError(f"peers.key_file: {path!r} can be read by everyone; chmod 600")
+            text = file.read(KEY_FILE_MOST + 1)
+    except OSError as problem:
+        raise ConfigError(f"peers.key_file: {path!r} can't be read: {problem.strerror}") from None
+    lines = [line.strip() for line in text.splitlines() if line.strip()]
+    if len(text) > KEY_FILE_MOST or not 1 <= len(lines) <= KEYS_MOST:
+        raise ConfigError(f"peers.key_file: {path!r} has {len(lines)} lines; write one to {KEYS_MOST} keys")
+    if any(len(line) < KEY_LEAST for line in lines):
+        raise ConfigError(f"peers.key_file: {path!r} has a key under {KEY_LEAST} characters")
+    return tuple(line if len(line) <= KEY_MOST else blake2b(line).digest() for line in lines)
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -265,6 +265,8 @@
             facts |= node.storms.facts()
         if node.routes is not None:
             facts |= node.routes.facts()
+        if node.peers is not None:
+            facts |= node.peers.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
 
     def _accept(self) -> None:
@@ -443,6 +445,8 @@
             self._successor = None
         elif isinstance(command, rules.Accept):
             self.node.listener.hold(not command.here)
+            if self.node.peers is not None:
+                self.node.peers.hold(not command.here)
         elif isinstance(command, rules.Close):
             self.node.listener.closing = command.closing
         elif isinstance(command, rules.StopAccepting):
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -28,6 +28,8 @@
 from mulleinhitch import Balancer
 
 if TYPE_CHECKING:
+    from larkweir_peers.hands import Socket
+
     from larkweir.background.runner import Runner
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
@@ -126,6 +128,12 @@
                 self.engine.is_known,
                 self.journal.line,
             )
+        self.peers: Socket | None = None
+        if options is not None and options.peers.on:
+            from larkweir.fleet.part import attach  # not imported where it is off
+
+            self.peers = attach(self, options)
+            self._closers.append(self.peers.close)
         self.chain: Chain | None = None
         if options is not None and options.budget.on:
             from larkweir.budget.chain import Chain  # not imported where it is off
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -57,6 +57,10 @@
         from larkweir.config.routing import checked  # not imported where there is no route
 
         checked(options, config)
+    if options.peers.on:
+        from larkweir.config.peering import peering  # not imported where it is off
+
+        peering(options.peers, config)
     if not options.governs:
         return config
     from larkweir.config.policies import in_force, objections
--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -93,6 +93,8 @@
     def start(self) -> None:
         if self._closed or self._socket is not None:
             return
+        if self._timer is not None:
+            self._timer.cancel()
         sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM | socket.SOCK_NONBLOCK | socket.SOCK_CLOEXEC)
         try:
             sock.bind(_address(self._listen))
@@ -106,14 +108,25 @@
         self._timer = None
         self._flush()
 
-    def close(self, leaving: bool) -> None:
-        """`leaving`: for good, and the others are told; else another life goes on under the name."""
-        if self._socket is not None and leaving:
+    def hold(self, held: bool) -> None:
+        """Held: a successor goes on under the name, and the address is its. Else it is this life's again."""
+        if held:
+            self._shut()
+        else:
+            self.start()
+
+    def close(self) -> None:
+        """For good. Where the address is still this life's, the others are told that it leaves."""
+        if self._socket is not None:
             self.peers.leave(self._clock.now_ms())
             self._flush()
         self._closed = True
+        self._shut()
+
+    def _shut(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
+            self._timer = None
         sock, self._socket = self._socket, None
         if sock is not None:
             self._loop.remove_reader(sock)
