--- a/packages/peers/src/larkweir_peers/frames.py
+++ b/packages/peers/src/larkweir_peers/frames.py
@@ -21,8 +21,10 @@
 
 LIFE_BITS = 16  # of an incarnation, that count refutations within one life
 
+INCARNATION_MOST = 2**63 - 1
+
 Name = Annotated[bytes, Meta(min_length=SIZE, max_length=SIZE)]
-Long = Annotated[int, Meta(ge=0, le=2**63 - 1)]
+Long = Annotated[int, Meta(ge=0, le=INCARNATION_MOST)]
 Word = Annotated[int, Meta(ge=0, le=2**32 - 1)]
 
 
--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -14,7 +14,7 @@
 from math import inf
 from typing import NamedTuple
 
-from larkweir_peers.frames import LIFE_BITS, News, State
+from larkweir_peers.frames import INCARNATION_MOST, LIFE_BITS, News, State
 from larkweir_peers.names import packed
 from larkweir_peers.pace import Health, Pace, Suspicion
 
@@ -130,7 +130,7 @@
             return
         if news.state != State.ALIVE:
             self._health.change(1)  # Lifeguard section IV-A: it was slow to answer
-        self.incarnation = news.incarnation + 1
+        self.incarnation = min(news.incarnation + 1, INCARNATION_MOST)
         self._tell(News(self.me, State.ALIVE, self.incarnation))
 
     def failed(self, name: str, now_ms: float) -> None:
@@ -156,7 +156,9 @@
             suspicion.by.add(news.by)
         else:
             return
-        self._due_ms = min(self._due_ms, member.suspicion.due_ms) if member.suspicion else self._due_ms
+        assert member.suspicion is not None
+        # Others' word may have ended it in the past: that is no lateness of this process.
+        self._due_ms = min(self._due_ms, max(now_ms, member.suspicion.due_ms))
         self._tell(news)
 
     def _set(self, member: Member, state: State, incarnation: int, now_ms: float) -> None:
@@ -168,6 +170,8 @@
         self._suspects.pop(member.name, None)
         if state is State.SUSPECT:
             self._suspects[member.name] = member
+        elif not self._suspects:
+            self._due_ms = inf  # one that is past would look like a standstill later
         if state is State.ALIVE:
             self._off.pop(member.name, None)
         else:
@@ -179,7 +183,7 @@
     @property
     def due_ms(self) -> float:
         """When the first suspicion may run out; not before, and infinite where there is none."""
-        return self._due_ms if self._suspects else inf
+        return self._due_ms
 
     def expire(self, now_ms: float) -> None:
         if now_ms < self.due_ms:
--- a/packages/peers/src/larkweir_peers/parts.py
+++ b/packages/peers/src/larkweir_peers/parts.py
@@ -67,7 +67,7 @@
     def expire(self, now_ms: float) -> None:
         while self._open:
             key, item = next(iter(self._open.items()))
-            if now_ms - item.since_ms < self.AGE_MS:
+            if now_ms < item.since_ms + self.AGE_MS:
                 return
             self._drop(key)
 
--- a/packages/peers/src/larkweir_peers/peers.py
+++ b/packages/peers/src/larkweir_peers/peers.py
@@ -217,8 +217,8 @@
             self.members.put_off(late_ms)
             self._probes.stood_still(now_ms)
         self._pieces.expire(now_ms)
-        self.members.expire(now_ms)
         self._probes.tick(now_ms)
+        self.members.expire(now_ms)  # also what a failed probe has just ended
 
     # ------------------------------------------------ what goes
 
--- /dev/null
+++ b/packages/peers/tests/test_peers_fleet.py
@@ -0,0 +1,231 @@
+"""Thirty processes on a simulated network: crashes, cuts, loss, standstills, new lives. One seed, one run."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from larkweir_peers.frames import MOST, State
+from larkweir_peers.members import Event
+from larkweir_peers.peers import Item, Peers
+from larkweir_simulated.network import Network
+
+NAMES = [f"127.0.0.{n}:7946" for n in range(1, 31)]
+KEYS = (b"sixteen letters!",)
+BORN_MS = 1_000_000  # on the clock that lives are counted by
+RTT = (1.0, 10.0)
+
+
+class Fleet:
+    """The rules of each process, its datagrams and its one timer on the network; what it believed, and when."""
+
+    def __init__(self, seed: int, lost: float = 0.0, doubled: float = 0.0, names: list[str] = NAMES) -> None:
+        self.net = Network(seed, delay_ms=RTT, lost=lost, doubled=doubled)
+        self.names = names
+        self.members: dict[str, Peers] = {}
+        self.events: list[tuple[str, Event]] = []  # who believes, and what
+        self.items: list[tuple[str, Item]] = []
+        self.slow: dict[str, float] = {}  # a handler that takes its time before each datagram
+        self._timers: dict[str, object] = {}
+        for name in names:
+            self.start(name)
+
+    def start(self, name: str, clock_ms: float = 0.0) -> Peers:
+        """A life of a process; `clock_ms` is what its clock is off by."""
+        net, now = self.net, self.net.now_ms
+        life = int(BORN_MS + now + clock_ms)
+        peers = self.members[name] = Peers(name, self.names, Random(net.rng.random()), now, life, KEYS)
+
+        def came(source: str, data: bytes) -> None:
+            if name in self.slow:
+                net.after(self.slow[name], lambda: work(source, data), name)
+            else:
+                work(source, data)
+
+        def work(source: str, data: bytes) -> None:
+            peers.came(source, data, net.now_ms)
+            self._out(name)
+
+        net.listen(name, came)
+        self._out(name)
+        return peers
+
+    def _out(self, name: str) -> None:
+        peers, net = self.members[name], self.net
+        while peers.datagrams:
+            to, data = peers.datagrams.popleft()
+            assert len(data) <= MOST
+            net.send(name, to, data)
+        while peers.items:
+            self.items.append((name, peers.items.popleft()))
+        while peers.members.events:
+            self.events.append((name, peers.members.events.popleft()))
+        timer = self._timers.get(name)
+        if timer is not None:
+            timer.cancel()  # type: ignore[attr-defined]
+        self._timers[name] = net.at(peers.next_ms, lambda: self._tick(name), name)
+
+    def _tick(self, name: str) -> None:
+        self.members[name].tick(self.net.now_ms)
+        assert self.members[name].next_ms > self.net.now_ms  # else the timer would spin
+        self._out(name)
+
+    def post(self, source: str, to: str, item: bytes) -> bool:
+        done = self.members[source].post(to, 1, item, self.net.now_ms)
+        self._out(source)
+        return done
+
+    def kill(self, *names: str) -> None:
+        for name in names:
+            self.net.kill(name)
+            del self.members[name]
+
+    def run(self, ms: float) -> None:
+        self.net.run(self.net.now_ms + ms)
+
+    def said(self, state: State, of: str, since_ms: float = 0.0) -> dict[str, float]:
+        """Who came to believe that first, and when."""
+        found: dict[str, float] = {}
+        for who, event in self.events:
+            if event.state is state and event.name == of and event.at_ms >= since_ms:
+                found.setdefault(who, event.at_ms - since_ms)
+        return found
+
+    def wrongly(self, state: State, but: set[str]) -> set[tuple[str, str]]:
+        return {
+            (who, event.name) for who, event in self.events if event.state is state and event.name not in but
+        }
+
+    def agree(self, dead: set[str] = frozenset()) -> bool:  # type: ignore[assignment]
+        """Whether everyone that runs believes what is so."""
+        return all(
+            set(peers.alive()) == set(self.names) - {name} - dead for name, peers in self.members.items()
+        )
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("lost", [0.0, 0.1])
+def test_a_crash_is_found_by_all_and_nobody_else_is_accused(seed: int, lost: float) -> None:
+    fleet = Fleet(seed, lost=lost, doubled=lost)
+    fleet.run(20_000.0)
+    assert fleet.agree()
+    crashed, at = NAMES[seed], fleet.net.now_ms
+    fleet.kill(crashed)
+    fleet.run(12_000.0)
+    found = fleet.said(State.DEAD, crashed, at)
+    assert len(found) == 29 and min(found.values()) > 2_950.0 and max(found.values()) < 10_000.0
+    assert not fleet.wrongly(State.DEAD, {crashed}) and fleet.agree({crashed})
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_a_cut_parts_the_fleet_and_it_heals(seed: int) -> None:
+    fleet = Fleet(seed, lost=0.02)
+    fleet.run(15_000.0)
+    fleet.net.split([NAMES[:12], NAMES[12:]])
+    fleet.run(60_000.0)
+    for name, peers in fleet.members.items():
+        side = NAMES[:12] if name in NAMES[:12] else NAMES[12:]
+        assert set(peers.alive()) == set(side) - {name}
+    fleet.net.heal()
+    fleet.run(15_000.0)
+    assert fleet.agree()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_one_that_was_stopped_accuses_nobody_and_comes_back(seed: int) -> None:
+    """SIGSTOP and SIGCONT: what it had under way had run out meanwhile."""
+    fleet = Fleet(seed)
+    stopped = set(NAMES[:3])
+    for length in (700.0, 2_500.0, 30_000.0):
+        fleet.run(10_000.0)
+        for name in stopped:
+            fleet.net.stop(name)
+        fleet.run(length)
+        for name in stopped:
+            fleet.net.go_on(name)
+        fleet.run(15_000.0)
+        assert fleet.agree()
+    assert not fleet.wrongly(State.DEAD, stopped) and not fleet.wrongly(State.SUSPECT, stopped)
+    assert fleet.said(State.DEAD, NAMES[0])  # 30 s are longer than any suspicion
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_slow_ones_doubt_themselves_before_they_accuse_others(seed: int) -> None:
+    """Lifeguard: each datagram waits at a slow one for longer than a probe lasts."""
+    fleet = Fleet(seed)
+    fleet.run(10_000.0)
+    slow = set(NAMES[:3])
+    fleet.slow = dict.fromkeys(slow, 600.0)
+    fleet.run(60_000.0)
+    assert not fleet.wrongly(State.DEAD, set()) and not fleet.wrongly(State.SUSPECT, slow)
+    assert all(fleet.members[name].health.score >= 5 for name in slow)
+    assert sum(fleet.members[name].health.score for name in NAMES[3:]) <= 5
+    fleet.slow.clear()
+    fleet.run(30_000.0)
+    assert fleet.agree() and not any(peers.health.score for peers in fleet.members.values())
+
+
+def test_a_new_life_takes_the_place_of_the_former_one_also_with_its_clock_behind() -> None:
+    fleet = Fleet(5)
+    fleet.run(10_000.0)
+    for clock_ms in (0.0, -500_000.0):
+        name = NAMES[7]
+        before = fleet.members[name].members.incarnation
+        fleet.kill(name)
+        fleet.run(300.0)
+        fleet.start(name, clock_ms)
+        fleet.run(10_000.0)
+        assert fleet.members[name].members.incarnation > before
+        assert {peers.members.table[name].incarnation for n, peers in fleet.members.items() if n != name} == {
+            fleet.members[name].members.incarnation
+        }
+        assert fleet.agree() and not fleet.said(State.DEAD, name)
+
+
+def test_a_listed_one_that_never_runs_is_held_to_be_lost_until_it_does() -> None:
+    fleet = Fleet(6)
+    fleet.kill(NAMES[0], NAMES[1])
+    fleet.run(40_000.0)
+    assert fleet.agree({NAMES[0], NAMES[1]})
+    fleet.start(NAMES[0])
+    fleet.run(10_000.0)
+    assert fleet.agree({NAMES[1]})
+
+
+def test_items_arrive_or_not_but_never_twice_and_never_torn() -> None:
+    fleet = Fleet(7, lost=0.05, doubled=0.2)
+    fleet.run(5_000.0)
+    posted: dict[tuple[str, str], list[bytes]] = {}
+    random = Random(7)
+    for n in range(300):
+        source, to = random.sample(NAMES, 2)
+        item = n.to_bytes(2, "big") + random.randbytes(random.choice((0, 10, 300, 3_000)))
+        if fleet.post(source, to, item):
+            posted.setdefault((source, to), []).append(item)
+        fleet.run(100.0)
+    came = [(item.source, to, item.data) for to, item in fleet.items]
+    assert len(came) == len(set(came)) and all(data in posted[source, to] for source, to, data in came)
+    assert len(came) > 200
+
+
+def test_idle_each_sends_what_it_would_in_a_fleet_of_any_size() -> None:
+    """Counted where the start's rumours are over."""
+    sends = {}
+    for number in (10, 60):
+        fleet = Fleet(8, names=[f"127.0.1.{n}:1" for n in range(1, number + 1)])
+        fleet.run(20_000.0)
+        before = fleet.net.sent
+        fleet.run(20_000.0)
+        sends[number] = (fleet.net.sent - before) / 20.0 / number
+    assert 3.9 < sends[10] < 4.1 and 3.9 < sends[60] < 4.1
+
+
+def test_the_same_seed_is_the_same_run() -> None:
+    def run() -> object:
+        fleet = Fleet(9, lost=0.1, doubled=0.1)
+        fleet.run(5_000.0)
+        fleet.kill(NAMES[3])
+        fleet.run(10_000.0)
+        return fleet.events, fleet.net.sent, fleet.net.sent_bytes
+
+    assert run() == run()
--- a/packages/peers/tests/test_peers_frames.py
+++ b/packages/peers/tests/test_peers_frames.py
@@ -1,4 +1,4 @@
-"""What a datagram may be: sizes at the bounds, whatever bytes come, tags, the window of numbers, and pieces of items."""
+"""What a datagram may be: sizes at the bounds, whatever bytes come, tags, the window of numbers, pieces of items."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/packages/peers/tests/test_peers_rules.py
@@ -0,0 +1,334 @@
+"""Two or three processes by hand: each hard case of a datagram, each rule of membership, what is sent and what not."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import pytest
+from larkweir_peers.frames import DATA, ITEM_MOST, LIFE_BITS, News, Ping, State, decode, encode
+from larkweir_peers.names import packed
+from larkweir_peers.pace import Bucket, Pace, Suspicion
+from larkweir_peers.peers import Peers, PeersError
+from larkweir_peers.seal import Seal, Window
+
+A, B, C, D = (f"127.0.0.1:{7001 + n}" for n in range(4))
+NAMES = (A, B, C, D)
+KEY = b"sixteen letters!"
+
+
+def one(me: str, keys: tuple[bytes, ...] = (KEY,), life: int = 1_000, pace: Pace | None = None) -> Peers:
+    return Peers(me, NAMES, Random(me), 0.0, life, keys, pace)
+
+
+def sent(peers: Peers, to: str) -> list[bytes]:
+    """What has gone out to one since it was last asked."""
+    found = [item.data for item in peers.datagrams if item.to == to]
+    peers.datagrams.clear()
+    return found
+
+
+def met(*both: Peers, now: float = 0.0) -> None:
+    """Each has heard of the others' lives."""
+    for one_ in both:
+        for other in both:
+            if one_ is not other:
+                one_.ping(other.me, now)
+                for data in sent(one_, other.me):
+                    other.came(one_.me, data, now)
+                other.datagrams.clear()
+
+
+def test_an_item_comes_whole_and_once() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    for item in (b"", b"x", b"y" * DATA, b"z" * (DATA + 1), bytes(range(256)) * 32):
+        assert a.post(B, 2, item, 0.0)
+        for data in sent(a, B):
+            b.came(A, data, 0.0)
+        assert [tuple(came) for came in b.items] == [(A, 2, item)]
+        b.items.clear()
+    assert not any(b.dropped.values())
+
+
+def test_an_item_out_of_bounds_is_the_callers_mistake() -> None:
+    for channel, item in ((1, b"x" * (ITEM_MOST + 1)), (0, b""), (256, b"")):
+        with pytest.raises(ValueError):
+            one(A).post(B, channel, item, 0.0)
+    assert not one(A).post("127.0.0.1:9", 1, b"", 0.0)
+
+
+def _changed(data: bytes) -> bytes:
+    return data[:9] + bytes((data[9] ^ 1,)) + data[10:]
+
+
+def _sealed(frame: bytes, to: str = B) -> bytes:
+    return Seal((KEY,)).close(packed(to), frame)
+
+
+PING = encode(Ping(packed(A), 1_000 << LIFE_BITS, 0, 9, []))
+HARD: dict[str, tuple[Callable[[bytes], bytes], str, str]] = {
+    "too long": (lambda data: data + bytes(257 - len(data)), A, "too_long"),
+    "from an address not in the list": (lambda data: data, "127.0.0.1:9999", "stranger"),
+    "from its own address": (lambda data: data, B, "stranger"),
+    "in another's name": (lambda data: data, C, "not_itself"),
+    "changed on its way": (_changed, A, "forged"),
+    "by another key": (lambda data: Seal((b"o" * 16,)).close(packed(B), PING), A, "forged"),
+    "without a tag": (lambda data: PING, A, "forged"),
+    "meant for another": (lambda data: _sealed(PING, C), A, "forged"),
+    "truncated": (lambda data: data[:-3], A, "forged"),
+    "truncated before its tag": (lambda data: _sealed(PING[:-1]), A, "malformed"),
+    "empty": (lambda data: b"", A, "forged"),
+    "of an unknown version": (lambda data: _sealed(b"\x07" + PING[1:]), A, "version"),
+    "of an unknown kind": (lambda data: _sealed(PING[:1] + b"\x63" + PING[2:]), A, "kind"),
+}
+
+
+@pytest.mark.parametrize("case", HARD)
+def test_what_can_not_be_used_is_counted_and_changes_nothing(case: str) -> None:
+    change, source, cause = HARD[case]
+    b = one(B)
+    b.came(source, change(_sealed(PING)), 0.0)
+    assert {name: n for name, n in b.dropped.items() if n} == {cause: 1}
+    assert not b.datagrams and not b.items and b.members.counts()[State.UNHEARD] == 3
+    b.came(A, _sealed(PING), 0.0)  # the true one
+    assert b.members.table[A].state is State.ALIVE and len(sent(b, A)) == 1
+
+
+def test_doubled_and_replayed_datagrams_are_dropped_and_reordered_ones_are_not() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    for n in range(3):
+        a.post(B, 1, bytes((n,)), 0.0)
+    first, second, third = sent(a, B)
+    for data in (third, first, first, second, third):
+        b.came(A, data, 0.0)
+    assert [item.data for item in b.items] == [b"\2", b"\0", b"\1"] and b.dropped["again"] == 2
+    a._number += 2 * Window.SIZE
+    a.ping(B, 0.0)
+    b.came(A, sent(a, B)[0], 0.0)
+    b.came(A, second, 0.0)
+    assert b.dropped["late"] == 1 and len(b.items) == 3
+
+
+def test_what_a_former_life_of_the_sender_sent_comes_too_late() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    a.post(B, 1, b"old", 0.0)
+    (old,) = sent(a, B)
+    met(one(A, life=2_000), b)
+    b.came(A, old, 1.0)
+    assert b.dropped["former_life"] == 1 and not b.items
+    assert b.members.table[A].incarnation == 2_000 << LIFE_BITS
+
+
+def test_an_item_for_a_former_life_of_the_receiver_is_dropped_and_the_sender_learns() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    a.post(B, 1, b"for the old one", 0.0)
+    (old,) = sent(a, B)
+    new = one(B, life=2_000)
+    new.came(A, old, 1.0)
+    assert new.dropped["not_this_life"] == 1 and not new.items
+    (hint,) = sent(new, A)
+    a.came(B, hint, 2.0)
+    assert a.post(B, 1, b"for the new one", 3.0)
+    new.came(A, sent(a, B)[-1], 4.0)
+    assert [item.data for item in new.items] == [b"for the new one"]
+
+
+def test_a_new_life_whose_clock_is_behind_lifts_itself_above_the_former_one() -> None:
+    a, b = one(A, life=9_000), one(B)
+    met(a, b)
+    behind = one(A, life=10)
+    behind.ping(B, 500.0)
+    b.came(A, sent(behind, B)[0], 500.0)
+    assert b.dropped["former_life"] == 1
+    behind.came(B, sent(b, A)[0], 501.0)
+    assert behind.members.incarnation > 9_000 << LIFE_BITS
+    met(behind, b, now=502.0)
+    assert b.members.table[A].incarnation == behind.members.incarnation
+
+
+def test_pieces_that_never_complete_are_given_up() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    a.post(B, 1, b"x" * 1_000, 0.0)
+    for data in sent(a, B)[1:]:
+        b.came(A, data, 0.0)
+    b.tick(b.next_ms)
+    b.tick(6_000.0)
+    assert not b.items and b.counters()["unfinished"] == 1 and not len(b._pieces)
+
+
+def test_items_that_nobody_fetches_are_bounded() -> None:
+    a, b = one(A, pace=Pace(per_s=1e6, burst=1e5)), one(B)
+    met(a, b)
+    for _ in range(Peers.ITEMS_MOST + 5):
+        a.post(B, 1, b"", 0.0)
+    for data in sent(a, B):
+        b.came(A, data, 0.0)
+    assert len(b.items) == Peers.ITEMS_MOST and b.dropped["full"] == 5
+
+
+def test_an_answer_that_nothing_waited_for_is_counted() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    a.ack(B, 77, 0.0)
+    a.nack(B, 77, 0.0)
+    for data in sent(a, B):
+        b.came(A, data, 0.0)
+    assert b.dropped["unasked"] == 2
+
+
+def test_without_a_key_there_is_loopback_alone() -> None:
+    for me, others in (("10.3.0.1:1", [A]), (A, [B, "10.3.0.2:1"])):
+        with pytest.raises(PeersError, match="takes a key"):
+            Peers(me, others, Random(1), 0.0, 1)
+        Peers(me, others, Random(1), 0.0, 1, (KEY,))
+    for bad in (
+        lambda: Peers("here", [A], Random(1), 0.0, 1),
+        lambda: Peers(A, [B], Random(1), 0.0, 1, (b"short",)),
+    ):
+        with pytest.raises(PeersError):
+            bad()
+    a, b = one(A, ()), one(B, ())
+    met(a, b)
+    assert a.members.table[B].state is b.members.table[A].state is State.ALIVE
+
+
+# What is believed: (belief before, rumour, belief after). Incarnations are small here.
+S, T = State, 5
+RUMOURS = [
+    ((S.ALIVE, T), (S.ALIVE, T), (S.ALIVE, T)),
+    ((S.ALIVE, T), (S.ALIVE, T + 1), (S.ALIVE, T + 1)),
+    ((S.ALIVE, T), (S.SUSPECT, T - 1), (S.ALIVE, T)),
+    ((S.ALIVE, T), (S.SUSPECT, T), (S.SUSPECT, T)),
+    ((S.ALIVE, T), (S.DEAD, T - 1), (S.ALIVE, T)),
+    ((S.ALIVE, T), (S.DEAD, T), (S.DEAD, T)),
+    ((S.ALIVE, T), (S.LEFT, T), (S.LEFT, T)),
+    ((S.SUSPECT, T), (S.ALIVE, T), (S.SUSPECT, T)),
+    ((S.SUSPECT, T), (S.ALIVE, T + 1), (S.ALIVE, T + 1)),
+    ((S.SUSPECT, T), (S.SUSPECT, T + 1), (S.SUSPECT, T + 1)),
+    ((S.SUSPECT, T), (S.DEAD, T), (S.DEAD, T)),
+    ((S.DEAD, T), (S.ALIVE, T), (S.DEAD, T)),
+    ((S.DEAD, T), (S.SUSPECT, T + 1), (S.DEAD, T)),
+    ((S.DEAD, T), (S.ALIVE, T + 1), (S.ALIVE, T + 1)),
+    ((S.LEFT, T), (S.DEAD, T), (S.LEFT, T)),
+    ((S.LEFT, T), (S.DEAD, T + 1), (S.LEFT, T + 1)),
+    ((S.LEFT, T), (S.ALIVE, T + 1), (S.ALIVE, T + 1)),
+]
+
+
+@pytest.mark.parametrize(("before", "rumour", "after"), RUMOURS)
+def test_rumours_go_by_incarnation_then_by_state(
+    before: tuple[State, int], rumour: tuple[State, int], after: object
+) -> None:
+    a = one(A)
+    for state, incarnation in (before, rumour):
+        by = packed(C) if state is S.SUSPECT else b""
+        a.members.told(News(packed(B), state, incarnation, by), 0.0)
+    member = a.members.table[B]
+    assert (member.state, member.incarnation) == after
+    assert (B in a.alive()) is (member.state is S.ALIVE)
+    assert (member.suspicion is not None) is (member.state is S.SUSPECT)
+
+
+@pytest.mark.parametrize("state", [S.SUSPECT, S.DEAD, S.LEFT, S.ALIVE])
+def test_what_is_said_of_oneself_is_refuted_unless_it_is_old(state: State) -> None:
+    a = one(A)
+    own = a.members.incarnation
+    a.members.told(News(packed(A), state, own - 1), 0.0)
+    assert a.members.incarnation == own and a.health.score == 0
+    a.members.told(News(packed(A), state, own + (state is S.ALIVE)), 0.0)
+    assert a.members.incarnation > own and a.health.score == (state is not S.ALIVE)
+    a.ping(B, 0.0)
+    frame = decode(Seal((KEY,)).open(packed(B), sent(a, B)[0]) or b"")
+    assert News(packed(A), S.ALIVE, a.members.incarnation) in frame.news
+
+
+def test_a_rumour_of_nobody_and_a_suspicion_by_nobody_count_for_nothing() -> None:
+    a = one(A)
+    assert not a.members.told(News(packed("127.9.9.9:9"), S.DEAD, 1), 0.0)
+    a.members.told(News(packed(B), S.SUSPECT, 1, packed("127.9.9.9:9")), 0.0)
+    assert a.members.table[B].state is S.UNHEARD and not a.members.events
+
+
+def test_a_suspect_is_told_first_and_a_lost_one_learns_what_is_said_of_it() -> None:
+    """Lifeguard's buddy."""
+    a, b = one(A), one(B)
+    met(a, b)
+    a.members.failed(B, 0.0)
+    a.ping(B, 1.0)
+    (data,) = sent(a, B)
+    frame = decode(Seal((KEY,)).open(packed(B), data) or b"")
+    assert frame.news[0] == News(packed(B), S.SUSPECT, b.members.incarnation, packed(A))
+    b.came(A, data, 2.0)
+    a.came(B, sent(b, A)[0], 3.0)
+    assert a.members.table[B].state is S.ALIVE
+    a.members.told(News(packed(B), S.DEAD, b.members.incarnation), 4.0)
+    b.ack(A, 1, 5.0)
+    a.came(B, sent(b, A)[0], 5.0)  # it speaks, and does not know
+    assert len(sent(a, B)) == 1
+
+
+def test_a_suspicion_is_shorter_by_each_that_shares_it() -> None:
+    """Lifeguard section IV-B: from most to least, by the logarithm."""
+    by = [bytes((n,)) for n in range(4)]
+    due = [Suspicion(100.0, 1_000.0, 6_000.0, 3, set(by[: n + 1])).due_ms for n in range(4)]
+    assert due[0] == 6_100.0 and due[2] == pytest.approx(2_137.6, abs=0.1) and due[3] == 1_100.0
+    a = one(A, pace=Pace(confirmations=2))
+    least, most = a.pace.suspicion_ms(4)
+    assert least == 2_000.0 and most == 12_000.0
+    for source, due_ms in ((B, most), (B, most), (C, least + (most - least) * 0.369), (A, least)):
+        a.members.told(News(packed(D), S.SUSPECT, 1, packed(source)), 0.0)
+        assert a.members.due_ms == pytest.approx(due_ms, abs=1.0)
+    a.members.expire(least - 1.0)
+    assert a.members.table[D].state is S.SUSPECT
+    a.members.expire(least)
+    assert a.members.table[D].state is S.DEAD
+
+
+def test_a_standstill_of_this_process_puts_suspicions_off_and_judges_nobody() -> None:
+    a = one(A)
+    a.members.failed(B, 0.0)
+    due = a.members.due_ms
+    a.tick(a.next_ms)
+    a.tick(due + 60_000.0)
+    assert a.members.table[B].state is S.SUSPECT and a.health.score >= 1 and a.stalls == 1
+    assert a.members.due_ms > due + 55_000.0
+
+
+def test_the_budget_holds_in_any_time_and_items_leave_some_for_membership() -> None:
+    random, now, taken = Random(3), 0.0, [(0.0, 0)]
+    bucket = Bucket(50.0, 20.0, 0.0)
+    for _ in range(2_000):
+        now += random.expovariate(1 / 7.0)
+        number = random.randrange(1, 6)
+        if bucket.take(number, 0.0, now):
+            taken.append((now, number))
+    for at in range(0, len(taken), 50):
+        whole = 0
+        for when, number in taken[at:]:
+            whole += number
+            assert whole <= 20.0 + 50.0 * (when - taken[at][0]) / 1000.0 + 1e-6
+    a, b = one(A), one(B)
+    met(a, b)
+    while a.post(B, 1, b"x", 0.0):
+        pass
+    assert a.refused == 1 and a.ping(B, 0.0) is not None
+    left = sum(a.ping(B, 0.0) is not None for _ in range(100))
+    assert 28 <= left <= 32 and not any(a.ping(B, 0.0) for _ in range(9))
+    assert a.post(B, 1, b"x", 1_000.0)
+
+
+def test_who_leaves_says_so_and_refutes_nothing() -> None:
+    a, b = one(A), one(B)
+    met(a, b)
+    a.leave(1.0)
+    b.came(A, sent(a, B)[0], 1.0)
+    assert b.members.table[A].state is S.LEFT
+    b.ping(A, 2.0)
+    own = a.members.incarnation
+    a.came(B, sent(b, A)[0], 2.0)
+    assert a.members.incarnation == own
