--- a/packages/peers/src/larkweir_peers/__init__.py
+++ b/packages/peers/src/larkweir_peers/__init__.py
@@ -1,1 +1,1 @@
-"""Who is there, among listed addresses, and items between them. Rules apart from hands; this imports neither."""
+"""Hands: one socket, and beside it the rules that it carries out: who is there, and items between listed addresses."""
