--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -69,7 +69,6 @@
         self._due_ms = inf
         self._alive: tuple[str, ...] | None = None
         self.gone = 0
-        self._tell(News(self.me, State.ALIVE, self.incarnation))
 
     # ------------------------------------------------ what is known
 
@@ -98,10 +97,14 @@
     # ------------------------------------------------ what is heard
 
     def heard(self, member: Member, incarnation: int, now_ms: float) -> None:
-        """It spoke itself. Only an incarnation of its own ends a suspicion."""
+        """It spoke itself. Only an incarnation of its own ends a suspicion. Told on, unless it is what all take to be
+        so: a fleet that starts would else have thousands of rumours of nothing.
+        """
         if incarnation > member.incarnation:
+            news = member.state is not State.UNHEARD
             self._set(member, State.ALIVE, incarnation, now_ms)
-            self._tell(News(member.packed, State.ALIVE, incarnation))
+            if news:
+                self._tell(News(member.packed, State.ALIVE, incarnation))
 
     def told(self, news: News, now_ms: float) -> bool:
         """A rumour; False where it is of nobody that is listed."""
@@ -113,7 +116,9 @@
             return False
         state = State(news.state)
         if state is State.ALIVE:
-            self.heard(member, news.incarnation, now_ms)
+            if news.incarnation > member.incarnation:
+                self._set(member, state, news.incarnation, now_ms)
+                self._tell(news)
         elif state is State.SUSPECT:
             self._suspected(member, news, now_ms)
         elif news.incarnation >= member.incarnation and member.state not in GONE:
