--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -37,6 +37,9 @@
     state: State = State.UNHEARD
     incarnation: int = 0
     suspicion: Suspicion | None = None
+    behind: bool = (
+        False  # it spoke with an incarnation of a former life, and is to hear of the one known here
+    )
 
 
 class _Rumour(NamedTuple):
@@ -232,7 +235,8 @@
         out: dict[bytes, News] = {}
         if room <= 0:
             return []
-        if to.state > State.ALIVE:
+        if to.state > State.ALIVE or to.behind:
+            to.behind = False
             by = next(iter(to.suspicion.by)) if to.suspicion is not None else b""
             out[to.packed] = News(to.packed, to.state, to.incarnation, by)
         self._rumoured(out, room)
--- a/packages/peers/src/larkweir_peers/peers.py
+++ b/packages/peers/src/larkweir_peers/peers.py
@@ -159,10 +159,15 @@
             return str(problem)
         if frame.sender != member.packed:
             return "not_itself"
-        fault = self._windows.setdefault(source, Window()).fault(life_of(frame.incarnation), frame.number)
+        life = life_of(frame.incarnation)
+        if life < life_of(member.incarnation):  # also where a rumour alone has told of a later one
+            fault = "former_life"
+        else:
+            fault = self._windows.setdefault(source, Window()).fault(life, frame.number)
         if fault:
             if fault == "former_life":
                 # It may be a new life whose clock is behind: it lifts itself when it hears of the former one.
+                member.behind = True
                 self._nudge(member, now_ms)
             return fault
         self.members.heard(member, frame.incarnation, now_ms)
--- a/packages/peers/tests/test_peers_rules.py
+++ b/packages/peers/tests/test_peers_rules.py
@@ -120,6 +120,10 @@
     b.came(A, old, 1.0)
     assert b.dropped["former_life"] == 1 and not b.items
     assert b.members.table[A].incarnation == 2_000 << LIFE_BITS
+    c = one(C)
+    c.members.told(News(packed(A), State.ALIVE, 2_000 << LIFE_BITS), 0.0)
+    c.came(A, _sealed(PING, C), 1.0)  # of the former life, and only a rumour has told of the new one
+    assert c.dropped["former_life"] == 1
 
 
 def test_an_item_for_a_former_life_of_the_receiver_is_dropped_and_the_sender_learns() -> None:
