--- a/packages/owners/src/larkweir_owners/keeper.py
+++ b/packages/owners/src/larkweir_owners/keeper.py
@@ -44,6 +44,7 @@
 )
 
 MOST_KEYS = 4096
+MOST_KEEPERS = 7
 ASK_MS = 500.0  # between two questions of one that does not vote yet
 PAGE_BYTES = 4096  # of values in an answer to Catch; names and numbers come on top
 PAGE_KEYS = 32
@@ -128,8 +129,8 @@
 
 class Keeper:
     """`mode`: "new" (no life yet), "back" (has a disk, asks whether it is the latest), "catching" (it is, as far as
-    others have heard: catches up, and others may learn from it), "lost" (its disk is gone or old: catches up), "voting",
-    "failed" (its disk can't be written)."""
+    others have heard: catches up, and others may learn from it), "lost" (its disk is gone or old: catches up),
+    "voting", "failed" (its disk can't be written)."""
 
     def __init__(self, name: str, disk: Disk, witness: tuple[Life, int] | None = None) -> None:
         """`witness`: life and answers as told by the process that closed this file just now (a handover)."""
@@ -200,10 +201,10 @@
         step.send.append((to, Refused(key, ballot, why, promised, keepers)))
 
     def _votes(self, to: str, epoch: int, key: str, ballot: Ballot, step: Step) -> bool:
-        if self.mode != "voting" or self.name not in self.disk.keepers.names:
-            self._refuse(to, key, ballot, "rest", step)
-        elif epoch != self.disk.keepers.epoch:
+        if epoch != self.disk.keepers.epoch:
             self._refuse(to, key, ballot, "epoch", step)
+        elif self.mode != "voting" or self.name not in self.disk.keepers.names:
+            self._refuse(to, key, ballot, "rest", step)
         else:
             return True
         return False
@@ -295,12 +296,14 @@
         if self.mode == "back":
             if max(known.of_you for known in self._known.values()) > self.word:
                 self._begin("lost")
-            elif self._enough(name for name, known in self._known.items() if known.mode not in ("new", "lost")):
+            elif self._enough(
+                name for name, known in self._known.items() if known.mode not in ("new", "lost")
+            ):
                 self._begin("catching")
             return
         me = (1, self.disk.disk, 0)
-        if self.disk.keepers.added == (self.name, me[0], me[1]) and self.disk.keepers.before:
-            self._born((1, self.disk.disk), step)  # named while it was empty
+        if self._is_added():
+            self._born(self.disk.keepers.added[1:], step)  # named while it was empty
         elif len(self._known) == len(self._others()) and all(k.mode == "new" for k in self._known.values()):
             # All are new: whatever there was, nobody has it
             lives = tuple((name, (1, known.word[1], 0)) for name, known in self._known.items())
@@ -376,24 +379,31 @@
         if item.keepers.epoch < self.disk.keepers.epoch:
             self._refuse(source, "", NO_BALLOT, "epoch", step)
             return
+        if not item.keepers.names or len(item.keepers.names) > MOST_KEEPERS:
+            self.dropped += 1
+            return
         if item.keepers != self.disk.keepers:
             # The same epoch only ever loses its `before`, when all is in the new set
             if item.keepers.epoch == self.disk.keepers.epoch and item.keepers.before:
                 return
             self._keep(SetEntry(item.keepers), step)
+            name, *life = item.keepers.added
+            if name and name != self.name:
+                self._keep(HeardEntry(((name, (life[0], life[1], 0)),)), step)
             if self.mode not in ("voting", "failed"):
                 self._known.clear()
                 self.next_ms = 0.0
         if self.mode == "voting" or (self.mode == "new" and self._is_added()):
             if self.mode == "new":
-                self._born((1, self.disk.disk), step)
+                self._born(self.disk.keepers.added[1:], step)
             keys: list[str] = sorted(k for k in self.disk.slots if k > item.after)
             more = len(keys) > PAGE_KEYS
             page = tuple(keys[:PAGE_KEYS])
             step.send.append((source, Adopted(item.keepers.epoch, item.after, page, more)))
 
     def _is_added(self) -> bool:
-        return self.disk.keepers.added == (self.name, 1, self.disk.disk) and bool(self.disk.keepers.before)
+        name, _, disk = self.disk.keepers.added
+        return (name, disk) == (self.name, self.disk.disk) and bool(self.disk.keepers.before)
 
     def state(self) -> tuple[Any, ...]:
         """All that its next steps rest on, to be hashed."""
--- a/packages/owners/src/larkweir_owners/messages.py
+++ b/packages/owners/src/larkweir_owners/messages.py
@@ -62,19 +62,19 @@
 # To a keeper
 
 
-class Ask(Item, tag=1):
+class Ask(Item, frozen=True, tag=1):
     op: int
     epoch: int
     key: str
 
 
-class Prepare(Item, tag=2):
+class Prepare(Item, frozen=True, tag=2):
     epoch: int
     key: str
     ballot: Ballot
 
 
-class Accept(Item, tag=3):
+class Accept(Item, frozen=True, tag=3):
     """`by`: the words of those that promised, among them the one asked."""
 
     epoch: int
@@ -87,14 +87,14 @@
 # From a keeper
 
 
-class Held(Item, tag=4):
+class Held(Item, frozen=True, tag=4):
     op: int
     key: str
     ballot: Ballot
     record: Record | None
 
 
-class Promised(Item, tag=5):
+class Promised(Item, frozen=True, tag=5):
     """`lives`: the words of other keepers that this one knows of."""
 
     key: str
@@ -105,13 +105,13 @@
     lives: tuple[tuple[str, Word], ...]
 
 
-class Accepted(Item, tag=6):
+class Accepted(Item, frozen=True, tag=6):
     key: str
     ballot: Ballot
     word: Word
 
 
-class Refused(Item, tag=7):
+class Refused(Item, frozen=True, tag=7):
     """`why`: "ballot" (`promised` is above), "life", "rest" (it does not vote now), "epoch" (`keepers` is its set)."""
 
     key: str
@@ -124,13 +124,13 @@
 # Between keepers
 
 
-class Who(Item, tag=8):
+class Who(Item, frozen=True, tag=8):
     """How much do you know of me? From one that has just begun."""
 
     disk: int
 
 
-class Known(Item, tag=9):
+class Known(Item, frozen=True, tag=9):
     """`of_you`: the highest word heard of the asker; `mode` and `word` of the one that answers."""
 
     of_you: Word
@@ -139,14 +139,14 @@
     keepers: KeeperSet
 
 
-class Catch(Item, tag=10):
+class Catch(Item, frozen=True, tag=10):
     """Take note of my new life, then give me what you hold, from `after` on."""
 
     life: Life
     after: str
 
 
-class Page(Item, tag=11):
+class Page(Item, frozen=True, tag=11):
     life: Life  # the asker's
     after: str
     slots: tuple[tuple[str, Ballot, Ballot, Record | None], ...]  # key, promised, accepted, record
@@ -157,14 +157,14 @@
 # Changes of the set
 
 
-class Adopt(Item, tag=12):
+class Adopt(Item, frozen=True, tag=12):
     """This set counts from now on. Answered by Adopted, when it is on disk."""
 
     keepers: KeeperSet
     after: str = ""
 
 
-class Adopted(Item, tag=13):
+class Adopted(Item, frozen=True, tag=13):
     """`keys`: what the one that answers holds, a page of them behind `after`."""
 
     epoch: int
@@ -176,18 +176,17 @@
 # Of effects
 
 
-class Effect(Item, tag=14):
+class Effect(Item, frozen=True, tag=14):
     """What a majority has taken. The payload stands in the record's value."""
 
     key: str
     record: Record
 
 
-class Digest(Item, tag=15):
-    """The versions that the sender holds; `answer`: send me what is newer."""
+class Digest(Item, frozen=True, tag=15):
+    """What the sender holds: key, term, number."""
 
     versions: tuple[tuple[str, int, int], ...]
-    answer: bool
 
 
 AnyItem: TypeAlias = (
@@ -209,7 +208,7 @@
 )
 
 _encode = msgspec.msgpack.Encoder().encode
-_decode = msgspec.msgpack.Decoder(AnyItem).decode
+_decoder: msgspec.msgpack.Decoder[AnyItem] = msgspec.msgpack.Decoder(AnyItem)
 
 
 def pack(item: AnyItem) -> bytes:
@@ -221,6 +220,6 @@
     if len(data) > MOST_ITEM:
         return None
     try:
-        return _decode(data)
+        return _decoder.decode(data)
     except (msgspec.DecodeError, UnicodeDecodeError, OverflowError, RecursionError):
         return None
--- a/packages/owners/src/larkweir_owners/register.py
+++ b/packages/owners/src/larkweir_owners/register.py
@@ -18,6 +18,7 @@
     NO_VERSION,
     Accept,
     Accepted,
+    Adopt,
     AnyItem,
     Ask,
     Ballot,
@@ -36,6 +37,7 @@
 MOST_OPEN = 256  # operations under way; further ones end as unknown at once
 AGAIN_MS = 100.0  # an unanswered round sends again after this much, then twice as much, ...
 AGAIN_MOST_MS = 800.0
+ASK_AGAIN_MS = 25.0
 ROUNDS = 3  # sendings of one round before it takes a higher ballot
 OP_MS = 3000.0  # an operation is unknown after this
 
@@ -127,22 +129,22 @@
 
     def came(self, source: str, item: AnyItem, now_ms: float) -> None:
         self.at(now_ms)
-        if source not in self.keepers.names:
+        if source not in self.keepers.names and source not in self.keepers.before:
             self.dropped += 1
             return
         match item:
-            case Held():
+            case Held() if source in self.keepers.names:
                 for op in [op for op in self._open if op.phase == "ask" and op.number == item.op]:
                     op.held[source] = item
                     self._asked(op)
-            case Promised():
+            case Promised() if source in self.keepers.names:
                 for op in self._of(item.ballot, item.key):
                     self._promised(op, source, item)
             case Accepted():
                 for op in self._of(item.ballot, item.key):
                     self._accepted(op, source, item)
             case Refused():
-                self._refused(item)
+                self._refused(source, item)
             case _:
                 self.dropped += 1
 
@@ -183,8 +185,9 @@
         op.due_ms = self._now_ms + min(AGAIN_MS * 2**op.sendings, AGAIN_MOST_MS) * (1 + 0.5 * self._spread())
         op.sendings += 1
         epoch = self.keepers.epoch
+        op.held.clear()
         for name in self.keepers.names:
-            if op.phase == "ask" and name not in op.held:
+            if op.phase == "ask":
                 self._post(name, Ask(op.number, epoch, op.key))
             elif op.phase == "prepare" and name not in op.promises:
                 self._post(name, Prepare(epoch, op.key, op.ballot))
@@ -206,7 +209,8 @@
         if sum(held.ballot == best.ballot for held in op.held.values()) >= self.keepers.quorum:
             self._end(op, Outcome.DONE, best.record)
         elif len(op.held) == len(self.keepers.names):
-            self._round(op, best.ballot[0])
+            # Somebody writes just now: a round would stop that, so ask again first
+            op.due_ms = min(op.due_ms, self._now_ms + ASK_AGAIN_MS * (1 + self._spread()))
 
     def _promised(self, op: Operation, source: str, item: Promised) -> None:
         if op.phase != "prepare":
@@ -252,8 +256,10 @@
         if len(op.accepted) >= self.keepers.quorum:
             self._end(op, op.outcome, op.proposal)
 
-    def _refused(self, item: Refused) -> None:
+    def _refused(self, source: str, item: Refused) -> None:
         if item.why == "epoch" and item.keepers is not None:
+            if item.keepers.epoch < self.keepers.epoch:
+                self._post(source, Adopt(self.keepers))
             self.adopt(item.keepers)
             return
         if item.why not in ("ballot", "life"):
--- a/packages/owners/tests/explore_owners.py
+++ b/packages/owners/tests/explore_owners.py
@@ -1,4 +1,4 @@
-"""`python packages/owners/tests/explore_owners.py [--depth N]`: two proposers and three keepers, every order of messages.
+"""`python packages/owners/tests/explore_owners.py [--depth N]`: two proposers, three keepers, every order of messages.
 
 The network is the set of all that was ever sent to keepers: each item may come at any time, once, often, or never. At
 each step one item comes to one keeper, and its answer comes or is lost; or its flush is lost, and it starts again from
@@ -41,7 +41,7 @@
 SET = KeeperSet(1, NAMES)
 
 
-class Broken(AssertionError):
+class BrokenError(AssertionError):
     """What was promised does not hold in a state that can be reached."""
 
 
@@ -122,7 +122,7 @@
 
 
 class Explorer:
-    def __init__(self, writes: tuple[int, int] = (1, 1), rounds: int = 2) -> None:
+    def __init__(self, writes: tuple[int, int] = (1, 1), rounds: tuple[int, int] = (2, 2)) -> None:
         self.writes, self.rounds = writes, rounds
         self.items, self.ks, self.ps = Numbers(), Numbers(), Numbers()
         self.signs, self.tolds, self.chosen = Numbers(), Numbers(), Numbers()
@@ -151,7 +151,7 @@
                 yield state._replace(keepers=_with(state.keepers, n, again))
         for who in (0, 1):
             p: P = self.ps.things[state.proposers[who]]
-            if p.proposer._open and p.rounds < self.rounds:
+            if p.proposer._open and p.rounds < self.rounds[who]:
                 yield self._moved(state, who, self._known_move(state.proposers[who], ("round",)))
             elif p.next is not None and p.writes < self.writes[who]:
                 start = self._known_move(state.proposers[who], ("start", state.done))
@@ -197,9 +197,8 @@
         if key not in self.keeper_moves:
             self.keeper_moves[key] = self._keeper_move(*key)
         after, lost, bit, answers = self.keeper_moves[key]
-        if lost is not None:
-            if lost != state.keepers[n]:
-                yield state._replace(keepers=_with(state.keepers, n, lost))
+        if lost is not None and lost != state.keepers[n]:
+            yield state._replace(keepers=_with(state.keepers, n, lost))
         new = state
         if after != state.keepers[n] or bit | state.accepted[n] != state.accepted[n]:
             keepers = _with(state.keepers, n, after)
@@ -239,7 +238,11 @@
         p.told = tuple(
             self.tolds.put(
                 tuple(
-                    (name in op.promises and self._item(op.promises[name]), name in op.by, name in op.accepted)
+                    (
+                        name in op.promises and self._item(op.promises[name]),
+                        name in op.by,
+                        name in op.accepted,
+                    )
                     for op in ops
                 ),
                 None,
@@ -279,7 +282,7 @@
         for result in results:
             version = result.record.version if result.record is not None else (0, 0)
             if version < p.began:
-                raise Broken(f"an operation gave {version}, {p.began} had ended when it began")
+                raise BrokenError(f"an operation gave {version}, {p.began} had ended when it began")
             p.ended = (*p.ended, (version, result.outcome, result.maybe))
             p.next = version
         sent = [0, 0, 0]
@@ -301,7 +304,7 @@
         for result in move.results:
             if result.outcome is Outcome.DONE and result.record is not None:
                 if not any(record == result.record for _, record in self._chosen(state.accepted)):
-                    raise Broken(f"{result.record} is told as written, and no majority has it")
+                    raise BrokenError(f"{result.record} is told as written, and no majority has it")
                 done = max(done, result.record.version)
         (a, b, c), (d, e, f) = state.to, move.sent
         proposers = (move.after, state.proposers[1]) if who == 0 else (state.proposers[0], move.after)
@@ -323,10 +326,10 @@
         before: Record | None = None
         for _, record in sorted(self._chosen(state.accepted), key=lambda one: one[0]):
             if values.setdefault(record.version, record) != record:
-                raise Broken(f"two values of {record.version}: {values[record.version]} and {record}")
+                raise BrokenError(f"two values of {record.version}: {values[record.version]} and {record}")
             last = before.version if before is not None else (0, 0)
             if record != before and record.version != (last[0] + 1, last[1] + 1):
-                raise Broken(f"{record} was chosen behind {before}")
+                raise BrokenError(f"{record} was chosen behind {before}")
             before = record
         self.good.add(bits)
 
@@ -371,10 +374,12 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--depth", type=int, default=100)
     parser.add_argument("--seconds", type=float, default=600.0)
-    parser.add_argument("--rounds", type=int, default=2, help="ballots of each write")
-    parser.add_argument("--writes", type=int, default=1, help="of the second proposer; the first has one")
+    parser.add_argument("--rounds", type=int, nargs=2, default=(2, 2), help="ballots of a write, by proposer")
+    parser.add_argument("--writes", type=int, nargs=2, default=(1, 1), help="by proposer")
     args = parser.parse_args()
-    states, depth, whole = Explorer((1, args.writes), args.rounds).run(args.depth, args.seconds, True)
+    states, depth, whole = Explorer(tuple(args.writes), tuple(args.rounds)).run(
+        args.depth, args.seconds, True
+    )
     print(f"{states} states, {'whole' if whole else 'all'} to depth {depth}: no promise broken")
     return 0
 
--- /dev/null
+++ b/packages/owners/tests/fleet_owners.py
@@ -0,0 +1,385 @@
+"""A fleet of `Owners` on the simulated network: seeded faults, disks that lose what was not flushed, and a checker that
+sees all that keepers accept and followers take."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Sequence
+from random import Random
+from typing import Any
+
+from larkweir_owners.duty import Owners
+from larkweir_owners.keeper import Disk, Keeper, SlotEntry, Step
+from larkweir_owners.messages import Accepted, Ballot, KeeperSet, Record, Version
+from larkweir_owners.terms import Phase, Times
+from larkweir_simulated import Network
+
+
+class BrokenError(AssertionError):
+    """A promise was broken; the message names it first."""
+
+
+class Steady:
+    """A duty that always has something to do: it counts. Its state names the owner that counted."""
+
+    def __init__(self, name: str, process: Process) -> None:
+        self.name = name
+        self._process = process
+
+    def step(self, state: bytes, now_ms: float) -> bytes | None:
+        count = int(state.split(b" ")[0] or b"0")
+        return b"%d %s %d" % (count + 1, self._process.name.encode(), self._process.life)
+
+    def took(self, state: bytes, version: Version) -> None:
+        self._process.fleet.checker.taken(self._process, self.name, version, state)
+
+
+class Checker:
+    """One owner a term; one value a version; effects in order, none of an old term; followers take only what counts,
+    and never go back; nothing is told as written that no majority has."""
+
+    def __init__(self) -> None:
+        self.votes: dict[tuple[str, Ballot], tuple[Record, set[str]]] = {}
+        self.values: dict[tuple[str, Version], Record] = {}
+        self.last: dict[str, Record] = {}
+        self.owners: dict[tuple[str, int], tuple[str, int]] = {}
+        self.held: dict[tuple[str, str], Version] = {}
+        self.old_taken = 0
+        self.effects: Counter[str] = Counter()
+        self.when: dict[tuple[str, int], float] = {}  # when a term first counted
+
+    def accepted(
+        self, keeper: str, key: str, ballot: Ballot, record: Record, quorum: int, now: float
+    ) -> None:
+        first, names = self.votes.setdefault((key, ballot), (record, set()))
+        if first != record:
+            raise BrokenError(f"one ballot, two values: {key} {ballot}: {first} and {record}")
+        names.add(keeper)
+        if len(names) >= quorum:
+            self._chosen(key, record, now)
+
+    def _chosen(self, key: str, record: Record, now: float) -> None:
+        there = self.values.get((key, record.version))
+        if there is not None:
+            if there != record:
+                raise BrokenError(f"one value a version: {key} {record.version}: {there} and {record}")
+            return
+        self.values[key, record.version] = record
+        before = self.last.get(key)
+        if before is not None and record.version <= before.version:
+            raise BrokenError(f"versions never go back: {key}: {record} counts after {before}")
+        if before is not None and record.term < before.term:
+            self.old_taken += 1
+        if record.owner:
+            owner = self.owners.setdefault((key, record.term), (record.owner, record.life))
+            if owner != (record.owner, record.life):
+                raise BrokenError(f"one owner a term: {key} {record.term}: {owner} and {record.owner}")
+        self.when.setdefault((key, record.term), now)
+        effects = before.effects if before is not None else 0
+        if record.effects not in (effects, effects + 1) or (
+            record.value.split(b" ")[0] not in (b"%d" % record.effects, b"") and not key.startswith("\0")
+        ):
+            raise BrokenError(f"effects in order: {key}: {record} after {before}")
+        self.last[key] = record
+        self.effects[key] += record.effects - effects
+
+    def taken(self, process: Process, key: str, version: Version, state: bytes) -> None:
+        held = self.held.get((process.name, key), (0, 0))
+        if version <= held:
+            raise BrokenError(f"copies never go back: {process.name} {key}: {version} after {held}")
+        self.held[process.name, key] = version
+        chosen = self.values.get((key, version))
+        if chosen is None or chosen.value != state:
+            raise BrokenError(
+                f"only what counts is taken: {process.name} {key} {version}: {state!r}, not {chosen}"
+            )
+
+
+class Process:
+    """`disk` is what was flushed; it outlives the process."""
+
+    def __init__(self, fleet: Fleet, name: str) -> None:
+        self.fleet, self.name = fleet, name
+        self.life = 0
+        self.disk: Disk | None = None
+        self.old_disk: Disk | None = None
+        self.held: dict[str, Record] = {}
+        self.owners: Owners | None = None
+        self.sent = 0
+        self._timer: Any = None
+        self._flush_ms = 0.0
+
+    # Mail
+
+    def post(self, to: str, item: bytes) -> bool:
+        assert len(item) <= 8192
+        self.sent += 1
+        self.fleet.network.send(self.name, to, item)
+        return True
+
+    def alive(self) -> Sequence[str]:
+        return self.fleet.alive
+
+    # Life
+
+    def start(self) -> None:
+        fleet, network = self.fleet, self.fleet.network
+        self.life = fleet.rng.getrandbits(31)
+        keeper = None
+        if self.name in fleet.keeper_names:
+            if self.disk is None:
+                self.disk = Disk(fleet.rng.getrandbits(31), fleet.keepers)
+            keeper = Keeper(self.name, copy_disk(self.disk))
+        self.owners = Owners(
+            self.name,
+            self.life,
+            fleet.keepers,
+            [Steady(key, self) for key in fleet.keys],
+            self,
+            fleet.rng.random,
+            lambda names, most: fleet.rng.sample(list(names), min(most, len(names))),
+            fleet.times,
+            keeper,
+            self.held.items(),
+        )
+        network.listen(self.name, self._came)
+        self._flush_ms = network.now_ms
+        self._timer = network.after(fleet.rng.random() * 50, self._tick, self.name)
+
+    def kill(self) -> None:
+        self.fleet.network.kill(self.name)
+        self.owners = None
+
+    def _came(self, source: str, data: bytes) -> None:
+        assert self.owners is not None
+        self.owners.came(source, data, self.fleet.network.now_ms)
+        self.after()
+
+    def _tick(self) -> None:
+        assert self.owners is not None
+        self.owners.tick(self.fleet.network.now_ms)
+        self.after()
+
+    def after(self) -> None:
+        """Hands: flush what is to be flushed, one after another, and set the timer."""
+        assert self.owners is not None
+        network = self.fleet.network
+        for step in self.owners.take():
+            self._flush_ms = max(network.now_ms, self._flush_ms) + self.fleet.rng.uniform(0.2, 3.0)
+            network.at(self._flush_ms, lambda step=step: self._flushed(step), self.name)
+        self.held = dict(self.owners.followers.held)
+        due = max(self.owners.next_ms, network.now_ms + 1.0)
+        if self._timer is not None:
+            self._timer.cancel()
+        if due < float("inf"):
+            self._timer = network.at(due, self._tick, self.name)
+
+    def _flushed(self, step: Step) -> None:
+        assert self.owners is not None and self.disk is not None
+        for entry in step.flush:
+            self.disk.put(entry)
+            if (
+                isinstance(entry, SlotEntry)
+                and entry.slot.record is not None
+                and self.owners.keeper is not None
+            ):
+                slot = entry.slot
+                if any(isinstance(i, Accepted) and i.ballot == slot.accepted for _, i in step.send):
+                    self.fleet.checker.accepted(
+                        self.name,
+                        entry.key,
+                        slot.accepted,
+                        entry.slot.record,
+                        self.disk.keepers.quorum,
+                        self.fleet.network.now_ms,
+                    )
+        self.owners.flushed(step, self.fleet.network.now_ms)
+        self.after()
+
+
+def copy_disk(old: Disk) -> Disk:
+    return Disk(old.disk, old.keepers, old.life, old.born, old.answers, dict(old.heard), dict(old.slots))
+
+
+class Fleet:
+    def __init__(
+        self,
+        seed: int,
+        processes: int = 5,
+        keepers: int = 3,
+        duties: int = 1,
+        lost: float = 0.02,
+        doubled: float = 0.02,
+        times: Times | None = None,
+    ) -> None:
+        self.network = Network(seed, (1.0, 10.0), lost, doubled)
+        self.rng = Random(seed + 1)
+        self.times = times if times is not None else Times(lease_ms=1000.0, step_ms=50.0)
+        self.names = [f"10.0.{n // 250}.{n % 250}:7946" for n in range(processes)]
+        self.keeper_names = set(self.names[:keepers])
+        self.keepers = KeeperSet(1, tuple(self.names[:keepers]))
+        self.keys = [f"duty{n}" for n in range(duties)]
+        self.alive = list(self.names)
+        self.checker = Checker()
+        self.processes = {name: Process(self, name) for name in self.names}
+        for process in self.processes.values():
+            process.start()
+
+    def run(self, ms: float) -> None:
+        self.network.run(self.network.now_ms + ms)
+
+    def owner(self, key: str) -> Process | None:
+        """Whom the register names, if that process lives and knows it."""
+        record = self.checker.last.get(key)
+        if record is None or not record.owner:
+            return None
+        process = self.processes[record.owner]
+        if process.owners is None or process.life != record.life:
+            return None
+        return process if process.owners.terms[key].phase in (Phase.OWNER, Phase.UNSURE) else None
+
+    def kill(self, name: str, seen_after_ms: float = 1500.0) -> None:
+        self.processes[name].kill()
+        self.network.after(seen_after_ms, lambda: self._gone(name))
+
+    def _gone(self, name: str) -> None:
+        if self.processes[name].owners is None and name in self.alive:
+            self.alive.remove(name)
+
+    def start(self, name: str) -> None:
+        if self.processes[name].owners is None:
+            self.processes[name].start()
+        if name not in self.alive:
+            self.alive.append(name)
+            self.alive.sort()
+
+    def run_until(self, what: Any, most_ms: float, step_ms: float = 10.0) -> bool:
+        until = self.network.now_ms + most_ms
+        while self.network.now_ms < until:
+            if what():
+                return True
+            self.run(step_ms)
+        return bool(what())
+
+    # Seeded plans
+
+    def play(
+        self, events: int = 8, gap_ms: tuple[float, float] = (100.0, 2500.0), rest_ms: float = 12_000.0
+    ) -> None:
+        """So many faults at random, some at the same time; then all is well again, and it must go on by itself."""
+        rng = self.rng
+        self.run(rng.uniform(500.0, 2000.0))
+        for _ in range(events):
+            self._befall(rng.choice(FAULTS))
+            self.run(rng.uniform(*gap_ms))
+        self.mend()
+        before = sum(self.checker.effects.values())
+        self.run(rest_ms)
+        if sum(self.checker.effects.values()) <= before:
+            raise BrokenError("once all is well, duties go on")
+        self.network.lost = 0.0
+        self.run(100.0)
+        self.calm()
+
+    def calm(self) -> None:
+        """What is held at the end is the same everywhere, but for what is on its way."""
+        for key in self.keys:
+            last = self.checker.last[key]
+            for process in self.processes.values():
+                held = process.held.get(key)
+                if held is None or last.effects - held.effects > 60:
+                    raise BrokenError(f"all copies follow: {process.name} {key}: {held}, {last}")
+
+    def mend(self) -> None:
+        self.network.heal()
+        for name, process in self.processes.items():
+            self.network.go_on(name)
+            if process.owners is not None and (
+                process.owners.draining or (process.owners.keeper and process.owners.keeper.mode == "failed")
+            ):
+                process.kill()
+            self.start(name)
+
+    def _bad_disk(self) -> bool:
+        """At most one disk at a time is lost or old; that is what is promised for."""
+        for name in self.keeper_names:
+            process = self.processes[name]
+            keeper = process.owners.keeper if process.owners is not None else None
+            if keeper is None or keeper.mode != "voting":
+                return True
+        return False
+
+    def _befall(self, fault: str) -> None:
+        rng, network = self.rng, self.network
+        name = rng.choice(self.names)
+        owner = self.owner(rng.choice(self.keys))
+        lease = self.times.lease_ms
+        live = [n for n in self.names if self.processes[n].owners is not None]
+        match fault:
+            case "stop owner" if owner is not None:
+                network.stop(owner.name)
+                network.after(3 * lease * rng.uniform(0.5, 1.1), lambda: network.go_on(owner.name))
+            case "stop":
+                network.stop(name)
+                network.after(rng.uniform(0.1, 3.0) * lease, lambda: network.go_on(name))
+            case "kill owner" if owner is not None:
+                self.kill(owner.name)
+                network.after(rng.uniform(0.01, 3.0) * lease, lambda: self.start(owner.name))
+            case "kill":
+                self.kill(name)
+                network.after(rng.uniform(0.01, 3.0) * lease, lambda: self.start(name))
+            case "no disk" | "yesterday" if name in self.keeper_names and not self._bad_disk():
+                self.kill(name)
+                self.processes[name].disk = self.processes[name].old_disk if fault == "yesterday" else None
+                network.after(rng.uniform(0.01, 2.0) * lease, lambda: self.start(name))
+            case "backup" if name in self.keeper_names and self.processes[name].disk is not None:
+                disk = self.processes[name].disk
+                assert disk is not None
+                self.processes[name].old_disk = copy_disk(disk)
+            case "power" if not self._bad_disk():
+                for each in sorted(self.keeper_names):
+                    self.kill(each)
+                    network.after(rng.uniform(0.01, 1.0) * lease, lambda each=each: self.start(each))
+            case "drain" if len(live) > 3:
+                process = self.processes[owner.name if owner is not None else rng.choice(live)]
+                if process.owners is not None:
+                    process.owners.drain(network.now_ms)
+                    process.after()
+            case "lag" if owner is not None and owner.owners is not None:
+                owner.owners.lagged(lease, network.now_ms)
+                owner.after()
+            case "cut":
+                group = rng.sample(self.names, rng.randint(1, len(self.names) - 1))
+                network.split([group])
+                network.after(rng.uniform(0.2, 4.0) * lease, network.heal)
+            case "one way":
+                network.cut(name, rng.choice([n for n in self.names if n != name]), both=False)
+                network.after(rng.uniform(0.2, 4.0) * lease, network.heal)
+            case "full disk" if name in self.keeper_names:
+                process = self.processes[name]
+                if process.owners is not None:
+                    process.owners.flush_failed()
+            case "loss":
+                network.lost = rng.choice([0.0, 0.02, 0.2])
+                network.doubled = rng.choice([0.0, 0.02, 0.3])
+                network.delay_ms = rng.choice([(1.0, 10.0), (0.1, 1.0), (5.0, 300.0)])
+
+
+FAULTS = (
+    "stop owner",
+    "stop owner",
+    "stop",
+    "kill owner",
+    "kill",
+    "no disk",
+    "yesterday",
+    "backup",
+    "power",
+    "drain",
+    "lag",
+    "cut",
+    "cut",
+    "one way",
+    "full disk",
+    "loss",
+)
