--- a/packages/owners/src/larkweir_owners/keeper.py
+++ b/packages/owners/src/larkweir_owners/keeper.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
-from typing import Any, TypeAlias
+from typing import TypeAlias
 
 import msgspec
 
@@ -97,6 +97,17 @@
     heard: dict[str, Word] = field(default_factory=dict)
     slots: dict[str, Slot] = field(default_factory=dict)
 
+    def copy(self) -> Disk:
+        return Disk(
+            self.disk,
+            self.keepers,
+            self.life,
+            self.born,
+            self.answers,
+            dict(self.heard),
+            dict(self.slots),
+        )
+
     def put(self, entry: Entry) -> None:
         match entry:
             case SlotEntry(key, slot, answers, heard):
@@ -404,15 +415,3 @@
     def _is_added(self) -> bool:
         name, _, disk = self.disk.keepers.added
         return (name, disk) == (self.name, self.disk.disk) and bool(self.disk.keepers.before)
-
-    def state(self) -> tuple[Any, ...]:
-        """All that its next steps rest on, to be hashed."""
-        d = self.disk
-        return (
-            self.mode,
-            d.life,
-            d.answers,
-            tuple(sorted(d.slots.items())),
-            tuple(sorted(d.heard.items())),
-            d.keepers.epoch,
-        )
--- /dev/null
+++ b/packages/owners/src/larkweir_owners/keeper_file.py
@@ -0,0 +1,254 @@
+"""Hands: a keeper's file: entries appended and flushed, compacted by rename; a torn tail is cut.
+
+`NAME` is a header (magic, version, a random number that names this disk, CRC-32) and frames (length, CRC-32 over what
+follows it, serial, an entry as MessagePack). Entries before a damaged one count, none behind it: what a flipped bit
+takes away is then missing as in an older copy, which the other keepers notice. A header that can't be read is a lost
+disk. A file is replaced by writing `NAME.new` whole, flushing it, renaming it, and flushing the folder. Any error ends
+the writing for this life, since after a failed flush it is not known what the file holds (fsync(2)).
+"""
+
+from __future__ import annotations
+
+import errno
+import fcntl
+import os
+import struct
+import zlib
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import msgspec
+
+from larkweir_owners.keeper import Disk, Entry, HeardEntry, SelfEntry, SetEntry, SlotEntry
+from larkweir_owners.messages import KeeperSet
+
+MAGIC = b"LWKP"
+VERSION = 1
+HEADER = struct.Struct(">4sIQ")
+CHECK = struct.Struct(">I")
+FRAME = struct.Struct(">II")
+SERIAL = struct.Struct(">Q")
+HEADER_BYTES = HEADER.size + CHECK.size
+MOST_ENTRY = 16 * 1024  # bytes
+MOST_FILE = 128 * 1024 * 1024
+COMPACT_BYTES = (
+    4 * 1024 * 1024
+)  # a file of this, and of four times what it was when it was new, is written anew
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoder: msgspec.msgpack.Decoder[Entry] = msgspec.msgpack.Decoder(
+    SlotEntry | SelfEntry | HeardEntry | SetEntry
+)
+
+
+class System(Protocol):
+    """The system calls that it makes, so that a test can fail any of them. OSError from each."""
+
+    def lock(self) -> None: ...
+    def read(self, name: str) -> bytes | None: ...
+    def create(self, name: str) -> int: ...
+    def append(self, name: str, length: int) -> int: ...
+    def write(self, number: int, data: bytes) -> None: ...
+    def flush(self, number: int) -> None: ...
+    def shut(self, number: int) -> None: ...
+    def rename(self, old: str, new: str) -> None: ...
+    def flush_folder(self) -> None: ...
+    def close(self) -> None: ...
+
+
+class Folder:
+    """`System` on a folder of this user's own, which one process has at a time."""
+
+    def __init__(self, path: str) -> None:
+        self.path = path
+        self._lock = -1
+
+    def lock(self) -> None:
+        os.makedirs(self.path, mode=0o700, exist_ok=True)
+        flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW
+        self._lock = os.open(os.path.join(self.path, "keeper.lock"), flags, 0o600)
+        try:
+            fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            self.close()
+            raise OSError(errno.EBUSY, "another process has it") from None
+
+    def close(self) -> None:
+        if self._lock >= 0:
+            os.close(self._lock)
+            self._lock = -1
+
+    def read(self, name: str) -> bytes | None:
+        try:
+            number = os.open(os.path.join(self.path, name), os.O_RDONLY | os.O_CLOEXEC | os.O_NOFOLLOW)
+        except FileNotFoundError:
+            return None
+        with os.fdopen(number, "rb") as file:
+            if os.fstat(number).st_size > MOST_FILE:
+                raise OSError(errno.EFBIG, "it is no keeper's file")
+            return file.read()
+
+    def create(self, name: str) -> int:
+        flags = os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC | os.O_NOFOLLOW
+        return os.open(os.path.join(self.path, name), flags, 0o600)
+
+    def append(self, name: str, length: int) -> int:
+        """Opened for appending, cut to that length first, and flushed so."""
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CLOEXEC | os.O_NOFOLLOW
+        number = os.open(os.path.join(self.path, name), flags)
+        try:
+            os.ftruncate(number, length)
+            os.fsync(number)
+        except OSError:
+            os.close(number)
+            raise
+        return number
+
+    def write(self, number: int, data: bytes) -> None:
+        left = memoryview(data)
+        while left:
+            left = left[os.write(number, left) :]
+
+    def flush(self, number: int) -> None:
+        os.fsync(number)
+
+    def shut(self, number: int) -> None:
+        os.close(number)
+
+    def rename(self, old: str, new: str) -> None:
+        os.rename(os.path.join(self.path, old), os.path.join(self.path, new))
+
+    def flush_folder(self) -> None:
+        number = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(number)
+        finally:
+            os.close(number)
+
+
+def header(disk: int) -> bytes:
+    text = HEADER.pack(MAGIC, VERSION, disk)
+    return text + CHECK.pack(zlib.crc32(text))
+
+
+def frame(serial: int, entry: Entry) -> bytes:
+    inner = SERIAL.pack(serial) + _encode(entry)
+    return FRAME.pack(len(inner), zlib.crc32(inner)) + inner
+
+
+def load(data: bytes, keepers: KeeperSet) -> tuple[Disk, int, int] | None:
+    """The disk, how many bytes of the file count, and how many entries; None where the header can't be read.
+    `keepers`: the set where the file names none."""
+    if len(data) < HEADER_BYTES:
+        return None
+    magic, version, number = HEADER.unpack_from(data)
+    (check,) = CHECK.unpack_from(data, HEADER.size)
+    if (magic, version, check) != (MAGIC, VERSION, zlib.crc32(data[: HEADER.size])):
+        return None
+    disk, at, serial = Disk(number, keepers), HEADER_BYTES, 0
+    while at + FRAME.size <= len(data):
+        length, check = FRAME.unpack_from(data, at)
+        inner = data[at + FRAME.size : at + FRAME.size + length]
+        if not SERIAL.size < length <= MOST_ENTRY or len(inner) < length or zlib.crc32(inner) != check:
+            break
+        if SERIAL.unpack_from(inner)[0] != serial + 1:
+            break
+        try:
+            disk.put(_decoder.decode(inner[SERIAL.size :]))
+        except msgspec.DecodeError:
+            break
+        serial += 1
+        at += FRAME.size + length
+    return disk, at, serial
+
+
+class KeeperFile:
+    """One keeper's file, open. Blocking: used on a thread of its own, by one call at a time."""
+
+    def __init__(
+        self, system: System, keepers: KeeperSet, new_disk: Callable[[], int], name: str = "keeper"
+    ) -> None:
+        """`new_disk`: a random number of 63 bits, for a disk that is new or lost."""
+        self.name = name
+        self.disk = Disk(0, keepers)  # what is on disk, and nothing else
+        self.cut_bytes = 0  # behind what counts, when it was opened
+        self.fault = ""  # why it is no more written to
+        self._system, self._new_disk = system, new_disk
+        self._number = -1
+        self._serial = 0
+        self._bytes = 0
+        self._new_bytes = 0
+
+    def open(self) -> Disk:
+        """Read it, or make a new one; a copy for the keeper. OSError where another process has it, or it can't be read
+        or written.
+        """
+        self._system.lock()
+        data = self._system.read(self.name)
+        found = load(data, self.disk.keepers) if data is not None else None
+        if found is None:
+            self.disk = Disk(self._new_disk(), self.disk.keepers)
+            self._renew()
+        else:
+            self.disk, self._bytes, self._serial = found
+            self.cut_bytes = len(data or b"") - self._bytes
+            self._number = self._system.append(self.name, self._bytes)
+            self._new_bytes = self._bytes
+        return self.disk.copy()
+
+    def put(self, entries: Iterable[Entry]) -> bool:
+        """Append and flush. False, then and ever after, where that fails: the keeper must not vote any more."""
+        if self.fault or self._number < 0:
+            return False
+        kept = list(entries)
+        pieces = []
+        for entry in kept:
+            self._serial += 1
+            pieces.append(frame(self._serial, entry))
+        data = b"".join(pieces)
+        try:
+            self._system.write(self._number, data)
+            self._system.flush(self._number)
+        except OSError as error:
+            self._fail(error)
+            return False
+        for entry in kept:
+            self.disk.put(entry)
+        self._bytes += len(data)
+        if self._bytes >= max(COMPACT_BYTES, 4 * self._new_bytes):
+            try:
+                self._renew()
+            except OSError as error:
+                self._fail(error)  # what is flushed stands; nothing follows it
+        return True
+
+    def close(self) -> None:
+        if self._number >= 0:
+            self._system.shut(self._number)
+            self._number = -1
+        self._system.close()
+
+    def _fail(self, error: OSError) -> None:
+        self.fault = error.strerror or str(error)
+
+    def _renew(self) -> None:
+        """Write it anew and put it in the old one's place."""
+        pieces, serial = [header(self.disk.disk)], 0
+        for entry in self.disk.entries():
+            serial += 1
+            pieces.append(frame(serial, entry))
+        data = b"".join(pieces)
+        new = self.name + ".new"
+        number = self._system.create(new)
+        try:
+            self._system.write(number, data)
+            self._system.flush(number)
+            self._system.rename(new, self.name)
+            self._system.flush_folder()
+        except OSError:
+            self._system.shut(number)
+            raise
+        if self._number >= 0:
+            self._system.shut(self._number)
+        self._number, self._serial = number, serial
+        self._bytes = self._new_bytes = len(data)
--- a/packages/owners/tests/explore_owners.py
+++ b/packages/owners/tests/explore_owners.py
@@ -63,10 +63,6 @@
     return disk
 
 
-def copy_disk(old: Disk) -> Disk:
-    return Disk(old.disk, old.keepers, old.life, old.born, old.answers, dict(old.heard), dict(old.slots))
-
-
 def raised(number: int, disk: Disk) -> Keeper:
     """A keeper on its disk, with its predecessor's word that the disk is the latest."""
     return Keeper(NAMES[number], disk, (disk.life, disk.answers))
@@ -170,7 +166,7 @@
         if number in self.restarts:
             return self.restarts[number]
         disk = self.ks.things[number].disk
-        again = self.restarts[number] = self._number_k(n, K(raised(n, copy_disk(disk)), disk))
+        again = self.restarts[number] = self._number_k(n, K(raised(n, disk.copy()), disk))
         return again
 
     def _keeper_move(self, n: int, number: int, item: int) -> tuple[int, int | None, int, tuple[int, ...]]:
@@ -178,10 +174,10 @@
         old: K = self.ks.things[number]
         keeper = object.__new__(Keeper)
         keeper.__dict__.update(old.keeper.__dict__)
-        keeper.disk = copy_disk(old.keeper.disk)
+        keeper.disk = old.keeper.disk.copy()
         asked = self.items.things[item]
         step = keeper.came(asked.ballot[1], asked)
-        disk = copy_disk(old.disk)
+        disk = old.disk.copy()
         for entry in step.flush:
             disk.put(entry)
         bit = 0
--- a/packages/owners/tests/fleet_owners.py
+++ b/packages/owners/tests/fleet_owners.py
@@ -129,7 +129,7 @@
         if self.name in fleet.keeper_names:
             if self.disk is None:
                 self.disk = Disk(fleet.rng.getrandbits(31), fleet.keepers)
-            keeper = Keeper(self.name, copy_disk(self.disk))
+            keeper = Keeper(self.name, self.disk.copy())
         self.owners = Owners(
             self.name,
             self.life,
@@ -197,10 +197,6 @@
         self.after()
 
 
-def copy_disk(old: Disk) -> Disk:
-    return Disk(old.disk, old.keepers, old.life, old.born, old.answers, dict(old.heard), dict(old.slots))
-
-
 class Fleet:
     def __init__(
         self,
@@ -335,7 +331,7 @@
             case "backup" if name in self.keeper_names and self.processes[name].disk is not None:
                 disk = self.processes[name].disk
                 assert disk is not None
-                self.processes[name].old_disk = copy_disk(disk)
+                self.processes[name].old_disk = disk.copy()
             case "power" if not self._bad_disk():
                 for each in sorted(self.keeper_names):
                     self.kill(each)
--- /dev/null
+++ b/packages/owners/tests/test_owners_file.py
@@ -0,0 +1,189 @@
+"""The keeper's file: every cut, every flipped bit, every crash between and inside its calls, every call that fails."""
+
+import errno
+from collections.abc import Iterator
+from itertools import product
+
+import pytest
+from larkweir_owners import keeper_file
+from larkweir_owners.keeper import Disk, Entry, HeardEntry, SelfEntry, SetEntry, Slot, SlotEntry
+from larkweir_owners.keeper_file import Folder, KeeperFile, load
+from larkweir_owners.messages import KeeperSet, Record
+
+SET = KeeperSet(1, ("a", "b", "c"))
+ENTRIES: list[Entry] = [
+    HeardEntry((("b", (1, 5, 0)), ("c", (1, 6, 0)))),
+    SelfEntry((1, 4), True, 0),
+    SlotEntry("d", Slot((1, "p", 9)), 1),
+    SlotEntry("d", Slot((1, "p", 9), (1, "p", 9), Record(1, 1, "p", 9, value=b"x")), 2, (("b", (1, 5, 3)),)),
+    SetEntry(KeeperSet(2, ("a", "b", "c", "d"), ("a", "b", "c"), ("d", 2, 7))),
+    SlotEntry("e", Slot((2, "q", 8)), 3),
+]
+
+
+class Model:
+    """A folder in memory. What is flushed stays over a crash; of the rest of a file any prefix may, and of what was
+    done to the folder since it was flushed, all or the newest none."""
+
+    def __init__(self, fail_at: int = 0) -> None:
+        self.calls, self.fail_at = 0, fail_at
+        self.data: list[bytearray] = []
+        self.kept: list[int] = []  # bytes flushed
+        self.names: dict[str, int] = {}
+        self.kept_names: dict[str, int] = {}
+
+    def _call(self) -> None:
+        self.calls += 1
+        if self.calls == self.fail_at:
+            raise OSError(errno.ENOSPC, "No space left on device")
+
+    def lock(self) -> None: ...
+
+    def close(self) -> None: ...
+
+    def shut(self, number: int) -> None: ...
+
+    def read(self, name: str) -> bytes | None:
+        return bytes(self.data[self.names[name]]) if name in self.names else None
+
+    def create(self, name: str) -> int:
+        self._call()
+        self.data.append(bytearray())
+        self.kept.append(0)
+        self.names[name] = len(self.data) - 1
+        return self.names[name]
+
+    def append(self, name: str, length: int) -> int:
+        self._call()
+        number = self.names[name]
+        del self.data[number][length:]
+        self.kept[number] = length
+        return number
+
+    def write(self, number: int, data: bytes) -> None:
+        try:
+            self._call()
+        except OSError:
+            self.data[number] += data[: len(data) // 2]
+            raise
+        self.data[number] += data
+
+    def flush(self, number: int) -> None:
+        self._call()
+        self.kept[number] = len(self.data[number])
+
+    def rename(self, old: str, new: str) -> None:
+        self._call()
+        self.names[new] = self.names.pop(old)
+
+    def flush_folder(self) -> None:
+        self._call()
+        self.kept_names = dict(self.names)
+
+    def crashes(self) -> Iterator["Model"]:
+        """All that may be there after a crash now."""
+        cuts = [range(kept, len(data) + 1) for kept, data in zip(self.kept, self.data, strict=True)]
+        for names in (self.names, self.kept_names):
+            for lengths in product(*(cut if n in names.values() else cut[:1] for n, cut in enumerate(cuts))):
+                left = Model()
+                left.data = [bytearray(d[:n]) for d, n in zip(self.data, lengths, strict=True)]
+                left.kept = list(lengths)
+                left.names, left.kept_names = dict(names), dict(names)
+                yield left
+
+
+def states() -> list[Disk]:
+    """After no entry, after one, ..."""
+    disk = Disk(77, SET)
+    found = [disk.copy()]
+    for entry in ENTRIES:
+        disk.put(entry)
+        found.append(disk.copy())
+    return found
+
+
+def written(model: Model) -> list[int]:
+    """Puts the entries, one flush each; which of them were promised, as the number of entries, before each call."""
+    file = KeeperFile(model, SET, lambda: 77)
+    file.open()
+    for entry in ENTRIES:
+        if not file.put([entry]):
+            break
+    return [file._serial]
+
+
+def test_every_cut_and_every_flipped_bit_gives_what_was_there_at_some_time_before() -> None:
+    model = Model()
+    written(model)
+    data, known = model.read("keeper"), states()
+    assert data is not None
+    whole = load(data, SET)
+    assert whole is not None and whole[0] == known[-1]
+    lengths = []
+    for length in range(len(data) + 1):
+        found = load(data[:length], SET)
+        lengths.append(-1 if found is None else known.index(found[0]))
+    assert lengths == sorted(lengths) and set(lengths) >= set(range(len(known)))
+    for bit in range(len(data) * 8):
+        hurt = bytearray(data)
+        hurt[bit // 8] ^= 1 << bit % 8
+        found = load(bytes(hurt), SET)
+        assert found is None or found[0] in known[:-1], bit
+
+
+@pytest.mark.parametrize("compact", [1 << 20, 1])
+def test_what_was_promised_is_there_after_a_crash_at_any_call(
+    compact: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(keeper_file, "COMPACT_BYTES", compact)
+    known = states()
+    seen = 0
+    for fail_at in range(1, 100):
+        model = Model(fail_at)
+        file = KeeperFile(model, SET, lambda: 77)
+        promised = -1  # nothing
+        try:
+            file.open()
+            promised = 0
+            for entry in ENTRIES:
+                if not file.put([entry]):
+                    assert file.fault == "No space left on device"
+                    assert not file.put([ENTRIES[0]])  # never again in this life
+                    break
+                promised += 1
+        except OSError:
+            pass
+        for left in model.crashes():
+            seen += 1
+            data = left.read("keeper")
+            found = load(data, SET) if data is not None else None
+            if found is None:
+                assert promised == -1
+            else:
+                assert found[0] in known[max(promised, 0) :]
+        if model.calls < fail_at:
+            break
+    assert seen > 100 and promised == len(ENTRIES)
+
+
+def test_a_folder_is_read_again_and_a_torn_tail_is_cut(tmp_path, monkeypatch: pytest.MonkeyPatch) -> None:  # type: ignore[no-untyped-def]
+    monkeypatch.setattr(keeper_file, "COMPACT_BYTES", 64)
+    folder = str(tmp_path / "k")
+    file = KeeperFile(Folder(folder), SET, lambda: 77)
+    file.open()
+    with pytest.raises(OSError, match="another process has it"):
+        KeeperFile(Folder(folder), SET, lambda: 78).open()
+    for entry in ENTRIES:
+        assert file.put([entry])
+    file.close()
+    with open(tmp_path / "k" / "keeper", "ab") as torn:
+        torn.write(b"\0\0\0\x20torn")
+    again = KeeperFile(Folder(folder), SET, lambda: 78)
+    assert again.open() == states()[-1]
+    assert again.cut_bytes == 8
+    assert again.put([ENTRIES[-1]])
+    again.close()
+    (tmp_path / "k" / "keeper").write_bytes(b"no keeper's file, and so as good as lost")
+    lost = KeeperFile(Folder(folder), SET, lambda: 78)
+    assert lost.open() == Disk(78, SET)
+    lost.close()
