--- a/packages/owners/src/larkweir_owners/keeper.py
+++ b/packages/owners/src/larkweir_owners/keeper.py
@@ -307,9 +307,7 @@
         if self.mode == "back":
             if max(known.of_you for known in self._known.values()) > self.word:
                 self._begin("lost")
-            elif self._enough(
-                name for name, known in self._known.items() if known.mode not in ("new", "lost")
-            ):
+            elif self._enough(self._known):  # of one bad disk at a time: where another's is, this one is not
                 self._begin("catching")
             return
         me = (1, self.disk.disk, 0)
@@ -320,9 +318,12 @@
             lives = tuple((name, (1, known.word[1], 0)) for name, known in self._known.items())
             self._keep(HeardEntry(lives), step)
             self._born((1, self.disk.disk), step)
-        elif any(known.of_you == me for known in self._known.values()):
-            if self._enough(n for n, k in self._known.items() if k.mode == "new" or k.of_you == me):
-                self._born((1, self.disk.disk), step)  # was counted as new when the others began
+        elif any(known.of_you == me for known in self._known.values()) and self._enough(
+            name for name, known in self._known.items() if known.of_you in (me, NO_WORD)
+        ):
+            self._born(
+                (1, self.disk.disk), step
+            )  # was counted as new when the others began, and has said nothing yet
         elif self._enough(name for name, known in self._known.items() if known.mode not in ("new", "lost")):
             self._begin("lost")
 
--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -120,6 +120,9 @@
         self._now_ms = max(now_ms, self._now_ms)
         if self.record is None or record.version > self.record.version:
             if not self._busy and not self._is_mine(record):
+                if self.owns:  # another has it, or nobody: what this process held is over
+                    self.refused += 1
+                    self.phase, self._give = Phase.WATCHING, False
                 self._know(record)
             if self._may_take(now_ms):
                 self.next_ms = now_ms
