--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -84,6 +84,7 @@
         self.times = times if times is not None else Times()
         self._inbox: deque[bytes] = deque()
         self._steps: deque[Step] = deque()
+        self._unflushed = 0  # steps not flushed yet, taken or not
         self._post = _Post(me, mail, self._inbox)
         if keeper is not None and keeper.disk.keepers.epoch > keepers.epoch:
             keepers = keeper.disk.keepers
@@ -163,7 +164,8 @@
         return steps
 
     def flushed(self, step: Step, now_ms: float) -> None:
-        """What the step wanted flushed is on disk: what it says may be sent."""
+        """What the step wanted flushed is on disk: what it says may be sent. Once for each step, in their order."""
+        self._unflushed -= 1
         for to, item in step.send:
             self._post.post(to, pack(item))
         self._drain_inbox(now_ms)
@@ -234,14 +236,13 @@
             self.proposer.adopt(self.keeper.disk.keepers)
 
     def _step(self, step: Step) -> None:
-        if step.flush:
+        if step.flush or (step.send and self._unflushed):
+            # An answer without news of its own may tell of what is not on disk yet: it waits its turn
             self._steps.append(step)
-        elif step.send:
-            if self._steps:  # what was said before goes first
-                self._steps.append(step)
-            else:
-                for to, item in step.send:
-                    self._post.post(to, pack(item))
+            self._unflushed += 1
+        else:
+            for to, item in step.send:
+                self._post.post(to, pack(item))
 
     def _place(self) -> None:
         alive = set(self._post.alive())
--- /dev/null
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -0,0 +1,135 @@
+"""Whole fleets of the rules under seeded faults; run as a program, with FIRST and LAST, it plays those seeds.
+
+Faults: owners stopped for up to three leases and woken, kills, no disk, yesterday's disk, all keepers at once, drains,
+lag, cuts both ways and one way, a disk that can't be written, loss, copies, long delays, changes of the set of keepers.
+"""
+
+import sys
+
+import pytest
+from fleet_owners import BrokenError, Fleet
+from larkweir_owners.terms import Phase
+
+
+@pytest.mark.parametrize("first", range(0, 24, 4))
+def test_terms_never_go_back_whatever_befalls(first: int) -> None:
+    for seed in range(first, first + 4):
+        Fleet(seed).play()
+
+
+def test_a_seed_replays() -> None:
+    fleets = [Fleet(11), Fleet(11)]
+    for fleet in fleets:
+        fleet.play(events=3, rest_ms=3000.0)
+    assert fleets[0].checker.values == fleets[1].checker.values
+    assert fleets[0].network.sent == fleets[1].network.sent > 1000
+
+
+def settled(seed: int, **how: int) -> Fleet:
+    fleet = Fleet(seed, **how)  # type: ignore[arg-type]
+    assert fleet.run_until(lambda: fleet.owner("duty0") is not None, 8000.0)
+    fleet.run(500.0)
+    return fleet
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_an_owner_stopped_for_three_leases_does_no_harm_when_it_wakes(seed: int) -> None:
+    fleet = settled(seed)
+    old = fleet.owner("duty0")
+    assert old is not None and old.owners is not None
+    fleet.network.stop(old.name)
+    fleet.run(3 * fleet.times.lease_ms)
+    new = fleet.owner("duty0")
+    assert new is not None and new is not old
+    assert old.owners.terms["duty0"].phase is not Phase.WATCHING  # it still believes that it owns
+    fleet.network.go_on(old.name)
+    fleet.run(1000.0)
+    assert old.owners.terms["duty0"].phase is Phase.WATCHING
+    assert fleet.checker.old_taken == 0
+    assert fleet.checker.last["duty0"].term == 2
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_a_drained_owner_names_its_heir_and_is_gone_at_once(seed: int) -> None:
+    fleet = settled(seed)
+    old = fleet.owner("duty0")
+    assert old is not None and old.owners is not None
+    term = fleet.checker.last["duty0"].term
+    old.owners.drain(fleet.network.now_ms)
+    old.after()
+    assert fleet.run_until(lambda: fleet.owner("duty0") not in (None, old), 250.0)
+    assert fleet.checker.last["duty0"].term == term + 1
+    assert old.owners.owned == []
+    fleet.run(5000.0)
+    assert old.owners.owned == []  # and takes nothing again
+
+
+def test_without_a_majority_nobody_owns_and_status_says_so() -> None:
+    fleet = settled(3)
+    for name in fleet.members[:2]:
+        fleet.network.stop(name)
+    fleet.run(8 * fleet.times.lease_ms)
+    effects = fleet.checker.effects["duty0"]
+    fleet.run(3000.0)
+    assert fleet.checker.effects["duty0"] == effects
+    for name in fleet.names[3:]:
+        owners = fleet.processes[name].owners
+        assert owners is not None
+        status = owners.status()
+        assert status["majority"] is False
+        assert status["duties"]["duty0"]["phase"] in ("watching", "rests")
+    for name in fleet.members[:2]:
+        fleet.network.go_on(name)
+    assert fleet.run_until(lambda: fleet.checker.effects["duty0"] > effects, 8000.0)
+
+
+def test_duties_spread_and_stay_where_they_are_while_others_come_and_go() -> None:
+    fleet = settled(5, processes=8, duties=24)
+    fleet.run(4000.0)
+    owners = {key: fleet.owner(key) for key in fleet.keys}
+    assert len({process.name for process in owners.values() if process is not None}) >= 5
+    idle = next(name for name in fleet.names[3:] if name not in {p.name for p in owners.values() if p})
+    for _ in range(3):
+        fleet.kill(idle, 200.0)
+        fleet.run(1000.0)
+        fleet.start(idle)
+        fleet.run(1000.0)
+    assert {key: fleet.owner(key) for key in fleet.keys} == owners
+
+
+def test_a_duty_goes_to_its_preferred_place_once_when_that_has_settled() -> None:
+    fleet = settled(2)
+    home = fleet.owner("duty0")
+    assert home is not None
+    fleet.kill(home.name, 200.0)
+    assert fleet.run_until(lambda: fleet.owner("duty0") not in (None, home), 5000.0)
+    fleet.start(home.name)
+    fleet.run(5 * fleet.times.lease_ms)
+    assert fleet.checker.last["duty0"].term == 2  # not yet
+    fleet.run(9 * fleet.times.lease_ms)
+    assert fleet.owner("duty0") is home
+    assert fleet.checker.last["duty0"].term == 3
+
+
+def test_an_owner_whose_loop_lags_gives_up() -> None:
+    fleet = settled(4)
+    old = fleet.owner("duty0")
+    assert old is not None and old.owners is not None
+    old.owners.lagged(fleet.times.lag_ms - 1.0, fleet.network.now_ms)
+    old.after()
+    fleet.run(500.0)
+    assert fleet.owner("duty0") is old
+    old.owners.lagged(fleet.times.lag_ms + 1.0, fleet.network.now_ms)
+    old.after()
+    assert fleet.run_until(lambda: fleet.owner("duty0") not in (None, old), 500.0)
+
+
+if __name__ == "__main__":
+    bad = 0
+    for number in range(int(sys.argv[1]), int(sys.argv[2])):
+        try:
+            Fleet(number).play()
+        except BrokenError as error:
+            bad += 1
+            print(number, error, flush=True)
+    print(f"{bad} of {int(sys.argv[2]) - int(sys.argv[1])} seeds broke a promise")
