--- /dev/null
+++ b/packages/owners/tests/test_owners_rules.py
@@ -0,0 +1,312 @@
+"""Cases by hand: lives of keepers, bad items, followers, places, changes of the set."""
+
+from collections.abc import Sequence
+
+import msgspec
+import pytest
+from fleet_owners import Fleet
+from hypothesis import given
+from hypothesis import strategies as st
+from larkweir_owners.effects import Followers
+from larkweir_owners.keeper import Disk, Keeper, Slot
+from larkweir_owners.messages import (
+    MOST_ITEM,
+    Accept,
+    Accepted,
+    AnyItem,
+    Ask,
+    Digest,
+    Effect,
+    KeeperSet,
+    Known,
+    Prepare,
+    Promised,
+    Record,
+    Refused,
+    pack,
+    unpack,
+)
+from larkweir_owners.place import ranked
+from larkweir_owners.ports import Outcome, Result, Then
+from larkweir_owners.register import Proposer
+
+SET = KeeperSet(1, ("k0", "k1", "k2"))
+NEW = Record(1, 1, "p", 9, value=b"x")
+
+
+class Post:
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, AnyItem]] = []
+
+    def post(self, to: str, item: bytes) -> bool:
+        read = unpack(item)
+        assert read is not None and len(item) <= MOST_ITEM
+        self.sent.append((to, read))
+        return True
+
+    def alive(self) -> Sequence[str]:
+        return [f"p{n}" for n in range(20)]
+
+
+def keeper(life: tuple[int, int] = (1, 10), answers: int = 0) -> Keeper:
+    disk = Disk(life[1], SET, life, True, answers, {"k1": (1, 11, 0), "k2": (1, 12, 0)})
+    return Keeper("k0", disk, (life, answers))
+
+
+def only(sent: list[tuple[str, AnyItem]]) -> AnyItem:
+    assert len(sent) == 1
+    return sent[0][1]
+
+
+# Lives
+
+
+def test_an_accept_is_refused_where_a_life_that_promised_it_is_over() -> None:
+    ballot = (3, "p", 9)
+    by = (("k0", (1, 10, 1)), ("k1", (1, 11, 4)))
+    for now, why in (((1, 10), ""), ((2, 10), "life")):
+        k = keeper(now)
+        k.disk.slots["d"] = Slot(ballot)  # as it would have learned it from others
+        answer = only(k.came("p", Accept(1, "d", ballot, NEW, by)).send)
+        assert getattr(answer, "why", "") == why
+    k = keeper()
+    k.came("p", Prepare(1, "d", ballot))
+    k.disk.heard["k1"] = (2, 11, 0)  # k1 has a new life, and asked this keeper to catch up
+    step = k.came("p", Accept(1, "d", ballot, NEW, by))
+    assert isinstance(only(step.send), Refused) and not step.flush
+    assert k.disk.slots["d"].record is None
+
+
+def test_a_promise_of_a_life_that_is_over_counts_for_nothing_nor_one_that_comes_late() -> None:
+    mail = Post()
+    proposer = Proposer("p", 9, SET, mail, lambda: 0.0)
+    results: list[Result] = []
+    proposer.write("d", (0, 0), NEW, results.append)
+    ballot = (1, "p", 9)
+    none = (0, "", 0)
+
+    def promise(source: str, word: tuple[int, int, int], *lives: tuple[str, tuple[int, int, int]]) -> None:
+        proposer.came(source, Promised("d", ballot, none, None, word, lives), 1.0)
+
+    mail.sent.clear()
+    promise("k0", (1, 10, 1))
+    promise("k1", (1, 11, 1), ("k0", (2, 10, 0)))
+    assert mail.sent == []  # k0 has lost what it promised
+    promise("k0", (2, 10, 1))
+    sent = dict(mail.sent)
+    assert sorted(sent) == ["k0", "k1"]
+    accept = sent["k0"]
+    assert isinstance(accept, Accept) and dict(accept.by) == {"k0": (2, 10, 1), "k1": (1, 11, 1)}
+    mail.sent.clear()
+    promise("k2", (1, 12, 1))  # the others were not asked whether its life still is
+    assert mail.sent == []
+    proposer.came("k1", Accepted("d", ballot, (1, 11, 2)), 2.0)
+    proposer.came("k0", Accepted("d", ballot, (1, 10, 2)), 2.0)  # of the former life
+    assert results == []
+    proposer.came("k0", Accepted("d", ballot, (2, 10, 2)), 2.0)
+    assert results == [Result(Outcome.DONE, NEW)]
+
+
+@pytest.mark.parametrize(
+    ("heard", "mode"),
+    [((1, 10, 5), "catching"), ((1, 10, 6), "lost"), ((2, 10, 0), "lost"), ((1, 10, 3), "catching")],
+)
+def test_a_keeper_put_back_from_an_older_copy_is_told_and_does_not_vote(
+    heard: tuple[int, int, int], mode: str
+) -> None:
+    disk = keeper(answers=5).disk
+    k = Keeper("k0", disk)
+    assert k.mode == "back"
+    k.came("k1", Known(heard, "voting", (1, 11, 9), SET))
+    k.came("k2", Known((0, 0, 0), "voting", (1, 12, 9), SET))
+    assert k.mode == mode
+    answer = only(k.came("p", Prepare(1, "d", (1, "p", 9))).send)
+    assert isinstance(answer, Refused) and answer.why == "rest"
+
+
+def test_a_disk_that_cannot_be_written_ends_the_voting() -> None:
+    k = keeper()
+    k.failed()
+    for item in (Prepare(1, "d", (1, "p", 9)), Ask(1, 1, "d")):
+        step = k.came("p", item)
+        assert isinstance(only(step.send), Refused) and not step.flush
+
+
+# Bad items
+
+
+@given(st.binary(max_size=200))
+def test_what_is_no_item_is_none(data: bytes) -> None:
+    item = unpack(data)
+    assert item is None or unpack(pack(item)) == item
+
+
+def test_what_is_too_long_or_unknown_is_dropped_and_counted() -> None:
+    assert unpack(pack(Ask(1, 1, "x" * MOST_ITEM))) is None
+    assert unpack(msgspec.msgpack.encode([99, 1, 2])) is None
+    fleet = Fleet(1)
+    owners = fleet.processes[fleet.names[4]].owners
+    assert owners is not None
+    owners.came("10.9.9.9:1", b"\xc1", 0.0)
+    owners.came("10.9.9.9:1", pack(Accepted("d", (1, "p", 9), (1, 1, 1))), 0.0)
+    assert owners.status()["dropped"] == 2
+    with pytest.raises(ValueError, match="not above"):
+        owners.proposer.write("d", (1, 1), NEW, lambda result: None)
+
+
+# Followers
+
+
+class Registers:
+    def __init__(self) -> None:
+        self.reads: list[tuple[str, Then]] = []
+
+    def read(self, key: str, then: Then) -> None:
+        self.reads.append((key, then))
+
+    def write(self, key: str, expected: tuple[int, int], record: Record, then: Then) -> None:
+        raise AssertionError
+
+
+def record(term: int, number: int, heir: str = "") -> Record:
+    return Record(term, number, "p1" if not heir else "", 1, heir, number, b"%d" % number)
+
+
+@given(st.lists(st.tuples(st.integers(1, 4), st.integers(1, 9)), max_size=30))
+def test_a_follower_takes_what_is_above_what_it_holds_and_nothing_else(
+    versions: list[tuple[int, int]],
+) -> None:
+    taken: list[tuple[int, int]] = []
+    followers = Followers(
+        "p0", Post(), Registers(), lambda names, most: names[:most], lambda key, r: taken.append(r.version)
+    )
+    for version in versions:
+        followers.came_effect("p1", Effect("d", record(*version)))
+    expected: list[tuple[int, int]] = []
+    late = 0
+    for version in versions:
+        if not expected or version > expected[-1]:
+            expected.append(version)
+        elif version != expected[-1]:
+            late += 1
+    assert (taken, followers.late) == (expected, late)
+
+
+def test_what_a_peer_has_and_does_not_send_is_read_from_the_keepers() -> None:
+    mail, registers = Post(), Registers()
+    followers = Followers("p0", mail, registers, lambda names, most: names[:most], lambda key, r: None)
+    followers.came_effect("p1", Effect("d", record(1, 1)))
+    followers.tick(0.0)
+    mail.sent.clear()
+    followers.came_digest("p2", Digest((("d", 1, 4), ("e", 0, 0))), 100.0)
+    assert mail.sent == [("p2", Digest((("d", 1, 1),)))]
+    followers.tick(1000.0)
+    assert registers.reads == []
+    followers.tick(2000.0)
+    ((key, then),) = registers.reads
+    then(Result(Outcome.DONE, record(1, 4)))
+    assert (key, followers.version("d"), followers.skipped) == ("d", (1, 4), 2)
+    followers.came_digest("p3", Digest((("d", 1, 2),)), 3000.0)
+    assert mail.sent[-1] == ("p3", Effect("d", record(1, 4)))
+
+
+def test_the_heir_hears_first_and_news_is_passed_on_once() -> None:
+    mail = Post()
+    followers = Followers("p0", mail, Registers(), lambda names, most: names[-most:], lambda key, r: None)
+    followers.announce("d", record(1, 2, heir="p7"))
+    assert [to for to, _ in mail.sent] == ["p7", "p17", "p18", "p19"]
+    mail.sent.clear()
+    followers.came_effect("p1", Effect("d", record(1, 3)))
+    followers.came_effect("p2", Effect("d", record(1, 3)))
+    assert len(mail.sent) == 3
+
+
+# Places
+
+
+@given(st.sets(st.integers(0, 40), min_size=2, max_size=12), st.integers(0, 11))
+def test_a_name_that_goes_moves_only_what_it_had(numbers: set[int], which: int) -> None:
+    names = {f"10.0.0.{n}:7946" for n in numbers}
+    gone = sorted(names)[which % len(names)]
+    for key in ("a", "b", "c"):
+        before = ranked(key, names, 3)
+        after = ranked(key, names - {gone}, 3)
+        assert [name for name in before if name != gone] == after[: len(before) - (gone in before)]
+
+
+# The set of keepers
+
+
+def changed(fleet: Fleet, names: set[str], by: str) -> list[str]:
+    faults: list[str] = []
+    process = fleet.processes[by]
+    assert process.owners is not None
+    assert process.owners.change.begin(tuple(names), faults.append, fleet.network.now_ms) == ""
+    process.after()
+    fleet.run_until(lambda: bool(faults), 10_000.0)
+    return faults
+
+
+def test_all_keepers_are_changed_for_others_one_at_a_time_while_duties_go_on() -> None:
+    fleet = Fleet(7)
+    fleet.may_keep = set(fleet.names)
+    fleet.run(1000.0)
+    names = set(fleet.names[:3])
+    for new, old in ((3, 0), (4, 1)):
+        fleet.processes[fleet.names[new]].kill()
+        fleet.start(fleet.names[new])
+        names.add(fleet.names[new])
+        assert changed(fleet, names, fleet.names[2]) == [""]
+        names.remove(fleet.names[old])
+        assert changed(fleet, names, fleet.names[2]) == [""]
+    for old in (0, 1):
+        fleet.kill(fleet.names[old], 200.0)
+    before = fleet.checker.effects["duty0"]
+    fleet.run(6000.0)
+    assert set(fleet.members) == {fleet.names[n] for n in (2, 3, 4)}
+    assert fleet.checker.effects["duty0"] > before
+    assert fleet.checker.last["\0keepers"].term == 5
+
+
+def test_what_two_changes_apart_would_miss_is_written_anew_first() -> None:
+    """A register that nobody has written since is still there when no keeper of its time is left."""
+    fleet = Fleet(8)
+    fleet.may_keep = set(fleet.names)
+    fleet.run(1000.0)
+    writer = fleet.processes[fleet.names[0]]
+    assert writer.owners is not None
+    done: list[Result] = []
+    writer.owners.proposer.write("old", (0, 0), Record(1, 1, "x", 1), done.append)
+    writer.after()
+    fleet.run(500.0)
+    names = set(fleet.names[:3])
+    for new, old in ((3, 0), (4, 1), (0, 2)):
+        fleet.processes[fleet.names[new]].kill()
+        fleet.processes[fleet.names[new]].disk = None
+        fleet.start(fleet.names[new])
+        fleet.run(200.0)
+        names.add(fleet.names[new])
+        assert changed(fleet, names, fleet.names[3]) == [""]
+        names.remove(fleet.names[old])
+        assert changed(fleet, names, fleet.names[3]) == [""]
+    reader = fleet.processes[fleet.names[3]]
+    assert reader.owners is not None
+    reader.owners.proposer.read("old", done.append)
+    reader.after()
+    fleet.run(500.0)
+    assert [result.record for result in done] == [Record(1, 1, "x", 1)] * 2
+
+
+def test_more_than_one_keeper_at_a_time_is_refused_and_so_is_one_with_an_old_file() -> None:
+    fleet = Fleet(9)
+    fleet.may_keep = set(fleet.names)
+    fleet.run(1000.0)
+    owners = fleet.processes[fleet.names[0]].owners
+    assert owners is not None
+    for names in (fleet.names[:5], fleet.names[:3], [*fleet.names[:2], fleet.names[3]], []):
+        assert owners.change.begin(tuple(names), lambda fault: None, 0.0) != ""
+    fleet.processes[fleet.names[3]].disk = Disk(5, SET, (1, 5), True)
+    fleet.processes[fleet.names[3]].kill()
+    fleet.start(fleet.names[3])
+    (fault,) = changed(fleet, set(fleet.names[:4]), fleet.names[0])
+    assert "its file must be removed first" in fault
