--- a/packages/owners/src/larkweir_owners/__init__.py
+++ b/packages/owners/src/larkweir_owners/__init__.py
@@ -1,1 +1,1 @@
-"""Rules: one owner at a time for each duty of a fleet; what must be imported is imported by module."""
+"""Hands: the door of the package; what is used is imported by module (`duty`, `keeper_file`, `ports`)."""
