--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -94,7 +94,13 @@
         self.duties = {duty.name: duty for duty in duties}
         self.terms = {
             name: Term(
-                duty, (me, life), self.proposer, self.times, self.followers.announce, self.followers.version
+                duty,
+                (me, life),
+                self.proposer,
+                self.times,
+                self.followers.announce,
+                self.followers.version,
+                self.followers.remind,
             )
             for name, duty in self.duties.items()
         }
--- a/packages/owners/src/larkweir_owners/effects.py
+++ b/packages/owners/src/larkweir_owners/effects.py
@@ -87,6 +87,10 @@
                 self._mail.post(record.heir, item)
             self._spread(item, record.heir)
 
+    def remind(self, key: str, record: Record) -> None:
+        """Once more to the heir, in case the news was lost."""
+        self._mail.post(record.heir, pack(Effect(key, record)))
+
     def came_effect(self, source: str, item: Effect) -> bool:
         if len(item.key) > MOST_NAME or len(item.record.value) > MOST_VALUE:
             return False
--- a/packages/owners/src/larkweir_owners/register.py
+++ b/packages/owners/src/larkweir_owners/register.py
@@ -35,10 +35,10 @@
 from larkweir_owners.ports import Mail, Outcome, Result, Then
 
 MOST_OPEN = 256  # operations under way; further ones end as unknown at once
-AGAIN_MS = 100.0  # an unanswered round sends again after this much, then twice as much, ...
+AGAIN_MS = 40.0  # an unanswered round sends again after this much, then twice as much, ...
 AGAIN_MOST_MS = 800.0
 ASK_AGAIN_MS = 25.0
-ROUNDS = 3  # sendings of one round before it takes a higher ballot
+ROUNDS = 4  # sendings of one round before it takes a higher ballot
 OP_MS = 3000.0  # an operation is unknown after this
 
 
--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -37,6 +37,10 @@
         return self.lease_ms / 4
 
 
+REMINDERS = 3  # to an heir that did not take the duty yet
+REMIND_MS = 40.0
+
+
 class Phase(Enum):
     WATCHING = "watching"
     TAKING = "taking"
@@ -47,7 +51,7 @@
 
 class Term:
     """`announce` is told each record that counts and that followers should have. `heard` gives the highest version that
-    this process has seen of the duty anywhere; a new term is above that too."""
+    this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more."""
 
     def __init__(
         self,
@@ -57,6 +61,7 @@
         times: Times,
         announce: Callable[[str, Record], None],
         heard: Callable[[str], Version],
+        remind: Callable[[str, Record], None],
     ) -> None:
         self.duty, self.me, self.times = duty, me, times
         self.key = duty.name
@@ -70,12 +75,15 @@
         self.late = 0  # turns that came so late that the lease was over
         self._registers = registers
         self._announce = announce
+        self._remind = remind
+        self._reminders = 0
         self._heard = heard
         self._now_ms = 0.0
         self._changed_ms = 0.0  # when the record was first seen as it is
         self._renewed_ms = float("-inf")  # when the last write that counted was begun
         self._took_ms = 0.0
-        self._busy = False
+        self._busy = False  # a write is under way, or a read that an owner waits for
+        self._asking = False  # a watcher's read is
         self._told = NO_VERSION
         self._told_effects = -1
         self._rank: int | None = None
@@ -141,20 +149,25 @@
             self._hold(now_ms)
         elif self._may_take(now_ms):
             self._take(now_ms)
+        elif self._reminders:
+            self._reminders -= 1
+            self.next_ms = now_ms + REMIND_MS
+            if self.record is not None and self.record.heir and not self.record.owner:
+                self._remind(self.key, self.record)
         elif self._rank is not None:
-            self._look(now_ms)
+            self.next_ms = now_ms + self.times.look_ms
+            if not self._asking:
+                self._asking = True
+                self._registers.read(self.key, self._looked)
         else:
             self.next_ms = float("inf")
 
     # Watching
 
-    def _look(self, now_ms: float) -> None:
-        self.next_ms = now_ms + self.times.look_ms
-        self._busy = True
-        self._registers.read(self.key, self._looked)
-
     def _looked(self, result: Result) -> None:
-        self._busy = False
+        self._asking = False
+        if self._busy or self.owns:  # it has taken the duty meanwhile, or is about to
+            return
         self.majority = result.outcome is not Outcome.UNKNOWN
         if not self.majority:
             return
@@ -300,6 +313,7 @@
             self._rest_ms = max(self._rest_ms, self._now_ms + self.times.lease_ms)
             self._know(new)
             self._tell(new)
+            self._reminders, self.next_ms = REMINDERS, self._now_ms + REMIND_MS
         elif result.record is not None:
             self._know(result.record)
 
