--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -142,18 +142,7 @@
     def facts(self) -> dict[str, int | str]:
         """For STATUS, one line's worth."""
         counts = self.peers.counters()
-        own = (
-            "unheard",
-            "alive",
-            "suspect",
-            "dead",
-            "left",
-            "health",
-            "sent",
-            "received",
-            "refused",
-            "stalls",
-        )
+        own = ("unheard", "alive", "suspect", "dead", "left", "health", "sent", "received")
         found: dict[str, int | str] = {"peers": f"{counts['alive']}/{len(self._addresses)}"}
         found |= {f"peers_{name}": counts[name] for name in ("suspect", "dead", "left", "health", "sent")}
         wrong = {name: n for name, n in counts.items() if name not in own and n}
