--- a/tests/scenes/test_membership.py
+++ b/tests/scenes/test_membership.py
@@ -46,6 +46,7 @@
     await watch.sees_end()
     await lb.says("discovery: ")
     await s.discovery.takes()
+    s.discovery.silent = False
     await s.discovery.tells(2, u0.entry(lifecycle="left"), u1.entry())
     await s.discovery.takes()
     await ann.asks("look", "t2")
