--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -202,7 +202,9 @@
             if peers.items:
                 item = peers.items.popleft()
                 receiver = self._receivers.get(item.channel)
-                if receiver is not None:
+                if receiver is None:
+                    peers.dropped["no_part"] += 1
+                else:
                     self._hand(receiver, item.source, item.data)
 
     def _hand(self, receiver: Came, source: str, data: bytes) -> None:
--- a/packages/peers/src/larkweir_peers/peers.py
+++ b/packages/peers/src/larkweir_peers/peers.py
@@ -48,6 +48,7 @@
     "not_this_life",  # an item or an answer for a former life of this process
     "unasked",  # an answer that nothing waited for
     "full",  # an item that nobody has fetched in time
+    "no_part",  # an item on a channel that no part here listens on
 )
 
 
--- a/packages/peers/tests/test_peers_hands.py
+++ b/packages/peers/tests/test_peers_hands.py
@@ -123,7 +123,8 @@
             await until(lambda: made[0].socket.told_wrong == 1, "the part has failed")
             made[0].mail.post(names[1], b"good")
             await until(lambda: made[1].came == [(names[0], b"good")], "and the socket goes on")
-            made[1].mail.post(names[0], b"x")
+            made[0].socket.post(names[1], 9, b"for no part")
+            await until(lambda: made[1].peers.dropped["no_part"] == 1, "an item on a channel without a part")
             assert not made[1].mail.post(names[2], b"nobody there yet")
         stranger.close()
 
--- a/packages/peers/tests/test_peers_rules.py
+++ b/packages/peers/tests/test_peers_rules.py
@@ -274,6 +274,9 @@
     b.ack(A, 1, 5.0)
     a.came(B, sent(b, A)[0], 5.0)  # it speaks, and does not know
     assert len(sent(a, B)) == 1
+    assert a.members.table[B].state is S.DEAD and a.post(B, 1, b"all the same", 6.0)  # no more than a belief
+    b.came(A, sent(a, B)[-1], 6.0)
+    assert [item.data for item in b.items] == [b"all the same"]
 
 
 def test_a_suspicion_is_shorter_by_each_that_shares_it() -> None:
