Internal objects of the policy without comparisons and texts that nobody asks for

Cause: what dataclasses generate is compiled at each start. Change: neither `__eq__` nor `__repr__` for the six that are internal.

--- a/mulleinhitch/callers.py
+++ b/mulleinhitch/callers.py
@@ -8,7 +8,7 @@
 from mulleinhitch.interface import RequestArrived, RequestClass, Settings
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Usual:
     """The value most samples share, by majority vote; without a clear majority every sample is usual."""
 
--- a/mulleinhitch/drawing.py
+++ b/mulleinhitch/drawing.py
@@ -15,7 +15,7 @@
 from mulleinhitch.slow_start import SlowStart
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Drawing:
     """Draws from the token holders, at home first where crossing to another zone costs."""
 
--- a/mulleinhitch/judging.py
+++ b/mulleinhitch/judging.py
@@ -13,7 +13,7 @@
 from mulleinhitch.servers import Fleet, Server
 
 
-@dataclass(slots=True)
+@dataclass(slots=True, eq=False, repr=False)
 class Judge:
     """Outlier ejection, and the pace of visits to slow servers: both keep tokens back."""
 
--- a/mulleinhitch/legality.py
+++ b/mulleinhitch/legality.py
@@ -10,7 +10,7 @@
 from mulleinhitch.servers import Server
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Attempt:
     server: Server
     cell: int
--- a/mulleinhitch/servers.py
+++ b/mulleinhitch/servers.py
@@ -11,7 +11,7 @@
 from mulleinhitch.proof import Proof, hopeful
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class Server:
     """What this copy knows of one server."""
 
@@ -38,7 +38,7 @@
     used_ms: float = 0.0  # when that connection last carried anything
 
 
-@dataclass(slots=True, eq=False)
+@dataclass(slots=True, eq=False, repr=False)
 class DrawList:
     """Servers to draw from: an array and an index into it, so adding, removing and drawing are O(1)."""
 
