A node is a list of parts, each plugged in by one function of its own package

Cause: `lifecycle/node.py` knew how eight parts are made and joined, in 386 lines, and each new part made it longer.

Change: `PARTS` names the modules in their order, and when each is on; one that is off is not imported. What ends with the process, what takes a new generation and what is told of a part are lists that parts add to. A new part is one line here. The engine's decisions and whom discovery tells are replaced in place, so that parts come after the core. 289 lines are left.

Not taken: entry points of installed packages, which read every package's metadata at each start; and one shared protocol of all that a node has, from which nobody could tell what a part needs.

--- /dev/null
+++ b/larkweir/budget/part.py
@@ -0,0 +1,26 @@
+"""Hands: the budgets' place in a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkweir.budget.chain import Chain
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.engine import Engine
+from larkweir.core.journal import Journal
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    journal: Journal
+    engine: Engine
+    generations: list[Callable[[Config, Operator | None], None]]
+
+
+def attach(host: Host, options: Operator) -> None:
+    host.engine.budgets = chain = Chain(options.budget, host.config.settings, host.journal.line)
+    host.generations.append(lambda config, options: chain.configure(config.settings))
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -123,7 +123,7 @@
         self.witness: Witness | None = None
         # What goes with a refusal that is to say when to come back, in so many milliseconds.
         self.word: Callable[[float], Headers] = word
-        self._balancer = decisions
+        self.decisions = decisions
         self._exchanges: dict[int, Exchange] = {}
         self._traces: set[bytes] = set()  # ids of the same
         # Ids of requests that are over, and when they ended; oldest first.
@@ -322,7 +322,7 @@
 
     def _step(self, event: Event) -> None:
         try:
-            for action in self._balancer.handle(self.clock.now_ms(), event):
+            for action in self.decisions.handle(self.clock.now_ms(), event):
                 self._act(action)
         except Exception as problem:
             # Guards the other requests: whatever went wrong with this one, it alone is answered 500.
--- /dev/null
+++ b/larkweir/door/part.py
@@ -0,0 +1,32 @@
+"""Hands: the door's place in a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.intake import Intake
+from larkweir.core.journal import Journal
+from larkweir.door.guard import Guard
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    engine: Engine
+    intake: Intake
+    generations: list[Callable[[Config, Operator | None], None]]
+
+
+def attach(host: Host, options: Operator) -> None:
+    config = host.config
+    known, say = host.engine.is_known, host.journal.line
+    host.intake.guard = guard = Guard(options.door, config.settings, host.clock, config.seed, known, say)
+    host.generations.append(lambda config, options: guard.configure(config.settings))
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -255,16 +255,8 @@
         }
         if self._generation.fingerprint:
             facts["config"] = self._generation.fingerprint
-        if node.keeper is not None:
-            facts |= node.keeper.facts()
-        if node.remembered is not None:
-            facts |= node.remembered.facts()
-        if node.runner is not None:
-            facts |= node.runner.facts()
-        if node.storms is not None:
-            facts |= node.storms.facts()
-        if node.routes is not None:
-            facts |= node.routes.facts()
+        for told in reversed(node.facts):
+            facts |= told()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
 
     def _accept(self) -> None:
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -6,10 +6,11 @@
 import traceback
 from collections.abc import Callable
 from dataclasses import replace
+from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
 from larkweir.config.classes import in_place
-from larkweir.config.options import Fastcgi, Operator
+from larkweir.config.options import Operator
 from larkweir.config.platform import Config
 from larkweir.core.clock import Clock
 from larkweir.core.engine import Engine
@@ -22,17 +23,12 @@
 from larkweir.protocols.http1.callers import CallerConnection
 from larkweir.protocols.http1.upstreams import UpstreamConnection
 from larkweir.protocols.listener import Connection, Listener
-from larkweir.upstreams.call import Upstream
-from larkweir.upstreams.pool import Connection as Link
 from larkweir.upstreams.pool import Upstreams
 from mulleinhitch import Balancer
 
 if TYPE_CHECKING:
     from larkweir.background.runner import Runner
-    from larkweir.budget.chain import Chain
-    from larkweir.door.guard import Guard
     from larkweir.lifecycle.channel import Knowledge
-    from larkweir.logs.lines import JsonJournal
     from larkweir.membership.remembered.evidence import Row
     from larkweir.membership.remembered.hands import Remembered
     from larkweir.routes.hands import Routes
@@ -41,6 +37,26 @@
     from larkweir.storms.gate import Gate
 
 
+def speaks_fastcgi(options: Operator) -> bool:
+    said = bool(options.fastcgi.listen) or options.fastcgi.upstreams != "off"
+    return said or any(pool.protocol == "fastcgi" for pool in options.pools.values())
+
+
+# The parts beside the core, in the order in which they are plugged in, and whether each is on; one that is off is not
+# imported. A part is a module with `attach(node, options)`, and says by a protocol what it needs of the node. One that
+# makes the journal or the decisions has `begin(node, options)` as well, which comes before the core stands.
+PARTS: tuple[tuple[str, Callable[[Operator], bool]], ...] = (
+    ("larkweir.routes.part", lambda options: bool(options.routes or options.pools)),
+    ("larkweir.storms.part", lambda options: options.storms.on),
+    ("larkweir.logs.part", lambda options: options.log.format == "json"),
+    ("larkweir.protocols.fastcgi.part", speaks_fastcgi),
+    ("larkweir.membership.remembered.part", lambda options: options.store.on or options.remembered.known),
+    ("larkweir.store.part", lambda options: options.store.on),
+    ("larkweir.door.part", lambda options: options.door.on),
+    ("larkweir.budget.part", lambda options: options.budget.on),
+)
+
+
 class Node:
     """The parts of one balancer. Nothing runs until the listener and discovery are started."""
 
@@ -58,93 +74,39 @@
         self.settings = config.settings  # as the parts hold them: classes that are gone keep their places
         self.clock = Clock(loop, offset_ms)
         self.journal = Journal(config.name)
-        telling: JsonJournal | None = None
-        if options is not None and options.log.format == "json":
-            from larkweir.logs.lines import JsonJournal  # not imported where the log is of words
-
-            self.journal = telling = JsonJournal(config.name, options.log.requests_per_s)
         loop.set_exception_handler(self._on_loop_error)
         self.room = Room(config.memory_mb)
         self._lives = 1  # that share the limits
+        # What parts add: what ends with the process, what takes a new generation (before the engine does; the options
+        # are those that go with it), and what they tell of themselves.
+        self.closers: list[Callable[[], None]] = []
+        self.generations: list[Callable[[Config, Operator | None], None]] = []
+        self.facts: list[Callable[[], dict[str, object]]] = []
+        # How a caller's connection is made, by the protocol that its socket speaks.
+        self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
+        # What a route says that an upstream speaks; "": nothing.
+        self.speaks: Callable[[int], str] | None = None
+        self.routes: Routes | None = None
+        self.storms: Gate | None = None
+        self.runner: Runner | None = None  # of work beside requests, where any part has some
+        self.remembered: Remembered | None = None
+        self.keeper: Keeper | None = None
+        self.decisions: Decisions = decisions or Balancer(config.settings, config.seed)
+        parts = [import_module(name) for name, on in PARTS if options is not None and on(options)]
+        for part in parts:
+            if hasattr(part, "begin"):
+                part.begin(self, options)
         callers, upstreams = self._budgets(config)
         self.upstreams = Upstreams(
             self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
         )
-        self.routes: Routes | None = None
-        if decisions is None and options is not None and (options.routes or options.pools):
-            from larkweir.routes.hands import Routes  # not imported where there are none
-
-            self.routes = Routes(options, config, self.clock, self.journal.line)
-        self.decisions = decisions or (
-            self.routes.switch if self.routes is not None else Balancer(config.settings, config.seed)
-        )
-        self.storms: Gate | None = None
-        watched = self.decisions
-        if options is not None and options.storms.on and isinstance(watched, Balancer):
-            from larkweir.storms.gate import Gate  # not imported where it is off
-
-            self.storms = Gate(options.storms, config, watched, self.journal.line)
-            watched = self.storms.watch
-        if telling is not None and options is not None:
-            watched = self._tell(watched, telling, options.log.requests)
-        self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, watched)
-        tell = self.engine.on_listing
-        if self.routes is not None:
-            self.routes.engine = self.engine
-            self.routes.reroute(self.engine.on_listing)
-            tell = self.routes.on_listing
-        self.discovery = Discovery(config, tell, self.journal.line)
+        self.engine = Engine(config, self.clock, self.journal, self.upstreams, self.room, self.decisions)
+        self.discovery = Discovery(config, self.engine.on_listing, self.journal.line)
         self.engine.discovery = self.discovery
         self.intake = Intake(self.engine, Requests(config.settings), lambda: self.listener.ready)
-        self.intake.router = self.routes
         self.listener = Listener(self.engine, self.intake, CallerConnection, callers)
-        self._closers: list[Callable[[], None]] = []
-        # How a caller's connection is made, by the protocol that its socket speaks.
-        self.makes: dict[str, Callable[[Listener], Connection]] = {"http1": CallerConnection}
-        if options is not None and (
-            options.fastcgi.listen
-            or options.fastcgi.upstreams != "off"
-            or any(pool.protocol == "fastcgi" for pool in options.pools.values())
-        ):
-            self._add_fastcgi(options.fastcgi)
-        if self.storms is not None:
-            self.storms.attach(self.engine, self.upstreams, self.listener)
-        self.keeper: Keeper | None = None
-        self.runner: Runner | None = None  # of work beside requests, where any part has some
-        self.remembered: Remembered | None = None
-        if options is not None and (options.store.on or options.remembered.known):
-            self._add_memory(options)
-        self.guard: Guard | None = None
-        if options is not None and options.door.on:
-            from larkweir.door.guard import Guard  # not imported where it is off
-
-            self.guard = self.intake.guard = Guard(
-                options.door,
-                config.settings,
-                self.clock,
-                config.seed,
-                self.engine.is_known,
-                self.journal.line,
-            )
-        self.chain: Chain | None = None
-        if options is not None and options.budget.on:
-            from larkweir.budget.chain import Chain  # not imported where it is off
-
-            self.chain = self.engine.budgets = Chain(options.budget, config.settings, self.journal.line)
-
-    def _tell(self, decisions: Decisions, journal: JsonJournal, part: float) -> Decisions:
-        """The decisions with what goes in and out of them told to the log."""
-        from larkweir.logs.watch import Watch  # not imported where the log is of words
-
-        def trace_of(number: int) -> bytes:
-            exchange = self.engine.exchange_of(number)
-            return exchange.trace if exchange is not None else b""
-
-        def address_of(number: int) -> str:
-            upstream = self.upstreams.table.get(number)
-            return f"{upstream.address[0]}:{upstream.address[1]}" if upstream is not None else "gone"
-
-        return Watch(decisions, self.settings, part, trace_of, address_of, journal.event)
+        for part in parts:
+            part.attach(self, options)
 
     @property
     def learner(self) -> Balancer | Switch | None:
@@ -153,69 +115,11 @@
             return self.routes.switch
         return self.decisions if isinstance(self.decisions, Balancer) else None
 
-    def _add_memory(self, options: Operator) -> None:
-        # Not imported where they are off.
-        from random import Random
-
-        from larkweir.background.runner import Runner
-        from larkweir.membership.remembered.hands import Remembered
-
-        config, say = self.config, self.journal.line
-        self.runner = Runner(self.clock, lambda: self.engine.holds, say, Random(config.seed))
-        self.remembered = self.engine.witness = Remembered(
-            options.remembered,
-            config,
-            self.clock,
-            say,
-            self.discovery,
-            self.engine.on_listing if self.routes is None else self.routes.on_listing,
-            self.upstreams,
-            self.engine.probe_target,
-        )
-        self.remembered.drained = self.upstreams.told
-        self._closers.append(self.remembered.close)
-        self.discovery.trust_known = not options.remembered.known
-        if options.store.on:
-            from larkweir.store.keeper import Keeper
-
-            self.discovery.touched = set()
-            self.keeper = self.engine.keeper = Keeper(options.store, config, self.clock, say)
-            self._closers.append(self.keeper.close)
-
-    def _add_fastcgi(self, options: Fastcgi) -> None:
-        # Not imported where it is off.
-        from larkweir.protocols.fastcgi.callers import FastcgiCaller
-        from larkweir.protocols.fastcgi.cgi import refuse_collapsing
-        from larkweir.protocols.fastcgi.upstreams import Dialect
-
-        self.makes["fastcgi"] = FastcgiCaller
-        routes = self.routes
-        if options.upstreams == "off" and routes is None:
-            return
-        dialect = Dialect(options.multiplex, options.requests, options.keep, self.journal.line)
-        whole = options.upstreams == "tier"
-        kinds = frozenset(n for n, name in enumerate(self.config.kinds) if name in options.kinds)
-
-        def speaks(upstream: Upstream) -> bool:
-            said = routes.speaks(upstream.number) if routes is not None else ""
-            return said == "fastcgi" if said else whole or upstream.kind in kinds
-
-        def make(pool: Upstreams, upstream: Upstream) -> Link:
-            if speaks(upstream):
-                return dialect.connection(pool, upstream)
-            return UpstreamConnection(pool, upstream)
-
-        self.upstreams.make = make
-        self.upstreams.full = lambda upstream, waiting: (speaks(upstream) and dialect.full(upstream, waiting))
-        self.intake.checks.append(refuse_collapsing)
-        self.intake.streams = False  # the records of a request are made of its whole body
-        self._closers.append(dialect.close)
-
     def close(self) -> None:
         """Nothing runs any more, but the listener."""
         self.discovery.stop()
         self.upstreams.close()
-        for close in self._closers:
+        for close in self.closers:
             close()
 
     def _budgets(self, config: Config) -> tuple[int, int]:
@@ -243,13 +147,10 @@
         self.listener.budget = callers
         self.intake.requests = Requests(settings, {item.name for item in config.settings.classes})
         self.upstreams.configure(settings, upstreams, config.drain_grace_ms)
-        if self.routes is not None and options is not None:
-            self.routes.reconfigure(options, replace(config, settings=settings))
-        self.engine.reconfigure(replace(config, settings=settings))
-        if self.guard is not None:
-            self.guard.configure(settings)
-        if self.chain is not None:
-            self.chain.configure(settings)
+        whole = replace(config, settings=settings)
+        for configure in self.generations:
+            configure(whole, options)
+        self.engine.reconfigure(whole)
         self.discovery.move(config.discovery)
 
     # ------------------------------------------------ from life to life
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -176,7 +176,7 @@
         self._asked = config.settings.on_request_discovery
         self._known = config.known
         self.trust_known = True  # whether the configuration's list is believed as it stands
-        self._tell = tell
+        self.tell = tell
         self._log = log
         self._rng = Random(config.seed)
         self._version: int | None = None
@@ -200,7 +200,7 @@
                 self._hold(self._known, whole=True)
             except DiscoveryError as problem:
                 self._log(f"known: {problem}")
-        self._tell(listing)
+        self.tell(listing)
         if not self._asked:
             self._watch = asyncio.get_running_loop().create_task(self._follow())
 
@@ -259,7 +259,7 @@
                 self._drop()
                 self._log(f"discovery: {str(problem) or type(problem).__name__}")
                 if self._asked:  # when to ask again is theirs to decide
-                    self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
+                    self.tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
                     return
                 await asyncio.sleep(pause * (0.5 + self._rng.random()))
                 pause = min(self.LONGEST_PAUSE_S, 2.0 * pause)
@@ -279,7 +279,7 @@
                 self._version = None  # these are changes to another list than the one held
                 return
         self._version = listing.version
-        self._tell(listing)
+        self.tell(listing)
 
     async def _fetch_once(self) -> None:
         connection = _Connection()
@@ -290,10 +290,10 @@
             if listing.kind is not ListKind.FULL:
                 raise DiscoveryError("the whole list was asked for and changes came")
             self._version = listing.version
-            self._tell(listing)
+            self.tell(listing)
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
-            self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
+            self.tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
         finally:
             connection.close()
 
@@ -353,7 +353,7 @@
 
     def reroute(self, tell: Callable[[Listing], None]) -> None:
         """Who is told from now on."""
-        self._tell = tell
+        self.tell = tell
 
     def number(self, instance_id: str) -> int | None:
         """The number of an upstream that is held."""
@@ -368,7 +368,7 @@
         listing = parse_listing(held, self._names)
         self._version = listing.version
         self._hold(held, whole=True)
-        self._tell(Listing(ListKind.CACHED, listing.version, listing.entries, listing.addresses))
+        self.tell(Listing(ListKind.CACHED, listing.version, listing.entries, listing.addresses))
 
     @property
     def address(self) -> str:
--- /dev/null
+++ b/larkweir/membership/remembered/part.py
@@ -0,0 +1,51 @@
+"""Hands: the remembered list's place in a balancer, and the runner of its work."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+from typing import Protocol
+
+from larkweir.background.runner import Runner
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.journal import Journal
+from larkweir.membership.discovery import Discovery
+from larkweir.membership.remembered.hands import Remembered
+from larkweir.upstreams.pool import Upstreams
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    engine: Engine
+    upstreams: Upstreams
+    discovery: Discovery
+    runner: Runner | None
+    remembered: Remembered | None
+    closers: list[Callable[[], None]]
+    facts: list[Callable[[], dict[str, object]]]
+
+
+def attach(host: Host, options: Operator) -> None:
+    config, engine, say = host.config, host.engine, host.journal.line
+    host.runner = runner = Runner(host.clock, lambda: engine.holds, say, Random(config.seed))
+    host.remembered = engine.witness = remembered = Remembered(
+        options.remembered,
+        config,
+        host.clock,
+        say,
+        host.discovery,
+        host.discovery.tell,
+        host.upstreams,
+        engine.probe_target,
+    )
+    remembered.drained = host.upstreams.told
+    host.closers.append(remembered.close)
+    host.discovery.trust_known = not options.remembered.known
+    host.facts.append(lambda: {**remembered.facts(), **runner.facts()})
--- /dev/null
+++ b/larkweir/protocols/fastcgi/part.py
@@ -0,0 +1,53 @@
+"""Hands: FastCGI's place in a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.intake import Intake
+from larkweir.core.journal import Journal
+from larkweir.protocols.fastcgi.callers import FastcgiCaller
+from larkweir.protocols.fastcgi.cgi import refuse_collapsing
+from larkweir.protocols.fastcgi.upstreams import Dialect
+from larkweir.protocols.listener import Connection, Listener
+from larkweir.upstreams.call import Upstream
+from larkweir.upstreams.pool import Connection as Link
+from larkweir.upstreams.pool import Upstreams
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    journal: Journal
+    intake: Intake
+    upstreams: Upstreams
+    makes: dict[str, Callable[[Listener], Connection]]
+    speaks: Callable[[int], str] | None
+    closers: list[Callable[[], None]]
+
+
+def attach(host: Host, options: Operator) -> None:
+    host.makes["fastcgi"] = FastcgiCaller
+    said, figures, plain = host.speaks, options.fastcgi, host.upstreams.make
+    if figures.upstreams == "off" and said is None:
+        return
+    dialect = Dialect(figures.multiplex, figures.requests, figures.keep, host.journal.line)
+    whole = figures.upstreams == "tier"
+    kinds = frozenset(n for n, name in enumerate(host.config.kinds) if name in figures.kinds)
+
+    def speaks(upstream: Upstream) -> bool:
+        word = said(upstream.number) if said is not None else ""
+        return word == "fastcgi" if word else whole or upstream.kind in kinds
+
+    def make(pool: Upstreams, upstream: Upstream) -> Link:
+        return dialect.connection(pool, upstream) if speaks(upstream) else plain(pool, upstream)
+
+    host.upstreams.make = make
+    host.upstreams.full = lambda upstream, waiting: speaks(upstream) and dialect.full(upstream, waiting)
+    host.intake.checks.append(refuse_collapsing)
+    host.intake.streams = False  # the records of a request are made of its whole body
+    host.closers.append(dialect.close)
--- /dev/null
+++ b/larkweir/routes/part.py
@@ -0,0 +1,59 @@
+"""Hands: the routes' place in a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.intake import Intake
+from larkweir.core.journal import Journal
+from larkweir.core.ports import Decisions
+from larkweir.membership.discovery import Discovery
+from larkweir.routes.hands import Routes
+from mulleinhitch import Balancer
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    engine: Engine
+    intake: Intake
+    decisions: Decisions
+    routes: Routes | None
+    discovery: Discovery
+    speaks: Callable[[int], str] | None
+    generations: list[Callable[[Config, Operator | None], None]]
+    facts: list[Callable[[], dict[str, object]]]
+
+
+def begin(host: Host, options: Operator) -> None:
+    """Pools decide, each for itself; not where a script does."""
+    if not isinstance(host.decisions, Balancer):
+        return
+    host.routes = Routes(options, host.config, host.clock, host.journal.line)
+    host.decisions = host.routes.switch
+
+
+def attach(host: Host, options: Operator) -> None:
+    routes = host.routes
+    if routes is None:
+        return
+    routes.engine = host.engine
+    routes.reroute(host.engine.on_listing)
+    host.discovery.reroute(routes.on_listing)
+    host.speaks = routes.speaks
+    host.intake.router = routes
+
+    def configure(config: Config, options: Operator | None) -> None:
+        if options is not None:
+            routes.reconfigure(options, config)
+
+    host.generations.append(configure)
+    host.facts.append(routes.facts)
--- /dev/null
+++ b/larkweir/store/part.py
@@ -0,0 +1,35 @@
+"""Hands: the store's place in a balancer."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from larkweir.config.options import Operator
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock
+from larkweir.core.engine import Engine
+from larkweir.core.journal import Journal
+from larkweir.membership.discovery import Discovery
+from larkweir.store.keeper import Keeper
+
+
+class Host(Protocol):
+    """What it needs of the balancer."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    engine: Engine
+    discovery: Discovery
+    keeper: Keeper | None
+    closers: list[Callable[[], None]]
+    facts: list[Callable[[], dict[str, object]]]
+
+
+def attach(host: Host, options: Operator) -> None:
+    host.discovery.touched = set()
+    keeper = Keeper(options.store, host.config, host.clock, host.journal.line)
+    host.keeper = host.engine.keeper = keeper
+    host.closers.append(keeper.close)
+    host.facts.append(keeper.facts)
