--- a/larkweir/fleet/part.py
+++ b/larkweir/fleet/part.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+from collections.abc import Callable
 from hashlib import blake2b
 from random import Random
 from stat import S_IROTH
@@ -28,9 +29,12 @@
     config: Config
     clock: Clock
     journal: Journal
+    peers: Socket | None
+    closers: list[Callable[[], None]]
+    facts: list[Callable[[], dict[str, object]]]
 
 
-def attach(host: Host, options: Operator) -> Socket:
+def attach(host: Host, options: Operator) -> None:
     """The socket, which opens in the loop's next turn. ConfigError where the files don't do.
 
     A life's number is its start on the balancer's clock, which goes on over a handover: a successor's is higher. Where
@@ -47,7 +51,9 @@
         raise ConfigError(f"peers: {problem}") from None
     sock = Socket(peers, named.listen, clock, host.journal.line)
     clock.after(0.0, sock.start)
-    return sock
+    host.peers = sock
+    host.closers.append(sock.close)
+    host.facts.append(sock.facts)
 
 
 def read_keys(path: str) -> tuple[bytes, ...]:
--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -139,11 +139,11 @@
         self._flush()
         return done
 
-    def facts(self) -> dict[str, int | str]:
+    def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         counts = self.peers.counters()
         own = ("unheard", "alive", "suspect", "dead", "left", "health", "sent", "received")
-        found: dict[str, int | str] = {"peers": f"{counts['alive']}/{len(self._addresses)}"}
+        found: dict[str, object] = {"peers": f"{counts['alive']}/{len(self._addresses)}"}
         found |= {f"peers_{name}": counts[name] for name in ("suspect", "dead", "left", "health", "sent")}
         wrong = {name: n for name, n in counts.items() if name not in own and n}
         wrong |= {"unsent": self.send_errors} if self.send_errors else {}
