--- a/standins/scene.py
+++ b/standins/scene.py
@@ -148,12 +148,17 @@
         words = [(self.name, "manager", words) for words in self._rest()]
         return words + [(self.name, "log", line) for line in self._log.items]
 
-    def stop(self) -> None:
-        for pid in self.pids:
-            with suppress(ProcessLookupError):
-                os.kill(pid, signal.SIGKILL)
+    async def stop(self) -> None:
+        """Whatever still runs is killed, also a successor that nobody has heard of yet."""
+        if not self.ended:  # else its number may be somebody else's by now
+            for pid in {member for known in self.pids for member in family(known)}:
+                with suppress(ProcessLookupError):
+                    os.kill(pid, signal.SIGKILL)
         if self._reading is not None:
-            self._reading.cancel()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(PATIENCE_S):
+                    await self._reading
+                    await self.process.wait()
         self._manager.stop()
 
 
@@ -195,11 +200,11 @@
                     process.gets(signal.SIGTERM, pid)
             await process.ends()
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         for client in self.clients:
             client.stop()
         for process in self.processes:
-            process.stop()
+            await process.stop()
         for server in self.servers:
             server.stop()
 
--- a/tests/scenes/stage.py
+++ b/tests/scenes/stage.py
@@ -146,7 +146,7 @@
             print(it.script.text())
             raise
         finally:
-            it.stop()
+            await it.stop()
 
     try:
         asyncio.run(work())
