--- /dev/null
+++ b/packages/captures/src/larkweir_captures/coordinator.py
@@ -0,0 +1,124 @@
+"""Rules: whoever has the duty sets thresholds for all, from what nodes report.
+
+It is a duty of the fleet: one at a time, with a term from those who keep terms. Nothing breaks if two believe that they
+have it: nodes go by the highest (term, number).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from heapq import nsmallest
+from zlib import crc32
+
+from larkweir_captures.fill import fill
+from larkweir_captures.ports import Mail
+from larkweir_captures.thresholds import rate_of, threshold_of
+from larkweir_captures.wire import MOST_KEYS, Report, Table, pack
+
+FAN = 4  # nodes that are told a table; each passes it on to so many
+A_SECOND = 100  # reports that come in a second, at most: nodes report so much more rarely where they are many
+MOST_NODES = 4096
+UP = 2.0  # a rate at most doubles from one table to the next
+LEAST = 1e-4  # from which a rate grows
+HEADROOM = 0.9  # of what a node can take, that is planned for
+
+
+class Coordinator:
+    def __init__(
+        self,
+        me: str,
+        term: int,
+        mail: Mail,
+        now_ms: float,
+        hold_ms: float,
+        rest: float,
+        last: Table | None = None,
+    ) -> None:
+        """`hold_ms`: after so long without a table nodes go on by a safe part, so one is sent three times as often.
+        `rest`: the rate of kinds that nobody has reported yet. `last`: the newest table that is known here, which
+        holds on under the new term until nodes have reported.
+        """
+        self.me = me
+        self.term = term
+        had = last or Table(0, 0, "", 1000, threshold_of(rest), {})
+        self.table = Table(term, 0, me, had.every_ms, had.rest, had.thresholds)
+        self._mail = mail
+        self._hold_ms = hold_ms
+        self._rest = rest
+        self._reports: dict[str, tuple[float, Report]] = {}
+        self._next_ms = now_ms
+        self._sets_ms = now_ms + 2.5 * had.every_ms
+        self._sent_ms = float("-inf")
+
+    @property
+    def next_ms(self) -> float:
+        return self._next_ms
+
+    @property
+    def nodes(self) -> int:
+        """How many have reported of late."""
+        return len(self._reports)
+
+    def came(self, source: str, report: Report, now_ms: float) -> None:
+        """A report. Whoever goes by an old table is sent the one that holds."""
+        if source not in self._reports and len(self._reports) >= MOST_NODES:
+            return
+        self._reports[source] = (now_ms, report)
+        if (report.term, report.number) < (self.table.term, self.table.number):
+            self._mail.post(source, pack(self.table))
+
+    def tick(self, now_ms: float) -> None:
+        if now_ms < self._next_ms:
+            return
+        self._next_ms = now_ms + self.table.every_ms
+        # A node that is not heard of may be cut off and still be passed: it counts until nobody goes by this table.
+        for name in [name for name, (came, _) in self._reports.items() if now_ms - came > self._hold_ms]:
+            del self._reports[name]
+        thresholds, rest = self.table.thresholds, self.table.rest
+        if now_ms >= self._sets_ms and self._reports:
+            thresholds, rest = self._set()
+        every = max(1000, len(self._reports) * 1000 // A_SECOND)
+        changed = (
+            abs(rate_of(thresholds.get(key, rest)) - rate_of(self._had(key))) > 0.05 * rate_of(self._had(key))
+            for key in thresholds.keys() | self.table.thresholds.keys()
+        )
+        first = not self.table.number
+        if not first and now_ms - self._sent_ms < self._hold_ms / 3.0 and not any(changed):
+            return
+        self.table = Table(self.term, self.table.number + 1, self.me, every, rest, thresholds)
+        self._sent_ms = now_ms
+        for name in nearest(self._mail.alive(), self.table, self.me, 2 * FAN):
+            self._mail.post(name, pack(self.table))
+
+    def _had(self, key: int) -> int:
+        return self.table.thresholds.get(key, self.table.rest)
+
+    def _set(self) -> tuple[dict[int, int], int]:
+        begun: dict[int, float] = {}
+        for _, report in self._reports.values():
+            for key, load in report.firsts.items():
+                begun[key] = begun.get(key, 0.0) + load
+        told = set(sorted(begun, key=lambda key: begun[key], reverse=True)[:MOST_KEYS])
+
+        def pooled(loads: dict[int, int]) -> dict[int, float]:
+            found: dict[int, float] = {}
+            for key, load in loads.items():
+                named = key if key in told else 0
+                found[named] = found.get(named, 0.0) + load
+            return found
+
+        every = pooled({key: int(load) for key, load in begun.items()})
+        rates = fill(every, [(r.room * HEADROOM, pooled(r.came)) for _, r in self._reports.values()])
+        for key in rates.keys() & self.table.thresholds.keys():
+            rates[key] = min(rates[key], max(LEAST, rate_of(self._had(key)) * UP))
+        rest = rates.pop(0, min(rates.values(), default=self._rest))
+        return {key: threshold_of(rate) for key, rate in rates.items()}, threshold_of(rest)
+
+
+def nearest(names: Sequence[str], table: Table, me: str, most: int = FAN) -> list[str]:
+    """Whom to tell of a table: for each table and node other names, by rendezvous, so that it reaches all in a few
+    steps. Who is missed gets it for an answer to its next report.
+    """
+    salt = f"{table.term}.{table.number}.{me}".encode()
+    order = nsmallest(most, ((crc32(name.encode(), crc32(salt)), name) for name in names if name != me))
+    return [name for _, name in order]
--- /dev/null
+++ b/packages/captures/src/larkweir_captures/triggers.py
@@ -0,0 +1,155 @@
+"""Rules: asking the other hops of a request to keep what they have of it, after the fact, by breadcrumbs.
+
+Hindsight (NSDI 2023, section 4): a hop that finds a request worth keeping follows who sent to whom. Who asks drives it:
+each hop that answers names the hops that it knows of, and those are asked too. The most important go first, and of
+those the highest hash, so that hops that can't keep all keep the same ones. A hop that does not answer is asked again,
+then given up; then those that it is known to send to are asked, and others that are left, so many and no more.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from itertools import pairwise
+
+from larkweir_captures.bounds import Leak
+from larkweir_captures.thresholds import is_name
+from larkweir_captures.wire import MOST_ASKS, MOST_TRACE, Ask
+
+FAILED, SLOW, AGAIN = 3, 2, 1  # how important
+
+TRIES = 3
+AGAIN_MS = 250.0
+MOST_HOPS = 16  # asked for one trace, by breadcrumbs
+AROUND = 16  # asked for one trace without any, where a hop was lost
+MOST_OPEN = 512  # traces that are asked for at once, and that wait to be
+MOST_WANTED = 4096  # traces that others have asked for
+MOST_SEEN = 1024  # hops of which it is known whom they send to
+
+
+@dataclass(slots=True)
+class _Open:
+    ask: Ask
+    asked: dict[str, tuple[int, float]] = field(
+        default_factory=dict
+    )  # who has not answered: tries, the next when
+    known: set[str] = field(default_factory=set)  # all that were asked
+    lost: bool = False  # a hop's answer is missing: what went on from there is not known
+    around: bool = False  # others have been asked
+
+
+class Triggers:
+    def __init__(self, me: str, traces_per_s: float) -> None:
+        self.me = me
+        self._leak = Leak(max(10.0, traces_per_s))
+        self._waiting: dict[int, tuple[Ask, tuple[str, ...], bool]] = {}
+        self._open: dict[int, _Open] = {}
+        self._wanted: OrderedDict[int, tuple[int, float]] = OrderedDict()  # importance, until when
+        self._sends: OrderedDict[str, deque[str]] = OrderedDict()  # whom a hop was seen to send to
+        self.let_go = 0  # triggers that there was no room for
+        self.lost = 0  # hops that never answered
+
+    def __len__(self) -> int:
+        return len(self._open) + len(self._waiting)
+
+    # What is known of others
+
+    def crumbs(self, path: Sequence[str]) -> None:
+        """A request has passed these hops in this order."""
+        for here, there in pairwise(path):
+            seen = self._sends.setdefault(here, deque(maxlen=AROUND))
+            self._sends.move_to_end(here)
+            if there not in seen:
+                seen.append(there)
+            if len(self._sends) > MOST_SEEN:
+                self._sends.popitem(last=False)
+
+    def want(self, rv: int, importance: int, until_ms: float) -> None:
+        """Another hop asks for a trace, which may still be under way here."""
+        known = self._wanted.pop(rv, (0, 0.0))
+        self._wanted[rv] = (max(importance, known[0]), max(until_ms, known[1]))
+        if len(self._wanted) > MOST_WANTED:
+            self._wanted.popitem(last=False)
+
+    def wanted(self, rv: int, now_ms: float) -> int:
+        """How important a trace is to others; 0 if nobody has asked."""
+        importance, until = self._wanted.get(rv, (0, 0.0))
+        return importance if until >= now_ms else 0
+
+    # What is asked here
+
+    def begin(self, ask: Ask, hops: Sequence[str], lost: bool) -> None:
+        """A request here is worth keeping. `lost`: an attempt's answer is missing."""
+        if ask.rv in self._open or len(ask.trace) > MOST_TRACE:
+            return
+        self._waiting[ask.rv] = (ask, tuple(hops), lost)
+        if len(self._waiting) > MOST_OPEN:
+            least = min(self._waiting, key=lambda rv: (self._waiting[rv][0].importance, rv))
+            del self._waiting[least]
+            self.let_go += 1
+
+    def answered(self, source: str, rv: int, hops: Sequence[str]) -> None:
+        """A hop has kept what it had, and names others."""
+        found = self._open.get(rv)
+        if found is None or source not in found.known:
+            return
+        found.asked.pop(source, None)
+        self._add(found, hops)
+
+    def _add(self, found: _Open, hops: Sequence[str]) -> None:
+        for name in hops:
+            if name != self.me and name not in found.known and len(found.known) < MOST_HOPS and is_name(name):
+                found.known.add(name)
+                found.asked[name] = (0, float("-inf"))
+
+    def due(self, now_ms: float, alive: Sequence[str]) -> tuple[list[Ask], dict[str, list[Ask]]]:
+        """The traces that are asked for from now on, whose records here are kept too; and whom to ask what."""
+        begun: list[Ask] = []
+        if self._waiting:
+            for rv in sorted(
+                self._waiting, key=lambda rv: (self._waiting[rv][0].importance, rv), reverse=True
+            ):
+                if len(self._open) >= MOST_OPEN or self._leak.wait_ms(1.0, now_ms) > 0.0:
+                    break
+                self._leak.take(1.0, now_ms)
+                ask, hops, lost = self._waiting.pop(rv)
+                begun.append(ask)
+                self._open[rv] = opened = _Open(ask, lost=lost)
+                self._add(opened, hops)
+        posts: dict[str, list[Ask]] = {}
+        for rv, found in list(self._open.items()):
+            self._ask(found, posts, alive, now_ms)
+            if not found.asked:
+                del self._open[rv]
+        while self._wanted and next(iter(self._wanted.values()))[1] < now_ms:
+            self._wanted.popitem(last=False)
+        return begun, posts
+
+    def _ask(self, found: _Open, posts: dict[str, list[Ask]], alive: Sequence[str], now_ms: float) -> None:
+        given_up = [name for name, (tries, due) in found.asked.items() if tries >= TRIES and due <= now_ms]
+        for name in given_up:
+            del found.asked[name]
+        if given_up and not found.around:
+            self.lost += len(given_up)
+            found.lost = True
+        if found.lost and not found.around:
+            self._around(found, given_up or (self.me,), alive)
+        for name, (tries, due) in found.asked.items():
+            batch = posts.setdefault(name, []) if due <= now_ms else None
+            if batch is not None and len(batch) < MOST_ASKS:  # else at the next time
+                batch.append(found.ask)
+                found.asked[name] = (tries + 1, now_ms + AGAIN_MS)
+
+    def _around(self, found: _Open, lost: Sequence[str], alive: Sequence[str]) -> None:
+        """Ask those that a lost hop was seen to send to, then others, each once."""
+        found.around = True
+        likely = [name for hop in lost for name in self._sends.get(hop, ())]
+        asked = 0
+        for name in (*likely, *alive):
+            if asked >= AROUND:
+                return
+            if name != self.me and name not in found.known:
+                found.known.add(name)
+                found.asked[name] = (TRIES - 1, float("-inf"))
+                asked += 1
