--- a/packages/captures/src/larkweir_captures/bounds.py
+++ b/packages/captures/src/larkweir_captures/bounds.py
@@ -1,14 +1,16 @@
 """Rules: a volume that is never passed in any window, whenever the window begins.
 
 The generic cell rate algorithm (ITU-T I.371 annex A) as a leaky bucket of the time at which all that was let out would
-have been paid for. In any window of `w` seconds at most `rate * w + burst` goes out. With a tenth of the stated volume
-as burst and nine tenths as rate, a window of a second or longer never holds more than the stated volume times its
-length, and a shorter one never more than a second's.
+have been paid for. In any window of `w` seconds at most `rate * w + burst` goes out. With burst and rate together the
+stated volume, a window of a second or longer never holds more than the stated volume times its length, and a shorter
+one never more than a second's.
 """
 
 from __future__ import annotations
 
 BURST = 0.1  # of a second's volume
+LEAST_RECORDS = 1.0  # that a burst holds
+LEAST_BYTES = 2048.0  # a record whose own text is cut fits
 
 
 class Leak:
@@ -16,10 +18,12 @@
 
     __slots__ = ("_paid_ms", "burst", "rate")
 
-    def __init__(self, per_s: float) -> None:
-        """`per_s`: what a window of one second never passes."""
-        self.rate = per_s * (1.0 - BURST) / 1000.0  # per millisecond
-        self.burst = per_s * BURST
+    def __init__(self, per_s: float, least: float = 1.0) -> None:
+        """`per_s`: what a window of one second never passes, at least twice `least`, which a burst always holds."""
+        if not per_s >= 2.0 * least:
+            raise ValueError(f"{per_s} a second leaves no room for bursts of {least}")
+        self.burst = max(per_s * BURST, least)
+        self.rate = (per_s - self.burst) / 1000.0  # per millisecond
         self._paid_ms = float("-inf")
 
     def wait_ms(self, cost: float, now_ms: float) -> float:
@@ -40,8 +44,8 @@
     __slots__ = ("bytes", "records")
 
     def __init__(self, records_per_s: float, bytes_per_s: float) -> None:
-        self.records = Leak(records_per_s)
-        self.bytes = Leak(bytes_per_s)
+        self.records = Leak(records_per_s, LEAST_RECORDS)
+        self.bytes = Leak(bytes_per_s, LEAST_BYTES)
 
     @property
     def longest(self) -> int:
--- a/packages/captures/src/larkweir_captures/coordinator.py
+++ b/packages/captures/src/larkweir_captures/coordinator.py
@@ -15,11 +15,12 @@
 from larkweir_captures.thresholds import rate_of, threshold_of
 from larkweir_captures.wire import MOST_KEYS, Report, Table, pack
 
-FAN = 4  # nodes that are told a table; each passes it on to so many
+FAN = 3  # nodes that are told a table; each passes it on to so many
 A_SECOND = 100  # reports that come in a second, at most: nodes report so much more rarely where they are many
 MOST_NODES = 4096
 UP = 2.0  # a rate at most doubles from one table to the next
 LEAST = 1e-4  # from which a rate grows
+CHANGED = 0.15  # of a rate, from which a new table is worth sending
 HEADROOM = 0.9  # of what a node can take, that is planned for
 
 
@@ -79,7 +80,8 @@
             thresholds, rest = self._set()
         every = max(1000, len(self._reports) * 1000 // A_SECOND)
         changed = (
-            abs(rate_of(thresholds.get(key, rest)) - rate_of(self._had(key))) > 0.05 * rate_of(self._had(key))
+            abs(rate_of(thresholds.get(key, rest)) - rate_of(self._had(key)))
+            > CHANGED * rate_of(self._had(key))
             for key in thresholds.keys() | self.table.thresholds.keys()
         )
         first = not self.table.number
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from larkweir_captures.bounds import Bound
+from larkweir_captures.bounds import LEAST_BYTES, Bound
 from larkweir_captures.coordinator import nearest
 from larkweir_captures.loads import EVERY_MS, Loads
 from larkweir_captures.ports import Mail
@@ -31,7 +31,7 @@
     read_up,
     to_hex,
 )
-from larkweir_captures.triggers import AGAIN, FAILED, MOST_HOPS, SLOW, Triggers
+from larkweir_captures.triggers import AGAIN, FAILED, SLOW, Triggers
 from larkweir_captures.wire import MOST_ASKS, Ask, Keep, Kept, Report, Table, most, pack, unpack
 
 TICK_MS = 50.0
@@ -58,10 +58,13 @@
     asks_per_s: float = 20.0  # traces that this node has others keep
 
     def __post_init__(self) -> None:
-        if not 10.0 <= self.records_per_s <= 1e6 or not 10_000.0 <= self.bytes_per_s <= 1e9:
-            raise ValueError("records_per_s must be 10 to 1e6, bytes_per_s 10000 to 1e9")
-        if not 0.05 <= self.after <= 0.9:
-            raise ValueError("after must be 0.05 to 0.9")
+        part = min(self.after, 1.0 - self.after)
+        if not (
+            2.0 <= self.records_per_s * part <= 1e6 and 2.0 * LEAST_BYTES <= self.bytes_per_s * part <= 1e9
+        ):
+            raise ValueError(
+                "each part of the volume, after the fact and not, needs 2 records and 4096 bytes a second"
+            )
         if not (0.0 < self.rest <= 1.0 and 0.0 <= self.safe <= 1.0 and self.hold_ms >= 1000.0):
             raise ValueError("rest and safe are parts of 1, and hold_ms is 1000 at least")
         if not (self.ring_ms > 0.0 and self.ring_records > 0 and self.ring_bytes > 0):
@@ -168,15 +171,17 @@
             body = b'{"cut":%d}' % len(body)
             cost = len(body) + ENVELOPE + 6 * len(trace)
         hops = (*verdict.above, *verdict.below)
-        item = Waiting(trace, verdict.rv, verdict.threshold, body, cost, verdict.number, hops)
+        item = Waiting(trace, verdict.rv, verdict.threshold, body, cost, verdict.number, hops, lost)
         if verdict.captured:
             for gone in self.drawn.put(item):
                 self._keep_a_moment(gone, now_ms)
         else:
             self._keep_a_moment(item, now_ms)
-        asked = self.triggers.wanted(verdict.rv, now_ms)
-        if asked and verdict.below:  # who asked could not know of those below yet
-            self.triggers.begin(Ask(verdict.rv, trace, asked), verdict.below, lost)
+        asked, sources = self.triggers.wanted(verdict.rv, now_ms)
+        if asked:  # who asked knows those above, or is told of them; those below it may not know
+            below = [name for name in verdict.below if name not in sources]
+            if below or lost:
+                self.triggers.begin(Ask(verdict.rv, trace, asked), below, lost)
             return
         importance = FAILED if failed else SLOW if slow else AGAIN if again else 0
         whole = verdict.captured and not lost and not failed  # the others have drawn it too
@@ -184,7 +189,7 @@
             self.triggers.begin(Ask(verdict.rv, trace, importance), hops, lost)
 
     def _keep_a_moment(self, item: Waiting, now_ms: float) -> None:
-        wanted = self.triggers.wanted(item.rv, now_ms)
+        wanted, _ = self.triggers.wanted(item.rv, now_ms)
         if wanted:
             self._keep(item, wanted)
         else:
@@ -195,13 +200,15 @@
         item.importance = importance
         self.after.put(item)
 
-    def _want(self, rv: int, importance: int, now_ms: float) -> list[str]:
+    def _want(self, rv: int, importance: int, now_ms: float, source: str) -> list[str]:
         """A trace is worth keeping: what is here of it, and what comes. The hops that it is known to have been at."""
-        self.triggers.want(rv, importance, now_ms + self._options.ring_ms)
+        self.triggers.want(rv, importance, now_ms + self._options.ring_ms, source)
         hops: list[str] = []
         for item in self.ring.take(rv):
             self._keep(item, importance)
             hops.extend(name for name in item.hops if name not in hops)
+            if item.lost and source != self.me:
+                self.triggers.begin(Ask(rv, item.trace, importance), (), True)
         return hops[:MOST_PATH]
 
     # Others
@@ -226,13 +233,13 @@
             asks = read.asks[:MOST_ASKS]
             for at in range(0, len(asks), 10):  # so that an answer fits an item
                 hops = {
-                    ask.rv: self._want(ask.rv, max(AGAIN, min(FAILED, ask.importance)), now_ms)
+                    ask.rv: self._want(ask.rv, max(AGAIN, min(FAILED, ask.importance)), now_ms, source)
                     for ask in asks[at : at + 10]
                 }
                 self._mail.post(source, pack(Kept(hops)))
         else:
             for rv, names in read.hops.items():
-                self.triggers.answered(source, rv, names[:MOST_HOPS])
+                self.triggers.answered(source, rv, names[:MOST_PATH])
         return None
 
     def _table(self, table: Table, now_ms: float) -> None:
@@ -264,7 +271,7 @@
         self.short = short
         begun, posts = self.triggers.due(now_ms, self._mail.alive() if len(self.triggers) else ())
         for ask in begun:
-            self._want(ask.rv, ask.importance, now_ms)
+            self._want(ask.rv, ask.importance, now_ms, self.me)
         for name, asks in posts.items():
             self._mail.post(name, pack(Keep(asks)))
         return list(self._lines(now_ms))
--- a/packages/captures/src/larkweir_captures/queues.py
+++ b/packages/captures/src/larkweir_captures/queues.py
@@ -2,7 +2,7 @@
 
 Drawn ones go out in the order they came. Where they don't fit, the one least above its threshold is let go, and all
 that wait are told how far up that was: as in priority sampling (Duffield, Lund, Thorup, JACM 2007) a record is kept
-just if it lies above the highest that was let go while it waited, which does not hang on the record itself. So its weight,
+just if it lies above the highest that was let go while it waited, which does not hang on the record. So its weight,
 raised by that, is still unbiased, whatever the load does; and since the order is the hash's, what is left is a subset.
 """
 
@@ -30,6 +30,7 @@
     cost: int  # bytes of its line, at most
     number: tuple[int, int] = (0, 0)
     hops: tuple[str, ...] = ()  # others that the request was at
+    lost: bool = False  # it was at others too, which are not known
     why: str = "drawn"
     importance: int = 0
 
--- a/packages/captures/src/larkweir_captures/ring.py
+++ b/packages/captures/src/larkweir_captures/ring.py
@@ -13,16 +13,28 @@
 
 
 class Ring:
-    __slots__ = ("_bytes", "_entries", "_found", "most_bytes", "most_ms", "most_records", "overwritten")
+    __slots__ = (
+        "_bytes",
+        "_count",
+        "_entries",
+        "_found",
+        "most_bytes",
+        "most_ms",
+        "most_records",
+        "overwritten",
+    )
 
     def __init__(self, most_ms: float, most_records: int, most_bytes: int) -> None:
         self.most_ms = most_ms
         self.most_records = most_records
         self.most_bytes = most_bytes
         self.overwritten = 0  # younger than `most_ms`: the ring is too small for the load
-        self._entries: deque[tuple[float, int, int]] = deque()  # (when it came, trace, bytes), oldest first
-        self._found: dict[int, list[Waiting]] = {}
+        self._entries: deque[tuple[float, int, int, int]] = (
+            deque()
+        )  # (when, which, trace, bytes), oldest first
+        self._found: dict[int, list[tuple[int, Waiting]]] = {}
         self._bytes = 0
+        self._count = 0
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -32,8 +44,9 @@
         return self._bytes
 
     def put(self, item: Waiting, now_ms: float) -> None:
-        self._entries.append((now_ms, item.rv, item.cost))
-        self._found.setdefault(item.rv, []).append(item)
+        self._count += 1
+        self._entries.append((now_ms, self._count, item.rv, item.cost))
+        self._found.setdefault(item.rv, []).append((self._count, item))
         self._bytes += item.cost
         while len(self._entries) > self.most_records or self._bytes > self.most_bytes:
             self.overwritten += 1
@@ -45,10 +58,10 @@
             self._drop()
 
     def _drop(self) -> None:
-        _, rv, cost = self._entries.popleft()
+        _, which, rv, cost = self._entries.popleft()
         self._bytes -= cost
         items = self._found.get(rv)
-        if items:  # none where it was taken: its place ages as it would have
+        if items and items[0][0] == which:  # else it was taken: its place ages as it would have
             items.pop(0)
             if not items:
                 del self._found[rv]
@@ -58,4 +71,4 @@
 
     def take(self, rv: int) -> Iterator[Waiting]:
         """A trace's records, which are the taker's from here on. Their places age as they would have."""
-        yield from self._found.pop(rv, ())
+        yield from (item for _, item in self._found.pop(rv, ()))
--- a/packages/captures/src/larkweir_captures/triggers.py
+++ b/packages/captures/src/larkweir_captures/triggers.py
@@ -45,7 +45,9 @@
         self._leak = Leak(max(10.0, traces_per_s))
         self._waiting: dict[int, tuple[Ask, tuple[str, ...], bool]] = {}
         self._open: dict[int, _Open] = {}
-        self._wanted: OrderedDict[int, tuple[int, float]] = OrderedDict()  # importance, until when
+        self._wanted: OrderedDict[int, tuple[int, float, tuple[str, ...]]] = (
+            OrderedDict()
+        )  # how much, until, by whom
         self._sends: OrderedDict[str, deque[str]] = OrderedDict()  # whom a hop was seen to send to
         self.let_go = 0  # triggers that there was no room for
         self.lost = 0  # hops that never answered
@@ -65,17 +67,18 @@
             if len(self._sends) > MOST_SEEN:
                 self._sends.popitem(last=False)
 
-    def want(self, rv: int, importance: int, until_ms: float) -> None:
-        """Another hop asks for a trace, which may still be under way here."""
-        known = self._wanted.pop(rv, (0, 0.0))
-        self._wanted[rv] = (max(importance, known[0]), max(until_ms, known[1]))
+    def want(self, rv: int, importance: int, until_ms: float, source: str) -> None:
+        """A hop asks for a trace, which may still be under way here."""
+        known = self._wanted.pop(rv, (0, 0.0, ()))
+        sources = known[2] if source in known[2] else (*known[2], source)[-4:]
+        self._wanted[rv] = (max(importance, known[0]), max(until_ms, known[1]), sources)
         if len(self._wanted) > MOST_WANTED:
             self._wanted.popitem(last=False)
 
-    def wanted(self, rv: int, now_ms: float) -> int:
-        """How important a trace is to others; 0 if nobody has asked."""
-        importance, until = self._wanted.get(rv, (0, 0.0))
-        return importance if until >= now_ms else 0
+    def wanted(self, rv: int, now_ms: float) -> tuple[int, tuple[str, ...]]:
+        """How important a trace is to those who have asked for it, and who they are; 0 if nobody has."""
+        importance, until, sources = self._wanted.get(rv, (0, 0.0, ()))
+        return (importance, sources) if until >= now_ms else (0, ())
 
     # What is asked here
 
@@ -99,7 +102,12 @@
 
     def _add(self, found: _Open, hops: Sequence[str]) -> None:
         for name in hops:
-            if name != self.me and name not in found.known and len(found.known) < MOST_HOPS and is_name(name):
+            if (
+                name != self.me
+                and name not in found.known
+                and len(found.known) < MOST_HOPS + AROUND
+                and is_name(name)
+            ):
                 found.known.add(name)
                 found.asked[name] = (0, float("-inf"))
 
--- /dev/null
+++ b/packages/captures/tests/test_captures_after.py
@@ -0,0 +1,190 @@
+"""Records kept after the fact: the ring against a model of it, and hops that ask each other over a bad network."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter, deque
+from itertools import pairwise
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+from larkweir_captures import triggers
+from larkweir_captures.node import Node, Options
+from larkweir_captures.queues import Waiting
+from larkweir_captures.ring import Ring
+
+HOPS = [f"10.3.{tier}.{n}:7946" for tier in range(3) for n in range(2)]
+SOON = settings(max_examples=40, stateful_step_count=30, deadline=None)
+
+
+class RingMachine(RuleBasedStateMachine):
+    """What was put last and fits, is young enough and was not taken, is there; nothing else is."""
+
+    @initialize(records=st.integers(1, 6), size=st.integers(60, 200))
+    def begin(self, records: int, size: int) -> None:
+        self.ring = Ring(100.0, records, size)
+        self.model: deque[tuple[float, Waiting]] = deque()
+        self.taken: set[str] = set()
+        self.count = 0
+        self.now = 0.0
+
+    @rule(rv=st.integers(0, 4), cost=st.integers(1, 60), gap=st.sampled_from((0.0, 10.0, 60.0)))
+    def put(self, rv: int, cost: int, gap: float) -> None:
+        self.now += gap
+        self.count += 1
+        item = Waiting(str(self.count), rv, 0, b"", cost)
+        self.ring.put(item, self.now)
+        self.model.append((self.now, item))
+        while (
+            len(self.model) > self.ring.most_records
+            or sum(item.cost for _, item in self.model) > self.ring.most_bytes
+            or self.now - self.model[0][0] > 100.0
+        ):
+            self.model.popleft()
+
+    @rule(rv=st.integers(0, 4))
+    def take(self, rv: int) -> None:
+        there = [item for _, item in self.model if item.rv == rv and item.trace not in self.taken]
+        assert list(self.ring.take(rv)) == there
+        self.taken |= {item.trace for item in there}
+
+    @invariant()
+    def is_bounded(self) -> None:
+        if hasattr(self, "ring"):
+            assert len(self.ring) <= self.ring.most_records and self.ring.bytes <= self.ring.most_bytes
+            for rv in range(5):
+                there = any(item.rv == rv and item.trace not in self.taken for _, item in self.model)
+                assert self.ring.has(rv) == there
+
+
+class AskMachine(RuleBasedStateMachine):
+    """Requests over three tiers; some are troubled. Items between hops wait, are doubled, dropped, and come in any
+    order; hops are killed. A line is only of a record that was there, once; what is open stays bounded; and if nothing
+    was dropped or killed, each hop of a troubled request has kept it.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 0.0
+        self.mail: list[tuple[str, str, bytes]] = []
+        self.nodes = {
+            name: Node(name, Options(rest=1e-15, ring_ms=60_000.0), self.post(name)) for name in HOPS
+        }
+        self.records: Counter[tuple[str, str]] = Counter()
+        self.lines: Counter[tuple[str, str]] = Counter()
+        self.wanted: list[tuple[str, tuple[str, ...]]] = []
+        self.asked: Counter[str] = Counter()
+        self.sound = True
+        self.count = 0
+
+    def post(self, me: str) -> AskMachine._Post:
+        return self._Post(self, me)
+
+    class _Post:
+        def __init__(self, machine: AskMachine, me: str) -> None:
+            self.machine, self.me = machine, me
+
+        def post(self, to: str, item: bytes) -> bool:
+            self.machine.mail.append((self.me, to, item))
+            self.machine.asked[self.me] += 1
+            return True
+
+        def alive(self) -> list[str]:
+            return list(self.machine.nodes)
+
+    @rule(
+        picks=st.tuples(*[st.integers(0, 1)] * 3),
+        trouble=st.sets(st.sampled_from(("failed", "slow", "again")), max_size=2),
+        at=st.integers(0, 2),
+        lost=st.sampled_from((None, None, 0, 1)),
+        order=st.permutations(range(3)),
+        between=st.booleans(),
+    )
+    def request(
+        self,
+        picks: tuple[int, ...],
+        trouble: set[str],
+        at: int,
+        lost: int | None,
+        order: list[int],
+        between: bool,
+    ) -> None:
+        path = [HOPS[2 * tier + pick] for tier, pick in enumerate(picks)]
+        if any(name not in self.nodes for name in path):
+            return
+        self.count += 1
+        trace = f"t{self.count}"
+        nodes = [self.nodes[name] for name in path]
+        verdicts = [nodes[0].first_hop(trace.encode(), "r", "c", "t", self.now)]
+        for upper, lower in pairwise(nodes):
+            came = lower.next_hop(upper.down(verdicts[-1]), self.now, trace.encode())
+            assert came is not None
+            verdicts.append(came)
+        for tier in (1, 0):
+            if tier != lost:
+                nodes[tier].settle(verdicts[tier], nodes[tier + 1].up(verdicts[tier + 1]))
+        marks = {mark: True for mark in trouble}
+        for tier in order:  # records come in any order: who sent may be done before who was asked
+            mine = marks if tier == at else {}
+            nodes[tier].record(verdicts[tier], b"{}", self.now, lost=tier == lost, **mine)
+            self.records[path[tier], trace] += 1
+            if between:
+                self.tick(60.0)
+                self.deliver_all()
+        if trouble:
+            self.wanted.append((trace, tuple(path)))
+
+    @rule(gap=st.sampled_from((50.0, 60.0, 300.0)))
+    def tick(self, gap: float) -> None:
+        self.now += gap
+        for name, node in self.nodes.items():
+            for line in node.tick(self.now):
+                read = json.loads(line)
+                assert read["weight"] == 0.0 and read["hop"] == name
+                self.lines[name, read["trace"]] += 1
+
+    @rule(at=st.integers(0, 1000), how=st.sampled_from(("deliver", "deliver", "double", "drop")))
+    def one(self, at: int, how: str) -> None:
+        if self.mail:
+            source, to, item = self.mail[at % len(self.mail)]
+            if how != "double":
+                del self.mail[at % len(self.mail)]
+            self.sound = self.sound and how != "drop"
+            if how != "drop" and to in self.nodes:
+                self.nodes[to].came(source, item, self.now)
+
+    @rule()
+    def deliver_all(self) -> None:
+        waiting, self.mail[:] = list(self.mail), []
+        for source, to, item in waiting:
+            if to in self.nodes:
+                self.nodes[to].came(source, item, self.now)
+
+    @rule(name=st.sampled_from(HOPS))
+    def kill(self, name: str) -> None:
+        if len(self.nodes) > 5:
+            del self.nodes[name]
+            self.sound = False
+
+    @invariant()
+    def nothing_is_made_up(self) -> None:
+        assert all(count <= self.records[key] for key, count in self.lines.items())
+
+    def teardown(self) -> None:
+        for _ in range(60):
+            self.tick(100.0)
+            self.deliver_all()
+        for node in self.nodes.values():
+            assert not len(node.triggers) and not len(node.after)
+        if self.sound:
+            for trace, path in self.wanted:
+                assert all(self.lines[name, trace] for name in path), (trace, path)
+        most = triggers.TRIES * (triggers.MOST_HOPS + 2 * triggers.AROUND) * max(1, self.count) * 3
+        assert all(count <= most for count in self.asked.values())
+
+
+TestRing = RingMachine.TestCase
+TestRing.settings = SOON
+TestAsks = AskMachine.TestCase
+TestAsks.settings = SOON
