--- a/packages/captures/src/larkweir_captures/coordinator.py
+++ b/packages/captures/src/larkweir_captures/coordinator.py
@@ -13,7 +13,7 @@
 from larkweir_captures.fill import fill
 from larkweir_captures.ports import Mail
 from larkweir_captures.thresholds import rate_of, threshold_of
-from larkweir_captures.wire import MOST_KEYS, Report, Table, pack
+from larkweir_captures.wire import MOST_KEYS, REPORTED, Report, Table, pack
 
 FAN = 3  # nodes that are told a table; each passes it on to so many
 A_SECOND = 100  # reports that come in a second, at most: nodes report so much more rarely where they are many
@@ -64,6 +64,8 @@
         """A report. Whoever goes by an old table is sent the one that holds."""
         if source not in self._reports and len(self._reports) >= MOST_NODES:
             return
+        if max(len(report.firsts), len(report.came)) > REPORTED + 1:
+            return
         self._reports[source] = (now_ms, report)
         if (report.term, report.number) < (self.table.term, self.table.number):
             self._mail.post(source, pack(self.table))
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -32,13 +32,12 @@
     to_hex,
 )
 from larkweir_captures.triggers import AGAIN, FAILED, SLOW, Triggers
-from larkweir_captures.wire import MOST_ASKS, Ask, Keep, Kept, Report, Table, most, pack, unpack
+from larkweir_captures.wire import MOST_ASKS, REPORTED, Ask, Keep, Kept, Report, Table, most, pack, unpack
 
 TICK_MS = 50.0
 ENVELOPE = 330  # bytes of a line beside the trace's id and the record itself, at most
 MOST_TRACE = 200  # characters of a trace's id in a line
 MOST_KNOWN = 4096  # texts of route, class and tenant whose key is remembered
-REPORTED = 200  # kinds in a report, each way
 SHORT = 0.5  # of the queue, from which a node is past its bound
 
 
--- a/packages/captures/src/larkweir_captures/tables.py
+++ b/packages/captures/src/larkweir_captures/tables.py
@@ -5,6 +5,8 @@
 from larkweir_captures.thresholds import ALL, Number, raised, threshold_of
 from larkweir_captures.wire import MOST_KEYS, Table
 
+MOST_NUMBER = 10**15  # as far as a request's text can say it
+
 
 class Held:
     """The newest table that was seen. One of an older (term, number) is refused, whoever sends it."""
@@ -29,6 +31,7 @@
             self.refused += (table.term, table.number) < self.number
             return False
         sane = all(0 <= value <= ALL for value in (table.rest, *table.thresholds.values()))
+        sane = sane and table.term < MOST_NUMBER and table.number < MOST_NUMBER
         if not sane or len(table.thresholds) > MOST_KEYS + 1 or not 100 <= table.every_ms <= 600_000:
             self.refused += 1
             return False
--- a/packages/captures/src/larkweir_captures/wire.py
+++ b/packages/captures/src/larkweir_captures/wire.py
@@ -7,6 +7,7 @@
 VERSION = 1
 MOST_ITEM = 8192  # bytes that a peer takes
 MOST_KEYS = 400  # of route, class and tenant that are told apart; the rarest share key 0
+REPORTED = 200  # kinds in a report, each way, and the rest as one
 MOST_ASKS = 40  # traces in one item
 MOST_TRACE = 120  # characters of a trace's id that travel
 
