--- a/packages/captures/src/larkweir_captures/__init__.py
+++ b/packages/captures/src/larkweir_captures/__init__.py
@@ -1,1 +1,1 @@
-"""Captures that agree: one threshold on one hash, volumes that are never passed, and records kept after the fact."""
+"""Hands: the door of the package: captures that agree over hops, bounded in any window, and kept after the fact."""
