Merge rules for each key of routes and pools, and the package that applies them

Edges edit routes by their own file, also while cut off; until now the last file loaded was all that counted at its copy, and nothing said what two edits come to together.

Each key of [route.*] and [pool.*] names a rule (`option(..., merge=...)`, a test refuses a key without). `packages/edits` keeps edits with dots and contexts, and computes each field from the set of its writes: order, grouping and repeats are no matter. The whole is checked, the newest fields go back where it does not pass; what all have applied goes into the base.

Not taken: last writer wins (a clock decides, and one of two safe limits is lost), and state that is merged pairwise (each rule would have to prove its own laws; a function of a set of edits needs no proof).

43 tests, among them a state machine of four copies that compares what is collected with what was never collected.

--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -27,17 +27,38 @@
     TIMES = "times"
 
 
+class Merge(Enum):
+    """What counts where two edits of a key had not seen each other. Each key of a route or a pool names one; why, stands
+    in docs/operators/edits.md.
+    """
+
+    SMALLER = "smaller"  # what is said goes before what is not
+    LONGER = "longer"
+    STRICTER = "stricter"  # of watches: the one that ends a part sooner; 0 ends none
+    LARGER_OR_ALL = "larger_or_all"  # 0 stands for all
+    OFF = "off"  # two that differ: none
+    SPLIT = "split"  # pool by pool, the smaller part
+    SET = "set"  # observed removal; never emptied by two who each took a part
+    LIFTED = "lifted"  # a set: what is in it is taken out only by one who has seen it
+    ONE = "one"  # a conflict: the last value that both had stays in force
+    MATCH = "match"  # the same, for all such keys of a table together
+
+
 def option(
     default: Any,
     change: Change = Change.LIVE,
     low: float | None = None,
     high: float | None = None,
     unit: Unit = Unit.NONE,
+    merge: Merge | None = None,
 ) -> Any:
     """A key with its default, how a change of it counts, its bounds, both of which are allowed, and what it counts: a
-    time where its name ends in `_ms`, a rate where it ends in `_per_s`.
+    time where its name ends in `_ms`, a rate where it ends in `_per_s`. `merge` is for keys of routes and pools.
     """
-    return field(default=default, metadata={"change": change, "low": low, "high": high, "unit": unit})
+    return field(
+        default=default,
+        metadata={"change": change, "low": low, "high": high, "unit": unit, "merge": merge},
+    )
 
 
 def unit_of(name: str, unit: Unit) -> Unit:
@@ -283,27 +304,27 @@
     """
 
     # A pool whose keys count where this one says nothing.
-    parent: str = option("")
+    parent: str = option("", merge=Merge.ONE)
     # Of discovery's list: those in these zones, of these machine types, in these cells. Empty: any.
-    zones: tuple[str, ...] | None = option(None)
-    kinds: tuple[str, ...] | None = option(None)
-    cells: tuple[str, ...] | None = option(None)
+    zones: tuple[str, ...] | None = option(None, merge=Merge.SET)
+    kinds: tuple[str, ...] | None = option(None, merge=Merge.SET)
+    cells: tuple[str, ...] | None = option(None, merge=Merge.SET)
     # In place of discovery's list: "10.0.0.1:8080", each with a zone behind it where it is not the first one's.
-    fixed: tuple[str, ...] | None = option(None)
+    fixed: tuple[str, ...] | None = option(None, merge=Merge.SET)
     # Zones that get nothing new, as if each of their upstreams drained.
-    evacuated: tuple[str, ...] | None = option(None)
+    evacuated: tuple[str, ...] | None = option(None, merge=Merge.LIFTED)
     # Upstreams that this balancer connects to, of all in the pool; 0: all.
-    subset: int | None = option(None, low=0, high=100_000)
+    subset: int | None = option(None, low=0, high=100_000, merge=Merge.LARGER_OR_ALL)
     # Whether requests leave their zone by what it can carry, a little at a time, instead of as the platform's prices
     # say.
-    spill: bool | None = option(None)
+    spill: bool | None = option(None, merge=Merge.ONE)
     # What upstreams speak.
-    protocol: Literal["http1", "fastcgi"] | None = option(None)
+    protocol: Literal["http1", "fastcgi"] | None = option(None, merge=Merge.ONE)
     # As in [class.*], [retries], [queue] and [cold].
-    attempts: int | None = option(None, low=1, high=100)
-    ratio: float | None = option(None, low=0.0, high=1.0, unit=Unit.PART)
-    saved: float | None = option(None, low=0.0, high=1_000.0, unit=Unit.TIMES)
-    pace: float | None = option(None, low=0.01, high=0.33, unit=Unit.PART)
+    attempts: int | None = option(None, low=1, high=100, merge=Merge.SMALLER)
+    ratio: float | None = option(None, low=0.0, high=1.0, unit=Unit.PART, merge=Merge.SMALLER)
+    saved: float | None = option(None, low=0.0, high=1_000.0, unit=Unit.TIMES, merge=Merge.SMALLER)
+    pace: float | None = option(None, low=0.01, high=0.33, unit=Unit.PART, merge=Merge.SMALLER)
 
 
 @dataclass(frozen=True, eq=False, repr=False)
@@ -312,28 +333,28 @@
     file."""
 
     # Where they go.
-    pool: str = option("default")
+    pool: str = option("default", merge=Merge.ONE)
     # What they are: a host ("registry.example" or "*.example"); a path ("/a/{b}", or "/a/*" with all below it);
     # methods; headers ("Name" or "Name: value"); classes; tenants. Empty: any.
-    host: str = option("")
-    path: str = option("")
-    methods: tuple[str, ...] = option(())
-    headers: tuple[str, ...] = option(())
-    classes: tuple[str, ...] = option(())
-    tenants: tuple[str, ...] = option(())
+    host: str = option("", merge=Merge.MATCH)
+    path: str = option("", merge=Merge.MATCH)
+    methods: tuple[str, ...] = option((), merge=Merge.MATCH)
+    headers: tuple[str, ...] = option((), merge=Merge.MATCH)
+    classes: tuple[str, ...] = option((), merge=Merge.MATCH)
+    tenants: tuple[str, ...] = option((), merge=Merge.MATCH)
     # Other pools with their part of the requests, "canary 5%"; the rest goes to `pool`.
-    split: tuple[str, ...] = option(())
+    split: tuple[str, ...] = option((), merge=Merge.SPLIT)
     # By what a request keeps to its part: "tenant", "object", "request" or "header NAME".
-    sticky: str = option("tenant")
+    sticky: str = option("tenant", merge=Merge.ONE)
     # The parts grow for so long, from when the file counts.
-    ramp_ms: float = option(0.0, low=0.0, high=2_592_000_000.0)
+    ramp_ms: float = option(0.0, low=0.0, high=2_592_000_000.0, merge=Merge.LONGER)
     # How often a part that does no worse than `pool` may be ended by mistake; 0: none is ever ended.
-    alarm: float = option(0.01, low=0.0, high=0.5, unit=Unit.PART)
+    alarm: float = option(0.01, low=0.0, high=0.5, unit=Unit.PART, merge=Merge.STRICTER)
     # Pools that get, in turn, what was refused before and never ran.
-    fallback: tuple[str, ...] = option(())
+    fallback: tuple[str, ...] = option((), merge=Merge.ONE)
     # A pool that gets copies of safe requests, and the part of them that it gets. Nobody waits for their answers.
-    mirror: str = option("")
-    mirror_part: float = option(1.0, low=0.0, high=1.0, unit=Unit.PART)
+    mirror: str = option("", merge=Merge.OFF)
+    mirror_part: float = option(1.0, low=0.0, high=1.0, unit=Unit.PART, merge=Merge.SMALLER)
 
     def faults(self) -> dict[str, str]:
         """What is wrong beyond types and bounds, by key."""
--- /dev/null
+++ b/packages/edits/src/larkweir_edits/rows.py
@@ -0,0 +1,318 @@
+"""Rules: one row: its base, which all have seen, the writes above it, and what both come to."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Iterator, Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from larkweir_edits import merge
+from larkweir_edits.edit import ENDED, HERE, SAID, STEP, Dot, Edit, Kind, Sub, Vector
+from larkweir_edits.merge import LISTS, UNITS, Found, Write
+from larkweir_edits.schema import Schema, fits
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """Something that staff should look at. `proposals` are (writer, value), the newest first."""
+
+    table: str
+    row: str
+    unit: str
+    why: str
+    proposals: tuple[tuple[str, Any], ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What a row comes to."""
+
+    here: bool
+    parts: Mapping[Sub, Any]
+    told: tuple[Told, ...]
+    steps: Mapping[str, Any]  # an owner's writes, by name: [term, number, value]
+
+
+CONFLICT = "conflict"  # the last value that both had is in force
+LATE = "proposal"  # of one who was away for too long; not in force
+STAYS = "deleted at one, edited at another: it stays"
+EMPTY = "two took out what together was all: the list before is in force"
+ENDS = "ended by a verdict"
+
+
+@dataclass(slots=True, eq=False)
+class Row:
+    """`base` holds only what differs from a blank row."""
+
+    table: str
+    name: str
+    here: bool = False
+    base: dict[Sub, Any] = field(default_factory=dict)
+    writes: dict[Sub, list[Write]] = field(default_factory=dict)
+
+    def add(self, schema: Schema, edit: Edit, void: bool) -> None:
+        for sub, value in edit.writes():
+            rule = schema.rule(self.table, sub[0])
+            if sub == HERE or sub[0] in (ENDED, STEP) or fits(rule, value):
+                self.writes.setdefault(sub, []).append(Write(edit, value, void))
+
+    def mark(self, void: Mapping[str, int]) -> None:
+        """Make proposals of all that a writer wrote past its number."""
+        for sub, group in self.writes.items():
+            self.writes[sub] = [
+                Write(item.edit, item.value, item.edit.dot[1] > void.get(item.edit.dot[0], item.edit.dot[1]))
+                for item in group
+            ]
+
+    # A row that is new is there once all that it is has a value: of two who each made one of its name, and differ,
+    # neither counts, as before.
+
+    def units(self) -> dict[str, dict[Sub, list[Write]]]:
+        found: dict[str, dict[Sub, list[Write]]] = {}
+        for sub, group in self.writes.items():
+            found.setdefault(sub[0], {})[sub] = group
+        return found
+
+    def _base(self, schema: Schema, sub: Sub) -> Any:
+        if sub == HERE:
+            return self.here
+        return self.base[sub] if sub in self.base else schema.blank(self.table).get(sub)
+
+    def view(self, schema: Schema, back: Collection[tuple[str, Dot]] = ()) -> View:
+        """What the row comes to without the writes in `back` (unit and dot), which the check of the whole put back."""
+        if back or self.grave() is not None:
+            left = {
+                sub: [item for item in writes if (sub[0], item.edit.dot) not in back]
+                for sub, writes in self.writes.items()
+            }
+            row = Row(self.table, self.name, self.here, self.base, left)
+            grave = row.grave()
+            return (row.without(grave) if grave is not None else row)._view(schema)
+        return self._view(schema)
+
+    def _view(self, schema: Schema) -> View:
+        parts = {**schema.blank(self.table), **self.base}
+        steps = {sub[1]: value for sub, value in self.base.items() if sub[0] == STEP}
+        units = self.units()
+        here, nowhere = self.here, False
+        told: list[Told] = []
+        for unit, group in units.items():
+            rule = schema.rule(self.table, unit)
+            if unit == STEP:
+                steps |= {
+                    sub[1]: merge.termed(writes, self.base.get(sub))[0] for sub, writes in group.items()
+                }
+            elif unit == HERE[0]:
+                found = merge.field("here", group[HERE], self.here)
+                here = found.value
+                told += self._tell(unit, found, STAYS)
+            elif rule in LISTS:
+                told += self._list(schema, rule, unit, group, parts)
+            elif rule:
+                sub = (unit, "")
+                found = merge.field(rule, group.get(sub, ()), self._base(schema, sub))
+                parts[sub] = found.value
+                nowhere = nowhere or (rule in UNITS and found.base and not self.here)
+                told += self._tell(unit, found, CONFLICT)
+        self._end(schema, units, parts, told)
+        return View(
+            here and not nowhere,
+            {sub: value for sub, value in parts.items() if sub[0] not in (STEP, ENDED)},
+            tuple(told),
+            steps,
+        )
+
+    def grave(self) -> Edit | None:
+        """The newest deletion that all who wrote to the row had seen, or that had seen them. What was before it does
+        not come back with a row of the same name.
+        """
+        every = [item.edit for item in merge.valid(self.writes.get(HERE, ()))]
+        for edit in sorted(every, key=lambda item: item.order, reverse=True):
+            if edit.kind is Kind.DELETE and all(
+                item is edit or edit.saw(item.dot) or item.saw(edit.dot) for item in every
+            ):
+                return edit
+        return None
+
+    def without(self, grave: Edit) -> Row:
+        """What was written since a deletion, and beside it."""
+        left = {
+            sub: [item for item in writes if item.edit is not grave and not grave.saw(item.edit.dot)]
+            for sub, writes in self.writes.items()
+        }
+        return Row(self.table, self.name, False, {}, {sub: writes for sub, writes in left.items() if writes})
+
+    def _tell(self, unit: str, found: Found, why: str) -> Iterator[Told]:
+        if found.proposals:
+            late = all(item.void for item in found.proposals)
+            asked = tuple((item.edit.dot[0], item.value) for item in found.proposals)
+            yield Told(self.table, self.name, unit, LATE if late else why, asked)
+
+    def _list(
+        self, schema: Schema, rule: str, unit: str, group: Mapping[Sub, list[Write]], parts: dict[Sub, Any]
+    ) -> list[Told]:
+        base = {sub: value for sub, value in parts.items() if sub[0] == unit}
+        found, said, empty = merge.listed(rule, group, base)
+        for sub in base:
+            del parts[sub]
+        parts.update({(unit, element): value for element, value in found.items()})
+        if rule != "split":
+            parts[(unit, SAID)] = said
+        late = sorted(
+            (item for writes in group.values() for item in merge.proposals(writes)),
+            key=lambda item: item.edit.order,
+            reverse=True,
+        )[: merge.PROPOSALS]
+        names = {id(item): sub[1] for sub, writes in group.items() for item in writes}
+        told = [Told(self.table, self.name, unit, EMPTY)] if empty else []
+        if late:
+            asked = tuple((item.edit.dot[0], [names[id(item)], item.value]) for item in late)
+            told.append(Told(self.table, self.name, unit, LATE, asked))
+        return told
+
+    def _end(
+        self,
+        schema: Schema,
+        units: Mapping[str, Mapping[Sub, list[Write]]],
+        parts: dict[Sub, Any],
+        told: list[Told],
+    ) -> None:
+        """Parts of a split that a verdict ended get nothing."""
+        verdicts = {sub[1] for sub in (*self.base, *units.get(ENDED, ())) if sub[0] == ENDED}
+        if not verdicts:
+            return
+        for unit, rule in schema.rules[self.table].items():
+            for pool in verdicts if rule == "split" else ():
+                if not parts.get((unit, pool)):
+                    continue
+                done, _ = merge.ended(
+                    units.get(unit, {}).get((unit, pool), ()),
+                    units.get(ENDED, {}).get((ENDED, pool), ()),
+                    self.base.get((ENDED, pool)),
+                )
+                if done:
+                    parts[(unit, pool)] = "0%"
+                    told.append(Told(self.table, self.name, unit, f"{pool}: {ENDS}"))
+
+    def floor(self, sub: Sub) -> tuple[int, int]:
+        """The highest (term, number) of an owner's register."""
+        value, _ = merge.termed(self.writes.get(sub, ()), self.base.get(sub))
+        return (value[0], value[1]) if value else (-1, -1)
+
+    # ------------------------------------------------ what all have seen
+
+    def fold(self, schema: Schema, stable: Vector) -> bool:
+        """Put into the base what every write above it, and every one that is still to come, has seen: `stable` is what
+        all copies have applied. Whether anything was. What the row comes to is the same before and after.
+        """
+        grave = self.grave()
+        if grave is not None and stable.get(grave.dot[0], 0) >= grave.dot[1]:
+            left = self.without(grave)
+            self.here, self.base, self.writes = left.here, left.base, left.writes
+            self.fold(schema, stable)
+            return True
+        units = self.units()
+        moved = HERE[0] in units and self._fold(schema, "here", units.pop(HERE[0]), stable)
+        if not self.here:
+            return moved  # its parts are kept as long as it is not there for all
+        for unit, group in units.items():
+            rule = schema.rule(self.table, unit)
+            if unit in (STEP, ENDED):
+                moved = self._fold_registers(schema, group, stable) or moved
+            elif rule == "split":
+                for sub, writes in group.items():
+                    moved = self._fold(schema, rule, {sub: writes}, stable) or moved
+            else:
+                moved = self._fold(schema, rule, group, stable) or moved
+        return moved
+
+    def _fold(self, schema: Schema, rule: str, group: Mapping[Sub, list[Write]], stable: Vector) -> bool:
+        every = {item.edit.dot: item.edit for writes in group.values() for item in merge.valid(writes)}
+        top = next(
+            (
+                edit
+                for edit in sorted(every.values(), key=lambda item: item.order, reverse=True)
+                if stable.get(edit.dot[0], 0) >= edit.dot[1]
+                and all(edit is item or edit.saw(item.dot) or item.saw(edit.dot) for item in every.values())
+            ),
+            None,
+        )
+        if top is None:
+            return False
+        below = {dot for dot, item in every.items() if item is top or top.saw(dot)}
+        if rule == "set" and self._emptied(schema, group, below):
+            return False  # until it is settled
+        if rule == "here" and not self.here and top.kind is Kind.WRITE and self._nowhere(schema, below):
+            return False
+        for sub, writes in group.items():
+            kept = [item for item in writes if item.edit.dot not in below and not top.saw(item.edit.dot)]
+            old = [item for item in writes if item.edit.dot in below and not item.void]
+            if old:
+                self._settle(schema, sub, merge.field(rule, old, self._base(schema, sub)).value)
+                if rule == "split":
+                    self._lift(sub, top)
+            if kept:
+                self.writes[sub] = kept
+            else:
+                del self.writes[sub]
+        return True
+
+    def _nowhere(self, schema: Schema, below: Collection[Dot]) -> bool:
+        return any(
+            merge.field(rule, [item for item in writes if item.edit.dot in below], None).base
+            for sub, writes in self.writes.items()
+            if (rule := schema.rule(self.table, sub[0])) in UNITS
+        )
+
+    def _emptied(self, schema: Schema, group: Mapping[Sub, list[Write]], below: Collection[Dot]) -> bool:
+        unit = next(iter(group))[0]
+        base = {sub: value for sub, value in schema.blank(self.table).items() if sub[0] == unit}
+        base |= {sub: value for sub, value in self.base.items() if sub[0] == unit}
+        old = {sub: [item for item in writes if item.edit.dot in below] for sub, writes in group.items()}
+        return merge.listed("set", old, base)[2]
+
+    def _settle(self, schema: Schema, sub: Sub, value: Any) -> None:
+        if sub == HERE:
+            self.here = bool(value)
+        elif value == schema.blank(self.table).get(sub) or (
+            not value and sub not in schema.blank(self.table)
+        ):
+            self.base.pop(sub, None)
+        else:
+            self.base[sub] = value
+
+    def _lift(self, sub: Sub, top: Edit) -> None:
+        """A part goes into the base that was changed by one who had seen its verdict."""
+        mark = (ENDED, sub[1])
+        value, write = merge.termed(self.writes.get(mark, ()), self.base.get(mark))
+        if value is not None and (write is None or top.saw(write.edit.dot)):
+            self.base[mark] = [value[0], value[1], False]
+
+    def _fold_registers(self, schema: Schema, group: Mapping[Sub, list[Write]], stable: Vector) -> bool:
+        moved = False
+        for sub, writes in group.items():
+            value, best = merge.termed(writes, self.base.get(sub))
+            if best is not None and stable.get(best.edit.dot[0], 0) < best.edit.dot[1]:
+                continue
+            if sub[0] == ENDED and best is not None:
+                above = [
+                    item
+                    for part, items in self.writes.items()
+                    if part[1] == sub[1] and schema.rule(self.table, part[0]) == "split"
+                    for item in merge.valid(items)
+                ]
+                if any(not item.edit.saw(best.edit.dot) for item in above):
+                    continue
+            self.base[sub] = value
+            kept = [item for item in writes if stable.get(item.edit.dot[0], 0) < item.edit.dot[1]]
+            moved = moved or len(kept) < len(writes)
+            if kept:
+                self.writes[sub] = kept
+            else:
+                del self.writes[sub]
+        return moved
+
+    @property
+    def gone(self) -> bool:
+        """Whether nothing is left to keep: deleted, and all have seen it."""
+        return not self.here and not self.writes
--- /dev/null
+++ b/packages/edits/src/larkweir_edits/state.py
@@ -0,0 +1,234 @@
+"""Rules: one copy's edits and what they come to. Its value is a function of the set of edits that were applied.
+
+Edits are applied in causal order; those whose causes are missing are held. What all copies have applied is put into
+the base (`collect`): an edit that is still to come has seen it, since its writer had applied it before.
+
+A writer that was not waited for any longer may still send an edit that had not seen what is in the base. The copy
+that finds this strikes the writer: past a number, what it wrote is proposals, at every copy alike (the smallest
+number counts).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from larkweir_edits.differences import Change, Now
+from larkweir_edits.edit import (
+    MOST_ENTRIES,
+    Dot,
+    Edit,
+    EditError,
+    Kind,
+    RowKey,
+    Sub,
+    Vector,
+    Wire,
+    covers,
+    encoded,
+    made,
+    read,
+    shaped,
+)
+from larkweir_edits.rows import Row, View
+from larkweir_edits.schema import Schema, Tables
+from larkweir_edits.whole import Check, Whole, whole
+
+MOST_EDITS = 10_000  # applied and not yet in every base
+MOST_MADE = 5_000  # of them, past which none is made here: both sides of a cut may go on until they meet
+MOST_HELD = 2_000  # whose causes are missing
+MOST_ROWS = 4_000  # of all tables, past which none is made here: 2,000 routes and their pools
+
+
+class State:
+    """`base` is what all copies began with; `origin` names it."""
+
+    def __init__(self, schema: Schema, origin: bytes = b"", base: Tables | None = None) -> None:
+        self.schema = schema
+        self.origin = origin
+        self.rows: dict[RowKey, Row] = {}
+        self.vector: dict[str, int] = {}  # applied
+        self.lasts: dict[str, Vector] = {}  # of each writer, the context of its last edit that is applied
+        self.log: dict[str, dict[int, bytes]] = {}  # that others may still lack, by writer and counter
+        self.held: dict[str, dict[int, Wire]] = {}  # whose causes are missing
+        self.raw: dict[Dot, bytes] = {}  # bytes of those
+        self.strikes: dict[str, int] = {}
+        self.folded: dict[str, int] = {}  # what may be in the base, and in the log no longer
+        self.struck: list[tuple[str, int]] = []  # found here, and to be told
+        self.refused = 0  # edits that found no room
+        self._made: dict[str, tuple[int, Vector]] = {}  # the last edit that was made here, by writer
+        self._views: dict[RowKey, View] = {}
+        self._whole: Whole | None = None
+        for table, rows in (base or {}).items():
+            for name, fields in rows.items():
+                row = self.rows[(table, name)] = Row(table, name, here=True)
+                blank = schema.blank(table)
+                parts = schema.parts(table, fields)
+                row.base = {
+                    sub: value for sub, value in parts.items() if sub not in blank or blank[sub] != value
+                }
+
+    # ------------------------------------------------ edits come in
+
+    @property
+    def size(self) -> int:
+        return sum(map(len, self.log.values())) + len(self.raw)
+
+    def has(self, dot: Dot) -> bool:
+        return self.vector.get(dot[0], 0) >= dot[1] or dot in self.raw
+
+    def take(self, writer: str, data: bytes) -> list[Edit]:
+        """An edit, whoever brought it: those that are applied by it. EditError where it is none."""
+        wire = shaped(data)
+        if self.has((writer, wire.count)):
+            return []
+        following = wire.count == self.vector.get(writer, 0) + 1
+        if (
+            self.size - len(self.raw) >= MOST_EDITS
+            or (len(self.raw) >= MOST_HELD and not following)
+            or (writer not in self.vector and len(self.vector) >= MOST_ENTRIES)
+        ):
+            self.refused += 1
+            return []
+        self.held.setdefault(writer, {})[wire.count] = wire
+        self.raw[(writer, wire.count)] = data
+        return self._go_on()
+
+    def _go_on(self) -> list[Edit]:
+        found: list[Edit] = []
+        moved = True
+        while moved:
+            moved = False
+            for writer in list(self.held):
+                waiting = self.held[writer]
+                while (wire := waiting.get(self.vector.get(writer, 0) + 1)) is not None:
+                    edit = read(writer, wire, self.lasts.get(writer, {}))
+                    if not covers(self.vector, {w: n for w, n in edit.seen.items() if w != writer}):
+                        break
+                    del waiting[wire.count]
+                    self._apply(edit, self.raw.pop(edit.dot))
+                    found.append(edit)
+                    moved = True
+                if not waiting:
+                    del self.held[writer]
+        return found
+
+    def _apply(self, edit: Edit, data: bytes) -> None:
+        writer, count = edit.dot
+        self.vector[writer] = count
+        self.lasts[writer] = edit.seen
+        self.log.setdefault(writer, {})[count] = data
+        self._whole = None
+        if edit.kind is Kind.STRIKE:
+            self._strike(edit.row[1], int(edit.changes[0][1]))
+            return
+        if writer not in self.strikes and not edit.saw_all(self.folded):
+            self._strike(writer, count - 1)
+            self.struck.append((writer, count - 1))
+        table, name = edit.row
+        if table not in self.schema.rules:
+            return  # of a newer version: kept, passed on, and no matter here
+        row = self.rows.get(edit.row)
+        if row is None:
+            row = self.rows[edit.row] = Row(table, name)
+        row.add(self.schema, edit, count > self.strikes.get(writer, count))
+        self._views.pop(edit.row, None)
+
+    def _strike(self, writer: str, number: int) -> None:
+        if number < self.strikes.get(writer, number + 1):
+            self.strikes[writer] = number
+            for row in self.rows.values():
+                row.mark(self.strikes)
+            self._views.clear()
+
+    # ------------------------------------------------ what it comes to
+
+    def whole(self, check: Check | None = None) -> Whole:
+        if self._whole is None:
+            self._whole = whole(self.schema, self.rows, self._views, check)
+        return self._whole
+
+    def now(self, key: RowKey) -> Now:
+        """A row for `differences`."""
+        row = self.rows.get(key)
+        if row is None:
+            return Now(False, self.schema.blank(key[0]))
+        view = self._views.get(key) or row.view(self.schema)
+        return Now(view.here, view.parts)
+
+    # ------------------------------------------------ edits are made
+
+    def make(self, writer: str, changes: Iterable[Change]) -> list[bytes]:
+        """Edits of a writer here, as bytes to be kept and then taken (`take`). One that is too long is made into
+        several by its fields. EditError, and none is made, where there is no room, or a field is too long.
+        """
+        count, before = self._made.get(writer, (0, {}))
+        if count <= self.vector.get(writer, 0):
+            count, before = self.vector.get(writer, 0), self.lasts.get(writer, {})
+        seen: Vector = {who: number for who, number in self.vector.items() if who != writer}
+        if covers(before, seen):
+            seen = before
+        found: list[bytes] = []
+        fresh: set[RowKey] = set()
+        todo = list(changes)[::-1]
+        while todo:
+            change = todo.pop()
+            try:
+                data = encoded(
+                    made((writer, count + 1), seen, change.kind, change.row, change.changes), before
+                )
+                shaped(data)
+            except EditError:
+                if len(change.changes) < 2:
+                    raise
+                half = len(change.changes) // 2
+                todo += [
+                    change._replace(changes=part) for part in (change.changes[half:], change.changes[:half])
+                ]
+                continue
+            found.append(data)
+            count += 1
+            before = seen
+            if change.row not in self.rows:
+                fresh.add(change.row)
+        if found and self.size + len(found) > MOST_MADE:
+            raise EditError(
+                f"{self.size} edits wait for copies that have not seen them; {MOST_MADE} at the most"
+            )
+        if fresh and len(self.rows) + len(fresh) > MOST_ROWS:
+            raise EditError(f"{len(self.rows) + len(fresh)} routes and pools; {MOST_ROWS} at the most")
+        if found:
+            self._made[writer] = (count, before)
+        return found
+
+    def floor(self, row: RowKey, sub: Sub) -> tuple[int, int]:
+        """The highest (term, number) of an owner's register; what is not above it is late."""
+        return self.rows[row].floor(sub) if row in self.rows else (-1, -1)
+
+    # ------------------------------------------------ what all have seen
+
+    def collect(self, stable: Mapping[str, int], check: Check | None = None) -> bool:
+        """Put into the base what all copies have applied. Nothing while the check has put something back: what an
+        edit was before must be there as long as it may be asked for.
+        """
+        stable = {
+            writer: count for writer, count in stable.items() if count and count <= self.vector.get(writer, 0)
+        }
+        if covers(self.folded, stable) or self.whole(check).back:
+            return False
+        stays = self.whole(check).stays
+        for key, row in list(self.rows.items()):
+            if not row.writes or key in stays:
+                continue
+            if row.fold(self.schema, stable):
+                self._views.pop(key, None)
+                if row.gone:
+                    del self.rows[key]
+        for writer, count in stable.items():
+            kept = {n: data for n, data in self.log.get(writer, {}).items() if n > count}
+            if kept:
+                self.log[writer] = kept
+            else:
+                self.log.pop(writer, None)
+        self.folded = {w: max(stable.get(w, 0), self.folded.get(w, 0)) for w in {**stable, **self.folded}}
+        self._whole = None
+        return True
