--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -28,7 +28,7 @@
 
 
 class Merge(Enum):
-    """What counts where two edits of a key had not seen each other. Each key of a route or a pool names one; why, stands
+    """What counts where two edits of a key had not seen each other. Each key of a route or a pool names one; why stands
     in docs/operators/edits.md.
     """
 
--- /dev/null
+++ b/packages/edits/src/larkweir_edits/digests.py
@@ -0,0 +1,199 @@
+"""Rules: what copies say to one another to find what either lacks, and how it is packed.
+
+Each tells the hash of its version vector, in sixteen ranges by writer (after Demers et al., "Epidemic Algorithms for
+Replicated Database Maintenance", 1987, and Merkle's trees, one level deep). Ranges that differ are told in full.
+What is lacking is asked for, never pushed, so that nobody is sent an edit by two at a time.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from hashlib import blake2b
+from typing import Any
+
+import msgspec
+
+from larkweir_edits.edit import MOST_TEXT
+
+RANGES = 16
+MOST_ITEM = 8 * 1024  # bytes, that a channel takes
+MOST_SPANS = 32  # gaps of one writer that are told
+_SHORT = 4  # bytes of a range's hash on the wire
+
+
+class Sum(msgspec.Struct, array_like=True, tag=1, frozen=True):
+    """The hash of all that is applied, and of each range. `fresh`: nothing ever was."""
+
+    origin: bytes
+    fresh: bool
+    total: bytes
+    ranges: bytes
+
+
+class Have(msgspec.Struct, array_like=True, tag=2, frozen=True):
+    """All that is had of the writers of some ranges between two names (after `low`, up to `high`, "" for no end): up to
+    a number, and spans [from, to] past it. `echo` asks for the same back.
+    """
+
+    origin: bytes
+    echo: bool
+    ranges: list[int]
+    low: str
+    high: str
+    writers: dict[str, list[int]]
+
+
+class Ask(msgspec.Struct, array_like=True, tag=3, frozen=True):
+    """Edits that are lacking: by writer, spans [from, to]."""
+
+    origin: bytes
+    spans: dict[str, list[int]]
+
+
+class Edits(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    origin: bytes
+    writer: str
+    edits: list[bytes]
+
+
+class Offer(msgspec.Struct, array_like=True, tag=5, frozen=True):
+    """What was asked for (an edit of a writer) is in the base by now: a whole state, in so many pieces, by its hash."""
+
+    origin: bytes
+    hash: bytes
+    pieces: int
+    writer: str
+    count: int
+
+
+class Want(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    hash: bytes
+    pieces: list[int]
+
+
+class Piece(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    hash: bytes
+    number: int
+    data: bytes
+
+
+Item = Sum | Have | Ask | Edits | Offer | Want | Piece
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER: msgspec.msgpack.Decoder[Item] = msgspec.msgpack.Decoder(Item)
+
+
+def packed(item: Item) -> bytes:
+    return _ENCODER.encode(item)
+
+
+def unpacked(data: bytes) -> Item | None:
+    """An item from outside; None where it is none that is known."""
+    if len(data) > MOST_ITEM:
+        return None
+    try:
+        item = _DECODER.decode(data)
+    except (msgspec.ValidationError, msgspec.DecodeError, RecursionError, ValueError):
+        return None
+    if isinstance(item, Sum) and (len(item.total) != 8 or len(item.ranges) != RANGES * _SHORT):
+        return None
+    if isinstance(item, Have) and not all(0 <= number < RANGES for number in item.ranges):
+        return None
+    if isinstance(item, Have | Ask):
+        told = item.writers if isinstance(item, Have) else item.spans
+        odd = 1 if isinstance(item, Have) else 0
+        for writer, numbers in told.items():
+            if len(writer) > MOST_TEXT or len(numbers) % 2 != odd or len(numbers) > 2 * MOST_SPANS + 1:
+                return None
+            if any(not 0 <= number < 1 << 53 for number in numbers):
+                return None
+    return item
+
+
+def range_of(writer: str) -> int:
+    return blake2b(writer.encode(), digest_size=1).digest()[0] % RANGES
+
+
+class Digest:
+    """The hashes of a version vector that grows."""
+
+    def __init__(self, vector: Mapping[str, int]) -> None:
+        self._range: dict[str, int] = {}
+        self._held: list[dict[str, int]] = [{} for _ in range(RANGES)]
+        self._hashes: list[bytes] = [b""] * RANGES
+        self._total = b""
+        for writer, count in vector.items():
+            self.put(writer, count)
+
+    def put(self, writer: str, count: int) -> None:
+        place = self._range.get(writer)
+        if place is None:
+            place = self._range[writer] = range_of(writer)
+        self._held[place][writer] = count
+        self._hashes[place] = self._total = b""
+
+    def _hash(self, place: int) -> bytes:
+        if not self._hashes[place]:
+            told = _ENCODER.encode(sorted(self._held[place].items()))
+            self._hashes[place] = blake2b(told, digest_size=8).digest()
+        return self._hashes[place]
+
+    @property
+    def total(self) -> bytes:
+        if not self._total:
+            self._total = blake2b(b"".join(map(self._hash, range(RANGES))), digest_size=8).digest()
+        return self._total
+
+    @property
+    def ranges(self) -> bytes:
+        return b"".join(self._hash(place)[:_SHORT] for place in range(RANGES))
+
+    def differ(self, ranges: bytes) -> list[int]:
+        """Those that another's hashes say are not the same."""
+        return [
+            place
+            for place in range(RANGES)
+            if self._hash(place)[:_SHORT] != ranges[place * _SHORT : (place + 1) * _SHORT]
+        ]
+
+    def writers(self, ranges: Iterable[int], low: str = "", high: str = "") -> list[str]:
+        """In order, of those between two names."""
+        found = [writer for place in set(ranges) for writer in self._held[place]]
+        return sorted(writer for writer in found if writer > low and (not high or writer <= high))
+
+
+def spans(counts: Iterable[int], most: int = MOST_SPANS) -> list[int]:
+    """Numbers as spans [from, to], flat."""
+    found: list[int] = []
+    for count in sorted(counts):
+        if found and found[-1] == count - 1:
+            found[-1] = count
+        elif len(found) >= 2 * most:
+            break
+        else:
+            found += [count, count]
+    return found
+
+
+def counts(flat: Sequence[int], most: int) -> Iterator[int]:
+    """Back from spans, so many at the most."""
+    left = most
+    for low, high in zip(flat[::2], flat[1::2], strict=False):
+        for count in range(low, min(high, low + left - 1) + 1):
+            yield count
+            left -= 1
+        if left <= 0:
+            return
+
+
+def filled(parts: Iterable[tuple[int, Any]], room: int) -> Iterator[list[Any]]:
+    """Things of some size each, in groups of so many bytes; a larger one is alone."""
+    group: list[Any] = []
+    size = 0
+    for length, part in parts:
+        if group and size + length > room:
+            yield group
+            group, size = [], 0
+        group.append(part)
+        size += length
+    if group:
+        yield group
--- a/packages/edits/src/larkweir_edits/state.py
+++ b/packages/edits/src/larkweir_edits/state.py
@@ -119,7 +119,11 @@
         self.log.setdefault(writer, {})[count] = data
         self._whole = None
         if edit.kind is Kind.STRIKE:
-            self._strike(edit.row[1], int(edit.changes[0][1]))
+            whom, number = edit.row[1], int(edit.changes[0][1])
+            self._strike(whom, number)
+            self.struck = [
+                item for item in self.struck if item[0] != whom or item[1] < number
+            ]  # told already
             return
         if writer not in self.strikes and not edit.saw_all(self.folded):
             self._strike(writer, count - 1)
