--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -17,32 +17,25 @@
 from larkweir_edits import digests
 from larkweir_edits.differences import Change, differences
 from larkweir_edits.digests import Ask, Digest, Edits, Have, Item, Offer, Piece, Sum, Want
-from larkweir_edits.edit import ENDED, HERE, STEP, Dot, EditError, Kind, RowKey, Sub, shaped
+from larkweir_edits.edit import ENDED, HERE, STEP, Dot, EditError, Kind, RowKey, Sub, covers, shaped
+from larkweir_edits.others import Others
 from larkweir_edits.schema import Schema, Tables
 from larkweir_edits.snapshot import dumped, loaded
 from larkweir_edits.state import State
 from larkweir_edits.whole import Check, Whole
+from larkweir_edits.wholes import Mail, Wholes
 
 REST_MS = 1_000.0  # from greeting to greeting, while all are the same
-BUSY_MS = 150.0  # and while something differs
+BUSY_MS = 100.0  # and while something differs
 BUSY_FOR_MS = 1_500.0
 COLLECT_MS = 10_000.0
-ASKED_MS = 400.0  # that an answer is waited for
+ASKED_MS = 150.0  # that an answer is waited for
 ASK = 96  # edits asked for at a time, and pieces of a state
 MOST_ASKED = 512
-FETCH_MS = 20_000.0  # without a piece, after which a state is given up
-MOST_PIECES = 100_000
+MOST_PENDING = 2_000  # records that are given to the log and not kept yet
 AWAY_MS = 7 * 86_400_000.0
 
 
-class Mail(Protocol):
-    """A channel to the other copies: what is posted may be lost, late or doubled."""
-
-    def post(self, to: str, item: bytes) -> bool: ...
-
-    def alive(self) -> Sequence[str]: ...
-
-
 class Log(Protocol):
     """Records that survive a crash, in order. The number of each is told back (`Copy.kept`) once it would."""
 
@@ -99,7 +92,7 @@
     ) -> None:
         self.schema, self.name, self.peers, self.check = schema, name, tuple(peers), check
         self._mail, self._log, self._rng = mail, log, rng
-        self._away_ms, self._room = away_ms, item
+        self._room = item
         self.state = State(schema, origin_of(schema, base), base)
         self.said: dict[str, dict[str, Mapping[str, Any]]] = {
             table: dict(base.get(table, {})) for table in schema.rules
@@ -109,16 +102,12 @@
         self._pending: deque[tuple[int, _Kept]] = deque()
         self._coming: set[Dot] = set()  # being written to the log
         self._asked: dict[Dot, float] = {}
-        self._agreed: dict[str, Mapping[str, int]] = {}  # of each peer, a vector that it had
-        self._heard = dict.fromkeys(self.peers, now_ms)
+        self._others = Others(self.peers, away_ms, now_ms)
         self._busy_until = now_ms
         self._greet_ms = now_ms + rng.uniform(0.0, BUSY_MS)
         self._collect_ms = now_ms + rng.uniform(0.5, 1.0) * COLLECT_MS
         self._turn = 0
-        self._offer: tuple[bytes, list[bytes], int] | None = (
-            None  # hash, pieces, edits applied when it was made
-        )
-        self._fetch: tuple[str, bytes, list[bytes | None], float] | None = None
+        self._wholes = Wholes(schema, mail, item)
         first = True
         for record in records:  # the first may be of a whole state
             self._replay(record, first)
@@ -136,6 +125,8 @@
         """Staff's file says this now. How many edits that made; EditError, and the file before counts on, where there
         is no room for them.
         """
+        if len(self._pending) >= MOST_PENDING:
+            raise EditError("the log does not take edits: see what is said of the disk")
         changes = list(differences(self.schema, self.said, tables, self.state.now))
         said: list[tuple[str, str, dict[str, Any] | None]] = []
         for table in self.schema.rules:
@@ -207,7 +198,9 @@
 
     def _enact(self, record: _Kept) -> None:
         if record.state:
-            self._adopt(loaded(self.schema, record.state))
+            new = loaded(self.schema, record.state)
+            if covers(new.vector, self.state.folded):  # else it is older than what is had
+                self._adopt(new)
         for data in record.edits:
             try:
                 applied = self.state.take(record.writer, data)
@@ -272,14 +265,14 @@
             rest = BUSY_MS if now_ms < self._busy_until else REST_MS
             self._greet_ms = now_ms + rest * self._rng.uniform(0.8, 1.2)
             self._asked = {dot: until for dot, until in self._asked.items() if until > now_ms}
-            if self._fetch is not None:
-                self._want(now_ms)
+            if self._wholes.want(now_ms):
+                self._busy_until = now_ms + BUSY_FOR_MS
             to = self._someone()
             if to:
                 self._greet(to)
         if now_ms >= self._collect_ms:
             self._collect_ms = now_ms + COLLECT_MS * self._rng.uniform(0.8, 1.2)
-            if self.state.collect(self._stable(now_ms), self.check):
+            if self.state.collect(self._others.stable(self.state.vector, now_ms), self.check):
                 self.counts["collected"] += 1
 
     def _someone(self) -> str:
@@ -291,7 +284,10 @@
         return self._rng.choice(among) if among else ""
 
     def _greet(self, to: str) -> None:
+        """Not while an edit of one's own is being written: it may not have seen what others would take it to have."""
         state = self.state
+        if any(record.writer == self.writer for _, record in self._pending):
+            return
         self._post(to, Sum(state.origin, not state.vector, self._digest.total, self._digest.ranges))
 
     def _post(self, to: str, item: Item) -> bool:
@@ -304,24 +300,25 @@
     def came(self, source: str, item: bytes, now_ms: float) -> None:
         """An item of another copy, whatever it be."""
         told = digests.unpacked(item)
-        if told is None or source not in self._heard:
+        if told is None or not self._others.hear(source, now_ms):
             self.counts["bad"] += 1
             return
-        self._heard[source] = now_ms
         if isinstance(told, Sum):
             self._on_sum(source, told, now_ms)
         elif isinstance(told, Want):
-            self._on_want(source, told)
+            self._wholes.on_want(source, told)
         elif isinstance(told, Piece):
-            self._on_piece(source, told, now_ms)
+            data = self._wholes.on_piece(source, told, now_ms)
+            if data:
+                self._keep(_Kept("", [], [], data))
         elif isinstance(told, Offer):
-            self._on_offer(source, told, now_ms)
+            self._wholes.on_offer(source, told, self.state, now_ms)
         elif told.origin != self.state.origin:
             self.counts["other_origin"] += 1
         elif isinstance(told, Have):
             self._on_have(source, told, now_ms)
         elif isinstance(told, Ask):
-            self._on_ask(source, told)
+            self._on_ask(source, told, now_ms)
         else:
             self._on_edits(source, told, now_ms)
 
@@ -330,14 +327,14 @@
         if told.origin != mine.origin:
             self.counts["other_origin"] += 1
             if mine.vector and told.fresh:
-                self._offer_to(source)
+                self._wholes.offer(source, mine, "", 0, now_ms)
             elif not mine.vector and not told.fresh:
                 self._greet(source)  # it will offer what it has
             return
         if told.total == self._digest.total:
             if not self._vector:
                 self._vector = dict(mine.vector)
-            self._agreed[source] = self._vector
+            self._others.agreed[source] = self._vector
             return
         self._hurry(now_ms)
         ranges = self._digest.differ(told.ranges)
@@ -370,7 +367,7 @@
     def _ask(self, source: str, told: Have, now_ms: float) -> None:
         """For what it has and is lacking here, unless somebody was asked just now."""
         self._hurry(now_ms)
-        left = min(ASK, MOST_ASKED - len(self._asked))
+        left = max(0, min(ASK, MOST_ASKED - len(self._asked)))
         wanted: dict[str, list[int]] = {}
         for writer, (upto, *more) in told.writers.items():
             known = self.state.vector.get(writer, 0)
@@ -394,11 +391,11 @@
             self.counts["asked"] += 1
             self._post(source, Ask(self.state.origin, dict(group)))
 
-    def _on_ask(self, source: str, told: Ask) -> None:
+    def _on_ask(self, source: str, told: Ask, now_ms: float) -> None:
         left = ASK
         for writer, flat in told.spans.items():
             if flat and flat[0] <= self.state.folded.get(writer, 0):
-                self._offer_to(source)
+                self._wholes.offer(source, self.state, writer, flat[0], now_ms)
                 return
             found = []
             for count in digests.counts(flat, left):
@@ -424,92 +421,20 @@
             if not self.state.has(dot) and dot not in self._coming:
                 self._coming.add(dot)
                 fresh.append(data)
-        if fresh:
+        if fresh and len(self._pending) >= MOST_PENDING:
+            self.counts["refused"] += len(fresh)
+            self._coming.difference_update((told.writer, shaped(data).count) for data in fresh)
+        elif fresh:
             self._keep(_Kept(told.writer, fresh))
         if not self._asked:
             self._greet(source)  # there may be more
         self._hurry(now_ms)
 
-    # ------------------------------------------------ what all have seen, and who was away
-
-    def _stable(self, now_ms: float) -> dict[str, int]:
-        """What every copy has applied that is waited for. One that was not heard of for too long is not, as long as
-        more than half of all are: so no two halves can go on without each other.
-        """
-        here = [name for name in self.peers if now_ms - self._heard[name] < self._away_ms]
-        if 2 * (len(here) + 1) <= len(self.peers) + 1:
-            return {}
-        if any(name not in self._agreed for name in here):
-            return {}
-        told = {id(vector): vector for vector in (self._agreed[name] for name in here)}.values()
-        stable = dict(self.state.vector)
-        for vector in told:
-            stable = {w: min(n, vector.get(w, 0)) for w, n in stable.items()}
-        return stable
+    # ------------------------------------------------ who was away
 
     def away(self, now_ms: float) -> list[str]:
         """Who is not waited for any longer."""
-        return [name for name in self.peers if now_ms - self._heard[name] >= self._away_ms]
-
-    def _offer_to(self, to: str) -> None:
-        applied = sum(self.state.vector.values())
-        if self._offer is None or self._offer[2] != applied:
-            data = dumped(self.state)
-            size = self._room - 30
-            pieces = [data[at : at + size] for at in range(0, len(data), size)]
-            self._offer = (blake2b(data, digest_size=8).digest(), pieces, applied)
-        self._post(to, Offer(self.state.origin, self._offer[0], len(self._offer[1])))
-
-    def _on_offer(self, source: str, told: Offer, now_ms: float) -> None:
-        busy = self._fetch is not None and now_ms - self._fetch[3] < FETCH_MS
-        known = told.origin == self.state.origin or not self.state.vector
-        if busy or not known or not 0 < told.pieces <= MOST_PIECES:
-            return
-        self._fetch = (source, told.hash, [None] * told.pieces, now_ms)
-        self._want(now_ms)
-
-    def _want(self, now_ms: float) -> None:
-        if self._fetch is None:
-            return
-        source, name, pieces, since = self._fetch
-        if now_ms - since >= FETCH_MS:
-            self._fetch = None
-            return
-        lacking = [n for n, piece in enumerate(pieces) if piece is None][:ASK]
-        self._busy_until = now_ms + BUSY_FOR_MS
-        for group in digests.filled(((3, n) for n in lacking), self._room - 20):
-            self._post(source, Want(name, group))
-
-    def _on_want(self, source: str, told: Want) -> None:
-        if self._offer is None or self._offer[0] != told.hash:
-            return
-        for number in told.pieces[:ASK]:
-            if 0 <= number < len(self._offer[1]):
-                self._post(source, Piece(told.hash, number, self._offer[1][number]))
-
-    def _on_piece(self, source: str, told: Piece, now_ms: float) -> None:
-        if self._fetch is None or (source, told.hash) != self._fetch[:2]:
-            return
-        pieces = self._fetch[2]
-        if not 0 <= told.number < len(pieces) or pieces[told.number] is not None:
-            return
-        pieces[told.number] = told.data
-        self._fetch = (*self._fetch[:3], now_ms)
-        got = sum(piece is not None for piece in pieces)
-        if got < len(pieces):
-            if got % ASK == 0:
-                self._want(now_ms)
-            return
-        self._fetch = None
-        data = b"".join(piece for piece in pieces if piece is not None)
-        try:
-            if blake2b(data, digest_size=8).digest() != told.hash:
-                raise EditError("no state: its hash differs")
-            loaded(self.schema, data)
-        except EditError:
-            self.counts["bad"] += 1
-            return
-        self._keep(_Kept("", [], [], data))
+        return self._others.away(now_ms)
 
     def _adopt(self, new: State) -> None:
         """Go on from another's state. What was known here and is not there is kept and taken anew: by the rules of
@@ -519,7 +444,7 @@
         self.counts["adopted"] += 1
         self.writer = self._life()
         self._vector = {}
-        self._agreed.clear()
+        self._others.agreed.clear()
         self._asked.clear()
         self._digest = Digest(new.vector)
         if old.origin != new.origin:
--- a/packages/edits/src/larkweir_edits/differences.py
+++ b/packages/edits/src/larkweir_edits/differences.py
@@ -37,6 +37,8 @@
     for table in schema.rules:
         before, after = old.get(table, {}), new.get(table, {})
         for name, fields in after.items():
+            if name in before and (before[name] is fields or before[name] == fields):
+                continue
             row = (table, name)
             parts = schema.parts(table, fields)
             if name in before:
--- a/packages/edits/src/larkweir_edits/log.py
+++ b/packages/edits/src/larkweir_edits/log.py
@@ -13,7 +13,7 @@
 import struct
 import threading
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from contextlib import suppress
 
 MAGIC = b"lwedits1"
@@ -139,10 +139,12 @@
                 self._wake.notify()
             return self._number
 
-    def begin_anew(self, record: bytes) -> None:
-        """A record that holds all that is kept; what was given since stays behind it."""
+    def begin_anew(self, records: Sequence[bytes]) -> None:
+        """With a record that holds all that counts, and behind it what was given and not told yet (`Copy.pending`): it
+        stands in the log before alone. What is given from now on comes behind these.
+        """
         with self._wake:
-            self._anew = record
+            self._anew = b"".join(map(framed, records))
             self._wake.notify()
 
     def close(self) -> None:
@@ -181,12 +183,12 @@
             if records:
                 self._told(number)
 
-    def _begin(self, record: bytes) -> None:
+    def _begin(self, records: bytes) -> None:
         new = self._generation + 1
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC | os.O_NOFOLLOW | os.O_APPEND
         number = os.open(self._path(new, "new"), flags, 0o600)
         try:
-            data = MAGIC + framed(record)
+            data = MAGIC + records
             self._calls.write(number, data)
             self._calls.flush(number)
             self._calls.rename(self._path(new, "new"), self._path(new))
