--- a/packages/edits/src/larkweir_edits/__init__.py
+++ b/packages/edits/src/larkweir_edits/__init__.py
@@ -1,1 +1,1 @@
-"""Edits of routes and pools, made at many places, that merge field by field."""
+"""Hands: the door of the package; see `copy`: edits of routes and pools that merge field by field."""
--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -26,8 +26,8 @@
 from larkweir_edits.wholes import Mail, Wholes
 
 REST_MS = 1_000.0  # from greeting to greeting, while all are the same
-BUSY_MS = 100.0  # and while something differs
-BUSY_FOR_MS = 1_500.0
+BUSY_MS = 100.0  # after something differed
+CALM = 1.5  # by so much longer from one to the next, while nothing does
 COLLECT_MS = 10_000.0
 ASKED_MS = 150.0  # that an answer is waited for
 ASK = 96  # edits asked for at a time, and pieces of a state
@@ -103,7 +103,7 @@
         self._coming: set[Dot] = set()  # being written to the log
         self._asked: dict[Dot, float] = {}
         self._others = Others(self.peers, away_ms, now_ms)
-        self._busy_until = now_ms
+        self._rest_ms = BUSY_MS
         self._greet_ms = now_ms + rng.uniform(0.0, BUSY_MS)
         self._collect_ms = now_ms + rng.uniform(0.5, 1.0) * COLLECT_MS
         self._turn = 0
@@ -262,11 +262,11 @@
 
     def tick(self, now_ms: float) -> None:
         if now_ms >= self._greet_ms:
-            rest = BUSY_MS if now_ms < self._busy_until else REST_MS
-            self._greet_ms = now_ms + rest * self._rng.uniform(0.8, 1.2)
+            self._greet_ms = now_ms + self._rest_ms * self._rng.uniform(0.8, 1.2)
+            self._rest_ms = min(REST_MS, self._rest_ms * CALM)
             self._asked = {dot: until for dot, until in self._asked.items() if until > now_ms}
             if self._wholes.want(now_ms):
-                self._busy_until = now_ms + BUSY_FOR_MS
+                self._hurry(now_ms)
             to = self._someone()
             if to:
                 self._greet(to)
@@ -294,7 +294,7 @@
         return self._mail.post(to, digests.packed(item))
 
     def _hurry(self, now_ms: float) -> None:
-        self._busy_until = now_ms + BUSY_FOR_MS
+        self._rest_ms = BUSY_MS
         self._greet_ms = min(self._greet_ms, now_ms + BUSY_MS * self._rng.random())
 
     def came(self, source: str, item: bytes, now_ms: float) -> None:
--- a/packages/edits/src/larkweir_edits/digests.py
+++ b/packages/edits/src/larkweir_edits/digests.py
@@ -18,7 +18,7 @@
 RANGES = 16
 MOST_ITEM = 8 * 1024  # bytes, that a channel takes
 MOST_SPANS = 32  # gaps of one writer that are told
-_SHORT = 4  # bytes of a range's hash on the wire
+_SHORT = 2  # bytes of a range's hash on the wire
 
 
 class Sum(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -148,12 +148,13 @@
         return b"".join(self._hash(place)[:_SHORT] for place in range(RANGES))
 
     def differ(self, ranges: bytes) -> list[int]:
-        """Those that another's hashes say are not the same."""
-        return [
+        """Those that are not the same, where another's total is not."""
+        found = [
             place
             for place in range(RANGES)
             if self._hash(place)[:_SHORT] != ranges[place * _SHORT : (place + 1) * _SHORT]
         ]
+        return found or list(range(RANGES))  # short hashes may be the same by chance
 
     def writers(self, ranges: Iterable[int], low: str = "", high: str = "") -> list[str]:
         """In order, of those between two names."""
--- a/packages/edits/src/larkweir_edits/log.py
+++ b/packages/edits/src/larkweir_edits/log.py
@@ -75,7 +75,9 @@
         self._calls = calls or Calls()
         self._wake = threading.Condition()
         self._queue: list[bytes] = []
-        self._anew: bytes | None = None  # with which the next log begins
+        self._anew: tuple[bytes, int] | None = (
+            None  # with which the next log begins, behind so many of the queue
+        )
         self._number = 0  # of the last record that was given
         self._ending = False
         self.broken = False
@@ -144,7 +146,7 @@
         stands in the log before alone. What is given from now on comes behind these.
         """
         with self._wake:
-            self._anew = b"".join(map(framed, records))
+            self._anew = b"".join(map(framed, records)), len(self._queue)
             self._wake.notify()
 
     def close(self) -> None:
@@ -162,16 +164,15 @@
                 self._wake.wait_for(lambda: self._queue or self._anew is not None or self._ending)
                 records, self._queue = self._queue, []
                 anew, number = self._anew, self._number
+                self._anew = None
                 if not records and anew is None:
                     return
             try:
-                if records:
-                    data = b"".join(map(framed, records))
-                    self._calls.write(self._file, data)
-                    self._calls.flush(self._file)
-                    self._size += len(data)
+                before = len(records) if anew is None else anew[1]
+                self._append(records[:before])
                 if anew is not None:
-                    self._begin(anew)
+                    self._begin(anew[0])
+                self._append(records[before:])
             except OSError as problem:
                 with self._wake:
                     self.broken = True
@@ -183,6 +184,13 @@
             if records:
                 self._told(number)
 
+    def _append(self, records: Sequence[bytes]) -> None:
+        if records:
+            data = b"".join(map(framed, records))
+            self._calls.write(self._file, data)
+            self._calls.flush(self._file)
+            self._size += len(data)
+
     def _begin(self, records: bytes) -> None:
         new = self._generation + 1
         flags = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC | os.O_NOFOLLOW | os.O_APPEND
@@ -201,5 +209,3 @@
         with suppress(OSError):
             os.unlink(self._path(self._generation))
         self._generation = new
-        with self._wake:
-            self._anew = None
