Nothing is put into the base nor told while an edit of one's own is being written

Such an edit may not have seen what was applied since it was made: others took it to have, and it became a proposal.

--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -88,7 +88,7 @@
         check: Check | None = None,
         records: Iterable[bytes] = (),
         away_ms: float = AWAY_MS,
-        item: int = 180,
+        item: int = 190,
     ) -> None:
         self.schema, self.name, self.peers, self.check = schema, name, tuple(peers), check
         self._mail, self._log, self._rng = mail, log, rng
@@ -272,9 +272,18 @@
                 self._greet(to)
         if now_ms >= self._collect_ms:
             self._collect_ms = now_ms + COLLECT_MS * self._rng.uniform(0.8, 1.2)
-            if self.state.collect(self._others.stable(self.state.vector, now_ms), self.check):
+            if not self._unwritten and self.state.collect(
+                self._others.stable(self.state.vector, now_ms), self.check
+            ):
                 self.counts["collected"] += 1
 
+    @property
+    def _unwritten(self) -> bool:
+        """Whether an edit of one's own is being written. It may not have seen what was applied since, so nothing may be
+        told that others take it to have seen, nor put into the base.
+        """
+        return any(record.writer == self.writer for _, record in self._pending)
+
     def _someone(self) -> str:
         """One who is thought to be there; each fourth time anyone, since who is thought gone may be back."""
         self._turn += 1
@@ -284,9 +293,8 @@
         return self._rng.choice(among) if among else ""
 
     def _greet(self, to: str) -> None:
-        """Not while an edit of one's own is being written: it may not have seen what others would take it to have."""
         state = self.state
-        if any(record.writer == self.writer for _, record in self._pending):
+        if self._unwritten:
             return
         self._post(to, Sum(state.origin, not state.vector, self._digest.total, self._digest.ranges))
 
