--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -42,6 +42,9 @@
     def keep(self, record: bytes) -> int: ...
 
 
+WHOLE = "*"  # stands for a writer where a record holds all that is kept
+
+
 class _Kept(msgspec.Struct, array_like=True):
     """A record: edits of a writer; with what staff's file says since then, where it is theirs; or a whole state."""
 
@@ -70,9 +73,11 @@
 
 
 class Copy:
-    """`name` is its peer's name, `peers` are all others. `rng` is this life's own, not seeded as another life's was: a
-    writer's name is made of it, so that no dot is used twice though a disk be of yesterday. `item` is the size that
-    items are filled to: what one datagram takes, so that one that is lost takes little with it.
+    """`name` is its peer's name, `peers` are all others. `base` is what staff's file says now; where there are
+    `records` of former lives it does not count, and `reload` tells what has changed since. `rng` is this life's own,
+    not seeded as another life's was: a writer's name is made of it, so that no dot is used twice though a disk be of
+    yesterday. `item` is the size that items are filled to: what one datagram takes, so that one that is lost takes
+    little with it.
     """
 
     def __init__(
@@ -108,12 +113,14 @@
         self._collect_ms = now_ms + rng.uniform(0.5, 1.0) * COLLECT_MS
         self._turn = 0
         self._wholes = Wholes(schema, mail, item)
-        first = True
-        for record in records:  # the first may be of a whole state
-            self._replay(record, first)
-            first = False
+        empty = True
+        for record in records:
+            self._replay(record)
+            empty = False
         self._vector = dict(self.state.vector)
         self._digest = Digest(self._vector)
+        if empty:  # what all began with is in the log too: the file may be another when it is read again
+            self._pending.append((log.keep(self.record()), _Kept(WHOLE, [])))
         self._strike(now_ms)
 
     def _life(self) -> str:
@@ -212,12 +219,12 @@
                 self._vector = {}
                 self._digest.put(*edit.dot)
 
-    def _replay(self, data: bytes, first: bool) -> None:
+    def _replay(self, data: bytes) -> None:
         try:
             record = _RECORDS.decode(data)
             if record.state:
                 self.state = loaded(self.schema, record.state)
-                if first:
+                if record.writer == WHOLE:
                     self.said = {table: {} for table in self.schema.rules}
             self._say(record.said)
             for edit in record.edits:
@@ -237,7 +244,7 @@
     def record(self) -> bytes:
         """All that is kept, in one record, with which a log may begin anew. What is pending comes after it."""
         said = [(table, name, dict(row)) for table, rows in self.said.items() for name, row in rows.items()]
-        return _ENCODER.encode(_Kept("", [], list(said), dumped(self.state)))
+        return _ENCODER.encode(_Kept(WHOLE, [], list(said), dumped(self.state)))
 
     def pending(self) -> list[bytes]:
         """What was given to the log and is not kept yet."""
