--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -223,7 +223,9 @@
         try:
             record = _RECORDS.decode(data)
             if record.state:
-                self.state = loaded(self.schema, record.state)
+                new = loaded(self.schema, record.state)
+                if record.writer == WHOLE or covers(new.vector, self.state.folded):
+                    self.state = new
                 if record.writer == WHOLE:
                     self.said = {table: {} for table in self.schema.rules}
             self._say(record.said)
--- a/packages/edits/src/larkweir_edits/merge.py
+++ b/packages/edits/src/larkweir_edits/merge.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
+from math import isfinite
 from typing import Any
 
 from larkweir_edits.edit import ENDED, SAID, STEP, Edit, Sub
@@ -56,9 +57,10 @@
     if not isinstance(text, str):
         return 0.0
     try:
-        return float(text[:-1]) / 100.0 if text.endswith("%") else float(text)
+        part = float(text[:-1]) / 100.0 if text.endswith("%") else float(text)
     except ValueError:
         return 0.0
+    return part if isfinite(part) else 0.0
 
 
 def _said(values: Sequence[Any]) -> list[Any]:
--- a/packages/edits/tests/test_edits_rules.py
+++ b/packages/edits/tests/test_edits_rules.py
@@ -8,7 +8,7 @@
 from edits_sample import BASE, DEFAULTS, RULES, Copy, meet
 from larkweir_edits.differences import Change
 from larkweir_edits.edit import ENDED, STEP, EditError, Kind
-from larkweir_edits.merge import PROPOSALS
+from larkweir_edits.merge import PROPOSALS, part_of
 from larkweir_edits.rows import CONFLICT, EMPTY, LATE, STAYS
 from larkweir_edits.schema import Schema
 from larkweir_edits.whole import BACK, NAMED
@@ -224,6 +224,14 @@
     for data in (b"", b"\xff" * 9, b"\x96\x01\x80\x00\xa1x\xa1y\xc0", b"\x00" * 9000):
         with pytest.raises(EditError):
             copy.state.take("b", data)
+    assert [part_of(text) for text in ("5%", "0.2", "nan%", "inf", "", None)] == [
+        0.05,
+        0.2,
+        0.0,
+        0.0,
+        0.0,
+        0.0,
+    ]
     wrong = Copy("b", checks=False)
     wrong.say("pool", "west", attempts="many", zones=(1, 2))
     wrong.give(copy)
