A successor waits for the operators' address that its predecessor still has

Cause: Daemon._open_control binds behind _take_over, while the predecessor has the address until its end, and a failed bind ended the life. Ruled out: the sockets of callers, which are passed on.

Change: where there is a predecessor, an address in use is tried again every 50 ms; the old life answers there meanwhile. Not taken: passing the socket on, which would put the old life's state out of staff's reach while it still owes answers; SO_REUSEPORT, which answers by either life. Result: a test over real processes, which fails without it.

--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import gc
 import os
 import signal
@@ -44,6 +45,7 @@
 class Daemon:
     """Runs a node until it is told to stop and owes nothing any more."""
 
+    CONTROL_MS = 50.0  # from try to try for an address that a predecessor still has
     STEP_MS = 10.0  # from look to look whether a list has come, or nothing is owed
     STATE_S = 5.0  # for a predecessor to say what it knows
     UPGRADE_MS = 3_000.0  # for one that somebody else has started to hand over; the new process is due in 6 s
@@ -214,16 +216,21 @@
         visitor.channel.say("state", self.node.knowledge(share=False))
 
     def _open_control(self) -> None:
-        """ConfigError where the address that operators are to call is not to be had."""
+        """ConfigError where the address that operators are to call is not to be had. A predecessor has it until its end,
+        and answers there; the sockets are this life's by then, so it is waited for.
+        """
         address = self._generation.config.control
-        if address is None:
+        if address is None or self._done.is_set():
             return
         from larkweir.control.server import ControlServer  # not imported where no address is named
 
         try:
             sock = ControlServer.bind(address)
         except OSError as problem:
-            raise ConfigError(f"control: {address[0]}:{address[1]}: {problem}") from None
+            if self._predecessor is None or problem.errno != errno.EADDRINUSE:
+                raise ConfigError(f"control: {address[0]}:{address[1]}: {problem}") from None
+            self.node.clock.after(self.CONTROL_MS, self._open_control)
+            return
         self._control = ControlServer(self.node.clock, self._order, self._say)
         self._control.start(sock)
 
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -17,7 +17,7 @@
 from standins.manager import ROOT
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, serve_ok
 from standins.ports import free_port
-from tests.lifecycle.service import Service, service, until
+from tests.lifecycle.service import Service, alive, service, until
 from tests.lifecycle.test_handover import Held
 from tests.upstreams.test_attempts import run
 
@@ -434,3 +434,33 @@
         upstream.close()
 
     run(work())
+
+
+def test_operators_reach_the_successor_where_they_reached_the_predecessor(tmp_path: Path) -> None:
+    """The old life has the address for as long as it owes an answer, and answers there itself."""
+
+    async def work() -> None:
+        held = Held()
+        upstream = await FakeUpstream(held).start()
+        async with service(tmp_path, upstream) as it:
+            control = free_port()
+            it.data["control"] = f"127.0.0.1:{control}"
+            it.write()
+            await it.start()
+            async with Caller(it.port) as out:
+                out.ask("look", b"", "/api?held")
+                it.signal(signal.SIGUSR2)
+                pid = await it.successor()
+                await until(lambda: len(upstream.seen) == 1, "the request that is held")
+                assert "state=draining" in await call(control, "STATUS")
+                held.go.set()
+                assert (await out.answer()).status == 200
+            assert await it.ended() == 0
+            while not (said := await call(control, "STATUS")):
+                await asyncio.sleep(0.01)
+            assert "state=ready" in said and alive(pid)
+            it.signal(signal.SIGTERM, pid)
+            await until(lambda: not alive(pid), "the successor's end")
+        upstream.close()
+
+    run(work())
