--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -227,7 +227,7 @@
         try:
             sock = ControlServer.bind(address)
         except OSError as problem:
-            if self._predecessor is None or problem.errno != errno.EADDRINUSE:
+            if self._predecessor is None or self._upgrade or problem.errno != errno.EADDRINUSE:
                 raise ConfigError(f"control: {address[0]}:{address[1]}: {problem}") from None
             self.node.clock.after(self.CONTROL_MS, self._open_control)
             return
