--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -216,7 +216,7 @@
         visitor.channel.say("state", self.node.knowledge(share=False))
 
     def _open_control(self) -> None:
-        """ConfigError where the address that operators are to call is not to be had. A predecessor has it until its end,
+        """ConfigError where the address that operators are to call is not to be had. A predecessor has it to its end,
         and answers there; the sockets are this life's by then, so it is waited for.
         """
         address = self._generation.config.control
