--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -21,7 +21,7 @@
     Ask,
     Catch,
     Digest,
-    Effect,
+    Effects,
     Held,
     KeeperSet,
     Known,
@@ -225,9 +225,10 @@
                 self.proposer.came(source, item, now_ms)
             case Adopted():
                 self.change.came(source, item, now_ms)
-            case Effect():
-                if self.followers.came_effect(source, item) and item.key in self.terms:
-                    self.terms[item.key].saw(item.record, now_ms)
+            case Effects():
+                for key, record in self.followers.came_effects(source, item, now_ms):
+                    if key in self.terms:
+                        self.terms[key].saw(record, now_ms)
             case Digest():
                 self.followers.came_digest(source, item, now_ms)
             case None:
--- a/packages/owners/src/larkweir_owners/effects.py
+++ b/packages/owners/src/larkweir_owners/effects.py
@@ -1,9 +1,9 @@
 """Rules: what followers take of the effects that a majority has taken, and how they hear of them.
 
 An effect is the whole state of its duty under a version (term, number). A follower takes it if its version is above the
-one held, and never goes back; all others count as late. News is passed on once, to a few (rumours); each second one
-peer is told what versions are held, and sends what is newer. What then does not come is read from the keepers. So a
-process sends the same however large the fleet is.
+one held, and never goes back; all others count as late. News is passed on once, to two others (rumours), while the
+budget lasts; each second one peer is told what versions are held, and both send what the other lacks. What then does
+not come is read from the keepers. So a process sends the same however large the fleet is, and however much happens.
 """
 
 from __future__ import annotations
@@ -13,20 +13,23 @@
 
 from larkweir_owners.messages import (
     MOST_NAME,
+    MOST_NEWS,
     MOST_VALUE,
     NO_VERSION,
     Digest,
-    Effect,
+    Effects,
     Record,
     Version,
     pack,
 )
 from larkweir_owners.ports import Mail, Registers, Result
 
-FAN = 3  # peers that news is passed on to
+FAN = 2  # peers that news is passed on to
+SPREAD_PER_S = 3.0  # items of news passed on, beyond a burst of
+SPREAD_BURST = 8.0
+ENTRY_BYTES = 96  # what an effect takes besides its key, names and value, at most
 DIGEST_MS = 1000.0
 DIGEST_KEYS = 64  # in one digest; further ones take turns
-ANSWERS = 8  # effects sent for one digest
 WANTED_MS = 1500.0  # what a peer said it has, and did not come, is read from the keepers after this
 MOST_KEYS = 4096
 
@@ -57,6 +60,8 @@
         self._mail, self._registers, self._pick, self._took = mail, registers, pick, took
         self._wanted: dict[str, tuple[Version, float]] = {}
         self._turn = ""
+        self._now_ms = 0.0
+        self._budget, self._spread_ms = SPREAD_BURST, 0.0
 
     def version(self, key: str) -> Version:
         record = self.held.get(key)
@@ -82,41 +87,46 @@
     def announce(self, key: str, record: Record) -> None:
         """News from this process. Whoever is to take the duty next hears it at once."""
         if self.take(key, record):
-            item = pack(Effect(key, record))
             if record.heir and record.heir != self.me:
-                self._mail.post(record.heir, item)
-            self._spread(item, record.heir)
+                self.remind(key, record)
+            self._spread([(key, record)], record.heir)
 
     def remind(self, key: str, record: Record) -> None:
-        """Once more to the heir, in case the news was lost."""
-        self._mail.post(record.heir, pack(Effect(key, record)))
-
-    def came_effect(self, source: str, item: Effect) -> bool:
-        if len(item.key) > MOST_NAME or len(item.record.value) > MOST_VALUE:
-            return False
-        if not self.take(item.key, item.record):
-            return False
-        self._spread(pack(item), source)
-        return True
+        """To the heir, once more in case the news was lost."""
+        self._mail.post(record.heir, pack(Effects(((key, record),))))
+
+    def came_effects(self, source: str, item: Effects, now_ms: float) -> list[tuple[str, Record]]:
+        """Those that are taken."""
+        self._now_ms = max(now_ms, self._now_ms)
+        taken = [
+            (key, record)
+            for key, record in item.news
+            if len(key) <= MOST_NAME and len(record.value) <= MOST_VALUE and self.take(key, record)
+        ]
+        if taken:
+            self._spread(taken, source)
+        return taken
 
     def came_digest(self, source: str, item: Digest, now_ms: float) -> None:
         """Send what is newer here; tell what is newer there, so that it is sent; wait for it."""
-        sent, mine = 0, []
+        news: list[tuple[str, Record]] = []
+        mine = []
         for key, term, number in item.versions[:DIGEST_KEYS]:
             version = self.version(key)
             if version > (term, number):
-                if sent < ANSWERS:
-                    sent += 1
-                    self._mail.post(source, pack(Effect(key, self.held[key])))
+                news.append((key, self.held[key]))
             elif version < (term, number) and len(key) <= MOST_NAME:
                 mine.append((key, *version))
                 if key not in self._wanted and len(self._wanted) < DIGEST_KEYS:
                     self._wanted[key] = ((term, number), now_ms)
+        if news:
+            self._mail.post(source, self._packed(news))
         if mine:
             self._mail.post(source, pack(Digest(tuple(mine))))
 
     def tick(self, now_ms: float) -> None:
         """Once a second; without a peer, and with nothing wanted, it does nothing."""
+        self._now_ms = max(now_ms, self._now_ms)
         self.next_ms = now_ms + DIGEST_MS
         keys = sorted(self.held)
         behind = [key for key in keys if key > self._turn]
@@ -136,7 +146,24 @@
         if result.record is not None and self.take(key, result.record):
             self.fetched += 1
 
-    def _spread(self, item: bytes, but: str) -> None:
+    def _spread(self, news: list[tuple[str, Record]], but: str) -> None:
+        passed, self._spread_ms = self._now_ms - self._spread_ms, self._now_ms
+        self._budget = min(SPREAD_BURST, self._budget + passed * SPREAD_PER_S / 1000.0)
+        if self._budget < 1.0:
+            return  # it goes by digests
         others = [name for name in self._mail.alive() if name not in (self.me, but)]
-        for peer in self._pick(others, FAN):
+        item = self._packed(news)
+        for peer in self._pick(others, min(FAN, int(self._budget))):
+            self._budget -= 1.0
             self._mail.post(peer, item)
+
+    def _packed(self, news: list[tuple[str, Record]]) -> bytes:
+        """As many as one item carries; the rest goes with a later digest."""
+        some: list[tuple[str, Record]] = []
+        size = 0
+        for key, record in news:
+            size += 4 * (len(key) + len(record.owner) + len(record.heir)) + len(record.value) + ENTRY_BYTES
+            if some and size > MOST_NEWS:
+                break
+            some.append((key, record))
+        return pack(Effects(tuple(some)))
--- a/packages/owners/src/larkweir_owners/keeper.py
+++ b/packages/owners/src/larkweir_owners/keeper.py
@@ -405,8 +405,9 @@
             if self.mode not in ("voting", "failed"):
                 self._known.clear()
                 self.next_ms = 0.0
-        if self.mode == "voting" or (self.mode == "new" and self._is_added()):
-            if self.mode == "new":
+        empty = self.mode in ("new", "lost") and not self.disk.born
+        if self.mode == "voting" or (empty and self._is_added()):
+            if empty:
                 self._born(self.disk.keepers.added[1:], step)
             keys: list[str] = sorted(k for k in self.disk.slots if k > item.after)
             more = len(keys) > PAGE_KEYS
--- a/packages/owners/src/larkweir_owners/messages.py
+++ b/packages/owners/src/larkweir_owners/messages.py
@@ -13,6 +13,7 @@
 MOST_ITEM = 8 * 1024  # bytes, what Mail carries
 MOST_VALUE = 6 * 1024  # bytes of a record's value; leaves room for names and lives
 MOST_NAME = 128  # characters of a key or a name
+MOST_NEWS = 7 * 1024  # bytes of keys, names and values in one item of effects
 
 Ballot: TypeAlias = tuple[int, str, int]  # counter, proposer's name, proposer's life
 Life: TypeAlias = tuple[int, int]  # how often the keeper's disk was new, and what that disk was called then
@@ -176,11 +177,10 @@
 # Of effects
 
 
-class Effect(Item, frozen=True, tag=14):
-    """What a majority has taken. The payload stands in the record's value."""
+class Effects(Item, frozen=True, tag=14):
+    """What a majority has taken, by key. The payloads stand in the records' values."""
 
-    key: str
-    record: Record
+    news: tuple[tuple[str, Record], ...]
 
 
 class Digest(Item, frozen=True, tag=15):
@@ -203,7 +203,7 @@
     | Page
     | Adopt
     | Adopted
-    | Effect
+    | Effects
     | Digest
 )
 
--- a/packages/owners/src/larkweir_owners/sets.py
+++ b/packages/owners/src/larkweir_owners/sets.py
@@ -32,6 +32,7 @@
 SETS_KEY = "\0keepers"
 AGAIN_MS = 300.0
 MOST_MS = 20_000.0  # a change that stands still for longer is left undone, and can be resumed
+TELLS = 4  # times that a settled set is told; a keeper that misses all goes on as if it were not settled
 LIVES = 1 << 20  # a new keeper's lives are numbered from its epoch times this
 
 
@@ -53,6 +54,7 @@
         self._adopted: dict[str, str | None] = {}  # from whom, keys up to which; None when all
         self._keys: set[str] = set()
         self._told: set[str] = set()
+        self._tells = 0
         self._then: Callable[[str], None] = lambda fault: None
 
     def begin(self, names: tuple[str, ...], then: Callable[[str], None], now_ms: float) -> str:
@@ -77,7 +79,7 @@
 
     def _start(self, state: str, then: Callable[[str], None], now_ms: float) -> None:
         self._now_ms, self._until_ms, self._then = now_ms, now_ms + MOST_MS, then
-        self.state, self.fault = state, ""
+        self.state, self.fault, self._tells = state, "", 0
         self._next, self._disk = None, 0
         self._adopted.clear()
         self._keys.clear()
@@ -96,6 +98,11 @@
         self._now_ms = now_ms
         self.next_ms = now_ms + AGAIN_MS if self.state else float("inf")
         if not self.state:
+            if self._tells and self._next is not None:
+                self._tells -= 1
+                self.next_ms = now_ms + AGAIN_MS
+                for name in self._told:
+                    self._mail.post(name, pack(Adopt(self._next)))
             return
         if now_ms >= self._until_ms:
             self._end(f"gave up while {self.state}")
@@ -108,7 +115,7 @@
         self._now_ms = now_ms
         match item:
             case Known() if self.state == "asking the new one" and source == self._new:
-                if item.mode != "new":
+                if item.word[0] != 0:
                     self._end(f"{source} has kept before: its file must be removed first")
                     return
                 self._disk = item.word[1]
@@ -206,8 +213,8 @@
     def _settled(self, result: Result) -> None:
         if result.outcome is Outcome.DONE and self._next is not None:
             self._proposer.adopt(self._next)
-            for name in self._told:  # whoever misses this hears of it when it refuses, or is refused
-                self._mail.post(name, pack(Adopt(self._next)))
             self._end("")
+            self._tells = TELLS
+            self.tick(self._now_ms)
         else:
             self._end("not settled; resume")
