--- a/packages/owners/tests/test_owners_file.py
+++ b/packages/owners/tests/test_owners_file.py
@@ -187,3 +187,12 @@
     lost = KeeperFile(Folder(folder), SET, lambda: 78)
     assert lost.open() == Disk(78, SET)
     lost.close()
+
+
+def test_a_file_that_is_written_anew_says_the_same() -> None:
+    for disk in states():
+        data = keeper_file.header(disk.disk)
+        for serial, entry in enumerate(disk.entries(), 1):
+            data += keeper_file.frame(serial, entry)
+        found = load(data, SET)
+        assert found is not None and found[0] == disk
--- a/packages/owners/tests/test_owners_rules.py
+++ b/packages/owners/tests/test_owners_rules.py
@@ -15,10 +15,12 @@
     Accepted,
     AnyItem,
     Ask,
+    Catch,
     Digest,
     Effects,
     KeeperSet,
     Known,
+    Page,
     Prepare,
     Promised,
     Record,
@@ -124,6 +126,23 @@
     assert isinstance(answer, Refused) and answer.why == "rest"
 
 
+def test_a_keeper_votes_when_both_others_have_taught_it_and_keeps_their_promises() -> None:
+    k = Keeper("k0", Disk(77, SET))
+    k.came("k1", Known((1, 10, 8), "voting", (1, 11, 9), SET))
+    k.came("k2", Known((1, 10, 6), "voting", (1, 12, 9), SET))
+    assert k.mode == "lost"
+    (sent, _) = k.tick(0.0).send
+    assert sent == ("k1", Catch((2, 77), ""))
+    low, high = (4, "p", 9), (7, "q", 8)
+    k.came("k1", Page((2, 77), "", (("d", high, low, NEW),), False, SET))
+    assert k.mode == "lost"
+    step = k.came("k2", Page((2, 77), "", (("d", low, (0, "", 0), None),), False, SET))
+    assert (k.mode, k.disk.slots["d"]) == ("voting", Slot(high, low, NEW))
+    assert len(step.flush) == 2
+    answer = only(k.came("p", Prepare(1, "d", (6, "p", 9))).send)
+    assert isinstance(answer, Refused) and answer.promised == high
+
+
 def test_a_disk_that_cannot_be_written_ends_the_voting() -> None:
     k = keeper()
     k.failed()
