--- a/packages/peers/tests/test_peers_rules.py
+++ b/packages/peers/tests/test_peers_rules.py
@@ -312,7 +312,7 @@
     assert a.members.due_ms > due + 55_000.0
     a.members.told(News(packed(B), S.ALIVE, 1), due + 60_000.0)
     assert a.members.due_ms == float("inf")  # a time that is past would look like a standstill later
-    a.members.told(News(packed(C), S.ALIVE, T), 0.0)
+    a.members.heard(a.members.table[C], T, 0.0)
     a.members.told(News(packed(C), S.DEAD, 0), 0.0)
     assert News(packed(C), S.ALIVE, T) in [
         rumour.news for rumour in a.members._rumours.values()
