--- a/tests/routes/test_switch.py
+++ b/tests/routes/test_switch.py
@@ -103,7 +103,7 @@
     it.settle()
     for name in ("default", "blue"):
         assert it.pools[name].decisions.fleet.servers[3].outstanding == 3
-        assert not len(it.pools[name].decisions.fleet.levels[0][0])  # no token: it is not idle for either
+        assert not it.pools[name].decisions.fleet.levels[0][0].items  # no token: it is not idle for either
     for number in (1, 2, 3):
         it.handle(5.0, AttemptEnded(number, 0, 3, Outcome.OK, True, 4.0))
     it.settle()
