Owners in the balancer: one timer, the keeper's disk on a thread, handing over before it goes

SIGTERM, PAUSE and a successor hand over first; the peers' address is let go when nothing is owned any more, 250 ms at the most. Duties: verdicts (the fleet's bets on a canary, factor by factor), ramps (steps in the register), drill. Each copy alone does as before where no beats of an owner come.

Measured: five processes on loopback, owner killed, paused, stopped: one owner each time, no effect twice.

--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -39,17 +39,22 @@
 
 
 def _beside(paths: Sequence[str]) -> list[str]:
-    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden."""
+    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden, and
+    owners without them."""
     found = []
     for path in (path for path in paths if path.endswith(".toml")):
-        options = decode_operator(_read(path)[0])[0].peers
-        if not options.on:
+        options = decode_operator(_read(path)[0])[0]
+        if not options.peers.on and not options.owners.on:
             continue
-        from larkweir.config.peering import peering  # not imported where it is off
+        from larkweir.config.peering import keeping, peering  # not imported where they are off
 
         for other in (other for other in paths if not other.endswith(".toml")):
             try:
-                peering(options, decode_platform(_read(other)[0], NOBODY))
+                config = decode_platform(_read(other)[0], NOBODY)
+                if options.owners.on:
+                    keeping(options, config)
+                else:
+                    peering(options.peers, config)
             except ConfigError as problem:
                 found.append(f"{path}: {problem} (beside {other})")
     return found
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -284,6 +284,42 @@
         return found
 
 
+DUTIES = ("verdicts", "ramps", "probes", "drill")
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Owners:
+    """The table `[owners]`: work on behalf of the fleet, by one owner at a time."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # The three or five balancers, by the names that `[peers]` has, whose majority says who owns what.
+    keepers: tuple[str, ...] = option((), Change.HANDOVER)
+    # Where this process keeps what it has promised, if it is a keeper: a folder of its own, on a disk that stays.
+    folder: str = option("", Change.HANDOVER)
+    # An owner that is not heard for so long is followed by another.
+    lease_ms: float = option(3_000.0, Change.HANDOVER, low=200.0, high=600_000.0)
+    # What this process takes part in: "verdicts", "ramps", "probes", and "drill", a counter to practise on.
+    duties: tuple[str, ...] = option(("verdicts", "ramps", "probes"), Change.HANDOVER)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        for text in self.keepers:
+            address = listen_address(text)
+            if address is None or isinstance(address, str) or not address[1]:
+                found["keepers"] = f"{text!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946"
+        if (self.on or self.keepers) and (
+            len(self.keepers) not in (3, 5) or len(set(self.keepers)) != len(self.keepers)
+        ):
+            found.setdefault("keepers", f"{len(set(self.keepers))} balancers; write three or five, each once")
+        if self.folder and not self.folder.startswith("/"):
+            found["folder"] = f"{self.folder!r:.100} is no folder; write a path from the root of the disk"
+        unknown = next((name for name in self.duties if name not in DUTIES), None)
+        if unknown is not None:
+            found["duties"] = f"{unknown!r:.40} is no duty; there are {', '.join(DUTIES)}"
+        return found
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -454,6 +490,7 @@
     store: Store = field(default_factory=Store)
     remembered: Remembered = field(default_factory=Remembered)
     peers: Peers = field(default_factory=Peers)
+    owners: Owners = field(default_factory=Owners)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -486,6 +523,7 @@
     "store": Store,
     "remembered": Remembered,
     "peers": Peers,
+    "owners": Owners,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -4,7 +4,7 @@
 
 from typing import NamedTuple
 
-from larkweir.config.options import Peers, listen_address
+from larkweir.config.options import Operator, Peers, listen_address
 from larkweir.config.platform import Config, ConfigError
 
 
@@ -40,3 +40,18 @@
         if not options.key_file and not text.startswith("127."):
             raise ConfigError(f"peers.key_file: {text} is beyond loopback: that takes a key")
     return Peering(listen, name, others)
+
+
+def keeping(options: Operator, config: Config) -> Peering:
+    """Who this process is among its peers, where `[owners]` is on. ConfigError, one line, where it can't be."""
+    own = options.owners
+    if not options.peers.on:
+        raise ConfigError("owners.on: it needs peers: write on = true in [peers], or false here")
+    found = peering(options.peers, config)
+    known = {found.name, *found.others}
+    stranger = next((name for name in own.keepers if name not in known), None)
+    if stranger is not None:
+        raise ConfigError(f"owners.keepers: {stranger} is none of the {len(known)} peers")
+    if found.name in own.keepers and not own.folder:
+        raise ConfigError(f"owners.folder: {found.name} is a keeper: say where it keeps what it has promised")
+    return found
--- /dev/null
+++ b/larkweir/fleet/duties/__init__.py
@@ -0,0 +1,1 @@
+"""Work that one balancer does for all, as rules without I/O. Not imported where `[owners]` is off."""
--- /dev/null
+++ b/larkweir/fleet/duties/ramps.py
@@ -0,0 +1,206 @@
+"""Rules: ramps stepped once for all copies.
+
+The register holds each ramp's step, from 1 to `Ramp.STEPS`. The owner adds one when the present step has counted for a
+twentieth of the ramp's span by its own clock, from when it saw that step first. A new owner counts from when it saw it,
+so that a step may last longer over an owner's death, never shorter; and since each write is conditional on the state
+before it, no step is left out and none is taken back.
+
+A copy never goes back: it follows the register's step, a newcomer at once; where no owner's beats come it goes on from
+where it is, by its own clock, as it does without owners; and once it is led again it waits until the fleet has come up
+to it. The fleet begins at the lowest step that any copy tells of in the first half second.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Protocol
+
+import msgspec
+from larkweir_owners.messages import Version
+
+from larkweir.fleet.duties.words import (
+    BEAT_MS,
+    FORGET_MS,
+    MOST_ROWS,
+    Beats,
+    Due,
+    Report,
+    Wish,
+    WishReport,
+)
+from larkweir.routes.split import Ramp
+
+MOST_RAMPS = 64  # at a time; further ones are each copy's own
+OPEN_MS = 500.0  # from the first word of a ramp until it counts
+LOOK_MS = 250.0  # between two looks of a copy
+LAST = Ramp.STEPS
+
+
+class Stepped(msgspec.Struct, frozen=True, array_like=True):
+    key: str
+    span_ms: float
+    step: int
+
+
+class State(msgspec.Struct, frozen=True, array_like=True):
+    """What the register holds."""
+
+    beat: int = 0
+    ramps: tuple[Stepped, ...] = ()
+
+
+_encode = msgspec.msgpack.Encoder().encode
+_decoder: msgspec.msgpack.Decoder[State] = msgspec.msgpack.Decoder(State)
+
+
+def read(state: bytes) -> State:
+    """A state that can't be read is none: the duty begins anew, and copies don't go back."""
+    try:
+        return _decoder.decode(state)
+    except msgspec.DecodeError:
+        return State()
+
+
+class Ramping(Protocol):
+    """The routes' side. By key, which is the same wherever the file says the same: name, span, and since when."""
+
+    stepped: dict[str, int]  # by name, what counts
+
+    def ramping(self) -> Mapping[str, tuple[str, float, float]]: ...
+
+
+@dataclass(slots=True)
+class _Own:
+    step: int
+    at_ms: float  # when it came to this step
+    due: Due
+
+
+@dataclass(slots=True)
+class _Opening:
+    since_ms: float
+    span_ms: float
+    step: int
+
+
+class Ramps:
+    name = "ramps"
+
+    def __init__(self, life: int, ramping: Callable[[], Ramping]) -> None:
+        """`ramping`: the present generation of routes."""
+        self.next_ms = 0.0
+        self.state = State()
+        self.refused = 0
+        self._life, self._ramping = life, ramping
+        self._beats = Beats()
+        self._news = False
+        self._own: dict[str, _Own] = {}
+        self._seen: dict[str, tuple[int, float]] = {}  # of the register: the step, and when it was seen first
+        self._heard: dict[str, float] = {}  # when any copy told of it
+        self._opening: dict[str, _Opening] = {}
+        self._beat_ms = float("-inf")
+        self._term = self._stepped_term = 0
+
+    # ------------------------------------------------ the owner
+
+    def came(self, source: str, report: Report, now_ms: float) -> None:
+        if not isinstance(report, WishReport):
+            return
+        held = {ramp.key for ramp in self.state.ramps}
+        for row in report.rows[:MOST_ROWS]:
+            if len(row.key) > 64 or not 1 <= row.step <= LAST or not 0.0 < row.span_ms <= 1e10:
+                self.refused += 1
+            elif row.key in held:
+                self._heard[row.key] = now_ms
+            elif row.key in self._opening:
+                opening = self._opening[row.key]
+                opening.step = min(opening.step, row.step)
+            elif len(self._opening) + len(held) < MOST_RAMPS:
+                self._opening[row.key] = _Opening(now_ms, row.span_ms, row.step)
+            else:
+                self.refused += 1
+
+    def step(self, state: bytes, now_ms: float) -> bytes | None:
+        held = read(state)
+        self._see(held, now_ms)
+        if self._stepped_term != self._term:  # the first step under this term
+            self._stepped_term = self._term
+            self._heard = {ramp.key: now_ms for ramp in held.ramps}
+            self._beat_ms = float("-inf")
+        found: list[Stepped] = []
+        for ramp in held.ramps:
+            if now_ms - self._heard.setdefault(ramp.key, now_ms) >= FORGET_MS:
+                del self._heard[ramp.key]
+                continue
+            due = now_ms - self._seen[ramp.key][1] >= ramp.span_ms / LAST
+            found.append(Stepped(ramp.key, ramp.span_ms, min(LAST, ramp.step + due)))
+        for key, opening in list(self._opening.items()):
+            if now_ms - opening.since_ms >= OPEN_MS:
+                del self._opening[key]
+                if key not in self._seen and len(found) < MOST_RAMPS:
+                    found.append(Stepped(key, opening.span_ms, opening.step))
+                    self._heard[key] = now_ms
+        going = any(ramp.step < LAST for ramp in found)
+        if tuple(found) == held.ramps and (not going or now_ms - self._beat_ms < BEAT_MS):
+            return None
+        self._beat_ms = now_ms
+        return _encode(State(held.beat + 1, tuple(found)))
+
+    def _see(self, held: State, now_ms: float) -> None:
+        """Late rather than early: from the first look after it was taken."""
+        if len(self._seen) != len(held.ramps):
+            keys = {ramp.key for ramp in held.ramps}
+            self._seen = {key: value for key, value in self._seen.items() if key in keys}
+        for ramp in held.ramps:
+            seen = self._seen.get(ramp.key)
+            if seen is None or seen[0] != ramp.step:
+                self._seen[ramp.key] = (ramp.step, now_ms)
+
+    # ------------------------------------------------ every copy
+
+    def took(self, state: bytes, version: Version) -> None:
+        before, self.state = self.state, read(state)
+        self._term = version[0]
+        self._news = self._news or self.state.ramps != before.ramps
+        self._beats.took()
+        self.next_ms = 0.0
+
+    def notable(self) -> bool:
+        found, self._news = self._news, False
+        return found
+
+    def tick(self, now_ms: float) -> list[Report]:
+        self._see(self.state, now_ms)
+        led = self._beats.led(now_ms)
+        fleet = {ramp.key: ramp.step for ramp in self.state.ramps}
+        routes = self._ramping()
+        ramping = routes.ramping()
+        for key in [key for key in self._own if key not in ramping]:
+            del self._own[key]
+        rows: list[Wish] = []
+        for key, (name, span, since) in ramping.items():
+            own = self._own.get(key)
+            if own is None:
+                step = Ramp(1.0, span).step(now_ms - since)
+                own = self._own[key] = _Own(step, since + (step - 1) * span / LAST, Due(now_ms))
+            self._go(own, fleet.get(key), led, span, now_ms)
+            routes.stepped[name] = own.step
+            if own.due.wants(key in fleet, now_ms):
+                rows.append(Wish(key, span, own.step))
+        self.next_ms = now_ms + LOOK_MS
+        return [
+            WishReport(self._life, tuple(rows[at : at + MOST_ROWS])) for at in range(0, len(rows), MOST_ROWS)
+        ]
+
+    @staticmethod
+    def _go(own: _Own, fleet: int | None, led: bool, span_ms: float, now_ms: float) -> None:
+        gap = span_ms / LAST
+        if fleet is not None and fleet > own.step:
+            own.step, own.at_ms = fleet, now_ms
+        if fleet is not None and led:
+            own.at_ms = max(own.at_ms, now_ms - gap)  # what it waits for it does not make up for alone
+            return
+        while own.step < LAST and now_ms - own.at_ms >= gap:
+            own.step += 1
+            own.at_ms += gap
--- /dev/null
+++ b/larkweir/fleet/duties/words.py
@@ -0,0 +1,128 @@
+"""Rules: what copies tell the owner of a duty, and what each duty has beside `larkweir_owners.ports.Duty`.
+
+Reports are cumulative under one term: one that is lost, doubled or late does no harm, since the next says it all again,
+and an older one is known by its number.
+"""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+from larkweir_owners.messages import Version
+
+BEAT_MS = 1000.0  # an owner shows that it is there, while there is something to do
+ALONE_MS = 4000.0  # a copy that has heard none for so long goes on alone
+FORGET_MS = 120_000.0  # what no copy has told of for so long is over
+REFRESH_MS = 30_000.0  # a copy tells again what has not changed
+REPORT_MS = 50.0  # between two reports of one copy
+AGAIN_MS = (250.0, 1000.0)  # and told again, in case it was lost
+MOST_COPIES = 4096
+MOST_ROWS = 16  # in one report
+
+
+class Evidence(msgspec.Struct, frozen=True, array_like=True):
+    """What one copy has seen of one canary since the term began. `logs`: by kind of bad end and factor, the bet's
+    logarithm in thousandths, rounded down. `counts`: requests, bad and slow ends, each the control's and the
+    canary's."""
+
+    key: str
+    alpha: float
+    logs: tuple[int, ...]
+    counts: tuple[int, ...]
+
+
+class Wish(msgspec.Struct, frozen=True, array_like=True):
+    """A ramp that this copy's file asks for, and the step at which this copy is."""
+
+    key: str
+    span_ms: float
+    step: int
+
+
+class EvidenceReport(msgspec.Struct, frozen=True, array_like=True, tag="v"):
+    life: int  # of the copy
+    term: int  # under which it is counted
+    number: int  # counts this life's reports
+    rows: tuple[Evidence, ...]
+
+
+class WishReport(msgspec.Struct, frozen=True, array_like=True, tag="w"):
+    life: int
+    rows: tuple[Wish, ...]
+
+
+Report = EvidenceReport | WishReport
+pack = msgspec.msgpack.Encoder().encode
+_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(EvidenceReport | WishReport)
+
+
+def unpack(data: bytes) -> Report | None:
+    """None for what is no report."""
+    try:
+        return _decoder.decode(data)
+    except msgspec.DecodeError:
+        return None
+
+
+class Work(Protocol):
+    """A duty as the balancer drives it: `Duty` with what copies do for it."""
+
+    next_ms: float  # when `tick` is due
+
+    @property
+    def name(self) -> str: ...
+
+    def step(self, state: bytes, now_ms: float) -> bytes | None: ...
+
+    def took(self, state: bytes, version: Version) -> None: ...
+
+    def came(self, source: str, report: Report, now_ms: float) -> None:
+        """A copy's report; every process may be sent one, and the owner makes use of it."""
+        ...
+
+    def tick(self, now_ms: float) -> list[Report]:
+        """As a copy: what to tell the owner now."""
+        ...
+
+    def notable(self) -> bool:
+        """Whether what was taken last is more than a beat. Asked once for each."""
+        ...
+
+
+class Beats:
+    """Whether an owner is there, as a copy sees it: by effects alone, whatever membership says."""
+
+    __slots__ = ("_fresh", "_heard_ms")
+
+    def __init__(self) -> None:
+        self._fresh = False
+        self._heard_ms = float("-inf")
+
+    def took(self) -> None:
+        self._fresh = True
+
+    def led(self, now_ms: float) -> bool:
+        if self._fresh:
+            self._fresh, self._heard_ms = False, now_ms
+        return now_ms - self._heard_ms < ALONE_MS
+
+
+class Due:
+    """When a row is told: at once when it has changed, again in case that was lost, then from time to time."""
+
+    __slots__ = ("_said", "_sent", "due_ms")
+
+    def __init__(self, now_ms: float) -> None:
+        self._said: object = None
+        self._sent = 0
+        self.due_ms = now_ms
+
+    def wants(self, value: object, now_ms: float) -> bool:
+        if value != self._said:
+            self._said, self._sent = value, 0
+        elif now_ms < self.due_ms:
+            return False
+        self.due_ms = now_ms + (AGAIN_MS[self._sent] if self._sent < len(AGAIN_MS) else REFRESH_MS)
+        self._sent += 1
+        return True
--- /dev/null
+++ b/larkweir/fleet/owners.py
@@ -0,0 +1,405 @@
+"""Hands: the fleet's owners as a part of a balancer: one timer, the mail of two channels, and the keeper's disk on a
+thread of its own. Not imported where `[owners]` is off.
+
+What is under way here no request waits for. This life takes part while the peers' address is its own: a successor
+comes up, finds the address taken, and begins when this one has handed over.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import suppress
+from random import Random
+from secrets import randbits
+from typing import Protocol, TypeVar
+
+from larkweir_owners.duty import Owners
+from larkweir_owners.keeper import Disk, Keeper, Step
+from larkweir_owners.keeper_file import Folder, KeeperFile
+from larkweir_owners.messages import KeeperSet, Version
+from larkweir_owners.terms import Times
+from larkweir_peers.hands import Socket
+
+from larkweir.config.options import Operator
+from larkweir.config.peering import keeping
+from larkweir.config.platform import Config
+from larkweir.core.clock import Clock, Timer
+from larkweir.core.journal import Journal
+from larkweir.fleet.duties.drill import Drill
+from larkweir.fleet.duties.ramps import Ramps
+from larkweir.fleet.duties.verdicts import Verdicts
+from larkweir.fleet.duties.words import Report, Work, pack, unpack
+from larkweir.routes.hands import Routes
+from larkweir.routes.trial import Trial
+
+T = TypeVar("T")
+OWNERS, REPORTS = 1, 4  # channels of the peers' mail
+STEP_MS = 50.0  # between two steps of a duty
+AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
+LEAVE_MS = 250.0  # for handing over, at the most
+MOST_SAID = 20  # lines on effects, a second
+
+
+class Host(Protocol):
+    """What a balancer gives to this part."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    routes: Routes | None
+
+
+class _Told:
+    """A duty, with what is taken told to the log."""
+
+    def __init__(self, work: Work, say: Callable[[str], None]) -> None:
+        self.work = work
+        self.name = work.name
+        self._say = say
+
+    def step(self, state: bytes, now_ms: float) -> bytes | None:
+        return self.work.step(state, now_ms)
+
+    def took(self, state: bytes, version: Version) -> None:
+        self.work.took(state, version)
+        if state and self.work.notable():
+            self._say(f"owners: {self.name} {version[0]}.{version[1]} taken")
+
+
+class Part:
+    """From `attach` to `close`. `pause` and `hold` may be called at any time."""
+
+    def __init__(self, host: Host, socket: Socket, options: Operator, me: str) -> None:
+        own = options.owners
+        self.me = me
+        self.options = own
+        self.keepers = KeeperSet(1, own.keepers)
+        self.keeps = me in own.keepers
+        self._clock, self._journal, self._routes = host.clock, host.journal, host.routes
+        self._socket = socket
+        self._loop = asyncio.get_running_loop()
+        self._rng = Random()
+        self._mail = socket.mail(OWNERS, self._came)
+        self._reports = socket.mail(REPORTS, self._reported)
+        self._times = Times(lease_ms=own.lease_ms, step_ms=STEP_MS)
+        self.owners: Owners | None = None
+        self.works: dict[str, Work] = {}
+        self._timer: Timer | None = None
+        self._due_ms = 0.0
+        self._owned: dict[str, int] = {}  # with their terms
+        self._why = ""  # the next that is given up is given up for this
+        self._rests = self._closed = self._leaving = False
+        self._thread: ThreadPoolExecutor | None = None
+        self._file: KeeperFile | None = None
+        self._flushing = False
+        self._trouble = ""
+        self._said = 0
+        self._said_ms = 0.0
+        self._fired: Timer | None = self._clock.after(0.0, self._begin)
+
+    # ------------------------------------------------ begin, end
+
+    def _begin(self) -> None:
+        """Once the address is this life's, and the keeper's file open where it is one."""
+        self._fired = None
+        if self._closed or self._leaving or self.owners is not None:
+            return
+        if not self._socket.open:
+            self._fired = self._clock.after(AGAIN_MS, self._begin)
+            return
+        if not self.keeps:
+            self._build(None)
+            return
+        self._thread = self._thread or ThreadPoolExecutor(1, "keeper")
+        file = KeeperFile(Folder(self.options.folder), self.keepers, lambda: randbits(63))
+        self._then(self._thread.submit(_opened, file), lambda found: self._opened(file, found))
+
+    def _opened(self, file: KeeperFile, found: Disk | str) -> None:
+        if self._closed or self._leaving or self.owners is not None:
+            self._shut(file)
+        elif isinstance(found, str):
+            if found != self._trouble:
+                self._trouble = found
+                self._say(f"owners: {self.options.folder}: {found}; tried again, and not a keeper until then")
+            self._shut(file)
+            self._fired = self._clock.after(AGAIN_MS, self._begin)
+        else:
+            self._trouble = ""
+            self._file = file
+            self._build(Keeper(self.me, found))
+
+    def _build(self, keeper: Keeper | None) -> None:
+        life = randbits(31)
+        self.works = {work.name: work for work in self._duties(life)}
+        self.owners = Owners(
+            self.me,
+            life,
+            self.keepers,
+            [_Told(work, self._tell) for work in self.works.values()],
+            self._mail,
+            self._rng.random,
+            self._pick,
+            self._times,
+            keeper,
+        )
+        if self._rests:
+            self.owners.drain(self._clock.now_ms())
+        self._due_ms = self._clock.now_ms()
+        self._turn()
+
+    def _duties(self, life: int) -> list[Work]:
+        routes, found = self._routes, list[Work]()
+        for name in self.options.duties:
+            if name == "drill":
+                found.append(Drill())
+            elif name == "verdicts" and routes is not None:
+                found.append(Verdicts(life, lambda: _Trying(routes)))
+            elif name == "ramps" and routes is not None:
+                found.append(Ramps(life, lambda: routes.router))
+        return found
+
+    def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
+        return self._rng.sample(list(names), min(most, len(names)))
+
+    def _stop(self) -> None:
+        """Nothing of it any more; the file is closed behind what is being flushed."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        for name in self._owned:
+            self._say(f"owners: {name} given up: not handed over in time")
+        self.owners, self.works, self._owned = None, {}, {}
+        file, self._file = self._file, None
+        if file is not None:
+            self._shut(file)
+        self._alone()
+
+    def _alone(self) -> None:
+        if self._routes is None:
+            return
+        for trial in self._routes.router.on_trial().values():
+            trial.alone = True
+
+    def _shut(self, file: KeeperFile) -> None:
+        assert self._thread is not None
+        self._thread.submit(file.close)
+
+    def pause(self, paused: bool, ends: bool = False) -> None:
+        """Paused, or draining towards its end: it hands over what it owns and takes nothing; it goes on as a keeper."""
+        rests = paused or ends or self._leaving
+        if rests == self._rests:
+            return
+        self._rests = rests
+        self._why = "draining" if ends else "a successor goes on" if self._leaving else "paused"
+        if self.owners is None:
+            return
+        now = self._clock.now_ms()
+        if rests:
+            self.owners.drain(now)
+        else:
+            self._why = ""
+            self.owners.go_on(now)
+        self._settle()
+
+    def hold(self, held: bool) -> None:
+        """Held: a successor goes on under the name; it gets the address once all is handed over."""
+        if held and not self._leaving:
+            self._leaving = True
+            self.pause(False)
+            self._left(self._clock.now_ms() + LEAVE_MS)
+        elif not held and self._leaving:
+            self._leaving = self._rests = False
+            self._stop()
+            self._socket.hold(False)
+            if self._fired is not None:
+                self._fired.cancel()
+            self._fired = self._clock.after(0.0, self._begin)
+
+    def _left(self, until_ms: float) -> None:
+        if not self._leaving or self._closed:
+            return
+        if self.owners is not None and self.owners.owned and self._clock.now_ms() < until_ms:
+            self._clock.after(5.0, lambda: self._left(until_ms))
+            return
+        self._stop()
+        self._socket.hold(True)
+
+    def close(self) -> None:
+        """For good, before the socket is closed."""
+        self._closed = True
+        if self._fired is not None:
+            self._fired.cancel()
+        self._stop()
+        if self._thread is not None:
+            self._thread.shutdown(wait=False)
+
+    # ------------------------------------------------ turns
+
+    def _came(self, source: str, item: bytes, now_ms: float) -> None:
+        if self.owners is not None:
+            self.owners.came(source, item, now_ms)
+            self._settle()
+
+    def _reported(self, source: str, item: bytes, now_ms: float) -> None:
+        report = unpack(item)
+        if report is not None:
+            for work in self.works.values():
+                work.came(source, report, now_ms)
+
+    def _turn(self) -> None:
+        self._timer = None
+        owners = self.owners
+        if owners is None:
+            return
+        now = self._clock.now_ms()
+        if now - self._due_ms > self._times.lag_ms:
+            self._why = f"{now - self._due_ms:.0f} ms late"
+        owners.lagged(now - self._due_ms, now)
+        owners.tick(now)
+        for name, work in self.works.items():
+            if now >= work.next_ms:
+                for report in work.tick(now):
+                    self._report(name, report, now)
+        self._settle()
+
+    def _report(self, name: str, report: Report, now_ms: float) -> None:
+        assert self.owners is not None
+        record = self.owners.followers.held.get(name)
+        if record is None or not record.owner:
+            return
+        if record.owner == self.me:
+            self.works[name].came(self.me, report, now_ms)
+        else:
+            self._reports.post(record.owner, pack(report))
+
+    def _settle(self) -> None:
+        """After each call of the rules: what is to be flushed, who owns what now, when it goes on."""
+        owners = self.owners
+        if owners is None:
+            return
+        self._flush()
+        self._compare(owners)
+        due = min(owners.next_ms, *(work.next_ms for work in self.works.values()), float("inf"))
+        now = self._clock.now_ms()
+        due = max(due, now)
+        if self._timer is not None:
+            if self._due_ms <= due:
+                return  # it looks again then
+            self._timer.cancel()
+        self._due_ms = due
+        self._timer = self._clock.at(due, self._turn)
+
+    def _compare(self, owners: Owners) -> None:
+        owned = {}
+        for name in owners.owned:
+            record = owners.terms[name].record
+            owned[name] = record.term if record is not None else 0
+        if owned == self._owned:
+            return
+        for name in self._owned:
+            if name not in owned:
+                record = owners.terms[name].record
+                by = f"{record.owner} has it" if record is not None and record.owner else "handed over"
+                self._say(f"owners: {name} given up: {self._why or by}")
+                self._why = self._why if self._rests else ""
+        for name, term in owned.items():
+            if self._owned.get(name) != term:
+                self._say(f"owners: {name} owned here, term {term}")
+        self._owned = owned
+
+    # ------------------------------------------------ the disk
+
+    def _flush(self) -> None:
+        """All that waits in one flush, behind the one that is under way."""
+        if self._flushing or self.owners is None or self._file is None or self._thread is None:
+            return
+        steps = self.owners.take()
+        if not steps:
+            return
+        self._flushing = True
+        owners, file = self.owners, self._file
+        entries = [entry for step in steps for entry in step.flush]
+        done = self._thread.submit(file.put, entries)
+        self._then(done, lambda well: self._flushed(owners, file, steps, well))
+
+    def _flushed(self, owners: Owners, file: KeeperFile, steps: list[Step], well: bool) -> None:
+        self._flushing = False
+        if owners is self.owners:
+            if well:
+                now = self._clock.now_ms()
+                for step in steps:
+                    owners.flushed(step, now)
+            else:
+                self._say(f"owners: {self.options.folder}: {file.fault}; no keeper until the next start")
+                owners.flush_failed()
+        self._settle()
+
+    def _then(self, done: Future[T], then: Callable[[T], None]) -> None:
+        """Back from the thread, in a turn of the loop; nothing where the loop is over."""
+
+        def over(future: Future[T]) -> None:
+            with suppress(RuntimeError):
+                self._loop.call_soon_threadsafe(lambda: then(future.result()))
+
+        done.add_done_callback(over)
+
+    # ------------------------------------------------ words
+
+    def _say(self, line: str) -> None:
+        self._journal.line(line)
+
+    def _tell(self, line: str) -> None:
+        """Of effects: so many a second, whatever an owner does."""
+        now = self._clock.now_ms()
+        if now - self._said_ms >= 1000.0:
+            self._said, self._said_ms = 0, now
+        self._said += 1
+        if self._said <= MOST_SAID:
+            self._say(line)
+
+    def facts(self) -> dict[str, int | str]:
+        """For STATUS, one line's worth."""
+        if self.owners is None:
+            return {"owners": "closed" if self._closed else self._trouble.replace(" ", "-") or "waiting"}
+        status = self.owners.status()
+        duties = ",".join(
+            f"{name}:{of['phase']}:{of['owner'] or 'nobody'}:{of['term']}.{of['number']}"
+            for name, of in status["duties"].items()
+        )
+        found: dict[str, int | str] = {
+            "owners": duties or "none",
+            "owners_majority": int(status["majority"]),
+            "owners_keeper": status["keeper"] or "no",
+            "owners_epoch": status["epoch"],
+        }
+        wrong = {name: status[name] for name in ("late", "dropped") if status[name]}
+        wrong |= {f"{name}_failed": of["failed"] for name, of in status["duties"].items() if of["failed"]}
+        return found | {"owners_dropped": ",".join(f"{name}:{n}" for name, n in wrong.items()) or "0"}
+
+
+class _Trying:
+    """The present generation's trials; what ends is told to the log."""
+
+    def __init__(self, routes: Routes) -> None:
+        self._routes = routes
+
+    def on_trial(self) -> Mapping[str, Trial]:
+        return self._routes.router.on_trial()
+
+    def end(self, key: str, why: str) -> None:
+        self._routes.end(key, why)
+
+
+def _opened(file: KeeperFile) -> Disk | str:
+    """On the keeper's thread: the disk, or why not."""
+    try:
+        return file.open()
+    except OSError as problem:
+        return problem.strerror or str(problem)
+
+
+def attach(host: Host, socket: Socket, options: Operator) -> Part:
+    """The part, which begins once the socket is open. ConfigError where the files don't do."""
+    return Part(host, socket, options, keeping(options, host.config).name)
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -267,6 +267,8 @@
             facts |= node.routes.facts()
         if node.peers is not None:
             facts |= node.peers.facts()
+        if node.owners is not None:
+            facts |= node.owners.facts()
         return serves, " ".join(f"{key}={value}" for key, value in facts.items())
 
     def _accept(self) -> None:
@@ -409,6 +411,8 @@
                     self._do(command)
         finally:
             self._busy = False
+        if self.node.owners is not None:
+            self.node.owners.pause(self._life.paused, self._life.state is rules.State.DRAINING)
 
     def _do(self, command: rules.Command) -> None:
         assert self._life is not None
@@ -445,8 +449,7 @@
             self._successor = None
         elif isinstance(command, rules.Accept):
             self.node.listener.hold(not command.here)
-            if self.node.peers is not None:
-                self.node.peers.hold(not command.here)
+            self.node.hold_peers(not command.here)
         elif isinstance(command, rules.Close):
             self.node.listener.closing = command.closing
         elif isinstance(command, rules.StopAccepting):
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -34,6 +34,7 @@
     from larkweir.background.runner import Runner
     from larkweir.budget.chain import Chain
     from larkweir.door.guard import Guard
+    from larkweir.fleet.owners import Part
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.logs.lines import JsonJournal
     from larkweir.membership.remembered.evidence import Row
@@ -134,6 +135,17 @@
             from larkweir.fleet.part import attach  # not imported where it is off
 
             self.peers = attach(self, options)
+        self.owners: Part | None = None
+        if options is not None and options.owners.on:
+            from larkweir.config.platform import ConfigError
+
+            if self.peers is None:
+                raise ConfigError("owners.on: it needs peers: write on = true in [peers], or false here")
+            from larkweir.fleet import owners  # not imported where it is off
+
+            self.owners = owners.attach(self, self.peers, options)
+            self._closers.append(self.owners.close)
+        if self.peers is not None:
             self._closers.append(self.peers.close)
         self.chain: Chain | None = None
         if options is not None and options.budget.on:
@@ -220,6 +232,13 @@
         self.intake.streams = False  # the records of a request are made of its whole body
         self._closers.append(dialect.close)
 
+    def hold_peers(self, held: bool) -> None:
+        """Held: a successor goes on under this one's name among the peers, as soon as its duties are handed over."""
+        if self.owners is not None:
+            self.owners.hold(held)
+        elif self.peers is not None:
+            self.peers.hold(held)
+
     def close(self) -> None:
         """Nothing runs any more, but the listener."""
         self.discovery.stop()
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -290,6 +290,12 @@
         if line:
             self._say(line)
 
+    def end(self, key: str, why: str) -> None:
+        """A part's trial is over by a fleet's word (`Router.end`)."""
+        line = self.router.end(key, why)
+        if line:
+            self._say(line)
+
     def speaks(self, number: int) -> str:
         """What an upstream speaks, by the pools that have it; empty where none says."""
         for pool in self.switch.has.get(number, ()):
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -5,6 +5,7 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from larkweir.config.options import Route
 from larkweir.config.routing import header_of, parts
@@ -48,9 +49,13 @@
         return ""
 
     def _end(self, pool: str, trial: Trial) -> str:
-        self.ended[pool] = trial.verdict
+        return self.end(pool, trial.verdict)
+
+    def end(self, pool: str, why: str) -> str:
+        """Its part is over; a line that says so."""
+        self.ended[pool] = why
         del self.by_pool[pool]
-        return f"route {self.route}: {pool} gets nothing any more: {trial.verdict}"
+        return f"route {self.route}: {pool} gets nothing any more: {why}"
 
 
 def match_of(route: Route, classes: Mapping[str, int], tenants: Mapping[str, int]) -> Match:
@@ -89,6 +94,10 @@
         self._since: dict[str, float] = {}
         self._trials: dict[str, Trials] = {}
         self._parts = {name: parts(route) for name, route in routes.items()}
+        self._keys: dict[str, str] = {}  # by route with parts: the same wherever the file says the same
+        self.stepped: dict[str, int] = (
+            before.stepped if before is not None else {}
+        )  # ramps that a fleet steps
         self._salt = {name: name.encode() for name in routes}
         # Names of headers that any route asks for: others need not be looked at.
         self.headers = frozenset(
@@ -102,6 +111,7 @@
         for name, route in routes.items():
             if not route.split:
                 continue
+            self._keys[name] = _key(name, route)
             old = before.routes.get(name) if before is not None else None
             if before is not None and old is not None and _same_parts(old, route):
                 self._since[name] = before._since[name]
@@ -109,6 +119,7 @@
                     self._trials[name] = before._trials[name]
                 continue
             self._since[name] = now_ms
+            self.stepped.pop(name, None)
             if route.alarm > 0.0:
                 self._trials[name] = Trials(
                     name,
@@ -140,7 +151,9 @@
         found = {}
         for pool, whole in self._parts[name].items():
             ended = trials is not None and pool in trials.ended
-            found[pool] = 0.0 if ended else Ramp(whole, route.ramp_ms).at(since)
+            ramp = Ramp(whole, route.ramp_ms)
+            step = self.stepped.get(name)
+            found[pool] = 0.0 if ended else ramp.at(since) if step is None else ramp.after(step)
         return {route.pool: max(0.0, 1.0 - sum(found.values()))} | found
 
     def choose(self, name: str, key: bytes, trace: bytes, safe: bool, now_ms: float) -> Choice:
@@ -157,6 +170,33 @@
         later = tuple(item for item in route.fallback if item != pool)
         return Choice(name, (pool, *later), trials, mirror, part=pool)
 
+    # ------------------------------------------------ for a fleet that does it together
+
+    def on_trial(self) -> dict[str, Trial]:
+        """Parts that are watched, each by a key that is the same at all copies whose files say the same."""
+        return {
+            f"{self._keys[name]}/{at}": trials.by_pool[pool]
+            for name, trials in self._trials.items()
+            for at, pool in enumerate(self._parts[name])
+            if pool in trials.by_pool
+        }
+
+    def end(self, key: str, why: str) -> str:
+        """The part of that key gets nothing any more; a line that says so, empty where it is over or not known."""
+        for name, trials in self._trials.items():
+            for at, pool in enumerate(self._parts[name]):
+                if key == f"{self._keys[name]}/{at}" and pool in trials.by_pool:
+                    return trials.end(pool, why)
+        return ""
+
+    def ramping(self) -> dict[str, tuple[str, float, float]]:
+        """By key, routes whose parts grow: name, span in milliseconds, and since when."""
+        return {
+            self._keys[name]: (name, self.routes[name].ramp_ms, since)
+            for name, since in self._since.items()
+            if self.routes[name].ramp_ms > 0.0
+        }
+
     def states(self, now_ms: float) -> dict[str, str]:
         """By route with parts: how they stand, for staff."""
         found = {}
@@ -173,6 +213,13 @@
     return -1.0 if part >= 1.0 else inf if part <= 0.0 else -1.0 / log(1.0 - part)
 
 
+_PARTS: Sequence[str] = ("pool", "split", "sticky", "ramp_ms", "alarm")
+
+
 def _same_parts(one: Route, other: Route) -> bool:
-    keys: Sequence[str] = ("pool", "split", "sticky", "ramp_ms", "alarm")
-    return all(getattr(one, key) == getattr(other, key) for key in keys)
+    return all(getattr(one, key) == getattr(other, key) for key in _PARTS)
+
+
+def _key(name: str, route: Route) -> str:
+    said = repr((name, *(getattr(route, key) for key in _PARTS)))
+    return blake2b(said.encode(), digest_size=8).hexdigest()
--- a/larkweir/routes/split.py
+++ b/larkweir/routes/split.py
@@ -38,7 +38,13 @@
     STEPS = 20
 
     def at(self, since_ms: float) -> float:
+        return self.after(self.step(since_ms))
+
+    def step(self, since_ms: float) -> int:
+        """From 1 to STEPS."""
         if self.span_ms <= 0.0 or since_ms >= self.span_ms:
-            return self.part
-        step = max(1, int(self.STEPS * max(0.0, since_ms) / self.span_ms) + 1)
+            return self.STEPS
+        return min(self.STEPS, int(self.STEPS * max(0.0, since_ms) / self.span_ms) + 1)
+
+    def after(self, step: int) -> float:
         return self.part * min(1.0, step / self.STEPS)
--- a/larkweir/routes/trial.py
+++ b/larkweir/routes/trial.py
@@ -18,6 +18,7 @@
 
 import math
 from collections import deque
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 FACTORS = (1.5, 2.0, 4.0, 8.0, 16.0, 64.0)
@@ -28,7 +29,7 @@
 class Bet:
     """One kind of bad end."""
 
-    _logs: list[float] = field(default_factory=lambda: [0.0] * len(FACTORS))
+    logs: list[float] = field(default_factory=lambda: [0.0] * len(FACTORS))
     _good: dict[int, deque[bool]] = field(
         default_factory=dict
     )  # by class: whether the last ones were the canary's
@@ -46,14 +47,14 @@
         if theirs and ours:
             for at, factor in enumerate(FACTORS):
                 odds = (theirs + ours) / (factor * theirs + ours)
-                self._logs[at] += math.log(factor * odds if canary else odds)
+                self.logs[at] += math.log(factor * odds if canary else odds)
 
     @property
     def stake(self) -> float:
         """What the bet is worth: 1 at its start."""
-        if max(self._logs) > 700.0:
+        if max(self.logs) > 700.0:
             return math.inf
-        return sum(math.exp(value) for value in self._logs) / len(FACTORS)
+        return sum(math.exp(value) for value in self.logs) / len(FACTORS)
 
 
 class Usual:
@@ -96,6 +97,7 @@
     slows: list[int] = field(default_factory=lambda: [0, 0])
     _usual: dict[int, Usual] = field(default_factory=dict)  # by class
     verdict: str = ""  # why it ended; empty: it goes on
+    alone: bool = True  # it ends by what is seen here; else by what a fleet says
 
     def ended(self, canary: bool, failed: bool, spent_ms: float, cls: int = 0) -> bool:
         """A request has had its answer; whether the trial ends with it."""
@@ -116,13 +118,27 @@
                 self.delays.bad(canary, cls)
             else:
                 self.delays.good(canary, cls)
+        if not self.alone:
+            return False
         # Two bets share the alarms.
         if self.failures.stake >= 2.0 / self.alpha:
-            self.verdict = f"it fails more: {self._rates(self.bads)}"
+            self.verdict = f"it fails more: {rates(self.bads, self.requests)}"
         elif self.delays.stake >= 2.0 / self.alpha:
-            self.verdict = f"it is slow more often: {self._rates(self.slows)}"
+            self.verdict = f"it is slow more often: {rates(self.slows, self.requests)}"
         return bool(self.verdict)
 
-    def _rates(self, counts: list[int]) -> str:
-        canary, control = (counts[at] / max(1, self.requests[at]) for at in (1, 0))
-        return f"{canary:.1%} of {self.requests[1]}, beside {control:.1%} of {self.requests[0]}"
+    @property
+    def logs(self) -> tuple[float, ...]:
+        """Both bets' logarithms, a factor after the other."""
+        return (*self.failures.logs, *self.delays.logs)
+
+    @property
+    def counts(self) -> tuple[int, ...]:
+        """Requests, failures and slow ends, each the control's and the canary's."""
+        return (*self.requests, *self.bads, *self.slows)
+
+
+def rates(counts: Sequence[int], requests: Sequence[int]) -> str:
+    """The canary's part of its requests, beside the control's."""
+    canary, control = (counts[at] / max(1, requests[at]) for at in (1, 0))
+    return f"{canary:.1%} of {requests[1]}, beside {control:.1%} of {requests[0]}"
--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -149,6 +149,14 @@
             term.give_up(now_ms, float("inf"))
         self.tick(now_ms)
 
+    def go_on(self, now_ms: float) -> None:
+        """After `drain`: it may take duties again."""
+        self.draining = False
+        for term in self.terms.values():
+            term.go_on()
+        self._place_ms = now_ms
+        self.tick(now_ms)
+
     # Out
 
     @property
--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -123,6 +123,10 @@
             self._give = True
             self.next_ms = now_ms
 
+    def go_on(self) -> None:
+        """It may take terms again."""
+        self._rest_ms = 0.0
+
     def saw(self, record: Record, now_ms: float) -> None:
         """A record that counts has come from elsewhere: as good as one that was read, but it may be old."""
         self._now_ms = max(now_ms, self._now_ms)
--- /dev/null
+++ b/tests/fleet/test_owners.py
@@ -0,0 +1,155 @@
+"""Owners as a part of a balancer: the files and what they may not say, real processes, the owner killed and drained,
+nothing when off."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import subprocess
+import sys
+from contextlib import AsyncExitStack
+from pathlib import Path
+
+import pytest
+
+from larkweir.cli.check import check
+from larkweir.config.operator import decode
+from larkweir.config.options import Operator, changed
+from standins.manager import ROOT
+from standins.peers import PATIENCE_S, FakeUpstream
+from standins.ports import free_port
+from tests.fleet.test_part import platform, shows, status
+from tests.lifecycle.service import Service, service
+from tests.upstreams.test_attempts import run
+
+A, B, C = "127.0.0.1:7001", "127.0.0.1:7002", "127.0.0.1:7003"
+PEERS = f'[peers]\non = true\nlisten = "{A}"\npeers = ["{B}", "{C}"]\n'
+KEEPERS = f'keepers = ["{A}", "{B}", "{C}"]'
+FAULTS = [
+    (f'keepers = ["{A}", "{B}"]', "owners.keepers", "2 balancers; write three or five"),
+    (f'keepers = ["{A}", "{A}", "{B}"]', "owners.keepers", "each once"),
+    (f'keepers = ["{A}", "{B}", "here"]', "owners.keepers", "'here' is not an IPv4"),
+    ("on = true", "owners.keepers", "0 balancers"),
+    ('folder = "here"', "owners.folder", "from the root"),
+    ('duties = ["verdict"]', "owners.duties", "there are verdicts, ramps"),
+    ("lease_ms = 1.0", "owners.lease_ms", "out of bounds"),
+]
+
+
+@pytest.mark.parametrize(("text", "key", "words"), FAULTS)
+def test_a_fault_of_the_table_names_key_and_what_would_do(text: str, key: str, words: str) -> None:
+    _, faults = decode(f"[owners]\n{text}\n")
+    assert [fault for fault in faults if fault.startswith(key)] and words in " ".join(faults)
+
+
+@pytest.mark.parametrize(
+    ("peers", "owners", "limits", "said"),
+    [
+        (PEERS, f'{KEEPERS}\nfolder = "/x"', True, ""),
+        (PEERS, f'{KEEPERS}\nfolder = "/x"', False, "PolicyLimits.Peers"),
+        ("", f'{KEEPERS}\nfolder = "/x"', True, "it needs peers"),
+        (PEERS, KEEPERS, True, "owners.folder: 127.0.0.1:7001 is a keeper"),
+        (PEERS, f'keepers = ["{B}", "{C}", "127.0.0.1:7004"]', True, "127.0.0.1:7004 is none of the 3 peers"),
+    ],
+)
+def test_check_says_where_owners_can_not_be_switched_on(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str], peers: str, owners: str, limits: bool, said: str
+) -> None:
+    operator, config = tmp_path / "o.toml", tmp_path / "c.json"
+    operator.write_text(f"{peers}[owners]\non = true\n{owners}\n")
+    config.write_text(platform(limits_of_policy={"Peers": limits}))
+    assert check([str(operator), str(config)]) == (2 if said else 0)
+    assert said in capsys.readouterr().out
+
+
+def test_nothing_of_it_is_imported_when_it_is_off() -> None:
+    code = (
+        "import sys, larkweir.lifecycle.daemon, larkweir.cli.check, larkweir.fleet.part; "
+        "print([name for name in sys.modules if 'owners' in name or 'duties' in name])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.strip() == "[]"
+    assert not Operator().owners.on and not changed(Operator(), decode("[owners]\non = false\n")[0])
+
+
+async def owner_of(them: dict[str, Service], duty: str, but: tuple[str, ...] = ()) -> str:
+    """Whom a majority of those that live names, none of `but`."""
+    async with asyncio.timeout(PATIENCE_S):
+        while True:
+            names: list[str] = []
+            for it in them.values():
+                facts = await status(it.data["control"])
+                rows = [row.split(":") for row in facts.get("owners", "").split(",")]
+                names += [f"{row[2]}:{row[3]}" for row in rows if len(row) == 5 and row[0] == duty]
+            found = next((name for name in names if names.count(name) > len(them) // 2), "")
+            if found in them and found not in but:
+                return found
+            await asyncio.sleep(0.02)
+
+
+def effects(it: Service) -> list[tuple[int, int]]:
+    found = []
+    for line in it.log:
+        if "owners: drill " in line and line.endswith(" taken"):
+            term, _, number = line.split()[-2].partition(".")
+            found.append((int(term), int(number)))
+    return found
+
+
+def test_five_processes_have_one_owner_over_a_kill_a_pause_and_a_stop(tmp_path: Path) -> None:
+    async def play() -> None:
+        names = [f"127.0.0.1:{free_port()}" for _ in range(5)]
+        async with AsyncExitStack() as stack:
+            upstream = await FakeUpstream().start()
+            them: dict[str, Service] = {}
+            for n, name in enumerate(names):
+                folder = tmp_path / str(n)
+                folder.mkdir()
+                it = them[name] = await stack.enter_async_context(service(folder, upstream))
+                it.write(peer_listen=name, peers=names, control=f"127.0.0.1:{free_port()}")
+                with it.operator_path.open("a") as file:
+                    file.write("[peers]\non = true\nprobe_ms = 100.0\nack_ms = 40.0\n[owners]\non = true\n")
+                    file.write(f'keepers = {names[:3]}\nfolder = "{folder / "keeper"}"\n'.replace("'", '"'))
+                    file.write('lease_ms = 600.0\nduties = ["drill"]\n')
+                await it.start()
+            first = await owner_of(them, "drill")
+            await them[first].said("owners: drill owned here, term ")
+            others = [name for name in names if name != first]
+            for name in others:
+                await them[name].said("owners: drill ")  # an effect taken
+            gone = them.pop(first)
+            gone.signal(signal.SIGKILL)
+            second = await owner_of(them, "drill", (first,))
+            await them[second].said("owners: drill owned here, term ")
+
+            host, _, port = them[second].data["control"].rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"PAUSE\n")
+            await reader.read()
+            writer.close()
+            await them[second].said("owners: drill given up: paused")
+            third = await owner_of(them, "drill", (first, second))
+
+            it = them.pop(third)
+            it.signal(signal.SIGTERM)
+            await it.said("owners: drill given up: draining")
+            await it.ended()
+            left = next(name for name in them if name != second)
+            count = len(effects(them[left]))
+            host, _, port = them[second].data["control"].rpartition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            writer.write(b"RESUME\n")
+            await reader.read()
+            writer.close()
+            await owner_of(them, "drill", (first, third))
+            async with asyncio.timeout(PATIENCE_S):
+                while len(effects(them[left])) <= count:
+                    await asyncio.sleep(0.02)
+            for each in (*them.values(), it, gone):
+                taken = effects(each)
+                assert taken == sorted(set(taken))
+            await shows(
+                them[second].data["control"], lambda facts: facts.get("owners_majority") == "1", "a majority"
+            )
+
+    run(play())
