Duties tried by tables, seeded fleets and a benchmark

standins/duties.py runs copies with the real rules of owners, duties, routes and trials on the simulated network, under the peers' send budget; benchmarks/fleet_duties.py measures verdicts, alarms and ramps with it. A copy that was stopped for long steps its ramp one at a time.

--- a/larkweir/fleet/duties/ramps.py
+++ b/larkweir/fleet/duties/ramps.py
@@ -201,6 +201,7 @@
         if fleet is not None and led:
             own.at_ms = max(own.at_ms, now_ms - gap)  # what it waits for it does not make up for alone
             return
-        while own.step < LAST and now_ms - own.at_ms >= gap:
+        late = now_ms - own.at_ms - gap
+        if own.step < LAST and late >= 0.0:  # one at a time, also after a long stop
             own.step += 1
-            own.at_ms += gap
+            own.at_ms = now_ms - late if late < gap else now_ms
--- /dev/null
+++ b/tests/fleet/test_duties.py
@@ -0,0 +1,372 @@
+"""Duties' rules: bets summed over copies and terms, ramps in step, copies alone; whole fleets on a seeded network."""
+
+from __future__ import annotations
+
+from itertools import pairwise
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from benchmarks.fleet_duties import Good, watch
+from larkweir.config.options import Route
+from larkweir.fleet.duties import ramps, verdicts
+from larkweir.fleet.duties.ramps import Ramps, Stepped
+from larkweir.fleet.duties.verdicts import LOGS, MOST_TRIALS, UNIT, Verdicts, read, stake
+from larkweir.fleet.duties.words import (
+    ALONE_MS,
+    FORGET_MS,
+    MOST_COPIES,
+    Evidence,
+    EvidenceReport,
+    Report,
+    Wish,
+    WishReport,
+    pack,
+    unpack,
+)
+from larkweir.routes.router import Router
+from larkweir.routes.split import Ramp
+from larkweir.routes.trial import FACTORS, Trial
+from standins.duties import ROUTE, Fleet
+
+CANARY = Route(pool="main", split=("new 20%",), sticky="request", alarm=0.01)
+RAMP = Route(pool="main", split=("new 40%",), sticky="request", alarm=0.01, ramp_ms=20_000.0)
+
+
+def routes(route: Route = CANARY) -> Router:
+    return Router({ROUTE: route}, {}, {}, 0.0)
+
+
+def trial_of(router: Router) -> Trial:
+    return next(iter(router.on_trial().values()))
+
+
+def bad(trial: Trial, times: int) -> None:
+    """So many bad ends of the canary, each beside ten good ones of the control."""
+    for _ in range(times):
+        for _ in range(10):
+            trial.ended(False, False, 5.0)
+        trial.ended(True, True, 5.0)
+
+
+def evidence(**changes: object) -> Evidence:
+    row = {"key": "k", "alpha": 0.01, "logs": (0,) * LOGS, "counts": (0,) * 6} | changes
+    return Evidence(**row)  # type: ignore[arg-type]
+
+
+# ------------------------------------------------ verdicts
+
+
+@settings(max_examples=60, deadline=None)
+@given(st.data())
+def test_the_total_is_what_the_copies_saw_whatever_is_lost_doubled_late_or_taken_over(
+    data: st.DataObject,
+) -> None:
+    """Each copy's growth under the present term, over what the term began with, and never more."""
+    routers = [routes() for _ in range(3)]
+    works = [Verdicts(n + 1, lambda n=n: routers[n]) for n in range(3)]  # type: ignore[misc]
+    owner, state, version, now = works[0], b"", (1, 1), 0.0
+    old: list[tuple[int, Report]] = []  # on its way: it may come late and more than once
+    for work in works:
+        work.took(state, version)
+    for _ in range(data.draw(st.integers(5, 25))):
+        what = data.draw(st.sampled_from(("bad", "report", "report", "old", "step", "step", "term")))
+        n = data.draw(st.integers(0, 2))
+        now += 1100.0
+        if what == "bad":
+            bad(trial_of(routers[n]), 1)
+        elif what == "report":
+            old += [(n, report) for report in works[n].tick(now)]
+            if old and data.draw(st.booleans()):
+                owner.came(f"copy{old[-1][0]}", old[-1][1], now)
+        elif what == "old" and old:
+            source, report = data.draw(st.sampled_from(old))
+            owner.came(f"copy{source}", report, now)
+        elif what == "step" or what == "term":
+            if what == "term":
+                owner, version = works[n], (version[0] + 1, version[1] + 1)
+                for work in works:
+                    work.took(state, version)
+            told = owner.step(state, now)
+            if told is not None:
+                state, version = told, (version[0], version[1] + 1)
+                for work in works:
+                    work.took(state, version)
+        for total in read(state).totals:
+            seen = [sum(trial_of(router).logs[at] for router in routers) for at in range(LOGS)]
+            bads = sum(trial_of(router).bads[1] for router in routers)
+            assert total.counts[3] <= bads  # each of these ends wins the bets the same: none counts twice
+            assert all(value <= UNIT * most + 1e-6 for value, most in zip(total.logs, seen, strict=True))
+
+
+def test_two_copies_evidence_ends_what_neither_would_end_and_it_stays_ended() -> None:
+    routers = [routes(), routes()]
+    works = [Verdicts(n, lambda n=n: routers[n]) for n in range(2)]  # type: ignore[misc]
+    state = b""
+    for work in works:
+        work.took(state, (1, 1))
+        work.tick(0.0)
+    bad(trial_of(routers[0]), 2)
+    bad(trial_of(routers[1]), 2)
+    assert not trial_of(routers[0]).verdict and not trial_of(routers[1]).verdict
+    for n, work in enumerate(works):
+        for report in work.tick(60.0):
+            told = unpack(pack(report))
+            assert told is not None
+            works[0].came(f"copy{n}", told, 60.0)
+    state = works[0].step(state, 100.0) or b""
+    assert read(state).ended and not read(state).totals
+    assert "the fleet saw that it fails more: 100.0% of 4, beside 0.0% of 40" in read(state).ended[0][1]
+    for n, work in enumerate(works):
+        work.took(state, (1, 2))
+        assert work.notable() and not work.notable()
+        work.tick(200.0)
+        assert not routers[n].on_trial() and routers[n].weights(ROUTE, 1e9)["new"] == 0.0
+    routers[1] = routes()  # started anew
+    works[1].tick(300.0)
+    assert routers[1].weights(ROUTE, 1e9)["new"] == 0.0
+    routers[1] = routes(
+        Route(pool="main", split=("new 21%",), sticky="request", alarm=0.01)
+    )  # staff said anew
+    works[1].tick(300.0)
+    assert routers[1].on_trial()
+
+
+def test_a_total_grows_on_over_terms_and_lives_by_just_what_was_seen() -> None:
+    lives = [routes(), routes(), routes()]  # the last one is copy 1 again, started anew
+    works = [Verdicts(n + 1, lambda n=n: lives[n]) for n in range(3)]  # type: ignore[misc]
+    state, seen = b"", 0
+    for term, (owner, copies) in enumerate([(0, (0, 1)), (1, (0, 1)), (0, (0, 2)), (0, (0, 2))], 1):
+        now = term * 5_000.0
+        works[owner].came("gone", EvidenceReport(1, term - 1, 9, (evidence(key="old"),)), now)
+        for n in copies:
+            works[n].took(state, (term, 1))
+            works[n].tick(now)
+            trial_of(lives[n]).failures.bad(True, 0)
+            for _ in range(2):
+                trial_of(lives[n]).ended(False, True, 5.0)  # one that says little: nothing is beside it
+            trial_of(lives[n]).ended(True, False, 5.0)
+            trial_of(lives[n]).ended(False, True, 5.0)
+            seen += 4
+            for report in works[n].tick(now + 60.0):
+                for _ in range(2):
+                    works[owner].came("copy0" if n == 0 else "copy1", report, now + 60.0)
+        state = works[owner].step(state, now + 100.0) or b""
+        (total,) = read(state).totals
+        summed = [sum(trial_of(router).logs[at] for router in lives) for at in range(LOGS)]
+        assert sum(total.counts[:2]) == seen
+        assert all(
+            0 <= UNIT * want - got < 2 * term + 1 for want, got in zip(summed, total.logs, strict=True)
+        )
+
+
+def test_a_copy_ends_alone_only_where_no_owner_watches_that_canary() -> None:
+    router = routes()
+    work = Verdicts(1, lambda: router)
+    work.took(b"", (1, 1))
+    (report,) = work.tick(0.0)
+    work.tick(10.0)
+    bad(trial_of(router), 2)
+    work.came("copy", report, 10.0)
+    assert trial_of(router).alone  # it is not named yet
+    state = work.step(b"", 20.0) or b""
+    work.took(state, (1, 2))
+    work.tick(100.0)
+    bad(trial_of(router), 9)
+    assert not trial_of(router).verdict
+    work.tick(100.0 + ALONE_MS)  # the beats stay away
+    trial_of(router).ended(False, False, 5.0)
+    assert not router.on_trial() or trial_of(router).verdict
+
+
+BOUNDS = [
+    evidence(key="x" * 65),
+    evidence(logs=(0,) * (LOGS - 1)),
+    evidence(counts=(0,)),
+    evidence(alpha=0.0),
+    evidence(alpha=float("nan")),
+    evidence(logs=(10**12,) + (0,) * (LOGS - 1)),
+]
+
+
+@pytest.mark.parametrize("row", BOUNDS)
+def test_what_no_copy_would_say_is_counted_and_dropped(row: Evidence) -> None:
+    work = Verdicts(1, routes)
+    work.took(b"", (1, 1))
+    work.came("copy", EvidenceReport(1, 1, 1, (row,)), 0.0)
+    assert work.refused == 1 and work.step(b"", 0.0) is None
+
+
+def test_states_reports_and_tables_are_bounded() -> None:
+    assert unpack(b"\xc1") is None and read(b"\xc1") == verdicts.State() and ramps.read(b"x") == ramps.State()
+    work = Verdicts(1, routes)
+    work.took(b"", (1, 1))
+    for n in range(3 * MOST_TRIALS):
+        work.came("copy", EvidenceReport(1, 1, n, (evidence(key=f"{n:064}", logs=(10**8,) * LOGS),)), 0.0)
+    state = work.step(b"", 0.0) or b""
+    assert len(read(state).ended) == verdicts.MOST_ENDED and len(state) <= 6 * 1024
+    for n in range(MOST_COPIES + 5):
+        work.came(f"{n}", EvidenceReport(1, 2, 1, (evidence(),)), 0.0)
+    assert work.refused == MOST_TRIALS + 5
+    work.took(b"", (2, 1))
+    state = work.step(b"", 0.0) or b""
+    assert [total.key for total in read(state).totals] == ["k"]
+    assert not read(work.step(state, FORGET_MS) or state).totals
+
+
+def test_good_canaries_are_ended_no_more_often_than_the_alarm_says_for_the_fleet() -> None:
+    rng, highest = Random(3), []
+    route = Route(pool="main", split=("new 20%",), sticky="request", alarm=1e-12)
+    for _ in range(60):
+        fleet = Good(rng, 12, route)
+        trials = [trial_of(router) for router in fleet.routers]
+        for beat in range(8):
+            for trial in trials:
+                for _ in range(12):
+                    trial.ended(rng.random() < 0.025 * (beat + 1), rng.random() < 0.2, 5.0)
+            fleet.beat(change=beat == 4)
+        highest.append(fleet.most)
+    assert sum(most >= 2.0 / 0.2 for most in highest) <= 12  # an alarm of 0.2
+    assert max(highest) > 1.0  # and it has heard of them
+
+
+def test_the_stake_is_the_mean_over_factors_as_one_bet_has_it() -> None:
+    trial = Trial(0.01)
+    bad(trial, 3)
+    logs = tuple(int(value * UNIT) for value in trial.logs)
+    assert stake(logs[: len(FACTORS)]) == pytest.approx(trial.failures.stake, rel=0.01)
+
+
+# ------------------------------------------------ ramps
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_a_ramp_goes_on_over_owners_without_a_step_back_one_left_out_or_one_too_early(seed: int) -> None:
+    """Owners come and go, news is late, copies are cut off and led again; by the rules alone."""
+    rng = Random(seed)
+    routers = [routes(RAMP) for _ in range(4)]
+    works = [Ramps(n, lambda n=n: routers[n]) for n in range(4)]  # type: ignore[misc]
+    states: list[tuple[float, bytes]] = [(0.0, b"")]
+    version, owner, now, gap = (1, 0), works[0], 0.0, RAMP.ramp_ms / Ramp.STEPS
+    shown = [0] * 4
+    steps: list[tuple[float, int]] = []
+    away = [0.0] * 4
+    while now < 60_000.0:
+        now += rng.uniform(20.0, 120.0)
+        if rng.random() < 0.01:
+            owner, version = rng.choice(works), (version[0] + 1, version[1] + 1)
+            owner.took(states[-1][1], version)
+            now += rng.uniform(0.0, 3000.0)  # nobody has it
+        if rng.random() < 0.01:
+            away[rng.randrange(4)] = now + rng.uniform(0.0, 8000.0)
+        told = owner.step(states[-1][1], now)
+        if told is not None:
+            states.append((now, told))
+            version = (version[0], version[1] + 1)
+            held = {ramp.key: ramp for ramp in ramps.read(told).ramps}
+            for ramp in held.values():
+                if not steps or steps[-1][1] != ramp.step:
+                    steps.append((now, ramp.step))
+        for n, work in enumerate(works):
+            if away[n] <= now:
+                if told is not None or work.state != ramps.read(states[-1][1]):
+                    work.took(states[-1][1], version)
+                for report in work.tick(now):
+                    owner.came(f"copy{n}", report, now)
+            else:
+                work.tick(now)
+            step = routers[n].stepped[ROUTE]
+            assert step >= shown[n]
+            if shown[n] and away[n]:
+                assert step <= max([shown[n] + 1, *(s for _, s in steps[-1:])])
+            shown[n] = step
+    numbers = [step for _, step in steps]
+    assert numbers == list(range(numbers[0], Ramp.STEPS + 1)) and shown == [Ramp.STEPS] * 4
+    assert all(later - earlier >= gap for (earlier, _), (later, _) in pairwise(steps))
+
+
+def test_the_fleet_begins_at_the_lowest_step_and_who_is_ahead_waits() -> None:
+    router = routes(RAMP)
+    work = Ramps(1, lambda: router)
+    work.took(b"", (1, 1))
+    work.tick(9_500.0)  # alone until now
+    assert router.stepped[ROUTE] == 10
+    key = next(iter(router.ramping()))
+    for step in (10, 4, 7):
+        work.came("copy", WishReport(1, (Wish(key, RAMP.ramp_ms, step),)), 9_600.0)
+    assert work.step(b"", 9_700.0) is None
+    state = work.step(b"", 10_100.0) or b""
+    assert ramps.read(state).ramps == (Stepped(key, RAMP.ramp_ms, 4),)
+    work.took(state, (1, 2))
+    work.tick(10_200.0)
+    work.took(state, (1, 3))
+    work.tick(13_000.0)
+    assert router.stepped[ROUTE] == 10 and work.tick(13_000.0) == []
+    work.tick(13_000.0 + ALONE_MS)  # led no more: one step, not what it has waited for
+    assert router.stepped[ROUTE] == 11
+
+
+def test_bad_wishes_and_ramps_that_nobody_asks_for_any_more() -> None:
+    work = Ramps(1, routes)
+    rows = (Wish("k" * 65, 1.0, 1), Wish("k", 0.0, 1), Wish("k", 1.0, 0), Wish("k", 1.0, 21))
+    work.came("copy", WishReport(1, rows), 0.0)
+    for n in range(8):
+        many = tuple(Wish(f"{n}.{at}", 60_000.0, 1) for at in range(16))
+        work.came("copy", WishReport(1, many), 0.0)
+    assert work.refused == 4 + 8 * 16 - ramps.MOST_RAMPS
+    state = work.step(b"", 1000.0) or b""
+    assert len(ramps.read(state).ramps) == ramps.MOST_RAMPS and len(state) <= 6 * 1024
+    assert not ramps.read(work.step(state, 1000.0 + FORGET_MS) or b"x").ramps
+
+
+# ------------------------------------------------ fleets
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_fleet_ends_a_bad_canary_everywhere_over_its_owners_death(seed: int) -> None:
+    fleet = Fleet(seed, 12, CANARY)
+    rate = [0.001, 0.001]
+    fleet.load(20.0, lambda canary: fleet.rng.random() < rate[canary])
+    fleet.run(6_000.0)
+    assert not fleet.ended
+    owner = fleet.owner("verdicts")
+    assert owner is not None
+    fleet.kill(owner)
+    rate[1] = 0.5
+    fleet.run(12_000.0)
+    assert len(fleet.ended) == 11
+    assert all("the fleet saw" in line for copy in fleet.copies.values() for line in copy.lines)
+    assert sum(len(copy.lines) for copy in fleet.copies.values()) >= 9  # few ended alone, if any
+    fleet.start(owner)
+    fleet.run(5_000.0)
+    assert owner.name in fleet.ended  # who comes back hears of it
+
+
+def test_without_a_majority_each_copy_does_as_before() -> None:
+    fleet = Fleet(3, 6, RAMP)
+    fleet.load(20.0, lambda canary: canary)
+    fleet.run(2_000.0)
+    for name in fleet.keepers.names[:2]:
+        fleet.kill(fleet.copies[name])
+    left = [copy for copy in fleet.copies.values() if copy.owners is not None]
+    fleet.run(30_000.0)
+    assert all(copy.name in fleet.ended for copy in left)
+
+
+def test_a_ramp_in_a_fleet_goes_on_over_two_owners_deaths() -> None:
+    fleet = Fleet(4, 8, RAMP)
+    steps: list[tuple[float, int]] = []
+    parts: dict[str, float] = {}
+    for _ in range(2):
+        assert watch(fleet, 7_000.0, steps, parts) == []
+        owner = fleet.owner("ramps")
+        assert owner is not None
+        fleet.kill(owner)
+        assert watch(fleet, 6_000.0, steps, parts) == []
+        fleet.start(owner)
+        parts.pop(owner.name)
+    assert watch(fleet, 15_000.0, steps, parts) == []
+    assert steps[-1][1] == Ramp.STEPS
+    assert [copy.part for copy in fleet.copies.values()] == [pytest.approx(0.4)] * 8
