Reports of lives and terms that are over change nothing

A life's number in reports was random: a copy started anew could be taken for its former life and not be heard for the rest of the term. It is the start on the balancer's clock now, as peers have it. Found by taking the checks out one by one.

--- a/larkweir/fleet/duties/ramps.py
+++ b/larkweir/fleet/duties/ramps.py
@@ -199,9 +199,8 @@
         if fleet is not None and fleet > own.step:
             own.step, own.at_ms = fleet, now_ms
         if fleet is not None and led:
-            own.at_ms = max(own.at_ms, now_ms - gap)  # what it waits for it does not make up for alone
             return
         late = now_ms - own.at_ms - gap
-        if own.step < LAST and late >= 0.0:  # one at a time, also after a long stop
+        if own.step < LAST and late >= 0.0:  # one at a time, also after a long stop or wait
             own.step += 1
             own.at_ms = now_ms - late if late < gap else now_ms
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -41,7 +41,7 @@
 
 
 class EvidenceReport(msgspec.Struct, frozen=True, array_like=True, tag="v"):
-    life: int  # of the copy
+    life: int  # of the copy: a later one is higher
     term: int  # under which it is counted
     number: int  # counts this life's reports
     rows: tuple[Evidence, ...]
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -132,7 +132,7 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        self.works = {work.name: work for work in self._duties(life)}
+        self.works = {work.name: work for work in self._duties(int(self._clock.now_ms()))}
         self.owners = Owners(
             self.me,
             life,
@@ -150,6 +150,7 @@
         self._turn()
 
     def _duties(self, life: int) -> list[Work]:
+        """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
         routes, found = self._routes, list[Work]()
         for name in self.options.duties:
             if name == "drill":
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -53,7 +53,10 @@
         pace = Pace()
         self._bucket = Bucket(pace.per_s, pace.burst, network.now_ms)
         self._left = pace.burst * Peers.RESERVE
-        works: list[Work] = [Verdicts(life, lambda: self), Ramps(life, lambda: self.router)]
+        works: list[Work] = [
+            Verdicts(int(network.now_ms), lambda: self),
+            Ramps(int(network.now_ms), lambda: self.router),
+        ]
         self.works = {work.name: work for work in works}
         self.owners = Owners(
             self.name,
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -162,6 +162,24 @@
         )
 
 
+def test_older_reports_lives_and_terms_change_nothing() -> None:
+    work = Verdicts(1, routes)
+    work.took(b"", (5, 1))
+    for life, term, number, count, expected in (
+        (1, 5, 2, 10, 10),
+        (1, 5, 1, 4, 10),  # older
+        (1, 5, 2, 11, 10),  # doubled
+        (1, 4, 9, 99, 10),  # of the term before
+        (2, 5, 1, 3, 13),  # started anew: it counts from nothing
+        (1, 5, 3, 50, 13),  # late, of the former life
+        (2, 5, 2, 5, 15),
+    ):
+        row = evidence(counts=(count, 0, 0, 0, 0, 0))
+        work.came("copy", EvidenceReport(life, term, number, (row,)), 0.0)
+        work._base_term = 0  # so that each step writes
+        assert read(work.step(b"", 0.0) or b"").totals[0].counts[0] == expected
+
+
 def test_a_copy_ends_alone_only_where_no_owner_watches_that_canary() -> None:
     router = routes()
     work = Verdicts(1, lambda: router)
@@ -304,8 +322,9 @@
     work.took(state, (1, 3))
     work.tick(13_000.0)
     assert router.stepped[ROUTE] == 10 and work.tick(13_000.0) == []
-    work.tick(13_000.0 + ALONE_MS)  # led no more: one step, not what it has waited for
-    assert router.stepped[ROUTE] == 11
+    for more in (0.0, 250.0, 500.0):
+        work.tick(13_000.0 + ALONE_MS + more)  # led no more: one step, not all that it has waited for
+        assert router.stepped[ROUTE] == 11
 
 
 def test_bad_wishes_and_ramps_that_nobody_asks_for_any_more() -> None:
