Evacuations empty a zone step by step, in step over the fleet

An evacuation counted at once, at each balancer when its file was read. With [owners] evacuate_ms a zone that a reload evacuates drains in twenty steps, the same upstreams first everywhere, by the same register and rules as ramps; who starts with it finds it empty. 0, as before, is at once.

--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -300,6 +300,9 @@
     lease_ms: float = option(3_000.0, Change.HANDOVER, low=200.0, high=600_000.0)
     # What this process takes part in: "verdicts", "ramps", "probes", and "drill", a counter to practise on.
     duties: tuple[str, ...] = option(("verdicts", "ramps", "probes"), Change.HANDOVER)
+    # A zone that a reload evacuates empties for so long, an upstream after the other, with "ramps" at all balancers
+    # alike; 0: at once.
+    evacuate_ms: float = option(0.0, Change.HANDOVER, low=0.0, high=86_400_000.0)
 
     def faults(self) -> dict[str, str]:
         """What is wrong beyond types and bounds, by key."""
--- a/larkweir/fleet/duties/ramps.py
+++ b/larkweir/fleet/duties/ramps.py
@@ -1,9 +1,9 @@
-"""Rules: ramps stepped once for all copies.
+"""Rules: ramps and evacuations stepped once for all copies.
 
-The register holds each ramp's step, from 1 to `Ramp.STEPS`. The owner adds one when the present step has counted for a
-twentieth of the ramp's span by its own clock, from when it saw that step first. A new owner counts from when it saw it,
-so that a step may last longer over an owner's death, never shorter; and since each write is conditional on the state
-before it, no step is left out and none is taken back.
+An evacuation is a ramp of how much of a zone drains. The register holds each ramp's step, from 1 to `Ramp.STEPS`. The
+owner adds one when the present step has counted for a twentieth of the ramp's span by its own clock, from when it saw
+that step first. A new owner counts from when it saw it, so that a step may last longer over an owner's death, never
+shorter; and since each write is conditional on the state before it, no step is left out and none is taken back.
 
 A copy never goes back: it follows the register's step, a newcomer at once; where no owner's beats come it goes on from
 where it is, by its own clock, as it does without owners; and once it is led again it waits until the fleet has come up
@@ -65,10 +65,12 @@
 class Ramping(Protocol):
     """The routes' side. By key, which is the same wherever the file says the same: name, span, and since when."""
 
-    stepped: dict[str, int]  # by name, what counts
-
     def ramping(self) -> Mapping[str, tuple[str, float, float]]: ...
 
+    def stand(self, name: str, step: int) -> None:
+        """What counts from now on."""
+        ...
+
 
 @dataclass(slots=True)
 class _Own:
@@ -185,7 +187,7 @@
                 step = Ramp(1.0, span).step(now_ms - since)
                 own = self._own[key] = _Own(step, since + (step - 1) * span / LAST, Due(now_ms))
             self._go(own, fleet.get(key), led, span, now_ms)
-            routes.stepped[name] = own.step
+            routes.stand(name, own.step)
             if own.due.wants(key in fleet, now_ms):
                 rows.append(Wish(key, span, own.step))
         self.next_ms = now_ms + LOOK_MS
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -158,7 +158,7 @@
             elif name == "verdicts" and routes is not None:
                 found.append(Verdicts(life, lambda: _Trying(routes)))
             elif name == "ramps" and routes is not None:
-                found.append(Ramps(life, lambda: routes.router))
+                found.append(Ramps(life, lambda: routes))
         return found
 
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from larkweir.config.options import Operator
+from larkweir.config.options import Pool as PoolTable
 from larkweir.config.platform import Config
 from larkweir.config.routing import DEFAULT, fixed_of
 from larkweir.core.clock import Clock
@@ -19,6 +20,7 @@
 from larkweir.routes.paths import Target, host, normal
 from larkweir.routes.pools import Members, settings_of, whole
 from larkweir.routes.router import Choice, Router
+from larkweir.routes.split import Ramp
 from larkweir.routes.switch import Coming, Pool, Switch
 from larkweir.routes.table import Facts
 from larkweir.routes.zones import Spill
@@ -77,6 +79,14 @@
         self._shares: dict[str, dict[str, float]] = {}  # of them, by zone
         self._looks = False
         self._rng = Random(config.seed)
+        self._members: dict[str, Members] = {}
+        self._emptying: dict[
+            tuple[str, str], float
+        ] = {}  # zones of pools that a reload has evacuated: since when
+        self._emptied: dict[tuple[str, str], float] = {}  # how much of them
+        self._evacuated: set[tuple[str, str]] = set()  # all that are
+        self._evacuate_ms = 0.0
+        self._keys: dict[str, tuple[str, str]] = {}  # of those that empty, by key
         self.router = self._router(options, config, None)
         pools, settings = self._pools(options, config, {})
         self.switch = Switch(pools, DEFAULT)
@@ -118,8 +128,36 @@
                 pools[name] = Pool(
                     name, Balancer(settings[name], seed if name != DEFAULT else config.seed), members[name]
                 )
+        self._empty(options, config, wanted, held)
+        self._members = members
+        for name, zone in self._emptying:
+            members[name].empty(config.zones.index(zone), self._emptied.get((name, zone), 0.0))
         return pools, settings
 
+    def _empty(
+        self, options: Operator, config: Config, wanted: dict[str, PoolTable], held: dict[str, Pool]
+    ) -> None:
+        """Zones that this generation evacuates, of pools that were there before, empty by and by where they are to; who
+        starts with them finds them empty."""
+        self._evacuate_ms = options.owners.evacuate_ms if options.owners.on else 0.0
+        if "ramps" not in options.owners.duties:
+            self._evacuate_ms = 0.0
+        now = self._clock.now_ms()
+        evacuated = {
+            (name, zone)
+            for name, pool in wanted.items()
+            for zone in pool.evacuated or ()
+            if zone in config.zones
+        }
+        new = (
+            {item for item in evacuated - self._evacuated if item[0] in held} if self._evacuate_ms else set()
+        )
+        emptying = {item: since for item, since in self._emptying.items() if item in evacuated}
+        self._emptying = emptying | dict.fromkeys(new, now)
+        self._emptied = {item: part for item, part in self._emptied.items() if item in self._emptying}
+        self._evacuated = evacuated
+        self._keys = {_key(*item): item for item in self._emptying}
+
     def _number(self, line: str, config: Config, used: dict[int, ServerEntry]) -> int:
         """An upstream of a fixed list keeps its number as long as the process lives."""
         address, zone = fixed_of(line)
@@ -296,6 +334,21 @@
         if line:
             self._say(line)
 
+    def ramping(self) -> dict[str, tuple[str, float, float]]:
+        """As `Router.ramping`, with the zones that empty."""
+        found = {key: (key, self._evacuate_ms, self._emptying[item]) for key, item in self._keys.items()}
+        return self.router.ramping() | found
+
+    def stand(self, name: str, step: int) -> None:
+        """What counts of a ramp from now on: a route's, or a zone's that empties."""
+        item = self._keys.get(name)
+        if item is None:
+            self.router.stand(name, step)
+            return
+        self._emptied[item] = part = Ramp(1.0, 0.0).after(step)
+        if self._members[item[0]].empty(self.config.zones.index(item[1]), part):
+            self._tell(Listing(ListKind.PROOF, self._version, (), ()))
+
     def speaks(self, number: int) -> str:
         """What an upstream speaks, by the pools that have it; empty where none says."""
         for pool in self.switch.has.get(number, ()):
@@ -325,6 +378,10 @@
         return found
 
 
+def _key(pool: str, zone: str) -> str:
+    return blake2b(f"{pool}\0{zone}".encode(), digest_size=8, person=b"evacuate").hexdigest()
+
+
 def refused(allowed: Collection[bytes] | None, method: bytes) -> tuple[int, Headers] | None:
     """A status and headers for what no route takes; None where one may."""
     if allowed is None:
--- a/larkweir/routes/pools.py
+++ b/larkweir/routes/pools.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
+from hashlib import blake2b
 
 from larkweir.config.options import Operator, Pool
 from larkweir.config.platform import Config
@@ -53,7 +54,7 @@
         self._zones = frozenset(zones.get(name, -1) for name in pool.zones or ())
         self._kinds = frozenset(kinds.get(name, -1) for name in pool.kinds or ())
         self._cells = frozenset(int(item) for item in pool.cells or ())
-        self._evacuated = frozenset(zones.get(name, -1) for name in pool.evacuated or ())
+        self._evacuated = {zones.get(name, -1): 1.0 for name in pool.evacuated or ()}  # by zone, how far
         self._subset = pool.subset or 0
         self._me, self._copies = config.settings.me, config.settings.copies
         self._fixed = fixed
@@ -74,11 +75,21 @@
             return found
         return [
             replace(entry, state=ServerState.DRAINING)
-            if entry.zone in self._evacuated and entry.state is ServerState.READY
+            if entry.state is ServerState.READY
+            and _place(entry.server) < self._evacuated.get(entry.zone, 0.0)
             else entry
             for entry in found
         ]
 
+    def empty(self, zone: int, part: float) -> bool:
+        """So much of an evacuated zone counts as draining, the same upstreams first at every balancer; whether that is
+        news."""
+        before = self._evacuated.get(zone)
+        if before is None or before == part:
+            return False
+        self._evacuated[zone] = part
+        return True
+
     def _fits(self, entry: ServerEntry) -> bool:
         return (
             (not self._zones or entry.zone in self._zones)
@@ -87,6 +98,11 @@
         )
 
 
+def _place(server: int) -> float:
+    """From 0 to below 1: an upstream's place in the order in which its zone empties."""
+    return int.from_bytes(blake2b(b"%d" % server, digest_size=6).digest(), "big") / 2.0**48
+
+
 def whole(options: Operator, zones: Sequence[str]) -> tuple[dict[str, Pool], dict[str, dict[str, str]]]:
     """All pools that are used, with what their parents say; and of those that spill, the names of their parts by
     zone. A part decides for its zone alone, so that a request is in one zone with all its attempts.
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -197,6 +197,10 @@
             if self.routes[name].ramp_ms > 0.0
         }
 
+    def stand(self, name: str, step: int) -> None:
+        """What counts of a route's ramp from now on."""
+        self.stepped[name] = step
+
     def states(self, now_ms: float) -> dict[str, str]:
         """By route with parts: how they stand, for staff."""
         found = {}
--- a/tests/routes/test_loopback.py
+++ b/tests/routes/test_loopback.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from larkweir.config.options import Operator, Pool, Route
+from larkweir.config.options import Operator, Owners, Pool, Route
 from larkweir.config.platform import decode
 from mulleinhitch.interface import Outcome
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, Incoming, Talk, ok, status
@@ -223,6 +223,44 @@
     run(work())
 
 
+def test_a_zone_empties_step_by_step_where_the_fleet_steps_it_and_who_starts_finds_it_empty() -> None:
+    async def work() -> None:
+        ups = [await saying("north") for _ in range(6)]
+        south = await saying("south")
+        rows = [up.entry(f"u{n}") for n, up in enumerate(ups)] + [south.entry("s", zone="south")]
+        route = {"api": Route(path="/api", pool="p")}
+        evacuated = {"p": Pool(evacuated=("north",))}
+        owners = Owners(on=True, evacuate_ms=60_000.0)
+        async with running(*rows, routes=route, pools={"p": Pool()}) as it:
+            assert it.node is not None and it.node.routes is not None
+            routes = it.node.routes
+            pool = routes.switch.pools["p"].decisions
+            assert not routes.ramping()
+            it.node.reconfigure(it.node.config, Operator(routes=route, pools=evacuated, owners=owners))
+            ready = [pool.fleet.ready_count]
+            ((key, (name, span, _)),) = routes.ramping().items()
+            assert key == name and span == 60_000.0
+            for step in range(1, 21):
+                routes.stand(name, step)
+                ready.append(pool.fleet.ready_count)
+                if step == 10:  # another reload changes nothing of it
+                    it.node.reconfigure(
+                        it.node.config, Operator(routes=route, pools=evacuated, owners=owners)
+                    )
+            assert ready[0] == 7 and ready == sorted(ready, reverse=True) and ready[-1] == 1
+            assert len(set(ready)) >= 4 and pool.fleet.ready_count == 1
+            it.node.reconfigure(it.node.config, Operator(routes=route, pools={"p": Pool()}, owners=owners))
+            assert pool.fleet.ready_count == 7 and not routes.ramping()
+        async with running(*rows, routes=route, pools=evacuated) as it:
+            assert it.node is not None and it.node.routes is not None
+            assert it.node.routes.switch.pools["p"].decisions.fleet.ready_count == 1
+            it.node.reconfigure(it.node.config, Operator(routes=route, pools=evacuated, owners=owners))
+            assert not it.node.routes.ramping()
+        close(*ups, south)
+
+    run(work())
+
+
 def test_two_pools_that_share_an_upstream_share_its_connections() -> None:
     async def work() -> None:
         up = await saying("up")
