--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -95,6 +95,7 @@
         self._file: KeeperFile | None = None
         self._flushing = False
         self._trouble = ""
+        self._mode = ""  # of the keeper, as the log has it
         self._said = 0
         self._said_ms = 0.0
         self._fired: Timer | None = self._clock.after(0.0, self._begin)
@@ -171,7 +172,7 @@
             self._timer = None
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
-        self.owners, self.works, self._owned = None, {}, {}
+        self.owners, self.works, self._owned, self._mode = None, {}, {}, ""
         file, self._file = self._file, None
         if file is not None:
             self._shut(file)
@@ -281,6 +282,9 @@
         if owners is None:
             return
         self._flush()
+        if owners.keeper is not None and owners.keeper.mode != self._mode:
+            self._mode = owners.keeper.mode
+            self._say(f"owners: keeper: {self._mode}")
         self._compare(owners)
         due = min(owners.next_ms, *(work.next_ms for work in self.works.values()), float("inf"))
         now = self._clock.now_ms()
