Merge owners in the balancer: one verdict and one ramp for the whole fleet

Need: real duties on the registers. Change: larkweir/fleet/owners.py as a part, the table [owners], duties of rules (verdicts, ramps, evacuations, a drill), off by default and not imported.

--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -31,6 +31,7 @@
     from larkweir_peers.hands import Socket
 
     from larkweir.background.runner import Runner
+    from larkweir.fleet.owners import Part
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.membership.remembered.evidence import Row
     from larkweir.membership.remembered.hands import Remembered
@@ -57,6 +58,7 @@
     ("larkweir.store.part", lambda options: options.store.on),
     ("larkweir.door.part", lambda options: options.door.on),
     ("larkweir.fleet.part", lambda options: options.peers.on),
+    ("larkweir.fleet.owners", lambda options: options.owners.on),
     ("larkweir.budget.part", lambda options: options.budget.on),
 )
 
@@ -96,6 +98,7 @@
         self.remembered: Remembered | None = None
         self.keeper: Keeper | None = None
         self.peers: Socket | None = None
+        self.owners: Part | None = None
         self.decisions: Decisions = decisions or Balancer(config.settings, config.seed)
         parts = [import_module(name) for name, on in PARTS if options is not None and on(options)]
         for part in parts:
@@ -120,6 +123,13 @@
             return self.routes.switch
         return self.decisions if isinstance(self.decisions, Balancer) else None
 
+    def hold_peers(self, held: bool) -> None:
+        """Held: a successor goes on under this one's name among the peers, as soon as its duties are handed over."""
+        if self.owners is not None:
+            self.owners.hold(held)
+        elif self.peers is not None:
+            self.peers.hold(held)
+
     def close(self) -> None:
         """Nothing runs any more, but the listener."""
         self.discovery.stop()
