--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -123,7 +123,9 @@
         elif isinstance(found, str):
             if found != self._trouble:
                 self._trouble = found
-                self._say(f"owners: {self.options.folder}: {found}; tried again, and not a keeper until then")
+                self._say(
+                    f"owners: {self.options.folder}: {found}; tried again; this process takes no part until then"
+                )
             self._shut(file)
             self._fired = self._clock.after(AGAIN_MS, self._begin)
         else:
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -345,7 +345,7 @@
         if item is None:
             self.router.stand(name, step)
             return
-        self._emptied[item] = part = Ramp(1.0, 0.0).after(step)
+        self._emptied[item] = part = max(Ramp(1.0, 0.0).after(step), self._emptied.get(item, 0.0))
         if self._members[item[0]].empty(self.config.zones.index(item[1]), part):
             self._tell(Listing(ListKind.PROOF, self._version, (), ()))
 
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -198,8 +198,8 @@
         }
 
     def stand(self, name: str, step: int) -> None:
-        """What counts of a route's ramp from now on."""
-        self.stepped[name] = step
+        """What counts of a route's ramp from now on; no step is taken back."""
+        self.stepped[name] = max(step, self.stepped.get(name, 0))
 
     def states(self, now_ms: float) -> dict[str, str]:
         """By route with parts: how they stand, for staff."""
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -327,6 +327,17 @@
         assert router.stepped[ROUTE] == 11
 
 
+def test_rules_that_begin_anew_take_no_step_back() -> None:
+    router = routes(RAMP)
+    for now in (9_500.0, 9_750.0):
+        Ramps(1, lambda: router).tick(now)
+    router._since[ROUTE] = 9_000.0
+    Ramps(1, lambda: router).tick(10_000.0)
+    assert router.stepped[ROUTE] == 10
+    later = Router({ROUTE: CANARY}, {}, {}, 11_000.0, router)
+    assert later.weights(ROUTE, 11_000.0)["new"] == 0.2 and not later.stepped
+
+
 def test_bad_wishes_and_ramps_that_nobody_asks_for_any_more() -> None:
     work = Ramps(1, routes)
     rows = (Wish("k" * 65, 1.0, 1), Wish("k", 0.0, 1), Wish("k", 1.0, 0), Wish("k", 1.0, 21))
--- a/tests/routes/test_loopback.py
+++ b/tests/routes/test_loopback.py
@@ -247,6 +247,7 @@
                     it.node.reconfigure(
                         it.node.config, Operator(routes=route, pools=evacuated, owners=owners)
                     )
+            routes.stand(name, 3)  # from rules that begin anew: nothing is taken back
             assert ready[0] == 7 and ready == sorted(ready, reverse=True) and ready[-1] == 1
             assert len(set(ready)) >= 4 and pool.fleet.ready_count == 1
             it.node.reconfigure(it.node.config, Operator(routes=route, pools={"p": Pool()}, owners=owners))
