Scenes follow discovery's standing terms: the whole list first, then the watch

Cause: the standing terms (docs/design/standing.md, membership/discovery.py). Where lists are pushed, a new process asks for the whole list and is not ready before its answer; a watch waits 1 s; a silent one is broken after 1.5 s and the whole list asked for on one connection after the other; what comes back is told in the log.

The Discovery actor holds a list and answers it by itself; news goes to the watch that is out, and a watch that is behind gets the whole list, so that no slow moment loses it.

Not taken: an answer by a step of the script for each list: the balancer's 0.25 s and 0.5 s would then measure the machine.

--- a/tests/scenes/test_lifecycle.py
+++ b/tests/scenes/test_lifecycle.py
@@ -124,8 +124,9 @@
 
     lb.gets(signal.SIGUSR2)
     await lb.tells("RELOADING")
-    await lb.hands_over("successor")
+    await s.discovery.takes()
     await lb.says("the successor has taken over")
+    await lb.hands_over("successor")
     await lb.tells("STATUS", "draining")
     await lb.tells("READY")
     await s.discovery.takes()
