--- a/standins/relay.py
+++ b/standins/relay.py
@@ -18,7 +18,7 @@
 class _Port(asyncio.DatagramProtocol):
     """The public address of one process."""
 
-    def __init__(self, relay: Relay, name: str) -> None:
+    def __init__(self, relay: Ways, name: str) -> None:
         self._relay, self._name = relay, name
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -29,20 +29,13 @@
         self._relay.came(addr, self._name, data)
 
 
-class Relay(Actor):
-    """`tell` says in words what a datagram holds, None for those that come by the clock and are not told. A datagram
-    that is told is taken by a step, in the order of its way (from whom, to whom); all are sent on at once, but those
-    over a way that is cut.
-    """
+class Ways:
+    """All public addresses. What comes from a process that has none goes nowhere."""
 
-    def __init__(self, script: Transcript, tell: Callable[[bytes], str | None]) -> None:
-        super().__init__(script, "relay")
-        self._tell = tell
+    def __init__(self) -> None:
         self._names: dict[Address, str] = {}  # by the address that a process sends from
         self._own: dict[str, Address] = {}
         self._ports: dict[str, _Port] = {}
-        self._ways: dict[tuple[str, str], Inbox[str]] = {}
-        self._cut: set[frozenset[str]] = set()
 
     async def join(self, name: str, own: Address) -> Address:
         """The public address of a process that listens, and sends, at `own`."""
@@ -51,6 +44,43 @@
         await loop.create_datagram_endpoint(lambda: port, local_addr=("127.0.0.1", 0))
         self._names[own], self._own[name], self._ports[name] = name, own, port
         public: Address = port.transport.get_extra_info("sockname")
+        return public
+
+    def came(self, addr: Address, to: str, data: bytes) -> None:
+        source = self._names.get(addr)
+        if source is not None:
+            self.passes(source, to, data)
+
+    def passes(self, source: str, to: str, data: bytes) -> None:
+        """A datagram on its way; whoever overrides this may keep it, or send it later."""
+        self.send(source, to, data)
+
+    def send(self, source: str, to: str, data: bytes) -> None:
+        transport = self._ports[source].transport
+        if not transport.is_closing():
+            transport.sendto(data, self._own[to])
+
+    def stop(self) -> None:
+        for port in self._ports.values():
+            port.transport.close()
+
+
+class Relay(Ways, Actor):
+    """`tell` says in words what a datagram holds, None for those that come by the clock and are not told. A datagram
+    that is told is taken by a step, in the order of its way (from whom, to whom); all are sent on at once, but those
+    over a way that is cut.
+    """
+
+    def __init__(self, script: Transcript, tell: Callable[[bytes], str | None]) -> None:
+        Ways.__init__(self)
+        Actor.__init__(self, script, "relay")
+        self._tell = tell
+        self._ways: dict[tuple[str, str], Inbox[str]] = {}
+        self._cut: set[frozenset[str]] = set()
+
+    async def join(self, name: str, own: Address) -> Address:
+        """The public address of a process, which the transcript calls by its name."""
+        public = await super().join(name, own)
         self.script.name(f"{public[0]}:{public[1]}", f"<{name}>")
         return public
 
@@ -62,14 +92,13 @@
         self.script.line("relay", "all", "everything passes")
         self._cut.clear()
 
-    def came(self, addr: Address, to: str, data: bytes) -> None:
-        source = self._names.get(addr)
-        if source is None or frozenset((source, to)) in self._cut:
+    def passes(self, source: str, to: str, data: bytes) -> None:
+        if frozenset((source, to)) in self._cut:
             return
         words = self._tell(data)
         if words is not None:
             self._way(source, to).came(words)
-        self._ports[source].transport.sendto(data, self._own[to])
+        self.send(source, to, data)
 
     def _way(self, source: str, to: str) -> Inbox[str]:
         return self._ways.setdefault((source, to), Inbox(f"{to} from {source}"))
@@ -80,7 +109,3 @@
 
     def left(self) -> list[tuple[str, str, str]]:
         return [(*way, words) for way, inbox in sorted(self._ways.items()) for words in inbox.items]
-
-    def stop(self) -> None:
-        for port in self._ports.values():
-            port.transport.close()
