A rig of real processes that fail together

Nothing held many whole programs against each other while their network, disks and processes failed. The rig starts them as a service manager does, puts each datagram through a relay that plays a seeded plan, kills, stops and drains them, and writes what logs, callers and upstreams saw into one history for the checkers. One caller a copy, a connection a request, so that no request crosses the end of a kept one.

--- a/standins/plans.py
+++ b/standins/plans.py
@@ -119,7 +119,7 @@
             if not free:
                 continue
             name = rng.choice(free)
-            disk = rng.choice(list(Disk)) if kind is Kind.KILL else Disk.OLD
+            disk: Disk = rng.choice([*Disk]) if kind is Kind.KILL else Disk.OLD
             if disk is not Disk.OLD:
                 if name in keepers and disk_lost:
                     disk = Disk.OLD
--- /dev/null
+++ b/standins/together.py
@@ -0,0 +1,440 @@
+"""Hands: many real balancers with every datagram between them through a relay, faults by plan, and a history of it all.
+
+Upstreams, discovery and callers are stand-ins that all share; the processes are `python -m larkweir run`, as a service
+manager starts them. Everything that is seen is written into one history, on one clock of milliseconds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import shutil
+import signal
+import tempfile
+from collections.abc import Callable, Sequence
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+from typing import Any
+
+from standins.checkers import KEYED, SAFE, UNSAFE, Answered, Asked, Event, GivenUp, Hit, Owned, Ran, Taken
+from standins.fleet import DEADLINE_MS, SETTINGS, ZONES
+from standins.manager import Manager, launch
+from standins.peers import PATIENCE_S, Caller, FakeDiscovery, FakeUpstream, Incoming, Talk, ok, status
+from standins.plans import Air, Disk, Fault, Kind, Plan
+from standins.ports import free_port
+from standins.relay import Ways
+
+CLASSES = {"consulta": SAFE, "publicar": KEYED, "traspaso": UNSAFE}
+OWNED = re.compile(r"owners: (\S+) owned here, term (\d+)$")
+GIVEN_UP = re.compile(r"owners: (\S+) given up: (.*)$")
+TAKEN = re.compile(r"owners: (\S+) (\d+)\.(\d+) taken$")
+MOST_LOG = 2_000  # lines that are kept of each copy
+
+
+class Relayed(Ways):
+    """The relay: each datagram goes on as the plan's faults say."""
+
+    def __init__(self, rng: Random) -> None:
+        super().__init__()
+        self.air = Air()
+        self.passed = self.lost = 0
+        self._rng = rng
+
+    def passes(self, source: str, to: str, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        fates = self.air.fates(source, to, loop.time() * 1000.0, self._rng)
+        self.passed += len(fates)
+        self.lost += not fates
+        for late_ms in fates:
+            if late_ms > 0.0:
+                loop.call_later(late_ms / 1000.0, self.send, source, to, data)
+            else:
+                self.send(source, to, data)
+
+
+class Nodo:
+    """An upstream: serves in some milliseconds, and now and then errs, resets, or turns away unseen. Those of one zone
+    remember keys together."""
+
+    def __init__(self, name: str, zone: str, rig: Together) -> None:
+        self.name, self.zone, self._rig = name, zone, rig
+        self._rng = Random(f"{rig.seed}/{name}")
+        self.server = FakeUpstream(self._serve, keep=False)
+
+    async def _serve(self, request: Incoming, talk: Talk) -> None:
+        dice = self._rng.random()
+        if dice < 0.02:
+            await talk.send(status(503, "X-Never-Ran: 1\r\n"))
+            return
+        if dice > 0.03:
+            self._run(request)
+        await asyncio.sleep(self._rng.uniform(0.002, 0.02))
+        if dice < 0.04:  # with or without an effect: the balancer can't know
+            talk.reset()
+        elif dice < 0.06:
+            await talk.send(status(500))
+        else:
+            await talk.send(ok())
+
+    def _run(self, request: Incoming) -> None:
+        effect = CLASSES[request.headers["x-qos"]]
+        key = request.headers.get("idempotency-key", "")
+        if effect == KEYED:
+            known = self._rig.keys.setdefault(self.zone, set())
+            if key in known:
+                return
+            known.add(key)
+        rig = self._rig
+        rig.note(Ran(rig.now_ms(), self.name, request.headers["x-trace-id"], effect, key))
+
+
+class Copy:
+    """One balancer: its files, its present process, and what its log says."""
+
+    def __init__(self, name: str, rig: Together) -> None:
+        self.name, self._rig = name, rig
+        self.folder = rig.folder / name
+        self.folder.mkdir()
+        self.disk, self._saved = self.folder / "keeper", self.folder / "saved"
+        self.public = ""  # its name among peers, at the relay
+        self.own = ("127.0.0.1", free_port())
+        self.listen, self._control = free_port(), free_port()
+        self.life = 0
+        self.up = asyncio.Event()  # a caller may connect
+        self.log: list[str] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        self._write()
+        manager = await Manager().start()  # its words are of one life
+        try:
+            env = {"GW_CONFIG": str(self.folder / "config.json"), "NOTIFY_SOCKET": manager.path}
+            arguments = ("run", "--operator", str(self.folder / "operator.toml"))
+            self.process = await launch(*arguments, env=env)
+            self.life += 1
+            self._reading = asyncio.ensure_future(self._read(self.process, self.life))
+            try:
+                await manager.words.until("READY")
+            except TimeoutError:
+                raise AssertionError(f"{self.name} never came up: {self.log[-10:]}") from None
+        finally:
+            manager.stop()
+        self._hit("start")
+        self.up.set()
+
+    def _write(self) -> None:
+        rig = self._rig
+        config: dict[str, Any] = {
+            "name": self.name,
+            "listen": f"127.0.0.1:{self.listen}",
+            "control": f"127.0.0.1:{self._control}",
+            "discovery": f"127.0.0.1:{rig.discovery.port}",
+            "seed": f"{rig.seed % 10_000 + 1:x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 256},
+            "settings": SETTINGS,
+        }
+        (self.folder / "config.json").write_text(json.dumps(config))
+        tables: dict[str, dict[str, Any]] = {
+            "lifecycle": {"notify": True},
+            "peers": {
+                "on": True,
+                "listen": f"{self.own[0]}:{self.own[1]}",
+                "name": self.public,
+                "peers": [copy.public for copy in rig.copies.values()],
+            }
+            | rig.peers,
+        }
+        if rig.owners:
+            keepers = [rig.copies[name].public for name in rig.keepers]
+            tables["owners"] = {"on": True, "keepers": keepers, "folder": str(self.disk)} | rig.owners
+        text = "".join(
+            f"[{table}]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in rows.items())
+            for table, rows in tables.items()
+        )
+        (self.folder / "operator.toml").write_text(text)
+
+    async def _read(self, process: asyncio.subprocess.Process, life: int) -> None:
+        assert process.stderr is not None
+        while line := await process.stderr.readline():
+            text = line.decode().strip()
+            self.log.append(text)
+            del self.log[:-MOST_LOG]
+            now_ms, note = self._rig.now_ms(), self._rig.note
+            if found := OWNED.search(text):
+                note(Owned(now_ms, self.name, life, found[1], int(found[2])))
+            elif found := GIVEN_UP.search(text):
+                note(GivenUp(now_ms, self.name, life, found[1], found[2]))
+            elif found := TAKEN.search(text):
+                note(Taken(now_ms, self.name, life, found[1], int(found[2]), int(found[3])))
+
+    def _hit(self, what: str) -> None:
+        self._rig.note(Hit(self._rig.now_ms(), self.name, what))
+
+    def _signal(self, number: signal.Signals, what: str) -> None:
+        assert self.process is not None and self.process.returncode is None, f"{self.name} has ended"
+        self._hit(what)
+        os.kill(self.process.pid, number)
+
+    def stop(self) -> None:
+        self.up.clear()
+        self._signal(signal.SIGSTOP, "stop")
+
+    def go_on(self) -> None:
+        self._signal(signal.SIGCONT, "go on")
+        self.up.set()
+
+    def drain(self) -> None:
+        self.up.clear()
+        self._signal(signal.SIGTERM, "drain")
+
+    async def kill(self) -> None:
+        self.up.clear()
+        self._signal(signal.SIGKILL, "kill")
+        await self.ended()
+
+    async def ended(self) -> None:
+        assert self.process is not None and self._reading is not None
+        async with asyncio.timeout(PATIENCE_S):
+            await self.process.wait()
+            await self._reading
+
+    def save(self) -> None:
+        """Its disk as it is now, in the midst of whatever is being written."""
+        shutil.rmtree(self._saved, ignore_errors=True)
+        if self.disk.exists():
+            shutil.copytree(self.disk, self._saved)
+
+    def change_disk(self, disk: Disk) -> None:
+        if disk is not Disk.OLD:
+            shutil.rmtree(self.disk, ignore_errors=True)
+            if disk is Disk.YESTERDAY and self._saved.exists():
+                shutil.copytree(self._saved, self.disk)
+
+    async def status(self) -> dict[str, str]:
+        """Its own word on itself; empty where it gives none at once."""
+        try:
+            async with asyncio.timeout(1.0):
+                reader, writer = await asyncio.open_connection("127.0.0.1", self._control)
+                writer.write(b"STATUS\n")
+                line = (await reader.read()).decode()
+                writer.close()
+        except (OSError, TimeoutError):
+            return {}
+        return dict(pair.partition("=")[::2] for pair in line.split() if "=" in pair)
+
+    async def end(self) -> None:
+        if self.process is not None and self.process.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(self.process.pid, signal.SIGCONT)
+                os.kill(self.process.pid, signal.SIGKILL)
+            await self.process.wait()
+        if self._reading is not None:
+            self._reading.cancel()
+
+
+class Together:
+    """The rig: `async with` gives it with all processes up. `peers` and `owners` are rows of these tables; without
+    `owners` that part is off."""
+
+    def __init__(
+        self,
+        processes: int,
+        seed: int,
+        keepers: int = 3,
+        peers: dict[str, Any] | None = None,
+        owners: dict[str, Any] | None = None,
+        pause_s: float = 0.1,
+    ) -> None:
+        """`pause_s`: between two requests of one caller, on the mean; each copy has one caller."""
+        self.seed = seed
+        self.history: list[Event] = []
+        self.peers, self.owners = peers or {}, owners or {}
+        self.keys: dict[str, set[str]] = {}
+        self._temporary = tempfile.TemporaryDirectory(prefix="larkweir-together-")
+        self.folder = Path(self._temporary.name)
+        self.copies = {f"c{n}": Copy(f"c{n}", self) for n in range(processes)}
+        self.keepers = tuple(self.copies)[:keepers]
+        self.relay = Relayed(Random(f"{seed}/relay"))
+        self.discovery = FakeDiscovery([])
+        self._nodos = [Nodo(f"u{n}", ZONES[n % len(ZONES)], self) for n in range(4)]
+        self._pause_s = pause_s
+        self._came = asyncio.Event()
+        self._callers: list[asyncio.Task[None]] = []
+        self._ending = False
+        self._began_s = asyncio.get_running_loop().time()
+
+    def now_ms(self) -> float:
+        return (asyncio.get_running_loop().time() - self._began_s) * 1000.0
+
+    def note(self, event: Event) -> None:
+        self.history.append(event)
+        self._came.set()
+
+    async def until(self, true: Callable[[], Any], what: str) -> None:
+        """Looks again with each event of the history."""
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                while not true():
+                    self._came.clear()
+                    await self._came.wait()
+        except TimeoutError:
+            last = {name: copy.log[-3:] for name, copy in self.copies.items()}
+            raise AssertionError(f"never came: {what}; {last}") from None
+
+    async def __aenter__(self) -> Together:
+        try:
+            for nodo in self._nodos:
+                await nodo.server.start()
+            rows = [nodo.server.entry(nodo.name, zone=nodo.zone) for nodo in self._nodos]
+            self.discovery.entries = {row["instanceId"]: row for row in rows}
+            await self.discovery.start()
+            for copy in self.copies.values():
+                host, port = await self.relay.join(copy.name, copy.own)
+                copy.public = f"{host}:{port}"
+            names = list(self.copies.values())
+            for n in range(0, len(names), 5):  # as many starts at once as a machine bears
+                await asyncio.gather(*(copy.start() for copy in names[n : n + 5]))
+        except BaseException:
+            await self.__aexit__()
+            raise
+        self._callers = [asyncio.ensure_future(self._calls(copy)) for copy in names]
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for task in self._callers:
+            task.cancel()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+        await asyncio.gather(*(copy.end() for copy in self.copies.values()), return_exceptions=True)
+        self.relay.stop()
+        self.discovery.stop()
+        for nodo in self._nodos:
+            with suppress(AttributeError):
+                nodo.server.close()
+        self._temporary.cleanup()
+
+    # ------------------------------------------------ callers
+
+    async def _calls(self, copy: Copy) -> None:
+        rng, count = Random(f"{self.seed}/{copy.name}"), 0
+        while not self._ending:
+            await copy.up.wait()
+            count += 1
+            cls = rng.choices([*CLASSES], (50, 25, 25))[0]
+            await self._call(copy, cls, f"{copy.name}-{count}")
+            await asyncio.sleep(rng.uniform(0.5, 1.5) * self._pause_s)
+
+    async def _call(self, copy: Copy, cls: str, trace: str) -> None:
+        """A connection of its own, so that no request crosses the end of a kept one."""
+        caller = Caller(copy.listen)
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                await caller.__aenter__()
+        except (OSError, TimeoutError):
+            return  # it goes down, or stands still: nobody has asked it anything
+        more = {"Idempotency_Key": f"key-{trace}"} if cls == "publicar" else {}
+        body = b"" if cls == "consulta" else b"abc"
+        self.note(Asked(self.now_ms(), trace, copy.name, CLASSES[cls], DEADLINE_MS))
+        caller.ask(cls, body, X_Trace_Id=trace, X_Expires_In_Ms=str(DEADLINE_MS), X_Customer="acme", **more)
+        found = 0
+        try:
+            found = (await caller.answer()).status
+        except (OSError, AssertionError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        finally:
+            await caller.__aexit__()
+        self.note(Answered(self.now_ms(), trace, found))
+
+    async def quiet(self) -> None:
+        """No caller asks any more, and each has its answer."""
+        self._ending = True
+        async with asyncio.timeout(2 * PATIENCE_S):
+            await asyncio.gather(*self._callers)
+
+    # ------------------------------------------------ faults
+
+    async def play(self, plan: Plan) -> None:
+        """All of a plan, until what it ends is up again."""
+        began_ms = self.now_ms()
+        under_way: list[asyncio.Task[None]] = []
+        ready: dict[Fault, asyncio.Task[None]] = {}
+        for step in plan.steps():
+            await asyncio.sleep(max(0.0, (began_ms + step.at_ms - self.now_ms()) / 1000.0))
+            if step.saves:
+                self.copies[step.fault.who[0]].save()
+            elif step.begins:
+                ready[step.fault] = asyncio.ensure_future(self.begin(step.fault))
+                under_way.append(ready[step.fault])
+            else:
+                before = ready.pop(step.fault)
+                under_way.append(asyncio.ensure_future(self._end(step.fault, before)))
+        await asyncio.sleep(max(0.0, (began_ms + plan.length_ms - self.now_ms()) / 1000.0))
+        await asyncio.gather(*under_way)
+
+    async def _end(self, fault: Fault, begun: asyncio.Task[None]) -> None:
+        await begun
+        await self.end(fault)
+
+    async def begin(self, fault: Fault) -> None:
+        if fault.kind is Kind.DISCOVERY:
+            self.note(Hit(self.now_ms(), "", "discovery gone"))
+            self.discovery.stop()
+        elif fault.kind is Kind.STOP:
+            self.copies[fault.who[0]].stop()
+        elif fault.kind is Kind.KILL:
+            await self.copies[fault.who[0]].kill()
+        elif fault.kind is Kind.DRAIN:
+            self.copies[fault.who[0]].drain()
+        else:
+            self.note(Hit(self.now_ms(), "", f"{fault.kind} begins"))
+            self.relay.air.begin(fault)
+
+    async def end(self, fault: Fault) -> None:
+        if fault.kind is Kind.DISCOVERY:
+            self.note(Hit(self.now_ms(), "", "discovery back"))
+            await self.discovery.start()
+        elif fault.kind is Kind.STOP:
+            self.copies[fault.who[0]].go_on()
+        elif fault.kind in (Kind.KILL, Kind.DRAIN):
+            copy = self.copies[fault.who[0]]
+            await copy.ended()
+            copy.change_disk(fault.disk)
+            await copy.start()
+        else:
+            self.note(Hit(self.now_ms(), "", f"{fault.kind} ends"))
+            self.relay.air.end(fault)
+
+    # ------------------------------------------------ what is seen
+
+    async def all_there(self) -> None:
+        """Until each copy that runs counts all others as there."""
+        want = f"{len(self.copies) - 1}/{len(self.copies) - 1}"
+        seen: dict[str, str] = {}
+        try:
+            async with asyncio.timeout(2 * PATIENCE_S):
+                for name, copy in self.copies.items():
+                    while seen.get(name) != want:
+                        seen[name] = (await copy.status()).get("peers", "")
+                        await asyncio.sleep(0.05)
+        except TimeoutError:
+            raise AssertionError(f"never came: {want} peers at each; {seen}") from None
+
+    def owner(self, duty: str) -> tuple[str, int]:
+        """The copy of the highest term that was told, and that term; ("", 0) where there is none."""
+        found = [event for event in self.history if isinstance(event, Owned) and event.duty == duty]
+        last = max(found, key=lambda event: event.term, default=None)
+        return (last.copy, last.term) if last is not None else ("", 0)
+
+    def taken(self, duty: str, after: int = 0, copies: Sequence[str] = ()) -> list[Taken]:
+        """Effects of terms above `after`, at these copies or at any."""
+        return [
+            event
+            for event in self.history
+            if isinstance(event, Taken)
+            and event.duty == duty
+            and event.term > after
+            and (not copies or event.copy in copies)
+        ]
