--- a/standins/together.py
+++ b/standins/together.py
@@ -320,8 +320,10 @@
 
     async def _calls(self, copy: Copy) -> None:
         rng, count = Random(f"{self.seed}/{copy.name}"), 0
-        while not self._ending:
+        while True:
             await copy.up.wait()
+            if self._ending:
+                return
             count += 1
             cls = rng.choices([*CLASSES], (50, 25, 25))[0]
             await self._call(copy, cls, f"{copy.name}-{count}")
@@ -351,6 +353,8 @@
     async def quiet(self) -> None:
         """No caller asks any more, and each has its answer."""
         self._ending = True
+        for copy in self.copies.values():
+            copy.up.set()  # whoever waits for one that is down
         async with asyncio.timeout(2 * PATIENCE_S):
             await asyncio.gather(*self._callers)
 
