--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -25,6 +25,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Sequence
+from pathlib import Path
 from random import Random
 
 import uvloop
@@ -169,6 +170,8 @@
         asked = sum(isinstance(event, Asked) for event in rig.history)
         ran = sum(isinstance(event, Ran) for event in rig.history)
         taken = sum(isinstance(event, Taken) for event in rig.history)
+        if args.history:
+            Path(args.history).write_text("".join(f"{event}\n" for event in rig.history))
         print(
             f"{rig.owner(DUTY)[1]} terms, {taken} effects taken, {asked} requests, {ran} runs, "
             f"{rig.relay.passed} datagrams passed and {rig.relay.lost} lost, {time.monotonic() - began_s:.0f} s"
@@ -192,5 +195,6 @@
         "--probe", type=float, default=200.0, help="milliseconds between two probes of a peer"
     )
     parser.add_argument("--pause", type=float, default=0.2, help="seconds between two requests of a caller")
+    parser.add_argument("--history", help="a file for all that was seen, a line each")
     parser.add_argument("--most-s", type=float, default=3_600.0, help="no play begins after that")
     sys.exit(uvloop.run(main(parser.parse_args())))
--- a/standins/together.py
+++ b/standins/together.py
@@ -107,22 +107,19 @@
         self.log: list[str] = []
         self.process: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task[None] | None = None
+        self._manager: Manager | None = None
 
     async def start(self) -> None:
         self._write()
-        manager = await Manager().start()  # its words are of one life
+        self._manager = await Manager().start()  # its words are of one life
+        env = {"GW_CONFIG": str(self.folder / "config.json"), "NOTIFY_SOCKET": self._manager.path}
+        self.process = await launch("run", "--operator", str(self.folder / "operator.toml"), env=env)
+        self.life += 1
+        self._reading = asyncio.ensure_future(self._read(self.process, self.life))
         try:
-            env = {"GW_CONFIG": str(self.folder / "config.json"), "NOTIFY_SOCKET": manager.path}
-            arguments = ("run", "--operator", str(self.folder / "operator.toml"))
-            self.process = await launch(*arguments, env=env)
-            self.life += 1
-            self._reading = asyncio.ensure_future(self._read(self.process, self.life))
-            try:
-                await manager.words.until("READY")
-            except TimeoutError:
-                raise AssertionError(f"{self.name} never came up: {self.log[-10:]}") from None
-        finally:
-            manager.stop()
+            await self._manager.words.until("READY")
+        except TimeoutError:
+            raise AssertionError(f"{self.name} never came up: {self.log[-10:]}") from None
         self._hit("start")
         self.up.set()
 
@@ -201,6 +198,12 @@
         async with asyncio.timeout(PATIENCE_S):
             await self.process.wait()
             await self._reading
+        self._close_manager()
+
+    def _close_manager(self) -> None:
+        if self._manager is not None:
+            self._manager.stop()
+            self._manager = None
 
     def save(self) -> None:
         """Its disk as it is now, in the midst of whatever is being written."""
@@ -234,6 +237,7 @@
             await self.process.wait()
         if self._reading is not None:
             self._reading.cancel()
+        self._close_manager()
 
 
 class Together:
