The rig's short run holds effects back past a step, and says what broke when something never came

With cuts and delays alone, a follower that takes older effects than it holds went through: nothing overtook anything. A fifth of the datagrams is now held for longer than a step while the owner stands still.

--- a/standins/together.py
+++ b/standins/together.py
@@ -19,7 +19,20 @@
 from random import Random
 from typing import Any
 
-from standins.checkers import KEYED, SAFE, UNSAFE, Answered, Asked, Event, GivenUp, Hit, Owned, Ran, Taken
+from standins.checkers import (
+    KEYED,
+    SAFE,
+    UNSAFE,
+    Answered,
+    Asked,
+    Event,
+    GivenUp,
+    Hit,
+    Owned,
+    Ran,
+    Taken,
+    broken,
+)
 from standins.fleet import DEADLINE_MS, SETTINGS, ZONES
 from standins.manager import Manager, launch
 from standins.peers import PATIENCE_S, Caller, FakeDiscovery, FakeUpstream, Incoming, Talk, ok, status
@@ -287,7 +300,8 @@
                     await self._came.wait()
         except TimeoutError:
             last = {name: copy.log[-3:] for name, copy in self.copies.items()}
-            raise AssertionError(f"never came: {what}; {last}") from None
+            wrong = broken(self.history)  # where one is behind it, that is what to read first
+            raise AssertionError(f"never came: {what}; {wrong[:3]}; {last}") from None
 
     async def __aenter__(self) -> Together:
         try:
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -31,8 +31,10 @@
                 return rig.owner("drill")
 
             owner, term = await one_term_at_all(0)
+            every = tuple(rig.copies)
             stopped = Fault(Kind.STOP, 0.0, 3 * LEASE_MS, (owner,))
-            await rig.play(Plan((stopped,), 3 * LEASE_MS))  # an owner that wakes up late
+            late = Fault(Kind.REORDER, 0.0, 3 * LEASE_MS, every, every, chance=0.2, ms=300.0)  # past a step
+            await rig.play(Plan((stopped, late), 3 * LEASE_MS))  # an owner that wakes up late
             await rig.until(lambda: rig.taken("drill", term, [owner]), "the woken one follows the new term")
             await rig.until(
                 lambda: any(isinstance(event, GivenUp) and event.copy == owner for event in rig.history),
