--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -2,7 +2,8 @@
 seen at real processes.
 
 One fleet of M programs, five of them keepers (three in a fleet under seven), with a steady duty ("drill") and a caller
-each, all datagrams through a relay. Each play of WHAT waits until all copies take effects of one term, then:
+each, all datagrams through a relay. Each play of WHAT waits until all keepers vote
+and all copies take effects of one term, then:
 
 stop      SIGSTOP of the owner for three leases, SIGCONT; told are effects of an old term that any copy took afterwards
 kill      SIGKILL of the owner and a restart with its old disk; told is the time until an effect of a new term is taken
@@ -50,7 +51,8 @@
         self.figures: Figures = defaultdict(list)
 
     async def settled(self) -> tuple[str, int]:
-        """The owner and its term, once each copy has taken an effect of it that is new now."""
+        """The owner and its term, once all keepers vote and each copy has taken an effect of it that is new now."""
+        await self._rig.all_vote()
         rig, at = self._rig, len(self._rig.history)
 
         def one() -> bool:
--- a/standins/together.py
+++ b/standins/together.py
@@ -13,7 +13,7 @@
 import shutil
 import signal
 import tempfile
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from contextlib import suppress
 from pathlib import Path
 from random import Random
@@ -432,17 +432,25 @@
     # ------------------------------------------------ what is seen
 
     async def all_there(self) -> None:
-        """Until each copy that runs counts all others as there."""
-        want = f"{len(self.copies) - 1}/{len(self.copies) - 1}"
+        """Until each copy counts all others as there."""
+        others = len(self.copies) - 1
+        await self._show(self.copies, "peers", f"{others}/{others}")
+
+    async def all_vote(self) -> None:
+        """Until each keeper votes. One that was started again does so when it has asked more than half of the others:
+        before that, a cut may leave no majority."""
+        await self._show(self.keepers, "owners_keeper", "voting")
+
+    async def _show(self, names: Iterable[str], key: str, value: str) -> None:
         seen: dict[str, str] = {}
         try:
             async with asyncio.timeout(2 * PATIENCE_S):
-                for name, copy in self.copies.items():
-                    while seen.get(name) != want:
-                        seen[name] = (await copy.status()).get("peers", "")
+                for name in names:
+                    while seen.get(name) != value:
+                        seen[name] = (await self.copies[name].status()).get(key, "")
                         await asyncio.sleep(0.05)
         except TimeoutError:
-            raise AssertionError(f"never came: {want} peers at each; {seen}") from None
+            raise AssertionError(f"never came: {key}={value} at each; {seen}") from None
 
     def owner(self, duty: str) -> tuple[str, int]:
         """The copy of the highest term that was told, and that term; ("", 0) where there is none."""
--- a/tests/fleet/test_together.py
+++ b/tests/fleet/test_together.py
@@ -19,6 +19,7 @@
         async with Together(5, 1, peers=PEERS, owners=OWNERS) as rig:
 
             async def one_term_at_all(above: int) -> tuple[str, int]:
+                await rig.all_vote()
                 at = len(rig.history)
 
                 def same() -> bool:
