--- a/standins/together.py
+++ b/standins/together.py
@@ -349,12 +349,15 @@
 
     async def _call(self, copy: Copy, cls: str, trace: str) -> None:
         """A connection of its own, so that no request crosses the end of a kept one."""
-        caller = Caller(copy.listen)
+        caller, life = Caller(copy.listen), copy.life
         try:
             async with asyncio.timeout(PATIENCE_S):
                 await caller.__aenter__()
         except (OSError, TimeoutError):
             return  # it goes down, or stands still: nobody has asked it anything
+        if not copy.up.is_set() or copy.life != life:
+            await caller.__aexit__()  # it was killed, or told to go, before anything was asked
+            return
         more = {"Idempotency_Key": f"key-{trace}"} if cls == "publicar" else {}
         body = b"" if cls == "consulta" else b"abc"
         self.note(Asked(self.now_ms(), trace, copy.name, CLASSES[cls], DEADLINE_MS))
