--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -38,6 +38,8 @@
     fleet = Fleet(seed, **how)
     if not fleet.run_until(lambda: fleet.owner(KEY) is not None, 10_000.0, 20.0):
         raise BrokenError("nobody takes the duty")
+    if not fleet.run_until(lambda: all(fleet.votes(name) for name in fleet.members), 20_000.0, 20.0):
+        raise BrokenError("not all keepers vote")
     fleet.run(fleet.rng.uniform(300.0, 1300.0))
     owner = fleet.owner(KEY)
     if owner is None:
--- a/packages/owners/tests/fleet_owners.py
+++ b/packages/owners/tests/fleet_owners.py
@@ -308,12 +308,11 @@
 
     def _bad_disk(self) -> bool:
         """At most one disk at a time is lost or old; that is what is promised for."""
-        for name in self.members:
-            process = self.processes[name]
-            keeper = process.owners.keeper if process.owners is not None else None
-            if keeper is None or keeper.mode != "voting":
-                return True
-        return False
+        return not all(self.votes(name) for name in self.members)
+
+    def votes(self, name: str) -> bool:
+        owners = self.processes[name].owners
+        return owners is not None and owners.keeper is not None and owners.keeper.mode == "voting"
 
     @property
     def members(self) -> list[str]:
