--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -8,6 +8,7 @@
 
 import pytest
 from fleet_owners import BrokenError, Fleet
+from larkweir_owners.messages import Record
 from larkweir_owners.terms import Phase
 
 
@@ -124,6 +125,18 @@
     assert fleet.run_until(lambda: fleet.owner("duty0") not in (None, old), 500.0)
 
 
+def test_an_owner_that_hears_of_a_later_record_owns_no_more() -> None:
+    fleet = settled(1)
+    old = fleet.owner("duty0")
+    assert old is not None and old.owners is not None
+    term = old.owners.terms["duty0"]
+    assert fleet.run_until(lambda: not term._busy, 1000.0, 1.0)
+    assert term.record is not None
+    gone = Record(term.record.term + 1, term.record.number + 9, "", 0, "10.9.9.9:1")
+    term.saw(gone, fleet.network.now_ms)
+    assert (term.owns, term.record) == (False, gone)
+
+
 if __name__ == "__main__":
     bad = 0
     for number in range(int(sys.argv[1]), int(sys.argv[2])):
