A ramp is watched by its beats: a killed owner may be the only one that saw a step

Cause: watch() took the newest beat of those that live for the register's, and the owner that had just taken step 6 was the only copy that knew. Ruled out: a step back at a copy (parts only grew) and in the register (its beats grew with its steps). Change: a step counts under a newer beat alone.

--- a/benchmarks/fleet_duties.py
+++ b/benchmarks/fleet_duties.py
@@ -132,8 +132,10 @@
     )
 
 
-def watch(fleet: Fleet, ms: float, steps: list[tuple[float, int]], parts: dict[str, float]) -> list[str]:
-    """Run; gives what was wrong with the ramp, and adds to its steps as any copy took them."""
+def watch(fleet: Fleet, ms: float, steps: list[tuple[float, int, int]], parts: dict[str, float]) -> list[str]:
+    """Run; gives what was wrong with the ramp, and adds to its steps as any copy took them: when, which, by which beat. A
+    copy that is killed may be the only one that had the newest: the others show older beats until they hear of it.
+    """
     wrong = []
     until = fleet.network.now_ms + ms
     while fleet.network.now_ms < until:
@@ -141,10 +143,10 @@
         held = [_state(copy) for copy in fleet.copies.values() if copy.owners is not None]
         newest = max(held, key=lambda state: state.beat)
         step = newest.ramps[0].step if newest.ramps else 0
-        if step and (not steps or step != steps[-1][1]):
+        if step and (not steps or (step != steps[-1][1] and newest.beat > steps[-1][2])):
             if steps and step != steps[-1][1] + 1:
                 wrong.append(f"step {step} after {steps[-1][1]}")
-            steps.append((fleet.network.now_ms, step))
+            steps.append((fleet.network.now_ms, step, newest.beat))
         for copy in fleet.copies.values():
             if copy.owners is None:
                 continue
@@ -169,7 +171,7 @@
     for play in range(options.plays):
         fleet = Fleet(options.seed + play, options.copies, route, 3)
         rng = Random(options.seed + play)
-        steps: list[tuple[float, int]] = []
+        steps: list[tuple[float, int, int]] = []
         parts: dict[str, float] = {}
         while fleet.network.now_ms < 200_000.0 and (not steps or steps[-1][1] < Ramp.STEPS):
             wrong = watch(fleet, rng.uniform(4_000.0, 12_000.0), steps, parts)
@@ -184,7 +186,7 @@
                 fleet.kill(owner)
                 parts.pop(owner.name, None)
                 fleet.network.after(3_000.0, lambda owner=owner, fleet=fleet: fleet.start(owner))  # type: ignore[misc]
-        early += sum(now - then < 3_000.0 - 60.0 for (then, _), (now, _) in pairwise(steps))
+        early += sum(now - then < 3_000.0 - 60.0 for (then, *_), (now, *_) in pairwise(steps))
         whole.append(steps[-1][0] / 1000.0)
     print(
         f"{options.plays} ramps of 60 s over {options.copies} copies, {kills} owners killed: {back} steps back or left "
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -387,7 +387,7 @@
 
 def test_a_ramp_in_a_fleet_goes_on_over_two_owners_deaths() -> None:
     fleet = Fleet(4, 8, RAMP)
-    steps: list[tuple[float, int]] = []
+    steps: list[tuple[float, int, int]] = []
     parts: dict[str, float] = {}
     for _ in range(2):
         assert watch(fleet, 7_000.0, steps, parts) == []
