--- a/benchmarks/fleet_duties.py
+++ b/benchmarks/fleet_duties.py
@@ -133,8 +133,8 @@
 
 
 def watch(fleet: Fleet, ms: float, steps: list[tuple[float, int, int]], parts: dict[str, float]) -> list[str]:
-    """Run; gives what was wrong with the ramp, and adds to its steps as any copy took them: when, which, by which beat. A
-    copy that is killed may be the only one that had the newest: the others show older beats until they hear of it.
+    """Run; gives what was wrong with the ramp, and adds to its steps as any copy took them: when, which, by which beat.
+    A copy that is killed may be the only one that had the newest: the others show older beats until they hear of it.
     """
     wrong = []
     until = fleet.network.now_ms + ms
