A bet puts no end beside one of another step of the ramp

While a part grows, the later of two ends is likelier to be the canary's: a bad end was put beside good ones of the step before. What is beside is forgotten when parts change, and an end that was sent under older parts says nothing.

--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -324,7 +324,7 @@
         main = (
             self.router.routes[choice.route].pool if choice.route in self.router.routes else choice.pools[0]
         )
-        line = choice.trial.note(choice.part, main, failed, spent_ms, choice.cls)
+        line = choice.trial.note(choice.part, main, failed, spent_ms, choice.cls, choice.era)
         if line:
             self._say(line)
 
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -27,6 +27,7 @@
     began_ms: float = 0.0
     cls: int = 0
     part: str = ""  # the pool of the route that it fell to, whichever zone's
+    era: int = 0  # of the parts by which it fell there: another whenever they change
 
 
 @dataclass(slots=True)
@@ -37,9 +38,17 @@
     alpha: float
     by_pool: dict[str, Trial] = field(default_factory=dict)
     ended: dict[str, str] = field(default_factory=dict)  # pools whose part is over, and why
-
-    def note(self, pool: str, main: str, failed: bool, spent_ms: float, cls: int) -> str:
-        """A request has had its answer from this pool's part; a line where a part ends with it."""
+    era: int = 0
+
+    def note(self, pool: str, main: str, failed: bool, spent_ms: float, cls: int, era: int = 0) -> str:
+        """A request has had its answer from this pool's part; a line where a part ends with it. One that was sent under
+        parts that count no more says nothing."""
+        if era != self.era:
+            if era < self.era:
+                return ""
+            self.era = era
+            for trial in self.by_pool.values():
+                trial.forget()
         if pool == main:  # the control of all
             for name, trial in self.by_pool.items():
                 if trial.ended(False, failed, spent_ms, cls):
@@ -168,7 +177,15 @@
         if route.mirror and safe and score(b"mirror", trace, b"", 1.0) >= _mirror_bound(route.mirror_part):
             mirror = route.mirror
         later = tuple(item for item in route.fallback if item != pool)
-        return Choice(name, (pool, *later), trials, mirror, part=pool)
+        era = self._era(name, trials, now_ms) if trials is not None else 0
+        return Choice(name, (pool, *later), trials, mirror, part=pool, era=era)
+
+    def _era(self, name: str, trials: Trials, now_ms: float) -> int:
+        """Goes up with each step of the ramp, and with each part that is over."""
+        step = self.stepped.get(name)
+        if step is None:
+            step = Ramp(1.0, self.routes[name].ramp_ms).step(now_ms - self._since[name])
+        return step * len(self._parts[name]) + len(trials.ended)
 
     # ------------------------------------------------ for a fleet that does it together
 
--- a/larkweir/routes/trial.py
+++ b/larkweir/routes/trial.py
@@ -7,7 +7,8 @@
 
 It looks only at the bad ends, each beside the last few good ones of its class. If the canary is no worse, any of
 those few is as likely as any other to be the bad one, whatever part of the requests falls to the canary just then and
-whatever the rate of bad ends: a ramp moves nothing, nor does an outage of what lies behind both. Were it worse by a
+whatever the rate of bad ends: an outage of what lies behind both moves nothing, nor does a ramp, since only ends of one
+step of it are put beside each other. Were it worse by a
 factor, the bad one would be the canary's so much more often. The factors are mixed, so that none need be guessed. No
 request is looked at twice.
 
@@ -49,6 +50,10 @@
                 odds = (theirs + ours) / (factor * theirs + ours)
                 self.logs[at] += math.log(factor * odds if canary else odds)
 
+    def forget(self) -> None:
+        """Good ends are beside no later bad one any more; the stake stays."""
+        self._good.clear()
+
     @property
     def stake(self) -> float:
         """What the bet is worth: 1 at its start."""
@@ -127,6 +132,11 @@
             self.verdict = f"it is slow more often: {rates(self.slows, self.requests)}"
         return bool(self.verdict)
 
+    def forget(self) -> None:
+        """Other parts count from here on: an end under these is not compared with one under those."""
+        self.failures.forget()
+        self.delays.forget()
+
     @property
     def logs(self) -> tuple[float, ...]:
         """Both bets' logarithms, a factor after the other."""
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -168,7 +168,9 @@
         failed = bad(canary)
         fleet.answers[canary] += 1
         fleet.bads[canary] += failed
-        if choice.trial is not None and choice.trial.note(choice.part, fleet.route.pool, failed, 5.0, 0):
+        if choice.trial is not None and choice.trial.note(
+            choice.part, fleet.route.pool, failed, 5.0, 0, choice.era
+        ):
             fleet.ended.setdefault(self.name, now)
 
     @property
--- a/tests/routes/test_trial.py
+++ b/tests/routes/test_trial.py
@@ -6,7 +6,9 @@
 
 import pytest
 
-from larkweir.routes.trial import Trial
+from larkweir.config.options import Route
+from larkweir.routes.router import Router
+from larkweir.routes.trial import FACTORS, Trial
 
 
 def watch(
@@ -75,3 +77,26 @@
     for to in (True, False):
         trial = Trial(0.05)
         assert not any(trial.ended(to, True, 10.0) for _ in range(2_000))
+
+
+def test_ends_of_one_step_of_a_ramp_are_not_put_beside_those_of_another() -> None:
+    """While a part grows, the later of two ends is likelier to be the canary's, however good it is."""
+    route = Route(pool="main", split=("new 40%",), sticky="request", ramp_ms=1000.0)
+    router = Router({"r": route}, {}, {}, 0.0)
+    eras = [router.choose("r", b"k", b"", True, now).era for now in (0.0, 49.0, 51.0, 999.0, 1001.0)]
+    assert eras[0] == eras[1] < eras[2] < eras[3] == eras[4]
+    router.stand("r", 20)
+    assert router.choose("r", b"k", b"", True, 0.0).era == eras[4]
+    trials = router.choose("r", b"k", b"", True, 0.0).trial
+    assert trials is not None
+    trial = trials.by_pool["new"]
+    for _ in range(10):
+        trials.note("main", "main", False, 5.0, 0, eras[0])
+    trials.note("new", "main", True, 5.0, 0, eras[2])
+    assert trial.logs == (0.0,) * 2 * len(FACTORS)
+    for _ in range(10):
+        trials.note("main", "main", False, 5.0, 0, eras[2])
+    trials.note("new", "main", True, 5.0, 0, eras[0])  # late, of the step before
+    assert trial.logs == (0.0,) * 2 * len(FACTORS)
+    trials.note("new", "main", True, 5.0, 0, eras[2])
+    assert trial.logs[0] > 0.0
