--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -24,7 +24,7 @@
 
 from larkweir.config.options import Operator
 from larkweir.config.peering import keeping
-from larkweir.config.platform import Config
+from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
 from larkweir.fleet.duties.drill import Drill
@@ -49,6 +49,10 @@
     clock: Clock
     journal: Journal
     routes: Routes | None
+    peers: Socket | None
+    owners: Part | None
+    closers: list[Callable[[], None]]
+    facts: list[Callable[[], dict[str, object]]]
 
 
 class _Told:
@@ -95,6 +99,7 @@
         self._file: KeeperFile | None = None
         self._flushing = False
         self._trouble = ""
+        self._mode = ""  # of the keeper, as the log has it
         self._said = 0
         self._said_ms = 0.0
         self._fired: Timer | None = self._clock.after(0.0, self._begin)
@@ -122,7 +127,9 @@
         elif isinstance(found, str):
             if found != self._trouble:
                 self._trouble = found
-                self._say(f"owners: {self.options.folder}: {found}; tried again, and not a keeper until then")
+                self._say(
+                    f"owners: {self.options.folder}: {found}; tried again; this process takes no part until then"
+                )
             self._shut(file)
             self._fired = self._clock.after(AGAIN_MS, self._begin)
         else:
@@ -132,7 +139,7 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        self.works = {work.name: work for work in self._duties(life)}
+        self.works = {work.name: work for work in self._duties(int(self._clock.now_ms()))}
         self.owners = Owners(
             self.me,
             life,
@@ -150,6 +157,7 @@
         self._turn()
 
     def _duties(self, life: int) -> list[Work]:
+        """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
         routes, found = self._routes, list[Work]()
         for name in self.options.duties:
             if name == "drill":
@@ -157,7 +165,7 @@
             elif name == "verdicts" and routes is not None:
                 found.append(Verdicts(life, lambda: _Trying(routes)))
             elif name == "ramps" and routes is not None:
-                found.append(Ramps(life, lambda: routes.router))
+                found.append(Ramps(life, lambda: routes))
         return found
 
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
@@ -170,7 +178,7 @@
             self._timer = None
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
-        self.owners, self.works, self._owned = None, {}, {}
+        self.owners, self.works, self._owned, self._mode = None, {}, {}, ""
         file, self._file = self._file, None
         if file is not None:
             self._shut(file)
@@ -280,6 +288,9 @@
         if owners is None:
             return
         self._flush()
+        if owners.keeper is not None and owners.keeper.mode != self._mode:
+            self._mode = owners.keeper.mode
+            self._say(f"owners: keeper: {self._mode}")
         self._compare(owners)
         due = min(owners.next_ms, *(work.next_ms for work in self.works.values()), float("inf"))
         now = self._clock.now_ms()
@@ -359,7 +370,7 @@
         if self._said <= MOST_SAID:
             self._say(line)
 
-    def facts(self) -> dict[str, int | str]:
+    def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         if self.owners is None:
             return {"owners": "closed" if self._closed else self._trouble.replace(" ", "-") or "waiting"}
@@ -368,7 +379,7 @@
             f"{name}:{of['phase']}:{of['owner'] or 'nobody'}:{of['term']}.{of['number']}"
             for name, of in status["duties"].items()
         )
-        found: dict[str, int | str] = {
+        found: dict[str, object] = {
             "owners": duties or "none",
             "owners_majority": int(status["majority"]),
             "owners_keeper": status["keeper"] or "no",
@@ -400,6 +411,11 @@
         return problem.strerror or str(problem)
 
 
-def attach(host: Host, socket: Socket, options: Operator) -> Part:
-    """The part, which begins once the socket is open. ConfigError where the files don't do."""
-    return Part(host, socket, options, keeping(options, host.config).name)
+def attach(host: Host, options: Operator) -> None:
+    """The part, which begins once the peers' socket is open. ConfigError where the files don't do."""
+    if host.peers is None:
+        raise ConfigError("owners.on: it needs peers: write on = true in [peers], or false here")
+    part = Part(host, host.peers, options, keeping(options, host.config).name)
+    host.owners = part
+    host.closers.insert(0, part.close)  # it hands over by the peers' socket
+    host.facts.append(part.facts)
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -95,7 +95,7 @@
         self._asked = config.settings.on_request_discovery
         self._known = config.known
         self.trust_known = True  # whether the configuration's list is believed as it stands
-        self._tell = tell
+        self.tell = tell
         self._log = log
         self._rng = Random(config.seed)
         self._version: int | None = None
@@ -125,7 +125,7 @@
                 self._hold(self._known, whole=True)
             except DiscoveryError as problem:
                 self._log(f"known: {problem}")
-        self._tell(listing)
+        self.tell(listing)
         if not self._asked:
             loop = asyncio.get_running_loop()
             self._watch = loop.create_task(self._follow())
@@ -199,7 +199,7 @@
                     if silent and self._failures == 1:
                         continue  # at once: what it missed counts as told in a moment
                     # When to ask again is theirs to decide.
-                    self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
+                    self.tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
                     return
                 current = False
                 self._begin()  # it has said that it has none for now, or that it is not there
@@ -259,7 +259,7 @@
         if listing.kind is not ListKind.FULL:
             raise DiscoveryError("the whole list was asked for and changes came")
         self._version = listing.version
-        self._tell(listing)
+        self.tell(listing)
 
     async def _round(self) -> None:
         """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
@@ -276,7 +276,7 @@
             self._version = None  # these are changes to another list than the one held
             return
         self._version = listing.version
-        self._tell(listing)
+        self.tell(listing)
 
     async def _fetch_once(self) -> None:
         try:
@@ -285,7 +285,7 @@
             self._take_whole(self._read(answer))
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
-            self._tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
+            self.tell(Listing(ListKind.FAILED, self._version or 0, (), ()))
 
     async def _call(self, target: bytes, timeout_s: float) -> Listing:
         async with asyncio.timeout(timeout_s):
@@ -343,7 +343,7 @@
 
     def reroute(self, tell: Callable[[Listing], None]) -> None:
         """Who is told from now on."""
-        self._tell = tell
+        self.tell = tell
 
     def number(self, instance_id: str) -> int | None:
         """The number of an upstream that is held."""
@@ -358,7 +358,7 @@
         listing = parse_listing(held, self._names)
         self._version = listing.version
         self._hold(held, whole=True)
-        self._tell(Listing(ListKind.CACHED, listing.version, listing.entries, listing.addresses))
+        self.tell(Listing(ListKind.CACHED, listing.version, listing.entries, listing.addresses))
 
     @property
     def address(self) -> str:
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -197,6 +197,10 @@
             if self.routes[name].ramp_ms > 0.0
         }
 
+    def stand(self, name: str, step: int) -> None:
+        """What counts of a route's ramp from now on; no step is taken back."""
+        self.stepped[name] = max(step, self.stepped.get(name, 0))
+
     def states(self, now_ms: float) -> dict[str, str]:
         """By route with parts: how they stand, for staff."""
         found = {}
--- /dev/null
+++ b/packages/captures/src/larkweir_captures/__init__.py
@@ -0,0 +1,1 @@
+"""Hands: the door of the package: captures that agree over hops, bounded in any window, and kept after the fact."""
--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -139,11 +139,11 @@
         self._flush()
         return done
 
-    def facts(self) -> dict[str, int | str]:
+    def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         counts = self.peers.counters()
         own = ("unheard", "alive", "suspect", "dead", "left", "health", "sent", "received")
-        found: dict[str, int | str] = {"peers": f"{counts['alive']}/{len(self._addresses)}"}
+        found: dict[str, object] = {"peers": f"{counts['alive']}/{len(self._addresses)}"}
         found |= {f"peers_{name}": counts[name] for name in ("suspect", "dead", "left", "health", "sent")}
         wrong = {name: n for name, n in counts.items() if name not in own and n}
         wrong |= {"unsent": self.send_errors} if self.send_errors else {}
@@ -202,7 +202,9 @@
             if peers.items:
                 item = peers.items.popleft()
                 receiver = self._receivers.get(item.channel)
-                if receiver is not None:
+                if receiver is None:
+                    peers.dropped["no_part"] += 1
+                else:
                     self._hand(receiver, item.source, item.data)
 
     def _hand(self, receiver: Came, source: str, data: bytes) -> None:
