--- a/larkweir/routes/pools.py
+++ b/larkweir/routes/pools.py
@@ -82,8 +82,8 @@
         ]
 
     def empty(self, zone: int, part: float) -> bool:
-        """So much of an evacuated zone counts as draining; whether that is news. The part is the same at every balancer;
-        which upstreams go first goes by this process's own numbers of them.
+        """So much of an evacuated zone counts as draining; whether that is news. The part is the same at every
+        balancer; which upstreams go first goes by this process's own numbers of them.
         """
         before = self._evacuated.get(zone)
         if before is None or before == part:
