An heir takes what it is handed by name also while it rests from a stop

Cause: Term._may_take refused all in the ten leases of rest, and the others wait a quarter lease and more for the named heir. Ruled out: lost items (the record named it at once).

Change: the rest does not hold for a record that names this process, a drain's does. Not taken: the giver passes over those that stood still, which it would have to be told by a membership that promises nothing.

--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 
 from larkweir_owners.messages import MOST_VALUE, NO_VERSION, Record, Version
 from larkweir_owners.ports import Duty, Outcome, Registers, Result
@@ -191,12 +192,17 @@
             self._changed_ms = self._now_ms
 
     def _may_take(self, now_ms: float) -> bool:
-        """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later."""
-        if self.owns or self._busy or now_ms < self._rest_ms:
+        """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later. What it
+        is handed by name it takes also while it rests from having stood still: whoever gave it does not know of that,
+        and all others wait for it. Not while it drains: that rest has no end.
+        """
+        if self.owns or self._busy or self._rest_ms == inf:
             return False
         record, lease = self.record, self.times.lease_ms
         if record is not None and not record.owner and record.heir == self.me[0]:
             return True
+        if now_ms < self._rest_ms:
+            return False
         if self._rank is None or not self.majority:
             return False
         if record is not None and self._is_mine(record):
--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -65,6 +65,27 @@
     assert old.owners.owned == []  # and takes nothing again
 
 
+def test_an_heir_that_rests_from_a_stop_takes_what_it_is_handed() -> None:
+    """The preferred place stood still and is back; whoever drains names it, and the others wait for it."""
+    delays = []
+    for seed in range(6):
+        fleet = settled(seed)
+        old = fleet.owner("duty0")
+        assert old is not None
+        fleet.network.stop(old.name)
+        assert fleet.run_until(lambda old=old, fleet=fleet: fleet.owner("duty0") not in (None, old), 8000.0)
+        fleet.network.go_on(old.name)
+        fleet.run(2 * fleet.times.lease_ms)
+        new = fleet.owner("duty0")
+        assert new is not None and new is not old and new.owners is not None
+        began = fleet.network.now_ms
+        new.owners.drain(began)
+        new.after()
+        assert fleet.run_until(lambda new=new, fleet=fleet: fleet.owner("duty0") not in (None, new), 2000.0)
+        delays.append(fleet.network.now_ms - began)
+    assert max(delays) < 250.0
+
+
 def test_without_a_majority_nobody_owns_and_status_says_so() -> None:
     fleet = settled(3)
     for name in fleet.members[:2]:
