--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -192,9 +192,10 @@
             self._changed_ms = self._now_ms
 
     def _may_take(self, now_ms: float) -> bool:
-        """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later. What it
-        is handed by name it takes also while it rests from having stood still: whoever gave it does not know of that,
-        and all others wait for it. Not while it drains: that rest has no end.
+        """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later.
+
+        What it is handed by name it takes also while it rests from having stood still: whoever gave it does not know
+        of that, and all others wait for it. Not while it drains: that rest has no end.
         """
         if self.owns or self._busy or self._rest_ms == inf:
             return False
