What nobody reads holds memory for 2 s, not 15, while the room is full

Cause: each holds up to 64 KiB and one read of 256 kB in its transport's buffer, which callers.pause_writing did not book of the shared room, and begun answers had 15 s whatever the room. Ruled out: the upstream's side, which is told to hold.

Change: the buffer is booked when it is over its mark, and Delivery.owed gives a caller 2 s while the room is full. Not taken: SO_RCVBUF on upstreams' sockets, which all that is far away would pay.

--- a/larkweir/core/room.py
+++ b/larkweir/core/room.py
@@ -24,6 +24,11 @@
         """Whether more than half is in use: what can be passed on is not kept then."""
         return 2 * self.used > self.most
 
+    @property
+    def full(self) -> bool:
+        """Whether all of it is in use: nothing new may be held."""
+        return self.used > self.most
+
     def resize(self, memory_mb: float) -> None:
         """Take another limit; what is held already stays."""
         self.most = int(memory_mb * 1024 * 1024 * self.SHARE)
--- a/larkweir/protocols/delivery.py
+++ b/larkweir/protocols/delivery.py
@@ -67,9 +67,9 @@
         """Nobody has looked for a while, since nothing was waiting: what is waiting now is timed from here."""
         self._taking.rest()
 
-    def owed(self, now_ms: float) -> bool:
+    def owed(self, now_ms: float, full: bool = False) -> bool:
         """Whether the caller's system is still to take something. If it has taken nothing for too long, that is told,
-        and the connection is aborted.
+        and the connection is aborted. `full`: memory is short, and what nobody reads must not hold it for long.
         """
         transport = self.transport
         left = unacknowledged(transport) if transport is not None else 0
@@ -79,8 +79,11 @@
             if not coming:
                 self._stream = None
             return False
-        if silent > (self.STALL_MS if coming or self._taking.in_long else self.UNREAD_MS):
-            self.cut(f"its caller has read nothing for {silent:.0f} ms", now_ms)
+        long = (coming or self._taking.in_long) and not full
+        if silent > (self.STALL_MS if long else self.UNREAD_MS):
+            self.cut(
+                f"its caller has read nothing for {silent:.0f} ms{', and memory is short' * full}", now_ms
+            )
             transport.abort()
         return True
 
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -237,13 +237,13 @@
         """End what has taken too long: parts of requests, answers unread, an idle stay."""
         spent = now_ms - self.since_ms
         if self.ending:
-            if self._delivery.owed(now_ms):
+            if self._delivery.owed(now_ms, self._engine.room.full):
                 self.since_ms = now_ms
             elif spent > self.LINGER_MS:
                 self.abort()
             return
         if self._blocked:
-            self._delivery.owed(now_ms)
+            self._delivery.owed(now_ms, self._engine.room.full)
             return
         late = [number for number, seen in self._parts.items() if now_ms - seen > self.PART_MS]
         still = set(self._serving.partial())
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -187,6 +187,7 @@
     def pause_writing(self) -> None:
         self._blocked = True
         self._delivery.rest()
+        self._book()
         if self._out is not None:
             self._out.sink_holds(True)
 
@@ -247,7 +248,7 @@
         if self.ending:
             self._check_ending(now_ms)
         elif self._blocked:
-            self._delivery.owed(now_ms)
+            self._delivery.owed(now_ms, self._engine.room.full)
         elif self._coming:
             if self._read_held:
                 if now_ms - self._fed_ms > self.STALL_MS:
@@ -264,7 +265,7 @@
 
     def _check_ending(self, now_ms: float) -> None:
         """The last answer is given: the connection ends once its caller has had its time to read it."""
-        if self._delivery.owed(now_ms):
+        if self._delivery.owed(now_ms, self._engine.room.full):
             self.since_ms = self._ended_ms = now_ms
         elif now_ms - self.since_ms > self.LINGER_MS or now_ms - self._ended_ms > self.LINGER_MOST_MS:
             self.abort()
--- a/tests/protocols/http1/test_begun_answers.py
+++ b/tests/protocols/http1/test_begun_answers.py
@@ -207,6 +207,28 @@
     scene.teardown()
 
 
+@pytest.mark.parametrize("megabytes", [64.0, 0.0])
+def test_what_nobody_reads_does_not_hold_memory_that_is_short(
+    megabytes: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(Delivery, "STALL_MS", 10 * Delivery.UNREAD_MS)
+    monkeypatch.setattr(Taking, "MOST_STEP_MS", 500.0)
+    scene = BegunAnswers()
+    scene.begin(4_000, False)
+    scene.give(256, 8, False)
+    assert scene.connection._blocked
+    assert scene.connection._engine.room.used == scene.pipe.waiting  # what waits here is known to all
+    scene.connection._engine.room.resize(megabytes)
+    for _ in range(3):
+        scene.now += Delivery.UNREAD_MS / 2.0
+        scene.look(Delivery.UNREAD_MS / 2.0)
+    scene.now += 1.0
+    scene.look(1.0)
+    assert scene.pipe.aborted is (megabytes == 0.0)
+    assert scene.lines == [] or "and memory is short" in scene.lines[0]
+    scene.teardown()
+
+
 # ------------------------------------------------ over sockets
 
 LONG = bytes(range(256)) * (12 * 1024)  # 3 MiB
