--- a/standins/scene.py
+++ b/standins/scene.py
@@ -56,10 +56,13 @@
             text = re.sub(r"^larkweir \S+: ", "", line.decode().strip())
             text = re.sub(r"after \d+ calls in vain", "after <n> calls in vain", text)
             text = re.sub(r"\d+( ms|(?: of \d+)? bytes have come| are not acknowledged)", r"<n>\1", text)
-            if text not in self._seen and not text.startswith(self.by_the_clock):
+            if text not in self._seen and not self._comes_by_the_clock(text):
                 self._seen.add(text)
                 self._log.came(text)
 
+    def _comes_by_the_clock(self, line: str) -> bool:
+        return line.startswith(self.by_the_clock)
+
     async def says(self, part: str) -> None:
         """The lines of its log up to the one with these words."""
         line = ""
--- a/standins/transcript.py
+++ b/standins/transcript.py
@@ -11,7 +11,8 @@
 import asyncio
 import re
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import Generic, TypeVar
 
 from standins.peers import PATIENCE_S
@@ -56,6 +57,13 @@
         """A heading in the script."""
         self._lines += [""] * bool(self._lines) + [f"# {title}"]
 
+    @contextmanager
+    def untold(self, source: str, to: str, what: str) -> Iterator[None]:
+        """One line for all that is written meanwhile, which another scene tells."""
+        before = len(self._lines)
+        yield
+        self._lines[before:] = [f"{source} -> {to}: {what}"]
+
     def time(self, header: str, value: str) -> str:
         unit, bounds = TIMES[header]
         if not unit:
--- a/tests/scenes/stage.py
+++ b/tests/scenes/stage.py
@@ -11,7 +11,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from pathlib import Path
-from typing import Any
+from typing import Any, TypeVar
 
 from syrupy.assertion import SnapshotAssertion
 
@@ -59,6 +59,9 @@
         return self
 
 
+B = TypeVar("B", bound=Balancer)
+
+
 class Scene(Stage):
     discovery: Discovery
 
@@ -71,8 +74,13 @@
         self.servers.append(server)
         return server
 
-    async def balancer(
+    async def balancer(self, *upstreams: Server, **more: Any) -> Balancer:
+        """See `balancer_of`."""
+        return await self.balancer_of(Balancer, *upstreams, **more)
+
+    async def balancer_of(
         self,
+        kind: type[B],
         *upstreams: Server,
         name: str = "lb",
         operator: str = "",
@@ -80,13 +88,13 @@
         accept_ms: float = 50.0,
         by_the_clock: tuple[str, ...] | None = None,
         **more: Any,
-    ) -> Balancer:
+    ) -> B:
         """A balancer that knows these upstreams from its file (generation 1), as discovery does; ready, with its
         watch out.
         """
         port = free_port()
         self.script.name(f"127.0.0.1:{port}", f"<{name}>")
-        it = Balancer(self, name, control=control)
+        it = kind(self, name, control=control)
         it.port = port
         if by_the_clock is not None:
             it.by_the_clock = by_the_clock
