A keeper without its disk: the scene tells new, lost and voting from its log

Need: the text showed that it votes in the end, not that it was lost before.

Change: its own log is told from its second start on; the other six texts are as they were.

--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -133,9 +133,10 @@
             it.fleet, it.address = self, address
             self.members.append(it)
 
-    async def again(self, gone: Member) -> Member:
-        """A new life with the files of one that has ended."""
+    async def again(self, gone: Member, tells: str = "") -> Member:
+        """A new life with the files of one that has ended. `tells`: lines that are told of it, beyond the usual."""
         it = Member(self._scene, gone.name)
+        it.by_the_clock = tuple(part for part in BY_THE_CLOCK if part != tells)
         it.port, it.fleet, it.address = gone.port, self, gone.address
         await it.begin()
         await self._scene.discovery.takes()
