Edits in service: reloads become edits, and the merged tables go to the routes

Change: [edits], larkweir/fleet/edits (tables, words, the part), a reload that waits until its edits are on disk, a start with the merged tables from the folder, verdicts as edits under the owner's term; faults of routes name all they rest on. Not taken: counting a reload at once and writing it after; a full disk would leave a file that counts here alone. Not taken: the platform's file in the merge's check; copies with two platform files would never be equal.

--- a/larkweir/config/operator.py
+++ b/larkweir/config/operator.py
@@ -22,7 +22,7 @@
 }
 
 
-def _value_fault(kind: Any, value: Any, low: float | None, high: float | None) -> str:
+def value_fault(kind: Any, value: Any, low: float | None, high: float | None) -> str:
     """Why a value does not do, and what would; empty if it does."""
     wants = WORDS.get(kind) or "one of " + ", ".join(f'"{word}"' for word in get_args(kind))
     try:
@@ -84,7 +84,7 @@
         if key not in known:
             faults.append(f"{table}.{_unknown(key, list(known), 'key')}")
             continue
-        fault = _value_fault(_said(hints[key]), value, known[key]["low"], known[key]["high"])
+        fault = value_fault(said_type(hints[key]), value, known[key]["low"], known[key]["high"])
         if fault:
             faults.append(f"{table}.{key}: {fault}")
         else:
@@ -95,7 +95,7 @@
     return row
 
 
-def _said(kind: Any) -> Any:
+def said_type(kind: Any) -> Any:
     """The type of what is said, without the None that stands for nothing said."""
     options = [item for item in get_args(kind) if item is not NoneType]
     return options[0] if NoneType in get_args(kind) and len(options) == 1 else kind
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -344,6 +344,35 @@
         return found
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Edits:
+    """The table `[edits]`: routes and pools that are edited at each balancer's file, and merge."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # Where this process keeps edits: a folder of its own, on a disk that stays.
+    folder: str = option("", Change.HANDOVER)
+    # A balancer that is not heard for so long is not waited for: what it alone has edited is a proposal.
+    away_ms: float = option(604_800_000.0, Change.HANDOVER, low=10_000.0, high=31_536_000_000.0)
+    # Rows, "route.orders", and fields of one, "route.orders.path", on which this file has the last word: said anew with
+    # the reload that names them, by staff who have looked at what is told of them.
+    settle: tuple[str, ...] = option(())
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        if (self.on or self.folder) and not self.folder.startswith("/"):
+            found["folder"] = f"{self.folder!r:.100} is no folder; write a path from the root of the disk"
+        for text in self.settle:
+            table, _, name = text.partition(".")
+            if table not in ("route", "pool") or not name:
+                found["settle"] = (
+                    f'{text!r:.60} is no route or pool; write "route.orders" or "pool.main.zones"'
+                )
+        if len(self.settle) > 1000:
+            found["settle"] = f"{len(self.settle)} entries; 1000 at the most"
+        return found
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -515,6 +544,7 @@
     remembered: Remembered = field(default_factory=Remembered)
     peers: Peers = field(default_factory=Peers)
     owners: Owners = field(default_factory=Owners)
+    edits: Edits = field(default_factory=Edits)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -548,6 +578,7 @@
     "remembered": Remembered,
     "peers": Peers,
     "owners": Owners,
+    "edits": Edits,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from dataclasses import fields
+from typing import Any, NamedTuple
 
-from larkweir.config.options import Operator, Peers, listen_address
+from larkweir.config.options import Operator, Peers, Pool, Route, listen_address
 from larkweir.config.platform import Config, ConfigError
 
 
@@ -55,3 +56,20 @@
     if found.name in own.keepers and not own.folder:
         raise ConfigError(f"owners.folder: {found.name} is a keeper: say where it keeps what it has promised")
     return found
+
+
+def merging(options: Operator, config: Config) -> Peering:
+    """Who this process is among its peers, where `[edits]` is on. ConfigError, one line, where it can't be."""
+    if not options.peers.on:
+        raise ConfigError("edits.on: it needs peers: write on = true in [peers], or false here")
+    found = peering(options.peers, config)
+    if options.storms.on:
+        raise ConfigError("edits.on: the storms part knows one pool; write on = false for one of them")
+    for text in options.edits.settle:
+        table, _, rest = text.partition(".")
+        rows: dict[str, Any] = options.routes if table == "route" else options.pools
+        name, _, key = rest.rpartition(".")
+        kind = Route if table == "route" else Pool
+        if rest not in rows and key in {item.name for item in fields(kind)} and name not in rows:
+            raise ConfigError(f"edits.settle: {text}: this file has no [{table}.{name}] to go by")
+    return found
--- a/larkweir/config/policies.py
+++ b/larkweir/config/policies.py
@@ -27,6 +27,9 @@
     text: str
     mend: str
     grave: bool = True  # False: it can stand, and is surely not meant
+    # Of routes and pools, all that it rests on, as (table, row, field), field "" for whether the row is there: the same
+    # of these gives the same, whatever the others say.
+    rests: tuple[tuple[str, str, str], ...] = ()
 
 
 def policy_of(name: str, options: Operator) -> ClassPolicy:
--- a/larkweir/config/routing.py
+++ b/larkweir/config/routing.py
@@ -128,12 +128,9 @@
     return parse_address(address, "fixed"), zone.strip()
 
 
-def _same_place(one: Route, other: Route) -> bool:
-    def place(route: Route) -> tuple[str, str]:
-        path = re.sub(r"\{[^}]*\}", "{}", route.path or "/*")
-        return route.host, (path[:-1].rstrip("/") + "/*" if path.endswith("/*") else path)
-
-    return place(one) == place(other)
+def _place(route: Route) -> tuple[str, str]:
+    path = re.sub(r"\{[^}]*\}", "{}", route.path or "/*")
+    return route.host, (path[:-1].rstrip("/") + "/*" if path.endswith("/*") else path)
 
 
 def _covers(one: Route, other: Route) -> bool:
@@ -152,21 +149,51 @@
     return -len(route.headers), not route.methods, not route.classes, not route.tenants, name
 
 
+MATCHED = ("host", "path", "methods", "headers", "classes", "tenants")  # what a route matches
+# Of the faults of one route: what each rests on beside its own key.
+_BESIDE = {"split": ("split", "pool"), "fallback": ("fallback", "pool")}
+
+
+def rests_of(name: str, key: str) -> tuple[tuple[str, str, str], ...]:
+    """All that a fault of one route (`route_faults`) rests on."""
+    return tuple(("route", name, item) for item in ("", *_BESIDE.get(key, (key,))))
+
+
+def _line(name: str, pools: Mapping[str, Pool]) -> list[str]:
+    """A pool and its parents up to one that is not there, each once."""
+    found: list[str] = []
+    while name and name not in found:
+        found.append(name)
+        name = pools[name].parent if name in pools else ""
+    return found
+
+
+def _rests(names: list[str], *fields_: str) -> tuple[tuple[str, str, str], ...]:
+    return tuple(("pool", name, item) for name in names for item in ("", "parent", *fields_))
+
+
 def routing_objections(options: Operator, config: Config | None = None) -> Iterator[Objection]:
-    """What routes and pools may not say beside one another, and beside the platform's file where it is given."""
+    """What routes and pools may not say beside one another, and beside the platform's file where it is given. Each
+    names all of the tables that it rests on."""
     pools = options.pools
     known = {DEFAULT, *pools}
     there = "there are " + ", ".join(sorted(known))
     for name, pool in pools.items():
         key = f"pool.{name}"
         if pool.parent and pool.parent not in known:
-            yield Objection(f"{key}.parent", "LW511", f"there is no pool {pool.parent!r}", there)
+            rests = (*_rests([name]), ("pool", pool.parent, ""))
+            yield Objection(f"{key}.parent", "LW511", f"there is no pool {pool.parent!r}", there, rests=rests)
             continue
+        line_ = _line(name, pools)
         try:
             whole = inherited(name, pools)
         except ConfigError as problem:
             yield Objection(
-                f"{key}.parent", "LW512", str(problem).partition(": ")[2], "leave one of them out"
+                f"{key}.parent",
+                "LW512",
+                str(problem).partition(": ")[2],
+                "leave one of them out",
+                rests=_rests(line_),
             )
             continue
         for line in whole.fixed or ():
@@ -174,7 +201,11 @@
                 _, zone = fixed_of(line)
             except ConfigError as problem:
                 yield Objection(
-                    f"{key}.fixed", "LW517", str(problem).partition(": ")[2], "write 10.0.0.1:8080"
+                    f"{key}.fixed",
+                    "LW517",
+                    str(problem).partition(": ")[2],
+                    "write 10.0.0.1:8080",
+                    rests=_rests(line_, "fixed"),
                 )
                 continue
             if config is not None and zone and zone not in config.zones:
@@ -183,6 +214,7 @@
                     "LW517",
                     f"the platform has no zone {zone!r}",
                     f"there are {', '.join(config.zones)}",
+                    rests=_rests(line_, "fixed"),
                 )
         if whole.fixed and (whole.kinds or whole.cells):
             yield Objection(
@@ -190,10 +222,17 @@
                 "LW518",
                 "a fixed list is all of the pool: kinds and cells choose of discovery's",
                 "leave one out",
+                rests=_rests(line_, "fixed", "kinds", "cells"),
             )
         for item in whole.cells or ():
             if not item.isascii() or not item.isdigit():
-                yield Objection(f"{key}.cells", "LW517", f"{item!r:.40} is no cell", 'write a number, "3"')
+                yield Objection(
+                    f"{key}.cells",
+                    "LW517",
+                    f"{item!r:.40} is no cell",
+                    'write a number, "3"',
+                    rests=_rests(line_, "cells"),
+                )
         if config is not None:
             for field_, values, names in (
                 ("zones", whole.zones, config.zones),
@@ -208,6 +247,7 @@
                             "LW517",
                             f"the platform has no {what} {value!r}",
                             f"there are {', '.join(names)}",
+                            rests=_rests(line_, field_),
                         )
     if pools and not options.routes:
         yield Objection(
@@ -225,6 +265,9 @@
             "write on = false for one of them",
         )
     used: set[str] = set()
+    places: dict[tuple[str, str], list[tuple[str, Route]]] = {}
+    for name, route in options.routes.items():
+        places.setdefault(_place(route), []).append((name, route))
     for name, route in options.routes.items():
         key = f"route.{name}"
         for field_, targets in (
@@ -236,11 +279,14 @@
             for target in targets:
                 used.add(target)
                 if target not in known:
-                    yield Objection(f"{key}.{field_}", "LW511", f"there is no pool {target!r}", there)
+                    rests = (("route", name, ""), ("route", name, field_), ("pool", target, ""))
+                    yield Objection(
+                        f"{key}.{field_}", "LW511", f"there is no pool {target!r}", there, rests=rests
+                    )
         if config is not None:
-            yield from _beside_platform(key, route, config)
-        for other, before in options.routes.items():
-            if other == name or not _same_place(before, route):
+            yield from _beside_platform(name, route, config)
+        for other, before in places[_place(route)]:
+            if other == name:
                 continue
             if _order(other, before) < _order(name, route) and _covers(before, route):
                 yield Objection(
@@ -248,6 +294,7 @@
                     "LW513",
                     f"no request ever comes here: route {other} has them all",
                     "say what differs, or leave it out",
+                    rests=tuple(("route", one, item) for one in (other, name) for item in ("", *MATCHED)),
                 )
                 break
     for name in pools:
@@ -256,7 +303,8 @@
             yield Objection(f"pool.{name}", "LW711", "no route names it", "leave it out", grave=False)
 
 
-def _beside_platform(key: str, route: Route, config: Config) -> Iterator[Objection]:
+def _beside_platform(name: str, route: Route, config: Config) -> Iterator[Objection]:
+    key = f"route.{name}"
     classes = {cls.name: cls for cls in config.settings.classes}
     tenants = {tenant.name for tenant in config.settings.tenants}
     for value in route.classes:
@@ -266,6 +314,7 @@
                 "LW501",
                 f"the platform has no class {value!r}",
                 f"there are {', '.join(sorted(classes))}",
+                rests=rests_of(name, "classes"),
             )
         elif route.mirror and classes[value].effect is not Effect.SAFE:
             yield Objection(
@@ -273,6 +322,7 @@
                 "LW515",
                 f"{value} takes effect, and its copy would take it once more (rule 2)",
                 "mirror a route of safe classes alone",
+                rests=(*rests_of(name, "classes"), ("route", name, "mirror")),
             )
     for value in route.tenants:
         if value not in tenants:
@@ -281,6 +331,7 @@
                 "LW502",
                 f"the platform has no tenant {value!r}",
                 f"there are {', '.join(sorted(tenants))}",
+                rests=rests_of(name, "tenants"),
             )
 
 
--- /dev/null
+++ b/larkweir/fleet/edits/__init__.py
@@ -0,0 +1,1 @@
+"""Route edits that merge, in service: `part` is plugged in where `[edits]` is on."""
--- /dev/null
+++ b/larkweir/fleet/edits/part.py
@@ -0,0 +1,464 @@
+"""Hands: route edits that merge as a part of a balancer: the copy, its folder, its channel of the peers' mail, and the
+merged tables in service. Not imported where `[edits]` is off.
+
+The folder is read before the first request, so that a start serves with what counts. It is this life's once the peers'
+address is: a successor comes up with what is in the folder, and takes it over when its predecessor has let go.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from concurrent.futures import Future, ThreadPoolExecutor
+from contextlib import suppress
+from random import Random
+from typing import Protocol
+
+from larkweir_edits.copy import Copy
+from larkweir_edits.edit import EditError
+from larkweir_edits.log import Calls, FileLog, peek
+from larkweir_edits.schema import Tables
+from larkweir_edits.whole import FAULT, Whole
+from larkweir_peers.hands import Mail, Socket
+
+from larkweir.config.options import Operator
+from larkweir.config.peering import merging
+from larkweir.config.platform import Config, ConfigError
+from larkweir.config.routing import routing_objections
+from larkweir.core.clock import Clock, Timer
+from larkweir.core.journal import Journal
+from larkweir.fleet.edits.journal import Waiting
+from larkweir.fleet.edits.tables import Checked, Settled, differs, schema, tables_of
+from larkweir.fleet.edits.words import Lines, mark_of, names_of
+from larkweir.routes.hands import Routes
+
+EDITS = 2  # channel of the peers' mail
+AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
+MEND_MS = 5_000.0  # until a folder that could not be written is tried again
+FLUSH_MS = 4_000.0  # that a reload waits for the disk
+PACE = 20.0  # merged tables go to the routes no sooner than so many times what that took
+LEAST_MS = 20.0  # and never sooner than this
+LOOK_MS = 250.0  # from look to look at what the fleet has ended
+
+
+class Fleet(Protocol):
+    """The owners' part, as far as its verdicts go."""
+
+    def verdicts(self) -> tuple[int, int, Sequence[str]] | None:
+        """Term, number, and the keys of what the fleet has ended, where this process owns them."""
+        ...
+
+
+class Host(Protocol):
+    """What a balancer gives to this part."""
+
+    config: Config
+    clock: Clock
+    journal: Journal
+    options: Operator
+    routes: Routes | None
+    peers: Socket | None
+    edits: Part | None
+    closers: list[Callable[[], None]]
+    facts: list[Callable[[], dict[str, object]]]
+
+    @property
+    def owners(self) -> Fleet | None: ...
+
+    def reconfigure(self, config: Config, options: Operator | None = None) -> None: ...
+
+
+class _Posts:
+    """The mail, which is there once the socket is."""
+
+    def __init__(self) -> None:
+        self.mail: Mail | None = None
+
+    def post(self, to: str, item: bytes) -> bool:
+        return self.mail is not None and self.mail.post(to, item)
+
+    def alive(self) -> Sequence[str]:
+        return self.mail.alive() if self.mail is not None else ()
+
+
+class Part:
+    """From `begin` to `close`. ConfigError from the constructor where the files don't do."""
+
+    def __init__(self, host: Host, options: Operator, calls: Calls | None = None) -> None:
+        own = options.edits
+        self._host, self._clock = host, host.clock
+        self._name, self._others = (named := merging(options, host.config)).name, named.others
+        self._folder, self._away_ms, self._calls = own.folder, own.away_ms, calls
+        self._loop = asyncio.get_running_loop()
+        self._file = tables_of(options)  # what staff's file says, as this life was told
+        self._settled = frozenset(own.settle)  # what it named before: nothing new is asked of these
+        self._check = Checked()
+        self._posts = _Posts()
+        self._log = Waiting()
+        self._records = peek(self._folder)
+        self.copy = self._built()
+        self._disk: FileLog | None = None
+        self._thread = ThreadPoolExecutor(1, "edits")
+        self._live = False  # the folder is this life's, and what is in it would survive a crash
+        self._sound = 0  # the record from which on that is so
+        self._mends = self._held = self._closed = False
+        self._trouble = "starting"
+        self._said_trouble = ""
+        self._timer: Timer | None = None
+        self._due_ms = 0.0
+        self._start: Timer | None = None
+        self._apply: Timer | None = None
+        self._free_ms = 0.0  # from when tables may go to the routes again
+        self._asked: tuple[int, Callable[[str], None]] | None = None  # a reload that waits for its record
+        self._patience: Timer | None = None
+        self._look_ms = 0.0
+        self._written: frozenset[str] = frozenset()  # verdicts that were made edits
+        self._lines = Lines()
+        self._foreign = 0
+        self._fault = ""
+        self._whole: Whole | None = None
+        self._tables: Tables = self._file
+        self._mark, self._differs = mark_of(self._file), 0
+        self._take()
+
+    def _built(self) -> Copy:
+        return Copy(
+            schema(),
+            self._name,
+            self._others,
+            self._file,
+            self._posts,
+            self._log,
+            Random(),
+            self._clock.now_ms(),
+            self._check,
+            self._records,
+            self._away_ms,
+        )
+
+    # ------------------------------------------------ the folder
+
+    def start(self) -> None:
+        """Once the peers' address is this life's."""
+        self._start = None
+        if self._closed or self._held or self._disk is not None:
+            return
+        socket = self._host.peers
+        if socket is None or not socket.open:
+            self._again(AGAIN_MS)
+            return
+        if self._posts.mail is None:
+            self._posts.mail = socket.mail(EDITS, self._came)
+        self._then(self._thread.submit(self._open), self._opened)
+
+    def _again(self, delay_ms: float) -> None:
+        if self._start is None:
+            self._start = self._clock.after(delay_ms, self.start)
+
+    def _open(self) -> FileLog | str:
+        """On a thread: the folder, or why not."""
+        try:
+            return FileLog(
+                self._folder,
+                lambda number: self._back(lambda: self._kept(number)),
+                lambda line: self._back(lambda: self._broke(line)),
+                self._calls,
+            )
+        except OSError as problem:
+            return problem.strerror or str(problem)
+
+    def _back(self, call: Callable[[], None]) -> None:
+        with suppress(RuntimeError):  # the loop is over
+            self._loop.call_soon_threadsafe(call)
+
+    def _then(self, done: Future[FileLog | str], then: Callable[[FileLog | str], None]) -> None:
+        done.add_done_callback(lambda future: self._back(lambda: then(future.result())))
+
+    def _opened(self, found: FileLog | str) -> None:
+        if isinstance(found, str):
+            self._trouble = found
+            if found != self._said_trouble:
+                self._said_trouble = found
+                self._say(f"edits: {self._folder}: {found}; tried again; until then no edit is made or told")
+            self._again(MEND_MS if self._mends else AGAIN_MS)
+            return
+        if self._closed or self._held or self._disk is not None:
+            self._thread.submit(found.close)
+            return
+        if found.left_out:
+            self._say(
+                f"edits: {self._folder}: {found.left_out} bytes at its end were cut off, and are left out"
+            )
+        if self._mends or found.records != self._records:
+            self._records, self._log = found.records, Waiting()
+            self.copy = self._built()
+        self._records, found.records = [], []
+        self._disk = found
+        self._sound = 0
+        if self._mends:  # what the file holds is not known: all of it anew, before any of it is told
+            found.begin_anew([self.copy.record()])
+            self._log.give(found)
+            self._sound = self._log.keep(self.copy.record())
+            return
+        self._log.give(found)
+        self._go()
+
+    def _go(self) -> None:
+        self._live, self._mends = True, False
+        self._trouble = self._said_trouble = ""
+        try:
+            made = self.copy.reload(self._file)
+        except EditError as problem:
+            self._say(f"edits: {problem}; what this file says anew does not count")
+        else:
+            if made:
+                self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+        self._settle()
+
+    def _broke(self, line: str) -> None:
+        """The log has ended. What counts goes on; the folder is tried again."""
+        self._trouble = line.partition(": ")[2]
+        if line != self._said_trouble:
+            self._said_trouble = line
+            self._say(line)
+        self._mends = True
+        self._stop()
+        self._answer(self._trouble)
+        if not self._held and not self._closed:
+            self._again(MEND_MS)
+
+    def _stop(self) -> None:
+        self._live = False
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        disk, self._disk = self._disk, None
+        if disk is not None:
+            self._thread.submit(disk.close)
+
+    def hold(self, held: bool) -> None:
+        """Held: a successor goes on with the folder, under a writer's name of its own."""
+        if held == self._held or self._closed:
+            return
+        self._held = held
+        if held:
+            if self._start is not None:
+                self._start.cancel()
+                self._start = None
+            self._stop()
+            self._answer("a successor goes on")
+        else:
+            # The successor may have written: what is there now is read.
+            self._records = []
+            self._again(0.0)
+
+    def close(self) -> None:
+        """For good, before the socket is closed. What was given to the disk is written."""
+        self._closed = True
+        for timer in (self._start, self._apply, self._patience):
+            if timer is not None:
+                timer.cancel()
+        self._stop()
+        self._thread.shutdown(wait=False)
+
+    # ------------------------------------------------ turns
+
+    def _came(self, source: str, item: bytes, now_ms: float) -> None:
+        if self._live:
+            self.copy.came(source, item, now_ms)
+            self._settle()
+
+    def _kept(self, number: int) -> None:
+        if self._disk is None:
+            return
+        if self._sound and number >= self._sound and not self._live:
+            self._say(f"edits: {self._folder}: it can be written again")
+            self.copy.kept(number, self._clock.now_ms())
+            self._go()
+            return
+        self.copy.kept(number, self._clock.now_ms())
+        if self._asked is not None and number >= self._asked[0]:
+            self._apply_now()
+            self._answer("")
+        self._settle()
+
+    def _turn(self) -> None:
+        self._timer = None
+        if not self._live:
+            return
+        now = self._clock.now_ms()
+        if now >= self._look_ms:
+            self._look_ms = now + LOOK_MS
+            self._end()
+        self.copy.tick(now)
+        self._settle()
+
+    def _settle(self) -> None:
+        """After each call of the rules: what is to be written, whether tables have changed, when it goes on."""
+        if not self._live:
+            return
+        disk = self._disk
+        if disk is not None and disk.long:
+            disk.begin_anew([self.copy.record(), *self.copy.pending()])
+        now = self._clock.now_ms()
+        if self._apply is None and self.copy.moved is not self._whole:
+            self._apply = self._clock.at(max(now + LEAST_MS, self._free_ms), self._apply_now)
+        due = max(now, min(self.copy.next_ms, self._look_ms))
+        if self._timer is not None:
+            if self._due_ms <= due:
+                return
+            self._timer.cancel()
+        self._due_ms = due
+        self._timer = self._clock.at(due, self._turn)
+
+    # ------------------------------------------------ the whole in service
+
+    def _apply_now(self) -> None:
+        """What counts goes to the routes as a generation would."""
+        if self._apply is not None:
+            self._apply.cancel()
+            self._apply = None
+        if self._closed:
+            return
+        began = self._clock.now_ms()
+        before = self._tables
+        if self._take() and self._tables != before:
+            self._host.reconfigure(self._host.config, self._host.options)
+        now = self._clock.now_ms()
+        self._free_ms = now + max(LEAST_MS, PACE * (now - began))
+
+    def _take(self) -> bool:
+        """The copy's whole is what counts, where it passes. Whether it is another one."""
+        whole = self.copy.whole
+        if whole is self._whole:
+            return False
+        self._whole = whole
+        wrong = next((item.why for item in whole.told if item.why.startswith(FAULT)), "")
+        self._fault = wrong
+        if not wrong:
+            self._tables = whole.tables
+            self._mark = mark_of(self._tables)
+            self._differs = differs(self._file, self._tables)
+            self._beside()
+        for line in self._lines.of(whole.told, self._clock.now_ms()):
+            self._say(line)
+        return not wrong
+
+    def _beside(self) -> None:
+        """What of the whole this platform's file does not know: it fits no request here."""
+        options = self._check.over(Operator(), self._tables)
+        found = [item for item in routing_objections(options, self._host.config) if item.grave]
+        if found and len(found) != self._foreign:
+            self._say(f"edits: {found[0].key}: {found[0].text}; it counts where the platform's file has it")
+        self._foreign = len(found)
+
+    def merged(self, options: Operator) -> Operator:
+        """The operator file with what counts of routes and pools."""
+        return self._check.over(options, self._tables)
+
+    # ------------------------------------------------ staff
+
+    def reload(self, options: Operator, then: Callable[[str], None]) -> None:
+        """Staff's file says this now. `then` is called once: with why the file can't count, or, when its edits would
+        survive a crash and are in force, with nothing.
+        """
+        self._answer("another reload came")
+        if not self._live:
+            why = "a successor goes on" if self._held else self._trouble
+            then(f"edits: {why}; no edit can be made now, the file before counts")
+            return
+        tables = tables_of(options)
+        before = self._log.number
+        try:
+            made = self.copy.reload(tables)
+            for text in options.edits.settle:
+                if text not in self._settled:
+                    made += self._settles(Settled(text), tables)
+        except EditError as problem:
+            then(f"edits: {problem}; the file before counts")
+            return
+        self._file, self._settled = tables, frozenset(options.edits.settle)
+        self._differs = differs(self._file, self._tables)
+        if self._log.number == before:
+            then("")
+            return
+        self._say(f"edits: {made} made of this reload")
+        self._asked = (self._log.number, then)
+        self._patience = self._clock.after(
+            FLUSH_MS, lambda: self._answer("the disk has not kept it yet; it counts when it has")
+        )
+        self._settle()
+
+    def _settles(self, what: Settled, tables: Tables) -> int:
+        """Staff have looked at what is told of this, and their file's word counts."""
+        said = what.said(tables)
+        if said is not None:
+            return self.copy.settle(what.table, what.name, said)
+        return 0 if what.key else self.copy.remove(what.table, what.name)
+
+    def _answer(self, problem: str) -> None:
+        asked, self._asked = self._asked, None
+        if self._patience is not None:
+            self._patience.cancel()
+            self._patience = None
+        if asked is not None:
+            asked[1](f"edits: {problem}" if problem else "")
+
+    # ------------------------------------------------ the fleet's verdicts
+
+    def _end(self) -> None:
+        """A part that the fleet has ended is ended by an edit as well, under the owner's term: it stays ended until one
+        who has seen that changes it. A later owner writes what an earlier one had no time for."""
+        owners, routes = self._host.owners, self._host.routes
+        found = owners.verdicts() if owners is not None else None
+        if found is None or routes is None:
+            return
+        term, number, keys = found
+        parts = routes.router.parts_by_key()
+        for key in keys:
+            if key in parts and key not in self._written:
+                name, pool = parts[key]
+                with suppress(EditError):  # no room: tried again
+                    self.copy.verdict(("route", name), pool, term, number)
+                    self._written |= {key}
+        self._written &= frozenset(keys)
+
+    # ------------------------------------------------ words
+
+    def _say(self, line: str) -> None:
+        self._host.journal.line(line)
+
+    def facts(self) -> dict[str, object]:
+        """For STATUS."""
+        copy, told = self.copy, self._whole.told if self._whole is not None else ()
+        return {
+            "edits": copy.state.size,
+            "edits_tables": self._mark,
+            "edits_told": len(told),
+            "edits_of": names_of(told) or "none",
+            "edits_differs": self._differs,
+            "edits_disk": "ok" if self._live else "-".join(self._trouble.split())[:80] or "waiting",
+            "edits_away": len(copy.away(self._clock.now_ms())),
+            "edits_foreign": self._foreign,
+            "edits_dropped": ",".join(
+                f"{name}:{copy.counts[name]}"
+                for name in ("bad", "refused", "other_origin")
+                if copy.counts[name]
+            )
+            or "0",
+        }
+
+
+def begin(host: Host, options: Operator) -> Operator:
+    """Before the routes are built: the file's options with what counts by the folder."""
+    part = host.edits = Part(host, options)
+    return part.merged(options)
+
+
+def attach(host: Host, options: Operator) -> None:
+    part = host.edits
+    if part is None or host.routes is None:
+        raise ConfigError("edits.on: this process has no routes to merge")
+    host.closers.insert(0, part.close)
+    host.facts.append(part.facts)
+    host.clock.after(0.0, part.start)
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -370,6 +370,16 @@
         if self._said <= MOST_SAID:
             self._say(line)
 
+    def verdicts(self) -> tuple[int, int, Sequence[str]] | None:
+        """Term, number, and the keys of what the fleet has ended, where that duty is owned here."""
+        work = self.works.get("verdicts")
+        if self.owners is None or not isinstance(work, Verdicts) or "verdicts" not in self.owners.owned:
+            return None
+        record = self.owners.terms["verdicts"].record
+        if record is None:
+            return None
+        return record.term, record.number, [key for key, _ in work.state.ended]
+
     def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         if self.owners is None:
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -514,9 +514,17 @@
         def done(reading: Reading | str) -> None:
             if isinstance(reading, str):
                 self._tell(rules.ReadDone(serial, reading))
+            elif self.node.edits is not None:  # what differs is an edit, and kept before it counts
+                self.node.edits.reload(reading.generation.options, lambda fault: counts(reading, fault))
             else:
-                self._reading = (serial, reading)
-                self._tell(rules.ReadDone(serial, "", reading.fixed, reading.later))
+                counts(reading, "")
+
+        def counts(reading: Reading, fault: str) -> None:
+            if fault:
+                self._tell(rules.ReadDone(serial, fault))
+                return
+            self._reading = (serial, reading)
+            self._tell(rules.ReadDone(serial, "", reading.fixed, reading.later))
 
         def work() -> None:
             result: Reading | str
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -31,6 +31,7 @@
     from larkweir_peers.hands import Socket
 
     from larkweir.background.runner import Runner
+    from larkweir.fleet.edits.part import Part as Edits
     from larkweir.fleet.owners import Part
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.membership.remembered.evidence import Row
@@ -43,14 +44,17 @@
 
 def speaks_fastcgi(options: Operator) -> bool:
     said = bool(options.fastcgi.listen) or options.fastcgi.upstreams != "off"
+    said = said or options.edits.on  # another's edit may say so of a pool
     return said or any(pool.protocol == "fastcgi" for pool in options.pools.values())
 
 
 # The parts beside the core, in the order in which they are plugged in, and whether each is on; one that is off is not
 # imported. A part is a module with `attach(node, options)`, and says by a protocol what it needs of the node. One that
-# makes the journal or the decisions has `begin(node, options)` as well, which comes before the core stands.
+# makes the journal or the decisions has `begin(node, options)` as well, which comes before the core stands, and may
+# return options that count for all behind it.
 PARTS: tuple[tuple[str, Callable[[Operator], bool]], ...] = (
-    ("larkweir.routes.part", lambda options: bool(options.routes or options.pools)),
+    ("larkweir.fleet.edits.part", lambda options: options.edits.on),
+    ("larkweir.routes.part", lambda options: bool(options.routes or options.pools or options.edits.on)),
     ("larkweir.storms.part", lambda options: options.storms.on),
     ("larkweir.logs.part", lambda options: options.log.format == "json"),
     ("larkweir.protocols.fastcgi.part", speaks_fastcgi),
@@ -99,11 +103,13 @@
         self.keeper: Keeper | None = None
         self.peers: Socket | None = None
         self.owners: Part | None = None
+        self.edits: Edits | None = None
+        self.options = options or Operator()  # as the operator file says them, whatever has been merged
         self.decisions: Decisions = decisions or Balancer(config.settings, config.seed)
         parts = [import_module(name) for name, on in PARTS if options is not None and on(options)]
         for part in parts:
             if hasattr(part, "begin"):
-                part.begin(self, options)
+                options = part.begin(self, options) or options
         callers, upstreams = self._budgets(config)
         self.upstreams = Upstreams(
             self.clock, self.room, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
@@ -125,6 +131,8 @@
 
     def hold_peers(self, held: bool) -> None:
         """Held: a successor goes on under this one's name among the peers, as soon as its duties are handed over."""
+        if self.edits is not None:
+            self.edits.hold(held)
         if self.owners is not None:
             self.owners.hold(held)
         elif self.peers is not None:
@@ -163,6 +171,10 @@
         self.intake.requests = Requests(settings, {item.name for item in config.settings.classes})
         self.upstreams.configure(settings, upstreams, config.drain_grace_ms)
         whole = replace(config, settings=settings)
+        if options is not None:
+            self.options = options
+            if self.edits is not None:
+                options = self.edits.merged(options)
         for configure in self.generations:
             configure(whole, options)
         self.engine.reconfigure(whole)
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -57,10 +57,13 @@
         from larkweir.config.routing import checked  # not imported where there is no route
 
         checked(options, config)
-    if options.peers.on:
-        from larkweir.config.peering import peering  # not imported where it is off
+    if options.peers.on or options.edits.on:
+        from larkweir.config.peering import merging, peering  # not imported where they are off
 
-        peering(options.peers, config)
+        if options.edits.on:
+            merging(options, config)
+        else:
+            peering(options.peers, config)
     if not options.governs:
         return config
     from larkweir.config.policies import in_force, objections
@@ -112,7 +115,9 @@
     options = keep_fixed_options(now.options, told)
     governed(config, told)  # also in what can't count yet
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
-    if bool(now.options.routes or now.options.pools) != bool(told.routes or told.pools):
+    if not now.options.edits.on and (
+        bool(now.options.routes or now.options.pools) != bool(told.routes or told.pools)
+    ):
         # One kind of decisions does not become the other while requests hang on it.
         options = replace(options, routes=now.options.routes, pools=now.options.pools)
         changes = [
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -198,6 +198,14 @@
             if pool in trials.by_pool
         }
 
+    def parts_by_key(self) -> dict[str, tuple[str, str]]:
+        """Of all parts that are or were watched: the route and the pool."""
+        return {
+            f"{self._keys[name]}/{at}": (name, pool)
+            for name in self._trials
+            for at, pool in enumerate(self._parts[name])
+        }
+
     def end(self, key: str, why: str) -> str:
         """The part of that key gets nothing any more; a line that says so, empty where it is over or not known."""
         for name, trials in self._trials.items():
--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -185,6 +185,11 @@
         """What counts now."""
         return self.state.whole(self.check)
 
+    @property
+    def moved(self) -> Whole | None:
+        """The whole as it was computed last; None where something has been applied since."""
+        return self.state.computed
+
     # ------------------------------------------------ the log
 
     def _keep(self, record: _Kept) -> None:
--- a/packages/edits/src/larkweir_edits/log.py
+++ b/packages/edits/src/larkweir_edits/log.py
@@ -42,6 +42,27 @@
     return found, at
 
 
+def _generations(folder: str) -> list[int]:
+    stems = [name[:-4] for name in os.listdir(folder) if name.endswith(".log")]
+    return sorted(int(stem) for stem in stems if stem.isascii() and stem.isdigit())
+
+
+def peek(folder: str) -> list[bytes]:
+    """What a log holds, though another process may be writing it. Nothing is changed; none where it can't be read."""
+    for _ in range(5):  # a log that was begun anew meanwhile is looked for again
+        try:
+            found = _generations(folder)
+            if not found:
+                return []
+            with open(os.path.join(folder, f"{found[-1]}.log"), "rb") as file:
+                return read(file.read(MOST_FILE))[0]
+        except FileNotFoundError:
+            continue
+        except OSError:
+            break
+    return []
+
+
 class Calls:
     """The system calls, in one place: tests put faults here."""
 
@@ -98,13 +119,9 @@
     def _path(self, generation: int, end: str = "log") -> str:
         return os.path.join(self._folder, f"{generation}.{end}")
 
-    def _generations(self) -> list[int]:
-        stems = [name[:-4] for name in os.listdir(self._folder) if name.endswith(".log")]
-        return sorted(int(stem) for stem in stems if stem.isascii() and stem.isdigit())
-
     def _open(self) -> tuple[list[bytes], int]:
         """What is there, and how many bytes at its end are left out (a write that was cut off, or worse)."""
-        found = self._generations()
+        found = _generations(self._folder)
         self._generation = found[-1] if found else 0
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW | os.O_APPEND
         self._file = os.open(self._path(self._generation), flags, 0o600)
@@ -177,9 +194,8 @@
                 with self._wake:
                     self.broken = True
                     self._queue.clear()
-                self._say(
-                    f"edits: {self._folder}: {problem.strerror or problem}; no edit is made or told from here on"
-                )
+                why = problem.strerror or problem
+                self._say(f"edits: {self._folder}: {why}; no edit is made or told until it can be written")
                 return
             if records:
                 self._told(number)
--- a/packages/edits/src/larkweir_edits/state.py
+++ b/packages/edits/src/larkweir_edits/state.py
@@ -151,6 +151,11 @@
             self._whole = whole(self.schema, self.rows, self._views, check)
         return self._whole
 
+    @property
+    def computed(self) -> Whole | None:
+        """The whole, where nothing was applied since it was computed."""
+        return self._whole
+
     def now(self, key: RowKey) -> Now:
         """A row for `differences`."""
         row = self.rows.get(key)
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -8,6 +8,7 @@
 import re
 import shutil
 import signal
+from collections.abc import Sequence
 from contextlib import suppress
 from typing import TYPE_CHECKING, Any
 
@@ -34,7 +35,9 @@
         self.name, self._rig = name, rig
         self.folder = rig.folder / name
         self.folder.mkdir()
-        self.disk, self._saved = self.folder / "keeper", self.folder / "saved"
+        self.disk, self._saved = self.folder / "disk", self.folder / "saved"
+        self.said: dict[str, dict[str, Any]] = dict(rig.routes)  # routes and pools, as its staff have them
+        self.settle: list[str] = []
         self.public = ""  # its name among peers, at the relay
         self.own = ("127.0.0.1", free_port())
         self.listen, self._control = free_port(), free_port()
@@ -71,8 +74,9 @@
             "settings": SETTINGS,
         }
         (self.folder / "config.json").write_text(json.dumps(config))
+        lifecycle = {"notify": True} | ({"reload": "whole", "handover": "signal"} if rig.edits else {})
         tables: dict[str, dict[str, Any]] = {
-            "lifecycle": {"notify": True},
+            "lifecycle": lifecycle,
             "peers": {
                 "on": True,
                 "listen": f"{self.own[0]}:{self.own[1]}",
@@ -83,13 +87,29 @@
         }
         if rig.owners:
             keepers = [rig.copies[name].public for name in rig.keepers]
-            tables["owners"] = {"on": True, "keepers": keepers, "folder": str(self.disk)} | rig.owners
+            tables["owners"] = {"on": True, "keepers": keepers, "folder": str(self.disk / "keeper")}
+            tables["owners"] |= rig.owners
+        if rig.edits:
+            tables["edits"] = {"on": True, "folder": str(self.disk / "edits"), "settle": self.settle}
+            tables["edits"] |= rig.edits
+        tables |= self.said
         text = "".join(
             f"[{table}]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in rows.items())
             for table, rows in tables.items()
         )
         (self.folder / "operator.toml").write_text(text)
 
+    def edit(self, settle: Sequence[str] = (), **rows: dict[str, Any] | None) -> None:
+        """Its staff write the file anew and have it read: rows by name, `route_a`; None for one that goes."""
+        for name, row in rows.items():
+            key = name.replace("_", ".", 1)
+            self.said = {other: said for other, said in self.said.items() if other != key}
+            if row is not None:
+                self.said[key] = row
+        self.settle = list(settle)
+        self._write()
+        self._signal(signal.SIGHUP, "reload")
+
     async def _read(self, process: asyncio.subprocess.Process, life: int) -> None:
         assert process.stderr is not None
         while line := await process.stderr.readline():
--- a/standins/together.py
+++ b/standins/together.py
@@ -105,11 +105,15 @@
         peers: dict[str, Any] | None = None,
         owners: dict[str, Any] | None = None,
         pause_s: float = 0.1,
+        edits: dict[str, Any] | None = None,
+        routes: dict[str, dict[str, Any]] | None = None,
     ) -> None:
-        """`pause_s`: between two requests of one caller, on the mean; each copy has one caller."""
+        """`pause_s`: between two requests of one caller, on the mean; each copy has one caller. `edits`: rows of that
+        table, off without; `routes`: rows of routes and pools that each file has, as "route.a"."""
         self.seed = seed
         self.history: list[Event] = []
         self.peers, self.owners = peers or {}, owners or {}
+        self.edits, self.routes = edits or {}, routes or {}
         self.keys: dict[str, set[str]] = {}
         self._temporary = tempfile.TemporaryDirectory(prefix="larkweir-together-")
         self.folder = Path(self._temporary.name)
