--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -38,6 +38,7 @@
 FLUSH_MS = 4_000.0  # that a reload waits for the disk
 PACE = 20.0  # merged tables go to the routes no sooner than so many times what that took
 LEAST_MS = 20.0  # and never sooner than this
+STARTING = "starting"
 LOOK_MS = 250.0  # from look to look at what the fleet has ended
 
 
@@ -90,7 +91,7 @@
         self._name, self._others = (named := merging(options, host.config)).name, named.others
         self._folder, self._away_ms, self._calls = own.folder, own.away_ms, calls
         self._loop = asyncio.get_running_loop()
-        self._file = tables_of(options)  # what staff's file says, as this life was told
+        self._file: Tables = tables_of(options)  # what staff's file says, as this life was told
         self._settled = frozenset(own.settle)  # what it named before: nothing new is asked of these
         self._check = Checked()
         self._posts = _Posts()
@@ -102,7 +103,7 @@
         self._live = False  # the folder is this life's, and what is in it would survive a crash
         self._sound = 0  # the record from which on that is so
         self._mends = self._held = self._closed = False
-        self._trouble = "starting"
+        self._trouble = STARTING
         self._said_trouble = ""
         self._timer: Timer | None = None
         self._due_ms = 0.0
@@ -110,6 +111,10 @@
         self._apply: Timer | None = None
         self._free_ms = 0.0  # from when tables may go to the routes again
         self._asked: tuple[int, Callable[[str], None]] | None = None  # a reload that waits for its record
+        self._early: tuple[Operator, Callable[[str], None]] | None = (
+            None  # one that came before the folder was open
+        )
+        self._before: tuple[Tables, frozenset[str]] | None = None  # its file, until its edits are kept
         self._patience: Timer | None = None
         self._look_ms = 0.0
         self._written: frozenset[str] = frozenset()  # verdicts that were made edits
@@ -213,8 +218,15 @@
         else:
             if made:
                 self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+        self._go_on()
         self._settle()
 
+    def _go_on(self) -> None:
+        """With a reload that came too early."""
+        if self._early is not None and self._live and self.copy.met:
+            (options, then), self._early = self._early, None
+            self.reload(options, then)
+
     def _broke(self, line: str) -> None:
         """The log has ended. What counts goes on; the folder is tried again."""
         self._trouble = line.partition(": ")[2]
@@ -222,6 +234,8 @@
             self._said_trouble = line
             self._say(line)
         self._mends = True
+        if self._before is not None:  # refused: what the file said before counts on
+            (self._file, self._settled), self._before = self._before, None
         self._stop()
         self._answer(self._trouble)
         if not self._held and not self._closed:
@@ -266,6 +280,7 @@
     def _came(self, source: str, item: bytes, now_ms: float) -> None:
         if self._live:
             self.copy.came(source, item, now_ms)
+            self._go_on()
             self._settle()
 
     def _kept(self, number: int) -> None:
@@ -277,6 +292,8 @@
             self._go()
             return
         self.copy.kept(number, self._clock.now_ms())
+        if number >= self._log.number:
+            self._before = None
         if self._asked is not None and number >= self._asked[0]:
             self._apply_now()
             self._answer("")
@@ -363,6 +380,10 @@
         survive a crash and are in force, with nothing.
         """
         self._answer("another reload came")
+        if (self._trouble == STARTING and not self._held) or (self._live and not self.copy.met):
+            self._early = (options, then)
+            self._wait()
+            return
         if not self._live:
             why = "a successor goes on" if self._held else self._trouble
             then(f"edits: {why}; no edit can be made now, the file before counts")
@@ -377,18 +398,28 @@
         except EditError as problem:
             then(f"edits: {problem}; the file before counts")
             return
+        self._before = self._before or (self._file, self._settled)
         self._file, self._settled = tables, frozenset(options.edits.settle)
         self._differs = differs(self._file, self._tables)
         if self._log.number == before:
+            self._before = None
             then("")
             return
         self._say(f"edits: {made} made of this reload")
         self._asked = (self._log.number, then)
-        self._patience = self._clock.after(
-            FLUSH_MS, lambda: self._answer("the disk has not kept it yet; it counts when it has")
-        )
+        self._wait()
         self._settle()
 
+    def _wait(self) -> None:
+        self._patience = self._clock.after(FLUSH_MS, lambda: self._answer(self._late()))
+
+    def _late(self) -> str:
+        if self._asked is not None:
+            return "the disk has not kept it yet; it counts when it has"
+        if self._live:
+            return "the folder was empty, and no other balancer was heard that may know more: reload once one is there"
+        return "the folder is not open yet; the file before counts"
+
     def _settles(self, what: Settled, tables: Tables) -> int:
         """Staff have looked at what is told of this, and their file's word counts."""
         said = what.said(tables)
@@ -397,12 +428,15 @@
         return 0 if what.key else self.copy.remove(what.table, what.name)
 
     def _answer(self, problem: str) -> None:
-        asked, self._asked = self._asked, None
+        then = (
+            self._asked[1] if self._asked is not None else self._early[1] if self._early is not None else None
+        )
+        self._asked = self._early = None
         if self._patience is not None:
             self._patience.cancel()
             self._patience = None
-        if asked is not None:
-            asked[1](f"edits: {problem}" if problem else "")
+        if then is not None:
+            then(f"edits: {problem}" if problem else "")
 
     # ------------------------------------------------ the fleet's verdicts
 
@@ -411,7 +445,7 @@
         who has seen that changes it. A later owner writes what an earlier one had no time for."""
         owners, routes = self._host.owners, self._host.routes
         found = owners.verdicts() if owners is not None else None
-        if found is None or routes is None:
+        if found is None or routes is None or not self.copy.met:
             return
         term, number, keys = found
         parts = routes.router.parts_by_key()
@@ -432,12 +466,13 @@
         """For STATUS."""
         copy, told = self.copy, self._whole.told if self._whole is not None else ()
         return {
-            "edits": copy.state.size,
+            "edits": sum(copy.state.vector.values()),
+            "edits_waiting": copy.state.size,
             "edits_tables": self._mark,
             "edits_told": len(told),
             "edits_of": names_of(told) or "none",
             "edits_differs": self._differs,
-            "edits_disk": "ok" if self._live else "-".join(self._trouble.split())[:80] or "waiting",
+            "edits_state": self._state(),
             "edits_away": len(copy.away(self._clock.now_ms())),
             "edits_foreign": self._foreign,
             "edits_dropped": ",".join(
@@ -448,6 +483,11 @@
             or "0",
         }
 
+    def _state(self) -> str:
+        if self._live:
+            return "ok" if self.copy.met else "alone"
+        return "-".join(self._trouble.split())[:80] or "waiting"
+
 
 def begin(host: Host, options: Operator) -> Operator:
     """Before the routes are built: the file's options with what counts by the folder."""
--- a/larkweir/fleet/edits/words.py
+++ b/larkweir/fleet/edits/words.py
@@ -55,15 +55,15 @@
     """Which lines go to the log: what is new among what is told, and what is told no more; so many a minute."""
 
     def __init__(self) -> None:
-        self._known: Mapping[Told, None] = {}
+        self._known: Mapping[str, str] = {}  # by line, what it is about
         self._since_ms = 0.0
         self._said = 0
 
     def of(self, told: Sequence[Told], now_ms: float) -> list[str]:
-        now = dict.fromkeys(told)
-        new = [line_of(item) for item in now if item not in self._known]
-        keys = {key_of(item) for item in now}
-        gone = dict.fromkeys(key_of(item) for item in self._known if key_of(item) not in keys)
+        now = {line_of(item): key_of(item) for item in told}
+        new = [line for line in now if line not in self._known]
+        keys = set(now.values())
+        gone = dict.fromkeys(key for key in self._known.values() if key not in keys)
         self._known = now
         found = [*new, *(f"edits: {key}: settled" for key in gone)]
         if now_ms - self._since_ms >= 60_000.0:
--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -117,6 +117,9 @@
         for record in records:
             self._replay(record)
             empty = False
+        # Whether it is known that the others began with the same, or that none has an edit yet: an edit that is made
+        # before may be of what they don't have.
+        self.met = bool(self.state.vector) or not self.peers
         self._vector = dict(self.state.vector)
         self._digest = Digest(self._vector)
         if empty:  # what all began with is in the log too: the file may be another when it is read again
@@ -348,11 +351,13 @@
         mine = self.state
         if told.origin != mine.origin:
             self.counts["other_origin"] += 1
+            self.met = self.met or told.fresh
             if mine.vector and told.fresh:
                 self._wholes.offer(source, mine, "", 0, now_ms)
             elif not mine.vector and not told.fresh:
                 self._greet(source)  # it will offer what it has
             return
+        self.met = True
         if told.total == self._digest.total:
             if not self._vector:
                 self._vector = dict(mine.vector)
@@ -464,6 +469,7 @@
         """
         old, self.state = self.state, new
         self.counts["adopted"] += 1
+        self.met = True
         self.writer = self._life()
         self._vector = {}
         self._others.agreed.clear()
