What is asked between two looks finds the life ready that has said yes

`Engine.ready` (so `/ready` and the yes of STATUS) holds as soon as the list is there, while the life hears of it from `Daemon._look`, which polls each 10 ms; in between SIGUSR2 was refused as "this life is not ready", too. Ruled out: the test's own waits; a start whose list was slow (upstreams=1/1 stood in the line). Change: an operator's order and SIGUSR2 look first (`_notice`). Result: a life that looks once and then not for a quarter of an hour (the new test) answers both as ready; without `_notice` it fails each time.

--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -92,7 +92,7 @@
         for number in STOPS:
             self._loop.add_signal_handler(number, self._tell, rules.Stop())
         self._loop.add_signal_handler(signal.SIGHUP, self._tell, rules.ReloadAsked())
-        self._loop.add_signal_handler(signal.SIGUSR2, self._tell, rules.HandoverAsked())
+        self._loop.add_signal_handler(signal.SIGUSR2, self._asked, rules.HandoverAsked())
         self._find_predecessor()
         if self._predecessor_socket is None:
             self._build(None)
@@ -239,6 +239,7 @@
         life = self._life
         if life is None:
             return False, "this life is starting"
+        self._notice()
         if order.value == "STATUS":
             return self._status(life)
         why = life.may_pause()
@@ -468,6 +469,15 @@
         if self._successor is not None and self._successor[0] == serial:
             act(self._successor[1])
 
+    def _asked(self, event: rules.Event) -> None:
+        self._notice()
+        self._tell(event)
+
+    def _notice(self) -> None:
+        """Whoever was told yes by `/ready` may ask in the same moment: the first list counts then."""
+        if self._life is not None and self._life.state is rules.State.STARTING and self.node.engine.ready:
+            self._tell(rules.ListReady())
+
     def _look(self) -> None:
         """Look for the first list."""
         if self.node.engine.ready:
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -44,6 +44,7 @@
     def __init__(self, it: Service) -> None:
         self._it = it
         self.control = free_port()
+        self.command: tuple[str, ...] = ("-m", "larkweir")
         self.log: list[str] = []
 
     async def start(self, yes: bool = True, **env: str) -> Process:
@@ -51,7 +52,7 @@
         whole |= {"GW_CONFIG": str(self._it.config_path), "GW_CONTROL": f"127.0.0.1:{self.control}"}
         whole |= {"TMPDIR": str(self._it.folder)} | env
         self.process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "larkweir", "run", "--operator", str(self._it.operator_path)),
+            *(sys.executable, *self.command, "run", "--operator", str(self._it.operator_path)),
             env=whole,
             cwd=ROOT,
             stderr=asyncio.subprocess.PIPE,
@@ -373,6 +374,56 @@
     run(work())
 
 
+# A life that looks for its first list once, at its start, and then not for a quarter of an hour.
+LOOKS_ONCE = """
+from runpy import run_module
+from larkweir.lifecycle.daemon import Daemon
+Daemon.STEP_MS = 1e6
+run_module("larkweir", run_name="__main__")
+"""
+
+
+def test_what_is_asked_between_two_looks_finds_the_life_ready_that_said_yes(tmp_path: Path) -> None:
+    """The yes goes by the list; so does what STATUS calls the state, and what a signal may ask for."""
+
+    async def work() -> None:
+        upstream = await FakeUpstream(serve_ok).start()
+        async with service(tmp_path, upstream, notify=False, handover="signal") as it:
+            process = Process(it)
+            process.command = ("-c", LOOKS_ONCE)
+            try:
+                await process.start()
+                assert (await call(process.control, "STATUS")).startswith("SUCCESS state=ready upstreams=1/1")
+            finally:
+                process.kill(signal.SIGKILL)
+                await process.process.wait()
+            second = Process(it)
+            second.command = ("-c", LOOKS_ONCE)
+            try:
+                await second.start(yes=False)
+                while not await _says_yes(it.port):
+                    assert second.process.returncode is None, second.log
+                second.kill(signal.SIGUSR2)
+                await second.said("handover: ")
+                assert not any("not ready" in line for line in second.log), second.log
+            finally:
+                second.kill(signal.SIGKILL)
+                await second.process.wait()
+        upstream.close()
+
+    run(work())
+
+
+async def _says_yes(port: int) -> bool:
+    try:
+        async with Caller(port) as front:
+            front.ask(target="/ready")
+            return (await front.answer()).status == 200
+    except OSError:
+        await asyncio.sleep(0.01)
+        return False
+
+
 def test_an_address_that_is_taken_ends_the_start_with_one_line(tmp_path: Path) -> None:
     async def work() -> None:
         upstream = await FakeUpstream(serve_ok).start()
