Options split: what a key is, what the fleet's tables say, and the other tables

Change: `config/keys.py` (defaults, units, how a change counts, merge rules), `config/fleet_tables.py` (`[peers]`, `[owners]`), the rest stays in `config/options.py`; importers name the file that defines. Not taken: names passed on by options.py, since then nothing says where a thing is.

--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from larkweir.config import changes
+from larkweir.config.keys import Change
 from larkweir.config.operator import decode as decode_operator
-from larkweir.config.options import Change, changed
+from larkweir.config.options import changed
 from larkweir.config.platform import ConfigError, read_object
 from larkweir.config.platform import decode as decode_platform
 from larkweir.config.platform import faults as platform_faults
--- a/larkweir/config/changes.py
+++ b/larkweir/config/changes.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from larkweir.config.options import Change
+from larkweir.config.keys import Change
 
 
 class Difference(NamedTuple):
--- /dev/null
+++ b/larkweir/config/fleet_tables.py
@@ -0,0 +1,85 @@
+"""Rules: what an operator file may say of the fleet: its peers, and what they do together. All of it off by default."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from larkweir.config.keys import Change, listen_address, option
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Peers:
+    """The table `[peers]`: the other balancers of the fleet, and datagrams between them."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # Where this process listens, "10.3.0.1:7946". "": as the platform's file says (`peer_listen`).
+    listen: str = option("", Change.HANDOVER)
+    # The address by which the others list this process, where it is not the one it listens at.
+    name: str = option("", Change.HANDOVER)
+    # The whole fleet, each "address:port"; this process may be among them. Empty: as the platform's file says.
+    peers: tuple[str, ...] = option((), Change.HANDOVER)
+    # A file of one to four lines, each a key: the first signs, all are believed. "": loopback addresses alone.
+    key_file: str = option("", Change.HANDOVER)
+    # From probe to probe, and until others are asked about one that has not answered.
+    probe_ms: float = option(500.0, Change.HANDOVER, low=50.0, high=60_000.0)
+    ack_ms: float = option(200.0, Change.HANDOVER, low=10.0, high=30_000.0)
+    # Datagrams that this process sends, a second, and as many at once.
+    datagrams_per_s: float = option(64.0, Change.HANDOVER, low=10.0, high=100_000.0)
+    burst: float = option(128.0, Change.HANDOVER, low=64.0, high=100_000.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        said = [("listen", self.listen), ("name", self.name), *(("peers", item) for item in self.peers)]
+        for key, text in said:
+            address = listen_address(text) if text else None
+            if text and (address is None or isinstance(address, str) or not address[1]):
+                found[key] = f"{text!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946"
+            elif text and not self.key_file and not text.startswith("127."):
+                found[key] = f"{text} is beyond loopback: that takes a key_file"
+        if len(self.peers) > 4096:
+            found["peers"] = f"{len(self.peers)} addresses; 4096 at the most"
+        if self.key_file and not self.key_file.startswith("/"):
+            found["key_file"] = f"{self.key_file!r:.100} is no file; write a path from the root of the disk"
+        if self.ack_ms >= self.probe_ms:
+            found["ack_ms"] = f"{self.ack_ms:g} ms is no shorter than probe_ms, {self.probe_ms:g}"
+        return found
+
+
+DUTIES = ("verdicts", "ramps", "drill")
+
+
+@dataclass(frozen=True, eq=False, repr=False)
+class Owners:
+    """The table `[owners]`: work on behalf of the fleet, by one owner at a time."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # The three or five balancers, by the names that `[peers]` has, whose majority says who owns what.
+    keepers: tuple[str, ...] = option((), Change.HANDOVER)
+    # Where this process keeps what it has promised, if it is a keeper: a folder of its own, on a disk that stays.
+    folder: str = option("", Change.HANDOVER)
+    # An owner that is not heard for so long is followed by another.
+    lease_ms: float = option(3_000.0, Change.HANDOVER, low=200.0, high=600_000.0)
+    # What this process takes part in: "verdicts", "ramps", and "drill", a counter to practise on.
+    duties: tuple[str, ...] = option(("verdicts", "ramps"), Change.HANDOVER)
+    # A zone that a reload evacuates empties for so long, an upstream after the other, with "ramps" at all balancers
+    # alike; 0: at once.
+    evacuate_ms: float = option(0.0, Change.HANDOVER, low=0.0, high=86_400_000.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        for text in self.keepers:
+            address = listen_address(text)
+            if address is None or isinstance(address, str) or not address[1]:
+                found["keepers"] = f"{text!r:.60} is not an IPv4 address and port, such as 10.3.0.1:7946"
+        if (self.on or self.keepers) and (
+            len(self.keepers) not in (3, 5) or len(set(self.keepers)) != len(self.keepers)
+        ):
+            found.setdefault("keepers", f"{len(set(self.keepers))} balancers; write three or five, each once")
+        if self.folder and not self.folder.startswith("/"):
+            found["folder"] = f"{self.folder!r:.100} is no folder; write a path from the root of the disk"
+        unknown = next((name for name in self.duties if name not in DUTIES), None)
+        if unknown is not None:
+            found["duties"] = f"{unknown!r:.40} is no duty; there are {', '.join(DUTIES)}"
+        return found
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -4,7 +4,9 @@
 
 from typing import NamedTuple
 
-from larkweir.config.options import Operator, Peers, listen_address
+from larkweir.config.fleet_tables import Peers
+from larkweir.config.keys import listen_address
+from larkweir.config.options import Operator
 from larkweir.config.platform import Config, ConfigError
 
 
--- a/larkweir/language/amounts.py
+++ b/larkweir/language/amounts.py
@@ -6,7 +6,7 @@
 import re
 from decimal import Decimal, InvalidOperation
 
-from larkweir.config.options import Unit
+from larkweir.config.keys import Unit
 
 # In milliseconds.
 TIMES = {
--- a/larkweir/language/behaviour.py
+++ b/larkweir/language/behaviour.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass
 from typing import Any
 
-from larkweir.config.options import NAMED, TABLES, Change, Operator, changed
+from larkweir.config.keys import Change
+from larkweir.config.options import NAMED, TABLES, Operator, changed
 from larkweir.language.amounts import written
 from larkweir.language.model import Key, keys_of
 
--- a/larkweir/language/model.py
+++ b/larkweir/language/model.py
@@ -12,7 +12,8 @@
 from types import NoneType
 from typing import Any, Literal, get_args, get_origin, get_type_hints
 
-from larkweir.config.options import NAMED, TABLES, Operator, Unit, rows, unit_of
+from larkweir.config.keys import Unit, unit_of
+from larkweir.config.options import NAMED, TABLES, Operator, rows
 from larkweir.config.platform import Config
 from larkweir.config.policies import Objection, objections
 from larkweir.config.routing import routing_objections
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -16,7 +16,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from larkweir.config.options import listen_address
+from larkweir.config.keys import listen_address
 from larkweir.config.platform import ConfigError
 from larkweir.lifecycle import rules
 from larkweir.lifecycle.node import Node
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from larkweir.config.classes import in_place
-from larkweir.config.options import Change, Operator, changed
+from larkweir.config.keys import Change
+from larkweir.config.options import Operator, changed
 from larkweir.config.options import keep_fixed as keep_fixed_options
 from larkweir.config.platform import Config, ConfigError, decode_object, read_file, read_object
 from mulleinhitch.interface import fixed_difference
--- a/tests/config/test_changes.py
+++ b/tests/config/test_changes.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 
 from larkweir.config.changes import differences, keep_fixed, rule_of
-from larkweir.config.options import Change
+from larkweir.config.keys import Change
 from larkweir.config.platform import decode_object
 from mulleinhitch.interface import fixed_difference
 from tests.fakes import SETTINGS, config_data
--- a/tests/config/test_merge_rules.py
+++ b/tests/config/test_merge_rules.py
@@ -7,7 +7,8 @@
 
 import pytest
 
-from larkweir.config.options import NAMED, Merge
+from larkweir.config.keys import Merge
+from larkweir.config.options import NAMED
 
 MERGED = ("pool", "route")
 LISTS = (Merge.SET, Merge.LIFTED, Merge.SPLIT)
--- a/tests/config/test_operator.py
+++ b/tests/config/test_operator.py
@@ -7,8 +7,9 @@
 
 import pytest
 
+from larkweir.config.keys import Change
 from larkweir.config.operator import decode, load
-from larkweir.config.options import TABLES, Change, Lifecycle, Operator, changed, keep_fixed
+from larkweir.config.options import TABLES, Lifecycle, Operator, changed, keep_fixed
 from larkweir.config.platform import ConfigError
 
 ROOT = Path(__file__).parents[2]
--- a/tests/fleet/test_part.py
+++ b/tests/fleet/test_part.py
@@ -16,8 +16,9 @@
 import pytest
 
 from larkweir.cli.check import check
+from larkweir.config.fleet_tables import Peers
 from larkweir.config.operator import decode
-from larkweir.config.options import Operator, Peers, changed
+from larkweir.config.options import Operator, changed
 from larkweir.config.peering import Peering, peering
 from larkweir.config.platform import ConfigError
 from larkweir.config.platform import decode as decode_platform
--- a/tests/language/test_properties.py
+++ b/tests/language/test_properties.py
@@ -13,7 +13,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from larkweir.config.options import NAMED, TABLES, Operator, Unit, changed
+from larkweir.config.keys import Unit
+from larkweir.config.options import NAMED, TABLES, Operator, changed
 from larkweir.config.policies import objections, overlaid
 from larkweir.language import amounts
 from larkweir.language.behaviour import as_language, sentences
--- a/tests/routes/test_loopback.py
+++ b/tests/routes/test_loopback.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from larkweir.config.options import Operator, Owners, Pool, Route
+from larkweir.config.fleet_tables import Owners
+from larkweir.config.options import Operator, Pool, Route
 from larkweir.config.platform import decode
 from mulleinhitch.interface import Outcome
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, Incoming, Talk, ok, status
