A table of the fleet's duties: each is made by a line of it

Change: larkweir/fleet/duties/table.py names a maker for each; a maker gets a Seat (life, routes, wake) and imports its duty only when it is named. What a duty steers goes back to each copy alone by its own alone(), no longer by a line in the part. Not taken: entry points of packages: a duty needs the balancer's routes, so it is no plug-in of strangers.

--- a/larkweir/fleet/duties/drill.py
+++ b/larkweir/fleet/duties/drill.py
@@ -32,5 +32,8 @@
     def tick(self, now_ms: float) -> list[Report]:
         return []
 
+    def alone(self) -> None:
+        pass
+
     def notable(self) -> bool:
         return True
--- a/larkweir/fleet/duties/ramps.py
+++ b/larkweir/fleet/duties/ramps.py
@@ -168,6 +168,9 @@
         self._beats.took()
         self.next_ms = 0.0
 
+    def alone(self) -> None:
+        pass  # what a ramp was told to stand at it keeps, and goes on from there
+
     def notable(self) -> bool:
         found, self._news = self._news, False
         return found
--- /dev/null
+++ b/larkweir/fleet/duties/table.py
@@ -0,0 +1,55 @@
+"""Rules: which duties there are, and how each is made. A duty more is a line here, and its name in the options' list.
+
+A maker imports its duty when it is asked for one, so that a duty that is not named costs nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING, NamedTuple
+
+from larkweir.fleet.duties.words import Work
+
+if TYPE_CHECKING:
+    from larkweir.routes.hands import Routes
+
+
+class Seat(NamedTuple):
+    """What a duty is given by the balancer that it runs in."""
+
+    life: int  # of this copy's reports: higher than a former one's
+    routes: Routes | None  # None where no route is configured
+    wake: Callable[[], None]  # to be called when the duty's `next_ms` is earlier than it was
+
+
+Maker = Callable[[Seat], Work | None]  # None: it has nothing to do in this process
+
+
+def _drill(seat: Seat) -> Work | None:
+    from larkweir.fleet.duties.drill import Drill
+
+    return Drill()
+
+
+def _verdicts(seat: Seat) -> Work | None:
+    from larkweir.fleet.duties.verdicts import Verdicts
+
+    routes = seat.routes
+    return Verdicts(seat.life, lambda: routes) if routes is not None else None
+
+
+def _ramps(seat: Seat) -> Work | None:
+    from larkweir.fleet.duties.ramps import Ramps
+
+    routes = seat.routes
+    return Ramps(seat.life, lambda: routes) if routes is not None else None
+
+
+MAKERS: dict[str, Maker] = {"drill": _drill, "verdicts": _verdicts, "ramps": _ramps}
+
+
+def made(names: Sequence[str], seat: Seat) -> dict[str, Work]:
+    """The duties of these names, in their order, less those that have nothing to do here. KeyError for a name that is
+    none: the options' check has refused it."""
+    found = {name: MAKERS[name](seat) for name in names}
+    return {name: work for name, work in found.items() if work is not None}
--- a/larkweir/fleet/duties/verdicts.py
+++ b/larkweir/fleet/duties/verdicts.py
@@ -252,6 +252,10 @@
         self._beats.took()
         self.next_ms = 0.0
 
+    def alone(self) -> None:
+        for trial in self._trying().on_trial().values():
+            trial.alone = True
+
     def notable(self) -> bool:
         found, self._news = self._news, False
         return found
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -85,6 +85,10 @@
         """As a copy: what to tell the owner now."""
         ...
 
+    def alone(self) -> None:
+        """This process takes part no more: whatever the duty steers here goes on as without owners."""
+        ...
+
     def notable(self) -> bool:
         """Whether what was taken last is more than a beat. Asked once for each."""
         ...
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from random import Random
@@ -27,12 +27,9 @@
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
-from larkweir.fleet.duties.drill import Drill
-from larkweir.fleet.duties.ramps import Ramps
-from larkweir.fleet.duties.verdicts import Verdicts
+from larkweir.fleet.duties.table import Seat, made
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
-from larkweir.routes.trial import Trial
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
@@ -139,7 +136,8 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        self.works = {work.name: work for work in self._duties(int(self._clock.now_ms()))}
+        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle)  # the clock goes on over lives
+        self.works = made(self.options.duties, seat)
         self.owners = Owners(
             self.me,
             life,
@@ -156,18 +154,6 @@
         self._due_ms = self._clock.now_ms()
         self._turn()
 
-    def _duties(self, life: int) -> list[Work]:
-        """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
-        routes, found = self._routes, list[Work]()
-        for name in self.options.duties:
-            if name == "drill":
-                found.append(Drill())
-            elif name == "verdicts" and routes is not None:
-                found.append(Verdicts(life, lambda: _Trying(routes)))
-            elif name == "ramps" and routes is not None:
-                found.append(Ramps(life, lambda: routes))
-        return found
-
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
         return self._rng.sample(list(names), min(most, len(names)))
 
@@ -178,17 +164,13 @@
             self._timer = None
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
-        self.owners, self.works, self._owned, self._mode = None, {}, {}, ""
+        works, self.works = self.works, {}
+        self.owners, self._owned, self._mode = None, {}, ""
         file, self._file = self._file, None
         if file is not None:
             self._shut(file)
-        self._alone()
-
-    def _alone(self) -> None:
-        if self._routes is None:
-            return
-        for trial in self._routes.router.on_trial().values():
-            trial.alone = True
+        for work in works.values():
+            work.alone()
 
     def _shut(self, file: KeeperFile) -> None:
         assert self._thread is not None
@@ -390,19 +372,6 @@
         return found | {"owners_dropped": ",".join(f"{name}:{n}" for name, n in wrong.items()) or "0"}
 
 
-class _Trying:
-    """The present generation's trials; what ends is told to the log."""
-
-    def __init__(self, routes: Routes) -> None:
-        self._routes = routes
-
-    def on_trial(self) -> Mapping[str, Trial]:
-        return self._routes.router.on_trial()
-
-    def end(self, key: str, why: str) -> None:
-        self._routes.end(key, why)
-
-
 def _opened(file: KeeperFile) -> Disk | str:
     """On the keeper's thread: the disk, or why not."""
     try:
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -23,6 +23,7 @@
 from larkweir.routes.split import Ramp
 from larkweir.routes.switch import Coming, Pool, Switch
 from larkweir.routes.table import Facts
+from larkweir.routes.trial import Trial
 from larkweir.routes.zones import Spill
 from mulleinhitch import Balancer
 from mulleinhitch.interface import Effect, ListKind, RequestArrived, ServerEntry, ServerState, Settings
@@ -328,6 +329,10 @@
         if line:
             self._say(line)
 
+    def on_trial(self) -> dict[str, Trial]:
+        """Of the present generation (`Router.on_trial`)."""
+        return self.router.on_trial()
+
     def end(self, key: str, why: str) -> None:
         """A part's trial is over by a fleet's word (`Router.end`)."""
         line = self.router.end(key, why)
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -14,7 +14,8 @@
 
 from larkweir.cli.check import check
 from larkweir.config.operator import decode
-from larkweir.config.options import Operator, changed
+from larkweir.config.options import DUTIES, Operator, changed
+from larkweir.fleet.duties.table import MAKERS
 from standins.manager import ROOT
 from standins.peers import PATIENCE_S, FakeUpstream
 from standins.ports import free_port
@@ -207,3 +208,14 @@
             assert (await status(second.data["control"])).get("owners_keeper") == "voting"
 
     run(play())
+
+
+def test_every_duty_that_may_be_named_has_a_maker_and_is_imported_only_then() -> None:
+    assert set(MAKERS) == set(DUTIES)
+    code = (
+        "import sys; from larkweir.fleet.duties.table import Seat, made; "
+        "found = made(['drill', 'ramps'], Seat(1, None, lambda: None)); "
+        "print(list(found), [n for n in sys.modules if n.startswith('larkweir.fleet.duties.')])"
+    )
+    done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True)
+    assert done.stdout.startswith("['drill']") and "verdicts" not in done.stdout
