Following requests from events is a rule of its own, beside what the log tells

Captures need every request's attempts, times and end as the JSON log follows them, with a mark of their own on each.

The follower is taken out of the log's watch and handed the mark and whom to tell. A body or an answer that is still coming runs no deadline here: such requests were told as 504 while they were served. Writing a second follower was weighed: two would drift apart in what an end is.

--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -13,11 +13,14 @@
 
 import pytest
 
+from larkweir.logs.follow import Follow
 from larkweir.logs.lines import JsonJournal
 from larkweir.logs.watch import Watch, drawn
 from mulleinhitch import Balancer
 from mulleinhitch.interface import (
+    AnswerStarted,
     AttemptEnded,
+    BodyCame,
     ClientGone,
     Effect,
     ListKind,
@@ -106,6 +109,21 @@
     assert heard.of("list")[-1]["changed"] == [["10.0.0.1:80", "gone"]]
 
 
+def test_no_deadline_is_counted_while_a_body_or_an_answer_comes() -> None:
+    heard = Heard()
+    heard.tell(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(1)]))
+    heard.tell(1.0, RequestArrived(1, 0, 900.0, coming=True))
+    heard.tell(2.0, RequestArrived(2, 0, 900.0))
+    heard.tell(9.0, AnswerStarted(2, 0, 1, 7.0))
+    heard.tell(5_000.0, RequestArrived(3, 0, 900.0))
+    assert heard.of("request") == []  # neither is overdue
+    heard.tell(5_000.0, BodyCame(1))
+    heard.tell(5_001.0, AttemptEnded(2, 0, 1, Outcome.RESET, True, 7.0))  # it broke off: it had its answer
+    assert [(line["id"], line["status"]) for line in heard.of("request")] == [("id-2", 200)]
+    heard.tell(7_000.0, RequestArrived(4, 0, 900.0))  # 900 ms from its last byte on
+    assert {line["id"]: line["status"] for line in heard.of("request")}["id-1"] == 504
+
+
 def test_an_upstream_that_is_left_out_and_comes_back_is_told() -> None:
     heard = Heard(0.0)
     heard.tell(0.0, ListUpdate(ListKind.FULL, 1, [ServerEntry(n) for n in range(1, 5)]))
@@ -135,9 +153,9 @@
 
 def test_what_is_followed_is_bounded() -> None:
     heard = Heard()
-    for number in range(1, 3 * Watch.MOST):
-        heard.watch._arrived(0.0, RequestArrived(number, 0, 900.0))
-    assert len(heard.watch._open) == Watch.MOST
+    for number in range(1, 3 * Follow.MOST):
+        heard.watch._follow.before(0.0, RequestArrived(number, 0, 900.0))
+    assert len(heard.watch._follow) == Follow.MOST
     many = [ServerEntry(n) for n in range(1, 500)]
     heard.tell(1.0, ListUpdate(ListKind.FULL, 1, many))
     assert heard.of("list")[0]["changes"] == 499 and len(heard.of("list")[0]["changed"]) == Watch.MOST_NAMED
