Budgets carry one more field for another part, believed and taken off as their own

X-Capture is to travel where the chain's fields do: down with each attempt, back with the answer, from and to whom [budget] trusts.

A port (Rider, Ride) in core; the chain hands the part what came, asks it for what goes down and back, and tells it of lost answers, refusals and closings. Off, it costs a test for None at four places. Wrapping the chain by a second one was weighed: headers would be looked through twice for each request. The caller's trust stays one matter.

--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -8,6 +8,8 @@
     back    X-Budget-Spent     what it has cost
             X-Budget-Loop      a tier below has refused a loop: trying again would only meet it again
             X-Never-Ran        nothing of it has run
+
+Another part may have a field of its own carried both ways (`carry`), believed and taken off as these are.
 """
 
 from __future__ import annotations
@@ -30,6 +32,7 @@
 )
 from larkweir.config.options import Budget
 from larkweir.core.message import FramingError, Headers, Message
+from larkweir.core.ports import Ride, Rider
 from mulleinhitch.interface import NEVER_RAN, Outcome, RequestArrived, Settings
 
 BUDGET = b"x-budget"
@@ -43,15 +46,36 @@
 class Ticket:
     """One request's part."""
 
-    __slots__ = ("_chain", "_key", "_path", "_ran", "_times", "_trusted", "account", "cls", "out", "worth")
+    __slots__ = (
+        "_chain",
+        "_key",
+        "_path",
+        "_ran",
+        "_ride",
+        "_times",
+        "_trusted",
+        "account",
+        "cls",
+        "out",
+        "worth",
+    )
 
     def __init__(
-        self, chain: Chain, account: Account, path: bytes, worth: float, trusted: bool, cls: int, key: bytes
+        self,
+        chain: Chain,
+        account: Account,
+        path: bytes,
+        worth: float,
+        trusted: bool,
+        cls: int,
+        key: bytes,
+        ride: Ride | None,
     ) -> None:
         self._chain = chain
         self._path = path
         self._trusted = trusted
         self._key = key
+        self._ride = ride
         self._ran = False  # an attempt may have run
         self._times: dict[int, float] = {}
         self.account = account
@@ -73,11 +97,14 @@
             return None
         self.out += 1
         self._times[attempt] = now_ms
-        return [
+        found = [
             (b"X-Budget", b"%d" % part),
             (b"X-Budget-Worth", b"%.6g" % self.worth),
             (b"X-Budget-Path", self._path),
         ]
+        if self._ride is not None:
+            found.append((chain.field, self._ride.down()))
+        return found
 
     def settle(self, attempt: int, outcome: Outcome, answer: Message | None, now_ms: float) -> None:
         """An attempt that was granted has ended."""
@@ -88,6 +115,9 @@
         never = outcome in NEVER_RAN
         self._ran = self._ran or not never
         told = None
+        if self._ride is not None:
+            values = answer.values(self._chain.lower) if answer is not None else ()
+            self._ride.told(values[0] if values else None, not never and not self._chain.last)
         if answer is not None:
             try:
                 told = number(answer.value(SPENT), 0, MOST_BUDGET)
@@ -108,6 +138,8 @@
             chain.gate.ended(status != 200)  # errors and loops are no want of time or room
         if self._key:
             chain.open_keys.pop(self._key, None)
+        if self._ride is not None:
+            self._ride.closed(status)
         if not self._trusted:
             return []
         found = [(b"X-Budget-Spent", b"%d" % self.account.reported)]
@@ -115,6 +147,8 @@
             found.append((b"X-Budget-Loop", b"1"))
         if status in (503, 504) and not self._ran and not self.out:
             found.append((b"X-Never-Ran", b"1"))
+        if self._ride is not None:
+            found.append((chain.field, self._ride.up()))
         return found
 
 
@@ -135,6 +169,10 @@
         self._hop = (options.hop or f"tier-{settings.tier}").encode()
         self._networks = [ip_network(item, strict=False) for item in options.trust if item != "unix"]
         self._unix = "unix" in options.trust
+        self.own: tuple[bytes, ...] = (b"x-budget",)
+        self.field = self.lower = b""  # that is carried for another part, and in small letters
+        self._rider: Rider | None = None
+        self._taken = OURS
         self.trusts = lru_cache(maxsize=1024)(self._trusts)
         self.configure(settings)
 
@@ -160,7 +198,17 @@
         """Taken off the time that goes down: what an answer needs on its way through this tier."""
         return self.options.way_back_ms
 
-    def arrive(self, peer: str, message: Message, event: RequestArrived, now_ms: float) -> Ticket | Headers:
+    def carry(self, rider: Rider) -> None:
+        """Another part's field travels too. One at the most."""
+        assert self._rider is None, "a second field"
+        self._rider, self.field = rider, rider.name
+        self.lower = rider.name.lower()
+        self._taken = OURS | {self.lower}
+        self.own = (b"x-budget", self.lower)
+
+    def arrive(
+        self, peer: str, message: Message, event: RequestArrived, now_ms: float, trace: bytes = b""
+    ) -> Ticket | Headers:
         """Take what came with a request, and take it off: nothing of it goes on unread. A ticket; or the headers
         of a refusal, at once and with nothing sent.
         """
@@ -169,7 +217,7 @@
         kept: Headers = []
         for name, value in message.headers:
             lower = name.lower()
-            if lower not in OURS:
+            if lower not in self._taken:
                 kept.append((name, value))
             elif trusted:
                 if lower in came:
@@ -185,16 +233,19 @@
         self.unreadable += sum(bad and key in came for key, bad in read)
         # A path that can't be read may hide a loop; what it hides is bounded by the budget all the same.
         hops = path or ()
+        ride = None
+        if self._rider is not None:
+            ride = self._rider.ride(came.get(self.lower), trace, event, now_ms)
         if self._loops(hops):
-            return self._refusal(trusted, loop=True)
+            return self._refusal(trusted, loop=True, ride=ride)
         self.ratio.first(now_ms)
         least = self.useful.least_ms(event.class_index)
         if event.time_left_ms < least + self.way_back_ms:
-            return self._refusal(trusted)
+            return self._refusal(trusted, ride=ride)
         if worth is None:
             worth = cls.worth
         if not self.gate.admits(worth):
-            return self._refusal(trusted)
+            return self._refusal(trusted, ride=ride)
         budget = self.options.attempts if budget is None else budget
         key = message.value(b"idempotency-key") or b""
         account = Account(budget, self.last, SHARES[self.options.divide])
@@ -206,7 +257,8 @@
         if key and len(self.open_keys) < self.MOST_KEYS:
             self.open_keys[key] = account
         event.attempts = account.left
-        return Ticket(self, account, b", ".join((*hops, self._hop)), worth, trusted, event.class_index, key)
+        way = b", ".join((*hops, self._hop))
+        return Ticket(self, account, way, worth, trusted, event.class_index, key, ride)
 
     def _loops(self, hops: tuple[bytes, ...]) -> bool:
         """Whether a request that has passed these tiers is in a loop, which is counted and told."""
@@ -225,10 +277,14 @@
         found = message.values(PATH)
         return self._refusal(True, loop=True) if found and self._loops(path_of(found[0]) or ()) else None
 
-    def _refusal(self, trusted: bool, loop: bool = False) -> Headers:
+    def _refusal(self, trusted: bool, loop: bool = False, ride: Ride | None = None) -> Headers:
         found: Headers = []
+        if ride is not None:
+            ride.closed(503)
         if trusted:
             found = [(b"X-Budget-Spent", b"0"), (b"X-Never-Ran", b"1")]
             if loop:
                 found.append((b"X-Budget-Loop", b"1"))
+            if ride is not None:
+                found.append((self.field, ride.up()))
         return found
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -238,7 +238,7 @@
             due = math.inf  # its time counts from its last byte
         exchange = Exchange(number, caller, message, due, trace, self._max_attempts)
         if self.budgets is not None:
-            ticket = self.budgets.arrive(caller.peer, message, event, now)
+            ticket = self.budgets.arrive(caller.peer, message, event, now, trace)
             if isinstance(ticket, list):  # refused, with nothing sent
                 caller.answer(503, [*ticket, (b"Retry-After", b"1")], b"")
                 return number
@@ -465,8 +465,9 @@
     def _answer_headers(self, exchange: Exchange, answer: Message) -> Headers:
         """What goes back beside an upstream's 200."""
         headers = [(k, v) for k, v in answer.passed_on() if k.lower() != LOAD_HEADER]
-        if exchange.ticket is not None:
-            headers = [item for item in headers if not item[0].lower().startswith(b"x-budget")]
+        if exchange.ticket is not None and self.budgets is not None:
+            own = self.budgets.own
+            headers = [item for item in headers if not item[0].lower().startswith(own)]
             headers += exchange.ticket.closing(200)
         return headers
 
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -77,13 +77,48 @@
         """What goes back with the final answer."""
 
 
+class Ride(Protocol):
+    """What travels with one request beside its budget."""
+
+    def down(self) -> bytes:
+        """What an attempt takes down."""
+
+    def told(self, text: bytes | None, ran: bool) -> None:
+        """An attempt has ended: what came back with its answer. `ran`: it may have reached a balancer below."""
+
+    def up(self) -> bytes:
+        """What goes back with the final answer."""
+
+    def closed(self, status: int) -> None:
+        """The request has its one final answer, or its client is gone."""
+
+
+class Rider(Protocol):
+    """A part that has a field of its own travel where budgets do, from and to whom they believe."""
+
+    @property
+    def name(self) -> bytes:
+        """The header, as it is written."""
+
+    def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Ride: ...
+
+
 class Budgets(Protocol):
     """The budgets of all requests. What travels is read and written here alone."""
 
     @property
     def way_back_ms(self) -> float: ...
 
-    def arrive(self, peer: str, message: Message, event: RequestArrived, now_ms: float) -> Ticket | Headers:
+    @property
+    def own(self) -> tuple[bytes, ...]:
+        """How names of headers begin, in small letters, that no upstream's answer passes on."""
+
+    def carry(self, rider: Rider) -> None:
+        """Carry one more field, for one other part."""
+
+    def arrive(
+        self, peer: str, message: Message, event: RequestArrived, now_ms: float, trace: bytes = b""
+    ) -> Ticket | Headers:
         """A ticket, or the headers of a refusal."""
 
     def looped(self, peer: str, message: Message) -> Headers | None:
--- a/standins/chain.py
+++ b/standins/chain.py
@@ -36,10 +36,11 @@
     "x-budget",
     "x-budget-worth",
     "x-budget-path",
+    "x-capture",
     "idempotency-key",
     "x-second-try",
 )
-BACK = ("x-budget-spent", "x-budget-loop", "x-never-ran")
+BACK = ("x-budget-spent", "x-budget-loop", "x-never-ran", "x-capture")
 WORTH = {"consulta": 1, "publicar": 8, "traspaso": 8}
 
 
--- a/tests/budget/test_tickets.py
+++ b/tests/budget/test_tickets.py
@@ -170,3 +170,59 @@
     assert isinstance(arrive(it, left=120.0)[0], Ticket)
     assert isinstance(arrive(it, left=90.0)[0], list)
     assert isinstance(arrive(it, cls=1, left=90.0)[0], Ticket)  # nothing is known of that class
+
+
+class Rider:
+    """One other part whose field travels: what is said to it is written down."""
+
+    name = b"X-Capture"
+
+    def __init__(self) -> None:
+        self.said: list[Any] = []
+
+    def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Rider:
+        self.said.append(("came", came, trace))
+        return self
+
+    def down(self) -> bytes:
+        return b"down"
+
+    def told(self, text: bytes | None, ran: bool) -> None:
+        self.said.append(("told", text, ran))
+
+    def up(self) -> bytes:
+        return b"up"
+
+    def closed(self, status: int) -> None:
+        self.said.append(("closed", status))
+
+
+def test_another_part_s_field_is_carried_both_ways_from_and_to_whom_budgets_believe() -> None:
+    for peer, came, up in (("10.1.2.3", b"it", [b"up"]), ("192.0.2.1", None, [])):
+        it, rider = chain(), Rider()
+        it.carry(rider)
+        ticket, message, _ = arrive(it, peer, X_Capture=b"it", X_Other=b"kept")
+        assert message.headers == [(b"X-Other", b"kept")] and rider.said == [("came", came, b"")]
+        assert isinstance(ticket, Ticket)
+        grant = ticket.grant(0, 4, 0.0)
+        assert grant is not None and dict(grant)[b"X-Capture"] == b"down"
+        answer = Message()
+        answer.headers = [(b"x-capture", b"back")]
+        ticket.settle(0, Outcome.OK, answer, 1.0)
+        assert [value for name, value in ticket.closing(200) if name == b"X-Capture"] == up
+        assert rider.said[1:] == [("told", b"back", True), ("closed", 200)]
+        assert it.own == (b"x-budget", b"x-capture")
+
+
+def test_a_lost_answer_and_a_refusal_are_told_to_the_part_that_is_carried() -> None:
+    it, rider = chain(), Rider()
+    it.carry(rider)
+    ticket, _, _ = arrive(it)
+    assert isinstance(ticket, Ticket)
+    for attempt, outcome in enumerate((Outcome.TIMEOUT, Outcome.CONNECT_FAILED)):
+        assert ticket.grant(attempt, 4, 0.0) is not None
+        ticket.settle(attempt, outcome, None, 1.0)
+    assert rider.said[1:] == [("told", None, True), ("told", None, False)]
+    refused, _, _ = arrive(it, X_Budget_Path=b"a, tier-0")
+    assert isinstance(refused, list) and (b"X-Capture", b"up") in refused
+    assert rider.said[-1] == ("closed", 503)
