--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -5,7 +5,9 @@
 from dataclasses import fields
 from typing import Any, NamedTuple
 
-from larkweir.config.options import Operator, Peers, Pool, Route, listen_address
+from larkweir.config.fleet_tables import Peers
+from larkweir.config.keys import listen_address
+from larkweir.config.options import Operator, Pool, Route
 from larkweir.config.platform import Config, ConfigError
 
 
--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -45,8 +45,8 @@
 class Fleet(Protocol):
     """The owners' part, as far as its verdicts go."""
 
-    def verdicts(self) -> tuple[int, int, Sequence[str]] | None:
-        """Term, number, and the keys of what the fleet has ended, where this process owns them."""
+    def holds(self, name: str) -> tuple[int, int, bytes] | None:
+        """Term, number and state of a duty that this process owns."""
         ...
 
 
@@ -444,10 +444,13 @@
         """A part that the fleet has ended is ended by an edit as well, under the owner's term: it stays ended until one
         who has seen that changes it. A later owner writes what an earlier one had no time for."""
         owners, routes = self._host.owners, self._host.routes
-        found = owners.verdicts() if owners is not None else None
+        found = owners.holds("verdicts") if owners is not None else None
         if found is None or routes is None or not self.copy.met:
             return
-        term, number, keys = found
+        from larkweir.fleet.duties.verdicts import read  # not imported where no duty is owned
+
+        term, number, state = found
+        keys = [key for key, _ in read(state).ended]
         parts = routes.router.parts_by_key()
         for key in keys:
             if key in parts and key not in self._written:
--- a/tests/fleet/test_edits.py
+++ b/tests/fleet/test_edits.py
@@ -250,10 +250,16 @@
                 them.append(it)
             first, second = them
             control = second.data["control"]
+            await shows(control, lambda facts: facts.get("edits_state") == "ok", "that it has met the other")
+            before = (await status(control))["edits_tables"]
             says(first, tmp_path / "0", "/new")
             first.signal(signal.SIGHUP)
             await first.said("edits: 1 made of this reload")
-            await shows(control, lambda facts: facts.get("edits") == "1", "the edit")
+            await shows(
+                control,
+                lambda facts: facts.get("edits") == "1" and facts.get("edits_tables") != before,
+                "the edit, in force",
+            )
             mark = (await status(control))["edits_tables"]
             first.signal(signal.SIGUSR2)
             pid = await first.successor()
@@ -262,8 +268,11 @@
             says(first, tmp_path / "0", "/newest")
             os.kill(pid, signal.SIGHUP)
             await first.said("edits: 1 made of this reload", 2)
-            await shows(control, lambda facts: facts.get("edits") == "2", "the successor's edit")
-            assert (await status(control))["edits_tables"] != mark
+            await shows(
+                control,
+                lambda facts: facts.get("edits") == "2" and facts.get("edits_tables") != mark,
+                "the successor's edit, in force",
+            )
             assert not [line for line in first.log if "made of what the file" in line]
 
     run(play())
