--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -103,6 +103,9 @@
         self._live = False  # the folder is this life's, and what is in it would survive a crash
         self._sound = 0  # the record from which on that is so
         self._mends = self._held = self._closed = False
+        # Whether the file is to be told to the copy once the folder is open: at a start, and where it is not known what
+        # was written; not after a successor was given up, which may have read a newer one.
+        self._tells = True
         self._trouble = STARTING
         self._said_trouble = ""
         self._timer: Timer | None = None
@@ -209,15 +212,18 @@
         self._go()
 
     def _go(self) -> None:
-        self._live, self._mends = True, False
+        self._live = True
         self._trouble = self._said_trouble = ""
-        try:
-            made = self.copy.reload(self._file)
-        except EditError as problem:
-            self._say(f"edits: {problem}; what this file says anew does not count")
-        else:
-            if made:
-                self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+        if self._tells:
+            self._tells = False
+            try:
+                made = self.copy.reload(self._file)
+            except EditError as problem:
+                self._say(f"edits: {problem}; what this file says anew does not count")
+            else:
+                if made:
+                    self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+        self._mends = False
         self._go_on()
         self._settle()
 
@@ -233,7 +239,7 @@
         if line != self._said_trouble:
             self._said_trouble = line
             self._say(line)
-        self._mends = True
+        self._mends = self._tells = True
         if self._before is not None:  # refused: what the file said before counts on
             (self._file, self._settled), self._before = self._before, None
         self._stop()
