--- a/larkweir/config/policies.py
+++ b/larkweir/config/policies.py
@@ -30,6 +30,7 @@
     # Of routes and pools, all that it rests on, as (table, row, field), field "" for whether the row is there: the same
     # of these gives the same, whatever the others say.
     rests: tuple[tuple[str, str, str], ...] = ()
+    platform: bool = False  # another platform's file might bear it
 
 
 def policy_of(name: str, options: Operator) -> ClassPolicy:
--- a/larkweir/config/routing.py
+++ b/larkweir/config/routing.py
@@ -8,6 +8,7 @@
 import re
 from collections.abc import Iterator, Mapping
 from dataclasses import fields
+from functools import lru_cache
 
 from larkweir.config.options import Operator, Pool, Route
 from larkweir.config.platform import Config, ConfigError, parse_address
@@ -21,6 +22,7 @@
 _HOST = re.compile(r"(?:\*\.)?[a-z0-9_-]+(?:\.[a-z0-9_-]+)*|\[[0-9a-f:.]+\]")
 _NAME = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+")
 MOST_WORDS = 64
+MEMO = 4096  # routes that are remembered as they were looked at
 
 
 def part(text: str) -> float | None:
@@ -32,9 +34,10 @@
     return value if value <= 1.0 else None
 
 
+@lru_cache(MEMO)
 def parts(route: Route) -> dict[str, float]:
-    """The other pools of a split, by name; those that can't be read are left out."""
-    found = {}
+    """The other pools of a split, by name; those that can't be read are left out. Not to be changed: it is kept."""
+    found: dict[str, float] = {}
     for item in route.split:
         name, _, text = item.strip().rpartition(" ")
         value = part(text)
@@ -128,6 +131,7 @@
     return parse_address(address, "fixed"), zone.strip()
 
 
+@lru_cache(MEMO)
 def _place(route: Route) -> tuple[str, str]:
     path = re.sub(r"\{[^}]*\}", "{}", route.path or "/*")
     return route.host, (path[:-1].rstrip("/") + "/*" if path.endswith("/*") else path)
@@ -215,6 +219,7 @@
                     f"the platform has no zone {zone!r}",
                     f"there are {', '.join(config.zones)}",
                     rests=_rests(line_, "fixed"),
+                    platform=True,
                 )
         if whole.fixed and (whole.kinds or whole.cells):
             yield Objection(
@@ -248,6 +253,7 @@
                             f"the platform has no {what} {value!r}",
                             f"there are {', '.join(names)}",
                             rests=_rests(line_, field_),
+                            platform=True,
                         )
     if pools and not options.routes:
         yield Objection(
@@ -315,6 +321,7 @@
                 f"the platform has no class {value!r}",
                 f"there are {', '.join(sorted(classes))}",
                 rests=rests_of(name, "classes"),
+                platform=True,
             )
         elif route.mirror and classes[value].effect is not Effect.SAFE:
             yield Objection(
@@ -323,6 +330,7 @@
                 f"{value} takes effect, and its copy would take it once more (rule 2)",
                 "mirror a route of safe classes alone",
                 rests=(*rests_of(name, "classes"), ("route", name, "mirror")),
+                platform=True,
             )
     for value in route.tenants:
         if value not in tenants:
@@ -332,6 +340,7 @@
                 f"the platform has no tenant {value!r}",
                 f"there are {', '.join(sorted(tenants))}",
                 rests=rests_of(name, "tenants"),
+                platform=True,
             )
 
 
--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -24,7 +24,6 @@
 from larkweir.config.options import Operator
 from larkweir.config.peering import merging
 from larkweir.config.platform import Config, ConfigError
-from larkweir.config.routing import routing_objections
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
 from larkweir.fleet.edits.journal import Waiting
@@ -36,8 +35,8 @@
 AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
 MEND_MS = 5_000.0  # until a folder that could not be written is tried again
 FLUSH_MS = 4_000.0  # that a reload waits for the disk
-PACE = 20.0  # merged tables go to the routes no sooner than so many times what that took
-LEAST_MS = 20.0  # and never sooner than this
+PACE = 10.0  # merged tables go to the routes no sooner than so many times what that took the time before
+LEAST_MS = 20.0  # and never sooner than this after something came, nor than twice what it took: more may come
 STARTING = "starting"
 LOOK_MS = 250.0  # from look to look at what the fleet has ended
 
@@ -93,7 +92,7 @@
         self._loop = asyncio.get_running_loop()
         self._file: Tables = tables_of(options)  # what staff's file says, as this life was told
         self._settled = frozenset(own.settle)  # what it named before: nothing new is asked of these
-        self._check = Checked()
+        self._check = Checked(host.config)
         self._posts = _Posts()
         self._log = Waiting()
         self._records = peek(self._folder)
@@ -112,6 +111,7 @@
         self._due_ms = 0.0
         self._start: Timer | None = None
         self._apply: Timer | None = None
+        self._took_ms = 0.0  # for them to go to the routes, the last time
         self._free_ms = 0.0  # from when tables may go to the routes again
         self._asked: tuple[int, Callable[[str], None]] | None = None  # a reload that waits for its record
         self._early: tuple[Operator, Callable[[str], None]] | None = (
@@ -122,11 +122,13 @@
         self._look_ms = 0.0
         self._written: frozenset[str] = frozenset()  # verdicts that were made edits
         self._lines = Lines()
-        self._foreign = 0
-        self._fault = ""
+        self._foreign: tuple[str, ...] = ()
         self._whole: Whole | None = None
-        self._tables: Tables = self._file
-        self._mark, self._differs = mark_of(self._file), 0
+        self._tables: Tables = self._file  # what counts, and what the routes have of it
+        self._applied: Tables = self._file
+        self._shown: tuple[Tables, Tables, str, int] | None = (
+            None  # for STATUS, of this file and these tables
+        )
         self._take()
 
     def _built(self) -> Copy:
@@ -222,7 +224,9 @@
                 self._say(f"edits: {problem}; what this file says anew does not count")
             else:
                 if made:
-                    self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+                    self._say(
+                        f"edits: {made} made of what the file says otherwise than when it was read last"
+                    )
         self._mends = False
         self._go_on()
         self._settle()
@@ -301,8 +305,9 @@
         if number >= self._log.number:
             self._before = None
         if self._asked is not None and number >= self._asked[0]:
+            self._take()
+            self._answer("")  # the generation that was read takes over, with these tables
             self._apply_now()
-            self._answer("")
         self._settle()
 
     def _turn(self) -> None:
@@ -325,7 +330,8 @@
             disk.begin_anew([self.copy.record(), *self.copy.pending()])
         now = self._clock.now_ms()
         if self._apply is None and self.copy.moved is not self._whole:
-            self._apply = self._clock.at(max(now + LEAST_MS, self._free_ms), self._apply_now)
+            due = max(now + max(LEAST_MS, 2.0 * self._took_ms), self._free_ms)
+            self._apply = self._clock.at(due, self._apply_now)
         due = max(now, min(self.copy.next_ms, self._look_ms))
         if self._timer is not None:
             if self._due_ms <= due:
@@ -344,39 +350,31 @@
         if self._closed:
             return
         began = self._clock.now_ms()
-        before = self._tables
-        if self._take() and self._tables != before:
+        self._take()
+        if self._applied is not self._tables and self._applied != self._tables:
             self._host.reconfigure(self._host.config, self._host.options)
         now = self._clock.now_ms()
-        self._free_ms = now + max(LEAST_MS, PACE * (now - began))
+        self._took_ms = now - began
+        self._free_ms = now + max(LEAST_MS, PACE * self._took_ms)
 
-    def _take(self) -> bool:
-        """The copy's whole is what counts, where it passes. Whether it is another one."""
+    def _take(self) -> None:
+        """The copy's whole is what counts, where it passes."""
         whole = self.copy.whole
         if whole is self._whole:
-            return False
+            return
         self._whole = whole
-        wrong = next((item.why for item in whole.told if item.why.startswith(FAULT)), "")
-        self._fault = wrong
-        if not wrong:
+        if not any(item.why.startswith(FAULT) for item in whole.told):
             self._tables = whole.tables
-            self._mark = mark_of(self._tables)
-            self._differs = differs(self._file, self._tables)
-            self._beside()
+            if self._check.foreign and self._check.foreign != self._foreign:
+                self._say(f"edits: {self._check.foreign[0]}; it counts where the platform's file has it")
+            self._foreign = self._check.foreign
         for line in self._lines.of(whole.told, self._clock.now_ms()):
             self._say(line)
-        return not wrong
-
-    def _beside(self) -> None:
-        """What of the whole this platform's file does not know: it fits no request here."""
-        options = self._check.over(Operator(), self._tables)
-        found = [item for item in routing_objections(options, self._host.config) if item.grave]
-        if found and len(found) != self._foreign:
-            self._say(f"edits: {found[0].key}: {found[0].text}; it counts where the platform's file has it")
-        self._foreign = len(found)
 
     def merged(self, options: Operator) -> Operator:
         """The operator file with what counts of routes and pools."""
+        self._check.config = self._host.config
+        self._applied = self._tables
         return self._check.over(options, self._tables)
 
     # ------------------------------------------------ staff
@@ -406,7 +404,6 @@
             return
         self._before = self._before or (self._file, self._settled)
         self._file, self._settled = tables, frozenset(options.edits.settle)
-        self._differs = differs(self._file, self._tables)
         if self._log.number == before:
             self._before = None
             then("")
@@ -474,16 +471,23 @@
     def facts(self) -> dict[str, object]:
         """For STATUS."""
         copy, told = self.copy, self._whole.told if self._whole is not None else ()
+        if self._shown is None or self._shown[0] is not self._file or self._shown[1] is not self._tables:
+            self._shown = (
+                self._file,
+                self._tables,
+                mark_of(self._tables),
+                differs(self._file, self._tables),
+            )
         return {
             "edits": sum(copy.state.vector.values()),
             "edits_waiting": copy.state.size,
-            "edits_tables": self._mark,
+            "edits_tables": self._shown[2],
             "edits_told": len(told),
             "edits_of": names_of(told) or "none",
-            "edits_differs": self._differs,
+            "edits_differs": self._shown[3],
             "edits_state": self._state(),
             "edits_away": len(copy.away(self._clock.now_ms())),
-            "edits_foreign": self._foreign,
+            "edits_foreign": len(self._foreign),
             "edits_dropped": ",".join(
                 f"{name}:{copy.counts[name]}"
                 for name in ("bad", "refused", "other_origin")
--- a/larkweir/fleet/edits/tables.py
+++ b/larkweir/fleet/edits/tables.py
@@ -14,6 +14,7 @@
 
 from larkweir.config.operator import said_type, value_fault
 from larkweir.config.options import NAMED, Operator, Route
+from larkweir.config.platform import Config
 from larkweir.config.routing import rests_of, routing_objections
 
 HELD = {table: NAMED[table][1] for table in ("pool", "route")}  # by table, the field of `Operator`
@@ -71,17 +72,17 @@
     Rows that are as they were are not looked at again.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, config: Config | None = None) -> None:
+        self.config = config
+        self.foreign: tuple[str, ...] = ()  # of the whole that was looked at last
         self._rows: dict[tuple[str, str], tuple[Fields, Any, tuple[Fault, ...]]] = {}
 
     def __call__(self, tables: Tables) -> Sequence[Fault]:
         found: list[Fault] = []
         options = Operator(pools=self.rows("pool", tables, found), routes=self.rows("route", tables, found))
-        found += [
-            Fault(f"{item.key}: {item.text}", item.rests)
-            for item in routing_objections(options)
-            if item.grave
-        ]
+        said = [item for item in routing_objections(options, self.config) if item.grave]
+        found += [Fault(f"{item.key}: {item.text}", item.rests) for item in said if not item.platform]
+        self.foreign = tuple(f"{item.key}: {item.text}" for item in said if item.platform)
         return found
 
     def rows(self, table: str, tables: Tables, faults: list[Fault] | None = None) -> dict[str, Any]:
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -5,10 +5,11 @@
 
 from collections.abc import Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import lru_cache
 from hashlib import blake2b
 
 from larkweir.config.options import Route
-from larkweir.config.routing import header_of, parts
+from larkweir.config.routing import MEMO, header_of, parts
 from larkweir.routes.paths import Target
 from larkweir.routes.split import Ramp, choose, score
 from larkweir.routes.table import Facts, Match, Table
@@ -99,7 +100,16 @@
         before: Router | None = None,
     ) -> None:
         self.routes = dict(routes)
-        self.table = Table.of((name, match_of(route, classes, tenants)) for name, route in routes.items())
+        # What a route that is as it was came to is taken over: of thousands, a generation changes a few.
+        known = before if before is not None and before._names == (classes, tenants) else None
+        self._names: tuple[Mapping[str, int], Mapping[str, int]] = (classes, tenants)
+        self._matches: dict[str, Match] = {
+            name: known._matches[name]
+            if known is not None and known.routes.get(name) is route
+            else match_of(route, classes, tenants)
+            for name, route in routes.items()
+        }
+        self.table = Table.of(self._matches.items())
         self._since: dict[str, float] = {}
         self._trials: dict[str, Trials] = {}
         self._parts = {name: parts(route) for name, route in routes.items()}
@@ -246,9 +256,10 @@
 
 
 def _same_parts(one: Route, other: Route) -> bool:
-    return all(getattr(one, key) == getattr(other, key) for key in _PARTS)
+    return one is other or all(getattr(one, key) == getattr(other, key) for key in _PARTS)
 
 
+@lru_cache(MEMO)
 def _key(name: str, route: Route) -> str:
     said = repr((name, *(getattr(route, key) for key in _PARTS)))
     return blake2b(said.encode(), digest_size=8).hexdigest()
--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_part.py
@@ -212,6 +212,8 @@
             hosts,
         )
         assert first.part.facts()["edits_away"] == 1
+        for host in hosts:  # a slow machine makes nobody else a newcomer
+            host.part.copy._others._away_ms = 600_000.0
         post.cut.clear()
         await until(
             lambda: all(host.said["a"][0] == "/a" and "b" in host.said for host in hosts),
