Captures in service: records of requests that agree over hops, as a part of a balancer

[captures] switches on larkweir/fleet/captures: a scribe between engine and decisions makes each request's record and its verdict, which the budget's chain carries as X-Capture; a part drives the node, the file and STATUS. The coordinator is the owners' duty "captures": the register holds the table, whose (term, number) are the record's. One life writes a file at a time (PATH.lock) and begins with no volume to spare, so that a handover or a crash passes no window; sharing the volume between two lives was weighed, it passes the bound by half a burst.

--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -39,22 +39,24 @@
 
 
 def _beside(paths: Sequence[str]) -> list[str]:
-    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden, and
-    owners without them."""
+    """What one file says that can't stand beside another that is named with it: peers and captures, where they are
+    forbidden, and owners without peers."""
     found = []
     for path in (path for path in paths if path.endswith(".toml")):
         options = decode_operator(_read(path)[0])[0]
-        if not options.peers.on and not options.owners.on:
+        if not options.peers.on and not options.owners.on and not options.captures.on:
             continue
-        from larkweir.config.peering import keeping, peering  # not imported where they are off
+        from larkweir.config.peering import capturing, keeping, peering  # not imported where they are off
 
         for other in (other for other in paths if not other.endswith(".toml")):
             try:
                 config = decode_platform(_read(other)[0], NOBODY)
                 if options.owners.on:
                     keeping(options, config)
-                else:
+                elif options.peers.on:
                     peering(options.peers, config)
+                if options.captures.on:
+                    capturing(options, config)
             except ConfigError as problem:
                 found.append(f"{path}: {problem} (beside {other})")
     return found
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -305,7 +305,7 @@
         return found
 
 
-DUTIES = ("verdicts", "ramps", "drill")
+DUTIES = ("verdicts", "ramps", "captures", "drill")
 
 
 @dataclass(frozen=True, eq=False, repr=False)
@@ -319,8 +319,8 @@
     folder: str = option("", Change.HANDOVER)
     # An owner that is not heard for so long is followed by another.
     lease_ms: float = option(3_000.0, Change.HANDOVER, low=200.0, high=600_000.0)
-    # What this process takes part in: "verdicts", "ramps", and "drill", a counter to practise on.
-    duties: tuple[str, ...] = option(("verdicts", "ramps"), Change.HANDOVER)
+    # What this process takes part in: "verdicts", "ramps", "captures", and "drill", a counter to practise on.
+    duties: tuple[str, ...] = option(("verdicts", "ramps", "captures"), Change.HANDOVER)
     # A zone that a reload evacuates empties for so long, an upstream after the other, with "ramps" at all balancers
     # alike; 0: at once.
     evacuate_ms: float = option(0.0, Change.HANDOVER, low=0.0, high=86_400_000.0)
@@ -344,6 +344,49 @@
         return found
 
 
+@dataclass(frozen=True, eq=False, repr=False)
+class Captures:
+    """The table `[captures]`: whole records of some requests, the same ones at every hop."""
+
+    on: bool = option(False, Change.HANDOVER)
+    # The file that lines go to; full ones become PATH.1, PATH.2, ... Who writes holds PATH.lock.
+    path: str = option("", Change.HANDOVER)
+    file_bytes: int = option(67_108_864, Change.HANDOVER, low=100_000, high=100_000_000_000)
+    files: int = option(4, Change.HANDOVER, low=1, high=1_000)
+    # Never passed in any window of a second or longer, times its length.
+    records_per_s: float = option(200.0, Change.HANDOVER, low=4.0, high=1_000_000.0)
+    bytes_per_s: float = option(400_000.0, Change.HANDOVER, low=8_192.0, high=1_000_000_000.0)
+    # The part of both for what is kept after the fact.
+    after: float = option(0.25, Change.HANDOVER, low=0.01, high=0.99, unit=Unit.PART)
+    # The rate of kinds of requests that nobody has set yet.
+    rest: float = option(0.01, Change.HANDOVER, low=0.000_001, high=1.0, unit=Unit.PART)
+    # Without word from the coordinator rates hold for so long, and are then this part of what they were.
+    hold_ms: float = option(30_000.0, Change.HANDOVER, low=1_000.0, high=86_400_000.0)
+    safe: float = option(0.25, Change.HANDOVER, low=0.0, high=1.0, unit=Unit.PART)
+    # What is kept of all requests, to be asked for afterwards; the first bound that is met counts.
+    ring_ms: float = option(5_000.0, Change.HANDOVER, low=100.0, high=600_000.0)
+    ring_records: int = option(20_000, Change.HANDOVER, low=1, high=10_000_000)
+    ring_bytes: int = option(16_777_216, Change.HANDOVER, low=10_000, high=10_000_000_000)
+    # Traces a second that this process has others keep.
+    asks_per_s: float = option(20.0, Change.HANDOVER, low=10.0, high=10_000.0)
+    # A request that took as long is kept after the fact; 0: none for its time.
+    slow_ms: float = option(0.0, low=0.0, high=3_600_000.0)
+
+    def faults(self) -> dict[str, str]:
+        """What is wrong beyond types and bounds, by key."""
+        found: dict[str, str] = {}
+        if self.on and not self.path.startswith("/"):
+            found["path"] = f"{self.path!r:.100} is no file; write a path from the root of the disk"
+        part = min(self.after, 1.0 - self.after)
+        for key, least in (("records_per_s", 2.0), ("bytes_per_s", 4096.0)):
+            per_s = getattr(self, key)
+            if per_s * part < least:
+                found[key] = (
+                    f"{per_s:g} leaves {per_s * part:g} for the smaller part of two; {least:g} is the least"
+                )
+        return found
+
+
 @dataclass(frozen=True, eq=False, repr=False)
 class ClassPolicy:
     """The table `[class.NAME]`: staff's word on one class of requests, `*` for all that have none of their own. What is
@@ -515,6 +558,7 @@
     remembered: Remembered = field(default_factory=Remembered)
     peers: Peers = field(default_factory=Peers)
     owners: Owners = field(default_factory=Owners)
+    captures: Captures = field(default_factory=Captures)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -548,6 +592,7 @@
     "remembered": Remembered,
     "peers": Peers,
     "owners": Owners,
+    "captures": Captures,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -42,6 +42,23 @@
     return Peering(listen, name, others)
 
 
+def capturing(options: Operator, config: Config) -> str:
+    """The name by which other hops know this process, where `[captures]` is on. ConfigError, one line, where it can't
+    be. Without peers the names only show the way that a request took: nobody is asked by them.
+    """
+    if not config.may_peer:
+        raise ConfigError(
+            "captures.on: the platform's settings forbid that balancers speak to each other "
+            "(settings.PolicyLimits.Peers); write on = false"
+        )
+    if options.peers.on:
+        return peering(options.peers, config).name
+    plain = "".join(
+        mark if mark.isascii() and (mark.isalnum() or mark in "._-") else "-" for mark in config.name
+    )
+    return plain[:48] or "balancer"
+
+
 def keeping(options: Operator, config: Config) -> Peering:
     """Who this process is among its peers, where `[owners]` is on. ConfigError, one line, where it can't be."""
     own = options.owners
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -52,9 +52,18 @@
     rows: tuple[Wish, ...]
 
 
-Report = EvidenceReport | WishReport
+class CaptureReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """What one copy sees of each kind of request, as `larkweir_captures.wire` packs it."""
+
+    life: int
+    item: bytes
+
+
+Report = EvidenceReport | WishReport | CaptureReport
 pack = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(EvidenceReport | WishReport)
+_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(
+    EvidenceReport | WishReport | CaptureReport
+)
 
 
 def unpack(data: bytes) -> Report | None:
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -42,6 +42,12 @@
 MOST_SAID = 5  # lines on effects, a second: the log takes ten, and who owns is to be told beside them
 
 
+class Captured(Protocol):
+    """This process's captures, where they are on."""
+
+    def duty(self, life: int) -> Work: ...
+
+
 class Host(Protocol):
     """What a balancer gives to this part."""
 
@@ -51,6 +57,7 @@
     routes: Routes | None
     peers: Socket | None
     owners: Part | None
+    captures: Captured | None
     closers: list[Callable[[], None]]
     facts: list[Callable[[], dict[str, object]]]
 
@@ -83,6 +90,7 @@
         self.keeps = me in own.keepers
         self._clock, self._journal, self._routes = host.clock, host.journal, host.routes
         self._socket = socket
+        self._host = host  # captures are plugged in later
         self._loop = asyncio.get_running_loop()
         self._rng = Random()
         self._mail = socket.mail(OWNERS, self._came)
@@ -158,7 +166,7 @@
 
     def _duties(self, life: int) -> list[Work]:
         """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
-        routes, found = self._routes, list[Work]()
+        routes, captures, found = self._routes, self._host.captures, list[Work]()
         for name in self.options.duties:
             if name == "drill":
                 found.append(Drill())
@@ -166,6 +174,8 @@
                 found.append(Verdicts(life, lambda: _Trying(routes)))
             elif name == "ramps" and routes is not None:
                 found.append(Ramps(life, lambda: routes))
+            elif name == "captures" and captures is not None:
+                found.append(captures.duty(life))
         return found
 
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -31,6 +31,7 @@
     from larkweir_peers.hands import Socket
 
     from larkweir.background.runner import Runner
+    from larkweir.fleet.captures.part import Part as Captures
     from larkweir.fleet.owners import Part
     from larkweir.lifecycle.channel import Knowledge
     from larkweir.membership.remembered.evidence import Row
@@ -60,6 +61,7 @@
     ("larkweir.fleet.part", lambda options: options.peers.on),
     ("larkweir.fleet.owners", lambda options: options.owners.on),
     ("larkweir.budget.part", lambda options: options.budget.on),
+    ("larkweir.fleet.captures.part", lambda options: options.captures.on),
 )
 
 
@@ -99,6 +101,7 @@
         self.keeper: Keeper | None = None
         self.peers: Socket | None = None
         self.owners: Part | None = None
+        self.captures: Captures | None = None
         self.decisions: Decisions = decisions or Balancer(config.settings, config.seed)
         parts = [import_module(name) for name, on in PARTS if options is not None and on(options)]
         for part in parts:
@@ -125,6 +128,8 @@
 
     def hold_peers(self, held: bool) -> None:
         """Held: a successor goes on under this one's name among the peers, as soon as its duties are handed over."""
+        if self.captures is not None:
+            self.captures.hold(held)
         if self.owners is not None:
             self.owners.hold(held)
         elif self.peers is not None:
--- a/packages/captures/src/larkweir_captures/bounds.py
+++ b/packages/captures/src/larkweir_captures/bounds.py
@@ -37,6 +37,10 @@
         """So much goes out now: `wait_ms` was 0."""
         self._paid_ms = max(self._paid_ms, now_ms) + cost / self.rate
 
+    def empty(self, now_ms: float) -> None:
+        """As if a whole burst had gone out just now."""
+        self._paid_ms = max(self._paid_ms, now_ms + self.burst / self.rate)
+
 
 class Bound:
     """Records and bytes together."""
@@ -55,6 +59,10 @@
     def wait_ms(self, size: int, now_ms: float) -> float:
         return max(self.records.wait_ms(1.0, now_ms), self.bytes.wait_ms(size, now_ms))
 
+    def empty(self, now_ms: float) -> None:
+        self.records.empty(now_ms)
+        self.bytes.empty(now_ms)
+
     def take(self, size: int, now_ms: float) -> None:
         self.records.take(1.0, now_ms)
         self.bytes.take(size, now_ms)
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
@@ -71,13 +70,16 @@
 
 
 class Node:
-    def __init__(self, me: str, options: Options, mail: Mail) -> None:
-        """`me`: the name under which peers reach this node."""
+    def __init__(self, me: str, options: Options, mail: Mail, gossip: bool = True) -> None:
+        """`me`: the name under which peers reach this node. Without `gossip` tables come by `follow` alone, and a
+        peer's is not read.
+        """
         if not is_name(me):
             raise ValueError(f"a hop's name is an address, or up to 48 letters, digits and ._-, not {me!r}")
         self.me = me
         self._options = options
         self._mail = mail
+        self._gossip = gossip
         drawn = 1.0 - options.after
         self.drawn = Drawn(Bound(options.records_per_s * drawn, options.bytes_per_s * drawn))
         self.after = After(Bound(options.records_per_s * options.after, options.bytes_per_s * options.after))
@@ -239,7 +241,10 @@
         elif isinstance(read, Report):
             return read
         elif isinstance(read, Table):
-            self._table(read, now_ms)
+            if self._gossip:
+                self._table(read, now_ms)
+            else:
+                self.unreadable += 1
         elif isinstance(read, Keep):
             asks = read.asks[:MOST_ASKS]
             for at in range(0, len(asks), 10):  # so that an answer fits an item
@@ -253,9 +258,15 @@
                 self.triggers.answered(source, rv, names[:MOST_PATH])
         return None
 
-    def _table(self, table: Table, now_ms: float) -> None:
-        if self.held.came(table, now_ms):
+    def follow(self, table: Table, now_ms: float) -> bool:
+        """A table from whoever tells every node of it; whether it is newer than what was held."""
+        newer = self.held.came(table, now_ms)
+        if newer:
             self._leader = table.by
+        return newer
+
+    def _table(self, table: Table, now_ms: float) -> None:
+        if self.follow(table, now_ms):
             for name in nearest(self._mail.alive(), table, self.me):
                 self._mail.post(name, pack(table))
 
@@ -263,8 +274,8 @@
     def next_ms(self) -> float:
         return self._next_ms
 
-    def tick(self, now_ms: float) -> list[bytes]:
-        """What is due, and the lines that may be written now."""
+    def tick(self, now_ms: float, writes: bool = True) -> list[bytes]:
+        """What is due, and the lines that may be written now: none where `writes` says that they can't be."""
         if now_ms < self._next_ms:
             return []
         self._next_ms = now_ms + TICK_MS
@@ -285,7 +296,7 @@
             self._want(ask.rv, ask.importance, now_ms, self.me)
         for name, asks in posts.items():
             self._mail.post(name, pack(Keep(asks)))
-        return list(self._lines(now_ms))
+        return self.lines(now_ms) if writes else []
 
     def _report(self, short: bool) -> None:
         if not self._leader:
@@ -303,11 +314,14 @@
         )
         self._mail.post(self._leader, pack(report))
 
-    def _lines(self, now_ms: float) -> Iterable[bytes]:
+    def lines(self, now_ms: float) -> list[bytes]:
+        """What the volume lets go now."""
+        found = []
         while drawn := self.drawn.take(now_ms):
-            yield self._line(drawn[0], drawn[1], now_ms)
+            found.append(self._line(drawn[0], drawn[1], now_ms))
         while item := self.after.take(now_ms):
-            yield self._line(item, 0.0, now_ms)
+            found.append(self._line(item, 0.0, now_ms))
+        return found
 
     def _line(self, item: Waiting, weight: float, now_ms: float) -> bytes:
         """A line says which hop, by which table, with which threshold, and how many requests it stands for: none where
@@ -327,6 +341,11 @@
         }
         return msgspec.json.encode(line) + b"\n"
 
+    def begin_writing(self, now_ms: float) -> None:
+        """From here on lines are written. Who wrote them before may have used all that a window holds."""
+        for bound in (self.drawn.bound, self.after.bound):
+            bound.empty(now_ms)
+
     def status(self, now_ms: float) -> dict[str, object]:
         """What operators are shown."""
         return {
--- a/standins/chain.py
+++ b/standins/chain.py
@@ -185,7 +185,10 @@
         aim_ms: float = 3000.0,
         deadline_ms: float = 4000.0,
         options: str = "",
+        each: int = 1,
     ) -> None:
+        """`each`: balancers in each tier."""
+        self.each = each
         self.tiers, self.seed, self.budget = tiers, seed, budget
         self.errors, self.stall_s, self.work_s = errors, stall_s, work_s
         self.ring, self.strips = ring, strips
@@ -195,11 +198,12 @@
         self._aim_ms, self._deadline_ms = aim_ms, deadline_ms
         self.ledger = Ledger()
         self.nodos = [[Nodo(self, tier, f"t{tier}n{n}") for n in range(nodos)] for tier in range(tiers)]
-        self.ports: list[int] = []
+        self.ports: dict[tuple[int, int], int] = {}  # by tier and place there
         self.processes: list[asyncio.subprocess.Process] = []
         self._discoveries: list[FakeDiscovery] = []
         self._temporary = tempfile.TemporaryDirectory()
-        self._idle: list[list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = [[] for _ in range(tiers)]
+        self.folder = Path(self._temporary.name)
+        self._idle: dict[tuple[int, int], list[tuple[asyncio.StreamReader, asyncio.StreamWriter]]] = {}
 
     async def __aenter__(self) -> Chain:
         for row in self.nodos:
@@ -210,45 +214,65 @@
                 [nodo.server.entry(nodo.name) for nodo in self.nodos[tier]]
             ).start()
             self._discoveries.append(discovery)
-            port = free_port()
-            data = {
-                "name": f"b{tier}",
-                "listen": f"127.0.0.1:{port}",
-                "discovery": f"127.0.0.1:{discovery.port}",
-                "seed": f"{self.seed * 10 + tier:x}",
-                "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
-                "settings": settings(tier, self.tiers, self._aim_ms, self._deadline_ms),
-            }
-            folder = Path(self._temporary.name)
-            config = folder / f"{tier}.json"
-            config.write_text(json.dumps(data))
-            operator = folder / f"{tier}.toml"
-            operator.write_text(
-                f"[budget]\non = {json.dumps(self.budget)}\ntrust = {json.dumps(list(self._trust))}\n{self._options}\n"
-            )
-            with (folder / f"{tier}.log").open("wb") as log:
-                process = await launch(
-                    "run", "--operator", str(operator), env={"GW_CONFIG": str(config)}, log=log.fileno()
-                )
-            self.processes.append(process)
-            self.ports.append(port)
-        for tier in range(self.tiers):
+            for n in range(self.each):
+                self.ports[tier, n], self._idle[tier, n] = free_port(), []
+                self.processes.append(await self._start(tier, n))
+        for tier, n in self.ports:
             async with asyncio.timeout(PATIENCE_S):
                 while True:
                     try:
-                        if (await self.ask(tier, "GET", {}, b"", "/ready")).status == 200:
+                        if (await self._ask_at((tier, n), "GET", {}, b"", "/ready")).status == 200:
                             break
                     except OSError:
                         pass
                     await asyncio.sleep(0.01)
         return self
 
+    async def _start(self, tier: int, n: int) -> asyncio.subprocess.Process:
+        data = {
+            "name": self.name(tier, n),
+            "listen": f"127.0.0.1:{self.ports[tier, n]}",
+            "discovery": f"127.0.0.1:{self._discoveries[tier].port}",
+            "seed": f"{self.seed * 10 + tier + 1000 * n:x}",
+            "limits": {"cores": 1.0, "memory_mb": 64, "sockets": 512},
+            "settings": settings(tier, self.tiers, self._aim_ms, self._deadline_ms),
+        }
+        config = self.folder / f"{self.name(tier, n)}.json"
+        config.write_text(json.dumps(data | self.more(tier, n)))
+        operator = self.folder / f"{self.name(tier, n)}.toml"
+        operator.write_text(
+            f"[budget]\non = {json.dumps(self.budget)}\ntrust = {json.dumps(list(self._trust))}\n{self._options}\n"
+            + self.tables(tier, n)
+        )
+        with (self.folder / f"{self.name(tier, n)}.log").open("ab") as log:
+            return await launch(
+                "run", "--operator", str(operator), env={"GW_CONFIG": str(config)}, log=log.fileno()
+            )
+
+    def name(self, tier: int, n: int) -> str:
+        return f"b{tier}" if self.each == 1 else f"b{tier}.{n}"
+
+    def more(self, tier: int, n: int) -> dict[str, Any]:
+        """Rows of a balancer's platform file beside those of every chain."""
+        return {}
+
+    def tables(self, tier: int, n: int) -> str:
+        """Tables of its operator file, likewise."""
+        return ""
+
+    def place(self, tier: int) -> int:
+        """Which of a tier's balancers the next request goes to."""
+        return 0
+
+    def answered(self, tier: int, n: int, headers: dict[str, str]) -> None:
+        """A request that a balancer has answered, and the headers that it came with."""
+
     async def __aexit__(self, *_: object) -> None:
         for process in self.processes:
             if process.returncode is None:
                 process.kill()
             await process.wait()
-        for row in self._idle:
+        for row in self._idle.values():
             for _, writer in row:
                 writer.close()
         for discovery in self._discoveries:
@@ -265,11 +289,19 @@
         self, tier: int, method: str, headers: dict[str, str], body: bytes, target: str = "/api"
     ) -> Answer:
         """One request to a tier's balancer, on a kept connection; a new one if that was closed meanwhile."""
+        at = tier, self.place(tier)
+        answer = await self._ask_at(at, method, headers, body, target)
+        self.answered(*at, headers)
+        return answer
+
+    async def _ask_at(
+        self, at: tuple[int, int], method: str, headers: dict[str, str], body: bytes, target: str = "/api"
+    ) -> Answer:
         for second in (False, True):
-            kept = self._idle[tier]
+            kept = self._idle[at]
             fresh = second or not kept
             if fresh:
-                reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[tier])
+                reader, writer = await asyncio.open_connection("127.0.0.1", self.ports[at])
             else:
                 reader, writer = kept.pop()
             lines = [f"{method} {target} HTTP/1.1", "Host: api.internal"]
--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from larkweir.config.options import Budget, Door, Fastcgi, Log, Operator, Remembered, Store, Storms
+from larkweir.config.options import Budget, Captures, Door, Fastcgi, Log, Operator, Remembered, Store, Storms
 from larkweir.lifecycle.node import PARTS
 
 ON = {
@@ -18,6 +18,7 @@
     "larkweir.membership.remembered.part": replace(Operator(), remembered=Remembered(known=True)),
     "larkweir.door.part": replace(Operator(), door=Door(on=True)),
     "larkweir.budget.part": replace(Operator(), budget=Budget(on=True)),
+    "larkweir.fleet.captures.part": replace(Operator(), captures=Captures(on=True)),
 }
 
 
