--- a/larkweir/fleet/captures/part.py
+++ b/larkweir/fleet/captures/part.py
@@ -16,7 +16,8 @@
 from larkweir_captures.node import Node, Options
 from larkweir_captures.writer import Writer
 
-from larkweir.config.options import Captures, Operator
+from larkweir.config.fleet_tables import Captures
+from larkweir.config.options import Operator
 from larkweir.config.peering import capturing
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
--- a/larkweir/fleet/duties/thresholds.py
+++ b/larkweir/fleet/duties/thresholds.py
@@ -90,6 +90,9 @@
     def notable(self) -> bool:
         return self._news  # of a table's changes there may be one a second
 
+    def alone(self) -> None:
+        """Rates hold as they are for `hold_ms`, and then the safe part of them."""
+
     def tick(self, now_ms: float) -> list[Report]:
         self.next_ms = now_ms + LOOK_MS
         if self._table is not None:
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from random import Random
@@ -27,12 +27,9 @@
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
-from larkweir.fleet.duties.drill import Drill
-from larkweir.fleet.duties.ramps import Ramps
-from larkweir.fleet.duties.verdicts import Verdicts
+from larkweir.fleet.duties.table import Captured, Seat, made
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
-from larkweir.routes.trial import Trial
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
@@ -42,12 +39,6 @@
 MOST_SAID = 5  # lines on effects, a second: the log takes ten, and who owns is to be told beside them
 
 
-class Captured(Protocol):
-    """This process's captures, where they are on."""
-
-    def duty(self, life: int) -> Work: ...
-
-
 class Host(Protocol):
     """What a balancer gives to this part."""
 
@@ -147,7 +138,9 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        self.works = {work.name: work for work in self._duties(int(self._clock.now_ms()))}
+        # The clock, by which lives of reports count, goes on over this process's lives.
+        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle, self._host.captures)
+        self.works = made(self.options.duties, seat)
         self.owners = Owners(
             self.me,
             life,
@@ -164,20 +157,6 @@
         self._due_ms = self._clock.now_ms()
         self._turn()
 
-    def _duties(self, life: int) -> list[Work]:
-        """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
-        routes, captures, found = self._routes, self._host.captures, list[Work]()
-        for name in self.options.duties:
-            if name == "drill":
-                found.append(Drill())
-            elif name == "verdicts" and routes is not None:
-                found.append(Verdicts(life, lambda: _Trying(routes)))
-            elif name == "ramps" and routes is not None:
-                found.append(Ramps(life, lambda: routes))
-            elif name == "captures" and captures is not None:
-                found.append(captures.duty(life))
-        return found
-
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
         return self._rng.sample(list(names), min(most, len(names)))
 
@@ -188,17 +167,13 @@
             self._timer = None
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
-        self.owners, self.works, self._owned, self._mode = None, {}, {}, ""
+        works, self.works = self.works, {}
+        self.owners, self._owned, self._mode = None, {}, ""
         file, self._file = self._file, None
         if file is not None:
             self._shut(file)
-        self._alone()
-
-    def _alone(self) -> None:
-        if self._routes is None:
-            return
-        for trial in self._routes.router.on_trial().values():
-            trial.alone = True
+        for work in works.values():
+            work.alone()
 
     def _shut(self, file: KeeperFile) -> None:
         assert self._thread is not None
@@ -400,19 +375,6 @@
         return found | {"owners_dropped": ",".join(f"{name}:{n}" for name, n in wrong.items()) or "0"}
 
 
-class _Trying:
-    """The present generation's trials; what ends is told to the log."""
-
-    def __init__(self, routes: Routes) -> None:
-        self._routes = routes
-
-    def on_trial(self) -> Mapping[str, Trial]:
-        return self._routes.router.on_trial()
-
-    def end(self, key: str, why: str) -> None:
-        self._routes.end(key, why)
-
-
 def _opened(file: KeeperFile) -> Disk | str:
     """On the keeper's thread: the disk, or why not."""
     try:
--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from larkweir.config.options import Budget, Captures, Door, Fastcgi, Log, Operator, Remembered, Store, Storms
+from larkweir.config.fleet_tables import Captures
+from larkweir.config.options import Budget, Door, Fastcgi, Log, Operator, Remembered, Store, Storms
 from larkweir.lifecycle.node import PARTS
 
 ON = {
