--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -13,8 +13,8 @@
 import pytest
 
 from larkweir.cli.check import check
-from larkweir.config.operator import decode
 from larkweir.config.fleet_tables import DUTIES
+from larkweir.config.operator import decode
 from larkweir.config.options import Operator, changed
 from larkweir.fleet.duties.table import MAKERS
 from standins.manager import ROOT
