Captures under faults: nested rates, a hop and a coordinator lost, a cut, a full disk

Six real processes, services between them, datagrams by a relay: a hop with little room keeps a subset; what failed or was sent again is kept at every hop that lives, also when one is killed; the next coordinator's tables are of a higher term, who is cut off goes by the safe part. A disk that is full drops and tells.

--- a/standins/chain.py
+++ b/standins/chain.py
@@ -156,7 +156,7 @@
         except (OSError, AssertionError, TimeoutError, asyncio.IncompleteReadError):
             await talk.send(status(500))
             return
-        back = "".join(f"{name}: {answer.headers[name]}\r\n" for name in BACK if name in answer.headers)
+        back = "".join(f"{name}: {answer.headers[name]}\r\n" for name in rig.back if name in answer.headers)
         if answer.status == 200:
             await talk.send(ok(answer.body, back))
         elif answer.status in (503, 504) and "x-never-ran" in answer.headers:
@@ -192,6 +192,7 @@
         self.tiers, self.seed, self.budget = tiers, seed, budget
         self.errors, self.stall_s, self.work_s = errors, stall_s, work_s
         self.ring, self.strips = ring, strips
+        self.back = BACK  # what a nodo gives back
         self.copies = copies  # calls that a nodo makes for a request, each with the whole of what came
         self.late_s = late_s  # for which the first tier's nodos keep an answer back
         self._trust, self._options = trust, options
--- a/standins/hops.py
+++ b/standins/hops.py
@@ -47,12 +47,20 @@
         captures: dict[str, Any],
         peers: dict[str, Any] | None = None,
         owners: dict[str, Any] | None = None,
+        by_tier: dict[int, dict[str, Any]] | None = None,
+        gives_back: bool = True,
         **more: Any,
     ) -> None:
+        """`by_tier`: rows of `[captures]` that differ there. `gives_back`: services give back what comes with an
+        answer.
+        """
         super().__init__(each=each, seed=seed, aim_ms=1000.0, deadline_ms=2000.0, **more)
         self.rng = Random(f"{seed}/hops")
         self.weights = [20.0 ** (-n / max(1, each - 1)) for n in range(each)]  # 20 to 1
         self.captures, self.peers, self.owners = captures, peers, owners
+        self._by_tier = by_tier or {}
+        if not gives_back:
+            self.back = tuple(name for name in self.back if name != "x-capture")
         self.hops: dict[str, set[str]] = defaultdict(set)  # by client's request: who has answered for it
         self.asked: dict[str, tuple[float, str]] = {}  # when it was, and its class
         self.codes: dict[str, int] = {}
@@ -85,7 +93,9 @@
     def tables(self, tier: int, n: int) -> str:
         name = self.name(tier, n)
         rows: dict[str, dict[str, Any]] = {
-            "captures": {"on": True, "path": str(self.folder / f"{name}.jsonl")} | self.captures
+            "captures": {"on": True, "path": str(self.folder / f"{name}.jsonl")}
+            | self.captures
+            | self._by_tier.get(tier, {})
         }
         if self.peers is not None:
             host, port = self._own[name]
--- a/tests/fleet/test_captures.py
+++ b/tests/fleet/test_captures.py
@@ -19,7 +19,7 @@
 from standins.manager import ROOT
 from standins.peers import FakeUpstream
 from standins.ports import free_port
-from tests.fleet.test_part import platform
+from tests.fleet.test_part import platform, shows
 from tests.lifecycle.service import service, until
 from tests.upstreams.test_attempts import run
 
@@ -135,3 +135,118 @@
             assert rig.passed(400.0, 800_000.0) == 0
 
     run(play())
+
+
+def test_where_nothing_comes_back_a_hop_at_a_lower_rate_keeps_a_subset() -> None:
+    """The second tier has little room, lowers the verdict, and the services tell nobody: what it and those below it
+    have drawn is a part of what the first has, and each line says by which threshold it was."""
+
+    async def play() -> None:
+        little = {"records_per_s": 8.0, "bytes_per_s": 20_000.0}
+        much = {"rest": 1.0, "records_per_s": 400.0, "bytes_per_s": 800_000.0}
+        async with Hops(1, 3, much, by_tier={1: little}, gives_back=False) as rig:
+            await rig.load(3.0, 80.0)
+            await asyncio.sleep(0.5)
+            drawn = [{line.client: line for line in rig.lines(name) if line.weight} for name in rig.names]
+            assert len(drawn[0]) > 4 * len(drawn[1]) > 0
+            assert drawn[1].keys() <= drawn[2].keys() < drawn[0].keys()
+            assert all(drawn[0][client].weight <= drawn[2][client].weight for client in drawn[2])
+            assert max(line.weight for line in drawn[2].values()) > 2.0
+            (status,) = (await rig.shows(["b1"], "captures_table", bool, "its status")).values()
+            assert status == "0.0" and rig.passed(400.0, 800_000.0) == 0
+            rows = [line for line in rig.lines("b1") if line.at_ms]
+            assert 0 < len(rows) <= 8 * 5
+
+    run(play())
+
+
+FAST = {"probe_ms": 200.0, "ack_ms": 80.0, "datagrams_per_s": 200.0}
+
+
+def test_a_failed_request_has_the_other_hops_keep_theirs_also_where_one_is_lost() -> None:
+    """Nothing is drawn. Of what failed or was sent again, each hop that lives keeps its record, with no weight; of the
+    rest none does."""
+
+    async def play() -> None:
+        none = {"rest": 0.000001, "records_per_s": 400.0, "bytes_per_s": 800_000.0}
+        async with Hops(2, 4, none, peers=FAST, errors=0.4, stall_s=0.0) as rig:
+            await rig.shows(rig.names, "peers", "5/5".__eq__, "all there")
+            load = asyncio.ensure_future(rig.load(4.0, 25.0))
+            await asyncio.sleep(2.0)
+            await rig.kill("b1.1")
+            await load
+            await asyncio.sleep(2.0)  # three times 250 ms, and around
+            kept: dict[str, set[str]] = {}
+            for name in rig.names:
+                for line in rig.lines(name):
+                    assert line.weight == 0.0 and line.why in ("failed", "again")
+                    kept.setdefault(line.client, set()).add(name)
+            assert all(client in kept for client, code in rig.codes.items() if code == 502)
+            torn = [client for client in kept if not kept[client] >= rig.hops[client] - rig.down]
+            assert len(kept) > 20 and len(torn) <= 0.1 * len(kept), (len(torn), len(kept))
+            assert len(kept) < 0.8 * len(rig.asked)  # of those without trouble none is kept
+
+    run(play())
+
+
+def test_a_coordinator_is_followed_by_another_and_one_that_is_cut_off_goes_by_the_safe_part() -> None:
+    """Six processes: one sets the rates of all; it is killed under load, the next one's tables are of a higher term,
+    and traces stay whole. One that hears of no coordinator goes by a quarter of the rates, until it does again."""
+
+    async def play() -> None:
+        rows = {"rest": 0.5, "records_per_s": 100.0, "bytes_per_s": 100_000.0, "hold_ms": 2_000.0}
+        async with Hops(2, 5, rows, peers=FAST, owners={"lease_ms": 600.0}) as rig:
+            first = await rig.coordinator()
+            await rig.shows(rig.names, "captures_table", lambda it: it.startswith("1."), "tables of one term")
+            begun = asyncio.get_running_loop().time()
+            load = asyncio.ensure_future(rig.load(6.0, 40.0))
+            await asyncio.sleep(1.5)
+            await rig.kill(first)
+            second = await rig.coordinator(but=first)
+            left = [name for name in rig.names if name != first]
+            term = lambda it: it and int(it.split(".")[0]) > 1  # noqa: E731
+            await rig.shows(left, "captures_table", term, "tables of a higher term")
+            cut = next(name for name in reversed(left) if name != second)
+            fault = rig.cut(cut)
+            await rig.shows([cut], "captures", "whole,alone".__eq__, "alone")
+            rig.heal(fault)
+            await rig.shows([cut], "captures", "whole".__eq__, "not alone any more")
+            await load
+            await asyncio.sleep(0.5)
+            whole, drawn = rig.whole(begun)
+            assert drawn > 20 and whole >= 0.95 * drawn, (whole, drawn)
+            assert rig.passed(100.0, 100_000.0) == 0
+
+    run(play())
+
+
+def test_a_full_disk_is_told_and_counted_and_ends_nothing(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with service(tmp_path, await FakeUpstream().start()) as it:
+            control = f"127.0.0.1:{free_port()}"
+            it.write(control=control)
+            (tmp_path / "full.jsonl").symlink_to("/dev/full")
+            with it.operator_path.open("a") as file:
+                file.write(f'[captures]\non = true\npath = "{tmp_path}/full.jsonl"\nrest = 1.0\n')
+            await it.start()
+            for n in range(3):
+                assert (await it.ask(X_Trace_Id=f"a{n}"))[0] == 200
+            await shows(control, lambda facts: facts.get("captures_dropped") == "3", "three lines dropped")
+            await it.said("lines dropped: [Errno 28] No space left on device")
+            assert (await it.ask(X_Trace_Id="b"))[0] == 200
+            it.signal(signal.SIGTERM)
+            assert await it.ended() == 0
+
+    run(play())
+
+
+def test_a_folder_that_is_not_there_is_a_clear_error(tmp_path: Path) -> None:
+    async def play() -> None:
+        async with service(tmp_path, await FakeUpstream().start()) as it:
+            with it.operator_path.open("a") as file:
+                file.write('[captures]\non = true\npath = "/no/such/x.jsonl"\n')
+            await it.start(ready=False)
+            await it.said("captures.path: there is no folder '/no/such'")
+            assert await it.ended() == 2
+
+    run(play())
