--- a/benchmarks/hot_path.py
+++ b/benchmarks/hot_path.py
@@ -1,8 +1,10 @@
-"""`python -m benchmarks.hot_path [--against DIR]`: one process on one core, beside the floor in the same run.
+"""`python -m benchmarks.hot_path [--against DIR] [--operator FILE ...]`: one process on one core, beside the floor.
 
 For 3, 30 and 300 callers: requests a second and CPU per request of larkweir, of another checkout of it where one is
-named, and of a bare relay on the same two libraries (`standins/floor.py`). They take turns, round after round, and the
-median of the rounds counts. Last comes the part of the floor's requests a second that is reached at 30 callers.
+named, of larkweir by each operator file that is named, and of a bare relay on the same two libraries
+(`standins/floor.py`). They take turns, round after round, and the median of the rounds counts; CPU per request is told
+as the median ratio to larkweir's in the same round too. Last comes the part of the floor's requests a second that is
+reached at 30 callers.
 """
 
 from __future__ import annotations
@@ -101,8 +103,10 @@
         path.write_text(json.dumps(data))
         return str(path)
 
-    def measure(self, program: Path | None, callers: int, seconds: float) -> Figures:
-        """One round; `program` is a checkout, or none for the floor."""
+    def measure(
+        self, program: Path | None, callers: int, seconds: float, operator: Path | None = None
+    ) -> Figures:
+        """One round; `program` is a checkout, or none for the floor; `operator` a file, or none without any."""
         port = free_port()
         with tempfile.TemporaryDirectory() as folder:
             if program is None:
@@ -111,7 +115,11 @@
             else:
                 env = os.environ | {"GW_CONFIG": self.config(folder, port)}
                 process = subprocess.Popen(
-                    [sys.executable, "-m", "larkweir"], cwd=program, env=env, stderr=subprocess.DEVNULL
+                    [sys.executable, "-m", "larkweir"]
+                    + (["run", "--operator", str(operator)] if operator is not None else []),
+                    cwd=program,
+                    env=env,
+                    stderr=subprocess.DEVNULL,
                 )
             os.sched_setaffinity(process.pid, self.core)
             try:
@@ -143,6 +151,7 @@
 def main() -> int:
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--against", type=Path, help="another checkout, measured in the same rounds")
+    parser.add_argument("--operator", type=Path, nargs="+", default=[], help="operator files, each a program")
     parser.add_argument("--callers", type=int, nargs="+", default=[3, 30, 300])
     parser.add_argument("--rounds", type=int, default=3)
     parser.add_argument("--seconds", type=float, default=3.0)
@@ -151,6 +160,8 @@
     programs: dict[str, Path | None] = {"floor": None, "larkweir": ROOT}
     if options.against:
         programs["against"] = options.against.resolve()
+    operators = {path.stem: path.resolve() for path in options.operator}
+    programs |= dict.fromkeys(operators, ROOT)
     rig = Rig(options.upstreams)
     reached = 0.0
     try:
@@ -158,14 +169,16 @@
             rounds: dict[str, list[Figures]] = {name: [] for name in programs}
             for _ in range(options.rounds):
                 for name, program in programs.items():
-                    rounds[name].append(rig.measure(program, callers, options.seconds))
+                    rounds[name].append(rig.measure(program, callers, options.seconds, operators.get(name)))
             floor = median(item.per_s for item in rounds["floor"])
             for name, rows in rounds.items():
                 per_s, cpu, p50, p99 = (median(row[n] for row in rows) for n in range(4))
+                pairs = zip(rows, rounds["larkweir"], strict=True)
+                ratio = median(row.cpu_us / own.cpu_us for row, own in pairs)
                 print(
                     f"{callers:4} callers  {name:9} {per_s:8.0f} requests/s  {cpu:7.1f} us CPU each  p50 {p50:6.2f} ms"
                     f"  p99 {p99:6.2f} ms  {per_s / floor:5.3f} of the floor  "
-                    f"{sum(row.not_served for row in rows)} not served",
+                    f"{sum(row.not_served for row in rows)} not served  CPU {ratio:.3f} of larkweir's",
                     flush=True,
                 )
                 if name == "larkweir" and callers == 30:
--- a/larkweir/logs/follow.py
+++ b/larkweir/logs/follow.py
@@ -86,10 +86,11 @@
 
     def before(self, now_ms: float, event: Event) -> None:
         """What goes into the decisions."""
-        if isinstance(event, RequestArrived):
-            self._arrived(now_ms, event)
-        elif isinstance(event, AttemptEnded):
-            self._attempt(now_ms, event)
+        kind = type(event)
+        if kind is RequestArrived:
+            self._arrived(now_ms, event)  # type: ignore[arg-type]
+        elif kind is AttemptEnded:
+            self._attempt(now_ms, event)  # type: ignore[arg-type]
         elif isinstance(event, BodyCame):
             told = self._coming.pop(event.request, None)
             if told is not None:
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -93,6 +93,9 @@
         self._keys: dict[tuple[str, str, str], int] = {}
         self._longest = min(self.drawn.bound.longest, self.after.bound.longest)
         self._leader = ""
+        self._firsts: dict[
+            int, int
+        ] = {}  # thresholds of kinds that begin here, for as long as the part holds
         self._part_now = 1.0
         self._part_until_ms = 0.0
         self._next_ms = 0.0
@@ -110,13 +113,16 @@
                 self._keys.clear()
             key = self._keys[kind] = key_of(*kind)
         self.loads.first(key)
-        threshold = max(self.held.threshold(key, now_ms), self.loads.own(key))
-        threshold = raised(threshold, self._part(now_ms))
-        trace = trace_id.decode("latin-1")
-        verdict = Verdict(randomness(trace_id), threshold, key, self.held.number, trace=trace)
-        if verdict.captured:
+        if now_ms >= self._part_until_ms:
+            self._part(now_ms)
+        threshold = self._firsts.get(key, -1)
+        if threshold < 0:
+            threshold = max(self.held.threshold(key, now_ms), self.loads.own(key))
+            threshold = self._firsts[key] = raised(threshold, self._part_now)
+        rv = randomness(trace_id)
+        if rv >= threshold:
             self._promise(now_ms)
-        return verdict
+        return Verdict(rv, threshold, key, self.held.number, trace=trace_id.decode("latin-1"))
 
     def next_hop(self, text: str, now_ms: float, trace_id: bytes = b"") -> Verdict | None:
         """The verdict that came with a request, lowered where this node is short; none if it can't be read, and the
@@ -138,6 +144,7 @@
         """The part of what is asked that is captured here now: reckoned anew after each promise, and every 10 ms."""
         if now_ms >= self._part_until_ms:
             self._part_until_ms = now_ms + 10.0
+            self._firsts.clear()
             self._part_now = falloff(self.drawn.full(now_ms))
         return self._part_now
 
@@ -179,15 +186,19 @@
         hops it was at is not all known.
         """
         trace = verdict.trace[:MOST_TRACE]
+        captured = verdict.rv >= verdict.threshold
         cost = len(body) + ENVELOPE + 6 * len(trace)
         if cost > self._longest or b"\n" in body:
             self.cut += 1
             body = b'{"cut":%d}' % len(body)
             cost = len(body) + ENVELOPE + 6 * len(trace)
-        hops = (*verdict.above, *verdict.below)
+        hops = verdict.above + verdict.below
         item = Waiting(trace, verdict.rv, verdict.threshold, body, cost, verdict.number, hops, lost)
         asked, sources = self.triggers.wanted(verdict.rv, now_ms)
-        if verdict.captured:
+        if not (captured or asked or failed or slow or again):
+            self.ring.put(item, now_ms)
+            return
+        if captured:
             for gone in self.drawn.put(item):
                 self._keep_or_hold(gone, self.triggers.wanted(gone.rv, now_ms)[0], now_ms)
         else:
@@ -198,7 +209,7 @@
                 self.triggers.begin(Ask(verdict.rv, trace, asked), below, lost)
             return
         importance = FAILED if failed else SLOW if slow else AGAIN if again else 0
-        whole = verdict.captured and not lost and not failed  # the others have drawn it too
+        whole = captured and not lost and not failed  # the others have drawn it too
         if importance and not whole:
             self.triggers.begin(Ask(verdict.rv, trace, importance), hops, lost)
 
--- a/packages/captures/src/larkweir_captures/thresholds.py
+++ b/packages/captures/src/larkweir_captures/thresholds.py
@@ -11,7 +11,7 @@
 
 import math
 import re
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from functools import lru_cache
 from hashlib import blake2b
 
@@ -101,7 +101,7 @@
     key: int = 0
     number: Number = (0, 0)  # of the table that the first hop went by
     above: tuple[str, ...] = ()  # hops that it has passed, first to last
-    below: list[str] = field(default_factory=list)  # hops that have answered for it
+    below: tuple[str, ...] = ()  # hops that have answered for it
     first: bool = True
     trace: str = ""  # its id, where it is known here
 
@@ -130,9 +130,8 @@
     def told(self, threshold: int, names: tuple[str, ...]) -> None:
         """An answer has come from below: what was not captured there need not be here."""
         self.threshold = max(self.threshold, threshold)
-        for name in names:
-            if name not in self.below and len(self.below) < MOST_PATH:
-                self.below.append(name)
+        if names != self.below:
+            self.below = (*self.below, *(name for name in names if name not in self.below))[:MOST_PATH]
 
 
 @lru_cache(maxsize=4096)
