--- a/benchmarks/hops.py
+++ b/benchmarks/hops.py
@@ -4,8 +4,8 @@
 the ninth second; each process may write `--records` a second. Of the last tier's upstreams one answer in fifty is an
 error. Two days: the burst; and the burst with the coordinator killed in it (6 s) and a cut through the middle of the
 fleet from 10 s to 12 s. A trace that is drawn is whole where each hop that answered for it, and lives, has a drawn line
-of it. Trouble is what was answered 502, or sent again at any hop whose record is there. Last comes the smallest part of whole traces
-over the plays of the burst alone.
+of it. Trouble is what was answered 502, or sent again at any hop whose record is there. Last comes the smallest part of
+whole traces over the plays of the burst alone.
 """
 
 from __future__ import annotations
