Time-outs in tests on sockets are let pass, not raced against

A time-out of 60 to 400 ms held for every request of its test, also for those that were to be served, and a deadline of 150 ms was to come after its request had reached the upstream: a process that stands still for as long gave another outcome (502 for 200, 503 for 504). Now the time passes at once when the request is where it should be (pass_time), and the others have none. Not taken: longer time-outs, which cost their length in every run.

--- a/tests/budget/test_chain.py
+++ b/tests/budget/test_chain.py
@@ -164,7 +164,7 @@
             assert answer.status == 503 and answer.headers["x-never-ran"] == "1"
             assert not rig.ledger.passes
             # Enough for the first tier, not for the second: refused there, and told as never run here.
-            answer = await rig.client(2, "traspaso", x_expires_in_ms="2000", x_budget="1")
+            answer = await rig.client(2, "traspaso", x_expires_in_ms="4000", x_budget="1")
             assert answer.status == 200
 
     run(work())
--- a/tests/protocols/fastcgi/test_hard_cases.py
+++ b/tests/protocols/fastcgi/test_hard_cases.py
@@ -19,7 +19,7 @@
 from mulleinhitch.interface import AttemptEnded, Outcome, RequestArrived, Send
 from standins import fastcgi as f
 from standins.peers import PATIENCE_S, Answer, Caller, FakeUpstream, Incoming, Talk, ok, request_bytes
-from tests.fakes import Running, Script, running
+from tests.fakes import Running, Script, pass_time, running
 from tests.upstreams.test_attempts import run
 
 SHARED = Fastcgi(listen=("127.0.0.1:0",), upstreams="tier", multiplex="on")
@@ -146,7 +146,7 @@
                 await asyncio.Event().wait()
             await talk.send(ok(request.target.encode()))
 
-        script = Script([1], timeout_ms=400)
+        script = Script([1], timeout_ms=6_000)
         async with upstream_and(stall, SHARED, script, ends_aborted=False) as (upstream, balancer):
             async with Many(balancer.port) as caller:
                 caller.ask(1, "move", b"x", "/api?stall")
@@ -157,6 +157,7 @@
                 assert {n: item.body for n, item in got.items()} == {
                     n: f"/api?{n}".encode() for n in range(2, 40)
                 }
+                pass_time(balancer.engine.clock, 6_000)
                 number, _, answer = await caller.answer()
                 assert (number, answer.status) == (1, 502)
                 assert upstream.connections == 1
@@ -225,6 +226,7 @@
             async with Many(balancer.port) as caller:
                 caller.ask(1, "move", b"x", "/api?slow")
                 assert (await caller.answer())[2].status == 502
+                script.timeout_ms = 0.0
                 late.set()
                 for n in range(2, 20):
                     caller.ask(n, target=f"/api?{n}")
--- a/tests/storms/test_gate.py
+++ b/tests/storms/test_gate.py
@@ -87,7 +87,7 @@
             async with Caller(balancer.port) as caller, Caller(balancer.port) as other:
                 for one, more in (
                     (caller, {"X_Object": "1"}),
-                    (other, {"X_Object": "1", "X_Second_Try": "1", "X_Expires_In_Ms": "700"}),
+                    (other, {"X_Object": "1", "X_Second_Try": "1", "X_Expires_In_Ms": "7000"}),
                     (caller, {"X_Object": "2"}),
                     (caller, {"X_Object": "1", "X_Customer": "another"}),
                 ):
--- a/tests/storms/test_pace.py
+++ b/tests/storms/test_pace.py
@@ -100,6 +100,7 @@
             assert (await caller.answer()).status == 502
             assert (await script.ended()).outcome is Outcome.CONNECT_FAILED
             balancer.engine.upstreams.pace = Shut(5)
+            script.timeout_ms = 0.0
             caller.ask("move", b"x")
             assert (await caller.answer()).status == 200
             assert upstream.connections == 1 and len(upstream.seen) == 1
--- a/tests/upstreams/test_attempts.py
+++ b/tests/upstreams/test_attempts.py
@@ -36,6 +36,7 @@
     Talk,
     entry,
     ok,
+    pass_time,
     running,
     status,
 )
@@ -249,12 +250,14 @@
             closed.set()
 
         upstream = await FakeUpstream(wait).start()
-        script = Script([1], timeout_ms=100)
+        script = Script([1], timeout_ms=6_000)
         async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
             caller.ask("move", b"x")
+            await upstream.arrived.get()
+            pass_time(balancer.engine.clock, 6_000)
             assert (await caller.answer()).status == 502
             event = await script.ended()
-            assert event.outcome is Outcome.TIMEOUT and event.spent_ms >= 100
+            assert event.outcome is Outcome.TIMEOUT and event.spent_ms >= 6_000
             async with asyncio.timeout(PATIENCE_S):
                 await closed.wait()
         upstream.close()
@@ -448,7 +451,7 @@
                 "post",
                 body,
                 "/api?obj=%2f&x=1",
-                X_Expires_In_Ms="700",
+                X_Expires_In_Ms="7000",
                 Connection="X-Hop",
                 X_Hop="1",
                 X_Trace_Id="77aa03aa5c7e2d41",
@@ -459,7 +462,7 @@
         assert (seen.method, seen.target, seen.body) == ("POST", "/api?obj=%2f&x=1", body)
         assert seen.headers["x-trace-id"] == "77aa03aa5c7e2d41"
         assert seen.headers["idempotency-key"] == "5c0f6e1a2b3d4c59"
-        assert 0 < int(seen.headers["x-expires-in-ms"]) <= 700
+        assert 0 < int(seen.headers["x-expires-in-ms"]) <= 7000
         assert "x-hop" not in seen.headers and "connection" not in seen.headers
 
     run(work())
@@ -577,7 +580,9 @@
         script = Script([1])
         script.more = lambda event: [] if isinstance(event, AttemptEnded) else None
         async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
-            caller.ask("move", b"x", X_Expires_In_Ms="150")
+            caller.ask("move", b"x", X_Expires_In_Ms="8000")
+            await upstream.arrived.get()
+            pass_time(balancer.engine.clock, 8_000)
             assert (await caller.answer()).status == 504
             event = await script.ended()
             assert (event.outcome, event.final) == (Outcome.TIMEOUT, False)
@@ -598,7 +603,11 @@
         script = Script([1])
         script.more = lambda event: [] if isinstance(event, AttemptEnded) or not sent else None
         async with running(upstream.entry("a"), script=script) as balancer, Caller(balancer.port) as caller:
-            caller.ask("move", b"x", X_Expires_In_Ms="150")
+            caller.ask("move", b"x", X_Expires_In_Ms="8000")
+            told = AttemptEnded if sent else RequestArrived
+            while not isinstance(await script.told.get(), told):
+                pass
+            pass_time(balancer.engine.clock, 8_000)
             assert (await caller.answer()).status == 503
             assert len(upstream.seen) == sent
             assert not balancer.engine._exchanges
