Tell on the first that suspected a member, whatever the hashes

A suspicion kept those that share it in a set, and a rumour named whichever the set gave first. Now a dict, in the order of their word; the test names the first of many under any hash. Sorting was the other way: it would tell the lowest address instead of the first witness.

--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -170,9 +170,9 @@
             least, most = self._pace.suspicion_ms(fleet)
             wanted = self._pace.confirmations if fleet - 2 >= self._pace.confirmations else 0
             self._set(member, State.SUSPECT, news.incarnation, now_ms)
-            member.suspicion = Suspicion(now_ms, least, most, wanted, {news.by})
+            member.suspicion = Suspicion(now_ms, least, most, wanted, {news.by: None})
         elif news.by not in suspicion.by and len(suspicion.by) <= suspicion.wanted:
-            suspicion.by.add(news.by)
+            suspicion.by[news.by] = None
         else:
             return
         assert member.suspicion is not None
--- a/packages/peers/src/larkweir_peers/pace.py
+++ b/packages/peers/src/larkweir_peers/pace.py
@@ -67,7 +67,7 @@
     least_ms: float
     most_ms: float
     wanted: int
-    by: set[bytes]
+    by: dict[bytes, None]  # in the order of their word: the first is told on
 
     @property
     def due_ms(self) -> float:
--- a/packages/peers/tests/test_peers_rules.py
+++ b/packages/peers/tests/test_peers_rules.py
@@ -283,10 +283,22 @@
     assert [item.data for item in b.items] == [b"all the same"]
 
 
+def test_the_first_that_suspected_is_told_whatever_the_hashes() -> None:
+    """So that a run of a seed can be had again under any PYTHONHASHSEED."""
+    names = [f"127.0.0.{n}:7946" for n in range(1, 16)]
+    a = Peers(names[0], tuple(names[1:]), Random(1), 0.0, 1, (KEY,))
+    for at, who in enumerate(names[1:5]):
+        a.members.heard(a.members.table[who], 1, 0.0)
+        for by in (names[5 + at], *reversed(names[6 + at :])):
+            a.members.told(News(packed(who), State.SUSPECT, 1, packed(by)), 1.0)
+    told = [a.members.news_for(a.members.table[who], 1)[0].by for who in names[1:5]]
+    assert told == [packed(by) for by in names[5:9]]
+
+
 def test_a_suspicion_is_shorter_by_each_that_shares_it() -> None:
     """Lifeguard section IV-B: from most to least, by the logarithm."""
     by = [bytes((n,)) for n in range(4)]
-    due = [Suspicion(100.0, 1_000.0, 6_000.0, 3, set(by[: n + 1])).due_ms for n in range(4)]
+    due = [Suspicion(100.0, 1_000.0, 6_000.0, 3, dict.fromkeys(by[: n + 1])).due_ms for n in range(4)]
     assert due[0] == 6_100.0 and due[2] == pytest.approx(2_137.6, abs=0.1) and due[3] == 1_100.0
     a = one(A, pace=Pace(confirmations=2))
     least, most = a.pace.suspicion_ms(4)
