One place for what the program asks of its sockets by hand: larkweir/core/net

Simulated kernels need to stand where the program polls for unread bytes and asks SIOCOUTQ; five modules did so by hand. They now call larkweir.core.net by its name; the poll that each upstream call makes is the same object as before, so the hot path has no more calls. Open connections are kept in the order of their coming up, not in a set by address, so that a run can be had again. Not taken: sockets handed in to each part, which would add a parameter everywhere.

--- /dev/null
+++ b/larkweir/core/net.py
@@ -0,0 +1,44 @@
+"""Hands: what the program asks the system of its sockets by its own hand, beside its event loop: what lies unread, and
+what the other end has not acknowledged.
+
+The one place for such calls, and called by its name (`net.waits`), so that a world of simulated kernels can stand here.
+"""
+
+from __future__ import annotations
+
+import fcntl
+import select
+import sys
+import termios
+from typing import Protocol
+
+UNREAD = select.POLLIN
+
+
+class Watch(Protocol):
+    """A descriptor that is looked at again and again."""
+
+    def poll(self, timeout_ms: float, /) -> list[tuple[int, int]]:
+        """Empty where nothing waits; else one pair, whose second is `UNREAD` where bytes wait and no end does."""
+
+
+def watch(descriptor: int) -> Watch:
+    """Bytes, an end (also of the other's half alone) or an error that wait in the system."""
+    found = select.poll()
+    found.register(descriptor, select.POLLIN | select.POLLRDHUP)
+    return found
+
+
+def waits(descriptor: int) -> bool:
+    """Whether bytes, an end, or a connection to accept, wait in the system."""
+    poll = select.poll()
+    poll.register(descriptor, select.POLLIN)
+    return bool(poll.poll(0))
+
+
+def in_flight(descriptor: int) -> int:
+    """Bytes that the system has taken and the peer's has not acknowledged (SIOCOUTQ, tcp(7)). OSError or ValueError
+    where it doesn't tell.
+    """
+    raw = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+    return max(0, int.from_bytes(raw, sys.byteorder, signed=True))
--- a/larkweir/protocols/delivery.py
+++ b/larkweir/protocols/delivery.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import fcntl
-import sys
-import termios
 from collections.abc import Callable
 
+from larkweir.core import net
 from larkweir.core.stream import Stream
 from larkweir.core.taking import Taking
 
@@ -18,10 +16,9 @@
     """
     waiting = transport.get_write_buffer_size()
     try:
-        raw = fcntl.ioctl(transport.get_extra_info("socket").fileno(), termios.TIOCOUTQ, bytes(4))
+        return waiting + net.in_flight(transport.get_extra_info("socket").fileno())
     except (OSError, ValueError, AttributeError):
         return waiting
-    return waiting + max(0, int.from_bytes(raw, sys.byteorder, signed=True))
 
 
 class Delivery:
--- a/larkweir/protocols/fastcgi/callers.py
+++ b/larkweir/protocols/fastcgi/callers.py
@@ -5,11 +5,12 @@
 import asyncio
 from typing import cast
 
+from larkweir.core import net
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
 from larkweir.core.stream import Stream
 from larkweir.protocols.delivery import Delivery
 from larkweir.protocols.fastcgi.serving import Bad, Serving, Whole
-from larkweir.protocols.listener import Listener, peer_of, waits
+from larkweir.protocols.listener import Listener, peer_of
 
 
 class _Stream:
@@ -216,7 +217,9 @@
     def quiet(self) -> bool:
         """Whether it holds no whole request, and nothing waits unread in the system."""
         transport = self._transport
-        return self.idle and transport is not None and not waits(transport.get_extra_info("socket").fileno())
+        return (
+            self.idle and transport is not None and not net.waits(transport.get_extra_info("socket").fileno())
+        )
 
     @property
     def begun(self) -> bool:
--- a/larkweir/protocols/fastcgi/upstreams.py
+++ b/larkweir/protocols/fastcgi/upstreams.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import asyncio
-import select
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Literal, cast
 
+from larkweir.core import net
 from larkweir.core.message import FramingError, Message
 from larkweir.core.ports import Address
 from larkweir.protocols.fastcgi.asking import (
@@ -155,7 +155,7 @@
         self.resting = False  # ids are not used again, so nothing old can be taken for something new
         self.listed = False
         self.retired = False
-        self._poll = select.poll()
+        self._poll: net.Watch  # from its coming up on
         dialect.count(upstream, 0, 1)
         self._counted = True
 
@@ -166,7 +166,7 @@
         self._transport = cast(asyncio.Transport, transport)
         # Any byte not yet taken by the system pauses writing, so that no call is begun behind it.
         self._transport.set_write_buffer_limits(high=0)
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        self._poll = net.watch(transport.get_extra_info("socket").fileno())
 
     def pause_writing(self) -> None:
         self._blocked = True
@@ -293,7 +293,7 @@
         if transport is None or transport.is_closing() or self._gone:
             return False
         waiting = self._poll.poll(0)
-        return not waiting or (waiting[0][1] == select.POLLIN and self._asking.out > 0)
+        return not waiting or (waiting[0][1] == net.UNREAD and self._asking.out > 0)
 
     def send(self, call: Call) -> None:
         assert self._transport is not None
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -6,6 +6,7 @@
 from collections import deque
 from typing import cast
 
+from larkweir.core import net
 from larkweir.core.message import REASONS, Fault, FramingError, Headers, Message
 from larkweir.core.stream import Stream
 from larkweir.protocols.delivery import Delivery
@@ -18,7 +19,7 @@
     encode_head,
     encode_response,
 )
-from larkweir.protocols.listener import Listener, peer_of, waits
+from larkweir.protocols.listener import Listener, peer_of
 
 LATE = Fault(408, "the request did not come whole in time")
 
@@ -225,7 +226,9 @@
     def quiet(self) -> bool:
         """Whether it holds no whole request, and nothing waits unread in the system."""
         transport = self._transport
-        return self.idle and transport is not None and not waits(transport.get_extra_info("socket").fileno())
+        return (
+            self.idle and transport is not None and not net.waits(transport.get_extra_info("socket").fileno())
+        )
 
     @property
     def begun(self) -> bool:
--- a/larkweir/protocols/http1/upstreams.py
+++ b/larkweir/protocols/http1/upstreams.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import math
-import select
 from typing import cast
 
+from larkweir.core import net
 from larkweir.core.message import Message
 from larkweir.core.stream import Stream
 from larkweir.protocols.http1.codec import (
@@ -45,7 +45,7 @@
         self.listed = False
         self._gone = False
         self.retired = False
-        self._poll = select.poll()
+        self._poll: net.Watch  # from its coming up on
         self._body: Stream | None = None  # of the call, that is still being written
         self._blocked = False  # the system does not take all that is written
         self._answer: Message | None = None  # that is being passed on
@@ -60,7 +60,7 @@
         self._transport = cast(asyncio.Transport, transport)
         # Any byte not yet taken by the system pauses writing: so `resume_writing` marks the last byte.
         self._transport.set_write_buffer_limits(high=0)
-        self._poll.register(transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP)
+        self._poll = net.watch(transport.get_extra_info("socket").fileno())
 
     def pause_writing(self) -> None:
         self._blocked = True
--- a/larkweir/protocols/listener.py
+++ b/larkweir/protocols/listener.py
@@ -5,7 +5,6 @@
 import asyncio
 import errno
 import os
-import select
 import socket
 import stat
 from collections.abc import Callable
@@ -13,18 +12,12 @@
 from itertools import islice
 from typing import Protocol, cast
 
+from larkweir.core import net
 from larkweir.core.engine import Engine
 from larkweir.core.intake import Intake
 from larkweir.core.ports import Address
 
 
-def waits(descriptor: int) -> bool:
-    """Whether bytes, an end, or a connection to accept, wait in the system."""
-    poll = select.poll()
-    poll.register(descriptor, select.POLLIN)
-    return bool(poll.poll(0))
-
-
 def peer_of(transport: asyncio.Transport | None) -> str:
     """The address at the other end, `unix` for a Unix socket, empty if there is none any more."""
     if transport is None:
@@ -182,7 +175,7 @@
             if listening not in self._sockets:
                 return False
             if len(self._connections) >= self.budget:
-                if not waits(listening.fileno()):
+                if not net.waits(listening.fileno()):
                     return False
                 if not self._make_room():
                     self._pause()
--- a/larkweir/upstreams/pool.py
+++ b/larkweir/upstreams/pool.py
@@ -86,7 +86,9 @@
         # Coming up, by upstream: one that has room for more calls than wait for it.
         self._coming: dict[int, tuple[Connection, list[Call]]] = {}
         self._made: dict[Call, Connection] = {}  # for a call whose connection is about to come up
-        self._open: set[Connection] = set()
+        self._open: dict[
+            Connection, None
+        ] = {}  # in the order of their coming up, so that a run can be had again
         self._connecting: set[asyncio.Task[None]] = set()
         self._sweeping = False
         self.pace: Pace | None = None
@@ -247,7 +249,7 @@
                 item.end(Outcome.CONNECT_FAILED)
             return
         self._came(connection, len(calls))
-        self._open.add(connection)
+        self._open[connection] = None
         if not connection.usable():
             self.closed(connection)
             connection.abort()
@@ -350,7 +352,7 @@
             return False
         oldest = min(idle, key=lambda connection: connection.idle_since_ms)
         self._idle[oldest.upstream.number].remove(oldest)
-        self._open.discard(oldest)
+        self._open.pop(oldest, None)
         oldest.abort()
         return True
 
@@ -376,7 +378,7 @@
                 connection.abort()
 
     def closed(self, connection: Connection) -> None:
-        self._open.discard(connection)
+        self._open.pop(connection, None)
         idle = self._idle.get(connection.upstream.number)
         if idle and connection in idle:
             idle.remove(connection)
