The real program under simulated time and a faulty network: standins/world

Loopback tests never hit most orders of events, and what the rigs find can't be had again. standins/world is an asyncio loop per process on one seeded schedule, kernels with buffers, resets, cuts and backlogs, disks with torn tails, upstreams of three effects, agents, callers, and checkers over all bytes and effects; whole daemons with [peers] and [owners] run in it unchanged. Not taken: a time-travelling uvloop (its clock can't be had), and real sockets under a fake clock (order is the system's).

--- /dev/null
+++ b/standins/world/__init__.py
@@ -0,0 +1,1 @@
+"""The real program under simulated time and a faulty network, many processes of it to one world."""
--- /dev/null
+++ b/standins/world/days.py
@@ -0,0 +1,121 @@
+"""Rules: kinds of days and their faults, drawn by a seed. A fault has a beginning and an end; none outlasts the day."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    at_s: float
+    for_s: float
+    kind: str
+    whom: str
+    other: str = ""
+    amount: float = 0.0
+
+    def __str__(self) -> str:
+        whom = f"{self.whom}>{self.other}" if self.other else self.whom
+        amount = f" ({self.amount:.2g})" if self.amount else ""
+        return f"{self.kind} {whom}{amount} {self.at_s:.2f}..{self.at_s + self.for_s:.2f}"
+
+
+@dataclass(frozen=True, slots=True)
+class Day:
+    """What there is on one. Seconds; requests a second at each balancer."""
+
+    name: str
+    balancers: int = 1
+    upstreams: int = 8
+    callers: int = 8
+    rate: float = 60.0
+    last_s: float = 10.0
+    faults: int = 8
+    kinds: tuple[str, ...] = ()
+    rude: float = 0.0
+    spoilt: float = 0.0
+    keepers: int = 0
+    descriptors: int = 256
+    loss: float = 0.0
+    receive: int = 256 * 1024  # bytes of the kernels' buffers
+
+
+UP = ("up drain", "up crash", "up pause", "up replace", "up slow")
+AGENT = ("agent down", "agent hush", "agent again", "agent misses")
+CUT = ("cut", "cut one way", "slow way")
+BALANCER = ("stop", "kill", "drain", "vanish")
+
+DAYS: dict[str, Day] = {
+    day.name: day
+    for day in (
+        Day("calm", faults=0),
+        Day("churn", kinds=UP, faults=10),
+        Day("spoilt", kinds=UP, faults=6, spoilt=0.08),
+        Day("agents", kinds=(*AGENT, "up drain", "up replace"), faults=10),
+        Day("partition", kinds=(*CUT, "up pause"), faults=8),
+        Day("stops", kinds=BALANCER, faults=4, balancers=2, upstreams=6, callers=5),
+        Day("rude", kinds=("up drain", "up pause"), faults=4, rude=0.3),
+        Day(
+            "narrow",
+            kinds=("up pause", "up slow", "stop"),
+            faults=6,
+            rude=0.2,
+            descriptors=48,
+            receive=8 * 1024,
+            callers=20,
+        ),
+        Day(
+            "mixed",
+            kinds=(*UP, *AGENT, *CUT, *BALANCER),
+            faults=14,
+            balancers=2,
+            rude=0.05,
+            spoilt=0.02,
+        ),
+        Day(
+            "fleet",
+            kinds=(*CUT, *BALANCER, "disk"),
+            faults=8,
+            balancers=5,
+            keepers=3,
+            upstreams=5,
+            callers=2,
+            rate=10.0,
+            last_s=15.0,
+            loss=0.02,
+        ),
+    )
+}
+
+
+def drawn(day: Day, rng: Random) -> list[Fault]:
+    """The faults of one play. A balancer or an upstream has one at a time."""
+    found: list[Fault] = []
+    busy: dict[str, list[tuple[float, float]]] = {}
+    balancers = [f"b{n}" for n in range(day.balancers)]
+    upstreams = [f"u{n}" for n in range(day.upstreams)]
+    draws: dict[str, Callable[[], tuple[str, str, float]]] = {
+        "up": lambda: (rng.choice(upstreams), "", rng.uniform(2.0, 30.0)),
+        "agent": lambda: (rng.choice(balancers), "", 0.0),
+        "cut": lambda: (rng.choice(balancers), rng.choice(upstreams + balancers), 0.0),
+        "slow": lambda: (rng.choice(balancers + upstreams), "", rng.uniform(0.01, 0.3)),
+    }
+    for _ in range(day.faults * 3):
+        if len(found) == day.faults or not day.kinds:
+            break
+        kind = rng.choice(day.kinds)
+        whom, other, amount = draws.get(kind.split()[0], lambda: (rng.choice(balancers), "", 0.0))()
+        at_s = rng.uniform(0.5, 0.8 * day.last_s)
+        for_s = min(rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.5, 1.5), 0.9 * day.last_s - at_s)
+        if other == whom:
+            continue
+        spans = busy.setdefault(
+            f"{kind.split()[0]} {whom}" if kind.split()[0] in ("agent", "cut", "slow") else whom, []
+        )
+        if any(at_s < to + 0.5 and begun < at_s + for_s + 0.5 for begun, to in spans):
+            continue
+        spans.append((at_s, at_s + for_s))
+        found.append(Fault(at_s, for_s, kind, whom, other, amount))
+    return sorted(found, key=lambda fault: fault.at_s)
--- /dev/null
+++ b/standins/world/play.py
@@ -0,0 +1,322 @@
+"""Hands: one day of the world: its machines put together, its faults carried out, its end, what is wrong with it."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import warnings
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from standins.world import checks
+from standins.world.agents import Agent, Registry
+from standins.world.air import Air, Ways
+from standins.world.balancers import Balancer
+from standins.world.callers import Caller
+from standins.world.days import Day, Fault, drawn
+from standins.world.kernel import Machine, Net
+from standins.world.loop import ProcessLoop, SteadyTask
+from standins.world.scheduler import Scheduler
+from standins.world.story import Story
+from standins.world.system import START_S, installed
+from standins.world.upstreams import Habits, Upstream, Zone
+
+GRACE_S = 0.5
+MEMORY_S = 4.0
+MOST_S = 3.0  # a request's deadline
+COLD_S, COLD_SHARE = 3.0, 0.3
+QUIET_S = 9.0  # at a day's end, for what is under way and for what is forgotten later
+END_S = 12.0  # for a drain
+ZONES = ("north", "south")
+
+
+def category(name: str, effect: str, **more: Any) -> dict[str, Any]:
+    most_ms = MOST_S * 1000
+    return {"Name": name, "Effect": effect, "AimMs": most_ms / 2, "HardLimitMs": most_ms, "Worth": 4} | more
+
+
+SETTINGS: dict[str, Any] = {
+    "Categories": [
+        category("consulta", "read_like"),
+        category("publicar", "idempotency_key", Group="zone", MemorySpanMs=MEMORY_S * 1000),
+        category("traspaso", "non_idempotent"),
+    ],
+    "Tenants": [{"Name": "acme", "QuotaPerS": 10_000, "Fraction": 1.0}],
+    "Zones": list(ZONES),
+    "MachineTypes": ["box"],
+    "Tiers": ["front"],
+    "Discovery": "pushed",
+    "Guarantees": {
+        "AnswerSlackMs": 50,
+        "ColdShare": COLD_SHARE,
+        "ColdMs": COLD_S * 1000,
+        "DrainGraceMs": GRACE_S * 1000,
+        "FallMultiple": 3,
+        "FallMs": 1000,
+    },
+    "PolicyLimits": {
+        "SendCap": 4,
+        "MayCancel": True,
+        "SecondCopies": True,
+        "ConnIdleMs": 60000,
+        "ConnectTimeoutMs": 1000,
+        "RetryAfter": True,
+        "MaxRetryAfterMs": 2000,
+    },
+    "Stats": {"How": "off", "Fields": []},
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    seed: int
+    day: str
+    digest: str
+    wrong: tuple[str, ...]
+    faults: tuple[Fault, ...]
+    asked: int
+    answered: int
+    events: int
+    simulated_s: float
+    lines: tuple[str, ...] = ()
+
+
+class Play:
+    def __init__(
+        self, day: Day, seed: int, faults: Sequence[Fault] | None = None, keep: bool = False
+    ) -> None:
+        self.day, self.seed = day, seed
+        self.clock = Scheduler(f"{day.name}/{seed}/world", keep)
+        self.faults = list(drawn(day, Random(f"{day.name}/{seed}/faults")) if faults is None else faults)
+        self.air = Air(Random(f"{day.name}/{seed}/air"), Ways(loss=day.loss, double=day.loss, late=day.loss))
+        self.net = Net(self.clock, self.air, send=day.receive, receive=day.receive)
+        self.story = Story(crowded=day.descriptors < 4 * day.callers)
+        self.registry = Registry(self.net)
+        self.zones = {zone: Zone(MEMORY_S) for zone in ZONES}
+        self.habits = Habits(spoilt=day.spoilt, cold_s=COLD_S, cold_share=COLD_SHARE)
+        self.machines: dict[str, Machine] = {}
+        self.upstreams: dict[str, Upstream] = {}
+        self.lives: dict[str, int] = {}
+        for n in range(day.upstreams):
+            self.machines[f"u{n}"] = self.net.machine(f"u{n}")
+            self._upstream(f"u{n}", cold=False)
+        places = [self.net.machine(f"b{n}") for n in range(day.balancers)]
+        peers = [f"{machine.ip}:7946" for machine in places]
+        self.balancers: dict[str, Balancer] = {}
+        for n, machine in enumerate(places):
+            name = f"b{n}"
+            self.machines[name] = machine
+            agent = Agent(self.registry, machine, name, self.story)
+            tables = self._tables(peers, n) if day.keepers else ""
+            self.balancers[name] = Balancer(
+                name, machine, agent, SETTINGS, self.story, tables, day.descriptors
+            )
+        self._by_ip = {item.machine.ip: item for item in self.balancers.values()}
+        self.callers: list[Caller] = []
+        self._cut: list[Callable[[], None]] = []
+
+    def _tables(self, peers: list[str], n: int) -> str:
+        listed = ", ".join(f'"{peer}"' for peer in peers)
+        keepers = ", ".join(f'"{peer}"' for peer in peers[: self.day.keepers])
+        folder = 'folder = "/keeper"\n' if n < self.day.keepers else ""
+        return (
+            f'[peers]\non = true\nlisten = "{peers[n]}"\npeers = [{listed}]\nprobe_ms = 200.0\nack_ms = 60.0\n'
+            f'[owners]\non = true\nkeepers = [{keepers}]\n{folder}lease_ms = 1000.0\nduties = ["drill"]\n'
+        )
+
+    # ------------------------------------------------ upstreams
+
+    def _who(self, ip: str) -> tuple[str, int]:
+        item = self._by_ip[ip]
+        return item.name, item.life
+
+    def _row(self, name: str, lifecycle: str) -> dict[str, Any]:
+        place = name.partition(".")[0]
+        upstream = self.upstreams[place]
+        return {
+            "instanceId": name,
+            "hostPort": f"{self.machines[place].ip}:{upstream.port}",
+            "zone": ZONES[int(place[1:]) % 2],
+            "machineType": "box",
+            "cell": 0,
+            "lifecycle": lifecycle,
+            "weight": 1.0,
+            "startedAtMs": 0 if upstream.started_s < 0 else int((START_S + upstream.started_s) * 1000),
+        }
+
+    def _upstream(self, place: str, cold: bool, port: int = 9_000) -> None:
+        """A new life of it, under an id of its own."""
+        self.lives[place] = self.lives.get(place, 0) + 1
+        name = f"{place}.{self.lives[place]}"
+        loop = ProcessLoop(self.net, self.machines[place], name)
+        zone = self.zones[ZONES[int(place[1:]) % 2]]
+        self.upstreams[place] = Upstream(name, loop, port, zone, self.habits, self.story, cold, self._who)
+        self.registry.tell(self._row(name, "active"))
+
+    def _up_ends(self, place: str, silently: bool = False) -> None:
+        upstream = self.upstreams[place]
+        self.clock.note(f"{upstream.name} ends")
+        upstream.loop.kill(silently)
+        self.registry.tell(self._row(upstream.name, "left"))
+
+    # ------------------------------------------------ faults
+
+    def _do(self, fault: Fault) -> None:
+        self.clock.note(f"fault: {fault}")
+        begin, end = self._acts(fault)
+        begin()
+        self.clock.after(fault.for_s, self._undo, fault, end)
+
+    def _undo(self, fault: Fault, end: Callable[[], None]) -> None:
+        self.clock.note(f"over: {fault}")
+        end()
+
+    def _acts(self, fault: Fault) -> tuple[Callable[[], None], Callable[[], None]]:
+        kind, whom = fault.kind, fault.whom
+        if kind.startswith("up"):
+            return self._up_acts(kind, whom, fault.amount)
+        if kind in ("cut", "cut one way"):
+            one, two = self.machines[whom].ip, self.machines[fault.other].ip
+            pairs = [(one, two)] + ([(two, one)] if kind == "cut" else [])
+            return lambda: [self.air.cut(*pair) for pair in pairs] and None, lambda: self._heal(pairs)
+        if kind == "slow way":
+            ip = self.machines[whom].ip
+            return lambda: self.air.slow(ip, fault.amount), lambda: self.air.slow(ip, 0.0)
+        item = self.balancers[whom]
+        agent = item.agent
+        table: dict[str, tuple[Callable[[], None], Callable[[], None]]] = {
+            "stop": (item.stop, item.go_on),
+            "kill": (item.kill, item.start),
+            "drain": (item.drain, lambda: self._again(item)),
+            "vanish": (item.vanish, item.come_back),
+            "agent down": (agent.stop, lambda: self._agent_again(item, agent.generation)),
+            "agent hush": (lambda: setattr(agent, "quiet", True), agent.speak),
+            "agent again": (agent.stop, lambda: self._agent_again(item, 1)),
+            "agent misses": (lambda: setattr(agent, "loses", True), agent.catches_up),
+            "disk": (lambda: setattr(item.drive, "full", True), lambda: setattr(item.drive, "full", False)),
+        }
+        return table[kind]
+
+    def _heal(self, pairs: list[tuple[str, str]]) -> None:
+        for pair in pairs:
+            self.air.heal(*pair)
+
+    def _agent_again(self, item: Balancer, generation: int) -> None:
+        if item.machine.up and item.agent.loop.dead:
+            item.agent.start(generation)
+
+    def _again(self, item: Balancer) -> None:
+        """After a drain: as soon as it has ended."""
+        if item.runs:
+            item.on_exit = item.start
+        else:
+            item.start()
+
+    def _up_acts(self, kind: str, place: str, amount: float) -> tuple[Callable[[], None], Callable[[], None]]:
+        upstream = self.upstreams[place]
+
+        def leave() -> None:
+            self.registry.tell(self._row(upstream.name, "leaving"))
+
+        def left() -> None:
+            """Behind the grace, and a while in which a balancer could send what it may not."""
+            self.clock.after(2.0 + GRACE_S, self._up_ends, place)
+            self.clock.after(2.5 + GRACE_S, self._upstream, place, True)
+
+        def replaced() -> None:
+            """Another id at the same address, at once."""
+            self._up_ends(place)
+            self._upstream(place, True)
+
+        table: dict[str, tuple[Callable[[], None], Callable[[], None]]] = {
+            "up drain": (leave, left),
+            "up crash": (lambda: self._up_ends(place), lambda: self._upstream(place, True)),
+            "up replace": (replaced, lambda: None),
+            "up pause": (upstream.loop.stop_here, upstream.loop.go_on),
+            "up slow": (
+                lambda: setattr(upstream, "habits", Habits(mean_s=0.003 * amount)),
+                lambda: setattr(upstream, "habits", self.habits),
+            ),
+        }
+        return table[kind]
+
+    # ------------------------------------------------ the day
+
+    def run(self) -> Outcome:
+        day, clock = self.day, self.clock
+        warnings.simplefilter("ignore")
+        for item in self.balancers.values():
+            clock.after(0.2 * clock.rng.random(), item.start)
+        place = self.net.machine("callers")
+        homes = ProcessLoop(self.net, place, "callers")
+        for item in self.balancers.values():
+            for n in range(day.callers):
+                think_s = day.callers / day.rate
+                clock.at(0.8, self._caller, f"{item.name}c{n}", homes, item, think_s)
+        for fault in self.faults:
+            clock.at(fault.at_s, self._do, fault)
+        clock.run(day.last_s)
+        for caller in self.callers:
+            caller.over = True
+        clock.run(day.last_s + QUIET_S)
+        wrong = [line for item in self.balancers.values() for line in item.leftovers()]
+        for item in self.balancers.values():
+            item.on_exit = lambda: None
+            item.drain()
+        clock.run(
+            day.last_s + QUIET_S + END_S, lambda: not any(item.runs for item in self.balancers.values())
+        )
+        wrong += [
+            f"{item.name} has not ended {END_S:g} s after SIGTERM"
+            for item in self.balancers.values()
+            if item.runs
+        ]
+        wrong = self.story.faults + wrong + checks.broken(self.story, GRACE_S)
+        homes.kill()
+        for item in self.balancers.values():
+            if item.loop is not None:
+                item.loop.kill()
+            item.agent.loop.kill()
+        for upstream in self.upstreams.values():
+            upstream.loop.kill()
+        asked = self.story.asked.values()
+        return Outcome(
+            self.seed,
+            day.name,
+            clock.digest,
+            tuple(wrong),
+            tuple(self.faults),
+            len(asked),
+            sum(bool(item.statuses) for item in asked),
+            clock.events,
+            clock.now_s,
+            tuple(clock.lines or ()),
+        )
+
+    def _caller(self, name: str, homes: ProcessLoop, item: Balancer, think_s: float) -> None:
+        self.callers.append(
+            Caller(name, homes, item.address, item.name, self.story, lambda: think_s, MOST_S, self.day.rude)
+        )
+
+
+def play(
+    day: Day,
+    seed: int,
+    faults: Sequence[Fault] | None = None,
+    keep: bool = False,
+    planted: Sequence[Any] = (),
+) -> Outcome:
+    """One day. `planted`: faults put into the program, as `system.installed` takes them."""
+    SteadyTask.serial = 0
+    hook, sys.unraisablehook = sys.unraisablehook, lambda args: None
+    try:
+        with installed(tuple(planted)):
+            found = Play(day, seed, faults, keep).run()
+            asyncio.tasks._scheduled_tasks.clear() if hasattr(asyncio.tasks, "_scheduled_tasks") else None
+            gc.collect()
+        return found
+    finally:
+        sys.unraisablehook = hook
--- /dev/null
+++ b/tests/standins/test_world.py
@@ -0,0 +1,55 @@
+"""The real program in the world of simulated time: a few seeds of each kind of day, and the same trace each time."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from standins.world.days import DAYS, Fault
+from standins.world.play import play
+from standins.world.shrink import shrunk
+
+ROOT = Path(__file__).parents[2]
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_a_short_day_of_each_kind_keeps_every_promise(name: str) -> None:
+    day = replace(DAYS[name], last_s=4.0, rate=min(40.0, DAYS[name].rate), faults=min(5, DAYS[name].faults))
+    found = play(day, 1)
+    assert not found.wrong
+    assert found.answered >= 0.8 * found.asked >= 10
+
+
+def test_a_seed_gives_the_same_trace_in_any_process_whatever_the_hashes() -> None:
+    code = "from standins.world.play import play; from standins.world.days import DAYS; " + (
+        "from dataclasses import replace; "
+        "print(*(play(replace(DAYS[d], last_s=3.5), 3).digest for d in ('mixed', 'fleet')))"
+    )
+    children = [
+        subprocess.Popen(
+            [sys.executable, "-c", code],
+            cwd=ROOT,
+            env=os.environ | {"PYTHONHASHSEED": hashes},
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+        for hashes in ("1", "77")
+    ]
+    first, second = (child.communicate()[0] for child in children)
+    assert first == second and len(first.split()) == 2
+    mixed, fleet = first.split()
+    assert mixed != fleet
+
+
+def test_of_a_failing_days_faults_those_are_left_that_matter() -> None:
+    faults = [Fault(float(n), 1.0, "kill", f"b{n}") for n in range(9)]
+
+    def fails(tried: list[Fault]) -> bool:
+        return {"b2", "b7"} <= {fault.whom for fault in tried}
+
+    assert [fault.whom for fault in shrunk(faults, fails)] == ["b2", "b7"]
