--- a/standins/actors.py
+++ b/standins/actors.py
@@ -67,6 +67,7 @@
         super().__init__(script, name)
         self.stage = stage
         self._owners: dict[asyncio.StreamWriter, int] = {}  # by connection, the process at its other end
+        self.row: dict[str, Any] = {}  # what discovery says of it beyond the usual
         self.by_itself: bytes | None = None
         self.served = 0
         self.inbox: Inbox[Exchange] = Inbox(name)
@@ -83,7 +84,7 @@
         self.peer.close()
 
     def entry(self, **more: Any) -> dict[str, Any]:
-        return self.peer.entry(self.name, **more)
+        return self.peer.entry(self.name, **self.row | more)
 
     async def _behave(self, request: Incoming, talk: Talk) -> None:
         if self.by_itself is not None:
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -76,7 +76,7 @@
         Actor.__init__(self, script, "relay")
         self._tell = tell
         self._ways: dict[tuple[str, str], Inbox[str]] = {}
-        self._cut: set[frozenset[str]] = set()
+        self._cut: set[tuple[str, str]] = set()  # from whom, to whom
 
     async def join(self, name: str, own: Address) -> Address:
         """The public address of a process, which the transcript calls by its name."""
@@ -86,14 +86,23 @@
 
     def cut(self, one: str, other: str) -> None:
         self.script.line("relay", "all", f"nothing passes between {one} and {other}")
-        self._cut.add(frozenset((one, other)))
+        self._cut |= {(one, other), (other, one)}
+
+    def cut_one_way(self, source: str, to: str) -> None:
+        self.script.line("relay", "all", f"nothing passes from {source} to {to}")
+        self._cut.add((source, to))
+
+    def cut_off(self, one: str) -> None:
+        """From all others."""
+        self.script.line("relay", "all", f"nothing passes to or from {one}")
+        self._cut |= {way for other in self._ports if other != one for way in ((one, other), (other, one))}
 
     def heal(self) -> None:
         self.script.line("relay", "all", "everything passes")
         self._cut.clear()
 
     def passes(self, source: str, to: str, data: bytes) -> None:
-        if frozenset((source, to)) in self._cut:
+        if (source, to) in self._cut:
             return
         words = self._tell(data)
         if words is not None:
--- a/standins/scene.py
+++ b/standins/scene.py
@@ -13,6 +13,7 @@
 from standins.actors import Client, Server
 from standins.manager import Manager, launch
 from standins.peers import PATIENCE_S
+from standins.relay import Ways
 from standins.transcript import COUNTS, TIMES, Actor, Inbox, Transcript
 
 
@@ -178,6 +179,7 @@
         self.servers: list[Server] = []
         self.clients: list[Client] = []
         self.processes: list[Process] = []
+        self.relays: list[Ways] = []
 
     def name_of(self, pid: int) -> str:
         return next((process.pids[pid] for process in self.processes if pid in process.pids), unnamed(pid))
@@ -216,6 +218,8 @@
             await process.stop()
         for server in self.servers:
             server.stop()
+        for relay in self.relays:
+            relay.stop()
 
 
 def unnamed(pid: int) -> str:
--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -5,17 +5,27 @@
 import asyncio
 import json
 import re
+import signal
 from typing import Any
 
 from standins.actors import Server
 from standins.peers import PATIENCE_S
 from standins.ports import free_port
+from standins.relay import Relay
 from tests.scenes.stage import Balancer, Scene
 
 # What is seen of peers and owners goes by the clock in the main, so a scene asks STATUS for what it is about.
-BY_THE_CLOCK = ("discovery: silent", "discovery: answers again", "peers: ", "owners: keeper: ")
-TAKEN = re.compile(r"owners: drill (\d+)\.(\d+) taken$")
+_THE = {"drill": "the drill", "verdicts": "the verdicts", "ramps": "the ramps"}
+BY_THE_CLOCK = (
+    "discovery: silent",
+    "discovery: answers again",
+    "reload: discovery is",
+    "peers: ",
+    "owners: keeper: ",
+)
+TAKEN = re.compile(r"owners: \w+ (\d+)\.(\d+) taken$")
 # Whoever has stood still finds that out by its timer or by a datagram, whichever comes first.
+RATES = re.compile(r"(the fleet saw that it fails more: ).*$")  # what had come by then goes by the clock
 LATE = re.compile(r"(owners: drill given up: )(?:<n> ms late|\S+ has it)$")
 
 
@@ -27,7 +37,9 @@
         self.by_the_clock = BY_THE_CLOCK
         self.fleet: Fleet
         self.address = ""
-        self.taken: list[tuple[int, int]] = []  # the drill's effects, in the order of its log
+        self._stood = False  # it was stopped in this scene
+        self.parts: list[float] = []  # of the canary, as STATUS had them
+        self.taken: list[tuple[int, int]] = []  # effects, in the order of its log
 
     def _comes_by_the_clock(self, line: str) -> bool:
         if found := TAKEN.match(line):
@@ -77,12 +89,18 @@
         line = ""
         while part not in line:
             line = await self._log.take()
-            line = LATE.sub(r"\1it stood still", line)
+            if self._stood:
+                line = LATE.sub(r"\1it stood still", line)
+            line = RATES.sub(r"\1<rates>", line)
             line = re.sub(
                 r"(owned here, term )(\d+)", lambda found: found[1] + self.fleet.term(int(found[2])), line
             )
             self.script.line(self.name, "log", line)
 
+    def gets(self, number: signal.Signals, pid: int | None = None) -> None:
+        self._stood = self._stood or number is signal.SIGSTOP
+        super().gets(number, pid)
+
     def has_said(self, part: str) -> bool:
         """Whether a step could take such a line now."""
         return any(part in line for line in self._log.items)
@@ -103,6 +121,43 @@
         order = "each above the one before" if well else "OUT OF ORDER"
         self.script.line(self.name, "log", f"effects of {' and '.join(found)}, {order}")
 
+    async def is_led(self) -> None:
+        """Until it has heard of its owner for two beats, and so of what the owner does."""
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                await self.looks(owners_majority="1")
+                if int(self.found["owners"].rpartition(".")[2]) >= 3:
+                    break
+                await asyncio.sleep(0.1)
+
+    async def grows(self, least: float) -> None:
+        """Until its part of the canary is so large; and whether it ever was smaller than before."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not self.parts or self.parts[-1] < least:
+                await self.looks(routes="1")
+                self.parts.append(float(re.findall(r"c:([\d.]+)", self.found["parts"])[0]))
+                await asyncio.sleep(0.05)
+        order = "no step back" if self.parts == sorted(self.parts) else f"A STEP BACK: {self.parts}"
+        self.script.line(self.name, "operator", f"the canary has {least:.0%} or more, {order}")
+
+    async def reloads(self, old: str, new: str) -> None:
+        """The operator's file with one passage changed, and SIGHUP."""
+        text = self.operator_path.read_text()
+        assert old in text
+        self.operator_path.write_text(text.replace(old, new))
+        self.script.line("operator", self.name, f"its file says {'; '.join(new.split(chr(10))).strip('; ')}")
+        self.gets(signal.SIGHUP)
+        await self.tells("RELOADING")
+        await self.tells("READY")
+
+    async def takes_more(self, effects: int) -> None:
+        """Until it has taken so many more."""
+        async with asyncio.timeout(PATIENCE_S):
+            wanted = len(self.taken) + effects
+            while len(self.taken) < wanted:
+                await asyncio.sleep(0.02)
+        self.script.line(self.name, "log", f"{effects} more effects")
+
 
 class Fleet:
     """All members; who has no part yet is called by its place, c0, c1 and so on."""
@@ -111,27 +166,61 @@
         self._scene = scene
         self.members: list[Member] = []
         self._terms: list[int] = []
+        self._waiting: list[tuple[str, str, str, tuple[Server, ...]]] = []  # not up yet
+
+    async def start(self, *upstreams: Server, **more: Any) -> None:
+        """All are up, one after the other. `more`: as for `plan`."""
+        await self.plan(*upstreams, **more)
+        await self.rest()
 
-    async def start(
+    async def plan(
         self,
-        upstream: Server,
+        *upstreams: Server,
         names: tuple[str, ...] = ("c0", "c1", "c2"),
         more: tuple[str, ...] = (),
+        relay: Relay | None = None,
+        text: str = "",
+        lifecycle: str = "",
         **tables: dict[str, Any],
     ) -> None:
-        """All are up, one after the other. `tables`: rows of [peers], and of [owners]: with these all are keepers.
-        `more`: peers' addresses that others have.
+        """Nobody is up yet. `tables`: rows of [peers], and of [owners]: with these all are keepers. `more`: peers'
+        addresses that others have. `relay`: all datagrams go through it. `text`: further tables; `lifecycle`: further
+        lines of [lifecycle].
         """
-        addresses = [f"127.0.0.1:{free_port()}" for _ in names]
+        own = [f"127.0.0.1:{free_port()}" for _ in names]
+        addresses = own
+        if relay is not None:
+            addresses = [await _joined(relay, *it) for it in zip(names, own, strict=True)]
+            self._scene.relays.append(relay)
         listed = [*addresses, *more]
-        for name, address in zip(names, addresses, strict=True):
-            rows = {"peers": {"on": True, "listen": address, "peers": listed} | tables.get("peers", {})}
+        for name, listen, address in zip(names, own, addresses, strict=True):
+            rows = {"peers": {"on": True, "listen": listen, "name": address, "peers": listed}}
+            rows["peers"] |= tables.get("peers", {})
             if "owners" in tables:
                 keeps = {"keepers": addresses, "folder": str(self._scene.folder / f"{name}-keeper")}
                 rows["owners"] = {"on": True, "duties": ["drill"]} | keeps | tables["owners"]
-            it = await self._scene.balancer_of(Member, upstream, name=name, operator=written(rows))
-            it.fleet, it.address = self, address
-            self.members.append(it)
+            self._waiting.append((name, address, lifecycle + written(rows) + text, upstreams))
+
+    async def rest(self, up: int | None = None) -> None:
+        """So many more are up, or all that were not."""
+        rows, self._waiting = self._waiting[:up], self._waiting[len(self._waiting[:up]) :]
+        for row in rows:
+            self.members.append(await self._up(*row))
+
+    async def _up(self, name: str, address: str, operator: str, upstreams: tuple[Server, ...]) -> Member:
+        it = await self._scene.balancer_of(Member, *upstreams, name=name, operator=operator)
+        it.fleet, it.address = self, address
+        return it
+
+    async def owned(self, *upstreams: Server, duty: str = "drill", **more: Any) -> Member:
+        """Three are up, all are keepers, and all vote; whoever owns the duty. `more`: as for `plan`."""
+        rows = {"lease_ms": 3000.0, "duties": [duty]} | more.pop("owners", {})
+        await self.plan(*upstreams, owners=rows, **more)
+        told = f"three start, all are keepers; the first owns {_THE[duty]}"
+        with self._scene.script.untold("manager", "all", told):
+            self.members += await asyncio.gather(*(self._up(*row) for row in self._waiting))
+            self._waiting.clear()
+            return await self.owner(duty)
 
     async def again(self, gone: Member, tells: str = "") -> Member:
         """A new life with the files of one that has ended. `tells`: lines that are told of it, beyond the usual."""
@@ -143,14 +232,14 @@
         self.members[self.members.index(gone)] = it
         return it
 
-    async def owner(self) -> Member:
-        """Whoever owns the drill, once all members vote and say the same."""
+    async def owner(self, duty: str = "drill") -> Member:
+        """Whoever owns the duty, once all members vote and say the same."""
         for it in self.members:
             await it.looks(owners_keeper="voting", owners_majority="1")
         async with asyncio.timeout(PATIENCE_S):
             while True:
                 for it in self.members:
-                    await it.looks(owners="drill:")
+                    await it.looks(owners=f"{duty}:")
                 said = [it.found["owners"].split(":") for it in self.members]
                 owners = {":".join(words[2:-1]) for words in said}
                 owner = next((it for it in self.members if {it.address} == owners), None)
@@ -162,7 +251,7 @@
         return owner
 
     async def next_owner(self, *of: Member) -> Member:
-        """Whoever of these says first that it owns the drill."""
+        """Whoever of these says first that it owns the duty."""
         async with asyncio.timeout(PATIENCE_S):
             while True:
                 for it in of:
@@ -191,6 +280,12 @@
             it.by_the_clock += ("owners: ",)
 
 
+async def _joined(relay: Relay, name: str, own: str) -> str:
+    host, _, port = own.rpartition(":")
+    public = await relay.join(name, (host, int(port)))
+    return f"{public[0]}:{public[1]}"
+
+
 def written(rows: dict[str, dict[str, Any]]) -> str:
     return "".join(
         f"[{table}]\n" + "".join(f"{key} = {json.dumps(value)}\n" for key, value in keys.items())
--- a/tests/scenes/stage.py
+++ b/tests/scenes/stage.py
@@ -69,8 +69,9 @@
         self.discovery = Discovery(self.script, "discovery", self)
         self.servers.append(await self.discovery.start())
 
-    async def upstream(self, name: str, fastcgi: bool = False) -> Server:
+    async def upstream(self, name: str, fastcgi: bool = False, **row: Any) -> Server:
         server = await Server(self.script, name, self, fastcgi).start()
+        server.row = row
         self.servers.append(server)
         return server
 
--- a/tests/scenes/test_fleet.py
+++ b/tests/scenes/test_fleet.py
@@ -83,7 +83,7 @@
         listed.bind(("127.0.0.1", 0))
         stranger.bind(("127.0.0.1", 0))
         third = f"127.0.0.1:{listed.getsockname()[1]}"
-        await fleet.start(u0, ("north", "south"), more=(third,), peers={"key_file": str(key)})
+        await fleet.start(u0, names=("north", "south"), more=(third,), peers={"key_file": str(key)})
         north, south = fleet.members
         await north.shows(peers="1/2", drop_forged="0")
         mallory = Seal([b"a key of somebody else"])
@@ -123,7 +123,7 @@
     """
     u0 = await s.upstream("u0")
     fleet = Fleet(s)
-    await fleet.start(u0, ("north", "south", "west"), peers={"probe_ms": 200.0, "ack_ms": 100.0})
+    await fleet.start(u0, names=("north", "south", "west"), peers={"probe_ms": 200.0, "ack_ms": 100.0})
     north, south, west = fleet.members
     for it in fleet.members:
         await it.shows(peers="2/2", peers_dead="0")
