--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -34,6 +34,7 @@
 WARM_MS = 10_000.0
 IDLE_MS = 20_000.0
 CRASH_MS = 20_000.0
+HEAD = "processes  lost  plays  sends/s  bytes/s  found first  median  last   missed  suspected/h  held lost"
 
 
 class Play(NamedTuple):
@@ -111,26 +112,28 @@
 
 
 def table(pool: ProcessPoolExecutor, plays: dict[int, int]) -> None:
-    print(
-        "processes  lost  plays  sends/s  bytes/s  found first  median  last   missed  suspected/h  held lost"
-    )
+    print(HEAD)
     jobs = {
         (number, lost): [pool.submit(play, number, lost, seed, Pace()) for seed in range(plays[number])]
         for lost in (0.0, 0.1)
         for number in plays
     }
     for (number, lost), running in jobs.items():
-        done = [job.result() for job in running]
-        first = mean(min(each.found) for each in done) / 1000.0
-        middle = mean(median(each.found) for each in done) / 1000.0
-        last = max(max(each.found) for each in done) / 1000.0
-        missed = sum(number - 1 - len(each.found) for each in done)
-        hours = sum(each.hours for each in done)
-        print(
-            f"{number:9}  {lost:4.0%}  {len(done):5}  {mean(each.sends for each in done):7.2f}  "
-            f"{mean(each.bytes for each in done):7.0f}  {first:9.1f} s  {middle:4.1f} s  {last:4.1f} s  {missed:4}  "
-            f"{sum(each.suspected for each in done) / hours:11.2f}  {sum(each.lost for each in done):9}"
-        )
+        row(number, lost, [job.result() for job in running])
+
+
+def row(number: int, lost: float, done: list[Play]) -> None:
+    first = mean(min(each.found) for each in done) / 1000.0
+    middle = mean(median(each.found) for each in done) / 1000.0
+    last = max(max(each.found) for each in done) / 1000.0
+    missed = sum(number - 1 - len(each.found) for each in done)
+    hours = sum(each.hours for each in done)
+    print(
+        f"{number:9}  {lost:4.0%}  {len(done):5}  {mean(each.sends for each in done):7.2f}  "
+        f"{mean(each.bytes for each in done):7.0f}  {first:9.1f} s  {middle:4.1f} s  {last:4.1f} s  {missed:4}  "
+        f"{sum(each.suspected for each in done) / hours:11.2f}  {sum(each.lost for each in done):9}",
+        flush=True,
+    )
 
 
 def slow_ones(pool: ProcessPoolExecutor, plays: int) -> None:
@@ -190,8 +193,14 @@
     reader = argparse.ArgumentParser(prog="python -m benchmarks.peers", description=__doc__)
     reader.add_argument("--plays", type=int, nargs=3, default=(20, 5, 1), help="at 30, 200 and 2,000")
     reader.add_argument("--seconds", type=float, default=30.0, help="that the real process is watched for")
+    reader.add_argument("--one", nargs=3, metavar=("PROCESSES", "LOST", "SEED"), help="one play alone")
     reader.add_argument("--others", type=int, help=argparse.SUPPRESS)
     options = reader.parse_args()
+    if options.one:
+        number, lost, seed = int(options.one[0]), float(options.one[1]), int(options.one[2])
+        print(HEAD)
+        row(number, lost, [play(number, lost, seed, Pace())])
+        return
     if options.others:
         uvloop.run(be_others(options.others))
         return
--- a/packages/peers/tests/test_peers_rules.py
+++ b/packages/peers/tests/test_peers_rules.py
@@ -165,6 +165,19 @@
     assert not b.items and b.counters()["unfinished"] == 1 and not len(b._pieces)
 
 
+def test_pieces_of_two_lives_make_no_item() -> None:
+    """Each life counts its items from 1; what is left of the former one's must not end the later one's."""
+    b = one(B)
+    for life, text, places in ((1_000, b"o", (0,)), (2_000, b"n", (1, 0))):
+        a = one(A, life=life)
+        met(a, b)
+        a.post(B, 1, text * (DATA + 1), 0.0)
+        pieces = sent(a, B)
+        for place in places:
+            b.came(A, pieces[place], 0.0)
+    assert [item.data for item in b.items] == [b"n" * (DATA + 1)]
+
+
 def test_items_that_nobody_fetches_are_bounded() -> None:
     a, b = one(A, pace=Pace(per_s=1e6, burst=1e5)), one(B)
     met(a, b)
