--- a/larkweir/fleet/duties/drill.py
+++ b/larkweir/fleet/duties/drill.py
@@ -25,11 +25,13 @@
 
     def took(self, state: bytes, version: Version) -> None:
         self.count = int(state) if state.isdigit() else 0
+        self.next_ms = 0.0
 
     def came(self, source: str, report: Report, now_ms: float) -> None:
         pass
 
     def tick(self, now_ms: float) -> list[Report]:
+        self.next_ms = self._due_ms if self._due_ms > now_ms else float("inf")  # its owner steps it then
         return []
 
     def alone(self) -> None:
--- a/larkweir/fleet/duties/ramps.py
+++ b/larkweir/fleet/duties/ramps.py
@@ -20,7 +20,6 @@
 from larkweir_owners.messages import Version
 
 from larkweir.fleet.duties.words import (
-    BEAT_MS,
     FORGET_MS,
     MOST_ROWS,
     Beats,
@@ -28,6 +27,7 @@
     Report,
     Wish,
     WishReport,
+    beats,
 )
 from larkweir.routes.split import Ramp
 
@@ -144,7 +144,7 @@
                     found.append(Stepped(key, opening.span_ms, opening.step))
                     self._heard[key] = now_ms
         going = any(ramp.step < LAST for ramp in found)
-        if tuple(found) == held.ramps and (not going or now_ms - self._beat_ms < BEAT_MS):
+        if tuple(found) == held.ramps and (not going or not beats(self._beat_ms, now_ms)):
             return None
         self._beat_ms = now_ms
         return _encode(State(held.beat + 1, tuple(found)))
--- a/larkweir/fleet/duties/table.py
+++ b/larkweir/fleet/duties/table.py
@@ -35,7 +35,7 @@
     from larkweir.fleet.duties.verdicts import Verdicts
 
     routes = seat.routes
-    return Verdicts(seat.life, lambda: routes) if routes is not None else None
+    return Verdicts(seat.life, lambda: routes, seat.wake) if routes is not None else None
 
 
 def _ramps(seat: Seat) -> Work | None:
--- a/larkweir/fleet/duties/verdicts.py
+++ b/larkweir/fleet/duties/verdicts.py
@@ -29,8 +29,8 @@
 from larkweir_owners.messages import Version
 
 from larkweir.fleet.duties.words import (
-    BEAT_MS,
     FORGET_MS,
+    LOOK_MS,
     MOST_COPIES,
     MOST_ROWS,
     REPORT_MS,
@@ -39,8 +39,9 @@
     Evidence,
     EvidenceReport,
     Report,
+    beats,
 )
-from larkweir.routes.trial import FACTORS, Trial, rates
+from larkweir.routes.trial import FACTORS, Trial, nobody, rates
 
 MOST_TRIALS = 24  # at a time; further ones are each copy's own
 MOST_ENDED = 16
@@ -134,8 +135,10 @@
 class Verdicts:
     name = "verdicts"
 
-    def __init__(self, life: int, trying: Callable[[], Trying]) -> None:
-        """`trying`: the present generation of routes."""
+    def __init__(
+        self, life: int, trying: Callable[[], Trying], wake: Callable[[], None] = lambda: None
+    ) -> None:
+        """`trying`: the present generation of routes. `wake` is called where `next_ms` has become earlier."""
         self.next_ms = 0.0
         self.state = State()
         self.refused = 0  # reports and canaries beyond the bounds
@@ -148,6 +151,8 @@
         self._own_term = 0
         self._number = 0
         self._led = False
+        self._wake = wake
+        self._looked_ms = float("-inf")
         # As the owner
         self._sums: dict[str, _Sum] = {}
         self._sums_term = 0
@@ -229,7 +234,7 @@
                 else:
                     totals.append(total)
         named = {total.key for total in totals} == {total.key for total in held.totals}
-        if named and len(ended) == len(held.ended) and (not totals or now_ms - self._beat_ms < BEAT_MS):
+        if named and len(ended) == len(held.ended) and (not totals or not beats(self._beat_ms, now_ms)):
             return None
         self._beat_ms = now_ms
         kept = tuple(ended.items())[-MOST_ENDED:]
@@ -254,12 +259,19 @@
 
     def alone(self) -> None:
         for trial in self._trying().on_trial().values():
-            trial.alone = True
+            trial.alone, trial.grown = True, nobody
 
     def notable(self) -> bool:
         found, self._news = self._news, False
         return found
 
+    def _grown(self) -> None:
+        """A trial has seen a bad end: the owner is told, soon."""
+        soon = self._looked_ms + REPORT_MS
+        if soon < self.next_ms:
+            self.next_ms = soon
+            self._wake()
+
     def tick(self, now_ms: float) -> list[Report]:
         trying = self._trying()
         for key, why in self.state.ended:
@@ -273,7 +285,9 @@
         for key in [key for key in self._own if key not in trials]:
             del self._own[key]
         rows: list[Evidence] = []
+        self._looked_ms, due_ms = now_ms, now_ms + LOOK_MS
         for key, trial in trials.items():
+            trial.grown = self._grown
             trial.alone = not (self._led and key in watched)
             if not self._term:
                 continue
@@ -286,7 +300,8 @@
             if own.due.wants((logs, key in watched), now_ms):
                 counts = tuple(now - then for now, then in zip(trial.counts, own.counts, strict=True))
                 rows.append(Evidence(key, trial.alpha, logs, counts))
-        self.next_ms = now_ms + (REPORT_MS if trials else BEAT_MS)
+            due_ms = min(due_ms, own.due.due_ms)
+        self.next_ms = min(due_ms, self._beats.until_ms) if self._led else due_ms
         reports: list[Report] = []
         for at in range(0, len(rows), MOST_ROWS):
             self._number += 1
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -11,7 +11,8 @@
 import msgspec
 from larkweir_owners.messages import Version
 
-BEAT_MS = 1000.0  # an owner shows that it is there, while there is something to do
+BEAT_MS = 1500.0  # an owner shows that it is there, while there is something to do
+LOOK_MS = 1000.0  # a copy looks at the latest whether there is anything new
 ALONE_MS = 4000.0  # a copy that has heard none for so long goes on alone
 FORGET_MS = 120_000.0  # what no copy has told of for so long is over
 REFRESH_MS = 30_000.0  # a copy tells again what has not changed
@@ -68,7 +69,7 @@
 class Work(Protocol):
     """A duty as the balancer drives it: `Duty` with what copies do for it."""
 
-    next_ms: float  # when `tick` is due
+    next_ms: float  # when `tick` is due; at an owner `step` follows it at once
 
     @property
     def name(self) -> str: ...
@@ -94,6 +95,11 @@
         ...
 
 
+def beats(last_ms: float, now_ms: float) -> bool:
+    """Whether a beat is due. All duties of a process beat at the same moments, so that they go together."""
+    return last_ms < now_ms // BEAT_MS * BEAT_MS
+
+
 class Beats:
     """Whether an owner is there, as a copy sees it: by effects alone, whatever membership says."""
 
@@ -109,7 +115,12 @@
     def led(self, now_ms: float) -> bool:
         if self._fresh:
             self._fresh, self._heard_ms = False, now_ms
-        return now_ms - self._heard_ms < ALONE_MS
+        return now_ms < self.until_ms
+
+    @property
+    def until_ms(self) -> float:
+        """When it is alone, if nothing comes."""
+        return self._heard_ms + ALONE_MS
 
 
 class Due:
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -33,7 +33,7 @@
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
-STEP_MS = 50.0  # between two steps of a duty
+STEP_MS = 250.0  # between two looks at a duty that nothing has come for
 AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
 LEAVE_MS = 250.0  # for handing over, at the most
 MOST_SAID = 5  # lines on effects, a second: the log takes ten, and who owns is to be told beside them
@@ -237,6 +237,7 @@
         if report is not None:
             for work in self.works.values():
                 work.came(source, report, now_ms)
+            self._poke(now_ms)
 
     def _turn(self) -> None:
         self._timer = None
@@ -247,13 +248,21 @@
         if now - self._due_ms > self._times.lag_ms:
             self._why = f"{now - self._due_ms:.0f} ms late"
         owners.lagged(now - self._due_ms, now)
-        owners.tick(now)
         for name, work in self.works.items():
             if now >= work.next_ms:
                 for report in work.tick(now):
                     self._report(name, report, now)
+                owners.poke(name, now)
+        owners.tick(now)
         self._settle()
 
+    def _poke(self, now_ms: float) -> None:
+        """Something has come that an owner's next step may rest on."""
+        if self.owners is not None:
+            for name in self.owners.owned:
+                self.owners.poke(name, now_ms)
+            self._settle()
+
     def _report(self, name: str, report: Report, now_ms: float) -> None:
         assert self.owners is not None
         record = self.owners.followers.held.get(name)
@@ -322,8 +331,7 @@
         if owners is self.owners:
             if well:
                 now = self._clock.now_ms()
-                for step in steps:
-                    owners.flushed(step, now)
+                owners.all_flushed(steps, now)
             else:
                 self._say(f"owners: {self.options.folder}: {file.fault}; no keeper until the next start")
                 owners.flush_failed()
--- a/larkweir/routes/trial.py
+++ b/larkweir/routes/trial.py
@@ -19,7 +19,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 
 FACTORS = (1.5, 2.0, 4.0, 8.0, 16.0, 64.0)
@@ -90,6 +90,10 @@
         return slow and self.count > 50
 
 
+def nobody() -> None:
+    """Is told of a trial's growth where no fleet listens."""
+
+
 @dataclass(slots=True)
 class Trial:
     """A canary beside its control. `alpha` bounds how often one that is no worse is ever ended."""
@@ -103,6 +107,7 @@
     _usual: dict[int, Usual] = field(default_factory=dict)  # by class
     verdict: str = ""  # why it ended; empty: it goes on
     alone: bool = True  # it ends by what is seen here; else by what a fleet says
+    grown: Callable[[], None] = nobody  # called behind each bad or slow end
 
     def ended(self, canary: bool, failed: bool, spent_ms: float, cls: int = 0) -> bool:
         """A request has had its answer; whether the trial ends with it."""
@@ -123,6 +128,8 @@
                 self.delays.bad(canary, cls)
             else:
                 self.delays.good(canary, cls)
+        if failed or slow:
+            self.grown()
         if not self.alone:
             return False
         # Two bets share the alarms.
--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -19,6 +19,7 @@
     Adopted,
     AnyItem,
     Ask,
+    Batch,
     Catch,
     Digest,
     Effects,
@@ -31,6 +32,7 @@
     Record,
     Refused,
     Who,
+    batched,
     pack,
     unpack,
 )
@@ -42,18 +44,36 @@
 
 CANDIDATES = 3  # processes that watch a duty
 PLACE_MS = 1000.0  # between two looks at who is alive
+MOST_BATCHED = 64  # small items in one
 MOST_INBOX = 1024  # items from this process to itself, and steps not flushed yet
 
 
 class _Post:
-    """Mail that also reaches this process itself."""
+    """Mail that also reaches this process itself. Between `gather` and `send` it holds what goes out, so that small
+    items to one process go as one."""
 
     def __init__(self, me: str, mail: Mail, inbox: deque[bytes]) -> None:
         self._me, self._mail, self._inbox = me, mail, inbox
+        self._held: dict[str, list[bytes]] = {}
+        self._gathers = False
+
+    def gather(self) -> None:
+        self._gathers = True
+
+    def send(self) -> None:
+        self._gathers = False
+        held, self._held = self._held, {}
+        for to, items in held.items():
+            for item in batched(items):
+                self._mail.post(to, item)
 
     def post(self, to: str, item: bytes) -> bool:
+        """What is held counts as sent: whoever posts an item bears its loss anyway."""
         if to != self._me:
-            return self._mail.post(to, item)
+            if not self._gathers:
+                return self._mail.post(to, item)
+            self._held.setdefault(to, []).append(item)
+            return True
         if len(self._inbox) >= MOST_INBOX:
             return False
         self._inbox.append(item)
@@ -101,9 +121,11 @@
                 self.followers.announce,
                 self.followers.version,
                 self.followers.remind,
+                self._renewed,
             )
             for name, duty in self.duties.items()
         }
+        self._candidates: dict[str, list[str]] = {}
         self.draining = False
         self.dropped = 0
         self.failed = 0  # duties that raised when they were told
@@ -115,12 +137,15 @@
     def came(self, source: str, item: bytes, now_ms: float) -> None:
         self._now_ms = now_ms
         self.proposer.at(now_ms)
+        self._post.gather()
         self._came(source, item, now_ms)
         self._drain_inbox(now_ms)
+        self._post.send()
 
     def tick(self, now_ms: float) -> None:
         self._now_ms = now_ms
         self.proposer.at(now_ms)
+        self._post.gather()
         if now_ms >= self._place_ms:
             self._place_ms = now_ms + PLACE_MS
             self._place()
@@ -130,11 +155,20 @@
         for term in self.terms.values():
             if now_ms >= term.next_ms:
                 term.tick(now_ms)
+        if any(term.writes for term in self.terms.values()):
+            for term in self.terms.values():
+                term.ride(now_ms)
         if now_ms >= self.followers.next_ms:
             self.followers.tick(now_ms)
         if now_ms >= self.change.next_ms:
             self.change.tick(now_ms)
         self._drain_inbox(now_ms)
+        self._post.send()
+
+    def poke(self, name: str, now_ms: float) -> None:
+        """A duty has something to do: where this process owns it, its step is due with the next `tick`."""
+        if (term := self.terms.get(name)) is not None:
+            term.poke(now_ms)
 
     def lagged(self, lag_ms: float, now_ms: float) -> None:
         """The loop came so late to its turns: where that is much of a lease, this process gives up what it owns."""
@@ -179,10 +213,17 @@
 
     def flushed(self, step: Step, now_ms: float) -> None:
         """What the step wanted flushed is on disk: what it says may be sent. Once for each step, in their order."""
-        self._unflushed -= 1
-        for to, item in step.send:
-            self._post.post(to, pack(item))
+        self.all_flushed((step,), now_ms)
+
+    def all_flushed(self, steps: Iterable[Step], now_ms: float) -> None:
+        """As `flushed` of each, in their order: what they say to one process goes together."""
+        self._post.gather()
+        for step in steps:
+            self._unflushed -= 1
+            for to, item in step.send:
+                self._post.post(to, pack(item))
         self._drain_inbox(now_ms)
+        self._post.send()
 
     def flush_failed(self) -> None:
         """The keeper stops voting, and nothing of what waited is sent."""
@@ -224,6 +265,14 @@
 
     def _came(self, source: str, data: bytes, now_ms: float) -> None:
         item = unpack(data)
+        if isinstance(item, Batch):
+            for each in item.items[:MOST_BATCHED]:
+                inner = unpack(each)
+                self._handle(source, None if isinstance(inner, Batch) else inner, now_ms)
+        else:
+            self._handle(source, item, now_ms)
+
+    def _handle(self, source: str, item: AnyItem | None, now_ms: float) -> None:
         match item:
             case Ask() | Prepare() | Accept() | Who() | Known() | Catch() | Page() | Adopt():
                 self._to_keeper(source, item)
@@ -234,7 +283,8 @@
             case Adopted():
                 self.change.came(source, item, now_ms)
             case Effects():
-                for key, record in self.followers.came_effects(source, item, now_ms):
+                self.followers.came_effects(source, item, now_ms)
+                for key, record in item.news:
                     if key in self.terms:
                         self.terms[key].saw(record, now_ms)
             case Digest():
@@ -264,9 +314,15 @@
         alive.add(self.me)
         for name, term in self.terms.items():
             order = ranked(name, alive, CANDIDATES + 1)
+            self._candidates[name] = [other for other in order[:CANDIDATES] if other != self.me]
             rank = order.index(self.me) if self.me in order[:CANDIDATES] and not self.draining else None
             term.place(rank, next((other for other in order if other != self.me), ""))
 
+    def _renewed(self, key: str, record: Record) -> None:
+        """Those that watch are told by the owner itself, so that they need not read. Nobody passes that on."""
+        for name in self._candidates.get(key, ()):
+            self._post.post(name, pack(Effects(((key, record),))))
+
     def _took(self, key: str, record: Record) -> None:
         duty = self.duties.get(key)
         if duty is not None:
--- a/packages/owners/src/larkweir_owners/effects.py
+++ b/packages/owners/src/larkweir_owners/effects.py
@@ -101,12 +101,29 @@
         taken = [
             (key, record)
             for key, record in item.news
-            if len(key) <= MOST_NAME and len(record.value) <= MOST_VALUE and self.take(key, record)
+            if len(key) <= MOST_NAME
+            and len(record.value) <= MOST_VALUE
+            and not self._renews(key, record)
+            and self.take(key, record)
         ]
-        if taken:
+        if taken and not self._all_told(taken, source):
             self._spread(taken, source)
         return taken
 
+    def _renews(self, key: str, record: Record) -> bool:
+        """Nothing but a lease that was renewed: not an effect."""
+        held = self.held.get(key)
+        return (
+            held is not None
+            and record.effects == held.effects
+            and (record.term, record.owner, record.heir) == (held.term, held.owner, held.heir)
+        )
+
+    def _all_told(self, news: Sequence[tuple[str, Record]], source: str) -> bool:
+        """Where an owner has so few others that it tells all of them itself."""
+        few = len(set(self._mail.alive()) - {self.me, source}) < FAN
+        return few and all(record.owner == source for _, record in news)
+
     def came_digest(self, source: str, item: Digest, now_ms: float) -> None:
         """Send what is newer here; tell what is newer there, so that it is sent; wait for it."""
         news: list[tuple[str, Record]] = []
--- a/packages/owners/src/larkweir_owners/messages.py
+++ b/packages/owners/src/larkweir_owners/messages.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable, Iterator
 from typing import TypeAlias
 
 import msgspec
@@ -14,6 +15,7 @@
 MOST_VALUE = 6 * 1024  # bytes of a record's value; leaves room for names and lives
 MOST_NAME = 128  # characters of a key or a name
 MOST_NEWS = 7 * 1024  # bytes of keys, names and values in one item of effects
+MOST_BATCH = 180  # bytes of small items that go together: about what one datagram carries
 
 Ballot: TypeAlias = tuple[int, str, int]  # counter, proposer's name, proposer's life
 Life: TypeAlias = tuple[int, int]  # how often the keeper's disk was new, and what that disk was called then
@@ -189,6 +191,12 @@
     versions: tuple[tuple[str, int, int], ...]
 
 
+class Batch(Item, frozen=True, tag=16):
+    """Small items to one process that go together, in their order. None of them is a batch."""
+
+    items: tuple[bytes, ...]
+
+
 AnyItem: TypeAlias = (
     Ask
     | Prepare
@@ -205,6 +213,7 @@
     | Adopted
     | Effects
     | Digest
+    | Batch
 )
 
 _encode = msgspec.msgpack.Encoder().encode
@@ -215,6 +224,21 @@
     return _encode(item)
 
 
+def batched(items: Iterable[bytes]) -> Iterator[bytes]:
+    """The same, in their order, with small neighbours in one. What is large goes alone, so that no loss takes more
+    with it than before."""
+    held: list[bytes] = []
+    size = 0
+    for item in items:
+        if held and size + len(item) + 2 > MOST_BATCH:
+            yield held[0] if len(held) == 1 else pack(Batch(tuple(held)))
+            held, size = [], 0
+        held.append(item)
+        size += len(item) + 2
+    if held:
+        yield held[0] if len(held) == 1 else pack(Batch(tuple(held)))
+
+
 def unpack(data: bytes) -> AnyItem | None:
     """None where it is too long, of an unknown kind, or no item at all."""
     if len(data) > MOST_ITEM:
--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -18,15 +18,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """Milliseconds. A lease is renewed three times, and looked at six times."""
+    """Milliseconds. A lease is renewed twice. Who watches it reads it once nothing has come for two thirds of it, then
+    six times a lease."""
 
     lease_ms: float = 3000.0
-    step_ms: float = 100.0  # between two steps of a duty that has something to do
+    step_ms: float = 100.0  # between two steps of a duty that nobody pokes
+    poke_ms: float = 50.0  # between two steps at the least, however often it is poked
     settle_leases: float = 10.0  # held for so long before it may go to its preferred place
 
     @property
     def renew_ms(self) -> float:
-        return self.lease_ms / 3
+        return self.lease_ms / 2
+
+    @property
+    def quiet_ms(self) -> float:
+        return self.lease_ms * 2 / 3
 
     @property
     def look_ms(self) -> float:
@@ -52,7 +58,8 @@
 
 class Term:
     """`announce` is told each record that counts and that followers should have. `heard` gives the highest version that
-    this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more."""
+    this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more;
+    `renewed` tells those that watch, twice a lease or so, whether or not it is news to anybody else."""
 
     def __init__(
         self,
@@ -63,6 +70,7 @@
         announce: Callable[[str, Record], None],
         heard: Callable[[str], Version],
         remind: Callable[[str, Record], None],
+        renewed: Callable[[str, Record], None],
     ) -> None:
         self.duty, self.me, self.times = duty, me, times
         self.key = duty.name
@@ -77,10 +85,12 @@
         self._registers = registers
         self._announce = announce
         self._remind = remind
+        self._renewed = renewed
         self._reminders = 0
         self._heard = heard
         self._now_ms = 0.0
         self._changed_ms = 0.0  # when the record was first seen as it is
+        self._watched_ms = float("-inf")  # when those that watch were told last
         self._renewed_ms = float("-inf")  # when the last write that counted was begun
         self._took_ms = 0.0
         self._busy = False  # a write is under way, or a read that an owner waits for
@@ -93,6 +103,7 @@
         self._rest_ms = 0.0  # takes none before
         self._wanted_ms = 0.0  # somebody else was preferred since; 0.0 when not
         self._step_ms = 0.0
+        self._last_ms = float("-inf")  # when it was stepped last
 
     # What is asked of it
 
@@ -137,9 +148,17 @@
                     self.refused += 1
                     self.phase, self._give = Phase.WATCHING, False
                 self._know(record)
+                self.majority = True  # one has taken it
             if self._may_take(now_ms):
                 self.next_ms = now_ms
 
+    def poke(self, now_ms: float) -> None:
+        """The duty has something to do: its step is due as soon as it may be."""
+        if self.phase is Phase.OWNER:
+            self._step_ms = min(self._step_ms, max(now_ms, self._last_ms + self.times.poke_ms))
+            if not self._busy:
+                self.next_ms = min(self.next_ms, self._step_ms)
+
     def tick(self, now_ms: float) -> None:
         late = now_ms - max(self.next_ms, self._now_ms)
         self._now_ms = now_ms
@@ -159,6 +178,8 @@
             self.next_ms = now_ms + REMIND_MS
             if self.record is not None and self.record.heir and not self.record.owner:
                 self._remind(self.key, self.record)
+        elif self._rank is not None and self._hears(now_ms):
+            self.next_ms = self._changed_ms + self.times.quiet_ms
         elif self._rank is not None:
             self.next_ms = now_ms + self.times.look_ms
             if not self._asking:
@@ -169,6 +190,12 @@
 
     # Watching
 
+    def _hears(self, now_ms: float) -> bool:
+        """Its owner tells: as good as a read."""
+        record = self.record
+        quiet = now_ms - self._changed_ms
+        return self.majority and record is not None and bool(record.owner) and quiet < self.times.quiet_ms
+
     def _looked(self, result: Result) -> None:
         self._asking = False
         if self._busy or self.owns:  # it has taken the duty meanwhile, or is about to
@@ -265,15 +292,35 @@
             self._write(self.record.version, gone, self._gave)
             return
         if not self.rests and now_ms >= self._step_ms:
-            self._step_ms = now_ms + self.times.step_ms
+            self._last_ms, self._step_ms = now_ms, _moment(now_ms, self.times.step_ms)
             value = self._step(now_ms)
             if value is not None:
                 self._write(self.record.version, self._next(value, 1), self._stepped)
                 return
-        if now_ms - self._renewed_ms >= self.times.renew_ms:
-            self._write(self.record.version, self._next(self.record.value, 0), self._stepped)
+        if now_ms >= self._renew_ms:
+            self._renew()
             return
-        self.next_ms = min(self._step_ms, self._renewed_ms + self.times.renew_ms)
+        self.next_ms = min(self._step_ms, self._renew_ms)
+
+    @property
+    def _renew_ms(self) -> float:
+        return self._renewed_ms + self.times.renew_ms
+
+    @property
+    def writes(self) -> bool:
+        """A write of what it owns is under way."""
+        return self._busy and self.phase is Phase.OWNER
+
+    def ride(self, now_ms: float) -> None:
+        """Another duty of this process writes just now: a lease that is due soon goes with it."""
+        soon = now_ms >= self._renew_ms - self.times.renew_ms / 3
+        if soon and self.phase is Phase.OWNER and not self._busy and not self._give:
+            self._now_ms = now_ms
+            self._renew()
+
+    def _renew(self) -> None:
+        assert self.record is not None
+        self._write(self.record.version, self._next(self.record.value, 0), self._stepped)
 
     def _step(self, now_ms: float) -> bytes | None:
         assert self.record is not None
@@ -358,9 +405,7 @@
     def _counts(self, record: Record) -> None:
         """A majority has it, and it is this process's."""
         self._know(record)
-        self.next_ms = (
-            min(self._step_ms, self._renewed_ms + self.times.renew_ms) if not self._give else self._now_ms
-        )
+        self.next_ms = min(self._step_ms, self._renew_ms) if not self._give else self._now_ms
         self._tell(record)
 
     def _tell(self, record: Record) -> None:
@@ -371,3 +416,11 @@
         if not record.owner or record.term != last[0] or record.effects != self._told_effects:
             self._told, self._told_effects = record.version, record.effects
             self._announce(self.key, record)
+        if record.owner and self._now_ms - self._watched_ms >= self.times.renew_ms * 2 / 3:
+            self._watched_ms = self._now_ms
+            self._renewed(self.key, record)
+
+
+def _moment(after_ms: float, every_ms: float) -> float:
+    """The next of the moments that all duties of a process share, so that what they write goes together."""
+    return (after_ms // every_ms + 1.0) * every_ms
--- a/packages/owners/tests/test_owners_rules.py
+++ b/packages/owners/tests/test_owners_rules.py
@@ -13,12 +13,14 @@
 from larkweir_owners.effects import Followers
 from larkweir_owners.keeper import Disk, Keeper, Slot
 from larkweir_owners.messages import (
+    MOST_BATCH,
     MOST_ITEM,
     Accept,
     Accepted,
     Adopt,
     AnyItem,
     Ask,
+    Batch,
     Catch,
     Digest,
     Effects,
@@ -29,6 +31,7 @@
     Promised,
     Record,
     Refused,
+    batched,
     pack,
     unpack,
 )
@@ -387,3 +390,47 @@
     fleet.start(fleet.names[3])
     (fault,) = changed(fleet, set(fleet.names[:4]), fleet.names[0])
     assert "its file must be removed first" in fault
+
+
+# Small items together
+
+
+@given(st.lists(st.binary(min_size=1, max_size=400), max_size=20))
+def test_small_items_go_together_in_their_order_and_large_ones_alone(items: list[bytes]) -> None:
+    found: list[bytes] = []
+    for item in batched(items):
+        read = unpack(item)
+        parts = read.items if isinstance(read, Batch) and item not in items else (item,)
+        assert len(parts) == 1 or len(item) <= MOST_BATCH + 8
+        found += parts
+    assert found == items
+
+
+def test_a_batch_is_as_its_items_and_none_is_in_another() -> None:
+    fleet = Fleet(1)
+    process = fleet.processes[fleet.names[4]]
+    assert process.owners is not None
+    news = pack(Effects((("duty0", Record(7, 70, "x", 1)),)))
+    process.owners.came(fleet.names[0], pack(Batch((news, b"\xc1"))), 0.0)
+    assert process.owners.followers.version("duty0") == (7, 70) and process.owners.dropped == 1
+    more = pack(Batch((pack(Effects((("duty0", Record(8, 80, "x", 1)),))),)))
+    process.owners.came(fleet.names[0], pack(Batch((more,))), 0.0)
+    assert process.owners.followers.version("duty0") == (7, 70) and process.owners.dropped == 2
+
+
+def test_a_renewed_lease_is_told_to_those_that_watch_and_is_no_effect() -> None:
+    mail, told = Post(), []
+    followers = Followers(
+        "me",
+        mail,
+        Proposer("me", 1, SET, mail, lambda: 0.0),
+        lambda names, most: names[:most],
+        lambda k, r: told.append(r),
+    )
+    first = Record(1, 5, "p1", 1, "", 3, b"x")
+    followers.came_effects("p1", Effects((("d", first),)), 0.0)
+    mail.sent.clear()
+    followers.came_effects("p1", Effects((("d", Record(1, 6, "p1", 1, "", 3, b"x")),)), 10.0)
+    assert told == [first] and mail.sent == [] and followers.version("d") == (1, 5) and followers.late == 0
+    followers.came_effects("p1", Effects((("d", Record(1, 7, "", 1, "p2", 3, b"x")),)), 20.0)  # given up
+    assert followers.version("d") == (1, 7)
--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -9,7 +9,7 @@
 import pytest
 from fleet_owners import BrokenError, Fleet
 from larkweir_owners.messages import Record
-from larkweir_owners.terms import Phase
+from larkweir_owners.terms import Phase, Times
 
 
 @pytest.mark.parametrize("first", range(0, 24, 4))
@@ -86,6 +86,37 @@
     assert max(delays) < 250.0
 
 
+def test_who_watches_reads_only_when_its_owner_tells_nothing() -> None:
+    """What it costs: the keepers are asked by nobody while leases are renewed, and soon when they are not."""
+    fleet = settled(7, processes=5)
+    owner = fleet.owner("duty0")
+    assert owner is not None
+    reads = []
+    for process in fleet.processes.values():
+        assert process.owners is not None
+        proposer = process.owners.proposer
+        read = proposer.read
+        proposer.read = lambda key, then, read=read: (reads.append(key), read(key, then))  # type: ignore[method-assign]
+    fleet.network.lost = 0.0
+    fleet.run(2 * fleet.times.lease_ms)
+    reads.clear()
+    fleet.run(6 * fleet.times.lease_ms)
+    assert len(reads) <= 2  # it was two candidates, six times a lease
+    fleet.network.stop(owner.name)
+    fleet.run(fleet.times.lease_ms)
+    assert reads
+
+
+def test_leases_of_one_process_are_renewed_in_one_go() -> None:
+    fleet = Fleet(3, processes=3, duties=9, lost=0.0, times=Times(lease_ms=1000.0, step_ms=1e9))
+    assert fleet.run_until(lambda: all(fleet.owner(key) for key in fleet.keys), 8000.0)
+    fleet.run(4000.0)
+    for process in fleet.processes.values():
+        assert process.owners is not None
+        owned = [process.owners.terms[name] for name in process.owners.owned]
+        assert len({term._renewed_ms for term in owned}) == 1 < len(owned)
+
+
 def test_without_a_majority_nobody_owns_and_status_says_so() -> None:
     fleet = settled(3)
     for name in fleet.members[:2]:
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -19,6 +19,7 @@
 from larkweir.fleet.duties.ramps import Ramps
 from larkweir.fleet.duties.verdicts import Verdicts
 from larkweir.fleet.duties.words import Work, pack, unpack
+from larkweir.fleet.owners import STEP_MS
 from larkweir.routes.router import Router
 from larkweir.routes.trial import Trial
 
@@ -54,7 +55,7 @@
         self._bucket = Bucket(pace.per_s, pace.burst, network.now_ms)
         self._left = pace.burst * Peers.RESERVE
         works: list[Work] = [
-            Verdicts(int(network.now_ms), lambda: self),
+            Verdicts(int(network.now_ms), lambda: self, self._woken),
             Ramps(int(network.now_ms), lambda: self.router),
         ]
         self.works = {work.name: work for work in works}
@@ -121,12 +122,14 @@
             assert report is not None
             for work in self.works.values():
                 work.came(source, report, now)
+            for name in self.owners.owned:
+                self.owners.poke(name, now)
+            self._after()
 
     def _tick(self) -> None:
         owners = self.owners
         assert owners is not None
         now = self.fleet.network.now_ms
-        owners.tick(now)
         for name, work in self.works.items():
             if now >= work.next_ms:
                 for report in work.tick(now):
@@ -137,8 +140,14 @@
                         work.came(self.name, report, now)
                     else:
                         self._send(record.owner, REPORTS + pack(report))
+                owners.poke(name, now)
+        owners.tick(now)
         self._after()
 
+    def _woken(self) -> None:
+        if self.owners is not None:
+            self._after()
+
     def _after(self) -> None:
         owners, network = self.owners, self.fleet.network
         assert owners is not None
@@ -188,7 +197,7 @@
         self.rng = Random(seed + 1)
         self.lost = lost
         self.route = route
-        self.times = Times(step_ms=50.0)
+        self.times = Times(step_ms=STEP_MS)
         names = [f"10.0.{n // 250}.{n % 250}:7946" for n in range(copies)]
         self.alive = list(names)
         self.keepers = KeeperSet(1, tuple(names[:keepers]))
--- a/tests/fleet/test_duties.py
+++ b/tests/fleet/test_duties.py
@@ -199,6 +199,36 @@
     assert not router.on_trial() or trial_of(router).verdict
 
 
+def test_a_bad_end_is_told_soon_and_without_one_a_copy_looks_once_a_second() -> None:
+    router, woken = routes(), []
+    work = Verdicts(1, lambda: router, lambda: woken.append(work.next_ms))
+    work.took(b"", (1, 1))
+    work.tick(0.0)
+    work.tick(2_000.0)  # told twice more
+    work.tick(4_000.0)
+    assert work.next_ms == 4_000.0 + verdicts.LOOK_MS
+    bad(trial_of(router), 1)
+    bad(trial_of(router), 1)
+    assert woken == [4_000.0 + verdicts.REPORT_MS]  # once for both
+    (report,) = work.tick(woken[0])
+    assert isinstance(report, EvidenceReport) and report.rows[0].counts[3] == 2
+    work.alone()
+    bad(trial_of(router), 1)
+    assert len(woken) == 1 and trial_of(router).alone
+
+
+def test_a_copy_is_alone_when_the_last_beat_is_four_seconds_old_not_at_its_next_look() -> None:
+    router = routes()
+    work = Verdicts(1, lambda: router)
+    work.took(b"", (1, 1))
+    at = 300.0
+    while at < ALONE_MS:
+        work.tick(at)
+        assert work.next_ms > at
+        at = work.next_ms
+    assert at == 300.0 + ALONE_MS
+
+
 BOUNDS = [
     evidence(key="x" * 65),
     evidence(logs=(0,) * (LOGS - 1)),
