--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -360,6 +360,13 @@
         if self._said <= MOST_SAID:
             self._say(line)
 
+    def holds(self, name: str) -> tuple[int, int, bytes] | None:
+        """Term, number and state of a duty that is owned here."""
+        if self.owners is None or name not in self.owners.owned:
+            return None
+        record = self.owners.terms[name].record
+        return (*record.version, record.value) if record is not None else None
+
     def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         if self.owners is None:
