--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -222,7 +222,9 @@
                 self._say(f"edits: {problem}; what this file says anew does not count")
             else:
                 if made:
-                    self._say(f"edits: {made} made of what the file says otherwise than when it was read last")
+                    self._say(
+                        f"edits: {made} made of what the file says otherwise than when it was read last"
+                    )
         self._mends = False
         self._go_on()
         self._settle()
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -27,7 +27,7 @@
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
-from larkweir.fleet.duties.table import Seat, made
+from larkweir.fleet.duties.table import Captured, Seat, made
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
 
@@ -48,6 +48,7 @@
     routes: Routes | None
     peers: Socket | None
     owners: Part | None
+    captures: Captured | None
     closers: list[Callable[[], None]]
     facts: list[Callable[[], dict[str, object]]]
 
@@ -80,6 +81,7 @@
         self.keeps = me in own.keepers
         self._clock, self._journal, self._routes = host.clock, host.journal, host.routes
         self._socket = socket
+        self._host = host  # captures are plugged in later
         self._loop = asyncio.get_running_loop()
         self._rng = Random()
         self._mail = socket.mail(OWNERS, self._came)
@@ -136,7 +138,8 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle)  # the clock goes on over lives
+        # The clock, by which lives of reports count, goes on over this process's lives.
+        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle, self._host.captures)
         self.works = made(self.options.duties, seat)
         self.owners = Owners(
             self.me,
