A new owner within two leases, also where all three candidates stood still

Cause: three candidates of which one stands still and two rest after a stop left a duty alone until membership moved a fourth up; and a watcher took for a sign of life what it learned late of a dead owner. Change: who rests takes a duty half a lease after it would have otherwise; news that do not come from the owner itself, a first read and a write that met half a write put the take off by two thirds of a lease, not by a whole one; watchers are told of each write. Not taken: a fourth candidate that always watches: one datagram more a write, and no earlier than the half lease.

--- a/benchmarks/owners.py
+++ b/benchmarks/owners.py
@@ -8,6 +8,8 @@
 faults    seeded fault plans as in the package's tests, with all that it knows of
 kill      SIGKILL of the owner: leases until a new term counts
 drain     drain of the owner: milliseconds until a new term counts
+rest      three owners in turn are stopped for three leases and woken, so that the last one's two other candidates rest:
+          leases from its stop until a new term counts
 heal      the owner's side is cut off with one keeper, for four leases; then it heals: terms that are new after the heal
 traffic   datagrams and bytes a process and second, at 30, 200 and 2,000 processes with as many duties as a tenth of
           them (at least 20) that step once a second; of keepers, of owners, and of all others
@@ -78,6 +80,22 @@
     return new_term(fleet, 8000.0) / fleet.times.lease_ms
 
 
+def rest(seed: int) -> float:
+    fleet, owner = settled(seed)
+    for _ in range(2):
+        name = owner.name
+        fleet.network.stop(name)
+        fleet.run(3 * fleet.times.lease_ms)
+        fleet.network.go_on(name)
+        fleet.run(600.0)
+        found = fleet.owner(KEY)
+        if found is None or found.name == name:
+            raise BrokenError("nobody took the term of a stopped owner")
+        owner = found
+    fleet.network.stop(owner.name)
+    return new_term(fleet, 12_000.0) / fleet.times.lease_ms
+
+
 def drain(seed: int) -> float:
     fleet, owner = settled(seed)
     assert owner.owners is not None
@@ -133,10 +151,18 @@
     "stop": stop,
     "faults": faults,
     "kill": kill,
+    "rest": rest,
     "drain": drain,
     "heal": heal,
 }
-TOLD = {"stop": "old effects", "faults": "old effects", "kill": "leases", "drain": "ms", "heal": "new terms"}
+TOLD = {
+    "stop": "old effects",
+    "faults": "old effects",
+    "kill": "leases",
+    "rest": "leases",
+    "drain": "ms",
+    "heal": "new terms",
+}
 
 
 def told(what: str, values: Sequence[float]) -> str:
--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -286,7 +286,7 @@
                 self.followers.came_effects(source, item, now_ms)
                 for key, record in item.news:
                     if key in self.terms:
-                        self.terms[key].saw(record, now_ms)
+                        self.terms[key].saw(record, now_ms, source)
             case Digest():
                 self.followers.came_digest(source, item, now_ms)
             case None:
--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -18,7 +18,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """Milliseconds. A lease is renewed twice. Who watches it reads it once nothing has come for two thirds of it, then
+    """Milliseconds. A lease is renewed twice. Who watches it reads it once nothing has come for somewhat longer, then
     six times a lease."""
 
     lease_ms: float = 3000.0
@@ -32,7 +32,7 @@
 
     @property
     def quiet_ms(self) -> float:
-        return self.lease_ms * 2 / 3
+        return self.lease_ms * 7 / 12
 
     @property
     def look_ms(self) -> float:
@@ -59,7 +59,7 @@
 class Term:
     """`announce` is told each record that counts and that followers should have. `heard` gives the highest version that
     this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more;
-    `renewed` tells those that watch, twice a lease or so, whether or not it is news to anybody else."""
+    `renewed` tells those that watch, whether or not it is news to anybody else."""
 
     def __init__(
         self,
@@ -89,8 +89,9 @@
         self._reminders = 0
         self._heard = heard
         self._now_ms = 0.0
-        self._changed_ms = 0.0  # when the record was first seen as it is
-        self._watched_ms = float("-inf")  # when those that watch were told last
+        self._changed_ms = 0.0  # when its owner was seen to be there last
+        self._learned_ms = 0.0  # when the record was first seen as it is
+        self._read_ms = float("-inf")
         self._renewed_ms = float("-inf")  # when the last write that counted was begun
         self._took_ms = 0.0
         self._busy = False  # a write is under way, or a read that an owner waits for
@@ -128,7 +129,7 @@
         self._rank, self._heir = rank, heir
 
     def give_up(self, now_ms: float, rest_ms: float) -> None:
-        """Hand over, and take no term for `rest_ms`."""
+        """Hand over, and let others go first for `rest_ms` (inf: take none)."""
         self._now_ms = now_ms
         self._rest_ms = max(self._rest_ms, now_ms + rest_ms)
         if self.owns:
@@ -139,15 +140,16 @@
         """It may take terms again."""
         self._rest_ms = 0.0
 
-    def saw(self, record: Record, now_ms: float) -> None:
-        """A record that counts has come from elsewhere: as good as one that was read, but it may be old."""
+    def saw(self, record: Record, now_ms: float, source: str = "") -> None:
+        """A record that counts has come from elsewhere: as good as one that was read, but it may be old, and is no sign
+        that its owner is there now unless that is the `source`."""
         self._now_ms = max(now_ms, self._now_ms)
         if self.record is None or record.version > self.record.version:
             if not self._busy and not self._is_mine(record):
                 if self.owns:  # another has it, or nobody: what this process held is over
                     self.refused += 1
                     self.phase, self._give = Phase.WATCHING, False
-                self._know(record)
+                self._know(record, fresh=source == record.owner)
                 self.majority = True  # one has taken it
             if self._may_take(now_ms):
                 self.next_ms = now_ms
@@ -182,6 +184,8 @@
             self.next_ms = self._changed_ms + self.times.quiet_ms
         elif self._rank is not None:
             self.next_ms = now_ms + self.times.look_ms
+            if now_ms < self._free_ms and self.majority:
+                self.next_ms = min(self.next_ms, self._free_ms)
             if not self._asking:
                 self._asking = True
                 self._registers.read(self.key, self._looked)
@@ -203,8 +207,10 @@
         self.majority = result.outcome is not Outcome.UNKNOWN
         if not self.majority:
             return
+        fresh = self._now_ms - self._read_ms <= 2 * self.times.look_ms
+        self._read_ms = self._now_ms
         if result.record is not None:
-            self._know(result.record)
+            self._know(result.record, fresh)
         elif self.record is None and self._changed_ms == 0.0:
             self._changed_ms = self._now_ms
         if self._may_take(self._now_ms):
@@ -213,34 +219,47 @@
     def _is_mine(self, record: Record) -> bool:
         return (record.owner, record.life) == self.me
 
-    def _know(self, record: Record) -> None:
-        if self.record is None or record.version > self.record.version:
+    def _know(self, record: Record, fresh: bool = True) -> None:
+        """`fresh`: it was written just now, as far as can be told."""
+        before = self.record
+        if before is None or record.version > before.version:
             self.record = record
-            self._changed_ms = self._now_ms
+            self._learned_ms = self._now_ms
+            if before is None or fresh or (record.term, record.owner) != (before.term, before.owner):
+                self._changed_ms = self._now_ms
 
     def _may_take(self, now_ms: float) -> bool:
         """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later.
 
-        What it is handed by name it takes also while it rests from having stood still: whoever gave it does not know
-        of that, and all others wait for it. Not while it drains: that rest has no end.
+        What it is handed by name it takes at once, also while it rests from having stood still: whoever gave it does
+        not know of that, and all others wait for it. Not while it drains: that rest has no end.
         """
         if self.owns or self._busy or self._rest_ms == inf:
             return False
-        record, lease = self.record, self.times.lease_ms
+        record = self.record
         if record is not None and not record.owner and record.heir == self.me[0]:
             return True
-        if now_ms < self._rest_ms:
-            return False
         if self._rank is None or not self.majority:
             return False
-        if record is not None and self._is_mine(record):
+        if record is not None and self._is_mine(record) and now_ms >= self._rest_ms:
             return True  # taken by a write whose end was not known
-        wait = 0.25 * self._rank * lease
+        return now_ms >= self._free_ms
+
+    @property
+    def _free_ms(self) -> float:
+        """When this candidate may take it, if nothing more is heard.
+
+        Who rests from having stood still lets all others go first: had none of them taken it by then, they stand still
+        or rest as well, and a fourth would move up only once membership has counted the first as lost. What was learned
+        late says that the owner was there some time: one that is there renews within half a lease.
+        """
+        record, lease = self.record, self.times.lease_ms
+        wait = 0.25 * (self._rank or 0) * lease
+        if self._now_ms < self._rest_ms:
+            wait += 0.5 * lease
         if record is None or not record.owner:
-            return now_ms - self._changed_ms >= (
-                wait if record is None or not record.heir else wait + lease / 4
-            )
-        return now_ms - self._changed_ms >= lease + wait
+            return self._changed_ms + wait + (lease / 4 if record is not None and record.heir else 0.0)
+        return max(self._changed_ms + lease + wait, self._learned_ms + 4 * self.times.look_ms)
 
     def _take(self, now_ms: float) -> None:
         expected = self.record.version if self.record is not None else NO_VERSION
@@ -256,8 +275,8 @@
         if result.outcome is not Outcome.DONE:
             self.phase = Phase.WATCHING
             self.majority = result.outcome is Outcome.CONFLICT
-            if result.record is not None:
-                self._know(result.record)
+            if result.record is not None:  # it may be this round that has ended what its owner left half done
+                self._know(result.record, fresh=False)
             self.next_ms = self._now_ms + self.times.look_ms
             return
         self.taken += 1
@@ -416,8 +435,7 @@
         if not record.owner or record.term != last[0] or record.effects != self._told_effects:
             self._told, self._told_effects = record.version, record.effects
             self._announce(self.key, record)
-        if record.owner and self._now_ms - self._watched_ms >= self.times.renew_ms * 2 / 3:
-            self._watched_ms = self._now_ms
+        if record.owner:
             self._renewed(self.key, record)
 
 
--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -86,6 +86,23 @@
     assert max(delays) < 250.0
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_candidates_that_rest_take_a_duty_that_nobody_else_takes(seed: int) -> None:
+    """The last of three owners stands still, the other two candidates have just stood still themselves."""
+    fleet = settled(seed)
+    for _ in range(3):
+        old = fleet.owner("duty0")
+        assert old is not None
+        fleet.network.stop(old.name)
+        began = fleet.network.now_ms
+        assert fleet.run_until(lambda old=old, fleet=fleet: fleet.owner("duty0") not in (None, old), 8000.0)
+        spent = fleet.network.now_ms - began
+        fleet.run(1.5 * fleet.times.lease_ms)
+        fleet.network.go_on(old.name)
+        fleet.run(600.0)
+    assert spent < 2.2 * fleet.times.lease_ms
+
+
 def test_who_watches_reads_only_when_its_owner_tells_nothing() -> None:
     """What it costs: the keepers are asked by nobody while leases are renewed, and soon when they are not."""
     fleet = settled(7, processes=5)
