--- a/standins/world/days.py
+++ b/standins/world/days.py
@@ -40,6 +40,8 @@
     descriptors: int = 256
     loss: float = 0.0
     receive: int = 256 * 1024  # bytes of the kernels' buffers
+    slow: float = 1.0  # how many times slower than others a balancer runs
+    longest: float = 1.0  # how many times as long faults are
 
 
 UP = ("up drain", "up crash", "up pause", "up replace", "up slow")
@@ -57,6 +59,10 @@
         Day("partition", kinds=(*CUT, "up pause"), faults=8),
         Day("stops", kinds=BALANCER, faults=4, balancers=2, upstreams=6, callers=5),
         Day("rude", kinds=("up drain", "up pause"), faults=4, rude=0.3),
+        Day("asleep", kinds=("up pause", "up slow", "cut"), faults=12, upstreams=3, longest=2.0),
+        Day("cold", kinds=("up crash", "up replace"), faults=4, upstreams=4, rate=120.0, callers=12),
+        Day("late", kinds=("slow way", "up drain", "cut"), faults=14, upstreams=4),
+        Day("busy", kinds=("drain", "stop", "kill"), faults=4, balancers=2, slow=150.0, receive=16 * 1024),
         Day(
             "narrow",
             kinds=("up pause", "up slow", "stop"),
@@ -108,7 +114,9 @@
         kind = rng.choice(day.kinds)
         whom, other, amount = draws.get(kind.split()[0], lambda: (rng.choice(balancers), "", 0.0))()
         at_s = rng.uniform(0.5, 0.8 * day.last_s)
-        for_s = min(rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.5, 1.5), 0.9 * day.last_s - at_s)
+        for_s = min(
+            day.longest * rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.5, 1.5), 0.9 * day.last_s - at_s
+        )
         if other == whom:
             continue
         spans = busy.setdefault(
--- a/standins/world/kernel.py
+++ b/standins/world/kernel.py
@@ -163,6 +163,7 @@
         self.written = 0
         self.writes: list[tuple[float, int]] = []  # when, and how much in all by then
         self.reads: list[tuple[float, int]] = []
+        self.landed: list[tuple[float, int]] = []  # when, and how much in all had come into the inbox
         self._out: deque[bytes] = deque()  # taken from the process, not yet on the way
         self._out_size = 0
         self._flying = 0  # on the way, or there and not yet acknowledged
@@ -353,6 +354,7 @@
             peer.owner.news(peer)
         else:
             peer.inbox += piece
+            peer.landed.append((net.clock.now_s, peer.read + len(peer.inbox)))
             peer.owner.news(peer)
         if piece is not None:
             net.clock.after(net.air.takes_s(peer.machine.ip, self.machine.ip, 64), self._acked, len(piece))
--- /dev/null
+++ b/standins/world/planted.py
@@ -0,0 +1,229 @@
+"""`python -m standins.world.planted [--seeds 0:30]`: faults put into the real program; how many seeds find each.
+
+A checker that can't fail says nothing. Each fault is a patch at run time, played on the kind of day that should bring
+it out. Prints a line each; exit code 1 if one was not found.
+"""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from collections.abc import Callable, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from importlib import import_module
+from typing import Any, NamedTuple
+
+from standins.world.days import DAYS
+from standins.world.play import play
+
+
+class Planted(NamedTuple):
+    what: str
+    day: str
+    module: str
+    name: str  # of a class's part, "Class.part", or of the module's
+    make: Callable[[Any], Any]  # from what is there to what is put there
+
+
+def _always(value: Any) -> Callable[[Any], Any]:
+    return lambda real: lambda *args, **more: value
+
+
+def _nothing(real: Any) -> Any:
+    return lambda *args, **more: None
+
+
+def _unlisted(real: Any) -> Any:
+    """It forgets to tell."""
+    from mulleinhitch.interface import ServerState
+
+    return real | {"leaving": ServerState.READY}
+
+
+def _all_outcomes(real: Any) -> Any:
+    from mulleinhitch.interface import Outcome
+
+    return frozenset(Outcome)
+
+
+def _answers_on(real: Any) -> Any:
+    def close(exchange: Any) -> None:
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+
+    return lambda self, exchange: close(exchange)
+
+
+def _put_back(real: Any) -> Any:
+    """The connection of a call that is given up is used on, with its answer still to come."""
+
+    def release(self: Any, call: Any) -> None:
+        if self._call is call:
+            self._call = None
+            self._pool.put(self)
+
+    return release
+
+
+def _leaks(real: Any) -> Any:
+    def book(self: Any, before: int, now: int) -> bool:
+        return bool(real(self, before, now + (now > 200_000)))
+
+    return book
+
+
+def _at_once(real: Any) -> Any:
+    def settle(self: Any) -> None:
+        from larkweir.lifecycle import rules
+
+        if self._ending:
+            self._tell(rules.Settled())
+
+    return settle
+
+
+def _idle(real: Any) -> Any:
+    return lambda self: self.idle
+
+
+def _writes_over(real: Any) -> Any:
+    def propose(self: Any, op: Any, there: Any, agree: bool) -> None:
+        if op.record is not None and there is not None:
+            op.expected = there.version
+        real(self, op, there, agree)
+
+    return propose
+
+
+def _takes_old(real: Any) -> Any:
+    def take(self: Any, key: str, record: Any) -> bool:
+        held = self.held.get(key)
+        if held is not None and record.version < held.version:
+            self.held.pop(key)
+        return bool(real(self, key, record))
+
+    return take
+
+
+def _any_ballot(real: Any) -> Any:
+    def accept(self: Any, source: str, item: Any, step: Any) -> None:
+        from larkweir_owners.keeper import Slot
+
+        slot = self.disk.slots.get(item.key, Slot())
+        if item.ballot != slot.promised:
+            self.disk.slots[item.key] = Slot(item.ballot, slot.accepted, slot.record)
+        real(self, source, item, step)
+
+    return accept
+
+
+def _late(real: Any) -> Any:
+    def at(self: Any, due_ms: float, call: Any) -> Any:
+        return real(self, due_ms + (700.0 if due_ms - self.now_ms() > 1_500.0 else 0.0), call)
+
+    return at
+
+
+def _answers_twice(real: Any) -> Any:
+    """The answer goes out once more where its caller is quick."""
+
+    def answered(self: Any, message: Any, close: bool) -> None:
+        if message.minor and self._engine._next % 50 == 0:
+            self._delivery.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        real(self, message, close)
+
+    return answered
+
+
+def _fresh_ones(real: Any) -> Any:
+    def left(self: Any, connection: Any) -> None:
+        self._fresh.pop(connection, None)
+
+    return left
+
+
+def _property(value: Any) -> Callable[[Any], Any]:
+    return lambda real: property(lambda self: value)
+
+
+POOL, LEGAL, ENGINE = "larkweir.upstreams.pool", "mulleinhitch.legality", "larkweir.core.engine"
+HTTP, LISTENER = "larkweir.protocols.http1.upstreams", "larkweir.protocols.listener"
+
+CALLERS = "larkweir.protocols.http1.callers"
+DAEMON, CALL, REGISTER = "larkweir.lifecycle.daemon", "larkweir.upstreams.call", "larkweir_owners.register"
+
+FAULTS: tuple[Planted, ...] = (
+    Planted("a drain is not taken over", "churn", "larkweir.membership.listing", "STATES", _unlisted),
+    Planted("a drain's grace is forgotten", "late", CALL, "Upstream.past_grace", _always(False)),
+    Planted("what may have run counts as never run", "churn", LEGAL, "NEVER_RAN", _all_outcomes),
+    Planted("a keyed request goes on in another zone", "asleep", LEGAL, "Request._in_group", _always(True)),
+    Planted("what may have run is refused", "asleep", LEGAL, "Request.may_be_refused", _always(True)),
+    Planted("the end of a request does not close it", "churn", ENGINE, "Engine._close", _answers_on),
+    Planted("a request that is over is not forgotten", "calm", ENGINE, "Engine._forget", _nothing),
+    Planted("nothing happens at a deadline", "asleep", ENGINE, "Engine._overdue", _nothing),
+    Planted("long timers fire late", "asleep", "larkweir.core.clock", "Clock.at", _late),
+    Planted(
+        "a given up call's connection is used on", "asleep", HTTP, "UpstreamConnection.release", _put_back
+    ),
+    Planted("a lost connection stays on the table", "churn", POOL, "Upstreams.closed", _nothing),
+    Planted("room is booked and not given back", "calm", "larkweir.core.room", "Room.book", _leaks),
+    Planted("a connection does not rest", "spoilt", POOL, "Upstreams.REST_MS", lambda real: 0.0),
+    Planted(
+        "a cold upstream is not spared", "cold", "mulleinhitch.slow_start", "SlowStart.admits", _always(True)
+    ),
+    Planted("the process ends at once when told to", "stops", DAEMON, "Daemon._settle", _at_once),
+    Planted("connections close with requests unread", "busy", CALLERS, "CallerConnection.quiet", _idle),
+    Planted(
+        "what is still taken counts for nothing at the end", "busy", LISTENER, "Listener.taking", _property(0)
+    ),
+    Planted("a caller that has left keeps its place", "calm", LISTENER, "Listener.left", _fresh_ones),
+    Planted("one in fifty is answered twice", "calm", CALLERS, "CallerConnection._answered", _answers_twice),
+    Planted("a register's write compares nothing", "fleet", REGISTER, "Proposer._propose", _writes_over),
+    Planted("an older effect is taken", "fleet", "larkweir_owners.effects", "Followers.take", _takes_old),
+    Planted("a keeper takes any ballot", "fleet", "larkweir_owners.keeper", "Keeper._accept", _any_ballot),
+)
+
+
+def patch(fault: Planted) -> tuple[str, str, Any]:
+    holder: Any = import_module(fault.module)
+    for step in fault.name.split("."):
+        holder = holder.__dict__[step] if isinstance(holder, type) else getattr(holder, step)
+    return fault.module, fault.name, fault.make(holder)
+
+
+def found_by(fault: Planted, seeds: Sequence[int]) -> tuple[int, str]:
+    """How many plays it took, and what was said; 0 where none found it."""
+    for at, seed in enumerate(seeds):
+        wrong = play(DAYS[fault.day], seed, planted=(patch(fault),)).wrong
+        if wrong:
+            return at + 1, wrong[0]
+    return 0, ""
+
+
+def _one(number: int, first: int, end: int) -> tuple[int, str]:
+    return found_by(FAULTS[number], range(first, end))
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    parser = argparse.ArgumentParser(prog="python -m standins.world.planted", description=__doc__)
+    parser.add_argument("--seeds", default="0:30", help="FIRST:END")
+    parser.add_argument("--jobs", type=int, default=1)
+    parser.add_argument("--only", default="", help="those whose text has this in it")
+    told = parser.parse_args(arguments)
+    first, _, end = told.seeds.partition(":")
+    numbers = [n for n, fault in enumerate(FAULTS) if told.only in fault.what]
+    missed = 0
+    with ProcessPoolExecutor(told.jobs) as pool:
+        several = len(numbers)
+        for n, (plays, text) in zip(
+            numbers, pool.map(_one, numbers, [int(first)] * several, [int(end)] * several), strict=True
+        ):
+            missed += not plays
+            count = f"after {plays}" if plays else "NOT FOUND"
+            print(f"{FAULTS[n].what} ({FAULTS[n].day}): {count}  {text:.160}", flush=True)
+    print(f"{len(numbers) - missed} of {len(numbers)} found")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/standins/world/story.py
+++ b/standins/world/story.py
@@ -66,6 +66,7 @@
     asked_s: float
     end: End | None = None
     offset: int = 0  # of its first byte
+    size: int = 0
     statuses: list[tuple[float, int]] = field(default_factory=list)
     lost_s: float = 0.0  # when its connection was over without an answer
     why: str = ""
--- a/standins/world/upstreams.py
+++ b/standins/world/upstreams.py
@@ -129,11 +129,19 @@
             talk.send(answer(500))
         elif dice < habits.reset + habits.error + habits.spoilt:
             whole = answer(200, body)
-            kinds = (whole[: len(whole) // 2], b"\x00\x17garbage\r\n\r\n", whole + whole, whole + b"HTT")
+            kinds = (
+                whole[: len(whole) // 2],
+                b"\x00\x17garbage\r\n\r\n",
+                whole + whole,
+                whole + b"HTT",
+                whole,
+            )
             kind = self.rng.randrange(len(kinds))
             talk.send(kinds[kind])
             if kind == 0:
                 talk.close()
+            elif kind == 4:  # once more, a moment later
+                self.loop.call_later(0.002 + 0.01 * self.rng.random(), talk.send, whole)
         elif self.rng.random() < habits.big:
             talk.send(answer(200, body + b"." * self.rng.randint(1, 300_000)))
         else:
