--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -11,7 +11,8 @@
 import msgspec
 from larkweir_owners.messages import Version
 
-BEAT_MS = 1000.0  # an owner shows that it is there, while there is something to do
+BEAT_MS = 1500.0  # an owner shows that it is there, while there is something to do
+LOOK_MS = 1000.0  # a copy looks at the latest whether there is anything new
 ALONE_MS = 4000.0  # a copy that has heard none for so long goes on alone
 FORGET_MS = 120_000.0  # what no copy has told of for so long is over
 REFRESH_MS = 30_000.0  # a copy tells again what has not changed
@@ -52,9 +53,18 @@
     rows: tuple[Wish, ...]
 
 
-Report = EvidenceReport | WishReport
+class CaptureReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """What one copy sees of each kind of request, as `larkweir_captures.wire` packs it."""
+
+    life: int
+    item: bytes
+
+
+Report = EvidenceReport | WishReport | CaptureReport
 pack = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(EvidenceReport | WishReport)
+_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(
+    EvidenceReport | WishReport | CaptureReport
+)
 
 
 def unpack(data: bytes) -> Report | None:
@@ -68,7 +78,7 @@
 class Work(Protocol):
     """A duty as the balancer drives it: `Duty` with what copies do for it."""
 
-    next_ms: float  # when `tick` is due
+    next_ms: float  # when `tick` is due; at an owner `step` follows it at once
 
     @property
     def name(self) -> str: ...
@@ -85,11 +95,20 @@
         """As a copy: what to tell the owner now."""
         ...
 
+    def alone(self) -> None:
+        """This process takes part no more: whatever the duty steers here goes on as without owners."""
+        ...
+
     def notable(self) -> bool:
         """Whether what was taken last is more than a beat. Asked once for each."""
         ...
 
 
+def beats(last_ms: float, now_ms: float) -> bool:
+    """Whether a beat is due. All duties of a process beat at the same moments, so that they go together."""
+    return last_ms < now_ms // BEAT_MS * BEAT_MS
+
+
 class Beats:
     """Whether an owner is there, as a copy sees it: by effects alone, whatever membership says."""
 
@@ -105,7 +124,12 @@
     def led(self, now_ms: float) -> bool:
         if self._fresh:
             self._fresh, self._heard_ms = False, now_ms
-        return now_ms - self._heard_ms < ALONE_MS
+        return now_ms < self.until_ms
+
+    @property
+    def until_ms(self) -> float:
+        """When it is alone, if nothing comes."""
+        return self._heard_ms + ALONE_MS
 
 
 class Due:
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from random import Random
@@ -27,16 +27,13 @@
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
-from larkweir.fleet.duties.drill import Drill
-from larkweir.fleet.duties.ramps import Ramps
-from larkweir.fleet.duties.verdicts import Verdicts
+from larkweir.fleet.duties.table import Captured, Seat, made
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
-from larkweir.routes.trial import Trial
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
-STEP_MS = 50.0  # between two steps of a duty
+STEP_MS = 250.0  # between two looks at a duty that nothing has come for
 AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
 LEAVE_MS = 250.0  # for handing over, at the most
 MOST_SAID = 5  # lines on effects, a second: the log takes ten, and who owns is to be told beside them
@@ -51,6 +48,7 @@
     routes: Routes | None
     peers: Socket | None
     owners: Part | None
+    captures: Captured | None
     closers: list[Callable[[], None]]
     facts: list[Callable[[], dict[str, object]]]
 
@@ -83,6 +81,7 @@
         self.keeps = me in own.keepers
         self._clock, self._journal, self._routes = host.clock, host.journal, host.routes
         self._socket = socket
+        self._host = host  # captures are plugged in later
         self._loop = asyncio.get_running_loop()
         self._rng = Random()
         self._mail = socket.mail(OWNERS, self._came)
@@ -139,7 +138,9 @@
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
-        self.works = {work.name: work for work in self._duties(int(self._clock.now_ms()))}
+        # The clock, by which lives of reports count, goes on over this process's lives.
+        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle, self._host.captures)
+        self.works = made(self.options.duties, seat)
         self.owners = Owners(
             self.me,
             life,
@@ -156,18 +157,6 @@
         self._due_ms = self._clock.now_ms()
         self._turn()
 
-    def _duties(self, life: int) -> list[Work]:
-        """`life` of this copy's reports: higher than a former one's, as the clock goes on."""
-        routes, found = self._routes, list[Work]()
-        for name in self.options.duties:
-            if name == "drill":
-                found.append(Drill())
-            elif name == "verdicts" and routes is not None:
-                found.append(Verdicts(life, lambda: _Trying(routes)))
-            elif name == "ramps" and routes is not None:
-                found.append(Ramps(life, lambda: routes))
-        return found
-
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
         return self._rng.sample(list(names), min(most, len(names)))
 
@@ -178,17 +167,13 @@
             self._timer = None
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
-        self.owners, self.works, self._owned, self._mode = None, {}, {}, ""
+        works, self.works = self.works, {}
+        self.owners, self._owned, self._mode = None, {}, ""
         file, self._file = self._file, None
         if file is not None:
             self._shut(file)
-        self._alone()
-
-    def _alone(self) -> None:
-        if self._routes is None:
-            return
-        for trial in self._routes.router.on_trial().values():
-            trial.alone = True
+        for work in works.values():
+            work.alone()
 
     def _shut(self, file: KeeperFile) -> None:
         assert self._thread is not None
@@ -255,6 +240,7 @@
         if report is not None:
             for work in self.works.values():
                 work.came(source, report, now_ms)
+            self._poke(now_ms)
 
     def _turn(self) -> None:
         self._timer = None
@@ -265,13 +251,21 @@
         if now - self._due_ms > self._times.lag_ms:
             self._why = f"{now - self._due_ms:.0f} ms late"
         owners.lagged(now - self._due_ms, now)
-        owners.tick(now)
         for name, work in self.works.items():
             if now >= work.next_ms:
                 for report in work.tick(now):
                     self._report(name, report, now)
+                owners.poke(name, now)
+        owners.tick(now)
         self._settle()
 
+    def _poke(self, now_ms: float) -> None:
+        """Something has come that an owner's next step may rest on."""
+        if self.owners is not None:
+            for name in self.owners.owned:
+                self.owners.poke(name, now_ms)
+            self._settle()
+
     def _report(self, name: str, report: Report, now_ms: float) -> None:
         assert self.owners is not None
         record = self.owners.followers.held.get(name)
@@ -340,8 +334,7 @@
         if owners is self.owners:
             if well:
                 now = self._clock.now_ms()
-                for step in steps:
-                    owners.flushed(step, now)
+                owners.all_flushed(steps, now)
             else:
                 self._say(f"owners: {self.options.folder}: {file.fault}; no keeper until the next start")
                 owners.flush_failed()
@@ -370,6 +363,13 @@
         if self._said <= MOST_SAID:
             self._say(line)
 
+    def holds(self, name: str) -> tuple[int, int, bytes] | None:
+        """Term, number and state of a duty that is owned here."""
+        if self.owners is None or name not in self.owners.owned:
+            return None
+        record = self.owners.terms[name].record
+        return (*record.version, record.value) if record is not None else None
+
     def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         if self.owners is None:
@@ -390,19 +390,6 @@
         return found | {"owners_dropped": ",".join(f"{name}:{n}" for name, n in wrong.items()) or "0"}
 
 
-class _Trying:
-    """The present generation's trials; what ends is told to the log."""
-
-    def __init__(self, routes: Routes) -> None:
-        self._routes = routes
-
-    def on_trial(self) -> Mapping[str, Trial]:
-        return self._routes.router.on_trial()
-
-    def end(self, key: str, why: str) -> None:
-        self._routes.end(key, why)
-
-
 def _opened(file: KeeperFile) -> Disk | str:
     """On the keeper's thread: the disk, or why not."""
     try:
