--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -40,14 +40,15 @@
 
 
 def _beside(paths: Sequence[str]) -> list[str]:
-    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden, and
-    owners or edits without them."""
+    """What one file says that can't stand beside another that is named with it: peers and captures, where they are
+    forbidden, and owners or edits without peers."""
     found = []
     for path in (path for path in paths if path.endswith(".toml")):
         options = decode_operator(_read(path)[0])[0]
-        if not (options.peers.on or options.owners.on or options.edits.on):
+        if not any(part.on for part in (options.peers, options.owners, options.edits, options.captures)):
             continue
-        from larkweir.config.peering import keeping, merging, peering  # not imported where they are off
+        # not imported where they are off
+        from larkweir.config.peering import capturing, keeping, merging, peering
 
         for other in (other for other in paths if not other.endswith(".toml")):
             try:
@@ -58,6 +59,8 @@
                     merging(options, config)
                 if options.peers.on:
                     peering(options.peers, config)
+                if options.captures.on:
+                    capturing(options, config)
             except ConfigError as problem:
                 found.append(f"{path}: {problem} (beside {other})")
     return found
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -7,7 +7,7 @@
 from ipaddress import ip_network
 from typing import Any, Literal
 
-from larkweir.config.fleet_tables import Edits, Owners, Peers
+from larkweir.config.fleet_tables import Captures, Edits, Owners, Peers
 from larkweir.config.keys import Change, Merge, Unit, listen_address, option
 
 
@@ -369,6 +369,7 @@
     peers: Peers = field(default_factory=Peers)
     owners: Owners = field(default_factory=Owners)
     edits: Edits = field(default_factory=Edits)
+    captures: Captures = field(default_factory=Captures)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -403,6 +404,7 @@
     "peers": Peers,
     "owners": Owners,
     "edits": Edits,
+    "captures": Captures,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/fleet/duties/table.py
+++ b/larkweir/fleet/duties/table.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from larkweir.fleet.duties.words import Work
 
@@ -14,12 +14,19 @@
     from larkweir.routes.hands import Routes
 
 
+class Captured(Protocol):
+    """This process's captures."""
+
+    def duty(self, life: int) -> Work: ...
+
+
 class Seat(NamedTuple):
     """What a duty is given by the balancer that it runs in."""
 
     life: int  # of this copy's reports: higher than a former one's
     routes: Routes | None  # None where no route is configured
     wake: Callable[[], None]  # to be called when the duty's `next_ms` is earlier than it was
+    captures: Captured | None = None  # None where they are off
 
 
 Maker = Callable[[Seat], Work | None]  # None: it has nothing to do in this process
@@ -35,7 +42,7 @@
     from larkweir.fleet.duties.verdicts import Verdicts
 
     routes = seat.routes
-    return Verdicts(seat.life, lambda: routes) if routes is not None else None
+    return Verdicts(seat.life, lambda: routes, seat.wake) if routes is not None else None
 
 
 def _ramps(seat: Seat) -> Work | None:
@@ -45,7 +52,16 @@
     return Ramps(seat.life, lambda: routes) if routes is not None else None
 
 
-MAKERS: dict[str, Maker] = {"drill": _drill, "verdicts": _verdicts, "ramps": _ramps}
+def _captures(seat: Seat) -> Work | None:
+    return seat.captures.duty(seat.life) if seat.captures is not None else None
+
+
+MAKERS: dict[str, Maker] = {
+    "drill": _drill,
+    "verdicts": _verdicts,
+    "ramps": _ramps,
+    "captures": _captures,
+}
 
 
 def made(names: Sequence[str], seat: Seat) -> dict[str, Work]:
