--- a/standins/hops.py
+++ b/standins/hops.py
@@ -132,8 +132,9 @@
         while (due := due + self.rng.expovariate(per_s)) < seconds:
             await asyncio.sleep(max(0.0, begun + due - loop.time()))
             cls = self.rng.choices([name for name, _ in KINDS], [part for _, part in KINDS])[0]
-            tasks.append(asyncio.ensure_future(self._one(len(self.asked), cls)))
-            self.asked[f"c{len(self.asked)}"] = (loop.time(), cls)
+            number = self.seed * 1_000_000 + len(self.asked)  # of each seed others: verdicts go by the id
+            tasks.append(asyncio.ensure_future(self._one(number, cls)))
+            self.asked[f"c{number}"] = (loop.time(), cls)
         await asyncio.gather(*tasks)
 
     async def _one(self, number: int, cls: str) -> None:
