--- a/larkweir/fleet/captures/part.py
+++ b/larkweir/fleet/captures/part.py
@@ -130,7 +130,7 @@
         self._lock = -1
         self._lock_ms = 0.0  # when it is tried next
         self._waits_ms = 0.0  # since when another process has it
-        self._leaving = self._closed = False
+        self._leaving = self._ending = self._closed = False
         self._leave_ms = 0.0  # by when it has left
         self._dropped = self._written = 0  # by writers that are closed
         self._told_dropped = 0
@@ -182,7 +182,7 @@
 
     def _shut(self) -> None:
         """Nothing more is written here: what still waits for the disk is, for a moment."""
-        writer, self._writer = self._writer, None
+        writer, self._writer, self._ending = self._writer, None, False
         if writer is not None:
             writer.close(CLOSE_S)
             self._written += writer.written
@@ -205,11 +205,16 @@
         if self._writer is None and not self._leaving:
             self._open(now)
         self.scribe.follow.overdue(now)
-        lines = self.node.tick(now, self._writer is not None)
-        if self._writer is not None:
-            self._writer.put(lines)
+        writer = self._writer
+        lines = self.node.tick(now, writer is not None and not self._ending)
+        if writer is not None:
+            writer.put(lines)
             if self._leaving and (now >= self._leave_ms or not self._under_way):
-                self._shut()
+                self._ending = True
+            if self._ending:  # a disk that hangs holds nobody up: the file is this life's until the last line
+                writer.close(0.0)
+                if writer.ended:
+                    self._shut()
         self._tell(now)
         self._timer = self._clock.at(max(self.node.next_ms, now + 1.0), self._turn)
 
--- a/packages/captures/src/larkweir_captures/writer.py
+++ b/packages/captures/src/larkweir_captures/writer.py
@@ -57,8 +57,13 @@
                 self._bytes += len(line)
             self._wake.notify()
 
+    @property
+    def ended(self) -> bool:
+        """Whether it was closed, and has written all that it will."""
+        return not self._thread.is_alive()
+
     def close(self, wait_s: float = 2.0) -> None:
-        """Write what waits, for so long at most."""
+        """Write what waits; the caller is held for so long at most."""
         with self._wake:
             self._stopping = True
             self._wake.notify()
