A successor's keeper votes at once: it is told what its predecessor closed

Need: behind a handover a keeper asked the others for about a second, and another keeper's death in that time stopped all writes. Change: a predecessor stops voting, closes its file, and says a mark (BLAKE2b) of all that stands in it over the handover's channel, to a successor that says with took that it knows the word; a successor waits 250 ms for it, and votes where the mark is that of the disk it has opened. No mark is told of a keeper that had not caught up, of a life that had not come to the disk, or of a failed file. The same way serves an upgrade beside. Not taken: life and answers, as the keeper's rules had it: an entry on another's life changes neither, so an older copy could pass.

--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -18,7 +18,7 @@
 from larkweir_owners.duty import Owners
 from larkweir_owners.keeper import Disk, Keeper, Step
 from larkweir_owners.keeper_file import Folder, KeeperFile
-from larkweir_owners.messages import KeeperSet, Version
+from larkweir_owners.messages import KeeperSet, Life, Version
 from larkweir_owners.terms import Times
 from larkweir_peers.hands import Socket
 
@@ -36,6 +36,7 @@
 STEP_MS = 250.0  # between two looks at a duty that nothing has come for
 AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
 LEAVE_MS = 250.0  # for handing over, at the most
+KEPT_MS = 250.0  # that a successor waits for its predecessor's word on the keeper's file
 MOST_SAID = 5  # lines on effects, a second: the log takes ten, and who owns is to be told beside them
 
 
@@ -92,6 +93,13 @@
         self._owned: dict[str, int] = {}  # with their terms
         self._why = ""  # the next that is given up is given up for this
         self._rests = self._closed = self._leaving = False
+        self.kept: Callable[[str], None] = (
+            lambda mark: None
+        )  # told of the file once it is closed for a successor
+        self._expects = False  # a predecessor may tell that
+        self._mark = ""
+        self._found: Disk | None = None  # waits for it
+        self._holds = 0  # how often this life has given the name to a successor, or taken it back
         self._thread: ThreadPoolExecutor | None = None
         self._file: KeeperFile | None = None
         self._flushing = False
@@ -131,8 +139,31 @@
             self._fired = self._clock.after(AGAIN_MS, self._begin)
         else:
             self._trouble = ""
-            self._file = file
-            self._build(Keeper(self.me, found))
+            self._file, self._found = file, found
+            if self._expects and not self._mark:
+                self._fired = self._clock.after(KEPT_MS, self._vote)
+            else:
+                self._vote()
+
+    def expect(self) -> None:
+        """This life is a successor: it may be told what its predecessor's keeper has closed."""
+        self._expects = True
+
+    def told(self, mark: str) -> None:
+        """By the predecessor, which has closed its file for good. Nothing where that is too late, or not this file."""
+        self._mark = mark
+        if self._found is not None:
+            self._vote()
+
+    def _vote(self) -> None:
+        """As the keeper of the file that is open; at once where the mark says that it is the newest there is."""
+        if self._fired is not None:
+            self._fired.cancel()
+            self._fired = None
+        found, self._found = self._found, None
+        if found is not None:
+            self._build(Keeper(self.me, found, self._mark))
+        self._expects, self._mark = False, ""
 
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
@@ -165,16 +196,25 @@
         for name in self._owned:
             self._say(f"owners: {name} given up: not handed over in time")
         works, self.works = self.works, {}
-        self.owners, self._owned, self._mode = None, {}, ""
+        keeper = self.owners.keeper if self.owners is not None else None
+        votes_as = keeper.votes_as if keeper is not None else None
+        self.owners, self._owned, self._mode, self._found = (
+            None,
+            {},
+            "",
+            None,
+        )  # it answers nobody from here on
         file, self._file = self._file, None
         if file is not None:
-            self._shut(file)
+            self._shut(file, votes_as)
         for work in works.values():
             work.alone()
 
-    def _shut(self, file: KeeperFile) -> None:
+    def _shut(self, file: KeeperFile, votes_as: Life | None = None) -> None:
         assert self._thread is not None
-        self._thread.submit(file.close)
+        holds, done = self._holds, self._thread.submit(file.close, votes_as)
+        if votes_as is not None and self._leaving:
+            self._then(done, lambda mark: self.kept(mark) if mark and holds == self._holds else None)
 
     def pause(self, paused: bool, ends: bool = False) -> None:
         """Paused, or draining towards its end: it hands over what it owns and takes nothing; it goes on as a keeper."""
@@ -197,10 +237,12 @@
         """Held: a successor goes on under the name; it gets the address once all is handed over."""
         if held and not self._leaving:
             self._leaving = True
+            self._holds += 1
             self.pause(False)
             self._left(self._clock.now_ms() + LEAVE_MS)
         elif not held and self._leaving:
             self._leaving = self._rests = False
+            self._holds += 1
             self._stop()
             self._socket.hold(False)
             if self._fired is not None:
--- a/larkweir/lifecycle/channel.py
+++ b/larkweir/lifecycle/channel.py
@@ -4,7 +4,8 @@
 state {...}             ->          starts from it, follows discovery, accepts nothing
                         <-          ready
 go {...newest state}    ->          takes it over and accepts
-                        <-          took
+                        <-          took {kept}: a keeper's file may be told of
+kept {mark}             ->          votes by that file, which nobody has written since
 reload                  ->          reads its files again
 give_up                 ->          ends, or, once it may have accepted, stops as after SIGTERM
                         <-          bye: it was told to stop
@@ -16,7 +17,8 @@
 from typing import Any, NamedTuple
 
 MOST = 16 * 1024 * 1024  # bytes of a line: a whole list, and the ids seen lately
-WORDS = frozenset(("state", "ready", "go", "took", "reload", "give_up", "bye"))
+WORDS = frozenset(("state", "ready", "go", "took", "kept", "reload", "give_up", "bye"))
+MOST_MARK = 64  # characters
 
 
 class ChannelError(Exception):
@@ -35,21 +37,33 @@
     paused: bool = False  # an operator's PAUSE, that the successor keeps
 
 
+class Kept(NamedTuple):
+    """Of a keeper's file, that its process has closed for good: what stood in it, as `larkweir_owners` marks it. With
+    "took" and "" the successor says that it can make use of one: an older one knows no such word."""
+
+    mark: str = ""
+
+
+Told = Knowledge | Kept | None
+
+
 def _number(value: Any, key: str) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float) or not -1e15 < value < 1e15:
         raise ChannelError(f"{key}: {value!r:.100} is not a time")
     return float(value)
 
 
-def encode(word: str, known: Knowledge | None = None) -> bytes:
+def encode(word: str, known: Told = None) -> bytes:
     """One line."""
     data: dict[str, Any] = {"word": word}
-    if known is not None:
+    if isinstance(known, Kept):
+        data["kept"] = known.mark
+    elif known is not None:
         data |= known._asdict()
     return json.dumps(data, separators=(",", ":")).encode() + b"\n"
 
 
-def decode(line: bytes) -> tuple[str, Knowledge | None]:
+def decode(line: bytes) -> tuple[str, Told]:
     """The word, and what comes with it; ChannelError if it is none."""
     try:
         data = json.loads(line)
@@ -58,6 +72,13 @@
     word = data.get("word") if isinstance(data, dict) else None
     if not isinstance(word, str) or word not in WORDS:
         raise ChannelError(f"{line[:100]!r} is no word of it")
+    if word in ("took", "kept"):
+        mark = data.get("kept")
+        if mark is None and word == "took":
+            return word, None
+        if not isinstance(mark, str) or len(mark) > MOST_MARK:
+            raise ChannelError(f"kept: {mark!r:.100} is no mark")
+        return word, Kept(mark)
     if data["word"] not in ("state", "go"):
         return data["word"], None
     for key, kind in (("held", dict), ("drains", dict), ("ids", list), ("learned", dict), ("discovery", str)):
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -26,8 +26,10 @@
 if TYPE_CHECKING:  # imported where they are switched on
     from larkweir.control.rules import Order
     from larkweir.control.server import ControlServer
-    from larkweir.lifecycle.channel import Knowledge
+    from larkweir.fleet.owners import Part
+    from larkweir.lifecycle.channel import Kept, Knowledge, Told
     from larkweir.lifecycle.handover import Channel, Successor
+    from larkweir.lifecycle.kept import Closing
     from larkweir.lifecycle.notify import Notifier
     from larkweir.lifecycle.upgrade import Berth, Visitor
 
@@ -79,6 +81,7 @@
         self._successor: tuple[int, Successor | Visitor] | None = None
         self._visitor: Visitor | None = None
         self._berth: Berth | None = None
+        self._closing: Closing | None = None  # of a keeper's file, where this process has one
         self._upgrade = False  # the predecessor is a process that somebody else has started
         self._pause = False  # it was paused
         self._tasks: set[asyncio.Task[None]] = set()
@@ -309,9 +312,10 @@
 
     async def _take_over(self, sock: socket.socket) -> bool:
         """Start from what a predecessor knows, and accept once it says so; whether this life is to run."""
+        from larkweir.lifecycle.channel import Kept, Knowledge
         from larkweir.lifecycle.handover import Channel
 
-        words: asyncio.Queue[tuple[str, Knowledge | None]] = asyncio.Queue()
+        words: asyncio.Queue[tuple[str, Told]] = asyncio.Queue()
         lost = "lost"
         self._predecessor = await Channel.on(
             sock,
@@ -325,7 +329,10 @@
             word, known = "", None  # it may hang: what it says later counts
         if word == "give_up" or any(isinstance(event, rules.Stop) for event in self._early):
             return False
-        self._build(known)
+        self._build(known if not isinstance(known, Kept) else None)
+        owners = self.node.owners
+        if owners is not None:
+            owners.expect()
         self._open_sockets()
         if known is None:  # nobody is left to say what it knew: as at any start
             self.node.begin()
@@ -353,23 +360,27 @@
                 return False
             waiting = asyncio.ensure_future(words.get())
         waiting.cancel()
-        if known is not None:
+        if isinstance(known, Knowledge):
             self.node.adopt(known)
             self._pause = known.paused and self._upgrade
         self._accept()
         if word == lost:
             self._shared_no_more()
             self._say("handover: the predecessor is gone; this life takes over")
-        self._predecessor.say("took")
+        self._predecessor.say("took", Kept() if owners is not None else None)
         self._keep(self._loop.create_task(self._hear(words)))
         return True
 
-    async def _hear(self, words: asyncio.Queue[tuple[str, Knowledge | None]]) -> None:
+    async def _hear(self, words: asyncio.Queue[tuple[str, Told]]) -> None:
         """What the predecessor says once this life accepts."""
+        from larkweir.lifecycle.channel import Kept
+
         while True:
-            word, _ = await words.get()
+            word, known = await words.get()
             if word == "reload":
                 self._tell(rules.ReloadAsked())
+            elif word == "kept" and isinstance(known, Kept) and self.node.owners is not None:
+                self.node.owners.told(known.mark)
             elif word == "give_up":
                 self._tell(rules.Stop())
             elif word == "lost":
@@ -444,6 +455,8 @@
             self._successor = None
         elif isinstance(command, rules.Accept):
             self.node.listener.hold(not command.here)
+            if self.node.owners is not None:
+                self._close_keeper(self.node.owners, command.here)
             self.node.hold_peers(not command.here)
         elif isinstance(command, rules.Close):
             self.node.listener.closing = command.closing
@@ -544,12 +557,24 @@
 
     # ------------------------------------------------ handover
 
-    def _successor_words(
-        self, serial: int
-    ) -> tuple[Callable[[str, Knowledge | None], None], Callable[[str], None]]:
+    def _close_keeper(self, owners: Part, here: bool) -> None:
+        """What a keeper's file held is told to the successor that goes on with it; not once this life has it again."""
+        from larkweir.lifecycle.kept import Closing  # not imported where it is off
+
+        if here or self._closing is None:
+            self._closing = Closing()
+        closing = self._closing
+        owners.kept = lambda mark: self._tell_kept(closing.closed(mark))
+
+    def _tell_kept(self, told: tuple[int, Kept] | None) -> None:
+        if told is not None:
+            serial, kept = told
+            self._to_successor(serial, lambda child: child.channel.say("kept", kept))
+
+    def _successor_words(self, serial: int) -> tuple[Callable[[str, Told], None], Callable[[str], None]]:
         """What is done with each word of a successor, and with its end."""
 
-        def heard(word: str, known: Knowledge | None) -> None:
+        def heard(word: str, known: Told) -> None:
             events: dict[str, rules.Event] = {
                 "ready": rules.SuccessorReady(serial),
                 "took": rules.SuccessorTook(serial),
@@ -558,6 +583,8 @@
             event = events.get(word)
             if event is not None:
                 self._tell(event)
+            if word == "took" and self._closing is not None:
+                self._tell_kept(self._closing.took(serial, known))
 
         def ended(why: str) -> None:
             if self._successor is not None and self._successor[0] == serial:
--- a/larkweir/lifecycle/handover.py
+++ b/larkweir/lifecycle/handover.py
@@ -11,7 +11,7 @@
 from typing import cast
 
 from larkweir.core.clock import Clock
-from larkweir.lifecycle.channel import ChannelError, Knowledge, Lines, decode, encode
+from larkweir.lifecycle.channel import ChannelError, Lines, Told, decode, encode
 
 VARIABLE = "LARKWEIR_HANDOVER"  # the channel's descriptor, a colon, the listening ones as `number=protocol`
 
@@ -19,7 +19,7 @@
 class Channel(asyncio.Protocol):
     """One end. `heard` is called with each word, `ended` once when the other life is gone or talks nonsense."""
 
-    def __init__(self, heard: Callable[[str, Knowledge | None], None], ended: Callable[[str], None]) -> None:
+    def __init__(self, heard: Callable[[str, Told], None], ended: Callable[[str], None]) -> None:
         self._heard = heard
         self._ended: Callable[[str], None] | None = ended
         self._lines = Lines()
@@ -48,7 +48,7 @@
         if ended is not None:
             ended(why)
 
-    def say(self, word: str, known: Knowledge | None = None) -> None:
+    def say(self, word: str, known: Told = None) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.write(encode(word, known))
 
@@ -67,7 +67,7 @@
     async def on(
         cls,
         sock: socket.socket,
-        heard: Callable[[str, Knowledge | None], None],
+        heard: Callable[[str, Told], None],
         ended: Callable[[str], None],
     ) -> Channel:
         sock.setblocking(False)
@@ -101,7 +101,7 @@
         arguments: Sequence[str],
         sockets: Sequence[tuple[str, socket.socket]],
         clock: Clock,
-        heard: Callable[[str, Knowledge | None], None],
+        heard: Callable[[str, Told], None],
         ended: Callable[[str], None],
     ) -> Successor:
         """Start it; OSError where the system can't."""
--- a/packages/owners/src/larkweir_owners/keeper.py
+++ b/packages/owners/src/larkweir_owners/keeper.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 from typing import TypeAlias
 
 import msgspec
@@ -130,6 +131,12 @@
         yield SelfEntry(self.life, self.born, self.answers)
 
 
+def mark(disk: Disk) -> str:
+    """One for all that a disk says: two that differ in a promise, a life or a set of keepers differ in it."""
+    told = msgspec.msgpack.encode((disk.disk, list(disk.entries())))
+    return blake2b(told, digest_size=16).hexdigest()
+
+
 @dataclass(slots=True)
 class Step:
     """Flush all of `flush`, then send all of `send`; neither, where the flush fails."""
@@ -143,12 +150,14 @@
     others have heard: catches up, and others may learn from it), "lost" (its disk is gone or old: catches up),
     "voting", "failed" (its disk can't be written)."""
 
-    def __init__(self, name: str, disk: Disk, witness: tuple[Life, int] | None = None) -> None:
-        """`witness`: life and answers as told by the process that closed this file just now (a handover)."""
+    def __init__(self, name: str, disk: Disk, witness: str = "") -> None:
+        """`witness`: the mark of what stood in this file when the process that voted by it closed it just now, as that
+        process told (a handover). Where it is the disk's own, nothing was promised since, and nobody need be asked.
+        """
         self.name = name
         self.disk = disk
         self.mode = "back" if disk.born else "new"
-        if disk.born and witness == (disk.life, disk.answers):
+        if disk.born and witness and witness == mark(disk):
             self.mode = "voting"
         self.next_ms = 0.0
         self.dropped = 0
@@ -162,6 +171,11 @@
     def word(self) -> Word:
         return (*self.disk.life, self.disk.answers)
 
+    @property
+    def votes_as(self) -> Life | None:
+        """The life that it votes as; None where it does not."""
+        return self.disk.life if self.mode == "voting" else None
+
     def failed(self) -> None:
         """The disk can't be written: what it holds is not known, so nothing is promised from here on."""
         self.mode = "failed"
--- a/packages/owners/src/larkweir_owners/keeper_file.py
+++ b/packages/owners/src/larkweir_owners/keeper_file.py
@@ -19,8 +19,8 @@
 
 import msgspec
 
-from larkweir_owners.keeper import Disk, Entry, HeardEntry, SelfEntry, SetEntry, SlotEntry
-from larkweir_owners.messages import KeeperSet
+from larkweir_owners.keeper import Disk, Entry, HeardEntry, SelfEntry, SetEntry, SlotEntry, mark
+from larkweir_owners.messages import KeeperSet, Life
 
 MAGIC = b"LWKP"
 VERSION = 1
@@ -222,11 +222,18 @@
                 self._fail(error)  # what is flushed stands; nothing follows it
         return True
 
-    def close(self) -> None:
+    def close(self, votes_as: Life | None = None) -> str:
+        """From here on this process writes nothing, and another may open it. Gives the mark of what stands in it where
+        its keeper voted as that life, else "": one that had not caught up, or whose coming to vote is not on disk, has
+        nothing that a successor could vote by."""
+        known = self._number >= 0 and not self.fault
         if self._number >= 0:
             self._system.shut(self._number)
             self._number = -1
+        voted = known and self.disk.born and votes_as == self.disk.life
+        told = mark(self.disk) if voted else ""
         self._system.close()
+        return told
 
     def _fail(self, error: OSError) -> None:
         self.fault = error.strerror or str(error)
--- a/packages/owners/tests/explore_owners.py
+++ b/packages/owners/tests/explore_owners.py
@@ -21,7 +21,7 @@
 from dataclasses import dataclass
 from typing import Any, NamedTuple
 
-from larkweir_owners.keeper import Disk, Keeper
+from larkweir_owners.keeper import Disk, Keeper, mark
 from larkweir_owners.messages import (
     Accept,
     Accepted,
@@ -65,7 +65,7 @@
 
 def raised(number: int, disk: Disk) -> Keeper:
     """A keeper on its disk, with its predecessor's word that the disk is the latest."""
-    return Keeper(NAMES[number], disk, (disk.life, disk.answers))
+    return Keeper(NAMES[number], disk, mark(disk))
 
 
 class K(NamedTuple):
--- a/packages/owners/tests/fleet_owners.py
+++ b/packages/owners/tests/fleet_owners.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from larkweir_owners.duty import Owners
-from larkweir_owners.keeper import Disk, Keeper, SelfEntry, SetEntry, SlotEntry, Step
+from larkweir_owners.keeper import Disk, Keeper, SelfEntry, SetEntry, SlotEntry, Step, mark
 from larkweir_owners.messages import Accepted, Ballot, KeeperSet, Record, Version
 from larkweir_owners.ports import Outcome, Result
 from larkweir_owners.terms import Phase, Times
@@ -129,15 +129,16 @@
 
     # Life
 
-    def start(self) -> None:
+    def start(self, witness: str = "") -> None:
+        """`witness`: what its predecessor told (a handover)."""
         fleet, network = self.fleet, self.fleet.network
         self.life = fleet.rng.getrandbits(31)
         keeper = None
         if self.name in fleet.may_keep:
             if self.disk is None:
                 self.disk = Disk(fleet.rng.getrandbits(31), fleet.keepers)
-            keeper = Keeper(self.name, self.disk.copy())
-        self.voting = False
+            keeper = Keeper(self.name, self.disk.copy(), witness)
+        self.voting = keeper is not None and keeper.votes_as is not None
         self.owners = Owners(
             self.name,
             self.life,
@@ -158,6 +159,18 @@
         self.fleet.network.kill(self.name)
         self.owners = None
 
+    def hand_over(self, late_ms: float, disk: Disk | None = None, early: str | None = None) -> None:
+        """To a successor under the same name, which is told what the file held; `disk`: what stands there by then;
+        `early`: what a faulty predecessor told before it had stopped."""
+        assert self.owners is not None
+        keeper = self.owners.keeper
+        voted = keeper is not None and self.disk is not None and keeper.votes_as == self.disk.life
+        told = mark(self.disk) if voted and self.disk is not None and self.disk.born else ""
+        self.kill()
+        self.disk = disk or self.disk
+        told = told if early is None else early
+        self.fleet.network.after(late_ms, lambda: None if self.owners is not None else self.start(told))
+
     def _came(self, source: str, data: bytes) -> None:
         assert self.owners is not None
         self.owners.came(source, data, self.fleet.network.now_ms)
@@ -395,6 +408,12 @@
                 disk = self.processes[name].disk
                 assert disk is not None
                 self.processes[name].old_disk = disk.copy()
+            case "handover" if self.processes[name].owners is not None:
+                process, old = self.processes[name], self.processes[name].old_disk
+                swapped = (
+                    old if rng.random() < 0.3 and name in self.members and not self._bad_disk() else None
+                )
+                process.hand_over(rng.uniform(1.0, 300.0), swapped)
             case "power" if not self._bad_disk():
                 for each in self.members:
                     self.kill(each)
@@ -437,6 +456,8 @@
     "no disk",
     "yesterday",
     "backup",
+    "handover",
+    "handover",
     "power",
     "drain",
     "lag",
--- a/packages/owners/tests/test_owners_file.py
+++ b/packages/owners/tests/test_owners_file.py
@@ -6,7 +6,7 @@
 
 import pytest
 from larkweir_owners import keeper_file
-from larkweir_owners.keeper import Disk, Entry, HeardEntry, SelfEntry, SetEntry, Slot, SlotEntry
+from larkweir_owners.keeper import Disk, Entry, HeardEntry, Keeper, SelfEntry, SetEntry, Slot, SlotEntry, mark
 from larkweir_owners.keeper_file import Folder, KeeperFile, load
 from larkweir_owners.messages import KeeperSet, Record
 
@@ -196,3 +196,36 @@
             data += keeper_file.frame(serial, entry)
         found = load(data, SET)
         assert found is not None and found[0] == disk
+
+
+def test_what_is_told_of_a_closed_file_is_all_of_it_and_only_of_a_keeper_that_voted() -> None:
+    model = Model()
+    file = KeeperFile(model, SET, lambda: 77)
+    file.open()
+    assert file.put(ENTRIES)
+    held = file.disk.copy()
+    told = file.close((1, 4))
+    assert told == mark(held) and not file.put(ENTRIES[:1])
+    again = KeeperFile(model, SET, lambda: 78)
+    assert Keeper("a", again.open(), told).votes_as == (1, 4)
+    assert again.put([HeardEntry((("b", (2, 5, 0)),))])  # no promise, and yet another disk
+    assert Keeper("a", again.disk.copy(), told).votes_as is None
+    assert again.close(None) == ""  # it did not vote
+    other = KeeperFile(model, SET, lambda: 79)
+    other.open()
+    assert other.close((2, 77)) == ""  # its new life had not come to the disk
+    full = KeeperFile(model, SET, lambda: 80)
+    full.open()
+    model.fail_at = model.calls + 1
+    assert not full.put(ENTRIES) and full.close((1, 4)) == ""
+
+
+@pytest.mark.parametrize("at", range(len(ENTRIES)))
+def test_a_mark_tells_any_two_states_apart(at: int) -> None:
+    disk = Disk(77, SET)
+    seen = {mark(disk)}
+    for entry in ENTRIES[: at + 1]:
+        disk.put(entry)
+        assert mark(disk) not in seen
+        seen.add(mark(disk))
+    assert mark(disk.copy()) in seen
--- a/packages/owners/tests/test_owners_rules.py
+++ b/packages/owners/tests/test_owners_rules.py
@@ -11,7 +11,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from larkweir_owners.effects import Followers
-from larkweir_owners.keeper import Disk, Keeper, Slot
+from larkweir_owners.keeper import Disk, Keeper, Slot, mark
 from larkweir_owners.messages import (
     MOST_BATCH,
     MOST_ITEM,
@@ -59,7 +59,7 @@
 
 def keeper(life: tuple[int, int] = (1, 10), answers: int = 0) -> Keeper:
     disk = Disk(life[1], SET, life, True, answers, {"k1": (1, 11, 0), "k2": (1, 12, 0)})
-    return Keeper("k0", disk, (life, answers))
+    return Keeper("k0", disk, mark(disk))
 
 
 def only(sent: list[tuple[str, AnyItem]]) -> AnyItem:
@@ -334,7 +334,8 @@
     """No majority took it; still each round of the next set meets it, so that one may say that it counts."""
     four = KeeperSet(1, ("k0", "k1", "k2", "k3"))
     three = KeeperSet(2, ("k0", "k1", "k2"), four.names)
-    keepers = {n: Keeper(n, Disk(1, four, (1, 1), True), ((1, 1), 0)) for n in four.names}
+    disk = Disk(1, four, (1, 1), True)
+    keepers = {n: Keeper(n, disk.copy(), mark(disk)) for n in four.names}
     took = Record(1, 1, "p", 9)
     checker, mail, results = Checker(), Post(), list[Result]()
 
--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -1,13 +1,15 @@
 """Whole fleets of the rules under seeded faults; run as a program, with FIRST and LAST, it plays those seeds.
 
-Faults: owners stopped for up to three leases and woken, kills, no disk, yesterday's disk, all keepers at once, drains,
-lag, cuts both ways and one way, a disk that can't be written, loss, copies, long delays, changes of the set of keepers.
+Faults: owners stopped for up to three leases and woken, kills, no disk, yesterday's disk, handovers, all keepers at
+once, drains, lag, cuts both ways and one way, a disk that can't be written, loss, copies, long delays, changes of the
+set of keepers.
 """
 
 import sys
 
 import pytest
 from fleet_owners import BrokenError, Fleet
+from larkweir_owners.keeper import mark
 from larkweir_owners.messages import Record
 from larkweir_owners.terms import Phase, Times
 
@@ -134,6 +136,49 @@
         assert len({term._renewed_ms for term in owned}) == 1 < len(owned)
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_a_successor_that_is_told_what_was_closed_votes_at_once(seed: int) -> None:
+    fleet = settled(seed)
+    for name in fleet.members:  # each is dead while the next hands over: two are left, and both must vote
+        process = fleet.processes[name]
+        before = process.disk.copy() if process.disk is not None else None
+        process.hand_over(20.0)
+        fleet.run(25.0)
+        assert fleet.votes(name)
+        fleet.run(1500.0)
+        process.hand_over(20.0, before)  # an older copy is in its place by then
+        fleet.run(25.0)
+        assert not fleet.votes(name)
+        assert fleet.run_until(lambda name=name, fleet=fleet: fleet.votes(name), 8000.0)
+
+
+@pytest.mark.parametrize("early", [False, True])
+def test_a_predecessor_that_tells_before_it_has_stopped_voting_is_found(early: bool) -> None:
+    """A planted fault, and the same without it: what is told of one keeper misses what it took last, the second has
+    not seen that, and the third, who has, dies."""
+    broken = 0
+    for seed in range(4):
+        fleet = settled(seed, processes=6)
+        first, second, third = (fleet.processes[name] for name in fleet.members)
+        assert first.disk is not None
+        disk = first.disk.copy()
+        fleet.network.split([[second.name]])
+        fleet.run(600.0)
+        if early:
+            first.hand_over(20.0, disk, mark(disk))
+        else:
+            first.hand_over(20.0)
+        third.kill()
+        fleet.network.heal()
+        try:
+            fleet.run(100.0)
+            fleet.look(fleet.processes[fleet.names[5]], "duty0")  # must not be older than what counted
+            fleet.run(4000.0)
+        except BrokenError:
+            broken += 1
+    assert broken == (4 if early else 0)
+
+
 def test_without_a_majority_nobody_owns_and_status_says_so() -> None:
     fleet = settled(3)
     for name in fleet.members[:2]:
--- a/tests/fleet/test_owners.py
+++ b/tests/fleet/test_owners.py
@@ -192,6 +192,8 @@
             await first.ended()
             await first.said("owners: drill given up: a successor goes on")
             await first.said("owners: drill owned here, term ", 2)
+            modes = [line.split()[-1] for line in first.log if "owners: keeper: " in line]
+            assert modes[modes.index("voting") :] == ["voting", "voting"]  # it asked nobody
             count = len(effects(first))
             async with asyncio.timeout(PATIENCE_S):
                 while len(effects(first)) <= count:
