A request sent ahead has the time that is left behind the one before it

A message that has to wait behind another keeps when it came, and that wait is taken off its time; requests that wait for nothing read no clock. Not taken: a timer of its own for each that waits, which would answer out of order.

--- a/larkweir/core/intake.py
+++ b/larkweir/core/intake.py
@@ -75,5 +75,8 @@
                     return None
                 # Guards the open request: a second under its id could not be told from a copy of it.
                 raise FramingError(409, "a request with this id is open, or was until lately")
+            if message.came_ms:  # its caller has waited since then
+                left = max(0.0, left - (self.engine.clock.now_ms() - message.came_ms))
+                event.time_left_ms = left
             return self.engine.arrive(caller, message, left, trace, event)
         return None
--- a/larkweir/core/message.py
+++ b/larkweir/core/message.py
@@ -62,7 +62,7 @@
     look-ups go by lower case.
     """
 
-    __slots__ = ("body", "headers", "keep_alive", "method", "minor", "status", "stream", "target")
+    __slots__ = ("body", "came_ms", "headers", "keep_alive", "method", "minor", "status", "stream", "target")
 
     def __init__(self) -> None:
         self.method = b""
@@ -73,6 +73,7 @@
         self.stream: Stream | None = None  # the body, where it is passed on while it comes
         self.keep_alive = True
         self.minor = 1  # of HTTP/1.x
+        self.came_ms = 0.0  # since when it has waited behind another request of its connection; 0: it has not
 
     def values(self, name: bytes) -> list[bytes]:
         return [value for key, value in self.headers if key.lower() == name]
--- a/larkweir/protocols/http1/callers.py
+++ b/larkweir/protocols/http1/callers.py
@@ -93,6 +93,8 @@
         if came:
             self.fresh = False
             for message in came:
+                if self._current is not None or self._waiting:
+                    message.came_ms = self._engine.clock.now_ms()
                 self._waiting.append(message)
                 self._size += message.size
                 if message.stream is not None:
--- a/tests/protocols/http1/test_callers.py
+++ b/tests/protocols/http1/test_callers.py
@@ -153,6 +153,36 @@
     run(work())
 
 
+def test_a_request_sent_ahead_has_the_time_that_is_left_behind_the_one_before_it() -> None:
+    """Its caller has waited since it came: seen in simulated days, answered after twice its deadline."""
+
+    async def work() -> None:
+        asked, goes_on = asyncio.Event(), asyncio.Event()
+
+        async def slow(request: Incoming, talk: Talk) -> None:
+            asked.set()
+            await goes_on.wait()
+            await talk.send(ok())
+
+        upstream, script = await FakeUpstream(slow).start(), Script([1])
+        async with (
+            running(upstream.entry("a"), script=script) as balancer,
+            Caller(balancer.port) as caller,
+            asyncio.timeout(PATIENCE_S),
+        ):
+            caller.send(request_bytes() + request_bytes())
+            await asked.wait()
+            balancer.engine.clock.offset_ms += 1_000.0
+            goes_on.set()
+            assert [(await caller.answer()).status for _ in range(2)] == [200, 200]
+        upstream.close()
+        first, second = [e.time_left_ms for e in script.events if isinstance(e, RequestArrived)]
+        assert first == 8000.0
+        assert 0.0 < second <= 7000.0
+
+    run(work())
+
+
 def test_a_body_is_asked_for_where_the_caller_waits_for_leave() -> None:
     """Guards callers that send `Expect: 100-continue`, which would else wait for nothing."""
 
