--- a/standins/world/callers.py
+++ b/standins/world/callers.py
@@ -52,6 +52,7 @@
                 continue
             asking = self.out.popleft()
             asking.statuses.append((now_s, status))
+            asking.answer_at = answer.at
             self.transport.loop.clock.note(f"{asking.trace} answered {status}")
             if status == 200 and not answer.body.startswith(asking.trace.encode()):
                 asking.wrong = answer.body[:40].decode("latin-1")
--- a/standins/world/story.py
+++ b/standins/world/story.py
@@ -68,6 +68,7 @@
     offset: int = 0  # of its first byte
     size: int = 0
     statuses: list[tuple[float, int]] = field(default_factory=list)
+    answer_at: int = 0  # the offset of its answer's first byte
     lost_s: float = 0.0  # when its connection was over without an answer
     why: str = ""
     wrong: str = ""  # an answer that is not its own
@@ -81,7 +82,8 @@
 @dataclass
 class Story:
     history: list[Event] = field(default_factory=list)
-    told: list[Told] = field(default_factory=list)
+    told: list[Told] = field(default_factory=list)  # of a drain
+    listed: list[Told] = field(default_factory=list)  # that it is there
     came: list[Came] = field(default_factory=list)
     asked: dict[str, Asking] = field(default_factory=dict)
     faults: list[str] = field(default_factory=list)  # seen at once
