--- a/tests/protocols/fastcgi/test_machines.py
+++ b/tests/protocols/fastcgi/test_machines.py
@@ -253,9 +253,7 @@
         assert self.it.held < 4 * 70_000
 
 
-Callers.TestCase.settings = settings(
-    max_examples=60, stateful_step_count=30, deadline=None, derandomize=True
-)
+Callers.TestCase.settings = settings(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True)
 TestCallers = Callers.TestCase
 
 
