--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -18,15 +18,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Times:
-    """Milliseconds. A lease is renewed three times, and looked at six times."""
+    """Milliseconds. A lease is renewed twice. Who watches it reads it once nothing has come for somewhat longer, then
+    six times a lease."""
 
     lease_ms: float = 3000.0
-    step_ms: float = 100.0  # between two steps of a duty that has something to do
+    step_ms: float = 100.0  # between two steps of a duty that nobody pokes
+    poke_ms: float = 50.0  # between two steps at the least, however often it is poked
     settle_leases: float = 10.0  # held for so long before it may go to its preferred place
 
     @property
     def renew_ms(self) -> float:
-        return self.lease_ms / 3
+        return self.lease_ms / 2
+
+    @property
+    def quiet_ms(self) -> float:
+        return self.lease_ms * 7 / 12
 
     @property
     def look_ms(self) -> float:
@@ -52,7 +58,8 @@
 
 class Term:
     """`announce` is told each record that counts and that followers should have. `heard` gives the highest version that
-    this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more."""
+    this process has seen of the duty anywhere; a new term is above that too. `remind` tells the heir once more;
+    `renewed` tells those that watch, whether or not it is news to anybody else."""
 
     def __init__(
         self,
@@ -63,6 +70,7 @@
         announce: Callable[[str, Record], None],
         heard: Callable[[str], Version],
         remind: Callable[[str, Record], None],
+        renewed: Callable[[str, Record], None],
     ) -> None:
         self.duty, self.me, self.times = duty, me, times
         self.key = duty.name
@@ -77,10 +85,13 @@
         self._registers = registers
         self._announce = announce
         self._remind = remind
+        self._renewed = renewed
         self._reminders = 0
         self._heard = heard
         self._now_ms = 0.0
-        self._changed_ms = 0.0  # when the record was first seen as it is
+        self._changed_ms = 0.0  # when its owner was seen to be there last
+        self._learned_ms = 0.0  # when the record was first seen as it is
+        self._read_ms = float("-inf")
         self._renewed_ms = float("-inf")  # when the last write that counted was begun
         self._took_ms = 0.0
         self._busy = False  # a write is under way, or a read that an owner waits for
@@ -93,6 +104,7 @@
         self._rest_ms = 0.0  # takes none before
         self._wanted_ms = 0.0  # somebody else was preferred since; 0.0 when not
         self._step_ms = 0.0
+        self._last_ms = float("-inf")  # when it was stepped last
 
     # What is asked of it
 
@@ -117,7 +129,7 @@
         self._rank, self._heir = rank, heir
 
     def give_up(self, now_ms: float, rest_ms: float) -> None:
-        """Hand over, and take no term for `rest_ms`."""
+        """Hand over, and let others go first for `rest_ms` (inf: take none)."""
         self._now_ms = now_ms
         self._rest_ms = max(self._rest_ms, now_ms + rest_ms)
         if self.owns:
@@ -128,18 +140,27 @@
         """It may take terms again."""
         self._rest_ms = 0.0
 
-    def saw(self, record: Record, now_ms: float) -> None:
-        """A record that counts has come from elsewhere: as good as one that was read, but it may be old."""
+    def saw(self, record: Record, now_ms: float, source: str = "") -> None:
+        """A record that counts has come from elsewhere: as good as one that was read, but it may be old, and is no sign
+        that its owner is there now unless that is the `source`."""
         self._now_ms = max(now_ms, self._now_ms)
         if self.record is None or record.version > self.record.version:
             if not self._busy and not self._is_mine(record):
                 if self.owns:  # another has it, or nobody: what this process held is over
                     self.refused += 1
                     self.phase, self._give = Phase.WATCHING, False
-                self._know(record)
+                self._know(record, fresh=source == record.owner)
+                self.majority = True  # one has taken it
             if self._may_take(now_ms):
                 self.next_ms = now_ms
 
+    def poke(self, now_ms: float) -> None:
+        """The duty has something to do: its step is due as soon as it may be."""
+        if self.phase is Phase.OWNER:
+            self._step_ms = min(self._step_ms, max(now_ms, self._last_ms + self.times.poke_ms))
+            if not self._busy:
+                self.next_ms = min(self.next_ms, self._step_ms)
+
     def tick(self, now_ms: float) -> None:
         late = now_ms - max(self.next_ms, self._now_ms)
         self._now_ms = now_ms
@@ -159,8 +180,12 @@
             self.next_ms = now_ms + REMIND_MS
             if self.record is not None and self.record.heir and not self.record.owner:
                 self._remind(self.key, self.record)
+        elif self._rank is not None and self._hears(now_ms):
+            self.next_ms = self._changed_ms + self.times.quiet_ms
         elif self._rank is not None:
             self.next_ms = now_ms + self.times.look_ms
+            if now_ms < self._free_ms and self.majority:
+                self.next_ms = min(self.next_ms, self._free_ms)
             if not self._asking:
                 self._asking = True
                 self._registers.read(self.key, self._looked)
@@ -169,6 +194,12 @@
 
     # Watching
 
+    def _hears(self, now_ms: float) -> bool:
+        """Its owner tells: as good as a read."""
+        record = self.record
+        quiet = now_ms - self._changed_ms
+        return self.majority and record is not None and bool(record.owner) and quiet < self.times.quiet_ms
+
     def _looked(self, result: Result) -> None:
         self._asking = False
         if self._busy or self.owns:  # it has taken the duty meanwhile, or is about to
@@ -176,8 +207,10 @@
         self.majority = result.outcome is not Outcome.UNKNOWN
         if not self.majority:
             return
+        fresh = self._now_ms - self._read_ms <= 2 * self.times.look_ms
+        self._read_ms = self._now_ms
         if result.record is not None:
-            self._know(result.record)
+            self._know(result.record, fresh)
         elif self.record is None and self._changed_ms == 0.0:
             self._changed_ms = self._now_ms
         if self._may_take(self._now_ms):
@@ -186,34 +219,47 @@
     def _is_mine(self, record: Record) -> bool:
         return (record.owner, record.life) == self.me
 
-    def _know(self, record: Record) -> None:
-        if self.record is None or record.version > self.record.version:
+    def _know(self, record: Record, fresh: bool = True) -> None:
+        """`fresh`: it was written just now, as far as can be told."""
+        before = self.record
+        if before is None or record.version > before.version:
             self.record = record
-            self._changed_ms = self._now_ms
+            self._learned_ms = self._now_ms
+            if before is None or fresh or (record.term, record.owner) != (before.term, before.owner):
+                self._changed_ms = self._now_ms
 
     def _may_take(self, now_ms: float) -> bool:
         """Nobody holds it, or whoever does was not heard for a lease; the preferred first, others a little later.
 
-        What it is handed by name it takes also while it rests from having stood still: whoever gave it does not know
-        of that, and all others wait for it. Not while it drains: that rest has no end.
+        What it is handed by name it takes at once, also while it rests from having stood still: whoever gave it does
+        not know of that, and all others wait for it. Not while it drains: that rest has no end.
         """
         if self.owns or self._busy or self._rest_ms == inf:
             return False
-        record, lease = self.record, self.times.lease_ms
+        record = self.record
         if record is not None and not record.owner and record.heir == self.me[0]:
             return True
-        if now_ms < self._rest_ms:
-            return False
         if self._rank is None or not self.majority:
             return False
-        if record is not None and self._is_mine(record):
+        if record is not None and self._is_mine(record) and now_ms >= self._rest_ms:
             return True  # taken by a write whose end was not known
-        wait = 0.25 * self._rank * lease
+        return now_ms >= self._free_ms
+
+    @property
+    def _free_ms(self) -> float:
+        """When this candidate may take it, if nothing more is heard.
+
+        Who rests from having stood still lets all others go first: had none of them taken it by then, they stand still
+        or rest as well, and a fourth would move up only once membership has counted the first as lost. What was learned
+        late says that the owner was there some time: one that is there renews within half a lease.
+        """
+        record, lease = self.record, self.times.lease_ms
+        wait = 0.25 * (self._rank or 0) * lease
+        if self._now_ms < self._rest_ms:
+            wait += 0.5 * lease
         if record is None or not record.owner:
-            return now_ms - self._changed_ms >= (
-                wait if record is None or not record.heir else wait + lease / 4
-            )
-        return now_ms - self._changed_ms >= lease + wait
+            return self._changed_ms + wait + (lease / 4 if record is not None and record.heir else 0.0)
+        return max(self._changed_ms + lease + wait, self._learned_ms + 4 * self.times.look_ms)
 
     def _take(self, now_ms: float) -> None:
         expected = self.record.version if self.record is not None else NO_VERSION
@@ -229,8 +275,8 @@
         if result.outcome is not Outcome.DONE:
             self.phase = Phase.WATCHING
             self.majority = result.outcome is Outcome.CONFLICT
-            if result.record is not None:
-                self._know(result.record)
+            if result.record is not None:  # it may be this round that has ended what its owner left half done
+                self._know(result.record, fresh=False)
             self.next_ms = self._now_ms + self.times.look_ms
             return
         self.taken += 1
@@ -265,15 +311,35 @@
             self._write(self.record.version, gone, self._gave)
             return
         if not self.rests and now_ms >= self._step_ms:
-            self._step_ms = now_ms + self.times.step_ms
+            self._last_ms, self._step_ms = now_ms, _moment(now_ms, self.times.step_ms)
             value = self._step(now_ms)
             if value is not None:
                 self._write(self.record.version, self._next(value, 1), self._stepped)
                 return
-        if now_ms - self._renewed_ms >= self.times.renew_ms:
-            self._write(self.record.version, self._next(self.record.value, 0), self._stepped)
+        if now_ms >= self._renew_ms:
+            self._renew()
             return
-        self.next_ms = min(self._step_ms, self._renewed_ms + self.times.renew_ms)
+        self.next_ms = min(self._step_ms, self._renew_ms)
+
+    @property
+    def _renew_ms(self) -> float:
+        return self._renewed_ms + self.times.renew_ms
+
+    @property
+    def writes(self) -> bool:
+        """A write of what it owns is under way."""
+        return self._busy and self.phase is Phase.OWNER
+
+    def ride(self, now_ms: float) -> None:
+        """Another duty of this process writes just now: a lease that is due soon goes with it."""
+        soon = now_ms >= self._renew_ms - self.times.renew_ms / 3
+        if soon and self.phase is Phase.OWNER and not self._busy and not self._give:
+            self._now_ms = now_ms
+            self._renew()
+
+    def _renew(self) -> None:
+        assert self.record is not None
+        self._write(self.record.version, self._next(self.record.value, 0), self._stepped)
 
     def _step(self, now_ms: float) -> bytes | None:
         assert self.record is not None
@@ -358,9 +424,7 @@
     def _counts(self, record: Record) -> None:
         """A majority has it, and it is this process's."""
         self._know(record)
-        self.next_ms = (
-            min(self._step_ms, self._renewed_ms + self.times.renew_ms) if not self._give else self._now_ms
-        )
+        self.next_ms = min(self._step_ms, self._renew_ms) if not self._give else self._now_ms
         self._tell(record)
 
     def _tell(self, record: Record) -> None:
@@ -371,3 +435,10 @@
         if not record.owner or record.term != last[0] or record.effects != self._told_effects:
             self._told, self._told_effects = record.version, record.effects
             self._announce(self.key, record)
+        if record.owner:
+            self._renewed(self.key, record)
+
+
+def _moment(after_ms: float, every_ms: float) -> float:
+    """The next of the moments that all duties of a process share, so that what they write goes together."""
+    return (after_ms // every_ms + 1.0) * every_ms
