--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -26,6 +26,7 @@
 TAKEN = re.compile(r"owners: \w+ (\d+)\.(\d+) taken$")
 # Whoever has stood still finds that out by its timer or by a datagram, whichever comes first.
 RATES = re.compile(r"(the fleet saw that it fails more: ).*$")  # what had come by then goes by the clock
+PROPOSALS = re.compile(r"(edits: .*?) \((.*)\)$")
 LATE = re.compile(r"(owners: drill given up: )(?:<n> ms late|\S+ has it)$")
 
 
@@ -82,6 +83,8 @@
             value = self.found.get(key, "0")
             if key == "owners":
                 value = re.sub(r":(\d+)\.\d+$", lambda found: f":{self.fleet.term(int(found[1]))}.<n>", value)
+            if key == "edits_tables":
+                value = self.fleet.mark(value)
             words.append(f"{key.replace('drop_', 'peers_dropped=... ')}={value}")
         self.script.line(self.name, "operator", " ".join(words))
 
@@ -91,12 +94,18 @@
             line = await self._log.take()
             if self._stood:
                 line = LATE.sub(r"\1it stood still", line)
+            line = PROPOSALS.sub(self._proposals, line)
             line = RATES.sub(r"\1<rates>", line)
             line = re.sub(
                 r"(owned here, term )(\d+)", lambda found: found[1] + self.fleet.term(int(found[2])), line
             )
             self.script.line(self.name, "log", line)
 
+    def _proposals(self, found: re.Match[str]) -> str:
+        """Who says what, by their names here: the log has them by their addresses. Lives of writers are drawn."""
+        said = re.sub(r"#[0-9a-f]{8}", "", found[2]).split("; ")
+        return f"{found[1]} ({'; '.join(sorted(map(self.script.named, said)))})"
+
     def gets(self, number: signal.Signals, pid: int | None = None) -> None:
         self._stood = self._stood or number is signal.SIGSTOP
         super().gets(number, pid)
@@ -140,14 +149,18 @@
         order = "no step back" if self.parts == sorted(self.parts) else f"A STEP BACK: {self.parts}"
         self.script.line(self.name, "operator", f"the canary has {least:.0%} or more, {order}")
 
-    async def reloads(self, old: str, new: str) -> None:
-        """The operator's file with one passage changed, and SIGHUP."""
+    async def reloads(self, old: str, new: str, edits: int = 0) -> None:
+        """The operator's file with one passage changed, and SIGHUP. `edits`: so many are made of it."""
         text = self.operator_path.read_text()
         assert old in text
         self.operator_path.write_text(text.replace(old, new))
-        self.script.line("operator", self.name, f"its file says {'; '.join(new.split(chr(10))).strip('; ')}")
+        said = "; ".join((new or old).strip().split("\n"))
+        self.script.line("operator", self.name, f"its file says {'' if new else 'no more '}{said}")
+        self._seen -= {line for line in self._seen if "of this reload" in line}
         self.gets(signal.SIGHUP)
         await self.tells("RELOADING")
+        if edits:
+            await self.says(f"edits: {edits} made of this reload")
         await self.tells("READY")
 
     async def takes_more(self, effects: int) -> None:
@@ -166,6 +179,7 @@
         self._scene = scene
         self.members: list[Member] = []
         self._terms: list[int] = []
+        self._marks: list[str] = []
         self._waiting: list[tuple[str, str, str, tuple[Server, ...]]] = []  # not up yet
 
     async def start(self, *upstreams: Server, **more: Any) -> None:
@@ -183,9 +197,9 @@
         lifecycle: str = "",
         **tables: dict[str, Any],
     ) -> None:
-        """Nobody is up yet. `tables`: rows of [peers], and of [owners]: with these all are keepers. `more`: peers'
-        addresses that others have. `relay`: all datagrams go through it. `text`: further tables; `lifecycle`: further
-        lines of [lifecycle].
+        """Nobody is up yet. `tables`: rows of [peers], of [owners], with which all are keepers, and of [edits]. `more`:
+        peers' addresses that others have. `relay`: all datagrams go through it. `text`: further tables; `lifecycle`:
+        further lines of [lifecycle].
         """
         own = [f"127.0.0.1:{free_port()}" for _ in names]
         addresses = own
@@ -199,6 +213,9 @@
             if "owners" in tables:
                 keeps = {"keepers": addresses, "folder": str(self._scene.folder / f"{name}-keeper")}
                 rows["owners"] = {"on": True, "duties": ["drill"]} | keeps | tables["owners"]
+            if "edits" in tables:
+                rows["edits"] = {"on": True, "folder": str(self._scene.folder / f"{name}-edits")}
+                rows["edits"] |= tables["edits"]
             self._waiting.append((name, address, lifecycle + written(rows) + text, upstreams))
 
     async def rest(self, up: int | None = None) -> None:
@@ -274,6 +291,26 @@
             self._terms.append(term)
         return f"<term {'ABCDEFGH'[self._terms.index(term)]}>"
 
+    def mark(self, mark: str) -> str:
+        """Merged tables by the order in which the scene meets them."""
+        if mark not in self._marks:
+            self._marks.append(mark)
+        return f"<tables {'ABCDEFGH'[self._marks.index(mark)]}>"
+
+    async def agree(self, edits: int | None = None) -> None:
+        """Until all have the same tables, and so many edits; then each says so."""
+        counted = {} if edits is None else {"edits": str(edits)}
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                for it in self.members:
+                    await it.looks(edits_state="ok", **counted)
+                marks = {it.found["edits_tables"] for it in self.members}
+                if len(marks) == 1:
+                    break
+                await asyncio.sleep(0.05)
+        for it in self.members:
+            await it.shows(**counted, edits_tables=next(iter(marks)))
+
     def over(self) -> None:
         """What is said of owners while one after the other ends goes by who is left."""
         for it in self.members:
--- a/tests/scenes/test_duties.py
+++ b/tests/scenes/test_duties.py
@@ -186,6 +186,6 @@
     await asked(s, third, "v", 20, u0, far)
 
     s.script.part("Lifted")
-    await first.reloads(*reversed(EVACUATED))
+    await first.reloads(EVACUATED[1], EVACUATED[0])
     await first.shows(pools="default:2,main:2")
     fleet.over()
