A line on a row that was deleted says who deleted it and who has it

Cause: a transcript showed "it stays (north says False; south says True)", which no staff can read. Not taken: a word of its own in the package's `Told`: the value is right there, the words are the balancer's.

--- a/larkweir/fleet/edits/words.py
+++ b/larkweir/fleet/edits/words.py
@@ -23,13 +23,20 @@
 
 def line_of(told: Told) -> str:
     """One line of the log."""
-    asked = [f"{writer} says {_short(value)}" for writer, value in told.proposals[:MOST_ASKED]]
+    asked = [f"{writer} {_said(told, value)}" for writer, value in told.proposals[:MOST_ASKED]]
     more = len(told.proposals) - len(asked)
     if more > 0:
         asked.append(f"and {more} more")
     return f"edits: {key_of(told)}: {told.why}" + (f" ({'; '.join(asked)})" if asked else "")
 
 
+def _said(told: Told, value: Any) -> str:
+    """Of a row's own being there, in words."""
+    if not told.unit and isinstance(value, bool):
+        return "has it" if value else "deleted it"
+    return f"says {_short(value)}"
+
+
 def _short(value: Any) -> str:
     text = repr(value)
     return text if len(text) <= MOST_VALUE else text[: MOST_VALUE - 3] + "..."
--- a/tests/fleet/test_edits_tables.py
+++ b/tests/fleet/test_edits_tables.py
@@ -180,6 +180,11 @@
     assert len(names_of(told)) <= 160 and names_of(told).startswith("route.r0.path,route.r1.path")
 
 
+def test_a_line_says_who_has_a_row_and_who_deleted_it() -> None:
+    told = Told("route", "r", "", "it stays", (("north", False), ("south", True)))
+    assert Lines().of([told], 1.0) == ["edits: route.r: it stays (north deleted it; south has it)"]
+
+
 ON = f'{PEERS}[edits]\non = true\nfolder = "/x"\n'
 
 
