--- a/tests/lifecycle/test_parts.py
+++ b/tests/lifecycle/test_parts.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from larkweir.config.fleet_tables import Captures
 from larkweir.config.options import Budget, Door, Fastcgi, Log, Operator, Remembered, Store, Storms
 from larkweir.lifecycle.node import PARTS
 
@@ -18,6 +19,7 @@
     "larkweir.membership.remembered.part": replace(Operator(), remembered=Remembered(known=True)),
     "larkweir.door.part": replace(Operator(), door=Door(on=True)),
     "larkweir.budget.part": replace(Operator(), budget=Budget(on=True)),
+    "larkweir.fleet.captures.part": replace(Operator(), captures=Captures(on=True)),
 }
 
 
