--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -7,7 +7,7 @@
 from ipaddress import ip_network
 from typing import Any, Literal
 
-from larkweir.config.fleet_tables import Owners, Peers
+from larkweir.config.fleet_tables import Captures, Edits, Owners, Peers
 from larkweir.config.keys import Change, Merge, Unit, listen_address, option
 
 
@@ -368,6 +368,8 @@
     remembered: Remembered = field(default_factory=Remembered)
     peers: Peers = field(default_factory=Peers)
     owners: Owners = field(default_factory=Owners)
+    edits: Edits = field(default_factory=Edits)
+    captures: Captures = field(default_factory=Captures)
     retries: Retries = field(default_factory=Retries)
     ejection: Ejection = field(default_factory=Ejection)
     queue: Queue = field(default_factory=Queue)
@@ -401,6 +403,8 @@
     "remembered": Remembered,
     "peers": Peers,
     "owners": Owners,
+    "edits": Edits,
+    "captures": Captures,
     "retries": Retries,
     "ejection": Ejection,
     "queue": Queue,
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from dataclasses import fields
+from typing import Any, NamedTuple
 
 from larkweir.config.fleet_tables import Peers
 from larkweir.config.keys import listen_address
-from larkweir.config.options import Operator
+from larkweir.config.options import Operator, Pool, Route
 from larkweir.config.platform import Config, ConfigError
 
 
@@ -44,6 +45,23 @@
     return Peering(listen, name, others)
 
 
+def capturing(options: Operator, config: Config) -> str:
+    """The name by which other hops know this process, where `[captures]` is on. ConfigError, one line, where it can't
+    be. Without peers the names only show the way that a request took: nobody is asked by them.
+    """
+    if not config.may_peer:
+        raise ConfigError(
+            "captures.on: the platform's settings forbid that balancers speak to each other "
+            "(settings.PolicyLimits.Peers); write on = false"
+        )
+    if options.peers.on:
+        return peering(options.peers, config).name
+    plain = "".join(
+        mark if mark.isascii() and (mark.isalnum() or mark in "._-") else "-" for mark in config.name
+    )
+    return plain[:48] or "balancer"
+
+
 def keeping(options: Operator, config: Config) -> Peering:
     """Who this process is among its peers, where `[owners]` is on. ConfigError, one line, where it can't be."""
     own = options.owners
@@ -57,3 +75,20 @@
     if found.name in own.keepers and not own.folder:
         raise ConfigError(f"owners.folder: {found.name} is a keeper: say where it keeps what it has promised")
     return found
+
+
+def merging(options: Operator, config: Config) -> Peering:
+    """Who this process is among its peers, where `[edits]` is on. ConfigError, one line, where it can't be."""
+    if not options.peers.on:
+        raise ConfigError("edits.on: it needs peers: write on = true in [peers], or false here")
+    found = peering(options.peers, config)
+    if options.storms.on:
+        raise ConfigError("edits.on: the storms part knows one pool; write on = false for one of them")
+    for text in options.edits.settle:
+        table, _, rest = text.partition(".")
+        rows: dict[str, Any] = options.routes if table == "route" else options.pools
+        name, _, key = rest.rpartition(".")
+        kind = Route if table == "route" else Pool
+        if rest not in rows and key in {item.name for item in fields(kind)} and name not in rows:
+            raise ConfigError(f"edits.settle: {text}: this file has no [{table}.{name}] to go by")
+    return found
