The list of peers changes on a reload, while they run

Now `peers` counts live: who went is forgotten with all that was known or waited for, who came is taken to be there, who stays keeps all. Kept are the windows of numbers of 1,024 that went, else what they said could be played again. Not taken: adding names by rumour, since then the list is no operator's. A reload that leaves a keeper out is refused whole. A process that is asked about a name that it does not list says that it is here.

--- a/larkweir/config/changes.py
+++ b/larkweir/config/changes.py
@@ -31,7 +31,7 @@
     "limits.memory_mb": (Change.LIVE, "the room for bytes is resized; what is held stays"),
     "limits.sockets": (Change.LIVE, "the budgets of callers and upstreams are resized; open ones stay"),
     "peer_listen": (Change.HANDOVER, "used with [peers] alone; the socket is opened at a start"),
-    "peers": (Change.HANDOVER, "used with [peers] alone"),
+    "peers": (Change.LIVE, "used with [peers] alone; who stays keeps all that is known of it"),
     "known": (Change.START, "counts until discovery has answered"),
     "settings": (Change.HANDOVER, "the decisions are built on it"),
     "settings.Categories": (Change.LIVE, "classes come and go; requests that are here keep theirs as it was"),
--- a/larkweir/config/fleet_tables.py
+++ b/larkweir/config/fleet_tables.py
@@ -17,7 +17,7 @@
     # The address by which the others list this process, where it is not the one it listens at.
     name: str = option("", Change.HANDOVER)
     # The whole fleet, each "address:port"; this process may be among them. Empty: as the platform's file says.
-    peers: tuple[str, ...] = option((), Change.HANDOVER)
+    peers: tuple[str, ...] = option((), Change.LIVE)
     # A file of one to four lines, each a key: the first signs, all are believed. "": loopback addresses alone.
     key_file: str = option("", Change.HANDOVER)
     # From probe to probe, and until others are asked about one that has not answered.
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -71,7 +71,10 @@
     known = {found.name, *found.others}
     stranger = next((name for name in own.keepers if name not in known), None)
     if stranger is not None:
-        raise ConfigError(f"owners.keepers: {stranger} is none of the {len(known)} peers")
+        raise ConfigError(
+            f"owners.keepers: {stranger} is none of the {len(known)} peers; a keeper stays in the list until a "
+            "handover has put another in its place"
+        )
     if found.name in own.keepers and not own.folder:
         raise ConfigError(f"owners.folder: {found.name} is a keeper: say where it keeps what it has promised")
     return found
--- a/larkweir/fleet/part.py
+++ b/larkweir/fleet/part.py
@@ -32,6 +32,7 @@
     peers: Socket | None
     closers: list[Callable[[], None]]
     facts: list[Callable[[], dict[str, object]]]
+    generations: list[Callable[[Config, Operator | None], None]]
 
 
 def attach(host: Host, options: Operator) -> None:
@@ -55,6 +56,16 @@
     host.closers.append(sock.close)
     host.facts.append(sock.facts)
 
+    def relist(config: Config, options: Operator | None) -> None:
+        """A reload: the list alone counts now; the reading has checked it (`peering`)."""
+        if options is None:
+            return
+        line = sock.relist(peering(options.peers, config).others)
+        if line:
+            host.journal.line(line)
+
+    host.generations.append(relist)
+
 
 def read_keys(path: str) -> tuple[bytes, ...]:
     """The keys of a file, a line each; a long one by its hash. ConfigError, which tells nothing of what is in it."""
--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -58,13 +58,11 @@
         from larkweir.config.routing import checked  # not imported where there is no route
 
         checked(options, config)
-    if options.peers.on or options.edits.on:
-        from larkweir.config.peering import merging, peering  # not imported where they are off
+    placed(config, options)
+    if options.edits.on:
+        from larkweir.config.peering import merging  # not imported where it is off
 
-        if options.edits.on:
-            merging(options, config)
-        else:
-            peering(options.peers, config)
+        merging(options, config)
     if not options.governs:
         return config
     from larkweir.config.policies import in_force, objections
@@ -75,6 +73,18 @@
     return in_force(config, options)
 
 
+def placed(config: Config, options: Operator) -> None:
+    """ConfigError, one line, where this process has no place among its peers, or a keeper has none."""
+    if options.owners.on:
+        from larkweir.config.peering import keeping  # not imported where it is off
+
+        keeping(options, config)
+    elif options.peers.on:
+        from larkweir.config.peering import peering
+
+        peering(options.peers, config)
+
+
 def first(env: Mapping[str, str], operator: str | None) -> Generation:
     """At the start; ConfigError if anything is wrong."""
     raw = read_object(read_file(env))
@@ -141,6 +151,7 @@
         if problem:
             raise ConfigError(f"settings: {problem} can't change in service; it counts from the next start")
         generation = Generation(config, options, raw, told.fingerprint)
+    placed(generation.config, options)  # the list counts now, and what rests on it from a handover
     return Reading(
         generation,
         tuple(key for key, change in changes if change is Change.HANDOVER),
--- a/packages/peers/src/larkweir_peers/hands.py
+++ b/packages/peers/src/larkweir_peers/hands.py
@@ -11,7 +11,7 @@
 from larkweir_peers.frames import MOST, State
 from larkweir_peers.members import Event
 from larkweir_peers.names import named, packed
-from larkweir_peers.peers import Peers
+from larkweir_peers.peers import Peers, PeersError
 
 Came = Callable[[str, bytes, float], None]
 
@@ -139,6 +139,26 @@
         self._flush()
         return done
 
+    def relist(self, others: Sequence[str]) -> str:
+        """See `Peers.relist`. One line on what has changed; "" where nothing has, or the list does not do, which the
+        log is told.
+        """
+        try:
+            came, went = self.peers.relist(others, self._clock.now_ms())
+        except PeersError as problem:
+            self._log(f"peers: the list stays as it was: {problem}")
+            return ""
+        self._addresses = {name: _address(name) for name in self.peers.members.table}
+        if self._untold is not None and self._untold.name not in self._addresses:
+            self._untold = None
+        self._flush()
+        told = [
+            f"{len(names)} {word} ({some(names)})"
+            for names, word in ((came, "added"), (went, "removed"))
+            if names
+        ]
+        return f"peers: {len(self._addresses)} others: {', '.join(told)}" if told else ""
+
     def facts(self) -> dict[str, object]:
         """For STATUS, one line's worth."""
         counts = self.peers.counters()
@@ -241,6 +261,11 @@
         return True
 
 
+def some(names: Sequence[str], most: int = 3) -> str:
+    """The first few of many, for a line."""
+    return " ".join(names[:most]) + (" ..." if len(names) > most else "")
+
+
 def _address(name: str) -> tuple[str, int]:
     host, _, port = named(packed(name)).rpartition(":")
     return host, int(port)
--- a/packages/peers/src/larkweir_peers/members.py
+++ b/packages/peers/src/larkweir_peers/members.py
@@ -97,6 +97,44 @@
             found[item.state] += 1
         return found
 
+    # ------------------------------------------------ the list
+
+    def relist(self, others: Sequence[str], now_ms: float) -> tuple[list[str], list[str]]:
+        """The names that came and those that went. Who came is taken to be there until shown otherwise; of who went
+        nothing is left, nor what it alone suspected. The others stay as they are.
+        """
+        names = dict.fromkeys(name for name in others if packed(name) != self.me)
+        went = [name for name in self.table if name not in names]
+        came = [name for name in names if name not in self.table]
+        for name in went:
+            self._forget(self.table[name])
+        for name in came:
+            member = self.table[name] = Member(name, packed(name))
+            self._by_bytes[member.packed] = member
+        self.table = {name: self.table[name] for name in names}  # in the list's order
+        for raw in {packed(name) for name in went}:
+            for suspect in list(self._suspects.values()):
+                self._unsuspected(suspect, raw, now_ms)
+        self._alive = None
+        self._look()
+        return came, went
+
+    def _forget(self, member: Member) -> None:
+        del self.table[member.name], self._by_bytes[member.packed]
+        self.gone -= member.state in GONE
+        self._suspects.pop(member.name, None)
+        self._off.pop(member.name, None)
+        self._rumours.pop(member.packed, None)  # its place in the queue is passed over
+
+    def _unsuspected(self, suspect: Member, by: bytes, now_ms: float) -> None:
+        """One who suspects it is listed no more. Where nobody else does, it is as well as it was."""
+        assert suspect.suspicion is not None
+        suspect.suspicion.by.pop(by, None)
+        if not suspect.suspicion.by:
+            self._rumours.pop(suspect.packed, None)
+            state = State.ALIVE if suspect.incarnation else State.UNHEARD
+            self._set(suspect, state, suspect.incarnation, now_ms)
+
     # ------------------------------------------------ what is heard
 
     def heard(self, member: Member, incarnation: int, now_ms: float) -> None:
@@ -191,7 +229,7 @@
             self._suspects[member.name] = member
         elif not self._suspects:
             self._due_ms = inf  # one that is past would look like a standstill later
-        if state is State.ALIVE:
+        if state <= State.ALIVE:
             self._off.pop(member.name, None)
         else:
             self._off[member.name] = member
--- a/packages/peers/src/larkweir_peers/parts.py
+++ b/packages/peers/src/larkweir_peers/parts.py
@@ -71,6 +71,11 @@
                 return
             self._drop(key)
 
+    def forget(self, source: str) -> None:
+        """A peer that is listed no more: nothing of it is waited for."""
+        for key in list(self._of.get(source, ())):
+            self._forget(key)
+
     @property
     def due_ms(self) -> float:
         """When the oldest is given up; infinite where there is none."""
--- a/packages/peers/src/larkweir_peers/peers.py
+++ b/packages/peers/src/larkweir_peers/peers.py
@@ -74,6 +74,7 @@
 
     OUT_MOST = 1_024
     ITEMS_MOST = 256
+    PAST_MOST = 1_024  # peers that are listed no more, of which the numbers that came are kept
     RESERVE = 0.25  # of the burst, that items leave for membership
     NUDGE_MS = 250.0  # from hint to hint to one peer
 
@@ -92,16 +93,10 @@
         """
         try:
             self._packed = packed(me)
-            for name in others:
-                packed(name)
             self._seal = Seal(keys)
         except ValueError as problem:
             raise PeersError(str(problem)) from None
-        far = next((name for name in (me, *others) if not loopback(name)), None)
-        if far is not None and not keys:
-            raise PeersError(f"{far} is beyond loopback: that takes a key")
-        if len(others) > PEERS_MOST:
-            raise PeersError(f"{len(others)} names; {PEERS_MOST} at the most")
+        self._fits((me, *others), others)
         self.me = me
         self.pace = pace = pace if pace is not None else Pace()
         self.health = Health(pace.health_most)
@@ -112,12 +107,53 @@
         self.sent = self.received = self.refused = self.stalls = 0
         self._pieces = Pieces()
         self._windows: dict[str, Window] = {}
+        self._past: dict[str, Window] = {}  # of peers that are listed no more; the oldest first
         self._bucket = Bucket(pace.per_s, pace.burst, now_ms)
         self._number = 0
         self._serial = 0
         self._nudged: dict[str, float] = {}
         self._probes = Probes(self.members, pace, self.health, chance, self, now_ms)
 
+    def _fits(self, names: Sequence[str], others: Sequence[str]) -> None:
+        """PeersError where such a list does not do."""
+        try:
+            for name in names:
+                packed(name)
+        except ValueError as problem:
+            raise PeersError(str(problem)) from None
+        far = next((name for name in names if not loopback(name)), None)
+        if far is not None and not self._seal.keys:
+            raise PeersError(f"{far} is beyond loopback: that takes a key")
+        if len(others) > PEERS_MOST:
+            raise PeersError(f"{len(others)} names; {PEERS_MOST} at the most")
+
+    def relist(self, others: Sequence[str], now_ms: float) -> tuple[list[str], list[str]]:
+        """From now on these are the others. The names that came and those that went; PeersError, and all is as it was,
+        where the list does not do.
+
+        Who went is forgotten with all that was known, waited for or on its way to it. Only the numbers that came of its
+        last life are kept, of so many that went last: else what it said before could be played again when it is back.
+        """
+        self._fits(others, others)
+        came, went = self.members.relist(others, now_ms)
+        gone = frozenset(went)
+        for name in went:
+            self._pieces.forget(name)
+            self._nudged.pop(name, None)
+            window = self._windows.pop(name, None)
+            if window is not None:
+                self._past[name] = window
+        while len(self._past) > self.PAST_MOST:
+            del self._past[next(iter(self._past))]
+        for name in came:
+            if name in self._past:
+                self._windows[name] = self._past.pop(name)
+        if gone:
+            self.datagrams = deque(item for item in self.datagrams if item.to not in gone)
+            self.items = deque(item for item in self.items if item.source not in gone)
+        self._probes.relisted(came, gone)
+        return came, went
+
     # ------------------------------------------------ what is asked
 
     def alive(self) -> Sequence[str]:
@@ -188,6 +224,8 @@
             who = named(frame.who)
             if who in self.members.table:
                 self._probes.asked(source, who, frame.number, now_ms)
+            else:  # lists differ while they are changed: this process can't ask, but is here
+                self.nack(source, frame.number, now_ms)
             return ""
         if frame.to_life != short_life(self.members.incarnation):
             self._nudge(member, now_ms)
--- a/packages/peers/src/larkweir_peers/probes.py
+++ b/packages/peers/src/larkweir_peers/probes.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 from math import inf
 from typing import NamedTuple, Protocol
@@ -92,6 +93,23 @@
         self._favours.clear()
         self._nacks.clear()
 
+    def relisted(self, came: Sequence[str], went: Collection[str]) -> None:
+        """Who came is probed at a place of this round that chance names (SWIM section 4.3); who went, never again."""
+        if went:
+            self._order = [name for name in self._order if name not in went]
+            for number in [n for n, of in self._favours.items() if {of.target, of.asker} & {*went}]:
+                del self._favours[number]
+                self._nacks.pop(number, None)
+            self._doubtful = None if self._doubtful in went else self._doubtful
+            probe = self._probe
+            if probe is not None and probe.target in went:
+                self._probe = None
+            elif probe is not None:  # an answer that can't come says nothing of this process's own health
+                lost = sum(helper in went for helper in probe.numbers.values())
+                probe.wanted = max(probe.nacks, probe.wanted - lost)
+        for name in came:
+            self._order.insert(int(self._chance.random() * (len(self._order) + 1)), name)
+
     # ------------------------------------------------ own probes
 
     def _judge(self, now_ms: float) -> None:
