--- a/tests/fleet/test_edits.py
+++ b/tests/fleet/test_edits.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable, Sequence
 from contextlib import AsyncExitStack
 from pathlib import Path
+from random import Random
 
 from larkweir.config.operator import decode
 from larkweir.config.options import Operator, changed
@@ -19,7 +20,7 @@
 from standins.copies import Copy
 from standins.manager import ROOT
 from standins.peers import PATIENCE_S, FakeUpstream
-from standins.plans import Disk, Fault, Kind
+from standins.plans import Disk, Fault, Kind, Plan
 from standins.ports import free_port
 from standins.together import Together
 from tests.fleet.test_part import shows, status
@@ -204,6 +205,43 @@
         run(play(disk, 10 + seed))
 
 
+def test_edits_at_every_copy_meet_through_bad_weather_a_stop_and_a_kill_with_the_rules_held() -> None:
+    """A seeded plan: a fifth of the datagrams lost, others late, doubled, in another order; a cut meanwhile."""
+
+    async def play() -> None:
+        async with Together(4, 4, peers=PEERS, edits=EDITS, routes=ROUTES) as rig:
+            copies = list(rig.copies.values())
+            await equal(copies, 0)
+            every = tuple(rig.copies)
+            weather = [
+                Fault(kind, 0.0, 3_000.0, every, every, chance=0.2, ms=80.0)
+                for kind in (Kind.DROP, Kind.REORDER, Kind.DOUBLE)
+            ]
+            cut = Fault(Kind.GROUPS, 200.0, 1_800.0, every[:2], every[2:])
+            stop = Fault(Kind.STOP, 400.0, 1_400.0, (every[1],))
+            kill = Fault(Kind.KILL, 1_500.0, 2_200.0, (every[3],), disk=Disk.OLD)
+
+            async def staff() -> None:
+                rng = Random(4)
+                for n in range(12):
+                    copy = rng.choice((copies[0], copies[2]))
+                    rows = {f"route_n{n}": {"path": f"/n{n}"}, "route_b": {"path": f"/{copy.name}/{n}"}}
+                    copy.edit(**rows)
+                    await asyncio.sleep(0.2)
+
+            await asyncio.gather(rig.play(Plan((*weather, cut, stop, kill), 3_200.0)), staff())
+            await where(copies, lambda facts: facts.get("routes") == "15", "every new route at all")
+            await equal(copies)
+            for copy in copies:
+                assert (await copy.status())["edits_of"] == (await copies[0].status())["edits_of"]
+            await rig.quiet()
+            assert broken(rig.history) == []
+            assert rig.relay.lost > 20
+            assert not [line for copy in copies for line in copy.log if "Traceback" in line]
+
+    run(play())
+
+
 def test_a_full_disk_refuses_the_reload_serves_on_and_mends() -> None:
     async def play() -> None:
         async with Together(2, 3, peers=PEERS, edits=EDITS, routes=ROUTES) as rig:
--- a/tests/fleet/test_edits_tables.py
+++ b/tests/fleet/test_edits_tables.py
@@ -15,6 +15,7 @@
 from larkweir.cli.check import check
 from larkweir.config.operator import decode
 from larkweir.config.options import NAMED, Operator, Pool, Route, changed
+from larkweir.config.platform import decode as decode_platform
 from larkweir.config.routing import routing_objections
 from larkweir.fleet.edits.tables import ALL, Checked, Settled, differs, schema, tables_of
 from larkweir.fleet.edits.words import MOST_LINES, Lines, mark_of, names_of
@@ -131,6 +132,16 @@
     assert ("route", "r", "pool") in {item for rests in found for item in rests}
 
 
+def test_what_this_platform_does_not_know_is_told_and_put_back_by_nobody() -> None:
+    """Each copy's own file would make another whole of the same edits."""
+    check_ = Checked(decode_platform(platform(), {}))
+    text = '[pool.p]\nkinds = ["x9"]\n[route.r]\npath = "/x"\npool = "p"\nclasses = ["nobody"]\n'
+    assert check_(tables_of(decode(text)[0])) == [] and len(check_.foreign) == 2
+    assert Checked()(tables_of(decode(text)[0])) == []
+    check_(tables_of(decode('[route.r]\npath = "/x"\n')[0]))
+    assert check_.foreign == ()
+
+
 @pytest.mark.parametrize(
     ("text", "expected"),
     [
