Edits: what the fleet has ended, the mail and the log beside the part, which had two jobs

Change: `ended` says which verdicts are no edits yet, by the duty's state alone; mail and log that come later stand together. Not taken: the folder's opening and mending as a class of its own: it knows the copy, the reload and the handover.

--- /dev/null
+++ b/larkweir/fleet/edits/ended.py
@@ -0,0 +1,49 @@
+"""Rules: which parts of splits the fleet has ended, and no edit says so yet.
+
+The owner of the verdicts writes them, under its term; a later owner writes what an earlier one had no time for. What is
+late is dropped by every copy alike (`larkweir_edits.merge.termed`).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from typing import NamedTuple, Protocol
+
+from larkweir.fleet.duties.verdicts import read
+
+
+class Fleet(Protocol):
+    """The owners' part, as far as this goes."""
+
+    def holds(self, name: str) -> tuple[int, int, bytes] | None:
+        """Term, number and state of a duty that this process owns."""
+        ...
+
+
+class End(NamedTuple):
+    key: str
+    route: str
+    pool: str
+    term: int
+    number: int
+
+
+class Ended:
+    """Remembers what was written, as long as the fleet's state names it."""
+
+    def __init__(self) -> None:
+        self._written: frozenset[str] = frozenset()
+
+    def due(self, fleet: Fleet, parts: Mapping[str, tuple[str, str]]) -> Iterator[End]:
+        """`parts`: by key, the routes and pools that are or were on trial here."""
+        held = fleet.holds("verdicts")
+        if held is None:
+            return
+        term, number, state = held
+        keys = {key for key, _ in read(state).ended}
+        self._written &= keys
+        for key in sorted(keys & parts.keys() - self._written):
+            yield End(key, *parts[key], term, number)
+
+    def wrote(self, end: End) -> None:
+        self._written |= {end.key}
--- a/larkweir/fleet/edits/journal.py
+++ b/larkweir/fleet/edits/journal.py
@@ -1,9 +1,12 @@
-"""Rules: what a copy's log is while its folder is not this life's yet: records are numbered and wait."""
+"""Rules: a copy's log and its mail while neither the folder nor the peers' address is this life's yet."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from typing import Protocol
 
+from larkweir_edits.wholes import Mail
+
 
 class Kept(Protocol):
     """`larkweir_edits.log.FileLog`, as far as records go."""
@@ -35,3 +38,16 @@
         for record in self._waits:
             file.keep(record)
         self._waits = []
+
+
+class Posts:
+    """The mail that a copy is made with: until there is one, nothing goes."""
+
+    def __init__(self) -> None:
+        self.mail: Mail | None = None
+
+    def post(self, to: str, item: bytes) -> bool:
+        return self.mail is not None and self.mail.post(to, item)
+
+    def alive(self) -> Sequence[str]:
+        return self.mail.alive() if self.mail is not None else ()
--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -8,29 +8,32 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from random import Random
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from larkweir_edits.copy import Copy
 from larkweir_edits.edit import EditError
 from larkweir_edits.log import Calls, FileLog, peek
 from larkweir_edits.schema import Tables
 from larkweir_edits.whole import FAULT, Whole
-from larkweir_peers.hands import Mail, Socket
+from larkweir_peers.hands import Socket
 
 from larkweir.config.options import Operator
 from larkweir.config.peering import merging
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.journal import Journal
-from larkweir.fleet.edits.journal import Waiting
+from larkweir.fleet.edits.journal import Posts, Waiting
 from larkweir.fleet.edits.tables import Checked, Settled, differs, schema, tables_of
 from larkweir.fleet.edits.words import Lines, mark_of, names_of
 from larkweir.routes.hands import Routes
 
+if TYPE_CHECKING:
+    from larkweir.fleet.edits.ended import Ended, Fleet
+
 EDITS = 2  # channel of the peers' mail
 AGAIN_MS = 100.0  # until a folder that a predecessor still has is tried again
 MEND_MS = 5_000.0  # until a folder that could not be written is tried again
@@ -41,14 +44,6 @@
 LOOK_MS = 250.0  # from look to look at what the fleet has ended
 
 
-class Fleet(Protocol):
-    """The owners' part, as far as its verdicts go."""
-
-    def holds(self, name: str) -> tuple[int, int, bytes] | None:
-        """Term, number and state of a duty that this process owns."""
-        ...
-
-
 class Host(Protocol):
     """What a balancer gives to this part."""
 
@@ -68,19 +63,6 @@
     def reconfigure(self, config: Config, options: Operator | None = None) -> None: ...
 
 
-class _Posts:
-    """The mail, which is there once the socket is."""
-
-    def __init__(self) -> None:
-        self.mail: Mail | None = None
-
-    def post(self, to: str, item: bytes) -> bool:
-        return self.mail is not None and self.mail.post(to, item)
-
-    def alive(self) -> Sequence[str]:
-        return self.mail.alive() if self.mail is not None else ()
-
-
 class Part:
     """From `begin` to `close`. ConfigError from the constructor where the files don't do."""
 
@@ -93,7 +75,7 @@
         self._file: Tables = tables_of(options)  # what staff's file says, as this life was told
         self._settled = frozenset(own.settle)  # what it named before: nothing new is asked of these
         self._check = Checked(host.config)
-        self._posts = _Posts()
+        self._posts = Posts()
         self._log = Waiting()
         self._records = peek(self._folder)
         self.copy = self._built()
@@ -120,7 +102,7 @@
         self._before: tuple[Tables, frozenset[str]] | None = None  # its file, until its edits are kept
         self._patience: Timer | None = None
         self._look_ms = 0.0
-        self._written: frozenset[str] = frozenset()  # verdicts that were made edits
+        self._ended: Ended | None = None
         self._lines = Lines()
         self._foreign: tuple[str, ...] = ()
         self._whole: Whole | None = None
@@ -444,24 +426,18 @@
     # ------------------------------------------------ the fleet's verdicts
 
     def _end(self) -> None:
-        """A part that the fleet has ended is ended by an edit as well, under the owner's term: it stays ended until one
-        who has seen that changes it. A later owner writes what an earlier one had no time for."""
+        """A part that the fleet has ended is ended by an edit as well, until one who has seen that changes it."""
         owners, routes = self._host.owners, self._host.routes
-        found = owners.holds("verdicts") if owners is not None else None
-        if found is None or routes is None or not self.copy.met:
+        if owners is None or routes is None or not self.copy.met:
             return
-        from larkweir.fleet.duties.verdicts import read  # not imported where no duty is owned
-
-        term, number, state = found
-        keys = [key for key, _ in read(state).ended]
-        parts = routes.router.parts_by_key()
-        for key in keys:
-            if key in parts and key not in self._written:
-                name, pool = parts[key]
-                with suppress(EditError):  # no room: tried again
-                    self.copy.verdict(("route", name), pool, term, number)
-                    self._written |= {key}
-        self._written &= frozenset(keys)
+        if self._ended is None:
+            from larkweir.fleet.edits.ended import Ended  # not imported where there are no owners
+
+            self._ended = Ended()
+        for end in self._ended.due(owners, routes.router.parts_by_key()):
+            with suppress(EditError):  # no room: tried again
+                self.copy.verdict(("route", end.route), end.pool, end.term, end.number)
+                self._ended.wrote(end)
 
     # ------------------------------------------------ words
 
--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_part.py
@@ -169,11 +169,13 @@
         assert second.said["all"] == ("/*", ("new 0%",))
         post.cut.clear()
         await until(
-            lambda: all(host.said["all"][1] == ("new 0%",) and "b" in host.said for host in hosts),
+            lambda: all(
+                host.said["all"][1] == ("new 0%",) and "b" in host.said and host.said["a"][0] == "/aa"
+                for host in hosts
+            ),
             "met",
             hosts,
         )
-        assert third.said["a"][0] == first.said["a"][0] == "/aa"
         assert any("new: ended by a verdict" in line for line in third.lines)
 
         assert not await second.reload(
@@ -308,7 +310,8 @@
         await until(lambda: any("can be written again" in line for line in first.lines), "mended", hosts)
         assert not await first.reload(text)
         await until(lambda: second.said["a"][0] == "/new" == first.said["a"][0], "counts", hosts)
-        assert len([path for path in (tmp_path / "0").iterdir() if path.suffix == ".log"]) == 1
+        (log,) = [path.name for path in (tmp_path / "0").iterdir() if path.suffix == ".log"]
+        assert log != "0.log"  # written anew
         for host in hosts:
             host.part.close()
 
