Duties go on where all keepers lost their disks, above what the copies hold

Cause, found by the way: the runbook says that two lost disks of three are mended by emptying all folders; but each candidate then wrote on the version that it had heard of, which no register held, and the duty stood still for good. Change: a take that meets a register with less than has counted goes on from what is there, with the newest state that is known, under a term above all that was heard of. Not taken: to believe the register: its older state would take effects back.

--- a/packages/owners/src/larkweir_owners/terms.py
+++ b/packages/owners/src/larkweir_owners/terms.py
@@ -92,6 +92,9 @@
         self._changed_ms = 0.0  # when its owner was seen to be there last
         self._learned_ms = 0.0  # when the record was first seen as it is
         self._read_ms = float("-inf")
+        self._lost: Version | None = (
+            None  # what the register was found to hold, where that is less than has counted
+        )
         self._renewed_ms = float("-inf")  # when the last write that counted was begun
         self._took_ms = 0.0
         self._busy = False  # a write is under way, or a read that an owner waits for
@@ -262,24 +265,31 @@
         return max(self._changed_ms + lease + wait, self._learned_ms + 4 * self.times.look_ms)
 
     def _take(self, now_ms: float) -> None:
-        expected = self.record.version if self.record is not None else NO_VERSION
+        known = self.record.version if self.record is not None else NO_VERSION
         heard = self._heard(self.key)
         value = self.record.value if self.record is not None else b""
         effects = self.record.effects if self.record is not None else 0
-        term, number = max(expected[0], heard[0]) + 1, max(expected[1], heard[1]) + 1
+        term, number = max(known[0], heard[0]) + 1, max(known[1], heard[1]) + 1
         new = Record(term, number, *self.me, "", effects, value)
         self.phase = Phase.TAKING
-        self._write(expected, new, self._took)
+        self._write(known if self._lost is None else self._lost, new, self._took)
 
     def _took(self, new: Record, result: Result) -> None:
         if result.outcome is not Outcome.DONE:
             self.phase = Phase.WATCHING
             self.majority = result.outcome is Outcome.CONFLICT
+            self._lost = None
+            if self.majority and self.record is not None:
+                # A register that holds less than what has counted: more disks are gone than is promised for. What is
+                # known goes on from here, under a term above all that was heard of
+                there = result.record.version if result.record is not None else NO_VERSION
+                self._lost = there if there < self.record.version else None
             if result.record is not None:  # it may be this round that has ended what its owner left half done
                 self._know(result.record, fresh=False)
             self.next_ms = self._now_ms + self.times.look_ms
             return
         self.taken += 1
+        self._lost = None
         self.phase = Phase.OWNER
         self._give = False
         self._took_ms = self._now_ms
--- a/packages/owners/tests/test_owners_seeds.py
+++ b/packages/owners/tests/test_owners_seeds.py
@@ -179,6 +179,23 @@
     assert broken == (4 if early else 0)
 
 
+@pytest.mark.parametrize("how", ["empty", "old"])
+def test_where_all_keepers_lost_their_disks_duties_go_on_above_what_copies_hold(how: str) -> None:
+    """More than is promised for: the page says to empty all folders and to start all."""
+    fleet = settled(1, processes=6)
+    old = {name: fleet.processes[name].disk for name in fleet.members}
+    old = {name: disk.copy() if how == "old" and disk is not None else None for name, disk in old.items()}
+    fleet.run(1000.0)
+    before = fleet.checker.last["duty0"]
+    for name in fleet.members:
+        fleet.kill(name)
+        fleet.processes[name].disk = old[name]
+        fleet.network.after(200.0, lambda name=name: fleet.start(name))  # type: ignore[misc]
+    fleet.run(9000.0)
+    now = fleet.checker.last["duty0"]
+    assert now.term > before.term and now.effects > before.effects + 10
+
+
 def test_without_a_majority_nobody_owns_and_status_says_so() -> None:
     fleet = settled(3)
     for name in fleet.members[:2]:
