A zone empties in the same order at every balancer, and by exactly its step

Cause: which upstreams of an evacuated zone went first was drawn by this process's own numbers of them, so that copies emptied different ones, and a step's part held only on the mean. Change: the order goes by a hash of the instance id (of the address in a fixed list), and a step takes so many of the zone, rounded down. Ids by number are kept only where [owners] is on with evacuate_ms. Not taken: a threshold on the hash, as before: it is monotone whoever joins, but one zone of four may lose none or all at a half; and to remember who has gone, which would differ by who heard what when. Result: five copies with shuffled lists, 1 to 40 upstreams, 21 steps: the same sets, each of the exact size; an upstream more moves one at the most.

--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -70,6 +70,8 @@
         self.mirrored = self.unmirrored = 0
         self._fixed: dict[int, ServerEntry] = {}
         self._addresses: dict[int, Address] = {}
+        # An upstream's instance id, where a zone may empty by and by; "" where it is not known
+        self.name_of: Callable[[int], str] = lambda number: ""
         self._numbers: dict[tuple[Address, str], int] = {}
         self._version = 0  # of the list
         self._tell: Callable[[Listing], None] = lambda listing: None
@@ -119,7 +121,7 @@
         self._protocols = {name: pool.protocol for name, pool in wanted.items() if pool.protocol}
         for name, pool in wanted.items():
             settings[name] = settings_of(pool, config.settings, name == DEFAULT)
-            members[name] = Members(pool, config, used)
+            members[name] = Members(pool, config, used, self._called)
             members[name].own = own.get(name)
             if name in held:
                 pools[name] = held[name]
@@ -159,6 +161,13 @@
         self._evacuated = evacuated
         self._keys = {_key(*item): item for item in self._emptying}
 
+    def _called(self, number: int) -> str:
+        """Its address in a fixed list, else its instance id; the number where neither is known."""
+        if number in self._addresses:
+            host, port = self._addresses[number]
+            return f"{host}:{port}"
+        return self.name_of(number) or str(number)
+
     def _number(self, line: str, config: Config, used: dict[int, ServerEntry]) -> int:
         """An upstream of a fixed list keeps its number as long as the process lives."""
         address, zone = fixed_of(line)
--- a/larkweir/routes/part.py
+++ b/larkweir/routes/part.py
@@ -48,6 +48,10 @@
     routes.engine = host.engine
     routes.reroute(host.engine.on_listing)
     host.discovery.reroute(routes.on_listing)
+    if options.owners.on and options.owners.evacuate_ms:
+        names = host.discovery.names
+        names.reverse = {} if names.reverse is None else names.reverse
+        routes.name_of = lambda number: (names.reverse or {}).get(number, "")
     host.speaks = routes.speaks
     host.intake.router = routes
 
--- a/larkweir/routes/pools.py
+++ b/larkweir/routes/pools.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from hashlib import blake2b
 
@@ -47,8 +47,15 @@
     the subset that this balancer connects to; those of an evacuated zone, as if they drained.
     """
 
-    def __init__(self, pool: Pool, config: Config, fixed: Mapping[int, ServerEntry]) -> None:
-        """`fixed`: the upstreams of all fixed lists by number; `own` of them are this pool's."""
+    def __init__(
+        self,
+        pool: Pool,
+        config: Config,
+        fixed: Mapping[int, ServerEntry],
+        called: Callable[[int], str] = str,
+    ) -> None:
+        """`fixed`: the upstreams of all fixed lists by number; `own` of them are this pool's. `called`: by this
+        process's number of it, what an upstream is called at every balancer."""
         zones = {name: n for n, name in enumerate(config.zones)}
         kinds = {name: n for n, name in enumerate(config.kinds)}
         self._zones = frozenset(zones.get(name, -1) for name in pool.zones or ())
@@ -58,6 +65,7 @@
         self._subset = pool.subset or 0
         self._me, self._copies = config.settings.me, config.settings.copies
         self._fixed = fixed
+        self._called = called
         self.own: frozenset[int] | None = None  # of the fixed ones; None: discovery's
 
     def __call__(self, entries: Iterable[ServerEntry]) -> list[ServerEntry]:
@@ -73,18 +81,20 @@
             found = [by[name] for name in ring(list(by), self._me, self._copies, self._subset)]
         if not self._evacuated:
             return found
+        away = {
+            server
+            for zone, part in self._evacuated.items()
+            for server in leaving((entry.server for entry in found if entry.zone == zone), part, self._called)
+        }
         return [
             replace(entry, state=ServerState.DRAINING)
-            if entry.state is ServerState.READY
-            and _place(entry.server) < self._evacuated.get(entry.zone, 0.0)
+            if entry.server in away and entry.state is ServerState.READY
             else entry
             for entry in found
         ]
 
     def empty(self, zone: int, part: float) -> bool:
-        """So much of an evacuated zone counts as draining; whether that is news. The part is the same at every
-        balancer; which upstreams go first goes by this process's own numbers of them.
-        """
+        """So much of an evacuated zone counts as draining; whether that is news."""
         before = self._evacuated.get(zone)
         if before is None or before == part:
             return False
@@ -99,9 +109,17 @@
         )
 
 
-def _place(server: int) -> float:
-    """From 0 to below 1: an upstream's place in the order in which its zone empties."""
-    return int.from_bytes(blake2b(b"%d" % server, digest_size=6).digest(), "big") / 2.0**48
+def leaving(servers: Iterable[int], part: float, called: Callable[[int], str]) -> list[int]:
+    """So much of a zone, rounded down, in the order in which it empties: the same at every balancer that knows the same
+    upstreams, in whatever order it heard of them, since the order goes by what they are called."""
+    if part >= 1.0:
+        return list(servers)
+    order = sorted(servers, key=lambda server: _order(called(server)))
+    return order[: int(part * len(order) + 1e-9)]
+
+
+def _order(name: str) -> tuple[bytes, str]:
+    return blake2b(name.encode(), digest_size=8, person=b"evacuate").digest(), name
 
 
 def whole(options: Operator, zones: Sequence[str]) -> tuple[dict[str, Pool], dict[str, dict[str, str]]]:
--- /dev/null
+++ b/tests/routes/test_leaving.py
@@ -0,0 +1,67 @@
+"""The order in which a zone empties: the same at copies that heard of its upstreams in different orders."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from larkweir.config.options import Pool
+from larkweir.config.platform import decode
+from larkweir.membership.listing import Names, parse_listing
+from larkweir.routes.pools import Members, leaving
+from mulleinhitch.interface import ServerState
+from tests.fleet.test_part import platform
+
+
+class Copy:
+    """One balancer's view: it hears of rows in an order of its own, which gives its numbers."""
+
+    def __init__(self, rows: list[dict[str, object]]) -> None:
+        config = decode(platform(), {})
+        self.names = Names(config.zones, config.kinds)
+        self.names.reverse = {}
+        self.entries = parse_listing({"generation": 1, "reset": True, "instances": rows}, self.names).entries
+        names = self.names.reverse
+        self.members = Members(Pool(evacuated=(config.zones[0],)), config, {}, lambda number: names[number])
+
+    def away(self, part: float) -> set[str]:
+        assert self.names.reverse is not None
+        self.members.empty(0, part)
+        found = self.members(self.entries)
+        return {self.names.reverse[entry.server] for entry in found if entry.state is ServerState.DRAINING}
+
+
+def rows(count: int) -> list[dict[str, object]]:
+    zone = decode(platform(), {}).zones[0]
+    return [
+        {"instanceId": f"i-{n}", "hostPort": f"127.0.0.1:{9000 + n}", "lifecycle": "active", "zone": zone}
+        for n in range(count)
+    ]
+
+
+@pytest.mark.parametrize("count", [1, 2, 7, 40])
+def test_copies_that_heard_the_list_in_different_orders_empty_the_same_upstreams(count: int) -> None:
+    rng = Random(count)
+    copies = []
+    for _ in range(5):
+        heard = rows(count)
+        rng.shuffle(heard)
+        copies.append(Copy(heard))
+    before: set[str] = set()
+    for step in range(21):
+        (away, *others) = [copy.away(step / 20) for copy in copies]
+        assert all(other == away for other in others)
+        assert len(away) == count * step // 20  # as much as the step says, rounded down
+        assert before <= away
+        before = away
+    assert len(before) == count
+
+
+@given(st.sets(st.integers(0, 10_000), max_size=60), st.floats(0.0, 1.0))
+def test_one_more_upstream_moves_one_at_the_most(servers: set[int], part: float) -> None:
+    before = set(leaving(sorted(servers), part, str))
+    more = set(leaving(sorted(servers | {10_001}), part, str))
+    assert len(before - more) <= 1 and len(more - before) <= 1 + (len(more) > len(before))
