--- a/larkweir/lifecycle/reading.py
+++ b/larkweir/lifecycle/reading.py
@@ -8,7 +8,8 @@
 from typing import Any, NamedTuple
 
 from larkweir.config.classes import in_place
-from larkweir.config.options import Change, Operator, changed
+from larkweir.config.keys import Change
+from larkweir.config.options import Operator, changed
 from larkweir.config.options import keep_fixed as keep_fixed_options
 from larkweir.config.platform import Config, ConfigError, decode_object, read_file, read_object
 from mulleinhitch.interface import fixed_difference
@@ -57,10 +58,11 @@
         from larkweir.config.routing import checked  # not imported where there is no route
 
         checked(options, config)
-    if options.peers.on:
-        from larkweir.config.peering import peering  # not imported where it is off
+    placed(config, options)
+    if options.edits.on:
+        from larkweir.config.peering import merging  # not imported where it is off
 
-        peering(options.peers, config)
+        merging(options, config)
     if not options.governs:
         return config
     from larkweir.config.policies import in_force, objections
@@ -71,6 +73,18 @@
     return in_force(config, options)
 
 
+def placed(config: Config, options: Operator) -> None:
+    """ConfigError, one line, where this process has no place among its peers, or a keeper has none."""
+    if options.owners.on:
+        from larkweir.config.peering import keeping  # not imported where it is off
+
+        keeping(options, config)
+    elif options.peers.on:
+        from larkweir.config.peering import peering
+
+        peering(options.peers, config)
+
+
 def first(env: Mapping[str, str], operator: str | None) -> Generation:
     """At the start; ConfigError if anything is wrong."""
     raw = read_object(read_file(env))
@@ -112,7 +126,9 @@
     options = keep_fixed_options(now.options, told)
     governed(config, told)  # also in what can't count yet
     changes = [(key, change) for key, (_, _, change) in changed(now.options, told).items()]
-    if bool(now.options.routes or now.options.pools) != bool(told.routes or told.pools):
+    if not now.options.edits.on and (
+        bool(now.options.routes or now.options.pools) != bool(told.routes or told.pools)
+    ):
         # One kind of decisions does not become the other while requests hang on it.
         options = replace(options, routes=now.options.routes, pools=now.options.pools)
         changes = [
@@ -135,6 +151,7 @@
         if problem:
             raise ConfigError(f"settings: {problem} can't change in service; it counts from the next start")
         generation = Generation(config, options, raw, told.fingerprint)
+    placed(generation.config, options)  # the list counts now, and what rests on it from a handover
     return Reading(
         generation,
         tuple(key for key, change in changes if change is Change.HANDOVER),
