--- a/standins/world/planted.py
+++ b/standins/world/planted.py
@@ -117,15 +117,6 @@
     return accept
 
 
-def _generous(real: Any) -> Any:
-    def read(self: Any, message: Any) -> Any:
-        event, left, trace = real(self, message)
-        event.time_left_ms = left * 1.5
-        return event, left * 1.5, trace
-
-    return read
-
-
 def _late(real: Any) -> Any:
     def at(self: Any, due_ms: float, call: Any) -> Any:
         return real(self, due_ms + (700.0 if due_ms - self.now_ms() > 1_000.0 else 0.0), call)
@@ -152,7 +143,7 @@
 
 
 def _property(value: Any) -> Callable[[Any], Any]:
-    return lambda real: property(lambda self: value)
+    return lambda real: property(lambda self: value, lambda self, other: None)
 
 
 POOL, LEGAL, ENGINE = "larkweir.upstreams.pool", "mulleinhitch.legality", "larkweir.core.engine"
@@ -169,7 +160,13 @@
     Planted("what may have run is refused", "asleep", LEGAL, "Request.may_be_refused", _always(True)),
     Planted("the end of a request does not close it", "churn", ENGINE, "Engine._close", _answers_on),
     Planted("a request that is over is not forgotten", "calm", ENGINE, "Engine._forget", _nothing),
-    Planted("a deadline is read too long", "asleep", "larkweir.core.requests", "Requests.read", _generous),
+    Planted(
+        "one sent ahead has its whole time",
+        "late",
+        "larkweir.core.message",
+        "Message.came_ms",
+        _property(0.0),
+    ),
     Planted("long timers fire late", "asleep", "larkweir.core.clock", "Clock.at", _late),
     Planted(
         "a given up call's connection is used on", "asleep", HTTP, "UpstreamConnection.release", _put_back
--- a/tests/standins/test_world.py
+++ b/tests/standins/test_world.py
@@ -11,6 +11,7 @@
 import pytest
 
 from standins.world.days import DAYS, Fault
+from standins.world.planted import FAULTS, patch
 from standins.world.play import play
 from standins.world.shrink import shrunk
 
@@ -46,6 +47,17 @@
     assert mixed != fleet
 
 
+@pytest.mark.parametrize(
+    "what", ["what may have run", "given up call's", "one in fifty", "over is not forgotten"]
+)
+def test_the_checkers_find_what_is_planted(what: str) -> None:
+    fault = next(item for item in FAULTS if what in item.what)
+    if "given up" in what:
+        fault = fault._replace(make=lambda real: lambda self, call: None)  # it is not even told: a call stays
+    day = replace(DAYS[fault.day], last_s=3.0, faults=6)
+    assert any(play(day, seed, planted=(patch(fault),)).wrong for seed in range(3))
+
+
 def test_of_a_failing_days_faults_those_are_left_that_matter() -> None:
     faults = [Fault(float(n), 1.0, "kill", f"b{n}") for n in range(9)]
 
