--- a/standins/world/__main__.py
+++ b/standins/world/__main__.py
@@ -66,26 +66,29 @@
     failed = asked = events = 0
     simulated_s = spent_s = 0.0
     begun = time.monotonic()
+    played = 0
+    names, numbers = [day for day, _ in jobs], [seed for _, seed in jobs]
     with ProcessPoolExecutor(told.jobs) as pool:
-        names, numbers = [day for day, _ in jobs], [seed for _, seed in jobs]
-        for at, (found, cpu_s, enough) in enumerate(
-            pool.map(one, names, numbers, [not told.whole] * len(jobs), chunksize=CHUNK)
-        ):
-            asked, events = asked + found.asked, events + found.events
-            simulated_s, spent_s = simulated_s + found.simulated_s, spent_s + cpu_s
-            if told.hashes:
-                print(f"{found.day} {found.seed} {found.digest}")
-            if found.wrong:
-                failed += 1
-                faults = "; ".join(map(str, enough)) or "none"
-                print(
-                    f"FAILED {found.day} {found.seed}: {found.wrong[0]} ({len(found.wrong)} lines; faults: {faults})"
-                )
-            if sys.stderr.isatty() and at % 20 == 0:
-                print(f"\r{at} of {len(jobs)}", end="", file=sys.stderr)
+        try:
+            for found, cpu_s, enough in pool.map(
+                one, names, numbers, [not told.whole] * len(jobs), chunksize=CHUNK
+            ):
+                played, asked, events = played + 1, asked + found.asked, events + found.events
+                simulated_s, spent_s = simulated_s + found.simulated_s, spent_s + cpu_s
+                if told.hashes:
+                    print(f"{found.day} {found.seed} {found.digest}")
+                if found.wrong:
+                    failed += 1
+                    faults = "; ".join(map(str, enough)) or "none"
+                    lines = f"{len(found.wrong)} lines; faults: {faults}"
+                    print(f"FAILED {found.day} {found.seed}: {found.wrong[0]} ({lines})", flush=True)
+                if played % 20 == 0:
+                    print(f"{played} of {len(jobs)} days, {failed} failed", file=sys.stderr, flush=True)
+        except KeyboardInterrupt:  # what was played until then counts
+            pool.shutdown(wait=False, cancel_futures=True)
     wall_s = time.monotonic() - begun
     print(
-        f"{len(jobs)} days, {failed} failed; {asked} requests, {events} events, {simulated_s:.0f} s simulated "
+        f"{played} days, {failed} failed; {asked} requests, {events} events, {simulated_s:.0f} s simulated "
         f"in {spent_s:.0f} s of CPU ({simulated_s / max(spent_s, 1e-9):.1f} s a second), {wall_s:.0f} s by the clock"
     )
     return 1 if failed else 0
