--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -46,8 +46,10 @@
     hours: float  # of one process each
 
 
-def play(number: int, lost: float, seed: int, pace: Pace, slow: int = 0) -> Play:
-    """One run, to the byte by its seed. Of `slow` processes each datagram waits for 600 ms, and none crashes."""
+def play(number: int, lost: float, seed: int, pace: Pace, slow: int = 0, deaths: int = 1) -> Play:
+    """One run, to the byte by its seed. Of `slow` processes each datagram waits for 600 ms, and none crashes; of others
+    so many at once.
+    """
     net = Network(seed, lost=lost)
     names = [f"127.0.{n // 250}.{n % 250 + 1}:7946" for n in range(number)]
     well = set(names[slow:])
@@ -55,7 +57,7 @@
     timers: dict[str, tuple[float, object]] = {}
     found: list[float] = []
     wrong = {State.SUSPECT: 0, State.DEAD: 0}
-    crashed, crash_ms = "", 0.0
+    crashed, crash_ms = set[str](), 0.0
 
     def out(name: str) -> None:
         peers = fleet[name]
@@ -64,9 +66,9 @@
             net.send(name, to, data)
         while peers.members.events:
             event = peers.members.events.popleft()
-            if event.name == crashed and event.state is State.DEAD:
+            if event.name in crashed and event.state is State.DEAD:
                 found.append(event.at_ms - crash_ms)
-            elif event.state in wrong and event.name in well and event.name != crashed:
+            elif event.state in wrong and event.name in well and event.name not in crashed:
                 wrong[event.state] += 1
         due = peers.next_ms
         if timers.get(name, (None,))[0] != due:
@@ -103,10 +105,12 @@
     seconds = IDLE_MS / 1000.0 * number
     sends, size = (net.sent - sent) / seconds, (net.sent_bytes - sent_bytes) / seconds
     if not slow:
-        crashed, crash_ms = names[seed % number], net.now_ms
-        net.kill(crashed)
-        del fleet[crashed]
-    net.run(net.now_ms + (CRASH_MS if not slow else 60_000.0), 10**9)
+        crash_ms = net.now_ms
+        crashed |= {names[(seed + n * number // deaths) % number] for n in range(deaths)}
+        for name in crashed:
+            net.kill(name)
+            del fleet[name]
+    net.run(net.now_ms + (CRASH_MS if not slow and deaths == 1 else 60_000.0), 10**9)
     hours = net.now_ms / 3_600_000.0 * number
     return Play(sends, size, found, wrong[State.SUSPECT], wrong[State.DEAD], hours)
 
@@ -122,11 +126,11 @@
         row(number, lost, [job.result() for job in running])
 
 
-def row(number: int, lost: float, done: list[Play]) -> None:
+def row(number: int, lost: float, done: list[Play], deaths: int = 1) -> None:
     first = mean(min(each.found) for each in done) / 1000.0
     middle = mean(median(each.found) for each in done) / 1000.0
     last = max(max(each.found) for each in done) / 1000.0
-    missed = sum(number - 1 - len(each.found) for each in done)
+    missed = sum((number - deaths) * deaths - len(each.found) for each in done)
     hours = sum(each.hours for each in done)
     print(
         f"{number:9}  {lost:4.0%}  {len(done):5}  {mean(each.sends for each in done):7.2f}  "
@@ -194,12 +198,14 @@
     reader.add_argument("--plays", type=int, nargs=3, default=(20, 5, 1), help="at 30, 200 and 2,000")
     reader.add_argument("--seconds", type=float, default=30.0, help="that the real process is watched for")
     reader.add_argument("--one", nargs=3, metavar=("PROCESSES", "LOST", "SEED"), help="one play alone")
+    reader.add_argument("--deaths", type=int, default=1, help="at once, in the one play")
     reader.add_argument("--others", type=int, help=argparse.SUPPRESS)
     options = reader.parse_args()
     if options.one:
         number, lost, seed = int(options.one[0]), float(options.one[1]), int(options.one[2])
         print(HEAD)
-        row(number, lost, [play(number, lost, seed, Pace())])
+        done = [play(number, lost, seed, Pace(), deaths=options.deaths)]
+        row(number, lost, done, options.deaths)
         return
     if options.others:
         uvloop.run(be_others(options.others))
--- a/benchmarks/together.py
+++ b/benchmarks/together.py
@@ -14,6 +14,9 @@
           until two leases are over
 plan      a drawn plan of eight faults of all kinds in twelve leases
 
+With --smaller N, a plan that broke a promise is made smaller by N plays at the most, each with a fleet of its own, and
+what is left of it is told.
+
 Behind all plays, every checker looks at the whole history. The last line is how many promises were broken; the program
 ends with 1 where there are any.
 """
@@ -32,7 +35,8 @@
 import uvloop
 
 from standins.checkers import Asked, Owned, Ran, Taken, broken
-from standins.plans import Disk, Fault, Kind, drawn
+from standins.plans import Disk, Fault, Kind, Plan, drawn
+from standins.smaller import smaller
 from standins.together import Together
 
 DUTY = "drill"
@@ -49,6 +53,7 @@
     def __init__(self, rig: Together, lease_ms: float, rng: Random) -> None:
         self._rig, self._lease_ms, self._rng = rig, lease_ms, rng
         self.figures: Figures = defaultdict(list)
+        self.last: Plan | None = None  # that was drawn
 
     async def settled(self) -> tuple[str, int]:
         """The owner and its term, once all keepers vote and each copy has taken an effect of it that is new now."""
@@ -126,9 +131,9 @@
     async def plan(self) -> None:
         rig = self._rig
         _, term = await self.settled()
-        await rig.play(
-            drawn(self._rng, list(rig.copies), rig.keepers, 12.0 * self._lease_ms, 8, self._lease_ms)
-        )
+        length_ms = 12.0 * self._lease_ms
+        self.last = drawn(self._rng, list(rig.copies), rig.keepers, length_ms, 8, self._lease_ms)
+        await rig.play(self.last)
         await self.settled()
         self.figures["plan: terms it took"].append(float(rig.owner(DUTY)[1] - term))
 
@@ -145,25 +150,56 @@
     )
 
 
-async def main(args: argparse.Namespace) -> int:
+def fleet(args: argparse.Namespace) -> Together:
     keepers = 5 if args.processes >= 7 else 3
     owners = {"lease_ms": args.lease, "duties": [DUTY]}
     peers = {"probe_ms": args.probe, "ack_ms": 0.4 * args.probe}
+    return Together(args.processes, args.seed, keepers, peers, owners, args.pause)
+
+
+async def breaks(args: argparse.Namespace, plan: Plan) -> bool:
+    """Whether a plan breaks a promise in a fleet that has known no other."""
+    async with fleet(args) as rig:
+        plays = Plays(rig, args.lease, Random(args.seed))
+        try:
+            await plays.settled()
+            await rig.play(plan)
+            await plays.settled()
+            await rig.quiet()
+        except (AssertionError, TimeoutError):
+            return True
+        return bool(broken(rig.history))
+
+
+async def least(args: argparse.Namespace, plan: Plan) -> Plan:
+    """What is left of a plan that broke a promise; a line for each play."""
+    run = smaller(plan, args.smaller, tries=2)
+    try:
+        tried = next(run)
+        while True:
+            found = await breaks(args, tried)
+            print(f"{len(tried.faults)} faults: {'broken' if found else 'nothing'}", flush=True)
+            tried = run.send(found)
+    except StopIteration as over:
+        return over.value  # type: ignore[no-any-return]
+
+
+async def main(args: argparse.Namespace) -> int:
     wrong = []
     began_s = time.monotonic()
-    async with Together(args.processes, args.seed, keepers, peers, owners, args.pause) as rig:
+    async with fleet(args) as rig:
         print(f"{args.processes} processes up after {time.monotonic() - began_s:.1f} s", flush=True)
         plays = Plays(rig, args.lease, Random(args.seed))
         for n in range(args.plays):
             for what in args.what or WHAT:
-                if time.monotonic() - began_s > args.most_s:
+                if broken(rig.history) or time.monotonic() - began_s > args.most_s:
                     break
                 try:
                     await getattr(plays, what)()
                 except (AssertionError, TimeoutError) as problem:
                     wrong.append(f"play {n} of {what}: {problem!r:.2000}")
                     print(wrong[-1], flush=True)
-            if wrong or time.monotonic() - began_s > args.most_s:
+            if wrong or broken(rig.history) or time.monotonic() - began_s > args.most_s:
                 break  # what comes after it starts from a fleet that no play knows
         await rig.quiet()
         wrong += broken(rig.history)
@@ -180,6 +216,9 @@
         )
     for line in wrong[:50]:
         print(line)
+    if wrong and args.smaller and plays.last is not None:
+        left = await least(args, plays.last)
+        print("what is left:", *(f"\n  {each.words()}" for each in left.faults))
     print(f"seed {args.seed}: {len(wrong)} promises broken")
     return min(1, len(wrong))
 
@@ -198,5 +237,6 @@
     )
     parser.add_argument("--pause", type=float, default=0.2, help="seconds between two requests of a caller")
     parser.add_argument("--history", help="a file for all that was seen, a line each")
+    parser.add_argument("--smaller", type=int, default=0, help="plays for a smaller plan, at most")
     parser.add_argument("--most-s", type=float, default=3_600.0, help="no play begins after that")
     sys.exit(uvloop.run(main(parser.parse_args())))
--- a/standins/copies.py
+++ b/standins/copies.py
@@ -6,6 +6,7 @@
 import json
 import os
 import re
+import resource
 import shutil
 import signal
 from collections.abc import Sequence
@@ -144,6 +145,14 @@
         self.up.clear()
         self._signal(signal.SIGTERM, "drain")
 
+    def fill(self) -> None:
+        """Its disk is full, without a right that a test has not: no write to a file is taken (RLIMIT_FSIZE, EFBIG in
+        place of ENOSPC; setrlimit(2)). Of this life alone."""
+        assert self.process is not None and self.process.returncode is None, f"{self.name} has ended"
+        self._hit("full")
+        _, hard = resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE)
+        resource.prlimit(self.process.pid, resource.RLIMIT_FSIZE, (0, hard))
+
     async def kill(self) -> None:
         self.up.clear()
         self._signal(signal.SIGKILL, "kill")
--- a/standins/plans.py
+++ b/standins/plans.py
@@ -27,6 +27,7 @@
     STOP = "stop"  # SIGSTOP, at its end SIGCONT
     KILL = "kill"  # SIGKILL, at its end started with a `disk`
     DRAIN = "drain"  # SIGTERM, at its end started
+    FULL = "full"  # no file of it grows any more; at its end SIGTERM, and started where there is room again
     DISCOVERY = "discovery"  # gone for all
 
 
@@ -38,7 +39,7 @@
 
 CUTS = (Kind.CUT, Kind.ONE_WAY, Kind.GROUPS)
 WEATHER = (Kind.DELAY, Kind.DROP, Kind.DOUBLE, Kind.REORDER, Kind.SLOW)
-PROCESSES = (Kind.STOP, Kind.KILL, Kind.DRAIN)
+PROCESSES = (Kind.STOP, Kind.KILL, Kind.DRAIN, Kind.FULL)
 QUEUE_MS = 2_000.0  # what would wait longer on a slow way is lost
 
 
--- a/standins/together.py
+++ b/standins/together.py
@@ -257,6 +257,8 @@
             await self.copies[fault.who[0]].kill()
         elif fault.kind is Kind.DRAIN:
             self.copies[fault.who[0]].drain()
+        elif fault.kind is Kind.FULL:
+            self.copies[fault.who[0]].fill()
         else:
             self.note(Hit(self.now_ms(), "", f"{fault.kind} begins"))
             self.relay.air.begin(fault)
@@ -267,8 +269,10 @@
             await self.discovery.start()
         elif fault.kind is Kind.STOP:
             self.copies[fault.who[0]].go_on()
-        elif fault.kind in (Kind.KILL, Kind.DRAIN):
+        elif fault.kind in (Kind.KILL, Kind.DRAIN, Kind.FULL):
             copy = self.copies[fault.who[0]]
+            if fault.kind is Kind.FULL:  # a keeper votes no more before its next start
+                copy.drain()
             await copy.ended()
             copy.change_disk(fault.disk)
             await copy.start()
@@ -288,6 +292,10 @@
         before that, a cut may leave no majority."""
         await self._show(self.keepers, "owners_keeper", "voting")
 
+    async def one_fails(self, name: str) -> None:
+        """Until this keeper says that it votes no more."""
+        await self._show([name], "owners_keeper", "failed")
+
     async def _show(self, names: Iterable[str], key: str, value: str) -> None:
         seen: dict[str, str] = {}
         try:
