--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -15,7 +15,12 @@
 from tests.scenes.stage import Balancer, Scene
 
 # What is seen of peers and owners goes by the clock in the main, so a scene asks STATUS for what it is about.
-_THE = {"drill": "the drill", "verdicts": "the verdicts", "ramps": "the ramps"}
+_THE = {
+    "drill": "the drill",
+    "verdicts": "the verdicts",
+    "ramps": "the ramps",
+    "captures": "the thresholds of captures",
+}
 BY_THE_CLOCK = (
     "discovery: silent",
     "discovery: answers again",
@@ -57,8 +62,8 @@
         return dict(pair.partition("=")[::2] for pair in line.split() if "=" in pair)
 
     async def looks(self, **wanted: str) -> None:
-        """STATUS again and again, until these keys have these values. A value that ends in `:` is the beginning of
-        one; `drop_CAUSE` is the count of one cause in `peers_dropped`.
+        """STATUS again and again, until these keys have these values. A value that ends in `:` or `.` is the
+        beginning of one; `drop_CAUSE` is the count of one cause in `peers_dropped`.
         """
         found: dict[str, str] = {}
         try:
@@ -83,6 +88,8 @@
             value = self.found.get(key, "0")
             if key == "owners":
                 value = re.sub(r":(\d+)\.\d+$", lambda found: f":{self.fleet.term(int(found[1]))}.<n>", value)
+            if key == "captures_table":
+                value = f"{self.fleet.term(int(value.partition('.')[0]))}.<n>"
             if key == "edits_tables":
                 value = self.fleet.mark(value)
             words.append(f"{key.replace('drop_', 'peers_dropped=... ')}={value}")
@@ -193,13 +200,13 @@
         names: tuple[str, ...] = ("c0", "c1", "c2"),
         more: tuple[str, ...] = (),
         relay: Relay | None = None,
-        text: str = "",
+        text: str | dict[str, str] = "",
         lifecycle: str = "",
         **tables: dict[str, Any],
     ) -> None:
-        """Nobody is up yet. `tables`: rows of [peers], of [owners], with which all are keepers, and of [edits]. `more`:
-        peers' addresses that others have. `relay`: all datagrams go through it. `text`: further tables; `lifecycle`:
-        further lines of [lifecycle].
+        """Nobody is up yet. `tables`: rows of [peers], of [owners], with which all are keepers, of [edits] and
+        [captures]. `more`: peers' addresses that others have. `relay`: all datagrams go through it. `text`: further
+        tables, by name where they differ; `lifecycle`: further lines of [lifecycle].
         """
         own = [f"127.0.0.1:{free_port()}" for _ in names]
         addresses = own
@@ -216,7 +223,11 @@
             if "edits" in tables:
                 rows["edits"] = {"on": True, "folder": str(self._scene.folder / f"{name}-edits")}
                 rows["edits"] |= tables["edits"]
-            self._waiting.append((name, address, lifecycle + written(rows) + text, upstreams))
+            if "captures" in tables:
+                rows["captures"] = {"on": True, "path": str(self._scene.folder / f"{name}.jsonl")}
+                rows["captures"] |= tables["captures"]
+            more_text = text if isinstance(text, str) else text[name]
+            self._waiting.append((name, address, lifecycle + written(rows) + more_text, upstreams))
 
     async def rest(self, up: int | None = None) -> None:
         """So many more are up, or all that were not."""
@@ -331,4 +342,4 @@
 
 
 def _is(value: str, wanted: str) -> bool:
-    return value.startswith(wanted) if wanted.endswith(":") else value == wanted
+    return value.startswith(wanted) if wanted.endswith((":", ".")) else value == wanted
--- a/tests/scenes/stage.py
+++ b/tests/scenes/stage.py
@@ -16,6 +16,7 @@
 from syrupy.assertion import SnapshotAssertion
 
 from standins.actors import Client, Discovery, Server
+from standins.peers import PATIENCE_S
 from standins.ports import free_port
 from standins.scene import Process, Stage
 from tests.fakes import SETTINGS, config_data
@@ -153,7 +154,7 @@
     async def work() -> None:
         await it.open()
         try:
-            async with asyncio.timeout(60.0):
+            async with asyncio.timeout(2.0 * PATIENCE_S):  # a step that waits in vain says so first
                 await script(it)
                 await it.end()
         except BaseException:
