A threshold that captures all is written as 0, as OpenTelemetry has it

Cause: a transcript showed `th=` with nothing behind it: all 14 zeros of a zero were left out. OpenTelemetry's tracestate (probability sampling, "th") wants one to 14 digits, and the runbook says that lines are as there. Not taken: a zero only in lines: whoever reads the field on its way has the same rule.

--- a/packages/captures/src/larkweir_captures/thresholds.py
+++ b/packages/captures/src/larkweir_captures/thresholds.py
@@ -73,8 +73,8 @@
 
 @lru_cache(maxsize=4096)
 def to_hex(threshold: int) -> str:
-    """As `th` is written: 14 digits without the zeros at the end; `none` captures nothing."""
-    return "none" if threshold >= ALL else f"{threshold:014x}".rstrip("0")
+    """As `th` is written: 14 digits without the zeros at the end, of which one is left; `none` captures nothing."""
+    return "none" if threshold >= ALL else f"{threshold:014x}".rstrip("0") or "0"
 
 
 @lru_cache(maxsize=4096)
--- a/tests/fleet/test_captures.py
+++ b/tests/fleet/test_captures.py
@@ -85,7 +85,7 @@
             await until(lambda: path.exists() and path.read_bytes().count(b"\n") == 20, "20 lines")
             lines = [json.loads(line) for line in path.read_text().splitlines()]
             assert [line["trace"] for line in lines] == [f"a{n}" for n in range(20)]
-            assert {(line["why"], line["weight"], line["th"]) for line in lines} == {("drawn", 1.0, "")}
+            assert {(line["why"], line["weight"], line["th"]) for line in lines} == {("drawn", 1.0, "0")}
             record = lines[0]["record"]
             assert record["status"] == 200 and record["class"] == "look" and record["attempts"][0][3] == "ok"
 
--- a/tests/fleet/test_captures_rules.py
+++ b/tests/fleet/test_captures_rules.py
@@ -87,7 +87,7 @@
     ride = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:10.0.0.9:1")
     assert ride.down().endswith(b"by:10.0.0.9:1,10.0.0.1:1")
     ride.told(b"th:0;by:10.0.0.5:1", True)
-    assert ride.up() == b"th:;by:10.0.0.1:1,10.0.0.5:1"
+    assert ride.up() == b"th:0;by:10.0.0.1:1,10.0.0.5:1"
     one.tell(40.0, AttemptEnded(1, 0, one.sent[0].server, Outcome.OK, True, 30.0))
     (line,) = one.lines(100.0)
     assert (line["trace"], line["rv"], line["weight"]) == ("id-1", "80000000000000", 1.0)
@@ -102,7 +102,7 @@
     ride = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:a")
     first = ride.down()
     ride.told(b"th:4;by:b", True)
-    assert first.startswith(b"th:;") and ride.down().startswith(b"th:4;") and ride.up().startswith(b"th:4;")
+    assert first.startswith(b"th:0;") and ride.down().startswith(b"th:4;") and ride.up().startswith(b"th:4;")
     one.tell(40.0, AttemptEnded(1, 0, one.sent[0].server, Outcome.OK, True, 30.0))
     (line,) = one.lines(100.0)
     assert (line["th"], line["weight"]) == ("4", 4 / 3)
