Edits: a reload is one generation, held by a test that fails without it

Need: of ten guards taken out one after the other, nine made a test fail; that of the second generation did not. Change: the test's host takes the reload's word at once, as the daemon does, and counts generations. Not taken: counting them in a real process; its log does not tell them.

--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_part.py
@@ -99,12 +99,15 @@
         """Why not; empty where it counts."""
         done: asyncio.Future[str] = asyncio.get_running_loop().create_future()
         options = self.read(text, **edits)
-        self.part.reload(options, done.set_result)
+
+        def then(why: str) -> None:  # as the daemon: at once
+            if not why:
+                self.reconfigure(self.config, options)
+            done.set_result(why)
+
+        self.part.reload(options, then)
         async with asyncio.timeout(PATIENCE_S):
-            why = await done
-        if not why:
-            self.reconfigure(self.config, options)
-        return why
+            return await done
 
     @property
     def said(self) -> dict[str, Any]:
@@ -163,9 +166,11 @@
         ended = {"all": ("/*", ("new 0%",)), "a": ("/a", ())}
         await until(lambda: first.said == second.said == ended, "ended at both", hosts)
         assert not second.routes.router.on_trial()
+        count = second.applied
         assert not await second.reload(
             FILE + '[route.b]\npath = "/b"\n'
         )  # says 5% still, and nothing new of it
+        assert second.applied == count + 1  # one generation: the file's own, and what was merged
         assert second.said["all"] == ("/*", ("new 0%",))
         post.cut.clear()
         await until(
