--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -15,7 +15,12 @@
 from tests.scenes.stage import Balancer, Scene
 
 # What is seen of peers and owners goes by the clock in the main, so a scene asks STATUS for what it is about.
-_THE = {"drill": "the drill", "verdicts": "the verdicts", "ramps": "the ramps"}
+_THE = {
+    "drill": "the drill",
+    "verdicts": "the verdicts",
+    "ramps": "the ramps",
+    "captures": "the thresholds of captures",
+}
 BY_THE_CLOCK = (
     "discovery: silent",
     "discovery: answers again",
@@ -26,6 +31,7 @@
 TAKEN = re.compile(r"owners: \w+ (\d+)\.(\d+) taken$")
 # Whoever has stood still finds that out by its timer or by a datagram, whichever comes first.
 RATES = re.compile(r"(the fleet saw that it fails more: ).*$")  # what had come by then goes by the clock
+PROPOSALS = re.compile(r"(edits: .*?) \((.*)\)$")
 LATE = re.compile(r"(owners: drill given up: )(?:<n> ms late|\S+ has it)$")
 
 
@@ -56,8 +62,8 @@
         return dict(pair.partition("=")[::2] for pair in line.split() if "=" in pair)
 
     async def looks(self, **wanted: str) -> None:
-        """STATUS again and again, until these keys have these values. A value that ends in `:` is the beginning of
-        one; `drop_CAUSE` is the count of one cause in `peers_dropped`.
+        """STATUS again and again, until these keys have these values. A value that ends in `:` or `.` is the
+        beginning of one; `drop_CAUSE` is the count of one cause in `peers_dropped`.
         """
         found: dict[str, str] = {}
         try:
@@ -82,6 +88,10 @@
             value = self.found.get(key, "0")
             if key == "owners":
                 value = re.sub(r":(\d+)\.\d+$", lambda found: f":{self.fleet.term(int(found[1]))}.<n>", value)
+            if key == "captures_table":
+                value = f"{self.fleet.term(int(value.partition('.')[0]))}.<n>"
+            if key == "edits_tables":
+                value = self.fleet.mark(value)
             words.append(f"{key.replace('drop_', 'peers_dropped=... ')}={value}")
         self.script.line(self.name, "operator", " ".join(words))
 
@@ -91,12 +101,18 @@
             line = await self._log.take()
             if self._stood:
                 line = LATE.sub(r"\1it stood still", line)
+            line = PROPOSALS.sub(self._proposals, line)
             line = RATES.sub(r"\1<rates>", line)
             line = re.sub(
                 r"(owned here, term )(\d+)", lambda found: found[1] + self.fleet.term(int(found[2])), line
             )
             self.script.line(self.name, "log", line)
 
+    def _proposals(self, found: re.Match[str]) -> str:
+        """Who says what, by their names here: the log has them by their addresses. Lives of writers are drawn."""
+        said = re.sub(r"#[0-9a-f]{8}", "", found[2]).split("; ")
+        return f"{found[1]} ({'; '.join(sorted(map(self.script.named, said)))})"
+
     def gets(self, number: signal.Signals, pid: int | None = None) -> None:
         self._stood = self._stood or number is signal.SIGSTOP
         super().gets(number, pid)
@@ -140,14 +156,18 @@
         order = "no step back" if self.parts == sorted(self.parts) else f"A STEP BACK: {self.parts}"
         self.script.line(self.name, "operator", f"the canary has {least:.0%} or more, {order}")
 
-    async def reloads(self, old: str, new: str) -> None:
-        """The operator's file with one passage changed, and SIGHUP."""
+    async def reloads(self, old: str, new: str, edits: int = 0) -> None:
+        """The operator's file with one passage changed, and SIGHUP. `edits`: so many are made of it."""
         text = self.operator_path.read_text()
         assert old in text
         self.operator_path.write_text(text.replace(old, new))
-        self.script.line("operator", self.name, f"its file says {'; '.join(new.split(chr(10))).strip('; ')}")
+        said = "; ".join((new or old).strip().split("\n"))
+        self.script.line("operator", self.name, f"its file says {'' if new else 'no more '}{said}")
+        self._seen -= {line for line in self._seen if "of this reload" in line}
         self.gets(signal.SIGHUP)
         await self.tells("RELOADING")
+        if edits:
+            await self.says(f"edits: {edits} made of this reload")
         await self.tells("READY")
 
     async def takes_more(self, effects: int) -> None:
@@ -166,6 +186,7 @@
         self._scene = scene
         self.members: list[Member] = []
         self._terms: list[int] = []
+        self._marks: list[str] = []
         self._waiting: list[tuple[str, str, str, tuple[Server, ...]]] = []  # not up yet
 
     async def start(self, *upstreams: Server, **more: Any) -> None:
@@ -179,13 +200,13 @@
         names: tuple[str, ...] = ("c0", "c1", "c2"),
         more: tuple[str, ...] = (),
         relay: Relay | None = None,
-        text: str = "",
+        text: str | dict[str, str] = "",
         lifecycle: str = "",
         **tables: dict[str, Any],
     ) -> None:
-        """Nobody is up yet. `tables`: rows of [peers], and of [owners]: with these all are keepers. `more`: peers'
-        addresses that others have. `relay`: all datagrams go through it. `text`: further tables; `lifecycle`: further
-        lines of [lifecycle].
+        """Nobody is up yet. `tables`: rows of [peers], of [owners], with which all are keepers, of [edits] and
+        [captures]. `more`: peers' addresses that others have. `relay`: all datagrams go through it. `text`: further
+        tables, by name where they differ; `lifecycle`: further lines of [lifecycle].
         """
         own = [f"127.0.0.1:{free_port()}" for _ in names]
         addresses = own
@@ -199,7 +220,14 @@
             if "owners" in tables:
                 keeps = {"keepers": addresses, "folder": str(self._scene.folder / f"{name}-keeper")}
                 rows["owners"] = {"on": True, "duties": ["drill"]} | keeps | tables["owners"]
-            self._waiting.append((name, address, lifecycle + written(rows) + text, upstreams))
+            if "edits" in tables:
+                rows["edits"] = {"on": True, "folder": str(self._scene.folder / f"{name}-edits")}
+                rows["edits"] |= tables["edits"]
+            if "captures" in tables:
+                rows["captures"] = {"on": True, "path": str(self._scene.folder / f"{name}.jsonl")}
+                rows["captures"] |= tables["captures"]
+            more_text = text if isinstance(text, str) else text[name]
+            self._waiting.append((name, address, lifecycle + written(rows) + more_text, upstreams))
 
     async def rest(self, up: int | None = None) -> None:
         """So many more are up, or all that were not."""
@@ -274,6 +302,26 @@
             self._terms.append(term)
         return f"<term {'ABCDEFGH'[self._terms.index(term)]}>"
 
+    def mark(self, mark: str) -> str:
+        """Merged tables by the order in which the scene meets them."""
+        if mark not in self._marks:
+            self._marks.append(mark)
+        return f"<tables {'ABCDEFGH'[self._marks.index(mark)]}>"
+
+    async def agree(self, edits: int | None = None) -> None:
+        """Until all have the same tables, and so many edits; then each says so."""
+        counted = {} if edits is None else {"edits": str(edits)}
+        async with asyncio.timeout(PATIENCE_S):
+            while True:
+                for it in self.members:
+                    await it.looks(edits_state="ok", **counted)
+                marks = {it.found["edits_tables"] for it in self.members}
+                if len(marks) == 1:
+                    break
+                await asyncio.sleep(0.05)
+        for it in self.members:
+            await it.shows(**counted, edits_tables=next(iter(marks)))
+
     def over(self) -> None:
         """What is said of owners while one after the other ends goes by who is left."""
         for it in self.members:
@@ -294,4 +342,4 @@
 
 
 def _is(value: str, wanted: str) -> bool:
-    return value.startswith(wanted) if wanted.endswith(":") else value == wanted
+    return value.startswith(wanted) if wanted.endswith((":", ".")) else value == wanted
