The duty of captures' rates wakes for a report, in place of ten looks a second

Each copy looked ten times a second whether it had something to tell, though it tells once.

A report wakes the duty by its seat; a table that is taken does so already. A look a second was weighed: a report would wait for up to another second, and rates follow load no faster than reports come.

--- a/larkweir/fleet/captures/part.py
+++ b/larkweir/fleet/captures/part.py
@@ -62,10 +62,12 @@
     def __init__(self) -> None:
         self.mail: Mail | None = None
         self.report = b""  # the newest, not told yet
+        self.told: Callable[[], None] = lambda: None  # there is one
 
     def post(self, to: str, item: bytes) -> bool:
         if to == OWNER:
             self.report = item
+            self.told()
             return True
         return self.mail is not None and self.mail.post(to, item)
 
@@ -138,11 +140,18 @@
         self._said_ms: dict[str, float] = {}
         self._timer: Timer | None = host.clock.after(0.0, self._turn)
 
-    def duty(self, life: int) -> Thresholds:
-        """The coordinator's work. `life` of this copy's reports."""
+    def duty(self, life: int, wake: Callable[[], None]) -> Thresholds:
+        """The coordinator's work. `life` of this copy's reports; `wake`: it has something to tell."""
         from larkweir.fleet.duties.thresholds import Thresholds  # not imported where nobody owns duties
 
-        return Thresholds(life, self.node, self._post.take, self.options.hold_ms, self.options.rest)
+        found = Thresholds(life, self.node, self._post.take, self.options.hold_ms, self.options.rest)
+
+        def told() -> None:
+            found.next_ms = 0.0
+            wake()
+
+        self._post.told = told
+        return found
 
     def configure(self, config: Config, options: Operator | None) -> None:
         if options is not None:
--- a/larkweir/fleet/duties/table.py
+++ b/larkweir/fleet/duties/table.py
@@ -17,7 +17,7 @@
 class Captured(Protocol):
     """This process's captures."""
 
-    def duty(self, life: int) -> Work: ...
+    def duty(self, life: int, wake: Callable[[], None]) -> Work: ...
 
 
 class Seat(NamedTuple):
@@ -53,7 +53,7 @@
 
 
 def _captures(seat: Seat) -> Work | None:
-    return seat.captures.duty(seat.life) if seat.captures is not None else None
+    return seat.captures.duty(seat.life, seat.wake) if seat.captures is not None else None
 
 
 MAKERS: dict[str, Maker] = {
--- a/larkweir/fleet/duties/thresholds.py
+++ b/larkweir/fleet/duties/thresholds.py
@@ -20,8 +20,6 @@
 from larkweir.fleet.captures.scribe import OWNER
 from larkweir.fleet.duties.words import CaptureReport, Report
 
-LOOK_MS = 100.0  # between two looks of a copy for a report
-
 
 class Capturing(Protocol):
     """This copy's captures."""
@@ -45,7 +43,7 @@
     def __init__(
         self, life: int, node: Capturing, report: Callable[[], bytes], hold_ms: float, rest: float
     ) -> None:
-        """`report`: what this copy would tell, once; empty if there is nothing new."""
+        """`report`: what this copy would tell, once; empty if there is nothing new. Whoever has some sets `next_ms`."""
         self.next_ms = 0.0
         self.refused = 0
         self._life, self._node, self._report = life, node, report
@@ -94,7 +92,7 @@
         """Rates hold as they are for `hold_ms`, and then the safe part of them."""
 
     def tick(self, now_ms: float) -> list[Report]:
-        self.next_ms = now_ms + LOOK_MS
+        self.next_ms = float("inf")  # until a table is taken or a report is to be told
         if self._table is not None:
             self._node.follow(self._table, now_ms)
             self._table = None
--- a/tests/fleet/test_captures.py
+++ b/tests/fleet/test_captures.py
@@ -248,6 +248,8 @@
             whole, drawn = rig.whole(begun)
             assert drawn > 20 and whole >= 0.95 * drawn, (whole, drawn)
             assert rig.passed(100.0, 100_000.0) == 0
+            weights = {line.weight for name in rig.names for line in rig.lines(name)}
+            assert any(0.0 < weight < 2.0 for weight in weights)  # by what nodes reported, above `rest`
 
     run(play())
 
--- a/tests/fleet/test_captures_rules.py
+++ b/tests/fleet/test_captures_rules.py
@@ -10,6 +10,7 @@
 from larkweir_captures.wire import Report as Seen
 from larkweir_captures.wire import Table, pack, unpack
 
+from larkweir.fleet.captures.part import _Post
 from larkweir.fleet.captures.scribe import OWNER, Ride, Scribe
 from larkweir.fleet.duties.thresholds import Thresholds
 from larkweir.fleet.duties.words import CaptureReport
@@ -265,6 +266,14 @@
     assert copy.duty._coordinator is not None and copy.duty._coordinator.nodes == 0
 
 
+def test_a_node_s_report_goes_to_whoever_owns_the_duty_and_wakes_it() -> None:
+    post, woken = _Post(), list[str]()
+    post.told = lambda: woken.append("told")
+    assert post.post(OWNER, b"report") and woken == ["told"]
+    assert (post.take(), post.take()) == (b"report", b"")
+    assert not post.post("10.0.0.2:1", b"ask") and post.alive() == ()  # where peers are off
+
+
 def test_a_copy_s_report_goes_out_once_and_what_is_none_is_refused() -> None:
     copy = Copy()
     copy.told = [b"item"]
