--- a/tests/lifecycle/service.py
+++ b/tests/lifecycle/service.py
@@ -19,8 +19,8 @@
 from standins.ports import free_port
 from tests.fakes import SETTINGS, config_data
 
-# A request that is held while another process starts has this for its deadline, and its starter as much patience: on a
-# busy machine a start takes longer than the deadline of the other requests.
+# A request that is held while another process starts has this for its deadline (see `patient`), and its starter as much
+# patience: on a busy machine a start takes longer than the other requests may.
 LONG_MS = 60_000
 
 
@@ -71,6 +71,12 @@
         fresh.write_text(json.dumps(self.data))
         fresh.rename(self.config_path)
 
+    def patient(self) -> None:
+        """Before the start: one more class, `slow`, whose requests, as unsafe as `move`, may take `LONG_MS`."""
+        rows = SETTINGS["Categories"]
+        slow = rows[2] | {"Name": "slow", "AimMs": LONG_MS, "HardLimitMs": LONG_MS}
+        self.write(settings=SETTINGS | {"Categories": [*rows, slow]})
+
     def write_operator(self, **changes: Any) -> None:
         self.operator |= changes
         rows = [f"{key} = {json.dumps(value)}" for key, value in self.operator.items()]
@@ -128,9 +134,7 @@
     entries = [upstream.entry(f"u{n}") for n, upstream in enumerate(upstreams)]
     discovery = await FakeDiscovery(entries).start()
     port = free_port()
-    categories = [row | {"HardLimitMs": LONG_MS} for row in SETTINGS["Categories"]]
-    settings = SETTINGS | {"Categories": categories}
-    data = config_data(entries, discovery.port, listen=f"127.0.0.1:{port}", settings=settings)
+    data = config_data(entries, discovery.port, listen=f"127.0.0.1:{port}")
     options = {"notify": True, "reload": "whole", "handover": "signal", "handover_ready_ms": 1.0 * LONG_MS}
     options |= operator
     it = Service(folder, manager, discovery, port, data, options)
--- a/tests/lifecycle/test_handover.py
+++ b/tests/lifecycle/test_handover.py
@@ -65,10 +65,11 @@
         held = Held()
         upstream = await FakeUpstream(held).start()
         async with service(tmp_path, upstream) as it:
+            it.patient()
             await it.start()
             steady = Steady(it)
             async with Caller(it.port) as out, Caller(it.port) as kept:
-                out.ask("move", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
+                out.ask("slow", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                 kept.ask()
                 assert (await kept.answer()).status == 200
                 it.signal(signal.SIGUSR2)
@@ -85,7 +86,7 @@
             it.signal(signal.SIGTERM, pid)
             await until(lambda: not alive(pid), "the successor's end")
         upstream.close()
-        moves = [item for item in upstream.seen if item.headers["x-qos"] == "move"]
+        moves = [item for item in upstream.seen if item.headers["x-qos"] == "slow"]
         assert len(moves) == 1
 
     run(work())
@@ -213,9 +214,10 @@
         for after in (False, True):
             held.go.clear()
             async with service(tmp_path, upstream) as it:
+                it.patient()
                 await it.start()
                 async with Caller(it.port) as out:
-                    out.ask("move", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
+                    out.ask("slow", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                     await upstream.arrived.get()
                     it.signal(signal.SIGUSR2)
                     child = await it.successor() if after else await child_of(it.process.pid)
@@ -237,9 +239,10 @@
         held = Held()
         upstream = await FakeUpstream(held).start()
         async with service(tmp_path, upstream) as it:
+            it.patient()
             await it.start()
             async with Caller(it.port) as out:
-                out.ask("move", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
+                out.ask("slow", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                 await upstream.arrived.get()
                 it.signal(signal.SIGUSR2)
                 child = await it.successor()
--- a/tests/lifecycle/test_standing.py
+++ b/tests/lifecycle/test_standing.py
@@ -296,6 +296,7 @@
         held = Held()
         up = await FakeUpstream(held).start()
         async with service(tmp_path, up, stop_grace_ms=grace_ms, accept_ms=200) as it:
+            it.patient()
             await it.start()
             keepers = [Keeper(it.port, n) for n in range(1, 9)]
             tasks = [asyncio.ensure_future(keeper.run()) for keeper in keepers]
@@ -303,7 +304,7 @@
             async with Caller(it.port) as out, Caller(it.port) as idle:
                 idle.ask()
                 assert (await idle.answer()).status == 200
-                out.ask("move", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
+                out.ask("slow", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                 await until(lambda: all(len(keeper.answers) >= 5 for keeper in keepers), "traffic")
                 it.signal(signal.SIGTERM)
                 told = time.monotonic()
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -86,9 +86,13 @@
 
 
 @asynccontextmanager
-async def balancer(folder: Path, *upstreams: FakeUpstream) -> AsyncIterator[tuple[Service, Process]]:
+async def balancer(
+    folder: Path, *upstreams: FakeUpstream, patient: bool = False
+) -> AsyncIterator[tuple[Service, Process]]:
     options = {"notify": False, "handover": "off", "upgrade": "beside"}
     async with service(folder, *upstreams, **options) as it:
+        if patient:
+            it.patient()
         first = Process(it)
         made = [first]
         it.processes = made  # type: ignore[attr-defined]
@@ -305,8 +309,8 @@
     async def work() -> None:
         held = Held()
         upstream = await FakeUpstream(held).start()
-        async with balancer(tmp_path, upstream) as (it, old), Caller(it.port) as caller:
-            caller.ask("move", b"x", "/api?held", X_Trace_Id="0123", X_Expires_In_Ms=str(LONG_MS))
+        async with balancer(tmp_path, upstream, patient=True) as (it, old), Caller(it.port) as caller:
+            caller.ask("slow", b"x", "/api?held", X_Trace_Id="0123", X_Expires_In_Ms=str(LONG_MS))
             await until(lambda: upstream.seen, "the request at its upstream")
             await another(it)
             assert (await it.ask("move", b"x", X_Trace_Id="0123"))[0] == 409
@@ -499,10 +503,10 @@
         async with service(tmp_path, upstream) as it:
             control = free_port()
             it.data["control"] = f"127.0.0.1:{control}"
-            it.write()
+            it.patient()
             await it.start()
             async with Caller(it.port) as out:
-                out.ask("look", b"", "/api?held", X_Expires_In_Ms=str(LONG_MS))
+                out.ask("slow", b"x", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                 it.signal(signal.SIGUSR2)
                 pid = await it.successor()
                 await until(lambda: len(upstream.seen) == 1, "the request that is held")
