The scene of a way cut one way tells that the one who was asked has probed and answered

Cause: with the probing for others taken out, the scene passed all the same: the lost one clears itself by rumours. Change: the relay tells the first answer to such a request as well, by the request's number, and the script takes it. Not taken: no suspicion at all: a slow machine may have one, which is refuted.

--- a/tests/scenes/test_peers.py
+++ b/tests/scenes/test_peers.py
@@ -129,20 +129,31 @@
 
 @scene()
 async def test_cut_one_way(s: Scene) -> None:
-    """Nothing passes from west to north any more. North asks south to probe west; south's word is enough: west is
-    still there for all. Then nothing passes to west at all: both others hold it to be lost, and all three are there
-    again when the ways are open.
+    """Nothing passes from west to north any more. North asks south to probe west, and south does; its word is enough:
+    west is still there for all. Then nothing passes to west at all: both others hold it to be lost, and all three are
+    there again when the ways are open.
     """
     u0 = await s.upstream("u0")
-    told, cut = list[bytes](), list[bytes]()  # who is cut off from whom
+    asked, told, cut = (
+        set[int](),
+        set[str](),
+        list[bytes](),
+    )  # who is cut off from whom, and through whom it asks
 
     def tell(data: bytes) -> str | None:
-        """The first request to probe that the cut is cause of: how often they come goes by the clock."""
-        frame = decode(data)
-        if not isinstance(frame, Ask) or [frame.sender, frame.who] != cut or told:
+        """The first request to probe that the cut is cause of, and the first answer to such a one: how often they come
+        goes by the clock.
+        """
+        frame, words = decode(data), ""
+        if isinstance(frame, Ask) and [frame.sender, frame.who] == cut[:2]:
+            asked.add(frame.number)
+            words = "probe <west> for me"
+        elif isinstance(frame, Ack) and [frame.sender] == cut[2:] and frame.of in asked:
+            words = "<west> has answered"
+        if not words or words in told:
             return None
-        told.append(data)
-        return "probe <west> for me"
+        told.add(words)
+        return words
 
     relay = Relay(s.script, tell)
     fleet = Fleet(s)
@@ -152,9 +163,10 @@
     north, south, west = fleet.members
     for it in fleet.members:
         await it.shows(peers="2/2")
-    cut += [packed(north.address), packed(west.address)]
+    cut += [packed(it.address) for it in (north, west, south)]
     relay.cut_one_way("west", "north")
     await relay.takes("north", "south")
+    await relay.takes("south", "north")
     for it in fleet.members:
         await it.shows(peers="2/2", peers_dead="0")
 
