A bench of owners' traffic at any number of copies

Need: the aim is 8 datagrams/s a process at 200, and nothing told it with a canary and a ramp under way. Change: benchmarks.fleet_duties traffic: a copy's mean, the keepers', the busiest's. Not taken: counting at real processes, 200 of which no machine here bears.

--- a/benchmarks/fleet_duties.py
+++ b/benchmarks/fleet_duties.py
@@ -1,9 +1,11 @@
-"""`python -m benchmarks.fleet_duties verdicts|alarms|ramps`: duties of the fleet against each copy alone, with the real
-rules on a simulated network (1 to 10 ms a datagram, 1% lost, the peers' send budget).
+"""`python -m benchmarks.fleet_duties verdicts|alarms|ramps|traffic`: duties of the fleet against each copy alone, with
+the real rules on a simulated network (1 to 10 ms a datagram, 1% lost, the peers' send budget).
 
 verdicts: bad answers of a bad canary until it has ended everywhere, and how many copies are on beside it.
 alarms: canaries that are no worse, over whole ramps: how often the fleet's bet ends one. Rules alone, no network.
 ramps: a ramp whose owner is killed again and again: steps back, steps left out, steps too early (none).
+traffic: datagrams a second of owners and reports, without membership's own, with a canary and a ramp under way and no
+request: a copy's mean, the keepers', the busiest copy's. `--copies` says of how many.
 """
 
 from __future__ import annotations
@@ -196,9 +198,24 @@
     )
 
 
+def traffic(options: argparse.Namespace) -> None:
+    route = Route(pool="main", split=("new 5%",), sticky="request", alarm=options.alarm, ramp_ms=3_600_000.0)
+    fleet = Fleet(options.seed, options.copies, route, 3)
+    fleet.run(12_000.0)
+    before = {name: copy.sent for name, copy in fleet.copies.items()}
+    fleet.run(options.sim_s * 1000.0)
+    rate = {name: (copy.sent - before[name]) / options.sim_s for name, copy in fleet.copies.items()}
+    keeping = [rate[name] for name in fleet.keepers.names]
+    print(
+        f"{options.copies} copies: {mean(rate.values()):.2f} datagrams/s a copy, keepers {mean(keeping):.1f}, "
+        f"the busiest {max(rate.values()):.1f}, half of the copies at most {median(rate.values()):.2f}; "
+        f"seed {options.seed}"
+    )
+
+
 def main() -> None:
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("what", choices=("verdicts", "alarms", "ramps"))
+    parser.add_argument("what", choices=("verdicts", "alarms", "ramps", "traffic"))
     parser.add_argument("--copies", type=int, default=200)
     parser.add_argument("--plays", type=int, default=10)
     parser.add_argument("--requests", type=int, default=5, help="alarms: a copy and step of the ramp")
@@ -209,8 +226,9 @@
     parser.add_argument(
         "--most-s", type=float, default=240.0, help="alarms: begin no further ramp after that"
     )
+    parser.add_argument("--sim-s", type=float, default=20.0, help="traffic: seconds of the simulated clock")
     options = parser.parse_args()
-    {"verdicts": verdicts, "alarms": alarms, "ramps": ramps}[options.what](options)
+    {"verdicts": verdicts, "alarms": alarms, "ramps": ramps, "traffic": traffic}[options.what](options)
 
 
 if __name__ == "__main__":
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -38,6 +38,7 @@
         self.router = Router({ROUTE: fleet.route}, {}, {}, 0.0)
         self.lines: list[str] = []
         self.refused = 0
+        self.sent = 0  # datagrams
         self._timer: Due | None = None
 
     def start(self) -> None:
@@ -92,6 +93,7 @@
             self.refused += 1
             return False
         self.fleet.datagrams += pieces
+        self.sent += pieces
         if self.fleet.rng.random() >= (1.0 - self.fleet.lost) ** pieces:
             return True
         network.send(self.name, to, data)
