--- a/packages/owners/src/larkweir_owners/duty.py
+++ b/packages/owners/src/larkweir_owners/duty.py
@@ -109,7 +109,7 @@
         if keeper is not None and keeper.disk.keepers.epoch > keepers.epoch:
             keepers = keeper.disk.keepers
         self.proposer = Proposer(me, life, keepers, self._post, spread)
-        self.followers = Followers(me, self._post, self.proposer, pick, self._took, held)
+        self.followers = Followers(me, self._post, self.proposer, pick, self._took, held, spread())
         self.change = Change(self.proposer, self._post)
         self.duties = {duty.name: duty for duty in duties}
         self.terms = {
--- a/packages/owners/src/larkweir_owners/effects.py
+++ b/packages/owners/src/larkweir_owners/effects.py
@@ -47,9 +47,11 @@
         pick: Pick,
         took: Callable[[str, Record], None],
         held: Iterable[tuple[str, Record]] = (),
+        phase: float = 1.0,
     ) -> None:
-        """`held`: what a former life of this process held, from a store; without it the first versions that come are
-        taken, whichever they are."""
+        """`phase`: from 0 to 1, of the time between two digests until the second, so that processes that start together
+        do not all tell at the same moments. `held`: what a former life of this process held, from a store; without it
+        the first versions that come are taken, whichever they are."""
         self.me = me
         self.held: dict[str, Record] = dict(held)
         self.next_ms = 0.0
@@ -61,6 +63,7 @@
         self._wanted: dict[str, tuple[Version, float]] = {}
         self._turn = ""
         self._now_ms = 0.0
+        self._phase = phase
         self._budget, self._spread_ms = SPREAD_BURST, 0.0
 
     def version(self, key: str) -> Version:
@@ -144,7 +147,8 @@
     def tick(self, now_ms: float) -> None:
         """Once a second; without a peer, and with nothing wanted, it does nothing."""
         self._now_ms = max(now_ms, self._now_ms)
-        self.next_ms = now_ms + DIGEST_MS
+        self.next_ms = now_ms + DIGEST_MS * self._phase
+        self._phase = 1.0
         keys = sorted(self.held)
         behind = [key for key in keys if key > self._turn]
         turn = (behind + keys[: len(keys) - len(behind)])[:DIGEST_KEYS]
