Connections to upstreams through doors: cut, late and reset in the midst of answers

The rig's faults were about datagrams and processes alone; what the four rules promise is about connections. Now a door before each upstream holds, delays or resets what passes; nothing is lost or out of order, as TCP has it. A fake upstream says of a reset end what it is.

--- a/standins/peers.py
+++ b/standins/peers.py
@@ -67,6 +67,8 @@
         self.reader, self.writer = reader, writer
 
     async def send(self, data: bytes) -> None:
+        if self.writer.transport.is_closing():  # else uvloop's own error, which is no OSError
+            raise ConnectionResetError("the other end has reset it")
         self.writer.write(data)
         await self.writer.drain()
 
--- a/standins/plans.py
+++ b/standins/plans.py
@@ -28,6 +28,9 @@
     KILL = "kill"  # SIGKILL, at its end started with a `disk`
     DRAIN = "drain"  # SIGTERM, at its end started
     FULL = "full"  # no file of it grows any more; at its end SIGTERM, and started where there is room again
+    RESET = (
+        "reset"  # connections to the servers `who`: those that are there, and until the end those that come
+    )
     DISCOVERY = "discovery"  # gone for all
 
 
@@ -95,11 +98,13 @@
     count: int,
     lease_ms: float,
     kinds: Sequence[Kind] = tuple(Kind),
+    servers: Sequence[str] = (),
 ) -> Plan:
     """`count` faults of half a lease to four leases each, or fewer where no process is free for one.
 
-    A process has one fault of its own at a time, a calm lease lies before the plan's end, and one keeper at most loses
-    what is on its disk: who loses more than that has lost the registers, which no protocol mends.
+    `servers`: those whose connections can be reset. A process has one fault of its own at a time, a calm lease lies
+    before the plan's end, and one keeper at most loses what is on its disk: who loses more than that has lost the
+    registers, which no protocol mends.
     """
     found: list[Fault] = []
     busy: list[tuple[str, float, float]] = []
@@ -111,6 +116,9 @@
         end_ms = min(begin_ms + rng.uniform(0.5, 4.0) * lease_ms, last_ms)
         if kind is Kind.DISCOVERY:
             found.append(Fault(kind, begin_ms, end_ms))
+        elif kind is Kind.RESET:
+            if servers:
+                found.append(Fault(kind, begin_ms, end_ms, (rng.choice(list(servers)),)))
         elif kind in PROCESSES:
             free = [
                 name
--- a/standins/together.py
+++ b/standins/together.py
@@ -32,6 +32,7 @@
 from standins.peers import PATIENCE_S, Caller, FakeDiscovery, FakeUpstream, Incoming, Talk, ok, status
 from standins.plans import Air, Fault, Kind, Plan
 from standins.relay import Ways
+from standins.streams import Streams
 
 CLASSES = {"consulta": SAFE, "publicar": KEYED, "traspaso": UNSAFE}
 
@@ -107,9 +108,11 @@
         pause_s: float = 0.1,
         edits: dict[str, Any] | None = None,
         routes: dict[str, dict[str, Any]] | None = None,
+        streams: bool = False,
     ) -> None:
         """`pause_s`: between two requests of one caller, on the mean; each copy has one caller. `edits`: rows of that
-        table, off without; `routes`: rows of routes and pools that each file has, as "route.a"."""
+        table, off without; `routes`: rows of routes and pools that each file has, as "route.a". `streams`: connections
+        to upstreams go through doors, so that faults can be about these."""
         self.seed = seed
         self.history: list[Event] = []
         self.peers, self.owners = peers or {}, owners or {}
@@ -122,6 +125,7 @@
         self.relay = Relayed(Random(f"{seed}/relay"))
         self.discovery = FakeDiscovery([])
         self._nodos = [Nodo(f"u{n}", ZONES[n % len(ZONES)], self) for n in range(4)]
+        self.streams = Streams() if streams else None
         self._pause_s = pause_s
         self._came = asyncio.Event()
         self._callers: list[asyncio.Task[None]] = []
@@ -152,6 +156,10 @@
             for nodo in self._nodos:
                 await nodo.server.start()
             rows = [nodo.server.entry(nodo.name, zone=nodo.zone) for nodo in self._nodos]
+            if self.streams is not None:
+                for row, nodo in zip(rows, self._nodos, strict=True):
+                    host, port = await self.streams.join(nodo.name, ("127.0.0.1", nodo.server.port))
+                    row["hostPort"] = f"{host}:{port}"
             self.discovery.entries = {row["instanceId"]: row for row in rows}
             await self.discovery.start()
             for copy in self.copies.values():
@@ -172,6 +180,8 @@
         await asyncio.gather(*self._callers, return_exceptions=True)
         await asyncio.gather(*(copy.end() for copy in self.copies.values()), return_exceptions=True)
         self.relay.stop()
+        if self.streams is not None:
+            await self.streams.stop()
         self.discovery.stop()
         for nodo in self._nodos:
             with suppress(AttributeError):
@@ -261,7 +271,7 @@
             self.copies[fault.who[0]].fill()
         else:
             self.note(Hit(self.now_ms(), "", f"{fault.kind} begins"))
-            self.relay.air.begin(fault)
+            self._of(fault).begin(fault)
 
     async def end(self, fault: Fault) -> None:
         if fault.kind is Kind.DISCOVERY:
@@ -278,7 +288,18 @@
             await copy.start()
         else:
             self.note(Hit(self.now_ms(), "", f"{fault.kind} ends"))
-            self.relay.air.end(fault)
+            self._of(fault).end(fault)
+
+    def _of(self, fault: Fault) -> Air | Streams:
+        """Who carries it out: faults of servers are about connections, those of copies about datagrams."""
+        if self.streams is not None and set(fault.who) <= set(self.servers):
+            return self.streams
+        return self.relay.air
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """The upstreams' names, where their connections can have faults."""
+        return tuple(nodo.name for nodo in self._nodos) if self.streams is not None else ()
 
     # ------------------------------------------------ what is seen
 
