--- a/standins/world/callers.py
+++ b/standins/world/callers.py
@@ -52,6 +52,7 @@
                 continue
             asking = self.out.popleft()
             asking.statuses.append((now_s, status))
+            asking.answer_at = answer.at
             self.transport.loop.clock.note(f"{asking.trace} answered {status}")
             if status == 200 and not answer.body.startswith(asking.trace.encode()):
                 asking.wrong = answer.body[:40].decode("latin-1")
@@ -159,7 +160,9 @@
         asking.patient, asking.stale = patient, line.life != asking.life
         self.story.asked[trace] = asking
         line.out.append(asking)
-        return request("GET" if effect == SAFE else "POST", "/api", headers, body)
+        data = request("GET" if effect == SAFE else "POST", "/api", headers, body)
+        asking.size = len(data)
+        return data
 
     async def _rudely(self, line: Line) -> None:
         """It leaves, or stays mute, or sends what is no request. Effects count all the same."""
--- a/standins/world/kernel.py
+++ b/standins/world/kernel.py
@@ -18,7 +18,7 @@
 Address = tuple[str, int]
 SEGMENT = 16 * 1024
 AGAIN_S, AGAIN_MOST_S = 0.2, 1.6  # from try to try, each twice as long as the one before
-SYN_AGAIN_S = 1.0
+SYN_AGAIN_S = 0.25  # shorter than Linux has it (1 s), so that connections come up late, and not too late
 
 
 class Owner(Protocol):
@@ -163,6 +163,7 @@
         self.written = 0
         self.writes: list[tuple[float, int]] = []  # when, and how much in all by then
         self.reads: list[tuple[float, int]] = []
+        self.landed: list[tuple[float, int]] = []  # when, and how much in all had come into the inbox
         self._out: deque[bytes] = deque()  # taken from the process, not yet on the way
         self._out_size = 0
         self._flying = 0  # on the way, or there and not yet acknowledged
@@ -353,6 +354,7 @@
             peer.owner.news(peer)
         else:
             peer.inbox += piece
+            peer.landed.append((net.clock.now_s, peer.read + len(peer.inbox)))
             peer.owner.news(peer)
         if piece is not None:
             net.clock.after(net.air.takes_s(peer.machine.ip, self.machine.ip, 64), self._acked, len(piece))
--- a/tests/lifecycle/test_upgrade.py
+++ b/tests/lifecycle/test_upgrade.py
@@ -17,8 +17,8 @@
 from standins.manager import ROOT
 from standins.peers import PATIENCE_S, Caller, FakeUpstream, serve_ok
 from standins.ports import free_port
-from tests.lifecycle.service import Service, alive, service, until
-from tests.lifecycle.test_handover import Held
+from tests.lifecycle.service import LONG_MS, Service, alive, service, until
+from tests.lifecycle.test_handover import Held, child_of
 from tests.upstreams.test_attempts import run
 
 
@@ -306,7 +306,7 @@
         held = Held()
         upstream = await FakeUpstream(held).start()
         async with balancer(tmp_path, upstream) as (it, old), Caller(it.port) as caller:
-            caller.ask("move", b"x", "/api?held", X_Trace_Id="0123")
+            caller.ask("move", b"x", "/api?held", X_Trace_Id="0123", X_Expires_In_Ms=str(LONG_MS))
             await until(lambda: upstream.seen, "the request at its upstream")
             await another(it)
             assert (await it.ask("move", b"x", X_Trace_Id="0123"))[0] == 409
@@ -404,6 +404,9 @@
                 while not await _says_yes(it.port):
                     assert second.process.returncode is None, second.log
                 second.kill(signal.SIGUSR2)
+                it.pids.append(
+                    await child_of(second.process.pid)
+                )  # whom this one leaves behind ends with the test
                 await second.said("handover: ")
                 assert not any("not ready" in line for line in second.log), second.log
             finally:
@@ -499,7 +502,7 @@
             it.write()
             await it.start()
             async with Caller(it.port) as out:
-                out.ask("look", b"", "/api?held")
+                out.ask("look", b"", "/api?held", X_Expires_In_Ms=str(LONG_MS))
                 it.signal(signal.SIGUSR2)
                 pid = await it.successor()
                 await until(lambda: len(upstream.seen) == 1, "the request that is held")
