--- a/standins/plans.py
+++ b/standins/plans.py
@@ -115,7 +115,9 @@
         begin_ms = rng.uniform(0.0, last_ms * 0.75)
         end_ms = min(begin_ms + rng.uniform(0.5, 4.0) * lease_ms, last_ms)
         if kind is Kind.DISCOVERY:
-            found.append(Fault(kind, begin_ms, end_ms))
+            if not any(name == "" and begin_ms <= to and end_ms >= at for name, at, to in busy):
+                busy.append(("", begin_ms, end_ms))  # it can't go twice
+                found.append(Fault(kind, begin_ms, end_ms))
         elif kind is Kind.RESET:
             if servers:
                 found.append(Fault(kind, begin_ms, end_ms, (rng.choice(list(servers)),)))
--- a/tests/standins/test_plans.py
+++ b/tests/standins/test_plans.py
@@ -26,6 +26,7 @@
             elif step.begins:
                 others = [fault.who for fault in on if fault.kind in PROCESSES]
                 assert step.fault.kind not in PROCESSES or step.fault.who not in others
+                assert step.fault.kind is not Kind.DISCOVERY or all(f.kind is not Kind.DISCOVERY for f in on)
                 on.append(step.fault)
             else:
                 on.remove(step.fault)
