--- a/larkweir/fleet/captures/scribe.py
+++ b/larkweir/fleet/captures/scribe.py
@@ -16,7 +16,15 @@
 
 from larkweir.core.ports import Decisions
 from larkweir.logs.follow import Follow, Told, tenths
-from mulleinhitch.interface import Action, Event, Reconfigured, RequestArrived, Settings, TimerFired
+from mulleinhitch.interface import (
+    Action,
+    AttemptEnded,
+    Event,
+    Reconfigured,
+    RequestArrived,
+    Settings,
+    TimerFired,
+)
 
 FIELD = b"X-Capture"
 OWNER = "owner"  # to whom reports go: whoever owns the duty
@@ -100,15 +108,19 @@
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Take one event; returns the actions to carry out, in order, at the same time."""
-        kind = type(event)
-        if kind is TimerFired:  # of which there are the most, and most come to nothing
+        if isinstance(event, AttemptEnded):
+            self.follow.attempt(now_ms, event)
+        elif isinstance(event, RequestArrived):
+            self.follow.arrived(now_ms, event)
+            if self._rides:
+                self._rides.pop(event.request, None)  # where too many are open to follow one more
+        elif isinstance(event, TimerFired):  # of which there are the most, and most come to nothing
             actions = self.decisions.handle(now_ms, event)
             if actions:
                 self.follow.after(now_ms, event, actions)
             return actions
-        self.follow.before(now_ms, event)
-        if self._rides and isinstance(event, RequestArrived):
-            self._rides.pop(event.request, None)  # where too many are open to follow one more
+        else:
+            self.follow.before(now_ms, event)
         actions = self.decisions.handle(now_ms, event)
         self.follow.after(now_ms, event, actions)
         if isinstance(event, Reconfigured):
@@ -119,21 +131,30 @@
 
     def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Ride:
         """The verdict that came with a request, or that is made here, for all hops."""
-        found = self._rides[event.request] = self._judged(came, trace, event, now_ms)
+        found = self._rides[event.request] = self._judged(
+            came, trace, event, now_ms, self.follow.names(event)
+        )
         return found
 
-    def _judged(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Ride:
+    def _judged(
+        self,
+        came: bytes | None,
+        trace: bytes,
+        event: RequestArrived,
+        now_ms: float,
+        names: tuple[str, str],
+    ) -> Ride:
         route = self._route_of(event)
         verdict = None
         if came is not None:
             verdict = self.node.next_hop(came.decode("latin-1"), now_ms, trace)
         if verdict is None:
-            verdict = self.node.first_hop(trace, route, *self.follow.names(event), now_ms)
+            verdict = self.node.first_hop(trace, route, names[0], names[1], now_ms)
         return Ride(self, event.request, verdict, route)
 
-    def _marks(self, trace: bytes, event: RequestArrived, now_ms: float) -> Ride:
+    def _marks(self, trace: bytes, event: RequestArrived, now_ms: float, names: tuple[str, str]) -> Ride:
         found = self._rides.pop(event.request, None)
-        return found if found is not None else self._judged(None, trace, event, now_ms)
+        return found if found is not None else self._judged(None, trace, event, now_ms, names)
 
     def closed(self, ride: Ride, status: int) -> None:
         """A request's answer. Of some ends decisions hear nothing: its budget refused it, it is overdue, a fault."""
--- a/larkweir/logs/follow.py
+++ b/larkweir/logs/follow.py
@@ -56,18 +56,20 @@
 
     MOST = 4_096  # requests that are followed at once; more are not told of
     MOST_ATTEMPTS = 20  # by name in one telling
+    MOST_NAMES = 4_096  # pairs of a class and a tenant that are remembered
     LATE_MS = 1_000.0  # past its deadline, by which a request must have ended
+    LOOK_MS = 10.0  # between two looks, as requests arrive, for those that are overdue
 
     def __init__(
         self,
         settings: Settings,
-        marks: Callable[[bytes, RequestArrived, float], Any],
+        marks: Callable[[bytes, RequestArrived, float, tuple[str, str]], Any],
         trace_of: Callable[[int], bytes],
         address_of: Callable[[int], str],
         ended: Callable[[Told, int, float], None],
     ) -> None:
-        """`trace_of`: a request's id; `address_of`: where an upstream listens; `ended`: told of each, with its status
-        and when.
+        """`marks`: by a request's id, arrival, time, class and tenant; `trace_of`: its id; `address_of`: where an
+        upstream listens; `ended`: told of each, with its status and when.
         """
         self._marks = marks
         self._trace_of = trace_of
@@ -77,28 +79,37 @@
         # Whose body or answer is still coming, so that no deadline runs that is known here.
         self._coming: dict[int, tuple[Told, float]] = {}
         self._calls: dict[int, int] = {}  # own calls out, by upstream
+        self._look_ms = 0.0  # when the overdue are looked for next
+        self._named: dict[tuple[int, int], tuple[str, str]] = {}
         self.take_names(settings)
 
     def __len__(self) -> int:
         return len(self._open) + len(self._coming)
 
     def take_names(self, settings: Settings) -> None:
+        self._named.clear()
         self._classes = [item.name for item in settings.classes]
         self._tenants = [item.name for item in settings.tenants]
 
     def names(self, event: RequestArrived) -> tuple[str, str]:
         """A request's class and tenant; empty where the settings name none."""
-        classes, tenants = self._classes, self._tenants
-        cls = classes[event.class_index] if event.class_index < len(classes) else ""
-        return cls, tenants[event.tenant] if 0 <= event.tenant < len(tenants) else ""
+        found = self._named.get((event.class_index, event.tenant))
+        if found is None:
+            classes, tenants = self._classes, self._tenants
+            cls = classes[event.class_index] if event.class_index < len(classes) else ""
+            found = cls, tenants[event.tenant] if 0 <= event.tenant < len(tenants) else ""
+            if len(self._named) >= self.MOST_NAMES:
+                self._named.clear()
+            self._named[event.class_index, event.tenant] = found
+        return found
 
     def before(self, now_ms: float, event: Event) -> None:
         """What goes into the decisions."""
         kind = type(event)
         if kind is RequestArrived:
-            self._arrived(now_ms, event)  # type: ignore[arg-type]
+            self.arrived(now_ms, event)  # type: ignore[arg-type]
         elif kind is AttemptEnded:
-            self._attempt(now_ms, event)  # type: ignore[arg-type]
+            self.attempt(now_ms, event)  # type: ignore[arg-type]
         elif isinstance(event, BodyCame):
             told = self._coming.pop(event.request, None)
             if told is not None:
@@ -138,16 +149,19 @@
                 break
             self.over(oldest.due_ms, number, OVERDUE)
 
-    def _arrived(self, now_ms: float, event: RequestArrived) -> None:
-        self.overdue(now_ms)
-        if len(self) >= self.MOST:
+    def arrived(self, now_ms: float, event: RequestArrived) -> None:
+        """A request goes into the decisions."""
+        if now_ms >= self._look_ms:
+            self._look_ms = now_ms + self.LOOK_MS
+            self.overdue(now_ms)
+        if len(self._open) + len(self._coming) >= self.MOST:
             return
         trace = self._trace_of(event.request)
-        mark = self._marks(trace, event, now_ms)
+        names = self.names(event)
+        mark = self._marks(trace, event, now_ms, names)
         if mark is None:
             return
         left = event.time_left_ms
-        names = self.names(event)
         told = Told(now_ms, now_ms + left, trace, names, left, event.expected_ms, event.client_retry, mark)
         if event.coming:
             self._coming[event.request] = (told, left)
@@ -169,7 +183,8 @@
             after = tenths(now_ms - told.at_ms)
             told.attempts.append([self._address_of(action.server), after, None, "out", here])
 
-    def _attempt(self, now_ms: float, event: AttemptEnded) -> None:
+    def attempt(self, now_ms: float, event: AttemptEnded) -> None:
+        """An attempt's end goes into the decisions."""
         here = self._calls.get(event.server, 0)
         if here > 1:
             self._calls[event.server] = here - 1
--- a/larkweir/logs/watch.py
+++ b/larkweir/logs/watch.py
@@ -75,7 +75,9 @@
             self._back()
         return actions
 
-    def _marks(self, trace: bytes, event: RequestArrived, now_ms: float) -> bool | None:
+    def _marks(
+        self, trace: bytes, event: RequestArrived, now_ms: float, names: tuple[str, str]
+    ) -> bool | None:
         return True if self._part > 0.0 and drawn(trace, self._part) else None
 
     def _over(self, told: Told, status: int, now_ms: float) -> None:
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -210,7 +210,8 @@
             cost = len(body) + ENVELOPE + 6 * len(trace)
         hops = verdict.above + verdict.below
         item = Waiting(trace, verdict.rv, verdict.threshold, body, cost, verdict.number, hops, lost)
-        asked, sources = self.triggers.wanted(verdict.rv, now_ms)
+        triggers, rv = self.triggers, verdict.rv
+        asked, sources = triggers.wanted(rv, now_ms) if rv in triggers.wants else (0, ())
         if not (captured or asked or failed or slow or again):
             self.ring.put(item, now_ms)
             return
--- a/packages/captures/src/larkweir_captures/triggers.py
+++ b/packages/captures/src/larkweir_captures/triggers.py
@@ -45,7 +45,7 @@
         self._leak = Leak(max(10.0, traces_per_s))
         self._waiting: dict[int, tuple[Ask, tuple[str, ...], bool]] = {}
         self._open: dict[int, _Open] = {}
-        self._wanted: OrderedDict[int, tuple[int, float, tuple[str, ...]]] = (
+        self.wants: OrderedDict[int, tuple[int, float, tuple[str, ...]]] = (
             OrderedDict()
         )  # how much, until, by whom
         self._sends: OrderedDict[str, deque[str]] = OrderedDict()  # whom a hop was seen to send to
@@ -75,17 +75,17 @@
 
     def want(self, rv: int, importance: int, until_ms: float, source: str) -> None:
         """A hop asks for a trace, which may still be under way here."""
-        known = self._wanted.pop(rv, (0, 0.0, ()))
+        known = self.wants.pop(rv, (0, 0.0, ()))
         sources = known[2] if source in known[2] else (*known[2], source)[-4:]
-        self._wanted[rv] = (max(importance, known[0]), max(until_ms, known[1]), sources)
-        if len(self._wanted) > MOST_WANTED:
-            self._wanted.popitem(last=False)
+        self.wants[rv] = (max(importance, known[0]), max(until_ms, known[1]), sources)
+        if len(self.wants) > MOST_WANTED:
+            self.wants.popitem(last=False)
 
     def wanted(self, rv: int, now_ms: float) -> tuple[int, tuple[str, ...]]:
         """How important a trace is to those who have asked for it, and who they are; 0 if nobody has."""
-        if rv not in self._wanted:
+        if rv not in self.wants:
             return 0, ()
-        importance, until, sources = self._wanted[rv]
+        importance, until, sources = self.wants[rv]
         return (importance, sources) if until >= now_ms else (0, ())
 
     # What is asked here
@@ -138,8 +138,8 @@
             self._ask(found, posts, alive, now_ms)
             if not found.asked:
                 del self._open[rv]
-        while self._wanted and next(iter(self._wanted.values()))[1] < now_ms:
-            self._wanted.popitem(last=False)
+        while self.wants and next(iter(self.wants.values()))[1] < now_ms:
+            self.wants.popitem(last=False)
         return begun, posts
 
     def _ask(self, found: _Open, posts: dict[str, list[Ask]], alive: Sequence[str], now_ms: float) -> None:
