A table's thresholds hold at once: a rule of its own, and the rounding of times another

Need: thresholds of a kind are kept for 10 ms now, so a table that came in between must clear them, and requests that were counted beside them must reach the loads; times are rounded by a division, which must end in tenths. Not taken: a property of hypothesis, since the values that matter are few. Measured: both guards taken out of the text in turn, each found.

--- a/packages/captures/tests/test_captures_rules.py
+++ b/packages/captures/tests/test_captures_rules.py
@@ -94,6 +94,19 @@
     node.came("b:1", b"\x01" + item, 0.0)
 
 
+def test_a_table_s_thresholds_and_number_hold_together_and_at_once() -> None:
+    node, rng, seen = Node("a:1", Options(rest=0.5, records_per_s=1e5, bytes_per_s=1e8), Post()), Random(3), 0
+    for number in range(1, 200):
+        rate = rng.random()
+        node.follow(Table(1, number, "c", 1000, threshold_of(rate), {}), float(number))
+        for _ in range(rng.randrange(3)):  # as most requests, not drawn: nothing is promised in between
+            verdict = node.first_hop(b"%d" % rng.getrandbits(64), "r", "look", "acme", float(number))
+            assert (verdict.number, verdict.threshold) == ((1, number), threshold_of(rate))
+            seen += 1
+    node.tick(1000.0)
+    assert seen > 100 and sum(node.loads.firsts.values()) == seen
+
+
 STEPS = st.lists(st.tuples(st.sampled_from((0.0, 1.0, 50.0, 333.3, 990.0)), st.integers(0, 40)), max_size=40)
 
 
--- a/tests/logs/test_logs.py
+++ b/tests/logs/test_logs.py
@@ -13,7 +13,7 @@
 
 import pytest
 
-from larkweir.logs.follow import Follow
+from larkweir.logs.follow import Follow, tenths
 from larkweir.logs.lines import JsonJournal
 from larkweir.logs.watch import Watch, drawn
 from mulleinhitch import Balancer
@@ -42,6 +42,17 @@
 LINES = {"note", "request", "upstream", "list", "cut"}
 
 
+def test_milliseconds_are_told_to_a_tenth() -> None:
+    rng = Random(5)
+    for _ in range(5000):
+        value = rng.choice(
+            (0.0, 0.05, 10.0**6, rng.random(), rng.expovariate(0.001), rng.random() * 10.0**10)
+        )
+        found = tenths(value)
+        assert abs(found - value) <= 0.05 + value * 1e-15 and len(repr(found).partition(".")[2]) == 1
+    assert tenths(float("inf")) != tenths(float("inf"))  # and raises nothing
+
+
 class Heard:
     def __init__(self, part: float = 1.0) -> None:
         self.lines: list[tuple[str, dict[str, Any]]] = []
