--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -305,7 +305,7 @@
         return found
 
 
-DUTIES = ("verdicts", "ramps", "drill")
+DUTIES = ("verdicts", "ramps", "probers", "drill")
 
 
 @dataclass(frozen=True, eq=False, repr=False)
@@ -319,7 +319,7 @@
     folder: str = option("", Change.HANDOVER)
     # An owner that is not heard for so long is followed by another.
     lease_ms: float = option(3_000.0, Change.HANDOVER, low=200.0, high=600_000.0)
-    # What this process takes part in: "verdicts", "ramps", and "drill", a counter to practise on.
+    # What this process takes part in: "verdicts", "ramps", "probers", and "drill", a counter to practise on.
     duties: tuple[str, ...] = option(("verdicts", "ramps"), Change.HANDOVER)
     # A zone that a reload evacuates empties for so long, an upstream after the other, with "ramps" at all balancers
     # alike; 0: at once.
--- a/larkweir/core/engine.py
+++ b/larkweir/core/engine.py
@@ -30,6 +30,7 @@
     Event,
     Fail,
     FetchList,
+    Heard,
     ListKind,
     ListUpdate,
     Log,
@@ -311,6 +312,10 @@
             self.upstreams.update(entry.server, address, entry.state, entry.started_ms, entry.kind)
         self._deliver(ListUpdate(listing.kind, listing.version, listing.entries))
 
+    def heard(self, event: Heard) -> None:
+        """Hearsay of an upstream, from other balancers."""
+        self._deliver(event)
+
     def _deliver(self, event: Event) -> None:
         """Hand over an event; one that comes while another is handled waits for its turn."""
         self._events.append(event)
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -52,9 +52,25 @@
     rows: tuple[Wish, ...]
 
 
-Report = EvidenceReport | WishReport
+class Sighting(msgspec.Struct, frozen=True, array_like=True):
+    """What this copy knows by itself of a server. `out`: it has left it out. `found`: 0 nothing yet, 1 bad, 2 well by a
+    probe, 3 well by a call, `age_ms` before this was told."""
+
+    key: bytes
+    out: bool
+    found: int
+    age_ms: int
+
+
+class SightingReport(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    life: int
+    number: int
+    rows: tuple[Sighting, ...]
+
+
+Report = EvidenceReport | WishReport | SightingReport
 pack = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(EvidenceReport | WishReport)
+_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(Report)
 
 
 def unpack(data: bytes) -> Report | None:
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -26,13 +26,16 @@
 from larkweir.config.peering import keeping
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
+from larkweir.core.engine import Engine
 from larkweir.core.journal import Journal
+from larkweir.core.ports import Decisions
 from larkweir.fleet.duties.drill import Drill
 from larkweir.fleet.duties.ramps import Ramps
 from larkweir.fleet.duties.verdicts import Verdicts
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
 from larkweir.routes.trial import Trial
+from mulleinhitch import Balancer
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
@@ -49,6 +52,8 @@
     clock: Clock
     journal: Journal
     routes: Routes | None
+    engine: Engine
+    decisions: Decisions
     peers: Socket | None
     owners: Part | None
     closers: list[Callable[[], None]]
@@ -82,7 +87,7 @@
         self.keepers = KeeperSet(1, own.keepers)
         self.keeps = me in own.keepers
         self._clock, self._journal, self._routes = host.clock, host.journal, host.routes
-        self._socket = socket
+        self._socket, self._engine, self._decisions = socket, host.engine, host.decisions
         self._loop = asyncio.get_running_loop()
         self._rng = Random()
         self._mail = socket.mail(OWNERS, self._came)
@@ -166,8 +171,19 @@
                 found.append(Verdicts(life, lambda: _Trying(routes)))
             elif name == "ramps" and routes is not None:
                 found.append(Ramps(life, lambda: routes))
+            elif name == "probers":
+                from larkweir.fleet.duties.probers import Probers  # what is not taken part in is not imported
+                from larkweir.fleet.scouting import Scout
+
+                scout = Scout(self._deciding, lambda: self._engine.upstreams.targets, self._engine.heard)
+                found.append(Probers(life, self.me, scout, scout.probes))
         return found
 
+    def _deciding(self) -> list[Balancer]:
+        if self._routes is not None:
+            return [pool.decisions for pool in self._routes.switch.pools.values()]
+        return [self._decisions] if isinstance(self._decisions, Balancer) else []
+
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
         return self._rng.sample(list(names), min(most, len(names)))
 
--- a/larkweir/routes/switch.py
+++ b/larkweir/routes/switch.py
@@ -27,6 +27,7 @@
     Effect,
     Event,
     Fail,
+    Heard,
     ListKind,
     ListUpdate,
     Log,
@@ -122,6 +123,9 @@
             return self._list(event)
         if isinstance(event, AnswerStarted | BodyCame | ClientGone):
             return self._of_request(event)
+        if isinstance(event, Heard):
+            having = list(self.has.get(event.server, ()))
+            return [action for pool in having for action in self._out(pool, self._tell(pool, event))]
         if isinstance(event, ProbeEnded):
             asked = self._probes.get(event.server)
             if not asked:
--- a/mulleinhitch/interface.py
+++ b/mulleinhitch/interface.py
@@ -320,6 +320,17 @@
     report: Sequence[float] = ()
 
 
+@dataclass(slots=True)
+class Heard:
+    """What another copy has found of a server: hearsay, which counts only for a server that is left out here."""
+
+    server: int
+    good: bool | None = None  # None: nothing is known of it yet
+    age_ms: float = 0.0  # since it was found, at the least
+    by_call: bool = False  # by a real call, which tells more than a probe
+    turn: bool = False  # this copy is to look, for itself and the others
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
@@ -346,6 +357,7 @@
     | ClientGone
     | TimerFired
     | ProbeEnded
+    | Heard
     | PeerMessage
     | Reconfigured
 )
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -26,6 +26,7 @@
     ContractError,
     Event,
     Fail,
+    Heard,
     ListKind,
     ListUpdate,
     Outcome,
@@ -83,6 +84,9 @@
         self._list_backoff_ms = -1.0  # until the list has been told of
         self._retries = settings.tuning.retry_cap / 2.0
         self._asked: dict[int, list[Request]] = {}
+        self.hearsay: Any = (
+            None  # a `mulleinhitch.hearsay.Hearsay`, where copies tell each other of servers left out
+        )
         self._handlers = {
             RequestArrived: self._on_request,
             AttemptEnded: self._on_attempt_end,
@@ -92,6 +96,7 @@
             ListUpdate: self._on_list,
             ClientGone: self._on_client_gone,
             AnswerStarted: self._on_answer_started,
+            Heard: lambda event: self.hearsay and self.hearsay.heard(event, self.now, self.out),
             PeerMessage: lambda event: None,
             Reconfigured: self._on_reconfigured,
         }
@@ -101,13 +106,11 @@
         if not now_ms >= self.now:
             raise ContractError(f"time went back from {self.now} to {now_ms}")
         self.now = now_ms
-        handler = self._handlers.get(type(event))
-        if handler is None:
+        if (handler := self._handlers.get(type(event))) is None:
             raise ContractError(f"unknown event {event!r}")
         self.out = []
         self.fleet.give_back(now_ms)
-        stale = self.links.stale(now_ms)
-        if stale is not None:
+        if (stale := self.links.stale(now_ms)) is not None:
             self._close(stale)
         handler(event)  # type: ignore[operator]
         if self.waiting:
@@ -237,6 +240,8 @@
         elif server.linked:
             self.links.use(server, self.now)
         self.judge.ended(request, attempt, spent, usual, self.now)
+        if self.hearsay is not None:
+            self.hearsay.ended(server, outcome, self.now)
         self.fleet.earn_token(server, self.now)
         if request.started or event.final or outcome is Outcome.OK:
             request.started = True
@@ -296,8 +301,7 @@
     def _let_in(self) -> None:
         """Those whose turn has come, as far as there are places."""
         for _ in range(self.limiter.places(self.fleet.out)):
-            turn = self.waiting.take()
-            if turn is None:
+            if (turn := self.waiting.take()) is None:
                 return
             self._place(self.requests[turn])
 
@@ -312,6 +316,8 @@
 
     def _on_probe(self, event: ProbeEnded) -> None:
         waiting = self._asked.get(event.server)
+        if self.hearsay is not None and self.hearsay.probed(event, self.now) and not waiting:
+            return
         request = waiting.pop(0) if waiting else None
         if not waiting:
             self._asked.pop(event.server, None)
@@ -400,13 +406,11 @@
             self._list_backoff_ms = 0.0
 
     def _on_client_gone(self, event: ClientGone) -> None:
-        request = self.requests.get(event.request)
-        if request is not None:
+        if (request := self.requests.get(event.request)) is not None:
             self._forget(request)
 
     def _on_answer_started(self, event: AnswerStarted) -> None:
-        request = self.requests.get(event.request)
-        if request is not None:
+        if (request := self.requests.get(event.request)) is not None:
             request.started = True
             if not request.cls.streaming and 0 <= event.attempt < len(request.attempts):
                 # A long answer: the work is done, and how long its bytes take is the client's pace.
@@ -424,8 +428,7 @@
 
     def unlink(self, number: int) -> None:
         """Other decisions of this process have closed the connections to a server that lay idle."""
-        server = self.fleet.servers.get(number)
-        if server is not None:
+        if (server := self.fleet.servers.get(number)) is not None:
             self.links.drop(server)
 
     def _by_class(self) -> dict[str, list[float]]:
@@ -472,8 +475,7 @@
         servers' credit, drains. Requests that are here already end under the rules that they came with.
         """
         old, new = self.settings, event.settings
-        problem = fixed_difference(old, new)
-        if problem:
+        if problem := fixed_difference(old, new):
             raise ContractError(f"{problem} can't change in service")
         self.settings = self.judge.settings = self.drawing.settings = self.probes.settings = new
         for part in (self.links, self.limiter, self.waiting, self.callers):
--- a/standins/duties.py
+++ b/standins/duties.py
@@ -53,10 +53,7 @@
         pace = Pace()
         self._bucket = Bucket(pace.per_s, pace.burst, network.now_ms)
         self._left = pace.burst * Peers.RESERVE
-        works: list[Work] = [
-            Verdicts(int(network.now_ms), lambda: self),
-            Ramps(int(network.now_ms), lambda: self.router),
-        ]
+        works = self.duties(int(network.now_ms))
         self.works = {work.name: work for work in works}
         self.owners = Owners(
             self.name,
@@ -72,6 +69,9 @@
         self._flush_ms = network.now_ms
         self._timer = network.after(fleet.rng.random() * 50.0, self._tick, self.name)
 
+    def duties(self, life: int) -> list[Work]:
+        return [Verdicts(life, lambda: self), Ramps(life, lambda: self.router)]
+
     def kill(self) -> None:
         self.fleet.network.kill(self.name)
         self.owners, self.works = None, {}
@@ -195,10 +195,13 @@
         self.datagrams = 0
         self.answers, self.bads = [0, 0], [0, 0]  # control's, canary's
         self.ended: dict[str, float] = {}  # when each copy's part was over
-        self.copies = {name: Copy(self, name) for name in names}
+        self.copies = {name: self.make(name) for name in names}
         for copy in self.copies.values():
             copy.start()
 
+    def make(self, name: str) -> Copy:
+        return Copy(self, name)
+
     def run(self, ms: float) -> None:
         self.network.run(self.network.now_ms + ms)
 
