--- a/larkweir/fleet/duties/probers.py
+++ b/larkweir/fleet/duties/probers.py
@@ -3,12 +3,12 @@
 A server is taken up when two copies have left it out, and let go once it was found well. Of the copies that have left
 it out the owner gives one the turn, by rendezvous; the next has it after three bad findings, or when the owner hears no
 more of its prober. So a prober that has died, or that alone is cut off from the server, spoils one turn. Where the
-platform's settings allow no probes, findings are the ends of the probers' own calls; as calls are drawn there by chance,
-four copies have the turn at once.
+platform's settings allow no probes, findings are the ends of the probers' own calls; as these are drawn there by
+chance, three copies have the turn at once.
 
 A finding is hearsay with an age: since when it was found, as far as it is known. It travels with the owner's effects,
 and each copy's decisions weigh it (`mulleinhitch/hearsay.py`). A late effect may make it seem younger than it is by as
-long as the effect took: it can keep a server out, or have it tried, for no longer than the decisions allow for one word.
+long as the effect took: it keeps a server out, or has it tried, for no longer than the decisions allow for one word.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 MOST_CANDIDATES = 8  # of a server: the first by rendezvous
 MOST_COPIES = 4096  # of which the owner has heard
 QUORUM = 2  # copies that have left a server out before it is the fleet's matter
-BY_CALL = 4  # that have the turn at once where probes are not allowed
+BY_CALL = 3  # that have the turn at once where probes are not allowed
 TURN = 3  # bad findings, after which the next has the turn
 DEAF_MS = 2_500.0  # a prober that is not heard of for so long has lost it
 SOON_MS = 500.0  # between two states
@@ -236,13 +236,19 @@
         return _encode(new)
 
     def _go_on_from(self, held: State, now_ms: float) -> None:
-        """What the former owner had written; who has left what out the copies tell anew, before a turn is given."""
-        self._servers.clear()
+        """What the former owner had written, with what copies have told since: they tell anew who has left what out,
+        and then a turn is given.
+        """
+        since_ms = now_ms - self._took_ms if self._took_ms > float("-inf") else 0.0
+        lately = {key: it for key, it in self._servers.items() if now_ms - it.told_ms < DEAF_MS}
+        self._servers = {}
         for row in held.rows[:MOST_SERVERS]:
-            server = _Server(
-                now_ms, found=row.found, found_ms=now_ms - row.age_ms, since_ms=now_ms, open=True
-            )
-            self._servers[row.key] = server
+            server = self._servers[row.key] = lately.pop(row.key, _Server(now_ms))
+            server.found, server.found_ms = row.found, now_ms - since_ms - row.age_ms
+            server.open, server.since_ms, server.probers = True, now_ms, ()
+        for key, server in lately.items():
+            server.open = False
+            self._servers[key] = server
 
     @staticmethod
     def _over(server: _Server, now_ms: float) -> bool:
@@ -275,8 +281,9 @@
     def took(self, state: bytes, version: Version) -> None:
         before, self.state = self.state, read(state)
         self._news = self._news or {row.key for row in self.state.rows} != {row.key for row in before.rows}
-        self._term, self._fresh = version[0], True
-        self.next_ms = 0.0
+        # A renewed lease brings the same state under a later version: nothing in it is any newer for that.
+        self._fresh = self._fresh or self.state.beat != before.beat
+        self._term, self.next_ms = version[0], 0.0
 
     def notable(self) -> bool:
         found, self._news = self._news, False
@@ -332,4 +339,4 @@
 
 def _matter(state: State) -> object:
     """What copies have to know at once when it changes."""
-    return [(row.key, row.found, row.probers) for row in state.rows]
+    return [(row.key, row.found > BAD, bool(row.probers)) for row in state.rows]
--- a/mulleinhitch/policy.py
+++ b/mulleinhitch/policy.py
@@ -84,9 +84,7 @@
         self._list_backoff_ms = -1.0  # until the list has been told of
         self._retries = settings.tuning.retry_cap / 2.0
         self._asked: dict[int, list[Request]] = {}
-        self.hearsay: Any = (
-            None  # a `mulleinhitch.hearsay.Hearsay`, where copies tell each other of servers left out
-        )
+        self.hearsay: Any = None  # a `mulleinhitch.hearsay.Hearsay`, where copies tell each other
         self._handlers = {
             RequestArrived: self._on_request,
             AttemptEnded: self._on_attempt_end,
