--- a/larkweir/fleet/duties/probers.py
+++ b/larkweir/fleet/duties/probers.py
@@ -4,7 +4,7 @@
 it out the owner gives one the turn, by rendezvous; the next has it after three bad findings, or when the owner hears no
 more of its prober. So a prober that has died, or that alone is cut off from the server, spoils one turn. Where the
 platform's settings allow no probes, findings are the ends of the probers' own calls; as these are drawn there by
-chance, three copies have the turn at once.
+chance, two copies have the turn at once.
 
 A finding is hearsay with an age: since when it was found, as far as it is known. It travels with the owner's effects,
 and each copy's decisions weigh it (`mulleinhitch/hearsay.py`). A late effect may make it seem younger than it is by as
@@ -38,7 +38,7 @@
 MOST_CANDIDATES = 8  # of a server: the first by rendezvous
 MOST_COPIES = 4096  # of which the owner has heard
 QUORUM = 2  # copies that have left a server out before it is the fleet's matter
-BY_CALL = 3  # that have the turn at once where probes are not allowed
+BY_CALL = 2  # that have the turn at once where probes are not allowed
 TURN = 3  # bad findings, after which the next has the turn
 DEAF_MS = 2_500.0  # a prober that is not heard of for so long has lost it
 SOON_MS = 500.0  # between two states
--- a/tests/fleet/test_probers.py
+++ b/tests/fleet/test_probers.py
@@ -151,7 +151,7 @@
     assert desk.turn() == (tag_of(names[1]),)
 
 
-def test_without_probes_three_have_the_turn() -> None:
+def test_without_probes_two_have_the_turn() -> None:
     desk = Desk(probes=False)
     names = by_rank(KEY_A, *"abcdefghijkl")
     desk.out(*names)
