--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -8,8 +8,9 @@
 from typing import Any
 
 from larkweir.config import changes
+from larkweir.config.keys import Change
 from larkweir.config.operator import decode as decode_operator
-from larkweir.config.options import Change, changed
+from larkweir.config.options import changed
 from larkweir.config.platform import ConfigError, read_object
 from larkweir.config.platform import decode as decode_platform
 from larkweir.config.platform import faults as platform_faults
@@ -39,22 +40,27 @@
 
 
 def _beside(paths: Sequence[str]) -> list[str]:
-    """What one file says that can't stand beside another that is named with it: peers, where they are forbidden, and
-    owners without them."""
+    """What one file says that can't stand beside another that is named with it: peers and captures, where they are
+    forbidden, and owners or edits without peers."""
     found = []
     for path in (path for path in paths if path.endswith(".toml")):
         options = decode_operator(_read(path)[0])[0]
-        if not options.peers.on and not options.owners.on:
+        if not any(part.on for part in (options.peers, options.owners, options.edits, options.captures)):
             continue
-        from larkweir.config.peering import keeping, peering  # not imported where they are off
+        # not imported where they are off
+        from larkweir.config.peering import capturing, keeping, merging, peering
 
         for other in (other for other in paths if not other.endswith(".toml")):
             try:
                 config = decode_platform(_read(other)[0], NOBODY)
                 if options.owners.on:
                     keeping(options, config)
-                else:
+                if options.edits.on:
+                    merging(options, config)
+                if options.peers.on:
                     peering(options.peers, config)
+                if options.captures.on:
+                    capturing(options, config)
             except ConfigError as problem:
                 found.append(f"{path}: {problem} (beside {other})")
     return found
--- a/larkweir/fleet/duties/probers.py
+++ b/larkweir/fleet/duties/probers.py
@@ -13,10 +13,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from hashlib import blake2b
-from typing import NamedTuple, Protocol
 
 import msgspec
 from larkweir_owners.messages import Version
@@ -28,9 +27,12 @@
     MOST_ROWS,
     REFRESH_MS,
     Due,
+    Known,
     Report,
+    Scouting,
     Sighting,
     SightingReport,
+    beats,
 )
 
 MOST_SERVERS = 64  # at a time; further ones are each copy's own
@@ -40,6 +42,7 @@
 QUORUM = 2  # copies that have left a server out before it is the fleet's matter
 BY_CALL = 2  # that have the turn at once where probes are not allowed
 TURN = 3  # bad findings, after which the next has the turn
+HERE_MS = 1_000.0  # from word to word of whose turn it is
 DEAF_MS = 2_500.0  # a prober that is not heard of for so long has lost it
 SOON_MS = 500.0  # between two states
 CLOSE_MS = 4_000.0  # a server that was found well is let go after that
@@ -91,26 +94,6 @@
         return State()
 
 
-class Known(NamedTuple):
-    """What a copy's decisions know of a server by themselves."""
-
-    out: bool
-    found: int
-    age_ms: float
-
-
-class Scouting(Protocol):
-    """The decisions' side, by `key_of`."""
-
-    def known(self, now_ms: float) -> Mapping[bytes, Known]:
-        """Of servers that are left out here, or were until a moment ago."""
-        ...
-
-    def hear(self, key: bytes, found: int, age_ms: float, turn: bool) -> None:
-        """Hearsay. `turn`: this copy is to look. Nothing where the key is of no server that is left out here."""
-        ...
-
-
 @dataclass(slots=True)
 class _Server:
     """One server, at the owner."""
@@ -230,7 +213,7 @@
         new = State(held.beat + 1, rows)
         if not rows and not held.rows:
             return None
-        if _matter(new) == _matter(held) and now_ms - self._stepped_ms < BEAT_MS:
+        if _matter(new) == _matter(held) and not beats(self._stepped_ms, now_ms):
             return None
         self._stepped_ms = now_ms
         return _encode(new)
@@ -285,6 +268,9 @@
         self._fresh = self._fresh or self.state.beat != before.beat
         self._term, self.next_ms = version[0], 0.0
 
+    def alone(self) -> None:
+        """What was heard wears off by itself."""
+
     def notable(self) -> bool:
         found, self._news = self._news, False
         return found
@@ -317,7 +303,7 @@
             for key, item in known.items()
             if self._wants(key, item, key in turns, now_ms)
         ]
-        self.next_ms = now_ms + LOOK_MS
+        self.next_ms = now_ms + (LOOK_MS if known or held.rows or self._servers else BEAT_MS)
         reports: list[Report] = []
         for at in range(0, len(rows), MOST_ROWS):
             self._number += 1
@@ -329,7 +315,7 @@
         said = self._said.get(key)
         found_ms = round(now_ms - item.age_ms, 3) if item.found else 0.0
         if turn:
-            if said is not None and said[:2] == (item.found, found_ms) and now_ms - said[2] < BEAT_MS:
+            if said is not None and said[:2] == (item.found, found_ms) and now_ms - said[2] < HERE_MS:
                 return False
             self._said[key] = (item.found, found_ms, now_ms)
             return True
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -6,12 +6,14 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
 
 import msgspec
 from larkweir_owners.messages import Version
 
-BEAT_MS = 1000.0  # an owner shows that it is there, while there is something to do
+BEAT_MS = 1500.0  # an owner shows that it is there, while there is something to do
+LOOK_MS = 1000.0  # a copy looks at the latest whether there is anything new
 ALONE_MS = 4000.0  # a copy that has heard none for so long goes on alone
 FORGET_MS = 120_000.0  # what no copy has told of for so long is over
 REFRESH_MS = 30_000.0  # a copy tells again what has not changed
@@ -68,7 +70,14 @@
     rows: tuple[Sighting, ...]
 
 
-Report = EvidenceReport | WishReport | SightingReport
+class CaptureReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
+    """What one copy sees of each kind of request, as `larkweir_captures.wire` packs it."""
+
+    life: int
+    item: bytes
+
+
+Report = EvidenceReport | WishReport | SightingReport | CaptureReport
 pack = msgspec.msgpack.Encoder().encode
 _decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(Report)
 
@@ -84,7 +93,7 @@
 class Work(Protocol):
     """A duty as the balancer drives it: `Duty` with what copies do for it."""
 
-    next_ms: float  # when `tick` is due
+    next_ms: float  # when `tick` is due; at an owner `step` follows it at once
 
     @property
     def name(self) -> str: ...
@@ -101,11 +110,40 @@
         """As a copy: what to tell the owner now."""
         ...
 
+    def alone(self) -> None:
+        """This process takes part no more: whatever the duty steers here goes on as without owners."""
+        ...
+
     def notable(self) -> bool:
         """Whether what was taken last is more than a beat. Asked once for each."""
         ...
 
 
+def beats(last_ms: float, now_ms: float) -> bool:
+    """Whether a beat is due. All duties of a process beat at the same moments, so that they go together."""
+    return last_ms < now_ms // BEAT_MS * BEAT_MS
+
+
+class Known(NamedTuple):
+    """What a copy's decisions know of a server by themselves."""
+
+    out: bool
+    found: int
+    age_ms: float
+
+
+class Scouting(Protocol):
+    """The decisions' side, by `probers.key_of`."""
+
+    def known(self, now_ms: float) -> Mapping[bytes, Known]:
+        """Of servers that are left out here, or were until a moment ago."""
+        ...
+
+    def hear(self, key: bytes, found: int, age_ms: float, turn: bool) -> None:
+        """Hearsay. `turn`: this copy is to look. Nothing where the key is of no server that is left out here."""
+        ...
+
+
 class Beats:
     """Whether an owner is there, as a copy sees it: by effects alone, whatever membership says."""
 
@@ -121,7 +159,12 @@
     def led(self, now_ms: float) -> bool:
         if self._fresh:
             self._fresh, self._heard_ms = False, now_ms
-        return now_ms - self._heard_ms < ALONE_MS
+        return now_ms < self.until_ms
+
+    @property
+    def until_ms(self) -> float:
+        """When it is alone, if nothing comes."""
+        return self._heard_ms + ALONE_MS
 
 
 class Due:
--- a/larkweir/fleet/scouting.py
+++ b/larkweir/fleet/scouting.py
@@ -7,14 +7,15 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from larkweir.core.ports import Target
-from larkweir.fleet.duties.probers import BAD, NOTHING, PROBED, SERVED, Known, key_of
+from larkweir.fleet.duties.probers import BAD, NOTHING, PROBED, SERVED, key_of
+from larkweir.fleet.duties.words import Known
 from mulleinhitch import Balancer
 from mulleinhitch.hearsay import Hearsay, Told
 from mulleinhitch.interface import Heard
 
 
-class Scout:
-    """`duties.probers.Scouting` over all decisions of this process: an upstream that is in several pools may be left
+class Scouts:
+    """`duties.table.Scout` over all decisions of this process: an upstream that is in several pools may be left
     out by some of them.
     """
 
