--- a/larkweir/fleet/duties/probers.py
+++ b/larkweir/fleet/duties/probers.py
@@ -292,7 +292,7 @@
                 turns.add(row.key)
                 self._scouting.hear(row.key, NOTHING, 0.0, True)
             if self._fresh and row.found != NOTHING:
-                self._scouting.hear(row.key, row.found, row.age_ms + late, False)
+                self._scouting.hear(row.key, row.found, row.age_ms, False)
         self._fresh = False
         for key in [key for key in self._due if key not in known]:
             del self._due[key]
