Tests of the probers' bound on servers, and of the age that a new owner adds

Both guards could be taken out without a test failing: a new owner's row was looked at too late to show the age it had to add, and random reports seldom opened more than 64 servers. Not taken: a longer random run, which costs seconds and still may miss the bound. Seen: both fail without their guard, pass with it.

--- a/tests/fleet/test_probers.py
+++ b/tests/fleet/test_probers.py
@@ -210,7 +210,7 @@
     heir.work.took(heir.state, heir.version)
     heir.work.tick(heir.now)
     heir.now += 900.0
-    held = heir.run()[KEY_A]
+    held = heir.run(100.0)[KEY_A]
     assert held.found == BAD and held.age_ms >= 900 and held.probers == ()
     heir.out(prober, other)
     assert heir.turn() == (tag_of(prober),)
@@ -260,6 +260,13 @@
     assert read(b"\xff\x00") == State() and unpack(b"\x93") is None
 
 
+def test_further_servers_than_a_state_holds_are_each_copys_own() -> None:
+    desk = Desk()
+    for n in range(MOST_SERVERS + 10):
+        desk.out("one", "other", key=b"%08d" % n)
+    assert len(desk.run()) == MOST_SERVERS
+
+
 def test_the_largest_state_fits() -> None:
     rows = tuple(Row(b"%08d" % n, SERVED, 120_000, (b"abcd",) * BY_CALL) for n in range(MOST_SERVERS))
     assert len(probers._encode(State(1 << 40, rows))) <= MOST_STATE and len(rows[0].key) == KEY
