The age that a new owner adds has a test that fails without it

It asks now for the time that passed, over the row's own age. Not taken: a mock of the clock in the duty, which is handed its times already. Seen: fails with the guard out, passes with it.

--- a/tests/fleet/test_probers.py
+++ b/tests/fleet/test_probers.py
@@ -211,7 +211,8 @@
     heir.work.tick(heir.now)
     heir.now += 900.0
     held = heir.run(100.0)[KEY_A]
-    assert held.found == BAD and held.age_ms >= 900 and held.probers == ()
+    before = read(desk.state).rows[0].age_ms
+    assert held.found == BAD and before + 900 <= held.age_ms <= before + 1_000 and held.probers == ()
     heir.out(prober, other)
     assert heir.turn() == (tag_of(prober),)
     heir.run(REFRESH_MS + 2 * DEAF_MS)
