--- a/larkweir/config/fleet_tables.py
+++ b/larkweir/config/fleet_tables.py
@@ -46,7 +46,7 @@
         return found
 
 
-DUTIES = ("verdicts", "ramps", "captures", "drill")
+DUTIES = ("verdicts", "ramps", "probers", "captures", "drill")
 
 
 @dataclass(frozen=True, eq=False, repr=False)
--- a/larkweir/fleet/owners.py
+++ b/larkweir/fleet/owners.py
@@ -26,10 +26,13 @@
 from larkweir.config.peering import keeping
 from larkweir.config.platform import Config, ConfigError
 from larkweir.core.clock import Clock, Timer
+from larkweir.core.engine import Engine
 from larkweir.core.journal import Journal
-from larkweir.fleet.duties.table import Captured, Seat, made
+from larkweir.core.ports import Decisions
+from larkweir.fleet.duties.table import Captured, Scout, Seat, made
 from larkweir.fleet.duties.words import Report, Work, pack, unpack
 from larkweir.routes.hands import Routes
+from mulleinhitch import Balancer
 
 T = TypeVar("T")
 OWNERS, REPORTS = 1, 4  # channels of the peers' mail
@@ -47,6 +50,8 @@
     clock: Clock
     journal: Journal
     routes: Routes | None
+    engine: Engine
+    decisions: Decisions
     peers: Socket | None
     owners: Part | None
     captures: Captured | None
@@ -170,7 +175,9 @@
     def _build(self, keeper: Keeper | None) -> None:
         life = randbits(31)
         # The clock, by which lives of reports count, goes on over this process's lives.
-        seat = Seat(int(self._clock.now_ms()), self._routes, self._settle, self._host.captures)
+        seat = Seat(
+            int(self._clock.now_ms()), self._routes, self._settle, self._host.captures, self.me, self._scout
+        )
         self.works = made(self.options.duties, seat)
         self.owners = Owners(
             self.me,
@@ -188,6 +195,17 @@
         self._due_ms = self._clock.now_ms()
         self._turn()
 
+    def _scout(self) -> Scout:
+        from larkweir.fleet.scouting import Scouts  # what is not taken part in is not imported
+
+        engine = self._host.engine
+        return Scouts(self._deciding, lambda: engine.upstreams.targets, engine.heard)
+
+    def _deciding(self) -> list[Balancer]:
+        if self._routes is not None:
+            return [pool.decisions for pool in self._routes.switch.pools.values()]
+        return [self._host.decisions] if isinstance(self._host.decisions, Balancer) else []
+
     def _pick(self, names: Sequence[str], most: int) -> Sequence[str]:
         return self._rng.sample(list(names), min(most, len(names)))
 
