Scenes of keepers wait for an effect, and for a successor's address of control

Cause: test_all_keepers_at_once took the largest of a copy's effects before the owner's first had reached it (ValueError at a load of 40), and test_owners_successor asked STATUS between the predecessor's end and the successor's hold of the address (ConnectionRefused). Change: both wait for what they need. Not taken: longer patience, which was not what lacked.

--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -72,7 +72,12 @@
                     _is(found.get(key, "0" if found else ""), value) for key, value in wanted.items()
                 ):
                     await asyncio.sleep(0.05 if found else 0.0)
-                    found = await self._status()
+                    try:
+                        found = await self._status()
+                    except ConnectionError:  # a successor has the address when its predecessor has gone
+                        found = {}
+                        await asyncio.sleep(0.05)
+                        continue
                     causes = (item.partition(":") for item in found.get("peers_dropped", "").split(","))
                     found |= {f"drop_{cause}": number for cause, _, number in causes}
         except TimeoutError:
@@ -170,6 +175,12 @@
             await self.says(f"edits: {edits} made of this reload")
         await self.tells("READY")
 
+    async def has_some(self) -> None:
+        """Until it has taken an effect, of which nothing is told."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not self.taken:
+                await asyncio.sleep(0.02)
+
     async def takes_more(self, effects: int) -> None:
         """Until it has taken so many more."""
         async with asyncio.timeout(PATIENCE_S):
--- a/tests/scenes/test_keepers.py
+++ b/tests/scenes/test_keepers.py
@@ -83,6 +83,8 @@
     u0 = await s.upstream("u0")
     fleet = Fleet(s)
     await fleet.owned(u0)
+    for it in fleet.members:
+        await it.has_some()
     taken = {it: max(it.taken) for it in fleet.members}
     term = fleet.term(max(taken.values())[0])
     with s.script.untold("manager", "all", f"SIGKILL, in {term}"):
