A start's file makes no edit before it is known that its log is not of yesterday

Cause: a copy back on yesterday's disk took what its file says otherwise than that log for an edit, before it heard a peer. Where others went on from there it was a conflict, which put their value back; where they had collected (10 s after the edit, so on a busy machine) the writer was struck, and a new route's seven fields were told as proposals: edits_told 7. Change: such a file waits (`starts.Start`) until more than half of all copies had the same; where one has an edit of a former life that the log has not, staff said it before, and none is made. A reload meanwhile counts for the rows it changes. Not taken: one copy as enough, which may have been cut off too; former lives' edits taken out of the difference, which a base does not show; a limit of time, which a busy machine passes. Lost: a change made while down on yesterday's disk; told.

--- a/larkweir/fleet/edits/part.py
+++ b/larkweir/fleet/edits/part.py
@@ -28,7 +28,7 @@
 from larkweir.core.journal import Journal
 from larkweir.fleet.edits.journal import Posts, Waiting
 from larkweir.fleet.edits.tables import Checked, Settled, differs, schema, tables_of
-from larkweir.fleet.edits.words import Lines, mark_of, names_of
+from larkweir.fleet.edits.words import WAITS, Lines, began_line, mark_of, names_of
 from larkweir.routes.hands import Routes
 
 if TYPE_CHECKING:
@@ -200,15 +200,8 @@
         self._trouble = self._said_trouble = ""
         if self._tells:
             self._tells = False
-            try:
-                made = self.copy.reload(self._file)
-            except EditError as problem:
-                self._say(f"edits: {problem}; what this file says anew does not count")
-            else:
-                if made:
-                    self._say(
-                        f"edits: {made} made of what the file says otherwise than when it was read last"
-                    )
+            if self.copy.start(self._file):
+                self._say(f"edits: {WAITS}")
         self._mends = False
         self._go_on()
         self._settle()
@@ -307,6 +300,9 @@
         """After each call of the rules: what is to be written, whether tables have changed, when it goes on."""
         if not self._live:
             return
+        if self.copy.began is not None:
+            began, self.copy.began = self.copy.began, None
+            self._say(f"edits: {began_line(began)}")
         disk = self._disk
         if disk is not None and disk.long:
             disk.begin_anew([self.copy.record(), *self.copy.pending()])
--- a/larkweir/fleet/edits/words.py
+++ b/larkweir/fleet/edits/words.py
@@ -8,6 +8,7 @@
 
 from larkweir_edits.rows import Told
 from larkweir_edits.schema import Tables
+from larkweir_edits.starts import Began
 
 MOST_LINES = 8  # of one change
 MOST_A_MINUTE = 40
@@ -15,6 +16,20 @@
 MOST_ASKED = 4  # proposals in one line; STATUS has how many there are
 MOST_NAMES = 160  # characters in STATUS
 
+WAITS = "the file says otherwise than when it was read last; that counts once more than half of all are met"
+
+
+def began_line(began: Began) -> str:
+    """What came of a file that says otherwise at a start."""
+    if began.old:
+        return (
+            "the folder is older than what the others have from here: what the file says otherwise was said before, "
+            "and makes no edit; change it and reload, or name it in settle, where it is to count"
+        )
+    if began.problem:
+        return f"{began.problem}; what this file says anew does not count"
+    return f"{began.made} made of what the file says otherwise than when it was read last"
+
 
 def key_of(told: Told) -> str:
     """What it is about, as `settle` would name it."""
--- a/packages/edits/src/larkweir_edits/copy.py
+++ b/packages/edits/src/larkweir_edits/copy.py
@@ -8,7 +8,6 @@
 
 from collections import deque
 from collections.abc import Collection, Iterable, Mapping, Sequence
-from hashlib import blake2b
 from random import Random
 from typing import Any, Protocol
 
@@ -19,8 +18,10 @@
 from larkweir_edits.digests import Ask, Digest, Edits, Have, Item, Offer, Piece, Sum, Want
 from larkweir_edits.edit import ENDED, HERE, STEP, Dot, EditError, Kind, RowKey, Sub, covers, shaped
 from larkweir_edits.others import Others
+from larkweir_edits.records import ENCODER, RECORDS, WHOLE, Kept, Said, origin_of
 from larkweir_edits.schema import Schema, Tables
 from larkweir_edits.snapshot import dumped, loaded
+from larkweir_edits.starts import Began, Start
 from larkweir_edits.state import State
 from larkweir_edits.whole import Check, Whole
 from larkweir_edits.wholes import Mail, Wholes
@@ -42,39 +43,9 @@
     def keep(self, record: bytes) -> int: ...
 
 
-WHOLE = "*"  # stands for a writer where a record holds all that is kept
-
-
-class _Kept(msgspec.Struct, array_like=True):
-    """A record: edits of a writer; with what staff's file says since then, where it is theirs; or a whole state."""
-
-    writer: str
-    edits: list[bytes]
-    said: list[tuple[str, str, dict[str, Any] | None]] = []
-    state: bytes = b""
-
-
-_ENCODER = msgspec.msgpack.Encoder()
-_RECORDS: msgspec.msgpack.Decoder[_Kept] = msgspec.msgpack.Decoder(_Kept)
-
-
-def origin_of(schema: Schema, base: Tables) -> bytes:
-    """What all copies began with, in eight bytes."""
-    told = [
-        (
-            table,
-            name,
-            sorted((sub, repr(value)) for sub, value in schema.parts(table, base[table][name]).items()),
-        )
-        for table in sorted(schema.rules)
-        for name in sorted(base.get(table, {}))
-    ]
-    return blake2b(_ENCODER.encode(told), digest_size=8).digest()
-
-
 class Copy:
     """`name` is its peer's name, `peers` are all others. `base` is what staff's file says now; where there are
-    `records` of former lives it does not count, and `reload` tells what has changed since. `rng` is this life's own,
+    `records` of former lives it does not count, and `start` tells what has changed since. `rng` is this life's own,
     not seeded as another life's was: a writer's name is made of it, so that no dot is used twice though a disk be of
     yesterday. `item` is the size that items are filled to: what one datagram takes, so that one that is lost takes
     little with it.
@@ -104,7 +75,7 @@
         }
         self.writer = self._life()
         self.counts = dict.fromkeys(("bad", "asked", "refused", "other_origin", "adopted", "collected"), 0)
-        self._pending: deque[tuple[int, _Kept]] = deque()
+        self._pending: deque[tuple[int, Kept]] = deque()
         self._coming: set[Dot] = set()  # being written to the log
         self._asked: dict[Dot, float] = {}
         self._others = Others(self.peers, away_ms, now_ms)
@@ -113,6 +84,8 @@
         self._collect_ms = now_ms + rng.uniform(0.5, 1.0) * COLLECT_MS
         self._turn = 0
         self._wholes = Wholes(schema, mail, item)
+        self._start = Start(schema)
+        self.began: Began | None = None  # what came of a start's file, for who takes it from here
         empty = True
         for record in records:
             self._replay(record)
@@ -123,7 +96,7 @@
         self._vector = dict(self.state.vector)
         self._digest = Digest(self._vector)
         if empty:  # what all began with is in the log too: the file may be another when it is read again
-            self._pending.append((log.keep(self.record()), _Kept(WHOLE, [])))
+            self._pending.append((log.keep(self.record()), Kept(WHOLE, [])))
         self._strike(now_ms)
 
     def _life(self) -> str:
@@ -131,24 +104,49 @@
 
     # ------------------------------------------------ staff and owners
 
+    def start(self, tables: Tables) -> bool:
+        """Staff's file says this at a start. Whether what it says otherwise than the log has it said waits
+        (`starts.Start`); `began` is what comes of it.
+        """
+        self._start.file = tables if any(self._start.anew(self.said, tables)) else None
+        self._judge()
+        return self._start.file is not None
+
+    def _judge(self) -> None:
+        tables = self._start.known(len(self._others.agreed), len(self.peers))
+        if tables is not None:
+            try:
+                self.began = Began(self.reload(tables))
+            except EditError as problem:
+                self.began = Began(0, problem=str(problem))
+
+    def _give_up(self) -> None:
+        """The log is of yesterday. Kept ahead of what is learnt of former lives, so that a crash between the two leaves
+        no log that looks whole.
+        """
+        said = self._start.give_up(self.said)
+        if said:
+            self.began = Began(0, old=True)
+            self._keep(Kept(self.writer, [], said))
+            self._say(said)
+
+    def _former(self, writer: str) -> bool:
+        return writer.startswith(f"{self.name}#") and writer != self.writer
+
     def reload(self, tables: Tables) -> int:
         """Staff's file says this now. How many edits that made; EditError, and the file before counts on, where there
-        is no room for them.
+        is no room for them. What waits since a start waits on, but for the rows that this changes.
         """
+        file, tables = tables, self._start.touched(self.said, tables)
         if len(self._pending) >= MOST_PENDING:
             raise EditError("the log does not take edits: see what is said of the disk")
         changes = list(differences(self.schema, self.said, tables, self.state.now))
-        said: list[tuple[str, str, dict[str, Any] | None]] = []
-        for table in self.schema.rules:
-            old, new = self.said.get(table, {}), tables.get(table, {})
-            said += [
-                (table, name, dict(new[name])) for name in new if name not in old or old[name] != new[name]
-            ]
-            said += [(table, name, None) for name in old if name not in new]
+        said = [*self._start.anew(self.said, tables)]
         edits = self.state.make(self.writer, changes)
         if said:
-            self._keep(_Kept(self.writer, edits, said))
+            self._keep(Kept(self.writer, edits, said))
             self._say(said)
+        self._start.reloaded(file)
         return len(edits)
 
     def settle(self, table: str, name: str, fields: Mapping[str, Any]) -> int:
@@ -159,13 +157,13 @@
         changes = tuple((sub, value) for sub, value in wanted.items() if sub[0] in units)
         changes += tuple((sub, False) for sub in have if sub[0] in units and sub not in wanted)
         edits = self.state.make(self.writer, [Change(Kind.WRITE, (table, name), changes)])
-        self._keep(_Kept(self.writer, edits))
+        self._keep(Kept(self.writer, edits))
         return len(edits)
 
     def remove(self, table: str, name: str) -> int:
         """The same, of a row that is to go."""
         edits = self.state.make(self.writer, [Change(Kind.DELETE, (table, name))])
-        self._keep(_Kept(self.writer, edits))
+        self._keep(Kept(self.writer, edits))
         return len(edits)
 
     def verdict(self, route: RowKey, pool: str, term: int, number: int, ended: bool = True) -> bool:
@@ -180,7 +178,7 @@
         if (term, number) <= self.state.floor(row, sub) or not self.state.now(row).here:
             return False
         edits = self.state.make(self.writer, [Change(Kind.OWNER, row, ((sub, [term, number, value]),))])
-        self._keep(_Kept(self.writer, edits))
+        self._keep(Kept(self.writer, edits))
         return True
 
     @property
@@ -195,9 +193,9 @@
 
     # ------------------------------------------------ the log
 
-    def _keep(self, record: _Kept) -> None:
+    def _keep(self, record: Kept) -> None:
         # What is kept is numbered first: a log may tell it at once.
-        data = _ENCODER.encode(record)
+        data = ENCODER.encode(record)
         self._pending.append((self._log.keep(data), record))
 
     def kept(self, number: int, now_ms: float) -> None:
@@ -211,7 +209,7 @@
             self._strike(now_ms)
             self._hurry(now_ms)
 
-    def _enact(self, record: _Kept) -> None:
+    def _enact(self, record: Kept) -> None:
         if record.state:
             new = loaded(self.schema, record.state)
             if covers(new.vector, self.state.folded):  # else it is older than what is had
@@ -229,7 +227,7 @@
 
     def _replay(self, data: bytes) -> None:
         try:
-            record = _RECORDS.decode(data)
+            record = RECORDS.decode(data)
             if record.state:
                 new = loaded(self.schema, record.state)
                 if record.writer == WHOLE or covers(new.vector, self.state.folded):
@@ -242,7 +240,7 @@
         except (msgspec.ValidationError, msgspec.DecodeError, EditError, RecursionError):
             self.counts["bad"] += 1
 
-    def _say(self, said: Iterable[tuple[str, str, dict[str, Any] | None]]) -> None:
+    def _say(self, said: Iterable[Said]) -> None:
         for table, name, fields in said:
             if fields is None:
                 self.said.get(table, {}).pop(name, None)
@@ -254,11 +252,11 @@
     def record(self) -> bytes:
         """All that is kept, in one record, with which a log may begin anew. What is pending comes after it."""
         said = [(table, name, dict(row)) for table, rows in self.said.items() for name, row in rows.items()]
-        return _ENCODER.encode(_Kept(WHOLE, [], list(said), dumped(self.state)))
+        return ENCODER.encode(Kept(WHOLE, [], list(said), dumped(self.state)))
 
     def pending(self) -> list[bytes]:
         """What was given to the log and is not kept yet."""
-        return [_ENCODER.encode(record) for _, record in self._pending]
+        return [ENCODER.encode(record) for _, record in self._pending]
 
     def _strike(self, now_ms: float) -> None:
         """Tell which writers had not seen what is in the base."""
@@ -267,7 +265,7 @@
             if writer == self.writer:
                 self.writer = self._life()
             change = Change(Kind.STRIKE, ("", writer), ((HERE, number),))
-            self._keep(_Kept(self.writer, self.state.make(self.writer, [change])))
+            self._keep(Kept(self.writer, self.state.make(self.writer, [change])))
         if self.writer in self.state.strikes:
             self.writer = self._life()
 
@@ -335,7 +333,9 @@
         elif isinstance(told, Piece):
             data = self._wholes.on_piece(source, told, now_ms)
             if data:
-                self._keep(_Kept("", [], [], data))
+                if not self.state.vector:  # all that is known here is from others
+                    self._give_up()
+                self._keep(Kept("", [], [], data))
         elif isinstance(told, Offer):
             self._wholes.on_offer(source, told, self.state, now_ms)
         elif told.origin != self.state.origin:
@@ -362,6 +362,7 @@
             if not self._vector:
                 self._vector = dict(mine.vector)
             self._others.agreed[source] = self._vector
+            self._judge()
             return
         self._hurry(now_ms)
         ranges = self._digest.differ(told.ranges)
@@ -398,6 +399,8 @@
         wanted: dict[str, list[int]] = {}
         for writer, (upto, *more) in told.writers.items():
             known = self.state.vector.get(writer, 0)
+            if upto > known and self._former(writer):
+                self._give_up()
             found = []
             for count in [*range(known + 1, min(upto, known + 4 * ASK) + 1), *digests.counts(more, 4 * ASK)]:
                 dot = (writer, count)
@@ -452,7 +455,9 @@
             self.counts["refused"] += len(fresh)
             self._coming.difference_update((told.writer, shaped(data).count) for data in fresh)
         elif fresh:
-            self._keep(_Kept(told.writer, fresh))
+            if self._former(told.writer):  # told to a life before this one, which asked
+                self._give_up()
+            self._keep(Kept(told.writer, fresh))
         if not self._asked:
             self._greet(source)  # there may be more
         self._hurry(now_ms)
@@ -487,7 +492,7 @@
                 lost.setdefault(writer, []).append(data)
         for writer, edits in lost.items():
             if edits:
-                self._keep(_Kept(writer, edits))
+                self._keep(Kept(writer, edits))
 
     def unseen(self) -> Collection[Dot]:
         """Edits that are held since their causes are missing."""
--- a/tests/fleet/test_edits.py
+++ b/tests/fleet/test_edits.py
@@ -171,7 +171,9 @@
 
 
 def test_killed_after_an_edit_and_back_with_the_old_no_or_yesterdays_disk() -> None:
-    """What another copy was told of is never lost, and no dot is used twice."""
+    """What another copy was told of is never lost, no dot is used twice, and a file that its folder is behind of undoes
+    nothing: it is told as an edit by nobody.
+    """
 
     async def play(disk: Disk, seed: int) -> None:
         async with Together(3, seed, peers=PEERS, edits=EDITS, routes=ROUTES) as rig:
@@ -183,12 +185,16 @@
             mark = await equal(copies, 3)
             kill = Fault(Kind.KILL, 0.0, 0.0, (one.name,), disk=disk)
             await rig.begin(kill)
-            third.edit(route_t={"path": "/t"})
-            await where(copies[1:], lambda facts: facts.get("edits") == "4", "an edit while it is away")
+            third.edit(route_t={"path": "/t"}, route_a={"path": "/third/*"})
+            await where(copies[1:], lambda facts: facts.get("edits") == "5", "edits while it is away")
             await rig.end(kill)
             await where(copies, lambda facts: facts.get("routes") == "5", "both sides' new routes")
             met = await equal(copies)
-            assert met != mark
+            assert met != mark and met == (await third.status())["edits_tables"]
+            assert [(await copy.status())["edits_told"] for copy in copies] == ["0"] * 3
+            assert not said(one, "made of what the file says")
+            if disk is Disk.YESTERDAY:
+                await rig.until(lambda: said(one, "edits: the folder is older"), "that it said so before")
             one.edit(route_b={"path": "/late/*"})
             await where(
                 copies, lambda facts: facts.get("edits_tables") not in (None, "", met), "its next edit at all"
