--- a/larkweir/fleet/duties/table.py
+++ b/larkweir/fleet/duties/table.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from larkweir.fleet.duties.words import Work
+from larkweir.fleet.duties.words import Scouting, Work
 
 if TYPE_CHECKING:
     from larkweir.routes.hands import Routes
@@ -20,6 +20,12 @@
     def duty(self, life: int, wake: Callable[[], None]) -> Work: ...
 
 
+class Scout(Scouting, Protocol):
+    """The decisions of this process, as far as they have left servers out."""
+
+    def probes(self) -> bool: ...
+
+
 class Seat(NamedTuple):
     """What a duty is given by the balancer that it runs in."""
 
@@ -27,6 +33,8 @@
     routes: Routes | None  # None where no route is configured
     wake: Callable[[], None]  # to be called when the duty's `next_ms` is earlier than it was
     captures: Captured | None = None  # None where they are off
+    me: str = ""  # among the peers
+    scout: Callable[[], Scout] | None = None
 
 
 Maker = Callable[[Seat], Work | None]  # None: it has nothing to do in this process
@@ -52,6 +60,13 @@
     return Ramps(seat.life, lambda: routes) if routes is not None else None
 
 
+def _probers(seat: Seat) -> Work | None:
+    from larkweir.fleet.duties.probers import Probers
+
+    scout = seat.scout() if seat.scout is not None else None
+    return Probers(seat.life, seat.me, scout, scout.probes) if scout is not None else None
+
+
 def _captures(seat: Seat) -> Work | None:
     return seat.captures.duty(seat.life, seat.wake) if seat.captures is not None else None
 
@@ -60,6 +75,7 @@
     "drill": _drill,
     "verdicts": _verdicts,
     "ramps": _ramps,
+    "probers": _probers,
     "captures": _captures,
 }
 
--- a/larkweir/fleet/duties/words.py
+++ b/larkweir/fleet/duties/words.py
@@ -6,7 +6,8 @@
 
 from __future__ import annotations
 
-from typing import Protocol
+from collections.abc import Mapping
+from typing import NamedTuple, Protocol
 
 import msgspec
 from larkweir_owners.messages import Version
@@ -53,6 +54,22 @@
     rows: tuple[Wish, ...]
 
 
+class Sighting(msgspec.Struct, frozen=True, array_like=True):
+    """What this copy knows by itself of a server. `out`: it has left it out. `found`: 0 nothing yet, 1 bad, 2 well by a
+    probe, 3 well by a call, `age_ms` before this was told."""
+
+    key: bytes
+    out: bool
+    found: int
+    age_ms: int
+
+
+class SightingReport(msgspec.Struct, frozen=True, array_like=True, tag="s"):
+    life: int
+    number: int
+    rows: tuple[Sighting, ...]
+
+
 class CaptureReport(msgspec.Struct, frozen=True, array_like=True, tag="c"):
     """What one copy sees of each kind of request, as `larkweir_captures.wire` packs it."""
 
@@ -60,11 +77,9 @@
     item: bytes
 
 
-Report = EvidenceReport | WishReport | CaptureReport
+Report = EvidenceReport | WishReport | SightingReport | CaptureReport
 pack = msgspec.msgpack.Encoder().encode
-_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(
-    EvidenceReport | WishReport | CaptureReport
-)
+_decoder: msgspec.msgpack.Decoder[Report] = msgspec.msgpack.Decoder(Report)
 
 
 def unpack(data: bytes) -> Report | None:
@@ -109,6 +124,26 @@
     return last_ms < now_ms // BEAT_MS * BEAT_MS
 
 
+class Known(NamedTuple):
+    """What a copy's decisions know of a server by themselves."""
+
+    out: bool
+    found: int
+    age_ms: float
+
+
+class Scouting(Protocol):
+    """The decisions' side, by `probers.key_of`."""
+
+    def known(self, now_ms: float) -> Mapping[bytes, Known]:
+        """Of servers that are left out here, or were until a moment ago."""
+        ...
+
+    def hear(self, key: bytes, found: int, age_ms: float, turn: bool) -> None:
+        """Hearsay. `turn`: this copy is to look. Nothing where the key is of no server that is left out here."""
+        ...
+
+
 class Beats:
     """Whether an owner is there, as a copy sees it: by effects alone, whatever membership says."""
 
