--- /dev/null
+++ b/larkweir/system/cli.py
@@ -0,0 +1,62 @@
+"""The command line of the router fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+from collections.abc import Awaitable, Callable
+
+import click
+
+from larkweir.system.settings import Settings, SettingsError, load
+
+EXIT_SETTINGS = 2
+EXIT_DATA = 3
+
+
+@click.group()
+def main() -> None:
+    """A router fleet for a language model."""
+
+
+@main.command()
+def router() -> None:
+    """Takes clients' requests and passes them to upstreams."""
+    from larkweir.system.router.node import Router
+
+    _run(lambda settings: Router(settings).run())
+
+
+@main.command()
+def controller() -> None:
+    """Keeps the configuration and the list of upstreams, and tells routers."""
+    from larkweir.system.controller.node import Controller
+
+    _run(lambda settings: Controller(settings).run())
+
+
+def _run(serve: Callable[[Settings], Awaitable[None]]) -> None:
+    """Reads the settings and serves until told to stop; a bad file is one line and exit code 2."""
+    import uvloop
+
+    from larkweir.system import log
+
+    try:
+        settings = load()
+    except SettingsError as problem:
+        click.echo(f"settings: {problem}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    log.start(settings.node)
+
+    async def begin() -> None:
+        await serve(settings)
+
+    gc.freeze()
+    gc.set_threshold(20_000, 20, 20)
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(begin())
+    except OSError as problem:
+        click.echo(f"{problem.filename or 'data'}: {problem.strerror}", err=True)
+        sys.exit(EXIT_DATA)
--- /dev/null
+++ b/larkweir/system/controller/__init__.py
@@ -0,0 +1,1 @@
+"""The controller: keeps the configuration with its peers, knows the upstreams, and tells the routers."""
--- /dev/null
+++ b/larkweir/system/controller/distribution.py
@@ -0,0 +1,187 @@
+"""What routers and other controllers pull: the configuration, the upstreams, the use of quotas."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+from larkweir_quotas.ledger import Ledger, Limit
+from larkweir_registry.registry import Registry
+
+from larkweir.system.configuration.documents import Document, difference
+from larkweir.system.links import Connection
+from larkweir.system.messages import ConfigUpdate, Delta, Kind, Pull
+
+HOLD_MS = 250.0  # a pull is answered after it, with or without news
+GATHER_S = 0.005  # changes that come together are told together
+HISTORY_MOST = 32  # configurations that a delta can build on
+
+
+class Subscriber:
+    """One process that pulls on one connection."""
+
+    def __init__(self, connection: Connection, kind: Kind) -> None:
+        """It has asked nothing yet."""
+        self.connection = connection
+        self.kind = kind
+        self.pull: Pull | None = None  # while it waits for an answer
+        self.pulled_ms = 0.0
+        self.vector: dict[str, int] = {}  # what it had seen at its last pull
+
+
+class Distribution:
+    """Answers pulls as soon as there is something that the puller lacks."""
+
+    def __init__(self, registry: Registry, ledger: Ledger, controllers: Callable[[], list[str]]) -> None:
+        """`controllers`: the nodes that pulls may go to, at present."""
+        self._registry = registry
+        self._ledger = ledger
+        self._controllers = controllers
+        self._loop = asyncio.get_running_loop()
+        self._subscribers: dict[Connection, Subscriber] = {}
+        self._history: list[tuple[int, Document]] = []
+        self._whole: bytes = b""
+        self._patches: dict[int, bytes] = {}
+        self._waking: asyncio.TimerHandle | None = None
+        self._confirmations: list[tuple[int, asyncio.Future[None]]] = []
+
+    # The configuration
+
+    def publish(self, sequence: int, value: str) -> None:
+        """A committed configuration."""
+        if not value or (self._history and sequence <= self._history[-1][0]):
+            return
+        document: Document = msgspec.json.decode(value)
+        if self._history and self._history[-1][1] == document:
+            return
+        self._history.append((sequence, document))
+        del self._history[:-HISTORY_MOST]
+        self._whole = value.encode()
+        self._patches = {}
+        self._ledger.set_limits(limits_of(document), self._now_ms())
+        self.wake()
+
+    @property
+    def sequence(self) -> int:
+        """Of the configuration that is told; -1 for none."""
+        return self._history[-1][0] if self._history else -1
+
+    def _update_for(self, known: int) -> ConfigUpdate | None:
+        if known >= self.sequence:
+            return None
+        if known not in self._patches:
+            base = next((document for sequence, document in self._history if sequence == known), None)
+            if base is None:
+                return ConfigUpdate(self.sequence, -1, msgspec.Raw(self._whole))
+            self._patches[known] = msgspec.json.encode(difference(base, self._history[-1][1]))
+        return ConfigUpdate(self.sequence, known, msgspec.Raw(self._patches[known]))
+
+    # Subscribers
+
+    def joined(self, connection: Connection, kind: Kind) -> None:
+        """A process has said who it is."""
+        self._subscribers[connection] = Subscriber(connection, kind)
+
+    def left(self, connection: Connection) -> None:
+        """Its connection has ended."""
+        self._subscribers.pop(connection, None)
+
+    @property
+    def routers(self) -> int:
+        """Routers that are connected."""
+        return sum(1 for subscriber in self._subscribers.values() if subscriber.kind is Kind.ROUTER)
+
+    def pulled(self, connection: Connection, pull: Pull) -> None:
+        """A process asks for what it lacks."""
+        subscriber = self._subscribers.get(connection)
+        if subscriber is None:
+            return
+        now_ms = self._now_ms()
+        subscriber.pull, subscriber.pulled_ms, subscriber.vector = pull, now_ms, pull.vector
+        if self._ledger.report(connection.life, pull.usage, now_ms):
+            self.wake()
+        self._confirm()
+        if self._has_news(subscriber):
+            self._answer(subscriber)
+
+    def wake(self) -> None:
+        """Something has changed: whoever lacks it is answered soon."""
+        if self._waking is None:
+            self._waking = self._loop.call_later(GATHER_S, self._answer_all)
+
+    def _answer_all(self) -> None:
+        self._waking = None
+        for subscriber in list(self._subscribers.values()):
+            if subscriber.pull is not None and self._has_news(subscriber):
+                self._answer(subscriber)
+
+    def tick(self) -> None:
+        """Answers pulls that have been held for long enough; to be called several times a second."""
+        now_ms = self._now_ms()
+        for subscriber in list(self._subscribers.values()):
+            subscriber.connection.keep_alive()
+            if subscriber.pull is not None and now_ms >= subscriber.pulled_ms + HOLD_MS:
+                self._answer(subscriber)
+
+    def _has_news(self, subscriber: Subscriber) -> bool:
+        assert subscriber.pull is not None
+        if subscriber.kind is Kind.ROUTER and subscriber.pull.config < self.sequence:
+            return True
+        return not self._registry.covers(subscriber.pull.vector)
+
+    def _answer(self, subscriber: Subscriber) -> None:
+        pull = subscriber.pull
+        assert pull is not None
+        subscriber.pull = None
+        is_router = subscriber.kind is Kind.ROUTER
+        delta = Delta(
+            config=self._update_for(pull.config) if is_router else None,
+            records=self._registry.delta(pull.vector),
+            vector={
+                origin: counter
+                for origin, counter in self._registry.vector.items()
+                if counter > pull.vector.get(origin, 0)
+            },
+            controllers=self._controllers(),
+            routers=max(1, self.routers),
+            quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
+        )
+        subscriber.connection.send(delta)
+
+    # Confirmation that news has arrived
+
+    async def confirmed(self, for_s: float) -> None:
+        """Returns once all that are connected have what this registry noted last, or after that time."""
+        waiter: asyncio.Future[None] = self._loop.create_future()
+        self._confirmations.append((self._registry.vector.get(self._registry.origin, 0), waiter))
+        self.wake()
+        self._confirm()
+        try:
+            async with asyncio.timeout(for_s):
+                await waiter
+        except TimeoutError:
+            pass
+        finally:
+            self._confirmations = [one for one in self._confirmations if one[1] is not waiter]
+
+    def _confirm(self) -> None:
+        if not self._confirmations:
+            return
+        origin = self._registry.origin
+        seen = min((one.vector.get(origin, 0) for one in self._subscribers.values()), default=0)
+        for counter, waiter in self._confirmations:
+            if seen >= counter and not waiter.done():
+                waiter.set_result(None)
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+
+def limits_of(document: Document) -> dict[str, Limit]:
+    """The tenants that have a limit."""
+    return {
+        tenant["name"]: Limit(float(tenant["rate_per_s"]), float(tenant.get("burst", 0)))
+        for tenant in document.get("tenants", [])
+        if tenant.get("rate_per_s", 0) > 0
+    }
--- /dev/null
+++ b/larkweir/system/controller/node.py
@@ -0,0 +1,267 @@
+"""The composition root of a controller."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import secrets
+import signal
+from collections.abc import Coroutine
+
+import msgspec
+from larkweir_quotas.ledger import Ledger
+from larkweir_registry.liveness import Liveness
+from larkweir_registry.records import State, Upstream
+from larkweir_registry.registry import Registry
+from larkweir_replication.messages import Message as ReplicationMessage
+from larkweir_replication.messages import Snapshot
+from larkweir_replication.replica import Status
+
+from larkweir.system import log, settings_watch
+from larkweir.system.controller.distribution import Distribution
+from larkweir.system.controller.instances_api import PATH, InstancesApi
+from larkweir.system.controller.operator_api import OperatorApi
+from larkweir.system.controller.replication import UNKNOWN, ReplicaDriver
+from larkweir.system.http_server import HttpServerConnection, Request, Response
+from larkweir.system.links import Connection, Link
+from larkweir.system.messages import (
+    Delta,
+    Forward,
+    Forwarded,
+    Heard,
+    Hello,
+    Kind,
+    Message,
+    Pull,
+    Replication,
+)
+from larkweir.system.settings import Settings, split_address
+
+TICK_S = 0.04
+STANDSTILL_MS = 700.0  # a tick so late means that this process stood still
+HEARD_EVERY_TICKS = 8
+MAX_BODY_BYTES = 8 * 1024 * 1024
+BACKLOG = 1_024
+
+
+class Controller:
+    """One controller process."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Opens nothing yet but the data folder. OSError where that can't be read."""
+        self.settings = settings
+        self._loop = asyncio.get_running_loop()
+        self._life = secrets.token_hex(6)
+        self._registry = Registry(f"{settings.ip}/{self._life}")
+        self._ledger = Ledger()
+        self._liveness = Liveness(settings.heartbeat_ms, self._now_ms())
+        self._links: dict[str, Link] = {}
+        self._forwards: dict[int, asyncio.Future[Forwarded]] = {}
+        self._tickets = itertools.count(1)
+        self._distribution = Distribution(self._registry, self._ledger, self._controllers)
+        self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
+        self._operator = OperatorApi(self._call_primary)
+        self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
+        self._stopping = asyncio.Event()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    async def run(self) -> None:
+        """Serves until SIGTERM."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self._loop.add_signal_handler(number, self._stopping.set)
+        watch = settings_watch.Watch(self.settings, self._settings_changed)
+        self._loop.add_signal_handler(signal.SIGHUP, watch.read)
+        peers = await self._loop.create_server(
+            lambda: Connection(self._came, self._distribution.left),
+            self.settings.ip,
+            self.settings.peer_port,
+            backlog=BACKLOG,
+        )
+        assert self.settings.listen.control is not None
+        host, port = split_address(self.settings.listen.control)
+        control = await self._loop.create_server(
+            lambda: HttpServerConnection(self._handle, MAX_BODY_BYTES), host, port, backlog=BACKLOG
+        )
+        log.event("controller_started", control=self.settings.listen.control)
+        ticking = self._loop.create_task(self._tick_forever(watch))
+        await self._stopping.wait()
+        log.event("controller_stopping")
+        control.close()
+        peers.close()
+        self._driver.stop()
+        ticking.cancel()
+        await asyncio.sleep(TICK_S)  # what is written goes out
+
+    async def _tick_forever(self, watch: settings_watch.Watch) -> None:
+        last_ms = self._now_ms()
+        for count in itertools.count():
+            await asyncio.sleep(TICK_S)
+            now_ms = self._now_ms()
+            if now_ms >= last_ms + STANDSTILL_MS:
+                self._woke(now_ms)
+            last_ms = now_ms
+            self._tick(count)
+            watch.tick(now_ms)
+
+    def _woke(self, now_ms: float) -> None:
+        """After a standstill: nobody's silence in that time means anything."""
+        log.event("stood_still")
+        self._liveness.blinded(now_ms)
+        for link in self._links.values():
+            if link.connection is not None:
+                link.connection.excuse_silence()
+
+    def _tick(self, count: int) -> None:
+        self._driver.tick()
+        for node in self._controllers():
+            if node != self.settings.ip and node not in self._links:
+                self._links[node] = Link(
+                    node, self.settings.peer_port, self._came, self._link_made, self._link_lost
+                )
+        for link in self._links.values():
+            link.keep_alive()
+        self._distribution.tick()
+        if count % HEARD_EVERY_TICKS == 0:
+            self._report_heartbeats()
+            self._judge_silence()
+
+    def _settings_changed(self, settings: Settings) -> None:
+        self.settings = settings
+        self._driver.replica.known.update(settings.seed_nodes)
+
+    # Other processes
+
+    def _controllers(self) -> list[str]:
+        """All that may be controllers, as far as this one knows."""
+        accepted = self._driver.replica.accepted
+        members = accepted.members if accepted is not None else ()
+        return sorted({*members, *self._driver.replica.known, self.settings.ip})
+
+    def _link_made(self, connection: Connection) -> None:
+        connection.send(Hello(self.settings.ip, Kind.CONTROLLER, self._life))
+        connection.send(Pull(vector=self._registry.vector))
+
+    def _link_lost(self, node: str) -> None:
+        log.detail("link_lost", to=node)
+
+    def _send_replication(self, node: str, message: ReplicationMessage) -> None:
+        link = self._links.get(node)
+        if link is not None:
+            link.send(Replication(message))
+
+    def _came(self, connection: Connection, message: Message) -> None:
+        match message:
+            case Hello():
+                connection.node, connection.life = message.node, message.life
+                self._distribution.joined(connection, message.kind)
+                if message.kind is Kind.CONTROLLER:
+                    self._driver.replica.known.add(message.node)
+            case Pull():
+                self._distribution.pulled(connection, message)
+            case Delta():
+                self._pulled(connection, message)
+            case Replication():
+                if connection.node:
+                    self._driver.receive(connection.node, message.message)
+            case Heard():
+                self._liveness.heard_elsewhere(message.sequences, self._now_ms())
+            case Forward():
+                self._start(self._answer_forward(connection, message))
+            case Forwarded():
+                waiter = self._forwards.pop(message.ticket, None)
+                if waiter is not None and not waiter.done():
+                    waiter.set_result(message)
+
+    def _start(self, coroutine: Coroutine[None, None, None]) -> None:
+        task = self._loop.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _pulled(self, connection: Connection, delta: Delta) -> None:
+        now_ms = self._now_ms()
+        for upstream in self._registry.merge(delta.records, delta.vector, now_ms):
+            self._liveness.heard_elsewhere({upstream.id: upstream.sequence}, now_ms)
+        if delta.records:
+            self._distribution.wake()
+        connection.send(Pull(vector=self._registry.vector))
+
+    # The configuration
+
+    def _committed(self, snapshot: Snapshot) -> None:
+        log.event("committed", sequence=snapshot.sequence, epoch=snapshot.epoch.number, members=snapshot.members)
+        self._distribution.publish(snapshot.sequence, snapshot.value)
+
+    async def _call_primary(self, identity: str, change: str) -> Forwarded:
+        replica = self._driver.replica
+        if replica.status is Status.PRIMARY:
+            return await self._driver.call(identity, change)
+        link = self._links.get(replica.primary or "")
+        if link is None or link.connection is None:
+            return Forwarded(0, UNKNOWN)
+        ticket = next(self._tickets)
+        waiter: asyncio.Future[Forwarded] = self._loop.create_future()
+        self._forwards[ticket] = waiter
+        try:
+            link.send(Forward(ticket, identity, change))
+            async with asyncio.timeout(0.45):
+                return await waiter
+        except TimeoutError:
+            return Forwarded(ticket, UNKNOWN)
+        finally:
+            self._forwards.pop(ticket, None)
+
+    async def _answer_forward(self, connection: Connection, forward: Forward) -> None:
+        answer = await self._driver.call(forward.identity, forward.change)
+        connection.send(msgspec.structs.replace(answer, ticket=forward.ticket))
+
+    # Upstreams
+
+    def _report_heartbeats(self) -> None:
+        report = self._liveness.take_report()
+        if report:
+            for link in self._links.values():
+                link.send(Heard(report))
+
+    def _judge_silence(self) -> None:
+        """Marks upstreams that nobody hears, where this controller would know of others who do."""
+        now_ms = self._now_ms()
+        accepted = self._driver.replica.accepted
+        linked = {node for node, link in self._links.items() if link.connection is not None} | {self.settings.ip}
+        if accepted is None or not accepted.has_quorum(linked):
+            self._liveness.blinded(now_ms)
+            return
+        watched = [
+            upstream.id
+            for upstream in self._registry.upstreams.values()
+            if upstream.state is not State.GONE and not upstream.silent
+        ]
+        for id_ in self._liveness.silent(watched, now_ms):
+            self._lapse(self._registry.upstreams[id_], now_ms)
+
+    def _lapse(self, upstream: Upstream, now_ms: float) -> None:
+        sequence = max(upstream.sequence, self._liveness.sequence(upstream.id))
+        log.event("upstream_silent", id=upstream.id, sequence=sequence)
+        silent = msgspec.structs.replace(upstream, sequence=sequence, lapsed=sequence)
+        if self._registry.note(silent, now_ms):
+            self._distribution.wake()
+
+    # The control interface
+
+    async def _handle(self, request: Request) -> Response:
+        path = request.target.partition("?")[0]
+        if path.startswith(PATH) and len(path) > len(PATH):
+            if request.method == "PUT":
+                return await self._instances.put(request)
+            if request.method == "DELETE":
+                return await self._instances.delete(request)
+            return Response(405)
+        if path == "/config":
+            if request.method == "GET":
+                return await self._operator.get()
+            if request.method in ("PUT", "PATCH"):
+                return await self._operator.change(request)
+            return Response(405)
+        return Response(404)
--- /dev/null
+++ b/larkweir/system/controller/operator_api.py
@@ -0,0 +1,68 @@
+"""The operator's calls: the configuration read, replaced and changed, through whoever is the primary."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from larkweir.system.configuration.changes import Change
+from larkweir.system.controller.replication import OK, UNKNOWN
+from larkweir.system.http_server import Request, Response
+from larkweir.system.messages import Forwarded
+
+ANSWER_S = 0.9  # the operator goes to another controller after a second of silence
+RETRY_S = 0.04
+
+Call = Callable[[str, str], Awaitable[Forwarded]]
+"""Identity and change (both empty for a read), to the primary wherever it is."""
+
+
+class OperatorApi:
+    """`/config` of a controller."""
+
+    def __init__(self, call: Call) -> None:
+        """`call`: tries the primary once."""
+        self._call = call
+
+    async def get(self) -> Response:
+        """The newest configuration, confirmed by the primary."""
+        answer = await self._until_known("", "")
+        if answer.status != OK:
+            return _problem(503, answer.detail or "no primary answers")
+        if not answer.value:
+            return _problem(404, "there is no configuration yet")
+        return Response(200, answer.value.encode())
+
+    async def change(self, request: Request) -> Response:
+        """PUT of a whole configuration or PATCH of named items."""
+        base = request.headers.get("if-match", "").strip().strip('"')
+        if not base.isdigit():
+            return _problem(400, "If-Match: the version that the change builds on is needed")
+        try:
+            body = request.body.decode()
+        except UnicodeDecodeError:
+            return _problem(400, "the body is no UTF-8")
+        change = Change(request.method == "PATCH", int(base), body)
+        answer = await self._until_known(change.identity, change.encode())
+        if answer.status == OK:
+            return Response(200, b"{}")
+        return _problem(answer.status or 503, answer.detail or "no primary answers")
+
+    async def _until_known(self, identity: str, change: str) -> Forwarded:
+        """Tries again while the outcome is unknown: a change that was taken is known by its identity."""
+        answer = Forwarded(0, UNKNOWN)
+        try:
+            async with asyncio.timeout(ANSWER_S):
+                while True:
+                    answer = await self._call(identity, change)
+                    if answer.status != UNKNOWN:
+                        return answer
+                    await asyncio.sleep(RETRY_S)
+        except TimeoutError:
+            return Forwarded(0, UNKNOWN)
+
+
+def _problem(status: int, detail: str) -> Response:
+    return Response(status, msgspec.json.encode({"error": detail}))
--- /dev/null
+++ b/larkweir/system/controller/replication.py
@@ -0,0 +1,144 @@
+"""Drives a replica: its messages over links, its records to the disk, its answers to those who wait."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import os
+from collections.abc import Callable
+from random import Random
+
+from larkweir_replication.effects import Committed, Decided, Persist, ReadDone, Send, Verdict
+from larkweir_replication.journal import FolderFiles, Journal
+from larkweir_replication.messages import Message, Snapshot
+from larkweir_replication.replica import Replica
+
+from larkweir.system import log
+from larkweir.system.configuration.changes import Refused, apply_change
+from larkweir.system.controller.storage import DiskThread
+from larkweir.system.messages import Forwarded
+from larkweir.system.settings import Settings
+
+FOLDER = "replica"
+OK = 200
+UNKNOWN = 0
+
+
+class ReplicaDriver:
+    """The replica of this controller."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        send: Callable[[str, Message], None],
+        on_committed: Callable[[Snapshot], None],
+    ) -> None:
+        """Reads the disk; OSError where it can't be read."""
+        self._loop = asyncio.get_running_loop()
+        self._send = send
+        self._on_committed = on_committed
+        self._tickets = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Forwarded]] = {}
+        assert settings.data_dir is not None
+        journal = Journal(FolderFiles(os.path.join(settings.data_dir, FOLDER)))
+        self.replica = Replica(
+            settings.ip,
+            apply_change,
+            Random(),
+            self._now_ms(),
+            stored=journal.newest,
+            first_members=settings.seed_nodes if settings.bootstrap and journal.newest is None else None,
+            known=settings.seed_nodes,
+            members_wanted=2 * settings.fault_tolerance.machines + 1,
+        )
+        self._disk = DiskThread(journal, self._loop, self._persisted, self._persist_failed)
+        self._status = self.replica.status
+        log.event("replica_started", status=self._status, sequence=_sequence(journal), dropped=journal.dropped)
+        self.carry_out()
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def tick(self) -> None:
+        """To be called every few tens of milliseconds."""
+        self.replica.tick(self._now_ms())
+        self.carry_out()
+
+    def receive(self, sender: str, message: Message) -> None:
+        """From another controller."""
+        self.replica.receive(sender, message, self._now_ms())
+        self.carry_out()
+
+    def _persisted(self, token: int) -> None:
+        self.replica.persisted(token, self._now_ms())
+        self.carry_out()
+
+    def _persist_failed(self, token: int) -> None:
+        self.replica.persist_failed(token)
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Does what the replica wants done."""
+        for effect in self.replica.take_effects():
+            match effect:
+                case Send(node, message):
+                    self._send(node, message)
+                case Persist(token, durable):
+                    self._disk.write(token, durable)
+                case Committed(snapshot):
+                    self._on_committed(snapshot)
+                case Decided(ticket, verdict, reason):
+                    self._answer(ticket, _answer_of(ticket, verdict, reason))
+                case ReadDone(ticket, snapshot):
+                    found = Forwarded(ticket, UNKNOWN if snapshot is None else OK)
+                    if snapshot is not None:
+                        found = Forwarded(ticket, OK, value=snapshot.value)
+                    self._answer(ticket, found)
+        if self.replica.status is not self._status:
+            self._status = self.replica.status
+            log.event("replica_status", status=self._status, epoch=self.replica.promised.number)
+
+    def _answer(self, ticket: int, answer: Forwarded) -> None:
+        waiter = self._waiting.pop(ticket, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(answer)
+
+    async def call(self, identity: str, change: str) -> Forwarded:
+        """A change, or a read where `change` is empty, at this replica as the primary; unknown where it is not.
+
+        The caller bounds the time.
+        """
+        ticket = next(self._tickets)
+        waiter: asyncio.Future[Forwarded] = self._loop.create_future()
+        self._waiting[ticket] = waiter
+        try:
+            now_ms = self._now_ms()
+            if change:
+                taken = self.replica.submit(ticket, identity, change, now_ms)
+            else:
+                taken = self.replica.read(ticket, now_ms)
+            self.carry_out()
+            return await waiter if taken else Forwarded(ticket, UNKNOWN)
+        finally:
+            self._waiting.pop(ticket, None)
+
+    def stop(self) -> None:
+        """Gives leadership back and ends the disk's thread."""
+        self.replica.resign(self._now_ms())
+        self.carry_out()
+        self._disk.close()
+
+
+def _sequence(journal: Journal) -> int:
+    return journal.newest.snapshot.sequence if journal.newest and journal.newest.snapshot else -1
+
+
+def _answer_of(ticket: int, verdict: Verdict, reason: object) -> Forwarded:
+    match verdict:
+        case Verdict.ACCEPTED:
+            return Forwarded(ticket, OK)
+        case Verdict.REJECTED:
+            assert isinstance(reason, Refused)
+            return Forwarded(ticket, int(reason.refusal), reason.detail)
+        case Verdict.UNKNOWN:
+            return Forwarded(ticket, UNKNOWN)
--- /dev/null
+++ b/larkweir/system/http_server.py
@@ -0,0 +1,131 @@
+"""A small HTTP/1.1 server over h11 for the fleet's own interfaces: whole requests in, whole answers out."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import cast
+
+import h11
+
+from larkweir.system.links import tune
+
+MAX_HEADER_BYTES = 32 * 1024
+USER_TIMEOUT_MS = 5_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """One request, whole. Header names are in lower case."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """One answer. `close`: the connection ends behind it."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    close: bool = False
+
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+
+class HttpServerConnection(asyncio.Protocol):
+    """One client's connection; requests on it are answered in turn."""
+
+    def __init__(self, handler: Handler, max_body_bytes: int) -> None:
+        """A body over `max_body_bytes` is answered with 413."""
+        self._handler = handler
+        self._max_body_bytes = max_body_bytes
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._transport: asyncio.Transport | None = None
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        transport = cast(asyncio.Transport, transport)  # uvloop's are none by type
+        self._transport = transport
+        tune(transport, user_timeout_ms=USER_TIMEOUT_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        self._h11.receive_data(data)
+        self._advance()
+
+    def eof_received(self) -> bool:
+        """Called by the loop; an answer under way is still sent."""
+        return self._task is not None
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        self._transport = None
+        if self._task is not None:
+            self._task.cancel()
+
+    def _advance(self) -> None:
+        """Takes what has come, until a request is whole or more is needed."""
+        while self._task is None and self._transport is not None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError as problem:
+                self._answer(Response(problem.error_status_hint or 400, close=True))
+                return
+            if isinstance(event, h11.Request):
+                self._head, self._body, self._body_bytes = event, [], 0
+            elif isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+                if self._body_bytes > self._max_body_bytes:
+                    self._answer(Response(413, close=True))
+                    return
+                self._body.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._begin()
+            else:
+                return
+
+    def _begin(self) -> None:
+        assert self._head is not None
+        headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in self._head.headers}
+        request = Request(
+            self._head.method.decode("latin-1"),
+            self._head.target.decode("latin-1"),
+            headers,
+            b"".join(self._body),
+        )
+        self._task = asyncio.get_running_loop().create_task(self._handle(request))
+
+    async def _handle(self, request: Request) -> None:
+        response = await self._handler(request)
+        self._task = None
+        self._answer(response)
+        self._advance()
+
+    def _answer(self, response: Response) -> None:
+        transport = self._transport
+        if transport is None or self._h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = [("Content-Length", str(len(response.body)))]
+        if response.body:
+            headers.append(("Content-Type", response.content_type))
+        if response.close:
+            headers.append(("Connection", "close"))
+        out = self._h11.send(h11.Response(status_code=response.status, headers=headers))
+        if self._head is None or self._head.method != b"HEAD":
+            out = (out or b"") + (self._h11.send(h11.Data(data=response.body)) or b"")
+        out = (out or b"") + (self._h11.send(h11.EndOfMessage()) or b"")
+        transport.write(out)
+        if self._h11.our_state is h11.MUST_CLOSE or response.close:
+            transport.close()
+        elif self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
+            self._h11.start_next_cycle()
--- /dev/null
+++ b/larkweir/system/messages.py
@@ -0,0 +1,90 @@
+"""What the processes of the fleet tell each other, a JSON line each, on connections that a router or controller dials."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+import msgspec
+from larkweir_quotas.ledger import Statement
+from larkweir_registry.records import Record, Vector
+from larkweir_replication.messages import Message as ReplicationMessage
+
+MAX_LINE_BYTES = 32 * 1024 * 1024
+
+
+class Kind(StrEnum):
+    """The role of whoever dialled."""
+
+    ROUTER = "router"
+    CONTROLLER = "controller"
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello"):
+    """The first line of a connection. `life` differs at every start of the process."""
+
+    node: str
+    kind: Kind
+    life: str
+
+
+class Ping(msgspec.Struct, frozen=True, tag="ping"):
+    """Sent when there was nothing else to say for a while; silence means a dead connection."""
+
+
+class Pull(msgspec.Struct, frozen=True, tag="pull"):
+    """Asks for what its sender lacks. Answered by a `Delta` as soon as there is something, or after a while."""
+
+    config: int = -1  # the sequence of the configuration that it has in force; -1 for none
+    vector: Vector = {}
+    usage: dict[str, float] = {}  # by tenant: units admitted in this life
+
+
+class ConfigUpdate(msgspec.Struct, frozen=True):
+    """A committed configuration: whole, or what changed since `base`."""
+
+    sequence: int
+    base: int  # the sequence that `body` builds on; -1 for a whole one
+    body: msgspec.Raw
+
+
+class Delta(msgspec.Struct, frozen=True, tag="delta"):
+    """What the puller lacked. Whoever takes it has seen `vector`."""
+
+    config: ConfigUpdate | None = None
+    records: list[Record] = []
+    vector: Vector = {}
+    controllers: list[str] = []
+    routers: int = 1
+    quotas: dict[str, Statement] = {}
+
+
+class Replication(msgspec.Struct, frozen=True, tag="replication"):
+    """From replica to replica."""
+
+    message: ReplicationMessage
+
+
+class Heard(msgspec.Struct, frozen=True, tag="heard"):
+    """Heartbeats of upstreams that came to this controller since it last told: the sequence by id."""
+
+    sequences: dict[str, int]
+
+
+class Forward(msgspec.Struct, frozen=True, tag="forward"):
+    """An operator's call, sent on to the primary: a change, or a read where `change` is empty."""
+
+    ticket: int
+    identity: str
+    change: str
+
+
+class Forwarded(msgspec.Struct, frozen=True, tag="forwarded"):
+    """How that call ended; `status` 0 where the outcome is unknown."""
+
+    ticket: int
+    status: int
+    detail: str = ""
+    value: str = ""
+
+
+Message = Hello | Ping | Pull | Delta | Replication | Heard | Forward | Forwarded
--- /dev/null
+++ b/larkweir/system/router/client_request.py
@@ -0,0 +1,115 @@
+"""A client's request as the router reads it, and the headers that go on to an upstream."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+# Of one connection alone (RFC 9110, 7.6.1), or framed anew.
+HOP_BY_HOP = frozenset(
+    (
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"expect",
+    )
+)
+# Set by the router, whatever the client sent.
+OWN_HEADERS = frozenset(
+    (b"content-length", b"x-api-key", b"x-tenant", b"x-deadline-ms", b"x-target-instance", b"priority")
+)
+
+
+class UpstreamHeaders(NamedTuple):
+    """What the router tells an upstream of a request beside the client's own headers."""
+
+    deadline_ms: int
+    instance: str
+    tenant: str | None
+    priority: int
+    last_event_id: bytes | None
+
+
+@dataclass(slots=True)
+class ClientRequest:
+    """One whole request. Header names are in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    body: bytes
+    received_ms: float
+
+    def header(self, name: bytes) -> bytes:
+        """The first of that name, or nothing."""
+        for found, value in self.headers:
+            if found == name:
+                return value
+        return b""
+
+    @property
+    def host(self) -> str:
+        """Without a port."""
+        return self.header(b"host").decode("latin-1").partition(":")[0].lower()
+
+    @property
+    def path(self) -> str:
+        """Without a query."""
+        return self.target.decode("latin-1").partition("?")[0]
+
+    @property
+    def deadline_ms(self) -> float | None:
+        """For how long the client waits, where it says so."""
+        text = self.header(b"x-deadline-ms")
+        try:
+            return max(0.0, float(text)) if text else None
+        except ValueError:
+            return None
+
+    @property
+    def tokens(self) -> float | None:
+        """Of its prompt and the most it generates, where it says so."""
+        text = self.header(b"x-token-usage")
+        if not text:
+            return None
+        try:
+            return float(sum(int(part) for part in text.split(b",")))
+        except ValueError:
+            return None
+
+    @property
+    def prompt_head(self) -> str:
+        """The deepest part of its prompt that it shares with others; empty where it has none."""
+        parts = self.header(b"x-prompt-prefix").split(b",")
+        return parts[-2].partition(b":")[0].strip().decode("latin-1") if len(parts) > 1 else ""
+
+    def upstream_headers(self, own: UpstreamHeaders) -> Headers:
+        """What goes to an upstream: the client's headers, without those of its connection, and the router's."""
+        dropped = HOP_BY_HOP | OWN_HEADERS
+        if own.last_event_id is not None:
+            dropped = dropped | {b"last-event-id"}
+        named = {
+            token.strip().lower()
+            for name, value in self.headers
+            if name == b"connection"
+            for token in value.split(b",")
+        }
+        headers = [(name, value) for name, value in self.headers if name not in dropped and name not in named]
+        headers.append((b"x-deadline-ms", b"%d" % own.deadline_ms))
+        headers.append((b"x-target-instance", own.instance.encode("latin-1")))
+        headers.append((b"priority", b"%d" % own.priority))
+        if own.tenant is not None:
+            headers.append((b"x-tenant", own.tenant.encode("latin-1")))
+        if own.last_event_id is not None:
+            headers.append((b"last-event-id", own.last_event_id))
+        if self.body or self.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"content-length", b"%d" % len(self.body)))
+        return headers
--- /dev/null
+++ b/larkweir/system/router/configuration.py
@@ -0,0 +1,160 @@
+"""The configuration as a router uses it: routes by host and path, tenants by key, services, limits."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+from larkweir_quotas.ledger import Limit
+
+from larkweir.system.configuration.documents import Document, patched
+from larkweir.system.messages import ConfigUpdate
+
+NON_IDEMPOTENT = "non_idempotent"
+IDEMPOTENT = "idempotent"
+STREAMING = "streaming"
+TOKEN_COUNT = "token_count"
+
+
+class WeightedBackend(msgspec.Struct, frozen=True):
+    """One part of a route's traffic."""
+
+    backend: str
+    weight: float
+
+
+class Route(msgspec.Struct, frozen=True):
+    """Which requests go to which service."""
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str = NON_IDEMPOTENT
+    timeout_ms: float = 10_000.0
+    target_latency_ms: float = 1_000.0
+    priority: int = 5
+    backend: str | None = None
+    traffic_split: tuple[WeightedBackend, ...] | None = None
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+
+    @property
+    def streams(self) -> bool:
+        """Whether answers are series of events."""
+        return self.kind == STREAMING
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == IDEMPOTENT or (self.streams and self.resumable)
+
+    def service(self, rng: Random) -> str:
+        """The service for one request, by the weights."""
+        if not self.traffic_split:
+            return self.backend or ""
+        parts = self.traffic_split
+        return rng.choices(parts, [part.weight for part in parts])[0].backend
+
+
+class Service(msgspec.Struct, frozen=True):
+    """A group of upstreams that do the same."""
+
+    name: str
+    max_conns: int = 100
+    engine: dict[str, Any] | None = None
+
+
+class Tenant(msgspec.Struct, frozen=True):
+    """A customer."""
+
+    name: str
+    api_keys: tuple[str, ...] = ()
+    priority: int | None = None
+    unit: str = "requests"
+    plain_tokens: float = 0.0
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+
+    def units(self, tokens: float | None) -> float:
+        """What one request counts, that is told to use so many tokens."""
+        if self.unit != TOKEN_COUNT:
+            return 1.0
+        return self.plain_tokens if tokens is None else tokens
+
+
+class Limits(msgspec.Struct, frozen=True):
+    """What a client may send, and how long it may take."""
+
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class Configuration(msgspec.Struct, frozen=True):
+    """One version of the whole. Unknown fields are ignored."""
+
+    generation: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    limits: Limits = Limits()
+    tenants: tuple[Tenant, ...] = ()
+
+
+class RoutingTable:
+    """One version, indexed. Never changed: the next version is another object."""
+
+    def __init__(self, configuration: Configuration) -> None:
+        """Of a configuration that a controller has found valid."""
+        self.version = configuration.generation
+        self.limits = configuration.limits
+        self.services = {service.name: service for service in configuration.services}
+        self.has_tenants = bool(configuration.tenants)
+        self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
+        self.quotas = {
+            tenant.name: Limit(tenant.rate_per_s, tenant.burst)
+            for tenant in configuration.tenants
+            if tenant.rate_per_s > 0.0
+        }
+        self._routes: dict[str, list[Route]] = {}
+        for route in configuration.routes:
+            self._routes.setdefault(route.host, []).append(route)
+        for routes in self._routes.values():
+            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+
+    def route(self, host: str, path: str) -> Route | None:
+        """Of the host's routes the one with the longest prefix that begins the path."""
+        for route in self._routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
+
+    def tenant(self, key: str) -> Tenant | None:
+        """Whose key that is."""
+        return self._tenants.get(key)
+
+
+class ConfigurationStore:
+    """The version in force in this process; it only ever rises."""
+
+    def __init__(self) -> None:
+        """None is in force yet."""
+        self.sequence = -1
+        self.table: RoutingTable | None = None
+        self._document: Document = {}
+
+    def apply(self, update: ConfigUpdate) -> bool:
+        """Whether a newer version came into force. One that builds on another than ours is passed over."""
+        if update.sequence <= self.sequence:
+            return False
+        body = msgspec.json.decode(update.body)
+        if update.base >= 0:
+            if update.base != self.sequence:
+                return False
+            body = patched(self._document, body)
+        self.table = RoutingTable(msgspec.convert(body, Configuration))
+        self._document = body
+        self.sequence = update.sequence
+        return True
--- /dev/null
+++ b/larkweir/system/router/data_plane.py
@@ -0,0 +1,105 @@
+"""What all requests of a router share: the configuration, the upstreams and their balancers, limits, connections."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import TYPE_CHECKING
+
+from larkweir_quotas.quota import QuotaLimiter
+from larkweir_quotas.retries import RetryBudget
+from larkweir_registry.records import State, Upstream
+
+from larkweir.system.router.answers import ErrorKind
+from larkweir.system.router.configuration import ConfigurationStore
+from larkweir.system.router.upstream_pool import UpstreamPool
+from larkweir.system.settings import Bounds
+from mulleinhitch.engines import EngineBalancer, Listed
+
+if TYPE_CHECKING:
+    from larkweir.system.router.client_connection import ClientConnection
+
+
+class DataPlane:
+    """The state that exchanges use; changed only between their steps, by the one event loop."""
+
+    def __init__(self, bounds: Bounds, rng: Random) -> None:
+        """Knows nothing yet."""
+        self._bounds = bounds
+        self.rng = rng
+        self.configuration = ConfigurationStore()
+        self.quotas = QuotaLimiter()
+        self.pool = UpstreamPool()
+        self.connections: set[ClientConnection] = set()
+        self.stopping = False
+        self.counts: dict[ErrorKind, int] = dict.fromkeys(ErrorKind, 0)
+        self._processes = 1
+        self._balancers: dict[str, EngineBalancer] = {}
+        self._retries: dict[str, RetryBudget] = {}
+        self._upstreams: dict[str, Upstream] = {}
+
+    def count(self, kind: ErrorKind) -> None:
+        """An answer of the router's own."""
+        self.counts[kind] += 1
+
+    def is_engine(self, service: str) -> bool:
+        """Whether its upstreams are model engines."""
+        table = self.configuration.table
+        known = table.services.get(service) if table is not None else None
+        return known is not None and known.engine is not None
+
+    def balancer(self, service: str) -> EngineBalancer:
+        """Of that service."""
+        balancer = self._balancers.get(service)
+        if balancer is None:
+            balancer = self._balancers[service] = EngineBalancer(self.rng, engine=self.is_engine(service))
+            self._list(service, 0.0)
+        return balancer
+
+    def retries(self, service: str) -> RetryBudget:
+        """Of that service."""
+        budget = self._retries.get(service)
+        if budget is None:
+            bounds = self._bounds
+            budget = RetryBudget(bounds.retry_budget_ratio, bounds.retry_budget_slack, bounds.budget_window_s)
+            budget.processes = self._processes
+            self._retries[service] = budget
+        return budget
+
+    def share_with(self, processes: int) -> None:
+        """How many routers there are, this one included."""
+        self._processes = self.quotas.processes = processes
+        for budget in self._retries.values():
+            budget.processes = processes
+
+    def address(self, instance: str) -> str:
+        """Where that upstream listens."""
+        return self._upstreams[instance].address
+
+    @property
+    def has_upstreams(self) -> bool:
+        """Whether any is ready."""
+        return any(upstream.state is State.READY for upstream in self._upstreams.values())
+
+    def update_upstreams(self, changed: list[Upstream], now_ms: float) -> None:
+        """What the registry says of these is new."""
+        services = set()
+        for upstream in changed:
+            before = self._upstreams.get(upstream.id)
+            services.add(upstream.service or (before.service if before else ""))
+            if upstream.state is State.GONE:
+                self._upstreams.pop(upstream.id, None)
+                if before is not None:
+                    self.pool.drop(before.address)
+            else:
+                self._upstreams[upstream.id] = upstream
+        for service in services:
+            if service in self._balancers:
+                self._list(service, now_ms)
+
+    def _list(self, service: str, now_ms: float) -> None:
+        listed = {
+            upstream.id: Listed(upstream.state is State.READY, upstream.silent)
+            for upstream in self._upstreams.values()
+            if upstream.service == service
+        }
+        self._balancers[service].update(listed, now_ms)
--- /dev/null
+++ b/larkweir/system/router/fleet_view.py
@@ -0,0 +1,106 @@
+"""What a router knows of the fleet: pulled from every controller that it can reach."""
+
+from __future__ import annotations
+
+import asyncio
+import secrets
+
+from larkweir_registry.records import Vector
+from larkweir_registry.registry import Registry
+
+from larkweir.system import log
+from larkweir.system.links import Connection, Link
+from larkweir.system.messages import Delta, Hello, Kind, Message, Pull
+from larkweir.system.router.data_plane import DataPlane
+from larkweir.system.settings import Settings
+
+SETTLE_MS = 400.0  # after the first configuration, for another controller to know a newer one
+
+
+class FleetView:
+    """Links to controllers, and what their answers bring into the data plane."""
+
+    def __init__(self, settings: Settings, plane: DataPlane) -> None:
+        """Dials nothing yet."""
+        self._settings = settings
+        self._plane = plane
+        self._loop = asyncio.get_running_loop()
+        self._life = secrets.token_hex(6)
+        self._registry = Registry("")
+        self._links: dict[str, Link] = {}
+        self._controllers: set[str] = set(settings.seed_nodes)
+        self._routers: dict[str, int] = {}
+        self._answered: set[str] = set()
+        self._configured_ms: float | None = None
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def tick(self) -> None:
+        """To be called several times a second."""
+        for node in self._controllers:
+            if node not in self._links:
+                self._links[node] = Link(node, self._settings.peer_port, self._came, self._made, self._lost)
+        for link in self._links.values():
+            link.keep_alive()
+
+    def settings_changed(self, settings: Settings) -> None:
+        """New seeds are asked too."""
+        self._settings = settings
+        self._controllers.update(settings.seed_nodes)
+
+    def excuse_silence(self) -> None:
+        """This process stood still."""
+        for link in self._links.values():
+            if link.connection is not None:
+                link.connection.excuse_silence()
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether a configuration is in force and a majority of controllers had their say, or had the time for it."""
+        if self._configured_ms is None:
+            return False
+        enough = 2 * len(self._answered & self._controllers) > len(self._controllers)
+        return enough or self._now_ms() >= self._configured_ms + SETTLE_MS
+
+    # Pulls
+
+    def _made(self, connection: Connection) -> None:
+        connection.send(Hello(self._settings.ip, Kind.ROUTER, self._life))
+        self._pull(connection)
+
+    def _lost(self, node: str) -> None:
+        self._routers.pop(node, None)
+        log.detail("link_lost", to=node)
+
+    def _pull(self, connection: Connection) -> None:
+        usage = self._plane.quotas.counts(connection.node, self._now_ms())
+        connection.send(Pull(self._plane.configuration.sequence, self._vector(), usage))
+
+    def _vector(self) -> Vector:
+        return self._registry.vector
+
+    def _came(self, connection: Connection, message: Message) -> None:
+        if not isinstance(message, Delta):
+            return
+        now_ms = self._now_ms()
+        plane = self._plane
+        if message.config is not None and plane.configuration.apply(message.config):
+            self._configuration_changed()
+        changed = self._registry.merge(message.records, message.vector, now_ms)
+        if changed:
+            plane.update_upstreams(changed, now_ms)
+        self._controllers.update(message.controllers)
+        self._routers[connection.node] = message.routers
+        plane.share_with(max(self._routers.values()))
+        plane.quotas.heard(connection.node, message.quotas, now_ms)
+        self._answered.add(connection.node)
+        self._pull(connection)
+
+    def _configuration_changed(self) -> None:
+        table = self._plane.configuration.table
+        assert table is not None
+        self._plane.quotas.set_limits(table.quotas)
+        if self._configured_ms is None:
+            self._configured_ms = self._now_ms()
+        log.event("configuration", version=table.version, sequence=self._plane.configuration.sequence)
--- /dev/null
+++ b/larkweir/system/router/upstream_call.py
@@ -0,0 +1,207 @@
+"""One connection to an upstream and the call on it, over h11."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from enum import Enum
+from typing import Protocol, cast
+
+import h11
+
+from larkweir.system.links import tune
+
+USER_TIMEOUT_MS = 1_200.0  # written bytes that stay unacknowledged for so long: the upstream is gone or cut off
+MAX_HEADER_BYTES = 64 * 1024
+Headers = list[tuple[bytes, bytes]]
+
+
+class Ending(Enum):
+    """How a call ended without a whole answer."""
+
+    CLOSED = "closed"  # the connection ended; the request may have run
+    GARBLED = "garbled"  # bytes that are no answer to it
+
+
+class CallListener(Protocol):
+    """Who a call reports to. After `call_done` or `call_failed` nothing more comes."""
+
+    def call_head(self, response: h11.Response) -> None:
+        """The answer's head."""
+
+    def call_data(self, data: bytes) -> None:
+        """A piece of its body."""
+
+    def call_done(self) -> None:
+        """The answer is whole."""
+
+    def call_failed(self, ending: Ending) -> None:
+        """There will be no more of an answer."""
+
+
+class UpstreamConnection(asyncio.Protocol):
+    """One connection; a call at a time."""
+
+    def __init__(self, on_idle: Callable[[UpstreamConnection], None], on_lost: Callable[[UpstreamConnection], None]):
+        """`on_idle`: a call is over and the connection can serve another. `on_lost`: it has ended."""
+        self._on_idle = on_idle
+        self._on_lost = on_lost
+        self._transport: asyncio.Transport | None = None
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        self._listener: CallListener | None = None
+        self._request: h11.Request | None = None
+        self._request_id = b""
+        self._skipping = False  # an answer to an earlier request of this connection
+        self._reusable = True
+        self.keep_alive_s: float | None = None  # as the upstream told
+        self.used = False  # at least one call was answered on it
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        transport = cast(asyncio.Transport, transport)  # uvloop's are none by type
+        self._transport = transport
+        tune(transport, user_timeout_ms=USER_TIMEOUT_MS)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        self._transport = None
+        self._on_lost(self)
+        listener, self._listener = self._listener, None
+        if listener is not None:
+            listener.call_failed(Ending.CLOSED)
+
+    def eof_received(self) -> bool:
+        """Called by the loop. An answer without a length ends so."""
+        if self._listener is not None:
+            self._h11.receive_data(b"")
+            self._advance()
+        return False
+
+    @property
+    def is_open(self) -> bool:
+        """Whether a call can be made."""
+        return self._transport is not None and not self._transport.is_closing()
+
+    def close(self) -> None:
+        """Ends the connection, and the call on it without a report."""
+        self._listener = None
+        if self._transport is not None:
+            self._transport.abort()
+
+    def call(self, request: h11.Request, request_id: bytes, body: bytes, listener: CallListener) -> None:
+        """Sends a request. The connection must be open and idle."""
+        assert self._transport is not None
+        assert self._listener is None
+        self._request, self._request_id, self._listener = request, request_id, listener
+        self._skipping = False
+        out = self._h11.send(request) or b""
+        if body:
+            out += self._h11.send(h11.Data(data=body)) or b""
+        out += self._h11.send(h11.EndOfMessage()) or b""
+        self._transport.write(out)
+
+    def pause_reading(self) -> None:
+        """The client does not keep up."""
+        if self._transport is not None and self._transport.is_reading():
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """It does again."""
+        if self._transport is not None and not self._transport.is_reading():
+            self._transport.resume_reading()
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        if self._listener is None:  # bytes that belong to no request
+            self.close()
+            return
+        self._h11.receive_data(data)
+        self._advance()
+
+    def _advance(self) -> None:
+        while self._listener is not None:
+            try:
+                event = self._h11.next_event()
+            except h11.RemoteProtocolError:
+                self._fail(Ending.GARBLED)
+                return
+            if isinstance(event, h11.Response):
+                self._head(event)
+            elif isinstance(event, h11.Data):
+                if not self._skipping:
+                    self._listener.call_data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                self._end()
+            elif isinstance(event, h11.ConnectionClosed):
+                self._fail(Ending.CLOSED)
+            elif event is h11.NEED_DATA or event is h11.PAUSED:
+                return
+
+    def _head(self, response: h11.Response) -> None:
+        assert self._listener is not None
+        echoed = b""
+        for name, value in response.headers:
+            if name == b"x-request-id":
+                echoed = value
+            elif name == b"keep-alive":
+                self.keep_alive_s = _timeout_of(value)
+            elif name == b"connection" and b"close" in value.lower():
+                self._reusable = False
+        if echoed and echoed != self._request_id:  # some refusals echo no id
+            self._skipping = True
+        else:
+            self._listener.call_head(response)
+
+    def _end(self) -> None:
+        """One answer is whole: ours, or one that belongs to an earlier request."""
+        if self._skipping:
+            self._expect_another()
+            return
+        listener, self._listener = self._listener, None
+        self.used = True
+        extra = bool(self._h11.trailing_data[0])
+        reusable = self._reusable and not extra and self._h11.our_state is h11.DONE is self._h11.their_state
+        if reusable and self._transport is not None:
+            self._h11.start_next_cycle()
+            self._on_idle(self)
+        else:
+            self._close_quietly()
+        assert listener is not None
+        listener.call_done()
+
+    def _expect_another(self) -> None:
+        """Begins to read anew, as if our request had just been sent: its answer is still to come."""
+        self._skipping = False
+        if self._h11.their_state is not h11.DONE or not self._reusable:
+            self._fail(Ending.CLOSED)
+            return
+        left = self._h11.trailing_data[0]
+        self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
+        assert self._request is not None
+        self._h11.send(self._request)
+        # The body has been written: the state machine is told of its end without its bytes.
+        length = next((int(value) for name, value in self._request.headers if name == b"content-length"), 0)
+        if length:
+            self._h11.send(h11.Data(data=bytes(length)))
+        self._h11.send(h11.EndOfMessage())
+        if left:
+            self._h11.receive_data(left)
+
+    def _fail(self, ending: Ending) -> None:
+        listener, self._listener = self._listener, None
+        self._close_quietly()
+        if listener is not None:
+            listener.call_failed(ending)
+
+    def _close_quietly(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+
+def _timeout_of(value: bytes) -> float | None:
+    """The seconds of `Keep-Alive: timeout=N` (RFC 2068, 19.7.1.1), None where it has none."""
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return float(value) if value.strip().isdigit() else None
--- /dev/null
+++ b/larkweir/system/router/upstream_pool.py
@@ -0,0 +1,82 @@
+"""Connections to upstreams: kept for reuse, since new ones are dear, and opened where none is idle."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+from larkweir.system.router.upstream_call import UpstreamConnection
+from larkweir.system.settings import split_address
+
+CONNECT_S = 0.4  # an upstream that is there answers in milliseconds
+IDLE_MOST_S = 30.0
+IDLE_PART = 0.6  # of the time that an upstream says it keeps an idle connection
+IDLE_MARGIN_S = 0.5
+
+
+@dataclass(slots=True)
+class _Idle:
+    connection: UpstreamConnection
+    until_s: float
+
+
+class UpstreamPool:
+    """All connections of a router to upstreams, by address."""
+
+    def __init__(self) -> None:
+        """Opens nothing yet."""
+        self._loop = asyncio.get_running_loop()
+        self._idle: dict[str, list[_Idle]] = {}
+        self._addresses: dict[UpstreamConnection, str] = {}
+
+    def take(self, address: str) -> UpstreamConnection | None:
+        """An idle connection, the one that was used last; None where there is none."""
+        idle = self._idle.get(address)
+        while idle:
+            found = idle.pop()
+            if found.connection.is_open and self._loop.time() < found.until_s:
+                return found.connection
+            found.connection.close()
+        return None
+
+    async def connect(self, address: str) -> UpstreamConnection:
+        """A new connection. OSError or TimeoutError where there is none in time."""
+        host, port = split_address(address)
+        async with asyncio.timeout(CONNECT_S):
+            _, connection = await self._loop.create_connection(
+                lambda: UpstreamConnection(self._keep, self._lost), host, port
+            )
+        self._addresses[connection] = address
+        return connection
+
+    def _keep(self, connection: UpstreamConnection) -> None:
+        told_s = connection.keep_alive_s
+        keep_s = IDLE_MOST_S if told_s is None else min(told_s * IDLE_PART, told_s - IDLE_MARGIN_S)
+        address = self._addresses.get(connection)
+        if address is None or keep_s <= 0.0:
+            connection.close()
+            return
+        self._idle.setdefault(address, []).append(_Idle(connection, self._loop.time() + keep_s))
+
+    def _lost(self, connection: UpstreamConnection) -> None:
+        address = self._addresses.pop(connection, None)
+        if address is None:
+            return
+        left = [one for one in self._idle.get(address, ()) if one.connection is not connection]
+        if left:
+            self._idle[address] = left
+        else:
+            self._idle.pop(address, None)
+
+    def expire(self) -> None:
+        """Closes idle connections that the upstream would close soon; to be called about once a second."""
+        now_s = self._loop.time()
+        for idle in list(self._idle.values()):
+            for one in [one for one in idle if now_s >= one.until_s]:
+                one.connection.close()
+                idle.remove(one)
+
+    def drop(self, address: str) -> None:
+        """Closes the idle connections to an upstream that has gone."""
+        for one in self._idle.pop(address, ()):
+            one.connection.close()
--- /dev/null
+++ b/larkweir/system/settings_watch.py
@@ -0,0 +1,52 @@
+"""Reads the settings file again when it has changed, with or without a signal."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+
+from larkweir.system import log
+from larkweir.system.settings import Settings, SettingsError, load, path
+
+EVERY_MS = 1_000.0
+
+
+class Watch:
+    """The settings in force, and a look at the file from time to time."""
+
+    def __init__(self, settings: Settings, on_changed: Callable[[Settings], None]) -> None:
+        """`on_changed` is given settings that differ from those before."""
+        self._settings = settings
+        self._on_changed = on_changed
+        self._looked_ms = 0.0
+        self._stamp = _stamp()
+
+    def tick(self, now_ms: float) -> None:
+        """To be called at any rate; looks once a second."""
+        if now_ms < self._looked_ms + EVERY_MS:
+            return
+        self._looked_ms = now_ms
+        stamp = _stamp()
+        if stamp != self._stamp:
+            self._stamp = stamp
+            self.read()
+
+    def read(self) -> None:
+        """Reads the file; one that does not do is a line in the log, and changes nothing."""
+        try:
+            settings = load()
+        except SettingsError as problem:
+            log.event("settings_refused", error=str(problem))
+            return
+        if settings != self._settings:
+            self._settings = settings
+            log.event("settings_changed", seeds=settings.seeds)
+            self._on_changed(settings)
+
+
+def _stamp() -> tuple[int, int, int] | None:
+    try:
+        found = os.stat(path())
+    except OSError:
+        return None
+    return found.st_mtime_ns, found.st_size, found.st_ino
--- /dev/null
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -0,0 +1,466 @@
+"""One replica of the value: elections, replication and recovery as rules without I/O.
+
+Safety rests on epochs alone. A primary has the promise of a majority for its epoch; a state is committed once a majority
+has it on disk under that epoch; any two majorities share a member. The lease only keeps elections away from a primary that
+lives, and singleton duties with one holder.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from enum import Enum
+from random import Random
+
+import msgspec
+from result import Result
+
+from larkweir_replication.effects import Committed, Effect, Persist, Send
+from larkweir_replication.leadership import Leadership
+from larkweir_replication.messages import (
+    NO_EPOCH,
+    Accepted,
+    Canvass,
+    CanvassReply,
+    Durable,
+    Epoch,
+    Heartbeat,
+    HeartbeatAck,
+    Join,
+    Message,
+    Prepare,
+    Promise,
+    Recover,
+    RecoverReply,
+    Refused,
+    Replicate,
+    Resign,
+    Snapshot,
+)
+
+Apply = Callable[[str, str], Result[str, object]]
+"""The value and a change to the next value, or the reason why the change is refused."""
+
+
+@dataclass(frozen=True, slots=True)
+class Timing:
+    """Milliseconds of the steady clock."""
+
+    heartbeat_ms: float = 100.0
+    lease_ms: float = 450.0  # after a heartbeat no member helps to elect another primary
+    lease_margin_ms: float = 50.0  # the holder stops so long before the lease ends
+    election_ms: float = 500.0  # silence of a primary before a candidacy is tried; up to twice that by chance
+    campaign_ms: float = 400.0  # a candidacy is given up after it
+    recover_ms: float = 150.0  # between questions of a replica without memory
+    join_ms: float = 300.0
+    dead_ms: float = 1_500.0  # a member this silent may be replaced by a newcomer
+    remove_ms: float = 3_000.0  # the same, taken out of a group that is larger than it must be
+
+
+class Status(Enum):
+    """What a replica is doing; `Replica._become` is the one place where it changes."""
+
+    RECOVERING = "recovering"  # its disk tells nothing: no vote yet
+    FOLLOWER = "follower"
+    CANVASSING = "canvassing"
+    CANDIDATE = "candidate"
+    PRIMARY = "primary"
+
+
+class Replica:
+    """Messages, time and the disk's answers in; `take_effects` gives what is to be done."""
+
+    def __init__(
+        self,
+        node: str,
+        apply: Apply,
+        rng: Random,
+        now_ms: float,
+        *,
+        stored: Durable | None,
+        first_members: tuple[str, ...] | None,
+        known: Iterable[str],
+        members_wanted: int,
+        timing: Timing | None = None,
+    ) -> None:
+        """`stored`: what the disk holds. `first_members`: the group at the very first start, else None. `known`: nodes
+        to ask while there is no member list. `members_wanted`: changes wait until the group is so large.
+        """
+        self.node = node
+        self.apply = apply
+        self.rng = rng
+        self.timing = timing or Timing()
+        self.members_wanted = members_wanted
+        self.known = set(known) | {node}
+        self.effects: list[Effect] = []
+        self.promised: Epoch = NO_EPOCH
+        self.accepted: Snapshot | None = None
+        self.committed: Snapshot | None = None
+        self.primary: str | None = None  # whom this replica follows, itself included
+        self.leadership: Leadership | None = None  # while it is the primary
+        self.status = Status.RECOVERING
+        self._durable = Durable(NO_EPOCH, None)
+        self._writes: dict[int, Durable] = {}
+        self._token = 0
+        self._heard_ms = now_ms  # from the primary; a start counts, since a lease may have been granted before it
+        self._deadline_ms = now_ms
+        self._last_join_ms = now_ms
+        self._round = 0
+        self._grants: set[str] = set()
+        self._promises: dict[str, Snapshot | None] = {}
+        self._replies: dict[str, RecoverReply] = {}
+        self._start(stored, first_members, now_ms)
+
+    def _start(
+        self, stored: Durable | None, first_members: tuple[str, ...] | None, now_ms: float
+    ) -> None:
+        if stored is not None and stored.snapshot is not None:
+            self.promised, self.accepted, self._durable = stored.promised, stored.snapshot, stored
+            self.known.update(stored.snapshot.members)
+            self._become(Status.FOLLOWER, now_ms)
+        elif first_members is not None and self.node in first_members:
+            self.accepted = Snapshot(NO_EPOCH, 0, first_members)
+            self._persist()
+            self._become(Status.FOLLOWER, now_ms)
+        else:
+            self._become(Status.RECOVERING, now_ms)
+
+    # Time and the disk
+
+    def tick(self, now_ms: float) -> None:
+        """To be called every few tens of milliseconds."""
+        match self.status:
+            case Status.RECOVERING:
+                self._ask_for_memory(now_ms)
+            case Status.PRIMARY:
+                assert self.leadership is not None
+                if not self.leadership.tick(now_ms):
+                    self.step_down(now_ms)
+            case Status.FOLLOWER:
+                self._follow(now_ms)
+            case _:
+                if now_ms >= self._deadline_ms:
+                    self._become(Status.FOLLOWER, now_ms)
+
+    def persisted(self, token: int, now_ms: float) -> None:
+        """The record of that `Persist`, and all before it, will be found after a loss of power."""
+        durable = self._writes.pop(token, None)
+        if durable is None:
+            return
+        for earlier in [other for other in self._writes if other < token]:
+            del self._writes[earlier]
+        if self.status is Status.RECOVERING:
+            self._durable = durable
+            self._become(Status.FOLLOWER, now_ms)
+            return
+        before, self._durable = self._durable, durable
+        if durable.promised > before.promised:
+            self._promise_is_durable(durable.promised, now_ms)
+        if durable.snapshot is not None and durable.snapshot != before.snapshot:
+            self._snapshot_is_durable(durable.snapshot, now_ms)
+
+    def persist_failed(self, token: int) -> None:
+        """The disk refused the record: what waited for it stays unanswered."""
+        self._writes.pop(token, None)
+
+    def _persist(self) -> None:
+        self._token += 1
+        durable = Durable(self.promised, self.accepted)
+        self._writes[self._token] = durable
+        self.effects.append(Persist(self._token, durable))
+
+    def _promise_is_durable(self, epoch: Epoch, now_ms: float) -> None:
+        if epoch != self.promised or epoch.number == 0:
+            return
+        if epoch.node == self.node:
+            self._count_promise(self.node, self.accepted, now_ms)
+        elif self.accepted is None or self.accepted.epoch != epoch:
+            self._send(epoch.node, Promise(epoch, self.accepted))
+
+    def _snapshot_is_durable(self, snapshot: Snapshot, now_ms: float) -> None:
+        if self.leadership is not None:
+            self.leadership.accepted(self.node, snapshot.epoch, snapshot.sequence, now_ms)
+        elif self.accepted is not None and snapshot.epoch == self.promised and snapshot.epoch.number:
+            self._send(snapshot.epoch.node, Accepted(snapshot.epoch, snapshot.sequence))
+
+    # States
+
+    def _become(self, status: Status, now_ms: float) -> None:
+        """The one change of state: what the new state needs is set up here."""
+        if self.leadership is not None and status is not Status.PRIMARY:
+            self.leadership.abandon()
+            self.leadership = None
+            if self.primary == self.node:
+                self.primary = None
+        self.status = status
+        match status:
+            case Status.FOLLOWER:
+                self._deadline_ms = now_ms + self.timing.election_ms * (1.0 + self.rng.random())
+            case Status.CANVASSING:
+                self._round += 1
+                self._grants = {self.node}
+                self.primary = None
+                self._deadline_ms = now_ms + self.timing.campaign_ms
+            case Status.CANDIDATE:
+                self._promises = {}
+                self._deadline_ms = now_ms + self.timing.campaign_ms * (1.0 + self.rng.random())
+            case Status.PRIMARY:
+                assert self.accepted is not None
+                self.primary = self.node
+                self.leadership = Leadership(self, now_ms)
+            case Status.RECOVERING:
+                self._replies = {}
+                self._deadline_ms = now_ms
+
+    def step_down(self, now_ms: float) -> None:
+        """Stops being the primary or a candidate; the same node may be elected again."""
+        if self.status in (Status.PRIMARY, Status.CANDIDATE, Status.CANVASSING):
+            self._become(Status.FOLLOWER, now_ms)
+
+    def resign(self, now_ms: float) -> None:
+        """Gives the lease back before a planned end, so that another is elected at once."""
+        if self.leadership is not None:
+            for node in self.others():
+                self._send(node, Resign(self.promised))
+            self.step_down(now_ms)
+
+    def others(self) -> list[str]:
+        """All members, also those before a change that is under way, but this node."""
+        if self.accepted is None:
+            return []
+        members = set(self.accepted.members) | set(self.accepted.previous_members)
+        return sorted(members - {self.node})
+
+    @property
+    def is_member(self) -> bool:
+        """Whether its vote counts, as far as it knows."""
+        return self.accepted is not None and self.node in self.accepted.members
+
+    def _follow(self, now_ms: float) -> None:
+        if not self.is_member:
+            if now_ms >= self._last_join_ms + self.timing.join_ms:
+                self._last_join_ms = now_ms
+                for node in sorted(self.known - {self.node}):
+                    self._send(node, Join())
+            return
+        if now_ms < self._deadline_ms:
+            return
+        self._become(Status.CANVASSING, now_ms)
+        for node in self.others():
+            self._send(node, Canvass(self._round))
+        self._count_grant(self.node, now_ms)
+
+    # Messages
+
+    def receive(self, sender: str, message: Message, now_ms: float) -> None:
+        """Takes one message; those of a life or an epoch that is over change nothing."""
+        if self.status is Status.RECOVERING:
+            if isinstance(message, RecoverReply):
+                self._learn(sender, message, now_ms)
+            return
+        match message:
+            case Heartbeat():
+                self._on_heartbeat(sender, message, now_ms)
+            case HeartbeatAck():
+                if self.leadership is not None and message.epoch == self.promised:
+                    self.leadership.heartbeat_acked(sender, message, now_ms)
+            case Replicate():
+                self._on_replicate(sender, message, now_ms)
+            case Accepted():
+                if self.leadership is not None:
+                    self.leadership.accepted(sender, message.epoch, message.sequence, now_ms)
+            case Canvass():
+                self._on_canvass(sender, message, now_ms)
+            case CanvassReply():
+                self._on_canvass_reply(sender, message, now_ms)
+            case Prepare():
+                self._on_prepare(sender, message, now_ms)
+            case Promise():
+                if self.status is Status.CANDIDATE and message.epoch == self.promised:
+                    self._count_promise(sender, message.snapshot, now_ms)
+            case Refused():
+                if message.promised > self.promised:
+                    self.promised = message.promised
+                    self.step_down(now_ms)
+            case Resign():
+                if message.epoch == self.promised and self.primary == sender:
+                    self.primary = None
+                    self._heard_ms = now_ms - self.timing.lease_ms
+                    self._deadline_ms = now_ms + self.timing.heartbeat_ms * self.rng.random()
+            case Recover():
+                self._on_recover(sender, message)
+            case Join():
+                if self.leadership is not None:
+                    self.leadership.joining(sender, now_ms)
+            case RecoverReply():
+                pass  # late: the memory has been recovered
+
+    def _send(self, node: str, message: Message) -> None:
+        self.effects.append(Send(node, message))
+
+    def take_effects(self) -> list[Effect]:
+        """What is to be done since the last call, in order."""
+        taken, self.effects = self.effects, []
+        return taken
+
+    # Following
+
+    def _raise_promise(self, epoch: Epoch, now_ms: float) -> None:
+        if epoch > self.promised:
+            self.promised = epoch
+            self.step_down(now_ms)
+
+    def _hear_primary(self, sender: str, epoch: Epoch, now_ms: float) -> None:
+        self._raise_promise(epoch, now_ms)
+        if self.status in (Status.CANVASSING, Status.CANDIDATE):
+            self._become(Status.FOLLOWER, now_ms)
+        self.primary = sender
+        self._heard_ms = now_ms
+        self._deadline_ms = now_ms + self.timing.election_ms * (1.0 + self.rng.random())
+
+    def _on_heartbeat(self, sender: str, message: Heartbeat, now_ms: float) -> None:
+        if message.epoch < self.promised:
+            self._send(sender, Refused(self.promised))
+            return
+        self._hear_primary(sender, message.epoch, now_ms)
+        accepted = self.accepted
+        if accepted is not None and accepted.epoch == message.epoch and accepted.sequence <= message.committed:
+            self.commit(accepted)
+        durable = self._durable.snapshot
+        epoch, sequence = durable.rank if durable is not None else (NO_EPOCH, -1)
+        self._send(sender, HeartbeatAck(message.epoch, message.round, epoch, sequence))
+
+    def _on_replicate(self, sender: str, message: Replicate, now_ms: float) -> None:
+        snapshot = message.snapshot
+        if snapshot.epoch < self.promised:
+            self._send(sender, Refused(self.promised))
+            return
+        self._hear_primary(sender, snapshot.epoch, now_ms)
+        if self.accepted is not None and snapshot.rank < self.accepted.rank:
+            return
+        self.accepted = snapshot
+        self.known.update(snapshot.members)
+        if self._durable.snapshot == snapshot:
+            self._send(sender, Accepted(snapshot.epoch, snapshot.sequence))
+        elif not any(write.snapshot == snapshot for write in self._writes.values()):
+            self._persist()
+        if snapshot.sequence <= message.committed:
+            self.commit(snapshot)
+
+    def commit(self, snapshot: Snapshot) -> None:
+        """That snapshot is on a majority of disks; told once, and never back."""
+        before = self.committed
+        if before is None or snapshot.rank > before.rank:
+            self.committed = snapshot
+        if before is None or snapshot.sequence > before.sequence:
+            self.effects.append(Committed(snapshot))
+
+    # Elections
+
+    def _lease_runs(self, now_ms: float) -> bool:
+        if self.leadership is not None:
+            return self.leadership.lease_holds(now_ms)
+        return now_ms < self._heard_ms + self.timing.lease_ms
+
+    def _on_canvass(self, sender: str, message: Canvass, now_ms: float) -> None:
+        granted = not self._lease_runs(now_ms)
+        self._send(sender, CanvassReply(message.round, granted, self.promised))
+        if self.leadership is not None and sender not in self.others():
+            self.leadership.inform(sender, now_ms)
+
+    def _on_canvass_reply(self, sender: str, message: CanvassReply, now_ms: float) -> None:
+        if self.status is not Status.CANVASSING or message.round != self._round:
+            return
+        if message.promised > self.promised:
+            self.promised = message.promised
+        if message.granted:
+            self._count_grant(sender, now_ms)
+
+    def _count_grant(self, node: str, now_ms: float) -> None:
+        assert self.accepted is not None
+        self._grants.add(node)
+        if not self.accepted.has_quorum(self._grants):
+            return
+        self._become(Status.CANDIDATE, now_ms)
+        self.promised = Epoch(self.promised.number + 1, self.node)
+        self._persist()
+        for other in self.others():
+            self._send(other, Prepare(self.promised))
+
+    def _on_prepare(self, sender: str, message: Prepare, now_ms: float) -> None:
+        if message.epoch < self.promised or (message.epoch > self.promised and self._lease_runs(now_ms)):
+            self._send(sender, Refused(self.promised))
+            return
+        self._raise_promise(message.epoch, now_ms)
+        self._deadline_ms = max(self._deadline_ms, now_ms + self.timing.election_ms)
+        if self._durable.promised >= message.epoch:
+            self._send(sender, Promise(message.epoch, self.accepted))
+        else:
+            self._persist()
+
+    def _count_promise(self, node: str, snapshot: Snapshot | None, now_ms: float) -> None:
+        if self.status is not Status.CANDIDATE:
+            return
+        self._promises[node] = snapshot
+        known = [one for one in (*self._promises.values(), self.accepted) if one is not None]
+        newest = max(known, key=lambda one: one.rank)
+        if not newest.has_quorum(set(self._promises)):
+            for other in sorted({*newest.members, *newest.previous_members} - {self.node, *self._promises}):
+                if other not in self.others():  # a member that only the newer list names
+                    self._send(other, Prepare(self.promised))
+            return
+        self.accepted = msgspec.structs.replace(newest, epoch=self.promised)
+        self.known.update(newest.members)
+        self._persist()
+        self._become(Status.PRIMARY, now_ms)
+
+    # Recovery of what a lost disk had promised
+
+    def _on_recover(self, sender: str, message: Recover) -> None:
+        if self.accepted is not None:
+            self._send(sender, RecoverReply(message.nonce, self.promised, self.accepted))
+
+    def _ask_for_memory(self, now_ms: float) -> None:
+        if now_ms < self._deadline_ms or self._writes:
+            return
+        self._deadline_ms = now_ms + self.timing.recover_ms
+        self._round += 1
+        self._replies = {}
+        for node in sorted(self.known - {self.node}):
+            self._send(node, Recover(self._round))
+
+    def _learn(self, sender: str, message: RecoverReply, now_ms: float) -> None:
+        self.known.update(message.snapshot.members)
+        if message.nonce != self._round or self._writes:
+            return
+        self._replies[sender] = message
+        newest = max((reply.snapshot for reply in self._replies.values()), key=lambda one: one.rank)
+        groups = [group for group in (newest.members, newest.previous_members) if group]
+        if not all(self._heard_enough(group) for group in groups):
+            return
+        self.accepted = newest
+        self.promised = max(reply.promised for reply in self._replies.values())
+        self._heard_ms = now_ms
+        self._persist()
+
+    def _heard_enough(self, group: tuple[str, ...]) -> bool:
+        """Whether every majority that this node's forgotten vote was part of has another member among the replies."""
+        majority = len(group) // 2 + 1
+        heard = len(set(group).intersection(self._replies) - {self.node})
+        return heard >= (len(group) - majority + 1 if self.node in group else majority)
+
+    # The primary's calls, refused elsewhere
+
+    def submit(self, ticket: int, identity: str, change: str, now_ms: float) -> bool:
+        """Queues a change; False where this is not the primary. Its end is a `Decided`."""
+        if self.leadership is None:
+            return False
+        self.leadership.submit(ticket, identity, change, now_ms)
+        return True
+
+    def read(self, ticket: int, now_ms: float) -> bool:
+        """Begins a read of the newest value; False where this is not the primary. Its end is a `ReadDone`."""
+        if self.leadership is None:
+            return False
+        self.leadership.read(ticket, now_ms)
+        return True
