--- a/larkweir/system/__init__.py
+++ b/larkweir/system/__init__.py
@@ -1,1 +1,1 @@
-"""The router fleet: routers that carry requests to model upstreams, and controllers that keep what routers must know."""
+"""The router fleet: routers carry requests to model upstreams, controllers keep what routers must know."""
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -191,7 +191,9 @@
     # The configuration
 
     def _committed(self, snapshot: Snapshot) -> None:
-        log.event("committed", sequence=snapshot.sequence, epoch=snapshot.epoch.number, members=snapshot.members)
+        log.event(
+            "committed", sequence=snapshot.sequence, epoch=snapshot.epoch.number, members=snapshot.members
+        )
         self._distribution.publish(snapshot.sequence, snapshot.value)
 
     async def _call_primary(self, identity: str, change: str) -> Forwarded:
@@ -229,7 +231,9 @@
         """Marks upstreams that nobody hears, where this controller would know of others who do."""
         now_ms = self._now_ms()
         accepted = self._driver.replica.accepted
-        linked = {node for node, link in self._links.items() if link.connection is not None} | {self.settings.ip}
+        linked = {node for node, link in self._links.items() if link.connection is not None} | {
+            self.settings.ip
+        }
         if accepted is None or not accepted.has_quorum(linked):
             self._liveness.blinded(now_ms)
             return
--- a/larkweir/system/controller/replication.py
+++ b/larkweir/system/controller/replication.py
@@ -53,7 +53,9 @@
         )
         self._disk = DiskThread(journal, self._loop, self._persisted, self._persist_failed)
         self._status = self.replica.status
-        log.event("replica_started", status=self._status, sequence=_sequence(journal), dropped=journal.dropped)
+        log.event(
+            "replica_started", status=self._status, sequence=_sequence(journal), dropped=journal.dropped
+        )
         self.carry_out()
 
     def _now_ms(self) -> float:
--- a/larkweir/system/controller/storage.py
+++ b/larkweir/system/controller/storage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import queue
 import threading
 from collections.abc import Callable
@@ -57,7 +58,5 @@
                 self._tell(self._on_persisted, token)
 
     def _tell(self, callback: Callable[[int], None], token: int) -> None:
-        try:
+        with contextlib.suppress(RuntimeError):  # the loop has ended
             self._loop.call_soon_threadsafe(callback, token)
-        except RuntimeError:
-            pass  # the loop has ended
--- a/larkweir/system/links.py
+++ b/larkweir/system/links.py
@@ -1,4 +1,4 @@
-"""Connections between the processes of the fleet: JSON lines over TCP, dialled again and again, dead after a silence."""
+"""Connections between processes of the fleet: JSON lines over TCP, dialled again when they end, dead when silent."""
 
 from __future__ import annotations
 
--- a/larkweir/system/log.py
+++ b/larkweir/system/log.py
@@ -11,13 +11,12 @@
 
 _logger = picologging.getLogger("larkweir")
 _encoder = msgspec.json.Encoder()
-_node = ""
+_common: dict[str, Any] = {}
 
 
 def start(node: str, *, debug: bool = False) -> None:
     """To be called once, before the first event."""
-    global _node
-    _node = node
+    _common["node"] = node
     handler = picologging.StreamHandler(sys.stderr)
     handler.setFormatter(picologging.Formatter("%(message)s"))
     _logger.addHandler(handler)
@@ -36,5 +35,5 @@
 
 
 def _line(name: str, fields: dict[str, Any]) -> str:
-    line = {"time": round(time.time(), 3), "node": _node, "event": name, **fields}
+    line = {"time": round(time.time(), 3), **_common, "event": name, **fields}
     return _encoder.encode(line).decode()
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -1,4 +1,4 @@
-"""What the processes of the fleet tell each other, a JSON line each, on connections that a router or controller dials."""
+"""What processes of the fleet tell each other: a JSON line each, on connections that a router or controller dials."""
 
 from __future__ import annotations
 
--- a/larkweir/system/router/event_stream.py
+++ b/larkweir/system/router/event_stream.py
@@ -31,7 +31,9 @@
 
     def _end_of_last_event(self) -> int:
         ends = [
-            at + len(mark) for mark in (b"\n\n", b"\r\n\r\n", b"\r\r") if (at := self._pending.rfind(mark)) >= 0
+            at + len(mark)
+            for mark in (b"\n\n", b"\r\n\r\n", b"\r\r")
+            if (at := self._pending.rfind(mark)) >= 0
         ]
         return max(ends, default=0)
 
--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -67,7 +67,9 @@
 class Exchange:
     """One request. The client's connection begins it and may cancel it; it always ends with one answer."""
 
-    def __init__(self, plane: DataPlane, client: Client, request: ClientRequest, on_done: Callable[[], None]) -> None:
+    def __init__(
+        self, plane: DataPlane, client: Client, request: ClientRequest, on_done: Callable[[], None]
+    ) -> None:
         """`on_done`: called once, after the last call of `client`."""
         self._plane = plane
         self._client = client
--- a/larkweir/system/router/upstream_call.py
+++ b/larkweir/system/router/upstream_call.py
@@ -11,7 +11,9 @@
 
 from larkweir.system.links import tune
 
-USER_TIMEOUT_MS = 1_200.0  # written bytes that stay unacknowledged for so long: the upstream is gone or cut off
+USER_TIMEOUT_MS = (
+    1_200.0  # written bytes that stay unacknowledged for so long: the upstream is gone or cut off
+)
 MAX_HEADER_BYTES = 64 * 1024
 Headers = list[tuple[bytes, bytes]]
 
@@ -42,7 +44,9 @@
 class UpstreamConnection(asyncio.Protocol):
     """One connection; a call at a time."""
 
-    def __init__(self, on_idle: Callable[[UpstreamConnection], None], on_lost: Callable[[UpstreamConnection], None]):
+    def __init__(
+        self, on_idle: Callable[[UpstreamConnection], None], on_lost: Callable[[UpstreamConnection], None]
+    ):
         """`on_idle`: a call is over and the connection can serve another. `on_lost`: it has ended."""
         self._on_idle = on_idle
         self._on_lost = on_lost
--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -1,13 +1,14 @@
 """Rules: to which upstream of a service a router of the fleet sends a request.
 
-PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and where none
-holds a token to a uniformly random ready one. A token says that this router believes the upstream idle. For an ordinary
-service that is: none of this router's calls is outstanding there. A model engine runs many requests at once and is held up
-by the prompts it reads: there it is that fewer than `AWAITING_MOST` calls of this router wait for their first event.
-
-Among holders of a model's service, those that are believed to keep the head of the prompt come first. What an engine keeps
-is told by nobody, but it follows from where requests were sent; so that routers agree without talking, each head has an
-order of upstreams of its own (highest random weight), and the first holder in it is taken.
+PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and
+where none holds a token to a uniformly random ready one. A token says that this router believes the upstream idle.
+For an ordinary service that is: none of this router's calls is outstanding there. A model engine runs many requests
+at once and is held up by the prompts it reads: there it is that fewer than `AWAITING_MOST` calls of this router
+wait for their first event.
+
+Among holders of a model's service, those that are believed to keep the head of the prompt come first. What an
+engine keeps is told by nobody, but it follows from where requests were sent; so that routers agree without talking,
+each head has an order of upstreams of its own (highest random weight), and the first holder in it is taken.
 """
 
 from __future__ import annotations
@@ -29,7 +30,9 @@
 PAUSE_MOST_MS = 4_000.0
 FULL_PAUSE_MS = 150.0  # after an upstream turned a call away
 
-NOT_THE_SERVERS_FAULT = frozenset((Outcome.OK, Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED, Outcome.ERROR))
+NOT_THE_SERVERS_FAULT = frozenset(
+    (Outcome.OK, Outcome.CANCELLED, Outcome.MOOT, Outcome.REJECTED, Outcome.ERROR)
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/quotas/src/larkweir_quotas/ledger.py
+++ b/packages/quotas/src/larkweir_quotas/ledger.py
@@ -1,7 +1,8 @@
 """The usage of all tenants as one ledger hears it: a bucket each, from which what is reported is taken.
 
-Any number of ledgers may run side by side. Each hears every process that can reach it; whoever asks several believes the one
-that has seen the most usage, so no ledger needs to be elected, and a new one that has heard little does no harm.
+Any number of ledgers may run side by side. Each hears every process that can reach it; whoever asks several
+believes the one that has seen the most usage, so no ledger needs to be elected, and a new one that has heard little
+does no harm.
 """
 
 from __future__ import annotations
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -63,7 +63,9 @@
 
     def covers(self, vector: Vector) -> bool:
         """Whether a delta for that vector would be empty."""
-        return all(not ids or ids.peekitem(-1)[0] <= vector.get(origin, 0) for origin, ids in self._ids.items())
+        return all(
+            not ids or ids.peekitem(-1)[0] <= vector.get(origin, 0) for origin, ids in self._ids.items()
+        )
 
     def prune(self, now_ms: float) -> None:
         """Drops what has been gone for long, and the counters of origins that no record names."""
--- a/packages/replication/src/larkweir_replication/journal.py
+++ b/packages/replication/src/larkweir_replication/journal.py
@@ -1,8 +1,8 @@
 """The file of a replica: checksummed records, appended, rewritten when it grows long.
 
-A line is a CRC-32 in hex, a serial number, and the record as JSON. Reading stops at the first line that is torn, damaged or
-out of turn: what lies behind it was written after the last sync that succeeded, so nobody was told of it. The calls to the
-system come in as `Files`, so that every crash point can be tried without a disk.
+A line is a CRC-32 in hex, a serial number, and the record as JSON. Reading stops at the first line that is torn,
+damaged or out of turn: what lies behind it was written after the last sync that succeeded, so nobody was told of
+it. The calls to the system come in as `Files`, so that every crash point can be tried without a disk.
 """
 
 from __future__ import annotations
@@ -17,7 +17,9 @@
 
 NAME = "replica.log"
 NEW_NAME = "replica.log.new"
-REWRITE_BYTES = 2 * 1024 * 1024  # past it, and past so many times what one record takes, the file is rewritten
+REWRITE_BYTES = (
+    2 * 1024 * 1024
+)  # past it, and past so many times what one record takes, the file is rewritten
 REWRITE_RECORDS = 16
 
 
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -1,8 +1,8 @@
 """One replica of the value: elections, replication and recovery as rules without I/O.
 
-Safety rests on epochs alone. A primary has the promise of a majority for its epoch; a state is committed once a majority
-has it on disk under that epoch; any two majorities share a member. The lease only keeps elections away from a primary that
-lives, and singleton duties with one holder.
+Safety rests on epochs alone. A primary has the promise of a majority for its epoch; a state is committed once a
+majority has it on disk under that epoch; any two majorities share a member. The lease only keeps elections away
+from a primary that lives, and singleton duties with one holder.
 """
 
 from __future__ import annotations
@@ -102,7 +102,9 @@
         self._durable = Durable(NO_EPOCH, None)
         self._writes: dict[int, Durable] = {}
         self._token = 0
-        self._heard_ms = now_ms  # from the primary; a start counts, since a lease may have been granted before it
+        self._heard_ms = (
+            now_ms  # from the primary; a start counts, since a lease may have been granted before it
+        )
         self._deadline_ms = now_ms
         self._last_join_ms = now_ms
         self._round = 0
@@ -111,9 +113,7 @@
         self._replies: dict[str, RecoverReply] = {}
         self._start(stored, first_members, now_ms)
 
-    def _start(
-        self, stored: Durable | None, first_members: tuple[str, ...] | None, now_ms: float
-    ) -> None:
+    def _start(self, stored: Durable | None, first_members: tuple[str, ...] | None, now_ms: float) -> None:
         if stored is not None and stored.snapshot is not None:
             self.promised, self.accepted, self._durable = stored.promised, stored.snapshot, stored
             self.known.update(stored.snapshot.members)
@@ -324,7 +324,11 @@
             return
         self._hear_primary(sender, message.epoch, now_ms)
         accepted = self.accepted
-        if accepted is not None and accepted.epoch == message.epoch and accepted.sequence <= message.committed:
+        if (
+            accepted is not None
+            and accepted.epoch == message.epoch
+            and accepted.sequence <= message.committed
+        ):
             self.commit(accepted)
         durable = self._durable.snapshot
         epoch, sequence = durable.rank if durable is not None else (NO_EPOCH, -1)
--- a/packages/replication/tests/replication_cluster.py
+++ b/packages/replication/tests/replication_cluster.py
@@ -6,12 +6,11 @@
 from random import Random
 
 import msgspec
-from larkweir_simulated.network import Network
-from result import Err, Ok, Result
-
 from larkweir_replication.effects import Committed, Decided, Effect, Persist, ReadDone, Send, Verdict
 from larkweir_replication.messages import Durable, Message
 from larkweir_replication.replica import Replica, Status, Timing
+from larkweir_simulated.network import Network
+from result import Err, Ok, Result
 
 TICK_MS = 20.0
 _decoder = msgspec.json.Decoder(Message)
@@ -187,7 +186,9 @@
         found = [
             (machine.replica.promised, name)
             for name, machine in self.machines.items()
-            if machine.replica is not None and machine.replica.status is Status.PRIMARY and name not in self.frozen
+            if machine.replica is not None
+            and machine.replica.status is Status.PRIMARY
+            and name not in self.frozen
         ]
         return max(found)[1] if found else None
 
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -46,6 +46,10 @@
     "larkweir_owners.keeper_file",
     "larkweir_peers",
     "larkweir_peers.hands",
+    "larkweir_quotas",
+    "larkweir_registry",
+    "larkweir_replication",
+    "larkweir_replication.journal",
     "larkweir_simulated",
     "larkweir_simulated.network",
 }
