--- /dev/null
+++ b/larkweir/system/birth.py
@@ -0,0 +1,12 @@
+"""When this process began, as near as its own code can tell: imported first by the program."""
+
+from __future__ import annotations
+
+import time
+
+_BORN_S = time.monotonic()
+
+
+def born_ms(now_ms: float) -> float:
+    """On the clock of which `now_ms` is the present, by the steady clock's time since the first import."""
+    return now_ms - (time.monotonic() - _BORN_S) * 1000.0
--- a/larkweir/system/configuration/changes.py
+++ b/larkweir/system/configuration/changes.py
@@ -9,7 +9,6 @@
 from result import Err, Ok, Result
 
 from larkweir.system.configuration.documents import Document, PatchError, patched
-from larkweir.system.configuration.schema import problem_of
 
 IDENTITY_LENGTH = 24
 
@@ -74,6 +73,8 @@
             body = patched(current, body)
         except PatchError as problem:
             return _invalid(str(problem))
+    from larkweir.system.configuration.schema import problem_of  # its library takes long to import
+
     wrong = problem_of(body)
     if wrong is not None:
         return _invalid(wrong)
--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -13,7 +13,9 @@
 from larkweir.system.links import Connection
 from larkweir.system.messages import ConfigUpdate, Delta, Kind, Pull
 
-HOLD_MS = 250.0  # a pull is answered after it, with or without news
+HOLD_MS = 100.0  # a pull is answered after it, with or without news
+HOLD_MS_PER_ROUTER = 2.0  # where that is longer, so that a controller's work stays the same
+BUSIEST_MOST = 32  # engines of which the waiting tokens are told
 GATHER_S = 0.005  # changes that come together are told together
 HISTORY_MOST = 32  # configurations that a delta can build on
 
@@ -28,6 +30,7 @@
         self.pull: Pull | None = None  # while it waits for an answer
         self.pulled_ms = 0.0
         self.vector: dict[str, int] = {}  # what it had seen at its last pull
+        self.waiting: dict[str, int] = {}  # by engine: what its calls wait for there
 
 
 class Distribution:
@@ -43,6 +46,7 @@
         self._history: list[tuple[int, Document]] = []
         self._whole: bytes = b""
         self._patches: dict[int, bytes] = {}
+        self._waiting: dict[str, int] = {}
         self._waking: asyncio.TimerHandle | None = None
         self._confirmations: list[tuple[int, asyncio.Future[None]]] = []
 
@@ -99,6 +103,7 @@
             return
         now_ms = self._now_ms()
         subscriber.pull, subscriber.pulled_ms, subscriber.vector = pull, now_ms, pull.vector
+        subscriber.waiting = pull.waiting
         if self._ledger.report(connection.life, pull.usage, now_ms):
             self.wake()
         self._confirm()
@@ -119,9 +124,11 @@
     def tick(self) -> None:
         """Answers pulls that have been held for long enough; to be called several times a second."""
         now_ms = self._now_ms()
+        hold_ms = max(HOLD_MS, HOLD_MS_PER_ROUTER * self.routers)
+        self._sum_waiting()
         for subscriber in list(self._subscribers.values()):
             subscriber.connection.keep_alive()
-            if subscriber.pull is not None and now_ms >= subscriber.pulled_ms + HOLD_MS:
+            if subscriber.pull is not None and now_ms >= subscriber.pulled_ms + hold_ms:
                 self._answer(subscriber)
 
     def _has_news(self, subscriber: Subscriber) -> bool:
@@ -146,9 +153,24 @@
             controllers=self._controllers(),
             routers=max(1, self.routers),
             quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
+            waiting=self._waiting_elsewhere(subscriber) if is_router else {},
         )
         subscriber.connection.send(delta)
 
+    # What engines are known to be busy with
+
+    def _sum_waiting(self) -> None:
+        total: dict[str, int] = {}
+        for subscriber in self._subscribers.values():
+            for engine, tokens in subscriber.waiting.items():
+                total[engine] = total.get(engine, 0) + tokens
+        self._waiting = dict(sorted(total.items(), key=lambda one: -one[1])[:BUSIEST_MOST])
+
+    def _waiting_elsewhere(self, subscriber: Subscriber) -> dict[str, int]:
+        own = subscriber.waiting
+        left = {engine: tokens - own.get(engine, 0) for engine, tokens in self._waiting.items()}
+        return {engine: tokens for engine, tokens in left.items() if tokens > 0}
+
     # Confirmation that news has arrived
 
     async def confirmed(self, for_s: float) -> None:
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -10,6 +10,7 @@
 
 import msgspec
 from larkweir_quotas.ledger import Ledger
+from larkweir_registry import memory as registry_memory
 from larkweir_registry.liveness import Liveness
 from larkweir_registry.records import State, Upstream
 from larkweir_registry.registry import Registry
@@ -62,6 +63,10 @@
         self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
         self._operator = OperatorApi(self._call_primary)
         self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
+        hint = self._driver.read_hint()
+        if hint is not None:
+            registry_memory.restore(self._registry, hint, self._now_ms())
+        self._remembered = dict(self._registry.vector)
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -127,6 +132,13 @@
         if count % HEARD_EVERY_TICKS == 0:
             self._report_heartbeats()
             self._judge_silence()
+        self._remember()
+
+    def _remember(self) -> None:
+        """Leaves on disk what has changed of the upstreams."""
+        if self._registry.vector != self._remembered:
+            self._remembered = dict(self._registry.vector)
+            self._driver.write_hint(registry_memory.encode(self._registry))
 
     def _settings_changed(self, settings: Settings) -> None:
         self.settings = settings
--- a/larkweir/system/controller/replication.py
+++ b/larkweir/system/controller/replication.py
@@ -14,8 +14,9 @@
 from larkweir_replication.replica import Replica
 
 from larkweir.system import log
+from larkweir.system.birth import born_ms
 from larkweir.system.configuration.changes import Refused, apply_change
-from larkweir.system.controller.storage import DiskThread
+from larkweir.system.controller.storage import HINTS_NAME, DiskThread
 from larkweir.system.messages import Forwarded
 from larkweir.system.settings import Settings
 
@@ -40,7 +41,8 @@
         self._tickets = itertools.count(1)
         self._waiting: dict[int, asyncio.Future[Forwarded]] = {}
         assert settings.data_dir is not None
-        journal = Journal(FolderFiles(os.path.join(settings.data_dir, FOLDER)))
+        self._files = FolderFiles(os.path.join(settings.data_dir, FOLDER))
+        journal = Journal(self._files)
         self.replica = Replica(
             settings.ip,
             apply_change,
@@ -50,8 +52,9 @@
             first_members=settings.seed_nodes if settings.bootstrap and journal.newest is None else None,
             known=settings.seed_nodes,
             members_wanted=2 * settings.fault_tolerance.machines + 1,
+            born_ms=born_ms(self._now_ms()),
         )
-        self._disk = DiskThread(journal, self._loop, self._persisted, self._persist_failed)
+        self._disk = DiskThread(journal, self._files, self._loop, self._persisted, self._persist_failed)
         self._status = self.replica.status
         log.event(
             "replica_started", status=self._status, sequence=_sequence(journal), dropped=journal.dropped
@@ -124,6 +127,17 @@
         finally:
             self._waiting.pop(ticket, None)
 
+    def read_hint(self) -> bytes | None:
+        """What `write_hint` left in an earlier life; None for nothing."""
+        try:
+            return self._files.read(HINTS_NAME)
+        except OSError:
+            return None
+
+    def write_hint(self, data: bytes) -> None:
+        """Leaves something on disk that may be lost."""
+        self._disk.write_hint(data)
+
     def stop(self) -> None:
         """Gives leadership back and ends the disk's thread."""
         self.replica.resign(self._now_ms())
--- a/larkweir/system/controller/storage.py
+++ b/larkweir/system/controller/storage.py
@@ -8,28 +8,36 @@
 import threading
 from collections.abc import Callable
 
-from larkweir_replication.journal import Journal
-from larkweir_replication.messages import Durable
+from larkweir_replication.journal import Files, Journal
+from larkweir_replication.messages import NO_EPOCH, Durable
 
 from larkweir.system import log
 
 
+HINTS_NAME = "upstreams.hint"
+NEW_HINTS_NAME = "upstreams.hint.new"
+HINT = (0, Durable(NO_EPOCH, None))  # in the queue: there is a hint to write
+
+
 class DiskThread:
     """Writes the newest of the records that wait; the earlier ones are covered by it."""
 
     def __init__(
         self,
         journal: Journal,
+        files: Files,
         loop: asyncio.AbstractEventLoop,
         on_persisted: Callable[[int], None],
         on_failed: Callable[[int], None],
     ) -> None:
         """Both callbacks are called on the loop with the token of a record."""
         self._journal = journal
+        self._files = files
         self._loop = loop
         self._on_persisted = on_persisted
         self._on_failed = on_failed
         self._records: queue.SimpleQueue[tuple[int, Durable] | None] = queue.SimpleQueue()
+        self._hint: bytes | None = None  # replaced whole by the loop's thread, taken by the other
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._thread.start()
 
@@ -37,25 +45,46 @@
         """Queues a record."""
         self._records.put((token, durable))
 
+    def write_hint(self, data: bytes) -> None:
+        """Replaces the file of hints, when no record waits. Nobody is told when, or whether, that is done."""
+        self._hint = data
+        self._records.put(HINT)
+
     def close(self) -> None:
         """Ends the thread behind what is queued; does not wait for it."""
         self._records.put(None)
 
     def _run(self) -> None:
         while (record := self._records.get()) is not None:
+            newest = record
             while not self._records.empty():
                 newer = self._records.get()
                 if newer is None:
                     return
-                record = newer
-            token, durable = record
-            try:
-                self._journal.write(durable)
-            except OSError as problem:
-                log.event("disk_refused", error=problem.strerror)
-                self._tell(self._on_failed, token)
-            else:
-                self._tell(self._on_persisted, token)
+                if newer is not HINT or newest is HINT:
+                    newest = newer
+            if newest is not HINT:
+                self._write_record(*newest)
+            self._write_hint()
+
+    def _write_record(self, token: int, durable: Durable) -> None:
+        try:
+            self._journal.write(durable)
+        except OSError as problem:
+            log.event("disk_refused", error=problem.strerror)
+            self._tell(self._on_failed, token)
+        else:
+            self._tell(self._on_persisted, token)
+
+    def _write_hint(self) -> None:
+        data, self._hint = self._hint, None
+        if data is None:
+            return
+        try:
+            self._files.append(NEW_HINTS_NAME, 0, data)
+            self._files.replace(NEW_HINTS_NAME, HINTS_NAME)
+        except OSError as problem:
+            log.detail("hint_refused", error=problem.strerror)
 
     def _tell(self, callback: Callable[[int], None], token: int) -> None:
         with contextlib.suppress(RuntimeError):  # the loop has ended
--- a/larkweir/system/log.py
+++ b/larkweir/system/log.py
@@ -28,9 +28,14 @@
     _logger.info(_line(name, fields))
 
 
+def details() -> bool:
+    """Whether events that only help to find a fault are written."""
+    return bool(_logger.isEnabledFor(picologging.DEBUG))
+
+
 def detail(name: str, **fields: Any) -> None:
     """One event that only helps to find a fault; nothing unless debugging."""
-    if _logger.isEnabledFor(picologging.DEBUG):
+    if details():
         _logger.debug(_line(name, fields))
 
 
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -37,6 +37,7 @@
     config: int = -1  # the sequence of the configuration that it has in force; -1 for none
     vector: Vector = {}
     usage: dict[str, float] = {}  # by tenant: units admitted in this life
+    waiting: dict[str, int] = {}  # by engine: prompt tokens of its calls that wait to be read there
 
 
 class ConfigUpdate(msgspec.Struct, frozen=True):
@@ -56,6 +57,7 @@
     controllers: list[str] = []
     routers: int = 1
     quotas: dict[str, Statement] = {}
+    waiting: dict[str, int] = {}  # by engine: the same of all other routers, the busiest engines only
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
--- a/larkweir/system/router/answers.py
+++ b/larkweir/system/router/answers.py
@@ -33,18 +33,22 @@
     close: bool = False
 
 
+STARTING_RETRY_S = 1.0  # a router that has just started knows the fleet in less than that
+UPSTREAM_RETRY_S = 0.8  # upstreams make themselves known about once a second
+FULL_RETRY_S = 0.3
+
 ANSWERS = {
     ErrorKind.BAD_REQUEST: Answer(400, close=True),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, close=True),
     ErrorKind.BODY_TOO_LARGE: Answer(413, close=True),
     ErrorKind.CLIENT_TOO_SLOW: Answer(408, close=True),
-    ErrorKind.NO_CONFIGURATION: Answer(503, retry_after_s=0.2),
+    ErrorKind.NO_CONFIGURATION: Answer(503, retry_after_s=STARTING_RETRY_S),
     ErrorKind.NO_ROUTE: Answer(404),
     ErrorKind.UNKNOWN_KEY: Answer(401),
     ErrorKind.OVER_QUOTA: Answer(429, retry_after_s=0.5),
-    ErrorKind.NO_UPSTREAM: Answer(503, retry_after_s=0.1),
-    ErrorKind.TURNED_AWAY: Answer(503, retry_after_s=0.1),
+    ErrorKind.NO_UPSTREAM: Answer(503, retry_after_s=UPSTREAM_RETRY_S),
+    ErrorKind.TURNED_AWAY: Answer(503, retry_after_s=FULL_RETRY_S),
     ErrorKind.UPSTREAM_FAILED: Answer(502),
     ErrorKind.TIMED_OUT: Answer(504),
-    ErrorKind.TIMED_OUT_UNSENT: Answer(503, retry_after_s=0.1),
+    ErrorKind.TIMED_OUT_UNSENT: Answer(503, retry_after_s=FULL_RETRY_S),
 }
--- a/larkweir/system/router/client_request.py
+++ b/larkweir/system/router/client_request.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
+from mulleinhitch.engines import Prompt
+
 Headers = list[tuple[bytes, bytes]]
 
 # Of one connection alone (RFC 9110, 7.6.1), or framed anew.
@@ -86,10 +88,17 @@
             return None
 
     @property
-    def prompt_head(self) -> str:
-        """The deepest part of its prompt that it shares with others; empty where it has none."""
+    def prompt(self) -> Prompt:
+        """What it asks an engine to read. Its head is named by the deepest part that it shares with others."""
+        usage = self.header(b"x-token-usage").partition(b",")[0]
+        tokens = float(usage) if usage.strip().isdigit() else 0.0
         parts = self.header(b"x-prompt-prefix").split(b",")
-        return parts[-2].partition(b":")[0].strip().decode("latin-1") if len(parts) > 1 else ""
+        if len(parts) < 2:
+            return Prompt(tokens=tokens)
+        sizes = [part.partition(b":")[2].strip() for part in parts[:-1]]
+        head_tokens = float(sum(int(size) for size in sizes if size.isdigit()))
+        head = parts[-2].partition(b":")[0].strip().decode("latin-1")
+        return Prompt(head, tokens, min(tokens, head_tokens))
 
     def upstream_headers(self, own: UpstreamHeaders) -> Headers:
         """What goes to an upstream: the client's headers, without those of its connection, and the router's."""
--- a/larkweir/system/router/data_plane.py
+++ b/larkweir/system/router/data_plane.py
@@ -51,7 +51,9 @@
         """Of that service."""
         balancer = self._balancers.get(service)
         if balancer is None:
-            balancer = self._balancers[service] = EngineBalancer(self.rng, engine=self.is_engine(service))
+            balancer = self._balancers[service] = EngineBalancer(
+                self.rng, engine=self.is_engine(service), linked=self._linked
+            )
             self._list(service, 0.0)
         return balancer
 
@@ -80,6 +82,22 @@
         """Whether any is ready."""
         return any(upstream.state is State.READY for upstream in self._upstreams.values())
 
+    def _linked(self, instance: str) -> bool:
+        upstream = self._upstreams.get(instance)
+        return upstream is not None and self.pool.has_idle(upstream.address)
+
+    def waiting(self) -> dict[str, int]:
+        """By engine, the prompt tokens of calls that wait there for their first event."""
+        found: dict[str, int] = {}
+        for balancer in self._balancers.values():
+            found.update(balancer.waiting())
+        return found
+
+    def peers_waiting(self, tokens: dict[str, float], now_ms: float) -> None:
+        """The same of all other routers together, as last told."""
+        for balancer in self._balancers.values():
+            balancer.peers_waiting(tokens, now_ms)
+
     def update_upstreams(self, changed: list[Upstream], now_ms: float) -> None:
         """What the registry says of these is new."""
         services = set()
--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -62,6 +62,7 @@
     address: str
     connection: UpstreamConnection | None = None
     counted: bool = False  # its token is spent
+    tokens: float = 0.0  # that were to be read for it when it was sent
 
 
 class Exchange:
@@ -74,6 +75,7 @@
         self._plane = plane
         self._client = client
         self._request = request
+        self._prompt = request.prompt
         self._on_done = on_done
         self._loop = asyncio.get_running_loop()
         self._state = State.NEW
@@ -92,6 +94,7 @@
         self._head_sent = False
         self._events: EventBuffer | None = None
         self._refused: Outcome | None = None
+        self._first_event_ms = 0.0
 
     def _become(self, state: State) -> None:
         self._state = state
@@ -133,14 +136,14 @@
         """Goes to the next upstream, or answers where there is none to go to."""
         assert self._route is not None
         balancer = self._plane.balancer(self._service)
-        instance = balancer.choose(self._request.prompt_head, self._tried, self._now_ms())
+        instance = balancer.choose(self._prompt, self._tried, self._now_ms())
         if instance is None:
             self._give_up()
             return
         self._tried.add(instance)
         self._attempt = _Attempt(instance, self._plane.address(instance))
         self._become(State.CONNECTING)
-        balancer.started(instance, self._now_ms())
+        self._attempt.tokens = balancer.started(instance, self._prompt, self._now_ms())
         self._attempt.counted = True
         connection = self._plane.pool.take(self._attempt.address)
         if connection is not None:
@@ -208,7 +211,7 @@
             return
         balancer = self._plane.balancer(self._service)
         if attempt.counted:
-            balancer.returned(attempt.instance, self._now_ms())
+            balancer.returned(attempt.instance, attempt.tokens, self._now_ms())
         balancer.outcome(attempt.instance, outcome, self._now_ms())
 
     def _give_up(self) -> None:
@@ -266,10 +269,13 @@
     def _first_event(self) -> None:
         """An engine that answers has read the prompt: its token returns."""
         assert self._route is not None
+        if not self._first_event_ms:
+            self._first_event_ms = self._now_ms()
         attempt = self._attempt
         if attempt is not None and attempt.counted and self._plane.is_engine(self._service):
             attempt.counted = False
-            self._plane.balancer(self._service).returned(attempt.instance, self._now_ms())
+            balancer = self._plane.balancer(self._service)
+            balancer.returned(attempt.instance, attempt.tokens, self._now_ms())
 
     def call_done(self) -> None:
         """The answer is whole."""
@@ -384,4 +390,20 @@
         self._become(State.DONE)
         if self._timer is not None:
             self._timer.cancel()
+        if log.details():
+            self._log()
         self._on_done()
+
+    def _log(self) -> None:
+        request, received_ms = self._request, self._request.received_ms
+        log.detail(
+            "request",
+            id=request.header(b"x-request-id").decode("latin-1"),
+            route=self._route.name if self._route is not None else None,
+            tokens=request.tokens,
+            head=self._prompt.head,
+            upstreams=sorted(self._tried),
+            sent=self._sent,
+            first_ms=round(self._first_event_ms - received_ms) if self._first_event_ms else None,
+            total_ms=round(self._now_ms() - received_ms),
+        )
--- a/larkweir/system/router/upstream_pool.py
+++ b/larkweir/system/router/upstream_pool.py
@@ -10,8 +10,7 @@
 
 CONNECT_S = 0.4  # an upstream that is there answers in milliseconds
 IDLE_MOST_S = 30.0
-IDLE_PART = 0.6  # of the time that an upstream says it keeps an idle connection
-IDLE_MARGIN_S = 0.5
+IDLE_MARGIN_S = 1.0  # before an upstream closes an idle connection, by the time that it says
 
 
 @dataclass(slots=True)
@@ -39,6 +38,10 @@
             found.connection.close()
         return None
 
+    def has_idle(self, address: str) -> bool:
+        """Whether an idle connection is at hand."""
+        return bool(self._idle.get(address))
+
     async def connect(self, address: str) -> UpstreamConnection:
         """A new connection. OSError or TimeoutError where there is none in time."""
         host, port = split_address(address)
@@ -51,7 +54,7 @@
 
     def _keep(self, connection: UpstreamConnection) -> None:
         told_s = connection.keep_alive_s
-        keep_s = IDLE_MOST_S if told_s is None else min(told_s * IDLE_PART, told_s - IDLE_MARGIN_S)
+        keep_s = IDLE_MOST_S if told_s is None else told_s - IDLE_MARGIN_S
         address = self._addresses.get(connection)
         if address is None or keep_s <= 0.0:
             connection.close()
--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -1,20 +1,21 @@
 """Rules: to which upstream of a service a router of the fleet sends a request.
 
-PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and
-where none holds a token to a uniformly random ready one. A token says that this router believes the upstream idle.
-For an ordinary service that is: none of this router's calls is outstanding there. A model engine runs many requests
-at once and is held up by the prompts it reads: there it is that fewer than `AWAITING_MOST` calls of this router
-wait for their first event.
-
-Among holders of a model's service, those that are believed to keep the head of the prompt come first. What an
-engine keeps is told by nobody, but it follows from where requests were sent; so that routers agree without talking,
-each head has an order of upstreams of its own (highest random weight), and the first holder in it is taken.
+PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and where
+none holds a token to a uniformly random ready one. A token says that this router believes the upstream idle. For an
+ordinary service that is: none of this router's calls is outstanding there. A model engine runs many requests at once
+and is held up by the prompts it reads: there it is that few of this router's calls wait for their first event, and that
+the prompts known to wait there, peers' included, are read in a moment.
+
+Among holders of a model's service, those that are believed to keep the head of the prompt come first, unless so much
+waits there that reading the head anew elsewhere is sooner done. What an engine keeps is told by nobody, but it follows
+from where requests were sent; so that routers agree without talking, each head has an order of upstreams of its own
+(highest random weight). Otherwise holders with an open connection come first, since new ones are dear.
 """
 
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from random import Random
@@ -23,8 +24,12 @@
 from mulleinhitch.servers import DrawList, Fleet, Server, draw
 
 AWAITING_MOST = 2  # own calls before their first event, from which an engine is not believed idle
+IDLE_TOKENS = 8_192.0  # of prompts that wait to be read, from which an engine is not believed idle
 KEEPERS = 2  # upstreams that keep one head, as far as tokens allow; further ones would read it again
 HEADS_MOST = 4_096  # of which the order is remembered
+KEPT_MOST = 16_384  # pairs of a head and an upstream that was sent it
+KEPT_MS = 60_000.0  # after it an engine may have forgotten a head that this router did not send again
+SMALL_HEAD_TOKENS = 1_024.0  # a shorter head is sooner read again than a connection is opened
 DRAWS = 8  # random draws before all are looked at
 PAUSE_MS = 250.0  # after a failed connection or call; doubles with each in a row
 PAUSE_MOST_MS = 4_000.0
@@ -43,19 +48,42 @@
     silent: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """What a request asks an engine to read: tokens in all, those of the head that it shares with others."""
+
+    head: str = ""
+    tokens: float = 0.0
+    head_tokens: float = 0.0
+
+
+NO_PROMPT = Prompt()
+
+
+@dataclass(slots=True)
+class _Waiting:
+    """Before their first event, at one engine."""
+
+    own_tokens: float = 0.0
+    peers_tokens: float = 0.0
+
+
 class EngineBalancer:
     """The token list of one service in one router. Ids are the registry's; times are milliseconds that only rise."""
 
-    def __init__(self, rng: Random, *, engine: bool) -> None:
-        """`engine`: whether the upstreams are model engines, whose tokens return with the first event."""
+    def __init__(self, rng: Random, *, engine: bool, linked: Callable[[str], bool]) -> None:
+        """`engine`: whether the upstreams are model engines. `linked`: whether a connection to an id is idle."""
         self._rng = rng
         self._engine = engine
+        self._linked = linked
         self._fleet = Fleet(zones=1)
         self._silent: set[int] = set()
         self._numbers: dict[str, int] = {}
         self._ids: dict[int, str] = {}
         self._next_number = 0
         self._heads: OrderedDict[str, list[Server]] = OrderedDict()
+        self._kept: OrderedDict[tuple[str, int], float] = OrderedDict()
+        self._waiting: dict[int, _Waiting] = {}
 
     # The list
 
@@ -72,6 +100,7 @@
         fresh, gone = self._fleet.update(ListUpdate(ListKind.FULL, entries=entries))
         for server in gone:
             self._numbers.pop(self._ids.pop(server.id), None)
+            self._waiting.pop(server.id, None)
         for server in fresh:
             self._fleet.earn_token(server, now_ms)
         self._heads.clear()
@@ -89,39 +118,50 @@
         """Upstreams that are ready, heard of late or not."""
         return self._fleet.ready_count
 
-    def outstanding(self, id_: str) -> int:
-        """Own calls there that count against its token."""
-        server = self._server(id_)
-        return 0 if server is None else server.outstanding
-
     def _server(self, id_: str) -> Server | None:
         number = self._numbers.get(id_)
         return None if number is None else self._fleet.servers.get(number)
 
     # The draw
 
-    def choose(self, head: str, excluded: Collection[str], now_ms: float) -> str | None:
-        """The upstream for a request whose prompt begins with `head` ("" for none), or None where none is ready.
-
-        `excluded`: those that it has been sent to.
-        """
+    def choose(self, prompt: Prompt, excluded: Collection[str], now_ms: float) -> str | None:
+        """The upstream for a request, or None where none is ready. `excluded`: those that it has been sent to."""
         self._fleet.give_back(now_ms)
         barred = {self._numbers[id_] for id_ in excluded if id_ in self._numbers} | self._silent
         holders = self._fleet.levels[0]
-        server = self._keeper(head, barred) or self._draw(holders, barred) or self._draw_ready(barred, now_ms)
+        server = (
+            self._keeper(prompt, barred, now_ms)
+            or self._draw_linked(holders, barred)
+            or self._draw(holders, barred)
+            or self._draw_ready(barred, now_ms)
+        )
         if server is None and self._silent:
             server = self._draw_ready(barred - self._silent, now_ms)
         return None if server is None else self._ids[server.id]
 
-    def _keeper(self, head: str, barred: Collection[int]) -> Server | None:
-        """Among token holders, the one that keeps the head of the prompt."""
-        if not head:
+    def _keeper(self, prompt: Prompt, barred: Collection[int], now_ms: float) -> Server | None:
+        """Among token holders, one that keeps the head of the prompt, where that saves more than waiting costs."""
+        if not prompt.head or prompt.head_tokens < SMALL_HEAD_TOKENS:
+            return None
+        found = [one for one in self._order(prompt.head) if one.level == 0 and one.id not in barred]
+        if not found:
             return None
-        for server in self._order(head):
-            if server.level == 0 and server.id not in barred:
+        idlest = min(
+            (self._waiting_at(one) for one in self._fleet.levels[0][0].items if one.id not in barred),
+            default=0.0,
+        )
+        for server in found:
+            if self._waiting_at(server) <= idlest + self._saved(prompt, server, now_ms):
                 return server
         return None
 
+    def _saved(self, prompt: Prompt, server: Server, now_ms: float) -> float:
+        """Tokens that need not be read there, as far as this router knows: it would make this upstream keep them."""
+        sent_ms = self._kept.get((prompt.head, server.id))
+        if sent_ms is None or now_ms > sent_ms + KEPT_MS:
+            return prompt.head_tokens / 2.0  # a peer may have sent it, or will
+        return prompt.head_tokens
+
     def _order(self, head: str) -> list[Server]:
         order = self._heads.get(head)
         if order is None:
@@ -134,6 +174,16 @@
             self._heads.move_to_end(head)
         return order
 
+    def _draw_linked(self, lists: list[DrawList], barred: Collection[int]) -> Server | None:
+        """Uniform over those with an idle connection, as far as a few draws find one."""
+        for _ in range(DRAWS):
+            server = draw(lists, self._rng)
+            if server is None:
+                return None
+            if server.id not in barred and self._linked(self._ids[server.id]):
+                return server
+        return None
+
     def _draw(self, lists: list[DrawList], barred: Collection[int]) -> Server | None:
         for _ in range(DRAWS):
             server = draw(lists, self._rng)
@@ -154,23 +204,70 @@
                 return server
         return self._draw(self._fleet.ready, barred)
 
-    # Own calls
+    # Own calls and what peers tell of theirs
 
-    def started(self, id_: str, now_ms: float) -> None:
-        """A call is sent there: that spends a token."""
-        self._count(id_, 1, now_ms)
-
-    def returned(self, id_: str, now_ms: float) -> None:
-        """A call counts no longer: it has ended, or its first event has come from an engine."""
-        self._count(id_, -1, now_ms)
-
-    def _count(self, id_: str, by: int, now_ms: float) -> None:
+    def started(self, id_: str, prompt: Prompt, now_ms: float) -> float:
+        """A call is sent there: that spends a token. The tokens to be read for it, which `returned` wants back."""
         server = self._server(id_)
         if server is None:
-            return
-        server.others = max(0, server.others + by)
-        allowed = AWAITING_MOST - 1 if self._engine else 0
-        server.outstanding = max(0, server.others - allowed)
+            return 0.0
+        tokens = prompt.tokens
+        if prompt.head:
+            if (prompt.head, server.id) in self._kept:
+                tokens = max(0.0, tokens - prompt.head_tokens)
+            self._kept[(prompt.head, server.id)] = now_ms
+            self._kept.move_to_end((prompt.head, server.id))
+            if len(self._kept) > KEPT_MOST:
+                self._kept.popitem(last=False)
+        self._count(server, 1, tokens, now_ms)
+        return tokens
+
+    def returned(self, id_: str, tokens: float, now_ms: float) -> None:
+        """A call counts no longer: it has ended, or its first event has come from an engine."""
+        server = self._server(id_)
+        if server is not None:
+            self._count(server, -1, -tokens, now_ms)
+
+    def waiting(self) -> dict[str, int]:
+        """By engine, the tokens of this router's calls that wait to be read there, to be told to peers."""
+        return {
+            self._ids[number]: round(waiting.own_tokens)
+            for number, waiting in self._waiting.items()
+            if waiting.own_tokens >= 1.0 and number in self._ids
+        }
+
+    def peers_waiting(self, tokens: Mapping[str, float], now_ms: float) -> None:
+        """By engine, what peers' calls wait to be read; of those not named: nothing."""
+        for number, waiting in self._waiting.items():
+            server = self._fleet.servers.get(number)
+            told = tokens.get(self._ids[number], 0.0) if number in self._ids else 0.0
+            if server is not None and told != waiting.peers_tokens:
+                waiting.peers_tokens = told
+                self._rate(server, now_ms)
+        for id_, told in tokens.items():
+            server = self._server(id_)
+            if server is not None and server.id not in self._waiting:
+                self._waiting[server.id] = _Waiting(peers_tokens=told)
+                self._rate(server, now_ms)
+
+    def _waiting_at(self, server: Server) -> float:
+        waiting = self._waiting.get(server.id)
+        return 0.0 if waiting is None else waiting.own_tokens + waiting.peers_tokens
+
+    def _count(self, server: Server, calls: int, tokens: float, now_ms: float) -> None:
+        server.others = max(0, server.others + calls)
+        if self._engine:
+            waiting = self._waiting.setdefault(server.id, _Waiting())
+            waiting.own_tokens = max(0.0, waiting.own_tokens + tokens) if server.others else 0.0
+        self._rate(server, now_ms)
+
+    def _rate(self, server: Server, now_ms: float) -> None:
+        """Finds how far the upstream is from idle: 0 earns a token."""
+        if self._engine:
+            calls = max(0, server.others - (AWAITING_MOST - 1))
+            server.outstanding = calls + int(self._waiting_at(server) / IDLE_TOKENS)
+        else:
+            server.outstanding = server.others
         self._fleet.earn_token(server, now_ms)
 
     def outcome(self, id_: str, outcome: Outcome, now_ms: float) -> None:
--- a/packages/replication/src/larkweir_replication/leadership.py
+++ b/packages/replication/src/larkweir_replication/leadership.py
@@ -17,6 +17,7 @@
 
 TAKEN_MOST = 1_024  # identities of changes that are kept, to acknowledge them again
 RESEND_MS = 300.0  # a state that is not acknowledged is sent again
+LOST_LEASES = 3.0  # without an answer of a majority for so many leases, a term ends
 GROWTH_WAIT_MS = 4_000.0  # changes wait so long for a group of the wanted size
 
 
@@ -77,7 +78,7 @@
         self._change_members(now_ms)
         self._pump(now_ms)
         silent_ms = now_ms - max(self._lease_from_ms, self._begun_ms)
-        return silent_ms < 2.0 * self._timing.lease_ms
+        return silent_ms < LOST_LEASES * self._timing.lease_ms
 
     def lease_holds(self, now_ms: float) -> bool:
         """Whether no other can have been elected: the majority's lease, less a margin."""
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -46,11 +46,12 @@
 class Timing:
     """Milliseconds of the steady clock."""
 
-    heartbeat_ms: float = 100.0
-    lease_ms: float = 450.0  # after a heartbeat no member helps to elect another primary
-    lease_margin_ms: float = 50.0  # the holder stops so long before the lease ends
-    election_ms: float = 500.0  # silence of a primary before a candidacy is tried; up to twice that by chance
-    campaign_ms: float = 400.0  # a candidacy is given up after it
+    heartbeat_ms: float = 80.0
+    lease_ms: float = 320.0  # after a heartbeat no member helps to elect another primary
+    lease_margin_ms: float = 40.0  # the holder stops so long before the lease ends
+    election_ms: float = 350.0  # silence of a primary before a candidacy is tried
+    election_spread_ms: float = 250.0  # up to so much more, by chance
+    campaign_ms: float = 300.0  # a candidacy is given up after it
     recover_ms: float = 150.0  # between questions of a replica without memory
     join_ms: float = 300.0
     dead_ms: float = 1_500.0  # a member this silent may be replaced by a newcomer
@@ -82,9 +83,11 @@
         known: Iterable[str],
         members_wanted: int,
         timing: Timing | None = None,
+        born_ms: float | None = None,
     ) -> None:
         """`stored`: what the disk holds. `first_members`: the group at the very first start, else None. `known`: nodes
-        to ask while there is no member list. `members_wanted`: changes wait until the group is so large.
+        to ask while there is no member list. `members_wanted`: changes wait until the group is so large. `born_ms`:
+        when this process began, where that is known to be before `now_ms`.
         """
         self.node = node
         self.apply = apply
@@ -102,16 +105,15 @@
         self._durable = Durable(NO_EPOCH, None)
         self._writes: dict[int, Durable] = {}
         self._token = 0
-        self._heard_ms = (
-            now_ms  # from the primary; a start counts, since a lease may have been granted before it
-        )
+        # From the primary; a start counts, since a lease may have been granted before it.
+        self._heard_ms = now_ms if born_ms is None else born_ms
         self._deadline_ms = now_ms
         self._last_join_ms = now_ms
         self._round = 0
         self._grants: set[str] = set()
         self._promises: dict[str, Snapshot | None] = {}
         self._replies: dict[str, RecoverReply] = {}
-        self._start(stored, first_members, now_ms)
+        self._start(stored, first_members, now_ms if born_ms is None else born_ms)
 
     def _start(self, stored: Durable | None, first_members: tuple[str, ...] | None, now_ms: float) -> None:
         if stored is not None and stored.snapshot is not None:
@@ -195,7 +197,7 @@
         self.status = status
         match status:
             case Status.FOLLOWER:
-                self._deadline_ms = now_ms + self.timing.election_ms * (1.0 + self.rng.random())
+                self._deadline_ms = now_ms + self._election_ms()
             case Status.CANVASSING:
                 self._round += 1
                 self._grants = {self.node}
@@ -212,6 +214,9 @@
                 self._replies = {}
                 self._deadline_ms = now_ms
 
+    def _election_ms(self) -> float:
+        return self.timing.election_ms + self.timing.election_spread_ms * self.rng.random()
+
     def step_down(self, now_ms: float) -> None:
         """Stops being the primary or a candidate; the same node may be elected again."""
         if self.status in (Status.PRIMARY, Status.CANDIDATE, Status.CANVASSING):
@@ -316,7 +321,7 @@
             self._become(Status.FOLLOWER, now_ms)
         self.primary = sender
         self._heard_ms = now_ms
-        self._deadline_ms = now_ms + self.timing.election_ms * (1.0 + self.rng.random())
+        self._deadline_ms = now_ms + self._election_ms()
 
     def _on_heartbeat(self, sender: str, message: Heartbeat, now_ms: float) -> None:
         if message.epoch < self.promised:
