--- a/larkweir/system/controller/storage.py
+++ b/larkweir/system/controller/storage.py
@@ -13,7 +13,6 @@
 
 from larkweir.system import log
 
-
 HINTS_NAME = "upstreams.hint"
 NEW_HINTS_NAME = "upstreams.hint.new"
 HINT = (0, Durable(NO_EPOCH, None))  # in the queue: there is a hint to write
