--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -23,7 +23,7 @@
 from mulleinhitch.interface import ListKind, ListUpdate, Outcome, ServerEntry, ServerState
 from mulleinhitch.servers import DrawList, Fleet, Server, draw
 
-AWAITING_MOST = 2  # own calls before their first event, from which an engine is not believed idle
+AWAITING_MOST = 4  # own calls before their first event, from which an engine is not believed idle
 IDLE_TOKENS = 8_192.0  # of prompts that wait to be read, from which an engine is not believed idle
 KEEPERS = 2  # upstreams that keep one head, as far as tokens allow; further ones would read it again
 HEADS_MOST = 4_096  # of which the order is remembered
