--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -15,7 +15,6 @@
 
 HOLD_MS = 100.0  # a pull is answered after it, with or without news
 HOLD_MS_PER_ROUTER = 2.0  # where that is longer, so that a controller's work stays the same
-BUSIEST_MOST = 32  # engines of which the waiting tokens are told
 GATHER_S = 0.005  # changes that come together are told together
 HISTORY_MOST = 32  # configurations that a delta can build on
 
@@ -46,7 +45,9 @@
         self._history: list[tuple[int, Document]] = []
         self._whole: bytes = b""
         self._patches: dict[int, bytes] = {}
-        self._waiting: dict[str, int] = {}
+        self.waiting: dict[
+            str, int
+        ] = {}  # by engine, of all routers together: prompt tokens that wait to be read
         self._waking: asyncio.TimerHandle | None = None
         self._confirmations: list[tuple[int, asyncio.Future[None]]] = []
 
@@ -153,7 +154,6 @@
             controllers=self._controllers(),
             routers=max(1, self.routers),
             quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
-            waiting=self._waiting_elsewhere(subscriber) if is_router else {},
         )
         subscriber.connection.send(delta)
 
@@ -164,12 +164,7 @@
         for subscriber in self._subscribers.values():
             for engine, tokens in subscriber.waiting.items():
                 total[engine] = total.get(engine, 0) + tokens
-        self._waiting = dict(sorted(total.items(), key=lambda one: -one[1])[:BUSIEST_MOST])
-
-    def _waiting_elsewhere(self, subscriber: Subscriber) -> dict[str, int]:
-        own = subscriber.waiting
-        left = {engine: tokens - own.get(engine, 0) for engine, tokens in self._waiting.items()}
-        return {engine: tokens for engine, tokens in left.items() if tokens > 0}
+        self.waiting = total
 
     # Confirmation that news has arrived
 
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -22,6 +22,7 @@
 from larkweir.system.controller.distribution import Distribution
 from larkweir.system.controller.instances_api import PATH, InstancesApi
 from larkweir.system.controller.operator_api import OperatorApi
+from larkweir.system.controller.prompt_placement import PromptPlacement
 from larkweir.system.controller.replication import UNKNOWN, ReplicaDriver
 from larkweir.system.http_server import HttpServerConnection, Request, Response
 from larkweir.system.links import Connection, Link
@@ -33,6 +34,8 @@
     Hello,
     Kind,
     Message,
+    Place,
+    Placed,
     Pull,
     Replication,
 )
@@ -41,6 +44,9 @@
 TICK_S = 0.04
 STANDSTILL_MS = 700.0  # a tick so late means that this process stood still
 HEARD_EVERY_TICKS = 8
+UPSTREAMS_HINT = "upstreams.hint"
+PLACEMENTS_HINT = "placements.hint"
+PLACEMENTS_EVERY_TICKS = 25
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BACKLOG = 1_024
 
@@ -63,10 +69,10 @@
         self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
         self._operator = OperatorApi(self._call_primary)
         self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
-        hint = self._driver.read_hint()
-        if hint is not None:
-            registry_memory.restore(self._registry, hint, self._now_ms())
+        self._placement = PromptPlacement()
+        self._recall()
         self._remembered = dict(self._registry.vector)
+        self._remembered_placements = self._placement.changes
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -132,13 +138,26 @@
         if count % HEARD_EVERY_TICKS == 0:
             self._report_heartbeats()
             self._judge_silence()
-        self._remember()
-
-    def _remember(self) -> None:
-        """Leaves on disk what has changed of the upstreams."""
+        self._remember(count)
+        self._placement.busy_with(self._distribution.waiting)
+
+    def _recall(self) -> None:
+        """Takes what an earlier life left on disk of upstreams and placements."""
+        upstreams = self._driver.read_hint(UPSTREAMS_HINT)
+        if upstreams is not None:
+            registry_memory.restore(self._registry, upstreams, self._now_ms())
+        placements = self._driver.read_hint(PLACEMENTS_HINT)
+        if placements is not None:
+            self._placement.restore(placements)
+
+    def _remember(self, count: int) -> None:
+        """Leaves on disk what has changed of upstreams and, less often, of placements."""
         if self._registry.vector != self._remembered:
             self._remembered = dict(self._registry.vector)
-            self._driver.write_hint(registry_memory.encode(self._registry))
+            self._driver.write_hint(UPSTREAMS_HINT, registry_memory.encode(self._registry))
+        if count % PLACEMENTS_EVERY_TICKS == 0 and self._placement.changes != self._remembered_placements:
+            self._remembered_placements = self._placement.changes
+            self._driver.write_hint(PLACEMENTS_HINT, self._placement.encode())
 
     def _settings_changed(self, settings: Settings) -> None:
         self.settings = settings
@@ -178,6 +197,8 @@
             case Replication():
                 if connection.node:
                     self._driver.receive(connection.node, message.message)
+            case Place():
+                connection.send(Placed(message.head, self._place(message)))
             case Heard():
                 self._liveness.heard_elsewhere(message.sequences, self._now_ms())
             case Forward():
@@ -233,6 +254,14 @@
 
     # Upstreams
 
+    def _place(self, message: Place) -> str | None:
+        ready = [
+            upstream.id
+            for upstream in self._registry.upstreams.values()
+            if upstream.service == message.service and upstream.state is State.READY and not upstream.silent
+        ]
+        return self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
+
     def _report_heartbeats(self) -> None:
         report = self._liveness.take_report()
         if report:
--- /dev/null
+++ b/larkweir/system/controller/prompt_placement.py
@@ -0,0 +1,84 @@
+"""Which engine keeps the head of a prompt that many requests share.
+
+Each head has one controller that places it (routers agree on it by the same hash), so that routers send it to one
+engine and it is read once. A head goes to the first engine of its own order that is not much busier than the idlest
+one: in calm times that order alone decides, and a start with empty engines spreads what must be read.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from collections.abc import Mapping, Sequence
+
+import msgspec
+
+from mulleinhitch.engines import weight
+
+HEADS_MOST = 65_536  # the one that was asked for longest ago is forgotten first
+RECENT_MS = 400.0  # what was placed so lately is not in the reports of waiting prompts yet
+BUSIER_TOKENS = 6_000.0  # that an engine may have waiting above the idlest and still be taken in its turn
+
+Placements = dict[str, str]
+_decoder: msgspec.json.Decoder[Placements] = msgspec.json.Decoder(Placements)
+
+
+class PromptPlacement:
+    """The heads that this controller has placed. Times are milliseconds that only rise."""
+
+    def __init__(self) -> None:
+        """Nothing is placed yet."""
+        self._engines: OrderedDict[str, str] = OrderedDict()  # by head
+        self._waiting: Mapping[str, int] = {}
+        self._recent: list[tuple[float, str, float]] = []
+        self.changes = 0
+
+    def busy_with(self, waiting: Mapping[str, int]) -> None:
+        """By engine, the prompt tokens that wait to be read there, over all routers."""
+        self._waiting = waiting
+
+    def place(
+        self, head: str, tokens: float, ready: Sequence[str], known: str | None, now_ms: float
+    ) -> str | None:
+        """The engine that keeps the head; None where none is ready.
+
+        `tokens`: of the prompt. `known`: where the router that asks has sent it before.
+        """
+        engine = self._engines.get(head)
+        if engine is None or engine not in ready:
+            engine = known if known in ready else self._choose(head, ready, now_ms)
+            if engine is None:
+                return None
+            self._engines[head] = engine
+            self._recent.append((now_ms, engine, tokens))
+            self.changes += 1
+            if len(self._engines) > HEADS_MOST:
+                self._engines.popitem(last=False)
+        self._engines.move_to_end(head)
+        return engine
+
+    def _choose(self, head: str, ready: Sequence[str], now_ms: float) -> str | None:
+        if not ready:
+            return None
+        busy = self._busy(ready, now_ms)
+        bound = min(busy.values()) + BUSIER_TOKENS
+        return min((one for one in ready if busy[one] <= bound), key=lambda one: weight(head, one))
+
+    def _busy(self, ready: Sequence[str], now_ms: float) -> dict[str, float]:
+        self._recent = [one for one in self._recent if one[0] > now_ms - RECENT_MS]
+        busy = {engine: float(self._waiting.get(engine, 0)) for engine in ready}
+        for _, engine, tokens in self._recent:
+            if engine in busy:
+                busy[engine] += tokens
+        return busy
+
+    def encode(self) -> bytes:
+        """All placements, for a later life."""
+        return msgspec.json.encode(dict(self._engines))
+
+    def restore(self, data: bytes) -> bool:
+        """Takes what `encode` gave; False where it can't be read."""
+        try:
+            self._engines.update(_decoder.decode(data))
+        except msgspec.DecodeError:
+            return False
+        return True
--- a/larkweir/system/controller/replication.py
+++ b/larkweir/system/controller/replication.py
@@ -16,7 +16,7 @@
 from larkweir.system import log
 from larkweir.system.birth import born_ms
 from larkweir.system.configuration.changes import Refused, apply_change
-from larkweir.system.controller.storage import HINTS_NAME, DiskThread
+from larkweir.system.controller.storage import DiskThread
 from larkweir.system.messages import Forwarded
 from larkweir.system.settings import Settings
 
@@ -127,16 +127,16 @@
         finally:
             self._waiting.pop(ticket, None)
 
-    def read_hint(self) -> bytes | None:
+    def read_hint(self, name: str) -> bytes | None:
         """What `write_hint` left in an earlier life; None for nothing."""
         try:
-            return self._files.read(HINTS_NAME)
+            return self._files.read(name)
         except OSError:
             return None
 
-    def write_hint(self, data: bytes) -> None:
+    def write_hint(self, name: str, data: bytes) -> None:
         """Leaves something on disk that may be lost."""
-        self._disk.write_hint(data)
+        self._disk.write_hint(name, data)
 
     def stop(self) -> None:
         """Gives leadership back and ends the disk's thread."""
--- a/larkweir/system/controller/storage.py
+++ b/larkweir/system/controller/storage.py
@@ -13,8 +13,7 @@
 
 from larkweir.system import log
 
-HINTS_NAME = "upstreams.hint"
-NEW_HINTS_NAME = "upstreams.hint.new"
+NEW = ".new"  # behind the name of a file that is being written
 HINT = (0, Durable(NO_EPOCH, None))  # in the queue: there is a hint to write
 
 
@@ -36,7 +35,7 @@
         self._on_persisted = on_persisted
         self._on_failed = on_failed
         self._records: queue.SimpleQueue[tuple[int, Durable] | None] = queue.SimpleQueue()
-        self._hint: bytes | None = None  # replaced whole by the loop's thread, taken by the other
+        self._hints: dict[str, bytes] = {}  # by file; put by the loop's thread, taken by the other
         self._thread = threading.Thread(target=self._run, name="disk", daemon=True)
         self._thread.start()
 
@@ -44,9 +43,9 @@
         """Queues a record."""
         self._records.put((token, durable))
 
-    def write_hint(self, data: bytes) -> None:
-        """Replaces the file of hints, when no record waits. Nobody is told when, or whether, that is done."""
-        self._hint = data
+    def write_hint(self, name: str, data: bytes) -> None:
+        """Replaces that file, when no record waits. Nobody is told when, or whether, that is done."""
+        self._hints[name] = data
         self._records.put(HINT)
 
     def close(self) -> None:
@@ -64,7 +63,7 @@
                     newest = newer
             if newest is not HINT:
                 self._write_record(*newest)
-            self._write_hint()
+            self._write_hints()
 
     def _write_record(self, token: int, durable: Durable) -> None:
         try:
@@ -75,15 +74,14 @@
         else:
             self._tell(self._on_persisted, token)
 
-    def _write_hint(self) -> None:
-        data, self._hint = self._hint, None
-        if data is None:
-            return
-        try:
-            self._files.append(NEW_HINTS_NAME, 0, data)
-            self._files.replace(NEW_HINTS_NAME, HINTS_NAME)
-        except OSError as problem:
-            log.detail("hint_refused", error=problem.strerror)
+    def _write_hints(self) -> None:
+        while self._hints:
+            name, data = self._hints.popitem()
+            try:
+                self._files.append(name + NEW, 0, data)
+                self._files.replace(name + NEW, name)
+            except OSError as problem:
+                log.detail("hint_refused", error=problem.strerror)
 
     def _tell(self, callback: Callable[[int], None], token: int) -> None:
         with contextlib.suppress(RuntimeError):  # the loop has ended
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -57,7 +57,6 @@
     controllers: list[str] = []
     routers: int = 1
     quotas: dict[str, Statement] = {}
-    waiting: dict[str, int] = {}  # by engine: the same of all other routers, the busiest engines only
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
@@ -89,4 +88,20 @@
     value: str = ""
 
 
-Message = Hello | Ping | Pull | Delta | Replication | Heard | Forward | Forwarded
+class Place(msgspec.Struct, frozen=True, tag="place"):
+    """A router asks which engine of a service keeps the head of a prompt. `known`: where it has sent it before."""
+
+    service: str
+    head: str
+    tokens: float
+    known: str | None = None
+
+
+class Placed(msgspec.Struct, frozen=True, tag="placed"):
+    """The answer; `engine` is None where none is ready."""
+
+    head: str
+    engine: str | None
+
+
+Message = Hello | Ping | Pull | Delta | Replication | Heard | Forward | Forwarded | Place | Placed
--- a/larkweir/system/router/data_plane.py
+++ b/larkweir/system/router/data_plane.py
@@ -11,6 +11,7 @@
 
 from larkweir.system.router.answers import ErrorKind
 from larkweir.system.router.configuration import ConfigurationStore
+from larkweir.system.router.prompt_keepers import PromptKeepers
 from larkweir.system.router.upstream_pool import UpstreamPool
 from larkweir.system.settings import Bounds
 from mulleinhitch.engines import EngineBalancer, Listed
@@ -29,6 +30,7 @@
         self.configuration = ConfigurationStore()
         self.quotas = QuotaLimiter()
         self.pool = UpstreamPool()
+        self.keepers = PromptKeepers()
         self.connections: set[ClientConnection] = set()
         self.stopping = False
         self.counts: dict[ErrorKind, int] = dict.fromkeys(ErrorKind, 0)
@@ -93,11 +95,6 @@
             found.update(balancer.waiting())
         return found
 
-    def peers_waiting(self, tokens: dict[str, float], now_ms: float) -> None:
-        """The same of all other routers together, as last told."""
-        for balancer in self._balancers.values():
-            balancer.peers_waiting(tokens, now_ms)
-
     def update_upstreams(self, changed: list[Upstream], now_ms: float) -> None:
         """What the registry says of these is new."""
         services = set()
--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -47,6 +47,7 @@
     """Where a request stands; `Exchange._become` is the one place where it changes."""
 
     NEW = "new"
+    PLACING = "placing"  # a controller is asked which engine keeps the prompt's head
     CONNECTING = "connecting"  # to an upstream; nothing is written yet
     AWAITING = "awaiting"  # written; no head of an answer yet
     DISCARDING = "discarding"  # an answer that is not passed on is read to its end
@@ -83,6 +84,7 @@
         self._tenant: Tenant | None = None
         self._units = 0.0
         self._service = ""
+        self._keeper: str | None = None
         self._attempt: _Attempt | None = None
         self._tried: set[str] = set()
         self._sent = 0  # attempts that were written
@@ -128,7 +130,21 @@
         allowed_ms = min(route.timeout_ms, request.deadline_ms or route.timeout_ms)
         self._deadline_ms = request.received_ms + allowed_ms
         self._timer = self._loop.call_at(self._deadline_ms / 1000.0, self._time_out)
-        return self._try()
+        return self._place()
+
+    def _place(self) -> None:
+        """Finds which engine keeps the head of the prompt, where it has one."""
+        plane, prompt = self._plane, self._prompt
+        if not prompt.is_shared or not plane.is_engine(self._service):
+            self._try()
+            return
+        self._become(State.PLACING)
+        plane.keepers.find(self._service, prompt, plane.balancer(self._service).is_ready, self._placed)
+
+    def _placed(self, keeper: str | None) -> None:
+        if self._state is State.PLACING:
+            self._keeper = keeper
+            self._try()
 
     # Attempts
 
@@ -136,7 +152,7 @@
         """Goes to the next upstream, or answers where there is none to go to."""
         assert self._route is not None
         balancer = self._plane.balancer(self._service)
-        instance = balancer.choose(self._prompt, self._tried, self._now_ms())
+        instance = balancer.choose(self._prompt, self._tried, self._now_ms(), self._keeper)
         if instance is None:
             self._give_up()
             return
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -9,9 +9,10 @@
 
 from larkweir.system import log
 from larkweir.system.links import Connection, Link
-from larkweir.system.messages import Delta, Hello, Kind, Message, Pull
+from larkweir.system.messages import Delta, Hello, Kind, Message, Place, Placed, Pull
 from larkweir.system.router.data_plane import DataPlane
 from larkweir.system.settings import Settings
+from mulleinhitch.engines import weight
 
 SETTLE_MS = 400.0  # after the first configuration, for another controller to know a newer one
 
@@ -29,9 +30,9 @@
         self._links: dict[str, Link] = {}
         self._controllers: set[str] = set(settings.seed_nodes)
         self._routers: dict[str, int] = {}
-        self._waiting: dict[str, dict[str, int]] = {}  # by controller: what it said last
         self._answered: set[str] = set()
         self._configured_ms: float | None = None
+        plane.keepers.ask = self._ask
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -63,6 +64,13 @@
         enough = 2 * len(self._answered & self._controllers) > len(self._controllers)
         return enough or self._now_ms() >= self._configured_ms + SETTLE_MS
 
+    def _ask(self, message: Place) -> bool:
+        """To the controller that places that head; the same for all routers that reach the same controllers."""
+        up = [node for node, link in self._links.items() if link.connection is not None]
+        if not up:
+            return False
+        return self._links[min(up, key=lambda node: weight(message.head, node))].send(message)
+
     # Pulls
 
     def _made(self, connection: Connection) -> None:
@@ -71,7 +79,6 @@
 
     def _lost(self, node: str) -> None:
         self._routers.pop(node, None)
-        self._waiting.pop(node, None)
         log.detail("link_lost", to=node)
 
     def _pull(self, connection: Connection) -> None:
@@ -80,8 +87,12 @@
         connection.send(pull)
 
     def _came(self, connection: Connection, message: Message) -> None:
-        if not isinstance(message, Delta):
-            return
+        if isinstance(message, Placed):
+            self._plane.keepers.placed(message.head, message.engine, self._now_ms())
+        elif isinstance(message, Delta):
+            self._pulled(connection, message)
+
+    def _pulled(self, connection: Connection, message: Delta) -> None:
         now_ms = self._now_ms()
         plane = self._plane
         if message.config is not None and plane.configuration.apply(message.config):
@@ -93,19 +104,9 @@
         self._routers[connection.node] = message.routers
         plane.share_with(max(self._routers.values()))
         plane.quotas.heard(connection.node, message.quotas, now_ms)
-        self._waiting[connection.node] = message.waiting
-        plane.peers_waiting(self._most_waiting(), now_ms)
         self._answered.add(connection.node)
         self._pull(connection)
 
-    def _most_waiting(self) -> dict[str, float]:
-        """By engine the most that a controller tells: each hears only those routers that reach it."""
-        most: dict[str, float] = {}
-        for told in self._waiting.values():
-            for engine, tokens in told.items():
-                most[engine] = max(most.get(engine, 0.0), float(tokens))
-        return most
-
     def _configuration_changed(self) -> None:
         table = self._plane.configuration.table
         assert table is not None
--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -3,13 +3,12 @@
 PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and where
 none holds a token to a uniformly random ready one. A token says that this router believes the upstream idle. For an
 ordinary service that is: none of this router's calls is outstanding there. A model engine runs many requests at once
-and is held up by the prompts it reads: there it is that few of this router's calls wait for their first event, and that
-the prompts known to wait there, peers' included, are read in a moment.
+and is held up by the prompts it reads: there it is that few of this router's calls wait for their first event.
 
-Among holders of a model's service, those that are believed to keep the head of the prompt come first, unless so much
-waits there that reading the head anew elsewhere is sooner done. What an engine keeps is told by nobody, but it follows
-from where requests were sent; so that routers agree without talking, each head has an order of upstreams of its own
-(highest random weight). Otherwise holders with an open connection come first, since new ones are dear.
+Among holders of a model's service, the one that keeps the head of the prompt comes first: reading it again elsewhere
+costs more than waiting. What an engine keeps is told by nobody; the fleet remembers where a head was placed (`keeper`),
+and where it does not, each head has an order of upstreams of its own (highest random weight), the same in all routers.
+Otherwise holders with an open connection come first, since new ones are dear.
 """
 
 from __future__ import annotations
@@ -24,11 +23,9 @@
 from mulleinhitch.servers import DrawList, Fleet, Server, draw
 
 AWAITING_MOST = 4  # own calls before their first event, from which an engine is not believed idle
-IDLE_TOKENS = 8_192.0  # of prompts that wait to be read, from which an engine is not believed idle
 KEEPERS = 2  # upstreams that keep one head, as far as tokens allow; further ones would read it again
 HEADS_MOST = 4_096  # of which the order is remembered
 KEPT_MOST = 16_384  # pairs of a head and an upstream that was sent it
-KEPT_MS = 60_000.0  # after it an engine may have forgotten a head that this router did not send again
 SMALL_HEAD_TOKENS = 1_024.0  # a shorter head is sooner read again than a connection is opened
 DRAWS = 8  # random draws before all are looked at
 PAUSE_MS = 250.0  # after a failed connection or call; doubles with each in a row
@@ -56,16 +53,17 @@
     tokens: float = 0.0
     head_tokens: float = 0.0
 
-
-NO_PROMPT = Prompt()
+    @property
+    def is_shared(self) -> bool:
+        """Whether its head is worth being read at one place only."""
+        return bool(self.head) and self.head_tokens >= SMALL_HEAD_TOKENS
 
 
 @dataclass(slots=True)
 class _Waiting:
-    """Before their first event, at one engine."""
+    """This router's calls before their first event, at one engine."""
 
-    own_tokens: float = 0.0
-    peers_tokens: float = 0.0
+    tokens: float = 0.0
 
 
 class EngineBalancer:
@@ -124,13 +122,18 @@
 
     # The draw
 
-    def choose(self, prompt: Prompt, excluded: Collection[str], now_ms: float) -> str | None:
-        """The upstream for a request, or None where none is ready. `excluded`: those that it has been sent to."""
+    def choose(
+        self, prompt: Prompt, excluded: Collection[str], now_ms: float, keeper: str | None = None
+    ) -> str | None:
+        """The upstream for a request, or None where none is ready.
+
+        `excluded`: those that it has been sent to. `keeper`: where the fleet has placed the head of its prompt.
+        """
         self._fleet.give_back(now_ms)
         barred = {self._numbers[id_] for id_ in excluded if id_ in self._numbers} | self._silent
         holders = self._fleet.levels[0]
         server = (
-            self._keeper(prompt, barred, now_ms)
+            self._keeper(prompt, barred, keeper)
             or self._draw_linked(holders, barred)
             or self._draw(holders, barred)
             or self._draw_ready(barred, now_ms)
@@ -139,34 +142,26 @@
             server = self._draw_ready(barred - self._silent, now_ms)
         return None if server is None else self._ids[server.id]
 
-    def _keeper(self, prompt: Prompt, barred: Collection[int], now_ms: float) -> Server | None:
-        """Among token holders, one that keeps the head of the prompt, where that saves more than waiting costs."""
-        if not prompt.head or prompt.head_tokens < SMALL_HEAD_TOKENS:
+    def _keeper(self, prompt: Prompt, barred: Collection[int], keeper: str | None) -> Server | None:
+        """Among token holders, the one that keeps the head of the prompt."""
+        if not prompt.is_shared:
             return None
-        found = [one for one in self._order(prompt.head) if one.level == 0 and one.id not in barred]
-        if not found:
-            return None
-        idlest = min(
-            (self._waiting_at(one) for one in self._fleet.levels[0][0].items if one.id not in barred),
-            default=0.0,
-        )
-        for server in found:
-            if self._waiting_at(server) <= idlest + self._saved(prompt, server, now_ms):
+        known = self._server(keeper) if keeper is not None else None
+        for server in [known, *self._order(prompt.head)]:
+            if server is not None and server.level == 0 and server.id not in barred:
                 return server
         return None
 
-    def _saved(self, prompt: Prompt, server: Server, now_ms: float) -> float:
-        """Tokens that need not be read there, as far as this router knows: it would make this upstream keep them."""
-        sent_ms = self._kept.get((prompt.head, server.id))
-        if sent_ms is None or now_ms > sent_ms + KEPT_MS:
-            return prompt.head_tokens / 2.0  # a peer may have sent it, or will
-        return prompt.head_tokens
+    def is_ready(self, id_: str) -> bool:
+        """Whether that upstream is ready and heard of."""
+        server = self._server(id_)
+        return server is not None and server.ready and server.id not in self._silent
 
     def _order(self, head: str) -> list[Server]:
         order = self._heads.get(head)
         if order is None:
             ready = [server for server in self._fleet.servers.values() if server.ready]
-            order = sorted(ready, key=lambda server: _weight(head, self._ids[server.id]))[:KEEPERS]
+            order = sorted(ready, key=lambda server: weight(head, self._ids[server.id]))[:KEEPERS]
             self._heads[head] = order
             if len(self._heads) > HEADS_MOST:
                 self._heads.popitem(last=False)
@@ -231,41 +226,22 @@
     def waiting(self) -> dict[str, int]:
         """By engine, the tokens of this router's calls that wait to be read there, to be told to peers."""
         return {
-            self._ids[number]: round(waiting.own_tokens)
+            self._ids[number]: round(waiting.tokens)
             for number, waiting in self._waiting.items()
-            if waiting.own_tokens >= 1.0 and number in self._ids
+            if waiting.tokens >= 1.0 and number in self._ids
         }
 
-    def peers_waiting(self, tokens: Mapping[str, float], now_ms: float) -> None:
-        """By engine, what peers' calls wait to be read; of those not named: nothing."""
-        for number, waiting in self._waiting.items():
-            server = self._fleet.servers.get(number)
-            told = tokens.get(self._ids[number], 0.0) if number in self._ids else 0.0
-            if server is not None and told != waiting.peers_tokens:
-                waiting.peers_tokens = told
-                self._rate(server, now_ms)
-        for id_, told in tokens.items():
-            server = self._server(id_)
-            if server is not None and server.id not in self._waiting:
-                self._waiting[server.id] = _Waiting(peers_tokens=told)
-                self._rate(server, now_ms)
-
-    def _waiting_at(self, server: Server) -> float:
-        waiting = self._waiting.get(server.id)
-        return 0.0 if waiting is None else waiting.own_tokens + waiting.peers_tokens
-
     def _count(self, server: Server, calls: int, tokens: float, now_ms: float) -> None:
         server.others = max(0, server.others + calls)
         if self._engine:
             waiting = self._waiting.setdefault(server.id, _Waiting())
-            waiting.own_tokens = max(0.0, waiting.own_tokens + tokens) if server.others else 0.0
+            waiting.tokens = max(0.0, waiting.tokens + tokens) if server.others else 0.0
         self._rate(server, now_ms)
 
     def _rate(self, server: Server, now_ms: float) -> None:
         """Finds how far the upstream is from idle: 0 earns a token."""
         if self._engine:
-            calls = max(0, server.others - (AWAITING_MOST - 1))
-            server.outstanding = calls + int(self._waiting_at(server) / IDLE_TOKENS)
+            server.outstanding = max(0, server.others - (AWAITING_MOST - 1))
         else:
             server.outstanding = server.others
         self._fleet.earn_token(server, now_ms)
@@ -285,5 +261,6 @@
             self._fleet.withhold(server, now_ms + pause_ms)
 
 
-def _weight(head: str, id_: str) -> bytes:
+def weight(head: str, id_: str) -> bytes:
+    """The place of an upstream in the order of a head: the lowest comes first (highest random weight hashing)."""
     return blake2b(f"{head}/{id_}".encode(), digest_size=8).digest()
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -28,6 +28,7 @@
         known = self.upstreams.get(upstream.id)
         joined = upstream if known is None else join(known, upstream)
         if known is not None and not _differs(known, joined):
+            self.upstreams[upstream.id] = joined  # its sequence alone; others hear of that by the way
             return False
         self._stamp(joined, now_ms)
         return True
@@ -101,6 +102,7 @@
     return (
         known.state is not joined.state
         or known.silent is not joined.silent
+        or known.lapsed != joined.lapsed
         or known.address != joined.address
         or known.service != joined.service
         or known.zone != joined.zone
--- /dev/null
+++ b/packages/registry/tests/test_registry.py
@@ -0,0 +1,178 @@
+"""Records that join, and registries that pull from each other in any order."""
+
+from __future__ import annotations
+
+from random import Random
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+from larkweir_registry import memory
+from larkweir_registry.liveness import Liveness
+from larkweir_registry.records import State, Upstream, join
+from larkweir_registry.registry import GONE_KEPT_MS, Registry
+
+IDS = ("u0", "u1", "u2")
+NAMES = ("a", "b", "c")
+
+
+def upstream(id_: str, sequence: int = 0, state: State = State.READY, lapsed: int = -1) -> Upstream:
+    return Upstream(id_, "s", "127.0.0.1:80", "z", 4, sequence, state, lapsed)
+
+
+upstreams = st.builds(upstream, st.just("u"), st.integers(0, 5), st.sampled_from(State), st.integers(-1, 5))
+
+
+@given(upstreams, upstreams, upstreams)
+def test_a_join_does_not_depend_on_order(one: Upstream, two: Upstream, three: Upstream) -> None:
+    assert join(one, two) == join(two, one)
+    assert join(one, join(two, three)) == join(join(one, two), three)
+    assert join(one, one) == one
+
+
+def test_draining_and_gone_are_never_left() -> None:
+    registry = Registry("a")
+    registry.note(upstream("u", 5, State.DRAINING), 0.0)
+    assert not registry.note(upstream("u", 9, State.READY), 0.0)
+    assert registry.upstreams["u"].state is State.DRAINING
+    assert registry.note(upstream("u", 0, State.GONE), 0.0)
+    assert not registry.note(upstream("u", 99, State.DRAINING), 0.0)
+    assert registry.upstreams["u"].state is State.GONE
+
+
+def test_a_heartbeat_alone_is_no_news_but_the_end_of_a_silence_is() -> None:
+    registry = Registry("a")
+    assert registry.note(upstream("u", 1), 0.0)
+    assert not registry.note(upstream("u", 2), 0.0)
+    assert registry.note(upstream("u", 2, lapsed=2), 0.0)
+    assert registry.upstreams["u"].silent
+    assert registry.note(upstream("u", 3), 0.0)
+    assert not registry.upstreams["u"].silent
+
+
+def pull(reader: Registry, source: Registry) -> None:
+    delta = source.delta(reader.vector)
+    reader.merge(delta, dict(source.vector), 0.0)
+
+
+class Registries(RuleBasedStateMachine):
+    """Three registries that hear different heartbeats and pull from each other, and a reader of all."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.registries = {name: Registry(name) for name in NAMES}
+        self.reader = Registry("")
+        self.all: dict[str, Upstream] = {}
+        self.drained: set[str] = set()
+
+    @rule(
+        name=st.sampled_from(NAMES),
+        id_=st.sampled_from(IDS),
+        sequence=st.integers(0, 9),
+        state=st.sampled_from(State),
+        lapsed=st.integers(-1, 9),
+    )
+    def note(self, name: str, id_: str, sequence: int, state: State, lapsed: int) -> None:
+        said = upstream(id_, sequence, state, lapsed)
+        self.registries[name].note(said, 0.0)
+        known = self.all.get(id_)
+        self.all[id_] = said if known is None else join(known, said)
+
+    @rule(source=st.sampled_from(NAMES), reader=st.sampled_from(NAMES))
+    def exchange(self, source: str, reader: str) -> None:
+        if source != reader:
+            pull(self.registries[reader], self.registries[source])
+
+    @rule(source=st.sampled_from(NAMES))
+    def read(self, source: str) -> None:
+        pull(self.reader, self.registries[source])
+
+    @invariant()
+    def nothing_comes_back(self) -> None:
+        now = {id_ for id_, one in self.reader.upstreams.items() if one.state is not State.READY}
+        assert self.drained <= now
+        self.drained = now
+
+    def teardown(self) -> None:
+        for _ in range(len(NAMES)):
+            for name in NAMES:
+                for other in NAMES:
+                    if name != other:
+                        pull(self.registries[name], self.registries[other])
+        pull(self.reader, self.registries["a"])
+        for id_, joined in self.all.items():
+            for registry in (*self.registries.values(), self.reader):
+                found = registry.upstreams[id_]
+                assert (found.state, found.silent) == (joined.state, joined.silent)
+
+
+TestRegistries = Registries.TestCase
+
+
+def test_whoever_has_all_lacks_nothing() -> None:
+    registry, reader = Registry("a"), Registry("")
+    registry.note(upstream("u", 1), 0.0)
+    assert not registry.covers(reader.vector)
+    pull(reader, registry)
+    assert registry.covers(reader.vector)
+    assert registry.delta(reader.vector) == []
+
+
+def test_what_has_gone_is_dropped_after_long() -> None:
+    registry = Registry("a")
+    registry.note(upstream("u", 1, State.GONE), 0.0)
+    registry.prune(GONE_KEPT_MS - 1.0)
+    assert "u" in registry.upstreams
+    registry.prune(GONE_KEPT_MS)
+    assert registry.upstreams == {}
+    assert registry.delta({}) == []
+
+
+def test_silence_counts_only_where_nobody_heard_and_this_one_was_listening() -> None:
+    liveness = Liveness(1_000.0, 0.0)
+    liveness.heard("u", 1, 0.0)
+    assert liveness.silent(["u"], liveness.patience_ms - 1.0) == []
+    assert liveness.silent(["u"], liveness.patience_ms) == ["u"]
+    liveness.heard_elsewhere({"u": 2}, 3_000.0)
+    assert liveness.silent(["u"], liveness.patience_ms) == []
+    liveness.blinded(10_000.0)
+    assert liveness.silent(["u"], 10_001.0) == []
+    assert liveness.silent(["u"], 10_000.0 + liveness.patience_ms) == ["u"]
+
+
+def test_heartbeats_are_reported_once() -> None:
+    liveness = Liveness(1_000.0, 0.0)
+    liveness.heard("u", 1, 0.0)
+    liveness.heard("u", 1, 5.0)
+    assert liveness.take_report() == {"u": 1}
+    assert liveness.take_report() == {}
+
+
+def test_what_was_left_on_disk_is_found_again() -> None:
+    registry, later = Registry("a/1"), Registry("a/2")
+    registry.note(upstream("u", 7, State.DRAINING), 0.0)
+    assert memory.restore(later, memory.encode(registry), 0.0)
+    assert later.upstreams == registry.upstreams
+
+
+@pytest.mark.parametrize("seed", range(50))
+def test_a_damaged_file_is_noticed(seed: int) -> None:
+    registry, later = Registry("a/1"), Registry("a/2")
+    registry.note(upstream("u", 7), 0.0)
+    data = bytearray(memory.encode(registry))
+    rng = Random(seed)
+    if rng.random() < 0.5:
+        data[rng.randrange(len(data))] ^= 1 << rng.randrange(8)
+    else:
+        del data[rng.randrange(len(data)) :]
+    assert not memory.restore(later, bytes(data), 0.0)
+    assert later.upstreams == {}
+
+
+def test_records_survive_their_encoding() -> None:
+    registry = Registry("a")
+    registry.note(upstream("u", 3, State.DRAINING), 0.0)
+    (record,) = registry.delta({})
+    assert msgspec.json.decode(msgspec.json.encode(record), type=type(record)) == record
