--- a/larkweir/system/controller/prompt_placement.py
+++ b/larkweir/system/controller/prompt_placement.py
@@ -16,7 +16,7 @@
 
 HEADS_MOST = 65_536  # the one that was asked for longest ago is forgotten first
 RECENT_MS = 400.0  # what was placed so lately is not in the reports of waiting prompts yet
-BUSIER_TOKENS = 6_000.0  # that an engine may have waiting above the idlest and still be taken in its turn
+BUSIER_TOKENS = 12_000.0  # that an engine may have waiting above the idlest and still be taken in its turn
 
 Placements = dict[str, str]
 _decoder: msgspec.json.Decoder[Placements] = msgspec.json.Decoder(Placements)
