Operators' commands, status, upstreams and metrics of controllers

Cause: a fleet without a way to look into it. Change: config get/put/patch/check/diff, status, members, upstreams, state; /status, /upstreams, /metrics.

--- a/larkweir/system/cli.py
+++ b/larkweir/system/cli.py
@@ -5,7 +5,7 @@
 import asyncio
 import gc
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import click
 
@@ -15,7 +15,28 @@
 EXIT_DATA = 3
 
 
-@click.group()
+class _Lazy(click.Group):
+    """Operators' commands are imported when one is asked for: a daemon starts without them."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """Names in order."""
+        return sorted([*super().list_commands(ctx), *(str(one.name) for one in _operator_commands())])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """The command of that name, None for none."""
+        found = super().get_command(ctx, cmd_name)
+        if found is not None:
+            return found
+        return next((one for one in _operator_commands() if one.name == cmd_name), None)
+
+
+def _operator_commands() -> Sequence[click.Command]:
+    from larkweir.system.operator_commands import COMMANDS
+
+    return COMMANDS
+
+
+@click.group(cls=_Lazy)
 def main() -> None:
     """A router fleet for a language model."""
 
--- /dev/null
+++ b/larkweir/system/client.py
@@ -0,0 +1,61 @@
+"""Calls of an operator's command to controllers, one after the other until one answers."""
+
+from __future__ import annotations
+
+import http.client
+import itertools
+import time
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from larkweir.system.settings import split_address
+
+SILENCE_S = 1.5
+PAUSE_S = 0.2
+GIVE_UP_S = 10.0
+
+
+class NobodyAnsweredError(RuntimeError):
+    """No controller gave a clear answer in time; a change may or may not be in force."""
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """A clear answer, and who gave it."""
+
+    controller: str
+    status: int
+    body: bytes
+
+
+def call(
+    controllers: Sequence[str], method: str, path: str, body: bytes | None = None, base: int | None = None
+) -> Answer:
+    """The first answer below 500. `base`: the version that a change builds on. Raises NobodyAnsweredError."""
+    headers = {} if base is None else {"If-Match": str(base)}
+    deadline_s = time.monotonic() + GIVE_UP_S
+    reason = "no controller is named"
+    for address in itertools.cycle(controllers):
+        try:
+            answer = _call(address, method, path, body, headers)
+        except (OSError, http.client.HTTPException) as problem:
+            reason = f"{address}: {problem or type(problem).__name__}"
+        else:
+            if answer.status < 500:
+                return answer
+            reason = f"{address}: {answer.status} {answer.body.decode(errors='replace')}"
+        if time.monotonic() >= deadline_s:
+            break
+        time.sleep(PAUSE_S)
+    raise NobodyAnsweredError(reason)
+
+
+def _call(address: str, method: str, path: str, body: bytes | None, headers: dict[str, str]) -> Answer:
+    host, port = split_address(address)
+    connection = http.client.HTTPConnection(host, port, timeout=SILENCE_S)
+    try:
+        connection.request(method, path, body=body, headers=headers)
+        response = connection.getresponse()
+        return Answer(address, response.status, response.read())
+    finally:
+        connection.close()
--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -30,6 +30,7 @@
         self.pulled_ms = 0.0
         self.vector: dict[str, int] = {}  # what it had seen at its last pull
         self.waiting: dict[str, int] = {}  # by engine: what its calls wait for there
+        self.configuration = -1  # the sequence that it had in force then
 
 
 class Distribution:
@@ -97,6 +98,14 @@
         """Routers that are connected."""
         return sum(1 for subscriber in self._subscribers.values() if subscriber.kind is Kind.ROUTER)
 
+    def router_sequences(self) -> dict[str, int]:
+        """By router, the configuration that it had in force at its last pull."""
+        return {
+            one.connection.node: one.configuration
+            for one in self._subscribers.values()
+            if one.kind is Kind.ROUTER
+        }
+
     def pulled(self, connection: Connection, pull: Pull) -> None:
         """A process asks for what it lacks."""
         subscriber = self._subscribers.get(connection)
@@ -104,7 +113,7 @@
             return
         now_ms = self._now_ms()
         subscriber.pull, subscriber.pulled_ms, subscriber.vector = pull, now_ms, pull.vector
-        subscriber.waiting = pull.waiting
+        subscriber.waiting, subscriber.configuration = pull.waiting, pull.config
         if self._ledger.report(connection.life, pull.usage, now_ms):
             self.wake()
         self._confirm()
--- /dev/null
+++ b/larkweir/system/controller/inspection.py
@@ -0,0 +1,143 @@
+"""What a controller tells operators of itself: `/status`, `/upstreams`, `/metrics` of the control address."""
+
+from __future__ import annotations
+
+import msgspec
+from larkweir_registry.records import State
+from larkweir_registry.registry import Registry
+from larkweir_replication.replica import Replica
+
+from larkweir.system.controller.distribution import Distribution
+from larkweir.system.http_server import Response
+
+
+class RouterStatus(msgspec.Struct, frozen=True):
+    """A router that is connected. `behind`: how many sequences its configuration is older than this controller's."""
+
+    node: str
+    configuration: int
+    behind: int
+
+
+class Status(msgspec.Struct, frozen=True):
+    """What `/status` gives."""
+
+    node: str
+    role: str
+    primary: str | None
+    epoch: int
+    sequence: int
+    members: list[str]
+    changing_members: bool
+    linked: list[str]
+    configuration: int
+    upstreams_ready: int
+    routers: list[RouterStatus]
+
+
+class UpstreamStatus(msgspec.Struct, frozen=True):
+    """What `/upstreams` gives of each."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    state: str
+    silent: bool
+    sequence: int
+    waiting_tokens: int
+
+
+class Inspection:
+    """Reads the parts of a controller; changes nothing."""
+
+    def __init__(self, node: str, replica: Replica, registry: Registry, distribution: Distribution) -> None:
+        """All are the controller's own."""
+        self._node = node
+        self._replica = replica
+        self._registry = registry
+        self._distribution = distribution
+
+    def status(self, linked: list[str]) -> Status:
+        """`linked`: the controllers to which there is a connection."""
+        replica, distribution = self._replica, self._distribution
+        accepted, committed = replica.accepted, replica.committed
+        routers = [
+            RouterStatus(node, sequence, distribution.sequence - sequence)
+            for node, sequence in sorted(distribution.router_sequences().items())
+        ]
+        return Status(
+            node=self._node,
+            role=replica.status.value,
+            primary=replica.primary,
+            epoch=replica.promised.number,
+            sequence=committed.sequence if committed else -1,
+            members=list(accepted.members) if accepted else [],
+            changing_members=bool(accepted and accepted.previous_members),
+            linked=linked,
+            configuration=distribution.sequence,
+            upstreams_ready=self._count(State.READY),
+            routers=routers,
+        )
+
+    def _count(self, state: State) -> int:
+        return sum(1 for one in self._registry.upstreams.values() if one.state is state and not one.silent)
+
+    def upstreams(self) -> list[UpstreamStatus]:
+        """All that are known, those that have gone included for a while."""
+        return [
+            UpstreamStatus(
+                one.id,
+                one.service,
+                one.address,
+                one.zone,
+                one.state.name.lower(),
+                one.silent,
+                one.sequence,
+                self._distribution.waiting.get(one.id, 0),
+            )
+            for one in sorted(self._registry.upstreams.values(), key=lambda one: (one.service, one.id))
+        ]
+
+    def answer_status(self, linked: list[str]) -> Response:
+        """For `GET /status`."""
+        return Response(200, msgspec.json.encode(self.status(linked)))
+
+    def answer_upstreams(self) -> Response:
+        """For `GET /upstreams`."""
+        return Response(200, msgspec.json.encode(self.upstreams()))
+
+    def answer_metrics(self, linked: list[str]) -> Response:
+        """For `GET /metrics`, in the text format of Prometheus."""
+        from prometheus_client import (
+            CollectorRegistry,
+            Gauge,
+            generate_latest,
+        )  # only whoever asks pays for it
+
+        status = self.status(linked)
+        figures = {
+            "primary": ("1 where this controller is the primary", status.primary == self._node),
+            "epoch": ("epoch that this controller has promised", status.epoch),
+            "sequence": ("sequence of the last committed state", status.sequence),
+            "members": ("controllers that vote", len(status.members)),
+            "linked_controllers": ("controllers that this one has a connection to", len(status.linked)),
+            "routers": ("routers that are connected", len(status.routers)),
+            "router_lag_max": (
+                "sequences that the oldest configuration of a router is behind",
+                max((router.behind for router in status.routers), default=0),
+            ),
+            "upstreams_ready": ("upstreams that are ready and heard of", status.upstreams_ready),
+            "upstreams_silent": (
+                "upstreams whose heartbeats have stopped",
+                sum(one.silent for one in self._registry.upstreams.values()),
+            ),
+            "waiting_tokens": (
+                "prompt tokens that wait to be read",
+                sum(self._distribution.waiting.values()),
+            ),
+        }
+        registry = CollectorRegistry()
+        for name, (text, value) in figures.items():
+            Gauge(f"larkweir_{name}", text, registry=registry).set(float(value))
+        return Response(200, generate_latest(registry), "text/plain; version=0.0.4")
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -21,6 +21,7 @@
 
 from larkweir.system import log, settings_watch
 from larkweir.system.controller.distribution import Distribution
+from larkweir.system.controller.inspection import Inspection
 from larkweir.system.controller.instances_api import PATH, InstancesApi
 from larkweir.system.controller.operator_api import OperatorApi
 from larkweir.system.controller.prompt_placement import PromptPlacement
@@ -70,6 +71,8 @@
         self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
         self._operator = OperatorApi(self._call_primary)
         self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
+        replica = self._driver.replica
+        self._inspection = Inspection(settings.ip, replica, self._registry, self._distribution)
         self._placement = PromptPlacement()
         self._recall()
         self._remembered = dict(self._registry.vector)
@@ -328,4 +331,14 @@
             if request.method in ("PUT", "PATCH"):
                 return await self._operator.change(request)
             return Response(405)
+        if request.method == "GET" and path in ("/status", "/upstreams", "/metrics"):
+            return self._inspect(path)
         return Response(404)
+
+    def _inspect(self, path: str) -> Response:
+        linked = sorted(node for node, link in self._links.items() if link.connection is not None)
+        if path == "/status":
+            return self._inspection.answer_status(linked)
+        if path == "/upstreams":
+            return self._inspection.answer_upstreams()
+        return self._inspection.answer_metrics(linked)
--- /dev/null
+++ b/larkweir/system/operator_commands.py
@@ -0,0 +1,198 @@
+"""Commands for operators: the configuration, who is there, and what a data folder holds."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from larkweir_replication.journal import FolderFiles, Journal
+
+from larkweir.system.client import Answer, NobodyAnsweredError, call
+from larkweir.system.configuration.documents import difference
+from larkweir.system.configuration.schema import problem_of
+
+CONTROLLERS_VARIABLE = "LARKWEIR_CONTROLLERS"
+EXIT_REFUSED = 1
+EXIT_NOBODY = 3
+EXIT_DAMAGED = 4
+
+at = click.option(
+    "--at",
+    "controllers",
+    envvar=CONTROLLERS_VARIABLE,
+    required=True,
+    metavar="HOST:PORT,...",
+    help=f"control addresses of controllers; also from {CONTROLLERS_VARIABLE}",
+)
+as_json = click.option("--json", "raw", is_flag=True, help="print JSON")
+
+
+def _call(
+    controllers: str, method: str, path: str, body: bytes | None = None, base: int | None = None
+) -> Answer:
+    try:
+        return call([one.strip() for one in controllers.split(",")], method, path, body, base)
+    except NobodyAnsweredError as problem:
+        click.echo(f"no answer: {problem}", err=True)
+        sys.exit(EXIT_NOBODY)
+
+
+def _must(answer: Answer) -> Any:
+    """The answer's JSON; ends the command where it was refused."""
+    found = msgspec.json.decode(answer.body) if answer.body else {}
+    if answer.status >= 300:
+        detail = found.get("error", "") if isinstance(found, dict) else ""
+        click.echo(f"{answer.controller} refused it: {answer.status} {detail}".rstrip(), err=True)
+        sys.exit(EXIT_REFUSED)
+    return found
+
+
+def _document(path: str) -> dict[str, Any]:
+    try:
+        found = msgspec.json.decode(Path(path).read_bytes())
+    except (OSError, msgspec.DecodeError) as problem:
+        click.echo(f"{path}: {problem}", err=True)
+        sys.exit(EXIT_REFUSED)
+    if not isinstance(found, dict):
+        click.echo(f"{path}: no object", err=True)
+        sys.exit(EXIT_REFUSED)
+    return found
+
+
+def _print_json(found: object) -> None:
+    click.echo(msgspec.json.format(msgspec.json.encode(found), indent=2).decode())
+
+
+@click.group()
+def config() -> None:
+    """The configuration in force."""
+
+
+@config.command("get")
+@at
+def config_get(controllers: str) -> None:
+    """Prints the newest configuration."""
+    _print_json(_must(_call(controllers, "GET", "/config")))
+
+
+@config.command("put")
+@at
+@click.option("--base", type=int, required=True, help="the version it builds on; 0 for the first")
+@click.argument("file", type=click.Path(dir_okay=False))
+def config_put(controllers: str, base: int, file: str) -> None:
+    """Replaces the whole configuration by FILE."""
+    _change(controllers, "PUT", base, file)
+
+
+@config.command("patch")
+@at
+@click.option("--base", type=int, required=True, help="the version it builds on")
+@click.argument("file", type=click.Path(dir_okay=False))
+def config_patch(controllers: str, base: int, file: str) -> None:
+    """Changes the items that FILE names."""
+    _change(controllers, "PATCH", base, file)
+
+
+def _change(controllers: str, method: str, base: int, file: str) -> None:
+    document = _document(file)
+    _must(_call(controllers, method, "/config", msgspec.json.encode(document), base))
+    click.echo(f"version {document.get('generation')} is acknowledged")
+
+
+@config.command("check")
+@click.argument("file", type=click.Path(dir_okay=False))
+def config_check(file: str) -> None:
+    """Whether FILE is a valid configuration; names the first fault."""
+    problem = problem_of(_document(file))
+    if problem is not None:
+        click.echo(f"{file}: {problem}", err=True)
+        sys.exit(EXIT_REFUSED)
+    click.echo(f"{file} is valid")
+
+
+@config.command("diff")
+@click.argument("old", type=click.Path(dir_okay=False))
+@click.argument("new", type=click.Path(dir_okay=False))
+def config_diff(old: str, new: str) -> None:
+    """Prints the patch that makes NEW of OLD."""
+    _print_json(difference(_document(old), _document(new)))
+
+
+@click.command()
+@at
+@as_json
+def status(controllers: str, raw: bool) -> None:
+    """Who leads, in which epoch, and how far routers are behind, as each controller sees it."""
+    found = [_must(_call(one, "GET", "/status")) for one in controllers.split(",")]
+    if raw:
+        _print_json(found)
+        return
+    for one in found:
+        behind = max((router["behind"] for router in one["routers"]), default=0)
+        click.echo(
+            f"{one['node']}: {one['role']}, primary {one['primary'] or 'unknown'}, epoch {one['epoch']}, "
+            f"sequence {one['sequence']}, {len(one['members'])} members, {len(one['linked'])} linked, "
+            f"{one['upstreams_ready']} upstreams ready, {len(one['routers'])} routers, at most {behind} behind"
+        )
+
+
+@click.command()
+@at
+@as_json
+def members(controllers: str, raw: bool) -> None:
+    """The controllers that vote."""
+    found = _must(_call(controllers, "GET", "/status"))
+    if raw:
+        _print_json(found["members"])
+        return
+    for node in found["members"]:
+        click.echo(f"{node}{' (primary)' if node == found['primary'] else ''}")
+
+
+@click.command()
+@at
+@as_json
+def upstreams(controllers: str, raw: bool) -> None:
+    """All upstreams that a controller knows."""
+    found = _must(_call(controllers, "GET", "/upstreams"))
+    if raw:
+        _print_json(found)
+        return
+    for one in found:
+        silent = ", silent" if one["silent"] else ""
+        click.echo(f"{one['id']} {one['service']} {one['address']} {one['zone']} {one['state']}{silent}")
+
+
+@click.command()
+@click.argument("folder", type=click.Path(file_okay=False, exists=True))
+@as_json
+def state(folder: str, raw: bool) -> None:
+    """What the data FOLDER of a controller holds, and whether it is whole. Reads only."""
+    journal = Journal(FolderFiles(os.path.join(folder, "replica")))
+    newest = journal.newest
+    if newest is None or newest.snapshot is None:
+        click.echo(f"{folder}: nothing whole is there, {journal.dropped} bytes are damaged", err=True)
+        sys.exit(EXIT_DAMAGED)
+    found = {
+        "promised": newest.promised.number,
+        "epoch": newest.snapshot.epoch.number,
+        "sequence": newest.snapshot.sequence,
+        "members": newest.snapshot.members,
+        "changes_remembered": len(newest.snapshot.taken),
+        "value_bytes": len(newest.snapshot.value),
+        "damaged_bytes": journal.dropped,
+    }
+    if raw:
+        _print_json(found)
+        return
+    for name, value in found.items():
+        shown = ", ".join(value) if isinstance(value, tuple) else value
+        click.echo(f"{name.replace('_', ' ')}: {shown}")
+
+
+COMMANDS: Sequence[click.Command] = (config, status, members, upstreams, state)
--- a/packages/replication/src/larkweir_replication/journal.py
+++ b/packages/replication/src/larkweir_replication/journal.py
@@ -40,8 +40,7 @@
     """`Files` of a folder on disk."""
 
     def __init__(self, folder: str) -> None:
-        """Makes the folder where it is missing."""
-        os.makedirs(folder, exist_ok=True)
+        """The first write makes the folder where it is missing."""
         self._folder = folder
 
     def read(self, name: str) -> bytes:
@@ -51,6 +50,7 @@
 
     def append(self, name: str, at: int, data: bytes) -> None:
         """Cuts the file to `at` bytes, writes `data` behind and syncs the file; a new name lasts with the folder."""
+        os.makedirs(self._folder, exist_ok=True)
         path = os.path.join(self._folder, name)
         descriptor = os.open(path, os.O_RDWR | os.O_CREAT, 0o600)
         try:
