--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -15,6 +15,8 @@
 
 HOLD_MS = 100.0  # a pull is answered after it, with or without news
 HOLD_MS_PER_ROUTER = 2.0  # where that is longer, so that a controller's work stays the same
+BUSY_TOKENS = 4_000  # that wait at an engine, from which routers are told
+BUSIEST_MOST = 32  # engines that they are told of
 GATHER_S = 0.005  # changes that come together are told together
 HISTORY_MOST = 32  # configurations that a delta can build on
 
@@ -49,6 +51,7 @@
         self.waiting: dict[
             str, int
         ] = {}  # by engine, of all routers together: prompt tokens that wait to be read
+        self._busiest: dict[str, int] = {}
         self._waking: asyncio.TimerHandle | None = None
         self._confirmations: list[tuple[int, asyncio.Future[None]]] = []
 
@@ -163,6 +166,7 @@
             controllers=self._controllers(),
             routers=max(1, self.routers),
             quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
+            waiting=self._waiting_elsewhere(subscriber) if is_router else {},
         )
         subscriber.connection.send(delta)
 
@@ -174,6 +178,13 @@
             for engine, tokens in subscriber.waiting.items():
                 total[engine] = total.get(engine, 0) + tokens
         self.waiting = total
+        busy = [one for one in total.items() if one[1] >= BUSY_TOKENS]
+        self._busiest = dict(sorted(busy, key=lambda one: -one[1])[:BUSIEST_MOST])
+
+    def _waiting_elsewhere(self, subscriber: Subscriber) -> dict[str, int]:
+        own = subscriber.waiting
+        left = {engine: tokens - own.get(engine, 0) for engine, tokens in self._busiest.items()}
+        return {engine: tokens for engine, tokens in left.items() if tokens > 0}
 
     # Confirmation that news has arrived
 
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -220,7 +220,7 @@
                 if connection.node:
                     self._driver.receive(connection.node, message.message)
             case Place():
-                connection.send(Placed(message.head, self._place(message)))
+                connection.send(self._place(message))
             case Heard():
                 self._liveness.heard_elsewhere(message.sequences, self._now_ms())
             case Forward():
@@ -276,13 +276,14 @@
 
     # Upstreams
 
-    def _place(self, message: Place) -> str | None:
+    def _place(self, message: Place) -> Placed:
         ready = [
             upstream.id
             for upstream in self._registry.upstreams.values()
             if upstream.service == message.service and upstream.state is State.READY and not upstream.silent
         ]
-        return self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
+        found = self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
+        return Placed(message.head, None) if found is None else Placed(message.head, *found)
 
     def _report_heartbeats(self) -> None:
         report = self._liveness.take_report()
--- a/larkweir/system/controller/prompt_placement.py
+++ b/larkweir/system/controller/prompt_placement.py
@@ -9,6 +9,7 @@
 
 from collections import OrderedDict
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 import msgspec
 
@@ -22,6 +23,13 @@
 _decoder: msgspec.json.Decoder[Placements] = msgspec.json.Decoder(Placements)
 
 
+class Placement(NamedTuple):
+    """Where a head is kept, and whether it was there before."""
+
+    engine: str
+    kept: bool
+
+
 class PromptPlacement:
     """The heads that this controller has placed. Times are milliseconds that only rise."""
 
@@ -38,13 +46,15 @@
 
     def place(
         self, head: str, tokens: float, ready: Sequence[str], known: str | None, now_ms: float
-    ) -> str | None:
+    ) -> Placement | None:
         """The engine that keeps the head; None where none is ready.
 
         `tokens`: of the prompt. `known`: where the router that asks has sent it before.
         """
         engine = self._engines.get(head)
-        if engine is None or engine not in ready:
+        kept = engine is not None and engine in ready
+        if engine is None or not kept:
+            kept = known in ready
             engine = known if known in ready else self._choose(head, ready, now_ms)
             if engine is None:
                 return None
@@ -54,7 +64,7 @@
             if len(self._engines) > HEADS_MOST:
                 self._engines.popitem(last=False)
         self._engines.move_to_end(head)
-        return engine
+        return Placement(engine, kept)
 
     def _choose(self, head: str, ready: Sequence[str], now_ms: float) -> str | None:
         if not ready:
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -57,6 +57,7 @@
     controllers: list[str] = []
     routers: int = 1
     quotas: dict[str, Statement] = {}
+    waiting: dict[str, int] = {}  # by engine: the same of all other routers, of the busiest engines
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
@@ -98,10 +99,11 @@
 
 
 class Placed(msgspec.Struct, frozen=True, tag="placed"):
-    """The answer; `engine` is None where none is ready."""
+    """The answer; `engine` is None where none is ready. `kept`: the head was placed there before."""
 
     head: str
     engine: str | None
+    kept: bool = False
 
 
 Message = Hello | Ping | Pull | Delta | Replication | Heard | Forward | Forwarded | Place | Placed
--- a/larkweir/system/router/data_plane.py
+++ b/larkweir/system/router/data_plane.py
@@ -95,6 +95,11 @@
             found.update(balancer.waiting())
         return found
 
+    def peers_waiting(self, tokens: dict[str, float]) -> None:
+        """The same of all other routers together, as last told."""
+        for balancer in self._balancers.values():
+            balancer.peers_waiting(tokens)
+
     def update_upstreams(self, changed: list[Upstream], now_ms: float) -> None:
         """What the registry says of these is new."""
         services = set()
--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -15,6 +15,7 @@
 from larkweir.system.router.client_request import HOP_BY_HOP, ClientRequest, Headers, UpstreamHeaders
 from larkweir.system.router.configuration import Route, Tenant
 from larkweir.system.router.event_stream import EventBuffer
+from larkweir.system.router.prompt_keepers import Keeper
 from larkweir.system.router.upstream_call import Ending, UpstreamConnection
 from mulleinhitch.interface import Outcome
 
@@ -84,7 +85,7 @@
         self._tenant: Tenant | None = None
         self._units = 0.0
         self._service = ""
-        self._keeper: str | None = None
+        self._keeper: Keeper | None = None
         self._attempt: _Attempt | None = None
         self._tried: set[str] = set()
         self._sent = 0  # attempts that were written
@@ -141,7 +142,7 @@
         self._become(State.PLACING)
         plane.keepers.find(self._service, prompt, plane.balancer(self._service).is_ready, self._placed)
 
-    def _placed(self, keeper: str | None) -> None:
+    def _placed(self, keeper: Keeper | None) -> None:
         if self._state is State.PLACING:
             self._keeper = keeper
             self._try()
@@ -152,14 +153,17 @@
         """Goes to the next upstream, or answers where there is none to go to."""
         assert self._route is not None
         balancer = self._plane.balancer(self._service)
-        instance = balancer.choose(self._prompt, self._tried, self._now_ms(), self._keeper)
+        instance = balancer.choose(
+            self._prompt, self._tried, self._now_ms(), self._keeper.engine if self._keeper else None
+        )
         if instance is None:
             self._give_up()
             return
         self._tried.add(instance)
         self._attempt = _Attempt(instance, self._plane.address(instance))
         self._become(State.CONNECTING)
-        self._attempt.tokens = balancer.started(instance, self._prompt, self._now_ms())
+        kept = self._keeper is not None and self._keeper.kept and self._keeper.engine == instance
+        self._attempt.tokens = balancer.started(instance, self._prompt, self._now_ms(), kept=kept)
         self._attempt.counted = True
         connection = self._plane.pool.take(self._attempt.address)
         if connection is not None:
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -30,6 +30,7 @@
         self._links: dict[str, Link] = {}
         self._controllers: set[str] = set(settings.seed_nodes)
         self._routers: dict[str, int] = {}
+        self._waiting: dict[str, dict[str, int]] = {}  # by controller: what it said last
         self._answered: set[str] = set()
         self._configured_ms: float | None = None
         plane.keepers.ask = self._ask
@@ -84,6 +85,7 @@
 
     def _lost(self, node: str) -> None:
         self._routers.pop(node, None)
+        self._waiting.pop(node, None)
         log.detail("link_lost", to=node)
 
     def _pull(self, connection: Connection) -> None:
@@ -93,7 +95,7 @@
 
     def _came(self, connection: Connection, message: Message) -> None:
         if isinstance(message, Placed):
-            self._plane.keepers.placed(message.head, message.engine, self._now_ms())
+            self._plane.keepers.placed(message, self._now_ms())
         elif isinstance(message, Delta):
             self._pulled(connection, message)
 
@@ -109,9 +111,19 @@
         self._routers[connection.node] = message.routers
         plane.share_with(max(self._routers.values()))
         plane.quotas.heard(connection.node, message.quotas, now_ms)
+        self._waiting[connection.node] = message.waiting
+        plane.peers_waiting(self._most_waiting())
         self._answered.add(connection.node)
         self._pull(connection)
 
+    def _most_waiting(self) -> dict[str, float]:
+        """By engine the most that a controller tells: each hears only those routers that reach it."""
+        most: dict[str, float] = {}
+        for told in self._waiting.values():
+            for engine, tokens in told.items():
+                most[engine] = max(most.get(engine, 0.0), float(tokens))
+        return most
+
     def _configuration_changed(self) -> None:
         table = self._plane.configuration.table
         assert table is not None
--- a/larkweir/system/router/prompt_keepers.py
+++ b/larkweir/system/router/prompt_keepers.py
@@ -6,8 +6,9 @@
 from collections import OrderedDict
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
-from larkweir.system.messages import Place
+from larkweir.system.messages import Place, Placed
 from mulleinhitch.engines import Prompt
 
 ANSWER_S = 0.015  # a controller answers in a few milliseconds; without it the head's own order decides
@@ -15,16 +16,23 @@
 HEADS_MOST = 16_384
 
 
+class Keeper(NamedTuple):
+    """The engine that keeps a head, and whether it was sent there before."""
+
+    engine: str
+    kept: bool
+
+
 @dataclass(slots=True)
 class _Known:
-    engine: str
+    keeper: Keeper
     until_ms: float
 
 
 @dataclass(slots=True)
 class _Question:
     timer: asyncio.TimerHandle
-    waiting: list[Callable[[str | None], None]] = field(default_factory=list)
+    waiting: list[Callable[[Keeper | None], None]] = field(default_factory=list)
 
 
 class PromptKeepers:
@@ -42,7 +50,7 @@
         service: str,
         prompt: Prompt,
         is_ready: Callable[[str], bool],
-        then: Callable[[str | None], None],
+        then: Callable[[Keeper | None], None],
     ) -> None:
         """Calls `then` with the engine that keeps the head, at once where that is known, else within `ANSWER_S`.
 
@@ -50,36 +58,36 @@
         """
         known = self._known.get(prompt.head)
         now_ms = self._loop.time() * 1000.0
-        if known is not None and now_ms < known.until_ms and is_ready(known.engine):
-            then(known.engine)
+        if known is not None and now_ms < known.until_ms and is_ready(known.keeper.engine):
+            then(known.keeper)
             return
-        question = self._open.get(prompt.head)
-        if question is not None:
-            question.waiting.append(then)
+        asked = self._open.get(prompt.head)
+        if asked is not None:
+            asked.waiting.append(then)
             return
-        before = known.engine if known is not None and is_ready(known.engine) else None
-        if not self.ask(Place(service, prompt.head, prompt.tokens, before)):
+        before = known.keeper if known is not None and is_ready(known.keeper.engine) else None
+        question = Place(service, prompt.head, prompt.tokens, before.engine if before is not None else None)
+        if not self.ask(question):
             then(before)
             return
-        timer = self._loop.call_later(ANSWER_S, self._unanswered, prompt.head, before)
+        timer = self._loop.call_later(ANSWER_S, self._answer, prompt.head, before)
         self._open[prompt.head] = _Question(timer, [then])
 
-    def placed(self, head: str, engine: str | None, now_ms: float) -> None:
+    def placed(self, answer: Placed, now_ms: float) -> None:
         """A controller's answer."""
-        if engine is not None:
-            self._known[head] = _Known(engine, now_ms + KNOWN_MS)
-            self._known.move_to_end(head)
-            if len(self._known) > HEADS_MOST:
-                self._known.popitem(last=False)
-        self._answer(head, engine)
-
-    def _unanswered(self, head: str, before: str | None) -> None:
-        self._answer(head, before)
+        if answer.engine is None:
+            self._answer(answer.head, None)
+            return
+        self._known[answer.head] = _Known(Keeper(answer.engine, kept=True), now_ms + KNOWN_MS)
+        self._known.move_to_end(answer.head)
+        if len(self._known) > HEADS_MOST:
+            self._known.popitem(last=False)
+        self._answer(answer.head, Keeper(answer.engine, answer.kept))
 
-    def _answer(self, head: str, engine: str | None) -> None:
+    def _answer(self, head: str, keeper: Keeper | None) -> None:
         question = self._open.pop(head, None)
         if question is None:
             return
         question.timer.cancel()
         for then in question.waiting:
-            then(engine)
+            then(keeper)
--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -3,7 +3,8 @@
 PULL with the token list of `servers`: a request goes to an upstream drawn uniformly from the token holders, and where
 none holds a token to a uniformly random ready one. A token says that this router believes the upstream idle. For an
 ordinary service that is: none of this router's calls is outstanding there. A model engine runs many requests at once
-and is held up by the prompts it reads: there it is that few of this router's calls wait for their first event.
+and is held up by the prompts it reads: there it is that few of this router's calls wait for their first event, and
+that the prompts which wait there, peers' included, are read in a moment.
 
 Among holders of a model's service, the one that keeps the head of the prompt comes first: reading it again elsewhere
 costs more than waiting. What an engine keeps is told by nobody; the fleet remembers where a head was placed (`keeper`),
@@ -23,6 +24,8 @@
 from mulleinhitch.servers import DrawList, Fleet, Server, draw
 
 AWAITING_MOST = 4  # own calls before their first event, from which an engine is not believed idle
+BUSY_TOKENS = 12_000.0  # of prompts that wait at an engine, from which small requests go elsewhere
+HEAD_PATIENCE = 2.0  # times the head of a prompt more, for a request whose head is kept there
 KEEPERS = 2  # upstreams that keep one head, as far as tokens allow; further ones would read it again
 HEADS_MOST = 4_096  # of which the order is remembered
 KEPT_MOST = 16_384  # pairs of a head and an upstream that was sent it
@@ -61,9 +64,15 @@
 
 @dataclass(slots=True)
 class _Waiting:
-    """This router's calls before their first event, at one engine."""
+    """Prompts that wait to be read at one engine: this router's, and its peers' as last told."""
 
     tokens: float = 0.0
+    peers_tokens: float = 0.0
+
+    @property
+    def total(self) -> float:
+        """Of all routers, as far as is known."""
+        return self.tokens + self.peers_tokens
 
 
 class EngineBalancer:
@@ -132,9 +141,12 @@
         self._fleet.give_back(now_ms)
         barred = {self._numbers[id_] for id_ in excluded if id_ in self._numbers} | self._silent
         holders = self._fleet.levels[0]
+        busy = barred | self._busy_for(prompt)
         server = (
-            self._keeper(prompt, barred, keeper)
-            or self._draw_linked(holders, barred)
+            self._keeper(prompt, busy, keeper)
+            or self._draw_linked(holders, busy)
+            or self._draw(holders, busy)
+            or self._keeper(prompt, barred, keeper)
             or self._draw(holders, barred)
             or self._draw_ready(barred, now_ms)
         )
@@ -142,6 +154,14 @@
             server = self._draw_ready(barred - self._silent, now_ms)
         return None if server is None else self._ids[server.id]
 
+    def _busy_for(self, prompt: Prompt) -> set[int]:
+        """Engines where so much waits to be read that a token means nothing to this request.
+
+        A head that is kept there is worth waiting for, as far as reading it anew elsewhere would cost.
+        """
+        most = BUSY_TOKENS + HEAD_PATIENCE * (prompt.head_tokens if prompt.is_shared else 0.0)
+        return {number for number, waiting in self._waiting.items() if waiting.total > most}
+
     def _keeper(self, prompt: Prompt, barred: Collection[int], keeper: str | None) -> Server | None:
         """Among token holders, the one that keeps the head of the prompt."""
         if not prompt.is_shared:
@@ -201,14 +221,17 @@
 
     # Own calls and what peers tell of theirs
 
-    def started(self, id_: str, prompt: Prompt, now_ms: float) -> float:
-        """A call is sent there: that spends a token. The tokens to be read for it, which `returned` wants back."""
+    def started(self, id_: str, prompt: Prompt, now_ms: float, *, kept: bool = False) -> float:
+        """A call is sent there: that spends a token. The tokens to be read for it, which `returned` wants back.
+
+        `kept`: the fleet has sent the head of its prompt there before.
+        """
         server = self._server(id_)
         if server is None:
             return 0.0
         tokens = prompt.tokens
         if prompt.head:
-            if (prompt.head, server.id) in self._kept:
+            if kept or (prompt.head, server.id) in self._kept:
                 tokens = max(0.0, tokens - prompt.head_tokens)
             self._kept[(prompt.head, server.id)] = now_ms
             self._kept.move_to_end((prompt.head, server.id))
@@ -231,6 +254,15 @@
             if waiting.tokens >= 1.0 and number in self._ids
         }
 
+    def peers_waiting(self, tokens: Mapping[str, float]) -> None:
+        """By engine, the same of all peers together, as last told; of those not named: nothing."""
+        for waiting in self._waiting.values():
+            waiting.peers_tokens = 0.0
+        for id_, told in tokens.items():
+            number = self._numbers.get(id_)
+            if number is not None:
+                self._waiting.setdefault(number, _Waiting()).peers_tokens = told
+
     def _count(self, server: Server, calls: int, tokens: float, now_ms: float) -> None:
         server.others = max(0, server.others + calls)
         if self._engine:
