--- a/larkweir/system/cli.py
+++ b/larkweir/system/cli.py
@@ -57,6 +57,14 @@
     _run(lambda settings: Controller(settings).run())
 
 
+@main.command()
+def demo() -> None:
+    """Starts a small fleet on this machine and prints what to try."""
+    from larkweir.system.demo import play
+
+    asyncio.run(play())
+
+
 def _run(serve: Callable[[Settings], Awaitable[None]]) -> None:
     """Reads the settings and serves until told to stop; a bad file is one line and exit code 2."""
     import uvloop
--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -46,7 +46,7 @@
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
             self.connection = h11.Connection(h11.CLIENT)
-        named = [("Host", "a.example"), ("Content-Length", str(len(body)))]
+        named = [("Host", headers.pop("Host", "a.example")), ("Content-Length", str(len(body)))]
         named += [(name.replace("_", "-"), value) for name, value in headers.items()]
         out = self.connection.send(h11.Request(method=method, target=target, headers=named)) or b""
         out += self.connection.send(h11.Data(data=body)) or b""
