Refused writes are asked for again; bodies may take their time; former controllers are forgotten

Cause: a refused write left those before it marked as under way, so the same state was never written again (test: a state that a full disk refused). Bodies were held to the header's time-out. Upstreams long gone and replaced controllers were kept for ever.

--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -49,6 +49,8 @@
 UPSTREAMS_HINT = "upstreams.hint"
 PLACEMENTS_HINT = "placements.hint"
 PLACEMENTS_EVERY_TICKS = 25
+TIDY_EVERY_TICKS = 250
+FORGET_FAILURES = 60  # dials in a row, about a minute, until a node that is no member is forgotten
 MAX_BODY_BYTES = 8 * 1024 * 1024
 BACKLOG = 1_024
 
@@ -160,6 +162,8 @@
         if count % HEARD_EVERY_TICKS == 0:
             self._report_heartbeats()
             self._judge_silence()
+        if count % TIDY_EVERY_TICKS == 0:
+            self._tidy()
         self._remember(count)
         self._placement.busy_with(self._distribution.waiting)
 
@@ -172,6 +176,19 @@
         if placements is not None:
             self._placement.restore(placements)
 
+    def _tidy(self) -> None:
+        """Drops what nobody needs any more: upstreams long gone, nodes that were controllers once."""
+        self._registry.prune(self._now_ms())
+        replica = self._driver.replica
+        if replica.accepted is None:
+            return
+        named = {*replica.accepted.members, *replica.accepted.previous_members, *self.settings.seed_nodes}
+        for node, link in list(self._links.items()):
+            if node not in named and link.connection is None and link.failures >= FORGET_FAILURES:
+                link.close()
+                del self._links[node]
+                replica.known.discard(node)
+
     def _remember(self, count: int) -> None:
         """Leaves on disk what has changed of upstreams and, less often, of placements."""
         if self._registry.vector != self._remembered:
--- a/larkweir/system/links.py
+++ b/larkweir/system/links.py
@@ -139,6 +139,7 @@
         self._dial_at_ms = 0.0
         self._pause_ms = REDIAL_MS
         self.connection: Connection | None = None
+        self.failures = 0  # dials in a row that made no connection
 
     def keep_alive(self) -> None:
         """To be called several times a second: dials where there is no connection."""
@@ -165,8 +166,9 @@
         try:
             async with asyncio.timeout(CONNECT_MS / 1000.0):
                 await self._loop.create_connection(self._new, self.node, self._port)
-            self._pause_ms = REDIAL_MS
+            self._pause_ms, self.failures = REDIAL_MS, 0
         except (OSError, TimeoutError):
+            self.failures += 1
             self._retry_later()
         finally:
             self._dialling = None
--- a/larkweir/system/router/client_connection.py
+++ b/larkweir/system/router/client_connection.py
@@ -108,6 +108,10 @@
             self._timer.cancel()
             self._timer = None
 
+    def _wait_for_body(self) -> None:
+        self._start_timer(self._limits.idle_timeout_ms, self._too_slow)
+        self._timer_is_idle = False
+
     def _too_slow(self) -> None:
         self._refuse(ErrorKind.CLIENT_TOO_SLOW)
 
@@ -146,6 +150,7 @@
                     self._refuse(ErrorKind.BODY_TOO_LARGE)
                     return
                 self._body.append(bytes(event.data))
+                self._wait_for_body()
             elif isinstance(event, h11.EndOfMessage):
                 self._begin()
             else:
@@ -161,6 +166,7 @@
                 self._refuse(ErrorKind.BODY_TOO_LARGE)
                 return False
         if self._h11.they_are_waiting_for_100_continue and self._transport is not None:
+            self._wait_for_body()
             informational = h11.InformationalResponse(status_code=100, headers=[])
             self._transport.write(self._h11.send(informational) or b"")
         return True
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -14,6 +14,7 @@
 from larkweir.system.settings import Settings
 from mulleinhitch.engines import weight
 
+FORGET_FAILURES = 60  # dials in a row, about a minute
 SETTLE_MS = 400.0  # after the first configuration, for another controller to know a newer one
 
 
@@ -29,6 +30,7 @@
         self._registry = Registry("")
         self._links: dict[str, Link] = {}
         self._controllers: set[str] = set(settings.seed_nodes)
+        self._named: set[str] = set()  # controllers, by the last answer
         self._routers: dict[str, int] = {}
         self._waiting: dict[str, dict[str, int]] = {}  # by controller: what it said last
         self._answered: set[str] = set()
@@ -45,6 +47,17 @@
                 self._links[node] = Link(node, self._settings.peer_port, self._came, self._made, self._lost)
         for link in self._links.values():
             link.keep_alive()
+        self._forget()
+
+    def _forget(self) -> None:
+        """Gives up nodes that no controller names any more and that do not answer."""
+        named = self._named | set(self._settings.seed_nodes)
+        for node in [one for one in self._links if one not in named]:
+            link = self._links[node]
+            if link.connection is None and link.failures >= FORGET_FAILURES:
+                link.close()
+                del self._links[node]
+                self._controllers.discard(node)
 
     def close(self) -> None:
         """Ends all links."""
@@ -108,6 +121,7 @@
         if changed:
             plane.update_upstreams(changed, now_ms)
         self._controllers.update(message.controllers)
+        self._named = set(message.controllers)
         self._routers[connection.node] = message.routers
         plane.share_with(max(self._routers.values()))
         plane.quotas.heard(connection.node, message.quotas, now_ms)
--- a/mulleinhitch/engines.py
+++ b/mulleinhitch/engines.py
@@ -25,7 +25,7 @@
 
 AWAITING_MOST = 4  # own calls before their first event, from which an engine is not believed idle
 BUSY_TOKENS = 12_000.0  # of prompts that wait at an engine, from which small requests go elsewhere
-HEAD_PATIENCE = 2.0  # times the head of a prompt more, for a request whose head is kept there
+HEAD_PATIENCE = 4.0  # times the head of a prompt more, for a request whose head is kept there
 KEEPERS = 2  # upstreams that keep one head, as far as tokens allow; further ones would read it again
 HEADS_MOST = 4_096  # of which the order is remembered
 KEPT_MOST = 16_384  # pairs of a head and an upstream that was sent it
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -164,8 +164,9 @@
             self._snapshot_is_durable(durable.snapshot, now_ms)
 
     def persist_failed(self, token: int) -> None:
-        """The disk refused the record: what waited for it stays unanswered."""
-        self._writes.pop(token, None)
+        """The disk refused the record, and all before it: what waited for them stays unanswered until asked again."""
+        for refused in [one for one in self._writes if one <= token]:
+            del self._writes[refused]
 
     def _persist(self) -> None:
         self._token += 1
--- a/packages/replication/tests/test_replication_cluster.py
+++ b/packages/replication/tests/test_replication_cluster.py
@@ -223,3 +223,24 @@
     cluster.machines[primary].start()
     cluster.run(4_000.0)
     cluster.check()
+
+
+def test_a_state_that_a_full_disk_refused_is_made_durable_when_it_is_sent_again() -> None:
+    cluster = Cluster(6)
+    cluster.run(3_000.0)
+    primary = cluster.primary()
+    assert primary is not None
+    backup, third = sorted(set(cluster.machines) - {primary})
+    cluster.machines[backup].disk.full = True
+    cluster.machines[third].stop()
+    cluster.submit(primary, "0:x")
+    cluster.run(50.0)
+    assert cluster.acknowledged == []
+    replica = cluster.machines[backup].replica
+    assert replica is not None
+    replica._writes[0] = replica._writes.get(0, next(iter(replica._writes.values()), replica._durable))
+    replica.persist_failed(10**9)
+    assert replica._writes == {}
+    cluster.machines[backup].disk.full = False
+    cluster.run(700.0)
+    assert cluster.acknowledged == ["0:x"]
--- a/tests/mulleinhitch/test_engines.py
+++ b/tests/mulleinhitch/test_engines.py
@@ -9,7 +9,15 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 
-from mulleinhitch.engines import AWAITING_MOST, FULL_PAUSE_MS, EngineBalancer, Listed, Prompt
+from mulleinhitch.engines import (
+    AWAITING_MOST,
+    BUSY_TOKENS,
+    FULL_PAUSE_MS,
+    HEAD_PATIENCE,
+    EngineBalancer,
+    Listed,
+    Prompt,
+)
 from mulleinhitch.interface import Outcome
 
 NO_PROMPT = Prompt()
@@ -122,6 +130,19 @@
     assert made.waiting() == {}
 
 
+def test_small_requests_avoid_an_engine_where_much_waits_and_large_heads_do_not() -> None:
+    made = balancer(["u0", "u1"], engine=True)
+    made.peers_waiting({"u0": BUSY_TOKENS + 1.0})
+    assert set(drawn(made)) == {"u1"}
+    assert made.choose(HEADED, (), 0.0, "u0") == "u0"
+    made.peers_waiting({"u0": BUSY_TOKENS + HEAD_PATIENCE * HEADED.head_tokens + 1.0})
+    assert made.choose(HEADED, (), 0.0, "u0") == "u1"
+    made.peers_waiting({"u0": 1e6, "u1": 1e6})
+    assert set(drawn(made)) == {"u0", "u1"}
+    made.peers_waiting({})
+    assert set(drawn(made)) == {"u0", "u1"}
+
+
 @pytest.mark.parametrize("outcome", [Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT, Outcome.FULL])
 def test_a_failure_keeps_the_token_back_for_a_while(outcome: Outcome) -> None:
     made = balancer(["u0", "u1"])
--- a/tests/system/test_rules.py
+++ b/tests/system/test_rules.py
@@ -42,17 +42,23 @@
 def test_a_head_stays_where_it_was_placed() -> None:
     placement = PromptPlacement()
     first = placement.place("h", 5_000.0, ENGINES, None, 0.0)
-    placement.busy_with({str(first): 1_000_000})
-    assert placement.place("h", 5_000.0, ENGINES, None, 1.0) == first
-    left = [one for one in ENGINES if one != first]
-    assert placement.place("h", 5_000.0, left, None, 2.0) in left
+    assert first is not None
+    assert not first.kept
+    placement.busy_with({first.engine: 1_000_000})
+    assert placement.place("h", 5_000.0, ENGINES, None, 1.0) == (first.engine, True)
+    left = [one for one in ENGINES if one != first.engine]
+    moved = placement.place("h", 5_000.0, left, None, 2.0)
+    assert moved is not None
+    assert moved.engine in left
+    assert not moved.kept
     assert placement.place("h", 5_000.0, [], None, 3.0) is None
 
 
 def test_a_start_spreads_what_must_be_read() -> None:
     placement = PromptPlacement()
     found = [placement.place(f"h{n}", 20_000.0, ENGINES, None, 0.0) for n in range(30)]
-    assert {found.count(one) for one in ENGINES} == {10}
+    engines = [one.engine for one in found if one is not None]
+    assert {engines.count(one) for one in ENGINES} == {10}
 
 
 def test_in_calm_times_the_order_of_the_head_alone_decides() -> None:
@@ -67,9 +73,9 @@
 
 def test_what_a_router_knows_and_what_was_left_on_disk_go_first() -> None:
     placement, later = PromptPlacement(), PromptPlacement()
-    assert placement.place("h", 5_000.0, ENGINES, "e2", 0.0) == "e2"
+    assert placement.place("h", 5_000.0, ENGINES, "e2", 0.0) == ("e2", True)
     assert later.restore(placement.encode())
-    assert later.place("h", 5_000.0, ENGINES, None, 0.0) == "e2"
+    assert later.place("h", 5_000.0, ENGINES, None, 0.0) == ("e2", True)
     assert not later.restore(b'{"h": ')
 
 
