--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -32,6 +32,7 @@
         self.pulled_ms = 0.0
         self.vector: dict[str, int] = {}  # what it had seen at its last pull
         self.waiting: dict[str, int] = {}  # by engine: what its calls wait for there
+        self.controllers: list[str] = []  # that it was told of
         self.configuration = -1  # the sequence that it had in force then
 
 
@@ -115,7 +116,9 @@
         if subscriber is None:
             return
         now_ms = self._now_ms()
-        subscriber.pull, subscriber.pulled_ms, subscriber.vector = pull, now_ms, pull.vector
+        subscriber.pull, subscriber.pulled_ms = pull, now_ms
+        if pull.vector is not None:
+            subscriber.vector = pull.vector
         subscriber.waiting, subscriber.configuration = pull.waiting, pull.config
         if self._ledger.report(connection.life, pull.usage, now_ms):
             self.wake()
@@ -148,26 +151,28 @@
         assert subscriber.pull is not None
         if subscriber.kind is Kind.ROUTER and subscriber.pull.config < self.sequence:
             return True
-        return not self._registry.covers(subscriber.pull.vector)
+        return not self._registry.covers(subscriber.vector)
 
     def _answer(self, subscriber: Subscriber) -> None:
         pull = subscriber.pull
         assert pull is not None
         subscriber.pull = None
         is_router = subscriber.kind is Kind.ROUTER
+        controllers = self._controllers()
         delta = Delta(
             config=self._update_for(pull.config) if is_router else None,
-            records=self._registry.delta(pull.vector),
+            records=self._registry.delta(subscriber.vector),
             vector={
                 origin: counter
                 for origin, counter in self._registry.vector.items()
-                if counter > pull.vector.get(origin, 0)
+                if counter > subscriber.vector.get(origin, 0)
             },
-            controllers=self._controllers(),
+            controllers=controllers if controllers != subscriber.controllers else [],
             routers=max(1, self.routers),
             quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
             waiting=self._waiting_elsewhere(subscriber) if is_router else {},
         )
+        subscriber.controllers = controllers
         subscriber.connection.send(delta)
 
     # What engines are known to be busy with
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -212,7 +212,7 @@
 
     def _link_made(self, connection: Connection) -> None:
         connection.send(Hello(self.settings.ip, Kind.CONTROLLER, self._life))
-        connection.send(Pull(vector=self._registry.vector))
+        connection.send(Pull(vector=dict(self._registry.vector)))
 
     def _link_lost(self, node: str) -> None:
         log.detail("link_lost", to=node)
@@ -258,7 +258,7 @@
             self._liveness.heard_elsewhere({upstream.id: upstream.sequence}, now_ms)
         if delta.records:
             self._distribution.wake()
-        connection.send(Pull(vector=self._registry.vector))
+        connection.send(Pull(vector=dict(self._registry.vector) if delta.vector else None))
 
     # The configuration
 
--- a/larkweir/system/links.py
+++ b/larkweir/system/links.py
@@ -192,13 +192,23 @@
         self._pause_ms = min(REDIAL_MOST_MS, 1.5 * self._pause_ms)
 
 
-def tune(transport: asyncio.BaseTransport, user_timeout_ms: float) -> None:
-    """Small writes go out at once; bytes that stay unacknowledged for that long end the connection (tcp(7))."""
+KEEP_ALIVE_S = 1  # tcp(7) takes whole seconds
+
+
+def tune(transport: asyncio.BaseTransport, user_timeout_ms: float, *, probe: bool = False) -> None:
+    """Small writes go out at once; bytes that stay unacknowledged for that long end the connection (tcp(7)).
+
+    `probe`: the other side is probed after a second of silence, so that one that is gone or cut off shows.
+    """
     sock = transport.get_extra_info("socket")
     if sock is None:
         return
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(user_timeout_ms))
+        if probe:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_S)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_S)
     except OSError:
         pass  # the connection has ended: its protocol is told
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -31,11 +31,11 @@
     """Sent when there was nothing else to say for a while; silence means a dead connection."""
 
 
-class Pull(msgspec.Struct, frozen=True, tag="pull"):
+class Pull(msgspec.Struct, frozen=True, tag="pull", omit_defaults=True):
     """Asks for what its sender lacks. Answered by a `Delta` as soon as there is something, or after a while."""
 
     config: int = -1  # the sequence of the configuration that it has in force; -1 for none
-    vector: Vector = {}
+    vector: Vector | None = None  # None: as in the last one on this connection
     usage: dict[str, float] = {}  # by tenant: units admitted in this life
     waiting: dict[str, int] = {}  # by engine: prompt tokens of its calls that wait to be read there
 
@@ -48,13 +48,13 @@
     body: msgspec.Raw
 
 
-class Delta(msgspec.Struct, frozen=True, tag="delta"):
+class Delta(msgspec.Struct, frozen=True, tag="delta", omit_defaults=True):
     """What the puller lacked. Whoever takes it has seen `vector`."""
 
     config: ConfigUpdate | None = None
     records: list[Record] = []
     vector: Vector = {}
-    controllers: list[str] = []
+    controllers: list[str] = []  # all that are known; none: as in the last one on this connection
     routers: int = 1
     quotas: dict[str, Statement] = {}
     waiting: dict[str, int] = {}  # by engine: the same of all other routers, of the busiest engines
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -5,6 +5,7 @@
 import asyncio
 import secrets
 
+from larkweir_registry.records import Vector
 from larkweir_registry.registry import Registry
 
 from larkweir.system import log
@@ -30,6 +31,7 @@
         self._registry = Registry("")
         self._links: dict[str, Link] = {}
         self._controllers: set[str] = set(settings.seed_nodes)
+        self._told: dict[str, Vector] = {}  # by controller: the vector of the last pull
         self._named: set[str] = set()  # controllers, by the last answer
         self._routers: dict[str, int] = {}
         self._waiting: dict[str, dict[str, int]] = {}  # by controller: what it said last
@@ -94,6 +96,7 @@
 
     def _made(self, connection: Connection) -> None:
         connection.send(Hello(self._settings.ip, Kind.ROUTER, self._life))
+        self._told.pop(connection.node, None)
         self._pull(connection)
 
     def _lost(self, node: str) -> None:
@@ -103,7 +106,12 @@
 
     def _pull(self, connection: Connection) -> None:
         usage = self._plane.quotas.counts(connection.node, self._now_ms())
-        pull = Pull(self._plane.configuration.sequence, self._registry.vector, usage, self._plane.waiting())
+        vector = dict(self._registry.vector)
+        unchanged = self._told.get(connection.node) == vector
+        self._told[connection.node] = vector
+        pull = Pull(
+            self._plane.configuration.sequence, None if unchanged else vector, usage, self._plane.waiting()
+        )
         connection.send(pull)
 
     def _came(self, connection: Connection, message: Message) -> None:
@@ -121,7 +129,8 @@
         if changed:
             plane.update_upstreams(changed, now_ms)
         self._controllers.update(message.controllers)
-        self._named = set(message.controllers)
+        if message.controllers:
+            self._named = set(message.controllers)
         self._routers[connection.node] = message.routers
         plane.share_with(max(self._routers.values()))
         plane.quotas.heard(connection.node, message.quotas, now_ms)
--- a/larkweir/system/router/upstream_call.py
+++ b/larkweir/system/router/upstream_call.py
@@ -64,7 +64,7 @@
         """Called by the loop."""
         transport = cast(asyncio.Transport, transport)  # uvloop's are none by type
         self._transport = transport
-        tune(transport, user_timeout_ms=USER_TIMEOUT_MS)
+        tune(transport, user_timeout_ms=USER_TIMEOUT_MS, probe=True)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the loop."""
