--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -9,23 +9,23 @@
 from collections.abc import Callable, Coroutine
 from weakref import WeakSet
 
-import msgspec
 from larkweir_quotas.ledger import Ledger
-from larkweir_registry import memory as registry_memory
 from larkweir_registry.liveness import Liveness
-from larkweir_registry.records import State, Upstream
+from larkweir_registry.records import State
 from larkweir_registry.registry import Registry
 from larkweir_replication.messages import Message as ReplicationMessage
 from larkweir_replication.messages import Snapshot
-from larkweir_replication.replica import Status
 
 from larkweir.system import log, settings_watch
 from larkweir.system.controller.distribution import Distribution
+from larkweir.system.controller.hints import Hints
 from larkweir.system.controller.inspection import Inspection
 from larkweir.system.controller.instances_api import PATH, InstancesApi
 from larkweir.system.controller.operator_api import OperatorApi
+from larkweir.system.controller.primary_calls import PrimaryCalls
 from larkweir.system.controller.prompt_placement import PromptPlacement
-from larkweir.system.controller.replication import UNKNOWN, ReplicaDriver
+from larkweir.system.controller.replication import ReplicaDriver
+from larkweir.system.controller.upstream_watch import UpstreamWatch
 from larkweir.system.http_server import HttpServerConnection, Request, Response
 from larkweir.system.links import Connection, Link
 from larkweir.system.messages import (
@@ -46,8 +46,6 @@
 TICK_S = 0.04
 STANDSTILL_MS = 700.0  # a tick so late means that this process stood still
 HEARD_EVERY_TICKS = 8
-UPSTREAMS_HINT = "upstreams.hint"
-PLACEMENTS_HINT = "placements.hint"
 PLACEMENTS_EVERY_TICKS = 25
 TIDY_EVERY_TICKS = 250
 FORGET_FAILURES = 60  # dials in a row, about a minute, until a node that is no member is forgotten
@@ -67,18 +65,16 @@
         self._ledger = Ledger()
         self._liveness = Liveness(settings.heartbeat_ms, self._now_ms())
         self._links: dict[str, Link] = {}
-        self._forwards: dict[int, asyncio.Future[Forwarded]] = {}
-        self._tickets = itertools.count(1)
         self._distribution = Distribution(self._registry, self._ledger, self._controllers)
         self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
-        self._operator = OperatorApi(self._call_primary)
+        self._primary = PrimaryCalls(self._driver, self._links)
+        self._operator = OperatorApi(self._primary.call)
+        self._upstreams = UpstreamWatch(self._registry, self._liveness, self._distribution)
         self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
         replica = self._driver.replica
         self._inspection = Inspection(settings.ip, replica, self._registry, self._distribution)
         self._placement = PromptPlacement()
-        self._recall()
-        self._remembered = dict(self._registry.vector)
-        self._remembered_placements = self._placement.changes
+        self._hints = Hints(self._driver, self._registry, self._placement, self._now_ms())
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -160,22 +156,15 @@
             link.keep_alive()
         self._distribution.tick()
         if count % HEARD_EVERY_TICKS == 0:
-            self._report_heartbeats()
-            self._judge_silence()
+            self._upstreams.report(self._links.values())
+            self._upstreams.judge(self._now_ms(), connected=self._is_connected())
         if count % TIDY_EVERY_TICKS == 0:
             self._tidy()
-        self._remember(count)
+        self._hints.write_upstreams()
+        if count % PLACEMENTS_EVERY_TICKS == 0:
+            self._hints.write_placements()
         self._placement.busy_with(self._distribution.waiting)
 
-    def _recall(self) -> None:
-        """Takes what an earlier life left on disk of upstreams and placements."""
-        upstreams = self._driver.read_hint(UPSTREAMS_HINT)
-        if upstreams is not None:
-            registry_memory.restore(self._registry, upstreams, self._now_ms())
-        placements = self._driver.read_hint(PLACEMENTS_HINT)
-        if placements is not None:
-            self._placement.restore(placements)
-
     def _tidy(self) -> None:
         """Drops what nobody needs any more: upstreams long gone, nodes that were controllers once."""
         self._registry.prune(self._now_ms())
@@ -189,15 +178,6 @@
                 del self._links[node]
                 replica.known.discard(node)
 
-    def _remember(self, count: int) -> None:
-        """Leaves on disk what has changed of upstreams and, less often, of placements."""
-        if self._registry.vector != self._remembered:
-            self._remembered = dict(self._registry.vector)
-            self._driver.write_hint(UPSTREAMS_HINT, registry_memory.encode(self._registry))
-        if count % PLACEMENTS_EVERY_TICKS == 0 and self._placement.changes != self._remembered_placements:
-            self._remembered_placements = self._placement.changes
-            self._driver.write_hint(PLACEMENTS_HINT, self._placement.encode())
-
     def _settings_changed(self, settings: Settings) -> None:
         self.settings = settings
         self._driver.replica.known.update(settings.seed_nodes)
@@ -241,11 +221,9 @@
             case Heard():
                 self._liveness.heard_elsewhere(message.sequences, self._now_ms())
             case Forward():
-                self._start(self._answer_forward(connection, message))
+                self._start(self._primary.answer(connection, message))
             case Forwarded():
-                waiter = self._forwards.pop(message.ticket, None)
-                if waiter is not None and not waiter.done():
-                    waiter.set_result(message)
+                self._primary.answered(message)
 
     def _start(self, coroutine: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(coroutine)
@@ -268,29 +246,6 @@
         )
         self._distribution.publish(snapshot.sequence, snapshot.value)
 
-    async def _call_primary(self, identity: str, change: str) -> Forwarded:
-        replica = self._driver.replica
-        if replica.status is Status.PRIMARY:
-            return await self._driver.call(identity, change)
-        link = self._links.get(replica.primary or "")
-        if link is None or link.connection is None:
-            return Forwarded(0, UNKNOWN)
-        ticket = next(self._tickets)
-        waiter: asyncio.Future[Forwarded] = self._loop.create_future()
-        self._forwards[ticket] = waiter
-        try:
-            link.send(Forward(ticket, identity, change))
-            async with asyncio.timeout(0.45):
-                return await waiter
-        except TimeoutError:
-            return Forwarded(ticket, UNKNOWN)
-        finally:
-            self._forwards.pop(ticket, None)
-
-    async def _answer_forward(self, connection: Connection, forward: Forward) -> None:
-        answer = await self._driver.call(forward.identity, forward.change)
-        connection.send(msgspec.structs.replace(answer, ticket=forward.ticket))
-
     # Upstreams
 
     def _place(self, message: Place) -> Placed:
@@ -302,36 +257,11 @@
         found = self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
         return Placed(message.head, None) if found is None else Placed(message.head, *found)
 
-    def _report_heartbeats(self) -> None:
-        report = self._liveness.take_report()
-        if report:
-            for link in self._links.values():
-                link.send(Heard(report))
-
-    def _judge_silence(self) -> None:
-        """Marks upstreams that nobody hears, where this controller would know of others who do."""
-        now_ms = self._now_ms()
+    def _is_connected(self) -> bool:
+        """Whether a majority of controllers can be heard."""
         accepted = self._driver.replica.accepted
-        linked = {node for node, link in self._links.items() if link.connection is not None} | {
-            self.settings.ip
-        }
-        if accepted is None or not accepted.has_quorum(linked):
-            self._liveness.blinded(now_ms)
-            return
-        watched = [
-            upstream.id
-            for upstream in self._registry.upstreams.values()
-            if upstream.state is not State.GONE and not upstream.silent
-        ]
-        for id_ in self._liveness.silent(watched, now_ms):
-            self._lapse(self._registry.upstreams[id_], now_ms)
-
-    def _lapse(self, upstream: Upstream, now_ms: float) -> None:
-        sequence = max(upstream.sequence, self._liveness.sequence(upstream.id))
-        log.event("upstream_silent", id=upstream.id, sequence=sequence)
-        silent = msgspec.structs.replace(upstream, sequence=sequence, lapsed=sequence)
-        if self._registry.note(silent, now_ms):
-            self._distribution.wake()
+        linked = {node for node, link in self._links.items() if link.connection is not None}
+        return accepted is not None and accepted.has_quorum(linked | {self.settings.ip})
 
     # The control interface
 
--- /dev/null
+++ b/larkweir/system/controller/primary_calls.py
@@ -0,0 +1,59 @@
+"""Operators' calls on their way to the primary, wherever it is, and the answers on their way back."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Mapping
+
+import msgspec
+from larkweir_replication.replica import Status
+
+from larkweir.system.controller.replication import UNKNOWN, ReplicaDriver
+from larkweir.system.links import Connection, Link
+from larkweir.system.messages import Forward, Forwarded
+
+FORWARD_S = 0.45  # then the call is tried again, perhaps at another primary
+
+
+class PrimaryCalls:
+    """Calls the replica of this controller, or the one that it follows."""
+
+    def __init__(self, driver: ReplicaDriver, links: Mapping[str, Link]) -> None:
+        """`links`: to the other controllers, by node."""
+        self._driver = driver
+        self._links = links
+        self._loop = asyncio.get_running_loop()
+        self._tickets = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[Forwarded]] = {}
+
+    async def call(self, identity: str, change: str) -> Forwarded:
+        """One try: a change, or a read where both are empty. Unknown where there is no primary in reach."""
+        replica = self._driver.replica
+        if replica.status is Status.PRIMARY:
+            return await self._driver.call(identity, change)
+        link = self._links.get(replica.primary or "")
+        if link is None or link.connection is None:
+            return Forwarded(0, UNKNOWN)
+        ticket = next(self._tickets)
+        waiter: asyncio.Future[Forwarded] = self._loop.create_future()
+        self._waiting[ticket] = waiter
+        try:
+            link.send(Forward(ticket, identity, change))
+            async with asyncio.timeout(FORWARD_S):
+                return await waiter
+        except TimeoutError:
+            return Forwarded(ticket, UNKNOWN)
+        finally:
+            self._waiting.pop(ticket, None)
+
+    async def answer(self, connection: Connection, forward: Forward) -> None:
+        """Another controller takes this one for the primary."""
+        answer = await self._driver.call(forward.identity, forward.change)
+        connection.send(msgspec.structs.replace(answer, ticket=forward.ticket))
+
+    def answered(self, message: Forwarded) -> None:
+        """The primary's answer to a call that was sent on; one that is late is passed over."""
+        waiter = self._waiting.pop(message.ticket, None)
+        if waiter is not None and not waiter.done():
+            waiter.set_result(message)
--- /dev/null
+++ b/larkweir/system/controller/upstream_watch.py
@@ -0,0 +1,52 @@
+"""Whose heartbeats have stopped: judged by a controller that would know of others who hear them."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+from larkweir_registry.liveness import Liveness
+from larkweir_registry.records import State, Upstream
+from larkweir_registry.registry import Registry
+
+from larkweir.system import log
+from larkweir.system.controller.distribution import Distribution
+from larkweir.system.links import Link
+from larkweir.system.messages import Heard
+
+
+class UpstreamWatch:
+    """Tells the other controllers what is heard here, and marks upstreams that nobody hears."""
+
+    def __init__(self, registry: Registry, liveness: Liveness, distribution: Distribution) -> None:
+        """All three are the controller's own."""
+        self._registry = registry
+        self._liveness = liveness
+        self._distribution = distribution
+
+    def report(self, links: Iterable[Link]) -> None:
+        """Tells what was heard since the last call."""
+        report = self._liveness.take_report()
+        if report:
+            for link in links:
+                link.send(Heard(report))
+
+    def judge(self, now_ms: float, *, connected: bool) -> None:
+        """`connected`: a majority of controllers can be heard; without it silence proves nothing."""
+        if not connected:
+            self._liveness.blinded(now_ms)
+            return
+        watched = [
+            upstream.id
+            for upstream in self._registry.upstreams.values()
+            if upstream.state is not State.GONE and not upstream.silent
+        ]
+        for id_ in self._liveness.silent(watched, now_ms):
+            self._lapse(self._registry.upstreams[id_], now_ms)
+
+    def _lapse(self, upstream: Upstream, now_ms: float) -> None:
+        sequence = max(upstream.sequence, self._liveness.sequence(upstream.id))
+        log.event("upstream_silent", id=upstream.id, sequence=sequence)
+        silent = msgspec.structs.replace(upstream, sequence=sequence, lapsed=sequence)
+        if self._registry.note(silent, now_ms):
+            self._distribution.wake()
