--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -118,12 +118,14 @@
     seen: list[Seen] = field(default_factory=list)
     server: asyncio.Server | None = None
     sequence: int = 0
+    writers: list[asyncio.StreamWriter] = field(default_factory=list)
 
     async def start(self) -> None:
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self._serve, host, int(port))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writers.append(writer)
         connection = h11.Connection(h11.SERVER)
         head, body = None, b""
         while True:
@@ -194,8 +196,9 @@
 class Fleet:
     """Controllers and routers, each with an address of its own."""
 
-    def __init__(self, folder: Path, controllers: int = 3, routers: int = 1) -> None:
+    def __init__(self, folder: Path, controllers: int = 3, routers: int = 1, tolerance: int = 1) -> None:
         self.folder = folder
+        self.tolerance = tolerance
         self.subnet = next(_subnets)
         self.port = _free_port(self._ip(1))
         self.control = [f"{self._ip(n + 1)}:{self.port + 1}" for n in range(controllers)]
@@ -223,6 +226,7 @@
                     "counts_for_quorum": control,
                     "data_dir": str(self.folder / ip) if control else None,
                     "bounds": {"grace_s": 1.5},
+                    "fault_tolerance": {"machines": self.tolerance},
                 }
             )
         )
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from pathlib import Path
 from typing import Any
 
@@ -324,3 +325,90 @@
         assert (await ask(fleet.control[0], "GET", "/config")).status == 200
 
     play(tmp_path, scene)
+
+
+@pytest.mark.parametrize(("controllers", "tolerance"), [(1, 0), (5, 2)])
+def test_fleets_of_other_sizes(tmp_path: Path, controllers: int, tolerance: int) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        for generation, address in enumerate(fleet.control[:tolerance], start=2):
+            await fleet.kill(address)
+            assert (await fleet.put(configuration(generation), generation - 1)).status == 200
+        reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="key")
+        assert reply.status == 200
+
+    play(tmp_path, scene, controllers=controllers, tolerance=tolerance)
+
+
+def test_a_configuration_without_tenants_asks_for_no_key(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine, tenants=[])
+        reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r")
+        assert reply.status == 200
+        assert "x-tenant" not in fleet.upstreams[0].seen[0].headers
+
+    play(tmp_path, scene)
+
+
+def test_a_client_that_goes_ends_its_call_and_one_deadline_is_kept(tmp_path: Path) -> None:
+    def mute(seen: Seen) -> tuple[bytes, bool]:
+        return b"", False
+
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, mute)
+        reply = await ask(
+            fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="key", X_Deadline_Ms="150"
+        )
+        assert reply.status == 504
+        plane = fleet.nodes[fleet.fronts[0]]._plane
+        client = Client(fleet.fronts[0])
+        call = asyncio.ensure_future(client.request("POST", "/plain/x", X_Request_Id="r2", X_Api_Key="key"))
+
+        async def sent() -> bool:
+            await ask(fleet.ready[0], "GET", "/ready")
+            return len(fleet.upstreams[0].seen) == 2
+
+        await fleet.until(sent)
+        client.close()
+        call.cancel()
+
+        async def freed() -> bool:
+            await ask(fleet.ready[0], "GET", "/ready")
+            return not plane.connections and not plane.pool._addresses
+
+        await fleet.until(freed)
+
+    play(tmp_path, scene)
+
+
+def test_a_router_that_is_told_to_stop_answers_what_it_has_taken(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        held: list[Seen] = []
+
+        def slow(seen: Seen) -> tuple[bytes, bool]:
+            held.append(seen)
+            return events(seen, range(1, 3), whole=False), False
+
+        await serve(fleet, slow)
+        upstream = fleet.upstreams[0]
+        call = asyncio.ensure_future(
+            ask(fleet.fronts[0], "POST", "/stream/x", X_Request_Id="r", X_Api_Key="key")
+        )
+
+        async def taken() -> bool:
+            await ask(fleet.ready[0], "GET", "/ready")
+            return bool(held)
+
+        await fleet.until(taken)
+        fleet.nodes[fleet.fronts[0]]._terminated.set()
+
+        async def not_ready() -> bool:
+            return (await ask(fleet.ready[0], "GET", "/ready")).status == 503
+
+        await fleet.until(not_ready)
+        upstream.writers[-1].write(b"d\r\nid: 3\ndata: c\r\n4\r\n\n\n\n\n\r\n0\r\n\r\n")
+        reply = await call
+        assert reply.whole
+        assert reply.body.count(b"data:") == 3
+
+    play(tmp_path, scene)
