Demonstration waits for its routers; a handler's fault is answered; ready upstreams by service

Cause: the demonstration's test hung for 20 minutes on a busy machine: its request met a router that did not know the engines yet (503, the assertion failed), and the wait for the killed process lasted as long as its children held its output. Ruled out: the fleet itself (its logs: configuration in force after 0.1 s). Change: it is ready when all routers are; children write nowhere; a fault in a handler is answered with 500. Placement finds ready upstreams by an index.

--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -11,7 +11,6 @@
 
 from larkweir_quotas.ledger import Ledger
 from larkweir_registry.liveness import Liveness
-from larkweir_registry.records import State
 from larkweir_registry.registry import Registry
 from larkweir_replication.messages import Message as ReplicationMessage
 from larkweir_replication.messages import Snapshot
@@ -47,6 +46,7 @@
 STANDSTILL_MS = 700.0  # a tick so late means that this process stood still
 HEARD_EVERY_TICKS = 8
 PLACEMENTS_EVERY_TICKS = 25
+PLACEMENTS_PER_TICK = 100  # the more there are, the less often they are written, as the file is written whole
 TIDY_EVERY_TICKS = 250
 FORGET_FAILURES = 60  # dials in a row, about a minute, until a node that is no member is forgotten
 MAX_BODY_BYTES = 8 * 1024 * 1024
@@ -161,7 +161,7 @@
         if count % TIDY_EVERY_TICKS == 0:
             self._tidy()
         self._hints.write_upstreams()
-        if count % PLACEMENTS_EVERY_TICKS == 0:
+        if count % max(PLACEMENTS_EVERY_TICKS, len(self._placement) // PLACEMENTS_PER_TICK) == 0:
             self._hints.write_placements()
         self._placement.busy_with(self._distribution.waiting)
 
@@ -249,11 +249,7 @@
     # Upstreams
 
     def _place(self, message: Place) -> Placed:
-        ready = [
-            upstream.id
-            for upstream in self._registry.upstreams.values()
-            if upstream.service == message.service and upstream.state is State.READY and not upstream.silent
-        ]
+        ready = self._registry.ready(message.service)
         found = self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
         return Placed(message.head, None) if found is None else Placed(message.head, *found)
 
--- a/larkweir/system/controller/prompt_placement.py
+++ b/larkweir/system/controller/prompt_placement.py
@@ -40,6 +40,10 @@
         self._recent: list[tuple[float, str, float]] = []
         self.changes = 0
 
+    def __len__(self) -> int:
+        """Heads that are placed."""
+        return len(self._engines)
+
     def busy_with(self, waiting: Mapping[str, int]) -> None:
         """By engine, the prompt tokens that wait to be read there, over all routers."""
         self._waiting = waiting
--- a/larkweir/system/demo.py
+++ b/larkweir/system/demo.py
@@ -122,6 +122,7 @@
         self._port = port
         self.controls = [f"{self._ip(n + 1)}:{port + 1}" for n in range(CONTROLLERS)]
         self.fronts = [f"{self._ip(100 + n)}:{port + 2}" for n in range(ROUTERS)]
+        self._readies = [f"{self._ip(100 + n)}:{port + 3}" for n in range(ROUTERS)]
         self._engines = [Engine(f"engine-{n}", f"{self._ip(200 + n)}:{port + 3}") for n in range(ENGINES)]
         self._processes: list[asyncio.subprocess.Process] = []
 
@@ -129,15 +130,17 @@
         return f"127.78.{self._subnet}.{host}"
 
     async def start(self) -> None:
-        """Starts all, gives the fleet its configuration, and returns once an engine is known."""
+        """Starts all, gives the fleet its configuration, and returns once all routers are ready."""
         for address in self.controls:
             await self._spawn("controller", address, {"control": address})
-        for address in self.fronts:
-            await self._spawn("router", address, {"front": address})
+        for address, ready in zip(self.fronts, self._readies, strict=True):
+            await self._spawn("router", address, {"front": address, "ready": ready})
         for engine in self._engines:
             await engine.start()
         await asyncio.to_thread(self._configure)
         await self._beat()
+        for address in self._readies:
+            await asyncio.to_thread(call, [address], "GET", "/ready")
 
     async def _spawn(self, role: str, address: str, listen: dict[str, str]) -> None:
         ip = address.partition(":")[0]
@@ -156,7 +159,13 @@
         path.write_bytes(msgspec.json.encode(settings))  # JSON is YAML
         log = (self._folder / f"{ip}.log").open("wb")
         process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "larkweir.system", role, env={**os.environ, VARIABLE: str(path)}, stderr=log
+            sys.executable,
+            "-m",
+            "larkweir.system",
+            role,
+            env={**os.environ, VARIABLE: str(path)},
+            stdout=asyncio.subprocess.DEVNULL,  # whoever reads the demonstration's output sees its end
+            stderr=log,
         )
         self._processes.append(process)
 
--- a/larkweir/system/http_server.py
+++ b/larkweir/system/http_server.py
@@ -9,6 +9,7 @@
 
 import h11
 
+from larkweir.system import log
 from larkweir.system.links import tune
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -111,7 +112,11 @@
         self._task = asyncio.get_running_loop().create_task(self._handle(request))
 
     async def _handle(self, request: Request) -> None:
-        response = await self._handler(request)
+        try:
+            response = await self._handler(request)
+        except Exception as problem:  # a fault of ours must not leave the caller without an answer
+            log.event("handler_failed", target=request.target, error=repr(problem))
+            response = Response(500, close=True)
         self._task = None
         self._answer(response)
         self._advance()
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -22,6 +22,7 @@
         self._stamps: dict[str, tuple[str, int]] = {}
         self._ids: dict[str, SortedDict[int, str]] = {}  # by origin and counter
         self._gone_ms: dict[str, float] = {}
+        self._ready: dict[str, list[str]] | None = None  # by service; None: to be found anew
 
     def note(self, upstream: Upstream, now_ms: float) -> bool:
         """Takes what an upstream, or this registry's judgement, says. Whether that changed what others must know."""
@@ -62,6 +63,15 @@
                 found.append(Record(self.upstreams[id_], origin, counter))
         return found
 
+    def ready(self, service: str) -> list[str]:
+        """The ids of its upstreams that are ready and heard of; not to be changed."""
+        if self._ready is None:
+            self._ready = {}
+            for upstream in self.upstreams.values():
+                if upstream.state is State.READY and not upstream.silent:
+                    self._ready.setdefault(upstream.service, []).append(upstream.id)
+        return self._ready.get(service, [])
+
     def covers(self, vector: Vector) -> bool:
         """Whether a delta for that vector would be empty."""
         return all(
@@ -82,6 +92,7 @@
 
     def _put(self, upstream: Upstream, origin: str, counter: int, now_ms: float) -> None:
         self._unstamp(upstream.id)
+        self._ready = None
         self.upstreams[upstream.id] = upstream
         self._stamps[upstream.id] = (origin, counter)
         self._ids.setdefault(origin, SortedDict())[counter] = upstream.id
--- a/packages/registry/tests/test_registry.py
+++ b/packages/registry/tests/test_registry.py
@@ -120,6 +120,19 @@
     assert registry.delta(reader.vector) == []
 
 
+def test_ready_ones_are_found_by_service_and_anew_after_each_change() -> None:
+    registry = Registry("a")
+    assert registry.ready("s") == []
+    registry.note(upstream("u0", 1), 0.0)
+    registry.note(upstream("u1", 1), 0.0)
+    assert registry.ready("s") == ["u0", "u1"]
+    registry.note(upstream("u0", 2, State.DRAINING), 0.0)
+    assert registry.ready("s") == ["u1"]
+    registry.note(upstream("u1", 2, lapsed=2), 0.0)
+    assert registry.ready("s") == []
+    assert registry.ready("t") == []
+
+
 def test_what_has_gone_is_dropped_after_long() -> None:
     registry = Registry("a")
     registry.note(upstream("u", 1, State.GONE), 0.0)
