Quotas: late reports are charged to their own time; pressing tenants are staggered

Cause: a ledger that was cut off charged all that was used meanwhile to its bucket at the moment of its return, which had refilled only up to its burst; routers believe the lowest ledger. And each of 63 routers admitted one request as soon as it heard that something was left. Change: a bucket remembers what it could not take in; a report after more than a second is set against that first. Requests of a tenant whose bucket was empty of late need a random part of what all routers admit together. A ledger that has just begun gives half of the burst. Ledgers keep back what lost routers may use by themselves, past quota_over. Test: packages/quotas/tests/test_quotas_returns.py, a fleet of 9 and of 63 routers with cuts, freezes, restarts.

--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -19,6 +19,7 @@
 BUSIEST_MOST = 32  # engines that they are told of
 GATHER_S = 0.005  # changes that come together are told together
 HISTORY_MOST = 32  # configurations that a delta can build on
+AWAY_MS = 30_000.0  # so long a router that is no longer connected may still be at work, cut off
 
 
 class Subscriber:
@@ -39,11 +40,23 @@
 class Distribution:
     """Answers pulls as soon as there is something that the puller lacks."""
 
-    def __init__(self, registry: Registry, ledger: Ledger, controllers: Callable[[], list[str]]) -> None:
-        """`controllers`: the nodes that pulls may go to, at present."""
+    def __init__(
+        self,
+        registry: Registry,
+        ledger: Ledger,
+        controllers: Callable[[], list[str]],
+        *,
+        quota_over: float = 0.0,
+    ) -> None:
+        """`controllers`: the nodes that pulls may go to, at present.
+
+        `quota_over`: the part of a quota by which it may be passed.
+        """
         self._registry = registry
         self._ledger = ledger
         self._controllers = controllers
+        self._quota_over = quota_over
+        self._lost_ms: dict[str, float] = {}  # by router that is no longer connected
         self._loop = asyncio.get_running_loop()
         self._subscribers: dict[Connection, Subscriber] = {}
         self._history: list[tuple[int, Document]] = []
@@ -92,10 +105,23 @@
     def joined(self, connection: Connection, kind: Kind) -> None:
         """A process has said who it is."""
         self._subscribers[connection] = Subscriber(connection, kind)
+        self._lost_ms.pop(connection.node, None)
 
     def left(self, connection: Connection) -> None:
         """Its connection has ended."""
-        self._subscribers.pop(connection, None)
+        subscriber = self._subscribers.pop(connection, None)
+        if subscriber is not None and subscriber.kind is Kind.ROUTER:
+            self._lost_ms[connection.node] = self._now_ms()
+
+    def _keep_back_for_the_lost(self) -> None:
+        """Routers that were connected lately may be cut off and go on by their own share of quotas."""
+        now_ms = self._now_ms()
+        connected = {one.connection.node for one in self._subscribers.values()}
+        for node, lost_ms in list(self._lost_ms.items()):
+            if node in connected or now_ms >= lost_ms + AWAY_MS:
+                del self._lost_ms[node]
+        lost = len(self._lost_ms)
+        self._ledger.set_away(lost / max(1, lost + self.routers), self._quota_over)
 
     @property
     def routers(self) -> int:
@@ -142,6 +168,7 @@
         now_ms = self._now_ms()
         hold_ms = max(HOLD_MS, HOLD_MS_PER_ROUTER * self.routers)
         self._sum_waiting()
+        self._keep_back_for_the_lost()
         for subscriber in list(self._subscribers.values()):
             subscriber.connection.keep_alive()
             if subscriber.pull is not None and now_ms >= subscriber.pulled_ms + hold_ms:
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -65,7 +65,9 @@
         self._ledger = Ledger()
         self._liveness = Liveness(settings.heartbeat_ms, self._now_ms())
         self._links: dict[str, Link] = {}
-        self._distribution = Distribution(self._registry, self._ledger, self._controllers)
+        self._distribution = Distribution(
+            self._registry, self._ledger, self._controllers, quota_over=settings.bounds.quota_over
+        )
         self._driver = ReplicaDriver(settings, self._send_replication, self._committed)
         self._primary = PrimaryCalls(self._driver, self._links)
         self._operator = OperatorApi(self._primary.call)
--- a/larkweir/system/settings.py
+++ b/larkweir/system/settings.py
@@ -40,6 +40,7 @@
     budget_window_s: float = 10.0
     retry_budget_slack: float = 10.0
     quota_window_s: float = 8.0
+    quota_over: float = 0.0
     recover_s: float = 12.0
 
 
--- a/packages/quotas/src/larkweir_quotas/ledger.py
+++ b/packages/quotas/src/larkweir_quotas/ledger.py
@@ -3,16 +3,26 @@
 Any number of ledgers may run side by side. Each hears every process that can reach it; whoever asks several
 believes the one that has seen the most usage, so no ledger needs to be elected, and a new one that has heard little
 does no harm.
+
+A ledger that was cut off or stood still hears on its return all at once what was used meanwhile. That use is charged
+to the time in which it happened: what a full bucket could not take in during that time is set against it first.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections import deque
+from dataclasses import dataclass, field
 
 import msgspec
 
 RATE_MEMORY_MS = 1_000.0  # of the mean of what is used up
 LIVES_MOST = 4_096  # of processes, of which the counts are kept; the oldest go first
+LATE_MS = 1_000.0  # reports of one process further apart than this tell of the past
+OVERFLOW_SLOT_MS = 250.0
+OVERFLOW_MEMORY_MS = 60_000.0  # how far back a late report may reach
+ALONE_SHARE = 0.5  # of an equal part of the limit, for a process that hears no ledger
+PRESSED_MS = 10_000.0  # a tenant counts as pressing so long after its bucket was empty
+FRESH_SHARE = 0.5  # of the burst, where a ledger has just begun and knows of no use before it
 
 
 class Limit(msgspec.Struct, frozen=True):
@@ -23,10 +33,22 @@
 
 
 class Statement(msgspec.Struct, frozen=True, array_like=True):
-    """What a ledger knows of a tenant: what is left in its bucket (negative: a debt), and the use per second of all."""
+    """What a ledger knows of a tenant: what is left in its bucket (negative: a debt), and the use per second of all.
+
+    `pressed`: nothing was left there at some time of late, so that the tenant asks for more than its limit.
+    """
 
     level: float
     used_per_s: float
+    pressed: bool = False
+
+
+@dataclass(slots=True)
+class _Overflow:
+    """What a full bucket could not take in, within one slot of time."""
+
+    end_ms: float
+    amount: float
 
 
 @dataclass(slots=True)
@@ -35,16 +57,61 @@
     level: float
     at_ms: float
     used_per_s: float = 0.0
+    empty_ms: float | None = None  # when nothing was left the last time
+    overflows: deque[_Overflow] = field(default_factory=deque)
 
-    def refill(self, now_ms: float) -> None:
+    def refill(self, now_ms: float, rate_part: float) -> None:
+        """`rate_part`: of the limit's rate, the part that is not kept back for processes that are away."""
         passed_s = (now_ms - self.at_ms) / 1000.0
-        self.level = min(self.limit.burst, self.level + self.limit.rate_per_s * passed_s)
+        level = self.level + self.limit.rate_per_s * rate_part * passed_s
+        if level > self.limit.burst:
+            self._overflow(level - self.limit.burst, now_ms)
+            level = self.limit.burst
+        self.level = level
         self.used_per_s *= max(0.0, 1.0 - 1000.0 * passed_s / RATE_MEMORY_MS)
         self.at_ms = now_ms
 
+    def _overflow(self, amount: float, now_ms: float) -> None:
+        if self.overflows and now_ms < self.overflows[-1].end_ms:
+            self.overflows[-1].amount += amount
+            return
+        self.overflows.append(_Overflow(now_ms + OVERFLOW_SLOT_MS, amount))
+        while self.overflows[0].end_ms < now_ms - OVERFLOW_MEMORY_MS:
+            self.overflows.popleft()
+
     def take(self, amount: float) -> None:
-        self.level -= amount
+        """Used since the last report, which was lately."""
         self.used_per_s += amount * 1000.0 / RATE_MEMORY_MS
+        self._lower(amount)
+
+    def _lower(self, amount: float) -> None:
+        self.level -= amount
+        if self.level <= 0.0:
+            self.empty_ms = self.at_ms
+
+    @property
+    def pressed(self) -> bool:
+        """Whether it was empty of late."""
+        return self.empty_ms is not None and self.at_ms < self.empty_ms + PRESSED_MS
+
+    def take_late(self, amount: float, since_ms: float, now_ms: float) -> None:
+        """Used at some time since then: what has overflowed meanwhile would have made up for it."""
+        left = amount
+        for overflow in self.overflows:
+            if overflow.end_ms > since_ms:
+                made_up = min(left, overflow.amount)
+                overflow.amount -= made_up
+                left -= made_up
+        self.used_per_s += amount * 1000.0 / (now_ms - since_ms)
+        self._lower(left)
+
+
+@dataclass(slots=True)
+class _Process:
+    """One life of a process as this ledger has heard it."""
+
+    counts: dict[str, float]  # by tenant
+    reported_ms: float
 
 
 class Ledger:
@@ -53,7 +120,15 @@
     def __init__(self) -> None:
         self._limits: dict[str, Limit] = {}
         self._buckets: dict[str, _Bucket] = {}
-        self._seen: dict[str, dict[str, float]] = {}  # by process and its life: counts by tenant
+        self._processes: dict[str, _Process] = {}  # by process and its life
+        self._rate_part = 1.0
+
+    def set_away(self, part: float, over: float) -> None:
+        """That part of all processes does not reach this ledger and may use a share of its own (`ALONE_SHARE`).
+
+        What that may come to, beyond the part `over` by which a limit may be passed, is kept back for them.
+        """
+        self._rate_part = 1.0 - max(0.0, ALONE_SHARE * part - over)
 
     def set_limits(self, limits: dict[str, Limit], now_ms: float) -> None:
         """The tenants that have a limit from now on; what they have used so far stays counted."""
@@ -61,7 +136,7 @@
         for tenant in [one for one in self._buckets if one not in limits]:
             del self._buckets[tenant]
         for tenant, bucket in self._buckets.items():
-            bucket.refill(now_ms)
+            bucket.refill(now_ms, self._rate_part)
             bucket.limit = limits[tenant]
             bucket.level = min(bucket.level, bucket.limit.burst)
 
@@ -70,22 +145,26 @@
 
         The first report of a life only sets where it counts from: its use so far may be another ledger's old news.
         """
-        known = self._seen.get(process)
+        known = self._processes.get(process)
         if known is None:
-            self._seen[process] = dict(counts)
-            if len(self._seen) > LIVES_MOST:
-                del self._seen[next(iter(self._seen))]
+            self._processes[process] = _Process(dict(counts), now_ms)
+            if len(self._processes) > LIVES_MOST:
+                del self._processes[next(iter(self._processes))]
             return []
+        since_ms, known.reported_ms = known.reported_ms, now_ms
         urgent = []
         for tenant, count in counts.items():
-            used = count - known.get(tenant, 0.0)
-            known[tenant] = count
+            used = count - known.counts.get(tenant, 0.0)
+            known.counts[tenant] = count
             limit = self._limits.get(tenant)
             if used <= 0.0 or limit is None:
                 continue
             bucket = self._bucket(tenant, limit, now_ms)
             before = bucket.level
-            bucket.take(used)
+            if now_ms >= since_ms + LATE_MS:
+                bucket.take_late(used, since_ms, now_ms)
+            else:
+                bucket.take(used)
             if bucket.level < limit.burst / 3.0 <= before:
                 urgent.append(tenant)
         return urgent
@@ -97,12 +176,12 @@
             limit = self._limits.get(tenant)
             if limit is not None:
                 bucket = self._bucket(tenant, limit, now_ms)
-                found[tenant] = Statement(round(bucket.level), round(bucket.used_per_s))
+                found[tenant] = Statement(round(bucket.level), round(bucket.used_per_s), bucket.pressed)
         return found
 
     def _bucket(self, tenant: str, limit: Limit, now_ms: float) -> _Bucket:
         bucket = self._buckets.get(tenant)
         if bucket is None:
-            bucket = self._buckets[tenant] = _Bucket(limit, limit.burst, now_ms)
-        bucket.refill(now_ms)
+            bucket = self._buckets[tenant] = _Bucket(limit, limit.burst * FRESH_SHARE, now_ms)
+        bucket.refill(now_ms, self._rate_part)
         return bucket
--- a/packages/quotas/src/larkweir_quotas/quota.py
+++ b/packages/quotas/src/larkweir_quotas/quota.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from random import Random
 
-from larkweir_quotas.ledger import Limit, Statement
+from larkweir_quotas.ledger import ALONE_SHARE, Limit, Statement
 
 FRESH_MS = 900.0  # a statement older than this says nothing
-ALONE_SHARE = 0.5  # of an equal part of the limit, for a process that hears no ledger
 ACTIVE_MS = 10_000.0  # tenants are reported so long after their last request here
+MEAN_WEIGHT = 0.05  # of one request in the mean of what a tenant's requests take
+STAGGER = 0.5  # of what all processes together admit if each admits one request
+STAGGER_MOST = 0.5  # of the burst
 MIN_RETRY_S = 0.1
 MAX_RETRY_S = 5.0
 
@@ -30,12 +33,19 @@
     reported: dict[str, float] = field(default_factory=dict)  # by ledger: the count that it was last told
     level: float = 0.0  # the bucket of a process alone
     level_ms: float = -1.0
+    mean_units: float = 0.0  # of one request
+
+    def asked(self, units: float) -> None:
+        """Counts one more request into the mean."""
+        weight = MEAN_WEIGHT if self.mean_units else 1.0
+        self.mean_units += weight * (units - self.mean_units)
 
 
 class QuotaLimiter:
     """Admits by the lowest of what the ledgers leave; alone, by a small bucket of its own."""
 
-    def __init__(self) -> None:
+    def __init__(self, rng: Random | None = None) -> None:
+        self._rng = rng or Random()
         self.processes = 1  # how many share the limits, as far as is known
         self._limits: dict[str, Limit] = {}
         self._tenants: dict[str, _Tenant] = {}
@@ -50,6 +60,7 @@
         if limit is None:
             return 0.0
         state = self._tenants.setdefault(tenant, _Tenant())
+        state.asked(units)
         left = self._left(state, limit, now_ms)
         if left <= 0.0:
             back_s = -left / limit.rate_per_s if limit.rate_per_s > 0.0 else MAX_RETRY_S
@@ -74,9 +85,20 @@
         ]
         if known:
             state.level, state.level_ms = min(known) / max(1, self.processes), now_ms
-            return min(known)
+            return min(known) - self._stagger(state, limit)
         return self._alone(state, limit, now_ms)
 
+    def _stagger(self, state: _Tenant, limit: Limit) -> float:
+        """How much must be left here for one more request of a tenant that presses; drawn anew for each.
+
+        All processes hear at nearly the same time that something is left again. If each of many admitted one request
+        then, they would pass the limit together. The mean request decides, so that large ones are not put behind.
+        """
+        if not any(heard.statement.pressed for heard in state.heard.values()):
+            return 0.0
+        together = min(STAGGER * state.mean_units * self.processes, STAGGER_MOST * limit.burst)
+        return self._rng.random() * together
+
     def _by_ledger(self, heard: _Heard, state: _Tenant, limit: Limit, now_ms: float) -> float:
         """Goes on from a statement: refilled since, less what was admitted here and, at their rate, elsewhere."""
         passed_s = (now_ms - heard.at_ms) / 1000.0
--- /dev/null
+++ b/packages/quotas/tests/quota_fleet.py
@@ -0,0 +1,181 @@
+"""A fleet in memory: routers that limit tenants, ledgers that hear them late, cuts, freezes and restarts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+from larkweir_quotas.ledger import Ledger, Limit
+from larkweir_quotas.quota import FRESH_MS, QuotaLimiter
+
+TENANT = "t"
+TICK_MS = 20.0
+LIMIT = Limit(rate_per_s=1_000.0, burst=1_600.0)
+
+
+@dataclass(frozen=True)
+class Deployment:
+    """What a tenant may use, and how the fleet that keeps it is laid out."""
+
+    routers: int = 9
+    ledgers: int = 3
+    limit: Limit = LIMIT
+    report_ms: float = 110.0
+    request_units: float = 20.0
+    window_ms: float = 8_000.0
+    over: float = 0.1
+    slack: float = 2_600.0  # in the proportion of the deployments' sheets
+
+    @property
+    def allowed(self) -> float:
+        """The most that may be admitted within any window."""
+        used = self.limit.rate_per_s * self.window_ms / 1_000.0 + self.limit.burst
+        return used * (1.0 + self.over) + self.slack
+
+
+class Fleet:
+    """Routers and ledgers on one clock. `cut` holds pairs (router, ledger) that do not hear each other."""
+
+    def __init__(self, deployment: Deployment, seed: int) -> None:
+        self.deployment = deployment
+        self.rng = Random(seed)
+        self.now_ms = 0.0
+        self.routers = [self._router() for _ in range(deployment.routers)]
+        self.lives = [0] * deployment.routers
+        self.ledgers = [self._ledger() for _ in range(deployment.ledgers)]
+        self.cut: set[tuple[int, int]] = set()
+        self.frozen_ledgers: set[int] = set()
+        self.admitted: list[tuple[float, float]] = []
+        self.refused: list[float] = []
+        self._next_report_ms = [
+            [self.rng.uniform(0.0, deployment.report_ms) for _ in self.ledgers] for _ in self.routers
+        ]
+
+    def _router(self) -> QuotaLimiter:
+        router = QuotaLimiter(Random(self.rng.random()))
+        router.set_limits({TENANT: self.deployment.limit})
+        router.processes = self.deployment.routers
+        return router
+
+    def _ledger(self) -> Ledger:
+        ledger = Ledger()
+        ledger.set_limits({TENANT: self.deployment.limit}, self.now_ms)
+        return ledger
+
+    def restart_ledger(self, number: int) -> None:
+        """Its memory is gone."""
+        self.ledgers[number] = self._ledger()
+
+    def restart_router(self, number: int) -> None:
+        """Its counts begin anew."""
+        self.routers[number] = self._router()
+        self.lives[number] += 1
+
+    def tell_who_is_away(self) -> None:
+        """As the controllers do: each ledger knows how many routers it has lost."""
+        for number, ledger in enumerate(self.ledgers):
+            away = sum((router, number) in self.cut for router in range(len(self.routers)))
+            ledger.set_away(away / len(self.routers), self.deployment.over)
+
+    def advance(self, for_ms: float, per_s: float) -> None:
+        """Lets time pass while clients ask for `per_s` units a second, at routers drawn by lot."""
+        end_ms = self.now_ms + for_ms
+        units = self.deployment.request_units
+        owed = 0.0
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            self._report_all()
+            owed += per_s * TICK_MS / 1_000.0
+            while owed >= units:
+                owed -= units
+                self._ask(self.rng.randrange(len(self.routers)), units)
+
+    def _ask(self, router: int, units: float) -> None:
+        if self.routers[router].admit(TENANT, units, self.now_ms) == 0.0:
+            self.admitted.append((self.now_ms, units))
+        else:
+            self.refused.append(self.now_ms)
+
+    def _report_all(self) -> None:
+        for number, router in enumerate(self.routers):
+            for place, ledger in enumerate(self.ledgers):
+                if self.now_ms < self._next_report_ms[number][place] or place in self.frozen_ledgers:
+                    continue
+                if (number, place) in self.cut:
+                    continue
+                self._next_report_ms[number][place] = self.now_ms + self.deployment.report_ms
+                counts = router.counts(f"l{place}", self.now_ms)
+                ledger.report(f"r{number}/{self.lives[number]}", counts, self.now_ms)
+                statements = ledger.statements(list(counts), self.now_ms)
+                router.heard(f"l{place}", statements, self.now_ms)
+
+    def most_in_a_window(self) -> float:
+        """Units admitted within the fullest window."""
+        most = window = 0.0
+        start = 0
+        for when_ms, units in self.admitted:
+            window += units
+            while self.admitted[start][0] <= when_ms - self.deployment.window_ms:
+                window -= self.admitted[start][1]
+                start += 1
+            most = max(most, window)
+        return most
+
+    def refused_since(self, when_ms: float) -> int:
+        """Requests that were refused later than that."""
+        return sum(1 for refused_ms in self.refused if refused_ms > when_ms)
+
+
+class Trouble:
+    """Draws what happens to controllers and to the links between them and routers."""
+
+    KINDS = (
+        "cut_ledger",
+        "cut_routers",
+        "cut_all",
+        "freeze",
+        "restart_ledger",
+        "restart_all",
+        "restart_router",
+    )
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.rng = fleet.rng
+
+    def strike(self) -> float:
+        """Begins one and gives how long it is to last; `end` is to be called then."""
+        getattr(self, "_" + self.rng.choice(self.KINDS))()
+        self.fleet.tell_who_is_away()
+        return self.rng.choice([300.0, FRESH_MS, 2_000.0, 8_000.0, 20_000.0])
+
+    def end(self) -> None:
+        """All links and processes are back."""
+        self.fleet.cut.clear()
+        self.fleet.frozen_ledgers.clear()
+        self.fleet.tell_who_is_away()
+
+    def _cut_ledger(self) -> None:
+        ledger = self.rng.randrange(len(self.fleet.ledgers))
+        self.fleet.cut = {(router, ledger) for router in range(len(self.fleet.routers))}
+
+    def _cut_routers(self) -> None:
+        some = self.rng.sample(range(len(self.fleet.routers)), max(1, len(self.fleet.routers) // 3))
+        self.fleet.cut = {(router, ledger) for router in some for ledger in range(len(self.fleet.ledgers))}
+
+    def _cut_all(self) -> None:
+        ledgers = range(len(self.fleet.ledgers))
+        self.fleet.cut = {(router, ledger) for router in range(len(self.fleet.routers)) for ledger in ledgers}
+
+    def _freeze(self) -> None:
+        self.fleet.frozen_ledgers.add(self.rng.randrange(len(self.fleet.ledgers)))
+
+    def _restart_ledger(self) -> None:
+        self.fleet.restart_ledger(self.rng.randrange(len(self.fleet.ledgers)))
+
+    def _restart_all(self) -> None:
+        for number in range(len(self.fleet.ledgers)):
+            self.fleet.restart_ledger(number)
+
+    def _restart_router(self) -> None:
+        self.fleet.restart_router(self.rng.randrange(len(self.fleet.routers)))
--- /dev/null
+++ b/packages/quotas/tests/test_quotas_returns.py
@@ -0,0 +1,65 @@
+"""Ledgers that were cut off, stood still or were started anew: never too much is admitted, nor too little."""
+
+from __future__ import annotations
+
+import os
+
+import pytest
+from larkweir_quotas.ledger import Limit
+from quota_fleet import Deployment, Fleet, Trouble
+
+SEEDS = int(os.environ.get("QUOTA_SEEDS", "10"))
+SETTLED_MS = 1_000.0  # after the return of contact, in which a request may still be refused
+SMALL = Deployment()
+LARGE = Deployment(routers=63, ledgers=5, report_ms=130.0, request_units=40.0, limit=Limit(2_000.0, 3_200.0))
+
+
+@pytest.mark.parametrize("away_ms", [1_500.0, 8_000.0, 20_000.0])
+def test_a_ledger_that_returns_refuses_nobody_who_keeps_the_limit(away_ms: float) -> None:
+    fleet = Fleet(SMALL, seed=1)
+    fleet.advance(3_000.0, per_s=800.0)
+    fleet.cut = {(router, 0) for router in range(SMALL.routers)}
+    fleet.advance(away_ms, per_s=800.0)
+    fleet.cut = set()
+    returned_ms = fleet.now_ms
+    fleet.advance(10_000.0, per_s=800.0)
+    assert fleet.refused_since(returned_ms) == 0
+
+
+def test_a_ledger_that_returns_still_knows_of_a_tenant_that_presses() -> None:
+    fleet = Fleet(SMALL, seed=2)
+    fleet.advance(5_000.0, per_s=6_000.0)
+    fleet.cut = {(router, 0) for router in range(SMALL.routers)}
+    fleet.advance(8_000.0, per_s=6_000.0)
+    fleet.cut = {(router, ledger) for router in range(SMALL.routers) for ledger in (1, 2)}
+    fleet.advance(8_000.0, per_s=6_000.0)
+    assert fleet.most_in_a_window() <= SMALL.allowed
+
+
+@pytest.mark.parametrize("deployment", [SMALL, LARGE], ids=["9 routers", "63 routers"])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_the_sum_stays_under_the_limit_whoever_is_away(deployment: Deployment, seed: int) -> None:
+    fleet = Fleet(deployment, seed)
+    trouble = Trouble(fleet)
+    rate = deployment.limit.rate_per_s
+    for _ in range(4):
+        fleet.advance(fleet.rng.uniform(200.0, 6_000.0), per_s=6.0 * rate)
+        for_ms = trouble.strike()
+        fleet.advance(for_ms, per_s=6.0 * rate)
+        trouble.end()
+    fleet.advance(10_000.0, per_s=6.0 * rate)
+    assert fleet.most_in_a_window() <= deployment.allowed
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_below_the_limit_nobody_is_refused_once_contact_is_back_for_a_second(seed: int) -> None:
+    fleet = Fleet(SMALL, seed)
+    trouble = Trouble(fleet)
+    for _ in range(4):
+        fleet.advance(3_000.0, per_s=800.0)
+        for_ms = trouble.strike()
+        fleet.advance(for_ms, per_s=800.0)
+        trouble.end()
+        back_ms = fleet.now_ms
+        fleet.advance(6_000.0, per_s=800.0)
+        assert fleet.refused_since(back_ms + SETTLED_MS) == 0
