A router that stops refuses new connections once the platform has ceased to send them

Ruled out: closing at once (the platform sends until the second question in vain, 2 s and more). Change: the listener closes after 2.6 s, once three turns of the loop have taken what waits in the kernel; a connection taken at the last moment has 0.2 s for its request. What was taken before is answered as before. Test: test_a_router_that_is_told_to_stop_answers_what_it_has_taken now asks that new connections are taken at first and refused in the end while a stream goes on; it failed before.

--- a/larkweir/system/router/node.py
+++ b/larkweir/system/router/node.py
@@ -18,6 +18,8 @@
 EXPIRE_EVERY_TICKS = 10
 BACKLOG = 1_024
 LINGER_S = 2.6  # the platform asks every second and sends connections until the second time in vain
+FIRST_REQUEST_S = 0.2  # that a connection taken at the last moment has for its request to come
+LAST_ACCEPTS = 3  # turns of the event loop in which connections that wait in the kernel are still taken
 READY_BODY_BYTES = 1_024
 GRACE_MARGIN_S = 0.4
 
@@ -32,7 +34,8 @@
         self._plane = DataPlane(settings.bounds, Random())
         self._view = FleetView(settings, self._plane)
         self._terminated = asyncio.Event()
-        self._servers: list[asyncio.Server] = []
+        self._front: asyncio.Server | None = None
+        self._ready_server: asyncio.Server | None = None
         self._ticking: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
@@ -44,15 +47,13 @@
         listen = self._settings.listen
         assert listen.front is not None
         front = split_address(listen.front)
-        self._servers.append(
-            await self._loop.create_server(lambda: ClientConnection(self._plane), *front, backlog=BACKLOG)
+        self._front = await self._loop.create_server(
+            lambda: ClientConnection(self._plane), *front, backlog=BACKLOG
         )
         if listen.ready is not None:
             ready = split_address(listen.ready)
-            self._servers.append(
-                await self._loop.create_server(
-                    lambda: HttpServerConnection(self._ready, READY_BODY_BYTES), *ready
-                )
+            self._ready_server = await self._loop.create_server(
+                lambda: HttpServerConnection(self._answer_ready, READY_BODY_BYTES), *ready
             )
         log.event("router_started", front=listen.front)
         self._ticking = self._loop.create_task(self._tick_forever(watch))
@@ -62,8 +63,9 @@
 
     def close(self) -> None:
         """Ends all at once, as a kill would."""
-        for server in self._servers:
-            server.close()
+        for server in (self._front, self._ready_server):
+            if server is not None:
+                server.close()
         if self._ticking is not None:
             self._ticking.cancel()
         self._view.close()
@@ -87,21 +89,32 @@
                 self._plane.pool.expire()
             await asyncio.sleep(TICK_S)
 
-    async def _ready(self, request: Request) -> Response:
+    async def _answer_ready(self, request: Request) -> Response:
         plane = self._plane
         ready = self._view.is_settled and plane.has_upstreams and not plane.stopping
         return Response(200 if ready else 503, close=True)
 
     async def _drain(self) -> None:
-        """Takes what still comes, answers what was taken, and ends before the platform's patience does."""
+        """Takes what the platform still sends, answers what was taken, and ends before the platform's patience does."""
         self._plane.stopping = True
         begun_s = self._loop.time()
         log.event("router_draining", connections=len(self._plane.connections))
-        while self._loop.time() < begun_s + self._settings.bounds.grace_s - GRACE_MARGIN_S:
-            if self._loop.time() >= begun_s + LINGER_S:
-                for connection in list(self._plane.connections):
-                    connection.close_if_idle()
-                if not self._plane.connections:
-                    break
+        end_s = begun_s + self._settings.bounds.grace_s - GRACE_MARGIN_S
+        await self._sleep_until(min(end_s - FIRST_REQUEST_S, begun_s + LINGER_S))
+        await self._stop_accepting()
+        await self._sleep_until(min(end_s, begun_s + LINGER_S + FIRST_REQUEST_S))
+        while self._plane.connections and self._loop.time() < end_s:
+            for connection in list(self._plane.connections):
+                connection.close_if_idle()
             await asyncio.sleep(TICK_S / 2)
         log.event("router_stopped", unfinished=len(self._plane.connections))
+
+    async def _sleep_until(self, when_s: float) -> None:
+        await asyncio.sleep(max(0.0, when_s - self._loop.time()))
+
+    async def _stop_accepting(self) -> None:
+        """A request that came later could not be answered any more: its client is refused and goes elsewhere."""
+        for _ in range(LAST_ACCEPTS):
+            await asyncio.sleep(0)
+        if self._front is not None:
+            self._front.close()
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -406,6 +406,15 @@
             return (await ask(fleet.ready[0], "GET", "/ready")).status == 503
 
         await fleet.until(not_ready)
+        assert (
+            await ask(fleet.fronts[0], "POST", "/nowhere/", X_Request_Id="r")
+        ).status == 404, "still taken"
+
+        async def refused() -> bool:
+            return (await ask(fleet.fronts[0], "POST", "/nowhere/", X_Request_Id="r")).status == 0
+
+        await fleet.until(refused)
+        assert not call.done(), "what was taken before goes on"
         upstream.writers[-1].write(b"d\r\nid: 3\ndata: c\r\n4\r\n\n\n\n\n\r\n0\r\n\r\n")
         reply = await call
         assert reply.whole
