Controllers out of touch with a majority acknowledge no upstream; stale reports and placements

(3) A controller that was away placed heads of prompts where they had been kept before. Change: 503 without a majority; what was said is noted all the same. Draining and gone are acknowledged once a majority of controllers has the record. Reports carry their sender's clock. After an absence a router's word on a head goes first. Test: tests/system/test_out_of_touch.py, and a ledger that stood still in the quota model (both failed before).

--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import msgspec
 from larkweir_quotas.ledger import Ledger, Limit
@@ -22,6 +23,18 @@
 AWAY_MS = 30_000.0  # so long a router that is no longer connected may still be at work, cut off
 
 
+Quorum = Callable[[set[str]], bool]
+"""Whether these controllers, by node, are a majority."""
+
+
+@dataclass(slots=True)
+class _Confirmation:
+    """Someone waits until others have what was noted here up to `counter`."""
+
+    counter: int
+    all_have_it: asyncio.Future[None]
+
+
 class Subscriber:
     """One process that pulls on one connection."""
 
@@ -67,7 +80,7 @@
         ] = {}  # by engine, of all routers together: prompt tokens that wait to be read
         self._busiest: dict[str, int] = {}
         self._waking: asyncio.TimerHandle | None = None
-        self._confirmations: list[tuple[int, asyncio.Future[None]]] = []
+        self._confirmations: list[_Confirmation] = []
 
     # The configuration
 
@@ -146,7 +159,7 @@
         if pull.vector is not None:
             subscriber.vector = pull.vector
         subscriber.waiting, subscriber.configuration = pull.waiting, pull.config
-        if self._ledger.report(connection.life, pull.usage, now_ms):
+        if self._ledger.report(connection.life, pull.usage, pull.sent_ms, now_ms):
             self.wake()
         self._confirm()
         if self._has_news(subscriber):
@@ -220,28 +233,41 @@
 
     # Confirmation that news has arrived
 
-    async def confirmed(self, for_s: float) -> None:
-        """Returns once all that are connected have what this registry noted last, or after that time."""
-        waiter: asyncio.Future[None] = self._loop.create_future()
-        self._confirmations.append((self._registry.vector.get(self._registry.origin, 0), waiter))
+    async def confirmed(self, for_s: float, quorum: Quorum) -> bool:
+        """Waits until all that are connected have what this registry noted last, for that time at most.
+
+        Whether a majority of controllers has it then: if so, every router in touch with them gets it.
+        """
+        counter = self._registry.vector.get(self._registry.origin, 0)
+        confirmation = _Confirmation(counter, self._loop.create_future())
+        self._confirmations.append(confirmation)
         self.wake()
         self._confirm()
         try:
             async with asyncio.timeout(for_s):
-                await waiter
+                await confirmation.all_have_it
         except TimeoutError:
             pass
         finally:
-            self._confirmations = [one for one in self._confirmations if one[1] is not waiter]
+            self._confirmations.remove(confirmation)
+        return quorum(self._controllers_that_have(counter))
+
+    def _controllers_that_have(self, counter: int) -> set[str]:
+        origin = self._registry.origin
+        return {
+            one.connection.node
+            for one in self._subscribers.values()
+            if one.kind is Kind.CONTROLLER and one.vector.get(origin, 0) >= counter
+        }
 
     def _confirm(self) -> None:
         if not self._confirmations:
             return
         origin = self._registry.origin
         seen = min((one.vector.get(origin, 0) for one in self._subscribers.values()), default=0)
-        for counter, waiter in self._confirmations:
-            if seen >= counter and not waiter.done():
-                waiter.set_result(None)
+        for confirmation in self._confirmations:
+            if seen >= confirmation.counter and not confirmation.all_have_it.done():
+                confirmation.all_have_it.set_result(None)
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
--- a/larkweir/system/controller/instances_api.py
+++ b/larkweir/system/controller/instances_api.py
@@ -3,18 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 from larkweir_registry.liveness import Liveness
 from larkweir_registry.records import State, Upstream
 from larkweir_registry.registry import Registry
 
-from larkweir.system.controller.distribution import Distribution
+from larkweir.system.controller.distribution import Distribution, Quorum
 from larkweir.system.http_server import Request, Response
 
 PATH = "/instances/"
 MAX_BODY_BYTES = 4_096
 CONFIRM_S = 0.4  # an upstream that leaves waits a second for its acknowledgement
+NO_MAJORITY = Response(503, b'{"error":"no majority of controllers is in reach"}')
 STATES = {"ready": State.READY, "draining": State.DRAINING}
 
 
@@ -30,13 +32,30 @@
 
 
 class InstancesApi:
-    """`/instances/` of a controller."""
+    """`/instances/` of a controller.
 
-    def __init__(self, registry: Registry, liveness: Liveness, distribution: Distribution) -> None:
-        """All three are the controller's own."""
+    What an upstream says is noted whatever comes of it, but acknowledged only by a controller in touch with a majority:
+    an upstream that has its acknowledgement tells nobody else, so that the routers in touch must hear of it from here.
+    """
+
+    def __init__(
+        self,
+        registry: Registry,
+        liveness: Liveness,
+        distribution: Distribution,
+        *,
+        in_touch: Callable[[], bool],
+        quorum: Quorum,
+    ) -> None:
+        """The first three are the controller's own.
+
+        `in_touch`: whether it has links to a majority. `quorum`: whether it and these others are one.
+        """
         self._registry = registry
         self._liveness = liveness
         self._distribution = distribution
+        self._in_touch = in_touch
+        self._quorum = quorum
 
     async def put(self, request: Request) -> Response:
         """A heartbeat. One that changes what routers must know is acknowledged once they have it."""
@@ -59,9 +78,11 @@
         )
         now_ms = asyncio.get_running_loop().time() * 1000.0
         self._liveness.heard(id_, heartbeat.sequence, now_ms)
-        if self._registry.note(upstream, now_ms):
-            await self._tell(state)
-        return Response(200, b"{}")
+        self._registry.note(upstream, now_ms)
+        if state is State.READY:
+            self._distribution.wake()
+            return Response(200, b"{}") if self._in_touch() else NO_MAJORITY
+        return await self._acknowledge_end()
 
     async def delete(self, request: Request) -> Response:
         """The upstream has ended, or is about to."""
@@ -74,12 +95,10 @@
             else Upstream(id=id_, service="", address="", zone="", state=State.GONE)
         )
         self._liveness.forget(id_)
-        if self._registry.note(gone, now_ms):
-            await self._tell(State.GONE)
-        return Response(200)
+        self._registry.note(gone, now_ms)
+        return await self._acknowledge_end()
 
-    async def _tell(self, state: State) -> None:
-        if state is State.READY:
-            self._distribution.wake()
-        else:
-            await self._distribution.confirmed(CONFIRM_S)
+    async def _acknowledge_end(self) -> Response:
+        """An upstream drains or has gone: `drain_ms` run from the acknowledgement for all routers in touch."""
+        known = await self._distribution.confirmed(CONFIRM_S, self._quorum)
+        return Response(200, b"{}") if known else NO_MAJORITY
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -72,11 +72,18 @@
         self._primary = PrimaryCalls(self._driver, self._links)
         self._operator = OperatorApi(self._primary.call)
         self._upstreams = UpstreamWatch(self._registry, self._liveness, self._distribution)
-        self._instances = InstancesApi(self._registry, self._liveness, self._distribution)
+        self._instances = InstancesApi(
+            self._registry,
+            self._liveness,
+            self._distribution,
+            in_touch=self._is_connected,
+            quorum=self._is_quorum,
+        )
         replica = self._driver.replica
         self._inspection = Inspection(settings.ip, replica, self._registry, self._distribution)
         self._placement = PromptPlacement()
         self._hints = Hints(self._driver, self._registry, self._placement, self._now_ms())
+        self._in_touch = True
         self._stopping = asyncio.Event()
         self._tasks: set[asyncio.Task[None]] = set()
         self._servers: list[asyncio.Server] = []
@@ -143,6 +150,7 @@
         """After a standstill: nobody's silence in that time means anything."""
         log.event("stood_still")
         self._liveness.blinded(now_ms)
+        self._placement.was_away()
         for link in self._links.values():
             if link.connection is not None:
                 link.connection.excuse_silence()
@@ -159,7 +167,7 @@
         self._distribution.tick()
         if count % HEARD_EVERY_TICKS == 0:
             self._upstreams.report(self._links.values())
-            self._upstreams.judge(self._now_ms(), connected=self._is_connected())
+            self._watch_contact()
         if count % TIDY_EVERY_TICKS == 0:
             self._tidy()
         self._hints.write_upstreams()
@@ -167,6 +175,13 @@
             self._hints.write_placements()
         self._placement.busy_with(self._distribution.waiting)
 
+    def _watch_contact(self) -> None:
+        """What this controller knows by itself counts for less while, and after, no majority is in reach."""
+        was_in_touch, self._in_touch = self._in_touch, self._is_connected()
+        if self._in_touch and not was_in_touch:
+            self._placement.was_away()
+        self._upstreams.judge(self._now_ms(), connected=self._in_touch)
+
     def _tidy(self) -> None:
         """Drops what nobody needs any more: upstreams long gone, nodes that were controllers once."""
         self._registry.prune(self._now_ms())
@@ -257,9 +272,12 @@
 
     def _is_connected(self) -> bool:
         """Whether a majority of controllers can be heard."""
+        return self._is_quorum({node for node, link in self._links.items() if link.connection is not None})
+
+    def _is_quorum(self, others: set[str]) -> bool:
+        """Whether this controller and these others are a majority."""
         accepted = self._driver.replica.accepted
-        linked = {node for node, link in self._links.items() if link.connection is not None}
-        return accepted is not None and accepted.has_quorum(linked | {self.settings.ip})
+        return accepted is not None and accepted.has_quorum(others | {self.settings.ip})
 
     # The control interface
 
--- a/larkweir/system/controller/prompt_placement.py
+++ b/larkweir/system/controller/prompt_placement.py
@@ -38,6 +38,7 @@
         self._engines: OrderedDict[str, str] = OrderedDict()  # by head
         self._waiting: Mapping[str, int] = {}
         self._recent: list[tuple[float, str, float]] = []
+        self._outdated: set[str] = set()  # heads that others may have placed anew meanwhile
         self.changes = 0
 
     def __len__(self) -> int:
@@ -48,6 +49,10 @@
         """By engine, the prompt tokens that wait to be read there, over all routers."""
         self._waiting = waiting
 
+    def was_away(self) -> None:
+        """Routers did not reach this controller for a while: of each head, the next that asks may know better."""
+        self._outdated = set(self._engines)
+
     def place(
         self, head: str, tokens: float, ready: Sequence[str], known: str | None, now_ms: float
     ) -> Placement | None:
@@ -56,6 +61,9 @@
         `tokens`: of the prompt. `known`: where the router that asks has sent it before.
         """
         engine = self._engines.get(head)
+        if head in self._outdated:
+            self._outdated.discard(head)
+            engine = self._corrected(head, engine, known, ready)
         kept = engine is not None and engine in ready
         if engine is None or not kept:
             kept = known in ready
@@ -66,10 +74,21 @@
             self._recent.append((now_ms, engine, tokens))
             self.changes += 1
             if len(self._engines) > HEADS_MOST:
-                self._engines.popitem(last=False)
+                forgotten, _ = self._engines.popitem(last=False)
+                self._outdated.discard(forgotten)
         self._engines.move_to_end(head)
         return Placement(engine, kept)
 
+    def _corrected(
+        self, head: str, engine: str | None, known: str | None, ready: Sequence[str]
+    ) -> str | None:
+        """After an absence: where a router has sent the head meanwhile."""
+        if known is None or known == engine or known not in ready:
+            return engine
+        self._engines[head] = known
+        self.changes += 1
+        return known
+
     def _choose(self, head: str, ready: Sequence[str], now_ms: float) -> str | None:
         if not ready:
             return None
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -37,6 +37,7 @@
     config: int = -1  # the sequence of the configuration that it has in force; -1 for none
     vector: Vector | None = None  # None: as in the last one on this connection
     usage: dict[str, float] = {}  # by tenant: units admitted in this life
+    sent_ms: float = 0.0  # by its sender's own steady clock
     waiting: dict[str, int] = {}  # by engine: prompt tokens of its calls that wait to be read there
 
 
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -105,12 +105,17 @@
         log.detail("link_lost", to=node)
 
     def _pull(self, connection: Connection) -> None:
-        usage = self._plane.quotas.counts(connection.node, self._now_ms())
+        now_ms = self._now_ms()
+        usage = self._plane.quotas.counts(connection.node, now_ms)
         vector = dict(self._registry.vector)
         unchanged = self._told.get(connection.node) == vector
         self._told[connection.node] = vector
         pull = Pull(
-            self._plane.configuration.sequence, None if unchanged else vector, usage, self._plane.waiting()
+            config=self._plane.configuration.sequence,
+            vector=None if unchanged else vector,
+            usage=usage,
+            sent_ms=round(now_ms),
+            waiting=self._plane.waiting(),
         )
         connection.send(pull)
 
--- a/packages/quotas/src/larkweir_quotas/ledger.py
+++ b/packages/quotas/src/larkweir_quotas/ledger.py
@@ -94,15 +94,16 @@
         """Whether it was empty of late."""
         return self.empty_ms is not None and self.at_ms < self.empty_ms + PRESSED_MS
 
-    def take_late(self, amount: float, since_ms: float, now_ms: float) -> None:
-        """Used at some time since then: what has overflowed meanwhile would have made up for it."""
+    def take_late(self, amount: float, over_ms: float, now_ms: float) -> None:
+        """Used at some time within these milliseconds: what has overflowed since would have made up for it."""
+        since_ms = now_ms - over_ms
         left = amount
         for overflow in self.overflows:
             if overflow.end_ms > since_ms:
                 made_up = min(left, overflow.amount)
                 overflow.amount -= made_up
                 left -= made_up
-        self.used_per_s += amount * 1000.0 / (now_ms - since_ms)
+        self.used_per_s += amount * 1000.0 / over_ms
         self._lower(left)
 
 
@@ -111,7 +112,7 @@
     """One life of a process as this ledger has heard it."""
 
     counts: dict[str, float]  # by tenant
-    reported_ms: float
+    sent_ms: float  # the last report, by the process' own clock
 
 
 class Ledger:
@@ -140,18 +141,19 @@
             bucket.limit = limits[tenant]
             bucket.level = min(bucket.level, bucket.limit.burst)
 
-    def report(self, process: str, counts: dict[str, float], now_ms: float) -> list[str]:
+    def report(self, process: str, counts: dict[str, float], sent_ms: float, now_ms: float) -> list[str]:
         """Takes a process' counts; the tenants whose bucket fell below a third by it, whom others should hear of soon.
 
+        `sent_ms` is the process' own steady clock: this ledger may have stood still before it reads the report.
         The first report of a life only sets where it counts from: its use so far may be another ledger's old news.
         """
         known = self._processes.get(process)
         if known is None:
-            self._processes[process] = _Process(dict(counts), now_ms)
+            self._processes[process] = _Process(dict(counts), sent_ms)
             if len(self._processes) > LIVES_MOST:
                 del self._processes[next(iter(self._processes))]
             return []
-        since_ms, known.reported_ms = known.reported_ms, now_ms
+        over_ms, known.sent_ms = sent_ms - known.sent_ms, sent_ms
         urgent = []
         for tenant, count in counts.items():
             used = count - known.counts.get(tenant, 0.0)
@@ -161,8 +163,8 @@
                 continue
             bucket = self._bucket(tenant, limit, now_ms)
             before = bucket.level
-            if now_ms >= since_ms + LATE_MS:
-                bucket.take_late(used, since_ms, now_ms)
+            if over_ms >= LATE_MS:
+                bucket.take_late(used, over_ms, now_ms)
             else:
                 bucket.take(used)
             if bucket.level < limit.burst / 3.0 <= before:
--- a/packages/quotas/tests/quota_fleet.py
+++ b/packages/quotas/tests/quota_fleet.py
@@ -45,6 +45,9 @@
         self.ledgers = [self._ledger() for _ in range(deployment.ledgers)]
         self.cut: set[tuple[int, int]] = set()
         self.frozen_ledgers: set[int] = set()
+        self._unread: list[
+            tuple[int, str, dict[str, float], float]
+        ] = []  # reports that wait at frozen ledgers
         self.admitted: list[tuple[float, float]] = []
         self.refused: list[float] = []
         self._next_report_ms = [
@@ -71,6 +74,20 @@
         self.routers[number] = self._router()
         self.lives[number] += 1
 
+    def freeze_ledger(self, number: int) -> None:
+        """It stands still; each router has just sent it one more report."""
+        self.frozen_ledgers.add(number)
+        for place, router in enumerate(self.routers):
+            counts = router.counts(f"l{number}", self.now_ms)
+            self._unread.append((number, f"r{place}/{self.lives[place]}", counts, self.now_ms))
+
+    def thaw_ledgers(self) -> None:
+        """They read what waits for them, before anything else."""
+        for number, process, counts, sent_ms in self._unread:
+            self.ledgers[number].report(process, counts, sent_ms, self.now_ms)
+        self._unread.clear()
+        self.frozen_ledgers.clear()
+
     def tell_who_is_away(self) -> None:
         """As the controllers do: each ledger knows how many routers it has lost."""
         for number, ledger in enumerate(self.ledgers):
@@ -105,7 +122,7 @@
                     continue
                 self._next_report_ms[number][place] = self.now_ms + self.deployment.report_ms
                 counts = router.counts(f"l{place}", self.now_ms)
-                ledger.report(f"r{number}/{self.lives[number]}", counts, self.now_ms)
+                ledger.report(f"r{number}/{self.lives[number]}", counts, self.now_ms, self.now_ms)
                 statements = ledger.statements(list(counts), self.now_ms)
                 router.heard(f"l{place}", statements, self.now_ms)
 
@@ -152,7 +169,7 @@
     def end(self) -> None:
         """All links and processes are back."""
         self.fleet.cut.clear()
-        self.fleet.frozen_ledgers.clear()
+        self.fleet.thaw_ledgers()
         self.fleet.tell_who_is_away()
 
     def _cut_ledger(self) -> None:
@@ -168,7 +185,7 @@
         self.fleet.cut = {(router, ledger) for router in range(len(self.fleet.routers)) for ledger in ledgers}
 
     def _freeze(self) -> None:
-        self.fleet.frozen_ledgers.add(self.rng.randrange(len(self.fleet.ledgers)))
+        self.fleet.freeze_ledger(self.rng.randrange(len(self.fleet.ledgers)))
 
     def _restart_ledger(self) -> None:
         self.fleet.restart_ledger(self.rng.randrange(len(self.fleet.ledgers)))
--- a/packages/quotas/tests/test_quotas.py
+++ b/packages/quotas/tests/test_quotas.py
@@ -41,7 +41,7 @@
     def _exchange(self, number: int, router: QuotaLimiter) -> None:
         for name, ledger in self.ledgers.items():
             counts = router.counts(name, self.now_ms)
-            ledger.report(f"r{number}", counts, self.now_ms)
+            ledger.report(f"r{number}", counts, self.now_ms, self.now_ms)
             router.heard(name, ledger.statements(list(counts), self.now_ms), self.now_ms)
 
     def ask(self, number: int, units: float) -> bool:
@@ -141,9 +141,9 @@
     ledger = Ledger()
     ledger.set_limits(LIMITS, 0.0)
     assert ledger.statements(["t"], 0.0)["t"].level == 2_000.0 * FRESH_SHARE
-    ledger.report("r", {"t": 1_900.0}, 1_000.0)
+    ledger.report("r", {"t": 1_900.0}, 1_000.0, 1_000.0)
     assert ledger.statements(["t"], 1_000.0)["t"].level == 2_000.0
-    assert ledger.report("r", {"t": 3_500.0}, 1_000.0) == ["t"]
+    assert ledger.report("r", {"t": 3_500.0}, 1_000.0, 1_000.0) == ["t"]
     assert ledger.statements(["t"], 1_000.0)["t"].level == 400.0
 
 
--- a/packages/quotas/tests/test_quotas_returns.py
+++ b/packages/quotas/tests/test_quotas_returns.py
@@ -26,6 +26,17 @@
     assert fleet.refused_since(returned_ms) == 0
 
 
+def test_a_ledger_that_stood_still_refuses_nobody_who_keeps_the_limit() -> None:
+    fleet = Fleet(SMALL, seed=1)
+    fleet.advance(3_000.0, per_s=800.0)
+    fleet.freeze_ledger(0)
+    fleet.advance(10_000.0, per_s=800.0)
+    fleet.thaw_ledgers()
+    thawed_ms = fleet.now_ms
+    fleet.advance(10_000.0, per_s=800.0)
+    assert fleet.refused_since(thawed_ms) == 0
+
+
 def test_a_ledger_that_returns_still_knows_of_a_tenant_that_presses() -> None:
     fleet = Fleet(SMALL, seed=2)
     fleet.advance(5_000.0, per_s=6_000.0)
--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -13,6 +13,7 @@
 
 import h11
 import msgspec
+import uvloop
 
 from larkweir.system.controller.node import Controller
 from larkweir.system.router.node import Router
@@ -298,10 +299,12 @@
                 pass
 
     async def until_ready(self, number: int = 0) -> None:
-        """The router says that it is."""
+        """The router says that it is, and knows every upstream that was registered."""
+        known = self.nodes[self.fronts[number]]._plane._upstreams
 
         async def ready() -> bool:
-            return (await ask(self.ready[number], "GET", "/ready")).status == 200
+            reply = await ask(self.ready[number], "GET", "/ready")
+            return reply.status == 200 and all(upstream.id in known for upstream in self.upstreams)
 
         await self.until(ready)
 
@@ -324,4 +327,5 @@
         finally:
             await fleet.stop()
 
-    asyncio.run(whole())
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:  # as the program itself
+        runner.run(whole())
--- /dev/null
+++ b/tests/system/test_out_of_touch.py
@@ -0,0 +1,101 @@
+"""Controllers that reach no majority: what they acknowledge, refuse and tell, and what holds once they are back."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import msgspec
+
+from larkweir.system.controller.prompt_placement import PromptPlacement
+from tests.system.loopback import Fleet, Upstream, ask, play
+from tests.system.test_fleet import configuration, fine, serve
+
+
+async def say(fleet: Fleet, upstream: Upstream, state: str) -> int:
+    """One heartbeat at the first controller; the status that it gives."""
+    body = upstream.heartbeat("s", state)
+    return (await ask(fleet.control[0], "PUT", f"/instances/{upstream.id}", body)).status
+
+
+async def leave_alone(fleet: Fleet) -> None:
+    """Kills all controllers but the first, and waits until it has noticed."""
+    for address in fleet.control[1:]:
+        await fleet.kill(address)
+
+    async def noticed() -> bool:
+        return not msgspec.json.decode((await ask(fleet.control[0], "GET", "/status")).body)["linked"]
+
+    await fleet.until(noticed)
+
+
+def test_an_upstream_gets_no_acknowledgement_where_no_majority_hears_of_it(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine, fine, fine)
+        first, second, third = fleet.upstreams
+        await leave_alone(fleet)
+        assert await say(fleet, first, "ready") == 503
+        assert await say(fleet, second, "draining") == 503
+        assert (await ask(fleet.control[0], "DELETE", f"/instances/{third.id}")).status == 503
+        known = fleet.nodes[fleet.control[0]]._registry.upstreams
+        assert (known[second.id].state, known[third.id].state) == (1, 2), "noted all the same"
+        fleet.start_controller(1)
+
+        async def acknowledged() -> bool:
+            return await say(fleet, second, "draining") == 200
+
+        await fleet.until(acknowledged)
+        assert (await ask(fleet.control[0], "DELETE", f"/instances/{third.id}")).status == 200
+
+        async def heard() -> bool:
+            return await say(fleet, first, "ready") == 200
+
+        await fleet.until(heard)
+
+    play(tmp_path, scene)
+
+
+def test_an_acknowledged_departure_is_known_to_a_majority(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine, fine)
+        leaving = fleet.upstreams[0]
+        assert await say(fleet, leaving, "draining") == 200
+        knowing = [
+            address
+            for address in fleet.control
+            if fleet.nodes[address]._registry.upstreams[leaving.id].state == 1
+        ]
+        assert len(knowing) >= 2
+
+    play(tmp_path, scene)
+
+
+def test_a_lone_controller_neither_reads_nor_takes_nor_refuses_a_change(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        await leave_alone(fleet)
+        stale = asyncio.ensure_future(
+            ask(fleet.control[0], "PUT", "/config", msgspec.json.encode(configuration(2)), If_Match="0")
+        )
+        fresh = asyncio.ensure_future(
+            ask(fleet.control[0], "PUT", "/config", msgspec.json.encode(configuration(3)), If_Match="1")
+        )
+        assert (await ask(fleet.control[0], "GET", "/config")).status == 503
+        assert [(await one).status for one in (stale, fresh)] == [503, 503]
+
+    play(tmp_path, scene)
+
+
+def test_after_an_absence_a_router_knows_better_where_a_head_is_kept() -> None:
+    engines = ["e0", "e1", "e2"]
+    placement = PromptPlacement()
+    before = placement.place("h", 1_000.0, engines, None, 0.0)
+    assert before is not None
+    elsewhere = next(engine for engine in engines if engine != before.engine)
+    placed = placement.place("h", 1_000.0, engines, elsewhere, 1.0)
+    assert placed == (before.engine, True), "what it placed itself goes first"
+    placement.was_away()
+    assert placement.place("h", 1_000.0, engines, elsewhere, 2.0) == (elsewhere, True)
+    assert placement.place("h", 1_000.0, engines, before.engine, 3.0) == (elsewhere, True)
+    placement.was_away()
+    assert placement.place("h", 1_000.0, engines, None, 4.0) == (elsewhere, True), "nobody knows better"
