A primary whose own disk refused a state writes it again

Cause: a state that was refused by a full disk was written again only where it was sent again, so never at the primary itself; with another member gone for good nothing was acknowledged any more, also long after the disk had room. Change: while a state is on its way the primary writes it where it is neither on its disk nor on its way there.

--- a/packages/replication/src/larkweir_replication/leadership.py
+++ b/packages/replication/src/larkweir_replication/leadership.py
@@ -161,6 +161,7 @@
     def _resend(self, now_ms: float) -> None:
         if self._proposal is None:
             return
+        self._replica.persist_again(self._proposal.snapshot)  # a disk that was full has refused it, perhaps
         for node in self._audience():
             if node not in self._proposal.accepted and self._may_resend(node, now_ms):
                 self._replicate(node, self._proposal.snapshot, now_ms)
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -176,6 +176,14 @@
         for refused in [one for one in self._writes if one <= token]:
             del self._writes[refused]
 
+    def persist_again(self, snapshot: Snapshot) -> None:
+        """Writes that state where it is neither on the disk nor on its way there."""
+        if self._durable.snapshot != snapshot and not self._is_writing(snapshot):
+            self._persist()
+
+    def _is_writing(self, snapshot: Snapshot) -> bool:
+        return any(write.snapshot == snapshot for write in self._writes.values())
+
     def _persist(self) -> None:
         self._token += 1
         durable = Durable(self.promised, self.accepted)
@@ -394,8 +402,8 @@
         self.known.update(snapshot.members)
         if self._durable.snapshot == snapshot:
             self._send(sender, Accepted(snapshot.epoch, snapshot.sequence))
-        elif not any(write.snapshot == snapshot for write in self._writes.values()):
-            self._persist()
+        else:
+            self.persist_again(snapshot)
         if snapshot.sequence <= message.committed:
             self.commit(snapshot)
 
