--- a/packages/replication/src/larkweir_replication/messages.py
+++ b/packages/replication/src/larkweir_replication/messages.py
@@ -80,11 +80,15 @@
 
 
 class CanvassReply(msgspec.Struct, frozen=True, tag="canvass_reply"):
-    """`promised`: the highest epoch known, so that a candidate goes above it."""
+    """`promised`: the highest epoch known, so that a candidate goes above it.
+
+    `members` as its sender knows them: the one who asks may have been replaced, by nodes of which it never heard.
+    """
 
     round: int
     granted: bool
     promised: Epoch
+    members: tuple[str, ...] = ()
 
 
 class Prepare(msgspec.Struct, frozen=True, tag="prepare"):
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -431,19 +431,24 @@
 
     def _ask_voters(self, now_ms: float) -> None:
         self._asked_ms = now_ms
-        for node in self.others():
-            if self.status is Status.CANVASSING and node not in self._grants:
+        if (
+            self.status is Status.CANVASSING
+        ):  # also those that are no members, as one of them may be the primary
+            for node in sorted({*self.others(), *self.known} - self._grants - {self.node}):
                 self._send(node, Canvass(self._round))
-            elif self.status is Status.CANDIDATE and node not in self._promises:
+        for node in self.others():
+            if self.status is Status.CANDIDATE and node not in self._promises:
                 self._send(node, Prepare(self.promised))
 
     def _on_canvass(self, sender: str, message: Canvass, now_ms: float) -> None:
         granted = not self._lease_runs(now_ms)
-        self._send(sender, CanvassReply(message.round, granted, self.promised))
+        members = self.accepted.members if self.accepted is not None else ()
+        self._send(sender, CanvassReply(message.round, granted, self.promised, members))
         if self.leadership is not None and sender not in self.others():
             self.leadership.inform(sender, now_ms)
 
     def _on_canvass_reply(self, sender: str, message: CanvassReply, now_ms: float) -> None:
+        self.known.update(message.members)
         if self.status is not Status.CANVASSING or message.round != self._round:
             return
         if message.promised > self.promised:
--- a/packages/replication/tests/replication_cluster.py
+++ b/packages/replication/tests/replication_cluster.py
@@ -60,7 +60,7 @@
     def __init__(self, cluster: Cluster, name: str, bootstrap: bool) -> None:
         self.cluster = cluster
         self.name = name
-        self.disk = Disk(cluster.rng)
+        self.disk = Disk(cluster.rng, cluster.sync_ms)
         self.bootstrap = bootstrap
         self.replica: Replica | None = None
         self.published = ""  # the newest value of this life
@@ -218,6 +218,7 @@
         """`first`: so many of them form the first group, the others come to it."""
         self.rng = Random(seed)
         self.network = Network(seed, delay_ms=(0.2, 4.0))
+        self.sync_ms = 2.0  # of disks that are well
         names = [f"m{n}" for n in range(size)]
         self.seeds = tuple(names[:3])
         self.first_members = tuple(names[:first])
--- a/packages/replication/tests/replication_disk.py
+++ b/packages/replication/tests/replication_disk.py
@@ -30,10 +30,10 @@
 class Disk:
     """What outlives the processes of a machine, and how it behaves at present."""
 
-    def __init__(self, rng: Random) -> None:
+    def __init__(self, rng: Random, sync_ms: float) -> None:
         self.rng = rng
         self.files = MemoryFiles()
-        self.sync_ms = 2.0
+        self.sync_ms = sync_ms
         self.full = False
         self.stalled = False
         self._stalled_writes: list[Callable[[], None]] = []
--- a/packages/replication/tests/replication_trouble.py
+++ b/packages/replication/tests/replication_trouble.py
@@ -30,8 +30,10 @@
     )
     FLEET_KINDS = ("kill_all", "power_all", "halves", "planned", "planned", "new_seeds")
 
-    def __init__(self, cluster: Cluster, tolerance: int) -> None:
+    def __init__(self, cluster: Cluster, tolerance: int, only: tuple[str, ...] = ()) -> None:
+        """`only`: the kinds to draw from; all where none is named."""
         self.cluster = cluster
+        self.only = only
         self.rng: Random = cluster.rng
         self.tolerance = tolerance
         self._lost_until: dict[str, float] = {}  # machines without their disk, until they have caught up
@@ -46,6 +48,8 @@
         kinds = [*self.MACHINE_KINDS, *self.FLEET_KINDS]
         if len(self._lost_until) < self.tolerance:
             kinds += self.DISK_KINDS * 2
+        if self.only:
+            kinds = [kind for kind in kinds if kind in self.only] or kinds
         kind = self.rng.choice(kinds)
         self.drawn.append(f"{self.cluster.network.now_ms:.0f} {kind} {name}")
         for_ms = self.rng.uniform(50.0, 3_000.0)
@@ -123,7 +127,7 @@
 
     def _slow(self, machine: Machine, for_ms: float) -> None:
         machine.disk.sync_ms = self.rng.choice([60.0, 600.0, 3_000.0])
-        self.cluster.network.after(for_ms, lambda: setattr(machine.disk, "sync_ms", 2.0))
+        self.cluster.network.after(for_ms, lambda: setattr(machine.disk, "sync_ms", self.cluster.sync_ms))
 
     def _stall(self, machine: Machine, for_ms: float) -> None:
         machine.disk.stalled = True
@@ -187,7 +191,7 @@
         self.cluster.network.lost = 0.0
         for machine in list(self.cluster.machines.values()):
             machine.disk.full = False
-            machine.disk.sync_ms = 2.0
+            machine.disk.sync_ms = self.cluster.sync_ms
             machine.disk.go_on()
             self.cluster.network.go_on(machine.name)
             machine.start()
@@ -234,18 +238,24 @@
     first: int = 3
     steps: int = 60
     storm: bool = False  # orders every few milliseconds, hundreds in all
+    only: tuple[str, ...] = ()  # kinds of trouble to draw from
+    trouble_chance: float = 0.2  # at each step
+    sync_ms: float = 2.0  # of all disks that are well
 
 
 def play(day: Day) -> Cluster:
     """Plays it, and checks what must hold: promises throughout, service whenever a majority is calm."""
     cluster = Cluster(day.seed, day.size, day.tolerance, day.first)
     cluster.network.lost = cluster.rng.choice([0.0, 0.0, 0.02, 0.1])
-    trouble = Trouble(cluster, day.tolerance)
+    cluster.sync_ms = day.sync_ms
+    for machine in cluster.machines.values():
+        machine.disk.sync_ms = day.sync_ms
+    trouble = Trouble(cluster, day.tolerance, day.only)
     operators = [Operator(cluster, name) for name in ("a", "b")]
     cluster.run(3_000.0)
     for step in range(day.steps):
         cluster.run(cluster.rng.uniform(5.0, 40.0) if day.storm else cluster.rng.uniform(20.0, 300.0))
-        if cluster.rng.random() < (0.04 if day.storm else 0.2):
+        if cluster.rng.random() < (0.04 if day.storm else day.trouble_chance):
             trouble.strike()
         for operator in operators:
             operator.act()
--- a/packages/replication/tests/test_replication_cluster.py
+++ b/packages/replication/tests/test_replication_cluster.py
@@ -41,6 +41,18 @@
     assert play(Day(seed + 200_000, size=4, first=4)).acknowledged
 
 
+@pytest.mark.parametrize("seed", range(SEEDS // 6))
+def test_power_lost_while_slow_disks_write(seed: int) -> None:
+    kinds = ("kill", "power_all", "kill_all", "flip")
+    assert play(Day(seed + 400_000, only=kinds, sync_ms=60.0, trouble_chance=0.3)).acknowledged
+
+
+@pytest.mark.parametrize("seed", range(SEEDS // 6))
+def test_halves_around_replacements(seed: int) -> None:
+    kinds = ("planned", "halves", "long_cut", "replace_crashed")
+    assert play(Day(seed + 500_000, only=kinds, trouble_chance=0.3)).acknowledged
+
+
 @pytest.mark.parametrize("seed", range(SEEDS // 6))
 def test_hundreds_of_changes_with_repeats_long_after(seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(leadership, "TAKEN_MOST", [40, 1_000][seed % 2])
@@ -138,6 +150,31 @@
     cluster.check()
 
 
+@pytest.mark.parametrize("seed", range(5))
+def test_a_primary_and_a_newcomer_do_not_decide_without_the_old_group(seed: int) -> None:
+    """One member is about to count as lost when the primary and the newcomer are cut off from the other one."""
+    cluster = calm(seed)
+    primary = primary_of(cluster)
+    other, lost = sorted(set(cluster.machines) - {primary})
+    newcomer = cluster.add_machine()
+    newcomer.start()
+    cluster.run(1_000.0)
+    cluster.machines[lost].stop()
+    cluster.run(1_350.0)
+    cluster.network.split([[primary, newcomer.name], [other, lost]])
+    cluster.machines[lost].start()
+    cluster.run(600.0)  # nothing is under way when the other one counts as lost
+    for _ in range(30):
+        for name in sorted(cluster.machines):
+            base = len(names_of(cluster.machines[name].published))
+            cluster.submit(name, f"{base}:{name}{cluster.network.now_ms:.0f}")
+        cluster.run(100.0)
+    cluster.network.heal()
+    cluster.run(6_000.0)
+    cluster.must_acknowledge()
+    cluster.check()
+
+
 def test_two_replacements_in_a_row() -> None:
     for seed in range(10):
         cluster = calm(seed)
@@ -194,6 +231,52 @@
     assert cut_off in cluster.committed().members
 
 
+def test_a_replaced_member_finds_a_primary_of_which_it_never_heard() -> None:
+    """It comes back when the machine that took its place leads, and another of its old group has ended for good."""
+    cluster = calm(6)
+    first = primary_of(cluster)
+    cut_off, leaving = sorted(set(cluster.machines) - {first})
+    isolate(cluster, cut_off)
+    newcomer = cluster.add_machine()
+    newcomer.start()
+    cluster.run(4_000.0)
+    assert newcomer.name in cluster.committed().members
+    cluster.machines[leaving].leave()
+    cluster.run(2_000.0)
+    cluster.forget_machine(leaving)
+    cluster.machines[first].stop()
+    cluster.run(500.0)
+    cluster.machines[first].start()
+    started(cluster, lambda one: one.primary() is not None)
+    while cluster.primary() != newcomer.name:
+        cluster.machines[primary_of(cluster)].running.resign(cluster.network.now_ms)
+        cluster.run(1_000.0)
+    cluster.network.heal()
+    cluster.run(4_000.0)
+    assert cut_off in cluster.committed().members
+
+
+def test_nothing_is_said_before_it_is_durable() -> None:
+    """A promise and an acceptance wait for the disk, however long it takes."""
+    cluster = calm(7)
+    primary = primary_of(cluster)
+    backup, third = sorted(set(cluster.machines) - {primary})
+    cluster.machines[backup].disk.stalled = True
+    replica = cluster.machines[backup].running
+    held = replica.promised
+    cluster.machines[third].stop()
+    cluster.submit(primary, "0:x")
+    cluster.run(100.0)
+    assert not cluster.acknowledged, "the other copy is on no disk yet"
+    cluster.machines[primary].stop()
+    cluster.machines[third].start()
+    cluster.run(1_500.0)
+    assert replica.promised > held, "it has been asked"
+    assert cluster.primary() is None, "the promise is on no disk yet"
+    cluster.machines[backup].disk.go_on()
+    cluster.must_acknowledge()
+
+
 def test_a_wiped_machine_has_no_vote_before_it_has_heard_the_others() -> None:
     cluster = calm(5)
     primary = primary_of(cluster)
--- /dev/null
+++ b/packages/replication/tests/test_replication_planted.py
@@ -0,0 +1,250 @@
+"""Faults planted in the rules: the seeded days must find each, or the days are worth nothing.
+
+`python -m pytest packages/replication/tests/test_replication_planted.py -rP` prints after how many days each was found.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from typing import Any
+
+import msgspec
+import pytest
+import test_replication_cluster as scenes
+from larkweir_replication import leadership
+from larkweir_replication.effects import Decided, ReadDone, Verdict
+from larkweir_replication.journal import Journal
+from larkweir_replication.leadership import Leadership
+from larkweir_replication.messages import Accepted, Epoch, Prepare, Promise, Replicate, Snapshot
+from larkweir_replication.replica import Replica, Status
+from replication_trouble import Day, play
+
+DAYS_MOST = 150
+ANY_DAY = Day(0)
+POWER_LOST_ON_SLOW_DISKS = Day(0, only=("kill", "power_all", "kill_all"), sync_ms=60.0, trouble_chance=0.3)
+Patch = Callable[[pytest.MonkeyPatch], None]
+
+
+@dataclass(frozen=True)
+class Fault:
+    """What is wrong in the rules, and the days that are to find it."""
+
+    name: str
+    plant: Patch
+    day: Day = ANY_DAY
+    scene: Callable[[], None] | None = None  # for what only a rare order of events brings about
+
+
+def half_is_a_majority(patch: pytest.MonkeyPatch) -> None:
+    def has_quorum(self: Snapshot, nodes: set[str]) -> bool:
+        groups = [group for group in (self.members, self.previous_members) if group]
+        return all(2 * len(nodes.intersection(group)) >= len(group) - 1 for group in groups)
+
+    patch.setattr(Snapshot, "has_quorum", has_quorum)
+
+
+def the_group_before_a_change_is_not_asked(patch: pytest.MonkeyPatch) -> None:
+    def has_quorum(self: Snapshot, nodes: set[str]) -> bool:
+        return 2 * len(nodes.intersection(self.members)) > len(self.members)
+
+    patch.setattr(Snapshot, "has_quorum", has_quorum)
+    # One step less: the next members alone decide on their own coming.
+    patch.setattr(leadership, "next_step", _several_at_once)
+
+
+def _several_at_once(current: Snapshot, wanted: int, primary: str, candidates: Any) -> Any:
+    newcomers = [node for node in candidates.standing_by if node not in current.members]
+    members = sorted({primary, *newcomers, *current.members} - {*candidates.lost, *candidates.leaving})[
+        :wanted
+    ]
+    if not newcomers or primary not in members or tuple(members) == current.members:
+        return None
+    return leadership.Step(tuple(members))
+
+
+def promises_are_given_before_they_are_durable(patch: pytest.MonkeyPatch) -> None:
+    def on_prepare(self: Replica, sender: str, message: Prepare, now_ms: float) -> None:
+        if message.epoch >= self.promised and not self._lease_runs(now_ms):
+            self._raise_promise(message.epoch, now_ms)
+            self._send(sender, Promise(message.epoch, self.accepted))
+            self._persist()
+
+    patch.setattr(Replica, "_on_prepare", on_prepare)
+
+
+def states_are_confirmed_before_they_are_durable(patch: pytest.MonkeyPatch) -> None:
+    original = Replica._on_replicate
+
+    def on_replicate(self: Replica, sender: str, message: Replicate, now_ms: float) -> None:
+        original(self, sender, message, now_ms)
+        if message.snapshot.epoch >= self.promised:
+            self._send(sender, Accepted(message.snapshot.epoch, message.snapshot.sequence))
+
+    patch.setattr(Replica, "_on_replicate", on_replicate)
+
+
+def lower_epochs_are_served(patch: pytest.MonkeyPatch) -> None:
+    def raise_promise(self: Replica, epoch: Epoch, now_ms: float) -> None:
+        self.promised = epoch
+
+    def on_replicate(self: Replica, sender: str, message: Replicate, now_ms: float) -> None:
+        self._hear_primary(sender, message.snapshot.epoch, now_ms)
+        self.accepted = message.snapshot
+        self._persist()
+
+    patch.setattr(Replica, "_raise_promise", raise_promise)
+    patch.setattr(Replica, "_on_replicate", on_replicate)
+
+
+def a_candidate_keeps_its_own_state(patch: pytest.MonkeyPatch) -> None:
+    def count_promise(self: Replica, node: str, snapshot: Snapshot | None, now_ms: float) -> None:
+        assert self.accepted is not None
+        self._promises[node] = snapshot
+        if self.status is Status.CANDIDATE and self.accepted.has_quorum(set(self._promises)):
+            self.accepted = msgspec.structs.replace(self.accepted, epoch=self.promised)
+            self._persist()
+            self._become(Status.PRIMARY, now_ms)
+
+    patch.setattr(Replica, "_count_promise", count_promise)
+
+
+def reads_are_not_confirmed(patch: pytest.MonkeyPatch) -> None:
+    def read(self: Leadership, ticket: int, now_ms: float) -> None:
+        self._replica.effects.append(ReadDone(ticket, self._replica.committed))
+
+    patch.setattr(Leadership, "read", read)
+
+
+def refusals_are_not_confirmed(patch: pytest.MonkeyPatch) -> None:
+    original = Leadership._take_up
+
+    def take_up(self: Leadership, submitted: Any, now_ms: float) -> bool:
+        refused = original(self, submitted, now_ms)
+        if refused:
+            self._replica.effects.append(Decided(submitted.ticket, Verdict.REJECTED))
+            self._unconfirmed.pop()
+        return False
+
+    patch.setattr(Leadership, "_take_up", take_up)
+
+
+def one_answer_recovers_a_memory(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Replica, "_heard_enough", lambda self, group: bool(self._replies))
+
+
+def damage_is_taken_for_a_torn_tail(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Journal, "_distrust", lambda self: None)
+
+
+def commands_are_not_remembered(patch: pytest.MonkeyPatch) -> None:
+    original = leadership._with_value
+    patch.setattr(
+        leadership,
+        "_with_value",
+        lambda current, value, command: msgspec.structs.replace(
+            original(current, value, command), taken=current.taken
+        ),
+    )
+
+
+def what_is_forgotten_is_refused(patch: pytest.MonkeyPatch) -> None:
+    original = leadership._with_value
+    patch.setattr(leadership, "TAKEN_MOST", 10)
+    patch.setattr(
+        leadership,
+        "_with_value",
+        lambda current, value, command: msgspec.structs.replace(
+            original(current, value, command), forgotten=-1
+        ),
+    )
+
+
+def committed_without_a_majority(patch: pytest.MonkeyPatch) -> None:
+    original = Leadership._propose
+
+    def propose(
+        self: Leadership, snapshot: Snapshot, ticket: int | None, now_ms: float, persist: bool = True
+    ) -> None:
+        original(self, snapshot, ticket, now_ms, persist)
+        self._replica.commit(snapshot)
+
+    patch.setattr(Leadership, "_propose", propose)
+
+
+def an_epoch_is_used_twice(patch: pytest.MonkeyPatch) -> None:
+    original = Replica._become
+
+    def become(self: Replica, status: Status, now_ms: float) -> None:
+        original(self, status, now_ms)
+        if status is Status.CANDIDATE:
+            self.promised = Epoch(max(0, self.promised.number - 1), "")
+
+    patch.setattr(Replica, "_become", become)
+
+
+def a_wiped_disk_votes(patch: pytest.MonkeyPatch) -> None:
+    def start(self: Replica, stored: Any, first_members: Any, now_ms: float) -> None:
+        if stored is None and first_members is None:
+            first_members = tuple(sorted(self.known))[:3]
+            first_members = first_members if self.node in first_members else None
+        original(self, stored, first_members, now_ms)
+
+    original = Replica._start
+    patch.setattr(Replica, "_start", start)
+
+
+def the_own_disk_is_not_asked_again(patch: pytest.MonkeyPatch) -> None:
+    def persist_again(self: Replica, snapshot: Snapshot) -> None:
+        if self.leadership is None and self._durable.snapshot != snapshot and not self._is_writing(snapshot):
+            self._persist()
+
+    patch.setattr(Replica, "persist_again", persist_again)
+
+
+FAULTS = [
+    Fault("half is a majority", half_is_a_majority),
+    Fault(
+        "the group before a change is not asked",
+        the_group_before_a_change_is_not_asked,
+        scene=lambda: scenes.test_a_primary_and_a_newcomer_do_not_decide_without_the_old_group(0),
+    ),
+    Fault(
+        "promises are given before they are durable",
+        promises_are_given_before_they_are_durable,
+        scene=scenes.test_nothing_is_said_before_it_is_durable,
+    ),
+    Fault(
+        "states are confirmed before they are durable",
+        states_are_confirmed_before_they_are_durable,
+        POWER_LOST_ON_SLOW_DISKS,
+    ),
+    Fault("lower epochs are served", lower_epochs_are_served),
+    Fault("a candidate keeps its own state", a_candidate_keeps_its_own_state),
+    Fault("reads are not confirmed", reads_are_not_confirmed),
+    Fault("refusals are not confirmed", refusals_are_not_confirmed),
+    Fault("one answer recovers a memory", one_answer_recovers_a_memory),
+    Fault("damage is taken for a torn tail", damage_is_taken_for_a_torn_tail),
+    Fault("commands are not remembered", commands_are_not_remembered),
+    Fault("what is forgotten is refused", what_is_forgotten_is_refused),
+    Fault("committed without a majority", committed_without_a_majority),
+    Fault("an epoch is used twice", an_epoch_is_used_twice),
+    Fault("a wiped disk votes", a_wiped_disk_votes),
+    Fault("the own disk is not asked again", the_own_disk_is_not_asked_again),
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.name)
+def test_the_days_find_it(fault: Fault, monkeypatch: pytest.MonkeyPatch) -> None:
+    fault.plant(monkeypatch)
+    if fault.scene is not None:
+        with pytest.raises(AssertionError):
+            fault.scene()
+        return
+    for count in range(1, DAYS_MOST + 1):
+        try:
+            play(replace(fault.day, seed=count))
+        except Exception as found:  # whatever breaks: an assertion of the model, or of the rules themselves
+            print(f"{fault.name}: found on day {count}: {found!r:.100}")
+            return
+    pytest.fail(f"{DAYS_MOST} days did not find it")
