Successes that name no request are not believed; a state machine of right caller, at most once

Causes, found by the machine or read: a 2xx without X-Request-Id, or without X-Server-Signature, was passed on as the upstream's; a connection that ended between its opening and the first write left the request without an answer until its time was up; a second copy of a refusal that names no request was taken for the answer to the next one on that connection, a promise that was none. Ruled out: taking refusals without an id for failures (they say X-Not-Executed, and a promise is worth a new try). Change: such successes are failures that may have run; such a connection counts as not made; a connection that gave a refusal without an id is not used again.

--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -176,16 +176,23 @@
             connection = await self._plane.pool.connect(attempt.address)
         except (OSError, TimeoutError) as problem:
             self._connecting = None
-            log.detail("connect_failed", instance=attempt.instance, error=str(problem))
-            self._release(Outcome.CONNECT_FAILED)
-            self._connects_failed += 1
-            if self._connects_failed >= CONNECTS_MOST:
-                self._give_up()
-            else:
-                self._try()
+            self._connect_failed(attempt, str(problem))
             return
         self._connecting = None
-        self._write(connection)
+        if connection.is_open:
+            self._write(connection)
+        else:
+            self._connect_failed(attempt, "reset at once")
+
+    def _connect_failed(self, attempt: _Attempt, problem: str) -> None:
+        """Nothing was written: another upstream may be asked."""
+        log.detail("connect_failed", instance=attempt.instance, error=problem)
+        self._release(Outcome.CONNECT_FAILED)
+        self._connects_failed += 1
+        if self._connects_failed >= CONNECTS_MOST:
+            self._give_up()
+        else:
+            self._try()
 
     def _write(self, connection: UpstreamConnection) -> None:
         assert self._attempt is not None
--- a/larkweir/system/router/upstream_call.py
+++ b/larkweir/system/router/upstream_call.py
@@ -15,6 +15,8 @@
     1_200.0  # written bytes that stay unacknowledged for so long: the upstream is gone or cut off
 )
 MAX_HEADER_BYTES = 64 * 1024
+SIGNATURE = b"x-server-signature"
+FIRST_FAILURE = 300  # of the statuses
 Headers = list[tuple[bytes, bytes]]
 
 
@@ -143,17 +145,23 @@
 
     def _head(self, response: h11.Response) -> None:
         assert self._listener is not None
-        echoed = b""
+        echoed, signed = b"", False
         for name, value in response.headers:
             if name == b"x-request-id":
                 echoed = value
+            elif name == SIGNATURE:
+                signed = True
             elif name == b"keep-alive":
                 self.keep_alive_s = _timeout_of(value)
             elif name == b"connection" and b"close" in value.lower():
                 self._reusable = False
-        if echoed and echoed != self._request_id:  # some refusals echo no id
+        if echoed and echoed != self._request_id:
             self._skipping = True
+        elif response.status_code < FIRST_FAILURE and not (echoed and signed):
+            self._fail(Ending.GARBLED)  # refusals may name no request, successes do
         else:
+            if not echoed:  # a second copy of it could not be told from the answer to the next request
+                self._reusable = False
             self._listener.call_head(response)
 
     def _end(self) -> None:
--- /dev/null
+++ b/tests/system/router_model.py
@@ -0,0 +1,357 @@
+"""A router's request path between clients and upstreams that a test writes, byte by byte, without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import h11
+import msgspec
+from larkweir_registry.records import Upstream
+
+from larkweir.system.messages import ConfigUpdate
+from larkweir.system.router.client_connection import ClientConnection
+from larkweir.system.router.data_plane import DataPlane
+from larkweir.system.router.upstream_call import UpstreamConnection
+from larkweir.system.router.upstream_pool import UpstreamPool
+from larkweir.system.settings import Bounds
+
+KINDS = {
+    "plain": {"kind": "non_idempotent", "max_attempts": 3},
+    "safe": {"kind": "idempotent", "max_attempts": 3},
+    "stream": {"kind": "streaming", "max_attempts": 3},
+    "resumable": {"kind": "streaming", "resumable": True, "max_attempts": 3},
+}
+REPEATABLE = frozenset(("safe", "resumable"))
+STREAMS = frozenset(("stream", "resumable"))
+EVENTS = 3  # of a stream
+PROMISES = frozenset((408, 421, 429, 503))
+SIGNATURE = "x-server-signature"
+
+
+class FakeTransport(asyncio.Transport):
+    """The router's end of a connection: what it writes goes to the test, at once."""
+
+    def __init__(self, on_write: Callable[[bytes], None], protocol: asyncio.Protocol) -> None:
+        super().__init__()
+        self._on_write = on_write
+        self._protocol = protocol
+        self._closing = False
+        self.lost = False
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        if not self._closing:
+            self._on_write(bytes(data))
+
+    def is_closing(self) -> bool:
+        return self._closing
+
+    def close(self) -> None:
+        if not self._closing:
+            self._closing = True
+            asyncio.get_running_loop().call_soon(self.end, None)
+
+    def abort(self) -> None:
+        self.close()
+
+    def end(self, problem: Exception | None) -> None:
+        """The connection is over, by whichever side."""
+        self._closing = True
+        if not self.lost:
+            self.lost = True
+            self._protocol.connection_lost(problem)
+
+    def deliver(self, data: bytes) -> None:
+        """Bytes from the other side."""
+        if not self._closing:
+            self._protocol.data_received(data)
+
+    def deliver_eof(self) -> None:
+        """The other side has closed in order."""
+        if not self._closing:
+            keep = self._protocol.eof_received()
+            if not keep:
+                self.end(None)
+
+    def pause_reading(self) -> None: ...
+
+    def resume_reading(self) -> None: ...
+
+    def is_reading(self) -> bool:
+        return True
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+
+@dataclass
+class Run:
+    """A request as an upstream got it, and what became of it there."""
+
+    id: str
+    kind: str
+    number: int  # the how-manieth run of this id
+    after: int  # the event behind which it goes on
+    executed: bool = True
+    whole: bool = False  # the upstream has answered all of it
+
+    def body(self) -> bytes:
+        """Unlike that of any other run."""
+        return f"{self.id}/{self.number}".encode()
+
+    def event(self, number: int) -> bytes:
+        return f"id: {number}\ndata: {self.id} {number}\n\n".encode()
+
+
+class FakeUpstream:
+    """One connection at an upstream: reads what the router sends, and answers as it is told."""
+
+    def __init__(self, model: RouterModel, connection: UpstreamConnection) -> None:
+        self.model = model
+        self.transport = FakeTransport(self._came, connection)
+        self._h11 = h11.Connection(h11.SERVER)
+        self.run: Run | None = None  # that is to be answered
+        self.last_answer = b""
+        self.unsent = b""  # of an answer that has begun
+        self.ended = False
+        self.is_unframed = False  # the answer under way has no length and ends with the connection
+        connection.connection_made(self.transport)
+
+    @property
+    def is_open(self) -> bool:
+        return not self.transport.is_closing() and not self.ended
+
+    @property
+    def may_say_more(self) -> bool:
+        """Whether bytes that belong to no answer can be told from one."""
+        return self.is_open and not self.unsent and not self.is_unframed
+
+    def _came(self, data: bytes) -> None:
+        self._h11.receive_data(data)
+        while True:
+            event = self._h11.next_event()
+            if isinstance(event, h11.Request):
+                assert self.run is None, "two requests at once on a connection"
+                self.run = self.model.runs_of(event)
+            elif isinstance(event, h11.EndOfMessage):
+                left = self._h11.trailing_data[0]
+                self._h11 = h11.Connection(h11.SERVER)
+                if left:
+                    self._h11.receive_data(left)
+            elif not isinstance(event, h11.Data):
+                return
+
+    def begin(self, answer: bytes, whole: bool = True, executed: bool = True) -> None:
+        """Prepares an answer to the request that waits; `send` passes it on."""
+        assert self.run is not None
+        self.run.executed = executed
+        self.unsent, self.last_answer = answer, answer
+        self.is_unframed = not whole
+
+    def send(self, count: int) -> None:
+        """So many bytes of the answer, all of them where there are no more."""
+        data, self.unsent = self.unsent[:count], self.unsent[count:]
+        run = self.run
+        if not self.unsent and run is not None and not self.is_unframed:
+            run.whole = True
+            self.run = None
+        self.transport.deliver(data)
+
+    def extra(self, data: bytes) -> None:
+        """Bytes that nobody asked for."""
+        self.transport.deliver(data)
+
+    def close(self, in_order: bool) -> None:
+        """Ends the connection by a close or a reset."""
+        self.ended = True
+        if in_order:
+            self.transport.deliver_eof()
+        else:
+            self.transport.end(ConnectionResetError())
+
+
+@dataclass
+class Sent:
+    """A client's request, and the answer that it got."""
+
+    id: str
+    kind: str
+    status: int = 0
+    headers: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    ended: bool = False
+
+
+class FakeClient:
+    """One connection of a client; answers are matched with requests by their order, as HTTP has it."""
+
+    def __init__(self, model: RouterModel) -> None:
+        connection = ClientConnection(model.plane)
+        self.transport = FakeTransport(self._came, connection)
+        self._h11 = h11.Connection(h11.CLIENT)
+        self._at: Sent | None = None
+        self.waiting: list[Sent] = []
+        self.unread = b""  # of requests that the router has not got yet
+        connection.connection_made(self.transport)
+
+    @property
+    def is_open(self) -> bool:
+        return not self.transport.is_closing()
+
+    def queue(self, sent: Sent, body: bytes) -> None:
+        """One more request; `send` passes it on."""
+        self.waiting.append(sent)
+        head = f"POST /{sent.kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: {sent.id}\r\n"
+        self.unread += f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+    def send(self, count: int) -> None:
+        data, self.unread = self.unread[:count], self.unread[count:]
+        self.transport.deliver(data)
+
+    def _came(self, data: bytes) -> None:
+        if self._at is None:
+            self._next_answer()
+        self._h11.receive_data(data)
+        while True:
+            event = self._h11.next_event()
+            if isinstance(event, h11.Response):
+                assert self._at is not None, "an answer that nobody waits for"
+                self._at.status = event.status_code
+                self._at.headers = {name.decode(): value.decode() for name, value in event.headers}
+            elif isinstance(event, h11.Data):
+                assert self._at is not None
+                self._at.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                assert self._at is not None
+                self._at.whole = self._at.ended = True
+                self._at = None
+                if self._h11.their_state is not h11.DONE or self._h11.our_state is not h11.DONE:
+                    return
+                self._h11.start_next_cycle()
+                if not self._h11.trailing_data[0]:
+                    return
+                self._next_answer()
+            else:
+                return
+
+    def _next_answer(self) -> None:
+        assert self.waiting, "bytes on a connection where nobody waits"
+        self._at = self.waiting.pop(0)
+        self._h11.send(h11.Request(method="POST", target="/", headers=[("Host", "a")]))
+        self._h11.send(h11.EndOfMessage())
+
+    def close(self) -> None:
+        self.transport.end(None)
+
+
+class FakePool(UpstreamPool):
+    """Opens connections to the test's upstreams."""
+
+    def __init__(self, model: RouterModel) -> None:
+        super().__init__()
+        self._model = model
+
+    async def connect(self, address: str) -> UpstreamConnection:
+        await asyncio.sleep(0)
+        if address in self._model.refusing:
+            raise ConnectionRefusedError
+        connection = UpstreamConnection(self._keep, self._lost)
+        self._addresses[connection] = address
+        self._model.upstreams.append(FakeUpstream(self._model, connection))
+        return connection
+
+
+class RouterModel:
+    """Clients, a router's data plane, and two upstreams."""
+
+    ADDRESSES = ("127.0.0.1:1", "127.0.0.1:2")
+
+    def __init__(self) -> None:
+        """To be made inside the loop."""
+        self.plane = DataPlane(Bounds(retry_budget_ratio=10.0, retry_budget_slack=1_000.0), Random(1))
+        self.plane.pool = FakePool(self)
+        self.upstreams: list[FakeUpstream] = []
+        self.clients: list[FakeClient] = []
+        self.refusing: set[str] = set()
+        self.sent: dict[str, Sent] = {}
+        self.runs: dict[str, list[Run]] = {}
+        routes = [
+            {
+                "name": name,
+                "host": "a",
+                "path_prefix": f"/{name}/",
+                "backend": "s",
+                "timeout_ms": 60_000,
+                **kind,
+            }
+            for name, kind in KINDS.items()
+        ]
+        body = {"generation": 1, "routes": routes, "services": [{"name": "s"}]}
+        self.plane.configuration.apply(ConfigUpdate(1, -1, msgspec.Raw(msgspec.json.encode(body))))
+        listed = [Upstream(f"i{n}", "s", address, "z") for n, address in enumerate(self.ADDRESSES)]
+        self.plane.update_upstreams(listed, 0.0)
+
+    def runs_of(self, head: h11.Request) -> Run:
+        """Notes that an upstream has got a request."""
+        headers = {name.decode(): value.decode() for name, value in head.headers}
+        id_ = headers["x-request-id"]
+        assert id_ in self.sent, "a request that no client sent"
+        assert headers["x-target-instance"] in ("i0", "i1")
+        before = self.runs.setdefault(id_, [])
+        after = int(headers.get("last-event-id", "0"))
+        run = Run(id_, self.sent[id_].kind, len(before), after)
+        before.append(run)
+        return run
+
+    def check(self) -> None:
+        """Right caller, at most once, no false promise, nothing torn that seems whole."""
+        for id_, sent in self.sent.items():
+            runs = self.runs.get(id_, [])
+            executed = [run for run in runs if run.executed]
+            if sent.kind not in REPEATABLE:
+                assert len(executed) <= 1, f"{id_} ran {len(executed)} times"
+                if sent.ended and sent.status in PROMISES:
+                    assert not executed, f"{id_} was answered {sent.status} and ran"
+            if 200 <= sent.status < 300:
+                assert SIGNATURE in sent.headers, f"{id_}: a success of the router's own"
+                self._check_success(sent, runs)
+
+    def _check_success(self, sent: Sent, runs: list[Run]) -> None:
+        if sent.kind in STREAMS:
+            numbers = range(1, EVENTS + 1)
+            whole = b"".join(f"id: {n}\ndata: {sent.id} {n}\n\n".encode() for n in numbers)
+            assert whole.startswith(
+                sent.body
+            ), f"{sent.id}: events of another, twice, or left out: {sent.body!r}"
+            assert not sent.whole or sent.body == whole, f"{sent.id}: ends as whole before its last event"
+        else:
+            bodies = [run.body() for run in runs]
+            assert any(
+                body.startswith(sent.body) for body in bodies
+            ), f"{sent.id}: {sent.body!r} is not its own"
+            assert not sent.whole or any(run.whole and run.body() == sent.body for run in runs)
+
+
+def answer_of(run: Run, *, framed: bool = True, echo: bool = True, status: int = 200, **more: str) -> bytes:
+    """A whole answer to that run."""
+    headers = {"X-Server-Signature": run.body().decode(), **more}
+    if echo:
+        headers["X-Request-Id"] = run.id
+    body = run.body() if run.kind not in STREAMS or status != 200 else b""
+    if run.kind in STREAMS and status == 200:
+        events = [run.event(number) for number in range(run.after + 1, EVENTS + 1)]
+        if not framed:
+            body = b"".join(events)
+        else:
+            headers["Transfer-Encoding"] = "chunked"
+            body = b"".join(b"%x\r\n%s\r\n" % (len(event), event) for event in events) + b"0\r\n\r\n"
+    elif framed:
+        headers["Content-Length"] = str(len(body))
+    lines = [f"HTTP/1.1 {status} X", *(f"{name}: {value}" for name, value in headers.items())]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
