--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
 from enum import Enum
 from random import Random
 
@@ -39,30 +38,13 @@
     Resign,
     Snapshot,
 )
+from larkweir_replication.recovery import Recovery
+from larkweir_replication.timing import Timing
 
 Apply = Callable[[str, str], Result[str, object]]
 """The value and a change to the next value, or the reason why the change is refused."""
 
 
-@dataclass(frozen=True, slots=True)
-class Timing:
-    """Milliseconds of the steady clock."""
-
-    heartbeat_ms: float = 80.0
-    lease_ms: float = 320.0  # after a heartbeat no member helps to elect another primary
-    lease_margin_ms: float = 40.0  # the holder stops so long before the lease ends
-    election_ms: float = 350.0  # silence of a primary before a candidacy is tried
-    election_spread_ms: float = 250.0  # up to so much more, by chance
-    dial_ms: float = 60.0  # that connections take after a start; up to twice that by chance
-    campaign_ms: float = 300.0  # a candidacy is given up after it
-    recover_ms: float = 150.0  # between questions of a replica without memory
-    join_ms: float = 300.0  # between questions of a node that would be a member
-    leave_ms: float = 100.0  # the same of a node that is about to end
-    leaving_election_ms: float = 500.0  # so much later than others a node that is about to end is a candidate
-    dead_ms: float = 1_500.0  # a member this silent may be replaced by a newcomer
-    remove_ms: float = 3_000.0  # the same, taken out of a group that is larger than it must be
-
-
 class Status(Enum):
     """What a replica is doing; `Replica._become` is the one place where it changes."""
 
@@ -120,7 +102,7 @@
         self._round = 0
         self._grants: set[str] = set()
         self._promises: dict[str, Snapshot | None] = {}
-        self._replies: dict[str, RecoverReply] = {}
+        self._recovery = Recovery(node, rng)
         self._start(stored, first_members, now_ms if born_ms is None else born_ms)
         self._deadline_ms = max(self._deadline_ms, now_ms + self.timing.dial_ms * (1.0 + rng.random()))
 
@@ -230,7 +212,6 @@
                 self.primary = self.node
                 self.leadership = Leadership(self, now_ms)
             case Status.RECOVERING:
-                self._replies = {}
                 self._deadline_ms = now_ms
 
     def _election_ms(self) -> float:
@@ -509,31 +490,21 @@
         if now_ms < self._deadline_ms or self._writes:
             return
         self._deadline_ms = now_ms + self.timing.recover_ms
-        self._round += 1
-        self._replies = {}
+        question = self._recovery.ask()
         for node in sorted(self.known - {self.node}):
-            self._send(node, Recover(self._round))
+            self._send(node, question)
 
     def _learn(self, sender: str, message: RecoverReply, now_ms: float) -> None:
         self.known.update(message.snapshot.members)
-        if message.nonce != self._round or self._writes:
+        if self._writes:
             return
-        self._replies[sender] = message
-        newest = max((reply.snapshot for reply in self._replies.values()), key=lambda one: one.rank)
-        groups = [group for group in (newest.members, newest.previous_members) if group]
-        if not all(self._heard_enough(group) for group in groups):
+        memory = self._recovery.learn(sender, message)
+        if memory is None:
             return
-        self.accepted = newest
-        self.promised = max(reply.promised for reply in self._replies.values())
+        self.promised, self.accepted = memory.promised, memory.snapshot
         self._heard_ms = now_ms
         self._persist()
 
-    def _heard_enough(self, group: tuple[str, ...]) -> bool:
-        """Whether every majority that this node's forgotten vote was part of has another member among the replies."""
-        majority = len(group) // 2 + 1
-        heard = len(set(group).intersection(self._replies) - {self.node})
-        return heard >= (len(group) - majority + 1 if self.node in group else majority)
-
     # The primary's calls, refused elsewhere
 
     def submit(self, ticket: int, command: Command, now_ms: float) -> bool:
--- a/packages/replication/tests/replication_cluster.py
+++ b/packages/replication/tests/replication_cluster.py
@@ -9,7 +9,8 @@
 from larkweir_replication.effects import Committed, Decided, Effect, Persist, ReadDone, Send, Verdict
 from larkweir_replication.journal import Journal
 from larkweir_replication.messages import Command, Durable, Message, Snapshot
-from larkweir_replication.replica import Replica, Status, Timing
+from larkweir_replication.replica import Replica, Status
+from larkweir_replication.timing import Timing
 from larkweir_simulated.network import Network
 from replication_disk import Disk
 from result import Err, Ok, Result
--- a/packages/replication/tests/test_replication_planted.py
+++ b/packages/replication/tests/test_replication_planted.py
@@ -17,6 +17,7 @@
 from larkweir_replication.journal import Journal
 from larkweir_replication.leadership import Leadership
 from larkweir_replication.messages import Accepted, Epoch, Prepare, Promise, Replicate, Snapshot
+from larkweir_replication.recovery import Recovery
 from larkweir_replication.replica import Replica, Status
 from replication_trouble import Day, play
 
@@ -130,7 +131,7 @@
 
 
 def one_answer_recovers_a_memory(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Replica, "_heard_enough", lambda self, group: bool(self._replies))
+    patch.setattr(Recovery, "_heard_enough", lambda self, group: bool(self._replies))
 
 
 def damage_is_taken_for_a_torn_tail(patch: pytest.MonkeyPatch) -> None:
