Tests: a cut resumable stream is followed to its end at each byte; its planted fault is found

The test of cuts at each byte now answers the second attempt too, and finds it at once. No check is eased: the machine must find the other six as before.

--- a/tests/system/test_right_caller.py
+++ b/tests/system/test_right_caller.py
@@ -106,6 +106,11 @@
             assert len(play.model.runs[sent.id]) == 1
             whole = at == length and framed
             assert (sent.whole and sent.status == 200) == whole, f"cut at {at} of {length}"
+        elif kind == "resumable" and not sent.whole:
+            assert play.waiting(), f"it is not sent again when cut at {at} of {length}"
+            play.answer(play.waiting()[0])
+            play.model.check()
+            assert sent.whole, f"cut at {at} of {length}"
         play.close()
         if at == length:
             break
--- a/tests/system/test_right_caller_planted.py
+++ b/tests/system/test_right_caller_planted.py
@@ -1,4 +1,4 @@
-"""Faults planted in the request path: the state machine of `test_right_caller` must find each."""
+"""Faults planted in the request path: the tests of `test_right_caller` must find each."""
 
 from __future__ import annotations
 
@@ -13,6 +13,7 @@
 from larkweir.system.router.client_connection import ClientConnection
 from larkweir.system.router.exchange import Exchange
 from larkweir.system.router.upstream_call import UpstreamConnection
+from tests.system import test_right_caller as scenes
 from tests.system.test_right_caller import RightCaller
 
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -90,19 +91,33 @@
     patch.setattr(Exchange, "_give_up", give_up)
 
 
+def the_state_machine() -> None:
+    run_state_machine_as_test(RightCaller, settings=FIND)
+
+
+def a_stream_that_is_cut() -> None:
+    scenes.test_a_connection_that_ends_at_each_byte_of_an_answer("resumable", in_order=False, framed=True)
+
+
 FAULTS: list[Patch] = [
     any_answer_is_taken_for_this_request,
     bytes_on_an_idle_connection_are_kept,
     what_may_have_run_is_sent_again,
     a_promise_is_passed_on_unseen,
     a_broken_answer_ends_as_if_whole,
-    a_stream_begins_anew_elsewhere,
     what_was_refused_elsewhere_counts_as_not_run,
 ]
 
 
+def test_a_stream_that_begins_anew_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
+    a_stream_that_is_cut()
+    a_stream_begins_anew_elsewhere(monkeypatch)
+    with pytest.raises(AssertionError):
+        a_stream_that_is_cut()
+
+
 @pytest.mark.parametrize("plant", FAULTS, ids=lambda plant: plant.__name__)
 def test_the_state_machine_finds_it(plant: Patch, monkeypatch: pytest.MonkeyPatch) -> None:
     plant(monkeypatch)
     with pytest.raises(Exception):  # noqa: B017 — whatever breaks first, the model's check or the parser
-        run_state_machine_as_test(RightCaller, settings=FIND)
+        the_state_machine()
