--- a/packages/registry/tests/test_registry_fleet.py
+++ b/packages/registry/tests/test_registry_fleet.py
@@ -15,6 +15,9 @@
 SEEDS = int(os.environ.get("REGISTRY_SEEDS", "40"))
 TICK_MS = 50.0
 HEARTBEAT_MS = 1_000.0
+PAUSE_MS = 9_000.0  # an upstream that stands still, and comes back
+PAUSE_CHANCE = 0.01  # of each heartbeat
+LATE_CHANCE = 0.1
 CONTACT_MS = 2_000.0  # from a return until a machine is held to what others know
 
 
@@ -55,6 +58,7 @@
     next_ms: float = 0.0
     gone_acknowledged_ms: float | None = None
     dead_ms: float | None = None
+    late: list[tuple[float, Upstream]] = field(default_factory=list)  # heartbeats that are still on their way
 
 
 class Fleet:
@@ -71,6 +75,7 @@
         self.in_touch_since: dict[int, float] = dict.fromkeys(range(4), 0.0)
         self.servers = [self._server(number) for number in range(6)]
         self.served = len(self.servers)
+        self.calm = False  # upstreams neither pause nor send what comes late
 
     def _server(self, number: int) -> Server:
         lives_ms = self.rng.uniform(5_000.0, 60_000.0)
@@ -108,8 +113,12 @@
             registry.note(lapsed, self.now_ms)
 
     def _server_speaks(self, server: Server) -> None:
+        self._late_heartbeats_come(server)
         if server.dead_ms is not None or self.now_ms < server.next_ms:
             return
+        if not self.calm and self.rng.random() < PAUSE_CHANCE:
+            server.next_ms = self.now_ms + PAUSE_MS
+            return
         server.next_ms = self.now_ms + HEARTBEAT_MS * self.rng.uniform(0.9, 1.1)
         server.sequence += 1
         leaving = self.now_ms >= server.ends_ms
@@ -118,12 +127,23 @@
             return
         state = State.DRAINING if leaving else State.READY
         said = Upstream(server.id, "s", f"a-{server.id}", "z", 1, server.sequence, state)
+        if not leaving and not self.calm and self.rng.random() < LATE_CHANCE:
+            server.late.append((self.now_ms + self.rng.uniform(500.0, 3_000.0), said))
         for controller in self.rng.sample(self.controllers, 3):
             if controller.works and self._tell(controller, said):
                 if leaving:
                     server.gone_acknowledged_ms = server.dead_ms = self.now_ms
                 return
 
+    def _late_heartbeats_come(self, server: Server) -> None:
+        """A copy of an earlier one, at whichever controller: it must undo nothing that was said since."""
+        for when_ms, said in list(server.late):
+            if self.now_ms >= when_ms:
+                server.late.remove((when_ms, said))
+                controller = self.rng.choice(self.controllers)
+                if controller.works:
+                    controller.registry.note(said, self.now_ms)
+
     def _tell(self, controller: Controller, said: Upstream) -> bool:
         """Whether it is acknowledged: a departure only once a majority of controllers has it."""
         controller.liveness.heard(said.id, said.sequence, self.now_ms)
@@ -231,7 +251,8 @@
         trouble.end()
         fleet.servers.append(fleet._server(fleet.served))
         fleet.served += 1
-    run(fleet, 12_000.0)
+    fleet.calm = True
+    run(fleet, 16_000.0)
     for router in fleet.routers:
         ready = set(router.ready("s"))
         living = {one.id for one in fleet.servers if one.dead_ms is None}
@@ -249,6 +270,7 @@
     fleet = Fleet(seed)
     for server in fleet.servers:
         server.ends_ms = float("inf")
+    fleet.calm = True
     run(fleet, 3_000.0)
     away = fleet.rng.choice(fleet.controllers)
     if seed % 2:
