--- a/benchmarks/fleet_days.py
+++ b/benchmarks/fleet_days.py
@@ -2,8 +2,8 @@
 
 BENCH is the platform's `fleetbench`, SITE a site file. For each day of `benchmarks/days/`: the part of requests' worth
 that was served and refused, and the rules that were broken. `--only NAME` plays some of them. The last line counts the
-days with a broken rule; so does the exit code, 1 where there is one. `--grown` plays those of `grown/` beside them, whose
-kinds of trouble only grown deployments open.
+days with a broken rule; so does the exit code, 1 where there is one. `--grown` plays those of `grown/` too, whose kinds
+of trouble only grown deployments open.
 """
 
 from __future__ import annotations
