--- a/larkweir/system/cli.py
+++ b/larkweir/system/cli.py
@@ -42,11 +42,12 @@
 
 
 @main.command()
-def router() -> None:
+@click.option("--debug", is_flag=True, help="Write a line for every request to the log.")
+def router(*, debug: bool) -> None:
     """Takes clients' requests and passes them to upstreams."""
     from larkweir.system.router.node import Router
 
-    _run(lambda settings: Router(settings).run())
+    _run(lambda settings: Router(settings).run(), debug=debug)
 
 
 @main.command()
@@ -65,7 +66,7 @@
     asyncio.run(play())
 
 
-def _run(serve: Callable[[Settings], Awaitable[None]]) -> None:
+def _run(serve: Callable[[Settings], Awaitable[None]], *, debug: bool = False) -> None:
     """Reads the settings and serves until told to stop; a bad file is one line and exit code 2."""
     import uvloop
 
@@ -76,7 +77,7 @@
     except SettingsError as problem:
         click.echo(f"settings: {problem}", err=True)
         sys.exit(EXIT_SETTINGS)
-    log.start(settings.node)
+    log.start(settings.node, debug=debug)
 
     async def begin() -> None:
         await serve(settings)
