Engines chosen by expected first event; ill upstreams ejected by the whole fleet

Change: patience for a placement by the body's size; ReadingTime learns the time to a first event from tokens; a head leaves its keeper where that would be late and an idle engine in time; long prompts are announced at once; Ejections by endings of all routers' calls; silent calls that may be repeated go elsewhere (attempt.py); patience with connections as RFC 6298 sets timers; links dialled anew after 200 ms. DecisionOptions has a switch for each.

--- a/larkweir/system/controller/distribution.py
+++ b/larkweir/system/controller/distribution.py
@@ -10,9 +10,11 @@
 from larkweir_quotas.ledger import Ledger, Limit
 from larkweir_registry.registry import Registry
 
+from larkweir.system import log
 from larkweir.system.configuration.documents import Document, difference
 from larkweir.system.links import Connection
 from larkweir.system.messages import ConfigUpdate, Delta, Kind, Pull
+from mulleinhitch.ejection import Ejections, Endings, summed
 
 HOLD_MS = 100.0  # a pull is answered after it, with or without news
 HOLD_MS_PER_ROUTER = 2.0  # where that is longer, so that a controller's work stays the same
@@ -46,6 +48,8 @@
         self.pulled_ms = 0.0
         self.vector: dict[str, int] = {}  # what it had seen at its last pull
         self.waiting: dict[str, int] = {}  # by engine: what its calls wait for there
+        self.endings: dict[str, Endings] = {}  # by upstream: how its calls ended lately
+        self.ejected: frozenset[str] = frozenset()  # that it was told of
         self.controllers: list[str] = []  # that it was told of
         self.configuration = -1  # the sequence that it had in force then
 
@@ -75,10 +79,9 @@
         self._history: list[tuple[int, Document]] = []
         self._whole: bytes = b""
         self._patches: dict[int, bytes] = {}
-        self.waiting: dict[
-            str, int
-        ] = {}  # by engine, of all routers together: prompt tokens that wait to be read
-        self._busiest: dict[str, int] = {}
+        self.waiting: dict[str, int] = {}  # by engine, of all routers: prompt tokens that wait to be read
+        self._busiest: dict[str, int] | None = None  # None: to be found anew
+        self._ejections = Ejections()
         self._waking: asyncio.TimerHandle | None = None
         self._confirmations: list[_Confirmation] = []
 
@@ -123,6 +126,8 @@
     def left(self, connection: Connection) -> None:
         """Its connection has ended."""
         subscriber = self._subscribers.pop(connection, None)
+        if subscriber is not None:
+            self._set_waiting(subscriber, {})
         if subscriber is not None and subscriber.kind is Kind.ROUTER:
             self._lost_ms[connection.node] = self._now_ms()
 
@@ -158,7 +163,9 @@
         subscriber.pull, subscriber.pulled_ms = pull, now_ms
         if pull.vector is not None:
             subscriber.vector = pull.vector
-        subscriber.waiting, subscriber.configuration = pull.waiting, pull.config
+        subscriber.configuration = pull.config
+        self._set_waiting(subscriber, pull.waiting)
+        subscriber.endings = pull.endings
         if self._ledger.report(connection.life, pull.usage, pull.sent_ms, now_ms):
             self.wake()
         self._confirm()
@@ -180,17 +187,32 @@
         """Answers pulls that have been held for long enough; to be called several times a second."""
         now_ms = self._now_ms()
         hold_ms = max(HOLD_MS, HOLD_MS_PER_ROUTER * self.routers)
-        self._sum_waiting()
         self._keep_back_for_the_lost()
+        self._judge_upstreams(now_ms)
         for subscriber in list(self._subscribers.values()):
             subscriber.connection.keep_alive()
             if subscriber.pull is not None and now_ms >= subscriber.pulled_ms + hold_ms:
                 self._answer(subscriber)
 
+    def _judge_upstreams(self, now_ms: float) -> None:
+        """Ejects upstreams at which calls of many routers fail."""
+        endings = summed(one.endings for one in self._subscribers.values() if one.endings)
+        services = self._registry.ready_by_service().values()
+        if self._ejections.judge(services, endings, now_ms):
+            log.event("ejected", upstreams=sorted(self.ejected))
+            self.wake()
+
+    @property
+    def ejected(self) -> frozenset[str]:
+        """Upstreams that routers leave out, as far as others are left."""
+        return self._ejections.ejected
+
     def _has_news(self, subscriber: Subscriber) -> bool:
         assert subscriber.pull is not None
         if subscriber.kind is Kind.ROUTER and subscriber.pull.config < self.sequence:
             return True
+        if subscriber.kind is Kind.ROUTER and subscriber.ejected != self.ejected:
+            return True
         return not self._registry.covers(subscriber.vector)
 
     def _answer(self, subscriber: Subscriber) -> None:
@@ -211,22 +233,38 @@
             routers=max(1, self.routers),
             quotas=self._ledger.statements(list(pull.usage), self._now_ms()),
             waiting=self._waiting_elsewhere(subscriber) if is_router else {},
+            ejected=sorted(self.ejected) if is_router and self.ejected != subscriber.ejected else None,
         )
+        subscriber.ejected = self.ejected
         subscriber.controllers = controllers
         subscriber.connection.send(delta)
 
     # What engines are known to be busy with
 
-    def _sum_waiting(self) -> None:
-        total: dict[str, int] = {}
-        for subscriber in self._subscribers.values():
-            for engine, tokens in subscriber.waiting.items():
-                total[engine] = total.get(engine, 0) + tokens
-        self.waiting = total
-        busy = [one for one in total.items() if one[1] >= BUSY_TOKENS]
-        self._busiest = dict(sorted(busy, key=lambda one: -one[1])[:BUSIEST_MOST])
+    def told_waiting(self, connection: Connection, tokens: dict[str, int]) -> None:
+        """A router tells, between pulls, what its calls wait for."""
+        subscriber = self._subscribers.get(connection)
+        if subscriber is not None:
+            self._set_waiting(subscriber, tokens)
+
+    def _set_waiting(self, subscriber: Subscriber, tokens: dict[str, int]) -> None:
+        before, subscriber.waiting = subscriber.waiting, tokens
+        if before == tokens:
+            return
+        total = self.waiting
+        for engine, count in before.items():
+            total[engine] = total.get(engine, 0) - count
+        for engine, count in tokens.items():
+            total[engine] = total.get(engine, 0) + count
+        for engine in before:
+            if total.get(engine, 0) <= 0:
+                total.pop(engine, None)
+        self._busiest = None
 
     def _waiting_elsewhere(self, subscriber: Subscriber) -> dict[str, int]:
+        if self._busiest is None:
+            busy = [one for one in self.waiting.items() if one[1] >= BUSY_TOKENS]
+            self._busiest = dict(sorted(busy, key=lambda one: -one[1])[:BUSIEST_MOST])
         own = subscriber.waiting
         left = {engine: tokens - own.get(engine, 0) for engine, tokens in self._busiest.items()}
         return {engine: tokens for engine, tokens in left.items() if tokens > 0}
--- a/larkweir/system/controller/node.py
+++ b/larkweir/system/controller/node.py
@@ -39,6 +39,7 @@
     Placed,
     Pull,
     Replication,
+    Waiting,
 )
 from larkweir.system.settings import Settings, split_address
 
@@ -245,6 +246,8 @@
                     self._driver.replica.known.add(message.node)
             case Pull():
                 self._distribution.pulled(connection, message)
+            case Waiting():
+                self._distribution.told_waiting(connection, message.tokens)
             case Delta():
                 self._pulled(connection, message)
             case Replication():
@@ -284,6 +287,8 @@
 
     def _place(self, message: Place) -> Placed:
         ready = self._registry.ready(message.service)
+        if self._distribution.ejected:
+            ready = [id_ for id_ in ready if id_ not in self._distribution.ejected] or ready
         found = self._placement.place(message.head, message.tokens, ready, message.known, self._now_ms())
         return Placed(message.head, None) if found is None else Placed(message.head, *found)
 
--- a/larkweir/system/links.py
+++ b/larkweir/system/links.py
@@ -13,7 +13,7 @@
 
 PING_MS = 250.0
 SILENCE_MS = 1_000.0  # after it a connection counts as dead, also where a cut is silent
-CONNECT_MS = 500.0
+CONNECT_MS = 200.0  # what a machine without power leaves unanswered is dialled anew soon: it may be back
 REDIAL_MS = 120.0
 REDIAL_MOST_MS = 500.0
 UNREAD_MOST_BYTES = 16 * 1024 * 1024  # that a peer has not taken; then it is cut off
--- a/larkweir/system/messages.py
+++ b/larkweir/system/messages.py
@@ -10,6 +10,8 @@
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
 
+from mulleinhitch.ejection import Endings
+
 MAX_LINE_BYTES = 32 * 1024 * 1024
 
 
@@ -40,6 +42,13 @@
     usage: dict[str, float] = {}  # by tenant: units admitted in this life
     sent_ms: float = 0.0  # by its sender's own steady clock
     waiting: dict[str, int] = {}  # by engine: prompt tokens of its calls that wait to be read there
+    endings: dict[str, Endings] = {}  # by upstream that failed: how its calls have ended there lately
+
+
+class Waiting(msgspec.Struct, frozen=True, tag="waiting"):
+    """From a router that has just sent a long prompt: `Pull.waiting`, ahead of its next pull."""
+
+    tokens: dict[str, int]
 
 
 class ConfigUpdate(msgspec.Struct, frozen=True):
@@ -60,6 +69,7 @@
     routers: int = 1
     quotas: dict[str, Statement] = {}
     waiting: dict[str, int] = {}  # by engine: the same of all other routers, of the busiest engines
+    ejected: list[str] | None = None  # upstreams to leave out; None: as in the last one on this connection
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
@@ -107,4 +117,4 @@
     kept: bool = False
 
 
-Message = Hello | Ping | Pull | Delta | Replication | Heard | Forward | Forwarded | Place | Placed
+Message = Hello | Ping | Pull | Waiting | Delta | Replication | Heard | Forward | Forwarded | Place | Placed
--- a/larkweir/system/router/client_request.py
+++ b/larkweir/system/router/client_request.py
@@ -87,18 +87,20 @@
         except ValueError:
             return None
 
-    @property
-    def prompt(self) -> Prompt:
-        """What it asks an engine to read. Its head is named by the deepest part that it shares with others."""
+    def prompt(self, aim_ms: float) -> Prompt:
+        """What it asks an engine to read. Its head is named by the deepest part that it shares with others.
+
+        `aim_ms`: in which its first event is wanted.
+        """
         usage = self.header(b"x-token-usage").partition(b",")[0]
         tokens = float(usage) if usage.strip().isdigit() else 0.0
         parts = self.header(b"x-prompt-prefix").split(b",")
         if len(parts) < 2:
-            return Prompt(tokens=tokens)
+            return Prompt(tokens=tokens, aim_ms=aim_ms)
         sizes = [part.partition(b":")[2].strip() for part in parts[:-1]]
         head_tokens = float(sum(int(size) for size in sizes if size.isdigit()))
         head = parts[-2].partition(b":")[0].strip().decode("latin-1")
-        return Prompt(head, tokens, min(tokens, head_tokens))
+        return Prompt(head, tokens, min(tokens, head_tokens), aim_ms)
 
     def upstream_headers(self, own: UpstreamHeaders) -> Headers:
         """What goes to an upstream: the client's headers, without those of its connection, and the router's."""
--- a/larkweir/system/router/data_plane.py
+++ b/larkweir/system/router/data_plane.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -14,6 +15,7 @@
 from larkweir.system.router.prompt_keepers import PromptKeepers
 from larkweir.system.router.upstream_pool import UpstreamPool
 from larkweir.system.settings import Bounds
+from mulleinhitch.ejection import EndingCounts
 from mulleinhitch.engines import EngineBalancer, Listed
 
 if TYPE_CHECKING:
@@ -23,21 +25,24 @@
 class DataPlane:
     """The state that exchanges use; changed only between their steps, by the one event loop."""
 
-    def __init__(self, bounds: Bounds, rng: Random) -> None:
-        """Knows nothing yet."""
+    def __init__(self, bounds: Bounds, rng: Random, link_mbps: float = 1_000.0) -> None:
+        """Knows nothing yet. `link_mbps`: of this router's link."""
         self._bounds = bounds
         self.rng = rng
         self.configuration = ConfigurationStore()
         self.quotas = QuotaLimiter()
         self.pool = UpstreamPool()
-        self.keepers = PromptKeepers()
+        self.keepers = PromptKeepers(link_mbps)
+        self.endings = EndingCounts()
         self.connections: set[ClientConnection] = set()
+        self.announce: Callable[[], None] = lambda: None  # tells controllers of a long prompt at once
         self.stopping = False
         self.counts: dict[ErrorKind, int] = dict.fromkeys(ErrorKind, 0)
         self._processes = 1
         self._balancers: dict[str, EngineBalancer] = {}
         self._retries: dict[str, RetryBudget] = {}
         self._upstreams: dict[str, Upstream] = {}
+        self._ejected: set[str] = set()
 
     def count(self, kind: ErrorKind) -> None:
         """An answer of the router's own."""
@@ -57,6 +62,7 @@
                 self.rng, engine=self.is_engine(service), linked=self._linked
             )
             self._list(service, 0.0)
+            balancer.eject(self._ejected)
         return balancer
 
     def retries(self, service: str) -> RetryBudget:
@@ -100,6 +106,12 @@
         for balancer in self._balancers.values():
             balancer.peers_waiting(tokens)
 
+    def eject(self, upstreams: set[str]) -> None:
+        """These are left out from now on, as far as others are left."""
+        self._ejected = upstreams
+        for balancer in self._balancers.values():
+            balancer.eject(upstreams)
+
     def update_upstreams(self, changed: list[Upstream], now_ms: float) -> None:
         """What the registry says of these is new."""
         services = set()
--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
 from enum import Enum
 from typing import TYPE_CHECKING, Protocol
 
@@ -12,11 +11,15 @@
 
 from larkweir.system import log
 from larkweir.system.router.answers import ANSWERS, Answer, ErrorKind
+from larkweir.system.router.attempt import Attempt
 from larkweir.system.router.client_request import HOP_BY_HOP, ClientRequest, Headers, UpstreamHeaders
 from larkweir.system.router.configuration import Route, Tenant
 from larkweir.system.router.event_stream import EventBuffer
 from larkweir.system.router.prompt_keepers import Keeper
+from larkweir.system.router.request_log import RequestNote
 from larkweir.system.router.upstream_call import Ending, UpstreamConnection
+from mulleinhitch.decision_options import OPTIONS
+from mulleinhitch.engines import Prompt
 from mulleinhitch.interface import Outcome
 
 if TYPE_CHECKING:
@@ -26,6 +29,8 @@
 LEAST_LEFT_MS = 5.0  # of the deadline, under which a request is not sent any more
 PROMISES = frozenset((408, 421, 429, 503))  # statuses that say that the request has not run
 MISDIRECTED = 421
+LOAD = b"x-server-load"
+LOAD_FIGURES = 3  # requests running, requests waiting, slots
 
 
 class Client(Protocol):
@@ -56,17 +61,6 @@
     DONE = "done"
 
 
-@dataclass(slots=True)
-class _Attempt:
-    """One upstream that the request goes to."""
-
-    instance: str
-    address: str
-    connection: UpstreamConnection | None = None
-    counted: bool = False  # its token is spent
-    tokens: float = 0.0  # that were to be read for it when it was sent
-
-
 class Exchange:
     """One request. The client's connection begins it and may cancel it; it always ends with one answer."""
 
@@ -77,7 +71,7 @@
         self._plane = plane
         self._client = client
         self._request = request
-        self._prompt = request.prompt
+        self._prompt = Prompt()
         self._on_done = on_done
         self._loop = asyncio.get_running_loop()
         self._state = State.NEW
@@ -86,7 +80,7 @@
         self._units = 0.0
         self._service = ""
         self._keeper: Keeper | None = None
-        self._attempt: _Attempt | None = None
+        self._attempt: Attempt | None = None
         self._tried: set[str] = set()
         self._sent = 0  # attempts that were written
         self._connects_failed = 0
@@ -98,6 +92,7 @@
         self._events: EventBuffer | None = None
         self._refused: Outcome | None = None
         self._first_event_ms = 0.0
+        self._note = RequestNote(request.received_ms) if log.details() else None
 
     def _become(self, state: State) -> None:
         self._state = state
@@ -117,6 +112,7 @@
         if route is None:
             return self._answer(ErrorKind.NO_ROUTE)
         self._route = route
+        self._prompt = request.prompt(route.target_latency_ms)
         if table.has_tenants and not route.public:
             self._tenant = table.tenant(request.header(b"x-api-key").decode("latin-1"))
             if self._tenant is None:
@@ -136,14 +132,17 @@
     def _place(self) -> None:
         """Finds which engine keeps the head of the prompt, where it has one."""
         plane, prompt = self._plane, self._prompt
-        if not prompt.is_shared or not plane.is_engine(self._service):
+        if not (OPTIONS.placed_heads and prompt.is_shared and plane.is_engine(self._service)):
             self._try()
             return
         self._become(State.PLACING)
-        plane.keepers.find(self._service, prompt, plane.balancer(self._service).is_ready, self._placed)
+        is_ready = plane.balancer(self._service).is_ready
+        plane.keepers.find(self._service, prompt, len(self._request.body), is_ready, self._placed)
 
     def _placed(self, keeper: Keeper | None) -> None:
         if self._state is State.PLACING:
+            if self._note is not None:
+                self._note.placed_ms = self._note.since(self._now_ms())
             self._keeper = keeper
             self._try()
 
@@ -153,25 +152,31 @@
         """Goes to the next upstream, or answers where there is none to go to."""
         assert self._route is not None
         balancer = self._plane.balancer(self._service)
+        now_ms = self._now_ms()
         instance = balancer.choose(
-            self._prompt, self._tried, self._now_ms(), self._keeper.engine if self._keeper else None
+            self._prompt,
+            self._tried,
+            now_ms,
+            self._keeper.engine if self._keeper else None,
+            kept=self._keeper is not None and self._keeper.kept,
+            left_ms=self._request.received_ms + self._route.target_latency_ms - now_ms,
         )
         if instance is None:
             self._give_up()
             return
         self._tried.add(instance)
-        self._attempt = _Attempt(instance, self._plane.address(instance))
-        self._become(State.CONNECTING)
+        if self._note is not None:
+            self._note.chosen(instance, balancer.reason, balancer.waiting_at(instance), self._now_ms())
         kept = self._keeper is not None and self._keeper.kept and self._keeper.engine == instance
-        self._attempt.tokens = balancer.started(instance, self._prompt, self._now_ms(), kept=kept)
-        self._attempt.counted = True
+        self._attempt = Attempt(self._plane, self._service, instance, self._prompt, kept=kept)
+        self._become(State.CONNECTING)
         connection = self._plane.pool.take(self._attempt.address)
         if connection is not None:
             self._write(connection)
         else:
             self._connecting = self._loop.create_task(self._connect(self._attempt))
 
-    async def _connect(self, attempt: _Attempt) -> None:
+    async def _connect(self, attempt: Attempt) -> None:
         try:
             connection = await self._plane.pool.connect(attempt.address)
         except (OSError, TimeoutError) as problem:
@@ -184,7 +189,7 @@
         else:
             self._connect_failed(attempt, "reset at once")
 
-    def _connect_failed(self, attempt: _Attempt, problem: str) -> None:
+    def _connect_failed(self, attempt: Attempt, problem: str) -> None:
         """Nothing was written: another upstream may be asked."""
         log.detail("connect_failed", instance=attempt.instance, error=problem)
         self._release(Outcome.CONNECT_FAILED)
@@ -202,7 +207,7 @@
             connection.close()
             self._time_out()
             return
-        self._attempt.connection = connection
+        self._attempt.written(connection, self._overdue)
         self._sent += 1
         self._may_have_run = True
         self._refused = None
@@ -221,6 +226,8 @@
             target=self._request.target,
             headers=self._request.upstream_headers(own),
         )
+        if self._note is not None:
+            self._note.written(self._attempt.tokens, self._now_ms())
         self._become(State.AWAITING)
         connection.call(request, self._request.header(b"x-request-id"), self._request.body, self)
 
@@ -234,12 +241,23 @@
     def _release(self, outcome: Outcome) -> None:
         """The attempt is over."""
         attempt, self._attempt = self._attempt, None
-        if attempt is None:
+        if attempt is not None:
+            attempt.end(outcome, self._note)
+
+    def _overdue(self) -> None:
+        """The upstream is silent for longer than others are: it goes elsewhere what may, and where others are left."""
+        assert self._route is not None
+        log.detail("overdue", instance=self._attempt.instance if self._attempt else None, state=self._state)
+        may_go = OPTIONS.overdue_elsewhere and self._route.repeatable
+        if not may_go or self._state not in (State.AWAITING, State.RELAYING):
             return
-        balancer = self._plane.balancer(self._service)
-        if attempt.counted:
-            balancer.returned(attempt.instance, attempt.tokens, self._now_ms())
-        balancer.outcome(attempt.instance, outcome, self._now_ms())
+        others = self._plane.balancer(self._service).ready_count > len(self._tried)
+        restartable = not self._head_sent or (self._events is not None and self._events.resumable)
+        if others and restartable and self._may_send_again():
+            self._drop_attempt(Outcome.TIMEOUT)
+            if self._events is not None:
+                self._events.restart()
+            self._try()
 
     def _give_up(self) -> None:
         """No further upstream: what can be promised is, of what has been sent."""
@@ -258,10 +276,15 @@
         """The head of an answer: passed on, unless the request goes elsewhere."""
         assert self._route is not None
         status = response.status_code
+        if self._note is not None:
+            load = next((value for name, value in response.headers if name == LOAD), b"")
+            self._note.head(status, load.decode("latin-1"), self._now_ms())
         not_executed = status == MISDIRECTED or any(name == b"x-not-executed" for name, _ in response.headers)
         if not_executed and status in PROMISES:
             self._may_have_run = False
             self._refused = Outcome.CONNECT_FAILED if status == MISDIRECTED else Outcome.FULL
+            if status != MISDIRECTED and self._attempt is not None and _has_places(response):
+                self._attempt.shed()
             self._become(State.DISCARDING)
         elif status >= 500 and self._route.repeatable and self._may_send_again():
             self._refused = Outcome.ERROR
@@ -298,11 +321,10 @@
         assert self._route is not None
         if not self._first_event_ms:
             self._first_event_ms = self._now_ms()
-        attempt = self._attempt
-        if attempt is not None and attempt.counted and self._plane.is_engine(self._service):
-            attempt.counted = False
-            balancer = self._plane.balancer(self._service)
-            balancer.returned(attempt.instance, attempt.tokens, self._now_ms())
+            if self._note is not None:
+                self._note.first_event(self._first_event_ms)
+        if self._attempt is not None:
+            self._attempt.first_event()
 
     def call_done(self) -> None:
         """The answer is whole."""
@@ -417,11 +439,11 @@
         self._become(State.DONE)
         if self._timer is not None:
             self._timer.cancel()
-        if log.details():
-            self._log()
+        if self._note is not None:
+            self._log(self._note)
         self._on_done()
 
-    def _log(self) -> None:
+    def _log(self, note: RequestNote) -> None:
         request, received_ms = self._request, self._request.received_ms
         log.detail(
             "request",
@@ -429,8 +451,19 @@
             route=self._route.name if self._route is not None else None,
             tokens=request.tokens,
             head=self._prompt.head,
-            upstreams=sorted(self._tried),
+            head_tokens=round(self._prompt.head_tokens),
+            placed_ms=note.placed_ms,
+            attempts=note.attempts,
             sent=self._sent,
             first_ms=round(self._first_event_ms - received_ms) if self._first_event_ms else None,
             total_ms=round(self._now_ms() - received_ms),
         )
+
+
+def _has_places(response: h11.Response) -> bool:
+    """Whether an upstream says that it could run another request; False where it says nothing."""
+    told = next((value for name, value in response.headers if name == LOAD), b"").split(b",")
+    if len(told) != LOAD_FIGURES or not all(part.strip().isdigit() for part in told):
+        return False
+    running, waiting, slots = (int(part) for part in told)
+    return running < slots and waiting == 0
--- a/larkweir/system/router/fleet_view.py
+++ b/larkweir/system/router/fleet_view.py
@@ -10,7 +10,7 @@
 
 from larkweir.system import log
 from larkweir.system.links import Connection, Link
-from larkweir.system.messages import Delta, Hello, Kind, Message, Place, Placed, Pull
+from larkweir.system.messages import Delta, Hello, Kind, Message, Place, Placed, Pull, Waiting
 from larkweir.system.router.data_plane import DataPlane
 from larkweir.system.router.fleet_size import FleetSize
 from larkweir.system.settings import Settings
@@ -37,9 +37,11 @@
         self._routers: dict[str, int] = {}
         self._fleet_size = FleetSize()
         self._waiting: dict[str, dict[str, int]] = {}  # by controller: what it said last
+        self._ejected: dict[str, list[str]] = {}  # by controller: upstreams that it wants left out
         self._answered: set[str] = set()
         self._configured_ms: float | None = None
         plane.keepers.ask = self._ask
+        plane.announce = self._announce
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -94,6 +96,12 @@
             return False
         return self._links[min(up, key=lambda node: weight(message.head, node))].send(message)
 
+    def _announce(self) -> None:
+        """Tells every controller what waits at engines, ahead of the next pull."""
+        message = Waiting(self._plane.waiting())
+        for link in self._links.values():
+            link.send(message)
+
     # Pulls
 
     def _made(self, connection: Connection) -> None:
@@ -104,6 +112,8 @@
     def _lost(self, node: str) -> None:
         self._routers.pop(node, None)
         self._waiting.pop(node, None)
+        if self._ejected.pop(node, None):
+            self._eject()
         log.detail("link_lost", to=node)
 
     def _pull(self, connection: Connection) -> None:
@@ -118,6 +128,7 @@
             usage=usage,
             sent_ms=round(now_ms),
             waiting=self._plane.waiting(),
+            endings=self._plane.endings.told(now_ms),
         )
         connection.send(pull)
 
@@ -143,9 +154,15 @@
         plane.quotas.heard(connection.node, message.quotas, now_ms)
         self._waiting[connection.node] = message.waiting
         plane.peers_waiting(self._most_waiting())
+        if message.ejected is not None:
+            self._ejected[connection.node] = message.ejected
+            self._eject()
         self._answered.add(connection.node)
         self._pull(connection)
 
+    def _eject(self) -> None:
+        self._plane.eject({id_ for ids in self._ejected.values() for id_ in ids})
+
     def _most_waiting(self) -> dict[str, float]:
         """By engine the most that a controller tells: each hears only those routers that reach it."""
         most: dict[str, float] = {}
--- a/larkweir/system/router/node.py
+++ b/larkweir/system/router/node.py
@@ -31,7 +31,7 @@
         """Opens nothing yet."""
         self._settings = settings
         self._loop = asyncio.get_running_loop()
-        self._plane = DataPlane(settings.bounds, Random())
+        self._plane = DataPlane(settings.bounds, Random(), settings.limits.link_mbps)
         self._view = FleetView(settings, self._plane)
         self._terminated = asyncio.Event()
         self._front: asyncio.Server | None = None
--- a/larkweir/system/router/prompt_keepers.py
+++ b/larkweir/system/router/prompt_keepers.py
@@ -11,7 +11,10 @@
 from larkweir.system.messages import Place, Placed
 from mulleinhitch.engines import Prompt
 
-ANSWER_S = 0.015  # a controller answers in a few milliseconds; without it the head's own order decides
+ANSWER_S = 0.04  # a controller answers in a few milliseconds; without it the head's own order decides
+BODY_TIMES = (
+    2.0  # what a body takes on this router's link, in which other bodies may come, is waited for beside that
+)
 KNOWN_MS = 30_000.0  # after it the controller is asked again, which keeps its memory of the head alive
 HEADS_MOST = 16_384
 
@@ -38,8 +41,12 @@
 class PromptKeepers:
     """A router's memory of placements, and its open questions."""
 
-    def __init__(self) -> None:
-        """Knows nothing yet; `ask` is set by whoever holds the links to controllers."""
+    def __init__(self, link_mbps: float = 1_000.0) -> None:
+        """Knows nothing yet; `ask` is set by whoever holds the links to controllers.
+
+        `link_mbps` is this router's.
+        """
+        self._link_bytes_per_s = link_mbps * 1e6 / 8.0
         self._loop = asyncio.get_running_loop()
         self._known: OrderedDict[str, _Known] = OrderedDict()
         self._open: dict[str, _Question] = {}
@@ -49,12 +56,13 @@
         self,
         service: str,
         prompt: Prompt,
+        body_bytes: int,
         is_ready: Callable[[str], bool],
         then: Callable[[Keeper | None], None],
     ) -> None:
-        """Calls `then` with the engine that keeps the head, at once where that is known, else within `ANSWER_S`.
+        """Calls `then` with the engine that keeps the head, at once where that is known, else in some time.
 
-        None where nobody says.
+        None where nobody says. `body_bytes`: of the request, behind which the answer may come on this router's link.
         """
         known = self._known.get(prompt.head)
         now_ms = self._loop.time() * 1000.0
@@ -70,7 +78,8 @@
         if not self.ask(question):
             then(before)
             return
-        timer = self._loop.call_later(ANSWER_S, self._answer, prompt.head, before)
+        patience_s = ANSWER_S + BODY_TIMES * body_bytes / self._link_bytes_per_s
+        timer = self._loop.call_later(patience_s, self._answer, prompt.head, before)
         self._open[prompt.head] = _Question(timer, [then])
 
     def placed(self, answer: Placed, now_ms: float) -> None:
--- a/larkweir/system/router/upstream_pool.py
+++ b/larkweir/system/router/upstream_pool.py
@@ -7,12 +7,36 @@
 
 from larkweir.system.router.upstream_call import UpstreamConnection
 from larkweir.system.settings import split_address
+from mulleinhitch.decision_options import OPTIONS
 
-CONNECT_S = 0.4  # an upstream that is there answers in milliseconds
+CONNECT_MOST_S = 0.4  # an upstream that is there answers in milliseconds
+CONNECT_LEAST_S = 0.1  # on a slow link the answer comes behind what that carries already
+DEVIATIONS = 4.0
 IDLE_MOST_S = 30.0
 IDLE_MARGIN_S = 1.0  # before an upstream closes an idle connection, by the time that it says
 
 
+@dataclass(slots=True)
+class ConnectPatience:
+    """How long a new connection may take, by those that were made: as RFC 6298 sets a retransmission timer."""
+
+    seconds: float = CONNECT_MOST_S
+    _mean_s: float | None = None
+    _deviation_s: float = 0.0
+
+    def observe(self, taken_s: float) -> None:
+        """A connection was made in that time."""
+        if self._mean_s is None:
+            self._mean_s, self._deviation_s = taken_s, taken_s / 2.0
+        else:
+            self._deviation_s += (abs(taken_s - self._mean_s) - self._deviation_s) / 4.0
+            self._mean_s += (taken_s - self._mean_s) / 8.0
+        if not OPTIONS.connect_patience:
+            return
+        wanted_s = self._mean_s + DEVIATIONS * self._deviation_s
+        self.seconds = min(CONNECT_MOST_S, max(CONNECT_LEAST_S, wanted_s))
+
+
 @dataclass(slots=True)
 class _Idle:
     connection: UpstreamConnection
@@ -25,6 +49,7 @@
     def __init__(self) -> None:
         """Opens nothing yet."""
         self._loop = asyncio.get_running_loop()
+        self._patience = ConnectPatience()
         self._idle: dict[str, list[_Idle]] = {}
         self._addresses: dict[UpstreamConnection, str] = {}
 
@@ -45,10 +70,12 @@
     async def connect(self, address: str) -> UpstreamConnection:
         """A new connection. OSError or TimeoutError where there is none in time."""
         host, port = split_address(address)
-        async with asyncio.timeout(CONNECT_S):
+        begun_s = self._loop.time()
+        async with asyncio.timeout(self._patience.seconds):
             _, connection = await self._loop.create_connection(
                 lambda: UpstreamConnection(self._keep, self._lost), host, port
             )
+        self._patience.observe(self._loop.time() - begun_s)
         self._addresses[connection] = address
         return connection
 
--- a/larkweir/system/settings.py
+++ b/larkweir/system/settings.py
@@ -49,6 +49,7 @@
 
     memory_mb: int = 300
     max_fds: int = 4_096
+    link_mbps: float = 1_000.0
 
 
 class Settings(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/mulleinhitch/reading_time.py
@@ -0,0 +1,54 @@
+"""Rules: how long a model engine takes to its first event, learned from the calls of this router.
+
+A first event comes after a fixed time and after the prompt, and those that wait before it, have been read. Both
+figures are the least squares line through (tokens to be read, time), with old samples fading out.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+FADING = 0.99  # weight of all samples so far, at each further one: some hundred count
+SAMPLES_LEAST = 8.0  # of weight, before the line is believed
+SPREAD_LEAST_TOKENS = 500.0  # standard deviation of the tokens, without which no slope can be told
+DEFAULT_MS_PER_TOKEN = 0.012
+DEFAULT_FIXED_MS = 50.0
+SLOWEST_MS_PER_TOKEN = 0.5
+QUICKEST_MS_PER_TOKEN = 0.001
+
+
+@dataclass(slots=True)
+class ReadingTime:
+    """The line, as far as it is known. Times are milliseconds."""
+
+    ms_per_token: float = DEFAULT_MS_PER_TOKEN
+    fixed_ms: float = DEFAULT_FIXED_MS
+    _count: float = 0.0
+    _tokens: float = 0.0
+    _times: float = 0.0
+    _tokens_squared: float = 0.0
+    _products: float = 0.0
+
+    def expected_ms(self, tokens: float) -> float:
+        """From sending a request to its first event, with so many tokens to be read until then."""
+        return self.fixed_ms + self.ms_per_token * tokens
+
+    def observe(self, tokens: float, taken_ms: float) -> None:
+        """A first event came, after so many tokens were thought to be read."""
+        self._count = FADING * self._count + 1.0
+        self._tokens = FADING * self._tokens + tokens
+        self._times = FADING * self._times + taken_ms
+        self._tokens_squared = FADING * self._tokens_squared + tokens * tokens
+        self._products = FADING * self._products + tokens * taken_ms
+        if self._count >= SAMPLES_LEAST:
+            self._fit()
+
+    def _fit(self) -> None:
+        mean_tokens = self._tokens / self._count
+        mean_ms = self._times / self._count
+        variance = self._tokens_squared / self._count - mean_tokens * mean_tokens
+        if variance >= SPREAD_LEAST_TOKENS * SPREAD_LEAST_TOKENS:
+            covariance = self._products / self._count - mean_tokens * mean_ms
+            slope = covariance / variance
+            self.ms_per_token = min(SLOWEST_MS_PER_TOKEN, max(QUICKEST_MS_PER_TOKEN, slope))
+        self.fixed_ms = max(0.0, mean_ms - self.ms_per_token * mean_tokens)
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -65,12 +65,16 @@
 
     def ready(self, service: str) -> list[str]:
         """The ids of its upstreams that are ready and heard of; not to be changed."""
+        return self.ready_by_service().get(service, [])
+
+    def ready_by_service(self) -> dict[str, list[str]]:
+        """The same of all services; not to be changed."""
         if self._ready is None:
             self._ready = {}
             for upstream in self.upstreams.values():
                 if upstream.state is State.READY and not upstream.silent:
                     self._ready.setdefault(upstream.service, []).append(upstream.id)
-        return self._ready.get(service, [])
+        return self._ready
 
     def covers(self, vector: Vector) -> bool:
         """Whether a delta for that vector would be empty."""
--- /dev/null
+++ b/tests/system/test_connect_patience.py
@@ -0,0 +1,33 @@
+"""For how long a new connection to an upstream is waited for."""
+
+from __future__ import annotations
+
+import pytest
+
+from larkweir.system.router.upstream_pool import CONNECT_LEAST_S, CONNECT_MOST_S, ConnectPatience
+
+
+def test_nothing_is_known_at_first() -> None:
+    assert ConnectPatience().seconds == CONNECT_MOST_S
+
+
+@pytest.mark.parametrize("taken_s", [0.001, 0.01])
+def test_quick_connections_make_it_short(taken_s: float) -> None:
+    patience = ConnectPatience()
+    for _ in range(20):
+        patience.observe(taken_s)
+    assert patience.seconds == CONNECT_LEAST_S
+
+
+def test_far_upstreams_are_given_their_time() -> None:
+    patience = ConnectPatience()
+    for _ in range(50):
+        patience.observe(0.150)
+        patience.observe(0.170)
+    assert 0.170 < patience.seconds <= CONNECT_MOST_S
+
+
+def test_it_never_grows_beyond_the_most() -> None:
+    patience = ConnectPatience()
+    patience.observe(10.0)
+    assert patience.seconds == CONNECT_MOST_S
