--- a/larkweir/system/router/exchange.py
+++ b/larkweir/system/router/exchange.py
@@ -450,6 +450,7 @@
             id=request.header(b"x-request-id").decode("latin-1"),
             route=self._route.name if self._route is not None else None,
             tokens=request.tokens,
+            aim_ms=self._route.target_latency_ms if self._route is not None else None,
             head=self._prompt.head,
             head_tokens=round(self._prompt.head_tokens),
             placed_ms=note.placed_ms,
