Other deployments for measuring, made from a given site file by a few changes

Cause: what is tuned on five deployments may fit them alone. Change: benchmarks/fleet_sites.py writes four others (slow engines that tell no load, quick ones in small batches, a third of them in wide batches, far zones) from a site file of the platform, outside of the repository; tests.

--- a/tests/system/test_measurements.py
+++ b/tests/system/test_measurements.py
@@ -5,6 +5,7 @@
 import json
 import math
 from dataclasses import fields
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -12,6 +13,7 @@
 from benchmarks.fleet_ablation import SWITCHES, switched_off
 from benchmarks.fleet_losses import Cause, Request, cause_of, picture, read, table
 from benchmarks.fleet_pairs import Play, Played, compare, difference, figures_of
+from benchmarks.fleet_sites import make
 from mulleinhitch.decision_options import DecisionOptions
 from mulleinhitch.reading_time import ReadingTime
 
@@ -120,3 +122,33 @@
     assert causes == {0: Cause.LONG_PROMPT, 1: Cause.LONG_PROMPT, 2: Cause.HEAD_AGAIN}
     assert "3 requests, 3 late" in next(table(requests, causes))
     assert picture(requests, causes, [(1.0, 2.0, "srv_crash")]).count("<rect") > len(causes)
+
+
+SITE = (
+    '  { name = "m", servers = [{ zone = "a", count = 35 }], slots = 16, load_header = true, '
+    "llm = { batch = 16, prefill_tokens_per_ms = 112.0 } },\n"
+    '  { name = "p", servers = [{ zone = "a", count = 3 }], slots = 6, load_header = true },\n'
+    "cross_zone_ms = 0.5\n"
+)
+
+
+def test_other_deployments_differ_in_what_they_are_named_for_alone(tmp_path: Path) -> None:
+    kit = tmp_path / "kit"
+    kit.mkdir()
+    (kit / "one.toml").write_text(SITE)
+    (kit / "wire.json").write_text("{}")
+    made = {path.stem: path.read_text().split("\n") for path in make(kit / "one.toml", tmp_path / "made")}
+    assert (tmp_path / "made" / "wire.json").exists()
+    before = SITE.split("\n")
+    slow = made["one-slow-engines"]
+    assert "prefill_tokens_per_ms = 44.8" in slow[0]
+    assert "load_header = false" in slow[0]
+    assert slow[1:] == before[1:]
+    few = made["one-few-wide-engines"]
+    assert "count = 12 }], slots = 64" in few[0]
+    assert "batch = 64" in few[0]
+    assert few[1:] == before[1:]
+    quick = made["one-quick-narrow-engines"]
+    assert "slots = 8" in quick[0]
+    assert "prefill_tokens_per_ms = 336.0" in quick[0]
+    assert made["one-far-zones"] == [*before[:2], "cross_zone_ms = 3.0", ""]
