A pressing tenant's herd: each router takes it that the others admit as much

Ruled out: repeats of silent calls, thinning admissions out, dating statements. Change: where a tenant presses, what a router has admitted since a statement counts as often as there are routers. Planted fault all_admit_at_once takes both defences out now, as one is enough in its plays; the new one has its own.

--- a/packages/quotas/src/larkweir_quotas/quota.py
+++ b/packages/quotas/src/larkweir_quotas/quota.py
@@ -100,10 +100,16 @@
         return self._rng.random() * together
 
     def _by_ledger(self, heard: _Heard, state: _Tenant, limit: Limit, now_ms: float) -> float:
-        """Goes on from a statement: refilled since, less what was admitted here and, at their rate, elsewhere."""
+        """Goes on from a statement: refilled since, less what was admitted here and, at their rate, elsewhere.
+
+        The clients of a tenant that presses come back at the same moment to all processes, which all hear the same of
+        what is left: each takes it that every other admits as much as it does itself.
+        """
         passed_s = (now_ms - heard.at_ms) / 1000.0
         here = state.count - heard.count
         elsewhere = heard.statement.used_per_s * passed_s
+        if heard.statement.pressed:
+            elsewhere = max(elsewhere, here * self.processes)
         refilled = min(limit.burst, heard.statement.level + limit.rate_per_s * passed_s)
         return refilled - max(here, elsewhere)
 
--- a/packages/quotas/tests/test_quotas_planted.py
+++ b/packages/quotas/tests/test_quotas_planted.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import pytest
+import test_quotas_herd as herd
 import test_quotas_returns as plays
 from larkweir_quotas import ledger, quota
 from larkweir_quotas.ledger import Ledger
@@ -30,7 +31,17 @@
     patch.setattr(quota, "ALONE_SHARE", 3.0)
 
 
+def others_count_as_idle(patch: pytest.MonkeyPatch) -> None:
+    def by_ledger(self: QuotaLimiter, heard: Any, state: Any, limit: Any, now_ms: float) -> float:
+        passed_s = (now_ms - heard.at_ms) / 1000.0
+        refilled = min(limit.burst, heard.statement.level + limit.rate_per_s * passed_s)
+        return float(refilled - max(state.count - heard.count, heard.statement.used_per_s * passed_s))
+
+    patch.setattr(QuotaLimiter, "_by_ledger", by_ledger)
+
+
 def all_admit_at_once(patch: pytest.MonkeyPatch) -> None:
+    others_count_as_idle(patch)  # each of the two is enough in these plays
     patch.setattr(QuotaLimiter, "_stagger", lambda self, state, limit: 0.0)
 
 
@@ -53,6 +64,10 @@
     plays.test_the_sum_stays_under_the_limit_whoever_is_away(plays.LARGE, seed)
 
 
+def never_too_much_in_a_herd(seed: int) -> None:
+    herd.test_clients_that_come_back_together_do_not_pass_the_limit(89, seed)
+
+
 def never_too_little(seed: int) -> None:
     plays.test_below_the_limit_nobody_is_refused_once_contact_is_back_for_a_second(seed)
 
@@ -63,6 +78,7 @@
     (late_use_is_forgotten, never_too_much, 0),
     (nothing_is_kept_back_for_the_lost, never_too_much, 0),
     (all_admit_at_once, never_too_much, 43),
+    (others_count_as_idle, never_too_much_in_a_herd, 0),
     (a_fresh_ledger_gives_nothing, never_too_little, 0),
     (old_statements_count, never_too_much, 0),
 ]
