Replication: a leaving member goes on until the group bears the next loss without it

Change: Departure decides when a leaving node may end: replaced; or a plain restart of a stable group that is all there (the primary's heartbeat names members that it does not hear, left out where there are none, so golden bytes stay); or after three quarters of grace_s, 6 s at most. The log says which (replica_left).

--- a/larkweir/controller/replica_driver.py
+++ b/larkweir/controller/replica_driver.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import itertools
 import os
 from collections.abc import Callable, Iterable
@@ -20,6 +21,7 @@
 from larkweir_replication.journal_files import FolderFiles
 from larkweir_replication.messages import Command, Message, Snapshot
 from larkweir_replication.replica import Replica
+from larkweir_replication.timing import Timing
 
 from larkweir.cluster import log
 from larkweir.cluster.configuration.changes import Rejection, apply_change
@@ -31,7 +33,9 @@
 
 FOLDER = "replica"
 STATUS_TOO_OLD = 503
-LEAVE_TIMEOUT_S = 1.5  # for a machine that has just started and is to replace this one
+MAX_LEAVE_FRACTION = (
+    0.75  # of the time until the platform kills this process: the rest is for its last messages
+)
 LEAVE_POLL_S = 0.04
 
 
@@ -56,17 +60,7 @@
         assert settings.data_dir is not None
         files = FolderFiles(os.path.join(settings.data_dir, FOLDER))
         journal = Journal(files)
-        self.replica = Replica(
-            settings.ip,
-            apply_change,
-            Random(),
-            now_ms(),
-            stored_state=journal.newest,
-            first_members=settings.seed_nodes if settings.bootstrap and journal.is_blank else None,
-            known_nodes=(*settings.seed_nodes, *journal.last_known_members),
-            target_member_count=2 * settings.fault_tolerance.machines + 1,
-            process_start_ms=process_started_ms(now_ms()),
-        )
+        self.replica = _create_replica(settings, journal)
         loop = asyncio.get_running_loop()
         self.disk = DiskWriter(journal, files, loop, self._persisted, self._persist_failed)
         self._status = self.replica.status
@@ -147,12 +141,11 @@
 
     async def leave(self) -> None:
         """Prepares a planned end: another replica becomes primary, and replaces this member if one stands by."""
-        loop = asyncio.get_running_loop()
         self.replica.leave(now_ms())
         self._carry_out()
-        end_s = loop.time() + LEAVE_TIMEOUT_S
-        while not self.replica.has_left and loop.time() < end_s:
+        while (reason := self.replica.departure_reason(now_ms())) is None:
             await asyncio.sleep(LEAVE_POLL_S)
+        log.event("replica_left", reason=reason)
         self.replica.resign(now_ms())
         self._carry_out()
         await asyncio.sleep(LEAVE_POLL_S)  # so that the last messages are sent
@@ -162,6 +155,28 @@
         self.disk.close()
 
 
+def _create_replica(settings: Settings, journal: Journal) -> Replica:
+    return Replica(
+        settings.ip,
+        apply_change,
+        Random(),
+        now_ms(),
+        stored_state=journal.newest,
+        first_members=settings.seed_nodes if settings.bootstrap and journal.is_blank else None,
+        known_nodes=(*settings.seed_nodes, *journal.last_known_members),
+        target_member_count=2 * settings.fault_tolerance.machines + 1,
+        timing=_timing(settings.bounds.grace_s),
+        process_start_ms=process_started_ms(now_ms()),
+    )
+
+
+def _timing(grace_s: float) -> Timing:
+    """Durations of the group; a planned end is over before the platform kills the process after `grace_s` seconds."""
+    timing = Timing()
+    max_leave_ms = min(timing.max_leave_ms, MAX_LEAVE_FRACTION * 1000.0 * grace_s)
+    return dataclasses.replace(timing, max_leave_ms=max_leave_ms)
+
+
 def _sequence(journal: Journal) -> int:
     return journal.newest.snapshot.sequence if journal.newest and journal.newest.snapshot else -1
 
--- a/packages/replication/src/larkweir_replication/leadership.py
+++ b/packages/replication/src/larkweir_replication/leadership.py
@@ -73,7 +73,8 @@
 
     def _send_heartbeats(self, now_ms: float) -> None:
         number = self._lease.begin_round(now_ms)
-        message = Heartbeat(self._epoch, self._state.committed_sequence, number)
+        unreachable = self.unreachable_members(now_ms)
+        message = Heartbeat(self._epoch, self._state.committed_sequence, number, unreachable)
         for node in self._members.recipients():
             self._state.send(node, message)
         self._lease.acknowledge(self._state.node, number)
@@ -85,6 +86,10 @@
             for effect in self._confirmations.confirm(confirmed, self._state.committed):
                 self._state.emit(effect)
 
+    def unreachable_members(self, now_ms: float) -> tuple[str, ...]:
+        """Members that have not answered lately, sorted by name."""
+        return self._members.unreachable_members(now_ms)
+
     # Messages
 
     def receive(self, sender: str, message: PrimaryMessage, now_ms: float) -> None:
--- a/packages/replication/src/larkweir_replication/member_tracker.py
+++ b/packages/replication/src/larkweir_replication/member_tracker.py
@@ -61,6 +61,10 @@
         )
         return next_step(self._state.newest(), target_member_count, self._state.node, candidates)
 
+    def unreachable_members(self, now_ms: float) -> tuple[str, ...]:
+        """Members that have not answered lately, sorted by name."""
+        return tuple(sorted(self._silent_members(self._timing.unreachable_after_silence_ms, now_ms)))
+
     def _silent_members(self, silence_ms: float, now_ms: float) -> list[str]:
         """Members that have been silent for `silence_ms` or longer, the longest first."""
         members = self._state.newest().members
--- a/packages/replication/src/larkweir_replication/messages.py
+++ b/packages/replication/src/larkweir_replication/messages.py
@@ -132,12 +132,16 @@
     promised: Epoch
 
 
-class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat"):
-    """The primary is alive. `committed`: the newest sequence on a majority of disks; `round`: its number."""
+class Heartbeat(msgspec.Struct, frozen=True, tag="heartbeat", omit_defaults=True):
+    """The primary is alive. `committed`: the newest sequence on a majority of disks; `round`: its number.
+
+    `unreachable`: members that the primary has not heard lately; left out of the message where there are none.
+    """
 
     epoch: Epoch
     committed: int
     round: int
+    unreachable: tuple[str, ...] = ()
 
 
 class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat_ack"):
--- a/packages/replication/src/larkweir_replication/primary_contact.py
+++ b/packages/replication/src/larkweir_replication/primary_contact.py
@@ -17,6 +17,9 @@
         self._timing = timing
         self._last_contact_ms = started_ms
         self.primary: str | None = None  # whom this replica follows, itself included
+        self.reported_unreachable: tuple[
+            str, ...
+        ] = ()  # members that it has not heard, by its last heartbeat
 
     def renew(self, now_ms: float) -> None:
         """Something of the primary has arrived."""
@@ -30,3 +33,9 @@
     def is_lease_valid(self, now_ms: float) -> bool:
         """Whether the primary may still rely on this replica."""
         return now_ms < self._last_contact_ms + self._timing.lease_duration_ms
+
+    def unreachable_members(self, now_ms: float) -> tuple[str, ...] | None:
+        """Members that the primary has not heard lately; None where no primary is present."""
+        if self.primary is None or not self.is_lease_valid(now_ms):
+            return None
+        return self.reported_unreachable
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -12,6 +12,7 @@
 
 from larkweir_replication.acceptor import Acceptor
 from larkweir_replication.commands import ApplyChange
+from larkweir_replication.departure import Departure, DepartureReason
 from larkweir_replication.effects import Effect
 from larkweir_replication.election import Election
 from larkweir_replication.election_timer import ElectionTimer
@@ -62,7 +63,7 @@
         timing: Timing | None = None,
         process_start_ms: float | None = None,
     ) -> None:
-        """Starts from what the disk holds. All times are milliseconds of one steady clock.
+        """Starts from what the disk holds. Times are milliseconds of one steady clock.
 
         `stored_state`: the newest durable state, None where the disk has none. `first_members`: the group at the very
         first start, else None. `known_nodes`: nodes to ask while there is no member list. `target_member_count`:
@@ -82,21 +83,21 @@
         self._recovery = Recovery(self._state, rng)
         self._membership = MembershipRequests(self._state, self._timing, now_ms)
         self._leadership: Leadership | None = None  # while this replica is the primary
-        self._is_leaving = False
+        self._departure = Departure(self._state, self._timing)
         self._start(stored_state, first_members, started_ms)
         self._timer.extend(now_ms, self._timer.draw_connect_grace_ms())
 
     def _start(
         self, stored_state: DurableState | None, first_members: tuple[str, ...] | None, now_ms: float
     ) -> None:
+        status = ReplicaStatus.RECOVERING
         if stored_state is not None and stored_state.snapshot is not None:
             self._state.restore(stored_state)
-            self._become(ReplicaStatus.FOLLOWER, now_ms)
+            status = ReplicaStatus.FOLLOWER
         elif first_members is not None and self.node in first_members:
             self._state.bootstrap(first_members)
-            self._become(ReplicaStatus.FOLLOWER, now_ms)
-        else:
-            self._become(ReplicaStatus.RECOVERING, now_ms)
+            status = ReplicaStatus.FOLLOWER
+        self._become(status, now_ms)
 
     # What callers may read
 
@@ -135,11 +136,6 @@
         """Whether its vote counts, as far as it knows."""
         return self._state.is_member
 
-    @property
-    def has_left(self) -> bool:
-        """Whether another node has taken its place, so that its end is no loss."""
-        return self._state.has_left
-
     def take_effects(self) -> list[Effect]:
         """What is to be done since the last call, in order."""
         return self._state.take_effects()
@@ -148,7 +144,8 @@
 
     def tick(self, now_ms: float) -> None:
         """To be called every few tens of milliseconds."""
-        if self._is_leaving and self._membership.is_leave_due(now_ms):
+        self._departure.observe_members(now_ms)
+        if self._departure.is_begun and self._membership.is_leave_due(now_ms):
             if self._leadership is not None:
                 self._leadership.on_leave(self.node, now_ms)
             self._membership.request_leave(now_ms)
@@ -207,7 +204,7 @@
         self.status = status
         match status:
             case ReplicaStatus.FOLLOWER:
-                self._timer.restart(now_ms, self._timer.draw_election_timeout_ms(self._is_leaving))
+                self._timer.restart(now_ms, self._timer.draw_election_timeout_ms(self._departure.is_begun))
             case ReplicaStatus.PRE_CANDIDATE:
                 self._election.begin_pre_vote()
                 self._contact.primary = None
@@ -235,20 +232,22 @@
             self.step_down(now_ms)
 
     def leave(self, now_ms: float) -> None:
-        """Prepares a planned end: others lead, and where a node stands by it takes this node's place first.
-
-        The node goes on as a member until `has_left`, or until the caller stops it.
-        """
-        self._is_leaving = True
+        """Prepares a planned end: the node goes on as a member until `departure_reason` gives one."""
+        self._departure.begin(now_ms)
         self.resign(now_ms)
 
+    def departure_reason(self, now_ms: float) -> DepartureReason | None:
+        """Why a node that was told to leave may end now; None where it is to go on as a member."""
+        observer = self._leadership or self._contact
+        return self._departure.reason(observer.unreachable_members(now_ms), now_ms)
+
     # Connections
 
     def on_partial_message(self, node: str, now_ms: float) -> None:
         """A message of that node is arriving, too large to be complete yet: its heartbeats are behind it."""
         if node == self.primary and self.status is ReplicaStatus.FOLLOWER:
             self._contact.renew(now_ms)
-            self._timer.extend(now_ms, self._timer.draw_election_timeout_ms(self._is_leaving))
+            self._timer.extend(now_ms, self._timer.draw_election_timeout_ms(self._departure.is_begun))
 
     def on_reconnected(self, node: str) -> None:
         """There is a new connection to that node."""
@@ -269,6 +268,7 @@
                     self._leadership.receive(sender, message, now_ms)
             case Heartbeat():
                 if self._follow_sender(sender, message.epoch, now_ms):
+                    self._contact.reported_unreachable = message.unreachable
                     self._acceptor.on_heartbeat(sender, message)
             case Replicate():
                 if self._follow_sender(sender, message.snapshot.epoch, now_ms):
@@ -298,7 +298,7 @@
             self._become(ReplicaStatus.PRE_CANDIDATE, now_ms)
             self._election.request_pre_votes(now_ms)
             self._count_grant(self.node, now_ms)
-        elif not self.is_member and not self._is_leaving:
+        elif not self.is_member and not self._departure.is_begun:
             self._membership.request_join_if_due(now_ms)
 
     def _raise_promise(self, epoch: Epoch, now_ms: float) -> None:
@@ -317,14 +317,14 @@
             self._become(ReplicaStatus.FOLLOWER, now_ms)
         self._contact.primary = sender
         self._contact.renew(now_ms)
-        self._timer.restart(now_ms, self._timer.draw_election_timeout_ms(self._is_leaving))
+        self._timer.restart(now_ms, self._timer.draw_election_timeout_ms(self._departure.is_begun))
         return True
 
     def _on_resign(self, sender: str, message: Resign, now_ms: float) -> None:
         if message.epoch != self.promised or self.primary != sender:
             return
         self._contact.expire(now_ms)
-        if not self._is_leaving:
+        if not self._departure.is_begun:
             self._timer.restart(now_ms, self._timer.draw_succession_delay_ms())
 
     # Elections
--- a/packages/replication/src/larkweir_replication/timing.py
+++ b/packages/replication/src/larkweir_replication/timing.py
@@ -24,3 +24,7 @@
     leaving_election_delay_ms: float = 500.0  # added to the election timeout of a node that is about to stop
     replace_after_silence_ms: float = 1_500.0  # after which a silent member may be replaced
     remove_after_silence_ms: float = 3_000.0  # the same, removed from a group that is larger than its target
+    unreachable_after_silence_ms: float = 400.0  # after which the primary reports a silent member
+    min_leave_ms: float = 1_500.0  # for a node that has just started and is to replace the leaving one
+    max_leave_ms: float = 6_000.0  # after which a leaving node ends whatever the group can bear without it
+    stable_membership_ms: float = 10_000.0  # since a change whose newcomer may have been for the leaving node
--- a/packages/replication/tests/test_replication_cluster_membership.py
+++ b/packages/replication/tests/test_replication_cluster_membership.py
@@ -160,3 +160,29 @@
     cluster.network.heal()
     cluster.run(4_000.0)
     assert cut_off in cluster.committed().members
+
+
+@pytest.mark.parametrize("tolerance", [1, 2, 3])
+@pytest.mark.parametrize("seed", range(5))
+def test_losses_after_a_newcomer_took_the_place_of_a_partitioned_member(seed: int, tolerance: int) -> None:
+    """Nobody stands by for the member that leaves by plan; then the group loses as many as it tolerates, for good."""
+    size = 2 * tolerance + 1
+    cluster = stable_cluster(seed, size, tolerance, first=size)
+    names = sorted(cluster.machines)
+    leaving, partitioned, *others = cluster.rng.sample(names, size)
+    isolate(cluster, partitioned)
+    newcomer = cluster.add_machine()
+    newcomer.start()
+    run_until(cluster, lambda one: one.primary() is not None and newcomer.name in one.committed().members)
+    cluster.machines[leaving].leave()
+    cluster.run(2_500.0)
+    assert (
+        cluster.machines[leaving].replica is not None
+    ), "the next loss would leave the group without a majority"
+    cluster.network.heal()
+    run_until(cluster, lambda one: one.machines[leaving].replica is None, within_ms=6_000.0)
+    for lost in [newcomer.name, *others][:tolerance]:
+        cluster.remove_machine(lost)
+    cluster.assert_serves()
+    assert partitioned in cluster.committed().members
+    cluster.check()
--- a/packages/replication/tests/test_replication_planted.py
+++ b/packages/replication/tests/test_replication_planted.py
@@ -16,6 +16,7 @@
 from larkweir_replication import commands, member_tracker
 from larkweir_replication.acceptor import Acceptor
 from larkweir_replication.commands import PendingCommand
+from larkweir_replication.departure import Departure
 from larkweir_replication.effects import CommandFinished, CommandOutcome, ReadFinished
 from larkweir_replication.election import Election
 from larkweir_replication.journal import Journal
@@ -233,6 +234,10 @@
     patch.setattr(ReplicaState, "persist_if_missing", persist_if_missing)
 
 
+def a_leaving_node_takes_each_end_for_a_restart(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Departure, "_are_others_stable", lambda self, unreachable, now_ms: True)
+
+
 FAULTS = [
     PlantedFault("half is a majority", half_is_a_majority),
     PlantedFault(
@@ -264,6 +269,13 @@
     PlantedFault("an epoch is used twice", an_epoch_is_used_twice),
     PlantedFault("a wiped disk votes", a_wiped_disk_votes),
     PlantedFault("the own disk is not asked again", the_primary_does_not_retry_its_own_write),
+    PlantedFault(
+        "each planned end is taken for a restart",
+        a_leaving_node_takes_each_end_for_a_restart,
+        scenario=lambda: (
+            membership_scenarios.test_losses_after_a_newcomer_took_the_place_of_a_partitioned_member(0, 1)
+        ),
+    ),
 ]
 
 
