Outliers: routers walk no upstream where no request failed

Cause: OutcomeWindow.failing_upstreams walked every upstream at each pull, also in calm times. Change: it walks those with a failure within the window; idle upstreams are forgotten when a new one is recorded.

--- a/packages/balancing/src/larkweir_balancing/fleet_outlier_detection.py
+++ b/packages/balancing/src/larkweir_balancing/fleet_outlier_detection.py
@@ -38,25 +38,44 @@
     def __init__(self) -> None:
         """No request has ended yet."""
         self._outcomes: dict[str, deque[tuple[float, bool]]] = {}  # by upstream: when, and whether it failed
+        self._last_failures_ms: dict[str, float] = {}  # by upstream where a request failed within the window
 
     def record(self, upstream: str, now_ms: float, *, failed: bool) -> None:
         """A request there has ended."""
-        self._outcomes.setdefault(upstream, deque()).append((now_ms, failed))
+        outcomes = self._outcomes.get(upstream)
+        if outcomes is None:
+            self._drop_idle_upstreams(now_ms)
+            outcomes = self._outcomes[upstream] = deque()
+        _drop_expired(outcomes, now_ms)
+        outcomes.append((now_ms, failed))
+        if failed:
+            self._last_failures_ms[upstream] = now_ms
 
     def failing_upstreams(self, now_ms: float) -> dict[str, OutcomeCounts]:
-        """The counts of those upstreams where a request failed within the window."""
+        """The counts of those upstreams where a request failed within the window. No work where none did."""
         found: dict[str, OutcomeCounts] = {}
-        for upstream, outcomes in list(self._outcomes.items()):
-            while outcomes and outcomes[0][0] <= now_ms - WINDOW_MS:
-                outcomes.popleft()
-            if not outcomes:
-                del self._outcomes[upstream]
+        for upstream, failed_ms in list(self._last_failures_ms.items()):
+            if failed_ms <= now_ms - WINDOW_MS:
+                del self._last_failures_ms[upstream]
                 continue
+            outcomes = self._outcomes[upstream]
+            _drop_expired(outcomes, now_ms)
             failures = sum(failed for _, failed in outcomes)
-            if failures:
-                found[upstream] = OutcomeCounts(len(outcomes) - failures, failures)
+            found[upstream] = OutcomeCounts(len(outcomes) - failures, failures)
         return found
 
+    def _drop_idle_upstreams(self, now_ms: float) -> None:
+        """Forget upstreams that no request has ended at within the window, so that replaced ones do not add up."""
+        idle = [name for name, outcomes in self._outcomes.items() if outcomes[-1][0] <= now_ms - WINDOW_MS]
+        for upstream in idle:
+            del self._outcomes[upstream]
+            self._last_failures_ms.pop(upstream, None)
+
+
+def _drop_expired(outcomes: deque[tuple[float, bool]], now_ms: float) -> None:
+    while outcomes and outcomes[0][0] <= now_ms - WINDOW_MS:
+        outcomes.popleft()
+
 
 def sum_outcomes(reports: Iterable[Mapping[str, OutcomeCounts]]) -> dict[str, OutcomeCounts]:
     """The reports of several routers, added up by upstream."""
--- a/packages/balancing/tests/test_balancing_fleet_outlier_detection.py
+++ b/packages/balancing/tests/test_balancing_fleet_outlier_detection.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+from larkweir_balancing import fleet_outlier_detection
 from larkweir_balancing.fleet_outlier_detection import (
     FIRST_EJECTION_MS,
     MIN_FAILURES,
@@ -17,6 +19,30 @@
 FAILING = OutcomeCounts(succeeded=2, failed=MIN_FAILURES)
 
 
+def test_without_failures_nothing_is_walked(monkeypatch: pytest.MonkeyPatch) -> None:
+    counts = OutcomeWindow()
+    for number in range(1_000):
+        counts.record(f"u{number}", 100.0, failed=False)
+    walked: list[int] = []
+    monkeypatch.setattr(
+        fleet_outlier_detection, "_drop_expired", lambda outcomes, now_ms: walked.append(len(outcomes))
+    )
+    assert counts.failing_upstreams(200.0) == {}
+    assert walked == []
+    counts.record("u7", 200.0, failed=True)
+    walked.clear()
+    assert counts.failing_upstreams(300.0) == {"u7": OutcomeCounts(1, 1)}
+    assert walked == [2], "only the one where a request failed"
+
+
+def test_upstreams_without_requests_are_forgotten() -> None:
+    counts = OutcomeWindow()
+    for number in range(1_000):
+        counts.record(f"u{number}", number * WINDOW_MS, failed=number % 2 == 0)
+    assert len(counts._outcomes) == 1
+    assert len(counts._last_failures_ms) <= 1
+
+
 def test_calm_routers_tell_nothing_and_failures_are_told_while_they_are_fresh() -> None:
     counts = OutcomeWindow()
     counts.record("u0", 0.0, failed=False)
