Router: numbers of clients are bounded, and what nobody expected ends one exchange

Cause: X-Token-Usage: 1,-900000 paid a tenant's quota back; 400 digits ended the exchange by an OverflowError without an answer; a request with a head that upstreams refuse by closing was sent again and held against them; each piece of a plain answer was a first event. Change: request_metadata reads every number of a client, whole, from 0 to a named maximum, else 400 with the header's name. The limiter takes finite units of 0 or more alone, answers with a typed verdict, and refunds what was charged. Entry points of an exchange are guarded: 500 or abort, one log line with the id, token, quota and connection given back. A head of 16 KiB or more that is refused by a close is sent once: 502, not counted. Test of invalid headers that counted as missing replaced by refusals, as stricter; planted faults follow the methods that they patch.

--- a/larkweir/router/admission.py
+++ b/larkweir/router/admission.py
@@ -4,11 +4,15 @@
 
 from dataclasses import dataclass
 
+from larkweir_quotas.quota_limiter import QuotaCharge, QuotaRejection
+
 from larkweir.router.answers import ErrorKind
-from larkweir.router.client_request import ClientRequest
+from larkweir.router.client_request import ClientRequest, RoutingHeaders
 from larkweir.router.configuration import Route, Tenant
 from larkweir.router.data_plane import DataPlane
 
+MAX_PRIORITY = 9
+
 
 @dataclass(frozen=True, slots=True)
 class Admission:
@@ -18,7 +22,28 @@
     service: str
     deadline_ms: float  # on the event loop's clock
     tenant: Tenant | None  # None: the route is public, or there are no tenants
-    quota_units: float  # charged to `tenant`; to be refunded if the request is known not to have run
+    charge: QuotaCharge | None  # to `tenant`; to be refunded if the request is known not to have run
+
+    def routing_headers(
+        self, instance: str, remaining_ms: float, last_event_id: bytes | None
+    ) -> RoutingHeaders:
+        """What an attempt adds to the request.
+
+        Args:
+            instance: the upstream that it is sent to.
+            remaining_ms: of the deadline.
+            last_event_id: of the stream that the attempt resumes; None: it resumes none.
+        """
+        priority = self.route.priority
+        if self.tenant is not None and self.tenant.priority is not None:
+            priority = self.tenant.priority
+        return RoutingHeaders(
+            deadline_ms=int(remaining_ms),
+            instance=instance,
+            tenant=self.tenant.name if self.tenant is not None else None,
+            priority=max(0, min(MAX_PRIORITY, priority)),
+            last_event_id=last_event_id,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,16 +72,17 @@
     if route is None:
         return Denial(ErrorKind.NO_ROUTE)
     tenant: Tenant | None = None
-    quota_units = 0.0
+    charge: QuotaCharge | None = None
     if table.has_tenants and not route.public:
         tenant = table.find_tenant(request.header(b"x-api-key").decode("latin-1"))
         if tenant is None:
             return Denial(ErrorKind.UNKNOWN_KEY, route)
-        quota_units = tenant.quota_units(request.tokens)
-        wait_s = plane.quotas.admit(tenant.name, quota_units, now_ms)
-        if wait_s > 0.0:
-            return Denial(ErrorKind.OVER_QUOTA, route, wait_s)
+        units = tenant.quota_units(request.metadata.total_tokens)
+        verdict = plane.quotas.admit(tenant.name, units, now_ms)
+        if isinstance(verdict, QuotaRejection):
+            return Denial(ErrorKind.OVER_QUOTA, route, verdict.retry_after_s)
+        charge = verdict
     service = route.service(plane.rng)
     plane.retry_budgets.budget(service).record_request(now_ms)
-    timeout_ms = min(route.timeout_ms, request.deadline_ms or route.timeout_ms)
-    return Admission(route, service, request.received_ms + timeout_ms, tenant, quota_units)
+    timeout_ms = min(route.timeout_ms, request.metadata.deadline_ms or route.timeout_ms)
+    return Admission(route, service, request.received_ms + timeout_ms, tenant, charge)
--- a/larkweir/router/answers.py
+++ b/larkweir/router/answers.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from larkweir.router.client_request import Headers
+from larkweir.router.request_metadata import Headers
 
 
 class ErrorKind(Enum):
@@ -24,6 +24,7 @@
     UPSTREAM_FAILED = "upstream_failed"  # it may have run
     TIMED_OUT = "timed_out"  # it may have run
     TIMED_OUT_UNSENT = "timed_out_unsent"  # it has not run
+    INTERNAL = "internal"  # a fault of the router; the request may have run
 
 
 @dataclass(frozen=True, slots=True)
@@ -40,6 +41,8 @@
         wait_s = self.retry_after_s if retry_after_s is None else retry_after_s
         if wait_s is not None:
             headers.append((b"retry-after", b"%.3f" % wait_s))
+        if self.close:
+            headers.append((b"connection", b"close"))
         return headers
 
 
@@ -61,4 +64,5 @@
     ErrorKind.UPSTREAM_FAILED: ErrorResponse(502),
     ErrorKind.TIMED_OUT: ErrorResponse(504),
     ErrorKind.TIMED_OUT_UNSENT: ErrorResponse(503, retry_after_s=AT_CAPACITY_RETRY_S),
+    ErrorKind.INTERNAL: ErrorResponse(500, close=True),
 }
--- a/larkweir/router/attempt.py
+++ b/larkweir/router/attempt.py
@@ -9,6 +9,7 @@
 from larkweir_balancing.interface import Outcome
 from larkweir_balancing.prompt import Prompt
 
+from larkweir.cluster.tasks import start_task
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.request_trace import RequestTrace
 from larkweir.router.upstream_connection import UpstreamConnection
@@ -40,6 +41,7 @@
         self._loop = asyncio.get_running_loop()
         self._sent_ms = 0.0
         self._has_token = True
+        self._has_first_event = False
         self._is_reported = False  # the fleet's outlier detection has its outcome
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._connect_task: asyncio.Task[None] | None = None
@@ -71,7 +73,9 @@
         if connection is not None:
             on_connected(connection)
         else:
-            self._connect_task = self._loop.create_task(self._open(on_connected, on_failed))
+            self._connect_task = start_task(
+                "connect", self._open(on_connected, on_failed), lambda: on_failed("internal error")
+            )
 
     async def _open(
         self, on_connected: Callable[[UpstreamConnection], None], on_failed: Callable[[str], None]
@@ -112,10 +116,14 @@
             self._overdue_timer = None
 
     def on_first_event(self) -> None:
-        """A chunk of the response arrived. An engine has then prefilled the prompt, and its token is returned."""
-        self._cancel_timer()
-        if not self._has_token:
+        """A chunk of the response arrived; only the first one counts.
+
+        An engine has then prefilled the prompt, and its token is returned.
+        """
+        if self._has_first_event:
             return
+        self._has_first_event = True
+        self._cancel_timer()
         now_ms = self._now_ms()
         tokens = self.prefill_tokens + self.queued_tokens
         self._selector.prefill_time.observe(tokens, now_ms - self._sent_ms)
@@ -141,6 +149,23 @@
         elif outcome in SUCCESSES:
             self._report(failed=False)
 
+    def abort(self, outcome: Outcome, trace: RequestTrace | None) -> None:
+        """End the call whatever it waits for, and its connection."""
+        self.cancel_connect()
+        self.end(outcome, trace)
+        if self.connection is not None:
+            self.connection.close()
+
+    def pause_reading(self) -> None:
+        """The client does not keep up."""
+        if self.connection is not None:
+            self.connection.pause_reading()
+
+    def resume_reading(self) -> None:
+        """The client has caught up."""
+        if self.connection is not None:
+            self.connection.resume_reading()
+
     def _report(self, *, failed: bool) -> None:
         """Only the first report of an attempt counts."""
         if not self._is_reported:
--- a/larkweir/router/client_connection.py
+++ b/larkweir/router/client_connection.py
@@ -10,10 +10,11 @@
 
 from larkweir.cluster.tcp_options import set_tcp_options
 from larkweir.router.answers import ERROR_RESPONSES, ErrorKind
-from larkweir.router.client_request import ClientRequest, Headers
+from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Limits
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.exchange import Exchange
+from larkweir.router.request_metadata import Headers, InvalidHeaderError, parse_metadata
 
 USER_TIMEOUT_MS = 10_000.0  # sent bytes that stay unacknowledged for so long: the client is gone
 MAX_PIPELINED_BYTES = 64 * 1024  # received while a request is in progress; then reading pauses
@@ -176,12 +177,19 @@
         assert self._request_head is not None
         self._stop_timer()
         self._is_idle_timer = False
+        headers = [(bytes(name), bytes(value)) for name, value in self._request_head.headers]
+        try:
+            metadata = parse_metadata(headers)
+        except InvalidHeaderError as error:
+            self._reject(ErrorKind.BAD_REQUEST, str(error))
+            return
         request = ClientRequest(
             method=bytes(self._request_head.method),
             target=bytes(self._request_head.target),
-            headers=[(bytes(name), bytes(value)) for name, value in self._request_head.headers],
+            headers=headers,
             body=b"".join(self._body_chunks),
             received_ms=self._loop.time() * 1000.0,
+            metadata=metadata,
         )
         self._body_chunks = []
         self._pipelined_bytes = 0
@@ -207,14 +215,23 @@
         elif self._plane.stopping:
             transport.close()
 
-    def _reject(self, kind: ErrorKind) -> None:
-        """Respond to what is no valid request within the limits, and close the connection."""
+    def _reject(self, kind: ErrorKind, problem: str = "") -> None:
+        """Respond to what is no valid request within the limits, and close the connection.
+
+        `problem`: what is wrong, in a line of text for the client; empty: the response has no body.
+        """
         self._stop_timer()
         if self._transport is None:
             return
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self._plane.count_error(kind)
-            self.start_response(ERROR_RESPONSES[kind].status, [(b"content-length", b"0"), CLOSE_HEADER])
+            body = f"{problem}\n".encode() if problem else b""
+            headers = [(b"content-length", b"%d" % len(body)), CLOSE_HEADER]
+            if body:
+                headers.insert(0, (b"content-type", b"text/plain; charset=utf-8"))
+            self.start_response(ERROR_RESPONSES[kind].status, headers)
+            if body and self._request_head is not None and self._request_head.method != b"HEAD":
+                self.send_body(body)
             self.end_response()
         self._transport.close()
 
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkweir_balancing.prompt import Prompt
 
-Headers = Sequence[tuple[bytes, bytes]]
+from larkweir.router.request_metadata import Headers, RequestMetadata
 
 # Of one connection only (RFC 9110, 7.6.1), or set anew by the framing of the next.
 HOP_BY_HOP_HEADERS = frozenset(
@@ -24,6 +23,10 @@
         b"expect",
     )
 )
+HEADER_LINE_BYTES = 4  # colon, space and line end of one header
+# Servers that accept no larger head close the connection, and their answer is often lost by that (RFC 9112, 9.6).
+# 16 KiB is the largest default among common servers.
+MIN_OVERSIZED_HEAD_BYTES = 16 * 1024
 # Set by the router, whatever the client sent.
 ROUTER_HEADERS = frozenset(
     (b"content-length", b"x-api-key", b"x-tenant", b"x-deadline-ms", b"x-target-instance", b"priority")
@@ -50,6 +53,7 @@
     headers: Headers
     body: bytes
     received_ms: float  # on the event loop's clock
+    metadata: RequestMetadata = field(default_factory=RequestMetadata)
 
     def header(self, name: bytes) -> bytes:
         """The first value of that name, or an empty one."""
@@ -58,6 +62,12 @@
                 return value
         return b""
 
+    @property
+    def has_oversized_head(self) -> bool:
+        """Whether its target and headers are so large that an upstream may refuse them."""
+        sizes = (len(name) + len(value) + HEADER_LINE_BYTES for name, value in self.headers)
+        return len(self.target) + sum(sizes) >= MIN_OVERSIZED_HEAD_BYTES
+
     @property
     def host(self) -> str:
         """The host that the client names, without a port, in lower case."""
@@ -68,41 +78,19 @@
         """The target without its query."""
         return self.target.decode("latin-1").partition("?")[0]
 
-    @property
-    def deadline_ms(self) -> float | None:
-        """How long the client waits, in milliseconds (`X-Deadline-Ms`); None where it does not say."""
-        text = self.header(b"x-deadline-ms")
-        try:
-            return max(0.0, float(text)) if text else None
-        except ValueError:
-            return None
-
-    @property
-    def tokens(self) -> float | None:
-        """Tokens of its prompt and the most it generates (`X-Token-Usage`); None where it does not say."""
-        text = self.header(b"x-token-usage")
-        if not text:
-            return None
-        try:
-            return float(sum(int(part) for part in text.split(b",")))
-        except ValueError:
-            return None
-
     def prompt(self, target_ms: float) -> Prompt:
         """What an engine has to prefill. Its prefix is named by the deepest block that it shares with others.
 
         Args:
             target_ms: the latency target of its first event, in milliseconds.
         """
-        usage = self.header(b"x-token-usage").partition(b",")[0]
-        tokens = float(usage) if usage.strip().isdigit() else 0.0
-        blocks = self.header(b"x-prompt-prefix").split(b",")
-        if len(blocks) < 2:
+        metadata = self.metadata
+        tokens = float(metadata.prompt_tokens or 0)
+        shared_blocks = metadata.prompt_blocks[:-1]
+        if not shared_blocks:
             return Prompt(tokens=tokens, latency_target_ms=target_ms)
-        sizes = [block.partition(b":")[2].strip() for block in blocks[:-1]]
-        prefix_tokens = float(sum(int(size) for size in sizes if size.isdigit()))
-        prefix = blocks[-2].partition(b":")[0].strip().decode("latin-1")
-        return Prompt(prefix, tokens, min(tokens, prefix_tokens), target_ms)
+        prefix_tokens = float(sum(block.tokens for block in shared_blocks))
+        return Prompt(shared_blocks[-1].id, tokens, min(tokens, prefix_tokens), target_ms)
 
     def upstream_headers(self, routing: RoutingHeaders) -> list[tuple[bytes, bytes]]:
         """The headers for an upstream: the client's, without those of its connection, and the router's."""
--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 
 import h11
 from larkweir_balancing.decision_options import OPTIONS
@@ -15,12 +16,14 @@
 from larkweir_balancing.prompt import Prompt
 
 from larkweir.cluster import log
+from larkweir.cluster.tasks import log_failure
 from larkweir.router.admission import Admission, Denial, admit
 from larkweir.router.answers import ERROR_RESPONSES, ErrorKind
 from larkweir.router.attempt import Attempt
-from larkweir.router.client_request import ClientRequest, RoutingHeaders
+from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Route
 from larkweir.router.data_plane import DataPlane
+from larkweir.router.exchange_guard import guarded, run_each
 from larkweir.router.exchange_state import ExchangeState
 from larkweir.router.prefix_affinity import PrefixOwner
 from larkweir.router.request_trace import RequestTrace
@@ -35,7 +38,6 @@
 from larkweir.router.upstream_connection import CallFailure, UpstreamConnection
 
 MIN_REMAINING_MS = 5.0  # of the deadline, under which a request is not sent any more
-MAX_PRIORITY = 9
 
 
 class Exchange:
@@ -85,11 +87,16 @@
         """
         self._state = state
 
+    @property
+    def _is_done(self) -> bool:
+        return self._state is ExchangeState.DONE
+
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
 
     # Admission and placement
 
+    @guarded
     def start(self) -> None:
         """Admit the request and begin its first attempt, or respond with an error."""
         admitted = admit(self._plane, self._request, self._now_ms())
@@ -119,16 +126,17 @@
             return
         self._transition(ExchangeState.PLACING)
         is_ready = plane.upstreams.selector(service).is_ready
-        plane.prefix_affinity.find_owner(
-            service, prompt, len(self._request.body), is_ready, self._on_prefix_owner
-        )
+        body_bytes = len(self._request.body)
+        plane.prefix_affinity.find_owner(service, prompt, body_bytes, is_ready, self._on_prefix_owner)
 
+    @guarded
     def _on_prefix_owner(self, owner: PrefixOwner | None) -> None:
-        if self._state is ExchangeState.PLACING:
-            if self._trace is not None:
-                self._trace.on_placed(self._now_ms())
-            self._prefix_owner = owner
-            self._start_attempt()
+        if self._state is not ExchangeState.PLACING:
+            return
+        if self._trace is not None:
+            self._trace.on_placed(self._now_ms())
+        self._prefix_owner = owner
+        self._start_attempt()
 
     # Attempts
 
@@ -158,6 +166,7 @@
         self._transition(ExchangeState.CONNECTING)
         self._attempt.connect(self._send_request, self._on_connect_failed)
 
+    @guarded
     def _on_connect_failed(self, error: str) -> None:
         """Nothing was sent: another upstream may be tried."""
         _, retries = self._admitted()
@@ -168,6 +177,7 @@
         else:
             self._respond_unavailable()
 
+    @guarded
     def _send_request(self, connection: UpstreamConnection) -> None:
         """Send the request on that connection, unless its deadline is as good as over."""
         admission, retries = self._admitted()
@@ -181,29 +191,17 @@
         retries.record_sent()
         self._may_have_executed = True
         self._discard_outcome = Outcome.ERROR
+        routing = admission.routing_headers(self._attempt.instance, remaining_ms, self._relay.last_event_id)
         request = h11.Request(
             method=self._request.method,
             target=self._request.target,
-            headers=self._request.upstream_headers(self._routing_headers(admission, remaining_ms)),
+            headers=self._request.upstream_headers(routing),
         )
         if self._trace is not None:
             self._trace.on_request_sent(self._attempt.prefill_tokens, self._now_ms())
         self._transition(ExchangeState.AWAITING)
         connection.call(request, self._request.header(b"x-request-id"), self._request.body, self)
 
-    def _routing_headers(self, admission: Admission, remaining_ms: float) -> RoutingHeaders:
-        assert self._attempt is not None
-        tenant, priority = admission.tenant, admission.route.priority
-        if tenant is not None and tenant.priority is not None:
-            priority = tenant.priority
-        return RoutingHeaders(
-            deadline_ms=int(remaining_ms),
-            instance=self._attempt.instance,
-            tenant=tenant.name if tenant is not None else None,
-            priority=max(0, min(MAX_PRIORITY, priority)),
-            last_event_id=self._relay.last_event_id,
-        )
-
     def _take_retry(self) -> bool:
         _, retries = self._admitted()
         return retries.take_retry(self._now_ms())
@@ -215,13 +213,11 @@
 
     def _abort_attempt(self, outcome: Outcome) -> None:
         """End the attempt under way, whatever it waits for."""
-        attempt = self._attempt
+        attempt, self._attempt = self._attempt, None
         if attempt is not None:
-            attempt.cancel_connect()
-        self._end_attempt(outcome)
-        if attempt is not None and attempt.connection is not None:
-            attempt.connection.close()
+            attempt.abort(outcome, self._trace)
 
+    @guarded
     def _on_overdue(self) -> None:
         """The upstream is silent for longer than others are: retry elsewhere if that is safe and others are left."""
         admission, _ = self._admitted()
@@ -229,9 +225,8 @@
         may_retry = OPTIONS.retry_overdue and admission.route.is_idempotent
         if not may_retry or self._state not in (ExchangeState.AWAITING, ExchangeState.RELAYING):
             return
-        has_others = self._plane.upstreams.selector(admission.service).ready_count > len(
-            self._tried_instances
-        )
+        selector = self._plane.upstreams.selector(admission.service)
+        has_others = selector.ready_count > len(self._tried_instances)
         can_restart = not self._relay.has_started or self._relay.can_resume
         if has_others and can_restart and self._take_retry():
             self._abort_attempt(Outcome.TIMEOUT)
@@ -240,6 +235,7 @@
 
     # The upstream's response: `upstream_connection.ResponseListener`
 
+    @guarded
     def on_response_head(self, response: h11.Response) -> None:
         """The head of a response: relayed, unless the request goes elsewhere."""
         admission, _ = self._admitted()
@@ -251,7 +247,8 @@
         if found is ResponseClass.RETRYABLE_ERROR and not self._take_retry():
             found = classify_without_retry(head, admission.route, response_started=started)
         if found is ResponseClass.RELAYABLE:
-            self._relay_head(response)
+            self._transition(ExchangeState.RELAYING)
+            self._relay.start(response.status_code, response.headers, admission.route)
             return
         if found in (ResponseClass.MISDIRECTED, ResponseClass.REJECTED):
             self._may_have_executed = False
@@ -263,11 +260,7 @@
             self._discard_outcome = Outcome.ERROR
         self._transition(ExchangeState.DISCARDING)
 
-    def _relay_head(self, response: h11.Response) -> None:
-        admission, _ = self._admitted()
-        self._transition(ExchangeState.RELAYING)
-        self._relay.start(response.status_code, response.headers, admission.route)
-
+    @guarded
     def on_response_data(self, data: bytes) -> None:
         """A chunk of a response's body."""
         if self._state is not ExchangeState.RELAYING:
@@ -276,9 +269,10 @@
             self._trace.on_first_event(self._now_ms())
         if self._attempt is not None:
             self._attempt.on_first_event()
-        if not self._relay.send(data) and self._attempt and self._attempt.connection:
-            self._attempt.connection.pause_reading()
+        if not self._relay.send(data) and self._attempt is not None:
+            self._attempt.pause_reading()
 
+    @guarded
     def on_response_end(self) -> None:
         """The response is complete."""
         if self._state is ExchangeState.DISCARDING:
@@ -303,6 +297,7 @@
         else:
             self._respond_unavailable()
 
+    @guarded
     def on_call_failed(self, failure: CallFailure) -> None:
         """The connection ended, or sent what is no HTTP, before the response was complete."""
         admission, retries = self._admitted()
@@ -310,44 +305,43 @@
         if self._state is ExchangeState.DISCARDING and not self._may_have_executed:
             self._on_discarded()
             return
+        if self._request.has_oversized_head and not self._relay.has_started:
+            self._end_attempt(Outcome.CANCELLED)  # the others would refuse it too: no fault of this one
+            self._respond_error(ErrorKind.UPSTREAM_FAILED)
+            return
         self._end_attempt(Outcome.RESET)
-        if self._relay.has_started:
-            self._resume_stream()
-        elif admission.route.is_idempotent and self._take_retry():
-            self._start_attempt()
-        else:
-            self._respond_unavailable()
-
-    def _resume_stream(self) -> None:
-        """A response broke off: a resumable stream goes on from another upstream, any other is aborted."""
-        if self._relay.can_resume and self._take_retry():
+        # A resumable stream goes on from another upstream.
+        may_retry = self._relay.can_resume if self._relay.has_started else admission.route.is_idempotent
+        if may_retry and self._take_retry():
             self._relay.restart()
             self._start_attempt()
         else:
-            self._abort_response()
+            self._respond_unavailable()
 
     # The client, the deadline, the end
 
+    @guarded
     def on_client_writable(self) -> None:
         """The client has taken what was buffered for it."""
-        if self._attempt is not None and self._attempt.connection is not None:
-            self._attempt.connection.resume_reading()
+        if self._attempt is not None:
+            self._attempt.resume_reading()
 
+    @guarded
     def cancel(self) -> None:
         """The client has disconnected: the upstream need not go on."""
-        if self._state is ExchangeState.DONE:
+        if self._is_done:
             return
         self._abort_attempt(Outcome.CANCELLED)
-        if not self._may_have_executed:
-            self._refund()
+        self._refund_unless_executed()
         self._finish()
 
+    @guarded
     def _on_deadline(self) -> None:
-        if self._state is ExchangeState.DONE:
+        if self._is_done:
             return
         _, retries = self._admitted()
-        is_discarding = self._state is ExchangeState.DISCARDING
-        is_unsent = not retries.sent or (is_discarding and not self._may_have_executed)
+        has_no_effect = self._state is ExchangeState.DISCARDING and not self._may_have_executed
+        is_unsent = not retries.sent or has_no_effect
         is_connecting = self._state is ExchangeState.CONNECTING
         self._abort_attempt(Outcome.CONNECT_FAILED if is_connecting else Outcome.TIMEOUT)
         if self._relay.has_started:
@@ -362,29 +356,40 @@
             self._abort_response()
         elif self._may_have_executed:
             self._respond_error(ErrorKind.UPSTREAM_FAILED)
-        elif retries.sent:
-            self._respond_error(ErrorKind.REJECTED)
         else:
-            self._respond_error(ErrorKind.NO_UPSTREAM)
+            self._respond_error(ErrorKind.REJECTED if retries.sent else ErrorKind.NO_UPSTREAM)
 
     def _respond_error(self, kind: ErrorKind, retry_after_s: float | None = None) -> None:
-        """Respond with an error of the router's own; what has surely not run is refunded."""
-        if not self._may_have_executed:
-            self._refund()
-        response = ERROR_RESPONSES[kind]
         self._plane.count_error(kind)
+        self._send_error(kind, retry_after_s)
+
+    def _send_error(self, kind: ErrorKind, retry_after_s: float | None = None) -> None:
+        self._refund_unless_executed()
+        response = ERROR_RESPONSES[kind]
         self._relay.send_error(response.status, response.headers(retry_after_s))
         self._finish()
 
-    def _refund(self) -> None:
-        admission = self._admission
-        if admission is not None and admission.tenant is not None:
-            self._plane.quotas.refund(admission.tenant.name, admission.quota_units)
+    def _refund_unless_executed(self) -> None:
+        charge = self._admission.charge if self._admission is not None else None
+        if charge is not None and not self._may_have_executed:
+            self._plane.quotas.refund(charge)
 
     def _abort_response(self) -> None:
         self._relay.abort()
         self._finish()
 
+    def fail(self, error: Exception) -> None:
+        """End with 500 after an unexpected exception, giving back all that the request holds."""
+        log_failure("exchange_failed", error, id=self._request.header(b"x-request-id").decode("latin-1"))
+        if not self._is_done:
+            has_started = self._relay.has_started
+            respond = (
+                self._abort_response if has_started else partial(self._respond_error, ErrorKind.INTERNAL)
+            )
+            run_each((partial(self._abort_attempt, Outcome.CANCELLED), respond))
+        if not self._is_done:  # the response could not be sent either
+            run_each((self._relay.abort, self._finish))
+
     def _finish(self) -> None:
         self._transition(ExchangeState.DONE)
         if self._deadline_timer is not None:
--- a/larkweir/router/request_trace.py
+++ b/larkweir/router/request_trace.py
@@ -89,7 +89,7 @@
             "request",
             id=request.header(b"x-request-id").decode("latin-1"),
             route=route.name if route is not None else None,
-            tokens=request.tokens,
+            tokens=request.metadata.total_tokens,
             aim_ms=route.target_latency_ms if route is not None else None,
             head=prompt.prefix,
             head_tokens=round(prompt.prefix_tokens),
--- a/larkweir/router/response_classification.py
+++ b/larkweir/router/response_classification.py
@@ -6,8 +6,8 @@
 from enum import Enum, auto
 from http import HTTPStatus
 
-from larkweir.router.client_request import Headers
 from larkweir.router.configuration import Route
+from larkweir.router.request_metadata import Headers
 
 LOAD_HEADER = b"x-server-load"
 LOAD_FIELD_COUNT = 3  # requests running, requests waiting, slots
--- a/larkweir/router/response_relay.py
+++ b/larkweir/router/response_relay.py
@@ -5,9 +5,10 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from larkweir.router.client_request import HOP_BY_HOP_HEADERS, Headers
+from larkweir.router.client_request import HOP_BY_HOP_HEADERS
 from larkweir.router.configuration import Route
 from larkweir.router.event_stream import EventBuffer
+from larkweir.router.request_metadata import Headers
 
 
 class ResponseWriter(Protocol):
--- a/packages/quotas/src/larkweir_quotas/quota_limiter.py
+++ b/packages/quotas/src/larkweir_quotas/quota_limiter.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from random import Random
 
@@ -19,6 +20,21 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
+@dataclass(frozen=True, slots=True)
+class QuotaCharge:
+    """An admitted request, and what it was charged; the receipt for a refund."""
+
+    tenant: str
+    units: float  # 0 where the tenant had no limit
+
+
+@dataclass(frozen=True, slots=True)
+class QuotaRejection:
+    """A request that would exceed its tenant's limit. Nothing was charged."""
+
+    retry_after_s: float  # after which its client should retry
+
+
 @dataclass(slots=True)
 class _ReceivedStatus:
     """The last status from one table, and the usage that it may include."""
@@ -66,32 +82,39 @@
         """Set the limits of all tenants that have one."""
         self._limits = limits
 
-    def admit(self, tenant: str, units: float, now_ms: float) -> float:
-        """Admit a request, or tell when to retry it.
+    def admit(self, tenant: str, units: float, now_ms: float) -> QuotaCharge | QuotaRejection:
+        """Admit a request and charge it, or tell when to retry it.
 
-        Returns:
-            0 where the request is admitted, and counted; else the seconds after which its client should retry.
+        Args:
+            tenant: whose request it is.
+            units: what it uses of the limit; finite and not negative.
+            now_ms: the present time.
+
+        Raises:
+            ValueError: `units` would lower the tenant's usage, or is no number.
         """
+        if not 0.0 <= units < math.inf:
+            raise ValueError(f"units of a request: {units}")
         limit = self._limits.get(tenant)
         if limit is None:
-            return 0.0
+            return QuotaCharge(tenant, 0.0)
         state = self._tenants.setdefault(tenant, _TenantState())
         state.record_request(units)
         remaining = self._remaining(state, limit, now_ms)
         if remaining <= 0.0:
             retry_after_s = -remaining / limit.rate_per_s if limit.rate_per_s > 0.0 else MAX_RETRY_AFTER_S
-            return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s))
+            return QuotaRejection(min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, retry_after_s)))
         state.admitted_units += units
         state.last_admitted_ms = now_ms
         state.local_level -= units
-        return 0.0
-
-    def refund(self, tenant: str, units: float) -> None:
-        """Return the units of an admitted request that was never executed."""
-        state = self._tenants.get(tenant)
-        if state is not None and tenant in self._limits:
-            state.admitted_units -= units
-            state.local_level += units
+        return QuotaCharge(tenant, units)
+
+    def refund(self, charge: QuotaCharge) -> None:
+        """Return the units of an admitted request that was never executed; once for each charge."""
+        state = self._tenants.get(charge.tenant)
+        if state is not None:
+            state.admitted_units -= charge.units
+            state.local_level += charge.units
 
     def usage(self, controller: str, now_ms: float) -> dict[str, float]:
         """Return the report for a controller: units admitted since the start, by recently active tenant."""
--- a/packages/quotas/tests/quota_fleet.py
+++ b/packages/quotas/tests/quota_fleet.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from larkweir_quotas.limits import RateLimit
-from larkweir_quotas.quota_limiter import STATUS_VALID_MS, QuotaLimiter
+from larkweir_quotas.quota_limiter import STATUS_VALID_MS, QuotaCharge, QuotaLimiter
 from larkweir_quotas.usage_table import UsageTable
 
 TENANT = "t"
@@ -109,7 +109,7 @@
                 self._request(self.rng.randrange(len(self.routers)), units)
 
     def _request(self, router: int, units: float) -> None:
-        if self.routers[router].admit(TENANT, units, self.now_ms) == 0.0:
+        if isinstance(self.routers[router].admit(TENANT, units, self.now_ms), QuotaCharge):
             self.admitted.append((self.now_ms, units))
         else:
             self.rejected.append(self.now_ms)
--- a/packages/quotas/tests/test_quotas_herd.py
+++ b/packages/quotas/tests/test_quotas_herd.py
@@ -6,7 +6,7 @@
 
 import pytest
 from larkweir_quotas.limits import RateLimit
-from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_quotas.quota_limiter import QuotaLimiter, QuotaRejection
 from larkweir_quotas.usage_table import UsageTable
 
 LIMIT = RateLimit(860_000.0, 860_000.0)  # tokens, as on the day on which the fault was seen
@@ -47,11 +47,11 @@
         requested += [one for one in retries if one[0] <= now_ms]
         retries = [one for one in retries if one[0] > now_ms]
         for _, number, units in requested:
-            wait_s = limiters[number].admit("t", units, now_ms)
-            if wait_s == 0.0:
-                found.append((now_ms, units))
+            verdict = limiters[number].admit("t", units, now_ms)
+            if isinstance(verdict, QuotaRejection):
+                retries.append((now_ms + 1_000.0 * verdict.retry_after_s, rng.randrange(processes), units))
             else:
-                retries.append((now_ms + 1_000.0 * wait_s, rng.randrange(processes), units))
+                found.append((now_ms, units))
     return found
 
 
--- a/packages/quotas/tests/test_quotas_reports.py
+++ b/packages/quotas/tests/test_quotas_reports.py
@@ -6,7 +6,7 @@
 
 import pytest
 from larkweir_quotas.limits import ISOLATED_FRACTION, RateLimit
-from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_quotas.quota_limiter import QuotaCharge, QuotaLimiter
 from larkweir_quotas.usage_table import UsageTable
 
 LIMITS = {"t": RateLimit(1_000.0, 2_000.0)}
@@ -45,7 +45,7 @@
             router.receive_statuses(name, table.statuses(list(counts), self.now_ms), self.now_ms)
 
     def request(self, number: int, units: float) -> bool:
-        admitted = self.routers[number].admit("t", units, self.now_ms) == 0.0
+        admitted = isinstance(self.routers[number].admit("t", units, self.now_ms), QuotaCharge)
         if admitted:
             self.admitted.append((self.now_ms, units))
         return admitted
--- a/packages/replication/tests/test_replication_departure.py
+++ b/packages/replication/tests/test_replication_departure.py
@@ -19,7 +19,7 @@
     return departure
 
 
-def test_a_node_that_was_not_told_to_leave_goes_on() -> None:
+def test_a_node_that_does_not_leave_goes_on() -> None:
     departure = Departure(state_of(), TIMING)
     assert departure.reason((), 1e9) is None
     assert not departure.is_begun
--- a/tests/router/router_model.py
+++ b/tests/router/router_model.py
@@ -14,6 +14,7 @@
 
 from larkweir.cluster.messages import ConfigUpdate
 from larkweir.cluster.settings import Bounds
+from larkweir.router.answers import ErrorKind
 from larkweir.router.client_connection import ClientConnection
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.upstream_connection import UpstreamConnection
@@ -205,10 +206,10 @@
     def is_open(self) -> bool:
         return not self.transport.is_closing()
 
-    def queue(self, sent: Sent, body: bytes) -> None:
-        """One more request; `send` passes it on."""
+    def queue(self, sent: Sent, body: bytes, headers: str = "") -> None:
+        """One more request, with further header lines; `send` passes it on."""
         self.waiting.append(sent)
-        head = f"POST /{sent.kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: {sent.id}\r\n"
+        head = f"POST /{sent.kind}/x HTTP/1.1\r\nHost: a\r\nX-Request-Id: {sent.id}\r\n{headers}"
         self.unread += f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
 
     def send(self, count: int) -> None:
@@ -311,7 +312,8 @@
         return run
 
     def check(self) -> None:
-        """Right caller, at most once, no false promise, nothing torn that seems complete."""
+        """Right caller, at most once, no false promise, nothing torn that seems complete, no internal error."""
+        assert self.plane.error_counts[ErrorKind.INTERNAL] == 0
         for id_, sent in self.sent.items():
             runs = self.runs.get(id_, [])
             executed = [run for run in runs if run.executed]
--- a/tests/router/test_client_request.py
+++ b/tests/router/test_client_request.py
@@ -8,11 +8,12 @@
 from larkweir_balancing.prompt import DEFAULT_LATENCY_TARGET_MS, Prompt
 
 from larkweir.router.client_request import ClientRequest, RoutingHeaders
+from larkweir.router.request_metadata import parse_metadata
 
 
 def request(**headers: str) -> ClientRequest:
     raw = [(name.replace("_", "-").encode(), value.encode()) for name, value in headers.items()]
-    return ClientRequest(b"POST", b"/a/b?c=d", raw, b"body", 0.0)
+    return ClientRequest(b"POST", b"/a/b?c=d", raw, b"body", 0.0, parse_metadata(raw))
 
 
 OWN = RoutingHeaders(1500, "i-1", "tenant", 3, None)
@@ -53,15 +54,9 @@
         ("1460,80", "a:800,b:410,c:250", Prompt("b", 1460.0, 1210.0)),
         ("1460,80", "c:250", Prompt("", 1460.0, 0.0)),
         ("1460,80", "", Prompt("", 1460.0, 0.0)),
-        ("x", "a:b,c:d", Prompt("a", 0.0, 0.0)),
+        ("100,80", "a:800,b:410,c:250", Prompt("b", 100.0, 100.0)),
+        ("", "a:1,c:1", Prompt("a", 0.0, 0.0)),
     ],
 )
 def test_the_prefix_of_a_prompt_is_its_deepest_shared_block(usage: str, prefix: str, prompt: Prompt) -> None:
     assert request(x_token_usage=usage, x_prompt_prefix=prefix).prompt(DEFAULT_LATENCY_TARGET_MS) == prompt
-
-
-def test_invalid_headers_count_as_missing() -> None:
-    odd = request(x_deadline_ms="soon", x_token_usage="many")
-    assert odd.deadline_ms is None
-    assert odd.tokens is None
-    assert request(x_token_usage="10,20").tokens == 30.0
--- a/tests/router/test_exchange_planted.py
+++ b/tests/router/test_exchange_planted.py
@@ -10,8 +10,11 @@
 from hypothesis import Phase, settings
 from hypothesis.stateful import run_state_machine_as_test
 
+from larkweir.router import exchange
 from larkweir.router.client_connection import ClientConnection
 from larkweir.router.exchange import Exchange
+from larkweir.router.response_classification import ResponseClass
+from larkweir.router.response_relay import ResponseRelay
 from larkweir.router.upstream_connection import UpstreamConnection
 from tests.router import test_exchange as scenes
 from tests.router.test_exchange import ExchangeMachine
@@ -60,7 +63,7 @@
 
 
 def every_response_is_relayed(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(Exchange, "on_response_head", Exchange._relay_head)
+    patch.setattr(exchange, "classify_response", lambda head, route, **rest: ResponseClass.RELAYABLE)
 
 
 def a_broken_response_ends_as_if_complete(patch: pytest.MonkeyPatch) -> None:
@@ -71,14 +74,14 @@
 
 
 def a_stream_begins_anew_elsewhere(patch: pytest.MonkeyPatch) -> None:
-    original = Exchange._resume_stream
+    original = ResponseRelay.restart
 
-    def resume(self: Exchange) -> None:
-        if self._relay.events is not None:
-            self._relay.events.last_id = None
+    def restart(self: ResponseRelay) -> None:
+        if self.events is not None:
+            self.events.last_id = None
         original(self)
 
-    patch.setattr(Exchange, "_resume_stream", resume)
+    patch.setattr(ResponseRelay, "restart", restart)
 
 
 def what_was_refused_elsewhere_counts_as_not_run(patch: pytest.MonkeyPatch) -> None:
--- a/tests/router/test_wire_golden.py
+++ b/tests/router/test_wire_golden.py
@@ -17,6 +17,7 @@
 import picologging
 import pytest
 from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_quotas.retry_budget import RetryBudget
 from larkweir_registry.records import Upstream
 
 from larkweir.cluster.messages import ConfigUpdate
@@ -449,6 +450,21 @@
     scene.request(head("GET", "/plain/x", "X-Deadline-Ms: 4"))
 
 
+def internal(scene: Scene) -> None:
+    scene.configure()
+
+    def fail(service: str) -> RetryBudget:
+        raise ArithmeticError(service)
+
+    scene.plane.retry_budgets.budget = fail  # type: ignore[method-assign]
+    scene.request(head("GET", "/plain/x"))
+
+
+def a_number_that_no_client_may_state(scene: Scene) -> None:
+    scene.configure()
+    scene.request(head("GET", "/plain/x", "X-Token-Usage: 1,-900000"))
+
+
 SCENES: list[Callable[[Scene], None]] = [
     a_get_without_a_body,
     a_post_with_headers_of_its_connection_alone,
@@ -477,6 +493,8 @@
     upstream_failed,
     timed_out,
     timed_out_unsent,
+    internal,
+    a_number_that_no_client_may_state,
 ]
 
 
@@ -490,6 +508,7 @@
     def emit(self, record: picologging.LogRecord) -> None:
         if self.scene is not None:
             line = re.sub(r'^\{"time":[0-9.e+]+,("node":"[^"]*",)?', "{", str(record.msg))
+            line = re.sub(r'"at":"[^"]*"', '"at":"FILE:LINE"', line)
             self.scene.lines.append(f"log: {line}")
 
 
