Tasks: every task has an owner that logs its exception; a failed replica ends its process

Cause: an exception in a periodic task ended the tick loop of a router or controller unseen; the demonstration wrote a traceback for each client that left a stream. Change: one TickLoop (larkweir.cluster.periodic_tasks) in place of two: a task that raises is logged and runs again after 1 s, doubled up to 8 s; an essential one (the replica) ends the process with exit code 70 (crash only: the durable state is sound, a half changed one is not). start_task alone creates tasks in the fleet; a test walks the tree for dropped ones. Exceptions of callbacks are one log line. The demo's engines end quietly. The old test of a task's exception looked at the loop's handler; it looks at the log now, by name and error.

--- a/larkweir/cluster/http_server.py
+++ b/larkweir/cluster/http_server.py
@@ -10,6 +10,7 @@
 import h11
 
 from larkweir.cluster import log
+from larkweir.cluster.tasks import start_task
 from larkweir.cluster.tcp_options import set_tcp_options
 
 MAX_HEADER_BYTES = 32 * 1024
@@ -116,7 +117,7 @@
             headers,
             b"".join(self._body),
         )
-        self._task = asyncio.get_running_loop().create_task(self._handle(request))
+        self._task = start_task("http_request", self._handle(request))
 
     async def _handle(self, request: Request) -> None:
         try:
--- a/larkweir/cluster/links.py
+++ b/larkweir/cluster/links.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from larkweir.cluster.messages import MAX_LINE_BYTES, Message, Ping
+from larkweir.cluster.tasks import start_task
 from larkweir.cluster.tcp_options import set_tcp_options
 
 PING_INTERVAL_MS = 250.0
@@ -173,7 +174,7 @@
         if self.connection is not None:
             self.connection.keep_alive()
         elif self._connecting is None and self._loop.time() * 1000.0 >= self._next_attempt_ms:
-            self._connecting = self._loop.create_task(self._connect())
+            self._connecting = start_task("connect_to_node", self._connect())
 
     def send(self, message: Message) -> bool:
         """Send a message; return whether there was a connection to send it on."""
--- a/larkweir/cluster/tasks.py
+++ b/larkweir/cluster/tasks.py
@@ -5,12 +5,18 @@
 import asyncio
 import traceback
 from collections.abc import Callable, Coroutine
+from typing import Any
 
 from larkweir.cluster import log
+from larkweir.cluster.errors import LarkweirError
 
 MAX_LOGGED_ERROR_CHARS = 500
 
 
+class EssentialTaskError(LarkweirError):
+    """A task that the process can't do without has ended; the process ends too, and is to be started anew."""
+
+
 def location_of(error: BaseException) -> str:
     """Where an exception was raised: file, line and function of its innermost frame."""
     frames = traceback.extract_tb(error.__traceback__)
@@ -48,3 +54,27 @@
 def log_failure(event: str, error: BaseException, **fields: str | float) -> None:
     """Log an exception that nobody expected, in one line. `fields`: what failed."""
     log.event(event, **fields, error=repr(error)[:MAX_LOGGED_ERROR_CHARS], at=location_of(error))
+
+
+def log_callback_failure(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+    """Handle an exception that left a callback of the event loop, with the loop's `context` of it."""
+    error = context.get("exception")
+    if isinstance(error, BaseException):
+        log_failure("callback_failed", error, message=str(context.get("message", "")))
+    else:
+        log.event("callback_failed", message=str(context.get("message", "")))
+
+
+async def wait_unless_failed(event: asyncio.Event, essential: asyncio.Task[None]) -> None:
+    """Wait for an event as long as a task that the process can't do without goes on.
+
+    Raises:
+        EssentialTaskError: the task ended first.
+    """
+    waiting = asyncio.create_task(event.wait())
+    try:
+        await asyncio.wait((waiting, essential), return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        waiting.cancel()
+    if not event.is_set():
+        raise EssentialTaskError(f"{essential.get_name()} ended")
--- a/larkweir/controller/message_dispatch.py
+++ b/larkweir/controller/message_dispatch.py
@@ -62,7 +62,7 @@
             case HeartbeatReport():
                 self.failure_detector.record_peer_heartbeats(message.sequences, now_ms())
             case PrimaryRequest():
-                self.tasks.start(self.primary.serve(connection, message))
+                self.tasks.start("primary_request", self.primary.serve(connection, message))
             case PrimaryResponse():
                 self.primary.answered(message)
 
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -16,7 +16,9 @@
 from larkweir.cluster import log, settings_watcher
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Hello, Message, NodeRole, Replication
+from larkweir.cluster.periodic_tasks import PeriodicTask, TickLoop
 from larkweir.cluster.settings import Settings, parse_address
+from larkweir.cluster.tasks import wait_unless_failed
 from larkweir.controller.background_tasks import BackgroundTasks
 from larkweir.controller.clock import now_ms
 from larkweir.controller.configuration_history import ConfigurationHistory
@@ -41,9 +43,9 @@
 from larkweir.controller.registry_sync import RegistrySync
 from larkweir.controller.replica_driver import ReplicaDriver
 from larkweir.controller.subscriptions import Subscriptions
-from larkweir.controller.tick_loop import PeriodicTask, TickLoop
 from larkweir.controller.upstream_ejection import UpstreamEjection
 
+TICK_S = 0.04
 HEARTBEATS_EVERY_TICKS = 8
 CLEAN_UP_EVERY_TICKS = 250
 
@@ -130,6 +132,7 @@
 
         Raises:
             OSError: an address can't be listened to.
+            EssentialTaskError: the replica raised what nobody expected; its durable state is sound.
         """
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
@@ -144,12 +147,14 @@
         )
         await self._listeners.listen_to_http(host, port, self._control_api.handle, MAX_BODY_BYTES)
         log.event("controller_started", control=settings.listen.control)
-        periodic = [*self._periodic_tasks(), PeriodicTask(lambda: watch.tick(now_ms()))]
-        self._tasks.start(TickLoop(periodic, self._process_paused).run())
-        await self._stopping.wait()
-        log.event("controller_stopping")
-        await self._driver.leave()
-        self.close()
+        periodic = [*self._periodic_tasks(), PeriodicTask("settings", lambda: watch.tick(now_ms()))]
+        ticks = TickLoop(periodic, self._process_paused, TICK_S, now_ms)
+        try:
+            await wait_unless_failed(self._stopping, self._tasks.start("ticks", ticks.run()))
+            log.event("controller_stopping")
+            await self._driver.leave()
+        finally:
+            self.close()
 
     def close(self) -> None:
         """Ends all at once, as a kill would; what was acknowledged is on disk."""
@@ -159,20 +164,26 @@
         """In the order in which one tick runs them."""
         load = self._state.prefill_load.tokens_by_engine
         return [
-            PeriodicTask(lambda: self._driver.receiving(self._listeners.receiving_nodes())),
-            PeriodicTask(self._driver.tick),
-            PeriodicTask(lambda: self._links.keep_alive(self._known_controllers.others())),
-            PeriodicTask(self._pulls.tick),
-            PeriodicTask(self._heartbeats.share, HEARTBEATS_EVERY_TICKS),
-            PeriodicTask(self._contact.update, HEARTBEATS_EVERY_TICKS),
-            PeriodicTask(self._heartbeats.evaluate, HEARTBEATS_EVERY_TICKS),
-            PeriodicTask(lambda: self._registry.prune(now_ms()), CLEAN_UP_EVERY_TICKS),
             PeriodicTask(
-                lambda: self._known_controllers.forget_unreachable(self._links), CLEAN_UP_EVERY_TICKS
+                "partial_messages", lambda: self._driver.receiving(self._listeners.receiving_nodes())
             ),
-            PeriodicTask(self._hints.write_upstreams),
-            PeriodicTask(self._hints.write_placements, self._hints.placements_period_ticks),
-            PeriodicTask(lambda: self._placement.update_load(load)),
+            PeriodicTask("replica", self._driver.tick, is_essential=True),
+            PeriodicTask("links", lambda: self._links.keep_alive(self._known_controllers.others())),
+            PeriodicTask("pulls", self._pulls.tick),
+            PeriodicTask("heartbeat_reports", self._heartbeats.share, HEARTBEATS_EVERY_TICKS),
+            PeriodicTask("quorum_contact", self._contact.update, HEARTBEATS_EVERY_TICKS),
+            PeriodicTask("heartbeats", self._heartbeats.evaluate, HEARTBEATS_EVERY_TICKS),
+            PeriodicTask("registry", lambda: self._registry.prune(now_ms()), CLEAN_UP_EVERY_TICKS),
+            PeriodicTask(
+                "known_controllers",
+                lambda: self._known_controllers.forget_unreachable(self._links),
+                CLEAN_UP_EVERY_TICKS,
+            ),
+            PeriodicTask("upstream_hints", self._hints.write_upstreams),
+            PeriodicTask(
+                "placement_hints", self._hints.write_placements, self._hints.placements_period_ticks
+            ),
+            PeriodicTask("placement_load", lambda: self._placement.update_load(load)),
         ]
 
     def _process_paused(self) -> None:
--- a/larkweir/router/node.py
+++ b/larkweir/router/node.py
@@ -8,16 +8,19 @@
 
 from larkweir.cluster import log
 from larkweir.cluster.http_server import HttpServerConnection, Request, Response
+from larkweir.cluster.periodic_tasks import PeriodicTask, TickLoop
 from larkweir.cluster.settings import Settings, parse_address
 from larkweir.cluster.settings_watcher import SettingsWatcher
+from larkweir.cluster.tasks import start_task, wait_unless_failed
 from larkweir.router.client_connection import ClientConnection
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.fleet_sync import FleetSync
 from larkweir.router.graceful_shutdown import GracefulShutdown
-from larkweir.router.tick_loop import TickLoop
 
 BACKLOG = 1_024  # connections that wait in the kernel to be accepted
 MAX_READY_BODY_BYTES = 1_024
+TICK_S = 0.1
+EXPIRY_EVERY_TICKS = 10  # of idle connections to upstreams
 
 
 class Router:
@@ -38,6 +41,7 @@
 
         Raises:
             OSError: an address of the settings can't be listened on.
+            EssentialTaskError: the periodic tasks have ended.
         """
         for number in (signal.SIGTERM, signal.SIGINT):
             self._loop.add_signal_handler(number, self._terminated.set)
@@ -56,12 +60,25 @@
             )
             self._servers.append(ready)
         log.event("router_started", front=listen.front)
-        ticking = self._ticking = self._loop.create_task(TickLoop(self._plane, self._sync, watcher).run())
-        await self._terminated.wait()
-        await GracefulShutdown(self._plane, front, self._settings.bounds.grace_s).drain()
-        self.close()
+        ticks = TickLoop(self._periodic_tasks(watcher), self._sync.on_process_paused, TICK_S, self._now_ms)
+        ticking = self._ticking = start_task("ticks", ticks.run())
+        try:
+            await wait_unless_failed(self._terminated, ticking)
+            await GracefulShutdown(self._plane, front, self._settings.bounds.grace_s).drain()
+        finally:
+            self.close()
         await asyncio.wait((ticking,))
 
+    def _periodic_tasks(self, watcher: SettingsWatcher) -> list[PeriodicTask]:
+        return [
+            PeriodicTask("controllers", self._sync.tick),
+            PeriodicTask("settings", lambda: watcher.tick(self._now_ms())),
+            PeriodicTask("idle_connections", self._plane.pool.expire, EXPIRY_EVERY_TICKS),
+        ]
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
     def close(self) -> None:
         """End everything at once, as a kill would."""
         for server in self._servers:
--- a/larkweir/system/cli.py
+++ b/larkweir/system/cli.py
@@ -13,6 +13,7 @@
 
 EXIT_SETTINGS = 2
 EXIT_DATA = 3
+EXIT_INTERNAL = 70  # EX_SOFTWARE of sysexits.h
 
 
 class _LazyGroup(click.Group):
@@ -71,6 +72,7 @@
     import uvloop
 
     from larkweir.cluster import log
+    from larkweir.cluster.tasks import EssentialTaskError, log_callback_failure
 
     try:
         settings = load()
@@ -80,6 +82,7 @@
     log.configure(settings.node, debug=debug)
 
     async def begin() -> None:
+        asyncio.get_running_loop().set_exception_handler(log_callback_failure)
         await serve(settings)
 
     gc.freeze()
@@ -90,3 +93,6 @@
     except OSError as error:
         click.echo(f"{error.filename or 'data'}: {error.strerror}", err=True)
         sys.exit(EXIT_DATA)
+    except EssentialTaskError as error:
+        log.event("process_failed", error=str(error))
+        sys.exit(EXIT_INTERNAL)
--- a/larkweir/system/demo.py
+++ b/larkweir/system/demo.py
@@ -15,6 +15,7 @@
 
 from larkweir.cluster.controller_client import ControllersUnreachableError, call_controllers
 from larkweir.cluster.settings import ENVIRONMENT_VARIABLE
+from larkweir.cluster.tasks import start_task
 
 CONTROLLERS = 3
 ROUTERS = 2
@@ -63,6 +64,14 @@
         self._server = await asyncio.start_server(self._serve, host, int(port))
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await self._answer_requests(reader, writer)
+        except (OSError, h11.ProtocolError):
+            pass  # a router closes the connection of a stream that its client has left
+        finally:
+            writer.close()
+
+    async def _answer_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         connection = h11.Connection(h11.SERVER)
         head: h11.Request | None = None
         while True:
@@ -75,8 +84,7 @@
                 await self._answer(connection, head, writer)
                 connection.start_next_cycle()
             elif isinstance(event, h11.ConnectionClosed):
-                break
-        writer.close()
+                return
 
     async def _answer(
         self, connection: h11.Connection, head: h11.Request, writer: asyncio.StreamWriter
@@ -90,7 +98,11 @@
             (b"X-Server-Signature", self.id.encode()),
         ]
         out = connection.send(h11.Response(status_code=200, headers=answer)) or b""
-        for number in range(int(headers.get(b"last-event-id", b"0")) + 1, EVENT_COUNT + 1):
+        last_event = headers.get(b"last-event-id", b"")
+        first = int(last_event) + 1 if last_event.isdigit() else 1
+        for number in range(first, EVENT_COUNT + 1):
+            if writer.is_closing():
+                return
             event = f"id: {number}\ndata: word {number} of {self.id}\n\n".encode()
             writer.write(out + (connection.send(h11.Data(data=event)) or b""))
             out = b""
@@ -222,7 +234,7 @@
         try:
             await demo.start()
             print(demo.introduction(), flush=True)
-            running = loop.create_task(demo.run())
+            running = start_task("heartbeats", demo.run())
             await ended.wait()
             running.cancel()
         finally:
