Control side: every number of documents, heartbeats and messages is bounded by name

Cause: a generation of 23 digits was taken; fields that only routers read (priority, unit, target_latency_ms, engine, ...) were not validated, so that a document was acknowledged which no router could put in force; a patch of a collection that is no list, or a body nested too deeply, raised inside the replicas' apply. Change: maxima with a name in the schema, in heartbeats, between routers and controllers and in the replication protocol; a tenant's name is what a header can carry; addresses, ids and If-Match are checked; the fault names the field.

--- a/larkweir/cluster/configuration/changes.py
+++ b/larkweir/cluster/configuration/changes.py
@@ -60,7 +60,7 @@
 
 
 def apply_change(value: str, change: str) -> Result[str, object]:
-    """Return the next configuration as text, or a `Rejection`.
+    """Return the next configuration as text, or a `Rejection`. Whatever an operator sends, nothing is raised.
 
     Args:
         value: the present configuration as text; empty where there is none yet.
@@ -72,7 +72,14 @@
     if parsed.base != version:
         return Err(Rejection(RejectionReason.STALE, f"the version in place is {version}, not {parsed.base}"))
     try:
-        body = msgspec.json.decode(parsed.body)
+        return _next_value(parsed, current, version)
+    except RecursionError:
+        return _invalid("the body is nested too deeply")
+
+
+def _next_value(change: ConfigurationChange, current: Document, version: int) -> Result[str, object]:
+    try:
+        body = msgspec.json.decode(change.body)
     except msgspec.DecodeError as error:
         return _invalid(f"the body is no JSON: {error}")
     if not isinstance(body, dict):
@@ -80,7 +87,7 @@
     generation = body.get("generation")
     if not isinstance(generation, int) or isinstance(generation, bool) or generation <= version:
         return _invalid(f"generation: {generation!r} is not a whole number above {version}")
-    if parsed.patch:
+    if change.patch:
         if not current:
             return _invalid("there is no configuration to change yet")
         try:
--- a/larkweir/cluster/configuration/documents.py
+++ b/larkweir/cluster/configuration/documents.py
@@ -39,23 +39,29 @@
     return result
 
 
-def _apply_to_items(items: list[Any], upsert: object, remove: object, key: str) -> list[Any]:
-    if not isinstance(upsert, list) or not isinstance(remove, list):
+def _apply_to_items(items: object, upsert: object, remove: object, key: str) -> list[Any]:
+    if not isinstance(remove, list):
         raise PatchError(f"{key}: a list is needed")
-    added: dict[str, Any] = {}
-    for item in upsert:
-        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
-            raise PatchError(f"{key}: each item is an object with a name")
-        added[item["name"]] = item
+    before = _named_items(items, key)
+    added = {item["name"]: item for item in _named_items(upsert, key)}
     removed = set()
     for name in remove:
         if not isinstance(name, str):
             raise PatchError(f"{key}: what is removed is named by text")
         removed.add(name)
-    remaining = [added.pop(item["name"], item) for item in items if item["name"] not in removed]
+    remaining = [added.pop(item["name"], item) for item in before if item["name"] not in removed]
     return remaining + list(added.values())
 
 
+def _named_items(items: object, key: str) -> list[dict[str, Any]]:
+    if not isinstance(items, list):
+        raise PatchError(f"{key}: a list is needed")
+    for item in items:
+        if not isinstance(item, dict) or not isinstance(item.get("name"), str):
+            raise PatchError(f"{key}: each item is an object with a name")
+    return items
+
+
 def make_patch(old: Document, new: Document) -> Document:
     """Return a patch that turns `old` into `new`, up to the order of items."""
     patch: Document = {"upsert": {}, "remove": {}}
--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -1,9 +1,32 @@
-"""Validation of configurations. Fields that are not named here are allowed, and not changed."""
+"""Validation of configurations. Fields that are not named here are allowed, and not changed.
+
+Every field that a router reads is named here: what a router could not read would be acknowledged and never in force.
+Every number has a maximum.
+"""
 
 from __future__ import annotations
 
+from typing import Annotated
+
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+MAX_GENERATION = (
+    2**53 - 1
+)  # the largest whole number that every reader of JSON keeps exact (RFC 8259, section 6)
+MAX_DURATION_MS = 86_400_000.0  # a day
+MAX_WEIGHT = 1e9
+MAX_ATTEMPTS = 1_000
+MAX_CONNECTIONS = 1_000_000
+MAX_UNITS = 1e12  # tokens or requests, of a rate or a burst
+MAX_BYTES = 2**30
+MAX_PRIORITY = 1_000  # routers pass on 0 to 9: a number beyond counts as the nearest
+# What a header field can carry (RFC 9110, section 5.5): no control character, no space at an end.
+HEADER_VALUE = r"^([^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?)?$"
+
+DurationMs = Annotated[float, Field(gt=0, le=MAX_DURATION_MS)]
+Units = Annotated[float, Field(ge=0, le=MAX_UNITS)]
+Priority = Annotated[int, Field(ge=-MAX_PRIORITY, le=MAX_PRIORITY)]
+
 
 class _Item(BaseModel):
     model_config = ConfigDict(extra="allow", strict=True)
@@ -13,7 +36,7 @@
     """A service, and its weight in a route's traffic."""
 
     backend: str
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, le=MAX_WEIGHT)
 
 
 class Route(_Item):
@@ -23,10 +46,14 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = Field(gt=0)
+    timeout_ms: DurationMs
+    target_latency_ms: float = Field(default=1_000.0, ge=0, le=MAX_DURATION_MS)
+    priority: Priority = 5
+    public: bool = False
+    resumable: bool = False
     backend: str | None = None
     traffic_split: list[WeightedBackend] | None = None
-    max_attempts: int = Field(default=1, ge=1)
+    max_attempts: int = Field(default=1, ge=1, le=MAX_ATTEMPTS)
 
     @property
     def backends(self) -> list[str]:
@@ -48,31 +75,35 @@
     """A group of interchangeable upstreams."""
 
     name: str
-    max_conns: int = Field(default=100, ge=1)
+    max_conns: int = Field(default=100, ge=1, le=MAX_CONNECTIONS)
+    engine: dict[str, object] | None = None
 
 
 class Tenant(_Item):
     """A customer, its API keys and its rate limit."""
 
-    name: str
+    name: str = Field(pattern=HEADER_VALUE)
     api_keys: list[str] = []
-    rate_per_s: float = Field(default=0, ge=0)
-    burst: float = Field(default=0, ge=0)
+    priority: Priority | None = None
+    unit: str = "requests"
+    plain_tokens: Units = 0.0
+    rate_per_s: Units = 0.0
+    burst: Units = 0.0
 
 
 class Limits(_Item):
     """Limits on what a client sends, and time-outs while it does."""
 
-    max_header_bytes: int = Field(default=16_384, ge=1)
-    max_body_bytes: int = Field(default=4_194_304, ge=0)
-    header_timeout_ms: float = Field(default=3_000, gt=0)
-    idle_timeout_ms: float = Field(default=15_000, gt=0)
+    max_header_bytes: int = Field(default=16_384, ge=1, le=MAX_BYTES)
+    max_body_bytes: int = Field(default=4_194_304, ge=0, le=MAX_BYTES)
+    header_timeout_ms: DurationMs = 3_000.0
+    idle_timeout_ms: DurationMs = 15_000.0
 
 
 class Configuration(_Item):
     """A complete configuration."""
 
-    generation: int = Field(ge=1)
+    generation: int = Field(ge=1, le=MAX_GENERATION)
     routes: list[Route]
     services: list[Service]
     limits: Limits = Limits()
--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -6,16 +6,26 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
-from larkweir_balancing.fleet_outlier_detection import OutcomeCounts
-from larkweir_quotas.limits import QuotaStatus
-from larkweir_registry.records import Record, VersionVector
+from larkweir_quotas.limits import QuotaStatus, Units
+from larkweir_registry.records import MAX_COUNTER, Counter, Record, VersionVector
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
+MAX_TOKENS = 10**12  # that wait at one engine, of all routers
+MAX_COUNT = 10**9  # of requests that ended within a few seconds
+MAX_ROUTERS = 1_000_000
+MAX_STATUS = 599  # of HTTP
+MAX_CLOCK_MS = 1e15  # of a monotonic clock
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
+Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
+Sequence = Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNTER)]  # -1: none
 
 
 class NodeRole(StrEnum):
@@ -52,21 +62,22 @@
         usage: by tenant, units that the sender has admitted since it started.
         sent_ms: when it was sent, by the sender's monotonic clock.
         queued_prefill_tokens: by engine, prompt tokens of the sender's calls that wait for prefill there.
-        outcomes: by upstream with recent failures, how the sender's calls ended there within the window.
+        outcomes: by upstream with recent failures, how many of the sender's calls
+            succeeded and failed there within the window.
     """
 
-    config_sequence: int = msgspec.field(default=-1, name="config")
+    config_sequence: Sequence = msgspec.field(default=-1, name="config")
     vector: VersionVector | None = None
-    usage: dict[str, float] = {}
-    sent_ms: float = 0.0
-    queued_prefill_tokens: dict[str, int] = msgspec.field(default_factory=dict, name="waiting")
-    outcomes: dict[str, OutcomeCounts] = msgspec.field(default_factory=dict, name="endings")
+    usage: dict[str, Units] = {}
+    sent_ms: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_CLOCK_MS)] = 0.0
+    queued_prefill_tokens: dict[str, Tokens] = msgspec.field(default_factory=dict, name="waiting")
+    outcomes: Mapping[str, tuple[Count, Count]] = msgspec.field(default_factory=dict, name="endings")
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
     """`Pull.queued_prefill_tokens` ahead of the next pull, from a router that has just sent a long prompt."""
 
-    tokens: dict[str, int]
+    tokens: dict[str, Tokens]
 
 
 class ConfigUpdate(msgspec.Struct, frozen=True):
@@ -78,8 +89,8 @@
         body: the patch or the configuration.
     """
 
-    sequence: int
-    base_sequence: int = msgspec.field(name="base")
+    sequence: Counter
+    base_sequence: Sequence = msgspec.field(name="base")
     body: msgspec.Raw
 
 
@@ -101,9 +112,11 @@
     records: list[Record] = []
     vector: VersionVector = {}
     controllers: list[str] = []
-    router_count: int = msgspec.field(default=1, name="routers")
+    router_count: Annotated[int, msgspec.Meta(ge=0, le=MAX_ROUTERS)] = msgspec.field(
+        default=1, name="routers"
+    )
     quotas: dict[str, QuotaStatus] = {}
-    queued_prefill_tokens: dict[str, int] = msgspec.field(default_factory=dict, name="waiting")
+    queued_prefill_tokens: dict[str, Tokens] = msgspec.field(default_factory=dict, name="waiting")
     ejected: list[str] | None = None
 
 
@@ -116,13 +129,13 @@
 class HeartbeatReport(msgspec.Struct, frozen=True, tag="heard"):
     """Heartbeats of upstreams that arrived at this controller since its last report: the highest sequence by id."""
 
-    sequences: dict[str, int]
+    sequences: dict[str, Counter]
 
 
 class PrimaryRequest(msgspec.Struct, frozen=True, tag="forward"):
     """An operator's call, forwarded to the primary: a command, or a read of the configuration where there is none."""
 
-    request_id: int = msgspec.field(name="ticket")
+    request_id: Counter = msgspec.field(name="ticket")
     command: Command | None
 
 
@@ -136,8 +149,8 @@
         value: the configuration as text, where it was read; empty where there is none yet.
     """
 
-    request_id: int = msgspec.field(name="ticket")
-    status: int
+    request_id: Counter = msgspec.field(name="ticket")
+    status: Annotated[int, msgspec.Meta(ge=0, le=MAX_STATUS)]
     detail: str = ""
     value: str = ""
 
@@ -154,7 +167,7 @@
 
     service: str
     prefix: str = msgspec.field(name="head")
-    prompt_tokens: float = msgspec.field(name="tokens")
+    prompt_tokens: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_TOKENS)] = msgspec.field(name="tokens")
     known_engine: str | None = msgspec.field(default=None, name="known")
 
 
--- a/larkweir/cluster/settings.py
+++ b/larkweir/cluster/settings.py
@@ -126,6 +126,9 @@
         return tuple(sorted({parse_address(seed)[0] for seed in self.seeds}))
 
 
+MAX_PORT_DIGITS = 5
+
+
 def parse_address(address: str) -> tuple[str, int]:
     """Split `HOST:PORT`.
 
@@ -133,7 +136,8 @@
         SettingsError: it is no such address.
     """
     host, _, port = address.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65_536:
+    is_number = port.isascii() and port.isdigit() and len(port) <= MAX_PORT_DIGITS
+    if not host or not is_number or not 0 < int(port) < 65_536:
         raise SettingsError(f"{address!r} is not HOST:PORT")
     return host, int(port)
 
--- a/larkweir/controller/instances_api.py
+++ b/larkweir/controller/instances_api.py
@@ -6,10 +6,11 @@
 
 import msgspec
 from larkweir_registry.failure_detector import FailureDetector
-from larkweir_registry.records import Upstream, UpstreamState
+from larkweir_registry.records import Counter, Slots, Upstream, UpstreamState
 from larkweir_registry.registry import Registry
 
 from larkweir.cluster.http_server import Request, Response
+from larkweir.cluster.settings import SettingsError, parse_address
 from larkweir.controller.clock import now_ms
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.pull_service import PullService
@@ -18,6 +19,8 @@
 PATH_PREFIX = "/instances/"
 MAX_HEARTBEAT_BYTES = 4_096
 CONFIRM_TIMEOUT_S = 0.4  # an upstream that leaves waits a second for its acknowledgement
+MAX_ID_CHARS = 512
+ID_TOO_LONG = Response(400, b'{"error":"the id of the instance is too long"}')
 ACKNOWLEDGED = Response(200, b"{}")
 NO_MAJORITY = Response(503, b'{"error":"no majority of controllers is in reach"}')
 
@@ -35,9 +38,9 @@
     service: str = msgspec.field(name="backend")
     address: str
     zone: str
-    sequence: int
+    sequence: Counter
     state: ReportedState = ReportedState.READY
-    slots: int = 1
+    slots: Slots = 1
 
     def upstream(self, id_: str) -> Upstream:
         """The upstream of that id as it describes itself."""
@@ -81,9 +84,12 @@
             return Response(413)
         try:
             heartbeat: Heartbeat = msgspec.json.decode(request.body, type=Heartbeat)
-        except msgspec.DecodeError:
-            return Response(400)
+            parse_address(heartbeat.address)
+        except (msgspec.DecodeError, SettingsError) as error:  # the message names the field
+            return Response(400, msgspec.json.encode({"error": str(error)}))
         upstream = heartbeat.upstream(request.target.removeprefix(PATH_PREFIX))
+        if len(upstream.id) > MAX_ID_CHARS:
+            return ID_TOO_LONG
         present_ms = now_ms()
         self._failure_detector.record_heartbeat(upstream.id, upstream.sequence, present_ms)
         self._registry.update(upstream, present_ms)
@@ -95,6 +101,8 @@
     async def delete(self, request: Request) -> Response:
         """The upstream has ended, or is about to."""
         id_ = request.target.removeprefix(PATH_PREFIX)
+        if len(id_) > MAX_ID_CHARS:
+            return ID_TOO_LONG
         known = self._registry.upstreams.get(id_)
         gone = (
             msgspec.structs.replace(known, state=UpstreamState.GONE)
--- a/larkweir/controller/operator_api.py
+++ b/larkweir/controller/operator_api.py
@@ -14,6 +14,7 @@
 
 ANSWER_TIMEOUT_S = 0.9  # the operator goes to another controller after a second without an answer
 RETRY_PAUSE_S = 0.04
+MAX_VERSION_DIGITS = 16  # of the largest `generation` that is accepted
 NO_PRIMARY = "no primary answers"
 
 CallPrimary = Callable[[Command | None], Awaitable[CallOutcome]]
@@ -43,7 +44,7 @@
     async def change(self, request: Request) -> Response:
         """PUT of a complete configuration or PATCH of named items."""
         base = request.headers.get("if-match", "").strip().strip('"')
-        if not base.isdigit():
+        if not (base.isascii() and base.isdigit() and len(base) <= MAX_VERSION_DIGITS):
             return _error(400, "If-Match: the version that the change builds on is needed")
         try:
             body = request.body.decode()
--- a/larkweir/controller/subscriptions.py
+++ b/larkweir/controller/subscriptions.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
-from larkweir_balancing.fleet_outlier_detection import OutcomeCounts
-
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import NodeRole, Pull
 
@@ -22,7 +20,7 @@
     vector: dict[str, int] = field(default_factory=dict)  # the registry's counters that it had seen
     config_sequence: int = -1  # of the configuration that it had in force
     queued_prefill_tokens: dict[str, int] = field(default_factory=dict)  # by engine
-    outcome_counts: dict[str, OutcomeCounts] = field(default_factory=dict)  # by upstream
+    outcome_counts: Mapping[str, tuple[int, int]] = field(default_factory=dict)  # by upstream
     sent_ejected: frozenset[str] = frozenset()
     sent_controllers: list[str] = field(default_factory=list)
 
--- a/packages/balancing/src/larkweir_balancing/fleet_outlier_detection.py
+++ b/packages/balancing/src/larkweir_balancing/fleet_outlier_detection.py
@@ -77,8 +77,8 @@
         outcomes.popleft()
 
 
-def sum_outcomes(reports: Iterable[Mapping[str, OutcomeCounts]]) -> dict[str, OutcomeCounts]:
-    """The reports of several routers, added up by upstream."""
+def sum_outcomes(reports: Iterable[Mapping[str, tuple[int, int]]]) -> dict[str, OutcomeCounts]:
+    """The reports of several routers (succeeded and failed, as in `OutcomeCounts`), added up by upstream."""
     total: dict[str, OutcomeCounts] = {}
     for counts in reports:
         for upstream, (succeeded, failed) in counts.items():
--- a/packages/quotas/src/larkweir_quotas/limits.py
+++ b/packages/quotas/src/larkweir_quotas/limits.py
@@ -2,8 +2,12 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+MAX_UNITS = 1e18  # of any number of requests or tokens in a message
+Units = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_UNITS)]
 ISOLATED_FRACTION = 0.5  # of an equal part of a limit: what a process may admit that no controller reaches
 
 
@@ -28,6 +32,6 @@
         is_oversubscribed: the bucket was empty recently, so the tenant asks for more than its limit.
     """
 
-    level: float
-    used_per_s: float
+    level: Annotated[float, msgspec.Meta(ge=-MAX_UNITS, le=MAX_UNITS)]
+    used_per_s: Units
     is_oversubscribed: bool = False
--- a/packages/registry/src/larkweir_registry/records.py
+++ b/packages/registry/src/larkweir_registry/records.py
@@ -7,9 +7,18 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from typing import Annotated
 
 import msgspec
 
+MAX_COUNTER = (
+    2**53 - 1
+)  # the largest whole number that every reader of JSON keeps exact (RFC 8259, section 6)
+MAX_SLOTS = 1_000_000
+
+Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
+
 
 class UpstreamState(IntEnum):
     """The state that an upstream reports of itself. It only ever rises."""
@@ -37,10 +46,12 @@
     service: str
     address: str
     zone: str
-    slots: int = 1
-    sequence: int = 0
+    slots: Slots = 1
+    sequence: Counter = 0
     state: UpstreamState = UpstreamState.READY
-    timed_out_sequence: int = msgspec.field(default=-1, name="lapsed")
+    timed_out_sequence: Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNTER)] = msgspec.field(
+        default=-1, name="lapsed"
+    )
 
     @property
     def has_timed_out(self) -> bool:
@@ -53,10 +64,10 @@
 
     upstream: Upstream
     origin: str
-    counter: int
+    counter: Counter
 
 
-VersionVector = dict[str, int]
+VersionVector = dict[str, Counter]
 """For each origin, one incarnation of a registry, the highest counter that has been seen."""
 
 
--- a/packages/replication/src/larkweir_replication/messages.py
+++ b/packages/replication/src/larkweir_replication/messages.py
@@ -5,13 +5,21 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
+MAX_COUNTER = (
+    2**53 - 1
+)  # the largest whole number that every reader of JSON keeps exact (RFC 8259, section 6)
+Counter = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNTER)]
+Sequence = Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNTER)]  # -1: of no state
+
 
 class Epoch(msgspec.Struct, frozen=True, order=True, array_like=True):
     """The number of one primary's term (a ballot of Paxos), unique by the node's name; higher ones fence lower ones."""
 
-    number: int
+    number: Counter
     node: str
 
 
@@ -27,14 +35,14 @@
     """
 
     identity: str
-    base: int
+    base: Counter
     text: str
 
 
 class AppliedCommand(msgspec.Struct, frozen=True, array_like=True):
     """The identity of a command that was applied; there is one for each base."""
 
-    base: int
+    base: Counter
     identity: str
 
 
@@ -47,12 +55,12 @@
     """
 
     epoch: Epoch
-    sequence: int
+    sequence: Sequence
     members: tuple[str, ...]
     previous_members: tuple[str, ...] = ()
     value: str = ""
     applied_commands: tuple[AppliedCommand, ...] = msgspec.field(default=(), name="taken")
-    latest_forgotten_base: int = msgspec.field(default=-1, name="forgotten")
+    latest_forgotten_base: Sequence = msgspec.field(default=-1, name="forgotten")
 
     @property
     def size_bytes(self) -> int:
@@ -84,7 +92,7 @@
 class PreVote(msgspec.Struct, frozen=True, tag="canvass"):
     """Asks whether a candidacy would find a majority; changes nothing at the receiver."""
 
-    round: int
+    round: Counter
 
 
 class PreVoteReply(msgspec.Struct, frozen=True, tag="canvass_reply"):
@@ -93,7 +101,7 @@
     `members` as its sender knows them: the candidate may have been replaced by nodes that it does not know.
     """
 
-    round: int
+    round: Counter
     granted: bool
     promised: Epoch
     members: tuple[str, ...] = ()
@@ -116,14 +124,14 @@
     """The primary's newest state, to be made durable."""
 
     snapshot: Snapshot
-    committed: int
+    committed: Sequence
 
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
     """That state is durable at its sender."""
 
     epoch: Epoch
-    sequence: int
+    sequence: Sequence
 
 
 class StaleEpoch(msgspec.Struct, frozen=True, tag="refused"):
@@ -139,8 +147,8 @@
     """
 
     epoch: Epoch
-    committed: int
-    round: int
+    committed: Sequence
+    round: Counter
     unreachable: tuple[str, ...] = ()
 
 
@@ -148,9 +156,9 @@
     """Grants the lease from when `round` was sent on, and reports which state is durable at its sender."""
 
     epoch: Epoch
-    round: int
+    round: Counter
     accepted: Epoch
-    sequence: int
+    sequence: Sequence
 
 
 class Resign(msgspec.Struct, frozen=True, tag="resign"):
@@ -162,13 +170,13 @@
 class Recover(msgspec.Struct, frozen=True, tag="recover"):
     """A replica whose disk holds no usable state asks what it may have promised. `nonce` names the request."""
 
-    nonce: int
+    nonce: Counter
 
 
 class RecoverReply(msgspec.Struct, frozen=True, tag="recover_reply"):
     """The highest epoch and the newest state that its sender knows, also those still on their way to its disk."""
 
-    nonce: int
+    nonce: Counter
     promised: Epoch
     snapshot: Snapshot
 
--- a/tests/cluster/test_configuration_changes.py
+++ b/tests/cluster/test_configuration_changes.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from larkweir.cluster.configuration.changes import (
     ConfigurationChange,
@@ -83,3 +84,28 @@
         )
         == 3
     )
+
+
+@pytest.mark.parametrize("patch", [False, True])
+def test_a_body_that_is_nested_too_deeply_is_invalid(patch: bool) -> None:
+    value = apply("", put(VALID, 0)).ok()
+    for depth in (500, 2_000, 100_000):
+        nested = "[" * depth + "]" * depth
+        for body in (nested, f'{{"generation":4,"odd":{nested}}}', f'{{"generation":4,"routes":{nested}}}'):
+            outcome = apply(value, ConfigurationChange(patch, 3, body))
+            assert outcome.is_ok() or isinstance(outcome.err(), Rejection)
+
+
+@pytest.mark.parametrize(
+    "patch",
+    [
+        {"routes": 5, "upsert": {"routes": [route("r9", "/nine/")]}},
+        {"routes": ["x"], "upsert": {"routes": [route("r9", "/nine/")]}},
+        {"routes": [{}], "remove": {"routes": ["r1"]}},
+        {"tenants": None, "remove": {"tenants": ["x"]}},
+    ],
+)
+def test_a_patch_of_a_collection_that_is_none_is_invalid(patch: dict[str, Any]) -> None:
+    value = apply("", put(VALID, 0)).ok()
+    body = msgspec.json.encode({"generation": 4, **patch}).decode()
+    assert rejection_reason(value, ConfigurationChange(True, 3, body)) is RejectionReason.INVALID
--- a/tests/cluster/test_configuration_schema.py
+++ b/tests/cluster/test_configuration_schema.py
@@ -2,10 +2,25 @@
 
 from __future__ import annotations
 
+from typing import Any
+
+import msgspec
 import pytest
 
-from larkweir.cluster.configuration.schema import first_problem
-from tests.cluster.configurations import INVALID, VALID
+from larkweir.cluster.configuration.schema import (
+    MAX_ATTEMPTS,
+    MAX_BYTES,
+    MAX_CONNECTIONS,
+    MAX_DURATION_MS,
+    MAX_GENERATION,
+    MAX_PRIORITY,
+    MAX_UNITS,
+    MAX_WEIGHT,
+    first_problem,
+)
+from larkweir.cluster.messages import ConfigUpdate
+from larkweir.router.configuration import ConfigurationStore
+from tests.cluster.configurations import INVALID, VALID, changed, route
 
 
 def test_a_valid_configuration_has_no_fault() -> None:
@@ -17,3 +32,86 @@
     problem = first_problem(INVALID[name])
     assert problem
     assert "\n" not in problem
+
+
+ROUTE_FIELDS: dict[str, Any] = {
+    "timeout_ms": MAX_DURATION_MS,
+    "target_latency_ms": MAX_DURATION_MS,
+    "priority": MAX_PRIORITY,
+    "max_attempts": MAX_ATTEMPTS,
+}
+TENANT_FIELDS: dict[str, Any] = {
+    "priority": MAX_PRIORITY,
+    "plain_tokens": MAX_UNITS,
+    "rate_per_s": MAX_UNITS,
+    "burst": MAX_UNITS,
+}
+LIMIT_FIELDS: dict[str, Any] = {
+    "max_header_bytes": MAX_BYTES,
+    "max_body_bytes": MAX_BYTES,
+    "header_timeout_ms": MAX_DURATION_MS,
+    "idle_timeout_ms": MAX_DURATION_MS,
+}
+
+
+def with_number(place: str, value: object) -> dict[str, Any]:
+    """The valid configuration with another value of one field."""
+    owner, _, field = place.rpartition(".")
+    if owner == "routes.0":
+        return changed(routes=[route("r1", "/one/", **{field: value})])
+    if owner == "tenants.0":
+        return changed(tenants=[{"name": "x", "api_keys": ["k"], field: value}])
+    if owner == "limits":
+        return changed(limits={field: value})
+    if owner == "services.0":
+        return changed(services=[{"name": "s", field: value}, {"name": "t"}])
+    if owner == "routes.0.traffic_split.0":
+        split = [{"backend": "s", field: value}, {"backend": "t", "weight": 1}]
+        return changed(routes=[route("r1", "/one/", traffic_split=split)])
+    return changed(**{field: value})
+
+
+NUMBERS: dict[str, Any] = {
+    "generation": MAX_GENERATION,
+    "services.0.max_conns": MAX_CONNECTIONS,
+    "routes.0.traffic_split.0.weight": MAX_WEIGHT,
+    **{f"routes.0.{name}": maximum for name, maximum in ROUTE_FIELDS.items()},
+    **{f"tenants.0.{name}": maximum for name, maximum in TENANT_FIELDS.items()},
+    **{f"limits.{name}": maximum for name, maximum in LIMIT_FIELDS.items()},
+}
+
+
+@pytest.mark.parametrize("place", NUMBERS)
+def test_every_number_has_a_maximum_and_its_fault_names_the_field(place: str) -> None:
+    assert first_problem(with_number(place, NUMBERS[place])) is None
+    for value in (NUMBERS[place] + 1, 12345678901234567890123, -MAX_UNITS, "7", float("inf")):
+        problem = first_problem(with_number(place, value))
+        assert problem is not None
+        assert problem.startswith(f"{place}: ")
+
+
+@pytest.mark.parametrize("name", ["a\nb", " a", "a\t", "\x00"])
+def test_a_tenants_name_can_be_sent_in_a_header(name: str) -> None:
+    problem = first_problem(changed(tenants=[{"name": name, "api_keys": ["k"]}]))
+    assert problem is not None
+    assert problem.startswith("tenants.0.name")
+
+
+@pytest.mark.parametrize(
+    "document",
+    [
+        changed(routes=[route("r1", "/one/", priority="high")]),
+        changed(routes=[route("r1", "/one/", priority=None)]),
+        changed(routes=[route("r1", "/one/", public="yes")]),
+        changed(routes=[route("r1", "/one/", resumable=1)]),
+        changed(routes=[route("r1", "/one/", target_latency_ms=None)]),
+        changed(services=[{"name": "s", "engine": [1]}, {"name": "t"}]),
+        changed(tenants=[{"name": "x", "api_keys": ["k"], "unit": 7}]),
+        changed(tenants=[{"name": "x", "api_keys": ["k"], "plain_tokens": "1"}]),
+    ],
+)
+def test_what_a_router_could_not_read_is_refused(document: dict[str, Any]) -> None:
+    assert first_problem(document) is not None
+    store = ConfigurationStore()
+    with pytest.raises(msgspec.ValidationError):
+        store.apply(ConfigUpdate(1, -1, msgspec.Raw(msgspec.json.encode(document))))
--- a/tests/controller/test_operator_api.py
+++ b/tests/controller/test_operator_api.py
@@ -78,3 +78,13 @@
     primary = Primary(Rejected(400, "invalid"), Completed())
     assert asyncio.run(OperatorApi(primary.call).change(PUT)).status == 400
     assert len(primary.commands) == 1
+
+
+@pytest.mark.parametrize("base", ["", "x", "-1", "\u0663", "9" * 17, "9" * 5_000])
+def test_a_version_that_none_can_be_is_refused(base: str) -> None:
+    primary = Primary(Completed())
+    request = Request("PUT", "/config", {"if-match": base}, b"{}")
+    response = asyncio.run(OperatorApi(primary.call).change(request))
+    assert response.status == 400
+    assert "If-Match" in error(response)
+    assert primary.commands == []
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -299,6 +299,9 @@
     play(tmp_path, scene)
 
 
+HEARTBEAT = b'{"backend":"s","address":"%s","zone":"z","sequence":%s,"slots":%s}'
+
+
 @pytest.mark.parametrize(
     ("method", "target", "body", "status"),
     [
@@ -310,6 +313,15 @@
             b'{"backend":"s","address":"a:1","zone":"z","sequence":1,"state":"odd"}',
             400,
         ),
+        ("PUT", f"/instances/{'x' * 600}", HEARTBEAT % (b"a:1", b"1", b"1"), 400),
+        ("DELETE", f"/instances/{'x' * 600}", b"", 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:1", b"9" * 23, b"1"), 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:1", b"-1", b"1"), 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:1", b"1", b"-1"), 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:1", b"1", b"10000000"), 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"nowhere", b"1", b"1"), 400),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:" + b"9" * 5_000, b"1", b"1"), 413),
+        ("PUT", "/instances/i-9", HEARTBEAT % (b"a:99999", b"1", b"1"), 400),
         ("PUT", "/config", b"{", 400),
         ("GET", "/instances/i-9", b"", 405),
         ("GET", "/nothing", b"", 404),
