Registry: routers offer their records to a controller that has lost its own

Change: such a controller asks each router once; what is final is joined, what is ready is watched for one time-out and never passed on as ready. Both fields are left out of messages otherwise; an older process ignores them.

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -64,6 +64,7 @@
         queued_prefill_tokens: by engine, prompt tokens of the sender's calls that wait for prefill there.
         outcomes: by upstream with recent failures, how many of the sender's calls
             succeeded and failed there within the window.
+        records: all that the sender knows of upstreams, where the last delta on this connection asked for them.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -72,6 +73,7 @@
     sent_ms: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_CLOCK_MS)] = 0.0
     queued_prefill_tokens: dict[str, Tokens] = msgspec.field(default_factory=dict, name="waiting")
     outcomes: Mapping[str, tuple[Count, Count]] = msgspec.field(default_factory=dict, name="endings")
+    records: list[Record] = []
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
@@ -106,6 +108,7 @@
         quotas: the status of the tenants in `Pull.usage`.
         queued_prefill_tokens: by engine, of the busiest engines, prompt tokens of all other routers that wait there.
         ejected: upstreams that are to be left out; None where they are as in the last delta on this connection.
+        wants_records: the sender has lost its records of upstreams: the next pull is to offer those of the receiver.
     """
 
     config: ConfigUpdate | None = None
@@ -118,6 +121,7 @@
     quotas: dict[str, QuotaStatus] = {}
     queued_prefill_tokens: dict[str, Tokens] = msgspec.field(default_factory=dict, name="waiting")
     ejected: list[str] | None = None
+    wants_records: bool = False
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
--- a/larkweir/controller/heartbeat_monitor.py
+++ b/larkweir/controller/heartbeat_monitor.py
@@ -8,6 +8,7 @@
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Upstream, UpstreamState
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 from larkweir.cluster import log
 from larkweir.cluster.messages import HeartbeatReport
@@ -23,6 +24,7 @@
         self,
         registry: Registry,
         failure_detector: FailureDetector,
+        unconfirmed: UnconfirmedUpstreams,
         links: ControllerLinks,
         contact: QuorumContact,
         on_update: Callable[[], None],
@@ -30,6 +32,7 @@
         """`on_update` is called when an upstream has timed out, so that routers are informed."""
         self._registry = registry
         self._failure_detector = failure_detector
+        self._unconfirmed = unconfirmed
         self._links = links
         self._contact = contact
         self._on_update = on_update
@@ -53,6 +56,8 @@
         ]
         for id_ in self._failure_detector.timed_out(watched, present_ms):
             self._mark_timed_out(self._registry.upstreams[id_], present_ms)
+        for upstream in self._unconfirmed.take_timed_out(present_ms):
+            self._mark_timed_out(upstream, present_ms)
 
     def _mark_timed_out(self, upstream: Upstream, present_ms: float) -> None:
         sequence = max(upstream.sequence, self._failure_detector.last_sequence(upstream.id))
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -10,6 +10,7 @@
 from larkweir_quotas.usage_table import UsageTable
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 from larkweir_replication.messages import Message as ReplicationMessage
 from larkweir_replication.messages import Snapshot
 
@@ -80,6 +81,7 @@
         settings = self.settings
         self._registry = Registry(f"{settings.ip}/{self._incarnation}")
         self._failure_detector = FailureDetector(settings.heartbeat_ms, now_ms())
+        unconfirmed = UnconfirmedUpstreams(self._registry, self._failure_detector)
         self._subscriptions = Subscriptions()
         self._state = PublishedState(
             registry=self._registry,
@@ -87,6 +89,7 @@
             quotas=QuotaAccounting(UsageTable(), overuse_fraction=settings.bounds.quota_over),
             prefill_load=PrefillLoad(),
             ejection=UpstreamEjection(self._registry, self._subscriptions),
+            unconfirmed=unconfirmed,
         )
         self._confirmation = DeliveryConfirmation(self._registry, self._subscriptions)
         self._pulls = PullService(
@@ -102,12 +105,15 @@
             self._known_controllers, self._driver.replica, self._links, self._placement.mark_outdated
         )
         self._hints = RecoveryHints(self._driver.disk, self._registry, self._placement)
+        self._pulls.requests_records = not (self._hints.has_upstreams or self._driver.is_first_start)
 
     def _make_interfaces(self) -> None:
         """What answers other processes, operators and upstreams."""
         registry, failure_detector, state = self._registry, self._failure_detector, self._state
         wake = self._pulls.wake
-        self._heartbeats = HeartbeatMonitor(registry, failure_detector, self._links, self._contact, wake)
+        self._heartbeats = HeartbeatMonitor(
+            registry, failure_detector, state.unconfirmed, self._links, self._contact, wake
+        )
         self._registry_sync = RegistrySync(registry, failure_detector, wake)
         primary = PrimaryClient(self._driver, self._links)
         self._dispatch = MessageDispatch(
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass
 
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, NodeRole, Pull
@@ -34,6 +35,7 @@
     quotas: QuotaAccounting
     prefill_load: PrefillLoad
     ejection: UpstreamEjection
+    unconfirmed: UnconfirmedUpstreams
 
 
 class PullService:
@@ -51,6 +53,9 @@
         self._subscriptions = subscriptions
         self._confirmation = confirmation
         self._controllers = controllers
+        self.requests_records = (
+            False  # routers, as this controller has lost its own; set before the first pull
+        )
         self._loop = asyncio.get_running_loop()
         self._wake_timer: asyncio.TimerHandle | None = None
 
@@ -97,6 +102,10 @@
         subscriber.config_sequence = pull.config_sequence
         self._set_queued_prefill_tokens(subscriber, pull.queued_prefill_tokens)
         subscriber.outcome_counts = pull.outcomes
+        if pull.records and subscriber.is_router:
+            offered = [record.upstream for record in pull.records]
+            if self._state.unconfirmed.add(offered, present_ms):
+                self.wake()
         if self._state.quotas.report(connection.incarnation, pull, present_ms):
             self.wake()
         self._confirmation.check()
@@ -157,6 +166,8 @@
             if is_router
             else {},
             ejected=sorted(ejected) if has_new_ejected else None,
+            wants_records=is_router and self.requests_records and not subscriber.records_requested,
         )
+        subscriber.records_requested = True
         subscriber.sent_ejected, subscriber.sent_controllers = ejected, controllers
         subscriber.connection.send(delta)
--- a/larkweir/controller/recovery_hints.py
+++ b/larkweir/controller/recovery_hints.py
@@ -16,7 +16,11 @@
 
 
 class RecoveryHints:
-    """Reads what an earlier incarnation left, and writes what has changed since."""
+    """Reads what an earlier incarnation left, and writes what has changed since.
+
+    Attributes:
+        has_upstreams: an earlier incarnation left its upstreams; without them routers are asked for theirs.
+    """
 
     def __init__(self, disk: DiskWriter, registry: Registry, placement: PrefixPlacement) -> None:
         """Restores the registry and the placement from disk; damaged files are ignored."""
@@ -24,8 +28,7 @@
         self._registry = registry
         self._placement = placement
         upstreams = disk.read_hint(UPSTREAMS_FILE)
-        if upstreams is not None:
-            hint_file.restore(registry, upstreams, now_ms())
+        self.has_upstreams = upstreams is not None and hint_file.restore(registry, upstreams, now_ms())
         placements = disk.read_hint(PLACEMENTS_FILE)
         if placements is not None:
             placement.restore(placements)
--- a/larkweir/controller/replica_driver.py
+++ b/larkweir/controller/replica_driver.py
@@ -40,7 +40,13 @@
 
 
 class ReplicaDriver:
-    """The replica of this controller."""
+    """The replica of this controller.
+
+    Attributes:
+        replica: the state machine that this drives.
+        disk: what writes its records.
+        is_first_start: the group begins with this start, so that nothing can have been lost before.
+    """
 
     def __init__(
         self,
@@ -60,7 +66,8 @@
         assert settings.data_dir is not None
         files = FolderFiles(os.path.join(settings.data_dir, FOLDER))
         journal = Journal(files)
-        self.replica = _create_replica(settings, journal)
+        self.is_first_start = settings.bootstrap and journal.is_blank
+        self.replica = _create_replica(settings, journal, is_first_start=self.is_first_start)
         loop = asyncio.get_running_loop()
         self.disk = DiskWriter(journal, files, loop, self._persisted, self._persist_failed)
         self._status = self.replica.status
@@ -155,14 +162,14 @@
         self.disk.close()
 
 
-def _create_replica(settings: Settings, journal: Journal) -> Replica:
+def _create_replica(settings: Settings, journal: Journal, *, is_first_start: bool) -> Replica:
     return Replica(
         settings.ip,
         apply_change,
         Random(),
         now_ms(),
         stored_state=journal.newest,
-        first_members=settings.seed_nodes if settings.bootstrap and journal.is_blank else None,
+        first_members=settings.seed_nodes if is_first_start else None,
         known_nodes=(*settings.seed_nodes, *journal.last_known_members),
         target_member_count=2 * settings.fault_tolerance.machines + 1,
         timing=_timing(settings.bounds.grace_s),
--- a/larkweir/controller/subscriptions.py
+++ b/larkweir/controller/subscriptions.py
@@ -21,6 +21,7 @@
     config_sequence: int = -1  # of the configuration that it had in force
     queued_prefill_tokens: dict[str, int] = field(default_factory=dict)  # by engine
     outcome_counts: Mapping[str, tuple[int, int]] = field(default_factory=dict)  # by upstream
+    records_requested: bool = False
     sent_ejected: frozenset[str] = frozenset()
     sent_controllers: list[str] = field(default_factory=list)
 
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -90,7 +90,7 @@
             self._plane.upstreams.set_ejected(self._reports.ejected())
         log.debug("link_lost", to=node)
 
-    def _pull(self, connection: Connection) -> None:
+    def _pull(self, connection: Connection, *, offers_records: bool = False) -> None:
         plane, now_ms = self._plane, self._now_ms()
         usage = plane.quotas.usage(connection.node, now_ms)
         vector = dict(self._registry.vector)
@@ -103,6 +103,7 @@
             sent_ms=round(now_ms),
             queued_prefill_tokens=plane.upstreams.own_prefill_backlog(),
             outcomes=plane.outcomes.failing_upstreams(now_ms),
+            records=self._registry.delta({}) if offers_records else [],
         )
         connection.send(pull)
 
@@ -128,7 +129,7 @@
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
         self._responded.add(node)
-        self._pull(connection)
+        self._pull(connection, offers_records=delta.wants_records)
 
     def _on_configuration_changed(self) -> None:
         table = self._plane.configuration.table
--- a/packages/registry/tests/registry_fleet.py
+++ b/packages/registry/tests/registry_fleet.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 from random import Random
 
+import msgspec
 from larkweir_registry import hint_file
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Upstream, UpstreamState
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 TICK_MS = 50.0
 HEARTBEAT_MS = 1_000.0
@@ -28,14 +30,20 @@
     frozen: bool = False
     registry: Registry = field(init=False)
     detector: FailureDetector = field(init=False)
+    unconfirmed: UnconfirmedUpstreams = field(init=False)
+    has_history: bool = field(init=False)
+    offered_by: set[int] = field(init=False)
 
-    def start(self, now_ms: float) -> None:
-        """Start a new incarnation, with the hint file that the one before wrote."""
-        left = hint_file.encode(self.registry) if self.incarnation else None
+    def start(self, now_ms: float, *, loses_hints: bool = False) -> None:
+        """Start a new incarnation, with the hint file that the one before wrote unless that is lost."""
+        left = hint_file.encode(self.registry) if self.incarnation and not loses_hints else None
         self.incarnation += 1
         self.up = True
         self.registry = Registry(f"{self.name}/{self.incarnation}")
         self.detector = FailureDetector(HEARTBEAT_MS, now_ms)
+        self.unconfirmed = UnconfirmedUpstreams(self.registry, self.detector)
+        self.has_history = left is not None
+        self.offered_by: set[int] = set()  # routers that have offered their records to this incarnation
         if left is not None:
             hint_file.restore(self.registry, left, now_ms)
 
@@ -112,6 +120,8 @@
             sequence = max(known.sequence, controller.detector.last_sequence(id_))
             timed_out = Upstream(known.id, "s", known.address, "z", 1, sequence, known.state, sequence)
             registry.update(timed_out, self.now_ms)
+        for known in controller.unconfirmed.take_timed_out(self.now_ms):
+            registry.update(msgspec.structs.replace(known, timed_out_sequence=known.sequence), self.now_ms)
 
     def _send_heartbeat(self, server: Server) -> None:
         self._deliver_late_heartbeats(server)
@@ -179,6 +189,10 @@
                 if controller.is_running and self.is_linked(f"r{number}", controller.name):
                     delta = controller.registry.delta(router.vector)
                     router.merge(delta, controller.registry.vector, self.now_ms)
+                    if not controller.has_history and number not in controller.offered_by:
+                        controller.offered_by.add(number)
+                        offered = [record.upstream for record in router.delta({})]
+                        controller.unconfirmed.add(offered, self.now_ms)
 
     def check(self) -> None:
         """No router in contact selects an upstream whose departure was acknowledged."""
@@ -202,7 +216,9 @@
     def inject(self) -> float:
         fleet, controller = self.fleet, self.rng.choice(self.fleet.controllers)
         nodes = [one.name for one in fleet.controllers] + [f"r{n}" for n in range(len(fleet.routers))]
-        kind = self.rng.choice(["cut", "cut_all", "freeze", "restart", "restart_all", "halves", "router_cut"])
+        kind = self.rng.choice(
+            ["cut", "cut_all", "freeze", "restart", "restart_all", "lose_all", "halves", "router_cut"]
+        )
         if kind == "cut":
             fleet.cut = {(controller.name, one.name) for one in fleet.controllers if one is not controller}
         elif kind == "cut_all":
@@ -214,13 +230,16 @@
         elif kind == "restart_all":
             for one in fleet.controllers:
                 one.start(fleet.now_ms)
+        elif kind == "lose_all":
+            for one in fleet.controllers:
+                one.start(fleet.now_ms, loses_hints=True)
         elif kind == "halves":
             fleet.cut = {("c0", "c1"), ("c0", "c2")}
         else:
             number = self.rng.randrange(len(fleet.routers))
             fleet.cut = {(f"r{number}", one.name) for one in fleet.controllers}
             fleet.in_contact_since_ms[number] = float("inf")
-        if kind in ("restart_all", "cut_all"):
+        if kind in ("restart_all", "lose_all", "cut_all"):
             fleet.in_contact_since_ms = dict.fromkeys(fleet.in_contact_since_ms, fleet.now_ms)
         return self.rng.choice([300.0, 2_000.0, 8_000.0, 20_000.0])
 
--- a/packages/registry/tests/test_registry_fleet.py
+++ b/packages/registry/tests/test_registry_fleet.py
@@ -5,6 +5,7 @@
 import os
 
 import pytest
+from larkweir_registry.registry import Registry
 from registry_fleet import FaultInjector, Fleet, run
 
 SEEDS = int(os.environ.get("REGISTRY_SEEDS", "40"))
@@ -53,3 +54,42 @@
         fleet.tick()
         for router in fleet.routers:
             assert len(router.ready_ids("s")) == len(fleet.servers)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_an_upstream_that_dies_while_all_controllers_lose_their_records(seed: int) -> None:
+    """Its address may never refuse, so nobody but the controllers can tell the routers."""
+    fleet = Fleet(seed)
+    for server in fleet.servers:
+        server.ends_ms = float("inf")
+    fleet.calm = True
+    run(fleet, 3_000.0)
+    dead = fleet.rng.choice(fleet.servers)
+    dead.dead_ms = fleet.now_ms
+    for controller in fleet.controllers:
+        controller.start(fleet.now_ms, loses_hints=True)
+    run(fleet, 10_000.0)
+    for router in fleet.routers:
+        assert set(router.ready_ids("s")) == {one.id for one in fleet.servers if one is not dead}
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_a_reader_that_was_away_brings_no_departed_upstream_back(seed: int) -> None:
+    """One router is cut off while an upstream leaves; then all controllers and the other routers lose their records."""
+    fleet = Fleet(seed)
+    for server in fleet.servers:
+        server.ends_ms = float("inf")
+    fleet.calm = True
+    run(fleet, 3_000.0)
+    fleet.cut = {("r0", one.name) for one in fleet.controllers}
+    fleet.in_contact_since_ms[0] = float("inf")
+    leaving = fleet.rng.choice(fleet.servers)
+    leaving.ends_ms, leaving.crashes = fleet.now_ms, False
+    run(fleet, 3_000.0)
+    assert leaving.gone_acknowledged_ms is not None
+    for controller in fleet.controllers:
+        controller.start(fleet.now_ms, loses_hints=True)
+    fleet.routers[1:] = [Registry("") for _ in fleet.routers[1:]]
+    fleet.cut = set()
+    run(fleet, 10_000.0)
+    assert leaving.id not in fleet.routers[0].ready_ids("s")
--- a/packages/registry/tests/test_registry_planted.py
+++ b/packages/registry/tests/test_registry_planted.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -13,6 +13,7 @@
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Upstream, UpstreamState, join
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 MAX_SEEDS = 60
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -63,6 +64,23 @@
     patch.setattr(registry, "join", stay_timed_out)
 
 
+def readers_offer_nothing(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(UnconfirmedUpstreams, "add", lambda self, offered, now_ms: False)
+
+
+def what_readers_offer_is_passed_on(patch: pytest.MonkeyPatch) -> None:
+    def add(self: UnconfirmedUpstreams, offered: Iterable[Upstream], now_ms: float) -> bool:
+        for upstream in offered:
+            self._registry.update(upstream, now_ms)
+        return True
+
+    patch.setattr(UnconfirmedUpstreams, "add", add)
+
+
+def play_lost_records(seed: int) -> None:
+    plays.test_a_reader_that_was_away_brings_no_departed_upstream_back(seed)
+
+
 def play_returns(seed: int) -> None:
     plays.test_returning_controllers_undo_no_departure_and_lose_no_upstream(seed)
 
@@ -73,6 +91,8 @@
     (time_outs_are_never_detected, play_returns),
     (merged_records_are_not_forwarded, play_returns),
     (a_time_out_is_never_undone, play_returns),
+    (readers_offer_nothing, play_returns),
+    (what_readers_offer_is_passed_on, play_lost_records),
 ]
 
 
--- a/packages/replication/tests/replication_cluster.py
+++ b/packages/replication/tests/replication_cluster.py
@@ -72,6 +72,7 @@
         self.disk = Disk(cluster.rng, cluster.sync_ms)
         self.bootstrap = bootstrap
         self.replica: Replica | None = None
+        self.is_retired = False  # it leaves for good: once it has ended, the platform does not start it again
         self.published_value = ""  # the newest value of this life
         self.seeds: Iterable[str] = cluster.seeds
         self._journal = Journal(self.disk.files)
@@ -85,8 +86,8 @@
         return self.replica
 
     def start(self) -> None:
-        """Starts the process; no effect where it is running."""
-        if self.replica is not None:
+        """Starts the process; no effect where it is running, or retired."""
+        if self.replica is not None or self.is_retired:
             return
         cluster = self.cluster
         journal = self._journal = Journal(self.disk.files)
--- a/packages/replication/tests/replication_faults.py
+++ b/packages/replication/tests/replication_faults.py
@@ -188,6 +188,7 @@
         def leave() -> None:
             if self.cluster.machines.get(machine.name) is machine:
                 machine.leave()
+                machine.is_retired = True
                 self.cluster.network.after(GRACE_MS, lambda: self.cluster.remove_machine(machine.name))
 
         self.cluster.network.after(1_000.0, leave)
--- a/tests/controller/test_heartbeat_monitor.py
+++ b/tests/controller/test_heartbeat_monitor.py
@@ -6,6 +6,7 @@
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Upstream, UpstreamState
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 from larkweir.cluster.messages import HeartbeatReport
 from larkweir.controller import heartbeat_monitor
@@ -29,10 +30,12 @@
         self.updates = 0
         self.registry = Registry("c/1")
         self.failure_detector = FailureDetector(HEARTBEAT_MS, 0.0)
+        self.unconfirmed = UnconfirmedUpstreams(self.registry, self.failure_detector)
         self.contact = FakeContact()
         self.monitor = HeartbeatMonitor(
             self.registry,
             self.failure_detector,
+            self.unconfirmed,
             links,  # type: ignore[arg-type]
             self.contact,  # type: ignore[arg-type]
             self._updated,
@@ -92,3 +95,11 @@
     scene.present_ms = 3.0 * scene.failure_detector.timeout_ms
     scene.monitor.evaluate()
     assert scene.silent == ["u"]
+
+
+def test_an_offered_upstream_that_sends_no_heartbeat_is_marked(scene: Scene) -> None:
+    scene.unconfirmed.add([Upstream("old", "s", "127.0.0.1:1", "z", sequence=3)], 0.0)
+    scene.present_ms = scene.failure_detector.timeout_ms
+    scene.monitor.evaluate()
+    assert "old" in scene.silent
+    assert scene.updates >= 1
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -7,8 +7,10 @@
 
 from larkweir_balancing.fleet_outlier_detection import MIN_FAILURES, OutcomeCounts
 from larkweir_quotas.usage_table import UsageTable
-from larkweir_registry.records import Upstream
+from larkweir_registry.failure_detector import FailureDetector
+from larkweir_registry.records import Record, Upstream
 from larkweir_registry.registry import Registry
+from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, NodeRole, Pull
@@ -41,6 +43,7 @@
 
     def __init__(self) -> None:
         self.registry = Registry("c/1")
+        self.failure_detector = FailureDetector(1_000.0, 0.0)
         subscriptions = Subscriptions()
         self.prefill_load = PrefillLoad()
         self.ejection = UpstreamEjection(self.registry, subscriptions)
@@ -50,6 +53,7 @@
             quotas=QuotaAccounting(UsageTable()),
             prefill_load=self.prefill_load,
             ejection=self.ejection,
+            unconfirmed=UnconfirmedUpstreams(self.registry, self.failure_detector),
         )
         confirmation = DeliveryConfirmation(self.registry, subscriptions)
         self.pulls = PullService(state, subscriptions, confirmation, lambda: ["c"])
@@ -127,3 +131,28 @@
         assert made.answer(made.routers[0], Pull(vector={})).ejected is None, "told once"
 
     asyncio.run(scene())
+
+
+def test_a_controller_without_history_asks_each_router_once_and_watches_what_it_is_offered() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.requests_records = True
+        first, second, _ = made.routers
+        assert made.answer(first, Pull(vector={})).wants_records
+        assert not made.answer(first, Pull(vector={})).wants_records
+        assert made.answer(second, Pull(vector={})).wants_records
+        known = set(made.registry.upstreams)
+        offered = [Record(Upstream("old", "s", "127.0.0.1:1", "z", sequence=3), "c/0", 1)]
+        made.pulls.pull(first, Pull(vector={}, records=offered))
+        assert set(made.registry.upstreams) == known, "other routers do not learn of it"
+        assert made.failure_detector.last_sequence("old") == 3
+
+    asyncio.run(scene())
+
+
+def test_a_controller_with_history_asks_nobody() -> None:
+    async def scene() -> None:
+        made = Scene()
+        assert not made.answer(made.routers[0], Pull(vector={})).wants_records
+
+    asyncio.run(scene())
