Replication: a change travels as a delta to a replica that has the state before

Change: SnapshotDelta (copies and insertions of text, commands dropped and added, a checksum) for a node whose disk holds the base and which has said in its heartbeat's answer that it takes deltas; resends and new connections get the whole state; a delta that does not fit is answered by SnapshotRequest. Golden bytes of older messages are the same, lines for the new ones were added.

--- a/packages/replication/src/larkweir_replication/acceptor.py
+++ b/packages/replication/src/larkweir_replication/acceptor.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from larkweir_replication.errors import DeltaMismatchError
 from larkweir_replication.messages import (
     NO_EPOCH,
     Accepted,
@@ -17,9 +18,13 @@
     Recover,
     RecoverReply,
     Replicate,
+    ReplicateDelta,
     Snapshot,
+    SnapshotDelta,
+    SnapshotRequest,
     StaleEpoch,
 )
+from larkweir_replication.snapshot_delta import apply_delta
 from larkweir_replication.state import ReplicaState
 
 
@@ -52,11 +57,15 @@
             state.commit(accepted)
         durable = state.durability.durable.snapshot
         epoch, sequence = durable.rank if durable is not None else (NO_EPOCH, -1)
-        state.send(sender, HeartbeatAck(message.epoch, message.round, epoch, sequence))
+        state.send(sender, HeartbeatAck(message.epoch, message.round, epoch, sequence, accepts_deltas=True))
 
-    def on_replicate(self, sender: str, message: Replicate) -> None:
-        """Accepts the state unless a newer one is accepted already."""
-        state, snapshot = self._state, message.snapshot
+    def on_replicate(self, sender: str, message: Replicate | ReplicateDelta) -> None:
+        """Accepts the state unless a newer one is accepted already; asks for all of it where a delta does not fit."""
+        state = self._state
+        snapshot = message.snapshot if isinstance(message, Replicate) else self._apply_delta(message.delta)
+        if snapshot is None:
+            state.send(sender, SnapshotRequest(message.epoch))
+            return
         if state.accepted is not None and snapshot.rank < state.accepted.rank:
             return
         state.accepted = snapshot
@@ -68,6 +77,18 @@
         if snapshot.sequence <= message.committed:
             state.commit(snapshot)
 
+    def _apply_delta(self, delta: SnapshotDelta) -> Snapshot | None:
+        """The state that it makes; None where its base is not the state that is accepted here."""
+        accepted = self._state.accepted
+        if accepted is None:
+            return None
+        if accepted.rank >= delta.rank:
+            return accepted  # it has arrived before, or a later one has
+        try:
+            return apply_delta(accepted, delta)
+        except DeltaMismatchError:
+            return None
+
     def on_prepare(self, sender: str, epoch: Epoch) -> None:
         """Gives the promise that the state has noted, now or once it is durable."""
         state = self._state
--- a/packages/replication/src/larkweir_replication/errors.py
+++ b/packages/replication/src/larkweir_replication/errors.py
@@ -13,3 +13,7 @@
     def __init__(self, node: str) -> None:
         """`node`: the replica."""
         super().__init__(f"{node} has not recovered its state yet")
+
+
+class DeltaMismatchError(ReplicationError):
+    """A delta can't be applied here: the state as a whole is needed."""
--- a/packages/replication/src/larkweir_replication/leadership.py
+++ b/packages/replication/src/larkweir_replication/leadership.py
@@ -21,6 +21,7 @@
     Join,
     Leave,
     Snapshot,
+    SnapshotRequest,
 )
 from larkweir_replication.state import ReplicaState
 from larkweir_replication.state_replicator import StateReplicator
@@ -29,7 +30,7 @@
 MAX_LEASES_WITHOUT_QUORUM = 3.0  # durations of a lease without a quorum after which a term ends
 MAX_GROWTH_WAIT_MS = 4_000.0  # the longest wait of commands for a group of the target size
 
-PrimaryMessage = HeartbeatAck | Accepted | Join | Leave
+PrimaryMessage = HeartbeatAck | Accepted | Join | Leave | SnapshotRequest
 
 
 class Leadership:
@@ -105,9 +106,14 @@
                 self._change_members(now_ms)
             case Leave():
                 self.on_leave(sender, now_ms)
+            case SnapshotRequest():
+                if message.epoch == self._epoch:
+                    self.send_newest_state(sender, now_ms)
 
     def _on_heartbeat_ack(self, node: str, ack: HeartbeatAck, now_ms: float) -> None:
         self._lease.acknowledge(node, ack.round)
+        if ack.accepts_deltas:
+            self._replicator.accept_deltas(node)
         self.on_accepted(node, ack.accepted, ack.sequence, now_ms)
         self._renew_lease()
 
--- a/packages/replication/src/larkweir_replication/messages.py
+++ b/packages/replication/src/larkweir_replication/messages.py
@@ -9,6 +9,8 @@
 
 import msgspec
 
+from larkweir_replication.text_delta import TextEdit
+
 MAX_COUNTER = (
     2**53 - 1
 )  # the largest whole number that every reader of JSON keeps exact (RFC 8259, section 6)
@@ -82,6 +84,35 @@
         return all(2 * len(nodes.intersection(group)) > len(group) for group in groups)
 
 
+class SnapshotDelta(msgspec.Struct, frozen=True):
+    """How a state differs from its base.
+
+    `dropped` of the base's applied commands, the oldest, are forgotten, and `added` are appended.
+    """
+
+    epoch: Epoch
+    sequence: Sequence
+    base_epoch: Epoch
+    base_sequence: Sequence
+    members: tuple[str, ...]
+    previous_members: tuple[str, ...]
+    edits: tuple[TextEdit, ...]
+    checksum: Annotated[int, msgspec.Meta(ge=0, lt=2**32)]  # CRC-32 of the value
+    dropped: Counter
+    added: tuple[AppliedCommand, ...]
+    latest_forgotten_base: Sequence
+
+    @property
+    def rank(self) -> tuple[Epoch, int]:
+        """That of the state that it makes."""
+        return (self.epoch, self.sequence)
+
+    @property
+    def base_rank(self) -> tuple[Epoch, int]:
+        """That of the state that it needs."""
+        return (self.base_epoch, self.base_sequence)
+
+
 class DurableState(msgspec.Struct, frozen=True):
     """What a replica must find again after a crash: the highest promised epoch and the newest accepted state."""
 
@@ -126,6 +157,32 @@
     snapshot: Snapshot
     committed: Sequence
 
+    @property
+    def epoch(self) -> Epoch:
+        """Of the primary that sends it."""
+        return self.snapshot.epoch
+
+
+class ReplicateDelta(msgspec.Struct, frozen=True, tag="replicate_delta"):
+    """The primary's newest state for a node that has its base on disk, to be made durable.
+
+    Sent to those alone that have said that they accept deltas (`HeartbeatAck.accepts_deltas`).
+    """
+
+    delta: SnapshotDelta
+    committed: Sequence
+
+    @property
+    def epoch(self) -> Epoch:
+        """Of the primary that sends it."""
+        return self.delta.epoch
+
+
+class SnapshotRequest(msgspec.Struct, frozen=True, tag="request_snapshot"):
+    """A delta did not fit: its sender needs the state of that epoch as a whole."""
+
+    epoch: Epoch
+
 
 class Accepted(msgspec.Struct, frozen=True, tag="accepted"):
     """That state is durable at its sender."""
@@ -152,13 +209,17 @@
     unreachable: tuple[str, ...] = ()
 
 
-class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat_ack"):
-    """Grants the lease from when `round` was sent on, and reports which state is durable at its sender."""
+class HeartbeatAck(msgspec.Struct, frozen=True, tag="heartbeat_ack", omit_defaults=True):
+    """Grants the lease from when `round` was sent on, and reports which state is durable at its sender.
+
+    `accepts_deltas`: its sender knows `ReplicateDelta`, which processes of earlier versions do not.
+    """
 
     epoch: Epoch
     round: Counter
     accepted: Epoch
     sequence: Sequence
+    accepts_deltas: bool = msgspec.field(default=False, name="deltas")
 
 
 class Resign(msgspec.Struct, frozen=True, tag="resign"):
@@ -195,6 +256,8 @@
     | Prepare
     | Promise
     | Replicate
+    | ReplicateDelta
+    | SnapshotRequest
     | Accepted
     | StaleEpoch
     | Heartbeat
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -35,8 +35,10 @@
     Recover,
     RecoverReply,
     Replicate,
+    ReplicateDelta,
     Resign,
     Snapshot,
+    SnapshotRequest,
     StaleEpoch,
 )
 from larkweir_replication.primary_contact import PrimaryContact
@@ -241,8 +243,6 @@
         observer = self._leadership or self._contact
         return self._departure.reason(observer.unreachable_members(now_ms), now_ms)
 
-    # Connections
-
     def on_partial_message(self, node: str, now_ms: float) -> None:
         """A message of that node is arriving, too large to be complete yet: its heartbeats are behind it."""
         if node == self.primary and self.status is ReplicaStatus.FOLLOWER:
@@ -263,15 +263,15 @@
                 self._contact.renew(now_ms)  # it may have granted a lease before
             return
         match message:
-            case HeartbeatAck() | Accepted() | Join() | Leave():
+            case HeartbeatAck() | Accepted() | Join() | Leave() | SnapshotRequest():
                 if self._leadership is not None:
                     self._leadership.receive(sender, message, now_ms)
             case Heartbeat():
                 if self._follow_sender(sender, message.epoch, now_ms):
                     self._contact.reported_unreachable = message.unreachable
                     self._acceptor.on_heartbeat(sender, message)
-            case Replicate():
-                if self._follow_sender(sender, message.snapshot.epoch, now_ms):
+            case Replicate() | ReplicateDelta():
+                if self._follow_sender(sender, message.epoch, now_ms):
                     self._acceptor.on_replicate(sender, message)
             case PreVote():
                 self._on_pre_vote(sender, message, now_ms)
--- a/packages/replication/src/larkweir_replication/state_replicator.py
+++ b/packages/replication/src/larkweir_replication/state_replicator.py
@@ -1,6 +1,7 @@
 """The primary's newest state on its way to a majority of disks, one state at a time.
 
-Phase 2 of Paxos (Lamport 2001), for the state as a whole: there is no log of commands.
+Phase 2 of Paxos (Lamport 2001), for the state as a whole: there is no log of commands. A node whose disk has the state
+before is sent what has changed; whatever is sent a second time is sent whole.
 """
 
 from __future__ import annotations
@@ -8,7 +9,8 @@
 from dataclasses import dataclass, field
 
 from larkweir_replication.member_tracker import MemberTracker
-from larkweir_replication.messages import Epoch, Replicate, Snapshot
+from larkweir_replication.messages import Epoch, Replicate, ReplicateDelta, Snapshot, SnapshotDelta
+from larkweir_replication.snapshot_delta import make_delta
 from larkweir_replication.state import ReplicaState
 
 RESEND_INTERVAL_MS = 300.0  # a state that is not acknowledged is sent again
@@ -32,16 +34,32 @@
         self._state = state
         self._members = members
         self._sent_ms: dict[str, float] = {}  # by node
+        self._durable_ranks: dict[str, tuple[Epoch, int]] = {}  # by node, as last reported
+        self._accepts_deltas: set[str] = set()
+        self._delta: SnapshotDelta | None = None  # from the state before to the newest one
         self.proposal: Proposal | None = None
 
     def propose(self, snapshot: Snapshot, ticket: int | None, now_ms: float, *, persist: bool = True) -> None:
         """Accepts the state here and sends it to all. `persist`: whether it is not yet on its way to the own disk."""
+        base = self._state.newest()
+        self._delta = make_delta(base, snapshot) if self._accepts_deltas and base is not snapshot else None
         self._state.accepted = snapshot
         self.proposal = Proposal(snapshot, ticket)
         if persist:
             self._state.persist()
         for node in self._members.recipients():
-            self._replicate(node, snapshot, now_ms)
+            if self._delta is not None and self._has_base(node, self._delta):
+                self._sent_ms[node] = now_ms
+                self._state.send(node, ReplicateDelta(self._delta, self._state.committed_sequence))
+            else:
+                self._replicate(node, snapshot, now_ms)
+
+    def _has_base(self, node: str, delta: SnapshotDelta) -> bool:
+        return node in self._accepts_deltas and self._durable_ranks.get(node) == delta.base_rank
+
+    def accept_deltas(self, node: str) -> None:
+        """That node has said that it accepts deltas."""
+        self._accepts_deltas.add(node)
 
     def send_newest(self, node: str, now_ms: float) -> None:
         """Sends the newest state to a node, whether it has it or not."""
@@ -59,12 +77,14 @@
     def on_reconnected(self, node: str) -> None:
         """A new connection to that node: what was sent on the previous one may not have arrived."""
         self._sent_ms.pop(node, None)
+        self._durable_ranks.pop(node, None)
 
     def on_accepted(self, node: str, epoch: Epoch, sequence: int, now_ms: float) -> Proposal | None:
         """Counts a state that is durable at that node; sends the newest to a node that is behind.
 
         Returns the proposal that a majority has now.
         """
+        self._durable_ranks[node] = (epoch, sequence)
         newest = self._state.newest()
         if (epoch, sequence) != newest.rank:
             is_behind = (epoch, sequence) < newest.rank and node != self._state.node
--- a/packages/replication/tests/test_replication_acceptor.py
+++ b/packages/replication/tests/test_replication_acceptor.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from larkweir_replication.acceptor import Acceptor
 from larkweir_replication.effects import Committed, Persist, Send
@@ -17,8 +18,12 @@
     Recover,
     RecoverReply,
     Replicate,
+    ReplicateDelta,
+    Snapshot,
+    SnapshotRequest,
     StaleEpoch,
 )
+from larkweir_replication.snapshot_delta import make_delta
 from larkweir_replication.state import ReplicaState
 from replication_factories import EPOCH, MEMBERS, snapshot, state_of, write_all
 
@@ -80,16 +85,46 @@
 def test_a_heartbeat_reports_what_is_durable(state: ReplicaState) -> None:
     state.accepted = snapshot(4)
     Acceptor(state).on_heartbeat("a", Heartbeat(EPOCH, 4, 9))
-    assert state.take_effects() == [Committed(snapshot(4)), Send("a", HeartbeatAck(EPOCH, 9, EPOCH, 3))]
+    ack = HeartbeatAck(EPOCH, 9, EPOCH, 3, accepts_deltas=True)
+    assert state.take_effects() == [Committed(snapshot(4)), Send("a", ack)]
 
 
 def test_an_empty_disk_is_reported_as_such() -> None:
     state = state_of("b")
     Acceptor(state).on_heartbeat("a", Heartbeat(EPOCH, -1, 9))
-    assert state.take_effects() == [Send("a", HeartbeatAck(EPOCH, 9, NO_EPOCH, -1))]
+    assert state.take_effects() == [Send("a", HeartbeatAck(EPOCH, 9, NO_EPOCH, -1, accepts_deltas=True))]
 
 
 def test_a_recovering_replica_is_sent_all_that_is_known(state: ReplicaState) -> None:
     state.accepted = snapshot(4)
     Acceptor(state).on_recover("c", Recover(5))
     assert state.take_effects() == [Send("c", RecoverReply(5, EPOCH, snapshot(4)))]
+
+
+def changed(base: Snapshot, sequence: int, value: str) -> Snapshot:
+    return msgspec.structs.replace(base, sequence=sequence, value=value)
+
+
+def test_a_delta_is_accepted_on_its_base_alone(state: ReplicaState) -> None:
+    base, later = changed(snapshot(3), 3, "{a}{b}"), changed(snapshot(3), 4, "{a}{c}")
+    delta = make_delta(base, later)
+    assert delta is not None
+    state.accepted = base
+    Acceptor(state).on_replicate("a", ReplicateDelta(delta, 3))
+    assert state.accepted == later
+    state.accepted = snapshot(2)
+    state.take_effects()
+    Acceptor(state).on_replicate("a", ReplicateDelta(delta, 3))
+    assert state.accepted == snapshot(2)
+    assert state.take_effects() == [Send("a", SnapshotRequest(EPOCH))]
+
+
+def test_a_repeated_delta_is_confirmed_again(state: ReplicaState) -> None:
+    base, later = snapshot(3), changed(snapshot(3), 4, "x")
+    delta = make_delta(base, later)
+    assert delta is not None
+    state.accepted = later
+    state.persist()
+    write_all(state)
+    Acceptor(state).on_replicate("a", ReplicateDelta(delta, 3))
+    assert state.take_effects() == [Send("a", Accepted(EPOCH, 4))]
--- a/packages/replication/tests/test_replication_golden_bytes.py
+++ b/packages/replication/tests/test_replication_golden_bytes.py
@@ -34,10 +34,14 @@
     Recover,
     RecoverReply,
     Replicate,
+    ReplicateDelta,
     Resign,
     Snapshot,
+    SnapshotDelta,
+    SnapshotRequest,
     StaleEpoch,
 )
+from larkweir_replication.text_delta import TextEdit
 
 EPOCH = Epoch(3, "10.0.0.1")
 FIRST = Snapshot(NO_EPOCH, 0, ("10.0.0.1", "10.0.0.2", "10.0.0.3"))
@@ -60,6 +64,23 @@
     b'"taken":[[6,"sha-a"],[7,"sha-b"]],"forgotten":5}'
 )
 
+HEARTBEAT_WITH_UNREACHABLE_BYTES = (
+    b'{"type":"heartbeat","epoch":[3,"10.0.0.1"],"committed":40,"round":12,"unreachable":["10.0.0.3"]}'
+)
+DELTA = SnapshotDelta(
+    epoch=EPOCH,
+    sequence=41,
+    base_epoch=NO_EPOCH,
+    base_sequence=0,
+    members=("10.0.0.1",),
+    previous_members=(),
+    edits=(TextEdit(0, 7, "x"),),
+    checksum=9,
+    dropped=1,
+    added=(AppliedCommand(7, "sha-b"),),
+    latest_forgotten_base=5,
+)
+
 MESSAGES: list[tuple[Message, bytes]] = [
     (PreVote(7), b'{"type":"canvass","round":7}'),
     (
@@ -94,6 +115,19 @@
         RecoverReply(5, EPOCH, FIRST),
         b'{"type":"recover_reply","nonce":5,"promised":[3,"10.0.0.1"],"snapshot":' + FIRST_BYTES + b"}",
     ),
+    (Heartbeat(EPOCH, 40, 12, ("10.0.0.3",)), HEARTBEAT_WITH_UNREACHABLE_BYTES),
+    (
+        HeartbeatAck(EPOCH, 12, EPOCH, 41, accepts_deltas=True),
+        b'{"type":"heartbeat_ack","epoch":[3,"10.0.0.1"],"round":12,"accepted":[3,"10.0.0.1"],"sequence":41,'
+        b'"deltas":true}',
+    ),
+    (
+        ReplicateDelta(DELTA, 40),
+        b'{"type":"replicate_delta","delta":{"epoch":[3,"10.0.0.1"],"sequence":41,"base_epoch":[0,""],'
+        b'"base_sequence":0,"members":["10.0.0.1"],"previous_members":[],"edits":[[0,7,"x"]],"checksum":9,'
+        b'"dropped":1,"added":[[7,"sha-b"]],"latest_forgotten_base":5},"committed":40}',
+    ),
+    (SnapshotRequest(EPOCH), b'{"type":"request_snapshot","epoch":[3,"10.0.0.1"]}'),
     (Join(), b'{"type":"join"}'),
     (Leave(), b'{"type":"leave"}'),
 ]
--- a/packages/replication/tests/test_replication_planted.py
+++ b/packages/replication/tests/test_replication_planted.py
@@ -13,7 +13,7 @@
 import pytest
 import test_replication_cluster_membership as membership_scenarios
 import test_replication_cluster_recovery as recovery_scenarios
-from larkweir_replication import commands, member_tracker
+from larkweir_replication import acceptor, commands, member_tracker
 from larkweir_replication.acceptor import Acceptor
 from larkweir_replication.commands import PendingCommand
 from larkweir_replication.departure import Departure
@@ -30,6 +30,7 @@
     Promise,
     Replicate,
     Snapshot,
+    SnapshotDelta,
     StaleEpoch,
 )
 from larkweir_replication.recovery import Recovery
@@ -37,6 +38,7 @@
 from larkweir_replication.state import ReplicaState
 from larkweir_replication.state_replicator import StateReplicator
 from larkweir_replication.status import ReplicaStatus
+from larkweir_replication.text_delta import apply_edits
 from replication_faults import Trial, run_trial
 
 MAX_TRIALS = 150
@@ -238,6 +240,16 @@
     patch.setattr(Departure, "_are_others_stable", lambda self, unreachable, now_ms: True)
 
 
+def deltas_are_applied_to_any_base(patch: pytest.MonkeyPatch) -> None:
+    def apply_to_any(base: Snapshot, delta: SnapshotDelta) -> Snapshot:
+        value = apply_edits(base.value, delta.edits)
+        applied = base.applied_commands[delta.dropped :] + delta.added
+        return Snapshot(delta.epoch, delta.sequence, delta.members, delta.previous_members, value, applied)
+
+    patch.setattr(acceptor, "apply_delta", apply_to_any)
+    patch.setattr(StateReplicator, "_has_base", lambda self, node, delta: True)
+
+
 FAULTS = [
     PlantedFault("half is a majority", half_is_a_majority),
     PlantedFault(
@@ -269,6 +281,7 @@
     PlantedFault("an epoch is used twice", an_epoch_is_used_twice),
     PlantedFault("a wiped disk votes", a_wiped_disk_votes),
     PlantedFault("the own disk is not asked again", the_primary_does_not_retry_its_own_write),
+    PlantedFault("deltas are applied to any base", deltas_are_applied_to_any_base),
     PlantedFault(
         "each planned end is taken for a restart",
         a_leaving_node_takes_each_end_for_a_restart,
--- a/packages/replication/tests/test_replication_state_replicator.py
+++ b/packages/replication/tests/test_replication_state_replicator.py
@@ -5,7 +5,8 @@
 import msgspec
 import pytest
 from larkweir_replication.member_tracker import MemberTracker
-from larkweir_replication.messages import Replicate
+from larkweir_replication.messages import Replicate, ReplicateDelta
+from larkweir_replication.snapshot_delta import make_delta
 from larkweir_replication.state import ReplicaState
 from larkweir_replication.state_replicator import TRANSFER_BYTES_PER_MS, StateReplicator
 from larkweir_replication.timing import Timing
@@ -81,3 +82,35 @@
     assert write_all(state) == []
     replicator.resend(2.0)
     assert not state.durability.has_pending_writes
+
+
+def test_a_node_with_the_base_on_disk_is_sent_a_delta_first_and_later_the_state(
+    state: ReplicaState, replicator: StateReplicator
+) -> None:
+    later = msgspec.structs.replace(snapshot(4), value="x")
+    delta = make_delta(snapshot(3), later)
+    assert delta is not None
+    for node in ("b", "c"):
+        replicator.accept_deltas(node)
+    replicator.on_accepted("b", EPOCH, 3, 0.0)
+    replicator.propose(later, None, 1.0)
+    assert sent(state.take_effects()) == [("b", ReplicateDelta(delta, -1)), ("c", Replicate(later, -1))]
+    replicator.resend(302.0)
+    assert sent(state.take_effects()) == [(node, Replicate(later, -1)) for node in ("b", "c")]
+
+
+def test_a_node_that_does_not_know_deltas_is_sent_none(
+    state: ReplicaState, replicator: StateReplicator
+) -> None:
+    replicator.accept_deltas("c")
+    replicator.on_accepted("b", EPOCH, 3, 0.0)
+    replicator.propose(snapshot(4), None, 1.0)
+    assert sent(state.take_effects()) == [(node, Replicate(snapshot(4), -1)) for node in ("b", "c")]
+
+
+def test_a_delta_is_not_sent_on_a_new_connection(state: ReplicaState, replicator: StateReplicator) -> None:
+    replicator.accept_deltas("b")
+    replicator.on_accepted("b", EPOCH, 3, 0.0)
+    replicator.on_reconnected("b")
+    replicator.propose(snapshot(4), None, 1.0)
+    assert sent(state.take_effects())[0] == ("b", Replicate(snapshot(4), -1))
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -71,6 +71,9 @@
     PlacementRequest("chat", "6f1d", 5_000.5, "e-1"),
     PlacementResponse("6f1d", None),
     PlacementResponse("6f1d", "e-1", True),
+    # Of later versions, which leave these fields out where the other process need not read them.
+    Pull(vector={}, records=[Record(UPSTREAM, "10.0.0.2/0f", 8)]),
+    Delta(wants_records=True),
 ]
 
 
