--- a/packages/replication/tests/test_replication_snapshot_delta.py
+++ b/packages/replication/tests/test_replication_snapshot_delta.py
@@ -25,7 +25,7 @@
     assert apply_edits(old, make_edits(old, new)) == new
 
 
-def test_an_equal_text_is_one_copy() -> None:
+def test_an_equal_text_is_copied_in_one_edit() -> None:
     assert make_edits("{a}{b}", "{a}{b}") == (TextEdit(0, 6),)
     assert make_edits("", "") == ()
 
@@ -36,7 +36,7 @@
 
 
 @given(st.lists(st.tuples(texts, st.text(max_size=5)), min_size=2, max_size=12), st.integers(1, 4))
-def test_each_state_comes_from_the_one_before(changes: list[tuple[str, str]], max_commands: int) -> None:
+def test_each_state_results_from_the_previous_one(changes: list[tuple[str, str]], max_commands: int) -> None:
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(commands, "MAX_APPLIED_COMMANDS", max_commands)
         states = [snapshot(3)]
@@ -115,10 +115,10 @@
     delta = make_delta(state, later)
     assert delta is not None
     assert apply_delta(state, delta) == later
-    whole_bytes = len(msgspec.json.encode(later))
+    snapshot_bytes = len(msgspec.json.encode(later))
     delta_bytes = len(msgspec.json.encode(ReplicateDelta(delta, 3)))
-    print(f"{size.routes} routes: {whole_bytes} bytes whole, {delta_bytes} as a delta")
-    assert delta_bytes < size.max_fraction * whole_bytes
+    print(f"{size.routes} routes: {snapshot_bytes} bytes whole, {delta_bytes} as a delta")
+    assert delta_bytes < size.max_fraction * snapshot_bytes
 
 
 def test_a_state_without_a_value_has_a_delta() -> None:
--- a/tests/router/router_model.py
+++ b/tests/router/router_model.py
@@ -101,6 +101,7 @@
     after: int  # the event behind which it goes on
     executed: bool = True
     complete: bool = False  # the upstream has answered all of it
+    headers: dict[str, str] = field(default_factory=dict)  # of the request, as the upstream got it
 
     def body(self) -> bytes:
         """Unlike that of any other run."""
@@ -297,6 +298,7 @@
         body = {"generation": 1, "routes": routes, "services": [{"name": "s"}]}
         self.plane.configuration.apply(ConfigUpdate(1, -1, msgspec.Raw(msgspec.json.encode(body))))
         listed = [Upstream(f"i{n}", "s", address, "z") for n, address in enumerate(self.ADDRESSES)]
+        self.instances = {one.id for one in listed}
         self.plane.upstreams.update(listed, 0.0)
 
     def runs_of(self, head: h11.Request) -> Run:
@@ -304,10 +306,10 @@
         headers = {name.decode(): value.decode() for name, value in head.headers}
         id_ = headers["x-request-id"]
         assert id_ in self.sent, "a request that no client sent"
-        assert headers["x-target-instance"] in ("i0", "i1")
+        assert headers["x-target-instance"] in self.instances
         before = self.runs.setdefault(id_, [])
         after = int(headers.get("last-event-id", "0"))
-        run = Run(id_, self.sent[id_].kind, len(before), after)
+        run = Run(id_, self.sent[id_].kind, len(before), after, headers=headers)
         before.append(run)
         return run
 
