--- a/larkweir/system/demo.py
+++ b/larkweir/system/demo.py
@@ -131,12 +131,12 @@
         """Create a demonstration on the addresses 127.78.SUBNET.*, with four ports from `port` on."""
         self._folder = folder
         self._subnet = subnet
-        self._port = port
+        self.peer_port = port
         self.controls = [f"{self._ip(n + 1)}:{port + 1}" for n in range(CONTROLLERS)]
         self.fronts = [f"{self._ip(100 + n)}:{port + 2}" for n in range(ROUTERS)]
         self._readies = [f"{self._ip(100 + n)}:{port + 3}" for n in range(ROUTERS)]
         self._engines = [Engine(f"engine-{n}", f"{self._ip(200 + n)}:{port + 3}") for n in range(ENGINES)]
-        self._processes: list[asyncio.subprocess.Process] = []
+        self.processes: list[asyncio.subprocess.Process] = []
 
     def _ip(self, host: int) -> str:
         return f"127.78.{self._subnet}.{host}"
@@ -160,7 +160,7 @@
             "node": f"{role}-{ip}",
             "ip": ip,
             "zone": "demo",
-            "port_range": [self._port, self._port],
+            "port_range": [self.peer_port, self.peer_port],
             "seeds": self.controls,
             "listen": listen,
             "bootstrap": True,
@@ -179,7 +179,7 @@
             stdout=asyncio.subprocess.DEVNULL,  # so that a reader of the demonstration's output sees its end
             stderr=log,
         )
-        self._processes.append(process)
+        self.processes.append(process)
 
     def _configure(self) -> None:
         answer = call_controllers(self.controls, "PUT", "/config", msgspec.json.encode(CONFIGURATION), base=0)
@@ -199,7 +199,7 @@
 
     async def stop(self) -> None:
         """Kill all processes."""
-        for process in self._processes:
+        for process in self.processes:
             if process.returncode is None:
                 process.kill()
             await process.wait()
--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -113,6 +113,20 @@
             )
             self.script.line(self.name, "log", line)
 
+    async def says_each(self, *parts: str) -> None:
+        """One line with each of these words, told in this order: two of its processes write them, as they come."""
+        missing, told = list(parts), dict.fromkeys(parts, "")
+        while missing:
+            line = await self._log.take()
+            part = next((part for part in missing if part in line), None)
+            if part is None:
+                self.script.line(self.name, "log", line)  # an unexpected line shows in the text
+                continue
+            missing.remove(part)
+            told[part] = line
+        for line in told.values():
+            self.script.line(self.name, "log", line)
+
     def _proposals(self, found: re.Match[str]) -> str:
         """Who says what, by their names here: the log has them by their addresses. Lives of writers are drawn."""
         said = re.sub(r"#[0-9a-f]{8}", "", found[2]).split("; ")
--- a/tests/scenes/test_keepers.py
+++ b/tests/scenes/test_keepers.py
@@ -125,7 +125,7 @@
     second = await fleet.next_owner(*others)
     (third,) = (it for it in others if it is not second)
     fleet.called(first=first, second=second, third=third)
-    await first.says("given up")
+    await first.says_each("the successor has taken over", "given up")
     await second.says("owned here")
     await first.tells("STATUS", "stopping")
     await first.leaves()
