Build: the deploy file lists every package whose programs the build and the roles call

Change: ca-certificates, coreutils, dash, findutils and sed beside python3 and python3-pip; a test derives the programs from the script and the roles.

--- a/tests/system/test_build.py
+++ b/tests/system/test_build.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import re
 import subprocess
 import tomllib
 from pathlib import Path
@@ -100,3 +101,49 @@
     checkout.build()
     after = {path for path in checkout.folder.rglob("*") if "target" not in path.parts}
     assert after - before == {checkout.calls}
+
+
+# Which Debian package brings each program that the build or a role calls; `sh` and builtins of it are dash's.
+PACKAGE_BY_PROGRAM = {
+    "sh": "dash",
+    "python3": "python3",
+    "python3 -m pip": "python3-pip",
+    "sed": "sed",
+    "find": "findutils",
+    **dict.fromkeys(("cat", "cp", "dirname", "mkdir", "rm", "sha256sum", "sort"), "coreutils"),
+}
+SHELL_WORDS = frozenset(
+    ("set", "if", "then", "fi", "for", "do", "done", "exit", "cd", "[", "printf", "export", "in")
+)
+CERTIFICATES = "ca-certificates"  # pip verifies the registry by them
+
+
+def programs_called(script: str) -> set[str]:
+    """The words of a shell script that stand where a program is named."""
+    text = re.sub(r"'[^']*'", "''", "\n".join(line.partition("#")[0] for line in script.splitlines()))
+    found = set()
+    for command in re.split(r"\$\(|&&|\|\||[;|&(){}\n]|\bdo\b|\bthen\b", text):
+        words = [word for word in command.split() if not re.fullmatch(r"[A-Z_a-z]+=\S*", word)]
+        name = words[0].strip('"') if words else ""
+        if re.fullmatch(r"[a-z][a-z0-9_.-]*", name) and name not in SHELL_WORDS:
+            found.add("python3 -m pip" if words[:3] == ["python3", "-m", "pip"] else name)
+    return found
+
+
+def test_every_program_that_is_called_is_in_a_package_that_is_listed() -> None:
+    deployment = tomllib.loads((ROOT / "deploy/system.toml").read_text())
+    commands = [deployment["build"], *(role["run"] for role in deployment["roles"].values())]
+    called = {program for command in commands for program in programs_called(command)}
+    called |= programs_called((ROOT / "deploy/build_system.sh").read_text())
+    assert {"sh", "python3", "python3 -m pip", "find", "sha256sum", "sort", "sed"} <= called
+    assert called <= set(PACKAGE_BY_PROGRAM), "which package brings it?"
+    needed = {PACKAGE_BY_PROGRAM[program] for program in called} | {CERTIFICATES}
+    assert set(deployment["packages"]) == needed
+
+
+def test_a_new_program_in_the_script_is_noticed() -> None:
+    assert programs_called("set -eu\nx=$(awk 1 f | uniq)\nif [ -f y ]; then curl z; fi\n") == {
+        "awk",
+        "uniq",
+        "curl",
+    }
