--- a/benchmarks/edits.py
+++ b/benchmarks/edits.py
@@ -45,12 +45,12 @@
         said = [edit(node, rng, file) for node, file in zip((one, other), said, strict=True)]
         space.run(CUT_MS / EDITS)
     lacking, sent = space.lacking(), space.bytes
-    made = sum(one.copy.state.vector.values()) + sum(other.copy.state.vector.values())
+    made = sum(one.replica.state.vector.values()) + sum(other.replica.state.vector.values())
     space.heal()
     took = space.until_equal(60_000.0, 25.0)
-    whole = one.copy.whole
-    same = all(node.copy.whole == whole for node in space.nodes)
-    return took, (space.bytes - sent) / lacking, made, len(whole.told), same
+    merged = one.replica.merged
+    same = all(node.replica.merged == merged for node in space.nodes)
+    return took, (space.bytes - sent) / lacking, made, len(merged.notices), same
 
 
 def way(copies: int) -> tuple[float, float, float]:
@@ -71,9 +71,9 @@
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     state = State(SCHEMA, b"", base)
-    state.whole()
-    held = tracemalloc.get_traced_memory()[0] - before
-    print(f"memory: {ROUTES} routes, {len(base['pool'])} pools: {held / 1e6:.1f} MB")
+    state.merged()
+    held_bytes = tracemalloc.get_traced_memory()[0] - before
+    print(f"memory: {ROUTES} routes, {len(base['pool'])} pools: {held_bytes / 1e6:.1f} MB")
     rng = Random(1)
     writers = ("10.3.0.1:7946#00000001", "10.3.0.2:7946#00000002")
     other = State(SCHEMA, b"", base)
@@ -87,20 +87,22 @@
                 which.take(writer, data)
     for data in other.log[writers[1]].values():
         state.take(writers[1], data)
-    held = tracemalloc.get_traced_memory()[0] - before
+    held_bytes = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
-    print(f"memory: the same with {state.size} edits from two sides, and the other side: {held / 1e6:.1f} MB")
+    print(
+        f"memory: the same with {state.size} edits from two sides, and the other side: {held_bytes / 1e6:.1f} MB"
+    )
     for name, act in (
         (
             "all rows anew with 10,000 edits",
-            lambda: (state._views.clear(), setattr(state, "_whole", None), state.whole()),
+            lambda: (state._views.clear(), setattr(state, "_whole", None), state.merged()),
         ),
         (
             "one row",
             lambda: (
                 state._views.pop(("route", "route-0001"), None),
                 setattr(state, "_whole", None),
-                state.whole(),
+                state.merged(),
             ),
         ),
     ):
@@ -135,10 +137,10 @@
     found = []
     for seed in range(1, plays + 1):
         found.append(meeting(seed))
-        took, ratio, made, told, same = found[-1]
+        took, ratio, made, notices, same = found[-1]
         print(
             f"seed {seed}: {made} edits, equal in {took:.0f} ms, {ratio:.2f} times the bytes, "
-            f"{told} told, same: {same}",
+            f"{notices} told, same: {same}",
             flush=True,
         )
     if not found:
--- a/larkweir/coordination/captures/part.py
+++ b/larkweir/coordination/captures/part.py
@@ -53,7 +53,7 @@
 
 
 class Part:
-    """From `attach` to `close`. `hold` may be called at any time."""
+    """From `attach` to `close`. `set_handed_over` may be called at any time."""
 
     def __init__(self, host: Host, options: Captures, me: str) -> None:
         """`me`: the name of this hop."""
@@ -93,11 +93,11 @@
         if options is not None:
             self.recorder.slow_ms = options.captures.slow_ms
 
-    def hold(self, held: bool) -> None:
+    def set_handed_over(self, is_handed_over: bool) -> None:
         """Held: a successor takes over; it gets the file when the records of open requests are written."""
-        if held and not self._is_leaving:
+        if is_handed_over and not self._is_leaving:
             self._leave_ms = self._clock.now_ms() + HANDOVER_MS
-        self._is_leaving = held
+        self._is_leaving = is_handed_over
 
     def close(self) -> None:
         """End for good. What the output limits allow now is written."""
--- a/larkweir/coordination/edits/ended.py
+++ b/larkweir/coordination/edits/ended.py
@@ -1,4 +1,4 @@
-"""Rules: which parts of splits the fleet has ended, and no edit says so yet.
+"""Parts of traffic splits that the fleet has ended, and that no edit records yet.
 
 The owner of the verdicts writes them, under its term; a later owner writes what an earlier one had no time for. What is
 late is dropped by every copy alike (`larkweir_edits.merge.termed`).
@@ -12,7 +12,7 @@
 from larkweir.coordination.duties.verdicts import decode_state
 
 
-class Fleet(Protocol):
+class OwnedStates(Protocol):
     """The owners' part, as far as this goes."""
 
     def owned_state(self, name: str) -> tuple[int, int, bytes] | None:
@@ -34,16 +34,16 @@
     def __init__(self) -> None:
         self._written: frozenset[str] = frozenset()
 
-    def due(self, fleet: Fleet, parts: Mapping[str, tuple[str, str]]) -> Iterator[End]:
+    def due(self, fleet: OwnedStates, parts: Mapping[str, tuple[str, str]]) -> Iterator[End]:
         """`parts`: by key, the routes and pools that are or were on trial here."""
-        held = fleet.owned_state("verdicts")
-        if held is None:
+        owned = fleet.owned_state("verdicts")
+        if owned is None:
             return
-        term, number, state = held
+        term, number, state = owned
         keys = {key for key, _ in decode_state(state).ended}
         self._written &= keys
         for key in sorted(keys & parts.keys() - self._written):
             yield End(key, *parts[key], term, number)
 
-    def wrote(self, end: End) -> None:
+    def mark_written(self, end: End) -> None:
         self._written |= {end.key}
--- a/larkweir/coordination/edits/tables.py
+++ b/larkweir/coordination/edits/tables.py
@@ -1,5 +1,4 @@
-"""Rules: routes and pools of an operator file as the tables that edits are made of, and back; what a whole of them may
-not say."""
+"""Routes and pools of an operator file as the tables that edits change, and back; the check of merged tables."""
 
 from __future__ import annotations
 
@@ -9,17 +8,17 @@
 from typing import Any, get_type_hints
 
 import msgspec
+from larkweir_edits.merged_tables import Fault
 from larkweir_edits.schema import Fields, Schema, Tables
-from larkweir_edits.whole import Fault
 
 from larkweir.config.operator import said_type, value_fault
 from larkweir.config.options import NAMED, Operator, Route
 from larkweir.config.platform import Config
 from larkweir.config.routing import rests_of, routing_objections
 
-HELD = {table: NAMED[table][1] for table in ("pool", "route")}  # by table, the field of `Operator`
+OPTION_FIELDS = {table: NAMED[table][1] for table in ("pool", "route")}  # by table, the field of `Operator`
 ALL = "all"  # the route that stands in where there is none: all that comes goes to the default pool
-_KINDS: dict[str, type[Any]] = {table: NAMED[table][0] for table in HELD}
+_KINDS: dict[str, type[Any]] = {table: NAMED[table][0] for table in OPTION_FIELDS}
 _ITEMS = {table: {item.name: item for item in fields(kind)} for table, kind in _KINDS.items()}
 _TYPES = {
     table: {name: said_type(hint) for name, hint in get_type_hints(kind).items() if name in _ITEMS[table]}
@@ -42,9 +41,9 @@
     return Schema(
         {
             table: {name: item.metadata["merge"].value for name, item in _ITEMS[table].items()}
-            for table in HELD
+            for table in OPTION_FIELDS
         },
-        {table: {name: item.default for name, item in _ITEMS[table].items()} for table in HELD},
+        {table: {name: item.default for name, item in _ITEMS[table].items()} for table in OPTION_FIELDS},
         "pool",
         _named,
     )
@@ -59,13 +58,13 @@
                 for key, item in _ITEMS[table].items()
                 if getattr(row, key) != item.default
             }
-            for name, row in getattr(options, held).items()
+            for name, row in getattr(options, option_field).items()
         }
-        for table, held in HELD.items()
+        for table, option_field in OPTION_FIELDS.items()
     }
 
 
-class Checked:
+class TableCheck:
     """The check of a whole, as a file's: the same at every copy, since it goes by routes and pools alone. What of a
     whole does not fit this process's platform file fits no request here, and is told beside (`foreign`).
 
@@ -80,21 +79,21 @@
     def __call__(self, tables: Tables) -> Sequence[Fault]:
         found: list[Fault] = []
         options = Operator(pools=self.rows("pool", tables, found), routes=self.rows("route", tables, found))
-        said = [item for item in routing_objections(options, self.config) if item.grave]
-        found += [Fault(f"{item.key}: {item.text}", item.rests) for item in said if not item.platform]
-        self.foreign = tuple(f"{item.key}: {item.text}" for item in said if item.platform)
+        stated = [item for item in routing_objections(options, self.config) if item.grave]
+        found += [Fault(f"{item.key}: {item.text}", item.rests) for item in stated if not item.platform]
+        self.foreign = tuple(f"{item.key}: {item.text}" for item in stated if item.platform)
         return found
 
     def rows(self, table: str, tables: Tables, faults: list[Fault] | None = None) -> dict[str, Any]:
         """A table's rows as options; one that can't be is as if it said nothing, and its faults are added."""
         rows = {}
-        for name, said in tables.get(table, {}).items():
-            kept = self._rows.get((table, name))
-            if kept is None or kept[0] is not said:
-                kept = self._rows[(table, name)] = (said, *_row(table, name, said))
-            rows[name] = kept[1]
+        for name, stated in tables.get(table, {}).items():
+            cached = self._rows.get((table, name))
+            if cached is None or cached[0] is not stated:
+                cached = self._rows[(table, name)] = (stated, *_row(table, name, stated))
+            rows[name] = cached[1]
             if faults is not None:
-                faults += kept[2]
+                faults += cached[2]
         if len(self._rows) > 2 * sum(len(found) for found in tables.values()) + 64:  # rows that are gone
             self._rows = {key: row for key, row in self._rows.items() if key[1] in tables.get(key[0], {})}
         return rows
@@ -105,11 +104,11 @@
         return replace(options, pools=self.rows("pool", tables), routes=routes)
 
 
-def _row(table: str, name: str, said: Fields) -> tuple[Any, tuple[Fault, ...]]:
+def _row(table: str, name: str, stated: Fields) -> tuple[Any, tuple[Fault, ...]]:
     """As the operator file's own reader has it."""
     good: dict[str, Any] = {}
     found: list[Fault] = []
-    for key, value in said.items():
+    for key, value in stated.items():
         item = _ITEMS[table][key]
         kind = _TYPES[table][key]
         fault = value_fault(kind, value, item.metadata["low"], item.metadata["high"])
@@ -128,7 +127,7 @@
 def differs(one: Tables, other: Tables) -> int:
     """Fields that two do not say alike; a row that one lacks counts as one."""
     count = 0
-    for table in HELD:
+    for table in OPTION_FIELDS:
         mine, theirs = one.get(table, {}), other.get(table, {})
         for name in {*mine, *theirs}:
             if name not in mine or name not in theirs:
@@ -140,19 +139,19 @@
     return count
 
 
-class Settled:
+class ResolutionTarget:
     """What `settle` names: a row (`route.orders`), or a field of one (`route.orders.path`)."""
 
     def __init__(self, text: str) -> None:
         """ValueError where it names neither."""
         self.table, _, rest = text.partition(".")
-        if self.table not in HELD or not rest:
+        if self.table not in OPTION_FIELDS or not rest:
             raise ValueError(text)
         name, _, key = rest.rpartition(".")
         known = bool(name) and key in _ITEMS[self.table]
         self.name, self.key = (name, key) if known else (rest, "")
 
-    def said(self, tables: Tables) -> Mapping[str, Any] | None:
+    def stated_fields(self, tables: Tables) -> Mapping[str, Any] | None:
         """What the file says of it, defaults too; None where it has no such row."""
         row = tables.get(self.table, {}).get(self.name)
         if row is None:
@@ -163,4 +162,4 @@
         return {key: row.get(key, items[key].default) for key in keys}
 
 
-__all__ = ["ALL", "Checked", "Settled", "differs", "schema", "tables_of"]
+__all__ = ["ALL", "ResolutionTarget", "TableCheck", "differs", "schema", "tables_of"]
--- a/larkweir/coordination/owners.py
+++ b/larkweir/coordination/owners.py
@@ -61,7 +61,7 @@
 
 
 class OwnersPlugin:
-    """From `attach` to `close`. `pause` and `hold` may be called at any time."""
+    """From `attach` to `close`. `pause` and `set_handed_over` may be called at any time."""
 
     def __init__(self, host: Host, socket: PeerTransport, options: Operator, me: str) -> None:
         """`me`: this process's name among the peers."""
@@ -239,14 +239,14 @@
             self.manager.resume(now_ms)
         self._after_step()
 
-    def hold(self, held: bool) -> None:
+    def set_handed_over(self, is_handed_over: bool) -> None:
         """Held: a successor goes on under the name; it gets the address once all duties are handed over."""
-        if held and not self._is_handing_over:
+        if is_handed_over and not self._is_handing_over:
             self._is_handing_over = True
             self._handovers += 1
             self.pause(False)
             self._wait_released(self._clock.now_ms() + RELEASE_TIMEOUT_MS)
-        elif not held and self._is_handing_over:
+        elif not is_handed_over and self._is_handing_over:
             self._is_handing_over = self._is_suspended = False
             self._handovers += 1
             self._stop()
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -381,7 +381,7 @@
         self.node.listener.hand_over(not accepting)
         if self.node.owners is not None:
             self._outgoing_handover().on_accepting(self.node.owners, accepting)
-        self.node.hold_peers(not accepting)
+        self.node.set_peers_handed_over(not accepting)
 
     def _close_listeners(self) -> None:
         self.node.listener.stop_accepting()
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -126,16 +126,16 @@
             return self.routes.switch
         return self.decisions if isinstance(self.decisions, Balancer) else None
 
-    def hold_peers(self, held: bool) -> None:
+    def set_peers_handed_over(self, is_handed_over: bool) -> None:
         """Held: a successor uses this one's name among the peers, as soon as its duties are handed over."""
         if self.edits is not None:
-            self.edits.hold(held)
+            self.edits.set_handed_over(is_handed_over)
         if self.captures is not None:
-            self.captures.hold(held)
+            self.captures.set_handed_over(is_handed_over)
         if self.owners is not None:
-            self.owners.hold(held)
+            self.owners.set_handed_over(is_handed_over)
         elif self.peers is not None:
-            self.peers.set_suspended(held)
+            self.peers.set_suspended(is_handed_over)
 
     def close(self) -> None:
         """Stop everything but the listener."""
--- a/packages/edits/src/larkweir_edits/__init__.py
+++ b/packages/edits/src/larkweir_edits/__init__.py
@@ -1,1 +1,1 @@
-"""Edits of routes and pools that merge field by field; see `copy`."""
+"""Edits of routes and pools that merge field by field; see `replica`."""
--- a/packages/edits/src/larkweir_edits/anti_entropy.py
+++ b/packages/edits/src/larkweir_edits/anti_entropy.py
@@ -11,14 +11,15 @@
 from typing import Protocol
 
 from larkweir_edits import digests
-from larkweir_edits.digests import Ask, Digest, Edits, Have, Item, Sum
+from larkweir_edits.digests import Digest, EditRequest, Edits, Have, Item, Sum
 from larkweir_edits.edit import Dot, EditError, shaped
 from larkweir_edits.state import State
-from larkweir_edits.wholes import Mail
+from larkweir_edits.state_transfer import Channel
 
-ASKED_MS = 150.0  # for which an answer is awaited before the same edit is asked for again
-ASK = 96  # edits asked for at a time
-MOST_ASKED = 512
+REQUEST_TIMEOUT_MS = 150.0  # for which an answer is awaited before the same edit is asked for again
+MAX_REQUESTED_EDITS = 96  # edits asked for at a time
+MAX_CONSIDERED_EDITS = 4 * MAX_REQUESTED_EDITS  # of one writer and message
+MAX_OUTSTANDING_REQUESTS = 512
 
 
 class Host(Protocol):
@@ -51,24 +52,24 @@
     def give_up(self) -> None:
         """The log lacks edits of an earlier incarnation: forget what the file at start said otherwise."""
 
-    def keep_edits(self, writer: str, edits: list[bytes]) -> None:
+    def append_edits(self, writer: str, edits: list[bytes]) -> None:
         """Give received edits to the log."""
 
 
 class AntiEntropy:
-    """One copy's part in the exchange. `room` is the size of an item in bytes."""
+    """One copy's part in the exchange. `max_item_bytes` is the size of an item in bytes."""
 
-    def __init__(self, copy: Host, mail: Mail, room: int) -> None:
-        self._copy, self._mail, self._room = copy, mail, room
-        self._asked: dict[Dot, float] = {}  # until when the answer is awaited
+    def __init__(self, replica: Host, channel: Channel, max_item_bytes: int) -> None:
+        self._replica, self._channel, self._max_item_bytes = replica, channel, max_item_bytes
+        self._requested_until_ms: dict[Dot, float] = {}  # until when the answer is awaited
         self._writing: set[Dot] = set()  # received, and being written to the log
         self.reset()
 
     def reset(self) -> None:
         """The copy's state is another one as a whole."""
-        self._asked.clear()
+        self._requested_until_ms.clear()
         self._vector: Mapping[str, int] = {}  # the state's; empty until it is needed
-        self._digest = Digest(self._copy.state.vector)
+        self._digest = Digest(self._replica.state.vector)
 
     def applied(self, dots: Iterable[Dot]) -> None:
         """Edits have been applied to the copy's state."""
@@ -82,46 +83,48 @@
 
     def expire(self, now_ms: float) -> None:
         """Forget questions that have had no answer in time."""
-        self._asked = {dot: until for dot, until in self._asked.items() if until > now_ms}
+        self._requested_until_ms = {
+            dot: until for dot, until in self._requested_until_ms.items() if until > now_ms
+        }
 
     def greet(self, to: str) -> None:
         """Send the hash of what this copy has; nothing while an own edit is being written."""
-        state = self._copy.state
-        if self._copy.unwritten:
+        state = self._replica.state
+        if self._replica.unwritten:
             return
         self._post(to, Sum(state.origin, not state.vector, self._digest.total, self._digest.ranges))
 
     def _post(self, to: str, item: Item) -> bool:
-        return self._mail.post(to, digests.packed(item))
+        return self._channel.post(to, digests.packed(item))
 
     def on_sum(self, source: str, item: Sum, now_ms: float) -> None:
         """A greeting. Where the hashes differ, answer with the edits of the ranges that do."""
-        mine = self._copy.state
+        mine = self._replica.state
         if item.origin != mine.origin:
-            self._copy.counts["other_origin"] += 1
-            self._copy.met = self._copy.met or item.fresh
+            self._replica.counts["other_origin"] += 1
+            self._replica.met = self._replica.met or item.fresh
             if mine.vector and item.fresh:
-                self._copy.offer(source, "", 0, now_ms)
+                self._replica.offer(source, "", 0, now_ms)
             elif not mine.vector and not item.fresh:
                 self.greet(source)  # it will offer what it has
             return
-        self._copy.met = True
+        self._replica.met = True
         if item.total == self._digest.total:
             if not self._vector:
                 self._vector = dict(mine.vector)
-            self._copy.agree(source, self._vector)
+            self._replica.agree(source, self._vector)
             return
-        self._copy.hurry(now_ms)
+        self._replica.hurry(now_ms)
         ranges = self._digest.differ(item.ranges)
-        self._tell(source, ranges, "", "", echo=True)
+        self._send_counts(source, ranges, "", "", echo=True)
 
-    def _tell(self, to: str, ranges: list[int], low: str, high: str, echo: bool) -> None:
+    def _send_counts(self, to: str, ranges: list[int], low: str, high: str, echo: bool) -> None:
         """Send which edits of some writers this copy has, in as many items as that takes."""
-        parts, state = [], self._copy.state
+        parts, state = [], self._replica.state
         for writer in self._digest.writers(ranges, low, high):
-            more = digests.spans(state.held.get(writer, ()))
+            more = digests.spans(state.buffered.get(writer, ()))
             parts.append((len(writer) + 6 + 3 * len(more), (writer, [state.vector.get(writer, 0), *more])))
-        groups = list(digests.filled(parts, max(self._room - 40, 100))) or [[]]
+        groups = list(digests.filled(parts, max(self._max_item_bytes - 40, 100))) or [[]]
         for n, group in enumerate(groups):
             last = high if n == len(groups) - 1 else group[-1][0]
             if not self._post(to, Have(state.origin, echo, ranges, low, last, dict(group))):
@@ -130,49 +133,52 @@
 
     def on_have(self, source: str, item: Have, now_ms: float) -> None:
         """Which edits the other has: ask for those that are lacking here, and tell it what it lacks."""
-        mine = self._copy.state.vector
-        self._ask(source, item, now_ms)
+        mine = self._replica.state.vector
+        self._request_missing(source, item, now_ms)
         if item.echo and any(
             mine[writer] > (item.writers[writer][0] if writer in item.writers else 0)
             for writer in self._digest.writers(item.ranges, item.low, item.high)
         ):
-            self._tell(source, item.ranges, item.low, item.high, echo=False)
+            self._send_counts(source, item.ranges, item.low, item.high, echo=False)
 
-    def _ask(self, source: str, item: Have, now_ms: float) -> None:
+    def _request_missing(self, source: str, item: Have, now_ms: float) -> None:
         """Ask `source` for edits that it has and this copy lacks, unless they were asked for just now."""
-        self._copy.hurry(now_ms)
-        left = max(0, min(ASK, MOST_ASKED - len(self._asked)))
+        self._replica.hurry(now_ms)
+        left = max(0, min(MAX_REQUESTED_EDITS, MAX_OUTSTANDING_REQUESTS - len(self._requested_until_ms)))
         wanted: dict[str, list[int]] = {}
         for writer, (upto, *more) in item.writers.items():
-            known = self._copy.state.vector.get(writer, 0)
-            if upto > known and self._copy.is_former(writer):
-                self._copy.give_up()
+            known = self._replica.state.vector.get(writer, 0)
+            if upto > known and self._replica.is_former(writer):
+                self._replica.give_up()
             found = []
-            for count in [*range(known + 1, min(upto, known + 4 * ASK) + 1), *digests.counts(more, 4 * ASK)]:
+            for count in [
+                *range(known + 1, min(upto, known + 4 * MAX_REQUESTED_EDITS) + 1),
+                *digests.counts(more, 4 * MAX_REQUESTED_EDITS),
+            ]:
                 dot = (writer, count)
                 if (
                     left
-                    and not self._copy.state.has(dot)
+                    and not self._replica.state.has(dot)
                     and dot not in self._writing
-                    and self._asked.get(dot, 0.0) <= now_ms
+                    and self._requested_until_ms.get(dot, 0.0) <= now_ms
                 ):
                     found.append(count)
-                    self._asked[dot] = now_ms + ASKED_MS
+                    self._requested_until_ms[dot] = now_ms + REQUEST_TIMEOUT_MS
                     left -= 1
             if found:
                 wanted[writer] = digests.spans(found)
         for group in digests.filled(
-            ((len(w) + 4 + 3 * len(s), (w, s)) for w, s in wanted.items()), self._room - 20
+            ((len(w) + 4 + 3 * len(s), (w, s)) for w, s in wanted.items()), self._max_item_bytes - 20
         ):
-            self._copy.counts["asked"] += 1
-            self._post(source, Ask(self._copy.state.origin, dict(group)))
+            self._replica.counts["asked"] += 1
+            self._post(source, EditRequest(self._replica.state.origin, dict(group)))
 
-    def on_ask(self, source: str, item: Ask, now_ms: float) -> None:
+    def on_request(self, source: str, item: EditRequest, now_ms: float) -> None:
         """Send edits that were asked for, or offer the whole state where one is in the base by now."""
-        left, state = ASK, self._copy.state
+        left, state = MAX_REQUESTED_EDITS, self._replica.state
         for writer, flat in item.spans.items():
             if flat and flat[0] <= state.folded.get(writer, 0):
-                self._copy.offer(source, writer, flat[0], now_ms)
+                self._replica.offer(source, writer, flat[0], now_ms)
                 return
             found = []
             for count in digests.counts(flat, left):
@@ -180,7 +186,7 @@
                 if data is not None:
                     found.append((len(data) + 2, data))
             left -= len(found)
-            for group in digests.filled(found, self._room - 16 - len(writer)):
+            for group in digests.filled(found, self._max_item_bytes - 16 - len(writer)):
                 if not self._post(source, Edits(state.origin, writer, group)):
                     return
             if left <= 0:
@@ -193,19 +199,19 @@
             try:
                 dot = (item.writer, shaped(data).count)
             except EditError:
-                self._copy.counts["bad"] += 1
+                self._replica.counts["bad"] += 1
                 continue
-            self._asked.pop(dot, None)
-            if not self._copy.state.has(dot) and dot not in self._writing:
+            self._requested_until_ms.pop(dot, None)
+            if not self._replica.state.has(dot) and dot not in self._writing:
                 self._writing.add(dot)
                 fresh.append(data)
-        if fresh and self._copy.is_log_full:
-            self._copy.counts["refused"] += len(fresh)
+        if fresh and self._replica.is_log_full:
+            self._replica.counts["refused"] += len(fresh)
             self._writing.difference_update((item.writer, shaped(data).count) for data in fresh)
         elif fresh:
-            if self._copy.is_former(item.writer):  # a predecessor of this process had asked for them
-                self._copy.give_up()
-            self._copy.keep_edits(item.writer, fresh)
-        if not self._asked:
+            if self._replica.is_former(item.writer):  # a predecessor of this process had asked for them
+                self._replica.give_up()
+            self._replica.append_edits(item.writer, fresh)
+        if not self._requested_until_ms:
             self.greet(source)  # there may be more
-        self._copy.hurry(now_ms)
+        self._replica.hurry(now_ms)
--- a/packages/edits/src/larkweir_edits/differences.py
+++ b/packages/edits/src/larkweir_edits/differences.py
@@ -48,10 +48,10 @@
                 if now(row).here:
                     yield Change(Kind.WRITE, row, changes)
                     continue
-            whole = {sub: parts[sub] for sub in parts if schema.rule(table, sub[0]) in UNITS}
-            others = {sub: value for sub, value in parts.items() if sub not in whole}
-            have = {sub: value for sub, value in now(row).parts.items() if sub not in whole}
-            yield Change(Kind.WRITE, row, (*whole.items(), *_between(have, others)))
+            replaced = {sub: parts[sub] for sub in parts if schema.rule(table, sub[0]) in UNITS}
+            others = {sub: value for sub, value in parts.items() if sub not in replaced}
+            have = {sub: value for sub, value in now(row).parts.items() if sub not in replaced}
+            yield Change(Kind.WRITE, row, (*replaced.items(), *_between(have, others)))
         for name in before:
             if name not in after and now((table, name)).here:
                 yield Change(Kind.DELETE, (table, name))
--- a/packages/edits/src/larkweir_edits/digests.py
+++ b/packages/edits/src/larkweir_edits/digests.py
@@ -13,12 +13,12 @@
 
 import msgspec
 
-from larkweir_edits.edit import MOST_TEXT
+from larkweir_edits.edit import MAX_TEXT_CHARS
 
 RANGES = 16
-MOST_ITEM = 8 * 1024  # bytes, that a channel takes
-MOST_SPANS = 32  # gaps of one writer that are told
-_SHORT = 2  # bytes of a range's hash on the wire
+MAX_ITEM_BYTES = 8 * 1024  # bytes, that a channel takes
+MAX_SPANS = 32  # gaps of one writer that are told
+SHORT_HASH_BYTES = 2  # bytes of a range's hash on the wire
 
 
 class Sum(msgspec.Struct, array_like=True, tag=1, frozen=True):
@@ -43,7 +43,7 @@
     writers: dict[str, list[int]]
 
 
-class Ask(msgspec.Struct, array_like=True, tag=3, frozen=True):
+class EditRequest(msgspec.Struct, array_like=True, tag=3, frozen=True):
     """Edits that are lacking: by writer, spans [from, to]."""
 
     origin: bytes
@@ -66,7 +66,7 @@
     count: int
 
 
-class Want(msgspec.Struct, array_like=True, tag=6, frozen=True):
+class PieceRequest(msgspec.Struct, array_like=True, tag=6, frozen=True):
     hash: bytes
     pieces: list[int]
 
@@ -77,7 +77,7 @@
     data: bytes
 
 
-Item = Sum | Have | Ask | Edits | Offer | Want | Piece
+Item = Sum | Have | EditRequest | Edits | Offer | PieceRequest | Piece
 _ENCODER = msgspec.msgpack.Encoder()
 _DECODER: msgspec.msgpack.Decoder[Item] = msgspec.msgpack.Decoder(Item)
 
@@ -88,21 +88,21 @@
 
 def unpacked(data: bytes) -> Item | None:
     """An item from outside; None where it is none that is known."""
-    if len(data) > MOST_ITEM:
+    if len(data) > MAX_ITEM_BYTES:
         return None
     try:
         item = _DECODER.decode(data)
     except (msgspec.ValidationError, msgspec.DecodeError, RecursionError, ValueError):
         return None
-    if isinstance(item, Sum) and (len(item.total) != 8 or len(item.ranges) != RANGES * _SHORT):
+    if isinstance(item, Sum) and (len(item.total) != 8 or len(item.ranges) != RANGES * SHORT_HASH_BYTES):
         return None
     if isinstance(item, Have) and not all(0 <= number < RANGES for number in item.ranges):
         return None
-    if isinstance(item, Have | Ask):
-        told = item.writers if isinstance(item, Have) else item.spans
+    if isinstance(item, Have | EditRequest):
+        content = item.writers if isinstance(item, Have) else item.spans
         odd = 1 if isinstance(item, Have) else 0
-        for writer, numbers in told.items():
-            if len(writer) > MOST_TEXT or len(numbers) % 2 != odd or len(numbers) > 2 * MOST_SPANS + 1:
+        for writer, numbers in content.items():
+            if len(writer) > MAX_TEXT_CHARS or len(numbers) % 2 != odd or len(numbers) > 2 * MAX_SPANS + 1:
                 return None
             if any(not 0 <= number < 1 << 53 for number in numbers):
                 return None
@@ -118,7 +118,7 @@
 
     def __init__(self, vector: Mapping[str, int]) -> None:
         self._range: dict[str, int] = {}
-        self._held: list[dict[str, int]] = [{} for _ in range(RANGES)]
+        self._counts_by_range: list[dict[str, int]] = [{} for _ in range(RANGES)]
         self._hashes: list[bytes] = [b""] * RANGES
         self._total = b""
         for writer, count in vector.items():
@@ -128,13 +128,13 @@
         place = self._range.get(writer)
         if place is None:
             place = self._range[writer] = range_of(writer)
-        self._held[place][writer] = count
+        self._counts_by_range[place][writer] = count
         self._hashes[place] = self._total = b""
 
     def _hash(self, place: int) -> bytes:
         if not self._hashes[place]:
-            told = _ENCODER.encode(sorted(self._held[place].items()))
-            self._hashes[place] = blake2b(told, digest_size=8).digest()
+            content = _ENCODER.encode(sorted(self._counts_by_range[place].items()))
+            self._hashes[place] = blake2b(content, digest_size=8).digest()
         return self._hashes[place]
 
     @property
@@ -145,39 +145,40 @@
 
     @property
     def ranges(self) -> bytes:
-        return b"".join(self._hash(place)[:_SHORT] for place in range(RANGES))
+        return b"".join(self._hash(place)[:SHORT_HASH_BYTES] for place in range(RANGES))
 
     def differ(self, ranges: bytes) -> list[int]:
         """Those that are not the same, where another's total is not."""
         found = [
             place
             for place in range(RANGES)
-            if self._hash(place)[:_SHORT] != ranges[place * _SHORT : (place + 1) * _SHORT]
+            if self._hash(place)[:SHORT_HASH_BYTES]
+            != ranges[place * SHORT_HASH_BYTES : (place + 1) * SHORT_HASH_BYTES]
         ]
         return found or list(range(RANGES))  # short hashes may be the same by chance
 
     def writers(self, ranges: Iterable[int], low: str = "", high: str = "") -> list[str]:
         """In order, of those between two names."""
-        found = [writer for place in set(ranges) for writer in self._held[place]]
+        found = [writer for place in set(ranges) for writer in self._counts_by_range[place]]
         return sorted(writer for writer in found if writer > low and (not high or writer <= high))
 
 
-def spans(counts: Iterable[int], most: int = MOST_SPANS) -> list[int]:
+def spans(counts: Iterable[int], max_count: int = MAX_SPANS) -> list[int]:
     """Numbers as spans [from, to], flat."""
     found: list[int] = []
     for count in sorted(counts):
         if found and found[-1] == count - 1:
             found[-1] = count
-        elif len(found) >= 2 * most:
+        elif len(found) >= 2 * max_count:
             break
         else:
             found += [count, count]
     return found
 
 
-def counts(flat: Sequence[int], most: int) -> Iterator[int]:
+def counts(flat: Sequence[int], max_count: int) -> Iterator[int]:
     """Back from spans, so many at the most."""
-    left = most
+    left = max_count
     for low, high in zip(flat[::2], flat[1::2], strict=False):
         for count in range(low, min(high, low + left - 1) + 1):
             yield count
@@ -186,12 +187,12 @@
             return
 
 
-def filled(parts: Iterable[tuple[int, Any]], room: int) -> Iterator[list[Any]]:
+def filled(parts: Iterable[tuple[int, Any]], max_bytes: int) -> Iterator[list[Any]]:
     """Things of some size each, in groups of so many bytes; a larger one is alone."""
     group: list[Any] = []
     size = 0
     for length, part in parts:
-        if group and size + length > room:
+        if group and size + length > max_bytes:
             yield group
             group, size = [], 0
         group.append(part)
--- a/packages/edits/src/larkweir_edits/edit.py
+++ b/packages/edits/src/larkweir_edits/edit.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-MOST_EDIT = 7 * 1024  # bytes of one edit on the wire: an item of 8 KiB takes it
-MOST_TEXT = 1024  # characters of a name or an element
-MOST_ENTRIES = 4096  # of a context
+MAX_EDIT_BYTES = 7 * 1024  # bytes of one edit on the wire: an item of 8 KiB takes it
+MAX_TEXT_CHARS = 1024  # characters of a name or an element
+MAX_CONTEXT_ENTRIES = 4096  # of a context
 
 Dot = tuple[str, int]  # writer, counter from 1
 Vector = Mapping[str, int]  # of each writer, how many of its edits
@@ -24,7 +24,7 @@
 RowKey = tuple[str, str]  # table, name
 
 HERE: Sub = ("", "")  # whether the row is there
-SAID = ""  # the element of a list that says whether the list is said at all
+LIST_PRESENT = ""  # the element of a list that says whether the list is said at all
 ENDED = "ended"  # unit of verdicts: [term, number, whether it is ended], one for each pool of a split
 STEP = "step"  # unit of an owner's other writes: [term, number, value], by name
 
@@ -116,8 +116,10 @@
             [(*sub, value) for sub, value in edit.changes],
         )
     )
-    if len(data) > MOST_EDIT:
-        raise EditError(f"{len(data)} bytes in one edit of {'.'.join(edit.row)}; {MOST_EDIT} at the most")
+    if len(data) > MAX_EDIT_BYTES:
+        raise EditError(
+            f"{len(data)} bytes in one edit of {'.'.join(edit.row)}; {MAX_EDIT_BYTES} at the most"
+        )
     return data
 
 
@@ -133,8 +135,8 @@
 
 def shaped(data: bytes) -> Wire:
     """Bytes from outside, looked at; EditError where they are none."""
-    if len(data) > MOST_EDIT:
-        raise EditError(f"{len(data)} bytes; {MOST_EDIT} at the most")
+    if len(data) > MAX_EDIT_BYTES:
+        raise EditError(f"{len(data)} bytes; {MAX_EDIT_BYTES} at the most")
     try:
         wire = _DECODER.decode(data)
     except (msgspec.ValidationError, msgspec.DecodeError, RecursionError, ValueError) as problem:
@@ -142,7 +144,7 @@
     texts = [wire.table, wire.name, *wire.more, *(part for item in wire.changes for part in item[:2])]
     if wire.count < 1 or wire.count > 1 << 53 or wire.kind not in tuple(Kind):
         raise EditError("no edit: its counter or its kind")
-    if any(len(text) > MOST_TEXT for text in texts) or len(wire.more) > MOST_ENTRIES:
+    if any(len(text) > MAX_TEXT_CHARS for text in texts) or len(wire.more) > MAX_CONTEXT_ENTRIES:
         raise EditError("no edit: a name is too long, or it has seen too many")
     if any(count < 0 for count in wire.more.values()) or not all(_plain(item[2]) for item in wire.changes):
         raise EditError("no edit: a value is of no plain kind")
--- a/packages/edits/src/larkweir_edits/log.py
+++ b/packages/edits/src/larkweir_edits/log.py
@@ -17,9 +17,9 @@
 from contextlib import suppress
 
 MAGIC = b"lwedits1"
-MOST_RECORD = 64 * 1024 * 1024
-MOST_FILE = 256 * 1024 * 1024
-ANEW = 8 * 1024 * 1024  # bytes, past which a log is begun anew
+MAX_RECORD_BYTES = 64 * 1024 * 1024
+MAX_FILE_BYTES = 256 * 1024 * 1024
+COMPACTION_BYTES = 8 * 1024 * 1024  # bytes, past which a log is begun anew
 _FRAME = struct.Struct("<II")  # length, CRC-32
 
 
@@ -35,7 +35,7 @@
     while at + _FRAME.size <= len(data):
         length, crc = _FRAME.unpack_from(data, at)
         record = data[at + _FRAME.size : at + _FRAME.size + length]
-        if length > MOST_RECORD or len(record) < length or zlib.crc32(record) != crc:
+        if length > MAX_RECORD_BYTES or len(record) < length or zlib.crc32(record) != crc:
             break
         found.append(record)
         at += _FRAME.size + length
@@ -55,7 +55,7 @@
             if not found:
                 return []
             with open(os.path.join(folder, f"{found[-1]}.log"), "rb") as file:
-                return read(file.read(MOST_FILE))[0]
+                return read(file.read(MAX_FILE_BYTES))[0]
         except FileNotFoundError:
             continue
         except OSError:
@@ -85,18 +85,26 @@
 
 
 class FileLog:
-    """`told` is called on the log's own thread with the number of the last record that is kept, and `say` once if it
-    ends. OSError from the constructor where the folder can't be had.
+    """The log of one replica, written by a thread of its own.
+
+    Attributes:
+        records: what the folder held at the start.
+        left_out: bytes at the end of the file that were no whole record.
+        broken: a write failed, and nothing more is written.
     """
 
     def __init__(
-        self, folder: str, told: Callable[[int], None], say: Callable[[str], None], calls: Calls | None = None
+        self,
+        folder: str,
+        on_durable: Callable[[int], None],
+        on_failure: Callable[[str], None],
+        calls: Calls | None = None,
     ) -> None:
-        self._folder, self._told, self._say = folder, told, say
+        self._folder, self._on_durable, self._on_failure = folder, on_durable, on_failure
         self._calls = calls or Calls()
         self._wake = threading.Condition()
         self._queue: list[bytes] = []
-        self._anew: tuple[bytes, int] | None = (
+        self._compaction: tuple[bytes, int] | None = (
             None  # with which the next log begins, behind so many of the queue
         )
         self._number = 0  # of the last record that was given
@@ -126,7 +134,7 @@
         flags = os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW | os.O_APPEND
         self._file = os.open(self._path(self._generation), flags, 0o600)
         size = os.fstat(self._file).st_size
-        if size > MOST_FILE:
+        if size > MAX_FILE_BYTES:
             raise OSError(errno.EFBIG, "it is no log of edits")
         with open(self._path(self._generation), "rb") as file:
             data = file.read()
@@ -145,11 +153,11 @@
         return records, len(data) - good
 
     @property
-    def long(self) -> bool:
+    def is_long(self) -> bool:
         """Whether it should be begun anew."""
-        return self._size > ANEW and self._anew is None and not self.broken
+        return self._size > COMPACTION_BYTES and self._compaction is None and not self.broken
 
-    def keep(self, record: bytes) -> int:
+    def append(self, record: bytes) -> int:
         """A record to be written; its number. Nothing is kept any more where the writing has ended."""
         with self._wake:
             self._number += 1
@@ -158,12 +166,13 @@
                 self._wake.notify()
             return self._number
 
-    def begin_anew(self, records: Sequence[bytes]) -> None:
-        """With a record that holds all that counts, and behind it what was given and not told yet (`Copy.pending`): it
-        stands in the log before alone. What is given from now on comes behind these.
+    def compact(self, records: Sequence[bytes]) -> None:
+        """Begin the file anew with records of all that counts, the pending ones (`Replica.pending`) behind them.
+
+        What is appended from now on comes behind these.
         """
         with self._wake:
-            self._anew = b"".join(map(framed, records)), len(self._queue)
+            self._compaction = b"".join(map(framed, records)), len(self._queue)
             self._wake.notify()
 
     def close(self) -> None:
@@ -178,27 +187,29 @@
     def _run(self) -> None:
         while True:
             with self._wake:
-                self._wake.wait_for(lambda: self._queue or self._anew is not None or self._ending)
+                self._wake.wait_for(lambda: self._queue or self._compaction is not None or self._ending)
                 records, self._queue = self._queue, []
-                anew, number = self._anew, self._number
-                self._anew = None
-                if not records and anew is None:
+                compaction, number = self._compaction, self._number
+                self._compaction = None
+                if not records and compaction is None:
                     return
             try:
-                before = len(records) if anew is None else anew[1]
+                before = len(records) if compaction is None else compaction[1]
                 self._append(records[:before])
-                if anew is not None:
-                    self._begin(anew[0])
+                if compaction is not None:
+                    self._begin(compaction[0])
                 self._append(records[before:])
             except OSError as problem:
                 with self._wake:
                     self.broken = True
                     self._queue.clear()
                 why = problem.strerror or problem
-                self._say(f"edits: {self._folder}: {why}; no edit is made or told until it can be written")
+                self._on_failure(
+                    f"edits: {self._folder}: {why}; no edit is made or told until it can be written"
+                )
                 return
             if records:
-                self._told(number)
+                self._on_durable(number)
 
     def _append(self, records: Sequence[bytes]) -> None:
         if records:
--- a/packages/edits/src/larkweir_edits/merge.py
+++ b/packages/edits/src/larkweir_edits/merge.py
@@ -12,9 +12,9 @@
 from math import isfinite
 from typing import Any
 
-from larkweir_edits.edit import ENDED, SAID, STEP, Edit, Sub
+from larkweir_edits.edit import ENDED, LIST_PRESENT, STEP, Edit, Sub
 
-PROPOSALS = 64  # told of a field, the newest ones
+MAX_PROPOSALS = 64  # told of a field, the newest ones
 ANY = "any"  # a list that is said, and was left empty by who wrote it
 
 
@@ -63,20 +63,20 @@
     return part if isfinite(part) else 0.0
 
 
-def _said(values: Sequence[Any]) -> list[Any]:
+def _present_values(values: Sequence[Any]) -> list[Any]:
     return [value for value in values if value is not None]
 
 
 def _smaller(values: Sequence[Any]) -> Any:
-    return min(_said(values), default=None)
+    return min(_present_values(values), default=None)
 
 
 def _larger(values: Sequence[Any]) -> Any:
-    return max(_said(values), default=None)
+    return max(_present_values(values), default=None)
 
 
 def _larger_or_all(values: Sequence[Any]) -> Any:
-    return 0 if 0 in _said(values) else _larger(values)
+    return 0 if 0 in _present_values(values) else _larger(values)
 
 
 def _smaller_part(values: Sequence[Any]) -> Any:
@@ -107,7 +107,7 @@
 UNITS = ("one", "match")  # one unit each: two that differ are a conflict
 LISTS = ("set", "lifted", "split")  # by elements
 RULES = frozenset((*COMBINED, *UNITS)) - {"here"}
-TELLS = ("off", "here")  # rules that combine, and yet tell what was asked for
+REPORTED_RULES = ("off", "here")  # rules that combine, and yet tell what was asked for
 
 
 def valid(writes: Iterable[Write]) -> list[Write]:
@@ -126,9 +126,9 @@
     tops = heads(valid(writes))
     found, based = _value(rule, valid(writes), tops, base)
     differ = len(tops) > 1 and any(item.value != tops[0].value for item in tops)
-    if late or (differ and (rule not in COMBINED or rule in TELLS)):
-        asked = sorted([*late, *(tops if differ else ())], key=lambda item: item.edit.order, reverse=True)
-        return Found(found, tuple(asked[:PROPOSALS]), based)
+    if late or (differ and (rule not in COMBINED or rule in REPORTED_RULES)):
+        reported = sorted([*late, *(tops if differ else ())], key=lambda item: item.edit.order, reverse=True)
+        return Found(found, tuple(reported[:MAX_PROPOSALS]), based)
     return Found(found, (), based)
 
 
@@ -170,9 +170,9 @@
             value = field(rule, writes.get(sub, ()), base.get(sub)).value
             if value:
                 found[sub[1]] = value
-        said = found.pop(SAID, False)
-        if rule != "set" or found or said is not True:
-            return found, said or bool(found), wrong
+        is_present = found.pop(LIST_PRESENT, False)
+        if rule != "set" or found or is_present is not True:
+            return found, is_present or bool(found), wrong
         tops = heads({item.edit.dot: item for group in writes.values() for item in valid(group)}.values())
         if not tops:
             return found, True, wrong
--- a/packages/edits/src/larkweir_edits/whole.py
+++ b/packages/edits/src/larkweir_edits/merged_tables.py
@@ -14,7 +14,7 @@
 from larkweir_edits import merge
 from larkweir_edits.edit import HERE, Dot, RowKey
 from larkweir_edits.merge import Write
-from larkweir_edits.rows import Row, Told, View
+from larkweir_edits.rows import Notice, Row, View
 from larkweir_edits.schema import Schema, Tables
 
 BACK = "put back: with it the whole does not pass"
@@ -36,19 +36,19 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Whole:
+class MergedTables:
     """What counts. `back` is what was put back, as (row, unit, dot); `stays` are deleted rows that are named."""
 
     tables: Mapping[str, Mapping[str, Mapping[str, Any]]]
-    told: tuple[Told, ...]
+    notices: tuple[Notice, ...]
     back: frozenset[tuple[RowKey, str, Dot]] = frozenset()
     stays: frozenset[RowKey] = frozenset()
     steps: Mapping[RowKey, Mapping[str, Any]] | None = None
 
 
-def whole(
+def merged(
     schema: Schema, rows: Mapping[RowKey, Row], views: dict[RowKey, View], check: Check | None
-) -> Whole:
+) -> MergedTables:
     """`views` are the rows' own, kept between calls by who calls; it is filled in where one is missing."""
     for key, row in rows.items():
         if key not in views:
@@ -68,14 +68,14 @@
         back |= more
         for key in {item[0] for item in more}:
             now[key] = rows[key].view(schema, {item[1:] for item in back if item[0] == key})
-    told = [item for view in now.values() for item in view.told]
-    told += [Told(*key, unit, BACK, ((dot[0], dot[1]),)) for key, unit, dot in back]
-    told += [Told(*key, "", NAMED) for key in stays]
+    notices = [item for view in now.values() for item in view.notices]
+    notices += [Notice(*key, unit, BACK, ((dot[0], dot[1]),)) for key, unit, dot in back]
+    notices += [Notice(*key, "", NAMED) for key in stays]
     if wrong:
-        told.append(Told("", "", "", f"{FAULT}: {wrong}"))
-    told.sort(key=lambda item: (item.table, item.row, item.unit, item.why))
+        notices.append(Notice("", "", "", f"{FAULT}: {wrong}"))
+    notices.sort(key=lambda item: (item.table, item.row, item.unit, item.why))
     steps = {key: view.steps for key, view in now.items() if view.steps}
-    return Whole(tables, tuple(told), frozenset(back), frozenset(stays), steps)
+    return MergedTables(tables, tuple(notices), frozenset(back), frozenset(stays), steps)
 
 
 def _tables(
@@ -86,22 +86,22 @@
     for key in sorted(views):
         if views[key].here:
             tables[key[0]][key[1]] = views[key].fields
-        elif key[0] == schema.held:
+        elif key[0] == schema.retained_table:
             away.add(key)
     stays: set[RowKey] = set()
     if not away:
         return tables, stays
-    ask = [(table, name) for table, found in tables.items() for name in found]
-    while ask and len(stays) < len(away):
-        key = ask.pop()
+    pending = [(table, name) for table, found in tables.items() for name in found]
+    while pending and len(stays) < len(away):
+        key = pending.pop()
         for name in schema.names(key[0], views[key].fields):
-            held = (schema.held, name)
-            if held in away and held not in stays:
-                stays.add(held)
-                ask.append(held)
-                tables[schema.held][name] = views[held].fields
+            retained = (schema.retained_table, name)
+            if retained in away and retained not in stays:
+                stays.add(retained)
+                pending.append(retained)
+                tables[schema.retained_table][name] = views[retained].fields
     if stays:
-        tables[schema.held] = dict(sorted(tables[schema.held].items()))
+        tables[schema.retained_table] = dict(sorted(tables[schema.retained_table].items()))
     return tables, stays
 
 
--- a/packages/edits/src/larkweir_edits/records.py
+++ b/packages/edits/src/larkweir_edits/records.py
@@ -9,27 +9,29 @@
 
 from larkweir_edits.schema import Schema, Tables
 
-WHOLE = "*"  # stands for a writer where a record holds all that is kept
+SNAPSHOT_WRITER = "*"  # stands for a writer where a record holds all that is kept
 
-Said = tuple[str, str, dict[str, Any] | None]  # table, row, its fields; None where the file has it no more
+StatedRow = tuple[
+    str, str, dict[str, Any] | None
+]  # table, row, its fields; None where the file has it no more
 
 
-class Kept(msgspec.Struct, array_like=True):
+class LogRecord(msgspec.Struct, array_like=True):
     """A record: edits of a writer; with what staff's file says since then, where it is theirs; or a whole state."""
 
     writer: str
     edits: list[bytes]
-    said: list[Said] = []
+    stated: list[StatedRow] = []
     state: bytes = b""
 
 
 ENCODER = msgspec.msgpack.Encoder()
-RECORDS: msgspec.msgpack.Decoder[Kept] = msgspec.msgpack.Decoder(Kept)
+RECORDS: msgspec.msgpack.Decoder[LogRecord] = msgspec.msgpack.Decoder(LogRecord)
 
 
 def origin_of(schema: Schema, base: Tables) -> bytes:
     """What all copies began with, in eight bytes."""
-    told = [
+    content = [
         (
             table,
             name,
@@ -38,4 +40,4 @@
         for table in sorted(schema.rules)
         for name in sorted(base.get(table, {}))
     ]
-    return blake2b(ENCODER.encode(told), digest_size=8).digest()
+    return blake2b(ENCODER.encode(content), digest_size=8).digest()
--- a/packages/edits/src/larkweir_edits/rows.py
+++ b/packages/edits/src/larkweir_edits/rows.py
@@ -7,13 +7,13 @@
 from typing import Any
 
 from larkweir_edits import merge
-from larkweir_edits.edit import ENDED, HERE, SAID, STEP, Dot, Edit, Kind, Sub, Vector
+from larkweir_edits.edit import ENDED, HERE, LIST_PRESENT, STEP, Dot, Edit, Kind, Sub, Vector
 from larkweir_edits.merge import LISTS, UNITS, Found, Write
 from larkweir_edits.schema import Schema, fits
 
 
 @dataclass(frozen=True, slots=True)
-class Told:
+class Notice:
     """Something that staff should look at. `proposals` are (writer, value), the newest first."""
 
     table: str
@@ -30,7 +30,7 @@
     here: bool
     parts: Mapping[Sub, Any]
     fields: Mapping[str, Any]
-    told: tuple[Told, ...]
+    notices: tuple[Notice, ...]
     steps: Mapping[str, Any]  # an owner's writes, by name: [term, number, value]
 
 
@@ -97,7 +97,7 @@
         steps = {sub[1]: value for sub, value in self.base.items() if sub[0] == STEP}
         units = self.units()
         here, nowhere = self.here, False
-        told: list[Told] = []
+        notices: list[Notice] = []
         for unit, group in units.items():
             rule = schema.rule(self.table, unit)
             if unit == STEP:
@@ -107,18 +107,18 @@
             elif unit == HERE[0]:
                 found = merge.field("here", group[HERE], self.here)
                 here = found.value
-                told += self._tell(unit, found, STAYS)
+                notices += self._notices_of(unit, found, STAYS)
             elif rule in LISTS:
-                told += self._list(schema, rule, unit, group, parts)
+                notices += self._list(schema, rule, unit, group, parts)
             elif rule:
                 sub = (unit, "")
                 found = merge.field(rule, group.get(sub, ()), self._base(schema, sub))
                 parts[sub] = found.value
                 nowhere = nowhere or (rule in UNITS and found.base and not self.here)
-                told += self._tell(unit, found, CONFLICT)
-        self._end(schema, units, parts, told)
+                notices += self._notices_of(unit, found, CONFLICT)
+        self._end(schema, units, parts, notices)
         parts = {sub: value for sub, value in parts.items() if sub[0] not in (STEP, ENDED)}
-        return View(here and not nowhere, parts, schema.fields(self.table, parts), tuple(told), steps)
+        return View(here and not nowhere, parts, schema.fields(self.table, parts), tuple(notices), steps)
 
     def grave(self) -> Edit | None:
         """The newest deletion that all who wrote to the row had seen, or that had seen them. What was before it does
@@ -140,40 +140,40 @@
         }
         return Row(self.table, self.name, False, {}, {sub: writes for sub, writes in left.items() if writes})
 
-    def _tell(self, unit: str, found: Found, why: str) -> Iterator[Told]:
+    def _notices_of(self, unit: str, found: Found, why: str) -> Iterator[Notice]:
         if found.proposals:
             late = all(item.void for item in found.proposals)
-            asked = tuple((item.edit.dot[0], item.value) for item in found.proposals)
-            yield Told(self.table, self.name, unit, LATE if late else why, asked)
+            reported = tuple((item.edit.dot[0], item.value) for item in found.proposals)
+            yield Notice(self.table, self.name, unit, LATE if late else why, reported)
 
     def _list(
         self, schema: Schema, rule: str, unit: str, group: Mapping[Sub, list[Write]], parts: dict[Sub, Any]
-    ) -> list[Told]:
+    ) -> list[Notice]:
         base = {sub: value for sub, value in parts.items() if sub[0] == unit}
-        found, said, empty = merge.listed(rule, group, base)
+        found, is_present, empty = merge.listed(rule, group, base)
         for sub in base:
             del parts[sub]
         parts.update({(unit, element): value for element, value in found.items()})
         if rule != "split":
-            parts[(unit, SAID)] = said
+            parts[(unit, LIST_PRESENT)] = is_present
         late = sorted(
             (item for writes in group.values() for item in merge.proposals(writes)),
             key=lambda item: item.edit.order,
             reverse=True,
-        )[: merge.PROPOSALS]
+        )[: merge.MAX_PROPOSALS]
         names = {id(item): sub[1] for sub, writes in group.items() for item in writes}
-        told = [Told(self.table, self.name, unit, EMPTY)] if empty else []
+        notices = [Notice(self.table, self.name, unit, EMPTY)] if empty else []
         if late:
-            asked = tuple((item.edit.dot[0], [names[id(item)], item.value]) for item in late)
-            told.append(Told(self.table, self.name, unit, LATE, asked))
-        return told
+            reported = tuple((item.edit.dot[0], [names[id(item)], item.value]) for item in late)
+            notices.append(Notice(self.table, self.name, unit, LATE, reported))
+        return notices
 
     def _end(
         self,
         schema: Schema,
         units: Mapping[str, Mapping[Sub, list[Write]]],
         parts: dict[Sub, Any],
-        told: list[Told],
+        notices: list[Notice],
     ) -> None:
         """Parts of a split that a verdict ended get nothing."""
         verdicts = {sub[1] for sub in (*self.base, *units.get(ENDED, ())) if sub[0] == ENDED}
@@ -190,7 +190,7 @@
                 )
                 if done:
                     parts[(unit, pool)] = "0%"
-                    told.append(Told(self.table, self.name, unit, f"{pool}: {ENDS}"))
+                    notices.append(Notice(self.table, self.name, unit, f"{pool}: {ENDS}"))
 
     def floor(self, sub: Sub) -> tuple[int, int]:
         """The highest (term, number) of an owner's register."""
@@ -243,14 +243,14 @@
         if rule == "here" and not self.here and top.kind is Kind.WRITE and self._nowhere(schema, below):
             return False
         for sub, writes in group.items():
-            kept = [item for item in writes if item.edit.dot not in below and not top.saw(item.edit.dot)]
+            remaining = [item for item in writes if item.edit.dot not in below and not top.saw(item.edit.dot)]
             old = [item for item in writes if item.edit.dot in below and not item.void]
             if old:
-                self._settle(schema, sub, merge.field(rule, old, self._base(schema, sub)).value)
+                self._set_base(schema, sub, merge.field(rule, old, self._base(schema, sub)).value)
                 if rule == "split":
                     self._lift(sub, top)
-            if kept:
-                self.writes[sub] = kept
+            if remaining:
+                self.writes[sub] = remaining
             else:
                 del self.writes[sub]
         return True
@@ -269,7 +269,7 @@
         old = {sub: [item for item in writes if item.edit.dot in below] for sub, writes in group.items()}
         return merge.listed("set", old, base)[2]
 
-    def _settle(self, schema: Schema, sub: Sub, value: Any) -> None:
+    def _set_base(self, schema: Schema, sub: Sub, value: Any) -> None:
         if sub == HERE:
             self.here = bool(value)
         elif value == schema.blank(self.table).get(sub) or (
@@ -302,10 +302,10 @@
                 if any(not item.edit.saw(best.edit.dot) for item in above):
                     continue
             self.base[sub] = value
-            kept = [item for item in writes if stable.get(item.edit.dot[0], 0) < item.edit.dot[1]]
-            moved = moved or len(kept) < len(writes)
-            if kept:
-                self.writes[sub] = kept
+            remaining = [item for item in writes if stable.get(item.edit.dot[0], 0) < item.edit.dot[1]]
+            moved = moved or len(remaining) < len(writes)
+            if remaining:
+                self.writes[sub] = remaining
             else:
                 del self.writes[sub]
         return moved
--- a/packages/edits/src/larkweir_edits/schema.py
+++ b/packages/edits/src/larkweir_edits/schema.py
@@ -7,7 +7,7 @@
 from math import isfinite
 from typing import Any
 
-from larkweir_edits.edit import ENDED, HERE, SAID, STEP, Sub
+from larkweir_edits.edit import ENDED, HERE, LIST_PRESENT, STEP, Sub
 from larkweir_edits.merge import ANY, LISTS, RULES
 
 Fields = Mapping[str, Any]  # of one row; one that is not said is left out, and has its default
@@ -22,13 +22,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Schema:
-    """By table and field, the rule's name and the default. `names` says which rows of the table `held` a row names,
-    so that they stay as long. ValueError where a field has no rule that is known, or no default.
+    """The merge rule and the default of each field, by table and field.
+
+    `names` gives the rows of `retained_table` that a row refers to: they are retained as long as it is there.
+
+    Raises:
+        ValueError: a field has no known rule, or no default.
     """
 
     rules: Mapping[str, Mapping[str, str]]
     defaults: Mapping[str, Fields]
-    held: str = ""
+    retained_table: str = ""
     names: Callable[[str, Fields], Iterable[str]] = _no_names
     _blank: dict[str, dict[Sub, Any]] = field(init=False, default_factory=dict)
 
@@ -74,7 +78,7 @@
                     pool, _, part = str(text).strip().rpartition(" ")
                     found[(name, pool.strip() or part)] = part if pool else "100%"
             elif rule in LISTS:
-                found[(name, SAID)] = False if value is None else bool(value) or ANY
+                found[(name, LIST_PRESENT)] = False if value is None else bool(value) or ANY
                 found.update({(name, str(element)): True for element in value or () if element})
             else:
                 found[(name, "")] = value
@@ -97,7 +101,7 @@
             elif rule in LISTS:
                 if value:
                     lists.setdefault(unit, [])
-                    if element != SAID:
+                    if element != LIST_PRESENT:
                         lists[unit].append(element)
             elif rule:
                 found[unit] = _tupled(value)
--- a/packages/edits/src/larkweir_edits/snapshot.py
+++ b/packages/edits/src/larkweir_edits/snapshot.py
@@ -15,7 +15,7 @@
 from larkweir_edits.state import State
 
 VERSION = 1
-MOST = 32 * 1024 * 1024  # bytes of a state, unpacked
+MAX_STATE_BYTES = 32 * 1024 * 1024  # bytes of a state, unpacked
 
 
 class _Row(msgspec.Struct, array_like=True):
@@ -29,7 +29,7 @@
     writes: list[tuple[str, str, list[int]]]
 
 
-class _Whole(msgspec.Struct, array_like=True):
+class _StoredState(msgspec.Struct, array_like=True):
     version: int
     origin: bytes
     vector: dict[str, int]
@@ -39,11 +39,11 @@
     lasts: dict[str, int]
     rows: list[_Row]
     log: dict[str, list[tuple[int, bytes]]]
-    held: dict[str, list[tuple[int, bytes]]]
+    buffered: dict[str, list[tuple[int, bytes]]]
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER: msgspec.msgpack.Decoder[_Whole] = msgspec.msgpack.Decoder(_Whole)
+_DECODER: msgspec.msgpack.Decoder[_StoredState] = msgspec.msgpack.Decoder(_StoredState)
 
 
 def dumped(state: State) -> bytes:
@@ -63,17 +63,17 @@
         for sub, group in row.writes.items():
             places = [edits.setdefault(id(item.edit), (len(edits), item.edit))[0] for item in group]
             writes.append((*sub, places))
-        told = [
+        stored_row = [
             (*edit.dot, context(edit.seen), int(edit.kind), [(*sub, value) for sub, value in edit.changes])
             for _, edit in edits.values()
         ]
         base = [(*sub, value) for sub, value in row.base.items()]
-        rows.append(_Row(row.table, row.name, row.here, base, told, writes))
-    held: dict[str, list[tuple[int, bytes]]] = {}
+        rows.append(_Row(row.table, row.name, row.here, base, stored_row, writes))
+    buffered: dict[str, list[tuple[int, bytes]]] = {}
     for (writer, count), data in state.raw.items():
-        held.setdefault(writer, []).append((count, data))
+        buffered.setdefault(writer, []).append((count, data))
     lasts = {writer: context(seen) for writer, seen in state.lasts.items()}
-    whole = _Whole(
+    stored = _StoredState(
         VERSION,
         state.origin,
         state.vector,
@@ -83,54 +83,54 @@
         lasts,
         rows,
         {writer: list(found.items()) for writer, found in state.log.items()},
-        held,
+        buffered,
     )
-    return zlib.compress(_ENCODER.encode(whole), 6)
+    return zlib.compress(_ENCODER.encode(stored), 6)
 
 
 def loaded(schema: Schema, data: bytes) -> State:
     """A state from its bytes; EditError where they are none."""
     try:
         unpack = zlib.decompressobj()
-        plain = unpack.decompress(data, MOST)
+        plain = unpack.decompress(data, MAX_STATE_BYTES)
         if unpack.unconsumed_tail or not unpack.eof:
-            raise EditError(f"no state: it is cut off, or longer than {MOST} bytes")
-        whole = _DECODER.decode(plain)
-        if whole.version != VERSION:
-            raise EditError(f"a state of version {whole.version}; {VERSION} is read")
-        return _state(schema, whole)
+            raise EditError(f"no state: it is cut off, or longer than {MAX_STATE_BYTES} bytes")
+        stored = _DECODER.decode(plain)
+        if stored.version != VERSION:
+            raise EditError(f"a state of version {stored.version}; {VERSION} is read")
+        return _state(schema, stored)
     except (msgspec.ValidationError, msgspec.DecodeError, zlib.error, RecursionError) as problem:
         raise EditError(f"no state: {problem}") from None
     except (LookupError, ValueError, TypeError) as problem:
         raise EditError(f"no state: it does not fit together ({problem})") from None
 
 
-def _state(schema: Schema, whole: _Whole) -> State:
-    state = State(schema, whole.origin)
-    state.vector, state.folded, state.strikes = whole.vector, whole.folded, whole.strikes
-    state.lasts = {writer: whole.contexts[place] for writer, place in whole.lasts.items()}
-    state.log = {writer: dict(found) for writer, found in whole.log.items()}
-    for told in whole.rows:
-        row = Row(told.table, told.name, told.here)
-        row.base = {(unit, element): value for unit, element, value in told.base}
+def _state(schema: Schema, stored: _StoredState) -> State:
+    state = State(schema, stored.origin)
+    state.vector, state.folded, state.strikes = stored.vector, stored.folded, stored.strikes
+    state.lasts = {writer: stored.contexts[place] for writer, place in stored.lasts.items()}
+    state.log = {writer: dict(found) for writer, found in stored.log.items()}
+    for stored_row in stored.rows:
+        row = Row(stored_row.table, stored_row.name, stored_row.here)
+        row.base = {(unit, element): value for unit, element, value in stored_row.base}
         edits = [
             made(
                 (writer, count),
-                whole.contexts[context],
+                stored.contexts[context],
                 Kind(kind),
-                (told.table, told.name),
+                (stored_row.table, stored_row.name),
                 tuple(((unit, element), value) for unit, element, value in changes),
             )
-            for writer, count, context, kind, changes in told.edits
+            for writer, count, context, kind, changes in stored_row.edits
         ]
         values = [dict(edit.writes()) for edit in edits]
-        for unit, element, places in told.writes:
+        for unit, element, places in stored_row.writes:
             sub = (unit, element)
             row.writes[sub] = [Write(edits[place], values[place][sub]) for place in places]
         row.mark(state.strikes)
-        state.rows[(told.table, told.name)] = row
-    for writer, found in whole.held.items():
+        state.rows[(stored_row.table, stored_row.name)] = row
+    for writer, found in stored.buffered.items():
         for count, data in found:
-            state.held.setdefault(writer, {})[count] = shaped(data)
+            state.buffered.setdefault(writer, {})[count] = shaped(data)
             state.raw[(writer, count)] = data
     return state
--- a/packages/edits/src/larkweir_edits/starts.py
+++ b/packages/edits/src/larkweir_edits/starts.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterator
 from typing import Any, NamedTuple
 
-from larkweir_edits.records import Said
+from larkweir_edits.records import StatedRow
 from larkweir_edits.schema import Schema, Tables
 
 
@@ -36,16 +36,16 @@
         file, self.file = self.file, None
         return file
 
-    def give_up(self, said: Tables) -> list[Said]:
+    def give_up(self, stated: Tables) -> list[StatedRow]:
         """It said so before: what the log is lacking of it."""
         file, self.file = self.file, None
-        return [] if file is None else [*self.anew(said, file)]
+        return [] if file is None else [*self.anew(stated, file)]
 
-    def touched(self, said: Tables, after: Tables) -> Tables:
-        """What counts of a reload while the start's file waits: the rows that staff changed since, and `said`."""
+    def touched(self, stated: Tables, after: Tables) -> Tables:
+        """What counts of a reload while the start's file waits: the rows that staff changed since, and `stated`."""
         if self.file is None:
             return after
-        found: dict[str, dict[str, Any]] = {table: dict(said.get(table, {})) for table in self._names}
+        found: dict[str, dict[str, Any]] = {table: dict(stated.get(table, {})) for table in self._names}
         for table, name, fields in self.anew(self.file, after):
             if fields is None:
                 found[table].pop(name, None)
@@ -57,7 +57,7 @@
         if self.file is not None:
             self.file = file
 
-    def anew(self, before: Tables, after: Tables) -> Iterator[Said]:
+    def anew(self, before: Tables, after: Tables) -> Iterator[StatedRow]:
         """The rows that a file says otherwise than the file before it."""
         for table in self._names:
             old, new = before.get(table, {}), after.get(table, {})
--- a/packages/edits/src/larkweir_edits/state.py
+++ b/packages/edits/src/larkweir_edits/state.py
@@ -14,7 +14,7 @@
 
 from larkweir_edits.differences import Change, Now
 from larkweir_edits.edit import (
-    MOST_ENTRIES,
+    MAX_CONTEXT_ENTRIES,
     Dot,
     Edit,
     EditError,
@@ -29,14 +29,14 @@
     read,
     shaped,
 )
+from larkweir_edits.merged_tables import Check, MergedTables, merged
 from larkweir_edits.rows import Row, View
 from larkweir_edits.schema import Schema, Tables
-from larkweir_edits.whole import Check, Whole, whole
 
-MOST_EDITS = 10_000  # applied and not yet in every base
-MOST_MADE = 5_000  # of them, past which none is made here: both sides of a cut may go on until they meet
-MOST_HELD = 2_000  # whose causes are missing
-MOST_ROWS = 4_000  # of all tables, past which none is made here: 2,000 routes and their pools
+MAX_EDITS = 10_000  # applied and not yet in every base
+MAX_OWN_EDITS = 5_000  # of them, past which none is made here: both sides of a cut may go on until they meet
+MAX_BUFFERED_EDITS = 2_000  # whose causes are missing
+MAX_ROWS = 4_000  # of all tables, past which none is made here: 2,000 routes and their pools
 
 
 class State:
@@ -49,7 +49,7 @@
         self.vector: dict[str, int] = {}  # applied
         self.lasts: dict[str, Vector] = {}  # of each writer, the context of its last edit that is applied
         self.log: dict[str, dict[int, bytes]] = {}  # that others may still lack, by writer and counter
-        self.held: dict[str, dict[int, Wire]] = {}  # whose causes are missing
+        self.buffered: dict[str, dict[int, Wire]] = {}  # whose causes are missing
         self.raw: dict[Dot, bytes] = {}  # bytes of those
         self.strikes: dict[str, int] = {}
         self.folded: dict[str, int] = {}  # what may be in the base, and in the log no longer
@@ -57,7 +57,7 @@
         self.refused = 0  # edits that found no room
         self._made: dict[str, tuple[int, Vector]] = {}  # the last edit that was made here, by writer
         self._views: dict[RowKey, View] = {}
-        self._whole: Whole | None = None
+        self._merged: MergedTables | None = None
         for table, rows in (base or {}).items():
             for name, fields in rows.items():
                 row = self.rows[(table, name)] = Row(table, name, here=True)
@@ -83,13 +83,13 @@
             return []
         following = wire.count == self.vector.get(writer, 0) + 1
         if (
-            self.size - len(self.raw) >= MOST_EDITS
-            or (len(self.raw) >= MOST_HELD and not following)
-            or (writer not in self.vector and len(self.vector) >= MOST_ENTRIES)
+            self.size - len(self.raw) >= MAX_EDITS
+            or (len(self.raw) >= MAX_BUFFERED_EDITS and not following)
+            or (writer not in self.vector and len(self.vector) >= MAX_CONTEXT_ENTRIES)
         ):
             self.refused += 1
             return []
-        self.held.setdefault(writer, {})[wire.count] = wire
+        self.buffered.setdefault(writer, {})[wire.count] = wire
         self.raw[(writer, wire.count)] = data
         return self._go_on()
 
@@ -98,8 +98,8 @@
         moved = True
         while moved:
             moved = False
-            for writer in list(self.held):
-                waiting = self.held[writer]
+            for writer in list(self.buffered):
+                waiting = self.buffered[writer]
                 while (wire := waiting.get(self.vector.get(writer, 0) + 1)) is not None:
                     edit = read(writer, wire, self.lasts.get(writer, {}))
                     if not covers(self.vector, {w: n for w, n in edit.seen.items() if w != writer}):
@@ -109,7 +109,7 @@
                     found.append(edit)
                     moved = True
                 if not waiting:
-                    del self.held[writer]
+                    del self.buffered[writer]
         return found
 
     def _apply(self, edit: Edit, data: bytes) -> None:
@@ -117,7 +117,7 @@
         self.vector[writer] = count
         self.lasts[writer] = edit.seen
         self.log.setdefault(writer, {})[count] = data
-        self._whole = None
+        self._merged = None
         if edit.kind is Kind.STRIKE:
             whom, number = edit.row[1], int(edit.changes[0][1])
             self._strike(whom, number)
@@ -146,15 +146,15 @@
 
     # ------------------------------------------------ what it comes to
 
-    def whole(self, check: Check | None = None) -> Whole:
-        if self._whole is None:
-            self._whole = whole(self.schema, self.rows, self._views, check)
-        return self._whole
+    def merged(self, check: Check | None = None) -> MergedTables:
+        if self._merged is None:
+            self._merged = merged(self.schema, self.rows, self._views, check)
+        return self._merged
 
     @property
-    def computed(self) -> Whole | None:
+    def computed(self) -> MergedTables | None:
         """The whole, where nothing was applied since it was computed."""
-        return self._whole
+        return self._merged
 
     def now(self, key: RowKey) -> Now:
         """A row for `differences`."""
@@ -199,12 +199,12 @@
             before = seen
             if change.row not in self.rows:
                 fresh.add(change.row)
-        if found and self.size + len(found) > MOST_MADE:
+        if found and self.size + len(found) > MAX_OWN_EDITS:
             raise EditError(
-                f"{self.size} edits wait for copies that have not seen them; {MOST_MADE} at the most"
+                f"{self.size} edits wait for copies that have not seen them; {MAX_OWN_EDITS} at the most"
             )
-        if fresh and len(self.rows) + len(fresh) > MOST_ROWS:
-            raise EditError(f"{len(self.rows) + len(fresh)} routes and pools; {MOST_ROWS} at the most")
+        if fresh and len(self.rows) + len(fresh) > MAX_ROWS:
+            raise EditError(f"{len(self.rows) + len(fresh)} routes and pools; {MAX_ROWS} at the most")
         if found:
             self._made[writer] = (count, before)
         return found
@@ -222,9 +222,9 @@
         stable = {
             writer: count for writer, count in stable.items() if count and count <= self.vector.get(writer, 0)
         }
-        if covers(self.folded, stable) or self.whole(check).back:
+        if covers(self.folded, stable) or self.merged(check).back:
             return False
-        stays = self.whole(check).stays
+        stays = self.merged(check).stays
         for key, row in list(self.rows.items()):
             if not row.writes or key in stays:
                 continue
@@ -233,11 +233,11 @@
                 if row.gone:
                     del self.rows[key]
         for writer, count in stable.items():
-            kept = {n: data for n, data in self.log.get(writer, {}).items() if n > count}
-            if kept:
-                self.log[writer] = kept
+            remaining = {n: data for n, data in self.log.get(writer, {}).items() if n > count}
+            if remaining:
+                self.log[writer] = remaining
             else:
                 self.log.pop(writer, None)
         self.folded = {w: max(stable.get(w, 0), self.folded.get(w, 0)) for w in {**stable, **self.folded}}
-        self._whole = None
+        self._merged = None
         return True
--- a/packages/edits/src/larkweir_edits/wholes.py
+++ b/packages/edits/src/larkweir_edits/state_transfer.py
@@ -7,18 +7,18 @@
 from typing import Protocol
 
 from larkweir_edits import digests
-from larkweir_edits.digests import Item, Offer, Piece, Want
+from larkweir_edits.digests import Item, Offer, Piece, PieceRequest
 from larkweir_edits.edit import EditError
 from larkweir_edits.schema import Schema
 from larkweir_edits.snapshot import dumped, loaded
 from larkweir_edits.state import State
 
-FETCH_MS = 20_000.0  # without a piece, after which a state is given up
-MOST_PIECES = 100_000
-PIECES = 96  # asked for at a time
+FETCH_TIMEOUT_MS = 20_000.0  # without a piece, after which a state is given up
+MAX_PIECES = 100_000
+MAX_REQUESTED_PIECES = 96  # asked for at a time
 
 
-class Mail(Protocol):
+class Channel(Protocol):
     """A channel to the other copies: what is posted may be lost, late or doubled."""
 
     def post(self, to: str, item: bytes) -> bool: ...
@@ -26,73 +26,73 @@
     def alive(self) -> Sequence[str]: ...
 
 
-class Wholes:
-    """One is offered and one is fetched at a time. `room` is the size of an item."""
+class StateTransfer:
+    """One is offered and one is fetched at a time. `max_item_bytes` is the size of an item."""
 
-    def __init__(self, schema: Schema, mail: Mail, room: int) -> None:
-        self._schema, self._mail, self._room = schema, mail, room
+    def __init__(self, schema: Schema, channel: Channel, max_item_bytes: int) -> None:
+        self._schema, self._channel, self._max_item_bytes = schema, channel, max_item_bytes
         self._offer: tuple[bytes, list[bytes], float] | None = None  # hash, pieces, when it was made
         self._fetch: tuple[str, bytes, list[bytes | None], float] | None = None
 
     def _post(self, to: str, item: Item) -> bool:
-        return self._mail.post(to, digests.packed(item))
+        return self._channel.post(to, digests.packed(item))
 
     def offer(self, to: str, state: State, writer: str, count: int, now_ms: float) -> None:
         """To one who asked for an edit that is in the base."""
-        if self._offer is None or now_ms - self._offer[2] >= FETCH_MS:
+        if self._offer is None or now_ms - self._offer[2] >= FETCH_TIMEOUT_MS:
             data = dumped(state)
-            size = self._room - 30
+            size = self._max_item_bytes - 30
             pieces = [data[at : at + size] for at in range(0, len(data), size)]
             self._offer = (blake2b(data, digest_size=8).digest(), pieces, now_ms)
         self._post(to, Offer(state.origin, self._offer[0], len(self._offer[1]), writer, count))
 
-    def on_offer(self, source: str, told: Offer, state: State, now_ms: float) -> None:
-        busy = self._fetch is not None and now_ms - self._fetch[3] < FETCH_MS
-        late = state.vector.get(told.writer, 0) >= told.count  # it is had by now
-        wanted = not late if told.origin == state.origin else not state.vector
-        if busy or not wanted or not 0 < told.pieces <= MOST_PIECES:
+    def on_offer(self, source: str, message: Offer, state: State, now_ms: float) -> None:
+        busy = self._fetch is not None and now_ms - self._fetch[3] < FETCH_TIMEOUT_MS
+        late = state.vector.get(message.writer, 0) >= message.count  # it is had by now
+        wanted = not late if message.origin == state.origin else not state.vector
+        if busy or not wanted or not 0 < message.pieces <= MAX_PIECES:
             return
-        self._fetch = (source, told.hash, [None] * told.pieces, now_ms)
-        self.want(now_ms)
+        self._fetch = (source, message.hash, [None] * message.pieces, now_ms)
+        self.request_pieces(now_ms)
 
-    def want(self, now_ms: float) -> bool:
+    def request_pieces(self, now_ms: float) -> bool:
         """Ask for what is lacking of a state; whether one is on its way."""
         if self._fetch is None:
             return False
         source, name, pieces, since = self._fetch
-        if now_ms - since >= FETCH_MS:
+        if now_ms - since >= FETCH_TIMEOUT_MS:
             self._fetch = None
             return False
-        lacking = [n for n, piece in enumerate(pieces) if piece is None][:PIECES]
-        for group in digests.filled(((3, n) for n in lacking), self._room - 20):
-            self._post(source, Want(name, group))
+        lacking = [n for n, piece in enumerate(pieces) if piece is None][:MAX_REQUESTED_PIECES]
+        for group in digests.filled(((3, n) for n in lacking), self._max_item_bytes - 20):
+            self._post(source, PieceRequest(name, group))
         return True
 
-    def on_want(self, source: str, told: Want) -> None:
-        if self._offer is None or self._offer[0] != told.hash:
+    def on_piece_request(self, source: str, message: PieceRequest) -> None:
+        if self._offer is None or self._offer[0] != message.hash:
             return
-        for number in told.pieces[:PIECES]:
+        for number in message.pieces[:MAX_REQUESTED_PIECES]:
             if 0 <= number < len(self._offer[1]):
-                self._post(source, Piece(told.hash, number, self._offer[1][number]))
+                self._post(source, Piece(message.hash, number, self._offer[1][number]))
 
-    def on_piece(self, source: str, told: Piece, now_ms: float) -> bytes:
+    def on_piece(self, source: str, message: Piece, now_ms: float) -> bytes:
         """The whole state, with the last piece."""
-        if self._fetch is None or (source, told.hash) != self._fetch[:2]:
+        if self._fetch is None or (source, message.hash) != self._fetch[:2]:
             return b""
         pieces = self._fetch[2]
-        if not 0 <= told.number < len(pieces) or pieces[told.number] is not None:
+        if not 0 <= message.number < len(pieces) or pieces[message.number] is not None:
             return b""
-        pieces[told.number] = told.data
+        pieces[message.number] = message.data
         self._fetch = (*self._fetch[:3], now_ms)
         got = sum(piece is not None for piece in pieces)
         if got < len(pieces):
-            if got % PIECES == 0:
-                self.want(now_ms)
+            if got % MAX_REQUESTED_PIECES == 0:
+                self.request_pieces(now_ms)
             return b""
         self._fetch = None
         data = b"".join(piece for piece in pieces if piece is not None)
         try:
-            if blake2b(data, digest_size=8).digest() != told.hash:
+            if blake2b(data, digest_size=8).digest() != message.hash:
                 raise EditError("no state: its hash differs")
             loaded(self._schema, data)
         except EditError:
--- a/packages/edits/tests/edits_sample.py
+++ b/packages/edits/tests/edits_sample.py
@@ -7,9 +7,9 @@
 
 from larkweir_edits.differences import Change, differences
 from larkweir_edits.edit import Kind, RowKey, Sub
+from larkweir_edits.merged_tables import Fault, MergedTables
 from larkweir_edits.schema import Schema
 from larkweir_edits.state import State
-from larkweir_edits.whole import Fault, Whole
 
 RULES = {
     "pool": {
@@ -95,7 +95,7 @@
 }
 
 
-class Copy:
+class Replica:
     """One edge: its file, its state, and every edit that it has as bytes."""
 
     def __init__(self, name: str, base: Any = BASE, checks: bool = True) -> None:
@@ -131,24 +131,24 @@
     def own(self, row: RowKey, sub: Sub, term: int, number: int, what: Any) -> None:
         self.put([Change(Kind.OWNER, row, ((sub, [term, number, what]),))])
 
-    def give(self, *others: Copy) -> None:
+    def give(self, *others: Replica) -> None:
         for other in others:
             for dot, data in list(self.all.items()):
                 other.all[dot] = data
                 other.state.take(dot[0], data)
 
-    def whole(self) -> Whole:
-        return self.state.whole(self.check)
+    def merged(self) -> MergedTables:
+        return self.state.merged(self.check)
 
     def get(self, table: str, row: str, field: str) -> Any:
-        rows = self.whole().tables[table]
+        rows = self.merged().tables[table]
         return rows[row].get(field, DEFAULTS[table][field]) if row in rows else "gone"
 
     def why(self) -> set[str]:
-        return {item.why for item in self.whole().told}
+        return {item.why for item in self.merged().notices}
 
 
-def meet(*copies: Copy) -> None:
+def meet(*copies: Replica) -> None:
     for one in copies:
         one.give(*(other for other in copies if other is not one))
     for one in copies:
--- a/packages/edits/tests/edits_space.py
+++ b/packages/edits/tests/edits_space.py
@@ -8,8 +8,8 @@
 from typing import Any
 
 from edits_sample import SCHEMA, check
-from larkweir_edits.copy import Copy
 from larkweir_edits.edit import Dot
+from larkweir_edits.replica import Replica
 from larkweir_simulated import Network
 
 DATAGRAM = 256
@@ -38,7 +38,7 @@
         space.network.listen(self.name, self.datagram)
         peers = [name for name in space.names if name != self.name]
         rng = Random(space.network.rng.getrandbits(64))
-        self.copy = Copy(
+        self.replica = Replica(
             SCHEMA,
             self.name,
             peers,
@@ -59,7 +59,7 @@
 
     # the log: what is given is on the disk a while later
 
-    def keep(self, record: bytes) -> int:
+    def append(self, record: bytes) -> int:
         self.writing.append(record)
         self.number += 1
         number, life = self.number, self.life
@@ -73,7 +73,7 @@
             new = number - len(self.disk)
             self.disk += self.writing[:new]
             del self.writing[:new]
-            self.copy.kept(number, self.space.network.now_ms)
+            self.replica.on_durable(number, self.space.network.now_ms)
 
     # the mail: fragments, any of which may be lost
 
@@ -93,23 +93,25 @@
         number, n, of = _PIECE.unpack_from(data)
         piece = data[_PIECE.size :]
         if of > 1:
-            held = self.parts.setdefault((source, number), {})
-            held[n] = piece
-            if len(held) < of:
+            buffered = self.parts.setdefault((source, number), {})
+            buffered[n] = piece
+            if len(buffered) < of:
                 return
             del self.parts[(source, number)]
-            piece = b"".join(held[at] for at in range(of))
-        self.copy.came(source, piece, self.space.network.now_ms)
+            piece = b"".join(buffered[at] for at in range(of))
+        self.replica.on_item(source, piece, self.space.network.now_ms)
 
     def tick(self) -> None:
         life = self.life
 
         def due() -> None:
             if life is self.life:
-                self.copy.tick(self.space.network.now_ms)
-                self.space.network.at(max(self.copy.next_ms, self.space.network.now_ms + 1.0), due, self.name)
+                self.replica.tick(self.space.network.now_ms)
+                self.space.network.at(
+                    max(self.replica.next_ms, self.space.network.now_ms + 1.0), due, self.name
+                )
 
-        self.space.network.at(self.copy.next_ms, due, self.name)
+        self.space.network.at(self.replica.next_ms, due, self.name)
 
 
 class Space:
@@ -148,8 +150,10 @@
 
     @property
     def equal(self) -> bool:
-        first = self.nodes[0].copy.state.vector
-        return all(node.copy.state.vector == first and not node.copy.state.raw for node in self.nodes[1:])
+        first = self.nodes[0].replica.state.vector
+        return all(
+            node.replica.state.vector == first and not node.replica.state.raw for node in self.nodes[1:]
+        )
 
     def until_equal(self, most_ms: float, step_ms: float = 50.0) -> float:
         """How long it took; more than `most_ms` where it did not come to that."""
@@ -166,9 +170,11 @@
         """Bytes of edits that copies lack, each counted where it is lacking."""
         sizes: dict[Dot, int] = {}
         for node in self.nodes:
-            for writer, found in node.copy.state.log.items():
+            for writer, found in node.replica.state.log.items():
                 sizes.update({(writer, n): len(data) for n, data in found.items()})
-        return sum(size for node in self.nodes for dot, size in sizes.items() if not node.copy.state.has(dot))
+        return sum(
+            size for node in self.nodes for dot, size in sizes.items() if not node.replica.state.has(dot)
+        )
 
 
 def tables(routes: int) -> dict[str, dict[str, dict[str, Any]]]:
@@ -187,39 +193,39 @@
     }
 
 
-def edit(node: Node, rng: Random, said: Any) -> Any:
+def edit(node: Node, rng: Random, stated: Any) -> Any:
     """One change of a file, as staff make them; the file after it."""
-    said = {table: dict(rows) for table, rows in said.items()}
-    name = rng.choice(sorted(said["route"]))
-    fields = dict(said["route"][name])
+    stated = {table: dict(rows) for table, rows in stated.items()}
+    name = rng.choice(sorted(stated["route"]))
+    fields = dict(stated["route"][name])
     act = rng.randrange(8)
     if act == 0:
         fields["alarm"] = rng.choice((0.001, 0.05, 0.2))
     elif act == 1:
-        fields["pool"] = rng.choice(sorted(said["pool"]))
+        fields["pool"] = rng.choice(sorted(stated["pool"]))
         fields["split"] = ()
     elif act == 2:
         fields["path"] = f"/api/v{rng.randrange(10**6)}"
     elif act == 3:
         fields["ramp_ms"] = float(rng.randrange(1, 10**6))
-    elif act == 4 and len(said["route"]) > 2:
+    elif act == 4 and len(stated["route"]) > 2:
         fields = {}
     elif act == 5:
-        pool = rng.choice(sorted(said["pool"]))
-        said["pool"][pool] = {**said["pool"][pool], "attempts": rng.randrange(1, 9)}
+        pool = rng.choice(sorted(stated["pool"]))
+        stated["pool"][pool] = {**stated["pool"][pool], "attempts": rng.randrange(1, 9)}
     elif act == 6:
-        pool = rng.choice(sorted(said["pool"]))
+        pool = rng.choice(sorted(stated["pool"]))
         zones = tuple(sorted(rng.sample("abcd", rng.randrange(1, 4))))
-        said["pool"][pool] = {**said["pool"][pool], "zones": zones}
+        stated["pool"][pool] = {**stated["pool"][pool], "zones": zones}
     else:
         fields["split"] = tuple(
             f"{pool} {rng.randrange(1, 40)}%"
-            for pool in rng.sample(sorted(said["pool"]), 2)
+            for pool in rng.sample(sorted(stated["pool"]), 2)
             if pool != fields.get("pool")
         )
     if fields:
-        said["route"][name] = fields
+        stated["route"][name] = fields
     else:
-        del said["route"][name]
-    node.copy.reload(said)
-    return said
+        del stated["route"][name]
+    node.replica.reload(stated)
+    return stated
--- a/packages/edits/tests/test_edits_golden.py
+++ b/packages/edits/tests/test_edits_golden.py
@@ -10,14 +10,14 @@
 
 import pytest
 from edits_sample import BASE, SCHEMA, check
-from edits_sample import Copy as SampleCopy
+from edits_sample import Replica as SampleCopy
 from larkweir_edits import digests
-from larkweir_edits.copy import Copy
-from larkweir_edits.digests import Ask, Digest, Edits, Have, Item, Offer, Piece, Sum, Want
+from larkweir_edits.digests import Digest, EditRequest, Edits, Have, Item, Offer, Piece, PieceRequest, Sum
 from larkweir_edits.edit import Edit, Kind, encoded, made, read, shaped
 from larkweir_edits.log import MAGIC, FileLog, framed, peek
 from larkweir_edits.log import read as read_log
-from larkweir_edits.records import ENCODER, RECORDS, WHOLE, Kept, origin_of
+from larkweir_edits.records import ENCODER, RECORDS, SNAPSHOT_WRITER, LogRecord, origin_of
+from larkweir_edits.replica import Replica
 from larkweir_edits.snapshot import dumped, loaded
 from larkweir_edits.state import State
 
@@ -36,19 +36,19 @@
     "sum": Sum(ORIGIN, False, bytes(range(8)), bytes(range(32))),
     "sum_fresh": Sum(ORIGIN, True, bytes(8), bytes(32)),
     "have": Have(ORIGIN, True, [0, 15], "a#1", "", {"a#1": [4], "b#2": [3, 5, 7]}),
-    "ask": Ask(ORIGIN, {"b#2": [4, 4, 8, 9]}),
+    "ask": EditRequest(ORIGIN, {"b#2": [4, 4, 8, 9]}),
     "edits": Edits(ORIGIN, "a#1", [b"\x01\x02", b"\xff"]),
     "offer": Offer(ORIGIN, b"hash1234", 12, "b#2", 4),
-    "want": Want(b"hash1234", [0, 1, 11]),
+    "want": PieceRequest(b"hash1234", [0, 1, 11]),
     "piece": Piece(b"hash1234", 11, b"\x00data\xff"),
 }
-KEPT: dict[str, Kept] = {
-    "edits": Kept("a#1", [b"\x01\x02", b"\xff"]),
-    "said": Kept(
+KEPT: dict[str, LogRecord] = {
+    "edits": LogRecord("a#1", [b"\x01\x02", b"\xff"]),
+    "said": LogRecord(
         "a#1", [b"\x01"], [("route", "r", {"pool": "west", "split": ["next 10%"]}), ("pool", "x", None)]
     ),
-    "whole": Kept(WHOLE, [], [("pool", "next", {})], b"state"),
-    "adopted": Kept("", [], [], b"state"),
+    "whole": LogRecord(SNAPSHOT_WRITER, [], [("pool", "next", {})], b"state"),
+    "adopted": LogRecord("", [], [], b"state"),
 }
 VECTOR = {"a#1": 4, "b#2": 7, "c#3": 1, "d#4": 2**40}
 
@@ -125,26 +125,26 @@
     assert zlib.decompress(dumped(sample())) == zlib.decompress(golden)
     again = loaded(SCHEMA, golden)
     assert zlib.decompress(dumped(again)) == zlib.decompress(golden)
-    assert again.whole(check).tables == sample().whole(check).tables
+    assert again.merged(check).tables == sample().merged(check).tables
 
 
 def test_a_log_is_written_as_before(tmp_path: Path) -> None:
-    told = threading.Event()
-    log = FileLog(str(tmp_path), lambda number: told.set() if number == 2 else None, lambda line: None)
+    notices = threading.Event()
+    log = FileLog(str(tmp_path), lambda number: notices.set() if number == 2 else None, lambda line: None)
     for name in ("edits", "said"):
-        log.keep(FOUND["records"][name])
-    assert told.wait(30.0)
+        log.append(FOUND["records"][name])
+    assert notices.wait(30.0)
     log.close()
     assert (tmp_path / "0.log").read_bytes() == FOUND["files"]["log"]
 
 
 def test_a_log_that_is_begun_anew_is_as_before(tmp_path: Path) -> None:
-    told = threading.Event()
-    log = FileLog(str(tmp_path), lambda number: told.set() if number == 2 else None, lambda line: None)
-    log.keep(FOUND["records"]["edits"])
-    log.begin_anew([FOUND["records"]["whole"]])
-    log.keep(FOUND["records"]["said"])
-    assert told.wait(30.0)
+    notices = threading.Event()
+    log = FileLog(str(tmp_path), lambda number: notices.set() if number == 2 else None, lambda line: None)
+    log.append(FOUND["records"]["edits"])
+    log.compact([FOUND["records"]["whole"]])
+    log.append(FOUND["records"]["said"])
+    assert notices.wait(30.0)
     log.close()
     assert sorted(path.name for path in tmp_path.iterdir()) == ["1.log", "lock"]
     assert (tmp_path / "1.log").read_bytes() == FOUND["files"]["log_anew"]
@@ -165,7 +165,7 @@
 class _Quiet:
     """A log and a channel that nothing comes out of."""
 
-    def keep(self, record: bytes) -> int:
+    def append(self, record: bytes) -> int:
         return 1
 
     def post(self, to: str, item: bytes) -> bool:
@@ -177,7 +177,7 @@
 
 def test_a_copy_goes_on_from_a_log_of_before() -> None:
     records, _ = read_log(FOUND["files"]["log_copy"])
-    copy = Copy(SCHEMA, "a", ["b"], {}, _Quiet(), _Quiet(), Random(1), 0.0, check, records)
-    assert copy.state.vector == {"a#1": 2, "b#2": 3}
-    assert copy.whole.tables == sample().whole(check).tables
-    assert zlib.decompress(dumped(copy.state)) == zlib.decompress(FOUND["files"]["snapshot"])
+    replica = Replica(SCHEMA, "a", ["b"], {}, _Quiet(), _Quiet(), Random(1), 0.0, check, records)
+    assert replica.state.vector == {"a#1": 2, "b#2": 3}
+    assert replica.merged.tables == sample().merged(check).tables
+    assert zlib.decompress(dumped(replica.state)) == zlib.decompress(FOUND["files"]["snapshot"])
--- a/packages/edits/tests/test_edits_laws.py
+++ b/packages/edits/tests/test_edits_laws.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from edits_sample import SCHEMA, Copy, meet
+from edits_sample import SCHEMA, Replica, meet
 from hypothesis import HealthCheck, given, seed, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
@@ -15,8 +15,8 @@
     run_state_machine_as_test,
 )
 from larkweir_edits.edit import ENDED, STEP
+from larkweir_edits.merged_tables import MergedTables
 from larkweir_edits.state import State
-from larkweir_edits.whole import Whole
 
 POOLS = ("next", "other", "west")
 SAYS = st.one_of(
@@ -50,37 +50,37 @@
 )
 
 
-def plain(copy: Copy) -> Whole:
+def plain(replica: Replica) -> MergedTables:
     """What the edits of a copy come to, from the beginning, with nothing put into the base."""
-    state = State(SCHEMA, b"origin", Copy("").file)
-    for (writer, _), data in sorted(copy.all.items()):
+    state = State(SCHEMA, b"origin", Replica("").file)
+    for (writer, _), data in sorted(replica.all.items()):
         state.take(writer, data)
-    assert state.vector == copy.state.vector
-    return state.whole(copy.check)
+    assert state.vector == replica.state.vector
+    return state.merged(replica.check)
 
 
-def edits_of(seed_: int, number: int) -> Copy:
+def edits_of(seed_: int, number: int) -> Replica:
     """Some copies edit and meet now and then; one that has it all."""
     rng = Random(seed_)
-    copies = [Copy(name) for name in "abc"]
+    copies = [Replica(name) for name in "abc"]
     for _ in range(number):
-        copy = rng.choice(copies)
+        replica = rng.choice(copies)
         row = rng.choice(("r", "s", "n"))
         act = rng.randrange(6)
-        if act == 0 and row in copy.file["route"]:
-            copy.drop("route", row)
+        if act == 0 and row in replica.file["route"]:
+            replica.drop("route", row)
         elif act == 1:
-            copy.say("route", row, path=f"/{rng.choice('rsxy')}", pool=rng.choice(POOLS))
+            replica.say("route", row, path=f"/{rng.choice('rsxy')}", pool=rng.choice(POOLS))
         elif act == 2:
-            copy.say("pool", "west", zones=tuple(rng.sample("abc", rng.randrange(4))))
+            replica.say("pool", "west", zones=tuple(rng.sample("abc", rng.randrange(4))))
         elif act == 3:
-            copy.say(
+            replica.say(
                 "route", row, split=(f"next {rng.choice((5, 40, 90))}%", f"other {rng.choice((1, 30))}%")
             )
         elif act == 4:
-            copy.own(("route", row), (ENDED, "next"), rng.randrange(3), rng.randrange(9), True)
+            replica.own(("route", row), (ENDED, "next"), rng.randrange(3), rng.randrange(9), True)
         else:
-            copy.give(rng.choice(copies))
+            replica.give(rng.choice(copies))
     meet(*copies)
     return copies[0]
 
@@ -90,20 +90,20 @@
 @given(st.integers(0, 10_000), st.integers(1, 25), st.randoms(use_true_random=False))
 def test_any_order_any_grouping_and_twice_come_to_the_same(number: int, most: int, rng: Any) -> None:
     full = edits_of(number, most)
-    wanted = full.whole()
+    wanted = full.merged()
     every = list(full.all.items())
     for _ in range(2):
         rng.shuffle(every)
-        one, other = Copy("one"), Copy("other")
+        one, other = Replica("one"), Replica("other")
         half = rng.randrange(len(every) + 1)
-        for copy, some in ((one, every[:half]), (other, [*every[half:], *every[: half // 2]])):
+        for replica, some in ((one, every[:half]), (other, [*every[half:], *every[: half // 2]])):
             for (writer, _), data in some:
-                copy.state.take(writer, data)
+                replica.state.take(writer, data)
         for (writer, _), data in [*every[half:], *every]:  # the union, with what is there already
             one.state.take(writer, data)
         for (writer, _), data in every[:half]:
             other.state.take(writer, data)
-        assert one.whole() == other.whole() == wanted
+        assert one.merged() == other.merged() == wanted
 
 
 class Fleet(RuleBasedStateMachine):
@@ -111,7 +111,7 @@
 
     @initialize()
     def begin(self) -> None:
-        self.copies = [Copy(name) for name in "abcd"]
+        self.copies = [Replica(name) for name in "abcd"]
         self.term = 0
         # What each copy knows that another has applied, as its digest said.
         self.knows: dict[tuple[str, str], dict[str, int]] = {}
@@ -134,9 +134,9 @@
     def own(self, who: int, late: int, number: int, ends: bool, sub: bool) -> None:
         self.term += late == 0
         what = (ENDED, "next") if sub else (STEP, "ramp")
-        copy, term = self.copies[who], max(0, self.term - late)
-        if (term, number) > copy.state.floor(("route", "r"), what):
-            copy.own(("route", "r"), what, term, number, ends)
+        replica, term = self.copies[who], max(0, self.term - late)
+        if (term, number) > replica.state.floor(("route", "r"), what):
+            replica.own(("route", "r"), what, term, number, ends)
 
     @rule(who=st.integers(0, 3), to=st.integers(0, 3), some=st.randoms(use_true_random=False))
     def give(self, who: int, to: int, some: Any) -> None:
@@ -148,7 +148,7 @@
                 other.all[dot] = data
                 other.state.take(dot[0], data)
         other.all = {d: b for d, b in other.all.items() if d[1] <= other.state.vector.get(d[0], 0)}
-        other.state.held.clear()
+        other.state.buffered.clear()
         other.state.raw.clear()
 
     @rule(who=st.integers(0, 3), to=st.integers(0, 3))
@@ -167,28 +167,30 @@
 
     @rule(who=st.integers(0, 3))
     def collect(self, who: int) -> None:
-        copy = self.copies[who]
-        told = [self.knows.get((copy.name, other.name), {}) for other in self.copies if other is not copy]
-        vector = copy.state.vector
-        stable = {w: min(n, *(item.get(w, 0) for item in told)) for w, n in vector.items()}
-        if copy.state.collect(stable, copy.check):
+        replica = self.copies[who]
+        notices = [
+            self.knows.get((replica.name, other.name), {}) for other in self.copies if other is not replica
+        ]
+        vector = replica.state.vector
+        stable = {w: min(n, *(item.get(w, 0) for item in notices)) for w, n in vector.items()}
+        if replica.state.collect(stable, replica.check):
             self.nothing_that_is_collected_can_be_seen()
 
     def nothing_that_is_collected_can_be_seen(self) -> None:
-        for copy in self.copies:
-            mine, wanted = copy.whole(), plain(copy)
-            assert mine.tables == wanted.tables, copy.name
-            assert {(t.table, t.row, t.unit, t.why) for t in mine.told} == {
-                (t.table, t.row, t.unit, t.why) for t in wanted.told
+        for replica in self.copies:
+            mine, wanted = replica.merged(), plain(replica)
+            assert mine.tables == wanted.tables, replica.name
+            assert {(t.table, t.row, t.unit, t.why) for t in mine.notices} == {
+                (t.table, t.row, t.unit, t.why) for t in wanted.notices
             }
-            assert not copy.state.struck
+            assert not replica.state.struck
 
     def teardown(self) -> None:
         if not hasattr(self, "copies"):
             return
         meet(*self.copies)
         self.nothing_that_is_collected_can_be_seen()
-        assert len({repr(copy.whole().tables) for copy in self.copies}) == 1
+        assert len({repr(replica.merged().tables) for replica in self.copies}) == 1
 
 
 def test_copies_that_edit_meet_and_collect_are_equal() -> None:
--- a/packages/edits/tests/test_edits_rules.py
+++ b/packages/edits/tests/test_edits_rules.py
@@ -5,23 +5,23 @@
 from typing import Any
 
 import pytest
-from edits_sample import BASE, DEFAULTS, RULES, Copy, meet
+from edits_sample import BASE, DEFAULTS, RULES, Replica, meet
 from larkweir_edits.differences import Change
 from larkweir_edits.edit import ENDED, STEP, EditError, Kind
-from larkweir_edits.merge import PROPOSALS, part_of
+from larkweir_edits.merge import MAX_PROPOSALS, part_of
+from larkweir_edits.merged_tables import BACK, NAMED
 from larkweir_edits.rows import CONFLICT, EMPTY, LATE, STAYS
 from larkweir_edits.schema import Schema
-from larkweir_edits.whole import BACK, NAMED
 
 
-def cut(*names: str) -> list[Copy]:
-    return [Copy(name) for name in names]
+def cut(*names: str) -> list[Replica]:
+    return [Replica(name) for name in names]
 
 
-def both(copies: list[Copy]) -> Copy:
+def both(copies: list[Replica]) -> Replica:
     meet(*copies)
-    first = copies[0].whole()
-    assert all(other.whole() == first for other in copies)
+    first = copies[0].merged()
+    assert all(other.merged() == first for other in copies)
     return copies[0]
 
 
@@ -71,7 +71,7 @@
     copies[1].say("route", "r", pool="next")
     met = both(copies)
     assert (met.get("route", "r", "alarm"), met.get("route", "r", "pool")) == (0.1, "next")
-    assert not met.whole().told
+    assert not met.merged().notices
 
 
 def test_an_old_file_does_not_undo_what_others_changed() -> None:
@@ -88,7 +88,7 @@
     copies[1].say("route", "r", path="/q")
     met = both(copies)
     assert (met.get("route", "r", "host"), met.get("route", "r", "path")) == ("", "/r")
-    assert [(item.unit, item.why) for item in met.whole().told] == [("match", CONFLICT)]
+    assert [(item.unit, item.why) for item in met.merged().notices] == [("match", CONFLICT)]
 
 
 def test_a_conflict_is_told_until_who_has_seen_both_settles_it() -> None:
@@ -96,15 +96,15 @@
     copies[0].say("route", "r", pool="next")
     copies[1].say("route", "r", pool="other")
     met = both(copies)
-    assert {value for item in met.whole().told for _, value in item.proposals} == {"next", "other"}
-    stranger = Copy("c")
+    assert {value for item in met.merged().notices for _, value in item.proposals} == {"next", "other"}
+    stranger = Replica("c")
     stranger.say("route", "r", pool="default")  # has seen neither
     copies.append(stranger)
     assert both(copies).get("route", "r", "pool") == "west"
-    assert len(copies[1].whole().told[0].proposals) == 3
+    assert len(copies[1].merged().notices[0].proposals) == 3
     copies[1].say("route", "r", pool="next")
     met = both(copies)
-    assert met.get("route", "r", "pool") == "next" and not met.whole().told
+    assert met.get("route", "r", "pool") == "next" and not met.merged().notices
 
 
 def test_a_conflict_goes_back_to_the_last_that_both_had_not_to_the_first() -> None:
@@ -117,12 +117,12 @@
 
 
 def test_at_most_64_proposals_are_told() -> None:
-    copies = cut(*(f"w{n:02}" for n in range(PROPOSALS + 6)))
-    for n, copy in enumerate(copies):
-        copy.say("route", "r", path=f"/{n}")
-    for copy in copies[1:]:
-        copy.give(copies[0])
-    assert len(copies[0].whole().told[0].proposals) == PROPOSALS
+    copies = cut(*(f"w{n:02}" for n in range(MAX_PROPOSALS + 6)))
+    for n, replica in enumerate(copies):
+        replica.say("route", "r", path=f"/{n}")
+    for replica in copies[1:]:
+        replica.give(copies[0])
+    assert len(copies[0].merged().notices[0].proposals) == MAX_PROPOSALS
 
 
 def test_who_has_not_seen_an_evacuation_can_not_lift_it() -> None:
@@ -164,7 +164,7 @@
     copies[1].own(("route", "r"), (STEP, "ramp"), 4, 1, 0.2)
     copies[1].own(("route", "r"), (ENDED, "next"), 4, 2, False)
     met = both(copies)
-    steps = met.whole().steps or {}
+    steps = met.merged().steps or {}
     assert steps[("route", "r")]["ramp"] == [4, 1, 0.2]
     assert met.get("route", "r", "split") == ("next 10%",)
     assert met.state.floor(("route", "r"), (STEP, "ramp")) == (4, 1)
@@ -225,14 +225,14 @@
     copies[0].say("route", "new", path="/x")
     copies[1].say("route", "newer", path="/x")
     met = both(copies)
-    assert sorted(met.whole().tables["route"]) == ["m", "new", "r", "s"]
+    assert sorted(met.merged().tables["route"]) == ["m", "new", "r", "s"]
 
 
 def test_what_is_no_edit_is_refused_and_what_does_not_fit_is_left_out() -> None:
-    copy = Copy("a")
+    replica = Replica("a")
     for data in (b"", b"\xff" * 9, b"\x96\x01\x80\x00\xa1x\xa1y\xc0", b"\x00" * 9000):
         with pytest.raises(EditError):
-            copy.state.take("b", data)
+            replica.state.take("b", data)
     assert [part_of(text) for text in ("5%", "0.2", "nan%", "inf", "", None)] == [
         0.05,
         0.2,
@@ -241,10 +241,10 @@
         0.0,
         0.0,
     ]
-    wrong = Copy("b", checks=False)
+    wrong = Replica("b", checks=False)
     wrong.say("pool", "west", attempts="many", zones=(1, 2))
-    wrong.give(copy)
-    assert copy.get("pool", "west", "attempts") == 3
+    wrong.give(replica)
+    assert replica.get("pool", "west", "attempts") == 3
 
 
 def test_a_field_without_a_rule_is_no_schema() -> None:
@@ -255,12 +255,12 @@
 
 
 def test_a_long_edit_is_made_into_several_and_a_field_that_is_too_long_is_refused() -> None:
-    copy = Copy("a", checks=False)
-    copy.say("pool", "west", zones=tuple(f"{n:04}" + "z" * 200 for n in range(100)))
-    assert copy.state.vector["a"] > 2 and len(copy.get("pool", "west", "zones")) == 100
+    replica = Replica("a", checks=False)
+    replica.say("pool", "west", zones=tuple(f"{n:04}" + "z" * 200 for n in range(100)))
+    assert replica.state.vector["a"] > 2 and len(replica.get("pool", "west", "zones")) == 100
     with pytest.raises(EditError):
-        copy.say("route", "r", pool="p" * 8000)
-    assert len(copy.state.make("a", [])) == 0
+        replica.say("route", "r", pool="p" * 8000)
+    assert len(replica.state.make("a", [])) == 0
 
 
 def test_of_two_new_routes_of_one_name_neither_counts_until_it_is_settled() -> None:
@@ -288,8 +288,8 @@
     strike = Change(Kind.STRIKE, ("", "away"), ((("", ""), 0),))
     copies[1].put([strike])
     copies[1].give(copies[0], copies[2])
-    for copy in copies[:2]:
-        assert copy.get("route", "r", "alarm") == 0.2 and copy.why() == {LATE}
+    for replica in copies[:2]:
+        assert replica.get("route", "r", "alarm") == 0.2 and replica.why() == {LATE}
     copies[0].say("route", "r", alarm=0.25)  # has seen it
     copies[0].give(copies[1])
     assert copies[1].get("route", "r", "alarm") == 0.25 and not copies[1].why()
--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_part.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from larkweir_edits import copy as copies
+from larkweir_edits import replica as replica_module
 from larkweir_edits.log import Calls
 
 from larkweir.config.fleet_tables import Edits, Peers
@@ -205,7 +205,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """What it alone had edited is a proposal at all, until its staff say it anew."""
-    monkeypatch.setattr(copies, "COLLECT_MS", 50.0)
+    monkeypatch.setattr(replica_module, "COLLECTION_INTERVAL_MS", 50.0)
 
     async def play() -> None:
         post, hosts = await fleet(tmp_path, away_ms=1_500.0)
@@ -221,9 +221,9 @@
             "gone into the base without the third",
             hosts,
         )
-        assert NAMES[2] in first.part.copy.away(first.clock.now_ms())
+        assert NAMES[2] in first.part.replica.away(first.clock.now_ms())
         for host in hosts:  # a slow machine makes nobody else a newcomer
-            host.part.copy._others._away_ms = 600_000.0
+            host.part.replica._others._away_ms = 600_000.0
         post.cut.clear()
         await until(
             lambda: all(host.said["a"][0] == "/a" and "b" in host.said for host in hosts),
@@ -298,7 +298,7 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The record may be on the disk or not: nothing of it counts before the whole was written once more."""
-    monkeypatch.setattr("larkweir.coordination.edits.part.MEND_MS", 50.0)
+    monkeypatch.setattr("larkweir.coordination.edits.part.REPAIR_RETRY_MS", 50.0)
 
     async def play() -> None:
         _, hosts = await fleet(tmp_path, 2)
@@ -373,17 +373,17 @@
         first, second = hosts
         assert not await second.reload(FILE.replace('"/a"', '"/aa"'))
         await until(lambda: first.said["a"][0] == "/aa", "the other's edit", hosts)
-        first.part.hold(True)
+        first.part.set_handed_over(True)
         assert "a successor goes on" in await first.reload(FILE + '[route.b]\npath = "/b"\n')
         successor = Host(NAMES[0], post, tmp_path / "0", FILE)
         assert successor.said["a"][0] == "/aa"  # before its first turn: by the folder, whatever its file says
         await until(lambda: successor.part.facts()["edits_state"] == "ok", "the folder", hosts)
         assert not await successor.reload(FILE + '[route.b]\npath = "/b"\n')
-        assert successor.part.copy.writer != first.part.copy.writer
+        assert successor.part.replica.writer != first.part.replica.writer
         await until(lambda: "b" in second.said, "its edit", hosts)
         successor.part.close()
         post.hosts[NAMES[0]] = first
-        first.part.hold(False)
+        first.part.set_handed_over(False)
         await until(lambda: "b" in first.said, "what the successor wrote", hosts)
         for host in hosts:
             host.part.close()
--- a/tests/fleet/test_edits_tables.py
+++ b/tests/fleet/test_edits_tables.py
@@ -9,7 +9,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from larkweir_edits.differences import differences
-from larkweir_edits.rows import Told
+from larkweir_edits.rows import Notice
 from larkweir_edits.state import State
 
 from larkweir.cli.check import check
@@ -17,8 +17,8 @@
 from larkweir.config.options import NAMED, Operator, Pool, Route, changed
 from larkweir.config.platform import decode as decode_platform
 from larkweir.config.routing import routing_objections
-from larkweir.coordination.edits.tables import ALL, Checked, Settled, differs, schema, tables_of
-from larkweir.coordination.edits.words import MOST_LINES, Lines, mark_of, names_of
+from larkweir.coordination.edits.notice_log import MAX_LINES, NoticeLog, fingerprint_of, names_of
+from larkweir.coordination.edits.tables import ALL, ResolutionTarget, TableCheck, differs, schema, tables_of
 from tests.fleet.services import platform
 from tests.fleet.test_owners import PEERS
 
@@ -78,12 +78,12 @@
 @given(WHOLES)
 def test_what_goes_to_the_merge_and_back_is_what_the_file_said(options: Operator) -> None:
     tables = tables_of(options)
-    back = Checked().over(Operator(), tables)
+    back = TableCheck().over(Operator(), tables)
     if options.routes:
         assert not changed(options, back)
     else:
         assert list(back.routes) == [ALL] and not differs(tables, tables_of(options))
-    assert mark_of(tables) == mark_of(tables_of(options))
+    assert fingerprint_of(tables) == fingerprint_of(tables_of(options))
 
 
 @given(WHOLES, WHOLES)
@@ -115,10 +115,10 @@
         for at in order:
             for data in edits[at][1]:
                 state.take(edits[at][0], data)
-        whole = state.whole(Checked())
-        marks.add(mark_of(whole.tables))
-        assert whole.tables["route"]["r"]["split"] == ("a 60%",)
-        assert [item.why for item in whole.told] == ["put back: with it the whole does not pass"]
+        merged = state.merged(TableCheck())
+        marks.add(fingerprint_of(merged.tables))
+        assert merged.tables["route"]["r"]["split"] == ("a 60%",)
+        assert [item.why for item in merged.notices] == ["put back: with it the whole does not pass"]
     assert len(marks) == 1
 
 
@@ -127,17 +127,17 @@
         "pool": {"p": {"subset": -1, "fixed": "127.0.0.1:1"}},
         "route": {"r": {"path": "x", "split": ("p 50%", "q 60%"), "sticky": "name", "alarm": "loud"}},
     }
-    found = {fault.fields for fault in Checked()(tables)}
+    found = {fault.fields for fault in TableCheck()(tables)}
     assert {key for rests in found for _, name, key in rests if name == "r"} >= {"path", "split", "sticky"}
     assert ("route", "r", "pool") in {item for rests in found for item in rests}
 
 
 def test_what_this_platform_does_not_know_is_told_and_put_back_by_nobody() -> None:
     """Each copy's own file would make another whole of the same edits."""
-    check_ = Checked(decode_platform(platform(), {}))
+    check_ = TableCheck(decode_platform(platform(), {}))
     text = '[pool.p]\nkinds = ["x9"]\n[route.r]\npath = "/x"\npool = "p"\nclasses = ["nobody"]\n'
     assert check_(tables_of(decode(text)[0])) == [] and len(check_.foreign) == 2
-    assert Checked()(tables_of(decode(text)[0])) == []
+    assert TableCheck()(tables_of(decode(text)[0])) == []
     check_(tables_of(decode('[route.r]\npath = "/x"\n')[0]))
     assert check_.foreign == ()
 
@@ -156,15 +156,15 @@
 def test_what_is_to_be_settled_is_a_row_or_a_field(text: str, expected: tuple[str, str, str] | None) -> None:
     if expected is None:
         with pytest.raises(ValueError, match=text):
-            Settled(text)
+            ResolutionTarget(text)
     else:
-        what = Settled(text)
+        what = ResolutionTarget(text)
         assert (what.table, what.name, what.key) == expected
 
 
 def test_a_field_is_settled_with_its_unit_and_a_row_with_all_it_has() -> None:
     tables = tables_of(decode('[route.a]\npath = "/a"\nhost = "h.example"\n')[0])
-    assert Settled("route.a.path").said(tables) == {
+    assert ResolutionTarget("route.a.path").stated_fields(tables) == {
         "host": "h.example",
         "path": "/a",
         "methods": (),
@@ -172,28 +172,30 @@
         "classes": (),
         "tenants": (),
     }
-    assert Settled("route.a.alarm").said(tables) == {"alarm": 0.01}
-    whole = Settled("route.a").said(tables)
-    assert whole is not None and set(whole) == {item.name for item in fields(Route)}
-    assert Settled("route.b").said(tables) is None
+    assert ResolutionTarget("route.a.alarm").stated_fields(tables) == {"alarm": 0.01}
+    merged = ResolutionTarget("route.a").stated_fields(tables)
+    assert merged is not None and set(merged) == {item.name for item in fields(Route)}
+    assert ResolutionTarget("route.b").stated_fields(tables) is None
 
 
 def test_lines_are_new_ones_and_bounded() -> None:
-    lines = Lines()
-    told = [Told("route", f"r{n}", "path", "conflict", (("w", "x" * 500), ("v", 1))) for n in range(30)]
-    said = lines.of(told, 1.0)
-    assert len(said) == MOST_LINES + 1 and "22 more" in said[-1] and max(map(len, said)) < 250
-    assert lines.of(told, 2.0) == []
-    assert lines.of(told[1:], 3.0) == ["edits: route.r0.path: settled"]
+    lines = NoticeLog()
+    notices = [Notice("route", f"r{n}", "path", "conflict", (("w", "x" * 500), ("v", 1))) for n in range(30)]
+    logged = lines.new_lines(notices, 1.0)
+    assert len(logged) == MAX_LINES + 1 and "22 more" in logged[-1] and max(map(len, logged)) < 250
+    assert lines.new_lines(notices, 2.0) == []
+    assert lines.new_lines(notices[1:], 3.0) == ["edits: route.r0.path: settled"]
     for n in range(100):
-        lines.of(told[n % 30 :], 4.0 + n)
-    assert lines.of([], 60.0) == [] and lines.of(told, 60_002.0)
-    assert len(names_of(told)) <= 160 and names_of(told).startswith("route.r0.path,route.r1.path")
+        lines.new_lines(notices[n % 30 :], 4.0 + n)
+    assert lines.new_lines([], 60.0) == [] and lines.new_lines(notices, 60_002.0)
+    assert len(names_of(notices)) <= 160 and names_of(notices).startswith("route.r0.path,route.r1.path")
 
 
 def test_a_line_says_who_has_a_row_and_who_deleted_it() -> None:
-    told = Told("route", "r", "", "it stays", (("north", False), ("south", True)))
-    assert Lines().of([told], 1.0) == ["edits: route.r: it stays (north deleted it; south has it)"]
+    notices = Notice("route", "r", "", "it stays", (("north", False), ("south", True)))
+    assert NoticeLog().new_lines([notices], 1.0) == [
+        "edits: route.r: it stays (north deleted it; south has it)"
+    ]
 
 
 ON = f'{PEERS}[edits]\non = true\nfolder = "/x"\n'
