--- a/benchmarks/captures.py
+++ b/benchmarks/captures.py
@@ -148,7 +148,7 @@
     loads()
     net.at(20_000.0, look)
     net.run(60_000.0)
-    each = sorted(mail.datagrams / 60.0 for name, mail in mails.items() if name != names[0])
+    each = sorted(transport.datagrams / 60.0 for name, transport in mails.items() if name != names[0])
     print(
         f"{count} processes: {sum(each) / len(each):.2f} datagrams/s each (most {each[-1]:.2f}), coordinator"
         f" {mails[names[0]].datagrams / 60.0:.1f}; newest table at {sum(reached) / len(reached):.3f} of them on"
--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -9,7 +9,7 @@
             X-Budget-Loop      a tier below has refused a loop: trying again would only meet it again
             X-Never-Ran        nothing of it has run
 
-Another part may have a field of its own carried both ways (`carry`), believed and taken off as these are.
+Another part may have a field of its own carried both ways (`propagate`), believed and taken off as these are.
 """
 
 from __future__ import annotations
@@ -56,11 +56,11 @@
     """One request's part."""
 
     __slots__ = (
+        "_baggage",
         "_chain",
         "_key",
         "_path",
         "_ran",
-        "_ride",
         "_times",
         "_trusted",
         "account",
@@ -78,13 +78,13 @@
         trusted: bool,
         cls: int,
         key: KeyOwner | None,
-        ride: Baggage | None,
+        baggage: Baggage | None,
     ) -> None:
         self._chain = chain
         self._path = path
         self._trusted = trusted
         self._key = key
-        self._ride = ride
+        self._baggage = baggage
         self._ran = False  # an attempt may have run
         self._times: dict[int, float] = {}
         self.account = account
@@ -111,8 +111,8 @@
             (b"X-Budget-Worth", b"%.6g" % self.worth),
             (b"X-Budget-Path", self._path),
         ]
-        if self._ride is not None:
-            found.append((chain.field, self._ride.down()))
+        if self._baggage is not None:
+            found.append((chain.field, self._baggage.down()))
         return found
 
     def settle(self, attempt: int, outcome: Outcome, answer: Message | None, now_ms: float) -> None:
@@ -123,13 +123,13 @@
         self.out -= 1
         never = outcome in NEVER_RAN
         self._ran = self._ran or not never
-        told = None
-        if self._ride is not None:
+        spent = None
+        if self._baggage is not None:
             values = answer.values(self._chain.lower) if answer is not None else ()
-            self._ride.told(values[0] if values else None, not never and not self._chain.last)
+            self._baggage.on_answer(values[0] if values else None, not never and not self._chain.last)
         if answer is not None:
             try:
-                told = number(answer.value(SPENT), 0, MOST_BUDGET)
+                spent = number(answer.value(SPENT), 0, MOST_BUDGET)
                 self.account.looped = self.account.looped or answer.value(LOOP) == b"1"
             except FramingError:
                 self._chain.unreadable += 1
@@ -138,7 +138,7 @@
         # Never written whole, it reached nobody. Turned away unseen, it reached an upstream: at the last tier that is
         # an attempt; further up nothing went on from there, unless a balancer below says otherwise.
         reached = outcome is Outcome.FULL and self._chain.last
-        self.account.settle(attempt, told, never and not told and not reached)
+        self.account.settle(attempt, spent, never and not spent and not reached)
 
     def closing(self, status: int) -> Headers:
         """What goes back with the one final answer."""
@@ -147,8 +147,8 @@
             chain.gate.ended(status != 200)  # errors and loops are no want of time or room
         if self._key is not None and chain.open_keys.get(self._key) is self.account:
             del chain.open_keys[self._key]  # not that of a later try with the same key
-        if self._ride is not None:
-            self._ride.closed(status)
+        if self._baggage is not None:
+            self._baggage.closed(status)
         if not self._trusted:
             return []
         found = [(b"X-Budget-Spent", b"%d" % self.account.reported)]
@@ -156,8 +156,8 @@
             found.append((b"X-Budget-Loop", b"1"))
         if status in (503, 504) and not self._ran and not self.out:
             found.append((b"X-Never-Ran", b"1"))
-        if self._ride is not None:
-            found.append((chain.field, self._ride.up()))
+        if self._baggage is not None:
+            found.append((chain.field, self._baggage.up()))
         return found
 
 
@@ -180,7 +180,7 @@
         self._unix = "unix" in options.trust
         self.own: tuple[bytes, ...] = (b"x-budget",)
         self.field = self.lower = b""  # that is carried for another part, and in small letters
-        self._rider: BaggagePropagator | None = None
+        self._propagator: BaggagePropagator | None = None
         self._taken = OURS
         self.trusts = lru_cache(maxsize=1024)(self._trusts)
         self._settings = settings
@@ -213,11 +213,11 @@
         """Taken off the time that goes down: what an answer needs on its way through this tier."""
         return self.options.way_back_ms
 
-    def carry(self, rider: BaggagePropagator) -> None:
+    def carry(self, propagator: BaggagePropagator) -> None:
         """Another part's field travels too. One at the most."""
-        assert self._rider is None, "a second field"
-        self._rider, self.field = rider, rider.name
-        self.lower = rider.name.lower()
+        assert self._propagator is None, "a second field"
+        self._propagator, self.field = propagator, propagator.name
+        self.lower = propagator.name.lower()
         self._taken = OURS | {self.lower}
         self.own = (b"x-budget", self.lower)
 
@@ -228,39 +228,39 @@
         of a refusal, at once and with nothing sent.
         """
         trusted = self.trusts(peer)
-        came: dict[bytes, bytes] = {}
+        received: dict[bytes, bytes] = {}
         kept: Headers = []
         for name, value in message.headers:
             lower = name.lower()
             if lower not in self._taken:
                 kept.append((name, value))
             elif trusted:
-                if lower in came:
+                if lower in received:
                     self.unreadable += 1  # twice: the first counts
-                came.setdefault(lower, value)
+                received.setdefault(lower, value)
         if len(kept) != len(message.headers):
             message.headers = kept
         cls = event.class_in(self._settings)
-        budget = number(came.get(BUDGET), 1, MOST_BUDGET)
-        worth = worth_of(came.get(WORTH), min(MOST_WORTH, cls.worth * self.options.worth_most))
-        path = path_of(came.get(PATH))
+        budget = number(received.get(BUDGET), 1, MOST_BUDGET)
+        worth = worth_of(received.get(WORTH), min(MOST_WORTH, cls.worth * self.options.worth_most))
+        path = path_of(received.get(PATH))
         read = ((BUDGET, budget is None), (WORTH, worth is None), (PATH, path is None))
-        self.unreadable += sum(bad and key in came for key, bad in read)
+        self.unreadable += sum(bad and key in received for key, bad in read)
         # A path that can't be read may hide a loop; what it hides is bounded by the budget all the same.
         hops = path or ()
-        ride = None
-        if self._rider is not None:
-            ride = self._rider.ride(came.get(self.lower), trace, event, now_ms)
+        baggage = None
+        if self._propagator is not None:
+            baggage = self._propagator.baggage_for(received.get(self.lower), trace, event, now_ms)
         if self._loops(hops):
-            return self._refusal(trusted, loop=True, ride=ride)
+            return self._refusal(trusted, loop=True, baggage=baggage)
         self.ratio.first(now_ms)
         least = self.useful.least_ms(event.class_index)
         if event.time_left_ms < least + self.way_back_ms:
-            return self._refusal(trusted, ride=ride)
+            return self._refusal(trusted, baggage=baggage)
         if worth is None:
             worth = cls.worth
         if not self.gate.admits(worth):
-            return self._refusal(trusted, ride=ride)
+            return self._refusal(trusted, baggage=baggage)
         budget = self.options.attempts if budget is None else budget
         key = self._key_of(message, event)
         account = Account(budget, self.last, SHARES[self.options.divide])
@@ -273,7 +273,7 @@
             self.open_keys[key] = account
         event.attempts_left = account.left
         way = b", ".join((*hops, self._hop))
-        return Ticket(self, account, way, worth, trusted, event.class_index, key, ride)
+        return Ticket(self, account, way, worth, trusted, event.class_index, key, baggage)
 
     def _key_of(self, message: Message, event: RequestArrived) -> KeyOwner | None:
         key = message.value(b"idempotency-key")
@@ -300,14 +300,14 @@
         found = message.values(PATH)
         return self._refusal(True, loop=True) if found and self._loops(path_of(found[0]) or ()) else None
 
-    def _refusal(self, trusted: bool, loop: bool = False, ride: Baggage | None = None) -> Headers:
+    def _refusal(self, trusted: bool, loop: bool = False, baggage: Baggage | None = None) -> Headers:
         found: Headers = []
-        if ride is not None:
-            ride.closed(503)
+        if baggage is not None:
+            baggage.closed(503)
         if trusted:
             found = [(b"X-Budget-Spent", b"0"), (b"X-Never-Ran", b"1")]
             if loop:
                 found.append((b"X-Budget-Loop", b"1"))
-            if ride is not None:
-                found.append((self.field, ride.up()))
+            if baggage is not None:
+                found.append((self.field, baggage.up()))
         return found
--- a/larkweir/coordination/captures/recorder.py
+++ b/larkweir/coordination/captures/recorder.py
@@ -50,7 +50,7 @@
             self._text = self._recorder.node.request_field(self.decision).encode()
         return self._text
 
-    def told(self, text: bytes | None, ran: bool) -> None:
+    def on_answer(self, text: bytes | None, ran: bool) -> None:
         """An attempt has ended, with this value in its answer. `ran`: it may have reached the next hop."""
         if text is not None:
             self._recorder.node.on_answer(self.decision, text.decode("latin-1"))
@@ -136,10 +136,12 @@
 
     # ------------------------------------------------ sampling decisions
 
-    def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> CaptureBaggage:
+    def baggage_for(
+        self, received: bytes | None, trace: bytes, event: RequestArrived, now_ms: float
+    ) -> CaptureBaggage:
         """The sampling decision that arrived with a request, or one made here, for all hops."""
         names = self.follow.names(event)
-        found = self._baggage[event.request] = self._decide(came, trace, event, now_ms, names)
+        found = self._baggage[event.request] = self._decide(received, trace, event, now_ms, names)
         return found
 
     def _decide(
@@ -185,25 +187,25 @@
                 fields[name] = value
         self.node.record(decision, _encode(fields), now_ms, lost=baggage.is_answer_lost)
 
-    def _on_ended(self, told: Told, status: int, now_ms: float) -> None:
-        baggage: CaptureBaggage = told.mark
+    def _on_ended(self, on_answer: Told, status: int, now_ms: float) -> None:
+        baggage: CaptureBaggage = on_answer.mark
         sent = 0
-        for attempt in told.attempts:
+        for attempt in on_answer.attempts:
             sent += attempt[3] != UNSENT_OUTCOME
         # A rejection that no upstream saw is no failure.
         failed = status >= 500 and (sent > 0 or status != 503)
-        slow = 0.0 < self.slow_ms <= now_ms - told.at_ms
+        slow = 0.0 < self.slow_ms <= now_ms - on_answer.at_ms
         decision = baggage.decision
         record = Record(
-            told.trace.decode("latin-1"),
-            *told.names,
-            tenths(told.left_ms),
-            tenths(told.at_ms),
-            tenths(now_ms - told.at_ms),
+            on_answer.trace.decode("latin-1"),
+            *on_answer.names,
+            tenths(on_answer.left_ms),
+            tenths(on_answer.at_ms),
+            tenths(now_ms - on_answer.at_ms),
             status,
-            told.attempts,
-            told.hint_ms,
-            told.again,
+            on_answer.attempts,
+            on_answer.hint_ms,
+            on_answer.again,
             baggage.route,
             decision.previous_hops,
             decision.next_hops,
--- a/larkweir/coordination/duties/probers.py
+++ b/larkweir/coordination/duties/probers.py
@@ -54,14 +54,14 @@
     return blake2b(name.encode(), digest_size=KEY_BYTES).digest()
 
 
-def tag_of(copy: str) -> bytes:
+def tag_of(balancer: str) -> bytes:
     """The bytes that stand for a balancer in a state."""
-    return blake2b(copy.encode(), digest_size=TAG_BYTES).digest()
+    return blake2b(balancer.encode(), digest_size=TAG_BYTES).digest()
 
 
-def prober_rank(key: bytes, copy: str) -> bytes:
+def prober_rank(key: bytes, balancer: str) -> bytes:
     """A balancer's place in the order of turns; the lowest is first."""
-    return blake2b(copy.encode(), digest_size=KEY_BYTES, key=key).digest()
+    return blake2b(balancer.encode(), digest_size=KEY_BYTES, key=key).digest()
 
 
 class ServerRow(msgspec.Struct, frozen=True, array_like=True):
--- a/larkweir/coordination/health_sharing.py
+++ b/larkweir/coordination/health_sharing.py
@@ -24,9 +24,9 @@
         self,
         decisions: Callable[[], Iterable[Balancer]],
         targets: Callable[[], Mapping[int, UpstreamInfo]],
-        tell: Callable[[PeerHealthReport], None],
+        report: Callable[[PeerHealthReport], None],
     ) -> None:
-        self._decisions, self._targets, self._tell = decisions, targets, tell
+        self._decisions, self._targets, self._report = decisions, targets, report
         self._numbers: dict[bytes, int] = {}  # of the upstreams at the last check
         self._listeners()
 
@@ -48,13 +48,13 @@
         self._numbers.clear()
         targets, found = self._targets(), dict[bytes, LocalSighting]()
         for listener in self._listeners():
-            for told in listener.local_health(now_ms):
-                target = targets.get(told.server)
+            for health in listener.local_health(now_ms):
+                target = targets.get(health.server)
                 if target is None:
                     continue
                 key = key_of("{}:{}".format(*target.address))
-                self._numbers[key] = told.server
-                found[key] = _joined(found.get(key), told)
+                self._numbers[key] = health.server
+                found[key] = _joined(found.get(key), health)
         return found
 
     def on_finding(self, key: bytes, finding: int, age_ms: float, is_prober: bool) -> None:
@@ -62,15 +62,15 @@
         number = self._numbers.get(key)
         if number is not None:
             good = None if finding == NOTHING else finding != FAILING
-            self._tell(PeerHealthReport(number, good, age_ms, finding == SERVED, is_prober))
+            self._report(PeerHealthReport(number, good, age_ms, finding == SERVED, is_prober))
 
 
-def _joined(other: LocalSighting | None, told: LocalHealth) -> LocalSighting:
+def _joined(other: LocalSighting | None, health: LocalHealth) -> LocalSighting:
     """Ejected where any has ejected it; of the findings, the newest."""
     finding = NOTHING
-    if told.is_healthy is not None:
-        finding = FAILING if not told.is_healthy else SERVED if told.from_request else PROBED
-    mine = LocalSighting(told.is_ejected, finding, told.age_ms if finding else 0.0)
+    if health.is_healthy is not None:
+        finding = FAILING if not health.is_healthy else SERVED if health.from_request else PROBED
+    mine = LocalSighting(health.is_ejected, finding, health.age_ms if finding else 0.0)
     if other is None:
         return mine
     newer = mine if finding and (not other.finding or mine.age_ms < other.age_ms) else other
--- a/larkweir/coordination/owners.py
+++ b/larkweir/coordination/owners.py
@@ -216,8 +216,8 @@
             if fingerprint and handovers == self._handovers:
                 self.on_file_closed(fingerprint)
 
-        is_told = voting_incarnation is not None and self._is_handing_over
-        self._thread.run(lambda: file.close(voting_incarnation), closed if is_told else None)
+        is_reported = voting_incarnation is not None and self._is_handing_over
+        self._thread.run(lambda: file.close(voting_incarnation), closed if is_reported else None)
 
     def pause(self, paused: bool, ends: bool = False) -> None:
         """Paused, or draining towards its end: this process hands over its duties and acquires none; as a replica it
@@ -310,7 +310,7 @@
         if manager is None:
             return
         self._flush(manager)
-        self._log.update(manager, keeps_reason=self._is_suspended)
+        self._log.update(manager, retains_reason=self._is_suspended)
         due_ms = max(min(manager.next_ms, self._runner.next_ms), self._clock.now_ms())
         if self._timer is not None:
             if self._due_ms <= due_ms:
--- a/larkweir/coordination/ownership_log.py
+++ b/larkweir/coordination/ownership_log.py
@@ -38,8 +38,8 @@
         if self._state_lines <= MAX_STATE_LINES_PER_S:
             self.write(f"owners: {name} {version[0]}.{version[1]} taken")
 
-    def update(self, manager: DutyManager, keeps_reason: bool) -> None:
-        """Log what has changed since the last call. `keeps_reason`: the reason holds for further duties too."""
+    def update(self, manager: DutyManager, retains_reason: bool) -> None:
+        """Log what has changed since the last call. `retains_reason`: the reason holds for further duties too."""
         if manager.acceptor is not None and manager.acceptor.mode != self._mode:
             self._mode = manager.acceptor.mode
             self.write(f"owners: keeper: {self._mode}")
@@ -51,7 +51,7 @@
             if name not in owned:
                 reason = self.release_reason or _reason_of(manager.leaderships[name].record)
                 self._write_change(f"owners: {name} given up: {reason}")
-                self.release_reason = self.release_reason if keeps_reason else ""
+                self.release_reason = self.release_reason if retains_reason else ""
         for name, term in owned.items():
             if self._owned.get(name) != term:
                 self._write_change(f"owners: {name} owned here, term {term}")
--- a/larkweir/core/ports.py
+++ b/larkweir/core/ports.py
@@ -104,7 +104,7 @@
     def down(self) -> bytes:
         """Its value for an attempt, to the tier below."""
 
-    def told(self, text: bytes | None, ran: bool) -> None:
+    def on_answer(self, text: bytes | None, ran: bool) -> None:
         """An attempt has ended: the value that came back with its answer. `ran`: it may have reached the tier below."""
 
     def up(self) -> bytes:
@@ -121,7 +121,7 @@
     def name(self) -> bytes:
         """The name of the header, as it is written."""
 
-    def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Baggage:
+    def baggage_for(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Baggage:
         """A request has arrived, with this value of the header."""
 
 
--- a/larkweir/lifecycle/channel.py
+++ b/larkweir/lifecycle/channel.py
@@ -37,7 +37,7 @@
     READY = "ready"
     GO = "go"
     TOOK = "took"
-    KEPT = "kept"
+    IDS_STORED = "kept"
     SEEN = "seen"
     RELOAD = "reload"
     GIVE_UP = "give_up"
@@ -51,12 +51,12 @@
 
     offset_ms: float  # of that clock, against the system's monotonic one
     discovery: str  # the address of the discovery that the list is from
-    held: dict[str, Any]  # the list, in discovery's form
+    upstream_list: dict[str, Any]  # the list, in discovery's form
     drains: dict[str, float]  # when each drain was announced, by instance id
     ids: list[tuple[str, float]]  # of recent requests, and when each ended
     learned: dict[str, Any]  # what the decisions have learned, in their own form
     paused: bool = False  # an operator's PAUSE, that the successor keeps
-    hears: bool = False  # the predecessor may be sent ids ("seen"): an older one knows no such word
+    accepts_ids: bool = False  # the predecessor may be sent ids ("seen"): an older one knows no such word
 
 
 class ReplicaMark(NamedTuple):
@@ -85,6 +85,10 @@
     payload: Payload = None
 
 
+# By field, its name in the messages of earlier versions, which stays.
+PUBLISHED_NAMES = {"upstream_list": "held", "accepts_ids": "hears"}
+
+
 def encode(kind: str, payload: Payload = None) -> bytes:
     """One line, with its end."""
     data: dict[str, Any] = {"word": kind}
@@ -93,7 +97,7 @@
     elif isinstance(payload, TakenIds):
         data["ids"] = payload.ids
     elif payload is not None:
-        data |= payload._asdict()
+        data |= {PUBLISHED_NAMES.get(name, name): value for name, value in payload._asdict().items()}
     return json.dumps(data, separators=(",", ":")).encode() + b"\n"
 
 
@@ -103,12 +107,12 @@
         data = json.loads(line)
     except (ValueError, RecursionError) as problem:
         raise ChannelError(f"not JSON: {problem}") from None
-    word = data.get("word") if isinstance(data, dict) else None
-    if not isinstance(word, str) or word not in _KINDS:
+    message_name = data.get("word") if isinstance(data, dict) else None
+    if not isinstance(message_name, str) or message_name not in _KINDS:
         raise ChannelError(f"{line[:100]!r} is no word of it")
-    kind = MessageKind(word)
+    kind = MessageKind(message_name)
     match kind:
-        case MessageKind.TOOK | MessageKind.KEPT:
+        case MessageKind.TOOK | MessageKind.IDS_STORED:
             return Message(kind, _decode_mark(data, optional=kind is MessageKind.TOOK))
         case MessageKind.READY | MessageKind.SEEN:
             return Message(kind, _decode_ids(data, optional=kind is MessageKind.READY))
@@ -144,11 +148,11 @@
         ids=[_decode_recent_id(item) for item in data["ids"]],
         offset_ms=_decode_time(data.get("offset_ms"), "offset_ms"),
         discovery=data["discovery"],
-        held=data["held"],
+        upstream_list=data["held"],
         drains={str(name): _decode_time(at_ms, "drains") for name, at_ms in data["drains"].items()},
         learned=data["learned"],
         paused=data.get("paused") is True,
-        hears=data.get("hears") is True,
+        accepts_ids=data.get("hears") is True,
     )
 
 
--- a/larkweir/lifecycle/config_loader.py
+++ b/larkweir/lifecycle/config_loader.py
@@ -96,7 +96,7 @@
         peering(options.peers, config)
 
 
-def read_settled_file(env: Environment) -> str:
+def read_stable_file(env: Environment) -> str:
     """The platform file's text once two readings a moment apart agree: guards against one that is being written. A
     writer that renames a complete file into place is never waited for longer than that.
     """
@@ -118,7 +118,7 @@
         return LoadedConfig(current._replace(config=config), (), ())
     from larkweir.config.changes import short_of  # of no use before the first reload
 
-    raw = read_object(read_settled_file(env))
+    raw = read_object(read_stable_file(env))
     missing = short_of(current.raw, raw)
     if missing:
         raise ConfigError(f"{missing}: missing")
--- a/larkweir/lifecycle/daemon.py
+++ b/larkweir/lifecycle/daemon.py
@@ -128,8 +128,8 @@
             self.node = Node(config, self._loop, options=options)
             return
         discovery = f"{config.discovery[0]}:{config.discovery[1]}"
-        if state.held and state.discovery == discovery:
-            config = replace(config, known=state.held)
+        if state.upstream_list and state.discovery == discovery:
+            config = replace(config, known=state.upstream_list)
         self.node = Node(config, self._loop, offset_ms=state.offset_ms, options=options)
         self.node.begin(state)
 
--- a/larkweir/lifecycle/incoming_handover.py
+++ b/larkweir/lifecycle/incoming_handover.py
@@ -168,7 +168,9 @@
                     node.peer_request_ids.receive(self.PREDECESSOR, taken)
             case Message(kind=MessageKind.GO, payload=HandoverState() as state):
                 self._on_late_go(state)
-            case Message(kind=MessageKind.KEPT, payload=ReplicaMark() as kept) if node.owners is not None:
+            case Message(
+                kind=MessageKind.IDS_STORED, payload=ReplicaMark() as kept
+            ) if node.owners is not None:
                 node.owners.on_predecessor_closed(kept.mark)
             case Message(kind=MessageKind.GIVE_UP):
                 self._host.post(StopRequested())
@@ -180,7 +182,7 @@
 
     def _exchange_ids(self, state: HandoverState) -> None:
         """The predecessor serves on beside this process, on the connections that it has."""
-        if not state.hears:
+        if not state.accepts_ids:
             return
         peer_ids = self._host.node.exchange_ids(self.PREDECESSOR, self._channel.send_ids)
         # Some are open there still: guards against forgetting them for what comes here meanwhile.
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -105,7 +105,7 @@
         self.peer_request_ids: PeerRequestIds | None = None  # where another process serves beside this one
 
     def _build_core(self, config: Config) -> None:
-        callers, upstreams = self._budgets(config)
+        client_budget, upstreams = self._budgets(config)
         self.upstreams = UpstreamPool(
             self.clock, self.memory, UpstreamConnection, config.settings, upstreams, config.drain_grace_ms
         )
@@ -117,7 +117,7 @@
         self.request_handler = RequestHandler(
             self.dispatcher, RequestParser(config.settings), lambda: self.listener.ready
         )
-        self.listener = Listener(self.dispatcher, self.request_handler, CallerConnection, callers)
+        self.listener = Listener(self.dispatcher, self.request_handler, CallerConnection, client_budget)
 
     @property
     def learner(self) -> Balancer | Switch | None:
@@ -153,8 +153,8 @@
         """`processes` of this balancer share the limits from now on. What is open or buffered stays."""
         self._processes = processes
         self.memory.resize(self.config.memory_mb / processes)
-        callers, upstreams = self._budgets(self.config)
-        self.listener.budget = callers
+        client_budget, upstreams = self._budgets(self.config)
+        self.listener.budget = client_budget
         self.upstreams.configure(self.settings, upstreams, self.config.drain_grace_ms)
 
     def reconfigure(self, config: Config, options: Operator | None = None) -> None:
@@ -165,21 +165,21 @@
         # Open requests refer to their class by its index: it stays.
         self.settings = settings = in_place(self.settings.classes, config.settings, self._class_places())
         self.memory.resize(config.memory_mb / self._processes)
-        callers, upstreams = self._budgets(config)
-        self.listener.budget = callers
+        client_budget, upstreams = self._budgets(config)
+        self.listener.budget = client_budget
         taken = {item.name for item in config.settings.classes}
         self.request_handler.parser = RequestParser(
             settings, taken, self.clock.now_ms(), self.request_handler.parser
         )
         self.upstreams.configure(settings, upstreams, config.drain_grace_ms)
-        whole = replace(config, settings=settings)
+        adjusted_config = replace(config, settings=settings)
         if options is not None:
             self.options = options
             if self.edits is not None:
                 options = self.edits.merged(options)
         for configure in self.configure_callbacks:
-            configure(whole, options)
-        self.dispatcher.reconfigure(whole)
+            configure(adjusted_config, options)
+        self.dispatcher.reconfigure(adjusted_config)
         self.discovery.move(config.discovery)
 
     def _class_places(self) -> set[int]:
@@ -198,13 +198,13 @@
         """
         from larkweir.lifecycle.channel import HandoverState  # not imported before the first handover
 
-        held = dict(self.discovery.held.snapshot())
+        upstream_list = dict(self.discovery.upstream_list.snapshot())
         learned = self.learner.learned() if share and self.learner is not None else {}
         peer_ids = self.peer_request_ids.ids() if self.peer_request_ids is not None else []
         return HandoverState(
             offset_ms=self.clock.offset_ms,
             discovery=self.discovery.address,
-            held=held,
+            upstream_list=upstream_list,
             drains=self.state.drains(),
             ids=[*peer_ids, *self.dispatcher.requests.ids()],
             learned=learned,
@@ -221,7 +221,7 @@
             return
         stored = self.state_store.open() if self.state_store is not None else None
         restored: RestoredState | None = None
-        if known is None or not known.held:  # a list that was handed over is newer than either
+        if known is None or not known.upstream_list:  # a list that was handed over is newer than either
             restored = self._restored_state(stored)
         self.discovery.trust_known = restored is None
         self.discovery.start()
@@ -276,8 +276,8 @@
     def adopt(self, known: HandoverState) -> None:
         """Go on from another process's state, as far as it is newer than this one's."""
         try:
-            if known.held:
-                self.discovery.adopt(known.discovery, known.held)
+            if known.upstream_list:
+                self.discovery.adopt(known.discovery, known.upstream_list)
         except DiscoveryError as problem:
             self.log.write(f"handover: the list: {problem}")
         # This process may have started with a clock of its own.
--- a/larkweir/lifecycle/node_state.py
+++ b/larkweir/lifecycle/node_state.py
@@ -45,7 +45,7 @@
 
     def changed_ids(self) -> set[str]:
         """Instance ids whose rows may have changed; the caller takes out those that it has read."""
-        changed = self._owner.discovery.held.changed_ids
+        changed = self._owner.discovery.upstream_list.changed_ids
         return changed if changed is not None else set()
 
     def row(self, name: str) -> InstanceRow | None:
@@ -80,7 +80,7 @@
         if reverse is not None:
             return {reverse[number]: since for number, since in since_ms.items() if number in reverse}
         found: dict[str, float] = {}
-        for row in discovery.held.snapshot()["instances"]:
+        for row in discovery.upstream_list.snapshot()["instances"]:
             since = since_ms.get(discovery.number(row["instanceId"]) or 0, 0.0)
             if since:
                 found[row["instanceId"]] = since
--- a/larkweir/lifecycle/outgoing_handover.py
+++ b/larkweir/lifecycle/outgoing_handover.py
@@ -136,7 +136,9 @@
         if self._active is None or self._active.serial != serial:
             return
         node, channel = self._host.node, self._active.process.channel
-        channel.send(MessageKind.GO, node.handover_state()._replace(paused=self._host.paused, hears=True))
+        channel.send(
+            MessageKind.GO, node.handover_state()._replace(paused=self._host.paused, accepts_ids=True)
+        )
         if self._ids_wanted_by == serial:
             node.exchange_ids(serial, channel.send_ids)
 
@@ -186,4 +188,4 @@
 
     def _deliver(self, delivery: MarkDelivery | None) -> None:
         if delivery is not None:
-            self._send(delivery.serial, MessageKind.KEPT, delivery.mark)
+            self._send(delivery.serial, MessageKind.IDS_STORED, delivery.mark)
--- a/larkweir/lifecycle/peer_request_ids.py
+++ b/larkweir/lifecycle/peer_request_ids.py
@@ -18,17 +18,17 @@
 
     MAX_IDS = 16_384  # some seconds of what a process accepts; the oldest go first
 
-    def __init__(self, now_ms: Callable[[], float], keep: Callable[[list[tuple[str, float]]], None]) -> None:
-        """`keep` gets the ids that are held, with the times when each was received in milliseconds, once no other
+    def __init__(self, now_ms: Callable[[], float], store: Callable[[list[tuple[str, float]]], None]) -> None:
+        """`store` gets the ids that are held, with the times when each was received in milliseconds, once no other
         process is left.
         """
         self._now_ms = now_ms
-        self._keep = keep
-        self._held: dict[bytes, float] = {}  # when each was received, in milliseconds
+        self._store = store
+        self._received_ms: dict[bytes, float] = {}  # when each was received, in milliseconds
         self._processes: dict[int, NotifyTaken] = {}
 
     def __contains__(self, trace: bytes) -> bool:
-        return trace in self._held
+        return trace in self._received_ms
 
     def join(self, process: int, notify: NotifyTaken) -> None:
         """Another process serves beside this one from now on. `process` is this process's number for it; `notify`
@@ -39,8 +39,8 @@
     def leave(self, process: int) -> None:
         """That process has ended, or has no connections left."""
         if self._processes.pop(process, None) is not None and not self._processes:
-            self._keep(self.ids())
-            self._held.clear()
+            self._store(self.ids())
+            self._received_ms.clear()
 
     def announce(self, trace: bytes) -> None:
         """This process accepts a request. To be called before any of it is sent."""
@@ -56,13 +56,13 @@
             return
         now = self._now_ms()
         for text in taken.ids:
-            self._held[text.encode("latin-1", "replace")] = now
-        while len(self._held) > self.MAX_IDS:
-            del self._held[next(iter(self._held))]
+            self._received_ms[text.encode("latin-1", "replace")] = now
+        while len(self._received_ms) > self.MAX_IDS:
+            del self._received_ms[next(iter(self._received_ms))]
         for other, notify in self._processes.items():
             if other != process:
                 notify(taken)
 
     def ids(self) -> list[tuple[str, float]]:
         """The ids that are held, with the times when each was received in milliseconds, oldest first."""
-        return [(trace.decode("latin-1"), received_ms) for trace, received_ms in self._held.items()]
+        return [(trace.decode("latin-1"), received_ms) for trace, received_ms in self._received_ms.items()]
--- a/larkweir/lifecycle/state_machine.py
+++ b/larkweir/lifecycle/state_machine.py
@@ -102,7 +102,7 @@
         self._go_sent = False  # the successor may accept
         self._serves_beside = False  # the upgrade accepts, this process drains when it is stopped
         self._handed_over = False  # this process drains because a successor has taken over
-        self._keeps_connections = False  # draining, and open connections are still served on
+        self._serves_connections = False  # draining, and open connections are still served on
         self._closing_idle = False  # draining, idle connections are closed, and the end is looked for
         self._stop_count = 0  # how often this process was told to stop
         self._drain_ends_ms = 0.0  # the latest end of the drain
@@ -413,7 +413,7 @@
         return [*commands, *self._start_drain(now_ms, self.options.accept_ms)]
 
     @property
-    def keep_serving_ms(self) -> float:
+    def serving_extension_ms(self) -> float:
         """Milliseconds for which open connections are served on after SIGTERM; 0: each answer is the last of its own.
 
         Guards clients during a rolling restart, which may take the last but one down before the first is back.
@@ -425,18 +425,20 @@
 
     def _start_drain(self, now_ms: float, accept_ms: float) -> list[Command]:
         self.state = State.DRAINING
-        keep_serving_ms = 0.0 if self.paused else self.keep_serving_ms  # a paused process serves nobody on
-        accept_ms = max(accept_ms, keep_serving_ms)
+        serving_extension_ms = (
+            0.0 if self.paused else self.serving_extension_ms
+        )  # a paused process serves nobody on
+        accept_ms = max(accept_ms, serving_extension_ms)
         # Where a successor accepts, each connection is closed with its next answer, which costs nobody a request; those
         # that are idle for long are closed as late as they may be.
-        self._keeps_connections = keep_serving_ms > 0.0 and not self._handed_over
+        self._serves_connections = serving_extension_ms > 0.0 and not self._handed_over
         self._reload_pending = self._handover_pending = self._upgrade_pending = self._is_upgrade = False
         serial = self._next_serial()
         drain_ms = accept_ms + self.max_deadline_ms + self.LAST_ANSWERS_MS
         self._drain_ends_ms = now_ms + drain_ms
         lines = ("STATUS=draining", self._extend_line(now_ms))
         return [
-            SetClosing(not self._keeps_connections),
+            SetClosing(not self._serves_connections),
             Notify(lines if self._handed_over else ("STOPPING=1", *lines)),
             SetTimer(Timer.DRAIN_ACCEPT, serial, accept_ms),
             SetTimer(Timer.DRAIN_END, serial, drain_ms),
@@ -449,8 +451,8 @@
 
     def _end_accepting(self) -> list[Command]:
         self._closing_idle = True
-        commands: list[Command] = [SetClosing(True)] if self._keeps_connections else []
-        self._keeps_connections = False
+        commands: list[Command] = [SetClosing(True)] if self._serves_connections else []
+        self._serves_connections = False
         # After a handover the sockets stay open, unread, while this process lasts: should the successor die, it
         # accepts on them again.
         if not (self._handed_over and self._successor_serial):
--- a/larkweir/membership/agent_client.py
+++ b/larkweir/membership/agent_client.py
@@ -41,7 +41,7 @@
                 self.connection = await AgentConnection.connect(self.address, self.CONNECT_S)
             return await self.connection.get(target, self._host)
 
-    async def whole_list(self) -> Message:
+    async def full_list(self) -> Message:
         """The whole list, on the connection that is kept open."""
         return await self.call(LIST_PATH, self.CALL_S)
 
@@ -52,13 +52,13 @@
         target = b"%b?after=%d&wait_ms=%d" % (LIST_PATH, generation, wait_s * 1000)
         return await self.call(target, wait_s + grace_s)
 
-    async def whole_list_apart(self) -> Message:
+    async def full_list_on_new_connection(self) -> Message:
         """The whole list, on a connection of its own."""
         connection, answer = await self._call_apart()
         connection.close()
         return answer
 
-    async def whole_list_repeated(self, on_silence: Callable[[], None]) -> Message:
+    async def full_list_with_retries(self, on_silence: Callable[[], None]) -> Message:
         """The whole list from an agent that may be silent: it is asked again and again, a few calls at a time, on
         connections of their own, and the first answer counts: it may come late, or to the newest call alone. That
         call's connection is kept open. `on_silence` is called at each repeat.
--- a/larkweir/membership/discovery.py
+++ b/larkweir/membership/discovery.py
@@ -16,7 +16,6 @@
 from larkweir.core.message import Message
 from larkweir.core.ports import Address, Listing
 from larkweir.membership.agent_client import AgentClient
-from larkweir.membership.held_list import HeldList
 from larkweir.membership.listing import (
     DiscoveryError,
     InstanceRow,
@@ -24,6 +23,7 @@
     parse_listing,
 )
 from larkweir.membership.names import Names
+from larkweir.membership.upstream_list import UpstreamList
 
 SILENT = "silent, asked anew"  # in the log
 
@@ -53,16 +53,18 @@
     # At a start, that the agent's first answer is waited for before requests are accepted.
     FIRST_LIST_S = 0.25
 
-    def __init__(self, config: Config, tell: Callable[[Listing], None], log: Callable[[str], None]) -> None:
+    def __init__(
+        self, config: Config, on_listing: Callable[[Listing], None], log: Callable[[str], None]
+    ) -> None:
         self._agent = AgentClient(config.discovery)
         self._names = Names(config.zones, config.kinds)
         self._on_request = config.settings.on_request_discovery
         self._configured = config.known  # a list, or empty
         self.trust_known = True  # whether the configuration's list is believed as it stands
-        self.tell = tell
+        self.on_listing = on_listing
         self._log = log
         self._rng = Random(config.seed)
-        self._held = HeldList()
+        self._list = UpstreamList()
         self.on_answer: Callable[[], None] | None = None  # called at each good answer, before it is told
         self._watch: asyncio.Task[None] | None = None
         self._recheck: asyncio.Task[None] | None = None  # of a watch that lasts
@@ -83,7 +85,7 @@
         this process's first moment: it is not ready (`begun`) before the agent has answered or failed, or has been
         silent for so long that what is known has to do.
         """
-        self.tell(self._configured_listing())
+        self.on_listing(self._configured_listing())
         if not self._on_request:
             loop = asyncio.get_running_loop()
             self._watch = loop.create_task(self._follow())
@@ -98,8 +100,8 @@
             except DiscoveryError as problem:
                 self._log(f"known: {problem}")
             else:
-                self._held.generation = known.version
-                self._held.replace(rows)
+                self._list.generation = known.version
+                self._list.replace(rows)
                 return _cached(known)
         return Listing(ListKind.CACHED, 0, (), ())
 
@@ -124,7 +126,7 @@
         if self._stopped or address == self._agent.address:
             return
         self._agent.move(address)
-        self._held.generation = None  # the old agent's; the new one's generations are not compared with it
+        self._list.generation = None  # the old agent's; the new one's generations are not compared with it
         self._behind = True
         watching = self._is_watching
         self._cancel_tasks()
@@ -159,12 +161,12 @@
             self._fetch = asyncio.get_running_loop().create_task(self._fetch_once())
 
     async def _fetch_once(self) -> None:
-        before = self._held.generation
+        before = self._list.generation
         try:
-            self._accept(await self._agent.whole_list_apart(), before, whole=True)
+            self._accept(await self._agent.full_list_on_new_connection(), before, is_full=True)
         except (DiscoveryError, OSError) as problem:
             self._log(f"discovery: {str(problem) or type(problem).__name__}")
-            self._tell_failed()
+            self._report_failure()
 
     # ------------------------------------------------ the watch
 
@@ -182,7 +184,7 @@
                 if self._on_request:
                     if stalled and self._failures == 1:
                         continue  # at once: what it missed counts as told in a moment
-                    self._tell_failed()
+                    self._report_failure()
                     return
                 self._begin()  # the agent has said that it has no list for now, or it is not there
                 await asyncio.sleep(pause_s * (0.5 + self._rng.random()))
@@ -196,12 +198,12 @@
 
     async def _call_once(self) -> None:
         """One call: of the watch, or for the whole list where the watch can't go on from what is held."""
-        before = self._held.generation
+        before = self._list.generation
         if self._behind and not self._on_request:
-            answer = await self._agent.whole_list_repeated(on_silence=lambda: self._failed(SILENT))
-            self._accept(answer, before, whole=True)
+            answer = await self._agent.full_list_with_retries(on_silence=lambda: self._failed(SILENT))
+            self._accept(answer, before, is_full=True)
         elif before is None or self._behind:
-            self._accept(await self._agent.whole_list(), before, whole=True)
+            self._accept(await self._agent.full_list(), before, is_full=True)
         else:
             await self._call_watch(before)
 
@@ -228,13 +230,13 @@
         """
         await asyncio.sleep(self._rng.uniform(*self.RECHECK_S))
         while True:
-            before = self._held.generation
+            before = self._list.generation
             try:
-                self._accept(await self._agent.whole_list_apart(), before, whole=True)
+                self._accept(await self._agent.full_list_on_new_connection(), before, is_full=True)
                 break
             except (DiscoveryError, OSError):  # the watch goes on: there is nothing to tell yet
                 await asyncio.sleep(self._rng.uniform(*self.RECHECK_PAUSE_S))
-        if self._held.generation != before and self._watch is not None:
+        if self._list.generation != before and self._watch is not None:
             self._log("discovery: a watch had missed news, begun anew")
             self._recheck = None  # this task, which is not to cancel itself
             self._watch.cancel()
@@ -253,8 +255,8 @@
             self._logged_failure = text
             self._log(f"discovery: {text}")
 
-    def _tell_failed(self) -> None:
-        self.tell(Listing(ListKind.FAILED, self.generation, (), ()))
+    def _report_failure(self) -> None:
+        self.on_listing(Listing(ListKind.FAILED, self.generation, (), ()))
 
     def _answered(self) -> None:
         if self._logged_failure:
@@ -265,29 +267,31 @@
 
     # ------------------------------------------------ answers
 
-    def _accept(self, answer: Message, before: int | None, whole: bool = False) -> None:
-        """Hold and tell what an answer says. `before` is the generation that was held when its call was sent, `whole`
+    def _accept(self, answer: Message, before: int | None, is_full: bool = False) -> None:
+        """Hold and tell what an answer says. `before` is the generation that was held when its call was sent, `is_full`
         whether the whole list was asked for.
 
         What another call has brought meanwhile is not undone by an older list, and changes count only for the list
         that they were asked for.
         """
         listing, rows = self._parse(answer)
-        held = self._held
+        upstream_list = self._list
         changes = listing.kind is ListKind.DELTA
-        if whole and changes:
+        if is_full and changes:
             raise DiscoveryError("the whole list was asked for and changes came")
-        if held.generation != before and (changes or listing.version < (held.generation or 0)):
+        if upstream_list.generation != before and (
+            changes or listing.version < (upstream_list.generation or 0)
+        ):
             return
         if changes and listing.version < (before or 0):
-            held.generation = None  # these are changes to another list than the one held
+            upstream_list.generation = None  # these are changes to another list than the one held
             return
         if changes:
-            held.merge(rows)
+            upstream_list.merge(rows)
         else:
-            held.replace(rows)
-        held.generation = listing.version
-        self.tell(listing)
+            upstream_list.replace(rows)
+        upstream_list.generation = listing.version
+        self.on_listing(listing)
 
     def _parse(self, answer: Message) -> ParsedList:
         if answer.status != 200:
@@ -304,9 +308,9 @@
     # ------------------------------------------------ what is held
 
     @property
-    def held(self) -> HeldList:
+    def upstream_list(self) -> UpstreamList:
         """The list that is held."""
-        return self._held
+        return self._list
 
     @property
     def names(self) -> Names:
@@ -316,7 +320,7 @@
     @property
     def generation(self) -> int:
         """The generation of the list that is held; 0 if there is none."""
-        return self._held.generation or 0
+        return self._list.generation or 0
 
     @property
     def address(self) -> str:
@@ -325,15 +329,15 @@
 
     def row(self, instance_id: str) -> InstanceRow | None:
         """One instance's row, or None."""
-        return self._held.row(instance_id)
+        return self._list.row(instance_id)
 
     def number(self, instance_id: str) -> int | None:
         """The number of an instance that is held, or None."""
-        return self._names.server(instance_id) if instance_id in self._held else None
+        return self._names.server(instance_id) if instance_id in self._list else None
 
-    def reroute(self, tell: Callable[[Listing], None]) -> None:
+    def reroute(self, on_listing: Callable[[Listing], None]) -> None:
         """Tell somebody else from now on."""
-        self.tell = tell
+        self.on_listing = on_listing
 
     def adopt(self, address: str, snapshot: dict[str, Any]) -> None:
         """Take over what another process of this balancer holds, as it was received from there, if it is newer: it may
@@ -342,9 +346,9 @@
         if address != self.address or snapshot["generation"] <= self.generation:
             return
         listing, rows = parse_listing(snapshot, self._names)
-        self._held.generation = listing.version
-        self._held.replace(rows)
-        self.tell(_cached(listing))
+        self._list.generation = listing.version
+        self._list.replace(rows)
+        self.on_listing(_cached(listing))
 
 
 def _cached(listing: Listing) -> Listing:
--- a/larkweir/membership/listing.py
+++ b/larkweir/membership/listing.py
@@ -1,6 +1,6 @@
 """Parses an answer of discovery, checked as a whole, into what the balancer is told of its upstreams. Pure logic.
 
-The types `InstanceRow` and `WholeList` are discovery's own form: it is handed to other processes and kept on disk as it
+The types `InstanceRow` and `FullList` are discovery's own form: it is handed to other processes and kept on disk as it
 was received, with keys that nothing here knows.
 """
 
@@ -39,7 +39,7 @@
     machineType: str
 
 
-class WholeList(TypedDict):
+class FullList(TypedDict):
     """All instances in discovery's form, checked."""
 
     generation: int
@@ -66,12 +66,12 @@
     if not isinstance(data, dict):
         raise DiscoveryError("the answer is not an object")
     version = _field(data, "generation", int)
-    whole = data.get("reset")
-    if not isinstance(whole, bool):
-        raise DiscoveryError(f"reset: {whole!r:.100} is neither true nor false")
+    is_full = data.get("reset")
+    if not isinstance(is_full, bool):
+        raise DiscoveryError(f"reset: {is_full!r:.100} is neither true nor false")
     rows = _field(data, "instances", list)
     checked = [_check_row(row) for row in rows]
-    kind = ListKind.FULL if whole else ListKind.DELTA
+    kind = ListKind.FULL if is_full else ListKind.DELTA
     entries = _entries_of(rows, checked, names)
     return ParsedList(Listing(kind, version, entries, tuple(address for address, _ in checked)), rows)
 
--- a/larkweir/membership/remembered/part.py
+++ b/larkweir/membership/remembered/part.py
@@ -34,15 +34,15 @@
 
 def attach(host: Host, options: Operator) -> None:
     """Restore members in this balancer, as the operator file says."""
-    config, dispatcher, say = host.config, host.dispatcher, host.log.write
-    host.runner = runner = Runner(host.clock, lambda: dispatcher.has_requests, say, Random(config.seed))
+    config, dispatcher, log_line = host.config, host.dispatcher, host.log.write
+    host.runner = runner = Runner(host.clock, lambda: dispatcher.has_requests, log_line, Random(config.seed))
     host.remembered = dispatcher.extensions.answer_verifier = remembered = RestoredMembers(
         options.remembered,
         config,
         host.clock,
-        say,
+        log_line,
         host.discovery,
-        host.discovery.tell,
+        host.discovery.on_listing,
         host.upstreams,
         dispatcher.probes.target,
     )
--- a/larkweir/membership/remembered/restore.py
+++ b/larkweir/membership/remembered/restore.py
@@ -35,7 +35,7 @@
         clock: Clock,
         log: Callable[[str], None],
         discovery: Discovery,
-        tell: Callable[[Listing], None],
+        forward_listing: Callable[[Listing], None],
         pool: Pool,
         target: bytes,
     ) -> None:
@@ -44,7 +44,7 @@
         self._clock = clock
         self._log = log
         self._discovery = discovery
-        self._tell = tell
+        self._forward_listing = forward_listing
         self._header = options.identity.lower().encode()
         self._is_closed = False
         self._rows = RestoredRows(discovery.names, log)
@@ -102,7 +102,7 @@
         """Report changes to the decisions."""
         listing = self._rows.listing(changes, kind)
         if listing is not None:
-            self._tell(listing)
+            self._forward_listing(listing)
 
     # ------------------------------------------------ probes and answers
 
@@ -162,7 +162,7 @@
                     return  # changes to a list that is not the restored one: the whole one is asked for
                 self._on_first_list(listing, self.entries)
             listing = self._reconciler.corrected(listing, self._clock.now_ms())
-        self._tell(listing)
+        self._forward_listing(listing)
         if self._drains and listing.kind is ListKind.FULL and self.entries is None:
             # A drain's grace runs from when it was first reported, to whichever process.
             for name, since_ms in self._drains.items():
--- a/larkweir/membership/held_list.py
+++ b/larkweir/membership/upstream_list.py
@@ -4,10 +4,10 @@
 
 from collections.abc import Sequence
 
-from larkweir.membership.listing import LEFT, InstanceRow, WholeList
+from larkweir.membership.listing import LEFT, FullList, InstanceRow
 
 
-class HeldList:
+class UpstreamList:
     """The rows of the instances that have not left, and the generation that discovery calls them."""
 
     __slots__ = ("_rows", "changed_ids", "generation")
@@ -26,7 +26,7 @@
         """One instance's row, or None."""
         return self._rows.get(instance_id)
 
-    def snapshot(self) -> WholeList:
+    def snapshot(self) -> FullList:
         """All of it, as a whole list in discovery's form."""
         return {"generation": self.generation or 0, "reset": True, "instances": list(self._rows.values())}
 
@@ -48,9 +48,9 @@
 
     def _apply(self, rows: Sequence[InstanceRow]) -> None:
         """Later rows count before earlier ones; those that have left are dropped, which bounds what is held."""
-        held = self._rows
+        upstream_list = self._rows
         for row in rows:
             if row["lifecycle"] == LEFT:
-                held.pop(row["instanceId"], None)
+                upstream_list.pop(row["instanceId"], None)
             else:
-                held[row["instanceId"]] = row
+                upstream_list[row["instanceId"]] = row
--- a/larkweir/store/part.py
+++ b/larkweir/store/part.py
@@ -29,7 +29,7 @@
 
 def attach(host: Host, options: Operator) -> None:
     """Create the store; the balancer opens it as it begins."""
-    host.discovery.held.changed_ids = set()
+    host.discovery.upstream_list.changed_ids = set()
     state_store = StateStore(options.store, host.config, host.clock, host.log.write)
     host.state_store = host.dispatcher.extensions.durable_state = state_store
     host.close_callbacks.append(state_store.close)
--- a/packages/balancing/src/larkweir_balancing/caller_stats.py
+++ b/packages/balancing/src/larkweir_balancing/client_stats.py
@@ -30,7 +30,7 @@
         return self.votes < self.MIN_LEAD
 
 
-class CallerStats:
+class ClientStats:
     """Running means of what comes to this copy, by class and by tenant."""
 
     SAMPLE_WEIGHT = 1.0 / 16.0  # weight of a new sample in the running means
--- a/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
+++ b/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
@@ -166,7 +166,7 @@
         # Of a call's time at low load, the part that goes by its request's size: of the tiers from here on, this one.
         self._slope = 1.0 / max(1, settings.tiers - settings.tier)
         self._spread, self._along = 1.0, self._slope
-        self._tolerance, self._keep = 1.0, 0  # the tolerance, kept for so many more answers
+        self._tolerance, self._tolerance_answers = 1.0, 0  # the tolerance, kept for so many more answers
 
     def configure(self, settings: Settings) -> None:
         """Take new figures; what was learned is carried on. Classes keep their places; there may be more, and another
@@ -309,8 +309,8 @@
         horizon = self._arrivals - self.ACTIVE_ARRIVALS * len(self._classes)
         for at, cls in enumerate(self._classes):
             if self._last_arrival[at] >= horizon:
-                room = max(0.0, cls.aim_ms - self.base[at])
-                own = min(max(times * self.base[at], self.MIN_TOLERANCE_FRACTION * room), most * room)
+                slack_ms = max(0.0, cls.aim_ms - self.base[at])
+                own = min(max(times * self.base[at], self.MIN_TOLERANCE_FRACTION * slack_ms), most * slack_ms)
                 least = min(least, own)
         return 1.0 if least == math.inf else max(least, 0.001)
 
@@ -370,10 +370,12 @@
         size: float,
     ) -> None:
         """Steer a window that counts."""
-        self._keep -= 1
-        if self._keep <= 0:
+        self._tolerance_answers -= 1
+        if self._tolerance_answers <= 0:
             self._tolerance = self.tolerance_ms()
-            self._keep = self.TOLERANCE_REUSE if self._base_samples[at] >= self.MIN_ROUND_CALLS else 1
+            self._tolerance_answers = (
+                self.TOLERANCE_REUSE if self._base_samples[at] >= self.MIN_ROUND_CALLS else 1
+            )
         tolerance = self._tolerance
         # Guards against taking a spell of heavy requests for queues: their time at low load is by their size.
         scale = self.size_scale(size)
--- a/packages/balancing/src/larkweir_balancing/load_probing.py
+++ b/packages/balancing/src/larkweir_balancing/load_probing.py
@@ -33,9 +33,9 @@
         self.settings = settings
         self._rng = rng
         fields = list(settings.report_fields) if settings.may_probe else []
-        tells = settings.report_mode is not ReportMode.OFF and self.IDLE_FIELD in fields
-        self._level_index = fields.index(self.IDLE_FIELD) if tells else -1
-        self._queue_index = fields.index("waiting") if tells and "waiting" in fields else -1
+        has_idle_reports = settings.report_mode is not ReportMode.OFF and self.IDLE_FIELD in fields
+        self._level_index = fields.index(self.IDLE_FIELD) if has_idle_reports else -1
+        self._queue_index = fields.index("waiting") if has_idle_reports and "waiting" in fields else -1
         self.max_running = 0.0  # calls that any server was seen to run at once
         self.idle_share = 0.5  # of the reports, those that say idle
         self.mean_probe_ms = 2.0 * settings.tick_ms
@@ -46,7 +46,7 @@
         return self.max_running < 1.5
 
     @property
-    def can_tell_idle(self) -> bool:
+    def reports_idle(self) -> bool:
         """Whether reports tell which server is idle."""
         return self._level_index >= 0 and self.serves_singly
 
--- a/packages/balancing/src/larkweir_balancing/load_shedding.py
+++ b/packages/balancing/src/larkweir_balancing/load_shedding.py
@@ -123,16 +123,18 @@
         """The part that must be shed of so many times what this core can do; below 0 where it could do more."""
         return (load - 1.0) / (max(load, 0.1) * (1.0 - self.REFUSAL_COST))
 
-    def _count(self, busy_ms: float, whole_ms: float) -> None:
-        keep = 1.0 - self.SAMPLE_WEIGHT
-        self._requests = keep * self._requests + self._arrived
+    def _count(self, busy_ms: float, period_ms: float) -> None:
+        previous_weight = 1.0 - self.SAMPLE_WEIGHT
+        self._requests = previous_weight * self._requests + self._arrived
         self._units = (
-            keep * self._units + self._admitted + self.REFUSAL_COST * (self._arrived - self._admitted)
+            previous_weight * self._units
+            + self._admitted
+            + self.REFUSAL_COST * (self._arrived - self._admitted)
         )
-        self._busy_ms = keep * self._busy_ms + busy_ms
+        self._busy_ms = previous_weight * self._busy_ms + busy_ms
         # What is read in a turn has come while the one before went on.
-        self._elapsed_ms = keep * self._elapsed_ms + (self._previous_elapsed_ms or whole_ms)
-        self._previous_elapsed_ms = whole_ms
+        self._elapsed_ms = previous_weight * self._elapsed_ms + (self._previous_elapsed_ms or period_ms)
+        self._previous_elapsed_ms = period_ms
         self._arrived = self._admitted = 0
 
     def _distribute(self) -> None:
--- a/packages/balancing/src/larkweir_balancing/outlier_ejection.py
+++ b/packages/balancing/src/larkweir_balancing/outlier_ejection.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from larkweir_balancing.caller_stats import CallerStats
+from larkweir_balancing.client_stats import ClientStats
 from larkweir_balancing.concurrency_limiter import INCONCLUSIVE, ConcurrencyLimiter
 from larkweir_balancing.load_probing import LoadProbing
 from larkweir_balancing.outcomes import NEVER_RAN, Outcome
@@ -28,7 +28,7 @@
     rng: Random
     table: ServerTable
     limiter: ConcurrencyLimiter
-    caller_stats: CallerStats
+    client_stats: ClientStats
     load_probing: LoadProbing
     failure_rate: float = 0.1
     newest_served_ms: float = -1.0  # when the call was sent that is the newest of those served
@@ -81,7 +81,7 @@
         self.failure_rate += self.SAMPLE_WEIGHT * (1.0 - self.failure_rate)
         server, outcome, fleet, tuning = attempt.server, attempt.outcome, self.table, self.settings.tuning
         visit = (
-            self.caller_stats.arrival_interval_ms * fleet.ready_count
+            self.client_stats.arrival_interval_ms * fleet.ready_count
         )  # from one of this copy's visits there to the next
         latency = self.limiter.mean[at]
         if outcome not in NEVER_RAN and outcome is not Outcome.OK:
@@ -127,8 +127,8 @@
         # time that its answer took behind our own calls, while the others get twice as many.
         counts = self.table.in_flight >= self.table.ready_count * (0.5 if self.settings.copies < 2 else 1.0)
         beyond = server.slowness - self.ORDINARY_RATIO
-        if beyond > 0.0 and not self.load_probing.can_tell_idle and not counts:
-            visit = self.caller_stats.arrival_interval_ms * self.table.ready_count
+        if beyond > 0.0 and not self.load_probing.reports_idle and not counts:
+            visit = self.client_stats.arrival_interval_ms * self.table.ready_count
             self.table.withhold_token(
                 server, now_ms + min(self.settings.longest_ms, self.PACED_VISITS * beyond * visit)
             )
--- a/packages/balancing/src/larkweir_balancing/policy.py
+++ b/packages/balancing/src/larkweir_balancing/policy.py
@@ -14,7 +14,7 @@
 
 from larkweir_balancing.actions import Action, CloseIdle, Fail, Probe, Refuse, Send, SetTimer, WatchList
 from larkweir_balancing.admission_queue import AdmissionQueue
-from larkweir_balancing.caller_stats import CallerStats
+from larkweir_balancing.client_stats import ClientStats
 from larkweir_balancing.concurrency_limiter import ConcurrencyLimiter, Verdict
 from larkweir_balancing.connections import ConnectionTracker
 from larkweir_balancing.errors import ContractError
@@ -69,10 +69,10 @@
         self.connections = ConnectionTracker(settings)
         self.limiter = ConcurrencyLimiter(settings, self.rng) if limiter is None else limiter
         self.queue = AdmissionQueue(settings)
-        self.caller_stats = CallerStats(settings)
+        self.client_stats = ClientStats(settings)
         self.load_probing = LoadProbing(settings, self.rng)
         self.outliers = OutlierDetector(
-            settings, self.rng, self.table, self.limiter, self.caller_stats, self.load_probing
+            settings, self.rng, self.table, self.limiter, self.client_stats, self.load_probing
         )
         self.selector = ServerSelector(
             settings, self.rng, self.table, self.connections, self.slow_start, self.outliers
@@ -81,14 +81,16 @@
         self.requests: dict[int, Request] = {}
         self.now_ms = -1.0
         self.actions: list[Action] = []
-        self._list_asked_ms = -1.0  # when last, after a failure; 0: the last call was good; -1: no list yet
+        self._list_requested_ms = (
+            -1.0
+        )  # when last, after a failure; 0: the last call was good; -1: no list yet
         self._retry_budget = settings.tuning.retry_cap / 2.0
         self._awaiting_probe: dict[int, list[Request]] = {}
         self.shared_health: SharedHealth | None = None  # where replicas share what they find of servers
         self._handlers = {
             RequestArrived: self._on_request,
             AttemptEnded: self._on_attempt_end,
-            RequestBodyReceived: self._on_body_came,
+            RequestBodyReceived: self._on_body_received,
             TimerFired: self._on_timer,
             ProbeEnded: self._on_probe,
             ListUpdate: self._on_list,
@@ -128,11 +130,11 @@
         self.slow_start.earn(self.now_ms, self.outliers.failure_rate)
         tuning = self.settings.tuning
         self._retry_budget = min(tuning.retry_cap, self._retry_budget + tuning.retry_ratio)
-        request.size = self.caller_stats.record_arrival(event, self.now_ms)
+        request.size = self.client_stats.record_arrival(event, self.now_ms)
         request.useful_until_ms = min(
-            request.deadline_ms, self.caller_stats.useful_until_ms(event, request.request_class, self.now_ms)
+            request.deadline_ms, self.client_stats.useful_until_ms(event, request.request_class, self.now_ms)
         )
-        over_share = self.caller_stats.is_over_share(event)
+        over_share = self.client_stats.is_over_share(event)
         left = request.useful_until_ms - self.now_ms
         heavy = (
             self.TOO_HEAVY_FRACTION * self.limiter.min_latency_ms(at) * request.size
@@ -202,7 +204,7 @@
             attempt.server.in_flight -= 1
             self.table.in_flight -= 1
 
-    def _on_body_came(self, event: RequestBodyReceived) -> None:
+    def _on_body_received(self, event: RequestBodyReceived) -> None:
         """Guards against calls whose body comes slowly: no server works on them, so they fill no window until now."""
         request = self.requests.get(event.request)
         if request is None or not request.body_incomplete:
@@ -282,7 +284,7 @@
     def _finish(self, request: Request) -> None:
         """The request is over; its attempts still out keep it known until their ends have come."""
         if not request.is_answered and self.now_ms - request.arrived_ms > 0.5 * request.request_class.aim_ms:
-            self.caller_stats.record_unserved()
+            self.client_stats.record_unserved()
         request.is_answered = True
         self.queue.remove(request.id)
         if not request.in_flight:
@@ -370,8 +372,8 @@
             return
         # Guards against a herd: while polls find nearly nothing idle, several copies see the same server fall
         # idle before the first send shows. How often polls find one tells how often all copies together ask.
-        asks = 4.0 * (self.load_probing.mean_probe_ms + self.settings.tick_ms)
-        crowd = asks / (latency * max(self.load_probing.idle_share, 0.001))
+        probe_age_ms = 4.0 * (self.load_probing.mean_probe_ms + self.settings.tick_ms)
+        crowd = probe_age_ms / (latency * max(self.load_probing.idle_share, 0.001))
         pause = latency / 32.0 * max(1.0, min(crowd, 16.0)) * (0.5 + self.rng.random())
         self._set_wake_timer(request, max(self.settings.tick_ms, min(pause, last - self.now_ms)))
 
@@ -420,15 +422,17 @@
         """Where the list must be asked for: subscribe once, spread out, and ask again after a failure."""
         if kind is ListKind.FAILED:
             # Guards against a herd on a discovery service of fixed capacity. A call that was long in vain has paused.
-            pace = min(self.settings.ask_within_ms, LIST_PACE_MS) * (0.5 + self.rng.random())
-            pause = max(pace / 4.0, (self._list_asked_ms or self.now_ms) + pace - self.now_ms)
-            self._list_asked_ms = self.now_ms + pause
+            pace = min(self.settings.list_request_interval_ms, LIST_PACE_MS) * (0.5 + self.rng.random())
+            pause = max(pace / 4.0, (self._list_requested_ms or self.now_ms) + pace - self.now_ms)
+            self._list_requested_ms = self.now_ms + pause
             self.actions.append(SetTimer(LIST_COOKIE, pause))
             return
-        if self._list_asked_ms < 0.0:
+        if self._list_requested_ms < 0.0:
             # The cached list serves at first; a quarter of the duty's interval leaves time for calls that fail.
-            self.actions.append(SetTimer(LIST_COOKIE, self.rng.random() * self.settings.ask_within_ms / 4.0))
-        self._list_asked_ms = 0.0
+            self.actions.append(
+                SetTimer(LIST_COOKIE, self.rng.random() * self.settings.list_request_interval_ms / 4.0)
+            )
+        self._list_requested_ms = 0.0
 
     def _on_peer_report(self, event: PeerHealthReport) -> None:
         if self.shared_health is not None:
@@ -461,7 +465,7 @@
             self.connections.remove(server)
 
     def _learned_by_class(self) -> dict[str, list[float]]:
-        return {"latency": self._latency, "base": self.limiter.base, "work": self.caller_stats.mean_cost}
+        return {"latency": self._latency, "base": self.limiter.base, "work": self.client_stats.mean_cost}
 
     def learned(self) -> dict[str, Any]:
         """What another life of this copy may go on from, as plain values: the means by class name, and the
@@ -496,11 +500,11 @@
         probes.idle_share = number(learned.get("idle_share"), probes.idle_share, 1.0)
         probes.max_running = number(learned.get("most_running"), probes.max_running)
         for key, values in self._learned_by_class().items():
-            told = learned.get(key)
-            if isinstance(told, dict):
+            learned_server = learned.get(key)
+            if isinstance(learned_server, dict):
                 for at, cls in enumerate(self.settings.classes):
                     most = math.inf if key == "work" else cls.aim_ms  # the aim was longer before, maybe
-                    values[at] = number(told.get(cls.name), values[at], most)
+                    values[at] = number(learned_server.get(cls.name), values[at], most)
 
     def _on_reconfigured(self, event: Reconfigured) -> None:
         """Figures that change in service. What is known of servers and calls is kept: counts, the cold
@@ -510,7 +514,7 @@
         if problem := fixed_difference(old, new):
             raise ContractError(f"{problem} can't change in service")
         self.settings = self.outliers.settings = self.selector.settings = self.load_probing.settings = new
-        for part in (self.connections, self.limiter, self.queue, self.caller_stats):
+        for part in (self.connections, self.limiter, self.queue, self.client_stats):
             part.configure(new)
         self.slow_start.configure(new, self.now_ms)
         for at, (before, after) in enumerate(zip(old.classes, new.classes, strict=False)):
--- a/packages/balancing/src/larkweir_balancing/retry_safety.py
+++ b/packages/balancing/src/larkweir_balancing/retry_safety.py
@@ -94,7 +94,7 @@
         """Whether any further attempt is open at all, to a server still to be chosen."""
         if self.is_answered or now_ms >= self.deadline_ms or len(self.attempts) >= self.max_attempts:
             return False
-        if self.in_flight and not self.settings.second_copies:
+        if self.in_flight and not self.settings.allows_hedging:
             return False
         return now_ms < self.write_by_ms()
 
--- a/packages/balancing/src/larkweir_balancing/selection.py
+++ b/packages/balancing/src/larkweir_balancing/selection.py
@@ -58,11 +58,11 @@
         if self.connections.connections_expensive:
             # Exception, while new connections are seen to take long: token holders with an open one first.
             for _ in range(MAX_SAMPLES):
-                kept = sample([self.connections.connected], self.rng)
-                if kept is None:
+                sampled = sample([self.connections.connected], self.rng)
+                if sampled is None:
                     break
-                if kept.list_level == 0 and self._is_allowed(request, kept, now_ms):
-                    return kept
+                if sampled.list_level == 0 and self._is_allowed(request, sampled, now_ms):
+                    return sampled
         # Exception, while this copy's own calls outnumber the servers, so that own counts tell of the load:
         # those with the fewest.
         crowded = self.table.in_flight > self.table.ready_count
--- a/packages/balancing/src/larkweir_balancing/settings.py
+++ b/packages/balancing/src/larkweir_balancing/settings.py
@@ -112,7 +112,7 @@
     tiers: int = 1
     tick_ms: float = 1.0
     on_request_discovery: bool = False
-    ask_within_ms: float = 10_000.0
+    list_request_interval_ms: float = 10_000.0
     answer_slack_ms: float = 5.0
     cold_share: float = 0.1
     cold_ms: float = 30_000.0
@@ -121,7 +121,7 @@
     max_attempts: int = 1
     may_cancel: bool = False
     may_probe: bool = False
-    second_copies: bool = False
+    allows_hedging: bool = False
     conn_idle_ms: float = 60_000.0
     connect_timeout_ms: float = 250.0
     retry_advice: bool = False
--- a/packages/balancing/src/larkweir_balancing/shared_health.py
+++ b/packages/balancing/src/larkweir_balancing/shared_health.py
@@ -23,7 +23,7 @@
 
 MAX_SERVERS = 256  # reports of further ones are ignored
 REPORT_LIFETIME_MS = 12_000.0  # from this age on a report is ignored
-MAX_HOLD_MS = 6_000.0  # for which a new report keeps an unhealthy server ejected; less with its age
+MAX_EJECTION_HINT_MS = 6_000.0  # for which a new report keeps an unhealthy server ejected; less with its age
 # Over which the replicas restore a server that was found healthy: a wrong report costs the first few only, and a server
 # that has just started is spared until discovery lists its start.
 RESTORE_SPREAD_MS = 3_000.0
@@ -153,7 +153,7 @@
             # Guards against a wrong word that never ends: after that at the latest this copy finds out for itself.
             last = known.failed_ms + self._detector.settings.longest_ms
             known.restored_on_report = False
-            self._extend_ejection(server, min(now_ms + MAX_HOLD_MS * worth, last), now_ms)
+            self._extend_ejection(server, min(now_ms + MAX_EJECTION_HINT_MS * worth, last), now_ms)
         elif (
             not known.restored_on_report
             and not known.report_was_wrong
@@ -195,7 +195,7 @@
             out.append(Probe(server.id))
             self._extend_ejection(
                 server,
-                min(now_ms + MAX_HOLD_MS, known.failed_ms + self._detector.settings.longest_ms),
+                min(now_ms + MAX_EJECTION_HINT_MS, known.failed_ms + self._detector.settings.longest_ms),
                 now_ms,
             )
         else:
--- a/packages/balancing/src/larkweir_balancing/slow_start.py
+++ b/packages/balancing/src/larkweir_balancing/slow_start.py
@@ -65,12 +65,12 @@
         if now_ms >= self._refresh_at_ms:  # refreshed a hundred times in a start, never per request
             self.refresh(now_ms)
             self._most_ready *= self.READY_DECAY
-        whole = max(self._table.ready_count, self.EXPECTED_FRACTION * self._most_ready)
+        expected_count = max(self._table.ready_count, self.EXPECTED_FRACTION * self._most_ready)
         earned = (
             min(self.earn_fraction, 1.0 - self.FAILURE_LOSS_FRACTION * fail_share)
             * self._pace
             * self._cold_capacity
-            / whole
+            / expected_count
         )
         self.credit = min(self.CREDIT_CAP, self.credit + earned)
 
--- a/packages/balancing/src/larkweir_balancing/wire_settings.py
+++ b/packages/balancing/src/larkweir_balancing/wire_settings.py
@@ -38,7 +38,7 @@
             raise SettingsError(f"{self.path}{key}: {value!r} is not a finite number of at least {low:g}")
         return float(value)
 
-    def whole(self, key: str, default: Any = _MISSING, low: int = 0) -> int:
+    def integer(self, key: str, default: Any = _MISSING, low: int = 0) -> int:
         value = self.num(key, default, low)
         if value != int(value):
             raise SettingsError(f"{self.path}{key}: {value!r} is not a whole number")
@@ -50,11 +50,11 @@
             raise SettingsError(f"{self.path}{key}: {value!r} is neither true nor false")
         return value
 
-    def word(self, key: str, default: Any, words: dict[str, Any]) -> Any:
+    def choice(self, key: str, default: Any, choices: dict[str, Any]) -> Any:
         value = self._get(key, default)
-        if not isinstance(value, str) or value not in words:
-            raise SettingsError(f"{self.path}{key}: {value!r} is not one of {', '.join(words)}")
-        return words[value]
+        if not isinstance(value, str) or value not in choices:
+            raise SettingsError(f"{self.path}{key}: {value!r} is not one of {', '.join(choices)}")
+        return choices[value]
 
     def items(self, key: str, default: Any = _MISSING) -> list[Any]:
         value = self._get(key, default)
@@ -83,30 +83,30 @@
             _tenant(_Reader(item, f"Tenants[{n}].")) for n, item in enumerate(top.items("Tenants", []))
         ),
         zones=max(1, len(top.items("Zones", []))),
-        my_zone=top.whole("MyZone", 0),
-        me=top.whole("Me", 0),
-        copies=top.whole("PeersTotal", 1, low=1),
-        tier=top.whole("Tier", 0),
+        my_zone=top.integer("MyZone", 0),
+        me=top.integer("Me", 0),
+        copies=top.integer("PeersTotal", 1, low=1),
+        tier=top.integer("Tier", 0),
         tiers=max(1, len(top.items("Tiers", []))),
         tick_ms=top.num("TickMs", 1.0, low=0.001),
-        on_request_discovery=top.word("Discovery", "pushed", {"pushed": False, "on_request": True}),
-        ask_within_ms=rules.num("AskWithinMs", 10_000.0),
+        on_request_discovery=top.choice("Discovery", "pushed", {"pushed": False, "on_request": True}),
+        list_request_interval_ms=rules.num("AskWithinMs", 10_000.0),
         answer_slack_ms=rules.num("AnswerSlackMs", 0.0),
         cold_share=rules.num("ColdShare", 0.1),
         cold_ms=rules.num("ColdMs", 30_000.0),
         fall_multiple=rules.num("FallMultiple", 2.0, low=0.001),
         fall_ms=rules.num("FallMs", 2_000.0, low=0.001),
-        max_attempts=limits.whole("SendCap", 1, low=1),
+        max_attempts=limits.integer("SendCap", 1, low=1),
         may_cancel=limits.flag("MayCancel", False),
         may_probe=limits.flag("MayProbe", False),
-        second_copies=limits.flag("SecondCopies", False),
+        allows_hedging=limits.flag("SecondCopies", False),
         conn_idle_ms=limits.num("ConnIdleMs", 60_000.0),
         connect_timeout_ms=limits.num("ConnectTimeoutMs", 250.0),
         retry_advice=limits.flag("RetryAfter", False),
         max_retry_after_ms=limits.num("MaxRetryAfterMs", 0.0),
         marks_retry=top.sub("Clients").flag("MarksRetry", False),
         passes_deadline=top.sub("FamilyInfo").flag("PassesDeadline", False),
-        report_mode=stats.word("How", "off", _MODES),
+        report_mode=stats.choice("How", "off", _MODES),
         report_fields=tuple(_REPORT_FIELDS.get(str(item), "") for item in stats.items("Fields", [])),
         over_share_worth=top.num("OverShareWorth", 1.0),
         price_cross_zone=prices.num("CrossZone", 0.0),
@@ -117,7 +117,7 @@
 
 
 def _request_class(at: _Reader) -> RequestClass:
-    effect = at.word("Effect", _MISSING, _EFFECTS)
+    effect = at.choice("Effect", _MISSING, _EFFECTS)
     keyed = effect is Effect.KEYED
     return RequestClass(
         aim_ms=at.num("AimMs", low=0.001),
@@ -125,7 +125,7 @@
         effect=effect,
         worth=at.num("Worth", 1.0),
         late_worth=at.num("LateWorth", 0.0),
-        group=at.word("Group", _MISSING, _GROUPS) if keyed else Group.ALL,
+        group=at.choice("Group", _MISSING, _GROUPS) if keyed else Group.ALL,
         memory_ms=at.num("MemorySpanMs") if keyed else 0.0,
         streaming=at.flag("Streaming", False),
         aim_stretch=at.num("AimStretch", 0.0),
--- a/packages/balancing/src/larkweir_balancing/wirehost.py
+++ b/packages/balancing/src/larkweir_balancing/wirehost.py
@@ -24,7 +24,7 @@
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
     """Answer batches until the input ends; a batch is decoded whole before anything is written."""
     decoder = Decoder()
-    copies: dict[int, Balancer] = {}
+    balancers: dict[int, Balancer] = {}
     while True:
         header = source.read(HEADER.size)
         if not header:
@@ -41,12 +41,12 @@
         for inst, event in decoder.batch(body, count):
             try:
                 if isinstance(event, Hello):
-                    copies[inst] = Balancer(decode_settings(event.facts), event.seed)
+                    balancers[inst] = Balancer(decode_settings(event.facts), event.seed)
                 elif isinstance(event, Destroy):
-                    copies.pop(inst, None)
-                elif inst in copies:
+                    balancers.pop(inst, None)
+                elif inst in balancers:
                     replies.extend(
-                        encode_action(inst, action) for action in copies[inst].handle(clock, event)
+                        encode_action(inst, action) for action in balancers[inst].handle(clock, event)
                     )
                 else:
                     raise WireError(f"event for instance {inst}, which has not started")
--- a/packages/balancing/tests/balancing_driver.py
+++ b/packages/balancing/tests/balancing_driver.py
@@ -223,7 +223,7 @@
             entry is not None and entry.state is ServerState.READY
         ), "sent to a server that drains or is gone"
         assert len(owed.tries) < owed.most, "more attempts than allowed"
-        if not self.settings.second_copies:
+        if not self.settings.allows_hedging:
             assert all(t.outcome is not None for t in owed.tries), "two attempts at once"
         ran = [t for t in owed.tries if t.outcome not in UNRUN]
         if cls.effect is Effect.UNSAFE:
--- a/packages/balancing/tests/test_balancing_policy.py
+++ b/packages/balancing/tests/test_balancing_policy.py
@@ -9,7 +9,7 @@
 
 import pytest
 from balancing_driver import Driver, Owed
-from larkweir_balancing.caller_stats import UsualValue
+from larkweir_balancing.client_stats import UsualValue
 from larkweir_balancing.interface import (
     AnswerStarted,
     AttemptEnded,
@@ -600,7 +600,7 @@
 
 
 def test_a_copy_subscribes_within_its_duty_and_paces_its_calls_after_failures() -> None:
-    settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0)
+    settings = replace(PLAIN, on_request_discovery=True, list_request_interval_ms=8000.0)
     bench = driver(settings)
     bench.advance(2000.0)
     assert [a for a in bench.actions if isinstance(a, WatchList)] == [WatchList(True)]
@@ -617,7 +617,7 @@
 
 
 def test_fresh_copies_do_not_all_ask_discovery_at_once() -> None:
-    settings = replace(PLAIN, on_request_discovery=True, ask_within_ms=8000.0)
+    settings = replace(PLAIN, on_request_discovery=True, list_request_interval_ms=8000.0)
     asked = []
     for seed in range(40):
         bench = driver(settings, seed=seed)
@@ -672,7 +672,7 @@
 def test_a_repeat_may_be_written_until_the_memory_of_the_first_that_may_have_run_ends() -> None:
     """From the send of that one on, whatever was sent before it or is still out; a first attempt has no such time."""
     keyed = RequestClass(200.0, 5000.0, Effect.KEYED, group=Group.ALL, memory_ms=300.0)
-    request, server = judged(replace(PLAIN, second_copies=True), keyed, [])
+    request, server = judged(replace(PLAIN, allows_hedging=True), keyed, [])
     assert request.write_by_ms() == math.inf
     request.attempts.append(Attempt(server, 0, 50.0, outcome=Outcome.MOOT))
     assert request.write_by_ms() == math.inf
@@ -704,13 +704,13 @@
 def test_no_second_copy_where_none_is_allowed() -> None:
     request, server = judged(PLAIN, SAFE, [None])
     assert not request.can_send_to(server, 110.0)
-    request, server = judged(replace(PLAIN, second_copies=True), SAFE, [None])
+    request, server = judged(replace(PLAIN, allows_hedging=True), SAFE, [None])
     assert request.can_send_to(server, 110.0)
 
 
 def test_outstanding_and_cancelled_attempts_count_as_may_have_run() -> None:
     for outcome in (None, Outcome.CANCELLED, Outcome.TIMEOUT, Outcome.ERROR, Outcome.RESET):
-        request, server = judged(replace(PLAIN, second_copies=True), UNSAFE, [outcome])
+        request, server = judged(replace(PLAIN, allows_hedging=True), UNSAFE, [outcome])
         assert not request.can_send_to(server, 110.0)
         assert not request.can_refuse()
     for outcome in (Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.MOOT):
@@ -798,7 +798,7 @@
     for n in range(200):
         for tenant in (0, 1):
             event = RequestArrived(n, 0, 400.0, tenant, client_retry=tenant == 0 and n % 8 != 0)
-            verdicts[tenant, event.client_retry] = bench.balancer.caller_stats.is_over_share(event)
+            verdicts[tenant, event.client_retry] = bench.balancer.client_stats.is_over_share(event)
     assert verdicts == {(0, False): False, (0, True): True, (1, False): False}
 
 
--- a/packages/balancing/tests/test_balancing_restored_trust.py
+++ b/packages/balancing/tests/test_balancing_restored_trust.py
@@ -150,6 +150,6 @@
 def test_a_proof_is_no_word_of_discovery() -> None:
     """Where the list must be asked for, asking goes on as if nothing had come."""
     balancer = module(RestoredTrust(0.9), discovery=True)
-    balancer._list_asked_ms = 4_000.0
+    balancer._list_requested_ms = 4_000.0
     out = balancer.handle(1.0, ListUpdate(ListKind.PROOF, 1, [ServerEntry(1, restored_trust=PLACED)]))
-    assert out == [] and balancer._list_asked_ms == 4_000.0
+    assert out == [] and balancer._list_requested_ms == 4_000.0
--- a/packages/balancing/tests/test_balancing_rules.py
+++ b/packages/balancing/tests/test_balancing_rules.py
@@ -64,7 +64,7 @@
                 max_attempts=4,
                 may_cancel=True,
                 may_probe=probes,
-                second_copies=second,
+                allows_hedging=second,
                 report_mode=ReportMode.ON_PROBE,
                 report_fields=("running_and_waiting", "waiting"),
                 price_cross_zone=crossing,
--- a/packages/balancing/tests/test_balancing_shared_health.py
+++ b/packages/balancing/tests/test_balancing_shared_health.py
@@ -31,7 +31,7 @@
     TimerFired,
 )
 from larkweir_balancing.shared_health import (
-    MAX_HOLD_MS,
+    MAX_EJECTION_HINT_MS,
     MAX_SERVERS,
     RECHECK_INTERVAL_MS,
     REPORT_LIFETIME_MS,
@@ -144,7 +144,7 @@
     before = desk.until
     desk.tell(PeerHealthReport(SICK, False, age_ms))
     assert desk.until == pytest.approx(
-        max(before, desk.now + MAX_HOLD_MS * (1.0 - age_ms / REPORT_LIFETIME_MS))
+        max(before, desk.now + MAX_EJECTION_HINT_MS * (1.0 - age_ms / REPORT_LIFETIME_MS))
     )
 
 
--- a/packages/balancing/tests/test_balancing_wire.py
+++ b/packages/balancing/tests/test_balancing_wire.py
@@ -191,7 +191,7 @@
     settings = decode_settings(json.dumps(FACTS).encode())
     assert (settings.zones, settings.my_zone, settings.max_attempts) == (2, 1, 6)
     assert settings.classes[0].memory_ms == 9.0
-    assert not settings.second_copies
+    assert not settings.allows_hedging
 
 
 def _set(path: list[Any], value: Any) -> Callable[[dict[str, Any]], None]:
--- a/packages/captures/src/larkweir_captures/coordinator.py
+++ b/packages/captures/src/larkweir_captures/coordinator.py
@@ -31,7 +31,7 @@
         self,
         me: str,
         term: int,
-        mail: Transport,
+        transport: Transport,
         now_ms: float,
         stale_after_ms: float,
         default_rate: float,
@@ -46,7 +46,7 @@
         last = last or ThresholdTable(0, 0, "", MIN_REPORT_INTERVAL_MS, threshold_of(default_rate), {})
         interval_ms = last.report_interval_ms
         self.table = ThresholdTable(term, 0, me, interval_ms, last.default_threshold, last.thresholds)
-        self._mail = mail
+        self._transport = transport
         self._stale_after_ms = stale_after_ms
         self._default_rate = default_rate
         self._reports: dict[str, tuple[float, Report]] = {}  # by node, with the time of receipt
@@ -72,7 +72,7 @@
             return
         self._reports[source] = (now_ms, report)
         if (report.term, report.number) < (self.table.term, self.table.number):
-            self._mail.post(source, encode(self.table))
+            self._transport.post(source, encode(self.table))
 
     def tick(self, now_ms: float) -> None:
         """Compute the thresholds, once every report interval; send a table that differs or that is due."""
@@ -91,8 +91,8 @@
             self.term, self.table.number + 1, self.me, interval_ms, default_threshold, thresholds
         )
         self._sent_ms = now_ms
-        for name in gossip_targets(self._mail.alive(), self.table, self.me, 2 * GOSSIP_FANOUT):
-            self._mail.post(name, encode(self.table))
+        for name in gossip_targets(self._transport.alive(), self.table, self.me, 2 * GOSSIP_FANOUT):
+            self._transport.post(name, encode(self.table))
 
     def _drop_old_reports(self, now_ms: float) -> None:
         """A node that no longer reports may be partitioned off and still receive requests: its report counts until
--- a/packages/captures/src/larkweir_captures/node.py
+++ b/packages/captures/src/larkweir_captures/node.py
@@ -42,7 +42,7 @@
 class Node:
     """Captures at one node."""
 
-    def __init__(self, me: str, options: Options, mail: Transport, gossip: bool = True) -> None:
+    def __init__(self, me: str, options: Options, transport: Transport, gossip: bool = True) -> None:
         """`me`: the name under which peers reach this node. Without `gossip` tables come only by `follow`, and those
         that peers send are rejected. Raises ValueError if the name can't be sent.
         """
@@ -50,7 +50,7 @@
             raise ValueError(f"a hop's name is an address, or up to 48 letters, digits and ._-, not {me!r}")
         self.me = me
         self._options = options
-        self._mail = mail
+        self._transport = transport
         self._gossip = gossip
         self._breadcrumbs = Breadcrumbs()
         self.trace_collection = TraceCollection(me, options.triggered_traces_per_s, self._breadcrumbs)
@@ -167,8 +167,8 @@
 
     def _on_table(self, table: ThresholdTable, now_ms: float) -> None:
         if self.follow(table, now_ms):
-            for name in gossip_targets(self._mail.alive(), table, self.me):
-                self._mail.post(name, encode(table))
+            for name in gossip_targets(self._transport.alive(), table, self.me):
+                self._transport.post(name, encode(table))
 
     def _on_retain_request(self, source: str, request: RetainRequest, now_ms: float) -> None:
         traces = request.traces[:MAX_TRACES_PER_REQUEST]
@@ -179,7 +179,7 @@
                 )
                 for trace in traces[begin : begin + _TRACES_PER_RESPONSE]
             }
-            self._mail.post(source, encode(RetainResponse(hops)))
+            self._transport.post(source, encode(RetainResponse(hops)))
 
     # ------------------------------------------------ time
 
@@ -217,12 +217,12 @@
 
     def _collect_traces(self, now_ms: float) -> None:
         collection = self.trace_collection
-        begun, requests = collection.take_due(now_ms, self._mail.alive() if len(collection) else ())
+        begun, requests = collection.take_due(now_ms, self._transport.alive() if len(collection) else ())
         self._retention.requested.expire(now_ms)
         for trace in begun:
             self._retention.retain_trace(trace.rv, trace.importance, now_ms, self.me)
         for name, traces in requests.items():
-            self._mail.post(name, encode(RetainRequest(traces)))
+            self._transport.post(name, encode(RetainRequest(traces)))
 
     def _report(self, is_overloaded: bool) -> None:
         """Report loads and capacity to the coordinator, if there is one."""
@@ -241,7 +241,7 @@
             reported_loads(self.loads.first_hops_per_s, MAX_REPORTED_KINDS),
             reported_loads(self.loads.forwarded_per_s, MAX_REPORTED_KINDS),
         )
-        self._mail.post(self._coordinator, encode(report))
+        self._transport.post(self._coordinator, encode(report))
 
     def status(self, now_ms: float) -> dict[str, object]:
         """The node's state, for operators."""
--- a/packages/captures/src/larkweir_captures/trace_collection.py
+++ b/packages/captures/src/larkweir_captures/trace_collection.py
@@ -35,7 +35,7 @@
     pending: dict[str, tuple[int, float]] = field(
         default_factory=dict
     )  # by hop: attempts, due time of the next
-    asked: set[str] = field(default_factory=set)  # all hops, whether they responded or not
+    queried: set[str] = field(default_factory=set)  # all hops, whether they responded or not
     is_lost: bool = False  # an answer is missing, so the hops behind it are not known
     has_fallen_back: bool = False  # to other peers
 
@@ -69,7 +69,7 @@
     def on_retained(self, source: str, rv: int, hops: Sequence[str]) -> None:
         """Hop `source` has retained its records of a trace, and names other hops."""
         found = self._open.get(rv)
-        if found is None or source not in found.asked:
+        if found is None or source not in found.queried:
             return
         found.pending.pop(source, None)
         self._add_hops(found, hops)
@@ -106,11 +106,11 @@
         for name in hops:
             if (
                 name != self.me
-                and name not in found.asked
-                and len(found.asked) < MAX_TRACE_HOPS + MAX_FALLBACK_HOPS
+                and name not in found.queried
+                and len(found.queried) < MAX_TRACE_HOPS + MAX_FALLBACK_HOPS
                 and is_hop_name(name)
             ):
-                found.asked.add(name)
+                found.queried.add(name)
                 found.pending[name] = (0, float("-inf"))
 
     def _give_up(self, found: _Collection, alive: Sequence[str], now_ms: float) -> None:
@@ -146,7 +146,7 @@
         for name in (*likely, *alive):
             if added >= MAX_FALLBACK_HOPS:
                 return
-            if name != self.me and name not in found.asked:
-                found.asked.add(name)
+            if name != self.me and name not in found.queried:
+                found.queried.add(name)
                 found.pending[name] = (MAX_ATTEMPTS - 1, float("-inf"))
                 added += 1
--- a/packages/captures/tests/captures_rig.py
+++ b/packages/captures/tests/captures_rig.py
@@ -124,9 +124,15 @@
 
     def lead(self, name: str, term: int) -> None:
         last = self.nodes[name].thresholds.table if term > 1 else None
-        mail = _Mail(self, name)
+        transport = _Mail(self, name)
         self.leaders[name] = Coordinator(
-            name, term, mail, self.net.now_ms, self.options.stale_after_ms, self.options.default_rate, last
+            name,
+            term,
+            transport,
+            self.net.now_ms,
+            self.options.stale_after_ms,
+            self.options.default_rate,
+            last,
         )
 
     def kill(self, name: str) -> None:
--- a/packages/captures/tests/test_captures_golden.py
+++ b/packages/captures/tests/test_captures_golden.py
@@ -74,8 +74,8 @@
 
 def lines() -> tuple[list[bytes], list[tuple[str, bytes]]]:
     """Lines of drawn, failed, slow and repeated requests, and the items that a node sends of them."""
-    mail = Transport()
-    node = Node("10.0.0.1:7946", Options(default_rate=1.0), mail)
+    transport = Transport()
+    node = Node("10.0.0.1:7946", Options(default_rate=1.0), transport)
     found = []
     for number, how in enumerate(({}, {"failed": True}, {"slow": True}, {"again": True}, {"lost": True})):
         verdict = node.first_hop(b"id-%d" % number, "r", "bulk", "t", 10.0 * number)
@@ -92,7 +92,7 @@
     )
     for now in (1_100.0, 1_400.0, 2_500.0, 4_000.0):
         found += node.tick(now)
-    return found, mail.sent
+    return found, transport.sent
 
 
 @pytest.mark.parametrize("name", ITEMS)
--- a/packages/captures/tests/test_captures_trace_collection.py
+++ b/packages/captures/tests/test_captures_trace_collection.py
@@ -29,7 +29,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.now = 0.0
-        self.mail: list[tuple[str, str, bytes]] = []
+        self.transport: list[tuple[str, str, bytes]] = []
         self.nodes = {
             name: Node(name, Options(default_rate=1e-15, recent_ms=60_000.0), self.post(name))
             for name in HOPS
@@ -37,7 +37,7 @@
         self.records: Counter[tuple[str, str]] = Counter()
         self.lines: Counter[tuple[str, str]] = Counter()
         self.wanted: list[tuple[str, tuple[str, ...]]] = []
-        self.asked: Counter[str] = Counter()
+        self.queried: Counter[str] = Counter()
         self.sound = True
         self.count = 0
 
@@ -49,8 +49,8 @@
             self.machine, self.me = machine, me
 
         def post(self, to: str, item: bytes) -> bool:
-            self.machine.mail.append((self.me, to, item))
-            self.machine.asked[self.me] += 1
+            self.machine.transport.append((self.me, to, item))
+            self.machine.queried[self.me] += 1
             return True
 
         def alive(self) -> list[str]:
@@ -109,17 +109,17 @@
 
     @rule(at=st.integers(0, 1000), how=st.sampled_from(("deliver", "deliver", "double", "drop")))
     def one(self, at: int, how: str) -> None:
-        if self.mail:
-            source, to, item = self.mail[at % len(self.mail)]
+        if self.transport:
+            source, to, item = self.transport[at % len(self.transport)]
             if how != "double":
-                del self.mail[at % len(self.mail)]
+                del self.transport[at % len(self.transport)]
             self.sound = self.sound and how != "drop"
             if how != "drop" and to in self.nodes:
                 self.nodes[to].on_message(source, item, self.now)
 
     @rule()
     def deliver_all(self) -> None:
-        waiting, self.mail[:] = list(self.mail), []
+        waiting, self.transport[:] = list(self.transport), []
         for source, to, item in waiting:
             if to in self.nodes:
                 self.nodes[to].on_message(source, item, self.now)
@@ -149,7 +149,7 @@
             * max(1, self.count)
             * 3
         )
-        assert all(count <= most for count in self.asked.values())
+        assert all(count <= most for count in self.queried.values())
 
 
 TestAsks = AskMachine.TestCase
--- a/standins/returning.py
+++ b/standins/returning.py
@@ -218,7 +218,7 @@
             "retry_advice": True,
             "max_retry_after_ms": 2_000.0,
             "marks_retry": True,
-            "second_copies": True,
+            "allows_hedging": True,
             "may_cancel": True,
             "over_share_worth": 0.2,
         }
--- a/tests/balancing/test_asking.py
+++ b/tests/balancing/test_asking.py
@@ -70,7 +70,7 @@
 
 
 def test_asking_within_less_than_the_pace_is_kept() -> None:
-    balancer = Balancer(replace(figures(), ask_within_ms=400.0), 1)
+    balancer = Balancer(replace(figures(), list_request_interval_ms=400.0), 1)
     balancer.handle(0.0, ListUpdate(ListKind.CACHED, 0, [ServerEntry(0)]))
     assert max(pause_ms(balancer, now) for now in (1_000.0, 2_000.0, 3_000.0)) <= 1.5 * 400.0
 
--- a/tests/balancing/test_second_deployment.py
+++ b/tests/balancing/test_second_deployment.py
@@ -48,7 +48,7 @@
         classes=CLASSES,
         copies=3,
         max_attempts=3,
-        second_copies=True,
+        allows_hedging=True,
         on_request_discovery=True,
         report_mode=ReportMode.INLINE,
         report_fields=("waiting",),
@@ -163,7 +163,7 @@
     calls that fail do not add up.
     """
     copies = 60
-    balancers = [Balancer(figures(me=n, ask_within_ms=10_000.0), n) for n in range(copies)]
+    balancers = [Balancer(figures(me=n, list_request_interval_ms=10_000.0), n) for n in range(copies)]
     heap: list[tuple[float, int, Callable[[], None]]] = []
     serial = count()
     now = 0.0
--- a/tests/budget/test_tickets.py
+++ b/tests/budget/test_tickets.py
@@ -219,14 +219,14 @@
     def __init__(self) -> None:
         self.said: list[Any] = []
 
-    def ride(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Rider:
+    def baggage_for(self, came: bytes | None, trace: bytes, event: RequestArrived, now_ms: float) -> Rider:
         self.said.append(("came", came, trace))
         return self
 
     def down(self) -> bytes:
         return b"down"
 
-    def told(self, text: bytes | None, ran: bool) -> None:
+    def on_answer(self, text: bytes | None, ran: bool) -> None:
         self.said.append(("told", text, ran))
 
     def up(self) -> bytes:
--- a/tests/fleet/test_captures_rules.py
+++ b/tests/fleet/test_captures_rules.py
@@ -51,8 +51,8 @@
 
     def __init__(self, rest: float = 1.0, slow_ms: float = 0.0) -> None:
         self.now = 0.0
-        self.mail = Nowhere()
-        self.node = Node("10.0.0.1:1", Options(default_rate=rest), self.mail, gossip=False)
+        self.transport = Nowhere()
+        self.node = Node("10.0.0.1:1", Options(default_rate=rest), self.transport, gossip=False)
         cls = RequestClass(400.0, 1000.0, Effect.SAFE, name="look")
         self.settings = Settings((cls,), tenants=(Tenant(1.0, name="acme"),), max_attempts=3)
         self.recorder = CaptureRecorder(
@@ -76,9 +76,9 @@
         """With budgets on: the chain asks for the ride first."""
         self.now = now
         event = RequestArrived(number, 0, 900.0)
-        ride = self.recorder.ride(came, b"id-%d" % number, event, now)
+        baggage = self.recorder.baggage_for(came, b"id-%d" % number, event, now)
         self.tell(now, event)
-        return ride
+        return baggage
 
     def lines(self, now: float) -> list[dict[str, Any]]:
         return [json.loads(line) for line in self.node.tick(now)]
@@ -86,10 +86,10 @@
 
 def test_a_record_has_attempts_route_and_the_way_of_the_request() -> None:
     one = One()
-    ride = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:10.0.0.9:1")
-    assert ride.down().endswith(b"by:10.0.0.9:1,10.0.0.1:1")
-    ride.told(b"th:0;by:10.0.0.5:1", True)
-    assert ride.up() == b"th:0;by:10.0.0.1:1,10.0.0.5:1"
+    baggage = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:10.0.0.9:1")
+    assert baggage.down().endswith(b"by:10.0.0.9:1,10.0.0.1:1")
+    baggage.on_answer(b"th:0;by:10.0.0.5:1", True)
+    assert baggage.up() == b"th:0;by:10.0.0.1:1,10.0.0.5:1"
     one.tell(40.0, AttemptEnded(1, 0, one.sent[0].server, Outcome.OK, True, 30.0))
     (line,) = one.lines(100.0)
     assert (line["trace"], line["rv"], line["weight"]) == ("id-1", "80000000000000", 1.0)
@@ -101,10 +101,14 @@
 
 def test_a_verdict_that_is_raised_below_is_told_upwards_and_is_the_record_s() -> None:
     one = One()
-    ride = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:a")
-    first = ride.down()
-    ride.told(b"th:4;by:b", True)
-    assert first.startswith(b"th:0;") and ride.down().startswith(b"th:4;") and ride.up().startswith(b"th:4;")
+    baggage = one.arrive(10.0, 1, b"th:0;rv:80000000000000;k:00000001;n:0.0;by:a")
+    first = baggage.down()
+    baggage.on_answer(b"th:4;by:b", True)
+    assert (
+        first.startswith(b"th:0;")
+        and baggage.down().startswith(b"th:4;")
+        and baggage.up().startswith(b"th:4;")
+    )
     one.tell(40.0, AttemptEnded(1, 0, one.sent[0].server, Outcome.OK, True, 30.0))
     (line,) = one.lines(100.0)
     assert (line["th"], line["weight"]) == ("4", 4 / 3)
@@ -112,10 +116,10 @@
 
 def test_what_can_t_be_read_is_counted_and_the_verdict_is_made_here() -> None:
     one = One()
-    ride = one.arrive(10.0, 1, b"th:\xff")
-    assert ride.decision.is_first_hop and one.node.unreadable == 1
-    ride.told(b"nonsense", True)
-    assert one.node.unreadable == 2 and not ride.is_answer_lost
+    baggage = one.arrive(10.0, 1, b"th:\xff")
+    assert baggage.decision.is_first_hop and one.node.unreadable == 1
+    baggage.on_answer(b"nonsense", True)
+    assert one.node.unreadable == 2 and not baggage.is_answer_lost
 
 
 def test_every_end_has_one_record_also_those_of_which_decisions_hear_nothing() -> None:
@@ -130,7 +134,7 @@
     rides[5].closed(500)  # a fault in this process
     rides[6].closed(200)  # whose attempt's end comes just behind
     one.tell(500.0, AttemptEnded(6, 0, one.sent[5].server, Outcome.OK, True, 499.0))
-    refused = one.recorder.ride(None, b"id-7", RequestArrived(7, 0, 1.0), 500.0)
+    refused = one.recorder.baggage_for(None, b"id-7", RequestArrived(7, 0, 1.0), 500.0)
     refused.closed(503)  # by its budget, before the decisions heard of it
     refused.closed(503)
     one.recorder.follow.overdue(940.0)
@@ -160,7 +164,7 @@
     for n, outcome in enumerate(outcomes):
         one.tell(40.0 + n, AttemptEnded(1, n, one.sent[n].server, outcome, outcome is Outcome.OK, 30.0))
     assert [line["why"] for line in one.lines(100.0)] == ([why] if why else [])
-    assert [to for to, _ in one.mail.posted] == (["10.0.0.9:1"] if why else [])
+    assert [to for to, _ in one.transport.posted] == (["10.0.0.9:1"] if why else [])
 
 
 def test_a_refusal_that_no_server_saw_is_no_trouble() -> None:
@@ -169,16 +173,16 @@
     one.arrive(10.0, 1, b"th:none;rv:80000000000000;k:00000001;n:0.0;by:10.0.0.9:1")
     one.now = 900.0
     one.recorder.follow.over(900.0, 1, 503)
-    assert one.lines(1000.0) == [] and one.mail.posted == [] and len(one.node.recent) == 1
+    assert one.lines(1000.0) == [] and one.transport.posted == [] and len(one.node.recent) == 1
 
 
 def test_an_answer_is_lost_where_the_attempt_may_have_reached_a_balancer() -> None:
     one = One()
-    ride = one.arrive(10.0, 1)
-    ride.told(None, False)
-    assert not ride.is_answer_lost
-    ride.told(None, True)
-    assert ride.is_answer_lost
+    baggage = one.arrive(10.0, 1)
+    baggage.on_answer(None, False)
+    assert not baggage.is_answer_lost
+    baggage.on_answer(None, True)
+    assert baggage.is_answer_lost
 
 
 def test_one_more_than_can_be_followed_leaves_nothing_behind() -> None:
@@ -209,9 +213,9 @@
 
     def __init__(self, rest: float = 0.5) -> None:
         self.node = One(rest).node
-        self.told: list[bytes] = []
+        self.on_answer: list[bytes] = []
         self.duty = CaptureThresholds(
-            7, self.node, lambda: self.told.pop() if self.told else b"", 3000.0, rest
+            7, self.node, lambda: self.on_answer.pop() if self.on_answer else b"", 3000.0, rest
         )
 
 
@@ -279,7 +283,7 @@
 
 def test_a_copy_s_report_goes_out_once_and_what_is_none_is_refused() -> None:
     copy = Copy()
-    copy.told = [b"item"]
+    copy.on_answer = [b"item"]
     assert copy.duty.tick(0.0) == [CaptureReport(7, b"item")] and copy.duty.tick(100.0) == []
     copy.duty.on_report("a:1", CaptureReport(7, b"nonsense"), 0.0)
     assert copy.duty.rejected == 0  # it owns nothing
--- a/tests/fleet/test_ownership_log.py
+++ b/tests/fleet/test_ownership_log.py
@@ -36,9 +36,9 @@
         self.now_ms = 0.0
         self.log = OwnershipLog(self.lines.append, self.lines.append, lambda: self.now_ms)
 
-    def update(self, manager: Any, keeps_reason: bool = False) -> list[str]:
+    def update(self, manager: Any, retains_reason: bool = False) -> list[str]:
         self.lines.clear()
-        self.log.update(manager, keeps_reason)
+        self.log.update(manager, retains_reason)
         return list(self.lines)
 
 
@@ -64,14 +64,14 @@
     assert logged.update(Manager(drill=record)) == [line]
 
 
-@pytest.mark.parametrize(("keeps_reason", "left"), [(True, "draining"), (False, "")])
+@pytest.mark.parametrize(("retains_reason", "left"), [(True, "draining"), (False, "")])
 def test_a_reason_holds_for_further_duties_only_while_the_process_hands_all_over(
-    keeps_reason: bool, left: str
+    retains_reason: bool, left: str
 ) -> None:
     logged = Logged()
     logged.update(Manager(drill=Record(3, 7, "me", 1)))
     logged.log.release_reason = "draining"
-    logged.update(Manager(drill=Record(3, 8, "", 0)), keeps_reason)
+    logged.update(Manager(drill=Record(3, 8, "", 0)), retains_reason)
     assert logged.log.release_reason == left
 
 
@@ -129,11 +129,11 @@
     others: list[str] = []
     changes: list[str] = []
     log = OwnershipLog(others.append, changes.append, lambda: 0.0)
-    log.update(Manager(ReplicaMode.VOTING, drill=Record(3, 7, "me", 1)), keeps_reason=False)
+    log.update(Manager(ReplicaMode.VOTING, drill=Record(3, 7, "me", 1)), retains_reason=False)
     log.on_committed("drill", (3, 8))
     log.release_reason = "draining"
-    log.update(Manager(ReplicaMode.VOTING, drill=None), keeps_reason=False)
-    log.update(Manager(ReplicaMode.VOTING, drill=Record(5, 9, "me", 1)), keeps_reason=False)
+    log.update(Manager(ReplicaMode.VOTING, drill=None), retains_reason=False)
+    log.update(Manager(ReplicaMode.VOTING, drill=Record(5, 9, "me", 1)), retains_reason=False)
     log.on_stopped()
     assert others == ["owners: keeper: voting", "owners: drill 3.8 taken"]
     assert changes == [
--- a/tests/fleet/test_probers.py
+++ b/tests/fleet/test_probers.py
@@ -22,7 +22,7 @@
     Settings,
 )
 from larkweir_balancing.shared_health import (
-    MAX_HOLD_MS,
+    MAX_EJECTION_HINT_MS,
     RECHECK_INTERVAL_MS,
     REPORT_LIFETIME_MS,
     RESTORE_SPREAD_MS,
@@ -417,7 +417,7 @@
     keepers = [copy for copy in world.copies.values() if copy.name in world.keepers.names]
     for copy in keepers:
         world.kill(copy)
-    world.run(OWNER_TIMEOUT_MS + MAX_HOLD_MS)
+    world.run(OWNER_TIMEOUT_MS + MAX_EJECTION_HINT_MS)
     for number in away:
         world.servers[number].away = False
     world.watched = away
@@ -522,4 +522,4 @@
 def test_times_fit_together() -> None:
     """A finding of each look, as late as an effect may come, still keeps a server out until the next."""
     late = RECHECK_INTERVAL_MS + HEARTBEAT_INTERVAL_MS + 500.0 + 500.0
-    assert MAX_HOLD_MS * (1.0 - late / REPORT_LIFETIME_MS) > 1_500.0
+    assert MAX_EJECTION_HINT_MS * (1.0 - late / REPORT_LIFETIME_MS) > 1_500.0
--- a/tests/lifecycle/test_golden_channel.py
+++ b/tests/lifecycle/test_golden_channel.py
@@ -37,10 +37,10 @@
     "state": (MessageKind.STATE, STATE),
     "ready": (MessageKind.READY, TakenIds()),
     "ready of an older one": (MessageKind.READY, None),
-    "go": (MessageKind.GO, STATE._replace(paused=False, hears=False)),
+    "go": (MessageKind.GO, STATE._replace(paused=False, accepts_ids=False)),
     "took": (MessageKind.TOOK, ReplicaMark()),
     "took of an older one": (MessageKind.TOOK, None),
-    "kept": (MessageKind.KEPT, ReplicaMark("6b0700" * 5)),
+    "kept": (MessageKind.IDS_STORED, ReplicaMark("6b0700" * 5)),
     "seen": (MessageKind.SEEN, TakenIds(("a\u00e9", "b"))),
     "reload": (MessageKind.RELOAD, None),
     "give_up": (MessageKind.GIVE_UP, None),
@@ -62,7 +62,7 @@
 def test_a_state_without_what_came_later_is_read() -> None:
     line = LINES[0].replace(b',"paused":true,"hears":true', b"")
     assert line != LINES[0]
-    assert decode(line) == Message(MessageKind.STATE, STATE._replace(paused=False, hears=False))
+    assert decode(line) == Message(MessageKind.STATE, STATE._replace(paused=False, accepts_ids=False))
 
 
 def test_a_new_process_says_hello_as_before(tmp_path: Path) -> None:
--- a/tests/lifecycle/test_handover_crossings.py
+++ b/tests/lifecycle/test_handover_crossings.py
@@ -63,7 +63,7 @@
         assert line, "the channel has ended"
         return decode(line)
 
-    async def hears(self, word: str) -> Any:
+    async def accepts_ids(self, word: str) -> Any:
         """What comes with the next word, which must be this one."""
         said, told = await self.word()
         assert said == word
@@ -171,27 +171,27 @@
 
 async def _after_ready(words: Successor, it: Service) -> set[str]:
     words.say("state", known(it, "s1"))
-    await words.hears("ready")
+    await words.accepts_ids("ready")
     return {"s1"}
 
 
 async def _in_the_go(words: Successor, it: Service) -> set[str]:
     words.say("state", known(it, "s1"))
-    await words.hears("ready")
+    await words.accepts_ids("ready")
     words.say_half("go", known(it, "s1", "g1"))
     return {"s1"}
 
 
 async def _after_the_go(words: Successor, it: Service) -> set[str]:
     words.say("state", known(it, "s1"))
-    await words.hears("ready")
+    await words.accepts_ids("ready")
     words.say("go", known(it, "s1", "g1"))
     return {"s1", "g1"}
 
 
 async def _after_took(words: Successor, it: Service) -> set[str]:
     found = await _after_the_go(words, it)
-    await words.hears("took")
+    await words.accepts_ids("took")
     return found
 
 
@@ -256,7 +256,7 @@
             alone(tmp_path, upstream) as it,
             successor(it, patched(STATE_TIMEOUT_S=0.01)) as words,
         ):
-            await words.hears("ready")
+            await words.accepts_ids("ready")
             words.say("state", known(it, "s1", shift_ms=shift_ms))
             await words.close()
             assert await code(it, "new") == 200
@@ -274,12 +274,12 @@
         upstream = await FakeUpstream().start()
         async with alone(tmp_path, upstream) as it, successor(it, patched(MAX_IDS=1)) as words:
             words.say("state", known(it))
-            await words.hears("ready")
-            words.say("go", known(it, "open", hears=True))
-            await words.hears("took")
+            await words.accepts_ids("ready")
+            words.say("go", known(it, "open", accepts_ids=True))
+            await words.accepts_ids("took")
             for trace in ("a", "b", "c"):
                 assert await code(it, trace) == 200
-                assert await words.hears("seen") == TakenIds((trace,))
+                assert await words.accepts_ids("seen") == TakenIds((trace,))
             assert await code(it, "open") == 409
             assert len(upstream.seen) == 3
         upstream.close()
@@ -287,9 +287,9 @@
     run(work())
 
 
-@pytest.mark.parametrize("hears", [True, False])
+@pytest.mark.parametrize("accepts_ids", [True, False])
 def test_what_an_old_process_says_once_the_new_one_has_stopped_waiting_counts(
-    tmp_path: Path, hears: bool
+    tmp_path: Path, accepts_ids: bool
 ) -> None:
     """It hangs until the new one accepts beside it. The ids of its late "go" are known there from then on, and it is
     told of those that the new one takes, if it knows the word.
@@ -318,10 +318,10 @@
                 words.say("state", known(it, "s1"))
                 while (await words.word())[0] != "took":
                     pass
-                words.say("go", known(it, "s1", "g1", hears=hears))
+                words.say("go", known(it, "s1", "g1", accepts_ids=accepts_ids))
                 assert await code(it, "new") == 200
-                if hears:
-                    assert await words.hears("seen") == TakenIds(("new",))
+                if accepts_ids:
+                    assert await words.accepts_ids("seen") == TakenIds(("new",))
                 assert await code(it, "s1") == 409 and await code(it, "g1") == 409
                 assert len(upstream.seen) == 1
                 await words.close()
@@ -343,7 +343,7 @@
         async with alone(tmp_path, upstream) as it, successor(it) as words, Caller(it.port) as waits:
             waits.ask("move", b"x")
             words.say("state", known(it))
-            await words.hears("ready")
+            await words.accepts_ids("ready")
             words.process.terminate()
             assert await words.exit_code() == 0
             assert await words.ended() == b"" and not upstream.seen
@@ -359,12 +359,12 @@
         async with alone(tmp_path, upstream) as it, successor(it) as words, Caller(it.port) as caller:
             caller.ask("move", b"x", "/api?held")
             words.say("state", known(it))
-            await words.hears("ready")
+            await words.accepts_ids("ready")
             words.say("go", known(it))
-            await words.hears("took")
+            await words.accepts_ids("took")
             await upstream.arrived.get()
             words.process.terminate()
-            await words.hears("bye")
+            await words.accepts_ids("bye")
             held.go.set()
             assert (await caller.answer()).status == 200
             assert await words.exit_code() == 0
@@ -401,13 +401,13 @@
 
 
 async def _told(visitor: Visitor) -> None:
-    await visitor.hears("state")
+    await visitor.accepts_ids("state")
 
 
 async def _gone(visitor: Visitor) -> None:
-    await visitor.hears("state")
+    await visitor.accepts_ids("state")
     visitor.say("ready")
-    await visitor.hears("go")
+    await visitor.accepts_ids("go")
 
 
 async def _took(visitor: Visitor) -> None:
@@ -488,7 +488,7 @@
             process = await Process(it).start()
             try:
                 visitor = await Visitor.come(it)
-                await visitor.hears("state")
+                await visitor.accepts_ids("state")
                 await process.said("given up, it was not ready in time")
                 callers = [await Caller(it.port).__aenter__() for _ in range(6)]
                 for caller in callers:
@@ -521,16 +521,16 @@
             kept.ask("move", b"x", X_Trace_Id="first")
             assert (await kept.answer()).status == 200
             visitor = await Visitor.come(it)
-            await visitor.hears("state")
+            await visitor.accepts_ids("state")
             visitor.say("ready", TakenIds())
-            await visitor.hears("go")
+            await visitor.accepts_ids("go")
             old.kill(signal.SIGSTOP)
             visitor.say("took")
             await visitor.writer.drain()
             old.kill(signal.SIGTERM)
             kept.ask("move", b"x", X_Trace_Id="late")
             old.kill(signal.SIGCONT)
-            assert await visitor.hears("seen") == TakenIds(("late",))
+            assert await visitor.accepts_ids("seen") == TakenIds(("late",))
             held.go("late")
             assert (await kept.answer()).status == 200
             assert await old.ended() == 0
@@ -550,7 +550,7 @@
             with pytest.raises(AssertionError, match="it passes no sockets"):
                 await Visitor.come(it)
             first.say("ready")
-            await first.hears("go")
+            await first.accepts_ids("go")
             first.say("took")
             await old.said("upgrade: the new process accepts")
             await first.close()
@@ -567,22 +567,22 @@
         one, two = await FakeUpstream().start(), await FakeUpstream().start()
         async with balancer(tmp_path, one, two) as (it, _):
             visitor = await Visitor.come(it)
-            state = await visitor.hears("state")
+            state = await visitor.accepts_ids("state")
             assert await code(it, "z") == 200
             it.discovery.change(one.entry("u0", lifecycle="leaving"))
             while f"after={it.discovery.generation}" not in await it.discovery.calls.get():
                 pass  # until the change was taken
             visitor.say("ready")
-            go = await visitor.hears("go")
+            go = await visitor.accepts_ids("go")
             now = go.offset_ms + time.monotonic() * 1000.0
             assert "z" not in dict(state.ids) and dict(go.ids)["z"] <= now
             assert not state.drains and 0.0 < go.drains["u0"] <= now
             assert not state.learned and go.learned["credit"] > 0.0
             await visitor.close()
             again = await Visitor.come(it)
-            await again.hears("state")
+            await again.accepts_ids("state")
             again.say("ready")
-            told = await again.hears("go")
+            told = await again.accepts_ids("go")
             assert told.learned["credit"] == 0.0  # it was given away before
             assert told.drains == go.drains
             await again.close()
@@ -611,7 +611,7 @@
             told = HandoverState(
                 offset_ms=node.clock.offset_ms - 1_000.0,
                 discovery=node.discovery.address,
-                held={},
+                upstream_list={},
                 drains={"u0": now - 61_000.0},
                 ids=[],
                 learned={},
@@ -730,11 +730,11 @@
                 caller.ask("move", b"x", X_Trace_Id=trace)
                 assert (await caller.answer()).status == 200
             visitor = await Visitor.come(it)
-            await visitor.hears("state")
+            await visitor.accepts_ids("state")
             visitor.say("ready", TakenIds())
-            assert (await visitor.hears("go")).hears
+            assert (await visitor.accepts_ids("go")).accepts_ids
             kept.ask("move", b"x", X_Trace_Id="third")
-            assert await visitor.hears("seen") == TakenIds(("third",))
+            assert await visitor.accepts_ids("seen") == TakenIds(("third",))
             await upstream.arrived.get()
             visitor.say("seen", TakenIds(("mine",)))
             visitor.say("took")
@@ -759,11 +759,11 @@
             await process.start()
             try:
                 visitor = await Visitor.come(it)
-                await visitor.hears("state")
+                await visitor.accepts_ids("state")
                 visitor.say("ready", TakenIds())
-                await visitor.hears("go")
+                await visitor.accepts_ids("go")
                 assert await code(it, "beside") == 200  # nobody else accepts
-                assert await visitor.hears("seen") == TakenIds(("beside",))
+                assert await visitor.accepts_ids("seen") == TakenIds(("beside",))
                 visitor.say("seen", TakenIds(("there",)))
                 visitor.say("took")
                 await process.said("upgrade: the new process accepts")
@@ -846,9 +846,9 @@
                     for caller in (kept, copy):
                         caller.ask("move", b"x")
                         assert (await caller.answer()).status == 200
-                    await new.hears("state")
+                    await new.accepts_ids("state")
                     new.say("ready", TakenIds())
-                    await new.hears("go")
+                    await new.accepts_ids("go")
                     old.kill(signal.SIGTERM)
                     while (await it.ask("look", target="/ready"))[0] != 503:
                         pass  # it drains, and takes what comes
--- a/tests/lifecycle/test_reload_crossings.py
+++ b/tests/lifecycle/test_reload_crossings.py
@@ -326,7 +326,7 @@
         upstream = await FakeUpstream(held).start()
         classes = _settings().classes
         decisions = fixed(classes)
-        decisions.caller_stats.is_over_share = lambda event: event.client_retry  # type: ignore[method-assign]
+        decisions.client_stats.is_over_share = lambda event: event.client_retry  # type: ignore[method-assign]
         async with running(upstream.entry("u0"), script=decisions) as it, Caller(it.port) as out:
             out.ask(X_Trace_Id="out")
             await upstream.arrived.get()
--- a/tests/membership/scripted.py
+++ b/tests/membership/scripted.py
@@ -115,7 +115,7 @@
 
     def ready(self) -> list[str]:
         """The names of those that are held as active."""
-        rows = self.discovery.held.snapshot()["instances"]
+        rows = self.discovery.upstream_list.snapshot()["instances"]
         return sorted(row["instanceId"] for row in rows if row["lifecycle"] == "active")
 
 
--- a/tests/membership/test_golden_remembered.py
+++ b/tests/membership/test_golden_remembered.py
@@ -7,12 +7,12 @@
 
 import pytest
 
-from larkweir.membership.held_list import HeldList
 from larkweir.membership.listing import parse_listing
 from larkweir.membership.names import Names
 from larkweir.membership.remembered.entries import Place, RestoredEntries
 from larkweir.membership.remembered.evidence import Churn, Evidence, EvidenceKind, Source, confidence
 from larkweir.membership.remembered.identity import UpstreamIdentity, parse_identity
+from larkweir.membership.upstream_list import UpstreamList
 
 GOLDEN = Path(__file__).parent / "golden"
 TEXT = (GOLDEN / "list.json").read_text(encoding="utf-8")
@@ -21,7 +21,7 @@
 
 
 def test_a_list_is_held_and_written_as_before() -> None:
-    held = HeldList()
+    held = UpstreamList()
     held.generation = LIST["generation"]
     held.replace([*LIST["instances"], {"instanceId": "s-gone", "lifecycle": "left"}])
     assert json.dumps(held.snapshot(), separators=(",", ":")) == TEXT.rstrip("\n")
--- a/tests/routes/test_reload_crossings.py
+++ b/tests/routes/test_reload_crossings.py
@@ -161,7 +161,7 @@
             settings = settings_of(it)
             tenants = (Tenant(100.0, name="beta"), Tenant(100.0, name="acme"))
             reconfigure(it, FALLS_BACK, pools, replace(settings, tenants=tenants))
-            callers = it.node.routes.switch.pools["spare"].decisions.caller_stats
+            callers = it.node.routes.switch.pools["spare"].decisions.client_stats
             real = callers.is_over_share
 
             def counting(event: Any) -> bool:
--- a/tests/storms/test_watch.py
+++ b/tests/storms/test_watch.py
@@ -47,7 +47,7 @@
         classes=CLASSES,
         tenants=[Tenant(10.0, 0.5, "a"), Tenant(10.0, 0.5, "b")],
         max_attempts=3,
-        second_copies=True,
+        allows_hedging=True,
         retry_advice=True,
         max_retry_after_ms=2000.0,
         marks_retry=True,
