--- a/benchmarks/cold_start.py
+++ b/benchmarks/cold_start.py
@@ -128,7 +128,7 @@
     def __init__(self, discovery: Discovery, clock: Clock) -> None:
         self.discovery, self.clock = discovery, clock
 
-    def is_settled(self) -> bool:
+    def is_complete(self) -> bool:
         return True
 
     def changed_ids(self) -> set[str]:
--- a/larkweir/background/rules.py
+++ b/larkweir/background/rules.py
@@ -1,4 +1,4 @@
-"""Rules: which piece of background work runs next, if any may: priorities, budgets, deadlines, back-off.
+"""Which piece of background work runs next, if any may: priorities, budgets, deadlines, back-off.
 
 Work comes in steps, each as short as its task makes it; nothing here can stop one in the middle. Three things keep it
 out of the way of requests. All of it together has a budget of the loop's time, and a step that took more is paid for
--- a/larkweir/background/runner.py
+++ b/larkweir/background/runner.py
@@ -1,4 +1,4 @@
-"""Hands: steps of background work on the event loop, one a turn, as the rules pick them."""
+"""Steps of background work on the event loop, one a turn, as the rules pick them."""
 
 from __future__ import annotations
 
--- a/larkweir/budget/chain.py
+++ b/larkweir/budget/chain.py
@@ -1,4 +1,4 @@
-"""Rules: a request's budget, worth, time and path at one tier, as they come with it, go down and come back.
+"""A request's budget, worth, time and path at one tier, as they come with it, go down and come back.
 
 Values and headers in, values and headers out; the dispatcher's hands write them. What travels:
 
--- a/larkweir/budget/part.py
+++ b/larkweir/budget/part.py
@@ -1,4 +1,4 @@
-"""Hands: the budgets' place in a balancer."""
+"""The budgets' place in a balancer."""
 
 from __future__ import annotations
 
--- a/larkweir/budget/rules.py
+++ b/larkweir/budget/rules.py
@@ -1,4 +1,4 @@
-"""Rules: what a request may still cost, divided on the way down and given back on the way up.
+"""What a request may still cost, divided on the way down and given back on the way up.
 
 The law: the attempts at the last tier that a request causes are never more than the budget that it came with. Each
 attempt down takes a part of what is left; what comes back unspent is added again; what is not heard of is spent. So
--- a/larkweir/cli/check.py
+++ b/larkweir/cli/check.py
@@ -1,4 +1,4 @@
-"""Hands: `check`: every fault of configuration files, and what a change between two of them comes to."""
+"""`check`: every fault of configuration files, and what a change between two of them comes to."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/demo.py
+++ b/larkweir/cli/demo.py
@@ -1,4 +1,4 @@
-"""Hands: `demo`: a balancer with a few small upstreams and a discovery of its own, all on 127.0.0.1."""
+"""`demo`: a balancer with a few small upstreams and a discovery of its own, all on 127.0.0.1."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/lab.py
+++ b/larkweir/cli/lab.py
@@ -1,4 +1,4 @@
-"""Hands: `lab`: experiments with whole fleets in simulated time. Needs the extra `lab`."""
+"""`lab`: experiments with whole fleets in simulated time. Needs the extra `lab`."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/language.py
+++ b/larkweir/cli/language.py
@@ -1,4 +1,4 @@
-"""Hands: the commands of the configuration language: check, format, diff, explain, convert, schema."""
+"""The commands of the configuration language: check, format, diff, explain, convert, schema."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/main.py
+++ b/larkweir/cli/main.py
@@ -1,4 +1,4 @@
-"""Hands: `python -m larkweir`: which command is meant, and the exit code."""
+"""`python -m larkweir`: which command is meant, and the exit code."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/members.py
+++ b/larkweir/cli/members.py
@@ -1,4 +1,4 @@
-"""Hands: `members`: the list that a balancer would start from, with ages and trust. Not its lock: reading changes
+"""`members`: the list that a balancer would start from, with ages and trust. Not its lock: reading changes
 nothing.
 """
 
--- a/larkweir/cli/routes.py
+++ b/larkweir/cli/routes.py
@@ -1,4 +1,4 @@
-"""Hands: `routes`: a file's routes and pools, and what becomes of a request."""
+"""`routes`: a file's routes and pools, and what becomes of a request."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/run.py
+++ b/larkweir/cli/run.py
@@ -1,4 +1,4 @@
-"""Hands: `run`: from the files to a daemon, or to one line on standard error and exit code 2."""
+"""`run`: from the files to a daemon, or to one line on standard error and exit code 2."""
 
 from __future__ import annotations
 
--- a/larkweir/cli/state.py
+++ b/larkweir/cli/state.py
@@ -1,4 +1,4 @@
-"""Hands: `state`: what a store holds, whether it is whole, and how to make it small (that only while it is free)."""
+"""`state`: what a store holds, whether it is whole, and how to make it small (that only while it is free)."""
 
 from __future__ import annotations
 
--- a/larkweir/config/changes.py
+++ b/larkweir/config/changes.py
@@ -1,4 +1,4 @@
-"""Rules: what differs between two platform files, and how each change comes to count."""
+"""What differs between two platform files, and how each change comes to count."""
 
 from __future__ import annotations
 
--- a/larkweir/config/classes.py
+++ b/larkweir/config/classes.py
@@ -1,4 +1,4 @@
-"""Rules: classes that come and go in service, each at a place of its own that requests are held by."""
+"""Classes that come and go in service, each at a place of its own that requests are held by."""
 
 from __future__ import annotations
 
--- a/larkweir/config/fleet_tables.py
+++ b/larkweir/config/fleet_tables.py
@@ -1,4 +1,4 @@
-"""Rules: what an operator file may say of the fleet: its peers, and what they do together. All of it off by default."""
+"""What an operator file may say of the fleet: its peers, and what they do together. All of it off by default."""
 
 from __future__ import annotations
 
--- a/larkweir/config/keys.py
+++ b/larkweir/config/keys.py
@@ -1,4 +1,4 @@
-"""Rules: what a key of an operator file's table is: its default, bounds, unit, and how a change of it counts."""
+"""What a key of an operator file's table is: its default, bounds, unit, and how a change of it counts."""
 
 from __future__ import annotations
 
--- a/larkweir/config/operator.py
+++ b/larkweir/config/operator.py
@@ -1,4 +1,4 @@
-"""Hands: the operator file, TOML to checked options. Imported only where there is such a file."""
+"""The operator file, TOML to checked options. Imported only where there is such a file."""
 
 from __future__ import annotations
 
--- a/larkweir/config/options.py
+++ b/larkweir/config/options.py
@@ -1,4 +1,4 @@
-"""Rules: what an operator file may say, one class for each table. All defaults are off, and cost nothing."""
+"""What an operator file may say, one class for each table. All defaults are off, and cost nothing."""
 
 from __future__ import annotations
 
--- a/larkweir/config/peering.py
+++ b/larkweir/config/peering.py
@@ -1,4 +1,4 @@
-"""Rules: who this process is among its peers, from both files. Not imported where `[peers]` is off."""
+"""Who this process is among its peers, from both files. Not imported where `[peers]` is off."""
 
 from __future__ import annotations
 
--- a/larkweir/config/platform.py
+++ b/larkweir/config/platform.py
@@ -1,4 +1,4 @@
-"""Hands: what the platform tells the balancer: GW_CONFIG and the environment, into one typed object."""
+"""What the platform tells the balancer: GW_CONFIG and the environment, into one typed object."""
 
 from __future__ import annotations
 
--- a/larkweir/config/policies.py
+++ b/larkweir/config/policies.py
@@ -1,4 +1,4 @@
-"""Rules: staff's policies over the platform's settings: what they may not say, and the settings that come of them.
+"""Staff's policies over the platform's settings: what they may not say, and the settings that come of them.
 
 The platform's word on what may run again, how long a client waits, how long a drained upstream may be sent to and how
 much a cold one bears is what the four rules rest on. A policy may be stricter than that, never looser.
--- a/larkweir/config/routing.py
+++ b/larkweir/config/routing.py
@@ -1,4 +1,4 @@
-"""Rules: what routes and pools may not say, alone and beside one another and the platform's settings.
+"""What routes and pools may not say, alone and beside one another and the platform's settings.
 
 Imported only where there is a pool or a route.
 """
--- a/larkweir/control/rules.py
+++ b/larkweir/control/rules.py
@@ -1,4 +1,4 @@
-"""Rules: operators' calls: bytes to an order, and which of many callers gives way.
+"""Operators' calls: bytes to an order, and which of many callers gives way.
 
 One line to a connection, ended by LF or CRLF; the answer is one line that begins with SUCCESS or FAILURE.
 """
--- a/larkweir/control/server.py
+++ b/larkweir/control/server.py
@@ -1,4 +1,4 @@
-"""Hands: the address where operators call."""
+"""The address where operators call."""
 
 from __future__ import annotations
 
--- a/larkweir/coordination/captures/part.py
+++ b/larkweir/coordination/captures/part.py
@@ -71,22 +71,22 @@
         self._logged_states = (False, False)  # overloaded, stale
         self._timer: Timer | None = host.clock.after(0.0, self._on_timer)
 
-    def duty(self, incarnation: int, wake: Callable[[], None]) -> CaptureThresholds:
+    def create_task(self, incarnation: int, wake: Callable[[], None]) -> CaptureThresholds:
         """The coordinator's duty. `incarnation`: of this process's reports; `wake` is called when a report waits."""
         from larkweir.coordination.duties.thresholds import (
             CaptureThresholds,  # not imported where there are no duties
         )
 
-        duty = CaptureThresholds(
+        create_task = CaptureThresholds(
             incarnation, self.node, self._transport.take_report, self.options.hold_ms, self.options.rest
         )
 
         def on_report() -> None:
-            duty.next_ms = 0.0
+            create_task.next_ms = 0.0
             wake()
 
         self._transport.on_report = on_report
-        return duty
+        return create_task
 
     def configure(self, config: Config, options: Operator | None) -> None:
         """Apply a reload."""
--- a/larkweir/coordination/duties/table.py
+++ b/larkweir/coordination/duties/table.py
@@ -17,7 +17,7 @@
 class CaptureTasks(Protocol):
     """This process's captures."""
 
-    def duty(self, incarnation: int, wake: Callable[[], None]) -> FleetTask:
+    def create_task(self, incarnation: int, wake: Callable[[], None]) -> FleetTask:
         """The duty `captures` of this process."""
 
 
@@ -74,7 +74,11 @@
 
 
 def _captures(context: TaskContext) -> FleetTask | None:
-    return context.captures.duty(context.incarnation, context.wake) if context.captures is not None else None
+    return (
+        context.captures.create_task(context.incarnation, context.wake)
+        if context.captures is not None
+        else None
+    )
 
 
 FACTORIES: dict[str, TaskFactory] = {
--- a/larkweir/coordination/edits/part.py
+++ b/larkweir/coordination/edits/part.py
@@ -1,4 +1,4 @@
-"""Hands: route edits that merge as a part of a balancer: the copy, its folder, its channel of the peers' mail, and the
+"""Route edits that merge as a part of a balancer: the copy, its folder, its channel of the peers' mail, and the
 merged tables in service. Not imported where `[edits]` is off.
 
 The folder is read before the first request, so that a start serves with what counts. It is this life's once the peers'
--- a/larkweir/coordination/owners.py
+++ b/larkweir/coordination/owners.py
@@ -29,7 +29,7 @@
 from larkweir.coordination.duties.messages import decode_report
 from larkweir.coordination.duties.table import CaptureTasks, HealthSource, TaskContext, create_tasks
 from larkweir.coordination.ownership_log import OwnershipLog, status_facts
-from larkweir.coordination.task_runner import LoggedDuty, TaskRunner
+from larkweir.coordination.task_runner import LoggedTask, TaskRunner
 from larkweir.core.clock import Clock, Timer
 from larkweir.core.dispatcher import Dispatcher
 from larkweir.core.ports import Decisions
@@ -166,7 +166,7 @@
             self.me,
             incarnation,
             self.replica_set,
-            [LoggedDuty(task, self._log.on_committed) for task in tasks.values()],
+            [LoggedTask(task, self._log.on_committed) for task in tasks.values()],
             self._transport,
             self._rng.random,
             self._sample,
--- a/larkweir/coordination/ownership_log.py
+++ b/larkweir/coordination/ownership_log.py
@@ -70,14 +70,14 @@
 
 def status_facts(status: ManagerStatus) -> dict[str, object]:
     """For STATUS, one line's worth."""
-    duties = ",".join(
+    owned_phases = ",".join(
         f"{name}:{of.phase}:{of.owner or 'nobody'}:{of.term}.{of.number}"
         for name, of in status.duties.items()
     )
     counts = {"late": status.stale_updates, "dropped": status.dropped}
     counts |= {f"{name}_failed": of.failed_steps for name, of in status.duties.items()}
     return {
-        "owners": duties or "none",
+        "owners": owned_phases or "none",
         "owners_majority": int(status.has_majority),
         "owners_keeper": status.mode or "no",
         "owners_epoch": status.epoch,
--- a/larkweir/coordination/part.py
+++ b/larkweir/coordination/part.py
@@ -1,4 +1,4 @@
-"""Hands: the peers' socket as a part of a balancer. Not imported where `[peers]` is off."""
+"""The peers' socket as a part of a balancer. Not imported where `[peers]` is off."""
 
 from __future__ import annotations
 
--- a/larkweir/coordination/task_runner.py
+++ b/larkweir/coordination/task_runner.py
@@ -11,7 +11,7 @@
 from larkweir.coordination.duties.ports import FleetTask
 
 
-class LoggedDuty:
+class LoggedTask:
     """A task as the manager sees it (`larkweir_owners.ports.Duty`): notable states are logged."""
 
     def __init__(self, task: FleetTask, log: Callable[[str, Version], None]) -> None:
--- a/larkweir/door/guard.py
+++ b/larkweir/door/guard.py
@@ -1,4 +1,4 @@
-"""Hands: the door before the request_handler: which messages it looks at, and what a refusal says.
+"""The door before the request_handler: which messages it looks at, and what a refusal says.
 
 While nothing is to be shed it costs one comparison a request. While it sheds, three fields of the head are looked up
 and a refusal is written: nothing else of the request is read, and the decisions never hear of it.
--- a/larkweir/door/part.py
+++ b/larkweir/door/part.py
@@ -1,4 +1,4 @@
-"""Hands: the door's place in a balancer."""
+"""The door's place in a balancer."""
 
 from __future__ import annotations
 
--- a/larkweir/lab/balancers.py
+++ b/larkweir/lab/balancers.py
@@ -61,7 +61,7 @@
             my_zone=zone,
             price_cross_zone=scenario.crossing_price,
             me=me,
-            copies=copies or scenario.balancers,
+            balancer_count=copies or scenario.balancers,
             tier=tier,
             tiers=world.tiers,
             max_attempts=scenario.attempts,
--- a/larkweir/language/amounts.py
+++ b/larkweir/language/amounts.py
@@ -1,4 +1,4 @@
-"""Rules: amounts with their units: times, rates, parts, counts. Exact decimals until the end."""
+"""Amounts with their units: times, rates, parts, counts. Exact decimals until the end."""
 
 from __future__ import annotations
 
--- a/larkweir/language/behaviour.py
+++ b/larkweir/language/behaviour.py
@@ -1,4 +1,4 @@
-"""Rules: what a change between two models comes to, in sentences that staff can act on, and as data."""
+"""What a change between two models comes to, in sentences that staff can act on, and as data."""
 
 from __future__ import annotations
 
--- a/larkweir/language/faults.py
+++ b/larkweir/language/faults.py
@@ -1,4 +1,4 @@
-"""Rules: a fault of a file: where, what is wrong, how to mend it; and how it is shown."""
+"""A fault of a file: where, what is wrong, how to mend it; and how it is shown."""
 
 from __future__ import annotations
 
--- a/larkweir/language/files.py
+++ b/larkweir/language/files.py
@@ -1,4 +1,4 @@
-"""Hands: the files of one reading, each read once, and all of them as they were at one time."""
+"""The files of one reading, each read once, and all of them as they were at one time."""
 
 from __future__ import annotations
 
--- a/larkweir/language/format.py
+++ b/larkweir/language/format.py
@@ -1,4 +1,4 @@
-"""Rules: the one way to lay a file out. Comments stay where they are, and nothing else of the meaning is touched.
+"""The one way to lay a file out. Comments stay where they are, and nothing else of the meaning is touched.
 
 It goes by the words of the text, not by the tree, so that what it prints has the same words in the same order; only
 space, the form of numbers' digits and blank lines change. What can't be read is not laid out.
--- a/larkweir/language/grammar.py
+++ b/larkweir/language/grammar.py
@@ -1,4 +1,4 @@
-"""Rules: text to a tree. The grammar is lark's to read; going on after a fault is done here.
+"""Text to a tree. The grammar is lark's to read; going on after a fault is done here.
 
 LALR(1), so that time grows with the text and memory with its nesting, which is bounded. The tokens are handed to lark's
 parser one by one. At each statement's beginning its state is kept; where a token does not fit, one fault is told, and
--- a/larkweir/language/model.py
+++ b/larkweir/language/model.py
@@ -1,4 +1,4 @@
-"""Rules: tables to the checked options: the one model that TOML fills as well, so there is one set of defaults.
+"""Tables to the checked options: the one model that TOML fills as well, so there is one set of defaults.
 
 What a key may hold is read from `larkweir.config.options`: its type, its bounds, its unit. In the language a key is
 written without the unit in its name (`accept_ms` is `accept = 550ms`), since the value has one.
--- a/larkweir/language/reading.py
+++ b/larkweir/language/reading.py
@@ -1,4 +1,4 @@
-"""Rules: a root file and its library to the model, with all faults: what every command and the start do first."""
+"""A root file and its library to the model, with all faults: what every command and the start do first."""
 
 from __future__ import annotations
 
--- a/larkweir/language/resolve.py
+++ b/larkweir/language/resolve.py
@@ -1,4 +1,4 @@
-"""Rules: the statements of all files to one set of tables: includes, constants, templates. Nothing is read here.
+"""The statements of all files to one set of tables: includes, constants, templates. Nothing is read here.
 
 Whoever calls hands over a `Library`, which knows the files. A file is included once, however many ways lead to it, and
 its statements count as if they stood in the including one; nothing depends on the order of statements, in one file or
--- a/larkweir/language/tree.py
+++ b/larkweir/language/tree.py
@@ -1,4 +1,4 @@
-"""Rules: what a file says, as a tree of statements with the place of each word."""
+"""What a file says, as a tree of statements with the place of each word."""
 
 from __future__ import annotations
 
--- a/larkweir/lifecycle/node_state.py
+++ b/larkweir/lifecycle/node_state.py
@@ -38,10 +38,10 @@
     def __init__(self, owner: Owner) -> None:
         self._owner = owner
 
-    def is_settled(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether discovery has answered, so that its list is the one to persist."""
         remembered = self._owner.remembered
-        return remembered is not None and remembered.is_settled
+        return remembered is not None and remembered.is_complete
 
     def changed_ids(self) -> set[str]:
         """Instance ids whose rows may have changed; the caller takes out those that it has read."""
--- a/larkweir/logs/follow.py
+++ b/larkweir/logs/follow.py
@@ -1,4 +1,4 @@
-"""Rules: requests from their arrival to their end, as the events and actions of the decisions tell of them.
+"""Requests from their arrival to their end, as the events and actions of the decisions tell of them.
 
 Whoever tells of requests (the log, captures) hands each event and action on, and is told of each request once, when it
 has ended. Nothing here reads a clock. Times are milliseconds.
--- a/larkweir/logs/lines.py
+++ b/larkweir/logs/lines.py
@@ -1,4 +1,4 @@
-"""Hands: the log as lines of JSON, made by structlog and written as the plain log is: bounded, never waited for."""
+"""The log as lines of JSON, made by structlog and written as the plain log is: bounded, never waited for."""
 
 from __future__ import annotations
 
--- a/larkweir/logs/part.py
+++ b/larkweir/logs/part.py
@@ -1,4 +1,4 @@
-"""Hands: the structured log's place in a balancer."""
+"""The structured log's place in a balancer."""
 
 from __future__ import annotations
 
--- a/larkweir/logs/watch.py
+++ b/larkweir/logs/watch.py
@@ -1,4 +1,4 @@
-"""Rules: what a log tells of requests and upstreams, seen from where the decisions stand.
+"""What a log tells of requests and upstreams, seen from where the decisions stand.
 
 Every event goes through here to the decisions and every action comes back, unchanged. A part of the requests is told
 when they end, drawn by their ids, so that all tiers and copies tell the same ones. Changes of upstreams are told
--- a/larkweir/membership/remembered/entries.py
+++ b/larkweir/membership/remembered/entries.py
@@ -92,12 +92,12 @@
 
 @dataclass(slots=True)
 class RestoredEntries:
-    """The upstreams of one restored list, at balancer `me` of `copies`. `can_probe`: the settings allow probes.
+    """The upstreams of one restored list, at balancer `me` of `balancer_count`. `can_probe`: the settings allow probes.
     `identifies`: upstreams report their instance ids in answers.
     """
 
     me: int
-    copies: int
+    balancer_count: int
     can_probe: bool
     identifies: bool
     churn: Churn = NEVER_SEEN
@@ -119,7 +119,7 @@
     def load(self, rows: Mapping[str, tuple[Place, Evidence]], now_ms: float) -> list[Change]:
         """The restored list; returns what is used of it from the first moment on."""
         self._rows = rows
-        self._order = order(rows, self.me, self.copies)
+        self._order = order(rows, self.me, self.balancer_count)
         return self._open_more(now_ms)
 
     def _open_more(self, now_ms: float) -> list[Change]:
--- a/larkweir/membership/remembered/plan.py
+++ b/larkweir/membership/remembered/plan.py
@@ -19,12 +19,12 @@
     return sorted(names, key=lambda name: (blake2b(name.encode(), digest_size=8).digest(), name))
 
 
-def order(names: Iterable[str], me: int, copies: int) -> list[str]:
-    """The order of balancer `me` of `copies`."""
+def order(names: Iterable[str], me: int, balancer_count: int) -> list[str]:
+    """The order of balancer `me` of `balancer_count`."""
     found = common(names)
     if not found:
         return found
-    at = (me % max(1, copies)) * len(found) // max(1, copies)
+    at = (me % max(1, balancer_count)) * len(found) // max(1, balancer_count)
     return found[at:] + found[:at]
 
 
--- a/larkweir/membership/remembered/restore.py
+++ b/larkweir/membership/remembered/restore.py
@@ -64,7 +64,7 @@
         self.answered_ms = self._clock.now_ms()
 
     @property
-    def is_settled(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether discovery's list alone counts."""
         return self.answered_ms > 0.0 and not self._reconciler.unlisted
 
@@ -75,7 +75,9 @@
         if self.answered_ms or not restored.listing.get("instances"):
             return
         settings = self._config.settings
-        entries = RestoredEntries(settings.me, settings.copies, settings.may_probe, bool(self._header))
+        entries = RestoredEntries(
+            settings.me, settings.balancer_count, settings.may_probe, bool(self._header)
+        )
         entries.churn = restored.churn
         entries.source = restored.source
         entries.is_uncertain = restored.is_uncertain
--- a/larkweir/routes/ask.py
+++ b/larkweir/routes/ask.py
@@ -1,4 +1,4 @@
-"""Rules: for staff: what becomes of a request under a file's routes, and which requests a change would send
+"""For staff: what becomes of a request under a file's routes, and which requests a change would send
 elsewhere."""
 
 from __future__ import annotations
--- a/larkweir/routes/hands.py
+++ b/larkweir/routes/hands.py
@@ -1,4 +1,4 @@
-"""Hands: routes and pools in a balancer: what is taken, under which target it goes on, fixed lists, copies,
+"""Routes and pools in a balancer: what is taken, under which target it goes on, fixed lists, copies,
 generations."""
 
 from __future__ import annotations
--- a/larkweir/routes/part.py
+++ b/larkweir/routes/part.py
@@ -1,4 +1,4 @@
-"""Hands: the routes' place in a balancer."""
+"""The routes' place in a balancer."""
 
 from __future__ import annotations
 
--- a/larkweir/routes/paths.py
+++ b/larkweir/routes/paths.py
@@ -1,4 +1,4 @@
-"""Rules: a request's target and host in the one form that routes are matched by, and that goes on upstream.
+"""A request's target and host in the one form that routes are matched by, and that goes on upstream.
 
 What is matched is what is sent: an upstream that reads the target differently from the routes is how a request gets
 round them. So a target is brought into its normal form (RFC 3986, section 6.2.2), and what two readers could still
--- a/larkweir/routes/pools.py
+++ b/larkweir/routes/pools.py
@@ -1,4 +1,4 @@
-"""Rules: what of the platform's settings and list is a pool's own."""
+"""What of the platform's settings and list is a pool's own."""
 
 from __future__ import annotations
 
@@ -64,7 +64,7 @@
         self._cells = frozenset(int(item) for item in pool.cells or ())
         self._evacuated = {zones.get(name, -1): 1.0 for name in pool.evacuated or ()}  # by zone, how far
         self._subset = pool.subset or 0
-        self._me, self._copies = config.settings.me, config.settings.copies
+        self._me, self._copies = config.settings.me, config.settings.balancer_count
         self._fixed = fixed
         self._called = called
         self.own: frozenset[int] | None = None  # of the fixed ones; None: discovery's
--- a/larkweir/routes/router.py
+++ b/larkweir/routes/router.py
@@ -1,4 +1,4 @@
-"""Rules: from a request to the pools that it may go to: the route, its split, its trial. Reads no clock and sends
+"""From a request to the pools that it may go to: the route, its split, its trial. Reads no clock and sends
 nothing."""
 
 from __future__ import annotations
--- a/larkweir/routes/split.py
+++ b/larkweir/routes/split.py
@@ -1,4 +1,4 @@
-"""Rules: which of several pools a request's key falls to: the same one each time, and as few as can be fall to
+"""Which of several pools a request's key falls to: the same one each time, and as few as can be fall to
 another when weights change (weighted rendezvous hashing: Schindelhauer and Schomaker, 2005).
 """
 
--- a/larkweir/routes/subsets.py
+++ b/larkweir/routes/subsets.py
@@ -1,4 +1,4 @@
-"""Rules: which upstreams one balancer of many connects to, so that each has few connections, each upstream even load,
+"""Which upstreams one balancer of many connects to, so that each has few connections, each upstream even load,
 and the change of one moves little. Weighed in `benchmarks/subsets.py`.
 """
 
--- a/larkweir/routes/switch.py
+++ b/larkweir/routes/switch.py
@@ -1,4 +1,4 @@
-"""Rules: many pools' decisions behind the one interface that the dispatcher knows. A request with all its attempts
+"""Many pools' decisions behind the one interface that the dispatcher knows. A request with all its attempts
 belongs to one pool; what is told of it goes there, and what is told of upstreams goes to all pools that have them.
 
 An upstream may be in several pools. Its calls are then counted for it, whichever pool sends them, so that none takes
--- a/larkweir/routes/table.py
+++ b/larkweir/routes/table.py
@@ -1,4 +1,4 @@
-"""Rules: routes, compiled, so that finding one costs by the length of a path and not by the number of routes.
+"""Routes, compiled, so that finding one costs by the length of a path and not by the number of routes.
 
 Which route wins is no matter of the file's order. From the left, the first difference decides:
 
--- a/larkweir/routes/trial.py
+++ b/larkweir/routes/trial.py
@@ -1,4 +1,4 @@
-"""Rules: whether a canary does worse than its control, watched all the time, with a bound on false alarms.
+"""Whether a canary does worse than its control, watched all the time, with a bound on false alarms.
 
 A threshold that is looked at again and again is crossed by chance in the end. This is a sequential test: a bet
 against "the canary is no worse", whose stake grows only if that is wrong. By Ville's inequality it reaches 1/alpha
--- a/larkweir/routes/zones.py
+++ b/larkweir/routes/zones.py
@@ -1,4 +1,4 @@
-"""Rules: how much of a zone's traffic crosses to others, by what each can carry, so that the sum over many balancers
+"""How much of a zone's traffic crosses to others, by what each can carry, so that the sum over many balancers
 comes to rest.
 
 All or nothing sloshes: a zone that is full sends everybody elsewhere, which is then full. Here the part that stays at
--- a/larkweir/store/changes.py
+++ b/larkweir/store/changes.py
@@ -13,7 +13,7 @@
 class StateSources(Protocol):
     """Where the state that is stored is read. Times are Unix milliseconds."""
 
-    def is_settled(self) -> bool:
+    def is_complete(self) -> bool:
         """Whether discovery has answered, so that its list is the one to store."""
 
     def changed_ids(self) -> set[str]:
@@ -55,7 +55,7 @@
 
     def changes(self, sources: StateSources, now_ms: float) -> list[Record]:
         """Records of the list and of drains; of a long list only a part, while `changed_ids` has more."""
-        found = self._list_changes(sources, now_ms) if sources.is_settled() else []
+        found = self._list_changes(sources, now_ms) if sources.is_complete() else []
         drains = sources.drains()
         found += [
             Record(RecordKind.DRAIN, [name, since_ms])
@@ -98,7 +98,7 @@
         ]
         if len(found) == self.MAX_ROWS_PER_CHECK:
             return records, True
-        if sources.is_settled() and not sources.changed_ids():
+        if sources.is_complete() and not sources.changed_ids():
             self._update_churn(0, len(self._listed), now_ms)
             records.append(self._source_record(sources, (sources.source(), sources.generation())))
         return records, False
--- a/larkweir/store/state_store.py
+++ b/larkweir/store/state_store.py
@@ -188,7 +188,7 @@
             records = self._tracker.changes(self._sources, self._clock.now_ms())
             if records:
                 self._writer.submit(*records, durable=True)
-            if self._sources.is_settled() and self._sources.changed_ids():
+            if self._sources.is_complete() and self._sources.changed_ids():
                 wait_ms = 1.0
         self._clock.after(wait_ms, self._check)
 
--- a/larkweir/storms/advice.py
+++ b/larkweir/storms/advice.py
@@ -1,4 +1,4 @@
-"""Rules: when whoever was turned away is to come back, and who came sooner than told.
+"""When whoever was turned away is to come back, and who came sooner than told.
 
 Returns are spread over the time that the tier needs for those who wait: as many as were told to come, by what it has
 left over for them. Where in that time a client's place is goes by its fingerprint, so it keeps its place from try to
--- a/larkweir/storms/barter.py
+++ b/larkweir/storms/barter.py
@@ -1,4 +1,4 @@
-"""Rules: whose request takes the place that the decisions give, and how far they open for a tier that is back.
+"""Whose request takes the place that the decisions give, and how far they open for a tier that is back.
 
 How much a tier is given is the window's matter (`larkweir_balancing/concurrency_limiter.py`), and stays so. A second
 bound before it that holds back on its own leaves that window unfilled, which then never opens: measured, it cost two
--- a/larkweir/storms/gate.py
+++ b/larkweir/storms/gate.py
@@ -1,4 +1,4 @@
-"""Hands: the storm's place in a balancer: whose request it is, what a refusal says, how connections are paced."""
+"""The storm's place in a balancer: whose request it is, what a refusal says, how connections are paced."""
 
 from __future__ import annotations
 
--- a/larkweir/storms/pace.py
+++ b/larkweir/storms/pace.py
@@ -1,4 +1,4 @@
-"""Rules: how fast connections are made: callers' accepted, and upstreams' opened anew.
+"""How fast connections are made: callers' accepted, and upstreams' opened anew.
 
 A connection costs its server work before it carries any, and a cold server is pushed over by those as well as by
 requests. So beside the decisions' own credit with cold servers, which counts calls, each upstream has a bucket of new
--- a/larkweir/storms/part.py
+++ b/larkweir/storms/part.py
@@ -1,4 +1,4 @@
-"""Hands: the storms' place in a balancer."""
+"""The storms' place in a balancer."""
 
 from __future__ import annotations
 
--- a/larkweir/storms/shares.py
+++ b/larkweir/storms/shares.py
@@ -1,4 +1,4 @@
-"""Rules: who is let in, where not all can be: by worth, first tries before repeats, fair among tenants, nobody never.
+"""Who is let in, where not all can be: by worth, first tries before repeats, fair among tenants, nobody never.
 
 Requests are of a class, of a kind (`Kind`) and of a tenant. Once a tick what is let in is divided over what was asked:
 first every tenant's requests up to its part of it, the worthiest first; then what is left over goes to the rest in the
--- a/larkweir/storms/signs.py
+++ b/larkweir/storms/signs.py
@@ -1,4 +1,4 @@
-"""Rules: the signs of a storm, from what one balancer sees, and the state that they come to.
+"""The signs of a storm, from what one balancer sees, and the state that they come to.
 
 A storm is more than a tier that is down, and more than many requests: callers come back, at once and together, to a
 tier that can't yet give what they ask. So two kinds of sign have to meet. *Trouble*: of the calls that ended lately,
--- a/larkweir/storms/storm.py
+++ b/larkweir/storms/storm.py
@@ -1,4 +1,4 @@
-"""Rules: the storm as one: signs, state, bound, shares and advice, fed with events and asked for decisions.
+"""The storm as one: signs, state, bound, shares and advice, fed with events and asked for decisions.
 
 Who holds it calls `arrive` for each request that could be taken and then `weigh` with what the decisions say of it,
 `sent` when it is first sent on, `call_ended` for each attempt, `advised` for each refusal, `listed` for each list and
--- a/larkweir/storms/watch.py
+++ b/larkweir/storms/watch.py
@@ -1,4 +1,4 @@
-"""Rules: the decisions with the storm before them: every event goes through here, and every action comes back.
+"""The decisions with the storm before them: every event goes through here, and every action comes back.
 
 It stands where the decisions stand, hears what they hear, and changes three things alone: whom they let in, of as many
 as they let in; the word that goes with a refusal; and how far their window opens for servers that are back. Nothing
--- a/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
+++ b/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
@@ -137,7 +137,7 @@
         self._classes: Sequence[RequestClass] = settings.classes
         self.min_counted_window = (
             self.MIN_COUNTED_WINDOW
-            if settings.copies <= self.FEW_REPLICAS
+            if settings.balancer_count <= self.FEW_REPLICAS
             else self.MIN_COUNTED_WINDOW_OF_MANY
         )
         self.window = self.FIRST_WINDOW  # calls that may be out at once; opened by the first list
@@ -191,17 +191,17 @@
         self._classes = settings.classes
         self.min_counted_window = (
             self.MIN_COUNTED_WINDOW
-            if settings.copies <= self.FEW_REPLICAS
+            if settings.balancer_count <= self.FEW_REPLICAS
             else self.MIN_COUNTED_WINDOW_OF_MANY
         )
 
-    def open(self, ready: int, copies: int) -> None:
+    def open(self, ready: int, balancer_count: int) -> None:
         """The first list: as many calls as its servers are taken to bear from each copy, but of a copy that is nearly
         alone a few, or one for each server: it will see at once how many more.
         """
         if not self.opened and ready:
             self.opened = True
-            share = self.FIRST_CALLS_PER_SERVER * ready / copies
+            share = self.FIRST_CALLS_PER_SERVER * ready / balancer_count
             self.window = self._first = max(
                 self.FIRST_WINDOW, min(share, max(self.FIRST_WINDOW_ALONE, ready))
             )
--- a/packages/balancing/src/larkweir_balancing/outlier_ejection.py
+++ b/packages/balancing/src/larkweir_balancing/outlier_ejection.py
@@ -125,7 +125,9 @@
         server.slowness = known + self.SLOWNESS_SAMPLE_WEIGHT * (ratio - known)
         # Own counts tell which server is free, a lone copy's sooner. Guards against leaving one empty, for the
         # time that its answer took behind our own calls, while the others get twice as many.
-        counts = self.table.in_flight >= self.table.ready_count * (0.5 if self.settings.copies < 2 else 1.0)
+        counts = self.table.in_flight >= self.table.ready_count * (
+            0.5 if self.settings.balancer_count < 2 else 1.0
+        )
         beyond = server.slowness - self.ORDINARY_RATIO
         if beyond > 0.0 and not self.load_probing.reports_idle and not counts:
             visit = self.client_stats.arrival_interval_ms * self.table.ready_count
--- a/packages/balancing/src/larkweir_balancing/policy.py
+++ b/packages/balancing/src/larkweir_balancing/policy.py
@@ -412,7 +412,7 @@
             for server in gone:  # its connections died with it
                 self.connections.remove(server)
             self.slow_start.refresh(self.now_ms)
-            self.limiter.open(self.table.ready_count, self.settings.copies)
+            self.limiter.open(self.table.ready_count, self.settings.balancer_count)
             for server in fresh:
                 self.table.earn_token(server, self.now_ms)
         if self.settings.on_request_discovery and event.kind is not ListKind.PROOF:
--- a/packages/balancing/src/larkweir_balancing/settings.py
+++ b/packages/balancing/src/larkweir_balancing/settings.py
@@ -107,7 +107,7 @@
     zones: int = 1
     my_zone: int = 0
     me: int = 0
-    copies: int = 1
+    balancer_count: int = 1
     tier: int = 0
     tiers: int = 1
     tick_ms: float = 1.0
--- a/packages/balancing/src/larkweir_balancing/wire_settings.py
+++ b/packages/balancing/src/larkweir_balancing/wire_settings.py
@@ -85,7 +85,7 @@
         zones=max(1, len(top.items("Zones", []))),
         my_zone=top.integer("MyZone", 0),
         me=top.integer("Me", 0),
-        copies=top.integer("PeersTotal", 1, low=1),
+        balancer_count=top.integer("PeersTotal", 1, low=1),
         tier=top.integer("Tier", 0),
         tiers=max(1, len(top.items("Tiers", []))),
         tick_ms=top.num("TickMs", 1.0, low=0.001),
--- a/packages/balancing/tests/test_balancing_first_seconds.py
+++ b/packages/balancing/tests/test_balancing_first_seconds.py
@@ -34,7 +34,7 @@
 )  # so long without an attempt, and so many turned away meanwhile: none may be like that
 SETTINGS = Settings(
     classes=(RequestClass(400.0, 900.0, Effect.SAFE), RequestClass(1500.0, 4000.0, Effect.SAFE)),
-    copies=200,
+    balancer_count=200,
     max_attempts=4,
     cold_share=0.3,
     cold_ms=9_000.0,
--- a/packages/balancing/tests/test_balancing_policy.py
+++ b/packages/balancing/tests/test_balancing_policy.py
@@ -288,16 +288,22 @@
 # slow start
 
 
-@pytest.mark.parametrize("copies", [1, 40])
-def test_cold_servers_together_stay_within_their_budget(copies: int) -> None:
+@pytest.mark.parametrize("balancer_count", [1, 40])
+def test_cold_servers_together_stay_within_their_budget(balancer_count: int) -> None:
     settings = replace(
-        PLAIN, tier=1, tiers=2, copies=copies, cold_share=0.1, cold_ms=20_000.0, fall_multiple=3.0
+        PLAIN,
+        tier=1,
+        tiers=2,
+        balancer_count=balancer_count,
+        cold_share=0.1,
+        cold_ms=20_000.0,
+        fall_multiple=3.0,
     )
-    fleet = [driver(settings, servers=8, seed=n, started_ms=999.0) for n in range(copies)]
+    fleet = [driver(settings, servers=8, seed=n, started_ms=999.0) for n in range(balancer_count)]
     hits: Counter[int] = Counter()
     rng = Random(5)
     for _ in range(400):  # two seconds at 200 calls a second, all servers just started
-        bench = fleet[rng.randrange(copies)]
+        bench = fleet[rng.randrange(balancer_count)]
         for server in sends(bench.request()):
             hits[server] += 1
             bench.end(*bench.open_tries()[-1], Outcome.OK)
@@ -783,7 +789,7 @@
 
 def test_a_window_below_one_call_lets_a_part_of_the_calls_through() -> None:
     # Guards against hundreds of copies that each may always have some calls out.
-    bench = driver(replace(PLAIN, copies=100), servers=10)
+    bench = driver(replace(PLAIN, balancer_count=100), servers=10)
     served = []
     for _ in range(120):
         served.append(bool(sends(bench.request(1))))
@@ -974,11 +980,13 @@
     assert math.isfinite(balancer.limiter.window) and 0.0 <= balancer.load_probing.idle_share <= 1.0
 
 
-@pytest.mark.parametrize(("copies", "kept"), [(1, False), (2, True)])
-def test_a_slow_server_keeps_its_token_where_own_calls_are_all_there_are(copies: int, kept: bool) -> None:
+@pytest.mark.parametrize(("balancer_count", "kept"), [(1, False), (2, True)])
+def test_a_slow_server_keeps_its_token_where_own_calls_are_all_there_are(
+    balancer_count: int, kept: bool
+) -> None:
     """A lone copy with five calls at eight servers sees which are free."""
     cls = RequestClass(1000.0, 4000.0, Effect.SAFE)
-    balancer = Balancer(Settings((cls,), copies=copies), 1)
+    balancer = Balancer(Settings((cls,), balancer_count=balancer_count), 1)
     entries = [ServerEntry(n, kind=n // 4) for n in range(8)]
     balancer.handle(0.0, ListUpdate(ListKind.FULL, 1, entries))
     now, held, out = 0.0, 0, []
--- a/packages/balancing/tests/test_balancing_rules.py
+++ b/packages/balancing/tests/test_balancing_rules.py
@@ -38,7 +38,7 @@
 class Rules(RuleBasedStateMachine):
     @initialize(
         probes=st.booleans(),
-        copies=st.sampled_from([1, 3, 5000]),
+        balancer_count=st.sampled_from([1, 3, 5000]),
         second=st.booleans(),
         tier=st.integers(0, 1),
         crossing=st.sampled_from([0.0, 0.02]),
@@ -47,14 +47,14 @@
         seed=st.integers(0, 2**64 - 1),
         size=st.sampled_from([0, 1, 2, 7]),
     )
-    def start(self, probes, copies, second, tier, crossing, tenants, ask, seed, size) -> None:  # type: ignore[no-untyped-def]
+    def start(self, probes, balancer_count, second, tier, crossing, tenants, ask, seed, size) -> None:  # type: ignore[no-untyped-def]
         self.driver = Driver(
             Settings(
                 classes=CLASSES,
                 tenants=(Tenant(5.0), Tenant(50.0)) if tenants else (),
                 zones=3,
                 my_zone=1,
-                copies=copies,
+                balancer_count=balancer_count,
                 tier=tier,
                 tick_ms=5.0,
                 tiers=2,
--- a/packages/balancing/tests/test_balancing_shared_health.py
+++ b/packages/balancing/tests/test_balancing_shared_health.py
@@ -48,7 +48,7 @@
 
     def __init__(self, probes: bool = True, seed: int = 7, servers: int = 8, hears: bool = True) -> None:
         self.settings = Settings(
-            (RequestClass(1_000.0, 2_000.0, Effect.SAFE),), may_probe=probes, max_attempts=2, copies=4
+            (RequestClass(1_000.0, 2_000.0, Effect.SAFE),), may_probe=probes, max_attempts=2, balancer_count=4
         )
         self.balancer = Balancer(self.settings, seed)
         if hears:
--- a/packages/owners/tests/fleet_owners.py
+++ b/packages/owners/tests/fleet_owners.py
@@ -194,7 +194,7 @@
         self.after()
 
     def after(self) -> None:
-        """Hands: flush what is to be flushed, one after another, and set the timer."""
+        """Flush what is to be flushed, one after another, and set the timer."""
         assert self.owners is not None
         network = self.fleet.network
         for step in self.owners.take_outputs():
--- a/standins/cold_fleet.py
+++ b/standins/cold_fleet.py
@@ -200,7 +200,7 @@
         scene = self.scene
         return Settings(
             classes=CLASSES,
-            copies=copies,
+            balancer_count=copies,
             me=copy,
             zones=scene.zones,
             my_zone=copy % scene.zones,
--- a/standins/probing.py
+++ b/standins/probing.py
@@ -186,7 +186,7 @@
         self.settings = Settings(
             (RequestClass(DEADLINE_MS / 2.0, DEADLINE_MS, Effect.SAFE),),
             zones=3,
-            copies=copies,
+            balancer_count=copies,
             max_attempts=3,
             may_probe=probes,
             connect_timeout_ms=CONNECT_MS,
--- a/standins/returning.py
+++ b/standins/returning.py
@@ -235,7 +235,7 @@
         self.copies: list[Any] = []
         self._storms = storms
         self._own = [
-            Settings(classes=CLASSES, tenants=tenants, me=n, copies=copies, max_attempts=4, **limits)
+            Settings(classes=CLASSES, tenants=tenants, me=n, balancer_count=copies, max_attempts=4, **limits)
             for n in range(copies)
         ]
         for n in range(copies):
--- a/standins/tier.py
+++ b/standins/tier.py
@@ -250,7 +250,7 @@
         classes = classes or (RequestClass(AIM_MS, DEADLINE_MS, Effect.SAFE, name="look"),)
         self.copies = []
         for n in range(copies):
-            own = Settings(classes=classes, me=n, copies=copies, max_attempts=4, **settings)
+            own = Settings(classes=classes, me=n, balancer_count=copies, max_attempts=4, **settings)
             other = limiter(own, Random(seed * 1000 + n)) if limiter is not None else None
             if other is not None:
                 other.now_ms = lambda: self.now
--- a/tests/balancing/test_golden_decisions.py
+++ b/tests/balancing/test_golden_decisions.py
@@ -501,7 +501,7 @@
             ),
             tenants=(Tenant(100.0, name="a"), Tenant(30.0 * factor, name="b")),
             zones=2,
-            copies=2,
+            balancer_count=2,
             max_attempts=3,
             may_probe=True,
             cold_ms=2_000.0,
--- a/tests/balancing/test_second_deployment.py
+++ b/tests/balancing/test_second_deployment.py
@@ -46,7 +46,7 @@
 def figures(**more: Any) -> Settings:
     return Settings(
         classes=CLASSES,
-        copies=3,
+        balancer_count=3,
         max_attempts=3,
         allows_hedging=True,
         on_request_discovery=True,
--- a/tests/balancing/test_slow_start.py
+++ b/tests/balancing/test_slow_start.py
@@ -29,7 +29,7 @@
     """
     settings = Settings(
         classes=CLASSES,
-        copies=copies,
+        balancer_count=copies,
         max_attempts=4,
         cold_share=SHARE,
         cold_ms=COLD_MS,
--- a/tests/fleet/test_task_runner.py
+++ b/tests/fleet/test_task_runner.py
@@ -9,7 +9,7 @@
 from larkweir_owners.messages import Record, Version
 
 from larkweir.coordination.duties.messages import RampReport, Report, decode_report
-from larkweir.coordination.task_runner import LoggedDuty, TaskRunner
+from larkweir.coordination.task_runner import LoggedTask, TaskRunner
 
 OTHER = "127.0.0.1:7002"
 REPORT = RampReport(1, ())
@@ -102,7 +102,7 @@
 def test_only_notable_states_are_logged(state: bytes, is_notable: bool, logged: int) -> None:
     lines: list[tuple[str, Version]] = []
     task = Task(is_notable)
-    duty = LoggedDuty(task, lambda name, version: lines.append((name, version)))
+    duty = LoggedTask(task, lambda name, version: lines.append((name, version)))
     duty.on_committed(state, (2, 9))
     assert task.committed == [(2, 9)] and lines == [("ramps", (2, 9))] * logged
     assert duty.name == "ramps" and duty.step(b"a", 0.0) == b"a+"
--- a/tests/membership/test_remembered_rules.py
+++ b/tests/membership/test_remembered_rules.py
@@ -124,16 +124,16 @@
 @pytest.mark.parametrize(
     ("upstreams", "copies"), [(30, 30), (30, 200), (7, 30), (1, 5), (1000, 30), (100, 7)]
 )
-def test_the_first_of_all_copies_fall_on_all_upstreams_alike(upstreams: int, copies: int) -> None:
+def test_the_first_of_all_copies_fall_on_all_upstreams_alike(upstreams: int, balancer_count: int) -> None:
     names = [f"s-{n:04x}" for n in range(upstreams)]
     load: Counter[str] = Counter()
-    for me in range(copies):
-        mine = order(names, me, copies)
+    for me in range(balancer_count):
+        mine = order(names, me, balancer_count)
         assert sorted(mine) == sorted(names)
         load.update(mine[: opened(upstreams, 0, 0)])
     mean = sum(load.values()) / upstreams
     assert max(load.values()) <= max(2.0 * mean, 1.0)
-    assert set(load) == set(names) or FIRST * copies < upstreams
+    assert set(load) == set(names) or FIRST * balancer_count < upstreams
 
 
 @given(st.integers(0, 60_000), st.integers(0, 60_000), st.integers(0, 60_000))
@@ -182,7 +182,7 @@
 def entries_of(
     count: int = 10, *, probes: bool = True, identifies: bool = True, ago: float = 1e3, **more: object
 ) -> RestoredEntries:
-    it = RestoredEntries(me=0, copies=1, can_probe=probes, identifies=identifies, churn=QUIET)
+    it = RestoredEntries(me=0, balancer_count=1, can_probe=probes, identifies=identifies, churn=QUIET)
     for key, value in more.items():
         setattr(it, key, value)
     it.load({f"s{n}": (Place("a", n % 3), heard(ago, ago)) for n in range(count)}, NOW)
@@ -297,11 +297,15 @@
         count=st.integers(0, 40),
         probes=st.booleans(),
         identifies=st.booleans(),
-        copies=st.integers(1, 5),
+        balancer_count=st.integers(1, 5),
     )
-    def begin(self, count: int, probes: bool, identifies: bool, copies: int) -> None:
+    def begin(self, count: int, probes: bool, identifies: bool, balancer_count: int) -> None:
         self.it = RestoredEntries(
-            me=copies - 1, copies=copies, can_probe=probes, identifies=identifies, churn=QUIET
+            me=balancer_count - 1,
+            balancer_count=balancer_count,
+            can_probe=probes,
+            identifies=identifies,
+            churn=QUIET,
         )
         self.now = NOW
         self.told: dict[str, RestoredTrust] = {}
@@ -371,7 +375,7 @@
     alive = set(rng.sample(names, 36))
     calls: Counter[str] = Counter()
     for me in range(30):
-        it = RestoredEntries(me=me, copies=30, can_probe=False, identifies=False, churn=QUIET)
+        it = RestoredEntries(me=me, balancer_count=30, can_probe=False, identifies=False, churn=QUIET)
         used = {
             change.name: change.trust
             for change in it.load({name: (Place("a", 0), heard(1e3, 1e3)) for name in names}, NOW)
--- a/tests/scenes/approval.py
+++ b/tests/scenes/approval.py
@@ -1,4 +1,4 @@
-"""Hands: approved texts, one file for each scene, read by syrupy and never written by it."""
+"""Approved texts, one file for each scene, read by syrupy and never written by it."""
 
 from __future__ import annotations
 
--- a/tests/scenes/fleet.py
+++ b/tests/scenes/fleet.py
@@ -1,4 +1,4 @@
-"""Hands: several real balancers that are peers on loopback, and owners where the scene says so."""
+"""Several real balancers that are peers on loopback, and owners where the scene says so."""
 
 from __future__ import annotations
 
--- a/tests/store/test_state_store.py
+++ b/tests/store/test_state_store.py
@@ -53,7 +53,7 @@
         self.spoke = False
         self.proofs: dict[str, Evidence] = {}
 
-    def is_settled(self) -> bool:
+    def is_complete(self) -> bool:
         return self.spoke
 
     def changed_ids(self) -> set[str]:
--- a/tests/storms/test_watch.py
+++ b/tests/storms/test_watch.py
@@ -53,7 +53,7 @@
         marks_retry=True,
         cold_share=0.3,
         cold_ms=9000.0,
-        copies=3,
+        balancer_count=3,
         **more,
     )
 
