--- a/larkweir/coordination/edits/ended.py
+++ b/larkweir/coordination/edits/ended.py
@@ -21,6 +21,8 @@
 
 
 class End(NamedTuple):
+    """A part of a split that the fleet has ended: its key, route and pool, and the version of the owner's state."""
+
     key: str
     route: str
     pool: str
@@ -46,4 +48,5 @@
             yield End(key, *parts[key], term, number)
 
     def mark_written(self, end: End) -> None:
+        """An edit records this end: it is not due again."""
         self._written |= {end.key}
--- a/larkweir/coordination/edits/journal.py
+++ b/larkweir/coordination/edits/journal.py
@@ -11,7 +11,8 @@
 class RecordLog(Protocol):
     """`larkweir_edits.log.FileLog`, as far as records go."""
 
-    def append(self, record: bytes) -> int: ...
+    def append(self, record: bytes) -> int:
+        """Append a record; returns its number."""
 
 
 class LateLog:
@@ -25,6 +26,7 @@
         self._file: RecordLog | None = None
 
     def append(self, record: bytes) -> int:
+        """Append a record, now or once there is a file; returns its number."""
         if self._file is not None:
             self.number = self._file.append(record)
         else:
@@ -47,7 +49,9 @@
         self.channel: Channel | None = None
 
     def post(self, to: str, item: bytes) -> bool:
+        """Send an item to a peer; False where it was not sent."""
         return self.channel is not None and self.channel.post(to, item)
 
     def alive(self) -> Sequence[str]:
+        """The peers that are believed to be alive."""
         return self.channel.alive() if self.channel is not None else ()
--- a/larkweir/coordination/edits/notice_log.py
+++ b/larkweir/coordination/edits/notice_log.py
@@ -86,6 +86,7 @@
         self._logged_count = 0
 
     def new_lines(self, notices: Sequence[Notice], now_ms: float) -> list[str]:
+        """The lines that are due: new notices, and those that no longer hold; bounded by time and number."""
         now = {line_of(item): key_of(item) for item in notices}
         new = [line for line in now if line not in self._known]
         keys = set(now.values())
--- a/larkweir/coordination/edits/part.py
+++ b/larkweir/coordination/edits/part.py
@@ -68,9 +68,11 @@
     status_callbacks: list[Callable[[], dict[str, object]]]
 
     @property
-    def owners(self) -> OwnedStates | None: ...
+    def owners(self) -> OwnedStates | None:
+        """The owners' part, where it is on."""
 
-    def reconfigure(self, config: Config, options: Operator | None = None) -> None: ...
+    def reconfigure(self, config: Config, options: Operator | None = None) -> None:
+        """Put a configuration in force."""
 
 
 class Part:
@@ -499,6 +501,11 @@
 
 
 def attach(host: Host, options: Operator) -> None:
+    """Attach the part to a balancer that has routes.
+
+    Raises:
+        ConfigError: there are no routes to merge.
+    """
     part = host.edits
     if part is None or host.routes is None:
         raise ConfigError("edits.on: this process has no routes to merge")
--- a/packages/balancing/src/larkweir_balancing/actions.py
+++ b/packages/balancing/src/larkweir_balancing/actions.py
@@ -20,6 +20,8 @@
 
 @dataclass(slots=True)
 class Cancel:
+    """End an attempt: its answer is no longer wanted."""
+
     request: int
     attempt: int
 
@@ -41,17 +43,23 @@
 
 @dataclass(slots=True)
 class SetTimer:
+    """Report `TimerFired` with this cookie after `delay_ms`."""
+
     cookie: int
     delay_ms: float
 
 
 @dataclass(slots=True)
 class Probe:
+    """Ask a server for its load."""
+
     server: int
 
 
 @dataclass(slots=True)
 class CloseIdle:
+    """Close an idle connection to a server."""
+
     server: int
 
 
@@ -65,16 +73,22 @@
 
 @dataclass(slots=True)
 class FetchList:
+    """Fetch the list of servers once."""
+
     pass
 
 
 @dataclass(slots=True)
 class WatchList:
+    """Watch the list of servers, or stop doing so."""
+
     active: bool = field(default=True)
 
 
 @dataclass(slots=True)
 class Log:
+    """Write a line to the log."""
+
     text: str
 
 
--- a/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
+++ b/packages/balancing/src/larkweir_balancing/concurrency_limiter.py
@@ -40,6 +40,7 @@
         self.clear()
 
     def clear(self) -> None:
+        """Begin an empty round."""
         self.calls = 0
         self.full = 0
         self.timed_out = 0  # of the calls, those that were given up: what they would have taken is a guess
@@ -48,6 +49,7 @@
         self.added_squares = 0.0  # of what queues added
 
     def add(self, base: float, added: float) -> None:
+        """Count a call: its latency without load and what was added to it, in milliseconds."""
         self.calls += 1
         self.base_ms += base
         self.added_ms += added
--- a/packages/balancing/src/larkweir_balancing/connections.py
+++ b/packages/balancing/src/larkweir_balancing/connections.py
@@ -40,11 +40,13 @@
         self.connected = SampleList()
 
     def configure(self, settings: Settings) -> None:
+        """Take over the bounds of new settings."""
         self._settings = settings
         self.max_idle_ms = min(self.max_idle_ms, settings.conn_idle_ms)
 
     @property
     def connections_expensive(self) -> bool:
+        """Whether new connections cost so much more than idle ones that they are to be avoided."""
         return self._new_extra - self._idle_extra > self.EXPENSIVE_FRACTION
 
     def idle_ms(self, server: Server, now_ms: float) -> float | None:
@@ -54,6 +56,7 @@
         return 0.0 if server.in_flight else now_ms - server.connection_used_ms
 
     def record_use(self, server: Server, now_ms: float) -> None:
+        """A connection to the server is in use at `now_ms`."""
         server.connection_used_ms = now_ms
         server.has_connection = True
         self._order.pop(server.id, None)
@@ -61,6 +64,7 @@
         self.connected.add(server)
 
     def remove(self, server: Server) -> None:
+        """The server is gone: forget its connection."""
         server.has_connection = False
         self._order.pop(server.id, None)
         self.connected.discard(server)
@@ -78,6 +82,7 @@
         return None
 
     def record_end(self, attempt: Attempt, spent_ms: float, usual_ms: float, aim_ms: float) -> None:
+        """An attempt has ended: learn what a new connection and an idle one add to its latency."""
         outcome = attempt.outcome
         lost = outcome is Outcome.RESET or outcome is Outcome.TIMEOUT
         if (
--- a/packages/balancing/src/larkweir_balancing/events.py
+++ b/packages/balancing/src/larkweir_balancing/events.py
@@ -30,6 +30,8 @@
 
 @dataclass(slots=True)
 class ListUpdate:
+    """The list of servers, or changes of it, has arrived."""
+
     kind: ListKind
     version: int = 0
     entries: Sequence[ServerEntry] = ()
@@ -97,16 +99,22 @@
 
 @dataclass(slots=True)
 class ClientGone:
+    """The client of a request has disconnected."""
+
     request: int
 
 
 @dataclass(slots=True)
 class TimerFired:
+    """A timer of `SetTimer` is due."""
+
     cookie: int
 
 
 @dataclass(slots=True)
 class ProbeEnded:
+    """A probe of a server has ended."""
+
     server: int
     outcome: Outcome
     spent_ms: float = 0.0
@@ -126,6 +134,8 @@
 
 @dataclass(slots=True)
 class PeerMessage:
+    """A message of another balancer has arrived."""
+
     sender: int
     payload: bytes = b""
 
--- a/packages/balancing/src/larkweir_balancing/load_probing.py
+++ b/packages/balancing/src/larkweir_balancing/load_probing.py
@@ -51,6 +51,7 @@
         return self._level_index >= 0 and self.serves_singly
 
     def should_probe(self, request: Request, latency_ms: float, now_ms: float) -> bool:
+        """Whether a request whose choice is uncertain is to probe servers first."""
         if self._level_index < 0 or request.probe_count >= (
             self.MAX_POLL_PROBES if request.has_waited else MAX_SAMPLES
         ):
--- a/packages/balancing/src/larkweir_balancing/retry_safety.py
+++ b/packages/balancing/src/larkweir_balancing/retry_safety.py
@@ -14,6 +14,8 @@
 
 @dataclass(slots=True, eq=False, repr=False)
 class Attempt:
+    """One attempt of a request at a server."""
+
     server: Server
     cell: int
     sent_ms: float
@@ -82,6 +84,7 @@
         return [a for a in self.attempts if a.outcome is None or a.outcome not in NEVER_RAN]
 
     def can_send_to(self, server: Server, now_ms: float) -> bool:
+        """Whether the request may be sent to the server now, by what it may already have done."""
         if not server.ready:
             return False  # draining, gone or delisted: kept from the moment this copy is told
         if server.restored_trust is not None and not is_admitted(
--- a/packages/balancing/src/larkweir_balancing/servers.py
+++ b/packages/balancing/src/larkweir_balancing/servers.py
@@ -48,11 +48,13 @@
     positions: dict[int, int] = field(default_factory=dict)
 
     def add(self, server: Server) -> None:
+        """Add a server; no effect where it is in the set."""
         if server.id not in self.positions:
             self.positions[server.id] = len(self.items)
             self.items.append(server)
 
     def discard(self, server: Server) -> None:
+        """Remove a server; no effect where it is not in the set."""
         at = self.positions.pop(server.id, None)
         if at is None:
             return
@@ -149,6 +151,7 @@
             self.by_in_flight[server.list_level][server.zone].add(server)
 
     def spend_token(self, server: Server) -> None:
+        """Take the server off the lists of idle ones: a request is sent there."""
         if server.list_level >= 0:
             self.by_in_flight[server.list_level][server.zone].discard(server)
             server.list_level = -1
@@ -162,6 +165,7 @@
             heappush(self._withheld, (until_ms, self._serial, server))
 
     def return_tokens(self, now_ms: float) -> None:
+        """Put servers whose token was withheld until `now_ms` back on the lists."""
         while self._withheld and self._withheld[0][0] <= now_ms:
             server = heappop(self._withheld)[2]
             if server.withheld_until_ms <= now_ms:
--- a/packages/balancing/src/larkweir_balancing/slow_start.py
+++ b/packages/balancing/src/larkweir_balancing/slow_start.py
@@ -48,9 +48,11 @@
         self._refresh_at_ms = now_ms + self._warmup_ms / 100.0
 
     def is_cold(self, server: Server, now_ms: float) -> bool:
+        """Whether the server started less than the warm-up time ago."""
         return server.started_ms > 0.0 and now_ms - server.started_ms < self._warmup_ms
 
     def capacity_fraction(self, server: Server, now_ms: float) -> float:
+        """The part of its full capacity that a server bears at its age."""
         age = max(0.0, now_ms - server.started_ms)
         return (
             self._initial_fraction + (1.0 - self._initial_fraction) * min(1.0, age / self._warmup_ms)
@@ -80,5 +82,6 @@
         return warm or (self.credit >= 1.0 and self._rng.random() < self.capacity_fraction(server, now_ms))
 
     def spend(self, server: Server, now_ms: float) -> None:
+        """A request is sent to the server, which costs credit while it is cold."""
         if self.is_cold(server, now_ms):
             self.credit -= 1.0
--- a/packages/captures/src/larkweir_captures/writer.py
+++ b/packages/captures/src/larkweir_captures/writer.py
@@ -13,6 +13,8 @@
 
 
 class Writer:
+    """Writes records to a bounded file, and drops what has no room."""
+
     def __init__(
         self,
         path: str = "",
--- a/packages/edits/src/larkweir_edits/digests.py
+++ b/packages/edits/src/larkweir_edits/digests.py
@@ -51,6 +51,8 @@
 
 
 class Edits(msgspec.Struct, array_like=True, tag=4, frozen=True):
+    """Edits of one writer that were requested."""
+
     origin: bytes
     writer: str
     edits: list[bytes]
@@ -67,11 +69,15 @@
 
 
 class PieceRequest(msgspec.Struct, array_like=True, tag=6, frozen=True):
+    """Requests pieces of an offered state, named by its hash."""
+
     hash: bytes
     pieces: list[int]
 
 
 class Piece(msgspec.Struct, array_like=True, tag=7, frozen=True):
+    """A piece of an offered state, named by its hash."""
+
     hash: bytes
     number: int
     data: bytes
@@ -83,6 +89,7 @@
 
 
 def packed(item: Item) -> bytes:
+    """The bytes of an item on the channel."""
     return _ENCODER.encode(item)
 
 
@@ -110,6 +117,7 @@
 
 
 def range_of(writer: str) -> int:
+    """The range that a writer belongs to."""
     return blake2b(writer.encode(), digest_size=1).digest()[0] % RANGES
 
 
@@ -125,6 +133,7 @@
             self.put(writer, count)
 
     def put(self, writer: str, count: int) -> None:
+        """The vector has this count of a writer now."""
         place = self._range.get(writer)
         if place is None:
             place = self._range[writer] = range_of(writer)
@@ -139,12 +148,14 @@
 
     @property
     def total(self) -> bytes:
+        """The hash of the whole vector."""
         if not self._total:
             self._total = blake2b(b"".join(map(self._hash, range(RANGES))), digest_size=8).digest()
         return self._total
 
     @property
     def ranges(self) -> bytes:
+        """The shortened hashes of all ranges, one after another."""
         return b"".join(self._hash(place)[:SHORT_HASH_BYTES] for place in range(RANGES))
 
     def differ(self, ranges: bytes) -> list[int]:
--- a/packages/edits/src/larkweir_edits/edit.py
+++ b/packages/edits/src/larkweir_edits/edit.py
@@ -34,6 +34,8 @@
 
 
 class Kind(IntEnum):
+    """What an edit does. The numbers are on the wire and on disk."""
+
     WRITE = 0  # fields of a row that is to be there
     DELETE = 1  # a row
     OWNER = 2  # by an owner with a term: verdicts and steps
@@ -57,12 +59,14 @@
     stamp: int = field(default=0)  # a number above those of all that it had seen
 
     def saw(self, dot: Dot) -> bool:
+        """Whether the writer had applied the edit of that dot."""
         writer, count = dot
         if writer == self.dot[0]:
             return count < self.dot[1]
         return self.seen.get(writer, 0) >= count
 
     def saw_all(self, vector: Vector) -> bool:
+        """Whether the writer had applied all edits of the vector."""
         return all(self.saw((writer, count)) for writer, count in vector.items() if count)
 
     @property
--- a/packages/edits/src/larkweir_edits/log.py
+++ b/packages/edits/src/larkweir_edits/log.py
@@ -24,6 +24,7 @@
 
 
 def framed(record: bytes) -> bytes:
+    """A record as it stands in a file: length, CRC-32, bytes."""
     return _FRAME.pack(len(record), zlib.crc32(record)) + record
 
 
@@ -67,16 +68,20 @@
     """The system calls, in one place: tests put faults here."""
 
     def write(self, number: int, data: bytes) -> None:
+        """Write all bytes. Raises OSError."""
         while data:
             data = data[os.write(number, data) :]
 
     def flush(self, number: int) -> None:
+        """Wait until what was written would survive a crash. Raises OSError."""
         os.fdatasync(number)
 
     def rename(self, old: str, new: str) -> None:
+        """Rename a file over another one. Raises OSError."""
         os.rename(old, new)
 
     def flush_folder(self, path: str) -> None:
+        """Wait until a rename in the folder would survive a crash. Raises OSError."""
         number = os.open(path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
         try:
             os.fsync(number)
--- a/packages/edits/src/larkweir_edits/merge.py
+++ b/packages/edits/src/larkweir_edits/merge.py
@@ -111,6 +111,7 @@
 
 
 def valid(writes: Iterable[Write]) -> list[Write]:
+    """The writes that may become a value: those of struck writers are proposals alone."""
     return [item for item in writes if not item.void]
 
 
--- a/packages/edits/src/larkweir_edits/replica.py
+++ b/packages/edits/src/larkweir_edits/replica.py
@@ -43,11 +43,19 @@
 
 
 class Replica:
-    """`name` is its peer's name, `peers` are all others. `base` is what staff's file says now; where there are
-    `records` of former lives it does not count, and `start` tells what has changed since. `rng` is this life's own,
-    not seeded as another life's was: a writer's name is made of it, so that no dot is used twice though a disk be of
-    yesterday. `item` is the size that items are filled to: what one datagram takes, so that one that is lost takes
-    little with it.
+    """A replica of the routes and pools, driven by its owner: no I/O of its own.
+
+    `base`, what the operator file says now, has no effect where there are records. `rng` is not seeded as that of an
+    earlier incarnation: the writer's name is drawn from it, so that no dot is used twice though an old disk be
+    restored. A peer that is silent for `away_ms` is not waited for. Items are filled to `item` bytes.
+
+    Attributes:
+        state: the edits that are applied, and what they come to.
+        stated: what the operator file said last, by table and row.
+        writer: the name under which this incarnation writes edits.
+        began: what came of the file of a start, for whoever takes it from here.
+        met: whether it is known that the others began with the same, or that none has an edit yet. An edit that is
+            made before may concern what they do not have.
     """
 
     def __init__(
@@ -65,6 +73,7 @@
         away_ms: float = MAX_SILENCE_MS,
         item: int = 190,
     ) -> None:
+        """Restores what the log holds, and begins a log that holds nothing; `records` are oldest first."""
         self.schema, self.name, self.peers, self.check = schema, name, tuple(peers), check
         self._channel, self._log, self._rng = channel, log, rng
         self.state = State(schema, origin_of(schema, base), base)
@@ -81,19 +90,22 @@
         self._turn = 0
         self._transfer = StateTransfer(schema, channel, item)
         self._start = Start(schema)
-        self.began: Began | None = None  # what came of a start's file, for who takes it from here
-        empty = True
-        for record in records:
-            self._replay(record)
-            empty = False
-        # Whether it is known that the others began with the same, or that none has an edit yet: an edit that is made
-        # before may be of what they don't have.
+        self.began: Began | None = None
+        is_empty = not self._replay_all(records)
         self.met = bool(self.state.vector) or not self.peers
         self._anti_entropy = AntiEntropy(self, channel, item)
-        if empty:  # what all began with is in the log too: the file may be another when it is read again
+        if is_empty:  # what all began with is in the log too: the file may be another when it is read again
             self._pending.append((log.append(self.record()), LogRecord(SNAPSHOT_WRITER, [])))
         self._strike(now_ms)
 
+    def _replay_all(self, records: Iterable[bytes]) -> int:
+        """Restore what the log holds; returns how many records those are."""
+        count = 0
+        for record in records:
+            self._replay(record)
+            count += 1
+        return count
+
     def _new_writer(self) -> str:
         return f"{self.name}#{self._rng.getrandbits(32):08x}"
 
@@ -373,14 +385,7 @@
         self._anti_entropy.reset()
         if old.origin != new.origin:
             return
-        lost: dict[str, list[bytes]] = {}
-        for writer, found in old.log.items():
-            lost.setdefault(writer, []).extend(
-                data for n, data in sorted(found.items()) if not new.has((writer, n))
-            )
-        for (writer, count), data in old.raw.items():
-            if not new.has((writer, count)):
-                lost.setdefault(writer, []).append(data)
+        lost = old.edits_lacking_in(new)
         for writer, edits in lost.items():
             if edits:
                 self._append(LogRecord(writer, edits))
--- a/packages/edits/src/larkweir_edits/rows.py
+++ b/packages/edits/src/larkweir_edits/rows.py
@@ -52,6 +52,7 @@
     writes: dict[Sub, list[Write]] = field(default_factory=dict)
 
     def add(self, schema: Schema, edit: Edit, void: bool) -> None:
+        """Add an edit's writes. `void`: its writer was struck, so that they are proposals."""
         for sub, value in edit.writes():
             rule = schema.rule(self.table, sub[0])
             if sub == HERE or sub[0] in (ENDED, STEP) or fits(rule, value):
@@ -69,6 +70,7 @@
     # neither counts, as before.
 
     def units(self) -> dict[str, dict[Sub, list[Write]]]:
+        """The writes by unit, then by part."""
         found: dict[str, dict[Sub, list[Write]]] = {}
         for sub, group in self.writes.items():
             found.setdefault(sub[0], {})[sub] = group
--- a/packages/edits/src/larkweir_edits/snapshot.py
+++ b/packages/edits/src/larkweir_edits/snapshot.py
@@ -46,40 +46,54 @@
 _DECODER: msgspec.msgpack.Decoder[_StoredState] = msgspec.msgpack.Decoder(_StoredState)
 
 
+class _Contexts:
+    """The contexts of a state's edits, each once: many edits share one."""
+
+    def __init__(self) -> None:
+        self.all: list[Mapping[str, int]] = []
+        self._places: dict[int, int] = {}  # by identity
+
+    def place_of(self, seen: Vector) -> int:
+        if id(seen) not in self._places:
+            self._places[id(seen)] = len(self.all)
+            self.all.append(seen)
+        return self._places[id(seen)]
+
+
+def _stored_row(row: Row, contexts: _Contexts) -> _Row:
+    edits: dict[int, tuple[int, Edit]] = {}
+    writes = []
+    for sub, group in row.writes.items():
+        places = [edits.setdefault(id(item.edit), (len(edits), item.edit))[0] for item in group]
+        writes.append((*sub, places))
+    stored_edits = [
+        (
+            *edit.dot,
+            contexts.place_of(edit.seen),
+            int(edit.kind),
+            [(*sub, value) for sub, value in edit.changes],
+        )
+        for _, edit in edits.values()
+    ]
+    base = [(*sub, value) for sub, value in row.base.items()]
+    return _Row(row.table, row.name, row.here, base, stored_edits, writes)
+
+
 def dumped(state: State) -> bytes:
-    contexts: list[Mapping[str, int]] = []
-    numbers: dict[int, int] = {}
-
-    def context(seen: Vector) -> int:
-        if id(seen) not in numbers:
-            numbers[id(seen)] = len(contexts)
-            contexts.append(seen)
-        return numbers[id(seen)]
-
-    rows = []
-    for row in state.rows.values():
-        edits: dict[int, tuple[int, Edit]] = {}
-        writes = []
-        for sub, group in row.writes.items():
-            places = [edits.setdefault(id(item.edit), (len(edits), item.edit))[0] for item in group]
-            writes.append((*sub, places))
-        stored_row = [
-            (*edit.dot, context(edit.seen), int(edit.kind), [(*sub, value) for sub, value in edit.changes])
-            for _, edit in edits.values()
-        ]
-        base = [(*sub, value) for sub, value in row.base.items()]
-        rows.append(_Row(row.table, row.name, row.here, base, stored_row, writes))
+    """A state as compressed bytes."""
+    contexts = _Contexts()
+    rows = [_stored_row(row, contexts) for row in state.rows.values()]
     buffered: dict[str, list[tuple[int, bytes]]] = {}
     for (writer, count), data in state.raw.items():
         buffered.setdefault(writer, []).append((count, data))
-    lasts = {writer: context(seen) for writer, seen in state.lasts.items()}
+    lasts = {writer: contexts.place_of(seen) for writer, seen in state.lasts.items()}
     stored = _StoredState(
         VERSION,
         state.origin,
         state.vector,
         state.folded,
         state.strikes,
-        [dict(seen) for seen in contexts],
+        [dict(seen) for seen in contexts.all],
         lasts,
         rows,
         {writer: list(found.items()) for writer, found in state.log.items()},
--- a/packages/edits/src/larkweir_edits/starts.py
+++ b/packages/edits/src/larkweir_edits/starts.py
@@ -54,6 +54,7 @@
         return found
 
     def reloaded(self, file: Tables) -> None:
+        """A reload has taken up this file."""
         if self.file is not None:
             self.file = file
 
--- a/packages/edits/src/larkweir_edits/state.py
+++ b/packages/edits/src/larkweir_edits/state.py
@@ -71,9 +71,11 @@
 
     @property
     def size(self) -> int:
+        """How many edits other replicas may still lack, or wait for their causes."""
         return sum(map(len, self.log.values())) + len(self.raw)
 
     def has(self, dot: Dot) -> bool:
+        """Whether the edit of that dot is applied, or waits for its causes."""
         return self.vector.get(dot[0], 0) >= dot[1] or dot in self.raw
 
     def take(self, writer: str, data: bytes) -> list[Edit]:
@@ -147,6 +149,7 @@
     # ------------------------------------------------ what it comes to
 
     def merged(self, check: Check | None = None) -> MergedTables:
+        """The merged tables of all edits that are applied, computed when asked for."""
         if self._merged is None:
             self._merged = merged(self.schema, self.rows, self._views, check)
         return self._merged
@@ -177,38 +180,44 @@
         if covers(before, seen):
             seen = before
         found: list[bytes] = []
-        fresh: set[RowKey] = set()
+        new_rows: set[RowKey] = set()
         todo = list(changes)[::-1]
         while todo:
             change = todo.pop()
-            try:
-                data = encoded(
-                    made((writer, count + 1), seen, change.kind, change.row, change.changes), before
-                )
-                shaped(data)
-            except EditError:
-                if len(change.changes) < 2:
-                    raise
-                half = len(change.changes) // 2
-                todo += [
-                    change._replace(changes=part) for part in (change.changes[half:], change.changes[:half])
-                ]
+            data = _encode_change((writer, count + 1), seen, change, before)
+            if data is None:
+                todo += reversed(_halves(change))
                 continue
             found.append(data)
             count += 1
             before = seen
             if change.row not in self.rows:
-                fresh.add(change.row)
-        if found and self.size + len(found) > MAX_OWN_EDITS:
-            raise EditError(
-                f"{self.size} edits wait for copies that have not seen them; {MAX_OWN_EDITS} at the most"
-            )
-        if fresh and len(self.rows) + len(fresh) > MAX_ROWS:
-            raise EditError(f"{len(self.rows) + len(fresh)} routes and pools; {MAX_ROWS} at the most")
+                new_rows.add(change.row)
+        self._check_space(len(found), len(new_rows))
         if found:
             self._made[writer] = (count, before)
         return found
 
+    def _check_space(self, edit_count: int, row_count: int) -> None:
+        """Raises EditError where so many more edits, or rows, have no room."""
+        if edit_count and self.size + edit_count > MAX_OWN_EDITS:
+            raise EditError(
+                f"{self.size} edits wait for copies that have not seen them; {MAX_OWN_EDITS} at the most"
+            )
+        if row_count and len(self.rows) + row_count > MAX_ROWS:
+            raise EditError(f"{len(self.rows) + row_count} routes and pools; {MAX_ROWS} at the most")
+
+    def edits_lacking_in(self, other: State) -> dict[str, list[bytes]]:
+        """By writer, the edits that are known here and not there, in the order of their counters."""
+        lacking: dict[str, list[bytes]] = {}
+        for writer, found in self.log.items():
+            edits = [data for count, data in sorted(found.items()) if not other.has((writer, count))]
+            lacking.setdefault(writer, []).extend(edits)
+        for (writer, count), data in self.raw.items():
+            if not other.has((writer, count)):
+                lacking.setdefault(writer, []).append(data)
+        return lacking
+
     def floor(self, row: RowKey, sub: Sub) -> tuple[int, int]:
         """The highest (term, number) of an owner's register; what is not above it is late."""
         return self.rows[row].floor(sub) if row in self.rows else (-1, -1)
@@ -241,3 +250,20 @@
         self.folded = {w: max(stable.get(w, 0), self.folded.get(w, 0)) for w in {**stable, **self.folded}}
         self._merged = None
         return True
+
+
+def _encode_change(dot: Dot, seen: Vector, change: Change, before: Vector) -> bytes | None:
+    """The bytes of an edit; None where it is too long and can be divided. Raises EditError where it can't be."""
+    try:
+        data = encoded(made(dot, seen, change.kind, change.row, change.changes), before)
+        shaped(data)
+    except EditError:
+        if len(change.changes) < 2:
+            raise
+        return None
+    return data
+
+
+def _halves(change: Change) -> tuple[Change, Change]:
+    middle = len(change.changes) // 2
+    return change._replace(changes=change.changes[:middle]), change._replace(changes=change.changes[middle:])
--- a/packages/edits/src/larkweir_edits/state_transfer.py
+++ b/packages/edits/src/larkweir_edits/state_transfer.py
@@ -21,9 +21,11 @@
 class Channel(Protocol):
     """A channel to the other copies: what is posted may be lost, late or doubled."""
 
-    def post(self, to: str, item: bytes) -> bool: ...
+    def post(self, to: str, item: bytes) -> bool:
+        """Send an item to a replica; False where it was not sent."""
 
-    def alive(self) -> Sequence[str]: ...
+    def alive(self) -> Sequence[str]:
+        """The replicas that are believed to be alive."""
 
 
 class StateTransfer:
@@ -47,6 +49,7 @@
         self._post(to, Offer(state.origin, self._offer[0], len(self._offer[1]), writer, count))
 
     def on_offer(self, source: str, message: Offer, state: State, now_ms: float) -> None:
+        """Another replica offers its state: fetch it where it has what is lacking here."""
         busy = self._fetch is not None and now_ms - self._fetch[3] < FETCH_TIMEOUT_MS
         late = state.vector.get(message.writer, 0) >= message.count  # it is had by now
         wanted = not late if message.origin == state.origin else not state.vector
@@ -69,6 +72,7 @@
         return True
 
     def on_piece_request(self, source: str, message: PieceRequest) -> None:
+        """Send pieces of the state that was offered."""
         if self._offer is None or self._offer[0] != message.hash:
             return
         for number in message.pieces[:MAX_REQUESTED_PIECES]:
--- a/tests/membership/test_remembered_rules.py
+++ b/tests/membership/test_remembered_rules.py
@@ -122,7 +122,7 @@
 
 
 @pytest.mark.parametrize(
-    ("upstreams", "copies"), [(30, 30), (30, 200), (7, 30), (1, 5), (1000, 30), (100, 7)]
+    ("upstreams", "balancer_count"), [(30, 30), (30, 200), (7, 30), (1, 5), (1000, 30), (100, 7)]
 )
 def test_the_first_of_all_copies_fall_on_all_upstreams_alike(upstreams: int, balancer_count: int) -> None:
     names = [f"s-{n:04x}" for n in range(upstreams)]
