--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -73,3 +73,12 @@
 def test_names_of_test_files_are_unique() -> None:
     files = [path.name for path in ROOT.glob("packages/*/tests/*.py")]
     assert len(files) == len(set(files))
+
+
+def test_every_file_that_the_deploy_file_names_is_there() -> None:
+    """The platform counts and copies them by these names: a renamed module is renamed there too."""
+    deployment = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    named = [path for values in deployment.values() if isinstance(values, list) for path in values]
+    files = [path for path in named if "/" in path]
+    assert files
+    assert [path for path in files if not (ROOT / path).exists()] == []
