--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -305,12 +305,12 @@
         if self._state is ExchangeState.DISCARDING and not self._may_have_executed:
             self._on_discarded()
             return
-        if self._request.has_oversized_head and not self._relay.has_started:
+        is_closed = failure is CallFailure.CLOSED and not self._relay.has_started
+        if is_closed and self._request.has_oversized_head:
             self._end_attempt(Outcome.CANCELLED)  # the others would refuse it too: no fault of this one
             self._respond_error(ErrorKind.UPSTREAM_FAILED)
             return
         self._end_attempt(Outcome.RESET)
-        # A resumable stream goes on from another upstream.
         may_retry = self._relay.can_resume if self._relay.has_started else admission.route.is_idempotent
         if may_retry and self._take_retry():
             self._relay.restart()
--- a/tests/router/test_exchange_guard.py
+++ b/tests/router/test_exchange_guard.py
@@ -182,6 +182,15 @@
     assert play.do(lambda: play.model.plane.outcomes.failing_upstreams(play.loop.time() * 1000.0)) == {}
 
 
+def test_a_large_head_that_is_answered_with_garbage_is_retried(play: Play) -> None:
+    sent = oversized(play, "safe")
+    (upstream,) = play.waiting()
+    play.do(lambda: upstream.extra(b"no HTTP\r\n\r\n"))
+    answered(play)
+    assert sent.status == 200
+    assert len(play.model.runs[sent.id]) == 2
+
+
 def test_the_upstreams_own_answer_to_a_large_head_is_passed_on(play: Play) -> None:
     sent = oversized(play, "safe")
     (upstream,) = play.waiting()
