Roll-outs: a package with the replicated state and the samples that routers report

This is the contract between controller, router and judge, without behaviour: the state of a roll-out, the samples of its two tracks, their field in a pull, the key in the committed document, and the version that an upstream reports.

--- a/larkweir/cluster/configuration/documents.py
+++ b/larkweir/cluster/configuration/documents.py
@@ -13,6 +13,7 @@
 Document = dict[str, Any]
 
 COLLECTIONS = ("routes", "services", "tenants")
+ROLLOUTS_KEY = "larkweir_rollouts"  # of a committed document: not the operators', and not shown to them
 
 
 class PatchError(LarkweirError, ValueError):
--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -15,6 +15,7 @@
 from larkweir_registry.records import MAX_COUNTER, Counter, Record, VersionVector
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
+from larkweir_rollouts.samples import RolloutReport
 
 MAX_LINE_BYTES = 32 * 1024 * 1024
 MAX_TOKENS = 10**12  # that wait at one engine, of all routers
@@ -65,6 +66,8 @@
         outcomes: by upstream with recent failures, how many of the sender's calls
             succeeded and failed there within the window.
         records: all that the sender knows of upstreams, where the last delta on this connection asked for them.
+        rollouts: by service with a running roll-out, what the sender has seen of it;
+            a service is left out where nothing has changed since the last pull on this connection.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -74,6 +77,7 @@
     queued_prefill_tokens: dict[str, Tokens] = msgspec.field(default_factory=dict, name="waiting")
     outcomes: Mapping[str, tuple[Count, Count]] = msgspec.field(default_factory=dict, name="endings")
     records: list[Record] = []
+    rollouts: dict[str, RolloutReport] = {}
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -9,8 +9,9 @@
 
 import msgspec
 from larkweir_quotas.limits import RateLimit
+from larkweir_rollouts.state import Rollout
 
-from larkweir.cluster.configuration.documents import Document, apply_patch
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, apply_patch
 from larkweir.cluster.messages import ConfigUpdate
 
 NON_IDEMPOTENT = "non_idempotent"
@@ -103,6 +104,7 @@
     services: tuple[Service, ...]
     limits: Limits = Limits()
     tenants: tuple[Tenant, ...] = ()
+    rollouts: tuple[Rollout, ...] = msgspec.field(default=(), name=ROLLOUTS_KEY)
 
 
 class RoutingTable:
@@ -113,6 +115,7 @@
         self.version = configuration.generation
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
+        self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts}
         self.has_tenants = bool(configuration.tenants)
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
         self.quotas = {
--- a/packages/registry/src/larkweir_registry/records.py
+++ b/packages/registry/src/larkweir_registry/records.py
@@ -40,6 +40,7 @@
         sequence: counts its heartbeats.
         state: what its heartbeats, or its departure, reported.
         timed_out_sequence: `sequence` of its last heartbeat when it was last found to have timed out; -1 for never.
+        reported_version: that of its software; unset where it reports none.
     """
 
     id: str
@@ -52,6 +53,12 @@
     timed_out_sequence: Annotated[int, msgspec.Meta(ge=-1, le=MAX_COUNTER)] = msgspec.field(
         default=-1, name="lapsed"
     )
+    reported_version: str | msgspec.UnsetType = msgspec.field(default=msgspec.UNSET, name="version")
+
+    @property
+    def version(self) -> str:
+        """The version of its software; empty where it reports none."""
+        return self.reported_version if isinstance(self.reported_version, str) else ""
 
     @property
     def has_timed_out(self) -> bool:
--- a/tests/system/test_build.py
+++ b/tests/system/test_build.py
@@ -32,6 +32,7 @@
             "packages/replication",
             "packages/registry",
             "packages/quotas",
+            "packages/rollouts",
         ):
             copytree(ROOT / name, folder / name)
         for name in ("requirements-system.txt", "dependencies-system.txt"):
--- a/tests/test_workspace.py
+++ b/tests/test_workspace.py
@@ -54,6 +54,7 @@
     "larkweir_replication",
     "larkweir_replication.journal",
     "larkweir_replication.journal_files",
+    "larkweir_rollouts",
     "larkweir_simulated",
     "larkweir_simulated.network",
 }
