Roll-outs: orders are placed and advanced by pure functions

Need: every replica applies the same changes to the replicated roll-outs, and operators repeat orders that were not answered in time. A repeated order changes nothing; another target during a running roll-out is a conflict; a stale primary's step is ignored.

--- /dev/null
+++ b/packages/rollouts/src/larkweir_rollouts/orders.py
@@ -0,0 +1,91 @@
+"""Changes of the replicated roll-outs: an order is placed, and its one decider advances it. Pure functions.
+
+`rollouts` is the latest roll-out of each service, one per service. Every replica applies the same changes in the same
+order, so a change that no longer fits what is there leaves it as it is.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from larkweir_rollouts.state import Rollout, RolloutState, Weight
+
+REPEAT_WINDOW_MS = 10_000.0  # an order this soon after a rolled-back one of the same target is its repeat
+
+
+class OrderConflict(msgspec.Struct, frozen=True):
+    """An order that was refused.
+
+    Attributes:
+        detail: what it is in conflict with, for the operator.
+    """
+
+    detail: str
+
+
+class Advance(msgspec.Struct, frozen=True):
+    """A step of one roll-out, as the primary controller decides it.
+
+    Attributes:
+        service: whose roll-out it is.
+        order_id: of the order that was judged (`Rollout.order_id`).
+        state: from now on.
+        target_weight: share of new requests that go to the target version from now on.
+        reason: why, in one line.
+    """
+
+    service: str
+    order_id: str
+    state: RolloutState
+    target_weight: Weight
+    reason: str = ""
+
+
+def place_order(rollouts: tuple[Rollout, ...], order: Rollout) -> tuple[Rollout, ...] | OrderConflict:
+    """Place an order, which replaces the service's last roll-out unless it repeats it or is in conflict with it.
+
+    Returns:
+        The roll-outs from now on, or why the order is refused. A repeated order changes nothing: it is acknowledged
+        again, and the time of the first one counts.
+    """
+    present = rollout_of(rollouts, order.service)
+    if present is None:
+        return (*rollouts, order)
+    if present.target_version == order.target_version:
+        return rollouts if _is_repeat(present, order) else _replace(rollouts, order)
+    if present.is_running:
+        return OrderConflict(
+            f"a roll-out of {present.service} to {present.target_version} is running; it ends before another is ordered"
+        )
+    return _replace(rollouts, order)
+
+
+def advance(rollouts: tuple[Rollout, ...], change: Advance) -> tuple[Rollout, ...]:
+    """Apply a step if its order is in place and running; leave everything as it is otherwise."""
+    present = rollout_of(rollouts, change.service)
+    if present is None or not present.is_running or present.order_id != change.order_id:
+        return rollouts
+    changed = msgspec.structs.replace(
+        present, state=change.state, target_weight=change.target_weight, reason=change.reason
+    )
+    return _replace(rollouts, changed)
+
+
+def rollout_of(rollouts: tuple[Rollout, ...], service: str) -> Rollout | None:
+    """Return the latest roll-out of a service."""
+    return next((rollout for rollout in rollouts if rollout.service == service), None)
+
+
+def _is_repeat(present: Rollout, order: Rollout) -> bool:
+    """Whether an order of the same target adds nothing to the present roll-out.
+
+    A rolled-back version may be ordered again, once a repeat of the first order can no longer arrive. The two times may
+    be of different controllers' clocks, so the later order may have the earlier time.
+    """
+    if present.state is not RolloutState.ROLLED_BACK:
+        return True
+    return order.ordered_unix_ms - present.ordered_unix_ms < REPEAT_WINDOW_MS
+
+
+def _replace(rollouts: tuple[Rollout, ...], changed: Rollout) -> tuple[Rollout, ...]:
+    return tuple(changed if rollout.service == changed.service else rollout for rollout in rollouts)
