Roll-outs: a version is judged by e-values that may be looked at at any time

Need: the primary judges five times a second; a fixed-horizon test looked at that often condemns good versions. Failures and slow answers, over all routes and by route, against the other upstreams at the same time.

--- /dev/null
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -0,0 +1,234 @@
+"""Judges a version by what routers saw of it, against the other upstreams of its service at the same time.
+
+Each test (failures over all routes, failures by route, durations by route) in each window of the pooled samples gives
+an e-value; their weighted mean is the evidence against the version. See `docs/design/rollouts.md`.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from larkweir_rollouts.eprocess import e_value
+from larkweir_rollouts.pooling import PooledSamples, Window, answered, failed
+from larkweir_rollouts.samples import BUCKET_FACTOR, Histogram, TrackSamples
+
+FALSE_ALARM_PROBABILITY = 0.001  # at most, that a version is condemned that is as the hypotheses say
+BAD_EVIDENCE = 1.0 / FALSE_ALARM_PROBABILITY
+SUSPECT_EVIDENCE = 10.0
+
+MIN_CONTROL = 10  # answers of the others on a route, below which they are no control
+FAILURE_FLOOR = 0.01  # share of failures that every version is granted
+FAILURE_FACTOR = 2.0  # of the others' share
+PAST_CONTROL_FLOOR = 0.1  # of failures, where the others answered only earlier
+NO_CONTROL_FLOOR = 0.3  # of failures, where the others never answered
+MAX_NULL_PROBABILITY = 0.95
+
+SLOW_FACTOR = 3.0  # of the others' median
+COLD_CACHE_FACTOR = 6.0  # the same for first bytes: a new upstream reads whole prompts at first
+SLOW_FLOOR = 0.1  # share of slow answers that every version is granted
+COLD_CACHE_FLOOR = 0.3
+SLOW_SHARE_FACTOR = 2.0
+SLOW_SHARE_MARGIN = 0.05
+
+MANY_UPSTREAMS = 2  # or more: one of them accuses nobody alone
+
+# Weights of the tests in the mean; those by route are divided evenly over the routes.
+ALL_ROUTES_FAILURES = 0.3
+ROUTE_FAILURES = 0.3
+ROUTE_PACE = 0.3
+ROUTE_FIRST_BYTE = 0.1
+
+
+class Verdict(msgspec.Struct, frozen=True):
+    """What is known against a version.
+
+    Attributes:
+        is_bad: it is to be rolled back.
+        is_suspect: its traffic is not to grow for now.
+        reason: the strongest test, in one line; empty while nothing speaks against the version.
+        evidence: the e-value.
+        target_answers: answers of the target version, on which it rests.
+    """
+
+    is_bad: bool = False
+    is_suspect: bool = False
+    reason: str = ""
+    evidence: float = 1.0
+    target_answers: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Finding:
+    """The result of one test, and its weight in the mean."""
+
+    evidence: float
+    weight: float
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class _Outcomes:
+    """Answers of one track, and how many of them failed. Those that one upstream or router alone had are left out."""
+
+    failed: float
+    answers: int
+
+
+@dataclass(frozen=True, slots=True)
+class _SlownessTest:
+    """What makes an answer slow, and how many slow ones every version is granted."""
+
+    name: str
+    weight: float
+    slow_factor: float
+    floor: float
+
+
+_PACE = _SlownessTest("pace", ROUTE_PACE, SLOW_FACTOR, SLOW_FLOOR)
+_FIRST_BYTE = _SlownessTest("first byte", ROUTE_FIRST_BYTE, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR)
+
+
+def judge(samples: PooledSamples, target_upstream_count: int = 2) -> Verdict:
+    """Judge the target version by everything that was reported since its order.
+
+    Args:
+        samples: the reports of all routers.
+        target_upstream_count: the most upstreams the target has had; where there are several, one alone accuses nobody.
+    """
+    windows = samples.windows()
+    findings = [
+        finding for window in windows for finding in _findings(window, windows[0], target_upstream_count)
+    ]
+    evidence = sum(finding.weight * finding.evidence for finding in findings)
+    strongest = max(findings, key=lambda finding: finding.weight * finding.evidence, default=None)
+    is_suspect = evidence >= SUSPECT_EVIDENCE
+    return Verdict(
+        is_bad=evidence >= BAD_EVIDENCE,
+        is_suspect=is_suspect,
+        reason=strongest.reason if strongest is not None and is_suspect else "",
+        evidence=evidence,
+        target_answers=answered(windows[0].totals.target),
+    )
+
+
+def window_weight(index: int) -> float:
+    """Return a window's weight in the mean: half for the one since the order, the rest falling with the index."""
+    return 0.5 if index == 0 else 0.5 / (index * (index + 1))
+
+
+def _findings(window: Window, since_order: Window, upstream_count: int) -> Iterator[_Finding]:
+    """Make every test in one window."""
+    weight = window_weight(window.index)
+    target, others, earlier = window.totals.target, window.totals.others, since_order.totals.others
+    lone_target = _lone_failures(target, window.target_failures, window.router_count, upstream_count)
+    lone_others = _lone_failures(others, window.others_failures, window.router_count, MANY_UPSTREAMS)
+    lone_earlier = _lone_failures(earlier, since_order.others_failures, window.router_count, MANY_UPSTREAMS)
+
+    def failures(route: str | None, test_weight: float) -> _Finding:
+        outcomes = _outcomes(target, route)
+        outcomes = _Outcomes(max(0.0, outcomes.failed - lone_target), outcomes.answers)
+        control = _without_lone(_outcomes(others, route), lone_others, others)
+        past_control = _without_lone(_outcomes(earlier, route), lone_earlier, earlier)
+        return _test_failures(route or "all routes", test_weight, outcomes, control, past_control)
+
+    yield failures(None, weight * ALL_ROUTES_FAILURES)
+    for route, samples in target.routes.items():
+        share = weight / len(target.routes)
+        yield failures(route, share * ROUTE_FAILURES)
+        control, past = others.routes.get(route), earlier.routes.get(route)
+        if control is None or past is None:
+            continue
+        pace = control.pace if _has_control(control.pace) else past.pace
+        yield from _test_slowness(_PACE, route, share, samples.pace, pace)
+        first_byte = control.first_byte if _has_control(control.first_byte) else past.first_byte
+        yield from _test_slowness(_FIRST_BYTE, route, share, samples.first_byte, first_byte)
+
+
+def _test_failures(
+    name: str, weight: float, target: _Outcomes, control: _Outcomes, past_control: _Outcomes
+) -> _Finding:
+    """Test whether more answers fail at the target than a pessimistic view of the others allows."""
+    if control.answers >= MIN_CONTROL:
+        null_probability = max(FAILURE_FLOOR, FAILURE_FACTOR * _pessimistic_share(control))
+    elif past_control.answers >= MIN_CONTROL:
+        null_probability = max(PAST_CONTROL_FLOOR, FAILURE_FACTOR * _pessimistic_share(past_control))
+    else:
+        null_probability = NO_CONTROL_FLOOR
+    evidence = e_value(target.failed, target.answers, min(MAX_NULL_PROBABILITY, null_probability))
+    reason = f"{name}: {target.failed:.0f} of {target.answers} answers failed"
+    return _Finding(evidence, weight, f"{reason}, {control.failed:.0f} of {control.answers} at the others")
+
+
+def _test_slowness(
+    test: _SlownessTest, route: str, share: float, target: Histogram, control: Histogram
+) -> Iterator[_Finding]:
+    """Test whether more of the target's durations are far above the others' median than of the others' own."""
+    if not _has_control(control):
+        return
+    limit = _median_bucket(control) + round(math.log(test.slow_factor) / math.log(BUCKET_FACTOR))
+    control_slow, control_count = _count_above(control, limit), sum(control.values())
+    target_slow, target_count = _count_above(target, limit), sum(target.values())
+    null_probability = max(test.floor, SLOW_SHARE_FACTOR * control_slow / control_count + SLOW_SHARE_MARGIN)
+    evidence = e_value(target_slow, target_count, min(MAX_NULL_PROBABILITY, null_probability))
+    reason = (
+        f"{route}: {test.name} of {target_slow} of {target_count} answers above {BUCKET_FACTOR**limit:.0f} ms"
+    )
+    yield _Finding(
+        evidence, share * test.weight, f"{reason}, {control_slow} of {control_count} at the others"
+    )
+
+
+def _lone_failures(
+    track: TrackSamples, by_router: dict[str, int], router_count: int, upstream_count: int
+) -> float:
+    """Count the failures that one upstream, or one router, has beyond those of all others together.
+
+    A crashed upstream, or a router with a bad network, says nothing about a version.
+    """
+    total, lone = failed(track), 0
+    for counts, sources in ((track.failures_by_upstream, upstream_count), (by_router, router_count)):
+        if sources > 1:
+            largest = max(counts.values(), default=0)
+            rest = sum(counts.values()) - largest
+            lone = max(lone, total - rest - min(largest, max(1, rest)))
+    return lone
+
+
+def _without_lone(outcomes: _Outcomes, lone: float, track: TrackSamples) -> _Outcomes:
+    """Leave out a control's lone failures, evenly from all of its routes, so that they excuse no other version."""
+    kept_fraction = 1.0 - lone / max(1, failed(track))
+    return _Outcomes(outcomes.failed * kept_fraction, outcomes.answers)
+
+
+def _outcomes(track: TrackSamples, route: str | None) -> _Outcomes:
+    """Count a track's answers on one route, or on all."""
+    chosen = [samples for name, samples in track.routes.items() if route in (None, name)]
+    failures = sum(samples.failed for samples in chosen)
+    return _Outcomes(failures, failures + sum(samples.answered for samples in chosen))
+
+
+def _pessimistic_share(control: _Outcomes) -> float:
+    """The control's share of failures, by about a standard deviation too high."""
+    return (control.failed + math.sqrt(control.failed) + 0.5) / control.answers
+
+
+def _has_control(histogram: Histogram) -> bool:
+    return sum(histogram.values()) >= MIN_CONTROL
+
+
+def _median_bucket(histogram: Histogram) -> int:
+    """Return the bucket of the median; of the upper one of two."""
+    left = sum(histogram.values()) // 2
+    for bucket in sorted(histogram):
+        left -= histogram[bucket]
+        if left < 0:
+            return bucket
+    return 0
+
+
+def _count_above(histogram: Histogram, limit: int) -> int:
+    return sum(count for bucket, count in histogram.items() if bucket > limit)
