Roll-outs: a report costs what has changed in it since the last one

Need: a controller joins the reports of all routers several times a second. Change: only changed buckets are added; windows are differences, made in one pass.

--- a/packages/rollouts/src/larkweir_rollouts/pooling.py
+++ b/packages/rollouts/src/larkweir_rollouts/pooling.py
@@ -19,6 +19,8 @@
 
 Key = TypeVar("Key")
 FailuresByRouter = dict[str, int]
+_EMPTY_REPORT = RolloutReport("")
+_EMPTY_ROUTE = RouteSamples()
 
 
 @dataclass(frozen=True, slots=True)
@@ -48,25 +50,25 @@
     target_failures: FailuresByRouter = field(default_factory=dict)
     others_failures: FailuresByRouter = field(default_factory=dict)
 
-    def add(self, router: str, report: RolloutReport, sign: int = 1) -> None:
-        """Add a router's report, or take it away with `sign` -1."""
-        _add_track(self.totals.target, report.target, sign)
-        _add_track(self.totals.others, report.others, sign)
-        _add_counts(self.target_failures, {router: failed(report.target)}, sign)
-        _add_counts(self.others_failures, {router: failed(report.others)}, sign)
+    def replace(self, router: str, known: RolloutReport, report: RolloutReport) -> None:
+        """Count a router's report in place of the known one; the cost is that of the routes that have changed."""
+        _replace_track(self.totals.target, known.target, report.target)
+        _replace_track(self.totals.others, known.others, report.others)
+        _add(self.target_failures, router, failed(report.target) - failed(known.target))
+        _add(self.others_failures, router, failed(report.others) - failed(known.others))
 
-    def copy(self) -> _Sums:
-        """Return a copy that shares nothing with this one."""
-        copied = _Sums(RolloutReport(self.totals.order_id))
-        copied.add_sums(self)
-        return copied
+    def since(self, begin: _Sums) -> _Sums:
+        """Return what was added since these were the sums; shares nothing with either."""
+        target = _track_since(self.totals.target, begin.totals.target)
+        others = _track_since(self.totals.others, begin.totals.others)
+        return _Sums(
+            RolloutReport(self.totals.order_id, target, others),
+            _counts_since(self.target_failures, begin.target_failures),
+            _counts_since(self.others_failures, begin.others_failures),
+        )
 
-    def add_sums(self, other: _Sums, sign: int = 1) -> None:
-        """Add another one's sums, or take them away with `sign` -1."""
-        _add_track(self.totals.target, other.totals.target, sign)
-        _add_track(self.totals.others, other.totals.others, sign)
-        _add_counts(self.target_failures, other.target_failures, sign)
-        _add_counts(self.others_failures, other.others_failures, sign)
+
+_NOTHING = _Sums(RolloutReport(""))
 
 
 class PooledSamples:
@@ -84,7 +86,7 @@
     @property
     def router_count(self) -> int:
         """How many routers have reported; one that started anew counts once."""
-        return len({_router_of(incarnation) for incarnation in self._reports})
+        return len(self._routers)
 
     def begin(self, order_id: str) -> None:
         """Join reports of this order from now on, and forget those of others."""
@@ -98,13 +100,12 @@
         """
         if report.order_id != self.order_id:
             return
-        known = self._reports.get(incarnation)
-        if known is not None:
-            if _total(report) < _total(known):
-                return
-            self._sums.add(_router_of(incarnation), known, -1)
+        known = self._reports.get(incarnation, _EMPTY_REPORT)
+        if _total(report) < _total(known):
+            return
         self._reports[incarnation] = report
-        self._sums.add(_router_of(incarnation), report)
+        self._routers.add(_router_of(incarnation))
+        self._sums.replace(_router_of(incarnation), known, report)
         self._begin_window()
 
     def disconnected(self, incarnation: str) -> None:
@@ -120,31 +121,31 @@
 
     def totals(self) -> RolloutReport:
         """Return the sums since the order."""
-        return self._sums.copy().totals
+        return self._sums.since(_NOTHING).totals
 
     def windows(self) -> list[Window]:
         """Return the sums since the order, and since some moments after it."""
-        begins = [(0, _Sums(RolloutReport(self.order_id))), *self._later]
-        return [self._window(index, begin) for index, begin in begins]
+        router_count, windows = self.router_count, []
+        for index, begin in [(0, _NOTHING), *self._later]:
+            sums = self._sums.since(begin)
+            window = Window(index, sums.totals, sums.target_failures, sums.others_failures, router_count)
+            windows.append(window)
+        return windows
 
     def _forget_all(self, order_id: str) -> None:
         self._sums = _Sums(RolloutReport(order_id))
         self._reports: dict[str, RolloutReport] = {}  # by incarnation
+        self._routers: set[str] = set()
         self._later: list[tuple[int, _Sums]] = []  # index of a window, and the sums where it began
         self._next_begin = FIRST_WINDOW_ANSWERS
 
-    def _window(self, index: int, begin: _Sums) -> Window:
-        sums = self._sums.copy()
-        sums.add_sums(begin, -1)
-        return Window(index, sums.totals, sums.target_failures, sums.others_failures, self.router_count)
-
     def _begin_window(self) -> None:
         """Begin a window where enough answers have come since the last one began; the counts alone decide."""
         answers = answered(self._sums.totals.target)
         if answers < self._next_begin:
             return
         index = self._later[-1][0] + 1 if self._later else 1
-        self._later = [*self._later, (index, self._sums.copy())][-MAX_LATER_WINDOWS:]
+        self._later = [*self._later, (index, self._sums.since(_NOTHING))][-MAX_LATER_WINDOWS:]
         self._next_begin = round(answers * WINDOW_GROWTH) + FIRST_WINDOW_ANSWERS
 
 
@@ -166,21 +167,49 @@
     return incarnation.rpartition("/")[0] or incarnation
 
 
-def _add_track(into: TrackSamples, track: TrackSamples, sign: int) -> None:
-    into.in_flight += sign * track.in_flight
+def _replace_track(into: TrackSamples, known: TrackSamples, track: TrackSamples) -> None:
+    into.in_flight += track.in_flight - known.in_flight
+    for name in known.routes.keys() | track.routes.keys():
+        before, after = known.routes.get(name, _EMPTY_ROUTE), track.routes.get(name, _EMPTY_ROUTE)
+        if before != after:
+            sums = into.routes.setdefault(name, RouteSamples())
+            sums.answered += after.answered - before.answered
+            sums.failed += after.failed - before.failed
+            _replace_counts(sums.first_byte, before.first_byte, after.first_byte)
+            _replace_counts(sums.pace, before.pace, after.pace)
+    _replace_counts(into.failures_by_upstream, known.failures_by_upstream, track.failures_by_upstream)
+
+
+def _replace_counts(into: dict[Key, int], before: dict[Key, int], after: dict[Key, int]) -> None:
+    for key in before.keys() - after.keys():
+        _add(into, key, -before[key])
+    for key, count in after.items():
+        if change := count - before.get(key, 0):
+            _add(into, key, change)
+
+
+def _add(into: dict[Key, int], key: Key, change: int) -> None:
+    changed = into.get(key, 0) + change
+    if changed:
+        into[key] = changed
+    else:
+        into.pop(key, None)
+
+
+def _track_since(track: TrackSamples, begin: TrackSamples) -> TrackSamples:
+    """Return what a track has had since; what is under way is so at present."""
+    routes = {}
     for name, route in track.routes.items():
-        sums = into.routes.setdefault(name, RouteSamples())
-        sums.answered += sign * route.answered
-        sums.failed += sign * route.failed
-        _add_counts(sums.first_byte, route.first_byte, sign)
-        _add_counts(sums.pace, route.pace, sign)
-    _add_counts(into.failures_by_upstream, track.failures_by_upstream, sign)
-
-
-def _add_counts(into: dict[Key, int], counts: dict[Key, int], sign: int) -> None:
-    for key, count in counts.items():
-        changed = into.get(key, 0) + sign * count
-        if changed:
-            into[key] = changed
-        else:
-            into.pop(key, None)
+        before = begin.routes.get(name, _EMPTY_ROUTE)
+        routes[name] = RouteSamples(
+            route.answered - before.answered,
+            route.failed - before.failed,
+            _counts_since(route.first_byte, before.first_byte),
+            _counts_since(route.pace, before.pace),
+        )
+    failures = _counts_since(track.failures_by_upstream, begin.failures_by_upstream)
+    return TrackSamples(track.in_flight, routes, failures)
+
+
+def _counts_since(counts: dict[Key, int], begin: dict[Key, int]) -> dict[Key, int]:
+    return {key: left for key, count in counts.items() if (left := count - begin.get(key, 0))}
