Roll-outs: slow answers are also judged over all routes, a crash counts little

Cause: in simulated roll-outs a version that fails 33% at a small service was completed: with two canary upstreams, the failures of the busier one were cut to those of the other. Slow versions on small services were found late, since evidence was divided by the routes. Change: one upstream's or router's failures count up to three times those of all others; slowness has a test over all routes; windows after the order have nearly even weights; no failures is evidence below 1, so that its mean is 1 at most exactly.

--- a/packages/rollouts/src/larkweir_rollouts/eprocess.py
+++ b/packages/rollouts/src/larkweir_rollouts/eprocess.py
@@ -22,7 +22,7 @@
         trials: all observations.
         null_probability: the outcome's probability by the hypothesis, at most.
     """
-    if hits <= 0 or trials <= 0 or not 0.0 < null_probability < 1.0:
+    if trials <= 0 or not 0.0 < null_probability < 1.0:
         return 1.0
     total = 0.0
     for fraction in ALTERNATIVE_FRACTIONS:
--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -14,7 +14,7 @@
 
 from larkweir_rollouts.eprocess import e_value
 from larkweir_rollouts.pooling import PooledSamples, Window, answered, failed
-from larkweir_rollouts.samples import BUCKET_FACTOR, Histogram, TrackSamples
+from larkweir_rollouts.samples import BUCKET_FACTOR, Histogram, RouteSamples, TrackSamples
 
 FALSE_ALARM_PROBABILITY = 0.001  # at most, that a version is condemned that is as the hypotheses say
 BAD_EVIDENCE = 1.0 / FALSE_ALARM_PROBABILITY
@@ -34,13 +34,15 @@
 SLOW_SHARE_FACTOR = 2.0
 SLOW_SHARE_MARGIN = 0.05
 
+LONE_FACTOR = 3  # one upstream's or router's failures count up to so many times those of all others
 MANY_UPSTREAMS = 2  # or more: one of them accuses nobody alone
 
-# Weights of the tests in the mean; those by route are divided evenly over the routes.
-ALL_ROUTES_FAILURES = 0.3
-ROUTE_FAILURES = 0.3
-ROUTE_PACE = 0.3
-ROUTE_FIRST_BYTE = 0.1
+EVEN_WINDOWS = 5  # after the order; these have the same weight
+
+# Weights of the tests in the mean: half over all routes, half divided evenly over the routes.
+FAILURES_WEIGHT = 0.5
+PACE_WEIGHT = 0.35
+FIRST_BYTE_WEIGHT = 0.15
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -88,8 +90,18 @@
     floor: float
 
 
-_PACE = _SlownessTest("pace", ROUTE_PACE, SLOW_FACTOR, SLOW_FLOOR)
-_FIRST_BYTE = _SlownessTest("first byte", ROUTE_FIRST_BYTE, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR)
+@dataclass(frozen=True, slots=True)
+class _SlownessCounts:
+    """Durations of both tracks, and how many of them are slow."""
+
+    target_slow: int = 0
+    target: int = 0
+    control_slow: int = 0
+    control: int = 0
+
+
+_PACE = _SlownessTest("pace", PACE_WEIGHT, SLOW_FACTOR, SLOW_FLOOR)
+_FIRST_BYTE = _SlownessTest("first byte", FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR)
 
 
 def judge(samples: PooledSamples, target_upstream_count: int = 2) -> Verdict:
@@ -116,8 +128,14 @@
 
 
 def window_weight(index: int) -> float:
-    """Return a window's weight in the mean: half for the one since the order, the rest falling with the index."""
-    return 0.5 if index == 0 else 0.5 / (index * (index + 1))
+    """Return a window's weight in the mean: half for the one since the order, the rest over all that may follow."""
+    if index == 0:
+        return 0.5
+    if index <= EVEN_WINDOWS:
+        return 0.25 / EVEN_WINDOWS
+    return (
+        0.25 * EVEN_WINDOWS / (index * (index - 1))
+    )  # of a sum that converges: the windows have no last one
 
 
 def _findings(window: Window, since_order: Window, upstream_count: int) -> Iterator[_Finding]:
@@ -135,17 +153,16 @@
         past_control = _without_lone(_outcomes(earlier, route), lone_earlier, earlier)
         return _test_failures(route or "all routes", test_weight, outcomes, control, past_control)
 
-    yield failures(None, weight * ALL_ROUTES_FAILURES)
-    for route, samples in target.routes.items():
-        share = weight / len(target.routes)
-        yield failures(route, share * ROUTE_FAILURES)
-        control, past = others.routes.get(route), earlier.routes.get(route)
-        if control is None or past is None:
-            continue
-        pace = control.pace if _has_control(control.pace) else past.pace
-        yield from _test_slowness(_PACE, route, share, samples.pace, pace)
-        first_byte = control.first_byte if _has_control(control.first_byte) else past.first_byte
-        yield from _test_slowness(_FIRST_BYTE, route, share, samples.first_byte, first_byte)
+    share = 0.5 * weight / max(1, len(target.routes))
+    yield failures(None, 0.5 * weight * FAILURES_WEIGHT)
+    yield from (failures(route, share * FAILURES_WEIGHT) for route in target.routes)
+    for test in (_PACE, _FIRST_BYTE):
+        counts = {
+            route: _slowness_counts(test, samples, others.routes.get(route), earlier.routes.get(route))
+            for route, samples in target.routes.items()
+        }
+        yield _test_slowness(test, "all routes", 0.5 * weight, list(counts.values()))
+        yield from (_test_slowness(test, route, share, [count]) for route, count in counts.items())
 
 
 def _test_failures(
@@ -163,29 +180,44 @@
     return _Finding(evidence, weight, f"{reason}, {control.failed:.0f} of {control.answers} at the others")
 
 
-def _test_slowness(
-    test: _SlownessTest, route: str, share: float, target: Histogram, control: Histogram
-) -> Iterator[_Finding]:
+def _slowness_counts(
+    test: _SlownessTest, target: RouteSamples, control: RouteSamples | None, past: RouteSamples | None
+) -> _SlownessCounts:
+    """Count what is slow on one route, by the others' median there; nothing where the others hardly answered."""
+    histograms = [_durations(test, samples) for samples in (control, past) if samples is not None]
+    usable = next((histogram for histogram in histograms if sum(histogram.values()) >= MIN_CONTROL), None)
+    if usable is None:
+        return _SlownessCounts()
+    limit = _median_bucket(usable) + round(math.log(test.slow_factor) / math.log(BUCKET_FACTOR))
+    durations = _durations(test, target)
+    return _SlownessCounts(
+        _count_above(durations, limit),
+        sum(durations.values()),
+        _count_above(usable, limit),
+        sum(usable.values()),
+    )
+
+
+def _test_slowness(test: _SlownessTest, name: str, weight: float, counts: list[_SlownessCounts]) -> _Finding:
     """Test whether more of the target's durations are far above the others' median than of the others' own."""
-    if not _has_control(control):
-        return
-    limit = _median_bucket(control) + round(math.log(test.slow_factor) / math.log(BUCKET_FACTOR))
-    control_slow, control_count = _count_above(control, limit), sum(control.values())
-    target_slow, target_count = _count_above(target, limit), sum(target.values())
-    null_probability = max(test.floor, SLOW_SHARE_FACTOR * control_slow / control_count + SLOW_SHARE_MARGIN)
-    evidence = e_value(target_slow, target_count, min(MAX_NULL_PROBABILITY, null_probability))
-    reason = (
-        f"{route}: {test.name} of {target_slow} of {target_count} answers above {BUCKET_FACTOR**limit:.0f} ms"
+    slow, total = sum(count.target_slow for count in counts), sum(count.target for count in counts)
+    control_slow, control = (
+        sum(count.control_slow for count in counts),
+        sum(count.control for count in counts),
     )
-    yield _Finding(
-        evidence, share * test.weight, f"{reason}, {control_slow} of {control_count} at the others"
+    share = control_slow / max(1, control)
+    null_probability = max(test.floor, SLOW_SHARE_FACTOR * share + SLOW_SHARE_MARGIN)
+    evidence = e_value(slow, total, min(MAX_NULL_PROBABILITY, null_probability))
+    reason = (
+        f"{name}: {slow} of {total} answers, {test.name} over {test.slow_factor:.0f} times the others' median"
     )
+    return _Finding(evidence, weight * test.weight, f"{reason}, {control_slow} of {control} at the others")
 
 
 def _lone_failures(
     track: TrackSamples, by_router: dict[str, int], router_count: int, upstream_count: int
 ) -> float:
-    """Count the failures that one upstream, or one router, has beyond those of all others together.
+    """Count the failures that one upstream, or one router, has far beyond those of all others together.
 
     A crashed upstream, or a router with a bad network, says nothing about a version.
     """
@@ -194,14 +226,14 @@
         if sources > 1:
             largest = max(counts.values(), default=0)
             rest = sum(counts.values()) - largest
-            lone = max(lone, total - rest - min(largest, max(1, rest)))
+            lone = max(lone, total - rest - min(largest, max(1, LONE_FACTOR * rest)))
     return lone
 
 
 def _without_lone(outcomes: _Outcomes, lone: float, track: TrackSamples) -> _Outcomes:
     """Leave out a control's lone failures, evenly from all of its routes, so that they excuse no other version."""
-    kept_fraction = 1.0 - lone / max(1, failed(track))
-    return _Outcomes(outcomes.failed * kept_fraction, outcomes.answers)
+    shared_fraction = 1.0 - lone / max(1, failed(track))
+    return _Outcomes(outcomes.failed * shared_fraction, outcomes.answers)
 
 
 def _outcomes(track: TrackSamples, route: str | None) -> _Outcomes:
@@ -216,8 +248,8 @@
     return (control.failed + math.sqrt(control.failed) + 0.5) / control.answers
 
 
-def _has_control(histogram: Histogram) -> bool:
-    return sum(histogram.values()) >= MIN_CONTROL
+def _durations(test: _SlownessTest, samples: RouteSamples) -> Histogram:
+    return samples.pace if test is _PACE else samples.first_byte
 
 
 def _median_bucket(histogram: Histogram) -> int:
