Roll-outs: the target's share follows from the exposure budget

Cause: fixed steps (0.08, 0.15, 0.4) spent half of the allowed exposure in the last fifth of the time before full weight, and gave small services far less than the fixed part of the bound allows. Change: the weight is planned to spend 75% of the budget by full weight. A target at full weight is looked at for 1.5 s; one with unusually many requests under way does not grow; an order without traffic keeps its weight.

--- a/packages/rollouts/src/larkweir_rollouts/schedule.py
+++ b/packages/rollouts/src/larkweir_rollouts/schedule.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from larkweir_rollouts.exposure import exposure_budget
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import answered
 from larkweir_rollouts.samples import RolloutReport
@@ -17,18 +18,31 @@
 CANARY_WEIGHT = 0.08  # from the order on
 FULL_WEIGHT = 1.0
 FULL_WEIGHT_FRACTION = 0.68  # of the duration, at which all requests go to the target
-# Earlier growth: from this fraction of the time until full weight on, at most this weight.
-GROWTH_STEPS = ((0.50 / FULL_WEIGHT_FRACTION, 0.15), (0.60 / FULL_WEIGHT_FRACTION, 0.4))
-HOLD_WEIGHT = 0.15  # a target that may not grow keeps this weight at most
 MIN_DURATION_WITH_RESERVE_S = 8.0
 FULL_WEIGHT_RESERVE_S = 4.0  # for requests that are under way at the others, and one slow change of state
+LATEST_FULL_WEIGHT_S = 2.5  # before the deadline; later there is no time to complete
+LATEST_FULL_WEIGHT_FRACTION = 0.25  # of the duration, where that is less
+
+# Until full weight the target's share follows from the exposure budget.
+PLANNING_FRACTIONS = (0.1, 0.8)  # of the time until full weight, between which the weight is planned
+PLANNED_BUDGET = (
+    0.75  # of the budget, that is spent when full weight begins; the rest is for finding a late fault
+)
+PAUSED_BUDGET = 0.9  # of the budget, that a target which may not grow spends until the deadline
+MAX_CANARY_WEIGHT = 0.25
+MIN_PAUSED_WEIGHT = 0.02  # a suspect goes on to be judged
+MIN_CHANGE_FACTOR = 1.2  # of the weight: smaller changes are not worth a change of the replicated state
 
 MIN_ANSWERS = 20  # of the target, where the service's traffic allows it
-EXPECTED_ANSWERS_FRACTION = 0.5  # of those that the traffic makes expect
+EXPECTED_ANSWERS_FRACTION = 0.3  # of those that the traffic makes expect
 MIN_READY_FRACTION = 0.6  # of the others' upstreams; fewer would not bear their load
 
+MAX_IN_FLIGHT_FACTOR = 1.6  # of the target's requests under way, beside those at the others by their share
+MAX_IN_FLIGHT_MARGIN = 8
+
+FULL_WEIGHT_DWELL_S = 1.5  # a target with all requests is looked at for so long before the others are stopped
 COMPLETION_MARGIN_S = 1.0  # before the deadline: requests under way at the others are waited for no longer
-ROLLBACK_MARGIN_S = 0.5  # before the deadline: a target without full weight cannot complete any more
+ROLLBACK_MARGIN_S = 0.5  # before the deadline: an unanswered or suspect target is rolled back
 LATE_COMPLETION_S = 3.0  # after the deadline: a target at full weight may still be confirmed
 
 
@@ -69,22 +83,30 @@
         return _roll_back(view, view.verdict.reason)
     if view.rollout.target_weight >= FULL_WEIGHT:
         return _next_step_at_full_weight(view)
-    lack = _lack(view)
-    if view.remaining_s <= ROLLBACK_MARGIN_S:
-        return _roll_back(view, f"no time left: {lack or 'too late for full weight'}")
-    weight = _held_weight(view) if lack else max(view.rollout.target_weight, scheduled_weight(view))
+    obstacle = _obstacle(view)
+    latest_s = min(LATEST_FULL_WEIGHT_S, LATEST_FULL_WEIGHT_FRACTION * view.rollout.duration_s)
+    if view.remaining_s <= latest_s:
+        return _roll_back(view, f"no time left: {obstacle or 'too late for full weight'}")
+    weight = _paused_weight(view) if obstacle else _scheduled_weight(view)
     if weight == view.rollout.target_weight:
         return None
-    return _advance(view, RolloutState.RUNNING, weight, lack)
+    return _advance(view, RolloutState.RUNNING, weight, obstacle)
 
 
-def scheduled_weight(view: View) -> float:
-    """Return the weight that the time allows for a target that nothing speaks against."""
+def _scheduled_weight(view: View) -> float:
+    """Return the weight of a target that nothing speaks against."""
+    present = view.rollout.target_weight
     full_weight_s = full_weight_time_s(view.rollout.duration_s)
     if view.elapsed_s >= full_weight_s:
         return FULL_WEIGHT
-    reached = [weight for fraction, weight in GROWTH_STEPS if view.elapsed_s >= fraction * full_weight_s]
-    return max(reached, default=CANARY_WEIGHT)
+    first, last = PLANNING_FRACTIONS
+    if not first <= view.elapsed_s / full_weight_s <= last:
+        return present
+    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s)
+    planned = budget.weight_until(PLANNED_BUDGET, full_weight_s - view.elapsed_s)
+    planned = min(MAX_CANARY_WEIGHT, max(CANARY_WEIGHT, planned))
+    is_near = present / MIN_CHANGE_FACTOR < planned < present * MIN_CHANGE_FACTOR
+    return present if is_near else planned
 
 
 def full_weight_time_s(duration_s: float) -> float:
@@ -97,18 +119,19 @@
 
 def _next_step_at_full_weight(view: View) -> Advance | None:
     """Complete once nothing is under way at the others, or when the time is nearly up."""
-    lack = _lack_of_completion(view)
-    if lack:
-        is_over = view.remaining_s <= (
-            -LATE_COMPLETION_S if view.verdict.target_answers else ROLLBACK_MARGIN_S
-        )
-        return _roll_back(view, f"no time left: {lack}") if is_over else None
-    if view.others_in_flight > 0 and view.remaining_s >= COMPLETION_MARGIN_S:
+    if obstacle := _missing_evidence(view):
+        is_over = view.remaining_s <= ROLLBACK_MARGIN_S
+        return _roll_back(view, f"no time left: {obstacle}") if is_over else None
+    if not view.are_routers_confirmed:
+        is_over = view.remaining_s <= -LATE_COMPLETION_S
+        return _roll_back(view, "no time left: not confirmed by all routers") if is_over else None
+    is_observed = view.elapsed_s >= full_weight_time_s(view.rollout.duration_s) + FULL_WEIGHT_DWELL_S
+    if (view.others_in_flight > 0 or not is_observed) and view.remaining_s >= COMPLETION_MARGIN_S:
         return None
     return _advance(view, RolloutState.COMPLETED, FULL_WEIGHT, "")
 
 
-def _lack(view: View) -> str:
+def _obstacle(view: View) -> str:
     """Tell why the target's weight may not grow; empty if it may."""
     if view.verdict.is_suspect:
         return f"suspect: {view.verdict.reason}"
@@ -117,17 +140,18 @@
     needed = needed_answers(view.totals)
     if view.verdict.target_answers < needed:
         return f"{view.verdict.target_answers} answers of the target, {needed} needed"
+    usual = _usual_in_flight(view)
+    if view.totals.target.in_flight > MAX_IN_FLIGHT_FACTOR * usual + MAX_IN_FLIGHT_MARGIN:
+        return f"{view.totals.target.in_flight} requests under way at the target, {usual:.0f} usual"
     return ""
 
 
-def _lack_of_completion(view: View) -> str:
-    """Tell why a target at full weight is not completed yet; empty if it may be."""
+def _missing_evidence(view: View) -> str:
+    """Tell what is missing to call a target at full weight good; empty if nothing is."""
     if view.verdict.is_suspect:
         return f"suspect: {view.verdict.reason}"
     if view.target_ready < 1 or view.verdict.target_answers < 1:
         return "no answer of the target"
-    if not view.are_routers_confirmed:
-        return "not confirmed by all routers"
     return ""
 
 
@@ -137,11 +161,23 @@
     return min(MIN_ANSWERS, int(EXPECTED_ANSWERS_FRACTION * CANARY_WEIGHT * total))
 
 
-def _held_weight(view: View) -> float:
-    """Return the weight of a target that may not grow."""
-    if view.verdict.is_suspect or view.rollout.target_weight > HOLD_WEIGHT:
-        return min(view.rollout.target_weight, CANARY_WEIGHT)
-    return view.rollout.target_weight
+def _usual_in_flight(view: View) -> float:
+    """Return how many requests would be under way at the target if it were as fast as the others.
+
+    Slow answers that have not ended are in no count yet, so a version that has just become slow shows here first.
+    """
+    weight = view.rollout.target_weight
+    return view.totals.others.in_flight * weight / (1.0 - weight)
+
+
+def _paused_weight(view: View) -> float:
+    """Return the weight of a target that may not grow: it never rises, and keeps to the budget until the deadline."""
+    present = view.rollout.target_weight
+    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s)
+    allowed = max(MIN_PAUSED_WEIGHT, budget.weight_until(PAUSED_BUDGET, view.remaining_s))
+    if view.verdict.is_suspect:
+        allowed = min(allowed, CANARY_WEIGHT)
+    return allowed if allowed < present / MIN_CHANGE_FACTOR else present
 
 
 def _roll_back(view: View, reason: str) -> Advance:
