--- a/packages/rollouts/src/larkweir_rollouts/samples.py
+++ b/packages/rollouts/src/larkweir_rollouts/samples.py
@@ -31,6 +31,9 @@
 class RouteSamples(msgspec.Struct, array_like=True):
     """Answers on one route at one track.
 
+    A duration is counted as soon as it is known, the pace of a stream after its first events: what is slow would be
+    seen late if it were counted when it ends. So there are more durations than answers at times.
+
     Attributes:
         answered: answers that were complete and no failure of the upstream.
         failed: failures of the upstream: a status of 500 or more that may have run, or an answer that broke off.
