--- /dev/null
+++ b/packages/rollouts/tests/rollout_curves.py
@@ -0,0 +1,89 @@
+"""`python rollout_curves.py [SEEDS [FIRST [curves]]]`: checks drawn scenarios, and lists those that break a promise.
+
+With `curves`: a table of how often versions are rolled back, by what is wrong with them.
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from collections.abc import Iterator
+
+from larkweir_rollouts.state import RolloutState
+from rollout_checks import check, check_bad
+from rollout_fleet import Result
+from rollout_scenarios import Scenario, Version, scenario
+from rollout_simulation import Simulation
+
+CURVES = {
+    "good": Version(),
+    **{f"{share:.0%} fail": Version(failing=share) for share in (0.02, 0.05, 0.1, 0.2, 0.3, 0.5)},
+    **{f"{factor} times slower": Version(slowdown=factor) for factor in (1.5, 2.0, 3.0, 4.0, 6.0, 8.0)},
+    "30% fail, on one route": Version(failing=0.3, route="digest"),
+    "6 times slower, on one route": Version(slowdown=6.0, route="digest"),
+    **{f"30% fail, from {onset:.0%} on": Version(failing=0.3, onset=onset) for onset in (0.2, 0.4, 0.5, 0.6)},
+    **{
+        f"6 times slower, from {onset:.0%} on": Version(slowdown=6.0, onset=onset)
+        for onset in (0.2, 0.4, 0.5)
+    },
+    "30% fail under load": Version(failing=0.3, is_under_load=True),
+    "6 times slower under load": Version(slowdown=6.0, is_under_load=True),
+}
+
+
+def row(name: str, version: Version, seeds: range) -> str:
+    """Play the seeds with a version, and sum up what came of it."""
+    rolled_back, within, bad_answers, sends = 0, 0, [], []
+    for seed in seeds:
+        played = scenario(seed, version)
+        if version.route and version.route not in played.routes:
+            continue
+        result = Simulation(played).play()
+        is_back = result.state is RolloutState.ROLLED_BACK
+        rolled_back += is_back
+        within += _is_within(played, result)
+        bad_answers.append(result.bad_answers)
+        sends.append(result.target_sends)
+    count = len(sends)
+    median_bad, median_sends = statistics.median(bad_answers), statistics.median(sends)
+    holds = "" if version.is_good else f"{within / count:.1%}"
+    shares = f"{rolled_back / count:.1%} | {holds}"
+    return f"| {name} | {count} | {shares} | {median_bad:.0f} | {median_sends:.0f} |"
+
+
+def _is_within(played: Scenario, result: Result) -> bool:
+    try:
+        check_bad(played, result)
+    except AssertionError as broken:
+        return "exposure" not in str(broken) and "50th" not in str(broken)
+    return True
+
+
+def failures(seeds: range) -> Iterator[str]:
+    """Check the drawn scenario of each seed; one line for each that fails."""
+    for seed in seeds:
+        played = scenario(seed)
+        try:
+            check(played)
+        except AssertionError as broken:
+            yield f"seed {seed}: {broken}; {played}"
+
+
+def main() -> None:
+    count = int(sys.argv[1]) if len(sys.argv) > 1 else 100
+    first = int(sys.argv[2]) if len(sys.argv) > 2 else 0
+    seeds = range(first, first + count)
+    if len(sys.argv) > 3:
+        print("| version | plays | rolled back | EXPOSURE holds | bad answers, median | requests, median |")
+        print("| --- | --- | --- | --- | --- | --- |")
+        for name, version in CURVES.items():
+            print(row(name, version, seeds), flush=True)
+        return
+    good = sum(scenario(seed).version.is_good for seed in seeds)
+    print(f"{count} scenarios from seed {first}: {good} good versions, {count - good} bad ones", flush=True)
+    for line in failures(seeds):
+        print(line, flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/rollouts/tests/rollout_scenarios.py
@@ -0,0 +1,118 @@
+"""Seeded scenarios of the simulation: a version, good or bad in some way, and what else happens meanwhile."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from enum import StrEnum, auto
+from random import Random
+
+LARGE_ROUTES = ("digest", "brief", "ask")
+SMALL_ROUTES = ("lookup",)
+
+
+class Disturbance(StrEnum):
+    """What else happens during a roll-out; none of it is the version's fault."""
+
+    NONE = auto()
+    TARGET_UPSTREAM_CRASHES = auto()
+    OTHER_UPSTREAM_CRASHES = auto()
+    ROUTER_WITH_BAD_NETWORK = auto()
+    PRIMARY_CHANGES = auto()
+    ROUTER_RESTARTS = auto()
+    ROUTER_OUT_OF_TOUCH = auto()
+    COLD_CACHES = auto()
+    ORDER_REPEATED = auto()
+    OTHER_ORDER_MEANWHILE = auto()
+
+
+@dataclass(frozen=True)
+class Version:
+    """How a target version behaves; good where nothing is set.
+
+    Attributes:
+        failing: share of its answers that fail.
+        slowdown: factor on its durations.
+        slow_share: share of its answers that are slower.
+        onset: fraction of the roll-out's duration after which it turns bad.
+        is_under_load: bad only at upstreams that are about as loaded as the others are.
+        route: bad only there; everywhere where empty.
+    """
+
+    failing: float = 0.0
+    slowdown: float = 1.0
+    slow_share: float = 1.0
+    onset: float = 0.0
+    is_under_load: bool = False
+    route: str = ""
+
+    @property
+    def is_good(self) -> bool:
+        return self.failing == 0.0 and self.slowdown == 1.0
+
+
+@dataclass(frozen=True)
+class Scenario:
+    """One roll-out of one service.
+
+    Attributes:
+        seed: of everything random in it.
+        duration_s: from the order to its deadline.
+        rate_per_s: requests to the service.
+        router_count: how many routers there are.
+        upstream_count: how many upstreams of each version there are.
+        routes: those of the service, which have the same traffic.
+        ready_after_s: the time until the target's upstreams are ready.
+        version: the target's.
+        disturbance: what else happens.
+        disturbance_at: when, as a fraction of the duration.
+    """
+
+    seed: int
+    duration_s: float
+    rate_per_s: float
+    router_count: int
+    upstream_count: int
+    routes: tuple[str, ...]
+    ready_after_s: float
+    version: Version
+    disturbance: Disturbance
+    disturbance_at: float
+
+
+def scenario(seed: int, version: Version | None = None) -> Scenario:
+    """Draw a scenario; with a version of one's own where given."""
+    rng = Random(seed)
+    is_large = rng.random() < 0.5
+    routes = LARGE_ROUTES if is_large else SMALL_ROUTES
+    drawn = Scenario(
+        seed=seed,
+        duration_s=rng.choice((12.0, 15.0, 20.0)),
+        rate_per_s=rng.choice((125.0, 200.0) if is_large else (31.0, 48.0)),
+        router_count=rng.choice((3, 8, 12)),
+        upstream_count=rng.choice((30, 70) if is_large else (3, 4)),
+        routes=routes,
+        ready_after_s=rng.uniform(0.3, 1.5),
+        version=_draw_version(rng, routes),
+        disturbance=rng.choice(list(Disturbance)),
+        disturbance_at=rng.uniform(0.05, 0.9),
+    )
+    return drawn if version is None else replace(drawn, version=version)
+
+
+def _draw_version(rng: Random, routes: tuple[str, ...]) -> Version:
+    """Good in half of the scenarios, otherwise clearly bad in one of many ways."""
+    if rng.random() < 0.5:
+        return Version()
+    onset = rng.choice((0.0, 0.0, rng.uniform(0.1, 0.3)))
+    is_under_load = rng.random() < 0.25
+    route = rng.choice(routes) if rng.random() < 0.25 else ""
+    if rng.random() < 0.5:
+        return Version(failing=rng.uniform(0.2, 0.5), onset=onset, is_under_load=is_under_load, route=route)
+    slow_share = rng.choice((1.0, rng.uniform(0.5, 1.0)))
+    return Version(
+        slowdown=rng.uniform(4.0, 8.0),
+        slow_share=slow_share,
+        onset=onset,
+        is_under_load=is_under_load,
+        route=route,
+    )
--- /dev/null
+++ b/packages/rollouts/tests/test_rollouts_simulation.py
@@ -0,0 +1,42 @@
+"""Simulated roll-outs: good versions are completed in time, bad ones get few requests. ROLLOUT_SEEDS plays more."""
+
+from __future__ import annotations
+
+import os
+from dataclasses import replace
+
+import pytest
+from rollout_checks import check, check_both
+from rollout_scenarios import Disturbance, Version, scenario
+
+SEEDS = int(os.environ.get("ROLLOUT_SEEDS", "16"))
+GOOD = Version()
+FAILING = Version(failing=0.3)
+SLOW = Version(slowdown=6.0)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_a_drawn_scenario(seed: int) -> None:
+    check(scenario(seed))
+
+
+@pytest.mark.parametrize("disturbance", list(Disturbance))
+def test_a_good_version_is_completed_whatever_else_happens(disturbance: Disturbance) -> None:
+    check(replace(scenario(1, GOOD), disturbance=disturbance))
+
+
+@pytest.mark.parametrize("version", [FAILING, SLOW], ids=["failing", "slow"])
+@pytest.mark.parametrize("disturbance", list(Disturbance))
+def test_a_bad_version_is_rolled_back_whatever_else_happens(
+    disturbance: Disturbance, version: Version
+) -> None:
+    check(replace(scenario(2, version), disturbance=disturbance))
+
+
+@pytest.mark.parametrize("versions", [(GOOD, FAILING), (SLOW, GOOD), (FAILING, SLOW)])
+def test_roll_outs_of_two_services_do_not_meet(versions: tuple[Version, Version]) -> None:
+    check_both(scenario(4, versions[0]), scenario(5, versions[1]))
+
+
+def test_the_same_seed_plays_the_same() -> None:
+    assert check(scenario(3)) == check(scenario(3))
