Controller: the version of an upstream's software is noted from its heartbeats

Need: a roll-out tells the upstreams of its target version from the others. Change: a heartbeat's `generation` (text of at most 128 characters, optional) becomes `Upstream.reported_version`; a version that becomes known is passed on to the other registries, and it decides a join last, so that joins stay commutative. Upstreams without one are encoded as before.

--- a/larkweir/controller/instances_api.py
+++ b/larkweir/controller/instances_api.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import StrEnum
+from typing import Annotated
 
 import msgspec
 from larkweir_registry.failure_detector import FailureDetector
@@ -20,6 +21,7 @@
 MAX_HEARTBEAT_BYTES = 4_096
 CONFIRM_TIMEOUT_S = 0.4  # an upstream that leaves waits a second for its acknowledgement
 MAX_ID_CHARS = 512
+MAX_VERSION_CHARS = 128
 ID_TOO_LONG = Response(400, b'{"error":"the id of the instance is too long"}')
 ACKNOWLEDGED = Response(200, b"{}")
 NO_MAJORITY = Response(503, b'{"error":"no majority of controllers is in reach"}')
@@ -33,7 +35,7 @@
 
 
 class Heartbeat(msgspec.Struct, frozen=True):
-    """The body of `PUT /instances/ID`. Unknown fields are ignored."""
+    """The body of `PUT /instances/ID`. Unknown fields are ignored. `version`: of the upstream's software."""
 
     service: str = msgspec.field(name="backend")
     address: str
@@ -41,6 +43,9 @@
     sequence: Counter
     state: ReportedState = ReportedState.READY
     slots: Slots = 1
+    version: Annotated[str, msgspec.Meta(max_length=MAX_VERSION_CHARS)] = msgspec.field(
+        default="", name="generation"
+    )
 
     def upstream(self, id_: str) -> Upstream:
         """The upstream of that id as it describes itself."""
@@ -52,6 +57,7 @@
             slots=self.slots,
             sequence=self.sequence,
             state=UpstreamState.READY if self.state is ReportedState.READY else UpstreamState.DRAINING,
+            reported_version=self.version or msgspec.UNSET,
         )
 
 
--- a/packages/registry/src/larkweir_registry/records.py
+++ b/packages/registry/src/larkweir_registry/records.py
@@ -84,9 +84,14 @@
     The join is commutative, associative and idempotent. The higher sequence decides the description; the state and the
     time-out are the higher of both.
     """
-    newer = max(one, other, key=lambda upstream: (upstream.sequence, upstream.address, upstream.zone))
+    newer = max(one, other, key=_recency)
     state = max(one.state, other.state)
     timed_out_sequence = max(one.timed_out_sequence, other.timed_out_sequence)
     if newer.state is state and newer.timed_out_sequence == timed_out_sequence:
         return newer
     return msgspec.structs.replace(newer, state=state, timed_out_sequence=timed_out_sequence)
+
+
+def _recency(upstream: Upstream) -> tuple[int, str, str, str]:
+    """The version decides last: one that a process of an earlier release passed on has none."""
+    return (upstream.sequence, upstream.address, upstream.zone, upstream.version)
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -156,4 +156,5 @@
         or known.service != joined.service
         or known.zone != joined.zone
         or known.slots != joined.slots
+        or known.version != joined.version
     )
--- a/packages/registry/tests/test_registry.py
+++ b/packages/registry/tests/test_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
 from larkweir_registry.records import Upstream, UpstreamState, join
@@ -32,6 +33,15 @@
     assert not registry.upstreams["u"].has_timed_out
 
 
+def test_a_version_of_the_software_that_becomes_known_is_passed_on() -> None:
+    registry = Registry("a")
+    assert registry.update(upstream("u", 1), 0.0)
+    versioned = msgspec.structs.replace(upstream("u", 2), reported_version="v2")
+    assert registry.update(versioned, 0.0)
+    assert registry.upstreams["u"].version == "v2"
+    assert not registry.update(msgspec.structs.replace(versioned, sequence=3), 0.0)
+
+
 def pull(reader: Registry, source: Registry) -> None:
     delta = source.delta(reader.vector)
     reader.merge(delta, dict(source.vector), 0.0)
