Configuration: roll-outs are part of the committed document, by commands of their own

Need: an acknowledged roll-out must be as durable as a configuration and reach routers the same way. Change: `apply_command` dispatches tagged commands (order, advance, abort) beside the untagged ConfigurationChange, whose encoding and identity stay. PUT and PATCH keep the roll-outs in place, and an operator's body that names their key is invalid.

--- a/larkweir/cluster/configuration/changes.py
+++ b/larkweir/cluster/configuration/changes.py
@@ -1,6 +1,6 @@
-"""Operators' changes of the configuration: their identity, and the state machine that applies them.
+"""Operators' changes of the configuration: their identity, and what each does to the committed document.
 
-`apply_change` is the deterministic function that the replicas carry out (`larkweir_replication`).
+The replicas carry out `apply_change` through `commands.apply_command`.
 """
 
 from __future__ import annotations
@@ -11,7 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from larkweir.cluster.configuration.documents import Document, PatchError, apply_patch
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, apply_patch
+from larkweir.cluster.configuration.rollouts import carry_over, operators_part
 
 IDENTITY_LENGTH = 24
 
@@ -20,7 +21,10 @@
     """Why a change is rejected, as the HTTP status of the answer to the operator."""
 
     INVALID = 400
+    NOT_FOUND = 404
+    CONFLICT = 409
     STALE = 412
+    UNAVAILABLE = 503
 
 
 class Rejection(msgspec.Struct, frozen=True):
@@ -60,10 +64,10 @@
 
 
 def apply_change(value: str, change: str) -> Result[str, object]:
-    """Return the next configuration as text, or a `Rejection`. Whatever an operator sends, nothing is raised.
+    """Return the next document as text, or a `Rejection`. Whatever an operator sends, nothing is raised.
 
     Args:
-        value: the present configuration as text; empty where there is none yet.
+        value: the present document as text; empty where there is none yet.
         change: an encoded `ConfigurationChange`.
     """
     parsed: ConfigurationChange = msgspec.json.decode(change, type=ConfigurationChange)
@@ -91,15 +95,17 @@
         if not current:
             return _invalid("there is no configuration to change yet")
         try:
-            body = apply_patch(current, body)
+            body = apply_patch(operators_part(current), body)
         except PatchError as error:
             return _invalid(str(error))
+    if ROLLOUTS_KEY in body:
+        return _invalid(f"{ROLLOUTS_KEY}: roll-outs are no part of a configuration")
     from larkweir.cluster.configuration.schema import first_problem  # its library takes long to import
 
     wrong = first_problem(body)
     if wrong is not None:
         return _invalid(wrong)
-    return Ok(msgspec.json.encode(body).decode())
+    return Ok(msgspec.json.encode(carry_over(current, body)).decode())
 
 
 def _invalid(detail: str) -> Result[str, object]:
--- a/larkweir/controller/replica_driver.py
+++ b/larkweir/controller/replica_driver.py
@@ -21,10 +21,12 @@
 from larkweir_replication.journal_files import FolderFiles
 from larkweir_replication.messages import Command, Message, Snapshot
 from larkweir_replication.replica import Replica
+from larkweir_replication.status import ReplicaStatus
 from larkweir_replication.timing import Timing
 
 from larkweir.cluster import log
-from larkweir.cluster.configuration.changes import Rejection, apply_change
+from larkweir.cluster.configuration.changes import Rejection
+from larkweir.cluster.configuration.commands import apply_command
 from larkweir.cluster.process_start import process_started_ms
 from larkweir.cluster.settings import Settings
 from larkweir.controller.call_outcome import UNKNOWN, CallOutcome, Completed, Rejected
@@ -90,6 +92,10 @@
         self.replica.receive(sender, message, now_ms())
         self._carry_out()
 
+    def is_primary(self) -> bool:
+        """Whether this replica is the primary."""
+        return self.replica.status is ReplicaStatus.PRIMARY
+
     def receiving(self, senders: Iterable[str]) -> None:
         """Large messages are arriving: heartbeats are queued behind them, and these senders are alive."""
         for sender in senders:
@@ -165,7 +171,7 @@
 def _create_replica(settings: Settings, journal: Journal, *, is_first_start: bool) -> Replica:
     return Replica(
         settings.ip,
-        apply_change,
+        apply_command,
         Random(),
         now_ms(),
         stored_state=journal.newest,
