Controller: roll-outs are ordered, read and aborted over HTTP, and advanced by the primary

Change: `rollouts_api` submits orders to the primary as configuration changes are; `committed_rollouts` knows since when each is in its state; `rollout_samples` pools routers' reports; `rollout_driver` (each 0.2 s, at the primary) submits the next step; prefixes are placed where regular requests go (`rollout_tracks`). ControlApi's test has a further part and rows for its paths.

--- /dev/null
+++ b/larkweir/controller/committed_rollouts.py
@@ -0,0 +1,80 @@
+"""The roll-outs of the newest committed configuration, since when each is as it is, and for how long each has run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from larkweir_rollouts.state import Rollout
+
+from larkweir.cluster.configuration.documents import Document
+from larkweir.cluster.configuration.rollouts import rollouts_of
+
+
+@dataclass(frozen=True, slots=True)
+class CommittedRollout:
+    """One roll-out as it was committed.
+
+    Attributes:
+        rollout: its state.
+        sequence: of the first configuration that has it in this state.
+        ordered_ms: when it was ordered, by the steady clock of this process.
+    """
+
+    rollout: Rollout
+    sequence: int
+    ordered_ms: float
+
+    def elapsed_s(self, now_ms: float) -> float:
+        """Since the order; never negative."""
+        return max(0.0, now_ms - self.ordered_ms) / 1000.0
+
+
+class CommittedRollouts:
+    """What this controller knows as committed. Times are milliseconds that only rise, but for those of the day."""
+
+    def __init__(self) -> None:
+        """No roll-out is known."""
+        self._by_service: dict[str, CommittedRollout] = {}
+
+    def update(
+        self, document: Document, sequence: int, now_ms: float, unix_ms: float, *, is_late: bool
+    ) -> None:
+        """A configuration was committed.
+
+        Args:
+            document: the configuration.
+            sequence: that under which it was committed.
+            now_ms: the present, by the steady clock.
+            unix_ms: the time of day.
+            is_late: this process may not have learned of it as soon as it was committed. Only then is the age of an
+                order told from the time of day, which may jump.
+        """
+        known, self._by_service = self._by_service, {}
+        for rollout in rollouts_of(document):
+            before = known.get(rollout.service)
+            if before is not None and before.rollout == rollout:
+                self._by_service[rollout.service] = before
+                continue
+            if before is not None and before.rollout.order_id == rollout.order_id:
+                ordered_ms = before.ordered_ms
+            else:
+                ordered_ms = now_ms - (_age_ms(rollout, unix_ms) if is_late else 0.0)
+            self._by_service[rollout.service] = CommittedRollout(rollout, sequence, ordered_ms)
+
+    def of(self, service: str) -> Rollout | None:
+        """The latest roll-out of a service; None where there was none."""
+        found = self._by_service.get(service)
+        return found.rollout if found is not None else None
+
+    def all(self) -> list[CommittedRollout]:
+        """The latest of each service that has had any."""
+        return list(self._by_service.values())
+
+    def running(self) -> list[CommittedRollout]:
+        """Those that are neither completed nor rolled back."""
+        return [one for one in self._by_service.values() if one.rollout.is_running]
+
+
+def _age_ms(rollout: Rollout, unix_ms: float) -> float:
+    """Since the order, by the time of day."""
+    return min(max(0.0, unix_ms - rollout.ordered_unix_ms), rollout.duration_s * 1000.0)
--- a/larkweir/controller/control_api.py
+++ b/larkweir/controller/control_api.py
@@ -2,12 +2,16 @@
 
 from __future__ import annotations
 
+from urllib.parse import unquote
+
 from larkweir.cluster.http_server import Request, Response
 from larkweir.controller.controller_links import ControllerLinks
 from larkweir.controller.inspection import Inspection
 from larkweir.controller.instances_api import PATH_PREFIX as INSTANCES_PREFIX
 from larkweir.controller.instances_api import InstancesApi
 from larkweir.controller.operator_api import OperatorApi
+from larkweir.controller.rollouts_api import PATH as ROLLOUTS_PATH
+from larkweir.controller.rollouts_api import RolloutsApi
 
 MAX_BODY_BYTES = 8 * 1024 * 1024
 METHOD_NOT_ALLOWED = Response(405)
@@ -18,13 +22,19 @@
     """Dispatches by path and method."""
 
     def __init__(
-        self, operator: OperatorApi, instances: InstancesApi, inspection: Inspection, links: ControllerLinks
+        self,
+        operator: OperatorApi,
+        instances: InstancesApi,
+        inspection: Inspection,
+        links: ControllerLinks,
+        rollouts: RolloutsApi,
     ) -> None:
         """All are the controller's own."""
         self._operator = operator
         self._instances = instances
         self._inspection = inspection
         self._links = links
+        self._rollouts = rollouts
 
     async def handle(self, request: Request) -> Response:
         """The answer of whichever part is responsible; 404 or 405 for none."""
@@ -33,6 +43,10 @@
             return await self._handle_instance(request)
         if path == "/config":
             return await self._handle_configuration(request)
+        if path == ROLLOUTS_PATH:
+            return await self._handle_rollouts(request)
+        if path.startswith(f"{ROLLOUTS_PATH}/") and len(path) > len(ROLLOUTS_PATH) + 1:
+            return await self._handle_rollout(request.method, unquote(path.removeprefix(f"{ROLLOUTS_PATH}/")))
         if request.method == "GET":
             return self._inspect(path)
         return NOT_FOUND
@@ -55,6 +69,24 @@
             case _:
                 return METHOD_NOT_ALLOWED
 
+    async def _handle_rollouts(self, request: Request) -> Response:
+        match request.method:
+            case "GET":
+                return await self._rollouts.list()
+            case "POST":
+                return await self._rollouts.order(request)
+            case _:
+                return METHOD_NOT_ALLOWED
+
+    async def _handle_rollout(self, method: str, service: str) -> Response:
+        match method:
+            case "GET":
+                return await self._rollouts.get(service)
+            case "DELETE":
+                return await self._rollouts.abort(service)
+            case _:
+                return METHOD_NOT_ALLOWED
+
     def _inspect(self, path: str) -> Response:
         match path:
             case "/status":
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -43,11 +43,14 @@
 from larkweir.controller.recovery_hints import RecoveryHints
 from larkweir.controller.registry_sync import RegistrySync
 from larkweir.controller.replica_driver import ReplicaDriver
+from larkweir.controller.rollout_driver import RolloutDriver, RolloutInputs
+from larkweir.controller.rollouts_api import RolloutsApi
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
 
 TICK_S = 0.04
 HEARTBEATS_EVERY_TICKS = 8
+ROLLOUTS_EVERY_TICKS = 5
 CLEAN_UP_EVERY_TICKS = 250
 
 
@@ -122,7 +125,7 @@
             registry_sync=self._registry_sync,
             failure_detector=failure_detector,
             driver=self._driver,
-            placements=PlacementRequests(registry, state.ejection, self._placement),
+            placements=PlacementRequests(registry, state.ejection, self._placement, state.rollouts),
             primary=primary,
             tasks=self._tasks,
         )
@@ -131,7 +134,10 @@
             InstancesApi(registry, failure_detector, self._pulls, self._confirmation, self._contact),
             Inspection(self.settings.ip, self._driver.replica, state, self._subscriptions),
             self._links,
+            RolloutsApi(primary.call),
         )
+        inputs = RolloutInputs(state.rollouts, state.rollout_samples, registry, self._subscriptions)
+        self._rollout_driver = RolloutDriver(inputs, self._driver.call, self._driver.is_primary, self._tasks)
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT.
@@ -179,6 +185,7 @@
             PeriodicTask("heartbeat_reports", self._heartbeats.share, HEARTBEATS_EVERY_TICKS),
             PeriodicTask("quorum_contact", self._contact.update, HEARTBEATS_EVERY_TICKS),
             PeriodicTask("heartbeats", self._heartbeats.evaluate, HEARTBEATS_EVERY_TICKS),
+            PeriodicTask("rollouts", self._rollout_driver.evaluate, ROLLOUTS_EVERY_TICKS),
             PeriodicTask("registry", lambda: self._registry.prune(now_ms()), CLEAN_UP_EVERY_TICKS),
             PeriodicTask(
                 "known_controllers",
--- a/larkweir/controller/operator_api.py
+++ b/larkweir/controller/operator_api.py
@@ -9,6 +9,7 @@
 from larkweir_replication.messages import Command
 
 from larkweir.cluster.configuration.changes import ConfigurationChange
+from larkweir.cluster.configuration.rollouts import operators_text
 from larkweir.cluster.http_server import Request, Response
 from larkweir.controller.call_outcome import UNKNOWN, CallOutcome, Completed, Rejected, Unknown
 
@@ -30,48 +31,50 @@
 
     async def get(self) -> Response:
         """The newest configuration, confirmed by the primary."""
-        outcome = await self._call_until_known(None)
+        outcome = await call_until_known(self._call, None)
         match outcome:
             case Completed(value) if value:
-                return Response(200, value.encode())
+                return Response(200, operators_text(value).encode())
             case Completed():
-                return _error(404, "there is no configuration yet")
+                return error_response(404, "there is no configuration yet")
             case Rejected(detail=detail):
-                return _error(503, detail or NO_PRIMARY)
+                return error_response(503, detail or NO_PRIMARY)
             case Unknown():
-                return _error(503, NO_PRIMARY)
+                return error_response(503, NO_PRIMARY)
 
     async def change(self, request: Request) -> Response:
         """PUT of a complete configuration or PATCH of named items."""
         base = request.headers.get("if-match", "").strip().strip('"')
         if not (base.isascii() and base.isdigit() and len(base) <= MAX_VERSION_DIGITS):
-            return _error(400, "If-Match: the version that the change builds on is needed")
+            return error_response(400, "If-Match: the version that the change builds on is needed")
         try:
             body = request.body.decode()
         except UnicodeDecodeError:
-            return _error(400, "the body is no UTF-8")
+            return error_response(400, "the body is no UTF-8")
         change = ConfigurationChange(request.method == "PATCH", int(base), body)
-        outcome = await self._call_until_known(Command(change.identity, change.base, change.encode()))
+        outcome = await call_until_known(self._call, Command(change.identity, change.base, change.encode()))
         match outcome:
             case Completed():
                 return Response(200, b"{}")
             case Rejected(status, detail):
-                return _error(status, detail or NO_PRIMARY)
+                return error_response(status, detail or NO_PRIMARY)
             case Unknown():
-                return _error(503, NO_PRIMARY)
+                return error_response(503, NO_PRIMARY)
 
-    async def _call_until_known(self, command: Command | None) -> CallOutcome:
-        """Retries while the outcome is unknown; a command that was carried out is recognised by its identity."""
-        try:
-            async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                while True:
-                    outcome = await self._call(command)
-                    if not isinstance(outcome, Unknown):
-                        return outcome
-                    await asyncio.sleep(RETRY_PAUSE_S)
-        except TimeoutError:
-            return UNKNOWN
+
+async def call_until_known(call: CallPrimary, command: Command | None) -> CallOutcome:
+    """Retries while the outcome is unknown; a command that was carried out is recognised by its identity."""
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            while True:
+                outcome = await call(command)
+                if not isinstance(outcome, Unknown):
+                    return outcome
+                await asyncio.sleep(RETRY_PAUSE_S)
+    except TimeoutError:
+        return UNKNOWN
 
 
-def _error(status: int, detail: str) -> Response:
+def error_response(status: int, detail: str) -> Response:
+    """The answer to a call that was not carried out."""
     return Response(status, msgspec.json.encode({"error": detail}))
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -4,18 +4,20 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, NodeRole, Pull
-from larkweir.controller.clock import now_ms
+from larkweir.controller.clock import now_ms, unix_ms
+from larkweir.controller.committed_rollouts import CommittedRollouts
 from larkweir.controller.configuration_history import ConfigurationHistory
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.prefill_load import PrefillLoad
 from larkweir.controller.quota_accounting import QuotaAccounting
+from larkweir.controller.rollout_samples import RolloutSamples
 from larkweir.controller.subscriptions import Subscriber, Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
 
@@ -36,6 +38,8 @@
     prefill_load: PrefillLoad
     ejection: UpstreamEjection
     unconfirmed: UnconfirmedUpstreams
+    rollouts: CommittedRollouts = field(default_factory=CommittedRollouts)
+    rollout_samples: RolloutSamples = field(default_factory=RolloutSamples)
 
 
 class PullService:
@@ -61,9 +65,13 @@
 
     def publish(self, sequence: int, value: str) -> None:
         """A configuration was committed."""
-        document = self._state.configuration.add(sequence, value)
+        state = self._state
+        is_first = state.configuration.sequence < 0
+        document = state.configuration.add(sequence, value)
         if document is not None:
-            self._state.quotas.set_limits(document, now_ms())
+            state.quotas.set_limits(document, now_ms())
+            state.rollouts.update(document, sequence, now_ms(), unix_ms(), is_late=is_first)
+            state.rollout_samples.update(one.rollout for one in state.rollouts.running())
             self.wake()
 
     def connected(self, connection: Connection, role: NodeRole) -> None:
@@ -79,6 +87,7 @@
         self._set_queued_prefill_tokens(subscriber, {})
         if subscriber.is_router:
             self._state.quotas.router_disconnected(connection.node, now_ms())
+            self._state.rollout_samples.disconnected(_router_name(connection))
 
     def report_prefill(self, connection: Connection, tokens: dict[str, int]) -> None:
         """A router reports, between pulls, the prompt tokens of its calls that wait for prefill, by engine."""
@@ -102,6 +111,8 @@
         subscriber.config_sequence = pull.config_sequence
         self._set_queued_prefill_tokens(subscriber, pull.queued_prefill_tokens)
         subscriber.outcome_counts = pull.outcomes
+        if subscriber.is_router:
+            self._state.rollout_samples.report(_router_name(connection), pull.rollouts)
         if pull.records and subscriber.is_router:
             offered = [record.upstream for record in pull.records]
             if self._state.unconfirmed.add(offered, present_ms):
@@ -171,3 +182,8 @@
         subscriber.records_requested = True
         subscriber.sent_ejected, subscriber.sent_controllers = ejected, controllers
         subscriber.connection.send(delta)
+
+
+def _router_name(connection: Connection) -> str:
+    """Of one incarnation of a router, as its samples are counted."""
+    return f"{connection.node}/{connection.incarnation}"
--- /dev/null
+++ b/larkweir/controller/rollout_driver.py
@@ -0,0 +1,139 @@
+"""Advances running roll-outs at the primary: gathers what is known of each, and submits the next step as a command."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from larkweir_registry.registry import Registry
+from larkweir_replication.messages import Command
+from larkweir_rollouts.orders import Advance
+from larkweir_rollouts.pooling import PooledSamples
+from larkweir_rollouts.schedule import View, next_step
+from larkweir_rollouts.verdict import judge
+
+from larkweir.cluster import log
+from larkweir.cluster.configuration.rollout_commands import (
+    COMMAND_BASE,
+    RolloutAdvance,
+    encode,
+    new_identity,
+)
+from larkweir.controller.background_tasks import BackgroundTasks
+from larkweir.controller.call_outcome import CallOutcome, Completed
+from larkweir.controller.clock import now_ms
+from larkweir.controller.committed_rollouts import CommittedRollout, CommittedRollouts
+from larkweir.controller.rollout_samples import RolloutSamples
+from larkweir.controller.rollout_tracks import split_into_tracks
+from larkweir.controller.subscriptions import Subscriptions
+
+ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
+
+Submit = Callable[[Command], Awaitable[CallOutcome]]
+
+
+@dataclass(frozen=True, slots=True)
+class RolloutInputs:
+    """The owners of what a step is decided by."""
+
+    rollouts: CommittedRollouts
+    samples: RolloutSamples
+    registry: Registry
+    subscriptions: Subscriptions
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What is remembered of one running order."""
+
+    most_target_ready: int = 0
+    is_advancing: bool = False
+
+
+@dataclass(slots=True)
+class RolloutDriver:
+    """Decides by the newest committed state alone, so that a new primary goes on where the last one was.
+
+    Attributes:
+        inputs: the controller's own.
+        submit: carries out a command at this controller's replica.
+        is_primary: whether that replica is the primary.
+        tasks: the owner of the commands under way.
+    """
+
+    inputs: RolloutInputs
+    submit: Submit
+    is_primary: Callable[[], bool]
+    tasks: BackgroundTasks
+    _progress: dict[tuple[str, str], _Progress] = field(default_factory=dict)  # by service and order
+
+    def evaluate(self) -> None:
+        """Takes the next step of each running roll-out, one at a time; to be called several times a second."""
+        running = self.inputs.rollouts.running()
+        self._progress = {
+            key: self._progress.get(key, _Progress())
+            for key in ((one.rollout.service, one.rollout.order_id) for one in running)
+        }
+        for committed in running:
+            self._evaluate(committed)
+
+    def _evaluate(self, committed: CommittedRollout) -> None:
+        rollout = committed.rollout
+        pool = self.inputs.samples.pool(rollout.service)
+        progress = self._progress[rollout.service, rollout.order_id]
+        if pool is None or progress.is_advancing:
+            return
+        view = self._view(committed, pool, progress)
+        step = next_step(view) if self.is_primary() else None
+        if step is not None:
+            progress.is_advancing = True
+            self.tasks.start("rollout_advance", self._advance(step, view, progress))
+
+    def _view(self, committed: CommittedRollout, pool: PooledSamples, progress: _Progress) -> View:
+        rollout, registry = committed.rollout, self.inputs.registry
+        tracks = split_into_tracks(rollout, registry.ready_ids(rollout.service), registry.upstreams)
+        progress.most_target_ready = max(progress.most_target_ready, len(tracks.target))
+        totals = pool.totals()
+        return View(
+            rollout=rollout,
+            elapsed_s=committed.elapsed_s(now_ms()),
+            verdict=judge(pool, progress.most_target_ready),
+            totals=totals,
+            target_ready=len(tracks.target),
+            others_ready=len(tracks.others),
+            are_routers_confirmed=self._are_routers_confirmed(committed.sequence),
+            others_in_flight=totals.others.in_flight,
+        )
+
+    def _are_routers_confirmed(self, sequence: int) -> bool:
+        """Whether there are routers, and all that are connected have that configuration in force."""
+        in_force = self.inputs.subscriptions.router_sequences().values()
+        return bool(in_force) and min(in_force) >= sequence
+
+    async def _advance(self, step: Advance, view: View, progress: _Progress) -> None:
+        try:
+            async with asyncio.timeout(ADVANCE_TIMEOUT_S):
+                command = Command(new_identity(), COMMAND_BASE, encode(RolloutAdvance(step)))
+                outcome = await self.submit(command)
+        except TimeoutError:
+            return
+        finally:
+            progress.is_advancing = False
+        if isinstance(outcome, Completed):
+            _log_advanced(step, view)
+
+
+def _log_advanced(step: Advance, view: View) -> None:
+    log.event(
+        "rollout_advanced",
+        service=step.service,
+        order=step.order_id,
+        state=step.state,
+        weight=step.target_weight,
+        reason=step.reason,
+        elapsed_s=round(view.elapsed_s, 3),
+        answers=view.verdict.target_answers,
+        failures=sum(route.failed for route in view.totals.target.routes.values()),
+        evidence=round(view.verdict.evidence, 3),
+    )
--- /dev/null
+++ b/larkweir/controller/rollout_tracks.py
@@ -0,0 +1,42 @@
+"""The two tracks of a service with a roll-out: the upstreams of the target version, and all others."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+from larkweir_registry.records import Upstream
+from larkweir_rollouts.state import Rollout, RolloutState
+
+FULL_WEIGHT = 1.0
+
+
+class Tracks(NamedTuple):
+    """Ids of upstreams of one service."""
+
+    target: list[str]
+    others: list[str]
+
+
+def split_into_tracks(rollout: Rollout, ids: Sequence[str], upstreams: Mapping[str, Upstream]) -> Tracks:
+    """Split upstreams of the roll-out's service by their version. `upstreams`: all that are known, by id."""
+    target = [id_ for id_ in ids if upstreams[id_].version == rollout.target_version]
+    others = [id_ for id_ in ids if upstreams[id_].version != rollout.target_version]
+    return Tracks(target, others)
+
+
+def regular_upstreams(
+    rollout: Rollout | None, ids: Sequence[str], upstreams: Mapping[str, Upstream]
+) -> Sequence[str]:
+    """Return those of a service's upstreams that regular requests go to.
+
+    The canary's share of a running roll-out is none of them: a prefix that is placed there draws all of its requests.
+    """
+    if rollout is None:
+        return ids
+    tracks = split_into_tracks(rollout, ids, upstreams)
+    if rollout.effective_weight >= FULL_WEIGHT:
+        return tracks.target or ids
+    if rollout.state is RolloutState.ROLLED_BACK:
+        return tracks.others
+    return tracks.others or ids
--- a/tests/controller/test_control_api.py
+++ b/tests/controller/test_control_api.py
@@ -11,6 +11,22 @@
 from tests.controller.conftest import FakeLinks
 
 
+class RolloutsPart:
+    """Each answer names the method that gave it."""
+
+    async def list(self) -> Response:
+        return Response(200, b"rollouts list")
+
+    async def order(self, request: Request) -> Response:
+        return Response(200, b"rollouts order")
+
+    async def get(self, service: str) -> Response:
+        return Response(200, f"rollout get {service}".encode())
+
+    async def abort(self, service: str) -> Response:
+        return Response(200, f"rollout abort {service}".encode())
+
+
 class Parts:
     """Operators', instances' and inspection's part in one; each answer names the method that gave it."""
 
@@ -49,6 +65,13 @@
         ("GET", "/instances/u", 405, b""),
         ("PUT", "/instances/", 404, b""),
         ("GET", "/instances/", 404, b""),
+        ("GET", "/rollouts", 200, b"rollouts list"),
+        ("POST", "/rollouts", 200, b"rollouts order"),
+        ("DELETE", "/rollouts", 405, b""),
+        ("GET", "/rollouts/a%20b?x", 200, b"rollout get a b"),
+        ("DELETE", "/rollouts/s", 200, b"rollout abort s"),
+        ("POST", "/rollouts/s", 405, b""),
+        ("GET", "/rollouts/", 404, b""),
         ("GET", "/status", 200, b"status ['d', 'e']"),
         ("GET", "/upstreams", 200, b"upstreams"),
         ("GET", "/metrics?x", 200, b"metrics ['d', 'e']"),
@@ -61,6 +84,6 @@
 ) -> None:
     links.connected = {"e", "d"}
     parts = Parts()
-    api = ControlApi(parts, parts, parts, links)  # type: ignore[arg-type]
+    api = ControlApi(parts, parts, parts, links, RolloutsPart())  # type: ignore[arg-type]
     response = asyncio.run(api.handle(Request(method, target, {}, b"")))
     assert (response.status, response.body) == (status, body)
--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -120,6 +120,7 @@
     server: asyncio.Server | None = None
     sequence: int = 0
     writers: list[asyncio.StreamWriter] = field(default_factory=list)
+    version: str = ""
 
     async def start(self) -> None:
         host, _, port = self.address.rpartition(":")
@@ -160,8 +161,10 @@
     def heartbeat(self, service: str, state: str = "ready") -> bytes:
         """The next one."""
         self.sequence += 1
+        software = {"generation": self.version} if self.version else {}
         return msgspec.json.encode(
             {
+                **software,
                 "backend": service,
                 "address": self.address,
                 "zone": "z",
@@ -283,11 +286,17 @@
                 return
 
     async def upstream(
-        self, service: str, behave: Callable[[Seen], tuple[bytes, bool]], id_: str | None = None
+        self,
+        service: str,
+        behave: Callable[[Seen], tuple[bytes, bool]],
+        id_: str | None = None,
+        version: str = "",
     ) -> Upstream:
         """One that is started and registered."""
         number = len(self.upstreams)
-        made = Upstream(id_ or f"i-{number}", f"{self._ip(200 + number)}:{self.port + 4}", behave)
+        made = Upstream(
+            id_ or f"i-{number}", f"{self._ip(200 + number)}:{self.port + 4}", behave, version=version
+        )
         await made.start()
         self.upstreams.append(made)
         await self.register(made, service)
--- /dev/null
+++ b/tests/system/test_rollouts.py
@@ -0,0 +1,188 @@
+"""Roll-outs ordered, read, aborted and kept by a fleet on loopback."""
+
+from __future__ import annotations
+
+import itertools
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from tests.system.loopback import Fleet, Reply, ask, play
+from tests.system.test_fleet import configuration, fine, serve
+
+LONG_S = 600.0  # no test lasts as long
+
+
+def order(version: str = "v2", duration_s: float = LONG_S, service: str = "s") -> bytes:
+    return msgspec.json.encode({"backend": service, "target_version": version, "duration_s": duration_s})
+
+
+async def clear_answer(fleet: Fleet, method: str, target: str, body: bytes = b"") -> Reply:
+    """Of one controller after the other, until one gives an answer that is clear."""
+    for address in itertools.cycle(fleet.control):
+        reply = await ask(address, method, target, body)
+        if 0 < reply.status < 500:
+            return reply
+    raise AssertionError
+
+
+async def place(fleet: Fleet, **fields: Any) -> Reply:
+    return await clear_answer(fleet, "POST", "/rollouts", order(**fields))
+
+
+async def state_of(fleet: Fleet, service: str = "s") -> dict[str, Any]:
+    reply = await clear_answer(fleet, "GET", f"/rollouts/{service}")
+    assert reply.status == 200, reply
+    return dict(msgspec.json.decode(reply.body))
+
+
+async def until_state(fleet: Fleet, state: str) -> dict[str, Any]:
+    async def found() -> bool:
+        return bool((await state_of(fleet))["state"] == state)
+
+    await fleet.until(found)
+    return await state_of(fleet)
+
+
+def primary(fleet: Fleet) -> str:
+    """The control address of the controller that leads."""
+    return next(address for address in fleet.control if _leads(fleet.nodes.get(address)))
+
+
+def _leads(node: Any) -> bool:
+    return node is not None and bool(node._driver.is_primary())
+
+
+def test_an_order_at_any_controller_is_read_at_every_other(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        assert (await ask(fleet.control[0], "GET", "/rollouts/s")).status == 404
+        backup = next(address for address in fleet.control if address != primary(fleet))
+        reply = await ask(backup, "POST", "/rollouts", order())
+        assert reply.status == 200
+        assert msgspec.json.decode(reply.body)["state"] == "running"
+        for address in fleet.control:
+            reply = await ask(address, "GET", "/rollouts/s")
+            assert reply.status == 200
+            found = msgspec.json.decode(reply.body)
+            assert (found["state"], found["target_version"]) == ("running", "v2")
+            listed = msgspec.json.decode((await ask(address, "GET", "/rollouts")).body)
+            assert [one["backend"] for one in listed] == ["s"]
+            configured = msgspec.json.decode((await ask(address, "GET", "/config")).body)
+            assert configured == configuration()
+
+    play(tmp_path, scene)
+
+
+def test_a_repeated_order_is_acknowledged_and_another_is_in_conflict(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        for address in fleet.control:
+            assert (await ask(address, "POST", "/rollouts", order())).status == 200
+        assert (await place(fleet, version="v3")).status == 409
+        assert (await place(fleet, service="nobody")).status == 404
+        assert (await state_of(fleet))["target_version"] == "v2"
+        reply = await clear_answer(fleet, "DELETE", "/rollouts/s")
+        assert msgspec.json.decode(reply.body)["state"] == "rolled_back"
+        assert (await state_of(fleet))["reason"] == "aborted by the operator"
+        assert (await clear_answer(fleet, "DELETE", "/rollouts/s")).status == 409
+        assert (await clear_answer(fleet, "DELETE", "/rollouts/nobody")).status == 404
+        assert (await place(fleet, version="v3")).status == 200
+
+    play(tmp_path, scene)
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"{",
+        b"[]",
+        b'{"backend":"s","target_version":"v2"}',
+        b'{"backend":"s","target_version":"v2","duration_s":0}',
+        b'{"backend":"s","target_version":"v2","duration_s":-1}',
+        b'{"backend":"s","target_version":"v2","duration_s":"12"}',
+        b'{"backend":"s","target_version":"v2","duration_s":1e300}',
+        b'{"backend":"s","target_version":"","duration_s":12}',
+        b'{"backend":7,"target_version":"v2","duration_s":12}',
+        b'{"backend":"s","target_version":"%s","duration_s":12}' % (b"v" * 300),
+        b'{"backend":"\xff","target_version":"v2","duration_s":12}',
+        b'{"backend":"s","target_version":"v2","duration_s":12,"odd":%s}' % (b"[" * 5_000),
+    ],
+)
+def test_a_bad_order_is_refused(body: bytes, tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        reply = await clear_answer(fleet, "POST", "/rollouts", body)
+        assert reply.status == 400
+        assert msgspec.json.decode(reply.body)["error"]
+
+    play(tmp_path, scene, controllers=1, routers=0, tolerance=0)
+
+
+def test_without_a_configuration_there_is_nothing_to_roll_out(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        async def answered() -> bool:
+            reply = await ask(fleet.control[0], "POST", "/rollouts", order())
+            assert reply.status in (0, 503)
+            return b"there is no configuration yet" in reply.body
+
+        await fleet.until(answered)
+
+    play(tmp_path, scene, controllers=1, routers=0, tolerance=0)
+
+
+def test_changes_of_the_configuration_keep_a_rollout(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        assert (await place(fleet)).status == 200
+        assert (await fleet.put(configuration(2), 1)).status == 200, "an order is no version"
+        assert (await fleet.put({"generation": 3, "remove": {"routes": ["plain"]}}, 2, "PATCH")).status == 200
+        assert (await fleet.put(configuration(4, larkweir_rollouts=[]), 3)).status == 400
+        assert (await state_of(fleet))["state"] == "running"
+
+    play(tmp_path, scene)
+
+
+def test_an_acknowledged_rollout_is_there_after_all_were_killed(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        assert (await place(fleet)).status == 200
+        for address in fleet.control:
+            await fleet.kill(address)
+        for number in range(3):
+            fleet.start_controller(number)
+        assert (await state_of(fleet))["target_version"] == "v2"
+
+    play(tmp_path, scene)
+
+
+def test_a_new_primary_goes_on_with_a_rollout(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        await fleet.upstream("s", fine, version="v2")
+
+        async def has_weight() -> bool:
+            return bool((await state_of(fleet))["target_weight"] > 0.0)
+
+        assert (await place(fleet)).status == 200
+        await fleet.until(has_weight)
+        await fleet.kill(primary(fleet))
+        assert (await state_of(fleet))["state"] == "running"
+        assert (await clear_answer(fleet, "DELETE", "/rollouts/s")).status == 200
+        assert (await place(fleet, version="v9", duration_s=0.5)).status == 200
+        assert (await until_state(fleet, "rolled_back"))["target_version"] == "v9"
+
+    play(tmp_path, scene)
+
+
+def test_a_version_without_upstreams_is_rolled_back_by_its_deadline(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        await serve(fleet, fine)
+        assert (await place(fleet, duration_s=0.8)).status == 200
+        found = await until_state(fleet, "rolled_back")
+        assert found["target_weight"] == 0.0
+        assert "no time left" in found["reason"]
+
+    play(tmp_path, scene)
