Controller: metrics of roll-outs; an order's age after a loss of contact; tests of the parts

Need: operators see weight and answers of a running roll-out; a controller that learned of an order late must not take it for new. Change: gauges with labels (`metrics.py`, `rollout_metrics.py`; none where no service ever had a roll-out, so that the golden metrics stay); `CommittedRollouts` takes an order's age from the time of day only after its start, a pause and a loss of contact; a backup judges nothing.

--- a/larkweir/cluster/configuration/rollouts.py
+++ b/larkweir/cluster/configuration/rollouts.py
@@ -17,7 +17,7 @@
 
 def with_rollouts(document: Document, rollouts: Rollouts) -> Document:
     """Return a committed document with these roll-outs in the place of its own."""
-    return {**document, ROLLOUTS_KEY: msgspec.to_builtins(rollouts)}
+    return {**document, ROLLOUTS_KEY: [msgspec.to_builtins(one) for one in rollouts]}
 
 
 def operators_part(document: Document) -> Document:
--- a/larkweir/controller/committed_rollouts.py
+++ b/larkweir/controller/committed_rollouts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from larkweir_rollouts.state import Rollout
@@ -9,6 +10,8 @@
 from larkweir.cluster.configuration.documents import Document
 from larkweir.cluster.configuration.rollouts import rollouts_of
 
+CATCH_UP_MS = 1_000.0  # after the start and a loss of contact, until commits arrive as they are made
+
 
 @dataclass(frozen=True, slots=True)
 class CommittedRollout:
@@ -30,25 +33,27 @@
 
 
 class CommittedRollouts:
-    """What this controller knows as committed. Times are milliseconds that only rise, but for those of the day."""
+    """What this controller knows as committed. Times are milliseconds that only rise, but for those of the day.
+
+    An order counts from the moment at which this process learned of it. Only where that may have been late, at the
+    start and after a loss of contact, its age is told from the time of day, which may jump.
+    """
 
     def __init__(self) -> None:
         """No roll-out is known."""
         self._by_service: dict[str, CommittedRollout] = {}
-
-    def update(
-        self, document: Document, sequence: int, now_ms: float, unix_ms: float, *, is_late: bool
-    ) -> None:
-        """A configuration was committed.
-
-        Args:
-            document: the configuration.
-            sequence: that under which it was committed.
-            now_ms: the present, by the steady clock.
-            unix_ms: the time of day.
-            is_late: this process may not have learned of it as soon as it was committed. Only then is the age of an
-                order told from the time of day, which may jump.
-        """
+        self._outdated_until_ms = math.inf
+
+    def mark_outdated(self, now_ms: float) -> None:
+        """This controller may miss what is committed at present: what it learns soon may be older."""
+        if self._outdated_until_ms < math.inf:
+            self._outdated_until_ms = now_ms + CATCH_UP_MS
+
+    def update(self, document: Document, sequence: int, now_ms: float, unix_ms: float) -> None:
+        """A configuration was committed under that sequence number. `unix_ms`: the time of day."""
+        is_late = now_ms < self._outdated_until_ms
+        if self._outdated_until_ms == math.inf:
+            self._outdated_until_ms = now_ms + CATCH_UP_MS
         known, self._by_service = self._by_service, {}
         for rollout in rollouts_of(document):
             before = known.get(rollout.service)
--- a/larkweir/controller/inspection.py
+++ b/larkweir/controller/inspection.py
@@ -3,18 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 import msgspec
 from larkweir_registry.records import UpstreamState
 from larkweir_replication.replica import Replica
 
 from larkweir.cluster.http_server import Response
+from larkweir.controller.metrics import METRICS_CONTENT_TYPE, Metric, encode
 from larkweir.controller.pull_service import PublishedState
+from larkweir.controller.rollout_metrics import rollout_metrics
 from larkweir.controller.subscriptions import Subscriptions
 
-METRICS_CONTENT_TYPE = "text/plain; version=0.0.4"
-
 
 class RouterStatus(msgspec.Struct, frozen=True):
     """A router that is connected, and how many sequence numbers its configuration is older than this controller's."""
@@ -53,15 +52,6 @@
     waiting_tokens: int
 
 
-@dataclass(frozen=True, slots=True)
-class Metric:
-    """One gauge of `GET /metrics`; its name is prefixed with `larkweir_`."""
-
-    name: str
-    help: str
-    value: float
-
-
 class Inspection:
     """Reads the parts of a controller; changes nothing."""
 
@@ -136,6 +126,7 @@
             Metric("upstreams_ready", "upstreams that are ready and heard of", status.upstreams_ready),
             Metric("upstreams_silent", "upstreams whose heartbeats have stopped", timed_out),
             Metric("waiting_tokens", "prompt tokens that wait to be read", waiting),
+            *rollout_metrics(self._state.rollouts, self._state.rollout_samples),
         )
 
     def answer_status(self, linked: list[str]) -> Response:
@@ -148,10 +139,4 @@
 
     def answer_metrics(self, linked: list[str]) -> Response:
         """For `GET /metrics`, in the text format of Prometheus."""
-        # Imported here: a controller that nobody monitors starts without it.
-        from prometheus_client import CollectorRegistry, Gauge, generate_latest
-
-        collectors = CollectorRegistry()
-        for metric in self.metrics(linked):
-            Gauge(f"larkweir_{metric.name}", metric.help, registry=collectors).set(float(metric.value))
-        return Response(200, generate_latest(collectors), METRICS_CONTENT_TYPE)
+        return Response(200, encode(self.metrics(linked)), METRICS_CONTENT_TYPE)
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -137,7 +137,9 @@
             RolloutsApi(primary.call),
         )
         inputs = RolloutInputs(state.rollouts, state.rollout_samples, registry, self._subscriptions)
-        self._rollout_driver = RolloutDriver(inputs, self._driver.call, self._driver.is_primary, self._tasks)
+        self._rollout_driver = RolloutDriver(
+            inputs, self._driver.call, self._driver.is_primary, self._contact.is_connected, self._tasks
+        )
 
     async def run(self) -> None:
         """Serves until SIGTERM or SIGINT.
@@ -203,6 +205,7 @@
         """Missing heartbeats and messages during the pause prove nothing."""
         self._failure_detector.reset_observation(now_ms())
         self._placement.mark_outdated()
+        self._state.rollouts.mark_outdated(now_ms())
         self._links.excuse_silence()
 
     def _settings_changed(self, settings: Settings) -> None:
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -66,11 +66,10 @@
     def publish(self, sequence: int, value: str) -> None:
         """A configuration was committed."""
         state = self._state
-        is_first = state.configuration.sequence < 0
         document = state.configuration.add(sequence, value)
         if document is not None:
             state.quotas.set_limits(document, now_ms())
-            state.rollouts.update(document, sequence, now_ms(), unix_ms(), is_late=is_first)
+            state.rollouts.update(document, sequence, now_ms(), unix_ms())
             state.rollout_samples.update(one.rollout for one in state.rollouts.running())
             self.wake()
 
--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -25,7 +25,7 @@
 from larkweir.controller.clock import now_ms
 from larkweir.controller.committed_rollouts import CommittedRollout, CommittedRollouts
 from larkweir.controller.rollout_samples import RolloutSamples
-from larkweir.controller.rollout_tracks import split_into_tracks
+from larkweir.controller.rollout_tracks import Tracks, split_into_tracks
 from larkweir.controller.subscriptions import Subscriptions
 
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
@@ -59,17 +59,21 @@
         inputs: the controller's own.
         submit: carries out a command at this controller's replica.
         is_primary: whether that replica is the primary.
+        is_in_contact: whether this controller has links to a majority.
         tasks: the owner of the commands under way.
     """
 
     inputs: RolloutInputs
     submit: Submit
     is_primary: Callable[[], bool]
+    is_in_contact: Callable[[], bool]
     tasks: BackgroundTasks
     _progress: dict[tuple[str, str], _Progress] = field(default_factory=dict)  # by service and order
 
     def evaluate(self) -> None:
         """Takes the next step of each running roll-out, one at a time; to be called several times a second."""
+        if not self.is_in_contact():
+            self.inputs.rollouts.mark_outdated(now_ms())
         running = self.inputs.rollouts.running()
         self._progress = {
             key: self._progress.get(key, _Progress())
@@ -79,26 +83,27 @@
             self._evaluate(committed)
 
     def _evaluate(self, committed: CommittedRollout) -> None:
-        rollout = committed.rollout
+        rollout, registry = committed.rollout, self.inputs.registry
         pool = self.inputs.samples.pool(rollout.service)
+        tracks = split_into_tracks(rollout, registry.ready_ids(rollout.service), registry.upstreams)
         progress = self._progress[rollout.service, rollout.order_id]
-        if pool is None or progress.is_advancing:
+        progress.most_target_ready = max(progress.most_target_ready, len(tracks.target))
+        if pool is None or progress.is_advancing or not self.is_primary():
             return
-        view = self._view(committed, pool, progress)
-        step = next_step(view) if self.is_primary() else None
+        view = self._view(committed, pool, tracks, progress.most_target_ready)
+        step = next_step(view)
         if step is not None:
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
-    def _view(self, committed: CommittedRollout, pool: PooledSamples, progress: _Progress) -> View:
-        rollout, registry = committed.rollout, self.inputs.registry
-        tracks = split_into_tracks(rollout, registry.ready_ids(rollout.service), registry.upstreams)
-        progress.most_target_ready = max(progress.most_target_ready, len(tracks.target))
+    def _view(
+        self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
+    ) -> View:
         totals = pool.totals()
         return View(
-            rollout=rollout,
+            rollout=committed.rollout,
             elapsed_s=committed.elapsed_s(now_ms()),
-            verdict=judge(pool, progress.most_target_ready),
+            verdict=judge(pool, most_target_ready),
             totals=totals,
             target_ready=len(tracks.target),
             others_ready=len(tracks.others),
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -5,13 +5,16 @@
 import asyncio
 import random
 
+import msgspec
 from larkweir_balancing.fleet_outlier_detection import MIN_FAILURES, OutcomeCounts
 from larkweir_quotas.usage_table import UsageTable
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Record, Upstream
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
+from larkweir_rollouts.pooling import answered
 
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, NodeRole, Pull
 from larkweir.controller.configuration_history import ConfigurationHistory
@@ -21,6 +24,7 @@
 from larkweir.controller.quota_accounting import QuotaAccounting
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
+from tests.controller.rollout_factories import document, report, rollout
 
 ROUTERS = 3
 
@@ -47,7 +51,7 @@
         subscriptions = Subscriptions()
         self.prefill_load = PrefillLoad()
         self.ejection = UpstreamEjection(self.registry, subscriptions)
-        state = PublishedState(
+        state = self.state = PublishedState(
             registry=self.registry,
             configuration=ConfigurationHistory(),
             quotas=QuotaAccounting(UsageTable()),
@@ -156,3 +160,39 @@
         assert not made.answer(made.routers[0], Pull(vector={})).wants_records
 
     asyncio.run(scene())
+
+
+def test_reports_of_a_rollout_are_pooled_until_the_router_is_lost() -> None:
+    async def scene() -> None:
+        made = Scene()
+        order = rollout()
+        made.pulls.publish(1, msgspec.json.encode(document(order)).decode())
+        pool = made.state.rollout_samples.pool("s")
+        assert pool is not None
+        for router in made.routers:
+            made.pulls.pull(router, Pull(rollouts={"s": report(order, 5, others_in_flight=2)}))
+            made.pulls.pull(router, Pull())
+        assert answered(pool.totals().target) == 15
+        assert pool.totals().others.in_flight == 6
+        made.pulls.disconnected(made.routers[0])
+        assert answered(pool.totals().target) == 15
+        assert pool.totals().others.in_flight == 4
+
+    asyncio.run(scene())
+
+
+def test_a_step_of_a_rollout_is_sent_as_a_patch_of_it_alone() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.publish(1, msgspec.json.encode(document(rollout())).decode())
+        advanced = document(rollout(target_weight=0.5))
+        made.pulls.publish(2, msgspec.json.encode(advanced).decode())
+        update = made.answer(made.routers[0], Pull(1, {})).config
+        assert update is not None
+        assert msgspec.json.decode(update.body) == {
+            "upsert": {},
+            "remove": {},
+            ROLLOUTS_KEY: advanced[ROLLOUTS_KEY],
+        }
+
+    asyncio.run(scene())
--- /dev/null
+++ b/tests/controller/test_rollout_driver.py
@@ -0,0 +1,206 @@
+"""Which steps of a roll-out the primary submits."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+import msgspec
+import pytest
+from larkweir_registry.registry import Registry
+from larkweir_replication.messages import Command
+from larkweir_rollouts.orders import Advance
+from larkweir_rollouts.schedule import CANARY_WEIGHT
+from larkweir_rollouts.state import Rollout, RolloutState
+
+from larkweir.cluster.configuration.rollout_commands import RolloutAdvance
+from larkweir.cluster.links import Connection
+from larkweir.cluster.messages import NodeRole, Pull
+from larkweir.controller import rollout_driver
+from larkweir.controller.background_tasks import BackgroundTasks
+from larkweir.controller.call_outcome import UNKNOWN, CallOutcome, Completed
+from larkweir.controller.committed_rollouts import CommittedRollouts
+from larkweir.controller.rollout_driver import RolloutDriver, RolloutInputs
+from larkweir.controller.rollout_samples import RolloutSamples
+from larkweir.controller.subscriptions import Subscriptions
+from tests.controller.rollout_factories import ORDERED_UNIX_MS, document, report, rollout, versioned
+
+FULL = rollout(target_weight=1.0)
+
+
+@dataclass
+class Scene:
+    """A controller with a ready upstream of each version, and a router."""
+
+    outcome: CallOutcome = field(default_factory=Completed)
+    is_primary: bool = True
+    present_ms: float = 50_000.0
+    steps: list[Advance] = field(default_factory=list)
+    answers: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def __post_init__(self) -> None:
+        self.answers.set()
+        self.rollouts = CommittedRollouts()
+        self.samples = RolloutSamples()
+        self.subscriptions = Subscriptions()
+        self.tasks = BackgroundTasks()
+        registry = versioned(Registry("c/1"), a="v1", b="v2")
+        self.driver = RolloutDriver(
+            RolloutInputs(self.rollouts, self.samples, registry, self.subscriptions),
+            self.submit,
+            lambda: self.is_primary,
+            lambda: True,
+            self.tasks,
+        )
+        self.commit(1)
+        self.present_ms += 10_000.0
+
+    async def submit(self, command: Command) -> CallOutcome:
+        self.steps.append(msgspec.json.decode(command.text, type=RolloutAdvance).step)
+        await self.answers.wait()
+        return self.outcome
+
+    def commit(self, sequence: int, *rollouts: Rollout) -> None:
+        self.rollouts.update(document(*rollouts), sequence, self.present_ms, ORDERED_UNIX_MS)
+        self.samples.update(rollouts)
+
+    def connect(self, sequence: int) -> None:
+        """A router that has the configuration of that sequence in force."""
+        connection = Connection(lambda connection, message: None, lambda connection: None)
+        connection.node = f"r{sequence}"
+        self.subscriptions.add(connection, NodeRole.ROUTER)
+        subscriber = self.subscriptions.get(connection)
+        assert subscriber is not None
+        subscriber.pending_pull, subscriber.config_sequence = Pull(), sequence
+
+    async def evaluate(self) -> list[Advance]:
+        """The steps that one evaluation submits."""
+        before = len(self.steps)
+        self.driver.evaluate()
+        await turns()
+        return self.steps[before:]
+
+
+async def turns() -> None:
+    """Lets every task that can go on do so."""
+    for _ in range(5):
+        await asyncio.sleep(0)
+
+
+def run(monkeypatch: pytest.MonkeyPatch, play: Callable[[Scene], Awaitable[None]]) -> None:
+    async def whole() -> None:
+        scene = Scene()
+        monkeypatch.setattr(rollout_driver, "now_ms", lambda: scene.present_ms)
+        await play(scene)
+        scene.tasks.close()
+
+    asyncio.run(whole())
+
+
+def test_an_order_gets_the_canarys_weight(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, rollout())
+        (step,) = await scene.evaluate()
+        assert (step.service, step.order_id) == ("s", rollout().order_id)
+        assert (step.state, step.target_weight) == (RolloutState.RUNNING, CANARY_WEIGHT)
+
+    run(monkeypatch, play)
+
+
+def test_a_backup_submits_nothing_and_goes_on_once_it_leads(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, rollout())
+        scene.is_primary = False
+        assert await scene.evaluate() == []
+        scene.is_primary = True
+        assert len(await scene.evaluate()) == 1
+
+    run(monkeypatch, play)
+
+
+def test_one_step_of_a_service_at_a_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        other = rollout(service="t")
+        scene.commit(2, rollout(), other)
+        scene.answers.clear()
+        assert [step.service for step in await scene.evaluate()] == ["s"], "t has no upstream of its target"
+        assert await scene.evaluate() == []
+        scene.answers.set()
+        await turns()
+        assert (
+            len(await scene.evaluate()) == 1
+        ), "the step was not committed in this scene, and is decided anew"
+
+    run(monkeypatch, play)
+
+
+def test_a_step_without_an_outcome_is_decided_anew(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.outcome = UNKNOWN
+        scene.commit(2, rollout())
+        first, second = await scene.evaluate() + await scene.evaluate()
+        assert first == second
+
+    run(monkeypatch, play)
+
+
+def test_a_step_that_does_not_end_is_given_up(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        monkeypatch.setattr(rollout_driver, "ADVANCE_TIMEOUT_S", 0.0)
+        scene.commit(2, rollout())
+        scene.answers.clear()
+        assert len(await scene.evaluate()) == 1
+        assert len(await scene.evaluate()) == 1
+
+    run(monkeypatch, play)
+
+
+def test_a_version_that_fails_is_rolled_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, rollout(target_weight=CANARY_WEIGHT))
+        for router in ("a/1", "b/1", "c/1"):
+            scene.samples.report(router, {"s": report(rollout(), 0, 40, others=400)})
+        (step,) = await scene.evaluate()
+        assert (step.state, step.target_weight) == (RolloutState.ROLLED_BACK, 0.0)
+        assert step.reason
+
+    run(monkeypatch, play)
+
+
+def test_a_rollout_is_completed_once_all_routers_act_by_its_full_weight(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == [], "there is no router"
+        scene.connect(5)
+        scene.connect(4)
+        assert await scene.evaluate() == [], "one is behind"
+        for subscriber in scene.subscriptions:
+            subscriber.config_sequence = 5
+        (step,) = await scene.evaluate()
+        assert (step.state, step.target_weight) == (RolloutState.COMPLETED, 1.0)
+
+    run(monkeypatch, play)
+
+
+def test_requests_under_way_at_the_others_are_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.connect(5)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100, others_in_flight=3)})
+        assert await scene.evaluate() == []
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=103)})
+        assert len(await scene.evaluate()) == 1
+
+    run(monkeypatch, play)
+
+
+def test_what_has_ended_gets_no_step(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, rollout(state=RolloutState.COMPLETED, target_weight=1.0))
+        assert await scene.evaluate() == []
+
+    run(monkeypatch, play)
--- /dev/null
+++ b/tests/controller/test_rollout_tracks.py
@@ -0,0 +1,43 @@
+"""Which upstreams regular requests go to while a roll-out is in one state or another."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import pytest
+from larkweir_registry.registry import Registry
+from larkweir_rollouts.state import Rollout, RolloutState
+
+from larkweir.controller.rollout_tracks import regular_upstreams, split_into_tracks
+from tests.controller.rollout_factories import rollout, versioned
+
+REGISTRY = versioned(Registry("c/1"), a="v1", b="", c="v2", d="v2")
+ALL, TARGET, OTHERS = ["a", "b", "c", "d"], ["c", "d"], ["a", "b"]
+CANARY = rollout(target_weight=0.08)
+FULL = rollout(target_weight=1.0)
+COMPLETED = rollout(state=RolloutState.COMPLETED, target_weight=1.0)
+ROLLED_BACK = rollout(state=RolloutState.ROLLED_BACK, target_weight=0.5)
+
+
+@pytest.mark.parametrize(
+    ("placed", "ready", "regular"),
+    [
+        (None, ALL, ALL),
+        (rollout(), ALL, OTHERS),
+        (CANARY, ALL, OTHERS),
+        (CANARY, TARGET, TARGET),
+        (CANARY, [], []),
+        (FULL, ALL, TARGET),
+        (FULL, OTHERS, OTHERS),
+        (COMPLETED, ALL, TARGET),
+        (COMPLETED, OTHERS, OTHERS),
+        (ROLLED_BACK, ALL, OTHERS),
+        (ROLLED_BACK, TARGET, []),
+    ],
+)
+def test_regular_upstreams(placed: Rollout | None, ready: Sequence[str], regular: Sequence[str]) -> None:
+    assert regular_upstreams(placed, ready, REGISTRY.upstreams) == regular
+
+
+def test_an_upstream_without_a_version_is_none_of_the_target() -> None:
+    assert split_into_tracks(CANARY, ALL, REGISTRY.upstreams) == (TARGET, OTHERS)
