--- /dev/null
+++ b/larkweir/system/operator_calls.py
@@ -0,0 +1,56 @@
+"""What operators' commands have in common: the call of a controller, its answer, and the exit codes."""
+
+from __future__ import annotations
+
+import sys
+from typing import Any
+
+import click
+import msgspec
+
+from larkweir.cluster.controller_client import (
+    ControllerResponse,
+    ControllersUnreachableError,
+    call_controllers,
+)
+
+CONTROLLERS_VARIABLE = "LARKWEIR_CONTROLLERS"
+EXIT_REJECTED = 1
+EXIT_UNREACHABLE = 3
+EXIT_DAMAGED = 4
+
+at = click.option(
+    "--at",
+    "controllers",
+    envvar=CONTROLLERS_VARIABLE,
+    required=True,
+    metavar="HOST:PORT,...",
+    help=f"control addresses of controllers; also from {CONTROLLERS_VARIABLE}",
+)
+as_json = click.option("--json", "raw", is_flag=True, help="print JSON")
+
+
+def call(
+    controllers: str, method: str, path: str, body: bytes | None = None, base: int | None = None
+) -> ControllerResponse:
+    """Call the controllers in turn; exit the command where none gives a clear answer."""
+    try:
+        return call_controllers([one.strip() for one in controllers.split(",")], method, path, body, base)
+    except ControllersUnreachableError as error:
+        click.echo(f"no answer: {error}", err=True)
+        sys.exit(EXIT_UNREACHABLE)
+
+
+def decode_accepted(response: ControllerResponse) -> Any:
+    """Return the response's JSON; exit the command where the call was rejected."""
+    found = msgspec.json.decode(response.body) if response.body else {}
+    if response.status >= 300:
+        detail = found.get("error", "") if isinstance(found, dict) else ""
+        click.echo(f"{response.controller} refused it: {response.status} {detail}".rstrip(), err=True)
+        sys.exit(EXIT_REJECTED)
+    return found
+
+
+def print_json(found: object) -> None:
+    """Print it, indented."""
+    click.echo(msgspec.json.format(msgspec.json.encode(found), indent=2).decode())
--- a/larkweir/system/operator_commands.py
+++ b/larkweir/system/operator_commands.py
@@ -15,46 +15,16 @@
 
 from larkweir.cluster.configuration.documents import make_patch
 from larkweir.cluster.configuration.schema import first_problem
-from larkweir.cluster.controller_client import (
-    ControllerResponse,
-    ControllersUnreachableError,
-    call_controllers,
+from larkweir.system.operator_calls import (
+    EXIT_DAMAGED,
+    EXIT_REJECTED,
+    as_json,
+    at,
+    call,
+    decode_accepted,
+    print_json,
 )
-
-CONTROLLERS_VARIABLE = "LARKWEIR_CONTROLLERS"
-EXIT_REJECTED = 1
-EXIT_UNREACHABLE = 3
-EXIT_DAMAGED = 4
-
-at = click.option(
-    "--at",
-    "controllers",
-    envvar=CONTROLLERS_VARIABLE,
-    required=True,
-    metavar="HOST:PORT,...",
-    help=f"control addresses of controllers; also from {CONTROLLERS_VARIABLE}",
-)
-as_json = click.option("--json", "raw", is_flag=True, help="print JSON")
-
-
-def _call(
-    controllers: str, method: str, path: str, body: bytes | None = None, base: int | None = None
-) -> ControllerResponse:
-    try:
-        return call_controllers([one.strip() for one in controllers.split(",")], method, path, body, base)
-    except ControllersUnreachableError as error:
-        click.echo(f"no answer: {error}", err=True)
-        sys.exit(EXIT_UNREACHABLE)
-
-
-def _decode_accepted(response: ControllerResponse) -> Any:
-    """Return the response's JSON; exit the command where the call was rejected."""
-    found = msgspec.json.decode(response.body) if response.body else {}
-    if response.status >= 300:
-        detail = found.get("error", "") if isinstance(found, dict) else ""
-        click.echo(f"{response.controller} refused it: {response.status} {detail}".rstrip(), err=True)
-        sys.exit(EXIT_REJECTED)
-    return found
+from larkweir.system.rollout_commands import rollouts
 
 
 def _read_document(path: str) -> dict[str, Any]:
@@ -69,10 +39,6 @@
     return document
 
 
-def _print_json(found: object) -> None:
-    click.echo(msgspec.json.format(msgspec.json.encode(found), indent=2).decode())
-
-
 @click.group()
 def config() -> None:
     """The configuration in force."""
@@ -82,7 +48,7 @@
 @at
 def config_get(controllers: str) -> None:
     """Prints the newest configuration."""
-    _print_json(_decode_accepted(_call(controllers, "GET", "/config")))
+    print_json(decode_accepted(call(controllers, "GET", "/config")))
 
 
 @config.command("put")
@@ -105,7 +71,7 @@
 
 def _change(controllers: str, method: str, base: int, file: str) -> None:
     document = _read_document(file)
-    _decode_accepted(_call(controllers, method, "/config", msgspec.json.encode(document), base))
+    decode_accepted(call(controllers, method, "/config", msgspec.json.encode(document), base))
     click.echo(f"version {document.get('generation')} is acknowledged")
 
 
@@ -125,7 +91,7 @@
 @click.argument("new", type=click.Path(dir_okay=False))
 def config_diff(old: str, new: str) -> None:
     """Prints the patch that makes NEW of OLD."""
-    _print_json(make_patch(_read_document(old), _read_document(new)))
+    print_json(make_patch(_read_document(old), _read_document(new)))
 
 
 @click.command()
@@ -133,9 +99,9 @@
 @as_json
 def status(controllers: str, raw: bool) -> None:
     """Who leads, in which epoch, and how far routers are behind, as each controller sees it."""
-    found = [_decode_accepted(_call(one, "GET", "/status")) for one in controllers.split(",")]
+    found = [decode_accepted(call(one, "GET", "/status")) for one in controllers.split(",")]
     if raw:
-        _print_json(found)
+        print_json(found)
         return
     for one in found:
         behind = max((router["behind"] for router in one["routers"]), default=0)
@@ -151,9 +117,9 @@
 @as_json
 def members(controllers: str, raw: bool) -> None:
     """The controllers that vote."""
-    found = _decode_accepted(_call(controllers, "GET", "/status"))
+    found = decode_accepted(call(controllers, "GET", "/status"))
     if raw:
-        _print_json(found["members"])
+        print_json(found["members"])
         return
     for node in found["members"]:
         click.echo(f"{node}{' (primary)' if node == found['primary'] else ''}")
@@ -164,9 +130,9 @@
 @as_json
 def upstreams(controllers: str, raw: bool) -> None:
     """All upstreams that a controller knows."""
-    found = _decode_accepted(_call(controllers, "GET", "/upstreams"))
+    found = decode_accepted(call(controllers, "GET", "/upstreams"))
     if raw:
-        _print_json(found)
+        print_json(found)
         return
     for one in found:
         silent = ", silent" if one["silent"] else ""
@@ -194,11 +160,11 @@
         "damaged_bytes": journal.unreadable_bytes,
     }
     if raw:
-        _print_json(found)
+        print_json(found)
         return
     for name, value in found.items():
         shown = ", ".join(value) if isinstance(value, tuple) else value
         click.echo(f"{name.replace('_', ' ')}: {shown}")
 
 
-COMMANDS: Sequence[click.Command] = (config, status, members, upstreams, state)
+COMMANDS: Sequence[click.Command] = (config, rollouts, status, members, upstreams, state)
--- a/tests/system/test_operator_commands.py
+++ b/tests/system/test_operator_commands.py
@@ -10,7 +10,7 @@
 from click.testing import CliRunner, Result
 
 from larkweir.system.cli import main
-from larkweir.system.operator_commands import EXIT_DAMAGED, EXIT_REJECTED, EXIT_UNREACHABLE
+from larkweir.system.operator_calls import EXIT_DAMAGED, EXIT_REJECTED, EXIT_UNREACHABLE
 from tests.system.loopback import Fleet, ask, play
 from tests.system.test_fleet import configuration, fine, serve
 
