Roll-outs: their commands are not remembered by the replicas, as the value recognises repeats

Need: each step of a roll-out filled the memory of 8,192 applied commands, and once any was forgotten, a conflicting order was answered 503 (too old) for ever instead of 409, as it builds on version 0. Change: a command with an empty identity is neither remembered nor too old; an abort that is repeated is acknowledged again. Result: packages/replication's command tests, tests/cluster and tests/system of roll-outs pass; 4 new tests.

--- a/larkweir/cluster/configuration/rollout_commands.py
+++ b/larkweir/cluster/configuration/rollout_commands.py
@@ -1,24 +1,22 @@
 """Commands that place, advance and abort roll-outs of services, and what each does to the committed document.
 
 Their encoded form begins with a tag, which a `ConfigurationChange` does not have. A command that is repeated is
-recognised by the state that it finds, so that its identity need not be the same.
+recognised by the roll-out that it finds, so that the replicas need not remember it.
 """
 
 from __future__ import annotations
 
-import secrets
-
 import msgspec
+from larkweir_replication.messages import Command
 from larkweir_rollouts.orders import Advance, OrderConflict, advance, place_order, rollout_of
 from larkweir_rollouts.state import Rollout, RolloutState
 from result import Err, Ok, Result
 
-from larkweir.cluster.configuration.changes import IDENTITY_LENGTH, Rejection, RejectionReason
+from larkweir.cluster.configuration.changes import Rejection, RejectionReason
 from larkweir.cluster.configuration.documents import Document
 from larkweir.cluster.configuration.rollouts import Rollouts, rollouts_of, service_names, with_rollouts
 
 ABORTED = "aborted by the operator"
-COMMAND_BASE = 0  # of the replicated command: it builds on no version of the configuration
 
 
 class RolloutOrder(msgspec.Struct, frozen=True, tag="rollout_order"):
@@ -34,7 +32,7 @@
 
 
 class RolloutAbort(msgspec.Struct, frozen=True, tag="rollout_abort"):
-    """An operator ends the running roll-out of a service: it is rolled back."""
+    """An operator ends the running roll-out of a service: it is rolled back. One that was aborted stays so."""
 
     service: str
 
@@ -47,9 +45,9 @@
     return msgspec.json.encode(command).decode()
 
 
-def new_identity() -> str:
-    """Return an identity for one call, which covers the call's own retries."""
-    return secrets.token_hex(IDENTITY_LENGTH // 2)
+def replicated_command(command: RolloutCommand) -> Command:
+    """Return it for the replicas. It builds on no version of the configuration, and has no identity to remember."""
+    return Command(identity="", base=0, text=encode(command))
 
 
 def apply_rollout_command(value: str, text: str) -> Result[str, object]:
@@ -91,6 +89,8 @@
     rollout = rollout_of(present, service)
     if rollout is None:
         return Rejection(RejectionReason.NOT_FOUND, f"there was no roll-out of {service}")
+    if rollout.state is RolloutState.ROLLED_BACK and rollout.reason == ABORTED:
+        return present
     if not rollout.is_running:
         return Rejection(RejectionReason.CONFLICT, f"the roll-out of {service} is {rollout.state}")
     return advance(present, Advance(service, rollout.order_id, RolloutState.ROLLED_BACK, 0.0, ABORTED))
--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -14,12 +14,7 @@
 from larkweir_rollouts.verdict import judge
 
 from larkweir.cluster import log
-from larkweir.cluster.configuration.rollout_commands import (
-    COMMAND_BASE,
-    RolloutAdvance,
-    encode,
-    new_identity,
-)
+from larkweir.cluster.configuration.rollout_commands import RolloutAdvance, replicated_command
 from larkweir.controller.background_tasks import BackgroundTasks
 from larkweir.controller.call_outcome import CallOutcome, Completed
 from larkweir.controller.clock import now_ms
@@ -119,8 +114,7 @@
     async def _advance(self, step: Advance, view: View, progress: _Progress) -> None:
         try:
             async with asyncio.timeout(ADVANCE_TIMEOUT_S):
-                command = Command(new_identity(), COMMAND_BASE, encode(RolloutAdvance(step)))
-                outcome = await self.submit(command)
+                outcome = await self.submit(replicated_command(RolloutAdvance(step)))
         except TimeoutError:
             return
         finally:
--- a/larkweir/controller/rollouts_api.py
+++ b/larkweir/controller/rollouts_api.py
@@ -6,18 +6,15 @@
 from typing import Annotated
 
 import msgspec
-from larkweir_replication.messages import Command
 from larkweir_rollouts.orders import rollout_of
 from larkweir_rollouts.state import MAX_DURATION_S, Rollout
 
 from larkweir.cluster import log
 from larkweir.cluster.configuration.rollout_commands import (
-    COMMAND_BASE,
     RolloutAbort,
     RolloutCommand,
     RolloutOrder,
-    encode,
-    new_identity,
+    replicated_command,
 )
 from larkweir.cluster.configuration.rollouts import Rollouts, rollouts_of
 from larkweir.cluster.http_server import Request, Response
@@ -100,7 +97,7 @@
         return _answer([_status(one) for one in rollouts])
 
     async def _change(self, command: RolloutCommand, service: str) -> Response:
-        outcome = await call_until_known(self._call, Command(new_identity(), COMMAND_BASE, encode(command)))
+        outcome = await call_until_known(self._call, replicated_command(command))
         match outcome:
             case Completed():
                 return await self._read_back(service)
--- a/packages/replication/src/larkweir_replication/commands.py
+++ b/packages/replication/src/larkweir_replication/commands.py
@@ -40,13 +40,15 @@
     result = apply(current.value, command.text)
     if not isinstance(result, Err):
         return with_command_applied(current, result.ok_value, command)
-    if command.base <= current.latest_forgotten_base:
+    if command.identity and command.base <= current.latest_forgotten_base:
         return CommandFinished(ticket, CommandOutcome.TOO_OLD)
     return CommandFinished(ticket, CommandOutcome.REJECTED, result.err_value)
 
 
 def with_command_applied(current: Snapshot, value: str, command: Command) -> Snapshot:
-    """The next state: that value, and the command among those that were applied."""
+    """The next state: that value, and the command among those that were applied, if it has an identity."""
+    if not command.identity:
+        return msgspec.structs.replace(current, sequence=current.sequence + 1, value=value)
     applied = (*current.applied_commands, AppliedCommand(command.base, command.identity))
     dropped, retained = applied[:-MAX_APPLIED_COMMANDS], applied[-MAX_APPLIED_COMMANDS:]
     return msgspec.structs.replace(
--- a/packages/replication/src/larkweir_replication/messages.py
+++ b/packages/replication/src/larkweir_replication/messages.py
@@ -33,7 +33,8 @@
     """A change as its sender submitted it. `base`: the version of the value that it builds on.
 
     `identity` is an idempotency key: the same whenever and wherever the change is sent again, and another one for
-    another change.
+    another change. It is empty where the value itself shows that a change was applied before: such a command may be
+    applied several times, is not remembered, and is never too old.
     """
 
     identity: str
--- a/packages/replication/tests/test_replication_commands.py
+++ b/packages/replication/tests/test_replication_commands.py
@@ -49,3 +49,18 @@
     assert current.latest_forgotten_base == 1
     assert outcome_of(current, Command("id1", 1, "X")).outcome is CommandOutcome.TOO_OLD
     assert outcome_of(current, Command("other", 2, "X")).outcome is CommandOutcome.REJECTED
+
+
+def test_a_command_without_an_identity_is_not_remembered_and_never_too_old(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(commands, "MAX_APPLIED_COMMANDS", 1)
+    current = snapshot(5)
+    for number in range(2):
+        current = with_command_applied(current, "v", Command(f"id{number}", number, "v"))
+    after = with_command_applied(current, "w", Command("", 0, "w"))
+    assert after.sequence == current.sequence + 1
+    assert after.value == "w"
+    assert after.applied_commands == current.applied_commands
+    assert current.latest_forgotten_base == 0
+    assert outcome_of(after, Command("", 0, "X")).outcome is CommandOutcome.REJECTED
--- a/tests/cluster/test_rollout_commands.py
+++ b/tests/cluster/test_rollout_commands.py
@@ -19,6 +19,7 @@
     RolloutCommand,
     RolloutOrder,
     encode,
+    replicated_command,
 )
 from larkweir.cluster.configuration.rollouts import operators_text, rollouts_of
 from tests.cluster.configurations import VALID, changed
@@ -91,10 +92,21 @@
     value = apply(CONFIGURED, RolloutOrder(ORDER), step(RolloutState.RUNNING, 0.25), RolloutAbort("s"))
     (found,) = rollouts(value)
     assert (found.state, found.target_weight, found.reason) == (RolloutState.ROLLED_BACK, 0.0, ABORTED)
-    assert rejection(value, encode(RolloutAbort("s"))) is RejectionReason.CONFLICT
+    assert apply(value, RolloutAbort("s")) == value, "it is acknowledged again"
     assert rejection(value, encode(RolloutAbort("t"))) is RejectionReason.NOT_FOUND
 
 
+@pytest.mark.parametrize("state", [RolloutState.COMPLETED, RolloutState.ROLLED_BACK])
+def test_what_has_ended_otherwise_is_not_aborted(state: RolloutState) -> None:
+    value = apply(CONFIGURED, RolloutOrder(ORDER), step(state, 1.0))
+    assert rejection(value, encode(RolloutAbort("s"))) is RejectionReason.CONFLICT
+
+
+def test_the_replicas_need_not_remember_a_command() -> None:
+    command = replicated_command(RolloutAbort("s"))
+    assert (command.identity, command.text) == ("", encode(RolloutAbort("s")))
+
+
 @pytest.mark.parametrize(
     "text",
     [
