--- a/larkweir/cluster/configuration/rollouts.py
+++ b/larkweir/cluster/configuration/rollouts.py
@@ -45,5 +45,5 @@
     if ROLLOUTS_KEY not in current:
         return body
     services = service_names(body)
-    kept = tuple(one for one in rollouts_of(current) if one.is_running or one.service in services)
-    return with_rollouts(body, kept)
+    remaining = tuple(one for one in rollouts_of(current) if one.is_running or one.service in services)
+    return with_rollouts(body, remaining)
--- a/tests/cluster/test_rollout_commands.py
+++ b/tests/cluster/test_rollout_commands.py
@@ -114,14 +114,14 @@
         change({"generation": 9, "remove": {"tenants": ["x", "y"]}}, 3, is_patch=True),
     ],
 )
-def test_a_change_of_the_configuration_keeps_the_rollouts(text: str) -> None:
+def test_a_change_of_the_configuration_retains_the_rollouts(text: str) -> None:
     value = apply(CONFIGURED, RolloutOrder(ORDER), RolloutOrder(OTHER))
     changed_value = apply_command(value, text).unwrap()
     assert rollouts(changed_value) == (ORDER, OTHER)
     assert operators_text(changed_value) == apply_command(CONFIGURED, text).unwrap()
 
 
-def test_a_removed_service_keeps_a_running_rollout_until_its_end() -> None:
+def test_a_running_rollout_of_a_removed_service_remains_until_its_end() -> None:
     value = apply(CONFIGURED, RolloutOrder(ORDER), RolloutOrder(OTHER))
     without_t = changed(generation=4, services=[{"name": "s"}])
     value = apply_command(value, change(without_t, 3)).unwrap()
