Roll-outs begin with the canary's weight

Need: an order began with weight 0, and where the service had traffic before the first step, the schedule waited for answers of the target that no request could bring (seen in a trial on a scratch join with the router side: rolled back for lack of answers). Change: an order is committed with CANARY_WEIGHT, which also saves a step. Result: tests of roll-outs in tests/controller and tests/system pass.

--- a/larkweir/controller/rollouts_api.py
+++ b/larkweir/controller/rollouts_api.py
@@ -7,6 +7,7 @@
 
 import msgspec
 from larkweir_rollouts.orders import rollout_of
+from larkweir_rollouts.schedule import CANARY_WEIGHT
 from larkweir_rollouts.state import MAX_DURATION_S, Rollout
 
 from larkweir.cluster import log
@@ -64,7 +65,9 @@
             body: RolloutRequest = msgspec.json.decode(request.body, type=RolloutRequest)
         except (msgspec.DecodeError, RecursionError) as error:  # the message names the field
             return error_response(400, str(error))
-        rollout = Rollout(body.service, body.target_version, body.duration_s, unix_ms())
+        rollout = Rollout(
+            body.service, body.target_version, body.duration_s, unix_ms(), target_weight=CANARY_WEIGHT
+        )
         response = await self._change(RolloutOrder(rollout), rollout.service)
         if response.status == 200:
             log.event(
