--- a/tests/system/test_rollouts.py
+++ b/tests/system/test_rollouts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
 
@@ -11,6 +12,7 @@
 from larkweir_rollouts.schedule import CANARY_WEIGHT
 
 from tests.system.loopback import Fleet, Reply, ask, play
+from tests.system.reporting_router import ReportingRouter
 from tests.system.test_fleet import configuration, fine, serve
 
 LONG_S = 600.0  # no test lasts as long
@@ -181,3 +183,53 @@
         assert "no time left" in found["reason"]
 
     play(tmp_path, scene)
+
+
+async def reported(
+    fleet: Fleet, router: ReportingRouter, during: Callable[[], Awaitable[None]] | None = None
+) -> dict[str, Any]:
+    """How a roll-out of three seconds ends whose answers that router reports."""
+    assert (await fleet.put(configuration(), 0)).status == 200
+    for version in ("v1", "v2"):
+        await fleet.upstream("s", fine, version=version)
+    router.start()
+    assert (await place(fleet, duration_s=3.0)).status == 200
+    if during is not None:
+        await during()
+
+    async def has_ended() -> bool:
+        return bool((await state_of(fleet))["state"] != "running")
+
+    try:
+        await fleet.until(has_ended)
+    finally:
+        await router.stop()
+    return await state_of(fleet)
+
+
+def test_a_good_version_is_completed(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        found = await reported(fleet, ReportingRouter(fleet))
+        assert (found["state"], found["target_weight"]) == ("completed", 1.0)
+
+    play(tmp_path, scene, routers=0)
+
+
+def test_a_bad_version_is_rolled_back(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        found = await reported(fleet, ReportingRouter(fleet, target_fails=True))
+        assert (found["state"], found["target_weight"]) == ("rolled_back", 0.0)
+        assert "answers failed" in found["reason"]
+
+    play(tmp_path, scene, routers=0)
+
+
+def test_a_good_version_is_completed_by_the_next_primary(tmp_path: Path) -> None:
+    async def scene(fleet: Fleet) -> None:
+        async def lose_primary() -> None:
+            await fleet.kill(primary(fleet))
+
+        found = await reported(fleet, ReportingRouter(fleet), lose_primary)
+        assert (found["state"], found["reason"]) == ("completed", "")
+
+    play(tmp_path, scene, routers=0)
