Test: steps of the driver do not rest on when the schedule calls a full weight settled

Need: the schedule may wait a while at full weight. Change: two tests evaluate shortly before the deadline.

--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -29,6 +29,7 @@
 CANARY = rollout(target_weight=CANARY_WEIGHT)
 FULL = rollout(target_weight=1.0)
 FULL_WEIGHT_DUE_MS = 9_000.0  # after the order of a roll-out of 12 s
+COMPLETION_DUE_MS = 10_500.0  # the same; the others' requests are waited for a little longer
 
 
 @dataclass
@@ -182,6 +183,7 @@
 ) -> None:
     async def play(scene: Scene) -> None:
         scene.commit(5, FULL)
+        scene.present_ms += COMPLETION_DUE_MS
         scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
         assert await scene.evaluate() == [], "there is no router"
         scene.connect(5)
@@ -198,6 +200,7 @@
 def test_requests_under_way_at_the_others_are_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
     async def play(scene: Scene) -> None:
         scene.commit(5, FULL)
+        scene.present_ms += COMPLETION_DUE_MS
         scene.connect(5)
         scene.samples.report("a/1", {"s": report(FULL, 100, others=100, others_in_flight=3)})
         assert await scene.evaluate() == []
