Roll-outs: a command of a later release is rejected, an abort is logged, golden lines of their messages

Need: an unknown command raised in the replica, which ends a primary in a later rolling upgrade; an operator's abort left no line in the log; published forms of reports and commands had no golden line. Change: a rejection with 503; `rollout_aborted`; three new lines at the end of the golden file, none changed; the read behind an acknowledgement is bounded by 50 ms. Result: tests/cluster passes.

--- a/larkweir/cluster/configuration/rollout_commands.py
+++ b/larkweir/cluster/configuration/rollout_commands.py
@@ -57,7 +57,10 @@
         value: the present document as text; empty where there is none yet.
         text: an encoded `RolloutCommand`.
     """
-    command: RolloutCommand = msgspec.json.decode(text, type=RolloutCommand)
+    try:
+        command: RolloutCommand = msgspec.json.decode(text, type=RolloutCommand)
+    except msgspec.ValidationError as error:  # of a controller of a later release
+        return Err(Rejection(RejectionReason.UNAVAILABLE, f"this primary does not know the command: {error}"))
     if not value:
         return Err(Rejection(RejectionReason.UNAVAILABLE, "there is no configuration yet"))
     document: Document = msgspec.json.decode(value)
--- a/larkweir/controller/rollouts_api.py
+++ b/larkweir/controller/rollouts_api.py
@@ -26,7 +26,7 @@
 PATH = "/rollouts"
 MAX_BODY_BYTES = 16 * 1024
 MAX_NAME_CHARS = 256
-READ_BACK_TIMEOUT_S = 0.1  # within the second in which an operator waits for an acknowledgement
+READ_BACK_TIMEOUT_S = 0.05  # within the second in which an operator waits for an acknowledgement
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARS)]
 
@@ -80,7 +80,10 @@
 
     async def abort(self, service: str) -> Response:
         """`DELETE /rollouts/SERVICE`: a running roll-out is rolled back."""
-        return await self._change(RolloutAbort(service), service)
+        response = await self._change(RolloutAbort(service), service)
+        if response.status == 200:
+            log.event("rollout_aborted", service=service)
+        return response
 
     async def get(self, service: str) -> Response:
         """`GET /rollouts/SERVICE`."""
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -16,9 +16,11 @@
 from larkweir_registry.records import Record, Upstream, UpstreamState
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
+from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples
 
 from larkweir.cluster.configuration.changes import ConfigurationChange, apply_change, configuration_version
 from larkweir.cluster.configuration.documents import apply_patch, make_patch
+from larkweir.cluster.configuration.rollout_commands import RolloutAbort, replicated_command
 from larkweir.cluster.messages import (
     ConfigUpdate,
     Delta,
@@ -41,6 +43,10 @@
 OTHERS = [line for line in LINES if line not in REPLICATION]
 
 UPSTREAM = Upstream("u-1", "chat", "10.0.0.5:9000", "z2", 8, 41, UpstreamState.DRAINING, 40)
+VERSIONED_UPSTREAM = msgspec.structs.replace(UPSTREAM, reported_version="v2")
+TARGET = TrackSamples(
+    2, {"draft": RouteSamples(7, 1, {0: 2, 31: 6}, {9: 8})}, failures_by_upstream={"u-1": 1}
+)
 MESSAGES: list[Message] = [
     Hello("10.0.0.1", NodeRole.ROUTER, "a1b2c3d4e5f6"),
     Hello("10.0.0.2", NodeRole.CONTROLLER, "0f1e2d3c4b5a"),
@@ -74,6 +80,9 @@
     # Of later versions, which leave these fields out where the other process need not read them.
     Pull(vector={}, records=[Record(UPSTREAM, "10.0.0.2/0f", 8)]),
     Delta(wants_records=True),
+    Delta(records=[Record(VERSIONED_UPSTREAM, "10.0.0.2/0f", 9)]),
+    Pull(14, rollouts={"chat": RolloutReport("v2/1764771837000", TARGET, TrackSamples(3))}),
+    PrimaryRequest(8, replicated_command(RolloutAbort("chat"))),
 ]
 
 
--- a/tests/cluster/test_rollout_commands.py
+++ b/tests/cluster/test_rollout_commands.py
@@ -77,6 +77,13 @@
     assert rejection("", encode(RolloutOrder(ORDER))) is RejectionReason.UNAVAILABLE
 
 
+@pytest.mark.parametrize(
+    "text", ['{"type":"of_a_later_release","service":"s"}', '{"type":"rollout_abort","service":{"name":"s"}}']
+)
+def test_a_command_of_a_later_release_is_rejected(text: str) -> None:
+    assert rejection(CONFIGURED, text) is RejectionReason.UNAVAILABLE
+
+
 def test_a_step_applies_to_its_running_order_alone() -> None:
     value = apply(CONFIGURED, RolloutOrder(ORDER), RolloutOrder(OTHER), step(RolloutState.RUNNING, 0.25))
     assert [one.target_weight for one in rollouts(value)] == [0.25, 0.0]
