Balancing: an upstream that is ready again gets its token back

Need: the tracks of a roll-out list an upstream as not ready while it is of the other track, and as ready later; only new upstreams were given a token, so that it would have got requests by chance alone. Change: whatever becomes ready with a full list earns its token, unless something is in flight there. The registry's states only rise, so nothing changes where there is no roll-out. Measured: packages/balancing/tests/test_balancing_upstream_selection.py passes.

--- a/packages/balancing/src/larkweir_balancing/token_list.py
+++ b/packages/balancing/src/larkweir_balancing/token_list.py
@@ -59,11 +59,13 @@
             entries.append(ServerEntry(number, state))
             if upstream.is_unresponsive:
                 self.unresponsive.add(number)
-        fresh, gone = self._servers.update(ListUpdate(ListKind.FULL, entries=entries))
+        were_ready = {server.id for server in self.ready_servers()}
+        _, gone = self._servers.update(ListUpdate(ListKind.FULL, entries=entries))
         for server in gone:
             self._numbers.pop(self._ids.pop(server.id), None)
-        for server in fresh:
-            self._servers.earn_token(server, now_ms)
+        for server in self.ready_servers():
+            if server.id not in were_ready:  # new, or ready again
+                self._servers.earn_token(server, now_ms)
         return [server.id for server in gone]
 
     def _assign_number(self, id_: str) -> int:
--- a/packages/balancing/tests/test_balancing_upstream_selection.py
+++ b/packages/balancing/tests/test_balancing_upstream_selection.py
@@ -72,6 +72,17 @@
     assert set(drawn(made)) == {"u1"}
 
 
+def test_one_that_is_ready_again_is_believed_idle_once_nothing_is_in_flight_there() -> None:
+    made = balancer(["u0", "u1", "u2"])
+    made.on_attempt_started("u2", NO_PROMPT, 0.0)
+    for is_ready in (False, True):
+        paused = UpstreamStatus(is_ready=is_ready)
+        made.update({"u0": UpstreamStatus(is_ready=True), "u1": paused, "u2": paused}, 0.0)
+        assert set(drawn(made)) == ({"u0", "u1"} if is_ready else {"u0"})
+    made.on_attempt_released("u2", 0.0, 0.0)
+    assert set(drawn(made)) == {"u0", "u1", "u2"}
+
+
 def test_draining_and_gone_ones_are_never_drawn() -> None:
     made = balancer()
     listed = {id_: UpstreamStatus(is_ready=id_ != "u1") for id_ in IDS if id_ != "u0"}
