Router: the requests of a service with a roll-out are split into two tracks

Need: a share of the new requests goes to the target version, and none else, whatever fails; the rest stays where it was. Change: each track has its own selector, so the draw among token holders is unchanged and a request of the others never sees an upstream on trial. A request draws its track once; every attempt is held to the state in force by then. Both selectors list all upstreams, those of the other track as not ready, so what is in flight at one that changes its track stays counted. A version on trial asks for no placement of prefixes. The choice of an upstream moves out of exchange.py.

--- a/larkweir/router/attempt.py
+++ b/larkweir/router/attempt.py
@@ -10,8 +10,10 @@
 from larkweir_balancing.prompt import Prompt
 
 from larkweir.cluster.tasks import start_task
+from larkweir.router.admission import Admission
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.request_trace import RequestTrace
+from larkweir.router.upstream_choice import SelectedUpstream
 from larkweir.router.upstream_connection import UpstreamConnection
 
 MIN_ANNOUNCED_TOKENS = 4_000.0  # of prefill, from which other routers are notified at once
@@ -24,17 +26,17 @@
     """From the selection of an upstream to the end of the call there. Owns the task that connects."""
 
     def __init__(
-        self, plane: DataPlane, service: str, instance: str, prompt: Prompt, *, is_cached: bool
+        self, plane: DataPlane, admission: Admission, selected: SelectedUpstream, prompt: Prompt
     ) -> None:
         """Take the upstream's token, and notify the fleet of a long prefill.
 
         Args:
             plane: the router's shared state.
-            service: of the upstream.
-            instance: the upstream's id.
+            admission: of the request.
+            selected: the upstream.
             prompt: what the request asks an engine to read.
-            is_cached: the fleet has sent the prefix of the prompt there before.
         """
+        service, instance = admission.service, selected.id
         self._plane = plane
         self._service = service
         self._prompt = prompt
@@ -45,13 +47,13 @@
         self._is_reported = False  # the fleet's outlier detection has its outcome
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._connect_task: asyncio.Task[None] | None = None
-        self._selector = plane.upstreams.selector(service)
+        self._selector = selected.selector
         self.instance = instance
         self.address = plane.upstreams.address(instance)
         self.connection: UpstreamConnection | None = None  # once the request has been sent
         self.queued_tokens = self._selector.prefill_backlog_tokens(instance)
         self.prefill_tokens = self._selector.on_attempt_started(
-            instance, prompt, self._now_ms(), is_cached=is_cached
+            instance, prompt, self._now_ms(), is_cached=selected.is_cached
         )
         is_long = self.prefill_tokens >= MIN_ANNOUNCED_TOKENS
         if OPTIONS.announce_long_prompts and is_long and plane.is_engine(service):
--- a/larkweir/router/data_plane.py
+++ b/larkweir/router/data_plane.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Protocol
 
 from larkweir_balancing.fleet_outlier_detection import OutcomeWindow
 from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.settings import Bounds
 from larkweir.router.answers import ErrorKind
@@ -64,6 +65,16 @@
         known = table.services.get(service) if table is not None else None
         return known is not None and known.engine is not None
 
+    def apply_rollouts(self, now_ms: float) -> list[Rollout]:
+        """Follow the roll-outs of the configuration in force; returns those that are new or in another state."""
+        table = self.configuration.table
+        rollouts = table.rollouts if table is not None else {}
+        before = self.upstreams.rollouts
+        if rollouts == before:
+            return []
+        self.upstreams.set_rollouts(rollouts, now_ms)
+        return [rollout for rollout in rollouts.values() if _has_new_state(rollout, before)]
+
     def count_error(self, kind: ErrorKind) -> None:
         """Count a response of the router's own."""
         self.error_counts[kind] += 1
@@ -72,3 +83,8 @@
         """How many routers share quotas and retry budgets, this one included."""
         self.quotas.process_count = routers
         self.retry_budgets.set_router_count(routers)
+
+
+def _has_new_state(rollout: Rollout, before: Mapping[str, Rollout]) -> bool:
+    known = before.get(rollout.service)
+    return known is None or (known.order_id, known.state) != (rollout.order_id, rollout.state)
--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -1,6 +1,6 @@
 """The life of one request in a router: admission, attempts at upstreams, the response.
 
-`Exchange` owns the state of a request and joins the modules that decide: `admission`, `prefix_affinity`, `attempt`,
+`Exchange` owns the state of a request and joins the modules that decide: `admission`, `upstream_choice`, `attempt`,
 `retry_allowance`, `response_classification` and `response_relay`. Times are milliseconds of the event loop's clock.
 """
 
@@ -25,7 +25,6 @@
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.exchange_guard import guarded, run_each
 from larkweir.router.exchange_state import ExchangeState
-from larkweir.router.prefix_affinity import PrefixOwner
 from larkweir.router.request_trace import RequestTrace
 from larkweir.router.response_classification import (
     ResponseClass,
@@ -35,6 +34,7 @@
 )
 from larkweir.router.response_relay import ResponseRelay, ResponseWriter
 from larkweir.router.retry_allowance import RetryAllowance
+from larkweir.router.upstream_choice import UpstreamChoice
 from larkweir.router.upstream_connection import CallFailure, UpstreamConnection
 
 MIN_REMAINING_MS = 5.0  # of the deadline, under which a request is not sent any more
@@ -65,9 +65,8 @@
         self._prompt = Prompt()
         self._admission: Admission | None = None
         self._retries: RetryAllowance | None = None
-        self._prefix_owner: PrefixOwner | None = None
+        self._choice: UpstreamChoice | None = None
         self._attempt: Attempt | None = None  # the one under way
-        self._tried_instances: set[str] = set()
         self._may_have_executed = False
         self._discard_outcome = Outcome.ERROR  # of the attempt whose response is discarded
         self._deadline_timer: asyncio.TimerHandle | None = None
@@ -110,32 +109,25 @@
         budget = self._plane.retry_budgets.budget(admitted.service)
         self._retries = RetryAllowance(admitted.route.max_attempts, budget)
         self._deadline_timer = self._loop.call_at(admitted.deadline_ms / 1000.0, self._on_deadline)
-        self._locate_prefix()
+        self._choice = UpstreamChoice(self._plane, admitted, self._prompt, self._request.received_ms)
+        if self._choice.has_placed_prefix:
+            self._transition(ExchangeState.PLACING)
+            self._choice.find_prefix_owner(len(self._request.body), self._on_prefix_owner)
+        else:
+            self._start_attempt()
 
     def _admitted(self) -> tuple[Admission, RetryAllowance]:
         assert self._admission is not None
         assert self._retries is not None
         return self._admission, self._retries
 
-    def _locate_prefix(self) -> None:
-        """Find which engine owns the prefix of the prompt, where it has one that is shared."""
-        admission, _ = self._admitted()
-        plane, prompt, service = self._plane, self._prompt, admission.service
-        if not (OPTIONS.controller_prefix_owners and prompt.is_shared and plane.is_engine(service)):
-            self._start_attempt()
-            return
-        self._transition(ExchangeState.PLACING)
-        is_ready = plane.upstreams.selector(service).is_ready
-        body_bytes = len(self._request.body)
-        plane.prefix_affinity.find_owner(service, prompt, body_bytes, is_ready, self._on_prefix_owner)
-
     @guarded
-    def _on_prefix_owner(self, owner: PrefixOwner | None) -> None:
+    def _on_prefix_owner(self) -> None:
+        """The owner of the prompt's prefix is known, or there is none."""
         if self._state is not ExchangeState.PLACING:
             return
         if self._trace is not None:
             self._trace.on_placed(self._now_ms())
-        self._prefix_owner = owner
         self._start_attempt()
 
     # Attempts
@@ -143,26 +135,14 @@
     def _start_attempt(self) -> None:
         """Select the next upstream and connect, or respond with an error where none is left."""
         admission, _ = self._admitted()
-        selector = self._plane.upstreams.selector(admission.service)
-        owner = self._prefix_owner
-        now_ms = self._now_ms()
-        instance = selector.select(
-            self._prompt,
-            self._tried_instances,
-            now_ms,
-            owner.engine if owner is not None else None,
-            is_cached=owner is not None and owner.is_cached,
-            remaining_ms=self._request.received_ms + admission.route.target_latency_ms - now_ms,
-        )
-        if instance is None:
+        assert self._choice is not None
+        selected = self._choice.select(self._now_ms())
+        if selected is None:
             self._respond_unavailable()
             return
-        self._tried_instances.add(instance)
         if self._trace is not None:
-            backlog_tokens = selector.prefill_backlog_tokens(instance)
-            self._trace.on_selected(instance, selector.last_reason, backlog_tokens, self._now_ms())
-        is_cached = owner is not None and owner.is_cached and owner.engine == instance
-        self._attempt = Attempt(self._plane, admission.service, instance, self._prompt, is_cached=is_cached)
+            self._trace.on_selected(selected, self._now_ms())
+        self._attempt = Attempt(self._plane, admission, selected, self._prompt)
         self._transition(ExchangeState.CONNECTING)
         self._attempt.connect(self._send_request, self._on_connect_failed)
 
@@ -225,10 +205,9 @@
         may_retry = OPTIONS.retry_overdue and admission.route.is_idempotent
         if not may_retry or self._state not in (ExchangeState.AWAITING, ExchangeState.RELAYING):
             return
-        selector = self._plane.upstreams.selector(admission.service)
-        has_others = selector.ready_count > len(self._tried_instances)
+        assert self._choice is not None
         can_restart = not self._relay.has_started or self._relay.can_resume
-        if has_others and can_restart and self._take_retry():
+        if self._choice.has_untried and can_restart and self._take_retry():
             self._abort_attempt(Outcome.TIMEOUT)
             self._relay.restart()
             self._start_attempt()
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -135,6 +135,15 @@
         table = self._plane.configuration.table
         assert table is not None
         self._plane.quotas.set_limits(table.quotas)
+        now_ms = self._now_ms()
         if self._configured_ms is None:
-            self._configured_ms = self._now_ms()
+            self._configured_ms = now_ms
         log.event("configuration", version=table.version, sequence=self._plane.configuration.sequence)
+        for rollout in self._plane.apply_rollouts(now_ms):
+            log.event(
+                "rollout",
+                service=rollout.service,
+                target_version=rollout.target_version,
+                state=rollout.state,
+                target_weight=rollout.target_weight,
+            )
--- a/larkweir/router/request_trace.py
+++ b/larkweir/router/request_trace.py
@@ -14,6 +14,8 @@
 from larkweir.cluster import log
 from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Route
+from larkweir.router.rollout_tracks import Track
+from larkweir.router.upstream_choice import SelectedUpstream
 
 
 class AttemptTrace(msgspec.Struct, omit_defaults=True):
@@ -32,6 +34,7 @@
     status: int = 0
     load: str = ""  # its own `X-Server-Load`: running, waiting, slots
     outcome: str = msgspec.field(name="ending", default="")  # where the response was not complete
+    track: Track | None = None  # where its service has a roll-out
 
 
 @dataclass(slots=True)
@@ -55,11 +58,14 @@
         """The owner of the prompt's prefix has been looked up, whether or not there is one."""
         self.placed_ms = self.elapsed_ms(now_ms)
 
-    def on_selected(
-        self, upstream: str, reason: SelectionReason, backlog_tokens: float, now_ms: float
-    ) -> None:
+    def on_selected(self, selected: SelectedUpstream, now_ms: float) -> None:
         """An attempt begins."""
-        self.attempts.append(AttemptTrace(upstream, reason, self.elapsed_ms(now_ms), round(backlog_tokens)))
+        backlog_tokens = round(selected.selector.prefill_backlog_tokens(selected.id))
+        self.attempts.append(
+            AttemptTrace(
+                selected.id, selected.reason, self.elapsed_ms(now_ms), backlog_tokens, track=selected.track
+            )
+        )
 
     def on_request_sent(self, prefill_tokens: float, now_ms: float) -> None:
         """The request has been sent to the upstream."""
--- /dev/null
+++ b/larkweir/router/rollout_tracks.py
@@ -0,0 +1,141 @@
+"""The two tracks of a service with a roll-out: which one a request goes to, and which upstreams each consists of.
+
+Each track has its own selector, so that a request of one track never sees an upstream of the other. Both selectors list
+all upstreams of the service, those of the other track as not ready: what is in flight at an upstream that changes its
+track stays counted. Pure logic.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Sequence
+from dataclasses import replace
+from enum import StrEnum
+from random import Random
+
+from larkweir_balancing.token_list import UpstreamStatus
+from larkweir_balancing.upstream_selection import UpstreamSelector
+from larkweir_registry.records import Upstream, UpstreamState
+from larkweir_rollouts.canary import canary_upstreams
+from larkweir_rollouts.state import Rollout, RolloutState
+
+
+class Track(StrEnum):
+    """A part of a service's upstreams. The values are published in the router's debug log."""
+
+    TARGET = "target"  # the upstreams of the target version
+    OTHERS = "others"  # all others; without a roll-out all
+
+
+def draw_track(rollout: Rollout | None, rng: Random) -> Track:
+    """Draw the track of a new request by the target's weight. Draws nothing where only one track is possible.
+
+    Args:
+        rollout: of the request's service; None: there is none.
+        rng: that is drawn from.
+    """
+    weight = rollout.effective_weight if rollout is not None else 0.0
+    if weight <= 0.0:
+        return Track.OTHERS
+    if weight >= 1.0:
+        return Track.TARGET
+    return Track.TARGET if rng.random() < weight else Track.OTHERS
+
+
+def allowed_tracks(rollout: Rollout | None, drawn: Track, *, is_first: bool) -> tuple[Track, ...]:
+    """The tracks that an attempt may go to, in order of preference.
+
+    While the target version is on trial only a request that was drawn for it goes there, and with its first attempt
+    alone; whatever else goes wrong, no other one does.
+
+    Args:
+        rollout: as it is in force now, which may be another than when the track was drawn.
+        drawn: the track that was drawn for the request.
+        is_first: the request has not been sent to any upstream.
+    """
+    weight = rollout.effective_weight if rollout is not None else 0.0
+    if weight >= 1.0 or (weight > 0.0 and is_first and drawn is Track.TARGET):
+        return (Track.TARGET, Track.OTHERS)
+    return (Track.OTHERS,)
+
+
+class ServiceTracks:
+    """The selectors of one service. Without a roll-out there is one, which has all upstreams."""
+
+    def __init__(self, make_selector: Callable[[], UpstreamSelector]) -> None:
+        """`make_selector`: makes one that lists nothing yet."""
+        self._make_selector = make_selector
+        self._others = make_selector()
+        self._target: UpstreamSelector | None = None
+        self.rollout: Rollout | None = None
+
+    def selector(self, track: Track) -> UpstreamSelector:
+        """The selector of that track; that of the others where there is no roll-out."""
+        if track is Track.TARGET and self._target is not None:
+            return self._target
+        return self._others
+
+    def selectors(self) -> Iterator[UpstreamSelector]:
+        """All of them."""
+        yield self._others
+        if self._target is not None:
+            yield self._target
+
+    def set_rollout(self, rollout: Rollout | None) -> None:
+        """Another state of the roll-out is in force, or another roll-out, or none; `update` is to follow.
+
+        The upstreams to which the traffic has moved are the others of the next roll-out. A new track begins with the
+        prefill times that were learned at the others.
+        """
+        before, self.rollout = self.rollout, rollout
+        if before is not None and (rollout is None or rollout.order_id != before.order_id):
+            if self._target is not None and before.state is RolloutState.COMPLETED:
+                self._others = self._target
+            self._target = None
+        if rollout is not None and self._target is None:
+            self._target = self._make_selector()
+            self._target.prefill_time = replace(self._others.prefill_time)
+
+    def update(self, upstreams: Sequence[Upstream], now_ms: float) -> None:
+        """List the service's upstreams, each as ready on its own track alone.
+
+        Args:
+            upstreams: all of the service that are not gone.
+            now_ms: the event loop's time.
+        """
+        target_ids = self._target_ids(upstreams)
+        others = {
+            upstream.id: _status(upstream, takes_requests=not self._is_target(upstream))
+            for upstream in upstreams
+        }
+        self._others.update(others, now_ms)
+        if self._target is not None:
+            target = {
+                upstream.id: _status(upstream, takes_requests=upstream.id in target_ids)
+                for upstream in upstreams
+            }
+            self._target.update(target, now_ms)
+
+    def _is_target(self, upstream: Upstream) -> bool:
+        return self.rollout is not None and upstream.version == self.rollout.target_version
+
+    def _target_ids(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
+        """The upstreams of the target version that take requests: at small weights a few, so that these get load."""
+        if self.rollout is None:
+            return frozenset()
+        target = [upstream for upstream in upstreams if self._is_target(upstream)]
+        if not self.rollout.is_running:
+            return frozenset(upstream.id for upstream in target)
+        responsive = sorted(upstream.id for upstream in target if _is_responsive(upstream))
+        others_count = sum(
+            not self._is_target(upstream) and _is_responsive(upstream) for upstream in upstreams
+        )
+        return canary_upstreams(responsive, others_count, self.rollout.target_weight)
+
+
+def _is_responsive(upstream: Upstream) -> bool:
+    return upstream.state is UpstreamState.READY and not upstream.has_timed_out
+
+
+def _status(upstream: Upstream, *, takes_requests: bool) -> UpstreamStatus:
+    is_ready = upstream.state is UpstreamState.READY and takes_requests
+    return UpstreamStatus(is_ready, upstream.has_timed_out)
--- /dev/null
+++ b/larkweir/router/upstream_choice.py
@@ -0,0 +1,116 @@
+"""Which upstream each attempt of a request goes to: its track, the owner of its prefix, and those already tried."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from larkweir_balancing.decision_options import OPTIONS
+from larkweir_balancing.prompt import Prompt
+from larkweir_balancing.upstream_selection import SelectionReason, UpstreamSelector
+
+from larkweir.router.admission import Admission
+from larkweir.router.data_plane import DataPlane
+from larkweir.router.prefix_affinity import PrefixOwner
+from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
+
+
+class SelectedUpstream(NamedTuple):
+    """An upstream that an attempt goes to.
+
+    Attributes:
+        id: the registry's.
+        selector: of its track, which the attempt reports to.
+        track: the part of the service's upstreams that it was selected from; None where the service has no roll-out.
+        reason: why it was selected.
+        is_cached: the fleet has sent the prefix of the prompt there before.
+    """
+
+    id: str
+    selector: UpstreamSelector
+    track: Track | None
+    reason: SelectionReason
+    is_cached: bool
+
+
+class UpstreamChoice:
+    """The choices of one request. Draws its track once, and holds it to what its service's roll-out allows by then."""
+
+    def __init__(self, plane: DataPlane, admission: Admission, prompt: Prompt, received_ms: float) -> None:
+        """Draw the track.
+
+        Args:
+            plane: the router's shared state.
+            admission: of the request.
+            prompt: of the request.
+            received_ms: when it was received, on the event loop's clock.
+        """
+        self._plane = plane
+        self._service = admission.service
+        self._prompt = prompt
+        self._target_ms = received_ms + admission.route.target_latency_ms
+        self._prefix_owner: PrefixOwner | None = None
+        self._tried: dict[str, Track] = {}  # by id
+        self._drawn = self._draw()
+
+    def _draw(self) -> Track:
+        upstreams = self._plane.upstreams
+        drawn = draw_track(upstreams.rollouts.get(self._service), self._plane.rng)
+        if drawn is Track.TARGET and not upstreams.selector(self._service, drawn).ready_count:
+            return Track.OTHERS
+        return drawn
+
+    def _tracks(self) -> tuple[Track, ...]:
+        rollout = self._plane.upstreams.rollouts.get(self._service)
+        return allowed_tracks(rollout, self._drawn, is_first=not self._tried)
+
+    @property
+    def has_placed_prefix(self) -> bool:
+        """Whether the controllers place the prefix of the prompt.
+
+        They do on the track that has the service's traffic, not on that of a version on trial.
+        """
+        if not (OPTIONS.controller_prefix_owners and self._prompt.is_shared):
+            return False
+        rollout = self._plane.upstreams.rollouts.get(self._service)
+        is_on_trial = self._drawn is Track.TARGET and rollout is not None and rollout.effective_weight < 1.0
+        return not is_on_trial and self._plane.is_engine(self._service)
+
+    def find_prefix_owner(self, body_bytes: int, on_found: Callable[[], None]) -> None:
+        """Ask for the owner of the prefix; `on_found` is called once, at once where the owner is known."""
+
+        def on_owner(owner: PrefixOwner | None) -> None:
+            self._prefix_owner = owner
+            on_found()
+
+        is_ready = self._plane.upstreams.selector(self._service, self._tracks()[0]).is_ready
+        self._plane.prefix_affinity.find_owner(self._service, self._prompt, body_bytes, is_ready, on_owner)
+
+    def select(self, now_ms: float) -> SelectedUpstream | None:
+        """The upstream of the next attempt; None where none is left."""
+        owner = self._prefix_owner
+        for track in self._tracks():
+            selector = self._plane.upstreams.selector(self._service, track)
+            id_ = selector.select(
+                self._prompt,
+                self._tried,
+                now_ms,
+                owner.engine if owner is not None else None,
+                is_cached=owner is not None and owner.is_cached,
+                remaining_ms=self._target_ms - now_ms,
+            )
+            if id_ is not None:
+                self._tried[id_] = track
+                is_cached = owner is not None and owner.is_cached and owner.engine == id_
+                has_rollout = self._plane.upstreams.rollouts.get(self._service) is not None
+                shown = track if has_rollout else None
+                return SelectedUpstream(id_, selector, shown, selector.last_reason, is_cached)
+        return None
+
+    @property
+    def has_untried(self) -> bool:
+        """Whether an upstream is ready that a further attempt may go to, as far as counts tell."""
+        tracks = self._tracks()
+        selectors = [self._plane.upstreams.selector(self._service, track) for track in tracks]
+        tried = sum(track in tracks for track in self._tried.values())
+        return sum(selector.ready_count for selector in selectors) > tried
--- a/larkweir/router/upstream_directory.py
+++ b/larkweir/router/upstream_directory.py
@@ -1,13 +1,15 @@
-"""The upstreams that a router knows, and a selector for each service."""
+"""The upstreams that a router knows, and the selectors of each service."""
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from random import Random
 
-from larkweir_balancing.token_list import UpstreamStatus
 from larkweir_balancing.upstream_selection import UpstreamSelector
 from larkweir_registry.records import Upstream, UpstreamState
+from larkweir_rollouts.state import Rollout
+
+from larkweir.router.rollout_tracks import ServiceTracks, Track
 
 
 class UpstreamDirectory:
@@ -33,7 +35,8 @@
         self._address_has_idle = has_idle_connection
         self._on_gone = on_gone
         self._upstreams: dict[str, Upstream] = {}
-        self._selectors: dict[str, UpstreamSelector] = {}
+        self._services: dict[str, ServiceTracks] = {}
+        self.rollouts: Mapping[str, Rollout] = {}  # by service; changed by `set_rollouts`
         self._ejected: set[str] = set()
 
     def __contains__(self, id_: str) -> bool:
@@ -49,17 +52,39 @@
         """Whether any upstream of any service is ready."""
         return any(upstream.state is UpstreamState.READY for upstream in self._upstreams.values())
 
-    def selector(self, service: str) -> UpstreamSelector:
-        """The selector of that service; made at its first use."""
-        selector = self._selectors.get(service)
-        if selector is None:
-            selector = self._selectors[service] = UpstreamSelector(
-                self._rng, is_engine=self._is_engine(service), has_idle_connection=self._has_idle_connection
-            )
+    def version(self, id_: str) -> str:
+        """The version of that upstream's software; empty where it is not known."""
+        upstream = self._upstreams.get(id_)
+        return upstream.version if upstream is not None else ""
+
+    def is_leaving(self, id_: str) -> bool:
+        """Whether that upstream has announced that it stops, or is gone."""
+        upstream = self._upstreams.get(id_)
+        return upstream is None or upstream.state is not UpstreamState.READY
+
+    def selector(self, service: str, track: Track = Track.OTHERS) -> UpstreamSelector:
+        """The selector of a service's track; made at its first use."""
+        return self._tracks(service).selector(track)
+
+    def _tracks(self, service: str) -> ServiceTracks:
+        tracks = self._services.get(service)
+        if tracks is None:
+            tracks = self._services[service] = ServiceTracks(lambda: self._new_selector(service))
+            tracks.set_rollout(self.rollouts.get(service))
             self._list(service, 0.0)
-            selector.set_ejected(self._ejected)
+        return tracks
+
+    def _new_selector(self, service: str) -> UpstreamSelector:
+        selector = UpstreamSelector(
+            self._rng, is_engine=self._is_engine(service), has_idle_connection=self._has_idle_connection
+        )
+        selector.set_ejected(self._ejected)
         return selector
 
+    def _selectors(self) -> Iterator[UpstreamSelector]:
+        for tracks in self._services.values():
+            yield from tracks.selectors()
+
     def _has_idle_connection(self, id_: str) -> bool:
         upstream = self._upstreams.get(id_)
         return upstream is not None and self._address_has_idle(upstream.address)
@@ -67,19 +92,20 @@
     def own_prefill_backlog(self) -> dict[str, int]:
         """By engine, the prompt tokens of this router's calls that wait for their first event."""
         found: dict[str, int] = {}
-        for selector in self._selectors.values():
-            found.update(selector.own_prefill_backlog())
+        for selector in self._selectors():
+            for engine, tokens in selector.own_prefill_backlog().items():
+                found[engine] = found.get(engine, 0) + tokens
         return found
 
     def set_peer_prefill_backlog(self, tokens: dict[str, float]) -> None:
         """The same of all other routers together, by engine, as last reported."""
-        for selector in self._selectors.values():
+        for selector in self._selectors():
             selector.set_peer_prefill_backlog(tokens)
 
     def set_ejected(self, ids: set[str]) -> None:
         """These are not selected from now on, as long as others are left."""
         self._ejected = ids
-        for selector in self._selectors.values():
+        for selector in self._selectors():
             selector.set_ejected(ids)
 
     def update(self, changed: Iterable[Upstream], now_ms: float) -> None:
@@ -100,13 +126,22 @@
             else:
                 self._upstreams[upstream.id] = upstream
         for service in services:
-            if service in self._selectors:
+            if service in self._services:
+                self._list(service, now_ms)
+
+    def set_rollouts(self, rollouts: Mapping[str, Rollout], now_ms: float) -> None:
+        """Put the roll-outs of another configuration in force; services whose own is another are listed anew.
+
+        Args:
+            rollouts: by service.
+            now_ms: the event loop's time.
+        """
+        before, self.rollouts = self.rollouts, rollouts
+        for service, tracks in self._services.items():
+            if before.get(service) != rollouts.get(service):
+                tracks.set_rollout(rollouts.get(service))
                 self._list(service, now_ms)
 
     def _list(self, service: str, now_ms: float) -> None:
-        listed = {
-            upstream.id: UpstreamStatus(upstream.state is UpstreamState.READY, upstream.has_timed_out)
-            for upstream in self._upstreams.values()
-            if upstream.service == service
-        }
-        self._selectors[service].update(listed, now_ms)
+        listed = [upstream for upstream in self._upstreams.values() if upstream.service == service]
+        self._services[service].update(listed, now_ms)
--- /dev/null
+++ b/tests/router/rollout_model.py
@@ -0,0 +1,107 @@
+"""The model of `router_model`, with upstreams of two versions and roll-outs between them, under a time of its own."""
+
+from __future__ import annotations
+
+import msgspec
+from larkweir_registry.records import Upstream, UpstreamState
+from larkweir_rollouts.samples import RolloutReport
+from larkweir_rollouts.state import Rollout, RolloutState
+
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
+from larkweir.cluster.messages import ConfigUpdate
+from tests.router.router_model import KINDS, FakeUpstream, Play, Sent
+
+OLD, NEW = "v1", "v2"
+OLD_IDS, NEW_IDS = ("i0", "i1"), ("t0", "t1", "t2")
+TARGET_MS = 100.0  # latency target of all routes
+TIMEOUT_MS = 60_000.0
+RUNNING, COMPLETED, ROLLED_BACK = RolloutState.RUNNING, RolloutState.COMPLETED, RolloutState.ROLLED_BACK
+
+
+def rollout(weight: float = 0.0, state: RolloutState = RUNNING, **other: object) -> Rollout:
+    """A roll-out of the one service to the new version."""
+    fields = {
+        "service": "s",
+        "target_version": NEW,
+        "duration_s": 12.0,
+        "ordered_unix_ms": 1_000.0,
+        "state": state,
+        "target_weight": weight,
+    }
+    return msgspec.convert({**fields, **other}, Rollout)
+
+
+class RolloutPlay(Play):
+    """Two upstreams of the old version and three of the new one."""
+
+    def __init__(self, new_ids: tuple[str, ...] = NEW_IDS) -> None:
+        super().__init__()
+        self.now_s = 1_000.0
+        self.loop.time = lambda: self.now_s  # type: ignore[method-assign]
+        self._sequence = 1
+        self.list_upstreams(OLD, OLD_IDS)
+        self.list_upstreams(NEW, new_ids)
+
+    def list_upstreams(
+        self, version: str, ids: tuple[str, ...], state: UpstreamState = UpstreamState.READY
+    ) -> None:
+        """The registry has these, in that state."""
+        listed = [self._upstream(id_, version, state) for id_ in ids]
+        self.model.instances.update(ids)
+        self.do(lambda: self.model.plane.upstreams.update(listed, self.now_s * 1000.0))
+
+    def _upstream(self, id_: str, version: str, state: UpstreamState) -> Upstream:
+        number = (*OLD_IDS, *NEW_IDS).index(id_) + 1
+        return Upstream(
+            id_,
+            "s",
+            f"127.0.0.1:{number}",
+            "z",
+            sequence=int(state) + 1,
+            state=state,
+            reported_version=version,
+        )
+
+    def order(self, *rollouts: Rollout) -> list[Rollout]:
+        """A configuration with these roll-outs is in force; returns what `apply_rollouts` does."""
+        self._sequence += 1
+        routes = [
+            {
+                "name": name,
+                "host": "a",
+                "path_prefix": f"/{name}/",
+                "backend": "s",
+                "timeout_ms": TIMEOUT_MS,
+                "target_latency_ms": TARGET_MS,
+                **kind,
+            }
+            for name, kind in KINDS.items()
+        ]
+        document = {"generation": 1, "routes": routes, "services": [{"name": "s"}], ROLLOUTS_KEY: rollouts}
+        update = ConfigUpdate(self._sequence, -1, msgspec.Raw(msgspec.json.encode(document)))
+        plane = self.model.plane
+        assert self.do(lambda: plane.configuration.apply(update))
+        return self.do(lambda: plane.apply_rollouts(self.now_s * 1000.0))
+
+    def wait(self, seconds: float) -> None:
+        """Time goes by, and the timers that are due go off."""
+        self.now_s += seconds
+        self.do(lambda: None)
+
+    def request_at(self, kind: str) -> tuple[Sent, str]:
+        """One more request on a connection of its own, and the upstream that it is at; empty: none."""
+        before = set(self.waiting())
+        sent = self.request(self.client(), kind)
+        at = [one for one in self.waiting() if one not in before]
+        return sent, instance(at[0]) if at else ""
+
+    def report(self) -> RolloutReport | None:
+        """As a new connection to a controller gets it."""
+        found = self.model.plane.rollout_samples.changed_since(0)
+        return msgspec.json.decode(msgspec.json.encode(found["s"]), type=RolloutReport) if found else None
+
+
+def instance(upstream: FakeUpstream) -> str:
+    """The id of the upstream that a request is at."""
+    assert upstream.run is not None
+    return upstream.run.headers["x-target-instance"]
--- /dev/null
+++ b/tests/router/test_rollout_tracks.py
@@ -0,0 +1,380 @@
+"""Which upstreams requests of a service with a roll-out go to, through whole exchanges."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+
+import pytest
+from larkweir_balancing.decision_options import OPTIONS
+from larkweir_balancing.prompt import Prompt
+from larkweir_registry.records import UpstreamState
+
+from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
+from tests.router.rollout_model import (
+    COMPLETED,
+    NEW,
+    NEW_IDS,
+    OLD,
+    OLD_IDS,
+    ROLLED_BACK,
+    RolloutPlay,
+    instance,
+    rollout,
+)
+from tests.router.router_model import KINDS, REPEATABLE, FakeUpstream, Sent, answer_of
+
+DRAWS = 10_000
+AT_ONCE = 10  # more than there are upstreams: idle ones come first
+READY, DRAINING, GONE = UpstreamState.READY, UpstreamState.DRAINING, UpstreamState.GONE
+
+
+@pytest.fixture
+def play() -> Iterator[RolloutPlay]:
+    made = RolloutPlay()
+    yield made
+    made.model.check()
+    made.close()
+
+
+def served_by(play: RolloutPlay, count: int, kind: str = "plain") -> set[str]:
+    """The upstreams that so many requests went to, ten at a time; "" where there was none."""
+    found = set()
+    for _ in range(count // AT_ONCE):
+        found |= {play.request_at(kind)[1] for _ in range(AT_ONCE)}
+        for upstream in play.waiting():
+            play.answer(upstream)
+    return found
+
+
+def at_version(play: RolloutPlay, version: str) -> FakeUpstream:
+    """Requests are sent until one is at that version; the others are answered."""
+    ids = NEW_IDS if version == NEW else OLD_IDS
+    for _ in range(DRAWS):
+        play.request_at("safe")
+        (upstream,) = play.waiting()
+        if instance(upstream) in ids:
+            return upstream
+        play.answer(upstream)
+    raise AssertionError(version)
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.08, 0.5, 0.93, 1.0])
+def test_the_share_of_requests_is_the_weight(weight: float) -> None:
+    drawn = Counter(draw_track(rollout(weight), rng) for rng in [Random(7)] for _ in range(DRAWS))
+    deviation = (weight * (1.0 - weight) / DRAWS) ** 0.5
+    assert abs(drawn[Track.TARGET] / DRAWS - weight) <= 3.5 * deviation
+
+
+@pytest.mark.parametrize("one", [None, rollout(0.0), rollout(1.0), rollout(0.3, ROLLED_BACK)])
+def test_nothing_is_drawn_where_one_track_is_possible(one: object) -> None:
+    rng = Random(1)
+    before = rng.getstate()
+    draw_track(one, rng)  # type: ignore[arg-type]
+    assert rng.getstate() == before
+
+
+def test_the_share_through_exchanges(play: RolloutPlay) -> None:
+    play.order(rollout(0.3))
+    count = 400
+    at = Counter[str]()
+    for _ in range(count):
+        _, id_ = play.request_at("plain")
+        at[id_] += 1
+        play.answer(play.waiting()[0])
+    share = sum(at[id_] for id_ in NEW_IDS) / count
+    assert abs(share - 0.3) <= 3.5 * (0.3 * 0.7 / count) ** 0.5
+    assert set(at) <= {*OLD_IDS, *NEW_IDS}
+
+
+def test_without_a_roll_out_all_upstreams_are_one_track(play: RolloutPlay) -> None:
+    play.order()
+    assert served_by(play, 200) == {*OLD_IDS, *NEW_IDS}
+
+
+def test_a_version_that_has_no_share_yet_gets_nothing(play: RolloutPlay) -> None:
+    play.order(rollout(0.0))
+    assert served_by(play, 200) == set(OLD_IDS)
+
+
+def test_few_upstreams_are_the_canary_and_more_of_them_at_a_larger_weight(play: RolloutPlay) -> None:
+    play.order(rollout(0.4))
+    few = served_by(play, 200) - set(OLD_IDS)
+    assert len(few) == 2
+    play.order(rollout(0.6))
+    assert served_by(play, 200) - set(OLD_IDS) == set(NEW_IDS)
+    play.order(rollout(0.4))
+    assert served_by(play, 200) - set(OLD_IDS) == few
+
+
+def test_at_the_whole_weight_everything_goes_to_the_target(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    assert served_by(play, 200) == set(NEW_IDS)
+
+
+def test_a_completed_roll_out_sends_nothing_to_the_others(play: RolloutPlay) -> None:
+    play.order(rollout(1.0, COMPLETED))
+    assert served_by(play, 200) == set(NEW_IDS)
+
+
+@pytest.mark.parametrize("one", [rollout(0.0), rollout(0.3), rollout(0.9), rollout(0.3, ROLLED_BACK)])
+def test_nothing_else_goes_to_the_target_even_as_a_last_resort(one: object, play: RolloutPlay) -> None:
+    play.order(one)  # type: ignore[arg-type]
+    play.list_upstreams(OLD, OLD_IDS, DRAINING)
+    outcomes = Counter[tuple[int, bool]]()
+    for _ in range(200):
+        sent, at = play.request_at("safe")
+        assert at in ("", *NEW_IDS)
+        if at:
+            play.answer(play.waiting()[0])
+        outcomes[sent.status, bool(at)] += 1
+    assert set(outcomes) <= {(503, False), (200, True)}
+    assert outcomes[200, True] <= 200 * (one.effective_weight + 0.15)  # type: ignore[attr-defined]
+    if not one.effective_weight:  # type: ignore[attr-defined]
+        assert outcomes == {(503, False): 200}
+
+
+def test_after_a_roll_back_nothing_goes_to_the_target(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    served_by(play, 20)
+    play.order(rollout(0.0, ROLLED_BACK))
+    assert served_by(play, 200) == set(OLD_IDS)
+
+
+def test_the_state_in_force_counts_and_not_that_of_the_draw(play: RolloutPlay) -> None:
+    """Drawn for the target, rolled back while a controller places the prefix."""
+    for first, second, is_first, expected in (
+        (Track.TARGET, rollout(0.0, ROLLED_BACK), True, (Track.OTHERS,)),
+        (Track.TARGET, rollout(0.1), True, (Track.TARGET, Track.OTHERS)),
+        (Track.TARGET, rollout(0.1), False, (Track.OTHERS,)),
+        (Track.OTHERS, rollout(0.99), True, (Track.OTHERS,)),
+        (Track.OTHERS, rollout(1.0), True, (Track.TARGET, Track.OTHERS)),
+        (Track.OTHERS, rollout(1.0, COMPLETED), False, (Track.TARGET, Track.OTHERS)),
+        (Track.TARGET, None, True, (Track.OTHERS,)),
+    ):
+        assert allowed_tracks(second, first, is_first=is_first) == expected
+
+
+@pytest.mark.parametrize(
+    "one", [rollout(0.3), rollout(1.0), rollout(1.0, COMPLETED)], ids=["trial", "whole", "completed"]
+)
+def test_the_others_take_what_no_upstream_of_the_target_can(one: object, play: RolloutPlay) -> None:
+    play.order(one)  # type: ignore[arg-type]
+    play.list_upstreams(NEW, NEW_IDS, DRAINING)
+    assert served_by(play, 100) == set(OLD_IDS)
+    play.list_upstreams(NEW, NEW_IDS, GONE)
+    assert served_by(play, 100) == set(OLD_IDS)
+
+
+def test_upstreams_that_come_after_the_order_are_of_their_track() -> None:
+    play = RolloutPlay(new_ids=())
+    play.order(rollout(1.0))
+    assert served_by(play, 50) == set(OLD_IDS)
+    play.list_upstreams(NEW, ("t1",))
+    assert served_by(play, 50) == {"t1"}
+    play.list_upstreams(OLD, OLD_IDS, GONE)
+    assert served_by(play, 50) == {"t1"}
+    play.close()
+
+
+def test_upstreams_that_were_known_before_the_order_change_their_track(play: RolloutPlay) -> None:
+    play.order()
+    held = play.request_at("safe")[0]
+    assert served_by(play, 60) == {*OLD_IDS, *NEW_IDS}
+    play.order(rollout(0.0))
+    assert served_by(play, 60) == set(OLD_IDS)
+    assert held.complete
+
+
+def end_badly(play: RolloutPlay, upstream: FakeUpstream, how: str) -> None:
+    run = upstream.run
+    assert run is not None
+    match how:
+        case "reset":
+            play.do(lambda: upstream.close(in_order=False))
+        case "error":
+            play.answer(upstream, status=500)
+        case "refusal":
+            upstream.begin(answer_of(run, status=503, **{"X-Not-Executed": "1"}), executed=False)
+            play.do(lambda: upstream.send(len(upstream.unsent)))
+
+
+@pytest.mark.parametrize("how", ["reset", "error", "refusal"])
+@pytest.mark.parametrize("weight", [0.3, 0.95])
+def test_a_further_attempt_goes_to_the_others_while_the_target_is_on_trial(
+    how: str, weight: float, play: RolloutPlay
+) -> None:
+    play.order(rollout(weight))
+    for _ in range(20):
+        end_badly(play, at_version(play, NEW), how)
+        (second,) = play.waiting()
+        assert instance(second) in OLD_IDS
+        end_badly(play, second, how)
+        (third,) = play.waiting()
+        assert instance(third) in OLD_IDS
+        play.answer(third)
+
+
+def test_a_failure_at_the_others_is_not_retried_at_the_target(play: RolloutPlay) -> None:
+    play.order(rollout(0.4))
+    for _ in range(20):
+        end_badly(play, at_version(play, OLD), "reset")
+        assert instance(play.waiting()[0]) in OLD_IDS
+        play.answer(play.waiting()[0])
+
+
+def test_a_failed_connection_to_the_target_goes_to_the_others(play: RolloutPlay) -> None:
+    play.order(rollout(0.4))
+    play.model.refusing.update(f"127.0.0.1:{number}" for number in (3, 4, 5))
+    assert served_by(play, 100) == set(OLD_IDS)
+
+
+@pytest.mark.parametrize("one", [rollout(1.0), rollout(1.0, COMPLETED)], ids=["whole", "completed"])
+def test_a_further_attempt_goes_to_the_target_at_the_whole_weight(one: object, play: RolloutPlay) -> None:
+    play.order(one)  # type: ignore[arg-type]
+    sent, first = play.request_at("safe")
+    end_badly(play, play.waiting()[0], "reset")
+    second = instance(play.waiting()[0])
+    assert {first, second} < set(NEW_IDS)
+    play.answer(play.waiting()[0])
+    assert sent.complete
+
+
+def test_a_broken_stream_of_the_target_goes_on_at_the_others(play: RolloutPlay) -> None:
+    play.order(rollout(0.999))
+    sent, at = play.request_at("resumable")
+    assert at in NEW_IDS
+    (upstream,) = play.waiting()
+    run = upstream.run
+    assert run is not None
+    answer = answer_of(run)
+    upstream.begin(answer)
+    play.do(lambda: upstream.send(answer.index(run.event(2)) + len(run.event(2))))
+    end_badly(play, upstream, "reset")
+    (second,) = play.waiting()
+    assert instance(second) in OLD_IDS
+    assert second.run is not None
+    assert second.run.headers["last-event-id"] == "2"
+    play.answer(second)
+    assert sent.complete
+
+
+@pytest.mark.parametrize("kind", sorted(REPEATABLE))
+def test_an_overdue_call_at_the_target_goes_to_the_others(kind: str, play: RolloutPlay) -> None:
+    play.order(rollout(0.999))
+    _, at = play.request_at(kind)
+    assert at in NEW_IDS
+    play.wait(5.0)
+    assert instance(play.waiting()[0]) in OLD_IDS
+    play.answer(play.waiting()[0])
+
+
+def test_an_overdue_call_at_the_target_waits_where_no_other_is_left(play: RolloutPlay) -> None:
+    play.order(rollout(0.999))
+    play.list_upstreams(OLD, OLD_IDS, GONE)
+    sent, at = play.request_at("safe")
+    assert at in NEW_IDS
+    play.wait(5.0)
+    (upstream,) = play.waiting()
+    assert instance(upstream) == at
+    play.answer(upstream)
+    assert sent.complete
+
+
+def test_readiness_and_ejection_are_of_all_tracks(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    upstreams = play.model.plane.upstreams
+    upstreams.set_ejected({"t0", "i0"})
+    assert served_by(play, 50) == {"t1", "t2"}
+    play.list_upstreams(OLD, OLD_IDS, DRAINING)
+    assert upstreams.has_ready
+    play.list_upstreams(NEW, NEW_IDS, DRAINING)
+    assert not upstreams.has_ready
+
+
+def test_an_upstream_that_changes_its_track_keeps_its_requests_in_flight(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    held = {play.request_at("plain")[1] for _ in range(3)}
+    assert held == set(NEW_IDS), "each holds a token until it has a request"
+    play.order(rollout(0.0))
+    play.order(rollout(1.0))
+    selector = play.model.plane.upstreams.selector("s", Track.TARGET)
+    for id_ in NEW_IDS:
+        server = selector._upstreams.server(id_)
+        assert server is not None
+        assert server.other_in_flight == 1
+    for upstream in play.waiting():
+        play.answer(upstream)
+    assert {play.request_at("plain")[1] for _ in range(3)} == set(NEW_IDS), "all are believed idle again"
+    for upstream in play.waiting():
+        play.answer(upstream)
+
+
+def test_the_target_of_a_completed_roll_out_is_the_other_track_of_the_next(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    play.order(rollout(1.0, COMPLETED))
+    selector = play.model.plane.upstreams.selector("s", Track.TARGET)
+    play.order(rollout(0.0, target_version="v3", ordered_unix_ms=2_000.0))
+    assert play.model.plane.upstreams.selector("s", Track.OTHERS) is selector
+    assert served_by(play, 100) == {*OLD_IDS, *NEW_IDS}
+
+
+def test_a_new_track_begins_with_the_learned_prefill_times(play: RolloutPlay) -> None:
+    play.order()
+    upstreams = play.model.plane.upstreams
+    learned = upstreams.selector("s").prefill_time
+    for tokens in range(0, 20_000, 1_000):
+        learned.observe(float(tokens), 80.0 + 0.05 * tokens)
+    play.order(rollout(0.1))
+    found = upstreams.selector("s", Track.TARGET).prefill_time
+    assert found == learned
+    assert found is not learned
+
+
+def test_the_backlog_of_an_engine_is_the_sum_over_the_tracks(play: RolloutPlay) -> None:
+    play.model.plane.is_engine = lambda service: True  # type: ignore[method-assign]
+    upstreams = play.model.plane.upstreams
+    upstreams._is_engine = lambda service: True
+    upstreams._services.clear()
+    play.order()
+    upstreams.selector("s").on_attempt_started("t0", Prompt(tokens=5_000.0), 0.0)
+    play.order(rollout(1.0))
+    upstreams.selector("s", Track.TARGET).on_attempt_started("t0", Prompt(tokens=300.0), 0.0)
+    upstreams.selector("s").on_attempt_started("i0", Prompt(tokens=20.0), 0.0)
+    assert upstreams.own_prefill_backlog() == {"t0": 5_300, "i0": 20}
+
+
+def test_a_version_on_trial_asks_for_no_placement(play: RolloutPlay) -> None:
+    assert OPTIONS.controller_prefix_owners
+    asked: list[str] = []
+
+    def placed(weight: float) -> int:
+        play.order(rollout(weight))
+        asked.clear()
+        for _ in range(20):
+            client = play.client()
+            sent = Sent(f"r{len(play.model.sent)}", "plain")
+            play.model.sent[sent.id] = sent
+            client.queue(sent, b"x", "X-Token-Usage: 6000,10\r\nX-Prompt-Prefix: h:5000,own:1000\r\n")
+            play.do(lambda one=client: one.send(len(one.unread)))  # type: ignore[misc]
+            play.answer(play.waiting()[0])
+        return len(asked)
+
+    plane = play.model.plane
+    plane.is_engine = lambda service: True  # type: ignore[method-assign]
+
+    def note(lookup: object) -> bool:
+        asked.append("one")
+        return False
+
+    plane.prefix_affinity.send_lookup = note
+    assert placed(0.9999) == 0
+    assert placed(0.0) == 20
+    assert placed(1.0) == 20
+
+
+def test_the_tracks_of_each_request_kind_end_as_the_model_wants(play: RolloutPlay) -> None:
+    play.order(rollout(0.5))
+    for kind in KINDS:
+        served_by(play, 10, kind)
