Router: reports what it sees of both tracks of a running roll-out

Need: the controllers judge a version by all routers' answers, and complete a roll-out once nothing is under way at the old upstreams. Change: each attempt that was sent ends with a verdict by its outcome and status (a relayed 500 is a failure, a refusal is no evidence, a deadline only after a fair time); it counts on its route and track, with its first byte and pace. Attempts in flight are counted by version at all times, so those from before the order are known. A pull carries the reports that changed since the last one on its connection.

--- a/larkweir/router/data_plane.py
+++ b/larkweir/router/data_plane.py
@@ -15,6 +15,7 @@
 from larkweir.router.configuration import ConfigurationStore
 from larkweir.router.prefix_affinity import PrefixAffinity
 from larkweir.router.retry_budgets import RetryBudgets
+from larkweir.router.rollout_samples import RolloutSamples
 from larkweir.router.upstream_directory import UpstreamDirectory
 from larkweir.router.upstream_pool import UpstreamPool
 
@@ -53,6 +54,7 @@
         )
         self.prefix_affinity = PrefixAffinity(link_mbps)
         self.outcomes = OutcomeWindow()
+        self.rollout_samples = RolloutSamples()
         self.connections: set[OpenConnection] = set()
         self.stopping = False
         self.error_counts: dict[ErrorKind, int] = dict.fromkeys(ErrorKind, 0)
@@ -73,6 +75,7 @@
         if rollouts == before:
             return []
         self.upstreams.set_rollouts(rollouts, now_ms)
+        self.rollout_samples.set_rollouts(rollouts)
         return [rollout for rollout in rollouts.values() if _has_new_state(rollout, before)]
 
     def count_error(self, kind: ErrorKind) -> None:
--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -221,6 +221,8 @@
         head = ResponseHead(response.status_code, response.headers)
         if self._trace is not None:
             self._trace.on_head(head.status, head.load.decode("latin-1"), self._now_ms())
+        if self._attempt is not None:
+            self._attempt.on_head(head.status)
         started = self._relay.has_started
         found = classify_response(head, admission.route, response_started=started)
         if found is ResponseClass.RETRYABLE_ERROR and not self._take_retry():
@@ -247,7 +249,7 @@
         if self._trace is not None:
             self._trace.on_first_event(self._now_ms())
         if self._attempt is not None:
-            self._attempt.on_first_event()
+            self._attempt.on_event()
         if not self._relay.send(data) and self._attempt is not None:
             self._attempt.pause_reading()
 
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -40,6 +40,7 @@
         self._registry = Registry("")
         self._links = ControllerLinks(settings, self._on_message, self._on_connected, self._on_disconnected)
         self._sent_vectors: dict[str, VersionVector] = {}  # by controller: of the last pull
+        self._reported_samples: dict[str, int] = {}  # by controller: the revision of the last pull
         self._reports = ControllerReports()
         self._router_count = RouterCount()
         self._responded: set[str] = set()  # controllers that have, since this process started
@@ -83,6 +84,7 @@
     def _on_connected(self, connection: Connection) -> None:
         connection.send(Hello(self._ip, NodeRole.ROUTER, self._incarnation))
         self._sent_vectors.pop(connection.node, None)
+        self._reported_samples.pop(connection.node, None)
         self._pull(connection)
 
     def _on_disconnected(self, node: str) -> None:
@@ -96,6 +98,8 @@
         vector = dict(self._registry.vector)
         is_unchanged = self._sent_vectors.get(connection.node) == vector
         self._sent_vectors[connection.node] = vector
+        rollouts = plane.rollout_samples.changed_since(self._reported_samples.get(connection.node, 0))
+        self._reported_samples[connection.node] = plane.rollout_samples.revision
         pull = Pull(
             config_sequence=plane.configuration.sequence,
             vector=None if is_unchanged else vector,
@@ -104,6 +108,7 @@
             queued_prefill_tokens=plane.upstreams.own_prefill_backlog(),
             outcomes=plane.outcomes.failing_upstreams(now_ms),
             records=self._registry.delta({}) if offers_records else [],
+            rollouts=rollouts,
         )
         connection.send(pull)
 
--- /dev/null
+++ b/larkweir/router/rollout_samples.py
@@ -0,0 +1,150 @@
+"""What this router sees of the two tracks of each running roll-out, for the controllers. Pure logic.
+
+Attempts in flight are counted for every version at all times, since a roll-out is not completed before the last one at
+the old upstreams has ended, whenever that began. Everything else is counted from a roll-out's order on.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from larkweir_rollouts.samples import Histogram, RolloutReport, RouteSamples, TrackSamples, bucket_of
+from larkweir_rollouts.state import Rollout
+
+from larkweir.router.answer_verdict import AnswerVerdict
+
+MAX_ROUTES = 64  # of one report
+OTHER_ROUTES = ""  # the name under which further ones are counted together
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """An attempt that has ended.
+
+    Attributes:
+        route: the name of the request's route.
+        upstream: the id of the upstream.
+        verdict: how it counts.
+        first_byte_ms: from the sending of the request to the first byte of the answer's body; None: there was none.
+        pace_ms: mean time between the events of a stream, for other answers from sending to the end; None: unknown.
+    """
+
+    route: str
+    upstream: str
+    verdict: AnswerVerdict
+    first_byte_ms: float | None = None
+    pace_ms: float | None = None
+
+
+@dataclass(slots=True)
+class _Observed:
+    """A running roll-out, and its report. `revision`: of the last change."""
+
+    target_version: str
+    report: RolloutReport
+    revision: int
+
+
+class RolloutSamples:
+    """Owns the reports of the running roll-outs, by service, and the count of attempts in flight."""
+
+    def __init__(self) -> None:
+        """Know no roll-out, and nothing is in flight."""
+        self._in_flight: dict[str, Counter[str]] = {}  # by service: by version of the upstream
+        self._observed: dict[str, _Observed] = {}
+        self._revision = 0  # rises with every change of any report
+
+    def set_rollouts(self, rollouts: Mapping[str, Rollout]) -> None:
+        """Put the roll-outs of another configuration in force: only those that are running are reported."""
+        observed = {}
+        for service, rollout in rollouts.items():
+            if not rollout.is_running:
+                continue
+            known = self._observed.get(service)
+            if known is None or known.report.order_id != rollout.order_id:
+                report = RolloutReport(rollout.order_id)
+                known = _Observed(rollout.target_version, report, self._next_revision())
+            observed[service] = known
+        self._observed = observed
+
+    def on_attempt_started(self, service: str, version: str) -> None:
+        """An upstream of that version was selected; `on_attempt_ended` follows."""
+        self._add_in_flight(service, version, 1)
+
+    def on_attempt_ended(self, service: str, version: str) -> None:
+        """The attempt is over, in whatever way."""
+        self._add_in_flight(service, version, -1)
+
+    def _add_in_flight(self, service: str, version: str, count: int) -> None:
+        versions = self._in_flight.setdefault(service, Counter())
+        versions[version] += count
+        if not versions[version]:
+            del versions[version]
+        observed = self._observed.get(service)
+        if observed is not None:
+            observed.revision = self._next_revision()
+
+    def is_observed(self, service: str) -> bool:
+        """Whether answers of that service count for anything."""
+        return service in self._observed
+
+    def record(self, service: str, version: str, answer: Answer) -> None:
+        """Count an answer of an upstream of that version."""
+        observed = self._observed.get(service)
+        if observed is None or answer.verdict is AnswerVerdict.NO_EVIDENCE:
+            return
+        report = observed.report
+        track = report.target if version == observed.target_version else report.others
+        route = _route_samples(report, track, answer.route)
+        if answer.verdict is AnswerVerdict.FAILED:
+            route.failed += 1
+            failures = track.failures_by_upstream
+            failures[answer.upstream] = failures.get(answer.upstream, 0) + 1
+        else:
+            route.answered += 1
+            _count(route.first_byte, answer.first_byte_ms)
+            _count(route.pace, answer.pace_ms)
+        observed.revision = self._next_revision()
+
+    def _next_revision(self) -> int:
+        self._revision += 1
+        return self._revision
+
+    def changed_since(self, revision: int) -> dict[str, RolloutReport]:
+        """The reports that have changed since `revision` was current; 0 for all of them."""
+        changed = {}
+        for service, observed in self._observed.items():
+            if observed.revision > revision:
+                changed[service] = observed.report
+                self._fill_in_flight(service, observed)
+        return changed
+
+    def _fill_in_flight(self, service: str, observed: _Observed) -> None:
+        versions = self._in_flight.get(service, Counter())
+        at_target = versions.get(observed.target_version, 0)
+        observed.report.target.in_flight = at_target
+        observed.report.others.in_flight = versions.total() - at_target
+
+    @property
+    def revision(self) -> int:
+        """The number of the last change."""
+        return self._revision
+
+
+def _route_samples(report: RolloutReport, track: TrackSamples, route: str) -> RouteSamples:
+    """The samples of a route on a track; those of further routes than `MAX_ROUTES` are counted together."""
+    samples = track.routes.get(route)
+    if samples is not None:
+        return samples
+    known = report.target.routes.keys() | report.others.routes.keys()
+    if route not in known and len(known) >= MAX_ROUTES - 1:
+        route = OTHER_ROUTES
+    return track.routes.setdefault(route, RouteSamples())
+
+
+def _count(histogram: Histogram, duration_ms: float | None) -> None:
+    if duration_ms is not None:
+        bucket = bucket_of(duration_ms)
+        histogram[bucket] = histogram.get(bucket, 0) + 1
--- /dev/null
+++ b/tests/router/test_rollout_samples.py
@@ -0,0 +1,424 @@
+"""What a router reports of the tracks of a roll-out: through whole exchanges, and the reports by themselves."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+import pytest
+from larkweir_registry.records import UpstreamState
+from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples, bucket_of
+from larkweir_rollouts.state import Rollout
+
+from larkweir.router.answer_verdict import DEADLINE_MARGIN_MS, AnswerVerdict
+from larkweir.router.rollout_samples import MAX_ROUTES, OTHER_ROUTES, Answer, RolloutSamples
+from tests.router.rollout_model import (
+    COMPLETED,
+    NEW,
+    OLD,
+    OLD_IDS,
+    ROLLED_BACK,
+    TARGET_MS,
+    TIMEOUT_MS,
+    RolloutPlay,
+    rollout,
+)
+from tests.router.router_model import EVENTS, KINDS, REPEATABLE, STREAMS, FakeUpstream, Sent, answer_of
+
+NEVER_OVERDUE_MS = 10_000_000.0
+ANSWERED, FAILED = AnswerVerdict.ANSWERED, AnswerVerdict.FAILED
+
+
+@pytest.fixture
+def play() -> Iterator[RolloutPlay]:
+    made = RolloutPlay(new_ids=("t0",))
+    yield made
+    made.model.check()
+    assert not any(made.model.plane.rollout_samples._in_flight.values()), "all have ended"
+    made.close()
+
+
+def target(play: RolloutPlay) -> TrackSamples:
+    report = play.report()
+    assert report is not None
+    return report.target
+
+
+def begin(play: RolloutPlay, kind: str = "plain") -> tuple[Sent, FakeUpstream]:
+    """A request that is under way at the one upstream of the target."""
+    sent, at = play.request_at(kind)
+    assert at == "t0"
+    (upstream,) = play.waiting()
+    return sent, upstream
+
+
+def send_all(play: RolloutPlay, upstream: FakeUpstream, answer: bytes, *, executed: bool = True) -> None:
+    upstream.begin(answer, executed=executed)
+    play.do(lambda: upstream.send(len(answer)))
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_an_answer_counts_on_its_route(kind: str, play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play, kind)
+    assert target(play) == TrackSamples(in_flight=1)
+    play.wait(0.03)
+    play.answer(upstream)
+    samples = target(play).routes[kind]
+    assert (samples.answered, samples.failed) == (1, 0)
+    assert samples.first_byte == {bucket_of(30.0): 1}
+    assert samples.pace == {0 if kind in STREAMS else bucket_of(30.0): 1}
+    assert target(play).in_flight == 0
+    report = play.report()
+    assert report is not None
+    assert report.others == TrackSamples()
+
+
+def test_the_pace_of_a_stream_is_the_mean_time_between_its_events(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play, "stream")
+    run = upstream.run
+    assert run is not None
+    answer = answer_of(run)
+    upstream.begin(answer)
+    ends = [answer.index(run.event(number)) + len(run.event(number)) + 2 for number in (1, 2, 3)]
+    done = 0
+    for pause_s, end in zip((0.2, 0.3, 0.5), ends, strict=True):
+        play.wait(pause_s)
+        play.do(lambda count=end - done: upstream.send(count))  # type: ignore[misc]
+        done = end
+    play.do(lambda: upstream.send(len(upstream.unsent)))
+    samples = target(play).routes["stream"]
+    assert samples.first_byte == {bucket_of(200.0): 1}
+    assert samples.pace == {bucket_of(400.0): 1}
+
+
+def test_a_stream_of_two_events_has_no_pace() -> None:
+    play = RolloutPlay(new_ids=("t0",))  # whose stream, shorter than all others, the model does not know
+    play.order(rollout(1.0))
+    _, upstream = begin(play, "stream")
+    assert upstream.run is not None
+    upstream.run.after = EVENTS - 2
+    play.wait(0.03)
+    play.answer(upstream)
+    samples = target(play).routes["stream"]
+    assert samples == RouteSamples(answered=1, first_byte={bucket_of(30.0): 1})
+    play.close()
+
+
+@pytest.mark.parametrize("milliseconds", [0.5, 40.0, 4_000.0])
+def test_slow_answers_are_in_the_right_bucket(milliseconds: float, play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play)
+    play.wait(milliseconds / 1000.0)
+    play.answer(upstream)
+    samples = target(play).routes["plain"]
+    bucket = bucket_of(milliseconds)
+    assert samples.first_byte in ({bucket: 1}, {bucket - 1: 1}, {bucket + 1: 1}), "by the clock's rounding"
+    assert samples.pace == samples.first_byte
+
+
+def test_an_answer_at_the_others_counts_there(play: RolloutPlay) -> None:
+    play.order(rollout(0.0))
+    play.request_at("plain")
+    play.answer(play.waiting()[0])
+    report = play.report()
+    assert report is not None
+    assert report.target == TrackSamples()
+    assert report.others.routes["plain"].answered == 1
+
+
+# Failures
+
+
+def failed(play: RolloutPlay, kind: str = "plain") -> bool:
+    """Whether the one call at the target counts as failed; else it counts for nothing."""
+    track = target(play)
+    if not track.routes:
+        assert not track.failures_by_upstream
+        return False
+    assert track.routes == {kind: RouteSamples(failed=1)}
+    assert track.failures_by_upstream == {"t0": 1}
+    return True
+
+
+def finish_elsewhere(play: RolloutPlay) -> None:
+    for upstream in play.waiting():
+        play.answer(upstream)
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("status", [500, 502])
+def test_a_server_error_is_a_failure_relayed_or_not(kind: str, status: int, play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    sent, upstream = begin(play, kind)
+    play.answer(upstream, status=status)
+    finish_elsewhere(play)
+    assert sent.status == (200 if kind in REPEATABLE else status)
+    assert failed(play, kind)
+
+
+def test_an_error_without_the_guarantee_that_it_has_not_run_is_a_failure(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    sent, upstream = begin(play)
+    play.answer(upstream, status=503)
+    assert sent.status == 502
+    assert failed(play)
+
+
+@pytest.mark.parametrize(
+    ("status", "more"),
+    [
+        (503, {"X-Not-Executed": "1"}),
+        (429, {"X-Not-Executed": "1"}),
+        (408, {"X-Not-Executed": "1"}),
+        (421, {}),
+    ],
+)
+@pytest.mark.parametrize("kind", KINDS)
+def test_refusals_are_no_failures(kind: str, status: int, more: dict[str, str], play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play, kind)
+    assert upstream.run is not None
+    send_all(play, upstream, answer_of(upstream.run, status=status, **more), executed=False)
+    finish_elsewhere(play)
+    assert not failed(play, kind)
+
+
+def test_a_client_error_is_an_answer(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play)
+    play.answer(upstream, status=404)
+    assert target(play).routes["plain"].answered == 1
+
+
+@pytest.mark.parametrize("kind", KINDS)
+@pytest.mark.parametrize("bytes_sent", [0, 20, -3])
+def test_an_answer_that_breaks_off_is_a_failure(kind: str, bytes_sent: int, play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play, kind)
+    assert upstream.run is not None
+    answer = answer_of(upstream.run)
+    upstream.begin(answer)
+    play.do(lambda: upstream.send(bytes_sent % len(answer)))
+    play.do(lambda: upstream.close(in_order=False))
+    finish_elsewhere(play)
+    assert failed(play, kind)
+
+
+@pytest.mark.parametrize("spoil", [b"X-Server-Signature", b"X-Request-Id", b"HTTP/1.1 200"])
+def test_a_spoilt_answer_is_a_failure(spoil: bytes, play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play)
+    assert upstream.run is not None
+    send_all(play, upstream, answer_of(upstream.run).replace(spoil, b"X-Other"))
+    assert failed(play)
+
+
+@pytest.mark.parametrize("state", [UpstreamState.DRAINING, UpstreamState.GONE])
+def test_a_connection_that_ends_with_a_planned_departure_is_no_failure(
+    state: UpstreamState, play: RolloutPlay
+) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play)
+    play.list_upstreams(NEW, ("t0",), state)
+    assert target(play).in_flight == 1
+    play.do(lambda: upstream.close(in_order=False))
+    assert not failed(play)
+    assert target(play).in_flight == 0
+
+
+def test_a_refused_connection_is_no_failure(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    play.model.refusing.add("127.0.0.1:3")
+    _, at = play.request_at("plain")
+    assert at in OLD_IDS
+    finish_elsewhere(play)
+    assert not failed(play)
+
+
+def test_a_silence_that_ends_an_attempt_is_a_failure(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play, "safe")
+    play.wait(2.0 * TARGET_MS / 1000.0)
+    assert not upstream.is_open
+    assert failed(play, "safe")
+    finish_elsewhere(play)
+
+
+def test_a_client_that_disconnects_is_no_failure(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    _, upstream = begin(play)
+    play.wait(0.02)
+    play.do(play.model.clients[-1].close)
+    assert not upstream.is_open
+    assert not failed(play)
+
+
+def with_deadline(play: RolloutPlay, milliseconds: int) -> FakeUpstream:
+    client = play.client()
+    sent = Sent(f"r{len(play.model.sent)}", "plain")
+    play.model.sent[sent.id] = sent
+    client.queue(sent, b"", f"X-Deadline-Ms: {milliseconds}\r\n")
+    play.do(lambda: client.send(len(client.unread)))
+    (upstream,) = play.waiting()
+    return upstream
+
+
+@pytest.mark.parametrize(("deadline_ms", "counts"), [(60, False), (500, True)])
+@pytest.mark.parametrize("client_ends_it", [False, True])
+def test_a_deadline_is_a_failure_after_a_fair_time(
+    deadline_ms: int, counts: bool, client_ends_it: bool, play: RolloutPlay
+) -> None:
+    play.order(rollout(1.0))
+    upstream = with_deadline(play, deadline_ms)
+    if client_ends_it:
+        play.wait((deadline_ms - 1) / 1000.0)
+        play.do(play.model.clients[-1].close)
+    else:
+        play.wait((deadline_ms + 1) / 1000.0)
+    assert not upstream.is_open
+    assert failed(play) is counts
+
+
+def test_a_client_that_leaves_long_before_its_deadline_is_no_failure_however_slow(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    begin(play)
+    play.wait((TIMEOUT_MS - 2.0 * DEADLINE_MARGIN_MS) / 1000.0)
+    play.do(play.model.clients[-1].close)
+    assert not failed(play)
+
+
+# In flight
+
+
+def others_in_flight(play: RolloutPlay) -> int:
+    report = play.report()
+    assert report is not None
+    return report.others.in_flight
+
+
+def test_attempts_that_began_before_the_order_are_in_flight(play: RolloutPlay) -> None:
+    play.order(rollout(0.0, ROLLED_BACK))
+    sent = [play.request_at("plain")[0] for _ in range(3)]
+    play.order(rollout(1.0, ordered_unix_ms=2_000.0))
+    assert others_in_flight(play) == 3
+    assert target(play).in_flight == 0
+    for left in (2, 1, 0):
+        play.answer(play.waiting()[0])
+        assert others_in_flight(play) == left
+    assert all(one.complete for one in sent)
+
+
+def test_every_end_of_an_attempt_at_the_others_is_counted(play: RolloutPlay) -> None:
+    play.order(rollout(0.0))
+    for _ in range(5):
+        play.request_at("plain")
+    assert others_in_flight(play) == 5
+    play.order(rollout(1.0))
+    drained, broken, failing, refusing, answered = play.waiting()
+    play.do(play.model.clients[0].close)  # its client disconnects
+    assert others_in_flight(play) == 4
+    play.do(lambda: broken.close(in_order=False))
+    assert others_in_flight(play) == 3
+    play.answer(failing, status=500)
+    assert others_in_flight(play) == 2
+    play.list_upstreams(OLD, OLD_IDS, UpstreamState.DRAINING)
+    assert others_in_flight(play) == 2
+    play.list_upstreams(OLD, OLD_IDS, UpstreamState.GONE)
+    assert others_in_flight(play) == 2
+    play.do(lambda: refusing.close(in_order=False))
+    assert others_in_flight(play) == 1
+    play.answer(answered)
+    assert others_in_flight(play) == 0
+    assert not drained.is_open
+
+
+def test_an_attempt_that_still_connects_is_in_flight(play: RolloutPlay) -> None:
+    play.order(rollout(0.0))
+    counted: list[int] = []
+    original = play.model.plane.pool.connect
+
+    async def connect(address: str) -> object:
+        counted.append(others_in_flight(play))
+        return await original(address)
+
+    play.model.plane.pool.connect = connect  # type: ignore[method-assign,assignment]
+    play.request_at("plain")
+    finish_elsewhere(play)
+    assert counted == [1]
+
+
+def test_an_upstream_of_the_target_from_before_the_order_is_in_flight_there(play: RolloutPlay) -> None:
+    play.order()
+    at = [play.request_at("plain")[1] for _ in range(3)]
+    assert sorted(at) == ["i0", "i1", "t0"]
+    play.order(rollout(0.5))
+    report = play.report()
+    assert report is not None
+    assert (report.target.in_flight, report.others.in_flight) == (1, 2)
+    finish_elsewhere(play)
+
+
+# Reports
+
+
+def test_only_running_roll_outs_are_reported_and_each_order_begins_anew(play: RolloutPlay) -> None:
+    assert play.report() is None
+    play.order(rollout(1.0))
+    play.answer(begin(play)[1])
+    report = play.report()
+    assert report is not None
+    assert report.order_id == rollout().order_id
+    play.order(rollout(0.9))
+    assert target(play).routes["plain"].answered == 1, "the same order at another weight"
+    again = rollout(1.0, ordered_unix_ms=2_000.0)
+    play.order(again)
+    assert play.report() == RolloutReport(again.order_id)
+    play.order(rollout(1.0, COMPLETED, ordered_unix_ms=2_000.0))
+    assert play.report() is None
+
+
+def test_what_has_not_changed_is_left_out() -> None:
+    samples = RolloutSamples()
+    orders: dict[str, Rollout] = {"s": rollout(0.5), "other": rollout(0.5, service="other")}
+    samples.set_rollouts(orders)
+    assert set(samples.changed_since(0)) == {"s", "other"}
+    known = samples.revision
+    assert samples.changed_since(known) == {}
+    samples.set_rollouts(orders)
+    samples.on_attempt_started("unknown", OLD)
+    assert samples.changed_since(known) == {}
+    samples.on_attempt_started("s", OLD)
+    assert set(samples.changed_since(known)) == {"s"}
+    known = samples.revision
+    samples.record("s", OLD, Answer("r", "i0", ANSWERED, 1.0, 1.0))
+    assert set(samples.changed_since(known)) == {"s"}
+    known = samples.revision
+    samples.record("s", OLD, Answer("r", "i0", AnswerVerdict.NO_EVIDENCE))
+    samples.record("unknown", OLD, Answer("r", "i0", FAILED))
+    assert samples.changed_since(known) == {}
+    samples.on_attempt_ended("s", OLD)
+    assert samples.changed_since(known)["s"].others.in_flight == 0
+    assert set(samples.changed_since(0)) == {"s", "other"}, "whole on a new connection"
+
+
+def test_routes_beyond_the_bound_are_counted_together() -> None:
+    samples = RolloutSamples()
+    samples.set_rollouts({"s": rollout(0.5)})
+    for number in range(3 * MAX_ROUTES):
+        version = (OLD, NEW)[number % 2]
+        samples.record("s", version, Answer(f"r{number}", "i0", ANSWERED, 1.0, 1.0))
+    report = samples.changed_since(0)["s"]
+    names = report.target.routes.keys() | report.others.routes.keys()
+    assert len(names) == MAX_ROUTES
+    assert OTHER_ROUTES in names
+    answered = [route.answered for track in (report.target, report.others) for route in track.routes.values()]
+    assert sum(answered) == 3 * MAX_ROUTES
+
+
+def test_the_states_that_are_worth_a_line(play: RolloutPlay) -> None:
+    assert play.order(rollout(0.1)) == [rollout(0.1)]
+    assert play.order(rollout(0.1)) == []
+    assert play.order(rollout(0.4)) == []
+    assert play.order(rollout(0.4, ROLLED_BACK)) == [rollout(0.4, ROLLED_BACK)]
+    assert play.order() == []
