Tests: roll-outs in a router by random events, over a socket, and in the debug line

Need: the exposure of a bad version and the count of what is in flight have to hold in whatever order things happen. Change: a state machine plays requests, failures, time and states of roll-outs; the lines of a router's pulls are stored (unchanged reports left out, whole again on a new connection); the track in the debug line and the event `rollout`.

--- /dev/null
+++ b/tests/router/test_rollout_machine.py
@@ -0,0 +1,96 @@
+"""Requests, failures and states of a roll-out in any order: what a version on trial is sent, what is in flight."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import invariant, rule
+
+from tests.router.rollout_model import (
+    COMPLETED,
+    NEW,
+    NEW_IDS,
+    OLD,
+    OLD_IDS,
+    ROLLED_BACK,
+    RUNNING,
+    RolloutPlay,
+    rollout,
+)
+from tests.router.test_exchange import ExchangeMachine
+
+STATES = [(RUNNING, weight) for weight in (0.0, 0.3, 0.7, 1.0)] + [(COMPLETED, 1.0), (ROLLED_BACK, 0.0)]
+
+
+class RolloutMachine(ExchangeMachine):
+    """The events of `ExchangeMachine`, and roll-outs between two versions."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.play.close()
+        self.rollouts = RolloutPlay()
+        self.play = self.rollouts
+        self.weight = 0.0  # of the target; no roll-out is in force before the first
+        self.has_rollout = False
+        self.judged: Counter[str] = Counter()  # runs, by id
+
+    @rule(state=st.sampled_from(STATES), order=st.integers(1, 2))
+    def a_roll_out_changes(self, state: tuple[object, float], order: int) -> None:
+        self.has_rollout, self.weight = True, state[1]
+        self.rollouts.order(rollout(state[1], state[0], ordered_unix_ms=1_000.0 * order))  # type: ignore[arg-type]
+
+    @rule()
+    def the_roll_out_is_gone(self) -> None:
+        self.has_rollout = False
+        self.rollouts.order()
+
+    @rule(milliseconds=st.sampled_from([10, 300, 5_000]))
+    def time_goes_by(self, milliseconds: int) -> None:
+        self.rollouts.wait(milliseconds / 1000.0)
+
+    @rule(number=st.integers(1, len(OLD_IDS) + len(NEW_IDS)))
+    def an_upstream_refuses_or_takes_connections(self, number: int) -> None:
+        self.model.refusing ^= {f"127.0.0.1:{number}"}
+
+    @invariant()
+    def only_what_may_goes_to_the_target(self) -> None:
+        for id_, runs in self.model.runs.items():
+            for number in range(self.judged[id_], len(runs)):
+                if runs[number].headers["x-target-instance"] in NEW_IDS and self.has_rollout:
+                    assert self.weight > 0.0, f"{id_} went to a version without a share"
+                    assert self.weight >= 1.0 or number == 0, f"{id_} went to a version on trial again"
+            self.judged[id_] = len(runs)
+
+    @invariant()
+    def what_is_in_flight_is_counted(self) -> None:
+        plane = self.model.plane
+        exchanges = [one._exchange for one in plane.connections if one._exchange is not None]  # type: ignore[attr-defined]
+        attempts = [one._attempt for one in exchanges if one._attempt is not None]
+        found = Counter(NEW if attempt.instance in NEW_IDS else OLD for attempt in attempts)
+        assert plane.rollout_samples._in_flight.get("s", Counter()) == found
+
+    @invariant()
+    def a_report_counts_as_the_states_have_it(self) -> None:
+        report = self.rollouts.report()
+        assert (report is not None) == any(
+            one.is_running for one in self.model.plane.upstreams.rollouts.values()
+        )
+        if report is not None:
+            for track in (report.target, report.others):
+                failed = sum(route.failed for route in track.routes.values())
+                assert failed == sum(track.failures_by_upstream.values())
+                for route in track.routes.values():
+                    assert sum(route.first_byte.values()) <= route.answered
+                    assert sum(route.pace.values()) <= route.answered
+
+    def teardown(self) -> None:
+        super().teardown()
+        assert not any(self.model.plane.rollout_samples._in_flight.values())
+
+
+RolloutMachine.TestCase.settings = settings(
+    max_examples=60, stateful_step_count=40, deadline=None, report_multiple_bugs=False
+)
+TestRolloutMachine = RolloutMachine.TestCase
--- /dev/null
+++ b/tests/router/test_rollout_reports_golden.py
@@ -0,0 +1,195 @@
+"""What a router writes to a controller of a running roll-out, over a socket, against stored lines."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import re
+from typing import Any
+
+import msgspec
+import pytest
+import uvloop
+
+from larkweir.cluster import log
+from larkweir.cluster.messages import Message
+from larkweir.cluster.settings import parse
+from larkweir.router.node import Router
+from tests.router.test_fleet_sync_golden import PING
+from tests.system.loopback import Seen, Upstream, answer, ask
+
+ORDER = '"s":{"order":"v2/1000"'
+WRITTEN = [
+    '{"type":"hello","node":"NODE","kind":"router","life":"LIFE"}',
+    '{"type":"pull","vector":{},"sent_ms":SENT}',
+    # With a roll-out that has all requests.
+    '{"type":"pull","config":3,"vector":{"c/1":2},"sent_ms":SENT,"rollouts":{'
+    + ORDER
+    + ',"target":{"open":0,"routes":{},"failures":{}},"others":{"open":0,"routes":{},"failures":{}}}}}',
+    # Nothing has changed.
+    '{"type":"pull","config":3,"sent_ms":SENT}',
+    # A request is under way at the target.
+    '{"type":"pull","config":3,"sent_ms":SENT,"rollouts":{'
+    + ORDER
+    + ',"target":{"open":1,"routes":{},"failures":{}},"others":{"open":0,"routes":{},"failures":{}}}}}',
+    # It was answered.
+    '{"type":"pull","config":3,"sent_ms":SENT,"rollouts":{'
+    + ORDER
+    + ',"target":{"open":0,"routes":{"plain":[1,0,{BUCKET:1},{BUCKET:1}]},"failures":{}},'
+    '"others":{"open":0,"routes":{},"failures":{}}}}}',
+    # The next one failed.
+    '{"type":"pull","config":3,"sent_ms":SENT,"endings":{"s2":[1,1]},"rollouts":{'
+    + ORDER
+    + ',"target":{"open":0,"routes":{"plain":[1,1,{BUCKET:1},{BUCKET:1}]},"failures":{"s2":1}},'
+    '"others":{"open":0,"routes":{},"failures":{}}}}}',
+    '{"type":"pull","config":3,"sent_ms":SENT,"endings":{"s2":[1,1]}}',
+    # On a new connection.
+    '{"type":"hello","node":"NODE","kind":"router","life":"LIFE"}',
+    '{"type":"pull","config":3,"vector":{"c/1":2},"sent_ms":SENT,"endings":{"s2":[1,1]},"rollouts":{'
+    + ORDER
+    + ',"target":{"open":0,"routes":{"plain":[1,1,{BUCKET:1},{BUCKET:1}]},"failures":{"s2":1}},'
+    '"others":{"open":0,"routes":{},"failures":{}}}}}',
+    # It is completed.
+    '{"type":"pull","config":4,"sent_ms":SENT,"endings":{"s2":[1,1]}}',
+]
+VARIES = {
+    r'"node":"127\.79\.[0-9]+\.2"': '"node":"NODE"',
+    r'"life":"[0-9a-f]{12}"': '"life":"LIFE"',
+    r'"sent_ms":[0-9]+': '"sent_ms":SENT',
+    r'\{"[0-9]+":1\}': "{BUCKET:1}",  # of a duration
+}
+ROLLOUT = {
+    "service": "s",
+    "target_version": "v2",
+    "duration_s": 12.0,
+    "ordered_unix_ms": 1_000.0,
+    "target_weight": 1.0,
+}
+DOCUMENT: dict[str, Any] = {
+    "generation": 3,
+    "routes": [{"name": "plain", "host": "a.example", "path_prefix": "/", "backend": "s"}],
+    "services": [{"name": "s"}],
+    "larkweir_rollouts": [ROLLOUT],
+}
+
+
+class Controller:
+    """A controller whose lines the test writes."""
+
+    def __init__(self) -> None:
+        self.lines: list[str] = []
+        self.received = asyncio.Event()
+        self.writer: asyncio.StreamWriter | None = None
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.writer = writer
+        while line := (await reader.readline()).decode()[:-1]:
+            if line != PING:
+                for varies, name in VARIES.items():
+                    line = re.sub(varies, name, line)
+                self.lines.append(line)
+                self.received.set()
+
+    async def pulled(self, count: int, **delta: Any) -> None:
+        """A pull is answered, and so many lines have come by then."""
+        assert self.writer is not None
+        self.writer.write(msgspec.json.encode({"type": "delta", "vector": {"c/1": 2}, **delta}) + b"\n")
+        await self.until(count)
+
+    async def until(self, count: int) -> None:
+        """So many lines have come."""
+        async with asyncio.timeout(20.0):
+            while len(self.lines) < count:
+                self.received.clear()
+                await self.received.wait()
+        assert self.lines == WRITTEN[:count]
+
+
+def record(id_: str, version: str, address: str, counter: int) -> list[Any]:
+    upstream = {"id": id_, "service": "s", "address": address, "zone": "z", "version": version}
+    return [upstream, "c/1", counter]
+
+
+async def reports(controller: Controller, front: str, old: Upstream, new: Upstream) -> None:
+    """The lines of `WRITTEN` in turn."""
+    await controller.until(2)
+    records = [record("s1", "v1", old.address, 1), record("s2", "v2", new.address, 2)]
+    await controller.pulled(3, config={"sequence": 3, "base": -1, "body": DOCUMENT}, records=records)
+    await controller.pulled(4)
+    arrived = new.behave = Held()
+    pending = asyncio.get_running_loop().create_task(ask(front, "POST", "/x", b"p", X_Request_Id="1"))
+    await arrived.event.wait()
+    await controller.pulled(5)
+    new.writers[-1].write(answer(new.seen[-1]))
+    assert (await pending).status == 200
+    await controller.pulled(6)
+    new.behave = resets
+    assert (await ask(front, "POST", "/x", b"p", X_Request_Id="2")).status == 502
+    await controller.pulled(7)
+    await controller.pulled(8)
+    assert controller.writer is not None
+    controller.writer.close()
+    await controller.until(10)
+    completed = {**DOCUMENT, "larkweir_rollouts": [{**ROLLOUT, "state": "completed"}]}
+    await controller.pulled(11, config={"sequence": 4, "base": -1, "body": completed})
+
+
+class Held:
+    """Does not answer by itself, and says that a request has arrived."""
+
+    def __init__(self) -> None:
+        self.event = asyncio.Event()
+
+    def __call__(self, seen: Seen) -> tuple[bytes, bool]:
+        self.event.set()
+        return b"", False
+
+
+def resets(seen: Seen) -> tuple[bytes, bool]:
+    return b"", True
+
+
+async def scene() -> None:
+    ip = f"127.79.{os.getpid() % 199 + 1}"
+    controller = Controller()
+    server = await asyncio.start_server(controller.serve, f"{ip}.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    old, new = Upstream("s1", f"{ip}.3:{port}", resets), Upstream("s2", f"{ip}.4:{port}", resets)
+    for upstream in (old, new):
+        await upstream.start()
+    settings = {
+        "node": "r",
+        "ip": f"{ip}.2",
+        "zone": "z",
+        "port_range": [port, port],
+        "seeds": [f"{ip}.1:{port}"],
+        "listen": {"front": f"{ip}.2:{port}"},
+    }
+    router = Router(parse(msgspec.json.encode(settings)))
+    running = asyncio.get_running_loop().create_task(router.run())
+    try:
+        await reports(controller, f"{ip}.2:{port}", old, new)
+    finally:
+        router.close()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        for upstream in (old, new):
+            upstream.close()
+        server.close()
+
+
+def test_what_a_router_writes_of_a_roll_out(monkeypatch: pytest.MonkeyPatch) -> None:
+    logged: list[tuple[str, dict[str, Any]]] = []
+    monkeypatch.setattr(log, "event", lambda name, **fields: logged.append((name, fields)))
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:  # as the program itself
+        runner.run(scene())
+    assert [fields for name, fields in logged if name == "rollout"] == [
+        {"service": "s", "target_version": "v2", "state": state, "target_weight": 1.0}
+        for state in ("running", "completed")
+    ]
+
+
+def test_the_lines_are_messages() -> None:
+    for line in WRITTEN:
+        message = line.replace("BUCKET", '"1"').replace("SENT", "1")
+        msgspec.json.decode(message, type=Message)
--- a/tests/router/test_rollout_samples.py
+++ b/tests/router/test_rollout_samples.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Iterator
 
 import pytest
@@ -254,14 +255,28 @@
     assert not failed(play)
 
 
-def with_deadline(play: RolloutPlay, milliseconds: int) -> FakeUpstream:
+def test_what_was_never_sent_is_no_failure(play: RolloutPlay) -> None:
+    play.order(rollout(1.0))
+    accepted = asyncio.Event()
+
+    async def connect(address: str) -> object:
+        await accepted.wait()
+        raise AssertionError(address)
+
+    play.model.plane.pool.connect = connect  # type: ignore[method-assign,assignment]
+    send_with_deadline(play, 500)
+    assert target(play).in_flight == 1
+    play.wait(0.499)
+    play.do(play.model.clients[-1].close)
+    assert not failed(play)
+
+
+def send_with_deadline(play: RolloutPlay, milliseconds: int) -> None:
     client = play.client()
     sent = Sent(f"r{len(play.model.sent)}", "plain")
     play.model.sent[sent.id] = sent
     client.queue(sent, b"", f"X-Deadline-Ms: {milliseconds}\r\n")
     play.do(lambda: client.send(len(client.unread)))
-    (upstream,) = play.waiting()
-    return upstream
 
 
 @pytest.mark.parametrize(("deadline_ms", "counts"), [(60, False), (500, True)])
@@ -270,7 +285,8 @@
     deadline_ms: int, counts: bool, client_ends_it: bool, play: RolloutPlay
 ) -> None:
     play.order(rollout(1.0))
-    upstream = with_deadline(play, deadline_ms)
+    send_with_deadline(play, deadline_ms)
+    (upstream,) = play.waiting()
     if client_ends_it:
         play.wait((deadline_ms - 1) / 1000.0)
         play.do(play.model.clients[-1].close)
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -5,12 +5,15 @@
 from collections import Counter
 from collections.abc import Iterator
 from random import Random
+from typing import Any
 
+import msgspec
 import pytest
 from larkweir_balancing.decision_options import OPTIONS
 from larkweir_balancing.prompt import Prompt
 from larkweir_registry.records import UpstreamState
 
+from larkweir.cluster import log
 from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
 from tests.router.rollout_model import (
     COMPLETED,
@@ -270,6 +273,15 @@
     play.answer(play.waiting()[0])
 
 
+def test_an_overdue_call_at_the_target_goes_to_the_last_of_the_others(play: RolloutPlay) -> None:
+    play.order(rollout(0.999))
+    play.list_upstreams(OLD, ("i0",), GONE)
+    play.request_at("safe")
+    play.wait(5.0)
+    assert instance(play.waiting()[0]) == "i1"
+    play.answer(play.waiting()[0])
+
+
 def test_an_overdue_call_at_the_target_waits_where_no_other_is_left(play: RolloutPlay) -> None:
     play.order(rollout(0.999))
     play.list_upstreams(OLD, OLD_IDS, GONE)
@@ -372,9 +384,28 @@
     assert placed(0.9999) == 0
     assert placed(0.0) == 20
     assert placed(1.0) == 20
+    play.list_upstreams(NEW, NEW_IDS, DRAINING)
+    assert placed(0.9999) == 20, "it goes to the others"
 
 
 def test_the_tracks_of_each_request_kind_end_as_the_model_wants(play: RolloutPlay) -> None:
     play.order(rollout(0.5))
     for kind in KINDS:
         served_by(play, 10, kind)
+
+
+def test_the_debug_line_of_a_request_tells_the_track(
+    play: RolloutPlay, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    lines: list[dict[str, Any]] = []
+    monkeypatch.setattr(log, "is_debug_enabled", lambda: True)
+    monkeypatch.setattr(log, "debug", lambda name, **fields: lines.append({"event": name, **fields}))
+    for one in (None, rollout(0.0), rollout(1.0)):
+        play.order(*(() if one is None else (one,)))
+        served_by(play, AT_ONCE)
+    tracks = [
+        [msgspec.to_builtins(attempt).get("track") for attempt in line["attempts"]]
+        for line in lines
+        if line["event"] == "request"
+    ]
+    assert tracks == [[None]] * AT_ONCE + [["others"]] * AT_ONCE + [["target"]] * AT_ONCE
