--- a/larkweir/router/data_plane.py
+++ b/larkweir/router/data_plane.py
@@ -2,18 +2,20 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import Protocol
 
 from larkweir_balancing.fleet_outlier_detection import OutcomeWindow
 from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.settings import Bounds
 from larkweir.router.answers import ErrorKind
 from larkweir.router.configuration import ConfigurationStore
 from larkweir.router.prefix_affinity import PrefixAffinity
 from larkweir.router.retry_budgets import RetryBudgets
+from larkweir.router.rollout_samples import RolloutSamples
 from larkweir.router.upstream_directory import UpstreamDirectory
 from larkweir.router.upstream_pool import UpstreamPool
 
@@ -52,6 +54,7 @@
         )
         self.prefix_affinity = PrefixAffinity(link_mbps)
         self.outcomes = OutcomeWindow()
+        self.rollout_samples = RolloutSamples()
         self.connections: set[OpenConnection] = set()
         self.stopping = False
         self.error_counts: dict[ErrorKind, int] = dict.fromkeys(ErrorKind, 0)
@@ -64,6 +67,17 @@
         known = table.services.get(service) if table is not None else None
         return known is not None and known.engine is not None
 
+    def apply_rollouts(self, now_ms: float) -> list[Rollout]:
+        """Follow the roll-outs of the configuration in force; returns those that are new or in another state."""
+        table = self.configuration.table
+        rollouts = table.rollouts if table is not None else {}
+        before = self.upstreams.rollouts
+        if rollouts == before:
+            return []
+        self.upstreams.set_rollouts(rollouts, now_ms)
+        self.rollout_samples.set_rollouts(rollouts)
+        return [rollout for rollout in rollouts.values() if _has_new_state(rollout, before)]
+
     def count_error(self, kind: ErrorKind) -> None:
         """Count a response of the router's own."""
         self.error_counts[kind] += 1
@@ -72,3 +86,8 @@
         """How many routers share quotas and retry budgets, this one included."""
         self.quotas.process_count = routers
         self.retry_budgets.set_router_count(routers)
+
+
+def _has_new_state(rollout: Rollout, before: Mapping[str, Rollout]) -> bool:
+    known = before.get(rollout.service)
+    return known is None or (known.order_id, known.state) != (rollout.order_id, rollout.state)
