Router: durations of a roll-out's answers count as soon as they are known

Need: packages/rollouts found in simulation that a slow version is seen late where durations count at the end of an answer. Change: the first byte counts when it arrives, the pace of a stream at its fifth event (a shorter one of three or more: at its end). Errors tell no durations. What an attempt tells moves out of attempt.py into attempt_samples.py.

--- a/larkweir/router/attempt.py
+++ b/larkweir/router/attempt.py
@@ -11,15 +11,13 @@
 
 from larkweir.cluster.tasks import start_task
 from larkweir.router.admission import Admission
-from larkweir.router.answer_verdict import DEADLINE_MARGIN_MS, FAIR_TIME_FACTOR, judge_answer
+from larkweir.router.attempt_samples import AttemptSamples
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.request_trace import RequestTrace
-from larkweir.router.rollout_samples import Answer
 from larkweir.router.upstream_choice import SelectedUpstream
 from larkweir.router.upstream_connection import UpstreamConnection
 
 MIN_ANNOUNCED_TOKENS = 4_000.0  # of prefill, from which other routers are notified at once
-MIN_PACED_EVENTS = 3  # of a stream, that tell the time between its events
 # Outcomes that count for and against an upstream in the fleet's outlier detection; the others are no evidence.
 FAILURES = frozenset((Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.TIMEOUT, Outcome.ERROR))
 SUCCESSES = frozenset((Outcome.OK, Outcome.REJECTED))
@@ -41,22 +39,17 @@
         """
         service, instance = admission.service, selected.id
         self._plane = plane
-        self._route = admission.route
-        self._deadline_ms = admission.deadline_ms
         self._service = service
         self._prompt = prompt
         self._loop = asyncio.get_running_loop()
         self._sent_ms = 0.0
         self._has_token = True
-        self._status = 0
-        self._first_event_ms: float | None = None
-        self._event_count = 0
+        self._has_first_event = False
         self._is_overdue = False
         self._is_reported = False  # the fleet's outlier detection has its outcome
         self._overdue_timer: asyncio.TimerHandle | None = None
         self._connect_task: asyncio.Task[None] | None = None
         self._selector = selected.selector
-        self._version = plane.upstreams.version(instance)
         self.instance = instance
         self.address = plane.upstreams.address(instance)
         self.connection: UpstreamConnection | None = None  # once the request has been sent
@@ -64,7 +57,8 @@
         self.prefill_tokens = self._selector.on_attempt_started(
             instance, prompt, self._now_ms(), is_cached=selected.is_cached
         )
-        plane.rollout_samples.on_attempt_started(service, self._version)
+        version = plane.upstreams.version(instance)
+        self._samples = AttemptSamples(plane.rollout_samples, admission, instance, version)
         is_long = self.prefill_tokens >= MIN_ANNOUNCED_TOKENS
         if OPTIONS.announce_long_prompts and is_long and plane.is_engine(service):
             plane.announce_backlog()
@@ -114,6 +108,7 @@
         """The request goes out on that connection; `on_overdue` is called if no response arrives for too long."""
         self.connection = connection
         self._sent_ms = self._now_ms()
+        self._samples.on_sent(self._sent_ms)
         timeout_ms = self._selector.overdue_after_ms(self._prompt, self.prefill_tokens + self.queued_tokens)
         self._overdue_timer = self._loop.call_later(timeout_ms / 1000.0, self._on_timer, on_overdue)
 
@@ -130,18 +125,19 @@
 
     def on_head(self, status: int) -> None:
         """The head of the response arrived."""
-        self._status = status
+        self._samples.on_head(status)
 
     def on_event(self) -> None:
         """A chunk of the response's body arrived."""
-        self._event_count += 1
-        if self._event_count == 1:
-            self.on_first_event()
+        now_ms = self._now_ms()
+        self._samples.on_event(now_ms)
+        if not self._has_first_event:
+            self._has_first_event = True
+            self.on_first_event(now_ms)
 
-    def on_first_event(self) -> None:
+    def on_first_event(self, now_ms: float) -> None:
         """An engine has prefilled the prompt: its token is returned."""
         self._cancel_timer()
-        now_ms = self._first_event_ms = self._now_ms()
         tokens = self.prefill_tokens + self.queued_tokens
         self._selector.prefill_time.observe(tokens, now_ms - self._sent_ms)
         if self._plane.is_engine(self._service):
@@ -158,36 +154,15 @@
             trace.on_ended(outcome.name)
         self._cancel_timer()
         now_ms = self._now_ms()
-        samples = self._plane.rollout_samples
-        samples.on_attempt_ended(self._service, self._version)
         if self._has_token:
             self._selector.on_attempt_released(self.instance, self.prefill_tokens, now_ms)
         self._selector.on_outcome(self.instance, outcome, now_ms)
+        is_leaving = self._plane.upstreams.is_leaving(self.instance)
+        self._samples.on_ended(outcome, now_ms, is_leaving=is_leaving, is_overdue=self._is_overdue)
         if outcome in FAILURES:
             self._report(failed=True)
         elif outcome in SUCCESSES:
             self._report(failed=False)
-        if self.connection is not None and samples.is_observed(self._service):
-            samples.record(self._service, self._version, self._answer(outcome, now_ms))
-
-    def _answer(self, outcome: Outcome, now_ms: float) -> Answer:
-        """What the end of the call says of the upstream's version."""
-        elapsed_ms = now_ms - self._sent_ms
-        fair_ms = FAIR_TIME_FACTOR * self._route.target_latency_ms
-        verdict = judge_answer(
-            outcome,
-            self._status,
-            is_leaving=self._plane.upstreams.is_leaving(self.instance),
-            is_deadline_over=now_ms >= self._deadline_ms - DEADLINE_MARGIN_MS,
-            has_had_fair_time=self._is_overdue or elapsed_ms > fair_ms,
-        )
-        first_ms, pace_ms = self._first_event_ms, None
-        if not self._route.is_streaming:
-            pace_ms = elapsed_ms
-        elif first_ms is not None and self._event_count >= MIN_PACED_EVENTS:
-            pace_ms = (now_ms - first_ms) / (self._event_count - 1)
-        first_byte_ms = first_ms - self._sent_ms if first_ms is not None else None
-        return Answer(self._route.name, self.instance, verdict, first_byte_ms, pace_ms)
 
     def abort(self, outcome: Outcome, trace: RequestTrace | None) -> None:
         """End the call whatever it waits for, and its connection."""
--- a/larkweir/router/rollout_samples.py
+++ b/larkweir/router/rollout_samples.py
@@ -9,6 +9,7 @@
 from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from larkweir_rollouts.samples import Histogram, RolloutReport, RouteSamples, TrackSamples, bucket_of
 from larkweir_rollouts.state import Rollout
@@ -19,23 +20,20 @@
 OTHER_ROUTES = ""  # the name under which further ones are counted together
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    """An attempt that has ended.
+class SampleKey(NamedTuple):
+    """What an attempt is counted under.
 
     Attributes:
+        service: of the upstream.
+        version: of the upstream; empty where it is not known.
         route: the name of the request's route.
-        upstream: the id of the upstream.
-        verdict: how it counts.
-        first_byte_ms: from the sending of the request to the first byte of the answer's body; None: there was none.
-        pace_ms: mean time between the events of a stream, for other answers from sending to the end; None: unknown.
+        upstream: the upstream's id.
     """
 
+    service: str
+    version: str
     route: str
     upstream: str
-    verdict: AnswerVerdict
-    first_byte_ms: float | None = None
-    pace_ms: float | None = None
 
 
 @dataclass(slots=True)
@@ -47,6 +45,11 @@
     revision: int
 
 
+class _Counted(NamedTuple):
+    track: TrackSamples
+    route: RouteSamples
+
+
 class RolloutSamples:
     """Owns the reports of the running roll-outs, by service, and the count of attempts in flight."""
 
@@ -69,44 +72,58 @@
             observed[service] = known
         self._observed = observed
 
-    def on_attempt_started(self, service: str, version: str) -> None:
-        """An upstream of that version was selected; `on_attempt_ended` follows."""
-        self._add_in_flight(service, version, 1)
+    def on_attempt_started(self, key: SampleKey) -> None:
+        """An upstream was selected; `on_attempt_ended` follows."""
+        self._add_in_flight(key, 1)
 
-    def on_attempt_ended(self, service: str, version: str) -> None:
+    def on_attempt_ended(self, key: SampleKey) -> None:
         """The attempt is over, in whatever way."""
-        self._add_in_flight(service, version, -1)
-
-    def _add_in_flight(self, service: str, version: str, count: int) -> None:
-        versions = self._in_flight.setdefault(service, Counter())
-        versions[version] += count
-        if not versions[version]:
-            del versions[version]
-        observed = self._observed.get(service)
+        self._add_in_flight(key, -1)
+
+    def _add_in_flight(self, key: SampleKey, count: int) -> None:
+        versions = self._in_flight.setdefault(key.service, Counter())
+        versions[key.version] += count
+        if not versions[key.version]:
+            del versions[key.version]
+        observed = self._observed.get(key.service)
         if observed is not None:
             observed.revision = self._next_revision()
 
-    def is_observed(self, service: str) -> bool:
-        """Whether answers of that service count for anything."""
-        return service in self._observed
-
-    def record(self, service: str, version: str, answer: Answer) -> None:
-        """Count an answer of an upstream of that version."""
-        observed = self._observed.get(service)
-        if observed is None or answer.verdict is AnswerVerdict.NO_EVIDENCE:
+    def record_first_byte(self, key: SampleKey, duration_ms: float) -> None:
+        """The body of an answer began, so long after the request was sent."""
+        counted = self._counted(key)
+        if counted is not None:
+            _count(counted.route.first_byte, duration_ms)
+
+    def record_pace(self, key: SampleKey, duration_ms: float) -> None:
+        """The events of a stream come so far apart; or another answer was complete, so long after it was sent."""
+        counted = self._counted(key)
+        if counted is not None:
+            _count(counted.route.pace, duration_ms)
+
+    def record_verdict(self, key: SampleKey, verdict: AnswerVerdict) -> None:
+        """An attempt that was sent is over."""
+        if verdict is AnswerVerdict.NO_EVIDENCE:
             return
-        report = observed.report
-        track = report.target if version == observed.target_version else report.others
-        route = _route_samples(report, track, answer.route)
-        if answer.verdict is AnswerVerdict.FAILED:
-            route.failed += 1
-            failures = track.failures_by_upstream
-            failures[answer.upstream] = failures.get(answer.upstream, 0) + 1
+        counted = self._counted(key)
+        if counted is None:
+            return
+        if verdict is AnswerVerdict.ANSWERED:
+            counted.route.answered += 1
         else:
-            route.answered += 1
-            _count(route.first_byte, answer.first_byte_ms)
-            _count(route.pace, answer.pace_ms)
+            counted.route.failed += 1
+            failures = counted.track.failures_by_upstream
+            failures[key.upstream] = failures.get(key.upstream, 0) + 1
+
+    def _counted(self, key: SampleKey) -> _Counted | None:
+        """Where a sample is to be counted, which is then a change; None where its service has no running roll-out."""
+        observed = self._observed.get(key.service)
+        if observed is None:
+            return None
         observed.revision = self._next_revision()
+        report = observed.report
+        track = report.target if key.version == observed.target_version else report.others
+        return _Counted(track, _route_samples(report, track, key.route))
 
     def _next_revision(self) -> int:
         self._revision += 1
@@ -144,7 +161,6 @@
     return track.routes.setdefault(route, RouteSamples())
 
 
-def _count(histogram: Histogram, duration_ms: float | None) -> None:
-    if duration_ms is not None:
-        bucket = bucket_of(duration_ms)
-        histogram[bucket] = histogram.get(bucket, 0) + 1
+def _count(histogram: Histogram, duration_ms: float) -> None:
+    bucket = bucket_of(duration_ms)
+    histogram[bucket] = histogram.get(bucket, 0) + 1
--- /dev/null
+++ b/tests/router/test_attempt_samples.py
@@ -0,0 +1,102 @@
+"""When the durations of an attempt are counted."""
+
+from __future__ import annotations
+
+import pytest
+from larkweir_balancing.interface import Outcome
+from larkweir_rollouts.samples import RouteSamples, bucket_of
+
+from larkweir.router.admission import Admission
+from larkweir.router.attempt_samples import MIN_PACED_EVENTS, PACED_EVENTS, AttemptSamples
+from larkweir.router.configuration import Route
+from larkweir.router.rollout_samples import RolloutSamples
+from tests.router.rollout_model import NEW, rollout
+
+SENT_MS = 1_000.0
+PAUSE_MS = 40.0
+
+
+class Scene:
+    """One attempt at the target version."""
+
+    def __init__(self, kind: str = "streaming") -> None:
+        self.samples = RolloutSamples()
+        self.samples.set_rollouts({"s": rollout(1.0)})
+        route = Route("r", "a", "/", kind=kind, target_latency_ms=100.0)
+        admission = Admission(route, "s", SENT_MS + 100_000.0, None, None)
+        self.attempt = AttemptSamples(self.samples, admission, "t0", NEW)
+
+    def send(self) -> None:
+        self.attempt.on_sent(SENT_MS)
+        self.attempt.on_head(200)
+
+    def events(self, first: int, last: int) -> None:
+        """Each `PAUSE_MS` behind the one before."""
+        for number in range(first, last + 1):
+            self.attempt.on_event(SENT_MS + number * PAUSE_MS)
+
+    def end(self, outcome: Outcome, after_ms: float) -> None:
+        self.attempt.on_ended(outcome, SENT_MS + after_ms, is_leaving=False, is_overdue=False)
+
+    @property
+    def route(self) -> RouteSamples:
+        return self.samples.changed_since(0)["s"].target.routes.get("r", RouteSamples())
+
+
+def test_the_pace_of_a_stream_counts_once_its_first_events_have_come() -> None:
+    scene = Scene()
+    scene.send()
+    scene.events(1, PACED_EVENTS - 1)
+    assert scene.route == RouteSamples(first_byte={bucket_of(PAUSE_MS): 1})
+    scene.events(PACED_EVENTS, PACED_EVENTS)
+    assert scene.route.pace == {bucket_of(PAUSE_MS): 1}
+    scene.events(PACED_EVENTS + 1, 4 * PACED_EVENTS)
+    scene.end(Outcome.OK, 90_000.0)
+    assert scene.route == RouteSamples(1, 0, {bucket_of(PAUSE_MS): 1}, {bucket_of(PAUSE_MS): 1})
+
+
+@pytest.mark.parametrize("events", range(1, PACED_EVENTS))
+def test_the_pace_of_a_short_stream_counts_at_its_end(events: int) -> None:
+    scene = Scene()
+    scene.send()
+    scene.events(1, events)
+    assert not scene.route.pace
+    scene.end(Outcome.OK, events * PAUSE_MS)
+    assert scene.route.pace == ({bucket_of(PAUSE_MS): 1} if events >= MIN_PACED_EVENTS else {})
+
+
+@pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.CANCELLED])
+def test_what_is_known_of_an_answer_counts_though_it_is_not_complete(outcome: Outcome) -> None:
+    scene = Scene()
+    scene.send()
+    scene.events(1, PACED_EVENTS)
+    scene.end(outcome, 1_000.0)
+    assert scene.route == RouteSamples(
+        0, int(outcome is Outcome.RESET), {bucket_of(PAUSE_MS): 1}, {bucket_of(PAUSE_MS): 1}
+    )
+
+
+def test_an_answer_that_is_no_stream_counts_its_whole_time_at_its_end() -> None:
+    scene = Scene("idempotent")
+    scene.send()
+    scene.events(1, 2 * PACED_EVENTS)
+    assert scene.route == RouteSamples(first_byte={bucket_of(PAUSE_MS): 1})
+    scene.end(Outcome.OK, 900.0)
+    assert scene.route == RouteSamples(1, 0, {bucket_of(PAUSE_MS): 1}, {bucket_of(900.0): 1})
+
+
+def test_errors_tell_no_durations() -> None:
+    scene = Scene()
+    scene.attempt.on_sent(SENT_MS)
+    scene.attempt.on_head(500)
+    scene.events(1, 2 * PACED_EVENTS)
+    scene.end(Outcome.OK, 900.0)
+    assert scene.route == RouteSamples(failed=1)
+
+
+def test_what_was_not_sent_counts_as_in_flight_alone() -> None:
+    scene = Scene()
+    assert scene.samples.changed_since(0)["s"].target.in_flight == 1
+    scene.end(Outcome.CONNECT_FAILED, 0.0)
+    assert scene.samples.changed_since(0)["s"].target.in_flight == 0
+    assert scene.route == RouteSamples()
