Logs: size, sender and time of a configuration at a router, and of its validation

Which of three makes a change late (bytes on a small link, validation at the primary, indexing at the router) could not be told from the logs: `configuration` had the version alone. Now it has the bytes, the sender, what it builds on and the milliseconds of decoding and indexing; copies that came too late are logged while debugging (`configuration_ignored`); controllers log `change_evaluated`.

--- a/larkweir/controller/replica_driver.py
+++ b/larkweir/controller/replica_driver.py
@@ -8,6 +8,7 @@
 import os
 from collections.abc import Callable, Iterable
 from random import Random
+from time import perf_counter
 
 from larkweir_replication.effects import (
     CommandFinished,
@@ -22,6 +23,7 @@
 from larkweir_replication.messages import Command, Message, Snapshot
 from larkweir_replication.replica import Replica
 from larkweir_replication.timing import Timing
+from result import Err, Result
 
 from larkweir.cluster import log
 from larkweir.cluster.configuration.changes import Rejection, apply_change
@@ -165,7 +167,7 @@
 def _create_replica(settings: Settings, journal: Journal, *, is_first_start: bool) -> Replica:
     return Replica(
         settings.ip,
-        apply_change,
+        _evaluate_change,
         Random(),
         now_ms(),
         stored_state=journal.newest,
@@ -177,6 +179,19 @@
     )
 
 
+def _evaluate_change(value: str, change: str) -> Result[str, object]:
+    started_s = perf_counter()
+    result = apply_change(value, change)
+    rejection = result.unwrap_err() if isinstance(result, Err) else None
+    log.event(
+        "change_evaluated",
+        bytes=len(change),
+        took_ms=round(1000.0 * (perf_counter() - started_s), 1),
+        rejected=rejection.detail if isinstance(rejection, Rejection) else None,
+    )
+    return result
+
+
 def _timing(grace_s: float) -> Timing:
     """Durations of the group; a planned end is over before the platform kills the process after `grace_s` seconds."""
     timing = Timing()
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from time import perf_counter
 
 from larkweir_registry.records import VersionVector
 from larkweir_registry.registry import Registry
@@ -11,6 +12,7 @@
 from larkweir.cluster import log
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import (
+    ConfigUpdate,
     Delta,
     Hello,
     Message,
@@ -116,8 +118,8 @@
     def _on_delta(self, connection: Connection, delta: Delta) -> None:
         """Take over what this router lacked, and pull again."""
         plane, node, now_ms = self._plane, connection.node, self._now_ms()
-        if delta.config is not None and plane.configuration.apply(delta.config):
-            self._on_configuration_changed()
+        if delta.config is not None:
+            self._receive_configuration(node, delta.config)
         changed = self._registry.merge(delta.records, delta.vector, now_ms)
         if changed:
             plane.upstreams.update(changed, now_ms)
@@ -131,10 +133,22 @@
         self._responded.add(node)
         self._pull(connection, offers_records=delta.wants_records)
 
-    def _on_configuration_changed(self) -> None:
-        table = self._plane.configuration.table
+    def _receive_configuration(self, node: str, update: ConfigUpdate) -> None:
+        store, started_s, size = self._plane.configuration, perf_counter(), len(bytes(update.body))
+        if not store.apply(update):
+            log.debug("configuration_ignored", sequence=update.sequence, bytes=size, sender=node)
+            return
+        table = store.table
         assert table is not None
         self._plane.quotas.set_limits(table.quotas)
         if self._configured_ms is None:
             self._configured_ms = self._now_ms()
-        log.event("configuration", version=table.version, sequence=self._plane.configuration.sequence)
+        log.event(
+            "configuration",
+            version=table.version,
+            sequence=store.sequence,
+            base=update.base_sequence,
+            bytes=size,
+            sender=node,
+            applied_ms=round(1000.0 * (perf_counter() - started_s), 1),
+        )
