Test: a change of many routes comes to a router five times (fails)

Five controllers each send a router the whole patch of 1,400 routes: 1,644,630 bytes for a change of 328,822, 2.6 s of a link of 5 Mbit/s, where it is to be in force within 2.5 s.

--- /dev/null
+++ b/tests/system/test_large_change.py
@@ -0,0 +1,97 @@
+"""A change of many routes reaches a router over a small link while it still serves requests over the same link."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from larkweir.cluster.links import Connection
+from tests.system.loopback import Fleet, ask, play
+from tests.system.test_fleet import configuration
+
+CONTROLLERS = 5
+ROUTES = 1_400  # that one change adds
+LINK_BYTES_PER_S = 5_000_000 / 8
+MAX_TRANSFER_S = 1.25  # half of the time in which a change is to be in force: requests use the link too
+
+
+def routes(count: int) -> list[dict[str, Any]]:
+    """Routes with the fields of an operator's, named and placed by chance."""
+    rng = random.Random(69)
+    names = rng.sample(range(36**5, 36**6), count)
+    return [
+        {
+            "name": f"r-{name:x}",
+            "host": "a.example",
+            "path_prefix": f"/{rng.randrange(16**7):x}/",
+            "kind": "streaming",
+            "timeout_ms": 8000,
+            "target_latency_ms": 800,
+            "priority": 0,
+            "backend": "s",
+            "max_attempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gap_aim_ms": 250,
+        }
+        for name in names
+    ]
+
+
+@pytest.fixture
+def received(monkeypatch: pytest.MonkeyPatch) -> Counter[Connection]:
+    """Bytes by connection between processes of the fleet, at the receiving end."""
+    counts: Counter[Connection] = Counter()
+    data_received = Connection.data_received
+
+    def counted(connection: Connection, data: bytes) -> None:
+        counts[connection] += len(data)
+        data_received(connection, data)
+
+    monkeypatch.setattr(Connection, "data_received", counted)
+    return counts
+
+
+def test_a_change_of_many_routes_is_not_sent_over_a_small_link_by_every_controller_whole(
+    tmp_path: Path, received: Counter[Connection]
+) -> None:
+    async def scene(fleet: Fleet) -> None:
+        front = fleet.fronts[0]
+
+        async def is_in_force_everywhere() -> bool:
+            """At the router, by what it tells each controller."""
+            await ask(fleet.control[0], "GET", "/status")
+            controllers = [fleet.nodes[address] for address in fleet.control]
+            newest = max(one._state.configuration.sequence for one in controllers)
+            known = [list(one._subscriptions.router_sequences().values()) for one in controllers]
+            return newest >= 0 and known == [[newest]] * CONTROLLERS
+
+        assert (await fleet.put(configuration(1), 0)).status == 200
+        await fleet.until(is_in_force_everywhere)
+        received.clear()
+        added = routes(ROUTES)
+        patch = {"generation": 2, "upsert": {"routes": added}}
+        assert (await fleet.put(patch, 1, "PATCH")).status == 200
+        await fleet.until(is_in_force_everywhere)
+
+        router = fleet.nodes[front]
+        table = router._plane.configuration.table
+        assert table.version == 2
+        for route in added:
+            assert table.find_route("a.example", route["path_prefix"] + "x").name == route["name"]
+        at_router = sum(
+            count
+            for connection, count in received.items()
+            if any(link.connection is connection for link in router._sync._links._links.values())
+        )
+        assert at_router > 0
+        size = len(msgspec.json.encode(patch))
+        assert at_router / LINK_BYTES_PER_S < MAX_TRANSFER_S, f"{at_router} bytes for a change of {size}"
+
+    play(tmp_path, scene, controllers=CONTROLLERS, routers=1, tolerance=2)
