Test: after a change of the members controllers and routers disagree on versions (fails)

The group commits its present value under a new sequence when its members change. Controllers drop that as equal, one that joins knows no other number, and routers take its whole document under the new one.

--- a/tests/controller/test_configuration_history.py
+++ b/tests/controller/test_configuration_history.py
@@ -74,3 +74,23 @@
     assert dropped.base_sequence == -1
     assert retained is not None
     assert retained.base_sequence == 2
+
+
+def test_a_change_of_the_members_alone_is_a_version_that_patches_go_from_and_to(
+    history: ConfigurationHistory,
+) -> None:
+    """The group commits its present value under a new sequence, under which a controller that joins now knows it."""
+    history.add(4, version(3))
+    unchanged = history.update_from(3)
+    assert unchanged is not None
+    assert (unchanged.sequence, unchanged.base_sequence) == (4, 3)
+    assert msgspec.json.decode(unchanged.body) == {"upsert": {}, "remove": {}}
+
+    joined = ConfigurationHistory()
+    joined.add(4, version(3))
+    assert joined.update_from(history.sequence) is None
+    for controller in (history, joined):
+        controller.add(5, version(5))
+        update = controller.update_from(4)
+        assert update is not None
+        assert (update.sequence, update.base_sequence) == (5, 4)
