--- a/tests/system/test_own_days.py
+++ b/tests/system/test_own_days.py
@@ -7,12 +7,12 @@
 
 from benchmarks.fleet_days import DAYS, Played, read
 
-# As the platform's bench lists them, but for `big_config`, which a grown deployment's own days have.
+# As the platform's bench lists them.
 KINDS = """
 burst hot_key hot_tenant srv_crash release answer_lost garble node_kill roll_term herd_kill replace_core seed_turnover
 after_ack_wipe disk_slow disk_full clock_step core_cut node_cut config_change config_storm config_race bad_config
 ack_lost revoke retry_abuse give_up srv_slow srv_grey srv_cut replace_with_reuse scale_out scale_in node_freeze
-node_slow after_ack_kill disk_stall hup reset_conns srv_lying_health srv_flap
+node_slow after_ack_kill disk_stall hup reset_conns srv_lying_health srv_flap big_config
 """.split()
 
 REPORT = """\
