--- a/larkweir/cluster/configuration/compression.py
+++ b/larkweir/cluster/configuration/compression.py
@@ -10,6 +10,7 @@
 from larkweir.cluster.messages import MAX_LINE_BYTES, CompressedConfigUpdate, ConfigUpdate
 
 DEFLATE = "deflate"  # zlib's format (RFC 1950), as the name stands for in HTTP
+LEVEL = zlib.Z_BEST_SPEED  # the event loop waits for it, and a list of routes shrinks hardly less
 
 
 class CompressionError(LarkweirError, ValueError):
@@ -18,7 +19,8 @@
 
 def compress(update: ConfigUpdate) -> CompressedConfigUpdate:
     """Return an update with its body compressed."""
-    return CompressedConfigUpdate(update.sequence, update.base_sequence, zlib.compress(bytes(update.body)))
+    body = zlib.compress(bytes(update.body), LEVEL)
+    return CompressedConfigUpdate(update.sequence, update.base_sequence, body)
 
 
 def decompress(update: CompressedConfigUpdate) -> ConfigUpdate:
