--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import secrets
+from time import perf_counter
 
 from larkweir_registry.records import VersionVector
 from larkweir_registry.registry import Registry
 
 from larkweir.cluster import log
+from larkweir.cluster.configuration.compression import DEFLATE, CompressionError, decompress
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import (
+    ConfigUpdate,
     Delta,
     Hello,
     Message,
@@ -92,7 +95,9 @@
             self._plane.upstreams.set_ejected(self._reports.ejected())
         log.debug("link_lost", to=node)
 
-    def _pull(self, connection: Connection, *, offers_records: bool = False) -> None:
+    def _pull(
+        self, connection: Connection, *, offers_records: bool = False, names_encodings: bool = False
+    ) -> None:
         plane, now_ms = self._plane, self._now_ms()
         usage = plane.quotas.usage(connection.node, now_ms)
         vector = dict(self._registry.vector)
@@ -109,6 +114,7 @@
             outcomes=plane.outcomes.failing_upstreams(now_ms),
             records=self._registry.delta({}) if offers_records else [],
             rollouts=rollouts,
+            encodings=[DEFLATE] if names_encodings else [],
         )
         connection.send(pull)
 
@@ -121,8 +127,15 @@
     def _on_delta(self, connection: Connection, delta: Delta) -> None:
         """Take over what this router lacked, and pull again."""
         plane, node, now_ms = self._plane, connection.node, self._now_ms()
-        if delta.config is not None and plane.configuration.apply(delta.config):
-            self._on_configuration_changed()
+        if delta.config is not None:
+            self._receive_configuration(node, delta.config, len(bytes(delta.config.body)))
+        elif delta.compressed_config is not None:
+            try:
+                update = decompress(delta.compressed_config)
+            except CompressionError:
+                connection.close()
+                return
+            self._receive_configuration(node, update, len(delta.compressed_config.body))
         changed = self._registry.merge(delta.records, delta.vector, now_ms)
         if changed:
             plane.upstreams.update(changed, now_ms)
@@ -134,16 +147,29 @@
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
         self._responded.add(node)
-        self._pull(connection, offers_records=delta.wants_records)
-
-    def _on_configuration_changed(self) -> None:
-        table = self._plane.configuration.table
+        self._pull(connection, offers_records=delta.wants_records, names_encodings=delta.wants_encodings)
+
+    def _receive_configuration(self, node: str, update: ConfigUpdate, received_bytes: int) -> None:
+        """`received_bytes`: of its body, as it was sent."""
+        store, started_s = self._plane.configuration, perf_counter()
+        if not store.apply(update):
+            log.debug("configuration_ignored", sequence=update.sequence, bytes=received_bytes, sender=node)
+            return
+        table = store.table
         assert table is not None
         self._plane.quotas.set_limits(table.quotas)
         now_ms = self._now_ms()
         if self._configured_ms is None:
             self._configured_ms = now_ms
-        log.event("configuration", version=table.version, sequence=self._plane.configuration.sequence)
+        log.event(
+            "configuration",
+            version=table.version,
+            sequence=store.sequence,
+            base=update.base_sequence,
+            bytes=received_bytes,
+            sender=node,
+            applied_ms=round(1000.0 * (perf_counter() - started_s), 1),
+        )
         for rollout in self._plane.apply_rollouts(now_ms):
             log.event(
                 "rollout",
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -22,6 +22,7 @@
 from larkweir.cluster.configuration.documents import apply_patch, make_patch
 from larkweir.cluster.configuration.rollout_commands import RolloutAbort, replicated_command
 from larkweir.cluster.messages import (
+    CompressedConfigUpdate,
     ConfigUpdate,
     Delta,
     HeartbeatReport,
@@ -83,6 +84,9 @@
     Delta(records=[Record(VERSIONED_UPSTREAM, "10.0.0.2/0f", 9)]),
     Pull(14, rollouts={"chat": RolloutReport("v2/1764771837000", TARGET, TrackSamples(3))}),
     PrimaryRequest(8, replicated_command(RolloutAbort("chat"))),
+    Pull(3, encodings=["deflate"]),
+    Delta(wants_encodings=True),
+    Delta(compressed_config=CompressedConfigUpdate(13, 12, b"deflated")),
 ]
 
 
