--- a/packages/rollouts/tests/rollout_curves.py
+++ b/packages/rollouts/tests/rollout_curves.py
@@ -46,8 +46,8 @@
         sends.append(result.target_sends)
     count = len(sends)
     median_bad, median_sends = statistics.median(bad_answers), statistics.median(sends)
-    holds = "" if version.is_good else f"{within / count:.1%}"
-    shares = f"{rolled_back / count:.1%} | {holds}"
+    exposure = "" if version.is_good else f"{within / count:.1%}"
+    shares = f"{rolled_back / count:.1%} | {exposure}"
     return f"| {name} | {count} | {shares} | {median_bad:.0f} | {median_sends:.0f} |"
 
 
--- a/packages/rollouts/tests/rollout_fleet.py
+++ b/packages/rollouts/tests/rollout_fleet.py
@@ -45,14 +45,14 @@
     """One router: what it knows of the roll-out, and what it has counted of it."""
 
     name: str
-    life: int = 0
+    restarts: int = 0
     weight: float = 0.0
     is_in_touch: bool = True
     report: RolloutReport = field(default_factory=lambda: RolloutReport(""))
 
     @property
     def incarnation(self) -> str:
-        return f"{self.name}/{self.life}"
+        return f"{self.name}/{self.restarts}"
 
 
 @dataclass
--- a/packages/rollouts/tests/rollout_simulation.py
+++ b/packages/rollouts/tests/rollout_simulation.py
@@ -314,7 +314,7 @@
             self.in_flight.discard(request)
             self.open_at[request.upstream] -= 1
         self.pool.disconnected(router.incarnation)
-        router.life += 1
+        router.restarts += 1
         router.report = RolloutReport(self.order.order_id)
 
     def _order_again(self, disturbance: Disturbance) -> None:
