Quotas: tables that come back without history take over what routers know

Cause: (1) a usage table that starts hands out half a burst anew, on top of what was used just before; (2) a router that had not admitted a tenant of late was told nothing of it, so that its first request was admitted by the isolated part although controllers were in reach; (3) before a bucket is first empty nothing staggered the routers that see the same level. A table younger than 5 s sums equal parts of them in place of the half burst, and refills by the fraction of routers that are back. (2) Answers list tenants of which less than a third of the burst is left, asked or not; a router assumes that much of a tenant that is not listed. (3) The stagger holds for every tenant, for one that is not oversubscribed within what was used of late. A process alone is not rounded: its debt is the only one (golden test over_quota). Messages of the version before are read and written as before: the field is left out by default.

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -11,7 +11,7 @@
 from typing import Annotated
 
 import msgspec
-from larkweir_quotas.limits import QuotaStatus, Units
+from larkweir_quotas.limits import QuotaSnapshot, QuotaStatus, Units
 from larkweir_registry.records import MAX_COUNTER, Counter, Record, VersionVector
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
@@ -68,6 +68,7 @@
         records: all that the sender knows of upstreams, where the last delta on this connection asked for them.
         rollouts: by service with a running roll-out, what the sender has seen of it;
             a service is left out where nothing has changed since the last pull on this connection.
+        quota_snapshot: what the sender knows of tenants' quotas, in the first pull on a connection.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -78,6 +79,7 @@
     outcomes: Mapping[str, tuple[Count, Count]] = msgspec.field(default_factory=dict, name="endings")
     records: list[Record] = []
     rollouts: dict[str, RolloutReport] = {}
+    quota_snapshot: QuotaSnapshot | None = None
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
@@ -109,7 +111,7 @@
         vector: what the receiver has seen once it has merged them.
         controllers: the nodes of all known controllers; empty where they are as in the last delta on this connection.
         router_count: routers that are connected to the sender.
-        quotas: the status of the tenants in `Pull.usage`.
+        quotas: the status of the tenants in `Pull.usage`, and of those of which little is left.
         queued_prefill_tokens: by engine, of the busiest engines, prompt tokens of all other routers that wait there.
         ejected: upstreams that are to be left out; None where they are as in the last delta on this connection.
         wants_records: the sender has lost its records of upstreams: the next pull is to offer those of the receiver.
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -161,7 +161,7 @@
             },
             controllers=controllers if controllers != subscriber.sent_controllers else [],
             router_count=max(1, self._subscriptions.router_count),
-            quotas=state.quotas.statuses(pull, now_ms()),
+            quotas=state.quotas.statuses(pull, now_ms()) if is_router else {},
             queued_prefill_tokens=state.prefill_load.of_others(subscriber.queued_prefill_tokens)
             if is_router
             else {},
--- a/larkweir/controller/quota_accounting.py
+++ b/larkweir/controller/quota_accounting.py
@@ -28,11 +28,15 @@
 
     def report(self, incarnation: str, pull: Pull, now_ms: float) -> bool:
         """Adds a process' usage. Returns whether other processes should be informed soon."""
-        return bool(self._usage_table.record_report(incarnation, pull.usage, pull.sent_ms, now_ms))
+        urgent = self._usage_table.record_report(
+            incarnation, pull.usage, pull.sent_ms, now_ms, pull.quota_snapshot
+        )
+        return bool(urgent)
 
     def statuses(self, pull: Pull, now_ms: float) -> dict[str, QuotaStatus]:
-        """What is left for each tenant of which the pull reports usage."""
-        return self._usage_table.statuses(list(pull.usage), now_ms)
+        """What is left for each tenant of which the pull reports usage, or of which every router should know."""
+        tenants = dict.fromkeys([*pull.usage, *self._usage_table.scarce_tenants(now_ms)])
+        return self._usage_table.statuses(list(tenants), now_ms)
 
     def connected(self, node: str) -> None:
         """A process has introduced itself: nothing is reserved for it any more."""
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -83,14 +83,14 @@
     def _on_connected(self, connection: Connection) -> None:
         connection.send(Hello(self._ip, NodeRole.ROUTER, self._incarnation))
         self._sent_vectors.pop(connection.node, None)
-        self._pull(connection)
+        self._pull(connection, is_first=True)
 
     def _on_disconnected(self, node: str) -> None:
         if self._reports.remove(node):
             self._plane.upstreams.set_ejected(self._reports.ejected())
         log.debug("link_lost", to=node)
 
-    def _pull(self, connection: Connection, *, offers_records: bool = False) -> None:
+    def _pull(self, connection: Connection, *, is_first: bool = False, offers_records: bool = False) -> None:
         plane, now_ms = self._plane, self._now_ms()
         usage = plane.quotas.usage(connection.node, now_ms)
         vector = dict(self._registry.vector)
@@ -104,6 +104,7 @@
             queued_prefill_tokens=plane.upstreams.own_prefill_backlog(),
             outcomes=plane.outcomes.failing_upstreams(now_ms),
             records=self._registry.delta({}) if offers_records else [],
+            quota_snapshot=plane.quotas.snapshot(now_ms) if is_first else None,
         )
         connection.send(pull)
 
--- a/packages/quotas/src/larkweir_quotas/local_bucket.py
+++ b/packages/quotas/src/larkweir_quotas/local_bucket.py
@@ -3,7 +3,7 @@
 A part may be smaller than one request. Requests are not divided, so the part is rounded at random: a request of size u
 is admitted once the level reaches a random fraction of u. The fraction is drawn once for each accumulation and not for
 each try, or clients that press often enough would get through everywhere. All processes together then admit about the
-sum of their parts, and no process saves up a whole request where its part is less.
+sum of their parts and half a request, and no process saves up a whole request where its part is less.
 """
 
 from __future__ import annotations
@@ -21,12 +21,15 @@
     Attributes:
         rng: draws the thresholds.
         level: units left, at `updated_ms`; negative for a debt.
+        share: this process' equal part of what is left of the whole limit, of which only a fraction is handed out.
         updated_ms: when it was refilled last, on the owner's monotonic clock.
     """
 
     rng: Random
     level: float
+    share: float
     updated_ms: float
+    _rounding: float = field(init=False, default=1.0)  # 0 for a process alone: only one may then be in debt
     _threshold_fraction: float = field(init=False)  # of a request, which the level must reach
     _drawn_ms: float = field(init=False)
 
@@ -34,14 +37,25 @@
         """Draw the first threshold."""
         self._draw()
 
-    def restart(self, level: float, now_ms: float) -> None:
+    def restart(self, share: float, now_ms: float) -> None:
         """Begin from a level that was learnt from elsewhere. The threshold stays: nothing has accumulated by that."""
-        self.level, self.updated_ms = level, now_ms
-
-    def refill(self, part: RateLimit, now_ms: float) -> None:
-        """Add what this process' part of the limit has accrued since the last refill."""
+        self.level = self.share = share
+        self.updated_ms = now_ms
+
+    def refill(self, limit: RateLimit, processes: int, fraction: float, now_ms: float) -> None:
+        """Add what has accrued since the last refill.
+
+        Args:
+            limit: of all processes together.
+            processes: that share it equally.
+            fraction: of an equal part, which a process may hand out by itself.
+            now_ms: the present.
+        """
+        part = RateLimit(limit.rate_per_s / processes, limit.burst / processes)
+        self._rounding = 1.0 - 1.0 / processes
         accrued = part.rate_per_s * max(0.0, now_ms - self.updated_ms) / 1000.0
-        self.level = min(part.burst, self.level + accrued)
+        self.share = min(part.burst, self.share + accrued)
+        self.level = min(part.burst * fraction, self.level + accrued * fraction)
         self.updated_ms = max(self.updated_ms, now_ms)
         # A full bucket gains no more by waiting, so each time that it could have been filled counts as one more draw.
         if part.rate_per_s * (self.updated_ms - self._drawn_ms) / 1000.0 >= part.burst:
@@ -49,20 +63,22 @@
 
     def admits(self, units: float) -> bool:
         """Whether a request of that size may be admitted now; to be charged then."""
-        return self.level > 0.0 and self.level >= self._threshold_fraction * units
+        return self.level > 0.0 and self.missing(units) == 0.0
 
     def missing(self, units: float) -> float:
         """Return what the level lacks for a request of that size."""
-        return max(0.0, self._threshold_fraction * units - self.level)
+        return max(0.0, self._rounding * self._threshold_fraction * units - self.level)
 
     def charge(self, units: float) -> None:
         """Withdraw what was admitted."""
         self.level -= units
+        self.share -= units
         self._draw()
 
     def refund(self, units: float) -> None:
         """Return what was charged for a request that was never executed."""
         self.level += units
+        self.share += units
 
     def _draw(self) -> None:
         self._threshold_fraction = self.rng.random()
--- a/packages/quotas/src/larkweir_quotas/quota_limiter.py
+++ b/packages/quotas/src/larkweir_quotas/quota_limiter.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from random import Random
 
-from larkweir_quotas.limits import ISOLATED_FRACTION, QuotaStatus, RateLimit
+from larkweir_quotas.limits import ISOLATED_FRACTION, SCARCE_FRACTION, QuotaSnapshot, QuotaStatus, RateLimit
 from larkweir_quotas.local_bucket import LocalBucket
 
 STATUS_VALID_MS = 900.0  # a status is not extrapolated for longer
@@ -77,6 +77,7 @@
         self.process_count = 1
         self._limits: dict[str, RateLimit] = {}
         self._tenants: dict[str, _TenantState] = {}
+        self._answered_ms: dict[str, float] = {}  # by controller, its last answer to a report
 
     def set_limits(self, limits: dict[str, RateLimit]) -> None:
         """Set the limits of all tenants that have one."""
@@ -106,9 +107,9 @@
             if remaining <= 0.0:
                 return _rejection(-remaining, limit.rate_per_s)
         else:
-            local, part = self._local_bucket(state, limit, now_ms), self._isolated_part(limit)
+            local = self._local_bucket(state, limit, now_ms)
             if not local.admits(units):
-                return _rejection(local.missing(units), part.rate_per_s)
+                return _rejection(max(-local.level, local.missing(units)), limit.rate_per_s)
             local.charge(units)
         state.admitted_units += units
         state.last_admitted_ms = now_ms
@@ -131,8 +132,22 @@
                 state.reported_units[controller] = state.admitted_units
         return units_by_tenant
 
+    def snapshot(self, now_ms: float) -> QuotaSnapshot:
+        """Return what this process knows of the levels, for a usage table that it connects to."""
+        if not self._answered_ms:
+            return QuotaSnapshot()
+        processes = max(1, self.process_count)
+        levels: dict[str, float] = {}
+        for tenant, limit in self._limits.items():
+            state = self._tenants.setdefault(tenant, _TenantState())
+            known = self._levels(state, limit, now_ms)
+            level = min(known) if known else self._local_bucket(state, limit, now_ms).share * processes
+            levels[tenant] = round(level)
+        return QuotaSnapshot(levels, processes)
+
     def receive_statuses(self, controller: str, statuses: dict[str, QuotaStatus], now_ms: float) -> None:
         """Take in a controller's answer to the last report."""
+        self._answered_ms[controller] = now_ms
         for tenant, status in statuses.items():
             state = self._tenants.setdefault(tenant, _TenantState())
             reported_units = state.reported_units.get(controller, 0.0)
@@ -140,11 +155,22 @@
 
     def _levels(self, state: _TenantState, limit: RateLimit, now_ms: float) -> list[float]:
         """Units that each table in reach leaves; empty where none is."""
-        return [
-            self._remaining_by_status(received, state, limit, now_ms)
-            for received in state.received.values()
-            if now_ms < received.received_ms + STATUS_VALID_MS
-        ]
+        valid = [one for one in state.received.values() if now_ms < one.received_ms + STATUS_VALID_MS]
+        if not valid:
+            valid = self._assume_not_scarce(state, limit, now_ms)
+        return [self._remaining_by_status(received, state, limit, now_ms) for received in valid]
+
+    def _assume_not_scarce(
+        self, state: _TenantState, limit: RateLimit, now_ms: float
+    ) -> list[_ReceivedStatus]:
+        """Assume the least level at which a table in reach would not have told of the tenant unasked."""
+        for controller, answered_ms in self._answered_ms.items():
+            if now_ms < answered_ms + STATUS_VALID_MS:
+                status = QuotaStatus(limit.burst * SCARCE_FRACTION, 0.0)
+                reported_units = state.reported_units.get(controller, state.admitted_units)
+                received = state.received[controller] = _ReceivedStatus(status, answered_ms, reported_units)
+                return [received]
+        return []
 
     def _remaining_by_status(
         self, received: _ReceivedStatus, state: _TenantState, limit: RateLimit, now_ms: float
@@ -163,34 +189,32 @@
         return refilled - max(here, elsewhere)
 
     def _stagger(self, state: _TenantState, limit: RateLimit) -> float:
-        """Units that must remain for one more request of an oversubscribed tenant; drawn anew for each request.
+        """Units that must remain for one more request; drawn anew for each request.
 
-        All processes learn at nearly the same time that the bucket is no longer empty. If each of many admitted one
-        request then, they would exceed the limit together. The mean request decides, so that large requests are not
-        put at a disadvantage.
+        All processes learn at nearly the same time what is left. If each of many admitted one request then, they would
+        exceed the limit together. Of an oversubscribed tenant any number may press at that moment, of others as many
+        as did lately. The mean request decides, so that large requests are not put at a disadvantage.
         """
-        if not any(received.status.is_oversubscribed for received in state.received.values()):
-            return 0.0
         one_request_each = STAGGER_FACTOR * state.mean_units * self.process_count
-        return self._rng.random() * min(one_request_each, MAX_STAGGER_FRACTION * limit.burst)
-
-    def _isolated_part(self, limit: RateLimit) -> RateLimit:
-        """What this process may admit by itself: a fraction of its equal part of the limit."""
-        fraction = ISOLATED_FRACTION / max(1, self.process_count)
-        return RateLimit(limit.rate_per_s * fraction, limit.burst * fraction)
+        most = min(one_request_each, MAX_STAGGER_FRACTION * limit.burst)
+        statuses = [received.status for received in state.received.values()]
+        if not any(status.is_oversubscribed for status in statuses):
+            used_per_s = max((status.used_per_s for status in statuses), default=0.0)
+            most = min(most, used_per_s * STATUS_VALID_MS / 1000.0)
+        return self._rng.random() * most
 
     def _local_bucket(self, state: _TenantState, limit: RateLimit, now_ms: float) -> LocalBucket:
         """Refill the local token bucket. It goes on from an equal part of the level that was known last."""
-        part = self._isolated_part(limit)
+        processes = max(1, self.process_count)
         if state.local is None:
-            state.local = LocalBucket(self._rng, part.burst, now_ms)
+            state.local = LocalBucket(self._rng, limit.burst * ISOLATED_FRACTION / processes, 0.0, now_ms)
         last_ms = max((one.received_ms for one in state.received.values()), default=-math.inf)
         expired_ms = last_ms + STATUS_VALID_MS
         if expired_ms > state.local.updated_ms:
             latest = [one for one in state.received.values() if one.received_ms > last_ms - STATUS_VALID_MS]
             level = min(self._remaining_by_status(one, state, limit, expired_ms) for one in latest)
-            state.local.restart(level / max(1, self.process_count), expired_ms)
-        state.local.refill(part, now_ms)
+            state.local.restart(level / processes, expired_ms)
+        state.local.refill(limit, processes, ISOLATED_FRACTION, now_ms)
         return state.local
 
 
--- a/packages/quotas/src/larkweir_quotas/token_bucket.py
+++ b/packages/quotas/src/larkweir_quotas/token_bucket.py
@@ -32,6 +32,7 @@
         used_per_s: moving average of what is charged.
         last_empty_ms: when a charge last left nothing; None for never.
         overflows: what was not taken in, oldest first.
+        assumed_level: part of the level that its owner has only assumed.
     """
 
     limit: RateLimit
@@ -40,6 +41,7 @@
     used_per_s: float = 0.0
     last_empty_ms: float | None = None
     overflows: deque[_Overflow] = field(default_factory=deque)
+    assumed_level: float = 0.0
 
     def refill(self, now_ms: float, rate_fraction: float) -> None:
         """Add what has accrued since the last refill.
@@ -62,6 +64,11 @@
         self.limit = limit
         self.level = min(self.level, limit.burst)
 
+    def add_known(self, amount: float) -> None:
+        """Add a part of the level that others knew, negative for a debt, in place of what was assumed."""
+        self.level = min(self.limit.burst, self.level - self.assumed_level + amount)
+        self.assumed_level = 0.0
+
     def charge(self, amount: float) -> None:
         """Withdraw units that were used just now."""
         self.used_per_s += amount * 1000.0 / USAGE_RATE_WINDOW_MS
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -143,20 +143,22 @@
             self._last_exchange_ms[number, index] = self.now_ms
             asked = router.asked.get(index)
             if asked is not None:
-                statuses = table.statuses(asked, self.now_ms)
+                tenants = dict.fromkeys([*asked, *table.scarce_tenants(self.now_ms)])
+                statuses = table.statuses(list(tenants), self.now_ms)
                 router.learn_count(self._router_count(index), self.now_ms)
                 router.limiter.receive_statuses(f"c{index}", statuses, self.now_ms)
-            if self._pull(number, index, table):
+            if self._pull(number, index, table, is_first=asked is None):
                 self._answer_all(index)
         self.at(self.now_ms + self.site.report_ms, lambda: self._exchange(number, index, link))
 
-    def _pull(self, number: int, index: int, table: UsageTable) -> bool:
+    def _pull(self, number: int, index: int, table: UsageTable, *, is_first: bool) -> bool:
         """Report a router's usage. Returns whether all should be answered soon."""
         router = self.routers[number]
         usage = router.limiter.usage(f"c{index}", self.now_ms)
         router.asked[index] = list(usage)
         process = f"r{number}/{router.incarnation}"
-        return bool(table.record_report(process, usage, self.now_ms, self.now_ms))
+        snapshot = router.limiter.snapshot(self.now_ms) if is_first else None
+        return bool(table.record_report(process, usage, self.now_ms, self.now_ms, snapshot))
 
     def _answer_all(self, index: int) -> None:
         """A table answers all pending pulls ahead of time."""
