--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -6,6 +6,7 @@
 import secrets
 from time import perf_counter
 
+from larkweir_quotas.limits import QuotaSnapshot
 from larkweir_registry.records import VersionVector
 from larkweir_registry.registry import Registry
 
@@ -88,7 +89,7 @@
         connection.send(Hello(self._ip, NodeRole.ROUTER, self._incarnation))
         self._sent_vectors.pop(connection.node, None)
         self._reported_samples.pop(connection.node, None)
-        self._pull(connection)
+        self._pull(connection, is_first=True)
 
     def _on_disconnected(self, node: str) -> None:
         if self._reports.remove(node):
@@ -96,7 +97,12 @@
         log.debug("link_lost", to=node)
 
     def _pull(
-        self, connection: Connection, *, offers_records: bool = False, names_encodings: bool = False
+        self,
+        connection: Connection,
+        *,
+        is_first: bool = False,
+        offers_records: bool = False,
+        names_encodings: bool = False,
     ) -> None:
         plane, now_ms = self._plane, self._now_ms()
         usage = plane.quotas.usage(connection.node, now_ms)
@@ -115,9 +121,15 @@
             records=self._registry.delta({}) if offers_records else [],
             rollouts=rollouts,
             encodings=[DEFLATE] if names_encodings else [],
+            quota_snapshot=self._quota_snapshot(now_ms) if is_first else None,
         )
         connection.send(pull)
 
+    def _quota_snapshot(self, now_ms: float) -> QuotaSnapshot | None:
+        """What a usage table that has no history can take over; None where this router knows nothing either."""
+        snapshot = self._plane.quotas.snapshot(now_ms)
+        return snapshot if snapshot.process_count else None
+
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, PlacementResponse):
             self._plane.prefix_affinity.on_placed(message, self._now_ms())
