Router: an attempt without a running roll-out costs a count and no verdict

Need: services without a roll-out are to pay next to nothing. Change: attempts in flight are counted by service and version in one table; an end is judged only where it counts.

--- a/larkweir/router/attempt_samples.py
+++ b/larkweir/router/attempt_samples.py
@@ -20,7 +20,10 @@
 
 
 class AttemptSamples:
-    """The samples of one attempt. Times are milliseconds of the event loop's clock."""
+    """The samples of one attempt. Times are milliseconds of the event loop's clock.
+
+    Without a running roll-out of its service it is little more than a count of what is in flight.
+    """
 
     def __init__(self, samples: RolloutSamples, admission: Admission, instance: str, version: str) -> None:
         """Count the attempt as in flight, until `on_ended`.
@@ -81,7 +84,7 @@
             is_overdue: it was silent for much longer than others are.
         """
         self._samples.on_attempt_ended(self._key)
-        if self._sent_ms is None:
+        if self._sent_ms is None or not self._samples.is_observed(self._key.service):
             return
         elapsed_ms = now_ms - self._sent_ms
         verdict = judge_answer(
--- a/larkweir/router/rollout_samples.py
+++ b/larkweir/router/rollout_samples.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from collections import Counter
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
@@ -55,7 +54,7 @@
 
     def __init__(self) -> None:
         """Know no roll-out, and nothing is in flight."""
-        self._in_flight: dict[str, Counter[str]] = {}  # by service: by version of the upstream
+        self._in_flight: dict[tuple[str, str], int] = {}  # by service and version; none is 0
         self._observed: dict[str, _Observed] = {}
         self._revision = 0  # rises with every change of any report
 
@@ -81,14 +80,20 @@
         self._add_in_flight(key, -1)
 
     def _add_in_flight(self, key: SampleKey, count: int) -> None:
-        versions = self._in_flight.setdefault(key.service, Counter())
-        versions[key.version] += count
-        if not versions[key.version]:
-            del versions[key.version]
+        counted = (key.service, key.version)
+        in_flight = self._in_flight.get(counted, 0) + count
+        if in_flight:
+            self._in_flight[counted] = in_flight
+        else:
+            del self._in_flight[counted]
         observed = self._observed.get(key.service)
         if observed is not None:
             observed.revision = self._next_revision()
 
+    def is_observed(self, service: str) -> bool:
+        """Whether that service has a running roll-out, so that its answers count."""
+        return service in self._observed
+
     def record_first_byte(self, key: SampleKey, duration_ms: float) -> None:
         """The body of an answer began, so long after the request was sent."""
         counted = self._counted(key)
@@ -139,10 +144,10 @@
         return changed
 
     def _fill_in_flight(self, service: str, observed: _Observed) -> None:
-        versions = self._in_flight.get(service, Counter())
-        at_target = versions.get(observed.target_version, 0)
+        at_target = self._in_flight.get((service, observed.target_version), 0)
+        in_all = sum(count for (counted, _), count in self._in_flight.items() if counted == service)
         observed.report.target.in_flight = at_target
-        observed.report.others.in_flight = versions.total() - at_target
+        observed.report.others.in_flight = in_all - at_target
 
     @property
     def revision(self) -> int:
--- a/tests/router/test_rollout_machine.py
+++ b/tests/router/test_rollout_machine.py
@@ -68,8 +68,8 @@
         plane = self.model.plane
         exchanges = [one._exchange for one in plane.connections if one._exchange is not None]  # type: ignore[attr-defined]
         attempts = [one._attempt for one in exchanges if one._attempt is not None]
-        found = Counter(NEW if attempt.instance in NEW_IDS else OLD for attempt in attempts)
-        assert plane.rollout_samples._in_flight.get("s", Counter()) == found
+        found = Counter(("s", NEW if attempt.instance in NEW_IDS else OLD) for attempt in attempts)
+        assert plane.rollout_samples._in_flight == found
 
     @invariant()
     def a_report_counts_as_the_states_have_it(self) -> None:
@@ -84,7 +84,7 @@
 
     def teardown(self) -> None:
         super().teardown()
-        assert not any(self.model.plane.rollout_samples._in_flight.values())
+        assert not self.model.plane.rollout_samples._in_flight
 
 
 RolloutMachine.TestCase.settings = settings(
--- a/tests/router/test_rollout_samples.py
+++ b/tests/router/test_rollout_samples.py
@@ -34,7 +34,7 @@
     made = RolloutPlay(new_ids=("t0",))
     yield made
     made.model.check()
-    assert not any(made.model.plane.rollout_samples._in_flight.values()), "all have ended"
+    assert not made.model.plane.rollout_samples._in_flight, "all have ended"
     made.close()
 
 
