--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -126,9 +126,9 @@
         connection.send(pull)
 
     def _quota_snapshot(self, now_ms: float) -> QuotaSnapshot | None:
-        """What a usage table that has no history can take over; None where this router knows nothing either."""
+        """What a usage table that has no history can take over; None where this router knows of no limit."""
         snapshot = self._plane.quotas.snapshot(now_ms)
-        return snapshot if snapshot.process_count else None
+        return snapshot if snapshot.levels else None
 
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, PlacementResponse):
