Router: a patch that removes the roll-outs is readable

Cause: make_patch writes null for a key that is gone, as after a PUT by a primary of the release before; a router could not decode it and would have kept its old configuration. Change: null is none. Result: the test failed before with a ValidationError, passes now.

--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -104,7 +104,9 @@
     services: tuple[Service, ...]
     limits: Limits = Limits()
     tenants: tuple[Tenant, ...] = ()
-    rollouts: tuple[Rollout, ...] = msgspec.field(default=(), name=ROLLOUTS_KEY)
+    rollouts: tuple[Rollout, ...] | None = msgspec.field(
+        default=(), name=ROLLOUTS_KEY
+    )  # None: a patch removed them
 
 
 class RoutingTable:
@@ -115,7 +117,7 @@
         self.version = configuration.generation
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
-        self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts}
+        self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts or ()}
         self.has_tenants = bool(configuration.tenants)
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
         self.quotas = {
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -48,7 +48,9 @@
     incarnation: int = 0
     max_count: int = 1
     max_count_ms: float = 0.0
-    requested: dict[int, list[str]] = field(default_factory=dict)  # by table: tenants of the pull that is pending
+    requested: dict[int, list[str]] = field(
+        default_factory=dict
+    )  # by table: tenants of the pull that is pending
 
     def learn_count(self, routers: int, now_ms: float) -> None:
         """Believe the highest count of late, as the fleet's routers do."""
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from larkweir.cluster.messages import ConfigUpdate
 from larkweir.router.configuration import Configuration, ConfigurationStore, RoutingTable
 from tests.cluster.configurations import VALID, changed, route
@@ -58,3 +59,13 @@
     assert store.table is not None
     assert store.table.version == 9
     assert store.table.find_route("a.example", "/one/two/x").name == "r1"  # type: ignore[union-attr]
+
+
+def test_a_patch_that_removes_the_rollouts_leaves_none() -> None:
+    rollout = {"service": "s", "target_version": "v2", "duration_s": 9.0, "ordered_unix_ms": 1.0}
+    store = ConfigurationStore()
+    assert store.apply(update(5, {**VALID, ROLLOUTS_KEY: [rollout]}))
+    assert store.table is not None
+    assert list(store.table.rollouts) == ["s"]
+    assert store.apply(update(6, {ROLLOUTS_KEY: None}, base=5))
+    assert store.table.rollouts == {}
