Quotas: shares outlive a rebuild, and silence of all tables makes routers careful

Cause: (1) a router that reconnected took the partly rebuilt level of the first table for the level and told it to the next; (2) shares were cut to an equal part of the burst, so that a calm tenant's level was lost; (3) a router that had heard of nobody counted as alone, and told 240,000 tokens as its share of one of 300; (4) a tenant that becomes busy just before all tables die is seen calm for 900 ms; (5) a router that reconnects waited a full report period for its first answer.

--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -140,6 +140,8 @@
 
     def _has_update(self, subscriber: Subscriber, pull: Pull) -> bool:
         state = self._state
+        if pull.quota_snapshot is not None:  # the first of a router, which may do little until it is answered
+            return True
         if subscriber.is_router and pull.config_sequence < state.configuration.sequence:
             return True
         if subscriber.is_router and subscriber.sent_ejected != state.ejection.ejected:
--- a/packages/quotas/src/larkweir_quotas/local_bucket.py
+++ b/packages/quotas/src/larkweir_quotas/local_bucket.py
@@ -54,7 +54,9 @@
         part = RateLimit(limit.rate_per_s / processes, limit.burst / processes)
         self._rounding = 1.0 - 1.0 / processes
         accrued = part.rate_per_s * max(0.0, now_ms - self.updated_ms) / 1000.0
-        self.share = min(part.burst, self.share + accrued)
+        self.share = min(
+            limit.burst, self.share + accrued
+        )  # the sum over all processes is what a burst bounds
         self.level = min(part.burst * fraction, self.level + accrued * fraction)
         self.updated_ms = max(self.updated_ms, now_ms)
         # A full bucket gains no more by waiting, so each time that it could have been filled counts as one more draw.
--- a/packages/quotas/src/larkweir_quotas/quota_limiter.py
+++ b/packages/quotas/src/larkweir_quotas/quota_limiter.py
@@ -13,10 +13,13 @@
 from larkweir_quotas.local_bucket import LocalBucket
 
 STATUS_VALID_MS = 900.0  # a status is not extrapolated for longer
+QUIET_MS = 400.0  # between two answers, which several tables give in turn
 ACTIVE_TENANT_MS = 10_000.0  # a tenant's usage is reported for so long after its last request here
 MEAN_UNITS_WEIGHT = 0.05  # of one request in the moving average of a tenant's units per request
+REJOIN_MS = 2_000.0  # after isolation: tables that answer by then may have heard of few processes themselves
 STAGGER_FACTOR = 0.5  # of what all processes together admit if each admits one request
 MAX_STAGGER_FRACTION = 0.5  # of the burst
+RUNNING_DRY_FRACTION = 0.5  # of the burst
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 
@@ -103,9 +106,11 @@
         state.record_request(units)
         levels = self._levels(state, limit, now_ms)
         if levels:
-            remaining = min(levels) - self._stagger(state, limit)
+            remaining = min(levels) - max(self._stagger(state, limit), self._silence_reserve(state, now_ms))
             if remaining <= 0.0:
                 return _rejection(-remaining, limit.rate_per_s)
+            if state.local is not None:
+                state.local.share -= units
         else:
             local = self._local_bucket(state, limit, now_ms)
             if not local.admits(units):
@@ -132,21 +137,29 @@
                 state.reported_units[controller] = state.admitted_units
         return units_by_tenant
 
-    def snapshot(self, now_ms: float) -> QuotaSnapshot:
-        """Return what this process knows of the levels, for a usage table that it connects to."""
-        if not self._answered_ms:
-            return QuotaSnapshot()
+    def snapshot(self, now_ms: float) -> QuotaSnapshot | None:
+        """Return what this process knows of the levels, for a usage table that it connects to; None for nothing."""
+        if not self._answered_ms or not self._limits:
+            return None
         processes = max(1, self.process_count)
         levels: dict[str, float] = {}
         for tenant, limit in self._limits.items():
             state = self._tenants.setdefault(tenant, _TenantState())
             known = self._levels(state, limit, now_ms)
-            level = min(known) if known else self._local_bucket(state, limit, now_ms).share * processes
-            levels[tenant] = round(level)
+            if state.local is not None and now_ms < state.local.updated_ms + REJOIN_MS:
+                state.local.refill(limit, processes, ISOLATED_FRACTION, now_ms)
+                levels[tenant] = round(state.local.share * processes)
+            elif known:
+                levels[tenant] = round(min(known))
+            else:
+                levels[tenant] = round(self._local_bucket(state, limit, now_ms).share * processes)
         return QuotaSnapshot(levels, processes)
 
     def receive_statuses(self, controller: str, statuses: dict[str, QuotaStatus], now_ms: float) -> None:
         """Take in a controller's answer to the last report."""
+        if not self._answered_ms:  # what was assumed before was that of a process alone
+            for state in self._tenants.values():
+                state.local = None
         self._answered_ms[controller] = now_ms
         for tenant, status in statuses.items():
             state = self._tenants.setdefault(tenant, _TenantState())
@@ -183,7 +196,7 @@
         elapsed_s = (now_ms - received.received_ms) / 1000.0
         here = state.admitted_units - received.admitted_units
         elsewhere = received.status.used_per_s * elapsed_s
-        if received.status.is_oversubscribed:
+        if received.status.is_oversubscribed or _is_running_dry(received.status, limit):
             elsewhere = max(elsewhere, here * self.process_count)
         refilled = min(limit.burst, received.status.level + limit.rate_per_s * elapsed_s)
         return refilled - max(here, elsewhere)
@@ -203,11 +216,24 @@
             most = min(most, used_per_s * STATUS_VALID_MS / 1000.0)
         return self._rng.random() * most
 
+    def _silence_reserve(self, state: _TenantState, now_ms: float) -> float:
+        """Units that must remain when no table has answered for a while; drawn anew for each request.
+
+        The tenant may have become busy since at all processes. The reserve grows to that of an isolated process, for
+        which an equal part of the level must reach a random fraction of a request.
+        """
+        silent_ms = now_ms - max(self._answered_ms.values()) - QUIET_MS
+        if silent_ms <= 0.0:
+            return 0.0
+        one_request_each = state.mean_units * (self.process_count - 1)
+        return self._rng.random() * one_request_each * silent_ms / (STATUS_VALID_MS - QUIET_MS)
+
     def _local_bucket(self, state: _TenantState, limit: RateLimit, now_ms: float) -> LocalBucket:
         """Refill the local token bucket. It goes on from an equal part of the level that was known last."""
         processes = max(1, self.process_count)
         if state.local is None:
-            state.local = LocalBucket(self._rng, limit.burst * ISOLATED_FRACTION / processes, 0.0, now_ms)
+            part = limit.burst / processes
+            state.local = LocalBucket(self._rng, part * ISOLATED_FRACTION, part * SCARCE_FRACTION, now_ms)
         last_ms = max((one.received_ms for one in state.received.values()), default=-math.inf)
         expired_ms = last_ms + STATUS_VALID_MS
         if expired_ms > state.local.updated_ms:
@@ -218,6 +244,11 @@
         return state.local
 
 
+def _is_running_dry(status: QuotaStatus, limit: RateLimit) -> bool:
+    """Whether a tenant uses more than its rate and has used most of its burst, so that it is about to press."""
+    return status.used_per_s > limit.rate_per_s and status.level < RUNNING_DRY_FRACTION * limit.burst
+
+
 def _rejection(missing: float, rate_per_s: float) -> QuotaRejection:
     """Tell to retry when what is missing has accrued."""
     retry_after_s = missing / rate_per_s if rate_per_s > 0.0 else MAX_RETRY_AFTER_S
--- a/packages/quotas/src/larkweir_quotas/usage_table.py
+++ b/packages/quotas/src/larkweir_quotas/usage_table.py
@@ -166,7 +166,8 @@
             if limit is not None:
                 bucket = self._bucket(tenant, limit, now_ms)
                 assumed = bucket.assumed_level * min(self._unknowing_processes, self._process_count - 1)
-                bucket.add_known((min(level, limit.burst) + assumed) / snapshot.process_count)
+                share = min(level / snapshot.process_count, limit.burst)
+                bucket.add_known(share + assumed / snapshot.process_count)
 
     def _refill_fraction(self, now_ms: float) -> float:
         """Of a limit's rate: processes that have not connected yet still use their parts."""
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -16,7 +16,6 @@
 LIMIT = RateLimit(200_000.0, 720_000.0)  # tokens, as on the day on which the fault was seen
 ROUTER_COUNT_RETENTION_MS = 10_000.0  # as routers believe in the highest count that they were told
 MAX_RECONNECT_MS = 600.0  # after a controller's return, until a router reaches it
-URGENT_ANSWER_MS = 10.0
 CONNECTION_TIMEOUT_MS = 2_000.0  # after which a controller knows that a silent router is away
 RESERVE_MS = 100.0  # between two looks of controllers at who is away
 
@@ -48,6 +47,7 @@
     incarnation: int = 0
     max_count: int = 1
     max_count_ms: float = 0.0
+    is_configured: bool = False
     asked: dict[int, list[str]] = field(default_factory=dict)  # by table: tenants of the pull that is pending
 
     def learn_count(self, routers: int, now_ms: float) -> None:
@@ -118,6 +118,14 @@
         for table in range(self.site.tables):
             self._connect(number, table)
 
+    def lose_answers(self, pairs: set[tuple[int, int]], for_ms: float) -> None:
+        """One-way cuts: a last report arrives, its answer does not; later the pairs connect anew."""
+        for number, index in pairs:
+            table = self.tables[index]
+            if table is not None and self._links.pop((number, index), None) is not None:
+                self._pull(number, index, table, is_first=False)
+                self.at(self.now_ms + for_ms, lambda pair=(number, index): self._connect(*pair))
+
     def set_limit(self, limit: RateLimit) -> None:
         """A change of the configuration reaches all."""
         self.limit = limit
@@ -135,33 +143,33 @@
         )
 
     def _exchange(self, number: int, index: int, link: int) -> None:
-        """A table answers the pending pull of a router, which pulls again."""
+        """A table answers the pending pull of a router, which pulls again; the first pull is answered at once."""
         table, router = self.tables[index], self.routers[number]
         if table is None or self._links.get((number, index)) != link:
             return
         if (number, index) not in self.cut:
             self._last_exchange_ms[number, index] = self.now_ms
-            asked = router.asked.get(index)
-            if asked is not None:
-                tenants = dict.fromkeys([*asked, *table.scarce_tenants(self.now_ms)])
-                statuses = table.statuses(list(tenants), self.now_ms)
-                router.learn_count(self._router_count(index), self.now_ms)
-                router.limiter.receive_statuses(f"c{index}", statuses, self.now_ms)
-            if self._pull(number, index, table, is_first=asked is None):
-                self._answer_all(index)
+            if index not in router.asked:
+                self._pull(number, index, table, is_first=True)
+            self._answer(number, index, table)
+            self._pull(number, index, table, is_first=False)
         self.at(self.now_ms + self.site.report_ms, lambda: self._exchange(number, index, link))
 
-    def _pull(self, number: int, index: int, table: UsageTable, *, is_first: bool) -> bool:
-        """Report a router's usage. Returns whether all should be answered soon."""
+    def _answer(self, number: int, index: int, table: UsageTable) -> None:
+        router = self.routers[number]
+        tenants = dict.fromkeys([*router.asked[index], *table.scarce_tenants(self.now_ms)])
+        router.is_configured = True
+        router.learn_count(self._router_count(index), self.now_ms)
+        router.limiter.receive_statuses(f"c{index}", table.statuses(list(tenants), self.now_ms), self.now_ms)
+
+    def _pull(self, number: int, index: int, table: UsageTable, *, is_first: bool) -> None:
+        """Report a router's usage."""
         router = self.routers[number]
         usage = router.limiter.usage(f"c{index}", self.now_ms)
         router.asked[index] = list(usage)
         process = f"r{number}/{router.incarnation}"
         snapshot = router.limiter.snapshot(self.now_ms) if is_first else None
-        return bool(table.record_report(process, usage, self.now_ms, self.now_ms, snapshot))
-
-    def _answer_all(self, index: int) -> None:
-        """A table answers all pending pulls ahead of time."""
+        table.record_report(process, usage, self.now_ms, self.now_ms, snapshot)
 
     def _router_count(self, index: int) -> int:
         known = sum(
@@ -188,6 +196,8 @@
 
     def _request(self, tokens: float, *, is_retry: bool) -> None:
         router = self.routers[self.rng.randrange(self.site.routers)]
+        if not router.is_configured:  # its first answer brings the configuration
+            return
         verdict = router.limiter.admit(TENANT, tokens, self.now_ms)
         if isinstance(verdict, QuotaCharge):
             self.admitted.append((self.now_ms, tokens))
--- a/packages/quotas/tests/test_quotas_planted.py
+++ b/packages/quotas/tests/test_quotas_planted.py
@@ -7,8 +7,10 @@
 
 import pytest
 import test_quotas_herd as herd
+import test_quotas_outages as outages
 import test_quotas_returns as plays
 from larkweir_quotas import quota_limiter, token_bucket, usage_table
+from larkweir_quotas.local_bucket import LocalBucket
 from larkweir_quotas.quota_limiter import QuotaLimiter
 from larkweir_quotas.usage_table import UsageTable
 
@@ -66,6 +68,14 @@
     patch.setattr(QuotaLimiter, "_remaining_by_status", by_status)
 
 
+def isolated_processes_admit_while_anything_is_left(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(LocalBucket, "missing", lambda self, units: 0.0)
+
+
+def a_returning_table_hands_out_half_a_burst(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(UsageTable, "_rebuild", lambda self, snapshot, now_ms: None)
+
+
 def find_too_much(seed: int) -> None:
     plays.test_the_sum_stays_under_the_limit_during_every_fault(plays.LARGE, seed)
 
@@ -74,6 +84,10 @@
     herd.test_clients_that_retry_together_do_not_exceed_the_limit(89, seed)
 
 
+def find_too_much_after_an_outage(seed: int) -> None:
+    outages.test_tables_that_die_and_return_empty_do_not_hand_out_a_burst_twice(outages.MEDIUM, seed)
+
+
 def find_too_little(seed: int) -> None:
     plays.test_below_the_limit_nobody_is_rejected_a_second_after_a_fault(seed)
 
@@ -87,6 +101,8 @@
     (other_processes_count_as_idle, find_too_much_in_a_herd, 0),
     (a_new_table_starts_empty, find_too_little, 0),
     (old_statuses_count, find_too_much, 0),
+    (isolated_processes_admit_while_anything_is_left, find_too_much_after_an_outage, 0),
+    (a_returning_table_hands_out_half_a_burst, find_too_much_after_an_outage, 0),
 ]
 
 
