Quotas: routers are told at once when little is left of a quota

Cause: the pull of a router whose report left less than a third of a burst woke the controller, but pulls are then answered only where records, configuration or ejections are new. So no router heard of it before its pull was due (390 ms at 195 routers, 600 ms at 300). Change: such news answers the pending pulls of all routers, once a tenant: not again while it counts as oversubscribed. Result: the new test of PullService fails without the change (waits 10 s for the answer).

--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -57,6 +57,7 @@
             False  # routers, as this controller has lost its own; set before the first pull
         )
         self._loop = asyncio.get_running_loop()
+        self._has_urgent_quotas = False  # a tenant's level fell, of which every router should know
         self._wake_timer: asyncio.TimerHandle | None = None
 
     def publish(self, sequence: int, value: str) -> None:
@@ -107,6 +108,7 @@
             if self._state.unconfirmed.add(offered, present_ms):
                 self.wake()
         if self._state.quotas.report(connection.incarnation, pull, present_ms):
+            self._has_urgent_quotas = True
             self.wake()
         self._confirmation.check()
         if self._has_update(subscriber, pull):
@@ -119,9 +121,12 @@
 
     def _answer_updated(self) -> None:
         self._wake_timer = None
+        is_urgent, self._has_urgent_quotas = self._has_urgent_quotas, False
         for subscriber in self._subscriptions:
             pull = subscriber.pending_pull
-            if pull is not None and self._has_update(subscriber, pull):
+            if pull is None:
+                continue
+            if self._has_update(subscriber, pull) or (is_urgent and subscriber.is_router):
                 self._answer(subscriber, pull)
 
     def tick(self) -> None:
--- a/packages/quotas/src/larkweir_quotas/usage_table.py
+++ b/packages/quotas/src/larkweir_quotas/usage_table.py
@@ -88,7 +88,8 @@
             snapshot: what the process knew when it connected; None in later reports.
 
         Returns:
-            The tenants whose bucket fell below `SCARCE_FRACTION`, of which other processes should know soon.
+            The tenants that were not oversubscribed and of which less than `SCARCE_FRACTION` is left now: all others
+            should know soon.
         """
         known = self._processes.get(incarnation)
         if known is None:
@@ -104,12 +105,12 @@
             if used <= 0.0 or limit is None:
                 continue
             bucket = self._bucket(tenant, limit, now_ms)
-            level_before = bucket.level
+            level_before, was_oversubscribed = bucket.level, bucket.is_oversubscribed
             if over_ms >= LATE_REPORT_MS:
                 bucket.charge_late(used, over_ms, now_ms)
             else:
                 bucket.charge(used)
-            if bucket.level < limit.burst * SCARCE_FRACTION <= level_before:
+            if not was_oversubscribed and bucket.level < limit.burst * SCARCE_FRACTION <= level_before:
                 urgent.append(tenant)
         return urgent
 
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -15,6 +15,7 @@
 TENANT = "t"
 LIMIT = RateLimit(200_000.0, 720_000.0)  # tokens, as on the day on which the fault was seen
 ROUTER_COUNT_RETENTION_MS = 10_000.0  # as routers believe in the highest count that they were told
+URGENT_ANSWER_MS = 10.0
 MAX_RECONNECT_MS = 600.0  # after a controller's return, until a router reaches it
 CONNECTION_TIMEOUT_MS = 2_000.0  # after which a controller knows that a silent router is away
 RESERVE_MS = 100.0  # between two looks of controllers at who is away
@@ -162,14 +163,22 @@
         router.learn_count(self._router_count(index), self.now_ms)
         router.limiter.receive_statuses(f"c{index}", table.statuses(list(tenants), self.now_ms), self.now_ms)
 
+    def _answer_all(self, index: int, table: UsageTable) -> None:
+        for number, router in enumerate(self.routers):
+            is_connected = (number, index) in self._links and (number, index) not in self.cut
+            if is_connected and index in router.asked and self.tables[index] is table:
+                self._answer(number, index, table)
+                self._pull(number, index, table, is_first=False)
+
     def _pull(self, number: int, index: int, table: UsageTable, *, is_first: bool) -> None:
-        """Report a router's usage."""
+        """Report a router's usage. Where little is left, the table answers all pending pulls ahead of time."""
         router = self.routers[number]
         usage = router.limiter.usage(f"c{index}", self.now_ms)
         router.asked[index] = list(usage)
         process = f"r{number}/{router.incarnation}"
         snapshot = router.limiter.snapshot(self.now_ms) if is_first else None
-        table.record_report(process, usage, self.now_ms, self.now_ms, snapshot)
+        if table.record_report(process, usage, self.now_ms, self.now_ms, snapshot):
+            self.at(self.now_ms + URGENT_ANSWER_MS, lambda: self._answer_all(index, table))
 
     def _router_count(self, index: int) -> int:
         known = sum(
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -6,6 +6,7 @@
 import random
 
 from larkweir_balancing.fleet_outlier_detection import MIN_FAILURES, OutcomeCounts
+from larkweir_quotas.limits import RateLimit
 from larkweir_quotas.usage_table import UsageTable
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Record, Upstream
@@ -14,6 +15,7 @@
 
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, NodeRole, Pull
+from larkweir.controller.clock import now_ms
 from larkweir.controller.configuration_history import ConfigurationHistory
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.prefill_load import MIN_REPORTED_TOKENS, PrefillLoad
@@ -23,6 +25,7 @@
 from larkweir.controller.upstream_ejection import UpstreamEjection
 
 ROUTERS = 3
+WAIT_S = 10.0  # for what comes within milliseconds
 
 
 class Recorded(Connection):
@@ -32,16 +35,19 @@
         super().__init__(lambda connection, message: None, lambda connection: None)
         self.node = self.incarnation = node
         self.sent: list[Delta] = []
+        self.has_answer = asyncio.Event()
 
     def send(self, message: Message) -> None:
         if isinstance(message, Delta):
             self.sent.append(message)
+            self.has_answer.set()
 
 
 class Scene:
     """A controller's pulls and some routers. To be made inside a loop."""
 
     def __init__(self) -> None:
+        self.usage_table = UsageTable()
         self.registry = Registry("c/1")
         self.failure_detector = FailureDetector(1_000.0, 0.0)
         subscriptions = Subscriptions()
@@ -50,7 +56,7 @@
         state = PublishedState(
             registry=self.registry,
             configuration=ConfigurationHistory(),
-            quotas=QuotaAccounting(UsageTable()),
+            quotas=QuotaAccounting(self.usage_table),
             prefill_load=self.prefill_load,
             ejection=self.ejection,
             unconfirmed=UnconfirmedUpstreams(self.registry, self.failure_detector),
@@ -156,3 +162,21 @@
         assert not made.answer(made.routers[0], Pull(vector={})).wants_records
 
     asyncio.run(scene())
+
+
+def test_routers_are_answered_at_once_when_little_is_left_of_a_quota() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.usage_table.set_limits({"t": RateLimit(1_000.0, 3_000.0)}, now_ms())
+        one, two, _ = made.routers
+        made.answer(one, Pull(vector={}))
+        for router in (one, two):
+            router.sent.clear()
+            router.has_answer.clear()
+            made.pulls.pull(router, Pull(vector=made.registry.vector, sent_ms=1.0, usage={"t": 0.0}))
+        assert two.sent == []
+        made.pulls.pull(one, Pull(vector=made.registry.vector, sent_ms=2.0, usage={"t": 1_400.0}))
+        await asyncio.wait_for(two.has_answer.wait(), WAIT_S)
+        assert two.sent[-1].quotas["t"].level < 1_000.0
+
+    asyncio.run(scene())
