--- a/packages/quotas/src/larkweir_quotas/usage_table.py
+++ b/packages/quotas/src/larkweir_quotas/usage_table.py
@@ -102,18 +102,20 @@
             used = units - known.units_by_tenant.get(tenant, 0.0)
             known.units_by_tenant[tenant] = units
             limit = self._limits.get(tenant)
-            if used <= 0.0 or limit is None:
-                continue
-            bucket = self._bucket(tenant, limit, now_ms)
-            level_before, was_oversubscribed = bucket.level, bucket.is_oversubscribed
-            if over_ms >= LATE_REPORT_MS:
-                bucket.charge_late(used, over_ms, now_ms)
-            else:
-                bucket.charge(used)
-            if not was_oversubscribed and bucket.level < limit.burst * SCARCE_FRACTION <= level_before:
+            if used > 0.0 and limit is not None and self._charge(tenant, limit, used, over_ms, now_ms):
                 urgent.append(tenant)
         return urgent
 
+    def _charge(self, tenant: str, limit: RateLimit, used: float, over_ms: float, now_ms: float) -> bool:
+        """Charge a tenant. Returns whether that is news to other processes."""
+        bucket = self._bucket(tenant, limit, now_ms)
+        level_before, was_oversubscribed = bucket.level, bucket.is_oversubscribed
+        if over_ms >= LATE_REPORT_MS:
+            bucket.charge_late(used, over_ms, now_ms)
+        else:
+            bucket.charge(used)
+        return not was_oversubscribed and bucket.level < limit.burst * SCARCE_FRACTION <= level_before
+
     def statuses(self, tenants: list[str], now_ms: float) -> dict[str, QuotaStatus]:
         """Return the status of those tenants that have a limit, in whole units."""
         statuses = {}
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -49,7 +49,9 @@
     max_count: int = 1
     max_count_ms: float = 0.0
     is_configured: bool = False
-    asked: dict[int, list[str]] = field(default_factory=dict)  # by table: tenants of the pull that is pending
+    pulled: dict[int, list[str]] = field(
+        default_factory=dict
+    )  # by table: tenants of the pull that is pending
 
     def learn_count(self, routers: int, now_ms: float) -> None:
         """Believe the highest count of late, as the fleet's routers do."""
@@ -138,7 +140,7 @@
 
     def _connect(self, router: int, table: int) -> None:
         link = self._links[router, table] = next(self._numbers)
-        self.routers[router].asked.pop(table, None)
+        self.routers[router].pulled.pop(table, None)
         self.at(
             self.now_ms + self.rng.uniform(0.0, MAX_RECONNECT_MS), lambda: self._exchange(router, table, link)
         )
@@ -150,7 +152,7 @@
             return
         if (number, index) not in self.cut:
             self._last_exchange_ms[number, index] = self.now_ms
-            if index not in router.asked:
+            if index not in router.pulled:
                 self._pull(number, index, table, is_first=True)
             self._answer(number, index, table)
             self._pull(number, index, table, is_first=False)
@@ -158,7 +160,7 @@
 
     def _answer(self, number: int, index: int, table: UsageTable) -> None:
         router = self.routers[number]
-        tenants = dict.fromkeys([*router.asked[index], *table.scarce_tenants(self.now_ms)])
+        tenants = dict.fromkeys([*router.pulled[index], *table.scarce_tenants(self.now_ms)])
         router.is_configured = True
         router.learn_count(self._router_count(index), self.now_ms)
         router.limiter.receive_statuses(f"c{index}", table.statuses(list(tenants), self.now_ms), self.now_ms)
@@ -166,7 +168,7 @@
     def _answer_all(self, index: int, table: UsageTable) -> None:
         for number, router in enumerate(self.routers):
             is_connected = (number, index) in self._links and (number, index) not in self.cut
-            if is_connected and index in router.asked and self.tables[index] is table:
+            if is_connected and index in router.pulled and self.tables[index] is table:
                 self._answer(number, index, table)
                 self._pull(number, index, table, is_first=False)
 
@@ -174,7 +176,7 @@
         """Report a router's usage. Where little is left, the table answers all pending pulls ahead of time."""
         router = self.routers[number]
         usage = router.limiter.usage(f"c{index}", self.now_ms)
-        router.asked[index] = list(usage)
+        router.pulled[index] = list(usage)
         process = f"r{number}/{router.incarnation}"
         snapshot = router.limiter.snapshot(self.now_ms) if is_first else None
         if table.record_report(process, usage, self.now_ms, self.now_ms, snapshot):
