Quotas: a returning table is told what each router used since its last statuses

Cause: a router that reconnects before it counts as isolated told the level by its estimate of others' use, which lags where a tenant became busy just before all tables died.

--- a/packages/quotas/src/larkweir_quotas/quota_limiter.py
+++ b/packages/quotas/src/larkweir_quotas/quota_limiter.py
@@ -145,12 +145,12 @@
         levels: dict[str, float] = {}
         for tenant, limit in self._limits.items():
             state = self._tenants.setdefault(tenant, _TenantState())
-            known = self._levels(state, limit, now_ms)
+            is_known = bool(self._levels(state, limit, now_ms))
             if state.local is not None and now_ms < state.local.updated_ms + REJOIN_MS:
                 state.local.refill(limit, processes, ISOLATED_FRACTION, now_ms)
                 levels[tenant] = round(state.local.share * processes)
-            elif known:
-                levels[tenant] = round(min(known))
+            elif is_known:
+                levels[tenant] = round(self._level_by_own_use(state, limit, now_ms))
             else:
                 levels[tenant] = round(self._local_bucket(state, limit, now_ms).share * processes)
         return QuotaSnapshot(levels, processes)
@@ -166,6 +166,16 @@
             reported_units = state.reported_units.get(controller, 0.0)
             state.received[controller] = _ReceivedStatus(status, now_ms, reported_units)
 
+    def _level_by_own_use(self, state: _TenantState, limit: RateLimit, now_ms: float) -> float:
+        """The level if all processes had used as much since the last statuses as this one: right in their sum."""
+        levels = []
+        for one in state.received.values():
+            if now_ms < one.received_ms + STATUS_VALID_MS:
+                refilled = one.status.level + limit.rate_per_s * (now_ms - one.received_ms) / 1000.0
+                here = state.admitted_units - one.admitted_units
+                levels.append(min(limit.burst, refilled) - here * max(1, self.process_count))
+        return min(levels)
+
     def _levels(self, state: _TenantState, limit: RateLimit, now_ms: float) -> list[float]:
         """Units that each table in reach leaves; empty where none is."""
         valid = [one for one in state.received.values() if now_ms < one.received_ms + STATUS_VALID_MS]
