--- a/packages/quotas/tests/test_quotas_outages.py
+++ b/packages/quotas/tests/test_quotas_outages.py
@@ -92,7 +92,7 @@
     assert play_losses(site, seed).most_in_a_window() <= site.allowed
 
 
-def test_what_was_used_since_the_last_statuses_is_told_to_tables_that_return() -> None:
+def test_returning_tables_learn_of_use_after_the_last_status() -> None:
     busy_before_all_tables_die = 18  # seed: by 0.3 s; the routers reconnect before they count as isolated
     assert play_losses(MEDIUM, busy_before_all_tables_die).most_in_a_window() <= MEDIUM.allowed
 
