--- a/larkweir/controller/quota_accounting.py
+++ b/larkweir/controller/quota_accounting.py
@@ -33,6 +33,11 @@
         )
         return bool(urgent)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether a configuration was in force here: until then `statuses` says nothing of any tenant."""
+        return self._usage_table.has_limits
+
     def statuses(self, pull: Pull, now_ms: float) -> dict[str, QuotaStatus]:
         """What is left for each tenant of which the pull reports usage, or of which every router should know."""
         tenants = dict.fromkeys([*pull.usage, *self._usage_table.scarce_tenants(now_ms)])
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -154,7 +154,8 @@
         self._links.update_listed(delta.controllers)
         self._reports.update(node, delta)
         plane.set_router_count(self._router_count.report(self._reports.max_router_count(), now_ms))
-        plane.quotas.receive_statuses(node, delta.quotas, now_ms)
+        if not delta.quotas_unknown:
+            plane.quotas.receive_statuses(node, delta.quotas, now_ms)
         plane.upstreams.set_peer_prefill_backlog(self._reports.max_queued_tokens())
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
--- a/packages/quotas/src/larkweir_quotas/usage_table.py
+++ b/packages/quotas/src/larkweir_quotas/usage_table.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from dataclasses import dataclass
 
 from larkweir_quotas.limits import ISOLATED_FRACTION, SCARCE_FRACTION, QuotaSnapshot, QuotaStatus, RateLimit
@@ -45,9 +46,15 @@
         self._started_ms: float | None = None  # when the first limits were set
         self._process_count = 0  # the largest of all snapshots that were taken over
         self._unknowing_processes = 0  # that connected meanwhile without any knowledge
+        self._early_snapshots: deque[QuotaSnapshot] = deque(maxlen=MAX_TRACKED_INCARNATIONS)
         self._scarce: list[str] = []  # at `_scarce_ms`
         self._scarce_ms = -SCARCE_REFRESH_MS
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether the limits are known: until then nothing that this table answers says anything of a tenant."""
+        return self._started_ms is not None
+
     def set_unreachable(self, fraction: float, tolerance: float) -> None:
         """Reserve what processes may admit that do not reach this table (`ISOLATED_FRACTION`).
 
@@ -59,6 +66,7 @@
 
     def set_limits(self, limits: dict[str, RateLimit], now_ms: float) -> None:
         """Set the limits of all tenants that have one; the use of those that keep one stays charged."""
+        is_first = self._started_ms is None
         if self._started_ms is None:
             self._started_ms = now_ms
         self._limits = limits
@@ -67,6 +75,10 @@
         for tenant, bucket in self._buckets.items():
             bucket.refill(now_ms, self._refill_fraction(now_ms))
             bucket.set_limit(limits[tenant])
+        if is_first:
+            for snapshot in self._early_snapshots:
+                self._rebuild(snapshot, now_ms)
+            self._early_snapshots.clear()
 
     def record_report(
         self,
@@ -94,8 +106,13 @@
         known = self._processes.get(incarnation)
         if known is None:
             self._add_process(incarnation, units_by_tenant, sent_ms)
-            self._rebuild(snapshot or QuotaSnapshot(), now_ms)
+            if self.has_limits:
+                self._rebuild(snapshot or QuotaSnapshot(), now_ms)
+            else:
+                self._early_snapshots.append(snapshot or QuotaSnapshot())
             return []
+        if not self.has_limits:
+            return []  # the first report after the limits tells of all use since the snapshot
         over_ms, known.sent_ms = sent_ms - known.sent_ms, sent_ms
         urgent = []
         for tenant, units in units_by_tenant.items():
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -16,6 +16,7 @@
 LIMIT = RateLimit(200_000.0, 720_000.0)  # tokens, as on the day on which the fault was seen
 ROUTER_COUNT_RETENTION_MS = 10_000.0  # as routers believe in the highest count that they were told
 URGENT_ANSWER_MS = 10.0
+MAX_ELECTION_MS = 1_000.0  # after a controller's return, until it knows the configuration
 MAX_RECONNECT_MS = 600.0  # after a controller's return, until a router reaches it
 CONNECTION_TIMEOUT_MS = 2_000.0  # after which a controller knows that a silent router is away
 RESERVE_MS = 100.0  # between two looks of controllers at who is away
@@ -79,7 +80,7 @@
         self._links: dict[tuple[int, int], int] = {}  # number of the connection, for events of an earlier one
         self._last_exchange_ms: dict[tuple[int, int], float] = {}
         for table in range(site.tables):
-            self.return_table(table)
+            self.return_table(table, limits_after_ms=0.0)
         self.at(0.0, self._next_request)
         self.at(0.0, self._update_reserves)
 
@@ -105,10 +106,16 @@
         for router in range(self.site.routers):
             self._links.pop((router, number), None)
 
-    def return_table(self, number: int) -> None:
-        """A controller starts empty; routers reach it one after another."""
+    def return_table(self, number: int, limits_after_ms: float | None = None) -> None:
+        """A controller starts empty; routers reach it one after another, and it learns the limits after a while."""
         table = UsageTable()
-        table.set_limits({TENANT: self.limit}, self.now_ms)
+        if limits_after_ms is None:
+            limits_after_ms = self.rng.uniform(0.0, MAX_ELECTION_MS)
+        if limits_after_ms:
+            known_ms = self.now_ms + limits_after_ms
+            self.at(known_ms, lambda: table.set_limits({TENANT: self.limit}, self.now_ms))
+        else:
+            table.set_limits({TENANT: self.limit}, self.now_ms)
         self.tables[number] = table
         for router in range(self.site.routers):
             self._connect(router, number)
@@ -133,7 +140,7 @@
         """A change of the configuration reaches all."""
         self.limit = limit
         for table in self.tables:
-            if table is not None:
+            if table is not None and table.has_limits:
                 table.set_limits({TENANT: limit}, self.now_ms)
         for router in self.routers:
             router.limiter.set_limits({TENANT: limit})
@@ -163,7 +170,9 @@
         tenants = dict.fromkeys([*router.pulled[index], *table.scarce_tenants(self.now_ms)])
         router.is_configured = True
         router.learn_count(self._router_count(index), self.now_ms)
-        router.limiter.receive_statuses(f"c{index}", table.statuses(list(tenants), self.now_ms), self.now_ms)
+        if table.has_limits:
+            statuses = table.statuses(list(tenants), self.now_ms)
+            router.limiter.receive_statuses(f"c{index}", statuses, self.now_ms)
 
     def _answer_all(self, index: int, table: UsageTable) -> None:
         for number, router in enumerate(self.routers):
--- a/packages/quotas/tests/test_quotas_outages.py
+++ b/packages/quotas/tests/test_quotas_outages.py
@@ -24,7 +24,7 @@
     return fleet
 
 
-def play_outage(site: Site, seed: int, away_ms: float) -> Fleet:
+def play_outage(site: Site, seed: int, away_ms: float, limits_after_ms: float | None = None) -> Fleet:
     """A calm tenant becomes hot; all tables die and return empty."""
     fleet = start(site, seed, HALF)
     fleet.run_until(10_500.0)
@@ -34,7 +34,7 @@
         fleet.kill_table(table)
     fleet.run_until(11_800.0 + away_ms)
     for table in range(site.tables):
-        fleet.return_table(table)
+        fleet.return_table(table, limits_after_ms)
     fleet.run_until(24_000.0)
     return fleet
 
@@ -82,6 +82,13 @@
 @pytest.mark.parametrize("site", [MEDIUM, LARGE], ids=["195 routers", "300 routers"])
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_tables_that_die_and_return_empty_do_not_hand_out_a_burst_twice(site: Site, seed: int) -> None:
+    away_ms = Random(seed).uniform(1_600.0, 5_000.0)
+    assert play_outage(site, seed, away_ms, limits_after_ms=0.0).most_in_a_window() <= site.allowed
+
+
+@pytest.mark.parametrize("site", [MEDIUM, LARGE], ids=["195 routers", "300 routers"])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_tables_that_answer_before_they_know_the_limits_hand_out_nothing(site: Site, seed: int) -> None:
     away_ms = Random(seed).uniform(1_600.0, 5_000.0)
     assert play_outage(site, seed, away_ms).most_in_a_window() <= site.allowed
 
