--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -10,7 +10,7 @@
 from larkweir_replication.messages import Command
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
-from larkweir_rollouts.schedule import View, next_step
+from larkweir_rollouts.schedule import FULL_WEIGHT, View, next_step
 from larkweir_rollouts.verdict import judge
 
 from larkweir.cluster import log
@@ -23,6 +23,7 @@
 from larkweir.controller.rollout_tracks import Tracks, split_into_tracks
 from larkweir.controller.subscriptions import Subscriptions
 
+ROUTERS_RETURN_MS = 2_000.0  # in which routers find a controller that has started
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
 Submit = Callable[[Command], Awaitable[CallOutcome]]
@@ -42,6 +43,7 @@
 class _Progress:
     """What is remembered of one running order."""
 
+    known_since_ms: float  # by this process
     most_target_ready: int = 0
     is_advancing: bool = False
 
@@ -71,7 +73,7 @@
             self.inputs.rollouts.mark_outdated(now_ms())
         running = self.inputs.rollouts.running()
         self._progress = {
-            key: self._progress.get(key, _Progress())
+            key: self._progress.get(key) or _Progress(now_ms())
             for key in ((one.rollout.service, one.rollout.order_id) for one in running)
         }
         for committed in running:
@@ -94,20 +96,26 @@
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
     ) -> View:
-        totals = pool.totals()
+        totals, rollout = pool.totals(), committed.rollout
         return View(
-            rollout=committed.rollout,
+            rollout=rollout,
             elapsed_s=committed.elapsed_s(now_ms()),
-            verdict=judge(pool, most_target_ready),
+            verdict=judge(pool, most_target_ready, is_control_live=rollout.target_weight < FULL_WEIGHT),
             totals=totals,
             target_ready=len(tracks.target),
             others_ready=len(tracks.others),
-            are_routers_confirmed=self._are_routers_confirmed(committed.sequence),
+            are_routers_confirmed=self._are_routers_confirmed(committed),
             others_in_flight=totals.others.in_flight,
         )
 
-    def _are_routers_confirmed(self, sequence: int) -> bool:
-        """Whether there are routers, and all that are connected have that configuration in force."""
+    def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
+        """Whether there are routers, and all that are connected have that configuration in force.
+
+        A process that has just started knows few of the routers that serve.
+        """
+        rollout, sequence = committed.rollout, committed.sequence
+        if now_ms() < self._progress[rollout.service, rollout.order_id].known_since_ms + ROUTERS_RETURN_MS:
+            return False
         in_force = self.inputs.subscriptions.router_sequences().values()
         return bool(in_force) and min(in_force) >= sequence
 
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -104,9 +104,7 @@
     services: tuple[Service, ...]
     limits: Limits = Limits()
     tenants: tuple[Tenant, ...] = ()
-    rollouts: tuple[Rollout, ...] | None = msgspec.field(
-        default=(), name=ROLLOUTS_KEY
-    )  # None: a patch removed them
+    rollouts: tuple[Rollout, ...] = msgspec.field(default=(), name=ROLLOUTS_KEY)
 
 
 class RoutingTable:
@@ -117,7 +115,7 @@
         self.version = configuration.generation
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
-        self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts or ()}
+        self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts}
         self.has_tenants = bool(configuration.tenants)
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
         self.quotas = {
@@ -165,6 +163,7 @@
             if update.base_sequence != self.sequence:
                 return False
             body = apply_patch(self._document, body)
+            body = {key: value for key, value in body.items() if value is not None}  # null: removed
         self.table = RoutingTable(msgspec.convert(body, Configuration))
         self._document = body
         self.sequence = update.sequence
--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -104,7 +104,7 @@
         """
         target_ids = self._target_ids(upstreams)
         others = {
-            upstream.id: _status(upstream, takes_requests=not self._is_target(upstream))
+            upstream.id: _status(upstream, takes_requests=not self._is_target_or_withdrawn(upstream))
             for upstream in upstreams
         }
         self._others.update(others, now_ms)
@@ -118,6 +118,10 @@
     def _is_target(self, upstream: Upstream) -> bool:
         return self.rollout is not None and upstream.version == self.rollout.target_version
 
+    def _is_target_or_withdrawn(self, upstream: Upstream) -> bool:
+        withdrawn = self.rollout.withdrawn_versions if self.rollout is not None else ()
+        return self._is_target(upstream) or upstream.version in withdrawn
+
     def _target_ids(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
         """The upstreams of the target version that take requests: at small weights a few, so that these get load."""
         if self.rollout is None:
@@ -127,7 +131,7 @@
             return frozenset(upstream.id for upstream in target)
         responsive = sorted(upstream.id for upstream in target if _is_responsive(upstream))
         others_count = sum(
-            not self._is_target(upstream) and _is_responsive(upstream) for upstream in upstreams
+            not self._is_target_or_withdrawn(upstream) and _is_responsive(upstream) for upstream in upstreams
         )
         return canary_upstreams(responsive, others_count, self.rollout.target_weight)
 
--- a/packages/quotas/src/larkweir_quotas/usage_table.py
+++ b/packages/quotas/src/larkweir_quotas/usage_table.py
@@ -106,10 +106,7 @@
         known = self._processes.get(incarnation)
         if known is None:
             self._add_process(incarnation, units_by_tenant, sent_ms)
-            if self.has_limits:
-                self._rebuild(snapshot or QuotaSnapshot(), now_ms)
-            else:
-                self._early_snapshots.append(snapshot or QuotaSnapshot())
+            self._take_over(snapshot or QuotaSnapshot(), now_ms)
             return []
         if not self.has_limits:
             return []  # the first report after the limits tells of all use since the snapshot
@@ -163,6 +160,13 @@
         if len(self._processes) > MAX_TRACKED_INCARNATIONS:
             del self._processes[next(iter(self._processes))]
 
+    def _take_over(self, snapshot: QuotaSnapshot, now_ms: float) -> None:
+        """Rebuild from a snapshot, at the latest once the limits are known."""
+        if self.has_limits:
+            self._rebuild(snapshot, now_ms)
+        else:
+            self._early_snapshots.append(snapshot)
+
     def _is_rebuilding(self, now_ms: float) -> bool:
         return self._started_ms is not None and now_ms < self._started_ms + REBUILD_MS
 
--- a/packages/rollouts/src/larkweir_rollouts/orders.py
+++ b/packages/rollouts/src/larkweir_rollouts/orders.py
@@ -52,12 +52,12 @@
     if present is None:
         return (*rollouts, order)
     if present.target_version == order.target_version:
-        return rollouts if _is_repeat(present, order) else _replace(rollouts, order)
+        return rollouts if _is_repeat(present, order) else _replace(rollouts, _after(present, order))
     if present.is_running:
         return OrderConflict(
             f"a roll-out of {present.service} to {present.target_version} is running; it ends before another is ordered"
         )
-    return _replace(rollouts, order)
+    return _replace(rollouts, _after(present, order))
 
 
 def advance(rollouts: tuple[Rollout, ...], change: Advance) -> tuple[Rollout, ...]:
@@ -87,5 +87,14 @@
     return order.ordered_unix_ms - present.ordered_unix_ms < REPEAT_WINDOW_MS
 
 
+def _after(present: Rollout, order: Rollout) -> Rollout:
+    """Return the order with the versions that are withdrawn: their upstreams may live on for some seconds."""
+    withdrawn = {*present.withdrawn_versions} if present.state is not RolloutState.COMPLETED else set()
+    if present.state is RolloutState.ROLLED_BACK:
+        withdrawn.add(present.target_version)
+    withdrawn.discard(order.target_version)
+    return msgspec.structs.replace(order, withdrawn_versions=tuple(sorted(withdrawn)))
+
+
 def _replace(rollouts: tuple[Rollout, ...], changed: Rollout) -> tuple[Rollout, ...]:
     return tuple(changed if rollout.service == changed.service else rollout for rollout in rollouts)
--- a/packages/rollouts/src/larkweir_rollouts/state.py
+++ b/packages/rollouts/src/larkweir_rollouts/state.py
@@ -32,6 +32,7 @@
         state: running until it is completed or rolled back.
         target_weight: share of new requests that go to the target version while it is running.
         reason: why it was completed or rolled back, in one line.
+        withdrawn_versions: those that were rolled back before this order: none of their upstreams gets a request.
     """
 
     service: str
@@ -41,6 +42,7 @@
     state: RolloutState = RolloutState.RUNNING
     target_weight: Weight = 0.0
     reason: str = ""
+    withdrawn_versions: tuple[str, ...] = ()
 
     @property
     def is_running(self) -> bool:
--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -31,6 +31,8 @@
 COLD_CACHE_FACTOR = 6.0  # the same for first bytes: a new upstream reads whole prompts at first
 SLOW_FLOOR = 0.15  # share of slow answers that every version is granted
 COLD_CACHE_FLOOR = 0.3
+PAST_CONTROL_SLOW_FLOOR = 0.35  # the same, where the others answered only earlier
+PAST_CONTROL_COLD_CACHE_FLOOR = 0.6
 SLOW_SHARE_FACTOR = 2.0
 SLOW_SHARE_MARGIN = 0.05
 
@@ -102,18 +104,25 @@
 
 _PACE = _SlownessTest("pace", PACE_WEIGHT, SLOW_FACTOR, SLOW_FLOOR)
 _FIRST_BYTE = _SlownessTest("first byte", FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR)
+_PAST_PACE = _SlownessTest("pace", PACE_WEIGHT, SLOW_FACTOR, PAST_CONTROL_SLOW_FLOOR)
+_PAST_FIRST_BYTE = _SlownessTest(
+    "first byte", FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, PAST_CONTROL_COLD_CACHE_FLOOR
+)
 
 
-def judge(samples: PooledSamples, target_upstream_count: int = 2) -> Verdict:
+def judge(samples: PooledSamples, target_upstream_count: int = 2, *, is_control_live: bool = True) -> Verdict:
     """Judge the target version by everything that was reported since its order.
 
     Args:
         samples: the reports of all routers.
         target_upstream_count: the most upstreams the target has had; where there are several, one alone accuses nobody.
+        is_control_live: the others still get requests; else a disturbance of today is not seen in their answers.
     """
     windows = samples.windows()
     findings = [
-        finding for window in windows for finding in _findings(window, windows[0], target_upstream_count)
+        finding
+        for window in windows
+        for finding in _findings(window, windows[0], target_upstream_count, is_control_live=is_control_live)
     ]
     evidence = sum(finding.weight * finding.evidence for finding in findings)
     strongest = max(findings, key=lambda finding: finding.weight * finding.evidence, default=None)
@@ -138,7 +147,9 @@
     )  # of a sum that converges: the windows have no last one
 
 
-def _findings(window: Window, since_order: Window, upstream_count: int) -> Iterator[_Finding]:
+def _findings(
+    window: Window, since_order: Window, upstream_count: int, *, is_control_live: bool
+) -> Iterator[_Finding]:
     """Make every test in one window."""
     weight = window_weight(window.index)
     target, others, earlier = window.totals.target, window.totals.others, since_order.totals.others
@@ -149,14 +160,18 @@
     def failures(route: str | None, test_weight: float) -> _Finding:
         outcomes = _outcomes(target, route)
         outcomes = _Outcomes(max(0.0, outcomes.failed - lone_target), outcomes.answers)
-        control = _without_lone(_outcomes(others, route), lone_others, others)
+        control = (
+            _without_lone(_outcomes(others, route), lone_others, others)
+            if is_control_live
+            else _Outcomes(0.0, 0)
+        )
         past_control = _without_lone(_outcomes(earlier, route), lone_earlier, earlier)
         return _test_failures(route or "all routes", test_weight, outcomes, control, past_control)
 
     share = 0.5 * weight / max(1, len(target.routes))
     yield failures(None, 0.5 * weight * FAILURES_WEIGHT)
     yield from (failures(route, share * FAILURES_WEIGHT) for route in target.routes)
-    for test in (_PACE, _FIRST_BYTE):
+    for test in (_PACE, _FIRST_BYTE) if is_control_live else (_PAST_PACE, _PAST_FIRST_BYTE):
         counts = {
             route: _slowness_counts(test, samples, others.routes.get(route), earlier.routes.get(route))
             for route, samples in target.routes.items()
@@ -249,7 +264,7 @@
 
 
 def _durations(test: _SlownessTest, samples: RouteSamples) -> Histogram:
-    return samples.pace if test is _PACE else samples.first_byte
+    return samples.pace if test.name == _PACE.name else samples.first_byte
 
 
 def _median_bucket(histogram: Histogram) -> int:
--- a/packages/rollouts/tests/test_rollouts_orders.py
+++ b/packages/rollouts/tests/test_rollouts_orders.py
@@ -53,6 +53,8 @@
     if result == "conflict":
         assert isinstance(answer, OrderConflict) and "v2 is running" in answer.detail
     else:
+        withdrawn = ("v2",) if state is ROLLED_BACK and version != "v2" else ()
+        placed = msgspec.structs.replace(placed, withdrawn_versions=withdrawn)
         assert answer == (rollouts if result == "unchanged" else (OTHER_SERVICE, placed))
 
 
@@ -114,3 +116,20 @@
                 assert rollout == known
             elif not rollout.is_running:
                 ended[rollout.service, rollout.order_id] = rollout
+
+
+def test_a_version_that_was_rolled_back_stays_withdrawn_with_the_next_order() -> None:
+    first = Rollout("chat", "v2", 15.0, 0.0, RolloutState.ROLLED_BACK)
+    second = place_order((first,), Rollout("chat", "v3", 15.0, 20_000.0))
+    assert isinstance(second, tuple)
+    assert second[0].withdrawn_versions == ("v2",), "its upstreams may live on for some seconds"
+    again = place_order(
+        (msgspec.structs.replace(second[0], state=RolloutState.ROLLED_BACK),),
+        Rollout("chat", "v2", 15.0, 60_000.0),
+    )
+    assert isinstance(again, tuple)
+    assert again[0].withdrawn_versions == ("v3",)
+    completed = msgspec.structs.replace(second[0], state=RolloutState.COMPLETED)
+    third = place_order((completed,), Rollout("chat", "v4", 15.0, 60_000.0))
+    assert isinstance(third, tuple)
+    assert third[0].withdrawn_versions == (), "nothing but the completed version has been left since"
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -183,6 +183,7 @@
 ) -> None:
     async def play(scene: Scene) -> None:
         scene.commit(5, FULL)
+        assert await scene.evaluate() == []
         scene.present_ms += COMPLETION_DUE_MS
         scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
         assert await scene.evaluate() == [], "there is no router"
@@ -197,9 +198,23 @@
     run(monkeypatch, play)
 
 
+def test_a_controller_that_has_just_started_completes_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.present_ms += COMPLETION_DUE_MS
+        scene.connect(5)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == [], "most routers may still be on their way to it"
+        scene.present_ms += rollout_driver.ROUTERS_RETURN_MS
+        assert len(await scene.evaluate()) == 1
+
+    run(monkeypatch, play)
+
+
 def test_requests_under_way_at_the_others_are_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
     async def play(scene: Scene) -> None:
         scene.commit(5, FULL)
+        assert await scene.evaluate() == []
         scene.present_ms += COMPLETION_DUE_MS
         scene.connect(5)
         scene.samples.report("a/1", {"s": report(FULL, 100, others=100, others_in_flight=3)})
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -9,7 +9,7 @@
 
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from larkweir.cluster.messages import ConfigUpdate
-from larkweir.router.configuration import Configuration, ConfigurationStore, RoutingTable
+from larkweir.router.configuration import Configuration, ConfigurationStore, Limits, RoutingTable
 from tests.cluster.configurations import VALID, changed, route
 
 
@@ -69,3 +69,11 @@
     assert list(store.table.rollouts) == ["s"]
     assert store.apply(update(6, {ROLLOUTS_KEY: None}, base=5))
     assert store.table.rollouts == {}
+
+
+def test_a_patch_that_removes_the_limits_leaves_the_usual_ones() -> None:
+    store = ConfigurationStore()
+    assert store.apply(update(5, {**VALID, "limits": {"max_body_bytes": 7}}))
+    assert store.apply(update(6, {"limits": None}, base=5))
+    assert store.table is not None
+    assert store.table.limits.max_body_bytes == Limits().max_body_bytes
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -409,3 +409,9 @@
         if line["event"] == "request"
     ]
     assert tracks == [[None]] * AT_ONCE + [["others"]] * AT_ONCE + [["target"]] * AT_ONCE
+
+
+def test_a_withdrawn_version_gets_nothing_while_the_next_one_is_on_trial(play: RolloutPlay) -> None:
+    ordered = rollout(0.0, target_version="v3", withdrawn_versions=(NEW,))
+    play.order(ordered)
+    assert not set(served_by(play, 50)) & set(NEW_IDS)
