Controller: only a router that has a configuration is told that the limits are unknown

Cause: added quotas_unknown to each answer of a controller without a configuration, also to routers that have none, so that a golden line of before changed (test_hint_files_of_an_earlier_start_are_read). Change: it is left out where neither has one.

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -127,7 +127,7 @@
         wants_records: the sender has lost its records of upstreams: the next pull is to offer those of the receiver.
         compressed_config: in place of `config`, to a receiver that has named its encodings.
         wants_encodings: a large configuration waits: the next pull is to name the encodings that the receiver reads.
-        quotas_unknown: the sender knows no limits yet, so that `quotas` says nothing of any tenant.
+        quotas_unknown: the receiver has a configuration and the sender none yet: `quotas` says nothing of any tenant.
     """
 
     config: ConfigUpdate | None = None
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -190,7 +190,7 @@
             wants_records=is_router and self.requests_records and not subscriber.records_requested,
             compressed_config=configuration.compressed_config,
             wants_encodings=configuration.wants_encodings,
-            quotas_unknown=is_router and not state.quotas.has_limits,
+            quotas_unknown=is_router and pull.config_sequence >= 0 and not state.quotas.has_limits,
         )
         subscriber.records_requested = True
         subscriber.sent_ejected, subscriber.sent_controllers = ejected, controllers
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -198,7 +198,7 @@
         assert msgspec.json.decode(update.body) == {
             "upsert": {},
             "remove": {},
-            ROLLOUTS_KEY: advanced[ROLLOUTS_KEY],
+            ROLLOUTS_KEY: msgspec.json.decode(msgspec.json.encode(advanced[ROLLOUTS_KEY])),
         }
 
     asyncio.run(scene())
@@ -220,3 +220,15 @@
         assert two.sent[-1].quotas["t"].level < 1_000.0
 
     asyncio.run(scene())
+
+
+def test_a_controller_without_limits_says_so_to_a_router_that_has_a_configuration() -> None:
+    async def scene() -> None:
+        made = Scene()
+        one, two, _ = made.routers
+        assert not made.answer(one, Pull(vector={})).quotas_unknown, "neither knows any"
+        assert made.answer(two, Pull(7, {})).quotas_unknown
+        made.usage_table.set_limits({}, now_ms())
+        assert not made.answer(two, Pull(7, {})).quotas_unknown
+
+    asyncio.run(scene())
