--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -107,13 +107,13 @@
             upstream.id: _status(upstream, takes_requests=not self._is_target_or_withdrawn(upstream))
             for upstream in upstreams
         }
-        self._others.update(others, now_ms)
+        self._others.update(others, now_ms, has_tracks=self.rollout is not None)
         if self._target is not None:
             target = {
                 upstream.id: _status(upstream, takes_requests=upstream.id in target_ids)
                 for upstream in upstreams
             }
-            self._target.update(target, now_ms)
+            self._target.update(target, now_ms, has_tracks=True)
 
     def _is_target(self, upstream: Upstream) -> bool:
         return self.rollout is not None and upstream.version == self.rollout.target_version
--- a/packages/balancing/src/larkweir_balancing/token_list.py
+++ b/packages/balancing/src/larkweir_balancing/token_list.py
@@ -46,10 +46,13 @@
         self._ejected: frozenset[str] = frozenset()
         self.unresponsive: set[int] = set()
 
-    def update(self, listed: Mapping[str, UpstreamStatus], now_ms: float) -> list[int]:
+    def update(
+        self, listed: Mapping[str, UpstreamStatus], now_ms: float, *, has_tracks: bool = False
+    ) -> list[int]:
         """Take the whole list: what it lacks is gone. Returns the numbers of those gone.
 
-        An upstream that drains or is gone is not sampled from now on.
+        An upstream that drains or is gone is not sampled from now on. `has_tracks`: one that is ready again, as it has
+        moved here from another track of a roll-out, earns its token like a new one.
         """
         entries = []
         self.unresponsive = set()
@@ -59,13 +62,14 @@
             entries.append(ServerEntry(number, state))
             if upstream.is_unresponsive:
                 self.unresponsive.add(number)
+        known = set(self._servers.servers)
         were_ready = {server.id for server in self.ready_servers()}
-        _, gone = self._servers.update(ListUpdate(ListKind.FULL, entries=entries))
+        fresh, gone = self._servers.update(ListUpdate(ListKind.FULL, entries=entries))
         for server in gone:
             self._numbers.pop(self._ids.pop(server.id), None)
-        for server in self.ready_servers():
-            if server.id not in were_ready:  # new, or ready again
-                self._servers.earn_token(server, now_ms)
+        ready_again = [one for one in self.ready_servers() if one.id in known and one.id not in were_ready]
+        for server in (*fresh, *ready_again) if has_tracks else fresh:
+            self._servers.earn_token(server, now_ms)
         return [server.id for server in gone]
 
     def _assign_number(self, id_: str) -> int:
--- a/packages/balancing/src/larkweir_balancing/upstream_selection.py
+++ b/packages/balancing/src/larkweir_balancing/upstream_selection.py
@@ -65,9 +65,14 @@
 
     # The list
 
-    def update(self, listed: Mapping[str, UpstreamStatus], now_ms: float) -> None:
-        """Take the whole list: what it lacks is gone, and nothing that drains or is gone is selected from now on."""
-        for number in self._upstreams.update(listed, now_ms):
+    def update(
+        self, listed: Mapping[str, UpstreamStatus], now_ms: float, *, has_tracks: bool = False
+    ) -> None:
+        """Take the whole list: what it lacks is gone, and nothing that drains or is gone is selected from now on.
+
+        `has_tracks`: the service has a roll-out, whose upstreams move from one selector to another.
+        """
+        for number in self._upstreams.update(listed, now_ms, has_tracks=has_tracks):
             self._backlog.remove(number)
         self._prefixes.on_list_changed()
 
