--- a/packages/quotas/tests/test_quotas_outages.py
+++ b/packages/quotas/tests/test_quotas_outages.py
@@ -119,6 +119,11 @@
     assert fleet.most_in_a_window(since_ms=8_000.0 + 2.0 * MEDIUM.window_ms) <= allowed
 
 
+def test_clients_are_still_spread_when_a_long_debt_is_paid() -> None:
+    deep_debt = 17  # seed: paid 13 s after its last charge
+    test_a_limit_that_is_lowered_in_the_middle_binds_a_window_later(deep_debt)
+
+
 @pytest.mark.parametrize("site", [MEDIUM, LARGE], ids=["195 routers", "300 routers"])
 def test_a_tenant_that_presses_gets_its_limit_while_connected(site: Site) -> None:
     fleet = start(site, 0, PRESSING_FACTOR)
