Roll-outs: answers that are far slower are granted less, and doubt stops the growth

Cause: 15% of slow answers (over three times the others' median) are granted to every version, for cold caches and busy canaries, so that a third that is slow is weak evidence; and up to an evidence of 10 the weight grew. Change: answers over five times the median (first byte: ten) are tested as well, with a grant of 4%; the weight does not grow while the evidence is 1.5 or more, where a good version's falls below 1 with its first answers. Tests: drawn versions that are partly bad, two planted faults (each found; the far test and the doubt taken out), a partly slow version beside every disturbance. A verdict's reason is told from doubt on, not from suspicion on, so its test asserts that.

--- a/packages/rollouts/src/larkweir_rollouts/schedule.py
+++ b/packages/rollouts/src/larkweir_rollouts/schedule.py
@@ -133,7 +133,7 @@
 
 def _obstacle(view: View) -> str:
     """Tell why the target's weight may not grow; empty if it may."""
-    if view.verdict.is_suspect:
+    if view.verdict.is_doubtful:
         return f"suspect: {view.verdict.reason}"
     if view.target_ready < max(1.0, MIN_READY_FRACTION * view.others_ready):
         return f"{view.target_ready} upstreams of the target ready beside {view.others_ready} others"
--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -9,6 +9,7 @@
 import math
 from collections.abc import Iterator
 from dataclasses import dataclass
+from enum import StrEnum
 
 import msgspec
 
@@ -19,6 +20,7 @@
 FALSE_ALARM_PROBABILITY = 0.001  # at most, that a version is condemned that is as the hypotheses say
 BAD_EVIDENCE = 1.0 / FALSE_ALARM_PROBABILITY
 SUSPECT_EVIDENCE = 10.0
+DOUBT_EVIDENCE = 1.5  # a good version's evidence falls below 1 with its first answers, and stays there
 
 MIN_CONTROL = 10  # answers of the others on a route, below which they are no control
 FAILURE_FLOOR = 0.01  # share of failures that every version is granted
@@ -33,8 +35,13 @@
 COLD_CACHE_FLOOR = 0.3
 PAST_CONTROL_SLOW_FLOOR = 0.35  # the same, where the others answered only earlier
 PAST_CONTROL_COLD_CACHE_FLOOR = 0.6
+FAR_SLOW_FACTOR = 5.0  # of the others' median: what a cold cache or a busy canary rarely explains
+FAR_COLD_CACHE_FACTOR = 10.0
+FAR_SLOW_FLOOR = 0.04
+PAST_CONTROL_FAR_SLOW_FLOOR = 0.15
 SLOW_SHARE_FACTOR = 2.0
 SLOW_SHARE_MARGIN = 0.05
+FAR_SLOW_SHARE_MARGIN = 0.02
 
 LONE_FACTOR = 3  # one upstream's or router's failures count up to so many times those of all others
 MANY_UPSTREAMS = 2  # or more: one of them accuses nobody alone
@@ -43,8 +50,10 @@
 
 # Weights of the tests in the mean: half over all routes, half divided evenly over the routes.
 FAILURES_WEIGHT = 0.5
-PACE_WEIGHT = 0.35
-FIRST_BYTE_WEIGHT = 0.15
+PACE_WEIGHT = 0.15
+FAR_PACE_WEIGHT = 0.2
+FIRST_BYTE_WEIGHT = 0.1
+FAR_FIRST_BYTE_WEIGHT = 0.05
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -52,7 +61,7 @@
 
     Attributes:
         is_bad: it is to be rolled back.
-        is_suspect: its traffic is not to grow for now.
+        is_suspect: its traffic is to shrink, and it is not to be completed for now.
         reason: the strongest test, in one line; empty while nothing speaks against the version.
         evidence: the e-value.
         target_answers: answers of the target version, on which it rests.
@@ -64,6 +73,11 @@
     evidence: float = 1.0
     target_answers: int = 0
 
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether its traffic is not to grow for now."""
+        return self.is_suspect or self.evidence >= DOUBT_EVIDENCE
+
 
 @dataclass(frozen=True, slots=True)
 class _Finding:
@@ -82,14 +96,30 @@
     answers: int
 
 
+class _Duration(StrEnum):
+    """A duration of an answer, as reasons name it."""
+
+    PACE = "pace"
+    FIRST_BYTE = "first byte"
+
+
 @dataclass(frozen=True, slots=True)
 class _SlownessTest:
-    """What makes an answer slow, and how many slow ones every version is granted."""
+    """What makes an answer slow, and how many slow ones every version is granted.
 
-    name: str
+    Attributes:
+        duration: the one that is tested.
+        weight: in the mean.
+        slow_factor: of the others' median, above which an answer is slow.
+        floor: share of slow answers that every version is granted.
+        margin: the same, beyond twice the others' share.
+    """
+
+    duration: _Duration
     weight: float
     slow_factor: float
     floor: float
+    margin: float = SLOW_SHARE_MARGIN
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +132,22 @@
     control: int = 0
 
 
-_PACE = _SlownessTest("pace", PACE_WEIGHT, SLOW_FACTOR, SLOW_FLOOR)
-_FIRST_BYTE = _SlownessTest("first byte", FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR)
-_PAST_PACE = _SlownessTest("pace", PACE_WEIGHT, SLOW_FACTOR, PAST_CONTROL_SLOW_FLOOR)
-_PAST_FIRST_BYTE = _SlownessTest(
-    "first byte", FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, PAST_CONTROL_COLD_CACHE_FLOOR
+_SLOWNESS_TESTS = (
+    _SlownessTest(_Duration.PACE, PACE_WEIGHT, SLOW_FACTOR, SLOW_FLOOR),
+    _SlownessTest(_Duration.PACE, FAR_PACE_WEIGHT, FAR_SLOW_FACTOR, FAR_SLOW_FLOOR, FAR_SLOW_SHARE_MARGIN),
+    _SlownessTest(_Duration.FIRST_BYTE, FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, COLD_CACHE_FLOOR),
+    _SlownessTest(
+        _Duration.FIRST_BYTE,
+        FAR_FIRST_BYTE_WEIGHT,
+        FAR_COLD_CACHE_FACTOR,
+        FAR_SLOW_FLOOR,
+        FAR_SLOW_SHARE_MARGIN,
+    ),
+)
+_PAST_SLOWNESS_TESTS = (
+    _SlownessTest(_Duration.PACE, PACE_WEIGHT, SLOW_FACTOR, PAST_CONTROL_SLOW_FLOOR),
+    _SlownessTest(_Duration.PACE, FAR_PACE_WEIGHT, FAR_SLOW_FACTOR, PAST_CONTROL_FAR_SLOW_FLOOR),
+    _SlownessTest(_Duration.FIRST_BYTE, FIRST_BYTE_WEIGHT, COLD_CACHE_FACTOR, PAST_CONTROL_COLD_CACHE_FLOOR),
 )
 
 
@@ -126,11 +167,10 @@
     ]
     evidence = sum(finding.weight * finding.evidence for finding in findings)
     strongest = max(findings, key=lambda finding: finding.weight * finding.evidence, default=None)
-    is_suspect = evidence >= SUSPECT_EVIDENCE
     return Verdict(
         is_bad=evidence >= BAD_EVIDENCE,
-        is_suspect=is_suspect,
-        reason=strongest.reason if strongest is not None and is_suspect else "",
+        is_suspect=evidence >= SUSPECT_EVIDENCE,
+        reason=strongest.reason if strongest is not None and evidence >= DOUBT_EVIDENCE else "",
         evidence=evidence,
         target_answers=answered(windows[0].totals.target),
     )
@@ -171,7 +211,7 @@
     share = 0.5 * weight / max(1, len(target.routes))
     yield failures(None, 0.5 * weight * FAILURES_WEIGHT)
     yield from (failures(route, share * FAILURES_WEIGHT) for route in target.routes)
-    for test in (_PACE, _FIRST_BYTE) if is_control_live else (_PAST_PACE, _PAST_FIRST_BYTE):
+    for test in _SLOWNESS_TESTS if is_control_live else _PAST_SLOWNESS_TESTS:
         counts = {
             route: _slowness_counts(test, samples, others.routes.get(route), earlier.routes.get(route))
             for route, samples in target.routes.items()
@@ -221,11 +261,9 @@
         sum(count.control for count in counts),
     )
     share = control_slow / max(1, control)
-    null_probability = max(test.floor, SLOW_SHARE_FACTOR * share + SLOW_SHARE_MARGIN)
+    null_probability = max(test.floor, SLOW_SHARE_FACTOR * share + test.margin)
     evidence = e_value(slow, total, min(MAX_NULL_PROBABILITY, null_probability))
-    reason = (
-        f"{name}: {slow} of {total} answers, {test.name} over {test.slow_factor:.0f} times the others' median"
-    )
+    reason = f"{name}: {slow} of {total} answers, {test.duration} over {test.slow_factor:.0f} times the others' median"
     return _Finding(evidence, weight * test.weight, f"{reason}, {control_slow} of {control} at the others")
 
 
@@ -264,7 +302,7 @@
 
 
 def _durations(test: _SlownessTest, samples: RouteSamples) -> Histogram:
-    return samples.pace if test.name == _PACE.name else samples.first_byte
+    return samples.pace if test.duration is _Duration.PACE else samples.first_byte
 
 
 def _median_bucket(histogram: Histogram) -> int:
--- a/packages/rollouts/tests/rollout_scenarios.py
+++ b/packages/rollouts/tests/rollout_scenarios.py
@@ -99,6 +99,21 @@
     return drawn if version is None else replace(drawn, version=version)
 
 
+def partly_bad_scenario(seed: int) -> Scenario:
+    """Draw a scenario with a version of which a quarter to a half of the answers fail, or are eight times slower."""
+    drawn, rng = scenario(seed), Random(seed * 31 + 7)
+    share = rng.uniform(0.25, 0.55)
+    version = Version(failing=share) if rng.random() < 0.5 else Version(slowdown=8.0, slow_share=share)
+    kind = rng.randrange(4)
+    if kind == 1:
+        version = replace(version, is_under_load=True)
+    elif kind == 2:
+        version = replace(version, route=rng.choice(drawn.routes))
+    elif kind == 3:
+        version = replace(version, onset=rng.uniform(0.1, 0.4))
+    return replace(drawn, version=version)
+
+
 def _draw_version(rng: Random, routes: tuple[str, ...]) -> Version:
     """Good in half of the scenarios, otherwise clearly bad in one of many ways."""
     if rng.random() < 0.5:
--- a/packages/rollouts/tests/test_rollouts_planted.py
+++ b/packages/rollouts/tests/test_rollouts_planted.py
@@ -41,7 +41,18 @@
 
 
 def cold_caches_count_as_slow(patch: pytest.MonkeyPatch) -> None:
-    patch.setattr(verdict, "_FIRST_BYTE", verdict._SlownessTest("first byte", 0.15, 1.5, 0.1))
+    test = verdict._SlownessTest(verdict._Duration.FIRST_BYTE, 0.15, 1.5, 0.1)
+    patch.setattr(verdict, "_SLOWNESS_TESTS", (test,))
+
+
+def far_slow_answers_count_as_slow_ones(patch: pytest.MonkeyPatch) -> None:
+    far = (verdict.FAR_SLOW_FACTOR, verdict.FAR_COLD_CACHE_FACTOR)
+    near = tuple(test for test in verdict._SLOWNESS_TESTS if test.slow_factor not in far)
+    patch.setattr(verdict, "_SLOWNESS_TESTS", near)
+
+
+def doubtful_versions_grow(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(verdict, "DOUBT_EVIDENCE", verdict.SUSPECT_EVIDENCE)
 
 
 def the_canary_gets_a_third(patch: pytest.MonkeyPatch) -> None:
@@ -128,6 +139,8 @@
 LONG = LARGE | {"duration_s": 60.0}
 FAILING, SLOW = Version(failing=0.3), Version(slowdown=6.0)
 LATE = Version(failing=0.3, onset=0.35)
+PARTLY_SLOW = Version(slowdown=8.0, slow_share=0.35, route="digest")
+LATE_PARTLY_SLOW = Version(slowdown=8.0, slow_share=0.35, onset=0.3)
 FAULTS: list[tuple[Patch, Choose]] = [
     (nothing_is_judged, drawn(version=FAILING)),
     (
@@ -140,6 +153,8 @@
     (the_canary_gets_a_third, drawn(version=LATE, **LARGE)),
     (all_requests_go_to_the_target_at_once, drawn(version=LATE, **LARGE)),
     (full_weight_is_delayed, drawn(**LARGE)),
+    (far_slow_answers_count_as_slow_ones, drawn(version=PARTLY_SLOW, **LARGE)),
+    (doubtful_versions_grow, drawn(version=LATE_PARTLY_SLOW)),
     (suspects_grow, drawn(version=Version(failing=0.08), **LARGE)),
     (the_old_ones_are_stopped_at_once, drawn(**LARGE)),
     (
--- a/packages/rollouts/tests/test_rollouts_simulation.py
+++ b/packages/rollouts/tests/test_rollouts_simulation.py
@@ -7,12 +7,13 @@
 
 import pytest
 from rollout_checks import check, check_both
-from rollout_scenarios import Disturbance, Version, scenario
+from rollout_scenarios import Disturbance, Version, partly_bad_scenario, scenario
 
 SEEDS = int(os.environ.get("ROLLOUT_SEEDS", "16"))
 GOOD = Version()
 FAILING = Version(failing=0.3)
 SLOW = Version(slowdown=6.0)
+PARTLY_SLOW = Version(slowdown=8.0, slow_share=0.4)
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
@@ -25,7 +26,12 @@
     check(replace(scenario(1, GOOD), disturbance=disturbance))
 
 
-@pytest.mark.parametrize("version", [FAILING, SLOW], ids=["failing", "slow"])
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_a_drawn_version_of_which_a_part_of_the_answers_is_bad(seed: int) -> None:
+    check(partly_bad_scenario(seed))
+
+
+@pytest.mark.parametrize("version", [FAILING, SLOW, PARTLY_SLOW], ids=["failing", "slow", "partly slow"])
 @pytest.mark.parametrize("disturbance", list(Disturbance))
 def test_a_bad_version_is_rolled_back_whatever_else_happens(
     disturbance: Disturbance, version: Version
--- a/packages/rollouts/tests/test_rollouts_verdict.py
+++ b/packages/rollouts/tests/test_rollouts_verdict.py
@@ -96,7 +96,7 @@
 )
 def test_a_verdict(found: Verdict, is_bad: bool, is_suspect: bool) -> None:
     assert (found.is_bad, found.is_suspect) == (is_bad, is_suspect), found
-    assert bool(found.reason) == is_suspect
+    assert bool(found.reason) == found.is_doubtful
 
 
 def test_the_reason_names_the_strongest_test() -> None:
