Roll-outs: an order for the version that all upstreams have refuses nothing

Cause: such an order sent 92% of the requests to the others, of which there are none, and two upstreams of the target took the rest; condemned or without traffic it was rolled back, which withdrew the only version there is. Change: a router that has seen no other version since the order routes at full weight; a primary that has seen none takes the steps of only_version (never a roll-back, completed at its time). Seen once, others put the target on trial. Tests: run with larkweir/ as it was, 4 tests of test_rollout_tracks.py and one of test_rollout_driver.py fail.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -6,11 +6,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+from larkweir_registry.records import UpstreamState
 from larkweir_registry.registry import Registry
 from larkweir_replication.messages import Command
+from larkweir_rollouts.only_version import next_step_of_only_version
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
 from larkweir_rollouts.schedule import FULL_WEIGHT, View, next_step
+from larkweir_rollouts.state import Rollout
 from larkweir_rollouts.verdict import judge
 
 from larkweir.cluster import log
@@ -23,7 +26,7 @@
 from larkweir.controller.rollout_tracks import Tracks, split_into_tracks
 from larkweir.controller.subscriptions import Subscriptions
 
-ROUTERS_RETURN_MS = 2_000.0  # in which routers find a controller that has started
+ROUTERS_RETURN_MS = 2_000.0  # in which routers and upstreams find a controller that has started
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
 Submit = Callable[[Command], Awaitable[CallOutcome]]
@@ -45,8 +48,20 @@
 
     known_since_ms: float  # by this process
     most_target_ready: int = 0
+    has_seen_target: bool = False  # an upstream of the target version, ready or not
+    has_seen_others: bool = False  # one that is neither of the target version nor of a withdrawn one
     is_advancing: bool = False
 
+    @property
+    def is_only_version(self) -> bool:
+        """Whether the service seems to have upstreams of the target version alone."""
+        return self.has_seen_target and not self.has_seen_others
+
+    @property
+    def is_warmed_up(self) -> bool:
+        """A process that has just started knows few of the routers and upstreams that serve."""
+        return now_ms() >= self.known_since_ms + ROUTERS_RETURN_MS
+
 
 @dataclass(slots=True)
 class RolloutDriver:
@@ -85,14 +100,33 @@
         tracks = split_into_tracks(rollout, registry.ready_ids(rollout.service), registry.upstreams)
         progress = self._progress[rollout.service, rollout.order_id]
         progress.most_target_ready = max(progress.most_target_ready, len(tracks.target))
+        self._note_versions(rollout, progress)
         if pool is None or progress.is_advancing or not self.is_primary():
             return
         view = self._view(committed, pool, tracks, progress.most_target_ready)
-        step = next_step(view)
+        step = self._next_step(view, progress)
         if step is not None:
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
+    def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
+        if progress.has_seen_target and progress.has_seen_others:
+            return
+        upstreams = self.inputs.registry.upstreams
+        known = [
+            one.id
+            for one in upstreams.values()
+            if one.service == rollout.service and one.state is not UpstreamState.GONE
+        ]
+        tracks = split_into_tracks(rollout, known, upstreams)
+        progress.has_seen_target |= bool(tracks.target)
+        progress.has_seen_others |= bool(tracks.others)
+
+    def _next_step(self, view: View, progress: _Progress) -> Advance | None:
+        if not progress.is_only_version:
+            return next_step(view)
+        return next_step_of_only_version(view) if progress.is_warmed_up else None
+
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
     ) -> View:
@@ -109,12 +143,9 @@
         )
 
     def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
-        """Whether there are routers, and all that are connected have that configuration in force.
-
-        A process that has just started knows few of the routers that serve.
-        """
+        """Whether there are routers, and all that are connected have that configuration in force."""
         rollout, sequence = committed.rollout, committed.sequence
-        if now_ms() < self._progress[rollout.service, rollout.order_id].known_since_ms + ROUTERS_RETURN_MS:
+        if not self._progress[rollout.service, rollout.order_id].is_warmed_up:
             return False
         in_force = self.inputs.subscriptions.router_sequences().values()
         return bool(in_force) and min(in_force) >= sequence
--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -12,6 +12,7 @@
 from enum import StrEnum
 from random import Random
 
+import msgspec
 from larkweir_balancing.token_list import UpstreamStatus
 from larkweir_balancing.upstream_selection import UpstreamSelector
 from larkweir_registry.records import Upstream, UpstreamState
@@ -66,6 +67,7 @@
         self._make_selector = make_selector
         self._others = make_selector()
         self._target: UpstreamSelector | None = None
+        self._has_seen_others = False  # upstreams of another version, since the order
         self.rollout: Rollout | None = None
 
     def selector(self, track: Track) -> UpstreamSelector:
@@ -87,6 +89,8 @@
         prefill times that were learned at the others.
         """
         before, self.rollout = self.rollout, rollout
+        if before is None or rollout is None or rollout.order_id != before.order_id:
+            self._has_seen_others = False
         if before is not None and (rollout is None or rollout.order_id != before.order_id):
             if self._target is not None and before.state is RolloutState.COMPLETED:
                 self._others = self._target
@@ -95,6 +99,16 @@
             self._target = self._make_selector()
             self._target.prefill_time = replace(self._others.prefill_time)
 
+    @property
+    def routed_rollout(self) -> Rollout | None:
+        """The roll-out as requests follow it.
+
+        All go to the target where no upstream of another version was known since the order: none else could serve.
+        """
+        if self.rollout is None or not self.rollout.is_running or self._has_seen_others:
+            return self.rollout
+        return msgspec.structs.replace(self.rollout, target_weight=1.0)
+
     def update(self, upstreams: Sequence[Upstream], now_ms: float) -> None:
         """List the service's upstreams, each as ready on its own track alone.
 
@@ -102,6 +116,7 @@
             upstreams: all of the service that are not gone.
             now_ms: the event loop's time.
         """
+        self._has_seen_others |= any(not self._is_target_or_withdrawn(upstream) for upstream in upstreams)
         target_ids = self._target_ids(upstreams)
         others = {
             upstream.id: _status(upstream, takes_requests=not self._is_target_or_withdrawn(upstream))
@@ -124,16 +139,17 @@
 
     def _target_ids(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
         """The upstreams of the target version that take requests: at small weights a few, so that these get load."""
-        if self.rollout is None:
+        rollout = self.routed_rollout
+        if rollout is None:
             return frozenset()
         target = [upstream for upstream in upstreams if self._is_target(upstream)]
-        if not self.rollout.is_running:
+        if not rollout.is_running:
             return frozenset(upstream.id for upstream in target)
         responsive = sorted(upstream.id for upstream in target if _is_responsive(upstream))
         others_count = sum(
             not self._is_target_or_withdrawn(upstream) and _is_responsive(upstream) for upstream in upstreams
         )
-        return canary_upstreams(responsive, others_count, self.rollout.target_weight)
+        return canary_upstreams(responsive, others_count, rollout.target_weight)
 
 
 def _is_responsive(upstream: Upstream) -> bool:
--- a/larkweir/router/upstream_choice.py
+++ b/larkweir/router/upstream_choice.py
@@ -55,13 +55,13 @@
 
     def _draw(self) -> Track:
         upstreams = self._plane.upstreams
-        drawn = draw_track(upstreams.rollouts.get(self._service), self._plane.rng)
+        drawn = draw_track(upstreams.routed_rollout(self._service), self._plane.rng)
         if drawn is Track.TARGET and not upstreams.selector(self._service, drawn).ready_count:
             return Track.OTHERS
         return drawn
 
     def _tracks(self) -> tuple[Track, ...]:
-        rollout = self._plane.upstreams.rollouts.get(self._service)
+        rollout = self._plane.upstreams.routed_rollout(self._service)
         return allowed_tracks(rollout, self._drawn, is_first=not self._tried)
 
     @property
@@ -72,7 +72,7 @@
         """
         if not (OPTIONS.controller_prefix_owners and self._prompt.is_shared):
             return False
-        rollout = self._plane.upstreams.rollouts.get(self._service)
+        rollout = self._plane.upstreams.routed_rollout(self._service)
         is_on_trial = self._drawn is Track.TARGET and rollout is not None and rollout.effective_weight < 1.0
         return not is_on_trial and self._plane.is_engine(self._service)
 
@@ -102,7 +102,7 @@
             if id_ is not None:
                 self._tried[id_] = track
                 is_cached = owner is not None and owner.is_cached and owner.engine == id_
-                has_rollout = self._plane.upstreams.rollouts.get(self._service) is not None
+                has_rollout = self._plane.upstreams.routed_rollout(self._service) is not None
                 shown = track if has_rollout else None
                 return SelectedUpstream(id_, selector, shown, selector.last_reason, is_cached)
         return None
--- a/larkweir/router/upstream_directory.py
+++ b/larkweir/router/upstream_directory.py
@@ -66,6 +66,12 @@
         """The selector of a service's track; made at its first use."""
         return self._tracks(service).selector(track)
 
+    def routed_rollout(self, service: str) -> Rollout | None:
+        """The roll-out of a service as requests follow it; None where there is none."""
+        if service not in self.rollouts:
+            return None
+        return self._tracks(service).routed_rollout
+
     def _tracks(self, service: str) -> ServiceTracks:
         tracks = self._services.get(service)
         if tracks is None:
@@ -141,6 +147,8 @@
             if before.get(service) != rollouts.get(service):
                 tracks.set_rollout(rollouts.get(service))
                 self._list(service, now_ms)
+        for service in rollouts:
+            self._tracks(service)  # which notes from now on what versions there are
 
     def _list(self, service: str, now_ms: float) -> None:
         listed = [upstream for upstream in self._upstreams.values() if upstream.service == service]
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -39,6 +39,7 @@
     outcome: CallOutcome = field(default_factory=Completed)
     is_primary: bool = True
     present_ms: float = 50_000.0
+    versions: dict[str, str] = field(default_factory=lambda: {"a": "v1", "b": "v2"})  # of upstreams
     steps: list[Advance] = field(default_factory=list)
     answers: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -48,9 +49,9 @@
         self.samples = RolloutSamples()
         self.subscriptions = Subscriptions()
         self.tasks = BackgroundTasks()
-        registry = versioned(Registry("c/1"), a="v1", b="v2")
+        self.registry = versioned(Registry("c/1"), **self.versions)
         self.driver = RolloutDriver(
-            RolloutInputs(self.rollouts, self.samples, registry, self.subscriptions),
+            RolloutInputs(self.rollouts, self.samples, self.registry, self.subscriptions),
             self.submit,
             lambda: self.is_primary,
             lambda: True,
@@ -96,9 +97,9 @@
         await asyncio.sleep(0)
 
 
-def run(monkeypatch: pytest.MonkeyPatch, play: Callable[[Scene], Awaitable[None]]) -> None:
+def run(monkeypatch: pytest.MonkeyPatch, play: Callable[[Scene], Awaitable[None]], **versions: str) -> None:
     async def whole() -> None:
-        scene = Scene()
+        scene = Scene(versions=versions) if versions else Scene()
         monkeypatch.setattr(rollout_driver, "now_ms", lambda: scene.present_ms)
         await play(scene)
         scene.tasks.close()
@@ -231,3 +232,37 @@
         assert await scene.evaluate() == []
 
     run(monkeypatch, play)
+
+
+def test_an_order_for_the_only_version_is_completed_at_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, CANARY)
+        scene.samples.report("a/1", {"s": report(CANARY, 0, 40)})
+        assert await scene.evaluate() == [], "whatever its answers are, nothing else could serve"
+        scene.present_ms += FULL_WEIGHT_DUE_MS
+        (step,) = await scene.evaluate()
+        assert (step.state, step.target_weight) == (RolloutState.RUNNING, 1.0)
+        scene.commit(3, FULL)
+        scene.present_ms += COMPLETION_DUE_MS - FULL_WEIGHT_DUE_MS
+        assert await scene.evaluate() == [], "no router has confirmed"
+        scene.connect(3)
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.COMPLETED
+
+    run(monkeypatch, play, a="v2", b="v2")
+
+
+def test_a_controller_that_knows_no_other_version_yet_decides_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(2, CANARY)
+        scene.present_ms += FULL_WEIGHT_DUE_MS
+        assert await scene.evaluate() == [], "its process has just learned of the order"
+        versioned(scene.registry, a="v1")
+        for router in ("a/1", "b/1", "c/1"):
+            scene.samples.report(router, {"s": report(CANARY, 0, 40, others=400)})
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.ROLLED_BACK
+
+    run(monkeypatch, play, b="v2")
--- a/tests/router/rollout_model.py
+++ b/tests/router/rollout_model.py
@@ -34,12 +34,12 @@
 class RolloutPlay(Play):
     """Two upstreams of the old version and three of the new one."""
 
-    def __init__(self, new_ids: tuple[str, ...] = NEW_IDS) -> None:
+    def __init__(self, new_ids: tuple[str, ...] = NEW_IDS, *, has_old: bool = True) -> None:
         super().__init__()
         self.now_s = 1_000.0
         self.loop.time = lambda: self.now_s  # type: ignore[method-assign]
         self._sequence = 1
-        self.list_upstreams(OLD, OLD_IDS)
+        self.list_upstreams(OLD, OLD_IDS, UpstreamState.READY if has_old else UpstreamState.GONE)
         self.list_upstreams(NEW, new_ids)
 
     def list_upstreams(
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -415,3 +415,38 @@
     ordered = rollout(0.0, target_version="v3", withdrawn_versions=(NEW,))
     play.order(ordered)
     assert not set(served_by(play, 50)) & set(NEW_IDS)
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.08, 1.0])
+def test_an_order_for_the_only_version_refuses_nothing(weight: float) -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(weight, withdrawn_versions=("v0",)))
+    assert served_by(play, 100) == set(NEW_IDS), "all of them, no canary's share"
+    play.list_upstreams(NEW, NEW_IDS[:1], DRAINING)
+    assert served_by(play, 50) == set(NEW_IDS[1:])
+    play.order(rollout(1.0, COMPLETED))
+    assert served_by(play, 50) == set(NEW_IDS[1:])
+    play.close()
+
+
+def test_a_further_attempt_stays_at_the_only_version() -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(0.08))
+    sent, first = play.request_at("safe")
+    end_badly(play, play.waiting()[0], "reset")
+    second = instance(play.waiting()[0])
+    assert {first, second} < set(NEW_IDS)
+    play.answer(play.waiting()[0])
+    assert sent.complete
+    play.close()
+
+
+def test_a_target_that_was_the_only_one_is_on_trial_once_another_version_is_there() -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(0.0))
+    assert served_by(play, 50) == set(NEW_IDS)
+    play.list_upstreams(OLD, OLD_IDS)
+    assert served_by(play, 50) == set(OLD_IDS)
+    play.list_upstreams(OLD, OLD_IDS, GONE)
+    assert served_by(play, 50) == {""}, "the target has not been judged"
+    play.close()
