Roll-outs: versions that no order named are used after a completion

Cause: after a completion routers and placements used the target version alone, so that servers added or replaced with a further version got nothing. Change: each step commits the other versions that its decider has known (optional field other_versions, a union over the deciders); a completion replaces these, and all versions but these and the withdrawn ones are used. What was replaced stays out with the next order. Unset, as in stored data and of older controllers, all is as before.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -6,6 +6,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
+import msgspec
 from larkweir_registry.records import UpstreamState
 from larkweir_registry.registry import Registry
 from larkweir_replication.messages import Command
@@ -49,13 +50,13 @@
     known_since_ms: float  # by this process
     most_target_ready: int = 0
     has_seen_target: bool = False  # an upstream of the target version, ready or not
-    has_seen_others: bool = False  # one that is neither of the target version nor of a withdrawn one
+    other_versions: set[str] = field(default_factory=set)  # of upstreams, ready or not; no withdrawn ones
     is_advancing: bool = False
 
     @property
     def is_only_version(self) -> bool:
         """Whether the service seems to have upstreams of the target version alone."""
-        return self.has_seen_target and not self.has_seen_others
+        return self.has_seen_target and not self.other_versions
 
     @property
     def is_warmed_up(self) -> bool:
@@ -106,12 +107,11 @@
         view = self._view(committed, pool, tracks, progress.most_target_ready)
         step = self._next_step(view, progress)
         if step is not None:
+            step = msgspec.structs.replace(step, other_versions=tuple(sorted(progress.other_versions)))
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
     def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
-        if progress.has_seen_target and progress.has_seen_others:
-            return
         upstreams = self.inputs.registry.upstreams
         known = [
             one.id
@@ -120,7 +120,7 @@
         ]
         tracks = split_into_tracks(rollout, known, upstreams)
         progress.has_seen_target |= bool(tracks.target)
-        progress.has_seen_others |= bool(tracks.others)
+        progress.other_versions |= {upstreams[id_].version for id_ in tracks.others}
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
         if not progress.is_only_version:
--- a/larkweir/controller/rollout_tracks.py
+++ b/larkweir/controller/rollout_tracks.py
@@ -20,9 +20,8 @@
 
 def split_into_tracks(rollout: Rollout, ids: Sequence[str], upstreams: Mapping[str, Upstream]) -> Tracks:
     """Split upstreams of the roll-out's service by their version. `upstreams`: all that are known, by id."""
-    target = [id_ for id_ in ids if upstreams[id_].version == rollout.target_version]
-    left_out = {rollout.target_version, *rollout.withdrawn_versions}
-    others = [id_ for id_ in ids if upstreams[id_].version not in left_out]
+    target = [id_ for id_ in ids if rollout.is_target(upstreams[id_].version)]
+    others = [id_ for id_ in ids if rollout.is_other(upstreams[id_].version)]
     return Tracks(target, others)
 
 
--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -116,11 +116,10 @@
             upstreams: all of the service that are not gone.
             now_ms: the event loop's time.
         """
-        self._has_seen_others |= any(not self._is_target_or_withdrawn(upstream) for upstream in upstreams)
+        self._has_seen_others |= any(self._is_other(upstream) for upstream in upstreams)
         target_ids = self._target_ids(upstreams)
         others = {
-            upstream.id: _status(upstream, takes_requests=not self._is_target_or_withdrawn(upstream))
-            for upstream in upstreams
+            upstream.id: _status(upstream, takes_requests=self._is_other(upstream)) for upstream in upstreams
         }
         self._others.update(others, now_ms, has_tracks=self.rollout is not None)
         if self._target is not None:
@@ -131,11 +130,10 @@
             self._target.update(target, now_ms, has_tracks=True)
 
     def _is_target(self, upstream: Upstream) -> bool:
-        return self.rollout is not None and upstream.version == self.rollout.target_version
+        return self.rollout is not None and self.rollout.is_target(upstream.version)
 
-    def _is_target_or_withdrawn(self, upstream: Upstream) -> bool:
-        withdrawn = self.rollout.withdrawn_versions if self.rollout is not None else ()
-        return self._is_target(upstream) or upstream.version in withdrawn
+    def _is_other(self, upstream: Upstream) -> bool:
+        return self.rollout is None or self.rollout.is_other(upstream.version)
 
     def _target_ids(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
         """The upstreams of the target version that take requests: at small weights a few, so that these get load."""
@@ -146,9 +144,7 @@
         if not rollout.is_running:
             return frozenset(upstream.id for upstream in target)
         responsive = sorted(upstream.id for upstream in target if _is_responsive(upstream))
-        others_count = sum(
-            not self._is_target_or_withdrawn(upstream) and _is_responsive(upstream) for upstream in upstreams
-        )
+        others_count = sum(self._is_other(upstream) and _is_responsive(upstream) for upstream in upstreams)
         return canary_upstreams(responsive, others_count, rollout.target_weight)
 
 
--- a/packages/rollouts/src/larkweir_rollouts/orders.py
+++ b/packages/rollouts/src/larkweir_rollouts/orders.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from larkweir_rollouts.state import Rollout, RolloutState, Weight
+from larkweir_rollouts.state import Rollout, RolloutState, Versions, Weight
 
 REPEAT_WINDOW_MS = 10_000.0  # an order this soon after a rolled-back one of the same target is its repeat
 
@@ -32,6 +32,7 @@
         state: from now on.
         target_weight: share of new requests that go to the target version from now on.
         reason: why, in one line.
+        other_versions: those of the service's other upstreams that the decider has known since the order.
     """
 
     service: str
@@ -39,6 +40,7 @@
     state: RolloutState
     target_weight: Weight
     reason: str = ""
+    other_versions: Versions = msgspec.UNSET
 
 
 def place_order(rollouts: tuple[Rollout, ...], order: Rollout) -> tuple[Rollout, ...] | OrderConflict:
@@ -66,11 +68,22 @@
     if present is None or not present.is_running or present.order_id != change.order_id:
         return rollouts
     changed = msgspec.structs.replace(
-        present, state=change.state, target_weight=change.target_weight, reason=change.reason
+        present,
+        state=change.state,
+        target_weight=change.target_weight,
+        reason=change.reason,
+        other_versions=_union(present.other_versions, change.other_versions),
     )
     return _replace(rollouts, changed)
 
 
+def _union(one: Versions, other: Versions) -> Versions:
+    """Return the versions of both: no decider need have known all of them."""
+    if isinstance(one, msgspec.UnsetType) or isinstance(other, msgspec.UnsetType):
+        return other if isinstance(one, msgspec.UnsetType) else one
+    return tuple(sorted({*one, *other}))
+
+
 def rollout_of(rollouts: tuple[Rollout, ...], service: str) -> Rollout | None:
     """Return the latest roll-out of a service."""
     return next((rollout for rollout in rollouts if rollout.service == service), None)
@@ -88,8 +101,10 @@
 
 
 def _after(present: Rollout, order: Rollout) -> Rollout:
-    """Return the order with the versions that are withdrawn: their upstreams may live on for some seconds."""
-    withdrawn = {*present.withdrawn_versions} if present.state is not RolloutState.COMPLETED else set()
+    """Return the order with what is withdrawn or replaced: such upstreams may live on for some seconds."""
+    withdrawn = {*present.withdrawn_versions}
+    if present.state is RolloutState.COMPLETED:
+        withdrawn = {*(present.other_versions or ())}
     if present.state is RolloutState.ROLLED_BACK:
         withdrawn.add(present.target_version)
     withdrawn.discard(order.target_version)
--- a/packages/rollouts/src/larkweir_rollouts/state.py
+++ b/packages/rollouts/src/larkweir_rollouts/state.py
@@ -10,6 +10,7 @@
 MAX_DURATION_S = 86_400.0  # a day
 MAX_UNIX_MS = 1e15
 
+Versions = tuple[str, ...] | msgspec.UnsetType
 Weight = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
 
@@ -33,6 +34,8 @@
         target_weight: share of new requests that go to the target version while it is running.
         reason: why it was completed or rolled back, in one line.
         withdrawn_versions: those that were rolled back before this order: none of their upstreams gets a request.
+        other_versions: those that the service's other upstreams had while it was running, which a completion replaces;
+            unset where no controller has said so.
     """
 
     service: str
@@ -43,6 +46,7 @@
     target_weight: Weight = 0.0
     reason: str = ""
     withdrawn_versions: tuple[str, ...] = ()
+    other_versions: Versions = msgspec.UNSET
 
     @property
     def is_running(self) -> bool:
@@ -54,6 +58,18 @@
         """Tells this order from every other of its service."""
         return f"{self.target_version}/{self.ordered_unix_ms:.0f}"
 
+    def is_target(self, version: str) -> bool:
+        """Whether upstreams of that version are the target; once completed, all that came without an order since."""
+        if version == self.target_version:
+            return True
+        if self.state is not RolloutState.COMPLETED or isinstance(self.other_versions, msgspec.UnsetType):
+            return False
+        return version not in self.other_versions and version not in self.withdrawn_versions
+
+    def is_other(self, version: str) -> bool:
+        """Whether upstreams of that version are the others: neither the target nor withdrawn."""
+        return not self.is_target(version) and version not in self.withdrawn_versions
+
     @property
     def effective_weight(self) -> float:
         """The share of new requests that go to the target version, in whatever state."""
--- a/packages/rollouts/tests/test_rollouts_orders.py
+++ b/packages/rollouts/tests/test_rollouts_orders.py
@@ -133,3 +133,14 @@
     third = place_order((completed,), Rollout("chat", "v4", 15.0, 60_000.0))
     assert isinstance(third, tuple)
     assert third[0].withdrawn_versions == (), "nothing but the completed version has been left since"
+
+
+def test_the_versions_that_a_completion_replaced_are_withdrawn_with_the_next_order() -> None:
+    running = msgspec.structs.replace(present(RUNNING)[1], other_versions=("v0",))
+    done = Advance("chat", FIRST.order_id, COMPLETED, 1.0, other_versions=("v1",))
+    (_, completed) = advance((OTHER_SERVICE, running), done)
+    assert completed.other_versions == ("v0", "v1"), "of all that decided"
+    third = place_order((completed,), Rollout("chat", "v4", 15.0, 60_000.0))
+    assert isinstance(third, tuple)
+    assert third[0].withdrawn_versions == ("v0", "v1")
+    assert third[0].other_versions is msgspec.UNSET
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -195,6 +195,7 @@
             subscriber.config_sequence = 5
         (step,) = await scene.evaluate()
         assert (step.state, step.target_weight) == (RolloutState.COMPLETED, 1.0)
+        assert step.other_versions == ("v1",)
 
     run(monkeypatch, play)
 
--- a/tests/controller/test_rollout_tracks.py
+++ b/tests/controller/test_rollout_tracks.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+import msgspec
 import pytest
 from larkweir_registry.registry import Registry
 from larkweir_rollouts.state import Rollout, RolloutState
@@ -41,3 +42,11 @@
 
 def test_an_upstream_without_a_version_is_none_of_the_target() -> None:
     assert split_into_tracks(CANARY, ALL, REGISTRY.upstreams) == (TARGET, OTHERS)
+
+
+def test_what_came_without_an_order_is_used_after_a_completion() -> None:
+    upstreams = versioned(Registry("c/1"), a="v1", b="v2", c="v3", d="", e="v0").upstreams
+    ended = msgspec.structs.replace(COMPLETED, other_versions=("v1",), withdrawn_versions=("v0",))
+    assert regular_upstreams(ended, list("abcde"), upstreams) == list("bcd")
+    assert regular_upstreams(ended, list("ae"), upstreams) == list("ae")
+    assert split_into_tracks(ended, list("abcde"), upstreams) == (list("bcd"), ["a"])
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -12,6 +12,7 @@
 from larkweir_balancing.decision_options import OPTIONS
 from larkweir_balancing.prompt import Prompt
 from larkweir_registry.records import UpstreamState
+from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster import log
 from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
@@ -450,3 +451,23 @@
     play.list_upstreams(OLD, OLD_IDS, GONE)
     assert served_by(play, 50) == {""}, "the target has not been judged"
     play.close()
+
+
+@pytest.mark.parametrize(
+    ("ended", "used"),
+    [
+        (rollout(1.0, COMPLETED, other_versions=("v1",)), {"t0", "t1", "t2"}),
+        (rollout(1.0, COMPLETED, other_versions=("v1",), withdrawn_versions=("v3",)), {"t0", "t1"}),
+        (rollout(1.0, COMPLETED, other_versions=("v1", "v3")), {"t0", "t1"}),
+        (rollout(0.0, ROLLED_BACK, other_versions=("v1",)), {*OLD_IDS, "t2"}),
+    ],
+    ids=["completed", "withdrawn", "replaced", "rolled back"],
+)
+def test_a_version_that_no_order_named_is_used_after_the_end(
+    ended: Rollout, used: set[str], play: RolloutPlay
+) -> None:
+    play.order(ended)
+    play.list_upstreams("v3", ("t2",))
+    assert served_by(play, 200) == used
+    play.order(rollout(0.0, target_version="v4", ordered_unix_ms=9_000.0))
+    assert "t2" in served_by(play, 200), "one of the others of the next roll-out"
