Roll-outs: the end of an old connection leaves a router's report alone

Cause: the end of any connection of a router dropped its latest report and its counts of requests under way, also where it had connected anew before the old end was noticed; what it did not repeat was lost until it changed. Change: subscriptions know the newest connection of each incarnation; only its end counts, and only its reports.

--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -83,13 +83,15 @@
 
     def disconnected(self, connection: Connection) -> None:
         """A connection was lost."""
+        is_newest = self._subscriptions.is_newest(connection)
         subscriber = self._subscriptions.remove(connection)
         if subscriber is None:
             return
         self._set_queued_prefill_tokens(subscriber, {})
         if subscriber.is_router:
             self._state.quotas.router_disconnected(connection.node, now_ms())
-            self._state.rollout_samples.disconnected(_router_name(connection))
+            if is_newest:
+                self._state.rollout_samples.disconnected(_router_name(connection))
 
     def report_prefill(self, connection: Connection, tokens: dict[str, int]) -> None:
         """A router reports, between pulls, the prompt tokens of its calls that wait for prefill, by engine."""
@@ -114,7 +116,7 @@
         self._delivery.pulled(subscriber, pull)
         self._set_queued_prefill_tokens(subscriber, pull.queued_prefill_tokens)
         subscriber.outcome_counts = pull.outcomes
-        if subscriber.is_router:
+        if subscriber.is_router and self._subscriptions.is_newest(connection):
             self._state.rollout_samples.report(_router_name(connection), pull.rollouts)
         if pull.records and subscriber.is_router:
             offered = [record.upstream for record in pull.records]
--- a/larkweir/controller/subscriptions.py
+++ b/larkweir/controller/subscriptions.py
@@ -39,6 +39,7 @@
     def __init__(self) -> None:
         """No process is connected."""
         self._by_connection: dict[Connection, Subscriber] = {}
+        self._newest: dict[tuple[str, str], Connection] = {}  # by node and incarnation
 
     def __iter__(self) -> Iterator[Subscriber]:
         """In the order in which they subscribed; a subscriber may be removed during the iteration."""
@@ -47,11 +48,18 @@
     def add(self, connection: Connection, role: NodeRole) -> None:
         """A process has introduced itself."""
         self._by_connection[connection] = Subscriber(connection, role)
+        self._newest[connection.node, connection.incarnation] = connection
 
     def remove(self, connection: Connection) -> Subscriber | None:
         """Its connection was lost; None where it had not introduced itself."""
+        if self.is_newest(connection):
+            del self._newest[connection.node, connection.incarnation]
         return self._by_connection.pop(connection, None)
 
+    def is_newest(self, connection: Connection) -> bool:
+        """Whether its process has not connected again since; the end of an older connection may be noticed late."""
+        return self._newest.get((connection.node, connection.incarnation)) is connection
+
     def get(self, connection: Connection) -> Subscriber | None:
         """The subscriber on this connection; None where it has not introduced itself."""
         return self._by_connection.get(connection)
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -187,6 +187,29 @@
     asyncio.run(scene())
 
 
+def test_a_router_that_is_back_before_its_old_connection_ends_keeps_its_report() -> None:
+    async def scene() -> None:
+        made = Scene()
+        order, later = rollout(), rollout(target_version="v3")
+        made.pulls.publish(1, msgspec.json.encode(document(order)).decode())
+        old, new = made.routers[0], Recorded(made.routers[0].node)
+        made.pulls.pull(old, Pull(rollouts={"s": report(order, 5, others_in_flight=2)}))
+        made.pulls.connected(new, NodeRole.ROUTER)
+        made.pulls.pull(new, Pull(rollouts={"s": report(order, 5, others_in_flight=3)}))
+        made.pulls.pull(old, Pull(rollouts={"s": report(order, 5, others_in_flight=1)}))
+        pool = made.state.rollout_samples.pool("s")
+        assert pool is not None
+        assert pool.totals().others.in_flight == 3, "what is read late of the old connection is older"
+        made.pulls.pull(new, Pull(rollouts={"s": report(later, 4, others_in_flight=3)}))
+        made.pulls.disconnected(old)
+        made.pulls.publish(2, msgspec.json.encode(document(later)).decode())
+        assert (answered(pool.totals().target), pool.totals().others.in_flight) == (4, 3)
+        made.pulls.disconnected(new)
+        assert pool.totals().others.in_flight == 0
+
+    asyncio.run(scene())
+
+
 def test_a_step_of_a_rollout_is_sent_as_a_patch_of_it_alone() -> None:
     async def scene() -> None:
         made = Scene()
