Roll-outs: a controller that missed an order takes its age from one that did not

Cause: after a start or a loss of contact an order's age was told from the time of day, which steps by seconds. Change: controllers tell each other the ages of running orders that they know by their steady clocks (optional field rollout_ages of a delta); an estimate is replaced by it, and the oldest age counts. Where no controller has known the order all along the time of day decides as before (docs/design/rollouts.md, Whose clock).

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -23,6 +23,7 @@
 MAX_ROUTERS = 1_000_000
 MAX_STATUS = 599  # of HTTP
 MAX_CLOCK_MS = 1e15  # of a monotonic clock
+MAX_AGE_MS = 1e12  # of an order
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
@@ -112,6 +113,18 @@
     body: bytes
 
 
+class RolloutAge(msgspec.Struct, frozen=True, array_like=True):
+    """How long ago a running roll-out was ordered, by the steady clock of a process that has known it all along.
+
+    Attributes:
+        order_id: of the roll-out (`Rollout.order_id`).
+        elapsed_ms: since the order.
+    """
+
+    order_id: str
+    elapsed_ms: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_AGE_MS)]
+
+
 class Delta(msgspec.Struct, frozen=True, tag="delta", omit_defaults=True):
     """The answer to a `Pull`.
 
@@ -128,6 +141,7 @@
         compressed_config: in place of `config`, to a receiver that has named its encodings.
         wants_encodings: a large configuration waits: the next pull is to name the encodings that the receiver reads.
         quotas_unknown: the receiver has a configuration and the sender none yet: `quotas` says nothing of any tenant.
+        rollout_ages: by service with a running roll-out. Only controllers are sent any.
     """
 
     config: ConfigUpdate | None = None
@@ -144,6 +158,7 @@
     compressed_config: CompressedConfigUpdate | None = None
     wants_encodings: bool = False
     quotas_unknown: bool = False
+    rollout_ages: dict[str, RolloutAge] = {}
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
--- a/larkweir/controller/committed_rollouts.py
+++ b/larkweir/controller/committed_rollouts.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
 
 from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.configuration.documents import Document
 from larkweir.cluster.configuration.rollouts import rollouts_of
+from larkweir.cluster.messages import RolloutAge
 
 CATCH_UP_MS = 1_000.0  # after the start and a loss of contact, until commits arrive as they are made
 
@@ -21,11 +23,13 @@
         rollout: its state.
         sequence: of the first configuration that has it in this state.
         ordered_ms: when it was ordered, by the steady clock of this process.
+        is_estimate: `ordered_ms` was told from the time of day.
     """
 
     rollout: Rollout
     sequence: int
     ordered_ms: float
+    is_estimate: bool
 
     def elapsed_s(self, now_ms: float) -> float:
         """Since the order; never negative."""
@@ -35,8 +39,9 @@
 class CommittedRollouts:
     """What this controller knows as committed. Times are milliseconds that only rise, but for those of the day.
 
-    An order counts from the moment at which this process learned of it. Only where that may have been late, at the
-    start and after a loss of contact, its age is told from the time of day, which may jump.
+    An order counts from the moment at which this process learned of it. Where that may have been late, at the start and
+    after a loss of contact, its age is that which other controllers tell, who have known it all along; until then, and
+    where there is none, it is told from the time of day, which may jump.
     """
 
     def __init__(self) -> None:
@@ -61,10 +66,29 @@
                 self._by_service[rollout.service] = before
                 continue
             if before is not None and before.rollout.order_id == rollout.order_id:
-                ordered_ms = before.ordered_ms
+                ordered_ms, is_estimate = before.ordered_ms, before.is_estimate
             else:
                 ordered_ms = now_ms - (_age_ms(rollout, unix_ms) if is_late else 0.0)
-            self._by_service[rollout.service] = CommittedRollout(rollout, sequence, ordered_ms)
+                is_estimate = is_late
+            self._by_service[rollout.service] = CommittedRollout(rollout, sequence, ordered_ms, is_estimate)
+
+    def ages(self, now_ms: float) -> dict[str, RolloutAge]:
+        """Of the running ones, by service, without those that are estimates."""
+        return {
+            one.rollout.service: RolloutAge(one.rollout.order_id, max(0.0, now_ms - one.ordered_ms))
+            for one in self.running()
+            if not one.is_estimate
+        }
+
+    def adopt_ages(self, ages: Mapping[str, RolloutAge], now_ms: float) -> None:
+        """Another controller tells these: the oldest counts, as an order is learned of after it was placed."""
+        for service, age in ages.items():
+            known = self._by_service.get(service)
+            if known is None or known.rollout.order_id != age.order_id:
+                continue
+            ordered_ms = now_ms - age.elapsed_ms
+            if known.is_estimate or ordered_ms < known.ordered_ms:
+                self._by_service[service] = replace(known, ordered_ms=ordered_ms, is_estimate=False)
 
     def of(self, service: str) -> Rollout | None:
         """The latest roll-out of a service; None where there was none."""
--- a/larkweir/controller/message_dispatch.py
+++ b/larkweir/controller/message_dispatch.py
@@ -22,6 +22,7 @@
 )
 from larkweir.controller.background_tasks import BackgroundTasks
 from larkweir.controller.clock import now_ms
+from larkweir.controller.committed_rollouts import CommittedRollouts
 from larkweir.controller.known_controllers import KnownControllers
 from larkweir.controller.placement_requests import PlacementRequests
 from larkweir.controller.primary_client import PrimaryClient
@@ -42,6 +43,7 @@
     placements: PlacementRequests
     primary: PrimaryClient
     tasks: BackgroundTasks
+    rollouts: CommittedRollouts
 
     def receive(self, connection: Connection, message: Message) -> None:
         """One message, of whatever kind; kinds that only routers receive are ignored."""
@@ -53,6 +55,7 @@
             case PrefillQueueUpdate():
                 self.pulls.report_prefill(connection, message.tokens)
             case Delta():
+                self.rollouts.adopt_ages(message.rollout_ages, now_ms())
                 self.registry_sync.received(connection, message)
             case Replication():
                 if connection.node:
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -128,6 +128,7 @@
             placements=PlacementRequests(registry, state.ejection, self._placement, state.rollouts),
             primary=primary,
             tasks=self._tasks,
+            rollouts=state.rollouts,
         )
         self._control_api = ControlApi(
             OperatorApi(primary.call),
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -193,6 +193,7 @@
             compressed_config=configuration.compressed_config,
             wants_encodings=configuration.wants_encodings,
             quotas_unknown=is_router and pull.config_sequence >= 0 and not state.quotas.has_limits,
+            rollout_ages={} if is_router else state.rollouts.ages(now_ms()),
         )
         subscriber.records_requested = True
         subscriber.sent_ejected, subscriber.sent_controllers = ejected, controllers
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -37,6 +37,7 @@
     PrimaryResponse,
     Pull,
     Replication,
+    RolloutAge,
 )
 
 LINES = (Path(__file__).parent / "golden_messages.jsonl").read_bytes().splitlines()
@@ -87,6 +88,7 @@
     Pull(3, encodings=["deflate"]),
     Delta(wants_encodings=True),
     Delta(compressed_config=CompressedConfigUpdate(13, 12, b"deflated")),
+    Delta(rollout_ages={"chat": RolloutAge("v2/1764771837000", 4_000.5)}),
 ]
 
 
--- a/tests/controller/test_committed_rollouts.py
+++ b/tests/controller/test_committed_rollouts.py
@@ -5,6 +5,7 @@
 import pytest
 from larkweir_rollouts.state import Rollout, RolloutState
 
+from larkweir.cluster.messages import RolloutAge
 from larkweir.controller.committed_rollouts import CATCH_UP_MS, CommittedRollout, CommittedRollouts
 from tests.controller.rollout_factories import ORDERED_UNIX_MS, document, rollout
 
@@ -79,3 +80,29 @@
     assert known.of("nobody") is None
     known.update(document(ended), 3, SETTLED_MS, ORDERED_UNIX_MS)
     assert known.of("s") is None
+
+
+@pytest.mark.parametrize("step_ms", [-2_000.0, 0.0, 2_000.0])
+def test_a_clock_step_does_not_move_the_deadline_while_another_controller_knows_the_order(
+    step_ms: float, known: CommittedRollouts
+) -> None:
+    known.update(document(rollout()), 2, SETTLED_MS, ORDERED_UNIX_MS)
+    started = CommittedRollouts()
+    started.update(document(rollout()), 2, 500.0, ORDERED_UNIX_MS + 4_000.0 + step_ms)
+    assert started.ages(500.0) == {}, "an estimate is told to nobody"
+    started.adopt_ages(known.ages(SETTLED_MS + 4_000.0), 500.0)
+    assert only(started).elapsed_s(500.0) == 4.0
+    assert started.ages(1_500.0) == known.ages(SETTLED_MS + 5_000.0), "it passes on what it was told"
+    started.update(document(rollout(target_weight=1.0)), 3, 2_500.0, ORDERED_UNIX_MS)
+    assert only(started).elapsed_s(2_500.0) == 6.0
+
+
+def test_the_oldest_age_counts_and_only_of_the_order_in_place(known: CommittedRollouts) -> None:
+    known.update(document(rollout()), 2, SETTLED_MS, ORDERED_UNIX_MS)
+    for elapsed_ms, kept_s in ((3_000.0, 3.0), (1_000.0, 3.0), (3_500.0, 3.5)):
+        known.adopt_ages({"s": RolloutAge(rollout().order_id, elapsed_ms)}, SETTLED_MS)
+        assert only(known).elapsed_s(SETTLED_MS) == kept_s
+    known.adopt_ages({"s": RolloutAge("v9/1", 9_000.0), "nobody": RolloutAge("v2/1", 1.0)}, SETTLED_MS)
+    assert only(known).elapsed_s(SETTLED_MS) == 3.5
+    known.update(document(rollout(state=RolloutState.COMPLETED)), 3, SETTLED_MS, ORDERED_UNIX_MS)
+    assert known.ages(SETTLED_MS) == {}
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -19,6 +19,7 @@
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, NodeRole, Pull
 from larkweir.controller.clock import now_ms
+from larkweir.controller.committed_rollouts import CATCH_UP_MS
 from larkweir.controller.configuration_history import ConfigurationHistory
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.prefill_load import MIN_REPORTED_TOKENS, PrefillLoad
@@ -26,7 +27,7 @@
 from larkweir.controller.quota_accounting import QuotaAccounting
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
-from tests.controller.rollout_factories import document, report, rollout
+from tests.controller.rollout_factories import ORDERED_UNIX_MS, document, report, rollout
 
 ROUTERS = 3
 WAIT_S = 10.0  # for what comes within milliseconds
@@ -210,6 +211,19 @@
     asyncio.run(scene())
 
 
+def test_controllers_are_told_the_ages_of_running_rollouts() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.publish(1, msgspec.json.encode(document()).decode())
+        made.state.rollouts.update(document(rollout()), 2, now_ms() + 2 * CATCH_UP_MS, ORDERED_UNIX_MS)
+        controller = Recorded("c2")
+        made.pulls.connected(controller, NodeRole.CONTROLLER)
+        assert made.answer(controller, Pull(vector={})).rollout_ages["s"].order_id == rollout().order_id
+        assert made.answer(made.routers[0], Pull(vector={})).rollout_ages == {}
+
+    asyncio.run(scene())
+
+
 def test_a_step_of_a_rollout_is_sent_as_a_patch_of_it_alone() -> None:
     async def scene() -> None:
         made = Scene()
