--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -19,6 +19,7 @@
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, NodeRole, Pull
 from larkweir.controller.clock import now_ms
+from larkweir.controller.committed_rollouts import CATCH_UP_MS
 from larkweir.controller.configuration_history import ConfigurationHistory
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.prefill_load import MIN_REPORTED_TOKENS, PrefillLoad
@@ -26,7 +27,7 @@
 from larkweir.controller.quota_accounting import QuotaAccounting
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
-from tests.controller.rollout_factories import document, report, rollout
+from tests.controller.rollout_factories import ORDERED_UNIX_MS, document, report, rollout
 
 ROUTERS = 3
 WAIT_S = 10.0  # for what comes within milliseconds
@@ -187,6 +188,42 @@
     asyncio.run(scene())
 
 
+def test_a_router_that_is_back_before_its_old_connection_ends_keeps_its_report() -> None:
+    async def scene() -> None:
+        made = Scene()
+        order, later = rollout(), rollout(target_version="v3")
+        made.pulls.publish(1, msgspec.json.encode(document(order)).decode())
+        old, new = made.routers[0], Recorded(made.routers[0].node)
+        made.pulls.pull(old, Pull(rollouts={"s": report(order, 5, others_in_flight=2)}))
+        made.pulls.connected(new, NodeRole.ROUTER)
+        made.pulls.pull(new, Pull(rollouts={"s": report(order, 5, others_in_flight=3)}))
+        made.pulls.pull(old, Pull(rollouts={"s": report(order, 5, others_in_flight=1)}))
+        pool = made.state.rollout_samples.pool("s")
+        assert pool is not None
+        assert pool.totals().others.in_flight == 3, "what is read late of the old connection is older"
+        made.pulls.pull(new, Pull(rollouts={"s": report(later, 4, others_in_flight=3)}))
+        made.pulls.disconnected(old)
+        made.pulls.publish(2, msgspec.json.encode(document(later)).decode())
+        assert (answered(pool.totals().target), pool.totals().others.in_flight) == (4, 3)
+        made.pulls.disconnected(new)
+        assert pool.totals().others.in_flight == 0
+
+    asyncio.run(scene())
+
+
+def test_controllers_are_told_the_ages_of_running_rollouts() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.publish(1, msgspec.json.encode(document()).decode())
+        made.state.rollouts.update(document(rollout()), 2, now_ms() + 2 * CATCH_UP_MS, ORDERED_UNIX_MS)
+        controller = Recorded("c2")
+        made.pulls.connected(controller, NodeRole.CONTROLLER)
+        assert made.answer(controller, Pull(vector={})).rollout_ages["s"].order_id == rollout().order_id
+        assert made.answer(made.routers[0], Pull(vector={})).rollout_ages == {}
+
+    asyncio.run(scene())
+
+
 def test_a_step_of_a_rollout_is_sent_as_a_patch_of_it_alone() -> None:
     async def scene() -> None:
         made = Scene()
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -12,6 +12,7 @@
 from larkweir_balancing.decision_options import OPTIONS
 from larkweir_balancing.prompt import Prompt
 from larkweir_registry.records import UpstreamState
+from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster import log
 from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
@@ -415,3 +416,58 @@
     ordered = rollout(0.0, target_version="v3", withdrawn_versions=(NEW,))
     play.order(ordered)
     assert not set(served_by(play, 50)) & set(NEW_IDS)
+
+
+@pytest.mark.parametrize("weight", [0.0, 0.08, 1.0])
+def test_an_order_for_the_only_version_refuses_nothing(weight: float) -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(weight, withdrawn_versions=("v0",)))
+    assert served_by(play, 100) == set(NEW_IDS), "all of them, no canary's share"
+    play.list_upstreams(NEW, NEW_IDS[:1], DRAINING)
+    assert served_by(play, 50) == set(NEW_IDS[1:])
+    play.order(rollout(1.0, COMPLETED))
+    assert served_by(play, 50) == set(NEW_IDS[1:])
+    play.close()
+
+
+def test_a_further_attempt_stays_at_the_only_version() -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(0.08))
+    sent, first = play.request_at("safe")
+    end_badly(play, play.waiting()[0], "reset")
+    second = instance(play.waiting()[0])
+    assert {first, second} < set(NEW_IDS)
+    play.answer(play.waiting()[0])
+    assert sent.complete
+    play.close()
+
+
+def test_a_target_that_was_the_only_one_is_on_trial_once_another_version_is_there() -> None:
+    play = RolloutPlay(has_old=False)
+    play.order(rollout(0.0))
+    assert served_by(play, 50) == set(NEW_IDS)
+    play.list_upstreams(OLD, OLD_IDS)
+    assert served_by(play, 50) == set(OLD_IDS)
+    play.list_upstreams(OLD, OLD_IDS, GONE)
+    assert served_by(play, 50) == {""}, "the target has not been judged"
+    play.close()
+
+
+@pytest.mark.parametrize(
+    ("ended", "used"),
+    [
+        (rollout(1.0, COMPLETED, other_versions=("v1",)), {"t0", "t1", "t2"}),
+        (rollout(1.0, COMPLETED, other_versions=("v1",), withdrawn_versions=("v3",)), {"t0", "t1"}),
+        (rollout(1.0, COMPLETED, other_versions=("v1", "v3")), {"t0", "t1"}),
+        (rollout(0.0, ROLLED_BACK, other_versions=("v1",)), {*OLD_IDS, "t2"}),
+    ],
+    ids=["completed", "withdrawn", "replaced", "rolled back"],
+)
+def test_a_version_that_no_order_named_is_used_after_the_end(
+    ended: Rollout, used: set[str], play: RolloutPlay
+) -> None:
+    play.order(ended)
+    play.list_upstreams("v3", ("t2",))
+    assert served_by(play, 200) == used
+    play.order(rollout(0.0, target_version="v4", ordered_unix_ms=9_000.0))
+    assert "t2" in served_by(play, 200), "one of the others of the next roll-out"
