Roll-outs: only who knew the upstreams before an order takes its version for the only one

Seen by reading, before it was merged: a router or controller that has started during a roll-out and has heard of the target's upstreams alone took them for all there are: the router sent them everything, the primary would have completed the version without a judgement. Cause: that no other version is known was decided from knowledge that is missing. Change: both decide at the order, from the upstreams that they knew before it: a router that has had a configuration in force, a controller that did not learn of the order late. Whoever started since follows the weight.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -27,7 +27,7 @@
 from larkweir.controller.rollout_tracks import Tracks, split_into_tracks
 from larkweir.controller.subscriptions import Subscriptions
 
-ROUTERS_RETURN_MS = 2_000.0  # in which routers and upstreams find a controller that has started
+ROUTERS_RETURN_MS = 2_000.0  # in which routers find a controller that has started
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
 Submit = Callable[[Command], Awaitable[CallOutcome]]
@@ -49,20 +49,10 @@
 
     known_since_ms: float  # by this process
     most_target_ready: int = 0
-    has_seen_target: bool = False  # an upstream of the target version, ready or not
+    is_only_version: bool = False  # the target had all upstreams at the order, and has had them since
     other_versions: set[str] = field(default_factory=set)  # of upstreams, ready or not; no withdrawn ones
     is_advancing: bool = False
 
-    @property
-    def is_only_version(self) -> bool:
-        """Whether the service seems to have upstreams of the target version alone."""
-        return self.has_seen_target and not self.other_versions
-
-    @property
-    def is_warmed_up(self) -> bool:
-        """A process that has just started knows few of the routers and upstreams that serve."""
-        return now_ms() >= self.known_since_ms + ROUTERS_RETURN_MS
-
 
 @dataclass(slots=True)
 class RolloutDriver:
@@ -89,8 +79,8 @@
             self.inputs.rollouts.mark_outdated(now_ms())
         running = self.inputs.rollouts.running()
         self._progress = {
-            key: self._progress.get(key) or _Progress(now_ms())
-            for key in ((one.rollout.service, one.rollout.order_id) for one in running)
+            key: self._progress.get(key) or self._begin(one)
+            for key, one in (((one.rollout.service, one.rollout.order_id), one) for one in running)
         }
         for committed in running:
             self._evaluate(committed)
@@ -111,21 +101,29 @@
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
+    def _begin(self, committed: CommittedRollout) -> _Progress:
+        """An order is known from now on. A process that learned of it late knows nothing of the upstreams before it."""
+        tracks = self._known_tracks(committed.rollout)
+        is_only_version = bool(tracks.target) and not tracks.others and not committed.is_estimate
+        return _Progress(now_ms(), is_only_version=is_only_version)
+
     def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
+        upstreams, others = self.inputs.registry.upstreams, self._known_tracks(rollout).others
+        progress.other_versions |= {upstreams[id_].version for id_ in others}
+        progress.is_only_version &= not others
+
+    def _known_tracks(self, rollout: Rollout) -> Tracks:
+        """The upstreams of its service, ready or not, as they are known here."""
         upstreams = self.inputs.registry.upstreams
         known = [
             one.id
             for one in upstreams.values()
             if one.service == rollout.service and one.state is not UpstreamState.GONE
         ]
-        tracks = split_into_tracks(rollout, known, upstreams)
-        progress.has_seen_target |= bool(tracks.target)
-        progress.other_versions |= {upstreams[id_].version for id_ in tracks.others}
+        return split_into_tracks(rollout, known, upstreams)
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
-        if not progress.is_only_version:
-            return next_step(view)
-        return next_step_of_only_version(view) if progress.is_warmed_up else None
+        return next_step_of_only_version(view) if progress.is_only_version else next_step(view)
 
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
@@ -143,9 +141,12 @@
         )
 
     def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
-        """Whether there are routers, and all that are connected have that configuration in force."""
+        """Whether there are routers, and all that are connected have that configuration in force.
+
+        A process that has just started knows few of the routers that serve.
+        """
         rollout, sequence = committed.rollout, committed.sequence
-        if not self._progress[rollout.service, rollout.order_id].is_warmed_up:
+        if now_ms() < self._progress[rollout.service, rollout.order_id].known_since_ms + ROUTERS_RETURN_MS:
             return False
         in_force = self.inputs.subscriptions.router_sequences().values()
         return bool(in_force) and min(in_force) >= sequence
--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -67,7 +67,8 @@
         self._make_selector = make_selector
         self._others = make_selector()
         self._target: UpstreamSelector | None = None
-        self._has_seen_others = False  # upstreams of another version, since the order
+        self._listed_versions: frozenset[str] = frozenset()  # of the upstreams that are known
+        self._is_only_version = False  # the target had all upstreams at the order, and has had them since
         self.rollout: Rollout | None = None
 
     def selector(self, track: Track) -> UpstreamSelector:
@@ -89,8 +90,8 @@
         prefill times that were learned at the others.
         """
         before, self.rollout = self.rollout, rollout
-        if before is None or rollout is None or rollout.order_id != before.order_id:
-            self._has_seen_others = False
+        if rollout is not None and (before is None or rollout.order_id != before.order_id):
+            self._is_only_version = self._has_target_alone(rollout)
         if before is not None and (rollout is None or rollout.order_id != before.order_id):
             if self._target is not None and before.state is RolloutState.COMPLETED:
                 self._others = self._target
@@ -103,9 +104,10 @@
     def routed_rollout(self) -> Rollout | None:
         """The roll-out as requests follow it.
 
-        All go to the target where no upstream of another version was known since the order: none else could serve.
+        All go to the target where all upstreams were of its version already when the order came. That no other version
+        is known is not enough: a process that has just started may know a few upstreams only.
         """
-        if self.rollout is None or not self.rollout.is_running or self._has_seen_others:
+        if self.rollout is None or not self.rollout.is_running or not self._is_only_version:
             return self.rollout
         return msgspec.structs.replace(self.rollout, target_weight=1.0)
 
@@ -116,7 +118,8 @@
             upstreams: all of the service that are not gone.
             now_ms: the event loop's time.
         """
-        self._has_seen_others |= any(self._is_other(upstream) for upstream in upstreams)
+        self._listed_versions = frozenset(upstream.version for upstream in upstreams)
+        self._is_only_version &= not any(self._is_other(upstream) for upstream in upstreams)
         target_ids = self._target_ids(upstreams)
         others = {
             upstream.id: _status(upstream, takes_requests=self._is_other(upstream)) for upstream in upstreams
@@ -129,6 +132,11 @@
             }
             self._target.update(target, now_ms, has_tracks=True)
 
+    def _has_target_alone(self, rollout: Rollout) -> bool:
+        """Whether upstreams are known, all of the target version but for withdrawn ones."""
+        is_known = any(rollout.is_target(version) for version in self._listed_versions)
+        return is_known and not any(rollout.is_other(version) for version in self._listed_versions)
+
     def _is_target(self, upstream: Upstream) -> bool:
         return self.rollout is not None and self.rollout.is_target(upstream.version)
 
--- a/larkweir/router/upstream_directory.py
+++ b/larkweir/router/upstream_directory.py
@@ -135,20 +135,24 @@
             if service in self._services:
                 self._list(service, now_ms)
 
-    def set_rollouts(self, rollouts: Mapping[str, Rollout], now_ms: float) -> None:
+    def set_rollouts(
+        self, rollouts: Mapping[str, Rollout], now_ms: float, *, has_served: bool = False
+    ) -> None:
         """Put the roll-outs of another configuration in force; services whose own is another are listed anew.
 
         Args:
             rollouts: by service.
             now_ms: the event loop's time.
+            has_served: another configuration was in force before, so that the upstreams of that time are known.
         """
+        if has_served:
+            for service in rollouts:
+                self._tracks(service)  # lists what is known before the order is in force
         before, self.rollouts = self.rollouts, rollouts
         for service, tracks in self._services.items():
             if before.get(service) != rollouts.get(service):
                 tracks.set_rollout(rollouts.get(service))
                 self._list(service, now_ms)
-        for service in rollouts:
-            self._tracks(service)  # which notes from now on what versions there are
 
     def _list(self, service: str, now_ms: float) -> None:
         listed = [upstream for upstream in self._upstreams.values() if upstream.service == service]
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -253,13 +253,12 @@
     run(monkeypatch, play, a="v2", b="v2")
 
 
-def test_a_controller_that_knows_no_other_version_yet_decides_nothing(
+def test_another_version_that_comes_makes_it_a_roll_out_like_any_other(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     async def play(scene: Scene) -> None:
         scene.commit(2, CANARY)
-        scene.present_ms += FULL_WEIGHT_DUE_MS
-        assert await scene.evaluate() == [], "its process has just learned of the order"
+        assert await scene.evaluate() == []
         versioned(scene.registry, a="v1")
         for router in ("a/1", "b/1", "c/1"):
             scene.samples.report(router, {"s": report(CANARY, 0, 40, others=400)})
@@ -267,3 +266,17 @@
         assert step.state is RolloutState.ROLLED_BACK
 
     run(monkeypatch, play, b="v2")
+
+
+def test_a_controller_that_learned_of_the_order_late_takes_no_version_for_the_only_one(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(scene: Scene) -> None:
+        scene.rollouts.mark_outdated(scene.present_ms)
+        scene.commit(2, CANARY)
+        for router in ("a/1", "b/1", "c/1"):
+            scene.samples.report(router, {"s": report(CANARY, 0, 40)})
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.ROLLED_BACK, "it has not heard of the others' upstreams yet"
+
+    run(monkeypatch, play, b="v2")
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -418,9 +418,16 @@
     assert not set(served_by(play, 50)) & set(NEW_IDS)
 
 
+def play_of_one_version() -> RolloutPlay:
+    """All upstreams have the new version already, and the router has served with a configuration without roll-outs."""
+    play = RolloutPlay(has_old=False)
+    play.order()
+    return play
+
+
 @pytest.mark.parametrize("weight", [0.0, 0.08, 1.0])
 def test_an_order_for_the_only_version_refuses_nothing(weight: float) -> None:
-    play = RolloutPlay(has_old=False)
+    play = play_of_one_version()
     play.order(rollout(weight, withdrawn_versions=("v0",)))
     assert served_by(play, 100) == set(NEW_IDS), "all of them, no canary's share"
     play.list_upstreams(NEW, NEW_IDS[:1], DRAINING)
@@ -431,7 +438,7 @@
 
 
 def test_a_further_attempt_stays_at_the_only_version() -> None:
-    play = RolloutPlay(has_old=False)
+    play = play_of_one_version()
     play.order(rollout(0.08))
     sent, first = play.request_at("safe")
     end_badly(play, play.waiting()[0], "reset")
@@ -442,8 +449,17 @@
     play.close()
 
 
-def test_a_target_that_was_the_only_one_is_on_trial_once_another_version_is_there() -> None:
+def test_a_router_that_has_just_started_takes_no_version_for_the_only_one() -> None:
     play = RolloutPlay(has_old=False)
+    play.order(rollout(0.0))  # its first configuration
+    assert served_by(play, 50) == {
+        ""
+    }, "the first controller that it reaches may know the target's upstreams alone"
+    play.close()
+
+
+def test_a_target_that_was_the_only_one_is_on_trial_once_another_version_is_there() -> None:
+    play = play_of_one_version()
     play.order(rollout(0.0))
     assert served_by(play, 50) == set(NEW_IDS)
     play.list_upstreams(OLD, OLD_IDS)
