Router: a controller that only asks for encodings has not told what it knows

Cause: a router counts as ready once it has a configuration and a majority of the controllers has answered. Since large configurations are sent after a question for encodings, that question counted as the answer. A router that starts beside a controller that is cut off with an older configuration was ready with that one, while the others had only asked: with a route or a key that has been taken away since.

Change: an answer with wants_encodings does not count; the next one, with the configuration, does.

The test fails without the change (run: ready with 200 where 503 is due) and passes with it.

--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -47,7 +47,9 @@
         self._reported_samples: dict[str, int] = {}  # by controller: the revision of the last pull
         self._reports = ControllerReports()
         self._router_count = RouterCount()
-        self._responded: set[str] = set()  # controllers that have, since this process started
+        self._responded: set[str] = (
+            set()
+        )  # controllers that have sent what they knew, since this process started
         self._configured_ms: float | None = None
         plane.prefix_affinity.send_lookup = self._links.send_lookup
         plane.announce_backlog = self._announce_backlog
@@ -159,7 +161,8 @@
         plane.upstreams.set_peer_prefill_backlog(self._reports.max_queued_tokens())
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
-        self._responded.add(node)
+        if not delta.wants_encodings:  # else its configuration, which may be the newest, is still to come
+            self._responded.add(node)
         self._pull(connection, offers_records=delta.wants_records, names_encodings=delta.wants_encodings)
 
     def _receive_configuration(self, node: str, update: ConfigUpdate, received_bytes: int) -> None:
--- a/tests/router/test_fleet_sync_encodings.py
+++ b/tests/router/test_fleet_sync_encodings.py
@@ -7,11 +7,15 @@
 from typing import Any
 
 import msgspec
+import pytest
 import uvloop
+from larkweir_registry.records import Record, Upstream
 
 from larkweir.cluster.configuration.compression import DEFLATE, compress
+from larkweir.cluster.http_server import Request
 from larkweir.cluster.messages import CompressedConfigUpdate, ConfigUpdate, Delta, Message, Pull
 from larkweir.cluster.settings import parse
+from larkweir.router import fleet_sync
 from larkweir.router.node import Router
 from tests.cluster.configurations import VALID
 
@@ -90,6 +94,63 @@
         await asyncio.gather(running, return_exceptions=True)
 
 
+async def readiness(router: Router) -> int:
+    return (await router._answer_ready(Request("GET", "/ready", {}, b""))).status
+
+
+async def stale_scene() -> None:
+    """One of three controllers is cut off from the others, and has an older configuration than they have."""
+    subnet = f"127.79.{os.getpid() % 199 + 1}"
+    controllers = [Controller() for _ in range(3)]
+    first_server = await asyncio.start_server(controllers[0].serve, f"{subnet}.1", 0)
+    port = first_server.sockets[0].getsockname()[1]
+    servers = [first_server]
+    for number, controller in enumerate(controllers[1:], start=3):
+        servers.append(await asyncio.start_server(controller.serve, f"{subnet}.{number}", port))
+    router = Router(settings(subnet, port))
+    running = asyncio.get_running_loop().create_task(router.run())
+    upstream = Upstream("u", "chat", f"{subnet}.9:80", "z")
+    listed = [f"{subnet}.{number}" for number in (1, 3, 4)]
+    seen = Delta(records=[Record(upstream, "c/1", 1)], vector={"c/1": 1}, controllers=listed)
+    older = Delta(config=ConfigUpdate(3, -1, msgspec.Raw(msgspec.json.encode(VALID))))
+    newer = compress(ConfigUpdate(4, -1, msgspec.Raw(msgspec.json.encode(VALID))))
+    try:
+        async with asyncio.timeout(SCENE_S):
+            links = []
+            stale = await controllers[0].connections.get()
+            assert await next_pull(stale[0]) is not None
+            send(stale[1], seen)
+            assert await next_pull(stale[0]) is not None
+            for controller in controllers[1:]:
+                reader, writer = await controller.connections.get()
+                assert await next_pull(reader) is not None
+                send(writer, Delta(wants_encodings=True))
+                assert await next_pull(reader) is not None
+                links.append((reader, writer))
+            send(stale[1], older)
+            configured = await next_pull(stale[0])
+            assert configured is not None
+            assert configured.config_sequence == 3
+            assert await readiness(router) == 503, "the majority has not sent what it has"
+            send(links[0][1], Delta(compressed_config=newer))
+            assert await next_pull(links[0][0]) is not None
+            assert await readiness(router) == 200
+    finally:
+        running.cancel()
+        router.close()
+        for server in servers:
+            server.close()
+        await asyncio.gather(running, return_exceptions=True)
+
+
+def test_a_controller_that_only_asks_for_encodings_has_not_told_what_it_knows(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(fleet_sync, "INITIAL_SYNC_TIMEOUT_MS", 1_000.0 * SCENE_S)
+    with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+        runner.run(stale_scene())
+
+
 def test_a_router_reads_compressed_configurations() -> None:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(scene())
