Roll-outs: routes beyond 24 are counted together, at the pool too

Cause: a router's report names up to 64 routes, and the pool of all routers every one that any of them names. Besides, slow answers count only where the others have 10 answers on that route.

Change: 24 routes at most, in a report and in the pool; the first ones keep their names, and a route keeps the name under which it was counted first.

The test fails without the change of the pool (run: 455 routes for 24).

--- a/larkweir/router/rollout_samples.py
+++ b/larkweir/router/rollout_samples.py
@@ -10,14 +10,19 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from larkweir_rollouts.samples import Histogram, RolloutReport, RouteSamples, TrackSamples, bucket_of
+from larkweir_rollouts.samples import (
+    MAX_ROUTES,
+    OTHER_ROUTES,
+    Histogram,
+    RolloutReport,
+    RouteSamples,
+    TrackSamples,
+    bucket_of,
+)
 from larkweir_rollouts.state import Rollout
 
 from larkweir.router.answer_verdict import AnswerVerdict
 
-MAX_ROUTES = 64  # of one report
-OTHER_ROUTES = ""  # the name under which further ones are counted together
-
 
 class SampleKey(NamedTuple):
     """What an attempt is counted under.
--- a/packages/rollouts/src/larkweir_rollouts/pooling.py
+++ b/packages/rollouts/src/larkweir_rollouts/pooling.py
@@ -11,7 +11,14 @@
 
 import msgspec
 
-from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples
+from larkweir_rollouts.samples import (
+    MAX_ROUTES,
+    OTHER_ROUTES,
+    RolloutReport,
+    RouteSamples,
+    TrackSamples,
+    add_route,
+)
 
 FIRST_WINDOW_ANSWERS = 20  # at the target, until the second window begins
 WINDOW_GROWTH = 1.25  # of the answers between the beginnings of neighbouring windows
@@ -103,11 +110,24 @@
         known = self._reports.get(incarnation, _EMPTY_REPORT)
         if _total(report) < _total(known):
             return
+        report = RolloutReport(report.order_id, self._by_name(report.target), self._by_name(report.others))
         self._reports[incarnation] = report
         self._routers.add(_router_of(incarnation))
         self._sums.replace(_router_of(incarnation), known, report)
         self._begin_window()
 
+    def _by_name(self, track: TrackSamples) -> TrackSamples:
+        """Return a track with the routes that have a name here; all others, which came later, are counted together."""
+        unknown = [name for name in track.routes if name not in self._route_names]
+        self._route_names.update(unknown[: MAX_ROUTES - len(self._route_names)])
+        if track.routes.keys() <= self._route_names:
+            return track
+        routes: dict[str, RouteSamples] = {}
+        for name, samples in track.routes.items():
+            shown = name if name in self._route_names else OTHER_ROUTES
+            add_route(routes.setdefault(shown, RouteSamples()), samples)
+        return msgspec.structs.replace(track, routes=routes)
+
     def disconnected(self, incarnation: str) -> None:
         """Count none of this incarnation's requests as under way, until it reports again. Its counts stay."""
         known = self._reports.get(incarnation)
@@ -136,6 +156,7 @@
         self._sums = _Sums(RolloutReport(order_id))
         self._reports: dict[str, RolloutReport] = {}  # by incarnation
         self._routers: set[str] = set()
+        self._route_names = {OTHER_ROUTES}  # only grows, so that a route is counted under one name
         self._later: list[tuple[int, _Sums]] = []  # index of a window, and the sums where it began
         self._next_begin = FIRST_WINDOW_ANSWERS
 
--- a/packages/rollouts/src/larkweir_rollouts/samples.py
+++ b/packages/rollouts/src/larkweir_rollouts/samples.py
@@ -14,6 +14,9 @@
 MAX_COUNT = 10**9
 BUCKET_FACTOR = 1.25  # of the upper bounds of neighbouring buckets
 MAX_BUCKET = 128
+# Of one report and of all together: a judgement takes time with each, and each needs answers for a median of its own.
+MAX_ROUTES = 24
+OTHER_ROUTES = ""  # the name under which further ones are counted together
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Bucket = Annotated[int, msgspec.Meta(ge=0, le=MAX_BUCKET)]
@@ -47,6 +50,15 @@
     pace: Histogram = {}
 
 
+def add_route(into: RouteSamples, samples: RouteSamples) -> None:
+    """Add the samples of another route."""
+    into.answered += samples.answered
+    into.failed += samples.failed
+    for sums, histogram in ((into.first_byte, samples.first_byte), (into.pace, samples.pace)):
+        for bucket, count in histogram.items():
+            sums[bucket] = sums.get(bucket, 0) + count
+
+
 class TrackSamples(msgspec.Struct):
     """Everything at one track.
 
--- a/packages/rollouts/tests/test_rollouts_pooling.py
+++ b/packages/rollouts/tests/test_rollouts_pooling.py
@@ -6,7 +6,7 @@
 
 import msgspec
 from larkweir_rollouts.pooling import MAX_LATER_WINDOWS, PooledSamples, answered
-from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples
+from larkweir_rollouts.samples import MAX_ROUTES, RolloutReport, RouteSamples, TrackSamples
 
 ORDER = "v2/1"
 
@@ -35,6 +35,25 @@
     assert answered(totals.target) == 10 and pool.router_count == 2
 
 
+def test_routers_that_see_different_routes_of_a_large_configuration_do_not_add_up() -> None:
+    rng, pool = Random(4), PooledSamples(ORDER)
+    tracks = {f"router-{number}/a": TrackSamples() for number in range(40)}
+    for _ in range(30):
+        for router, track in tracks.items():
+            name = rng.choice(("ask", f"added-{rng.randrange(960)}"))
+            samples = track.routes.setdefault(name, RouteSamples())
+            samples.answered += 1
+            samples.first_byte[7] = samples.first_byte.get(7, 0) + 1
+            copied = msgspec.json.decode(msgspec.json.encode(track), type=TrackSamples)
+            pool.record(router, RolloutReport(ORDER, copied))
+    routes = pool.totals().target.routes
+    assert len(routes) == MAX_ROUTES
+    main = sum(track.routes["ask"].answered for track in tracks.values() if "ask" in track.routes)
+    assert routes["ask"] == RouteSamples(main, 0, {7: main})
+    assert sum(samples.answered for samples in routes.values()) == 40 * 30
+    assert all(samples.first_byte == {7: samples.answered} for samples in routes.values())
+
+
 def test_an_older_report_and_one_of_another_order_are_ignored() -> None:
     pool = PooledSamples(ORDER)
     pool.record("router-1/a", report(5))
--- a/tests/router/test_rollout_samples.py
+++ b/tests/router/test_rollout_samples.py
@@ -7,11 +7,18 @@
 
 import pytest
 from larkweir_registry.records import UpstreamState
-from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples, bucket_of
+from larkweir_rollouts.samples import (
+    MAX_ROUTES,
+    OTHER_ROUTES,
+    RolloutReport,
+    RouteSamples,
+    TrackSamples,
+    bucket_of,
+)
 from larkweir_rollouts.state import Rollout
 
 from larkweir.router.answer_verdict import DEADLINE_MARGIN_MS, AnswerVerdict
-from larkweir.router.rollout_samples import MAX_ROUTES, OTHER_ROUTES, RolloutSamples, SampleKey
+from larkweir.router.rollout_samples import RolloutSamples, SampleKey
 from tests.router.rollout_model import (
     COMPLETED,
     NEW,
