Roll-outs: routes that are alike are counted as one where a configuration has many

Cause: the roll-out deployment has 200 routes (a large change adds 960 to 1,600) for four kinds of request. Counted by route, each has few answers: no median of the others for the first seconds, and a fault of one kind of request is spread over dozens of names or, beyond the bound of a report, joined with all other kinds.

Change: in a configuration with more than 16 routes, routes of the same kind and latency target have one name in the reports. The form of a report is as before.

The test fails with the routes' own names (run).

--- a/larkweir/router/attempt.py
+++ b/larkweir/router/attempt.py
@@ -14,6 +14,7 @@
 from larkweir.router.attempt_samples import AttemptSamples
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.request_trace import RequestTrace
+from larkweir.router.rollout_samples import SampleKey
 from larkweir.router.upstream_choice import SelectedUpstream
 from larkweir.router.upstream_connection import UpstreamConnection
 
@@ -57,8 +58,9 @@
         self.prefill_tokens = self._selector.on_attempt_started(
             instance, prompt, self._now_ms(), is_cached=selected.is_cached
         )
-        version = plane.upstreams.version(instance)
-        self._samples = AttemptSamples(plane.rollout_samples, admission, instance, version)
+        self._samples = AttemptSamples(
+            plane.rollout_samples, admission, _sample_key(plane, admission, instance)
+        )
         is_long = self.prefill_tokens >= MIN_ANNOUNCED_TOKENS
         if OPTIONS.announce_long_prompts and is_long and plane.is_engine(service):
             plane.announce_backlog()
@@ -186,3 +188,10 @@
         if not self._is_reported:
             self._is_reported = True
             self._plane.outcomes.record(self.instance, self._now_ms(), failed=failed)
+
+
+def _sample_key(plane: DataPlane, admission: Admission, instance: str) -> SampleKey:
+    table = plane.configuration.table
+    assert table is not None
+    route = table.sample_name(admission.route)
+    return SampleKey(admission.service, plane.upstreams.version(instance), route, instance)
--- a/larkweir/router/attempt_samples.py
+++ b/larkweir/router/attempt_samples.py
@@ -25,19 +25,18 @@
     Without a running roll-out of its service it is little more than a count of what is in flight.
     """
 
-    def __init__(self, samples: RolloutSamples, admission: Admission, instance: str, version: str) -> None:
+    def __init__(self, samples: RolloutSamples, admission: Admission, key: SampleKey) -> None:
         """Count the attempt as in flight, until `on_ended`.
 
         Args:
             samples: where everything is counted.
             admission: of the request.
-            instance: the upstream's id.
-            version: the upstream's.
+            key: what the attempt is counted under.
         """
         self._samples = samples
         self._route = admission.route
         self._deadline_ms = admission.deadline_ms
-        self._key = SampleKey(admission.service, version, admission.route.name, instance)
+        self._key = key
         self._sent_ms: float | None = None
         self._status = 0
         self._event_count = 0
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -19,6 +19,8 @@
 STREAMING = "streaming"
 TOKEN_COUNT = "token_count"
 
+MANY_ROUTES = 16  # in a configuration with more, a single one has too few answers to judge a version by
+
 
 class WeightedBackend(msgspec.Struct, frozen=True):
     """A service's weight in a route's traffic split."""
@@ -116,6 +118,7 @@
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
         self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts}
+        self.has_many_routes = len(configuration.routes) > MANY_ROUTES
         self.has_tenants = bool(configuration.tenants)
         self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
         self.quotas = {
@@ -129,6 +132,12 @@
         for routes in self._routes.values():
             routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
 
+    def sample_name(self, route: Route) -> str:
+        """The name under which answers are counted for roll-outs: the route's, or one for all routes that are alike."""
+        if not self.has_many_routes:
+            return route.name
+        return f"{route.kind} within {route.target_latency_ms:g} ms"
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Of the host's routes, the one with the longest prefix of the path; None where there is none."""
         for route in self._routes.get(host, ()):
--- a/larkweir/router/rollout_samples.py
+++ b/larkweir/router/rollout_samples.py
@@ -30,7 +30,7 @@
     Attributes:
         service: of the upstream.
         version: of the upstream; empty where it is not known.
-        route: the name of the request's route.
+        route: the name of the request's route, or of routes like it (`RoutingTable.sample_name`).
         upstream: the upstream's id.
     """
 
--- a/tests/router/test_attempt_samples.py
+++ b/tests/router/test_attempt_samples.py
@@ -9,7 +9,7 @@
 from larkweir.router.admission import Admission
 from larkweir.router.attempt_samples import MIN_PACED_EVENTS, PACED_EVENTS, AttemptSamples
 from larkweir.router.configuration import Route
-from larkweir.router.rollout_samples import RolloutSamples
+from larkweir.router.rollout_samples import RolloutSamples, SampleKey
 from tests.router.rollout_model import NEW, rollout
 
 SENT_MS = 1_000.0
@@ -24,7 +24,7 @@
         self.samples.set_rollouts({"s": rollout(1.0)})
         route = Route("r", "a", "/", kind=kind, target_latency_ms=100.0)
         admission = Admission(route, "s", SENT_MS + 100_000.0, None, None)
-        self.attempt = AttemptSamples(self.samples, admission, "t0", NEW)
+        self.attempt = AttemptSamples(self.samples, admission, SampleKey("s", NEW, "r", "t0"))
 
     def send(self) -> None:
         self.attempt.on_sent(SENT_MS)
--- a/tests/router/test_rollout_samples.py
+++ b/tests/router/test_rollout_samples.py
@@ -17,7 +17,9 @@
 )
 from larkweir_rollouts.state import Rollout
 
+from larkweir.router import configuration
 from larkweir.router.answer_verdict import DEADLINE_MARGIN_MS, AnswerVerdict
+from larkweir.router.configuration import NON_IDEMPOTENT
 from larkweir.router.rollout_samples import RolloutSamples, SampleKey
 from tests.router.rollout_model import (
     COMPLETED,
@@ -81,6 +83,19 @@
     assert report.others == TrackSamples()
 
 
+def test_routes_that_are_alike_count_together_where_there_are_many(
+    play: RolloutPlay, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(configuration, "MANY_ROUTES", 0)
+    play.order(rollout(1.0))
+    for kind in KINDS:
+        _, upstream = begin(play, kind)
+        play.answer(upstream)
+    counted = {name: route.answered for name, route in target(play).routes.items()}
+    alike = [f"{fields.get('kind', NON_IDEMPOTENT)} within {TARGET_MS:g} ms" for fields in KINDS.values()]
+    assert counted == {name: alike.count(name) for name in alike}
+
+
 def test_the_pace_of_a_stream_is_the_mean_time_between_its_events(play: RolloutPlay) -> None:
     play.order(rollout(1.0))
     _, upstream = begin(play, "stream")
