Controller: items that versions of the configuration have in common are held once

Cause: a controller keeps 32 versions for patches, each decoded by itself. Since steps of a roll-out and changes of the members are versions too, 32 come together soon beside a large configuration: 47 MB for 1,600 routes, 86 MB for 3,000 (measured alone, without the rest of the process; a core machine has 296 MB).

Change: an item that equals the one of the version before is replaced by it when a version is added.

--- a/larkweir/controller/configuration_history.py
+++ b/larkweir/controller/configuration_history.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from larkweir.cluster.configuration.documents import Document, make_patch
+from larkweir.cluster.configuration.documents import COLLECTIONS, Document, make_patch
 from larkweir.cluster.messages import ConfigUpdate
 
 MAX_VERSIONS = 32  # that a patch can build on; a process with an older one is sent the complete configuration
@@ -36,6 +36,8 @@
         if not value or sequence <= self.sequence:
             return None
         document: Document = msgspec.json.decode(value)
+        if self._versions:
+            _share_items(document, self._versions[-1][1])
         self._versions.append((sequence, document))
         del self._versions[:-MAX_VERSIONS]
         self._newest_json = value.encode()
@@ -52,3 +54,13 @@
                 return ConfigUpdate(self.sequence, -1, msgspec.Raw(self._newest_json))
             self._patches[known] = msgspec.json.encode(make_patch(base, self._versions[-1][1]))
         return ConfigUpdate(self.sequence, known, msgspec.Raw(self._patches[known]))
+
+
+def _share_items(document: Document, before: Document) -> None:
+    """Replace items by equal ones of the version before: thousands of routes are held once, not once a version."""
+    for key in COLLECTIONS:
+        known = {item["name"]: item for item in before.get(key, [])}
+        items = document.get(key, [])
+        for index, item in enumerate(items):
+            if item == known.get(item["name"]):
+                items[index] = known[item["name"]]
--- a/tests/controller/test_configuration_history.py
+++ b/tests/controller/test_configuration_history.py
@@ -76,6 +76,20 @@
     assert retained.base_sequence == 2
 
 
+def test_what_versions_have_in_common_is_held_once(history: ConfigurationHistory) -> None:
+    routes = [{"name": f"r{number}", "timeout_ms": number} for number in range(3)]
+    first = history.add(4, msgspec.json.encode({"generation": 4, "routes": routes}).decode())
+    routes[1] = {"name": "r1", "timeout_ms": 9}
+    second = history.add(5, msgspec.json.encode({"generation": 5, "routes": routes}).decode())
+    assert first is not None and second is not None
+    assert second == {"generation": 5, "routes": routes}
+    assert [one is other for one, other in zip(first["routes"], second["routes"], strict=True)] == [
+        True,
+        False,
+        True,
+    ]
+
+
 def test_a_change_of_the_members_alone_is_a_version_that_patches_go_from_and_to(
     history: ConfigurationHistory,
 ) -> None:
