Controller: a former connection of a router that ends late hides nothing that is under way there

Cause: samples of roll-outs are kept by a router's node and incarnation. When a connection breaks silently, the router connects again and reports before the controller notices the loss, up to a second later; then the loss set what is under way at that router to none, and dropped its latest report, until the router reported a change. A roll-out is completed once nothing is under way at the old upstreams, which then stop at once.

Change: the samples hear of the loss only when the router has no other connection.

The test fails without the change (run: 0 for 2 under way).

--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -89,7 +89,13 @@
         self._set_queued_prefill_tokens(subscriber, {})
         if subscriber.is_router:
             self._state.quotas.router_disconnected(connection.node, now_ms())
-            self._state.rollout_samples.disconnected(_router_name(connection))
+            self._samples_disconnected(_router_name(connection))
+
+    def _samples_disconnected(self, router: str) -> None:
+        """A connection of a router was lost, perhaps long after the router has made the next one."""
+        connected = {_router_name(one.connection) for one in self._subscriptions if one.is_router}
+        if router not in connected:
+            self._state.rollout_samples.disconnected(router)
 
     def report_prefill(self, connection: Connection, tokens: dict[str, int]) -> None:
         """A router reports, between pulls, the prompt tokens of its calls that wait for prefill, by engine."""
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -187,6 +187,25 @@
     asyncio.run(scene())
 
 
+def test_what_is_under_way_stays_counted_when_the_former_connection_of_a_router_ends_late() -> None:
+    async def scene() -> None:
+        made = Scene()
+        order = rollout()
+        made.pulls.publish(1, msgspec.json.encode(document(order)).decode())
+        former = made.routers[0]
+        again = Recorded(former.node)
+        made.pulls.connected(again, NodeRole.ROUTER)
+        made.pulls.pull(again, Pull(rollouts={"s": report(order, 5, others_in_flight=2)}))
+        made.pulls.disconnected(former)
+        pool = made.state.rollout_samples.pool("s")
+        assert pool is not None
+        assert pool.totals().others.in_flight == 2
+        made.pulls.disconnected(again)
+        assert pool.totals().others.in_flight == 0
+
+    asyncio.run(scene())
+
+
 def test_a_step_of_a_rollout_is_sent_as_a_patch_of_it_alone() -> None:
     async def scene() -> None:
         made = Scene()
