Roll-outs: a primary that has just started rolls back nothing for want of time

Cause: a controller that starts near or after a deadline, as after a kill of all, has no upstreams and no reports yet, and rolled a roll-out at full weight back at its first look (no answer of the target); an order for the only version would so be withdrawn, and all of the service's requests refused. It begins with the other versions that the last primary committed.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -14,7 +14,7 @@
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
 from larkweir_rollouts.schedule import FULL_WEIGHT, View, next_step
-from larkweir_rollouts.state import Rollout
+from larkweir_rollouts.state import Rollout, RolloutState
 from larkweir_rollouts.verdict import judge
 
 from larkweir.cluster import log
@@ -48,9 +48,9 @@
     """What is remembered of one running order."""
 
     known_since_ms: float  # by this process
-    most_target_ready: int = 0
+    other_versions: set[str]  # that upstreams had since the order; no withdrawn ones
     has_seen_target: bool = False  # an upstream of the target version, ready or not
-    other_versions: set[str] = field(default_factory=set)  # of upstreams, ready or not; no withdrawn ones
+    most_target_ready: int = 0
     is_advancing: bool = False
 
     @property
@@ -88,10 +88,12 @@
         if not self.is_in_contact():
             self.inputs.rollouts.mark_outdated(now_ms())
         running = self.inputs.rollouts.running()
-        self._progress = {
-            key: self._progress.get(key) or _Progress(now_ms())
-            for key in ((one.rollout.service, one.rollout.order_id) for one in running)
-        }
+        known, self._progress = self._progress, {}
+        for rollout in (one.rollout for one in running):
+            key = (rollout.service, rollout.order_id)
+            self._progress[key] = known.get(key) or _Progress(
+                now_ms(), other_versions={*(rollout.other_versions or ())}
+            )
         for committed in running:
             self._evaluate(committed)
 
@@ -123,9 +125,14 @@
         progress.other_versions |= {upstreams[id_].version for id_ in tracks.others}
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
-        if not progress.is_only_version:
-            return next_step(view)
-        return next_step_of_only_version(view) if progress.is_warmed_up else None
+        """A process that has just started knows too little to miss anything: it rolls back only what is condemned."""
+        if not (progress.is_warmed_up or progress.other_versions):
+            return None
+        if progress.is_only_version:
+            return next_step_of_only_version(view)
+        step = next_step(view)
+        is_due = step is None or step.state is not RolloutState.ROLLED_BACK or view.verdict.is_bad
+        return step if is_due or progress.is_warmed_up else None
 
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -267,3 +267,32 @@
         assert step.state is RolloutState.ROLLED_BACK
 
     run(monkeypatch, play, b="v2")
+
+
+@pytest.mark.parametrize("weight", [CANARY_WEIGHT, 1.0])
+@pytest.mark.parametrize("versions", [{}, {"a": "v1"}, {"b": "v2"}], ids=["none", "old", "new"])
+def test_a_controller_that_has_just_started_rolls_back_nothing_for_want_of_time(
+    weight: float, versions: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(scene: Scene) -> None:
+        for id_ in {*scene.registry.upstreams} - {*versions}:
+            del scene.registry.upstreams[id_]
+        scene.commit(5, rollout(target_weight=weight))
+        scene.present_ms += 12_000.0
+        assert await scene.evaluate() == [], "upstreams and routers are on their way to it"
+        scene.present_ms += rollout_driver.ROUTERS_RETURN_MS - 1.0
+        assert await scene.evaluate() == []
+
+    run(monkeypatch, play)
+
+
+def test_what_the_last_primary_knew_of_versions_counts(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        known = rollout(target_weight=CANARY_WEIGHT, other_versions=("v1",))
+        scene.commit(2, known)
+        for router in ("a/1", "b/1", "c/1"):
+            scene.samples.report(router, {"s": report(known, 0, 40, others=400)})
+        (step,) = await scene.evaluate()
+        assert (step.state, step.other_versions) == (RolloutState.ROLLED_BACK, ("v1",))
+
+    run(monkeypatch, play, b="v2")
