Roll-outs: a router that was lost without confirming is waited for

Cause: only connected routers had to confirm a full weight. One whose connections were reset just then went on sending to the old upstreams while the completion stopped them. Change: routers that were connected less than 2 s ago count by the configuration that they had, as long as a second is left until the deadline; a killed one so delays nothing beyond that. Tests: without the change 2 of test_rollout_driver.py fail.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 from larkweir_registry.records import UpstreamState
@@ -13,7 +14,7 @@
 from larkweir_rollouts.only_version import next_step_of_only_version
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
-from larkweir_rollouts.schedule import FULL_WEIGHT, View, next_step
+from larkweir_rollouts.schedule import COMPLETION_MARGIN_S, FULL_WEIGHT, View, next_step
 from larkweir_rollouts.state import Rollout, RolloutState
 from larkweir_rollouts.verdict import judge
 
@@ -28,6 +29,7 @@
 from larkweir.controller.subscriptions import Subscriptions
 
 ROUTERS_RETURN_MS = 2_000.0  # in which routers and upstreams find a controller that has started
+LOST_ROUTER_MS = 2_000.0  # for so long one that was connected may go on serving by what it had in force
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
 Submit = Callable[[Command], Awaitable[CallOutcome]]
@@ -43,6 +45,11 @@
     subscriptions: Subscriptions
 
 
+class _LastSeen(NamedTuple):
+    sequence: int  # of the configuration that a router had in force
+    at_ms: float
+
+
 @dataclass(slots=True)
 class _Progress:
     """What is remembered of one running order."""
@@ -82,6 +89,7 @@
     is_in_contact: Callable[[], bool]
     tasks: BackgroundTasks
     _progress: dict[tuple[str, str], _Progress] = field(default_factory=dict)  # by service and order
+    _routers: dict[str, _LastSeen] = field(default_factory=dict)  # connected ones and those lost just now
 
     def evaluate(self) -> None:
         """Takes the next step of each running roll-out, one at a time; to be called several times a second."""
@@ -94,9 +102,19 @@
             self._progress[key] = known.get(key) or _Progress(
                 now_ms(), other_versions={*(rollout.other_versions or ())}
             )
+        if running:
+            self._note_routers()
         for committed in running:
             self._evaluate(committed)
 
+    def _note_routers(self) -> None:
+        present_ms = now_ms()
+        for node, sequence in self.inputs.subscriptions.router_sequences().items():
+            self._routers[node] = _LastSeen(sequence, present_ms)
+        self._routers = {
+            node: seen for node, seen in self._routers.items() if present_ms < seen.at_ms + LOST_ROUTER_MS
+        }
+
     def _evaluate(self, committed: CommittedRollout) -> None:
         rollout, registry = committed.rollout, self.inputs.registry
         pool = self.inputs.samples.pool(rollout.service)
@@ -150,12 +168,19 @@
         )
 
     def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
-        """Whether there are routers, and all that are connected have that configuration in force."""
+        """Whether there are routers, and all that are connected have that configuration in force.
+
+        As long as there is time, so must those that were lost just now: they may still send to the others.
+        """
         rollout, sequence = committed.rollout, committed.sequence
         if not self._progress[rollout.service, rollout.order_id].is_warmed_up:
             return False
-        in_force = self.inputs.subscriptions.router_sequences().values()
-        return bool(in_force) and min(in_force) >= sequence
+        in_force = list(self.inputs.subscriptions.router_sequences().values())
+        if not in_force:
+            return False
+        if rollout.duration_s - committed.elapsed_s(now_ms()) >= COMPLETION_MARGIN_S:
+            in_force.extend(seen.sequence for seen in self._routers.values())
+        return min(in_force) >= sequence
 
     async def _advance(self, step: Advance, view: View, progress: _Progress) -> None:
         try:
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -296,3 +296,42 @@
         assert (step.state, step.other_versions) == (RolloutState.ROLLED_BACK, ("v1",))
 
     run(monkeypatch, play, b="v2")
+
+
+def test_a_router_that_was_lost_without_confirming_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.connect(5)
+        scene.connect(4)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == []
+        scene.present_ms += COMPLETION_DUE_MS - 1_000.0
+        assert await scene.evaluate() == []
+        (lost,) = [one for one in scene.subscriptions if one.config_sequence == 4]
+        scene.subscriptions.remove(lost.connection)
+        scene.present_ms += 1_000.0
+        assert await scene.evaluate() == [], "it may still send to the others"
+        scene.present_ms += rollout_driver.LOST_ROUTER_MS - 1_000.0
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.COMPLETED
+
+    run(monkeypatch, play)
+
+
+def test_a_lost_router_is_waited_for_only_as_long_as_there_is_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.connect(5)
+        scene.connect(4)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == []
+        scene.present_ms += COMPLETION_DUE_MS
+        assert await scene.evaluate() == []
+        (lost,) = [one for one in scene.subscriptions if one.config_sequence == 4]
+        scene.subscriptions.remove(lost.connection)
+        assert await scene.evaluate() == []
+        scene.present_ms += 600.0
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.COMPLETED, "less than a second is left"
+
+    run(monkeypatch, play)
