--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -56,15 +56,10 @@
 
     known_since_ms: float  # by this process
     other_versions: set[str]  # that upstreams had since the order; no withdrawn ones
-    has_seen_target: bool = False  # an upstream of the target version, ready or not
+    is_only_version: bool  # the target had all upstreams at the order, and has had them since
     most_target_ready: int = 0
     is_advancing: bool = False
 
-    @property
-    def is_only_version(self) -> bool:
-        """Whether the service seems to have upstreams of the target version alone."""
-        return self.has_seen_target and not self.other_versions
-
     @property
     def is_warmed_up(self) -> bool:
         """A process that has just started knows few of the routers and upstreams that serve."""
@@ -96,12 +91,10 @@
         if not self.is_in_contact():
             self.inputs.rollouts.mark_outdated(now_ms())
         running = self.inputs.rollouts.running()
-        known, self._progress = self._progress, {}
-        for rollout in (one.rollout for one in running):
-            key = (rollout.service, rollout.order_id)
-            self._progress[key] = known.get(key) or _Progress(
-                now_ms(), other_versions={*(rollout.other_versions or ())}
-            )
+        self._progress = {
+            key: self._progress.get(key) or self._begin(one)
+            for key, one in (((one.rollout.service, one.rollout.order_id), one) for one in running)
+        }
         if running:
             self._note_routers()
         for committed in running:
@@ -127,27 +120,41 @@
         view = self._view(committed, pool, tracks, progress.most_target_ready)
         step = self._next_step(view, progress)
         if step is not None:
-            step = msgspec.structs.replace(step, other_versions=tuple(sorted(progress.other_versions)))
+            if progress.other_versions or progress.is_only_version:
+                step = msgspec.structs.replace(step, other_versions=tuple(sorted(progress.other_versions)))
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
+    def _begin(self, committed: CommittedRollout) -> _Progress:
+        """An order is known from now on.
+
+        A process that learned of it late knows nothing of the upstreams before it, but what was committed with a step.
+        """
+        tracks, committed_versions = self._known_tracks(committed.rollout), committed.rollout.other_versions
+        if isinstance(committed_versions, msgspec.UnsetType):
+            is_only_version = bool(tracks.target) and not tracks.others and not committed.is_learned_late
+            return _Progress(now_ms(), set(), is_only_version)
+        return _Progress(now_ms(), {*committed_versions}, is_only_version=not committed_versions)
+
     def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
+        upstreams, others = self.inputs.registry.upstreams, self._known_tracks(rollout).others
+        progress.other_versions |= {upstreams[id_].version for id_ in others}
+        progress.is_only_version &= not others
+
+    def _known_tracks(self, rollout: Rollout) -> Tracks:
+        """The upstreams of its service, ready or not, as they are known here."""
         upstreams = self.inputs.registry.upstreams
         known = [
             one.id
             for one in upstreams.values()
             if one.service == rollout.service and one.state is not UpstreamState.GONE
         ]
-        tracks = split_into_tracks(rollout, known, upstreams)
-        progress.has_seen_target |= bool(tracks.target)
-        progress.other_versions |= {upstreams[id_].version for id_ in tracks.others}
+        return split_into_tracks(rollout, known, upstreams)
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
         """A process that has just started knows too little to miss anything: it rolls back only what is condemned."""
-        if not (progress.is_warmed_up or progress.other_versions):
-            return None
         if progress.is_only_version:
-            return next_step_of_only_version(view)
+            return next_step_of_only_version(view) if progress.is_warmed_up else None
         step = next_step(view)
         is_due = step is None or step.state is not RolloutState.ROLLED_BACK or view.verdict.is_bad
         return step if is_due or progress.is_warmed_up else None
--- a/packages/rollouts/src/larkweir_rollouts/only_version.py
+++ b/packages/rollouts/src/larkweir_rollouts/only_version.py
@@ -14,16 +14,16 @@
 
 
 def next_step_of_only_version(view: View) -> Advance | None:
-    """Decide the next step, at the times of any other roll-out; it is never rolled back: nothing else could serve."""
+    """Decide the next step; it is never rolled back, as nothing else could serve.
+
+    The full weight is committed at once, for routers that have started since the order; the end comes when it is due.
+    """
     if not view.rollout.is_running:
         return None
-    after_full_weight_s = view.elapsed_s - full_weight_time_s(view.rollout.duration_s)
-    if after_full_weight_s < 0.0:
-        return None
     if view.rollout.target_weight < FULL_WEIGHT:
         return _advance(view, RolloutState.RUNNING)
-    is_time_left = view.remaining_s >= COMPLETION_MARGIN_S
-    if not view.are_routers_confirmed or (after_full_weight_s < FULL_WEIGHT_DWELL_S and is_time_left):
+    is_due = view.elapsed_s >= full_weight_time_s(view.rollout.duration_s) + FULL_WEIGHT_DWELL_S
+    if not view.are_routers_confirmed or (not is_due and view.remaining_s >= COMPLETION_MARGIN_S):
         return None
     return _advance(view, RolloutState.COMPLETED)
 
