--- a/larkweir/controller/committed_rollouts.py
+++ b/larkweir/controller/committed_rollouts.py
@@ -24,12 +24,14 @@
         sequence: of the first configuration that has it in this state.
         ordered_ms: when it was ordered, by the steady clock of this process.
         is_estimate: `ordered_ms` was told from the time of day.
+        is_learned_late: this process may not have known of the order when it was placed.
     """
 
     rollout: Rollout
     sequence: int
     ordered_ms: float
     is_estimate: bool
+    is_learned_late: bool
 
     def elapsed_s(self, now_ms: float) -> float:
         """Since the order; never negative."""
@@ -66,11 +68,12 @@
                 self._by_service[rollout.service] = before
                 continue
             if before is not None and before.rollout.order_id == rollout.order_id:
-                ordered_ms, is_estimate = before.ordered_ms, before.is_estimate
-            else:
-                ordered_ms = now_ms - (_age_ms(rollout, unix_ms) if is_late else 0.0)
-                is_estimate = is_late
-            self._by_service[rollout.service] = CommittedRollout(rollout, sequence, ordered_ms, is_estimate)
+                self._by_service[rollout.service] = replace(before, rollout=rollout, sequence=sequence)
+                continue
+            ordered_ms = now_ms - (_age_ms(rollout, unix_ms) if is_late else 0.0)
+            self._by_service[rollout.service] = CommittedRollout(
+                rollout, sequence, ordered_ms, is_estimate=is_late, is_learned_late=is_late
+            )
 
     def ages(self, now_ms: float) -> dict[str, RolloutAge]:
         """Of the running ones, by service, without those that are estimates."""
--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 import msgspec
 from larkweir_registry.records import UpstreamState
@@ -13,8 +14,8 @@
 from larkweir_rollouts.only_version import next_step_of_only_version
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
-from larkweir_rollouts.schedule import FULL_WEIGHT, View, next_step
-from larkweir_rollouts.state import Rollout
+from larkweir_rollouts.schedule import COMPLETION_MARGIN_S, FULL_WEIGHT, View, next_step
+from larkweir_rollouts.state import Rollout, RolloutState
 from larkweir_rollouts.verdict import judge
 
 from larkweir.cluster import log
@@ -27,7 +28,8 @@
 from larkweir.controller.rollout_tracks import Tracks, split_into_tracks
 from larkweir.controller.subscriptions import Subscriptions
 
-ROUTERS_RETURN_MS = 2_000.0  # in which routers find a controller that has started
+ROUTERS_RETURN_MS = 2_000.0  # in which routers and upstreams find a controller that has started
+LOST_ROUTER_MS = 2_000.0  # for so long one that was connected may go on serving by what it had in force
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
 Submit = Callable[[Command], Awaitable[CallOutcome]]
@@ -43,16 +45,26 @@
     subscriptions: Subscriptions
 
 
+class _LastSeen(NamedTuple):
+    sequence: int  # of the configuration that a router had in force
+    at_ms: float
+
+
 @dataclass(slots=True)
 class _Progress:
     """What is remembered of one running order."""
 
     known_since_ms: float  # by this process
+    other_versions: set[str]  # that upstreams had since the order; no withdrawn ones
+    is_only_version: bool  # the target had all upstreams at the order, and has had them since
     most_target_ready: int = 0
-    is_only_version: bool = False  # the target had all upstreams at the order, and has had them since
-    other_versions: set[str] = field(default_factory=set)  # of upstreams, ready or not; no withdrawn ones
     is_advancing: bool = False
 
+    @property
+    def is_warmed_up(self) -> bool:
+        """A process that has just started knows few of the routers and upstreams that serve."""
+        return now_ms() >= self.known_since_ms + ROUTERS_RETURN_MS
+
 
 @dataclass(slots=True)
 class RolloutDriver:
@@ -72,6 +84,7 @@
     is_in_contact: Callable[[], bool]
     tasks: BackgroundTasks
     _progress: dict[tuple[str, str], _Progress] = field(default_factory=dict)  # by service and order
+    _routers: dict[str, _LastSeen] = field(default_factory=dict)  # connected ones and those lost just now
 
     def evaluate(self) -> None:
         """Takes the next step of each running roll-out, one at a time; to be called several times a second."""
@@ -82,9 +95,19 @@
             key: self._progress.get(key) or self._begin(one)
             for key, one in (((one.rollout.service, one.rollout.order_id), one) for one in running)
         }
+        if running:
+            self._note_routers()
         for committed in running:
             self._evaluate(committed)
 
+    def _note_routers(self) -> None:
+        present_ms = now_ms()
+        for node, sequence in self.inputs.subscriptions.router_sequences().items():
+            self._routers[node] = _LastSeen(sequence, present_ms)
+        self._routers = {
+            node: seen for node, seen in self._routers.items() if present_ms < seen.at_ms + LOST_ROUTER_MS
+        }
+
     def _evaluate(self, committed: CommittedRollout) -> None:
         rollout, registry = committed.rollout, self.inputs.registry
         pool = self.inputs.samples.pool(rollout.service)
@@ -97,15 +120,21 @@
         view = self._view(committed, pool, tracks, progress.most_target_ready)
         step = self._next_step(view, progress)
         if step is not None:
-            step = msgspec.structs.replace(step, other_versions=tuple(sorted(progress.other_versions)))
+            if progress.other_versions or progress.is_only_version:
+                step = msgspec.structs.replace(step, other_versions=tuple(sorted(progress.other_versions)))
             progress.is_advancing = True
             self.tasks.start("rollout_advance", self._advance(step, view, progress))
 
     def _begin(self, committed: CommittedRollout) -> _Progress:
-        """An order is known from now on. A process that learned of it late knows nothing of the upstreams before it."""
-        tracks = self._known_tracks(committed.rollout)
-        is_only_version = bool(tracks.target) and not tracks.others and not committed.is_estimate
-        return _Progress(now_ms(), is_only_version=is_only_version)
+        """An order is known from now on.
+
+        A process that learned of it late knows nothing of the upstreams before it, but what was committed with a step.
+        """
+        tracks, committed_versions = self._known_tracks(committed.rollout), committed.rollout.other_versions
+        if isinstance(committed_versions, msgspec.UnsetType):
+            is_only_version = bool(tracks.target) and not tracks.others and not committed.is_learned_late
+            return _Progress(now_ms(), set(), is_only_version)
+        return _Progress(now_ms(), {*committed_versions}, is_only_version=not committed_versions)
 
     def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
         upstreams, others = self.inputs.registry.upstreams, self._known_tracks(rollout).others
@@ -123,7 +152,12 @@
         return split_into_tracks(rollout, known, upstreams)
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
-        return next_step_of_only_version(view) if progress.is_only_version else next_step(view)
+        """A process that has just started knows too little to miss anything: it rolls back only what is condemned."""
+        if progress.is_only_version:
+            return next_step_of_only_version(view) if progress.is_warmed_up else None
+        step = next_step(view)
+        is_due = step is None or step.state is not RolloutState.ROLLED_BACK or view.verdict.is_bad
+        return step if is_due or progress.is_warmed_up else None
 
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
@@ -143,13 +177,17 @@
     def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
         """Whether there are routers, and all that are connected have that configuration in force.
 
-        A process that has just started knows few of the routers that serve.
+        As long as there is time, so must those that were lost just now: they may still send to the others.
         """
         rollout, sequence = committed.rollout, committed.sequence
-        if now_ms() < self._progress[rollout.service, rollout.order_id].known_since_ms + ROUTERS_RETURN_MS:
+        if not self._progress[rollout.service, rollout.order_id].is_warmed_up:
+            return False
+        in_force = list(self.inputs.subscriptions.router_sequences().values())
+        if not in_force:
             return False
-        in_force = self.inputs.subscriptions.router_sequences().values()
-        return bool(in_force) and min(in_force) >= sequence
+        if rollout.duration_s - committed.elapsed_s(now_ms()) >= COMPLETION_MARGIN_S:
+            in_force.extend(seen.sequence for seen in self._routers.values())
+        return min(in_force) >= sequence
 
     async def _advance(self, step: Advance, view: View, progress: _Progress) -> None:
         try:
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -16,7 +16,7 @@
 
 from larkweir.cluster.configuration.rollout_commands import RolloutAdvance
 from larkweir.cluster.links import Connection
-from larkweir.cluster.messages import NodeRole, Pull
+from larkweir.cluster.messages import NodeRole, Pull, RolloutAge
 from larkweir.controller import rollout_driver
 from larkweir.controller.background_tasks import BackgroundTasks
 from larkweir.controller.call_outcome import UNKNOWN, CallOutcome, Completed
@@ -280,3 +280,95 @@
         assert step.state is RolloutState.ROLLED_BACK, "it has not heard of the others' upstreams yet"
 
     run(monkeypatch, play, b="v2")
+
+
+@pytest.mark.parametrize("weight", [CANARY_WEIGHT, 1.0])
+@pytest.mark.parametrize("versions", [{}, {"a": "v1"}, {"b": "v2"}], ids=["none", "old", "new"])
+def test_a_controller_that_has_just_started_rolls_back_nothing_for_want_of_time(
+    weight: float, versions: dict[str, str], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(scene: Scene) -> None:
+        for id_ in {*scene.registry.upstreams} - {*versions}:
+            del scene.registry.upstreams[id_]
+        scene.rollouts.mark_outdated(scene.present_ms)
+        scene.commit(5, rollout(target_weight=weight))
+        scene.present_ms += 12_000.0
+        assert await scene.evaluate() == [], "upstreams and routers are on their way to it"
+        scene.present_ms += rollout_driver.ROUTERS_RETURN_MS - 1.0
+        assert await scene.evaluate() == []
+
+    run(monkeypatch, play)
+
+
+@pytest.mark.parametrize("others", [(), ("v1",)])
+def test_what_the_last_primary_knew_of_versions_counts(
+    others: tuple[str, ...], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def play(scene: Scene) -> None:
+        known = rollout(target_weight=1.0, other_versions=others)
+        scene.rollouts.mark_outdated(scene.present_ms)
+        scene.commit(5, known)
+        scene.rollouts.adopt_ages({"s": RolloutAge(known.order_id, 0.0)}, scene.present_ms)
+        for router in ("a/1", "b/1", "c/1"):
+            scene.samples.report(router, {"s": report(known, 0, 40, others=400)})
+        steps = await scene.evaluate()
+        assert [(one.state, one.other_versions) for one in steps] == (
+            [(RolloutState.ROLLED_BACK, ("v1",))] if others else []
+        ), "where there is no other version nothing else could serve"
+
+    run(monkeypatch, play, b="v2")
+
+
+def test_an_age_that_another_controller_told_makes_no_upstreams_known(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(scene: Scene) -> None:
+        scene.rollouts.mark_outdated(scene.present_ms)
+        scene.commit(2, CANARY)
+        scene.rollouts.adopt_ages({"s": RolloutAge(CANARY.order_id, 0.0)}, scene.present_ms)
+        assert await scene.evaluate() == []
+        scene.present_ms += rollout_driver.ROUTERS_RETURN_MS
+        (step,) = await scene.evaluate()
+        assert step.target_weight < 1.0, "the target is on trial, though no other version is known"
+        assert step.other_versions is msgspec.UNSET
+
+    run(monkeypatch, play, b="v2")
+
+
+def test_a_router_that_was_lost_without_confirming_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.connect(5)
+        scene.connect(4)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == []
+        scene.present_ms += COMPLETION_DUE_MS - 1_000.0
+        assert await scene.evaluate() == []
+        (lost,) = [one for one in scene.subscriptions if one.config_sequence == 4]
+        scene.subscriptions.remove(lost.connection)
+        scene.present_ms += 1_000.0
+        assert await scene.evaluate() == [], "it may still send to the others"
+        scene.present_ms += rollout_driver.LOST_ROUTER_MS - 1_000.0
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.COMPLETED
+
+    run(monkeypatch, play)
+
+
+def test_a_lost_router_is_waited_for_only_as_long_as_there_is_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def play(scene: Scene) -> None:
+        scene.commit(5, FULL)
+        scene.connect(5)
+        scene.connect(4)
+        scene.samples.report("a/1", {"s": report(FULL, 100, others=100)})
+        assert await scene.evaluate() == []
+        scene.present_ms += COMPLETION_DUE_MS
+        assert await scene.evaluate() == []
+        (lost,) = [one for one in scene.subscriptions if one.config_sequence == 4]
+        scene.subscriptions.remove(lost.connection)
+        assert await scene.evaluate() == []
+        scene.present_ms += 600.0
+        (step,) = await scene.evaluate()
+        assert step.state is RolloutState.COMPLETED, "less than a second is left"
+
+    run(monkeypatch, play)
