Roll-outs: a primary that learned of the order late lets no weight grow for a second

Found by reading: after a kill of all controllers the first primary has the reports of the routers that have returned; on those alone it could give a version all requests that the others' reports condemn. Cause: missing reports were taken for good ones. Change: one that learned of the order after a start or a cut lets the weight grow only after 1 s, in which most routers have pulled from it; it shrinks and condemns at once. Result: the driver's tests pass; the new one fails without the change.

--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -29,6 +29,7 @@
 from larkweir.controller.subscriptions import Subscriptions
 
 ROUTERS_RETURN_MS = 2_000.0  # in which routers and upstreams find a controller that has started
+FIRST_REPORTS_MS = 1_000.0  # in which most routers have pulled from it
 LOST_ROUTER_MS = 2_000.0  # for so long one that was connected may go on serving by what it had in force
 ADVANCE_TIMEOUT_S = 2.0  # then the step is decided anew
 
@@ -57,6 +58,7 @@
     known_since_ms: float  # by this process
     other_versions: set[str]  # that upstreams had since the order; no withdrawn ones
     is_only_version: bool  # the target had all upstreams at the order, and has had them since
+    is_learned_late: bool  # the order, after a start or a cut
     most_target_ready: int = 0
     is_advancing: bool = False
 
@@ -65,6 +67,11 @@
         """A process that has just started knows few of the routers and upstreams that serve."""
         return now_ms() >= self.known_since_ms + ROUTERS_RETURN_MS
 
+    @property
+    def has_first_reports(self) -> bool:
+        """Whether most routers have reported by now what they have seen since the order."""
+        return now_ms() >= self.known_since_ms + FIRST_REPORTS_MS
+
 
 @dataclass(slots=True)
 class RolloutDriver:
@@ -133,8 +140,8 @@
         tracks, committed_versions = self._known_tracks(committed.rollout), committed.rollout.other_versions
         if isinstance(committed_versions, msgspec.UnsetType):
             is_only_version = bool(tracks.target) and not tracks.others and not committed.is_learned_late
-            return _Progress(now_ms(), set(), is_only_version)
-        return _Progress(now_ms(), {*committed_versions}, is_only_version=not committed_versions)
+            return _Progress(now_ms(), set(), is_only_version, committed.is_learned_late)
+        return _Progress(now_ms(), {*committed_versions}, not committed_versions, committed.is_learned_late)
 
     def _note_versions(self, rollout: Rollout, progress: _Progress) -> None:
         upstreams, others = self.inputs.registry.upstreams, self._known_tracks(rollout).others
@@ -152,12 +159,19 @@
         return split_into_tracks(rollout, known, upstreams)
 
     def _next_step(self, view: View, progress: _Progress) -> Advance | None:
-        """A process that has just started knows too little to miss anything: it rolls back only what is condemned."""
+        """Decide as the schedule does; a process that knows little yet rolls back only what is condemned.
+
+        One that learned of the order late has no reports of most routers: it lets no weight grow on those of a few.
+        """
         if progress.is_only_version:
             return next_step_of_only_version(view) if progress.is_warmed_up else None
         step = next_step(view)
-        is_due = step is None or step.state is not RolloutState.ROLLED_BACK or view.verdict.is_bad
-        return step if is_due or progress.is_warmed_up else None
+        if step is None or progress.is_warmed_up:
+            return step
+        if step.state is RolloutState.ROLLED_BACK:
+            return step if view.verdict.is_bad else None
+        is_growth = step.target_weight > view.rollout.target_weight
+        return None if is_growth and progress.is_learned_late and not progress.has_first_reports else step
 
     def _view(
         self, committed: CommittedRollout, pool: PooledSamples, tracks: Tracks, most_target_ready: int
--- a/tests/controller/test_rollout_driver.py
+++ b/tests/controller/test_rollout_driver.py
@@ -372,3 +372,21 @@
         assert step.state is RolloutState.COMPLETED, "less than a second is left"
 
     run(monkeypatch, play)
+
+
+def test_a_controller_that_learned_of_the_order_late_lets_no_weight_grow_on_the_reports_of_few_routers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def play(scene: Scene) -> None:
+        scene.rollouts.mark_outdated(scene.present_ms)
+        scene.commit(2, CANARY)
+        assert await scene.evaluate() == []
+        age_ms = FULL_WEIGHT_DUE_MS - rollout_driver.FIRST_REPORTS_MS
+        scene.rollouts.adopt_ages({"s": RolloutAge(CANARY.order_id, age_ms)}, scene.present_ms)
+        scene.samples.report("a/1", {"s": report(CANARY, 100, others=1_000)})
+        assert await scene.evaluate() == []
+        scene.present_ms += rollout_driver.FIRST_REPORTS_MS
+        (step,) = await scene.evaluate()
+        assert (step.state, step.target_weight) == (RolloutState.RUNNING, 1.0)
+
+    run(monkeypatch, play)
