Tests and benchmarks: set-ups of a scripted controller and of two commands stand once

Change: tests/router/scripted_controller.py has the controller that holds lines against stored ones, and the router beside it; fleet_pairs has argument_parser and run_arguments, which fleet_ablation calls. Every assert is kept, and the roll-outs' test now asks as well that each line ends with a line feed. Stored lines are untouched. Not joined, since they say different things: rollouts_api `_status` (an answer's fields) beside captures' node_options (limits from a settings table), rollout_commands beside replication/messages (tagged messages), controller/metrics beside edits/rows (value types).

--- a/benchmarks/fleet_ablation.py
+++ b/benchmarks/fleet_ablation.py
@@ -8,7 +8,6 @@
 
 from __future__ import annotations
 
-import argparse
 import shutil
 import subprocess
 from dataclasses import fields
@@ -47,26 +46,14 @@
 
 def main() -> int:
     """The command."""
-    parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
-    )
-    parser.add_argument("bench")
-    parser.add_argument("site")
-    parser.add_argument("day", nargs="+")
+    parser = fleet_pairs.argument_parser(__doc__)
     parser.add_argument("--copies", type=Path, required=True)
     parser.add_argument("--only", action="append", default=[], metavar="NAME")
-    parser.add_argument("--seeds", default="0")
-    parser.add_argument("--small", action="store_true")
-    parser.add_argument("--jobs", type=int, default=4)
     asked = parser.parse_args()
     names = asked.only or [field.name for field in fields(DecisionOptions)]
     asked.copies.mkdir(parents=True, exist_ok=True)
     copies = {name: str(make_copy(asked.copies.absolute(), name)) for name in [WHOLE, *names]}
-    options = ["--small"] if asked.small else []
-    seeds = [int(seed) for seed in asked.seeds.split(",")]
-    return fleet_pairs.run(
-        asked.bench, asked.site, asked.day, copies, seeds, options, asked.jobs, asked.copies
-    )
+    return fleet_pairs.run_arguments(asked, copies, asked.copies)
 
 
 if __name__ == "__main__":
--- a/benchmarks/fleet_pairs.py
+++ b/benchmarks/fleet_pairs.py
@@ -145,26 +145,38 @@
     return 1 if any(result.broken for result in played.values()) else 0
 
 
-def main() -> int:
-    """The command."""
+def argument_parser(description: str | None) -> argparse.ArgumentParser:
+    """A parser that knows what is played: the bench, the site, the days, their seeds and options."""
     parser = argparse.ArgumentParser(
-        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+        description=description, formatter_class=argparse.RawDescriptionHelpFormatter
     )
     parser.add_argument("bench")
     parser.add_argument("site")
     parser.add_argument("day", nargs="+")
-    parser.add_argument("--copy", action="append", required=True, metavar="NAME=DIR")
     parser.add_argument("--seeds", default="0", help="by commas; 0 is the day's own")
     parser.add_argument("--small", action="store_true")
     parser.add_argument("--jobs", type=int, default=4)
+    return parser
+
+
+def run_arguments(arguments: argparse.Namespace, copies: dict[str, str], reports: Path) -> int:
+    """`run` with what a parser made by `argument_parser` has read."""
+    options = ["--small"] if arguments.small else []
+    seeds = [int(seed) for seed in arguments.seeds.split(",")]
+    return run(
+        arguments.bench, arguments.site, arguments.day, copies, seeds, options, arguments.jobs, reports
+    )
+
+
+def main() -> int:
+    """The command."""
+    parser = argument_parser(__doc__)
+    parser.add_argument("--copy", action="append", required=True, metavar="NAME=DIR")
     parser.add_argument("--reports", type=Path, help="folder; by default one that is not kept")
     asked = parser.parse_args()
     copies = dict(one.partition("=")[::2] for one in asked.copy)
-    options = ["--small"] if asked.small else []
-    seeds = [int(seed) for seed in asked.seeds.split(",")]
     with tempfile.TemporaryDirectory() as folder:
-        reports = asked.reports or Path(folder)
-        return run(asked.bench, asked.site, asked.day, copies, seeds, options, asked.jobs, reports)
+        return run_arguments(asked, copies, asked.reports or Path(folder))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/router/scripted_controller.py
@@ -0,0 +1,77 @@
+"""A router beside a controller whose lines a test writes, and which holds the router's lines against stored ones."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from typing import Any
+
+import msgspec
+
+from larkweir.cluster.settings import parse
+from larkweir.router.node import Router
+
+PING = '{"type":"ping"}'
+LINES_S = 20.0
+
+
+class ScriptedController:
+    """`written`: the lines expected of the router, without pings. `varies`: patterns in them, by what stands there."""
+
+    def __init__(self, written: Sequence[str], varies: Mapping[str, str]) -> None:
+        self._written, self._varies = written, varies
+        self._lines: list[str] = []
+        self._received = asyncio.Event()
+        self._writer: asyncio.StreamWriter | None = None
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Read a connection to its end."""
+        self._writer = writer
+        while line := (await reader.readline()).decode():
+            assert line.endswith("\n")
+            if line[:-1] != PING:
+                for varies, name in self._varies.items():
+                    line = re.sub(varies, name, line)
+                self._lines.append(line[:-1])
+                self._received.set()
+
+    async def until(self, count: int) -> None:
+        """So many lines have come, each as expected."""
+        async with asyncio.timeout(LINES_S):
+            while len(self._lines) < count:
+                self._received.clear()
+                await self._received.wait()
+        assert self._lines == self._written[:count]
+
+    def send(self, line: dict[str, Any]) -> None:
+        """Write a line on the newest connection."""
+        assert self._writer is not None
+        self._writer.write(msgspec.json.encode(line) + b"\n")
+
+    def disconnect(self) -> None:
+        """Close the newest connection."""
+        assert self._writer is not None
+        self._writer.close()
+
+
+@asynccontextmanager
+async def running_router(subnet: str, port: int) -> AsyncIterator[None]:
+    """A router at `subnet`.2 that pulls from the controller at `subnet`.1; ended at once after the block."""
+    settings = {
+        "node": "r",
+        "ip": f"{subnet}.2",
+        "zone": "z",
+        "port_range": [port, port],
+        "seeds": [f"{subnet}.1:{port}"],
+        "listen": {"front": f"{subnet}.2:{port}"},
+    }
+    router = Router(parse(msgspec.json.encode(settings)))
+    running = asyncio.get_running_loop().create_task(router.run())
+    try:
+        yield
+    finally:
+        router.close()
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
--- a/tests/router/test_fleet_sync_encodings.py
+++ b/tests/router/test_fleet_sync_encodings.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import os
-from typing import Any
 
 import msgspec
 import uvloop
 
 from larkweir.cluster.configuration.compression import DEFLATE, compress
 from larkweir.cluster.messages import CompressedConfigUpdate, ConfigUpdate, Delta, Message, Pull
-from larkweir.cluster.settings import parse
-from larkweir.router.node import Router
 from tests.cluster.configurations import VALID
+from tests.router.scripted_controller import running_router
 
 SCENE_S = 20.0
 
@@ -41,30 +39,14 @@
     writer.write(msgspec.json.encode(delta) + b"\n")
 
 
-def settings(subnet: str, port: int) -> Any:
-    return parse(
-        msgspec.json.encode(
-            {
-                "node": "r",
-                "ip": f"{subnet}.2",
-                "zone": "z",
-                "port_range": [port, port],
-                "seeds": [f"{subnet}.1:{port}"],
-                "listen": {"front": f"{subnet}.2:{port}"},
-            }
-        )
-    )
-
-
 async def scene() -> None:
     subnet = f"127.79.{os.getpid() % 199 + 1}"
     controller = Controller()
     server = await asyncio.start_server(controller.serve, f"{subnet}.1", 0)
-    router = Router(settings(subnet, server.sockets[0].getsockname()[1]))
-    running = asyncio.get_running_loop().create_task(router.run())
+    port = server.sockets[0].getsockname()[1]
     update = compress(ConfigUpdate(4, -1, msgspec.Raw(msgspec.json.encode(VALID))))
     try:
-        async with asyncio.timeout(SCENE_S):
+        async with running_router(subnet, port), asyncio.timeout(SCENE_S):
             reader, writer = await controller.connections.get()
             first = await next_pull(reader)
             assert first is not None
@@ -84,10 +66,7 @@
             assert again is not None
             assert again.config_sequence == 4
     finally:
-        running.cancel()
-        router.close()
         server.close()
-        await asyncio.gather(running, return_exceptions=True)
 
 
 def test_a_router_reads_compressed_configurations() -> None:
--- a/tests/router/test_fleet_sync_golden.py
+++ b/tests/router/test_fleet_sync_golden.py
@@ -4,17 +4,13 @@
 
 import asyncio
 import os
-import re
 from typing import Any
 
-import msgspec
 import uvloop
 
-from larkweir.cluster.settings import parse
-from larkweir.router.node import Router
+from tests.router.scripted_controller import ScriptedController, running_router
 from tests.system.loopback import Client, Seen, Upstream, answer, ask
 
-PING = '{"type":"ping"}'
 WRITTEN = [
     '{"type":"hello","node":"NODE","kind":"router","life":"LIFE"}',
     '{"type":"pull","vector":{},"sent_ms":SENT}',
@@ -44,37 +40,6 @@
 }
 
 
-class Controller:
-    """A controller whose lines the test writes."""
-
-    def __init__(self) -> None:
-        self.lines: list[str] = []
-        self.received = asyncio.Event()
-        self.writer: asyncio.StreamWriter | None = None
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
-        while line := (await reader.readline()).decode():
-            assert line.endswith("\n")
-            if line[:-1] != PING:
-                for varies, name in VARIES.items():
-                    line = re.sub(varies, name, line)
-                self.lines.append(line[:-1])
-                self.received.set()
-
-    async def until(self, count: int) -> None:
-        """So many lines have come."""
-        async with asyncio.timeout(20.0):
-            while len(self.lines) < count:
-                self.received.clear()
-                await self.received.wait()
-        assert self.lines == WRITTEN[:count]
-
-    def send(self, line: dict[str, Any]) -> None:
-        assert self.writer is not None
-        self.writer.write(msgspec.json.encode(line) + b"\n")
-
-
 def record(id_: str, service: str, address: str, counter: int) -> list[Any]:
     return [{"id": id_, "service": service, "address": address, "zone": "z"}, "c/1", counter]
 
@@ -82,7 +47,7 @@
 async def scene() -> None:
     subnet = os.getpid() % 199 + 1
     ip = f"127.78.{subnet}"
-    controller = Controller()
+    controller = ScriptedController(WRITTEN, VARIES)
     server = await asyncio.start_server(controller.serve, f"{ip}.1", 0)
     port = server.sockets[0].getsockname()[1]
     arrived = asyncio.Event()
@@ -98,54 +63,38 @@
     failing = Upstream("s0", f"{ip}.4:{port}", resets)
     for upstream in (engine, failing):
         await upstream.start()
-    settings = parse(
-        msgspec.json.encode(
-            {
-                "node": "r",
-                "ip": f"{ip}.2",
-                "zone": "z",
-                "port_range": [port, port],
-                "seeds": [f"{ip}.1:{port}"],
-                "listen": {"front": f"{ip}.2:{port}"},
-            }
-        )
-    )
-    router = Router(settings)
-    running = asyncio.get_running_loop().create_task(router.run())
     try:
-        await controller.until(2)
-        controller.send(
-            {
-                "type": "delta",
-                "config": {"sequence": 3, "base": -1, "body": DOCUMENT},
-                "records": [record("e0", "e", engine.address, 1), record("s0", "s", failing.address, 2)],
-                "vector": {"c/1": 3},
-                "controllers": [f"{ip}.1"],
-            }
-        )
-        await controller.until(3)
-        client = Client(f"{ip}.2:{port}")
-        prompt = {"X_Api_Key": "key", "X_Token_Usage": "6000,10", "X_Prompt_Prefix": "h:5000,own:1000"}
-        pending = asyncio.get_running_loop().create_task(
-            client.request("POST", "/e/x", b"p", X_Request_Id="1", **prompt)
-        )
-        await controller.until(4)
-        controller.send({"type": "placed", "head": "h", "engine": "e0", "kept": False})
-        await controller.until(5)
-        controller.send({"type": "delta", "vector": {"c/1": 3}})
-        await controller.until(6)
-        await arrived.wait()
-        engine.writers[-1].write(answer(engine.seen[-1]))
-        assert (await pending).status == 200
-        failed = await ask(f"{ip}.2:{port}", "POST", "/s/x", b"p", X_Request_Id="2", X_Api_Key="key")
-        assert failed.status == 502
-        controller.send({"type": "delta", "vector": {"c/1": 3}})
-        await controller.until(7)
-        client.close()
+        async with running_router(ip, port):
+            await controller.until(2)
+            controller.send(
+                {
+                    "type": "delta",
+                    "config": {"sequence": 3, "base": -1, "body": DOCUMENT},
+                    "records": [record("e0", "e", engine.address, 1), record("s0", "s", failing.address, 2)],
+                    "vector": {"c/1": 3},
+                    "controllers": [f"{ip}.1"],
+                }
+            )
+            await controller.until(3)
+            client = Client(f"{ip}.2:{port}")
+            prompt = {"X_Api_Key": "key", "X_Token_Usage": "6000,10", "X_Prompt_Prefix": "h:5000,own:1000"}
+            pending = asyncio.get_running_loop().create_task(
+                client.request("POST", "/e/x", b"p", X_Request_Id="1", **prompt)
+            )
+            await controller.until(4)
+            controller.send({"type": "placed", "head": "h", "engine": "e0", "kept": False})
+            await controller.until(5)
+            controller.send({"type": "delta", "vector": {"c/1": 3}})
+            await controller.until(6)
+            await arrived.wait()
+            engine.writers[-1].write(answer(engine.seen[-1]))
+            assert (await pending).status == 200
+            failed = await ask(f"{ip}.2:{port}", "POST", "/s/x", b"p", X_Request_Id="2", X_Api_Key="key")
+            assert failed.status == 502
+            controller.send({"type": "delta", "vector": {"c/1": 3}})
+            await controller.until(7)
+            client.close()
     finally:
-        router.close()
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
         for upstream in (engine, failing):
             upstream.close()
         server.close()
--- a/tests/router/test_rollout_reports_golden.py
+++ b/tests/router/test_rollout_reports_golden.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-import re
 from typing import Any
 
 import msgspec
@@ -13,9 +12,7 @@
 
 from larkweir.cluster import log
 from larkweir.cluster.messages import Message
-from larkweir.cluster.settings import parse
-from larkweir.router.node import Router
-from tests.router.test_fleet_sync_golden import PING
+from tests.router.scripted_controller import ScriptedController, running_router
 from tests.system.loopback import Seen, Upstream, answer, ask
 
 ORDER = '"s":{"order":"v2/1000"'
@@ -73,65 +70,38 @@
 }
 
 
-class Controller:
-    """A controller whose lines the test writes."""
-
-    def __init__(self) -> None:
-        self.lines: list[str] = []
-        self.received = asyncio.Event()
-        self.writer: asyncio.StreamWriter | None = None
-
-    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        self.writer = writer
-        while line := (await reader.readline()).decode()[:-1]:
-            if line != PING:
-                for varies, name in VARIES.items():
-                    line = re.sub(varies, name, line)
-                self.lines.append(line)
-                self.received.set()
-
-    async def pulled(self, count: int, **delta: Any) -> None:
-        """A pull is answered, and so many lines have come by then."""
-        assert self.writer is not None
-        self.writer.write(msgspec.json.encode({"type": "delta", "vector": {"c/1": 2}, **delta}) + b"\n")
-        await self.until(count)
-
-    async def until(self, count: int) -> None:
-        """So many lines have come."""
-        async with asyncio.timeout(20.0):
-            while len(self.lines) < count:
-                self.received.clear()
-                await self.received.wait()
-        assert self.lines == WRITTEN[:count]
-
-
 def record(id_: str, version: str, address: str, counter: int) -> list[Any]:
     upstream = {"id": id_, "service": "s", "address": address, "zone": "z", "version": version}
     return [upstream, "c/1", counter]
 
 
-async def reports(controller: Controller, front: str, old: Upstream, new: Upstream) -> None:
+async def pulled(controller: ScriptedController, count: int, **delta: Any) -> None:
+    """A pull is answered, and so many lines have come by then."""
+    controller.send({"type": "delta", "vector": {"c/1": 2}, **delta})
+    await controller.until(count)
+
+
+async def reports(controller: ScriptedController, front: str, old: Upstream, new: Upstream) -> None:
     """The lines of `WRITTEN` in turn."""
     await controller.until(2)
     records = [record("s1", "v1", old.address, 1), record("s2", "v2", new.address, 2)]
-    await controller.pulled(3, config={"sequence": 3, "base": -1, "body": DOCUMENT}, records=records)
-    await controller.pulled(4)
+    await pulled(controller, 3, config={"sequence": 3, "base": -1, "body": DOCUMENT}, records=records)
+    await pulled(controller, 4)
     arrived = new.behave = Held()
     pending = asyncio.get_running_loop().create_task(ask(front, "POST", "/x", b"p", X_Request_Id="1"))
     await arrived.event.wait()
-    await controller.pulled(5)
+    await pulled(controller, 5)
     new.writers[-1].write(answer(new.seen[-1]))
     assert (await pending).status == 200
-    await controller.pulled(6)
+    await pulled(controller, 6)
     new.behave = resets
     assert (await ask(front, "POST", "/x", b"p", X_Request_Id="2")).status == 502
-    await controller.pulled(7)
-    await controller.pulled(8)
-    assert controller.writer is not None
-    controller.writer.close()
+    await pulled(controller, 7)
+    await pulled(controller, 8)
+    controller.disconnect()
     await controller.until(10)
     completed = {**DOCUMENT, "larkweir_rollouts": [{**ROLLOUT, "state": "completed"}]}
-    await controller.pulled(11, config={"sequence": 4, "base": -1, "body": completed})
+    await pulled(controller, 11, config={"sequence": 4, "base": -1, "body": completed})
 
 
 class Held:
@@ -151,28 +121,16 @@
 
 async def scene() -> None:
     ip = f"127.79.{os.getpid() % 199 + 1}"
-    controller = Controller()
+    controller = ScriptedController(WRITTEN, VARIES)
     server = await asyncio.start_server(controller.serve, f"{ip}.1", 0)
     port = server.sockets[0].getsockname()[1]
     old, new = Upstream("s1", f"{ip}.3:{port}", resets), Upstream("s2", f"{ip}.4:{port}", resets)
     for upstream in (old, new):
         await upstream.start()
-    settings = {
-        "node": "r",
-        "ip": f"{ip}.2",
-        "zone": "z",
-        "port_range": [port, port],
-        "seeds": [f"{ip}.1:{port}"],
-        "listen": {"front": f"{ip}.2:{port}"},
-    }
-    router = Router(parse(msgspec.json.encode(settings)))
-    running = asyncio.get_running_loop().create_task(router.run())
     try:
-        await reports(controller, f"{ip}.2:{port}", old, new)
+        async with running_router(ip, port):
+            await reports(controller, f"{ip}.2:{port}", old, new)
     finally:
-        router.close()
-        running.cancel()
-        await asyncio.gather(running, return_exceptions=True)
         for upstream in (old, new):
             upstream.close()
         server.close()
