Router: what a pull says beside its reports is one typed value

Cause: FleetSync._pull took three flags, which read alike at its calls. The lines that a router writes are the same.

--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import secrets
+from enum import Flag, auto
 from time import perf_counter
 
 from larkweir_quotas.limits import QuotaSnapshot
@@ -32,6 +33,21 @@
 INITIAL_SYNC_TIMEOUT_MS = 400.0  # after the first configuration, for another controller to have a newer one
 
 
+class PullExtras(Flag):
+    """What a pull says beside this router's usage, backlog, outcomes and samples: each only where it is needed."""
+
+    NONE = 0
+    QUOTA_SNAPSHOT = auto()  # in the first pull on a connection
+    RECORDS = auto()  # for a controller that has lost its own
+    ENCODINGS = auto()  # for a controller that has a large configuration to send
+
+    @classmethod
+    def wanted_by(cls, delta: Delta) -> PullExtras:
+        """Return what the next pull on a connection is to say, by the last delta there."""
+        records = cls.RECORDS if delta.wants_records else cls.NONE
+        return records | cls.ENCODINGS if delta.wants_encodings else records
+
+
 class FleetSync:
     """One pull is always outstanding at each connected controller; its response begins the next one."""
 
@@ -89,21 +105,14 @@
         connection.send(Hello(self._ip, NodeRole.ROUTER, self._incarnation))
         self._sent_vectors.pop(connection.node, None)
         self._reported_samples.pop(connection.node, None)
-        self._pull(connection, is_first=True)
+        self._pull(connection, PullExtras.QUOTA_SNAPSHOT)
 
     def _on_disconnected(self, node: str) -> None:
         if self._reports.remove(node):
             self._plane.upstreams.set_ejected(self._reports.ejected())
         log.debug("link_lost", to=node)
 
-    def _pull(
-        self,
-        connection: Connection,
-        *,
-        is_first: bool = False,
-        offers_records: bool = False,
-        names_encodings: bool = False,
-    ) -> None:
+    def _pull(self, connection: Connection, extras: PullExtras) -> None:
         plane, now_ms = self._plane, self._now_ms()
         usage = plane.quotas.usage(connection.node, now_ms)
         vector = dict(self._registry.vector)
@@ -118,10 +127,10 @@
             sent_ms=round(now_ms),
             queued_prefill_tokens=plane.upstreams.own_prefill_backlog(),
             outcomes=plane.outcomes.failing_upstreams(now_ms),
-            records=self._registry.delta({}) if offers_records else [],
+            records=self._registry.delta({}) if PullExtras.RECORDS in extras else [],
             rollouts=rollouts,
-            encodings=[DEFLATE] if names_encodings else [],
-            quota_snapshot=self._quota_snapshot(now_ms) if is_first else None,
+            encodings=[DEFLATE] if PullExtras.ENCODINGS in extras else [],
+            quota_snapshot=self._quota_snapshot(now_ms) if PullExtras.QUOTA_SNAPSHOT in extras else None,
         )
         connection.send(pull)
 
@@ -160,7 +169,7 @@
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
         self._responded.add(node)
-        self._pull(connection, offers_records=delta.wants_records, names_encodings=delta.wants_encodings)
+        self._pull(connection, PullExtras.wanted_by(delta))
 
     def _receive_configuration(self, node: str, update: ConfigUpdate, received_bytes: int) -> None:
         """`received_bytes`: of its body, as it was sent."""
--- a/tests/router/test_fleet_sync_encodings.py
+++ b/tests/router/test_fleet_sync_encodings.py
@@ -10,6 +10,7 @@
 
 from larkweir.cluster.configuration.compression import DEFLATE, compress
 from larkweir.cluster.messages import CompressedConfigUpdate, ConfigUpdate, Delta, Message, Pull
+from larkweir.router.fleet_sync import PullExtras
 from tests.cluster.configurations import VALID
 from tests.router.scripted_controller import running_router
 
@@ -72,3 +73,11 @@
 def test_a_router_reads_compressed_configurations() -> None:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(scene())
+
+
+def test_a_pull_has_what_the_last_delta_asked_for() -> None:
+    both = PullExtras.RECORDS | PullExtras.ENCODINGS
+    assert PullExtras.wanted_by(Delta()) is PullExtras.NONE
+    assert PullExtras.wanted_by(Delta(wants_records=True)) is PullExtras.RECORDS
+    assert PullExtras.wanted_by(Delta(wants_encodings=True)) is PullExtras.ENCODINGS
+    assert PullExtras.wanted_by(Delta(wants_records=True, wants_encodings=True)) is both
