Edits: the balancer's part is split by owner of state

No behaviour is changed: log lines, fields of STATUS, order of calls and times are as before. Tests name two values where they stand now.

--- a/larkweir/coordination/edits/part.py
+++ b/larkweir/coordination/edits/part.py
@@ -7,34 +7,27 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
-from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING, Protocol
 
 from larkweir_edits.edit import EditError
 from larkweir_edits.log import Calls, FileLog, peek
-from larkweir_edits.merged_tables import FAULT, MergedTables
 from larkweir_edits.replica import Replica
 from larkweir_edits.schema import Tables
 from larkweir_peers.transport import PeerTransport
 
 from larkweir.config.options import Operator
 from larkweir.config.peering import merging
-from larkweir.config.platform import Config, ConfigError
+from larkweir.config.platform import ConfigError
+from larkweir.coordination.edits import tables_in_service
 from larkweir.coordination.edits.journal import LateChannel, LateLog
-from larkweir.coordination.edits.notice_log import (
-    START_FILE_WAITS,
-    NoticeLog,
-    began_line,
-    fingerprint_of,
-    names_of,
-)
-from larkweir.coordination.edits.tables import ResolutionTarget, TableCheck, differs, schema, tables_of
-from larkweir.core.clock import Clock, Timer
-from larkweir.core.stderr_log import StderrLog
+from larkweir.coordination.edits.log_folder import LogFolder
+from larkweir.coordination.edits.notice_log import START_FILE_WAITS, began_line, names_of
+from larkweir.coordination.edits.reloads import PendingReload, StatedTables
+from larkweir.coordination.edits.tables import ResolutionTarget, schema, tables_of
+from larkweir.core.clock import Timer
 from larkweir.routes.hands import Routes
 
 if TYPE_CHECKING:
@@ -43,24 +36,13 @@
 CHANNEL_NUMBER = 2  # channel of the peers' mail
 OPEN_RETRY_MS = 100.0  # until a folder that a predecessor still has is tried again
 REPAIR_RETRY_MS = 5_000.0  # until a folder that could not be written is tried again
-FLUSH_MS = 4_000.0  # that a reload waits for the disk
-APPLY_INTERVAL_FACTOR = (
-    10.0  # merged tables go to the routes no sooner than so many times what that took the time before
-)
-MIN_APPLY_DELAY_MS = (
-    20.0  # and never sooner than this after something came, nor than twice what it took: more may come
-)
 STARTING = "starting"
 VERDICT_CHECK_MS = 250.0  # from look to look at what the fleet has ended
 
 
-class Host(Protocol):
+class Host(tables_in_service.Host, Protocol):
     """What a balancer gives to this part."""
 
-    config: Config
-    clock: Clock
-    log: StderrLog
-    options: Operator
     routes: Routes | None
     peers: PeerTransport | None
     edits: Part | None
@@ -71,9 +53,6 @@
     def owners(self) -> OwnedStates | None:
         """The owners' part, where it is on."""
 
-    def reconfigure(self, config: Config, options: Operator | None = None) -> None:
-        """Put a configuration in force."""
-
 
 class Part:
     """From `begin` to `close`. ConfigError from the constructor where the files don't do."""
@@ -82,17 +61,18 @@
         own = options.edits
         self._host, self._clock = host, host.clock
         self._name, self._others = (named := merging(options, host.config)).name, named.others
-        self._folder, self._away_ms, self._calls = own.folder, own.away_ms, calls
-        self._loop = asyncio.get_running_loop()
-        self._file: Tables = tables_of(options)  # what staff's file says, as this life was told
-        self._resolved_names = frozenset(own.settle)  # what it named before: nothing new is asked of these
-        self._check = TableCheck(host.config)
+        self._away_ms = own.away_ms
+        self._folder = LogFolder(own.folder, self._on_durable, self._broke, calls)
+        self._stated = StatedTables(options)
+        self._service = tables_in_service.TablesInService(
+            host, self._stated.tables, lambda: self.replica.merged
+        )
+        self._reload = PendingReload(self._clock, self._why_reload_waits)
         self._posts = LateChannel()
         self._log = LateLog()
-        self._records = peek(self._folder)
+        self._records = peek(self._folder.path)
         self.replica = self._built()
         self._disk: FileLog | None = None
-        self._thread = ThreadPoolExecutor(1, "edits")
         self._live = False  # the folder is this life's, and what is in it would survive a crash
         self._sound = 0  # the record from which on that is so
         self._is_repairing = self._is_handed_over = self._closed = False
@@ -104,40 +84,21 @@
         self._timer: Timer | None = None
         self._due_ms = 0.0
         self._start: Timer | None = None
-        self._apply: Timer | None = None
-        self._took_ms = 0.0  # for them to go to the routes, the last time
-        self._free_ms = 0.0  # from when tables may go to the routes again
-        self._awaited_reload: tuple[int, Callable[[str], None]] | None = (
-            None  # a reload that waits for its record
-        )
-        self._early: tuple[Operator, Callable[[str], None]] | None = (
-            None  # one that came before the folder was open
-        )
-        self._before: tuple[Tables, frozenset[str]] | None = None  # its file, until its edits are kept
-        self._patience: Timer | None = None
         self._look_ms = 0.0
         self._ended: Ended | None = None
-        self._lines = NoticeLog()
-        self._foreign: tuple[str, ...] = ()
-        self._merged: MergedTables | None = None
-        self._tables: Tables = self._file  # what counts, and what the routes have of it
-        self._applied: Tables = self._file
-        self._shown: tuple[Tables, Tables, str, int] | None = (
-            None  # for STATUS, of this file and these tables
-        )
-        self._take()
+        self._service.update()
 
     def _built(self) -> Replica:
         return Replica(
             schema(),
             self._name,
             self._others,
-            self._file,
+            self._stated.tables,
             self._posts,
             self._log,
             Random(),
             self._clock.now_ms(),
-            self._check,
+            self._service.check,
             self._records,
             self._away_ms,
         )
@@ -155,47 +116,28 @@
             return
         if self._posts.channel is None:
             self._posts.channel = transport.open_channel(CHANNEL_NUMBER, self._on_item)
-        self._then(self._thread.submit(self._open), self._opened)
+        self._folder.open(self._opened)
 
     def _again(self, delay_ms: float) -> None:
         if self._start is None:
             self._start = self._clock.after(delay_ms, self.start)
 
-    def _open(self) -> FileLog | str:
-        """On a thread: the folder, or why not."""
-        try:
-            return FileLog(
-                self._folder,
-                lambda number: self._back(lambda: self._on_durable(number)),
-                lambda line: self._back(lambda: self._broke(line)),
-                self._calls,
-            )
-        except OSError as problem:
-            return problem.strerror or str(problem)
-
-    def _back(self, call: Callable[[], None]) -> None:
-        with suppress(RuntimeError):  # the loop is over
-            self._loop.call_soon_threadsafe(call)
-
-    def _then(self, done: Future[FileLog | str], then: Callable[[FileLog | str], None]) -> None:
-        done.add_done_callback(lambda future: self._back(lambda: then(future.result())))
-
     def _opened(self, found: FileLog | str) -> None:
         if isinstance(found, str):
             self._fault = found
             if found != self._logged_fault:
                 self._logged_fault = found
                 self._log_line(
-                    f"edits: {self._folder}: {found}; tried again; until then no edit is made or told"
+                    f"edits: {self._folder.path}: {found}; tried again; until then no edit is made or told"
                 )
             self._again(REPAIR_RETRY_MS if self._is_repairing else OPEN_RETRY_MS)
             return
         if self._closed or self._is_handed_over or self._disk is not None:
-            self._thread.submit(found.close)
+            self._folder.release(found)
             return
         if found.left_out:
             self._log_line(
-                f"edits: {self._folder}: {found.left_out} bytes at its end were cut off, and are left out"
+                f"edits: {self._folder.path}: {found.left_out} bytes at its end were cut off, and are left out"
             )
         if self._is_repairing or found.records != self._records:
             self._records, self._log = found.records, LateLog()
@@ -216,7 +158,7 @@
         self._fault = self._logged_fault = ""
         if self._must_apply_file:
             self._must_apply_file = False
-            if self.replica.start(self._file):
+            if self.replica.start(self._stated.tables):
                 self._log_line(f"edits: {START_FILE_WAITS}")
         self._is_repairing = False
         self._go_on()
@@ -224,9 +166,8 @@
 
     def _go_on(self) -> None:
         """With a reload that came too early."""
-        if self._early is not None and self._live and self.replica.met:
-            (options, then), self._early = self._early, None
-            self.reload(options, then)
+        if self._live and self.replica.met and (early := self._reload.pop_early()) is not None:
+            self.reload(*early)
 
     def _broke(self, line: str) -> None:
         """The log has ended. What counts goes on; the folder is tried again."""
@@ -235,10 +176,9 @@
             self._logged_fault = line
             self._log_line(line)
         self._is_repairing = self._must_apply_file = True
-        if self._before is not None:  # refused: what the file said before counts on
-            (self._file, self._resolved_names), self._before = self._before, None
+        self._stated.revert()
         self._stop()
-        self._answer(self._fault)
+        self._reload.finish(self._fault)
         if not self._is_handed_over and not self._closed:
             self._again(REPAIR_RETRY_MS)
 
@@ -249,7 +189,7 @@
             self._timer = None
         disk, self._disk = self._disk, None
         if disk is not None:
-            self._thread.submit(disk.close)
+            self._folder.release(disk)
 
     def set_handed_over(self, is_handed_over: bool) -> None:
         """Held: a successor goes on with the folder, under a writer's name of its own."""
@@ -261,7 +201,7 @@
                 self._start.cancel()
                 self._start = None
             self._stop()
-            self._answer("a successor goes on")
+            self._reload.finish("a successor goes on")
         else:
             # The successor may have written: what is there now is read.
             self._records = []
@@ -270,11 +210,12 @@
     def close(self) -> None:
         """For good, before the socket is closed. What was given to the disk is written."""
         self._closed = True
-        for timer in (self._start, self._apply, self._patience):
-            if timer is not None:
-                timer.cancel()
+        if self._start is not None:
+            self._start.cancel()
+        self._service.close()
+        self._reload.cancel_timer()
         self._stop()
-        self._thread.shutdown(wait=False)
+        self._folder.close()
 
     # ------------------------------------------------ turns
 
@@ -288,17 +229,17 @@
         if self._disk is None:
             return
         if self._sound and number >= self._sound and not self._live:
-            self._log_line(f"edits: {self._folder}: it can be written again")
+            self._log_line(f"edits: {self._folder.path}: it can be written again")
             self.replica.on_durable(number, self._clock.now_ms())
             self._go()
             return
         self.replica.on_durable(number, self._clock.now_ms())
         if number >= self._log.number:
-            self._before = None
-        if self._awaited_reload is not None and number >= self._awaited_reload[0]:
-            self._take()
-            self._answer("")  # the generation that was read takes over, with these tables
-            self._apply_now()
+            self._stated.confirm()
+        if self._reload.is_durable(number):
+            self._service.update()
+            self._reload.finish("")  # the generation that was read takes over, with these tables
+            self._service.apply()
         self._after_step()
 
     def _turn(self) -> None:
@@ -323,9 +264,7 @@
         if disk is not None and disk.is_long:
             disk.compact([self.replica.record(), *self.replica.pending()])
         now = self._clock.now_ms()
-        if self._apply is None and self.replica.moved is not self._merged:
-            due = max(now + max(MIN_APPLY_DELAY_MS, 2.0 * self._took_ms), self._free_ms)
-            self._apply = self._clock.at(due, self._apply_now)
+        self._service.schedule(self.replica.moved, now)
         due = max(now, min(self.replica.next_ms, self._look_ms))
         if self._timer is not None:
             if self._due_ms <= due:
@@ -334,42 +273,9 @@
         self._due_ms = due
         self._timer = self._clock.at(due, self._turn)
 
-    # ------------------------------------------------ the whole in service
-
-    def _apply_now(self) -> None:
-        """What counts goes to the routes as a generation would."""
-        if self._apply is not None:
-            self._apply.cancel()
-            self._apply = None
-        if self._closed:
-            return
-        began = self._clock.now_ms()
-        self._take()
-        if self._applied is not self._tables and self._applied != self._tables:
-            self._host.reconfigure(self._host.config, self._host.options)
-        now = self._clock.now_ms()
-        self._took_ms = now - began
-        self._free_ms = now + max(MIN_APPLY_DELAY_MS, APPLY_INTERVAL_FACTOR * self._took_ms)
-
-    def _take(self) -> None:
-        """The copy's whole is what counts, where it passes."""
-        merged = self.replica.merged
-        if merged is self._merged:
-            return
-        self._merged = merged
-        if not any(item.why.startswith(FAULT) for item in merged.notices):
-            self._tables = merged.tables
-            if self._check.foreign and self._check.foreign != self._foreign:
-                self._log_line(f"edits: {self._check.foreign[0]}; it counts where the platform's file has it")
-            self._foreign = self._check.foreign
-        for line in self._lines.new_lines(merged.notices, self._clock.now_ms()):
-            self._log_line(line)
-
     def merged(self, options: Operator) -> Operator:
         """The operator file with what counts of routes and pools."""
-        self._check.config = self._host.config
-        self._applied = self._tables
-        return self._check.over(options, self._tables)
+        return self._service.over(options)
 
     # ------------------------------------------------ staff
 
@@ -377,10 +283,9 @@
         """Staff's file says this now. `then` is called once: with why the file can't count, or, when its edits would
         survive a crash and are in force, with nothing.
         """
-        self._answer("another reload came")
+        self._reload.finish("another reload came")
         if (self._fault == STARTING and not self._is_handed_over) or (self._live and not self.replica.met):
-            self._early = (options, then)
-            self._wait()
+            self._reload.wait_for_folder(options, then)
             return
         if not self._live:
             why = "a successor goes on" if self._is_handed_over else self._fault
@@ -391,28 +296,21 @@
         try:
             made = self.replica.reload(tables)
             for text in options.edits.settle:
-                if text not in self._resolved_names:
+                if text not in self._stated.resolved_names:
                     made += self._resolve(ResolutionTarget(text), tables)
         except EditError as problem:
             then(f"edits: {problem}; the file before counts")
             return
-        self._before = self._before or (self._file, self._resolved_names)
-        self._file, self._resolved_names = tables, frozenset(options.edits.settle)
+        self._stated.replace(tables, frozenset(options.edits.settle))
         if self._log.number == before:
-            self._before = None
+            self._stated.confirm()
             then("")
             return
         self._log_line(f"edits: {made} made of this reload")
-        self._awaited_reload = (self._log.number, then)
-        self._wait()
+        self._reload.wait_for_record(self._log.number, then)
         self._after_step()
 
-    def _wait(self) -> None:
-        self._patience = self._clock.after(FLUSH_MS, lambda: self._answer(self._late()))
-
-    def _late(self) -> str:
-        if self._awaited_reload is not None:
-            return "the disk has not kept it yet; it counts when it has"
+    def _why_reload_waits(self) -> str:
         if self._live:
             return "the folder was empty, and no other balancer was heard that may know more: reload once one is there"
         return "the folder is not open yet; the file before counts"
@@ -424,21 +322,6 @@
             return self.replica.resolve(what.table, what.name, stated)
         return 0 if what.key else self.replica.remove(what.table, what.name)
 
-    def _answer(self, problem: str) -> None:
-        then = (
-            self._awaited_reload[1]
-            if self._awaited_reload is not None
-            else self._early[1]
-            if self._early is not None
-            else None
-        )
-        self._awaited_reload = self._early = None
-        if self._patience is not None:
-            self._patience.cancel()
-            self._patience = None
-        if then is not None:
-            then(f"edits: {problem}" if problem else "")
-
     # ------------------------------------------------ the fleet's verdicts
 
     def _end(self) -> None:
@@ -462,24 +345,18 @@
 
     def facts(self) -> dict[str, object]:
         """For STATUS."""
-        replica, notices = self.replica, self._merged.notices if self._merged is not None else ()
-        if self._shown is None or self._shown[0] is not self._file or self._shown[1] is not self._tables:
-            self._shown = (
-                self._file,
-                self._tables,
-                fingerprint_of(self._tables),
-                differs(self._file, self._tables),
-            )
+        replica, notices = self.replica, self._service.notices
+        fingerprint, differing = self._service.summary(self._stated.tables)
         return {
             "edits": sum(replica.state.vector.values()),
             "edits_waiting": replica.state.size,
-            "edits_tables": self._shown[2],
+            "edits_tables": fingerprint,
             "edits_told": len(notices),
             "edits_of": names_of(notices) or "none",
-            "edits_differs": self._shown[3],
+            "edits_differs": differing,
             "edits_state": self._state(),
             "edits_away": len(replica.away(self._clock.now_ms())),
-            "edits_foreign": len(self._foreign),
+            "edits_foreign": len(self._service.foreign),
             "edits_dropped": ",".join(
                 f"{name}:{replica.counts[name]}"
                 for name in ("bad", "refused", "other_origin")
--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_part.py
@@ -304,7 +304,7 @@
         _, hosts = await fleet(tmp_path, 2)
         first, second = hosts
         calls = Failing()
-        first.part._calls = calls
+        first.part._folder.calls = calls
         disk = first.part._disk
         assert disk is not None
         disk._calls = calls
@@ -331,7 +331,7 @@
 ) -> None:
     """Its file has moved on: an edit on that base would be one that no other can take, for ever."""
     monkeypatch.setattr(
-        "larkweir.coordination.edits.part.FLUSH_MS", 1000.0 * PATIENCE_S
+        "larkweir.coordination.edits.reloads.FLUSH_MS", 1000.0 * PATIENCE_S
     )  # a disk may be slow
 
     async def play() -> None:
@@ -347,7 +347,7 @@
         with (
             monkeypatch.context() as impatient
         ):  # its folder is open: the one thing that it waits for never comes
-            impatient.setattr("larkweir.coordination.edits.part.FLUSH_MS", 100.0)
+            impatient.setattr("larkweir.coordination.edits.reloads.FLUSH_MS", 100.0)
             assert "no other balancer was heard" in await again.reload(text + '[route.c]\npath = "/c"\n')
         post.cut.clear()
         await until(
