Edits: the plugin and its members have the field's names

Change: coordination/edits/part.py is plugin.py, Part EditsPlugin (as OwnersPlugin), and its private members say what they are or do (`_go` is `_on_folder_ready`, `_sound` `_repair_record`, `_look_ms` `_next_verdict_check_ms`, and so on); comments speak of replicas, processes and operators. Names only: log lines, fields of STATUS and keys are the same.

--- a/larkweir/coordination/edits/part.py
+++ b/larkweir/coordination/edits/plugin.py
@@ -1,8 +1,8 @@
-"""Route edits that merge as a part of a balancer: the copy, its folder, its channel of the peers' mail, and the
-merged tables in service. Not imported where `[edits]` is off.
+"""Replicated route edits in a balancer: the replica, its log's folder, its channel to the peers, and the merged tables
+in service. Not imported where `[edits]` is off.
 
-The folder is read before the first request, so that a start serves with what counts. It is this life's once the peers'
-address is: a successor comes up with what is in the folder, and takes it over when its predecessor has let go.
+The folder is read before the first request, so that a start serves with what counts. It is this process's once the
+peers' address is: a successor starts with what is in the folder, and takes it over when its predecessor has let go.
 """
 
 from __future__ import annotations
@@ -41,64 +41,64 @@
 
 
 class Host(tables_in_service.Host, Protocol):
-    """What a balancer gives to this part."""
+    """What a balancer gives to this plugin."""
 
     routes: Routes | None
     peers: PeerTransport | None
-    edits: Part | None
+    edits: EditsPlugin | None
     close_callbacks: list[Callable[[], None]]
     status_callbacks: list[Callable[[], dict[str, object]]]
 
     @property
     def owners(self) -> OwnedStates | None:
-        """The owners' part, where it is on."""
+        """The owners' plugin, where it is on."""
 
 
-class Part:
-    """From `begin` to `close`. ConfigError from the constructor where the files don't do."""
+class EditsPlugin:
+    """From `begin` to `close`. ConfigError from the constructor where the files are not valid."""
 
     def __init__(self, host: Host, options: Operator, calls: Calls | None = None) -> None:
         own = options.edits
         self._host, self._clock = host, host.clock
         self._name, self._others = (named := merging(options, host.config)).name, named.others
         self._away_ms = own.away_ms
-        self._folder = LogFolder(own.folder, self._on_durable, self._broke, calls)
+        self._folder = LogFolder(own.folder, self._on_durable, self._on_log_failure, calls)
         self._stated = StatedTables(options)
-        self._service = tables_in_service.TablesInService(
+        self._tables = tables_in_service.TablesInService(
             host, self._stated.tables, lambda: self.replica.merged
         )
-        self._reload = PendingReload(self._clock, self._why_reload_waits)
-        self._posts = LateChannel()
+        self._reload = PendingReload(self._clock, self._folder_problem)
+        self._channel = LateChannel()
         self._log = LateLog()
         self._records = peek(self._folder.path)
-        self.replica = self._built()
-        self._disk: FileLog | None = None
-        self._live = False  # the folder is this life's, and what is in it would survive a crash
-        self._sound = 0  # the record from which on that is so
-        self._is_repairing = self._is_handed_over = self._closed = False
-        # Whether the file is to be told to the copy once the folder is open: at a start, and where it is not known what
-        # was written; not after a successor was given up, which may have read a newer one.
+        self.replica = self._new_replica()
+        self._file_log: FileLog | None = None
+        self._is_live = False  # the folder is this process's, and what is in it would survive a crash
+        self._repair_record = 0  # the record from which on that is so
+        self._is_repairing = self._is_handed_over = self._is_closed = False
+        # Whether the file is to be given to the replica once the folder is open: at a start, and where it is not known
+        # what was written; not after a successor was given up, which may have read a newer one.
         self._must_apply_file = True
-        self._fault = STARTING
-        self._logged_fault = ""
+        self._problem = STARTING
+        self._logged_problem = ""
         self._timer: Timer | None = None
-        self._due_ms = 0.0
-        self._start: Timer | None = None
-        self._look_ms = 0.0
+        self._timer_due_ms = 0.0
+        self._start_timer: Timer | None = None
+        self._next_verdict_check_ms = 0.0
         self._ended: Ended | None = None
-        self._service.update()
+        self._tables.update()
 
-    def _built(self) -> Replica:
+    def _new_replica(self) -> Replica:
         return Replica(
             schema(),
             self._name,
             self._others,
             self._stated.tables,
-            self._posts,
+            self._channel,
             self._log,
             Random(),
             self._clock.now_ms(),
-            self._service.check,
+            self._tables.check,
             self._records,
             self._away_ms,
         )
@@ -106,190 +106,192 @@
     # ------------------------------------------------ the folder
 
     def start(self) -> None:
-        """Once the peers' address is this life's."""
-        self._start = None
-        if self._closed or self._is_handed_over or self._disk is not None:
+        """Once the peers' address is this process's."""
+        self._start_timer = None
+        if self._is_closed or self._is_handed_over or self._file_log is not None:
             return
         transport = self._host.peers
         if transport is None or not transport.is_open:
-            self._again(OPEN_RETRY_MS)
+            self._schedule_start(OPEN_RETRY_MS)
             return
-        if self._posts.channel is None:
-            self._posts.channel = transport.open_channel(CHANNEL_NUMBER, self._on_item)
-        self._folder.open(self._opened)
+        if self._channel.channel is None:
+            self._channel.channel = transport.open_channel(CHANNEL_NUMBER, self._on_item)
+        self._folder.open(self._on_opened)
 
-    def _again(self, delay_ms: float) -> None:
-        if self._start is None:
-            self._start = self._clock.after(delay_ms, self.start)
+    def _schedule_start(self, delay_ms: float) -> None:
+        if self._start_timer is None:
+            self._start_timer = self._clock.after(delay_ms, self.start)
 
-    def _opened(self, found: FileLog | str) -> None:
+    def _on_opened(self, found: FileLog | str) -> None:
         if isinstance(found, str):
-            self._fault = found
-            if found != self._logged_fault:
-                self._logged_fault = found
-                self._log_line(
+            self._problem = found
+            if found != self._logged_problem:
+                self._logged_problem = found
+                self._write_line(
                     f"edits: {self._folder.path}: {found}; tried again; until then no edit is made or told"
                 )
-            self._again(REPAIR_RETRY_MS if self._is_repairing else OPEN_RETRY_MS)
+            self._schedule_start(REPAIR_RETRY_MS if self._is_repairing else OPEN_RETRY_MS)
             return
-        if self._closed or self._is_handed_over or self._disk is not None:
+        if self._is_closed or self._is_handed_over or self._file_log is not None:
             self._folder.release(found)
             return
         if found.left_out:
-            self._log_line(
+            self._write_line(
                 f"edits: {self._folder.path}: {found.left_out} bytes at its end were cut off, and are left out"
             )
         if self._is_repairing or found.records != self._records:
             self._records, self._log = found.records, LateLog()
-            self.replica = self._built()
+            self.replica = self._new_replica()
         self._records, found.records = [], []
-        self._disk = found
-        self._sound = 0
+        self._file_log = found
+        self._repair_record = 0
         if self._is_repairing:  # what the file holds is not known: all of it anew, before any of it is told
             found.compact([self.replica.record()])
             self._log.give(found)
-            self._sound = self._log.append(self.replica.record())
+            self._repair_record = self._log.append(self.replica.record())
             return
         self._log.give(found)
-        self._go()
+        self._on_folder_ready()
 
-    def _go(self) -> None:
-        self._live = True
-        self._fault = self._logged_fault = ""
+    def _on_folder_ready(self) -> None:
+        self._is_live = True
+        self._problem = self._logged_problem = ""
         if self._must_apply_file:
             self._must_apply_file = False
             if self.replica.start(self._stated.tables):
-                self._log_line(f"edits: {START_FILE_WAITS}")
+                self._write_line(f"edits: {START_FILE_WAITS}")
         self._is_repairing = False
-        self._go_on()
+        self._resume_early_reload()
         self._after_step()
 
-    def _go_on(self) -> None:
+    def _resume_early_reload(self) -> None:
         """With a reload that came too early."""
-        if self._live and self.replica.met and (early := self._reload.pop_early()) is not None:
+        if self._is_live and self.replica.met and (early := self._reload.pop_early()) is not None:
             self.reload(*early)
 
-    def _broke(self, line: str) -> None:
+    def _on_log_failure(self, line: str) -> None:
         """The log has ended. What counts goes on; the folder is tried again."""
-        self._fault = line.partition(": ")[2]
-        if line != self._logged_fault:
-            self._logged_fault = line
-            self._log_line(line)
+        self._problem = line.partition(": ")[2]
+        if line != self._logged_problem:
+            self._logged_problem = line
+            self._write_line(line)
         self._is_repairing = self._must_apply_file = True
         self._stated.revert()
-        self._stop()
-        self._reload.finish(self._fault)
-        if not self._is_handed_over and not self._closed:
-            self._again(REPAIR_RETRY_MS)
+        self._release_log()
+        self._reload.finish(self._problem)
+        if not self._is_handed_over and not self._is_closed:
+            self._schedule_start(REPAIR_RETRY_MS)
 
-    def _stop(self) -> None:
-        self._live = False
+    def _release_log(self) -> None:
+        self._is_live = False
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        disk, self._disk = self._disk, None
-        if disk is not None:
-            self._folder.release(disk)
+        log, self._file_log = self._file_log, None
+        if log is not None:
+            self._folder.release(log)
 
     def set_handed_over(self, is_handed_over: bool) -> None:
         """Held: a successor goes on with the folder, under a writer's name of its own."""
-        if is_handed_over == self._is_handed_over or self._closed:
+        if is_handed_over == self._is_handed_over or self._is_closed:
             return
         self._is_handed_over = is_handed_over
         if is_handed_over:
-            if self._start is not None:
-                self._start.cancel()
-                self._start = None
-            self._stop()
+            if self._start_timer is not None:
+                self._start_timer.cancel()
+                self._start_timer = None
+            self._release_log()
             self._reload.finish("a successor goes on")
         else:
             # The successor may have written: what is there now is read.
             self._records = []
-            self._again(0.0)
+            self._schedule_start(0.0)
 
     def close(self) -> None:
         """For good, before the socket is closed. What was given to the disk is written."""
-        self._closed = True
-        if self._start is not None:
-            self._start.cancel()
-        self._service.close()
+        self._is_closed = True
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+        self._tables.close()
         self._reload.cancel_timer()
-        self._stop()
+        self._release_log()
         self._folder.close()
 
-    # ------------------------------------------------ turns
+    # ------------------------------------------------ events
 
     def _on_item(self, source: str, item: bytes, now_ms: float) -> None:
-        if self._live:
+        if self._is_live:
             self.replica.on_item(source, item, now_ms)
-            self._go_on()
+            self._resume_early_reload()
             self._after_step()
 
     def _on_durable(self, number: int) -> None:
-        if self._disk is None:
+        if self._file_log is None:
             return
-        if self._sound and number >= self._sound and not self._live:
-            self._log_line(f"edits: {self._folder.path}: it can be written again")
+        if self._repair_record and number >= self._repair_record and not self._is_live:
+            self._write_line(f"edits: {self._folder.path}: it can be written again")
             self.replica.on_durable(number, self._clock.now_ms())
-            self._go()
+            self._on_folder_ready()
             return
         self.replica.on_durable(number, self._clock.now_ms())
         if number >= self._log.number:
             self._stated.confirm()
         if self._reload.is_durable(number):
-            self._service.update()
+            self._tables.update()
             self._reload.finish("")  # the generation that was read takes over, with these tables
-            self._service.apply()
+            self._tables.apply()
         self._after_step()
 
-    def _turn(self) -> None:
+    def _on_timer(self) -> None:
         self._timer = None
-        if not self._live:
+        if not self._is_live:
             return
         now = self._clock.now_ms()
-        if now >= self._look_ms:
-            self._look_ms = now + VERDICT_CHECK_MS
-            self._end()
+        if now >= self._next_verdict_check_ms:
+            self._next_verdict_check_ms = now + VERDICT_CHECK_MS
+            self._write_verdicts()
         self.replica.tick(now)
         self._after_step()
 
     def _after_step(self) -> None:
         """After each call of the rules: what is to be written, whether tables have changed, when it goes on."""
-        if not self._live:
+        if not self._is_live:
             return
         if self.replica.began is not None:
             began, self.replica.began = self.replica.began, None
-            self._log_line(f"edits: {began_line(began)}")
-        disk = self._disk
-        if disk is not None and disk.is_long:
-            disk.compact([self.replica.record(), *self.replica.pending()])
+            self._write_line(f"edits: {began_line(began)}")
+        log = self._file_log
+        if log is not None and log.is_long:
+            log.compact([self.replica.record(), *self.replica.pending()])
         now = self._clock.now_ms()
-        self._service.schedule(self.replica.moved, now)
-        due = max(now, min(self.replica.next_ms, self._look_ms))
+        self._tables.schedule(self.replica.moved, now)
+        due = max(now, min(self.replica.next_ms, self._next_verdict_check_ms))
         if self._timer is not None:
-            if self._due_ms <= due:
+            if self._timer_due_ms <= due:
                 return
             self._timer.cancel()
-        self._due_ms = due
-        self._timer = self._clock.at(due, self._turn)
+        self._timer_due_ms = due
+        self._timer = self._clock.at(due, self._on_timer)
 
     def merged(self, options: Operator) -> Operator:
         """The operator file with what counts of routes and pools."""
-        return self._service.over(options)
+        return self._tables.over(options)
 
-    # ------------------------------------------------ staff
+    # ------------------------------------------------ reloads
 
-    def reload(self, options: Operator, then: Callable[[str], None]) -> None:
-        """Staff's file says this now. `then` is called once: with why the file can't count, or, when its edits would
-        survive a crash and are in force, with nothing.
+    def reload(self, options: Operator, answer: Callable[[str], None]) -> None:
+        """The operators' file says this now. `answer` is called once: with why the file can't count, or, when its edits
+        would survive a crash and are in force, with nothing.
         """
         self._reload.finish("another reload came")
-        if (self._fault == STARTING and not self._is_handed_over) or (self._live and not self.replica.met):
-            self._reload.wait_for_folder(options, then)
+        if (self._problem == STARTING and not self._is_handed_over) or (
+            self._is_live and not self.replica.met
+        ):
+            self._reload.wait_for_folder(options, answer)
             return
-        if not self._live:
-            why = "a successor goes on" if self._is_handed_over else self._fault
-            then(f"edits: {why}; no edit can be made now, the file before counts")
+        if not self._is_live:
+            why = "a successor goes on" if self._is_handed_over else self._problem
+            answer(f"edits: {why}; no edit can be made now, the file before counts")
             return
         tables = tables_of(options)
         before = self._log.number
@@ -299,24 +301,24 @@
                 if text not in self._stated.resolved_names:
                     made += self._resolve(ResolutionTarget(text), tables)
         except EditError as problem:
-            then(f"edits: {problem}; the file before counts")
+            answer(f"edits: {problem}; the file before counts")
             return
         self._stated.replace(tables, frozenset(options.edits.settle))
         if self._log.number == before:
             self._stated.confirm()
-            then("")
+            answer("")
             return
-        self._log_line(f"edits: {made} made of this reload")
-        self._reload.wait_for_record(self._log.number, then)
+        self._write_line(f"edits: {made} made of this reload")
+        self._reload.wait_for_record(self._log.number, answer)
         self._after_step()
 
-    def _why_reload_waits(self) -> str:
-        if self._live:
+    def _folder_problem(self) -> str:
+        if self._is_live:
             return "the folder was empty, and no other balancer was heard that may know more: reload once one is there"
         return "the folder is not open yet; the file before counts"
 
     def _resolve(self, what: ResolutionTarget, tables: Tables) -> int:
-        """Staff have looked at what is told of this, and their file's word counts."""
+        """The operators have looked at the notices on this, and their file counts."""
         stated = what.stated_fields(tables)
         if stated is not None:
             return self.replica.resolve(what.table, what.name, stated)
@@ -324,8 +326,8 @@
 
     # ------------------------------------------------ the fleet's verdicts
 
-    def _end(self) -> None:
-        """A part that the fleet has ended is ended by an edit as well, until one who has seen that changes it."""
+    def _write_verdicts(self) -> None:
+        """A split that the fleet has ended is ended by an edit as well, until one who has seen that changes it."""
         owners, routes = self._host.owners, self._host.routes
         if owners is None or routes is None or not self.replica.met:
             return
@@ -338,15 +340,15 @@
                 self.replica.verdict(("route", end.route), end.pool, end.term, end.number)
                 self._ended.mark_written(end)
 
-    # ------------------------------------------------ words
+    # ------------------------------------------------ log and status
 
-    def _log_line(self, line: str) -> None:
+    def _write_line(self, line: str) -> None:
         self._host.log.write(line)
 
     def facts(self) -> dict[str, object]:
         """For STATUS."""
-        replica, notices = self.replica, self._service.notices
-        fingerprint, differing = self._service.summary(self._stated.tables)
+        replica, notices = self.replica, self._tables.notices
+        fingerprint, differing = self._tables.summary(self._stated.tables)
         return {
             "edits": sum(replica.state.vector.values()),
             "edits_waiting": replica.state.size,
@@ -356,7 +358,7 @@
             "edits_differs": differing,
             "edits_state": self._state(),
             "edits_away": len(replica.away(self._clock.now_ms())),
-            "edits_foreign": len(self._service.foreign),
+            "edits_foreign": len(self._tables.foreign),
             "edits_dropped": ",".join(
                 f"{name}:{replica.counts[name]}"
                 for name in ("bad", "refused", "other_origin")
@@ -366,26 +368,26 @@
         }
 
     def _state(self) -> str:
-        if self._live:
+        if self._is_live:
             return "ok" if self.replica.met else "alone"
-        return "-".join(self._fault.split())[:80] or "waiting"
+        return "-".join(self._problem.split())[:80] or "waiting"
 
 
 def begin(host: Host, options: Operator) -> Operator:
     """Before the routes are built: the file's options with what counts by the folder."""
-    part = host.edits = Part(host, options)
-    return part.merged(options)
+    plugin = host.edits = EditsPlugin(host, options)
+    return plugin.merged(options)
 
 
 def attach(host: Host, options: Operator) -> None:
-    """Attach the part to a balancer that has routes.
+    """Attach the plugin to a balancer that has routes.
 
     Raises:
         ConfigError: there are no routes to merge.
     """
-    part = host.edits
-    if part is None or host.routes is None:
+    plugin = host.edits
+    if plugin is None or host.routes is None:
         raise ConfigError("edits.on: this process has no routes to merge")
-    host.close_callbacks.insert(0, part.close)
-    host.status_callbacks.append(part.facts)
-    host.clock.after(0.0, part.start)
+    host.close_callbacks.insert(0, plugin.close)
+    host.status_callbacks.append(plugin.facts)
+    host.clock.after(0.0, plugin.start)
--- a/larkweir/lifecycle/extensions.py
+++ b/larkweir/lifecycle/extensions.py
@@ -23,7 +23,7 @@
 
 # Module names, in the order in which they are attached, and whether each is enabled.
 EXTENSIONS: tuple[tuple[str, Callable[[Operator], bool]], ...] = (
-    ("larkweir.coordination.edits.part", lambda options: options.edits.on),
+    ("larkweir.coordination.edits.plugin", lambda options: options.edits.on),
     ("larkweir.routes.part", lambda options: bool(options.routes or options.pools or options.edits.on)),
     ("larkweir.storms.part", lambda options: options.storms.on),
     ("larkweir.logs.part", lambda options: options.log.format == "json"),
--- a/larkweir/lifecycle/node.py
+++ b/larkweir/lifecycle/node.py
@@ -35,7 +35,7 @@
 
     from larkweir.background.runner import Runner
     from larkweir.coordination.captures.part import Part as Captures
-    from larkweir.coordination.edits.part import Part as Edits
+    from larkweir.coordination.edits.plugin import EditsPlugin
     from larkweir.coordination.owners import OwnersPlugin
     from larkweir.lifecycle.channel import HandoverState
     from larkweir.lifecycle.peer_request_ids import NotifyTaken, PeerRequestIds
@@ -100,7 +100,7 @@
         self.state_store: StateStore | None = None
         self.peers: PeerTransport | None = None
         self.owners: OwnersPlugin | None = None
-        self.edits: Edits | None = None
+        self.edits: EditsPlugin | None = None
         self.captures: Captures | None = None
         self.peer_request_ids: PeerRequestIds | None = None  # where another process serves beside this one
 
--- a/tests/fleet/test_edits_part.py
+++ b/tests/fleet/test_edits_plugin.py
@@ -1,4 +1,4 @@
-"""The part by itself: several in one loop with their folders on a disk, mail that can be cut, and verdicts that are
+"""The plugin by itself: several in one loop with their folders on a disk, mail that can be cut, and verdicts that are
 edits."""
 
 from __future__ import annotations
@@ -18,7 +18,7 @@
 from larkweir.config.platform import decode as decode_platform
 from larkweir.coordination.duties.replicated import encode_state
 from larkweir.coordination.duties.verdicts import State
-from larkweir.coordination.edits.part import Part, attach, begin
+from larkweir.coordination.edits.plugin import EditsPlugin, attach, begin
 from larkweir.core.clock import Clock
 from larkweir.routes.hands import Routes
 from standins.peers import PATIENCE_S
@@ -44,14 +44,14 @@
 
 
 class Host:
-    """What the part needs of a balancer, with real routes."""
+    """What the plugin needs of a balancer, with real routes."""
 
     def __init__(self, name: str, post: Post, folder: Path, text: str, **edits: Any) -> None:
         self.name, self.post, self.folder = name, post, folder
         self.lines: list[str] = []
         self.log, self.peers, self.is_open = self, self, True
         self.receiver: Callable[[str, bytes, float], None] | None = None
-        self.edits: Part | None = None
+        self.edits: EditsPlugin | None = None
         self.owners: Any = None
         self.close_callbacks: list[Callable[[], None]] = []
         self.status_callbacks: list[Callable[[], dict[str, object]]] = []
@@ -71,7 +71,7 @@
         object.__setattr__(options, "edits", Edits(on=True, folder=str(self.folder), **edits))
         return options
 
-    # The socket, as far as the part goes
+    # The socket, as far as the plugin goes
     def open_channel(self, channel: int, came: Callable[[str, bytes, float], None]) -> Host:
         self.receiver = came
         return self
@@ -92,7 +92,7 @@
         self.routes.reconfigure(self.edits.merged(options), config)
 
     @property
-    def part(self) -> Part:
+    def plugin(self) -> EditsPlugin:
         assert self.edits is not None
         return self.edits
 
@@ -106,7 +106,7 @@
                 self.reconfigure(self.config, options)
             done.set_result(why)
 
-        self.part.reload(options, then)
+        self.plugin.reload(options, then)
         async with asyncio.timeout(PATIENCE_S):
             return await done
 
@@ -142,12 +142,12 @@
 async def fleet(folder: Path, count: int = 3, **edits: Any) -> tuple[Post, list[Host]]:
     post = Post()
     hosts = [Host(NAMES[n], post, folder / str(n), FILE, **edits) for n in range(count)]
-    await until(lambda: all(host.part.facts()["edits_state"] == "ok" for host in hosts), "all met", hosts)
+    await until(lambda: all(host.plugin.facts()["edits_state"] == "ok" for host in hosts), "all met", hosts)
     return post, hosts
 
 
 class Owner:
-    """The owners' part, at the process that owns the verdicts."""
+    """The owners' plugin, at the process that owns the verdicts."""
 
     def __init__(self, term: int, number: int, *keys: str) -> None:
         self._held = (term, number, encode_state(State(1, (), tuple((key, "worse") for key in keys))))
@@ -192,11 +192,11 @@
         await until(lambda: all(host.said["all"][1] == ("new 7%",) for host in hosts), "begun anew", hosts)
         # An owner of an older term wakes up: its word on the new part changes nothing, nor does its old one again
         second.owners = Owner(2, 9, *second.routes.router.on_trial())
-        edits = second.part.facts()["edits"]
+        edits = second.plugin.facts()["edits"]
         await asyncio.sleep(0.6)
-        assert second.part.facts()["edits"] == edits and second.said["all"][1] == ("new 7%",)
+        assert second.plugin.facts()["edits"] == edits and second.said["all"][1] == ("new 7%",)
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
 
@@ -216,14 +216,14 @@
         assert not await first.reload(FILE + '[route.b]\npath = "/b"\n')
         await until(
             lambda: all(
-                not host.part.facts()["edits_waiting"] and "b" in host.said for host in (first, second)
+                not host.plugin.facts()["edits_waiting"] and "b" in host.said for host in (first, second)
             ),
             "gone into the base without the third",
             hosts,
         )
-        assert NAMES[2] in first.part.replica.away(first.clock.now_ms())
+        assert NAMES[2] in first.plugin.replica.away(first.clock.now_ms())
         for host in hosts:  # a slow machine makes nobody else a newcomer
-            host.part.replica._others._away_ms = 600_000.0
+            host.plugin.replica._others._away_ms = 600_000.0
         post.cut.clear()
         await until(
             lambda: all(host.said["a"][0] == "/a" and "b" in host.said for host in hosts),
@@ -231,7 +231,7 @@
             hosts,
         )
         await until(
-            lambda: all("route.a.match" in str(host.part.facts()["edits_of"]) for host in hosts),
+            lambda: all("route.a.match" in str(host.plugin.facts()["edits_of"]) for host in hosts),
             "told",
             hosts,
         )
@@ -239,9 +239,9 @@
         text = FILE.replace('"/a"', '"/third"')
         assert not await third.reload(text, settle=("route.a.path",))
         await until(lambda: all(host.said["a"][0] == "/third" for host in hosts), "said anew", hosts)
-        await until(lambda: all(host.part.facts()["edits_told"] == 0 for host in hosts), "settled", hosts)
+        await until(lambda: all(host.plugin.facts()["edits_told"] == 0 for host in hosts), "settled", hosts)
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
 
@@ -259,15 +259,15 @@
         post.cut.clear()
         await until(lambda: first.said == second.said and "a" in first.said, "met", hosts)
         assert first.routes.router.routes["a"].pool == "new" and first.said["all"] == ("/*", ())
-        of = str(first.part.facts()["edits_of"])
-        assert of == second.part.facts()["edits_of"] and "pool.new" in of and "route.a" in of
+        of = str(first.plugin.facts()["edits_of"])
+        assert of == second.plugin.facts()["edits_of"] and "pool.new" in of and "route.a" in of
         assert not await first.reload(
             '[route.all]\npath = "/*"\n', settle=("route.a",)
         )  # to be gone, it has looked
         await until(lambda: first.said == second.said == {"all": ("/*", ())}, "gone", hosts)
-        await until(lambda: second.part.facts()["edits_told"] == 0, "settled", hosts)
+        await until(lambda: second.plugin.facts()["edits_told"] == 0, "settled", hosts)
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
 
@@ -279,7 +279,7 @@
         await until(lambda: [list(host.said) for host in hosts] == [["all"], ["all"]], "none", hosts)
         assert hosts[1].routes.router.routes["all"].path == "" and not await hosts[1].reload(FILE)
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
 
@@ -298,14 +298,14 @@
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """The record may be on the disk or not: nothing of it counts before the whole was written once more."""
-    monkeypatch.setattr("larkweir.coordination.edits.part.REPAIR_RETRY_MS", 50.0)
+    monkeypatch.setattr("larkweir.coordination.edits.plugin.REPAIR_RETRY_MS", 50.0)
 
     async def play() -> None:
         _, hosts = await fleet(tmp_path, 2)
         first, second = hosts
         calls = Failing()
-        first.part._folder.calls = calls
-        disk = first.part._disk
+        first.plugin._folder.calls = calls
+        disk = first.plugin._file_log
         assert disk is not None
         disk._calls = calls
         calls.wrong = True
@@ -321,7 +321,7 @@
         (log,) = [path.name for path in (tmp_path / "0").iterdir() if path.suffix == ".log"]
         assert log != "0.log"  # written anew
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
 
@@ -339,11 +339,11 @@
         first, second = hosts
         assert not await first.reload(FILE.replace('"/a"', '"/aa"'))
         await until(lambda: second.said["a"][0] == "/aa", "the edit", hosts)
-        first.part.close()
+        first.plugin.close()
         post.cut.add(NAMES[0])
         text = FILE.replace('"/a"', '"/moved"') + '[route.b]\npath = "/b"\n'
         again = Host(NAMES[0], post, tmp_path / "lost", text)
-        await until(lambda: again.part.facts()["edits_state"] == "alone", "its folder", [again])
+        await until(lambda: again.plugin.facts()["edits_state"] == "alone", "its folder", [again])
         with (
             monkeypatch.context() as impatient
         ):  # its folder is open: the one thing that it waits for never comes
@@ -353,14 +353,14 @@
         await until(
             lambda: again.said["a"][0] == "/aa" and "b" not in again.said, "what the other has", [again]
         )
-        assert again.part.facts()["edits_differs"] == 2 and not second.part.facts()["edits_told"]
+        assert again.plugin.facts()["edits_differs"] == 2 and not second.plugin.facts()["edits_told"]
         assert not await again.reload(text + '[route.c]\npath = "/c"\n')
         await until(
             lambda: "c" in second.said and "c" in again.said, "its next edit at both", [again, second]
         )
         assert second.said["a"][0] == "/aa"  # what its file said before is no edit
-        again.part.close()
-        second.part.close()
+        again.plugin.close()
+        second.plugin.close()
 
     run(play())
 
@@ -373,19 +373,19 @@
         first, second = hosts
         assert not await second.reload(FILE.replace('"/a"', '"/aa"'))
         await until(lambda: first.said["a"][0] == "/aa", "the other's edit", hosts)
-        first.part.set_handed_over(True)
+        first.plugin.set_handed_over(True)
         assert "a successor goes on" in await first.reload(FILE + '[route.b]\npath = "/b"\n')
         successor = Host(NAMES[0], post, tmp_path / "0", FILE)
         assert successor.said["a"][0] == "/aa"  # before its first turn: by the folder, whatever its file says
-        await until(lambda: successor.part.facts()["edits_state"] == "ok", "the folder", hosts)
+        await until(lambda: successor.plugin.facts()["edits_state"] == "ok", "the folder", hosts)
         assert not await successor.reload(FILE + '[route.b]\npath = "/b"\n')
-        assert successor.part.replica.writer != first.part.replica.writer
+        assert successor.plugin.replica.writer != first.plugin.replica.writer
         await until(lambda: "b" in second.said, "its edit", hosts)
-        successor.part.close()
+        successor.plugin.close()
         post.hosts[NAMES[0]] = first
-        first.part.set_handed_over(False)
+        first.plugin.set_handed_over(False)
         await until(lambda: "b" in first.said, "what the successor wrote", hosts)
         for host in hosts:
-            host.part.close()
+            host.plugin.close()
 
     run(play())
