--- a/tests/router/test_fleet_sync_encodings.py
+++ b/tests/router/test_fleet_sync_encodings.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import os
-from typing import Any
 
 import msgspec
 import pytest
@@ -14,10 +13,11 @@
 from larkweir.cluster.configuration.compression import DEFLATE, compress
 from larkweir.cluster.http_server import Request
 from larkweir.cluster.messages import CompressedConfigUpdate, ConfigUpdate, Delta, Message, Pull
-from larkweir.cluster.settings import parse
 from larkweir.router import fleet_sync
+from larkweir.router.fleet_sync import PullExtras
 from larkweir.router.node import Router
 from tests.cluster.configurations import VALID
+from tests.router.scripted_controller import running_router
 
 SCENE_S = 20.0
 
@@ -45,30 +45,14 @@
     writer.write(msgspec.json.encode(delta) + b"\n")
 
 
-def settings(subnet: str, port: int) -> Any:
-    return parse(
-        msgspec.json.encode(
-            {
-                "node": "r",
-                "ip": f"{subnet}.2",
-                "zone": "z",
-                "port_range": [port, port],
-                "seeds": [f"{subnet}.1:{port}"],
-                "listen": {"front": f"{subnet}.2:{port}"},
-            }
-        )
-    )
-
-
 async def scene() -> None:
     subnet = f"127.79.{os.getpid() % 199 + 1}"
     controller = Controller()
     server = await asyncio.start_server(controller.serve, f"{subnet}.1", 0)
-    router = Router(settings(subnet, server.sockets[0].getsockname()[1]))
-    running = asyncio.get_running_loop().create_task(router.run())
+    port = server.sockets[0].getsockname()[1]
     update = compress(ConfigUpdate(4, -1, msgspec.Raw(msgspec.json.encode(VALID))))
     try:
-        async with asyncio.timeout(SCENE_S):
+        async with running_router(subnet, port), asyncio.timeout(SCENE_S):
             reader, writer = await controller.connections.get()
             first = await next_pull(reader)
             assert first is not None
@@ -88,10 +72,7 @@
             assert again is not None
             assert again.config_sequence == 4
     finally:
-        running.cancel()
-        router.close()
         server.close()
-        await asyncio.gather(running, return_exceptions=True)
 
 
 async def readiness(router: Router) -> int:
@@ -107,15 +88,13 @@
     servers = [first_server]
     for number, controller in enumerate(controllers[1:], start=3):
         servers.append(await asyncio.start_server(controller.serve, f"{subnet}.{number}", port))
-    router = Router(settings(subnet, port))
-    running = asyncio.get_running_loop().create_task(router.run())
     upstream = Upstream("u", "chat", f"{subnet}.9:80", "z")
     listed = [f"{subnet}.{number}" for number in (1, 3, 4)]
     seen = Delta(records=[Record(upstream, "c/1", 1)], vector={"c/1": 1}, controllers=listed)
     older = Delta(config=ConfigUpdate(3, -1, msgspec.Raw(msgspec.json.encode(VALID))))
     newer = compress(ConfigUpdate(4, -1, msgspec.Raw(msgspec.json.encode(VALID))))
     try:
-        async with asyncio.timeout(SCENE_S):
+        async with running_router(subnet, port) as router, asyncio.timeout(SCENE_S):
             links = []
             stale = await controllers[0].connections.get()
             assert await next_pull(stale[0]) is not None
@@ -136,11 +115,8 @@
             assert await next_pull(links[0][0]) is not None
             assert await readiness(router) == 200
     finally:
-        running.cancel()
-        router.close()
         for server in servers:
             server.close()
-        await asyncio.gather(running, return_exceptions=True)
 
 
 def test_a_controller_that_only_asks_for_encodings_has_not_told_what_it_knows(
@@ -154,3 +130,11 @@
 def test_a_router_reads_compressed_configurations() -> None:
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         runner.run(scene())
+
+
+def test_a_pull_has_what_the_last_delta_asked_for() -> None:
+    both = PullExtras.RECORDS | PullExtras.ENCODINGS
+    assert PullExtras.wanted_by(Delta()) is PullExtras.NONE
+    assert PullExtras.wanted_by(Delta(wants_records=True)) is PullExtras.RECORDS
+    assert PullExtras.wanted_by(Delta(wants_encodings=True)) is PullExtras.ENCODINGS
+    assert PullExtras.wanted_by(Delta(wants_records=True, wants_encodings=True)) is both
