Roll-outs: doubt begins above the evidence of no answers; far slow at full weight

Change: doubt is any evidence above 1, and 8% are granted there. What remains turns bad too late for a small service to show it before all requests go there.

--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -20,7 +20,7 @@
 FALSE_ALARM_PROBABILITY = 0.001  # at most, that a version is condemned that is as the hypotheses say
 BAD_EVIDENCE = 1.0 / FALSE_ALARM_PROBABILITY
 SUSPECT_EVIDENCE = 10.0
-DOUBT_EVIDENCE = 1.5  # a good version's evidence falls below 1 with its first answers, and stays there
+DOUBT_EVIDENCE = 1.0  # that of no answers; a good version's falls below it with the first ones, and stays there
 
 MIN_CONTROL = 10  # answers of the others on a route, below which they are no control
 FAILURE_FLOOR = 0.01  # share of failures that every version is granted
@@ -38,7 +38,7 @@
 FAR_SLOW_FACTOR = 5.0  # of the others' median: what a cold cache or a busy canary rarely explains
 FAR_COLD_CACHE_FACTOR = 10.0
 FAR_SLOW_FLOOR = 0.04
-PAST_CONTROL_FAR_SLOW_FLOOR = 0.15
+PAST_CONTROL_FAR_SLOW_FLOOR = 0.08
 SLOW_SHARE_FACTOR = 2.0
 SLOW_SHARE_MARGIN = 0.05
 FAR_SLOW_SHARE_MARGIN = 0.02
@@ -78,7 +78,7 @@
     @property
     def is_doubtful(self) -> bool:
         """Whether its traffic is not to grow for now."""
-        return self.is_suspect or self.evidence >= DOUBT_EVIDENCE
+        return self.is_suspect or self.evidence > DOUBT_EVIDENCE
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,7 +172,7 @@
     return Verdict(
         is_bad=evidence >= BAD_EVIDENCE,
         is_suspect=evidence >= SUSPECT_EVIDENCE,
-        reason=strongest.reason if strongest is not None and evidence >= DOUBT_EVIDENCE else "",
+        reason=strongest.reason if strongest is not None and evidence > DOUBT_EVIDENCE else "",
         evidence=evidence,
         target_answers=answered(windows[0].totals.target),
     )
