Roll-outs: a version that comes after a completion waits 10 s for its order

Cause: with the use of versions that no order named, upstreams of a new version that register before its order is committed would get their full share, untried, where the last roll-out was completed. Change: a router uses such a version 10 s after it first listed it, more than an operator repeats an order for; until then it takes what no other upstream can. Placements of prefixes do not wait. Tests: without the wait one case of test_rollout_tracks.py fails.

--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -56,8 +56,9 @@
         return self._loop.time() * 1000.0
 
     def tick(self) -> None:
-        """Keep the connections alive; to be called several times a second."""
+        """Keep the connections alive, and the list of upstreams; to be called several times a second."""
         self._links.keep_alive()
+        self._plane.upstreams.tick(self._now_ms())
 
     def close(self) -> None:
         """End all connections at once."""
--- a/larkweir/router/rollout_tracks.py
+++ b/larkweir/router/rollout_tracks.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable, Iterator, Sequence
 from dataclasses import replace
 from enum import StrEnum
@@ -19,6 +20,8 @@
 from larkweir_rollouts.canary import canary_upstreams
 from larkweir_rollouts.state import Rollout, RolloutState
 
+ORDER_WAIT_MS = 10_000.0  # in which an order for a version whose upstreams have just come may still arrive
+
 
 class Track(StrEnum):
     """A part of a service's upstreams. The values are published in the router's debug log."""
@@ -67,7 +70,8 @@
         self._make_selector = make_selector
         self._others = make_selector()
         self._target: UpstreamSelector | None = None
-        self._listed_versions: frozenset[str] = frozenset()  # of the upstreams that are known
+        self._listed_since_ms: dict[str, float] | None = None  # by version; None before the first list
+        self._waiting: frozenset[str] = frozenset()  # versions for which an order may still come
         self._is_only_version = False  # the target had all upstreams at the order, and has had them since
         self.rollout: Rollout | None = None
 
@@ -118,7 +122,10 @@
             upstreams: all of the service that are not gone.
             now_ms: the event loop's time.
         """
-        self._listed_versions = frozenset(upstream.version for upstream in upstreams)
+        versions = {upstream.version for upstream in upstreams}
+        known = dict.fromkeys(versions, -math.inf) if self._listed_since_ms is None else self._listed_since_ms
+        self._listed_since_ms = {version: known.get(version, now_ms) for version in sorted(versions)}
+        self._waiting = self._waiting_versions(now_ms)
         self._is_only_version &= not any(self._is_other(upstream) for upstream in upstreams)
         target_ids = self._target_ids(upstreams)
         others = {
@@ -132,16 +139,35 @@
             }
             self._target.update(target, now_ms, has_tracks=True)
 
+    def is_due(self, now_ms: float) -> bool:
+        """Whether `update` is to be called again, as an order was waited for in vain."""
+        return bool(self._waiting) and self._waiting_versions(now_ms) != self._waiting
+
+    def _waiting_versions(self, now_ms: float) -> frozenset[str]:
+        """Those that have come since a completion, and that an order may still put on trial."""
+        if self.rollout is None or self.rollout.state is not RolloutState.COMPLETED:
+            return frozenset()
+        return frozenset(
+            version
+            for version, since_ms in (self._listed_since_ms or {}).items()
+            if self.rollout.is_unnamed(version) and now_ms < since_ms + ORDER_WAIT_MS
+        )
+
     def _has_target_alone(self, rollout: Rollout) -> bool:
         """Whether upstreams are known, all of the target version but for withdrawn ones."""
-        is_known = any(rollout.is_target(version) for version in self._listed_versions)
-        return is_known and not any(rollout.is_other(version) for version in self._listed_versions)
+        versions = self._listed_since_ms or {}
+        is_known = any(rollout.is_target(version) for version in versions)
+        return is_known and not any(rollout.is_other(version) for version in versions)
 
     def _is_target(self, upstream: Upstream) -> bool:
-        return self.rollout is not None and self.rollout.is_target(upstream.version)
+        if self.rollout is None or upstream.version in self._waiting:
+            return False
+        return self.rollout.is_target(upstream.version)
 
     def _is_other(self, upstream: Upstream) -> bool:
-        return self.rollout is None or self.rollout.is_other(upstream.version)
+        if self.rollout is None or upstream.version in self._waiting:
+            return True
+        return self.rollout.is_other(upstream.version)
 
     def _target_ids(self, upstreams: Sequence[Upstream]) -> frozenset[str]:
         """The upstreams of the target version that take requests: at small weights a few, so that these get load."""
--- a/larkweir/router/upstream_directory.py
+++ b/larkweir/router/upstream_directory.py
@@ -154,6 +154,12 @@
                 tracks.set_rollout(rollouts.get(service))
                 self._list(service, now_ms)
 
+    def tick(self, now_ms: float) -> None:
+        """List services anew whose upstreams have waited for an order; to be called several times a second."""
+        for service, tracks in self._services.items():
+            if tracks.is_due(now_ms):
+                self._list(service, now_ms)
+
     def _list(self, service: str, now_ms: float) -> None:
         listed = [upstream for upstream in self._upstreams.values() if upstream.service == service]
         self._services[service].update(listed, now_ms)
--- a/packages/rollouts/src/larkweir_rollouts/state.py
+++ b/packages/rollouts/src/larkweir_rollouts/state.py
@@ -60,11 +60,13 @@
 
     def is_target(self, version: str) -> bool:
         """Whether upstreams of that version are the target; once completed, all that came without an order since."""
-        if version == self.target_version:
-            return True
+        return version == self.target_version or self.is_unnamed(version)
+
+    def is_unnamed(self, version: str) -> bool:
+        """Whether upstreams of that version have come since the completion, and no order has named it."""
         if self.state is not RolloutState.COMPLETED or isinstance(self.other_versions, msgspec.UnsetType):
             return False
-        return version not in self.other_versions and version not in self.withdrawn_versions
+        return version not in (self.target_version, *self.other_versions, *self.withdrawn_versions)
 
     def is_other(self, version: str) -> bool:
         """Whether upstreams of that version are the others: neither the target nor withdrawn."""
--- a/tests/router/test_rollout_tracks.py
+++ b/tests/router/test_rollout_tracks.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from random import Random
 from typing import Any
+from unittest.mock import Mock
 
 import msgspec
 import pytest
@@ -15,7 +16,8 @@
 from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster import log
-from larkweir.router.rollout_tracks import Track, allowed_tracks, draw_track
+from larkweir.router.fleet_sync import FleetSync
+from larkweir.router.rollout_tracks import ORDER_WAIT_MS, Track, allowed_tracks, draw_track
 from tests.router.rollout_model import (
     COMPLETED,
     NEW,
@@ -484,6 +486,36 @@
 ) -> None:
     play.order(ended)
     play.list_upstreams("v3", ("t2",))
+    play.wait(ORDER_WAIT_MS / 1000.0)
+    play.model.plane.upstreams.tick(play.now_s * 1000.0)
     assert served_by(play, 200) == used
     play.order(rollout(0.0, target_version="v4", ordered_unix_ms=9_000.0))
     assert "t2" in served_by(play, 200), "one of the others of the next roll-out"
+
+
+def test_a_version_that_comes_after_a_completion_waits_for_its_order(play: RolloutPlay) -> None:
+    play.order(rollout(1.0, COMPLETED, other_versions=("v1",)))
+    assert served_by(play, 50) == set(NEW_IDS)
+    play.list_upstreams("v3", ("t2",))
+    play.wait(ORDER_WAIT_MS / 1000.0 - 1.0)
+    play.model.plane.upstreams.tick(play.now_s * 1000.0)
+    assert served_by(play, 100) == {"t0", "t1"}
+    play.order(rollout(0.0, target_version="v3", withdrawn_versions=("v1",), ordered_unix_ms=9_000.0))
+    play.wait(2.0)
+    play.model.plane.upstreams.tick(play.now_s * 1000.0)
+    assert served_by(play, 100) == {"t0", "t1"}, "it is on trial"
+
+
+def test_a_version_that_waits_for_an_order_takes_what_no_other_can(play: RolloutPlay) -> None:
+    play.order(rollout(1.0, COMPLETED, other_versions=("v1",)))
+    assert served_by(play, 50) == set(NEW_IDS)
+    play.list_upstreams("v3", ("t2",))
+    play.list_upstreams(NEW, NEW_IDS[:2], DRAINING)
+    play.list_upstreams(OLD, OLD_IDS, GONE)
+    assert served_by(play, 50) == {"t2"}
+
+
+def test_the_wait_for_an_order_ends_by_itself() -> None:
+    sync = Mock()
+    FleetSync.tick(sync)
+    sync._plane.upstreams.tick.assert_called_once_with(sync._now_ms.return_value)
