--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -55,6 +55,8 @@
 FIRST_BYTE_WEIGHT = 0.1
 FAR_FIRST_BYTE_WEIGHT = 0.05
 
+_NO_SAMPLES = RouteSamples()
+
 
 class Verdict(msgspec.Struct, frozen=True):
     """What is known against a version.
@@ -291,7 +293,7 @@
 
 def _outcomes(track: TrackSamples, route: str | None) -> _Outcomes:
     """Count a track's answers on one route, or on all."""
-    chosen = [samples for name, samples in track.routes.items() if route in (None, name)]
+    chosen = track.routes.values() if route is None else [track.routes.get(route, _NO_SAMPLES)]
     failures = sum(samples.failed for samples in chosen)
     return _Outcomes(failures, failures + sum(samples.answered for samples in chosen))
 
