Quotas: a router that wakes does not believe answers from before its pause

Seen: a model with frozen routers and four hot tenants (195 routers): 2,866,083 tokens of 2,742,000. Cause: an answer that waited in a frozen router's socket counted as received when it was read. Change: it counts as received at the latest one validity (0.9 s) after its report; the wire is as before.

--- a/packages/quotas/src/larkweir_quotas/quota_limiter.py
+++ b/packages/quotas/src/larkweir_quotas/quota_limiter.py
@@ -80,6 +80,7 @@
         self.process_count = 1
         self._limits: dict[str, RateLimit] = {}
         self._tenants: dict[str, _TenantState] = {}
+        self._reported_ms: dict[str, float] = {}  # by controller, the last report to it
         self._answered_ms: dict[str, float] = {}  # by controller, its last answer to a report
 
     def set_limits(self, limits: dict[str, RateLimit]) -> None:
@@ -130,6 +131,7 @@
 
     def usage(self, controller: str, now_ms: float) -> dict[str, float]:
         """Return the report for a controller: units admitted since the start, by recently active tenant."""
+        self._reported_ms[controller] = now_ms
         units_by_tenant = {}
         for tenant, state in self._tenants.items():
             if state.last_admitted_ms >= 0.0 and now_ms < state.last_admitted_ms + ACTIVE_TENANT_MS:
@@ -156,15 +158,20 @@
         return QuotaSnapshot(levels, processes)
 
     def receive_statuses(self, controller: str, statuses: dict[str, QuotaStatus], now_ms: float) -> None:
-        """Take in a controller's answer to the last report."""
+        """Take in a controller's answer to the last report.
+
+        An answer that took longer than a status is valid was not read at once, as after a pause of this process. It may
+        be as old as the report, and counts as received when it was due.
+        """
+        received_ms = min(now_ms, self._reported_ms.get(controller, now_ms) + STATUS_VALID_MS)
         if not self._answered_ms:  # what was assumed before was that of a process alone
             for state in self._tenants.values():
                 state.local = None
-        self._answered_ms[controller] = now_ms
+        self._answered_ms[controller] = received_ms
         for tenant, status in statuses.items():
             state = self._tenants.setdefault(tenant, _TenantState())
             reported_units = state.reported_units.get(controller, 0.0)
-            state.received[controller] = _ReceivedStatus(status, now_ms, reported_units)
+            state.received[controller] = _ReceivedStatus(status, received_ms, reported_units)
 
     def _level_by_own_use(self, state: _TenantState, limit: RateLimit, now_ms: float) -> float:
         """The level if all processes had used as much since the last statuses as this one: right in their sum."""
--- a/packages/quotas/tests/quota_outages.py
+++ b/packages/quotas/tests/quota_outages.py
@@ -5,10 +5,10 @@
 import heapq
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from itertools import count
+from itertools import chain, count
 from random import Random
 
-from larkweir_quotas.limits import RateLimit
+from larkweir_quotas.limits import QuotaStatus, RateLimit
 from larkweir_quotas.quota_limiter import QuotaCharge, QuotaLimiter
 from larkweir_quotas.usage_table import UsageTable
 
@@ -35,6 +35,7 @@
     window_ms: float = 8_000.0
     over: float = 0.1
     slack: float = 190_000.0
+    tenants: int = 1  # each with that limit
 
     @property
     def allowed(self) -> float:
@@ -50,6 +51,8 @@
     max_count: int = 1
     max_count_ms: float = 0.0
     is_configured: bool = False
+    is_frozen: bool = False
+    unread: list[Callable[[], None]] = field(default_factory=list)  # answers and requests, while it is frozen
     pulled: dict[int, list[str]] = field(
         default_factory=dict
     )  # by table: tenants of the pull that is pending
@@ -69,16 +72,17 @@
         self.rng = Random(seed)
         self.now_ms = 0.0
         self.limit = site.limit
-        self.demand_per_s = 0.0
+        self.tenants = [TENANT, *(f"{TENANT}{number}" for number in range(1, site.tenants))]
+        self.demand_per_s = 0.0  # of each tenant
         self.cut: set[tuple[int, int]] = set()
-        self.admitted: list[tuple[float, float]] = []
+        self.admitted: dict[str, list[tuple[float, float]]] = {tenant: [] for tenant in self.tenants}
         self.rejected: list[tuple[float, float]] = []  # first tries only
         self.tables: list[UsageTable | None] = [None] * site.tables
         self.routers = [self._router() for _ in range(site.routers)]
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._numbers = count()
         self._links: dict[tuple[int, int], int] = {}  # number of the connection, for events of an earlier one
-        self._last_exchange_ms: dict[tuple[int, int], float] = {}
+        self._last_exchange_ms: list[dict[int, float]] = [{} for _ in range(site.tables)]  # the latest last
         for table in range(site.tables):
             self.return_table(table, limits_after_ms=0.0)
         self.at(0.0, self._next_request)
@@ -97,13 +101,16 @@
 
     def _router(self) -> _Router:
         limiter = QuotaLimiter(Random(self.rng.random()))
-        limiter.set_limits({TENANT: self.limit})
+        limiter.set_limits(self._limits())
         return _Router(limiter)
 
+    def _limits(self) -> dict[str, RateLimit]:
+        return dict.fromkeys(self.tenants, self.limit)
+
     def kill_table(self, number: int) -> None:
         """A controller dies with all that it knows."""
         self.tables[number] = None
-        for router in range(self.site.routers):
+        for router in range(len(self.routers)):
             self._links.pop((router, number), None)
 
     def return_table(self, number: int, limits_after_ms: float | None = None) -> None:
@@ -113,11 +120,11 @@
             limits_after_ms = self.rng.uniform(0.0, MAX_ELECTION_MS)
         if limits_after_ms:
             known_ms = self.now_ms + limits_after_ms
-            self.at(known_ms, lambda: table.set_limits({TENANT: self.limit}, self.now_ms))
+            self.at(known_ms, lambda: table.set_limits(self._limits(), self.now_ms))
         else:
-            table.set_limits({TENANT: self.limit}, self.now_ms)
+            table.set_limits(self._limits(), self.now_ms)
         self.tables[number] = table
-        for router in range(self.site.routers):
+        for router in range(len(self.routers)):
             self._connect(router, number)
 
     def restart_router(self, number: int) -> None:
@@ -136,14 +143,50 @@
                 self._pull(number, index, table, is_first=False)
                 self.at(self.now_ms + for_ms, lambda pair=(number, index): self._connect(*pair))
 
-    def set_limit(self, limit: RateLimit) -> None:
-        """A change of the configuration reaches all."""
+    def add_routers(self, routers: int) -> None:
+        """More routers start, beside those that are there."""
+        for number in range(len(self.routers), len(self.routers) + routers):
+            self.routers.append(self._router())
+            for table in range(self.site.tables):
+                self._connect(number, table)
+
+    def freeze_router(self, number: int, for_ms: float) -> None:
+        """A router's machine stops; what was sent to it meanwhile is read all at once."""
+        router = self.routers[number]
+        if not router.is_frozen:
+            router.is_frozen = True
+            self.at(self.now_ms + for_ms, lambda: self._thaw(number, router, for_ms))
+
+    def _thaw(self, number: int, router: _Router, for_ms: float) -> None:
+        router.is_frozen = False
+        if self.routers[number] is not router:  # killed meanwhile
+            return
+        if for_ms >= CONNECTION_TIMEOUT_MS:
+            for index in range(self.site.tables):
+                self._connect(number, index)
+        self.rng.shuffle(router.unread)
+        for read in router.unread:
+            read()
+        router.unread.clear()
+
+    def set_limit(self, limit: RateLimit, behind: frozenset[int] = frozenset(), late_ms: float = 0.0) -> None:
+        """A change of the configuration reaches routers within `late_ms`, and all tables but those that are behind."""
         self.limit = limit
+        for index, table in enumerate(self.tables):
+            if table is not None and table.has_limits and index not in behind:
+                table.set_limits(self._limits(), self.now_ms)
+        for router in self.routers:
+            if late_ms:
+                at_ms = self.now_ms + self.rng.uniform(0.0, late_ms)
+                self.at(at_ms, lambda router=router: router.limiter.set_limits(self._limits()))
+            else:
+                router.limiter.set_limits(self._limits())
+
+    def catch_up(self) -> None:
+        """Tables that were behind learn the limits in force."""
         for table in self.tables:
             if table is not None and table.has_limits:
-                table.set_limits({TENANT: limit}, self.now_ms)
-        for router in self.routers:
-            router.limiter.set_limits({TENANT: limit})
+                table.set_limits(self._limits(), self.now_ms)
 
     def _connect(self, router: int, table: int) -> None:
         link = self._links[router, table] = next(self._numbers)
@@ -157,8 +200,12 @@
         table, router = self.tables[index], self.routers[number]
         if table is None or self._links.get((number, index)) != link:
             return
-        if (number, index) not in self.cut:
-            self._last_exchange_ms[number, index] = self.now_ms
+        if router.is_frozen:
+            if index in router.pulled and (number, index) not in self.cut:
+                self._answer(number, index, table)
+        elif (number, index) not in self.cut:
+            self._last_exchange_ms[index].pop(number, None)
+            self._last_exchange_ms[index][number] = self.now_ms
             if index not in router.pulled:
                 self._pull(number, index, table, is_first=True)
             self._answer(number, index, table)
@@ -168,10 +215,27 @@
     def _answer(self, number: int, index: int, table: UsageTable) -> None:
         router = self.routers[number]
         tenants = dict.fromkeys([*router.pulled[index], *table.scarce_tenants(self.now_ms)])
+        statuses = table.statuses(list(tenants), self.now_ms) if table.has_limits else None
+        router_count = self._router_count(index)
+        if router.is_frozen:
+            link = self._links[number, index]
+
+            def read() -> None:
+                self._receive(router, index, router_count, statuses)
+                if self._links.get((number, index)) == link:
+                    self._pull(number, index, table, is_first=False)
+
+            router.unread.append(read)
+            del router.pulled[index]
+        else:
+            self._receive(router, index, router_count, statuses)
+
+    def _receive(
+        self, router: _Router, index: int, router_count: int, statuses: dict[str, QuotaStatus] | None
+    ) -> None:
         router.is_configured = True
-        router.learn_count(self._router_count(index), self.now_ms)
-        if table.has_limits:
-            statuses = table.statuses(list(tenants), self.now_ms)
+        router.learn_count(router_count, self.now_ms)
+        if statuses is not None:
             router.limiter.receive_statuses(f"c{index}", statuses, self.now_ms)
 
     def _answer_all(self, index: int, table: UsageTable) -> None:
@@ -179,7 +243,8 @@
             is_connected = (number, index) in self._links and (number, index) not in self.cut
             if is_connected and index in router.pulled and self.tables[index] is table:
                 self._answer(number, index, table)
-                self._pull(number, index, table, is_first=False)
+                if not router.is_frozen:
+                    self._pull(number, index, table, is_first=False)
 
     def _pull(self, number: int, index: int, table: UsageTable, *, is_first: bool) -> None:
         """Report a router's usage. Where little is left, the table answers all pending pulls ahead of time."""
@@ -192,49 +257,60 @@
             self.at(self.now_ms + URGENT_ANSWER_MS, lambda: self._answer_all(index, table))
 
     def _router_count(self, index: int) -> int:
-        known = sum(
-            1
-            for router in range(self.site.routers)
-            if self._last_exchange_ms.get((router, index), -1e9) > self.now_ms - CONNECTION_TIMEOUT_MS
-        )
-        return max(1, known)
+        last_exchanges = self._last_exchange_ms[index]
+        while last_exchanges:
+            router = next(iter(last_exchanges))
+            if last_exchanges[router] > self.now_ms - CONNECTION_TIMEOUT_MS:
+                break
+            del last_exchanges[router]
+        return max(1, len(last_exchanges))
 
     def _update_reserves(self) -> None:
         for index, table in enumerate(self.tables):
             if table is not None:
-                away = sum((router, index) in self.cut for router in range(self.site.routers))
-                table.set_unreachable(away / self.site.routers, self.site.over)
+                away = sum((router, index) in self.cut for router in range(len(self.routers)))
+                table.set_unreachable(away / len(self.routers), self.site.over)
         self.at(self.now_ms + RESERVE_MS, self._update_reserves)
 
     def _next_request(self) -> None:
         mean_tokens = (self.site.min_tokens + self.site.max_tokens) / 2.0
         if self.demand_per_s > 0.0:
+            tenant = self.rng.choice(self.tenants) if len(self.tenants) > 1 else TENANT
             tokens = self.rng.uniform(self.site.min_tokens, self.site.max_tokens)
-            self._request(tokens, is_retry=False)
-        per_s = max(self.demand_per_s, mean_tokens) / mean_tokens
+            self._request(tenant, tokens, is_retry=False)
+        per_s = max(self.demand_per_s * len(self.tenants), mean_tokens) / mean_tokens
         self.at(self.now_ms + 1_000.0 * self.rng.expovariate(per_s), self._next_request)
 
-    def _request(self, tokens: float, *, is_retry: bool) -> None:
-        router = self.routers[self.rng.randrange(self.site.routers)]
+    def _request(self, tenant: str, tokens: float, *, is_retry: bool) -> None:
+        router = self.routers[self.rng.randrange(len(self.routers))]
+        if router.is_frozen:
+            router.unread.append(lambda: self._admit(router, tenant, tokens, is_retry=is_retry))
+        else:
+            self._admit(router, tenant, tokens, is_retry=is_retry)
+
+    def _admit(self, router: _Router, tenant: str, tokens: float, *, is_retry: bool) -> None:
         if not router.is_configured:  # its first answer brings the configuration
             return
-        verdict = router.limiter.admit(TENANT, tokens, self.now_ms)
+        verdict = router.limiter.admit(tenant, tokens, self.now_ms)
         if isinstance(verdict, QuotaCharge):
-            self.admitted.append((self.now_ms, tokens))
+            self.admitted[tenant].append((self.now_ms, tokens))
             return
         if not is_retry:
             self.rejected.append((self.now_ms, tokens))
             retry_ms = self.now_ms + 1_000.0 * verdict.retry_after_s
-            self.at(retry_ms, lambda: self._request(tokens, is_retry=True))
+            self.at(retry_ms, lambda: self._request(tenant, tokens, is_retry=True))
 
     def most_in_a_window(self, since_ms: float = 0.0) -> float:
-        """Return the tokens admitted within the fullest window."""
+        """Return the tokens of one tenant admitted within the fullest window."""
+        return max(self._most_of(admitted, since_ms) for admitted in self.admitted.values())
+
+    def _most_of(self, admitted: list[tuple[float, float]], since_ms: float) -> float:
         most = window = 0.0
         start = 0
-        for when_ms, tokens in self.admitted:
+        for when_ms, tokens in admitted:
             window += tokens
-            while self.admitted[start][0] <= when_ms - self.site.window_ms:
-                window -= self.admitted[start][1]
+            while admitted[start][0] <= when_ms - self.site.window_ms:
+                window -= admitted[start][1]
                 start += 1
             if when_ms >= since_ms:
                 most = max(most, window)
@@ -242,7 +318,8 @@
 
     def admitted_within(self, since_ms: float, until_ms: float) -> float:
         """Return the tokens admitted in that time."""
-        return sum(tokens for when_ms, tokens in self.admitted if since_ms <= when_ms < until_ms)
+        all_admitted = chain.from_iterable(self.admitted.values())
+        return sum(tokens for when_ms, tokens in all_admitted if since_ms <= when_ms < until_ms)
 
     def rejected_within(self, since_ms: float, until_ms: float) -> float:
         """Return the tokens of requests rejected at their first try in that time."""
