--- a/packages/quotas/tests/test_quotas_retry_budget.py
+++ b/packages/quotas/tests/test_quotas_retry_budget.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import pytest
 from larkweir_quotas.retry_budget import RetryBudget
 
 
@@ -32,3 +33,23 @@
     budget = RetryBudget(0.2, 10.0, 10.0)
     assert sum(budget.try_consume(0.0) for _ in range(100)) == 7
     assert budget.try_consume(10_001.0)
+
+
+@pytest.mark.parametrize("processes", [30, 195, 301, 500])
+@pytest.mark.parametrize("slack", [20.0, 430.0])
+def test_many_processes_that_all_want_retries_share_the_slack(processes: int, slack: float) -> None:
+    rng = Random(processes)
+    budgets = [RetryBudget(0.2, slack, 10.0, Random(rng.random())) for _ in range(processes)]
+    retries: list[float] = []
+    lucky: set[int] = set()
+    for budget in budgets:
+        budget.process_count = processes
+    for now_ms in range(0, 120_000, 500):
+        for number in rng.sample(range(processes), processes):
+            if budgets[number].try_consume(now_ms + 0.0):
+                retries.append(now_ms)
+                lucky.add(number)
+    for end in range(10_000, 120_000, 500):
+        assert sum(1 for when in retries if end - 10_000 < when <= end) <= slack
+    if slack == 430.0:
+        assert len(lucky) >= 0.95 * processes, "who is in need gets one some time"
