--- a/packages/rollouts/src/larkweir_rollouts/verdict.py
+++ b/packages/rollouts/src/larkweir_rollouts/verdict.py
@@ -20,7 +20,7 @@
 FALSE_ALARM_PROBABILITY = 0.001  # at most, that a version is condemned that is as the hypotheses say
 BAD_EVIDENCE = 1.0 / FALSE_ALARM_PROBABILITY
 SUSPECT_EVIDENCE = 10.0
-DOUBT_EVIDENCE = 1.0  # that of no answers; a good version's falls below it with the first ones, and stays there
+DOUBT_EVIDENCE = 1.0  # that of no answers; a good version falls below it with the first ones, and stays there
 
 MIN_CONTROL = 10  # answers of the others on a route, below which they are no control
 FAILURE_FLOOR = 0.01  # share of failures that every version is granted
