Balancing: the concurrency limiter is split by owner of state

`mean` and `base` are the same lists as in the estimates; size_scale and min_latency_ms are asked of `latencies`, also by the tests of them.

--- a/packages/balancing/src/larkweir_balancing/policy.py
+++ b/packages/balancing/src/larkweir_balancing/policy.py
@@ -137,7 +137,7 @@
         over_share = self.client_stats.is_over_share(event)
         left = request.useful_until_ms - self.now_ms
         heavy = (
-            self.TOO_HEAVY_FRACTION * self.limiter.min_latency_ms(at) * request.size
+            self.TOO_HEAVY_FRACTION * self.limiter.latencies.min_latency_ms(at) * request.size
             if event.expected_ms
             else 0.0
         )
--- a/tests/balancing/test_admission.py
+++ b/tests/balancing/test_admission.py
@@ -24,6 +24,7 @@
     ServerEntry,
     Settings,
 )
+from larkweir_balancing.latency_estimates import LatencyEstimates
 
 from standins.tier import AIM_MS, DEADLINE_MS, World, jain, quantile
 
@@ -438,7 +439,7 @@
     own = 400.0 / tiers
     limiter = learned(tiers, 400.0 - own, own)
     assert limiter.base[0] == pytest.approx(400.0, rel=0.08)
-    assert limiter.base[0] * limiter.size_scale(4.0) == pytest.approx(400.0 + 3.0 * own, rel=0.08)
+    assert limiter.base[0] * limiter.latencies.size_scale(4.0) == pytest.approx(400.0 + 3.0 * own, rel=0.08)
 
 
 @pytest.mark.parametrize(
@@ -446,8 +447,8 @@
 )
 def test_what_of_the_time_goes_by_the_size_is_learned(fixed: float, by_size: float, part: float) -> None:
     limiter = learned(2, fixed, by_size, 1_500)
-    assert limiter.size_scale(2.0) == pytest.approx(1.0 + part, abs=0.1)
-    assert limiter.size_scale(0.0) >= ConcurrencyLimiter.MIN_SIZE_SCALE
+    assert limiter.latencies.size_scale(2.0) == pytest.approx(1.0 + part, abs=0.1)
+    assert limiter.latencies.size_scale(0.0) >= LatencyEstimates.MIN_SIZE_SCALE
 
 
 @pytest.mark.parametrize(("outcome", "first"), [(Outcome.RESET, 4.0 / 5.0), (Outcome.ERROR, 1.0)])
