--- a/benchmarks/fleet_pairs.py
+++ b/benchmarks/fleet_pairs.py
@@ -159,12 +159,12 @@
     return parser
 
 
-def run_arguments(arguments: argparse.Namespace, copies: dict[str, str], reports: Path) -> int:
-    """`run` with what a parser made by `argument_parser` has read."""
+def run_arguments(arguments: argparse.Namespace, folders: dict[str, str], reports: Path) -> int:
+    """`run` with what a parser made by `argument_parser` has read. `folders`: of the texts compared, by name."""
     options = ["--small"] if arguments.small else []
     seeds = [int(seed) for seed in arguments.seeds.split(",")]
     return run(
-        arguments.bench, arguments.site, arguments.day, copies, seeds, options, arguments.jobs, reports
+        arguments.bench, arguments.site, arguments.day, folders, seeds, options, arguments.jobs, reports
     )
 
 
--- a/tests/router/test_fleet_sync_encodings.py
+++ b/tests/router/test_fleet_sync_encodings.py
@@ -75,7 +75,7 @@
         runner.run(scene())
 
 
-def test_a_pull_has_what_the_last_delta_asked_for() -> None:
+def test_a_pull_has_what_the_last_delta_wants() -> None:
     both = PullExtras.RECORDS | PullExtras.ENCODINGS
     assert PullExtras.wanted_by(Delta()) is PullExtras.NONE
     assert PullExtras.wanted_by(Delta(wants_records=True)) is PullExtras.RECORDS
