Router's model: time stands still in a play, so that a slow machine repeats no request

Seen: test_an_upstream_that_is_well_is_used... failed once on a busy machine. The model's loop went by real time: a safe request whose answer is overdue is sent elsewhere too, so that a slow run counts more than 240. Which assertion failed then was not noted, so that this is the likely cause of what was seen, not a proven one. Change: the loop of a play has a time that stands still; the bounds of the test stay. One test shows that no timer fires in it.

--- a/tests/router/router_model.py
+++ b/tests/router/router_model.py
@@ -367,11 +367,18 @@
 TURNS = 12  # of the event loop, until nothing more happens by itself
 
 
+class StillLoop(asyncio.SelectorEventLoop):
+    """A loop whose time stands still, so that no timer of the router fires, however long a play takes."""
+
+    def time(self) -> float:
+        return 0.0
+
+
 class Play:
-    """The model in a loop of its own; time stands still for all that matters here."""
+    """The model in a loop of its own, in which time stands still."""
 
     def __init__(self) -> None:
-        self.loop = asyncio.new_event_loop()
+        self.loop = StillLoop()
         self.model = self.do(RouterModel)
 
     def do(self, call: Callable[[], T]) -> T:
--- a/tests/router/test_lying_upstreams.py
+++ b/tests/router/test_lying_upstreams.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections import Counter
 from collections.abc import Iterator
+from itertools import count
 from typing import Any
 
 import msgspec
@@ -117,6 +119,19 @@
     assert min(counts.values()) >= 0.3 * 4 * REQUESTS / len(UPSTREAMS)
 
 
+def test_time_stands_still_in_a_scene(monkeypatch: pytest.MonkeyPatch) -> None:
+    """However slow the machine is: no timer of the router sends a request again or gives it up."""
+    clock = count(step=30)  # seconds at each look; a request may take 60
+    monkeypatch.setattr(asyncio.BaseEventLoop, "time", lambda loop: float(next(clock)))
+    play = Play()
+    sent = play.request(play.client(), "safe")
+    (upstream,) = play.waiting()
+    assert not sent.ended
+    play.answer(upstream)
+    assert sent.status == 200
+    play.close()
+
+
 @pytest.mark.parametrize(
     ("route", "tenant", "forwarded"),
     [(0, None, "0"), (9, None, "9"), (12, None, "9"), (-3, None, "0"), (7, 2, "2"), (2, 7, "7"), (5, 0, "0")],
