--- a/packages/quotas/tests/test_quotas_disturbances.py
+++ b/packages/quotas/tests/test_quotas_disturbances.py
@@ -116,7 +116,7 @@
 
 @pytest.mark.parametrize("family", FAMILIES, ids=lambda one: one.__name__)
 @seeds
-def test_the_limit_holds_through(family: Disturb, seed: int) -> None:
+def test_no_disturbance_passes_the_limit(family: Disturb, seed: int) -> None:
     fleet = play(family, seed)
     assert fleet.most_in_a_window() <= fleet.site.allowed
 
@@ -133,7 +133,7 @@
 
 
 @seeds
-def test_several_hot_tenants_keep_their_limits(seed: int) -> None:
+def test_several_hot_tenants_stay_within_their_limits(seed: int) -> None:
     fleet = play(Random(seed).choice(FAMILIES), seed, tenants=4)
     assert fleet.most_in_a_window() <= fleet.site.allowed
 
--- a/packages/quotas/tests/test_quotas_planted.py
+++ b/packages/quotas/tests/test_quotas_planted.py
@@ -90,7 +90,7 @@
 
 
 def find_too_much_after_two_outages(seed: int) -> None:
-    disturbances.test_the_limit_holds_through(disturbances.tables_die_twice, seed)
+    disturbances.test_no_disturbance_passes_the_limit(disturbances.tables_die_twice, seed)
 
 
 def find_too_little(seed: int) -> None:
