--- a/packages/quotas/tests/test_quotas_disturbances.py
+++ b/packages/quotas/tests/test_quotas_disturbances.py
@@ -116,7 +116,7 @@
 
 @pytest.mark.parametrize("family", FAMILIES, ids=lambda one: one.__name__)
 @seeds
-def test_the_limit_is_never_passed(family: Disturb, seed: int) -> None:
+def test_no_disturbance_passes_the_limit(family: Disturb, seed: int) -> None:
     fleet = play(family, seed)
     assert fleet.most_in_a_window() <= fleet.site.allowed
 
