Roll-outs: what a version on trial may get is read from the settings

Cause: the bounds expose_share and expose_slack, which a deployment names among its bounds, were constants of the package: a deployment with others would have been served by 0.1 and 50. Result: the tests of settings, schedule and driver pass; with the bounds ignored the schedule's new test fails.

--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -13,6 +13,7 @@
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 from larkweir_replication.messages import Message as ReplicationMessage
 from larkweir_replication.messages import Snapshot
+from larkweir_rollouts.exposure import ExposureBounds
 
 from larkweir.cluster import log, settings_watcher
 from larkweir.cluster.links import Connection
@@ -138,8 +139,14 @@
             RolloutsApi(primary.call),
         )
         inputs = RolloutInputs(state.rollouts, state.rollout_samples, registry, self._subscriptions)
+        bounds = self.settings.bounds
         self._rollout_driver = RolloutDriver(
-            inputs, self._driver.call, self._driver.is_primary, self._contact.is_connected, self._tasks
+            inputs,
+            self._driver.call,
+            self._driver.is_primary,
+            self._contact.is_connected,
+            self._tasks,
+            ExposureBounds(bounds.expose_share, bounds.expose_slack),
         )
 
     async def run(self) -> None:
--- a/larkweir/controller/rollout_driver.py
+++ b/larkweir/controller/rollout_driver.py
@@ -11,6 +11,7 @@
 from larkweir_registry.records import UpstreamState
 from larkweir_registry.registry import Registry
 from larkweir_replication.messages import Command
+from larkweir_rollouts.exposure import ExposureBounds
 from larkweir_rollouts.only_version import next_step_of_only_version
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import PooledSamples
@@ -83,6 +84,7 @@
         is_primary: whether that replica is the primary.
         is_in_contact: whether this controller has links to a majority.
         tasks: the owner of the commands under way.
+        bounds: what a version on trial may get; None for the usual.
     """
 
     inputs: RolloutInputs
@@ -90,6 +92,7 @@
     is_primary: Callable[[], bool]
     is_in_contact: Callable[[], bool]
     tasks: BackgroundTasks
+    bounds: ExposureBounds | None = None
     _progress: dict[tuple[str, str], _Progress] = field(default_factory=dict)  # by service and order
     _routers: dict[str, _LastSeen] = field(default_factory=dict)  # connected ones and those lost just now
 
@@ -186,6 +189,7 @@
             others_ready=len(tracks.others),
             are_routers_confirmed=self._are_routers_confirmed(committed),
             others_in_flight=totals.others.in_flight,
+            bounds=self.bounds,
         )
 
     def _are_routers_confirmed(self, committed: CommittedRollout) -> bool:
--- a/packages/rollouts/src/larkweir_rollouts/exposure.py
+++ b/packages/rollouts/src/larkweir_rollouts/exposure.py
@@ -15,6 +15,18 @@
 EXPOSURE_SLACK = 50.0  # requests beyond that
 
 
+class ExposureBounds(msgspec.Struct, frozen=True):
+    """What a target that may be bad is allowed.
+
+    Attributes:
+        share: of all requests until the deadline.
+        slack: requests beyond that.
+    """
+
+    share: float
+    slack: float
+
+
 class ExposureBudget(msgspec.Struct, frozen=True):
     """The requests that a target may get until the deadline, by the traffic so far.
 
@@ -34,11 +46,14 @@
         return left / requests if left < requests else 1.0
 
 
-def exposure_budget(totals: RolloutReport, elapsed_s: float, duration_s: float) -> ExposureBudget:
-    """Extrapolate the traffic since the order to the deadline."""
+def exposure_budget(
+    totals: RolloutReport, elapsed_s: float, duration_s: float, bounds: ExposureBounds | None = None
+) -> ExposureBudget:
+    """Extrapolate the traffic since the order to the deadline. `bounds`: None for the usual ones."""
+    bounds = bounds or ExposureBounds(EXPOSURE_SHARE, EXPOSURE_SLACK)
     spent = _requests(totals.target)
     rate_per_s = (spent + _requests(totals.others)) / elapsed_s if elapsed_s > 0.0 else 0.0
-    return ExposureBudget(rate_per_s, EXPOSURE_SHARE * rate_per_s * duration_s + EXPOSURE_SLACK, spent)
+    return ExposureBudget(rate_per_s, bounds.share * rate_per_s * duration_s + bounds.slack, spent)
 
 
 def _requests(track: TrackSamples) -> int:
--- a/packages/rollouts/src/larkweir_rollouts/schedule.py
+++ b/packages/rollouts/src/larkweir_rollouts/schedule.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from larkweir_rollouts.exposure import exposure_budget
+from larkweir_rollouts.exposure import ExposureBounds, exposure_budget
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.pooling import answered
 from larkweir_rollouts.samples import RolloutReport
@@ -58,6 +58,7 @@
         others_ready: all other ready upstreams of the service.
         are_routers_confirmed: every connected router acts by the present state of the roll-out.
         others_in_flight: requests that are under way at the others.
+        bounds: what the target is allowed; None for the usual.
     """
 
     rollout: Rollout
@@ -68,6 +69,7 @@
     others_ready: int
     are_routers_confirmed: bool
     others_in_flight: int
+    bounds: ExposureBounds | None = None
 
     @property
     def remaining_s(self) -> float:
@@ -102,7 +104,7 @@
     first, last = PLANNING_FRACTIONS
     if not first <= view.elapsed_s / full_weight_s <= last:
         return present
-    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s)
+    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s, view.bounds)
     planned = budget.weight_until(PLANNED_BUDGET, full_weight_s - view.elapsed_s)
     planned = min(MAX_CANARY_WEIGHT, max(CANARY_WEIGHT, planned))
     is_near = present / MIN_CHANGE_FACTOR < planned < present * MIN_CHANGE_FACTOR
@@ -173,7 +175,7 @@
 def _paused_weight(view: View) -> float:
     """Return the weight of a target that may not grow: it never rises, and keeps to the budget until the deadline."""
     present = view.rollout.target_weight
-    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s)
+    budget = exposure_budget(view.totals, view.elapsed_s, view.rollout.duration_s, view.bounds)
     allowed = max(MIN_PAUSED_WEIGHT, budget.weight_until(PAUSED_BUDGET, view.remaining_s))
     if view.verdict.is_suspect:
         allowed = min(allowed, CANARY_WEIGHT)
--- a/packages/rollouts/tests/test_rollouts_schedule.py
+++ b/packages/rollouts/tests/test_rollouts_schedule.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import pytest
-from larkweir_rollouts.exposure import exposure_budget
+from larkweir_rollouts.exposure import ExposureBounds, exposure_budget
 from larkweir_rollouts.orders import Advance
 from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples
 from larkweir_rollouts.schedule import (
@@ -155,3 +155,15 @@
     assert budget.weight_until(0.2, 5.0) == 0.0
     assert budget.weight_until(1.0, 1.0) == 1.0
     assert budget.weight_until(1.0, 0.0) == 1.0, "without traffic no weight spends it"
+
+
+def test_the_weight_is_planned_within_the_bounds_of_the_deployment() -> None:
+    usual = view(5.0)
+    narrow = msgspec.structs.replace(usual, bounds=ExposureBounds(0.05, 0.0))
+    wide = msgspec.structs.replace(usual, bounds=ExposureBounds(0.5, 500.0))
+    weights = [planned_weight(next_step(one)) for one in (narrow, usual, wide)]
+    assert weights == sorted(set(weights))
+
+
+def planned_weight(step: Advance | None) -> float:
+    return step.target_weight if step is not None else CANARY_WEIGHT
--- a/tests/cluster/test_settings.py
+++ b/tests/cluster/test_settings.py
@@ -40,3 +40,9 @@
         parse(SETTINGS.replace(before, after))
     assert named in str(caught.value)
     assert "\n" not in str(caught.value)
+
+
+def test_what_a_version_on_trial_may_get_is_of_the_settings() -> None:
+    assert parse(SETTINGS).bounds.expose_share == 0.1
+    named = parse(SETTINGS + "bounds: {expose_share: 0.05, expose_slack: 20}\n").bounds
+    assert (named.expose_share, named.expose_slack) == (0.05, 20.0)
