--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -12,6 +12,8 @@
 
 import msgspec
 from larkweir_quotas.limits import QuotaSnapshot, QuotaStatus, Units
+from larkweir_quotas.quota_allocator import QuotaOutcome
+from larkweir_quotas.share_leases import ShareClaim, ShareOffer
 from larkweir_registry.records import MAX_COUNTER, Counter, Record, VersionVector
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
@@ -24,6 +26,7 @@
 MAX_STATUS = 599  # of HTTP
 MAX_CLOCK_MS = 1e15  # of a monotonic clock
 MAX_AGE_MS = 1e12  # of an order
+MAX_RETRY_AFTER_S = 3_600.0
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_COUNT)]
 Tokens = Annotated[int, msgspec.Meta(ge=0, le=MAX_TOKENS)]
@@ -61,7 +64,7 @@
     Attributes:
         config_sequence: of the configuration in force at the sender; -1 for none.
         vector: of the sender's upstreams; None where it is as in the last pull on this connection.
-        usage: by tenant, units that the sender has admitted since it started.
+        usage: by tenant, units that the sender has admitted since it started; to controllers without share leases.
         sent_ms: when it was sent, by the sender's monotonic clock.
         queued_prefill_tokens: by engine, prompt tokens of the sender's calls that wait for prefill there.
         outcomes: by upstream with recent failures, how many of the sender's calls
@@ -70,7 +73,8 @@
         rollouts: by service with a running roll-out, what the sender has seen of it;
             a service is left out where nothing has changed since the last pull on this connection.
         encodings: those that the sender reads large configurations in; where the last delta on this connection asked.
-        quota_snapshot: what the sender knows of tenants' quotas, in the first pull on a connection.
+        quota_snapshot: what the sender knows of the fleet, in the first pull on a connection.
+        quota_claim: the share of all quotas that the sender holds; only controllers have one.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -83,6 +87,7 @@
     rollouts: dict[str, RolloutReport] = {}
     encodings: list[str] = []
     quota_snapshot: QuotaSnapshot | None = None
+    quota_claim: ShareClaim | None = None
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
@@ -134,14 +139,17 @@
         vector: what the receiver has seen once it has merged them.
         controllers: the nodes of all known controllers; empty where they are as in the last delta on this connection.
         router_count: routers that are connected to the sender.
-        quotas: the status of the tenants in `Pull.usage`, and of those of which little is left.
+        quotas: the status of the tenants in `Pull.usage`.
         queued_prefill_tokens: by engine, of the busiest engines, prompt tokens of all other routers that wait there.
         ejected: upstreams that are to be left out; None where they are as in the last delta on this connection.
         wants_records: the sender has lost its records of upstreams: the next pull is to offer those of the receiver.
         compressed_config: in place of `config`, to a receiver that has named its encodings.
         wants_encodings: a large configuration waits: the next pull is to name the encodings that the receiver reads.
-        quotas_unknown: the receiver has a configuration and the sender none yet: `quotas` says nothing of any tenant.
+        quotas_unknown: the sender holds no share, or has no configuration: `quotas` says nothing of any tenant.
         rollout_ages: by service with a running roll-out. Only controllers are sent any.
+        grants_quotas: whether the sender holds a share of all quotas, so that the receiver may ask it for units;
+            None: the sender's version has no share leases.
+        quota_offer: a lease, from the primary to another controller.
     """
 
     config: ConfigUpdate | None = None
@@ -159,6 +167,8 @@
     wants_encodings: bool = False
     quotas_unknown: bool = False
     rollout_ages: dict[str, RolloutAge] = {}
+    grants_quotas: bool | None = None
+    quota_offer: ShareOffer | None = None
 
 
 class Replication(msgspec.Struct, frozen=True, tag="replication"):
@@ -226,6 +236,45 @@
     is_cached: bool = msgspec.field(default=False, name="kept")
 
 
+class QuotaRequest(msgspec.Struct, frozen=True, tag="quota_request", omit_defaults=True):
+    """Asks a controller for units of a tenant's quota; only sent where `Delta.grants_quotas` has said that it may be.
+
+    Attributes:
+        request_id: chosen by the sender, for the answer.
+        tenant: who uses them.
+        units: that a request uses.
+        config_sequence: of the configuration in force at the sender.
+        is_executed_again: the units are used already, by another execution of a request: there is no answer.
+    """
+
+    request_id: Counter
+    tenant: str
+    units: Units
+    config_sequence: Sequence = -1
+    is_executed_again: bool = False
+
+
+class QuotaResponse(msgspec.Struct, frozen=True, tag="quota_response", omit_defaults=True):
+    """The answer to a `QuotaRequest`.
+
+    Attributes:
+        request_id: as in the request.
+        outcome: whether the units were withdrawn.
+        retry_after_s: after which they may be there, where they were refused.
+    """
+
+    request_id: Counter
+    outcome: QuotaOutcome
+    retry_after_s: Annotated[float, msgspec.Meta(ge=0.0, le=MAX_RETRY_AFTER_S)] = 0.0
+
+
+class QuotaRefund(msgspec.Struct, frozen=True, tag="quota_refund"):
+    """Units that the receiver granted on this connection were not used."""
+
+    tenant: str
+    units: Units
+
+
 Message = (
     Hello
     | Ping
@@ -238,5 +287,8 @@
     | PrimaryResponse
     | PlacementRequest
     | PlacementResponse
+    | QuotaRequest
+    | QuotaResponse
+    | QuotaRefund
 )
 """All messages; `type` tells them apart."""
--- a/larkweir/cluster/settings.py
+++ b/larkweir/cluster/settings.py
@@ -54,6 +54,7 @@
         retry_budget_slack: attempts beyond the first that are allowed on top of the ratio.
         quota_window_s: the window in which a tenant's quota is measured.
         quota_over: the fraction by which a quota may be exceeded in it.
+        quota_slack: units by which it may be exceeded in it beyond that.
         expose_share: the share of a service's requests that a version on trial may get.
         expose_slack: requests that it may get beyond that.
         recover_s: from the end of a fault until the fleet serves as before.
@@ -67,6 +68,7 @@
     retry_budget_slack: float = 10.0
     quota_window_s: float = 8.0
     quota_over: float = 0.0
+    quota_slack: float = 0.0
     expose_share: float = 0.1
     expose_slack: float = 50.0
     recover_s: float = 12.0
--- a/larkweir/controller/inspection.py
+++ b/larkweir/controller/inspection.py
@@ -9,8 +9,10 @@
 from larkweir_replication.replica import Replica
 
 from larkweir.cluster.http_server import Response
+from larkweir.controller.clock import now_ms
 from larkweir.controller.metrics import METRICS_CONTENT_TYPE, Metric, encode
 from larkweir.controller.pull_service import PublishedState
+from larkweir.controller.quota_metrics import quota_metrics
 from larkweir.controller.rollout_metrics import rollout_metrics
 from larkweir.controller.subscriptions import Subscriptions
 
@@ -126,6 +128,7 @@
             Metric("upstreams_ready", "upstreams that are ready and heard of", status.upstreams_ready),
             Metric("upstreams_silent", "upstreams whose heartbeats have stopped", timed_out),
             Metric("waiting_tokens", "prompt tokens that wait to be read", waiting),
+            *quota_metrics(self._state.quotas, now_ms()),
             *rollout_metrics(self._state.rollouts, self._state.rollout_samples),
         )
 
--- a/larkweir/controller/message_dispatch.py
+++ b/larkweir/controller/message_dispatch.py
@@ -18,6 +18,8 @@
     PrimaryRequest,
     PrimaryResponse,
     Pull,
+    QuotaRefund,
+    QuotaRequest,
     Replication,
 )
 from larkweir.controller.background_tasks import BackgroundTasks
@@ -27,6 +29,7 @@
 from larkweir.controller.placement_requests import PlacementRequests
 from larkweir.controller.primary_client import PrimaryClient
 from larkweir.controller.pull_service import PullService
+from larkweir.controller.quota_accounting import QuotaAccounting
 from larkweir.controller.registry_sync import RegistrySync
 from larkweir.controller.replica_driver import ReplicaDriver
 
@@ -41,6 +44,7 @@
     failure_detector: FailureDetector
     driver: ReplicaDriver
     placements: PlacementRequests
+    quotas: QuotaAccounting
     primary: PrimaryClient
     tasks: BackgroundTasks
     rollouts: CommittedRollouts
@@ -62,6 +66,12 @@
                     self.driver.receive(connection.node, message.message)
             case PlacementRequest():
                 connection.send(self.placements.answer(message))
+            case QuotaRequest():
+                response = self.quotas.answer(message, now_ms())
+                if response is not None:
+                    connection.send(response)
+            case QuotaRefund():
+                self.quotas.refund(message, now_ms())
             case HeartbeatReport():
                 self.failure_detector.record_peer_heartbeats(message.sequences, now_ms())
             case PrimaryRequest():
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -7,7 +7,8 @@
 import secrets
 import signal
 
-from larkweir_quotas.usage_table import UsageTable
+from larkweir_quotas.limits import Tolerance
+from larkweir_quotas.quota_allocator import QuotaAllocator
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
@@ -41,6 +42,7 @@
 from larkweir.controller.pull_service import PublishedState, PullService
 from larkweir.controller.quorum_contact import QuorumContact
 from larkweir.controller.quota_accounting import QuotaAccounting
+from larkweir.controller.quota_shares import QuotaGroup, QuotaShares
 from larkweir.controller.recovery_hints import RecoveryHints
 from larkweir.controller.registry_sync import RegistrySync
 from larkweir.controller.replica_driver import ReplicaDriver
@@ -87,10 +89,12 @@
         self._failure_detector = FailureDetector(settings.heartbeat_ms, now_ms())
         unconfirmed = UnconfirmedUpstreams(self._registry, self._failure_detector)
         self._subscriptions = Subscriptions()
+        self._make_quotas()
         self._state = PublishedState(
             registry=self._registry,
             configuration=ConfigurationHistory(),
-            quotas=QuotaAccounting(UsageTable(), overuse_fraction=settings.bounds.quota_over),
+            quotas=self._quotas,
+            quota_shares=self._quota_shares,
             prefill_load=PrefillLoad(),
             ejection=UpstreamEjection(self._registry, self._subscriptions),
             unconfirmed=unconfirmed,
@@ -100,9 +104,26 @@
             self._state, self._subscriptions, self._confirmation, lambda: self._known_controllers.nodes()
         )
 
+    def _make_quotas(self) -> None:
+        """What this controller hands out of tenants' quotas; it is asked once the replica is there."""
+        bounds = self.settings.bounds
+        allocator = QuotaAllocator(Tolerance(bounds.quota_window_s, bounds.quota_over, bounds.quota_slack))
+        self._quotas = QuotaAccounting(
+            allocator,
+            overuse_fraction=self.settings.bounds.quota_over,
+        )
+        group = QuotaGroup(
+            self.settings.ip,
+            term=lambda present_ms: self._driver.certain_term(present_ms),
+            members=lambda: self._driver.members(),
+            clients=lambda: self._subscriptions.router_count,
+        )
+        self._quota_shares = QuotaShares(allocator, group, lambda: self._pulls.wake())
+
     def _make_replica(self) -> None:
         """The replicated configuration, and what is recovered from disk beside it."""
         self._driver = ReplicaDriver(self.settings, self._send_replication, self._committed)
+        self._quotas.is_first_start = self._driver.is_first_start
         self._known_controllers = KnownControllers(self.settings, self._driver.replica)
         self._placement = PrefixPlacement()
         self._contact = QuorumContact(
@@ -118,7 +139,7 @@
         self._heartbeats = HeartbeatMonitor(
             registry, failure_detector, state.unconfirmed, self._links, self._contact, wake
         )
-        self._registry_sync = RegistrySync(registry, failure_detector, wake)
+        self._registry_sync = RegistrySync(registry, failure_detector, self._quota_shares, wake)
         primary = PrimaryClient(self._driver, self._links)
         self._dispatch = MessageDispatch(
             known_controllers=self._known_controllers,
@@ -127,6 +148,7 @@
             failure_detector=failure_detector,
             driver=self._driver,
             placements=PlacementRequests(registry, state.ejection, self._placement, state.rollouts),
+            quotas=self._quotas,
             primary=primary,
             tasks=self._tasks,
             rollouts=state.rollouts,
@@ -191,6 +213,7 @@
             ),
             PeriodicTask("replica", self._driver.tick, is_essential=True),
             PeriodicTask("links", lambda: self._links.keep_alive(self._known_controllers.others())),
+            PeriodicTask("quota_shares", lambda: self._quota_shares.tick(now_ms())),
             PeriodicTask("pulls", self._pulls.tick),
             PeriodicTask("heartbeat_reports", self._heartbeats.share, HEARTBEATS_EVERY_TICKS),
             PeriodicTask("quorum_contact", self._contact.update, HEARTBEATS_EVERY_TICKS),
@@ -235,4 +258,4 @@
         log.event(
             "committed", sequence=snapshot.sequence, epoch=snapshot.epoch.number, members=snapshot.members
         )
-        self._pulls.publish(snapshot.sequence, snapshot.value)
+        self._pulls.publish(snapshot.sequence, snapshot.value, len(snapshot.members))
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from larkweir_quotas.share_leases import ShareOffer
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
@@ -18,6 +19,7 @@
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.prefill_load import PrefillLoad
 from larkweir.controller.quota_accounting import QuotaAccounting
+from larkweir.controller.quota_shares import QuotaShares
 from larkweir.controller.rollout_samples import RolloutSamples
 from larkweir.controller.subscriptions import Subscriber, Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
@@ -36,6 +38,7 @@
     registry: Registry
     configuration: ConfigurationHistory
     quotas: QuotaAccounting
+    quota_shares: QuotaShares
     prefill_load: PrefillLoad
     ejection: UpstreamEjection
     unconfirmed: UnconfirmedUpstreams
@@ -63,15 +66,14 @@
             False  # routers, as this controller has lost its own; set before the first pull
         )
         self._loop = asyncio.get_running_loop()
-        self._has_urgent_quotas = False  # a tenant's level fell, of which every router should know
         self._wake_timer: asyncio.TimerHandle | None = None
 
-    def publish(self, sequence: int, value: str) -> None:
-        """A configuration was committed."""
+    def publish(self, sequence: int, value: str, controllers: int = 1) -> None:
+        """A configuration was committed. `controllers`: how many of them vote."""
         state = self._state
         document = state.configuration.add(sequence, value)
         if document is not None:
-            state.quotas.set_limits(document, now_ms())
+            state.quotas.set_limits(document, sequence, max(1, controllers), now_ms())
             state.rollouts.update(document, sequence, now_ms(), unix_ms())
             state.rollout_samples.update(one.rollout for one in state.rollouts.running())
             self.wake()
@@ -122,9 +124,9 @@
             offered = [record.upstream for record in pull.records]
             if self._state.unconfirmed.add(offered, present_ms):
                 self.wake()
-        if self._state.quotas.report(connection.incarnation, pull, present_ms):
-            self._has_urgent_quotas = True
-            self.wake()
+        self._state.quotas.report(connection.incarnation, pull, present_ms)
+        if pull.quota_claim is not None and not subscriber.is_router:
+            self._state.quota_shares.record_claim(connection.node, pull.quota_claim, present_ms)
         self._confirmation.check()
         if self._has_update(subscriber, pull):
             self._answer(subscriber, pull)
@@ -136,12 +138,9 @@
 
     def _answer_updated(self) -> None:
         self._wake_timer = None
-        is_urgent, self._has_urgent_quotas = self._has_urgent_quotas, False
         for subscriber in self._subscriptions:
             pull = subscriber.pending_pull
-            if pull is None:
-                continue
-            if self._has_update(subscriber, pull) or (is_urgent and subscriber.is_router):
+            if pull is not None and self._has_update(subscriber, pull):
                 self._answer(subscriber, pull)
 
     def tick(self) -> None:
@@ -159,9 +158,13 @@
                 self._answer(subscriber, pull)
 
     def _has_update(self, subscriber: Subscriber, pull: Pull) -> bool:
-        state = self._state
+        state, present_ms = self._state, now_ms()
         if pull.quota_snapshot is not None:  # the first of a router, which may do little until it is answered
             return True
+        if subscriber.is_router and subscriber.sent_granting != state.quotas.is_granting(present_ms):
+            return True
+        if self._awaits_share(subscriber, pull, present_ms):
+            return True
         if subscriber.is_router and pull.config_sequence < state.configuration.sequence:
             return True
         if subscriber.is_router and subscriber.sent_ejected != state.ejection.ejected:
@@ -171,7 +174,8 @@
     def _answer(self, subscriber: Subscriber, pull: Pull) -> None:
         state, is_router = self._state, subscriber.is_router
         subscriber.pending_pull = None
-        controllers, ejected = self._controllers(), state.ejection.ejected
+        controllers, ejected, present_ms = self._controllers(), state.ejection.ejected, now_ms()
+        is_granting = state.quotas.is_granting(present_ms)
         has_new_ejected = is_router and ejected != subscriber.sent_ejected
         configuration = self._delivery.answer(subscriber, pull) if is_router else ConfigurationAnswer()
         delta = Delta(
@@ -184,7 +188,7 @@
             },
             controllers=controllers if controllers != subscriber.sent_controllers else [],
             router_count=max(1, self._subscriptions.router_count),
-            quotas=state.quotas.statuses(pull, now_ms()) if is_router else {},
+            quotas=state.quotas.statuses(pull, present_ms) if is_router else {},
             queued_prefill_tokens=state.prefill_load.of_others(subscriber.queued_prefill_tokens)
             if is_router
             else {},
@@ -192,13 +196,26 @@
             wants_records=is_router and self.requests_records and not subscriber.records_requested,
             compressed_config=configuration.compressed_config,
             wants_encodings=configuration.wants_encodings,
-            quotas_unknown=is_router and pull.config_sequence >= 0 and not state.quotas.has_limits,
-            rollout_ages={} if is_router else state.rollouts.ages(now_ms()),
+            quotas_unknown=is_router and pull.config_sequence >= 0 and not is_granting,
+            rollout_ages={} if is_router else state.rollouts.ages(present_ms),
+            grants_quotas=is_granting if is_router else None,
+            quota_offer=self._quota_offer(subscriber, pull, present_ms),
         )
         subscriber.records_requested = True
         subscriber.sent_ejected, subscriber.sent_controllers = ejected, controllers
+        subscriber.sent_granting = is_granting
         subscriber.connection.send(delta)
 
+    def _awaits_share(self, subscriber: Subscriber, pull: Pull, present_ms: float) -> bool:
+        if subscriber.is_router or pull.quota_claim is None:
+            return False
+        return self._state.quota_shares.is_urgent(subscriber.connection.node, pull.quota_claim, present_ms)
+
+    def _quota_offer(self, subscriber: Subscriber, pull: Pull, present_ms: float) -> ShareOffer | None:
+        if subscriber.is_router or pull.quota_claim is None:
+            return None
+        return self._state.quota_shares.offer(subscriber.connection.node, pull.quota_claim, present_ms)
+
 
 def _router_name(connection: Connection) -> str:
     """Of one incarnation of a router, as its samples are counted."""
--- a/larkweir/controller/quota_accounting.py
+++ b/larkweir/controller/quota_accounting.py
@@ -1,66 +1,139 @@
-"""The use of quotas: limits of the configuration, reports of routers, and a reserve for disconnected ones."""
+"""The use of quotas: limits of the configuration, requests of routers, and a reserve for disconnected ones."""
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Collection, Mapping
 
 from larkweir_quotas.limits import QuotaStatus, RateLimit
-from larkweir_quotas.usage_table import UsageTable
+from larkweir_quotas.local_reserve import ISOLATED_FRACTION
+from larkweir_quotas.quota_allocator import UNDECIDED, QuotaAllocator
+from larkweir_quotas.share_leases import TOTAL_SHARE
 
 from larkweir.cluster.configuration.documents import Document
-from larkweir.cluster.messages import Pull
+from larkweir.cluster.messages import Pull, QuotaRefund, QuotaRequest, QuotaResponse
 
 DISCONNECTED_ROUTER_MS = 30_000.0  # for so long one may be partitioned from here and still serve requests
+REBUILD_MS = 10_000.0  # after a start, in which routers that have not connected yet count as disconnected
+MAX_TRACKED_INCARNATIONS = 4_096  # of routers that report their usage; the oldest are dropped first
 
 
 class QuotaAccounting:
-    """Feeds the usage table of this controller and reads it. Times are milliseconds that only rise."""
+    """Feeds the allocator of this controller and reads it. Times are milliseconds that only rise."""
 
-    def __init__(self, usage_table: UsageTable, *, overuse_fraction: float = 0.0) -> None:
-        """`overuse_fraction`: the fraction of a quota by which it may be exceeded."""
-        self._usage_table = usage_table
+    def __init__(self, allocator: QuotaAllocator, *, overuse_fraction: float = 0.0) -> None:
+        """Know no configuration yet.
+
+        Args:
+            allocator: of this controller's share.
+            overuse_fraction: the fraction of a quota by which it may be exceeded.
+        """
+        self._allocator = allocator
         self._overuse_fraction = overuse_fraction
+        self.is_first_start = False  # of the group; set before the first configuration
+        self._sequence: int | None = None  # of the newest configuration
+        self._started_ms = 0.0  # when the first configuration was in force
+        self._expected_routers = 0  # the most that any router has told
         self._disconnected_ms: dict[str, float] = {}  # by router: when its connection was lost
+        self._reported_units: dict[
+            str, dict[str, float]
+        ] = {}  # by incarnation of a router without share leases
 
-    def set_limits(self, document: Document, now_ms: float) -> None:
-        """A new configuration is in force."""
-        self._usage_table.set_limits(limits_of(document), now_ms)
+    def set_limits(self, document: Document, sequence: int, controllers: int, now_ms: float) -> None:
+        """A new configuration is in force.
 
-    def report(self, incarnation: str, pull: Pull, now_ms: float) -> bool:
-        """Adds a process' usage. Returns whether other processes should be informed soon."""
-        urgent = self._usage_table.record_report(
-            incarnation, pull.usage, pull.sent_ms, now_ms, pull.quota_snapshot
-        )
-        return bool(urgent)
+        Tenants that it adds may use a burst at once. Those of the first one that this process knows may have used
+        theirs before it started.
 
-    @property
-    def has_limits(self) -> bool:
-        """Whether a configuration was in force here: until then `statuses` says nothing of any tenant."""
-        return self._usage_table.has_limits
+        Args:
+            document: the configuration.
+            sequence: under which it was committed.
+            controllers: that may hold shares.
+            now_ms: the present.
+        """
+        is_new = self._sequence is not None or self.is_first_start
+        if self._sequence is None:
+            self._started_ms = now_ms
+        self._sequence = sequence
+        limits = limits_of(document)
+        self._allocator.set_limits(limits, now_ms, controllers=controllers, is_restart=not is_new)
+
+    def answer(self, request: QuotaRequest, now_ms: float) -> QuotaResponse | None:
+        """Withdraw what a router asks for, if it is there; None where the request needs no answer."""
+        if request.is_executed_again:
+            self._allocator.charge(request.tenant, request.units, now_ms)
+            return None
+        decision = UNDECIDED
+        if self._sequence is not None and self._sequence >= request.config_sequence:
+            decision = self._allocator.request(request.tenant, request.units, now_ms)
+        return QuotaResponse(request.request_id, decision.outcome, decision.retry_after_s)
+
+    def refund(self, refund: QuotaRefund, now_ms: float) -> None:
+        """A router has not used what it was granted on the same connection."""
+        self._allocator.refund(refund.tenant, refund.units, now_ms)
+
+    def report(self, incarnation: str, pull: Pull, now_ms: float) -> None:
+        """Charge the usage of a router that asks nobody, as it knows no share leases; it reports to all controllers.
+
+        Its first report only sets the base: that use may have been reported to another process.
+        """
+        if pull.quota_snapshot is not None:
+            self._expected_routers = max(self._expected_routers, pull.quota_snapshot.process_count)
+        if not pull.usage:
+            return
+        is_first = incarnation not in self._reported_units
+        known = self._reported_units.setdefault(incarnation, {})
+        for tenant, units in pull.usage.items():
+            used = units - known.get(tenant, 0.0)
+            known[tenant] = units
+            if used > 0.0 and not is_first:
+                self._allocator.charge(tenant, self._allocator.share_of(used, now_ms), now_ms)
+        if len(self._reported_units) > MAX_TRACKED_INCARNATIONS:
+            del self._reported_units[next(iter(self._reported_units))]
+
+    def is_granting(self, now_ms: float) -> bool:
+        """Whether routers may ask this controller for units."""
+        return self._sequence is not None and self._allocator.has_share(now_ms)
+
+    def share_fraction(self, now_ms: float) -> float:
+        """The fraction of all quotas that this controller hands out."""
+        return self._allocator.share(now_ms) / TOTAL_SHARE
+
+    def granted_units(self) -> Mapping[str, float]:
+        """By tenant, since the start."""
+        return self._allocator.granted_units
+
+    def refused_units(self) -> Mapping[str, float]:
+        """By tenant, since the start; one that asked several controllers is refused by each."""
+        return self._allocator.refused_units
 
     def statuses(self, pull: Pull, now_ms: float) -> dict[str, QuotaStatus]:
-        """What is left for each tenant of which the pull reports usage, or of which every router should know."""
-        tenants = dict.fromkeys([*pull.usage, *self._usage_table.scarce_tenants(now_ms)])
-        return self._usage_table.statuses(list(tenants), now_ms)
+        """What is left for each tenant of which the pull reports usage."""
+        return self._allocator.statuses(pull.usage, now_ms)
 
     def connected(self, node: str) -> None:
         """A process has introduced itself: nothing is reserved for it any more."""
         self._disconnected_ms.pop(node, None)
 
     def router_disconnected(self, node: str, now_ms: float) -> None:
-        """It may be partitioned from here and go on by its own share."""
+        """It may be partitioned from here and go on by its own reserve."""
         self._disconnected_ms[node] = now_ms
 
     def update_reserve(self, connected: Collection[str], routers: int, now_ms: float) -> None:
-        """Reserves a part of each quota for routers that were lost recently; to be called several times a second.
+        """Reserve a part of each quota for routers that may be isolated; to be called several times a second.
 
-        `connected`: nodes. `routers`: how many of them are routers.
+        Args:
+            connected: nodes.
+            routers: how many of them are routers.
+            now_ms: the present.
         """
         for node, lost_ms in list(self._disconnected_ms.items()):
             if node in connected or now_ms >= lost_ms + DISCONNECTED_ROUTER_MS:
                 del self._disconnected_ms[node]
         lost = len(self._disconnected_ms)
-        self._usage_table.set_unreachable(lost / max(1, lost + routers), self._overuse_fraction)
+        if now_ms < self._started_ms + REBUILD_MS:
+            lost = max(lost, self._expected_routers - routers)
+        reserved = ISOLATED_FRACTION * lost / max(1, lost + routers)
+        self._allocator.set_rate_fraction(1.0 - max(0.0, reserved - self._overuse_fraction), now_ms)
 
 
 def limits_of(document: Document) -> dict[str, RateLimit]:
--- a/larkweir/controller/registry_sync.py
+++ b/larkweir/controller/registry_sync.py
@@ -1,4 +1,4 @@
-"""Keeps the registry of upstreams in step with those of the other controllers: each pulls from every other one."""
+"""What a controller pulls from every other one: their upstreams, and from the primary its share of quotas."""
 
 from __future__ import annotations
 
@@ -10,22 +10,29 @@
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Pull
 from larkweir.controller.clock import now_ms
+from larkweir.controller.quota_shares import QuotaShares
 
 
 class RegistrySync:
     """The pulling side; `PullService` is the other one."""
 
     def __init__(
-        self, registry: Registry, failure_detector: FailureDetector, on_update: Callable[[], None]
+        self,
+        registry: Registry,
+        failure_detector: FailureDetector,
+        quota_shares: QuotaShares,
+        on_update: Callable[[], None],
     ) -> None:
         """`on_update` is called when records were received, so that routers are informed."""
         self._registry = registry
+        self._quota_shares = quota_shares
+        self._claimed_ms: dict[str, float] = {}  # by controller: when the last pull was sent
         self._failure_detector = failure_detector
         self._on_update = on_update
 
     def begin(self, connection: Connection) -> None:
         """Sends the first pull of a connection that this controller has dialled."""
-        connection.send(Pull(vector=dict(self._registry.vector)))
+        self._pull(connection, has_new_vector=True)
 
     def received(self, connection: Connection, delta: Delta) -> None:
         """Merges what this registry lacked, and pulls again."""
@@ -34,4 +41,12 @@
             self._failure_detector.record_peer_heartbeats({upstream.id: upstream.sequence}, present_ms)
         if delta.records:
             self._on_update()
-        connection.send(Pull(vector=dict(self._registry.vector) if delta.vector else None))
+        if delta.quota_offer is not None and connection.node in self._claimed_ms:
+            claimed_ms = self._claimed_ms[connection.node]
+            self._quota_shares.accept(delta.quota_offer, claimed_ms, present_ms)
+        self._pull(connection, has_new_vector=bool(delta.vector))
+
+    def _pull(self, connection: Connection, *, has_new_vector: bool) -> None:
+        present_ms = self._claimed_ms[connection.node] = now_ms()
+        vector = dict(self._registry.vector) if has_new_vector else None
+        connection.send(Pull(vector=vector, quota_claim=self._quota_shares.claim(present_ms)))
--- a/larkweir/controller/replica_driver.py
+++ b/larkweir/controller/replica_driver.py
@@ -98,6 +98,18 @@
         """Whether this replica is the primary."""
         return self.replica.status is ReplicaStatus.PRIMARY
 
+    def certain_term(self, present_ms: float) -> tuple[int, str] | None:
+        """The epoch's number and node while no other replica can be the primary; None at all other times."""
+        replica = self.replica
+        if not (self.is_primary() and replica.is_lease_valid(present_ms)):
+            return None
+        return replica.promised.number, replica.promised.node
+
+    def members(self) -> tuple[str, ...]:
+        """The controllers that vote, as far as this one knows."""
+        accepted = self.replica.accepted
+        return accepted.members if accepted is not None else ()
+
     def receiving(self, senders: Iterable[str]) -> None:
         """Large messages are arriving: heartbeats are queued behind them, and these senders are alive."""
         for sender in senders:
--- a/larkweir/controller/subscriptions.py
+++ b/larkweir/controller/subscriptions.py
@@ -26,6 +26,7 @@
     encodings: frozenset[str] | None = None  # of large configurations; None until it has named them
     sent_ejected: frozenset[str] = frozenset()
     sent_controllers: list[str] = field(default_factory=list)
+    sent_granting: bool | None = None  # whether this controller holds a share of the quotas
 
     @property
     def is_router(self) -> bool:
--- a/larkweir/router/admission.py
+++ b/larkweir/router/admission.py
@@ -1,10 +1,10 @@
-"""Admission of a request: configuration, route, API key and quota, in that order."""
+"""Admission of a request: configuration, route and API key; then, apart, its tenant's quota."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-from larkweir_quotas.quota_limiter import QuotaCharge, QuotaRejection
+from larkweir_quotas.quota_requester import QuotaCharge
 
 from larkweir.router.answers import ErrorKind
 from larkweir.router.client_request import ClientRequest, RoutingHeaders
@@ -46,6 +46,16 @@
         )
 
 
+@dataclass(frozen=True, slots=True)
+class Authorization:
+    """A request that its route and key allow. Its tenant's quota was not asked yet."""
+
+    route: Route
+    tenant: Tenant | None  # None: the route is public, or there are no tenants
+    units: float  # of the tenant's quota
+    deadline_ms: float  # on the event loop's clock
+
+
 @dataclass(frozen=True, slots=True)
 class Denial:
     """A request that is answered with an error at once. Nothing was charged for it."""
@@ -55,15 +65,12 @@
     retry_after_s: float | None = None  # None: as `ERROR_RESPONSES` has it
 
 
-def admit(plane: DataPlane, request: ClientRequest, now_ms: float) -> Admission | Denial:
-    """Check a request against the configuration in force and charge it to its tenant's quota.
-
-    Draws the service by the route's weights and earns the service's retry budget.
+def authorize(plane: DataPlane, request: ClientRequest) -> Authorization | Denial:
+    """Check a request against the configuration in force.
 
     Args:
         plane: the router's shared state.
         request: the complete request.
-        now_ms: the event loop's time.
     """
     table = plane.configuration.table
     if table is None:
@@ -72,17 +79,30 @@
     if route is None:
         return Denial(ErrorKind.NO_ROUTE)
     tenant: Tenant | None = None
-    charge: QuotaCharge | None = None
+    units = 0.0
     if table.has_tenants and not route.public:
         tenant = table.find_tenant(request.header(b"x-api-key").decode("latin-1"))
         if tenant is None:
             return Denial(ErrorKind.UNKNOWN_KEY, route)
         units = tenant.quota_units(request.metadata.total_tokens)
-        verdict = plane.quotas.admit(tenant.name, units, now_ms)
-        if isinstance(verdict, QuotaRejection):
-            return Denial(ErrorKind.OVER_QUOTA, route, verdict.retry_after_s)
-        charge = verdict
+    timeout_ms = min(route.timeout_ms, request.metadata.deadline_ms or route.timeout_ms)
+    return Authorization(route, tenant, units, request.received_ms + timeout_ms)
+
+
+def admit(
+    plane: DataPlane, authorization: Authorization, charge: QuotaCharge | None, now_ms: float
+) -> Admission:
+    """Admit a request that its tenant's quota allows.
+
+    Draws the service by the route's weights and earns the service's retry budget.
+
+    Args:
+        plane: the router's shared state.
+        authorization: of the request.
+        charge: to the tenant's quota.
+        now_ms: the event loop's time.
+    """
+    route = authorization.route
     service = route.service(plane.rng)
     plane.retry_budgets.budget(service).record_request(now_ms)
-    timeout_ms = min(route.timeout_ms, request.metadata.deadline_ms or route.timeout_ms)
-    return Admission(route, service, request.received_ms + timeout_ms, tenant, charge)
+    return Admission(route, service, authorization.deadline_ms, authorization.tenant, charge)
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+import h11
 from larkweir_balancing.prompt import Prompt
 
 from larkweir.router.request_metadata import Headers, RequestMetadata
@@ -92,6 +93,11 @@
         prefix_tokens = float(sum(block.tokens for block in shared_blocks))
         return Prompt(shared_blocks[-1].id, tokens, min(tokens, prefix_tokens), target_ms)
 
+    def upstream_request(self, routing: RoutingHeaders) -> h11.Request:
+        """The request as it is sent to an upstream."""
+        headers = self.upstream_headers(routing)
+        return h11.Request(method=self.method, target=self.target, headers=headers)
+
     def upstream_headers(self, routing: RoutingHeaders) -> list[tuple[bytes, bytes]]:
         """The headers for an upstream: the client's, without those of its connection, and the router's."""
         dropped = HOP_BY_HOP_HEADERS | ROUTER_HEADERS
--- a/larkweir/router/controller_links.py
+++ b/larkweir/router/controller_links.py
@@ -90,6 +90,11 @@
         node = min(connected, key=lambda node: rendezvous_weight(request.prefix, node))
         return self._links[node].send(request)
 
+    def send(self, node: str, message: Message) -> bool:
+        """Send a message to one controller; whether there is a connection to it."""
+        link = self._links.get(node)
+        return link is not None and link.send(message)
+
     def broadcast(self, message: Message) -> None:
         """Send a message to every controller that is connected."""
         for link in self._links.values():
--- a/larkweir/router/data_plane.py
+++ b/larkweir/router/data_plane.py
@@ -7,13 +7,14 @@
 from typing import Protocol
 
 from larkweir_balancing.fleet_outlier_detection import OutcomeWindow
-from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_quotas.limits import Tolerance
 from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.settings import Bounds
 from larkweir.router.answers import ErrorKind
 from larkweir.router.configuration import ConfigurationStore
 from larkweir.router.prefix_affinity import PrefixAffinity
+from larkweir.router.quota_admission import QuotaAdmission
 from larkweir.router.retry_budgets import RetryBudgets
 from larkweir.router.rollout_samples import RolloutSamples
 from larkweir.router.upstream_directory import UpstreamDirectory
@@ -43,7 +44,8 @@
         """
         self.rng = rng
         self.configuration = ConfigurationStore()
-        self.quotas = QuotaLimiter()
+        tolerance = Tolerance(bounds.quota_window_s, bounds.quota_over, bounds.quota_slack)
+        self.quotas = QuotaAdmission(tolerance, rng, link_mbps)
         self.retry_budgets = RetryBudgets(bounds)
         self.pool = UpstreamPool()
         self.upstreams = UpstreamDirectory(
@@ -84,9 +86,9 @@
         """Count a response of the router's own."""
         self.error_counts[kind] += 1
 
-    def set_router_count(self, routers: int) -> None:
-        """How many routers share quotas and retry budgets, this one included."""
-        self.quotas.process_count = routers
+    def set_router_count(self, routers: int, *, is_reliable: bool) -> None:
+        """How many routers share quotas and retry budgets, this one included; whether that may be relied on."""
+        self.quotas.set_process_count(routers, is_reliable=is_reliable)
         self.retry_budgets.set_router_count(routers)
 
 
--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -14,10 +14,11 @@
 from larkweir_balancing.decision_options import OPTIONS
 from larkweir_balancing.interface import Outcome
 from larkweir_balancing.prompt import Prompt
+from larkweir_quotas.quota_requester import QuotaCharge, QuotaRejection
 
 from larkweir.cluster import log
 from larkweir.cluster.tasks import log_failure
-from larkweir.router.admission import Admission, Denial, admit
+from larkweir.router.admission import Admission, Authorization, Denial, admit, authorize
 from larkweir.router.answers import ERROR_RESPONSES, ErrorKind
 from larkweir.router.attempt import Attempt
 from larkweir.router.client_request import ClientRequest
@@ -25,6 +26,7 @@
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.exchange_guard import guarded, run_each
 from larkweir.router.exchange_state import ExchangeState
+from larkweir.router.quota_admission import Verdict
 from larkweir.router.request_trace import RequestTrace
 from larkweir.router.response_classification import (
     ResponseClass,
@@ -74,8 +76,9 @@
     def _transition(self, state: ExchangeState) -> None:
         """Change the state; the only place that does. Each row is in `exchange_state.TRANSITIONS`.
 
-        NEW -> PLACING: admitted, and its prompt has a prefix that an engine may own
-        NEW, PLACING -> CONNECTING: an upstream is selected
+        NEW -> ADMITTING: its route and key allow it
+        ADMITTING -> PLACING: its tenant's quota allows it, and its prompt has a prefix that an engine may own
+        ADMITTING, PLACING -> CONNECTING: an upstream is selected
         CONNECTING -> CONNECTING: no connection; another upstream is selected
         CONNECTING -> AWAITING: the request is sent
         AWAITING -> RELAYING: the head of a response for the client arrived
@@ -98,17 +101,37 @@
     @guarded
     def start(self) -> None:
         """Admit the request and begin its first attempt, or respond with an error."""
-        admitted = admit(self._plane, self._request, self._now_ms())
-        self._route = admitted.route
-        if admitted.route is not None:
-            self._prompt = self._request.prompt(admitted.route.target_latency_ms)
-        if isinstance(admitted, Denial):
-            self._respond_error(admitted.kind, admitted.retry_after_s)
+        authorized = authorize(self._plane, self._request)
+        self._route = authorized.route
+        if authorized.route is not None:
+            self._prompt = self._request.prompt(authorized.route.target_latency_ms)
+        if isinstance(authorized, Denial):
+            self._respond_error(authorized.kind, authorized.retry_after_s)
             return
+        self._transition(ExchangeState.ADMITTING)
+        self._deadline_timer = self._loop.call_at(authorized.deadline_ms / 1000.0, self._on_deadline)
+        if authorized.tenant is None:
+            self._begin_attempts(admit(self._plane, authorized, None, self._now_ms()))
+            return
+        name, body_bytes = authorized.tenant.name, len(self._request.body)
+        self._plane.quotas.acquire(name, authorized.units, body_bytes, partial(self._on_quota, authorized))
+
+    @guarded
+    def _on_quota(self, authorized: Authorization, verdict: Verdict) -> None:
+        """The tenant's quota allows the request, or does not."""
+        if self._is_done:
+            if isinstance(verdict, QuotaCharge):
+                self._plane.quotas.refund(verdict)
+        elif isinstance(verdict, QuotaRejection):
+            self._respond_error(ErrorKind.OVER_QUOTA, verdict.retry_after_s)
+        else:
+            self._begin_attempts(admit(self._plane, authorized, verdict, self._now_ms()))
+
+    def _begin_attempts(self, admitted: Admission) -> None:
+        """Find the owner of the prompt's prefix, if it has one, and begin the first attempt."""
         self._admission = admitted
         budget = self._plane.retry_budgets.budget(admitted.service)
         self._retries = RetryAllowance(admitted.route.max_attempts, budget)
-        self._deadline_timer = self._loop.call_at(admitted.deadline_ms / 1000.0, self._on_deadline)
         self._choice = UpstreamChoice(self._plane, admitted, self._prompt, self._request.received_ms)
         if self._choice.has_placed_prefix:
             self._transition(ExchangeState.PLACING)
@@ -169,14 +192,12 @@
             return
         self._attempt.on_request_sent(connection, self._on_overdue)
         retries.record_sent()
+        if self._may_have_executed and admission.charge is not None:
+            self._plane.quotas.charge_again(admission.charge)
         self._may_have_executed = True
         self._discard_outcome = Outcome.ERROR
         routing = admission.routing_headers(self._attempt.instance, remaining_ms, self._relay.last_event_id)
-        request = h11.Request(
-            method=self._request.method,
-            target=self._request.target,
-            headers=self._request.upstream_headers(routing),
-        )
+        request = self._request.upstream_request(routing)
         if self._trace is not None:
             self._trace.on_request_sent(self._attempt.prefill_tokens, self._now_ms())
         self._transition(ExchangeState.AWAITING)
@@ -320,9 +341,8 @@
     def _on_deadline(self) -> None:
         if self._is_done:
             return
-        _, retries = self._admitted()
         has_no_effect = self._state is ExchangeState.DISCARDING and not self._may_have_executed
-        is_unsent = not retries.sent or has_no_effect
+        is_unsent = self._retries is None or not self._retries.sent or has_no_effect
         is_connecting = self._state is ExchangeState.CONNECTING
         self._abort_attempt(Outcome.CONNECT_FAILED if is_connecting else Outcome.TIMEOUT)
         if self._relay.has_started:
@@ -342,9 +362,6 @@
 
     def _respond_error(self, kind: ErrorKind, retry_after_s: float | None = None) -> None:
         self._plane.count_error(kind)
-        self._send_error(kind, retry_after_s)
-
-    def _send_error(self, kind: ErrorKind, retry_after_s: float | None = None) -> None:
         self._refund_unless_executed()
         response = ERROR_RESPONSES[kind]
         self._relay.send_error(response.status, response.headers(retry_after_s))
--- a/larkweir/router/exchange_state.py
+++ b/larkweir/router/exchange_state.py
@@ -9,6 +9,7 @@
     """Where a request stands. The values appear in the debug log (field `state`)."""
 
     NEW = "new"
+    ADMITTING = "admitting"  # a controller is asked for units of the tenant's quota
     PLACING = "placing"  # a controller is asked which engine owns the prompt's prefix
     CONNECTING = "connecting"  # to an upstream; nothing has been sent yet
     AWAITING = "awaiting"  # the request has been sent; no response head has arrived
@@ -18,7 +19,8 @@
 
 
 TRANSITIONS: dict[ExchangeState, frozenset[ExchangeState]] = {
-    ExchangeState.NEW: frozenset((ExchangeState.PLACING, ExchangeState.CONNECTING, ExchangeState.DONE)),
+    ExchangeState.NEW: frozenset((ExchangeState.ADMITTING, ExchangeState.DONE)),
+    ExchangeState.ADMITTING: frozenset((ExchangeState.PLACING, ExchangeState.CONNECTING, ExchangeState.DONE)),
     ExchangeState.PLACING: frozenset((ExchangeState.CONNECTING, ExchangeState.DONE)),
     ExchangeState.CONNECTING: frozenset(
         (ExchangeState.CONNECTING, ExchangeState.AWAITING, ExchangeState.DONE)
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -23,6 +23,7 @@
     PlacementResponse,
     PrefillQueueUpdate,
     Pull,
+    QuotaResponse,
 )
 from larkweir.cluster.settings import Settings
 from larkweir.router.controller_links import ControllerLinks
@@ -68,6 +69,7 @@
         self._configured_ms: float | None = None
         plane.prefix_affinity.send_lookup = self._links.send_lookup
         plane.announce_backlog = self._announce_backlog
+        plane.quotas.send = self._links.send
 
     def _now_ms(self) -> float:
         return self._loop.time() * 1000.0
@@ -110,13 +112,14 @@
         self._pull(connection, PullExtras.QUOTA_SNAPSHOT)
 
     def _on_disconnected(self, node: str) -> None:
+        self._plane.quotas.on_disconnected(node)
         if self._reports.remove(node):
             self._plane.upstreams.set_ejected(self._reports.ejected())
         log.debug("link_lost", to=node)
 
     def _pull(self, connection: Connection, extras: PullExtras) -> None:
         plane, now_ms = self._plane, self._now_ms()
-        usage = plane.quotas.usage(connection.node, now_ms)
+        usage = plane.quotas.usage(connection.node)
         vector = dict(self._registry.vector)
         is_unchanged = self._sent_vectors.get(connection.node) == vector
         self._sent_vectors[connection.node] = vector
@@ -132,18 +135,21 @@
             records=self._registry.delta({}) if PullExtras.RECORDS in extras else [],
             rollouts=rollouts,
             encodings=[DEFLATE] if PullExtras.ENCODINGS in extras else [],
-            quota_snapshot=self._quota_snapshot(now_ms) if PullExtras.QUOTA_SNAPSHOT in extras else None,
+            quota_snapshot=self._quota_snapshot() if PullExtras.QUOTA_SNAPSHOT in extras else None,
         )
         connection.send(pull)
 
-    def _quota_snapshot(self, now_ms: float) -> QuotaSnapshot | None:
-        """What a usage table that has no history can take over; None where this router knows of no limit."""
-        snapshot = self._plane.quotas.snapshot(now_ms)
-        return snapshot if snapshot is not None and snapshot.levels else None
+    def _quota_snapshot(self) -> QuotaSnapshot | None:
+        """How many routers a controller that has just started should expect; None where this one does not know."""
+        if not self._router_count.is_reliable(self._now_ms()):
+            return None
+        return QuotaSnapshot(process_count=self._router_count.routers)
 
     def _on_message(self, connection: Connection, message: Message) -> None:
         if isinstance(message, PlacementResponse):
             self._plane.prefix_affinity.on_placed(message, self._now_ms())
+        elif isinstance(message, QuotaResponse):
+            self._plane.quotas.on_response(connection, message)
         elif isinstance(message, Delta):
             self._on_delta(connection, message)
 
@@ -164,9 +170,10 @@
             plane.upstreams.update(changed, now_ms)
         self._links.update_listed(delta.controllers)
         self._reports.update(node, delta)
-        plane.set_router_count(self._router_count.report(self._reports.max_router_count(), now_ms))
-        if not delta.quotas_unknown:
-            plane.quotas.receive_statuses(node, delta.quotas, now_ms)
+        routers = self._router_count.report(self._reports.max_router_count(), now_ms)
+        plane.set_router_count(routers, is_reliable=self._router_count.is_reliable(now_ms))
+        statuses = None if delta.quotas_unknown else delta.quotas
+        plane.quotas.on_delta(node, grants_quotas=delta.grants_quotas, statuses=statuses)
         plane.upstreams.set_peer_prefill_backlog(self._reports.max_queued_tokens())
         if delta.ejected is not None:
             plane.upstreams.set_ejected(self._reports.ejected())
@@ -182,7 +189,7 @@
             return
         table = store.table
         assert table is not None
-        self._plane.quotas.set_limits(table.quotas)
+        self._plane.quotas.set_limits(table.quotas, store.sequence)
         now_ms = self._now_ms()
         if self._configured_ms is None:
             self._configured_ms = now_ms
--- a/larkweir/router/node.py
+++ b/larkweir/router/node.py
@@ -20,6 +20,7 @@
 BACKLOG = 1_024  # connections that wait in the kernel to be accepted
 MAX_READY_BODY_BYTES = 1_024
 TICK_S = 0.1
+QUOTA_LOG_EVERY_TICKS = 10
 EXPIRY_EVERY_TICKS = 10  # of idle connections to upstreams
 
 
@@ -73,6 +74,7 @@
         return [
             PeriodicTask("controllers", self._sync.tick),
             PeriodicTask("settings", lambda: watcher.tick(self._now_ms())),
+            PeriodicTask("admitted_quotas", self._plane.quotas.log_admitted, QUOTA_LOG_EVERY_TICKS),
             PeriodicTask("idle_connections", self._plane.pool.expire, EXPIRY_EVERY_TICKS),
         ]
 
--- a/larkweir/router/router_count.py
+++ b/larkweir/router/router_count.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 RETENTION_MS = 10_000.0  # a controller that has just started knows few routers for a while
+MIN_REPORTING_MS = 2_000.0  # after the first report, by when a fleet that started together is connected
 
 
 class RouterCount:
@@ -12,6 +13,16 @@
         """Assume that this router is alone."""
         self._max_routers = 1
         self._reported_ms = float("-inf")
+        self._first_reported_ms = float("inf")
+
+    @property
+    def routers(self) -> int:
+        """The count to reckon with."""
+        return self._max_routers
+
+    def is_reliable(self, now_ms: float) -> bool:
+        """Whether the count may be relied on: one that is too small makes this router's parts of limits too large."""
+        return now_ms >= self._first_reported_ms + MIN_REPORTING_MS
 
     def report(self, routers: int, now_ms: float) -> int:
         """Take in a report, and return the count to reckon with.
@@ -20,6 +31,7 @@
             routers: that a controller counts at present.
             now_ms: the event loop's time.
         """
+        self._first_reported_ms = min(self._first_reported_ms, now_ms)
         if routers >= self._max_routers or now_ms >= self._reported_ms + RETENTION_MS:
             self._max_routers, self._reported_ms = max(1, routers), now_ms
         return self._max_routers
--- a/packages/quotas/src/larkweir_quotas/limits.py
+++ b/packages/quotas/src/larkweir_quotas/limits.py
@@ -1,7 +1,8 @@
-"""A tenant's rate limit, and what a controller reports of its use."""
+"""A tenant's rate limit, and what processes of earlier versions tell each other of its use."""
 
 from __future__ import annotations
 
+import math
 from typing import Annotated
 
 import msgspec
@@ -9,11 +10,12 @@
 MAX_UNITS = 1e18  # of any number of requests or tokens in a message
 Units = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_UNITS)]
 Level = Annotated[float, msgspec.Meta(ge=-MAX_UNITS, le=MAX_UNITS)]
-ISOLATED_FRACTION = 0.5  # of an equal part of a limit: what a process may admit that no controller reaches
 
-SCARCE_FRACTION = (
-    1.0 / 3.0
-)  # of a burst: a table tells all processes of a tenant of which less than that is left
+
+def check_units(units: float) -> None:
+    """Raise ValueError where a number of units is negative, infinite or no number: it would lower a tenant's use."""
+    if not 0.0 <= units < math.inf:
+        raise ValueError(f"units of a request: {units}")
 
 
 class RateLimit(msgspec.Struct, frozen=True):
@@ -28,12 +30,38 @@
     burst: float
 
 
+# What a limit tolerates is divided between those that may exceed it, so that they fit into it together.
+RESERVES_FRACTION = 0.15  # processes' own reserves
+RESTARTS_FRACTION = (
+    0.5  # what controllers hand out that have lost their memory, each of them once in a window
+)
+DEBTS_FRACTION = 0.3  # requests that are larger than what a controller has left
+
+
+class Tolerance(msgspec.Struct, frozen=True):
+    """By how much a limit may be exceeded within a window.
+
+    Attributes:
+        window_s: the window in which use is counted.
+        over: the fraction of what the limit allows in it.
+        slack: units beyond that.
+    """
+
+    window_s: float = 8.0
+    over: float = 0.0
+    slack: float = 0.0
+
+    def units(self, limit: RateLimit) -> float:
+        """Units of that limit that may be used in any window beyond its rate and burst."""
+        return self.over * (limit.rate_per_s * self.window_s + limit.burst) + self.slack
+
+
 class QuotaSnapshot(msgspec.Struct, frozen=True):
-    """What a process knows of all tenants when it connects to a usage table, which may have lost its own knowledge.
+    """What a process tells a controller when it connects.
 
     Attributes:
-        levels: by tenant, what it believes to be left for all processes together; a debt where it is negative.
-        process_count: how many processes it believes to share the limits; 0: no table has told it anything yet.
+        levels: only sent by versions before share leases, and not read any more.
+        process_count: how many processes it believes to share the limits; 0: it does not know.
     """
 
     levels: dict[str, Level] = {}
@@ -41,7 +69,7 @@
 
 
 class QuotaStatus(msgspec.Struct, frozen=True, array_like=True):
-    """What one usage table knows of a tenant.
+    """A tenant's token bucket, as processes without share leases report and read it.
 
     Attributes:
         level: units left in the token bucket; a debt where it is negative.
--- a/packages/quotas/tests/test_quotas_disturbances.py
+++ b/packages/quotas/tests/test_quotas_disturbances.py
@@ -9,7 +9,8 @@
 
 import pytest
 from larkweir_quotas.limits import RateLimit
-from quota_outages import MAX_RECONNECT_MS, Fleet
+from larkweir_quotas.share_leases import TOTAL_SHARE
+from quota_fleet import MAX_RECONNECT_MS, Fleet
 from test_quotas_outages import HALF, LARGE, MEDIUM, PRESSING_FACTOR
 
 SEEDS = int(os.environ.get("QUOTA_SEEDS", "1"))
@@ -22,17 +23,17 @@
 
 
 def outage(fleet: Fleet, at_ms: float, away_ms: float) -> None:
-    """All tables die, and return empty."""
-    for table in range(fleet.site.tables):
-        fleet.at(at_ms, lambda table=table: fleet.kill_table(table))
-        fleet.at(at_ms + away_ms, lambda table=table: fleet.return_table(table))
+    """All controllers die, and return empty."""
+    for controller in range(fleet.site.controllers):
+        fleet.at(at_ms, lambda controller=controller: fleet.kill_controller(controller))
+        fleet.at(at_ms + away_ms, lambda controller=controller: fleet.return_controller(controller))
 
 
 def some_routers(fleet: Fleet, rng: Random) -> list[int]:
     return rng.sample(range(fleet.site.routers), fleet.site.routers // rng.choice([2, 3, 10]))
 
 
-def tables_die_twice(fleet: Fleet, rng: Random, at_ms: float) -> None:
+def controllers_die_twice(fleet: Fleet, rng: Random, at_ms: float) -> None:
     away_ms = rng.uniform(300.0, 3_000.0)
     outage(fleet, at_ms, away_ms)
     outage(fleet, at_ms + away_ms + rng.uniform(100.0, 4_000.0), rng.uniform(300.0, 3_000.0))
@@ -41,10 +42,10 @@
 def routers_reach_one_side_only(fleet: Fleet, rng: Random, at_ms: float) -> None:
     routers, minority = set(some_routers(fleet, rng)), {0, 1}
     pairs = {
-        (router, table)
+        (router, controller)
         for router in range(fleet.site.routers)
-        for table in range(fleet.site.tables)
-        if (table in minority) != (router in routers)
+        for controller in range(fleet.site.controllers)
+        if (controller in minority) != (router in routers)
     }
     fleet.at(at_ms, lambda: fleet.cut.update(pairs))
     fleet.at(at_ms + rng.uniform(500.0, 8_000.0), lambda: fleet.cut.difference_update(pairs))
@@ -52,8 +53,19 @@
         outage(fleet, at_ms + rng.uniform(0.0, 4_000.0), rng.uniform(300.0, 3_000.0))
 
 
+def the_fleet_is_divided(fleet: Fleet, rng: Random, at_ms: float) -> None:
+    """Two controllers and some routers reach each other only, and the rest each other only."""
+    routers_reach_one_side_only(fleet, rng, at_ms)
+    fleet.at(at_ms, lambda: fleet.split.update({0, 1}))
+    fleet.at(at_ms + rng.uniform(500.0, 8_000.0), fleet.split.clear)
+
+
 def routers_reach_nobody(fleet: Fleet, rng: Random, at_ms: float) -> None:
-    pairs = {(router, table) for router in range(fleet.site.routers) for table in range(fleet.site.tables)}
+    pairs = {
+        (router, controller)
+        for router in range(fleet.site.routers)
+        for controller in range(fleet.site.controllers)
+    }
     fleet.at(at_ms, lambda: fleet.cut.update(pairs))
     fleet.at(at_ms + rng.uniform(500.0, 8_000.0), lambda: fleet.cut.difference_update(pairs))
 
@@ -88,7 +100,7 @@
 
 
 FAMILIES: list[Disturb] = [
-    tables_die_twice,
+    controllers_die_twice,
     routers_reach_nobody,
     routers_are_added,
     routers_restart_in_turn,
@@ -121,6 +133,13 @@
     assert fleet.most_in_a_window() <= fleet.site.allowed
 
 
+@seeds
+def test_a_fleet_divided_in_two_does_not_admit_the_limit_twice(seed: int) -> None:
+    fleet = play(the_fleet_is_divided, seed)
+    assert fleet.most_in_a_window() <= fleet.site.allowed
+    assert fleet.most_shares <= TOTAL_SHARE
+
+
 @seeds
 def test_each_half_of_a_divided_fleet_does_not_admit_the_limit(seed: int) -> None:
     fleet = play(routers_reach_one_side_only, seed)
@@ -140,18 +159,18 @@
 
 @seeds
 def test_a_limit_that_is_lowered_beside_an_outage_binds(seed: int) -> None:
-    """Some tables die and some are behind, with the old limit; or all die, and the limit falls after their return."""
+    """Some controllers die and some are behind, with the old limit; or all die, and it falls after their return."""
     site = SIZES[seed % len(SIZES)]
     fleet, rng = Fleet(site, seed), Random(seed)
     fleet.demand_per_s = PRESSING_FACTOR * site.limit.rate_per_s
     at_ms, away_ms = rng.uniform(6_000.0, 9_000.0), rng.uniform(300.0, 3_000.0)
     lower = RateLimit(site.limit.rate_per_s * LOWERED, site.limit.burst * LOWERED)
     if rng.random() < HALF:
-        for table in rng.sample(range(site.tables), 2):
-            fleet.at(at_ms, lambda table=table: fleet.kill_table(table))
-            fleet.at(at_ms + away_ms, lambda table=table: fleet.return_table(table))
+        for controller in rng.sample(range(site.controllers), 2):
+            fleet.at(at_ms, lambda controller=controller: fleet.kill_controller(controller))
+            fleet.at(at_ms + away_ms, lambda controller=controller: fleet.return_controller(controller))
         lowered_ms = at_ms + rng.uniform(0.0, away_ms)
-        behind = frozenset(rng.sample(range(site.tables), rng.choice([1, 2])))
+        behind = frozenset(rng.sample(range(site.controllers), rng.choice([1, 2])))
     else:
         outage(fleet, at_ms, away_ms)
         lowered_ms, behind = at_ms + away_ms + rng.uniform(100.0, 4_000.0), frozenset()
--- a/packages/quotas/tests/test_quotas_golden.py
+++ b/packages/quotas/tests/test_quotas_golden.py
@@ -1,20 +1,20 @@
-"""Bytes as version 0.2 of the fleet wrote them: what controllers and routers send each other about quotas.
+"""Bytes of messages about quotas. The fleet is updated one process at a time, so later versions read and write them.
 
-The fleet is updated one process at a time, so each of these is read and written the same by every later version.
+Limits and statuses are as version 0.2 of the fleet wrote them.
 """
 
 from __future__ import annotations
 
 import msgspec
 import pytest
-from larkweir_quotas.limits import QuotaStatus, RateLimit
-from larkweir_quotas.quota_limiter import QuotaLimiter
-from larkweir_quotas.usage_table import UsageTable
+from larkweir_quotas.limits import QuotaSnapshot, QuotaStatus, RateLimit
+from larkweir_quotas.quota_allocator import QuotaAllocator
+from larkweir_quotas.share_leases import TOTAL_SHARE, ShareClaim, ShareOffer
 
 STATUSES = [
     (QuotaStatus(1_500.0, 320.0), b"[1500.0,320.0,false]"),
     (QuotaStatus(-40.5, 0.0, True), b"[-40.5,0.0,true]"),
-    (QuotaStatus(7, 3, False), b"[7,3,false]"),  # as a usage table writes it: rounded
+    (QuotaStatus(7, 3, False), b"[7,3,false]"),  # as controllers write it: rounded
 ]
 
 
@@ -34,18 +34,31 @@
     assert msgspec.json.decode(line, type=RateLimit) == RateLimit(1_000.0, 2_000.0)
 
 
-def test_what_a_table_answers_to_reports() -> None:
-    table = UsageTable()
-    table.set_limits({"a": RateLimit(1_000.0, 2_000.0), "b": RateLimit(10.0, 3.0)}, 0.0)
-    table.record_report("r/1", {"a": 0.0, "b": 0.0}, 0.0, 0.0)
-    table.record_report("r/1", {"a": 600.0, "b": 40.0, "other": 1.0}, 110.0, 120.0)
-    line = b'{"a":[400,600,false],"b":[-38,40,true]}'
-    assert msgspec.json.encode(table.statuses(["a", "b", "other"], 120.0)) == line
+def test_a_claim_and_an_offer() -> None:
+    claim, offer = ShareClaim((7, "10.0.0.1"), 200_000, 195), ShareOffer((8, "10.0.0.2"), 250_000)
+    assert msgspec.json.encode(claim) == b'[[7,"10.0.0.1"],200000,195]'
+    assert msgspec.json.decode(msgspec.json.encode(claim), type=ShareClaim) == claim
+    assert msgspec.json.encode(offer) == b'[[8,"10.0.0.2"],250000]'
+    assert msgspec.json.decode(msgspec.json.encode(offer), type=ShareOffer) == offer
 
 
-def test_what_a_limiter_reports() -> None:
-    limiter = QuotaLimiter()
-    limiter.set_limits({"a": RateLimit(1_000.0, 2_000.0)})
-    limiter.admit("a", 20.0, 0.0)
-    limiter.admit("a", 12.5, 0.0)
-    assert msgspec.json.encode(limiter.usage("l", 1.0)) == b'{"a":32.5}'
+@pytest.mark.parametrize("line", [b'[[1,"n"],-1]', b'[[1,"n"],1000001]', b"[1,5]", b'[["x","n"],5]', b"[]"])
+def test_an_offer_of_more_than_the_whole_or_without_a_term_is_not_read(line: bytes) -> None:
+    with pytest.raises(msgspec.ValidationError):
+        msgspec.json.decode(line, type=ShareOffer)
+
+
+def test_a_snapshot_of_a_version_with_levels_is_read() -> None:
+    line = b'{"levels":{"t":-4.5},"process_count":9}'
+    assert msgspec.json.decode(line, type=QuotaSnapshot) == QuotaSnapshot({"t": -4.5}, 9)
+
+
+def test_what_a_process_without_share_leases_is_told() -> None:
+    allocator = QuotaAllocator()
+    allocator.set_share(TOTAL_SHARE // 2, 10_000.0, 0.0)
+    limits = {"a": RateLimit(1_000.0, 2_000.0), "b": RateLimit(10.0, 3.0)}
+    allocator.set_limits(limits, 0.0, controllers=2, is_restart=False)
+    allocator.charge("a", allocator.share_of(600.0, 0.0), 0.0)
+    allocator.charge("b", allocator.share_of(40.0, 0.0), 0.0)
+    line = b'{"a":[1400,600,false],"b":[-37,40,true]}'
+    assert msgspec.json.encode(allocator.statuses(["a", "b", "other"], 0.0)) == line
--- a/packages/quotas/tests/test_quotas_returns.py
+++ b/packages/quotas/tests/test_quotas_returns.py
@@ -1,4 +1,4 @@
-"""Usage tables that were cut off, paused or restarted: neither too much is admitted nor too little."""
+"""Controllers and routers that were cut off, paused or restarted: neither too much is admitted nor too little."""
 
 from __future__ import annotations
 
@@ -6,62 +6,83 @@
 
 import pytest
 from larkweir_quotas.limits import RateLimit
-from quota_fleet import Deployment, FaultInjector, Fleet
+from larkweir_quotas.share_leases import TOTAL_SHARE
+from quota_fleet import FaultInjector, Fleet, Site
 
 SEEDS = int(os.environ.get("QUOTA_SEEDS", "10"))
 CONVERGENCE_MS = 1_000.0  # after a fault, in which a request may still be rejected
-SMALL = Deployment()
-LARGE = Deployment(
-    routers=63, tables=5, report_ms=130.0, request_units=40.0, limit=RateLimit(2_000.0, 3_200.0)
+SMALL = Site(
+    routers=9,
+    controllers=3,
+    limit=RateLimit(1_000.0, 1_600.0),
+    report_ms=110.0,
+    min_tokens=20.0,
+    max_tokens=20.0,
+    slack=2_600.0,  # in the same ratio as in deployments
 )
+LARGE = Site(
+    routers=63,
+    controllers=5,
+    limit=RateLimit(2_000.0, 3_200.0),
+    report_ms=130.0,
+    min_tokens=40.0,
+    max_tokens=40.0,
+    slack=2_600.0,
+)
+WITHIN_PER_S = 800.0
+
+
+def advance(fleet: Fleet, for_ms: float, per_s: float) -> None:
+    fleet.demand_per_s = per_s
+    fleet.run_until(fleet.now_ms + for_ms)
 
 
 @pytest.mark.parametrize("away_ms", [1_500.0, 8_000.0, 20_000.0])
-def test_a_returning_table_rejects_nobody_within_the_limit(away_ms: float) -> None:
+def test_a_returning_controller_rejects_nobody_within_the_limit(away_ms: float) -> None:
     fleet = Fleet(SMALL, seed=1)
-    fleet.advance(3_000.0, per_s=800.0)
+    advance(fleet, 3_000.0, WITHIN_PER_S)
     fleet.cut = {(router, 0) for router in range(SMALL.routers)}
-    fleet.advance(away_ms, per_s=800.0)
+    advance(fleet, away_ms, WITHIN_PER_S)
     fleet.cut = set()
     returned_ms = fleet.now_ms
-    fleet.advance(10_000.0, per_s=800.0)
-    assert fleet.rejected_since(returned_ms) == 0
+    advance(fleet, 10_000.0, WITHIN_PER_S)
+    assert fleet.rejected_within(returned_ms, fleet.now_ms) == 0.0
 
 
-def test_a_paused_table_rejects_nobody_within_the_limit() -> None:
+def test_a_paused_controller_rejects_nobody_within_the_limit() -> None:
     fleet = Fleet(SMALL, seed=1)
-    fleet.advance(3_000.0, per_s=800.0)
-    fleet.freeze_table(0)
-    fleet.advance(10_000.0, per_s=800.0)
-    fleet.thaw_tables()
+    advance(fleet, 3_000.0, WITHIN_PER_S)
+    fleet.freeze_controller(0, 10_000.0)
+    advance(fleet, 10_000.0, WITHIN_PER_S)
     thawed_ms = fleet.now_ms
-    fleet.advance(10_000.0, per_s=800.0)
-    assert fleet.rejected_since(thawed_ms) == 0
+    advance(fleet, 10_000.0, WITHIN_PER_S)
+    assert fleet.rejected_within(thawed_ms, fleet.now_ms) == 0.0
 
 
-def test_a_returning_table_still_knows_of_an_oversubscribed_tenant() -> None:
+def test_a_returning_controller_still_knows_of_an_oversubscribed_tenant() -> None:
     fleet = Fleet(SMALL, seed=2)
-    fleet.advance(5_000.0, per_s=6_000.0)
+    advance(fleet, 5_000.0, 6_000.0)
     fleet.cut = {(router, 0) for router in range(SMALL.routers)}
-    fleet.advance(8_000.0, per_s=6_000.0)
-    fleet.cut = {(router, table) for router in range(SMALL.routers) for table in (1, 2)}
-    fleet.advance(8_000.0, per_s=6_000.0)
+    advance(fleet, 8_000.0, 6_000.0)
+    fleet.cut = {(router, number) for router in range(SMALL.routers) for number in (1, 2)}
+    advance(fleet, 8_000.0, 6_000.0)
     assert fleet.most_in_a_window() <= SMALL.allowed
 
 
-@pytest.mark.parametrize("deployment", [SMALL, LARGE], ids=["9 routers", "63 routers"])
+@pytest.mark.parametrize("site", [SMALL, LARGE], ids=["9 routers", "63 routers"])
 @pytest.mark.parametrize("seed", range(SEEDS))
-def test_the_sum_stays_under_the_limit_during_every_fault(deployment: Deployment, seed: int) -> None:
-    fleet = Fleet(deployment, seed)
+def test_the_sum_stays_under_the_limit_during_every_fault(site: Site, seed: int) -> None:
+    fleet = Fleet(site, seed)
     injector = FaultInjector(fleet)
-    rate = deployment.limit.rate_per_s
+    pressing_per_s = 6.0 * site.limit.rate_per_s
     for _ in range(4):
-        fleet.advance(fleet.rng.uniform(200.0, 6_000.0), per_s=6.0 * rate)
+        advance(fleet, fleet.rng.uniform(200.0, 6_000.0), pressing_per_s)
         for_ms = injector.inject()
-        fleet.advance(for_ms, per_s=6.0 * rate)
+        advance(fleet, for_ms, pressing_per_s)
         injector.clear()
-    fleet.advance(10_000.0, per_s=6.0 * rate)
-    assert fleet.most_in_a_window() <= deployment.allowed
+    advance(fleet, 10_000.0, pressing_per_s)
+    assert fleet.most_in_a_window() <= site.allowed
+    assert fleet.most_shares <= TOTAL_SHARE
 
 
 @pytest.mark.parametrize("seed", range(SEEDS))
@@ -69,10 +90,10 @@
     fleet = Fleet(SMALL, seed)
     injector = FaultInjector(fleet)
     for _ in range(4):
-        fleet.advance(3_000.0, per_s=800.0)
+        advance(fleet, 3_000.0, WITHIN_PER_S)
         for_ms = injector.inject()
-        fleet.advance(for_ms, per_s=800.0)
+        advance(fleet, for_ms, WITHIN_PER_S)
         injector.clear()
         restored_ms = fleet.now_ms
-        fleet.advance(6_000.0, per_s=800.0)
-        assert fleet.rejected_since(restored_ms + CONVERGENCE_MS) == 0
+        advance(fleet, 6_000.0, WITHIN_PER_S)
+        assert fleet.rejected_within(restored_ms + CONVERGENCE_MS, fleet.now_ms) == 0.0
--- a/packages/replication/src/larkweir_replication/replica.py
+++ b/packages/replication/src/larkweir_replication/replica.py
@@ -329,7 +329,8 @@
 
     # Elections
 
-    def _is_lease_valid(self, now_ms: float) -> bool:
+    def is_lease_valid(self, now_ms: float) -> bool:
+        """Whether the lease runs in which no other primary than the known one can be elected."""
         if self._leadership is not None:
             return self._leadership.is_lease_valid(now_ms)
         return self._contact.is_lease_valid(now_ms)
@@ -346,15 +347,14 @@
             self._election.request_promises(now_ms)
 
     def _on_pre_vote(self, sender: str, message: PreVote, now_ms: float) -> None:
-        self._acceptor.on_pre_vote(sender, message, is_granted=not self._is_lease_valid(now_ms))
+        self._acceptor.on_pre_vote(sender, message, is_granted=not self.is_lease_valid(now_ms))
         if self._leadership is not None and sender not in self._state.other_members():
             self._leadership.send_newest_state(sender, now_ms)
 
     def _on_pre_vote_reply(self, sender: str, message: PreVoteReply, now_ms: float) -> None:
         self.known_nodes.update(message.members)
-        if self.status is not ReplicaStatus.PRE_CANDIDATE or not self._election.is_current_round(
-            message.round
-        ):
+        is_current = self._election.is_current_round(message.round)
+        if self.status is not ReplicaStatus.PRE_CANDIDATE or not is_current:
             return
         self._state.promised = max(self.promised, message.promised)
         if message.granted:
@@ -367,7 +367,7 @@
         self._election.prepare(now_ms)
 
     def _on_prepare(self, sender: str, message: Prepare, now_ms: float) -> None:
-        if message.epoch < self.promised or (message.epoch > self.promised and self._is_lease_valid(now_ms)):
+        if message.epoch < self.promised or (message.epoch > self.promised and self.is_lease_valid(now_ms)):
             self._acceptor.reject_stale(sender)
             return
         self._raise_promise(message.epoch, now_ms)
--- a/packages/replication/tests/test_replication_planted.py
+++ b/packages/replication/tests/test_replication_planted.py
@@ -88,7 +88,7 @@
 
 def promises_are_given_before_they_are_durable(patch: pytest.MonkeyPatch) -> None:
     def on_prepare(self: Replica, sender: str, message: Prepare, now_ms: float) -> None:
-        if message.epoch >= self.promised and not self._is_lease_valid(now_ms):
+        if message.epoch >= self.promised and not self.is_lease_valid(now_ms):
             self._raise_promise(message.epoch, now_ms)
             self._state.send(sender, Promise(message.epoch, self.accepted))
             self._state.persist()
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -12,7 +12,9 @@
 import msgspec
 import pytest
 from larkweir_balancing.fleet_outlier_detection import OutcomeCounts
-from larkweir_quotas.limits import QuotaStatus
+from larkweir_quotas.limits import QuotaSnapshot, QuotaStatus
+from larkweir_quotas.quota_allocator import QuotaOutcome
+from larkweir_quotas.share_leases import ShareClaim, ShareOffer
 from larkweir_registry.records import Record, Upstream, UpstreamState
 from larkweir_replication.messages import Command
 from larkweir_replication.messages import Message as ReplicationMessage
@@ -36,6 +38,9 @@
     PrimaryRequest,
     PrimaryResponse,
     Pull,
+    QuotaRefund,
+    QuotaRequest,
+    QuotaResponse,
     Replication,
     RolloutAge,
 )
@@ -89,6 +94,17 @@
     Delta(wants_encodings=True),
     Delta(compressed_config=CompressedConfigUpdate(13, 12, b"deflated")),
     Delta(rollout_ages={"chat": RolloutAge("v2/1764771837000", 4_000.5)}),
+    Pull(3, quota_claim=ShareClaim((7, "10.0.0.2"), 200_000, 195)),
+    Pull(3, quota_snapshot=QuotaSnapshot(process_count=195)),
+    Delta(grants_quotas=True),
+    Delta(grants_quotas=False, quotas_unknown=True),
+    Delta(quota_offer=ShareOffer((7, "10.0.0.2"), 250_000)),
+    QuotaRequest(9, "acme", 17_020.0, 13),
+    QuotaRequest(0, "acme", 17_020.0, is_executed_again=True),
+    QuotaResponse(9, QuotaOutcome.GRANTED),
+    QuotaResponse(9, QuotaOutcome.REFUSED, 0.25),
+    QuotaResponse(9, QuotaOutcome.UNDECIDED),
+    QuotaRefund("acme", 17_020.0),
 ]
 
 
--- a/tests/controller/test_golden.py
+++ b/tests/controller/test_golden.py
@@ -83,6 +83,9 @@
 # HELP larkweir_waiting_tokens prompt tokens that wait to be read
 # TYPE larkweir_waiting_tokens gauge
 larkweir_waiting_tokens 0.0
+# HELP larkweir_quota_share fraction of all quotas that this controller hands out
+# TYPE larkweir_quota_share gauge
+larkweir_quota_share 1.0
 """
 
 Scene = Callable[[Fleet], Awaitable[None]]
@@ -128,6 +131,16 @@
     await fleet.until(found)
 
 
+async def hands_out_quotas(fleet: Fleet) -> None:
+    """Until the controller holds a share of all quotas."""
+
+    async def found() -> bool:
+        reply = await ask(fleet.control[0], "GET", "/metrics")
+        return b"larkweir_quota_share 1.0" in reply.body
+
+    await fleet.until(found)
+
+
 async def until_file(path: Path, expected: bytes) -> None:
     """Fails with what is there where the expected bytes do not come."""
     for _ in range(400):
@@ -226,7 +239,7 @@
             assert placed == b'{"type":"placed","head":"h3","engine":"u2","kept":true}\n'
             router.send(b'{"type":"pull","vector":{}}')
             delta = await router.receive(b"delta")
-            assert delta == b'{"type":"delta",' + RECORDS + b',"controllers":["IP"]}\n'
+            assert delta == b'{"type":"delta",' + RECORDS + b',"controllers":["IP"],"grants_quotas":false}\n'
 
     alone(tmp_path, scene)
 
@@ -316,6 +329,7 @@
 def test_answers_to_upstreams_and_what_is_shown_of_them(tmp_path: Path) -> None:
     async def scene(fleet: Fleet) -> None:
         await leads(fleet)
+        await hands_out_quotas(fleet)
         assert await answered(fleet, "PUT", "/config", CONFIGURATION, If_Match="0") == (200, b"{}")
         await heartbeats(fleet)
         assert await answered(fleet, "GET", "/status") == (200, STATUS)
@@ -366,6 +380,7 @@
 def test_lines_to_a_router(tmp_path: Path) -> None:
     async def scene(fleet: Fleet) -> None:
         await leads(fleet)
+        await hands_out_quotas(fleet)
         assert await answered(fleet, "PUT", "/config", CONFIGURATION, If_Match="0") == (200, b"{}")
         await heartbeats(fleet)
         async with Peer(fleet) as router, Peer(fleet) as other:
@@ -382,18 +397,21 @@
                 + CONFIGURATION
                 + b"},"
                 + RECORDS
-                + b',"controllers":["IP"],"routers":2,"quotas":{"t":[6,0,false]},"waiting":{"u1":9000}}\n'
+                + b',"controllers":["IP"],"routers":2,"quotas":{"t":[12,0,false]},"waiting":{"u1":9000},'
+                + b'"grants_quotas":true}\n'
             )
             patch = b'{"generation":4,"upsert":{"services":[{"name":"s2"}]}}'
             assert await answered(fleet, "PATCH", "/config", patch, If_Match="3") == (200, b"{}")
             router.send(b'{"type":"pull","config":1}')
             assert await router.receive(b"delta") == (
                 b'{"type":"delta","config":{"sequence":2,"base":1,"body":{"upsert":{"services":[{"name":"s2"}]},'
-                b'"remove":{},"generation":4}},' + RECORDS + b',"routers":2,"waiting":{"u1":9000}}\n'
+                b'"remove":{},"generation":4}},'
+                + RECORDS
+                + b',"routers":2,"waiting":{"u1":9000},"grants_quotas":true}\n'
             )
             router.send(b'{"type":"pull","config":2,"vector":{"x":1}}')
             assert await router.receive(b"delta") == (
-                b'{"type":"delta",' + RECORDS + b',"routers":2,"waiting":{"u1":9000}}\n'
+                b'{"type":"delta",' + RECORDS + b',"routers":2,"waiting":{"u1":9000},"grants_quotas":true}\n'
             )
             assert await router.receive(b"ping") == b'{"type":"ping"}\n'
 
@@ -403,6 +421,7 @@
 def test_lines_to_another_controller(tmp_path: Path) -> None:
     async def scene(fleet: Fleet) -> None:
         await leads(fleet)
+        await hands_out_quotas(fleet)
         async with Peer(fleet) as controller:
             controller.send(b'{"type":"hello","node":"IP2","kind":"controller","life":"l"}')
             controller.send(
@@ -430,8 +449,11 @@
                 b'{"type":"delta","records":[[{"id":"u9","service":"s","address":"10.0.0.7:80","zone":"z",'
                 b'"slots":1,"sequence":4,"state":0,"lapsed":-1},"other/1",8]],"vector":{"other/1":8}}'
             )
-            assert await controller.receive(b"pull") == b'{"type":"pull","vector":{"other/1":8}}\n'
+            claim = b'"quota_claim":[[1,"IP"],1000000,0]'
+            assert await controller.receive(b"pull") == (
+                b'{"type":"pull","vector":{"other/1":8},' + claim + b"}\n"
+            )
             controller.send(b'{"type":"delta"}')
-            assert await controller.receive(b"pull") == b'{"type":"pull"}\n'
+            assert await controller.receive(b"pull") == b'{"type":"pull",' + claim + b"}\n"
 
     alone(tmp_path, scene)
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -7,8 +7,8 @@
 
 import msgspec
 from larkweir_balancing.fleet_outlier_detection import MIN_FAILURES, OutcomeCounts
-from larkweir_quotas.limits import RateLimit
-from larkweir_quotas.usage_table import UsageTable
+from larkweir_quotas.quota_allocator import QuotaAllocator
+from larkweir_quotas.share_leases import LEASE_MS, TOTAL_SHARE, ShareClaim, ShareOffer
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Record, Upstream
 from larkweir_registry.registry import Registry
@@ -25,6 +25,7 @@
 from larkweir.controller.prefill_load import MIN_REPORTED_TOKENS, PrefillLoad
 from larkweir.controller.pull_service import PublishedState, PullService
 from larkweir.controller.quota_accounting import QuotaAccounting
+from larkweir.controller.quota_shares import QuotaGroup, QuotaShares
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
 from tests.controller.rollout_factories import ORDERED_UNIX_MS, document, report, rollout
@@ -52,7 +53,8 @@
     """A controller's pulls and some routers. To be made inside a loop."""
 
     def __init__(self) -> None:
-        self.usage_table = UsageTable()
+        self.allocator = QuotaAllocator()
+        self.term: tuple[int, str] | None = None
         self.registry = Registry("c/1")
         self.failure_detector = FailureDetector(1_000.0, 0.0)
         subscriptions = Subscriptions()
@@ -61,7 +63,8 @@
         state = self.state = PublishedState(
             registry=self.registry,
             configuration=ConfigurationHistory(),
-            quotas=QuotaAccounting(self.usage_table),
+            quotas=QuotaAccounting(self.allocator),
+            quota_shares=QuotaShares(self.allocator, self._group(), lambda: self.pulls.wake()),
             prefill_load=self.prefill_load,
             ejection=self.ejection,
             unconfirmed=UnconfirmedUpstreams(self.registry, self.failure_detector),
@@ -72,6 +75,11 @@
         for router in self.routers:
             self.pulls.connected(router, NodeRole.ROUTER)
 
+    def _group(self) -> QuotaGroup:
+        return QuotaGroup(
+            "c", term=lambda present_ms: self.term, members=lambda: ["c", "d"], clients=lambda: ROUTERS
+        )
+
     def answer(self, router: Recorded, pull: Pull) -> Delta:
         """What a pull is answered that lacks the list of upstreams."""
         self.registry.update(Upstream(f"u{random.random()}", "other", "127.0.0.1:1", "z"), 0.0)
@@ -260,31 +268,58 @@
     asyncio.run(scene())
 
 
-def test_routers_are_answered_at_once_when_little_is_left_of_a_quota() -> None:
+def test_routers_are_told_at_once_that_a_controller_holds_a_share_of_the_quotas() -> None:
     async def scene() -> None:
         made = Scene()
-        made.usage_table.set_limits({"t": RateLimit(1_000.0, 3_000.0)}, now_ms())
+        made.pulls.publish(1, '{"generation":1,"tenants":[{"name":"t","rate_per_s":1000}]}')
         one, two, _ = made.routers
-        made.answer(one, Pull(vector={}))
         for router in (one, two):
+            assert made.answer(router, Pull(1, {})).grants_quotas is False
             router.sent.clear()
             router.has_answer.clear()
-            made.pulls.pull(router, Pull(vector=made.registry.vector, sent_ms=1.0, usage={"t": 0.0}))
-        assert two.sent == []
-        made.pulls.pull(one, Pull(vector=made.registry.vector, sent_ms=2.0, usage={"t": 1_400.0}))
+            made.pulls.pull(router, Pull(1, vector=made.registry.vector))
+        made.term = (1, "c")
+        made.pulls.connected(other := Recorded("d"), NodeRole.CONTROLLER)
+        for _ in range(2):
+            made.state.quota_shares.tick(now_ms())
+            claim = ShareClaim(made.term, 0, 0) if other.sent else ShareClaim()
+            made.pulls.pull(other, Pull(vector=made.registry.vector, quota_claim=claim))
+        made.state.quota_shares.tick(now_ms())
         await asyncio.wait_for(two.has_answer.wait(), WAIT_S)
-        assert two.sent[-1].quotas["t"].level < 1_000.0
+        assert two.sent[-1].grants_quotas is True
+        assert not two.sent[-1].quotas_unknown
 
     asyncio.run(scene())
 
 
-def test_a_controller_without_limits_says_so_to_a_router_that_has_a_configuration() -> None:
+def test_the_primary_answers_a_controller_without_a_share_at_once_and_others_do_not() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.connected(other := Recorded("d"), NodeRole.CONTROLLER)
+        made.pulls.pull(other, Pull(vector={}, quota_claim=ShareClaim(clients=2)))
+        assert other.sent == []
+        made.term = (1, "c")
+        made.state.quota_shares.tick(now_ms())
+        await asyncio.wait_for(other.has_answer.wait(), WAIT_S)
+        assert other.sent[-1].quota_offer == ShareOffer((1, "c"), 0), "the own claim is not confirmed yet"
+        made.state.quota_shares.tick(now_ms())
+        other.sent.clear()
+        made.pulls.pull(other, Pull(quota_claim=ShareClaim((1, "c"), 0, 2)))
+        assert other.sent[-1].quota_offer == ShareOffer((1, "c"), TOTAL_SHARE * 2 // (2 + ROUTERS))
+        assert other.sent[-1].grants_quotas is None
+
+    asyncio.run(scene())
+
+
+def test_a_controller_without_a_share_says_so_to_a_router_that_has_a_configuration() -> None:
     async def scene() -> None:
         made = Scene()
         one, two, _ = made.routers
-        assert not made.answer(one, Pull(vector={})).quotas_unknown, "neither knows any"
+        assert not made.answer(one, Pull(vector={})).quotas_unknown, "the router has no configuration"
+        assert made.answer(two, Pull(7, {})).quotas_unknown
+        made.pulls.publish(1, '{"generation":1}')
         assert made.answer(two, Pull(7, {})).quotas_unknown
-        made.usage_table.set_limits({}, now_ms())
+        made.allocator.set_share(TOTAL_SHARE, now_ms() + LEASE_MS, now_ms())
         assert not made.answer(two, Pull(7, {})).quotas_unknown
 
     asyncio.run(scene())
--- a/tests/controller/test_quota_accounting.py
+++ b/tests/controller/test_quota_accounting.py
@@ -1,31 +1,45 @@
-"""Limits, reports and the reserve for disconnected routers."""
+"""Limits, requests, reports and the reserve for disconnected routers."""
 
 from __future__ import annotations
 
 import pytest
-from larkweir_quotas.limits import RateLimit
+from larkweir_quotas.limits import QuotaSnapshot, RateLimit
+from larkweir_quotas.quota_allocator import QuotaAllocator, QuotaOutcome
+from larkweir_quotas.share_leases import TOTAL_SHARE
 
-from larkweir.controller.quota_accounting import DISCONNECTED_ROUTER_MS, QuotaAccounting, limits_of
+from larkweir.cluster.messages import Pull, QuotaRefund, QuotaRequest
+from larkweir.controller.quota_accounting import (
+    DISCONNECTED_ROUTER_MS,
+    REBUILD_MS,
+    QuotaAccounting,
+    limits_of,
+)
 
+DOCUMENT = {"tenants": [{"name": "t", "rate_per_s": 10, "burst": 100}]}
 
-class RecordedUsageTable:
-    """A usage table of which the test sees what fraction of routers counts as away."""
+
+class RecordedAllocator(QuotaAllocator):
+    """An allocator of which the test sees what fraction of the rates it hands out."""
 
     def __init__(self) -> None:
-        self.away: list[tuple[float, float]] = []
+        super().__init__()
+        self.fractions: list[float] = []
 
-    def set_unreachable(self, fraction: float, tolerance: float) -> None:
-        self.away.append((fraction, tolerance))
+    def set_rate_fraction(self, fraction: float, now_ms: float) -> None:
+        self.fractions.append(fraction)
+        super().set_rate_fraction(fraction, now_ms)
 
 
 @pytest.fixture
-def usage_table() -> RecordedUsageTable:
-    return RecordedUsageTable()
+def allocator() -> RecordedAllocator:
+    made = RecordedAllocator()
+    made.set_share(TOTAL_SHARE, 1e9, 0.0)
+    return made
 
 
 @pytest.fixture
-def quotas(usage_table: RecordedUsageTable) -> QuotaAccounting:
-    return QuotaAccounting(usage_table, overuse_fraction=0.05)  # type: ignore[arg-type]
+def quotas(allocator: RecordedAllocator) -> QuotaAccounting:
+    return QuotaAccounting(allocator, overuse_fraction=0.05)
 
 
 def test_only_tenants_with_a_rate_have_a_limit() -> None:
@@ -37,33 +51,90 @@
 
 
 def test_a_disconnected_router_counts_as_away_for_a_while(
-    quotas: QuotaAccounting, usage_table: RecordedUsageTable
+    quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.router_disconnected("r1", 1_000.0)
     quotas.update_reserve({"r2", "r3", "c"}, 2, 1_000.0 + DISCONNECTED_ROUTER_MS - 1.0)
     quotas.update_reserve({"r2", "r3", "c"}, 2, 1_000.0 + DISCONNECTED_ROUTER_MS)
-    assert usage_table.away == [(1 / 3, 0.05), (0.0, 0.05)]
+    assert allocator.fractions == [pytest.approx(1.0 - (0.5 / 3 - 0.05)), 1.0]
 
 
 def test_a_router_that_is_connected_again_is_not_away(
-    quotas: QuotaAccounting, usage_table: RecordedUsageTable
+    quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.router_disconnected("r1", 0.0)
     quotas.connected("r1")
     quotas.update_reserve({"r1"}, 1, 1.0)
-    assert usage_table.away == [(0.0, 0.05)]
+    assert allocator.fractions == [1.0]
 
 
 def test_a_router_with_a_second_connection_is_not_away(
-    quotas: QuotaAccounting, usage_table: RecordedUsageTable
+    quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.router_disconnected("r1", 0.0)
     quotas.update_reserve({"r1"}, 1, 1.0)
-    assert usage_table.away == [(0.0, 0.05)]
+    assert allocator.fractions == [1.0]
 
 
 def test_without_any_router_nothing_is_reserved(
-    quotas: QuotaAccounting, usage_table: RecordedUsageTable
+    quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.update_reserve(set(), 0, 0.0)
-    assert usage_table.away == [(0.0, 0.05)]
+    assert allocator.fractions == [1.0]
+
+
+def test_routers_that_have_not_come_back_after_a_start_count_as_away(
+    quotas: QuotaAccounting, allocator: RecordedAllocator
+) -> None:
+    quotas.set_limits(DOCUMENT, 1, 1, 0.0)
+    quotas.report("r1/a", Pull(quota_snapshot=QuotaSnapshot(process_count=4)), 0.0)
+    quotas.update_reserve({"r1"}, 1, REBUILD_MS - 1.0)
+    quotas.update_reserve({"r1"}, 1, REBUILD_MS)
+    assert allocator.fractions == [pytest.approx(1.0 - (0.5 * 3 / 4 - 0.05)), 1.0]
+
+
+def outcome(quotas: QuotaAccounting, units: float, config_sequence: int = 1) -> QuotaOutcome:
+    response = quotas.answer(QuotaRequest(7, "t", units, config_sequence), 0.0)
+    assert response is not None
+    assert response.request_id == 7
+    return response.outcome
+
+
+def test_a_router_with_a_newer_configuration_is_not_served_by_an_older_limit(quotas: QuotaAccounting) -> None:
+    assert outcome(quotas, 1.0) is QuotaOutcome.UNDECIDED, "no configuration yet"
+    quotas.is_first_start = True
+    quotas.set_limits(DOCUMENT, 1, 1, 0.0)
+    assert outcome(quotas, 1.0, config_sequence=2) is QuotaOutcome.UNDECIDED
+    assert outcome(quotas, 1.0) is QuotaOutcome.GRANTED
+
+
+def test_a_controller_that_starts_again_hands_out_no_burst(quotas: QuotaAccounting) -> None:
+    quotas.set_limits(DOCUMENT, 5, 1, 0.0)
+    assert outcome(quotas, 1.0) is QuotaOutcome.REFUSED
+
+
+def test_what_is_executed_again_is_charged_and_not_answered(quotas: QuotaAccounting) -> None:
+    quotas.is_first_start = True
+    quotas.set_limits(DOCUMENT, 1, 1, 0.0)
+    assert quotas.answer(QuotaRequest(0, "t", 100.0, is_executed_again=True), 0.0) is None
+    assert outcome(quotas, 1.0) is QuotaOutcome.REFUSED
+
+
+def test_what_was_not_used_is_handed_out_again(quotas: QuotaAccounting) -> None:
+    quotas.is_first_start = True
+    quotas.set_limits(DOCUMENT, 1, 1, 0.0)
+    assert outcome(quotas, 100.0) is QuotaOutcome.GRANTED
+    assert outcome(quotas, 100.0) is QuotaOutcome.REFUSED
+    quotas.refund(QuotaRefund("t", 100.0), 0.0)
+    assert outcome(quotas, 100.0) is QuotaOutcome.GRANTED
+
+
+def test_the_use_of_routers_without_share_leases_is_charged_from_their_second_report_on(
+    quotas: QuotaAccounting,
+) -> None:
+    quotas.is_first_start = True
+    quotas.set_limits(DOCUMENT, 1, 1, 0.0)
+    quotas.report("r/1", Pull(usage={"t": 90.0}), 0.0)
+    assert quotas.statuses(Pull(usage={"t": 90.0}), 0.0)["t"].level == 100.0
+    quotas.report("r/1", Pull(usage={"t": 130.0}), 0.0)
+    assert quotas.statuses(Pull(usage={"t": 130.0}), 0.0)["t"].level == 60.0
--- a/tests/controller/test_registry_sync.py
+++ b/tests/controller/test_registry_sync.py
@@ -5,14 +5,19 @@
 import asyncio
 from collections.abc import Callable
 
+from larkweir_quotas.quota_allocator import QuotaAllocator
+from larkweir_quotas.share_leases import TOTAL_SHARE, ShareClaim, ShareOffer
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Record, Upstream
 from larkweir_registry.registry import Registry
 
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import Delta, Message, Pull
+from larkweir.controller.clock import now_ms
+from larkweir.controller.quota_shares import QuotaGroup, QuotaShares
 from larkweir.controller.registry_sync import RegistrySync
 
+NO_CLAIM = ShareClaim(clients=3)
 UPSTREAM = Upstream("u", "s", "127.0.0.1:1", "z", sequence=7)
 
 
@@ -35,7 +40,11 @@
         self.registry = Registry("c/1")
         self.failure_detector = FailureDetector(1_000.0, 0.0)
         self.connection = Recorded()
-        self.sync = RegistrySync(self.registry, self.failure_detector, self._updated)
+        self.connection.node = "d"
+        self.allocator = QuotaAllocator()
+        group = QuotaGroup("c", term=lambda now_ms: None, members=lambda: ["c", "d"], clients=lambda: 3)
+        shares = QuotaShares(self.allocator, group, lambda: None)
+        self.sync = RegistrySync(self.registry, self.failure_detector, shares, self._updated)
 
     def _updated(self) -> None:
         self.updates += 1
@@ -52,7 +61,7 @@
     def scene(made: Scene) -> None:
         made.registry.update(UPSTREAM, 0.0)
         made.sync.begin(made.connection)
-        assert made.connection.sent == [Pull(vector={"c/1": 1})]
+        assert made.connection.sent == [Pull(vector={"c/1": 1}, quota_claim=NO_CLAIM)]
 
     play(scene)
 
@@ -63,7 +72,7 @@
         assert made.registry.upstreams == {"u": UPSTREAM}
         assert made.failure_detector.last_sequence("u") == 7
         assert made.updates == 1
-        assert made.connection.sent == [Pull(vector={"d/1": 4})]
+        assert made.connection.sent == [Pull(vector={"d/1": 4}, quota_claim=NO_CLAIM)]
 
     play(scene)
 
@@ -72,6 +81,25 @@
     def scene(made: Scene) -> None:
         made.sync.received(made.connection, Delta())
         assert made.updates == 0
-        assert made.connection.sent == [Pull()]
+        assert made.connection.sent == [Pull(quota_claim=NO_CLAIM)]
+
+    play(scene)
+
+
+def test_an_offer_is_a_lease_and_the_next_pull_claims_it() -> None:
+    def scene(made: Scene) -> None:
+        made.sync.begin(made.connection)
+        made.sync.received(made.connection, Delta(quota_offer=ShareOffer((4, "d"), TOTAL_SHARE // 2)))
+        assert made.allocator.has_share(now_ms())
+        claim = ShareClaim((4, "d"), TOTAL_SHARE // 2, 3)
+        assert made.connection.sent[1:] == [Pull(quota_claim=claim)]
+
+    play(scene)
+
+
+def test_an_offer_that_answers_no_pull_is_void() -> None:
+    def scene(made: Scene) -> None:
+        made.sync.received(made.connection, Delta(quota_offer=ShareOffer((4, "d"), TOTAL_SHARE // 2)))
+        assert not made.allocator.has_share(now_ms())
 
     play(scene)
--- /dev/null
+++ b/tests/router/granting_controller.py
@@ -0,0 +1,69 @@
+"""A controller that hands out all of every quota, for tests of a router's data plane without sockets."""
+
+from __future__ import annotations
+
+import asyncio
+
+from larkweir_quotas.limits import RateLimit
+from larkweir_quotas.quota_allocator import QuotaAllocator
+from larkweir_quotas.share_leases import TOTAL_SHARE
+
+from larkweir.cluster.links import Connection
+from larkweir.cluster.messages import QuotaRefund, QuotaRequest, QuotaResponse
+from larkweir.router.quota_admission import QuotaAdmission
+
+NEVER_MS = 1e12
+
+
+class GrantingController:
+    """Answers in the next turn of the loop. `is_silent`: it does not answer at all. To be made inside a loop."""
+
+    def __init__(self, quotas: QuotaAdmission, node: str = "c") -> None:
+        self.node = node
+        self.is_silent = False
+        self.asked: list[QuotaRequest] = []
+        self.refunded: list[QuotaRefund] = []
+        self._quotas = quotas
+        self._loop = asyncio.get_running_loop()
+        self._connection = Connection(lambda connection, message: None, lambda connection: None)
+        self._connection.node = node
+        self.allocator = QuotaAllocator()
+        self.allocator.set_share(TOTAL_SHARE, NEVER_MS, self._now_ms())
+
+    def _now_ms(self) -> float:
+        return self._loop.time() * 1000.0
+
+    def set_limits(self, limits: dict[str, RateLimit]) -> None:
+        """A configuration is in force here, and the router has heard that units can be had."""
+        self.allocator.set_limits(limits, self._now_ms(), controllers=1, is_restart=False)
+        self._quotas.on_delta(self.node, grants_quotas=True, statuses=None)
+
+    def receive(self, message: QuotaRequest | QuotaRefund) -> None:
+        """A message of the router."""
+        if isinstance(message, QuotaRefund):
+            self.refunded.append(message)
+            self.allocator.refund(message.tenant, message.units, self._now_ms())
+            return
+        self.asked.append(message)
+        if message.is_executed_again:
+            self.allocator.charge(message.tenant, message.units, self._now_ms())
+        elif not self.is_silent:
+            self._loop.call_soon(self.answer, message)
+
+    def answer(self, request: QuotaRequest) -> None:
+        """Answer a request now."""
+        decision = self.allocator.request(request.tenant, request.units, self._now_ms())
+        response = QuotaResponse(request.request_id, decision.outcome, decision.retry_after_s)
+        self._quotas.on_response(self._connection, response)
+
+
+def connect(quotas: QuotaAdmission, *controllers: GrantingController) -> None:
+    """Let the router's messages reach these controllers."""
+    by_node = {controller.node: controller for controller in controllers}
+
+    def send(node: str, message: QuotaRequest | QuotaRefund) -> bool:
+        if node in by_node:
+            by_node[node].receive(message)
+        return node in by_node
+
+    quotas.send = send
--- a/tests/router/test_exchange_guard.py
+++ b/tests/router/test_exchange_guard.py
@@ -6,8 +6,7 @@
 
 import pytest
 from larkweir_balancing.prefill_time import PrefillTime
-from larkweir_quotas.limits import RateLimit
-from larkweir_quotas.quota_limiter import QuotaLimiter
+from larkweir_quotas.quota_requester import AdmissionRule, QuotaCharge
 
 from larkweir.cluster import log
 from larkweir.router import exchange as exchange_module
@@ -126,11 +125,9 @@
     play: Play, logged: list[tuple[str, dict[str, object]]], monkeypatch: pytest.MonkeyPatch
 ) -> None:
     plane = play.model.plane
-    plane.quotas = QuotaLimiter()
-    plane.quotas.set_limits({"t": RateLimit(1.0, 100.0)})
-    charge = plane.quotas.admit("t", 10.0, 0.0)
+    charge = QuotaCharge("t", 10.0, AdmissionRule.RESERVE)
     refunded: list[object] = []
-    monkeypatch.setattr(QuotaLimiter, "refund", lambda self, one: refunded.append(one))
+    monkeypatch.setattr(plane.quotas, "refund", refunded.append)
     original = exchange_module.admit
 
     def admit(*arguments: object) -> object:
--- a/tests/router/test_request_metadata.py
+++ b/tests/router/test_request_metadata.py
@@ -6,7 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from larkweir_quotas.limits import RateLimit
-from larkweir_quotas.quota_limiter import QuotaCharge, QuotaLimiter
+from larkweir_quotas.quota_allocator import QuotaAllocator, QuotaOutcome
+from larkweir_quotas.share_leases import TOTAL_SHARE
 
 from larkweir.router.request_metadata import (
     MAX_BLOCK_ID_BYTES,
@@ -92,17 +93,19 @@
 
 @given(st.lists(st.lists(numbers, max_size=3).map(",".join), min_size=1, max_size=20))
 def test_no_value_that_is_taken_lowers_the_usage_of_its_tenant(usages: list[str]) -> None:
-    limiter = QuotaLimiter()
-    limiter.set_limits({"t": RateLimit(2_000.0, 8_000.0)})
+    allocator = QuotaAllocator()
+    allocator.set_share(TOTAL_SHARE, 1e9, 0.0)
+    allocator.set_limits({"t": RateLimit(2_000.0, 8_000.0)}, 0.0, controllers=1, is_restart=False)
     used = 0.0
     for usage in usages:
         try:
             metadata = parse_metadata([(b"x-token-usage", usage.encode(errors="surrogatepass"))])
         except InvalidHeaderError:
             continue
-        charge = limiter.admit("t", float(metadata.total_tokens or 1), 0.0)
-        now_used = limiter.usage("c", 0.0).get("t", 0.0)
+        units = float(metadata.total_tokens or 1)
+        decision = allocator.request("t", units, 0.0)
+        now_used = allocator.granted_units.get("t", 0.0)
         assert now_used >= used
-        if isinstance(charge, QuotaCharge):
-            assert now_used == used + charge.units
+        if decision.outcome is QuotaOutcome.GRANTED:
+            assert now_used == used + units
         used = now_used
--- a/tests/router/test_router_count.py
+++ b/tests/router/test_router_count.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from larkweir.router.router_count import RETENTION_MS, RouterCount
+from larkweir.router.router_count import MIN_REPORTING_MS, RETENTION_MS, RouterCount
 
 
 def test_controllers_that_have_just_started_do_not_make_the_fleet_small() -> None:
@@ -11,3 +11,13 @@
     assert [size.report(n, 5_000.0) for n in (1, 3, 8)] == [9, 9, 9]
     assert size.report(10, 6_000.0) == 10
     assert size.report(6, 6_000.0 + RETENTION_MS) == 6
+
+
+def test_the_first_counts_of_all_are_not_relied_on() -> None:
+    size = RouterCount()
+    assert not size.is_reliable(1e9)
+    size.report(1, 1_000.0)
+    size.report(200, 1_500.0)
+    assert not size.is_reliable(1_000.0 + MIN_REPORTING_MS - 1.0)
+    assert size.is_reliable(1_000.0 + MIN_REPORTING_MS)
+    assert size.routers == 200
--- a/tests/router/test_wire_golden.py
+++ b/tests/router/test_wire_golden.py
@@ -16,7 +16,6 @@
 import msgspec
 import picologging
 import pytest
-from larkweir_quotas.quota_limiter import QuotaLimiter
 from larkweir_quotas.retry_budget import RetryBudget
 from larkweir_registry.records import Upstream
 
@@ -25,8 +24,10 @@
 from larkweir.router.answers import ErrorKind
 from larkweir.router.client_connection import ClientConnection
 from larkweir.router.data_plane import DataPlane
+from larkweir.router.quota_admission import QuotaAdmission
 from larkweir.router.upstream_connection import UpstreamConnection
 from larkweir.router.upstream_pool import UpstreamPool
+from tests.router.granting_controller import GrantingController, connect
 from tests.router.router_model import TURNS, FakeTransport
 
 T = TypeVar("T")
@@ -96,7 +97,9 @@
     def _make(self) -> DataPlane:
         plane = DataPlane(Bounds(retry_budget_ratio=10.0, retry_budget_slack=1_000.0), Random(1))
         plane.pool = Pool(self)
-        plane.quotas = QuotaLimiter(Random(2))
+        plane.quotas = QuotaAdmission(rng=Random(2))
+        self.controller = GrantingController(plane.quotas)
+        connect(plane.quotas, self.controller)
         return plane
 
     def do(self, call: Callable[[], T]) -> T:
@@ -124,7 +127,8 @@
             self.plane.configuration.apply(update)
             table = self.plane.configuration.table
             assert table is not None
-            self.plane.quotas.set_limits(table.quotas)
+            self.plane.quotas.set_limits(table.quotas, 1)
+            self.controller.set_limits(table.quotas)
             self.plane.upstreams.update(listed, self.now_s * 1000.0)
 
         self.do(apply)
--- a/tests/system/test_build.py
+++ b/tests/system/test_build.py
@@ -71,7 +71,7 @@
 @pytest.mark.parametrize(
     "name",
     [
-        "packages/quotas/src/larkweir_quotas/usage_table.py",
+        "packages/quotas/src/larkweir_quotas/quota_allocator.py",
         "packages/replication/src/larkweir_replication/replica.py",
         "packages/registry/pyproject.toml",
         "requirements-system.txt",
