Routers: a rejection does not undo an earlier attempt that may have run

What callers saw: where an idempotent request's first attempt broke off and a later one was rejected with 503, the client got 503, which promises that it has not run; and its units were given back to the tenant's quota, so that the execution was paid by nobody (QUOTA sums what runs).

Cause: one flag for all attempts, which each rejection cleared.

Change: RetryAllowance counts the attempts that may have been executed; a rejection takes back its own alone. An attempt more than were charged is charged once, and a rejected one leaves its charge to the next.

--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -69,7 +69,6 @@
         self._retries: RetryAllowance | None = None
         self._choice: UpstreamChoice | None = None
         self._attempt: Attempt | None = None  # the one under way
-        self._may_have_executed = False
         self._discard_outcome = Outcome.ERROR  # of the attempt whose response is discarded
         self._deadline_timer: asyncio.TimerHandle | None = None
 
@@ -191,10 +190,8 @@
             self._on_deadline()
             return
         self._attempt.on_request_sent(connection, self._on_overdue)
-        retries.record_sent()
-        if self._may_have_executed and admission.charge is not None:
+        if retries.record_sent() and admission.charge is not None:
             self._plane.quotas.charge_again(admission.charge)
-        self._may_have_executed = True
         self._discard_outcome = Outcome.ERROR
         routing = admission.routing_headers(self._attempt.instance, remaining_ms, self._relay.last_event_id)
         request = self._request.upstream_request(routing)
@@ -238,7 +235,7 @@
     @guarded
     def on_response_head(self, response: h11.Response) -> None:
         """The head of a response: relayed, unless the request goes elsewhere."""
-        admission, _ = self._admitted()
+        admission, retries = self._admitted()
         head = ResponseHead(response.status_code, response.headers)
         if self._trace is not None:
             self._trace.on_head(head.status, head.load.decode("latin-1"), self._now_ms())
@@ -253,7 +250,7 @@
             self._relay.start(response.status_code, response.headers, admission.route)
             return
         if found in (ResponseClass.MISDIRECTED, ResponseClass.REJECTED):
-            self._may_have_executed = False
+            retries.record_not_executed()
             rejected = found is ResponseClass.REJECTED
             self._discard_outcome = Outcome.FULL if rejected else Outcome.CONNECT_FAILED
             if rejected and self._attempt is not None and head.reports_capacity:
@@ -304,7 +301,7 @@
         """The connection ended, or sent what is no HTTP, before the response was complete."""
         admission, retries = self._admitted()
         log.debug("call_failed", ending=failure, state=self._state, sent=retries.sent)
-        if self._state is ExchangeState.DISCARDING and not self._may_have_executed:
+        if self._state is ExchangeState.DISCARDING and self._discard_outcome is not Outcome.ERROR:
             self._on_discarded()
             return
         is_closed = failure is CallFailure.CLOSED and not self._relay.has_started
@@ -341,8 +338,8 @@
     def _on_deadline(self) -> None:
         if self._is_done:
             return
-        has_no_effect = self._state is ExchangeState.DISCARDING and not self._may_have_executed
-        is_unsent = self._retries is None or not self._retries.sent or has_no_effect
+        retries, is_discarding = self._retries, self._state is ExchangeState.DISCARDING
+        is_unsent = retries is None or not retries.sent or (is_discarding and not retries.executions)
         is_connecting = self._state is ExchangeState.CONNECTING
         self._abort_attempt(Outcome.CONNECT_FAILED if is_connecting else Outcome.TIMEOUT)
         if self._relay.has_started:
@@ -355,7 +352,7 @@
         _, retries = self._admitted()
         if self._relay.has_started:
             self._abort_response()
-        elif self._may_have_executed:
+        elif retries.executions:
             self._respond_error(ErrorKind.UPSTREAM_FAILED)
         else:
             self._respond_error(ErrorKind.REJECTED if retries.sent else ErrorKind.NO_UPSTREAM)
@@ -369,7 +366,7 @@
 
     def _refund_unless_executed(self) -> None:
         charge = self._admission.charge if self._admission is not None else None
-        if charge is not None and not self._may_have_executed:
+        if charge is not None and (self._retries is None or not self._retries.executions):
             self._plane.quotas.refund(charge)
 
     def _abort_response(self) -> None:
--- a/larkweir/router/retry_allowance.py
+++ b/larkweir/router/retry_allowance.py
@@ -16,15 +16,26 @@
         self._budget = budget
         self._failed_connects = 0
         self.sent = 0  # attempts whose request was written to an upstream
+        self.executions = 0  # attempts that may have been executed
+        self._charged_executions = 1  # to the tenant's quota; the first with the admission
 
     @property
     def is_exhausted(self) -> bool:
         """Whether the route allows no further attempt."""
         return self.sent >= self._max_attempts
 
-    def record_sent(self) -> None:
-        """An attempt's request is written to an upstream."""
+    def record_sent(self) -> bool:
+        """An attempt's request is written to an upstream; whether that may be an execution more than was charged."""
         self.sent += 1
+        self.executions += 1
+        if self.executions <= self._charged_executions:
+            return False
+        self._charged_executions = self.executions
+        return True
+
+    def record_not_executed(self) -> None:
+        """The upstream has said that it did not execute the last attempt."""
+        self.executions -= 1
 
     def record_failed_connect(self) -> bool:
         """No connection was made; whether another upstream may be tried."""
--- a/tests/router/test_exchange_planted.py
+++ b/tests/router/test_exchange_planted.py
@@ -88,7 +88,8 @@
     original = Exchange._respond_unavailable
 
     def give_up(self: Exchange) -> None:
-        self._may_have_executed = False
+        assert self._retries is not None
+        self._retries.executions = 0
         original(self)
 
     patch.setattr(Exchange, "_respond_unavailable", give_up)
