Controllers: a claim on an older connection of a controller is not believed

Cause: a controller that has connected anew may still have a pull on its older connection under way. Its claim may name a smaller share than the one that was leased since; the primary would then lease the difference to others.

Change: claims are read and answered on the newest connection of a process alone, as samples of roll-outs are.

Evidence: test_a_claim_on_an_older_connection_of_a_controller_is_not_believed fails on the text before (an offer was made), and passes.

--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from larkweir_quotas.share_leases import ShareOffer
+from larkweir_quotas.share_leases import ShareClaim, ShareOffer
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
@@ -125,8 +125,9 @@
             if self._state.unconfirmed.add(offered, present_ms):
                 self.wake()
         self._state.quotas.report(connection.incarnation, pull, present_ms)
-        if pull.quota_claim is not None and not subscriber.is_router:
-            self._state.quota_shares.record_claim(connection.node, pull.quota_claim, present_ms)
+        claim = self._quota_claim(subscriber, pull)
+        if claim is not None:
+            self._state.quota_shares.record_claim(connection.node, claim, present_ms)
         self._confirmation.check()
         if self._has_update(subscriber, pull):
             self._answer(subscriber, pull)
@@ -206,15 +207,23 @@
         subscriber.sent_granting = is_granting
         subscriber.connection.send(delta)
 
+    def _quota_claim(self, subscriber: Subscriber, pull: Pull) -> ShareClaim | None:
+        """What a controller holds; None of a router. A claim on an older connection may have been overtaken."""
+        if subscriber.is_router or not self._subscriptions.is_newest(subscriber.connection):
+            return None
+        return pull.quota_claim
+
     def _awaits_share(self, subscriber: Subscriber, pull: Pull, present_ms: float) -> bool:
-        if subscriber.is_router or pull.quota_claim is None:
+        claim = self._quota_claim(subscriber, pull)
+        if claim is None:
             return False
-        return self._state.quota_shares.is_urgent(subscriber.connection.node, pull.quota_claim, present_ms)
+        return self._state.quota_shares.is_urgent(subscriber.connection.node, claim, present_ms)
 
     def _quota_offer(self, subscriber: Subscriber, pull: Pull, present_ms: float) -> ShareOffer | None:
-        if subscriber.is_router or pull.quota_claim is None:
+        claim = self._quota_claim(subscriber, pull)
+        if claim is None:
             return None
-        return self._state.quota_shares.offer(subscriber.connection.node, pull.quota_claim, present_ms)
+        return self._state.quota_shares.offer(subscriber.connection.node, claim, present_ms)
 
 
 def _router_name(connection: Connection) -> str:
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -311,6 +311,24 @@
     asyncio.run(scene())
 
 
+def test_a_claim_on_an_older_connection_of_a_controller_is_not_believed() -> None:
+    async def scene() -> None:
+        made = Scene()
+        made.pulls.connected(older := Recorded("d"), NodeRole.CONTROLLER)
+        made.pulls.connected(newer := Recorded("d"), NodeRole.CONTROLLER)
+        made.term = (1, "c")
+        made.state.quota_shares.tick(now_ms())
+        held = ShareClaim((1, "c"), TOTAL_SHARE // 2, ROUTERS)
+        made.answer(newer, Pull(vector={}, quota_claim=held))
+        made.answer(older, Pull(vector={}, quota_claim=ShareClaim((1, "c"), 0, ROUTERS)))
+        for _ in range(3):
+            made.state.quota_shares.tick(now_ms())
+        assert made.allocator.share(now_ms()) <= TOTAL_SHARE // 2, "the other half is held"
+        assert older.sent[-1].quota_offer is None
+
+    asyncio.run(scene())
+
+
 def test_a_controller_without_a_share_says_so_to_a_router_that_has_a_configuration() -> None:
     async def scene() -> None:
         made = Scene()
