--- /dev/null
+++ b/packages/quotas/tests/quota_faults.py
@@ -0,0 +1,69 @@
+"""Seeded faults of a simulated fleet."""
+
+from __future__ import annotations
+
+from quota_fleet import Fleet
+
+
+class FaultInjector:
+    """Draws faults of controllers, routers and the links between them."""
+
+    KINDS = (
+        "cut_controller",
+        "cut_routers",
+        "cut_all",
+        "split",
+        "freeze",
+        "restart_controller",
+        "restart_all",
+        "restart_router",
+    )
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        self.rng = fleet.rng
+
+    def inject(self) -> float:
+        """Inject a fault; return after how many milliseconds `clear` is to be called."""
+        for_ms = self.rng.choice([300.0, 900.0, 2_000.0, 8_000.0, 20_000.0])
+        getattr(self, "_" + self.rng.choice(self.KINDS))(for_ms)
+        return for_ms
+
+    def clear(self) -> None:
+        """End all faults."""
+        self.fleet.cut.clear()
+        self.fleet.split.clear()
+
+    def _cut_controller(self, for_ms: float) -> None:
+        number = self.rng.randrange(self.fleet.site.controllers)
+        self.fleet.cut = {(router, number) for router in range(len(self.fleet.routers))}
+
+    def _cut_routers(self, for_ms: float) -> None:
+        some = self.rng.sample(range(len(self.fleet.routers)), max(1, len(self.fleet.routers) // 3))
+        controllers = range(self.fleet.site.controllers)
+        self.fleet.cut = {(router, number) for router in some for number in controllers}
+
+    def _cut_all(self, for_ms: float) -> None:
+        routers, controllers = range(len(self.fleet.routers)), range(self.fleet.site.controllers)
+        self.fleet.cut = {(router, number) for router in routers for number in controllers}
+
+    def _split(self, for_ms: float) -> None:
+        self.fleet.split = set(
+            self.rng.sample(range(self.fleet.site.controllers), self.fleet.site.controllers // 2)
+        )
+
+    def _freeze(self, for_ms: float) -> None:
+        self.fleet.freeze_controller(self.rng.randrange(self.fleet.site.controllers), for_ms)
+
+    def _restart_controller(self, for_ms: float) -> None:
+        number = self.rng.randrange(self.fleet.site.controllers)
+        self.fleet.kill_controller(number)
+        self.fleet.return_controller(number)
+
+    def _restart_all(self, for_ms: float) -> None:
+        for number in range(self.fleet.site.controllers):
+            self.fleet.kill_controller(number)
+            self.fleet.return_controller(number)
+
+    def _restart_router(self, for_ms: float) -> None:
+        self.fleet.restart_router(self.rng.randrange(len(self.fleet.routers)))
--- a/packages/quotas/tests/test_quotas_allocator.py
+++ b/packages/quotas/tests/test_quotas_allocator.py
@@ -103,13 +103,13 @@
 def test_the_size_of_a_request_gives_it_no_advantage() -> None:
     made, rng = allocator(), Random(1)
     refused = {20.0: 0, 200.0: 0}
-    asked = dict.fromkeys(refused, 0)
+    requested = dict.fromkeys(refused, 0)
     for step in range(20_000):
         units = rng.choice([20.0, 200.0])
-        asked[units] += 1
+        requested[units] += 1
         if made.request("t", units, step * 20.0).outcome is QuotaOutcome.REFUSED:
             refused[units] += 1
-    small, large = (refused[units] / asked[units] for units in (20.0, 200.0))
+    small, large = (refused[units] / requested[units] for units in (20.0, 200.0))
     assert small > 0.5
     assert abs(small - large) < 0.02
 
@@ -123,7 +123,7 @@
     assert debt <= largest_debt
 
 
-def test_a_use_that_nobody_asked_for_is_paid_off_first() -> None:
+def test_a_use_without_a_request_is_paid_off_first() -> None:
     made = allocator()
     granted(made, 10.0, 0.0)
     made.charge("t", 300.0, 0.0)
@@ -143,7 +143,7 @@
     assert granted(made, 10.0, 0.0) == 2_000.0
 
 
-def test_a_fraction_of_the_rate_is_held_back_for_processes_that_reach_nobody() -> None:
+def test_a_fraction_of_the_rate_is_reserved_for_isolated_processes() -> None:
     made = allocator()
     granted(made, 10.0, 0.0)
     made.set_rate_fraction(0.5, 0.0)
--- a/packages/quotas/tests/test_quotas_disturbances.py
+++ b/packages/quotas/tests/test_quotas_disturbances.py
@@ -10,7 +10,8 @@
 import pytest
 from larkweir_quotas.limits import RateLimit
 from larkweir_quotas.share_leases import TOTAL_SHARE
-from quota_fleet import MAX_RECONNECT_MS, Fleet
+from quota_fleet import Fleet
+from quota_processes import MAX_RECONNECT_MS
 from test_quotas_outages import HALF, LARGE, MEDIUM, PRESSING_FACTOR
 
 SEEDS = int(os.environ.get("QUOTA_SEEDS", "1"))
--- a/packages/quotas/tests/test_quotas_golden.py
+++ b/packages/quotas/tests/test_quotas_golden.py
@@ -43,7 +43,7 @@
 
 
 @pytest.mark.parametrize("line", [b'[[1,"n"],-1]', b'[[1,"n"],1000001]', b"[1,5]", b'[["x","n"],5]', b"[]"])
-def test_an_offer_of_more_than_the_whole_or_without_a_term_is_not_read(line: bytes) -> None:
+def test_an_offer_above_the_total_or_without_a_term_is_invalid(line: bytes) -> None:
     with pytest.raises(msgspec.ValidationError):
         msgspec.json.decode(line, type=ShareOffer)
 
@@ -53,7 +53,7 @@
     assert msgspec.json.decode(line, type=QuotaSnapshot) == QuotaSnapshot({"t": -4.5}, 9)
 
 
-def test_what_a_process_without_share_leases_is_told() -> None:
+def test_statuses_for_a_process_without_share_leases() -> None:
     allocator = QuotaAllocator()
     allocator.set_share(TOTAL_SHARE // 2, 10_000.0, 0.0)
     limits = {"a": RateLimit(1_000.0, 2_000.0), "b": RateLimit(10.0, 3.0)}
--- a/packages/quotas/tests/test_quotas_outages.py
+++ b/packages/quotas/tests/test_quotas_outages.py
@@ -8,7 +8,8 @@
 
 import pytest
 from larkweir_quotas.limits import RateLimit
-from quota_fleet import Fleet, Site
+from quota_fleet import Fleet
+from quota_processes import Site
 
 SEEDS = int(os.environ.get("QUOTA_SEEDS", "1"))
 MEDIUM = Site(routers=195, report_ms=390.0)
--- a/packages/quotas/tests/test_quotas_planted.py
+++ b/packages/quotas/tests/test_quotas_planted.py
@@ -90,7 +90,7 @@
 
 
 def find_too_large_a_sum_of_shares(seed: int) -> None:
-    leases.test_shares_in_force_never_exceed_the_whole(seed)
+    leases.test_shares_in_force_never_exceed_the_total(seed)
 
 
 def find_too_much_of_isolated_processes(seed: int) -> None:
@@ -102,7 +102,7 @@
 
 
 def find_an_offer_that_is_void(seed: int) -> None:
-    leases.test_an_offer_of_an_earlier_term_that_comes_late_is_void()
+    leases.test_a_delayed_offer_of_an_earlier_term_is_void()
 
 
 def find_too_little(seed: int) -> None:
--- a/packages/quotas/tests/test_quotas_requester.py
+++ b/packages/quotas/tests/test_quotas_requester.py
@@ -1,4 +1,4 @@
-"""Admission at one process: whom it asks, and what it does when nobody answers."""
+"""Admission at one process: whom it queries, and what it does when nobody answers."""
 
 from __future__ import annotations
 
@@ -47,7 +47,7 @@
     assert made.admitted_units() == {"t": {AdmissionRule.GRANT: 10.0}}
 
 
-def test_all_controllers_are_asked_in_turn_and_the_least_wait_counts() -> None:
+def test_all_controllers_are_tried_in_turn_and_the_shortest_wait_counts() -> None:
     made = requester("a", "b", "c")
     step, tried = made.begin("t", 10.0, 0.0), []
     for retry_after_s in (2.0, 0.5, 1.0):
@@ -61,13 +61,13 @@
     assert 0.5 <= step.retry_after_s <= 0.75, "spread, so that clients do not return together"
 
 
-def test_after_a_refusal_by_all_nobody_is_asked_for_a_while() -> None:
+def test_after_a_refusal_by_all_no_controller_is_tried_for_a_while() -> None:
     made = requester("a")
     query = queried(made.begin("t", 10.0, 0.0))
     made.on_decision(query.request_id, "a", REFUSED, 0.0)
-    held = made.begin("t", 10.0, 0.1)
-    assert isinstance(held, QuotaRejection)
-    assert held.rule is AdmissionRule.BACKOFF
+    rejected = made.begin("t", 10.0, 0.1)
+    assert isinstance(rejected, QuotaRejection)
+    assert rejected.rule is AdmissionRule.BACKOFF
     assert isinstance(made.begin("t", 10.0, 500.0), Query)
 
 
@@ -87,7 +87,7 @@
     assert step == QuotaCharge("t", 10.0, AdmissionRule.RESERVE)
 
 
-def test_an_answer_that_comes_too_late_admits_nothing() -> None:
+def test_an_answer_after_its_timeout_admits_nothing() -> None:
     made = requester("a", "b")
     query = queried(made.begin("t", 10.0, 0.0))
     made.on_timeout(query.request_id, query.controller, 1.0)
@@ -97,9 +97,9 @@
 
 def test_requests_that_wait_for_a_lost_controller_go_on_to_the_next() -> None:
     made = requester("a", "b")
-    asks = [queried(made.begin("t", 10.0, 0.0)) for _ in range(20)]
+    queries = [queried(made.begin("t", 10.0, 0.0)) for _ in range(20)]
     steps = dict(made.on_controller_lost("a", 1.0))
-    assert set(steps) == {query.request_id for query in asks if query.controller == "a"}
+    assert set(steps) == {query.request_id for query in queries if query.controller == "a"}
     assert all(isinstance(step, Query) and step.controller == "b" for step in steps.values())
 
 
--- a/packages/quotas/tests/test_quotas_returns.py
+++ b/packages/quotas/tests/test_quotas_returns.py
@@ -7,7 +7,9 @@
 import pytest
 from larkweir_quotas.limits import RateLimit
 from larkweir_quotas.share_leases import TOTAL_SHARE
-from quota_fleet import FaultInjector, Fleet, Site
+from quota_faults import FaultInjector
+from quota_fleet import Fleet
+from quota_processes import Site
 
 SEEDS = int(os.environ.get("QUOTA_SEEDS", "10"))
 CONVERGENCE_MS = 1_000.0  # after a fault, in which a request may still be rejected
--- a/packages/quotas/tests/test_quotas_share_leases.py
+++ b/packages/quotas/tests/test_quotas_share_leases.py
@@ -70,14 +70,14 @@
     assert shares(holders, 100.0 + LEASE_MS) == [TOTAL_SHARE // 2, TOTAL_SHARE // 2, 0]
 
 
-def test_an_offer_of_an_earlier_term_that_comes_late_is_void() -> None:
+def test_a_delayed_offer_of_an_earlier_term_is_void() -> None:
     _, holders = lease_table_in_use()
     renew(LeaseTable(SECOND, 100.0), "a", holders["a"], 100.0)
     holders["a"].accept(ShareOffer(FIRST, TOTAL_SHARE), 100.0)
     assert holders["a"].share(100.0) == TOTAL_SHARE // 3
 
 
-def test_a_process_that_has_started_again_holds_nothing_and_gets_its_share_at_once() -> None:
+def test_a_restarted_process_has_no_share_and_gets_one_at_once() -> None:
     lease_table, holders = lease_table_in_use()
     holders["c"] = ShareHolder()
     for _ in range(2):
@@ -129,7 +129,7 @@
     is_led: bool = False
     is_calm: bool = False
     paused_until_ms: dict[str, float] = field(default_factory=dict)
-    asked: set[tuple[str, int]] = field(default_factory=set)  # holder and term: one claim at a time
+    claiming: set[tuple[str, int]] = field(default_factory=set)  # holder and term: one claim at a time
     due: list[tuple[float, int, str, ShareOffer | ShareClaim, float]] = field(default_factory=list)
 
     def step(self) -> None:
@@ -137,8 +137,8 @@
         self._change_primary()
         for name in self.holders:
             term = len(self.lease_tables)
-            if (name, term) not in self.asked and self.rng.random() < 0.2:
-                self.asked.add((name, term))
+            if (name, term) not in self.claiming and self.rng.random() < 0.2:
+                self.claiming.add((name, term))
                 clients = 195 if self.is_calm else self.rng.choice([0, 1, 50, 195])
                 claim = self.holders[name].claim(clients, self.now_ms)
                 self._send(name, claim, self.now_ms)
@@ -159,7 +159,7 @@
     def _restart(self, name: str) -> None:
         """The process is another one; messages to and from the earlier one are lost."""
         self.holders[name] = ShareHolder()
-        self.asked = {one for one in self.asked if one[0] != name}
+        self.claiming = {one for one in self.claiming if one[0] != name}
         self.due = [one for one in self.due if one[2] != name]
 
     def _send(self, name: str, message: ShareOffer | ShareClaim, claimed_ms: float) -> None:
@@ -176,23 +176,23 @@
             return  # it is read when the pause is over
         self.due.remove(message)
         if not self.is_calm and self.rng.random() < 0.1:
-            self.asked.discard((name, term))  # lost, and the connection is made anew
+            self.claiming.discard((name, term))  # lost, and the connection is made anew
         elif isinstance(content, ShareOffer):
             self.holders[name].accept(content, claimed_ms)
-            self.asked.discard((name, term))
+            self.claiming.discard((name, term))
         elif self.is_led and term == len(self.lease_tables):
             lease_table = self.lease_tables[-1]
             lease_table.record_claim(name, content, self.now_ms)
             self._send(name, lease_table.offer(name, content, list(self.holders), self.now_ms), claimed_ms)
         else:
-            self.asked.discard((name, term))
+            self.claiming.discard((name, term))
 
     def in_force(self) -> int:
         return sum(holder.share(self.now_ms) for holder in self.holders.values())
 
 
 @pytest.mark.parametrize("seed", range(int(os.environ.get("QUOTA_SEEDS", "20"))))
-def test_shares_in_force_never_exceed_the_whole(seed: int) -> None:
+def test_shares_in_force_never_exceed_the_total(seed: int) -> None:
     group = Group(Random(seed))
     for _ in range(6_000):
         group.step()
