Quotas: what a divided fleet uses is reserved for as long as it may use it

What callers would see: QUOTA, once a fleet has been divided for over 30 s and a tenant becomes hot then.

Cause: routers that reach only controllers without a majority use half of an equal part of the rate. The other side held that back for 30 s alone, less what quota_over tolerates, which other parts of the tolerance use too; and after 10 s those routers believed the lower count of their own controllers, so that their parts grew.

Change: a count falls only by reports of controllers that hold a share; the reserve is whole and lasts ten minutes, also after a start; a router that has been told to stop says so, and nothing is reserved for it.

Test: test_a_tenant_that_becomes_hot_in_a_fleet_divided_for_long. After ten minutes the sum is not held ("Open" in docs/design/quotas.md).

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -75,6 +75,7 @@
         encodings: those that the sender reads large configurations in; where the last delta on this connection asked.
         quota_snapshot: what the sender knows of the fleet, in the first pull on a connection.
         quota_claim: the share of all quotas that the sender holds; only controllers have one.
+        is_leaving: the sender is a router that will end soon: nothing is to be reserved for it then.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -88,6 +89,7 @@
     encodings: list[str] = []
     quota_snapshot: QuotaSnapshot | None = None
     quota_claim: ShareClaim | None = None
+    is_leaving: bool = False
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -108,10 +108,7 @@
         """What this controller hands out of tenants' quotas; it is asked once the replica is there."""
         bounds = self.settings.bounds
         allocator = QuotaAllocator(Tolerance(bounds.quota_window_s, bounds.quota_over, bounds.quota_slack))
-        self._quotas = QuotaAccounting(
-            allocator,
-            overuse_fraction=self.settings.bounds.quota_over,
-        )
+        self._quotas = QuotaAccounting(allocator)
         group = QuotaGroup(
             self.settings.ip,
             term=lambda present_ms: self._driver.certain_term(present_ms),
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -124,7 +124,7 @@
             offered = [record.upstream for record in pull.records]
             if self._state.unconfirmed.add(offered, present_ms):
                 self.wake()
-        self._state.quotas.report(connection.incarnation, pull, present_ms)
+        self._state.quotas.report(connection.node, connection.incarnation, pull, present_ms)
         claim = self._quota_claim(subscriber, pull)
         if claim is not None:
             self._state.quota_shares.record_claim(connection.node, claim, present_ms)
--- a/larkweir/controller/quota_accounting.py
+++ b/larkweir/controller/quota_accounting.py
@@ -12,28 +12,22 @@
 from larkweir.cluster.configuration.documents import Document
 from larkweir.cluster.messages import Pull, QuotaRefund, QuotaRequest, QuotaResponse
 
-DISCONNECTED_ROUTER_MS = 30_000.0  # for so long one may be partitioned from here and still serve requests
-REBUILD_MS = 10_000.0  # after a start, in which routers that have not connected yet count as disconnected
+DISCONNECTED_ROUTER_MS = 600_000.0  # for so long one may be partitioned from here and still serve requests
 MAX_TRACKED_INCARNATIONS = 4_096  # of routers that report their usage; the oldest are dropped first
 
 
 class QuotaAccounting:
     """Feeds the allocator of this controller and reads it. Times are milliseconds that only rise."""
 
-    def __init__(self, allocator: QuotaAllocator, *, overuse_fraction: float = 0.0) -> None:
-        """Know no configuration yet.
-
-        Args:
-            allocator: of this controller's share.
-            overuse_fraction: the fraction of a quota by which it may be exceeded.
-        """
+    def __init__(self, allocator: QuotaAllocator) -> None:
+        """Know no configuration yet. `allocator`: of this controller's share."""
         self._allocator = allocator
-        self._overuse_fraction = overuse_fraction
         self.is_first_start = False  # of the group; set before the first configuration
         self._sequence: int | None = None  # of the newest configuration
         self._started_ms = 0.0  # when the first configuration was in force
         self._expected_routers = 0  # the most that any router has told
         self._disconnected_ms: dict[str, float] = {}  # by router: when its connection was lost
+        self._leaving: set[str] = set()  # routers that will end soon
         self._reported_units: dict[
             str, dict[str, float]
         ] = {}  # by incarnation of a router without share leases
@@ -71,13 +65,17 @@
         """A router has not used what it was granted on the same connection."""
         self._allocator.refund(refund.tenant, refund.units, now_ms)
 
-    def report(self, incarnation: str, pull: Pull, now_ms: float) -> None:
-        """Charge the usage of a router that asks nobody, as it knows no share leases; it reports to all controllers.
+    def report(self, node: str, incarnation: str, pull: Pull, now_ms: float) -> None:
+        """Take in what a router tells of itself.
+
+        Charge the usage of a router that asks nobody, as it knows no share leases; it reports to all controllers.
 
         Its first report only sets the base: that use may have been reported to another process.
         """
         if pull.quota_snapshot is not None:
             self._expected_routers = max(self._expected_routers, pull.quota_snapshot.process_count)
+        if pull.is_leaving:
+            self._leaving.add(node)
         if not pull.usage:
             return
         is_first = incarnation not in self._reported_units
@@ -113,10 +111,14 @@
     def connected(self, node: str) -> None:
         """A process has introduced itself: nothing is reserved for it any more."""
         self._disconnected_ms.pop(node, None)
+        self._leaving.discard(node)
 
     def router_disconnected(self, node: str, now_ms: float) -> None:
-        """It may be partitioned from here and go on by its own reserve."""
-        self._disconnected_ms[node] = now_ms
+        """It may be partitioned from here and go on by its own reserve, unless it said that it would end."""
+        if node in self._leaving:
+            self._leaving.discard(node)
+        else:
+            self._disconnected_ms[node] = now_ms
 
     def update_reserve(self, connected: Collection[str], routers: int, now_ms: float) -> None:
         """Reserve a part of each quota for routers that may be isolated; to be called several times a second.
@@ -130,10 +132,10 @@
             if node in connected or now_ms >= lost_ms + DISCONNECTED_ROUTER_MS:
                 del self._disconnected_ms[node]
         lost = len(self._disconnected_ms)
-        if now_ms < self._started_ms + REBUILD_MS:
+        if now_ms < self._started_ms + DISCONNECTED_ROUTER_MS:  # else those that were lost before the start
             lost = max(lost, self._expected_routers - routers)
         reserved = ISOLATED_FRACTION * lost / max(1, lost + routers)
-        self._allocator.set_rate_fraction(1.0 - max(0.0, reserved - self._overuse_fraction), now_ms)
+        self._allocator.set_rate_fraction(1.0 - reserved, now_ms)
 
 
 def limits_of(document: Document) -> dict[str, RateLimit]:
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -67,6 +67,7 @@
         # Controllers that have sent what they knew, since this process started.
         self._responded: set[str] = set()
         self._configured_ms: float | None = None
+        self.is_leaving = False  # this router has been told to stop
         plane.prefix_affinity.send_lookup = self._links.send_lookup
         plane.announce_backlog = self._announce_backlog
         plane.quotas.send = self._links.send
@@ -135,6 +136,7 @@
             records=self._registry.delta({}) if PullExtras.RECORDS in extras else [],
             rollouts=rollouts,
             encodings=[DEFLATE] if PullExtras.ENCODINGS in extras else [],
+            is_leaving=self.is_leaving,
             quota_snapshot=self._quota_snapshot() if PullExtras.QUOTA_SNAPSHOT in extras else None,
         )
         connection.send(pull)
@@ -170,7 +172,8 @@
             plane.upstreams.update(changed, now_ms)
         self._links.update_listed(delta.controllers)
         self._reports.update(node, delta)
-        routers = self._router_count.report(self._reports.max_router_count(), now_ms)
+        may_lower = delta.grants_quotas is not False
+        routers = self._router_count.report(self._reports.max_router_count(), now_ms, may_lower=may_lower)
         plane.set_router_count(routers, is_reliable=self._router_count.is_reliable(now_ms))
         statuses = None if delta.quotas_unknown else delta.quotas
         plane.quotas.on_delta(node, grants_quotas=delta.grants_quotas, statuses=statuses)
--- a/larkweir/router/node.py
+++ b/larkweir/router/node.py
@@ -65,6 +65,7 @@
         ticking = self._ticking = start_task("ticks", ticks.run())
         try:
             await wait_unless_failed(self._terminated, ticking)
+            self._sync.is_leaving = True
             await GracefulShutdown(self._plane, front, self._settings.bounds.grace_s).drain()
         finally:
             self.close()
--- a/larkweir/router/router_count.py
+++ b/larkweir/router/router_count.py
@@ -24,14 +24,16 @@
         """Whether the count may be relied on: one that is too small makes this router's parts of limits too large."""
         return now_ms >= self._first_reported_ms + MIN_REPORTING_MS
 
-    def report(self, routers: int, now_ms: float) -> int:
+    def report(self, routers: int, now_ms: float, *, may_lower: bool = True) -> int:
         """Take in a report, and return the count to reckon with.
 
         Args:
             routers: that a controller counts at present.
             now_ms: the event loop's time.
+            may_lower: whether that controller belongs to a majority; others may not see a part of the fleet.
         """
         self._first_reported_ms = min(self._first_reported_ms, now_ms)
-        if routers >= self._max_routers or now_ms >= self._reported_ms + RETENTION_MS:
+        is_outdated = may_lower and now_ms >= self._reported_ms + RETENTION_MS
+        if routers >= self._max_routers or is_outdated:
             self._max_routers, self._reported_ms = max(1, routers), now_ms
         return self._max_routers
--- a/packages/quotas/tests/quota_controllers.py
+++ b/packages/quotas/tests/quota_controllers.py
@@ -16,7 +16,6 @@
     LEADER_LEASE_MARGIN_MS,
     LEADER_LEASE_MS,
     MAX_LATENCY_MS,
-    REBUILD_MS,
     TENANT,
     TICK_MS,
     Controller,
@@ -191,7 +190,7 @@
             if router in controller.connected or self.now_ms >= lost_ms + DISCONNECTED_MS:
                 del controller.lost_ms[router]
         lost, connected = len(controller.lost_ms), len(controller.connected)
-        if self.now_ms < controller.started_ms + REBUILD_MS:
+        if self.now_ms < controller.started_ms + DISCONNECTED_MS:
             lost = max(lost, controller.expected_routers - connected)
         reserved = ISOLATED_FRACTION * lost / max(1, lost + connected)
-        controller.allocator.set_rate_fraction(1.0 - max(0.0, reserved - self.site.over), self.now_ms)
+        controller.allocator.set_rate_fraction(1.0 - reserved, self.now_ms)
--- a/packages/quotas/tests/quota_fleet.py
+++ b/packages/quotas/tests/quota_fleet.py
@@ -227,8 +227,8 @@
     def _receive(self, number: int, index: int, link: int) -> None:
         controller, router = self.controllers[index], self.routers[number]
         assert controller is not None
-        router.learn_count(len(controller.connected), self.now_ms)
         is_granting = controller.has_limits and controller.allocator.has_share(self.now_ms)
+        router.learn_count(len(controller.connected), self.now_ms, may_lower=is_granting)
         router.requester.set_granting(f"{index}#{link}", self.now_ms, is_granting=is_granting)
 
     # Requests
--- a/packages/quotas/tests/quota_processes.py
+++ b/packages/quotas/tests/quota_processes.py
@@ -25,8 +25,7 @@
 LATE_FRACTION = 0.003  # of answers that come after their request has given up waiting
 MIN_REPORTING_MS = 2_000.0
 ROUTER_COUNT_RETENTION_MS = 10_000.0  # as routers believe in the highest count that they were told
-DISCONNECTED_MS = 30_000.0  # for so long a router that was lost counts as isolated
-REBUILD_MS = 10_000.0  # after a controller's start, in which routers that it expects count as isolated
+DISCONNECTED_MS = 600_000.0  # for so long a router that was lost counts as isolated
 
 
 @dataclass(frozen=True)
@@ -77,11 +76,12 @@
     is_frozen: bool = False
     unread: list[Callable[[], None]] = field(default_factory=list)  # what reaches it while it is frozen
 
-    def learn_count(self, routers: int, now_ms: float) -> None:
+    def learn_count(self, routers: int, now_ms: float, *, may_lower: bool) -> None:
         """Believe the highest count of late, once it has settled, as the fleet's routers do."""
         if self.first_count_ms is None:
             self.first_count_ms = now_ms
-        if routers >= self.max_count or now_ms >= self.max_count_ms + ROUTER_COUNT_RETENTION_MS:
+        is_outdated = may_lower and now_ms >= self.max_count_ms + ROUTER_COUNT_RETENTION_MS
+        if routers >= self.max_count or is_outdated:
             self.max_count, self.max_count_ms = max(1, routers), now_ms
         if now_ms >= self.first_count_ms + MIN_REPORTING_MS:
             self.requester.process_count = self.max_count
--- a/packages/quotas/tests/test_quotas_disturbances.py
+++ b/packages/quotas/tests/test_quotas_disturbances.py
@@ -141,6 +141,27 @@
     assert fleet.most_shares <= TOTAL_SHARE
 
 
+@pytest.mark.parametrize("hot_ms", [26_000.0, 45_000.0])
+@seeds
+def test_a_tenant_that_becomes_hot_in_a_fleet_divided_for_long(seed: int, hot_ms: float) -> None:
+    site = SIZES[seed % len(SIZES)]
+    fleet, rng = Fleet(site, seed), Random(seed)
+    fleet.demand_per_s = HALF * site.limit.rate_per_s
+    fleet.run_until(8_000.0)
+    apart, minority = set(some_routers(fleet, rng)), {0, 1}
+    fleet.split.update(minority)
+    fleet.cut.update(
+        (router, controller)
+        for router in range(site.routers)
+        for controller in range(site.controllers)
+        if (controller in minority) != (router in apart)
+    )
+    fleet.run_until(hot_ms)
+    fleet.demand_per_s = PRESSING_FACTOR * site.limit.rate_per_s
+    fleet.run_until(hot_ms + 2.0 * site.window_ms)
+    assert fleet.most_in_a_window() <= site.allowed
+
+
 @seeds
 def test_each_half_of_a_divided_fleet_does_not_admit_the_limit(seed: int) -> None:
     fleet = play(routers_reach_one_side_only, seed)
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -96,6 +96,7 @@
     Delta(rollout_ages={"chat": RolloutAge("v2/1764771837000", 4_000.5)}),
     Pull(3, quota_claim=ShareClaim((7, "10.0.0.2"), 200_000, 195)),
     Pull(3, quota_snapshot=QuotaSnapshot(process_count=195)),
+    Pull(3, is_leaving=True),
     Delta(grants_quotas=True),
     Delta(grants_quotas=False, quotas_unknown=True),
     Delta(quota_offer=ShareOffer((7, "10.0.0.2"), 250_000)),
--- a/tests/controller/test_quota_accounting.py
+++ b/tests/controller/test_quota_accounting.py
@@ -10,7 +10,6 @@
 from larkweir.cluster.messages import Pull, QuotaRefund, QuotaRequest
 from larkweir.controller.quota_accounting import (
     DISCONNECTED_ROUTER_MS,
-    REBUILD_MS,
     QuotaAccounting,
     limits_of,
 )
@@ -39,7 +38,7 @@
 
 @pytest.fixture
 def quotas(allocator: RecordedAllocator) -> QuotaAccounting:
-    return QuotaAccounting(allocator, overuse_fraction=0.05)
+    return QuotaAccounting(allocator)
 
 
 def test_only_tenants_with_a_rate_have_a_limit() -> None:
@@ -56,7 +55,7 @@
     quotas.router_disconnected("r1", 1_000.0)
     quotas.update_reserve({"r2", "r3", "c"}, 2, 1_000.0 + DISCONNECTED_ROUTER_MS - 1.0)
     quotas.update_reserve({"r2", "r3", "c"}, 2, 1_000.0 + DISCONNECTED_ROUTER_MS)
-    assert allocator.fractions == [pytest.approx(1.0 - (0.5 / 3 - 0.05)), 1.0]
+    assert allocator.fractions == [pytest.approx(1.0 - 0.5 / 3), 1.0]
 
 
 def test_a_router_that_is_connected_again_is_not_away(
@@ -87,10 +86,10 @@
     quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.set_limits(DOCUMENT, 1, 1, 0.0)
-    quotas.report("r1/a", Pull(quota_snapshot=QuotaSnapshot(process_count=4)), 0.0)
-    quotas.update_reserve({"r1"}, 1, REBUILD_MS - 1.0)
-    quotas.update_reserve({"r1"}, 1, REBUILD_MS)
-    assert allocator.fractions == [pytest.approx(1.0 - (0.5 * 3 / 4 - 0.05)), 1.0]
+    quotas.report("r1", "r1/a", Pull(quota_snapshot=QuotaSnapshot(process_count=4)), 0.0)
+    quotas.update_reserve({"r1"}, 1, DISCONNECTED_ROUTER_MS - 1.0)
+    quotas.update_reserve({"r1"}, 1, DISCONNECTED_ROUTER_MS)
+    assert allocator.fractions == [pytest.approx(1.0 - 0.5 * 3 / 4), 1.0]
 
 
 def outcome(quotas: QuotaAccounting, units: float, config_sequence: int = 1) -> QuotaOutcome:
@@ -134,7 +133,19 @@
 ) -> None:
     quotas.is_first_start = True
     quotas.set_limits(DOCUMENT, 1, 1, 0.0)
-    quotas.report("r/1", Pull(usage={"t": 90.0}), 0.0)
+    quotas.report("r", "r/1", Pull(usage={"t": 90.0}), 0.0)
     assert quotas.statuses(Pull(usage={"t": 90.0}), 0.0)["t"].level == 100.0
-    quotas.report("r/1", Pull(usage={"t": 130.0}), 0.0)
+    quotas.report("r", "r/1", Pull(usage={"t": 130.0}), 0.0)
     assert quotas.statuses(Pull(usage={"t": 130.0}), 0.0)["t"].level == 60.0
+
+
+def test_a_router_that_said_that_it_would_end_is_not_away(
+    quotas: QuotaAccounting, allocator: RecordedAllocator
+) -> None:
+    quotas.report("r1", "r1/a", Pull(is_leaving=True), 0.0)
+    quotas.router_disconnected("r1", 0.0)
+    quotas.update_reserve({"r2"}, 1, 1.0)
+    quotas.connected("r1")
+    quotas.router_disconnected("r1", 2.0)
+    quotas.update_reserve({"r2"}, 1, 3.0)
+    assert allocator.fractions == [1.0, 0.75], "its next process has not said so"
--- a/tests/router/test_fleet_sync_golden.py
+++ b/tests/router/test_fleet_sync_golden.py
@@ -23,6 +23,8 @@
     '{"type":"pull","config":3,"usage":{"acme":1.0},"sent_ms":SENT,"waiting":{"e0":6000}}',
     # Behind its answer, and a call that failed.
     '{"type":"pull","config":3,"usage":{"acme":2.0},"sent_ms":SENT,"endings":{"s0":[0,1]}}',
+    # Behind SIGTERM.
+    '{"type":"pull","config":3,"usage":{"acme":2.0},"sent_ms":SENT,"endings":{"s0":[0,1]},"is_leaving":true}',
 ]
 VARIES = {
     r'"node":"127\.78\.[0-9]+\.2"': '"node":"NODE"',
@@ -64,7 +66,7 @@
     for upstream in (engine, failing):
         await upstream.start()
     try:
-        async with running_router(ip, port):
+        async with running_router(ip, port) as router:
             await controller.until(2)
             controller.send(
                 {
@@ -94,6 +96,11 @@
             controller.send({"type": "delta", "vector": {"c/1": 3}})
             await controller.until(7)
             client.close()
+            router._terminated.set()
+            while not router._sync.is_leaving:
+                await asyncio.sleep(0)
+            controller.send({"type": "delta", "vector": {"c/1": 3}})
+            await controller.until(8)
     finally:
         for upstream in (engine, failing):
             upstream.close()
