Routers: tenants without a limit are admitted at once; one time-out for both questions

Cause: each request computed a time-out and looked at statuses before it was known whether its tenant has a limit; the time-out with a body's part stood twice (prefix_affinity, quota_admission); QuotaRequester.cancel and QuotaAllocator._limits were never used; a request whose two controllers are lost within one step could have been decided twice.

Change: the limit is looked up first; response_timeout; the dead parts are gone; a step that was overtaken is passed over.

Result: tests of a large body's time-out, of the spread of Retry-After and of both controllers lost at once; tests/router passes.

--- a/larkweir/router/prefix_affinity.py
+++ b/larkweir/router/prefix_affinity.py
@@ -10,11 +10,10 @@
 from larkweir_balancing.prompt import Prompt
 
 from larkweir.cluster.messages import PlacementRequest, PlacementResponse
+from larkweir.router.response_timeout import ResponseTimeout
 
 # A controller responds in a few milliseconds; without its response the prefix's rendezvous order decides.
 CONTROLLER_TIMEOUT_S = 0.04
-# Added to that: so many times what the request's body takes on this router's link, behind which the response may come.
-BODY_TRANSFER_FACTOR = 2.0
 OWNER_TTL_MS = 30_000.0  # then the controller is asked again, which keeps its own entry alive
 MAX_PREFIXES = 16_384  # the one that was looked up longest ago is evicted first
 
@@ -48,7 +47,7 @@
         Args:
             link_mbps: the bandwidth of this router's network link, in megabits per second.
         """
-        self._link_bytes_per_s = link_mbps * 1e6 / 8.0
+        self._timeout = ResponseTimeout(CONTROLLER_TIMEOUT_S, link_mbps)
         self._loop = asyncio.get_running_loop()
         self._owners: OrderedDict[str, _CachedOwner] = OrderedDict()
         self._lookups: dict[str, _PendingLookup] = {}
@@ -88,8 +87,9 @@
         if not self.send_lookup(lookup):
             on_owner(last_known)
             return
-        timeout_s = CONTROLLER_TIMEOUT_S + BODY_TRANSFER_FACTOR * body_bytes / self._link_bytes_per_s
-        timer = self._loop.call_later(timeout_s, self._resolve, prompt.prefix, last_known)
+        timer = self._loop.call_later(
+            self._timeout.seconds(body_bytes), self._resolve, prompt.prefix, last_known
+        )
         self._lookups[prompt.prefix] = _PendingLookup(timer, [on_owner])
 
     def on_placed(self, response: PlacementResponse, now_ms: float) -> None:
--- a/larkweir/router/quota_admission.py
+++ b/larkweir/router/quota_admission.py
@@ -23,14 +23,12 @@
 from larkweir.cluster import log
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import QuotaRefund, QuotaRequest, QuotaResponse
+from larkweir.router.response_timeout import ResponseTimeout
 from larkweir.router.share_wait import ShareWait
 from larkweir.router.usage_statuses import UsageStatuses
 
 # A controller answers in a few milliseconds; a busy one, or one whose share of a core is spent, within this.
 CONTROLLER_TIMEOUT_S = 0.12
-# Added to that: so many times what the request's body takes on this router's link, behind which the answer may come.
-BODY_TRANSFER_FACTOR = 2.0
-
 CONNECTION_MARK = "#"  # between a node and the number of its connection
 
 Verdict = QuotaCharge | QuotaRejection
@@ -61,7 +59,7 @@
         self._loop = asyncio.get_running_loop()
         self._requester = QuotaRequester(tolerance, rng)
         self._statuses = UsageStatuses()
-        self._link_bytes_per_s = link_mbps * 1e6 / 8.0
+        self._timeout = ResponseTimeout(CONTROLLER_TIMEOUT_S, link_mbps)
         self._waiting: dict[int, _Waiting] = {}
         self._unanswered: dict[
             tuple[int, str], Query
@@ -112,13 +110,16 @@
             ValueError: `units` is no such number.
         """
         check_units(units)
-        verdict = self._verdict_by_statuses(tenant, units)
-        if verdict is not None:
-            on_verdict(verdict)
+        limit = self._requester.limits.get(tenant)
+        if limit is None or units == 0.0:
+            on_verdict(QuotaCharge(tenant, 0.0, AdmissionRule.UNLIMITED))
             return
-        timeout_s = CONTROLLER_TIMEOUT_S + BODY_TRANSFER_FACTOR * body_bytes / self._link_bytes_per_s
-        begin = partial(self._begin, tenant, units, timeout_s, on_verdict)
-        if self._without_share and not self._requester.has_granting and self._is_limited(tenant, units):
+        begin = partial(self._begin, tenant, units, self._timeout.seconds(body_bytes), on_verdict)
+        if self._requester.has_granting:
+            begin()
+        elif (verdict := self._verdict_by_statuses(tenant, units, limit)) is not None:
+            on_verdict(verdict)
+        elif self._without_share:
             self._share_wait.add(begin)
         else:
             begin()
@@ -128,9 +129,6 @@
     ) -> None:
         self._carry_out(self._requester.begin(tenant, units, self._now_ms()), on_verdict, timeout_s)
 
-    def _is_limited(self, tenant: str, units: float) -> bool:
-        return units > 0.0 and tenant in self._requester.limits
-
     def log_admitted(self) -> None:
         """While debugging: units admitted since the start, by tenant and rule."""
         if log.is_debug_enabled():
@@ -216,7 +214,9 @@
             self._continue(query.request_id, step)
 
     def _continue(self, request_id: int, step: Step) -> None:
-        waiting = self._waiting.pop(request_id)
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is None:  # decided meanwhile, as a second controller was lost within the same step
+            return
         waiting.timer.cancel()
         self._carry_out(step, waiting.on_verdict, waiting.timeout_s)
 
@@ -232,11 +232,8 @@
         if not self._send_to(step.controller, request):
             self.on_disconnected(step.controller.partition(CONNECTION_MARK)[0])
 
-    def _verdict_by_statuses(self, tenant: str, units: float) -> Verdict | None:
-        """What controllers without share leases allow; None where others can be asked, or there are none of them."""
-        limit = self._requester.limits.get(tenant)
-        if limit is None or not self._is_limited(tenant, units) or self._requester.has_granting:
-            return None
+    def _verdict_by_statuses(self, tenant: str, units: float, limit: RateLimit) -> Verdict | None:
+        """What controllers without share leases allow; None where there are none of them."""
         now_ms = self._now_ms()
         level = self._statuses.level(tenant, limit, self._process_count, now_ms)
         if level is None:
--- a/packages/quotas/src/larkweir_quotas/quota_allocator.py
+++ b/packages/quotas/src/larkweir_quotas/quota_allocator.py
@@ -86,7 +86,6 @@
     def __init__(self, tolerance: Tolerance | None = None) -> None:
         """Know no limits and hold no share. `tolerance`: by how much limits may be exceeded."""
         self._tolerance = tolerance or Tolerance()
-        self._limits: dict[str, RateLimit] = {}
         self._tenants: dict[str, _TenantQuota] = {}
         self._share = 0
         self._expires_ms = 0.0
@@ -106,7 +105,6 @@
             is_restart: tenants that are new here may have used their limits before.
         """
         self._refill_all(now_ms)
-        self._limits = limits
         self._tenants = {tenant: one for tenant, one in self._tenants.items() if tenant in limits}
         for tenant, limit in limits.items():
             known = self._tenants.get(tenant)
--- a/packages/quotas/src/larkweir_quotas/quota_requester.py
+++ b/packages/quotas/src/larkweir_quotas/quota_requester.py
@@ -205,10 +205,6 @@
             steps.append((request_id, self._query_next(request_id, pending, now_ms)))
         return steps
 
-    def cancel(self, request_id: int) -> None:
-        """Nobody waits for that request any more."""
-        self._pending.pop(request_id, None)
-
     def refund(self, charge: QuotaCharge, now_ms: float) -> None:
         """Return the units of a request that was never executed to the reserve, if they are from there."""
         if charge.rule is AdmissionRule.RESERVE:
--- a/packages/quotas/tests/test_quotas_requester.py
+++ b/packages/quotas/tests/test_quotas_requester.py
@@ -61,6 +61,18 @@
     assert 0.5 <= step.retry_after_s <= 0.75, "spread, so that clients do not return together"
 
 
+def test_clients_that_are_refused_together_do_not_return_together() -> None:
+    made, waits = requester("a"), set()
+    for number in range(50):
+        query = queried(made.begin("t", 10.0, 10_000.0 * number))
+        step = made.on_decision(
+            query.request_id, "a", QuotaDecision(QuotaOutcome.REFUSED, 1.0), 10_000.0 * number
+        )
+        assert isinstance(step, QuotaRejection)
+        waits.add(round(step.retry_after_s, 1))
+    assert waits >= {1.0, 1.1, 1.2, 1.3, 1.4}
+
+
 def test_after_a_refusal_by_all_no_controller_is_tried_for_a_while() -> None:
     made = requester("a")
     query = queried(made.begin("t", 10.0, 0.0))
--- a/tests/router/test_quota_admission.py
+++ b/tests/router/test_quota_admission.py
@@ -21,7 +21,8 @@
 class Scene:
     """A router's quotas and two controllers, in a loop whose time the test moves."""
 
-    def __init__(self) -> None:
+    def __init__(self, link_mbps: float = 1_000.0) -> None:
+        self.link_mbps = link_mbps
         self.now_s = 1_000.0
         self.loop = asyncio.new_event_loop()
         self.loop.time = lambda: self.now_s  # type: ignore[method-assign]
@@ -29,7 +30,7 @@
         self.do(self._make)
 
     def _make(self) -> None:
-        self.quotas = QuotaAdmission(Tolerance(8.0, 0.1, 50.0), Random(1))
+        self.quotas = QuotaAdmission(Tolerance(8.0, 0.1, 50.0), Random(1), self.link_mbps)
         self.quotas.set_limits(LIMITS, 3)
         self.one, self.two = GrantingController(self.quotas, "c1"), GrantingController(self.quotas, "c2")
         connect(self.quotas, self.one, self.two)
@@ -94,6 +95,29 @@
     assert [one.units for one in silent.refunded] == [10.0]
 
 
+def test_a_large_body_on_a_slow_link_gives_a_controller_more_time() -> None:
+    scene = Scene(link_mbps=1.0)
+    scene.grant(scene.one, scene.two)
+    scene.one.is_silent = scene.two.is_silent = True
+    body_bytes = 125_000  # a second on that link
+    scene.do(lambda: scene.quotas.acquire("t", 10.0, body_bytes, scene.verdicts.append))
+    scene.wait(CONTROLLER_TIMEOUT_S + 1.9)
+    assert len(scene.one.asked) + len(scene.two.asked) == 1
+    scene.wait(0.2)
+    assert len(scene.one.asked) + len(scene.two.asked) == 2
+
+
+def test_both_controllers_lost_at_once_decide_a_request_once(scene: Scene) -> None:
+    scene.grant(scene.one, scene.two)
+    scene.one.is_silent = scene.two.is_silent = True
+    for _ in range(8):
+        scene.acquire()
+    scene.quotas.send = lambda node, message: False
+    scene.do(lambda: scene.quotas.on_disconnected("c1"))
+    scene.do(lambda: scene.quotas.on_disconnected("c2"))
+    assert len(scene.verdicts) == 8
+
+
 def test_requests_that_wait_for_a_lost_controller_are_decided_at_once(scene: Scene) -> None:
     scene.grant(scene.one)
     scene.one.is_silent = True
