--- /dev/null
+++ b/packages/quotas/tests/test_quotas_sums.py
@@ -0,0 +1,75 @@
+"""Nine routers and three controllers: what all admit together, in quiet times and round the usual losses.
+
+The bounds are those of the plays of routers that reported their usage (`test_quotas_reports` before share leases).
+"""
+
+from __future__ import annotations
+
+import pytest
+from larkweir_quotas.limits import RateLimit
+from larkweir_quotas.local_reserve import ISOLATED_FRACTION
+from quota_fleet import Fleet
+from quota_processes import Site
+
+SITE = Site(
+    routers=9,
+    controllers=3,
+    limit=RateLimit(1_000.0, 2_000.0),
+    report_ms=150.0,
+    min_tokens=20.0,
+    max_tokens=20.0,
+    over=0.1,
+    slack=1_000.0,
+)
+ALLOWED = 1_000.0 * SITE.window_ms / 1_000.0 + 2_000.0
+PRESSING_PER_S = 6_000.0
+
+
+def play(fleet: Fleet, per_s: float, until_ms: float) -> None:
+    fleet.demand_per_s = per_s
+    fleet.run_until(until_ms)
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_far_above_the_limit_the_sum_stays_near_it(seed: int) -> None:
+    fleet = Fleet(SITE, seed)
+    play(fleet, PRESSING_PER_S, 30_000.0)
+    assert fleet.most_in_a_window() <= 1.1 * ALLOWED + 1_000.0
+    assert fleet.most_in_a_window() >= 0.9 * 1_000.0 * SITE.window_ms / 1_000.0
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_below_the_limit_all_is_admitted_but_for_the_start(seed: int) -> None:
+    fleet = Fleet(SITE, seed)
+    play(fleet, 750.0, 30_000.0)
+    rejected, admitted = fleet.rejected_within(0.0, 30_000.0), fleet.admitted_within(0.0, 30_000.0)
+    assert admitted / (admitted + rejected) > 0.98
+
+
+@pytest.mark.parametrize("cut", [1, 3])
+def test_isolated_processes_fall_back_to_a_small_part(cut: int) -> None:
+    fleet = Fleet(SITE, 1)
+    play(fleet, PRESSING_PER_S, 10_000.0)
+    fleet.cut = {(router, controller) for router in range(cut) for controller in range(SITE.controllers)}
+    play(fleet, PRESSING_PER_S, 40_000.0)
+    extra = ALLOWED * ISOLATED_FRACTION * cut / 9
+    assert fleet.most_in_a_window() <= 1.1 * ALLOWED + extra + 1_000.0
+
+
+def test_a_new_controller_that_knows_nothing_does_no_harm() -> None:
+    fleet = Fleet(SITE, 1)
+    play(fleet, PRESSING_PER_S, 10_000.0)
+    fleet.kill_controller(0)
+    fleet.return_controller(0, limits_after_ms=0.0)
+    play(fleet, PRESSING_PER_S, 25_000.0)
+    assert fleet.most_in_a_window() <= 1.1 * ALLOWED + 1_000.0
+
+
+def test_controllers_that_learn_the_limits_late_hand_out_no_burst_on_top() -> None:
+    fleet = Fleet(SITE, 2)
+    play(fleet, PRESSING_PER_S, 10_000.0)
+    for controller in range(SITE.controllers):
+        fleet.kill_controller(controller)
+        fleet.return_controller(controller, limits_after_ms=700.0)
+    play(fleet, PRESSING_PER_S, 25_000.0)
+    assert fleet.most_in_a_window() <= 1.1 * ALLOWED + 1_000.0
