--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -268,7 +268,7 @@
     asyncio.run(scene())
 
 
-def test_routers_are_told_at_once_that_a_controller_holds_a_share_of_the_quotas() -> None:
+def test_routers_are_notified_at_once_that_a_controller_has_a_share_of_the_quotas() -> None:
     async def scene() -> None:
         made = Scene()
         made.pulls.publish(1, '{"generation":1,"tenants":[{"name":"t","rate_per_s":1000}]}')
@@ -318,18 +318,18 @@
         made.pulls.connected(newer := Recorded("d"), NodeRole.CONTROLLER)
         made.term = (1, "c")
         made.state.quota_shares.tick(now_ms())
-        held = ShareClaim((1, "c"), TOTAL_SHARE // 2, ROUTERS)
-        made.answer(newer, Pull(vector={}, quota_claim=held))
+        leased = ShareClaim((1, "c"), TOTAL_SHARE // 2, ROUTERS)
+        made.answer(newer, Pull(vector={}, quota_claim=leased))
         made.answer(older, Pull(vector={}, quota_claim=ShareClaim((1, "c"), 0, ROUTERS)))
         for _ in range(3):
             made.state.quota_shares.tick(now_ms())
-        assert made.allocator.share(now_ms()) <= TOTAL_SHARE // 2, "the other half is held"
+        assert made.allocator.share(now_ms()) <= TOTAL_SHARE // 2, "the other half is leased"
         assert older.sent[-1].quota_offer is None
 
     asyncio.run(scene())
 
 
-def test_a_controller_without_a_share_says_so_to_a_router_that_has_a_configuration() -> None:
+def test_a_controller_without_a_share_reports_that_its_quotas_are_unknown() -> None:
     async def scene() -> None:
         made = Scene()
         one, two, _ = made.routers
--- a/tests/controller/test_quota_accounting.py
+++ b/tests/controller/test_quota_accounting.py
@@ -82,7 +82,7 @@
     assert allocator.fractions == [1.0]
 
 
-def test_routers_that_have_not_come_back_after_a_start_count_as_away(
+def test_routers_that_are_missing_after_a_start_count_as_away(
     quotas: QuotaAccounting, allocator: RecordedAllocator
 ) -> None:
     quotas.set_limits(DOCUMENT, 1, 1, 0.0)
@@ -139,9 +139,7 @@
     assert quotas.statuses(Pull(usage={"t": 130.0}), 0.0)["t"].level == 60.0
 
 
-def test_a_router_that_said_that_it_would_end_is_not_away(
-    quotas: QuotaAccounting, allocator: RecordedAllocator
-) -> None:
+def test_a_leaving_router_is_not_away(quotas: QuotaAccounting, allocator: RecordedAllocator) -> None:
     quotas.report("r1", "r1/a", Pull(is_leaving=True), 0.0)
     quotas.router_disconnected("r1", 0.0)
     quotas.update_reserve({"r2"}, 1, 1.0)
--- a/tests/router/granting_controller.py
+++ b/tests/router/granting_controller.py
@@ -21,7 +21,7 @@
     def __init__(self, quotas: QuotaAdmission, node: str = "c") -> None:
         self.node = node
         self.is_silent = False
-        self.asked: list[QuotaRequest] = []
+        self.requests: list[QuotaRequest] = []
         self.refunded: list[QuotaRefund] = []
         self._quotas = quotas
         self._loop = asyncio.get_running_loop()
@@ -44,7 +44,7 @@
             self.refunded.append(message)
             self.allocator.refund(message.tenant, message.units, self._now_ms())
             return
-        self.asked.append(message)
+        self.requests.append(message)
         if message.is_executed_again:
             self.allocator.charge(message.tenant, message.units, self._now_ms())
         elif not self.is_silent:
--- a/tests/router/test_quota_admission.py
+++ b/tests/router/test_quota_admission.py
@@ -66,7 +66,7 @@
     charge = scene.verdicts[0]
     assert isinstance(charge, QuotaCharge)
     assert charge.rule is AdmissionRule.GRANT
-    assert scene.one.asked[0].config_sequence == 3
+    assert scene.one.requests[0].config_sequence == 3
     scene.do(lambda: scene.quotas.refund(charge))
     assert [(one.tenant, one.units) for one in scene.one.refunded] == [("t", 10.0)]
 
@@ -86,11 +86,11 @@
     scene.grant(scene.one, scene.two)
     scene.one.is_silent = scene.two.is_silent = True
     scene.acquire()
-    silent, other = (scene.one, scene.two) if scene.one.asked else (scene.two, scene.one)
+    silent, other = (scene.one, scene.two) if scene.one.requests else (scene.two, scene.one)
     other.is_silent = False
     scene.wait(CONTROLLER_TIMEOUT_S + 0.01)
     assert [verdict.rule for verdict in scene.verdicts] == [AdmissionRule.GRANT]
-    scene.do(lambda: silent.answer(silent.asked[0]))
+    scene.do(lambda: silent.answer(silent.requests[0]))
     assert len(scene.verdicts) == 1
     assert [one.units for one in silent.refunded] == [10.0]
 
@@ -102,9 +102,9 @@
     body_bytes = 125_000  # a second on that link
     scene.do(lambda: scene.quotas.acquire("t", 10.0, body_bytes, scene.verdicts.append))
     scene.wait(CONTROLLER_TIMEOUT_S + 1.9)
-    assert len(scene.one.asked) + len(scene.two.asked) == 1
+    assert len(scene.one.requests) + len(scene.two.requests) == 1
     scene.wait(0.2)
-    assert len(scene.one.asked) + len(scene.two.asked) == 2
+    assert len(scene.one.requests) + len(scene.two.requests) == 2
 
 
 def test_both_controllers_lost_at_once_decide_a_request_once(scene: Scene) -> None:
@@ -135,7 +135,7 @@
     assert [verdict.rule for verdict in scene.verdicts] == [AdmissionRule.GRANT]
 
 
-def test_where_no_share_comes_the_reserve_decides(scene: Scene) -> None:
+def test_without_a_share_in_time_the_reserve_decides(scene: Scene) -> None:
     scene.do(lambda: scene.quotas.on_delta("c1", grants_quotas=False, statuses=None))
     scene.acquire()
     scene.wait(SHARE_TIMEOUT_S + 0.01)
@@ -149,21 +149,21 @@
     assert [verdict.rule for verdict in scene.verdicts] == [AdmissionRule.RESERVE]
 
 
-def test_an_execution_more_is_told_to_the_controller(scene: Scene) -> None:
+def test_a_second_execution_is_sent_to_the_controller(scene: Scene) -> None:
     scene.grant(scene.one)
     scene.acquire()
     charge = scene.verdicts[0]
     assert isinstance(charge, QuotaCharge)
     scene.do(lambda: scene.quotas.charge_again(charge))
-    assert [one.is_executed_again for one in scene.one.asked] == [False, True]
+    assert [one.is_executed_again for one in scene.one.requests] == [False, True]
 
 
-def test_a_tenant_without_a_limit_asks_nobody(scene: Scene) -> None:
+def test_a_tenant_without_a_limit_needs_no_controller(scene: Scene) -> None:
     scene.grant(scene.one)
     scene.acquire(tenant="other")
     scene.acquire(units=0.0)
     assert [verdict.rule for verdict in scene.verdicts] == [AdmissionRule.UNLIMITED] * 2
-    assert scene.one.asked == []
+    assert scene.one.requests == []
 
 
 def test_usage_is_reported_to_controllers_without_share_leases_alone(scene: Scene) -> None:
@@ -183,7 +183,7 @@
 
 
 @pytest.mark.parametrize("units", [-1.0, float("inf"), float("nan")])
-def test_what_is_no_number_of_units_is_not_asked_for(scene: Scene, units: float) -> None:
+def test_an_invalid_number_of_units_is_not_requested(scene: Scene, units: float) -> None:
     scene.grant(scene.one)
     with pytest.raises(ValueError, match="units"):
         scene.acquire(units)
--- a/tests/router/test_usage_statuses.py
+++ b/tests/router/test_usage_statuses.py
@@ -30,7 +30,7 @@
     assert statuses.level("t", LIMIT, 1, 0.0) == 80.0
 
 
-def test_a_tenant_of_which_a_table_does_not_tell_has_a_third_of_its_burst() -> None:
+def test_a_tenant_without_a_status_has_a_third_of_its_burst() -> None:
     statuses = UsageStatuses()
     statuses.receive("a", {}, 0.0)
     assert statuses.level("t", LIMIT, 2, 0.0) == pytest.approx(100.0)
@@ -38,7 +38,7 @@
     assert statuses.level("t", LIMIT, 2, 0.0) == pytest.approx(0.0)
 
 
-def test_old_statuses_lost_controllers_and_those_without_limits_say_nothing() -> None:
+def test_old_statuses_lost_controllers_and_those_without_limits_are_ignored() -> None:
     statuses = UsageStatuses()
     statuses.receive("a", None, 0.0)
     assert statuses.level("t", LIMIT, 1, 0.0) is None
--- a/tests/system/test_quotas.py
+++ b/tests/system/test_quotas.py
@@ -69,7 +69,7 @@
     play(tmp_path, scene)
 
 
-def test_the_share_of_a_killed_controller_goes_to_the_others_and_comes_back(tmp_path: Path) -> None:
+def test_the_share_of_a_killed_controller_goes_to_the_others_until_it_returns(tmp_path: Path) -> None:
     async def scene(fleet: Fleet) -> None:
         await serve(fleet, fine, tenants=FAST_TENANT)
         await until_total_share(fleet, [0, 1, 2], 0.99)
