Review: an upstream of case 3 ends after its trial

Need: a departed upstream ends some seconds after its departure; the stand-in of earlier trials served on.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,7 +29,6 @@
 KEY = "key-1"
 DRAIN_S = 2.0
 CONTACT_S = 3.0
-SERVES_ON_S = 12.0  # a departed upstream serves on for drain_ms "and a little longer (at times many seconds)"
 DOWN_S = 0.3
 TRAFFIC_S = 2.5
 MAX_TRIALS = 10
@@ -159,6 +158,7 @@
         await asyncio.sleep(2 * HEARTBEAT_S)
         if await departures.trial(upstream, number):
             return True
+        await upstream.stop()  # it has served on for some 6 to 7 s
         if not TROUBLE and number == 1:
             return False
     return False
