Review: running a case leaves no bytecode beside the cases

Need: Python left review/__pycache__, which looks like a case in a listing of the folder; it was ignored by git and never committed.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 # Exit 1: the rule was broken, 0: it held, 2: the case could not run. TROUBLE=0: without the kills.
-cd "$(dirname "$0")/../.." && exec python3 review/3/case.py
+cd "$(dirname "$0")/../.." && exec python3 -B review/3/case.py
