--- a/review/2/case.py
+++ b/review/2/case.py
@@ -11,7 +11,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER.parent / "1"))
 
 from rig import (  # noqa: E402
     HEARTBEAT_S,
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
+sys.path.insert(0, str(FOLDER.parent / "1"))
 
 from rig import (  # noqa: E402
     HEARTBEAT_S,
