Connections of peers that read late are kept: dead peers are told by acknowledgements

Cause: TCP_USER_TIMEOUT, meant for peers that acknowledge nothing, also ends a connection whose peer answers all window probes but keeps its window closed. Shown on a plain socket without larkweir and by TCP_INFO.

Change: DeadPeerDetector aborts a connection by what the kernel knows (SIOCOUTQ, TCP_INFO): none of the bytes in flight acknowledged for the time-out, or three window probes unanswered. A late check delays a detection and cannot end a sound connection. Upstreams, clients and callers of the control interface use it; keep-alive ends silent upstreams after 2 s as before.

--- a/larkweir/cluster/http_server.py
+++ b/larkweir/cluster/http_server.py
@@ -10,11 +10,13 @@
 import h11
 
 from larkweir.cluster import log
+from larkweir.cluster.dead_peer_detection import DeadPeerDetector
 from larkweir.cluster.tasks import start_task
-from larkweir.cluster.tcp_options import set_tcp_options
+from larkweir.cluster.tcp_options import set_no_delay
 
 MAX_HEADER_BYTES = 32 * 1024
-USER_TIMEOUT_MS = 5_000.0
+ACKNOWLEDGEMENT_TIMEOUT_MS = 5_000.0  # a client that acknowledges no sent bytes for this long is gone
+MAX_STALL_MS = 60_000.0  # how long a client may read nothing of what waits for it
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,6 +56,7 @@
         self._max_body_bytes = max_body_bytes
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._transport: asyncio.Transport | None = None
+        self._detector: DeadPeerDetector | None = None
         self._request_head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -63,7 +66,8 @@
         """Configure the socket; called by the event loop."""
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
         self._transport = transport
-        set_tcp_options(transport, user_timeout_ms=USER_TIMEOUT_MS)
+        set_no_delay(transport)
+        self._detector = DeadPeerDetector(transport, ACKNOWLEDGEMENT_TIMEOUT_MS, max_stall_ms=MAX_STALL_MS)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; called by the event loop."""
@@ -77,6 +81,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress; called by the event loop."""
         self._transport = None
+        if self._detector is not None:
+            self._detector.stop()
         if self._task is not None:
             self._task.cancel()
 
@@ -143,6 +149,8 @@
             out = (out or b"") + (self._h11.send(h11.Data(data=response.body)) or b"")
         out = (out or b"") + (self._h11.send(h11.EndOfMessage()) or b"")
         transport.write(out)
+        if self._detector is not None:
+            self._detector.on_written(len(out))
         if self._h11.our_state is h11.MUST_CLOSE or response.close:
             transport.close()
         elif self._h11.our_state is h11.DONE and self._h11.their_state is h11.DONE:
--- a/larkweir/cluster/links.py
+++ b/larkweir/cluster/links.py
@@ -10,7 +10,7 @@
 
 from larkweir.cluster.messages import MAX_LINE_BYTES, Message, Ping
 from larkweir.cluster.tasks import start_task
-from larkweir.cluster.tcp_options import set_tcp_options
+from larkweir.cluster.tcp_options import set_no_delay, set_user_timeout
 
 PING_INTERVAL_MS = 250.0
 IDLE_TIMEOUT_MS = 1_000.0  # a network partition may drop packets without resetting the connection
@@ -64,7 +64,8 @@
         """Configure the socket and call `on_made`; called by the event loop."""
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
         self._transport = transport
-        set_tcp_options(transport, user_timeout_ms=IDLE_TIMEOUT_MS)
+        set_no_delay(transport)
+        set_user_timeout(transport, IDLE_TIMEOUT_MS)
         if self._on_made is not None:
             self._on_made(self)
 
--- a/larkweir/cluster/tcp_options.py
+++ b/larkweir/cluster/tcp_options.py
@@ -3,30 +3,41 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import socket
 
-TCP_KEEPALIVE_S = 1  # tcp(7) only accepts whole seconds
+KEEPALIVE_IDLE_S = 1  # tcp(7) only accepts whole seconds
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 1  # unanswered probes after which the connection ends
 
 
-def set_tcp_options(
-    transport: asyncio.BaseTransport, user_timeout_ms: float, *, keepalive: bool = False
-) -> None:
-    """Disable Nagle's algorithm and limit the time until a lost peer is detected.
+def set_no_delay(transport: asyncio.BaseTransport) -> None:
+    """Disable Nagle's algorithm (TCP_NODELAY)."""
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    Args:
-        transport: the transport of the connection; nothing is done if it has no socket.
-        user_timeout_ms: the connection ends if sent bytes stay unacknowledged for this long (TCP_USER_TIMEOUT).
-        keepalive: whether to probe the peer after a second without traffic (SO_KEEPALIVE).
+
+def set_keepalive(transport: asyncio.BaseTransport) -> None:
+    """End the connection after two seconds in which the peer sends nothing, not even the answer to a probe.
+
+    The kernel probes the peer only while no sent bytes wait for an acknowledgement.
+    """
+    _set_option(transport, socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+
+
+def set_user_timeout(transport: asyncio.BaseTransport, timeout_ms: float) -> None:
+    """End the connection if the peer does not acknowledge, or does not read, what is sent to it for this long.
+
+    Only for peers that must read at once: see `dead_peer_detection`.
     """
+    _set_option(transport, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_ms))
+
+
+def _set_option(transport: asyncio.BaseTransport, level: int, name: int, value: int) -> None:
+    """Set an option; does nothing if the transport has no socket, or the connection has ended."""
     sock = transport.get_extra_info("socket")
-    if sock is None:
-        return
-    try:
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(user_timeout_ms))
-        if keepalive:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, TCP_KEEPALIVE_S)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, TCP_KEEPALIVE_S)
-    except OSError:
-        pass  # the connection has ended; the event loop notifies its protocol
+    if sock is not None:
+        with contextlib.suppress(OSError):  # the event loop notifies the protocol of the end
+            sock.setsockopt(level, name, value)
--- a/larkweir/router/client_connection.py
+++ b/larkweir/router/client_connection.py
@@ -8,7 +8,8 @@
 
 import h11
 
-from larkweir.cluster.tcp_options import set_tcp_options
+from larkweir.cluster.dead_peer_detection import DeadPeerDetector
+from larkweir.cluster.tcp_options import set_no_delay
 from larkweir.router.answers import ERROR_RESPONSES, ErrorKind
 from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Limits
@@ -16,7 +17,8 @@
 from larkweir.router.exchange import Exchange
 from larkweir.router.request_metadata import Headers, InvalidHeaderError, parse_metadata
 
-USER_TIMEOUT_MS = 10_000.0  # a client that acknowledges no sent bytes for this long is gone
+ACKNOWLEDGEMENT_TIMEOUT_MS = 10_000.0  # a client that acknowledges no sent bytes for this long is gone
+MAX_STALL_MS = 60_000.0  # how long a client may read nothing of what waits for it
 # Reading pauses when more than this is received while a request is in progress.
 MAX_PIPELINED_BYTES = 64 * 1024
 # Reading from the upstream pauses when more than this is buffered for the client.
@@ -35,6 +37,7 @@
         self._plane = plane
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
+        self._detector: DeadPeerDetector | None = None
         table = plane.configuration.table
         self._limits = table.limits if table is not None else Limits()
         self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
@@ -54,13 +57,16 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
         self._transport = transport
         transport.set_write_buffer_limits(high=MAX_UNSENT_BYTES)
-        set_tcp_options(transport, user_timeout_ms=USER_TIMEOUT_MS)
+        set_no_delay(transport)
+        self._detector = DeadPeerDetector(transport, ACKNOWLEDGEMENT_TIMEOUT_MS, max_stall_ms=MAX_STALL_MS)
         self._plane.connections.add(self)
         self._start_idle_timer()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request in progress: the connection has ended."""
         self._transport = None
+        if self._detector is not None:
+            self._detector.stop()
         self._plane.connections.discard(self)
         self._stop_timer()
         exchange, self._exchange = self._exchange, None
@@ -169,10 +175,9 @@
             if name == b"content-length" and int(value) > self._limits.max_body_bytes:
                 self._reject(ErrorKind.BODY_TOO_LARGE)
                 return False
-        if self._h11.they_are_waiting_for_100_continue and self._transport is not None:
+        if self._h11.they_are_waiting_for_100_continue:
             self._start_body_timer()
-            informational = h11.InformationalResponse(status_code=100, headers=[])
-            self._transport.write(self._h11.send(informational) or b"")
+            self._write(self._h11.send(h11.InformationalResponse(status_code=100, headers=[])))
         return True
 
     def _start_exchange(self) -> None:
@@ -243,15 +248,11 @@
         """Send the head of a response. A router that is shutting down adds `Connection: close`."""
         if self._plane.stopping and CLOSE_HEADER not in headers:
             headers = [*headers, CLOSE_HEADER]
-        out = self._h11.send(h11.Response(status_code=status, headers=list(headers)))
-        if self._transport is not None and out:
-            self._transport.write(out)
+        self._write(self._h11.send(h11.Response(status_code=status, headers=list(headers))))
 
     def send_body(self, data: bytes) -> bool:
         """Send a chunk of the body; returns False while too much is buffered for the client."""
-        out = self._h11.send(h11.Data(data=data))
-        if self._transport is not None and out:
-            self._transport.write(out)
+        self._write(self._h11.send(h11.Data(data=data)))
         return self._writable
 
     def end_response(self) -> None:
@@ -261,11 +262,15 @@
         except h11.LocalProtocolError:  # the body is shorter than its Content-Length
             self.abort_response()
             return
-        if self._transport is not None and out:
-            self._transport.write(out)
+        self._write(out)
 
     def abort_response(self) -> None:
         """Close the connection without marking the response as complete; bytes already sent still arrive."""
         self._h11.send_failed()
         if self._transport is not None:
             self._transport.close()
+
+    def _write(self, data: bytes | None) -> None:
+        if self._transport is not None and self._detector is not None and data:
+            self._transport.write(data)
+            self._detector.on_written(len(data))
--- a/larkweir/router/upstream_connection.py
+++ b/larkweir/router/upstream_connection.py
@@ -9,9 +9,12 @@
 
 import h11
 
-from larkweir.cluster.tcp_options import set_tcp_options
+from larkweir.cluster.dead_peer_detection import DeadPeerDetector
+from larkweir.cluster.tcp_options import set_keepalive, set_no_delay
 
-USER_TIMEOUT_MS = 1_200.0  # an upstream that acknowledges no sent bytes for this long is gone or partitioned
+ACKNOWLEDGEMENT_TIMEOUT_MS = (
+    1_200.0  # an upstream that acknowledges nothing for this long is gone or partitioned
+)
 MAX_HEADER_BYTES = 64 * 1024
 SIGNATURE_HEADER = b"x-server-signature"
 MIN_FAILURE_STATUS = 300  # a lower status is a success, which must be signed and repeat the request's id
@@ -55,6 +58,7 @@
         self._on_idle = on_idle
         self._on_closed = on_closed
         self._transport: asyncio.Transport | None = None
+        self._detector: DeadPeerDetector | None = None
         self._h11 = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES)
         self._listener: ResponseListener | None = None
         self._request: h11.Request | None = None
@@ -68,11 +72,15 @@
         """Prepare the connection for calls."""
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are not subclasses of it
         self._transport = transport
-        set_tcp_options(transport, user_timeout_ms=USER_TIMEOUT_MS, keepalive=True)
+        set_no_delay(transport)
+        set_keepalive(transport)
+        self._detector = DeadPeerDetector(transport, ACKNOWLEDGEMENT_TIMEOUT_MS)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Report that the connection has ended, and that the current call has failed."""
         self._transport = None
+        if self._detector is not None:
+            self._detector.stop()
         self._on_closed(self)
         listener, self._listener = self._listener, None
         if listener is not None:
@@ -106,6 +114,7 @@
             listener: receives the events of the call.
         """
         assert self._transport is not None
+        assert self._detector is not None
         assert self._listener is None
         self._request, self._request_id, self._listener = request, request_id, listener
         self._is_stale_response = False
@@ -114,6 +123,7 @@
             out += self._h11.send(h11.Data(data=body)) or b""
         out += self._h11.send(h11.EndOfMessage()) or b""
         self._transport.write(out)
+        self._detector.on_written(len(out))
 
     def pause_reading(self) -> None:
         """Stop reading the response: the client reads more slowly than the upstream sends."""
--- a/tests/cluster/test_http_server.py
+++ b/tests/cluster/test_http_server.py
@@ -5,10 +5,14 @@
 import asyncio
 
 import pytest
+import uvloop
 
+from larkweir.cluster import http_server
 from larkweir.cluster.http_server import HttpServerConnection, Request, Response
+from tests.cluster.late_readers import narrow_socket, read_bytes, read_head, until_probed
 
 MAX_BODY_BYTES = 8
+LONG_BODY_BYTES = 4_000_000  # more than the buffers of both sockets hold
 
 
 async def echo(request: Request) -> Response:
@@ -67,3 +71,32 @@
     received = exchange(b"HEAD /last HTTP/1.1\r\nHost: h\r\n\r\n")
     assert b"Content-Length: 5\r\n" in received
     assert received.endswith(b"\r\n\r\n")
+
+
+def test_a_client_that_reads_a_long_response_late_gets_all_of_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a time-out that ends connections whose peer answers all window probes (review/2).
+    monkeypatch.setattr(http_server, "ACKNOWLEDGEMENT_TIMEOUT_MS", 300.0)
+
+    async def respond(request: Request) -> Response:
+        return Response(200, bytes(LONG_BODY_BYTES))
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        transports: list[asyncio.BaseTransport] = []
+
+        class Connection(HttpServerConnection):
+            def connection_made(self, transport: asyncio.BaseTransport) -> None:
+                transports.append(transport)
+                super().connection_made(transport)
+
+        server = await loop.create_server(lambda: Connection(respond, MAX_BODY_BYTES), "127.0.0.1", 0)
+        client = narrow_socket()
+        await loop.sock_connect(client, server.sockets[0].getsockname())
+        await loop.sock_sendall(client, b"GET /config HTTP/1.1\r\nHost: h\r\n\r\n")
+        assert (await read_head(client)).startswith(b"HTTP/1.1 200")
+        await until_probed(transports[0])
+        assert len(await read_bytes(client, LONG_BODY_BYTES)) == LONG_BODY_BYTES
+        client.close()
+        server.close()
+
+    uvloop.run(scenario())
