Departures of upstreams are acknowledged once a majority of disks has them

Cause: the acknowledgement waited for memory alone; the file of upstreams was written up to 40 ms later and nobody waited. The registry counted as soft state that heartbeats rebuild, which is not true of a departure: its upstream need not repeat it.

Change: UpstreamStore reports what is on disk; controllers tell each other (durable vector, a new optional field); DeliveryConfirmation waits for a majority of disks. It waits for the version of the upstream's own record, not for this controller's latest one. A refused write is repeated. Controllers of the release before count by what they have in memory, as before.

No check is weaker.

--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -184,10 +184,18 @@
     message: ReplicationMessage
 
 
-class HeartbeatReport(msgspec.Struct, frozen=True, tag="heard"):
-    """The upstream heartbeats that arrived at the sender since its last report: the highest sequence by upstream id."""
+class HeartbeatReport(msgspec.Struct, frozen=True, tag="heard", omit_defaults=True):
+    """What a controller knows of upstreams beside their records; sent to all other controllers.
+
+    Attributes:
+        sequences: the upstream heartbeats that arrived at the sender since its last report: the highest sequence by
+            upstream id.
+        durable_vector: the version vector of the upstream records on the sender's disk; None if unchanged since the
+            last report on this connection. Releases that acknowledge departures from memory never send it.
+    """
 
     sequences: dict[str, Counter]
+    durable_vector: VersionVector | None = msgspec.field(default=None, name="durable")
 
 
 class PrimaryRequest(msgspec.Struct, frozen=True, tag="forward"):
--- a/larkweir/controller/instances_api.py
+++ b/larkweir/controller/instances_api.py
@@ -16,6 +16,7 @@
 from larkweir.controller.delivery_confirmation import DeliveryConfirmation
 from larkweir.controller.pull_service import PullService
 from larkweir.controller.quorum_contact import QuorumContact
+from larkweir.controller.upstream_store import UpstreamStore
 
 PATH_PREFIX = "/instances/"
 MAX_HEARTBEAT_BYTES = 4_096
@@ -25,6 +26,7 @@
 ID_TOO_LONG = Response(400, b'{"error":"the id of the instance is too long"}')
 ACKNOWLEDGED = Response(200, b"{}")
 NO_MAJORITY = Response(503, b'{"error":"no majority of controllers is in reach"}')
+NOT_DURABLE = Response(503, b'{"error":"no majority of controllers has the departure on disk"}')
 
 
 class ReportedState(StrEnum):
@@ -65,7 +67,8 @@
     """The `/instances/` paths of a controller.
 
     Reports of upstreams are always recorded, but acknowledged only while this controller is in contact with a majority.
-    After an acknowledgement an upstream informs no other controller, so this one must get the report to the routers.
+    After an acknowledgement an upstream informs no other controller, so this one must get the report to the routers. A
+    departure may never be reported again, so it is acknowledged only once a majority of controllers has it on disk.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         failure_detector: FailureDetector,
         pulls: PullService,
         confirmation: DeliveryConfirmation,
+        store: UpstreamStore,
         contact: QuorumContact,
     ) -> None:
         """All arguments belong to the same controller."""
@@ -81,6 +85,7 @@
         self._failure_detector = failure_detector
         self._pulls = pulls
         self._confirmation = confirmation
+        self._store = store
         self._contact = contact
 
     async def put(self, request: Request) -> Response:
@@ -101,7 +106,7 @@
         if upstream.state is UpstreamState.READY:
             self._pulls.wake()
             return ACKNOWLEDGED if self._contact.is_connected() else NO_MAJORITY
-        return await self._acknowledge_departure()
+        return await self._acknowledge_departure(upstream.id)
 
     async def delete(self, request: Request) -> Response:
         """Records that an upstream has ended or is about to end."""
@@ -116,13 +121,17 @@
         )
         self._failure_detector.forget(id_)
         self._registry.update(gone, now_ms())
-        return await self._acknowledge_departure()
+        return await self._acknowledge_departure(id_)
 
-    async def _acknowledge_departure(self) -> Response:
-        """Waits until the routers know that an upstream is draining or gone, and responds to the upstream.
+    async def _acknowledge_departure(self, id_: str) -> Response:
+        """Waits until the fleet knows that an upstream is draining or gone, and responds to the upstream.
 
         `drain_ms` starts with the acknowledgement, for all routers that are in contact with a majority.
         """
+        version = self._registry.version(id_)
+        assert version is not None
+        self._store.write()
         self._pulls.wake()
-        informed = await self._confirmation.wait(CONFIRM_TIMEOUT_S)
-        return ACKNOWLEDGED if self._contact.is_quorum(informed) else NO_MAJORITY
+        if await self._confirmation.wait(version, CONFIRM_TIMEOUT_S):
+            return ACKNOWLEDGED
+        return NOT_DURABLE if self._contact.is_connected() else NO_MAJORITY
--- a/larkweir/controller/message_dispatch.py
+++ b/larkweir/controller/message_dispatch.py
@@ -74,6 +74,8 @@
                 self.quotas.refund(message, now_ms())
             case HeartbeatReport():
                 self.failure_detector.record_peer_heartbeats(message.sequences, now_ms())
+                if message.durable_vector is not None:
+                    self.pulls.report_durable(connection, message.durable_vector)
             case PrimaryRequest():
                 self.tasks.start("primary_request", self.primary.serve(connection, message))
             case PrimaryResponse():
--- a/larkweir/controller/node.py
+++ b/larkweir/controller/node.py
@@ -18,7 +18,7 @@
 
 from larkweir.cluster import log, settings_watcher
 from larkweir.cluster.links import Connection
-from larkweir.cluster.messages import Hello, Message, NodeRole, Replication
+from larkweir.cluster.messages import HeartbeatReport, Hello, Message, NodeRole, Replication
 from larkweir.cluster.periodic_tasks import PeriodicTask, TickLoop
 from larkweir.cluster.settings import Settings, parse_address
 from larkweir.cluster.tasks import wait_unless_failed
@@ -50,6 +50,7 @@
 from larkweir.controller.rollouts_api import RolloutsApi
 from larkweir.controller.subscriptions import Subscriptions
 from larkweir.controller.upstream_ejection import UpstreamEjection
+from larkweir.controller.upstream_store import UpstreamStore
 
 TICK_S = 0.04
 HEARTBEATS_EVERY_TICKS = 8
@@ -75,6 +76,7 @@
         self._make_published_state()
         self._make_replica()
         self._make_interfaces()
+        self._make_rollout_driver()
         self._closers = contextlib.ExitStack()  # callbacks run in reverse order
         self._closers.callback(self._driver.close)
         self._closers.callback(self._tasks.close)
@@ -99,7 +101,11 @@
             ejection=UpstreamEjection(self._registry, self._subscriptions),
             unconfirmed=unconfirmed,
         )
-        self._confirmation = DeliveryConfirmation(self._registry, self._subscriptions)
+        self._confirmation = DeliveryConfirmation(
+            self._subscriptions,
+            is_on_disk=lambda version: self._store.has(version),
+            has_quorum=lambda others, includes_own: self._contact.is_quorum(others, includes_own),
+        )
         self._pulls = PullService(
             self._state, self._subscriptions, self._confirmation, lambda: self._known_controllers.nodes()
         )
@@ -126,17 +132,20 @@
         self._contact = QuorumContact(
             self._known_controllers, self._driver.replica, self._links, self._placement.mark_outdated
         )
-        self._hints = RecoveryHints(self._driver.disk, self._registry, self._placement)
-        self._pulls.requests_records = not (self._hints.has_upstreams or self._driver.is_first_start)
+        self._hints = RecoveryHints(self._driver.disk, self._placement)
+        self._store = UpstreamStore(self._driver.disk, self._registry, self._upstreams_durable)
+        self._pulls.requests_records = not (self._store.has_upstreams or self._driver.is_first_start)
 
     def _make_interfaces(self) -> None:
-        """Creates the parts that serve other processes, operators and upstreams, and the roll-out driver."""
+        """Creates the parts that serve other processes, operators and upstreams."""
         registry, failure_detector, state = self._registry, self._failure_detector, self._state
         wake = self._pulls.wake
         self._heartbeats = HeartbeatMonitor(
             registry, failure_detector, state.unconfirmed, self._links, self._contact, wake
         )
-        self._registry_sync = RegistrySync(registry, failure_detector, self._quota_shares, wake)
+        self._registry_sync = RegistrySync(
+            registry, failure_detector, self._quota_shares, wake, self._store.write
+        )
         primary = PrimaryClient(self._driver, self._links)
         self._dispatch = MessageDispatch(
             known_controllers=self._known_controllers,
@@ -152,11 +161,16 @@
         )
         self._control_api = ControlApi(
             OperatorApi(primary.call),
-            InstancesApi(registry, failure_detector, self._pulls, self._confirmation, self._contact),
+            InstancesApi(
+                registry, failure_detector, self._pulls, self._confirmation, self._store, self._contact
+            ),
             Inspection(self.settings.ip, self._driver.replica, state, self._subscriptions),
             self._links,
             RolloutsApi(primary.call),
         )
+
+    def _make_rollout_driver(self) -> None:
+        state, registry = self._state, self._registry
         inputs = RolloutInputs(state.rollouts, state.rollout_samples, registry, self._subscriptions)
         bounds = self.settings.bounds
         self._rollout_driver = RolloutDriver(
@@ -223,7 +237,7 @@
                 lambda: self._known_controllers.forget_unreachable(self._links),
                 CLEAN_UP_EVERY_TICKS,
             ),
-            PeriodicTask("upstream_hints", self._hints.write_upstreams),
+            PeriodicTask("upstream_store", self._store.write),
             PeriodicTask(
                 "placement_hints", self._hints.write_placements, self._hints.placements_period_ticks
             ),
@@ -244,8 +258,15 @@
     def _received(self, connection: Connection, message: Message) -> None:
         self._dispatch.receive(connection, message)
 
+    def _upstreams_durable(self) -> None:
+        """Tells the other controllers, and the calls that wait for it, what is on disk."""
+        self._links.broadcast(HeartbeatReport({}, self._store.durable_vector))
+        self._confirmation.check()
+
     def _link_connected(self, connection: Connection) -> None:
         connection.send(Hello(self._known_controllers.own_node, NodeRole.CONTROLLER, self._incarnation))
+        # Before the first pull, whose vector would count as durable without it.
+        connection.send(HeartbeatReport({}, self._store.durable_vector))
         self._registry_sync.begin(connection)
         self._driver.replica.on_reconnected(connection.node)
 
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 
 from larkweir_quotas.share_leases import ShareClaim, ShareOffer
+from larkweir_registry.records import VersionVector
 from larkweir_registry.registry import Registry
 from larkweir_registry.unconfirmed import UnconfirmedUpstreams
 
@@ -99,6 +100,13 @@
         if subscriber is not None:
             self._set_queued_prefill_tokens(subscriber, tokens)
 
+    def report_durable(self, connection: Connection, vector: VersionVector) -> None:
+        """Records the version vector of the upstream records on another controller's disk."""
+        subscriber = self._subscriptions.get(connection)
+        if subscriber is not None:
+            subscriber.durable_vector = vector
+            self._confirmation.check()
+
     def _set_queued_prefill_tokens(self, subscriber: Subscriber, tokens: dict[str, int]) -> None:
         before, subscriber.queued_prefill_tokens = subscriber.queued_prefill_tokens, tokens
         self._state.prefill_load.replace(before, tokens)
--- a/larkweir/controller/quorum_contact.py
+++ b/larkweir/controller/quorum_contact.py
@@ -27,10 +27,11 @@
         self._on_regained = on_regained
         self.was_connected = True  # at the last call of `update`
 
-    def is_quorum(self, others: set[str]) -> bool:
-        """Returns whether this controller and the other given ones form a majority."""
+    def is_quorum(self, others: set[str], includes_own: bool = True) -> bool:
+        """Returns whether the other given controllers form a majority, with this one if `includes_own`."""
         accepted = self._replica.accepted
-        return accepted is not None and accepted.has_quorum(others | {self._known.own_node})
+        nodes = others | {self._known.own_node} if includes_own else others
+        return accepted is not None and accepted.has_quorum(nodes)
 
     def is_connected(self) -> bool:
         """Returns whether this controller is connected to a majority."""
--- a/larkweir/controller/registry_sync.py
+++ b/larkweir/controller/registry_sync.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from larkweir_registry.failure_detector import FailureDetector
+from larkweir_registry.records import UpstreamState
 from larkweir_registry.registry import Registry
 
 from larkweir.cluster.links import Connection
@@ -22,13 +23,23 @@
         failure_detector: FailureDetector,
         quota_shares: QuotaShares,
         on_update: Callable[[], None],
+        on_departure: Callable[[], None],
     ) -> None:
-        """`on_update` is called when records were received, to inform the routers."""
+        """Creates the client of one controller.
+
+        Args:
+            registry: the registry of this controller.
+            failure_detector: the failure detector of this controller.
+            quota_shares: the quota share of this controller.
+            on_update: called when records were received, to inform the routers.
+            on_departure: called when one of them says that an upstream is leaving or has left.
+        """
         self._registry = registry
         self._quota_shares = quota_shares
         self._claimed_ms: dict[str, float] = {}  # by controller, when the last pull was sent
         self._failure_detector = failure_detector
         self._on_update = on_update
+        self._on_departure = on_departure
 
     def begin(self, connection: Connection) -> None:
         """Sends the first pull on a connection that this controller has opened."""
@@ -37,8 +48,11 @@
     def received(self, connection: Connection, delta: Delta) -> None:
         """Merges a delta into the registry, accepts an offered quota share, and sends the next pull."""
         present_ms = now_ms()
-        for upstream in self._registry.merge(delta.records, delta.vector, present_ms):
+        changed = self._registry.merge(delta.records, delta.vector, present_ms)
+        for upstream in changed:
             self._failure_detector.record_peer_heartbeats({upstream.id: upstream.sequence}, present_ms)
+        if any(upstream.state is not UpstreamState.READY for upstream in changed):
+            self._on_departure()
         if delta.records:
             self._on_update()
         if delta.quota_offer is not None and connection.node in self._claimed_ms:
--- a/larkweir/controller/subscriptions.py
+++ b/larkweir/controller/subscriptions.py
@@ -5,6 +5,8 @@
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
+from larkweir_registry.records import Version
+
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import NodeRole, Pull
 
@@ -18,6 +20,8 @@
     pending_pull: Pull | None = None  # the pull that is not answered yet
     pulled_ms: float = 0.0
     vector: dict[str, int] = field(default_factory=dict)  # the registry's counters that it has seen
+    # Those of the records on its disk; None for routers, and for controllers of releases that do not report it.
+    durable_vector: dict[str, int] | None = None
     config_sequence: int = -1  # of the configuration in force at the process
     queued_prefill_tokens: dict[str, int] = field(default_factory=dict)  # by engine
     outcome_counts: Mapping[str, tuple[int, int]] = field(default_factory=dict)  # by upstream
@@ -28,6 +32,11 @@
     sent_controllers: list[str] = field(default_factory=list)
     sent_granting: bool | None = None  # whether this controller held a quota share, as last sent
 
+    @property
+    def reported_durable_vector(self) -> dict[str, int]:
+        """The counters that count as durable at a controller."""
+        return self.vector if self.durable_vector is None else self.durable_vector
+
     @property
     def is_router(self) -> bool:
         """Whether the process is a router; otherwise it is a controller."""
@@ -83,12 +92,15 @@
             if subscriber.is_router
         }
 
-    def controllers_that_have(self, origin: str, counter: int) -> set[str]:
-        """Returns the controllers that have seen the origin's records up to a counter."""
+    def controllers_with_durable(self, version: Version) -> set[str]:
+        """Returns the controllers that have a version of a record on disk.
+
+        Those of releases that do not report it count if they have the version in memory.
+        """
         return {
             subscriber.connection.node
             for subscriber in self._by_connection.values()
-            if subscriber.role is NodeRole.CONTROLLER and subscriber.vector.get(origin, 0) >= counter
+            if not subscriber.is_router and version.is_seen_by(subscriber.reported_durable_vector)
         }
 
     def lowest_counter(self, origin: str) -> int:
--- a/packages/registry/src/larkweir_registry/hint_file.py
+++ b/packages/registry/src/larkweir_registry/hint_file.py
@@ -1,7 +1,9 @@
 """The hint file stores the upstreams that a registry knows.
 
-With it, a fleet in which all processes restart can use its upstreams before their first heartbeats. The contents are
-only a hint: heartbeats override them, and upstreams that have disappeared time out. The file may be lost without harm.
+With it, a fleet in which all processes restart can use its upstreams before their first heartbeats, and remembers which
+ones have left. Of upstreams that are ready the contents are only a hint: heartbeats override them, and upstreams that
+have disappeared time out. An upstream that has announced its departure may never say so again, so an acknowledged
+departure must be in the files of a majority of the registries.
 """
 
 from __future__ import annotations
--- a/packages/registry/src/larkweir_registry/records.py
+++ b/packages/registry/src/larkweir_registry/records.py
@@ -6,8 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from enum import IntEnum
-from typing import Annotated
+from typing import Annotated, NamedTuple
 
 import msgspec
 
@@ -76,6 +77,17 @@
 """The highest counter seen from each origin, where an origin is one incarnation of a registry."""
 
 
+class Version(NamedTuple):
+    """Identifies one version of a record: the `counter`-th version that the registry `origin` created."""
+
+    origin: str
+    counter: int
+
+    def is_seen_by(self, vector: Mapping[str, int]) -> bool:
+        """Return whether a replica with the vector `vector` has this version, or a later one of the same record."""
+        return vector.get(self.origin, 0) >= self.counter
+
+
 def join(one: Upstream, other: Upstream) -> Upstream:
     """Return the least upper bound of two versions of the same upstream.
 
--- a/packages/registry/src/larkweir_registry/registry.py
+++ b/packages/registry/src/larkweir_registry/registry.py
@@ -6,7 +6,7 @@
 
 from sortedcontainers import SortedDict
 
-from larkweir_registry.records import Record, Upstream, UpstreamState, VersionVector, join
+from larkweir_registry.records import Record, Upstream, UpstreamState, Version, VersionVector, join
 
 TOMBSTONE_RETENTION_MS = 300_000.0  # how long GONE records are kept; no message arrives later than that
 
@@ -30,8 +30,7 @@
         self.origin = origin
         self.vector: VersionVector = {}
         self.upstreams: dict[str, Upstream] = {}
-        # By upstream: origin and counter of its latest version.
-        self._versions: dict[str, tuple[str, int]] = {}
+        self._versions: dict[str, Version] = {}  # by upstream, its latest version
         self._ids_by_version: dict[str, SortedDict[int, str]] = {}  # by origin and counter
         self._tombstoned_ms: dict[str, float] = {}
         self._ready_ids: dict[str, list[str]] | None = None  # by service; None until it is computed
@@ -89,6 +88,10 @@
                 records.append(Record(self.upstreams[id_], origin, counter))
         return records
 
+    def version(self, id_: str) -> Version | None:
+        """Return the latest version of an upstream's record; None if the upstream is unknown."""
+        return self._versions.get(id_)
+
     def ready_ids(self, service: str) -> list[str]:
         """Return the ids of a service's upstreams that are ready and have not timed out; do not modify the list."""
         return self.ready_ids_by_service().get(service, [])
@@ -128,7 +131,7 @@
         self._remove_version(upstream.id)
         self._ready_ids = None
         self.upstreams[upstream.id] = upstream
-        self._versions[upstream.id] = (origin, counter)
+        self._versions[upstream.id] = Version(origin, counter)
         self._ids_by_version.setdefault(origin, SortedDict())[counter] = upstream.id
         if upstream.state is UpstreamState.GONE:
             self._tombstoned_ms.setdefault(upstream.id, now_ms)
--- a/tests/cluster/test_dead_peer_detection.py
+++ b/tests/cluster/test_dead_peer_detection.py
@@ -144,7 +144,7 @@
     assert kernel.aborted_s is not None
 
 
-def test_a_peer_that_drops_bytes_and_acknowledges_earlier_ones_lives(kernel: Kernel) -> None:
+def test_a_peer_that_drops_bytes_and_acknowledges_earlier_ones_is_alive(kernel: Kernel) -> None:
     kernel.info = TcpInfo(2, 0, int(TIMEOUT_MS / 2))
     kernel.write(100)
     kernel.advance(4 * TIMEOUT_MS)
@@ -173,7 +173,7 @@
     assert (kernel.checks, kernel.aborted_s) == (1, None)
 
 
-def test_the_kernel_tells_a_closed_window_from_bytes_in_flight() -> None:
+def test_tcp_info_distinguishes_a_closed_window_from_bytes_in_flight() -> None:
     # Guards against a wrong offset in `struct tcp_info`, with which a late reader would count as dead.
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -75,6 +75,7 @@
     ),
     Delta(ConfigUpdate(3, -1, msgspec.Raw(b'{"generation":4,"routes":[],"services":[]}')), ejected=[]),
     HeartbeatReport({"u-1": 42, "u-2": 7}),
+    HeartbeatReport({}, {"10.0.0.1/a": 3}),
     PrimaryRequest(5, None),
     PrimaryRequest(6, Command("0123456789abcdef01234567", 4, '{"patch":true,"base":4,"body":"{}"}')),
     PrimaryResponse(5, 200, "", '{"generation":4}'),
--- a/tests/controller/test_disk_writer.py
+++ b/tests/controller/test_disk_writer.py
@@ -75,7 +75,7 @@
 def test_the_newest_queued_record_supersedes_the_earlier_ones() -> None:
     async def scenario() -> None:
         async with disk_writer_harness() as harness:
-            harness.writer.write_hint("a.hint", b"a")  # blocks the thread until `may_write` is set
+            harness.writer.replace_file("a.hint", b"a")  # blocks the thread until `may_write` is set
             await harness.wait_until(harness.files.is_writing.is_set)
             for token in (1, 2, 3):
                 harness.writer.write_record(token, durable(token))
@@ -91,7 +91,7 @@
         async with disk_writer_harness() as harness:
             harness.writer.write_record(1, durable(1))
             await harness.wait_until(harness.files.is_writing.is_set)
-            harness.writer.write_hint("a.hint", b"a")
+            harness.writer.replace_file("a.hint", b"a")
             harness.writer.write_record(2, durable(2))
             harness.files.may_write.set()
             await harness.wait_until(lambda: harness.persisted == [1, 2])
@@ -104,11 +104,11 @@
     async def scenario() -> None:
         async with disk_writer_harness() as harness:
             harness.files.may_write.set()
-            assert harness.writer.read_hint("a.hint") is None
-            harness.writer.write_hint("a.hint", b"1")
-            await harness.wait_until(lambda: harness.writer.read_hint("a.hint") == b"1")
-            harness.writer.write_hint("a.hint", b"2")
-            await harness.wait_until(lambda: harness.writer.read_hint("a.hint") == b"2")
+            assert harness.writer.read_file("a.hint") is None
+            harness.writer.replace_file("a.hint", b"1")
+            await harness.wait_until(lambda: harness.writer.read_file("a.hint") == b"1")
+            harness.writer.replace_file("a.hint", b"2")
+            await harness.wait_until(lambda: harness.writer.read_file("a.hint") == b"2")
             assert list(harness.files.contents) == ["a.hint"]
 
     asyncio.run(scenario())
@@ -133,12 +133,31 @@
         async with disk_writer_harness() as harness:
             harness.files.may_write.set()
             harness.files.fails = True
-            harness.writer.write_hint("a.hint", b"1")
+            harness.writer.replace_file("a.hint", b"1")
             await harness.wait_until(lambda: harness.files.appended == ["a.hint.new"])
             harness.files.fails = False
             harness.writer.write_record(1, durable(1))
             await harness.wait_until(lambda: harness.persisted == [1])
-            assert harness.writer.read_hint("a.hint") is None
+            assert harness.writer.read_file("a.hint") is None
+
+    asyncio.run(scenario())
+
+
+def test_the_end_of_a_replacement_is_reported_with_whether_the_file_is_durable() -> None:
+    async def scenario() -> None:
+        async with disk_writer_harness() as harness:
+            reports: list[tuple[str, bool]] = []
+            harness.writer.replace_file("a", b"0")  # blocks the thread until `may_write` is set
+            await harness.wait_until(harness.files.is_writing.is_set)
+            harness.writer.replace_file("a", b"1", lambda ok: reports.append(("superseded", ok)))
+            harness.writer.replace_file("a", b"2", lambda ok: reports.append(("newest", ok)))
+            harness.files.may_write.set()
+            await harness.wait_until(lambda: reports == [("newest", True)])
+            assert harness.writer.read_file("a") == b"2"
+            harness.files.fails = True
+            harness.writer.replace_file("a", b"3", lambda ok: reports.append(("refused", ok)))
+            await harness.wait_until(lambda: reports == [("newest", True), ("refused", False)])
+            assert harness.writer.read_file("a") == b"2"
 
     asyncio.run(scenario())
 
@@ -146,7 +165,7 @@
 def test_a_record_queued_before_close_is_not_written() -> None:
     async def scenario() -> None:
         async with disk_writer_harness() as harness:
-            harness.writer.write_hint("a.hint", b"a")
+            harness.writer.replace_file("a.hint", b"a")
             await harness.wait_until(harness.files.is_writing.is_set)
             harness.writer.write_record(1, durable(1))
             harness.writer.close()
--- a/tests/controller/test_pull_service.py
+++ b/tests/controller/test_pull_service.py
@@ -69,7 +69,7 @@
             ejection=self.ejection,
             unconfirmed=UnconfirmedUpstreams(self.registry, self.failure_detector),
         )
-        confirmation = DeliveryConfirmation(self.registry, subscriptions)
+        confirmation = DeliveryConfirmation(subscriptions, lambda version: True, lambda others, own: True)
         self.pulls = PullService(state, subscriptions, confirmation, lambda: ["c"])
         self.routers = [RecordingConnection(f"r{n}") for n in range(ROUTERS)]
         for router in self.routers:
--- a/tests/controller/test_quorum_contact.py
+++ b/tests/controller/test_quorum_contact.py
@@ -128,6 +128,8 @@
     assert contact.is_quorum({"d"})
     assert not contact.is_quorum({"f"})
     assert contact.is_quorum({"e", "f"})
+    assert not contact.is_quorum({"d"}, includes_own=False)
+    assert contact.is_quorum({"d", "e", "f"}, includes_own=False)
 
 
 def test_without_a_member_list_there_is_no_majority(contact: QuorumContact, replica: FakeReplica) -> None:
--- a/tests/controller/test_recovery_hints.py
+++ b/tests/controller/test_recovery_hints.py
@@ -1,51 +1,24 @@
-"""When hint files are written, and what is restored from them."""
+"""When the placements file is written, and what is restored from it."""
 
 from __future__ import annotations
 
-import asyncio
-
 import pytest
-from larkweir_registry.records import Upstream
-from larkweir_registry.registry import Registry
 
 from larkweir.controller.prefix_placement import PrefixPlacement
-from larkweir.controller.recovery_hints import PLACEMENTS_FILE, UPSTREAMS_FILE, RecoveryHints
-
-
-class FakeDisk:
-    """Hint files in memory, and the order in which they were written."""
-
-    def __init__(self) -> None:
-        self.files: dict[str, bytes] = {}
-        self.written: list[str] = []
-
-    def read_hint(self, name: str) -> bytes | None:
-        return self.files.get(name)
-
-    def write_hint(self, name: str, data: bytes) -> None:
-        self.files[name] = data
-        self.written.append(name)
+from larkweir.controller.recovery_hints import PLACEMENTS_FILE, RecoveryHints
+from tests.controller.fake_disk import FakeDisk
 
 
 class Incarnation:
     """One incarnation of a controller on a disk."""
 
-    def __init__(self, disk: FakeDisk, number: int = 1) -> None:
-        self.registry = Registry(f"c/{number}")
+    def __init__(self, disk: FakeDisk) -> None:
         self.placement = PrefixPlacement()
-        self.hints = asyncio.run(self._make(disk))
-
-    async def _make(self, disk: FakeDisk) -> RecoveryHints:
-        return RecoveryHints(disk, self.registry, self.placement)  # type: ignore[arg-type]
+        self.hints = RecoveryHints(disk, self.placement)  # type: ignore[arg-type]
 
     def change(self) -> None:
-        self.registry.update(Upstream("u", "s", "127.0.0.1:1", "z"), 0.0)
         self.placement.place("p", 1_000.0, ["u"], None, 0.0)
 
-    def write(self) -> None:
-        self.hints.write_upstreams()
-        self.hints.write_placements()
-
 
 @pytest.fixture
 def disk() -> FakeDisk:
@@ -53,34 +26,32 @@
 
 
 def test_nothing_is_written_without_a_change(disk: FakeDisk) -> None:
-    started = Incarnation(disk)
-    started.write()
+    Incarnation(disk).hints.write_placements()
     assert disk.written == []
 
 
 def test_a_change_is_written_once(disk: FakeDisk) -> None:
     started = Incarnation(disk)
     started.change()
-    started.write()
-    started.write()
-    assert disk.written == [UPSTREAMS_FILE, PLACEMENTS_FILE]
+    started.hints.write_placements()
+    started.hints.write_placements()
+    assert disk.written == [PLACEMENTS_FILE]
 
 
-def test_a_later_incarnation_restores_the_hints(disk: FakeDisk) -> None:
+def test_a_later_incarnation_restores_the_placements(disk: FakeDisk) -> None:
     first = Incarnation(disk)
     first.change()
-    first.write()
-    second = Incarnation(disk, 2)
-    assert second.registry.upstreams == first.registry.upstreams
+    first.hints.write_placements()
+    second = Incarnation(disk)
     assert second.placement.place("p", 1_000.0, ["u", "v"], "v", 0.0) == ("u", True)
 
 
-def test_restored_hints_are_not_written_again(disk: FakeDisk) -> None:
+def test_restored_placements_are_not_written_again(disk: FakeDisk) -> None:
     first = Incarnation(disk)
     first.change()
-    first.write()
+    first.hints.write_placements()
     disk.written.clear()
-    Incarnation(disk, 2).write()
+    Incarnation(disk).hints.write_placements()
     assert disk.written == []
 
 
--- a/tests/controller/test_registry_sync.py
+++ b/tests/controller/test_registry_sync.py
@@ -5,10 +5,12 @@
 import asyncio
 from collections.abc import Callable
 
+import msgspec
+import pytest
 from larkweir_quotas.quota_allocator import QuotaAllocator
 from larkweir_quotas.share_leases import TOTAL_SHARE, ShareClaim, ShareOffer
 from larkweir_registry.failure_detector import FailureDetector
-from larkweir_registry.records import Record, Upstream
+from larkweir_registry.records import Record, Upstream, UpstreamState
 from larkweir_registry.registry import Registry
 
 from larkweir.cluster.links import Connection
@@ -37,6 +39,7 @@
 
     def __init__(self) -> None:
         self.updates = 0
+        self.departures = 0
         self.registry = Registry("c/1")
         self.failure_detector = FailureDetector(1_000.0, 0.0)
         self.connection = RecordingConnection()
@@ -44,11 +47,14 @@
         self.allocator = QuotaAllocator()
         group = QuotaGroup("c", term=lambda now_ms: None, members=lambda: ["c", "d"], clients=lambda: 3)
         shares = QuotaShares(self.allocator, group, lambda: None)
-        self.sync = RegistrySync(self.registry, self.failure_detector, shares, self._updated)
+        self.sync = RegistrySync(self.registry, self.failure_detector, shares, self._updated, self._departed)
 
     def _updated(self) -> None:
         self.updates += 1
 
+    def _departed(self) -> None:
+        self.departures += 1
+
 
 def run_scenario(scenario: Callable[[RegistrySyncHarness], None]) -> None:
     async def run() -> None:
@@ -74,11 +80,23 @@
         assert harness.registry.upstreams == {"u": UPSTREAM}
         assert harness.failure_detector.last_sequence("u") == 7
         assert harness.updates == 1
+        assert harness.departures == 0
         assert harness.connection.sent == [Pull(vector={"d/1": 4}, quota_claim=NO_CLAIM)]
 
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize("state", [UpstreamState.DRAINING, UpstreamState.GONE])
+def test_a_departure_is_notified_once(state: UpstreamState) -> None:
+    def scenario(harness: RegistrySyncHarness) -> None:
+        departed = Record(msgspec.structs.replace(UPSTREAM, state=state), "d/1", 4)
+        for _ in range(2):
+            harness.sync.received(harness.connection, Delta(records=[departed], vector={"d/1": 4}))
+        assert harness.departures == 1
+
+    run_scenario(scenario)
+
+
 def test_without_an_update_the_next_pull_leaves_the_vector_out() -> None:
     def scenario(harness: RegistrySyncHarness) -> None:
         harness.sync.received(harness.connection, Delta())
--- a/tests/controller/test_subscriptions.py
+++ b/tests/controller/test_subscriptions.py
@@ -5,6 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
+from larkweir_registry.records import Version
+
 from larkweir.cluster.links import Connection
 from larkweir.cluster.messages import NodeRole
 from larkweir.controller.subscriptions import Subscriber, Subscriptions
@@ -58,13 +60,23 @@
     run_in_event_loop(check)
 
 
-def test_controllers_that_have_a_counter() -> None:
+def test_controllers_that_do_not_report_what_is_on_disk_count_by_what_they_have() -> None:
     def check(subscriptions: Subscriptions) -> None:
         subscribe(subscriptions, "r", NodeRole.ROUTER, o=3)
         subscribe(subscriptions, "c", NodeRole.CONTROLLER, o=3)
         subscribe(subscriptions, "d", NodeRole.CONTROLLER, o=2, p=9)
-        assert subscriptions.controllers_that_have("o", 3) == {"c"}
-        assert subscriptions.controllers_that_have("o", 2) == {"c", "d"}
+        assert subscriptions.controllers_with_durable(Version("o", 3)) == {"c"}
+        assert subscriptions.controllers_with_durable(Version("o", 2)) == {"c", "d"}
+
+    run_in_event_loop(check)
+
+
+def test_controllers_that_report_what_is_on_disk_count_by_that_alone() -> None:
+    def check(subscriptions: Subscriptions) -> None:
+        subscribe(subscriptions, "c", NodeRole.CONTROLLER, o=3).durable_vector = {}
+        subscribe(subscriptions, "d", NodeRole.CONTROLLER, o=3).durable_vector = {"o": 2}
+        assert subscriptions.controllers_with_durable(Version("o", 3)) == set()
+        assert subscriptions.controllers_with_durable(Version("o", 2)) == {"d"}
 
     run_in_event_loop(check)
 
