Connections to upstreams are used again only if nothing of the last call is left

Cause: the end of a call looked at the parser alone, while the transport could be paused for a slow client, and the request unread by the upstream.

Change: UpstreamConnection._can_be_reused decides on all that a call may leave. Paused connections are closed; one with an unread request is closed in order, so that the upstream may read the rest.

--- a/larkweir/cluster/dead_peer_detection.py
+++ b/larkweir/cluster/dead_peer_detection.py
@@ -53,6 +53,22 @@
             self._progress_s = self._loop.time()
             self._start_timer(self._progress_s)
 
+    def limit_stall(self, max_stall_ms: float) -> None:
+        """Change how long a peer that answers window probes may accept no bytes."""
+        self._max_stall_s = max_stall_ms / 1000.0
+
+    def has_unacknowledged_bytes(self) -> bool:
+        """Whether the peer has not acknowledged all that was written; True once the connection has ended."""
+        try:
+            return bool(self._unacknowledged_bytes())
+        except OSError:
+            return True
+
+    def _unacknowledged_bytes(self) -> int:
+        """Count the bytes in the kernel's send queue and in the transport's buffer. Raises OSError."""
+        queued = unacknowledged_bytes(self._socket) if self._socket is not None else 0
+        return queued + self._transport.get_write_buffer_size()
+
     def stop(self) -> None:
         """Stop watching: the connection has ended."""
         self._socket = None
@@ -73,7 +89,7 @@
             return
         now_s = self._loop.time()
         try:
-            unacknowledged = unacknowledged_bytes(self._socket) + self._transport.get_write_buffer_size()
+            unacknowledged = self._unacknowledged_bytes()
             if not unacknowledged:
                 self._acknowledged_bytes = self._written_bytes
                 return
--- a/larkweir/router/upstream_connection.py
+++ b/larkweir/router/upstream_connection.py
@@ -15,6 +15,9 @@
 ACKNOWLEDGEMENT_TIMEOUT_MS = (
     1_200.0  # an upstream that acknowledges nothing for this long is gone or partitioned
 )
+MAX_STALL_AFTER_RESPONSE_MS = (
+    30_000.0  # how long an upstream may read no more of a request that it has answered
+)
 MAX_HEADER_BYTES = 64 * 1024
 SIGNATURE_HEADER = b"x-server-signature"
 MIN_FAILURE_STATUS = 300  # a lower status is a success, which must be signed and repeat the request's id
@@ -189,21 +192,48 @@
             self._restart_parser()
             return
         listener, self._listener = self._listener, None
+        assert listener is not None
         self.has_served = True
-        has_trailing_bytes = bool(self._h11.trailing_data[0])
-        is_reusable = (
-            self._is_reusable
-            and not has_trailing_bytes
-            and self._h11.our_state is h11.DONE is self._h11.their_state
-        )
-        if is_reusable and self._transport is not None:
+        if self._can_be_reused():
             self._h11.start_next_cycle()
             self._on_idle(self)
         else:
-            self._abort()
-        assert listener is not None
+            self._close_after_response()
         listener.on_response_end()
 
+    def _can_be_reused(self) -> bool:
+        """Whether nothing of the call that has just ended would reach the next one on this connection.
+
+        A call may leave behind:
+
+        - a connection that the upstream is about to close, or on which a duplicate could not be told from the response
+          to the next request;
+        - bytes after the response, or a request or response that the parser does not hold complete;
+        - a transport that does not read because the client was slow: further bytes, or the upstream's close, may wait;
+        - a part of the request that the upstream has not accepted, behind which the next request would wait.
+        """
+        transport = self._transport
+        if transport is None or transport.is_closing() or not transport.is_reading():
+            return False
+        is_parser_done = self._h11.our_state is h11.DONE is self._h11.their_state
+        has_trailing_bytes = bool(self._h11.trailing_data[0])
+        if not self._is_reusable or not is_parser_done or has_trailing_bytes:
+            return False
+        return not self._has_unread_request()
+
+    def _has_unread_request(self) -> bool:
+        return self._detector is not None and self._detector.has_unacknowledged_bytes()
+
+    def _close_after_response(self) -> None:
+        """Close the connection. An upstream that is still reading the request may read it to its end."""
+        if self._transport is None:
+            return
+        if self._detector is not None and self._has_unread_request():
+            self._detector.limit_stall(MAX_STALL_AFTER_RESPONSE_MS)
+            self._transport.close()
+        else:
+            self._transport.abort()
+
     def _restart_parser(self) -> None:
         """Reset the parser after a stale response: the response to the current request is still to arrive."""
         self._is_stale_response = False
--- a/tests/router/router_model.py
+++ b/tests/router/router_model.py
@@ -42,12 +42,19 @@
         self._on_write = on_write
         self._protocol = protocol
         self._closing = False
+        self._reading = True
+        self._unread: list[bytes] = []  # what the other side has sent while the router did not read
+        self._has_unread_eof = False
         self.lost = False
+        self.accepts_bytes = True  # whether the other side accepts what the router writes
 
     def write(self, data: bytes | bytearray | memoryview) -> None:
         if not self._closing:
             self._on_write(bytes(data))
 
+    def get_write_buffer_size(self) -> int:
+        return 0 if self.accepts_bytes else 1
+
     def is_closing(self) -> bool:
         return self._closing
 
@@ -67,23 +74,41 @@
             self._protocol.connection_lost(problem)
 
     def deliver(self, data: bytes) -> None:
-        """Passes bytes from the other side to the router."""
-        if not self._closing:
+        """Passes bytes from the other side to the router, once it reads."""
+        if self._closing:
+            return
+        if self._reading:
             self._protocol.data_received(data)
+        else:
+            self._unread.append(data)
 
     def deliver_eof(self) -> None:
         """Signals that the other side has closed the connection with an end of file, not a reset."""
-        if not self._closing:
-            stays_open = self._protocol.eof_received()
-            if not stays_open:
-                self.end(None)
-
-    def pause_reading(self) -> None: ...
-
-    def resume_reading(self) -> None: ...
+        if self._closing:
+            return
+        if not self._reading:
+            self._has_unread_eof = True
+            return
+        stays_open = self._protocol.eof_received()
+        if not stays_open:
+            self.end(None)
+
+    def pause_reading(self) -> None:
+        self._reading = False
+
+    def resume_reading(self) -> None:
+        self._reading = True
+        asyncio.get_running_loop().call_soon(self._deliver_unread)
+
+    def _deliver_unread(self) -> None:
+        while self._unread and self._reading:
+            self.deliver(self._unread.pop(0))
+        if self._has_unread_eof and self._reading:
+            self._has_unread_eof = False
+            self.deliver_eof()
 
     def is_reading(self) -> bool:
-        return True
+        return self._reading and not self._closing
 
     def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None: ...
 
@@ -137,6 +162,8 @@
         return self.is_open and not self.unsent and not self.is_unframed
 
     def _on_data(self, data: bytes) -> None:
+        assert self.transport.is_reading(), "a request on a connection whose response would not be read"
+        assert self.transport.accepts_bytes, "a request behind one that the upstream has not read to its end"
         self._h11.receive_data(data)
         while True:
             event = self._h11.next_event()
@@ -197,8 +224,9 @@
     """One connection of a client. Responses are matched to requests by order, as in HTTP."""
 
     def __init__(self, model: RouterModel) -> None:
-        connection = ClientConnection(model.plane)
+        connection = self.connection = ClientConnection(model.plane)
         self.transport = FakeTransport(self._on_data, connection)
+        self.reads = True
         self._h11 = h11.Connection(h11.CLIENT)
         self._current: SentRequest | None = None
         self.waiting: list[SentRequest] = []
@@ -209,6 +237,16 @@
     def is_open(self) -> bool:
         return not self.transport.is_closing()
 
+    def stop_reading(self) -> None:
+        """Makes the router's buffer for this client full."""
+        self.reads = False
+        self.connection.pause_writing()
+
+    def read_on(self) -> None:
+        """Makes the router's buffer for this client empty."""
+        self.reads = True
+        self.connection.resume_writing()
+
     def queue(self, sent: SentRequest, body: bytes, headers: str = "") -> None:
         """Queues a request with the additional header lines `headers`; `send` sends it."""
         self.waiting.append(sent)
@@ -319,10 +357,15 @@
         """Checks the guarantees of the request path.
 
         Each response goes to its own client. A request that must not be repeated is executed at most once. A status
-        that says that a request was not executed is true. A truncated response does not look complete. There are no
-        internal errors.
+        that says that a request was not executed is true. A truncated response does not look complete. Connections to
+        upstreams are read or closed where no client is slow. There are no internal errors.
         """
         assert self.plane.error_counts[ErrorKind.INTERNAL] == 0
+        if all(client.reads for client in self.clients if client.is_open):
+            for upstream in self.upstreams:
+                assert (
+                    upstream.transport.is_reading() or not upstream.is_open
+                ), "nothing resumes this connection"
         for id_, sent in self.sent.items():
             runs = self.runs.get(id_, [])
             executed = [run for run in runs if run.executed]
--- a/tests/router/test_exchange.py
+++ b/tests/router/test_exchange.py
@@ -10,12 +10,14 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from larkweir.router.client_connection import MAX_PIPELINED_BYTES
 from tests.router.router_model import (
     KINDS,
     REPEATABLE,
     FakeUpstream,
     RouterHarness,
     RouterModel,
+    SentRequest,
     answer_of,
 )
 
@@ -158,6 +160,83 @@
     harness.model.check()
 
 
+def test_a_request_that_arrives_while_its_connection_is_paused_is_served(harness: RouterHarness) -> None:
+    client = harness.client()
+    first = harness.request(client, "plain")
+    second = SentRequest("r1", "plain")
+    harness.model.sent[second.id] = second
+    client.queue(second, bytes(2 * MAX_PIPELINED_BYTES))
+    harness.do(lambda: client.send(MAX_PIPELINED_BYTES + 1))
+    assert not client.transport.is_reading()
+    harness.do(lambda: client.send(len(client.unsent)))
+    harness.answer(harness.waiting()[0])
+    assert first.complete
+    harness.answer(harness.waiting()[0])
+    assert second.complete
+    harness.model.check()
+
+
+@pytest.mark.parametrize("reads_on_after", ["part", "all"])
+def test_a_client_that_stops_reading_gets_all_and_the_next_request_is_answered(
+    reads_on_after: str, harness: RouterHarness
+) -> None:
+    # Guards against requests that are executed and answered on a connection that nobody reads (review/1).
+    client = harness.client()
+    slow = harness.request(client, "safe")
+    upstream = harness.waiting()[0]
+    assert upstream.run is not None
+    upstream.begin(answer_of(upstream.run))
+    harness.do(client.stop_reading)
+    harness.do(lambda: upstream.send(len(upstream.unsent) - 2))
+    assert not upstream.transport.is_reading()
+    if reads_on_after == "part":
+        harness.do(client.read_on)
+        assert upstream.transport.is_reading()
+    harness.do(lambda: upstream.send(len(upstream.unsent)))
+    if reads_on_after == "all":
+        harness.do(client.read_on)
+    assert slow.complete
+    sent = harness.request(harness.client(), "plain")
+    harness.answer(harness.waiting()[0])
+    assert sent.complete
+    harness.model.check()
+
+
+def test_a_response_that_ends_while_its_connection_is_paused_closes_it(harness: RouterHarness) -> None:
+    client = harness.client()
+    slow = harness.request(client, "safe")
+    upstream = harness.waiting()[0]
+    harness.do(client.stop_reading)
+    harness.answer(upstream)
+    assert slow.complete
+    assert not upstream.is_open
+    assert harness.request(harness.client(), "plain")
+    assert harness.waiting() != [upstream]
+    harness.model.check()
+
+
+@pytest.mark.parametrize("end", ["disconnect", "reset", "overdue"])
+def test_a_paused_connection_is_closed_when_its_attempt_ends(end: str, harness: RouterHarness) -> None:
+    client = harness.client()
+    harness.request(client, "resumable")
+    upstream = harness.waiting()[0]
+    assert upstream.run is not None
+    upstream.begin(answer_of(upstream.run))
+    harness.do(client.stop_reading)
+    harness.do(lambda: upstream.send(len(upstream.unsent) - 10))
+    assert not upstream.transport.is_reading()
+    if end == "disconnect":
+        harness.do(client.close)
+    elif end == "reset":
+        harness.do(lambda: upstream.close(in_order=False))
+    else:
+        exchange = client.connection._exchange
+        assert exchange is not None
+        harness.do(exchange._on_overdue)
+    assert not upstream.is_open
+    harness.model.check()
+
+
 class ExchangeMachine(RuleBasedStateMachine):
     """Events of clients and upstreams in any order."""
 
@@ -249,6 +328,20 @@
                 upstream.run.complete = in_order
         self.harness.do(lambda: upstream.close(in_order))
 
+    @rule(pick=st.integers(0, 9))
+    @precondition(lambda self: any(client.is_open for client in self.model.clients))
+    def client_stops_reading_or_reads_on(self, pick: int) -> None:
+        clients = [client for client in self.model.clients if client.is_open]
+        client = clients[pick % len(clients)]
+        self.harness.do(client.stop_reading if client.reads else client.read_on)
+
+    @rule(pick=st.integers(0, 9))
+    @precondition(lambda self: any(one.is_open for one in self.model.upstreams))
+    def upstream_reads_late_or_reads_on(self, pick: int) -> None:
+        upstream = self._pick([one for one in self.model.upstreams if one.is_open], pick)
+        if upstream.run is not None or not upstream.transport.accepts_bytes:  # a part of a request is unread
+            upstream.transport.accepts_bytes = not upstream.transport.accepts_bytes
+
     @rule(address=st.sampled_from(RouterModel.ADDRESSES))
     def an_address_refuses_or_takes_connections(self, address: str) -> None:
         self.model.refusing ^= {address}
--- a/tests/router/test_exchange_planted.py
+++ b/tests/router/test_exchange_planted.py
@@ -17,6 +17,7 @@
 from larkweir.router.response_relay import ResponseRelay
 from larkweir.router.upstream_connection import UpstreamConnection
 from tests.router import test_exchange as exchange_tests
+from tests.router.router_model import FakeTransport, FakeUpstream
 from tests.router.test_exchange import ExchangeMachine
 
 Patch = Callable[[pytest.MonkeyPatch], None]
@@ -95,6 +96,29 @@
     patch.setattr(Exchange, "_respond_unavailable", give_up)
 
 
+def a_connection_that_does_not_read_is_reused(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(FakeTransport, "is_reading", lambda self: True)
+    patch.setattr(FakeUpstream, "_on_data", _unless_paused(FakeUpstream._on_data))
+
+
+def _unless_paused(on_data: Callable[[FakeUpstream, bytes], None]) -> Callable[[FakeUpstream, bytes], None]:
+    """Keep the model's check of paused connections, whose `is_reading` the fault replaces."""
+
+    def checked(self: FakeUpstream, data: bytes) -> None:
+        assert self.transport._reading
+        on_data(self, data)
+
+    return checked
+
+
+def a_connection_with_an_unread_request_is_reused(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(UpstreamConnection, "_has_unread_request", lambda self: False)
+
+
+def a_slow_client_that_reads_on_resumes_nothing(patch: pytest.MonkeyPatch) -> None:
+    patch.setattr(Exchange, "on_client_writable", lambda self: None)
+
+
 def run_state_machine() -> None:
     run_state_machine_as_test(ExchangeMachine, settings=FIND)
 
@@ -112,6 +136,9 @@
     every_response_is_relayed,
     a_broken_response_ends_as_if_complete,
     a_final_rejection_counts_as_never_executed,
+    a_connection_that_does_not_read_is_reused,
+    a_connection_with_an_unread_request_is_reused,
+    a_slow_client_that_reads_on_resumes_nothing,
 ]
 
 
