Hosts of routes are compared without case, port and final dot

Cause: the request's host was put into small letters and cut at its first colon, the route's was used as written.

Change: normalize_host for the request, the routing table and the check of documents. Two routes that share host and prefix but for case or port are refused with 400 that names both; of two that are stored already, the one written in small letters serves as before. Documents stay as written.

--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -10,6 +10,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from larkweir.cluster.configuration.hosts import normalize_host
+
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
 MAX_GENERATION = 2**53 - 1
 MAX_DURATION_MS = 86_400_000.0  # a day
@@ -112,7 +114,7 @@
     def _check_names(self) -> Configuration:
         services = _unique([service.name for service in self.services], "service")
         _unique([route.name for route in self.routes], "route")
-        _unique([f"{route.host} {route.path_prefix}" for route in self.routes], "host and prefix")
+        _check_hosts_and_prefixes(self.routes)
         for route in self.routes:
             for backend in route.backends:
                 if backend not in services:
@@ -122,6 +124,18 @@
         return self
 
 
+def _check_hosts_and_prefixes(routes: list[Route]) -> None:
+    """Raise ValueError if two routes would match the same requests."""
+    seen: dict[tuple[str, str], Route] = {}
+    for route in routes:
+        first = seen.setdefault((normalize_host(route.host), route.path_prefix), route)
+        if first is not route:
+            raise ValueError(
+                f"routes {first.name} and {route.name} share host and prefix: "
+                f"{first.host} and {route.host}, {route.path_prefix}"
+            )
+
+
 def _unique(names: list[str], what: str) -> set[str]:
     seen: set[str] = set()
     for name in names:
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -7,6 +7,7 @@
 import h11
 from larkweir_balancing.prompt import Prompt
 
+from larkweir.cluster.configuration.hosts import normalize_host
 from larkweir.router.request_metadata import Headers, RequestMetadata
 
 # Headers that apply to one connection only (RFC 9110, 7.6.1), or that are set again for the next connection.
@@ -72,8 +73,8 @@
 
     @property
     def host(self) -> str:
-        """The `Host` header without the port, in lower case."""
-        return self.header(b"host").decode("latin-1").partition(":")[0].lower()
+        """The `Host` header, normalized."""
+        return normalize_host(self.header(b"host").decode("latin-1"))
 
     @property
     def path(self) -> str:
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -12,6 +12,7 @@
 from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, apply_patch
+from larkweir.cluster.configuration.hosts import normalize_host
 from larkweir.cluster.messages import ConfigUpdate
 
 NON_IDEMPOTENT = "non_idempotent"
@@ -113,7 +114,11 @@
     """One configuration version, indexed for lookups. Immutable: each version gets a new table."""
 
     def __init__(self, configuration: Configuration) -> None:
-        """Index a configuration that a controller has validated."""
+        """Index a configuration that a controller has validated.
+
+        Controllers of earlier releases accepted routes with the same prefix whose hosts differ in case alone. The one
+        whose host is written in its normalized form serves, as it did before; else the first of them.
+        """
         self.version = configuration.generation
         self.limits = configuration.limits
         self.services = {service.name: service for service in configuration.services}
@@ -128,9 +133,9 @@
         }
         self._routes: dict[str, list[Route]] = {}
         for route in configuration.routes:
-            self._routes.setdefault(route.host, []).append(route)
+            self._routes.setdefault(normalize_host(route.host), []).append(route)
         for routes in self._routes.values():
-            routes.sort(key=lambda route: len(route.path_prefix), reverse=True)
+            routes.sort(key=_precedence)
 
     def sample_name(self, route: Route) -> str:
         """Return the name under which a route's answers are counted for roll-outs.
@@ -142,7 +147,7 @@
         return f"{route.kind} within {route.target_latency_ms:g} ms"
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the host's route with the longest matching path prefix; None if no route matches."""
+        """Return the normalized host's route with the longest matching path prefix; None if no route matches."""
         for route in self._routes.get(host, ()):
             if path.startswith(route.path_prefix):
                 return route
@@ -153,6 +158,11 @@
         return self._tenants.get(key)
 
 
+def _precedence(route: Route) -> tuple[int, bool]:
+    """Return the sort key among the routes of one host."""
+    return -len(route.path_prefix), route.host != normalize_host(route.host)
+
+
 class ConfigurationStore:
     """Owns the configuration in force in this process. Its sequence only increases."""
 
--- a/tests/cluster/configurations.py
+++ b/tests/cluster/configurations.py
@@ -40,6 +40,12 @@
         routes=[route("r1", "/one/", backend=None, traffic_split=[{"backend": "nobody", "weight": 1}])]
     ),
     "duplicate host and path prefix": changed(routes=[route("r1", "/one/"), route("r2", "/one/")]),
+    "hosts that differ in case": changed(
+        routes=[route("r1", "/one/", host="A.Example"), route("r2", "/one/", host="a.example")]
+    ),
+    "hosts that differ in a port": changed(
+        routes=[route("r1", "/one/", host="a.example:80"), route("r2", "/one/", host="a.example")]
+    ),
     "weights sum to 0": changed(routes=[route("r1", "/", traffic_split=[{"backend": "s", "weight": 0}])]),
     "no timeout": changed(routes=[route("r1", "/one/", timeout_ms=0)]),
     "no generation": {key: value for key, value in VALID.items() if key != "generation"},
--- a/tests/cluster/test_configuration_schema.py
+++ b/tests/cluster/test_configuration_schema.py
@@ -34,6 +34,12 @@
     assert "\n" not in problem
 
 
+def test_routes_that_share_host_and_prefix_are_both_named() -> None:
+    assert first_problem(INVALID["hosts that differ in case"]) == (
+        "Value error, routes r1 and r2 share host and prefix: A.Example and a.example, /one/"
+    )
+
+
 ROUTE_FIELDS: dict[str, Any] = {
     "timeout_ms": MAX_DURATION_MS,
     "target_latency_ms": MAX_DURATION_MS,
--- /dev/null
+++ b/tests/cluster/test_hosts.py
@@ -0,0 +1,27 @@
+"""How hosts are normalized."""
+
+from __future__ import annotations
+
+import pytest
+
+from larkweir.cluster.configuration.hosts import normalize_host
+
+
+@pytest.mark.parametrize(
+    ("host", "normalized"),
+    [
+        ("depots.example", "depots.example"),
+        ("Depots.EXAMPLE", "depots.example"),
+        ("depots.example:8080", "depots.example"),
+        ("depots.example.", "depots.example"),
+        ("Depots.example.:80", "depots.example"),
+        (" depots.example ", "depots.example"),
+        ("[::1]", "[::1]"),
+        ("[::1]:80", "[::1]"),
+        ("[2001:DB8::A]:8080", "[2001:db8::a]"),
+        ("10.0.0.1:80", "10.0.0.1"),
+        ("", ""),
+    ],
+)
+def test_hosts_are_compared_without_case_port_and_final_dot(host: str, normalized: str) -> None:
+    assert normalize_host(host) == normalized
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 import msgspec
+import pytest
 
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from larkweir.cluster.messages import ConfigUpdate
@@ -25,6 +26,28 @@
     assert routing_table.find_route("b.example", "/one/") is None
 
 
+@pytest.mark.parametrize("host", ["A.Example", "a.EXAMPLE.", "A.example:8080"])
+def test_a_route_is_found_however_its_host_is_written(host: str) -> None:
+    # Guards against routes that are acknowledged and never in force (the review's capitals).
+    routing_table = table(changed(routes=[route("r", "/one/", host=host)]))
+    assert routing_table.find_route("a.example", "/one/x").name == "r"  # type: ignore[union-attr]
+
+
+@pytest.mark.parametrize(
+    ("hosts", "serving"),
+    [
+        (["A.Example", "a.example"], "r1"),
+        (["a.example", "A.Example"], "r0"),
+        (["A.Example", "a.Example"], "r0"),
+    ],
+)
+def test_of_two_stored_routes_whose_hosts_differ_in_case_one_serves(hosts: list[str], serving: str) -> None:
+    routes = [route(f"r{number}", "/one/", host=host) for number, host in enumerate(hosts)]
+    found = table(changed(routes=routes)).find_route("a.example", "/one/x")
+    assert found is not None
+    assert found.name == serving
+
+
 def test_tenants_are_found_by_key_and_charged_in_their_unit() -> None:
     routing_table = table()
     tenant = routing_table.find_tenant("k2")
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -82,6 +82,27 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("written", ["Depots.Example", "depots.example"])
+@pytest.mark.parametrize("asked", ["Depots.Example", "depots.example:8080", "DEPOTS.example."])
+def test_hosts_are_compared_without_case(written: str, asked: str, tmp_path: Path) -> None:
+    # Guards against routes that are acknowledged and never in force (the review's capitals).
+    async def scenario(fleet: Fleet) -> None:
+        document = configuration()
+        document["routes"][0]["host"] = written
+        assert (await fleet.put(document, 0)).status == 200
+        await fleet.upstream("s", respond_ok)
+        await fleet.until_ready()
+        client = Client(fleet.fronts[0])
+        reply = await client.request("POST", "/plain/x", X_Request_Id="r", X_Api_Key="key", Host=asked)
+        assert reply.status == 200
+        read_back = await ask(fleet.control[0], "GET", "/config")
+        assert msgspec.json.decode(read_back.body) == document
+        again = await fleet.put(document, 0)
+        assert again.status == 200, "the repeat of an acknowledged change"
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_changes_of_the_configuration(tmp_path: Path) -> None:
     async def scenario(fleet: Fleet) -> None:
         await serve(fleet, respond_ok)
