Tests: departures and reuse of connections without repeated steps

Cause: the new tests of upstream pool and departures wrote the same steps several times. Change: serve, respond and until_departed hold them; no assertion changed.

--- a/tests/router/test_upstream_pool.py
+++ b/tests/router/test_upstream_pool.py
@@ -89,22 +89,26 @@
     uvloop.run(run())
 
 
-async def respond(upstream: socket.socket, id_: str) -> None:
+async def respond(upstream: socket.socket, id_: str, call: Call) -> None:
+    """Send a response and wait for the end of the call."""
     await asyncio.get_running_loop().sock_sendall(upstream, response(id_))
+    await call.wait()
+
+
+async def serve(upstream: socket.socket, id_: str, call: Call) -> None:
+    """Read a request without a body and respond to it."""
+    await read_head(upstream)
+    await respond(upstream, id_, call)
 
 
 def test_a_connection_is_used_again_after_an_ordinary_call() -> None:
     async def scenario(harness: PoolHarness) -> None:
         first, upstream = await harness.call("r1")
         assert upstream is not None
-        await read_head(upstream)
-        await respond(upstream, "r1")
-        await first.wait()
+        await serve(upstream, "r1", first)
         second, accepted = await harness.call("r2")
         assert accepted is None
-        await read_head(upstream)
-        await respond(upstream, "r2")
-        await second.wait()
+        await serve(upstream, "r2", second)
         upstream.close()
 
     run_scenario(scenario)
@@ -115,15 +119,11 @@
     async def scenario(harness: PoolHarness) -> None:
         first, upstream = await harness.call("r1", is_client_slow=True)
         assert upstream is not None
-        await read_head(upstream)
-        await respond(upstream, "r1")
-        await first.wait()
+        await serve(upstream, "r1", first)
         assert not first.connection.is_open
         second, accepted = await harness.call("r2")
         assert accepted is not None
-        await read_head(accepted)
-        await respond(accepted, "r2")
-        await second.wait()
+        await serve(accepted, "r2", second)
         upstream.close()
         accepted.close()
 
@@ -137,13 +137,10 @@
         assert upstream is not None
         await read_head(upstream)
         rest = LONG_BODY_BYTES - len(await read_bytes(upstream, READ_BEFORE_RESPONSE_BYTES))
-        await respond(upstream, "r1")
-        await first.wait()
+        await respond(upstream, "r1", first)
         second, accepted = await harness.call("r2")
         assert accepted is not None
-        await read_head(accepted)
-        await respond(accepted, "r2")
-        await second.wait()
+        await serve(accepted, "r2", second)
         # The connection is closed in order, so that the upstream may read the rest.
         assert len(await read_bytes(upstream, rest + 1)) == rest
         upstream.close()
@@ -160,13 +157,10 @@
         await until_probed(first.connection._transport)
         await read_head(upstream)
         await read_bytes(upstream, LONG_BODY_BYTES)
-        await respond(upstream, "r1")
-        await first.wait()
+        await respond(upstream, "r1", first)
         second, accepted = await harness.call("r2")
         assert accepted is None
-        await read_head(upstream)
-        await respond(upstream, "r2")
-        await second.wait()
+        await serve(upstream, "r2", second)
         upstream.close()
 
     run_scenario(scenario)
--- a/tests/system/test_departures.py
+++ b/tests/system/test_departures.py
@@ -70,6 +70,15 @@
         fleet.start_controller(number)
 
 
+async def until_departed(fleet: Fleet, id_: str, state: str) -> None:
+    """Report a departure to the first controller until it is acknowledged."""
+
+    async def is_acknowledged() -> bool:
+        return await depart(fleet, id_, state) == 200
+
+    await fleet.until(is_acknowledged)
+
+
 async def depart(fleet: Fleet, id_: str, state: str) -> int:
     """Report a departure to the first controller; return the status."""
     if state == "gone":
@@ -92,11 +101,7 @@
         disks.refuse([fleet.control[number] for number in refusing])
         assert await depart(fleet, first, state) == 503
         disks.mend()
-
-        async def is_acknowledged() -> bool:
-            return await depart(fleet, first, state) == 200
-
-        await fleet.until(is_acknowledged)
+        await until_departed(fleet, first, state)
         await restart_controllers(fleet)
         await until_all_show(fleet, dict.fromkeys(others, "ready") | {first: state})
 
@@ -124,11 +129,7 @@
         expected = dict.fromkeys(await register(fleet), "ready")
         for number, id_ in enumerate(list(expected)):
             expected[id_] = "gone" if number % 2 else "draining"
-
-            async def is_acknowledged(id_: str = id_, state: str = expected[id_]) -> bool:
-                return await depart(fleet, id_, state) == 200
-
-            await fleet.until(is_acknowledged)
+            await until_departed(fleet, id_, expected[id_])
             await restart_controllers(fleet)
             await until_all_show(fleet, expected)
 
