Tests: fleets of one test process never run out of loopback addresses

Cause: subnets counted up from the process' number modulo 199 without an end; a test process that plays more than some 56 fleets could reach 127.77.256.*. Change: subnets cycle through 1 to 254.

--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -19,7 +19,9 @@
 from larkweir.controller.node import Controller
 from larkweir.router.node import Router
 
-_subnets = itertools.count(os.getpid() % 199 + 1)
+_SUBNETS = 254  # 127.77.1.* to 127.77.254.*
+_first_subnet = os.getpid() % _SUBNETS
+_subnets = itertools.cycle(1 + (_first_subnet + number) % _SUBNETS for number in range(_SUBNETS))
 
 
 @dataclass
