Review: the shared fleet stands beside the first case; only a case's own check exits with 1

Cause: review/lib2 was a folder under review that is no case. An unexpected exception in a script ended it with 1 as well, as if the rule were broken, and a signal to a script could leave its processes.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,9 +8,19 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
+sys.path.insert(0, str(FOLDER))
 
-from fleet import Answer, Fleet, Record, client_request, configuration, request, route, service  # noqa: E402
+from fleet import (  # noqa: E402
+    Answer,
+    Fleet,
+    Record,
+    client_request,
+    configuration,
+    request,
+    route,
+    run_case,
+    service,
+)
 
 EVENTS = 30
 STREAMS = 60
@@ -23,7 +33,7 @@
     """Start an engine as a process of its own."""
     process = await asyncio.create_subprocess_exec(
         "python3",
-        str(FOLDER.parent / "lib2" / "engine.py"),
+        str(FOLDER / "engine.py"),
         f"i-engine{number}",
         "lm",
         f"{fleet.net}.{201 + number}:{fleet.upstream_port}",
@@ -95,19 +105,4 @@
     return 1 if broken else 0
 
 
-async def main() -> int:
-    """Run the case with a fleet of its own."""
-    record = Record(FOLDER)
-    record.write(f"TROUBLE={int(TROUBLE)}")
-    fleet = Fleet(record)
-    try:
-        async with asyncio.timeout(100):
-            return await play(record, fleet)
-    except TimeoutError:
-        record.write("the case could not be played in time")
-        return 2
-    finally:
-        await fleet.stop()
-
-
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(FOLDER, play))
--- a/review/lib2/fleet.py
+++ b/review/4/fleet.py
@@ -9,6 +9,7 @@
 import json
 import os
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -431,3 +432,26 @@
         *headers,
     ]
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+def run_case(folder: Path, play: Callable[[Record, Fleet], Awaitable[int]], routers: int = 1) -> int:
+    """Run a case with a fleet of its own; returns its exit code, 2 if anything but the case's own check ends it."""
+
+    async def run() -> int:
+        record = Record(folder)
+        record.write(f"TROUBLE={os.environ.get('TROUBLE', '1')}")
+        fleet = Fleet(record, routers)
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        try:
+            async with asyncio.timeout(100):
+                return await play(record, fleet)
+        except (Exception, asyncio.CancelledError) as error:
+            record.write(f"the case could not be played: {error!r}")
+            return 2
+        finally:
+            await fleet.stop()
+
+    return asyncio.run(run())
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
+sys.path.insert(0, str(FOLDER.parent / "4"))
 
 from fleet import (  # noqa: E402
     Call,
@@ -19,6 +19,7 @@
     configuration,
     request,
     route,
+    run_case,
     service,
 )
 
@@ -127,19 +128,4 @@
     return 1 if broken else 0
 
 
-async def main() -> int:
-    """Run the case with a fleet of its own."""
-    record = Record(FOLDER)
-    record.write(f"TROUBLE={int(TROUBLE)}")
-    fleet = Fleet(record, routers=2)
-    try:
-        async with asyncio.timeout(100):
-            return await play(record, fleet)
-    except TimeoutError:
-        record.write("the case could not be played in time")
-        return 2
-    finally:
-        await fleet.stop()
-
-
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(FOLDER, play, routers=2))
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -9,9 +9,9 @@
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent / "lib2"))
+sys.path.insert(0, str(FOLDER.parent / "4"))
 
-from fleet import Fleet, Record, configuration, route, service  # noqa: E402
+from fleet import Fleet, Record, configuration, route, run_case, service  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
@@ -75,19 +75,4 @@
     return 1 if broken else 0
 
 
-async def main() -> int:
-    """Run the case with a fleet of its own."""
-    record = Record(FOLDER)
-    record.write(f"TROUBLE={int(TROUBLE)}")
-    fleet = Fleet(record)
-    try:
-        async with asyncio.timeout(100):
-            return await play(record, fleet)
-    except TimeoutError:
-        record.write("the case could not be played in time")
-        return 2
-    finally:
-        await fleet.stop()
-
-
-sys.exit(asyncio.run(main()))
+sys.exit(run_case(FOLDER, play))
