Event streams without a length that end inside an event are broken off

Cause: the end of a connection ends a body without a length (RFC 9112, 6.3), and nothing asked the body. What follows the last empty line of an event stream is no event (WHATWG HTML, 9.2), so a stream that ends there was cut off.

Change: EventBoundary, in the router (ResponseRelay.is_cut_off: the call has failed, so it is resumed or shown as broken off) and in the balancer (ResponseReader.finish). It is asked for event streams that only their connection ends; all other answers are as before.

--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -8,6 +8,7 @@
 import httptools
 
 from larkweir.core.body_stream import BodyStream
+from larkweir.core.event_stream import EventBoundary, is_event_stream
 from larkweir.core.message import Fault, FramingError, Message
 
 # All limits are in bytes, but for the numbers of fields and the ratio.
@@ -281,7 +282,8 @@
 
 class ResponseReader(_Reader):
     """Reads answers. One that only the end of the connection delimits (RFC 9112, section 6.3, rule 8) is completed by
-    `finish`, where its head announces that end; else it can't be told from one that was cut off.
+    `finish`, where its head announces that end; else it can't be told from one that was cut off. An event stream that
+    ends inside an event was cut off too.
     """
 
     _parser: httptools.HttpResponseParser | None
@@ -291,10 +293,15 @@
         """`max_body` counts where bodies are not forwarded while they arrive; see `_Reader` for `forward_over`."""
         super().__init__(max_body if forward_over is None else MAX_BODY, self.MAX_MESSAGES, forward_over)
         self._until_close = False
+        self._boundary: EventBoundary | None = (
+            None  # of an event stream that only its connection's end delimits
+        )
 
     def finish(self) -> list[Message]:
         """The upstream has ended the connection in good order; returns the answer that this completes, if it does."""
         completed: list[Message] = []
+        if self._boundary is not None and not self._boundary.is_between_events:
+            return completed
         if self.in_body and self._until_close and self.fault is None:
             self._completed = completed
             self.on_message_complete()
@@ -315,6 +322,8 @@
             and not message.values(b"transfer-encoding")
             and (message.minor == 0 or announces_close(message))
         )
+        has_events = any(is_event_stream(value) for value in message.values(b"content-type"))
+        self._boundary = EventBoundary() if self._until_close and has_events else None
         if self.forward_over is not None and (self._length or 0) > self.forward_over and self.can_forward():
             self._completed.append(self._start_forwarding())
 
@@ -324,6 +333,8 @@
 
     def on_body(self, data: bytes) -> None:
         """The next bytes of the body."""
+        if self._boundary is not None:
+            self._boundary.feed(data)
         super().on_body(data)
         if self._stream is None and self.body_size > MAX_ANSWER:
             raise FramingError(413, "the body is too long")
--- a/larkweir/router/event_stream.py
+++ b/larkweir/router/event_stream.py
@@ -5,6 +5,8 @@
 
 from __future__ import annotations
 
+from larkweir.core.event_stream import end_of_last_event
+
 MAX_PENDING_BYTES = 1024 * 1024  # a longer event is relayed in chunks, and its stream can't be resumed
 
 
@@ -20,7 +22,7 @@
     def feed(self, data: bytes) -> bytes:
         """Add a chunk; returns the complete events, which can be relayed now."""
         self._pending += data
-        end = self._end_of_last_event()
+        end = end_of_last_event(self._pending)
         if end == 0:
             if len(self._pending) > MAX_PENDING_BYTES:
                 self.resumable = False
@@ -32,14 +34,6 @@
                 self.last_id = line[3:].strip()
         return complete
 
-    def _end_of_last_event(self) -> int:
-        ends = [
-            at + len(separator)
-            for separator in (b"\n\n", b"\r\n\r\n", b"\r\r")
-            if (at := self._pending.rfind(separator)) >= 0
-        ]
-        return max(ends, default=0)
-
     def flush(self) -> bytes:
         """Return the buffered bytes, at the end of the stream."""
         remaining, self._pending = self._pending, b""
--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -278,6 +278,9 @@
         if self._state is ExchangeState.DISCARDING:
             self._on_discarded()
             return
+        if self._relay.is_cut_off:
+            self.on_call_failed(CallFailure.CUT_OFF)
+            return
         self._relay.flush()
         self._end_attempt(Outcome.OK)
         self._relay.end()
@@ -299,7 +302,7 @@
 
     @guarded
     def on_call_failed(self, failure: CallFailure) -> None:
-        """Handle a connection that closed, or sent an invalid response, before the response was complete."""
+        """Retry or resume a call that ended before its response was complete, or end the response as incomplete."""
         admission, retries = self._admitted()
         log.debug("call_failed", ending=failure, state=self._state, sent=retries.sent)
         if self._state is ExchangeState.DISCARDING and self._discard_outcome is not Outcome.ERROR:
--- a/larkweir/router/response_relay.py
+++ b/larkweir/router/response_relay.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
+from larkweir.core.event_stream import EventBoundary, is_event_stream
 from larkweir.router.client_request import HOP_BY_HOP_HEADERS
 from larkweir.router.configuration import Route
 from larkweir.router.event_stream import EventBuffer
@@ -35,6 +36,13 @@
         self._writer = writer
         self.has_started = False
         self.events: EventBuffer | None = None  # None if the response is not a resumable stream
+        # None unless the upstream's response is an event stream whose end only the end of its connection marks
+        self._boundary: EventBoundary | None = None
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether a response that ends now, with its connection, lacks the rest of an event."""
+        return self._boundary is not None and not self._boundary.is_between_events
 
     @property
     def can_resume(self) -> bool:
@@ -48,6 +56,8 @@
 
     def start(self, status: int, headers: Headers, route: Route) -> None:
         """Relay the head of a response. The head of a resumed stream is dropped, as the client already has one."""
+        is_unframed_stream = ends_with_connection(headers) and has_events(status, headers, route)
+        self._boundary = EventBoundary() if is_unframed_stream else None
         if self.has_started:
             return
         if route.is_streaming and route.resumable and status == HTTPStatus.OK:
@@ -58,6 +68,8 @@
 
     def send(self, data: bytes) -> bool:
         """Relay a chunk of the body; returns False while too much is buffered for the client."""
+        if self._boundary is not None:
+            self._boundary.feed(data)
         if self.events is not None:
             data = self.events.feed(data)
         return not data or self._writer.send_body(data)
@@ -85,3 +97,16 @@
         """Respond with an error of the router's own, without a body."""
         self._writer.start_response(status, headers)
         self._writer.end_response()
+
+
+def ends_with_connection(headers: Headers) -> bool:
+    """Whether only the end of the connection marks the end of a response (RFC 9112, 6.3, rule 8)."""
+    return all(name not in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
+def has_events(status: int, headers: Headers, route: Route) -> bool:
+    """Whether the body of a response is an event stream: by its type, or by the route if it states no type."""
+    for name, value in headers:
+        if name == b"content-type":
+            return is_event_stream(value)
+    return route.is_streaming and status == HTTPStatus.OK
--- a/larkweir/router/upstream_connection.py
+++ b/larkweir/router/upstream_connection.py
@@ -27,6 +27,7 @@
     """Why a call ended without a complete response. The values appear in the debug log (field `ending`)."""
 
     CLOSED = "closed"  # the connection ended; the request may have run
+    CUT_OFF = "cut_off"  # the connection ended in order, but inside an event of a stream without a length
     GARBLED = "garbled"  # the bytes received are no valid response to the request
 
 
@@ -40,7 +41,7 @@
         """Called with each chunk of the body."""
 
     def on_response_end(self) -> None:
-        """Called when the response is complete."""
+        """Called when the response is complete; one without a length is, once its connection ends in order."""
 
     def on_call_failed(self, failure: CallFailure) -> None:
         """Called when the response can't be completed any more."""
--- a/tests/protocols/http1/test_bodies.py
+++ b/tests/protocols/http1/test_bodies.py
@@ -325,6 +325,33 @@
     run(work())
 
 
+@pytest.mark.parametrize("size", [100, 3 * MEGA])
+@pytest.mark.parametrize("is_cut_off", [True, False])
+def test_an_event_stream_that_ends_inside_an_event_is_not_whole(size: int, is_cut_off: bool) -> None:
+    # Guards against taking the end of a crashed upstream's connection for the end of its stream (review/4).
+    body = b"data: " + LONG[:size].hex().encode() + (b"\n" if is_cut_off else b"\n\n")
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n"
+
+    async def work() -> None:
+        async def answer(request: Incoming, talk: Talk) -> None:
+            await talk.send(head + body)
+            talk.writer.close()
+
+        upstream = await FakeUpstream(answer).start()
+        async with running(upstream.entry("a")) as balancer, Caller(balancer.port) as caller:
+            caller.ask("move", b"x")
+            if not is_cut_off:
+                code, _, received = await read_long(caller)
+                assert code == 200 and received == body
+            elif size <= 100:
+                assert (await caller.answer()).status == 502
+            else:
+                with pytest.raises((asyncio.IncompleteReadError, ConnectionError, ValueError)):
+                    await read_long(caller)
+
+    run(work())
+
+
 @pytest.mark.parametrize(
     ("target", "path"),
     [
