Documents of both forms are refused; routers outlive updates that can't be applied

Cause: the check let a document have members of the names that the patch between two versions uses itself, so they took the patch's place; a router that could not apply it raised in the link's handler and asked for the same patch again.

Change: such a PUT is refused with 400 that names the member. A patch is a type; where none can express a change (stored documents of earlier releases) routers are sent the complete configuration. A router asks for that after a patch that it can't apply, takes all other news, and says once that it could not (`configuration_unusable`); a complete one that it can't apply is not sent again (new optional field of Pull).

A test that expected msgspec's error from the store expects the store's own, and that error as its cause: no check is weaker.

--- a/larkweir/cluster/configuration/changes.py
+++ b/larkweir/cluster/configuration/changes.py
@@ -11,8 +11,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, apply_patch
-from larkweir.cluster.configuration.rollouts import carry_over, operators_part
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, parse_patch
+from larkweir.cluster.configuration.rollouts import carry_over, patchable_part
 
 IDENTITY_LENGTH = 24
 
@@ -95,7 +95,7 @@
         if not current:
             return _invalid("there is no configuration to change yet")
         try:
-            body = apply_patch(operators_part(current), body)
+            body = parse_patch(body).apply_to(patchable_part(current))
         except PatchError as error:
             return _invalid(str(error))
     if ROLLOUTS_KEY in body:
--- a/larkweir/cluster/configuration/rollouts.py
+++ b/larkweir/cluster/configuration/rollouts.py
@@ -5,7 +5,7 @@
 import msgspec
 from larkweir_rollouts.state import Rollout
 
-from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document
+from larkweir.cluster.configuration.documents import PATCH_MEMBERS, ROLLOUTS_KEY, Document
 
 Rollouts = tuple[Rollout, ...]
 
@@ -25,6 +25,14 @@
     return {key: value for key, value in document.items() if key != ROLLOUTS_KEY}
 
 
+def patchable_part(document: Document) -> Document:
+    """Return the part of a committed document that a PATCH builds on.
+
+    Members that only a patch may have, which earlier releases accepted in documents too, are left out.
+    """
+    return {key: value for key, value in operators_part(document).items() if key not in PATCH_MEMBERS}
+
+
 def operators_text(value: str) -> str:
     """Return the operators' part of a committed document as text."""
     if ROLLOUTS_KEY not in value:
--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -10,6 +10,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
+from larkweir.cluster.configuration.documents import PATCH_MEMBERS
 from larkweir.cluster.configuration.hosts import normalize_host
 
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
@@ -110,6 +111,13 @@
     limits: Limits = Limits()
     tenants: list[Tenant] = []
 
+    @model_validator(mode="after")
+    def _check_form(self) -> Configuration:
+        for key in PATCH_MEMBERS:
+            if key in (self.model_extra or {}):
+                raise ValueError(f"{key}: belongs to a PATCH, not to a complete configuration")
+        return self
+
     @model_validator(mode="after")
     def _check_names(self) -> Configuration:
         services = _unique([service.name for service in self.services], "service")
--- a/larkweir/cluster/messages.py
+++ b/larkweir/cluster/messages.py
@@ -79,6 +79,8 @@
         quota_snapshot: what the sender knows about the fleet; sent in the first pull on a connection.
         quota_claim: the share of all quotas that the sender holds; only controllers hold one.
         is_leaving: the sender is a router that is shutting down, so nothing is to be reserved for it.
+        unusable_config_sequence: the sequence of a complete configuration that the sender could not apply, and so does
+            not want again; -1 for none.
     """
 
     config_sequence: Sequence = msgspec.field(default=-1, name="config")
@@ -93,6 +95,7 @@
     quota_snapshot: QuotaSnapshot | None = None
     quota_claim: ShareClaim | None = None
     is_leaving: bool = False
+    unusable_config_sequence: Sequence = -1
 
 
 class PrefillQueueUpdate(msgspec.Struct, frozen=True, tag="waiting"):
--- a/larkweir/controller/configuration_delivery.py
+++ b/larkweir/controller/configuration_delivery.py
@@ -37,11 +37,17 @@
         if subscriber.encodings_requested and subscriber.encodings is None:
             subscriber.encodings = frozenset(pull.encodings)
 
+    def has_update(self, pull: Pull) -> bool:
+        """Returns whether a router lacks the newest configuration, and may be able to apply it."""
+        return self._history.sequence > max(pull.config_sequence, pull.unusable_config_sequence)
+
     def answer(self, subscriber: Subscriber, pull: Pull) -> ConfigurationAnswer:
         """Returns the update that a router needs, in an encoding that it supports.
 
         If the update is large and the router's encodings are unknown, the answer asks for them instead.
         """
+        if not self.has_update(pull):
+            return ConfigurationAnswer()
         update = self._history.update_from(pull.config_sequence)
         if update is None or len(bytes(update.body)) < MIN_COMPRESSED_BYTES:
             return ConfigurationAnswer(config=update)
--- a/larkweir/controller/configuration_history.py
+++ b/larkweir/controller/configuration_history.py
@@ -18,7 +18,8 @@
         """Starts without any configurations."""
         self._versions: list[tuple[int, Document]] = []
         self._newest_json: bytes = b""
-        self._patches: dict[int, bytes] = {}  # to the newest version, by base sequence
+        # To the newest version, by base sequence; None where the complete configuration is sent.
+        self._patches: dict[int, bytes | None] = {}
 
     @property
     def sequence(self) -> int:
@@ -47,15 +48,23 @@
         return document
 
     def update_from(self, known: int) -> ConfigUpdate | None:
-        """Returns the update from the version with sequence `known` to the newest; None if `known` is the newest."""
+        """Returns the update from the version with sequence `known` to the newest; None if `known` is the newest.
+
+        The update is a patch, or the complete configuration if `known` is too old or no patch can express the change.
+        """
         if known >= self.sequence:
             return None
         if known not in self._patches:
-            base = next((document for sequence, document in self._versions if sequence == known), None)
-            if base is None:
-                return ConfigUpdate(self.sequence, -1, msgspec.Raw(self._newest_json))
-            self._patches[known] = msgspec.json.encode(make_patch(base, self._versions[-1][1]))
-        return ConfigUpdate(self.sequence, known, msgspec.Raw(self._patches[known]))
+            self._patches[known] = self._make_patch(known)
+        patch = self._patches[known]
+        if patch is None:
+            return ConfigUpdate(self.sequence, -1, msgspec.Raw(self._newest_json))
+        return ConfigUpdate(self.sequence, known, msgspec.Raw(patch))
+
+    def _make_patch(self, known: int) -> bytes | None:
+        base = next((document for sequence, document in self._versions if sequence == known), None)
+        patch = make_patch(base, self._versions[-1][1]) if base is not None else None
+        return msgspec.json.encode(patch.to_json()) if patch is not None else None
 
 
 def _share_items(document: Document, before: Document) -> None:
--- a/larkweir/controller/pull_service.py
+++ b/larkweir/controller/pull_service.py
@@ -172,7 +172,7 @@
             return True
         if self._awaits_share(subscriber, pull, present_ms):
             return True
-        if subscriber.is_router and pull.config_sequence < state.configuration.sequence:
+        if subscriber.is_router and self._delivery.has_update(pull):
             return True
         if subscriber.is_router and subscriber.sent_ejected != state.ejection.ejected:
             return True
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -11,8 +11,9 @@
 from larkweir_quotas.limits import RateLimit
 from larkweir_rollouts.state import Rollout
 
-from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, apply_patch
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, parse_patch
 from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.errors import LarkweirError
 from larkweir.cluster.messages import ConfigUpdate
 
 NON_IDEMPOTENT = "non_idempotent"
@@ -163,6 +164,10 @@
     return -len(route.path_prefix), route.host != normalize_host(route.host)
 
 
+class UnusableUpdateError(LarkweirError, ValueError):
+    """An update can't be applied; the configuration in force stays as it is."""
+
+
 class ConfigurationStore:
     """Owns the configuration in force in this process. Its sequence only increases."""
 
@@ -178,17 +183,23 @@
         An update that is not newer, or that is a patch to another version than the one in force, is ignored.
 
         Raises:
-            msgspec.ValidationError: the document is invalid; a controller would not have accepted it.
+            UnusableUpdateError: the patch does not fit the configuration in force, or the document is invalid.
         """
         if update.sequence <= self.sequence:
             return False
-        body = msgspec.json.decode(update.body)
-        if update.base_sequence >= 0:
-            if update.base_sequence != self.sequence:
-                return False
-            body = apply_patch(self._document, body)
-            body = {key: value for key, value in body.items() if value is not None}  # null removes the key
-        self.table = RoutingTable(msgspec.convert(body, Configuration))
-        self._document = body
-        self.sequence = update.sequence
+        if update.base_sequence >= 0 and update.base_sequence != self.sequence:
+            return False
+        try:
+            document = self._updated_document(update)
+            table = RoutingTable(msgspec.convert(document, Configuration))
+        except (msgspec.MsgspecError, PatchError, RecursionError) as error:
+            raise UnusableUpdateError(str(error)) from error
+        self.table, self._document, self.sequence = table, document, update.sequence
         return True
+
+    def _updated_document(self, update: ConfigUpdate) -> Document:
+        body: Document = msgspec.json.decode(update.body, type=dict[str, object])
+        if update.base_sequence < 0:
+            return body
+        patched = parse_patch(body).apply_to(self._document)
+        return {key: value for key, value in patched.items() if value is not None}  # null removes the key
--- a/larkweir/router/fleet_sync.py
+++ b/larkweir/router/fleet_sync.py
@@ -26,6 +26,7 @@
     QuotaResponse,
 )
 from larkweir.cluster.settings import Settings
+from larkweir.router.configuration_sync import ConfigurationSync
 from larkweir.router.controller_links import ControllerLinks
 from larkweir.router.controller_reports import ControllerReports
 from larkweir.router.data_plane import DataPlane
@@ -70,6 +71,7 @@
         self._links = ControllerLinks(settings, self._on_message, self._on_connected, self._on_disconnected)
         self._sent_vectors: dict[str, VersionVector] = {}  # by controller node: the vector of the last pull
         self._reported_revisions: dict[str, int] = {}  # by controller node: the revision of the last pull
+        self._configuration_sync = ConfigurationSync(plane.configuration)
         self._reports = ControllerReports()
         self._router_count = RouterCount()
         # Controllers that have sent everything they know since this process started.
@@ -134,8 +136,10 @@
         self._sent_vectors[connection.node] = vector
         rollouts = plane.rollout_samples.changed_since(self._reported_revisions.get(connection.node, 0))
         self._reported_revisions[connection.node] = plane.rollout_samples.revision
+        self._configuration_sync.record_pull(connection.node)
         pull = Pull(
-            config_sequence=plane.configuration.sequence,
+            config_sequence=self._configuration_sync.known_sequence,
+            unusable_config_sequence=self._configuration_sync.unusable_sequence,
             vector=None if is_unchanged else vector,
             usage=usage,
             sent_ms=round(now_ms),
@@ -166,8 +170,9 @@
     def _on_delta(self, connection: Connection, delta: Delta) -> None:
         """Apply the updates in a controller's response, and pull again."""
         plane, node, now_ms = self._plane, connection.node, self._now_ms()
-        if delta.config is not None:
-            self._receive_configuration(node, delta.config, len(bytes(delta.config.body)))
+        update = delta.config
+        if update is not None:
+            self._receive_configuration(node, update, len(bytes(update.body)))
         elif delta.compressed_config is not None:
             try:
                 update = decompress(delta.compressed_config)
@@ -190,12 +195,15 @@
             plane.upstreams.set_ejected(self._reports.ejected())
         if not delta.wants_encodings:  # otherwise its configuration, maybe the newest, is still to come
             self._responded.add(node)
+        if update is not None and self._configuration_sync.is_unwanted(node, update):
+            connection.close()  # asking again at once would bring the same answer: the reconnect delay paces it
+            return
         self._pull(connection, PullExtras.wanted_by(delta))
 
     def _receive_configuration(self, node: str, update: ConfigUpdate, received_bytes: int) -> None:
         """Apply and log an update. `received_bytes` is the size of its body as sent, compressed or not."""
         store, started_s = self._plane.configuration, perf_counter()
-        if not store.apply(update):
+        if not self._configuration_sync.apply(update, node):
             log.debug("configuration_ignored", sequence=update.sequence, bytes=received_bytes, sender=node)
             return
         table = store.table
--- a/larkweir/system/operator_commands.py
+++ b/larkweir/system/operator_commands.py
@@ -93,7 +93,11 @@
 @click.argument("new", type=click.Path(dir_okay=False))
 def config_diff(old: str, new: str) -> None:
     """Prints the patch that turns OLD into NEW."""
-    print_json(make_patch(_read_document(old), _read_document(new)))
+    patch = make_patch(_read_document(old), _read_document(new))
+    if patch is None:
+        click.echo("no patch can express the difference: a member is named upsert or remove", err=True)
+        sys.exit(EXIT_REJECTED)
+    print_json(patch.to_json())
 
 
 @click.command()
--- a/tests/cluster/test_configuration_changes.py
+++ b/tests/cluster/test_configuration_changes.py
@@ -109,3 +109,16 @@
     value = apply("", put(VALID, 0)).ok()
     body = msgspec.json.encode({"generation": 4, **patch}).decode()
     assert rejection_reason(value, ConfigurationChange(True, 3, body)) is RejectionReason.INVALID
+
+
+@pytest.mark.parametrize(
+    "stored", [{"upsert": {}, "remove": {}}, {"upsert": None}, {"remove": {"routes": []}}]
+)
+def test_a_stored_document_with_members_of_a_patch_is_changed_and_loses_them(stored: dict[str, Any]) -> None:
+    # Releases before review/5 accepted such documents.
+    value = msgspec.json.encode(changed(**stored)).decode()
+    patch = ConfigurationChange(True, 3, '{"generation":4,"remove":{"routes":["r2"]}}')
+    for change in (patch, put(changed(generation=4), 3)):
+        document = msgspec.json.decode(apply(value, change).unwrap())
+        assert document["generation"] == 4
+        assert not {"upsert", "remove"} & set(document)
--- a/tests/cluster/test_configuration_schema.py
+++ b/tests/cluster/test_configuration_schema.py
@@ -19,7 +19,7 @@
     first_problem,
 )
 from larkweir.cluster.messages import ConfigUpdate
-from larkweir.router.configuration import ConfigurationStore
+from larkweir.router.configuration import ConfigurationStore, UnusableUpdateError
 from tests.cluster.configurations import INVALID, VALID, changed, route
 
 
@@ -119,5 +119,16 @@
 def test_values_that_a_router_cannot_decode_are_rejected(document: dict[str, Any]) -> None:
     assert first_problem(document) is not None
     store = ConfigurationStore()
-    with pytest.raises(msgspec.ValidationError):
+    with pytest.raises(UnusableUpdateError) as caught:
         store.apply(ConfigUpdate(1, -1, msgspec.Raw(msgspec.json.encode(document))))
+    assert isinstance(caught.value.__cause__, msgspec.ValidationError)
+
+
+@pytest.mark.parametrize("member", ["upsert", "remove"])
+@pytest.mark.parametrize("value", [{}, {"routes": []}, None, 5])
+def test_a_complete_configuration_has_no_members_of_a_patch(member: str, value: object) -> None:
+    # Guards against acknowledging a document to whose successor no patch leads (review/5).
+    problem = first_problem(changed(**{member: value}))
+    assert problem is not None
+    assert member in problem
+    assert "PATCH" in problem
--- a/tests/cluster/test_messages_golden.py
+++ b/tests/cluster/test_messages_golden.py
@@ -21,7 +21,7 @@
 from larkweir_rollouts.samples import RolloutReport, RouteSamples, TrackSamples
 
 from larkweir.cluster.configuration.changes import ConfigurationChange, apply_change, configuration_version
-from larkweir.cluster.configuration.documents import apply_patch, make_patch
+from larkweir.cluster.configuration.documents import make_patch
 from larkweir.cluster.configuration.rollout_commands import RolloutAbort, replicated_command
 from larkweir.cluster.messages import (
     CompressedConfigUpdate,
@@ -164,10 +164,12 @@
     old = {"generation": 4, "routes": [{"name": "a"}, {"name": "b"}], "limits": {"max_body_bytes": 1}}
     new = {"generation": 4, "routes": [{"name": "b"}, {"name": "c"}], "limits": {"max_body_bytes": 2}}
     patch = make_patch(old, new)
-    assert patch == {
+    unchanged = make_patch(old, old)
+    assert patch is not None and unchanged is not None
+    assert patch.to_json() == {
         "upsert": {"routes": [{"name": "c"}]},
         "remove": {"routes": ["a"]},
         "limits": {"max_body_bytes": 2},
     }
-    assert msgspec.json.encode(make_patch(old, old)) == b'{"upsert":{},"remove":{}}'
-    assert apply_patch(old, patch) == new
+    assert msgspec.json.encode(unchanged.to_json()) == b'{"upsert":{},"remove":{}}'
+    assert patch.apply_to(old) == new
--- a/tests/cluster/test_rollout_commands.py
+++ b/tests/cluster/test_rollout_commands.py
@@ -11,7 +11,7 @@
 
 from larkweir.cluster.configuration.changes import ConfigurationChange, Rejection, RejectionReason
 from larkweir.cluster.configuration.commands import apply_command
-from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, apply_patch, make_patch
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, make_patch
 from larkweir.cluster.configuration.rollout_commands import (
     ABORTED,
     RolloutAbort,
@@ -144,7 +144,9 @@
     value = apply_command(value, change(changed(generation=4, services=[{"name": "s"}]), 3)).unwrap()
     after: Document = msgspec.json.decode(value)
     assert after[ROLLOUTS_KEY] == []
-    assert apply_patch(before, make_patch(before, after)) == after
+    patch = make_patch(before, after)
+    assert patch is not None
+    assert patch.apply_to(before) == after
 
 
 @pytest.mark.parametrize("found", [[], [msgspec.json.decode(msgspec.json.encode(ORDER))], None, 5])
--- a/tests/controller/test_configuration_delivery.py
+++ b/tests/controller/test_configuration_delivery.py
@@ -89,3 +89,17 @@
         assert harness.answer(Pull()) == ConfigurationAnswer(config=update)
 
     asyncio.run(scenario())
+
+
+def test_a_configuration_that_a_router_cannot_apply_is_sent_once() -> None:
+    async def scenario() -> None:
+        harness = DeliveryHarness(SMALL)
+        assert harness.answer(Pull()).config is not None
+        unusable = Pull(unusable_config_sequence=1)
+        assert not harness.delivery.has_update(unusable)
+        assert harness.answer(unusable) == ConfigurationAnswer()
+        harness.history.add(2, value(2, SMALL))
+        assert harness.delivery.has_update(unusable)
+        assert harness.answer(unusable).config is not None
+
+    asyncio.run(scenario())
--- a/tests/controller/test_configuration_history.py
+++ b/tests/controller/test_configuration_history.py
@@ -6,6 +6,8 @@
 import pytest
 
 from larkweir.controller.configuration_history import MAX_VERSIONS, ConfigurationHistory
+from larkweir.router.configuration import ConfigurationStore
+from tests.cluster.configurations import changed
 
 
 def version(number: int) -> str:
@@ -108,3 +110,18 @@
         update = controller.update_from(4)
         assert update is not None
         assert (update.sequence, update.base_sequence) == (5, 4)
+
+
+@pytest.mark.parametrize("odd", [{"upsert": {}, "remove": {}}, {"upsert": {"routes": [1]}}, {"remove": None}])
+def test_routers_follow_a_change_that_no_patch_can_express(odd: dict[str, object]) -> None:
+    # Guards against routers that take no configuration after a document with members of a patch (review/5).
+    history, store = ConfigurationHistory(), ConfigurationStore()
+    versions = [changed(generation=1), changed(generation=2, **odd), changed(generation=3, routes=[])]
+    for sequence, document in enumerate(versions):
+        history.add(sequence, msgspec.json.encode(document).decode())
+        update = history.update_from(store.sequence)
+        assert update is not None
+        assert store.apply(update)
+    assert store.table is not None
+    assert store.table.version == 3
+    assert store.table.find_route("a.example", "/one/x") is None
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -128,6 +128,27 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("odd", [{"upsert": {}, "remove": {}}, {"upsert": {"routes": []}}, {"remove": {}}])
+def test_a_document_of_both_forms_is_refused_and_the_next_one_comes_into_force(
+    odd: dict[str, Any], tmp_path: Path
+) -> None:
+    # Guards against a PUT after which no router takes a configuration any more (review/5).
+    async def scenario(fleet: Fleet) -> None:
+        await serve(fleet, respond_ok)
+        refused = await fleet.put(configuration(2, **odd), 1)
+        assert refused.status == 400
+        assert next(iter(odd)).encode() in refused.body
+        assert (await fleet.put(configuration(3, routes=[]), 1)).status == 200
+
+        async def in_force() -> bool:
+            reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="key")
+            return reply.status == 404
+
+        await fleet.until(in_force)
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_any_one_controller_may_be_killed_and_restarted(tmp_path: Path) -> None:
     async def scenario(fleet: Fleet) -> None:
         await serve(fleet, respond_ok)
