Only a PATCH's own generation sets the version; upsert holds lists of items

Seen by callers: on version 20, PATCH {"generation": 40, "upsert": {"generation": 10}} was acknowledged and stored as version 10.

Cause: the generation of the PATCH was checked, that of the resulting document was stored, and upsert could set any member.

Change: a member of upsert that is no list of items, or has the name of a single member, is refused with 400 that names it; so is a complete list of routes, services or tenants beside upsert, which belongs to a PUT.

--- a/larkweir/cluster/configuration/changes.py
+++ b/larkweir/cluster/configuration/changes.py
@@ -11,10 +11,22 @@
 import msgspec
 from result import Err, Ok, Result
 
-from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, parse_patch
+from larkweir.cluster.configuration.documents import (
+    COLLECTIONS,
+    PATCH_MEMBERS,
+    ROLLOUTS_KEY,
+    UPSERT,
+    Document,
+    DocumentPatch,
+    PatchError,
+    parse_patch,
+)
 from larkweir.cluster.configuration.rollouts import carry_over, patchable_part
 
 IDENTITY_LENGTH = 24
+GENERATION = "generation"
+# Members of a configuration or of a patch that are no lists of items.
+SINGLE_MEMBERS = (GENERATION, "limits", *PATCH_MEMBERS, ROLLOUTS_KEY)
 
 
 class RejectionReason(IntEnum):
@@ -60,7 +72,7 @@
 
 def configuration_version(value: str) -> int:
     """Return the version of a configuration; 0 if there is none yet."""
-    return int(msgspec.json.decode(value)["generation"]) if value else 0
+    return int(msgspec.json.decode(value)[GENERATION]) if value else 0
 
 
 def apply_change(value: str, change: str) -> Result[str, object]:
@@ -72,7 +84,7 @@
     """
     parsed: ConfigurationChange = msgspec.json.decode(change, type=ConfigurationChange)
     current: Document = msgspec.json.decode(value) if value else {}
-    version = current.get("generation", 0)
+    version = current.get(GENERATION, 0)
     if parsed.base != version:
         return Err(Rejection(RejectionReason.STALE, f"the version in place is {version}, not {parsed.base}"))
     try:
@@ -88,14 +100,14 @@
         return _invalid(f"the body is no JSON: {error}")
     if not isinstance(body, dict):
         return _invalid("the body is no object")
-    generation = body.get("generation")
+    generation = body.get(GENERATION)
     if not isinstance(generation, int) or isinstance(generation, bool) or generation <= version:
         return _invalid(f"generation: {generation!r} is not a whole number above {version}")
     if change.patch:
         if not current:
             return _invalid("there is no configuration to change yet")
         try:
-            body = parse_patch(body).apply_to(patchable_part(current))
+            body = _operators_patch(body).apply_to(patchable_part(current))
         except PatchError as error:
             return _invalid(str(error))
     if ROLLOUTS_KEY in body:
@@ -110,5 +122,21 @@
     return Ok(msgspec.json.encode(carry_over(current, body)).decode())
 
 
+def _operators_patch(body: Document) -> DocumentPatch:
+    """Read a patch as operators send it. Only its own `generation` sets the version of the document that results.
+
+    Raises:
+        PatchError: the patch is malformed, or has members that only other documents may have.
+    """
+    for key in COLLECTIONS:
+        if key in body:
+            raise PatchError(f"{key}: a PATCH names items in upsert and remove")
+    patch = parse_patch(body)
+    for key in SINGLE_MEMBERS:
+        if key in body.get(UPSERT, {}):
+            raise PatchError(f"upsert: {key} is no list of items")
+    return patch
+
+
 def _invalid(detail: str) -> Result[str, object]:
     return Err(Rejection(RejectionReason.INVALID, detail))
--- a/larkweir/cluster/configuration/documents.py
+++ b/larkweir/cluster/configuration/documents.py
@@ -59,7 +59,7 @@
 
 
 def parse_patch(document: Document) -> DocumentPatch:
-    """Read a patch from its JSON form. What `upsert` has beside collections are members, which it sets completely.
+    """Read a patch from its JSON form. Lists in `upsert` beside the collections are members, which it sets completely.
 
     Raises:
         PatchError: the patch is malformed.
@@ -70,6 +70,8 @@
     members = {key: value for key, value in document.items() if key not in PATCH_MEMBERS}
     patch = DocumentPatch(members=members)
     for key, items in upsert.items():
+        if not isinstance(items, list):
+            raise PatchError(f"upsert: {key}: a list is needed")
         if key in COLLECTIONS:
             patch.upsert[key] = _named_items(items, key)
         else:
--- a/tests/cluster/test_configuration_changes.py
+++ b/tests/cluster/test_configuration_changes.py
@@ -6,13 +6,17 @@
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from larkweir.cluster.configuration.changes import (
     ConfigurationChange,
     Rejection,
     RejectionReason,
     apply_change,
+    configuration_version,
 )
+from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from tests.cluster.configurations import INVALID, VALID, changed, route
 
 
@@ -122,3 +126,75 @@
         document = msgspec.json.decode(apply(value, change).unwrap())
         assert document["generation"] == 4
         assert not {"upsert", "remove"} & set(document)
+
+
+def patch_of(**members: Any) -> ConfigurationChange:
+    return ConfigurationChange(True, 3, msgspec.json.encode({"generation": 40, **members}).decode())
+
+
+@pytest.mark.parametrize("member", ["generation", "limits", "upsert", "remove", ROLLOUTS_KEY])
+@pytest.mark.parametrize("value", [2, 10, 1_000_000, [], [{"name": "a"}], {}, None])
+def test_upsert_names_lists_of_items_only(member: str, value: object) -> None:
+    # Guards against a PATCH that is acknowledged as one version and stored as another (review/6).
+    document = apply("", put(VALID, 0)).unwrap()
+    rejected = apply(document, patch_of(upsert={member: value})).err()
+    assert isinstance(rejected, Rejection)
+    assert rejected.reason is RejectionReason.INVALID
+    assert member in rejected.detail
+
+
+@pytest.mark.parametrize("member", ["routes", "services", "tenants"])
+def test_a_patch_has_no_complete_lists(member: str) -> None:
+    document = apply("", put(VALID, 0)).unwrap()
+    rejected = apply(document, patch_of(**{member: VALID[member]})).err()
+    assert isinstance(rejected, Rejection)
+    assert rejected.reason is RejectionReason.INVALID
+    assert member in rejected.detail
+
+
+def test_members_that_no_form_defines_stay() -> None:
+    document = apply("", put(changed(owner="team"), 0)).unwrap()
+    change = patch_of(upsert={"notes": [1, "two"]}, limits={"max_body_bytes": 5}, other=None)
+    found = msgspec.json.decode(apply(document, change).unwrap())
+    assert found == changed(
+        generation=40, owner="team", notes=[1, "two"], limits={"max_body_bytes": 5}, other=None
+    )
+
+
+json_values = st.recursive(
+    st.one_of(st.none(), st.booleans(), st.integers(-1, 2**60), st.text(max_size=3)),
+    lambda inner: st.one_of(
+        st.lists(inner, max_size=2), st.dictionaries(st.sampled_from(["name", "generation", "routes"]), inner)
+    ),
+    max_leaves=4,
+)
+member_names = st.sampled_from(
+    ["generation", "routes", "services", "tenants", "limits", "upsert", "remove", ROLLOUTS_KEY, "other"]
+)
+forms = st.builds(
+    lambda is_patch, body, more, upsert: (
+        is_patch,
+        {**body, **more, **({"upsert": upsert} if upsert else {})},
+    ),
+    st.booleans(),
+    st.sampled_from([VALID, {}]),
+    st.dictionaries(member_names, json_values, max_size=1),
+    st.dictionaries(member_names, st.one_of(st.integers(1, 60), json_values), max_size=1),
+)
+
+
+@given(st.lists(st.tuples(forms, st.integers(1, 3)), max_size=8))
+def test_an_acknowledged_change_sets_the_version_that_it_names(
+    steps: list[tuple[tuple[bool, dict[str, Any]], int]],
+) -> None:
+    # Guards against versions that go back or jump, whichever form and members a change has (review/6).
+    value, version = apply("", put(VALID, 0)).unwrap(), 3
+    for (is_patch, body), rise in steps:
+        document = {**body, "generation": version + rise}
+        change = ConfigurationChange(is_patch, version, msgspec.json.encode(document).decode())
+        result = apply(value, change)
+        if result.is_ok():
+            value, version = result.unwrap(), version + rise
+            assert configuration_version(value) == version
+            stored = msgspec.json.decode(value)
+            assert not {"upsert", "remove", ROLLOUTS_KEY} & set(stored)
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -149,6 +149,23 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_patch_never_sets_the_version_back(tmp_path: Path) -> None:
+    # Guards against acknowledged versions that are nowhere, and are built on twice (review/6).
+    async def scenario(fleet: Fleet) -> None:
+        assert (await fleet.put(configuration(10), 0)).status == 200
+        assert (await fleet.put(configuration(20), 10)).status == 200
+        refused = await fleet.put({"generation": 40, "upsert": {"generation": 10}}, 20, "PATCH")
+        assert refused.status == 400
+        assert b"generation" in refused.body
+        read_back = await ask(fleet.control[0], "GET", "/config")
+        assert msgspec.json.decode(read_back.body)["generation"] == 20
+        proper = {"generation": 50, "remove": {"routes": ["plain"]}}
+        assert (await fleet.put(proper, 20, "PATCH")).status == 200
+        assert (await fleet.put(configuration(11), 10)).status == 412
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_any_one_controller_may_be_killed_and_restarted(tmp_path: Path) -> None:
     async def scenario(fleet: Fleet) -> None:
         await serve(fleet, respond_ok)
