Tenants' names and upstreams' ids reach upstreams as UTF-8

An upstream's id in X-Target-Instance was encoded alike.

Change: one module has the pattern of the check and the encoding of the router, which is UTF-8. Texts within ASCII are sent as before; `café` was one byte, 0xE9, and is two.

--- /dev/null
+++ b/larkweir/cluster/configuration/header_values.py
@@ -0,0 +1,11 @@
+"""Texts of configurations and heartbeats as values of header fields (RFC 9110, 5.5)."""
+
+from __future__ import annotations
+
+# A valid header value: no control characters, no leading or trailing whitespace. May be empty.
+HEADER_VALUE = r"^([^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?)?$"
+
+
+def encode_header_value(text: str) -> bytes:
+    """Return the bytes of a text in a header. They are UTF-8, which is ASCII for texts within ASCII."""
+    return text.encode()
--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from larkweir.cluster.configuration.documents import PATCH_MEMBERS
+from larkweir.cluster.configuration.header_values import HEADER_VALUE
 from larkweir.cluster.configuration.hosts import normalize_host
 
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
@@ -22,8 +23,6 @@
 MAX_UNITS = 1e12  # tokens or requests, for rates and bursts
 MAX_BYTES = 2**30
 MAX_PRIORITY = 1_000  # routers clamp priorities to 0 to 9
-# A valid header value (RFC 9110, section 5.5): no control characters, no leading or trailing whitespace.
-HEADER_VALUE = r"^([^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?)?$"
 
 DurationMs = Annotated[float, Field(gt=0, le=MAX_DURATION_MS)]
 Units = Annotated[float, Field(ge=0, le=MAX_UNITS)]
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -7,6 +7,7 @@
 import h11
 from larkweir_balancing.prompt import Prompt
 
+from larkweir.cluster.configuration.header_values import encode_header_value
 from larkweir.cluster.configuration.hosts import normalize_host
 from larkweir.router.request_metadata import Headers, RequestMetadata
 
@@ -120,10 +121,10 @@
             if name not in dropped and name not in connection_options
         ]
         headers.append((b"x-deadline-ms", b"%d" % routing.deadline_ms))
-        headers.append((b"x-target-instance", routing.instance.encode("latin-1")))
+        headers.append((b"x-target-instance", encode_header_value(routing.instance)))
         headers.append((b"priority", b"%d" % routing.priority))
         if routing.tenant is not None:
-            headers.append((b"x-tenant", routing.tenant.encode("latin-1")))
+            headers.append((b"x-tenant", encode_header_value(routing.tenant)))
         if routing.last_event_id is not None:
             headers.append((b"last-event-id", routing.last_event_id))
         if self.body or self.method in (b"POST", b"PUT", b"PATCH"):
--- a/tests/router/test_client_request.py
+++ b/tests/router/test_client_request.py
@@ -4,11 +4,16 @@
 
 from dataclasses import replace
 
+import h11
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from larkweir_balancing.prompt import DEFAULT_LATENCY_TARGET_MS, Prompt
 
+from larkweir.cluster.configuration.schema import first_problem
 from larkweir.router.client_request import ClientRequest, RoutingHeaders
 from larkweir.router.request_metadata import parse_metadata
+from tests.cluster.configurations import changed
 
 
 def request(**headers: str) -> ClientRequest:
@@ -60,3 +65,28 @@
 )
 def test_the_prefix_of_a_prompt_is_its_deepest_shared_block(usage: str, prefix: str, prompt: Prompt) -> None:
     assert request(x_token_usage=usage, x_prompt_prefix=prefix).prompt(DEFAULT_LATENCY_TARGET_MS) == prompt
+
+
+@pytest.mark.parametrize(
+    "name",
+    ["ሰላም", "Перевозки", "café", "🚚 fleet", "plain"],
+    ids=["Ethiopic", "Cyrillic", "Latin-1", "emoji", "ASCII"],
+)
+def test_a_tenant_is_named_to_upstreams_in_utf_8(name: str) -> None:
+    # Guards against tenants whose every request ends in the router's 500 (review/7).
+    head = request(host="a").upstream_request(replace(OWN, tenant=name))
+    assert dict(head.headers)[b"x-tenant"] == name.encode()
+
+
+@given(st.text(max_size=12))
+def test_each_accepted_name_of_a_tenant_can_be_sent_to_upstreams(name: str) -> None:
+    if first_problem(changed(tenants=[{"name": name, "api_keys": ["k"]}])) is not None:
+        return
+    head = request(host="a").upstream_request(replace(OWN, tenant=name))
+    sent = h11.Connection(h11.CLIENT).send(head)
+    assert sent is not None
+    server = h11.Connection(h11.SERVER)
+    server.receive_data(sent)
+    received = server.next_event()
+    assert isinstance(received, h11.Request)
+    assert dict(received.headers)[b"x-tenant"].decode() == name
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -149,6 +149,28 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("name", ["ሰላም", "café", "🚚 fleet"], ids=["Ethiopic", "Latin-1", "emoji"])
+def test_a_tenant_is_served_in_whatever_script_it_is_named(name: str, tmp_path: Path) -> None:
+    # Guards against tenants whose every request ends in the router's 500 (review/7).
+    async def scenario(fleet: Fleet) -> None:
+        assert (await fleet.put(configuration(), 0)).status == 200
+        upstream = await fleet.upstream("s", respond_ok)
+        await fleet.until_ready()
+        change = {"generation": 2, "upsert": {"tenants": [{"name": name, "api_keys": ["second"]}]}}
+        assert (await fleet.put(change, 1, "PATCH")).status == 200
+
+        async def is_known() -> bool:
+            reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="second")
+            return reply.status != 401
+
+        await fleet.until(is_known)
+        reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="second")
+        assert reply.status == 200
+        assert upstream.requests[-1].headers["x-tenant"] == name, "the stand-in reads headers as UTF-8"
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_patch_never_sets_the_version_back(tmp_path: Path) -> None:
     # Guards against acknowledged versions that are nowhere, and are built on twice (review/6).
     async def scenario(fleet: Fleet) -> None:
