API keys are compared as the bytes that clients send; unusable keys are refused

Seen by callers: requests with a key that holds `é`, Cyrillic letters or an emoji, sent in UTF-8, got 401 though the key is present. Keys that no request can carry were acknowledged; with an empty key, requests without a key were served as that tenant's.

Empty keys and keys with control characters or spaces at an edge are refused with 400 that names the field. A stored empty key is left out of the table. The test fleet's client sends headers as UTF-8 (it could send ASCII only).

--- a/larkweir/cluster/configuration/header_values.py
+++ b/larkweir/cluster/configuration/header_values.py
@@ -5,7 +5,17 @@
 # A valid header value: no control characters, no leading or trailing whitespace. May be empty.
 HEADER_VALUE = r"^([^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?)?$"
 
+NONEMPTY_HEADER_VALUE = r"^[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?$"
+
 
 def encode_header_value(text: str) -> bytes:
     """Return the bytes of a text in a header. They are UTF-8, which is ASCII for texts within ASCII."""
     return text.encode()
+
+
+def encode_latin_1(text: str) -> bytes | None:
+    """Return the bytes of a text from a client that sends headers in ISO-8859-1; None if it can't be sent so."""
+    try:
+        return text.encode("latin-1")
+    except UnicodeEncodeError:
+        return None
--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -11,7 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 
 from larkweir.cluster.configuration.documents import PATCH_MEMBERS
-from larkweir.cluster.configuration.header_values import HEADER_VALUE
+from larkweir.cluster.configuration.header_values import HEADER_VALUE, NONEMPTY_HEADER_VALUE
 from larkweir.cluster.configuration.hosts import normalize_host
 
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
@@ -26,6 +26,7 @@
 
 DurationMs = Annotated[float, Field(gt=0, le=MAX_DURATION_MS)]
 Units = Annotated[float, Field(ge=0, le=MAX_UNITS)]
+ApiKey = Annotated[str, Field(pattern=NONEMPTY_HEADER_VALUE)]
 Priority = Annotated[int, Field(ge=-MAX_PRIORITY, le=MAX_PRIORITY)]
 
 
@@ -84,7 +85,7 @@
     """A customer, its API keys and its rate limit."""
 
     name: str = Field(pattern=HEADER_VALUE)
-    api_keys: list[str] = []
+    api_keys: list[ApiKey] = []
     priority: Priority | None = None
     unit: str = "requests"
     plain_tokens: Units = 0.0
--- a/larkweir/router/admission.py
+++ b/larkweir/router/admission.py
@@ -81,7 +81,7 @@
     tenant: Tenant | None = None
     units = 0.0
     if table.has_tenants and not route.public:
-        tenant = table.find_tenant(request.header(b"x-api-key").decode("latin-1"))
+        tenant = table.find_tenant(request.header(b"x-api-key"))
         if tenant is None:
             return Denial(ErrorKind.UNKNOWN_KEY, route)
         units = tenant.quota_units(request.metadata.total_tokens)
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -12,6 +12,7 @@
 from larkweir_rollouts.state import Rollout
 
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, parse_patch
+from larkweir.cluster.configuration.header_values import encode_header_value, encode_latin_1
 from larkweir.cluster.configuration.hosts import normalize_host
 from larkweir.cluster.errors import LarkweirError
 from larkweir.cluster.messages import ConfigUpdate
@@ -126,7 +127,7 @@
         self.rollouts = {rollout.service: rollout for rollout in configuration.rollouts}
         self.has_many_routes = len(configuration.routes) > MANY_ROUTES
         self.has_tenants = bool(configuration.tenants)
-        self._tenants = {key: tenant for tenant in configuration.tenants for key in tenant.api_keys}
+        self._tenants = _tenants_by_key(configuration.tenants)
         self.quotas = {
             tenant.name: RateLimit(tenant.rate_per_s, tenant.burst)
             for tenant in configuration.tenants
@@ -154,11 +155,25 @@
                 return route
         return None
 
-    def find_tenant(self, key: str) -> Tenant | None:
-        """Return the tenant with that API key; None if there is none."""
+    def find_tenant(self, key: bytes) -> Tenant | None:
+        """Return the tenant with that API key, as a client sends it; None if there is none."""
         return self._tenants.get(key)
 
 
+def _tenants_by_key(tenants: tuple[Tenant, ...]) -> dict[bytes, Tenant]:
+    """Index tenants by the bytes of their keys in a request: in UTF-8, or else in ISO-8859-1.
+
+    An empty key, which earlier releases accepted, is left out: requests without a key would be that tenant's.
+    """
+    keys = [(key, tenant) for tenant in tenants for key in tenant.api_keys if key]
+    found = {encode_header_value(key): tenant for key, tenant in keys}
+    for key, tenant in keys:
+        latin_1 = encode_latin_1(key)
+        if latin_1 is not None:
+            found.setdefault(latin_1, tenant)
+    return found
+
+
 def _precedence(route: Route) -> tuple[int, bool]:
     """Return the sort key among the routes of one host."""
     return -len(route.path_prefix), route.host != normalize_host(route.host)
--- a/tests/cluster/test_configuration_schema.py
+++ b/tests/cluster/test_configuration_schema.py
@@ -132,3 +132,10 @@
     assert problem is not None
     assert member in problem
     assert "PATCH" in problem
+
+
+@pytest.mark.parametrize("key", ["", " ", " k", "k ", "a\r\nb", "a\x00", "\x7f"])
+def test_a_key_can_be_sent_in_a_header(key: str) -> None:
+    problem = first_problem(changed(tenants=[{"name": "x", "api_keys": ["k", key]}]))
+    assert problem is not None
+    assert problem.startswith("tenants.0.api_keys.1")
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -50,14 +50,40 @@
 
 def test_tenants_are_found_by_key_and_charged_in_their_unit() -> None:
     routing_table = table()
-    tenant = routing_table.find_tenant("k2")
+    tenant = routing_table.find_tenant(b"k2")
     assert tenant is not None
     assert tenant.name == "x"
     assert tenant.quota_units(120.0) == 120.0
-    assert routing_table.find_tenant("nobody's") is None
+    assert routing_table.find_tenant(b"nobody's") is None
     assert set(routing_table.quotas) == {"x"}
 
 
+KEYS = ("é", "Ã©", "ключ", "🔑", "plain")
+
+
+@pytest.mark.parametrize("key", KEYS, ids=["Latin-1", "mojibake", "Cyrillic", "emoji", "ASCII"])
+def test_a_key_is_found_as_clients_send_it(key: str) -> None:
+    # Guards against keys outside ASCII that are acknowledged and answered 401.
+    tenants = [{"name": one, "api_keys": [one]} for one in KEYS]
+    found = table(changed(tenants=tenants)).find_tenant(key.encode())
+    assert found is not None
+    assert found.name == key
+
+
+def test_a_key_in_iso_8859_1_is_found_unless_its_bytes_are_another_key() -> None:
+    tenants = [{"name": "first", "api_keys": ["é", "ü"]}, {"name": "second", "api_keys": ["Ã©"]}]
+    routing_table = table(changed(tenants=tenants))
+    for key, name in ((b"\xfc", "first"), (b"\xe9", "first"), (b"\xc3\xa9", "first")):
+        found = routing_table.find_tenant(key)
+        assert found is not None
+        assert found.name == name
+
+
+def test_a_stored_empty_key_lets_no_request_without_a_key_in() -> None:
+    # Releases before accepted empty keys.
+    assert table(changed(tenants=[{"name": "x", "api_keys": ["", "k"]}])).find_tenant(b"") is None
+
+
 def test_services_are_drawn_by_their_weights() -> None:
     split = [{"backend": "s", "weight": 9}, {"backend": "t", "weight": 1}]
     routing_table = table(changed(routes=[route("r", "/", backend=None, traffic_split=split)]))
--- a/tests/system/loopback.py
+++ b/tests/system/loopback.py
@@ -45,12 +45,15 @@
         self.connection = h11.Connection(h11.CLIENT)
 
     async def request(self, method: str, target: str, body: bytes = b"", **headers: str) -> Reply:
-        """Send one request on the connection, which is opened if necessary, and return the response."""
+        """Send one request on the connection, which is opened if necessary, and return the response.
+
+        Headers are sent as UTF-8.
+        """
         if self.writer is None:
             self.reader, self.writer = await asyncio.open_connection(self.host, self.port)
             self.connection = h11.Connection(h11.CLIENT)
-        all_headers = [("Host", headers.pop("Host", "a.example")), ("Content-Length", str(len(body)))]
-        all_headers += [(name.replace("_", "-"), value) for name, value in headers.items()]
+        fields = {"Host": headers.pop("Host", "a.example"), "Content-Length": str(len(body)), **headers}
+        all_headers = [(name.replace("_", "-"), value.encode()) for name, value in fields.items()]
         out = self.connection.send(h11.Request(method=method, target=target, headers=all_headers)) or b""
         out += self.connection.send(h11.Data(data=body)) or b""
         out += self.connection.send(h11.EndOfMessage()) or b""
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -171,6 +171,24 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("key", ["ключ", "clé", "🔑"], ids=["Cyrillic", "Latin-1", "emoji"])
+def test_a_key_outside_ascii_is_known(key: str, tmp_path: Path) -> None:
+    # Guards against keys that are acknowledged and answered 401.
+    async def scenario(fleet: Fleet) -> None:
+        await serve(fleet, respond_ok)
+        change = {"generation": 2, "upsert": {"tenants": [{"name": "second", "api_keys": [key]}]}}
+        assert (await fleet.put(change, 1, "PATCH")).status == 200
+
+        async def is_served() -> bool:
+            reply = await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key=key)
+            return reply.status == 200
+
+        await fleet.until(is_served)
+        assert (await ask(fleet.fronts[0], "POST", "/plain/x", X_Request_Id="r", X_Api_Key="")).status == 401
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_patch_never_sets_the_version_back(tmp_path: Path) -> None:
     # Guards against acknowledged versions that are nowhere, and are built on twice (review/6).
     async def scenario(fleet: Fleet) -> None:
