Path prefixes and paths are compared with their percent-encoding normalized

Seen by callers: a route whose prefix has letters outside ASCII was acknowledged, and its requests, which can name it only percent-encoded (RFC 3986, 2.5), got 404.

Cause: the prefix was compared as written with the bytes of the request.

Change: normalize_path for the routing table, the request and the check, as hosts have it: what a URI can't hold is percent-encoded as UTF-8, escapes of unreserved characters are decoded, all others are in upper case. Two routes of a host whose prefixes are one then are refused; of two that are stored, the one in normal form serves. The path is passed on unchanged. A request without `%` costs nothing more.

--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -13,6 +13,7 @@
 from larkweir.cluster.configuration.documents import PATCH_MEMBERS
 from larkweir.cluster.configuration.header_values import HEADER_VALUE, NONEMPTY_HEADER_VALUE
 from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.configuration.paths import normalize_path
 
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
 MAX_GENERATION = 2**53 - 1
@@ -136,7 +137,7 @@
     """Raise ValueError if two routes would match the same requests."""
     seen: dict[tuple[str, str], Route] = {}
     for route in routes:
-        first = seen.setdefault((normalize_host(route.host), route.path_prefix), route)
+        first = seen.setdefault((normalize_host(route.host), normalize_path(route.path_prefix)), route)
         if first is not route:
             raise ValueError(
                 f"routes {first.name} and {route.name} share host and prefix: "
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -9,6 +9,7 @@
 
 from larkweir.cluster.configuration.header_values import encode_header_value
 from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.configuration.paths import normalize_path
 from larkweir.router.request_metadata import Headers, RequestMetadata
 
 # Headers that apply to one connection only (RFC 9110, 7.6.1), or that are set again for the next connection.
@@ -79,8 +80,9 @@
 
     @property
     def path(self) -> str:
-        """The target without the query."""
-        return self.target.decode("latin-1").partition("?")[0]
+        """The target without the query, normalized."""
+        path = self.target.decode("latin-1").partition("?")[0]
+        return normalize_path(path) if "%" in path else path  # a target is ASCII without spaces
 
     def prompt(self, target_ms: float) -> Prompt:
         """The prompt that an engine has to prefill.
--- a/larkweir/router/configuration.py
+++ b/larkweir/router/configuration.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 from random import Random
+from typing import NamedTuple
 
 import msgspec
 from larkweir_quotas.limits import RateLimit
@@ -14,6 +15,7 @@
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY, Document, PatchError, parse_patch
 from larkweir.cluster.configuration.header_values import encode_header_value, encode_latin_1
 from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.configuration.paths import normalize_path
 from larkweir.cluster.errors import LarkweirError
 from larkweir.cluster.messages import ConfigUpdate
 
@@ -112,14 +114,26 @@
     rollouts: tuple[Rollout, ...] = msgspec.field(default=(), name=ROLLOUTS_KEY)
 
 
+class _IndexedRoute(NamedTuple):
+    """A route of one host."""
+
+    prefix: str  # normalized
+    is_normalized: bool  # host and prefix are written in their normalized form
+    route: Route
+
+    def precedence(self) -> tuple[int, bool]:
+        """Return the sort key among the routes of one host."""
+        return -len(self.prefix), not self.is_normalized
+
+
 class RoutingTable:
     """One configuration version, indexed for lookups. Immutable: each version gets a new table."""
 
     def __init__(self, configuration: Configuration) -> None:
         """Index a configuration that a controller has validated.
 
-        Controllers of earlier releases accepted routes with the same prefix whose hosts differ in case alone. The one
-        whose host is written in its normalized form serves, as it did before; else the first of them.
+        Controllers of earlier releases accepted routes whose hosts or prefixes differ in case or escapes alone. The one
+        that is written in the normalized form serves, as it did before; else the first of them.
         """
         self.version = configuration.generation
         self.limits = configuration.limits
@@ -133,11 +147,13 @@
             for tenant in configuration.tenants
             if tenant.rate_per_s > 0.0
         }
-        self._routes: dict[str, list[Route]] = {}
+        self._routes: dict[str, list[_IndexedRoute]] = {}
         for route in configuration.routes:
-            self._routes.setdefault(normalize_host(route.host), []).append(route)
+            host, prefix = normalize_host(route.host), normalize_path(route.path_prefix)
+            is_normalized = (host, prefix) == (route.host, route.path_prefix)
+            self._routes.setdefault(host, []).append(_IndexedRoute(prefix, is_normalized, route))
         for routes in self._routes.values():
-            routes.sort(key=_precedence)
+            routes.sort(key=_IndexedRoute.precedence)
 
     def sample_name(self, route: Route) -> str:
         """Return the name under which a route's answers are counted for roll-outs.
@@ -149,10 +165,15 @@
         return f"{route.kind} within {route.target_latency_ms:g} ms"
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the normalized host's route with the longest matching path prefix; None if no route matches."""
-        for route in self._routes.get(host, ()):
-            if path.startswith(route.path_prefix):
-                return route
+        """Return the route with the longest matching path prefix; None if no route matches.
+
+        Args:
+            host: the normalized host of the request.
+            path: the normalized path of the request.
+        """
+        for indexed in self._routes.get(host, ()):
+            if path.startswith(indexed.prefix):
+                return indexed.route
         return None
 
     def find_tenant(self, key: bytes) -> Tenant | None:
@@ -174,11 +195,6 @@
     return found
 
 
-def _precedence(route: Route) -> tuple[int, bool]:
-    """Return the sort key among the routes of one host."""
-    return -len(route.path_prefix), route.host != normalize_host(route.host)
-
-
 class UnusableUpdateError(LarkweirError, ValueError):
     """An update can't be applied; the configuration in force stays as it is."""
 
--- a/tests/cluster/configurations.py
+++ b/tests/cluster/configurations.py
@@ -43,6 +43,9 @@
     "hosts that differ in case": changed(
         routes=[route("r1", "/one/", host="A.Example"), route("r2", "/one/", host="a.example")]
     ),
+    "prefixes that differ in their encoding": changed(
+        routes=[route("r1", "/paquetería/"), route("r2", "/paqueter%c3%ada/")]
+    ),
     "hosts that differ in a port": changed(
         routes=[route("r1", "/one/", host="a.example:80"), route("r2", "/one/", host="a.example")]
     ),
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -10,6 +10,7 @@
 
 from larkweir.cluster.configuration.documents import ROLLOUTS_KEY
 from larkweir.cluster.messages import ConfigUpdate
+from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Configuration, ConfigurationStore, Limits, RoutingTable
 from tests.cluster.configurations import VALID, changed, route
 
@@ -58,6 +59,17 @@
     assert set(routing_table.quotas) == {"x"}
 
 
+@pytest.mark.parametrize("written", ["/paquetería/", "/paqueter%C3%ADa/", "/paqueter%c3%ada/"])
+@pytest.mark.parametrize("asked", [b"/paqueter%C3%ADa/x?y", b"/paqueter%c3%ada/x", b"/p%61queter%C3%ADa/"])
+def test_a_route_is_found_however_its_prefix_is_encoded(written: str, asked: bytes) -> None:
+    # Guards against prefixes outside ASCII that are acknowledged and answered 404.
+    routes = [route("r", written), route("other", "/paqueter/")]
+    request = ClientRequest(b"GET", asked, [(b"host", b"a.example")], b"", 0.0)
+    found = table(changed(routes=routes)).find_route(request.host, request.path)
+    assert found is not None
+    assert found.name == "r"
+
+
 KEYS = ("é", "Ã©", "ключ", "🔑", "plain")
 
 
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -189,6 +189,22 @@
     run_scenario(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("asked", ["/paqueter%C3%ADa/x", "/paqueter%c3%ada/x"])
+def test_a_prefix_outside_ascii_is_served_percent_encoded(asked: str, tmp_path: Path) -> None:
+    # Guards against prefixes that are acknowledged and answered 404.
+    async def scenario(fleet: Fleet) -> None:
+        document = configuration()
+        document["routes"][0]["path_prefix"] = "/paquetería/"
+        assert (await fleet.put(document, 0)).status == 200
+        upstream = await fleet.upstream("s", respond_ok)
+        await fleet.until_ready()
+        reply = await ask(fleet.fronts[0], "POST", asked, X_Request_Id="r", X_Api_Key="key")
+        assert reply.status == 200
+        assert upstream.requests[-1].target == asked, "the path is passed on unchanged"
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_patch_never_sets_the_version_back(tmp_path: Path) -> None:
     # Guards against acknowledged versions that are nowhere, and are built on twice (review/6).
     async def scenario(fleet: Fleet) -> None:
