Limits of the configuration in force reach connections that clients keep

Cause: the parser's bound on incomplete heads was fixed when a connection was opened. The idle time-out was fixed when it fell idle, so that a raised one closed connections too early.

Change: an incomplete head is held against the limit in force, and the parser's own bound is the highest valid limit; the idle time-out is looked up again when it ends.

--- a/larkweir/router/client_connection.py
+++ b/larkweir/router/client_connection.py
@@ -23,6 +23,9 @@
 MAX_PIPELINED_BYTES = 64 * 1024
 # Reading from the upstream pauses when more than this is buffered for the client.
 MAX_UNSENT_BYTES = 64 * 1024
+# The parser's own bound on incomplete heads is fixed when a connection is opened, so it is the highest valid limit.
+MAX_PARSER_BYTES = 2**30
+MIN_REMAINING_IDLE_MS = 1.0  # timers may fire this much early
 CLOSE_HEADER = (b"connection", b"close")
 
 
@@ -38,9 +41,8 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._detector: DeadPeerDetector | None = None
-        table = plane.configuration.table
-        self._limits = table.limits if table is not None else Limits()
-        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=self._limits.max_header_bytes)
+        self._limits = Limits()  # of the current request and of the pause before it
+        self._h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_PARSER_BYTES)
         self._request_head: h11.Request | None = None
         self._body_chunks: list[bytes] = []
         self._body_bytes = 0
@@ -48,6 +50,7 @@
         self._exchange: Exchange | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._is_idle_timer = False
+        self._idle_since_s = 0.0  # on the event loop's clock
         self._writable = True
 
     # asyncio.Protocol
@@ -102,10 +105,23 @@
     # Time-outs
 
     def _start_idle_timer(self) -> None:
-        self._start_timer(self._limits.idle_timeout_ms, self.close_if_idle)
+        self._update_limits()
+        self._idle_since_s = self._loop.time()
+        self._start_timer(self._limits.idle_timeout_ms, self._on_idle_timeout)
         self._is_idle_timer = True
 
+    def _on_idle_timeout(self) -> None:
+        """Close the connection, unless a configuration that has come into force meanwhile lets it idle for longer."""
+        self._update_limits()
+        idle_ms = 1000.0 * (self._loop.time() - self._idle_since_s)
+        remaining_ms = self._limits.idle_timeout_ms - idle_ms
+        if remaining_ms >= MIN_REMAINING_IDLE_MS:
+            self._start_timer(remaining_ms, self._on_idle_timeout)
+        else:
+            self.close_if_idle()
+
     def _start_header_timer(self) -> None:
+        self._update_limits()
         self._start_timer(self._limits.header_timeout_ms, self._on_request_timeout)
         self._is_idle_timer = False
 
@@ -125,6 +141,12 @@
     def _on_request_timeout(self) -> None:
         self._reject(ErrorKind.CLIENT_TOO_SLOW)
 
+    def _update_limits(self) -> None:
+        """Take the limits of the configuration in force, which may have changed since the connection was opened."""
+        table = self._plane.configuration.table
+        if table is not None:
+            self._limits = table.limits
+
     @property
     def is_idle(self) -> bool:
         """Whether no byte of an unanswered request has been received."""
@@ -164,13 +186,19 @@
             elif isinstance(event, h11.EndOfMessage):
                 self._start_exchange()
             else:
+                self._check_incomplete_event()
                 return
 
+    def _check_incomplete_event(self) -> None:
+        """Reject a request whose head, or the framing of whose body, goes on beyond the limit of heads."""
+        if self._request_head is None:
+            self._update_limits()
+        if len(self._h11.trailing_data[0]) > self._limits.max_header_bytes:
+            self._reject(ErrorKind.HEADERS_TOO_LARGE)
+
     def _on_request_head(self, head: h11.Request) -> bool:
         self._request_head, self._body_chunks, self._body_bytes = head, [], 0
-        table = self._plane.configuration.table
-        if table is not None:
-            self._limits = table.limits
+        self._update_limits()
         for name, value in head.headers:
             if name == b"content-length" and int(value) > self._limits.max_body_bytes:
                 self._reject(ErrorKind.BODY_TOO_LARGE)
--- a/tests/router/router_model.py
+++ b/tests/router/router_model.py
@@ -324,6 +324,13 @@
         self.refusing: set[str] = set()
         self.sent: dict[str, SentRequest] = {}
         self.runs: dict[str, list[Run]] = {}
+        self.configure(1)
+        listed = [Upstream(f"i{n}", "s", address, "z") for n, address in enumerate(self.ADDRESSES)]
+        self.instances = {one.id for one in listed}
+        self.plane.upstreams.update(listed, 0.0)
+
+    def configure(self, generation: int, **members: object) -> None:
+        """Puts a configuration in force that has a route for each of `KINDS`."""
         routes = [
             {
                 "name": name,
@@ -335,11 +342,8 @@
             }
             for name, kind in KINDS.items()
         ]
-        body = {"generation": 1, "routes": routes, "services": [{"name": "s"}]}
-        self.plane.configuration.apply(ConfigUpdate(1, -1, msgspec.Raw(msgspec.json.encode(body))))
-        listed = [Upstream(f"i{n}", "s", address, "z") for n, address in enumerate(self.ADDRESSES)]
-        self.instances = {one.id for one in listed}
-        self.plane.upstreams.update(listed, 0.0)
+        body = {"generation": generation, "routes": routes, "services": [{"name": "s"}], **members}
+        self.plane.configuration.apply(ConfigUpdate(generation, -1, msgspec.Raw(msgspec.json.encode(body))))
 
     def record_run(self, head: h11.Request) -> Run:
         """Records that an upstream has received a request."""
