Hosts outside ASCII are compared by their A-labels

Seen by callers: a route whose host has letters outside ASCII was acknowledged, and its requests, which name it by A-labels (RFC 5890), got 404.

Cause: the host was compared as written, in lower case.

A host that is no valid internationalized name can be asked for by no request, and is refused with 400 that names it. Two routes whose hosts are one then are refused.

--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -8,11 +8,11 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, field_validator, model_validator
 
 from larkweir.cluster.configuration.documents import PATCH_MEMBERS
 from larkweir.cluster.configuration.header_values import HEADER_VALUE, NONEMPTY_HEADER_VALUE
-from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.configuration.hosts import is_servable, normalize_host
 from larkweir.cluster.configuration.paths import normalize_path
 
 # The largest integer that every JSON parser represents exactly (RFC 8259, section 6).
@@ -65,6 +65,13 @@
             return [part.backend for part in self.traffic_split]
         return [] if self.backend is None else [self.backend]
 
+    @field_validator("host")
+    @classmethod
+    def _check_host(cls, host: str) -> str:
+        if not is_servable(host):
+            raise ValueError(f"{host} is no valid internationalized domain name (RFC 5891)")
+        return host
+
     @model_validator(mode="after")
     def _check_backends(self) -> Route:
         if self.traffic_split is not None and sum(part.weight for part in self.traffic_split) <= 0:
--- a/tests/cluster/configurations.py
+++ b/tests/cluster/configurations.py
@@ -46,6 +46,13 @@
     "prefixes that differ in their encoding": changed(
         routes=[route("r1", "/paquetería/"), route("r2", "/paqueter%c3%ada/")]
     ),
+    "a host that no request can name": changed(routes=[route("r1", "/one/", host="🚚.example")]),
+    "hosts that differ in their labels": changed(
+        routes=[
+            route("r1", "/one/", host="paquetería.example"),
+            route("r2", "/one/", host="xn--paquetera-n5a.example"),
+        ]
+    ),
     "hosts that differ in a port": changed(
         routes=[route("r1", "/one/", host="a.example:80"), route("r2", "/one/", host="a.example")]
     ),
--- a/tests/cluster/test_hosts.py
+++ b/tests/cluster/test_hosts.py
@@ -21,6 +21,14 @@
         ("[2001:DB8::A]:8080", "[2001:db8::a]"),
         ("10.0.0.1:80", "10.0.0.1"),
         ("", ""),
+        ("paquetería.example", "xn--paquetera-n5a.example"),
+        ("PAQUETERÍA.Example.:80", "xn--paquetera-n5a.example"),
+        ("XN--Paquetera-n5a.example", "xn--paquetera-n5a.example"),
+        ("straße.example", "xn--strae-oqa.example"),
+        ("ሰላም.example", "xn--lxd0b1c.example"),
+        ("日本。jp", "xn--wgv71a.jp"),
+        ("🚚.example", "🚚.example"),
+        ("é" * 254, "é" * 254),
     ],
 )
 def test_hosts_are_compared_without_case_port_and_final_dot(host: str, normalized: str) -> None:
--- a/tests/router/test_configuration.py
+++ b/tests/router/test_configuration.py
@@ -27,6 +27,17 @@
     assert routing_table.find_route("b.example", "/one/") is None
 
 
+@pytest.mark.parametrize(
+    "written", ["paquetería.example", "Paquetería.example:80", "xn--paquetera-n5a.example"]
+)
+@pytest.mark.parametrize("asked", [b"xn--paquetera-n5a.example", b"XN--PAQUETERA-N5A.example:8080"])
+def test_a_route_is_found_by_the_a_labels_of_its_host(written: str, asked: bytes) -> None:
+    # Guards against hosts outside ASCII that are acknowledged and answered 404.
+    request = ClientRequest(b"GET", b"/one/x", [(b"host", asked)], b"", 0.0)
+    found = table(changed(routes=[route("r", "/one/", host=written)])).find_route(request.host, request.path)
+    assert found is not None
+
+
 @pytest.mark.parametrize("host", ["A.Example", "a.EXAMPLE.", "A.example:8080"])
 def test_a_route_is_found_however_its_host_is_written(host: str) -> None:
     # Guards against routes that are acknowledged and never in force (the review's capitals).
--- a/tests/system/test_fleet.py
+++ b/tests/system/test_fleet.py
@@ -205,6 +205,22 @@
     run_scenario(tmp_path, scenario)
 
 
+def test_a_host_outside_ascii_is_served_by_its_a_labels(tmp_path: Path) -> None:
+    # Guards against hosts that are acknowledged and answered 404.
+    async def scenario(fleet: Fleet) -> None:
+        document = configuration()
+        document["routes"][0]["host"] = "paquetería.example"
+        assert (await fleet.put(document, 0)).status == 200
+        await fleet.upstream("s", respond_ok)
+        await fleet.until_ready()
+        asked = {"Host": "xn--paquetera-n5a.example", "X_Request_Id": "r", "X_Api_Key": "key"}
+        assert (await ask(fleet.fronts[0], "POST", "/plain/x", **asked)).status == 200
+        read_back = await ask(fleet.control[0], "GET", "/config")
+        assert msgspec.json.decode(read_back.body) == document
+
+    run_scenario(tmp_path, scenario)
+
+
 def test_a_patch_never_sets_the_version_back(tmp_path: Path) -> None:
     # Guards against acknowledged versions that are nowhere, and are built on twice (review/6).
     async def scenario(fleet: Fleet) -> None:
