Ids of upstreams are percent-decoded, and refused if no header can hold them

Change: the id is decoded where it enters. One that is empty, no UTF-8, or holds control characters or spaces at an edge is refused with 400.

Ids without escapes are recorded as before.

--- a/larkweir/cluster/configuration/header_values.py
+++ b/larkweir/cluster/configuration/header_values.py
@@ -2,10 +2,18 @@
 
 from __future__ import annotations
 
+import re
+
 # A valid header value: no control characters, no leading or trailing whitespace. May be empty.
 HEADER_VALUE = r"^([^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?)?$"
 
 NONEMPTY_HEADER_VALUE = r"^[^\s\x00-\x1f\x7f]([^\x00-\x1f\x7f]*[^\s\x00-\x1f\x7f])?$"
+_is_nonempty_header_value = re.compile(NONEMPTY_HEADER_VALUE).fullmatch
+
+
+def is_header_value(text: str) -> bool:
+    """Whether a text is a valid, nonempty header value."""
+    return _is_nonempty_header_value(text) is not None
 
 
 def encode_header_value(text: str) -> bytes:
--- a/larkweir/controller/instances_api.py
+++ b/larkweir/controller/instances_api.py
@@ -4,12 +4,14 @@
 
 from enum import StrEnum
 from typing import Annotated
+from urllib.parse import unquote
 
 import msgspec
 from larkweir_registry.failure_detector import FailureDetector
 from larkweir_registry.records import Counter, Slots, Upstream, UpstreamState
 from larkweir_registry.registry import Registry
 
+from larkweir.cluster.configuration.header_values import is_header_value
 from larkweir.cluster.http_server import Request, Response
 from larkweir.cluster.settings import SettingsError, parse_address
 from larkweir.controller.clock import now_ms
@@ -24,6 +26,9 @@
 MAX_ID_CHARS = 512
 MAX_VERSION_CHARS = 128
 ID_TOO_LONG = Response(400, b'{"error":"the id of the instance is too long"}')
+INVALID_ID = Response(
+    400, b'{"error":"the id of the instance is no UTF-8, or can\'t be the value of a header"}'
+)
 ACKNOWLEDGED = Response(200, b"{}")
 NO_MAJORITY = Response(503, b'{"error":"no majority of controllers is in reach"}')
 NOT_DURABLE = Response(503, b'{"error":"no majority of controllers has the departure on disk"}')
@@ -97,9 +102,10 @@
             parse_address(heartbeat.address)
         except (msgspec.DecodeError, SettingsError) as error:  # the error message names the field
             return Response(400, msgspec.json.encode({"error": str(error)}))
-        upstream = heartbeat.upstream(request.target.removeprefix(PATH_PREFIX))
-        if len(upstream.id) > MAX_ID_CHARS:
-            return ID_TOO_LONG
+        id_ = _instance_id(request)
+        if isinstance(id_, Response):
+            return id_
+        upstream = heartbeat.upstream(id_)
         present_ms = now_ms()
         self._failure_detector.record_heartbeat(upstream.id, upstream.sequence, present_ms)
         self._registry.update(upstream, present_ms)
@@ -110,9 +116,9 @@
 
     async def delete(self, request: Request) -> Response:
         """Records that an upstream has ended or is about to end."""
-        id_ = request.target.removeprefix(PATH_PREFIX)
-        if len(id_) > MAX_ID_CHARS:
-            return ID_TOO_LONG
+        id_ = _instance_id(request)
+        if isinstance(id_, Response):
+            return id_
         known = self._registry.upstreams.get(id_)
         gone = (
             msgspec.structs.replace(known, state=UpstreamState.GONE)
@@ -135,3 +141,18 @@
         if await self._confirmation.wait(version, CONFIRM_TIMEOUT_S):
             return ACKNOWLEDGED
         return NOT_DURABLE if self._contact.is_connected() else NO_MAJORITY
+
+
+def _instance_id(request: Request) -> str | Response:
+    """Returns the id in the path of a request, decoded (RFC 3986, 2.1), or the response if it is invalid.
+
+    Routers name the upstream by its id in a header.
+    """
+    encoded = request.target.partition("?")[0].removeprefix(PATH_PREFIX)
+    if len(encoded) > MAX_ID_CHARS:
+        return ID_TOO_LONG
+    try:
+        id_ = unquote(encoded, errors="strict")
+    except UnicodeDecodeError:
+        return INVALID_ID
+    return id_ if is_header_value(id_) else INVALID_ID
