Resumed streams that get an error draw on the retry budget for each repeat

Cause: a discarded response had one outcome for "its retry is taken" and for "none is left, and it can't be passed on", and both were sent again.

Change: RetryAllowance knows whether a retry has been taken and not been sent; the end of a discarded response asks for one. A retry taken at a head whose connection then breaks is no longer taken twice.

--- a/larkweir/router/exchange.py
+++ b/larkweir/router/exchange.py
@@ -288,14 +288,11 @@
 
     def _on_discarded(self) -> None:
         """Retry, or respond with an error, after a discarded response has been read to its end."""
-        admission, retries = self._admitted()
+        admission, _ = self._admitted()
         outcome = self._discard_outcome
         self._end_attempt(outcome)
-        if outcome is Outcome.ERROR:  # the retry was taken from the budget when the head arrived
-            may_retry = admission.route.is_idempotent and not retries.is_exhausted
-        else:
-            may_retry = self._take_retry()
-        if may_retry:
+        is_repeatable = outcome is not Outcome.ERROR or admission.route.is_idempotent
+        if is_repeatable and self._take_retry():
             self._start_attempt()
         else:
             self._respond_unavailable()
--- a/larkweir/router/retry_allowance.py
+++ b/larkweir/router/retry_allowance.py
@@ -15,6 +15,7 @@
         self._max_attempts = max_attempts
         self._budget = budget
         self._failed_connects = 0
+        self._has_retry = False  # taken from the budget, and not sent yet
         self.sent = 0  # attempts whose request was written to an upstream
         self.executions = 0  # attempts that may have been executed
         self._charged_executions = 1  # executions charged to the tenant's quota; admission charges the first
@@ -26,6 +27,7 @@
 
     def record_sent(self) -> bool:
         """Count an attempt whose request is sent; returns whether a further execution has to be charged."""
+        self._has_retry = False
         self.sent += 1
         self.executions += 1
         if self.executions <= self._charged_executions:
@@ -43,5 +45,10 @@
         return self._failed_connects < MAX_FAILED_CONNECTS
 
     def take_retry(self, now_ms: float) -> bool:
-        """Take a retry from the budget, if the route and the budget allow one; returns whether they do."""
-        return not self.is_exhausted and self._budget.try_consume(now_ms)
+        """Take a retry from the budget, if the route and the budget allow one; returns whether they do.
+
+        A retry that was taken before, and not sent yet, is returned again.
+        """
+        if not self._has_retry:
+            self._has_retry = not self.is_exhausted and self._budget.try_consume(now_ms)
+        return self._has_retry
