Control connections whose caller has closed its sending side are closed after the answer

Cause: eof_received kept the connection for the answer in progress, and nothing closed it after that.

Change: the connection remembers the end of the caller's side, and closes when the last request that it has received is answered.

Result: both new tests, with one request and with three pipelined ones, timed out before and pass.

--- a/larkweir/cluster/http_server.py
+++ b/larkweir/cluster/http_server.py
@@ -61,6 +61,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._task: asyncio.Task[None] | None = None
+        self._has_eof = False  # the client has closed its sending side
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Configure the socket; called by the event loop."""
@@ -75,7 +76,8 @@
         self._advance()
 
     def eof_received(self) -> bool:
-        """Keep the connection open while a response is in progress; called by the event loop."""
+        """Keep the connection open until the last response has been sent; called by the event loop."""
+        self._has_eof = True
         return self._task is not None
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -134,6 +136,8 @@
         self._task = None
         self._respond(response)
         self._advance()
+        if self._has_eof and self._task is None and self._transport is not None:
+            self._transport.close()
 
     def _respond(self, response: Response) -> None:
         transport = self._transport
--- a/tests/cluster/test_http_server.py
+++ b/tests/cluster/test_http_server.py
@@ -100,3 +100,30 @@
         server.close()
 
     uvloop.run(scenario())
+
+
+@pytest.mark.parametrize("requests", [1, 3])
+def test_a_client_that_closes_its_sending_side_is_answered_and_then_closed(requests: int) -> None:
+    # Guards against connections that are kept for ever after their client has said that nothing follows.
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        is_answering, may_answer = asyncio.Event(), asyncio.Event()
+
+        async def wait(request: Request) -> Response:
+            is_answering.set()
+            await may_answer.wait()
+            return Response(200, b"late")
+
+        server = await loop.create_server(lambda: HttpServerConnection(wait, MAX_BODY_BYTES), "127.0.0.1", 0)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        writer.write(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * requests)
+        writer.write_eof()
+        async with asyncio.timeout(5.0):
+            await is_answering.wait()
+            may_answer.set()
+            received = await reader.read()
+        assert received.count(b"late") == requests
+        writer.close()
+        server.close()
+
+    uvloop.run(scenario())
