An If-Match that no message between controllers can hold is refused

Cause: the number was bounded by its digits where it enters, and by MAX_COUNTER where it is read.

Change: one bound, checked where it enters; 400 names it.

--- a/larkweir/controller/operator_api.py
+++ b/larkweir/controller/operator_api.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 
 import msgspec
-from larkweir_replication.messages import Command
+from larkweir_replication.messages import MAX_COUNTER, Command
 
 from larkweir.cluster.configuration.changes import ConfigurationChange
 from larkweir.cluster.configuration.rollouts import operators_text
@@ -15,7 +15,7 @@
 
 ANSWER_TIMEOUT_S = 0.9  # operators try another controller after one second without an answer
 RETRY_PAUSE_S = 0.04
-MAX_VERSION_DIGITS = 16  # of the largest accepted `generation`
+MAX_VERSION_DIGITS = len(str(MAX_COUNTER))
 NO_PRIMARY = "no primary answers"
 
 CallPrimary = Callable[[Command | None], Awaitable[CallOutcome]]
@@ -47,6 +47,8 @@
         base = request.headers.get("if-match", "").strip().strip('"')
         if not (base.isascii() and base.isdigit() and len(base) <= MAX_VERSION_DIGITS):
             return error_response(400, "If-Match: the version that the change builds on is needed")
+        if int(base) > MAX_COUNTER:  # no message between controllers can hold it
+            return error_response(400, f"If-Match: versions are {MAX_COUNTER} at most")
         try:
             body = request.body.decode()
         except UnicodeDecodeError:
--- a/tests/controller/test_operator_api.py
+++ b/tests/controller/test_operator_api.py
@@ -6,9 +6,10 @@
 
 import msgspec
 import pytest
-from larkweir_replication.messages import Command
+from larkweir_replication.messages import MAX_COUNTER, Command
 
 from larkweir.cluster.http_server import Request, Response
+from larkweir.cluster.messages import PrimaryRequest
 from larkweir.controller import operator_api
 from larkweir.controller.call_outcome import UNKNOWN, CallOutcome, Completed, Rejected
 from larkweir.controller.operator_api import OperatorApi
@@ -80,7 +81,7 @@
     assert len(primary.commands) == 1
 
 
-@pytest.mark.parametrize("base", ["", "x", "-1", "\u0663", "9" * 17, "9" * 5_000])
+@pytest.mark.parametrize("base", ["", "x", "-1", "\u0663", "9" * 17, "9" * 5_000, str(2**53), "9" * 16])
 def test_an_invalid_base_version_is_rejected(base: str) -> None:
     primary = Primary(Completed())
     request = Request("PUT", "/config", {"if-match": base}, b"{}")
@@ -88,3 +89,12 @@
     assert response.status == 400
     assert "If-Match" in error(response)
     assert primary.commands == []
+
+
+def test_the_largest_base_version_reaches_the_primary_in_a_message_between_controllers() -> None:
+    # Guards against an If-Match that ends the link between two controllers.
+    primary = Primary(Rejected(412, "stale"))
+    request = Request("PUT", "/config", {"if-match": str(MAX_COUNTER)}, b"{}")
+    assert asyncio.run(OperatorApi(primary.call).change(request)).status == 412
+    sent = msgspec.json.encode(PrimaryRequest(1, primary.commands[0]))
+    assert msgspec.json.decode(sent, type=PrimaryRequest).command == primary.commands[0]
