--- a/larkweir/cluster/configuration/hosts.py
+++ b/larkweir/cluster/configuration/hosts.py
@@ -23,8 +23,9 @@
 
 
 def is_servable(host: str) -> bool:
-    """Whether a request can name the host: a `Host` header holds ASCII only."""
-    return normalize_host(host).isascii()
+    """Whether a request can name the host: a `Host` header holds ASCII without control characters only."""
+    name = normalize_host(host)
+    return name.isascii() and name.isprintable()
 
 
 def _with_a_labels(name: str) -> str:
--- a/larkweir/cluster/configuration/paths.py
+++ b/larkweir/cluster/configuration/paths.py
@@ -7,19 +7,18 @@
 
 UNRESERVED = frozenset(string.ascii_letters + string.digits + "-._~")
 ESCAPED_OCTET = re.compile("%([0-9A-Fa-f]{2})")
-NOT_IN_URIS = re.compile(r"[^\x21-\x7e]+")
+NOT_IN_PATHS = re.compile(r"[^\x21-\x7e]+|[?#]")
 
 
 def normalize_path(path: str) -> str:
-    """Return a path with all that a URI can't hold percent-encoded (as UTF-8), and its escapes in their normal form.
+    """Return a path with all that it can't hold in a URI percent-encoded (as UTF-8), and its escapes normalized.
 
     Escapes of unreserved characters are decoded, all others are written in upper case.
 
     Args:
         path: the path of a request, or the path prefix of a route as the operator wrote it.
     """
-    if not path.isascii() or not path.isprintable() or " " in path:
-        path = NOT_IN_URIS.sub(_escape, path)
+    path = NOT_IN_PATHS.sub(_escape, path)
     if "%" in path:
         path = ESCAPED_OCTET.sub(_normalize_octet, path)
     return path
--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -69,7 +69,7 @@
     @classmethod
     def _check_host(cls, host: str) -> str:
         if not is_servable(host):
-            raise ValueError(f"{host} is no valid internationalized domain name (RFC 5891)")
+            raise ValueError(f"{host!r} can be the host of no request (RFC 9110, 7.2; RFC 5891)")
         return host
 
     @model_validator(mode="after")
--- a/larkweir/router/client_request.py
+++ b/larkweir/router/client_request.py
@@ -82,7 +82,8 @@
     def path(self) -> str:
         """The target without the query, normalized."""
         path = self.target.decode("latin-1").partition("?")[0]
-        return normalize_path(path) if "%" in path else path  # a target is ASCII without spaces
+        # A target is printable ASCII without spaces, so that most paths are normalized already.
+        return normalize_path(path) if "%" in path or "#" in path else path
 
     def prompt(self, target_ms: float) -> Prompt:
         """The prompt that an engine has to prefill.
--- a/tests/cluster/test_hosts.py
+++ b/tests/cluster/test_hosts.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from larkweir.cluster.configuration.hosts import normalize_host
+from larkweir.cluster.configuration.hosts import is_servable, normalize_host
 
 
 @pytest.mark.parametrize(
@@ -33,3 +33,19 @@
 )
 def test_hosts_are_compared_without_case_port_and_final_dot(host: str, normalized: str) -> None:
     assert normalize_host(host) == normalized
+
+
+@pytest.mark.parametrize(
+    ("host", "expected"),
+    [
+        ("", True),
+        ("a.example", True),
+        ("paquetería.example", True),
+        ("[::1]", True),
+        ("🚚.example", False),
+        ("\x00.example", False),
+        ("a\r\nb", False),
+    ],
+)
+def test_a_host_is_servable_if_a_request_can_name_it(host: str, expected: bool) -> None:
+    assert is_servable(host) is expected
