A configuration that a router can't apply is logged once, whichever controllers send it

Seen by reading before the landing: each controller sends its copy of a complete configuration, and each copy was decoded and logged anew.

Change: a complete configuration that has failed is skipped by its sequence, as a patch is.

Result: a new test sends three copies of each: two lines (three of the complete one before).

--- a/larkweir/router/configuration_sync.py
+++ b/larkweir/router/configuration_sync.py
@@ -30,7 +30,9 @@
 
     def apply(self, update: ConfigUpdate, sender: str) -> bool:
         """Apply an update and return whether it is in force now. A failure is logged once for each configuration."""
-        if update.base_sequence >= 0 and update.sequence <= self._failed_patch_sequence:
+        is_complete = update.base_sequence < 0
+        failed_sequence = self.unusable_sequence if is_complete else self._failed_patch_sequence
+        if update.sequence <= failed_sequence:
             return False
         try:
             return self._store.apply(update)
--- a/tests/router/test_configuration_sync.py
+++ b/tests/router/test_configuration_sync.py
@@ -12,6 +12,7 @@
 import uvloop
 from larkweir_registry.records import Record, Upstream
 
+from larkweir.cluster import log
 from larkweir.cluster.messages import ConfigUpdate, Delta, Pull
 from larkweir.router.configuration import ConfigurationStore
 from larkweir.router.configuration_sync import ConfigurationSync
@@ -67,6 +68,18 @@
     assert sync.known_sequence == 3
 
 
+def test_each_failure_is_logged_once_however_many_controllers_send_it(
+    sync: ConfigurationSync, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    logged: list[int] = []
+    monkeypatch.setattr(log, "event", lambda name, **fields: logged.append(fields["base"]))
+    for sender in (SENDER, "127.0.0.2", "127.0.0.3"):
+        assert not sync.apply(update(2, 1, BAD_PATCH), sender)
+    for sender in (SENDER, "127.0.0.2", "127.0.0.3"):
+        assert not sync.apply(update(2, -1, INVALID_DOCUMENT), sender)
+    assert logged == [1, -1]
+
+
 def test_only_what_the_last_pull_declined_is_unwanted(sync: ConfigurationSync) -> None:
     sync.record_pull(SENDER)
     unusable = update(2, -1, INVALID_DOCUMENT)
