--- a/larkweir/cluster/configuration/changes.py
+++ b/larkweir/cluster/configuration/changes.py
@@ -12,7 +12,6 @@
 from result import Err, Ok, Result
 
 from larkweir.cluster.configuration.documents import (
-    COLLECTIONS,
     PATCH_MEMBERS,
     ROLLOUTS_KEY,
     UPSERT,
@@ -126,11 +125,8 @@
     """Read a patch as operators send it. Only its own `generation` sets the version of the document that results.
 
     Raises:
-        PatchError: the patch is malformed, or has members that only other documents may have.
+        PatchError: the patch is malformed, or `upsert` sets a member that is no list of items.
     """
-    for key in COLLECTIONS:
-        if key in body:
-            raise PatchError(f"{key}: a PATCH names items in upsert and remove")
     patch = parse_patch(body)
     for key in SINGLE_MEMBERS:
         if key in body.get(UPSERT, {}):
