Responses without a length to HTTP/1.0 clients that break off are reset

Change: from the head of such a response to its end, any end of the connection is a reset (SO_LINGER), also by a shutdown or a kill of the router.

--- a/larkweir/cluster/tcp_options.py
+++ b/larkweir/cluster/tcp_options.py
@@ -6,6 +6,8 @@
 import contextlib
 import socket
 
+from larkweir.core.net import RESET_AT_CLOSE
+
 KEEPALIVE_IDLE_S = 1  # tcp(7) only accepts whole seconds
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 1  # unanswered probes after which the connection ends
@@ -35,7 +37,13 @@
     _set_option(transport, socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, int(timeout_ms))
 
 
-def _set_option(transport: asyncio.BaseTransport, level: int, name: int, value: int) -> None:
+def set_reset_at_close(transport: asyncio.BaseTransport, *, enabled: bool) -> None:
+    """Make the end of the connection a reset, whoever ends it and however, or an end in order again."""
+    value = RESET_AT_CLOSE if enabled else bytes(len(RESET_AT_CLOSE))
+    _set_option(transport, socket.SOL_SOCKET, socket.SO_LINGER, value)
+
+
+def _set_option(transport: asyncio.BaseTransport, level: int, name: int, value: int | bytes) -> None:
     """Set an option; does nothing if the transport has no socket, or the connection has ended."""
     sock = transport.get_extra_info("socket")
     if sock is not None:
--- a/larkweir/router/client_connection.py
+++ b/larkweir/router/client_connection.py
@@ -9,13 +9,14 @@
 import h11
 
 from larkweir.cluster.dead_peer_detection import DeadPeerDetector
-from larkweir.cluster.tcp_options import set_no_delay
+from larkweir.cluster.tcp_options import set_no_delay, set_reset_at_close
 from larkweir.router.answers import ERROR_RESPONSES, ErrorKind
 from larkweir.router.client_request import ClientRequest
 from larkweir.router.configuration import Limits
 from larkweir.router.data_plane import DataPlane
 from larkweir.router.exchange import Exchange
 from larkweir.router.request_metadata import Headers, InvalidHeaderError, parse_metadata
+from larkweir.router.response_relay import ends_with_connection
 
 ACKNOWLEDGEMENT_TIMEOUT_MS = 10_000.0  # a client that acknowledges no sent bytes for this long is gone
 MAX_STALL_MS = 60_000.0  # how long a client may read nothing of what waits for it
@@ -277,6 +278,8 @@
         if self._plane.stopping and CLOSE_HEADER not in headers:
             headers = [*headers, CLOSE_HEADER]
         self._write(self._h11.send(h11.Response(status_code=status, headers=list(headers))))
+        if self._has_http_1_0_client and ends_with_connection(headers):
+            self._set_reset_at_close(enabled=True)
 
     def send_body(self, data: bytes) -> bool:
         """Send a chunk of the body; returns False while too much is buffered for the client."""
@@ -291,9 +294,27 @@
             self.abort_response()
             return
         self._write(out)
+        if self._has_http_1_0_client:
+            self._set_reset_at_close(enabled=False)
+
+    @property
+    def _has_http_1_0_client(self) -> bool:
+        """Whether the client of the current request knows no chunks (RFC 9112, 6.3).
+
+        It takes the end of the connection for the end of a response without a length, so until such a response is
+        complete, any end of the connection has to be a reset.
+        """
+        return self._request_head is not None and self._request_head.http_version < b"1.1"
+
+    def _set_reset_at_close(self, *, enabled: bool) -> None:
+        if self._transport is not None:
+            set_reset_at_close(self._transport, enabled=enabled)
 
     def abort_response(self) -> None:
-        """Close the connection without marking the response as complete; bytes already sent still arrive."""
+        """Close the connection without marking the response as complete.
+
+        Bytes already sent still arrive, unless only a reset can show that the response is incomplete.
+        """
         self._h11.send_failed()
         if self._transport is not None:
             self._transport.close()
