Bodies with a content coding are not read for events

Cause: what the body is was asked of Content-Type alone. A content coding transforms the bytes (RFC 9110, 8.4).

Change: a body with a coding other than identity is no event stream, in the router (boundary and resumption) and in the balancer.

--- a/larkweir/core/event_stream.py
+++ b/larkweir/core/event_stream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 MEDIA_TYPE = b"text/event-stream"
+IDENTITY_CODINGS = (b"", b"identity")  # that leave a body as it is (RFC 9110, 8.4.1)
 LINE_ENDS = (b"\n", b"\r")
 EMPTY_LINES = (b"\n", b"\r", b"\r\n")
 # The ends of a line and of an empty line after it. A CR at the very end of the data is left out where it may belong to
@@ -16,6 +17,11 @@
     return content_type.partition(b";")[0].strip().lower() == MEDIA_TYPE
 
 
+def is_encoded(content_encoding: bytes) -> bool:
+    """Whether a `Content-Encoding` transforms the body, so that its bytes are not those of events."""
+    return any(coding.strip().lower() not in IDENTITY_CODINGS for coding in content_encoding.split(b","))
+
+
 def end_of_last_event(data: bytes) -> int:
     """Return the offset behind the last event that ends in `data`; 0 if none does."""
     ends = [at + len(end) for end in EVENT_ENDS if (at := data.rfind(end)) >= 0]
--- a/larkweir/protocols/http1/codec.py
+++ b/larkweir/protocols/http1/codec.py
@@ -8,7 +8,7 @@
 import httptools
 
 from larkweir.core.body_stream import BodyStream
-from larkweir.core.event_stream import EventBoundary, is_event_stream
+from larkweir.core.event_stream import EventBoundary, is_encoded, is_event_stream
 from larkweir.core.message import Fault, FramingError, Message
 
 # All limits are in bytes, but for the numbers of fields and the ratio.
@@ -322,8 +322,7 @@
             and not message.values(b"transfer-encoding")
             and (message.minor == 0 or announces_close(message))
         )
-        has_events = any(is_event_stream(value) for value in message.values(b"content-type"))
-        self._boundary = EventBoundary() if self._until_close and has_events else None
+        self._boundary = EventBoundary() if self._until_close and _has_events(message) else None
         if self.forward_over is not None and (self._length or 0) > self.forward_over and self.can_forward():
             self._completed.append(self._start_forwarding())
 
@@ -349,3 +348,9 @@
     """Whether it announces the end of its connection (RFC 9112, section 9.6)."""
     options = b",".join(message.values(b"connection")).lower().split(b",")
     return b"close" in [option.strip() for option in options]
+
+
+def _has_events(message: Message) -> bool:
+    """Whether the bytes of an answer's body are those of an event stream."""
+    is_stream = any(is_event_stream(value) for value in message.values(b"content-type"))
+    return is_stream and not any(is_encoded(value) for value in message.values(b"content-encoding"))
--- a/larkweir/router/response_relay.py
+++ b/larkweir/router/response_relay.py
@@ -5,7 +5,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from larkweir.core.event_stream import EventBoundary, is_event_stream
+from larkweir.core.event_stream import EventBoundary, is_encoded, is_event_stream
 from larkweir.router.client_request import HOP_BY_HOP_HEADERS
 from larkweir.router.configuration import Route
 from larkweir.router.event_stream import EventBuffer
@@ -60,7 +60,12 @@
         self._boundary = EventBoundary() if is_unframed_stream else None
         if self.has_started:
             return
-        if route.is_streaming and route.resumable and status == HTTPStatus.OK:
+        if (
+            route.is_streaming
+            and route.resumable
+            and status == HTTPStatus.OK
+            and not has_encoded_body(headers)
+        ):
             self.events = EventBuffer()
         self.has_started = True
         relayed = [(name, value) for name, value in headers if name not in HOP_BY_HOP_HEADERS]
@@ -105,8 +110,15 @@
 
 
 def has_events(status: int, headers: Headers, route: Route) -> bool:
-    """Whether the body of a response is an event stream: by its type, or by the route if it states no type."""
+    """Whether the bytes of a body are events: by the response's type, or by the route if it states no type."""
+    if has_encoded_body(headers):
+        return False
     for name, value in headers:
         if name == b"content-type":
             return is_event_stream(value)
     return route.is_streaming and status == HTTPStatus.OK
+
+
+def has_encoded_body(headers: Headers) -> bool:
+    """Whether a content coding transforms the body of a response."""
+    return any(name == b"content-encoding" and is_encoded(value) for name, value in headers)
--- a/tests/protocols/http1/test_bodies.py
+++ b/tests/protocols/http1/test_bodies.py
@@ -326,11 +326,21 @@
 
 
 @pytest.mark.parametrize("size", [100, 3 * MEGA])
-@pytest.mark.parametrize("is_cut_off", [True, False])
-def test_an_event_stream_that_ends_inside_an_event_is_not_whole(size: int, is_cut_off: bool) -> None:
+@pytest.mark.parametrize(
+    ("body_end", "encoding", "is_cut_off"),
+    [
+        (b"\n", b"", True),
+        (b"\n\n", b"", False),
+        (b"\n", b"Content-Encoding: identity\r\n", True),
+        (b"\n", b"Content-Encoding: gzip\r\n", False),  # compressed bytes are no events
+    ],
+)
+def test_an_event_stream_that_ends_inside_an_event_is_not_whole(
+    size: int, body_end: bytes, encoding: bytes, is_cut_off: bool
+) -> None:
     # Guards against taking the end of a crashed upstream's connection for the end of its stream (review/4).
-    body = b"data: " + LONG[:size].hex().encode() + (b"\n" if is_cut_off else b"\n\n")
-    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n\r\n"
+    body = b"data: " + LONG[:size].hex().encode() + body_end
+    head = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Type: text/event-stream\r\n" + encoding + b"\r\n"
 
     async def work() -> None:
         async def answer(request: Incoming, talk: Talk) -> None:
--- a/tests/router/test_streams_without_a_length.py
+++ b/tests/router/test_streams_without_a_length.py
@@ -11,10 +11,13 @@
 HEAD_END = b"\r\n\r\n"
 
 
-def split_answer(upstream: FakeUpstream, line_end: bytes, content_type: str = "") -> tuple[bytes, bytes]:
+def split_answer(
+    upstream: FakeUpstream, line_end: bytes, content_type: str = "", content_encoding: str = ""
+) -> tuple[bytes, bytes]:
     """Returns head and body of the answer to the waiting request, without a length."""
     assert upstream.run is not None
-    more = {"Content-Type": content_type} if content_type else {}
+    stated = {"Content-Type": content_type, "Content-Encoding": content_encoding}
+    more = {name: value for name, value in stated.items() if value}
     head, _, body = answer_of(upstream.run, framed=False, **more).partition(HEAD_END)
     return head + HEAD_END, body.replace(b"\n", line_end)
 
@@ -123,6 +126,38 @@
     harness.close()
 
 
+@pytest.mark.parametrize(
+    ("content_encoding", "complete"), [("gzip", True), ("br, gzip", True), ("Identity", False), ("", False)]
+)
+@pytest.mark.parametrize("kind", ["stream", "resumable"])
+def test_an_encoded_body_is_not_read_for_events(kind: str, content_encoding: str, complete: bool) -> None:
+    # Guards against breaking off whole streams whose compressed bytes are taken for events.
+    harness = RouterHarness()
+    harness.model.refusing = set(harness.model.ADDRESSES[1:])
+    sent = harness.request(harness.client(), kind)
+    upstream = harness.waiting()[0]
+    head, _ = split_answer(upstream, b"\n", "text/event-stream", content_encoding)
+    break_off(harness, upstream, head + b"\x1f\x8b\x08compressed")
+    assert sent.complete == complete
+    assert sent.body == b"\x1f\x8b\x08compressed" if complete or kind == "stream" else not sent.body
+    harness.close()
+
+
+def test_an_encoded_stream_is_not_resumed() -> None:
+    # Guards against joining the compressed bytes of two runs.
+    harness = RouterHarness()
+    sent = harness.request(harness.client(), "resumable")
+    upstream = harness.waiting()[0]
+    head, _ = split_answer(upstream, b"\n", "text/event-stream", "gzip")
+    upstream.begin(head + b"\x1f\x8b\x08", complete=False)
+    harness.do(lambda: upstream.send(len(upstream.unsent)))
+    assert sent.body == b"\x1f\x8b\x08", "bytes are passed on as they come"
+    harness.do(lambda: upstream.close(in_order=False))
+    assert not sent.complete
+    assert not harness.waiting()
+    harness.close()
+
+
 def test_a_stream_with_a_last_chunk_is_complete_without_an_empty_line() -> None:
     harness = RouterHarness()
     sent = harness.request(harness.client(), "stream")
