Tenants that are removed and added again keep the level of their quota

Beside it: a controller that had removed a tenant granted any number of units to routers that had not.

Cause: a controller forgot a tenant's bucket as soon as a configuration lacked its limit, and takes no limit for unlimited.

Change: a removed limit is kept, and enforced, for 60 s and until its bucket is full.

--- a/packages/quotas/src/larkweir_quotas/quota_allocator.py
+++ b/packages/quotas/src/larkweir_quotas/quota_allocator.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Set
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -26,6 +26,7 @@
 MAX_THRESHOLD_FRACTION = 0.5  # of a bucket's capacity
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
+FORGET_AFTER_MS = 60_000.0  # from a limit's removal; routers may enforce the configuration before it meanwhile
 
 
 class QuotaOutcome(StrEnum):
@@ -62,12 +63,14 @@
         bucket: the bucket for this controller's share.
         max_debt: by how much the level of the bucket may fall below zero.
         largest_units: units of the largest recent request, decaying with each further request.
+        removed_ms: when the limit was removed from the configuration; None while it is in force.
     """
 
     fleet_limit: RateLimit
     bucket: TokenBucket
     max_debt: float = 0.0
     largest_units: float = 0.0
+    removed_ms: float | None = None
 
     def threshold(self, units: float) -> float:
         """Return the level at which a request of any size is granted, so that small requests have no advantage.
@@ -79,6 +82,12 @@
         threshold = max(0.0, self.largest_units - self.max_debt)
         return min(threshold, MAX_THRESHOLD_FRACTION * self.bucket.limit.burst)
 
+    def can_be_forgotten(self, now_ms: float) -> bool:
+        """Whether the limit was removed long ago and its tenant, if added again, would have its burst anyway."""
+        if self.removed_ms is None or now_ms < self.removed_ms + FORGET_AFTER_MS:
+            return False
+        return self.bucket.level >= self.bucket.limit.burst
+
 
 class QuotaAllocator:
     """Grants units from the token buckets of one controller. Times are milliseconds of its monotonic clock."""
@@ -98,6 +107,9 @@
     ) -> None:
         """Set the limits of all tenants. Tenants that already had a limit keep their bucket level.
 
+        A removed limit is kept for a while: routers that have not removed it still request its units, and a tenant that
+        is added again has what its bucket has left.
+
         Args:
             limits: by tenant.
             now_ms: the current time.
@@ -105,7 +117,7 @@
             is_restart: the controller has restarted, so tenants may already have used their limits.
         """
         self._refill_all(now_ms)
-        self._tenants = {tenant: quota for tenant, quota in self._tenants.items() if tenant in limits}
+        self._remove_all_but(limits.keys(), now_ms)
         for tenant, limit in limits.items():
             quota = self._tenants.get(tenant)
             tolerated = self._tolerance.units(limit) / controllers
@@ -114,8 +126,23 @@
                 level = min(part, RESTARTS_FRACTION * tolerated) if is_restart else part
                 quota = self._tenants[tenant] = _TenantQuota(limit, TokenBucket(limit, level, now_ms))
             quota.fleet_limit, quota.max_debt = limit, DEBTS_FRACTION * tolerated
+            quota.removed_ms = None
         self._apply_share()
 
+    @property
+    def tenants(self) -> Set[str]:
+        """The tenants whose limits are in force, or were removed and are not forgotten yet."""
+        return self._tenants.keys()
+
+    def _remove_all_but(self, tenants: Set[str], now_ms: float) -> None:
+        """Mark all other limits as removed, and forget those that were removed long ago."""
+        for tenant in self._tenants.keys() - tenants:
+            quota = self._tenants[tenant]
+            if quota.removed_ms is None:
+                quota.removed_ms = now_ms
+            elif quota.can_be_forgotten(now_ms):
+                del self._tenants[tenant]
+
     def set_share(self, share: int, expires_ms: float, now_ms: float) -> None:
         """Set the leased share, a part of `TOTAL_SHARE`, which is valid until `expires_ms`."""
         if share != self._share:
--- a/packages/quotas/tests/test_quotas_allocator.py
+++ b/packages/quotas/tests/test_quotas_allocator.py
@@ -7,12 +7,13 @@
 
 import pytest
 from larkweir_quotas.limits import DEBTS_FRACTION, RESTARTS_FRACTION, RateLimit, Tolerance
-from larkweir_quotas.quota_allocator import QuotaAllocator, QuotaOutcome
+from larkweir_quotas.quota_allocator import FORGET_AFTER_MS, QuotaAllocator, QuotaOutcome
 from larkweir_quotas.share_leases import TOTAL_SHARE
 
 LIMITS = {"t": RateLimit(1_000.0, 2_000.0)}
 TOLERANCE = Tolerance(window_s=8.0, over=0.1, slack=500.0)
 LATER_MS = 1e9
+UNLIMITED = 100_000.0  # units that no limit of these tests grants
 
 
 def make_allocator(
@@ -33,6 +34,7 @@
     total = 0.0
     while allocator.request("t", units, now_ms).outcome is QuotaOutcome.GRANTED:
         total += units
+        assert total < UNLIMITED
     return total
 
 
@@ -148,3 +150,58 @@
     granted_units(allocator, 10.0, 0.0)
     allocator.set_rate_fraction(0.5, 0.0)
     assert granted_units(allocator, 10.0, 1_000.0) == 500.0
+
+
+def test_a_tenant_that_is_removed_and_added_again_gets_no_second_burst() -> None:
+    # Guards against operators' changes that give a tenant its whole burst anew each time (QUOTA).
+    allocator = make_allocator()
+    total, window_ms = 0.0, 1_000.0 * TOLERANCE.window_s
+    changes = 10
+    for change in range(changes):
+        now_ms = change * window_ms / changes
+        total += granted_units(allocator, 10.0, now_ms)
+        allocator.set_limits({}, now_ms, controllers=1, is_restart=False)
+        allocator.set_limits(LIMITS, now_ms, controllers=1, is_restart=False)
+    limit = LIMITS["t"]
+    assert total <= limit.burst + limit.rate_per_s * TOLERANCE.window_s
+
+
+def test_a_tenant_that_is_added_again_with_another_limit_keeps_its_level() -> None:
+    allocator = make_allocator()
+    granted_units(allocator, 10.0, 0.0)
+    allocator.set_limits({}, 0.0, controllers=1, is_restart=False)
+    allocator.set_limits({"t": RateLimit(100.0, 90_000.0)}, 500.0, controllers=1, is_restart=False)
+    assert granted_units(allocator, 10.0, 500.0) == 500.0
+    assert granted_units(allocator, 10.0, 1_500.0) == 100.0
+
+
+def test_the_limit_of_a_removed_tenant_holds_for_routers_that_have_not_removed_it() -> None:
+    # Guards against unlimited grants between the removal at a controller and at the routers (QUOTA).
+    allocator = make_allocator()
+    allocator.set_limits({}, 0.0, controllers=1, is_restart=False)
+    assert granted_units(allocator, 10.0, 0.0) == 2_000.0
+    assert granted_units(allocator, 10.0, 500.0) == 500.0
+    allocator.refund("t", 100.0, 500.0)
+    assert granted_units(allocator, 10.0, 500.0) == 100.0
+
+
+def test_removed_tenants_are_forgotten_once_they_would_have_their_burst_anyway() -> None:
+    allocator = make_allocator()
+    granted_units(allocator, 10.0, 0.0)
+    for now_ms in (0.0, FORGET_AFTER_MS - 1.0, FORGET_AFTER_MS):
+        allocator.set_limits({}, now_ms, controllers=1, is_restart=False)
+        assert allocator.tenants == ({"t"} if now_ms < FORGET_AFTER_MS else set())
+    allocator.set_limits(LIMITS, FORGET_AFTER_MS, controllers=1, is_restart=False)
+    assert granted_units(allocator, 10.0, FORGET_AFTER_MS) == 2_000.0
+
+
+def test_a_removed_tenant_whose_bucket_fills_slowly_is_not_forgotten_before() -> None:
+    slow = {"t": RateLimit(0.001, 2_000.0)}
+    allocator = QuotaAllocator()
+    allocator.set_share(TOTAL_SHARE, LATER_MS, 0.0)
+    allocator.set_limits(slow, 0.0, controllers=1, is_restart=False)
+    granted_units(allocator, 10.0, 0.0)
+    allocator.set_limits({}, 0.0, controllers=1, is_restart=False)
+    allocator.set_limits({}, FORGET_AFTER_MS, controllers=1, is_restart=False)
+    allocator.set_limits(slow, FORGET_AFTER_MS, controllers=1, is_restart=False)
+    assert granted_units(allocator, 0.5, FORGET_AFTER_MS) <= 0.001 * FORGET_AFTER_MS / 1_000.0
