A file of results is checked and set up in one transaction

Cause: the tables and the number of the format were written in two transactions, and read in two. A process that opened the file between them took it for foreign.

Change: one write transaction for check and creation; a file that is refused is closed.

--- a/larkweir/lab/results.py
+++ b/larkweir/lab/results.py
@@ -36,22 +36,35 @@
     def __init__(self, path: str) -> None:
         try:
             self._base = sqlite3.connect(path, timeout=30.0, isolation_level=None)
-            self._base.execute("pragma journal_mode = wal")
-            self._base.execute("pragma synchronous = full")
-            (version,) = self._base.execute("pragma user_version").fetchone()
-            (tables,) = self._base.execute("select count(*) from sqlite_master").fetchone()
-            if version not in (0, FORMAT) or (version == 0 and tables):
-                raise StoreError(f"{path}: is no file of results, or of another version")
-            (fault,) = self._base.execute("pragma quick_check(1)").fetchone()
-            if fault != "ok":
-                raise StoreError(f"{path}: {fault}")
-            self._base.execute(
-                "create table if not exists cells (played text, code text, seed integer, scenario text, point text,"
-                " result text, primary key (played, code, seed)) without rowid"
-            )
-            self._base.execute(f"pragma user_version = {FORMAT}")
         except sqlite3.Error as problem:
             raise StoreError(f"{path}: {problem}") from None
+        try:
+            self._set_up(path)
+        except (sqlite3.Error, StoreError) as problem:
+            self._base.close()
+            raise problem if isinstance(problem, StoreError) else StoreError(f"{path}: {problem}") from None
+
+    def _set_up(self, path: str) -> None:
+        """Check the format and create what a new file lacks, in one transaction: another process may open it too."""
+        self._base.execute("pragma journal_mode = wal")
+        self._base.execute("pragma synchronous = full")
+        self._base.execute("begin immediate")
+        self._check_format(path)
+        self._base.execute(
+            "create table if not exists cells (played text, code text, seed integer, scenario text, point text,"
+            " result text, primary key (played, code, seed)) without rowid"
+        )
+        self._base.execute(f"pragma user_version = {FORMAT}")
+        self._base.execute("commit")
+
+    def _check_format(self, path: str) -> None:
+        (version,) = self._base.execute("pragma user_version").fetchone()
+        (tables,) = self._base.execute("select count(*) from sqlite_master").fetchone()
+        if version not in (0, FORMAT) or (version == 0 and tables):
+            raise StoreError(f"{path}: is no file of results, or of another version")
+        (fault,) = self._base.execute("pragma quick_check(1)").fetchone()
+        if fault != "ok":
+            raise StoreError(f"{path}: {fault}")
 
     def has(self, played: str, code: str, seed: int) -> bool:
         """Whether a cell is stored."""
--- a/tests/lab/test_runner.py
+++ b/tests/lab/test_runner.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import signal
+import sqlite3
 import subprocess
 import sys
 import time
+from functools import partial
 from pathlib import Path
+from typing import Any, ClassVar
 
 import pytest
 
 from larkweir.lab.policies import POLICIES, Policy
 from larkweir.lab.report import table
-from larkweir.lab.results import Cell, Results, StoreError
+from larkweir.lab.results import FORMAT, Cell, Results, StoreError
 from larkweir.lab.runner import code_version, run
 from larkweir.lab.scenario import fingerprint, read
 from tests.lab.scenarios import GOOD, ROOT
@@ -40,6 +44,33 @@
     assert one == other and table(one) == table(other)
 
 
+connect = sqlite3.connect
+
+
+class ObservedConnection(sqlite3.Connection):
+    """A connection at which another one looks at the file after each statement that writes."""
+
+    seen: ClassVar[list[tuple[int, int]]] = []  # the version of the format and the number of tables
+
+    def execute(self, statement: str, *arguments: Any) -> sqlite3.Cursor:
+        cursor = super().execute(statement, *arguments)
+        if statement.startswith(("create", "pragma user_version =", "commit")):
+            (_, _, file) = super().execute("pragma database_list").fetchone()
+            with contextlib.closing(connect(file)) as other:
+                (version,) = other.execute("pragma user_version").fetchone()
+                (tables,) = other.execute("select count(*) from sqlite_master").fetchone()
+                self.seen.append((version, tables))
+        return cursor
+
+
+def test_a_new_file_is_never_seen_half_set_up(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    # Guards against a process that takes a file for foreign while another one creates it.
+    monkeypatch.setattr(sqlite3, "connect", partial(connect, factory=ObservedConnection))
+    Results(str(tmp_path / "s.db")).close()
+    assert (0, 1) not in ObservedConnection.seen
+    assert ObservedConnection.seen[-1] == (FORMAT, 1)
+
+
 def test_a_run_that_is_killed_goes_on_where_it_stood(tmp_path: Path) -> None:
     file, store = tmp_path / "s.toml", tmp_path / "s.db"
     file.write_text(GOOD.replace("seeds = 2", "seeds = 12"))
