A backend that names an unknown service is refused beside a traffic_split too

Cause: the check asked for the services that get requests, not for those that the route names.

Change: both are checked; a traffic_split goes before a backend, as before.

Result: the new invalid document was accepted before and is refused with 400; tests/cluster passes.

--- a/larkweir/cluster/configuration/schema.py
+++ b/larkweir/cluster/configuration/schema.py
@@ -60,10 +60,9 @@
 
     @property
     def backends(self) -> list[str]:
-        """The names of the services to which the route sends requests."""
-        if self.traffic_split is not None:
-            return [part.backend for part in self.traffic_split]
-        return [] if self.backend is None else [self.backend]
+        """The names of the services that the route names; a `traffic_split` goes before a `backend`."""
+        split = [part.backend for part in self.traffic_split or []]
+        return split if self.backend is None else [*split, self.backend]
 
     @field_validator("host")
     @classmethod
--- a/tests/cluster/configurations.py
+++ b/tests/cluster/configurations.py
@@ -39,6 +39,9 @@
     "unknown service in a split": changed(
         routes=[route("r1", "/one/", backend=None, traffic_split=[{"backend": "nobody", "weight": 1}])]
     ),
+    "unknown service beside a split": changed(
+        routes=[route("r1", "/one/", backend="nobody", traffic_split=[{"backend": "s", "weight": 1}])]
+    ),
     "duplicate host and path prefix": changed(routes=[route("r1", "/one/"), route("r2", "/one/")]),
     "hosts that differ in case": changed(
         routes=[route("r1", "/one/", host="A.Example"), route("r2", "/one/", host="a.example")]
