--- a/larkweir/controller/instances_api.py
+++ b/larkweir/controller/instances_api.py
@@ -21,7 +21,8 @@
 from larkweir.controller.upstream_store import UpstreamStore
 
 PATH_PREFIX = "/instances/"
-MAX_HEARTBEAT_BYTES = 4_096
+MAX_HEARTBEAT_BYTES = 256 * 1024  # an engine lists its models and their adapters
+MAX_NAME_CHARS = 4_096
 CONFIRM_TIMEOUT_S = 0.4  # a departing upstream waits one second for its acknowledgement
 MAX_ID_CHARS = 512
 MAX_VERSION_CHARS = 128
@@ -34,6 +35,9 @@
 NOT_DURABLE = Response(503, b'{"error":"no majority of controllers has the departure on disk"}')
 
 
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
+
+
 class ReportedState(StrEnum):
     """The states that an upstream can report for itself."""
 
@@ -44,9 +48,9 @@
 class Heartbeat(msgspec.Struct, frozen=True):
     """The body of `PUT /instances/ID`. Unknown fields are ignored. `version`: version of the upstream's software."""
 
-    service: str = msgspec.field(name="backend")
-    address: str
-    zone: str
+    service: Name = msgspec.field(name="backend")
+    address: Name
+    zone: Name
     sequence: Counter
     state: ReportedState = ReportedState.READY
     slots: Slots = 1
--- a/packages/quotas/src/larkweir_quotas/quota_allocator.py
+++ b/packages/quotas/src/larkweir_quotas/quota_allocator.py
@@ -26,7 +26,9 @@
 MAX_THRESHOLD_FRACTION = 0.5  # of a bucket's capacity
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
-FORGET_AFTER_MS = 60_000.0  # from a limit's removal; routers may enforce the configuration before it meanwhile
+FORGET_AFTER_MS = (
+    60_000.0  # from a limit's removal; routers may enforce the configuration before it meanwhile
+)
 
 
 class QuotaOutcome(StrEnum):
