--- a/packages/quotas/tests/test_quotas_allocator.py
+++ b/packages/quotas/tests/test_quotas_allocator.py
@@ -166,7 +166,7 @@
     assert total <= limit.burst + limit.rate_per_s * TOLERANCE.window_s
 
 
-def test_a_tenant_that_is_added_again_with_another_limit_keeps_its_level() -> None:
+def test_a_tenant_that_is_added_again_with_another_limit_continues_at_its_level() -> None:
     allocator = make_allocator()
     granted_units(allocator, 10.0, 0.0)
     allocator.set_limits({}, 0.0, controllers=1, is_restart=False)
@@ -175,7 +175,7 @@
     assert granted_units(allocator, 10.0, 1_500.0) == 100.0
 
 
-def test_the_limit_of_a_removed_tenant_holds_for_routers_that_have_not_removed_it() -> None:
+def test_the_limit_of_a_removed_tenant_binds_routers_that_have_not_removed_it() -> None:
     # Guards against unlimited grants between the removal at a controller and at the routers (QUOTA).
     allocator = make_allocator()
     allocator.set_limits({}, 0.0, controllers=1, is_restart=False)
