The lab's load generator: names of the field

Change: names alone, in larkweir/lab/load.py: requests, connections, is_reusable, bounds with MAX_ and units. The keys of results stay.

--- a/larkweir/lab/load.py
+++ b/larkweir/lab/load.py
@@ -28,9 +28,9 @@
     UpstreamMachine,
 )
 
-MOST_OPEN = 2_000  # connections; a request that finds none is late, and that is told
-LATE = 0.01  # of the requests that were asked more than `BEHIND_MS` late, from which a run says so
-BEHIND_MS = 20.0
+MAX_CONNECTIONS = 2_000  # a request that finds none is sent late
+MAX_DELAY_MS = 20.0  # between the time when a request is due and its sending; later ones count as late
+MAX_LATE_FRACTION = 0.01  # of all requests; a run with more says so in its result
 
 
 class Target(NamedTuple):
@@ -60,22 +60,24 @@
     return found
 
 
-class _Ask:
-    __slots__ = ("due_s", "link", "number", "timer")
+class _Request:
+    """One request that has not ended yet."""
+
+    __slots__ = ("connection", "due_s", "number", "timer")
 
     def __init__(self, number: int, due_s: float) -> None:
         self.number = number
         self.due_s = due_s
         self.timer: asyncio.TimerHandle | None = None
-        self.link: _Link | None = None  # that it was asked on
+        self.connection: _Connection | None = None  # that it was sent on
 
 
-class _Link(asyncio.Protocol):
+class _Connection(asyncio.Protocol):
     """One connection, one request at a time."""
 
     def __init__(self, load: Load, to: int) -> None:
         self.load, self.to = load, to
-        self.ask: _Ask | None = None
+        self.request: _Request | None = None
         self.transport: asyncio.Transport | None = None
 
     def connection_made(self, transport: Any) -> None:
@@ -85,26 +87,26 @@
         self.transport = None
         self.load.lost(self)
 
-    def begin(self, ask: _Ask) -> None:
+    def begin(self, request: _Request) -> None:
         raise NotImplementedError
 
-    def done(self, status: int, keep: bool) -> None:
-        ask, self.ask = self.ask, None
-        if ask is not None:
-            self.load.answered(self, ask, status, keep)
+    def done(self, status: int, is_reusable: bool) -> None:
+        request, self.request = self.request, None
+        if request is not None:
+            self.load.answered(self, request, status, is_reusable)
 
 
-class _Http(_Link):
+class _HttpConnection(_Connection):
     """HTTP/1.1 (RFC 9112), read by httptools."""
 
     def __init__(self, load: Load, to: int) -> None:
         super().__init__(load, to)
         self._parser: Any = httptools.HttpResponseParser(self)
 
-    def begin(self, ask: _Ask) -> None:
-        self.ask = ask
+    def begin(self, request: _Request) -> None:
+        self.request = request
         assert self.transport is not None
-        self.transport.write(self.load.head(ask))
+        self.transport.write(self.load.head(request))
 
     def data_received(self, data: bytes) -> None:
         try:
@@ -117,19 +119,19 @@
         self._parser = httptools.HttpResponseParser(self)
 
 
-class _Fastcgi(_Link):
+class _FastcgiConnection(_Connection):
     """FastCGI 1.0, one request at a time on a connection that is kept."""
 
     def __init__(self, load: Load, to: int) -> None:
         super().__init__(load, to)
         self._machine = UpstreamMachine(load.targets[to].port)
 
-    def begin(self, ask: _Ask) -> None:
-        self.ask = ask
+    def begin(self, request: _Request) -> None:
+        self.request = request
         message = Message()
         message.method, message.target = b"GET", self.load.path
         assert self.transport is not None
-        self.transport.write(self._machine.begin(message, self.load.headers(ask), [])[1])
+        self.transport.write(self._machine.begin(message, self.load.headers(request), [])[1])
 
     def data_received(self, data: bytes) -> None:
         for event in self._machine.feed(data):
@@ -158,7 +160,7 @@
     ) -> None:
         self.scenario, self.targets = scenario, targets
         self.path = path.encode()
-        self._make = _Fastcgi if protocol == "fastcgi" else _Http
+        self._make = _FastcgiConnection if protocol == "fastcgi" else _HttpConnection
         self._class = cls.encode()
         self._left = b"%d" % round(time_ms(scenario.deadline, "deadline"))
         self._run = b"%x" % Random().getrandbits(48)  # ids are new with every run
@@ -167,14 +169,14 @@
         self._deadline_s = time_ms(scenario.deadline, "deadline") / 1000.0
         self._warm_s = time_ms(scenario.warm, "warm") / 1000.0
         self._span_ms = time_ms(scenario.span, "span")
-        self._idle: list[list[_Link]] = [[] for _ in targets]
-        self._waiting: list[deque[_Ask]] = [deque() for _ in targets]
+        self._idle: list[list[_Connection]] = [[] for _ in targets]
+        self._waiting: list[deque[_Request]] = [deque() for _ in targets]
         self._opening = [0 for _ in targets]
-        self._links: set[_Link] = set()
+        self._connections: set[_Connection] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._left_over = 0
-        self._behind = 0
-        self._most_behind_ms = 0.0
+        self._unfinished = 0
+        self._late_sends = 0
+        self._max_delay_ms = 0.0
         self._begun_s = 0.0
         self.statuses: Counter[int] = Counter()
         self.counts = dict.fromkeys(("asked", "served", "in_time", "refused"), 0)
@@ -183,20 +185,20 @@
 
     # ------------------------------------------------ what is asked
 
-    def _fields(self, ask: _Ask) -> list[tuple[bytes, bytes]]:
+    def _fields(self, request: _Request) -> list[tuple[bytes, bytes]]:
         return [
-            (b"X-Trace-Id", b"%s-%d" % (self._run, ask.number)),
+            (b"X-Trace-Id", b"%s-%d" % (self._run, request.number)),
             (b"X-Qos", self._class),
             (b"X-Expires-In-Ms", self._left),
         ]
 
-    def headers(self, ask: _Ask) -> list[tuple[bytes, bytes]]:
+    def headers(self, request: _Request) -> list[tuple[bytes, bytes]]:
         """The header fields of a request."""
-        return [(b"Host", b"load"), *self._fields(ask)]
+        return [(b"Host", b"load"), *self._fields(request)]
 
-    def head(self, ask: _Ask) -> bytes:
+    def head(self, request: _Request) -> bytes:
         """The request's bytes in HTTP/1.1."""
-        rows = b"".join(b"%s: %s\r\n" % item for item in self.headers(ask))
+        rows = b"".join(b"%s: %s\r\n" % item for item in self.headers(request))
         return b"GET %s HTTP/1.1\r\n%s\r\n" % (self.path, rows)
 
     # ------------------------------------------------ connections
@@ -205,16 +207,18 @@
         """Whoever waits gets a connection that is idle, or a new one."""
         waiting, idle = self._waiting[to], self._idle[to]
         while waiting and idle:
-            link = idle.pop()
-            if link.transport is None or link.transport.is_closing():
+            connection = idle.pop()
+            if connection.transport is None or connection.transport.is_closing():
                 continue
-            ask = waiting.popleft()
-            behind = (time.monotonic() - ask.due_s) * 1000.0
-            self._behind += behind > BEHIND_MS
-            self._most_behind_ms = max(self._most_behind_ms, behind)
-            ask.link = link
-            link.begin(ask)
-        while self._opening[to] < len(waiting) and len(self._links) + sum(self._opening) < MOST_OPEN:
+            request = waiting.popleft()
+            delay_ms = (time.monotonic() - request.due_s) * 1000.0
+            self._late_sends += delay_ms > MAX_DELAY_MS
+            self._max_delay_ms = max(self._max_delay_ms, delay_ms)
+            request.connection = connection
+            connection.begin(request)
+        while (
+            self._opening[to] < len(waiting) and len(self._connections) + sum(self._opening) < MAX_CONNECTIONS
+        ):
             self._opening[to] += 1
             task = asyncio.get_running_loop().create_task(self._open(to))
             self._tasks.add(task)
@@ -223,50 +227,50 @@
     async def _open(self, to: int) -> None:
         loop = asyncio.get_running_loop()
         try:
-            _, link = await loop.create_connection(lambda: self._make(self, to), *self.targets[to])
+            _, connection = await loop.create_connection(lambda: self._make(self, to), *self.targets[to])
         except OSError:
             self._opening[to] -= 1
             if self._waiting[to]:  # the one that it was for finds nobody
                 self._end(self._waiting[to].popleft(), 0)
             return
         self._opening[to] -= 1
-        self._links.add(link)
-        self._idle[to].append(link)
+        self._connections.add(connection)
+        self._idle[to].append(connection)
         self._next(to)
 
-    def lost(self, link: _Link) -> None:
+    def lost(self, connection: _Connection) -> None:
         """A connection is lost; its request, if there is one, has no answer."""
-        self._links.discard(link)
-        link.done(0, False)
-
-    def answered(self, link: _Link, ask: _Ask, status: int, keep: bool) -> None:
-        """A request has its answer; `keep`: the connection can be used again."""
-        self._end(ask, status)
-        if keep and link.transport is not None:
-            self._idle[link.to].append(link)
-        elif link.transport is not None:
-            link.transport.close()
-        self._next(link.to)
+        self._connections.discard(connection)
+        connection.done(0, False)
+
+    def answered(self, connection: _Connection, request: _Request, status: int, is_reusable: bool) -> None:
+        """A request has its answer; `is_reusable`: the connection can be used again."""
+        self._end(request, status)
+        if is_reusable and connection.transport is not None:
+            self._idle[connection.to].append(connection)
+        elif connection.transport is not None:
+            connection.transport.close()
+        self._next(connection.to)
 
     # ------------------------------------------------ ends
 
-    def _give_up(self, to: int, ask: _Ask) -> None:
+    def _give_up(self, to: int, request: _Request) -> None:
         """Nobody waits any longer for its answer, as with a client whose time is over: it leaves."""
-        if ask in self._waiting[to]:
-            self._waiting[to].remove(ask)
-        self._end(ask, 0)
-        if ask.link is not None and ask.link.transport is not None:
-            ask.link.transport.abort()
-
-    def _end(self, ask: _Ask, status: int) -> None:
-        if ask.timer is None:
+        if request in self._waiting[to]:
+            self._waiting[to].remove(request)
+        self._end(request, 0)
+        if request.connection is not None and request.connection.transport is not None:
+            request.connection.transport.abort()
+
+    def _end(self, request: _Request, status: int) -> None:
+        if request.timer is None:
             return  # it was given up before
-        ask.timer.cancel()
-        ask.timer = None
-        self._left_over -= 1
+        request.timer.cancel()
+        request.timer = None
+        self._unfinished -= 1
         self.statuses[status] += 1
-        spent = time.monotonic() - ask.due_s
-        due = ask.due_s - self._begun_s
+        spent = time.monotonic() - request.due_s
+        due = request.due_s - self._begun_s
         counted = due >= self._warm_s
         if status == 200:
             in_time = spent <= self._aim_s
@@ -290,21 +294,21 @@
             elif number % 64 == 0:
                 await asyncio.sleep(0.0)
             to = balancer % len(self.targets)
-            ask = _Ask(number, due)
-            ask.timer = loop.call_later(
-                max(0.0, due + self._deadline_s - time.monotonic()), self._give_up, to, ask
+            request = _Request(number, due)
+            request.timer = loop.call_later(
+                max(0.0, due + self._deadline_s - time.monotonic()), self._give_up, to, request
             )
-            self._left_over += 1
+            self._unfinished += 1
             self.line[int(due_ms / BUCKET_MS)][0] += 1
             if due_ms / 1000.0 >= self._warm_s:
                 self.counts["asked"] += 1
-            self._waiting[to].append(ask)
+            self._waiting[to].append(request)
             self._next(to)
-        while self._left_over:
+        while self._unfinished:
             await asyncio.sleep(0.01)
-        for link in list(self._links):
-            if link.transport is not None:
-                link.transport.abort()
+        for connection in list(self._connections):
+            if connection.transport is not None:
+                connection.transport.abort()
         for task in list(self._tasks):
             task.cancel()
         return self._result()
@@ -322,8 +326,8 @@
             name: round(self.counts[name] / counted, 6) if counted else None
             for name in ("in_time", "served", "refused")
         }
-        late = self._behind > LATE * max(1, len(self.due))
-        told = f"the generator was late: {self._behind} of {len(self.due)}, by up to {self._most_behind_ms:.0f} ms"
+        is_late = self._late_sends > MAX_LATE_FRACTION * max(1, len(self.due))
+        sent_late = f"{self._late_sends} of {len(self.due)}, by up to {self._max_delay_ms:.0f} ms"
         return {
             **parts,
             "attempts": None,
@@ -334,7 +338,7 @@
             "calls": [],
             "line": self.line,
             "latency": latency.encode().decode(),
-            "unstable": told if late else "",
+            "unstable": f"the generator was late: {sent_late}" if is_late else "",
             "statuses": dict(sorted(self.statuses.items())),
         }
 
